--- /dev/null
+++ b/src/control.rs
@@ -0,0 +1,722 @@
+//! The decisions. Types, events and actions are in `src/interface.rs`.
+//!
+//! Ordinary path, D(C0): the holder with the least account; the asked rung while it fits under the
+//! mark, else the highest rung that fits under the full line, else refusal. Everything else here is
+//! a guard that a rule needs or an exception whose condition stands beside it.
+
+use crate::interface::*;
+use std::collections::{BTreeMap, VecDeque};
+
+// ---- constants -------------------------------------------------------------------------------
+
+/// Part of a link under which the asked rung is given (the design's default).
+const MARK: f64 = 0.85;
+/// Part of a link that no set-up passes (the design's default): rates stray by a few points.
+const FULL_LINE: f64 = 0.93;
+/// Part of the falling-over pace that all directors together may use on a cold server: margin for
+/// set-ups of theirs that bunch, and for places that are fewer than told.
+const PACE_MARGIN: f64 = 0.7;
+/// Weight of a report in an answer against what is believed; such reports are noisy and of unknown age.
+const ANSWER_WEIGHT: f64 = 0.4;
+/// Weight of a note on fullness: later, but without noise.
+const NOTE_WEIGHT: f64 = 0.8;
+/// Age of the figures in an answer, microseconds: a refresh and a delay of some tenths of a second.
+const ANSWER_AGE: Micros = 500_000;
+/// Own set-ups are remembered so long, microseconds, to be added to reports that predate them.
+const LOG_SPAN: Micros = 5_000_000;
+/// Director's tick, microseconds: often enough to see an overdue set-up before the next viewer does.
+const TICK: Micros = 200_000;
+/// A harmless set-up is given so many usual set-up times before it is tried elsewhere.
+const PATIENCE_TIMES: f64 = 4.0;
+/// Shortest patience, microseconds: a handshake and a busy core.
+const PATIENCE_MIN: Micros = 300_000;
+/// Usual set-up time believed before any was seen, microseconds.
+const SETUP_GUESS: f64 = 120_000.0;
+/// Wait before a failing server is tried again, microseconds; doubles up to three times.
+const TRIAL_WAIT: Micros = 1_000_000;
+/// Slack on the time by which a note is due, microseconds: one lost note is no silence.
+const NOTE_SLACK: Micros = 1_500_000;
+/// A failed call for the list is repeated after this, microseconds.
+const LIST_RETRY: Micros = 2_000_000;
+/// Token of the tick's timer; tokens of requests are session ids, which stay below 2^52.
+const TICK_TOKEN: u64 = u64::MAX;
+
+// ---- settings views --------------------------------------------------------------------------
+
+impl Settings {
+    fn rate(&self, class: usize, rung: usize) -> f64 {
+        let scale = self.classes.get(class).map_or(1.0, |c| c.scale);
+        let kb = self.ladder.get(rung).map_or(0.0, |r| r.kb) * scale;
+        if kb.is_finite() { kb.max(0.0) } else { 0.0 }
+    }
+
+    fn sharers(&self) -> f64 {
+        f64::from(self.directors.max(1))
+    }
+
+    fn places(&self, kind: Option<usize>) -> f64 {
+        kind.and_then(|k| self.places_by_kind.get(k)).copied().filter(|p| *p > 0.0).unwrap_or(0.0)
+    }
+}
+
+// ---- request state machine -------------------------------------------------------------------
+
+/// A request without an attempt. Sending and answering consume it, so neither can happen twice.
+#[derive(Clone)]
+struct Ask {
+    req: Request,
+    attempts: u32,
+    tried: Vec<ServerId>,
+}
+
+/// The one attempt that a request has out, or the session that it became.
+#[derive(Clone)]
+struct Attempt {
+    server: ServerId,
+    number: u32,
+    rung: usize,
+    kb: f64,
+    sent: Micros,
+}
+
+enum Live {
+    /// Sent, no answer yet.
+    Pending(Ask, Attempt),
+    /// Plays.
+    Playing(Ask, Attempt),
+    /// Answered or withdrawn while its attempt is still out: holds its seat and rate, is never sent again.
+    Closed(Ask, Attempt),
+}
+
+impl Live {
+    fn parts(&self) -> (&Ask, &Attempt) {
+        match self {
+            Live::Pending(a, t) | Live::Playing(a, t) | Live::Closed(a, t) => (a, t),
+        }
+    }
+
+    fn attempt_mut(&mut self) -> &mut Attempt {
+        match self {
+            Live::Pending(_, t) | Live::Playing(_, t) | Live::Closed(_, t) => t,
+        }
+    }
+}
+
+/// True if the outcome proves that the attempt never ran.
+fn never_ran(outcome: Outcome) -> bool {
+    matches!(outcome, Outcome::Full | Outcome::NoConnection | Outcome::NotSent)
+}
+
+// ---- account ---------------------------------------------------------------------------------
+
+/// What is believed asked of one link or uplink, as a part of what it gives.
+#[derive(Default)]
+struct Account {
+    /// Told size, kB a second; 0 where not told.
+    kb: f64,
+    /// Believed share asked.
+    share: f64,
+    /// Own rate on it, kB a second.
+    own: f64,
+    /// Own changes of the last seconds: time and kB a second.
+    log: VecDeque<(Micros, f64)>,
+    reported: Option<Micros>,
+}
+
+impl Account {
+    fn part(&self, kb: f64) -> f64 {
+        if self.kb > 0.0 { kb / self.kb } else { 0.0 }
+    }
+
+    fn add(&mut self, now: Micros, kb: f64) {
+        self.own = (self.own + kb).max(0.0);
+        self.share = (self.share + self.part(kb)).max(0.0);
+        self.log.push_back((now, kb));
+        while self.log.front().is_some_and(|(t, _)| *t < now - LOG_SPAN) {
+            self.log.pop_front();
+        }
+    }
+
+    /// A report of `age`: own changes since then are added to it.
+    fn report(&mut self, now: Micros, age: Micros, share: f64, weight: f64) {
+        if !share.is_finite() || share < 0.0 {
+            return;
+        }
+        let since: f64 = self.log.iter().filter(|(t, _)| *t > now - age).map(|(_, kb)| kb).sum();
+        let seen = (share + self.part(since)).max(0.0);
+        let weight = if self.reported.is_none() { 1.0 } else { weight };
+        self.share += weight * (seen - self.share);
+        self.reported = Some(now);
+    }
+
+    /// Until a report comes, the other directors are taken to do as this one does.
+    fn believed(&self, sharers: f64) -> f64 {
+        if self.reported.is_none() { self.part(self.own) * sharers } else { self.share }
+    }
+}
+
+/// Evidence on one server.
+struct Server {
+    listed: Listed,
+    link: Account,
+    /// A note says that it delivers short; full until cleared.
+    short: Option<Micros>,
+    /// Failures since the last sign of life.
+    fails: u32,
+    failed_at: Micros,
+    /// Last answer or note.
+    sign: Micros,
+    playing: u32,
+    pending: u32,
+    /// Last set-up sent while it was paced as cold.
+    paced: Option<Micros>,
+    /// Cold until then, as far as this director can tell.
+    cold_until: Micros,
+}
+
+// ---- director --------------------------------------------------------------------------------
+
+/// Decides for one front. Feed it every event in order, with the time.
+pub struct Director {
+    set: Settings,
+    seed: u64,
+    born: Micros,
+    servers: BTreeMap<ServerId, Server>,
+    uplinks: BTreeMap<u64, Account>,
+    live: BTreeMap<SessionId, Live>,
+    /// Sessions of a title and class held, set-ups included.
+    seats: BTreeMap<(TitleId, usize), u32>,
+    /// Times of requests taken and of further attempts sent.
+    taken: VecDeque<Micros>,
+    further: VecDeque<Micros>,
+    /// Usual time of a set-up, microseconds.
+    setup: f64,
+    subscribed: bool,
+    asked_list: Option<Micros>,
+    ticking: bool,
+}
+
+impl Director {
+    /// A director that knows nothing yet. `now` is the time of its start.
+    pub fn new(seed: u64, settings: Settings, now: Micros) -> Director {
+        Director {
+            set: settings,
+            seed,
+            born: now,
+            servers: BTreeMap::new(),
+            uplinks: BTreeMap::new(),
+            live: BTreeMap::new(),
+            seats: BTreeMap::new(),
+            taken: VecDeque::new(),
+            further: VecDeque::new(),
+            setup: SETUP_GUESS,
+            subscribed: false,
+            asked_list: None,
+            ticking: false,
+        }
+    }
+
+    /// Takes one event and appends what is to be done, in order.
+    pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
+        if !self.ticking {
+            self.ticking = true;
+            out.push(Action::Timer { after: TICK, token: TICK_TOKEN });
+        }
+        match event {
+            Event::List { news, lines } => self.on_list(now, news, lines),
+            Event::Asked(req) => self.on_asked(now, req, out),
+            Event::Carried(req, server) => self.on_carried(now, req, server),
+            Event::Started { session, attempt, server, waited } => {
+                self.on_started(now, session, attempt, server, waited);
+            }
+            Event::Finished { session, attempt, server, outcome, closed, load } => {
+                self.on_load(now, server, load);
+                self.on_finished(now, session, attempt, outcome, closed, out);
+            }
+            Event::Noted { session, attempt, server, note } => {
+                self.on_note(now, session, attempt, server, note);
+            }
+            Event::Withdrawn(session) => self.close(session),
+            Event::Timer(TICK_TOKEN) => {
+                self.ticking = true;
+                out.push(Action::Timer { after: TICK, token: TICK_TOKEN });
+            }
+            Event::Timer(token) => self.on_deadline(SessionId(token), out),
+            Event::Probed { server, outcome, load } => {
+                self.on_load(now, server, load);
+                self.on_sign(now, server, outcome == Outcome::Good);
+            }
+            Event::Peer { .. } => {}
+        }
+        self.keep_list(now, out);
+    }
+
+    // ---- events -----------------------------------------------------------------------------
+
+    fn on_asked(&mut self, now: Micros, req: Request, out: &mut Vec<Action>) {
+        self.taken.push_back(now);
+        if self.live.contains_key(&req.session) {
+            return; // an id that is already held: odd input, and its answer is under way
+        }
+        self.place(now, Ask { req, attempts: 0, tried: Vec::new() }, out);
+    }
+
+    fn on_carried(&mut self, now: Micros, req: Request, server: ServerId) {
+        if self.live.contains_key(&req.session) {
+            return;
+        }
+        let rung = self.set.classes.get(req.class).map_or(0, |c| c.floor);
+        let kb = self.set.rate(req.class, rung);
+        let ask = Ask { req, attempts: 1, tried: vec![server] };
+        self.hold(now, Live::Playing(ask, Attempt { server, number: 0, rung, kb, sent: now }));
+    }
+
+    fn on_started(&mut self, now: Micros, id: SessionId, number: u32, server: ServerId, waited: Micros) {
+        self.setup += 0.1 * (waited.max(0) as f64 - self.setup);
+        self.on_sign(now, server, true);
+        match self.live.remove(&id) {
+            Some(Live::Pending(a, t)) if t.number == number => {
+                if let Some(s) = self.servers.get_mut(&t.server) {
+                    s.pending = s.pending.saturating_sub(1);
+                    s.playing += 1;
+                }
+                self.live.insert(id, Live::Playing(a, t));
+            }
+            Some(other) => {
+                self.live.insert(id, other);
+            }
+            None => {}
+        }
+    }
+
+    fn on_finished(
+        &mut self,
+        now: Micros,
+        id: SessionId,
+        number: u32,
+        outcome: Outcome,
+        closed: bool,
+        out: &mut Vec<Action>,
+    ) {
+        if self.live.get(&id).is_none_or(|l| l.parts().1.number != number) {
+            return;
+        }
+        let Some(live) = self.live.remove(&id) else { return };
+        let server = live.parts().1.server;
+        self.release(now, &live);
+        match outcome {
+            Outcome::NoConnection | Outcome::Reset | Outcome::Late => self.on_sign(now, server, false),
+            Outcome::Good | Outcome::Full | Outcome::Error => self.on_sign(now, server, true),
+            Outcome::Cancelled | Outcome::NotSent => {}
+        }
+        // Only a request that is still owed its answer goes on; a paid one only on proof.
+        let Live::Pending(ask, _) = live else { return };
+        if closed || outcome == Outcome::Good {
+            return;
+        }
+        if never_ran(outcome) || self.harmless(ask.req.class) {
+            self.place(now, ask, out);
+        } else {
+            out.push(Action::Fail { session: id });
+        }
+    }
+
+    fn on_note(&mut self, now: Micros, id: SessionId, number: u32, server: ServerId, note: Note) {
+        self.on_sign(now, server, true);
+        match note {
+            Note::Delivered(share) => {
+                if let Some(s) = self.servers.get_mut(&server) {
+                    s.short = (share < 0.98).then_some(now);
+                }
+            }
+            Note::Rung(rung) => self.set_rung(now, id, number, rung),
+            Note::Link(share) => {
+                let age = self.note_age(now, id);
+                if let Some(s) = self.servers.get_mut(&server) {
+                    s.link.report(now, age, share, NOTE_WEIGHT);
+                }
+            }
+            Note::Uplink(share) => {
+                let age = self.note_age(now, id);
+                if let Some(rack) = self.rack_of(server) {
+                    self.uplink(rack).report(now, age, share, NOTE_WEIGHT);
+                }
+            }
+        }
+    }
+
+    /// The first note of a session comes with its set-up and is fresh; later ones are late.
+    fn note_age(&self, now: Micros, id: SessionId) -> Micros {
+        match self.live.get(&id) {
+            Some(l) if now - l.parts().1.sent < self.set.told_every / 2 => 0,
+            _ => self.set.told_late,
+        }
+    }
+
+    /// The viewer's time is up: the final answer is due now, whatever is still out.
+    fn on_deadline(&mut self, id: SessionId, out: &mut Vec<Action>) {
+        let Some(Live::Pending(ask, attempt)) = self.live.get(&id) else { return };
+        if self.set.limits.may_cancel {
+            out.push(Action::Recall { session: id, attempt: attempt.number });
+        }
+        if self.harmless(ask.req.class) {
+            out.push(self.refusal(&ask.req));
+        } else {
+            out.push(Action::Fail { session: id });
+        }
+        self.close(id);
+    }
+
+    fn close(&mut self, id: SessionId) {
+        if let Some(live) = self.live.remove(&id) {
+            let (a, t) = match live {
+                Live::Pending(a, t) | Live::Closed(a, t) => (a, t),
+                Live::Playing(a, t) => (a, t),
+            };
+            self.live.insert(id, Live::Closed(a, t));
+        }
+    }
+
+    fn on_load(&mut self, now: Micros, server: ServerId, load: Load) {
+        if let (Some(x), Some(s)) = (load.link, self.servers.get_mut(&server)) {
+            s.link.report(now, ANSWER_AGE, x, ANSWER_WEIGHT);
+        }
+        if let (Some(x), Some(rack)) = (load.uplink, self.rack_of(server)) {
+            self.uplink(rack).report(now, ANSWER_AGE, x, ANSWER_WEIGHT);
+        }
+    }
+
+    fn on_sign(&mut self, now: Micros, server: ServerId, alive: bool) {
+        let warm = self.set.contract.warm_after;
+        let Some(s) = self.servers.get_mut(&server) else { return };
+        if alive {
+            s.sign = now;
+            s.fails = 0;
+        } else {
+            s.fails += 1;
+            s.failed_at = now;
+            // It may be back at any moment, and cold: pace it from the failure on.
+            s.cold_until = s.cold_until.max(now + warm);
+        }
+    }
+
+    // ---- holding ----------------------------------------------------------------------------
+
+    fn hold(&mut self, now: Micros, live: Live) {
+        let (ask, attempt) = live.parts();
+        let (id, server, kb) = (ask.req.session, attempt.server, attempt.kb);
+        *self.seats.entry((ask.req.title, ask.req.class)).or_insert(0) += 1;
+        if let Some(s) = self.servers.get_mut(&server) {
+            match live {
+                Live::Pending(..) => s.pending += 1,
+                _ => s.playing += 1,
+            }
+        }
+        self.charge(now, server, kb);
+        self.live.insert(id, live);
+    }
+
+    fn release(&mut self, now: Micros, live: &Live) {
+        let (ask, attempt) = live.parts();
+        let key = (ask.req.title, ask.req.class);
+        if let Some(n) = self.seats.get_mut(&key) {
+            *n = n.saturating_sub(1);
+            if *n == 0 {
+                self.seats.remove(&key);
+            }
+        }
+        if let Some(s) = self.servers.get_mut(&attempt.server) {
+            match live {
+                Live::Playing(..) => s.playing = s.playing.saturating_sub(1),
+                _ => s.pending = s.pending.saturating_sub(1),
+            }
+        }
+        self.charge(now, attempt.server, -attempt.kb);
+    }
+
+    fn charge(&mut self, now: Micros, server: ServerId, kb: f64) {
+        if let Some(s) = self.servers.get_mut(&server) {
+            s.link.add(now, kb);
+        }
+        if let Some(rack) = self.rack_of(server) {
+            self.uplink(rack).add(now, kb);
+        }
+    }
+
+    fn set_rung(&mut self, now: Micros, id: SessionId, number: u32, rung: usize) {
+        let Some(live) = self.live.get_mut(&id) else { return };
+        let class = live.parts().0.req.class;
+        let attempt = live.attempt_mut();
+        if attempt.number != number || rung >= self.set.ladder.len() {
+            return;
+        }
+        let kb = self.set.rate(class, rung);
+        let change = kb - attempt.kb;
+        (attempt.rung, attempt.kb) = (rung, kb);
+        let server = attempt.server;
+        self.charge(now, server, change);
+    }
+
+    fn rack_of(&self, server: ServerId) -> Option<u64> {
+        if self.set.racks == 0 {
+            return None;
+        }
+        self.servers.get(&server).map(|s| s.listed.cell % self.set.racks)
+    }
+
+    fn uplink(&mut self, rack: u64) -> &mut Account {
+        let kb = self.set.uplink_kb.max(0.0);
+        self.uplinks.entry(rack).or_insert_with(|| Account { kb, ..Account::default() })
+    }
+
+    // ---- placement: D(C0) -------------------------------------------------------------------
+
+    fn place(&mut self, now: Micros, ask: Ask, out: &mut Vec<Action>) {
+        match self.choose(now, &ask) {
+            Some((server, rung)) => self.send(now, ask, server, rung, out),
+            None => out.push(self.refusal(&ask.req)),
+        }
+    }
+
+    /// The holder with the least account, and the rung that its occupancy allows.
+    fn choose(&self, now: Micros, ask: &Ask) -> Option<(ServerId, usize)> {
+        let class = self.set.classes.get(ask.req.class)?;
+        let top = ask.req.top.min(class.top).min(self.set.ladder.len().checked_sub(1)?);
+        if top < class.floor || !self.may_send(now, ask) {
+            return None;
+        }
+        let mut holders: Vec<_> = self
+            .servers
+            .values()
+            .filter(|s| self.holds(s, &ask.req) && self.may_take(now, s, ask))
+            .map(|s| (self.doubt(now, s), self.account(s), shared_hash(ask.req.title, s.listed.server), s))
+            .collect();
+        holders.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
+        holders.iter().find_map(|(_, _, _, s)| {
+            self.rung_at(s, ask.req.class, class.floor, top).map(|rung| (s.listed.server, rung))
+        })
+    }
+
+    /// D(C0): the asked rung under the mark, else the highest under the full line, else none.
+    fn rung_at(&self, s: &Server, class: usize, floor: usize, asked: usize) -> Option<usize> {
+        if self.fits(s, self.set.rate(class, asked), MARK) {
+            return Some(asked);
+        }
+        (floor..=asked).rev().find(|r| self.fits(s, self.set.rate(class, *r), FULL_LINE))
+    }
+
+    fn fits(&self, s: &Server, kb: f64, line: f64) -> bool {
+        let n = self.set.sharers();
+        let uplink = self.uplink_of(s);
+        s.short.is_none()
+            && s.link.believed(n) + s.link.part(kb) <= line
+            && uplink.is_none_or(|u| u.believed(n) + u.part(kb) <= line)
+    }
+
+    fn uplink_of(&self, s: &Server) -> Option<&Account> {
+        if self.set.racks == 0 { None } else { self.uplinks.get(&(s.listed.cell % self.set.racks)) }
+    }
+
+    fn account(&self, s: &Server) -> f64 {
+        let n = self.set.sharers();
+        s.link.believed(n).max(self.uplink_of(s).map_or(0.0, |u| u.believed(n)))
+    }
+
+    fn holds(&self, s: &Server, req: &Request) -> bool {
+        let cells = self.set.cells;
+        if cells == 0 || s.listed.cell >= cells {
+            return false;
+        }
+        (s.listed.cell + cells - req.home % cells) % cells < req.spread
+    }
+
+    fn send(&mut self, now: Micros, mut ask: Ask, server: ServerId, rung: usize, out: &mut Vec<Action>) {
+        let session = ask.req.session;
+        let kb = self.set.rate(ask.req.class, rung);
+        let patience = self.patience(now, &ask);
+        let number = ask.attempts;
+        if number == 0 {
+            let after = (ask.req.deadline - self.set.limits.step - now).max(0);
+            out.push(Action::Timer { after, token: session.0 });
+        } else {
+            self.further.push_back(now);
+        }
+        ask.attempts += 1;
+        ask.tried.push(server);
+        if let Some(s) = self.servers.get_mut(&server)
+            && now < s.cold_until
+        {
+            s.paced = Some(now);
+        }
+        out.push(Action::SetRung { session, rung });
+        out.push(Action::Send { session, server, patience });
+        self.hold(now, Live::Pending(ask, Attempt { server, number, rung, kb, sent: now }));
+    }
+
+    /// A harmless set-up is tried elsewhere while the viewer's aim can still be met; a paid one may
+    /// not be sent again after a time-out, so it waits as long as the viewer does.
+    fn patience(&self, now: Micros, ask: &Ask) -> Option<Micros> {
+        let last = ask.attempts + 1 >= self.set.limits.max_attempts;
+        let usual = ((self.setup * PATIENCE_TIMES) as Micros).max(PATIENCE_MIN);
+        if !self.harmless(ask.req.class) || last || now + usual >= ask.req.deadline {
+            return None;
+        }
+        Some(usual)
+    }
+
+    fn refusal(&self, req: &Request) -> Action {
+        let most = self.set.limits.max_come_back;
+        // Spread over the upper half of what viewers honour, so that they don't come back as one crowd.
+        let spread = mix(self.seed ^ req.session.0) % 1000;
+        let come_back = (most > 0).then(|| most / 2 + most / 2 * spread as Micros / 1000);
+        Action::Refuse { session: req.session, come_back }
+    }
+
+    // ---- guards -----------------------------------------------------------------------------
+
+    fn harmless(&self, class: usize) -> bool {
+        self.set.classes.get(class).is_some_and(|c| c.effect == Effect::Harmless)
+    }
+
+    /// Seats, attempts and the ration of further attempts allow another send.
+    fn may_send(&self, now: Micros, ask: &Ask) -> bool {
+        let seats = self.set.classes.get(ask.req.class).map_or(0, |c| c.seats);
+        let held = self.seats.get(&(ask.req.title, ask.req.class)).copied().unwrap_or(0);
+        if seats > 0 && held >= seats {
+            return false;
+        }
+        if ask.attempts >= self.set.limits.max_attempts.max(1)
+            || now >= ask.req.deadline - self.set.limits.step
+        {
+            return false;
+        }
+        let Some(f) = self.set.contract.further.filter(|_| ask.attempts > 0) else { return true };
+        // Strict edges: an attempt on the window's edge counts, a request on it does not.
+        let sent = self.further.iter().filter(|t| **t >= now - f.span).count() as f64;
+        let taken = self.taken.iter().filter(|t| **t > now - f.span).count() as f64;
+        sent + 1.0 <= f.free + f.per_request * taken
+    }
+
+    /// Listed ready, not tried for this request, not ahead of its cold pace, not failing.
+    fn may_take(&self, now: Micros, s: &Server, ask: &Ask) -> bool {
+        if s.listed.state != Standing::Ready || ask.tried.contains(&s.listed.server) {
+            return false;
+        }
+        if now < s.cold_until && s.paced.is_some_and(|t| now - t < self.cold_gap(s)) {
+            return false;
+        }
+        // A failing server is tried with harmless set-ups only, one at a time, ever more rarely.
+        let wait = TRIAL_WAIT << s.fails.saturating_sub(1).min(3);
+        s.fails == 0 || (self.harmless(ask.req.class) && s.pending == 0 && now - s.failed_at >= wait)
+    }
+
+    /// Least time between this director's set-ups on a cold server.
+    fn cold_gap(&self, s: &Server) -> Micros {
+        let c = &self.set.contract;
+        let places = self.set.places(s.listed.kind);
+        let pace = c.overload_factor * c.start_capacity * places / (c.warm_after.max(1) as f64);
+        if pace > 0.0 { (self.set.sharers() / (pace * PACE_MARGIN)) as Micros } else { c.warm_after }
+    }
+
+    /// 0: nothing against it. 1: set-ups or notes are overdue. 2: failing.
+    fn doubt(&self, now: Micros, s: &Server) -> u8 {
+        if s.fails > 0 {
+            return 2;
+        }
+        let due = self.set.told_every + self.set.told_late + NOTE_SLACK;
+        u8::from(self.set.told_every > 0 && s.playing > 0 && now - s.sign > due)
+    }
+
+    // ---- list -------------------------------------------------------------------------------
+
+    fn on_list(&mut self, now: Micros, news: ListNews, lines: Vec<Listed>) {
+        match news {
+            ListNews::Failed => {
+                self.subscribed = false;
+                return;
+            }
+            ListNews::Delta => self.subscribed = true,
+            ListNews::Full => {
+                self.subscribed = self.asked_list.is_some();
+                self.absent_gone(&lines);
+            }
+            ListNews::Cached => self.absent_gone(&lines),
+        }
+        let warm = self.set.contract.warm_after;
+        for line in lines {
+            let came = line.came_up.unwrap_or(now - warm);
+            // A cached list may hide a start: in the director's own first time everything may be cold.
+            let cold_until = (came + warm).max(self.born + warm);
+            match self.servers.get_mut(&line.server) {
+                Some(s) => {
+                    if line.came_up > s.listed.came_up {
+                        (s.fails, s.short, s.link.share) = (0, None, 0.0);
+                        s.cold_until = s.cold_until.max(cold_until);
+                    }
+                    s.listed = line;
+                }
+                None => {
+                    let s = Server {
+                        listed: line,
+                        link: Account::default(),
+                        short: None,
+                        fails: 0,
+                        failed_at: now,
+                        sign: now,
+                        playing: 0,
+                        pending: 0,
+                        paced: None,
+                        cold_until,
+                    };
+                    self.servers.insert(line.server, s);
+                }
+            }
+        }
+        self.size_links();
+    }
+
+    fn absent_gone(&mut self, lines: &[Listed]) {
+        let mut named: Vec<ServerId> = lines.iter().map(|l| l.server).collect();
+        named.sort_unstable();
+        for s in self.servers.values_mut() {
+            if named.binary_search(&s.listed.server).is_err() {
+                s.listed.state = Standing::Gone;
+            }
+        }
+    }
+
+    /// Told link: by weight where weights tell size, else the mean link shared out by places.
+    fn size_links(&mut self) {
+        let known: Vec<f64> = self.servers.values().map(|s| self.set.places(s.listed.kind)).collect();
+        let mean = known.iter().sum::<f64>() / known.len().max(1) as f64;
+        for s in self.servers.values_mut() {
+            let places = self.set.places(s.listed.kind);
+            let size =
+                if self.set.weights_tell_size || mean <= 0.0 { s.listed.weight } else { places / mean };
+            let kb = self.set.link_kb_per_weight * size;
+            s.link.kb = if kb.is_finite() { kb.max(0.0) } else { 0.0 };
+        }
+    }
+
+    /// Where the list must be asked for: subscribe, and again after a failure.
+    fn keep_list(&mut self, now: Micros, out: &mut Vec<Action>) {
+        let waited = self.asked_list.is_none_or(|t| now - t >= LIST_RETRY);
+        if self.set.ask_for_list && !self.subscribed && waited {
+            self.asked_list = Some(now);
+            out.push(Action::Subscribe(true));
+        }
+    }
+}
+
+// ---- shared hash -----------------------------------------------------------------------------
+
+fn mix(mut x: u64) -> u64 {
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
+
+/// The same at every director: ties fall alike wherever a title is asked for.
+fn shared_hash(title: TitleId, server: ServerId) -> u64 {
+    mix(title.0 ^ mix(server.0.wrapping_add(0x9e37_79b9_7f4a_7c15)))
+}
