--- a/src/control.rs
+++ b/src/control.rs
@@ -13,6 +13,11 @@
 const MARK: f64 = 0.85;
 /// Part of a link that no set-up passes (the design's default): rates stray by a few points.
 const FULL_LINE: f64 = 0.93;
+/// How sharply the line of a rung falls as the demand seen would overfill the fleet at that rung:
+/// line = full line / overfill ^ this. 0 would be the plain design.
+const LINE_STEEPNESS: f64 = 1.0;
+/// A viewer who was turned away counts as wanting a session for so long, microseconds: most return sooner.
+const WANTS_FOR: Micros = 3_000_000;
 /// Part of the falling-over pace that all directors together may use on a cold server: margin for
 /// set-ups of theirs that bunch, and for places that are fewer than told.
 const PACE_MARGIN: f64 = 0.7;
@@ -189,6 +194,12 @@
     /// Times of requests taken and of further attempts sent.
     taken: VecDeque<Micros>,
     further: VecDeque<Micros>,
+    /// Viewers turned away lately: when, and their class's scale.
+    turned: BTreeMap<u64, (Micros, f64)>,
+    /// Scaled number of sessions held.
+    held: f64,
+    /// Rate at the ladder's scale that all viewers seen could have under the full line, kB a second.
+    fair_kb: f64,
     /// Usual time of a set-up, microseconds.
     setup: f64,
     subscribed: bool,
@@ -209,6 +220,9 @@
             seats: BTreeMap::new(),
             taken: VecDeque::new(),
             further: VecDeque::new(),
+            turned: BTreeMap::new(),
+            held: 0.0,
+            fair_kb: f64::INFINITY,
             setup: SETUP_GUESS,
             subscribed: false,
             asked_list: None,
@@ -255,6 +269,8 @@
 
     fn on_asked(&mut self, now: Micros, req: Request, out: &mut Vec<Action>) {
         self.taken.push_back(now);
+        self.turned.remove(&req.viewer);
+        self.weigh_demand(now);
         if self.live.contains_key(&req.session) {
             return; // an id that is already held: odd input, and its answer is under way
         }
@@ -412,6 +428,7 @@
                 _ => s.playing += 1,
             }
         }
+        self.held += self.scale(ask.req.class);
         self.charge(now, server, kb);
         self.live.insert(id, live);
     }
@@ -431,6 +448,7 @@
                 _ => s.pending = s.pending.saturating_sub(1),
             }
         }
+        self.held -= self.scale(ask.req.class);
         self.charge(now, attempt.server, -attempt.kb);
     }
 
@@ -474,7 +492,10 @@
     fn place(&mut self, now: Micros, ask: Ask, out: &mut Vec<Action>) {
         match self.choose(now, &ask) {
             Some((server, rung)) => self.send(now, ask, server, rung, out),
-            None => out.push(self.refusal(&ask.req)),
+            None => {
+                self.turned.insert(ask.req.viewer, (now, self.scale(ask.req.class)));
+                out.push(self.refusal(&ask.req));
+            }
         }
     }
 
@@ -499,10 +520,38 @@
 
     /// D(C0): the asked rung under the mark, else the highest under the full line, else none.
     fn rung_at(&self, s: &Server, class: usize, floor: usize, asked: usize) -> Option<usize> {
-        if self.fits(s, self.set.rate(class, asked), MARK) {
+        if self.fits(s, self.set.rate(class, asked), MARK * self.answer(asked)) {
             return Some(asked);
         }
-        (floor..=asked).rev().find(|r| self.fits(s, self.set.rate(class, *r), FULL_LINE))
+        let mut lower = (floor + 1..=asked).rev();
+        let found = lower.find(|r| self.fits(s, self.set.rate(class, *r), FULL_LINE * self.answer(*r)));
+        found.or_else(|| self.fits(s, self.set.rate(class, floor), FULL_LINE).then_some(floor))
+    }
+
+    /// The mark answers demand (the paper's choice of C0), on each rung of the ladder: a rung at which
+    /// the viewers seen would overfill the fleet is given only while the link is that much emptier.
+    fn answer(&self, rung: usize) -> f64 {
+        let overfill = self.set.ladder.get(rung).map_or(0.0, |r| r.kb) / self.fair_kb;
+        if overfill > 1.0 { overfill.powf(-LINE_STEEPNESS) } else { 1.0 }
+    }
+
+    /// Demand as seen from here: sessions held and viewers turned away, the others taken to see as much.
+    fn weigh_demand(&mut self, now: Micros) {
+        self.turned.retain(|_, (t, _)| now - *t < WANTS_FOR);
+        let wanting = self.held + self.turned.values().map(|(_, scale)| scale).sum::<f64>();
+        let mut racks: BTreeMap<u64, f64> = BTreeMap::new();
+        for s in self.servers.values().filter(|s| s.listed.state == Standing::Ready && s.fails == 0) {
+            *racks.entry(s.listed.cell.checked_rem(self.set.racks).unwrap_or(0)).or_insert(0.0) += s.link.kb;
+        }
+        let uplink =
+            if self.set.racks > 0 && self.set.uplink_kb > 0.0 { self.set.uplink_kb } else { f64::INFINITY };
+        let room: f64 = racks.values().map(|kb| kb.min(uplink)).sum();
+        let wanting = wanting * self.set.sharers();
+        self.fair_kb = if room > 0.0 && wanting > 0.0 { FULL_LINE * room / wanting } else { f64::INFINITY };
+    }
+
+    fn scale(&self, class: usize) -> f64 {
+        self.set.classes.get(class).map_or(1.0, |c| c.scale)
     }
 
     fn fits(&self, s: &Server, kb: f64, line: f64) -> bool {
