--- a/src/control.rs
+++ b/src/control.rs
@@ -139,6 +139,8 @@
     /// Own changes of the last seconds: time and kB a second.
     log: VecDeque<(Micros, f64)>,
     reported: Option<Micros>,
+    /// Told to deliver short.
+    short: bool,
 }
 
 impl Account {
@@ -365,7 +367,20 @@
                 let late = self.set.told_late;
                 let Some(s) = self.servers.get_mut(&server) else { return };
                 s.short = (share < 0.98).then_some(now);
+                if share >= 0.98 {
+                    s.link.short = false;
+                    if let Some(r) = rack {
+                        self.uplink(r).short = false;
+                    }
+                }
+                let Some(s) = self.servers.get_mut(&server) else { return };
                 if share < 0.98 && share > 0.0 {
+                    let both = [uplink > s.link.believed(n), uplink <= s.link.believed(n)];
+                    s.link.short = both[1];
+                    if let Some(r) = rack {
+                        self.uplink(r).short = both[0];
+                    }
+                    let s = self.servers.get_mut(&server).unwrap();
                     // The note does not say which of the two is short: the one believed fuller.
                     if uplink > s.link.believed(n) {
                         rack.map(|r| self.uplink(r).report(now, late, 1.0 / share, NOTE_WEIGHT));
@@ -528,7 +543,7 @@
         match self.choose(now, &ask) {
             Some((server, rung)) => self.send(now, ask, server, rung, out),
             None => {
-                if let Some((server, rung)) = self.make_room(now, &ask, out) {
+                if false && let Some((server, rung)) = self.make_room(now, &ask, out) {
                     return self.send(now, ask, server, rung, out);
                 }
                 self.turned.insert(ask.req.viewer, (now, self.scale(ask.req.class)));
@@ -706,7 +721,7 @@
         let n = self.set.sharers();
         let over = |a: &Account| {
             let share = a.believed(n);
-            if share > RELIEF_LINE { a.own * (share - FULL_LINE) / share } else { 0.0 }
+            if a.short && share > RELIEF_LINE { a.own * (share - FULL_LINE) / share } else { 0.0 }
         };
         let links: Vec<_> =
             self.servers.iter().map(|(id, s)| (*id, over(&s.link))).filter(|x| x.1 > 0.0).collect();
