--- a/src/control.rs
+++ b/src/control.rs
@@ -272,7 +272,9 @@
                 out.push(Action::Timer { after: TICK, token: TICK_TOKEN });
                 self.weigh_demand(now);
                 self.relieve(now, out);
-                self.step_back(now, out);
+                if false {
+                    self.step_back(now, out);
+                }
             }
             Event::Timer(token) => self.on_deadline(SessionId(token), out),
             Event::Probed { server, outcome, load } => {
@@ -366,7 +368,7 @@
                 let rack = self.rack_of(server);
                 let late = self.set.told_late;
                 let Some(s) = self.servers.get_mut(&server) else { return };
-                s.short = (share < 0.98).then_some(now);
+                s.short = (share < 0.98).then(|| s.short.unwrap_or(now));
                 if share >= 0.98 {
                     s.link.short = false;
                     if let Some(r) = rack {
@@ -376,9 +378,10 @@
                 let Some(s) = self.servers.get_mut(&server) else { return };
                 if share < 0.98 && share > 0.0 {
                     let both = [uplink > s.link.believed(n), uplink <= s.link.believed(n)];
-                    s.link.short = both[1];
+                    let lasts = s.short.is_some_and(|t| now - t >= 1_500_000) && share < 0.96;
+                    s.link.short = both[1] && lasts;
                     if let Some(r) = rack {
-                        self.uplink(r).short = both[0];
+                        self.uplink(r).short = both[0] && lasts;
                     }
                     let s = self.servers.get_mut(&server).unwrap();
                     // The note does not say which of the two is short: the one believed fuller.
