--- a/src/control.rs
+++ b/src/control.rs
@@ -18,12 +18,6 @@
 const LINE_STEEPNESS: f64 = 1.0;
 /// A viewer who was turned away counts as wanting a session for so long, microseconds: most return sooner.
 const WANTS_FOR: Micros = 3_000_000;
-/// Believed occupancy past which held rungs are stepped down: delivery is about to fall short.
-const RELIEF_LINE: f64 = 0.97;
-/// A session is stepped again only after this, microseconds: the last step must show in the notes first.
-const STEP_PAUSE: Micros = 4_000_000;
-/// A link free of shortage and refusals so long lets a stepped session return, microseconds.
-const CALM: Micros = 6_000_000;
 /// Part of the falling-over pace that all directors together may use on a cold server: margin for
 /// set-ups of theirs that bunch, and for places that are fewer than told.
 const PACE_MARGIN: f64 = 0.7;
@@ -85,12 +79,9 @@
 struct Attempt {
     server: ServerId,
     number: u32,
-    /// Rung at set-up, to which a stepped session may return.
-    set_rung: usize,
     rung: usize,
     kb: f64,
     sent: Micros,
-    stepped: Option<Micros>,
 }
 
 enum Live {
@@ -116,10 +107,6 @@
     }
 }
 
-fn new_attempt(now: Micros, server: ServerId, number: u32, rung: usize, kb: f64) -> Attempt {
-    Attempt { server, number, set_rung: rung, rung, kb, sent: now, stepped: None }
-}
-
 /// True if the outcome proves that the attempt never ran.
 fn never_ran(outcome: Outcome) -> bool {
     matches!(outcome, Outcome::Full | Outcome::NoConnection | Outcome::NotSent)
@@ -139,8 +126,6 @@
     /// Own changes of the last seconds: time and kB a second.
     log: VecDeque<(Micros, f64)>,
     reported: Option<Micros>,
-    /// Told to deliver short.
-    short: bool,
 }
 
 impl Account {
@@ -188,8 +173,6 @@
     sign: Micros,
     playing: u32,
     pending: u32,
-    /// Last time that it was short, over the relief line, or had no room for a viewer.
-    tight: Micros,
     /// Last set-up sent while it was paced as cold.
     paced: Option<Micros>,
     /// Cold until then, as far as this director can tell.
@@ -269,12 +252,8 @@
             }
             Event::Withdrawn(session) => self.close(session),
             Event::Timer(TICK_TOKEN) => {
+                self.ticking = true;
                 out.push(Action::Timer { after: TICK, token: TICK_TOKEN });
-                self.weigh_demand(now);
-                self.relieve(now, out);
-                if false {
-                    self.step_back(now, out);
-                }
             }
             Event::Timer(token) => self.on_deadline(SessionId(token), out),
             Event::Probed { server, outcome, load } => {
@@ -305,7 +284,7 @@
         let rung = self.set.classes.get(req.class).map_or(0, |c| c.floor);
         let kb = self.set.rate(req.class, rung);
         let ask = Ask { req, attempts: 1, tried: vec![server] };
-        self.hold(now, Live::Playing(ask, new_attempt(now, server, 0, rung, kb)));
+        self.hold(now, Live::Playing(ask, Attempt { server, number: 0, rung, kb, sent: now }));
     }
 
     fn on_started(&mut self, now: Micros, id: SessionId, number: u32, server: ServerId, waited: Micros) {
@@ -362,43 +341,11 @@
         self.on_sign(now, server, true);
         match note {
             Note::Delivered(share) => {
-                let n = self.set.sharers();
-                let uplink =
-                    self.servers.get(&server).and_then(|s| self.uplink_of(s)).map_or(0.0, |u| u.believed(n));
-                let rack = self.rack_of(server);
-                let late = self.set.told_late;
-                let Some(s) = self.servers.get_mut(&server) else { return };
-                s.short = (share < 0.98).then(|| s.short.unwrap_or(now));
-                if share >= 0.98 {
-                    s.link.short = false;
-                    if let Some(r) = rack {
-                        self.uplink(r).short = false;
-                    }
-                }
-                let Some(s) = self.servers.get_mut(&server) else { return };
-                if share < 0.98 && share > 0.0 {
-                    let both = [uplink > s.link.believed(n), uplink <= s.link.believed(n)];
-                    let lasts = s.short.is_some_and(|t| now - t >= 1_500_000) && share < 0.96;
-                    s.link.short = both[1] && lasts;
-                    if let Some(r) = rack {
-                        self.uplink(r).short = both[0] && lasts;
-                    }
-                    let s = self.servers.get_mut(&server).unwrap();
-                    // The note does not say which of the two is short: the one believed fuller.
-                    if uplink > s.link.believed(n) {
-                        rack.map(|r| self.uplink(r).report(now, late, 1.0 / share, NOTE_WEIGHT));
-                    } else {
-                        s.link.report(now, late, 1.0 / share, NOTE_WEIGHT);
-                    }
-                }
-            }
-            Note::Rung(rung) => {
-                self.set_rung(now, id, number, rung);
-                if let Some(l) = self.live.get_mut(&id).filter(|l| l.parts().1.stepped.is_none()) {
-                    let t = l.attempt_mut();
-                    t.set_rung = t.rung;
+                if let Some(s) = self.servers.get_mut(&server) {
+                    s.short = (share < 0.98).then_some(now);
                 }
             }
+            Note::Rung(rung) => self.set_rung(now, id, number, rung),
             Note::Link(share) => {
                 let age = self.note_age(now, id);
                 if let Some(s) = self.servers.get_mut(&server) {
@@ -546,9 +493,6 @@
         match self.choose(now, &ask) {
             Some((server, rung)) => self.send(now, ask, server, rung, out),
             None => {
-                if false && let Some((server, rung)) = self.make_room(now, &ask, out) {
-                    return self.send(now, ask, server, rung, out);
-                }
                 self.turned.insert(ask.req.viewer, (now, self.scale(ask.req.class)));
                 out.push(self.refusal(&ask.req));
             }
@@ -557,17 +501,6 @@
 
     /// The holder with the least account, and the rung that its occupancy allows.
     fn choose(&self, now: Micros, ask: &Ask) -> Option<(ServerId, usize)> {
-        let class = self.set.classes.get(ask.req.class)?;
-        let top = ask.req.top.min(class.top).min(self.set.ladder.len().checked_sub(1)?);
-        let holders = self.holders(now, ask)?;
-        holders.iter().find_map(|id| {
-            let s = self.servers.get(id)?;
-            self.rung_at(s, ask.req.class, class.floor, top).map(|rung| (*id, rung))
-        })
-    }
-
-    /// Holders that may take this request, least doubt and least account first. None if it may not be sent.
-    fn holders(&self, now: Micros, ask: &Ask) -> Option<Vec<ServerId>> {
         let class = self.set.classes.get(ask.req.class)?;
         let top = ask.req.top.min(class.top).min(self.set.ladder.len().checked_sub(1)?);
         if top < class.floor || !self.may_send(now, ask) {
@@ -580,7 +513,9 @@
             .map(|s| (self.doubt(now, s), self.account(s), shared_hash(ask.req.title, s.listed.server), s))
             .collect();
         holders.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
-        Some(holders.into_iter().map(|h| h.3.listed.server).collect())
+        holders.iter().find_map(|(_, _, _, s)| {
+            self.rung_at(s, ask.req.class, class.floor, top).map(|rung| (s.listed.server, rung))
+        })
     }
 
     /// D(C0): the asked rung under the mark, else the highest under the full line, else none.
@@ -633,7 +568,7 @@
 
     fn account(&self, s: &Server) -> f64 {
         let n = self.set.sharers();
-        s.link.believed(n).max(self.uplink_of(s).map_or(0.0, |u| u.believed(n)))
+        s.link.believed(n) + self.uplink_of(s).map_or(0.0, |u| u.believed(n))
     }
 
     fn holds(&self, s: &Server, req: &Request) -> bool {
@@ -664,7 +599,7 @@
         }
         out.push(Action::SetRung { session, rung });
         out.push(Action::Send { session, server, patience });
-        self.hold(now, Live::Pending(ask, new_attempt(now, server, number, rung, kb)));
+        self.hold(now, Live::Pending(ask, Attempt { server, number, rung, kb, sent: now }));
     }
 
     /// A harmless set-up is tried elsewhere while the viewer's aim can still be met; a paid one may
@@ -686,141 +621,6 @@
         Action::Refuse { session: req.session, come_back }
     }
 
-    // ---- exceptions: held rungs ---------------------------------------------------------------
-
-    /// The rung at which all viewers seen would fit.
-    fn fair_rung(&self) -> usize {
-        self.set.ladder.iter().rposition(|r| r.kb <= self.fair_kb).unwrap_or(0)
-    }
-
-    /// Exception: a viewer would be turned away for want of room while held rungs above what the demand
-    /// seen allows keep the link full. They are stepped down to it, and the viewer gets the lowest rung.
-    fn make_room(&mut self, now: Micros, ask: &Ask, out: &mut Vec<Action>) -> Option<(ServerId, usize)> {
-        let n = self.set.sharers();
-        let floor = self.set.classes.get(ask.req.class)?.floor;
-        let kb = self.set.rate(ask.req.class, floor);
-        for id in self.holders(now, ask)? {
-            let Some(s) = self.servers.get_mut(&id) else { continue };
-            s.tight = now;
-            if s.short.is_some() {
-                continue;
-            }
-            let s = &self.servers[&id];
-            let need = |a: &Account| (a.believed(n) - FULL_LINE) * a.kb + kb;
-            let (link, uplink) = (need(&s.link), self.uplink_of(s).map_or(0.0, need));
-            let rack = if link > 0.0 { None } else { self.rack_of(id) };
-            let steps =
-                self.steps_down(now, |s| s == id || (rack.is_some() && self.rack_of(s) == rack), true);
-            if self.take_steps(now, steps, link.max(uplink), true, out) {
-                return Some((id, floor));
-            }
-        }
-        None
-    }
-
-    /// Exception: a link or uplink is believed to be asked for more than the relief line, or tells that it
-    /// delivers short. This director's held rungs there step down by its own part of the excess.
-    fn relieve(&mut self, now: Micros, out: &mut Vec<Action>) {
-        let n = self.set.sharers();
-        let over = |a: &Account| {
-            let share = a.believed(n);
-            if a.short && share > RELIEF_LINE { a.own * (share - FULL_LINE) / share } else { 0.0 }
-        };
-        let links: Vec<_> =
-            self.servers.iter().map(|(id, s)| (*id, over(&s.link))).filter(|x| x.1 > 0.0).collect();
-        for (id, excess) in links {
-            if let Some(s) = self.servers.get_mut(&id) {
-                s.tight = now;
-            }
-            let steps = self.steps_down(now, |s| s == id, false);
-            self.take_steps(now, steps, excess, false, out);
-        }
-        let racks: Vec<_> = self.uplinks.iter().map(|(r, u)| (*r, over(u))).filter(|x| x.1 > 0.0).collect();
-        for (rack, excess) in racks {
-            for s in
-                self.servers.values_mut().filter(|s| s.listed.cell.checked_rem(self.set.racks) == Some(rack))
-            {
-                s.tight = now;
-            }
-            let steps = self.steps_down(now, |s| self.rack_of(s) == Some(rack), false);
-            self.take_steps(now, steps, excess, false, out);
-        }
-    }
-
-    /// Steps open on some servers, least worth lost for the rate freed first: session, rung, rate freed.
-    fn steps_down(
-        &self,
-        now: Micros,
-        on: impl Fn(ServerId) -> bool,
-        above_fair: bool,
-    ) -> Vec<(SessionId, usize, f64)> {
-        let fair = self.fair_rung();
-        let worth = |r: usize| self.set.ladder.get(r).map_or(0.0, |x| x.worth);
-        let mut steps = Vec::new();
-        for (id, live) in &self.live {
-            let Live::Playing(ask, t) = live else { continue };
-            let Some(class) = self.set.classes.get(ask.req.class) else { continue };
-            let waits = t.stepped.is_some_and(|at| now - at < STEP_PAUSE);
-            if !on(t.server) || waits || t.rung <= class.floor || (above_fair && t.rung <= fair) {
-                continue;
-            }
-            let to = fair.min(t.rung - 1).max(class.floor);
-            let freed = t.kb - self.set.rate(ask.req.class, to);
-            if freed > 0.0 {
-                steps.push((class.worth * (worth(t.rung) - worth(to)) / freed, *id, to, freed));
-            }
-        }
-        steps.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-        steps.into_iter().map(|(_, id, to, freed)| (id, to, freed)).collect()
-    }
-
-    /// Takes steps until enough is freed. With `whole`, takes none unless they free enough.
-    fn take_steps(
-        &mut self,
-        now: Micros,
-        steps: Vec<(SessionId, usize, f64)>,
-        need: f64,
-        whole: bool,
-        out: &mut Vec<Action>,
-    ) -> bool {
-        if whole && steps.iter().map(|s| s.2).sum::<f64>() < need {
-            return false;
-        }
-        let mut freed = 0.0;
-        for (id, rung, kb) in steps {
-            if freed >= need {
-                break;
-            }
-            freed += kb;
-            self.step(now, id, rung, out);
-        }
-        freed >= need
-    }
-
-    fn step(&mut self, now: Micros, id: SessionId, rung: usize, out: &mut Vec<Action>) {
-        let Some(live) = self.live.get_mut(&id) else { return };
-        live.attempt_mut().stepped = Some(now);
-        let number = live.parts().1.number;
-        self.set_rung(now, id, number, rung);
-        out.push(Action::SetRung { session: id, rung });
-    }
-
-    /// Return: where a server had room for every viewer and no shortage for a while, one stepped session
-    /// a tick goes back to the rung of its set-up, if that would be given now.
-    fn step_back(&mut self, now: Micros, out: &mut Vec<Action>) {
-        let back = self.live.iter().find_map(|(id, live)| {
-            let Live::Playing(ask, t) = live else { return None };
-            let s = self.servers.get(&t.server)?;
-            let rested = t.stepped.is_some_and(|at| now - at >= CALM) && now - s.tight >= CALM;
-            let more = self.set.rate(ask.req.class, t.set_rung) - t.kb;
-            let fits = rested && t.rung < t.set_rung && self.fits(s, more, MARK * self.answer(t.set_rung));
-            fits.then_some((*id, t.set_rung))
-        });
-        if let Some((id, rung)) = back {
-            self.step(now, id, rung, out);
-        }
-    }
-
     // ---- guards -----------------------------------------------------------------------------
 
     fn harmless(&self, class: usize) -> bool {
@@ -914,7 +714,6 @@
                         sign: now,
                         playing: 0,
                         pending: 0,
-                        tight: now,
                         paced: None,
                         cold_until,
                     };
