--- a/src/control.rs
+++ b/src/control.rs
@@ -523,7 +523,7 @@
         if self.fits(s, self.set.rate(class, asked), MARK * self.answer(asked)) {
             return Some(asked);
         }
-        let mut lower = (floor + 1..=asked).rev();
+        let mut lower = (floor + 1..asked).rev();
         let found = lower.find(|r| self.fits(s, self.set.rate(class, *r), FULL_LINE * self.answer(*r)));
         found.or_else(|| self.fits(s, self.set.rate(class, floor), FULL_LINE).then_some(floor))
     }
--- /dev/null
+++ b/tests/guards.rs
@@ -0,0 +1,189 @@
+//! The guards that the rules need: each test fails when its guard is taken out.
+
+mod common;
+use common::*;
+use shalewall::*;
+
+#[test]
+fn a_paid_set_up_that_may_have_run_is_failed_at_once_and_never_resent() {
+    for outcome in [Outcome::Late, Outcome::Reset, Outcome::Error, Outcome::Cancelled] {
+        let mut desk = Desk::new(settings(), 4);
+        let server = sent_to(&desk.ask(1, PAID)).unwrap();
+        let out = desk.finish(1, 0, server, outcome);
+        assert!(failed(&out) && sent_to(&out).is_none() && !refused(&out), "{outcome:?}");
+    }
+}
+
+#[test]
+fn a_paid_set_up_that_never_ran_is_tried_at_another_holder() {
+    for outcome in [Outcome::Full, Outcome::NoConnection, Outcome::NotSent] {
+        let mut desk = Desk::new(settings(), 4);
+        let server = sent_to(&desk.ask(1, PAID)).unwrap();
+        let next = sent_to(&desk.finish(1, 0, server, outcome));
+        assert!(next.is_some() && next != Some(server), "{outcome:?}");
+    }
+}
+
+#[test]
+fn a_harmless_set_up_is_tried_elsewhere_after_a_time_out_but_a_paid_one_waits_for_the_viewer() {
+    let mut desk = Desk::new(settings(), 4);
+    let patience = |out: &[Action]| {
+        out.iter().find_map(|a| match a {
+            Action::Send { patience, .. } => Some(*patience),
+            _ => None,
+        })
+    };
+    assert!(patience(&desk.ask(1, HARMLESS)).unwrap().is_some());
+    assert_eq!(patience(&desk.ask(2, PAID)), Some(None));
+}
+
+#[test]
+fn every_pending_request_gets_its_final_answer_in_time_and_only_one() {
+    for (class, paid) in [(HARMLESS, false), (PAID, true)] {
+        let mut desk = Desk::new(settings(), 4);
+        let out = desk.ask(9, class);
+        let server = sent_to(&out).unwrap();
+        let due = out.iter().find_map(|a| match a {
+            Action::Timer { after, token: 9 } => Some(*after),
+            _ => None,
+        });
+        assert!(due.is_some_and(|d| d <= 4 * S));
+        desk.now += due.unwrap();
+        let out = desk.tell(Event::Timer(9));
+        assert_eq!((failed(&out), refused(&out)), (paid, !paid));
+        // The late outcome, a second bell and a late start find it answered.
+        assert!(desk.tell(Event::Timer(9)).is_empty());
+        assert!(desk.start(9, 0, server).is_empty());
+        assert!(desk.finish(9, 0, server, Outcome::Late).is_empty());
+    }
+}
+
+#[test]
+fn nothing_new_goes_to_a_server_from_the_event_that_tells_of_its_drain() {
+    for state in [Standing::Draining, Standing::Gone] {
+        let mut desk = Desk::new(settings(), 1);
+        assert!(sent_to(&desk.ask(1, HARMLESS)).is_some());
+        desk.list(ListNews::Delta, vec![Listed { state, ..line(1) }]);
+        assert!(refused(&desk.ask(2, HARMLESS)));
+    }
+    // A full list without it says the same.
+    let mut desk = Desk::new(settings(), 1);
+    desk.list(ListNews::Full, vec![]);
+    assert!(refused(&desk.ask(1, HARMLESS)));
+}
+
+#[test]
+fn seats_are_held_from_the_send_until_the_outcome() {
+    let mut desk = Desk::new(settings(), 4);
+    let servers: Vec<_> = (1..=3).map(|id| sent_to(&desk.ask(id, PAID)).unwrap()).collect();
+    assert!(refused(&desk.ask(4, PAID)));
+    // Withdrawn is not enough: the attempt is still out.
+    desk.tell(Event::Withdrawn(SessionId(1)));
+    assert!(refused(&desk.ask(5, PAID)));
+    desk.finish(1, 0, servers[0], Outcome::Cancelled);
+    assert!(sent_to(&desk.ask(6, PAID)).is_some());
+    // A carried session takes a seat too.
+    let mut desk = Desk::new(settings(), 4);
+    for id in 1..=3 {
+        let req = request(id, PAID, desk.now);
+        desk.tell(Event::Carried(req, ServerId(1)));
+    }
+    assert!(refused(&desk.ask(4, PAID)));
+}
+
+#[test]
+fn the_floor_and_the_viewers_top_bound_every_rung() {
+    let mut desk = Desk::new(settings(), 1);
+    desk.note(99, ServerId(1), Note::Link(0.90));
+    assert!(refused(&desk.ask(1, PAID)), "rung 0 would fit, the floor does not");
+    assert_eq!(rung(&desk.ask(2, HARMLESS)), Some(0));
+    let mut desk = Desk::new(settings(), 1);
+    let req = Request { top: 2, ..request(3, HARMLESS, desk.now) };
+    assert_eq!(rung(&desk.tell(Event::Asked(req))), Some(2));
+    let req = Request { top: 0, ..request(4, PAID, desk.now) };
+    assert!(refused(&desk.tell(Event::Asked(req))), "no legal rung");
+}
+
+#[test]
+fn further_attempts_stay_within_the_ration_with_strict_edges() {
+    let mut desk = Desk::new(settings(), 4);
+    let again = |desk: &mut Desk, id| {
+        let server = sent_to(&desk.ask(id, HARMLESS)).unwrap();
+        sent_to(&desk.finish(id, 0, server, Outcome::Full))
+    };
+    assert!(again(&mut desk, 1).is_some());
+    assert!(again(&mut desk, 2).is_some());
+    assert!(again(&mut desk, 3).is_none());
+    desk.now += 10 * S; // exactly the window: the old ones still count
+    assert!(again(&mut desk, 4).is_none());
+    desk.now += 1;
+    assert!(again(&mut desk, 5).is_some());
+}
+
+#[test]
+fn a_server_that_has_just_started_is_paced() {
+    let mut desk = Desk::new(settings(), 0);
+    let now = desk.now;
+    desk.list(ListNews::Delta, vec![Listed { came_up: Some(now - S), ..line(1) }]);
+    let mut sent = 0;
+    for id in 0..40 {
+        sent += u32::from(sent_to(&desk.ask(id, HARMLESS)).is_some());
+        desk.now += 50 * MS;
+    }
+    // 2 x 30 places over 12 s at 0.4 is 4 in two seconds.
+    assert!((1..=4).contains(&sent), "{sent} set-ups in two seconds");
+}
+
+#[test]
+fn all_servers_are_paced_in_a_directors_first_time_since_its_list_may_be_stale() {
+    let mut desk = Desk { director: Director::new(1, settings(), 0), now: 0 };
+    desk.list(ListNews::Cached, vec![line(1)]);
+    let sent = (0..40).filter(|id| sent_to(&desk.ask(*id, HARMLESS)).is_some()).count();
+    assert_eq!(sent, 1);
+}
+
+#[test]
+fn a_server_seen_failing_is_paced_as_cold_and_tried_with_harmless_set_ups_only() {
+    let mut set = settings();
+    set.contract.further = None;
+    let mut desk = Desk::new(set, 1);
+    let server = sent_to(&desk.ask(1, HARMLESS)).unwrap();
+    desk.finish(1, 0, server, Outcome::NoConnection);
+    assert!(refused(&desk.ask(2, HARMLESS)), "not at once");
+    desk.now += 2 * S;
+    assert!(refused(&desk.ask(3, PAID)), "not a paid one");
+    assert!(sent_to(&desk.ask(4, HARMLESS)).is_some(), "one trial");
+    assert!(refused(&desk.ask(5, HARMLESS)), "one at a time");
+    desk.start(4, 0, server);
+    assert!(refused(&desk.ask(6, HARMLESS)), "back, but it may be cold");
+    desk.now += 12 * S;
+    assert!(sent_to(&desk.ask(7, PAID)).is_some());
+}
+
+#[test]
+fn refusals_carry_come_back_advice_within_what_viewers_honour() {
+    let mut desk = Desk::new(settings(), 0);
+    let out = desk.ask(1, PAID);
+    let advice = out.iter().find_map(|a| match a {
+        Action::Refuse { come_back, .. } => *come_back,
+        _ => None,
+    });
+    assert!(advice.is_some_and(|t| t > 0 && t <= S));
+    let mut set = settings();
+    set.limits.max_come_back = 0;
+    let mut desk = Desk::new(set, 0);
+    assert!(desk.ask(1, PAID).contains(&Action::Refuse { session: SessionId(1), come_back: None }));
+}
+
+#[test]
+fn where_the_list_must_be_asked_for_a_failed_call_is_repeated() {
+    let mut desk =
+        Desk { director: Director::new(1, Settings { ask_for_list: true, ..settings() }, 0), now: 0 };
+    assert!(desk.list(ListNews::Cached, vec![line(1)]).contains(&Action::Subscribe(true)));
+    assert!(!desk.list(ListNews::Failed, vec![]).contains(&Action::Subscribe(true)), "not at once");
+    desk.now += 3 * S;
+    assert!(desk.tell(Event::Timer(u64::MAX)).contains(&Action::Subscribe(true)));
+    desk.list(ListNews::Delta, vec![]);
+    desk.now += 60 * S;
+    assert!(!desk.tell(Event::Timer(u64::MAX)).contains(&Action::Subscribe(true)));
+}
--- /dev/null
+++ b/tests/path.rs
@@ -0,0 +1,116 @@
+//! The ordinary path, D(C0), and the accounts it rests on.
+
+mod common;
+use common::*;
+use shalewall::*;
+
+#[test]
+fn the_occupancy_picks_asked_rung_lower_rung_or_refusal() {
+    for (share, want) in [(0.2, Some(4)), (0.70, Some(3)), (0.88, Some(1)), (0.90, Some(0)), (0.95, None)] {
+        let mut desk = Desk::new(settings(), 1);
+        desk.note(99, ServerId(1), Note::Link(share));
+        let out = desk.ask(1, HARMLESS);
+        assert_eq!((rung(&out), refused(&out)), (want, want.is_none()), "at {share}");
+    }
+}
+
+#[test]
+fn a_set_up_must_fit_the_racks_uplink_too() {
+    let mut desk = Desk::new(settings(), 1);
+    desk.note(99, ServerId(1), Note::Uplink(0.95));
+    assert!(refused(&desk.ask(1, HARMLESS)));
+}
+
+#[test]
+fn a_note_of_short_delivery_marks_the_link_full_until_cleared() {
+    let mut desk = Desk::new(settings(), 1);
+    desk.note(99, ServerId(1), Note::Delivered(0.9));
+    assert!(refused(&desk.ask(1, HARMLESS)));
+    desk.note(99, ServerId(1), Note::Delivered(0.99));
+    assert!(sent_to(&desk.ask(2, HARMLESS)).is_some());
+}
+
+#[test]
+fn the_holder_with_the_least_account_is_taken_also_within_one_rack() {
+    // Servers 1 and 3 share a rack whose uplink is fuller than their links (round 6).
+    let mut desk = Desk::new(settings(), 4);
+    for (id, share) in [(1, 0.5), (2, 0.6), (3, 0.1), (4, 0.6)] {
+        desk.note(99, ServerId(id), Note::Link(share));
+        desk.note(99, ServerId(id), Note::Uplink(0.6));
+    }
+    assert_eq!(sent_to(&desk.ask(1, HARMLESS)), Some(ServerId(3)));
+}
+
+#[test]
+fn only_holders_of_the_title_are_taken() {
+    let mut desk = Desk::new(settings(), 4);
+    let req = Request { home: 3, spread: 2, ..request(1, HARMLESS, desk.now) };
+    let cells = [ServerId(4), ServerId(1)]; // cells 3 and 0, around the end
+    assert!(cells.contains(&sent_to(&desk.tell(Event::Asked(req))).unwrap()));
+    let req = Request { spread: 0, ..request(2, HARMLESS, desk.now) };
+    assert!(refused(&desk.tell(Event::Asked(req))));
+}
+
+#[test]
+fn own_set_ups_count_until_they_end() {
+    let mut set = settings();
+    set.racks = 0;
+    let mut desk = Desk::new(set, 1);
+    let mut held = Vec::new();
+    for id in 1..60 {
+        match sent_to(&desk.ask(id, HARMLESS)) {
+            Some(_) => held.push(id),
+            None => break,
+        }
+    }
+    assert!(!held.is_empty() && held.len() < 59, "the link fills up");
+    assert!(refused(&desk.ask(100, HARMLESS)));
+    desk.finish(held[0], 0, ServerId(1), Outcome::Full);
+    assert!(sent_to(&desk.ask(101, HARMLESS)).is_some());
+}
+
+#[test]
+fn demand_that_would_overfill_the_fleet_lowers_the_rungs_given() {
+    let mut set = settings();
+    set.classes[HARMLESS].seats = 0;
+    let first = rung(&Desk::new(set.clone(), 4).ask(1, HARMLESS));
+    let mut desk = Desk::new(set, 4);
+    for id in 1..=40 {
+        let req = request(id, HARMLESS, desk.now);
+        desk.tell(Event::Carried(req, ServerId(1 + id % 4)));
+    }
+    assert_eq!(first, Some(4));
+    assert!(rung(&desk.ask(100, HARMLESS)).is_some_and(|r| r < 4));
+}
+
+#[test]
+fn equal_events_give_equal_actions() {
+    let run = || {
+        let mut desk = Desk::new(settings(), 4);
+        (1..50).map(|id| (desk.ask(id, (id % 2) as usize), desk.now += 37 * MS)).collect::<Vec<_>>()
+    };
+    assert_eq!(run(), run());
+}
+
+#[test]
+fn odd_input_neither_panics_nor_acts_illegally() {
+    let mut desk = Desk::new(settings(), 2);
+    assert!(refused(&desk.ask(1, 77)), "no such class");
+    for value in [f64::NAN, f64::INFINITY, -1.0] {
+        desk.note(5, ServerId(1), Note::Link(value));
+        desk.note(5, ServerId(1), Note::Delivered(value));
+        desk.note(5, ServerId(77), Note::Uplink(value));
+    }
+    desk.note(5, ServerId(1), Note::Rung(usize::MAX));
+    desk.tell(Event::Withdrawn(SessionId(404)));
+    desk.tell(Event::Timer(404));
+    desk.finish(404, 3, ServerId(404), Outcome::Good);
+    desk.start(404, 3, ServerId(404));
+    desk.tell(Event::Peer { from: 9, body: vec![1] });
+    let out = Desk { director: Director::new(0, Settings::default(), 0), now: 0 }.ask(1, 0);
+    assert!(refused(&out), "empty settings refuse");
+    let mut zero = settings();
+    (zero.link_kb_per_weight, zero.uplink_kb) = (0.0, 0.0);
+    let mut desk = Desk::new(zero, 2);
+    assert!(sent_to(&desk.ask(1, HARMLESS)).is_some(), "untold sizes do not empty the fleet");
+}
