--- a/src/control.rs
+++ b/src/control.rs
@@ -27,6 +27,8 @@
 const NOTE_WEIGHT: f64 = 0.8;
 /// Age of the figures in an answer, microseconds: a refresh and a delay of some tenths of a second.
 const ANSWER_AGE: Micros = 500_000;
+/// Set-ups that each other director is taken to have made on a link since its last report, for each own.
+const UNSEEN: f64 = 1.0;
 /// Own set-ups are remembered so long, microseconds, to be added to reports that predate them.
 const LOG_SPAN: Micros = 5_000_000;
 /// Director's tick, microseconds: often enough to see an overdue set-up before the next viewer does.
@@ -126,6 +128,10 @@
     /// Own changes of the last seconds: time and kB a second.
     log: VecDeque<(Micros, f64)>,
     reported: Option<Micros>,
+    /// Time that the last report tells of.
+    seen_to: Micros,
+    /// Own set-ups since then, kB a second.
+    since: f64,
 }
 
 impl Account {
@@ -137,6 +143,7 @@
         self.own = (self.own + kb).max(0.0);
         self.share = (self.share + self.part(kb)).max(0.0);
         self.log.push_back((now, kb));
+        self.since += kb.max(0.0);
         while self.log.front().is_some_and(|(t, _)| *t < now - LOG_SPAN) {
             self.log.pop_front();
         }
@@ -152,11 +159,17 @@
         let weight = if self.reported.is_none() { 1.0 } else { weight };
         self.share += weight * (seen - self.share);
         self.reported = Some(now);
+        self.seen_to = self.seen_to.max(now - age);
+        self.since = self.log.iter().filter(|(t, kb)| *t > self.seen_to && *kb > 0.0).map(|(_, kb)| kb).sum();
     }
 
     /// Until a report comes, the other directors are taken to do as this one does.
     fn believed(&self, sharers: f64) -> f64 {
-        if self.reported.is_none() { self.part(self.own) * sharers } else { self.share }
+        if self.reported.is_none() {
+            return self.part(self.own) * sharers;
+        }
+        // The others follow the same rule on the same reports: what came here came to them as well.
+        self.share + UNSEEN * (sharers - 1.0) * self.part(self.since)
     }
 }
 
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -114,3 +114,17 @@
     let mut desk = Desk::new(zero, 2);
     assert!(sent_to(&desk.ask(1, HARMLESS)).is_some(), "untold sizes do not empty the fleet");
 }
+
+#[test]
+fn a_crowd_between_two_reports_is_counted_for_the_other_directors_too() {
+    // Incident id3f40a: every director saw the same room and all filled it.
+    let taken = |directors| {
+        let mut set = Settings { directors, ..settings() };
+        set.contract.further = None;
+        let mut desk = Desk::new(set, 1);
+        desk.note(99, ServerId(1), Note::Link(0.3));
+        desk.note(99, ServerId(1), Note::Uplink(0.1));
+        (1..60).filter(|id| sent_to(&desk.ask(*id, HARMLESS)).is_some()).count()
+    };
+    assert!(taken(4) < taken(1), "{} and {}", taken(4), taken(1));
+}
