--- a/src/control.rs
+++ b/src/control.rs
@@ -33,6 +33,9 @@
 const LOG_SPAN: Micros = 5_000_000;
 /// Director's tick, microseconds: often enough to see an overdue set-up before the next viewer does.
 const TICK: Micros = 200_000;
+/// A server that turned a set-up away as full is left alone so long, microseconds, or until a session
+/// of this director ends there: places free up about that often.
+const PACKED_FOR: Micros = 1_000_000;
 /// A harmless set-up is given so many usual set-up times before it is tried elsewhere.
 const PATIENCE_TIMES: f64 = 4.0;
 /// Shortest patience, microseconds: a handshake and a busy core.
@@ -186,6 +189,8 @@
     sign: Micros,
     playing: u32,
     pending: u32,
+    /// It turned a set-up away as full: until then, or until a session ends there.
+    packed_until: Micros,
     /// Last set-up sent while it was paced as cold.
     paced: Option<Micros>,
     /// Cold until then, as far as this director can tell.
@@ -338,6 +343,11 @@
             Outcome::Good | Outcome::Full | Outcome::Error => self.on_sign(now, server, true),
             Outcome::Cancelled | Outcome::NotSent => {}
         }
+        if outcome == Outcome::Full
+            && let Some(s) = self.servers.get_mut(&server)
+        {
+            s.packed_until = now + PACKED_FOR;
+        }
         // Only a request that is still owed its answer goes on; a paid one only on proof.
         let Live::Pending(ask, _) = live else { return };
         if closed || outcome == Outcome::Good {
@@ -460,6 +470,7 @@
                 Live::Playing(..) => s.playing = s.playing.saturating_sub(1),
                 _ => s.pending = s.pending.saturating_sub(1),
             }
+            s.packed_until = now;
         }
         self.held -= self.scale(ask.req.class);
         self.charge(now, attempt.server, -attempt.kb);
@@ -664,6 +675,9 @@
         if s.listed.state != Standing::Ready || ask.tried.contains(&s.listed.server) {
             return false;
         }
+        if now < s.packed_until {
+            return false;
+        }
         if now < s.cold_until && s.paced.is_some_and(|t| now - t < self.cold_gap(s)) {
             return false;
         }
@@ -727,6 +741,7 @@
                         sign: now,
                         playing: 0,
                         pending: 0,
+                        packed_until: now,
                         paced: None,
                         cold_until,
                     };
