--- a/src/control.rs
+++ b/src/control.rs
@@ -18,8 +18,6 @@
 const LINE_STEEPNESS: f64 = 1.0;
 /// A viewer who was turned away counts as wanting a session for so long, microseconds: most return sooner.
 const WANTS_FOR: Micros = 3_000_000;
-/// A session is stepped again only after this, microseconds: the last step must show in the notes first.
-const STEP_PAUSE: Micros = 4_000_000;
 /// Part of the falling-over pace that all directors together may use on a cold server: margin for
 /// set-ups of theirs that bunch, and for places that are fewer than told.
 const PACE_MARGIN: f64 = 0.7;
@@ -89,7 +87,6 @@
     rung: usize,
     kb: f64,
     sent: Micros,
-    stepped: Option<Micros>,
 }
 
 enum Live {
@@ -305,7 +302,7 @@
         let rung = self.set.classes.get(req.class).map_or(0, |c| c.floor);
         let kb = self.set.rate(req.class, rung);
         let ask = Ask { req, attempts: 1, tried: vec![server] };
-        self.hold(now, Live::Playing(ask, Attempt { server, number: 0, rung, kb, sent: now, stepped: None }));
+        self.hold(now, Live::Playing(ask, Attempt { server, number: 0, rung, kb, sent: now }));
     }
 
     fn on_started(&mut self, now: Micros, id: SessionId, number: u32, server: ServerId, waited: Micros) {
@@ -520,9 +517,6 @@
         match self.choose(now, &ask) {
             Some((server, rung)) => self.send(now, ask, server, rung, out),
             None => {
-                if let Some((server, rung)) = self.make_room(now, &ask, out) {
-                    return self.send(now, ask, server, rung, out);
-                }
                 self.turned.insert(ask.req.viewer, (now, self.scale(ask.req.class)));
                 out.push(self.refusal(&ask.req));
             }
@@ -531,16 +525,6 @@
 
     /// The holder with the least account, and the rung that its occupancy allows.
     fn choose(&self, now: Micros, ask: &Ask) -> Option<(ServerId, usize)> {
-        let class = self.set.classes.get(ask.req.class)?;
-        let top = ask.req.top.min(class.top).min(self.set.ladder.len().checked_sub(1)?);
-        self.holders(now, ask)?.into_iter().find_map(|id| {
-            let s = self.servers.get(&id)?;
-            self.rung_at(s, ask.req.class, class.floor, top).map(|rung| (id, rung))
-        })
-    }
-
-    /// Holders that may take this request, least doubt and least account first; none if it may not be sent.
-    fn holders(&self, now: Micros, ask: &Ask) -> Option<Vec<ServerId>> {
         let class = self.set.classes.get(ask.req.class)?;
         let top = ask.req.top.min(class.top).min(self.set.ladder.len().checked_sub(1)?);
         if top < class.floor || !self.may_send(now, ask) {
@@ -553,7 +537,9 @@
             .map(|s| (self.doubt(now, s), self.account(s), shared_hash(ask.req.title, s.listed.server), s))
             .collect();
         holders.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
-        Some(holders.into_iter().map(|h| h.3.listed.server).collect())
+        holders.iter().find_map(|(_, _, _, s)| {
+            self.rung_at(s, ask.req.class, class.floor, top).map(|rung| (s.listed.server, rung))
+        })
     }
 
     /// D(C0): the asked rung under the mark, else the highest under the full line, else none.
@@ -637,7 +623,7 @@
         }
         out.push(Action::SetRung { session, rung });
         out.push(Action::Send { session, server, patience });
-        self.hold(now, Live::Pending(ask, Attempt { server, number, rung, kb, sent: now, stepped: None }));
+        self.hold(now, Live::Pending(ask, Attempt { server, number, rung, kb, sent: now }));
     }
 
     /// A harmless set-up is tried elsewhere while the viewer's aim can still be met; a paid one may
@@ -659,95 +645,6 @@
         Action::Refuse { session: req.session, come_back }
     }
 
-    // ---- exceptions: held rungs ---------------------------------------------------------------
-
-    /// The rung at which all viewers seen would fit.
-    fn fair_rung(&self) -> usize {
-        self.set.ladder.iter().rposition(|r| r.kb <= self.fair_kb).unwrap_or(0)
-    }
-
-    /// Exception: a viewer would be turned away for want of room while held rungs above what the demand
-    /// seen allows keep the link full. They are stepped down to it, and the viewer gets the lowest rung.
-    fn make_room(&mut self, now: Micros, ask: &Ask, out: &mut Vec<Action>) -> Option<(ServerId, usize)> {
-        let n = self.set.sharers();
-        let floor = self.set.classes.get(ask.req.class)?.floor;
-        let kb = self.set.rate(ask.req.class, floor);
-        for id in self.holders(now, ask)? {
-            let Some(s) = self.servers.get_mut(&id) else { continue };
-            if s.short.is_some() {
-                continue;
-            }
-            let s = &self.servers[&id];
-            let need = |a: &Account| (a.believed(n) - FULL_LINE) * a.kb + kb;
-            let (link, uplink) = (need(&s.link), self.uplink_of(s).map_or(0.0, need));
-            let rack = if link > 0.0 { None } else { self.rack_of(id) };
-            let steps =
-                self.steps_down(now, |s| s == id || (rack.is_some() && self.rack_of(s) == rack), true);
-            if self.take_steps(now, steps, link.max(uplink), true, out) {
-                return Some((id, floor));
-            }
-        }
-        None
-    }
-
-    /// Steps open on some servers, least worth lost for the rate freed first: session, rung, rate freed.
-    fn steps_down(
-        &self,
-        now: Micros,
-        on: impl Fn(ServerId) -> bool,
-        above_fair: bool,
-    ) -> Vec<(SessionId, usize, f64)> {
-        let fair = self.fair_rung();
-        let worth = |r: usize| self.set.ladder.get(r).map_or(0.0, |x| x.worth);
-        let mut steps = Vec::new();
-        for (id, live) in &self.live {
-            let Live::Playing(ask, t) = live else { continue };
-            let Some(class) = self.set.classes.get(ask.req.class) else { continue };
-            let waits = t.stepped.is_some_and(|at| now - at < STEP_PAUSE);
-            if !on(t.server) || waits || t.rung <= class.floor || (above_fair && t.rung <= fair) {
-                continue;
-            }
-            let to = fair.min(t.rung - 1).max(class.floor);
-            let freed = t.kb - self.set.rate(ask.req.class, to);
-            if freed > 0.0 {
-                steps.push((class.worth * (worth(t.rung) - worth(to)) / freed, *id, to, freed));
-            }
-        }
-        steps.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-        steps.into_iter().map(|(_, id, to, freed)| (id, to, freed)).collect()
-    }
-
-    /// Takes steps until enough is freed. With `whole`, takes none unless they free enough.
-    fn take_steps(
-        &mut self,
-        now: Micros,
-        steps: Vec<(SessionId, usize, f64)>,
-        need: f64,
-        whole: bool,
-        out: &mut Vec<Action>,
-    ) -> bool {
-        if whole && steps.iter().map(|s| s.2).sum::<f64>() < need {
-            return false;
-        }
-        let mut freed = 0.0;
-        for (id, rung, kb) in steps {
-            if freed >= need {
-                break;
-            }
-            freed += kb;
-            self.step(now, id, rung, out);
-        }
-        freed >= need
-    }
-
-    fn step(&mut self, now: Micros, id: SessionId, rung: usize, out: &mut Vec<Action>) {
-        let Some(live) = self.live.get_mut(&id) else { return };
-        live.attempt_mut().stepped = Some(now);
-        let number = live.parts().1.number;
-        self.set_rung(now, id, number, rung);
-        out.push(Action::SetRung { session: id, rung });
-    }
-
     // ---- guards -----------------------------------------------------------------------------
 
     fn harmless(&self, class: usize) -> bool {
