--- a/src/control.rs
+++ b/src/control.rs
@@ -212,12 +212,12 @@
     /// Times of requests taken and of further attempts sent.
     taken: VecDeque<Micros>,
     further: VecDeque<Micros>,
-    /// Viewers turned away lately: when, and their class's scale.
-    turned: BTreeMap<u64, (Micros, f64)>,
-    /// Scaled number of sessions held.
-    held: f64,
-    /// Rate at the ladder's scale that all viewers seen could have under the full line, kB a second.
-    fair_kb: f64,
+    /// Viewers turned away lately: when, class and highest rung.
+    turned: BTreeMap<u64, (Micros, usize, usize)>,
+    /// Sessions held, by class and highest rung.
+    wanting: BTreeMap<(usize, usize), u32>,
+    /// What the demand seen asks at each class and rung, over what the fleet gives.
+    overfill: BTreeMap<(usize, usize), f64>,
     /// Usual time of a set-up, microseconds.
     setup: f64,
     subscribed: bool,
@@ -239,8 +239,8 @@
             taken: VecDeque::new(),
             further: VecDeque::new(),
             turned: BTreeMap::new(),
-            held: 0.0,
-            fair_kb: f64::INFINITY,
+            wanting: BTreeMap::new(),
+            overfill: BTreeMap::new(),
             setup: SETUP_GUESS,
             subscribed: false,
             asked_list: None,
@@ -451,7 +451,7 @@
                 _ => s.playing += 1,
             }
         }
-        self.held += self.scale(ask.req.class);
+        *self.wanting.entry((ask.req.class, self.top(&ask.req))).or_insert(0) += 1;
         self.charge(now, server, kb);
         self.live.insert(id, live);
     }
@@ -472,7 +472,9 @@
             }
             s.packed_until = now;
         }
-        self.held -= self.scale(ask.req.class);
+        if let Some(n) = self.wanting.get_mut(&(ask.req.class, self.top(&ask.req))) {
+            *n = n.saturating_sub(1);
+        }
         self.charge(now, attempt.server, -attempt.kb);
     }
 
@@ -517,7 +519,7 @@
         match self.choose(now, &ask) {
             Some((server, rung)) => self.send(now, ask, server, rung, out),
             None => {
-                self.turned.insert(ask.req.viewer, (now, self.scale(ask.req.class)));
+                self.turned.insert(ask.req.viewer, (now, ask.req.class, self.top(&ask.req)));
                 out.push(self.refusal(&ask.req));
             }
         }
@@ -544,38 +546,66 @@
 
     /// D(C0): the asked rung under the mark, else the highest under the full line, else none.
     fn rung_at(&self, s: &Server, class: usize, floor: usize, asked: usize) -> Option<usize> {
-        if self.fits(s, self.set.rate(class, asked), MARK * self.answer(asked)) {
+        if self.fits(s, self.set.rate(class, asked), MARK * self.answer(class, asked)) {
             return Some(asked);
         }
         let mut lower = (floor + 1..asked).rev();
-        let found = lower.find(|r| self.fits(s, self.set.rate(class, *r), FULL_LINE * self.answer(*r)));
+        let found =
+            lower.find(|r| self.fits(s, self.set.rate(class, *r), FULL_LINE * self.answer(class, *r)));
         found.or_else(|| self.fits(s, self.set.rate(class, floor), FULL_LINE).then_some(floor))
     }
 
     /// The mark answers demand (the paper's choice of C0), on each rung of the ladder: a rung at which
     /// the viewers seen would overfill the fleet is given only while the link is that much emptier.
-    fn answer(&self, rung: usize) -> f64 {
-        let overfill = self.set.ladder.get(rung).map_or(0.0, |r| r.kb) / self.fair_kb;
+    fn answer(&self, class: usize, rung: usize) -> f64 {
+        let overfill = self.overfill.get(&(class, rung)).copied().unwrap_or(0.0);
         if overfill > 1.0 { overfill.powf(-LINE_STEEPNESS) } else { 1.0 }
     }
 
     /// Demand as seen from here: sessions held and viewers turned away, the others taken to see as much.
+    /// A rung's overfill is what all viewers would ask if each had every rung that is worth as much for
+    /// its rate, over what links and uplinks give under the full line.
     fn weigh_demand(&mut self, now: Micros) {
-        self.turned.retain(|_, (t, _)| now - *t < WANTS_FOR);
-        let wanting = self.held + self.turned.values().map(|(_, scale)| scale).sum::<f64>();
+        self.turned.retain(|_, (t, ..)| now - *t < WANTS_FOR);
         let mut racks: BTreeMap<u64, f64> = BTreeMap::new();
         for s in self.servers.values().filter(|s| s.listed.state == Standing::Ready && s.fails == 0) {
             *racks.entry(s.listed.cell.checked_rem(self.set.racks).unwrap_or(0)).or_insert(0.0) += s.link.kb;
         }
         let uplink =
             if self.set.racks > 0 && self.set.uplink_kb > 0.0 { self.set.uplink_kb } else { f64::INFINITY };
-        let room: f64 = racks.values().map(|kb| kb.min(uplink)).sum();
-        let wanting = wanting * self.set.sharers();
-        self.fair_kb = if room > 0.0 && wanting > 0.0 { FULL_LINE * room / wanting } else { f64::INFINITY };
+        let room = FULL_LINE * racks.values().map(|kb| kb.min(uplink)).sum::<f64>();
+        self.overfill.clear();
+        if room <= 0.0 {
+            return;
+        }
+        let mut steps = Vec::new();
+        for (c, class) in self.set.classes.iter().enumerate() {
+            let mut density = f64::INFINITY;
+            for rung in class.floor..=class.top.min(self.set.ladder.len().saturating_sub(1)) {
+                let Some(here) = self.set.ladder.get(rung) else { break };
+                let below = if rung > class.floor { self.set.ladder[rung - 1] } else { Rung::default() };
+                let kb = (here.kb - below.kb) * class.scale;
+                if kb > 0.0 {
+                    density = density.min(class.worth * (here.worth - below.worth) / kb);
+                }
+                let held =
+                    self.wanting.range((c, rung)..=(c, usize::MAX)).map(|(_, n)| f64::from(*n)).sum::<f64>();
+                let turned =
+                    self.turned.values().filter(|(_, k, top)| *k == c && *top >= rung).count() as f64;
+                steps.push((density, c, rung, kb * (held + turned) * self.set.sharers()));
+            }
+        }
+        steps.sort_by(|a, b| b.0.total_cmp(&a.0).then((a.2, a.1).cmp(&(b.2, b.1))));
+        let mut asked = 0.0;
+        for (_, class, rung, kb) in steps {
+            asked += kb;
+            self.overfill.insert((class, rung), asked / room);
+        }
     }
 
-    fn scale(&self, class: usize) -> f64 {
-        self.set.classes.get(class).map_or(1.0, |c| c.scale)
+    /// Highest rung that this viewer may be given.
+    fn top(&self, req: &Request) -> usize {
+        req.top.min(self.set.classes.get(req.class).map_or(0, |c| c.top))
     }
 
     fn fits(&self, s: &Server, kb: f64, line: f64) -> bool {
