--- a/src/control.rs
+++ b/src/control.rs
@@ -212,10 +212,10 @@
     /// Times of requests taken and of further attempts sent.
     taken: VecDeque<Micros>,
     further: VecDeque<Micros>,
-    /// Viewers turned away lately: when, class and highest rung.
-    turned: BTreeMap<u64, (Micros, usize, usize)>,
-    /// Sessions held, by class and highest rung.
-    wanting: BTreeMap<(usize, usize), u32>,
+    /// Viewers turned away lately: when, and of which class.
+    turned: BTreeMap<u64, (Micros, usize)>,
+    /// Sessions held, by class.
+    held: BTreeMap<usize, f64>,
     /// What the demand seen asks at each class and rung, over what the fleet gives.
     overfill: BTreeMap<(usize, usize), f64>,
     /// Usual time of a set-up, microseconds.
@@ -239,7 +239,7 @@
             taken: VecDeque::new(),
             further: VecDeque::new(),
             turned: BTreeMap::new(),
-            wanting: BTreeMap::new(),
+            held: BTreeMap::new(),
             overfill: BTreeMap::new(),
             setup: SETUP_GUESS,
             subscribed: false,
@@ -451,7 +451,7 @@
                 _ => s.playing += 1,
             }
         }
-        *self.wanting.entry((ask.req.class, self.top(&ask.req))).or_insert(0) += 1;
+        *self.held.entry(ask.req.class).or_insert(0.0) += 1.0;
         self.charge(now, server, kb);
         self.live.insert(id, live);
     }
@@ -472,9 +472,7 @@
             }
             s.packed_until = now;
         }
-        if let Some(n) = self.wanting.get_mut(&(ask.req.class, self.top(&ask.req))) {
-            *n = n.saturating_sub(1);
-        }
+        *self.held.entry(ask.req.class).or_insert(0.0) -= 1.0;
         self.charge(now, attempt.server, -attempt.kb);
     }
 
@@ -519,7 +517,7 @@
         match self.choose(now, &ask) {
             Some((server, rung)) => self.send(now, ask, server, rung, out),
             None => {
-                self.turned.insert(ask.req.viewer, (now, ask.req.class, self.top(&ask.req)));
+                self.turned.insert(ask.req.viewer, (now, ask.req.class));
                 out.push(self.refusal(&ask.req));
             }
         }
@@ -566,7 +564,7 @@
     /// A rung's overfill is what all viewers would ask if each had every rung that is worth as much for
     /// its rate, over what links and uplinks give under the full line.
     fn weigh_demand(&mut self, now: Micros) {
-        self.turned.retain(|_, (t, ..)| now - *t < WANTS_FOR);
+        self.turned.retain(|_, (t, _)| now - *t < WANTS_FOR);
         let mut racks: BTreeMap<u64, f64> = BTreeMap::new();
         for s in self.servers.values().filter(|s| s.listed.state == Standing::Ready && s.fails == 0) {
             *racks.entry(s.listed.cell.checked_rem(self.set.racks).unwrap_or(0)).or_insert(0.0) += s.link.kb;
@@ -580,6 +578,8 @@
         }
         let mut steps = Vec::new();
         for (c, class) in self.set.classes.iter().enumerate() {
+            let turned = self.turned.values().filter(|(_, k)| *k == c).count() as f64;
+            let wanting = (self.held.get(&c).copied().unwrap_or(0.0) + turned) * self.set.sharers();
             let mut density = f64::INFINITY;
             for rung in class.floor..=class.top.min(self.set.ladder.len().saturating_sub(1)) {
                 let Some(here) = self.set.ladder.get(rung) else { break };
@@ -588,11 +588,7 @@
                 if kb > 0.0 {
                     density = density.min(class.worth * (here.worth - below.worth) / kb);
                 }
-                let held =
-                    self.wanting.range((c, rung)..=(c, usize::MAX)).map(|(_, n)| f64::from(*n)).sum::<f64>();
-                let turned =
-                    self.turned.values().filter(|(_, k, top)| *k == c && *top >= rung).count() as f64;
-                steps.push((density, c, rung, kb * (held + turned) * self.set.sharers()));
+                steps.push((density, c, rung, kb * wanting));
             }
         }
         steps.sort_by(|a, b| b.0.total_cmp(&a.0).then((a.2, a.1).cmp(&(b.2, b.1))));
@@ -603,11 +599,6 @@
         }
     }
 
-    /// Highest rung that this viewer may be given.
-    fn top(&self, req: &Request) -> usize {
-        req.top.min(self.set.classes.get(req.class).map_or(0, |c| c.top))
-    }
-
     fn fits(&self, s: &Server, kb: f64, line: f64) -> bool {
         let n = self.set.sharers();
         let uplink = self.uplink_of(s);
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -65,7 +65,8 @@
     }
     assert!(!held.is_empty() && held.len() < 59, "the link fills up");
     assert!(refused(&desk.ask(100, HARMLESS)));
-    desk.finish(held[0], 0, ServerId(1), Outcome::Full);
+    desk.start(held[0], 0, ServerId(1));
+    desk.finish(held[0], 0, ServerId(1), Outcome::Good);
     assert!(sent_to(&desk.ask(101, HARMLESS)).is_some());
 }
 
@@ -128,3 +129,30 @@
     };
     assert!(taken(4) < taken(1), "{} and {}", taken(4), taken(1));
 }
+
+#[test]
+fn a_server_that_answered_full_is_left_alone_until_a_session_of_ours_ends_there() {
+    let mut desk = Desk::new(settings(), 1);
+    let other = sent_to(&desk.ask(1, HARMLESS)).unwrap();
+    desk.start(1, 0, other);
+    let server = sent_to(&desk.ask(2, HARMLESS)).unwrap();
+    desk.finish(2, 0, server, Outcome::Full);
+    assert!(refused(&desk.ask(3, HARMLESS)));
+    desk.finish(1, 0, other, Outcome::Good);
+    assert!(sent_to(&desk.ask(4, HARMLESS)).is_some());
+}
+
+#[test]
+fn under_demand_the_class_that_is_worth_more_for_its_rate_gets_the_higher_rung() {
+    let mut set = settings();
+    (set.classes[PAID].seats, set.classes[PAID].floor) = (0, 0);
+    let given = |class| {
+        let mut desk = Desk::new(set.clone(), 4);
+        for id in 1..=60 {
+            let req = request(id, (id % 2) as usize, desk.now);
+            desk.tell(Event::Carried(req, ServerId(1 + id % 4)));
+        }
+        rung(&desk.ask(100, class)).unwrap()
+    };
+    assert!(given(PAID) > given(HARMLESS), "{} and {}", given(PAID), given(HARMLESS));
+}
