--- a/src/control.rs
+++ b/src/control.rs
@@ -18,6 +18,17 @@
 const LINE_STEEPNESS: f64 = 1.0;
 /// A viewer who was turned away counts as wanting a session for so long, microseconds: most return sooner.
 const WANTS_FOR: Micros = 3_000_000;
+/// Share delivered under which a lasting shortage costs more than steps down do: at the usual price of
+/// a missing point, half the worth of every session there.
+const DEEP: f64 = 0.90;
+/// A shortage lasts once it has been told for so long, microseconds: two notes and more.
+const LASTS: Micros = 1_500_000;
+/// Steps aim at this share of what is delivered.
+const RELIEF_TO: f64 = 0.97;
+/// A session is stepped again only after this, microseconds: the last step must show in the notes first.
+const STEP_PAUSE: Micros = 4_000_000;
+/// A server without shortage for so long lets its stepped sessions return, microseconds.
+const CALM: Micros = 4_000_000;
 /// Part of the falling-over pace that all directors together may use on a cold server: margin for
 /// set-ups of theirs that bunch, and for places that are fewer than told.
 const PACE_MARGIN: f64 = 0.7;
@@ -85,8 +96,11 @@
     server: ServerId,
     number: u32,
     rung: usize,
+    /// Rung of the set-up, to which a stepped session returns.
+    set_rung: usize,
     kb: f64,
     sent: Micros,
+    stepped: Option<Micros>,
 }
 
 enum Live {
@@ -112,6 +126,10 @@
     }
 }
 
+fn new_attempt(now: Micros, server: ServerId, number: u32, rung: usize, kb: f64) -> Attempt {
+    Attempt { server, number, rung, set_rung: rung, kb, sent: now, stepped: None }
+}
+
 /// True if the outcome proves that the attempt never ran.
 fn never_ran(outcome: Outcome) -> bool {
     matches!(outcome, Outcome::Full | Outcome::NoConnection | Outcome::NotSent)
@@ -182,6 +200,8 @@
     link: Account,
     /// A note says that it delivers short; full until cleared.
     short: Option<Micros>,
+    /// Last time that it was told short.
+    short_at: Micros,
     /// Failures since the last sign of life.
     fails: u32,
     failed_at: Micros,
@@ -266,12 +286,13 @@
                 self.on_finished(now, session, attempt, outcome, closed, out);
             }
             Event::Noted { session, attempt, server, note } => {
-                self.on_note(now, session, attempt, server, note);
+                self.on_note(now, session, attempt, server, note, out);
             }
             Event::Withdrawn(session) => self.close(session),
             Event::Timer(TICK_TOKEN) => {
                 self.ticking = true;
                 out.push(Action::Timer { after: TICK, token: TICK_TOKEN });
+                self.step_back(now, out);
             }
             Event::Timer(token) => self.on_deadline(SessionId(token), out),
             Event::Probed { server, outcome, load } => {
@@ -302,7 +323,7 @@
         let rung = self.set.classes.get(req.class).map_or(0, |c| c.floor);
         let kb = self.set.rate(req.class, rung);
         let ask = Ask { req, attempts: 1, tried: vec![server] };
-        self.hold(now, Live::Playing(ask, Attempt { server, number: 0, rung, kb, sent: now }));
+        self.hold(now, Live::Playing(ask, new_attempt(now, server, 0, rung, kb)));
     }
 
     fn on_started(&mut self, now: Micros, id: SessionId, number: u32, server: ServerId, waited: Micros) {
@@ -360,15 +381,37 @@
         }
     }
 
-    fn on_note(&mut self, now: Micros, id: SessionId, number: u32, server: ServerId, note: Note) {
+    fn on_note(
+        &mut self,
+        now: Micros,
+        id: SessionId,
+        number: u32,
+        server: ServerId,
+        note: Note,
+        out: &mut Vec<Action>,
+    ) {
         self.on_sign(now, server, true);
         match note {
             Note::Delivered(share) => {
-                if let Some(s) = self.servers.get_mut(&server) {
-                    s.short = (share < 0.98).then_some(now);
+                let Some(s) = self.servers.get_mut(&server) else { return };
+                if share >= 0.98 {
+                    s.short = None;
+                    return;
+                }
+                let since = *s.short.get_or_insert(now);
+                s.short_at = now;
+                if share < DEEP && now - since >= LASTS {
+                    self.step_down(now, server, share, out);
+                }
+            }
+            Note::Rung(rung) => {
+                self.set_rung(now, id, number, rung);
+                if let Some(Live::Playing(_, t)) =
+                    self.live.get_mut(&id).filter(|l| l.parts().1.stepped.is_none())
+                {
+                    t.set_rung = t.rung;
                 }
             }
-            Note::Rung(rung) => self.set_rung(now, id, number, rung),
             Note::Link(share) => {
                 let age = self.note_age(now, id);
                 if let Some(s) = self.servers.get_mut(&server) {
@@ -644,7 +687,7 @@
         }
         out.push(Action::SetRung { session, rung });
         out.push(Action::Send { session, server, patience });
-        self.hold(now, Live::Pending(ask, Attempt { server, number, rung, kb, sent: now }));
+        self.hold(now, Live::Pending(ask, new_attempt(now, server, number, rung, kb)));
     }
 
     /// A harmless set-up is tried elsewhere while the viewer's aim can still be met; a paid one may
@@ -666,6 +709,61 @@
         Action::Refuse { session: req.session, come_back }
     }
 
+    // ---- exception: held rungs ----------------------------------------------------------------
+
+    /// Exception: a server has told a deep shortage that lasts, on its link or its uplink. This director's
+    /// sessions there step down by its own part of what is missing, least worth for the rate first.
+    fn step_down(&mut self, now: Micros, server: ServerId, share: f64, out: &mut Vec<Action>) {
+        let worth = |r: usize| self.set.ladder.get(r).map_or(0.0, |x| x.worth);
+        let (mut own, mut steps) = (0.0, Vec::new());
+        for (id, live) in &self.live {
+            let Live::Playing(ask, t) = live else { continue };
+            let Some(class) = self.set.classes.get(ask.req.class).filter(|_| t.server == server) else {
+                continue;
+            };
+            own += t.kb;
+            if t.rung > class.floor && t.stepped.is_none_or(|at| now - at >= STEP_PAUSE) {
+                let freed = t.kb - self.set.rate(ask.req.class, t.rung - 1);
+                let lost = class.worth * (worth(t.rung) - worth(t.rung - 1));
+                steps.push((lost / freed.max(1.0), *id, t.rung - 1, freed));
+            } else if t.stepped.is_some_and(|at| now - at < STEP_PAUSE) {
+                return; // the last steps do not show in the notes yet
+            }
+        }
+        steps.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        let mut need = own * (1.0 - share.max(0.0) / RELIEF_TO);
+        for (_, id, rung, freed) in steps {
+            if need <= 0.0 {
+                return;
+            }
+            need -= freed;
+            self.step(now, id, rung, out);
+        }
+    }
+
+    fn step(&mut self, now: Micros, id: SessionId, rung: usize, out: &mut Vec<Action>) {
+        let Some(Live::Playing(_, t)) = self.live.get_mut(&id) else { return };
+        t.stepped = Some(now);
+        let number = t.number;
+        self.set_rung(now, id, number, rung);
+        out.push(Action::SetRung { session: id, rung });
+    }
+
+    /// Return: a server has told no shortage for a while and has room under the full line: one stepped
+    /// session a tick goes back to the rung of its set-up.
+    fn step_back(&mut self, now: Micros, out: &mut Vec<Action>) {
+        let back = self.live.iter().find_map(|(id, live)| {
+            let Live::Playing(ask, t) = live else { return None };
+            let s = self.servers.get(&t.server)?;
+            let calm = t.stepped.is_some_and(|at| now - at >= CALM) && now - s.short_at >= CALM;
+            let more = self.set.rate(ask.req.class, t.set_rung) - t.kb;
+            (calm && t.rung < t.set_rung && self.fits(s, more, FULL_LINE)).then_some((*id, t.set_rung))
+        });
+        if let Some((id, rung)) = back {
+            self.step(now, id, rung, out);
+        }
+    }
+
     // ---- guards -----------------------------------------------------------------------------
 
     fn harmless(&self, class: usize) -> bool {
@@ -757,6 +855,7 @@
                         listed: line,
                         link: Account::default(),
                         short: None,
+                        short_at: now,
                         fails: 0,
                         failed_at: now,
                         sign: now,
