--- a/src/control.rs
+++ b/src/control.rs
@@ -28,7 +28,7 @@
 /// A session is stepped again only after this, microseconds: the last step must show in the notes first.
 const STEP_PAUSE: Micros = 4_000_000;
 /// A server without shortage for so long lets its stepped sessions return, microseconds.
-const CALM: Micros = 4_000_000;
+const CALM: Micros = 6_000_000;
 /// Part of the falling-over pace that all directors together may use on a cold server: margin for
 /// set-ups of theirs that bunch, and for places that are fewer than told.
 const PACE_MARGIN: f64 = 0.7;
@@ -743,6 +743,9 @@
 
     fn step(&mut self, now: Micros, id: SessionId, rung: usize, out: &mut Vec<Action>) {
         let Some(Live::Playing(_, t)) = self.live.get_mut(&id) else { return };
+        if rung < t.rung && t.rung == t.set_rung && t.stepped.is_some() {
+            t.set_rung = rung; // it came back once and the shortage with it: it stays down
+        }
         t.stepped = Some(now);
         let number = t.number;
         self.set_rung(now, id, number, rung);
@@ -757,7 +760,7 @@
             let s = self.servers.get(&t.server)?;
             let calm = t.stepped.is_some_and(|at| now - at >= CALM) && now - s.short_at >= CALM;
             let more = self.set.rate(ask.req.class, t.set_rung) - t.kb;
-            (calm && t.rung < t.set_rung && self.fits(s, more, FULL_LINE)).then_some((*id, t.set_rung))
+            (calm && t.rung < t.set_rung && self.fits(s, more, MARK)).then_some((*id, t.set_rung))
         });
         if let Some((id, rung)) = back {
             self.step(now, id, rung, out);
