--- a/src/control.rs
+++ b/src/control.rs
@@ -50,9 +50,6 @@
 const LOG_SPAN: Micros = 5_000_000;
 /// Director's tick, microseconds: often enough to see an overdue set-up before the next viewer does.
 const TICK: Micros = 200_000;
-/// A server that turned a set-up away as full is left alone so long, microseconds, or until a session
-/// of this director ends there: places free up about that often.
-const PACKED_FOR: Micros = 1_000_000;
 /// A harmless set-up is given so many usual set-up times before it is tried elsewhere.
 const PATIENCE_TIMES: f64 = 4.0;
 /// Shortest patience, microseconds: a handshake and a busy core.
@@ -63,6 +60,8 @@
 const TRIAL_WAIT: Micros = 1_000_000;
 /// Slack on the time by which a note is due, microseconds: one lost note is no silence.
 const NOTE_SLACK: Micros = 1_500_000;
+/// No viewer waits longer, microseconds: odd deadlines are cut to an hour.
+const LONGEST: Micros = 3_600_000_000;
 /// A failed call for the list is repeated after this, microseconds.
 const LIST_RETRY: Micros = 2_000_000;
 /// Token of the tick's timer; tokens of requests are session ids, which stay below 2^52.
@@ -124,18 +123,15 @@
             Live::Pending(a, t) | Live::Playing(a, t) | Live::Closed(a, t) => (a, t),
         }
     }
-
-    fn attempt_mut(&mut self) -> &mut Attempt {
-        match self {
-            Live::Pending(_, t) | Live::Playing(_, t) | Live::Closed(_, t) => t,
-        }
-    }
 }
 
 fn new_attempt(now: Micros, server: ServerId, number: u32, rung: usize, kb: f64) -> Attempt {
     Attempt { server, number, rung, set_rung: rung, kb, sent: now, stepped: None }
 }
 
+/// A session and the number of its attempt.
+type Tried = (SessionId, u32);
+
 /// True if the outcome proves that the attempt never ran.
 fn never_ran(outcome: Outcome) -> bool {
     matches!(outcome, Outcome::Full | Outcome::NoConnection | Outcome::NotSent)
@@ -224,8 +220,6 @@
     sign: Micros,
     playing: u32,
     pending: u32,
-    /// It turned a set-up away as full: until then, or until a session ends there.
-    packed_until: Micros,
     /// Last set-up sent while it was paced as cold.
     paced: Option<Micros>,
     /// Cold until then, as far as this director can tell.
@@ -235,6 +229,7 @@
 // ---- director --------------------------------------------------------------------------------
 
 /// Decides for one front. Feed it every event in order, with the time.
+#[derive(Default)]
 pub struct Director {
     set: Settings,
     seed: u64,
@@ -263,24 +258,7 @@
 impl Director {
     /// A director that knows nothing yet. `now` is the time of its start.
     pub fn new(seed: u64, settings: Settings, now: Micros) -> Director {
-        Director {
-            set: settings,
-            seed,
-            born: now,
-            servers: BTreeMap::new(),
-            uplinks: BTreeMap::new(),
-            live: BTreeMap::new(),
-            seats: BTreeMap::new(),
-            taken: VecDeque::new(),
-            further: VecDeque::new(),
-            turned: BTreeMap::new(),
-            held: BTreeMap::new(),
-            overfill: BTreeMap::new(),
-            setup: SETUP_GUESS,
-            subscribed: false,
-            asked_list: None,
-            ticking: false,
-        }
+        Director { set: settings, seed, born: now, setup: SETUP_GUESS, ..Director::default() }
     }
 
     /// Takes one event and appends what is to be done, in order.
@@ -297,11 +275,11 @@
                 self.on_started(now, session, attempt, server, waited);
             }
             Event::Finished { session, attempt, server, outcome, closed, load } => {
-                self.on_load(now, server, load);
-                self.on_finished(now, session, attempt, outcome, closed, out);
+                self.on_load(now, server, load, ANSWER_AGE, ANSWER_WEIGHT);
+                self.on_finished(now, (session, attempt), outcome, closed, out);
             }
             Event::Noted { session, attempt, server, note } => {
-                self.on_note(now, session, attempt, server, note, out);
+                self.on_note(now, (session, attempt), server, note, out);
             }
             Event::Withdrawn(session) => self.close(session),
             Event::Timer(TICK_TOKEN) => {
@@ -312,7 +290,7 @@
             }
             Event::Timer(token) => self.on_deadline(SessionId(token), out),
             Event::Probed { server, outcome, load } => {
-                self.on_load(now, server, load);
+                self.on_load(now, server, load, ANSWER_AGE, ANSWER_WEIGHT);
                 self.on_sign(now, server, outcome == Outcome::Good);
             }
             Event::Peer { .. } => {}
@@ -322,8 +300,12 @@
 
     // ---- events -----------------------------------------------------------------------------
 
-    fn on_asked(&mut self, now: Micros, req: Request, out: &mut Vec<Action>) {
+    fn on_asked(&mut self, now: Micros, mut req: Request, out: &mut Vec<Action>) {
+        let span = self.set.contract.further.map_or(0, |f| f.span);
         self.taken.push_back(now);
+        self.taken.retain(|t| *t >= now - span);
+        self.further.retain(|t| *t >= now - span);
+        req.deadline = req.deadline.clamp(now, now + LONGEST);
         self.turned.remove(&req.viewer);
         self.weigh_demand(now);
         if self.live.contains_key(&req.session) {
@@ -363,12 +345,12 @@
     fn on_finished(
         &mut self,
         now: Micros,
-        id: SessionId,
-        number: u32,
+        tried: Tried,
         outcome: Outcome,
         closed: bool,
         out: &mut Vec<Action>,
     ) {
+        let (id, number) = tried;
         if self.live.get(&id).is_none_or(|l| l.parts().1.number != number) {
             return;
         }
@@ -380,11 +362,6 @@
             Outcome::Good | Outcome::Full | Outcome::Error => self.on_sign(now, server, true),
             Outcome::Cancelled | Outcome::NotSent => {}
         }
-        if outcome == Outcome::Full
-            && let Some(s) = self.servers.get_mut(&server)
-        {
-            s.packed_until = now + PACKED_FOR;
-        }
         // Only a request that is still owed its answer goes on; a paid one only on proof.
         let Live::Pending(ask, _) = live else { return };
         if closed || outcome == Outcome::Good {
@@ -397,15 +374,8 @@
         }
     }
 
-    fn on_note(
-        &mut self,
-        now: Micros,
-        id: SessionId,
-        number: u32,
-        server: ServerId,
-        note: Note,
-        out: &mut Vec<Action>,
-    ) {
+    fn on_note(&mut self, now: Micros, tried: Tried, server: ServerId, note: Note, out: &mut Vec<Action>) {
+        let (id, number) = tried;
         self.on_sign(now, server, true);
         match note {
             Note::Delivered(share) => {
@@ -421,24 +391,21 @@
                 }
             }
             Note::Rung(rung) => {
-                self.set_rung(now, id, number, rung);
-                if let Some(Live::Playing(_, t)) =
-                    self.live.get_mut(&id).filter(|l| l.parts().1.stepped.is_none())
-                {
-                    t.set_rung = t.rung;
+                let plays = matches!(self.live.get(&id), Some(Live::Playing(_, t)) if t.number == number);
+                if plays && rung < self.set.ladder.len() {
+                    self.set_rung(now, id, rung);
+                    if let Some(Live::Playing(_, t)) = self.live.get_mut(&id).filter(|_| plays) {
+                        t.set_rung = if t.stepped.is_none() { rung } else { t.set_rung };
+                    }
                 }
             }
-            Note::Link(share) => {
-                let age = self.note_age(now, id);
-                if let Some(s) = self.servers.get_mut(&server) {
-                    s.link.report(now, age, share, NOTE_WEIGHT);
-                }
+            Note::Link(x) => {
+                let load = Load { link: Some(x), ..Load::default() };
+                self.on_load(now, server, load, self.note_age(now, id), NOTE_WEIGHT);
             }
-            Note::Uplink(share) => {
-                let age = self.note_age(now, id);
-                if let Some(rack) = self.rack_of(server) {
-                    self.uplink(rack).report(now, age, share, NOTE_WEIGHT);
-                }
+            Note::Uplink(x) => {
+                let load = Load { uplink: Some(x), ..Load::default() };
+                self.on_load(now, server, load, self.note_age(now, id), NOTE_WEIGHT);
             }
         }
     }
@@ -467,26 +434,23 @@
 
     fn close(&mut self, id: SessionId) {
         if let Some(live) = self.live.remove(&id) {
-            let (a, t) = match live {
-                Live::Pending(a, t) | Live::Closed(a, t) => (a, t),
-                Live::Playing(a, t) => {
-                    if let Some(s) = self.servers.get_mut(&t.server) {
-                        s.playing = s.playing.saturating_sub(1);
-                        s.pending += 1;
-                    }
-                    (a, t)
-                }
-            };
+            if let (Live::Playing(_, t), servers) = (&live, &mut self.servers)
+                && let Some(s) = servers.get_mut(&t.server)
+            {
+                s.playing = s.playing.saturating_sub(1);
+                s.pending += 1;
+            }
+            let (Live::Pending(a, t) | Live::Playing(a, t) | Live::Closed(a, t)) = live;
             self.live.insert(id, Live::Closed(a, t));
         }
     }
 
-    fn on_load(&mut self, now: Micros, server: ServerId, load: Load) {
+    fn on_load(&mut self, now: Micros, server: ServerId, load: Load, age: Micros, weight: f64) {
         if let (Some(x), Some(s)) = (load.link, self.servers.get_mut(&server)) {
-            s.link.report(now, ANSWER_AGE, x, ANSWER_WEIGHT);
+            s.link.report(now, age, x, weight);
         }
         if let (Some(x), Some(rack)) = (load.uplink, self.rack_of(server)) {
-            self.uplink(rack).report(now, ANSWER_AGE, x, ANSWER_WEIGHT);
+            self.uplink(rack).report(now, age, x, weight);
         }
     }
 
@@ -536,19 +500,14 @@
 
     fn release(&mut self, now: Micros, live: &Live) {
         let (ask, attempt) = live.parts();
-        let key = (ask.req.title, ask.req.class);
-        if let Some(n) = self.seats.get_mut(&key) {
+        if let Some(n) = self.seats.get_mut(&(ask.req.title, ask.req.class)) {
             *n = n.saturating_sub(1);
-            if *n == 0 {
-                self.seats.remove(&key);
-            }
         }
         if let Some(s) = self.servers.get_mut(&attempt.server) {
             match live {
                 Live::Playing(..) => s.playing = s.playing.saturating_sub(1),
                 _ => s.pending = s.pending.saturating_sub(1),
             }
-            s.packed_until = now;
         }
         *self.held.entry(ask.req.class).or_insert(0.0) -= 1.0;
         self.charge(now, attempt.server, -attempt.kb);
@@ -563,17 +522,12 @@
         }
     }
 
-    fn set_rung(&mut self, now: Micros, id: SessionId, number: u32, rung: usize) {
-        let Some(live) = self.live.get_mut(&id) else { return };
-        let class = live.parts().0.req.class;
-        let attempt = live.attempt_mut();
-        if attempt.number != number || rung >= self.set.ladder.len() {
-            return;
-        }
-        let kb = self.set.rate(class, rung);
-        let change = kb - attempt.kb;
-        (attempt.rung, attempt.kb) = (rung, kb);
-        let server = attempt.server;
+    /// Books a change of rung of a session that plays.
+    fn set_rung(&mut self, now: Micros, id: SessionId, rung: usize) {
+        let Some(Live::Playing(ask, t)) = self.live.get_mut(&id) else { return };
+        let kb = self.set.rate(ask.req.class, rung);
+        let (server, change) = (t.server, kb - t.kb);
+        (t.rung, t.kb) = (rung, kb);
         self.charge(now, server, change);
     }
 
@@ -695,11 +649,12 @@
     }
 
     fn holds(&self, s: &Server, req: &Request) -> bool {
-        let cells = self.set.cells;
-        if cells == 0 || s.listed.cell >= cells {
+        let (cell, cells) = (s.listed.cell, self.set.cells);
+        if cell >= cells {
             return false;
         }
-        (s.listed.cell + cells - req.home % cells) % cells < req.spread
+        let home = req.home % cells;
+        (if cell >= home { cell - home } else { cells - home + cell }) < req.spread
     }
 
     fn send(&mut self, now: Micros, mut ask: Ask, server: ServerId, rung: usize, out: &mut Vec<Action>) {
@@ -782,8 +737,7 @@
             t.set_rung = rung; // it came back once and the shortage with it: it stays down
         }
         t.stepped = Some(now);
-        let number = t.number;
-        self.set_rung(now, id, number, rung);
+        self.set_rung(now, id, rung);
         out.push(Action::SetRung { session: id, rung });
     }
 
@@ -832,9 +786,6 @@
         if s.listed.state != Standing::Ready || ask.tried.contains(&s.listed.server) {
             return false;
         }
-        if now < s.packed_until {
-            return false;
-        }
         if now < s.cold_until && s.paced.is_some_and(|t| now - t < self.cold_gap(s)) {
             return false;
         }
@@ -899,7 +850,6 @@
                         sign: now,
                         playing: 0,
                         pending: 0,
-                        packed_until: now,
                         paced: None,
                         cold_until,
                     };
