--- a/src/control.rs
+++ b/src/control.rs
@@ -106,6 +106,8 @@
     kb: f64,
     sent: Micros,
     stepped: Option<Micros>,
+    /// Its rung was decided here, by D(C0); a carried session's was not.
+    settled: bool,
 }
 
 enum Live {
@@ -126,7 +128,7 @@
 }
 
 fn new_attempt(now: Micros, server: ServerId, number: u32, rung: usize, kb: f64) -> Attempt {
-    Attempt { server, number, rung, set_rung: rung, kb, sent: now, stepped: None }
+    Attempt { server, number, rung, set_rung: rung, kb, sent: now, stepped: None, settled: true }
 }
 
 /// A session and the number of its attempt.
@@ -287,6 +289,7 @@
                 out.push(Action::Timer { after: TICK, token: TICK_TOKEN });
                 self.fade(now);
                 self.step_back(now, out);
+                self.settle(now, out);
             }
             Event::Timer(token) => self.on_deadline(SessionId(token), out),
             Event::Probed { server, outcome, load } => {
@@ -321,7 +324,8 @@
         let rung = self.set.classes.get(req.class).map_or(0, |c| c.floor);
         let kb = self.set.rate(req.class, rung);
         let ask = Ask { req, attempts: 1, tried: vec![server] };
-        self.hold(now, Live::Playing(ask, new_attempt(now, server, 0, rung, kb)));
+        let attempt = Attempt { settled: false, ..new_attempt(now, server, 0, rung, kb) };
+        self.hold(now, Live::Playing(ask, attempt));
     }
 
     fn on_started(&mut self, now: Micros, id: SessionId, number: u32, server: ServerId, waited: Micros) {
@@ -570,19 +574,20 @@
             .collect();
         holders.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
         holders.iter().find_map(|(_, _, _, s)| {
-            self.rung_at(s, ask.req.class, class.floor, top).map(|rung| (s.listed.server, rung))
+            self.rung_at(s, ask.req.class, class.floor, top, 0.0).map(|rung| (s.listed.server, rung))
         })
     }
 
-    /// D(C0): the asked rung under the mark, else the highest under the full line, else none.
-    fn rung_at(&self, s: &Server, class: usize, floor: usize, asked: usize) -> Option<usize> {
-        if self.fits(s, self.set.rate(class, asked), MARK * self.answer(class, asked)) {
+    /// D(C0): the asked rung under the mark, else the highest under the full line, else none. `held` is the
+    /// rate that the session has there already.
+    fn rung_at(&self, s: &Server, class: usize, floor: usize, asked: usize, held: f64) -> Option<usize> {
+        let rate = |rung| self.set.rate(class, rung) - held;
+        if self.fits(s, rate(asked), MARK * self.answer(class, asked)) {
             return Some(asked);
         }
         let mut lower = (floor + 1..asked).rev();
-        let found =
-            lower.find(|r| self.fits(s, self.set.rate(class, *r), FULL_LINE * self.answer(class, *r)));
-        found.or_else(|| self.fits(s, self.set.rate(class, floor), FULL_LINE).then_some(floor))
+        let found = lower.find(|r| self.fits(s, rate(*r), FULL_LINE * self.answer(class, *r)));
+        found.or_else(|| self.fits(s, rate(floor), FULL_LINE).then_some(floor))
     }
 
     /// The mark answers demand (the paper's choice of C0), on each rung of the ladder: a rung at which
@@ -756,6 +761,36 @@
         }
     }
 
+    /// Exception: a session that was carried over plays at a rung that nobody decided on what is known here.
+    /// Once link and uplink are reported it is decided like a new one, once, and upwards only, if what is
+    /// left of it is worth more than the step. One a tick on each server, so that the steps show.
+    fn settle(&mut self, now: Micros, out: &mut Vec<Action>) {
+        let mut steps: BTreeMap<ServerId, (SessionId, usize)> = BTreeMap::new();
+        for (id, live) in &self.live {
+            let Live::Playing(ask, t) = live else { continue };
+            let Some(s) = self.servers.get(&t.server).filter(|_| !t.settled) else { continue };
+            let Some(class) = self.set.classes.get(ask.req.class) else { continue };
+            let told = s.link.reported.is_some() && self.uplink_of(s).is_none_or(|u| u.reported.is_some());
+            let top = ask.req.top.min(class.top).min(self.set.ladder.len().saturating_sub(1));
+            if !told || top <= t.rung {
+                continue;
+            }
+            let Some(rung) = self.rung_at(s, ask.req.class, class.floor, top, t.kb) else { continue };
+            let left = ask.req.hint.map_or(f64::INFINITY, |h| (h - (now - t.sent)) as f64 / 1e6);
+            if rung > t.rung
+                && left * (self.set.ladder[rung].worth - self.set.ladder[t.rung].worth) > self.set.switch_s
+            {
+                steps.entry(t.server).or_insert((*id, rung));
+            }
+        }
+        for (id, rung) in steps.into_values() {
+            if let Some(Live::Playing(_, t)) = self.live.get_mut(&id) {
+                (t.settled, t.set_rung) = (true, rung);
+            }
+            self.step(now, id, rung, out);
+        }
+    }
+
     // ---- guards -----------------------------------------------------------------------------
 
     fn harmless(&self, class: usize) -> bool {
