--- a/src/control.rs
+++ b/src/control.rs
@@ -101,12 +101,10 @@
     server: ServerId,
     number: u32,
     rung: usize,
-    /// Rung of the set-up, to which a stepped session returns.
-    set_rung: usize,
     kb: f64,
     sent: Micros,
     stepped: Option<Micros>,
-    /// Its rung was decided here, by D(C0); a carried session's was not.
+    /// Its rung was decided anew, which happens once.
     settled: bool,
 }
 
@@ -128,7 +126,7 @@
 }
 
 fn new_attempt(now: Micros, server: ServerId, number: u32, rung: usize, kb: f64) -> Attempt {
-    Attempt { server, number, rung, set_rung: rung, kb, sent: now, stepped: None, settled: true }
+    Attempt { server, number, rung, kb, sent: now, stepped: None, settled: false }
 }
 
 /// A session and the number of its attempt.
@@ -288,7 +286,6 @@
                 self.ticking = true;
                 out.push(Action::Timer { after: TICK, token: TICK_TOKEN });
                 self.fade(now);
-                self.step_back(now, out);
                 self.settle(now, out);
             }
             Event::Timer(token) => self.on_deadline(SessionId(token), out),
@@ -324,7 +321,8 @@
         let rung = self.set.classes.get(req.class).map_or(0, |c| c.floor);
         let kb = self.set.rate(req.class, rung);
         let ask = Ask { req, attempts: 1, tried: vec![server] };
-        let attempt = Attempt { settled: false, ..new_attempt(now, server, 0, rung, kb) };
+        // Decided by nobody here: due to be decided as soon as there are reports.
+        let attempt = Attempt { sent: now - CALM, ..new_attempt(now, server, 0, rung, kb) };
         self.hold(now, Live::Playing(ask, attempt));
     }
 
@@ -398,9 +396,6 @@
                 let plays = matches!(self.live.get(&id), Some(Live::Playing(_, t)) if t.number == number);
                 if plays && rung < self.set.ladder.len() {
                     self.set_rung(now, id, rung);
-                    if let Some(Live::Playing(_, t)) = self.live.get_mut(&id).filter(|_| plays) {
-                        t.set_rung = if t.stepped.is_none() { rung } else { t.set_rung };
-                    }
                 }
             }
             Note::Link(x) => {
@@ -738,29 +733,11 @@
 
     fn step(&mut self, now: Micros, id: SessionId, rung: usize, out: &mut Vec<Action>) {
         let Some(Live::Playing(_, t)) = self.live.get_mut(&id) else { return };
-        if rung < t.rung && t.rung == t.set_rung && t.stepped.is_some() {
-            t.set_rung = rung; // it came back once and the shortage with it: it stays down
-        }
         t.stepped = Some(now);
         self.set_rung(now, id, rung);
         out.push(Action::SetRung { session: id, rung });
     }
 
-    /// Return: a server has told no shortage for a while and has room under the full line: one stepped
-    /// session a tick goes back to the rung of its set-up.
-    fn step_back(&mut self, now: Micros, out: &mut Vec<Action>) {
-        let back = self.live.iter().find_map(|(id, live)| {
-            let Live::Playing(ask, t) = live else { return None };
-            let s = self.servers.get(&t.server)?;
-            let calm = t.stepped.is_some_and(|at| now - at >= CALM) && now - s.short_at >= CALM;
-            let more = self.set.rate(ask.req.class, t.set_rung) - t.kb;
-            (calm && t.rung < t.set_rung && self.fits(s, more, MARK)).then_some((*id, t.set_rung))
-        });
-        if let Some((id, rung)) = back {
-            self.step(now, id, rung, out);
-        }
-    }
-
     /// Exception: a session that was carried over plays at a rung that nobody decided on what is known here.
     /// Once link and uplink are reported it is decided like a new one, once, and upwards only, if what is
     /// left of it is worth more than the step. One a tick on each server, so that the steps show.
@@ -770,9 +747,11 @@
             let Live::Playing(ask, t) = live else { continue };
             let Some(s) = self.servers.get(&t.server).filter(|_| !t.settled) else { continue };
             let Some(class) = self.set.classes.get(ask.req.class) else { continue };
+            let rests =
+                now - t.stepped.unwrap_or(t.sent) < CALM || now - s.short_at < CALM && t.stepped.is_some();
             let told = s.link.reported.is_some() && self.uplink_of(s).is_none_or(|u| u.reported.is_some());
             let top = ask.req.top.min(class.top).min(self.set.ladder.len().saturating_sub(1));
-            if !told || top <= t.rung {
+            if rests || !told || top <= t.rung {
                 continue;
             }
             let Some(rung) = self.rung_at(s, ask.req.class, class.floor, top, t.kb) else { continue };
@@ -785,7 +764,7 @@
         }
         for (id, rung) in steps.into_values() {
             if let Some(Live::Playing(_, t)) = self.live.get_mut(&id) {
-                (t.settled, t.set_rung) = (true, rung);
+                t.settled = true;
             }
             self.step(now, id, rung, out);
         }
