--- a/src/control.rs
+++ b/src/control.rs
@@ -104,8 +104,8 @@
     kb: f64,
     sent: Micros,
     stepped: Option<Micros>,
-    /// Its rung was decided anew, which happens once.
-    settled: bool,
+    /// From then on its rung may be decided anew, once: it was carried over, or stepped down.
+    due: Option<Micros>,
 }
 
 enum Live {
@@ -126,7 +126,7 @@
 }
 
 fn new_attempt(now: Micros, server: ServerId, number: u32, rung: usize, kb: f64) -> Attempt {
-    Attempt { server, number, rung, kb, sent: now, stepped: None, settled: false }
+    Attempt { server, number, rung, kb, sent: now, stepped: None, due: None }
 }
 
 /// A session and the number of its attempt.
@@ -321,8 +321,7 @@
         let rung = self.set.classes.get(req.class).map_or(0, |c| c.floor);
         let kb = self.set.rate(req.class, rung);
         let ask = Ask { req, attempts: 1, tried: vec![server] };
-        // Decided by nobody here: due to be decided as soon as there are reports.
-        let attempt = Attempt { sent: now - CALM, ..new_attempt(now, server, 0, rung, kb) };
+        let attempt = Attempt { due: Some(now), ..new_attempt(now, server, 0, rung, kb) };
         self.hold(now, Live::Playing(ask, attempt));
     }
 
@@ -733,6 +732,8 @@
 
     fn step(&mut self, now: Micros, id: SessionId, rung: usize, out: &mut Vec<Action>) {
         let Some(Live::Playing(_, t)) = self.live.get_mut(&id) else { return };
+        // What was decided anew once is held, also if it steps down later.
+        t.due = (t.stepped.is_none() && t.due.is_none()).then_some(now + CALM);
         t.stepped = Some(now);
         self.set_rung(now, id, rung);
         out.push(Action::SetRung { session: id, rung });
@@ -742,16 +743,18 @@
     /// Once link and uplink are reported it is decided like a new one, once, and upwards only, if what is
     /// left of it is worth more than the step. One a tick on each server, so that the steps show.
     fn settle(&mut self, now: Micros, out: &mut Vec<Action>) {
-        let mut steps: BTreeMap<ServerId, (SessionId, usize)> = BTreeMap::new();
+        let mut steps: BTreeMap<u64, (SessionId, usize)> = BTreeMap::new();
         for (id, live) in &self.live {
             let Live::Playing(ask, t) = live else { continue };
-            let Some(s) = self.servers.get(&t.server).filter(|_| !t.settled) else { continue };
+            let Some(s) =
+                self.servers.get(&t.server).filter(|s| s.short.is_none() && t.due.is_some_and(|d| now >= d))
+            else {
+                continue;
+            };
             let Some(class) = self.set.classes.get(ask.req.class) else { continue };
-            let rests =
-                now - t.stepped.unwrap_or(t.sent) < CALM || now - s.short_at < CALM && t.stepped.is_some();
             let told = s.link.reported.is_some() && self.uplink_of(s).is_none_or(|u| u.reported.is_some());
             let top = ask.req.top.min(class.top).min(self.set.ladder.len().saturating_sub(1));
-            if rests || !told || top <= t.rung {
+            if !told || top <= t.rung {
                 continue;
             }
             let Some(rung) = self.rung_at(s, ask.req.class, class.floor, top, t.kb) else { continue };
@@ -759,13 +762,10 @@
             if rung > t.rung
                 && left * (self.set.ladder[rung].worth - self.set.ladder[t.rung].worth) > self.set.switch_s
             {
-                steps.entry(t.server).or_insert((*id, rung));
+                steps.entry(self.rack_of(t.server).unwrap_or(t.server.0)).or_insert((*id, rung));
             }
         }
         for (id, rung) in steps.into_values() {
-            if let Some(Live::Playing(_, t)) = self.live.get_mut(&id) {
-                t.settled = true;
-            }
             self.step(now, id, rung, out);
         }
     }
--- a/tests/held.rs
+++ b/tests/held.rs
@@ -9,6 +9,8 @@
     let out = desk.ask(1, HARMLESS);
     let (server, at) = (sent_to(&out).unwrap(), rung(&out).unwrap());
     desk.start(1, 0, server);
+    desk.note(1, server, Note::Link(0.2));
+    desk.note(1, server, Note::Uplink(0.1));
     (desk, server, at)
 }
 
@@ -45,7 +47,7 @@
     desk.now += 2 * S;
     assert_eq!(rung(&desk.tell(Event::Timer(u64::MAX))), None, "not yet calm");
     desk.now += 8 * S;
-    assert_eq!(rung(&desk.tell(Event::Timer(u64::MAX))), Some(at));
+    assert_eq!(rung(&desk.tell(Event::Timer(u64::MAX))), Some(at), "decided anew");
     desk.now += 8 * S;
     assert_eq!(rung(&tell_short(&mut desk, server, 0.6, 4)), Some(at - 1));
     desk.note(1, server, Note::Delivered(1.0));
@@ -62,3 +64,47 @@
     desk.note(1, server, Note::Rung(1));
     assert_eq!(rung(&tell_short(&mut desk, server, 0.3, 20)), None);
 }
+
+#[test]
+fn a_carried_session_is_decided_once_when_the_reports_are_in() {
+    // Days began with all carried sessions at the lowest rung on links a third full, and stayed so.
+    let mut desk = Desk::new(settings(), 1);
+    let server = ServerId(1);
+    let req = request(1, HARMLESS, desk.now);
+    desk.tell(Event::Carried(req, server));
+    desk.note(1, server, Note::Rung(0));
+    assert_eq!(rung(&desk.tell(Event::Timer(u64::MAX))), None, "nothing is known yet");
+    desk.note(1, server, Note::Link(0.2));
+    desk.note(1, server, Note::Uplink(0.1));
+    assert_eq!(rung(&desk.tell(Event::Timer(u64::MAX))), Some(4));
+    assert_eq!(rung(&desk.tell(Event::Timer(u64::MAX))), None, "once");
+}
+
+#[test]
+fn a_carried_session_stays_where_it_is_on_a_full_link_or_near_its_end() {
+    for (share, hint, want) in [(0.99, 40 * S, None), (0.2, S / 10, None), (0.2, 40 * S, Some(4))] {
+        let mut set = settings();
+        set.switch_s = 0.7;
+        let mut desk = Desk::new(set, 1);
+        let req = Request { hint: Some(hint), ..request(1, HARMLESS, desk.now) };
+        desk.tell(Event::Carried(req, ServerId(1)));
+        desk.note(1, ServerId(1), Note::Link(share));
+        desk.note(1, ServerId(1), Note::Uplink(0.1));
+        assert_eq!(rung(&desk.tell(Event::Timer(u64::MAX))), want, "at {share} with {hint} left");
+    }
+}
+
+#[test]
+fn the_rung_of_an_own_set_up_is_held_however_empty_its_link() {
+    let mut desk = Desk::new(settings(), 1);
+    let server = ServerId(1);
+    desk.note(99, server, Note::Link(0.88));
+    assert!(rung(&desk.ask(1, HARMLESS)).is_some_and(|r| r < 4));
+    desk.start(1, 0, server);
+    for _ in 0..60 {
+        desk.now += S;
+        desk.note(1, server, Note::Link(0.1));
+        desk.note(1, server, Note::Uplink(0.1));
+        assert_eq!(rung(&desk.tell(Event::Timer(u64::MAX))), None);
+    }
+}
