--- a/src/control.rs
+++ b/src/control.rs
@@ -31,6 +31,8 @@
 const LASTS: Micros = 1_500_000;
 /// Steps aim at this share of what is delivered.
 const RELIEF_TO: f64 = 0.97;
+/// Believed share past which a carried session is decided one rung down.
+const OVER: f64 = 1.0;
 /// A session is stepped again only after this, microseconds: the last step must show in the notes first.
 const STEP_PAUSE: Micros = 4_000_000;
 /// A server without shortage for so long lets its stepped sessions return, microseconds.
@@ -746,20 +748,25 @@
         let mut steps: BTreeMap<u64, (SessionId, usize)> = BTreeMap::new();
         for (id, live) in &self.live {
             let Live::Playing(ask, t) = live else { continue };
-            let Some(s) =
-                self.servers.get(&t.server).filter(|s| s.short.is_none() && t.due.is_some_and(|d| now >= d))
-            else {
+            let Some(s) = self.servers.get(&t.server).filter(|_| t.due.is_some_and(|d| now >= d)) else {
                 continue;
             };
             let Some(class) = self.set.classes.get(ask.req.class) else { continue };
             let told = s.link.reported.is_some() && self.uplink_of(s).is_none_or(|u| u.reported.is_some());
             let top = ask.req.top.min(class.top).min(self.set.ladder.len().saturating_sub(1));
-            if !told || top <= t.rung {
+            if !told {
+                continue;
+            }
+            let n = self.set.sharers();
+            let over = s.link.believed(n).max(self.uplink_of(s).map_or(0.0, |u| u.believed(n))) > OVER;
+            if over && t.stepped.is_none() && t.rung > class.floor {
+                steps.entry(self.rack_of(t.server).unwrap_or(t.server.0)).or_insert((*id, t.rung - 1));
                 continue;
             }
             let Some(rung) = self.rung_at(s, ask.req.class, class.floor, top, t.kb) else { continue };
             let left = ask.req.hint.map_or(f64::INFINITY, |h| (h - (now - t.sent)) as f64 / 1e6);
             if rung > t.rung
+                && s.short.is_none()
                 && left * (self.set.ladder[rung].worth - self.set.ladder[t.rung].worth) > self.set.switch_s
             {
                 steps.entry(self.rack_of(t.server).unwrap_or(t.server.0)).or_insert((*id, rung));
