--- a/src/control.rs
+++ b/src/control.rs
@@ -31,8 +31,6 @@
 const LASTS: Micros = 1_500_000;
 /// Steps aim at this share of what is delivered.
 const RELIEF_TO: f64 = 0.97;
-/// Believed share past which a carried session is decided one rung down.
-const OVER: f64 = 1.0;
 /// A session is stepped again only after this, microseconds: the last step must show in the notes first.
 const STEP_PAUSE: Micros = 4_000_000;
 /// A server without shortage for so long lets its stepped sessions return, microseconds.
@@ -64,6 +62,10 @@
 const NOTE_SLACK: Micros = 1_500_000;
 /// No viewer waits longer, microseconds: odd deadlines are cut to an hour.
 const LONGEST: Micros = 3_600_000_000;
+/// A tenant counts as beyond its share past this multiple of its allowance at one director, and this many
+/// seconds of it saved up: viewers lean to some directors.
+const SHARE_SLACK: f64 = 1.0;
+const SHARE_SAVED_S: f64 = 8.0;
 /// A failed call for the list is repeated after this, microseconds.
 const LIST_RETRY: Micros = 2_000_000;
 /// Token of the tick's timer; tokens of requests are session ids, which stay below 2^52.
@@ -250,6 +252,8 @@
     held: BTreeMap<usize, f64>,
     /// What the demand seen asks at each class and rung, over what the fleet gives.
     overfill: BTreeMap<(usize, usize), f64>,
+    /// Requests that each tenant may still make within its share, and since when.
+    shares: BTreeMap<usize, (Micros, f64)>,
     /// Usual time of a set-up, microseconds.
     setup: f64,
     subscribed: bool,
@@ -313,9 +317,25 @@
         if self.live.contains_key(&req.session) {
             return; // an id that is already held: odd input, and its answer is under way
         }
+        if self.beyond_share(now, &req) {
+            req.top = req.top.min(self.set.classes.get(req.class).map_or(0, |c| c.floor));
+        }
         self.place(now, Ask { req, attempts: 0, tried: Vec::new() }, out);
     }
 
+    /// Exception: a tenant sends more than its share, whose excess is worth little: its viewers past it are
+    /// asked at the lowest rung.
+    fn beyond_share(&mut self, now: Micros, req: &Request) -> bool {
+        let Some(tenant) = req.tenant else { return false };
+        let allowed = self.set.tenants.get(tenant).map_or(0.0, |t| t.allowance_per_s);
+        let pace = SHARE_SLACK * allowed / self.set.sharers();
+        let (since, saved) = self.shares.get(&tenant).copied().unwrap_or((now, pace * SHARE_SAVED_S));
+        let saved = (saved + pace * (now - since) as f64 / 1e6).min(pace * SHARE_SAVED_S);
+        let beyond = allowed > 0.0 && self.set.over_share_worth < 0.5 && saved < 1.0;
+        self.shares.insert(tenant, (now, if beyond || req.again { saved } else { saved - 1.0 }));
+        beyond
+    }
+
     fn on_carried(&mut self, now: Micros, req: Request, server: ServerId) {
         if self.live.contains_key(&req.session) {
             return;
@@ -748,25 +768,20 @@
         let mut steps: BTreeMap<u64, (SessionId, usize)> = BTreeMap::new();
         for (id, live) in &self.live {
             let Live::Playing(ask, t) = live else { continue };
-            let Some(s) = self.servers.get(&t.server).filter(|_| t.due.is_some_and(|d| now >= d)) else {
+            let Some(s) =
+                self.servers.get(&t.server).filter(|s| s.short.is_none() && t.due.is_some_and(|d| now >= d))
+            else {
                 continue;
             };
             let Some(class) = self.set.classes.get(ask.req.class) else { continue };
             let told = s.link.reported.is_some() && self.uplink_of(s).is_none_or(|u| u.reported.is_some());
             let top = ask.req.top.min(class.top).min(self.set.ladder.len().saturating_sub(1));
-            if !told {
-                continue;
-            }
-            let n = self.set.sharers();
-            let over = s.link.believed(n).max(self.uplink_of(s).map_or(0.0, |u| u.believed(n))) > OVER;
-            if over && t.stepped.is_none() && t.rung > class.floor {
-                steps.entry(self.rack_of(t.server).unwrap_or(t.server.0)).or_insert((*id, t.rung - 1));
+            if !told || top <= t.rung {
                 continue;
             }
             let Some(rung) = self.rung_at(s, ask.req.class, class.floor, top, t.kb) else { continue };
             let left = ask.req.hint.map_or(f64::INFINITY, |h| (h - (now - t.sent)) as f64 / 1e6);
             if rung > t.rung
-                && s.short.is_none()
                 && left * (self.set.ladder[rung].worth - self.set.ladder[t.rung].worth) > self.set.switch_s
             {
                 steps.entry(self.rack_of(t.server).unwrap_or(t.server.0)).or_insert((*id, rung));
