--- a/src/control.rs
+++ b/src/control.rs
@@ -62,10 +62,6 @@
 const NOTE_SLACK: Micros = 1_500_000;
 /// No viewer waits longer, microseconds: odd deadlines are cut to an hour.
 const LONGEST: Micros = 3_600_000_000;
-/// A tenant counts as beyond its share past this multiple of its allowance at one director, and this many
-/// seconds of it saved up: viewers lean to some directors.
-const SHARE_SLACK: f64 = 1.0;
-const SHARE_SAVED_S: f64 = 8.0;
 /// A failed call for the list is repeated after this, microseconds.
 const LIST_RETRY: Micros = 2_000_000;
 /// Token of the tick's timer; tokens of requests are session ids, which stay below 2^52.
@@ -252,8 +248,6 @@
     held: BTreeMap<usize, f64>,
     /// What the demand seen asks at each class and rung, over what the fleet gives.
     overfill: BTreeMap<(usize, usize), f64>,
-    /// Requests that each tenant may still make within its share, and since when.
-    shares: BTreeMap<usize, (Micros, f64)>,
     /// Usual time of a set-up, microseconds.
     setup: f64,
     subscribed: bool,
@@ -317,25 +311,9 @@
         if self.live.contains_key(&req.session) {
             return; // an id that is already held: odd input, and its answer is under way
         }
-        if self.beyond_share(now, &req) {
-            req.top = req.top.min(self.set.classes.get(req.class).map_or(0, |c| c.floor));
-        }
         self.place(now, Ask { req, attempts: 0, tried: Vec::new() }, out);
     }
 
-    /// Exception: a tenant sends more than its share, whose excess is worth little: its viewers past it are
-    /// asked at the lowest rung.
-    fn beyond_share(&mut self, now: Micros, req: &Request) -> bool {
-        let Some(tenant) = req.tenant else { return false };
-        let allowed = self.set.tenants.get(tenant).map_or(0.0, |t| t.allowance_per_s);
-        let pace = SHARE_SLACK * allowed / self.set.sharers();
-        let (since, saved) = self.shares.get(&tenant).copied().unwrap_or((now, pace * SHARE_SAVED_S));
-        let saved = (saved + pace * (now - since) as f64 / 1e6).min(pace * SHARE_SAVED_S);
-        let beyond = allowed > 0.0 && self.set.over_share_worth < 0.5 && saved < 1.0;
-        self.shares.insert(tenant, (now, if beyond || req.again { saved } else { saved - 1.0 }));
-        beyond
-    }
-
     fn on_carried(&mut self, now: Micros, req: Request, server: ServerId) {
         if self.live.contains_key(&req.session) {
             return;
