--- a/src/control.rs
+++ b/src/control.rs
@@ -359,8 +359,10 @@
         let server = live.parts().1.server;
         self.release(now, &live);
         match outcome {
-            Outcome::NoConnection | Outcome::Reset | Outcome::Late => self.on_sign(now, server, false),
-            Outcome::Good | Outcome::Full | Outcome::Error => self.on_sign(now, server, true),
+            Outcome::NoConnection | Outcome::Reset | Outcome::Late | Outcome::Error => {
+                self.on_sign(now, server, false);
+            }
+            Outcome::Good | Outcome::Full => self.on_sign(now, server, true),
             Outcome::Cancelled | Outcome::NotSent => {}
         }
         // Only a request that is still owed its answer goes on; a paid one only on proof.
@@ -377,7 +379,10 @@
 
     fn on_note(&mut self, now: Micros, tried: Tried, server: ServerId, note: Note, out: &mut Vec<Action>) {
         let (id, number) = tried;
-        self.on_sign(now, server, true);
+        // A note shows that the process runs, not that it sets sessions up: it clears no failure.
+        if let Some(s) = self.servers.get_mut(&server) {
+            s.sign = now;
+        }
         match note {
             Note::Delivered(share) => {
                 let Some(s) = self.servers.get_mut(&server) else { return };
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -187,3 +187,17 @@
     desk.now += 60 * S;
     assert!(!desk.tell(Event::Timer(u64::MAX)).contains(&Action::Subscribe(true)));
 }
+
+#[test]
+fn a_server_that_answers_errors_is_left_like_one_that_resets_and_notes_do_not_clear_it() {
+    // Incident id52cfd: errors came at once, so the server looked the emptiest and drew every set-up.
+    let mut set = settings();
+    set.contract.further = None;
+    let mut desk = Desk::new(set, 1);
+    let server = sent_to(&desk.ask(1, HARMLESS)).unwrap();
+    desk.finish(1, 0, server, Outcome::Error);
+    desk.note(1, server, Note::Link(0.1));
+    desk.now += 2 * S;
+    assert!(refused(&desk.ask(2, PAID)), "no paid set-up before a harmless one has run");
+    assert!(sent_to(&desk.ask(3, HARMLESS)).is_some());
+}
