--- a/src/control.rs
+++ b/src/control.rs
@@ -748,7 +748,10 @@
     /// Once link and uplink are reported it is decided like a new one, once, and upwards only, if what is
     /// left of it is worth more than the step. One a tick on each server, so that the steps show.
     fn settle(&mut self, now: Micros, out: &mut Vec<Action>) {
-        let mut steps: BTreeMap<u64, (SessionId, usize)> = BTreeMap::new();
+        if now / TICK % Micros::from(self.set.directors.max(1)) != Micros::from(self.set.number) {
+            return;
+        }
+        let mut steps: BTreeMap<ServerId, (SessionId, usize)> = BTreeMap::new();
         for (id, live) in &self.live {
             let Live::Playing(ask, t) = live else { continue };
             let Some(s) =
@@ -767,7 +770,7 @@
             if rung > t.rung
                 && left * (self.set.ladder[rung].worth - self.set.ladder[t.rung].worth) > self.set.switch_s
             {
-                steps.entry(self.rack_of(t.server).unwrap_or(t.server.0)).or_insert((*id, rung));
+                steps.entry(t.server).or_insert((*id, rung));
             }
         }
         for (id, rung) in steps.into_values() {
