--- a/benchlink/src/settings.rs
+++ b/benchlink/src/settings.rs
@@ -136,6 +136,7 @@
         join_adds: num(&v, "Specifics.JoinAdds")?.unwrap_or(1.0),
         told_late: span(&v, "Specifics.ToldLate")?,
         told_every: span(&v, "Specifics.ToldEvery")?,
+        stall_cost: num(&v, "Specifics.StallCost")?.unwrap_or(0.0),
         switch_s: num(&v, "Specifics.SwitchS")?.unwrap_or(0.0),
         over_share_worth: num(&v, "OverShareWorth")?.unwrap_or(1.0),
         contract: Contract {
--- a/src/control.rs
+++ b/src/control.rs
@@ -24,11 +24,6 @@
 const STALE_TIMES: Micros = 2;
 /// Time in which a stale share fades to what this director's own sessions say, microseconds.
 const FADE: f64 = 10_000_000.0;
-/// Share delivered under which a lasting shortage costs more than steps down do: at the usual price of
-/// a missing point, half the worth of every session there.
-const DEEP: f64 = 0.90;
-/// A shortage lasts once it has been told for so long, microseconds: two notes and more.
-const LASTS: Micros = 1_500_000;
 /// Steps aim at this share of what is delivered.
 const RELIEF_TO: f64 = 0.97;
 /// A session is stepped again only after this, microseconds: the last step must show in the notes first.
@@ -211,6 +206,8 @@
     link: Account,
     /// A note says that it delivers short; full until cleared.
     short: Option<Micros>,
+    /// Worth of a session, in seconds, that the shortage told has cost so far.
+    lost: f64,
     /// Last time that it was told short.
     short_at: Micros,
     /// Failures since the last sign of life.
@@ -387,12 +384,14 @@
             Note::Delivered(share) => {
                 let Some(s) = self.servers.get_mut(&server) else { return };
                 if share >= 0.98 {
-                    s.short = None;
+                    (s.short, s.lost) = (None, 0.0);
                     return;
                 }
-                let since = *s.short.get_or_insert(now);
-                s.short_at = now;
-                if share < DEEP && now - since >= LASTS {
+                // Such notes come each second while it lasts.
+                s.lost += (self.set.stall_cost * (0.98 - share)).clamp(0.0, 1.0);
+                (s.short, s.short_at) = (Some(now), now);
+                if self.set.stall_cost > 0.0 && s.lost >= self.set.switch_s {
+                    s.lost = 0.0;
                     self.step_down(now, server, share, out);
                 }
             }
@@ -705,8 +704,9 @@
 
     // ---- exception: held rungs ----------------------------------------------------------------
 
-    /// Exception: a server has told a deep shortage that lasts, on its link or its uplink. This director's
-    /// sessions there step down by its own part of what is missing, least worth for the rate first.
+    /// Exception: the shortage that a server tells, of its link or its uplink, has cost each session there as
+    /// much as a change of rung costs, so it lasts. This director's sessions step down by their own part of
+    /// what is missing, least worth for the rate first.
     fn step_down(&mut self, now: Micros, server: ServerId, share: f64, out: &mut Vec<Action>) {
         let worth = |r: usize| self.set.ladder.get(r).map_or(0.0, |x| x.worth);
         let (mut own, mut steps) = (0.0, Vec::new());
@@ -748,10 +748,7 @@
     /// Once link and uplink are reported it is decided like a new one, once, and upwards only, if what is
     /// left of it is worth more than the step. One a tick on each server, so that the steps show.
     fn settle(&mut self, now: Micros, out: &mut Vec<Action>) {
-        if now / TICK % Micros::from(self.set.directors.max(1)) != Micros::from(self.set.number) {
-            return;
-        }
-        let mut steps: BTreeMap<ServerId, (SessionId, usize)> = BTreeMap::new();
+        let mut steps: BTreeMap<u64, (SessionId, usize)> = BTreeMap::new();
         for (id, live) in &self.live {
             let Live::Playing(ask, t) = live else { continue };
             let Some(s) =
@@ -770,7 +767,7 @@
             if rung > t.rung
                 && left * (self.set.ladder[rung].worth - self.set.ladder[t.rung].worth) > self.set.switch_s
             {
-                steps.entry(t.server).or_insert((*id, rung));
+                steps.entry(self.rack_of(t.server).unwrap_or(t.server.0)).or_insert((*id, rung));
             }
         }
         for (id, rung) in steps.into_values() {
@@ -866,6 +863,7 @@
                         listed: line,
                         link: Account::default(),
                         short: None,
+                        lost: 0.0,
                         short_at: now,
                         fails: 0,
                         failed_at: now,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -51,6 +51,8 @@
     pub told_late: Micros,
     /// Time between fullness notes of one server. 0: none come.
     pub told_every: Micros,
+    /// Points of worth lost for each point of the rate that is missing. 0: not told.
+    pub stall_cost: f64,
     /// A change of rung while playing costs so many seconds of worth.
     pub switch_s: f64,
     /// Worth of a request beyond its tenant's share, as a part of its class's worth.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -27,6 +27,8 @@
         told_late: S,
         told_every: 3 * S,
         join_adds: 1.0,
+        stall_cost: 7.0,
+        switch_s: 0.5,
         contract: Contract {
             warm_after: 12 * S,
             start_capacity: 0.4,
--- a/tests/held.rs
+++ b/tests/held.rs
@@ -24,11 +24,22 @@
 }
 
 #[test]
-fn one_note_or_a_shallow_shortage_moves_no_held_rung() {
+fn a_shortage_moves_no_held_rung_before_it_has_cost_as_much_as_a_step() {
+    // At 7 points for a point, 0.95 costs 0.21 s of worth a note; a change of rung costs 0.5 s.
     let (mut desk, server, _) = playing();
-    assert_eq!(rung(&tell_short(&mut desk, server, 0.6, 1)), None);
+    assert_eq!(rung(&tell_short(&mut desk, server, 0.95, 2)), None);
+    assert!(rung(&tell_short(&mut desk, server, 0.95, 1)).is_some());
+    // Cleared in between, it begins anew; where the price of a shortage is not told, nothing steps.
     let (mut desk, server, _) = playing();
-    assert_eq!(rung(&tell_short(&mut desk, server, 0.95, 8)), None);
+    for _ in 0..5 {
+        assert_eq!(rung(&tell_short(&mut desk, server, 0.95, 2)), None);
+        desk.note(1, server, Note::Delivered(0.99));
+    }
+    let mut desk = Desk::new(Settings { stall_cost: 0.0, ..settings() }, 1);
+    let req = Request { hint: None, ..request(1, HARMLESS, desk.now) };
+    desk.tell(Event::Carried(req, server));
+    desk.note(1, server, Note::Rung(4));
+    assert_eq!(rung(&tell_short(&mut desk, server, 0.5, 20)), None);
 }
 
 #[test]
