--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -201,3 +201,20 @@
     assert!(refused(&desk.ask(2, PAID)), "no paid set-up before a harmless one has run");
     assert!(sent_to(&desk.ask(3, HARMLESS)).is_some());
 }
+
+#[test]
+fn a_server_whose_notes_are_overdue_goes_last_but_silence_alone_empties_no_fleet() {
+    // hang, vanish: sessions play there, and nothing is heard. report gaps: nothing is heard anywhere.
+    let mut desk = Desk::new(settings(), 2);
+    for id in [1, 2] {
+        desk.note(99, ServerId(id), Note::Link(if id == 1 { 0.1 } else { 0.4 }));
+    }
+    let req = request(1, HARMLESS, desk.now);
+    desk.tell(Event::Carried(req, ServerId(1)));
+    desk.now += 6 * S;
+    assert_eq!(sent_to(&desk.ask(2, PAID)), Some(ServerId(2)), "the silent one is emptier, and last");
+    let req = request(3, HARMLESS, desk.now);
+    desk.tell(Event::Carried(req, ServerId(2)));
+    desk.now += 6 * S;
+    assert!(sent_to(&desk.ask(4, PAID)).is_some(), "all silent: served all the same");
+}
