Module and adapter tidied after a reading of the whole change; same actions

- playing and pending counts: one tally for send, start, close and end, and one turn to the next state.
- one rack rule and one highest rung, where three and two places had their own.
The two factors of one are gone.
- the tuple that shortened no signature is gone; comments that no longer fitted say what the code does.

--- a/benchlink/src/lib.rs
+++ b/benchlink/src/lib.rs
@@ -164,10 +164,12 @@
     }
 }
 
+/// Far beyond any clock, in microseconds, and still safe to add up.
+const FAR: Micros = 100_000_000_000_000_000;
+
 /// Wire milliseconds to microseconds.
 pub(crate) fn micros(ms: f64) -> Micros {
-    // Far beyond any clock, and still safe to add up.
-    (ms * 1000.0).round().clamp(-1e17, 1e17) as Micros
+    ((ms * 1000.0).round() as Micros).clamp(-FAR, FAR)
 }
 
 fn ms(t: Micros) -> f64 {
@@ -403,7 +405,7 @@
     let tenant = p.opt("Party")?.and_then(|t| names.tenants.iter().position(|n| n == t));
     let viewer = p.hex("Subject")?;
     let title = TitleId(p.hex("Item")?);
-    let deadline = p.opt_time("ClientDeadline")?.unwrap_or(100_000_000_000_000_000);
+    let deadline = p.opt_time("ClientDeadline")?.unwrap_or(FAR);
     let hint = p.opt_time("WorkHint")?;
     let home = p.opt_int("Home")?.unwrap_or(0);
     let spread = p.opt_int("Spread")?.unwrap_or(0);
--- a/src/control.rs
+++ b/src/control.rs
@@ -13,9 +13,6 @@
 const MARK: f64 = 0.85;
 /// Part of a link that no set-up passes (the design's default): rates stray by a few points.
 const FULL_LINE: f64 = 0.93;
-/// How sharply the line of a rung falls as the demand seen would overfill the fleet at that rung:
-/// line = full line / overfill ^ this. 0 would be the plain design.
-const LINE_STEEPNESS: f64 = 1.0;
 /// A viewer who was turned away counts as wanting a session for so long, microseconds: most return sooner.
 const WANTS_FOR: Micros = 3_000_000;
 /// Evidence older than so many times the usual time between reports is stale: a short-delivery note lapses
@@ -28,7 +25,7 @@
 const RELIEF_TO: f64 = 0.97;
 /// A session is stepped again only after this, microseconds: the last step must show in the notes first.
 const STEP_PAUSE: Micros = 4_000_000;
-/// A server without shortage for so long lets its stepped sessions return, microseconds.
+/// A stepped session may be decided anew after so long, microseconds.
 const CALM: Micros = 6_000_000;
 /// Part of the falling-over pace that all directors together may use on a cold server: margin for
 /// set-ups of theirs that bunch, and for places that are fewer than told.
@@ -39,8 +36,6 @@
 const NOTE_WEIGHT: f64 = 0.8;
 /// Age of the figures in an answer, microseconds: a refresh and a delay of some tenths of a second.
 const ANSWER_AGE: Micros = 500_000;
-/// Set-ups that each other director is taken to have made on a link since its last report, for each own.
-const UNSEEN: f64 = 1.0;
 /// Own set-ups are remembered so long, microseconds, to be added to reports that predate them.
 const LOG_SPAN: Micros = 5_000_000;
 /// Director's tick, microseconds: often enough to see an overdue set-up before the next viewer does.
@@ -75,6 +70,17 @@
         f64::from(self.directors.max(1))
     }
 
+    /// Rack of a cell; none where racks have no uplinks.
+    fn rack(&self, cell: u64) -> Option<u64> {
+        cell.checked_rem(self.racks)
+    }
+
+    /// Highest rung that viewer and class allow; none without a ladder.
+    fn top(&self, req: &Request) -> Option<usize> {
+        let class = self.classes.get(req.class)?;
+        Some(req.top.min(class.top).min(self.ladder.len().checked_sub(1)?))
+    }
+
     fn places(&self, kind: Option<usize>) -> f64 {
         kind.and_then(|k| self.places_by_kind.get(k)).copied().filter(|p| *p > 0.0).unwrap_or(0.0)
     }
@@ -98,6 +104,7 @@
     rung: usize,
     kb: f64,
     sent: Micros,
+    /// Last change of rung while it played.
     stepped: Option<Micros>,
     /// From then on its rung may be decided anew, once: it was carried over, or stepped down.
     due: Option<Micros>,
@@ -124,9 +131,6 @@
     Attempt { server, number, rung, kb, sent: now, stepped: None, due: None }
 }
 
-/// A session and the number of its attempt.
-type Tried = (SessionId, u32);
-
 /// True if the outcome proves that the attempt never ran.
 fn never_ran(outcome: Outcome) -> bool {
     matches!(outcome, Outcome::Full | Outcome::NoConnection | Outcome::NotSent)
@@ -195,8 +199,9 @@
         if self.reported.is_none() {
             return self.part(self.own) * sharers;
         }
-        // The others follow the same rule on the same reports: what came here came to them as well.
-        self.share + UNSEEN * (sharers - 1.0) * self.part(self.since)
+        // The others follow the same rule on the same reports: each set-up here since the last one counts
+        // once more for each of them.
+        self.share + (sharers - 1.0) * self.part(self.since)
     }
 }
 
@@ -205,7 +210,7 @@
     listed: Listed,
     link: Account,
     /// A note says that it delivers short; full until cleared.
-    short: Option<Micros>,
+    short: bool,
     /// Worth of a session, in seconds, that the shortage told has cost so far.
     lost: f64,
     /// Last time that it was told short.
@@ -273,12 +278,12 @@
             }
             Event::Finished { session, attempt, server, outcome, closed, load } => {
                 self.on_load(now, server, load, ANSWER_AGE, ANSWER_WEIGHT);
-                self.on_finished(now, (session, attempt), outcome, closed, out);
+                self.on_finished(now, session, attempt, outcome, closed, out);
             }
             Event::Noted { session, attempt, server, note } => {
-                self.on_note(now, (session, attempt), server, note, out);
+                self.on_note(now, session, attempt, server, note, out);
             }
-            Event::Withdrawn(session) => self.close(session),
+            Event::Withdrawn(session) => self.turn(session, Live::Closed),
             Event::Timer(TICK_TOKEN) => {
                 self.ticking = true;
                 out.push(Action::Timer { after: TICK, token: TICK_TOKEN });
@@ -325,30 +330,20 @@
     fn on_started(&mut self, now: Micros, id: SessionId, number: u32, server: ServerId, waited: Micros) {
         self.setup += 0.1 * (waited.max(0) as f64 - self.setup);
         self.on_sign(now, server, true);
-        match self.live.remove(&id) {
-            Some(Live::Pending(a, t)) if t.number == number => {
-                if let Some(s) = self.servers.get_mut(&t.server) {
-                    s.pending = s.pending.saturating_sub(1);
-                    s.playing += 1;
-                }
-                self.live.insert(id, Live::Playing(a, t));
-            }
-            Some(other) => {
-                self.live.insert(id, other);
-            }
-            None => {}
+        if matches!(self.live.get(&id), Some(Live::Pending(_, t)) if t.number == number) {
+            self.turn(id, Live::Playing);
         }
     }
 
     fn on_finished(
         &mut self,
         now: Micros,
-        tried: Tried,
+        id: SessionId,
+        number: u32,
         outcome: Outcome,
         closed: bool,
         out: &mut Vec<Action>,
     ) {
-        let (id, number) = tried;
         if self.live.get(&id).is_none_or(|l| l.parts().1.number != number) {
             return;
         }
@@ -374,8 +369,15 @@
         }
     }
 
-    fn on_note(&mut self, now: Micros, tried: Tried, server: ServerId, note: Note, out: &mut Vec<Action>) {
-        let (id, number) = tried;
+    fn on_note(
+        &mut self,
+        now: Micros,
+        id: SessionId,
+        number: u32,
+        server: ServerId,
+        note: Note,
+        out: &mut Vec<Action>,
+    ) {
         // A note shows that the process runs, not that it sets sessions up: it clears no failure.
         if let Some(s) = self.servers.get_mut(&server) {
             s.sign = now;
@@ -384,12 +386,12 @@
             Note::Delivered(share) => {
                 let Some(s) = self.servers.get_mut(&server) else { return };
                 if share >= 0.98 {
-                    (s.short, s.lost) = (None, 0.0);
+                    (s.short, s.lost) = (false, 0.0);
                     return;
                 }
                 // Such notes come each second while it lasts.
                 s.lost += (self.set.stall_cost * (0.98 - share)).clamp(0.0, 1.0);
-                (s.short, s.short_at) = (Some(now), now);
+                (s.short, s.short_at) = (true, now);
                 if self.set.stall_cost > 0.0 && s.lost >= self.set.switch_s {
                     s.lost = 0.0;
                     self.step_down(now, server, share, out);
@@ -431,20 +433,7 @@
         } else {
             out.push(Action::Fail { session: id });
         }
-        self.close(id);
-    }
-
-    fn close(&mut self, id: SessionId) {
-        if let Some(live) = self.live.remove(&id) {
-            if let (Live::Playing(_, t), servers) = (&live, &mut self.servers)
-                && let Some(s) = servers.get_mut(&t.server)
-            {
-                s.playing = s.playing.saturating_sub(1);
-                s.pending += 1;
-            }
-            let (Live::Pending(a, t) | Live::Playing(a, t) | Live::Closed(a, t)) = live;
-            self.live.insert(id, Live::Closed(a, t));
-        }
+        self.turn(id, Live::Closed);
     }
 
     fn on_load(&mut self, now: Micros, server: ServerId, load: Load, age: Micros, weight: f64) {
@@ -462,9 +451,7 @@
         let n = self.set.sharers();
         for s in self.servers.values_mut() {
             s.link.fade(now, stale, n);
-            if now - s.short_at > stale {
-                s.short = None;
-            }
+            s.short &= now - s.short_at <= stale;
         }
         self.uplinks.values_mut().for_each(|u| u.fade(now, stale, n));
     }
@@ -485,30 +472,42 @@
 
     // ---- holding ----------------------------------------------------------------------------
 
+    /// Moves a request on to its next state.
+    fn turn(&mut self, id: SessionId, next: fn(Ask, Attempt) -> Live) {
+        let Some(live) = self.live.remove(&id) else { return };
+        self.tally(&live, -1);
+        let (Live::Pending(ask, t) | Live::Playing(ask, t) | Live::Closed(ask, t)) = live;
+        let live = next(ask, t);
+        self.tally(&live, 1);
+        self.live.insert(id, live);
+    }
+
+    /// Counts a request in or out at its server, as playing or as pending.
+    fn tally(&mut self, live: &Live, by: i32) {
+        if let Some(s) = self.servers.get_mut(&live.parts().1.server) {
+            let count = if matches!(live, Live::Playing(..)) { &mut s.playing } else { &mut s.pending };
+            *count = count.saturating_add_signed(by);
+        }
+    }
+
     fn hold(&mut self, now: Micros, live: Live) {
+        self.tally(&live, 1);
         let (ask, attempt) = live.parts();
         let (id, server, kb) = (ask.req.session, attempt.server, attempt.kb);
         *self.seats.entry((ask.req.title, ask.req.class)).or_insert(0) += 1;
-        if let Some(s) = self.servers.get_mut(&server) {
-            match live {
-                Live::Pending(..) => s.pending += 1,
-                _ => s.playing += 1,
-            }
-        }
         *self.held.entry(ask.req.class).or_insert(0.0) += 1.0;
         self.charge(now, server, kb);
         self.live.insert(id, live);
     }
 
     fn release(&mut self, now: Micros, live: &Live) {
+        self.tally(live, -1);
         let (ask, attempt) = live.parts();
-        if let Some(n) = self.seats.get_mut(&(ask.req.title, ask.req.class)) {
-            *n = n.saturating_sub(1);
-        }
-        if let Some(s) = self.servers.get_mut(&attempt.server) {
-            match live {
-                Live::Playing(..) => s.playing = s.playing.saturating_sub(1),
-                _ => s.pending = s.pending.saturating_sub(1),
+        let key = (ask.req.title, ask.req.class);
+        if let Some(n) = self.seats.get_mut(&key) {
+            *n -= 1;
+            if *n == 0 {
+                self.seats.remove(&key);
             }
         }
         *self.held.entry(ask.req.class).or_insert(0.0) -= 1.0;
@@ -534,10 +533,7 @@
     }
 
     fn rack_of(&self, server: ServerId) -> Option<u64> {
-        if self.set.racks == 0 {
-            return None;
-        }
-        self.servers.get(&server).map(|s| s.listed.cell % self.set.racks)
+        self.set.rack(self.servers.get(&server)?.listed.cell)
     }
 
     fn uplink(&mut self, rack: u64) -> &mut Account {
@@ -560,7 +556,7 @@
     /// The holder with the least account, and the rung that its occupancy allows.
     fn choose(&self, now: Micros, ask: &Ask) -> Option<(ServerId, usize)> {
         let class = self.set.classes.get(ask.req.class)?;
-        let top = ask.req.top.min(class.top).min(self.set.ladder.len().checked_sub(1)?);
+        let top = self.set.top(&ask.req)?;
         if top < class.floor || !self.may_send(now, ask) {
             return None;
         }
@@ -592,7 +588,7 @@
     /// the viewers seen would overfill the fleet is given only while the link is that much emptier.
     fn answer(&self, class: usize, rung: usize) -> f64 {
         let overfill = self.overfill.get(&(class, rung)).copied().unwrap_or(0.0);
-        if overfill > 1.0 { overfill.powf(-LINE_STEEPNESS) } else { 1.0 }
+        1.0 / overfill.max(1.0)
     }
 
     /// Demand as seen from here: sessions held and viewers turned away, the others taken to see as much.
@@ -600,9 +596,9 @@
     /// its rate, over what links and uplinks give under the full line.
     fn weigh_demand(&mut self, now: Micros) {
         self.turned.retain(|_, (t, _)| now - *t < WANTS_FOR);
-        let mut racks: BTreeMap<u64, f64> = BTreeMap::new();
+        let mut racks: BTreeMap<Option<u64>, f64> = BTreeMap::new();
         for s in self.servers.values().filter(|s| s.listed.state == Standing::Ready && s.fails == 0) {
-            *racks.entry(s.listed.cell.checked_rem(self.set.racks).unwrap_or(0)).or_insert(0.0) += s.link.kb;
+            *racks.entry(self.set.rack(s.listed.cell)).or_insert(0.0) += s.link.kb;
         }
         let uplink =
             if self.set.racks > 0 && self.set.uplink_kb > 0.0 { self.set.uplink_kb } else { f64::INFINITY };
@@ -616,7 +612,7 @@
             let turned = self.turned.values().filter(|(_, k)| *k == c).count() as f64;
             let wanting = (self.held.get(&c).copied().unwrap_or(0.0) + turned) * self.set.sharers();
             let mut density = f64::INFINITY;
-            for rung in class.floor..=class.top.min(self.set.ladder.len().saturating_sub(1)) {
+            for rung in class.floor..=class.top {
                 let Some(here) = self.set.ladder.get(rung) else { break };
                 let below = if rung > class.floor { self.set.ladder[rung - 1] } else { Rung::default() };
                 let kb = (here.kb - below.kb) * class.scale;
@@ -637,13 +633,13 @@
     fn fits(&self, s: &Server, kb: f64, line: f64) -> bool {
         let n = self.set.sharers();
         let uplink = self.uplink_of(s);
-        s.short.is_none()
+        !s.short
             && s.link.believed(n) + s.link.part(kb) <= line
             && uplink.is_none_or(|u| u.believed(n) + u.part(kb) <= line)
     }
 
     fn uplink_of(&self, s: &Server) -> Option<&Account> {
-        if self.set.racks == 0 { None } else { self.uplinks.get(&(s.listed.cell % self.set.racks)) }
+        self.uplinks.get(&self.set.rack(s.listed.cell)?)
     }
 
     fn account(&self, s: &Server) -> f64 {
@@ -746,19 +742,18 @@
 
     /// Exception: a session that was carried over plays at a rung that nobody decided on what is known here.
     /// Once link and uplink are reported it is decided like a new one, once, and upwards only, if what is
-    /// left of it is worth more than the step. One a tick on each server, so that the steps show.
+    /// left of it is worth more than the step. One a tick on each rack, so that the steps show.
     fn settle(&mut self, now: Micros, out: &mut Vec<Action>) {
         let mut steps: BTreeMap<u64, (SessionId, usize)> = BTreeMap::new();
         for (id, live) in &self.live {
             let Live::Playing(ask, t) = live else { continue };
-            let Some(s) =
-                self.servers.get(&t.server).filter(|s| s.short.is_none() && t.due.is_some_and(|d| now >= d))
+            let Some(s) = self.servers.get(&t.server).filter(|s| !s.short && t.due.is_some_and(|d| now >= d))
             else {
                 continue;
             };
             let Some(class) = self.set.classes.get(ask.req.class) else { continue };
             let told = s.link.reported.is_some() && self.uplink_of(s).is_none_or(|u| u.reported.is_some());
-            let top = ask.req.top.min(class.top).min(self.set.ladder.len().saturating_sub(1));
+            let Some(top) = self.set.top(&ask.req) else { continue };
             if !told || top <= t.rung {
                 continue;
             }
@@ -821,7 +816,7 @@
         if pace > 0.0 { (self.set.sharers() / (pace * PACE_MARGIN)) as Micros } else { c.warm_after }
     }
 
-    /// 0: nothing against it. 1: set-ups or notes are overdue. 2: failing.
+    /// 0: nothing against it. 1: notes are overdue. 2: failing.
     fn doubt(&self, now: Micros, s: &Server) -> u8 {
         if s.fails > 0 {
             return 2;
@@ -853,7 +848,7 @@
             match self.servers.get_mut(&line.server) {
                 Some(s) => {
                     if line.came_up > s.listed.came_up {
-                        (s.fails, s.short, s.link.share) = (0, None, 0.0);
+                        (s.fails, s.short, s.link.share) = (0, false, 0.0);
                         s.cold_until = s.cold_until.max(cold_until);
                     }
                     s.listed = line;
@@ -862,7 +857,7 @@
                     let s = Server {
                         listed: line,
                         link: Account::default(),
-                        short: None,
+                        short: false,
                         lost: 0.0,
                         short_at: now,
                         fails: 0,
