--- a/src/control.rs
+++ b/src/control.rs
@@ -19,7 +19,7 @@
 /// and a believed share fades. Notes come only where this director has sessions, so a server once believed
 /// full would else never be tried again.
 const STALE_TIMES: Micros = 2;
-/// Time in which a stale share fades to what this director's own sessions say, microseconds.
+/// Time in which a stale share fades to the mean of what is heard, microseconds.
 const FADE: f64 = 10_000_000.0;
 /// Steps aim at this share of what is delivered.
 const RELIEF_TO: f64 = 0.97;
@@ -34,6 +34,11 @@
 const ANSWER_WEIGHT: f64 = 0.4;
 /// Weight of a note on fullness: later, but without noise.
 const NOTE_WEIGHT: f64 = 0.8;
+/// What is known of the fleet before anything is heard weighs as much as so many reports or sessions.
+const PRIOR: f64 = 2.0;
+/// An own set-up that no report shows yet stands for so many of the others' at most: one set-up is weak
+/// evidence of what hundreds of directors do.
+const ECHO: f64 = 4.0;
 /// Age of the figures in an answer, microseconds: a refresh and a delay of some tenths of a second.
 const ANSWER_AGE: Micros = 500_000;
 /// Own set-ups are remembered so long, microseconds, to be added to reports that predate them.
@@ -185,26 +190,37 @@
         self.since = self.log.iter().filter(|(t, kb)| *t > self.seen_to && *kb > 0.0).map(|(_, kb)| kb).sum();
     }
 
-    /// A tick without report: past `stale` the share moves towards what the own sessions say.
-    fn fade(&mut self, now: Micros, stale: Micros, sharers: f64) {
+    /// A tick without report: past `stale` the share moves towards the mean of those heard.
+    fn fade(&mut self, now: Micros, stale: Micros, mean: f64) {
         if self.reported.is_some_and(|t| now - t > stale) {
-            let own = self.part(self.own) * sharers;
-            self.share += (own - self.share) * TICK as f64 / FADE;
+            self.share += (mean - self.share) * TICK as f64 / FADE;
             self.since = 0.0;
         }
     }
 
-    /// Until a report comes, the other directors are taken to do as this one does.
-    fn believed(&self, sharers: f64) -> f64 {
+    /// Until a report comes, as full as the mean of those heard.
+    fn believed(&self, fleet: &Fleet, mean: f64) -> f64 {
         if self.reported.is_none() {
-            return self.part(self.own) * sharers;
+            return mean + self.part(self.own);
         }
         // The others follow the same rule on the same reports: each set-up here since the last one counts
-        // once more for each of them.
-        self.share + (sharers - 1.0) * self.part(self.since)
+        // for some of theirs too.
+        self.share + fleet.echo * self.part(self.since)
     }
 }
 
+/// What this director makes of the whole fleet: its own sessions are taken for a part like any other's, and
+/// what it hears replaces that the more it hears.
+#[derive(Default)]
+struct Fleet {
+    /// Mean share asked of links, and of uplinks.
+    link: f64,
+    uplink: f64,
+    /// Sessions that play.
+    sessions: f64,
+    echo: f64,
+}
+
 /// Evidence on one server.
 struct Server {
     listed: Listed,
@@ -248,6 +264,7 @@
     turned: BTreeMap<u64, (Micros, usize)>,
     /// Sessions held, by class.
     held: BTreeMap<usize, f64>,
+    fleet: Fleet,
     /// What the demand seen asks at each class and rung, over what the fleet gives.
     overfill: BTreeMap<(usize, usize), f64>,
     /// Usual time of a set-up, microseconds.
@@ -448,12 +465,38 @@
     /// Missing evidence is not bad evidence: what no report has confirmed for long wears off.
     fn fade(&mut self, now: Micros) {
         let stale = STALE_TIMES * self.set.told_every.max(1_000_000) + self.set.told_late;
-        let n = self.set.sharers();
+        self.survey();
+        let (link, uplink) = (self.fleet.link, self.fleet.uplink);
         for s in self.servers.values_mut() {
-            s.link.fade(now, stale, n);
+            s.link.fade(now, stale, link);
             s.short &= now - s.short_at <= stale;
         }
-        self.uplinks.values_mut().for_each(|u| u.fade(now, stale, n));
+        self.uplinks.values_mut().for_each(|u| u.fade(now, stale, uplink));
+    }
+
+    /// Pools the evidence: means over what is heard, shrunk towards the own sessions times the directors.
+    fn survey(&mut self) {
+        let n = self.set.sharers();
+        let mean = |heard: &mut dyn Iterator<Item = &Account>, own: f64, size: f64| {
+            let (mut sum, mut count) = (0.0, 0.0);
+            for a in heard.filter(|a| a.reported.is_some()) {
+                (sum, count) = (sum + a.share, count + 1.0);
+            }
+            let guess = if size > 0.0 { own * n / size } else { 0.0 };
+            (sum + PRIOR * guess) / (count + PRIOR)
+        };
+        let links: f64 = self.servers.values().map(|s| s.link.kb).sum();
+        let uplinks = self.set.racks as f64 * self.set.uplink_kb.max(0.0);
+        let own: f64 = self.servers.values().map(|s| s.link.own).sum();
+        let held: f64 = self.held.values().sum();
+        let link = mean(&mut self.servers.values().map(|s| &s.link), own, links);
+        let uplink = mean(&mut self.uplinks.values(), own, uplinks);
+        let middle = self.set.rate(0, self.set.ladder.len() / 2);
+        let usual = (own + PRIOR * middle) / (held + PRIOR);
+        let asked = if uplinks > 0.0 { uplink * uplinks } else { link * links };
+        let sessions = if usual > 0.0 { asked / usual } else { held * n };
+        let echo = (n - 1.0) / (1.0 + (n - 1.0) / ECHO);
+        self.fleet = Fleet { link, uplink, sessions, echo };
     }
 
     fn on_sign(&mut self, now: Micros, server: ServerId, alive: bool) {
@@ -607,10 +650,13 @@
         if room <= 0.0 {
             return;
         }
+        let held: f64 = self.held.values().sum();
+        let classes = self.set.classes.len() as f64;
         let mut steps = Vec::new();
         for (c, class) in self.set.classes.iter().enumerate() {
             let turned = self.turned.values().filter(|(_, k)| *k == c).count() as f64;
-            let wanting = (self.held.get(&c).copied().unwrap_or(0.0) + turned) * self.set.sharers();
+            let seen = self.held.get(&c).copied().unwrap_or(0.0) + turned + PRIOR / classes;
+            let wanting = seen / (held + PRIOR) * self.fleet.sessions;
             let mut density = f64::INFINITY;
             for rung in class.floor..=class.top {
                 let Some(here) = self.set.ladder.get(rung) else { break };
@@ -631,20 +677,27 @@
     }
 
     fn fits(&self, s: &Server, kb: f64, line: f64) -> bool {
-        let n = self.set.sharers();
-        let uplink = self.uplink_of(s);
+        let rack = self.uplink_of(s);
         !s.short
-            && s.link.believed(n) + s.link.part(kb) <= line
-            && uplink.is_none_or(|u| u.believed(n) + u.part(kb) <= line)
+            && self.link_share(s) + s.link.part(kb) <= line
+            && self.uplink_share(s) + rack.map_or(0.0, |u| u.part(kb)) <= line
     }
 
     fn uplink_of(&self, s: &Server) -> Option<&Account> {
         self.uplinks.get(&self.set.rack(s.listed.cell)?)
     }
 
+    fn link_share(&self, s: &Server) -> f64 {
+        s.link.believed(&self.fleet, self.fleet.link)
+    }
+
+    fn uplink_share(&self, s: &Server) -> f64 {
+        let Some(_) = self.set.rack(s.listed.cell) else { return 0.0 };
+        self.uplink_of(s).map_or(self.fleet.uplink, |u| u.believed(&self.fleet, self.fleet.uplink))
+    }
+
     fn account(&self, s: &Server) -> f64 {
-        let n = self.set.sharers();
-        s.link.believed(n) + self.uplink_of(s).map_or(0.0, |u| u.believed(n))
+        self.link_share(s) + self.uplink_share(s)
     }
 
     fn holds(&self, s: &Server, req: &Request) -> bool {
