--- a/src/control.rs
+++ b/src/control.rs
@@ -607,7 +607,7 @@
             .servers
             .values()
             .filter(|s| self.holds(s, &ask.req) && self.may_take(now, s, ask))
-            .map(|s| (self.doubt(now, s), self.account(s), shared_hash(ask.req.title, s.listed.server), s))
+            .map(|s| (self.doubt(now, s), self.account(s), self.tie(ask, s), s))
             .collect();
         holders.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
         holders.iter().find_map(|(_, _, _, s)| {
@@ -700,6 +700,11 @@
         self.link_share(s) + self.uplink_share(s)
     }
 
+    /// Where nothing is known all accounts are equal: each request falls its own way at each director.
+    fn tie(&self, ask: &Ask, s: &Server) -> u64 {
+        mix(self.seed ^ mix(ask.req.session.0) ^ mix(s.listed.server.0.wrapping_add(0x9e37_79b9_7f4a_7c15)))
+    }
+
     fn holds(&self, s: &Server, req: &Request) -> bool {
         let (cell, cells) = (s.listed.cell, self.set.cells);
         if cell >= cells {
@@ -961,15 +966,10 @@
     }
 }
 
-// ---- shared hash -----------------------------------------------------------------------------
+// ---- hash ------------------------------------------------------------------------------------
 
 fn mix(mut x: u64) -> u64 {
     x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
     x ^ (x >> 31)
 }
-
-/// The same at every director: ties fall alike wherever a title is asked for.
-fn shared_hash(title: TitleId, server: ServerId) -> u64 {
-    mix(title.0 ^ mix(server.0.wrapping_add(0x9e37_79b9_7f4a_7c15)))
-}
