--- a/src/control.rs
+++ b/src/control.rs
@@ -305,6 +305,7 @@
                 self.ticking = true;
                 out.push(Action::Timer { after: TICK, token: TICK_TOKEN });
                 self.fade(now);
+                self.weigh_demand(now);
                 self.settle(now, out);
             }
             Event::Timer(token) => self.on_deadline(SessionId(token), out),
@@ -492,7 +493,7 @@
         let link = mean(&mut self.servers.values().map(|s| &s.link), own, links);
         let uplink = mean(&mut self.uplinks.values(), own, uplinks);
         let middle = self.set.rate(0, self.set.ladder.len() / 2);
-        let usual = (own + PRIOR * middle) / (held + PRIOR);
+        let usual = (own + 0.5 * middle) / (held + 0.5);
         let asked = if uplinks > 0.0 { uplink * uplinks } else { link * links };
         let sessions = if usual > 0.0 { asked / usual } else { held * n };
         let echo = (n - 1.0) / (1.0 + (n - 1.0) / ECHO);
@@ -700,6 +701,12 @@
         self.link_share(s) + self.uplink_share(s)
     }
 
+    /// How much fuller than the mean the server's link or its uplink is believed.
+    fn fuller(&self, s: &Server) -> f64 {
+        let over = |share: f64, mean: f64| if mean > 0.0 { share / mean } else { 1.0 };
+        over(self.link_share(s), self.fleet.link).max(over(self.uplink_share(s), self.fleet.uplink))
+    }
+
     /// Where nothing is known all accounts are equal: each request falls its own way at each director.
     fn tie(&self, ask: &Ask, s: &Server) -> u64 {
         mix(self.seed ^ mix(ask.req.session.0) ^ mix(s.listed.server.0.wrapping_add(0x9e37_79b9_7f4a_7c15)))
@@ -815,6 +822,12 @@
             if !told || top <= t.rung {
                 continue;
             }
+            // All other directors decide theirs at the same time: what counts is not how full the link is now
+            // but what all viewers there would ask at that rung.
+            let fuller = self.fuller(s);
+            let common =
+                |r: &usize| self.overfill.get(&(ask.req.class, *r)).is_some_and(|o| o * fuller <= 1.0);
+            let Some(top) = (t.rung + 1..=top).rev().find(common) else { continue };
             let Some(rung) = self.rung_at(s, ask.req.class, class.floor, top, t.kb) else { continue };
             let left = ask.req.hint.map_or(f64::INFINITY, |h| (h - (now - t.sent)) as f64 / 1e6);
             if rung > t.rung
