--- a/src/control.rs
+++ b/src/control.rs
@@ -28,7 +28,7 @@
 /// A stepped session may be decided anew after so long, microseconds.
 const CALM: Micros = 6_000_000;
 /// Part of the falling-over pace that all directors together may use on a cold server: margin for
-/// set-ups of theirs that bunch, and for places that are fewer than told.
+/// set-ups of theirs that bunch by chance, and for places that are fewer than told.
 const PACE_MARGIN: f64 = 0.7;
 /// Weight of a report in an answer against what is believed; such reports are noisy and of unknown age.
 const ANSWER_WEIGHT: f64 = 0.4;
@@ -238,8 +238,6 @@
     sign: Micros,
     playing: u32,
     pending: u32,
-    /// Last set-up sent while it was paced as cold.
-    paced: Option<Micros>,
     /// Cold until then, as far as this director can tell.
     cold_until: Micros,
 }
@@ -321,7 +319,7 @@
     // ---- events -----------------------------------------------------------------------------
 
     fn on_asked(&mut self, now: Micros, mut req: Request, out: &mut Vec<Action>) {
-        let span = self.set.contract.further.map_or(0, |f| f.span);
+        let span = self.set.contract.further.map_or(0, |f| f.span).max(self.set.contract.fall);
         self.taken.push_back(now);
         self.taken.retain(|t| *t >= now - span);
         self.further.retain(|t| *t >= now - span);
@@ -734,11 +732,6 @@
         }
         ask.attempts += 1;
         ask.tried.push(server);
-        if let Some(s) = self.servers.get_mut(&server)
-            && now < s.cold_until
-        {
-            s.paced = Some(now);
-        }
         out.push(Action::SetRung { session, rung });
         out.push(Action::Send { session, server, patience });
         self.hold(now, Live::Pending(ask, new_attempt(now, server, number, rung, kb)));
@@ -871,7 +864,7 @@
         if s.listed.state != Standing::Ready || ask.tried.contains(&s.listed.server) {
             return false;
         }
-        if now < s.cold_until && s.paced.is_some_and(|t| now - t < self.cold_gap(s)) {
+        if !self.open(now, s, ask) {
             return false;
         }
         // A failing server is tried with harmless set-ups only, one at a time, ever more rarely.
@@ -879,12 +872,24 @@
         s.fails == 0 || (self.harmless(ask.req.class) && s.pending == 0 && now - s.failed_at >= wait)
     }
 
-    /// Least time between this director's set-ups on a cold server.
-    fn cold_gap(&self, s: &Server) -> Micros {
+    /// A cold server is open to a part of the requests only, by hash: as many as keep its pace if every
+    /// director sends it all that it may. One that is known cold draws all requests for its titles; while
+    /// any may be, since a cached list may hide a start, they draw alike.
+    fn open(&self, now: Micros, s: &Server, ask: &Ask) -> bool {
         let c = &self.set.contract;
-        let places = self.set.places(s.listed.kind);
-        let pace = c.overload_factor * c.start_capacity * places / (c.warm_after.max(1) as f64);
-        if pace > 0.0 { (self.set.sharers() / (pace * PACE_MARGIN)) as Micros } else { c.warm_after }
+        let spread = if now < s.cold_until { ask.req.spread.min(self.set.cells) } else { 1 };
+        if now >= s.cold_until.max(self.born + c.warm_after) {
+            return true;
+        }
+        let span = c.fall.max(1);
+        let lately = |times: &VecDeque<Micros>| times.iter().rev().take_while(|t| **t > now - span).count();
+        let asked = lately(&self.taken) + lately(&self.further);
+        let warm = c.warm_after.max(1) as f64;
+        let pace = (c.overload_factor * c.start_capacity * self.set.places(s.listed.kind)).max(1.0) / warm;
+        let all =
+            self.set.sharers() * asked.max(1) as f64 * spread.max(1) as f64 / self.set.cells.max(1) as f64;
+        let draw = (mix(self.tie(ask, s)) >> 11) as f64 / (1u64 << 53) as f64;
+        draw * all < pace * PACE_MARGIN * span as f64
     }
 
     /// 0: nothing against it. 1: notes are overdue. 2: failing.
@@ -914,8 +919,7 @@
         let warm = self.set.contract.warm_after;
         for line in lines {
             let came = line.came_up.unwrap_or(now - warm);
-            // A cached list may hide a start: in the director's own first time everything may be cold.
-            let cold_until = (came + warm).max(self.born + warm);
+            let cold_until = came + warm;
             match self.servers.get_mut(&line.server) {
                 Some(s) => {
                     if line.came_up > s.listed.came_up {
@@ -936,7 +940,6 @@
                         sign: now,
                         playing: 0,
                         pending: 0,
-                        paced: None,
                         cold_until,
                     };
                     self.servers.insert(line.server, s);
