--- a/src/control.rs
+++ b/src/control.rs
@@ -302,8 +302,8 @@
             Event::Timer(TICK_TOKEN) => {
                 self.ticking = true;
                 out.push(Action::Timer { after: TICK, token: TICK_TOKEN });
-                self.fade(now);
                 self.weigh_demand(now);
+                self.fade(now);
                 self.settle(now, out);
             }
             Event::Timer(token) => self.on_deadline(SessionId(token), out),
@@ -464,7 +464,6 @@
     /// Missing evidence is not bad evidence: what no report has confirmed for long wears off.
     fn fade(&mut self, now: Micros) {
         let stale = STALE_TIMES * self.set.told_every.max(1_000_000) + self.set.told_late;
-        self.survey();
         let (link, uplink) = (self.fleet.link, self.fleet.uplink);
         for s in self.servers.values_mut() {
             s.link.fade(now, stale, link);
@@ -637,6 +636,7 @@
     /// A rung's overfill is what all viewers would ask if each had every rung that is worth as much for
     /// its rate, over what links and uplinks give under the full line.
     fn weigh_demand(&mut self, now: Micros) {
+        self.survey();
         self.turned.retain(|_, (t, _)| now - *t < WANTS_FOR);
         let mut racks: BTreeMap<Option<u64>, f64> = BTreeMap::new();
         for s in self.servers.values().filter(|s| s.listed.state == Standing::Ready && s.fails == 0) {
