--- a/src/control.rs
+++ b/src/control.rs
@@ -198,10 +198,10 @@
         }
     }
 
-    /// Until a report comes, as full as the mean of those heard.
+    /// Until a report comes, the others' part of it is as full as the mean of those heard.
     fn believed(&self, fleet: &Fleet, mean: f64) -> f64 {
         if self.reported.is_none() {
-            return mean + self.part(self.own);
+            return mean * fleet.others + self.part(self.own);
         }
         // The others follow the same rule on the same reports: each set-up here since the last one counts
         // for some of theirs too.
@@ -218,6 +218,8 @@
     uplink: f64,
     /// Sessions that play.
     sessions: f64,
+    /// Part of all sessions that is the others', and how many set-ups of theirs an own one stands for.
+    others: f64,
     echo: f64,
 }
 
@@ -494,7 +496,7 @@
         let asked = if uplinks > 0.0 { uplink * uplinks } else { link * links };
         let sessions = if usual > 0.0 { asked / usual } else { held * n };
         let echo = (n - 1.0) / (1.0 + (n - 1.0) / ECHO);
-        self.fleet = Fleet { link, uplink, sessions, echo };
+        self.fleet = Fleet { link, uplink, sessions, others: 1.0 - 1.0 / n, echo };
     }
 
     fn on_sign(&mut self, now: Micros, server: ServerId, alive: bool) {
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -75,7 +75,7 @@
     set.classes[HARMLESS].seats = 0;
     let first = rung(&Desk::new(set.clone(), 4).ask(1, HARMLESS));
     let mut desk = Desk::new(set, 4);
-    for id in 1..=40 {
+    for id in 1..=60 {
         desk.carry(id, HARMLESS, ServerId(1 + id % 4));
     }
     assert_eq!(first, Some(4));
