--- a/src/control.rs
+++ b/src/control.rs
@@ -45,6 +45,8 @@
 const LOG_SPAN: Micros = 5_000_000;
 /// Director's tick, microseconds: often enough to see an overdue set-up before the next viewer does.
 const TICK: Micros = 200_000;
+/// A tick that comes later than this, microseconds, was held up here: a batch takes a few milliseconds.
+const STALL: Micros = 300_000;
 /// A harmless set-up is given so many usual set-up times before it is tried elsewhere.
 const PATIENCE_TIMES: f64 = 4.0;
 /// Shortest patience, microseconds: a handshake and a busy core.
@@ -271,20 +273,34 @@
     setup: f64,
     subscribed: bool,
     asked_list: Option<Micros>,
-    ticking: bool,
+    /// When the tick is due; and the last time at which it was found long overdue.
+    tick_due: Option<Micros>,
+    stalled: Micros,
 }
 
 impl Director {
     /// A director that knows nothing yet. `now` is the time of its start.
     pub fn new(seed: u64, settings: Settings, now: Micros) -> Director {
-        Director { set: settings, seed, born: now, setup: SETUP_GUESS, ..Director::default() }
+        Director {
+            set: settings,
+            seed,
+            born: now,
+            stalled: now - 1,
+            setup: SETUP_GUESS,
+            ..Director::default()
+        }
     }
 
     /// Takes one event and appends what is to be done, in order.
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
-        if !self.ticking {
-            self.ticking = true;
-            out.push(Action::Timer { after: TICK, token: TICK_TOKEN });
+        if self.tick_due.is_none() {
+            self.ring(now, out);
+        }
+        // This director stood still: its evidence aged here, and no server is judged by what ran out meanwhile.
+        let late = self.tick_due.map_or(0, |due| now - due);
+        if late > STALL {
+            self.stalled = now;
+            self.servers.values_mut().for_each(|s| s.sign = s.sign.max(now));
         }
         match event {
             Event::List { news, lines } => self.on_list(now, news, lines),
@@ -302,8 +318,7 @@
             }
             Event::Withdrawn(session) => self.turn(session, Live::Closed),
             Event::Timer(TICK_TOKEN) => {
-                self.ticking = true;
-                out.push(Action::Timer { after: TICK, token: TICK_TOKEN });
+                self.ring(now, out);
                 self.weigh_demand(now);
                 self.fade(now);
                 self.settle(now, out);
@@ -318,6 +333,11 @@
         self.keep_list(now, out);
     }
 
+    fn ring(&mut self, now: Micros, out: &mut Vec<Action>) {
+        self.tick_due = Some(now + TICK);
+        out.push(Action::Timer { after: TICK, token: TICK_TOKEN });
+    }
+
     // ---- events -----------------------------------------------------------------------------
 
     fn on_asked(&mut self, now: Micros, mut req: Request, out: &mut Vec<Action>) {
@@ -369,6 +389,7 @@
         let server = live.parts().1.server;
         self.release(now, &live);
         match outcome {
+            Outcome::Late if self.stalled == now => {}
             Outcome::NoConnection | Outcome::Reset | Outcome::Late | Outcome::Error => {
                 self.on_sign(now, server, false);
             }
