--- a/src/control.rs
+++ b/src/control.rs
@@ -23,7 +23,7 @@
 const FADE: f64 = 10_000_000.0;
 /// Steps aim at this share of what is delivered.
 const RELIEF_TO: f64 = 0.97;
-/// A session is stepped again only after this, microseconds: the last step must show in the notes first.
+/// Sessions of a server step again only after this, microseconds.
 const STEP_PAUSE: Micros = 4_000_000;
 /// A stepped session may be decided anew after so long, microseconds.
 const CALM: Micros = 6_000_000;
@@ -233,6 +233,8 @@
     short: bool,
     /// Worth of a session, in seconds, that the shortage told has cost so far.
     lost: f64,
+    /// Last time that sessions were to step down for it: that must show in the notes first.
+    relief_at: Micros,
     /// Last time that it was told short.
     short_at: Micros,
     /// Failures since the last sign of life.
@@ -431,8 +433,9 @@
                 // Such notes come each second while it lasts.
                 s.lost += (self.set.stall_cost * (0.98 - share)).clamp(0.0, 1.0);
                 (s.short, s.short_at) = (true, now);
-                if self.set.stall_cost > 0.0 && s.lost >= self.set.switch_s {
-                    s.lost = 0.0;
+                if self.set.stall_cost > 0.0 && s.lost >= self.set.switch_s && now - s.relief_at >= STEP_PAUSE
+                {
+                    (s.lost, s.relief_at) = (0.0, now);
                     self.step_down(now, server, share, out);
                 }
             }
@@ -793,22 +796,24 @@
                 continue;
             };
             own += t.kb;
-            if t.rung > class.floor && t.stepped.is_none_or(|at| now - at >= STEP_PAUSE) {
+            if t.rung > class.floor {
                 let freed = t.kb - self.set.rate(ask.req.class, t.rung - 1);
                 let lost = class.worth * (worth(t.rung) - worth(t.rung - 1));
                 steps.push((lost / freed.max(1.0), *id, t.rung - 1, freed));
-            } else if t.stepped.is_some_and(|at| now - at < STEP_PAUSE) {
-                return; // the last steps do not show in the notes yet
             }
         }
         steps.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
         let mut need = own * (1.0 - share.max(0.0) / RELIEF_TO);
         for (_, id, rung, freed) in steps {
+            // Many directors hold one session each there: of the last step only the part that is needed is
+            // taken, by draw, or all together would free several times what is missing.
+            if draw(self.seed ^ id.0 ^ now as u64) * freed < need {
+                self.step(now, id, rung, out);
+            }
+            need -= freed;
             if need <= 0.0 {
                 return;
             }
-            need -= freed;
-            self.step(now, id, rung, out);
         }
     }
 
@@ -911,8 +916,7 @@
         let pace = (c.overload_factor * c.start_capacity * self.set.places(s.listed.kind)).max(1.0) / warm;
         let all =
             self.set.sharers() * asked.max(1) as f64 * spread.max(1) as f64 / self.set.cells.max(1) as f64;
-        let draw = (mix(self.tie(ask, s)) >> 11) as f64 / (1u64 << 53) as f64;
-        draw * all < pace * PACE_MARGIN * span as f64
+        draw(self.tie(ask, s)) * all < pace * PACE_MARGIN * span as f64
     }
 
     /// 0: nothing against it. 1: notes are overdue. 2: failing.
@@ -957,6 +961,7 @@
                         link: Account::default(),
                         short: false,
                         lost: 0.0,
+                        relief_at: now - STEP_PAUSE,
                         short_at: now,
                         fails: 0,
                         failed_at: now,
@@ -1012,3 +1017,8 @@
     x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
     x ^ (x >> 31)
 }
+
+/// From 0 to 1, the same for the same seed.
+fn draw(seed: u64) -> f64 {
+    (mix(mix(seed)) >> 11) as f64 / (1u64 << 53) as f64
+}
