--- a/src/control.rs
+++ b/src/control.rs
@@ -24,7 +24,7 @@
 /// Steps aim at this share of what is delivered.
 const RELIEF_TO: f64 = 0.97;
 /// Sessions of a server step again only after this, microseconds.
-const STEP_PAUSE: Micros = 4_000_000;
+const STEP_PAUSE: Micros = 2_000_000;
 /// A stepped session may be decided anew after so long, microseconds.
 const CALM: Micros = 6_000_000;
 /// Part of the falling-over pace that all directors together may use on a cold server: margin for
@@ -807,7 +807,7 @@
         for (_, id, rung, freed) in steps {
             // Many directors hold one session each there: of the last step only the part that is needed is
             // taken, by draw, or all together would free several times what is missing.
-            if draw(self.seed ^ id.0 ^ now as u64) * freed < need {
+            if draw(self.seed ^ id.0 ^ now as u64) * freed < 2.0 * need {
                 self.step(now, id, rung, out);
             }
             need -= freed;
