--- a/src/control.rs
+++ b/src/control.rs
@@ -819,8 +819,7 @@
 
     fn step(&mut self, now: Micros, id: SessionId, rung: usize, out: &mut Vec<Action>) {
         let Some(Live::Playing(_, t)) = self.live.get_mut(&id) else { return };
-        // What was decided anew once is held, also if it steps down later.
-        t.due = (t.stepped.is_none() && t.due.is_none()).then_some(now + CALM);
+        t.due = Some(now + CALM);
         t.stepped = Some(now);
         self.set_rung(now, id, rung);
         out.push(Action::SetRung { session: id, rung });
