--- a/src/control.rs
+++ b/src/control.rs
@@ -164,6 +164,10 @@
 }
 
 impl Account {
+    fn fresh(&self, now: Micros, stale: Micros) -> bool {
+        self.reported.is_some_and(|t| now - t <= stale)
+    }
+
     fn part(&self, kb: f64) -> f64 {
         if self.kb > 0.0 { kb / self.kb } else { 0.0 }
     }
@@ -489,7 +493,7 @@
 
     /// Missing evidence is not bad evidence: what no report has confirmed for long wears off.
     fn fade(&mut self, now: Micros) {
-        let stale = STALE_TIMES * self.set.told_every.max(1_000_000) + self.set.told_late;
+        let stale = self.stale();
         let (link, uplink) = (self.fleet.link, self.fleet.uplink);
         for s in self.servers.values_mut() {
             s.link.fade(now, stale, link);
@@ -523,6 +527,11 @@
         self.fleet = Fleet { link, uplink, sessions, others: 1.0 - 1.0 / n, echo };
     }
 
+    /// Age at which a report is stale.
+    fn stale(&self) -> Micros {
+        STALE_TIMES * self.set.told_every.max(1_000_000) + self.set.told_late
+    }
+
     fn on_sign(&mut self, now: Micros, server: ServerId, alive: bool) {
         let warm = self.set.contract.warm_after;
         let Some(s) = self.servers.get_mut(&server) else { return };
@@ -760,7 +769,9 @@
         ask.tried.push(server);
         out.push(Action::SetRung { session, rung });
         out.push(Action::Send { session, server, patience });
-        self.hold(now, Live::Pending(ask, new_attempt(now, server, number, rung, kb)));
+        let blind = self.servers.get(&server).is_some_and(|s| !s.link.fresh(now, self.stale()));
+        let attempt = new_attempt(now, server, number, rung, kb);
+        self.hold(now, Live::Pending(ask, Attempt { due: blind.then_some(now), ..attempt }));
     }
 
     /// A harmless set-up is tried elsewhere while the viewer's aim can still be met; a paid one may
@@ -837,7 +848,8 @@
                 continue;
             };
             let Some(class) = self.set.classes.get(ask.req.class) else { continue };
-            let told = s.link.reported.is_some() && self.uplink_of(s).is_none_or(|u| u.reported.is_some());
+            let told = s.link.reported.is_some_and(|r| r >= t.sent)
+                && self.uplink_of(s).is_none_or(|u| u.reported.is_some());
             let Some(top) = self.set.top(&ask.req) else { continue };
             if !told || top <= t.rung {
                 continue;
