--- a/benchlink/src/settings.rs
+++ b/benchlink/src/settings.rs
@@ -150,6 +150,8 @@
         limits: Limits {
             max_attempts: num(&v, "Limits.MaxAttempts")?.unwrap_or(1.0) as u32,
             may_cancel: flag(&v, "/Limits/MayCancel"),
+            may_probe: flag(&v, "/Limits/Probes"),
+            probe_price: num(&v, "Deductions.Probe")?.unwrap_or(0.0),
             max_come_back: if advice { span(&v, "Limits.MaxRetryAfter")? } else { 0 },
             step: span(&v, "Step")?,
         },
--- a/src/control.rs
+++ b/src/control.rs
@@ -47,6 +47,16 @@
 const TICK: Micros = 200_000;
 /// A tick that comes later than this, microseconds, was held up here: a batch takes a few milliseconds.
 const STALL: Micros = 300_000;
+/// What a fresh reading of one holder saves, as a part of a session's worth; probes that cost more are not sent.
+const NEWS_WORTH: f64 = 0.03;
+/// Holders probed for one request at most.
+const PROBES: usize = 2;
+/// A report younger than this, microseconds, needs no probe.
+const PROBE_FRESH: Micros = 2_000_000;
+/// Probes are waited for so long, microseconds: they answer in milliseconds or not at all.
+const PROBE_WAIT: Micros = 60_000;
+/// A director that stood still sends no probes for so long, microseconds: their answers would find it still again.
+const STALL_MEMORY: Micros = 5_000_000;
 /// A harmless set-up is given so many usual set-up times before it is tried elsewhere.
 const PATIENCE_TIMES: f64 = 4.0;
 /// Shortest patience, microseconds: a handshake and a busy core.
@@ -263,6 +273,8 @@
     servers: BTreeMap<ServerId, Server>,
     uplinks: BTreeMap<u64, Account>,
     live: BTreeMap<SessionId, Live>,
+    /// Requests that wait for these probes.
+    asking: BTreeMap<SessionId, (Ask, Vec<ServerId>)>,
     /// Sessions of a title and class held, set-ups included.
     seats: BTreeMap<(TitleId, usize), u32>,
     /// Times of requests taken and of further attempts sent.
@@ -291,7 +303,7 @@
             set: settings,
             seed,
             born: now,
-            stalled: now - 1,
+            stalled: now - STALL_MEMORY,
             setup: SETUP_GUESS,
             ..Director::default()
         }
@@ -322,17 +334,28 @@
             Event::Noted { session, attempt, server, note } => {
                 self.on_note(now, session, attempt, server, note, out);
             }
-            Event::Withdrawn(session) => self.turn(session, Live::Closed),
+            Event::Withdrawn(session) => {
+                self.asking.remove(&session);
+                self.turn(session, Live::Closed);
+            }
             Event::Timer(TICK_TOKEN) => {
                 self.ring(now, out);
                 self.weigh_demand(now);
                 self.fade(now);
                 self.settle(now, out);
             }
-            Event::Timer(token) => self.on_deadline(SessionId(token), out),
+            Event::Timer(token) => {
+                self.asked(now, SessionId(token), out);
+                self.on_deadline(now, SessionId(token), out);
+            }
             Event::Probed { server, outcome, load } => {
                 self.on_load(now, server, load, ANSWER_AGE, ANSWER_WEIGHT);
-                self.on_sign(now, server, outcome == Outcome::Good);
+                match outcome {
+                    Outcome::NoConnection | Outcome::Reset => self.on_sign(now, server, false),
+                    Outcome::Late if self.stalled != now => self.on_sign(now, server, false),
+                    _ => {}
+                }
+                self.on_probed(now, server, out);
             }
             Event::Peer { .. } => {}
         }
@@ -354,10 +377,50 @@
         req.deadline = req.deadline.clamp(now, now + LONGEST);
         self.turned.remove(&req.viewer);
         self.weigh_demand(now);
-        if self.live.contains_key(&req.session) {
+        if self.live.contains_key(&req.session) || self.asking.contains_key(&req.session) {
             return; // an id that is already held: odd input, and its answer is under way
         }
-        self.place(now, Ask { req, attempts: 0, tried: Vec::new() }, out);
+        let ask = Ask { req, attempts: 0, tried: Vec::new() };
+        let probed = self.unsure_of(now, &ask);
+        if probed.is_empty() {
+            return self.place(now, ask, out);
+        }
+        out.extend(probed.iter().map(|s| Action::Probe { server: *s }));
+        out.push(Action::Timer { after: PROBE_WAIT, token: ask.req.session.0 });
+        self.asking.insert(ask.req.session, (ask, probed));
+    }
+
+    /// Exception: where probes are allowed and cost less than the news is worth, and nothing fresh is known
+    /// of the holder that would be taken, the best holders of which that is so are asked first.
+    fn unsure_of(&self, now: Micros, ask: &Ask) -> Vec<ServerId> {
+        let limits = &self.set.limits;
+        let most = if limits.may_probe { (NEWS_WORTH / limits.probe_price.max(1e-4)) as usize } else { 0 };
+        if most == 0 || now - self.stalled < STALL_MEMORY {
+            return Vec::new();
+        }
+        let holders = self.holders(now, ask);
+        if holders.first().is_none_or(|s| s.link.fresh(now, PROBE_FRESH)) {
+            return Vec::new();
+        }
+        let unsure = holders.iter().filter(|s| !s.link.fresh(now, PROBE_FRESH));
+        unsure.take(most.min(PROBES)).map(|s| s.listed.server).collect()
+    }
+
+    fn on_probed(&mut self, now: Micros, server: ServerId, out: &mut Vec<Action>) {
+        let waiting = self.asking.values_mut();
+        waiting.for_each(|(_, probed)| probed.retain(|s| *s != server));
+        let ready: Vec<SessionId> =
+            self.asking.iter().filter(|(_, (_, probed))| probed.is_empty()).map(|(id, _)| *id).collect();
+        for id in ready {
+            self.asked(now, id, out);
+        }
+    }
+
+    /// The answers are in, or late: the request is decided on what is known.
+    fn asked(&mut self, now: Micros, id: SessionId, out: &mut Vec<Action>) {
+        if let Some((ask, _)) = self.asking.remove(&id) {
+            self.place(now, ask, out);
+        }
     }
 
     fn on_carried(&mut self, now: Micros, req: Request, server: ServerId) {
@@ -469,8 +532,11 @@
     }
 
     /// The viewer's time is up: the final answer is due now, whatever is still out.
-    fn on_deadline(&mut self, id: SessionId, out: &mut Vec<Action>) {
+    fn on_deadline(&mut self, now: Micros, id: SessionId, out: &mut Vec<Action>) {
         let Some(Live::Pending(ask, attempt)) = self.live.get(&id) else { return };
+        if now + self.set.limits.step < ask.req.deadline {
+            return; // rang for probes that had answered before
+        }
         if self.set.limits.may_cancel {
             out.push(Action::Recall { session: id, attempt: attempt.number });
         }
@@ -636,6 +702,13 @@
         if top < class.floor || !self.may_send(now, ask) {
             return None;
         }
+        self.holders(now, ask).into_iter().find_map(|s| {
+            self.rung_at(s, ask.req.class, class.floor, top, 0.0).map(|rung| (s.listed.server, rung))
+        })
+    }
+
+    /// Holders that may take the request, the least account first.
+    fn holders(&self, now: Micros, ask: &Ask) -> Vec<&Server> {
         let mut holders: Vec<_> = self
             .servers
             .values()
@@ -643,9 +716,7 @@
             .map(|s| (self.doubt(now, s), self.account(s), self.tie(ask, s), s))
             .collect();
         holders.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
-        holders.iter().find_map(|(_, _, _, s)| {
-            self.rung_at(s, ask.req.class, class.floor, top, 0.0).map(|rung| (s.listed.server, rung))
-        })
+        holders.into_iter().map(|(_, _, _, s)| s).collect()
     }
 
     /// D(C0): the asked rung under the mark, else the highest under the full line, else none. `held` is the
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -143,6 +143,10 @@
     pub max_attempts: u32,
     /// Attempts may be recalled.
     pub may_cancel: bool,
+    /// Servers may be probed.
+    pub may_probe: bool,
+    /// What one probe for each request costs, as a part of all worth.
+    pub probe_price: f64,
     /// Longest come-back advice that viewers honour. 0: advice is not passed on.
     pub max_come_back: Micros,
     /// Smallest time between two batches of events.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -37,7 +37,13 @@
             must_ask_in: 10 * S,
             further: Some(FurtherAttempts { free: 2.0, per_request: 0.0, span: 10 * S }),
         },
-        limits: Limits { max_attempts: 4, may_cancel: true, max_come_back: S, step: 10 * MS },
+        limits: Limits {
+            max_attempts: 4,
+            may_cancel: true,
+            max_come_back: S,
+            step: 10 * MS,
+            ..Default::default()
+        },
         ..Default::default()
     }
 }
