--- a/src/control.rs
+++ b/src/control.rs
@@ -50,7 +50,7 @@
 /// What a fresh reading of one holder saves, as a part of a session's worth; probes that cost more are not sent.
 const NEWS_WORTH: f64 = 0.03;
 /// Holders probed for one request at most.
-const PROBES: usize = 2;
+const PROBES: usize = 3;
 /// A report younger than this, microseconds, needs no probe.
 const PROBE_FRESH: Micros = 2_000_000;
 /// Probes are waited for so long, microseconds: they answer in milliseconds or not at all.
