--- a/src/control.rs
+++ b/src/control.rs
@@ -285,8 +285,8 @@
     /// Sessions held, by class.
     held: BTreeMap<usize, f64>,
     fleet: Fleet,
-    /// What the demand seen asks at each class and rung, over what the fleet gives.
-    overfill: BTreeMap<(usize, usize), f64>,
+    /// What the demand seen asks before and with each class's rung, over what the fleet gives.
+    overfill: BTreeMap<(usize, usize), (f64, f64)>,
     /// Usual time of a set-up, microseconds.
     setup: f64,
     subscribed: bool,
@@ -734,7 +734,7 @@
     /// The mark answers demand (the paper's choice of C0), on each rung of the ladder: a rung at which
     /// the viewers seen would overfill the fleet is given only while the link is that much emptier.
     fn answer(&self, class: usize, rung: usize) -> f64 {
-        let overfill = self.overfill.get(&(class, rung)).copied().unwrap_or(0.0);
+        let (_, overfill) = self.overfill.get(&(class, rung)).copied().unwrap_or_default();
         1.0 / overfill.max(1.0)
     }
 
@@ -776,8 +776,8 @@
         steps.sort_by(|a, b| b.0.total_cmp(&a.0).then((a.2, a.1).cmp(&(b.2, b.1))));
         let mut asked = 0.0;
         for (_, class, rung, kb) in steps {
+            self.overfill.insert((class, rung), (asked / room, (asked + kb) / room));
             asked += kb;
-            self.overfill.insert((class, rung), asked / room);
         }
     }
 
@@ -927,9 +927,13 @@
             }
             // All other directors decide theirs at the same time: what counts is not how full the link is now
             // but what all viewers there would ask at that rung.
-            let fuller = self.fuller(s);
-            let common =
-                |r: &usize| self.overfill.get(&(ask.req.class, *r)).is_some_and(|o| o * fuller <= 1.0);
+            // Of the rung for which there is room for a part of them only, that part takes it, by draw.
+            let (fuller, part) = (self.fuller(s), draw(id.0));
+            let common = |r: &usize| {
+                let (before, after) =
+                    self.overfill.get(&(ask.req.class, *r)).copied().unwrap_or((0.0, f64::INFINITY));
+                (before + part * (after - before)) * fuller <= 1.0
+            };
             let Some(top) = (t.rung + 1..=top).rev().find(common) else { continue };
             let Some(rung) = self.rung_at(s, ask.req.class, class.floor, top, t.kb) else { continue };
             let left = ask.req.hint.map_or(f64::INFINITY, |h| (h - (now - t.sent)) as f64 / 1e6);
