--- a/src/control.rs
+++ b/src/control.rs
@@ -47,6 +47,8 @@
 const TICK: Micros = 200_000;
 /// A tick that comes later than this, microseconds, was held up here: a batch takes a few milliseconds.
 const STALL: Micros = 300_000;
+/// A link or uplink of which nothing fresh is heard is taken for fuller than the mean by so many spreads.
+const CAUTION: f64 = 0.7;
 /// What a fresh reading of one holder saves, as a part of a session's worth; probes that cost more are not sent.
 const NEWS_WORTH: f64 = 0.03;
 /// Holders probed for one request at most.
@@ -167,6 +169,8 @@
     /// Own changes of the last seconds: time and kB a second.
     log: VecDeque<(Micros, f64)>,
     reported: Option<Micros>,
+    /// The last report is not stale.
+    heard: bool,
     /// Time that the last report tells of.
     seen_to: Micros,
     /// Own set-ups since then, kB a second.
@@ -178,6 +182,11 @@
         self.reported.is_some_and(|t| now - t <= stale)
     }
 
+    /// Added where nothing fresh is heard: it may be fuller than the mean.
+    fn doubt(&self, spread: f64) -> f64 {
+        if self.heard { 0.0 } else { CAUTION * spread }
+    }
+
     fn part(&self, kb: f64) -> f64 {
         if self.kb > 0.0 { kb / self.kb } else { 0.0 }
     }
@@ -201,14 +210,15 @@
         let seen = (share + self.part(since)).max(0.0);
         let weight = if self.reported.is_none() { 1.0 } else { weight };
         self.share += weight * (seen - self.share);
-        self.reported = Some(now);
+        (self.reported, self.heard) = (Some(now), true);
         self.seen_to = self.seen_to.max(now - age);
         self.since = self.log.iter().filter(|(t, kb)| *t > self.seen_to && *kb > 0.0).map(|(_, kb)| kb).sum();
     }
 
     /// A tick without report: past `stale` the share moves towards the mean of those heard.
     fn fade(&mut self, now: Micros, stale: Micros, mean: f64) {
-        if self.reported.is_some_and(|t| now - t > stale) {
+        self.heard = self.fresh(now, stale);
+        if self.reported.is_some() && !self.heard {
             self.share += (mean - self.share) * TICK as f64 / FADE;
             self.since = 0.0;
         }
@@ -232,6 +242,9 @@
     /// Mean share asked of links, and of uplinks.
     link: f64,
     uplink: f64,
+    /// How far single ones stray from it.
+    link_spread: f64,
+    uplink_spread: f64,
     /// Sessions that play.
     sessions: f64,
     /// Part of all sessions that is the others', and how many set-ups of theirs an own one stands for.
@@ -572,25 +585,28 @@
     fn survey(&mut self) {
         let n = self.set.sharers();
         let mean = |heard: &mut dyn Iterator<Item = &Account>, own: f64, size: f64| {
-            let (mut sum, mut count) = (0.0, 0.0);
-            for a in heard.filter(|a| a.reported.is_some()) {
-                (sum, count) = (sum + a.share, count + 1.0);
+            let (mut sum, mut squares, mut count) = (0.0, 0.0, 0.0);
+            for a in heard.filter(|a| a.heard) {
+                (sum, squares, count) = (sum + a.share, squares + a.share * a.share, count + 1.0);
             }
             let guess = if size > 0.0 { own * n / size } else { 0.0 };
-            (sum + PRIOR * guess) / (count + PRIOR)
+            let mean = (sum + PRIOR * guess) / (count + PRIOR);
+            let spread = (squares - sum * sum / f64::max(count, 1.0)) / (count + PRIOR);
+            (mean, spread.max(0.0).sqrt())
         };
         let links: f64 = self.servers.values().map(|s| s.link.kb).sum();
         let uplinks = self.set.racks as f64 * self.set.uplink_kb.max(0.0);
         let own: f64 = self.servers.values().map(|s| s.link.own).sum();
         let held: f64 = self.held.values().sum();
-        let link = mean(&mut self.servers.values().map(|s| &s.link), own, links);
-        let uplink = mean(&mut self.uplinks.values(), own, uplinks);
+        let (link, link_spread) = mean(&mut self.servers.values().map(|s| &s.link), own, links);
+        let (uplink, uplink_spread) = mean(&mut self.uplinks.values(), own, uplinks);
         let middle = self.set.rate(0, self.set.ladder.len() / 2);
         let usual = (own + 0.5 * middle) / (held + 0.5);
         let asked = if uplinks > 0.0 { uplink * uplinks } else { link * links };
         let sessions = if usual > 0.0 { asked / usual } else { held * n };
         let echo = (n - 1.0) / (1.0 + (n - 1.0) / ECHO);
-        self.fleet = Fleet { link, uplink, sessions, others: 1.0 - 1.0 / n, echo };
+        self.fleet =
+            Fleet { link, uplink, link_spread, uplink_spread, sessions, others: 1.0 - 1.0 / n, echo };
     }
 
     /// Age at which a report is stale.
@@ -784,8 +800,12 @@
     fn fits(&self, s: &Server, kb: f64, line: f64) -> bool {
         let rack = self.uplink_of(s);
         !s.short
-            && self.link_share(s) + s.link.part(kb) <= line
-            && self.uplink_share(s) + rack.map_or(0.0, |u| u.part(kb)) <= line
+            && self.link_share(s) + s.link.doubt(self.fleet.link_spread) + s.link.part(kb) <= line
+            && self.uplink_share(s)
+                + rack.map_or(CAUTION * self.fleet.uplink_spread, |u| {
+                    u.doubt(self.fleet.uplink_spread) + u.part(kb)
+                })
+                <= line
     }
 
     fn uplink_of(&self, s: &Server) -> Option<&Account> {
