--- a/src/control.rs
+++ b/src/control.rs
@@ -932,7 +932,6 @@
     /// left of it is worth more than the step. One a tick on each rack, so that the steps show.
     fn settle(&mut self, now: Micros, out: &mut Vec<Action>) {
         let mut steps: BTreeMap<u64, (SessionId, usize)> = BTreeMap::new();
-        let mut downs: BTreeMap<u64, (SessionId, usize)> = BTreeMap::new();
         for (id, live) in &self.live {
             let Live::Playing(ask, t) = live else { continue };
             let Some(s) = self.servers.get(&t.server).filter(|s| !s.short && t.due.is_some_and(|d| now >= d))
@@ -953,23 +952,18 @@
             let common = |r: &usize| {
                 let (before, after) =
                     self.overfill.get(&(ask.req.class, *r)).copied().unwrap_or((0.0, f64::INFINITY));
-                (before + part * (after - before)) * fuller
+                (before + part * (after - before)) * fuller <= 1.0
             };
-            let left = ask.req.hint.map_or(f64::INFINITY, |h| (h - (now - t.sent)) as f64 / 1e6);
-            let full = self.link_share(s).max(self.uplink_share(s)) > FULL_LINE;
-            if full && t.rung > class.floor && common(&t.rung) > 1.2 && left > 8.0 * self.set.switch_s {
-                downs.entry(self.rack_of(t.server).unwrap_or(t.server.0)).or_insert((*id, t.rung - 1));
-                continue;
-            }
-            let Some(top) = (t.rung + 1..=top).rev().find(|r| common(r) <= 1.0) else { continue };
+            let Some(top) = (t.rung + 1..=top).rev().find(common) else { continue };
             let Some(rung) = self.rung_at(s, ask.req.class, class.floor, top, t.kb) else { continue };
+            let left = ask.req.hint.map_or(f64::INFINITY, |h| (h - (now - t.sent)) as f64 / 1e6);
             if rung > t.rung
                 && left * (self.set.ladder[rung].worth - self.set.ladder[t.rung].worth) > self.set.switch_s
             {
                 steps.entry(self.rack_of(t.server).unwrap_or(t.server.0)).or_insert((*id, rung));
             }
         }
-        for (id, rung) in steps.into_values().chain(downs.into_values()) {
+        for (id, rung) in steps.into_values() {
             self.step(now, id, rung, out);
         }
     }
