--- a/src/control.rs
+++ b/src/control.rs
@@ -47,7 +47,8 @@
 const TICK: Micros = 200_000;
 /// A tick that comes later than this, microseconds, was held up here: a batch takes a few milliseconds.
 const STALL: Micros = 300_000;
-/// A link or uplink of which nothing fresh is heard is taken for fuller than the mean by so many spreads.
+/// A link or uplink of which nothing fresh is heard is taken for fuller than the mean by so many spreads, for
+/// all rungs but the lowest: what is not known turns nobody away.
 const CAUTION: f64 = 0.7;
 /// What a fresh reading of one holder saves, as a part of a session's worth; probes that cost more are not sent.
 const NEWS_WORTH: f64 = 0.03;
@@ -182,11 +183,6 @@
         self.reported.is_some_and(|t| now - t <= stale)
     }
 
-    /// Added where nothing fresh is heard: it may be fuller than the mean.
-    fn doubt(&self, spread: f64) -> f64 {
-        if self.heard { 0.0 } else { CAUTION * spread }
-    }
-
     fn part(&self, kb: f64) -> f64 {
         if self.kb > 0.0 { kb / self.kb } else { 0.0 }
     }
@@ -739,12 +735,12 @@
     /// rate that the session has there already.
     fn rung_at(&self, s: &Server, class: usize, floor: usize, asked: usize, held: f64) -> Option<usize> {
         let rate = |rung| self.set.rate(class, rung) - held;
-        if self.fits(s, rate(asked), MARK * self.answer(class, asked)) {
+        if self.fits(s, rate(asked), MARK * self.answer(class, asked), CAUTION) {
             return Some(asked);
         }
         let mut lower = (floor + 1..asked).rev();
-        let found = lower.find(|r| self.fits(s, rate(*r), FULL_LINE * self.answer(class, *r)));
-        found.or_else(|| self.fits(s, rate(floor), FULL_LINE).then_some(floor))
+        let found = lower.find(|r| self.fits(s, rate(*r), FULL_LINE * self.answer(class, *r), CAUTION));
+        found.or_else(|| self.fits(s, rate(floor), FULL_LINE, 0.0).then_some(floor))
     }
 
     /// The mark answers demand (the paper's choice of C0), on each rung of the ladder: a rung at which
@@ -797,15 +793,14 @@
         }
     }
 
-    fn fits(&self, s: &Server, kb: f64, line: f64) -> bool {
+    /// `caution`: how far an unheard link or uplink is taken for fuller than the mean, in spreads.
+    fn fits(&self, s: &Server, kb: f64, line: f64, caution: f64) -> bool {
         let rack = self.uplink_of(s);
-        !s.short
-            && self.link_share(s) + s.link.doubt(self.fleet.link_spread) + s.link.part(kb) <= line
-            && self.uplink_share(s)
-                + rack.map_or(CAUTION * self.fleet.uplink_spread, |u| {
-                    u.doubt(self.fleet.uplink_spread) + u.part(kb)
-                })
-                <= line
+        let doubt = |heard: bool, spread: f64| if heard { 0.0 } else { caution * spread };
+        let link = doubt(s.link.heard, self.fleet.link_spread) + s.link.part(kb);
+        let uplink = doubt(rack.is_some_and(|u| u.heard), self.fleet.uplink_spread);
+        let uplink = uplink + rack.map_or(0.0, |u| u.part(kb));
+        !s.short && self.link_share(s) + link <= line && self.uplink_share(s) + uplink <= line
     }
 
     fn uplink_of(&self, s: &Server) -> Option<&Account> {
