--- a/src/control.rs
+++ b/src/control.rs
@@ -13,31 +13,27 @@
 const MARK: f64 = 0.85;
 /// Part of a link that no set-up passes (the design's default): rates stray by a few points.
 const FULL_LINE: f64 = 0.93;
-/// A viewer who was turned away counts as wanting a session for so long, microseconds: most return sooner.
+/// A viewer turned away counts as wanting a session for so long, microseconds: most return sooner.
 const WANTS_FOR: Micros = 3_000_000;
-/// Evidence older than so many times the usual time between reports is stale: a short-delivery note lapses
-/// and a believed share fades. Notes come only where this director has sessions, so a server once believed
-/// full would else never be tried again.
+/// Evidence older than so many usual times between reports is stale, and forgotten.
 const STALE_TIMES: Micros = 2;
-/// Time in which a stale share fades to the mean of what is heard, microseconds.
-const FADE: f64 = 10_000_000.0;
 /// Steps aim at this share of what is delivered.
 const RELIEF_TO: f64 = 0.97;
-/// Sessions of a server step again only after this, microseconds.
+/// Sessions of a server step down again only after this, microseconds: the last steps must show first.
 const STEP_PAUSE: Micros = 2_000_000;
+/// Steps down free so many times what is missing: a shortage costs several points for each, room at most one.
+const RELIEF_TIMES: f64 = 2.0;
 /// A stepped session may be decided anew after so long, microseconds.
 const CALM: Micros = 6_000_000;
-/// Part of the falling-over pace that all directors together may use on a cold server: margin for
-/// set-ups of theirs that bunch by chance, and for places that are fewer than told.
+/// Part of the falling-over pace of a cold server that all directors may use: chance bunches, places stray.
 const PACE_MARGIN: f64 = 0.7;
-/// Weight of a report in an answer against what is believed; such reports are noisy and of unknown age.
+/// Weight of a report in an answer, noisy and of unknown age, against what is believed.
 const ANSWER_WEIGHT: f64 = 0.4;
 /// Weight of a note on fullness: later, but without noise.
 const NOTE_WEIGHT: f64 = 0.8;
-/// What is known of the fleet before anything is heard weighs as much as so many reports or sessions.
+/// What is taken for granted of the fleet weighs as much as so many reports or sessions.
 const PRIOR: f64 = 2.0;
-/// An own set-up that no report shows yet stands for so many of the others' at most: one set-up is weak
-/// evidence of what hundreds of directors do.
+/// An own set-up that no report shows yet stands for so many of the others' at most: it is weak evidence.
 const ECHO: f64 = 4.0;
 /// Age of the figures in an answer, microseconds: a refresh and a delay of some tenths of a second.
 const ANSWER_AGE: Micros = 500_000;
@@ -47,10 +43,9 @@
 const TICK: Micros = 200_000;
 /// A tick that comes later than this, microseconds, was held up here: a batch takes a few milliseconds.
 const STALL: Micros = 300_000;
-/// A link or uplink of which nothing fresh is heard is taken for fuller than the mean by so many spreads, for
-/// all rungs but the lowest: what is not known turns nobody away.
+/// What is not heard of is taken for fuller than the mean by so many spreads, for all rungs but the lowest.
 const CAUTION: f64 = 0.7;
-/// What a fresh reading of one holder saves, as a part of a session's worth; probes that cost more are not sent.
+/// What fresh readings save, as a part of a session's worth: probes that cost more are not sent.
 const NEWS_WORTH: f64 = 0.03;
 /// Holders probed for one request at most.
 const PROBES: usize = 3;
@@ -58,7 +53,7 @@
 const PROBE_FRESH: Micros = 2_000_000;
 /// Probes are waited for so long, microseconds: they answer in milliseconds or not at all.
 const PROBE_WAIT: Micros = 60_000;
-/// A director that stood still sends no probes for so long, microseconds: their answers would find it still again.
+/// A director that stood still sends no probes for so long, microseconds: their answers would wait too.
 const STALL_MEMORY: Micros = 5_000_000;
 /// A harmless set-up is given so many usual set-up times before it is tried elsewhere.
 const PATIENCE_TIMES: f64 = 4.0;
@@ -112,45 +107,32 @@
 #[derive(Clone)]
 struct Ask {
     req: Request,
+    /// Attempts sent; the last one's number is one less.
     attempts: u32,
     tried: Vec<ServerId>,
 }
 
-/// The one attempt that a request has out, or the session that it became.
-#[derive(Clone)]
-struct Attempt {
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum State {
+    /// Sent, no answer yet.
+    Pending,
+    Plays,
+    /// Answered or withdrawn while its attempt is still out: holds its seat and rate, is never sent again.
+    Closed,
+}
+
+/// A request with its one attempt that is out, or the session that it became.
+struct Live {
+    ask: Ask,
+    state: State,
     server: ServerId,
-    number: u32,
     rung: usize,
     kb: f64,
     sent: Micros,
-    /// Last change of rung while it played.
-    stepped: Option<Micros>,
-    /// From then on its rung may be decided anew, once: it was carried over, or stepped down.
+    /// From then on its rung may be decided anew: it was carried over, placed blind, or stepped.
     due: Option<Micros>,
 }
 
-enum Live {
-    /// Sent, no answer yet.
-    Pending(Ask, Attempt),
-    /// Plays.
-    Playing(Ask, Attempt),
-    /// Answered or withdrawn while its attempt is still out: holds its seat and rate, is never sent again.
-    Closed(Ask, Attempt),
-}
-
-impl Live {
-    fn parts(&self) -> (&Ask, &Attempt) {
-        match self {
-            Live::Pending(a, t) | Live::Playing(a, t) | Live::Closed(a, t) => (a, t),
-        }
-    }
-}
-
-fn new_attempt(now: Micros, server: ServerId, number: u32, rung: usize, kb: f64) -> Attempt {
-    Attempt { server, number, rung, kb, sent: now, stepped: None, due: None }
-}
-
 /// True if the outcome proves that the attempt never ran.
 fn never_ran(outcome: Outcome) -> bool {
     matches!(outcome, Outcome::Full | Outcome::NoConnection | Outcome::NotSent)
@@ -170,17 +152,13 @@
     /// Own changes of the last seconds: time and kB a second.
     log: VecDeque<(Micros, f64)>,
     reported: Option<Micros>,
-    /// The last report is not stale.
-    heard: bool,
     /// Time that the last report tells of.
     seen_to: Micros,
-    /// Own set-ups since then, kB a second.
-    since: f64,
 }
 
 impl Account {
-    fn fresh(&self, now: Micros, stale: Micros) -> bool {
-        self.reported.is_some_and(|t| now - t <= stale)
+    fn fresh(&self, now: Micros) -> bool {
+        self.reported.is_some_and(|t| now - t <= PROBE_FRESH)
     }
 
     fn part(&self, kb: f64) -> f64 {
@@ -191,7 +169,6 @@
         self.own = (self.own + kb).max(0.0);
         self.share = (self.share + self.part(kb)).max(0.0);
         self.log.push_back((now, kb));
-        self.since += kb.max(0.0);
         while self.log.front().is_some_and(|(t, _)| *t < now - LOG_SPAN) {
             self.log.pop_front();
         }
@@ -206,18 +183,8 @@
         let seen = (share + self.part(since)).max(0.0);
         let weight = if self.reported.is_none() { 1.0 } else { weight };
         self.share += weight * (seen - self.share);
-        (self.reported, self.heard) = (Some(now), true);
+        self.reported = Some(now);
         self.seen_to = self.seen_to.max(now - age);
-        self.since = self.log.iter().filter(|(t, kb)| *t > self.seen_to && *kb > 0.0).map(|(_, kb)| kb).sum();
-    }
-
-    /// A tick without report: past `stale` the share moves towards the mean of those heard.
-    fn fade(&mut self, now: Micros, stale: Micros, mean: f64) {
-        self.heard = self.fresh(now, stale);
-        if self.reported.is_some() && !self.heard {
-            self.share += (mean - self.share) * TICK as f64 / FADE;
-            self.since = 0.0;
-        }
     }
 
     /// Until a report comes, the others' part of it is as full as the mean of those heard.
@@ -225,9 +192,9 @@
         if self.reported.is_none() {
             return mean * fleet.others + self.part(self.own);
         }
-        // The others follow the same rule on the same reports: each set-up here since the last one counts
-        // for some of theirs too.
-        self.share + fleet.echo * self.part(self.since)
+        // The others follow the same rule on the same reports: each set-up here since counts for some of theirs.
+        let since = self.log.iter().filter(|(t, kb)| *t > self.seen_to && *kb > 0.0).map(|(_, kb)| kb);
+        self.share + fleet.echo * self.part(since.sum())
     }
 }
 
@@ -249,6 +216,7 @@
 }
 
 /// Evidence on one server.
+#[derive(Default)]
 struct Server {
     listed: Listed,
     link: Account,
@@ -257,7 +225,7 @@
     /// Worth of a session, in seconds, that the shortage told has cost so far.
     lost: f64,
     /// Last time that sessions were to step down for it: that must show in the notes first.
-    relief_at: Micros,
+    relief_at: Option<Micros>,
     /// Last time that it was told short.
     short_at: Micros,
     /// Failures since the last sign of life.
@@ -265,8 +233,6 @@
     failed_at: Micros,
     /// Last answer or note.
     sign: Micros,
-    playing: u32,
-    pending: u32,
     /// Cold until then, as far as this director can tell.
     cold_until: Micros,
 }
@@ -284,15 +250,11 @@
     live: BTreeMap<SessionId, Live>,
     /// Requests that wait for these probes.
     asking: BTreeMap<SessionId, (Ask, Vec<ServerId>)>,
-    /// Sessions of a title and class held, set-ups included.
-    seats: BTreeMap<(TitleId, usize), u32>,
     /// Times of requests taken and of further attempts sent.
     taken: VecDeque<Micros>,
     further: VecDeque<Micros>,
     /// Viewers turned away lately: when, and of which class.
     turned: BTreeMap<u64, (Micros, usize)>,
-    /// Sessions held, by class.
-    held: BTreeMap<usize, f64>,
     fleet: Fleet,
     /// What the demand seen asks before and with each class's rung, over what the fleet gives.
     overfill: BTreeMap<(usize, usize), (f64, f64)>,
@@ -338,19 +300,19 @@
             }
             Event::Finished { session, attempt, server, outcome, closed, load } => {
                 self.on_load(now, server, load, ANSWER_AGE, ANSWER_WEIGHT);
-                self.on_finished(now, session, attempt, outcome, closed, out);
+                self.on_finished(now, session, (attempt, outcome, closed), out);
             }
-            Event::Noted { session, attempt, server, note } => {
-                self.on_note(now, session, attempt, server, note, out);
+            Event::Noted { session, server, note, .. } => {
+                self.on_note(now, session, server, note, out);
             }
             Event::Withdrawn(session) => {
                 self.asking.remove(&session);
-                self.turn(session, Live::Closed);
+                self.turn(session, State::Closed);
             }
             Event::Timer(TICK_TOKEN) => {
                 self.ring(now, out);
                 self.weigh_demand(now);
-                self.fade(now);
+                self.forget(now);
                 self.settle(now, out);
             }
             Event::Timer(token) => {
@@ -359,10 +321,9 @@
             }
             Event::Probed { server, outcome, load } => {
                 self.on_load(now, server, load, ANSWER_AGE, ANSWER_WEIGHT);
-                match outcome {
-                    Outcome::NoConnection | Outcome::Reset => self.on_sign(now, server, false),
-                    Outcome::Late if self.stalled != now => self.on_sign(now, server, false),
-                    _ => {}
+                // A probe shows that the process runs, not that it sets sessions up.
+                if outcome != Outcome::Good {
+                    self.judge(now, server, outcome);
                 }
                 self.on_probed(now, server, out);
             }
@@ -408,10 +369,10 @@
             return Vec::new();
         }
         let holders = self.holders(now, ask);
-        if holders.first().is_none_or(|s| s.link.fresh(now, PROBE_FRESH)) {
+        if holders.first().is_none_or(|s| s.link.fresh(now)) {
             return Vec::new();
         }
-        let unsure = holders.iter().filter(|s| !s.link.fresh(now, PROBE_FRESH));
+        let unsure = holders.iter().filter(|s| !s.link.fresh(now));
         unsure.take(most.min(PROBES)).map(|s| s.listed.server).collect()
     }
 
@@ -439,44 +400,27 @@
         let rung = self.set.classes.get(req.class).map_or(0, |c| c.floor);
         let kb = self.set.rate(req.class, rung);
         let ask = Ask { req, attempts: 1, tried: vec![server] };
-        let attempt = Attempt { due: Some(now), ..new_attempt(now, server, 0, rung, kb) };
-        self.hold(now, Live::Playing(ask, attempt));
+        self.hold(now, Live { ask, state: State::Plays, server, rung, kb, sent: now, due: Some(now) });
     }
 
     fn on_started(&mut self, now: Micros, id: SessionId, number: u32, server: ServerId, waited: Micros) {
         self.setup += 0.1 * (waited.max(0) as f64 - self.setup);
         self.on_sign(now, server, true);
-        if matches!(self.live.get(&id), Some(Live::Pending(_, t)) if t.number == number) {
-            self.turn(id, Live::Playing);
+        if self.live.get(&id).is_some_and(|l| l.state == State::Pending && l.ask.attempts == number + 1) {
+            self.turn(id, State::Plays);
         }
     }
 
-    fn on_finished(
-        &mut self,
-        now: Micros,
-        id: SessionId,
-        number: u32,
-        outcome: Outcome,
-        closed: bool,
-        out: &mut Vec<Action>,
-    ) {
-        if self.live.get(&id).is_none_or(|l| l.parts().1.number != number) {
+    fn on_finished(&mut self, now: Micros, id: SessionId, how: (u32, Outcome, bool), out: &mut Vec<Action>) {
+        let (number, outcome, closed) = how;
+        if self.live.get(&id).is_none_or(|l| l.ask.attempts != number + 1) {
             return;
         }
-        let Some(live) = self.live.remove(&id) else { return };
-        let server = live.parts().1.server;
-        self.release(now, &live);
-        match outcome {
-            Outcome::Late if self.stalled == now => {}
-            Outcome::NoConnection | Outcome::Reset | Outcome::Late | Outcome::Error => {
-                self.on_sign(now, server, false);
-            }
-            Outcome::Good | Outcome::Full => self.on_sign(now, server, true),
-            Outcome::Cancelled | Outcome::NotSent => {}
-        }
+        let Some(Live { ask, state, server, kb, .. }) = self.live.remove(&id) else { return };
+        self.charge(now, server, -kb);
+        self.judge(now, server, outcome);
         // Only a request that is still owed its answer goes on; a paid one only on proof.
-        let Live::Pending(ask, _) = live else { return };
-        if closed || outcome == Outcome::Good {
+        if closed || outcome == Outcome::Good || state != State::Pending {
             return;
         }
         if never_ran(outcome) || self.harmless(ask.req.class) {
@@ -486,15 +430,19 @@
         }
     }
 
-    fn on_note(
-        &mut self,
-        now: Micros,
-        id: SessionId,
-        number: u32,
-        server: ServerId,
-        note: Note,
-        out: &mut Vec<Action>,
-    ) {
+    /// What an outcome says of the server. A time-out that ran out while this director stood still says nothing.
+    fn judge(&mut self, now: Micros, server: ServerId, outcome: Outcome) {
+        match outcome {
+            Outcome::Late if self.stalled == now => {}
+            Outcome::NoConnection | Outcome::Reset | Outcome::Late | Outcome::Error => {
+                self.on_sign(now, server, false);
+            }
+            Outcome::Good | Outcome::Full => self.on_sign(now, server, true),
+            Outcome::Cancelled | Outcome::NotSent => {}
+        }
+    }
+
+    fn on_note(&mut self, now: Micros, id: SessionId, server: ServerId, note: Note, out: &mut Vec<Action>) {
         // A note shows that the process runs, not that it sets sessions up: it clears no failure.
         if let Some(s) = self.servers.get_mut(&server) {
             s.sign = now;
@@ -509,18 +457,14 @@
                 // Such notes come each second while it lasts.
                 s.lost += (self.set.stall_cost * (0.98 - share)).clamp(0.0, 1.0);
                 (s.short, s.short_at) = (true, now);
-                if self.set.stall_cost > 0.0 && s.lost >= self.set.switch_s && now - s.relief_at >= STEP_PAUSE
-                {
-                    (s.lost, s.relief_at) = (0.0, now);
+                let calm = s.relief_at.is_none_or(|t| now - t >= STEP_PAUSE);
+                if self.set.stall_cost > 0.0 && s.lost >= self.set.switch_s && calm {
+                    (s.lost, s.relief_at) = (0.0, Some(now));
                     self.step_down(now, server, share, out);
                 }
             }
-            Note::Rung(rung) => {
-                let plays = matches!(self.live.get(&id), Some(Live::Playing(_, t)) if t.number == number);
-                if plays && rung < self.set.ladder.len() {
-                    self.set_rung(now, id, rung);
-                }
-            }
+            Note::Rung(rung) if rung < self.set.ladder.len() => self.set_rung(now, id, rung),
+            Note::Rung(_) => {}
             Note::Link(x) => {
                 let load = Load { link: Some(x), ..Load::default() };
                 self.on_load(now, server, load, self.note_age(now, id), NOTE_WEIGHT);
@@ -535,26 +479,26 @@
     /// The first note of a session comes with its set-up and is fresh; later ones are late.
     fn note_age(&self, now: Micros, id: SessionId) -> Micros {
         match self.live.get(&id) {
-            Some(l) if now - l.parts().1.sent < self.set.told_every / 2 => 0,
+            Some(l) if now - l.sent < self.set.told_every / 2 => 0,
             _ => self.set.told_late,
         }
     }
 
     /// The viewer's time is up: the final answer is due now, whatever is still out.
     fn on_deadline(&mut self, now: Micros, id: SessionId, out: &mut Vec<Action>) {
-        let Some(Live::Pending(ask, attempt)) = self.live.get(&id) else { return };
+        let Some(Live { ask, state: State::Pending, .. }) = self.live.get(&id) else { return };
         if now + self.set.limits.step < ask.req.deadline {
             return; // rang for probes that had answered before
         }
         if self.set.limits.may_cancel {
-            out.push(Action::Recall { session: id, attempt: attempt.number });
+            out.push(Action::Recall { session: id, attempt: ask.attempts - 1 });
         }
         if self.harmless(ask.req.class) {
             out.push(self.refusal(&ask.req));
         } else {
             out.push(Action::Fail { session: id });
         }
-        self.turn(id, Live::Closed);
+        self.turn(id, State::Closed);
     }
 
     fn on_load(&mut self, now: Micros, server: ServerId, load: Load, age: Micros, weight: f64) {
@@ -566,15 +510,15 @@
         }
     }
 
-    /// Missing evidence is not bad evidence: what no report has confirmed for long wears off.
-    fn fade(&mut self, now: Micros) {
-        let stale = self.stale();
-        let (link, uplink) = (self.fleet.link, self.fleet.uplink);
+    /// Missing evidence is not bad evidence: what no report has confirmed for long is forgotten.
+    fn forget(&mut self, now: Micros) {
+        let stale = STALE_TIMES * self.set.told_every.max(1_000_000) + self.set.told_late;
+        let fresh = |t: &Micros| now - *t <= stale;
         for s in self.servers.values_mut() {
-            s.link.fade(now, stale, link);
-            s.short &= now - s.short_at <= stale;
+            s.link.reported = s.link.reported.filter(fresh);
+            s.short &= fresh(&s.short_at);
         }
-        self.uplinks.values_mut().for_each(|u| u.fade(now, stale, uplink));
+        self.uplinks.values_mut().for_each(|u| u.reported = u.reported.filter(fresh));
     }
 
     /// Pools the evidence: means over what is heard, shrunk towards the own sessions times the directors.
@@ -582,7 +526,7 @@
         let n = self.set.sharers();
         let mean = |heard: &mut dyn Iterator<Item = &Account>, own: f64, size: f64| {
             let (mut sum, mut squares, mut count) = (0.0, 0.0, 0.0);
-            for a in heard.filter(|a| a.heard) {
+            for a in heard.filter(|a| a.reported.is_some()) {
                 (sum, squares, count) = (sum + a.share, squares + a.share * a.share, count + 1.0);
             }
             let guess = if size > 0.0 { own * n / size } else { 0.0 };
@@ -593,7 +537,7 @@
         let links: f64 = self.servers.values().map(|s| s.link.kb).sum();
         let uplinks = self.set.racks as f64 * self.set.uplink_kb.max(0.0);
         let own: f64 = self.servers.values().map(|s| s.link.own).sum();
-        let held: f64 = self.held.values().sum();
+        let held = self.live.len() as f64;
         let (link, link_spread) = mean(&mut self.servers.values().map(|s| &s.link), own, links);
         let (uplink, uplink_spread) = mean(&mut self.uplinks.values(), own, uplinks);
         let middle = self.set.rate(0, self.set.ladder.len() / 2);
@@ -605,11 +549,6 @@
             Fleet { link, uplink, link_spread, uplink_spread, sessions, others: 1.0 - 1.0 / n, echo };
     }
 
-    /// Age at which a report is stale.
-    fn stale(&self) -> Micros {
-        STALE_TIMES * self.set.told_every.max(1_000_000) + self.set.told_late
-    }
-
     fn on_sign(&mut self, now: Micros, server: ServerId, alive: bool) {
         let warm = self.set.contract.warm_after;
         let Some(s) = self.servers.get_mut(&server) else { return };
@@ -626,46 +565,13 @@
 
     // ---- holding ----------------------------------------------------------------------------
 
-    /// Moves a request on to its next state.
-    fn turn(&mut self, id: SessionId, next: fn(Ask, Attempt) -> Live) {
-        let Some(live) = self.live.remove(&id) else { return };
-        self.tally(&live, -1);
-        let (Live::Pending(ask, t) | Live::Playing(ask, t) | Live::Closed(ask, t)) = live;
-        let live = next(ask, t);
-        self.tally(&live, 1);
-        self.live.insert(id, live);
-    }
-
-    /// Counts a request in or out at its server, as playing or as pending.
-    fn tally(&mut self, live: &Live, by: i32) {
-        if let Some(s) = self.servers.get_mut(&live.parts().1.server) {
-            let count = if matches!(live, Live::Playing(..)) { &mut s.playing } else { &mut s.pending };
-            *count = count.saturating_add_signed(by);
-        }
+    fn turn(&mut self, id: SessionId, state: State) {
+        self.live.get_mut(&id).into_iter().for_each(|l| l.state = state);
     }
 
     fn hold(&mut self, now: Micros, live: Live) {
-        self.tally(&live, 1);
-        let (ask, attempt) = live.parts();
-        let (id, server, kb) = (ask.req.session, attempt.server, attempt.kb);
-        *self.seats.entry((ask.req.title, ask.req.class)).or_insert(0) += 1;
-        *self.held.entry(ask.req.class).or_insert(0.0) += 1.0;
-        self.charge(now, server, kb);
-        self.live.insert(id, live);
-    }
-
-    fn release(&mut self, now: Micros, live: &Live) {
-        self.tally(live, -1);
-        let (ask, attempt) = live.parts();
-        let key = (ask.req.title, ask.req.class);
-        if let Some(n) = self.seats.get_mut(&key) {
-            *n -= 1;
-            if *n == 0 {
-                self.seats.remove(&key);
-            }
-        }
-        *self.held.entry(ask.req.class).or_insert(0.0) -= 1.0;
-        self.charge(now, attempt.server, -attempt.kb);
+        self.charge(now, live.server, live.kb);
+        self.live.insert(live.ask.req.session, live);
     }
 
     fn charge(&mut self, now: Micros, server: ServerId, kb: f64) {
@@ -679,8 +585,8 @@
 
     /// Books a change of rung of a session that plays.
     fn set_rung(&mut self, now: Micros, id: SessionId, rung: usize) {
-        let Some(Live::Playing(ask, t)) = self.live.get_mut(&id) else { return };
-        let kb = self.set.rate(ask.req.class, rung);
+        let Some(t) = self.live.get_mut(&id).filter(|l| l.state == State::Plays) else { return };
+        let kb = self.set.rate(t.ask.req.class, rung);
         let (server, change) = (t.server, kb - t.kb);
         (t.rung, t.kb) = (rung, kb);
         self.charge(now, server, change);
@@ -767,12 +673,13 @@
         if room <= 0.0 {
             return;
         }
-        let held: f64 = self.held.values().sum();
+        let held = self.live.len() as f64;
         let classes = self.set.classes.len() as f64;
         let mut steps = Vec::new();
         for (c, class) in self.set.classes.iter().enumerate() {
-            let turned = self.turned.values().filter(|(_, k)| *k == c).count() as f64;
-            let seen = self.held.get(&c).copied().unwrap_or(0.0) + turned + PRIOR / classes;
+            let turned = self.turned.values().filter(|(_, k)| *k == c).count();
+            let own = self.live.values().filter(|l| l.ask.req.class == c).count();
+            let seen = (own + turned) as f64 + PRIOR / classes;
             let wanting = seen / (held + PRIOR) * self.fleet.sessions;
             let mut density = f64::INFINITY;
             for rung in class.floor..=class.top {
@@ -796,9 +703,9 @@
     /// `caution`: how far an unheard link or uplink is taken for fuller than the mean, in spreads.
     fn fits(&self, s: &Server, kb: f64, line: f64, caution: f64) -> bool {
         let rack = self.uplink_of(s);
-        let doubt = |heard: bool, spread: f64| if heard { 0.0 } else { caution * spread };
-        let link = doubt(s.link.heard, self.fleet.link_spread) + s.link.part(kb);
-        let uplink = doubt(rack.is_some_and(|u| u.heard), self.fleet.uplink_spread);
+        let doubt = |heard: Option<Micros>, spread: f64| if heard.is_some() { 0.0 } else { caution * spread };
+        let link = doubt(s.link.reported, self.fleet.link_spread) + s.link.part(kb);
+        let uplink = doubt(rack.and_then(|u| u.reported), self.fleet.uplink_spread);
         let uplink = uplink + rack.map_or(0.0, |u| u.part(kb));
         !s.short && self.link_share(s) + link <= line && self.uplink_share(s) + uplink <= line
     }
@@ -844,8 +751,7 @@
         let session = ask.req.session;
         let kb = self.set.rate(ask.req.class, rung);
         let patience = self.patience(now, &ask);
-        let number = ask.attempts;
-        if number == 0 {
+        if ask.attempts == 0 {
             let after = (ask.req.deadline - self.set.limits.step - now).max(0);
             out.push(Action::Timer { after, token: session.0 });
         } else {
@@ -855,9 +761,9 @@
         ask.tried.push(server);
         out.push(Action::SetRung { session, rung });
         out.push(Action::Send { session, server, patience });
-        let blind = self.servers.get(&server).is_some_and(|s| !s.link.fresh(now, self.stale()));
-        let attempt = new_attempt(now, server, number, rung, kb);
-        self.hold(now, Live::Pending(ask, Attempt { due: blind.then_some(now), ..attempt }));
+        let blind = self.servers.get(&server).is_some_and(|s| s.link.reported.is_none());
+        let due = blind.then_some(now);
+        self.hold(now, Live { ask, state: State::Pending, server, rung, kb, sent: now, due });
     }
 
     /// A harmless set-up is tried elsewhere while the viewer's aim can still be met; a paid one may
@@ -887,14 +793,11 @@
     fn step_down(&mut self, now: Micros, server: ServerId, share: f64, out: &mut Vec<Action>) {
         let worth = |r: usize| self.set.ladder.get(r).map_or(0.0, |x| x.worth);
         let (mut own, mut steps) = (0.0, Vec::new());
-        for (id, live) in &self.live {
-            let Live::Playing(ask, t) = live else { continue };
-            let Some(class) = self.set.classes.get(ask.req.class).filter(|_| t.server == server) else {
-                continue;
-            };
+        for (id, t) in self.live.iter().filter(|(_, l)| l.state == State::Plays && l.server == server) {
+            let Some(class) = self.set.classes.get(t.ask.req.class) else { continue };
             own += t.kb;
             if t.rung > class.floor {
-                let freed = t.kb - self.set.rate(ask.req.class, t.rung - 1);
+                let freed = t.kb - self.set.rate(t.ask.req.class, t.rung - 1);
                 let lost = class.worth * (worth(t.rung) - worth(t.rung - 1));
                 steps.push((lost / freed.max(1.0), *id, t.rung - 1, freed));
             }
@@ -904,7 +807,7 @@
         for (_, id, rung, freed) in steps {
             // Many directors hold one session each there: of the last step only the part that is needed is
             // taken, by draw, or all together would free several times what is missing.
-            if draw(self.seed ^ id.0 ^ now as u64) * freed < 2.0 * need {
+            if draw(self.seed ^ id.0 ^ now as u64) * freed < RELIEF_TIMES * need {
                 self.step(now, id, rung, out);
             }
             need -= freed;
@@ -915,46 +818,41 @@
     }
 
     fn step(&mut self, now: Micros, id: SessionId, rung: usize, out: &mut Vec<Action>) {
-        let Some(Live::Playing(_, t)) = self.live.get_mut(&id) else { return };
-        t.due = Some(now + CALM);
-        t.stepped = Some(now);
+        self.live.get_mut(&id).into_iter().for_each(|l| l.due = Some(now + CALM));
         self.set_rung(now, id, rung);
         out.push(Action::SetRung { session: id, rung });
     }
 
-    /// Exception: a session that was carried over plays at a rung that nobody decided on what is known here.
-    /// Once link and uplink are reported it is decided like a new one, once, and upwards only, if what is
-    /// left of it is worth more than the step. One a tick on each rack, so that the steps show.
+    /// Exception: a session that was carried over, placed blind or stepped plays at a rung that was not decided
+    /// on what is known here. Once link and uplink are reported it is decided like a new one, upwards only,
+    /// if what is left of it is worth more than the step. One a tick on each rack, so that the steps show.
     fn settle(&mut self, now: Micros, out: &mut Vec<Action>) {
         let mut steps: BTreeMap<u64, (SessionId, usize)> = BTreeMap::new();
-        for (id, live) in &self.live {
-            let Live::Playing(ask, t) = live else { continue };
-            let Some(s) = self.servers.get(&t.server).filter(|s| !s.short && t.due.is_some_and(|d| now >= d))
-            else {
-                continue;
-            };
-            let Some(class) = self.set.classes.get(ask.req.class) else { continue };
-            let told = s.link.reported.is_some_and(|r| r >= t.sent)
-                && self.uplink_of(s).is_none_or(|u| u.reported.is_some());
-            let Some(top) = self.set.top(&ask.req) else { continue };
-            if !told || top <= t.rung {
+        for (id, t) in
+            self.live.iter().filter(|(_, l)| l.state == State::Plays && l.due.is_some_and(|d| now >= d))
+        {
+            let Some(s) = self.servers.get(&t.server).filter(|s| !s.short) else { continue };
+            let (req, class) = (&t.ask.req, t.ask.req.class);
+            let (Some(terms), Some(top)) = (self.set.classes.get(class), self.set.top(req)) else { continue };
+            let told = s.link.reported.is_some_and(|r| r >= t.sent);
+            if !told || self.uplink_of(s).is_some_and(|u| u.reported.is_none()) || top <= t.rung {
                 continue;
             }
             // All other directors decide theirs at the same time: what counts is not how full the link is now
-            // but what all viewers there would ask at that rung.
-            // Of the rung for which there is room for a part of them only, that part takes it, by draw.
+            // but what all viewers there would ask at that rung. Of a rung for which there is room for a part
+            // of them only, that part takes it, by draw.
             let (fuller, part) = (self.fuller(s), draw(id.0));
             let common = |r: &usize| {
-                let (before, after) =
-                    self.overfill.get(&(ask.req.class, *r)).copied().unwrap_or((0.0, f64::INFINITY));
-                (before + part * (after - before)) * fuller <= 1.0
+                self.overfill
+                    .get(&(class, *r))
+                    .is_some_and(|(before, after)| (before + part * (after - before)) * fuller <= 1.0)
             };
             let Some(top) = (t.rung + 1..=top).rev().find(common) else { continue };
-            let Some(rung) = self.rung_at(s, ask.req.class, class.floor, top, t.kb) else { continue };
-            let left = ask.req.hint.map_or(f64::INFINITY, |h| (h - (now - t.sent)) as f64 / 1e6);
-            if rung > t.rung
-                && left * (self.set.ladder[rung].worth - self.set.ladder[t.rung].worth) > self.set.switch_s
-            {
+            let Some(rung) = self.rung_at(s, class, terms.floor, top, t.kb).filter(|r| *r > t.rung) else {
+                continue;
+            };
+            let left = req.hint.map_or(f64::INFINITY, |h| (h - (now - t.sent)) as f64 / 1e6);
+            if left * (self.set.ladder[rung].worth - self.set.ladder[t.rung].worth) > self.set.switch_s {
                 steps.entry(self.rack_of(t.server).unwrap_or(t.server.0)).or_insert((*id, rung));
             }
         }
@@ -972,13 +870,12 @@
     /// Seats, attempts and the ration of further attempts allow another send.
     fn may_send(&self, now: Micros, ask: &Ask) -> bool {
         let seats = self.set.classes.get(ask.req.class).map_or(0, |c| c.seats);
-        let held = self.seats.get(&(ask.req.title, ask.req.class)).copied().unwrap_or(0);
-        if seats > 0 && held >= seats {
+        let same = |l: &&Live| (l.ask.req.title, l.ask.req.class) == (ask.req.title, ask.req.class);
+        let used_up = ask.attempts >= self.set.limits.max_attempts.max(1);
+        if used_up || now >= ask.req.deadline - self.set.limits.step {
             return false;
         }
-        if ask.attempts >= self.set.limits.max_attempts.max(1)
-            || now >= ask.req.deadline - self.set.limits.step
-        {
+        if seats > 0 && self.live.values().filter(same).count() >= seats as usize {
             return false;
         }
         let Some(f) = self.set.contract.further.filter(|_| ask.attempts > 0) else { return true };
@@ -990,15 +887,18 @@
 
     /// Listed ready, not tried for this request, not ahead of its cold pace, not failing.
     fn may_take(&self, now: Micros, s: &Server, ask: &Ask) -> bool {
-        if s.listed.state != Standing::Ready || ask.tried.contains(&s.listed.server) {
-            return false;
-        }
-        if !self.open(now, s, ask) {
+        let barred = s.listed.state != Standing::Ready || ask.tried.contains(&s.listed.server);
+        if barred || !self.open(now, s, ask) {
             return false;
         }
         // A failing server is tried with harmless set-ups only, one at a time, ever more rarely.
         let wait = TRIAL_WAIT << s.fails.saturating_sub(1).min(3);
-        s.fails == 0 || (self.harmless(ask.req.class) && s.pending == 0 && now - s.failed_at >= wait)
+        let trial = self.harmless(ask.req.class) && now - s.failed_at >= wait;
+        s.fails == 0 || (trial && !self.has(s, State::Pending) && !self.has(s, State::Closed))
+    }
+
+    fn has(&self, s: &Server, state: State) -> bool {
+        self.live.values().any(|l| l.server == s.listed.server && l.state == state)
     }
 
     /// A cold server is open to a part of the requests only, by hash: as many as keep its pace if every
@@ -1022,11 +922,11 @@
 
     /// 0: nothing against it. 1: notes are overdue. 2: failing.
     fn doubt(&self, now: Micros, s: &Server) -> u8 {
+        let due = self.set.told_every + self.set.told_late + NOTE_SLACK;
         if s.fails > 0 {
             return 2;
         }
-        let due = self.set.told_every + self.set.told_late + NOTE_SLACK;
-        u8::from(self.set.told_every > 0 && s.playing > 0 && now - s.sign > due)
+        u8::from(self.set.told_every > 0 && now - s.sign > due && self.has(s, State::Plays))
     }
 
     // ---- list -------------------------------------------------------------------------------
@@ -1057,20 +957,7 @@
                     s.listed = line;
                 }
                 None => {
-                    let s = Server {
-                        listed: line,
-                        link: Account::default(),
-                        short: false,
-                        lost: 0.0,
-                        relief_at: now - STEP_PAUSE,
-                        short_at: now,
-                        fails: 0,
-                        failed_at: now,
-                        sign: now,
-                        playing: 0,
-                        pending: 0,
-                        cold_until,
-                    };
+                    let s = Server { listed: line, sign: now, cold_until, ..Server::default() };
                     self.servers.insert(line.server, s);
                 }
             }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -5,7 +5,7 @@
 pub type Micros = i64;
 
 /// A media server. The same at every director, and kept when its process restarts.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ServerId(pub u64);
 
 /// One request for a session and the session that follows from it. Never used twice.
@@ -154,7 +154,7 @@
 }
 
 /// One line of the list of servers.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Listed {
     pub server: ServerId,
     /// Index of its zone, if it is one of the settings' zones.
@@ -169,10 +169,11 @@
 }
 
 /// What the list says of a server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Standing {
     Ready,
     Draining,
+    #[default]
     Gone,
 }
 
