--- a/src/control.rs
+++ b/src/control.rs
@@ -9,68 +9,37 @@
 
 // ---- constants -------------------------------------------------------------------------------
 
-/// Part of a link under which the asked rung is given (the design's default).
-const MARK: f64 = 0.85;
-/// Part of a link that no set-up passes (the design's default): rates stray by a few points.
-const FULL_LINE: f64 = 0.93;
-/// A viewer turned away counts as wanting a session for so long, microseconds: most return sooner.
-const WANTS_FOR: Micros = 3_000_000;
-/// Evidence older than so many usual times between reports is stale, and forgotten.
-const STALE_TIMES: Micros = 2;
-/// Steps aim at this share of what is delivered.
-const RELIEF_TO: f64 = 0.97;
-/// Sessions of a server step down again only after this, microseconds: the last steps must show first.
-const STEP_PAUSE: Micros = 2_000_000;
-/// Steps down free so many times what is missing: a shortage costs several points for each, room at most one.
-const RELIEF_TIMES: f64 = 2.0;
-/// A stepped session may be decided anew after so long, microseconds.
-const CALM: Micros = 6_000_000;
-/// Part of the falling-over pace of a cold server that all directors may use: chance bunches, places stray.
-const PACE_MARGIN: f64 = 0.7;
-/// Weight of a report in an answer, noisy and of unknown age, against what is believed.
-const ANSWER_WEIGHT: f64 = 0.4;
-/// Weight of a note on fullness: later, but without noise.
-const NOTE_WEIGHT: f64 = 0.8;
-/// What is taken for granted of the fleet weighs as much as so many reports or sessions.
-const PRIOR: f64 = 2.0;
-/// An own set-up that no report shows yet stands for so many of the others' at most: it is weak evidence.
-const ECHO: f64 = 4.0;
-/// Age of the figures in an answer, microseconds: a refresh and a delay of some tenths of a second.
-const ANSWER_AGE: Micros = 500_000;
-/// Own set-ups are remembered so long, microseconds, to be added to reports that predate them.
-const LOG_SPAN: Micros = 5_000_000;
-/// Director's tick, microseconds: often enough to see an overdue set-up before the next viewer does.
-const TICK: Micros = 200_000;
-/// A tick that comes later than this, microseconds, was held up here: a batch takes a few milliseconds.
-const STALL: Micros = 300_000;
-/// What is not heard of is taken for fuller than the mean by so many spreads, for all rungs but the lowest.
-const CAUTION: f64 = 0.7;
-/// What fresh readings save, as a part of a session's worth: probes that cost more are not sent.
-const NEWS_WORTH: f64 = 0.03;
-/// Holders probed for one request at most.
-const PROBES: usize = 3;
-/// A report younger than this, microseconds, needs no probe.
-const PROBE_FRESH: Micros = 2_000_000;
-/// Probes are waited for so long, microseconds: they answer in milliseconds or not at all.
-const PROBE_WAIT: Micros = 60_000;
-/// A director that stood still sends no probes for so long, microseconds: their answers would wait too.
-const STALL_MEMORY: Micros = 5_000_000;
-/// A harmless set-up is given so many usual set-up times before it is tried elsewhere.
-const PATIENCE_TIMES: f64 = 4.0;
-/// Shortest patience, microseconds: a handshake and a busy core.
-const PATIENCE_MIN: Micros = 300_000;
-/// Usual set-up time believed before any was seen, microseconds.
-const SETUP_GUESS: f64 = 120_000.0;
-/// Wait before a failing server is tried again, microseconds; doubles up to three times.
-const TRIAL_WAIT: Micros = 1_000_000;
-/// Slack on the time by which a note is due, microseconds: one lost note is no silence.
-const NOTE_SLACK: Micros = 1_500_000;
-/// No viewer waits longer, microseconds: odd deadlines are cut to an hour.
-const LONGEST: Micros = 3_600_000_000;
-/// A failed call for the list is repeated after this, microseconds.
-const LIST_RETRY: Micros = 2_000_000;
-/// Token of the tick's timer; tokens of requests are session ids, which stay below 2^52.
-const TICK_TOKEN: u64 = u64::MAX;
+// Times are in microseconds.
+const MARK: f64 = 0.85; // part of a link under which the asked rung is given (the design's default)
+const FULL_LINE: f64 = 0.93; // part that no set-up passes (the design's default): rates stray by some points
+const WANTS_FOR: Micros = 3_000_000; // a viewer turned away still wants a session so long: most return sooner
+const STALE_TIMES: Micros = 2; // evidence older than so many usual times between reports is forgotten
+const RELIEF_TO: f64 = 0.97; // steps down aim at this share of what is delivered
+const RELIEF_TIMES: f64 = 2.0; // and free so many times what is missing: shortage costs more than room
+const STEP_PAUSE: Micros = 2_000_000; // a server's sessions step down again after this: it must show
+const CALM: Micros = 6_000_000; // a stepped session may be decided anew after so long
+const PACE_MARGIN: f64 = 0.7; // part used of a cold server's falling pace: chance bunches, places stray
+const ANSWER_WEIGHT: f64 = 0.4; // weight of a report in an answer, noisy, of unknown age, against the belief
+const NOTE_WEIGHT: f64 = 0.8; // weight of a note on fullness: later, but without noise
+const PRIOR: f64 = 2.0; // what is presumed of the fleet weighs as much as so many reports or sessions
+const ECHO: f64 = 4.0; // an own set-up not yet reported stands for so many of others at most: weak evidence
+const ANSWER_AGE: Micros = 500_000; // age of the figures in an answer: refresh and delay
+const LOG_SPAN: Micros = 5_000_000; // own set-ups are remembered so long, for reports that predate them
+const TICK: Micros = 200_000; // often enough to follow the notes
+const STALL: Micros = 300_000; // a tick this much late was held up here: a batch takes a few milliseconds
+const CAUTION: f64 = 0.7; // spreads over the mean for the unheard, but not for the lowest rung
+const NEWS_WORTH: f64 = 0.03; // what fresh readings save of a session's worth: dearer probes are not sent
+const PROBES: usize = 3; // holders probed for one request at most
+const PROBE_FRESH: Micros = 2_000_000; // a younger report needs no probe
+const PROBE_WAIT: Micros = 60_000; // probes answer in milliseconds or not at all
+const STALL_MEMORY: Micros = 5_000_000; // no probes so long after a stall here: their answers would wait too
+const PATIENCE_TIMES: f64 = 4.0; // a harmless set-up is tried elsewhere after so many usual set-up times
+const PATIENCE_MIN: Micros = 300_000; // shortest patience: a handshake and a busy core
+const SETUP_GUESS: f64 = 120_000.0; // usual set-up time before any was seen, microseconds
+const TRIAL_WAIT: Micros = 1_000_000; // a failing server is tried again after this; doubles three times
+const LONGEST: Micros = 3_600_000_000; // odd deadlines are cut to an hour
+const LIST_RETRY: Micros = 2_000_000; // a failed call for the list is repeated after this
+const TICK_TOKEN: u64 = u64::MAX; // the tick's timer; tokens of requests are session ids, below 2^52
 
 // ---- settings views --------------------------------------------------------------------------
 
@@ -107,15 +76,13 @@
 #[derive(Clone)]
 struct Ask {
     req: Request,
-    /// Attempts sent; the last one's number is one less.
-    attempts: u32,
+    attempts: u32, // attempts sent; the last one's number is one less
     tried: Vec<ServerId>,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum State {
-    /// Sent, no answer yet.
-    Pending,
+    Pending, // sent, no answer yet
     Plays,
     /// Answered or withdrawn while its attempt is still out: holds its seat and rate, is never sent again.
     Closed,
@@ -143,17 +110,12 @@
 /// What is believed asked of one link or uplink, as a part of what it gives.
 #[derive(Default)]
 struct Account {
-    /// Told size, kB a second; 0 where not told.
-    kb: f64,
-    /// Believed share asked.
-    share: f64,
-    /// Own rate on it, kB a second.
-    own: f64,
-    /// Own changes of the last seconds: time and kB a second.
-    log: VecDeque<(Micros, f64)>,
+    kb: f64,                      // told size, kB a second; 0 where not told
+    share: f64,                   // believed share asked
+    own: f64,                     // own rate on it, kB a second
+    log: VecDeque<(Micros, f64)>, // own changes of the last seconds: time and kB a second
     reported: Option<Micros>,
-    /// Time that the last report tells of.
-    seen_to: Micros,
+    seen_to: Micros, // time that the last report tells of
 }
 
 impl Account {
@@ -192,7 +154,7 @@
         if self.reported.is_none() {
             return mean * fleet.others + self.part(self.own);
         }
-        // The others follow the same rule on the same reports: each set-up here since counts for some of theirs.
+        // The others follow the same rule: each own set-up since the report counts for some of theirs.
         let since = self.log.iter().filter(|(t, kb)| *t > self.seen_to && *kb > 0.0).map(|(_, kb)| kb);
         self.share + fleet.echo * self.part(since.sum())
     }
@@ -202,14 +164,11 @@
 /// what it hears replaces that the more it hears.
 #[derive(Default)]
 struct Fleet {
-    /// Mean share asked of links, and of uplinks.
-    link: f64,
+    link: f64, // mean share asked of links, and of uplinks
     uplink: f64,
-    /// How far single ones stray from it.
-    link_spread: f64,
+    link_spread: f64, // how far single ones stray from it
     uplink_spread: f64,
-    /// Sessions that play.
-    sessions: f64,
+    sessions: f64, // sessions that play
     /// Part of all sessions that is the others', and how many set-ups of theirs an own one stands for.
     others: f64,
     echo: f64,
@@ -220,21 +179,14 @@
 struct Server {
     listed: Listed,
     link: Account,
-    /// A note says that it delivers short; full until cleared.
-    short: bool,
-    /// Worth of a session, in seconds, that the shortage told has cost so far.
-    lost: f64,
+    short: bool, // a note says that it delivers short; full until cleared
+    lost: f64,   // worth of a session, in seconds, that the shortage told has cost so far
     /// Last time that sessions were to step down for it: that must show in the notes first.
     relief_at: Option<Micros>,
-    /// Last time that it was told short.
-    short_at: Micros,
-    /// Failures since the last sign of life.
-    fails: u32,
+    short_at: Micros, // last time that it was told short
+    fails: u32,       // failures since the last sign of life
     failed_at: Micros,
-    /// Last answer or note.
-    sign: Micros,
-    /// Cold until then, as far as this director can tell.
-    cold_until: Micros,
+    cold_until: Micros, // cold until then, as far as this director can tell
 }
 
 // ---- director --------------------------------------------------------------------------------
@@ -245,25 +197,22 @@
     set: Settings,
     seed: u64,
     born: Micros,
+    now: Micros, // time of the event under way, and what is to be done for it
+    out: Vec<Action>,
     servers: BTreeMap<ServerId, Server>,
     uplinks: BTreeMap<u64, Account>,
     live: BTreeMap<SessionId, Live>,
-    /// Requests that wait for these probes.
-    asking: BTreeMap<SessionId, (Ask, Vec<ServerId>)>,
-    /// Times of requests taken and of further attempts sent.
-    taken: VecDeque<Micros>,
+    asking: BTreeMap<SessionId, (Ask, Vec<ServerId>)>, // requests that wait for these probes
+    taken: VecDeque<Micros>,                           // times of requests taken and of further attempts sent
     further: VecDeque<Micros>,
-    /// Viewers turned away lately: when, and of which class.
-    turned: BTreeMap<u64, (Micros, usize)>,
+    turned: BTreeMap<u64, (Micros, usize)>, // viewers turned away lately: when, and of which class
     fleet: Fleet,
     /// What the demand seen asks before and with each class's rung, over what the fleet gives.
     overfill: BTreeMap<(usize, usize), (f64, f64)>,
-    /// Usual time of a set-up, microseconds.
-    setup: f64,
+    setup: f64, // usual time of a set-up, microseconds
     subscribed: bool,
     asked_list: Option<Micros>,
-    /// When the tick is due; and the last time at which it was found long overdue.
-    tick_due: Option<Micros>,
+    tick_due: Option<Micros>, // when the tick is due; and the last time at which it was found long overdue
     stalled: Micros,
 }
 
@@ -282,171 +231,162 @@
 
     /// Takes one event and appends what is to be done, in order.
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
+        self.now = now;
         if self.tick_due.is_none() {
-            self.ring(now, out);
+            self.ring();
         }
-        // This director stood still: its evidence aged here, and no server is judged by what ran out meanwhile.
-        let late = self.tick_due.map_or(0, |due| now - due);
-        if late > STALL {
+        // This director stood still: no server is judged by what ran out meanwhile.
+        if self.tick_due.is_some_and(|due| now - due > STALL) {
             self.stalled = now;
-            self.servers.values_mut().for_each(|s| s.sign = s.sign.max(now));
         }
         match event {
-            Event::List { news, lines } => self.on_list(now, news, lines),
-            Event::Asked(req) => self.on_asked(now, req, out),
-            Event::Carried(req, server) => self.on_carried(now, req, server),
+            Event::List { news, lines } => self.on_list(news, lines),
+            Event::Asked(req) => self.on_asked(req),
+            Event::Carried(req, server) => self.on_carried(req, server),
             Event::Started { session, attempt, server, waited } => {
-                self.on_started(now, session, attempt, server, waited);
+                self.on_started(session, attempt, server, waited);
             }
             Event::Finished { session, attempt, server, outcome, closed, load } => {
-                self.on_load(now, server, load, ANSWER_AGE, ANSWER_WEIGHT);
-                self.on_finished(now, session, (attempt, outcome, closed), out);
+                self.on_load(server, load, ANSWER_AGE, ANSWER_WEIGHT);
+                self.on_finished(session, attempt, outcome, closed);
             }
             Event::Noted { session, server, note, .. } => {
-                self.on_note(now, session, server, note, out);
+                self.on_note(session, server, note);
             }
             Event::Withdrawn(session) => {
                 self.asking.remove(&session);
                 self.turn(session, State::Closed);
             }
             Event::Timer(TICK_TOKEN) => {
-                self.ring(now, out);
-                self.weigh_demand(now);
-                self.forget(now);
-                self.settle(now, out);
+                self.ring();
+                self.weigh_demand();
+                self.forget();
+                self.settle();
             }
             Event::Timer(token) => {
-                self.asked(now, SessionId(token), out);
-                self.on_deadline(now, SessionId(token), out);
+                self.asked(SessionId(token));
+                self.on_deadline(SessionId(token));
             }
             Event::Probed { server, outcome, load } => {
-                self.on_load(now, server, load, ANSWER_AGE, ANSWER_WEIGHT);
+                self.on_load(server, load, ANSWER_AGE, ANSWER_WEIGHT);
                 // A probe shows that the process runs, not that it sets sessions up.
                 if outcome != Outcome::Good {
-                    self.judge(now, server, outcome);
+                    self.judge(server, outcome);
                 }
-                self.on_probed(now, server, out);
+                self.on_probed(server);
             }
             Event::Peer { .. } => {}
         }
-        self.keep_list(now, out);
+        self.keep_list();
+        out.append(&mut self.out);
     }
 
-    fn ring(&mut self, now: Micros, out: &mut Vec<Action>) {
-        self.tick_due = Some(now + TICK);
-        out.push(Action::Timer { after: TICK, token: TICK_TOKEN });
+    fn ring(&mut self) {
+        self.tick_due = Some(self.now + TICK);
+        self.out.push(Action::Timer { after: TICK, token: TICK_TOKEN });
     }
 
     // ---- events -----------------------------------------------------------------------------
 
-    fn on_asked(&mut self, now: Micros, mut req: Request, out: &mut Vec<Action>) {
+    fn on_asked(&mut self, mut req: Request) {
         let span = self.set.contract.further.map_or(0, |f| f.span).max(self.set.contract.fall);
-        self.taken.push_back(now);
-        self.taken.retain(|t| *t >= now - span);
-        self.further.retain(|t| *t >= now - span);
-        req.deadline = req.deadline.clamp(now, now + LONGEST);
+        self.taken.push_back(self.now);
+        self.taken.retain(|t| *t >= self.now - span);
+        self.further.retain(|t| *t >= self.now - span);
+        req.deadline = req.deadline.clamp(self.now, self.now + LONGEST);
         self.turned.remove(&req.viewer);
-        self.weigh_demand(now);
+        self.weigh_demand();
         if self.live.contains_key(&req.session) || self.asking.contains_key(&req.session) {
             return; // an id that is already held: odd input, and its answer is under way
         }
         let ask = Ask { req, attempts: 0, tried: Vec::new() };
-        let probed = self.unsure_of(now, &ask);
+        let probed = self.unsure_of(&ask);
         if probed.is_empty() {
-            return self.place(now, ask, out);
+            return self.place(ask);
         }
-        out.extend(probed.iter().map(|s| Action::Probe { server: *s }));
-        out.push(Action::Timer { after: PROBE_WAIT, token: ask.req.session.0 });
+        self.out.extend(probed.iter().map(|s| Action::Probe { server: *s }));
+        self.out.push(Action::Timer { after: PROBE_WAIT, token: ask.req.session.0 });
         self.asking.insert(ask.req.session, (ask, probed));
     }
 
     /// Exception: where probes are allowed and cost less than the news is worth, and nothing fresh is known
     /// of the holder that would be taken, the best holders of which that is so are asked first.
-    fn unsure_of(&self, now: Micros, ask: &Ask) -> Vec<ServerId> {
+    fn unsure_of(&self, ask: &Ask) -> Vec<ServerId> {
         let limits = &self.set.limits;
         let most = if limits.may_probe { (NEWS_WORTH / limits.probe_price.max(1e-4)) as usize } else { 0 };
-        if most == 0 || now - self.stalled < STALL_MEMORY {
+        if most == 0 || self.now - self.stalled < STALL_MEMORY {
             return Vec::new();
         }
-        let holders = self.holders(now, ask);
-        if holders.first().is_none_or(|s| s.link.fresh(now)) {
+        let holders = self.holders(ask);
+        if holders.first().is_none_or(|s| s.link.fresh(self.now)) {
             return Vec::new();
         }
-        let unsure = holders.iter().filter(|s| !s.link.fresh(now));
+        let unsure = holders.iter().filter(|s| !s.link.fresh(self.now));
         unsure.take(most.min(PROBES)).map(|s| s.listed.server).collect()
     }
 
-    fn on_probed(&mut self, now: Micros, server: ServerId, out: &mut Vec<Action>) {
-        let waiting = self.asking.values_mut();
-        waiting.for_each(|(_, probed)| probed.retain(|s| *s != server));
-        let ready: Vec<SessionId> =
-            self.asking.iter().filter(|(_, (_, probed))| probed.is_empty()).map(|(id, _)| *id).collect();
-        for id in ready {
-            self.asked(now, id, out);
-        }
+    fn on_probed(&mut self, server: ServerId) {
+        self.asking.values_mut().for_each(|(_, probed)| probed.retain(|s| *s != server));
+        let ready = self.asking.iter().filter(|(_, (_, probed))| probed.is_empty()).map(|(id, _)| *id);
+        ready.collect::<Vec<_>>().into_iter().for_each(|id| self.asked(id));
     }
 
     /// The answers are in, or late: the request is decided on what is known.
-    fn asked(&mut self, now: Micros, id: SessionId, out: &mut Vec<Action>) {
-        if let Some((ask, _)) = self.asking.remove(&id) {
-            self.place(now, ask, out);
-        }
+    fn asked(&mut self, id: SessionId) {
+        let Some((ask, _)) = self.asking.remove(&id) else { return };
+        self.place(ask);
     }
 
-    fn on_carried(&mut self, now: Micros, req: Request, server: ServerId) {
+    fn on_carried(&mut self, req: Request, server: ServerId) {
         if self.live.contains_key(&req.session) {
             return;
         }
         let rung = self.set.classes.get(req.class).map_or(0, |c| c.floor);
         let kb = self.set.rate(req.class, rung);
         let ask = Ask { req, attempts: 1, tried: vec![server] };
-        self.hold(now, Live { ask, state: State::Plays, server, rung, kb, sent: now, due: Some(now) });
+        self.hold(Live { ask, state: State::Plays, server, rung, kb, sent: self.now, due: Some(self.now) });
     }
 
-    fn on_started(&mut self, now: Micros, id: SessionId, number: u32, server: ServerId, waited: Micros) {
+    fn on_started(&mut self, id: SessionId, number: u32, server: ServerId, waited: Micros) {
         self.setup += 0.1 * (waited.max(0) as f64 - self.setup);
-        self.on_sign(now, server, true);
+        self.on_sign(server, true);
         if self.live.get(&id).is_some_and(|l| l.state == State::Pending && l.ask.attempts == number + 1) {
             self.turn(id, State::Plays);
         }
     }
 
-    fn on_finished(&mut self, now: Micros, id: SessionId, how: (u32, Outcome, bool), out: &mut Vec<Action>) {
-        let (number, outcome, closed) = how;
+    fn on_finished(&mut self, id: SessionId, number: u32, outcome: Outcome, closed: bool) {
         if self.live.get(&id).is_none_or(|l| l.ask.attempts != number + 1) {
             return;
         }
         let Some(Live { ask, state, server, kb, .. }) = self.live.remove(&id) else { return };
-        self.charge(now, server, -kb);
-        self.judge(now, server, outcome);
+        self.charge(server, -kb);
+        self.judge(server, outcome);
         // Only a request that is still owed its answer goes on; a paid one only on proof.
         if closed || outcome == Outcome::Good || state != State::Pending {
             return;
         }
         if never_ran(outcome) || self.harmless(ask.req.class) {
-            self.place(now, ask, out);
+            self.place(ask);
         } else {
-            out.push(Action::Fail { session: id });
+            self.out.push(Action::Fail { session: id });
         }
     }
 
-    /// What an outcome says of the server. A time-out that ran out while this director stood still says nothing.
-    fn judge(&mut self, now: Micros, server: ServerId, outcome: Outcome) {
+    /// What an outcome says of the server; a time-out while this director stood still says nothing.
+    fn judge(&mut self, server: ServerId, outcome: Outcome) {
         match outcome {
-            Outcome::Late if self.stalled == now => {}
+            Outcome::Late if self.stalled == self.now => {}
             Outcome::NoConnection | Outcome::Reset | Outcome::Late | Outcome::Error => {
-                self.on_sign(now, server, false);
+                self.on_sign(server, false);
             }
-            Outcome::Good | Outcome::Full => self.on_sign(now, server, true),
+            Outcome::Good | Outcome::Full => self.on_sign(server, true),
             Outcome::Cancelled | Outcome::NotSent => {}
         }
     }
 
-    fn on_note(&mut self, now: Micros, id: SessionId, server: ServerId, note: Note, out: &mut Vec<Action>) {
+    fn on_note(&mut self, id: SessionId, server: ServerId, note: Note) {
         // A note shows that the process runs, not that it sets sessions up: it clears no failure.
-        if let Some(s) = self.servers.get_mut(&server) {
-            s.sign = now;
-        }
         match note {
             Note::Delivered(share) => {
                 let Some(s) = self.servers.get_mut(&server) else { return };
@@ -456,64 +396,53 @@
                 }
                 // Such notes come each second while it lasts.
                 s.lost += (self.set.stall_cost * (0.98 - share)).clamp(0.0, 1.0);
-                (s.short, s.short_at) = (true, now);
-                let calm = s.relief_at.is_none_or(|t| now - t >= STEP_PAUSE);
+                (s.short, s.short_at) = (true, self.now);
+                let calm = s.relief_at.is_none_or(|t| self.now - t >= STEP_PAUSE);
                 if self.set.stall_cost > 0.0 && s.lost >= self.set.switch_s && calm {
-                    (s.lost, s.relief_at) = (0.0, Some(now));
-                    self.step_down(now, server, share, out);
+                    (s.lost, s.relief_at) = (0.0, Some(self.now));
+                    self.step_down(server, share);
                 }
             }
-            Note::Rung(rung) if rung < self.set.ladder.len() => self.set_rung(now, id, rung),
+            Note::Rung(rung) if rung < self.set.ladder.len() => self.set_rung(id, rung),
             Note::Rung(_) => {}
-            Note::Link(x) => {
-                let load = Load { link: Some(x), ..Load::default() };
-                self.on_load(now, server, load, self.note_age(now, id), NOTE_WEIGHT);
-            }
-            Note::Uplink(x) => {
-                let load = Load { uplink: Some(x), ..Load::default() };
-                self.on_load(now, server, load, self.note_age(now, id), NOTE_WEIGHT);
-            }
+            Note::Link(x) => self.on_fullness(id, server, Load { link: Some(x), ..Load::default() }),
+            Note::Uplink(x) => self.on_fullness(id, server, Load { uplink: Some(x), ..Load::default() }),
         }
     }
 
     /// The first note of a session comes with its set-up and is fresh; later ones are late.
-    fn note_age(&self, now: Micros, id: SessionId) -> Micros {
-        match self.live.get(&id) {
-            Some(l) if now - l.sent < self.set.told_every / 2 => 0,
-            _ => self.set.told_late,
-        }
+    fn on_fullness(&mut self, id: SessionId, server: ServerId, load: Load) {
+        let first = self.live.get(&id).is_some_and(|l| self.now - l.sent < self.set.told_every / 2);
+        self.on_load(server, load, if first { 0 } else { self.set.told_late }, NOTE_WEIGHT);
     }
 
     /// The viewer's time is up: the final answer is due now, whatever is still out.
-    fn on_deadline(&mut self, now: Micros, id: SessionId, out: &mut Vec<Action>) {
+    fn on_deadline(&mut self, id: SessionId) {
         let Some(Live { ask, state: State::Pending, .. }) = self.live.get(&id) else { return };
-        if now + self.set.limits.step < ask.req.deadline {
+        if self.now + self.set.limits.step < ask.req.deadline {
             return; // rang for probes that had answered before
         }
         if self.set.limits.may_cancel {
-            out.push(Action::Recall { session: id, attempt: ask.attempts - 1 });
-        }
-        if self.harmless(ask.req.class) {
-            out.push(self.refusal(&ask.req));
-        } else {
-            out.push(Action::Fail { session: id });
+            self.out.push(Action::Recall { session: id, attempt: ask.attempts - 1 });
         }
+        let fail = Action::Fail { session: id };
+        self.out.push(if self.harmless(ask.req.class) { self.refusal(&ask.req) } else { fail });
         self.turn(id, State::Closed);
     }
 
-    fn on_load(&mut self, now: Micros, server: ServerId, load: Load, age: Micros, weight: f64) {
-        if let (Some(x), Some(s)) = (load.link, self.servers.get_mut(&server)) {
-            s.link.report(now, age, x, weight);
-        }
-        if let (Some(x), Some(rack)) = (load.uplink, self.rack_of(server)) {
-            self.uplink(rack).report(now, age, x, weight);
+    fn on_load(&mut self, server: ServerId, load: Load, age: Micros, weight: f64) {
+        let now = self.now;
+        for (account, share) in self.accounts(server).into_iter().zip([load.link, load.uplink]) {
+            if let (Some(account), Some(share)) = (account, share) {
+                account.report(now, age, share, weight);
+            }
         }
     }
 
     /// Missing evidence is not bad evidence: what no report has confirmed for long is forgotten.
-    fn forget(&mut self, now: Micros) {
+    fn forget(&mut self) {
         let stale = STALE_TIMES * self.set.told_every.max(1_000_000) + self.set.told_late;
-        let fresh = |t: &Micros| now - *t <= stale;
+        let fresh = |t: &Micros| self.now - *t <= stale;
         for s in self.servers.values_mut() {
             s.link.reported = s.link.reported.filter(fresh);
             s.short &= fresh(&s.short_at);
@@ -537,10 +466,9 @@
         let links: f64 = self.servers.values().map(|s| s.link.kb).sum();
         let uplinks = self.set.racks as f64 * self.set.uplink_kb.max(0.0);
         let own: f64 = self.servers.values().map(|s| s.link.own).sum();
-        let held = self.live.len() as f64;
+        let (held, middle) = (self.live.len() as f64, self.set.rate(0, self.set.ladder.len() / 2));
         let (link, link_spread) = mean(&mut self.servers.values().map(|s| &s.link), own, links);
         let (uplink, uplink_spread) = mean(&mut self.uplinks.values(), own, uplinks);
-        let middle = self.set.rate(0, self.set.ladder.len() / 2);
         let usual = (own + 0.5 * middle) / (held + 0.5);
         let asked = if uplinks > 0.0 { uplink * uplinks } else { link * links };
         let sessions = if usual > 0.0 { asked / usual } else { held * n };
@@ -549,17 +477,14 @@
             Fleet { link, uplink, link_spread, uplink_spread, sessions, others: 1.0 - 1.0 / n, echo };
     }
 
-    fn on_sign(&mut self, now: Micros, server: ServerId, alive: bool) {
+    fn on_sign(&mut self, server: ServerId, alive: bool) {
         let warm = self.set.contract.warm_after;
         let Some(s) = self.servers.get_mut(&server) else { return };
-        if alive {
-            s.sign = now;
-            s.fails = 0;
-        } else {
-            s.fails += 1;
-            s.failed_at = now;
+        s.fails = if alive { 0 } else { s.fails + 1 };
+        if !alive {
+            s.failed_at = self.now;
             // It may be back at any moment, and cold: pace it from the failure on.
-            s.cold_until = s.cold_until.max(now + warm);
+            s.cold_until = s.cold_until.max(self.now + warm);
         }
     }
 
@@ -569,69 +494,67 @@
         self.live.get_mut(&id).into_iter().for_each(|l| l.state = state);
     }
 
-    fn hold(&mut self, now: Micros, live: Live) {
-        self.charge(now, live.server, live.kb);
+    fn hold(&mut self, live: Live) {
+        self.charge(live.server, live.kb);
         self.live.insert(live.ask.req.session, live);
     }
 
-    fn charge(&mut self, now: Micros, server: ServerId, kb: f64) {
-        if let Some(s) = self.servers.get_mut(&server) {
-            s.link.add(now, kb);
-        }
-        if let Some(rack) = self.rack_of(server) {
-            self.uplink(rack).add(now, kb);
-        }
+    fn charge(&mut self, server: ServerId, kb: f64) {
+        let now = self.now;
+        self.accounts(server).into_iter().flatten().for_each(|a| a.add(now, kb));
+    }
+
+    /// The accounts of a server's link and of its rack's uplink.
+    fn accounts(&mut self, server: ServerId) -> [Option<&mut Account>; 2] {
+        let Some(s) = self.servers.get_mut(&server) else { return [None, None] };
+        let kb = self.set.uplink_kb.max(0.0);
+        let uplink = self
+            .set
+            .rack(s.listed.cell)
+            .map(|rack| self.uplinks.entry(rack).or_insert_with(|| Account { kb, ..Account::default() }));
+        [Some(&mut s.link), uplink]
     }
 
     /// Books a change of rung of a session that plays.
-    fn set_rung(&mut self, now: Micros, id: SessionId, rung: usize) {
+    fn set_rung(&mut self, id: SessionId, rung: usize) {
         let Some(t) = self.live.get_mut(&id).filter(|l| l.state == State::Plays) else { return };
         let kb = self.set.rate(t.ask.req.class, rung);
         let (server, change) = (t.server, kb - t.kb);
         (t.rung, t.kb) = (rung, kb);
-        self.charge(now, server, change);
-    }
-
-    fn rack_of(&self, server: ServerId) -> Option<u64> {
-        self.set.rack(self.servers.get(&server)?.listed.cell)
-    }
-
-    fn uplink(&mut self, rack: u64) -> &mut Account {
-        let kb = self.set.uplink_kb.max(0.0);
-        self.uplinks.entry(rack).or_insert_with(|| Account { kb, ..Account::default() })
+        self.charge(server, change);
     }
 
     // ---- placement: D(C0) -------------------------------------------------------------------
 
-    fn place(&mut self, now: Micros, ask: Ask, out: &mut Vec<Action>) {
-        match self.choose(now, &ask) {
-            Some((server, rung)) => self.send(now, ask, server, rung, out),
+    fn place(&mut self, ask: Ask) {
+        match self.choose(&ask) {
+            Some((server, rung)) => self.send(ask, server, rung),
             None => {
-                self.turned.insert(ask.req.viewer, (now, ask.req.class));
-                out.push(self.refusal(&ask.req));
+                self.turned.insert(ask.req.viewer, (self.now, ask.req.class));
+                self.out.push(self.refusal(&ask.req));
             }
         }
     }
 
     /// The holder with the least account, and the rung that its occupancy allows.
-    fn choose(&self, now: Micros, ask: &Ask) -> Option<(ServerId, usize)> {
+    fn choose(&self, ask: &Ask) -> Option<(ServerId, usize)> {
         let class = self.set.classes.get(ask.req.class)?;
         let top = self.set.top(&ask.req)?;
-        if top < class.floor || !self.may_send(now, ask) {
+        if top < class.floor || !self.may_send(ask) {
             return None;
         }
-        self.holders(now, ask).into_iter().find_map(|s| {
+        self.holders(ask).into_iter().find_map(|s| {
             self.rung_at(s, ask.req.class, class.floor, top, 0.0).map(|rung| (s.listed.server, rung))
         })
     }
 
     /// Holders that may take the request, the least account first.
-    fn holders(&self, now: Micros, ask: &Ask) -> Vec<&Server> {
+    fn holders(&self, ask: &Ask) -> Vec<&Server> {
         let mut holders: Vec<_> = self
             .servers
             .values()
-            .filter(|s| self.holds(s, &ask.req) && self.may_take(now, s, ask))
-            .map(|s| (self.doubt(now, s), self.account(s), self.tie(ask, s), s))
+            .filter(|s| self.holds(s, &ask.req) && self.may_take(s, ask))
+            .map(|s| (s.fails > 0, self.account(s), self.tie(ask, s), s))
             .collect();
         holders.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
         holders.into_iter().map(|(_, _, _, s)| s).collect()
@@ -659,9 +582,9 @@
     /// Demand as seen from here: sessions held and viewers turned away, the others taken to see as much.
     /// A rung's overfill is what all viewers would ask if each had every rung that is worth as much for
     /// its rate, over what links and uplinks give under the full line.
-    fn weigh_demand(&mut self, now: Micros) {
+    fn weigh_demand(&mut self) {
         self.survey();
-        self.turned.retain(|_, (t, _)| now - *t < WANTS_FOR);
+        self.turned.retain(|_, (t, _)| self.now - *t < WANTS_FOR);
         let mut racks: BTreeMap<Option<u64>, f64> = BTreeMap::new();
         for s in self.servers.values().filter(|s| s.listed.state == Standing::Ready && s.fails == 0) {
             *racks.entry(self.set.rack(s.listed.cell)).or_insert(0.0) += s.link.kb;
@@ -747,31 +670,31 @@
         (if cell >= home { cell - home } else { cells - home + cell }) < req.spread
     }
 
-    fn send(&mut self, now: Micros, mut ask: Ask, server: ServerId, rung: usize, out: &mut Vec<Action>) {
+    fn send(&mut self, mut ask: Ask, server: ServerId, rung: usize) {
         let session = ask.req.session;
         let kb = self.set.rate(ask.req.class, rung);
-        let patience = self.patience(now, &ask);
+        let patience = self.patience(&ask);
         if ask.attempts == 0 {
-            let after = (ask.req.deadline - self.set.limits.step - now).max(0);
-            out.push(Action::Timer { after, token: session.0 });
+            let after = (ask.req.deadline - self.set.limits.step - self.now).max(0);
+            self.out.push(Action::Timer { after, token: session.0 });
         } else {
-            self.further.push_back(now);
+            self.further.push_back(self.now);
         }
         ask.attempts += 1;
         ask.tried.push(server);
-        out.push(Action::SetRung { session, rung });
-        out.push(Action::Send { session, server, patience });
+        self.out.push(Action::SetRung { session, rung });
+        self.out.push(Action::Send { session, server, patience });
         let blind = self.servers.get(&server).is_some_and(|s| s.link.reported.is_none());
-        let due = blind.then_some(now);
-        self.hold(now, Live { ask, state: State::Pending, server, rung, kb, sent: now, due });
+        let due = blind.then_some(self.now);
+        self.hold(Live { ask, state: State::Pending, server, rung, kb, sent: self.now, due });
     }
 
     /// A harmless set-up is tried elsewhere while the viewer's aim can still be met; a paid one may
     /// not be sent again after a time-out, so it waits as long as the viewer does.
-    fn patience(&self, now: Micros, ask: &Ask) -> Option<Micros> {
+    fn patience(&self, ask: &Ask) -> Option<Micros> {
         let last = ask.attempts + 1 >= self.set.limits.max_attempts;
         let usual = ((self.setup * PATIENCE_TIMES) as Micros).max(PATIENCE_MIN);
-        if !self.harmless(ask.req.class) || last || now + usual >= ask.req.deadline {
+        if !self.harmless(ask.req.class) || last || self.now + usual >= ask.req.deadline {
             return None;
         }
         Some(usual)
@@ -790,7 +713,7 @@
     /// Exception: the shortage that a server tells, of its link or its uplink, has cost each session there as
     /// much as a change of rung costs, so it lasts. This director's sessions step down by their own part of
     /// what is missing, least worth for the rate first.
-    fn step_down(&mut self, now: Micros, server: ServerId, share: f64, out: &mut Vec<Action>) {
+    fn step_down(&mut self, server: ServerId, share: f64) {
         let worth = |r: usize| self.set.ladder.get(r).map_or(0.0, |x| x.worth);
         let (mut own, mut steps) = (0.0, Vec::new());
         for (id, t) in self.live.iter().filter(|(_, l)| l.state == State::Plays && l.server == server) {
@@ -807,8 +730,8 @@
         for (_, id, rung, freed) in steps {
             // Many directors hold one session each there: of the last step only the part that is needed is
             // taken, by draw, or all together would free several times what is missing.
-            if draw(self.seed ^ id.0 ^ now as u64) * freed < RELIEF_TIMES * need {
-                self.step(now, id, rung, out);
+            if draw(self.seed ^ id.0 ^ self.now as u64) * freed < RELIEF_TIMES * need {
+                self.step(id, rung);
             }
             need -= freed;
             if need <= 0.0 {
@@ -817,19 +740,19 @@
         }
     }
 
-    fn step(&mut self, now: Micros, id: SessionId, rung: usize, out: &mut Vec<Action>) {
-        self.live.get_mut(&id).into_iter().for_each(|l| l.due = Some(now + CALM));
-        self.set_rung(now, id, rung);
-        out.push(Action::SetRung { session: id, rung });
+    fn step(&mut self, id: SessionId, rung: usize) {
+        self.live.get_mut(&id).into_iter().for_each(|l| l.due = Some(self.now + CALM));
+        self.set_rung(id, rung);
+        self.out.push(Action::SetRung { session: id, rung });
     }
 
-    /// Exception: a session that was carried over, placed blind or stepped plays at a rung that was not decided
-    /// on what is known here. Once link and uplink are reported it is decided like a new one, upwards only,
-    /// if what is left of it is worth more than the step. One a tick on each rack, so that the steps show.
-    fn settle(&mut self, now: Micros, out: &mut Vec<Action>) {
-        let mut steps: BTreeMap<u64, (SessionId, usize)> = BTreeMap::new();
+    /// Exception: a session that was carried over, placed blind or stepped plays at a rung that was not
+    /// decided on what is known here. Once link and uplink are reported it is decided like a new one, upwards
+    /// only, if what is left of it is worth more than the step.
+    fn settle(&mut self) {
+        let mut steps = Vec::new();
         for (id, t) in
-            self.live.iter().filter(|(_, l)| l.state == State::Plays && l.due.is_some_and(|d| now >= d))
+            self.live.iter().filter(|(_, l)| l.state == State::Plays && l.due.is_some_and(|d| self.now >= d))
         {
             let Some(s) = self.servers.get(&t.server).filter(|s| !s.short) else { continue };
             let (req, class) = (&t.ask.req, t.ask.req.class);
@@ -851,13 +774,13 @@
             let Some(rung) = self.rung_at(s, class, terms.floor, top, t.kb).filter(|r| *r > t.rung) else {
                 continue;
             };
-            let left = req.hint.map_or(f64::INFINITY, |h| (h - (now - t.sent)) as f64 / 1e6);
+            let left = req.hint.map_or(f64::INFINITY, |h| (h - (self.now - t.sent)) as f64 / 1e6);
             if left * (self.set.ladder[rung].worth - self.set.ladder[t.rung].worth) > self.set.switch_s {
-                steps.entry(self.rack_of(t.server).unwrap_or(t.server.0)).or_insert((*id, rung));
+                steps.push((*id, rung));
             }
         }
-        for (id, rung) in steps.into_values() {
-            self.step(now, id, rung, out);
+        for (id, rung) in steps {
+            self.step(id, rung);
         }
     }
 
@@ -868,11 +791,11 @@
     }
 
     /// Seats, attempts and the ration of further attempts allow another send.
-    fn may_send(&self, now: Micros, ask: &Ask) -> bool {
+    fn may_send(&self, ask: &Ask) -> bool {
         let seats = self.set.classes.get(ask.req.class).map_or(0, |c| c.seats);
         let same = |l: &&Live| (l.ask.req.title, l.ask.req.class) == (ask.req.title, ask.req.class);
         let used_up = ask.attempts >= self.set.limits.max_attempts.max(1);
-        if used_up || now >= ask.req.deadline - self.set.limits.step {
+        if used_up || self.now >= ask.req.deadline - self.set.limits.step {
             return false;
         }
         if seats > 0 && self.live.values().filter(same).count() >= seats as usize {
@@ -880,20 +803,20 @@
         }
         let Some(f) = self.set.contract.further.filter(|_| ask.attempts > 0) else { return true };
         // Strict edges: an attempt on the window's edge counts, a request on it does not.
-        let sent = self.further.iter().filter(|t| **t >= now - f.span).count() as f64;
-        let taken = self.taken.iter().filter(|t| **t > now - f.span).count() as f64;
+        let sent = self.further.iter().filter(|t| **t >= self.now - f.span).count() as f64;
+        let taken = self.taken.iter().filter(|t| **t > self.now - f.span).count() as f64;
         sent + 1.0 <= f.free + f.per_request * taken
     }
 
     /// Listed ready, not tried for this request, not ahead of its cold pace, not failing.
-    fn may_take(&self, now: Micros, s: &Server, ask: &Ask) -> bool {
+    fn may_take(&self, s: &Server, ask: &Ask) -> bool {
         let barred = s.listed.state != Standing::Ready || ask.tried.contains(&s.listed.server);
-        if barred || !self.open(now, s, ask) {
+        if barred || !self.open(s, ask) {
             return false;
         }
         // A failing server is tried with harmless set-ups only, one at a time, ever more rarely.
         let wait = TRIAL_WAIT << s.fails.saturating_sub(1).min(3);
-        let trial = self.harmless(ask.req.class) && now - s.failed_at >= wait;
+        let trial = self.harmless(ask.req.class) && self.now - s.failed_at >= wait;
         s.fails == 0 || (trial && !self.has(s, State::Pending) && !self.has(s, State::Closed))
     }
 
@@ -904,14 +827,15 @@
     /// A cold server is open to a part of the requests only, by hash: as many as keep its pace if every
     /// director sends it all that it may. One that is known cold draws all requests for its titles; while
     /// any may be, since a cached list may hide a start, they draw alike.
-    fn open(&self, now: Micros, s: &Server, ask: &Ask) -> bool {
+    fn open(&self, s: &Server, ask: &Ask) -> bool {
         let c = &self.set.contract;
-        let spread = if now < s.cold_until { ask.req.spread.min(self.set.cells) } else { 1 };
-        if now >= s.cold_until.max(self.born + c.warm_after) {
+        let spread = if self.now < s.cold_until { ask.req.spread.min(self.set.cells) } else { 1 };
+        if self.now >= s.cold_until.max(self.born + c.warm_after) {
             return true;
         }
         let span = c.fall.max(1);
-        let lately = |times: &VecDeque<Micros>| times.iter().rev().take_while(|t| **t > now - span).count();
+        let lately =
+            |times: &VecDeque<Micros>| times.iter().rev().take_while(|t| **t > self.now - span).count();
         let asked = lately(&self.taken) + lately(&self.further);
         let warm = c.warm_after.max(1) as f64;
         let pace = (c.overload_factor * c.start_capacity * self.set.places(s.listed.kind)).max(1.0) / warm;
@@ -920,18 +844,9 @@
         draw(self.tie(ask, s)) * all < pace * PACE_MARGIN * span as f64
     }
 
-    /// 0: nothing against it. 1: notes are overdue. 2: failing.
-    fn doubt(&self, now: Micros, s: &Server) -> u8 {
-        let due = self.set.told_every + self.set.told_late + NOTE_SLACK;
-        if s.fails > 0 {
-            return 2;
-        }
-        u8::from(self.set.told_every > 0 && now - s.sign > due && self.has(s, State::Plays))
-    }
-
     // ---- list -------------------------------------------------------------------------------
 
-    fn on_list(&mut self, now: Micros, news: ListNews, lines: Vec<Listed>) {
+    fn on_list(&mut self, news: ListNews, lines: Vec<Listed>) {
         match news {
             ListNews::Failed => {
                 self.subscribed = false;
@@ -946,7 +861,7 @@
         }
         let warm = self.set.contract.warm_after;
         for line in lines {
-            let came = line.came_up.unwrap_or(now - warm);
+            let came = line.came_up.unwrap_or(self.now - warm);
             let cold_until = came + warm;
             match self.servers.get_mut(&line.server) {
                 Some(s) => {
@@ -957,7 +872,7 @@
                     s.listed = line;
                 }
                 None => {
-                    let s = Server { listed: line, sign: now, cold_until, ..Server::default() };
+                    let s = Server { listed: line, cold_until, ..Server::default() };
                     self.servers.insert(line.server, s);
                 }
             }
@@ -989,11 +904,11 @@
     }
 
     /// Where the list must be asked for: subscribe, and again after a failure.
-    fn keep_list(&mut self, now: Micros, out: &mut Vec<Action>) {
-        let waited = self.asked_list.is_none_or(|t| now - t >= LIST_RETRY);
+    fn keep_list(&mut self) {
+        let waited = self.asked_list.is_none_or(|t| self.now - t >= LIST_RETRY);
         if self.set.ask_for_list && !self.subscribed && waited {
-            self.asked_list = Some(now);
-            out.push(Action::Subscribe(true));
+            self.asked_list = Some(self.now);
+            self.out.push(Action::Subscribe(true));
         }
     }
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -126,6 +126,14 @@
         self.tell(Event::Timer(u64::MAX))
     }
 
+    /// Time passes, and the timer rings when it is due.
+    pub fn wait(&mut self, span: Micros) {
+        for _ in 0..span / (200 * MS) {
+            self.now += 200 * MS;
+            self.tick();
+        }
+    }
+
     /// Link and uplink are reported, on a session's notes.
     pub fn report(&mut self, id: u64, server: ServerId, link: f64, uplink: f64) {
         self.note(id, server, Note::Link(link));
