--- a/src/control.rs
+++ b/src/control.rs
@@ -17,8 +17,7 @@
 const RELIEF_TO: f64 = 0.97; // steps down aim at this share of what is delivered
 const RELIEF_TIMES: f64 = 2.0; // and free so many times what is missing: shortage costs more than room
 const STEP_PAUSE: Micros = 2_000_000; // a server's sessions step down again after this: it must show
-const FULL_PLACES: f64 = 0.95;
-const PLACES_FREE: Micros = 3_000_000;
+const CROSS_SHARE: f64 = 10.0; // a crossing weighs as much as so many times its price of a link
 const CALM: Micros = 6_000_000; // a stepped session may be decided anew after so long
 const PACE_MARGIN: f64 = 0.7; // part used of a cold server's falling pace: chance bunches, places stray
 const ANSWER_WEIGHT: f64 = 0.4; // weight of a report in an answer, noisy, of unknown age, against the belief
@@ -181,9 +180,8 @@
 struct Server {
     listed: Listed,
     link: Account,
-    places: Option<(Micros, f64)>, // when its streams were last told, and as which part of its places
-    short: bool,                   // a note says that it delivers short; full until cleared
-    lost: f64,                     // worth of a session, in seconds, that the shortage told has cost so far
+    short: bool, // a note says that it delivers short; full until cleared
+    lost: f64,   // worth of a session, in seconds, that the shortage told has cost so far
     /// Last time that sessions were to step down for it: that must show in the notes first.
     relief_at: Option<Micros>,
     short_at: Micros, // last time that it was told short
@@ -383,11 +381,7 @@
             Outcome::NoConnection | Outcome::Reset | Outcome::Late | Outcome::Error => {
                 self.on_sign(server, false);
             }
-            Outcome::Full => {
-                self.servers.get_mut(&server).into_iter().for_each(|s| s.places = Some((self.now, 1.0)));
-                self.on_sign(server, true);
-            }
-            Outcome::Good => self.on_sign(server, true),
+            Outcome::Good | Outcome::Full => self.on_sign(server, true),
             Outcome::Cancelled | Outcome::NotSent => {}
         }
     }
@@ -439,9 +433,6 @@
 
     fn on_load(&mut self, server: ServerId, load: Load, age: Micros, weight: f64) {
         let now = self.now;
-        if let (Some(streams), Some(s)) = (load.streams, self.servers.get_mut(&server)) {
-            s.places = Some((now, streams / self.set.places(s.listed.kind).max(1.0)));
-        }
         for (account, share) in self.accounts(server).into_iter().zip([load.link, load.uplink]) {
             if let (Some(account), Some(share)) = (account, share) {
                 account.report(now, age, share, weight);
@@ -656,8 +647,11 @@
         self.uplink_of(s).map_or(self.fleet.uplink, |u| u.believed(&self.fleet, self.fleet.uplink))
     }
 
+    /// What places: link and uplink alike, and what a crossing of zones costs, in shares of a link.
     fn account(&self, s: &Server) -> f64 {
-        self.link_share(s) + self.uplink_share(s)
+        let crosses = self.set.zone.is_some() && s.listed.zone.is_some() && self.set.zone != s.listed.zone;
+        let price = if crosses { self.set.cross_price * CROSS_SHARE } else { 0.0 };
+        self.link_share(s) + self.uplink_share(s) + price
     }
 
     /// How much fuller than the mean the server's link or its uplink is believed.
@@ -821,9 +815,7 @@
     /// Listed ready, not tried for this request, not ahead of its cold pace, not failing.
     fn may_take(&self, s: &Server, ask: &Ask) -> bool {
         let barred = s.listed.state != Standing::Ready || ask.tried.contains(&s.listed.server);
-        // Its places were taken when it was last heard of: until they may have come free, it is left alone.
-        let crowded = s.places.is_some_and(|(t, part)| part > FULL_PLACES && self.now - t < PLACES_FREE);
-        if barred || crowded || !self.open(s, ask) {
+        if barred || !self.open(s, ask) {
             return false;
         }
         // A failing server is tried with harmless set-ups only, one at a time, ever more rarely.
