--- a/src/control.rs
+++ b/src/control.rs
@@ -38,8 +38,6 @@
 const PATIENCE_MIN: Micros = 300_000; // shortest patience: a handshake and a busy core
 const SETUP_GUESS: f64 = 120_000.0; // usual set-up time before any was seen, microseconds
 const TRIAL_WAIT: Micros = 1_000_000; // a failing server is tried again after this; doubles three times
-const DARK_FAILS: u32 = 2; // so many failures and no sign of life: a zone may be lost
-const DARK_FOR: Micros = 8_000_000; // and is tried last for so long
 const LONGEST: Micros = 3_600_000_000; // odd deadlines are cut to an hour
 const LIST_RETRY: Micros = 2_000_000; // a failed call for the list is repeated after this
 const TICK_TOKEN: u64 = u64::MAX; // the tick's timer; tokens of requests are session ids, below 2^52
@@ -204,7 +202,6 @@
     out: Vec<Action>,
     servers: BTreeMap<ServerId, Server>,
     uplinks: BTreeMap<u64, Account>,
-    zones: BTreeMap<Option<usize>, (u32, Micros)>, // failures since a zone's last sign of life, and the last sign
     live: BTreeMap<SessionId, Live>,
     asking: BTreeMap<SessionId, (Ask, Vec<ServerId>)>, // requests that wait for these probes
     taken: VecDeque<Micros>,                           // times of requests taken and of further attempts sent
@@ -390,8 +387,7 @@
     }
 
     fn on_note(&mut self, id: SessionId, server: ServerId, note: Note) {
-        // A note shows that the process runs, not that it sets sessions up: it clears no failure but a zone's.
-        self.servers.get(&server).map(|s| self.zones.insert(s.listed.zone, (0, self.now)));
+        // A note shows that the process runs, not that it sets sessions up: it clears no failure.
         match note {
             Note::Delivered(share) => {
                 let Some(s) = self.servers.get_mut(&server) else { return };
@@ -486,8 +482,6 @@
         let warm = self.set.contract.warm_after;
         let Some(s) = self.servers.get_mut(&server) else { return };
         s.fails = if alive { 0 } else { s.fails + 1 };
-        let zone = self.zones.entry(s.listed.zone).or_default();
-        *zone = (if alive { 0 } else { zone.0 + 1 }, self.now);
         if !alive {
             s.failed_at = self.now;
             // It may be back at any moment, and cold: pace it from the failure on.
@@ -561,7 +555,7 @@
             .servers
             .values()
             .filter(|s| self.holds(s, &ask.req) && self.may_take(s, ask))
-            .map(|s| (s.fails > 0 || self.dark(s), self.account(s), self.tie(ask, s), s))
+            .map(|s| (s.fails > 0, self.account(s), self.tie(ask, s), s))
             .collect();
         holders.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
         holders.into_iter().map(|(_, _, _, s)| s).collect()
@@ -830,12 +824,6 @@
         s.fails == 0 || (trial && !self.has(s, State::Pending) && !self.has(s, State::Closed))
     }
 
-    /// Exception: one failure after another in a zone and no sign of life from it: all there go last for a while.
-    fn dark(&self, s: &Server) -> bool {
-        let (fails, last) = self.zones.get(&s.listed.zone).copied().unwrap_or_default();
-        s.listed.zone.is_some() && fails >= DARK_FAILS && self.now - last < DARK_FOR
-    }
-
     fn has(&self, s: &Server, state: State) -> bool {
         self.live.values().any(|l| l.server == s.listed.server && l.state == state)
     }
