--- a/src/control.rs
+++ b/src/control.rs
@@ -772,7 +772,7 @@
             let common = |r: &usize| {
                 self.overfill
                     .get(&(class, *r))
-                    .is_some_and(|(before, after)| (before + part * (after - before)) * fuller <= 1.0)
+                    .is_some_and(|(before, after)| (before + part * (after - before)) * fuller <= 0.85)
             };
             let Some(top) = (t.rung + 1..=top).rev().find(common) else { continue };
             let Some(rung) = self.rung_at(s, class, terms.floor, top, t.kb).filter(|r| *r > t.rung) else {
