--- a/src/control.rs
+++ b/src/control.rs
@@ -18,7 +18,7 @@
 const RELIEF_TIMES: f64 = 2.0; // and free so many times what is missing: shortage costs more than room
 const STEP_PAUSE: Micros = 2_000_000; // a server's sessions step down again after this: it must show
 const CROSS_SHARE: f64 = 10.0; // a crossing weighs as much as so many times its price of a link
-const CALM: Micros = 6_000_000; // a stepped session may be decided anew after so long
+const CALM: Micros = 3_000_000; // a stepped session may be decided anew after so long
 const PACE_MARGIN: f64 = 0.7; // part used of a cold server's falling pace: chance bunches, places stray
 const ANSWER_WEIGHT: f64 = 0.4; // weight of a report in an answer, noisy, of unknown age, against the belief
 const NOTE_WEIGHT: f64 = 0.8; // weight of a note on fullness: later, but without noise
@@ -689,7 +689,7 @@
         self.out.push(Action::SetRung { session, rung });
         self.out.push(Action::Send { session, server, patience });
         let blind = self.servers.get(&server).is_some_and(|s| s.link.reported.is_none());
-        let due = blind.then_some(self.now);
+        let due = Some(if blind { self.now } else { self.now + CALM });
         self.hold(Live { ask, state: State::Pending, server, rung, kb, sent: self.now, due });
     }
 
@@ -772,7 +772,7 @@
             let common = |r: &usize| {
                 self.overfill
                     .get(&(class, *r))
-                    .is_some_and(|(before, after)| (before + part * (after - before)) * fuller <= 0.85)
+                    .is_some_and(|(before, after)| (before + part * (after - before)) * fuller <= 1.0)
             };
             let Some(top) = (t.rung + 1..=top).rev().find(common) else { continue };
             let Some(rung) = self.rung_at(s, class, terms.floor, top, t.kb).filter(|r| *r > t.rung) else {
