--- a/src/control.rs
+++ b/src/control.rs
@@ -18,7 +18,7 @@
 const RELIEF_TIMES: f64 = 2.0; // and free so many times what is missing: shortage costs more than room
 const STEP_PAUSE: Micros = 2_000_000; // a server's sessions step down again after this: it must show
 const CROSS_SHARE: f64 = 10.0; // a crossing weighs as much as so many times its price of a link
-const CALM: Micros = 3_000_000; // a stepped session may be decided anew after so long
+const CALM: Micros = 6_000_000; // a stepped session may be decided anew after so long
 const PACE_MARGIN: f64 = 0.7; // part used of a cold server's falling pace: chance bunches, places stray
 const ANSWER_WEIGHT: f64 = 0.4; // weight of a report in an answer, noisy, of unknown age, against the belief
 const NOTE_WEIGHT: f64 = 0.8; // weight of a note on fullness: later, but without noise
@@ -30,7 +30,7 @@
 const STALL: Micros = 300_000; // a tick this much late was held up here: a batch takes a few milliseconds
 const CAUTION: f64 = 0.7; // spreads over the mean for the unheard, but not for the lowest rung
 const NEWS_WORTH: f64 = 0.03; // what fresh readings save of a session's worth: dearer probes are not sent
-const PROBES: usize = 3; // holders probed for one request at most
+const PROBES: usize = 2; // holders probed for one request at most
 const PROBE_FRESH: Micros = 2_000_000; // a younger report needs no probe
 const PROBE_WAIT: Micros = 60_000; // probes answer in milliseconds or not at all
 const STALL_MEMORY: Micros = 5_000_000; // no probes so long after a stall here: their answers would wait too
@@ -689,7 +689,7 @@
         self.out.push(Action::SetRung { session, rung });
         self.out.push(Action::Send { session, server, patience });
         let blind = self.servers.get(&server).is_some_and(|s| s.link.reported.is_none());
-        let due = Some(if blind { self.now } else { self.now + CALM });
+        let due = blind.then_some(self.now);
         self.hold(Live { ask, state: State::Pending, server, rung, kb, sent: self.now, due });
     }
 
