--- a/src/control.rs
+++ b/src/control.rs
@@ -38,8 +38,6 @@
 const PATIENCE_MIN: Micros = 300_000; // shortest patience: a handshake and a busy core
 const SETUP_GUESS: f64 = 120_000.0; // usual set-up time before any was seen, microseconds
 const TRIAL_WAIT: Micros = 1_000_000; // a failing server is tried again after this; doubles three times
-const SLOW_TIMES: f64 = 3.0; // so many usual set-up times are slow
-const SLOW_FOR: Micros = 20_000_000; // and the server goes last for so long
 const LONGEST: Micros = 3_600_000_000; // odd deadlines are cut to an hour
 const LIST_RETRY: Micros = 2_000_000; // a failed call for the list is repeated after this
 const TICK_TOKEN: u64 = u64::MAX; // the tick's timer; tokens of requests are session ids, below 2^52
@@ -189,8 +187,7 @@
     short_at: Micros, // last time that it was told short
     fails: u32,       // failures since the last sign of life
     failed_at: Micros,
-    slow_at: Option<Micros>, // last set-up, if it took far longer than usual
-    cold_until: Micros,      // cold until then, as far as this director can tell
+    cold_until: Micros, // cold until then, as far as this director can tell
 }
 
 // ---- director --------------------------------------------------------------------------------
@@ -352,11 +349,7 @@
     }
 
     fn on_started(&mut self, id: SessionId, number: u32, server: ServerId, waited: Micros) {
-        let (waited, now) = (waited.max(0) as f64, self.now);
-        // A server that ages sets up ever more slowly long before it fails.
-        let slow = waited > SLOW_TIMES * self.setup.max(SETUP_GUESS);
-        self.servers.get_mut(&server).into_iter().for_each(|s| s.slow_at = slow.then_some(now));
-        self.setup += 0.1 * (waited.min(SLOW_TIMES * self.setup) - self.setup);
+        self.setup += 0.1 * (waited.max(0) as f64 - self.setup);
         self.on_sign(server, true);
         if self.live.get(&id).is_some_and(|l| l.state == State::Pending && l.ask.attempts == number + 1) {
             self.turn(id, State::Plays);
@@ -562,14 +555,7 @@
             .servers
             .values()
             .filter(|s| self.holds(s, &ask.req) && self.may_take(s, ask))
-            .map(|s| {
-                (
-                    s.fails > 0 || s.slow_at.is_some_and(|t| self.now - t < SLOW_FOR),
-                    self.account(s),
-                    self.tie(ask, s),
-                    s,
-                )
-            })
+            .map(|s| (s.fails > 0, self.account(s), self.tie(ask, s), s))
             .collect();
         holders.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
         holders.into_iter().map(|(_, _, _, s)| s).collect()
@@ -881,19 +867,23 @@
         for line in lines {
             let came = line.came_up.unwrap_or(self.now - warm);
             let cold_until = came + warm;
-            match self.servers.get_mut(&line.server) {
-                Some(s) => {
-                    if line.came_up > s.listed.came_up {
-                        (s.fails, s.short, s.link.share) = (0, false, 0.0);
-                        s.cold_until = s.cold_until.max(cold_until);
-                    }
-                    s.listed = line;
-                }
-                None => {
-                    let s = Server { listed: line, cold_until, ..Server::default() };
-                    self.servers.insert(line.server, s);
+            let known = self.servers.contains_key(&line.server);
+            let s = self.servers.entry(line.server).or_default();
+            if line.came_up > s.listed.came_up || !known {
+                (s.fails, s.short) = (0, false);
+                s.cold_until = s.cold_until.max(cold_until);
+                if self.now < cold_until {
+                    // It has just started, and is empty.
+                    s.link = Account {
+                        kb: s.link.kb,
+                        own: s.link.own,
+                        reported: Some(self.now),
+                        seen_to: self.now,
+                        ..Account::default()
+                    };
                 }
             }
+            s.listed = line;
         }
         self.size_links();
     }
