--- a/src/control.rs
+++ b/src/control.rs
@@ -165,6 +165,7 @@
 /// what it hears replaces that the more it hears.
 #[derive(Default)]
 struct Fleet {
+    heard: f64,
     link: f64, // mean share asked of links, and of uplinks
     uplink: f64,
     link_spread: f64, // how far single ones stray from it
@@ -462,20 +463,20 @@
             let guess = if size > 0.0 { own * n / size } else { 0.0 };
             let mean = (sum + PRIOR * guess) / (count + PRIOR);
             let spread = (squares - sum * sum / f64::max(count, 1.0)) / (count + PRIOR);
-            (mean, spread.max(0.0).sqrt())
+            (mean, spread.max(0.0).sqrt(), count)
         };
         let links: f64 = self.servers.values().map(|s| s.link.kb).sum();
         let uplinks = self.set.racks as f64 * self.set.uplink_kb.max(0.0);
         let own: f64 = self.servers.values().map(|s| s.link.own).sum();
         let (held, middle) = (self.live.len() as f64, self.set.rate(0, self.set.ladder.len() / 2));
-        let (link, link_spread) = mean(&mut self.servers.values().map(|s| &s.link), own, links);
-        let (uplink, uplink_spread) = mean(&mut self.uplinks.values(), own, uplinks);
+        let (link, link_spread, heard) = mean(&mut self.servers.values().map(|s| &s.link), own, links);
+        let (uplink, uplink_spread, _) = mean(&mut self.uplinks.values(), own, uplinks);
         let usual = (own + 0.5 * middle) / (held + 0.5);
         let asked = if uplinks > 0.0 { uplink * uplinks } else { link * links };
         let sessions = if usual > 0.0 { asked / usual } else { held * n };
         let echo = (n - 1.0) / (1.0 + (n - 1.0) / ECHO);
         self.fleet =
-            Fleet { link, uplink, link_spread, uplink_spread, sessions, others: 1.0 - 1.0 / n, echo };
+            Fleet { heard, link, uplink, link_spread, uplink_spread, sessions, others: 1.0 - 1.0 / n, echo };
     }
 
     fn on_sign(&mut self, server: ServerId, alive: bool) {
@@ -761,8 +762,9 @@
             let Some(s) = self.servers.get(&t.server).filter(|s| !s.short) else { continue };
             let (req, class) = (&t.ask.req, t.ask.req.class);
             let (Some(terms), Some(top)) = (self.set.classes.get(class), self.set.top(req)) else { continue };
-            let told = s.link.reported.is_some_and(|r| r >= t.sent);
-            if !told || self.uplink_of(s).is_some_and(|u| u.reported.is_none()) || top <= t.rung {
+            let told = s.link.reported.is_some_and(|r| r >= t.sent)
+                && self.uplink_of(s).is_none_or(|u| u.reported.is_some());
+            if !(told || self.fleet.heard >= 1.0) || top <= t.rung {
                 continue;
             }
             // All other directors decide theirs at the same time: what counts is not how full the link is now
@@ -867,23 +869,19 @@
         for line in lines {
             let came = line.came_up.unwrap_or(self.now - warm);
             let cold_until = came + warm;
-            let known = self.servers.contains_key(&line.server);
-            let s = self.servers.entry(line.server).or_default();
-            if line.came_up > s.listed.came_up || !known {
-                (s.fails, s.short) = (0, false);
-                s.cold_until = s.cold_until.max(cold_until);
-                if self.now < cold_until {
-                    // It has just started, and is empty.
-                    s.link = Account {
-                        kb: s.link.kb,
-                        own: s.link.own,
-                        reported: Some(self.now),
-                        seen_to: self.now,
-                        ..Account::default()
-                    };
+            match self.servers.get_mut(&line.server) {
+                Some(s) => {
+                    if line.came_up > s.listed.came_up {
+                        (s.fails, s.short, s.link.share) = (0, false, 0.0);
+                        s.cold_until = s.cold_until.max(cold_until);
+                    }
+                    s.listed = line;
+                }
+                None => {
+                    let s = Server { listed: line, cold_until, ..Server::default() };
+                    self.servers.insert(line.server, s);
                 }
             }
-            s.listed = line;
         }
         self.size_links();
     }
