--- a/src/control.rs
+++ b/src/control.rs
@@ -165,7 +165,6 @@
 /// what it hears replaces that the more it hears.
 #[derive(Default)]
 struct Fleet {
-    heard: f64,
     link: f64, // mean share asked of links, and of uplinks
     uplink: f64,
     link_spread: f64, // how far single ones stray from it
@@ -463,20 +462,20 @@
             let guess = if size > 0.0 { own * n / size } else { 0.0 };
             let mean = (sum + PRIOR * guess) / (count + PRIOR);
             let spread = (squares - sum * sum / f64::max(count, 1.0)) / (count + PRIOR);
-            (mean, spread.max(0.0).sqrt(), count)
+            (mean, spread.max(0.0).sqrt())
         };
         let links: f64 = self.servers.values().map(|s| s.link.kb).sum();
         let uplinks = self.set.racks as f64 * self.set.uplink_kb.max(0.0);
         let own: f64 = self.servers.values().map(|s| s.link.own).sum();
         let (held, middle) = (self.live.len() as f64, self.set.rate(0, self.set.ladder.len() / 2));
-        let (link, link_spread, heard) = mean(&mut self.servers.values().map(|s| &s.link), own, links);
-        let (uplink, uplink_spread, _) = mean(&mut self.uplinks.values(), own, uplinks);
+        let (link, link_spread) = mean(&mut self.servers.values().map(|s| &s.link), own, links);
+        let (uplink, uplink_spread) = mean(&mut self.uplinks.values(), own, uplinks);
         let usual = (own + 0.5 * middle) / (held + 0.5);
         let asked = if uplinks > 0.0 { uplink * uplinks } else { link * links };
         let sessions = if usual > 0.0 { asked / usual } else { held * n };
         let echo = (n - 1.0) / (1.0 + (n - 1.0) / ECHO);
         self.fleet =
-            Fleet { heard, link, uplink, link_spread, uplink_spread, sessions, others: 1.0 - 1.0 / n, echo };
+            Fleet { link, uplink, link_spread, uplink_spread, sessions, others: 1.0 - 1.0 / n, echo };
     }
 
     fn on_sign(&mut self, server: ServerId, alive: bool) {
@@ -762,9 +761,8 @@
             let Some(s) = self.servers.get(&t.server).filter(|s| !s.short) else { continue };
             let (req, class) = (&t.ask.req, t.ask.req.class);
             let (Some(terms), Some(top)) = (self.set.classes.get(class), self.set.top(req)) else { continue };
-            let told = s.link.reported.is_some_and(|r| r >= t.sent)
-                && self.uplink_of(s).is_none_or(|u| u.reported.is_some());
-            if !(told || self.fleet.heard >= 1.0) || top <= t.rung {
+            let told = s.link.reported.is_some_and(|r| r >= t.sent);
+            if !told || self.uplink_of(s).is_some_and(|u| u.reported.is_none()) || top <= t.rung {
                 continue;
             }
             // All other directors decide theirs at the same time: what counts is not how full the link is now
