--- a/src/control.rs
+++ b/src/control.rs
@@ -26,6 +26,7 @@
 const ECHO: f64 = 4.0; // an own set-up not yet reported stands for so many of others at most: weak evidence
 const ANSWER_AGE: Micros = 500_000; // age of the figures in an answer: refresh and delay
 const LOG_SPAN: Micros = 5_000_000; // own set-ups are remembered so long, for reports that predate them
+const GROWTH_SPAN: Micros = 3_000_000; // reports lag by about so much
 const TICK: Micros = 200_000; // often enough to follow the notes
 const STALL: Micros = 300_000; // a tick this much late was held up here: a batch takes a few milliseconds
 const CAUTION: f64 = 0.7; // spreads over the mean for the unheard, but not for the lowest rung
@@ -473,6 +474,10 @@
         let usual = (own + 0.5 * middle) / (held + 0.5);
         let asked = if uplinks > 0.0 { uplink * uplinks } else { link * links };
         let sessions = if usual > 0.0 { asked / usual } else { held * n };
+        // Reports lag a crowd: the others are taken to have grown as this director has since.
+        let young = |l: &&Live| l.sent > self.born.max(self.now - GROWTH_SPAN);
+        let sessions =
+            sessions * (held + PRIOR) / (held + PRIOR - self.live.values().filter(young).count() as f64);
         let echo = (n - 1.0) / (1.0 + (n - 1.0) / ECHO);
         self.fleet =
             Fleet { link, uplink, link_spread, uplink_spread, sessions, others: 1.0 - 1.0 / n, echo };
