--- a/src/control.rs
+++ b/src/control.rs
@@ -102,11 +102,6 @@
     due: Option<Micros>,
 }
 
-/// True if the outcome proves that the attempt never ran.
-fn never_ran(outcome: Outcome) -> bool {
-    matches!(outcome, Outcome::Full | Outcome::NoConnection | Outcome::NotSent)
-}
-
 // ---- account ---------------------------------------------------------------------------------
 
 /// What is believed asked of one link or uplink, as a part of what it gives.
@@ -368,7 +363,8 @@
         if closed || outcome == Outcome::Good || state != State::Pending {
             return;
         }
-        if never_ran(outcome) || self.harmless(ask.req.class) {
+        let never_ran = matches!(outcome, Outcome::Full | Outcome::NoConnection | Outcome::NotSent);
+        if never_ran || self.harmless(ask.req.class) {
             self.place(ask);
         } else {
             self.out.push(Action::Fail { session: id });
@@ -850,7 +846,9 @@
         let pace = (c.overload_factor * c.start_capacity * self.set.places(s.listed.kind)).max(1.0) / warm;
         let all =
             self.set.sharers() * asked.max(1) as f64 * spread.max(1) as f64 / self.set.cells.max(1) as f64;
-        draw(self.tie(ask, s)) * all < pace * PACE_MARGIN * span as f64
+        let most = pace * PACE_MARGIN * span as f64;
+        let sent = self.live.values().filter(|l| l.server == s.listed.server && l.sent > self.now - span);
+        draw(self.tie(ask, s)) * all < most && sent.count() < (most / self.set.sharers()).max(1.0) as usize
     }
 
     // ---- list -------------------------------------------------------------------------------
--- a/tests/held.rs
+++ b/tests/held.rs
@@ -15,7 +15,8 @@
 
 /// One server, and on it a session that was carried over at this rung.
 fn carried(set: Settings, class: usize, at: usize) -> (Desk, ServerId) {
-    let mut desk = Desk::new(set, 1);
+    let mut desk = Desk { director: Director::new(1, set, 60 * S), now: 60 * S };
+    desk.list(ListNews::Full, vec![line(1)]);
     let server = ServerId(1);
     desk.carry(1, class, server);
     desk.note(1, server, Note::Rung(at));
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -132,10 +132,12 @@
     let mut set = settings();
     (set.classes[PAID].seats, set.classes[PAID].floor) = (0, 0);
     let given = |class| {
-        let mut desk = Desk::new(set.clone(), 4);
+        let mut desk = Desk { director: Director::new(1, set.clone(), 0), now: 0 };
+        desk.list(ListNews::Full, (1..=4).map(line).collect());
         for id in 1..=60 {
             desk.carry(id, (id % 2) as usize, ServerId(1 + id % 4));
         }
+        desk.wait(20 * S);
         rung(&desk.ask(100, class)).unwrap()
     };
     assert!(given(PAID) > given(HARMLESS), "{} and {}", given(PAID), given(HARMLESS));
@@ -155,3 +157,25 @@
         assert!(sent_to(&desk.ask(2, HARMLESS)).is_some(), "{note:?}");
     }
 }
+
+#[test]
+fn a_crowd_that_no_report_shows_yet_lowers_the_rungs_given() {
+    // Hunt at size, h68a016: twice the viewers within a second were set up as if nothing had changed.
+    let given = |crowd: u64| {
+        let mut set = Settings { directors: 10, ..settings() };
+        set.classes[HARMLESS].seats = 0;
+        let mut desk = Desk { director: Director::new(1, set, 0), now: 0 };
+        desk.list(ListNews::Full, (1..=4).map(line).collect());
+        for id in 1..=6 {
+            desk.carry(id, HARMLESS, ServerId(1 + id % 4));
+        }
+        desk.wait(20 * S);
+        for id in 1..=4 {
+            desk.report(id, ServerId(id), 0.3, 0.3);
+        }
+        (100..100 + crowd).for_each(|id| drop(desk.ask(id, HARMLESS)));
+        desk.note(99, ServerId(1), Note::Link(0.3));
+        rung(&desk.ask(1000, HARMLESS))
+    };
+    assert!(given(8) < given(0), "{:?} and {:?}", given(8), given(0));
+}
