--- a/src/control.rs
+++ b/src/control.rs
@@ -365,10 +365,9 @@
         }
         let never_ran = matches!(outcome, Outcome::Full | Outcome::NoConnection | Outcome::NotSent);
         if never_ran || self.harmless(ask.req.class) {
-            self.place(ask);
-        } else {
-            self.out.push(Action::Fail { session: id });
+            return self.place(ask);
         }
+        self.out.push(Action::Fail { session: id });
     }
 
     /// What an outcome says of the server; a time-out while this director stood still says nothing.
@@ -392,7 +391,8 @@
                     (s.short, s.lost) = (false, 0.0);
                     return;
                 }
-                // Such notes come each second while it lasts.
+                // Such notes come each second while it lasts, also where no others do.
+                let uplink = s.link.reported.is_some() && s.link.share < FULL_LINE;
                 s.lost += (self.set.stall_cost * (0.98 - share)).clamp(0.0, 1.0);
                 (s.short, s.short_at) = (true, self.now);
                 let calm = s.relief_at.is_none_or(|t| self.now - t >= STEP_PAUSE);
@@ -400,6 +400,9 @@
                     (s.lost, s.relief_at) = (0.0, Some(self.now));
                     self.step_down(server, share);
                 }
+                // Where the link is not full the uplink falls short, and this tells how full it is.
+                let load = Load { uplink: uplink.then_some(1.0 / share), ..Load::default() };
+                self.on_load(server, load, self.set.told_late, ANSWER_WEIGHT);
             }
             Note::Rung(rung) if rung < self.set.ladder.len() => self.set_rung(id, rung),
             Note::Rung(_) => {}
@@ -466,7 +469,7 @@
         let own: f64 = self.servers.values().map(|s| s.link.own).sum();
         let (held, middle) = (self.live.len() as f64, self.set.rate(0, self.set.ladder.len() / 2));
         let (link, link_spread) = mean(&mut self.servers.values().map(|s| &s.link), own, links);
-        let (uplink, uplink_spread) = mean(&mut self.uplinks.values(), own, uplinks);
+        let (uplink, uplink_spread) = mean(&mut self.uplinks.values(), link * links / n, uplinks);
         let usual = (own + 0.5 * middle) / (held + 0.5);
         let asked = if uplinks > 0.0 { uplink * uplinks } else { link * links };
         let sessions = if usual > 0.0 { asked / usual } else { held * n };
@@ -799,13 +802,11 @@
     fn may_send(&self, ask: &Ask) -> bool {
         let seats = self.set.classes.get(ask.req.class).map_or(0, |c| c.seats);
         let same = |l: &&Live| (l.ask.req.title, l.ask.req.class) == (ask.req.title, ask.req.class);
-        let used_up = ask.attempts >= self.set.limits.max_attempts.max(1);
+        let seated = seats > 0 && self.live.values().filter(same).count() >= seats as usize;
+        let used_up = seated || ask.attempts >= self.set.limits.max_attempts.max(1);
         if used_up || self.now >= ask.req.deadline - self.set.limits.step {
             return false;
         }
-        if seats > 0 && self.live.values().filter(same).count() >= seats as usize {
-            return false;
-        }
         let Some(f) = self.set.contract.further.filter(|_| ask.attempts > 0) else { return true };
         // Strict edges: an attempt on the window's edge counts, a request on it does not.
         let sent = self.further.iter().filter(|t| **t >= self.now - f.span).count() as f64;
@@ -822,11 +823,8 @@
         // A failing server is tried with harmless set-ups only, one at a time, ever more rarely.
         let wait = TRIAL_WAIT << s.fails.saturating_sub(1).min(3);
         let trial = self.harmless(ask.req.class) && self.now - s.failed_at >= wait;
-        s.fails == 0 || (trial && !self.has(s, State::Pending) && !self.has(s, State::Closed))
-    }
-
-    fn has(&self, s: &Server, state: State) -> bool {
-        self.live.values().any(|l| l.server == s.listed.server && l.state == state)
+        let out = |l: &Live| l.server == s.listed.server && l.state != State::Plays;
+        s.fails == 0 || (trial && !self.live.values().any(out))
     }
 
     /// A cold server is open to a part of the requests only, by hash: as many as keep its pace if every
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -179,3 +179,18 @@
     };
     assert!(given(8) < given(0), "{:?} and {:?}", given(8), given(0));
 }
+
+#[test]
+fn a_short_note_where_the_link_is_not_full_tells_of_the_uplink() {
+    // Incident iefaf2e: no report of uplinks came for the whole day, only notes of short delivery.
+    let mut desk = Desk::new(settings(), 4);
+    for id in 1..=4 {
+        desk.report(99, ServerId(id), if id % 2 == 1 { 0.2 } else { 0.5 }, 0.3);
+    }
+    assert!(sent_to(&desk.ask(1, HARMLESS)).is_some_and(|s| s.0 % 2 == 1), "the emptier links");
+    // Servers 1 and 3 share a rack: what 1 tells bears on 3.
+    for _ in 0..4 {
+        desk.note(99, ServerId(1), Note::Delivered(0.7));
+    }
+    assert!(sent_to(&desk.ask(2, HARMLESS)).is_some_and(|s| s.0 % 2 == 0), "the other rack");
+}
