--- a/src/control.rs
+++ b/src/control.rs
@@ -469,7 +469,7 @@
         let own: f64 = self.servers.values().map(|s| s.link.own).sum();
         let (held, middle) = (self.live.len() as f64, self.set.rate(0, self.set.ladder.len() / 2));
         let (link, link_spread) = mean(&mut self.servers.values().map(|s| &s.link), own, links);
-        let (uplink, uplink_spread) = mean(&mut self.uplinks.values(), link * links / n, uplinks);
+        let (uplink, uplink_spread) = mean(&mut self.uplinks.values(), own, uplinks);
         let usual = (own + 0.5 * middle) / (held + 0.5);
         let asked = if uplinks > 0.0 { uplink * uplinks } else { link * links };
         let sessions = if usual > 0.0 { asked / usual } else { held * n };
