--- a/src/control.rs
+++ b/src/control.rs
@@ -330,10 +330,7 @@
 
     /// The answers are in, or late: the request is decided on what is known.
     fn asked(&mut self, id: SessionId) {
-        let Some((mut ask, silent)) = self.asking.remove(&id) else { return };
-        if self.stalled != self.now {
-            ask.tried.extend(silent);
-        }
+        let Some((ask, _)) = self.asking.remove(&id) else { return };
         self.place(ask);
     }
 
