--- a/src/control.rs
+++ b/src/control.rs
@@ -20,6 +20,7 @@
 const CROSS_SHARE: f64 = 10.0; // a crossing weighs as much as so many times its price of a link
 const CALM: Micros = 6_000_000; // a stepped session may be decided anew after so long
 const PACE_MARGIN: f64 = 0.5; // part used of a cold server's falling pace: chance bunches, places stray
+const CROWD: f64 = 0.02; // a title may draw so large a part of all viewers however few servers hold it
 const ANSWER_WEIGHT: f64 = 0.4; // weight of a report in an answer, noisy, of unknown age, against the belief
 const NOTE_WEIGHT: f64 = 0.8; // weight of a note on fullness: later, but without noise
 const PRIOR: f64 = 2.0; // what is presumed of the fleet weighs as much as so many reports or sessions
@@ -842,8 +843,9 @@
         let asked = lately(&self.taken) + lately(&self.further);
         let warm = c.warm_after.max(1) as f64;
         let pace = (c.overload_factor * c.start_capacity * self.set.places(s.listed.kind)).max(1.0) / warm;
-        let all =
-            self.set.sharers() * asked.max(1) as f64 * spread.max(1) as f64 / self.set.cells.max(1) as f64;
+        let part = spread as f64 / self.set.cells.max(1) as f64;
+        let part = if self.now < s.cold_until { part.max(CROWD) } else { part };
+        let all = self.set.sharers() * asked.max(1) as f64 * part;
         let most = pace * PACE_MARGIN * span as f64;
         let sent = self.live.values().filter(|l| l.server == s.listed.server && l.sent > self.now - span);
         draw(self.tie(ask, s)) * all < most && sent.count() < (most / self.set.sharers()).max(1.0) as usize
