--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -157,6 +157,20 @@
     assert!(sent.iter().all(|n| *n <= 6) && sent.iter().sum::<usize>() >= 4, "{sent:?} set-ups");
 }
 
+#[test]
+fn a_crowd_for_a_title_that_few_servers_hold_does_not_push_a_fresh_one_over() {
+    // Found by a hunt: the draw presumed that few ask for a title that 3 of 300 servers hold, and let 2 in 3 through.
+    let set = Settings { directors: 300, cells: 300, racks: 30, ..settings() };
+    let sent = (0..300u64).filter(|id| {
+        let mut desk = Desk { director: Director::new(*id, set.clone(), 0), now: 60 * S };
+        desk.list(ListNews::Delta, vec![Listed { came_up: Some(desk.now - S), ..line(1) }]);
+        let req = Request { spread: 3, ..request(1000 + id, HARMLESS, desk.now) };
+        sent_to(&desk.tell(Event::Asked(req))).is_some()
+    });
+    let sent = sent.count();
+    assert!((20..150).contains(&sent), "{sent} of 300");
+}
+
 #[test]
 fn in_a_directors_first_time_servers_are_paced_since_its_list_may_hide_a_start() {
     let cached = |desk: &mut Desk| {
