--- a/benchlink/tests/wire.rs
+++ b/benchlink/tests/wire.rs
@@ -85,6 +85,47 @@
     assert_eq!(reply.matches("ACK\n").count(), 4);
 }
 
+#[test]
+fn where_probes_are_allowed_and_cheap_they_go_out_first_and_their_answers_place() {
+    let setup = |price: &str, probes: &str| {
+        let probing = format!("\"Deductions\": {{\"Probe\": {price}}}, \"Limits\": {{\"Probes\": {probes}, ");
+        setup().replacen("\"Limits\": {", &probing, 1)
+    };
+    let talk_on = |setup: String, more: &[&str]| {
+        let begin = format!("BEGIN director-3 -17 {setup}");
+        let (nodes, ask) = (["NODE 11 north small 0 1 1 -", "NODE 12 north small 1 1 1 -"], ASK);
+        let head =
+            ["SYNC 1000.5", &begin, "LIST 0 2", nodes[0], nodes[1], "ANNOUNCE director-3 2 41 0", "COMMIT"];
+        let mut lines = head.to_vec();
+        // The director's timer rings when it is due: otherwise it would have stood still, and not probe.
+        let ticks: Vec<String> =
+            (1..=30).map(|n| format!("SYNC {}", 1000.5 + 200.0 * f64::from(n))).collect();
+        let bell = format!("BELL director-3 {}", u64::MAX);
+        ticks.iter().for_each(|t| lines.extend([t.as_str(), bell.as_str(), "COMMIT"]));
+        lines.extend(["SYNC 7000.5", ask, "COMMIT"]);
+        lines.extend(more);
+        talk(&lines).unwrap()
+    };
+    for (price, probes) in [("0.01", "false"), ("0.5", "true")] {
+        let reply = talk_on(setup(price, probes), &[]);
+        assert!(
+            !reply.contains("PING") && reply.contains("TRANSMIT director-3 77"),
+            "{price} {probes}: {reply}"
+        );
+    }
+    let reply = talk_on(setup("0.01", "true"), &[]);
+    assert!(reply.contains("PING director-3 11\n") && reply.contains("PING director-3 12\n"), "{reply}");
+    assert!(!reply.contains("TRANSMIT"), "{reply}");
+    let answers = [
+        "SYNC 7003",
+        "PROBE_RESULT director-3 11 GOOD 2.1 rif:7,x0:0.9,x1:0.3",
+        "PROBE_RESULT director-3 12 GOOD 2.2 rif:3,x0:0.2,x1:0.3",
+        "COMMIT",
+    ];
+    let reply = talk_on(setup("0.01", "true"), &answers);
+    assert!(reply.contains("TRANSMIT director-3 77 12 "), "the emptier one: {reply}");
+}
+
 #[test]
 fn an_unknown_class_is_refused_with_advice_and_an_unheld_id_passed_over() {
     let ask = ASK.replace("live", "unheard-of");
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -194,3 +194,18 @@
     }
     assert!(sent_to(&desk.ask(2, HARMLESS)).is_some_and(|s| s.0 % 2 == 0), "the other rack");
 }
+
+#[test]
+fn a_crossing_of_zones_counts_as_much_as_its_price_says() {
+    for (price, share, want) in [(0.04, 0.3, 1), (0.04, 0.9, 2), (0.0, 0.3, 2)] {
+        let mut set = Settings { zone: Some(0), cross_price: price, ..settings() };
+        set.racks = 0;
+        let mut desk = Desk { director: Director::new(1, set, 0), now: 0 };
+        let near = Listed { zone: Some(0), ..line(1) };
+        desk.list(ListNews::Full, vec![near, Listed { zone: Some(1), ..line(2) }]);
+        desk.now = 60 * S;
+        desk.note(99, ServerId(1), Note::Link(share));
+        desk.note(99, ServerId(2), Note::Link(0.2));
+        assert_eq!(sent_to(&desk.ask(1, HARMLESS)), Some(ServerId(want)), "at {price}, {share}");
+    }
+}
