--- a/src/control.rs
+++ b/src/control.rs
@@ -348,13 +348,17 @@
     fn on_started(&mut self, id: SessionId, number: u32, server: ServerId, waited: Micros) {
         self.setup += 0.1 * (waited.max(0) as f64 - self.setup);
         self.on_sign(server, true);
-        if self.live.get(&id).is_some_and(|l| l.state == State::Pending && l.ask.attempts == number + 1) {
+        if self
+            .live
+            .get(&id)
+            .is_some_and(|l| l.state == State::Pending && l.ask.attempts == number.wrapping_add(1))
+        {
             self.turn(id, State::Plays);
         }
     }
 
     fn on_finished(&mut self, id: SessionId, number: u32, outcome: Outcome, closed: bool) {
-        if self.live.get(&id).is_none_or(|l| l.ask.attempts != number + 1) {
+        if self.live.get(&id).is_none_or(|l| l.ask.attempts != number.wrapping_add(1)) {
             return;
         }
         let Some(Live { ask, state, server, kb, .. }) = self.live.remove(&id) else { return };
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -105,6 +105,9 @@
     desk.tell(Event::Timer(404));
     desk.finish(404, 3, ServerId(404), Outcome::Good);
     desk.start(404, 3, ServerId(404));
+    desk.ask(6, HARMLESS);
+    desk.start(6, u32::MAX, ServerId(1));
+    desk.finish(6, u32::MAX, ServerId(1), Outcome::Good);
     desk.tell(Event::Peer { from: 9, body: vec![1] });
     let out = Desk { director: Director::new(0, Settings::default(), 0), now: 0 }.ask(1, 0);
     assert!(refused(&out), "empty settings refuse");
