--- a/src/control.rs
+++ b/src/control.rs
@@ -242,11 +242,11 @@
             Event::Asked(req) => self.on_asked(req),
             Event::Carried(req, server) => self.on_carried(req, server),
             Event::Started { session, attempt, server, waited } => {
-                self.on_started(session, attempt, server, waited);
+                self.on_started(session, attempt.wrapping_add(1), server, waited);
             }
             Event::Finished { session, attempt, server, outcome, closed, load } => {
                 self.on_load(server, load, ANSWER_AGE, ANSWER_WEIGHT);
-                self.on_finished(session, attempt, outcome, closed);
+                self.on_finished(session, attempt.wrapping_add(1), outcome, closed);
             }
             Event::Noted { session, server, note, .. } => {
                 self.on_note(session, server, note);
@@ -345,20 +345,16 @@
         self.hold(Live { ask, state: State::Plays, server, rung, kb, sent: self.now, due: Some(self.now) });
     }
 
-    fn on_started(&mut self, id: SessionId, number: u32, server: ServerId, waited: Micros) {
+    fn on_started(&mut self, id: SessionId, attempts: u32, server: ServerId, waited: Micros) {
         self.setup += 0.1 * (waited.max(0) as f64 - self.setup);
         self.on_sign(server, true);
-        if self
-            .live
-            .get(&id)
-            .is_some_and(|l| l.state == State::Pending && l.ask.attempts == number.wrapping_add(1))
-        {
+        if self.live.get(&id).is_some_and(|l| l.state == State::Pending && l.ask.attempts == attempts) {
             self.turn(id, State::Plays);
         }
     }
 
-    fn on_finished(&mut self, id: SessionId, number: u32, outcome: Outcome, closed: bool) {
-        if self.live.get(&id).is_none_or(|l| l.ask.attempts != number.wrapping_add(1)) {
+    fn on_finished(&mut self, id: SessionId, attempts: u32, outcome: Outcome, closed: bool) {
+        if self.live.get(&id).is_none_or(|l| l.ask.attempts != attempts) {
             return;
         }
         let Some(Live { ask, state, server, kb, .. }) = self.live.remove(&id) else { return };
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -212,3 +212,44 @@
         assert_eq!(sent_to(&desk.ask(1, HARMLESS)), Some(ServerId(want)), "at {price}, {share}");
     }
 }
+
+#[test]
+fn odd_sizes_of_fleet_and_directors_give_legal_actions() {
+    for directors in [0, 1, 2, 300, u32::MAX] {
+        for servers in [0, 1, 1000] {
+            let set = Settings { directors, number: 7, cells: 1000, racks: 100, ..settings() };
+            let mut desk = Desk::new(set, servers);
+            desk.wait(S);
+            let req = Request { spread: 1000, ..request(1, HARMLESS, desk.now) };
+            let out = desk.tell(Event::Asked(req));
+            assert_eq!(
+                (sent_to(&out).is_some(), refused(&out)),
+                (servers > 0, servers == 0),
+                "{directors} {servers}"
+            );
+        }
+    }
+    // All holders draining, or gone and replaced under the same cell: the answer comes at once.
+    let mut desk = Desk::new(settings(), 2);
+    desk.list(ListNews::Delta, vec![Listed { state: Standing::Draining, ..line(1) }]);
+    desk.list(ListNews::Delta, vec![Listed { state: Standing::Gone, ..line(2) }]);
+    assert!(refused(&desk.ask(1, HARMLESS)) && refused(&desk.ask(2, PAID)));
+    desk.list(ListNews::Delta, vec![Listed { server: ServerId(9), ..line(2) }]);
+    assert_eq!(sent_to(&desk.ask(3, HARMLESS)), Some(ServerId(9)));
+}
+
+#[test]
+fn a_probe_of_a_server_that_is_gone_or_that_fails_is_evidence_only() {
+    let mut set = settings();
+    (set.limits.may_probe, set.limits.probe_price) = (true, 0.01);
+    let mut desk = Desk::new(set, 2);
+    desk.wait(6 * S);
+    assert!(sent_to(&desk.ask(1, PAID)).is_none(), "it waits for its probes");
+    desk.list(ListNews::Delta, vec![Listed { state: Standing::Gone, ..line(1) }]);
+    let load = Load { link: Some(0.0), ..Load::default() };
+    assert!(
+        sent_to(&desk.tell(Event::Probed { server: ServerId(1), outcome: Outcome::Good, load })).is_none()
+    );
+    let out = desk.tell(Event::Probed { server: ServerId(2), outcome: Outcome::Late, load: Load::default() });
+    assert!(refused(&out), "the emptiest is gone, and a failing one takes no paid set-up");
+}
