--- a/src/control.rs
+++ b/src/control.rs
@@ -484,13 +484,12 @@
     }
 
     fn on_sign(&mut self, server: ServerId, alive: bool) {
-        let warm = self.set.contract.warm_after;
         let Some(s) = self.servers.get_mut(&server) else { return };
         s.fails = if alive { 0 } else { s.fails + 1 };
         if !alive {
             s.failed_at = self.now;
             // It may be back at any moment, and cold: pace it from the failure on.
-            s.cold_until = s.cold_until.max(self.now + warm);
+            s.cold_until = s.cold_until.max(self.now + self.set.contract.warm_after);
         }
     }
 
@@ -868,8 +867,7 @@
         }
         let warm = self.set.contract.warm_after;
         for line in lines {
-            let came = line.came_up.unwrap_or(self.now - warm);
-            let cold_until = came + warm;
+            let cold_until = line.came_up.unwrap_or(self.now - warm) + warm;
             match self.servers.get_mut(&line.server) {
                 Some(s) => {
                     if line.came_up > s.listed.came_up {
@@ -879,11 +877,13 @@
                     s.listed = line;
                 }
                 None => {
-                    let s = Server { listed: line, cold_until, ..Server::default() };
-                    self.servers.insert(line.server, s);
+                    self.servers
+                        .insert(line.server, Server { listed: line, cold_until, ..Server::default() });
                 }
             }
         }
+        let held = |id: &ServerId| self.live.values().any(|l| l.server == *id);
+        self.servers.retain(|id, s| s.listed.state != Standing::Gone || held(id)); // else forgotten
         self.size_links();
     }
 
