--- a/src/control.rs
+++ b/src/control.rs
@@ -24,6 +24,7 @@
 const ANSWER_WEIGHT: f64 = 0.4; // weight of a report in an answer, noisy, of unknown age, against the belief
 const NOTE_WEIGHT: f64 = 0.8; // weight of a note on fullness: later, but without noise
 const PRIOR: f64 = 2.0; // what is presumed of the fleet weighs as much as so many reports or sessions
+const PRIOR_RATE: f64 = 0.5; // own sessions that the ladder's middle weighs as: a few own rates tell more
 const ECHO: f64 = 4.0; // an own set-up not yet reported stands for so many of others at most: weak evidence
 const ANSWER_AGE: Micros = 500_000; // age of the figures in an answer: refresh and delay
 const LOG_SPAN: Micros = 5_000_000; // own set-ups are remembered so long, for reports that predate them
@@ -471,7 +472,7 @@
         let (held, middle) = (self.live.len() as f64, self.set.rate(0, self.set.ladder.len() / 2));
         let (link, link_spread) = mean(&mut self.servers.values().map(|s| &s.link), own, links);
         let (uplink, uplink_spread) = mean(&mut self.uplinks.values(), own, uplinks);
-        let usual = (own + 0.5 * middle) / (held + 0.5);
+        let usual = (own + PRIOR_RATE * middle) / (held + PRIOR_RATE);
         let asked = if uplinks > 0.0 { uplink * uplinks } else { link * links };
         let sessions = if usual > 0.0 { asked / usual } else { held * n };
         // Reports lag a crowd: the others are taken to have grown as this director has since.
@@ -832,8 +833,8 @@
     /// any may be, since a cached list may hide a start, they draw alike.
     fn open(&self, s: &Server, ask: &Ask) -> bool {
         let c = &self.set.contract;
-        let spread = if self.now < s.cold_until { ask.req.spread.min(self.set.cells) } else { 1 };
-        if self.now >= s.cold_until.max(self.born + c.warm_after) {
+        let (known, cells) = (self.now < s.cold_until, self.set.cells.max(1) as f64);
+        if !known && self.now >= self.born + c.warm_after {
             return true;
         }
         let span = c.fall.max(1);
@@ -842,8 +843,7 @@
         let asked = lately(&self.taken) + lately(&self.further);
         let warm = c.warm_after.max(1) as f64;
         let pace = (c.overload_factor * c.start_capacity * self.set.places(s.listed.kind)).max(1.0) / warm;
-        let part = spread as f64 / self.set.cells.max(1) as f64;
-        let part = if self.now < s.cold_until { part.max(CROWD) } else { part };
+        let part = if known { (ask.req.spread as f64 / cells).clamp(CROWD, 1.0) } else { 1.0 / cells };
         let all = self.set.sharers() * asked.max(1) as f64 * part;
         let most = pace * PACE_MARGIN * span as f64;
         let sent = self.live.values().filter(|l| l.server == s.listed.server && l.sent > self.now - span);
