--- a/crates/audit/src/record.rs
+++ b/crates/audit/src/record.rs
@@ -118,7 +118,8 @@
         t: i64,
         ask: u64,
     },
-    /// What a viewer got of a session: for so long, bytes received and bytes that full rates would have been.
+    /// What a viewer got of a session: for so long, bytes received and bytes that full rates would have been,
+    /// and for how long each rung was in force.
     Watched {
         t: i64,
         ask: u64,
@@ -126,7 +127,7 @@
         micros: i64,
         got: u64,
         due: u64,
-        rungs: BTreeMap<usize, i64>,
+        rungs: Vec<(usize, i64)>,
     },
 
     // ---- directors --------------------------------------------------------------------------
--- /dev/null
+++ b/crates/front/src/api.rs
@@ -0,0 +1,120 @@
+//! The viewers' side: sessions asked for and ended, as `docs/protocol.md` has it.
+
+use crate::hub::Hub;
+use serde::Deserialize;
+use shalewall::{Micros, SessionId};
+use shalewall_engine::{Answer, Input, NewSession};
+use shalewall_http::server::{Reply, Request};
+use std::rc::Rc;
+
+/// What a viewer sends. Unknown members are passed over.
+#[derive(Deserialize)]
+struct Wanted {
+    viewer: String,
+    tenant: Option<String>,
+    class: String,
+    title: String,
+    wait_ms: Option<f64>,
+    hint_s: Option<f64>,
+    top: Option<usize>,
+    #[serde(default)]
+    again: bool,
+}
+
+/// Names are so long at most, in bytes.
+const NAME: usize = 256;
+
+fn micros(x: Option<f64>, unit: f64) -> Result<Option<Micros>, &'static str> {
+    match x {
+        None => Ok(None),
+        Some(x) if x.is_finite() && (0.0..=1e9).contains(&x) => Ok(Some((x * unit) as Micros)),
+        Some(_) => Err("times have to be from 0 to 1e9"),
+    }
+}
+
+fn read(body: &[u8]) -> Result<NewSession, String> {
+    let w: Wanted = serde_json::from_slice(body).map_err(|e| e.to_string())?;
+    let names = [&w.viewer, &w.class, &w.title, w.tenant.as_ref().unwrap_or(&w.class)];
+    if names.iter().any(|n| n.is_empty() || n.len() > NAME) {
+        return Err(format!("viewer, tenant, class and title take 1 to {NAME} bytes"));
+    }
+    Ok(NewSession {
+        wait: micros(w.wait_ms, 1e3)?,
+        hint: micros(w.hint_s, 1e6)?,
+        viewer: w.viewer,
+        tenant: w.tenant,
+        class: w.class,
+        title: w.title,
+        top: w.top,
+        again: w.again,
+    })
+}
+
+/// Answers one request.
+pub async fn answer(hub: Rc<Hub>, request: Request) -> Reply {
+    let head = &request.head;
+    let session = head.path().strip_prefix("/sessions/").and_then(|s| s.parse().ok());
+    match (head.method.as_str(), head.path(), session) {
+        ("POST", "/sessions", _) => match read(&request.body) {
+            Err(why) => Reply::problem(422, &why),
+            Ok(new) => match hub.ask(new).answer().await {
+                Some(answer) => reply(answer),
+                None => Reply::problem(500, "the front is being stopped"),
+            },
+        },
+        ("DELETE", _, Some(session)) => {
+            // Ending what has ended, or never was, is no error: the wish is fulfilled.
+            hub.feed(Input::Ended { session: SessionId(session) });
+            Reply::new(204)
+        }
+        ("GET", "/state", _) => {
+            let held = hub.held();
+            let text = format!(
+                "{{\"waiting\":{},\"playing\":{},\"leaving\":{},\"owed_ends\":{}}}",
+                held.waiting, held.playing, held.leaving, held.owed_ends
+            );
+            Reply::json(200, text)
+        }
+        ("GET" | "POST" | "DELETE", ..) => Reply::problem(404, "no such thing here"),
+        _ => Reply::problem(405, "no such method here"),
+    }
+}
+
+/// A problem with members of its own (RFC 9457, section 3.2).
+fn problem(status: u16, detail: &str, session: Option<SessionId>, come_back: Option<Micros>) -> Reply {
+    let mut body = serde_json::json!({
+        "status": status, "title": shalewall_http::head::reason(status), "detail": detail,
+    });
+    if let Some(session) = session {
+        body["session"] = session.0.into();
+    }
+    if let Some(after) = come_back {
+        body["come_back_ms"] = (after as f64 / 1000.0).into();
+    }
+    Reply::new(status).with("Content-Type", "application/problem+json").content(body.to_string().into_bytes())
+}
+
+fn reply(answer: Answer) -> Reply {
+    match answer {
+        Answer::Plays { session, rung, media } => {
+            let body = serde_json::json!({ "session": session.0, "rung": rung, "media": media });
+            Reply::json(201, body.to_string()).with("Location", format!("/sessions/{}", session.0))
+        }
+        Answer::Refused { session, come_back } => {
+            let reply = problem(503, "turned away, free to come back", session, come_back);
+            match come_back {
+                // The field has whole seconds; the exact time is in the body.
+                Some(after) => reply.with("Retry-After", ((after + 999_999) / 1_000_000).to_string()),
+                None => reply,
+            }
+        }
+        Answer::Failed { session, late: false } => {
+            problem(502, "failed; it may have been set up", Some(session), None)
+        }
+        Answer::Failed { session, late: true } => {
+            problem(504, "the time was up; it may have been set up", Some(session), None)
+        }
+        Answer::Unknown(what) => Reply::problem(404, &format!("{what} is not known here")),
+        Answer::Clash(what) => Reply::problem(409, what),
+    }
+}
--- /dev/null
+++ b/crates/front/src/hub.rs
@@ -0,0 +1,177 @@
+//! Drives the engine: inputs from sockets, outputs to sockets, timers. One thread, no locks.
+
+use crate::node::{self, Peer};
+use async_channel::{Receiver, Sender};
+use async_executor::{LocalExecutor, Task};
+use async_io::Timer;
+use event_listener::{Event, IntoNotification};
+use futures_lite::future;
+use shalewall::ServerId;
+use shalewall_engine::{Answer, AskId, CallId, Engine, Input, NewSession, Output};
+use shalewall_http::Limits;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+use std::time::Duration;
+use tracing::{debug, info};
+
+/// One front's engine and all that it has under way.
+pub struct Hub {
+    pub ex: Rc<LocalExecutor<'static>>,
+    pub limits: Limits,
+    /// This front's number, which nodes and list know it by.
+    pub director: u32,
+    /// An event stream without any byte for so long counts as broken.
+    pub silence: Duration,
+    engine: RefCell<Engine>,
+    asks: RefCell<HashMap<AskId, Sender<Answer>>>,
+    calls: RefCell<HashMap<CallId, Task<()>>>,
+    peers: RefCell<BTreeMap<ServerId, (Rc<Peer>, Task<()>)>>,
+    next_ask: Cell<u64>,
+    kick: Event,
+}
+
+/// A viewer's request that waits. Dropped without an answer, it tells the engine that the viewer has left.
+pub struct Waiting {
+    hub: Rc<Hub>,
+    ask: AskId,
+    answer: Receiver<Answer>,
+}
+
+impl Waiting {
+    /// Waits for the answer; none where the hub is being taken down.
+    pub async fn answer(self) -> Option<Answer> {
+        self.answer.recv().await.ok()
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        if self.hub.asks.borrow_mut().remove(&self.ask).is_some() {
+            self.hub.feed(Input::Left { ask: self.ask });
+        }
+    }
+}
+
+impl Hub {
+    pub fn new(
+        ex: Rc<LocalExecutor<'static>>,
+        engine: Engine,
+        director: u32,
+        limits: Limits,
+        silence: Duration,
+    ) -> Rc<Hub> {
+        let hub = Rc::new(Hub {
+            ex: ex.clone(),
+            limits,
+            director,
+            silence,
+            engine: RefCell::new(engine),
+            asks: RefCell::default(),
+            calls: RefCell::default(),
+            peers: RefCell::default(),
+            next_ask: Cell::new(0),
+            kick: Event::new(),
+        });
+        ex.spawn(hub.clone().ring()).detach();
+        hub
+    }
+
+    /// Something has happened.
+    pub fn feed(self: &Rc<Hub>, input: Input) {
+        self.engine.borrow_mut().handle(shalewall_clock::now(), input);
+        self.pump();
+        self.kick.notify(1.relaxed());
+    }
+
+    /// A viewer asks.
+    pub fn ask(self: &Rc<Hub>, new: NewSession) -> Waiting {
+        let ask = AskId(self.next_ask.get());
+        self.next_ask.set(ask.0 + 1);
+        let (sender, answer) = async_channel::bounded(1);
+        self.asks.borrow_mut().insert(ask, sender);
+        let waiting = Waiting { hub: self.clone(), ask, answer };
+        self.feed(Input::Asked { ask, new });
+        waiting
+    }
+
+    pub fn held(&self) -> shalewall_engine::Held {
+        self.engine.borrow().held()
+    }
+
+    /// Carries out what the engine says.
+    fn pump(self: &Rc<Hub>) {
+        loop {
+            // Bound to a name, so that the borrow ends before the output is carried out.
+            let output = self.engine.borrow_mut().poll_output();
+            let Some(output) = output else { return };
+            match output {
+                Output::Answer { ask, answer } => {
+                    if let Some(sender) = self.asks.borrow_mut().remove(&ask) {
+                        let _ = sender.try_send(answer);
+                    }
+                }
+                Output::Call { call, server, address, kind } => {
+                    let peer = self.peers.borrow().get(&server).map(|(p, _)| p.clone());
+                    // A call before its node is watched, or after: on connections of its own.
+                    let peer = peer.unwrap_or_else(|| Rc::new(Peer::new(server, address, &self.limits)));
+                    let hub = self.clone();
+                    let task = self.ex.spawn(async move {
+                        let done = node::call(&peer, hub.director, &kind).await;
+                        let own = hub.calls.borrow_mut().remove(&call);
+                        if let Some(task) = own {
+                            task.detach();
+                            hub.feed(Input::Done { call, done });
+                        }
+                    });
+                    self.calls.borrow_mut().insert(call, task);
+                }
+                // Dropping the task drops its connection.
+                Output::Drop { call } => drop(self.calls.borrow_mut().remove(&call)),
+                Output::Watch { server, address } => {
+                    let peer = Rc::new(Peer::new(server, address, &self.limits));
+                    let task = self.ex.spawn(node::watch(self.clone(), peer.clone()));
+                    self.peers.borrow_mut().insert(server, (peer, task));
+                }
+                Output::Unwatch { server } => drop(self.peers.borrow_mut().remove(&server)),
+                Output::CloseIdle { server } => {
+                    if let Some((peer, _)) = self.peers.borrow().get(&server) {
+                        peer.pool.clear();
+                    }
+                }
+                Output::Tried { session, attempt, server, outcome, took } => {
+                    debug!(
+                        session = session.0,
+                        attempt,
+                        server = server.0,
+                        ?outcome,
+                        took_us = took,
+                        "tried"
+                    );
+                }
+                Output::Log(text) => info!(text, "decisions"),
+            }
+        }
+    }
+
+    /// Rings the engine's timers when they are due.
+    async fn ring(self: Rc<Hub>) {
+        loop {
+            let kicked = self.kick.listen();
+            let due = self.engine.borrow().poll_timeout();
+            match due {
+                None => kicked.await,
+                Some(due) if due <= shalewall_clock::now() => {
+                    self.engine.borrow_mut().handle_timeout(shalewall_clock::now());
+                    self.pump();
+                }
+                Some(due) => {
+                    let timer = async {
+                        Timer::at(shalewall_clock::instant(due)).await;
+                    };
+                    future::or(timer, kicked).await;
+                }
+            }
+        }
+    }
+}
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -1,1 +1,15 @@
+//! The session front on sockets, and the scripted days that try it.
+//!
+//! [`hub`] drives one [`shalewall_engine::Engine`]: it feeds it what happens and carries out what it says.
+//! [`api`] is the viewers' side, [`node`] the media nodes', [`list`] the list of servers'. [`serve`] puts them
+//! together; [`day`] runs whole days of fronts against the stand-ins.
+//!
+//! What this crate may know: everything above it. What it must not: decide. A request is answered by the
+//! engine, a server chosen by the module.
 
+pub mod api;
+pub mod day;
+pub mod hub;
+pub mod list;
+pub mod node;
+pub mod serve;
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -1,1 +1,135 @@
-fn main() {}
+//! The command line.
+
+use clap::{Parser, Subcommand};
+use shalewall_front::{day, serve};
+use shalewall_settings::{DayPlan, Error, FrontPlan, Settings, read};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::rc::Rc;
+
+/// A session front: places and shapes video sessions on streaming servers with shared links.
+#[derive(Parser)]
+#[command(name = "shalewall", version, about)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Run one front.
+    Serve {
+        #[arg(long, value_name = "FILE")]
+        config: PathBuf,
+        /// Only read and check the file.
+        #[arg(long)]
+        check: bool,
+    },
+    /// Run the stand-ins of a day alone: media nodes and the list of servers.
+    Nodes {
+        #[arg(long, value_name = "FILE")]
+        config: PathBuf,
+        /// Only read and check the file.
+        #[arg(long)]
+        check: bool,
+    },
+    /// Scripted days.
+    Day {
+        #[command(subcommand)]
+        command: DayCommand,
+    },
+    /// Judge the recordings of a day again. Exit 0: all rules held; 1: one broke; 2: bad input.
+    Audit { dir: PathBuf },
+}
+
+#[derive(Subcommand)]
+enum DayCommand {
+    /// Run a day on loopback sockets. Exit 0: all rules held; 1: one broke; 2: bad input.
+    Run {
+        file: PathBuf,
+        /// Where recordings, logs and the summary go.
+        #[arg(long, value_name = "DIR", default_value = "target/day")]
+        out: PathBuf,
+        /// Only read and check the file.
+        #[arg(long)]
+        check: bool,
+    },
+}
+
+/// Exit codes beside 0.
+const BROKEN: u8 = 1;
+const BAD_INPUT: u8 = 2;
+
+fn settings<T: Settings>(file: &Path) -> Result<T, ExitCode> {
+    read(file).map_err(|errors: Vec<Error>| {
+        errors.iter().for_each(|e| eprintln!("shalewall: {e}"));
+        ExitCode::from(BAD_INPUT)
+    })
+}
+
+fn bad(e: impl std::fmt::Display) -> ExitCode {
+    eprintln!("shalewall: {e}");
+    ExitCode::from(BAD_INPUT)
+}
+
+/// Structured logs, a JSON object a line, on standard error. `RUST_LOG` sets the level.
+fn logs() {
+    let level = tracing_subscriber::EnvFilter::try_from_default_env().unwrap_or_else(|_| "info".into());
+    tracing_subscriber::fmt().json().with_env_filter(level).with_writer(std::io::stderr).init();
+}
+
+fn run(cli: Cli) -> Result<ExitCode, ExitCode> {
+    match cli.command {
+        Command::Serve { config, check } => {
+            let plan: FrontPlan = settings(&config)?;
+            if check {
+                return Ok(ExitCode::SUCCESS);
+            }
+            logs();
+            let ex = Rc::new(async_executor::LocalExecutor::new());
+            let _serving = serve::start(&ex, &plan).map_err(bad)?;
+            async_io::block_on(ex.run(futures_lite::future::pending::<()>()));
+        }
+        Command::Nodes { config, check } => {
+            let plan: DayPlan = settings(&config)?;
+            if check {
+                return Ok(ExitCode::SUCCESS);
+            }
+            logs();
+            let ex = Rc::new(async_executor::LocalExecutor::new());
+            let recorder = shalewall_standins::recorder::Recorder::nowhere();
+            let world = day::world(&ex, &plan, recorder).map_err(bad)?;
+            tracing::info!(address = %world.list_address, what = "list", "listening");
+            for id in world.nodes.running() {
+                let address = world.nodes.address(id).map_or(String::new(), |a| a.to_string());
+                tracing::info!(address, what = "node", node = id, "listening");
+            }
+            async_io::block_on(ex.run(futures_lite::future::pending::<()>()));
+        }
+        Command::Day { command: DayCommand::Run { file, out, check } } => {
+            let plan: DayPlan = settings(&file)?;
+            if check {
+                return Ok(ExitCode::SUCCESS);
+            }
+            let program = std::env::current_exe().map_err(bad)?;
+            let summary = day::run(&plan, &program, &out, |line| eprintln!("{line}")).map_err(bad)?;
+            println!("{summary}");
+            println!("recordings, logs and summary: {}", out.display());
+            if !summary.rules_hold {
+                return Ok(ExitCode::from(BROKEN));
+            }
+        }
+        Command::Audit { dir } => {
+            let verdict = day::audit(&dir).map_err(bad)?;
+            println!("{verdict}");
+            if !verdict.holds() {
+                return Ok(ExitCode::from(BROKEN));
+            }
+        }
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn main() -> ExitCode {
+    run(Cli::parse()).unwrap_or_else(|code| code)
+}
--- /dev/null
+++ b/crates/front/src/node.rs
@@ -0,0 +1,161 @@
+//! Media nodes as the front meets them: calls, and one event stream each. The protocol is in
+//! `docs/protocol.md`.
+
+use crate::hub::Hub;
+use async_io::Timer;
+use serde_json::Value;
+use shalewall::{Load, ServerId, SessionId};
+use shalewall_engine::{CallKind, Done, Input, Told};
+use shalewall_http::Limits;
+use shalewall_http::client::{Call, Events, Failure, Response, in_time};
+use shalewall_http::head::Fields;
+use shalewall_http::pool::Pool;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tracing::{info, warn};
+
+/// Idle connections to a node are kept for less than nodes keep theirs, so that few calls meet a closing one.
+const IDLE: Duration = Duration::from_secs(10);
+const MOST_IDLE: usize = 64;
+/// Pauses between attempts at an event stream.
+const PAUSE: Duration = Duration::from_millis(200);
+const LONGEST_PAUSE: Duration = Duration::from_secs(2);
+/// One event holds at most so many bytes: a snapshot of all sessions of a node.
+const EVENT: usize = 4 * 1024 * 1024;
+
+/// A node, and the connections to it.
+pub struct Peer {
+    pub server: ServerId,
+    pub pool: Pool,
+    host: String,
+}
+
+impl Peer {
+    pub fn new(server: ServerId, address: SocketAddr, limits: &Limits) -> Peer {
+        let pool = Pool::new(address, limits.clone(), IDLE, MOST_IDLE);
+        Peer { server, pool, host: address.to_string() }
+    }
+}
+
+/// Carries out one call. Waits as long as it is let; dropped, it closes its connection.
+pub async fn call(peer: &Peer, director: u32, kind: &CallKind) -> Done {
+    let path = |session: &SessionId, attempt: &u32| format!("/sessions/{}/{attempt}", session.0);
+    let (method, target, body) = match kind {
+        CallKind::SetUp { session, attempt, class, title, rung, kb } => {
+            let body = serde_json::json!({
+                "director": director, "class": class, "title": title, "rung": rung, "kb": kb,
+            });
+            ("PUT", path(session, attempt), Some(body.to_string()))
+        }
+        CallKind::Rung { session, attempt, rung, kb } => {
+            let body = serde_json::json!({ "rung": rung, "kb": kb });
+            ("PATCH", path(session, attempt), Some(body.to_string()))
+        }
+        CallKind::End { session, attempt } => ("DELETE", path(session, attempt), None),
+        CallKind::Probe => ("GET", "/probe".to_string(), None),
+    };
+    let content = body.as_ref().map(|b| ("application/json", b.as_bytes()));
+    let call = Call { method, target: &target, host: &peer.host, content };
+    match peer.pool.call(&call).await {
+        Ok(response) => answered(&response),
+        Err(Failure::NeverRan(why)) => Done::NeverRan(why),
+        Err(Failure::MayHaveRun(why)) => Done::MayHaveRun(why),
+    }
+}
+
+fn answered(response: &Response) -> Done {
+    let fields = &response.head.fields;
+    let body: Value = serde_json::from_slice(&response.body).unwrap_or_default();
+    Done::Answered {
+        status: response.head.status,
+        never_ran: fields.get("shalewall-never-ran") == Some("yes"),
+        load: load(fields),
+        media: body["media"].as_str().map(str::to_string),
+    }
+}
+
+/// `streams=7, link=0.4, uplink=1.2`; what is missing or no number is left out.
+fn load(fields: &Fields) -> Load {
+    let mut load = Load::default();
+    for part in fields.get("shalewall-load").unwrap_or_default().split(',') {
+        let Some((name, value)) = part.split_once('=') else { continue };
+        let Ok(value) = value.trim().parse::<f64>() else { continue };
+        if !value.is_finite() || value < 0.0 {
+            continue;
+        }
+        match name.trim() {
+            "streams" => load.streams = Some(value),
+            "link" => load.link = Some(value),
+            "uplink" => load.uplink = Some(value),
+            _ => {}
+        }
+    }
+    load
+}
+
+/// Keeps a node's event stream open and feeds what it tells.
+pub async fn watch(hub: Rc<Hub>, peer: Rc<Peer>) {
+    let mut pause = PAUSE;
+    loop {
+        match listen(&hub, &peer).await {
+            Some(true) => pause = PAUSE,
+            Some(false) => {
+                info!(server = peer.server.0, "node is gone: connections are refused");
+                hub.feed(Input::NodeDown { server: peer.server });
+            }
+            None => {}
+        }
+        Timer::after(pause).await;
+        pause = (pause * 2).min(LONGEST_PAUSE);
+    }
+}
+
+/// Some(true): it was open for a while; Some(false): refused; None: no answer came.
+async fn listen(hub: &Rc<Hub>, peer: &Peer) -> Option<bool> {
+    let asked = shalewall_clock::now();
+    let connection = match in_time(hub.silence, peer.pool.connect()).await? {
+        Ok(connection) => connection,
+        Err(_) => return Some(false),
+    };
+    let target = format!("/events?director={}", hub.director);
+    let call = Call { method: "GET", target: &target, host: &peer.host, content: None };
+    let (head, incoming) = in_time(hub.silence, connection.stream(&call)).await?.ok()?;
+    if head.status != 200 {
+        warn!(server = peer.server.0, status = head.status, "a node refuses its event stream");
+        return None;
+    }
+    let server = peer.server;
+    let mut events = Events::new(incoming, EVENT);
+    while let Some(batch) = events.next(hub.silence).await {
+        for event in batch {
+            match input(server, asked, &event.kind, &event.data) {
+                Some(input) => hub.feed(input),
+                None => warn!(server = server.0, kind = event.kind, "an event that is not understood"),
+            }
+        }
+    }
+    Some(true)
+}
+
+fn input(server: ServerId, asked: i64, kind: &str, data: &str) -> Option<Input> {
+    if kind == "held" {
+        let held: Vec<(u64, u32)> = serde_json::from_str(data).ok()?;
+        let held = held.into_iter().map(|(s, a)| (SessionId(s), a)).collect();
+        return Some(Input::NodeUp { server, asked, held });
+    }
+    let data: Value = serde_json::from_str(data).ok()?;
+    let session = SessionId(data["session"].as_u64()?);
+    let share = |name: &str| data[name].as_f64().filter(|x| *x >= 0.0);
+    let told = match kind {
+        "ended" => Told::Ended { session, attempt: u32::try_from(data["attempt"].as_u64()?).ok()? },
+        "figures" => Told::Figures {
+            session,
+            delivered: share("delivered"),
+            link: share("link"),
+            uplink: share("uplink"),
+        },
+        _ => return None,
+    };
+    Some(Input::NodeTold { server, told })
+}
--- /dev/null
+++ b/crates/front/src/serve.rs
@@ -0,0 +1,83 @@
+//! One front: its sockets, put together from its settings.
+
+use crate::hub::Hub;
+use crate::{api, list};
+use async_executor::LocalExecutor;
+use async_io::Async;
+use shalewall_engine::{Config, Engine, Place};
+use shalewall_http::Limits;
+use shalewall_http::server::serve;
+use shalewall_settings::FrontPlan;
+use std::cell::Cell;
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::time::Duration;
+use tracing::{info, warn};
+
+/// What the engine is told. `incarnation` tells this start of the front from others.
+pub fn config(plan: &FrontPlan, incarnation: u16) -> Config {
+    let site = &plan.site;
+    let place = |t: &shalewall_settings::Title| Place { home: t.home, spread: t.spread };
+    Config {
+        seed: plan.front.seed,
+        settings: site.settings(&plan.front),
+        classes: site.classes(),
+        tenants: site.tenant.keys().cloned().collect(),
+        zones: site.zones.clone(),
+        kinds: site.kind.keys().cloned().collect(),
+        titles: site.title.iter().map(|(name, t)| (name.clone(), place(t))).collect(),
+        most_sessions: plan.front.most_sessions,
+        incarnation,
+    }
+}
+
+/// A front that listens.
+pub struct Serving {
+    pub hub: Rc<Hub>,
+    pub address: SocketAddr,
+}
+
+/// Starts a front on an executor; it runs as long as that does.
+pub fn start(ex: &Rc<LocalExecutor<'static>>, plan: &FrontPlan) -> std::io::Result<Serving> {
+    let now = shalewall_clock::now();
+    // Starts within some hours of each other differ in their seconds.
+    let incarnation = (now / 1_000_000 & 0x3fff) as u16;
+    let listener = TcpListener::bind(plan.front.listen)?;
+    let address = listener.local_addr()?;
+    let listener = Async::new(listener)?;
+    let engine = Engine::new(config(plan, incarnation), now);
+    let silence = Duration::from_millis(plan.front.silence_ms);
+    let hub = Hub::new(ex.clone(), engine, plan.front.number, Limits::default(), silence);
+    ex.spawn(list::watch(hub.clone(), plan.front.list)).detach();
+    ex.spawn(accept(hub.clone(), listener, plan.front.most_connections)).detach();
+    info!(address = %address, number = plan.front.number, "listening");
+    Ok(Serving { hub, address })
+}
+
+async fn accept(hub: Rc<Hub>, listener: Async<TcpListener>, most: usize) {
+    let open = Rc::new(Cell::new(0usize));
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(e) => {
+                // Out of descriptors, most likely: what is open goes on, and this passes.
+                warn!(error = %e, "a connection could not be taken");
+                async_io::Timer::after(Duration::from_millis(50)).await;
+                continue;
+            }
+        };
+        if open.get() >= most {
+            continue; // closed at once: bounded memory before anything else
+        }
+        let _ = stream.get_ref().set_nodelay(true);
+        open.set(open.get() + 1);
+        let (hub, open) = (hub.clone(), open.clone());
+        let ex = hub.ex.clone();
+        ex.spawn(async move {
+            let limits = hub.limits.clone();
+            serve(stream, &limits, |request| api::answer(hub.clone(), request)).await;
+            open.set(open.get() - 1);
+        })
+        .detach();
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,1 +1,14 @@
+//! Stand-ins for what a front meets: media nodes, the list of servers, viewers.
+//!
+//! [`physics`] is the fleet itself, without I/O or clock: links and uplinks that cut everyone alike, places,
+//! cold starts, falling over. [`nodes`], [`list`] and [`viewers`] put it on loopback sockets by
+//! `docs/protocol.md`, with faults on demand, and record what passes there.
+//!
+//! What this crate may know: the protocol and the physics. What it must not: engine, front, decisions; it
+//! meets a front only over sockets. All random numbers come from ChaCha8 with a stated seed.
 
+pub mod list;
+pub mod nodes;
+pub mod physics;
+pub mod recorder;
+pub mod viewers;
--- /dev/null
+++ b/crates/standins/src/nodes.rs
@@ -0,0 +1,590 @@
+//! Media nodes on sockets, and what can be done to them.
+
+use crate::physics::{Arrival, Fleet, Machine, Playing, Process, Run};
+use crate::recorder::Recorder;
+use async_channel::{Receiver, Sender};
+use async_executor::{LocalExecutor, Task};
+use async_io::{Async, Timer};
+use event_listener::{Event, IntoNotification};
+use futures_lite::{StreamExt, future, stream};
+use rustix::net::sockopt::set_socket_linger;
+use serde::Deserialize;
+use shalewall_audit::{Ran, Record};
+use shalewall_http::server::{Ended, Reply, Request, serve};
+use shalewall_http::{Limits, sse};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// A viewer has to fetch its stream so soon after the set-up, or it ends.
+const FETCH_WITHIN: Duration = Duration::from_secs(5);
+/// A front whose event stream is away for longer loses what it holds here.
+const LEASE: Duration = Duration::from_secs(6);
+/// Frames of media, and looks at the fleet, are so far apart.
+const FRAME: Duration = Duration::from_millis(100);
+const BEAT: Duration = Duration::from_millis(500);
+/// Events that wait for one front; more, and its stream is closed: it comes back and compares.
+const MOST_EVENTS: usize = 10_000;
+
+/// What nodes tell, and how late.
+#[derive(Clone, Debug)]
+pub struct Telling {
+    pub every: Duration,
+    pub late: Duration,
+    /// Part of the true rates that sockets carry.
+    pub fraction: f64,
+}
+
+struct Socket {
+    address: SocketAddr,
+    /// Accepts and serves; dropped when the process dies.
+    _accepts: Option<Task<()>>,
+    /// Told to every connection when the process dies.
+    died: Rc<Event>,
+    /// Told to everyone who waits on a frozen process.
+    thawed: Rc<Event>,
+    /// Event streams by front.
+    fronts: BTreeMap<u32, Sender<(&'static str, String)>>,
+}
+
+struct Inner {
+    fleet: Fleet,
+    sockets: BTreeMap<u64, Socket>,
+    /// Sessions whose viewer has fetched its stream.
+    watched: BTreeMap<(u64, Run), ()>,
+}
+
+/// All nodes of a run, in one process and on one thread.
+#[derive(Clone)]
+pub struct Nodes {
+    ex: Rc<LocalExecutor<'static>>,
+    inner: Rc<RefCell<Inner>>,
+    recorder: Recorder,
+    telling: Rc<Telling>,
+    limits: Rc<Limits>,
+}
+
+#[derive(Deserialize)]
+struct SetUp {
+    director: u32,
+    class: String,
+    title: String,
+    rung: usize,
+    kb: f64,
+}
+
+#[derive(Deserialize)]
+struct NewRung {
+    rung: usize,
+    kb: f64,
+}
+
+/// Records a set-up that is dropped before it is answered: its front closed the connection, or the node died.
+struct Pending {
+    nodes: Nodes,
+    node: u64,
+    run: Run,
+    armed: bool,
+    counted: bool,
+}
+
+impl Pending {
+    fn over(&mut self, ran: Ran) {
+        self.armed = false;
+        let (session, attempt) = self.run;
+        self.nodes.recorder.note(Record::SetUpDone {
+            t: shalewall_clock::now(),
+            node: self.node,
+            session,
+            attempt,
+            ran,
+        });
+    }
+}
+
+impl Drop for Pending {
+    fn drop(&mut self) {
+        if self.armed {
+            self.over(Ran::Given);
+            if self.counted {
+                self.nodes.inner.borrow_mut().fleet.give_up(self.node);
+            }
+        }
+    }
+}
+
+/// `/sessions/{id}/{attempt}` or what a start line of one says, even if it is cut behind that.
+fn run_of(target: &str) -> Option<Run> {
+    let mut parts = target.strip_prefix("/sessions/")?.split('/');
+    Some((parts.next()?.parse().ok()?, parts.next()?.split(' ').next()?.parse().ok()?))
+}
+
+impl Nodes {
+    pub fn new(ex: Rc<LocalExecutor<'static>>, fleet: Fleet, recorder: Recorder, telling: Telling) -> Nodes {
+        let inner = Inner { fleet, sockets: BTreeMap::new(), watched: BTreeMap::new() };
+        let nodes = Nodes {
+            ex: ex.clone(),
+            inner: Rc::new(RefCell::new(inner)),
+            recorder,
+            telling: Rc::new(telling),
+            limits: Rc::new(Limits::default()),
+        };
+        ex.spawn(nodes.clone().tell()).detach();
+        nodes
+    }
+
+    // ---- what can be done to them -----------------------------------------------------------
+
+    /// Brings a machine up and gives its address; the same as before where it had one.
+    pub fn start(&self, machine: Machine, warm: bool) -> std::io::Result<SocketAddr> {
+        let (id, places) = (machine.id, machine.places);
+        let before = self.inner.borrow().sockets.get(&id).map(|s| s.address);
+        let listener = TcpListener::bind(before.unwrap_or(SocketAddr::from(([127, 0, 0, 1], 0))))?;
+        let address = listener.local_addr()?;
+        let listener = Async::new(listener)?;
+        let now = shalewall_clock::now();
+        self.inner.borrow_mut().fleet.start(machine, now, warm);
+        self.recorder.note(Record::NodeUp { t: now, node: id, places, warm });
+        let (died, thawed) = (Rc::new(Event::new()), Rc::new(Event::new()));
+        let accepts = self.ex.spawn(self.clone().accept(id, listener, died.clone()));
+        let socket = Socket { address, _accepts: Some(accepts), died, thawed, fronts: BTreeMap::new() };
+        self.inner.borrow_mut().sockets.insert(id, socket);
+        Ok(address)
+    }
+
+    /// The process dies: connections are reset, new ones refused, sessions lost.
+    pub fn crash(&self, id: u64) {
+        let fell = self.inner.borrow().fleet.nodes.get(&id).is_some_and(|n| n.fell);
+        let mut inner = self.inner.borrow_mut();
+        if let Some(socket) = inner.sockets.get_mut(&id) {
+            if socket._accepts.take().is_none() {
+                return;
+            }
+            socket.fronts.clear();
+            socket.died.notify(usize::MAX.relaxed());
+        }
+        if let Some(node) = inner.fleet.nodes.get_mut(&id) {
+            node.process = Process::Down;
+            node.playing.clear();
+        }
+        drop(inner);
+        self.recorder.note(Record::NodeDown { t: shalewall_clock::now(), node: id, fell });
+    }
+
+    /// The process stands still; connections stay, nothing is answered.
+    pub fn freeze(&self, id: u64) {
+        if let Some(node) = self.inner.borrow_mut().fleet.nodes.get_mut(&id)
+            && node.process == Process::Runs
+        {
+            node.process = Process::Frozen;
+        }
+    }
+
+    pub fn thaw(&self, id: u64) {
+        let mut inner = self.inner.borrow_mut();
+        if let Some(node) = inner.fleet.nodes.get_mut(&id)
+            && node.process == Process::Frozen
+        {
+            node.process = Process::Runs;
+        }
+        if let Some(socket) = inner.sockets.get(&id) {
+            socket.thawed.notify(usize::MAX.relaxed());
+        }
+    }
+
+    /// Changes the fleet itself: neighbours, slow links, ageing.
+    pub fn change(&self, work: impl FnOnce(&mut Fleet)) {
+        work(&mut self.inner.borrow_mut().fleet);
+    }
+
+    /// Nodes that run, by id.
+    pub fn running(&self) -> Vec<u64> {
+        let inner = self.inner.borrow();
+        let runs = inner.fleet.nodes.values().filter(|n| n.process == Process::Runs);
+        runs.map(|n| n.machine.id).collect()
+    }
+
+    pub fn machine(&self, id: u64) -> Option<Machine> {
+        self.inner.borrow().fleet.nodes.get(&id).map(|n| n.machine.clone())
+    }
+
+    pub fn address(&self, id: u64) -> Option<SocketAddr> {
+        self.inner.borrow().sockets.get(&id).map(|s| s.address)
+    }
+
+    /// When its process began; none while it is down.
+    pub fn up_since(&self, id: u64) -> Option<(i64, bool)> {
+        let inner = self.inner.borrow();
+        let node = inner.fleet.nodes.get(&id).filter(|n| n.process != Process::Down)?;
+        Some((node.up, node.warm))
+    }
+
+    /// Sessions that play now, over all nodes.
+    pub fn playing(&self) -> usize {
+        self.inner.borrow().fleet.nodes.values().map(|n| n.playing.len()).sum()
+    }
+
+    // ---- connections ------------------------------------------------------------------------
+
+    async fn accept(self, id: u64, listener: Async<TcpListener>, died: Rc<Event>) {
+        while let Ok((stream, _)) = listener.accept().await {
+            let _ = stream.get_ref().set_nodelay(true);
+            self.ex.spawn(self.clone().connection(id, stream, died.clone())).detach();
+        }
+    }
+
+    async fn connection(self, id: u64, stream: Async<TcpStream>, died: Rc<Event>) {
+        let nodes = self.clone();
+        let stream = Rc::new(stream);
+        let handle = move |request| nodes.clone().answer(id, request);
+        let served = async {
+            let mut borrowed = &*stream;
+            Some(serve(&mut borrowed, &self.limits, handle).await)
+        };
+        let death = async {
+            died.listen().await;
+            None
+        };
+        match future::or(served, death).await {
+            None => {
+                // A process that dies resets its connections.
+                let _ = set_socket_linger(stream.get_ref(), Some(Duration::ZERO));
+            }
+            Some(Ended::Cut(bytes)) => {
+                let text = String::from_utf8_lossy(&bytes);
+                let run = text.split(' ').nth(1).and_then(run_of);
+                let (t, bytes) = (shalewall_clock::now(), bytes.len());
+                let (session, attempt) = (run.map(|r| r.0), run.map(|r| r.1));
+                self.recorder.note(Record::Partial { t, node: id, bytes, session, attempt });
+            }
+            Some(_) => {}
+        }
+    }
+
+    /// Waits while the process stands still.
+    async fn awake(&self, id: u64) {
+        loop {
+            let listener = {
+                let inner = self.inner.borrow();
+                let frozen = inner.fleet.nodes.get(&id).is_some_and(|n| n.process == Process::Frozen);
+                match inner.sockets.get(&id) {
+                    Some(socket) if frozen => socket.thawed.listen(),
+                    _ => return,
+                }
+            };
+            listener.await;
+        }
+    }
+
+    /// An answer with the load figures that every answer carries.
+    fn with_load(&self, id: u64, reply: Reply) -> Reply {
+        let f = self.inner.borrow().fleet.told(id);
+        reply.with(
+            "Shalewall-Load",
+            format!("streams={}, link={:.4}, uplink={:.4}", f.streams, f.link, f.uplink),
+        )
+    }
+
+    async fn answer(self, id: u64, request: Request) -> Reply {
+        let head = &request.head;
+        let run = run_of(head.path());
+        match (head.method.as_str(), head.path(), run) {
+            ("PUT", _, Some(run)) => self.set_up(id, run, &request.body).await,
+            ("PATCH", _, Some(run)) => {
+                self.awake(id).await;
+                let Ok(new) = serde_json::from_slice::<NewRung>(&request.body) else {
+                    return Reply::problem(422, "rung and kb are needed");
+                };
+                let found = self.inner.borrow_mut().fleet.set_rung(id, run, new.rung, new.kb);
+                if !found {
+                    return Reply::problem(404, "no such session here");
+                }
+                let t = shalewall_clock::now();
+                self.recorder.note(Record::Rung { t, node: id, session: run.0, rung: new.rung });
+                self.with_load(id, Reply::new(204))
+            }
+            ("DELETE", _, Some(run)) => {
+                self.awake(id).await;
+                let played = self.inner.borrow_mut().fleet.end(id, run);
+                if played {
+                    self.over(id, run);
+                }
+                self.with_load(id, Reply::new(if played { 204 } else { 404 }))
+            }
+            ("GET", "/probe", _) => {
+                self.awake(id).await;
+                self.with_load(id, Reply::new(204))
+            }
+            ("GET", "/events", _) => match head.query("director").and_then(|d| d.parse().ok()) {
+                Some(director) => self.events(id, director).await,
+                None => Reply::problem(400, "the director's number is needed"),
+            },
+            ("GET", path, Some(run)) if path.ends_with("/media") => self.media(id, run).await,
+            ("GET" | "PUT" | "PATCH" | "DELETE", ..) => Reply::problem(404, "no such thing here"),
+            _ => Reply::problem(405, "no such method here"),
+        }
+    }
+
+    async fn set_up(self, id: u64, run: Run, body: &[u8]) -> Reply {
+        let Ok(new) = serde_json::from_slice::<SetUp>(body) else {
+            return Reply::problem(422, "director, class, title, rung and kb are needed");
+        };
+        let now = shalewall_clock::now();
+        self.recorder.note(Record::SetUp {
+            t: now,
+            node: id,
+            director: new.director,
+            session: run.0,
+            attempt: run.1,
+            class: new.class.clone(),
+            title: new.title.clone(),
+            rung: new.rung,
+        });
+        let mut pending = Pending { nodes: self.clone(), node: id, run, armed: true, counted: false };
+        let never_ran = |status, what| Reply::problem(status, what).with("Shalewall-Never-Ran", "yes");
+        let arrival = self.inner.borrow_mut().fleet.arrive(id, run, now);
+        match arrival {
+            Arrival::Falls => {
+                self.crash(id);
+                future::pending().await
+            }
+            Arrival::Ended => {
+                self.awake(id).await;
+                pending.over(Ran::Ended);
+                self.with_load(id, never_ran(410, "ended before it began"))
+            }
+            Arrival::Full => {
+                self.awake(id).await;
+                pending.over(Ran::TurnedAway);
+                self.with_load(id, never_ran(503, "no place"))
+            }
+            Arrival::Takes(time) => {
+                pending.counted = true;
+                Timer::after(Duration::from_micros(time.max(0) as u64)).await;
+                self.awake(id).await;
+                let playing = Playing {
+                    director: new.director,
+                    class: new.class,
+                    title: new.title,
+                    rung: new.rung,
+                    kb: new.kb,
+                    true_kb: new.kb,
+                };
+                pending.counted = false;
+                if !self.inner.borrow_mut().fleet.begin(id, run, playing) {
+                    pending.over(Ran::Ended);
+                    return self.with_load(id, never_ran(410, "ended before it began"));
+                }
+                pending.over(Ran::Plays);
+                self.ex.spawn(self.clone().unfetched(id, run)).detach();
+                let address = self.address(id).map_or(String::new(), |a| a.to_string());
+                let media = format!("http://{address}/sessions/{}/{}/media", run.0, run.1);
+                let text = serde_json::json!({ "media": media, "rung": new.rung }).to_string();
+                self.with_load(id, Reply::json(201, text))
+            }
+        }
+    }
+
+    /// A session that nobody fetches ends.
+    async fn unfetched(self, id: u64, run: Run) {
+        Timer::after(FETCH_WITHIN).await;
+        if !self.inner.borrow().watched.contains_key(&(id, run)) {
+            self.end_here(id, run);
+        }
+    }
+
+    /// Ends a session at its node and tells its front.
+    fn end_here(&self, id: u64, run: Run) {
+        let director = {
+            let mut inner = self.inner.borrow_mut();
+            let playing = inner.fleet.nodes.get(&id).and_then(|n| n.playing.get(&run));
+            let Some(director) = playing.map(|p| p.director) else { return };
+            inner.fleet.end(id, run);
+            director
+        };
+        self.over(id, run);
+        self.say(
+            id,
+            director,
+            "ended",
+            serde_json::json!({ "session": run.0, "attempt": run.1 }).to_string(),
+        );
+    }
+
+    fn over(&self, id: u64, (session, attempt): Run) {
+        self.recorder.note(Record::Over { t: shalewall_clock::now(), node: id, session, attempt });
+    }
+
+    // ---- events -----------------------------------------------------------------------------
+
+    fn say(&self, id: u64, director: u32, kind: &'static str, data: String) {
+        let mut inner = self.inner.borrow_mut();
+        let Some(socket) = inner.sockets.get_mut(&id) else { return };
+        let sent = socket.fronts.get(&director).map(|s| s.try_send((kind, data)));
+        if matches!(sent, Some(Err(_))) {
+            socket.fronts.remove(&director);
+        }
+    }
+
+    async fn events(self, id: u64, director: u32) -> Reply {
+        self.awake(id).await;
+        let (sender, receiver) = async_channel::bounded(MOST_EVENTS);
+        let held: Vec<Run> = {
+            let mut inner = self.inner.borrow_mut();
+            if let Some(socket) = inner.sockets.get_mut(&id) {
+                socket.fronts.insert(director, sender);
+            }
+            let node = inner.fleet.nodes.get(&id);
+            let playing = node.into_iter().flat_map(|n| &n.playing);
+            playing.filter(|(_, p)| p.director == director).map(|(run, _)| *run).collect()
+        };
+        let mut first = Vec::new();
+        sse::write(&mut first, "held", &serde_json::json!(held).to_string());
+        let lease = Lease { nodes: self.clone(), id, director, receiver: receiver.clone() };
+        let rest = stream::unfold(lease, |lease| async {
+            lease.nodes.awake(lease.id).await;
+            let beat = async {
+                Timer::after(BEAT).await;
+                lease.nodes.awake(lease.id).await;
+                Some(sse::BEAT.to_vec())
+            };
+            let next = async {
+                let (kind, data) = lease.receiver.recv().await.ok()?;
+                lease.nodes.awake(lease.id).await;
+                let mut out = Vec::new();
+                sse::write(&mut out, kind, &data);
+                Some(out)
+            };
+            future::or(next, beat).await.map(|out| (out, lease))
+        });
+        Reply::new(200).with("Content-Type", "text/event-stream").pieces(stream::once(first).chain(rest))
+    }
+
+    /// Without an event stream for the lease, a front's sessions end: it is gone.
+    async fn lapse(self, id: u64, director: u32) {
+        Timer::after(LEASE).await;
+        self.awake(id).await;
+        let runs: Vec<Run> = {
+            let inner = self.inner.borrow();
+            let open = inner.sockets.get(&id).and_then(|s| s.fronts.get(&director));
+            if open.is_some_and(|s| !s.is_closed()) {
+                return;
+            }
+            let node = inner.fleet.nodes.get(&id);
+            let playing = node.into_iter().flat_map(|n| &n.playing);
+            playing.filter(|(_, p)| p.director == director).map(|(run, _)| *run).collect()
+        };
+        runs.into_iter().for_each(|run| self.end_here(id, run));
+    }
+
+    /// Looks at the fleet and tells fronts: the delivered share each second while short and once after, the
+    /// fullness every so often; both late, on one of the front's sessions there.
+    async fn tell(self) {
+        let (every, late) = (self.telling.every.as_micros() as i64, self.telling.late.as_micros() as i64);
+        let mut short: BTreeMap<(u64, u32), bool> = BTreeMap::new();
+        let (mut last_second, mut last_every) = (0, 0);
+        loop {
+            Timer::after(FRAME).await;
+            let now = shalewall_clock::now();
+            self.inner.borrow_mut().fleet.sample(now, late + 1_000_000);
+            let second = now / 1_000_000 != last_second;
+            let full = every > 0 && now / every != last_every;
+            if !second && !full {
+                continue;
+            }
+            (last_second, last_every) = (now / 1_000_000, if every > 0 { now / every } else { 0 });
+            let mut notes = Vec::new();
+            {
+                let inner = self.inner.borrow();
+                for (id, node) in inner.fleet.nodes.iter().filter(|(_, n)| n.process == Process::Runs) {
+                    let Some(f) = inner.fleet.past(*id, now - late) else { continue };
+                    let mut told: BTreeMap<u32, u64> = BTreeMap::new();
+                    for ((session, _), p) in &node.playing {
+                        told.entry(p.director).or_insert(*session);
+                    }
+                    for (director, session) in told {
+                        let was = short.entry((*id, director)).or_default();
+                        let delivered = (second && (f.delivered < 0.98 || *was)).then_some(f.delivered);
+                        if second {
+                            *was = f.delivered < 0.98;
+                        }
+                        let (link, uplink) = if full { (Some(f.link), Some(f.uplink)) } else { (None, None) };
+                        if delivered.is_some() || link.is_some() {
+                            let note = serde_json::json!({ "session": session, "delivered": delivered,
+                                "link": link, "uplink": uplink });
+                            notes.push((*id, director, note.to_string()));
+                        }
+                    }
+                }
+            }
+            for (id, director, note) in notes {
+                self.say(id, director, "figures", note);
+            }
+        }
+    }
+
+    // ---- media ------------------------------------------------------------------------------
+
+    /// Frames as docs/protocol.md has them: rung, full rate in bytes a second, length, bytes.
+    async fn media(self, id: u64, run: Run) -> Reply {
+        self.awake(id).await;
+        {
+            let mut inner = self.inner.borrow_mut();
+            if inner.fleet.nodes.get(&id).is_none_or(|n| !n.playing.contains_key(&run)) {
+                return Reply::problem(404, "no such session here");
+            }
+            inner.watched.insert((id, run), ());
+        }
+        let viewer = Watched { nodes: self, id, run };
+        let frames = stream::unfold(viewer, |viewer| async {
+            Timer::after(FRAME).await;
+            viewer.nodes.awake(viewer.id).await;
+            let frame = {
+                let inner = viewer.nodes.inner.borrow();
+                let playing = inner.fleet.nodes.get(&viewer.id)?.playing.get(&viewer.run)?;
+                let full = playing.true_kb * 1000.0 * viewer.nodes.telling.fraction;
+                let share = inner.fleet.figures(viewer.id).delivered;
+                let length = (full * FRAME.as_secs_f64() * share) as usize;
+                let mut frame = Vec::with_capacity(9 + length);
+                frame.push(playing.rung as u8);
+                frame.extend_from_slice(&(full as u32).to_be_bytes());
+                frame.extend_from_slice(&(length as u32).to_be_bytes());
+                frame.resize(9 + length, b'x');
+                frame
+            };
+            Some((frame, viewer))
+        });
+        Reply::new(200).with("Content-Type", "application/octet-stream").pieces(frames)
+    }
+}
+
+/// Held by an event stream; when it goes, the front's lease begins to run.
+struct Lease {
+    nodes: Nodes,
+    id: u64,
+    director: u32,
+    receiver: Receiver<(&'static str, String)>,
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        self.receiver.close();
+        self.nodes.ex.spawn(self.nodes.clone().lapse(self.id, self.director)).detach();
+    }
+}
+
+/// Held by a viewer's stream; when it goes, the session is over.
+struct Watched {
+    nodes: Nodes,
+    id: u64,
+    run: Run,
+}
+
+impl Drop for Watched {
+    fn drop(&mut self) {
+        self.nodes.inner.borrow_mut().watched.remove(&(self.id, self.run));
+        self.nodes.end_here(self.id, self.run);
+    }
+}
