--- /dev/null
+++ b/crates/engine/benches/decisions.rs
@@ -0,0 +1,130 @@
+//! What the decision module takes for a request and for a tick, by the sessions held: 3 directors, 15
+//! servers. `cargo bench -p shalewall-engine`.
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use shalewall::*;
+use std::hint::black_box;
+
+const S: Micros = 1_000_000;
+const TICK: u64 = u64::MAX;
+
+/// A director that holds so many sessions, all of them older than its memory of set-ups, on links large
+/// enough for them.
+fn holding(count: u64) -> (Director, Micros) {
+    let ladder = [(200.0, 0.25), (400.0, 0.5), (700.0, 0.7), (1200.0, 0.85), (2000.0, 1.0)];
+    let class =
+        ClassTerms { effect: Effect::Harmless, aim: S, worth: 1.0, scale: 1.0, top: 4, ..Default::default() };
+    let paid = ClassTerms { effect: Effect::Paid, worth: 2.0, seats: 1_000_000, ..class };
+    let link = 2000.0 * (count as f64 / 15.0 + 100.0) * 2.0;
+    let settings = Settings {
+        directors: 3,
+        classes: vec![class, paid],
+        ladder: ladder.iter().map(|(kb, worth)| Rung { kb: *kb, worth: *worth }).collect(),
+        cells: 15,
+        racks: 2,
+        places_by_kind: vec![1e6],
+        weights_tell_size: true,
+        link_kb_per_weight: link,
+        uplink_kb: link * 7.0,
+        told_late: S,
+        told_every: 3 * S,
+        join_adds: 1.0,
+        stall_cost: 7.0,
+        switch_s: 0.5,
+        contract: Contract {
+            warm_after: 10 * S,
+            start_capacity: 0.4,
+            overload_factor: 2.0,
+            fall: 2 * S,
+            ..Default::default()
+        },
+        limits: Limits { max_attempts: 4, may_cancel: true, step: 10_000, ..Default::default() },
+        ..Default::default()
+    };
+    let mut director = Director::new(1, settings, 0);
+    let mut out = Vec::new();
+    let line = |id| Listed {
+        server: ServerId(id),
+        kind: Some(0),
+        cell: id,
+        state: Standing::Ready,
+        weight: 1.0,
+        ..Default::default()
+    };
+    director.handle(0, Event::List { news: ListNews::Full, lines: (0..15).map(line).collect() }, &mut out);
+    for id in 0..count {
+        out.clear();
+        let req = request(id, 0);
+        director.handle(0, Event::Carried(req, ServerId(req.home + id % 5)), &mut out);
+    }
+    let now = 60 * S;
+    // Figures of every link and uplink, as notes would keep them.
+    for id in 0..count.min(100) {
+        let session = SessionId(id);
+        let server = ServerId(request(id, 0).home + id % 5);
+        for note in [Note::Link(0.4), Note::Uplink(0.5)] {
+            director.handle(now, Event::Noted { session, attempt: 0, server, note }, &mut out);
+        }
+    }
+    director.handle(now, Event::Timer(TICK), &mut out);
+    (director, now)
+}
+
+fn request(id: u64, now: Micros) -> Request {
+    Request {
+        session: SessionId(id),
+        class: (id % 2) as usize,
+        tenant: None,
+        viewer: id,
+        title: TitleId(id % 50),
+        deadline: now + 4 * S,
+        hint: Some(40 * S),
+        home: id % 10,
+        spread: 5,
+        top: 4,
+        again: false,
+    }
+}
+
+fn decisions(c: &mut Criterion) {
+    for held in [100, 1_000, 10_000, 50_000] {
+        let (mut director, mut now) = holding(held);
+        let mut out = Vec::new();
+        let mut id = held;
+        c.bench_with_input(BenchmarkId::new("request, set up and ended", held), &held, |b, _| {
+            b.iter(|| {
+                // One that comes, plays and ends: what is held stays the same.
+                (id, now) = (id + 1, now + 30_000);
+                out.clear();
+                director.handle(now, Event::Asked(request(id, now)), &mut out);
+                let sent = out.iter().find_map(|a| match a {
+                    Action::Send { session, server, .. } => Some((*session, *server)),
+                    _ => None,
+                });
+                let (session, server) = sent.expect("there is room for it");
+                let (attempt, waited) = (0, 50_000);
+                director.handle(now, Event::Started { session, attempt, server, waited }, &mut out);
+                let (outcome, closed, load) = (Outcome::Good, true, Load::default());
+                let over = Event::Finished { session, attempt, server, outcome, closed, load };
+                director.handle(now, over, &mut out);
+                black_box(out.len())
+            })
+        });
+        c.bench_with_input(BenchmarkId::new("tick", held), &held, |b, _| {
+            b.iter(|| {
+                now += 200_000;
+                out.clear();
+                director.handle(now, Event::Timer(TICK), &mut out);
+                black_box(out.len())
+            })
+        });
+    }
+}
+
+criterion_group! {
+    name = benches;
+    config = Criterion::default().sample_size(20).warm_up_time(std::time::Duration::from_millis(500))
+        .measurement_time(std::time::Duration::from_secs(2));
+    targets = decisions
+}
+criterion_main!(benches);
--- a/src/control.rs
+++ b/src/control.rs
@@ -5,7 +5,8 @@
 //! a guard that a rule needs or an exception whose condition stands beside it.
 
 use crate::interface::*;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::ops::Bound::{Excluded, Unbounded};
 
 // ---- constants -------------------------------------------------------------------------------
 
@@ -104,6 +105,82 @@
     due: Option<Micros>,
 }
 
+// ---- sessions held ---------------------------------------------------------------------------
+
+/// Sessions by the time of their last send, or by when they are due.
+type ByTime = BTreeSet<(Micros, SessionId)>;
+
+/// Sessions for which `settle` asks the same: server, class, rung, the viewer's highest rung.
+type Group = (ServerId, usize, usize, usize);
+
+/// The sessions held, and what is counted of them: a decision that walked them all would cost the more the
+/// more of them play. Every change goes through here, so that the counts can't stray.
+#[derive(Default)]
+struct Held {
+    live: BTreeMap<SessionId, Live>,
+    by_class: BTreeMap<usize, usize>,
+    by_title: BTreeMap<(TitleId, usize), usize>,
+    sent: ByTime,
+    at: BTreeMap<ServerId, ByTime>,
+    out: BTreeMap<ServerId, usize>, // those that do not play: sent and not over
+    due: BTreeMap<Group, ByTime>,   // those that play, by when they are due to be decided anew
+}
+
+impl Held {
+    fn insert(&mut self, live: Live) {
+        self.count(&live, true);
+        self.live.insert(live.ask.req.session, live);
+    }
+
+    fn remove(&mut self, id: SessionId) -> Option<Live> {
+        let live = self.live.remove(&id)?;
+        self.count(&live, false);
+        Some(live)
+    }
+
+    fn change(&mut self, id: SessionId, work: impl FnOnce(&mut Live)) {
+        let Some(mut live) = self.remove(id) else { return };
+        work(&mut live);
+        self.insert(live);
+    }
+
+    /// Enters a session into every count, or takes it out; what is empty goes.
+    fn count(&mut self, live: &Live, enter: bool) {
+        fn tally<K: Ord + Copy>(counts: &mut BTreeMap<K, usize>, key: K, enter: bool) {
+            let n = counts.entry(key).or_default();
+            *n = if enter { *n + 1 } else { n.saturating_sub(1) };
+            if *n == 0 {
+                counts.remove(&key);
+            }
+        }
+        type Sets<K> = BTreeMap<K, ByTime>;
+        fn file<K: Ord + Copy>(sets: &mut Sets<K>, key: K, entry: (Micros, SessionId), enter: bool) {
+            let set = sets.entry(key).or_default();
+            let _ = if enter { set.insert(entry) } else { set.remove(&entry) };
+            if set.is_empty() {
+                sets.remove(&key);
+            }
+        }
+        let (req, server) = (&live.ask.req, live.server);
+        tally(&mut self.by_class, req.class, enter);
+        tally(&mut self.by_title, (req.title, req.class), enter);
+        let sent = (live.sent, req.session);
+        let _ = if enter { self.sent.insert(sent) } else { self.sent.remove(&sent) };
+        file(&mut self.at, server, sent, enter);
+        if live.state != State::Plays {
+            tally(&mut self.out, server, enter);
+        } else if let Some(due) = live.due {
+            let group = (server, req.class, live.rung, req.top);
+            file(&mut self.due, group, (due, req.session), enter);
+        }
+    }
+}
+
+/// How many there are later than a time.
+fn later(set: &ByTime, than: Micros) -> usize {
+    set.range((Excluded((than, SessionId(u64::MAX))), Unbounded)).count()
+}
+
 // ---- account ---------------------------------------------------------------------------------
 
 /// What is believed asked of one link or uplink, as a part of what it gives.
@@ -200,7 +277,7 @@
     out: Vec<Action>,
     servers: BTreeMap<ServerId, Server>,
     uplinks: BTreeMap<u64, Account>,
-    live: BTreeMap<SessionId, Live>,
+    held: Held,
     asking: BTreeMap<SessionId, (Ask, Vec<ServerId>)>, // requests that wait for these probes
     taken: VecDeque<Micros>,                           // times of requests taken and of further attempts sent
     further: VecDeque<Micros>,
@@ -290,12 +367,15 @@
     fn on_asked(&mut self, mut req: Request) {
         let span = self.set.contract.further.map_or(0, |f| f.span).max(self.set.contract.fall);
         self.taken.push_back(self.now);
-        self.taken.retain(|t| *t >= self.now - span);
-        self.further.retain(|t| *t >= self.now - span);
+        for times in [&mut self.taken, &mut self.further] {
+            while times.front().is_some_and(|t| *t < self.now - span) {
+                times.pop_front();
+            }
+        }
         req.deadline = req.deadline.clamp(self.now, self.now + LONGEST);
         self.turned.remove(&req.viewer);
         self.weigh_demand();
-        if self.live.contains_key(&req.session) || self.asking.contains_key(&req.session) {
+        if self.held.live.contains_key(&req.session) || self.asking.contains_key(&req.session) {
             return; // an id that is already held: odd input, and its answer is under way
         }
         let ask = Ask { req, attempts: 0, tried: Vec::new() };
@@ -337,7 +417,7 @@
     }
 
     fn on_carried(&mut self, req: Request, server: ServerId) {
-        if self.live.contains_key(&req.session) {
+        if self.held.live.contains_key(&req.session) {
             return;
         }
         let rung = self.set.classes.get(req.class).map_or(0, |c| c.floor);
@@ -349,16 +429,16 @@
     fn on_started(&mut self, id: SessionId, attempts: u32, server: ServerId, waited: Micros) {
         self.setup += 0.1 * (waited.max(0) as f64 - self.setup);
         self.on_sign(server, true);
-        if self.live.get(&id).is_some_and(|l| l.state == State::Pending && l.ask.attempts == attempts) {
+        if self.held.live.get(&id).is_some_and(|l| l.state == State::Pending && l.ask.attempts == attempts) {
             self.turn(id, State::Plays);
         }
     }
 
     fn on_finished(&mut self, id: SessionId, attempts: u32, outcome: Outcome, closed: bool) {
-        if self.live.get(&id).is_none_or(|l| l.ask.attempts != attempts) {
+        if self.held.live.get(&id).is_none_or(|l| l.ask.attempts != attempts) {
             return;
         }
-        let Some(Live { ask, state, server, kb, .. }) = self.live.remove(&id) else { return };
+        let Some(Live { ask, state, server, kb, .. }) = self.held.remove(id) else { return };
         self.charge(server, -kb);
         self.judge(server, outcome);
         // Only a request that is still owed its answer goes on; a paid one only on proof.
@@ -415,13 +495,13 @@
 
     /// The first note of a session comes with its set-up and is fresh; later ones are late.
     fn on_fullness(&mut self, id: SessionId, server: ServerId, load: Load) {
-        let first = self.live.get(&id).is_some_and(|l| self.now - l.sent < self.set.told_every / 2);
+        let first = self.held.live.get(&id).is_some_and(|l| self.now - l.sent < self.set.told_every / 2);
         self.on_load(server, load, if first { 0 } else { self.set.told_late }, NOTE_WEIGHT);
     }
 
     /// The viewer's time is up: the final answer is due now, whatever is still out.
     fn on_deadline(&mut self, id: SessionId) {
-        let Some(Live { ask, state: State::Pending, .. }) = self.live.get(&id) else { return };
+        let Some(Live { ask, state: State::Pending, .. }) = self.held.live.get(&id) else { return };
         if self.now + self.set.limits.step < ask.req.deadline {
             return; // rang for probes that had answered before
         }
@@ -469,16 +549,15 @@
         let links: f64 = self.servers.values().map(|s| s.link.kb).sum();
         let uplinks = self.set.racks as f64 * self.set.uplink_kb.max(0.0);
         let own: f64 = self.servers.values().map(|s| s.link.own).sum();
-        let (held, middle) = (self.live.len() as f64, self.set.rate(0, self.set.ladder.len() / 2));
+        let (held, middle) = (self.held.live.len() as f64, self.set.rate(0, self.set.ladder.len() / 2));
         let (link, link_spread) = mean(&mut self.servers.values().map(|s| &s.link), own, links);
         let (uplink, uplink_spread) = mean(&mut self.uplinks.values(), own, uplinks);
         let usual = (own + PRIOR_RATE * middle) / (held + PRIOR_RATE);
         let asked = if uplinks > 0.0 { uplink * uplinks } else { link * links };
         let sessions = if usual > 0.0 { asked / usual } else { held * n };
         // Reports lag a crowd: the others are taken to have grown as this director has since.
-        let young = |l: &&Live| l.sent > self.born.max(self.now - GROWTH_SPAN);
-        let sessions =
-            sessions * (held + PRIOR) / (held + PRIOR - self.live.values().filter(young).count() as f64);
+        let young = later(&self.held.sent, self.born.max(self.now - GROWTH_SPAN)) as f64;
+        let sessions = sessions * (held + PRIOR) / (held + PRIOR - young);
         let echo = (n - 1.0) / (1.0 + (n - 1.0) / ECHO);
         self.fleet =
             Fleet { link, uplink, link_spread, uplink_spread, sessions, others: 1.0 - 1.0 / n, echo };
@@ -497,12 +576,12 @@
     // ---- holding ----------------------------------------------------------------------------
 
     fn turn(&mut self, id: SessionId, state: State) {
-        self.live.get_mut(&id).into_iter().for_each(|l| l.state = state);
+        self.held.change(id, |l| l.state = state);
     }
 
     fn hold(&mut self, live: Live) {
         self.charge(live.server, live.kb);
-        self.live.insert(live.ask.req.session, live);
+        self.held.insert(live);
     }
 
     fn charge(&mut self, server: ServerId, kb: f64) {
@@ -523,10 +602,10 @@
 
     /// Books a change of rung of a session that plays.
     fn set_rung(&mut self, id: SessionId, rung: usize) {
-        let Some(t) = self.live.get_mut(&id).filter(|l| l.state == State::Plays) else { return };
+        let Some(t) = self.held.live.get(&id).filter(|l| l.state == State::Plays) else { return };
         let kb = self.set.rate(t.ask.req.class, rung);
         let (server, change) = (t.server, kb - t.kb);
-        (t.rung, t.kb) = (rung, kb);
+        self.held.change(id, |t| (t.rung, t.kb) = (rung, kb));
         self.charge(server, change);
     }
 
@@ -602,12 +681,12 @@
         if room <= 0.0 {
             return;
         }
-        let held = self.live.len() as f64;
+        let held = self.held.live.len() as f64;
         let classes = self.set.classes.len() as f64;
         let mut steps = Vec::new();
         for (c, class) in self.set.classes.iter().enumerate() {
             let turned = self.turned.values().filter(|(_, k)| *k == c).count();
-            let own = self.live.values().filter(|l| l.ask.req.class == c).count();
+            let own = self.held.by_class.get(&c).copied().unwrap_or(0);
             let seen = (own + turned) as f64 + PRIOR / classes;
             let wanting = seen / (held + PRIOR) * self.fleet.sessions;
             let mut density = f64::INFINITY;
@@ -725,7 +804,10 @@
     fn step_down(&mut self, server: ServerId, share: f64) {
         let worth = |r: usize| self.set.ladder.get(r).map_or(0.0, |x| x.worth);
         let (mut own, mut steps) = (0.0, Vec::new());
-        for (id, t) in self.live.iter().filter(|(_, l)| l.state == State::Plays && l.server == server) {
+        let there = self.held.at.get(&server).into_iter().flatten().map(|(_, id)| *id);
+        let there: BTreeSet<SessionId> = there.collect(); // by id: sums of rates come out the same
+        let live = there.iter().filter_map(|id| self.held.live.get_key_value(id));
+        for (id, t) in live.filter(|(_, l)| l.state == State::Plays) {
             let Some(class) = self.set.classes.get(t.ask.req.class) else { continue };
             own += t.kb;
             if t.rung > class.floor {
@@ -750,7 +832,7 @@
     }
 
     fn step(&mut self, id: SessionId, rung: usize) {
-        self.live.get_mut(&id).into_iter().for_each(|l| l.due = Some(self.now + CALM));
+        self.held.change(id, |l| l.due = Some(self.now + CALM));
         self.set_rung(id, rung);
         self.out.push(Action::SetRung { session: id, rung });
     }
@@ -759,38 +841,50 @@
     /// decided on what is known here. Once link and uplink are reported it is decided like a new one, upwards
     /// only, if what is left of it is worth more than the step.
     fn settle(&mut self) {
-        let mut steps = Vec::new();
-        for (id, t) in
-            self.live.iter().filter(|(_, l)| l.state == State::Plays && l.due.is_some_and(|d| self.now >= d))
-        {
-            let Some(s) = self.servers.get(&t.server).filter(|s| !s.short) else { continue };
-            let (req, class) = (&t.ask.req, t.ask.req.class);
-            let (Some(terms), Some(top)) = (self.set.classes.get(class), self.set.top(req)) else { continue };
-            let told = s.link.reported.is_some_and(|r| r >= t.sent);
-            if !told || self.uplink_of(s).is_some_and(|u| u.reported.is_none()) || top <= t.rung {
+        for (id, rung) in self.settled() {
+            self.step(id, rung);
+        }
+    }
+
+    /// Sessions that may step up now, and to which rung, by id.
+    fn settled(&self) -> BTreeMap<SessionId, usize> {
+        let mut steps = BTreeMap::new();
+        for ((server, class, held, top), sessions) in &self.held.due {
+            let Some(s) = self.servers.get(server).filter(|s| !s.short) else { continue };
+            let Some(terms) = self.set.classes.get(*class) else { continue };
+            let Some(last) = self.set.ladder.len().checked_sub(1) else { continue };
+            let Some(told) = s.link.reported else { continue };
+            let top = (*top).min(terms.top).min(last);
+            if self.uplink_of(s).is_some_and(|u| u.reported.is_none()) {
                 continue;
             }
             // All other directors decide theirs at the same time: what counts is not how full the link is now
             // but what all viewers there would ask at that rung. Of a rung for which there is room for a part
             // of them only, that part takes it, by draw.
-            let (fuller, part) = (self.fuller(s), draw(id.0));
-            let common = |r: &usize| {
+            let fuller = self.fuller(s);
+            let common = |r: &usize, part: f64| {
                 self.overfill
-                    .get(&(class, *r))
+                    .get(&(*class, *r))
                     .is_some_and(|(before, after)| (before + part * (after - before)) * fuller <= 1.0)
             };
-            let Some(top) = (t.rung + 1..=top).rev().find(common) else { continue };
-            let Some(rung) = self.rung_at(s, class, terms.floor, top, t.kb).filter(|r| *r > t.rung) else {
+            // Where no draw has room the sessions need not be looked at one by one.
+            if !(held + 1..=top).any(|r| common(&r, 0.0) || common(&r, 1.0)) {
                 continue;
-            };
-            let left = req.hint.map_or(f64::INFINITY, |h| (h - (self.now - t.sent)) as f64 / 1e6);
-            if left * (self.set.ladder[rung].worth - self.set.ladder[t.rung].worth) > self.set.switch_s {
-                steps.push((*id, rung));
+            }
+            let kb = self.set.rate(*class, *held);
+            for (_, id) in sessions.iter().take_while(|(due, _)| *due <= self.now) {
+                let Some(t) = self.held.live.get(id).filter(|t| told >= t.sent) else { continue };
+                let part = draw(id.0);
+                let Some(top) = (held + 1..=top).rev().find(|r| common(r, part)) else { continue };
+                let found = self.rung_at(s, *class, terms.floor, top, kb);
+                let Some(rung) = found.filter(|r| r > held) else { continue };
+                let left = t.ask.req.hint.map_or(f64::INFINITY, |h| (h - (self.now - t.sent)) as f64 / 1e6);
+                if left * (self.set.ladder[rung].worth - self.set.ladder[*held].worth) > self.set.switch_s {
+                    steps.insert(*id, rung);
+                }
             }
         }
-        for (id, rung) in steps {
-            self.step(id, rung);
-        }
+        steps
     }
 
     // ---- guards -----------------------------------------------------------------------------
@@ -802,8 +896,8 @@
     /// Seats, attempts and the ration of further attempts allow another send.
     fn may_send(&self, ask: &Ask) -> bool {
         let seats = self.set.classes.get(ask.req.class).map_or(0, |c| c.seats);
-        let same = |l: &&Live| (l.ask.req.title, l.ask.req.class) == (ask.req.title, ask.req.class);
-        let seated = seats > 0 && self.live.values().filter(same).count() >= seats as usize;
+        let held = self.held.by_title.get(&(ask.req.title, ask.req.class)).copied().unwrap_or(0);
+        let seated = seats > 0 && held >= seats as usize;
         let used_up = seated || ask.attempts >= self.set.limits.max_attempts.max(1);
         if used_up || self.now >= ask.req.deadline - self.set.limits.step {
             return false;
@@ -824,8 +918,7 @@
         // A failing server is tried with harmless set-ups only, one at a time, ever more rarely.
         let wait = TRIAL_WAIT << s.fails.saturating_sub(1).min(3);
         let trial = self.harmless(ask.req.class) && self.now - s.failed_at >= wait;
-        let out = |l: &Live| l.server == s.listed.server && l.state != State::Plays;
-        s.fails == 0 || (trial && !self.live.values().any(out))
+        s.fails == 0 || (trial && !self.held.out.contains_key(&s.listed.server))
     }
 
     /// A cold server is open to a part of the requests only, by hash: as many as keep its pace if every
@@ -846,8 +939,8 @@
         let part = if known { (ask.req.spread as f64 / cells).clamp(CROWD, 1.0) } else { 1.0 / cells };
         let all = self.set.sharers() * asked.max(1) as f64 * part;
         let most = pace * PACE_MARGIN * span as f64;
-        let sent = self.live.values().filter(|l| l.server == s.listed.server && l.sent > self.now - span);
-        draw(self.tie(ask, s)) * all < most && sent.count() < (most / self.set.sharers()).max(1.0) as usize
+        let sent = self.held.at.get(&s.listed.server).map_or(0, |at| later(at, self.now - span));
+        draw(self.tie(ask, s)) * all < most && sent < (most / self.set.sharers()).max(1.0) as usize
     }
 
     // ---- list -------------------------------------------------------------------------------
@@ -882,8 +975,8 @@
                 }
             }
         }
-        let held = |id: &ServerId| self.live.values().any(|l| l.server == *id);
-        self.servers.retain(|id, s| s.listed.state != Standing::Gone || held(id)); // else forgotten
+        let held = &self.held.at; // what is gone is forgotten once nothing plays there
+        self.servers.retain(|id, s| s.listed.state != Standing::Gone || held.contains_key(id));
         self.size_links();
     }
 
@@ -932,3 +1025,6 @@
 fn draw(seed: u64) -> f64 {
     (mix(mix(seed)) >> 11) as f64 / (1u64 << 53) as f64
 }
+
+#[cfg(test)]
+mod counts;
--- /dev/null
+++ b/src/control/counts.rs
@@ -0,0 +1,200 @@
+//! The running counts beside the plain walks over all sessions that they stand for, on random events.
+
+use super::*;
+
+const MS: Micros = 1_000;
+const S: Micros = 1_000_000;
+
+struct Dice(u64);
+
+impl Dice {
+    fn roll(&mut self, sides: u64) -> u64 {
+        self.0 ^= self.0 << 13;
+        self.0 ^= self.0 >> 7;
+        self.0 ^= self.0 << 17;
+        self.0 % sides
+    }
+}
+
+fn settings() -> Settings {
+    let ladder = [(200.0, 0.25), (400.0, 0.5), (700.0, 0.7), (1200.0, 0.85), (2000.0, 1.0)];
+    let class =
+        ClassTerms { effect: Effect::Harmless, aim: S, worth: 1.0, scale: 1.0, top: 4, ..Default::default() };
+    let paid = ClassTerms { effect: Effect::Paid, worth: 2.0, floor: 1, seats: 4, ..class };
+    Settings {
+        directors: 3,
+        classes: vec![class, paid],
+        ladder: ladder.iter().map(|(kb, worth)| Rung { kb: *kb, worth: *worth }).collect(),
+        cells: 6,
+        racks: 2,
+        places_by_kind: vec![30.0],
+        weights_tell_size: true,
+        link_kb_per_weight: 10_000.0,
+        uplink_kb: 25_000.0,
+        told_late: S,
+        told_every: 3 * S,
+        join_adds: 1.0,
+        stall_cost: 7.0,
+        switch_s: 0.5,
+        contract: Contract {
+            warm_after: 8 * S,
+            start_capacity: 0.4,
+            overload_factor: 2.0,
+            fall: 2 * S,
+            further: Some(FurtherAttempts { free: 2.0, per_request: 0.2, span: 10 * S }),
+            ..Default::default()
+        },
+        limits: Limits {
+            max_attempts: 4,
+            may_cancel: true,
+            max_come_back: S,
+            step: 10 * MS,
+            ..Default::default()
+        },
+        ..Default::default()
+    }
+}
+
+/// What `settled` stands for: every session that is due, by itself.
+fn plainly_settled(d: &Director) -> BTreeMap<SessionId, usize> {
+    let mut steps = BTreeMap::new();
+    for (id, t) in &d.held.live {
+        if t.state != State::Plays || t.due.is_none_or(|due| d.now < due) {
+            continue;
+        }
+        let Some(s) = d.servers.get(&t.server).filter(|s| !s.short) else { continue };
+        let (req, class) = (&t.ask.req, t.ask.req.class);
+        let (Some(terms), Some(top)) = (d.set.classes.get(class), d.set.top(req)) else { continue };
+        let told = s.link.reported.is_some_and(|r| r >= t.sent);
+        if !told || d.uplink_of(s).is_some_and(|u| u.reported.is_none()) || top <= t.rung {
+            continue;
+        }
+        let (fuller, part) = (d.fuller(s), draw(id.0));
+        let common = |r: &usize| {
+            let found = d.overfill.get(&(class, *r));
+            found.is_some_and(|(before, after)| (before + part * (after - before)) * fuller <= 1.0)
+        };
+        let Some(top) = (t.rung + 1..=top).rev().find(common) else { continue };
+        let Some(rung) = d.rung_at(s, class, terms.floor, top, t.kb).filter(|r| *r > t.rung) else {
+            continue;
+        };
+        let left = req.hint.map_or(f64::INFINITY, |h| (h - (d.now - t.sent)) as f64 / 1e6);
+        if left * (d.set.ladder[rung].worth - d.set.ladder[t.rung].worth) > d.set.switch_s {
+            steps.insert(*id, rung);
+        }
+    }
+    steps
+}
+
+fn compare(d: &Director) {
+    let live = || d.held.live.values();
+    for class in 0..3 {
+        let count = live().filter(|l| l.ask.req.class == class).count();
+        assert_eq!(d.held.by_class.get(&class).copied().unwrap_or(0), count);
+        for title in (0..6).map(TitleId) {
+            let count = live().filter(|l| (l.ask.req.title, l.ask.req.class) == (title, class)).count();
+            assert_eq!(d.held.by_title.get(&(title, class)).copied().unwrap_or(0), count);
+        }
+    }
+    for ago in [0, S, 2 * S, 3 * S, 10 * S] {
+        let than = d.now - ago;
+        assert_eq!(later(&d.held.sent, than), live().filter(|l| l.sent > than).count());
+        for server in (1..=6).map(ServerId) {
+            let count = live().filter(|l| l.server == server && l.sent > than).count();
+            assert_eq!(d.held.at.get(&server).map_or(0, |at| later(at, than)), count);
+        }
+    }
+    for server in (1..=6).map(ServerId) {
+        let out = live().filter(|l| l.server == server && l.state != State::Plays).count();
+        assert_eq!(d.held.out.get(&server).copied().unwrap_or(0), out);
+        assert_eq!(d.held.at.contains_key(&server), live().any(|l| l.server == server));
+    }
+    let due: usize = d.held.due.values().map(BTreeSet::len).sum();
+    assert_eq!(due, live().filter(|l| l.state == State::Plays && l.due.is_some()).count());
+    assert_eq!(d.settled(), plainly_settled(d));
+}
+
+fn listed(id: u64, state: Standing) -> Listed {
+    Listed {
+        server: ServerId(id),
+        zone: None,
+        kind: Some(0),
+        cell: id - 1,
+        state,
+        weight: 1.0,
+        came_up: None,
+    }
+}
+
+fn request(dice: &mut Dice, id: u64, now: Micros) -> Request {
+    Request {
+        session: SessionId(id),
+        class: dice.roll(2) as usize,
+        tenant: None,
+        viewer: dice.roll(80),
+        title: TitleId(dice.roll(6)),
+        deadline: now + 4 * S,
+        hint: (dice.roll(3) > 0).then_some(40 * S),
+        home: dice.roll(6),
+        spread: 3,
+        top: dice.roll(6) as usize,
+        again: false,
+    }
+}
+
+#[test]
+fn running_counts_are_what_plain_walks_find() {
+    let mut settled = 0;
+    for seed in 1..=8u64 {
+        let mut dice = Dice(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+        let (mut d, mut out, mut now) = (Director::new(seed, settings(), 0), Vec::new(), 0);
+        let lines = (1..=6).map(|id| listed(id, Standing::Ready)).collect();
+        d.handle(now, Event::List { news: ListNews::Full, lines }, &mut out);
+        for id in 0..40 {
+            let req = request(&mut dice, id, now);
+            d.handle(now, Event::Carried(req, ServerId(1 + dice.roll(6))), &mut out);
+        }
+        for id in 40..1200 {
+            now += dice.roll(80) as Micros * MS;
+            let some = |dice: &mut Dice, d: &Director| {
+                let n = d.held.live.len().max(1) as u64;
+                d.held
+                    .live
+                    .values()
+                    .nth(dice.roll(n) as usize)
+                    .map(|l| (l.ask.req.session, l.ask.attempts - 1, l.server, l.state == State::Pending))
+            };
+            let event = match (dice.roll(10), some(&mut dice, &d)) {
+                (0..=2, _) => Event::Asked(request(&mut dice, id, now)),
+                (3..=4, Some((session, attempt, server, true))) => {
+                    Event::Started { session, attempt, server, waited: 80 * MS }
+                }
+                (3..=5, Some((session, attempt, server, _))) if dice.roll(2) == 0 => {
+                    let outcomes = [Outcome::Good, Outcome::Reset, Outcome::Full, Outcome::Late];
+                    let outcome = outcomes[dice.roll(4) as usize];
+                    let load = Load { link: Some(dice.roll(12) as f64 / 10.0), ..Load::default() };
+                    Event::Finished { session, attempt, server, outcome, closed: dice.roll(2) == 0, load }
+                }
+                (6..=7, Some((session, attempt, server, false))) => {
+                    let note = match dice.roll(5) {
+                        0 => Note::Delivered(if dice.roll(2) == 0 { 0.6 } else { 1.0 }),
+                        1 => Note::Rung(dice.roll(6) as usize),
+                        2 => Note::Link(dice.roll(10) as f64 / 10.0),
+                        _ => Note::Uplink(dice.roll(10) as f64 / 10.0),
+                    };
+                    Event::Noted { session, attempt, server, note }
+                }
+                (8, Some((session, ..))) if dice.roll(4) == 0 => Event::Withdrawn(session),
+                (9, _) if dice.roll(8) == 0 => {
+                    let state = if dice.roll(2) == 0 { Standing::Gone } else { Standing::Ready };
+                    Event::List { news: ListNews::Delta, lines: vec![listed(1 + dice.roll(6), state)] }
+                }
+                _ => Event::Timer(TICK_TOKEN),
+            };
+            d.handle(now, event, &mut out);
+            compare(&d);
+            settled += d.settled().len();
+        }
+    }
+    assert!(settled > 20, "the runs have to bring sessions that may step up: {settled}");
+}
