--- a/crates/front/src/day.rs
+++ b/crates/front/src/day.rs
@@ -2,6 +2,7 @@
 //! rules judged from the recordings.
 
 mod directors;
+mod import;
 mod summary;
 mod troubles;
 
@@ -22,6 +23,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+pub use import::{Imported, import};
 pub use summary::Summary;
 
 /// What may be seen later, or in another order, than it was sent: loopback, and turns of busy processes.
@@ -81,6 +83,38 @@
     })
 }
 
+/// The machines of a day: as told, or spread over zones, kinds and cells in turn.
+fn machines(plan: &DayPlan, mut stray: impl FnMut(f64) -> f64) -> Vec<Machine> {
+    let (site, fleet) = (&plan.site, &plan.fleet);
+    let places = |kind: &str| site.kind.get(kind).map_or(1e6, |k| k.places);
+    if !fleet.machine.is_empty() {
+        let told = |(name, m): (&String, &shalewall_settings::Machine)| Machine {
+            id: name.parse().unwrap_or_default(),
+            zone: m.zone.clone(),
+            kind: m.kind.clone(),
+            cell: m.cell,
+            weight: m.weight,
+            places: places(&m.kind),
+            link_kb: m.link_kb * stray(fleet.link_stray),
+        };
+        return fleet.machine.iter().map(told).collect();
+    }
+    let kinds: Vec<&String> = site.kind.keys().collect();
+    let machine = |id: u64| {
+        let kind = kinds.get(id as usize % kinds.len().max(1)).map_or("", |k| k.as_str());
+        Machine {
+            id: id + 1,
+            zone: site.zones.get(id as usize % site.zones.len().max(1)).cloned().unwrap_or_default(),
+            kind: kind.to_string(),
+            cell: id % site.layout.cells,
+            weight: 1.0,
+            places: places(kind),
+            link_kb: fleet.link_kb * stray(fleet.link_stray),
+        }
+    };
+    (0..fleet.nodes).map(machine).collect()
+}
+
 /// Starts nodes and list, and readies the viewers.
 pub fn world(ex: &Rc<LocalExecutor<'static>>, plan: &DayPlan, recorder: Recorder) -> io::Result<World> {
     let (site, fleet) = (&plan.site, &plan.fleet);
@@ -97,7 +131,10 @@
         start_capacity: site.rules.start_capacity,
         overload_factor: site.rules.overload_factor,
         fall: us(site.rules.fall_ms),
-        uplinks: (0..racks).map(|_| fleet.uplink_kb * stray(fleet.link_stray)).collect(),
+        uplinks: match &fleet.uplinks_kb[..] {
+            [] => (0..racks).map(|_| fleet.uplink_kb * stray(fleet.link_stray)).collect(),
+            told => told.to_vec(),
+        },
     };
     let telling = Telling {
         every: Duration::from_secs_f64(site.notes.every_ms / 1000.0),
@@ -107,21 +144,10 @@
     let nodes = Nodes::new(ex.clone(), Fleet::new(physics, plan.day.seed ^ 1), recorder.clone(), telling);
     let late = Duration::from_secs_f64(fleet.list_late_ms / 1000.0);
     let (list, list_address) = List::start(ex.clone(), recorder.clone(), late)?;
-    let kinds: Vec<_> = site.kind.iter().collect();
-    for id in 0..fleet.nodes {
-        let kind = kinds.get(id as usize % kinds.len().max(1));
-        let zone = site.zones.get(id as usize % site.zones.len().max(1));
-        let machine = Machine {
-            id: id + 1,
-            zone: zone.cloned().unwrap_or_default(),
-            kind: kind.map_or(String::new(), |(name, _)| name.to_string()),
-            cell: id % site.layout.cells,
-            weight: 1.0,
-            places: kind.map_or(1e6, |(_, k)| k.places),
-            link_kb: fleet.link_kb * stray(fleet.link_stray),
-        };
+    for machine in machines(plan, stray) {
+        let id = machine.id;
         nodes.start(machine, true)?;
-        line(&nodes, id + 1, "ready").into_iter().for_each(|l| list.tell(l));
+        line(&nodes, id, "ready").into_iter().for_each(|l| list.tell(l));
     }
     let load = &plan.load;
     let class = |(name, part): (&String, &f64)| {
--- a/crates/front/src/day/troubles.rs
+++ b/crates/front/src/day/troubles.rs
@@ -14,11 +14,15 @@
     Duration::from_secs_f64(s.max(0.0))
 }
 
-/// Those that a trouble meets: its part of them, at least one.
-fn part<T: Clone>(of: &[T], part: f64, dice: &mut ChaCha8Rng) -> Vec<T> {
+/// Those that a trouble meets: as told, or its part of them, at least one.
+fn met<T: Copy + Into<u64>>(of: &[T], trouble: &Trouble, dice: &mut ChaCha8Rng) -> Vec<T> {
     let mut all = of.to_vec();
+    if let Some(on) = &trouble.on {
+        all.retain(|x| on.contains(&(*x).into()));
+        return all;
+    }
     all.shuffle(dice);
-    all.truncate(((part * of.len() as f64).round() as usize).max(1));
+    all.truncate(((trouble.part * of.len() as f64).round() as usize).max(1));
     all
 }
 
@@ -38,11 +42,11 @@
         let name = trouble.name.as_deref();
         match trouble.kind {
             TroubleKind::Crash => {
-                let ids = part(&world.nodes.running(), trouble.part, &mut dice);
+                let ids = met(&world.nodes.running(), &trouble, &mut dice);
                 down_and_up(&world, &ids, &trouble).await;
             }
             TroubleKind::Vanish => {
-                let ids = part(&world.nodes.running(), trouble.part, &mut dice);
+                let ids = met(&world.nodes.running(), &trouble, &mut dice);
                 ids.iter().for_each(|id| world.nodes.freeze(*id));
                 // Gone without a word: the list hears late, and what comes back is new.
                 ids.iter().for_each(|id| told(&world, *id, "gone"));
@@ -53,13 +57,13 @@
                 ids.iter().for_each(|id| up(&world, *id));
             }
             TroubleKind::Hang => {
-                let ids = part(&world.nodes.running(), trouble.part, &mut dice);
+                let ids = met(&world.nodes.running(), &trouble, &mut dice);
                 ids.iter().for_each(|id| world.nodes.freeze(*id));
                 Timer::after(secs(trouble.len_s)).await;
                 ids.iter().for_each(|id| world.nodes.thaw(*id));
             }
             TroubleKind::Neighbour => {
-                let ids = part(&world.nodes.running(), trouble.part, &mut dice);
+                let ids = met(&world.nodes.running(), &trouble, &mut dice);
                 let mut left = trouble.len_s;
                 while left > 0.0 {
                     let spell = (0.5 + 1.5 * dice.random::<f64>()).min(left);
@@ -80,7 +84,7 @@
                 world.nodes.change(|fleet| fleet.slow_links = 1.0);
             }
             TroubleKind::Ageing => {
-                let ids = part(&world.nodes.running(), trouble.part, &mut dice);
+                let ids = met(&world.nodes.running(), &trouble, &mut dice);
                 let steps = 10;
                 for step in 1..=steps {
                     let slow = 1.0 + (trouble.size - 1.0).max(0.0) * f64::from(step) / f64::from(steps);
@@ -121,13 +125,13 @@
                 world.viewers.set_hot(None);
             }
             TroubleKind::DirectorKill => {
-                let numbers = part(&directors.numbers(None), trouble.part, &mut dice);
+                let numbers = met(&directors.numbers(None), &trouble, &mut dice);
                 kill(&directors, &numbers);
                 Timer::after(secs(trouble.len_s)).await;
                 start(&directors, &numbers).await;
             }
             TroubleKind::DirectorStall => {
-                let numbers = part(&directors.numbers(None), trouble.part, &mut dice);
+                let numbers = met(&directors.numbers(None), &trouble, &mut dice);
                 let stall = secs(trouble.stall_ms / 1000.0);
                 let mut left = trouble.len_s;
                 while left > 0.0 {
@@ -185,7 +189,7 @@
 
 /// Taken away in waves: listed as draining, dead soon after, replaced by new machines that are cold.
 async fn preempt(world: &Rc<World>, trouble: &Trouble, dice: &mut ChaCha8Rng) {
-    let ids = part(&world.nodes.running(), trouble.part, dice);
+    let ids = met(&world.nodes.running(), trouble, dice);
     let waves = ids.chunks(ids.len().div_ceil(trouble.waves as usize).max(1));
     let gap = secs(trouble.len_s / 2.0 / f64::from(trouble.waves));
     for wave in waves {
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -54,6 +54,9 @@
         #[arg(long)]
         check: bool,
     },
+    /// Turn a day file of the bench into a script, on standard output. What has no counterpart is listed, on
+    /// standard error and at the head of the script.
+    Import { file: PathBuf },
 }
 
 /// Exit codes beside 0.
@@ -119,6 +122,12 @@
                 return Ok(ExitCode::from(BROKEN));
             }
         }
+        Command::Day { command: DayCommand::Import { file } } => {
+            let text = std::fs::read_to_string(&file).map_err(|e| bad(format!("{}: {e}", file.display())))?;
+            let imported = day::import(&text).map_err(|e| bad(format!("{}: {e}", file.display())))?;
+            imported.left_out.iter().for_each(|l| eprintln!("shalewall: left out or changed: {l}"));
+            print!("{}", imported.script().map_err(bad)?);
+        }
         Command::Audit { dir } => {
             let verdict = day::audit(&dir).map_err(bad)?;
             println!("{verdict}");
--- a/crates/settings/src/day.rs
+++ b/crates/settings/src/day.rs
@@ -81,12 +81,37 @@
     #[garde(range(min = 0.0, max = 100.0))]
     #[serde(default)]
     pub full_from: f64,
+    /// Machines by number, where each is told; then `nodes` and `link_kb` are not used.
+    #[garde(dive)]
+    #[serde(default)]
+    pub machine: BTreeMap<String, Machine>,
+    /// Uplink of each rack, where each is told.
+    #[garde(skip)]
+    #[serde(default)]
+    pub uplinks_kb: Vec<f64>,
     /// News of the list come so late.
     #[garde(range(min = 0.0, max = 60_000.0))]
     #[serde(default)]
     pub list_late_ms: f64,
 }
 
+/// One machine of the fleet.
+#[derive(Clone, Debug, Serialize, Deserialize, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct Machine {
+    #[garde(skip)]
+    #[serde(default)]
+    pub zone: String,
+    #[garde(skip)]
+    pub kind: String,
+    #[garde(skip)]
+    pub cell: u64,
+    #[garde(range(min = 0.0, max = 1e9))]
+    pub weight: f64,
+    #[garde(range(min = 1.0, max = 1e12))]
+    pub link_kb: f64,
+}
+
 fn refresh() -> f64 {
     300.0
 }
@@ -186,7 +211,10 @@
     #[garde(skip)]
     #[serde(default)]
     pub directors: bool,
-    /// Zone or tenant by name, where the kind has one.
+    /// The nodes or directors that it meets, by number, where they are told; then `part` is not used.
+    #[garde(skip)]
+    pub on: Option<Vec<u64>>,
+    /// Zone, tenant or title by name, where the kind has one.
     #[garde(skip)]
     pub name: Option<String>,
 }
@@ -211,6 +239,25 @@
             wrong
                 .push(("load.mix".into(), format!("'{name}' is no class of the site: {}", known.join(", "))));
         }
+        for (name, m) in &self.fleet.machine {
+            let path = |field: &str| format!("fleet.machine.{name}.{field}");
+            if name.parse::<u32>().is_err() {
+                wrong.push((format!("fleet.machine.{name}"), "machines are named by their numbers".into()));
+            }
+            if m.cell >= self.site.layout.cells {
+                wrong.push((path("cell"), format!("cells are 0 to {}", self.site.layout.cells - 1)));
+            }
+            if !self.site.kind.contains_key(&m.kind) {
+                wrong.push((path("kind"), "is no kind of the site".into()));
+            }
+        }
+        let uplinks = &self.fleet.uplinks_kb;
+        if !uplinks.is_empty() && uplinks.len() as u64 != self.site.layout.racks {
+            wrong.push(("fleet.uplinks_kb".into(), format!("there are {} racks", self.site.layout.racks)));
+        }
+        if uplinks.iter().any(|kb| !kb.is_finite() || *kb <= 0.0) {
+            wrong.push(("fleet.uplinks_kb".into(), "each has to be above 0".into()));
+        }
         for (name, t) in &self.trouble {
             let path = |field: &str| format!("trouble.{name}.{field}");
             if t.at_s + t.len_s > self.day.seconds {
--- a/src/control.rs
+++ b/src/control.rs
@@ -212,12 +212,18 @@
         }
     }
 
+    /// Own changes after a time. The log is in order of time, and at thousands of set-ups a second the rest
+    /// of it is long.
+    fn since(&self, time: Micros) -> impl Iterator<Item = &(Micros, f64)> {
+        self.log.range(self.log.partition_point(|(t, _)| *t <= time)..)
+    }
+
     /// A report of `age`: own changes since then are added to it.
     fn report(&mut self, now: Micros, age: Micros, share: f64, weight: f64) {
         if !share.is_finite() || share < 0.0 {
             return;
         }
-        let since: f64 = self.log.iter().filter(|(t, _)| *t > now - age).map(|(_, kb)| kb).sum();
+        let since: f64 = self.since(now - age).map(|(_, kb)| kb).sum();
         let seen = (share + self.part(since)).max(0.0);
         let weight = if self.reported.is_none() { 1.0 } else { weight };
         self.share += weight * (seen - self.share);
@@ -231,7 +237,7 @@
             return mean * fleet.others + self.part(self.own);
         }
         // The others follow the same rule: each own set-up since the report counts for some of theirs.
-        let since = self.log.iter().filter(|(t, kb)| *t > self.seen_to && *kb > 0.0).map(|(_, kb)| kb);
+        let since = self.since(self.seen_to).filter(|(_, kb)| *kb > 0.0).map(|(_, kb)| kb);
         self.share + fleet.echo * self.part(since.sum())
     }
 }
