--- a/crates/front/src/hub.rs
+++ b/crates/front/src/hub.rs
@@ -31,6 +31,8 @@
     calls: RefCell<HashMap<CallId, Task<()>>>,
     peers: RefCell<BTreeMap<ServerId, Watched>>,
     next_ask: Cell<u64>,
+    /// When the ringing task will look at the engine's timers next.
+    armed: Cell<i64>,
     kick: Event,
 }
 
@@ -74,6 +76,7 @@
             calls: RefCell::default(),
             peers: RefCell::default(),
             next_ask: Cell::new(0),
+            armed: Cell::new(i64::MAX),
             kick: Event::new(),
         });
         ex.spawn(hub.clone().ring()).detach();
@@ -84,7 +87,12 @@
     pub fn feed(self: &Rc<Hub>, input: Input) {
         self.engine.borrow_mut().handle(shalewall_clock::now(), input);
         self.pump();
-        self.kick.notify(1.relaxed());
+        // Most timers are set behind the one that is waited for. Setting the system's timer anew for each input
+        // would cost a wake-up each.
+        let next = self.engine.borrow().poll_timeout().unwrap_or(i64::MAX);
+        if next < self.armed.get() {
+            self.kick.notify(1.relaxed());
+        }
     }
 
     /// A viewer asks.
@@ -162,6 +170,7 @@
         loop {
             let kicked = self.kick.listen();
             let due = self.engine.borrow().poll_timeout();
+            self.armed.set(due.unwrap_or(i64::MAX));
             match due {
                 None => kicked.await,
                 Some(due) if due <= shalewall_clock::now() => {
--- a/crates/front/tests/bad_day.rs
+++ b/crates/front/tests/bad_day.rs
@@ -1,13 +1,13 @@
-//! The bad day in short, on real sockets and with each director a process of its own.
+//! The bad day in short, and the other kinds of trouble, on real sockets and with each director a process of
+//! its own.
 
 use shalewall_front::day;
 use shalewall_settings::{DayPlan, read};
 use std::path::Path;
 
-#[test]
-fn all_six_rules_hold_on_the_short_bad_day() {
-    let file = Path::new(concat!(env!("CARGO_MANIFEST_DIR"), "/../../days/short-bad-day.hcl"));
-    let plan: DayPlan = read(file).unwrap();
+fn holds(day: &str) {
+    let file = Path::new(concat!(env!("CARGO_MANIFEST_DIR"), "/../../days")).join(day);
+    let plan: DayPlan = read(&file).unwrap();
     let out = tempfile::tempdir().unwrap();
     let program = Path::new(env!("CARGO_BIN_EXE_shalewall"));
     let summary = day::run(&plan, program, out.path(), |_| {}).unwrap();
@@ -21,3 +21,13 @@
     // The recordings say the same when they are judged again.
     assert!(day::audit(out.path()).unwrap().holds());
 }
+
+#[test]
+fn all_six_rules_hold_on_the_short_bad_day() {
+    holds("short-bad-day.hcl");
+}
+
+#[test]
+fn all_six_rules_hold_on_the_short_rough_day() {
+    holds("short-rough-day.hcl");
+}
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -68,14 +68,33 @@
     .await
 }
 
+/// So much is read at once.
+const READ: usize = 4 * 1024;
+
 /// Reads more into a buffer. 0: the peer has closed.
 pub(crate) async fn fill<S: AsyncRead + Unpin>(stream: &mut S, buf: &mut Vec<u8>) -> io::Result<usize> {
-    let mut chunk = [0; 8 * 1024];
-    let n = stream.read(&mut chunk).await?;
-    buf.extend_from_slice(&chunk[..n]);
+    // Into the buffer's own end: an array here would be a part of every future that waits for bytes, and be
+    // moved with it.
+    let before = buf.len();
+    let mut filling = Filling { buf, before };
+    filling.buf.resize(before + READ, 0);
+    let n = stream.read(&mut filling.buf[before..]).await?;
+    filling.before += n;
     Ok(n)
 }
 
+/// Cuts a buffer back to what was read, also when the read is given up.
+struct Filling<'b> {
+    buf: &'b mut Vec<u8>,
+    before: usize,
+}
+
+impl Drop for Filling<'_> {
+    fn drop(&mut self) {
+        self.buf.truncate(self.before);
+    }
+}
+
 impl<S: AsyncRead + AsyncWrite + Unpin> Connection<S> {
     pub fn new(stream: S, limits: Limits) -> Connection<S> {
         Connection { stream, buf: Vec::new(), limits, spent: false }
