SIGTERM: a front answers what it has taken, takes nothing new, and ends

Need: releases restart fronts, and a request that a front has taken must have its answer.

Change: on SIGTERM or SIGINT the listener closes, requests on kept connections get 503 and may go elsewhere at once, what waits is answered, sessions that play are given leave_s, exit 0; a second signal ends at once.

--- a/crates/front/src/api.rs
+++ b/crates/front/src/api.rs
@@ -55,6 +55,8 @@
     let head = &request.head;
     let session = head.path().strip_prefix("/sessions/").and_then(|s| s.parse().ok());
     match (head.method.as_str(), head.path(), session) {
+        // Not taken, so nothing was set up: another front may have it at once.
+        ("POST", "/sessions", _) if hub.leaving() => problem(503, "this front is ending", None, Some(0)),
         ("POST", "/sessions", _) => match read(&request.body) {
             Err(why) => Reply::problem(422, &why),
             Ok(new) => match hub.ask(new).answer().await {
--- a/crates/front/src/day/directors.rs
+++ b/crates/front/src/day/directors.rs
@@ -39,6 +39,7 @@
             most_sessions: 100_000,
             most_connections: 20_000,
             silence_ms: 3_000,
+            leave_s: 0.0,
         };
         let plans = (0..plan.day.directors).map(|n| FrontPlan { front: front(n), site: plan.site.clone() });
         Directors {
--- a/crates/front/src/hub.rs
+++ b/crates/front/src/hub.rs
@@ -31,6 +31,8 @@
     calls: RefCell<HashMap<CallId, Task<()>>>,
     peers: RefCell<BTreeMap<ServerId, Watched>>,
     next_ask: Cell<u64>,
+    /// Told to end: nothing new is taken.
+    leaving: Cell<bool>,
     /// When the ringing task will look at the engine's timers next.
     armed: Cell<i64>,
     kick: Event,
@@ -76,6 +78,7 @@
             calls: RefCell::default(),
             peers: RefCell::default(),
             next_ask: Cell::new(0),
+            leaving: Cell::new(false),
             armed: Cell::new(i64::MAX),
             kick: Event::new(),
         });
@@ -106,6 +109,15 @@
         waiting
     }
 
+    /// Takes nothing new from now on.
+    pub fn leave(&self) {
+        self.leaving.set(true);
+    }
+
+    pub fn leaving(&self) -> bool {
+        self.leaving.get()
+    }
+
     pub fn held(&self) -> shalewall_engine::Held {
         self.engine.borrow().held()
     }
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -90,8 +90,8 @@
             }
             logs();
             let ex = Rc::new(async_executor::LocalExecutor::new());
-            let _serving = serve::start(&ex, &plan).map_err(bad)?;
-            async_io::block_on(ex.run(futures_lite::future::pending::<()>()));
+            let serving = serve::start(&ex, &plan).map_err(bad)?;
+            async_io::block_on(ex.run(serving.until_told())).map_err(bad)?;
         }
         Command::Nodes { config, check } => {
             let plan: DayPlan = settings(&config)?;
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -2,8 +2,10 @@
 
 use crate::hub::Hub;
 use crate::{api, list};
-use async_executor::LocalExecutor;
-use async_io::Async;
+use async_executor::{LocalExecutor, Task};
+use async_io::{Async, Timer};
+use async_signal::{Signal, Signals};
+use futures_lite::StreamExt;
 use shalewall_engine::{Config, Engine, Place};
 use shalewall_http::Limits;
 use shalewall_http::server::serve;
@@ -35,6 +37,40 @@
 pub struct Serving {
     pub hub: Rc<Hub>,
     pub address: SocketAddr,
+    accepts: Task<()>,
+    leave: Duration,
+}
+
+impl Serving {
+    /// Serves until the process is told to end (SIGTERM or SIGINT); told twice, it ends at once. It takes nothing
+    /// new then, answers every request that waits, and gives sessions that play their time.
+    pub async fn until_told(self) -> std::io::Result<()> {
+        let mut signals = Signals::new([Signal::Term, Signal::Int])?;
+        signals.next().await;
+        let Serving { hub, accepts, leave, .. } = self;
+        hub.leave();
+        accepts.cancel().await;
+        info!(held = ?hub.held(), "leaving");
+        let until = std::time::Instant::now() + leave;
+        let emptied = async {
+            loop {
+                let held = hub.held();
+                let patient = std::time::Instant::now() < until;
+                if held.waiting == 0 && (held.playing + held.leaving + held.owed_ends == 0 || !patient) {
+                    return;
+                }
+                Timer::after(Duration::from_millis(20)).await;
+            }
+        };
+        futures_lite::future::or(emptied, async {
+            signals.next().await;
+        })
+        .await;
+        // The last answers are on their way out.
+        Timer::after(Duration::from_millis(50)).await;
+        info!(held = ?hub.held(), "left");
+        Ok(())
+    }
 }
 
 /// Starts a front on an executor; it runs as long as that does.
@@ -49,9 +85,10 @@
     let silence = Duration::from_millis(plan.front.silence_ms);
     let hub = Hub::new(ex.clone(), engine, plan.front.number, Limits::default(), silence);
     ex.spawn(list::watch(hub.clone(), plan.front.list)).detach();
-    ex.spawn(accept(hub.clone(), listener, plan.front.most_connections)).detach();
+    let accepts = ex.spawn(accept(hub.clone(), listener, plan.front.most_connections));
+    let leave = Duration::from_secs_f64(plan.front.leave_s);
     info!(address = %address, number = plan.front.number, "listening");
-    Ok(Serving { hub, address })
+    Ok(Serving { hub, address, accepts, leave })
 }
 
 async fn accept(hub: Rc<Hub>, listener: Async<TcpListener>, most: usize) {
--- a/crates/front/tests/scripted/mod.rs
+++ b/crates/front/tests/scripted/mod.rs
@@ -186,8 +186,8 @@
     address
 }
 
-/// Starts a front over these nodes, on a thread of its own, and waits until it knows them.
-pub fn front(nodes: &[&Node]) -> SocketAddr {
+/// What a front over these nodes is told.
+pub fn plan(nodes: &[&Node]) -> FrontPlan {
     let file = Path::new(concat!(env!("CARGO_MANIFEST_DIR"), "/../../days/short-bad-day.hcl"));
     let day: DayPlan = read(file).unwrap();
     let mut site = day.site;
@@ -209,8 +209,14 @@
         most_sessions: 1000,
         most_connections: 1000,
         silence_ms: 3000,
+        leave_s: 0.0,
     };
-    let plan = FrontPlan { front, site };
+    FrontPlan { front, site }
+}
+
+/// Starts a front over these nodes, on a thread of its own, and waits until it knows them.
+pub fn front(nodes: &[&Node]) -> SocketAddr {
+    let plan = plan(nodes);
     let (sender, address) = mpsc::channel();
     thread::spawn(move || {
         let ex = Rc::new(LocalExecutor::new());
--- a/crates/settings/src/site.rs
+++ b/crates/settings/src/site.rs
@@ -49,6 +49,10 @@
     #[garde(range(min = 100, max = 600_000))]
     #[serde(default = "silence_ms")]
     pub silence_ms: u64,
+    /// Told to end, it waits so long for sessions that play; requests that wait are answered in any case.
+    #[garde(range(min = 0.0, max = 86_400.0))]
+    #[serde(default)]
+    pub leave_s: f64,
 }
 
 fn most_sessions() -> usize {
--- a/src/control/counts.rs
+++ b/src/control/counts.rs
@@ -2,57 +2,16 @@
 
 use super::*;
 
-const MS: Micros = 1_000;
-const S: Micros = 1_000_000;
-
-struct Dice(u64);
-
-impl Dice {
-    fn roll(&mut self, sides: u64) -> u64 {
-        self.0 ^= self.0 << 13;
-        self.0 ^= self.0 >> 7;
-        self.0 ^= self.0 << 17;
-        self.0 % sides
-    }
-}
+#[path = "../../tests/common/mod.rs"]
+mod common;
+use common::{Dice, MS, S, line};
 
 fn settings() -> Settings {
-    let ladder = [(200.0, 0.25), (400.0, 0.5), (700.0, 0.7), (1200.0, 0.85), (2000.0, 1.0)];
-    let class =
-        ClassTerms { effect: Effect::Harmless, aim: S, worth: 1.0, scale: 1.0, top: 4, ..Default::default() };
-    let paid = ClassTerms { effect: Effect::Paid, worth: 2.0, floor: 1, seats: 4, ..class };
-    Settings {
-        directors: 3,
-        classes: vec![class, paid],
-        ladder: ladder.iter().map(|(kb, worth)| Rung { kb: *kb, worth: *worth }).collect(),
-        cells: 6,
-        racks: 2,
-        places_by_kind: vec![30.0],
-        weights_tell_size: true,
-        link_kb_per_weight: 10_000.0,
-        uplink_kb: 25_000.0,
-        told_late: S,
-        told_every: 3 * S,
-        join_adds: 1.0,
-        stall_cost: 7.0,
-        switch_s: 0.5,
-        contract: Contract {
-            warm_after: 8 * S,
-            start_capacity: 0.4,
-            overload_factor: 2.0,
-            fall: 2 * S,
-            further: Some(FurtherAttempts { free: 2.0, per_request: 0.2, span: 10 * S }),
-            ..Default::default()
-        },
-        limits: Limits {
-            max_attempts: 4,
-            may_cancel: true,
-            max_come_back: S,
-            step: 10 * MS,
-            ..Default::default()
-        },
-        ..Default::default()
-    }
+    let mut set = Settings { directors: 3, cells: 6, uplink_kb: 25_000.0, ..common::settings() };
+    set.classes[common::PAID].seats = 4;
+    set.contract.warm_after = 8 * S;
+    set.contract.further = Some(FurtherAttempts { free: 2.0, per_request: 0.2, span: 10 * S });
+    set
 }
 
 /// What `settled` stands for: every session that is due, by itself.
@@ -115,15 +74,7 @@
 }
 
 fn listed(id: u64, state: Standing) -> Listed {
-    Listed {
-        server: ServerId(id),
-        zone: None,
-        kind: Some(0),
-        cell: id - 1,
-        state,
-        weight: 1.0,
-        came_up: None,
-    }
+    Listed { state, ..line(id) }
 }
 
 fn request(dice: &mut Dice, id: u64, now: Micros) -> Request {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -47,6 +47,10 @@
 //! assert!(!out.iter().any(|a| matches!(a, Action::Refuse { .. } | Action::Fail { .. })));
 //! ```
 
+// The helpers of the tests name the crate from outside.
+#[cfg(test)]
+extern crate self as shalewall;
+
 mod control;
 mod interface;
 
--- a/tests/audit.rs
+++ b/tests/audit.rs
@@ -5,17 +5,6 @@
 use shalewall::*;
 use std::collections::{BTreeMap, BTreeSet};
 
-struct Dice(u64);
-
-impl Dice {
-    fn roll(&mut self, sides: u64) -> u64 {
-        self.0 ^= self.0 << 13;
-        self.0 ^= self.0 >> 7;
-        self.0 ^= self.0 << 17;
-        self.0 % sides
-    }
-}
-
 #[derive(Default)]
 struct Seen {
     class: usize,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,4 +1,4 @@
-//! Event scripts for a director, without the bench.
+//! Event scripts for a director, without the bench. The module's own tests use them too.
 #![allow(dead_code)] // each test file uses a part of it
 
 use shalewall::*;
@@ -166,3 +166,15 @@
 pub fn failed(out: &[Action]) -> bool {
     out.iter().any(|a| matches!(a, Action::Fail { .. }))
 }
+
+/// Random numbers of a fixed seed.
+pub struct Dice(pub u64);
+
+impl Dice {
+    pub fn roll(&mut self, sides: u64) -> u64 {
+        self.0 ^= self.0 << 13;
+        self.0 ^= self.0 >> 7;
+        self.0 ^= self.0 << 17;
+        self.0 % sides
+    }
+}
