--- a/crates/front/src/day/directors.rs
+++ b/crates/front/src/day/directors.rs
@@ -64,8 +64,7 @@
         let file = self.out.join(format!("director-{number}.hcl"));
         std::fs::write(&file, hcl::to_string(plan).map_err(io::Error::other)?)?;
         let mut child = Command::new(&self.program)
-            .arg("serve")
-            .arg("--config")
+            .args(["serve", "--with-parent", "--config"])
             .arg(&file)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -24,6 +24,9 @@
         /// Only read and check the file.
         #[arg(long)]
         check: bool,
+        /// End with the process that started it, however that ends: days start their directors so.
+        #[arg(long, hide = true)]
+        with_parent: bool,
     },
     /// Run the stand-ins of a day alone: media nodes and the list of servers.
     Nodes {
@@ -83,7 +86,11 @@
 
 fn run(cli: Cli) -> Result<ExitCode, ExitCode> {
     match cli.command {
-        Command::Serve { config, check } => {
+        Command::Serve { config, check, with_parent } => {
+            if with_parent {
+                let killed = Some(rustix::process::Signal::KILL);
+                rustix::process::set_parent_process_death_signal(killed).map_err(bad)?;
+            }
             let plan: FrontPlan = settings(&config)?;
             if check {
                 return Ok(ExitCode::SUCCESS);
