Deadlines and answers that meet, on sockets: one answer, nothing left running

A node's answers from well before to well after the front's own deadline: each viewer gets one answer, and the node an end for each that was given up.

--- a/crates/front/tests/hard_cases.rs
+++ b/crates/front/tests/hard_cases.rs
@@ -98,6 +98,25 @@
     assert_eq!(node.wait_for("DELETE", 1).len(), 1);
 }
 
+#[test]
+fn a_deadline_and_an_answer_that_meet_give_one_answer_and_leave_nothing_running() {
+    // The front answers 20 ms before the viewer's 400 are up: answers of the node from well before to well after.
+    let delays: Vec<u64> = (360..=400).step_by(4).collect();
+    let acts: Vec<Act> = delays.iter().map(|ms| Act::Play(Duration::from_millis(*ms))).collect();
+    let node = Node::start(&acts);
+    let front = front(&[&node]);
+    let mut given_up = 0;
+    for (i, delay) in delays.iter().enumerate() {
+        let said = statuses(ask_for(front, &format!("v{i}"), "report", 400));
+        assert!(said == [201] || said == [504], "{said:?} with the node's answer after {delay} ms");
+        given_up += usize::from(said == [504]);
+        assert_eq!(node.lines("PUT").len(), i + 1);
+    }
+    assert!(given_up > 0, "the latest come too late");
+    // An end for each that was given up, and none for those that play.
+    assert_eq!(node.wait_for("DELETE", given_up).len(), given_up);
+}
+
 #[test]
 fn only_the_stated_proof_lets_a_paid_set_up_go_on() {
     let refuse = |proof| Node::start(&[Act::Refuse { proof }]);
--- a/crates/front/tests/scripted/mod.rs
+++ b/crates/front/tests/scripted/mod.rs
@@ -232,7 +232,13 @@
 
 /// Sends a viewer's request; the connection is the caller's.
 pub fn ask(front: SocketAddr, viewer: &str, class: &str) -> TcpStream {
-    let body = format!("{{\"viewer\":\"{viewer}\",\"class\":\"{class}\",\"title\":\"monday\"}}");
+    ask_for(front, viewer, class, 60_000)
+}
+
+/// The same of a viewer that waits so long, in milliseconds.
+pub fn ask_for(front: SocketAddr, viewer: &str, class: &str, wait: u32) -> TcpStream {
+    let wanted = format!("\"viewer\":\"{viewer}\",\"class\":\"{class}\",\"title\":\"monday\"");
+    let body = format!("{{{wanted},\"wait_ms\":{wait}}}");
     let mut stream = TcpStream::connect(front).unwrap();
     stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
     let request =
