--- a/crates/audit/src/judge.rs
+++ b/crates/audit/src/judge.rs
@@ -219,17 +219,17 @@
                     self.release(id, *t);
                 }
             }
-            Record::Partial { t, session: Some(session), attempt: Some(attempt), .. } => {
+            Record::Partial { session: Some(session), attempt: Some(attempt), .. } => {
                 // Some bytes came: whatever was sent, it may not be sent again if it was paid for. Its class
                 // is learnt from the other attempts.
                 let earlier = self.sessions.entry(*session).or_default();
                 if !earlier.contains(attempt) {
                     earlier.push(*attempt);
                 }
-                let _ = t;
             }
             Record::Rung { t, session, rung, .. } => {
-                let found = self.attempts.iter().find(|((s, _), a)| s == session && a.over.is_none());
+                let own = self.attempts.range((*session, 0)..=(*session, u32::MAX));
+                let found = own.into_iter().find(|(_, a)| a.over.is_none());
                 let Some((_, a)) = found else { return };
                 let class = a.class.clone();
                 self.floor(*t, *session, &class, *rung);
--- a/crates/engine/benches/decisions.rs
+++ b/crates/engine/benches/decisions.rs
@@ -1,46 +1,31 @@
 //! What the decision module takes for a request and for a tick, by the sessions held: 3 directors, 15
 //! servers. `cargo bench -p shalewall-engine`.
 
+#[path = "../../../tests/common/mod.rs"]
+mod common;
+use common::S;
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use shalewall::*;
 use std::hint::black_box;
 
-const S: Micros = 1_000_000;
 const TICK: u64 = u64::MAX;
 
 /// A director that holds so many sessions, all of them older than its memory of set-ups, on links large
 /// enough for them.
 fn holding(count: u64) -> (Director, Micros) {
-    let ladder = [(200.0, 0.25), (400.0, 0.5), (700.0, 0.7), (1200.0, 0.85), (2000.0, 1.0)];
-    let class =
-        ClassTerms { effect: Effect::Harmless, aim: S, worth: 1.0, scale: 1.0, top: 4, ..Default::default() };
-    let paid = ClassTerms { effect: Effect::Paid, worth: 2.0, seats: 1_000_000, ..class };
     let link = 2000.0 * (count as f64 / 15.0 + 100.0) * 2.0;
-    let settings = Settings {
+    let mut settings = Settings {
         directors: 3,
-        classes: vec![class, paid],
-        ladder: ladder.iter().map(|(kb, worth)| Rung { kb: *kb, worth: *worth }).collect(),
         cells: 15,
-        racks: 2,
         places_by_kind: vec![1e6],
-        weights_tell_size: true,
         link_kb_per_weight: link,
         uplink_kb: link * 7.0,
-        told_late: S,
-        told_every: 3 * S,
-        join_adds: 1.0,
-        stall_cost: 7.0,
-        switch_s: 0.5,
-        contract: Contract {
-            warm_after: 10 * S,
-            start_capacity: 0.4,
-            overload_factor: 2.0,
-            fall: 2 * S,
-            ..Default::default()
-        },
-        limits: Limits { max_attempts: 4, may_cancel: true, step: 10_000, ..Default::default() },
-        ..Default::default()
+        ..common::settings()
     };
+    let paid = &mut settings.classes[common::PAID];
+    (paid.seats, paid.floor) = (1_000_000, 0);
+    settings.contract.warm_after = 10 * S;
+    settings.contract.further = None;
     let mut director = Director::new(1, settings, 0);
     let mut out = Vec::new();
     let line = |id| Listed {
--- a/crates/engine/src/attempts.rs
+++ b/crates/engine/src/attempts.rs
@@ -18,7 +18,7 @@
             class: self.config.classes[s.request.class].0.clone(),
             title: s.title.clone(),
             rung: s.rung,
-            kb: rate(&self.config.settings, s.request.class, s.rung),
+            kb: self.config.settings.rate(s.request.class, s.rung),
         };
         let due = s.request.deadline.min(self.now + patience.unwrap_or(Micros::MAX / 2).max(0));
         match self.call(server, Purpose::SetUp(session), kind) {
@@ -66,8 +66,7 @@
     pub(crate) fn on_patience(&mut self, session: SessionId, attempt: u32) {
         let Some(s) = self.sessions.get(&session).filter(|s| s.attempts == attempt + 1) else { return };
         let Stage::SettingUp { call, server, sent, .. } = s.stage else { return };
-        self.calls.remove(&call);
-        self.outputs.push_back(Output::Drop { call });
+        self.give_up(call);
         self.tried(session, server, sent, Outcome::Late);
         self.owe_end(server, session, attempt);
         self.finished(session, attempt, server, Outcome::Late, Load::default());
@@ -77,8 +76,7 @@
         let Some(s) = self.sessions.get_mut(&session).filter(|s| s.attempts == attempt + 1) else { return };
         let Stage::SettingUp { call, server, sent, .. } = s.stage else { return };
         s.stage = Stage::Leaving { server, outcome: Outcome::Cancelled };
-        self.calls.remove(&call);
-        self.outputs.push_back(Output::Drop { call });
+        self.give_up(call);
         self.tried(session, server, sent, Outcome::Cancelled);
         self.owe_end(server, session, attempt);
     }
@@ -160,8 +158,7 @@
         let Some((out, tries)) = self.ends.get(&key).copied() else { return };
         if let Some(call) = out {
             // Unanswered for too long: given up and tried again on another connection.
-            self.calls.remove(&call);
-            self.outputs.push_back(Output::Drop { call });
+            self.give_up(call);
         }
         match self.call(server, Purpose::End(server, session, attempt), CallKind::End { session, attempt }) {
             Some(call) => {
@@ -176,7 +173,8 @@
     /// The node holds it no more.
     pub(crate) fn end_confirmed(&mut self, server: ServerId, session: SessionId, attempt: u32) {
         if let Some((Some(call), _)) = self.ends.remove(&(server, session, attempt)) {
-            self.calls.remove(&call);
+            // Confirmed by other news than its answer, which may never come: nobody waits for it any more.
+            self.give_up(call);
         }
         let Some(s) = self.sessions.get(&session).filter(|s| s.attempts == attempt + 1) else { return };
         if let Stage::Leaving { server: at, outcome } = s.stage
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -175,8 +175,7 @@
                 Timer::Director(token) => self.pending.push_back(Event::Timer(token)),
                 Timer::Attempt(session, attempt) => self.on_patience(session, attempt),
                 Timer::Probe(call) => {
-                    if let Some(Purpose::Probe(server)) = self.calls.remove(&call) {
-                        self.outputs.push_back(Output::Drop { call });
+                    if let Some(Purpose::Probe(server)) = self.give_up(call) {
                         self.probed(server, Outcome::Late, Load::default());
                     }
                 }
@@ -250,6 +249,13 @@
         }
     }
 
+    /// Gives a call up, if it is still out.
+    pub(crate) fn give_up(&mut self, call: CallId) -> Option<Purpose> {
+        let purpose = self.calls.remove(&call)?;
+        self.outputs.push_back(Output::Drop { call });
+        Some(purpose)
+    }
+
     pub(crate) fn call(&mut self, server: ServerId, purpose: Purpose, kind: CallKind) -> Option<CallId> {
         let address = self.nodes.address(server)?;
         let call = CallId(self.next_call);
@@ -260,12 +266,6 @@
     }
 }
 
-/// Rate of a rung for a class, kB a second: what a node is told to send.
-pub(crate) fn rate(settings: &Settings, class: usize, rung: usize) -> f64 {
-    let scale = settings.classes.get(class).map_or(1.0, |c| c.scale);
-    settings.ladder.get(rung).map_or(0.0, |r| r.kb * scale)
-}
-
 /// A call's end in the words of the rules.
 pub(crate) fn outcome(done: &Done) -> (Outcome, Load) {
     match done {
--- a/crates/engine/src/playing.rs
+++ b/crates/engine/src/playing.rs
@@ -13,7 +13,7 @@
             return;
         }
         let rung = s.rung;
-        let kb = rate(&self.config.settings, s.request.class, rung);
+        let kb = self.config.settings.rate(s.request.class, rung);
         let kind = CallKind::Rung { session, attempt: s.attempts - 1, rung, kb };
         let call = self.call(server, Purpose::Rung(session, rung), kind);
         self.sessions.get_mut(&session).into_iter().for_each(|s| s.telling = call);
--- a/crates/engine/tests/world.rs
+++ b/crates/engine/tests/world.rs
@@ -1,26 +1,16 @@
 //! The engine in a small world of simulated time: nodes that answer late, badly or not at all, viewers that
 //! leave and ask again, nodes that die and come back. What must hold whatever happens is checked throughout.
 
+#[path = "../../../tests/common/mod.rs"]
+mod common;
+use common::{Dice, MS, S};
 use shalewall::*;
 use shalewall_engine::*;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
-const MS: Micros = 1_000;
-const S: Micros = 1_000_000;
 const NODES: u64 = 4;
 
-struct Dice(u64);
-
-impl Dice {
-    fn roll(&mut self, sides: u64) -> u64 {
-        self.0 ^= self.0 << 13;
-        self.0 ^= self.0 >> 7;
-        self.0 ^= self.0 << 17;
-        self.0 % sides
-    }
-}
-
 fn config() -> Config {
     let class = ClassTerms { aim: S, worth: 1.0, scale: 1.0, top: 1, ..Default::default() };
     let harmless = ClassTerms { effect: Effect::Harmless, ..class };
@@ -395,3 +385,21 @@
         assert_eq!((held.playing, runs), if answer_first { (1, 1) } else { (0, 0) });
     }
 }
+
+#[test]
+fn an_end_that_is_confirmed_by_other_news_leaves_no_call_waiting() {
+    let mut world = World::new(1);
+    world.pass(2 * S);
+    let new =
+        NewSession { viewer: "a".into(), class: "open".into(), title: "t1".into(), ..Default::default() };
+    world.asks.insert(AskId(0), AskSeen { due: world.now + 4 * S, ..Default::default() });
+    world.tell(Input::Asked { ask: AskId(0), new });
+    world.pass(world.now + 10 * S);
+    let session = world.plays.pop_first().unwrap();
+    world.tell(Input::Ended { session });
+    let (_, server, ..) = world.out.values().next().cloned().expect("the node is told to end it");
+    // The node never answers; the list says that it is gone.
+    world.tell(Input::List { news: ListNews::Delta, lines: vec![line(server.0, Standing::Gone)] });
+    assert!(world.out.is_empty(), "{:?}", world.out);
+    assert_eq!(world.engine.held(), Held::default());
+}
--- a/crates/front/src/api.rs
+++ b/crates/front/src/api.rs
@@ -82,18 +82,16 @@
     }
 }
 
-/// A problem with members of its own (RFC 9457, section 3.2).
+/// A problem that names its session and says when to come back, where there are such.
 fn problem(status: u16, detail: &str, session: Option<SessionId>, come_back: Option<Micros>) -> Reply {
-    let mut body = serde_json::json!({
-        "status": status, "title": shalewall_http::head::reason(status), "detail": detail,
-    });
+    let mut members = serde_json::Map::new();
     if let Some(session) = session {
-        body["session"] = session.0.into();
+        members.insert("session".into(), session.0.into());
     }
     if let Some(after) = come_back {
-        body["come_back_ms"] = (after as f64 / 1000.0).into();
+        members.insert("come_back_ms".into(), (after as f64 / 1000.0).into());
     }
-    Reply::new(status).with("Content-Type", "application/problem+json").content(body.to_string().into_bytes())
+    Reply::problem_with(status, detail, members)
 }
 
 fn reply(answer: Answer) -> Reply {
--- a/crates/front/src/day.rs
+++ b/crates/front/src/day.rs
@@ -12,7 +12,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use shalewall_audit::{ClassRule, Further, Rules, Verdict, judge};
-use shalewall_settings::DayPlan;
+use shalewall_settings::{DayPlan, us};
 use shalewall_standins::list::{Line, List};
 use shalewall_standins::nodes::{Nodes, Telling};
 use shalewall_standins::physics::{Fleet, Machine, Physics};
@@ -31,8 +31,8 @@
 /// Sessions that still play at the end may end by themselves for so long.
 const GRACE: Duration = Duration::from_secs(6);
 
-fn us(ms: f64) -> i64 {
-    (ms * 1000.0).round() as i64
+fn ms(ms: f64) -> Duration {
+    Duration::from_secs_f64(ms / 1000.0)
 }
 
 /// The rules as the auditor wants them.
@@ -137,12 +137,12 @@
         },
     };
     let telling = Telling {
-        every: Duration::from_secs_f64(site.notes.every_ms / 1000.0),
-        late: Duration::from_secs_f64(site.notes.late_ms / 1000.0),
+        every: ms(site.notes.every_ms),
+        late: ms(site.notes.late_ms),
         fraction: plan.day.media_fraction,
     };
     let nodes = Nodes::new(ex.clone(), Fleet::new(physics, plan.day.seed ^ 1), recorder.clone(), telling);
-    let late = Duration::from_secs_f64(fleet.list_late_ms / 1000.0);
+    let late = ms(fleet.list_late_ms);
     let (list, list_address) = List::start(ex.clone(), recorder.clone(), late)?;
     for machine in machines(plan, stray) {
         let id = machine.id;
@@ -155,8 +155,8 @@
         Class {
             name: name.clone(),
             part: *part,
-            give_up: Duration::from_secs_f64(c.give_up_ms / 1000.0),
-            aim: Duration::from_secs_f64(c.aim_ms / 1000.0),
+            give_up: ms(c.give_up_ms),
+            aim: ms(c.aim_ms),
             worth: c.worth,
             top: c.top.unwrap_or(site.ladder.len() - 1),
         }
@@ -170,7 +170,7 @@
         longest: Duration::from_secs_f64(load.longest_s),
         weak: load.weak,
         come_again: load.come_again,
-        pause: Duration::from_secs_f64(load.pause_ms / 1000.0),
+        pause: ms(load.pause_ms),
         worth: site.ladder.iter().map(|r| r.worth).collect(),
         stall_cost: site.costs.stall,
     };
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -50,15 +50,10 @@
 impl Body {
     /// Fails at once where a stated length is over the limit.
     pub fn new(framing: Framing, limits: &Limits) -> Result<Body, Bad> {
-        let state = match framing {
-            Framing::Length(n) if n > limits.body as u64 => {
-                return Err(Bad::new(413, "content over the limit"));
-            }
-            Framing::Length(n) => State::Length(n),
-            Framing::Chunked => State::Size,
-            Framing::ToClose => State::ToClose,
-        };
-        Ok(Body { state, left: limits.body, trailer: limits.head })
+        if matches!(framing, Framing::Length(n) if n > limits.body as u64) {
+            return Err(Bad::new(413, "content over the limit"));
+        }
+        Ok(Body { left: limits.body, trailer: limits.head, ..Body::endless(framing) })
     }
 
     /// Content without a bound, for event streams; each piece is bounded by what is read at once.
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -5,6 +5,7 @@
 use crate::head::{Finder, RequestHead, write_response};
 use crate::{Bad, Limits};
 use futures_lite::{AsyncRead, AsyncWrite, AsyncWriteExt, Stream, StreamExt, future};
+use serde_json::{Map, Value};
 use std::future::Future;
 use std::pin::Pin;
 use std::time::Duration;
@@ -41,16 +42,15 @@
 
     /// An error as RFC 9457 has it. `detail` is for people.
     pub fn problem(status: u16, detail: &str) -> Reply {
-        let quoted: String = detail
-            .chars()
-            .flat_map(|c| match c {
-                '"' | '\\' => vec!['\\', c],
-                c if c.is_control() => vec![' '],
-                c => vec![c],
-            })
-            .collect();
-        let title = crate::head::reason(status);
-        let text = format!("{{\"status\":{status},\"title\":\"{title}\",\"detail\":\"{quoted}\"}}");
+        Reply::problem_with(status, detail, Map::new())
+    }
+
+    /// The same with members of its own (section 3.2).
+    pub fn problem_with(status: u16, detail: &str, mut members: Map<String, Value>) -> Reply {
+        members.insert("status".into(), status.into());
+        members.insert("title".into(), crate::head::reason(status).into());
+        members.insert("detail".into(), detail.into());
+        let text = Value::Object(members).to_string();
         Reply::new(status).with("Content-Type", "application/problem+json").content(text.into_bytes())
     }
 
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -10,7 +10,7 @@
 pub use day::{Day, DayPlan, Fleet, Load, Machine, Trouble, TroubleKind};
 pub use site::{
     Class, Costs, Front, FrontPlan, Further, Kind, Layout, Limits, Link, Notes, Rules, Site, Step, Tenant,
-    Title,
+    Title, us,
 };
 
 use garde::Validate;
--- a/crates/settings/src/site.rs
+++ b/crates/settings/src/site.rs
@@ -305,8 +305,8 @@
     pub spread: u64,
 }
 
-/// Milliseconds to microseconds.
-fn us(ms: f64) -> Micros {
+/// Milliseconds, as settings give them, to the program's microseconds.
+pub fn us(ms: f64) -> Micros {
     (ms * 1000.0).round() as Micros
 }
 
--- a/crates/standins/src/nodes.rs
+++ b/crates/standins/src/nodes.rs
@@ -13,7 +13,7 @@
 use shalewall_http::server::{Ended, Reply, Request, serve};
 use shalewall_http::{Limits, sse};
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
@@ -40,7 +40,7 @@
 struct Socket {
     address: SocketAddr,
     /// Accepts and serves; dropped when the process dies.
-    _accepts: Option<Task<()>>,
+    accepts: Option<Task<()>>,
     /// Told to every connection when the process dies.
     died: Rc<Event>,
     /// Told to everyone who waits on a frozen process.
@@ -53,7 +53,15 @@
     fleet: Fleet,
     sockets: BTreeMap<u64, Socket>,
     /// Sessions whose viewer has fetched its stream.
-    watched: BTreeMap<(u64, Run), ()>,
+    watched: BTreeSet<(u64, Run)>,
+}
+
+impl Inner {
+    /// Sessions that play at a node for a front.
+    fn held_for(&self, id: u64, director: u32) -> Vec<Run> {
+        let playing = self.fleet.nodes.get(&id).into_iter().flat_map(|n| &n.playing);
+        playing.filter(|(_, p)| p.director == director).map(|(run, _)| *run).collect()
+    }
 }
 
 /// All nodes of a run, in one process and on one thread.
@@ -123,7 +131,7 @@
 
 impl Nodes {
     pub fn new(ex: Rc<LocalExecutor<'static>>, fleet: Fleet, recorder: Recorder, telling: Telling) -> Nodes {
-        let inner = Inner { fleet, sockets: BTreeMap::new(), watched: BTreeMap::new() };
+        let inner = Inner { fleet, sockets: BTreeMap::new(), watched: BTreeSet::new() };
         let nodes = Nodes {
             ex: ex.clone(),
             inner: Rc::new(RefCell::new(inner)),
@@ -148,8 +156,8 @@
         self.inner.borrow_mut().fleet.start(machine, now, warm);
         self.recorder.note(Record::NodeUp { t: now, node: id, places, warm });
         let (died, thawed) = (Rc::new(Event::new()), Rc::new(Event::new()));
-        let accepts = self.ex.spawn(self.clone().accept(id, listener, died.clone()));
-        let socket = Socket { address, _accepts: Some(accepts), died, thawed, fronts: BTreeMap::new() };
+        let accepting = self.ex.spawn(self.clone().accept(id, listener, died.clone()));
+        let socket = Socket { address, accepts: Some(accepting), died, thawed, fronts: BTreeMap::new() };
         self.inner.borrow_mut().sockets.insert(id, socket);
         Ok(address)
     }
@@ -159,7 +167,7 @@
         let fell = self.inner.borrow().fleet.nodes.get(&id).is_some_and(|n| n.fell);
         let mut inner = self.inner.borrow_mut();
         if let Some(socket) = inner.sockets.get_mut(&id) {
-            if socket._accepts.take().is_none() {
+            if socket.accepts.take().is_none() {
                 return;
             }
             socket.fronts.clear();
@@ -392,7 +400,7 @@
     /// A session that nobody fetches ends.
     async fn unfetched(self, id: u64, run: Run) {
         Timer::after(FETCH_WITHIN).await;
-        if !self.inner.borrow().watched.contains_key(&(id, run)) {
+        if !self.inner.borrow().watched.contains(&(id, run)) {
             self.end_here(id, run);
         }
     }
@@ -438,9 +446,7 @@
             if let Some(socket) = inner.sockets.get_mut(&id) {
                 socket.fronts.insert(director, sender);
             }
-            let node = inner.fleet.nodes.get(&id);
-            let playing = node.into_iter().flat_map(|n| &n.playing);
-            playing.filter(|(_, p)| p.director == director).map(|(run, _)| *run).collect()
+            inner.held_for(id, director)
         };
         let mut first = Vec::new();
         sse::write(&mut first, "held", &serde_json::json!(held).to_string());
@@ -474,9 +480,7 @@
             if open.is_some_and(|s| !s.is_closed()) {
                 return;
             }
-            let node = inner.fleet.nodes.get(&id);
-            let playing = node.into_iter().flat_map(|n| &n.playing);
-            playing.filter(|(_, p)| p.director == director).map(|(run, _)| *run).collect()
+            inner.held_for(id, director)
         };
         runs.into_iter().for_each(|run| self.end_here(id, run));
     }
@@ -537,7 +541,7 @@
             if inner.fleet.nodes.get(&id).is_none_or(|n| !n.playing.contains_key(&run)) {
                 return Reply::problem(404, "no such session here");
             }
-            inner.watched.insert((id, run), ());
+            inner.watched.insert((id, run));
         }
         let viewer = Watched { nodes: self, id, run };
         let frames = stream::unfold(viewer, |viewer| async {
--- a/src/control.rs
+++ b/src/control.rs
@@ -49,7 +49,8 @@
 // ---- settings views --------------------------------------------------------------------------
 
 impl Settings {
-    fn rate(&self, class: usize, rung: usize) -> f64 {
+    /// Rate of a rung for a class, kB a second: what an account counts, and what a node is told to send.
+    pub fn rate(&self, class: usize, rung: usize) -> f64 {
         let scale = self.classes.get(class).map_or(1.0, |c| c.scale);
         let kb = self.ladder.get(rung).map_or(0.0, |r| r.kb) * scale;
         if kb.is_finite() { kb.max(0.0) } else { 0.0 }
