--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -106,10 +106,22 @@
 /// The wait for one such call.
 pub(crate) const CONFIRM_TIME: Micros = 2_000_000;
 
+/// What decides for an engine: the decision module, or a baseline to compare it with.
+pub trait Decide {
+    /// Takes one event and appends what is to be done, in order.
+    fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>);
+}
+
+impl Decide for Director {
+    fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
+        Director::handle(self, now, event, out);
+    }
+}
+
 /// One front's sessions.
 pub struct Engine {
     pub(crate) config: Config,
-    pub(crate) director: Director,
+    pub(crate) director: Box<dyn Decide>,
     pub(crate) now: Micros,
     pub(crate) sessions: BTreeMap<SessionId, Session>,
     pub(crate) by_key: HashMap<u64, SessionId>,
@@ -129,12 +141,17 @@
 impl Engine {
     /// `now` is the time of the front's start, on any clock that does not go back.
     pub fn new(config: Config, now: Micros) -> Engine {
-        let settings = config.settings.clone();
+        let director = Director::new(config.seed, config.settings.clone(), now);
+        Engine::with(config, Box::new(director), now)
+    }
+
+    /// The same under another decider.
+    pub fn with(config: Config, director: Box<dyn Decide>, now: Micros) -> Engine {
         // Session ids stay below 2^52: 10 bits of the front's number, 14 of its start, 28 that count.
-        let number = u64::from(settings.number & 0x3ff);
+        let number = u64::from(config.settings.number & 0x3ff);
         let first = number << 42 | u64::from(config.incarnation & 0x3fff) << 28;
         Engine {
-            director: Director::new(config.seed, settings, now),
+            director,
             config,
             now,
             sessions: BTreeMap::new(),
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -18,5 +18,5 @@
 mod timers;
 mod viewers;
 
-pub use engine::{Config, Engine, Held, Place};
+pub use engine::{Config, Decide, Engine, Held, Place};
 pub use io::*;
--- a/crates/front/src/day.rs
+++ b/crates/front/src/day.rs
@@ -9,15 +9,13 @@
 use crate::day::directors::Directors;
 use async_executor::LocalExecutor;
 use async_io::Timer;
-use rand::{RngExt, SeedableRng};
-use rand_chacha::ChaCha8Rng;
 use shalewall_audit::{ClassRule, Further, Rules, Verdict, judge};
+use shalewall_physics::fleet::Fleet;
 use shalewall_settings::{DayPlan, us};
 use shalewall_standins::list::{Line, List};
 use shalewall_standins::nodes::{Nodes, Telling};
-use shalewall_standins::physics::{Fleet, Machine, Physics};
 use shalewall_standins::recorder::Recorder;
-use shalewall_standins::viewers::{Class, Crowd, Viewers};
+use shalewall_standins::viewers::Viewers;
 use std::io;
 use std::path::Path;
 use std::rc::Rc;
@@ -28,6 +26,8 @@
 
 /// What may be seen later, or in another order, than it was sent: loopback, and turns of busy processes.
 const TRANSIT: i64 = 100_000;
+/// Directors that one machine runs as processes.
+const MOST_DIRECTORS: u32 = 64;
 /// Sessions that still play at the end may end by themselves for so long.
 const GRACE: Duration = Duration::from_secs(6);
 
@@ -83,59 +83,10 @@
     })
 }
 
-/// The machines of a day: as told, or spread over zones, kinds and cells in turn.
-fn machines(plan: &DayPlan, mut stray: impl FnMut(f64) -> f64) -> Vec<Machine> {
-    let (site, fleet) = (&plan.site, &plan.fleet);
-    let places = |kind: &str| site.kind.get(kind).map_or(1e6, |k| k.places);
-    if !fleet.machine.is_empty() {
-        let told = |(name, m): (&String, &shalewall_settings::Machine)| Machine {
-            id: name.parse().unwrap_or_default(),
-            zone: m.zone.clone(),
-            kind: m.kind.clone(),
-            cell: m.cell,
-            weight: m.weight,
-            places: places(&m.kind),
-            link_kb: m.link_kb * stray(fleet.link_stray),
-        };
-        return fleet.machine.iter().map(told).collect();
-    }
-    let kinds: Vec<&String> = site.kind.keys().collect();
-    let machine = |id: u64| {
-        let kind = kinds.get(id as usize % kinds.len().max(1)).map_or("", |k| k.as_str());
-        Machine {
-            id: id + 1,
-            zone: site.zones.get(id as usize % site.zones.len().max(1)).cloned().unwrap_or_default(),
-            kind: kind.to_string(),
-            cell: id % site.layout.cells,
-            weight: 1.0,
-            places: places(kind),
-            link_kb: fleet.link_kb * stray(fleet.link_stray),
-        }
-    };
-    (0..fleet.nodes).map(machine).collect()
-}
-
 /// Starts nodes and list, and readies the viewers.
 pub fn world(ex: &Rc<LocalExecutor<'static>>, plan: &DayPlan, recorder: Recorder) -> io::Result<World> {
     let (site, fleet) = (&plan.site, &plan.fleet);
-    let mut dice = ChaCha8Rng::seed_from_u64(plan.day.seed);
-    let mut stray = |part: f64| 1.0 + part * (2.0 * dice.random::<f64>() - 1.0);
-    let racks = if fleet.uplink_kb > 0.0 { site.layout.racks } else { 0 };
-    let physics = Physics {
-        rate_stray: fleet.rate_stray,
-        set_up: us(fleet.set_up_ms),
-        refresh: us(fleet.refresh_ms).max(1),
-        noise: fleet.noise,
-        full_from: fleet.full_from,
-        warm_after: us(site.rules.warm_after_ms),
-        start_capacity: site.rules.start_capacity,
-        overload_factor: site.rules.overload_factor,
-        fall: us(site.rules.fall_ms),
-        uplinks: match &fleet.uplinks_kb[..] {
-            [] => (0..racks).map(|_| fleet.uplink_kb * stray(fleet.link_stray)).collect(),
-            told => told.to_vec(),
-        },
-    };
+    let (physics, machines) = shalewall_lab::plan::fleet(plan);
     let telling = Telling {
         every: ms(site.notes.every_ms),
         late: ms(site.notes.late_ms),
@@ -144,36 +95,12 @@
     let nodes = Nodes::new(ex.clone(), Fleet::new(physics, plan.day.seed ^ 1), recorder.clone(), telling);
     let late = ms(fleet.list_late_ms);
     let (list, list_address) = List::start(ex.clone(), recorder.clone(), late)?;
-    for machine in machines(plan, stray) {
+    for machine in machines {
         let id = machine.id;
         nodes.start(machine, true)?;
         line(&nodes, id, "ready").into_iter().for_each(|l| list.tell(l));
     }
-    let load = &plan.load;
-    let class = |(name, part): (&String, &f64)| {
-        let c = &site.class[name];
-        Class {
-            name: name.clone(),
-            part: *part,
-            give_up: ms(c.give_up_ms),
-            aim: ms(c.aim_ms),
-            worth: c.worth,
-            top: c.top.unwrap_or(site.ladder.len() - 1),
-        }
-    };
-    let crowd = Crowd {
-        per_s: load.per_s,
-        classes: load.mix.iter().map(class).collect(),
-        titles: site.title.keys().cloned().collect(),
-        skew: load.skew,
-        shortest: Duration::from_secs_f64(load.shortest_s),
-        longest: Duration::from_secs_f64(load.longest_s),
-        weak: load.weak,
-        come_again: load.come_again,
-        pause: ms(load.pause_ms),
-        worth: site.ladder.iter().map(|r| r.worth).collect(),
-        stall_cost: site.costs.stall,
-    };
+    let crowd = shalewall_lab::plan::crowd(plan);
     let viewers = Viewers::new(ex.clone(), recorder.clone(), crowd, plan.day.seed ^ 2);
     Ok(World { ex: ex.clone(), nodes, list, list_address, viewers, recorder })
 }
@@ -186,6 +113,10 @@
     out: &Path,
     mut progress: impl FnMut(&str),
 ) -> io::Result<Summary> {
+    if plan.day.directors > MOST_DIRECTORS {
+        let what = format!("{MOST_DIRECTORS} directors at most can be run as processes of one machine");
+        return Err(io::Error::new(io::ErrorKind::InvalidInput, what));
+    }
     std::fs::create_dir_all(out)?;
     for old in std::fs::read_dir(out)? {
         // What an earlier day left would be judged with this one's.
--- a/crates/front/src/day/import.rs
+++ b/crates/front/src/day/import.rs
@@ -283,6 +283,8 @@
         mix,
         shortest_s: 0.3 * mean,
         longest_s: 1.7 * mean,
+        lasts_s: BTreeMap::new(),
+        hint_times: 1.0,
         weak: fam.at("small_screens").number()?,
         skew: fam.at("title_zipf").number()?,
         come_again: fam.at("returns").number()?,
@@ -326,19 +328,7 @@
         let on = t.at("on").numbers()?;
         // Nodes count from 1 here, directors from 0 as there.
         let nodes = || Some(on.iter().map(|n| *n as u64 + 1).collect());
-        let mut trouble = Trouble {
-            kind,
-            at_s,
-            len_s,
-            part: 0.0,
-            size: 0.0,
-            waves: 1,
-            notice_ms: 0.0,
-            stall_ms: 0.0,
-            directors: false,
-            on: None,
-            name: None,
-        };
+        let mut trouble = Trouble::new(kind, at_s, len_s);
         match kind {
             TroubleKind::Crash | TroubleKind::Vanish | TroubleKind::Hang => trouble.on = nodes(),
             TroubleKind::Neighbour => {
@@ -383,7 +373,7 @@
                     "trouble {label}: stalls follow each other after 1 to 2 of their own length"
                 ));
             }
-            TroubleKind::DirectorKill => {}
+            TroubleKind::DirectorKill | TroubleKind::ClassFlood => {}
         }
         found.insert(label, trouble);
     }
--- a/crates/front/src/day/summary.rs
+++ b/crates/front/src/day/summary.rs
@@ -24,7 +24,14 @@
     pub failed: u64,
     pub unanswered: u64,
     pub broken: u64,
-    /// Worth got over worth asked for, as viewers' sockets saw it.
+    /// Viewers that came, part of them that was turned away at least once, and that never got to watch.
+    pub people: u64,
+    pub people_refused: f64,
+    pub people_unserved: f64,
+    /// Changes of rung for each minute that a session played.
+    pub steps: f64,
+    /// Worth got over worth asked for, both within the day, less what stalls and steps cost, as viewers'
+    /// sockets saw it.
     pub worth: f64,
     /// Part of the time at each rung.
     pub rungs: BTreeMap<usize, f64>,
@@ -40,6 +47,7 @@
 
 impl Summary {
     pub fn new(count: &Count, verdict: &Verdict) -> Summary {
+        let people = (count.people as f64).max(1.0);
         let time: f64 = count.rungs.values().sum();
         let waits = |took: &Vec<u64>| {
             let mut histogram = Histogram::<u64>::new_with_bounds(1, 3_600_000_000, 3)
@@ -56,6 +64,10 @@
             failed: count.failed,
             unanswered: count.unanswered,
             broken: count.broken,
+            people: count.people,
+            people_refused: count.people_refused as f64 / people,
+            people_unserved: count.people_unserved as f64 / people,
+            steps: count.steps as f64 * 60.0 / time.max(1e-9),
             worth: count.worth_got / count.worth_asked.max(1e-9),
             rungs: count.rungs.iter().map(|(r, s)| (*r, s / time.max(1e-9))).collect(),
             waits: count.took.iter().map(|(class, took)| (class.clone(), waits(took))).collect(),
@@ -75,7 +87,15 @@
             "{} asked: {} played, {} refused, {} failed, {} without an answer; {} broke off",
             self.asked, self.plays, self.refused, self.failed, self.unanswered, self.broken
         )?;
-        writeln!(f, "worth {:.3} of what was asked for (stand-in nodes)", self.worth)?;
+        writeln!(
+            f,
+            "{} viewers: {:.1}% turned away at least once, {:.1}% never got to watch",
+            self.people,
+            self.people_refused * 100.0,
+            self.people_unserved * 100.0
+        )?;
+        writeln!(f, "worth {:.3} of what was asked for within the day (stand-in nodes)", self.worth)?;
+        writeln!(f, "changes of rung {:.2} a session-minute", self.steps)?;
         let rungs: Vec<_> = self.rungs.iter().map(|(r, p)| format!("{r}: {:.0}%", p * 100.0)).collect();
         writeln!(f, "time by rung  {}", rungs.join("  "))?;
         for (class, w) in &self.waits {
--- a/crates/front/src/day/troubles.rs
+++ b/crates/front/src/day/troubles.rs
@@ -5,6 +5,7 @@
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use shalewall_physics::crowd::Draw;
 use shalewall_settings::{DayPlan, Trouble, TroubleKind};
 use std::future::Future;
 use std::rc::Rc;
@@ -119,10 +120,16 @@
                 Timer::after(secs(trouble.len_s)).await;
                 world.viewers.set_burst(1.0);
             }
-            TroubleKind::HotTitle => {
-                world.viewers.set_hot(name.map(|n| (n.to_string(), trouble.size)));
+            TroubleKind::HotTitle | TroubleKind::ClassFlood => {
+                let crowd = world.viewers.crowd();
+                let class = || crowd.classes.iter().position(|c| name == Some(c.name.as_str()));
+                let draw = match trouble.kind {
+                    TroubleKind::HotTitle => name.map(|n| Draw::Title(n.to_string())),
+                    _ => class().map(Draw::Class),
+                };
+                world.viewers.set_extra(draw.map(|d| (d, trouble.size)));
                 Timer::after(secs(trouble.len_s)).await;
-                world.viewers.set_hot(None);
+                world.viewers.set_extra(None);
             }
             TroubleKind::DirectorKill => {
                 let numbers = met(&directors.numbers(None), &trouble, &mut dice);
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -6,7 +6,7 @@
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
-use shalewall_engine::{Config, Engine, Place};
+use shalewall_engine::Engine;
 use shalewall_http::Limits;
 use shalewall_http::server::serve;
 use shalewall_settings::FrontPlan;
@@ -16,23 +16,6 @@
 use std::time::Duration;
 use tracing::{info, warn};
 
-/// What the engine is told. `incarnation` tells this start of the front from others.
-pub fn config(plan: &FrontPlan, incarnation: u16) -> Config {
-    let site = &plan.site;
-    let place = |t: &shalewall_settings::Title| Place { home: t.home, spread: t.spread };
-    Config {
-        seed: plan.front.seed,
-        settings: site.settings(&plan.front),
-        classes: site.classes(),
-        tenants: site.tenant.keys().cloned().collect(),
-        zones: site.zones.clone(),
-        kinds: site.kind.keys().cloned().collect(),
-        titles: site.title.iter().map(|(name, t)| (name.clone(), place(t))).collect(),
-        most_sessions: plan.front.most_sessions,
-        incarnation,
-    }
-}
-
 /// A front that listens.
 pub struct Serving {
     pub hub: Rc<Hub>,
@@ -81,7 +64,7 @@
     let listener = TcpListener::bind(plan.front.listen)?;
     let address = listener.local_addr()?;
     let listener = Async::new(listener)?;
-    let engine = Engine::new(config(plan, incarnation), now);
+    let engine = Engine::new(plan.site.config(&plan.front, incarnation), now);
     let silence = Duration::from_millis(plan.front.silence_ms);
     let hub = Hub::new(ex.clone(), engine, plan.front.number, Limits::default(), silence);
     ex.spawn(list::watch(hub.clone(), plan.front.list)).detach();
--- /dev/null
+++ b/crates/lab/src/plain.rs
@@ -0,0 +1,173 @@
+//! D(C0) as the paper has it, with one lower rung: the asked rung while a link is under the mark, else the
+//! class's lowest under the full line, else refusal; the holder with the least account. None of the module's
+//! exceptions, no evidence but what nodes report, no care for cold nodes. A baseline, not a decider for service.
+
+use shalewall::{
+    Action, Effect, Event, ListNews, Listed, Micros, Note, Outcome, Request, ServerId, SessionId, Settings,
+    Standing,
+};
+use shalewall_engine::Decide;
+use std::collections::BTreeMap;
+
+/// The design's defaults.
+const MARK: f64 = 0.85;
+const FULL_LINE: f64 = 0.93;
+
+#[derive(Default)]
+struct Link {
+    kb: f64,
+    share: f64,
+}
+
+impl Link {
+    fn with(&self, kb: f64) -> f64 {
+        self.share + self.part(kb)
+    }
+
+    fn part(&self, kb: f64) -> f64 {
+        if self.kb > 0.0 { kb / self.kb } else { 0.0 }
+    }
+}
+
+/// A request that is out: where, at which rate, and where it was tried.
+struct Out {
+    req: Request,
+    at: Option<(ServerId, f64)>,
+    plays: bool,
+    tried: Vec<ServerId>,
+}
+
+pub struct Plain {
+    set: Settings,
+    listed: BTreeMap<ServerId, Listed>,
+    links: BTreeMap<ServerId, Link>,
+    uplinks: BTreeMap<u64, Link>,
+    out: BTreeMap<SessionId, Out>,
+}
+
+impl Plain {
+    pub fn new(set: Settings) -> Plain {
+        let uplink = |rack| (rack, Link { kb: set.uplink_kb, share: 0.0 });
+        let uplinks = (0..set.racks).map(uplink).collect();
+        Plain { set, listed: BTreeMap::new(), links: BTreeMap::new(), uplinks, out: BTreeMap::new() }
+    }
+
+    fn rack(&self, server: ServerId) -> Option<u64> {
+        self.listed.get(&server)?.cell.checked_rem(self.set.racks)
+    }
+
+    fn charge(&mut self, server: ServerId, kb: f64) {
+        let rack = self.rack(server);
+        let links = [self.links.get_mut(&server), rack.and_then(|r| self.uplinks.get_mut(&r))];
+        links.into_iter().flatten().for_each(|l| l.share = l.with(kb).max(0.0));
+    }
+
+    fn fits(&self, server: ServerId, kb: f64, line: f64) -> bool {
+        let uplink = self.rack(server).and_then(|r| self.uplinks.get(&r));
+        let links = [self.links.get(&server), uplink];
+        links.into_iter().flatten().all(|l| l.with(kb) <= line)
+    }
+
+    fn holders(&self, out: &Out) -> Vec<ServerId> {
+        let (req, cells) = (&out.req, self.set.cells.max(1));
+        let mut holders: Vec<ServerId> = self
+            .listed
+            .values()
+            .filter(|l| l.state == Standing::Ready && !out.tried.contains(&l.server))
+            .filter(|l| (l.cell + cells - req.home % cells) % cells < req.spread)
+            .map(|l| l.server)
+            .collect();
+        let account = |s: &ServerId| {
+            let uplink = self.rack(*s).and_then(|r| self.uplinks.get(&r)).map_or(0.0, |l| l.share);
+            self.links.get(s).map_or(0.0, |l| l.share) + uplink
+        };
+        holders.sort_by(|a, b| account(a).total_cmp(&account(b)));
+        holders
+    }
+
+    fn place(&mut self, now: Micros, mut out: Out, actions: &mut Vec<Action>) {
+        let (session, class) = (out.req.session, out.req.class);
+        let terms = self.set.classes[class];
+        let top = out.req.top.min(terms.top).min(self.set.ladder.len() - 1);
+        let held = self.out.values().filter(|o| (o.req.title, o.req.class) == (out.req.title, class));
+        let seated = terms.seats > 0 && held.count() >= terms.seats as usize;
+        let late = now + self.set.limits.step >= out.req.deadline;
+        let spent = out.tried.len() as u32 >= self.set.limits.max_attempts.max(1);
+        let found = self.holders(&out).into_iter().find_map(|s| {
+            let asked = self.fits(s, self.set.rate(class, top), MARK).then_some((s, top));
+            let least = || self.fits(s, self.set.rate(class, terms.floor), FULL_LINE);
+            asked.or_else(|| least().then_some((s, terms.floor)))
+        });
+        let Some((server, rung)) = found.filter(|_| !seated && !late && !spent) else {
+            let come_back = Some(self.set.limits.max_come_back);
+            return actions.push(Action::Refuse { session, come_back });
+        };
+        let kb = self.set.rate(class, rung);
+        self.charge(server, kb);
+        out.tried.push(server);
+        out.at = Some((server, kb));
+        self.out.insert(session, out);
+        actions.push(Action::SetRung { session, rung });
+        actions.push(Action::Send { session, server, patience: None });
+    }
+
+    fn note(&mut self, server: ServerId, note: Note) {
+        let rack = self.rack(server);
+        let (link, share) = match note {
+            Note::Link(x) => (self.links.get_mut(&server), x),
+            Note::Uplink(x) => (rack.and_then(|r| self.uplinks.get_mut(&r)), x),
+            Note::Delivered(_) | Note::Rung(_) => return,
+        };
+        link.into_iter().for_each(|l| l.share = share);
+    }
+
+    fn list(&mut self, news: ListNews, lines: Vec<Listed>) {
+        if matches!(news, ListNews::Full | ListNews::Cached) {
+            self.listed.clear();
+        }
+        for line in lines {
+            let kb = self.set.link_kb_per_weight * line.weight;
+            self.links.entry(line.server).or_default().kb = kb;
+            self.listed.insert(line.server, line);
+        }
+    }
+}
+
+impl Decide for Plain {
+    fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::List { news, lines } => self.list(news, lines),
+            Event::Asked(req) => {
+                let after = req.deadline - self.set.limits.step - now;
+                actions.push(Action::Timer { after, token: req.session.0 });
+                self.place(now, Out { req, at: None, plays: false, tried: Vec::new() }, actions);
+            }
+            Event::Started { session, .. } => {
+                self.out.get_mut(&session).into_iter().for_each(|o| o.plays = true);
+            }
+            Event::Finished { session, outcome, closed, .. } => {
+                let Some(out) = self.out.remove(&session) else { return };
+                out.at.into_iter().for_each(|(server, kb)| self.charge(server, -kb));
+                let never_ran = matches!(outcome, Outcome::Full | Outcome::NoConnection | Outcome::NotSent);
+                if closed || out.plays || outcome == Outcome::Good {
+                } else if never_ran || self.set.classes[out.req.class].effect == Effect::Harmless {
+                    self.place(now, out, actions);
+                } else {
+                    actions.push(Action::Fail { session });
+                }
+            }
+            Event::Noted { server, note, .. } => self.note(server, note),
+            Event::Timer(token) => {
+                let waits = self.out.get(&SessionId(token)).filter(|o| !o.plays);
+                if let Some(out) = waits {
+                    actions.push(Action::Recall {
+                        session: out.req.session,
+                        attempt: out.tried.len() as u32 - 1,
+                    });
+                    actions.push(Action::Fail { session: out.req.session });
+                }
+            }
+            Event::Carried(..) | Event::Withdrawn(_) | Event::Probed { .. } | Event::Peer { .. } => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/plan.rs
@@ -0,0 +1,94 @@
+//! A day's plan as the models want it: the same for sockets and for simulated time.
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use shalewall_physics::crowd::{Class, Crowd};
+use shalewall_physics::fleet::{Machine, Physics};
+use shalewall_settings::{DayPlan, us};
+use std::time::Duration;
+
+fn ms(ms: f64) -> Duration {
+    Duration::from_secs_f64(ms / 1000.0)
+}
+
+/// What all nodes share, and the machines: as told, or spread over zones, kinds and cells in turn. Links and
+/// uplinks stray from what the list says, by the day's seed.
+pub fn fleet(plan: &DayPlan) -> (Physics, Vec<Machine>) {
+    let (site, fleet) = (&plan.site, &plan.fleet);
+    let mut dice = ChaCha8Rng::seed_from_u64(plan.day.seed);
+    let mut stray = |part: f64| 1.0 + part * (2.0 * dice.random::<f64>() - 1.0);
+    let racks = if fleet.uplink_kb > 0.0 { site.layout.racks } else { 0 };
+    let physics = Physics {
+        rate_stray: fleet.rate_stray,
+        set_up: us(fleet.set_up_ms),
+        refresh: us(fleet.refresh_ms).max(1),
+        noise: fleet.noise,
+        full_from: fleet.full_from,
+        warm_after: us(site.rules.warm_after_ms),
+        start_capacity: site.rules.start_capacity,
+        overload_factor: site.rules.overload_factor,
+        fall: us(site.rules.fall_ms),
+        uplinks: match &fleet.uplinks_kb[..] {
+            [] => (0..racks).map(|_| fleet.uplink_kb * stray(fleet.link_stray)).collect(),
+            told => told.to_vec(),
+        },
+    };
+    let places = |kind: &str| site.kind.get(kind).map_or(1e6, |k| k.places);
+    if !fleet.machine.is_empty() {
+        let told = |(name, m): (&String, &shalewall_settings::Machine)| Machine {
+            id: name.parse().unwrap_or_default(),
+            zone: m.zone.clone(),
+            kind: m.kind.clone(),
+            cell: m.cell,
+            weight: m.weight,
+            places: places(&m.kind),
+            link_kb: m.link_kb * stray(fleet.link_stray),
+        };
+        return (physics, fleet.machine.iter().map(told).collect());
+    }
+    let kinds: Vec<&String> = site.kind.keys().collect();
+    let machine = |id: u64| {
+        let kind = kinds.get(id as usize % kinds.len().max(1)).map_or("", |k| k.as_str());
+        Machine {
+            id: id + 1,
+            zone: site.zones.get(id as usize % site.zones.len().max(1)).cloned().unwrap_or_default(),
+            kind: kind.to_string(),
+            cell: id % site.layout.cells,
+            weight: 1.0,
+            places: places(kind),
+            link_kb: fleet.link_kb * stray(fleet.link_stray),
+        }
+    };
+    let machines = (0..fleet.nodes).map(machine).collect();
+    (physics, machines)
+}
+
+/// Who comes on a day.
+pub fn crowd(plan: &DayPlan) -> Crowd {
+    let (site, load) = (&plan.site, &plan.load);
+    let class = |(name, part): (&String, &f64)| {
+        let c = &site.class[name];
+        Class {
+            name: name.clone(),
+            part: *part,
+            give_up: ms(c.give_up_ms),
+            aim: ms(c.aim_ms),
+            worth: c.worth,
+            top: c.top.unwrap_or(site.ladder.len() - 1),
+            lasts: load.lasts(name),
+        }
+    };
+    Crowd {
+        per_s: load.per_s,
+        classes: load.mix.iter().map(class).collect(),
+        titles: site.title.keys().cloned().collect(),
+        skew: load.skew,
+        hint_times: load.hint_times,
+        weak: load.weak,
+        come_again: load.come_again,
+        pause: ms(load.pause_ms),
+        worth: site.ladder.iter().map(|r| r.worth).collect(),
+        stall_cost: site.costs.stall,
+        switch_s: site.costs.switch_s,
+    }
+}
--- /dev/null
+++ b/crates/lab/src/world.rs
@@ -0,0 +1,721 @@
+//! One run: engines, nodes and viewers in one loop of simulated time.
+
+use crate::bounds::{Bounds, Wanting};
+use crate::count::Count;
+use crate::plain::Plain;
+use crate::plan;
+use rand::seq::SliceRandom;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use shalewall::{ListNews, Load, Micros, ServerId, SessionId, Settings, Standing};
+use shalewall_engine::*;
+use shalewall_physics::crowd::{Class, Crowd, Draw, Person};
+use shalewall_physics::fleet::{Arrival, Fleet, Machine, Playing, Process, Run};
+use shalewall_physics::news::{News, Teller};
+use shalewall_settings::{DayPlan, Front, Trouble, TroubleKind, us};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{Ipv4Addr, SocketAddr};
+
+/// One way between a front and a node, and between a viewer and a front.
+const NET: Micros = 500;
+/// Nodes are looked at so often.
+const LOOK: Micros = 100_000;
+/// A node ends what a front holds there when the front has been away for so long.
+const LEASE: Micros = 6_000_000;
+/// Under this share for a while, viewers begin to leave: so many of them for each look.
+const POOR: f64 = 0.75;
+const LEAVES: f64 = 0.02;
+const POOR_AFTER: Micros = 3_000_000;
+
+/// Who decides.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Policy {
+    /// The decision module.
+    Module,
+    /// D(C0) as in the paper, with one lower rung.
+    Plain,
+}
+
+/// What came of a run, and what could have come of it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Report {
+    pub count: Count,
+    pub bounds: Bounds,
+}
+
+/// What is due at some time.
+enum Due {
+    Arrive,
+    /// A viewer asks; how often it asked before.
+    Ask(usize),
+    /// A viewer's time is over.
+    Gone(usize),
+    /// A session's viewer is through, or gives up.
+    Leave(u64, bool),
+    Reach(usize, CallId),
+    /// A set-up is over at its node.
+    Begin(usize, CallId),
+    Reply(usize, CallId, Done),
+    Tell(usize, Input),
+    Look,
+    Begins(usize),
+    Ends(usize, Vec<u64>),
+    /// What a killed front held is ended where it plays.
+    Lapse(u32),
+}
+
+/// A call that is out.
+struct Call {
+    server: u64,
+    kind: CallKind,
+    /// Being set up at its node.
+    setting_up: bool,
+}
+
+struct Viewer {
+    person: Person,
+    until: Micros,
+    front: usize,
+    asks: u64,
+    refused: bool,
+    played: bool,
+}
+
+/// A session that plays, and its viewer's part of it.
+struct Shown {
+    viewer: usize,
+    node: u64,
+    run: Run,
+    since: Micros,
+}
+
+pub struct World<'p> {
+    plan: &'p DayPlan,
+    policy: Policy,
+    crowd: Crowd,
+    /// The crowd's classes by their numbers in the settings.
+    classes: Vec<usize>,
+    settings: Settings,
+    fleet: Fleet,
+    teller: Teller,
+    /// Who comes when, the same whoever decides; and all else that chance decides.
+    arrivals: ChaCha8Rng,
+    dice: ChaCha8Rng,
+    now: Micros,
+    queue: BTreeMap<(Micros, u64), Due>,
+    queued: u64,
+    engines: Vec<Option<Engine>>,
+    starts: u16,
+    rings: Vec<Option<Micros>>,
+    timers: BTreeSet<(Micros, usize)>,
+    calls: BTreeMap<(usize, CallId), Call>,
+    viewers: Vec<Viewer>,
+    asks: BTreeMap<u64, usize>,
+    next_ask: u64,
+    /// Where a session's set-up began to play.
+    began: BTreeMap<u64, (u64, Run)>,
+    shown: BTreeMap<u64, Shown>,
+    wanting: Wanting,
+    burst: f64,
+    extra: Option<(Draw, f64)>,
+    troubles: Vec<Trouble>,
+    listed: BTreeMap<u64, Line>,
+    result: Report,
+}
+
+/// Kinds of trouble that can be played here.
+const PLAYED: [TroubleKind; 6] = [
+    TroubleKind::Crash,
+    TroubleKind::Burst,
+    TroubleKind::HotTitle,
+    TroubleKind::ClassFlood,
+    TroubleKind::SharedSlow,
+    TroubleKind::DirectorKill,
+];
+
+/// Runs a day's plan. A trouble that can't be played here is an error, not left out.
+pub fn run(plan: &DayPlan, policy: Policy) -> Result<Report, String> {
+    for (name, t) in &plan.trouble {
+        if !PLAYED.contains(&t.kind) {
+            return Err(format!("trouble '{name}': {:?} can't be played in simulated time yet", t.kind));
+        }
+    }
+    let mut world = World::new(plan, policy);
+    let end = us(plan.day.seconds * 1000.0);
+    while let Some(((at, _), _)) = world.queue.first_key_value().map(|(k, _)| (*k, ())) {
+        let timer = world.timers.first().copied();
+        if at.min(timer.map_or(at, |(t, _)| t)) >= end {
+            break;
+        }
+        match timer {
+            Some((t, d)) if t <= at => {
+                world.now = t;
+                world.turn(d, |e, now| e.handle_timeout(now));
+            }
+            _ => {
+                world.now = at;
+                let due = world.queue.remove(&(at, world.queue.first_key_value().map_or(0, |(k, _)| k.1)));
+                due.into_iter().for_each(|due| world.carry_out(due));
+            }
+        }
+    }
+    world.result.count.fell = world.fleet.nodes.values().filter(|n| n.fell).count() as u64;
+    Ok(world.result)
+}
+
+impl<'p> World<'p> {
+    fn new(plan: &'p DayPlan, policy: Policy) -> World<'p> {
+        let (physics, machines) = plan::fleet(plan);
+        let seed = plan.day.seed;
+        let directors = plan.day.directors as usize;
+        let notes = &plan.site.notes;
+        let crowd = plan::crowd(plan);
+        let known = |c: &Class| plan.site.class.keys().position(|n| *n == c.name).unwrap_or(0);
+        let mut world = World {
+            plan,
+            policy,
+            classes: crowd.classes.iter().map(known).collect(),
+            settings: plan.site.settings(&front(plan, 0)),
+            crowd,
+            fleet: Fleet::new(physics, seed ^ 1),
+            teller: Teller::new(us(notes.every_ms), us(notes.late_ms)),
+            arrivals: ChaCha8Rng::seed_from_u64(seed ^ 2),
+            dice: ChaCha8Rng::seed_from_u64(seed ^ 3),
+            now: 0,
+            queue: BTreeMap::new(),
+            queued: 0,
+            engines: (0..directors).map(|_| None).collect(),
+            starts: 0,
+            rings: vec![None; directors],
+            timers: BTreeSet::new(),
+            calls: BTreeMap::new(),
+            viewers: Vec::new(),
+            asks: BTreeMap::new(),
+            next_ask: 0,
+            began: BTreeMap::new(),
+            shown: BTreeMap::new(),
+            wanting: Wanting::new(),
+            burst: 1.0,
+            extra: None,
+            troubles: plan.trouble.values().cloned().collect(),
+            listed: BTreeMap::new(),
+            result: Report { count: Count::default(), bounds: Bounds::default() },
+        };
+        for machine in machines {
+            world.listed.insert(machine.id, line(&machine, Standing::Ready, None));
+            world.fleet.start(machine, 0, true);
+        }
+        (0..directors).for_each(|d| world.start(d));
+        world.later(0, Due::Look);
+        world.later(0, Due::Arrive);
+        for i in 0..world.troubles.len() {
+            world.later(us(world.troubles[i].at_s * 1000.0), Due::Begins(i));
+        }
+        world
+    }
+
+    fn later(&mut self, after: Micros, due: Due) {
+        self.queued += 1;
+        self.queue.insert((self.now + after.max(0), self.queued), due);
+    }
+
+    fn seconds(&self) -> f64 {
+        self.now as f64 / 1e6
+    }
+
+    // ---- engines ----------------------------------------------------------------------------
+
+    fn start(&mut self, d: usize) {
+        let front = front(self.plan, d as u32);
+        let config = self.plan.site.config(&front, self.starts);
+        self.starts += 1;
+        let engine = match self.policy {
+            Policy::Module => Engine::new(config, self.now),
+            Policy::Plain => {
+                let plain = Box::new(Plain::new(config.settings.clone()));
+                Engine::with(config, plain, self.now)
+            }
+        };
+        self.engines[d] = Some(engine);
+        let lines = self.listed.values().cloned().collect();
+        self.tell(d, Input::List { news: ListNews::Full, lines });
+        for (node, n) in &self.fleet.nodes {
+            let held: Vec<_> = n.playing.iter().filter(|(_, p)| p.director == d as u32).collect();
+            if !held.is_empty() {
+                let held = held.into_iter().map(|((s, a), _)| (SessionId(*s), *a)).collect();
+                let up = Input::NodeUp { server: ServerId(*node), asked: self.now, held };
+                self.queued += 1;
+                self.queue.insert((self.now + NET, self.queued), Due::Tell(d, up));
+            }
+        }
+    }
+
+    fn kill(&mut self, d: usize) {
+        self.engines[d] = None;
+        self.ring(d);
+        let calls: Vec<_> = self.calls.keys().filter(|(of, _)| *of == d).copied().collect();
+        calls.into_iter().for_each(|(of, call)| self.drop_call(of, call));
+        let asks: Vec<u64> = self.asks.keys().copied().collect();
+        for ask in asks {
+            if self.viewers[self.asks[&ask]].front == d {
+                self.result.count.unanswered += 1;
+                self.asks.remove(&ask).into_iter().for_each(|v| self.again(v, None));
+            }
+        }
+        self.later(LEASE, Due::Lapse(d as u32));
+    }
+
+    fn tell(&mut self, d: usize, input: Input) {
+        self.turn(d, |e, now| e.handle(now, input));
+    }
+
+    fn turn(&mut self, d: usize, work: impl FnOnce(&mut Engine, Micros)) {
+        let now = self.now;
+        if let Some(engine) = &mut self.engines[d] {
+            work(engine, now);
+        }
+        while let Some(output) = self.engines[d].as_mut().and_then(Engine::poll_output) {
+            self.on_output(d, output);
+        }
+        self.ring(d);
+    }
+
+    fn ring(&mut self, d: usize) {
+        let next = self.engines[d].as_ref().and_then(Engine::poll_timeout).map(|t| t.max(self.now));
+        if self.rings[d] != next {
+            self.rings[d].into_iter().for_each(|t| {
+                self.timers.remove(&(t, d));
+            });
+            next.into_iter().for_each(|t| {
+                self.timers.insert((t, d));
+            });
+            self.rings[d] = next;
+        }
+    }
+
+    fn on_output(&mut self, d: usize, output: Output) {
+        match output {
+            Output::Answer { ask, answer } => self.on_answer(ask.0, answer),
+            Output::Call { call, server, kind, .. } => {
+                self.calls.insert((d, call), Call { server: server.0, kind, setting_up: false });
+                self.later(NET, Due::Reach(d, call));
+            }
+            Output::Drop { call } => self.drop_call(d, call),
+            Output::Watch { .. } | Output::Unwatch { .. } | Output::CloseIdle { .. } => {}
+            Output::Tried { .. } | Output::Log(_) => {}
+        }
+    }
+
+    // ---- calls ------------------------------------------------------------------------------
+
+    fn drop_call(&mut self, d: usize, call: CallId) {
+        if let Some(out) = self.calls.remove(&(d, call))
+            && out.setting_up
+        {
+            self.fleet.give_up(out.server);
+        }
+    }
+
+    fn load(&self, node: u64) -> Load {
+        let f = self.fleet.told(node);
+        Load { streams: Some(f.streams as f64), link: Some(f.link), uplink: Some(f.uplink) }
+    }
+
+    fn reply(&mut self, d: usize, call: CallId, node: u64, status: u16, never_ran: bool) {
+        let media = (status == 201).then(String::new);
+        let done = Done::Answered { status, never_ran, load: self.load(node), media };
+        self.later(NET, Due::Reply(d, call, done));
+    }
+
+    /// A call reaches its node.
+    fn reach(&mut self, d: usize, call: CallId) {
+        let Some(Call { server, kind, .. }) = self.calls.get(&(d, call)) else { return };
+        let (node, kind) = (*server, kind.clone());
+        if self.fleet.nodes.get(&node).is_none_or(|n| n.process == Process::Down) {
+            return self.later(NET, Due::Reply(d, call, Done::NeverRan("refused".into())));
+        }
+        match kind {
+            CallKind::SetUp { session, attempt, .. } => {
+                match self.fleet.arrive(node, (session.0, attempt), self.now) {
+                    Arrival::Takes(time) => {
+                        self.calls.get_mut(&(d, call)).into_iter().for_each(|c| c.setting_up = true);
+                        self.later(time, Due::Begin(d, call));
+                    }
+                    Arrival::Full => self.reply(d, call, node, 503, true),
+                    Arrival::Ended => self.reply(d, call, node, 410, true),
+                    Arrival::Falls => self.down(node),
+                }
+            }
+            CallKind::Rung { session, attempt, rung, kb } => {
+                let run = (session.0, attempt);
+                let before = self.fleet.nodes[&node].playing.get(&run).map(|p| p.rung);
+                let known = self.fleet.set_rung(node, run, rung, kb);
+                if let Some(shown) = self.shown.get(&session.0).filter(|_| before.is_some_and(|r| r != rung))
+                {
+                    let class = self.viewers[shown.viewer].person.class;
+                    let cost = self.crowd.switch_s * self.crowd.classes[class].worth;
+                    self.result.count.steps += 1;
+                    self.result.count.stepped += cost;
+                    self.result.count.got -= cost;
+                    let at = self.seconds();
+                    self.result.count.span(at).got -= cost;
+                }
+                self.reply(d, call, node, if known { 204 } else { 404 }, false);
+            }
+            CallKind::End { session, attempt } => {
+                let played = self.fleet.end(node, (session.0, attempt));
+                self.hide(session.0, true);
+                self.reply(d, call, node, if played { 204 } else { 404 }, false);
+            }
+            CallKind::Probe => self.reply(d, call, node, 204, false),
+        }
+    }
+
+    fn begin(&mut self, d: usize, call: CallId) {
+        let Some(out) = self.calls.get_mut(&(d, call)) else { return };
+        out.setting_up = false;
+        let node = out.server;
+        let CallKind::SetUp { session, attempt, class, title, rung, kb } = out.kind.clone() else { return };
+        let run = (session.0, attempt);
+        let playing = Playing { director: d as u32, class, title, rung, kb, true_kb: kb };
+        if self.fleet.begin(node, run, playing) {
+            self.began.insert(session.0, (node, run));
+            self.reply(d, call, node, 201, false);
+        } else {
+            self.reply(d, call, node, 410, true);
+        }
+    }
+
+    // ---- nodes ------------------------------------------------------------------------------
+
+    /// A node's process is gone: calls to it break, what played there ends, fronts see it at once.
+    fn down(&mut self, node: u64) {
+        let Some(n) = self.fleet.nodes.get_mut(&node) else { return };
+        n.process = Process::Down;
+        let playing: Vec<Run> = std::mem::take(&mut n.playing).into_keys().collect();
+        n.setting_up = 0;
+        playing.into_iter().for_each(|(session, _)| self.hide(session, true));
+        let broken: Vec<_> = self.calls.iter().filter(|(_, c)| c.server == node).map(|(k, _)| *k).collect();
+        for (d, call) in broken {
+            self.calls.get_mut(&(d, call)).into_iter().for_each(|c| c.setting_up = false);
+            self.later(NET, Due::Reply(d, call, Done::MayHaveRun("reset".into())));
+        }
+        for d in 0..self.engines.len() {
+            self.later(NET, Due::Tell(d, Input::NodeDown { server: ServerId(node) }));
+        }
+        self.list(node, Standing::Gone, None);
+    }
+
+    fn up(&mut self, node: u64) {
+        let Some(n) = self.fleet.nodes.get(&node) else { return };
+        if n.fell {
+            return; // pushed over: it stays down
+        }
+        let machine = n.machine.clone();
+        self.fleet.start(machine, self.now, false);
+        self.list(node, Standing::Ready, Some(self.now));
+    }
+
+    /// The list hears of it late.
+    fn list(&mut self, node: u64, standing: Standing, came_up: Option<Micros>) {
+        let machine = self.fleet.nodes[&node].machine.clone();
+        let line = line(&machine, standing, came_up);
+        self.listed.insert(node, line.clone());
+        let late = us(self.plan.fleet.list_late_ms);
+        for d in 0..self.engines.len() {
+            let lines = vec![line.clone()];
+            self.later(late, Due::Tell(d, Input::List { news: ListNews::Delta, lines }));
+        }
+    }
+
+    /// Nodes are looked at: what they tell, what their sessions earn, who leaves for want of picture.
+    fn look(&mut self) {
+        self.later(LOOK, Due::Look);
+        let news = self.teller.look(&mut self.fleet, self.now);
+        for News { node, director, session, delivered, link, uplink } in news {
+            let told = Told::Figures { session: SessionId(session), delivered, link, uplink };
+            let input = Input::NodeTold { server: ServerId(node), told };
+            self.later(NET, Due::Tell(director as usize, input));
+        }
+        let (dt, at) = (LOOK as f64 / 1e6, self.seconds());
+        let shares: BTreeMap<u64, f64> =
+            self.fleet.nodes.keys().map(|id| (*id, self.fleet.figures(*id).delivered)).collect();
+        let (mut got, mut leaving) = (0.0, Vec::new());
+        let mut rungs: BTreeMap<usize, f64> = BTreeMap::new();
+        for (session, shown) in &self.shown {
+            let Some(playing) = self.fleet.nodes[&shown.node].playing.get(&shown.run) else { continue };
+            let class = &self.crowd.classes[self.viewers[shown.viewer].person.class];
+            let share = shares[&shown.node];
+            let full = dt * class.worth * self.crowd.worth[playing.rung];
+            got += full * self.crowd.kept(share);
+            self.result.count.stalled += full * (1.0 - self.crowd.kept(share));
+            *rungs.entry(playing.rung).or_default() += dt;
+            if share < POOR && self.now - shown.since > POOR_AFTER && self.dice.random::<f64>() < LEAVES {
+                leaving.push(*session);
+            }
+        }
+        let racks = &self.fleet.physics.uplinks;
+        let mut room: BTreeMap<u64, f64> = BTreeMap::new();
+        for n in self.fleet.nodes.values().filter(|n| n.process == Process::Runs) {
+            let rack = n.machine.cell.checked_rem(racks.len() as u64).unwrap_or(n.machine.id);
+            *room.entry(rack).or_default() += n.machine.link_kb / self.fleet.slow_links;
+        }
+        let uplink = |rack: &u64| racks.get(*rack as usize).copied().unwrap_or(f64::INFINITY);
+        let room: f64 = room.iter().map(|(rack, kb)| kb.min(uplink(rack))).sum();
+        let bound = self.result.bounds.pass(&self.settings, &self.wanting, room, dt);
+        let (terms, ladder) = (&self.settings.classes, &self.settings.ladder);
+        let wanted = |((class, top), n): (&(usize, usize), &usize)| {
+            *n as f64 * terms[*class].worth * ladder[*top].worth
+        };
+        let wanted: f64 = self.wanting.iter().map(wanted).sum();
+        let count = &mut self.result.count;
+        count.got += got;
+        count.wanted += wanted * dt;
+        for (rung, time) in &rungs {
+            *count.rungs.entry(*rung).or_default() += time;
+            count.played_s += time;
+        }
+        let span = count.span(at);
+        (span.got, span.wanted, span.bound) = (span.got + got, span.wanted + wanted * dt, span.bound + bound);
+        rungs.into_iter().for_each(|(r, t)| *span.rungs.entry(r).or_default() += t);
+        leaving.into_iter().for_each(|s| self.leave(s, true));
+    }
+
+    // ---- viewers ----------------------------------------------------------------------------
+
+    fn arrive(&mut self) {
+        let extra = self.extra.as_ref().map_or(0.0, |(_, part)| *part);
+        let all = self.burst + extra;
+        let gap = self.crowd.gap(all, &mut self.arrivals).as_micros() as Micros;
+        self.later(gap, Due::Arrive);
+        let extra = self.extra.as_ref().map(|(draw, _)| (draw, extra / all));
+        let person = self.crowd.draw(extra, &mut self.arrivals);
+        let span = person.span.as_micros() as Micros;
+        *self.wanting.entry((self.classes[person.class], person.top)).or_default() += 1;
+        let viewer = self.viewers.len();
+        let front = (self.arrivals.random::<f64>() * self.engines.len() as f64) as usize;
+        let until = self.now + span;
+        let new = Viewer { person, until, front, asks: 0, refused: false, played: false };
+        self.viewers.push(new);
+        self.result.count.people += 1;
+        self.result.count.people_unserved += 1;
+        self.later(span, Due::Gone(viewer));
+        self.ask(viewer);
+    }
+
+    fn ask(&mut self, viewer: usize) {
+        let v = &mut self.viewers[viewer];
+        if self.now >= v.until {
+            return;
+        }
+        let (at, front) = (self.now as f64 / 1e6, v.front);
+        self.result.count.asked += 1;
+        self.result.count.span(at).asked += 1;
+        if self.engines[front].is_none() {
+            self.result.count.unanswered += 1;
+            return self.again(viewer, None);
+        }
+        let left = (v.until - self.now) as f64 * self.crowd.hint_times;
+        let new = NewSession {
+            viewer: v.person.key.clone(),
+            class: self.crowd.classes[v.person.class].name.clone(),
+            title: v.person.title.clone(),
+            hint: (left > 0.0).then_some(left as Micros),
+            top: Some(v.person.top),
+            again: v.asks > 0,
+            ..NewSession::default()
+        };
+        v.asks += 1;
+        let ask = self.next_ask;
+        self.next_ask += 1;
+        self.asks.insert(ask, viewer);
+        self.tell(front, Input::Asked { ask: AskId(ask), new });
+    }
+
+    /// Turned away, failed or broken off: most come again, to the next front half of the time.
+    fn again(&mut self, viewer: usize, pause: Option<Micros>) {
+        if self.dice.random::<f64>() >= self.crowd.come_again {
+            return;
+        }
+        let pause = pause.unwrap_or(self.crowd.pause.as_micros() as Micros) as f64;
+        let pause = pause * (0.5 + self.dice.random::<f64>());
+        if self.dice.random::<f64>() < 0.5 {
+            let v = &mut self.viewers[viewer];
+            v.front = (v.front + 1) % self.engines.len();
+        }
+        self.later(pause as Micros, Due::Ask(viewer));
+    }
+
+    fn on_answer(&mut self, ask: u64, answer: Answer) {
+        let Some(viewer) = self.asks.remove(&ask) else { return };
+        let at = self.seconds();
+        let (v, count) = (&mut self.viewers[viewer], &mut self.result.count);
+        match answer {
+            Answer::Plays { session, .. } => {
+                let Some((node, run)) = self.began.remove(&session.0) else { return };
+                count.played += 1;
+                count.people_unserved -= u64::from(!std::mem::replace(&mut v.played, true));
+                let left = v.until - self.now;
+                self.shown.insert(session.0, Shown { viewer, node, run, since: self.now });
+                if !self.fleet.nodes[&node].playing.contains_key(&run) {
+                    return self.hide(session.0, true); // the node died while it answered
+                }
+                self.later(left, Due::Leave(session.0, false));
+            }
+            Answer::Refused { come_back, .. } => {
+                count.refused += 1;
+                count.span(at).refused += 1;
+                count.people_refused += u64::from(!std::mem::replace(&mut v.refused, true));
+                self.again(viewer, come_back);
+            }
+            Answer::Failed { .. } | Answer::Unknown(_) | Answer::Clash(_) => count.failed += 1,
+        }
+    }
+
+    /// A viewer ends its session at the node; the front hears of it from there.
+    fn leave(&mut self, session: u64, poor: bool) {
+        let Some(shown) = self.shown.get(&session) else { return };
+        let (node, run) = (shown.node, shown.run);
+        let director = self.fleet.nodes[&node].playing.get(&run).map(|p| p.director);
+        self.fleet.end(node, run);
+        if let Some(d) = director {
+            let told = Told::Ended { session: SessionId(session), attempt: run.1 };
+            self.later(NET, Due::Tell(d as usize, Input::NodeTold { server: ServerId(node), told }));
+        }
+        self.hide(session, poor);
+    }
+
+    /// A session is over for its viewer. `broke`: it had wanted more, and may come again.
+    fn hide(&mut self, session: u64, broke: bool) {
+        let Some(shown) = self.shown.remove(&session) else { return };
+        if broke && self.viewers[shown.viewer].until > self.now {
+            self.result.count.broken += 1;
+            self.again(shown.viewer, None);
+        }
+    }
+
+    // ---- troubles ---------------------------------------------------------------------------
+
+    /// Those that a trouble meets: as told, or its part of them, at least one.
+    fn met(&mut self, of: Vec<u64>, trouble: &Trouble) -> Vec<u64> {
+        let mut met = of;
+        if let Some(on) = &trouble.on {
+            met.retain(|x| on.contains(x));
+            return met;
+        }
+        let n = ((trouble.part * met.len() as f64).round() as usize).max(1);
+        // Of the same day the same are met, whoever decides.
+        met.shuffle(&mut ChaCha8Rng::seed_from_u64(self.plan.day.seed ^ trouble.at_s.to_bits()));
+        met.truncate(n);
+        met
+    }
+
+    fn trouble_begins(&mut self, i: usize) {
+        let trouble = self.troubles[i].clone();
+        let mut met = Vec::new();
+        match trouble.kind {
+            TroubleKind::Crash => {
+                let up = self.fleet.nodes.iter().filter(|(_, n)| n.process == Process::Runs);
+                let up = up.map(|(id, _)| *id).collect();
+                met = self.met(up, &trouble);
+                met.iter().for_each(|id| self.down(*id));
+            }
+            TroubleKind::Burst => self.burst = trouble.size,
+            TroubleKind::HotTitle => {
+                self.extra = trouble.name.clone().map(|n| (Draw::Title(n), trouble.size));
+            }
+            TroubleKind::ClassFlood => {
+                let class = self.crowd.classes.iter().position(|c| trouble.name.as_ref() == Some(&c.name));
+                self.extra = class.map(|c| (Draw::Class(c), trouble.size));
+            }
+            TroubleKind::SharedSlow => self.fleet.slow_links = trouble.size,
+            TroubleKind::DirectorKill => {
+                let up = (0..self.engines.len()).filter(|d| self.engines[*d].is_some());
+                let up = up.map(|d| d as u64).collect();
+                met = self.met(up, &trouble);
+                met.iter().for_each(|d| self.kill(*d as usize));
+            }
+            _ => {}
+        }
+        self.later(us(trouble.len_s * 1000.0), Due::Ends(i, met));
+    }
+
+    fn trouble_ends(&mut self, i: usize, met: Vec<u64>) {
+        match self.troubles[i].kind {
+            TroubleKind::Crash => met.into_iter().for_each(|id| self.up(id)),
+            TroubleKind::Burst => self.burst = 1.0,
+            TroubleKind::HotTitle | TroubleKind::ClassFlood => self.extra = None,
+            TroubleKind::SharedSlow => self.fleet.slow_links = 1.0,
+            TroubleKind::DirectorKill => met.into_iter().for_each(|d| self.start(d as usize)),
+            _ => {}
+        }
+    }
+
+    fn lapse(&mut self, director: u32) {
+        if self.engines[director as usize].is_some() {
+            return; // back in time: it has ended them, or holds them
+        }
+        let held = |(id, n): (&u64, &shalewall_physics::fleet::Node)| {
+            let of = n.playing.iter().filter(|(_, p)| p.director == director);
+            of.map(|(run, _)| (*id, *run)).collect::<Vec<_>>()
+        };
+        let held: Vec<(u64, Run)> = self.fleet.nodes.iter().flat_map(held).collect();
+        for (node, run) in held {
+            self.fleet.end(node, run);
+            self.hide(run.0, true);
+        }
+    }
+
+    fn carry_out(&mut self, due: Due) {
+        match due {
+            Due::Arrive => self.arrive(),
+            Due::Ask(viewer) => self.ask(viewer),
+            Due::Gone(viewer) => {
+                let p = &self.viewers[viewer].person;
+                self.wanting.entry((self.classes[p.class], p.top)).and_modify(|n| *n -= 1);
+            }
+            Due::Leave(session, poor) => self.leave(session, poor),
+            Due::Reach(d, call) => self.reach(d, call),
+            Due::Begin(d, call) => self.begin(d, call),
+            Due::Reply(d, call, done) => {
+                if self.calls.remove(&(d, call)).is_some() {
+                    self.tell(d, Input::Done { call, done });
+                }
+            }
+            Due::Tell(d, input) => self.tell(d, input),
+            Due::Look => self.look(),
+            Due::Begins(i) => self.trouble_begins(i),
+            Due::Ends(i, met) => self.trouble_ends(i, met),
+            Due::Lapse(director) => self.lapse(director),
+        }
+    }
+}
+
+fn front(plan: &DayPlan, number: u32) -> Front {
+    let zones = &plan.site.zones;
+    Front {
+        listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+        list: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+        number,
+        directors: plan.day.directors,
+        zone: zones.get(number as usize % zones.len().max(1)).cloned(),
+        seed: plan.day.seed ^ u64::from(number),
+        most_sessions: 1_000_000,
+        most_connections: 1,
+        silence_ms: 3000,
+        leave_s: 0.0,
+    }
+}
+
+fn line(machine: &Machine, standing: Standing, came_up: Option<Micros>) -> Line {
+    Line {
+        server: ServerId(machine.id),
+        address: Some(SocketAddr::from((Ipv4Addr::LOCALHOST, 1))),
+        zone: machine.zone.clone(),
+        kind: machine.kind.clone(),
+        cell: machine.cell,
+        standing,
+        weight: machine.weight,
+        came_up,
+    }
+}
--- a/crates/standins/src/physics.rs
+++ b/crates/physics/src/fleet.rs
@@ -4,7 +4,7 @@
 use rand_chacha::ChaCha8Rng;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-pub type Micros = i64;
+use crate::Micros;
 
 /// What all nodes share.
 #[derive(Clone, Debug)]
--- a/crates/settings/src/day.rs
+++ b/crates/settings/src/day.rs
@@ -5,6 +5,7 @@
 use garde::Validate;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 /// The file of `shalewall day run`.
 #[derive(Clone, Debug, Serialize, Deserialize, Validate)]
@@ -32,8 +33,8 @@
     pub seconds: f64,
     #[garde(skip)]
     pub seed: u64,
-    /// Directors, each a process of its own.
-    #[garde(range(min = 1, max = 64))]
+    /// Directors; on sockets each is a process of its own, and 64 the most.
+    #[garde(range(min = 1, max = 1024))]
     pub directors: u32,
     /// Part of the true rates that viewers' sockets carry.
     #[garde(range(min = 0.0001, max = 1.0))]
@@ -131,6 +132,14 @@
     pub shortest_s: f64,
     #[garde(range(min = 0.1, max = 100_000.0))]
     pub longest_s: f64,
+    /// Those of a class, where they differ: shortest and longest.
+    #[garde(skip)]
+    #[serde(default)]
+    pub lasts_s: BTreeMap<String, (f64, f64)>,
+    /// Viewers' hints are the true length so many times; 0: they give none.
+    #[garde(range(min = 0.0, max = 1000.0))]
+    #[serde(default = "true_hints")]
+    pub hint_times: f64,
     /// Part of the viewers that can't use the two highest rungs.
     #[garde(range(min = 0.0, max = 1.0))]
     #[serde(default)]
@@ -148,6 +157,19 @@
     pub pause_ms: f64,
 }
 
+impl Load {
+    /// From how long to how long sessions of a class last.
+    pub fn lasts(&self, class: &str) -> (Duration, Duration) {
+        let (shortest, longest) =
+            self.lasts_s.get(class).copied().unwrap_or((self.shortest_s, self.longest_s));
+        (Duration::from_secs_f64(shortest), Duration::from_secs_f64(longest))
+    }
+}
+
+fn true_hints() -> f64 {
+    1.0
+}
+
 /// What goes wrong.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -176,6 +198,8 @@
     TenantBurst,
     /// Viewers come for one title, `size` of the usual rate.
     HotTitle,
+    /// More viewers of one class come, `size` of the usual rate.
+    ClassFlood,
     /// Directors are killed outright and started again after the trouble.
     DirectorKill,
     /// Directors stand still for `stall_ms`, again and again.
@@ -219,6 +243,25 @@
     pub name: Option<String>,
 }
 
+impl Trouble {
+    /// One of a kind that meets nobody yet and has no size.
+    pub fn new(kind: TroubleKind, at_s: f64, len_s: f64) -> Trouble {
+        Trouble {
+            kind,
+            at_s,
+            len_s,
+            part: 0.0,
+            size: 0.0,
+            waves: one_wave(),
+            notice_ms: 0.0,
+            stall_ms: 0.0,
+            directors: false,
+            on: None,
+            name: None,
+        }
+    }
+}
+
 fn one_wave() -> u32 {
     1
 }
@@ -239,6 +282,13 @@
             wrong
                 .push(("load.mix".into(), format!("'{name}' is no class of the site: {}", known.join(", "))));
         }
+        for (name, (shortest, longest)) in &self.load.lasts_s {
+            let fits = *shortest >= 0.1 && longest >= shortest;
+            if !fits || !self.site.class.contains_key(name) {
+                let what = "is for a class of the site, from 0.1 s on, the shortest first".to_string();
+                wrong.push((format!("load.lasts_s.{name}"), what));
+            }
+        }
         for (name, m) in &self.fleet.machine {
             let path = |field: &str| format!("fleet.machine.{name}.{field}");
             if name.parse::<u32>().is_err() {
@@ -264,7 +314,7 @@
                 wrong.push((path("len_s"), format!("runs past the day's {} s", self.day.seconds)));
             }
             use TroubleKind::*;
-            if matches!(t.kind, Neighbour | SharedSlow | Ageing | Burst | TenantBurst | HotTitle)
+            if matches!(t.kind, Neighbour | SharedSlow | Ageing | Burst | TenantBurst | HotTitle | ClassFlood)
                 && t.size <= 0.0
             {
                 wrong.push((path("size"), "has to be given, above 0".into()));
@@ -279,6 +329,7 @@
                 ZoneLoss => self.site.zones.clone(),
                 TenantBurst => self.site.tenant.keys().cloned().collect(),
                 HotTitle => self.site.title.keys().cloned().collect(),
+                ClassFlood => self.load.mix.keys().cloned().collect(),
                 _ => continue,
             };
             if t.name.as_ref().is_none_or(|n| !known.contains(n)) {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,7 +1,7 @@
 //! Settings files in HCL: read, checked, and turned into what the decision module is told.
 //!
-//! What this crate may know: files, their form, and the module's settings. What it must not: sockets,
-//! sessions, nodes. An [`Error`] names the file, the line, the path within it and what would be right.
+//! What this crate may know: files, their form, and what module and engine are told at their start. What it
+//! must not: sockets, sessions, nodes. An [`Error`] names the file, the line, the path within it and what would be right.
 
 mod day;
 mod locate;
--- a/crates/settings/src/site.rs
+++ b/crates/settings/src/site.rs
@@ -4,6 +4,7 @@
 use garde::Validate;
 use serde::{Deserialize, Serialize};
 use shalewall::{ClassTerms, Contract, Effect, FurtherAttempts, Micros, Rung, Settings, TenantTerms};
+use shalewall_engine::{Config, Place};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -316,6 +317,22 @@
         self.class.iter().map(|(name, c)| (name.clone(), us(c.give_up_ms))).collect()
     }
 
+    /// What the engine of one front is told. `incarnation` tells this start of the front from others.
+    pub fn config(&self, front: &Front, incarnation: u16) -> Config {
+        let place = |t: &Title| Place { home: t.home, spread: t.spread };
+        Config {
+            seed: front.seed,
+            settings: self.settings(front),
+            classes: self.classes(),
+            tenants: self.tenant.keys().cloned().collect(),
+            zones: self.zones.clone(),
+            kinds: self.kind.keys().cloned().collect(),
+            titles: self.title.iter().map(|(name, t)| (name.clone(), place(t))).collect(),
+            most_sessions: front.most_sessions,
+            incarnation,
+        }
+    }
+
     /// What the module of one front is told.
     pub fn settings(&self, front: &Front) -> Settings {
         let top = self.ladder.len().saturating_sub(1);
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,7 +1,6 @@
 //! Stand-ins for what a front meets: media nodes, the list of servers, viewers.
 //!
-//! [`physics`] is the fleet itself, without I/O or clock: links and uplinks that cut everyone alike, places,
-//! cold starts, falling over. [`nodes`], [`list`] and [`viewers`] put it on loopback sockets by
+//! [`nodes`], [`list`] and [`viewers`] put the models of `shalewall-physics` on loopback sockets by
 //! `docs/protocol.md`, with faults on demand, and record what passes there.
 //!
 //! What this crate may know: the protocol and the physics. What it must not: engine, front, decisions; it
@@ -9,6 +8,5 @@
 
 pub mod list;
 pub mod nodes;
-pub mod physics;
 pub mod recorder;
 pub mod viewers;
--- a/crates/standins/src/nodes.rs
+++ b/crates/standins/src/nodes.rs
@@ -1,6 +1,5 @@
 //! Media nodes on sockets, and what can be done to them.
 
-use crate::physics::{Arrival, Fleet, Machine, Playing, Process, Run};
 use crate::recorder::Recorder;
 use async_channel::{Receiver, Sender};
 use async_executor::{LocalExecutor, Task};
@@ -12,6 +11,8 @@
 use shalewall_audit::{Ran, Record};
 use shalewall_http::server::{Ended, Reply, Request, serve};
 use shalewall_http::{Limits, sse};
+use shalewall_physics::fleet::{Arrival, Fleet, Machine, Playing, Process, Run};
+use shalewall_physics::news::Teller;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -485,48 +486,17 @@
         runs.into_iter().for_each(|run| self.end_here(id, run));
     }
 
-    /// Looks at the fleet and tells fronts: the delivered share each second while short and once after, the
-    /// fullness every so often; both late, on one of the front's sessions there.
+    /// Looks at the fleet and tells fronts what there is to tell.
     async fn tell(self) {
-        let (every, late) = (self.telling.every.as_micros() as i64, self.telling.late.as_micros() as i64);
-        let mut short: BTreeMap<(u64, u32), bool> = BTreeMap::new();
-        let (mut last_second, mut last_every) = (0, 0);
+        let mut teller =
+            Teller::new(self.telling.every.as_micros() as i64, self.telling.late.as_micros() as i64);
         loop {
             Timer::after(FRAME).await;
-            let now = shalewall_clock::now();
-            self.inner.borrow_mut().fleet.sample(now, late + 1_000_000);
-            let second = now / 1_000_000 != last_second;
-            let full = every > 0 && now / every != last_every;
-            if !second && !full {
-                continue;
-            }
-            (last_second, last_every) = (now / 1_000_000, if every > 0 { now / every } else { 0 });
-            let mut notes = Vec::new();
-            {
-                let inner = self.inner.borrow();
-                for (id, node) in inner.fleet.nodes.iter().filter(|(_, n)| n.process == Process::Runs) {
-                    let Some(f) = inner.fleet.past(*id, now - late) else { continue };
-                    let mut told: BTreeMap<u32, u64> = BTreeMap::new();
-                    for ((session, _), p) in &node.playing {
-                        told.entry(p.director).or_insert(*session);
-                    }
-                    for (director, session) in told {
-                        let was = short.entry((*id, director)).or_default();
-                        let delivered = (second && (f.delivered < 0.98 || *was)).then_some(f.delivered);
-                        if second {
-                            *was = f.delivered < 0.98;
-                        }
-                        let (link, uplink) = if full { (Some(f.link), Some(f.uplink)) } else { (None, None) };
-                        if delivered.is_some() || link.is_some() {
-                            let note = serde_json::json!({ "session": session, "delivered": delivered,
-                                "link": link, "uplink": uplink });
-                            notes.push((*id, director, note.to_string()));
-                        }
-                    }
-                }
-            }
-            for (id, director, note) in notes {
-                self.say(id, director, "figures", note);
+            let news = teller.look(&mut self.inner.borrow_mut().fleet, shalewall_clock::now());
+            for n in news {
+                let note = serde_json::json!({ "session": n.session, "delivered": n.delivered,
+                    "link": n.link, "uplink": n.uplink });
+                self.say(n.node, n.director, "figures", note.to_string());
             }
         }
     }
--- a/crates/standins/src/viewers.rs
+++ b/crates/standins/src/viewers.rs
@@ -10,45 +10,13 @@
 use shalewall_http::Limits;
 use shalewall_http::client::{Call, Failure, Incoming, in_time};
 use shalewall_http::pool::Pool;
+use shalewall_physics::crowd::{Class, Crowd, Draw};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// A class of request as viewers know it.
-#[derive(Clone, Debug)]
-pub struct Class {
-    pub name: String,
-    /// Part of all viewers.
-    pub part: f64,
-    pub give_up: Duration,
-    pub aim: Duration,
-    /// Worth of a second at a rung of worth 1.
-    pub worth: f64,
-    /// Highest rung.
-    pub top: usize,
-}
-
-/// Who comes, and what they do.
-#[derive(Clone, Debug)]
-pub struct Crowd {
-    pub per_s: f64,
-    pub classes: Vec<Class>,
-    /// Titles, most wanted first, and how much more the first are wanted.
-    pub titles: Vec<String>,
-    pub skew: f64,
-    pub shortest: Duration,
-    pub longest: Duration,
-    /// Part that can't use the two highest rungs.
-    pub weak: f64,
-    pub come_again: f64,
-    pub pause: Duration,
-    /// What each rung earns.
-    pub worth: Vec<f64>,
-    pub stall_cost: f64,
-}
-
 /// What has come of the viewers so far.
 #[derive(Clone, Debug, Default)]
 pub struct Count {
@@ -59,7 +27,13 @@
     /// Connections that ended without an answer, or could not be made.
     pub unanswered: u64,
     pub broken: u64,
-    /// Worth asked for and got: seconds at a rung's worth, less what stalls cost.
+    /// Viewers that came; those turned away at least once; those that wanted to watch and never did.
+    pub people: u64,
+    pub people_refused: u64,
+    pub people_unserved: u64,
+    /// Changes of rung while playing.
+    pub steps: u64,
+    /// Worth asked for and got within the day: seconds at a rung's worth, less what stalls and steps cost.
     pub worth_asked: f64,
     pub worth_got: f64,
     /// Seconds at each rung.
@@ -78,20 +52,24 @@
     dice: Rc<RefCell<ChaCha8Rng>>,
     asks: Rc<Cell<u64>>,
     pub count: Rc<RefCell<Count>>,
-    /// How much faster than usual they come, and the title that extra ones come for.
+    /// How much faster than usual they come, and what extra ones come for, as a part of the usual rate.
     burst: Rc<Cell<f64>>,
-    hot: Rc<RefCell<Option<(String, f64)>>>,
+    extra: Rc<RefCell<Option<(Draw, f64)>>>,
     here: Rc<Cell<usize>>,
+    /// The day's end: worth is counted up to it.
+    close: Rc<Cell<Option<Instant>>>,
 }
 
 /// One that wants to watch.
-#[derive(Clone)]
 struct Viewer {
     key: String,
     class: Class,
     title: String,
     top: usize,
     until: Instant,
+    /// It was turned away before, and it has played.
+    refused: Cell<bool>,
+    played: Cell<bool>,
 }
 
 /// How one try went.
@@ -115,8 +93,9 @@
             asks: Rc::default(),
             count: Rc::default(),
             burst: Rc::new(Cell::new(1.0)),
-            hot: Rc::default(),
+            extra: Rc::default(),
             here: Rc::default(),
+            close: Rc::default(),
         }
     }
 
@@ -132,9 +111,13 @@
         self.burst.set(times.max(0.0));
     }
 
-    /// Extra viewers for one title, as a part of the usual rate.
-    pub fn set_hot(&self, title: Option<(String, f64)>) {
-        *self.hot.borrow_mut() = title;
+    /// Extra viewers, as a part of the usual rate.
+    pub fn set_extra(&self, extra: Option<(Draw, f64)>) {
+        *self.extra.borrow_mut() = extra;
+    }
+
+    pub fn crowd(&self) -> &Crowd {
+        &self.crowd
     }
 
     /// Viewers that are asking, watching or about to come again.
@@ -149,18 +132,18 @@
     /// Viewers come for so long, at exponential distances.
     pub async fn arrive(&self, time: Duration) {
         let until = Instant::now() + time;
+        self.close.set(Some(until));
         let mut next = Instant::now();
         loop {
-            let hot = self.hot.borrow().as_ref().map_or(0.0, |(_, part)| *part);
-            let rate = (self.crowd.per_s * (self.burst.get() + hot)).max(0.001);
-            next += Duration::from_secs_f64((-(1.0 - self.roll()).ln() / rate).min(60.0));
+            let extra = self.extra.borrow().as_ref().map_or(0.0, |(_, part)| *part);
+            next += self.crowd.gap(self.burst.get() + extra, &mut *self.dice.borrow_mut());
             if next >= until {
                 Timer::at(until).await;
                 return;
             }
             Timer::at(next).await;
             let viewers = self.clone();
-            let viewer = self.draw(hot / (self.burst.get() + hot));
+            let viewer = self.draw(extra / (self.burst.get() + extra));
             self.here.set(self.here.get() + 1);
             self.ex
                 .spawn(async move {
@@ -171,31 +154,25 @@
         }
     }
 
-    fn draw(&self, hot: f64) -> Viewer {
-        let crowd = &self.crowd;
-        let all: f64 = crowd.classes.iter().map(|c| c.part).sum();
-        let mut at = self.roll() * all;
-        let class = crowd.classes.iter().find(|c| {
-            at -= c.part;
-            at <= 0.0
-        });
-        let class = class.unwrap_or(&crowd.classes[0]).clone();
-        let weights: Vec<f64> = (0..crowd.titles.len()).map(|i| (i as f64 + 1.0).powf(-crowd.skew)).collect();
-        let mut at = self.roll() * weights.iter().sum::<f64>();
-        let title = weights.iter().position(|w| {
-            at -= w;
-            at <= 0.0
-        });
-        let usual = crowd.titles[title.unwrap_or(0)].clone();
-        let wanted = self.hot.borrow().as_ref().map(|(t, _)| t.clone());
-        let title = wanted.filter(|_| self.roll() < hot).unwrap_or(usual);
-        let weak = self.roll() < crowd.weak;
-        let span = crowd.shortest + (crowd.longest - crowd.shortest).mul_f64(self.roll());
-        let key = format!("viewer-{:016x}", self.dice.borrow_mut().random::<u64>());
-        let top = if weak { class.top.saturating_sub(2) } else { class.top };
+    fn draw(&self, part: f64) -> Viewer {
+        let extra = self.extra.borrow();
+        let extra = extra.as_ref().map(|(draw, _)| (draw, part));
+        let person = self.crowd.draw(extra, &mut *self.dice.borrow_mut());
+        let now = Instant::now();
+        let within = self.close.get().map_or(person.span, |t| t.saturating_duration_since(now));
         let mut count = self.count.borrow_mut();
-        count.worth_asked += span.as_secs_f64() * class.worth * crowd.worth.get(top).copied().unwrap_or(1.0);
-        Viewer { key, class, title, top, until: Instant::now() + span }
+        count.people += 1;
+        count.people_unserved += 1;
+        count.worth_asked += self.crowd.wanted(&person, within);
+        Viewer {
+            key: person.key,
+            class: self.crowd.classes[person.class].clone(),
+            title: person.title,
+            top: person.top,
+            until: now + person.span,
+            refused: Cell::default(),
+            played: Cell::default(),
+        }
     }
 
     async fn live(&self, viewer: Viewer) {
@@ -227,9 +204,10 @@
         let ask = self.asks.get();
         self.asks.set(ask + 1);
         let left = viewer.until.saturating_duration_since(Instant::now());
+        let hint = Some(left.as_secs_f64() * self.crowd.hint_times).filter(|s| *s > 0.0);
         let body = serde_json::json!({
             "viewer": viewer.key, "class": viewer.class.name, "title": viewer.title,
-            "wait_ms": viewer.class.give_up.as_millis() as u64, "hint_s": left.as_secs_f64(),
+            "wait_ms": viewer.class.give_up.as_millis() as u64, "hint_s": hint,
             "top": viewer.top, "again": again,
         })
         .to_string();
@@ -271,7 +249,11 @@
         let pause = said["come_back_ms"].as_f64().map(|ms| Duration::from_secs_f64(ms / 1000.0));
         match (status, session, said["media"].as_str()) {
             (201, Some(session), Some(media)) => {
-                self.count.borrow_mut().plays += 1;
+                {
+                    let mut count = self.count.borrow_mut();
+                    count.plays += 1;
+                    count.people_unserved -= u64::from(!viewer.played.replace(true));
+                }
                 let late = Duration::from_micros(took) > viewer.class.aim;
                 let watched = self.watch(viewer, ask, session, media, late).await;
                 if self.roll() < 0.5 {
@@ -282,7 +264,10 @@
                 watched
             }
             (503, ..) => {
-                self.count.borrow_mut().refused += 1;
+                let mut count = self.count.borrow_mut();
+                count.refused += 1;
+                count.people_refused += u64::from(!viewer.refused.replace(true));
+                drop(count);
                 Try::Again(pause.unwrap_or(self.crowd.pause))
             }
             (502 | 504, ..) => {
@@ -298,7 +283,7 @@
 
     /// Takes media until the session's time is over, or leaves when too little comes.
     async fn watch(&self, viewer: &Viewer, ask: u64, session: u64, media: &str, late: bool) -> Try {
-        let mut meter = Meter::new();
+        let mut meter = Meter::new(self.close.get());
         let stream = open(media).await;
         let whole = match stream {
             None => false,
@@ -324,9 +309,9 @@
             },
         };
         meter.wait();
-        let (worth, cost) = (&self.crowd.worth, self.crowd.stall_cost);
+        let worth = &self.crowd.worth;
         let share = if meter.due > 0.0 { (meter.got as f64 / meter.due).min(1.0) } else { 0.0 };
-        let kept = (1.0 - cost * (0.98 - share).max(0.0)).max(0.0);
+        let kept = self.crowd.kept(share);
         let mut count = self.count.borrow_mut();
         for (rung, time) in &meter.rungs {
             *count.rungs.entry(*rung).or_default() += time;
@@ -335,6 +320,8 @@
             count.worth_got +=
                 (time - lost) * viewer.class.worth * worth.get(*rung).copied().unwrap_or(0.0) * kept;
         }
+        count.steps += meter.steps;
+        count.worth_got -= meter.steps as f64 * self.crowd.switch_s * viewer.class.worth;
         count.broken += u64::from(!whole);
         drop(count);
         let rungs = meter.rungs.iter().map(|(r, s)| (*r, (s * 1e6) as i64)).collect();
@@ -374,10 +361,13 @@
     left: usize,
     recent: f64,
     began: Instant,
+    /// Nothing counts from then on.
+    close: Option<Instant>,
+    steps: u64,
 }
 
 impl Meter {
-    fn new() -> Meter {
+    fn new(close: Option<Instant>) -> Meter {
         Meter {
             buf: Vec::new(),
             got: 0,
@@ -387,13 +377,16 @@
             left: 0,
             recent: 1.0,
             began: Instant::now(),
+            close,
+            steps: 0,
         }
     }
 
     /// Time passes at the rung in force.
     fn wait(&mut self) {
         let Some((rung, rate, since)) = self.now else { return };
-        let time = since.elapsed().as_secs_f64();
+        let until = self.close.map_or_else(Instant::now, |t| t.min(Instant::now()));
+        let time = until.saturating_duration_since(since).as_secs_f64();
         self.due += rate * time;
         *self.rungs.entry(rung).or_default() += time;
         self.now = Some((rung, rate, Instant::now()));
@@ -417,7 +410,10 @@
             if let [rung, a, b, c, d, e, f, g, h] = self.buf[..] {
                 let rate = f64::from(u32::from_be_bytes([a, b, c, d]));
                 self.left = u32::from_be_bytes([e, f, g, h]) as usize;
-                self.now = Some((rung as usize, rate, Instant::now()));
+                let now = Instant::now();
+                let stepped = self.now.is_some_and(|(before, ..)| before != rung as usize);
+                self.steps += u64::from(stepped && self.close.is_none_or(|t| now < t));
+                self.now = Some((rung as usize, rate, now));
                 self.buf.clear();
             }
         }
