--- a/src/control.rs
+++ b/src/control.rs
@@ -14,6 +14,12 @@
 const MARK: f64 = 0.85; // part of a link under which the asked rung is given (the design's default)
 const FULL_LINE: f64 = 0.93; // part that no set-up passes (the design's default): rates stray by some points
 const WANTS_FOR: Micros = 3_000_000; // a viewer turned away still wants a session so long: most return sooner
+const FLOW_SPAN: Micros = 30_000_000; // arrivals are counted so long: what they will come to is demand
+const FLOW_STEP: Micros = 1_000_000; // and by steps of this, so that a crowd does not cost more to count
+const FLOW_START: f64 = 2.0; // seconds without arrivals presumed before the start: a first viewer is no flow
+const HORIZON: f64 = 60.0; // seconds ahead that a rung is chosen for: what is later can step for it
+const ENDS_PRIOR: f64 = 8.0; // hints weigh as much as so many sessions that have ended as told
+const ENDS_FADE: f64 = 0.98; // and the older ends fade by this with each
 const STALE_TIMES: Micros = 2; // evidence older than so many usual times between reports is forgotten
 const RELIEF_TO: f64 = 0.97; // steps down aim at this share of what is delivered
 const RELIEF_TIMES: f64 = 2.0; // and free so many times what is missing: shortage costs more than room
@@ -257,6 +263,23 @@
     echo: f64,
 }
 
+/// New viewers of one step of time: how many, and the seconds that they want, by class.
+#[derive(Default)]
+struct Arrivals {
+    from: Micros,
+    count: f64,
+    seconds: BTreeMap<usize, f64>,
+}
+
+/// How long sessions last that have ended here.
+#[derive(Default)]
+struct Ends {
+    all: f64, // how many, and their seconds
+    seconds: f64,
+    told: f64, // how many of them came with a hint, and their lengths as parts of it
+    parts: f64,
+}
+
 /// Evidence on one server.
 #[derive(Default)]
 struct Server {
@@ -272,6 +295,26 @@
     cold_until: Micros, // cold until then, as far as this director can tell
 }
 
+impl Ends {
+    fn count(&mut self, seconds: f64, hint: Option<Micros>) {
+        for x in [&mut self.all, &mut self.seconds, &mut self.told, &mut self.parts] {
+            *x *= ENDS_FADE;
+        }
+        (self.all, self.seconds) = (self.all + 1.0, self.seconds + seconds);
+        if let Some(hint) = hint.filter(|h| *h > 0) {
+            (self.told, self.parts) = (self.told + 1.0, self.parts + seconds * 1e6 / hint as f64);
+        }
+    }
+
+    /// Expected seconds of a session; `oldest`: how long the oldest one held has lasted.
+    fn length(&self, hint: Option<Micros>, oldest: f64) -> f64 {
+        match hint {
+            Some(hint) => hint.max(0) as f64 / 1e6 * (self.parts + ENDS_PRIOR) / (self.told + ENDS_PRIOR),
+            None => (self.seconds + 2.0 * oldest * ENDS_PRIOR) / (self.all + ENDS_PRIOR),
+        }
+    }
+}
+
 // ---- director --------------------------------------------------------------------------------
 
 /// Decides for one front. Feed it every event in order, with the time.
@@ -289,6 +332,8 @@
     taken: VecDeque<Micros>,                           // times of requests taken and of further attempts sent
     further: VecDeque<Micros>,
     turned: BTreeMap<u64, (Micros, usize)>, // viewers turned away lately: when, and of which class
+    came: VecDeque<Arrivals>,               // new viewers of late
+    ends: Ends,
     fleet: Fleet,
     /// What the demand seen asks before and with each class's rung, over what the fleet gives.
     overfill: BTreeMap<(usize, usize), (f64, f64)>,
@@ -380,7 +425,10 @@
             }
         }
         req.deadline = req.deadline.clamp(self.now, self.now + LONGEST);
-        self.turned.remove(&req.viewer);
+        // A viewer that comes again, marked or lately turned away, was counted when it came first.
+        if self.turned.remove(&req.viewer).is_none() && !req.again {
+            self.count_new(&req);
+        }
         self.weigh_demand();
         if self.held.live.contains_key(&req.session) || self.asking.contains_key(&req.session) {
             return; // an id that is already held: odd input, and its answer is under way
@@ -445,8 +493,11 @@
         if self.held.live.get(&id).is_none_or(|l| l.ask.attempts != attempts) {
             return;
         }
-        let Some(Live { ask, state, server, kb, .. }) = self.held.remove(id) else { return };
+        let Some(Live { ask, state, server, kb, sent, .. }) = self.held.remove(id) else { return };
         self.charge(server, -kb);
+        if state == State::Plays && outcome == Outcome::Good {
+            self.ends.count((self.now - sent) as f64 / 1e6, ask.req.hint);
+        }
         self.judge(server, outcome);
         // Only a request that is still owed its answer goes on; a paid one only on proof.
         if closed || outcome == Outcome::Good || state != State::Pending {
@@ -671,6 +722,43 @@
         1.0 / overfill.max(1.0)
     }
 
+    /// What a new viewer wants, in seconds: its hint, corrected by how hints have proved; without one what
+    /// sessions have lasted, and at first twice as long as any has by now.
+    fn count_new(&mut self, req: &Request) {
+        let oldest = self.held.sent.first().map_or(0, |(sent, _)| self.now - sent) as f64 / 1e6;
+        let seconds = self.ends.length(req.hint, oldest);
+        let step = self.now - self.now % FLOW_STEP;
+        if self.came.back().is_none_or(|a| a.from < step) {
+            self.came.push_back(Arrivals { from: step, ..Arrivals::default() });
+        }
+        if let Some(a) = self.came.back_mut() {
+            a.count += 1.0;
+            *a.seconds.entry(req.class).or_default() += seconds;
+        }
+    }
+
+    /// What the sessions held will grow by, by class, if viewers go on coming as they have of late: their rate
+    /// times their length is what they come to (Little), and a part of that is there within the horizon.
+    fn growth(&mut self, held: f64) -> BTreeMap<usize, f64> {
+        while self.came.front().is_some_and(|a| a.from < self.now - FLOW_SPAN) {
+            self.came.pop_front();
+        }
+        let time = (self.now - self.born).min(FLOW_SPAN) as f64 / 1e6 + FLOW_START;
+        let (mut count, mut all, mut growth) = (0.0, 0.0, BTreeMap::new());
+        for a in &self.came {
+            count += a.count;
+            for (class, seconds) in &a.seconds {
+                all += seconds;
+                *growth.entry(*class).or_insert(0.0) += seconds;
+            }
+        }
+        // Few arrivals are weak evidence: one spread is taken off.
+        let flow = all / time * (1.0 - 1.0 / f64::max(count, 1.0).sqrt());
+        let more = (flow - held).max(0.0) * (HORIZON * count / f64::max(all, 1e-9)).min(1.0);
+        growth.values_mut().for_each(|seconds| *seconds *= more / f64::max(all, 1e-9));
+        growth
+    }
+
     /// Demand as seen from here: sessions held and viewers turned away, the others taken to see as much.
     /// A rung's overfill is what all viewers would ask if each had every rung that is worth as much for
     /// its rate, over what links and uplinks give under the full line.
@@ -689,12 +777,13 @@
             return;
         }
         let held = self.held.live.len() as f64;
+        let growth = self.growth(held + self.turned.len() as f64);
         let classes = self.set.classes.len() as f64;
         let mut steps = Vec::new();
         for (c, class) in self.set.classes.iter().enumerate() {
             let turned = self.turned.values().filter(|(_, k)| *k == c).count();
             let own = self.held.by_class.get(&c).copied().unwrap_or(0);
-            let seen = (own + turned) as f64 + PRIOR / classes;
+            let seen = (own + turned) as f64 + growth.get(&c).unwrap_or(&0.0) + PRIOR / classes;
             let wanting = seen / (held + PRIOR) * self.fleet.sessions;
             let mut density = f64::INFINITY;
             for rung in class.floor..=class.top {
