--- a/src/control.rs
+++ b/src/control.rs
@@ -672,13 +672,19 @@
     fn place(&mut self, ask: Ask) {
         match self.choose(&ask) {
             Some((server, rung)) => self.send(ask, server, rung),
-            None => {
-                self.turned.insert(ask.req.viewer, (self.now, ask.req.class));
-                self.out.push(self.refusal(&ask.req));
-            }
+            None if self.make_room(&ask) => match self.choose(&ask) {
+                Some((server, rung)) => self.send(ask, server, rung),
+                None => self.turn_away(ask),
+            },
+            None => self.turn_away(ask),
         }
     }
 
+    fn turn_away(&mut self, ask: Ask) {
+        self.turned.insert(ask.req.viewer, (self.now, ask.req.class));
+        self.out.push(self.refusal(&ask.req));
+    }
+
     /// The holder with the least account, and the rung that its occupancy allows.
     fn choose(&self, ask: &Ask) -> Option<(ServerId, usize)> {
         let class = self.set.classes.get(ask.req.class)?;
@@ -725,8 +731,7 @@
     /// What a new viewer wants, in seconds: its hint, corrected by how hints have proved; without one what
     /// sessions have lasted, and at first twice as long as any has by now.
     fn count_new(&mut self, req: &Request) {
-        let oldest = self.held.sent.first().map_or(0, |(sent, _)| self.now - sent) as f64 / 1e6;
-        let seconds = self.ends.length(req.hint, oldest);
+        let seconds = self.left(req, 0);
         let step = self.now - self.now % FLOW_STEP;
         if self.came.back().is_none_or(|a| a.from < step) {
             self.came.push_back(Arrivals { from: step, ..Arrivals::default() });
@@ -927,6 +932,73 @@
         }
     }
 
+    /// Exception: a request would be turned away for want of room, though this director's own sessions on a
+    /// holder (or under its rack's uplink, if only that lacks room) play above what all viewers there could
+    /// have. Such sessions step down, least worth for the rate first, if the request gains more by it than
+    /// they lose and the steps cost. Not within `CALM` of their last step. True: there is room now.
+    fn make_room(&mut self, ask: &Ask) -> bool {
+        let Some(class) = self.set.classes.get(ask.req.class).filter(|_| self.may_send(ask)) else {
+            return false;
+        };
+        let kb = self.set.rate(ask.req.class, class.floor);
+        let worth = |r: usize| self.set.ladder.get(r).map_or(0.0, |x| x.worth);
+        let gain = class.worth * worth(class.floor) * self.left(&ask.req, 0);
+        let mut found = None;
+        for s in self.holders(ask).into_iter().filter(|s| !s.short && s.fails == 0) {
+            let lacks = |a: &Account, share: f64| (share + a.part(kb) - FULL_LINE) * a.kb;
+            let link = lacks(&s.link, self.link_share(s));
+            let uplink = self.uplink_of(s).map_or(0.0, |u| lacks(u, self.uplink_share(s)));
+            let rack = self.set.rack(s.listed.cell);
+            let near = |o: &&Server| {
+                o.listed.server == s.listed.server
+                    || (link <= 0.0 && rack.is_some() && self.set.rack(o.listed.cell) == rack)
+            };
+            let mut steps: Vec<(f64, SessionId, usize, f64, f64)> = Vec::new();
+            for o in self.servers.values().filter(near) {
+                let fuller = self.fuller(o);
+                for (_, id) in self.held.at.get(&o.listed.server).into_iter().flatten() {
+                    let Some(t) = self.held.live.get(id).filter(|t| t.state == State::Plays) else {
+                        continue;
+                    };
+                    let (of, terms) = (t.ask.req.class, &self.set.classes[t.ask.req.class]);
+                    if t.rung <= terms.floor || t.due.is_some_and(|due| due > self.now) {
+                        continue;
+                    }
+                    let common = |r: &usize| {
+                        self.overfill.get(&(of, *r)).is_some_and(|(_, after)| after * fuller <= 1.0)
+                    };
+                    let rung = (terms.floor..t.rung).rev().find(common).unwrap_or(terms.floor);
+                    let freed = t.kb - self.set.rate(of, rung);
+                    let left = self.left(&t.ask.req, self.now - t.sent);
+                    let lost = terms.worth * ((worth(t.rung) - worth(rung)) * left + self.set.switch_s);
+                    steps.push((lost / freed.max(1.0), *id, rung, freed, lost));
+                }
+            }
+            steps.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+            let (mut need, mut lost, mut taken) = (link.max(uplink), 0.0, Vec::new());
+            for (_, id, rung, freed, loses) in steps {
+                if need <= 0.0 {
+                    break;
+                }
+                (need, lost) = (need - freed, lost + loses);
+                taken.push((id, rung));
+            }
+            if need <= 0.0 && lost < gain {
+                found = Some(taken);
+                break;
+            }
+        }
+        let made = found.is_some();
+        found.into_iter().flatten().for_each(|(id, rung)| self.step(id, rung));
+        made
+    }
+
+    /// Seconds that a session has to go, as far as is known; `age`: how long it has lasted.
+    fn left(&self, req: &Request, age: Micros) -> f64 {
+        let oldest = self.held.sent.first().map_or(0, |(sent, _)| self.now - sent) as f64 / 1e6;
+        (self.ends.length(req.hint, oldest) - age as f64 / 1e6).max(0.0)
+    }
+
     fn step(&mut self, id: SessionId, rung: usize) {
         self.held.change(id, |l| l.due = Some(self.now + CALM));
         self.set_rung(id, rung);
