--- a/src/control.rs
+++ b/src/control.rs
@@ -17,7 +17,7 @@
 const FLOW_SPAN: Micros = 30_000_000; // arrivals are counted so long: what they will come to is demand
 const FLOW_STEP: Micros = 1_000_000; // and by steps of this, so that a crowd does not cost more to count
 const FLOW_START: f64 = 2.0; // seconds without arrivals presumed before the start: a first viewer is no flow
-const HORIZON: f64 = 60.0; // seconds ahead that a rung is chosen for: what is later can step for it
+const HORIZON: f64 = 20.0; // seconds ahead that a rung is chosen for: what is later can step for it
 const ENDS_PRIOR: f64 = 8.0; // hints weigh as much as so many sessions that have ended as told
 const ENDS_FADE: f64 = 0.98; // and the older ends fade by this with each
 const STALE_TIMES: Micros = 2; // evidence older than so many usual times between reports is forgotten
@@ -975,15 +975,16 @@
                 }
             }
             steps.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-            let (mut need, mut lost, mut taken) = (link.max(uplink), 0.0, Vec::new());
-            for (_, id, rung, freed, loses) in steps {
-                if need <= 0.0 {
+            // What is freed beyond the need serves the next ones.
+            let (need, mut freed, mut lost, mut taken) = (link.max(uplink), 0.0, 0.0, Vec::new());
+            for (_, id, rung, frees, loses) in steps {
+                if freed >= need {
                     break;
                 }
-                (need, lost) = (need - freed, lost + loses);
+                (freed, lost) = (freed + frees, lost + loses);
                 taken.push((id, rung));
             }
-            if need <= 0.0 && lost < gain {
+            if freed >= need && lost * need < gain * freed {
                 found = Some(taken);
                 break;
             }
