--- a/src/control.rs
+++ b/src/control.rs
@@ -17,7 +17,7 @@
 const FLOW_SPAN: Micros = 30_000_000; // arrivals are counted so long: what they will come to is demand
 const FLOW_STEP: Micros = 1_000_000; // and by steps of this, so that a crowd does not cost more to count
 const FLOW_START: f64 = 2.0; // seconds without arrivals presumed before the start: a first viewer is no flow
-const HORIZON: f64 = 20.0; // seconds ahead that a rung is chosen for: what is later can step for it
+const HORIZON: f64 = 40.0; // seconds ahead that a rung is chosen for: what is later can step for it
 const ENDS_PRIOR: f64 = 8.0; // hints weigh as much as so many sessions that have ended as told
 const ENDS_FADE: f64 = 0.98; // and the older ends fade by this with each
 const STALE_TIMES: Micros = 2; // evidence older than so many usual times between reports is forgotten
@@ -758,7 +758,7 @@
             }
         }
         // Few arrivals are weak evidence: one spread is taken off.
-        let flow = all / time * (1.0 - 1.0 / f64::max(count, 1.0).sqrt());
+        let flow = all / time * (1.0 - 2.0 / f64::max(count, 4.0).sqrt());
         let more = (flow - held).max(0.0) * (HORIZON * count / f64::max(all, 1e-9)).min(1.0);
         growth.values_mut().for_each(|seconds| *seconds *= more / f64::max(all, 1e-9));
         growth
