--- a/src/control.rs
+++ b/src/control.rs
@@ -874,7 +874,7 @@
         self.out.push(Action::SetRung { session, rung });
         self.out.push(Action::Send { session, server, patience });
         let blind = self.servers.get(&server).is_some_and(|s| s.link.reported.is_none());
-        let due = blind.then_some(self.now);
+        let due = Some(if blind { self.now } else { self.now + CALM });
         self.hold(Live { ask, state: State::Pending, server, rung, kb, sent: self.now, due });
     }
 
