--- a/src/control.rs
+++ b/src/control.rs
@@ -108,8 +108,7 @@
     rung: usize,
     kb: f64,
     sent: Micros,
-    /// From then on its rung may be decided anew: it was carried over, placed blind, or stepped.
-    due: Option<Micros>,
+    due: Micros, // from then on its rung may be decided anew
 }
 
 // ---- sessions held ---------------------------------------------------------------------------
@@ -176,9 +175,9 @@
         file(&mut self.at, server, sent, enter);
         if live.state != State::Plays {
             tally(&mut self.out, server, enter);
-        } else if let Some(due) = live.due {
+        } else {
             let group = (server, req.class, live.rung, req.top);
-            file(&mut self.due, group, (due, req.session), enter);
+            file(&mut self.due, group, (live.due, req.session), enter);
         }
     }
 }
@@ -478,7 +477,7 @@
         let rung = self.set.classes.get(req.class).map_or(0, |c| c.floor);
         let kb = self.set.rate(req.class, rung);
         let ask = Ask { req, attempts: 1, tried: vec![server] };
-        self.hold(Live { ask, state: State::Plays, server, rung, kb, sent: self.now, due: Some(self.now) });
+        self.hold(Live { ask, state: State::Plays, server, rung, kb, sent: self.now, due: self.now });
     }
 
     fn on_started(&mut self, id: SessionId, attempts: u32, server: ServerId, waited: Micros) {
@@ -728,18 +727,22 @@
         1.0 / overfill.max(1.0)
     }
 
-    /// What a new viewer wants, in seconds: its hint, corrected by how hints have proved; without one what
-    /// sessions have lasted, and at first twice as long as any has by now.
+    /// Whether all viewers could have a rung where it is so much fuller than the mean: or that part of them.
+    fn common(&self, class: usize, rung: usize, part: f64, fuller: f64) -> bool {
+        let found = self.overfill.get(&(class, rung));
+        found.is_some_and(|(before, after)| (before + part * (after - before)) * fuller <= 1.0)
+    }
+
+    /// Counts a new viewer: by its hint, corrected by how hints have proved; without one by what sessions have
+    /// lasted, and at first twice as long as any has by now.
     fn count_new(&mut self, req: &Request) {
-        let seconds = self.left(req, 0);
-        let step = self.now - self.now % FLOW_STEP;
-        if self.came.back().is_none_or(|a| a.from < step) {
-            self.came.push_back(Arrivals { from: step, ..Arrivals::default() });
-        }
-        if let Some(a) = self.came.back_mut() {
-            a.count += 1.0;
-            *a.seconds.entry(req.class).or_default() += seconds;
+        let (from, seconds) = (self.now - self.now % FLOW_STEP, self.left(req, 0));
+        if self.came.back().is_none_or(|a| a.from < from) {
+            self.came.push_back(Arrivals { from, ..Arrivals::default() });
         }
+        let Some(step) = self.came.back_mut() else { return };
+        step.count += 1.0;
+        *step.seconds.entry(req.class).or_default() += seconds;
     }
 
     /// What the sessions held will grow by, by class, if viewers go on coming as they have of late: their rate
@@ -748,19 +751,19 @@
         while self.came.front().is_some_and(|a| a.from < self.now - FLOW_SPAN) {
             self.came.pop_front();
         }
-        let time = (self.now - self.born).min(FLOW_SPAN) as f64 / 1e6 + FLOW_START;
-        let (mut count, mut all, mut growth) = (0.0, 0.0, BTreeMap::new());
-        for a in &self.came {
-            count += a.count;
-            for (class, seconds) in &a.seconds {
+        let (mut count, mut all, mut growth) = (0.0, 1e-9, BTreeMap::new());
+        for step in &self.came {
+            count += step.count;
+            for (class, seconds) in &step.seconds {
                 all += seconds;
                 *growth.entry(*class).or_insert(0.0) += seconds;
             }
         }
-        // Few arrivals are weak evidence: one spread is taken off.
+        // Few arrivals, as at each of hundreds of directors, are weak evidence: two spreads are taken off.
+        let time = (self.now - self.born).min(FLOW_SPAN) as f64 / 1e6 + FLOW_START;
         let flow = all / time * (1.0 - 2.0 / f64::max(count, 4.0).sqrt());
-        let more = (flow - held).max(0.0) * (HORIZON * count / f64::max(all, 1e-9)).min(1.0);
-        growth.values_mut().for_each(|seconds| *seconds *= more / f64::max(all, 1e-9));
+        let more = (flow - held).max(0.0) * (HORIZON * count / all).min(1.0);
+        growth.values_mut().for_each(|seconds| *seconds *= more / all);
         growth
     }
 
@@ -874,7 +877,7 @@
         self.out.push(Action::SetRung { session, rung });
         self.out.push(Action::Send { session, server, patience });
         let blind = self.servers.get(&server).is_some_and(|s| s.link.reported.is_none());
-        let due = Some(if blind { self.now } else { self.now + CALM });
+        let due = self.now + if blind { 0 } else { CALM };
         self.hold(Live { ask, state: State::Pending, server, rung, kb, sent: self.now, due });
     }
 
@@ -899,96 +902,105 @@
 
     // ---- exception: held rungs ----------------------------------------------------------------
 
+    /// Groups that may step down at some servers, least worth for the rate first; `to`: to which rung, none if
+    /// not. With what each of their sessions frees, and loses of its worth for each second.
+    fn cheapest(
+        &self,
+        at: &[ServerId],
+        to: impl Fn(&Group) -> Option<usize>,
+    ) -> Vec<(f64, Group, usize, f64, f64)> {
+        let group = |(g, rung): (Group, usize)| {
+            let (from, down) = (self.set.ladder.get(g.2)?, self.set.ladder.get(rung)?);
+            let freed = self.set.rate(g.1, g.2) - self.set.rate(g.1, rung);
+            let lost = self.set.classes.get(g.1)?.worth * (from.worth - down.worth);
+            Some((lost / freed.max(1.0), g, rung, freed, lost))
+        };
+        let groups = at.iter().flat_map(|s| {
+            let groups = self.held.due.range((*s, 0, 0, 0)..=(*s, usize::MAX, usize::MAX, usize::MAX));
+            groups.filter_map(|(g, _)| Some((*g, to(g)?)))
+        });
+        let mut steps: Vec<_> = groups.filter_map(group).collect();
+        steps.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        steps
+    }
+
+    fn floor(&self, class: usize) -> usize {
+        self.set.classes.get(class).map_or(0, |c| c.floor)
+    }
+
     /// Exception: the shortage that a server tells, of its link or its uplink, has cost each session there as
     /// much as a change of rung costs, so it lasts. This director's sessions step down by their own part of
     /// what is missing, least worth for the rate first.
     fn step_down(&mut self, server: ServerId, share: f64) {
-        let worth = |r: usize| self.set.ladder.get(r).map_or(0.0, |x| x.worth);
-        let (mut own, mut steps) = (0.0, Vec::new());
-        let there = self.held.at.get(&server).into_iter().flatten().map(|(_, id)| *id);
-        let there: BTreeSet<SessionId> = there.collect(); // by id: sums of rates come out the same
-        let live = there.iter().filter_map(|id| self.held.live.get_key_value(id));
-        for (id, t) in live.filter(|(_, l)| l.state == State::Plays) {
-            let Some(class) = self.set.classes.get(t.ask.req.class) else { continue };
-            own += t.kb;
-            if t.rung > class.floor {
-                let freed = t.kb - self.set.rate(t.ask.req.class, t.rung - 1);
-                let lost = class.worth * (worth(t.rung) - worth(t.rung - 1));
-                steps.push((lost / freed.max(1.0), *id, t.rung - 1, freed));
-            }
-        }
-        steps.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        let there = self.held.due.range((server, 0, 0, 0)..=(server, usize::MAX, usize::MAX, usize::MAX));
+        let own: f64 = there.map(|(g, ids)| self.set.rate(g.1, g.2) * ids.len() as f64).sum();
         let mut need = own * (1.0 - share.max(0.0) / RELIEF_TO);
-        for (_, id, rung, freed) in steps {
-            // Many directors hold one session each there: of the last step only the part that is needed is
-            // taken, by draw, or all together would free several times what is missing.
-            if draw(self.seed ^ id.0 ^ self.now as u64) * freed < RELIEF_TIMES * need {
-                self.step(id, rung);
-            }
-            need -= freed;
-            if need <= 0.0 {
-                return;
+        let down = |g: &Group| g.2.checked_sub(1).filter(|r| *r >= self.floor(g.1));
+        for (_, group, rung, freed, _) in self.cheapest(&[server], down) {
+            let ids: BTreeSet<_> =
+                self.held.due.get(&group).into_iter().flatten().map(|(_, id)| *id).collect();
+            for id in ids {
+                // Many directors hold one session each there: of the last step only the part that is needed
+                // is taken, by draw, or all together would free several times what is missing.
+                if draw(self.seed ^ id.0 ^ self.now as u64) * freed < RELIEF_TIMES * need {
+                    self.step(id, rung);
+                }
+                need -= freed;
+                if need <= 0.0 {
+                    return;
+                }
             }
         }
     }
 
     /// Exception: a request would be turned away for want of room, though this director's own sessions on a
     /// holder (or under its rack's uplink, if only that lacks room) play above what all viewers there could
-    /// have. Such sessions step down, least worth for the rate first, if the request gains more by it than
-    /// they lose and the steps cost. Not within `CALM` of their last step. True: there is room now.
+    /// have. Such sessions step down to that, least worth for the rate first, if the request gains more by it
+    /// than they lose and the steps cost; what is freed beyond its need serves the next ones. Not within
+    /// `CALM` of their last step. True: there is room now.
     fn make_room(&mut self, ask: &Ask) -> bool {
         let Some(class) = self.set.classes.get(ask.req.class).filter(|_| self.may_send(ask)) else {
             return false;
         };
         let kb = self.set.rate(ask.req.class, class.floor);
-        let worth = |r: usize| self.set.ladder.get(r).map_or(0.0, |x| x.worth);
-        let gain = class.worth * worth(class.floor) * self.left(&ask.req, 0);
-        let mut found = None;
-        for s in self.holders(ask).into_iter().filter(|s| !s.short && s.fails == 0) {
+        let worth = self.set.ladder.get(class.floor).map_or(0.0, |r| r.worth);
+        let gain = class.worth * worth * self.left(&ask.req, 0);
+        let holders = self.holders(ask).into_iter().filter(|s| !s.short && s.fails == 0);
+        let mut looked = BTreeSet::new();
+        let found = holders.into_iter().find_map(|s| {
             let lacks = |a: &Account, share: f64| (share + a.part(kb) - FULL_LINE) * a.kb;
             let link = lacks(&s.link, self.link_share(s));
             let uplink = self.uplink_of(s).map_or(0.0, |u| lacks(u, self.uplink_share(s)));
-            let rack = self.set.rack(s.listed.cell);
-            let near = |o: &&Server| {
-                o.listed.server == s.listed.server
-                    || (link <= 0.0 && rack.is_some() && self.set.rack(o.listed.cell) == rack)
+            let rack = self.set.rack(s.listed.cell).filter(|_| link <= 0.0);
+            if rack.is_some_and(|rack| !looked.insert(rack)) {
+                return None; // the same sessions for the same want
+            }
+            let near = |o: &&Server| rack.is_some() && self.set.rack(o.listed.cell) == rack;
+            let mut at: Vec<_> = self.servers.values().filter(near).map(|o| o.listed.server).collect();
+            if at.is_empty() {
+                at.push(s.listed.server);
+            }
+            let fuller: BTreeMap<_, _> = at.iter().map(|s| (*s, self.fuller(&self.servers[s]))).collect();
+            let down = |g: &Group| {
+                let floor = self.floor(g.1);
+                let common = |r: &usize| self.common(g.1, *r, 1.0, fuller[&g.0]);
+                (g.2 > floor).then(|| (floor..g.2).rev().find(common).unwrap_or(floor))
             };
-            let mut steps: Vec<(f64, SessionId, usize, f64, f64)> = Vec::new();
-            for o in self.servers.values().filter(near) {
-                let fuller = self.fuller(o);
-                for (_, id) in self.held.at.get(&o.listed.server).into_iter().flatten() {
-                    let Some(t) = self.held.live.get(id).filter(|t| t.state == State::Plays) else {
-                        continue;
-                    };
-                    let (of, terms) = (t.ask.req.class, &self.set.classes[t.ask.req.class]);
-                    if t.rung <= terms.floor || t.due.is_some_and(|due| due > self.now) {
-                        continue;
+            let (need, mut freed, mut lost, mut taken) = (link.max(uplink), 0.0, 0.0, Vec::new());
+            for (_, group, rung, frees, loses) in self.cheapest(&at, down) {
+                let due = self.held.due[&group].iter().take_while(|(due, _)| *due <= self.now);
+                for t in due.filter_map(|(_, id)| self.held.live.get(id)) {
+                    if freed >= need {
+                        break;
                     }
-                    let common = |r: &usize| {
-                        self.overfill.get(&(of, *r)).is_some_and(|(_, after)| after * fuller <= 1.0)
-                    };
-                    let rung = (terms.floor..t.rung).rev().find(common).unwrap_or(terms.floor);
-                    let freed = t.kb - self.set.rate(of, rung);
                     let left = self.left(&t.ask.req, self.now - t.sent);
-                    let lost = terms.worth * ((worth(t.rung) - worth(rung)) * left + self.set.switch_s);
-                    steps.push((lost / freed.max(1.0), *id, rung, freed, lost));
-                }
-            }
-            steps.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-            // What is freed beyond the need serves the next ones.
-            let (need, mut freed, mut lost, mut taken) = (link.max(uplink), 0.0, 0.0, Vec::new());
-            for (_, id, rung, frees, loses) in steps {
-                if freed >= need {
-                    break;
+                    let step = self.set.switch_s * self.set.classes[group.1].worth;
+                    (freed, lost) = (freed + frees, lost + loses * left + step);
+                    taken.push((t.ask.req.session, rung));
                 }
-                (freed, lost) = (freed + frees, lost + loses);
-                taken.push((id, rung));
             }
-            if freed >= need && lost * need < gain * freed {
-                found = Some(taken);
-                break;
-            }
-        }
+            (freed >= need && lost * need < gain * freed).then_some(taken)
+        });
         let made = found.is_some();
         found.into_iter().flatten().for_each(|(id, rung)| self.step(id, rung));
         made
@@ -1001,14 +1013,14 @@
     }
 
     fn step(&mut self, id: SessionId, rung: usize) {
-        self.held.change(id, |l| l.due = Some(self.now + CALM));
+        self.held.change(id, |l| l.due = self.now + CALM);
         self.set_rung(id, rung);
         self.out.push(Action::SetRung { session: id, rung });
     }
 
-    /// Exception: a session that was carried over, placed blind or stepped plays at a rung that was not
-    /// decided on what is known here. Once link and uplink are reported it is decided like a new one, upwards
-    /// only, if what is left of it is worth more than the step.
+    /// Exception: a session plays at a rung that was decided on what was known then, of a load that may have
+    /// changed. Once link and uplink are reported it is decided like a new one, upwards only, if what is left
+    /// of it is worth more than the step.
     fn settle(&mut self) {
         for (id, rung) in self.settled() {
             self.step(id, rung);
@@ -1031,11 +1043,7 @@
             // but what all viewers there would ask at that rung. Of a rung for which there is room for a part
             // of them only, that part takes it, by draw.
             let fuller = self.fuller(s);
-            let common = |r: &usize, part: f64| {
-                self.overfill
-                    .get(&(*class, *r))
-                    .is_some_and(|(before, after)| (before + part * (after - before)) * fuller <= 1.0)
-            };
+            let common = |r: &usize, part: f64| self.common(*class, *r, part, fuller);
             // Where no draw has room the sessions need not be looked at one by one.
             if !(held + 1..=top).any(|r| common(&r, 0.0) || common(&r, 1.0)) {
                 continue;
@@ -1047,8 +1055,9 @@
                 let Some(top) = (held + 1..=top).rev().find(|r| common(r, part)) else { continue };
                 let found = self.rung_at(s, *class, terms.floor, top, kb);
                 let Some(rung) = found.filter(|r| r > held) else { continue };
+                let more = self.set.ladder[rung].worth - self.set.ladder[*held].worth;
                 let left = t.ask.req.hint.map_or(f64::INFINITY, |h| (h - (self.now - t.sent)) as f64 / 1e6);
-                if left * (self.set.ladder[rung].worth - self.set.ladder[*held].worth) > self.set.switch_s {
+                if left * more > self.set.switch_s {
                     steps.insert(*id, rung);
                 }
             }
--- a/src/control/counts.rs
+++ b/src/control/counts.rs
@@ -18,7 +18,7 @@
 fn plainly_settled(d: &Director) -> BTreeMap<SessionId, usize> {
     let mut steps = BTreeMap::new();
     for (id, t) in &d.held.live {
-        if t.state != State::Plays || t.due.is_none_or(|due| d.now < due) {
+        if t.state != State::Plays || d.now < t.due {
             continue;
         }
         let Some(s) = d.servers.get(&t.server).filter(|s| !s.short) else { continue };
@@ -29,16 +29,15 @@
             continue;
         }
         let (fuller, part) = (d.fuller(s), draw(id.0));
-        let common = |r: &usize| {
-            let found = d.overfill.get(&(class, *r));
-            found.is_some_and(|(before, after)| (before + part * (after - before)) * fuller <= 1.0)
+        let Some(top) = (t.rung + 1..=top).rev().find(|r| d.common(class, *r, part, fuller)) else {
+            continue;
         };
-        let Some(top) = (t.rung + 1..=top).rev().find(common) else { continue };
         let Some(rung) = d.rung_at(s, class, terms.floor, top, t.kb).filter(|r| *r > t.rung) else {
             continue;
         };
-        let left = req.hint.map_or(f64::INFINITY, |h| (h - (d.now - t.sent)) as f64 / 1e6);
-        if left * (d.set.ladder[rung].worth - d.set.ladder[t.rung].worth) > d.set.switch_s {
+        if d.left(req, d.now - t.sent) * (d.set.ladder[rung].worth - d.set.ladder[t.rung].worth)
+            > d.set.switch_s
+        {
             steps.insert(*id, rung);
         }
     }
@@ -69,7 +68,7 @@
         assert_eq!(d.held.at.contains_key(&server), live().any(|l| l.server == server));
     }
     let due: usize = d.held.due.values().map(BTreeSet::len).sum();
-    assert_eq!(due, live().filter(|l| l.state == State::Plays && l.due.is_some()).count());
+    assert_eq!(due, live().filter(|l| l.state == State::Plays).count());
     assert_eq!(d.settled(), plainly_settled(d));
 }
 
