--- a/src/control.rs
+++ b/src/control.rs
@@ -5,8 +5,12 @@
 //! a guard that a rule needs or an exception whose condition stands beside it.
 
 use crate::interface::*;
+use hash::{draw, mix};
+use held::{ByTime, Group, Held, later};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::ops::Bound::{Excluded, Unbounded};
+
+mod hash;
+mod held;
 
 // ---- constants -------------------------------------------------------------------------------
 
@@ -111,82 +115,6 @@
     due: Micros, // from then on its rung may be decided anew
 }
 
-// ---- sessions held ---------------------------------------------------------------------------
-
-/// Sessions by the time of their last send, or by when they are due.
-type ByTime = BTreeSet<(Micros, SessionId)>;
-
-/// Sessions for which `settle` asks the same: server, class, rung, the viewer's highest rung.
-type Group = (ServerId, usize, usize, usize);
-
-/// The sessions held, and what is counted of them: a decision that walked them all would cost the more the
-/// more of them play. Every change goes through here, so that the counts can't stray.
-#[derive(Default)]
-struct Held {
-    live: BTreeMap<SessionId, Live>,
-    by_class: BTreeMap<usize, usize>,
-    by_title: BTreeMap<(TitleId, usize), usize>,
-    sent: ByTime,
-    at: BTreeMap<ServerId, ByTime>,
-    out: BTreeMap<ServerId, usize>, // those that do not play: sent and not over
-    due: BTreeMap<Group, ByTime>,   // those that play, by when they are due to be decided anew
-}
-
-impl Held {
-    fn insert(&mut self, live: Live) {
-        self.count(&live, true);
-        self.live.insert(live.ask.req.session, live);
-    }
-
-    fn remove(&mut self, id: SessionId) -> Option<Live> {
-        let live = self.live.remove(&id)?;
-        self.count(&live, false);
-        Some(live)
-    }
-
-    fn change(&mut self, id: SessionId, work: impl FnOnce(&mut Live)) {
-        let Some(mut live) = self.remove(id) else { return };
-        work(&mut live);
-        self.insert(live);
-    }
-
-    /// Enters a session into every count, or takes it out; what is empty goes.
-    fn count(&mut self, live: &Live, enter: bool) {
-        fn tally<K: Ord + Copy>(counts: &mut BTreeMap<K, usize>, key: K, enter: bool) {
-            let n = counts.entry(key).or_default();
-            *n = if enter { *n + 1 } else { n.saturating_sub(1) };
-            if *n == 0 {
-                counts.remove(&key);
-            }
-        }
-        type Sets<K> = BTreeMap<K, ByTime>;
-        fn file<K: Ord + Copy>(sets: &mut Sets<K>, key: K, entry: (Micros, SessionId), enter: bool) {
-            let set = sets.entry(key).or_default();
-            let _ = if enter { set.insert(entry) } else { set.remove(&entry) };
-            if set.is_empty() {
-                sets.remove(&key);
-            }
-        }
-        let (req, server) = (&live.ask.req, live.server);
-        tally(&mut self.by_class, req.class, enter);
-        tally(&mut self.by_title, (req.title, req.class), enter);
-        let sent = (live.sent, req.session);
-        let _ = if enter { self.sent.insert(sent) } else { self.sent.remove(&sent) };
-        file(&mut self.at, server, sent, enter);
-        if live.state != State::Plays {
-            tally(&mut self.out, server, enter);
-        } else {
-            let group = (server, req.class, live.rung, req.top);
-            file(&mut self.due, group, (live.due, req.session), enter);
-        }
-    }
-}
-
-/// How many there are later than a time.
-fn later(set: &ByTime, than: Micros) -> usize {
-    set.range((Excluded((than, SessionId(u64::MAX))), Unbounded)).count()
-}
-
 // ---- account ---------------------------------------------------------------------------------
 
 /// What is believed asked of one link or uplink, as a part of what it gives.
@@ -279,6 +207,9 @@
     parts: f64,
 }
 
+/// Worth lost for the rate, who steps down, to which rung, and what each frees and loses for each second.
+type Step = (f64, Group, usize, f64, f64);
+
 /// Evidence on one server.
 #[derive(Default)]
 struct Server {
@@ -296,13 +227,10 @@
 
 impl Ends {
     fn count(&mut self, seconds: f64, hint: Option<Micros>) {
-        for x in [&mut self.all, &mut self.seconds, &mut self.told, &mut self.parts] {
-            *x *= ENDS_FADE;
-        }
-        (self.all, self.seconds) = (self.all + 1.0, self.seconds + seconds);
-        if let Some(hint) = hint.filter(|h| *h > 0) {
-            (self.told, self.parts) = (self.told + 1.0, self.parts + seconds * 1e6 / hint as f64);
-        }
+        let part = hint.filter(|h| *h > 0).map(|h| seconds * 1e6 / h as f64);
+        let (told, part) = part.map_or((0.0, 0.0), |p| (1.0, p));
+        let sums = [&mut self.all, &mut self.seconds, &mut self.told, &mut self.parts];
+        sums.into_iter().zip([1.0, seconds, told, part]).for_each(|(sum, x)| *sum = *sum * ENDS_FADE + x);
     }
 
     /// Expected seconds of a session; `oldest`: how long the oldest one held has lasted.
@@ -388,7 +316,7 @@
                 self.ring();
                 self.weigh_demand();
                 self.forget();
-                self.settle();
+                self.settled().into_iter().for_each(|(id, rung)| self.step(id, rung));
             }
             Event::Timer(token) => {
                 self.asked(SessionId(token));
@@ -474,7 +402,7 @@
         if self.held.live.contains_key(&req.session) {
             return;
         }
-        let rung = self.set.classes.get(req.class).map_or(0, |c| c.floor);
+        let rung = self.floor(req.class);
         let kb = self.set.rate(req.class, rung);
         let ask = Ask { req, attempts: 1, tried: vec![server] };
         self.hold(Live { ask, state: State::Plays, server, rung, kb, sent: self.now, due: self.now });
@@ -669,19 +597,12 @@
     // ---- placement: D(C0) -------------------------------------------------------------------
 
     fn place(&mut self, ask: Ask) {
-        match self.choose(&ask) {
-            Some((server, rung)) => self.send(ask, server, rung),
-            None if self.make_room(&ask) => match self.choose(&ask) {
-                Some((server, rung)) => self.send(ask, server, rung),
-                None => self.turn_away(ask),
-            },
-            None => self.turn_away(ask),
-        }
-    }
-
-    fn turn_away(&mut self, ask: Ask) {
-        self.turned.insert(ask.req.viewer, (self.now, ask.req.class));
-        self.out.push(self.refusal(&ask.req));
+        let found = self.choose(&ask);
+        let Some((server, rung)) = found.or_else(|| self.make_room(&ask).then(|| self.choose(&ask))?) else {
+            self.turned.insert(ask.req.viewer, (self.now, ask.req.class));
+            return self.out.push(self.refusal(&ask.req));
+        };
+        self.send(ask, server, rung);
     }
 
     /// The holder with the least account, and the rung that its occupancy allows.
@@ -902,24 +823,16 @@
 
     // ---- exception: held rungs ----------------------------------------------------------------
 
-    /// Groups that may step down at some servers, least worth for the rate first; `to`: to which rung, none if
-    /// not. With what each of their sessions frees, and loses of its worth for each second.
-    fn cheapest(
-        &self,
-        at: &[ServerId],
-        to: impl Fn(&Group) -> Option<usize>,
-    ) -> Vec<(f64, Group, usize, f64, f64)> {
-        let group = |(g, rung): (Group, usize)| {
+    /// Groups that may step down at some servers, least worth for the rate first. `to`: to which rung, if any.
+    fn cheapest(&self, at: &[ServerId], to: impl Fn(&Group) -> Option<usize>) -> Vec<Step> {
+        let step = |(g, _): (&Group, _)| {
+            let rung = to(g)?;
             let (from, down) = (self.set.ladder.get(g.2)?, self.set.ladder.get(rung)?);
             let freed = self.set.rate(g.1, g.2) - self.set.rate(g.1, rung);
             let lost = self.set.classes.get(g.1)?.worth * (from.worth - down.worth);
-            Some((lost / freed.max(1.0), g, rung, freed, lost))
+            Some((lost / freed.max(1.0), *g, rung, freed, lost))
         };
-        let groups = at.iter().flat_map(|s| {
-            let groups = self.held.due.range((*s, 0, 0, 0)..=(*s, usize::MAX, usize::MAX, usize::MAX));
-            groups.filter_map(|(g, _)| Some((*g, to(g)?)))
-        });
-        let mut steps: Vec<_> = groups.filter_map(group).collect();
+        let mut steps: Vec<_> = at.iter().flat_map(|s| self.held.groups(*s)).filter_map(step).collect();
         steps.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
         steps
     }
@@ -932,8 +845,8 @@
     /// much as a change of rung costs, so it lasts. This director's sessions step down by their own part of
     /// what is missing, least worth for the rate first.
     fn step_down(&mut self, server: ServerId, share: f64) {
-        let there = self.held.due.range((server, 0, 0, 0)..=(server, usize::MAX, usize::MAX, usize::MAX));
-        let own: f64 = there.map(|(g, ids)| self.set.rate(g.1, g.2) * ids.len() as f64).sum();
+        let rate = |(g, ids): (&Group, &ByTime)| self.set.rate(g.1, g.2) * ids.len() as f64;
+        let own: f64 = self.held.groups(server).map(rate).sum();
         let mut need = own * (1.0 - share.max(0.0) / RELIEF_TO);
         let down = |g: &Group| g.2.checked_sub(1).filter(|r| *r >= self.floor(g.1));
         for (_, group, rung, freed, _) in self.cheapest(&[server], down) {
@@ -959,15 +872,13 @@
     /// than they lose and the steps cost; what is freed beyond its need serves the next ones. Not within
     /// `CALM` of their last step. True: there is room now.
     fn make_room(&mut self, ask: &Ask) -> bool {
-        let Some(class) = self.set.classes.get(ask.req.class).filter(|_| self.may_send(ask)) else {
-            return false;
-        };
+        let may = |c: &&ClassTerms| self.may_send(ask) && self.set.top(&ask.req) >= Some(c.floor);
+        let Some(class) = self.set.classes.get(ask.req.class).filter(may) else { return false };
         let kb = self.set.rate(ask.req.class, class.floor);
         let worth = self.set.ladder.get(class.floor).map_or(0.0, |r| r.worth);
         let gain = class.worth * worth * self.left(&ask.req, 0);
-        let holders = self.holders(ask).into_iter().filter(|s| !s.short && s.fails == 0);
         let mut looked = BTreeSet::new();
-        let found = holders.into_iter().find_map(|s| {
+        let found = self.holders(ask).into_iter().filter(|s| !s.short && s.fails == 0).find_map(|s| {
             let lacks = |a: &Account, share: f64| (share + a.part(kb) - FULL_LINE) * a.kb;
             let link = lacks(&s.link, self.link_share(s));
             let uplink = self.uplink_of(s).map_or(0.0, |u| lacks(u, self.uplink_share(s)));
@@ -975,15 +886,12 @@
             if rack.is_some_and(|rack| !looked.insert(rack)) {
                 return None; // the same sessions for the same want
             }
-            let near = |o: &&Server| rack.is_some() && self.set.rack(o.listed.cell) == rack;
-            let mut at: Vec<_> = self.servers.values().filter(near).map(|o| o.listed.server).collect();
-            if at.is_empty() {
-                at.push(s.listed.server);
-            }
-            let fuller: BTreeMap<_, _> = at.iter().map(|s| (*s, self.fuller(&self.servers[s]))).collect();
+            let same = |o: &&Server| rack.is_some() && self.set.rack(o.listed.cell) == rack;
+            let near = self.servers.values().filter(|o| same(o) || o.listed.server == s.listed.server);
+            let at: Vec<_> = near.map(|o| o.listed.server).collect();
             let down = |g: &Group| {
-                let floor = self.floor(g.1);
-                let common = |r: &usize| self.common(g.1, *r, 1.0, fuller[&g.0]);
+                let (floor, fuller) = (self.floor(g.1), self.fuller(&self.servers[&g.0]));
+                let common = |r: &usize| self.common(g.1, *r, 1.0, fuller);
                 (g.2 > floor).then(|| (floor..g.2).rev().find(common).unwrap_or(floor))
             };
             let (need, mut freed, mut lost, mut taken) = (link.max(uplink), 0.0, 0.0, Vec::new());
@@ -1001,9 +909,8 @@
             }
             (freed >= need && lost * need < gain * freed).then_some(taken)
         });
-        let made = found.is_some();
-        found.into_iter().flatten().for_each(|(id, rung)| self.step(id, rung));
-        made
+        found.as_ref().into_iter().flatten().for_each(|(id, rung)| self.step(*id, *rung));
+        found.is_some()
     }
 
     /// Seconds that a session has to go, as far as is known; `age`: how long it has lasted.
@@ -1020,14 +927,7 @@
 
     /// Exception: a session plays at a rung that was decided on what was known then, of a load that may have
     /// changed. Once link and uplink are reported it is decided like a new one, upwards only, if what is left
-    /// of it is worth more than the step.
-    fn settle(&mut self) {
-        for (id, rung) in self.settled() {
-            self.step(id, rung);
-        }
-    }
-
-    /// Sessions that may step up now, and to which rung, by id.
+    /// of it is worth more than the step. Those that may step up now, and to which rung, by id.
     fn settled(&self) -> BTreeMap<SessionId, usize> {
         let mut steps = BTreeMap::new();
         for ((server, class, held, top), sessions) in &self.held.due {
@@ -1191,18 +1091,5 @@
     }
 }
 
-// ---- hash ------------------------------------------------------------------------------------
-
-fn mix(mut x: u64) -> u64 {
-    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    x ^ (x >> 31)
-}
-
-/// From 0 to 1, the same for the same seed.
-fn draw(seed: u64) -> f64 {
-    (mix(mix(seed)) >> 11) as f64 / (1u64 << 53) as f64
-}
-
 #[cfg(test)]
 mod counts;
--- a/src/control/counts.rs
+++ b/src/control/counts.rs
@@ -35,9 +35,8 @@
         let Some(rung) = d.rung_at(s, class, terms.floor, top, t.kb).filter(|r| *r > t.rung) else {
             continue;
         };
-        if d.left(req, d.now - t.sent) * (d.set.ladder[rung].worth - d.set.ladder[t.rung].worth)
-            > d.set.switch_s
-        {
+        let left = req.hint.map_or(f64::INFINITY, |h| (h - (d.now - t.sent)) as f64 / 1e6);
+        if left * (d.set.ladder[rung].worth - d.set.ladder[t.rung].worth) > d.set.switch_s {
             steps.insert(*id, rung);
         }
     }
--- /dev/null
+++ b/src/control/held.rs
@@ -0,0 +1,85 @@
+//! The sessions that a director holds, and what is counted of them. Nothing is decided here.
+
+use super::{Live, State};
+use crate::interface::*;
+use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Bound::{Excluded, Unbounded};
+
+/// Sessions by the time of their last send, or by when they are due.
+pub(super) type ByTime = BTreeSet<(Micros, SessionId)>;
+
+/// Sessions for which `settle` asks the same: server, class, rung, the viewer's highest rung.
+pub(super) type Group = (ServerId, usize, usize, usize);
+
+/// The sessions held, and what is counted of them: a decision that walked them all would cost the more the
+/// more of them play. Every change goes through here, so that the counts can't stray.
+#[derive(Default)]
+pub(super) struct Held {
+    pub live: BTreeMap<SessionId, Live>,
+    pub by_class: BTreeMap<usize, usize>,
+    pub by_title: BTreeMap<(TitleId, usize), usize>,
+    pub sent: ByTime,
+    pub at: BTreeMap<ServerId, ByTime>,
+    pub out: BTreeMap<ServerId, usize>, // those that do not play: sent and not over
+    pub due: BTreeMap<Group, ByTime>,   // those that play, by when they are due to be decided anew
+}
+
+impl Held {
+    pub fn insert(&mut self, live: Live) {
+        self.count(&live, true);
+        self.live.insert(live.ask.req.session, live);
+    }
+
+    pub fn remove(&mut self, id: SessionId) -> Option<Live> {
+        let live = self.live.remove(&id)?;
+        self.count(&live, false);
+        Some(live)
+    }
+
+    pub fn change(&mut self, id: SessionId, work: impl FnOnce(&mut Live)) {
+        let Some(mut live) = self.remove(id) else { return };
+        work(&mut live);
+        self.insert(live);
+    }
+
+    /// The groups that play at a server.
+    pub fn groups(&self, server: ServerId) -> impl Iterator<Item = (&Group, &ByTime)> {
+        self.due.range((server, 0, 0, 0)..=(server, usize::MAX, usize::MAX, usize::MAX))
+    }
+
+    /// Enters a session into every count, or takes it out; what is empty goes.
+    fn count(&mut self, live: &Live, enter: bool) {
+        fn tally<K: Ord + Copy>(counts: &mut BTreeMap<K, usize>, key: K, enter: bool) {
+            let n = counts.entry(key).or_default();
+            *n = if enter { *n + 1 } else { n.saturating_sub(1) };
+            if *n == 0 {
+                counts.remove(&key);
+            }
+        }
+        type Sets<K> = BTreeMap<K, ByTime>;
+        fn file<K: Ord + Copy>(sets: &mut Sets<K>, key: K, entry: (Micros, SessionId), enter: bool) {
+            let set = sets.entry(key).or_default();
+            let _ = if enter { set.insert(entry) } else { set.remove(&entry) };
+            if set.is_empty() {
+                sets.remove(&key);
+            }
+        }
+        let (req, server) = (&live.ask.req, live.server);
+        tally(&mut self.by_class, req.class, enter);
+        tally(&mut self.by_title, (req.title, req.class), enter);
+        let sent = (live.sent, req.session);
+        let _ = if enter { self.sent.insert(sent) } else { self.sent.remove(&sent) };
+        file(&mut self.at, server, sent, enter);
+        if live.state != State::Plays {
+            tally(&mut self.out, server, enter);
+        } else {
+            let group = (server, req.class, live.rung, req.top);
+            file(&mut self.due, group, (live.due, req.session), enter);
+        }
+    }
+}
+
+/// How many there are later than a time.
+pub(super) fn later(set: &ByTime, than: Micros) -> usize {
+    set.range((Excluded((than, SessionId(u64::MAX))), Unbounded)).count()
+}
