--- a/src/control.rs
+++ b/src/control.rs
@@ -19,6 +19,7 @@
 const FULL_LINE: f64 = 0.93; // part that no set-up passes (the design's default): rates stray by some points
 const WANTS_FOR: Micros = 3_000_000; // a viewer turned away still wants a session so long: most return sooner
 const FLOW_SPAN: Micros = 30_000_000; // arrivals are counted so long: what they will come to is demand
+const FLOW_LATE: Micros = 5_000_000; // and a flow goes on only if they came in the last of it as well
 const FLOW_STEP: Micros = 1_000_000; // and by steps of this, so that a crowd does not cost more to count
 const FLOW_START: f64 = 2.0; // seconds without arrivals presumed before the start: a first viewer is no flow
 const HORIZON: f64 = 40.0; // seconds ahead that a rung is chosen for: what is later can step for it
@@ -201,10 +202,10 @@
 /// How long sessions last that have ended here.
 #[derive(Default)]
 struct Ends {
-    all: f64, // how many, and their seconds
-    seconds: f64,
-    told: f64, // how many of them came with a hint, and their lengths as parts of it
-    parts: f64,
+    all: f64,     // how many,
+    seconds: f64, // how long,
+    told: f64,    // how many with a hint,
+    parts: f64,   // and their lengths as parts of it
 }
 
 /// Worth lost for the rate, who steps down, to which rung, and what each frees and loses for each second.
@@ -352,10 +353,8 @@
             }
         }
         req.deadline = req.deadline.clamp(self.now, self.now + LONGEST);
-        // A viewer that comes again, marked or lately turned away, was counted when it came first.
-        if self.turned.remove(&req.viewer).is_none() && !req.again {
-            self.count_new(&req);
-        }
+        let known = self.turned.remove(&req.viewer).is_some();
+        self.count_new(&req, known || req.again);
         self.weigh_demand();
         if self.held.live.contains_key(&req.session) || self.asking.contains_key(&req.session) {
             return; // an id that is already held: odd input, and its answer is under way
@@ -654,35 +653,39 @@
         found.is_some_and(|(before, after)| (before + part * (after - before)) * fuller <= 1.0)
     }
 
-    /// Counts a new viewer: by its hint, corrected by how hints have proved; without one by what sessions have
-    /// lasted, and at first twice as long as any has by now.
-    fn count_new(&mut self, req: &Request) {
+    /// Counts a new viewer: by its hint, corrected by how hints have proved; without one by how long sessions
+    /// lasted, and at first twice as long as any has by now. A `known` one was counted when it came first.
+    fn count_new(&mut self, req: &Request, known: bool) {
         let (from, seconds) = (self.now - self.now % FLOW_STEP, self.left(req, 0));
         if self.came.back().is_none_or(|a| a.from < from) {
             self.came.push_back(Arrivals { from, ..Arrivals::default() });
         }
-        let Some(step) = self.came.back_mut() else { return };
-        step.count += 1.0;
-        *step.seconds.entry(req.class).or_default() += seconds;
+        if let Some(step) = self.came.back_mut().filter(|_| !known) {
+            step.count += 1.0;
+            *step.seconds.entry(req.class).or_default() += seconds;
+        }
     }
 
-    /// What the sessions held will grow by, by class, if viewers go on coming as they have of late: their rate
-    /// times their length is what they come to (Little), and a part of that is there within the horizon.
+    /// What the sessions held will grow by, by class, if viewers go on coming as of late: their rate
+    /// times their length is what they come to (Little), and a part of it is there within the horizon.
     fn growth(&mut self, held: f64) -> BTreeMap<usize, f64> {
         while self.came.front().is_some_and(|a| a.from < self.now - FLOW_SPAN) {
             self.came.pop_front();
         }
-        let (mut count, mut all, mut growth) = (0.0, 1e-9, BTreeMap::new());
+        let (mut count, mut all, mut late, mut growth) = (0.0f64, 1e-9, 0.0, BTreeMap::new());
         for step in &self.came {
             count += step.count;
             for (class, seconds) in &step.seconds {
                 all += seconds;
+                late += if step.from > self.now - FLOW_LATE { *seconds } else { 0.0 };
                 *growth.entry(*class).or_insert(0.0) += seconds;
             }
         }
         // Few arrivals, as at each of hundreds of directors, are weak evidence: two spreads are taken off.
-        let time = (self.now - self.born).min(FLOW_SPAN) as f64 / 1e6 + FLOW_START;
-        let flow = all / time * (1.0 - 2.0 / f64::max(count, 4.0).sqrt());
+        // A crowd that is over is no flow either.
+        let time = |span| (self.now - self.born).min(span) as f64 / 1e6 + FLOW_START;
+        let flow =
+            f64::min(late / time(FLOW_LATE), all / time(FLOW_SPAN) * (1.0 - 2.0 / count.max(4.0).sqrt()));
         let more = (flow - held).max(0.0) * (HORIZON * count / all).min(1.0);
         growth.values_mut().for_each(|seconds| *seconds *= more / all);
         growth
@@ -823,7 +826,7 @@
 
     // ---- exception: held rungs ----------------------------------------------------------------
 
-    /// Groups that may step down at some servers, least worth for the rate first. `to`: to which rung, if any.
+    /// Groups that may step down at some servers, least worth for the rate first. `to`: which rung, if any.
     fn cheapest(&self, at: &[ServerId], to: impl Fn(&Group) -> Option<usize>) -> Vec<Step> {
         let step = |(g, _): (&Group, _)| {
             let rung = to(g)?;
@@ -868,9 +871,8 @@
 
     /// Exception: a request would be turned away for want of room, though this director's own sessions on a
     /// holder (or under its rack's uplink, if only that lacks room) play above what all viewers there could
-    /// have. Such sessions step down to that, least worth for the rate first, if the request gains more by it
-    /// than they lose and the steps cost; what is freed beyond its need serves the next ones. Not within
-    /// `CALM` of their last step. True: there is room now.
+    /// have. They step down to that, least worth for the rate first, if the request gains more than they lose
+    /// and the steps cost (what is freed beyond its need serves the next), not within `CALM` of the last.
     fn make_room(&mut self, ask: &Ask) -> bool {
         let may = |c: &&ClassTerms| self.may_send(ask) && self.set.top(&ask.req) >= Some(c.floor);
         let Some(class) = self.set.classes.get(ask.req.class).filter(may) else { return false };
@@ -925,9 +927,8 @@
         self.out.push(Action::SetRung { session: id, rung });
     }
 
-    /// Exception: a session plays at a rung that was decided on what was known then, of a load that may have
-    /// changed. Once link and uplink are reported it is decided like a new one, upwards only, if what is left
-    /// of it is worth more than the step. Those that may step up now, and to which rung, by id.
+    /// Exception: a session plays at a rung decided for a load that may have changed. Once link and uplink
+    /// are reported it is decided like a new one, upwards only, if its rest is worth more than the step.
     fn settled(&self) -> BTreeMap<SessionId, usize> {
         let mut steps = BTreeMap::new();
         for ((server, class, held, top), sessions) in &self.held.due {
