--- a/crates/lab/tests/scenes.rs
+++ b/crates/lab/tests/scenes.rs
@@ -48,3 +48,53 @@
     plan.trouble.insert("frozen".into(), Trouble::new(TroubleKind::Hang, 1.0, 1.0));
     assert!(run(&plan, Policy::Module).unwrap_err().contains("frozen"));
 }
+
+/// Refused at most, worth at least: a little under what it has come to, far above what it was.
+#[track_caller]
+fn comes_to(name: &str, refused: f64, worth: f64) -> Report {
+    let report = report(name);
+    let count = &report.count;
+    assert!(count.refused_part() <= refused, "{name}: {} refused", count.refused_part());
+    assert!(count.worth() >= worth, "{name}: worth {}", count.worth());
+    assert!(count.steps_a_minute() < 1.0, "{name}: {} steps a session-minute", count.steps_a_minute());
+    assert_eq!(count.fell, 0, "{name}: a node was pushed over");
+    report
+}
+
+#[test]
+fn a_fleet_that_fills_from_empty_serves_nearly_everyone() {
+    // 45% and 53% refused, worth 0.54 and 0.40, before demand to come and room made.
+    comes_to("fill-2", 0.04, 0.69);
+    comes_to("fill-3", 0.08, 0.59);
+    comes_to("empty-1", 0.04, 0.65);
+}
+
+#[test]
+fn half_an_hour_long_sessions_make_no_blackout_of_half_an_hour() {
+    comes_to("long-1", 0.02, 0.65); // 41%, 0.49
+    comes_to("tripled-long", 0.03, 0.58); // 43%, 0.50
+}
+
+#[test]
+fn rungs_come_back_within_two_minutes_after_the_load_has_fallen() {
+    let report = comes_to("falls", 0.1, 0.5);
+    // Twice the load to 150 s, a third of it from then on.
+    let spans = &report.count.spans;
+    let low = |i: usize| {
+        let rungs = &spans[i].rungs;
+        rungs.get(&0).copied().unwrap_or(0.0) / rungs.values().sum::<f64>()
+    };
+    assert!(low(14) > 0.3, "the crowd has to press rungs down: {}", low(14));
+    assert!(low(26) < 0.05 && spans[26].got > 0.85 * spans[26].bound, "{}", low(26));
+}
+
+#[test]
+fn short_visits_lies_and_swings_do_no_lasting_harm() {
+    comes_to("swing", 0.05, 0.62);
+    comes_to("hints-10", 0.08, 0.52);
+    comes_to("hints-0.1", 0.06, 0.52);
+    comes_to("no-hints", 0.09, 0.52);
+    // A crowd of visits of 5 s: the sessions of a minute keep their worth.
+    let peeks = report("peeks");
+    assert!(peeks.count.worth() > 0.6, "{}", peeks.count.worth());
+}
