--- a/crates/standins/src/viewers.rs
+++ b/crates/standins/src/viewers.rs
@@ -281,9 +281,26 @@
         }
     }
 
+    /// Enters what a session came to into the count.
+    fn tally(&self, viewer: &Viewer, meter: &Meter, late: bool) {
+        let share = if meter.due > 0.0 { (meter.got as f64 / meter.due).min(1.0) } else { 0.0 };
+        let kept = self.crowd.kept(share);
+        let mut count = self.count.borrow_mut();
+        count.steps += meter.steps;
+        count.worth_got -= meter.steps as f64 * self.crowd.switch_s * viewer.class.worth;
+        for (rung, time) in &meter.rungs {
+            *count.rungs.entry(*rung).or_default() += time;
+            // What plays after the wanted time earns nothing for its first second.
+            let lost = if late { 1.0_f64.min(*time) } else { 0.0 };
+            let worth = self.crowd.worth.get(*rung).copied().unwrap_or(0.0);
+            count.worth_got += (time - lost) * viewer.class.worth * worth * kept;
+        }
+    }
+
     /// Takes media until the session's time is over, or leaves when too little comes.
     async fn watch(&self, viewer: &Viewer, ask: u64, session: u64, media: &str, late: bool) -> Try {
         let mut meter = Meter::new(self.close.get());
+        let mut counted = false;
         let stream = open(media).await;
         let whole = match stream {
             None => false,
@@ -295,7 +312,14 @@
                 // Nothing at all for five seconds: the picture stands, and the viewer gives up.
                 let wait = left.min(Duration::from_secs(5));
                 match in_time(wait, frames.next()).await {
-                    Some(Some(bytes)) => meter.take(&bytes),
+                    Some(Some(bytes)) => {
+                        meter.take(&bytes);
+                        // Many sessions outlast the day and this run: what counts of them is known now.
+                        if !counted && self.close.get().is_some_and(|t| Instant::now() >= t) {
+                            self.tally(viewer, &meter, late);
+                            counted = true;
+                        }
+                    }
                     Some(None) => break false,
                     None => {
                         meter.wait();
@@ -309,21 +333,10 @@
             },
         };
         meter.wait();
-        let worth = &self.crowd.worth;
-        let share = if meter.due > 0.0 { (meter.got as f64 / meter.due).min(1.0) } else { 0.0 };
-        let kept = self.crowd.kept(share);
-        let mut count = self.count.borrow_mut();
-        for (rung, time) in &meter.rungs {
-            *count.rungs.entry(*rung).or_default() += time;
-            // What plays after the wanted time earns nothing for its first second.
-            let lost = if late { 1.0_f64.min(*time) } else { 0.0 };
-            count.worth_got +=
-                (time - lost) * viewer.class.worth * worth.get(*rung).copied().unwrap_or(0.0) * kept;
+        if !counted {
+            self.tally(viewer, &meter, late);
         }
-        count.steps += meter.steps;
-        count.worth_got -= meter.steps as f64 * self.crowd.switch_s * viewer.class.worth;
-        count.broken += u64::from(!whole);
-        drop(count);
+        self.count.borrow_mut().broken += u64::from(!whole);
         let rungs = meter.rungs.iter().map(|(r, s)| (*r, (s * 1e6) as i64)).collect();
         self.recorder.note(Record::Watched {
             t: shalewall_clock::now(),
