--- a/crates/hosting/src/model.rs
+++ b/crates/hosting/src/model.rs
@@ -183,7 +183,11 @@
 
 /// The JSON Schema of a tenant's terms, as the API publishes it.
 pub fn schema() -> Value {
-    schemars::generate::SchemaSettings::draft2020_12().into_generator().into_root_schema_for::<Terms>().into()
+    let settings = schemars::generate::SchemaSettings::draft2020_12();
+    let mut schema: Value = settings.into_generator().into_root_schema_for::<Terms>().into();
+    // A name of its own, so that its references stay its own within another document.
+    schema["$id"] = "urn:shalewall:terms".into();
+    schema
 }
 
 /// At most so many faults of one document are told.
--- a/crates/store/src/dump.rs
+++ b/crates/store/src/dump.rs
@@ -23,7 +23,7 @@
 #[serde(rename_all = "snake_case")]
 enum Line {
     Store { version: u64 },
-    Entry(Entry),
+    Entry(Box<Entry>),
     Token(Token),
 }
 
@@ -85,7 +85,7 @@
             *revision += 1;
             let entry = history.get((id.value(), *revision)).map_err(fault)?;
             let entry = entry.ok_or_else(|| Error::Corrupt(format!("{} lacks {revision}", id.value())))?;
-            put(&Line::Entry(read(entry.value())?))?;
+            put(&Line::Entry(Box::new(read(entry.value())?)))?;
             found.changes += 1;
         }
         for token in self.tokens()? {
@@ -117,9 +117,9 @@
                     Line::Entry(entry) => {
                         number += 1;
                         let key = (entry.tenant.as_str(), entry.revision);
-                        history.insert(key, written(&entry)?.as_slice()).map_err(fault)?;
+                        history.insert(key, written(&*entry)?.as_slice()).map_err(fault)?;
                         changes.insert(number, entry.tenant.as_str()).map_err(fault)?;
-                        entries.entry(entry.tenant.to_string()).or_default().push(entry);
+                        entries.entry(entry.tenant.to_string()).or_default().push(*entry);
                     }
                     Line::Token(token) => {
                         tokens.insert(token.id.as_str(), written(&token)?.as_slice()).map_err(fault)?;
