--- a/crates/admin/src/serve.rs
+++ b/crates/admin/src/serve.rs
@@ -3,16 +3,20 @@
 use crate::api::Api;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
+use event_listener::Event;
+use futures_lite::future;
 use rand::RngExt;
 use shalewall_http::Limits;
-use shalewall_http::server::serve;
+use shalewall_http::server::{Reply, Request, serve};
 use std::cell::Cell;
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Connections at most; further ones are closed at once.
-const CONNECTIONS: usize = 256;
+const CONNECTIONS: usize = 1024;
+/// A call for changes is held so long at most.
+const LONGEST_WAIT: Duration = Duration::from_secs(30);
 
 /// The wall clock, milliseconds since 1970.
 pub fn now() -> u64 {
@@ -26,6 +30,7 @@
     api: Rc<Api>,
 ) -> std::io::Result<SocketAddr> {
     let listener = Async::<TcpListener>::bind(listen)?;
+    let changed = Rc::new(Event::new());
     let address = listener.get_ref().local_addr()?;
     let spawner = ex.clone();
     ex.spawn(async move {
@@ -41,19 +46,10 @@
                 continue;
             }
             open.set(open.get() + 1);
-            let (api, limits, open) = (api.clone(), limits.clone(), open.clone());
+            let (api, limits, open, changed) = (api.clone(), limits.clone(), open.clone(), changed.clone());
             spawner
                 .spawn(async move {
-                    let answer = |request| {
-                        let reply = api.answer(&request, now(), rand::rng().random());
-                        tracing::info!(
-                            method = request.head.method,
-                            path = request.head.path(),
-                            status = reply.status,
-                            "administration"
-                        );
-                        std::future::ready(reply)
-                    };
+                    let answer = |request| answer(api.clone(), changed.clone(), request);
                     serve(stream, &limits, answer).await;
                     open.set(open.get() - 1);
                 })
@@ -63,3 +59,32 @@
     .detach();
     Ok(address)
 }
+
+/// Answers a call. One for changes that names a `wait_ms` is held until there are some, for that time at most.
+async fn answer(api: Rc<Api>, changed: Rc<Event>, request: Request) -> Reply {
+    let wait = request.head.query("wait_ms").and_then(|ms| ms.parse().ok()).unwrap_or(0);
+    let until = Instant::now() + Duration::from_millis(wait).min(LONGEST_WAIT);
+    let after = request.head.query("after").and_then(|n| n.parse().ok()).unwrap_or(0);
+    let reply = loop {
+        let news = changed.listen();
+        let reply = api.answer(&request, now(), rand::rng().random());
+        let waits = request.head.path() == "/changes" && reply.status == 200;
+        if !waits || Instant::now() >= until || api.store.last().is_ok_and(|last| last > after) {
+            break reply;
+        }
+        let timer = async {
+            Timer::at(until).await;
+        };
+        future::or(news, timer).await;
+    };
+    if request.head.method != "GET" {
+        changed.notify(usize::MAX);
+    }
+    tracing::info!(
+        method = request.head.method,
+        path = request.head.path(),
+        status = reply.status,
+        "administration"
+    );
+    reply
+}
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -68,6 +68,7 @@
     pub(crate) key: u64,
     pub(crate) request: Request,
     pub(crate) title: String,
+    pub(crate) tenant: Option<String>,
     pub(crate) stage: Stage,
     /// Attempts sent; the last one's number is one less.
     pub(crate) attempts: u32,
@@ -118,10 +119,42 @@
     }
 }
 
+/// What is said of a viewer's wish for a session before the director sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    Taken,
+    Away {
+        come_back: Micros,
+    },
+    /// There is no such tenant, or it takes nothing new.
+    Unknown,
+}
+
+/// Who is let in, where many share a front. Every wish that was taken is over once, whatever becomes of it.
+pub trait Admit {
+    fn admit(&mut self, now: Micros, tenant: Option<&str>) -> Admission;
+    fn over(&mut self, now: Micros, tenant: Option<&str>);
+}
+
+/// Everyone is; tenants are those of the settings.
+struct Everyone(Vec<String>);
+
+impl Admit for Everyone {
+    fn admit(&mut self, _: Micros, tenant: Option<&str>) -> Admission {
+        match tenant {
+            Some(name) if !self.0.iter().any(|t| t == name) => Admission::Unknown,
+            _ => Admission::Taken,
+        }
+    }
+
+    fn over(&mut self, _: Micros, _: Option<&str>) {}
+}
+
 /// One front's sessions.
 pub struct Engine {
     pub(crate) config: Config,
     pub(crate) director: Box<dyn Decide>,
+    pub(crate) door: Box<dyn Admit>,
     pub(crate) now: Micros,
     pub(crate) sessions: BTreeMap<SessionId, Session>,
     pub(crate) by_key: HashMap<u64, SessionId>,
@@ -152,6 +185,7 @@
         let first = number << 42 | u64::from(config.incarnation & 0x3fff) << 28;
         Engine {
             director,
+            door: Box::new(Everyone(config.tenants.clone())),
             config,
             now,
             sessions: BTreeMap::new(),
@@ -168,6 +202,11 @@
         }
     }
 
+    /// Lets in whom this one does, from now on. For the start: who is in already is not known to it.
+    pub fn set_door(&mut self, door: Box<dyn Admit>) {
+        self.door = door;
+    }
+
     /// Takes one input. Inputs of one turn carry the same time.
     pub fn handle(&mut self, now: Micros, input: Input) {
         self.now = now;
@@ -179,6 +218,7 @@
             Input::Done { call, done } => self.on_done(call, done),
             Input::NodeUp { server, asked, held } => self.on_node_up(server, asked, &held),
             Input::NodeTold { server, told } => self.on_told(server, told),
+            Input::TenantEnded { tenant } => self.on_tenant_ended(&tenant),
             Input::NodeDown { server } => self.lose_sessions(server, Micros::MAX, &[]),
         }
         self.settle();
--- a/crates/engine/src/io.rs
+++ b/crates/engine/src/io.rs
@@ -106,6 +106,10 @@
         server: ServerId,
         told: Told,
     },
+    /// A tenant's time is over: what plays of it ends now.
+    TenantEnded {
+        tenant: String,
+    },
     /// A node's event stream broke and a new connection is refused: its process is gone.
     NodeDown {
         server: ServerId,
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -18,5 +18,5 @@
 mod timers;
 mod viewers;
 
-pub use engine::{Config, Decide, Engine, Held, Place};
+pub use engine::{Admission, Admit, Config, Decide, Engine, Held, Place};
 pub use io::*;
--- a/crates/engine/src/viewers.rs
+++ b/crates/engine/src/viewers.rs
@@ -1,6 +1,6 @@
 //! Viewers: asked, asked again, left, ended, answered.
 
-use crate::engine::{Engine, Session, Stage};
+use crate::engine::{Admission, Engine, Session, Stage};
 use crate::io::*;
 use shalewall::{Event, Outcome, Request, SessionId, TitleId};
 use xxhash_rust::xxh3::xxh3_64;
@@ -13,13 +13,6 @@
         let Some(place) = self.config.titles.get(&new.title).copied() else {
             return say(Answer::Unknown("title"));
         };
-        let tenant = match &new.tenant {
-            None => None,
-            Some(name) => match self.config.tenants.iter().position(|t| t == name) {
-                None => return say(Answer::Unknown("tenant")),
-                known => known,
-            },
-        };
         let key = xxh3_64(format!("{}\n{}", new.tenant.as_deref().unwrap_or(""), new.viewer).as_bytes());
         if let Some(session) = self.by_key.get(&key).copied() {
             if let Some(answer) = self.join(session, ask, class, &new) {
@@ -36,6 +29,17 @@
             let answer = Answer::Refused { session: None, come_back };
             return self.outputs.push_back(Output::Answer { ask, answer });
         }
+        match self.door.admit(self.now, new.tenant.as_deref()) {
+            Admission::Taken => {}
+            Admission::Away { come_back } => {
+                let answer = Answer::Refused { session: None, come_back: Some(come_back) };
+                return self.outputs.push_back(Output::Answer { ask, answer });
+            }
+            Admission::Unknown => {
+                return self.outputs.push_back(Output::Answer { ask, answer: Answer::Unknown("tenant") });
+            }
+        }
+        let tenant = new.tenant.as_ref().and_then(|name| self.config.tenants.iter().position(|t| t == name));
         let session = SessionId(self.next_session);
         self.next_session += 1;
         let give_up = self.config.classes[class].1;
@@ -61,6 +65,7 @@
                 key,
                 request,
                 title: new.title,
+                tenant: new.tenant,
                 stage: Stage::Deciding,
                 attempts: 0,
                 rung: 0,
@@ -161,6 +166,14 @@
     pub(crate) fn forget(&mut self, session: SessionId) {
         if let Some(s) = self.sessions.remove(&session) {
             self.unkey(s.key, session);
+            self.door.over(self.now, s.tenant.as_deref());
         }
     }
+
+    /// What plays of a tenant ends; what waits has its answer as usual.
+    pub(crate) fn on_tenant_ended(&mut self, tenant: &str) {
+        let of = |s: &Session| s.tenant.as_deref() == Some(tenant) && matches!(s.stage, Stage::Plays { .. });
+        let ids: Vec<_> = self.sessions.iter().filter(|(_, s)| of(s)).map(|(id, _)| *id).collect();
+        ids.into_iter().for_each(|id| self.leave(id));
+    }
 }
--- a/crates/front/src/api.rs
+++ b/crates/front/src/api.rs
@@ -71,11 +71,14 @@
         }
         ("GET", "/state", _) => {
             let held = hub.held();
-            let text = format!(
-                "{{\"waiting\":{},\"playing\":{},\"leaving\":{},\"owed_ends\":{}}}",
-                held.waiting, held.playing, held.leaving, held.owed_ends
-            );
-            Reply::json(200, text)
+            let mut state = serde_json::json!({ "waiting": held.waiting, "playing": held.playing,
+                "leaving": held.leaving, "owed_ends": held.owed_ends });
+            if let Some(tenants) = hub.tenants.get() {
+                // As of which change, and whether later ones would be heard of.
+                state["tenants"] = tenants.number.get().into();
+                state["tenants_followed"] = tenants.reached.get().into();
+            }
+            Reply::json(200, state.to_string())
         }
         ("GET" | "POST" | "DELETE", ..) => Reply::problem(404, "no such thing here"),
         _ => Reply::problem(405, "no such method here"),
--- a/crates/front/src/day/directors.rs
+++ b/crates/front/src/day/directors.rs
@@ -41,7 +41,11 @@
             silence_ms: 3_000,
             leave_s: 0.0,
         };
-        let plans = (0..plan.day.directors).map(|n| FrontPlan { front: front(n), site: plan.site.clone() });
+        let plans = (0..plan.day.directors).map(|n| FrontPlan {
+            front: front(n),
+            hosting: None,
+            site: plan.site.clone(),
+        });
         Directors {
             program: program.to_path_buf(),
             out: out.to_path_buf(),
--- a/crates/front/src/hub.rs
+++ b/crates/front/src/hub.rs
@@ -1,6 +1,7 @@
 //! Drives the engine: inputs from sockets, outputs to sockets, timers. One thread, no locks.
 
 use crate::node::{self, Peer};
+use crate::tenants::Tenants;
 use async_channel::{Receiver, Sender};
 use async_executor::{LocalExecutor, Task};
 use async_io::Timer;
@@ -9,7 +10,7 @@
 use shalewall::ServerId;
 use shalewall_engine::{Answer, AskId, CallId, Engine, Input, NewSession, Output};
 use shalewall_http::Limits;
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
@@ -31,6 +32,8 @@
     calls: RefCell<HashMap<CallId, Task<()>>>,
     peers: RefCell<BTreeMap<ServerId, Watched>>,
     next_ask: Cell<u64>,
+    /// The tenants that this front follows, where it is shared by some.
+    pub tenants: OnceCell<Rc<Tenants>>,
     /// Told to end: nothing new is taken.
     leaving: Cell<bool>,
     /// When the ringing task will look at the engine's timers next.
@@ -78,6 +81,7 @@
             calls: RefCell::default(),
             peers: RefCell::default(),
             next_ask: Cell::new(0),
+            tenants: OnceCell::new(),
             leaving: Cell::new(false),
             armed: Cell::new(i64::MAX),
             kick: Event::new(),
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! [`hub`] drives one [`shalewall_engine::Engine`]: it feeds it what happens and carries out what it says.
 //! [`api`] is the viewers' side, [`node`] the media nodes', [`list`] the list of servers'. [`serve`] puts them
-//! together; [`day`] runs whole days of fronts against the stand-ins.
+//! together; [`tenants`] follows the tenants of a hosted service, [`manage`] is its operators' commands; [`day`] runs whole days of fronts against the stand-ins.
 //!
 //! What this crate may know: everything above it. What it must not: decide. A request is answered by the
 //! engine, a server chosen by the module.
@@ -11,5 +11,7 @@
 pub mod day;
 pub mod hub;
 pub mod list;
+pub mod manage;
 pub mod node;
 pub mod serve;
+pub mod tenants;
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -1,8 +1,9 @@
 //! The command line.
 
 use clap::{Parser, Subcommand};
+use shalewall_front::manage::{self, Reach, StoreCommand, TenantCommand};
 use shalewall_front::{day, serve};
-use shalewall_settings::{DayPlan, Error, FrontPlan, Settings, read};
+use shalewall_settings::{AdminPlan, DayPlan, Error, FrontPlan, Settings, read};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -41,6 +42,26 @@
         #[command(subcommand)]
         command: DayCommand,
     },
+    /// Serve the administration API of a hosted service.
+    Admin {
+        #[arg(long, value_name = "FILE")]
+        config: PathBuf,
+        /// Only read and check the file.
+        #[arg(long)]
+        check: bool,
+    },
+    /// The store of a hosted service, while the API does not run.
+    Store {
+        #[command(subcommand)]
+        command: StoreCommand,
+    },
+    /// Tenants, over the administration API.
+    Tenant {
+        #[command(flatten)]
+        reach: Reach,
+        #[command(subcommand)]
+        command: TenantCommand,
+    },
     /// Judge the recordings of a day again. Exit 0: all rules held; 1: one broke; 2: bad input.
     Audit { dir: PathBuf },
 }
@@ -135,6 +156,16 @@
             imported.left_out.iter().for_each(|l| eprintln!("shalewall: left out or changed: {l}"));
             print!("{}", imported.script().map_err(bad)?);
         }
+        Command::Admin { config, check } => {
+            let plan: AdminPlan = settings(&config)?;
+            if check {
+                return Ok(ExitCode::SUCCESS);
+            }
+            logs();
+            manage::admin(&plan).map_err(bad)?;
+        }
+        Command::Store { command } => manage::store(command).map_err(bad)?,
+        Command::Tenant { reach, command } => manage::tenant(&reach, command).map_err(bad)?,
         Command::Audit { dir } => {
             let verdict = day::audit(&dir).map_err(bad)?;
             println!("{verdict}");
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -1,7 +1,8 @@
 //! One front: its sockets, put together from its settings.
 
 use crate::hub::Hub;
-use crate::{api, list};
+use crate::tenants::{Door, Tenants};
+use crate::{api, list, tenants};
 use async_executor::{LocalExecutor, Task};
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
@@ -64,10 +65,23 @@
     let listener = TcpListener::bind(plan.front.listen)?;
     let address = listener.local_addr()?;
     let listener = Async::new(listener)?;
-    let engine = Engine::new(plan.site.config(&plan.front, incarnation), now);
+    let mut engine = Engine::new(plan.site.config(&plan.front, incarnation), now);
+    let hosted = match &plan.hosting {
+        None => None,
+        Some(hosting) => {
+            let token = std::fs::read_to_string(&hosting.token_file)?;
+            let tenants = Tenants::new(hosting.set_ups_per_s, plan.front.most_sessions);
+            engine.set_door(Box::new(Door(tenants.clone())));
+            Some((tenants, hosting.clone(), token))
+        }
+    };
     let silence = Duration::from_millis(plan.front.silence_ms);
     let hub = Hub::new(ex.clone(), engine, plan.front.number, Limits::default(), silence);
     ex.spawn(list::watch(hub.clone(), plan.front.list)).detach();
+    if let Some((tenants, hosting, token)) = hosted {
+        let _ = hub.tenants.set(tenants.clone());
+        ex.spawn(tenants::follow(hub.clone(), tenants, hosting, token)).detach();
+    }
     let accepts = ex.spawn(accept(hub.clone(), listener, plan.front.most_connections));
     let leave = Duration::from_secs_f64(plan.front.leave_s);
     info!(address = %address, number = plan.front.number, "listening");
--- /dev/null
+++ b/crates/front/src/tenants.rs
@@ -0,0 +1,155 @@
+//! Tenants of a hosted service, as they are rolled out to this front: changes are fetched from the administration
+//! API by number, read whole, and applied between two requests. Cut off, the front goes on with the last it had.
+
+use crate::hub::Hub;
+use async_executor::Task;
+use async_io::Timer;
+use serde::Deserialize;
+use shalewall::Micros;
+use shalewall_engine::{Admission, Admit, Input};
+use shalewall_hosting::model::{State, Tenant, TenantId};
+use shalewall_hosting::share::{Capacity, Cause, Shares, Verdict};
+use shalewall_http::Limits;
+use shalewall_http::client::{Call, in_time};
+use shalewall_http::pool::Pool;
+use shalewall_settings::Hosting;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tracing::{info, warn};
+
+/// A call that finds no news waits for some at the other side for so long.
+const WAIT: Duration = Duration::from_secs(5);
+/// After a call that failed.
+const PAUSE: Duration = Duration::from_millis(300);
+/// Advice before the first news has come.
+const FIRST: Micros = 1_000_000;
+/// All tenants of the service, with a hundred thousand titles or so.
+const NEWS: usize = 64 << 20;
+
+/// What this front knows of its tenants.
+pub struct Tenants {
+    shares: RefCell<Shares>,
+    /// Number of the last change that is applied here, and whether the API could be reached last.
+    pub number: Cell<u64>,
+    pub reached: Cell<bool>,
+    /// Tenants whose time is running out.
+    ending: RefCell<BTreeMap<TenantId, Task<()>>>,
+}
+
+/// The door of the engine.
+pub struct Door(pub Rc<Tenants>);
+
+fn id(tenant: Option<&str>) -> Option<TenantId> {
+    TenantId::try_from(tenant?.to_string()).ok()
+}
+
+impl Admit for Door {
+    fn admit(&mut self, now: Micros, tenant: Option<&str>) -> Admission {
+        if self.0.number.get() == 0 {
+            return Admission::Away { come_back: FIRST }; // nothing is known yet, so nobody is unknown
+        }
+        let Some(tenant) = id(tenant) else { return Admission::Unknown };
+        match self.0.shares.borrow_mut().ask(now, &tenant) {
+            Verdict::Take => Admission::Taken,
+            Verdict::TurnAway { cause: Cause::NoSuchTenant, .. } => Admission::Unknown,
+            Verdict::TurnAway { come_back, .. } => Admission::Away { come_back },
+        }
+    }
+
+    fn over(&mut self, now: Micros, tenant: Option<&str>) {
+        if let Some(tenant) = id(tenant) {
+            self.0.shares.borrow_mut().ended(now, &tenant);
+        }
+    }
+}
+
+#[derive(Deserialize)]
+struct News {
+    number: u64,
+    tenants: Vec<Tenant>,
+}
+
+impl Tenants {
+    pub fn new(set_ups_per_s: f64, sessions: usize) -> Rc<Tenants> {
+        let capacity = Capacity { set_ups_per_s, sessions: sessions as f64 };
+        Rc::new(Tenants {
+            shares: RefCell::new(Shares::new(capacity, shalewall_clock::now())),
+            number: Cell::new(0),
+            reached: Cell::new(false),
+            ending: RefCell::default(),
+        })
+    }
+
+    fn apply(&self, hub: &Rc<Hub>, news: News) {
+        let now = shalewall_clock::now();
+        for tenant in news.tenants {
+            let (id, terms) = (&tenant.id, &tenant.terms);
+            self.ending.borrow_mut().remove(id);
+            match tenant.state {
+                State::Active => {
+                    self.shares.borrow_mut().agree(now, id, true, terms.share, &terms.limits);
+                }
+                State::Suspended => self.shares.borrow_mut().forget(id),
+                State::Deleting { until, .. } => {
+                    self.shares.borrow_mut().forget(id);
+                    let (hub, name) = (hub.clone(), id.to_string());
+                    let task = hub.ex.clone().spawn(async move {
+                        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+                        Timer::after(Duration::from_millis(until).saturating_sub(wall)).await;
+                        info!(tenant = name, "a deleted tenant's time is over: what plays ends");
+                        hub.feed(Input::TenantEnded { tenant: name });
+                    });
+                    self.ending.borrow_mut().insert(id.clone(), task);
+                }
+                State::Gone { .. } => self.shares.borrow_mut().forget(id),
+            }
+        }
+        self.number.set(news.number);
+        info!(number = news.number, "tenants are as of this change");
+    }
+}
+
+/// Keeps this front's tenants up to date.
+pub async fn follow(hub: Rc<Hub>, tenants: Rc<Tenants>, hosting: Hosting, token: String) {
+    let limits = Limits { body: NEWS, ..Limits::default() };
+    let pool = Pool::new(hosting.admin, limits, Duration::from_secs(20), 1);
+    let host = hosting.admin.to_string();
+    let authorization = format!("Bearer {}", token.trim());
+    loop {
+        let target = format!("/changes?after={}&wait_ms={}", tenants.number.get(), WAIT.as_millis());
+        let (method, authorization) = ("GET", Some(authorization.as_str()));
+        let call =
+            Call { method, target: &target, host: &host, authorization, if_match: None, content: None };
+        let answer = in_time(WAIT + Duration::from_secs(2), pool.call(&call)).await;
+        let news = match answer {
+            Some(Ok(answer)) if answer.head.status == 200 => {
+                serde_json::from_slice::<News>(&answer.body).map_err(|e| e.to_string())
+            }
+            Some(Ok(answer)) => Err(format!("status {}", answer.head.status)),
+            Some(Err(e)) => Err(e.to_string()),
+            None => Err("no answer in time".to_string()),
+        };
+        match news {
+            Ok(news) => {
+                if !tenants.reached.replace(true) {
+                    info!("tenants can be followed");
+                }
+                if news.number > tenants.number.get() {
+                    tenants.apply(&hub, news);
+                }
+            }
+            Err(why) => {
+                if tenants.reached.replace(false) {
+                    warn!(
+                        why,
+                        number = tenants.number.get(),
+                        "tenants can't be followed, the last ones stand"
+                    );
+                }
+                Timer::after(PAUSE).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/front/tests/hosting.rs
@@ -0,0 +1,214 @@
+//! A hosted service in processes: the API, and fronts that follow its tenants.
+
+mod scripted;
+use scripted::*;
+use serde_json::{Value, json};
+use shalewall_settings::Hosting;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+/// A process that is ended with its owner.
+struct Process(Child, SocketAddr);
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+fn start(args: &[&str]) -> Process {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_shalewall"));
+    let mut child = command.args(args).stderr(Stdio::piped()).spawn().unwrap();
+    let mut lines = BufReader::new(child.stderr.take().unwrap()).lines().map_while(Result::ok);
+    let address = lines.by_ref().find_map(|line| {
+        let said: Value = serde_json::from_str(&line).unwrap_or_else(|e| panic!("{line}: {e}"));
+        said["fields"]["address"].as_str().map(|a| a.parse().unwrap())
+    });
+    std::thread::spawn(move || lines.for_each(drop));
+    Process(child, address.expect("it listens"))
+}
+
+struct Service {
+    admin: Process,
+    fronts: Vec<Process>,
+    token: String,
+    dir: tempfile::TempDir,
+}
+
+impl Service {
+    fn new(nodes: &[&Node], fronts: u32) -> Service {
+        let dir = tempfile::tempdir().unwrap();
+        let store = dir.path().join("tenants.redb");
+        let shown = Command::new(env!("CARGO_BIN_EXE_shalewall"))
+            .args(["store", "token", store.to_str().unwrap(), "operator"])
+            .output()
+            .unwrap();
+        let token = String::from_utf8(shown.stdout).unwrap().trim().to_string();
+        std::fs::write(dir.path().join("token"), &token).unwrap();
+        let admin = Service::admin(&dir, "127.0.0.1:0");
+        let mut plan = plan(nodes);
+        let token_file = dir.path().join("token");
+        plan.hosting = Some(Hosting { admin: admin.1, token_file, set_ups_per_s: 1000.0 });
+        plan.front.directors = fronts;
+        let fronts = (0..fronts).map(|number| {
+            plan.front.number = number;
+            let file = dir.path().join(format!("front-{number}.hcl"));
+            std::fs::write(&file, hcl::to_string(&plan).unwrap()).unwrap();
+            start(&["serve", "--config", file.to_str().unwrap()])
+        });
+        let fronts = fronts.collect();
+        Service { admin, fronts, token, dir }
+    }
+
+    fn admin(dir: &tempfile::TempDir, listen: &str) -> Process {
+        let file = dir.path().join("admin.hcl");
+        let store: PathBuf = dir.path().join("tenants.redb");
+        let text = format!("admin {{\n  listen = \"{listen}\"\n  store = {store:?}\n}}\n");
+        std::fs::write(&file, text).unwrap();
+        start(&["admin", "--config", file.to_str().unwrap()])
+    }
+
+    fn api(&self, method: &str, target: &str, body: &Value) -> (u16, Value) {
+        let fields = format!(
+            "Authorization: Bearer {}\r\nIf-Match: *\r\nContent-Type: application/merge-patch+json\r\n",
+            self.token
+        );
+        http(self.admin.1, method, target, &fields, body)
+    }
+
+    /// Makes a tenant, or changes it; returns when all fronts have the change, and how long that took.
+    fn rolled_out(&self, method: &str, target: &str, body: &Value) -> Duration {
+        let began = Instant::now();
+        let (status, said) = self.api(method, target, body);
+        assert!((200..300).contains(&status), "{method} {target}: {status} {said}");
+        let number = self.api("GET", "/changes?after=0", &Value::Null).1["number"].as_u64().unwrap();
+        for front in &self.fronts {
+            while http(front.1, "GET", "/state", "", &Value::Null).1["tenants"].as_u64() < Some(number) {
+                assert!(began.elapsed() < Duration::from_secs(10), "it does not reach all fronts");
+                std::thread::sleep(Duration::from_millis(2));
+            }
+        }
+        began.elapsed()
+    }
+
+    fn ask(&self, front: usize, tenant: &str, viewer: &str) -> (u16, Value) {
+        let wanted = json!({ "viewer": viewer, "tenant": tenant, "class": "room", "title": "monday" });
+        http(self.fronts[front].1, "POST", "/sessions", "", &wanted)
+    }
+}
+
+fn http(to: SocketAddr, method: &str, target: &str, fields: &str, body: &Value) -> (u16, Value) {
+    let body = if body.is_null() { String::new() } else { body.to_string() };
+    let mut stream = TcpStream::connect(to).unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+    let head = format!(
+        "{method} {target} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n{fields}Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    stream.write_all(head.as_bytes()).unwrap();
+    let mut said = String::new();
+    stream.read_to_string(&mut said).unwrap();
+    let status = said[9..12].parse().unwrap();
+    let body = said.split_once("\r\n\r\n").map_or("", |(_, b)| b);
+    (status, serde_json::from_str(body).unwrap_or_default())
+}
+
+fn terms(limits: Value) -> Value {
+    json!({ "display_name": "x", "share": 1.0, "limits": limits, "ends_within_s": 1,
+        "classes": { "room": { "paid": false, "aim_ms": 1000, "give_up_ms": 4000, "worth": 1.0 } } })
+}
+
+#[test]
+fn changes_reach_three_fronts_and_a_front_cut_off_goes_on_with_the_last() {
+    let node = Node::start(&[]);
+    let mut service = Service::new(&[&node], 3);
+    assert_eq!(service.ask(0, "a", "v0").0, 503, "nothing is known yet, so nobody is unknown");
+    service.rolled_out("POST", "/tenants", &json!({ "id": "a", "terms": terms(json!({})) }));
+    for front in 0..3 {
+        assert_eq!(service.ask(front, "a", "v1").0, 201);
+        assert_eq!(service.ask(front, "b", "v1").0, 404, "no such tenant");
+    }
+    let mut took: Vec<Duration> = (0..100)
+        .map(|i| service.rolled_out("PATCH", "/tenants/a", &json!({ "display_name": format!("{i}") })))
+        .collect();
+    took.sort();
+    println!("a change at three fronts: p50 {:?}, p99 {:?}", took[50], took[98]);
+    assert!(took[98] < Duration::from_millis(500), "{:?}", took[98]);
+
+    // The API is gone: fronts go on with what they had and say so.
+    let address = service.admin.1.to_string();
+    service.admin.0.kill().unwrap();
+    service.admin.0.wait().unwrap();
+    let until = Instant::now() + Duration::from_secs(5);
+    let followed =
+        |s: &Service| http(s.fronts[1].1, "GET", "/state", "", &Value::Null).1["tenants_followed"].clone();
+    while followed(&service) != json!(false) {
+        assert!(Instant::now() < until, "it is not told that changes are not heard");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    assert_eq!(service.ask(1, "a", "v2").0, 201);
+    // Back, with what it had; the next change is followed again.
+    service.admin = Service::admin(&service.dir, &address);
+    service.rolled_out("POST", "/tenants/a/suspend", &Value::Null);
+    assert_eq!(service.ask(1, "a", "v3").0, 404, "suspended");
+}
+
+#[test]
+fn a_tenant_above_its_limit_is_turned_away_with_honest_advice_and_another_is_not() {
+    let node = Node::start(&[]);
+    let service = Service::new(&[&node], 1);
+    let limit = terms(json!({ "set_ups_per_s": 5.0 }));
+    service.rolled_out("POST", "/tenants", &json!({ "id": "loud", "terms": limit }));
+    service.rolled_out("POST", "/tenants", &json!({ "id": "quiet", "terms": terms(json!({})) }));
+    let mut away = Vec::new();
+    for i in 0..40 {
+        let (status, said) = service.ask(0, "loud", &format!("l{i}"));
+        if status == 503 {
+            away.push(said["come_back_ms"].as_f64().expect("advice"));
+        }
+        assert_eq!(service.ask(0, "quiet", &format!("q{i}")).0, 201, "{i}");
+    }
+    assert!(away.len() > 10, "{away:?}");
+    std::thread::sleep(Duration::from_secs_f64(away.last().unwrap() / 1000.0 + 0.01));
+    assert_eq!(service.ask(0, "loud", "again").0, 201, "the advice holds");
+    // The same viewer asks again for what plays: that is no new set-up, whatever the limit.
+    assert_eq!(service.ask(0, "loud", "again").0, 201);
+}
+
+#[test]
+fn a_deleted_tenants_sessions_end_at_its_limit_and_a_suspended_ones_play_on() {
+    let node = Node::start(&[]);
+    let service = Service::new(&[&node], 1);
+    for id in ["kept", "gone"] {
+        service.rolled_out("POST", "/tenants", &json!({ "id": id, "terms": terms(json!({})) }));
+        assert_eq!(service.ask(0, id, "v").0, 201);
+    }
+    service.rolled_out("POST", "/tenants/kept/suspend", &Value::Null);
+    service.rolled_out("DELETE", "/tenants/gone", &Value::Null);
+    assert_eq!((service.ask(0, "gone", "w").0, service.ask(0, "kept", "w").0), (404, 404), "nothing new");
+    assert_eq!(http(service.fronts[0].1, "GET", "/state", "", &Value::Null).1["playing"], 2);
+    assert_eq!(node.wait_for("DELETE", 1).len(), 1, "the deleted one's ends after its second");
+    std::thread::sleep(Duration::from_millis(300));
+    assert_eq!(node.lines("DELETE").len(), 1);
+    assert_eq!(http(service.fronts[0].1, "GET", "/state", "", &Value::Null).1["playing"], 1);
+}
+
+#[test]
+fn a_paid_set_up_of_a_tenant_suspended_mid_way_has_one_answer_and_is_set_up_once() {
+    let node = Node::start(&[Act::Play(Duration::from_millis(900))]);
+    let service = Service::new(&[&node], 1);
+    service.rolled_out("POST", "/tenants", &json!({ "id": "a", "terms": terms(json!({})) }));
+    let front = service.fronts[0].1;
+    let waits = std::thread::spawn(move || {
+        let wanted = json!({ "viewer": "v", "tenant": "a", "class": "report", "title": "monday" });
+        http(front, "POST", "/sessions", "", &wanted)
+    });
+    node.wait_for("PUT", 1);
+    service.rolled_out("POST", "/tenants/a/suspend", &Value::Null);
+    assert_eq!(waits.join().unwrap().0, 201);
+    assert_eq!(node.lines("PUT").len(), 1);
+}
--- a/crates/front/tests/scripted/mod.rs
+++ b/crates/front/tests/scripted/mod.rs
@@ -211,7 +211,7 @@
         silence_ms: 3000,
         leave_s: 0.0,
     };
-    FrontPlan { front, site }
+    FrontPlan { front, hosting: None, site }
 }
 
 /// Starts a front over these nodes, on a thread of its own, and waits until it knows them.
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -25,12 +25,23 @@
     pub body: Vec<u8>,
 }
 
+impl std::fmt::Display for Failure {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let (Failure::NeverRan(why) | Failure::MayHaveRun(why)) = self;
+        write!(f, "{why}")
+    }
+}
+
 /// What is sent.
 #[derive(Clone, Debug)]
 pub struct Call<'a> {
     pub method: &'a str,
     pub target: &'a str,
     pub host: &'a str,
+    /// Who asks, as `Authorization` has it.
+    pub authorization: Option<&'a str>,
+    /// What a change is meant for, as `If-Match` has it.
+    pub if_match: Option<&'a str>,
     /// Content and its media type.
     pub content: Option<(&'a str, &'a [u8])>,
 }
@@ -38,15 +49,15 @@
 impl Call<'_> {
     fn bytes(&self) -> Vec<u8> {
         let mut out = Vec::with_capacity(256);
-        match self.content {
-            Some((kind, data)) => {
-                let length = data.len().to_string();
-                let fields = [("Host", self.host), ("Content-Type", kind), ("Content-Length", &length)];
-                write_request(&mut out, self.method, self.target, &fields);
-                out.extend_from_slice(data);
-            }
-            None => write_request(&mut out, self.method, self.target, &[("Host", self.host)]),
-        }
+        let length = self.content.map_or(String::new(), |(_, data)| data.len().to_string());
+        let content =
+            self.content.map(|(kind, _)| [("Content-Type", kind), ("Content-Length", length.as_str())]);
+        let named = [("Authorization", self.authorization), ("If-Match", self.if_match)];
+        let named = named.into_iter().map(|(name, value)| Some((name, value?)));
+        let fields = std::iter::once(Some(("Host", self.host))).chain(named);
+        let fields: Vec<_> = fields.flatten().chain(content.into_iter().flatten()).collect();
+        write_request(&mut out, self.method, self.target, &fields);
+        out.extend_from_slice(self.content.map_or(&[], |(_, data)| data));
         out
     }
 }
--- a/crates/measure/src/load.rs
+++ b/crates/measure/src/load.rs
@@ -46,7 +46,14 @@
 async fn set_up(front: &mut Kept, viewer: &str) -> Option<u64> {
     let body = format!("{{\"viewer\":\"{viewer}\",\"class\":\"report\",\"title\":\"t\",\"wait_ms\":4000}}");
     let content = Some(("application/json", body.as_bytes()));
-    let call = Call { method: "POST", target: "/sessions", host: "front", content };
+    let call = Call {
+        method: "POST",
+        target: "/sessions",
+        host: "front",
+        authorization: None,
+        if_match: None,
+        content,
+    };
     let answer = front.call(&call).await.ok()?;
     let said: serde_json::Value = serde_json::from_slice(&answer.body).ok()?;
     (answer.head.status == 201).then(|| said["session"].as_u64())?
@@ -79,7 +86,14 @@
         }
         if let Some(session) = session {
             let target = format!("/sessions/{session}");
-            let end = Call { method: "DELETE", target: &target, host: "front", content: None };
+            let end = Call {
+                method: "DELETE",
+                target: &target,
+                host: "front",
+                authorization: None,
+                if_match: None,
+                content: None,
+            };
             let _ = front.call(&end).await;
         }
         if !front.reusable() {
@@ -123,7 +137,14 @@
             }
             let target = format!("/sessions/{sent}/0");
             let content = Some(("application/json", &body[..]));
-            let call = Call { method: "PUT", target: &target, host: "node", content };
+            let call = Call {
+                method: "PUT",
+                target: &target,
+                host: "node",
+                authorization: None,
+                if_match: None,
+                content,
+            };
             let ok = node.call(&call).await.is_ok();
             outcome.set_ups += u64::from(ok);
             outcome.wrong += u64::from(!ok);
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -9,8 +9,8 @@
 
 pub use day::{Day, DayPlan, Fleet, Load, Machine, Trouble, TroubleKind};
 pub use site::{
-    Class, Costs, Front, FrontPlan, Further, Kind, Layout, Limits, Link, Notes, Rules, Site, Step, Tenant,
-    Title, us,
+    Admin, AdminPlan, Class, Costs, Front, FrontPlan, Further, Hosting, Kind, Layout, Limits, Link, Notes,
+    Rules, Site, Step, Tenant, Title, us,
 };
 
 use garde::Validate;
--- a/crates/settings/src/site.rs
+++ b/crates/settings/src/site.rs
@@ -14,6 +14,9 @@
 pub struct FrontPlan {
     #[garde(dive)]
     pub front: Front,
+    /// Absent: the front is not shared by tenants.
+    #[garde(dive)]
+    pub hosting: Option<Hosting>,
     #[garde(dive)]
     pub site: Site,
 }
@@ -68,6 +71,47 @@
     3_000
 }
 
+/// Where a front of a hosted service has its tenants from.
+#[derive(Clone, Debug, Serialize, Deserialize, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct Hosting {
+    /// The administration API.
+    #[garde(skip)]
+    pub admin: SocketAddr,
+    /// File that holds an operator's token, and nothing else.
+    #[garde(skip)]
+    pub token_file: std::path::PathBuf,
+    /// Set-ups a second that this front can make: what shares are parts of.
+    #[garde(range(min = 1.0, max = 1_000_000.0))]
+    pub set_ups_per_s: f64,
+}
+
+/// The file of `shalewall admin`.
+#[derive(Clone, Debug, Serialize, Deserialize, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct AdminPlan {
+    #[garde(dive)]
+    pub admin: Admin,
+}
+
+/// The administration API of a hosted service.
+#[derive(Clone, Debug, Serialize, Deserialize, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct Admin {
+    /// Where it listens; port 0 takes a free one.
+    #[garde(skip)]
+    pub listen: SocketAddr,
+    /// The store's file; made where there is none.
+    #[garde(skip)]
+    pub store: std::path::PathBuf,
+}
+
+impl Checked for AdminPlan {
+    fn together(&self) -> Vec<(String, String)> {
+        Vec::new()
+    }
+}
+
 /// What all fronts of a site share.
 #[derive(Clone, Debug, Serialize, Deserialize, Validate)]
 #[serde(deny_unknown_fields)]
--- a/crates/standins/src/viewers.rs
+++ b/crates/standins/src/viewers.rs
@@ -213,7 +213,14 @@
         .to_string();
         let host = front.to_string();
         let content = Some(("application/json", body.as_bytes()));
-        let call = Call { method: "POST", target: "/sessions", host: &host, content };
+        let call = Call {
+            method: "POST",
+            target: "/sessions",
+            host: &host,
+            authorization: None,
+            if_match: None,
+            content,
+        };
         let pool = Pool::new(front, Limits::default(), Duration::ZERO, 0);
         let Ok(mut connection) = pool.connect().await else {
             self.count.borrow_mut().unanswered += 1;
@@ -258,7 +265,14 @@
                 let watched = self.watch(viewer, ask, session, media, late).await;
                 if self.roll() < 0.5 {
                     let target = format!("/sessions/{session}");
-                    let end = Call { method: "DELETE", target: &target, host: &host, content: None };
+                    let end = Call {
+                        method: "DELETE",
+                        target: &target,
+                        host: &host,
+                        authorization: None,
+                        if_match: None,
+                        content: None,
+                    };
                     let _ = in_time(Duration::from_secs(2), pool.call(&end)).await;
                 }
                 watched
@@ -356,7 +370,8 @@
     let (host, path) = url.strip_prefix("http://")?.split_once('/')?;
     let target = format!("/{path}");
     let pool = Pool::new(host.parse().ok()?, Limits::default(), Duration::ZERO, 0);
-    let call = Call { method: "GET", target: &target, host, content: None };
+    let call =
+        Call { method: "GET", target: &target, host, authorization: None, if_match: None, content: None };
     let opening = async { pool.connect().await.ok()?.stream(&call).await.ok() };
     let (head, frames) = in_time(Duration::from_secs(5), opening).await??;
     (head.status == 200).then_some(frames)
