Usage by front, and a deleted tenant's id freed when the last front says so

Cause: an id given to another while a front still holds sessions of the first would hand them over. Fronts tell each second what they hold; a deleted tenant is buried when every front heard of within forget_front_s (600 s) has just said that it knows and holds nothing. A front that is silent may serve what it knew, so it holds the id back until it is taken for gone.

--- a/crates/admin/src/api.rs
+++ b/crates/admin/src/api.rs
@@ -7,6 +7,7 @@
 use shalewall_hosting::access::{self, Access, Role, Token};
 use shalewall_hosting::change::{By, Match, Refusal, Wish};
 use shalewall_hosting::model::{State, Tenant, TenantId, Wrong, schema};
+use shalewall_hosting::usage::Fronts;
 use shalewall_http::server::{Reply, Request};
 use shalewall_store::{Error, Store};
 use std::cell::RefCell;
@@ -25,6 +26,7 @@
     pub store: Store,
     /// Calls of this minute by tenant, for their limits: which minute, how many.
     calls: RefCell<BTreeMap<TenantId, (Millis, u32)>>,
+    fronts: RefCell<Fronts>,
 }
 
 /// Who calls, as the history names it.
@@ -115,6 +117,14 @@
     Ok((number(request, "limit", PAGE as u64)? as usize).clamp(1, LONGEST_PAGE))
 }
 
+/// What a front says of itself.
+#[derive(Deserialize)]
+struct Said {
+    front: u32,
+    number: u64,
+    held: BTreeMap<TenantId, u64>,
+}
+
 #[derive(Deserialize)]
 struct New {
     id: String,
@@ -129,8 +139,30 @@
 }
 
 impl Api {
-    pub fn new(store: Store) -> Api {
-        Api { store, calls: RefCell::default() }
+    /// `forget`: a front that is not heard of for so long is taken for gone.
+    pub fn new(store: Store, now: Millis, forget: Millis) -> Api {
+        Api { store, calls: RefCell::default(), fronts: RefCell::new(Fronts::new(now, forget)) }
+    }
+
+    /// Buries deleted tenants of which no front holds a session any more. Returns how many; call it every second
+    /// or so.
+    pub fn bury(&self, now: Millis) -> Result<usize, Error> {
+        let number = self.store.last()?;
+        let (mut after, mut buried) = (None, 0);
+        loop {
+            let page = self.store.list(after.as_ref(), LONGEST_PAGE)?;
+            for t in page.iter().filter(|t| matches!(t.state, State::Deleting { .. })) {
+                if self.fronts.borrow().empty(now, &t.id, number) {
+                    let by = By { who: "service", agrees: true, of: Match::Revisions(vec![t.revision]), now };
+                    self.store.change(&t.id, &Wish::Bury, &by, None)?;
+                    buried += 1;
+                }
+            }
+            match page.last() {
+                Some(last) if page.len() == LONGEST_PAGE => after = Some(last.id.clone()),
+                _ => return Ok(buried),
+            }
+        }
     }
 
     /// Answers a request. `random`: as many fresh bytes as a token needs; `now`: the wall clock.
@@ -220,6 +252,17 @@
                 let next = entries.last().map(|e| e.revision + 1);
                 return Ok(Reply::json(200, json!({ "entries": entries, "next": next }).to_string()));
             }
+            Call::Usage => {
+                let found = self.store.tenant(id).map_err(failed)?.ok_or_else(nothing)?;
+                let rows = self.fronts.borrow().held(now, id);
+                let fronts: Vec<_> = rows
+                    .iter()
+                    .map(|(front, held, age)| json!({ "front": front, "sessions": held, "age_ms": age }))
+                    .collect();
+                let all: u64 = rows.iter().map(|(_, held, _)| held).sum();
+                let usage = json!({ "tenant": found.id, "sessions": all, "fronts": fronts });
+                return Ok(Reply::json(200, usage.to_string()));
+            }
             Call::Replace => Wish::Replace(body(request)?),
             Call::Patch => {
                 let kind = request.head.fields.get("content-type").unwrap_or_default();
@@ -266,6 +309,14 @@
                 let (number, tenants) = self.store.since(number(request, "after", 0)?).map_err(failed)?;
                 json(200, json!({ "number": number, "tenants": tenants }))
             }
+            Call::Report => {
+                let said: Said = serde_json::from_value(body(request)?)
+                    .map_err(|e| problem(422, &format!("front, number and held are needed: {e}")))?;
+                if !self.fronts.borrow_mut().report(now, said.front, said.number, said.held) {
+                    return Err(problem(422, "there are too many fronts"));
+                }
+                Ok(Reply::new(204))
+            }
             Call::Tokens => {
                 let shown =
                     |t: Token| json!({ "id": t.id, "role": t.role, "made": t.made, "revoked": t.revoked });
--- a/crates/admin/src/routes.rs
+++ b/crates/admin/src/routes.rs
@@ -18,6 +18,8 @@
     Suspend,
     Resume,
     History,
+    Usage,
+    Report,
     Changes,
     Tokens,
     NewToken,
@@ -52,7 +54,7 @@
 const TENANT: &str = "/tenants/{}";
 
 /// All calls. Those that change a tenant take `If-Match`: 428 without, 412 where it is stale.
-pub const ROUTES: [Route; 15] = [
+pub const ROUTES: [Route; 17] = [
     route(Call::Openapi, "GET", "/openapi.json", Act::Read, &[200], "This document"),
     route(Call::Schema, "GET", "/schema/terms.json", Act::Read, &[200], "The schema of a tenant's terms"),
     route(Call::List, "GET", "/tenants", Act::Directory, &[200, 400], "Tenants by id, in pages"),
@@ -92,6 +94,8 @@
         &[200, 400],
         "Its changes: who, when, from, to",
     ),
+    route(Call::Usage, "GET", "/tenants/{}/usage", Act::Read, &[200], "Sessions that fronts hold of it"),
+    route(Call::Report, "POST", "/usage", Act::Directory, &[204, 400, 422], "A front tells what it holds"),
     route(Call::Changes, "GET", "/changes", Act::Directory, &[200, 400], "Tenants changed after a number"),
     route(Call::Tokens, "GET", "/tokens", Act::Tokens, &[200], "Tokens, without their secrets"),
     route(Call::NewToken, "POST", "/tokens", Act::Tokens, &[201, 400, 422], "Make a token; shown once"),
@@ -163,6 +167,11 @@
                 json!({ "type": "object", "required": ["id", "terms"],
                 "properties": { "id": { "type": "string" }, "terms": { "$ref": "#/components/schemas/Terms" } } }),
             )),
+            Call::Report => Some((
+                "application/json",
+                json!({ "type": "object",
+                "required": ["front", "number", "held"] }),
+            )),
             Call::NewToken => Some(("application/json", json!({ "type": "object", "required": ["role"] }))),
             _ => None,
         };
--- a/crates/admin/src/serve.rs
+++ b/crates/admin/src/serve.rs
@@ -32,6 +32,21 @@
     let listener = Async::<TcpListener>::bind(listen)?;
     let changed = Rc::new(Event::new());
     let address = listener.get_ref().local_addr()?;
+    let (burying, wake) = (api.clone(), changed.clone());
+    ex.spawn(async move {
+        loop {
+            Timer::after(Duration::from_secs(1)).await;
+            match burying.bury(now()) {
+                Ok(0) => {}
+                Ok(buried) => {
+                    tracing::info!(buried, "deleted tenants are gone, their ids are free");
+                    wake.notify(usize::MAX);
+                }
+                Err(e) => tracing::error!(error = %e, "deleted tenants could not be looked at"),
+            }
+        }
+    })
+    .detach();
     let spawner = ex.clone();
     ex.spawn(async move {
         // A document with a hundred thousand titles is some 6 MB.
@@ -77,7 +92,7 @@
         };
         future::or(news, timer).await;
     };
-    if request.head.method != "GET" {
+    if request.head.method != "GET" && request.head.path() != "/usage" {
         changed.notify(usize::MAX);
     }
     tracing::info!(
--- a/crates/admin/tests/api.rs
+++ b/crates/admin/tests/api.rs
@@ -56,7 +56,7 @@
             store.keep_token(&token).unwrap();
             tokens.push(text);
         }
-        let mut desk = Desk { api: Api::new(store), tokens, now: 60_000_000, _dir: dir };
+        let mut desk = Desk { api: Api::new(store, 0, 600_000), tokens, now: 60_000_000, _dir: dir };
         for name in ["a", "b"] {
             let body = json!({ "id": name, "terms": terms(name) });
             assert_eq!(desk.ask(OPERATOR, "POST", "/tenants", &[], &body.to_string()).status, 201);
@@ -94,6 +94,7 @@
             }
             Call::Create => json!({ "id": format!("n{}", self.now), "terms": terms("n") }).to_string(),
             Call::NewToken => json!({ "role": "reader", "tenant": "a" }).to_string(),
+            Call::Report => json!({ "front": 1, "number": 2, "held": { "a": 3 } }).to_string(),
             _ => String::new(),
         };
         self.ask(who, route.method, &target, &fields, &body)
@@ -115,6 +116,8 @@
         (Call::Suspend, [200, 403, 403], [200, 404, 404]),
         (Call::Resume, [200, 403, 403], [200, 404, 404]),
         (Call::History, [200, 200, 200], [200, 404, 404]),
+        (Call::Usage, [200, 200, 200], [200, 404, 404]),
+        (Call::Report, [204, 403, 403], [204, 403, 403]),
         (Call::Changes, [200, 403, 403], [200, 403, 403]),
         (Call::Tokens, [200, 403, 403], [200, 403, 403]),
         (Call::NewToken, [201, 403, 403], [201, 403, 403]),
@@ -284,6 +287,19 @@
     let body = json!({ "id": "a", "terms": terms("another") }).to_string();
     assert_eq!(desk.ask(OPERATOR, "POST", "/tenants", &[], &body).status, 409);
     assert_eq!(desk.ask(READER, "GET", "/tenants/a", &[], "").status, 200, "while it plays out");
+    // The last front says that it holds nothing, and the id is free: the history goes on under it.
+    let mut report = |held: Value| {
+        let said = json!({ "front": 1, "number": 3, "held": held }).to_string();
+        assert_eq!(desk.ask(OPERATOR, "POST", "/usage", &[], &said).status, 204);
+        desk.api.bury(desk.now).unwrap()
+    };
+    assert_eq!((report(json!({ "a": 1 })), report(json!({}))), (0, 1));
+    assert_eq!(desk.ask(READER, "GET", "/tenants/a", &[], "").status, 404);
+    assert_eq!(desk.ask(OPERATOR, "POST", "/tenants", &[], &body).status, 201);
+    let history = desk.ask(OPERATOR, "GET", "/tenants/a/history", &[], "").body;
+    let what: Vec<_> = history["entries"].as_array().unwrap().iter().map(|e| e["what"].clone()).collect();
+    assert_eq!(what, ["create", "delete", "bury", "create"]);
+    desk.api.store.check().unwrap();
 }
 
 #[test]
--- a/crates/front/src/manage.rs
+++ b/crates/front/src/manage.rs
@@ -93,7 +93,12 @@
 pub fn admin(plan: &AdminPlan) -> Outcome {
     let store = Store::open(&plan.admin.store).map_err(text)?;
     let ex = Rc::new(LocalExecutor::new());
-    let address = start(&ex, plan.admin.listen, Rc::new(Api::new(store))).map_err(text)?;
+    let address = start(
+        &ex,
+        plan.admin.listen,
+        Rc::new(Api::new(store, now(), (plan.admin.forget_front_s * 1000.0) as u64)),
+    )
+    .map_err(text)?;
     tracing::info!(address = %address, what = "administration", "listening");
     async_io::block_on(ex.run(futures_lite::future::pending::<()>()));
     Ok(())
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -80,6 +80,8 @@
     ex.spawn(list::watch(hub.clone(), plan.front.list)).detach();
     if let Some((tenants, hosting, token)) = hosted {
         let _ = hub.tenants.set(tenants.clone());
+        let report = tenants::report(hub.clone(), tenants.clone(), hosting.clone(), token.clone());
+        ex.spawn(report).detach();
         ex.spawn(tenants::follow(hub.clone(), tenants, hosting, token)).detach();
     }
     let accepts = ex.spawn(accept(hub.clone(), listener, plan.front.most_connections));
--- a/crates/front/src/tenants.rs
+++ b/crates/front/src/tenants.rs
@@ -21,6 +21,7 @@
 
 /// A call that finds no news waits for some at the other side for so long.
 const WAIT: Duration = Duration::from_secs(5);
+const REPORT: Duration = Duration::from_secs(1);
 /// After a call that failed.
 const PAUSE: Duration = Duration::from_millis(300);
 /// Advice before the first news has come.
@@ -111,6 +112,28 @@
     }
 }
 
+/// Tells the API each second what this front holds of its tenants.
+pub async fn report(hub: Rc<Hub>, tenants: Rc<Tenants>, hosting: Hosting, token: String) {
+    let pool = Pool::new(hosting.admin, Limits::default(), Duration::from_secs(20), 1);
+    let host = hosting.admin.to_string();
+    let authorization = format!("Bearer {}", token.trim());
+    loop {
+        Timer::after(REPORT).await;
+        let said = {
+            let shares = tenants.shares.borrow();
+            let held: BTreeMap<String, usize> = shares.holding().map(|(id, n)| (id.to_string(), n)).collect();
+            serde_json::json!({ "front": hub.director, "number": tenants.number.get(), "held": held })
+                .to_string()
+        };
+        let content = Some(("application/json", said.as_bytes()));
+        let authorization = Some(authorization.as_str());
+        let (method, target) = ("POST", "/usage");
+        let call = Call { method, target, host: &host, authorization, if_match: None, content };
+        // One that is lost is followed by the next; that the API is away is told by the other call.
+        let _ = in_time(Duration::from_secs(2), pool.call(&call)).await;
+    }
+}
+
 /// Keeps this front's tenants up to date.
 pub async fn follow(hub: Rc<Hub>, tenants: Rc<Tenants>, hosting: Hosting, token: String) {
     let limits = Limits { body: NEWS, ..Limits::default() };
--- a/crates/front/tests/hosting.rs
+++ b/crates/front/tests/hosting.rs
@@ -67,7 +67,8 @@
     fn admin(dir: &tempfile::TempDir, listen: &str) -> Process {
         let file = dir.path().join("admin.hcl");
         let store: PathBuf = dir.path().join("tenants.redb");
-        let text = format!("admin {{\n  listen = \"{listen}\"\n  store = {store:?}\n}}\n");
+        let text =
+            format!("admin {{\n  listen = \"{listen}\"\n  store = {store:?}\n  forget_front_s = 10\n}}\n");
         std::fs::write(&file, text).unwrap();
         start(&["admin", "--config", file.to_str().unwrap()])
     }
@@ -195,6 +196,16 @@
     std::thread::sleep(Duration::from_millis(300));
     assert_eq!(node.lines("DELETE").len(), 1);
     assert_eq!(http(service.fronts[0].1, "GET", "/state", "", &Value::Null).1["playing"], 1);
+    // Its id is free once the front has said so, and no other front can be there that has not.
+    let made = json!({ "id": "gone", "terms": terms(json!({})) });
+    assert_eq!(service.api("POST", "/tenants", &made).0, 409);
+    let usage = service.api("GET", "/tenants/kept/usage", &Value::Null).1;
+    assert_eq!(usage["sessions"], 1);
+    let until = Instant::now() + Duration::from_secs(20);
+    while service.api("POST", "/tenants", &made).0 != 201 {
+        assert!(Instant::now() < until, "the id is never free");
+        std::thread::sleep(Duration::from_millis(200));
+    }
 }
 
 #[test]
--- a/crates/hosting/src/share.rs
+++ b/crates/hosting/src/share.rs
@@ -152,6 +152,11 @@
         self.tenants.get(tenant).map_or(0, |b| b.held)
     }
 
+    /// Tenants that hold sessions, and how many.
+    pub fn holding(&self) -> impl Iterator<Item = (&TenantId, usize)> {
+        self.tenants.iter().filter(|(_, b)| b.held > 0).map(|(id, b)| (id, b.held))
+    }
+
     /// A tenant's part of all sessions held.
     pub fn part(&self, tenant: &TenantId) -> f64 {
         let share = self.tenants.get(tenant).filter(|b| b.takes).map_or(0.0, |b| b.share);
--- a/crates/settings/src/site.rs
+++ b/crates/settings/src/site.rs
@@ -104,6 +104,14 @@
     /// The store's file; made where there is none.
     #[garde(skip)]
     pub store: std::path::PathBuf,
+    /// A front that is not heard of for so long is taken for gone: the id of a deleted tenant is not free before.
+    #[garde(range(min = 10.0, max = 86_400.0))]
+    #[serde(default = "forget_front_s")]
+    pub forget_front_s: f64,
+}
+
+fn forget_front_s() -> f64 {
+    600.0
 }
 
 impl Checked for AdminPlan {
