--- a/crates/measure/src/load.rs
+++ b/crates/measure/src/load.rs
@@ -18,6 +18,8 @@
     pub rate: Option<f64>,
     pub time: Duration,
     pub connections: usize,
+    /// Whose viewers these are, on a front that is shared.
+    pub tenant: Option<&'static str>,
 }
 
 pub struct Outcome {
@@ -43,8 +45,10 @@
 }
 
 /// One set-up; its session, where it plays.
-async fn set_up(front: &mut Kept, viewer: &str) -> Option<u64> {
-    let body = format!("{{\"viewer\":\"{viewer}\",\"class\":\"report\",\"title\":\"t\",\"wait_ms\":4000}}");
+async fn set_up(front: &mut Kept, viewer: &str, tenant: Option<&str>) -> Option<u64> {
+    let tenant = tenant.map_or(String::new(), |t| format!("\"tenant\":\"{t}\","));
+    let body =
+        format!("{{{tenant}\"viewer\":\"{viewer}\",\"class\":\"report\",\"title\":\"t\",\"wait_ms\":4000}}");
     let content = Some(("application/json", body.as_bytes()));
     let call = Call {
         method: "POST",
@@ -75,7 +79,7 @@
         if due.duration_since(began) >= plan.time {
             return;
         }
-        let session = set_up(&mut front, &format!("v{number}-{sent}")).await;
+        let session = set_up(&mut front, &format!("v{number}-{sent}"), plan.tenant).await;
         sent += 1;
         let waited = due.elapsed().as_micros() as u64;
         {
@@ -105,8 +109,8 @@
 
 /// Loads a front.
 pub fn run(plan: &Plan) -> Outcome {
-    let Plan { front, rate, time, connections } = *plan;
-    let plan = Rc::new(Plan { front, rate, time, connections });
+    let Plan { front, rate, time, connections, tenant } = *plan;
+    let plan = Rc::new(Plan { front, rate, time, connections, tenant });
     let ex = LocalExecutor::new();
     let outcome = Rc::new(RefCell::new(Outcome::new()));
     let began = Instant::now() + Duration::from_millis(20);
@@ -166,7 +170,7 @@
                 let Some(mut front) = connect(front).await else { return };
                 loop {
                     let number = next.replace_with(|n| *n + 1);
-                    if number >= to || set_up(&mut front, &format!("held-{number}")).await.is_none() {
+                    if number >= to || set_up(&mut front, &format!("held-{number}"), None).await.is_none() {
                         return;
                     }
                 }
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -4,6 +4,7 @@
 mod hyper_front;
 mod load;
 mod nodes;
+mod tenants;
 
 use clap::{Parser, Subcommand};
 use load::{Outcome, Plan};
@@ -40,6 +41,16 @@
         #[arg(long, default_value_t = 3)]
         rounds: usize,
     },
+    /// Measure what a quiet tenant notices of its neighbours on a shared front.
+    Tenants {
+        #[arg(long)]
+        front: PathBuf,
+        /// Seconds for each figure.
+        #[arg(long, default_value_t = 4)]
+        seconds: u64,
+        #[arg(long, default_value_t = 2)]
+        rounds: usize,
+    },
     /// The front to compare with: the same exchange, a random holder, no decisions.
     HyperFront {
         #[arg(long, value_delimiter = ',')]
@@ -141,7 +152,8 @@
             }
             let measured = |rate: Option<f64>| {
                 let before = front.cpu();
-                let outcome = load::run(&Plan { front: front.address, rate, time, connections: 64 });
+                let outcome =
+                    load::run(&Plan { front: front.address, rate, time, connections: 64, tenant: None });
                 (outcome, front.cpu() - before)
             };
             let (most, cpu) = measured(None);
@@ -174,6 +186,7 @@
 fn main() -> std::io::Result<()> {
     match Cli::parse().command {
         What::Run { front, seconds, held, beside, rounds } => run(&front, seconds, &held, beside, rounds),
+        What::Tenants { front, seconds, rounds } => tenants::run(&front, seconds, rounds),
         What::HyperFront { nodes } => hyper_front::run(nodes),
     }
 }
