--- a/crates/admin/src/api.rs
+++ b/crates/admin/src/api.rs
@@ -326,14 +326,7 @@
             Call::NewToken => {
                 let new: NewToken = serde_json::from_value(body(request)?)
                     .map_err(|e| problem(422, &format!("role and tenant: {e}")))?;
-                let own = new.tenant.map(TenantId::try_from).transpose();
-                let own = own.map_err(|e| problem(422, &format!("tenant {e}")))?;
-                let role = match (new.role.as_str(), own) {
-                    ("operator", None) => Role::Operator,
-                    ("admin", Some(id)) => Role::Admin(id),
-                    ("reader", Some(id)) => Role::Reader(id),
-                    _ => return Err(problem(422, "operator alone, or admin or reader of a tenant")),
-                };
+                let role = Role::named(&new.role, new.tenant).map_err(|e| problem(422, &e))?;
                 let (mut short, mut secret) = ([0; 8], [0; 32]);
                 short.copy_from_slice(&random[..8]);
                 secret.copy_from_slice(&random[8..]);
--- a/crates/front/src/manage.rs
+++ b/crates/front/src/manage.rs
@@ -6,7 +6,6 @@
 use shalewall_admin::api::Api;
 use shalewall_admin::serve::{now, start};
 use shalewall_hosting::access::{Role, Token};
-use shalewall_hosting::model::TenantId;
 use shalewall_http::Limits;
 use shalewall_http::client::{Call, Response, in_time};
 use shalewall_http::pool::Pool;
@@ -128,13 +127,7 @@
             store.import(BufReader::new(std::io::stdin().lock())).map(tell).map_err(text)
         }
         StoreCommand::Token { file, role, tenant } => {
-            let tenant = tenant.map(TenantId::try_from).transpose().map_err(|e| format!("tenant {e}"))?;
-            let role = match (role.as_str(), tenant) {
-                ("operator", None) => Role::Operator,
-                ("admin", Some(id)) => Role::Admin(id),
-                ("reader", Some(id)) => Role::Reader(id),
-                _ => return Err("operator alone, or admin or reader of a tenant".into()),
-            };
+            let role = Role::named(&role, tenant)?;
             let store = Store::open(&file).map_err(text)?;
             let (token, shown) = Token::new(role, rand::rng().random(), rand::rng().random(), now());
             store.keep_token(&token).map_err(text)?;
--- a/crates/hosting/src/access.rs
+++ b/crates/hosting/src/access.rs
@@ -44,6 +44,17 @@
 }
 
 impl Role {
+    /// A role by its name, and whose it is where it is one tenant's.
+    pub fn named(name: &str, tenant: Option<String>) -> Result<Role, String> {
+        let tenant = tenant.map(TenantId::try_from).transpose().map_err(|e| format!("tenant {e}"))?;
+        match (name, tenant) {
+            ("operator", None) => Ok(Role::Operator),
+            ("admin", Some(id)) => Ok(Role::Admin(id)),
+            ("reader", Some(id)) => Ok(Role::Reader(id)),
+            _ => Err("operator alone, or admin or reader of a tenant".to_string()),
+        }
+    }
+
     /// Whether this role may do that to a tenant; none: to the service as a whole.
     pub fn may(&self, act: Act, to: Option<&TenantId>) -> Access {
         let (own, admin) = match self {
