Tenants' own classes, titles, rungs and nodes in force at running fronts

Need: of a tenant's terms only share and limits were in force; its classes, titles, ladder and nodes were kept, checked and rolled out, but fronts used the site's. And a tenant that filled all links with lowest rungs kept the others waiting for ends.

Change: one event, Terms, by which the module hears of classes and tenants while it runs. The engine's catalogue turns names into numbers that mean the same as long as a session holds them: equal terms share one, changed terms get another, so what plays keeps its own and a paid set-up stays paid. Seats go by title, which two classes or tenants do not share. Servers and requests name a fleet. A tenant that holds more than its part of the rates finds all lines 2.5 to 5% lower, makes room for who owes less and not the other way round, and does not answer for another's demand.

--- a/benchlink/src/lib.rs
+++ b/benchlink/src/lib.rs
@@ -395,6 +395,7 @@
         state: node.state,
         weight: node.weight,
         came_up: node.came_up,
+        fleet: 0,
     }
 }
 
@@ -404,7 +405,8 @@
     let class = names.classes.iter().position(|c| c == class).unwrap_or(usize::MAX);
     let tenant = p.opt("Party")?.and_then(|t| names.tenants.iter().position(|n| n == t));
     let viewer = p.hex("Subject")?;
-    let title = TitleId(p.hex("Item")?);
+    // The same item under two classes is two titles.
+    let title = TitleId(p.hex("Item")?.wrapping_add((class as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15)));
     let deadline = p.opt_time("ClientDeadline")?.unwrap_or(FAR);
     let hint = p.opt_time("WorkHint")?;
     let home = p.opt_int("Home")?.unwrap_or(0);
@@ -413,7 +415,7 @@
     let marks = p.opt_int("Marks")?.unwrap_or(0);
     let hint = hint.filter(|_| marks & 1 != 0);
     let again = marks & (8 | 16) != 0;
-    Ok(Request { session, class, tenant, viewer, title, deadline, hint, home, spread, top, again })
+    Ok(Request { session, class, tenant, viewer, title, deadline, hint, home, spread, top, again, fleet: 0 })
 }
 
 fn write_action(name: &str, action: &Action, out: &mut String) {
--- a/benchlink/src/settings.rs
+++ b/benchlink/src/settings.rs
@@ -105,7 +105,8 @@
     let mut tenants = Vec::new();
     for t in list(&v, "Tenants")? {
         names.tenants.push(t.get("Name").and_then(Value::as_str).unwrap_or_default().to_string());
-        tenants.push(TenantTerms { allowance_per_s: num(t, "AllowancePerS")?.unwrap_or(0.0) });
+        let allowance_per_s = num(t, "AllowancePerS")?.unwrap_or(0.0);
+        tenants.push(TenantTerms { allowance_per_s, part: 0.0 });
     }
     let ladder = kbs.iter().enumerate().map(|(i, kb)| Rung { kb: *kb, worth: at(&worths, i, 0.0) }).collect();
     let ration = match (num(&v, "Contract.ExtraPerRequest")?, num(&v, "Contract.MinExtra")?) {
--- a/crates/engine/benches/decisions.rs
+++ b/crates/engine/benches/decisions.rs
@@ -68,6 +68,7 @@
         spread: 5,
         top: 4,
         again: false,
+        fleet: 0,
     }
 }
 
--- a/crates/engine/src/attempts.rs
+++ b/crates/engine/src/attempts.rs
@@ -15,7 +15,7 @@
         let kind = CallKind::SetUp {
             session,
             attempt,
-            class: self.config.classes[s.request.class].0.clone(),
+            class: s.class.clone(),
             title: s.title.clone(),
             rung: s.rung,
             kb: self.config.settings.rate(s.request.class, s.rung),
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -1,5 +1,6 @@
 //! The session table, and the way from inputs to the director and from its actions to outputs.
 
+use crate::catalogue::Catalogue;
 use crate::io::*;
 use crate::nodes::Nodes;
 use crate::timers::Timers;
@@ -69,6 +70,7 @@
     pub(crate) request: Request,
     pub(crate) title: String,
     pub(crate) tenant: Option<String>,
+    pub(crate) class: String,
     pub(crate) stage: Stage,
     /// Attempts sent; the last one's number is one less.
     pub(crate) attempts: u32,
@@ -153,6 +155,7 @@
 /// One front's sessions.
 pub struct Engine {
     pub(crate) config: Config,
+    pub(crate) catalogue: Catalogue,
     pub(crate) director: Box<dyn Decide>,
     pub(crate) door: Box<dyn Admit>,
     pub(crate) now: Micros,
@@ -186,6 +189,7 @@
         Engine {
             director,
             door: Box::new(Everyone(config.tenants.clone())),
+            catalogue: Catalogue::new(&config),
             config,
             now,
             sessions: BTreeMap::new(),
@@ -218,6 +222,7 @@
             Input::Done { call, done } => self.on_done(call, done),
             Input::NodeUp { server, asked, held } => self.on_node_up(server, asked, &held),
             Input::NodeTold { server, told } => self.on_told(server, told),
+            Input::Tenants(news) => self.on_tenants(news),
             Input::TenantEnded { tenant } => self.on_tenant_ended(&tenant),
             Input::NodeDown { server } => self.lose_sessions(server, Micros::MAX, &[]),
         }
--- a/crates/engine/src/io.rs
+++ b/crates/engine/src/io.rs
@@ -1,6 +1,8 @@
 //! Inputs and outputs. No logic lives here.
 
-use shalewall::{ListNews, Load, Micros, Outcome, ServerId, SessionId, Standing};
+use crate::engine::Place;
+use shalewall::{ClassTerms, ListNews, Load, Micros, Outcome, ServerId, SessionId, Standing};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 /// A viewer's request that waits for its answer, as the driver numbers them.
@@ -30,6 +32,19 @@
     pub again: bool,
 }
 
+/// What is agreed with a tenant that the settings do not name.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Agreed {
+    /// Its share of what all share, over the sum of all shares; none: it takes nothing new.
+    pub share: Option<f64>,
+    /// Its classes with how long their viewers wait at most; without any it has the site's.
+    pub classes: BTreeMap<String, (ClassTerms, Micros)>,
+    /// Its titles; without any it has the site's.
+    pub titles: BTreeMap<String, Place>,
+    /// Nodes of its own, which take nothing of others; without any it has those that all share.
+    pub nodes: Vec<ServerId>,
+}
+
 /// One line of the list of servers.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Line {
@@ -106,6 +121,8 @@
         server: ServerId,
         told: Told,
     },
+    /// What is agreed with these tenants from now on; nothing: it is gone. All of it or none, between two requests.
+    Tenants(Vec<(String, Option<Agreed>)>),
     /// A tenant's time is over: what plays of it ends now.
     TenantEnded {
         tenant: String,
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -11,6 +11,7 @@
 //! that the rules need: never ran, or may have run.
 
 mod attempts;
+mod catalogue;
 mod engine;
 mod io;
 mod nodes;
--- a/crates/engine/src/nodes.rs
+++ b/crates/engine/src/nodes.rs
@@ -9,6 +9,8 @@
 #[derive(Default)]
 pub(crate) struct Nodes {
     addresses: BTreeMap<ServerId, SocketAddr>,
+    /// The list as the director last heard it.
+    lines: BTreeMap<ServerId, Listed>,
 }
 
 /// What a piece of news changed.
@@ -23,6 +25,31 @@
         self.addresses.get(&server).copied()
     }
 
+    /// Keeps what the director is told of the list.
+    pub fn told(&mut self, news: ListNews, lines: &[Listed]) {
+        if matches!(news, ListNews::Full | ListNews::Cached) {
+            self.lines.clear();
+        }
+        for line in lines {
+            match line.state {
+                Standing::Gone => drop(self.lines.remove(&line.server)),
+                _ => drop(self.lines.insert(line.server, *line)),
+            }
+        }
+    }
+
+    /// Servers are of other fleets now: the lines that say so.
+    pub fn move_to(&mut self, servers: &[ServerId], fleet: impl Fn(ServerId) -> u32) -> Vec<Listed> {
+        let mut changed = Vec::new();
+        for server in servers {
+            if let Some(line) = self.lines.get_mut(server) {
+                line.fleet = fleet(*server);
+                changed.push(*line);
+            }
+        }
+        changed
+    }
+
     pub fn list(&mut self, news: ListNews, lines: &[Line]) -> Change {
         let mut change = Change::default();
         let whole = matches!(news, ListNews::Full | ListNews::Cached);
@@ -51,7 +78,7 @@
 }
 
 /// A line in the director's words: names become indices.
-pub(crate) fn listed(line: &Line, config: &Config) -> Listed {
+pub(crate) fn listed(line: &Line, config: &Config, fleet: u32) -> Listed {
     Listed {
         server: line.server,
         zone: config.zones.iter().position(|z| *z == line.zone),
@@ -60,5 +87,6 @@
         state: line.standing,
         weight: line.weight,
         came_up: line.came_up,
+        fleet,
     }
 }
--- a/crates/engine/src/playing.rs
+++ b/crates/engine/src/playing.rs
@@ -47,7 +47,9 @@
     pub(crate) fn on_list(&mut self, news: shalewall::ListNews, lines: Vec<Line>) {
         let change = self.nodes.list(news, &lines);
         // The director first: nothing that follows may send to a node that has just been listed as gone.
-        let lines = lines.iter().map(|l| crate::nodes::listed(l, &self.config)).collect();
+        let listed = |l: &Line| crate::nodes::listed(l, &self.config, self.catalogue.fleet(l.server));
+        let lines: Vec<_> = lines.iter().map(listed).collect();
+        self.nodes.told(news, &lines);
         self.pending.push_back(Event::List { news, lines });
         self.settle();
         for (server, address) in change.new {
--- a/crates/engine/src/viewers.rs
+++ b/crates/engine/src/viewers.rs
@@ -1,21 +1,16 @@
 //! Viewers: asked, asked again, left, ended, answered.
 
+use crate::catalogue::{Found, Missing};
 use crate::engine::{Admission, Engine, Session, Stage};
 use crate::io::*;
-use shalewall::{Event, Outcome, Request, SessionId, TitleId};
+use shalewall::{Event, ListNews, Outcome, Request, SessionId};
 use xxhash_rust::xxh3::xxh3_64;
 
 impl Engine {
     pub(crate) fn on_asked(&mut self, ask: AskId, new: NewSession) {
-        let mut say = |answer| self.outputs.push_back(Output::Answer { ask, answer });
-        let class = self.config.classes.iter().position(|(name, _)| *name == new.class);
-        let Some(class) = class else { return say(Answer::Unknown("class")) };
-        let Some(place) = self.config.titles.get(&new.title).copied() else {
-            return say(Answer::Unknown("title"));
-        };
         let key = xxh3_64(format!("{}\n{}", new.tenant.as_deref().unwrap_or(""), new.viewer).as_bytes());
         if let Some(session) = self.by_key.get(&key).copied() {
-            if let Some(answer) = self.join(session, ask, class, &new) {
+            if let Some(answer) = self.join(session, ask, &new) {
                 return self.outputs.push_back(Output::Answer { ask, answer });
             }
             if self.by_ask.contains_key(&ask) {
@@ -29,33 +24,44 @@
             let answer = Answer::Refused { session: None, come_back };
             return self.outputs.push_back(Output::Answer { ask, answer });
         }
-        match self.door.admit(self.now, new.tenant.as_deref()) {
-            Admission::Taken => {}
-            Admission::Away { come_back } => {
+        let unknown = |what| Output::Answer { ask, answer: Answer::Unknown(what) };
+        let found = match self.catalogue.find(new.tenant.as_deref(), &new.class, &new.title) {
+            // Of tenants the door may know better: before the first news of them nobody is unknown.
+            Err(Missing::Tenant) => None,
+            Err(Missing::Class) => return self.outputs.push_back(unknown("class")),
+            Err(Missing::Title) => return self.outputs.push_back(unknown("title")),
+            Ok(found) => Some(found),
+        };
+        match (self.door.admit(self.now, new.tenant.as_deref()), found) {
+            (Admission::Taken, Some(_)) => {}
+            (Admission::Away { come_back }, _) => {
                 let answer = Answer::Refused { session: None, come_back: Some(come_back) };
                 return self.outputs.push_back(Output::Answer { ask, answer });
             }
-            Admission::Unknown => {
-                return self.outputs.push_back(Output::Answer { ask, answer: Answer::Unknown("tenant") });
+            (Admission::Taken, None) => {
+                self.door.over(self.now, new.tenant.as_deref());
+                return self.outputs.push_back(unknown("tenant"));
             }
+            (Admission::Unknown, _) => return self.outputs.push_back(unknown("tenant")),
         }
-        let tenant = new.tenant.as_ref().and_then(|name| self.config.tenants.iter().position(|t| t == name));
+        let Some(Found { class, give_up, title, place, tenant, fleet }) = found else { return };
+        self.catalogue.hold(class, tenant);
         let session = SessionId(self.next_session);
         self.next_session += 1;
-        let give_up = self.config.classes[class].1;
         let wait = new.wait.unwrap_or(give_up).clamp(0, give_up);
         let request = Request {
             session,
             class,
             tenant,
             viewer: key,
-            title: TitleId(xxh3_64(new.title.as_bytes())),
+            title,
             deadline: self.now + wait,
             hint: new.hint,
             home: place.home,
             spread: place.spread,
             top: new.top.unwrap_or(usize::MAX),
             again: new.again,
+            fleet,
         };
         self.by_key.insert(key, session);
         self.by_ask.insert(ask, session);
@@ -66,6 +72,7 @@
                 request,
                 title: new.title,
                 tenant: new.tenant,
+                class: new.class,
                 stage: Stage::Deciding,
                 attempts: 0,
                 rung: 0,
@@ -79,15 +86,9 @@
 
     /// The same key again: the answer at once where it plays, a place among those who wait for it where it is
     /// under way. None without a place: it is over for the viewer.
-    pub(crate) fn join(
-        &mut self,
-        session: SessionId,
-        ask: AskId,
-        class: usize,
-        new: &NewSession,
-    ) -> Option<Answer> {
+    pub(crate) fn join(&mut self, session: SessionId, ask: AskId, new: &NewSession) -> Option<Answer> {
         let s = self.sessions.get_mut(&session)?;
-        let same = s.request.class == class && s.title == new.title;
+        let same = s.class == new.class && s.title == new.title;
         match &s.stage {
             Stage::Plays { .. } if new.again => None,
             Stage::Plays { .. } | Stage::Deciding | Stage::SettingUp { .. } if !same => {
@@ -166,10 +167,24 @@
     pub(crate) fn forget(&mut self, session: SessionId) {
         if let Some(s) = self.sessions.remove(&session) {
             self.unkey(s.key, session);
+            self.catalogue.release(s.request.class, s.request.tenant);
             self.door.over(self.now, s.tenant.as_deref());
         }
     }
 
+    /// Tenants are agreed on anew. The module hears of it before the next request.
+    pub(crate) fn on_tenants(&mut self, news: Vec<(String, Option<Agreed>)>) {
+        news.into_iter().for_each(|(name, agreed)| self.catalogue.agree(&name, agreed));
+        let (classes, tenants) = (self.catalogue.classes(), self.catalogue.tenants());
+        self.config.settings.classes.clone_from(&classes);
+        self.pending.push_back(Event::Terms { classes, tenants });
+        let moved = self.catalogue.lay_out();
+        let lines = self.nodes.move_to(&moved, |server| self.catalogue.fleet(server));
+        if !lines.is_empty() {
+            self.pending.push_back(Event::List { news: ListNews::Delta, lines });
+        }
+    }
+
     /// What plays of a tenant ends; what waits has its answer as usual.
     pub(crate) fn on_tenant_ended(&mut self, tenant: &str) {
         let of = |s: &Session| s.tenant.as_deref() == Some(tenant) && matches!(s.stage, Stage::Plays { .. });
--- a/crates/front/src/day/import.rs
+++ b/crates/front/src/day/import.rs
@@ -167,7 +167,7 @@
     };
     let mut tenant = BTreeMap::new();
     for t in day.at("tenants").list()? {
-        tenant.insert(t.at("name").text()?, Tenant { allowance_per_s: t.at("quota").number()? });
+        tenant.insert(t.at("name").text()?, Tenant { allowance_per_s: t.at("quota").number()?, share: 0.0 });
     }
     let copies = fam.at("copies").number()?;
     let titles = (fam.at("titles").number()? as u64).clamp(1, 10_000);
--- a/crates/front/src/tenants.rs
+++ b/crates/front/src/tenants.rs
@@ -5,9 +5,9 @@
 use async_executor::Task;
 use async_io::Timer;
 use serde::Deserialize;
-use shalewall::Micros;
-use shalewall_engine::{Admission, Admit, Input};
-use shalewall_hosting::model::{State, Tenant, TenantId};
+use shalewall::{ClassTerms, Effect, Micros, ServerId};
+use shalewall_engine::{Admission, Admit, Agreed, Input, Place};
+use shalewall_hosting::model::{Class, Fleet, State, Tenant, TenantId};
 use shalewall_hosting::share::{Capacity, Cause, Shares, Verdict};
 use shalewall_http::Limits;
 use shalewall_http::client::{Call, in_time};
@@ -72,6 +72,36 @@
     tenants: Vec<Tenant>,
 }
 
+/// What a tenant's terms are to the engine; nothing once it is gone.
+fn agreed(tenant: &Tenant) -> Option<Agreed> {
+    let ms = |ms: u32| Micros::from(ms) * 1000;
+    let class = |c: &Class| ClassTerms {
+        effect: if c.paid { Effect::Paid } else { Effect::Harmless },
+        aim: ms(c.aim_ms),
+        worth: c.worth,
+        scale: 1.0,
+        floor: c.floor as usize,
+        top: c.top.map_or(usize::MAX, |top| top as usize),
+        seats: c.seats,
+        live: false,
+    };
+    let terms = &tenant.terms;
+    let classes = terms.classes.iter();
+    (!matches!(tenant.state, State::Gone { .. })).then(|| Agreed {
+        share: tenant.state.takes().then_some(terms.share),
+        classes: classes.map(|(name, c)| (name.clone(), (class(c), ms(c.give_up_ms)))).collect(),
+        titles: terms
+            .titles
+            .iter()
+            .map(|(name, t)| (name.clone(), Place { home: t.home, spread: t.spread }))
+            .collect(),
+        nodes: match &terms.fleet {
+            Fleet::Pool => Vec::new(),
+            Fleet::Own(nodes) => nodes.iter().map(|n| ServerId(*n)).collect(),
+        },
+    })
+}
+
 impl Tenants {
     pub fn new(set_ups_per_s: f64, sessions: usize) -> Rc<Tenants> {
         let capacity = Capacity { set_ups_per_s, sessions: sessions as f64 };
@@ -83,8 +113,10 @@
         })
     }
 
+    /// Door and engine hear of all of it in one turn: no request is decided in between.
     fn apply(&self, hub: &Rc<Hub>, news: News) {
         let now = shalewall_clock::now();
+        hub.feed(Input::Tenants(news.tenants.iter().map(|t| (t.id.to_string(), agreed(t))).collect()));
         for tenant in news.tenants {
             let (id, terms) = (&tenant.id, &tenant.terms);
             self.ending.borrow_mut().remove(id);
--- a/crates/front/tests/hosting.rs
+++ b/crates/front/tests/hosting.rs
@@ -120,8 +120,9 @@
 }
 
 fn terms(limits: Value) -> Value {
+    let class = |paid| json!({ "paid": paid, "aim_ms": 1000, "give_up_ms": 4000, "worth": 1.0 });
     json!({ "display_name": "x", "share": 1.0, "limits": limits, "ends_within_s": 1,
-        "classes": { "room": { "paid": false, "aim_ms": 1000, "give_up_ms": 4000, "worth": 1.0 } } })
+        "classes": { "room": class(false), "report": class(true) } })
 }
 
 #[test]
@@ -209,6 +210,68 @@
     }
 }
 
+#[test]
+fn classes_titles_and_rungs_are_each_tenants_own_and_held_sessions_keep_theirs() {
+    let nodes = [Node::start(&[]), Node::start(&[])];
+    let service = Service::new(&[&nodes[0], &nodes[1]], 1);
+    let class = |floor, top| json!({ "paid": false, "aim_ms": 1000, "give_up_ms": 4000, "worth": 1.0, "floor": floor, "top": top });
+    let made = |id: &str, class: &Value, home: u64| {
+        let terms = json!({ "display_name": id, "share": 1.0, "classes": { "playroom": class },
+            "titles": { "garden": { "home": home, "spread": 1 } } });
+        service.rolled_out("POST", "/tenants", &json!({ "id": id, "terms": terms }));
+    };
+    made("low", &class(0, 0), 0);
+    made("high", &class(1, 1), 1);
+    let ask = |tenant: &str, viewer: &str, class: &str, title: &str| {
+        let wanted = json!({ "viewer": viewer, "tenant": tenant, "class": class, "title": title });
+        http(service.fronts[0].1, "POST", "/sessions", "", &wanted)
+    };
+    // The same names mean each tenant's own: where they lie, and the rungs.
+    for (tenant, rung, node) in [("low", 0, 0), ("high", 1, 1)] {
+        let (status, said) = ask(tenant, "v", "playroom", "garden");
+        assert_eq!((status, &said["rung"]), (201, &json!(rung)), "{tenant}: {said}");
+        assert_eq!(nodes[node].wait_for("PUT", 1).len(), 1, "{tenant}");
+    }
+    // What the site or another tenant calls its own is not there for one that has its own.
+    assert_eq!(ask("low", "w", "room", "garden").0, 404);
+    assert_eq!(ask("low", "w", "playroom", "monday").0, 404);
+    // The ladder changes while a session plays on the old rung: it plays on, and the next has the new one.
+    let change = json!({ "classes": { "playroom": { "floor": 1, "top": 1 } } });
+    service.rolled_out("PATCH", "/tenants/low", &change);
+    let (status, said) = ask("low", "v", "playroom", "garden");
+    assert_eq!((status, &said["rung"]), (201, &json!(0)), "the viewer's session as it was: {said}");
+    assert_eq!(ask("low", "w", "playroom", "garden").1["rung"], 1);
+    // Its title is taken away while it is watched: nothing new of it, and the viewer's own is still there.
+    let change = json!({ "titles": { "garden": null, "street": { "home": 0, "spread": 2 } } });
+    service.rolled_out("PATCH", "/tenants/low", &change);
+    assert_eq!(ask("low", "x", "playroom", "garden").0, 404);
+    assert_eq!(ask("low", "v", "playroom", "garden").0, 201);
+    assert_eq!(ask("low", "x", "playroom", "street").0, 201);
+}
+
+#[test]
+fn nodes_of_a_tenants_own_take_its_sessions_alone() {
+    let nodes = [Node::start(&[]), Node::start(&[])];
+    let service = Service::new(&[&nodes[0], &nodes[1]], 1);
+    service.rolled_out("POST", "/tenants", &json!({ "id": "pool", "terms": terms(json!({})) }));
+    let mut own = terms(json!({}));
+    own["fleet"] = json!({ "own": [1] });
+    service.rolled_out("POST", "/tenants", &json!({ "id": "own", "terms": own }));
+    for i in 0..12 {
+        for tenant in ["pool", "own"] {
+            assert_eq!(service.ask(0, tenant, &format!("v{i}")).0, 201, "{tenant} {i}");
+        }
+    }
+    assert_eq!([nodes[0].lines("PUT").len(), nodes[1].lines("PUT").len()], [12, 12]);
+    // The nodes go back to the pool while its sessions play there.
+    service.rolled_out("PATCH", "/tenants/own", &json!({ "fleet": "pool" }));
+    for i in 0..40 {
+        assert_eq!(service.ask(0, "pool", &format!("w{i}")).0, 201);
+    }
+    assert!(nodes[1].lines("PUT").len() > 12, "the pool has it back");
+    assert_eq!(nodes[1].lines("DELETE").len(), 0);
+}
+
 #[test]
 fn a_paid_set_up_of_a_tenant_suspended_mid_way_has_one_answer_and_is_set_up_once() {
     let node = Node::start(&[Act::Play(Duration::from_millis(900))]);
--- a/crates/lab/src/plain.rs
+++ b/crates/lab/src/plain.rs
@@ -167,6 +167,7 @@
                     actions.push(Action::Fail { session: out.req.session });
                 }
             }
+            Event::Terms { classes, tenants } => (self.set.classes, self.set.tenants) = (classes, tenants),
             Event::Carried(..) | Event::Withdrawn(_) | Event::Probed { .. } | Event::Peer { .. } => {}
         }
     }
--- a/crates/settings/src/site.rs
+++ b/crates/settings/src/site.rs
@@ -219,6 +219,10 @@
     #[garde(range(min = 0.0, max = 1e9))]
     #[serde(default)]
     pub allowance_per_s: f64,
+    /// Its share of the fleet, over the sum of all tenants' shares; 0: it has none, and finds what others leave.
+    #[garde(range(min = 0.0, max = 1e6))]
+    #[serde(default)]
+    pub share: f64,
 }
 
 /// Cells that titles are laid out over, and racks, which share uplinks: a cell's rack is its number modulo
@@ -398,6 +402,11 @@
             seats: c.seats,
             live: c.live,
         };
+        let shares: f64 = self.tenant.values().map(|t| t.share).sum();
+        let tenant = |t: &Tenant| TenantTerms {
+            allowance_per_s: t.allowance_per_s,
+            part: if shares > 0.0 { t.share / shares } else { 0.0 },
+        };
         let further =
             |f: &Further| FurtherAttempts { free: f.free, per_request: f.per_request, span: us(f.span_ms) };
         Settings {
@@ -405,11 +414,7 @@
             directors: front.directors,
             zone: front.zone.as_ref().and_then(|z| self.zones.iter().position(|n| n == z)),
             classes: self.class.values().map(class).collect(),
-            tenants: self
-                .tenant
-                .values()
-                .map(|t| TenantTerms { allowance_per_s: t.allowance_per_s })
-                .collect(),
+            tenants: self.tenant.values().map(tenant).collect(),
             ladder: self.ladder.iter().map(|r| Rung { kb: r.kb, worth: r.worth }).collect(),
             cells: self.layout.cells,
             racks: self.layout.racks,
--- a/src/control.rs
+++ b/src/control.rs
@@ -11,6 +11,7 @@
 
 mod hash;
 mod held;
+mod views;
 
 // ---- constants -------------------------------------------------------------------------------
 
@@ -36,6 +37,7 @@
 const ANSWER_WEIGHT: f64 = 0.4; // weight of a report in an answer, noisy, of unknown age, against the belief
 const NOTE_WEIGHT: f64 = 0.8; // weight of a note on fullness: later, but without noise
 const PRIOR: f64 = 2.0; // what is presumed of the fleet weighs as much as so many reports or sessions
+const PRIOR_LEAST: f64 = 0.02; // and what is less of it for each class is left out
 const PRIOR_RATE: f64 = 0.5; // own sessions that the ladder's middle weighs as: a few own rates tell more
 const ECHO: f64 = 4.0; // an own set-up not yet reported stands for so many of others at most: weak evidence
 const ANSWER_AGE: Micros = 500_000; // age of the figures in an answer: refresh and delay
@@ -43,6 +45,7 @@
 const GROWTH_SPAN: Micros = 3_000_000; // reports lag by about so much
 const TICK: Micros = 200_000; // often enough to follow the notes
 const STALL: Micros = 300_000; // a tick this much late was held up here: a batch takes a few milliseconds
+const OWED_ROOM: f64 = 0.05; // part of a link closed to a tenant that owes all; half of it to one that owes
 const CAUTION: f64 = 0.7; // spreads over the mean for the unheard, but not for the lowest rung
 const NEWS_WORTH: f64 = 0.03; // what fresh readings save of a session's worth: dearer probes are not sent
 const PROBES: usize = 2; // holders probed for one request at most
@@ -57,36 +60,6 @@
 const LIST_RETRY: Micros = 2_000_000; // a failed call for the list is repeated after this
 const TICK_TOKEN: u64 = u64::MAX; // the tick's timer; tokens of requests are session ids, below 2^52
 
-// ---- settings views --------------------------------------------------------------------------
-
-impl Settings {
-    /// Rate of a rung for a class, kB a second: what an account counts, and what a node is told to send.
-    pub fn rate(&self, class: usize, rung: usize) -> f64 {
-        let scale = self.classes.get(class).map_or(1.0, |c| c.scale);
-        let kb = self.ladder.get(rung).map_or(0.0, |r| r.kb) * scale;
-        if kb.is_finite() { kb.max(0.0) } else { 0.0 }
-    }
-
-    fn sharers(&self) -> f64 {
-        f64::from(self.directors.max(1))
-    }
-
-    /// Rack of a cell; none where racks have no uplinks.
-    fn rack(&self, cell: u64) -> Option<u64> {
-        cell.checked_rem(self.racks)
-    }
-
-    /// Highest rung that viewer and class allow; none without a ladder.
-    fn top(&self, req: &Request) -> Option<usize> {
-        let class = self.classes.get(req.class)?;
-        Some(req.top.min(class.top).min(self.ladder.len().checked_sub(1)?))
-    }
-
-    fn places(&self, kind: Option<usize>) -> f64 {
-        kind.and_then(|k| self.places_by_kind.get(k)).copied().filter(|p| *p > 0.0).unwrap_or(0.0)
-    }
-}
-
 // ---- request state machine -------------------------------------------------------------------
 
 /// A request without an attempt. Sending and answering consume it, so neither can happen twice.
@@ -331,6 +304,7 @@
                 }
                 self.on_probed(server);
             }
+            Event::Terms { classes, tenants } => (self.set.classes, self.set.tenants) = (classes, tenants),
             Event::Peer { .. } => {}
         }
         self.keep_list();
@@ -612,7 +586,7 @@
             return None;
         }
         self.holders(ask).into_iter().find_map(|s| {
-            self.rung_at(s, ask.req.class, class.floor, top, 0.0).map(|rung| (s.listed.server, rung))
+            self.rung_at(s, &ask.req, class.floor, top, 0.0).map(|rung| (s.listed.server, rung))
         })
     }
 
@@ -630,21 +604,38 @@
 
     /// D(C0): the asked rung under the mark, else the highest under the full line, else none. `held` is the
     /// rate that the session has there already.
-    fn rung_at(&self, s: &Server, class: usize, floor: usize, asked: usize, held: f64) -> Option<usize> {
-        let rate = |rung| self.set.rate(class, rung) - held;
-        if self.fits(s, rate(asked), MARK * self.answer(class, asked), CAUTION) {
+    fn rung_at(&self, s: &Server, req: &Request, floor: usize, asked: usize, held: f64) -> Option<usize> {
+        let rate = |rung| self.set.rate(req.class, rung) - held;
+        let line = 1.0 - OWED_ROOM * self.owes(req.tenant);
+        if self.fits(s, rate(asked), line * MARK * self.answer(req, asked), CAUTION) {
             return Some(asked);
         }
         let mut lower = (floor + 1..asked).rev();
-        let found = lower.find(|r| self.fits(s, rate(*r), FULL_LINE * self.answer(class, *r), CAUTION));
-        found.or_else(|| self.fits(s, rate(floor), FULL_LINE, 0.0).then_some(floor))
+        let found = lower.find(|r| self.fits(s, rate(*r), line * FULL_LINE * self.answer(req, *r), CAUTION));
+        found.or_else(|| self.fits(s, rate(floor), line * FULL_LINE, 0.0).then_some(floor))
+    }
+
+    /// A tenant's part of the rates held here, and the part of the fleet that is its own; none where none is
+    /// told. The others are taken to hold theirs alike.
+    fn parts(&self, tenant: Option<usize>) -> Option<(f64, f64)> {
+        let part = self.set.tenants.get(tenant?).map(|t| t.part).filter(|p| *p > 0.0)?;
+        let held = self.held.by_tenant.get(&tenant?).unwrap_or(&0.0);
+        Some((held / self.held.tenants_kb.max(f64::MIN_POSITIVE), part))
+    }
+
+    /// Exception: where tenants have parts of the fleet, one that holds more than its own finds all lines
+    /// lower, the more so the more it owes. What is above is for those who owe less as soon as they come.
+    fn owes(&self, tenant: Option<usize>) -> f64 {
+        self.parts(tenant).filter(|(held, part)| held > part).map_or(0.0, |(h, p)| (1.0 + h - p) / 2.0)
     }
 
     /// The mark answers demand (the paper's choice of C0), on each rung of the ladder: a rung at which
-    /// the viewers seen would overfill the fleet is given only while the link is that much emptier.
-    fn answer(&self, class: usize, rung: usize) -> f64 {
-        let (_, overfill) = self.overfill.get(&(class, rung)).copied().unwrap_or_default();
-        1.0 / overfill.max(1.0)
+    /// the viewers seen would overfill the fleet is given only while the link is that much emptier. One
+    /// tenant's demand is not another's: who holds less than its part answers for what it holds of it.
+    fn answer(&self, req: &Request, rung: usize) -> f64 {
+        let (_, overfill) = self.overfill.get(&(req.class, rung)).copied().unwrap_or_default();
+        let own = self.parts(req.tenant).map_or(1.0, |(held, part)| (held / part).min(1.0));
+        1.0 / (overfill * own).max(1.0)
     }
 
     /// Whether all viewers could have a rung where it is so much fuller than the mean: or that part of them.
@@ -709,13 +700,18 @@
             return;
         }
         let held = self.held.live.len() as f64;
-        let growth = self.growth(held + self.turned.len() as f64);
-        let classes = self.set.classes.len() as f64;
+        let mut seen = self.growth(held + self.turned.len() as f64);
+        let own = self.held.by_class.iter().map(|(class, n)| (*class, *n as f64));
+        let turned = self.turned.values().map(|(_, class)| (*class, 1.0));
+        own.chain(turned).for_each(|(class, n)| *seen.entry(class).or_default() += n);
+        let prior = PRIOR / self.set.classes.len().max(1) as f64;
+        // Of few classes each may be asked for next; of thousands that a front hosts those seen are weighed.
+        if prior > PRIOR_LEAST {
+            (0..self.set.classes.len()).for_each(|class| *seen.entry(class).or_default() += prior);
+        }
         let mut steps = Vec::new();
-        for (c, class) in self.set.classes.iter().enumerate() {
-            let turned = self.turned.values().filter(|(_, k)| *k == c).count();
-            let own = self.held.by_class.get(&c).copied().unwrap_or(0);
-            let seen = (own + turned) as f64 + growth.get(&c).unwrap_or(&0.0) + PRIOR / classes;
+        for (c, seen) in seen {
+            let Some(class) = self.set.classes.get(c) else { continue };
             let wanting = seen / (held + PRIOR) * self.fleet.sessions;
             let mut density = f64::INFINITY;
             for rung in class.floor..=class.top {
@@ -779,7 +775,7 @@
 
     fn holds(&self, s: &Server, req: &Request) -> bool {
         let (cell, cells) = (s.listed.cell, self.set.cells);
-        if cell >= cells {
+        if cell >= cells || s.listed.fleet != req.fleet {
             return false;
         }
         let home = req.home % cells;
@@ -878,10 +874,11 @@
         let Some(class) = self.set.classes.get(ask.req.class).filter(may) else { return false };
         let kb = self.set.rate(ask.req.class, class.floor);
         let worth = self.set.ladder.get(class.floor).map_or(0.0, |r| r.worth);
-        let gain = class.worth * worth * self.left(&ask.req, 0);
+        let (gain, owes) = (class.worth * worth * self.left(&ask.req, 0), self.owes(ask.req.tenant));
         let mut looked = BTreeSet::new();
         let found = self.holders(ask).into_iter().filter(|s| !s.short && s.fails == 0).find_map(|s| {
-            let lacks = |a: &Account, share: f64| (share + a.part(kb) - FULL_LINE) * a.kb;
+            let line = FULL_LINE * (1.0 - OWED_ROOM * owes);
+            let lacks = |a: &Account, share: f64| (share + a.part(kb) - line) * a.kb;
             let link = lacks(&s.link, self.link_share(s));
             let uplink = self.uplink_of(s).map_or(0.0, |u| lacks(u, self.uplink_share(s)));
             let rack = self.set.rack(s.listed.cell).filter(|_| link <= 0.0);
@@ -899,7 +896,9 @@
             let (need, mut freed, mut lost, mut taken) = (link.max(uplink), 0.0, 0.0, Vec::new());
             for (_, group, rung, frees, loses) in self.cheapest(&at, down) {
                 let due = self.held.due[&group].iter().take_while(|(due, _)| *due <= self.now);
-                for t in due.filter_map(|(_, id)| self.held.live.get(id)) {
+                // Who owes less makes no room for who owes more.
+                let due = due.filter_map(|(_, id)| self.held.live.get(id));
+                for t in due.filter(|t| self.owes(t.ask.req.tenant) >= owes) {
                     if freed >= need {
                         break;
                     }
@@ -954,7 +953,7 @@
                 let Some(t) = self.held.live.get(id).filter(|t| told >= t.sent) else { continue };
                 let part = draw(id.0);
                 let Some(top) = (held + 1..=top).rev().find(|r| common(r, part)) else { continue };
-                let found = self.rung_at(s, *class, terms.floor, top, kb);
+                let found = self.rung_at(s, &t.ask.req, terms.floor, top, kb);
                 let Some(rung) = found.filter(|r| r > held) else { continue };
                 let more = self.set.ladder[rung].worth - self.set.ladder[*held].worth;
                 let left = t.ask.req.hint.map_or(f64::INFINITY, |h| (h - (self.now - t.sent)) as f64 / 1e6);
@@ -975,7 +974,7 @@
     /// Seats, attempts and the ration of further attempts allow another send.
     fn may_send(&self, ask: &Ask) -> bool {
         let seats = self.set.classes.get(ask.req.class).map_or(0, |c| c.seats);
-        let held = self.held.by_title.get(&(ask.req.title, ask.req.class)).copied().unwrap_or(0);
+        let held = self.held.by_title.get(&ask.req.title).copied().unwrap_or(0);
         let seated = seats > 0 && held >= seats as usize;
         let used_up = seated || ask.attempts >= self.set.limits.max_attempts.max(1);
         if used_up || self.now >= ask.req.deadline - self.set.limits.step {
@@ -1026,10 +1025,7 @@
 
     fn on_list(&mut self, news: ListNews, lines: Vec<Listed>) {
         match news {
-            ListNews::Failed => {
-                self.subscribed = false;
-                return;
-            }
+            ListNews::Failed => return self.subscribed = false,
             ListNews::Delta => self.subscribed = true,
             ListNews::Full => {
                 self.subscribed = self.asked_list.is_some();
--- a/src/control/counts.rs
+++ b/src/control/counts.rs
@@ -32,7 +32,7 @@
         let Some(top) = (t.rung + 1..=top).rev().find(|r| d.common(class, *r, part, fuller)) else {
             continue;
         };
-        let Some(rung) = d.rung_at(s, class, terms.floor, top, t.kb).filter(|r| *r > t.rung) else {
+        let Some(rung) = d.rung_at(s, req, terms.floor, top, t.kb).filter(|r| *r > t.rung) else {
             continue;
         };
         let left = req.hint.map_or(f64::INFINITY, |h| (h - (d.now - t.sent)) as f64 / 1e6);
@@ -48,11 +48,18 @@
     for class in 0..3 {
         let count = live().filter(|l| l.ask.req.class == class).count();
         assert_eq!(d.held.by_class.get(&class).copied().unwrap_or(0), count);
-        for title in (0..6).map(TitleId) {
-            let count = live().filter(|l| (l.ask.req.title, l.ask.req.class) == (title, class)).count();
-            assert_eq!(d.held.by_title.get(&(title, class)).copied().unwrap_or(0), count);
-        }
     }
+    for title in (0..6).map(TitleId) {
+        let count = live().filter(|l| l.ask.req.title == title).count();
+        assert_eq!(d.held.by_title.get(&title).copied().unwrap_or(0), count);
+    }
+    let of = |tenant| live().filter(move |l| l.ask.req.tenant == Some(tenant)).map(|l| l.kb);
+    for tenant in 0..3 {
+        let kb = d.held.by_tenant.get(&tenant).copied().unwrap_or(0.0);
+        assert!((kb - of(tenant).sum::<f64>()).abs() < 1e-6);
+        assert_eq!(d.held.by_tenant.contains_key(&tenant), of(tenant).count() > 0);
+    }
+    assert!((d.held.tenants_kb - (0..3).flat_map(of).sum::<f64>()).abs() < 1e-6);
     for ago in [0, S, 2 * S, 3 * S, 10 * S] {
         let than = d.now - ago;
         assert_eq!(later(&d.held.sent, than), live().filter(|l| l.sent > than).count());
@@ -79,7 +86,7 @@
     Request {
         session: SessionId(id),
         class: dice.roll(2) as usize,
-        tenant: None,
+        tenant: Some(dice.roll(4) as usize).filter(|t| *t < 3),
         viewer: dice.roll(80),
         title: TitleId(dice.roll(6)),
         deadline: now + 4 * S,
@@ -88,6 +95,7 @@
         spread: 3,
         top: dice.roll(6) as usize,
         again: false,
+        fleet: 0,
     }
 }
 
@@ -96,7 +104,9 @@
     let mut settled = 0;
     for seed in 1..=8u64 {
         let mut dice = Dice(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15));
-        let (mut d, mut out, mut now) = (Director::new(seed, settings(), 0), Vec::new(), 0);
+        let tenants = [0.2, 0.8, 0.0].map(|part| TenantTerms { part, ..TenantTerms::default() }).to_vec();
+        let set = Settings { tenants, ..settings() };
+        let (mut d, mut out, mut now) = (Director::new(seed, set, 0), Vec::new(), 0);
         let lines = (1..=6).map(|id| listed(id, Standing::Ready)).collect();
         d.handle(now, Event::List { news: ListNews::Full, lines }, &mut out);
         for id in 0..40 {
--- a/src/control/held.rs
+++ b/src/control/held.rs
@@ -17,7 +17,9 @@
 pub(super) struct Held {
     pub live: BTreeMap<SessionId, Live>,
     pub by_class: BTreeMap<usize, usize>,
-    pub by_title: BTreeMap<(TitleId, usize), usize>,
+    pub by_title: BTreeMap<TitleId, usize>,
+    pub by_tenant: BTreeMap<usize, f64>, // rates held, kB a second; and their sum
+    pub tenants_kb: f64,
     pub sent: ByTime,
     pub at: BTreeMap<ServerId, ByTime>,
     pub out: BTreeMap<ServerId, usize>, // those that do not play: sent and not over
@@ -66,7 +68,20 @@
         }
         let (req, server) = (&live.ask.req, live.server);
         tally(&mut self.by_class, req.class, enter);
-        tally(&mut self.by_title, (req.title, req.class), enter);
+        tally(&mut self.by_title, req.title, enter);
+        if let Some(tenant) = req.tenant {
+            let change = if enter { live.kb } else { -live.kb };
+            let kb = self.by_tenant.entry(tenant).or_default();
+            *kb += change;
+            self.tenants_kb += change;
+            // What is left of sums once all is gone is far below any rate.
+            if *kb < 1e-6 {
+                self.by_tenant.remove(&tenant);
+            }
+            if self.by_tenant.is_empty() {
+                self.tenants_kb = 0.0;
+            }
+        }
         let sent = (live.sent, req.session);
         let _ = if enter { self.sent.insert(sent) } else { self.sent.remove(&sent) };
         file(&mut self.at, server, sent, enter);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -12,7 +12,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct SessionId(pub u64);
 
-/// What viewers ask for: a film, a feed, a walkthrough.
+/// What viewers ask for: a film, a feed, a walkthrough. The same title under two classes, or of two tenants, is two.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TitleId(pub u64);
 
@@ -111,6 +111,8 @@
 pub struct TenantTerms {
     /// Requests a second, over all directors, within its share. 0: no limit told.
     pub allowance_per_s: f64,
+    /// Part of the fleet that is its own when all want theirs, from 0 to 1. 0: not told.
+    pub part: f64,
 }
 
 /// Figures of the rules.
@@ -168,6 +170,8 @@
     pub weight: f64,
     /// Time of its last start; absent: long past.
     pub came_up: Option<Micros>,
+    /// It takes requests of this fleet alone. 0: the one that all share.
+    pub fleet: u32,
 }
 
 /// What the list says of a server.
@@ -214,6 +218,8 @@
     pub top: usize,
     /// Known to be a repeat of an earlier try.
     pub again: bool,
+    /// The fleet that it is for.
+    pub fleet: u32,
 }
 
 /// Load figures that came with an answer; each may be missing.
@@ -304,6 +310,12 @@
         outcome: Outcome,
         load: Load,
     },
+    /// Classes and tenants as they are from now on, in place of those of the settings. An index means the same
+    /// as long as a request or session that names it is under way.
+    Terms {
+        classes: Vec<ClassTerms>,
+        tenants: Vec<TenantTerms>,
+    },
     /// A message of another director.
     Peer {
         from: u32,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,13 +27,14 @@
 //! director.handle(0, Event::List { news: ListNews::Full, lines: vec![Listed {
 //!     server: box_1, zone: None, kind: None, cell: 0, state: Standing::Ready, weight: 1.0,
 //!     came_up: None,
+//!     fleet: 0,
 //! }] }, &mut out);
 //!
 //! out.clear();
 //! let session = SessionId(42);
 //! director.handle(second, Event::Asked(Request {
 //!     session, class: 0, tenant: None, viewer: 5, title: TitleId(9), deadline: 4 * second,
-//!     hint: None, home: 0, spread: 1, top: 1, again: false,
+//!     hint: None, home: 0, spread: 1, top: 1, again: false, fleet: 0,
 //! }), &mut out);
 //! assert!(out.contains(&Action::SetRung { session, rung: 1 }));
 //! assert!(out.iter().any(|a| matches!(a, Action::Send { server, .. } if *server == box_1)));
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -57,6 +57,7 @@
         state: Standing::Ready,
         weight: 1.0,
         came_up: None,
+        fleet: 0,
     }
 }
 
@@ -73,6 +74,7 @@
         spread: 4,
         top: 4,
         again: false,
+        fleet: 0,
     }
 }
 
