--- a/crates/audit/src/judge.rs
+++ b/crates/audit/src/judge.rs
@@ -43,8 +43,13 @@
     pub rule: Rule,
     pub t: i64,
     pub what: String,
+    /// Whose session or request it was, where it is one's.
+    pub tenant: Option<String>,
 }
 
+/// How near each rule came to its limit, 1 is at it, and on how many things it was tested.
+pub type Tested = BTreeMap<&'static str, (f64, u64)>;
+
 /// What a recording shows.
 #[derive(Clone, Debug, Default)]
 pub struct Verdict {
@@ -53,6 +58,10 @@
     pub nearest: BTreeMap<&'static str, f64>,
     /// How many things each rule was tested on. A rule tested on nothing was not shown to hold.
     pub tested: BTreeMap<&'static str, u64>,
+    /// The same for each tenant's requests and sessions.
+    pub tenants: BTreeMap<String, Tested>,
+    /// Whose the record in hand is.
+    of: Option<String>,
 }
 
 impl Verdict {
@@ -64,10 +73,28 @@
         *self.tested.entry(rule.name()).or_default() += 1;
         let nearest = self.nearest.entry(rule.name()).or_default();
         *nearest = nearest.max(part);
+        if let Some(tenant) = &self.of {
+            let tested = self.tenants.entry(tenant.clone()).or_default();
+            let (nearest, count) = tested.entry(rule.name()).or_default();
+            (*nearest, *count) = (nearest.max(part), *count + 1);
+        }
     }
 
     fn broken(&mut self, rule: Rule, t: i64, what: String) {
-        self.findings.push(Finding { rule, t, what });
+        self.findings.push(Finding { rule, t, what, tenant: self.of.clone() });
+    }
+
+    /// One tenant's rules, a word for each.
+    fn of_tenant(&self, tenant: &str, tested: &Tested) -> String {
+        let word = |rule: Rule| {
+            let own = |f: &&Finding| f.rule == rule && f.tenant.as_deref() == Some(tenant);
+            match (self.findings.iter().filter(own).count(), tested.get(rule.name())) {
+                (0, None) => format!("{} not tested", rule.name()),
+                (0, Some((_, n))) => format!("{} kept ({n})", rule.name()),
+                (n, _) => format!("{} BROKEN {n} times", rule.name()),
+            }
+        };
+        Rule::ALL.map(word).join(", ")
     }
 }
 
@@ -84,6 +111,9 @@
             };
             writeln!(f, "{:<26} {word:<16} tested {tested:>6}, nearest to its limit {nearest}", rule.name())?;
         }
+        for (tenant, tested) in &self.tenants {
+            writeln!(f, "tenant {tenant}: {}", self.of_tenant(tenant, tested))?;
+        }
         for finding in self.findings.iter().take(20) {
             writeln!(f, "  at {:.3} s: {}: {}", finding.t as f64 / 1e6, finding.rule.name(), finding.what)?;
         }
@@ -95,6 +125,7 @@
 struct Attempt {
     node: u64,
     director: u32,
+    tenant: Option<String>,
     class: String,
     title: String,
     /// Until then it is out; and until then the session holds its seat.
@@ -103,6 +134,9 @@
     ran: Option<Ran>,
 }
 
+/// What seats are counted by: director, tenant where classes are its own, class, title.
+type Seat = (u32, Option<String>, String, String);
+
 struct Judge<'r> {
     rules: &'r Rules,
     verdict: Verdict,
@@ -121,7 +155,7 @@
     cold: BTreeMap<u64, Vec<(i64, bool)>>,
     taken: BTreeMap<u32, Vec<i64>>,
     further: BTreeMap<u32, Vec<i64>>,
-    held: BTreeMap<(u32, String, String), BTreeSet<(u64, u32)>>,
+    held: BTreeMap<Seat, BTreeSet<(u64, u32)>>,
 }
 
 /// Judges a recording; `records` in order of time.
@@ -166,6 +200,7 @@
     }
 
     fn take(&mut self, record: &Record) {
+        self.verdict.of = None;
         match record {
             Record::NodeUp { t, node, places, warm } => {
                 self.ups.insert(*node, (*t, *places, *warm));
@@ -203,7 +238,8 @@
                     }
                 }
             }
-            Record::SetUp { t, node, director, session, attempt, class, title, rung } => {
+            Record::SetUp { t, node, director, session, attempt, tenant, class, title, rung } => {
+                self.verdict.of.clone_from(tenant);
                 self.set_up(*t, *node, *director, (*session, *attempt), class, title, *rung);
             }
             Record::SetUpDone { t, session, attempt, ran, .. } => {
@@ -232,6 +268,7 @@
                 let found = own.into_iter().find(|(_, a)| a.over.is_none());
                 let Some((_, a)) = found else { return };
                 let class = a.class.clone();
+                self.verdict.of.clone_from(&a.tenant);
                 self.floor(*t, *session, &class, *rung);
             }
             Record::Over { t, session, attempt, .. } => self.release((*session, *attempt), *t),
@@ -253,14 +290,14 @@
                 self.told_off.retain(|(d, _), _| d != director);
                 self.taken.remove(director);
                 self.further.remove(director);
-                self.held.retain(|(d, _, _), _| d != director);
+                self.held.retain(|(d, ..), _| d != director);
             }
             _ => {}
         }
     }
 
     fn floor(&mut self, t: i64, session: u64, class: &str, rung: usize) {
-        let Some(terms) = self.rules.classes.get(class) else { return };
+        let Some(terms) = self.rules.class(self.verdict.of.as_deref(), class) else { return };
         if terms.floor == 0 {
             return;
         }
@@ -274,7 +311,8 @@
     fn release(&mut self, id: (u64, u32), t: i64) {
         let Some(a) = self.attempts.get_mut(&id) else { return };
         a.over.get_or_insert(t);
-        let key = (a.director, a.class.clone(), a.title.clone());
+        let owner = self.rules.owner(a.tenant.as_ref());
+        let key = (a.director, owner, a.class.clone(), a.title.clone());
         if let Some(held) = self.held.get_mut(&key) {
             held.remove(&id);
         }
@@ -293,7 +331,8 @@
     ) {
         let (session, attempt) = id;
         let transit = self.rules.transit;
-        let terms = self.rules.classes.get(class).cloned();
+        let tenant = self.verdict.of.clone();
+        let terms = self.rules.class(tenant.as_deref(), class).cloned();
         self.floor(t, session, class, rung);
 
         // Once.
@@ -339,7 +378,7 @@
         self.cold_pace(t, node, director);
 
         // Seats.
-        let key = (director, class.to_string(), title.to_string());
+        let key = (director, self.rules.owner(tenant.as_ref()), class.to_string(), title.to_string());
         let held = self.held.entry(key).or_default();
         held.insert(id);
         let (count, seats) = (held.len() as u32, terms.map_or(0, |c| c.seats));
@@ -371,7 +410,8 @@
             }
         }
         let (class, title) = (class.to_string(), title.to_string());
-        self.attempts.insert(id, Attempt { node, director, class, title, out: None, over: None, ran: None });
+        let (out, over, ran) = (None, None, None);
+        self.attempts.insert(id, Attempt { node, director, tenant, class, title, out, over, ran });
     }
 
     /// What is sent within any span stays under multiple x present capacity x span, with a little slack for
@@ -404,30 +444,31 @@
 
     /// A refusal says that coming back is harmless: of a paid session no attempt may have run.
     fn refused(&mut self, t: i64, session: u64, class: &str) {
-        if !self.rules.classes.get(class).is_none_or(|c| c.paid) {
+        if !self.rules.class(self.verdict.of.as_deref(), class).is_none_or(|c| c.paid) {
             return;
         }
         for attempt in self.sessions.get(&session).into_iter().flatten() {
             let ran = self.attempts.get(&(session, *attempt)).map(|a| a.ran);
             if ran != Some(Some(Ran::TurnedAway)) {
                 let what = format!("paid session {session} refused after attempt {attempt}: {ran:?}");
-                self.verdict.findings.push(Finding { rule: Rule::Once, t, what });
+                self.verdict.broken(Rule::Once, t, what);
             }
         }
     }
 
     /// Each request has one answer in time, unless its director was killed first.
     fn answers(&mut self, records: &[Record]) {
-        let mut asked: BTreeMap<u64, (i64, u32, i64, String)> = BTreeMap::new();
+        let mut asked: BTreeMap<u64, (i64, u32, i64, String, Option<String>)> = BTreeMap::new();
         let mut ended: BTreeMap<u64, u32> = BTreeMap::new();
         let last = records.last().map_or(0, Record::time);
         for record in records {
             match record {
-                Record::Asked { t, director, ask, wait, class, .. } => {
-                    asked.insert(*ask, (*t, *director, *wait, class.clone()));
+                Record::Asked { t, director, ask, wait, class, tenant, .. } => {
+                    asked.insert(*ask, (*t, *director, *wait, class.clone(), tenant.clone()));
                 }
                 Record::Answered { t, ask, status, session } => {
-                    let Some((from, director, wait, class)) = asked.get(ask) else { continue };
+                    let Some((from, director, wait, class, tenant)) = asked.get(ask) else { continue };
+                    self.verdict.of.clone_from(tenant);
                     if *status == 503
                         && let Some(session) = session
                     {
@@ -448,7 +489,8 @@
                     }
                 }
                 Record::Unanswered { t, ask } => {
-                    let Some((from, director, wait, _)) = asked.get(ask) else { continue };
+                    let Some((from, director, wait, _, tenant)) = asked.get(ask) else { continue };
+                    self.verdict.of.clone_from(tenant);
                     *ended.entry(*ask).or_default() += 1;
                     let slack = wait + self.rules.answer_slack + self.rules.transit;
                     let kills = self.kills.get(director).into_iter().flatten();
@@ -463,7 +505,8 @@
                 _ => {}
             }
         }
-        for (ask, (from, director, wait, _)) in &asked {
+        for (ask, (from, director, wait, _, tenant)) in &asked {
+            self.verdict.of.clone_from(tenant);
             // A recording that stops while a request is under way says nothing of it.
             if !ended.contains_key(ask) && from + wait + self.rules.answer_slack + self.rules.transit < last {
                 let what = format!("request {ask} to director {director} is still open");
--- a/crates/audit/src/record.rs
+++ b/crates/audit/src/record.rs
@@ -45,6 +45,8 @@
         director: u32,
         session: u64,
         attempt: u32,
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        tenant: Option<String>,
         class: String,
         title: String,
         rung: usize,
@@ -97,6 +99,8 @@
         director: u32,
         ask: u64,
         key: String,
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        tenant: Option<String>,
         class: String,
         title: String,
         wait: i64,
@@ -163,6 +167,9 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Rules {
     pub classes: BTreeMap<String, ClassRule>,
+    /// Classes of tenants that have their own.
+    #[serde(default)]
+    pub tenants: BTreeMap<String, BTreeMap<String, ClassRule>>,
     pub drain_within: i64,
     pub answer_slack: i64,
     pub warm_after: i64,
@@ -174,6 +181,19 @@
     pub transit: i64,
 }
 
+impl Rules {
+    /// What holds for a class as a tenant's viewers name it.
+    pub fn class(&self, tenant: Option<&str>, class: &str) -> Option<&ClassRule> {
+        let own = tenant.and_then(|t| self.tenants.get(t));
+        own.unwrap_or(&self.classes).get(class)
+    }
+
+    /// The tenant, where its classes are its own: its sessions have no seats in common with others'.
+    pub fn owner(&self, tenant: Option<&String>) -> Option<String> {
+        tenant.filter(|t| self.tenants.contains_key(*t)).cloned()
+    }
+}
+
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ClassRule {
     pub paid: bool,
--- a/crates/audit/tests/convicts.rs
+++ b/crates/audit/tests/convicts.rs
@@ -12,6 +12,10 @@
             ("open".to_string(), class(false, 0, 0)),
             ("paid".to_string(), class(true, 1, 2)),
         ]),
+        tenants: BTreeMap::from([(
+            "own".to_string(),
+            BTreeMap::from([("open".to_string(), class(true, 0, 1))]),
+        )]),
         drain_within: S / 4,
         answer_slack: S / 20,
         warm_after: 10 * S,
@@ -24,8 +28,12 @@
 }
 
 fn set_up(t: i64, session: u64, attempt: u32, class: &str) -> Record {
-    let (class, title) = (class.to_string(), "t".to_string());
-    Record::SetUp { t, node: 1, director: 0, session, attempt, class, title, rung: 1 }
+    set_up_of(t, session, attempt, class, None)
+}
+
+fn set_up_of(t: i64, session: u64, attempt: u32, class: &str, tenant: Option<&str>) -> Record {
+    let (class, title, tenant) = (class.to_string(), "t".to_string(), tenant.map(str::to_string));
+    Record::SetUp { t, node: 1, director: 0, session, attempt, tenant, class, title, rung: 1 }
 }
 
 fn done(t: i64, session: u64, attempt: u32, ran: Ran) -> Record {
@@ -34,7 +42,7 @@
 
 fn asked(t: i64, ask: u64, class: &str) -> Record {
     let (key, class, title) = (format!("v{ask}"), class.to_string(), "t".to_string());
-    Record::Asked { t, director: 0, ask, key, class, title, wait: 2 * S }
+    Record::Asked { t, director: 0, ask, key, tenant: None, class, title, wait: 2 * S }
 }
 
 fn answered(t: i64, ask: u64, status: u16, session: u64) -> Record {
@@ -169,3 +177,27 @@
     std::fs::remove_dir_all(&dir).unwrap();
     assert!(error.contains("a.jsonl:2"), "{error}");
 }
+
+#[test]
+fn a_tenants_own_classes_are_its_rules_and_its_findings_its_own() {
+    // Its "open" is paid and has one seat; the site's is neither.
+    let others =
+        || vec![set_up(0, 1, 0, "open"), set_up(1, 2, 0, "open"), set_up_of(2, 3, 0, "open", Some("other"))];
+    breaks([others(), vec![set_up_of(3, 4, 0, "open", Some("own"))]].concat(), None);
+    let mut two =
+        [others(), vec![set_up_of(3, 4, 0, "open", Some("own")), set_up_of(4, 5, 0, "open", Some("own"))]]
+            .concat();
+    breaks(two.clone(), Some(Rule::Terms));
+    two.sort_by_key(Record::time);
+    let verdict = judge(&two, &rules());
+    assert_eq!(verdict.findings[0].tenant.as_deref(), Some("own"));
+    let said = verdict.to_string();
+    assert!(said.contains("tenant own: ") && said.contains("floors and seats kept BROKEN 1 times"), "{said}");
+    assert_eq!(verdict.tenants["other"][Rule::Once.name()].1, 1);
+    let again = vec![
+        set_up_of(0, 4, 0, "open", Some("own")),
+        done(1, 4, 0, Ran::Given),
+        set_up_of(2, 4, 1, "open", Some("own")),
+    ];
+    breaks(again, Some(Rule::Once));
+}
--- a/crates/engine/src/attempts.rs
+++ b/crates/engine/src/attempts.rs
@@ -15,6 +15,7 @@
         let kind = CallKind::SetUp {
             session,
             attempt,
+            tenant: s.tenant.clone(),
             class: s.class.clone(),
             title: s.title.clone(),
             rung: s.rung,
--- a/crates/engine/src/io.rs
+++ b/crates/engine/src/io.rs
@@ -162,6 +162,7 @@
     SetUp {
         session: SessionId,
         attempt: u32,
+        tenant: Option<String>,
         class: String,
         title: String,
         rung: usize,
--- a/crates/front/src/day.rs
+++ b/crates/front/src/day.rs
@@ -3,6 +3,7 @@
 
 mod directors;
 mod import;
+mod service;
 mod summary;
 mod troubles;
 
@@ -16,6 +17,7 @@
 use shalewall_standins::nodes::{Nodes, Telling};
 use shalewall_standins::recorder::Recorder;
 use shalewall_standins::viewers::Viewers;
+use std::collections::BTreeMap;
 use std::io;
 use std::path::Path;
 use std::rc::Rc;
@@ -44,8 +46,11 @@
         per_request: f.per_request,
         span: us(f.span_ms),
     };
+    let classes: BTreeMap<_, _> = plan.site.class.iter().map(|(n, c)| (n.clone(), class(c))).collect();
+    let hosted = plan.site.tenant.keys().filter(|_| plan.hosted.is_some());
     Rules {
-        classes: plan.site.class.iter().map(|(name, c)| (name.clone(), class(c))).collect(),
+        tenants: hosted.map(|name| (name.clone(), classes.clone())).collect(),
+        classes,
         drain_within: us(r.drain_within_ms),
         answer_slack: us(r.answer_slack_ms),
         warm_after: us(r.warm_after_ms),
@@ -101,7 +106,8 @@
         line(&nodes, id, "ready").into_iter().for_each(|l| list.tell(l));
     }
     let crowd = shalewall_lab::plan::crowd(plan);
-    let viewers = Viewers::new(ex.clone(), recorder.clone(), crowd, plan.day.seed ^ 2);
+    let arrivals = shalewall_lab::plan::arrivals(plan);
+    let viewers = Viewers::new(ex.clone(), recorder.clone(), crowd, arrivals, plan.day.seed ^ 3);
     Ok(World { ex: ex.clone(), nodes, list, list_address, viewers, recorder })
 }
 
@@ -131,7 +137,8 @@
     let ex = Rc::new(LocalExecutor::new());
     let count = async_io::block_on(ex.run(async {
         let world = Rc::new(world(&ex, plan, recorder.clone())?);
-        let directors = Rc::new(Directors::new(plan, program, out, &world));
+        let hosting = plan.hosted.as_ref().map(|hosted| service::host(&ex, plan, hosted, out)).transpose()?;
+        let directors = Rc::new(Directors::new(plan, program, out, &world, hosting));
         for number in 0..plan.day.directors {
             directors.start(number).await?;
         }
@@ -148,7 +155,7 @@
         let mut over = None;
         loop {
             Timer::after(Duration::from_secs(1)).await;
-            let count = world.viewers.count.borrow().clone();
+            let count = world.viewers.count.borrow().tallies.all.clone();
             progress(&format!(
                 "{:>4.0} s  {} asked, {} play now, {} refused, {} failed, {} without an answer",
                 began.elapsed().as_secs_f64(),
--- a/crates/front/src/day/directors.rs
+++ b/crates/front/src/day/directors.rs
@@ -3,7 +3,7 @@
 use crate::day::World;
 use rustix::process::{Pid, Signal, kill_process};
 use shalewall_audit::Record;
-use shalewall_settings::{DayPlan, Front, FrontPlan};
+use shalewall_settings::{DayPlan, Front, FrontPlan, Hosting};
 use shalewall_standins::recorder::Recorder;
 use shalewall_standins::viewers::Viewers;
 use std::cell::RefCell;
@@ -27,7 +27,17 @@
 const STARTS_WITHIN: Duration = Duration::from_secs(10);
 
 impl Directors {
-    pub fn new(plan: &DayPlan, program: &Path, out: &Path, world: &World) -> Directors {
+    pub fn new(
+        plan: &DayPlan,
+        program: &Path,
+        out: &Path,
+        world: &World,
+        hosting: Option<Hosting>,
+    ) -> Directors {
+        // Of hosted tenants fronts hear by roll-out alone.
+        let mut site = plan.site.clone();
+        site.tenant.retain(|_, _| hosting.is_none());
+        let most_sessions = plan.hosted.as_ref().map_or(100_000, |h| h.most_sessions);
         let zones = &plan.site.zones;
         let front = |number: u32| Front {
             listen: SocketAddr::from(([127, 0, 0, 1], 0)),
@@ -36,15 +46,15 @@
             directors: plan.day.directors,
             zone: zones.get(number as usize % zones.len().max(1)).cloned(),
             seed: plan.day.seed ^ u64::from(number) << 32,
-            most_sessions: 100_000,
+            most_sessions,
             most_connections: 20_000,
             silence_ms: 3_000,
             leave_s: 0.0,
         };
         let plans = (0..plan.day.directors).map(|n| FrontPlan {
             front: front(n),
-            hosting: None,
-            site: plan.site.clone(),
+            hosting: hosting.clone(),
+            site: site.clone(),
         });
         Directors {
             program: program.to_path_buf(),
--- a/crates/front/src/day/import.rs
+++ b/crates/front/src/day/import.rs
@@ -110,7 +110,7 @@
     }
     let seed = day.at("noise").value.as_u64().unwrap_or(1) >> 12;
     let day = Day { seconds, seed, directors: directors as u32, media_fraction: 0.01 };
-    let plan = DayPlan { day, site, fleet, load, trouble };
+    let plan = DayPlan { day, site, fleet, load, hosted: None, trouble };
     Ok(Imported { plan, left_out })
 }
 
@@ -279,6 +279,7 @@
     debug_assert_eq!(mix.len(), site.class.len());
     let mean = fam.at("life_s").number()? * life;
     Ok(Load {
+        tenants: BTreeMap::new(),
         per_s: (day.at("traffic").at("load").number()? * fam.at("capacity").number()?).max(0.01),
         mix,
         shortest_s: 0.3 * mean,
--- a/crates/front/src/day/summary.rs
+++ b/crates/front/src/day/summary.rs
@@ -3,6 +3,7 @@
 use hdrhistogram::Histogram;
 use serde::Serialize;
 use shalewall_audit::Verdict;
+use shalewall_physics::tally::Tally;
 use shalewall_standins::viewers::Count;
 use std::collections::BTreeMap;
 use std::fmt;
@@ -16,8 +17,9 @@
     pub most: f64,
 }
 
+/// What viewers got: all of them, or one tenant's.
 #[derive(Clone, Debug, Serialize)]
-pub struct Summary {
+pub struct Got {
     pub asked: u64,
     pub plays: u64,
     pub refused: u64,
@@ -35,6 +37,34 @@
     pub worth: f64,
     /// Part of the time at each rung.
     pub rungs: BTreeMap<usize, f64>,
+}
+
+impl Got {
+    fn new(t: &Tally) -> Got {
+        let time = t.played_s().max(1e-9);
+        Got {
+            asked: t.asked,
+            plays: t.played,
+            refused: t.refused,
+            failed: t.failed,
+            unanswered: t.unanswered,
+            broken: t.broken,
+            people: t.people,
+            people_refused: t.people_refused_part(),
+            people_unserved: t.unserved_part(),
+            steps: t.steps_a_minute(),
+            worth: t.worth(),
+            rungs: t.rungs.iter().map(|(r, s)| (*r, s / time)).collect(),
+        }
+    }
+}
+
+#[derive(Clone, Debug, Serialize)]
+pub struct Summary {
+    #[serde(flatten)]
+    pub all: Got,
+    /// The same for each tenant's viewers, where they name any.
+    pub tenants: BTreeMap<String, Got>,
     pub waits: BTreeMap<String, Waits>,
     pub rules_hold: bool,
     /// How near each rule came to its limit, 1 is at it; and on how many things it was tested.
@@ -47,8 +77,6 @@
 
 impl Summary {
     pub fn new(count: &Count, verdict: &Verdict) -> Summary {
-        let people = (count.people as f64).max(1.0);
-        let time: f64 = count.rungs.values().sum();
         let waits = |took: &Vec<u64>| {
             let mut histogram = Histogram::<u64>::new_with_bounds(1, 3_600_000_000, 3)
                 .expect("an hour in microseconds at three digits");
@@ -58,18 +86,8 @@
         };
         let named = |x: &BTreeMap<&'static str, f64>| x.iter().map(|(k, v)| (k.to_string(), *v)).collect();
         Summary {
-            asked: count.asked,
-            plays: count.plays,
-            refused: count.refused,
-            failed: count.failed,
-            unanswered: count.unanswered,
-            broken: count.broken,
-            people: count.people,
-            people_refused: count.people_refused as f64 / people,
-            people_unserved: count.people_unserved as f64 / people,
-            steps: count.steps as f64 * 60.0 / time.max(1e-9),
-            worth: count.worth_got / count.worth_asked.max(1e-9),
-            rungs: count.rungs.iter().map(|(r, s)| (*r, s / time.max(1e-9))).collect(),
+            all: Got::new(&count.tallies.all),
+            tenants: count.tallies.tenants.iter().map(|(name, t)| (name.clone(), Got::new(t))).collect(),
             waits: count.took.iter().map(|(class, took)| (class.clone(), waits(took))).collect(),
             rules_hold: verdict.holds(),
             nearest: named(&verdict.nearest),
@@ -80,7 +98,7 @@
     }
 }
 
-impl fmt::Display for Summary {
+impl fmt::Display for Got {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(
             f,
@@ -97,7 +115,16 @@
         writeln!(f, "worth {:.3} of what was asked for within the day (stand-in nodes)", self.worth)?;
         writeln!(f, "changes of rung {:.2} a session-minute", self.steps)?;
         let rungs: Vec<_> = self.rungs.iter().map(|(r, p)| format!("{r}: {:.0}%", p * 100.0)).collect();
-        writeln!(f, "time by rung  {}", rungs.join("  "))?;
+        writeln!(f, "time by rung  {}", rungs.join("  "))
+    }
+}
+
+impl fmt::Display for Summary {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.all.fmt(f)?;
+        for (tenant, got) in &self.tenants {
+            write!(f, "-- tenant {tenant}\n{got}")?;
+        }
         for (class, w) in &self.waits {
             let Waits { answers, p50, p99, most } = w;
             writeln!(
--- a/crates/front/src/day/troubles.rs
+++ b/crates/front/src/day/troubles.rs
@@ -114,7 +114,13 @@
                 Timer::after(secs(trouble.len_s)).await;
                 world.list.out(false);
             }
-            // One tenant's crowd is a crowd as long as the fronts know of no tenants.
+            TroubleKind::TenantBurst if !world.viewers.crowd().tenants.is_empty() => {
+                let tenant = name.unwrap_or_default();
+                world.viewers.set_tenant_burst(tenant, trouble.size);
+                Timer::after(secs(trouble.len_s)).await;
+                world.viewers.set_tenant_burst(tenant, 1.0);
+            }
+            // Where viewers name no tenant, one tenant's crowd is a crowd.
             TroubleKind::Burst | TroubleKind::TenantBurst => {
                 world.viewers.set_burst(trouble.size);
                 Timer::after(secs(trouble.len_s)).await;
--- a/crates/front/src/node.rs
+++ b/crates/front/src/node.rs
@@ -42,9 +42,9 @@
 pub async fn call(peer: &Peer, director: u32, kind: &CallKind) -> Done {
     let path = |session: &SessionId, attempt: &u32| format!("/sessions/{}/{attempt}", session.0);
     let (method, target, body) = match kind {
-        CallKind::SetUp { session, attempt, class, title, rung, kb } => {
+        CallKind::SetUp { session, attempt, tenant, class, title, rung, kb } => {
             let body = serde_json::json!({
-                "director": director, "class": class, "title": title, "rung": rung, "kb": kb,
+                "director": director, "tenant": tenant, "class": class, "title": title, "rung": rung, "kb": kb,
             });
             ("PUT", path(session, attempt), Some(body.to_string()))
         }
--- a/crates/front/tests/bad_day.rs
+++ b/crates/front/tests/bad_day.rs
@@ -16,8 +16,8 @@
     for (rule, least) in [("one answer in time", 100), ("no set-up twice", 100), ("drains kept", 100)] {
         assert!(summary.tested[rule] >= least, "{rule}: {summary}");
     }
-    assert!(summary.tested["floors and seats kept"] > 0 && summary.plays > 80, "{summary}");
-    assert!(summary.worth > 0.2, "{summary}");
+    assert!(summary.tested["floors and seats kept"] > 0 && summary.all.plays > 80, "{summary}");
+    assert!(summary.all.worth > 0.2, "{summary}");
     // The recordings say the same when they are judged again.
     assert!(day::audit(out.path()).unwrap().holds());
 }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -79,13 +79,13 @@
         println!(
             "| {} | {:.0} | {:.1}% | {:.1}% | {:.3} | {:.3} | {:.3} | {:.2} | {:.1} |",
             scene.name,
-            mean(&|r| r.count.asked as f64),
-            mean(&|r| r.count.refused_part()) * 100.0,
-            mean(&|r| r.count.unserved_part()) * 100.0,
-            mean(&|r| r.count.worth()),
-            mean(&|r| r.bounds.best_rung().1 / r.count.wanted.max(1e-9)),
-            mean(&|r| r.bounds.most / r.count.wanted.max(1e-9)),
-            mean(&|r| r.count.steps_a_minute()),
+            mean(&|r| r.count.tallies.all.asked as f64),
+            mean(&|r| r.count.tallies.all.refused_part()) * 100.0,
+            mean(&|r| r.count.tallies.all.unserved_part()) * 100.0,
+            mean(&|r| r.count.tallies.all.worth()),
+            mean(&|r| r.bounds.best_rung().1 / r.count.tallies.all.wanted.max(1e-9)),
+            mean(&|r| r.bounds.most / r.count.tallies.all.wanted.max(1e-9)),
+            mean(&|r| r.count.tallies.all.steps_a_minute()),
             mean(&|r| r.count.fell as f64),
         );
         if cli.spans {
--- a/crates/lab/src/plan.rs
+++ b/crates/lab/src/plan.rs
@@ -80,6 +80,7 @@
     };
     Crowd {
         per_s: load.per_s,
+        tenants: load.tenants.iter().map(|(name, times)| (name.clone(), *times)).collect(),
         classes: load.mix.iter().map(class).collect(),
         titles: site.title.keys().cloned().collect(),
         skew: load.skew,
@@ -92,3 +93,10 @@
         switch_s: site.costs.switch_s,
     }
 }
+
+/// Chance of who comes, one stream for each tenant: a tenant's viewers are the same whoever else comes.
+pub fn arrivals(plan: &DayPlan) -> Vec<ChaCha8Rng> {
+    let seed = |name: &str| name.bytes().fold(plan.day.seed ^ 2, |s, b| s.rotate_left(9) ^ u64::from(b));
+    let tenants = plan.load.tenants.keys().map(|name| ChaCha8Rng::seed_from_u64(seed(name)));
+    if plan.load.tenants.is_empty() { vec![ChaCha8Rng::seed_from_u64(seed(""))] } else { tenants.collect() }
+}
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -12,9 +12,11 @@
 use shalewall_physics::crowd::{Class, Crowd, Draw, Person};
 use shalewall_physics::fleet::{Arrival, Fleet, Machine, Playing, Process, Run};
 use shalewall_physics::news::{News, Teller};
+use shalewall_physics::tally::Tally;
 use shalewall_settings::{DayPlan, Front, Trouble, TroubleKind, us};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
 
 /// One way between a front and a node, and between a viewer and a front.
 const NET: Micros = 500;
@@ -45,7 +47,8 @@
 
 /// What is due at some time.
 enum Due {
-    Arrive,
+    /// The next viewer of a stream of arrivals.
+    Arrive(usize),
     /// A viewer asks; how often it asked before.
     Ask(usize),
     /// A viewer's time is over.
@@ -74,6 +77,7 @@
 
 struct Viewer {
     person: Person,
+    tenant: Option<String>,
     until: Micros,
     front: usize,
     asks: u64,
@@ -99,7 +103,7 @@
     fleet: Fleet,
     teller: Teller,
     /// Who comes when, the same whoever decides; and all else that chance decides.
-    arrivals: ChaCha8Rng,
+    arrivals: Vec<ChaCha8Rng>,
     dice: ChaCha8Rng,
     now: Micros,
     queue: BTreeMap<(Micros, u64), Due>,
@@ -116,7 +120,9 @@
     began: BTreeMap<u64, (u64, Run)>,
     shown: BTreeMap<u64, Shown>,
     wanting: Wanting,
+    /// How many times the usual rate viewers come, all and each tenant's.
     burst: f64,
+    bursts: BTreeMap<String, f64>,
     extra: Option<(Draw, f64)>,
     troubles: Vec<Trouble>,
     listed: BTreeMap<u64, Line>,
@@ -124,9 +130,10 @@
 }
 
 /// Kinds of trouble that can be played here.
-const PLAYED: [TroubleKind; 6] = [
+const PLAYED: [TroubleKind; 7] = [
     TroubleKind::Crash,
     TroubleKind::Burst,
+    TroubleKind::TenantBurst,
     TroubleKind::HotTitle,
     TroubleKind::ClassFlood,
     TroubleKind::SharedSlow,
@@ -179,7 +186,7 @@
             crowd,
             fleet: Fleet::new(physics, seed ^ 1),
             teller: Teller::new(us(notes.every_ms), us(notes.late_ms)),
-            arrivals: ChaCha8Rng::seed_from_u64(seed ^ 2),
+            arrivals: plan::arrivals(plan),
             dice: ChaCha8Rng::seed_from_u64(seed ^ 3),
             now: 0,
             queue: BTreeMap::new(),
@@ -196,6 +203,7 @@
             shown: BTreeMap::new(),
             wanting: Wanting::new(),
             burst: 1.0,
+            bursts: BTreeMap::new(),
             extra: None,
             troubles: plan.trouble.values().cloned().collect(),
             listed: BTreeMap::new(),
@@ -207,7 +215,7 @@
         }
         (0..directors).for_each(|d| world.start(d));
         world.later(0, Due::Look);
-        world.later(0, Due::Arrive);
+        (0..world.arrivals.len()).for_each(|stream| world.later(0, Due::Arrive(stream)));
         for i in 0..world.troubles.len() {
             world.later(us(world.troubles[i].at_s * 1000.0), Due::Begins(i));
         }
@@ -258,8 +266,9 @@
         let asks: Vec<u64> = self.asks.keys().copied().collect();
         for ask in asks {
             if self.viewers[self.asks[&ask]].front == d {
-                self.result.count.unanswered += 1;
-                self.asks.remove(&ask).into_iter().for_each(|v| self.again(v, None));
+                let Some(viewer) = self.asks.remove(&ask) else { continue };
+                self.tally(viewer, |t| t.unanswered += 1);
+                self.again(viewer, None);
             }
         }
         self.later(LEASE, Due::Lapse(d as u32));
@@ -352,11 +361,11 @@
                 let known = self.fleet.set_rung(node, run, rung, kb);
                 if let Some(shown) = self.shown.get(&session.0).filter(|_| before.is_some_and(|r| r != rung))
                 {
-                    let class = self.viewers[shown.viewer].person.class;
+                    let viewer = shown.viewer;
+                    let class = self.viewers[viewer].person.class;
                     let cost = self.crowd.switch_s * self.crowd.classes[class].worth;
-                    self.result.count.steps += 1;
                     self.result.count.stepped += cost;
-                    self.result.count.got -= cost;
+                    self.tally(viewer, |t| (t.steps, t.got) = (t.steps + 1, t.got - cost));
                     let at = self.seconds();
                     self.result.count.span(at).got -= cost;
                 }
@@ -375,7 +384,9 @@
         let Some(out) = self.calls.get_mut(&(d, call)) else { return };
         out.setting_up = false;
         let node = out.server;
-        let CallKind::SetUp { session, attempt, class, title, rung, kb } = out.kind.clone() else { return };
+        let CallKind::SetUp { session, attempt, class, title, rung, kb, .. } = out.kind.clone() else {
+            return;
+        };
         let run = (session.0, attempt);
         let playing = Playing { director: d as u32, class, title, rung, kb, true_kb: kb };
         if self.fleet.begin(node, run, playing) {
@@ -442,12 +453,18 @@
             self.fleet.nodes.keys().map(|id| (*id, self.fleet.figures(*id).delivered)).collect();
         let (mut got, mut leaving) = (0.0, Vec::new());
         let mut rungs: BTreeMap<usize, f64> = BTreeMap::new();
+        let tallies = &mut self.result.count.tallies;
         for (session, shown) in &self.shown {
             let Some(playing) = self.fleet.nodes[&shown.node].playing.get(&shown.run) else { continue };
-            let class = &self.crowd.classes[self.viewers[shown.viewer].person.class];
+            let viewer = &self.viewers[shown.viewer];
+            let class = &self.crowd.classes[viewer.person.class];
             let share = shares[&shown.node];
             let full = dt * class.worth * self.crowd.worth[playing.rung];
             got += full * self.crowd.kept(share);
+            tallies.enter(viewer.tenant.as_deref(), |t| {
+                t.got += full * self.crowd.kept(share);
+                *t.rungs.entry(playing.rung).or_default() += dt;
+            });
             self.result.count.stalled += full * (1.0 - self.crowd.kept(share));
             *rungs.entry(playing.rung).or_default() += dt;
             if share < POOR && self.now - shown.since > POOR_AFTER && self.dice.random::<f64>() < LEAVES {
@@ -469,12 +486,7 @@
         };
         let wanted: f64 = self.wanting.iter().map(wanted).sum();
         let count = &mut self.result.count;
-        count.got += got;
-        count.wanted += wanted * dt;
-        for (rung, time) in &rungs {
-            *count.rungs.entry(*rung).or_default() += time;
-            count.played_s += time;
-        }
+        count.tallies.all.wanted += wanted * dt;
         let span = count.span(at);
         (span.got, span.wanted, span.bound) = (span.got + got, span.wanted + wanted * dt, span.bound + bound);
         rungs.into_iter().for_each(|(r, t)| *span.rungs.entry(r).or_default() += t);
@@ -483,22 +495,37 @@
 
     // ---- viewers ----------------------------------------------------------------------------
 
-    fn arrive(&mut self) {
+    /// Enters something of one viewer.
+    fn tally(&mut self, viewer: usize, what: impl Fn(&mut Tally)) {
+        self.result.count.tallies.enter(self.viewers[viewer].tenant.as_deref(), what);
+    }
+
+    fn arrive(&mut self, stream: usize) {
+        let tenant = self.crowd.tenants.get(stream).cloned();
+        let burst = tenant.as_ref().and_then(|(name, _)| self.bursts.get(name)).unwrap_or(&1.0);
+        let times = tenant.as_ref().map_or(1.0, |(_, times)| *times) * burst;
         let extra = self.extra.as_ref().map_or(0.0, |(_, part)| *part);
         let all = self.burst + extra;
-        let gap = self.crowd.gap(all, &mut self.arrivals).as_micros() as Micros;
-        self.later(gap, Due::Arrive);
+        let dice = &mut self.arrivals[stream];
+        let gap = self.crowd.gap(all * times, dice).as_micros() as Micros;
         let extra = self.extra.as_ref().map(|(draw, _)| (draw, extra / all));
-        let person = self.crowd.draw(extra, &mut self.arrivals);
+        let person = self.crowd.draw(extra, dice);
+        let front = (dice.random::<f64>() * self.engines.len() as f64) as usize;
+        self.later(gap, Due::Arrive(stream));
         let span = person.span.as_micros() as Micros;
         *self.wanting.entry((self.classes[person.class], person.top)).or_default() += 1;
         let viewer = self.viewers.len();
-        let front = (self.arrivals.random::<f64>() * self.engines.len() as f64) as usize;
         let until = self.now + span;
-        let new = Viewer { person, until, front, asks: 0, refused: false, played: false };
+        let tenant = tenant.map(|(name, _)| name);
+        let within = Duration::from_micros((us(self.plan.day.seconds * 1000.0) - self.now).max(0) as u64);
+        let wanted = self.crowd.wanted(&person, within);
+        let new = Viewer { person, tenant, until, front, asks: 0, refused: false, played: false };
         self.viewers.push(new);
-        self.result.count.people += 1;
-        self.result.count.people_unserved += 1;
+        self.tally(viewer, |t| (t.people, t.people_unserved) = (t.people + 1, t.people_unserved + 1));
+        // Of all viewers what is wanted is summed up as time passes, beside the bound.
+        let tenant = self.viewers[viewer].tenant.as_ref();
+        let tallies = &mut self.result.count.tallies.tenants;
+        tenant.and_then(|t| tallies.get_mut(t)).into_iter().for_each(|t| t.wanted += wanted);
         self.later(span, Due::Gone(viewer));
         self.ask(viewer);
     }
@@ -509,12 +536,13 @@
             return;
         }
         let (at, front) = (self.now as f64 / 1e6, v.front);
-        self.result.count.asked += 1;
+        self.tally(viewer, |t| t.asked += 1);
         self.result.count.span(at).asked += 1;
         if self.engines[front].is_none() {
-            self.result.count.unanswered += 1;
+            self.tally(viewer, |t| t.unanswered += 1);
             return self.again(viewer, None);
         }
+        let v = &mut self.viewers[viewer];
         let left = (v.until - self.now) as f64 * self.crowd.hint_times;
         let new = NewSession {
             viewer: v.person.key.clone(),
@@ -523,6 +551,7 @@
             hint: (left > 0.0).then_some(left as Micros),
             top: Some(v.person.top),
             again: v.asks > 0,
+            tenant: v.tenant.clone(),
             ..NewSession::default()
         };
         v.asks += 1;
@@ -549,13 +578,15 @@
     fn on_answer(&mut self, ask: u64, answer: Answer) {
         let Some(viewer) = self.asks.remove(&ask) else { return };
         let at = self.seconds();
-        let (v, count) = (&mut self.viewers[viewer], &mut self.result.count);
+        let v = &mut self.viewers[viewer];
         match answer {
             Answer::Plays { session, .. } => {
                 let Some((node, run)) = self.began.remove(&session.0) else { return };
-                count.played += 1;
-                count.people_unserved -= u64::from(!std::mem::replace(&mut v.played, true));
                 let left = v.until - self.now;
+                let first = u64::from(!std::mem::replace(&mut v.played, true));
+                self.tally(viewer, |t| {
+                    (t.played, t.people_unserved) = (t.played + 1, t.people_unserved - first)
+                });
                 self.shown.insert(session.0, Shown { viewer, node, run, since: self.now });
                 if !self.fleet.nodes[&node].playing.contains_key(&run) {
                     return self.hide(session.0, true); // the node died while it answered
@@ -563,12 +594,16 @@
                 self.later(left, Due::Leave(session.0, false));
             }
             Answer::Refused { come_back, .. } => {
-                count.refused += 1;
-                count.span(at).refused += 1;
-                count.people_refused += u64::from(!std::mem::replace(&mut v.refused, true));
+                let first = u64::from(!std::mem::replace(&mut v.refused, true));
+                self.tally(viewer, |t| {
+                    (t.refused, t.people_refused) = (t.refused + 1, t.people_refused + first)
+                });
+                self.result.count.span(at).refused += 1;
                 self.again(viewer, come_back);
             }
-            Answer::Failed { .. } | Answer::Unknown(_) | Answer::Clash(_) => count.failed += 1,
+            Answer::Failed { .. } | Answer::Unknown(_) | Answer::Clash(_) => {
+                self.tally(viewer, |t| t.failed += 1);
+            }
         }
     }
 
@@ -589,7 +624,7 @@
     fn hide(&mut self, session: u64, broke: bool) {
         let Some(shown) = self.shown.remove(&session) else { return };
         if broke && self.viewers[shown.viewer].until > self.now {
-            self.result.count.broken += 1;
+            self.tally(shown.viewer, |t| t.broken += 1);
             self.again(shown.viewer, None);
         }
     }
@@ -620,7 +655,10 @@
                 met = self.met(up, &trouble);
                 met.iter().for_each(|id| self.down(*id));
             }
-            TroubleKind::Burst => self.burst = trouble.size,
+            TroubleKind::TenantBurst if trouble.name.is_some() => {
+                self.bursts.extend(trouble.name.clone().map(|name| (name, trouble.size)));
+            }
+            TroubleKind::Burst | TroubleKind::TenantBurst => self.burst = trouble.size,
             TroubleKind::HotTitle => {
                 self.extra = trouble.name.clone().map(|n| (Draw::Title(n), trouble.size));
             }
@@ -643,7 +681,9 @@
     fn trouble_ends(&mut self, i: usize, met: Vec<u64>) {
         match self.troubles[i].kind {
             TroubleKind::Crash => met.into_iter().for_each(|id| self.up(id)),
-            TroubleKind::Burst => self.burst = 1.0,
+            TroubleKind::Burst | TroubleKind::TenantBurst => {
+                (self.burst, self.bursts) = (1.0, BTreeMap::new());
+            }
             TroubleKind::HotTitle | TroubleKind::ClassFlood => self.extra = None,
             TroubleKind::SharedSlow => self.fleet.slow_links = 1.0,
             TroubleKind::DirectorKill => met.into_iter().for_each(|d| self.start(d as usize)),
@@ -668,7 +708,7 @@
 
     fn carry_out(&mut self, due: Due) {
         match due {
-            Due::Arrive => self.arrive(),
+            Due::Arrive(stream) => self.arrive(stream),
             Due::Ask(viewer) => self.ask(viewer),
             Due::Gone(viewer) => {
                 let p = &self.viewers[viewer].person;
--- a/crates/lab/tests/scenes.rs
+++ b/crates/lab/tests/scenes.rs
@@ -28,7 +28,7 @@
 fn who_comes_does_not_hang_on_who_decides() {
     let plan = scene("half").plan;
     let (module, plain) = (run(&plan, Policy::Module).unwrap(), run(&plan, Policy::Plain).unwrap());
-    assert_eq!(module.count.people, plain.count.people);
+    assert_eq!(module.count.tallies.all.people, plain.count.tallies.all.people);
     assert_eq!(module.bounds, plain.bounds);
 }
 
@@ -36,9 +36,12 @@
 fn nothing_gets_above_the_bound() {
     for name in ["fill-2", "tripled", "hot", "peeks"] {
         let report = report(name);
-        assert!(report.count.got <= report.bounds.most * 1.01, "{name}: true rates stray a little");
+        assert!(
+            report.count.tallies.all.got <= report.bounds.most * 1.01,
+            "{name}: true rates stray a little"
+        );
         assert!(report.bounds.best_rung().1 <= report.bounds.most);
-        assert!(report.count.played_s > 1000.0, "{name}: it has to be played");
+        assert!(report.count.tallies.all.played_s() > 1000.0, "{name}: it has to be played");
     }
 }
 
@@ -54,9 +57,17 @@
 fn comes_to(name: &str, refused: f64, worth: f64) -> Report {
     let report = report(name);
     let count = &report.count;
-    assert!(count.refused_part() <= refused, "{name}: {} refused", count.refused_part());
-    assert!(count.worth() >= worth, "{name}: worth {}", count.worth());
-    assert!(count.steps_a_minute() < 1.0, "{name}: {} steps a session-minute", count.steps_a_minute());
+    assert!(
+        count.tallies.all.refused_part() <= refused,
+        "{name}: {} refused",
+        count.tallies.all.refused_part()
+    );
+    assert!(count.tallies.all.worth() >= worth, "{name}: worth {}", count.tallies.all.worth());
+    assert!(
+        count.tallies.all.steps_a_minute() < 1.0,
+        "{name}: {} steps a session-minute",
+        count.tallies.all.steps_a_minute()
+    );
     assert_eq!(count.fell, 0, "{name}: a node was pushed over");
     report
 }
@@ -96,5 +107,5 @@
     comes_to("no-hints", 0.09, 0.52);
     // A crowd of visits of 5 s: the sessions of a minute keep their worth.
     let peeks = report("peeks");
-    assert!(peeks.count.worth() > 0.6, "{}", peeks.count.worth());
+    assert!(peeks.count.tallies.all.worth() > 0.6, "{}", peeks.count.tallies.all.worth());
 }
--- a/crates/physics/src/crowd.rs
+++ b/crates/physics/src/crowd.rs
@@ -31,6 +31,8 @@
 #[derive(Clone, Debug)]
 pub struct Crowd {
     pub per_s: f64,
+    /// Tenants, and how many times that rate each one's viewers come. Without any, viewers name none.
+    pub tenants: Vec<(String, f64)>,
     pub classes: Vec<Class>,
     /// Titles, most wanted first, and how much more the first are wanted.
     pub titles: Vec<String>,
--- a/crates/settings/src/day.rs
+++ b/crates/settings/src/day.rs
@@ -19,6 +19,10 @@
     pub fleet: Fleet,
     #[garde(dive)]
     pub load: Load,
+    /// Whether the site's tenants are hosted: known to fronts by roll-out alone, with the site's classes as their own
+    /// and their shares of the front.
+    #[garde(dive)]
+    pub hosted: Option<HostedDay>,
     /// Troubles by a name of one's own.
     #[garde(dive)]
     #[serde(default)]
@@ -46,6 +50,18 @@
     0.01
 }
 
+/// What a hosted service of the day is told.
+#[derive(Clone, Debug, Serialize, Deserialize, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct HostedDay {
+    /// Set-ups a second that each front can make: what shares are parts of.
+    #[garde(range(min = 1.0, max = 1_000_000.0))]
+    pub set_ups_per_s: f64,
+    /// Sessions that each front holds at most.
+    #[garde(range(min = 1, max = 1_000_000))]
+    pub most_sessions: usize,
+}
+
 /// The media nodes as they are, which is not quite what the list says.
 #[derive(Clone, Debug, Serialize, Deserialize, Validate)]
 #[serde(deny_unknown_fields)]
@@ -124,6 +140,11 @@
     /// New sessions a second.
     #[garde(range(min = 0.01, max = 100_000.0))]
     pub per_s: f64,
+    /// Tenants of the site, and how many times that rate each one's viewers come; they are the same ones whoever
+    /// else comes. Without any, viewers name none.
+    #[garde(skip)]
+    #[serde(default)]
+    pub tenants: BTreeMap<String, f64>,
     /// Part of them by class.
     #[garde(skip)]
     pub mix: BTreeMap<String, f64>,
@@ -194,7 +215,7 @@
     ListOut,
     /// Viewers come at `size` times the usual rate.
     Burst,
-    /// One tenant's do.
+    /// One tenant's do; all, where viewers name no tenant.
     TenantBurst,
     /// Viewers come for one title, `size` of the usual rate.
     HotTitle,
@@ -277,6 +298,20 @@
         {
             wrong.push(("load.mix".into(), "parts have to be 0 or more, and some above".into()));
         }
+        if self.hosted.is_some() && self.site.class.values().any(|c| c.live || c.scale != 1.0) {
+            let what =
+                "tenants' classes have neither scale nor live: leave them out of the site's".to_string();
+            wrong.push(("hosted".into(), what));
+        }
+        if self.hosted.is_some() && self.site.tenant.values().any(|t| t.share <= 0.0) {
+            wrong.push(("hosted".into(), "each tenant of the site needs a share above 0".into()));
+        }
+        for (name, times) in &self.load.tenants {
+            if !self.site.tenant.contains_key(name) || !times.is_finite() || *times <= 0.0 {
+                let what = "has to be a tenant of the site, and its rate above 0".to_string();
+                wrong.push((format!("load.tenants.{name}"), what));
+            }
+        }
         for name in self.load.mix.keys().filter(|n| !self.site.class.contains_key(*n)) {
             let known: Vec<_> = self.site.class.keys().cloned().collect();
             wrong
@@ -327,7 +362,8 @@
             }
             let known: Vec<String> = match t.kind {
                 ZoneLoss => self.site.zones.clone(),
-                TenantBurst => self.site.tenant.keys().cloned().collect(),
+                TenantBurst if self.load.tenants.is_empty() => continue,
+                TenantBurst => self.load.tenants.keys().cloned().collect(),
                 HotTitle => self.site.title.keys().cloned().collect(),
                 ClassFlood => self.load.mix.keys().cloned().collect(),
                 _ => continue,
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -7,7 +7,7 @@
 mod locate;
 mod site;
 
-pub use day::{Day, DayPlan, Fleet, Load, Machine, Trouble, TroubleKind};
+pub use day::{Day, DayPlan, Fleet, HostedDay, Load, Machine, Trouble, TroubleKind};
 pub use site::{
     Admin, AdminPlan, Class, Costs, Front, FrontPlan, Further, Hosting, Kind, Layout, Limits, Link, Notes,
     Rules, Site, Step, Tenant, Title, us,
--- a/crates/standins/src/nodes.rs
+++ b/crates/standins/src/nodes.rs
@@ -78,6 +78,7 @@
 #[derive(Deserialize)]
 struct SetUp {
     director: u32,
+    tenant: Option<String>,
     class: String,
     title: String,
     rung: usize,
@@ -349,6 +350,7 @@
             director: new.director,
             session: run.0,
             attempt: run.1,
+            tenant: new.tenant.clone(),
             class: new.class.clone(),
             title: new.title.clone(),
             rung: new.rung,
--- a/crates/standins/src/viewers.rs
+++ b/crates/standins/src/viewers.rs
@@ -11,6 +11,7 @@
 use shalewall_http::client::{Call, Failure, Incoming, in_time};
 use shalewall_http::pool::Pool;
 use shalewall_physics::crowd::{Class, Crowd, Draw};
+use shalewall_physics::tally::{Tallies, Tally};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -20,24 +21,7 @@
 /// What has come of the viewers so far.
 #[derive(Clone, Debug, Default)]
 pub struct Count {
-    pub asked: u64,
-    pub plays: u64,
-    pub refused: u64,
-    pub failed: u64,
-    /// Connections that ended without an answer, or could not be made.
-    pub unanswered: u64,
-    pub broken: u64,
-    /// Viewers that came; those turned away at least once; those that wanted to watch and never did.
-    pub people: u64,
-    pub people_refused: u64,
-    pub people_unserved: u64,
-    /// Changes of rung while playing.
-    pub steps: u64,
-    /// Worth asked for and got within the day: seconds at a rung's worth, less what stalls and steps cost.
-    pub worth_asked: f64,
-    pub worth_got: f64,
-    /// Seconds at each rung.
-    pub rungs: BTreeMap<usize, f64>,
+    pub tallies: Tallies,
     /// Answers by class: microseconds.
     pub took: BTreeMap<String, Vec<u64>>,
 }
@@ -50,10 +34,13 @@
     crowd: Rc<Crowd>,
     fronts: Rc<RefCell<Vec<SocketAddr>>>,
     dice: Rc<RefCell<ChaCha8Rng>>,
+    /// Chance of who comes: one stream for each tenant, or one for all.
+    arrivals: Rc<RefCell<Vec<ChaCha8Rng>>>,
     asks: Rc<Cell<u64>>,
     pub count: Rc<RefCell<Count>>,
     /// How much faster than usual they come, and what extra ones come for, as a part of the usual rate.
     burst: Rc<Cell<f64>>,
+    bursts: Rc<RefCell<BTreeMap<String, f64>>>,
     extra: Rc<RefCell<Option<(Draw, f64)>>>,
     here: Rc<Cell<usize>>,
     /// The day's end: worth is counted up to it.
@@ -62,6 +49,7 @@
 
 /// One that wants to watch.
 struct Viewer {
+    tenant: Option<String>,
     key: String,
     class: Class,
     title: String,
@@ -83,16 +71,25 @@
 }
 
 impl Viewers {
-    pub fn new(ex: Rc<LocalExecutor<'static>>, recorder: Recorder, crowd: Crowd, seed: u64) -> Viewers {
+    /// `arrivals`: chance of who comes, a stream for each tenant of the crowd, or one.
+    pub fn new(
+        ex: Rc<LocalExecutor<'static>>,
+        recorder: Recorder,
+        crowd: Crowd,
+        arrivals: Vec<ChaCha8Rng>,
+        seed: u64,
+    ) -> Viewers {
         Viewers {
             ex,
             recorder,
             crowd: Rc::new(crowd),
             fronts: Rc::default(),
             dice: Rc::new(RefCell::new(ChaCha8Rng::seed_from_u64(seed))),
+            arrivals: Rc::new(RefCell::new(arrivals)),
             asks: Rc::default(),
             count: Rc::default(),
             burst: Rc::new(Cell::new(1.0)),
+            bursts: Rc::default(),
             extra: Rc::default(),
             here: Rc::default(),
             close: Rc::default(),
@@ -111,6 +108,11 @@
         self.burst.set(times.max(0.0));
     }
 
+    /// One tenant's viewers come so many times as often.
+    pub fn set_tenant_burst(&self, tenant: &str, times: f64) {
+        self.bursts.borrow_mut().insert(tenant.to_string(), times.max(0.0));
+    }
+
     /// Extra viewers, as a part of the usual rate.
     pub fn set_extra(&self, extra: Option<(Draw, f64)>) {
         *self.extra.borrow_mut() = extra;
@@ -133,17 +135,34 @@
     pub async fn arrive(&self, time: Duration) {
         let until = Instant::now() + time;
         self.close.set(Some(until));
+        let streams = self.arrivals.borrow().len();
+        let all = (0..streams).map(|stream| {
+            let viewers = self.clone();
+            self.ex.spawn(async move { viewers.come(stream, until).await })
+        });
+        for stream in all.collect::<Vec<_>>() {
+            stream.await;
+        }
+    }
+
+    /// The viewers of one stream of arrivals.
+    async fn come(&self, stream: usize, until: Instant) {
+        let tenant = self.crowd.tenants.get(stream).cloned();
         let mut next = Instant::now();
         loop {
             let extra = self.extra.borrow().as_ref().map_or(0.0, |(_, part)| *part);
-            next += self.crowd.gap(self.burst.get() + extra, &mut *self.dice.borrow_mut());
+            let all = self.burst.get() + extra;
+            let times = tenant
+                .as_ref()
+                .map_or(1.0, |(name, times)| times * self.bursts.borrow().get(name).unwrap_or(&1.0));
+            next += self.crowd.gap(all * times, &mut self.arrivals.borrow_mut()[stream]);
             if next >= until {
                 Timer::at(until).await;
                 return;
             }
             Timer::at(next).await;
             let viewers = self.clone();
-            let viewer = self.draw(extra / (self.burst.get() + extra));
+            let viewer = self.draw(stream, extra / all, tenant.as_ref().map(|(name, _)| name.clone()));
             self.here.set(self.here.get() + 1);
             self.ex
                 .spawn(async move {
@@ -154,17 +173,15 @@
         }
     }
 
-    fn draw(&self, part: f64) -> Viewer {
+    fn draw(&self, stream: usize, part: f64, tenant: Option<String>) -> Viewer {
         let extra = self.extra.borrow();
         let extra = extra.as_ref().map(|(draw, _)| (draw, part));
-        let person = self.crowd.draw(extra, &mut *self.dice.borrow_mut());
+        let person = self.crowd.draw(extra, &mut self.arrivals.borrow_mut()[stream]);
         let now = Instant::now();
         let within = self.close.get().map_or(person.span, |t| t.saturating_duration_since(now));
-        let mut count = self.count.borrow_mut();
-        count.people += 1;
-        count.people_unserved += 1;
-        count.worth_asked += self.crowd.wanted(&person, within);
-        Viewer {
+        let wanted = self.crowd.wanted(&person, within);
+        let viewer = Viewer {
+            tenant,
             key: person.key,
             class: self.crowd.classes[person.class].clone(),
             title: person.title,
@@ -172,7 +189,17 @@
             until: now + person.span,
             refused: Cell::default(),
             played: Cell::default(),
-        }
+        };
+        self.enter(&viewer, |t| {
+            t.people += 1;
+            t.people_unserved += 1;
+            t.wanted += wanted;
+        });
+        viewer
+    }
+
+    fn enter(&self, viewer: &Viewer, what: impl Fn(&mut Tally)) {
+        self.count.borrow_mut().tallies.enter(viewer.tenant.as_deref(), what);
     }
 
     async fn live(&self, viewer: Viewer) {
@@ -206,7 +233,7 @@
         let left = viewer.until.saturating_duration_since(Instant::now());
         let hint = Some(left.as_secs_f64() * self.crowd.hint_times).filter(|s| *s > 0.0);
         let body = serde_json::json!({
-            "viewer": viewer.key, "class": viewer.class.name, "title": viewer.title,
+            "viewer": viewer.key, "tenant": viewer.tenant, "class": viewer.class.name, "title": viewer.title,
             "wait_ms": viewer.class.give_up.as_millis() as u64, "hint_s": hint,
             "top": viewer.top, "again": again,
         })
@@ -223,14 +250,15 @@
         };
         let pool = Pool::new(front, Limits::default(), Duration::ZERO, 0);
         let Ok(mut connection) = pool.connect().await else {
-            self.count.borrow_mut().unanswered += 1;
+            self.enter(viewer, |t| t.unanswered += 1);
             return Try::Again(self.crowd.pause);
         };
         let t = shalewall_clock::now();
         let wait = viewer.class.give_up.as_micros() as i64;
         let (key, class, title) = (viewer.key.clone(), viewer.class.name.clone(), viewer.title.clone());
-        self.recorder.note(Record::Asked { t, director: number, ask, key, class, title, wait });
-        self.count.borrow_mut().asked += 1;
+        let tenant = viewer.tenant.clone();
+        self.recorder.note(Record::Asked { t, director: number, ask, key, tenant, class, title, wait });
+        self.enter(viewer, |t| t.asked += 1);
         // A viewer waits somewhat longer than it said: an answer that is late is to be seen.
         let patience = viewer.class.give_up + Duration::from_secs(3);
         let answer = in_time(patience, connection.call(&call)).await;
@@ -243,7 +271,7 @@
             }
             None | Some(Err(Failure::MayHaveRun(_))) => {
                 self.recorder.note(Record::Unanswered { t: now, ask });
-                self.count.borrow_mut().unanswered += 1;
+                self.enter(viewer, |t| t.unanswered += 1);
                 return Try::Again(self.crowd.pause);
             }
         };
@@ -256,11 +284,10 @@
         let pause = said["come_back_ms"].as_f64().map(|ms| Duration::from_secs_f64(ms / 1000.0));
         match (status, session, said["media"].as_str()) {
             (201, Some(session), Some(media)) => {
-                {
-                    let mut count = self.count.borrow_mut();
-                    count.plays += 1;
-                    count.people_unserved -= u64::from(!viewer.played.replace(true));
-                }
+                let first = u64::from(!viewer.played.replace(true));
+                self.enter(viewer, |t| {
+                    (t.played, t.people_unserved) = (t.played + 1, t.people_unserved - first)
+                });
                 let late = Duration::from_micros(took) > viewer.class.aim;
                 let watched = self.watch(viewer, ask, session, media, late).await;
                 if self.roll() < 0.5 {
@@ -278,18 +305,18 @@
                 watched
             }
             (503, ..) => {
-                let mut count = self.count.borrow_mut();
-                count.refused += 1;
-                count.people_refused += u64::from(!viewer.refused.replace(true));
-                drop(count);
+                let first = u64::from(!viewer.refused.replace(true));
+                self.enter(viewer, |t| {
+                    (t.refused, t.people_refused) = (t.refused + 1, t.people_refused + first)
+                });
                 Try::Again(pause.unwrap_or(self.crowd.pause))
             }
             (502 | 504, ..) => {
-                self.count.borrow_mut().failed += 1;
+                self.enter(viewer, |t| t.failed += 1);
                 Try::Over // it may have run and been paid for: coming again could pay twice
             }
             _ => {
-                self.count.borrow_mut().failed += 1;
+                self.enter(viewer, |t| t.failed += 1);
                 Try::Over
             }
         }
@@ -299,16 +326,17 @@
     fn tally(&self, viewer: &Viewer, meter: &Meter, late: bool) {
         let share = if meter.due > 0.0 { (meter.got as f64 / meter.due).min(1.0) } else { 0.0 };
         let kept = self.crowd.kept(share);
-        let mut count = self.count.borrow_mut();
-        count.steps += meter.steps;
-        count.worth_got -= meter.steps as f64 * self.crowd.switch_s * viewer.class.worth;
-        for (rung, time) in &meter.rungs {
-            *count.rungs.entry(*rung).or_default() += time;
-            // What plays after the wanted time earns nothing for its first second.
-            let lost = if late { 1.0_f64.min(*time) } else { 0.0 };
-            let worth = self.crowd.worth.get(*rung).copied().unwrap_or(0.0);
-            count.worth_got += (time - lost) * viewer.class.worth * worth * kept;
-        }
+        self.enter(viewer, |t| {
+            t.steps += meter.steps;
+            t.got -= meter.steps as f64 * self.crowd.switch_s * viewer.class.worth;
+            for (rung, time) in &meter.rungs {
+                *t.rungs.entry(*rung).or_default() += time;
+                // What plays after the wanted time earns nothing for its first second.
+                let lost = if late { 1.0_f64.min(*time) } else { 0.0 };
+                let worth = self.crowd.worth.get(*rung).copied().unwrap_or(0.0);
+                t.got += (time - lost) * viewer.class.worth * worth * kept;
+            }
+        });
     }
 
     /// Takes media until the session's time is over, or leaves when too little comes.
@@ -350,7 +378,7 @@
         if !counted {
             self.tally(viewer, &meter, late);
         }
-        self.count.borrow_mut().broken += u64::from(!whole);
+        self.enter(viewer, |t| t.broken += u64::from(!whole));
         let rungs = meter.rungs.iter().map(|(r, s)| (*r, (s * 1e6) as i64)).collect();
         self.recorder.note(Record::Watched {
             t: shalewall_clock::now(),
