A tenant within its part keeps links and rungs beside one at ten times its own

Need: where links are short, one tenant's flood pressed every tenant's rungs down and took all room: of a quiet tenant's viewers, at two thirds of what its share carries, half never got to watch.

Change: demand is weighed by tenant, so a tenant answers for its own sessions on its own part of the room; sessions are decided anew by tenant too. Who owes makes room first, and not for who owes more. While some tenant is here within its part, who owes plays under the mark and leaves room for one session at the top beside its own; else 2.5 to 5% of every line is closed to it.

--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,7 +3,9 @@
 use clap::Parser;
 use shalewall_lab::world::{Policy, Report, run};
 use shalewall_lab::{count::SPAN, scenes};
+use shalewall_physics::tally::Tally;
 use shalewall_settings::DayPlan;
+use std::collections::BTreeSet;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -88,6 +90,18 @@
             mean(&|r| r.count.tallies.all.steps_a_minute()),
             mean(&|r| r.count.fell as f64),
         );
+        for tenant in reports.iter().flat_map(|r| r.count.tallies.tenants.keys()).collect::<BTreeSet<_>>() {
+            let of = |f: &dyn Fn(&Tally) -> f64| mean(&|r| f(&r.count.tallies.tenants[tenant]));
+            println!(
+                "| {}: {tenant} | {:.0} | {:.1}% | {:.1}% | {:.3} | - | - | {:.2} | - |",
+                scene.name,
+                of(&|t| t.asked as f64),
+                of(&Tally::refused_part) * 100.0,
+                of(&Tally::unserved_part) * 100.0,
+                of(&Tally::worth),
+                of(&Tally::steps_a_minute),
+            );
+        }
         if cli.spans {
             reports.iter().for_each(print_spans);
         }
--- a/crates/lab/src/scenes.rs
+++ b/crates/lab/src/scenes.rs
@@ -1,6 +1,6 @@
 //! Days that show one thing, made from a plan by changing its load and troubles.
 
-use shalewall_settings::{DayPlan, Trouble, TroubleKind};
+use shalewall_settings::{DayPlan, Tenant, Trouble, TroubleKind};
 
 /// A scene: its name, what it shows, and its day.
 pub struct Scene {
@@ -133,6 +133,25 @@
             p.trouble.insert(format!("swing {i}"), t);
         }
     });
+    // Neighbours: a quiet tenant at two thirds of what its share carries at the top rungs, and one at ten times
+    // its own, each alone and beside the other.
+    for (name, quiet, loud, share) in [
+        ("quiet-alone", 0.1, 0.0, 1.0),
+        ("quiet-beside", 0.1, 5.0, 1.0),
+        ("quiet-shareless", 0.1, 5.0, 0.0),
+        ("loud-alone", 0.0, 5.0, 1.0),
+        ("loud-shareless", 0.0, 5.0, 0.0),
+    ] {
+        scene(name, "two tenants with half of the fleet each", &|p| {
+            again(p);
+            for (tenant, times) in [("quiet", quiet), ("loud", loud)] {
+                p.site.tenant.insert(tenant.into(), Tenant { allowance_per_s: 0.0, share });
+                if times > 0.0 {
+                    p.load.tenants.insert(tenant.into(), times);
+                }
+            }
+        });
+    }
     scene("large-1", "an empty start: 100 directors, 150 nodes", &|p| grow(p, 10, 100));
     scene("large-2", "the same at twice the usual load", &|p| {
         grow(p, 10, 100);
--- a/crates/lab/tests/scenes.rs
+++ b/crates/lab/tests/scenes.rs
@@ -109,3 +109,19 @@
     let peeks = report("peeks");
     assert!(peeks.count.tallies.all.worth() > 0.6, "{}", peeks.count.tallies.all.worth());
 }
+
+#[test]
+fn a_tenant_ten_times_above_its_share_leaves_a_quiet_one_nearly_all_of_its_own() {
+    let quiet = |name: &str| report(name).count.tallies.tenants["quiet"].clone();
+    let (alone, beside, shareless) = (quiet("quiet-alone"), quiet("quiet-beside"), quiet("quiet-shareless"));
+    // The same viewers come, whoever else does.
+    assert_eq!((alone.people, alone.wanted), (beside.people, beside.wanted));
+    assert!(alone.worth() > 0.98, "{}", alone.worth());
+    // By itself the fleet would be the loud one's: one in two of the quiet one's viewers never got to watch.
+    assert!(shareless.worth() < 0.4, "the loud one has to be felt: {}", shareless.worth());
+    assert!(beside.worth() > 0.85 && beside.unserved_part() < 0.05, "{}", beside.worth());
+    // What nobody else wants is the loud one's, but for a little.
+    let loud = |name: &str| report(name).count.tallies.tenants["loud"].clone();
+    let (with, without) = (loud("loud-alone"), loud("loud-shareless"));
+    assert!(with.worth() > 0.9 * without.worth(), "{} of {}", with.worth(), without.worth());
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -6,7 +6,7 @@
 
 use crate::interface::*;
 use hash::{draw, mix};
-use held::{ByTime, Group, Held, later};
+use held::{Arrivals, ByTime, Group, Held, later};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 mod hash;
@@ -164,14 +164,6 @@
     echo: f64,
 }
 
-/// New viewers of one step of time: how many, and the seconds that they want, by class.
-#[derive(Default)]
-struct Arrivals {
-    from: Micros,
-    count: f64,
-    seconds: BTreeMap<usize, f64>,
-}
-
 /// How long sessions last that have ended here.
 #[derive(Default)]
 struct Ends {
@@ -238,7 +230,9 @@
     fleet: Fleet,
     /// What the demand seen asks before and with each class's rung, over what the fleet gives.
     overfill: BTreeMap<(usize, usize), (f64, f64)>,
-    setup: f64, // usual time of a set-up, microseconds
+    room: f64,    // that, kB a second
+    within: bool, // some tenant here holds no more than its part
+    setup: f64,   // usual time of a set-up, microseconds
     subscribed: bool,
     asked_list: Option<Micros>,
     tick_due: Option<Micros>, // when the tick is due; and the last time at which it was found long overdue
@@ -279,9 +273,7 @@
                 self.on_load(server, load, ANSWER_AGE, ANSWER_WEIGHT);
                 self.on_finished(session, attempt.wrapping_add(1), outcome, closed);
             }
-            Event::Noted { session, server, note, .. } => {
-                self.on_note(session, server, note);
-            }
+            Event::Noted { session, server, note, .. } => self.on_note(session, server, note),
             Event::Withdrawn(session) => {
                 self.asking.remove(&session);
                 self.turn(session, State::Closed);
@@ -375,7 +367,7 @@
         if self.held.live.contains_key(&req.session) {
             return;
         }
-        let rung = self.floor(req.class);
+        let rung = self.set.floor(req.class);
         let kb = self.set.rate(req.class, rung);
         let ask = Ask { req, attempts: 1, tried: vec![server] };
         self.hold(Live { ask, state: State::Plays, server, rung, kb, sent: self.now, due: self.now });
@@ -404,7 +396,7 @@
             return;
         }
         let never_ran = matches!(outcome, Outcome::Full | Outcome::NoConnection | Outcome::NotSent);
-        if never_ran || self.harmless(ask.req.class) {
+        if never_ran || self.set.harmless(ask.req.class) {
             return self.place(ask);
         }
         self.out.push(Action::Fail { session: id });
@@ -467,7 +459,7 @@
             self.out.push(Action::Recall { session: id, attempt: ask.attempts - 1 });
         }
         let fail = Action::Fail { session: id };
-        self.out.push(if self.harmless(ask.req.class) { self.refusal(&ask.req) } else { fail });
+        self.out.push(if self.set.harmless(ask.req.class) { self.refusal(&ask.req) } else { fail });
         self.turn(id, State::Closed);
     }
 
@@ -537,7 +529,8 @@
         self.held.change(id, |l| l.state = state);
     }
 
-    fn hold(&mut self, live: Live) {
+    fn hold(&mut self, mut live: Live) {
+        live.ask.req.tenant = live.ask.req.tenant.filter(|t| self.parts(Some(*t)).is_some());
         self.charge(live.server, live.kb);
         self.held.insert(live);
     }
@@ -595,7 +588,7 @@
         let mut holders: Vec<_> = self
             .servers
             .values()
-            .filter(|s| self.holds(s, &ask.req) && self.may_take(s, ask))
+            .filter(|s| self.set.holds(&s.listed, &ask.req) && self.may_take(s, ask))
             .map(|s| (s.fails > 0, self.account(s), self.tie(ask, s), s))
             .collect();
         holders.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
@@ -605,8 +598,8 @@
     /// D(C0): the asked rung under the mark, else the highest under the full line, else none. `held` is the
     /// rate that the session has there already.
     fn rung_at(&self, s: &Server, req: &Request, floor: usize, asked: usize, held: f64) -> Option<usize> {
-        let rate = |rung| self.set.rate(req.class, rung) - held;
-        let line = 1.0 - OWED_ROOM * self.owes(req.tenant);
+        let (line, beside) = self.closed(req);
+        let rate = |rung| self.set.rate(req.class, rung) - held + beside;
         if self.fits(s, rate(asked), line * MARK * self.answer(req, asked), CAUTION) {
             return Some(asked);
         }
@@ -615,32 +608,48 @@
         found.or_else(|| self.fits(s, rate(floor), line * FULL_LINE, 0.0).then_some(floor))
     }
 
-    /// A tenant's part of the rates held here, and the part of the fleet that is its own; none where none is
-    /// told. The others are taken to hold theirs alike.
-    fn parts(&self, tenant: Option<usize>) -> Option<(f64, f64)> {
+    /// A tenant's sessions, its part of the rates held here, and the part of the fleet that is its own; none
+    /// where none is told. The others are taken to hold theirs alike.
+    fn parts(&self, tenant: Option<usize>) -> Option<(f64, f64, f64)> {
         let part = self.set.tenants.get(tenant?).map(|t| t.part).filter(|p| *p > 0.0)?;
-        let held = self.held.by_tenant.get(&tenant?).unwrap_or(&0.0);
-        Some((held / self.held.tenants_kb.max(f64::MIN_POSITIVE), part))
+        let (sessions, kb) = self.held.by_tenant.get(&tenant?).copied().unwrap_or_default();
+        Some((sessions as f64, kb / self.held.tenants_kb.max(f64::MIN_POSITIVE), part))
     }
 
     /// Exception: where tenants have parts of the fleet, one that holds more than its own finds all lines
     /// lower, the more so the more it owes. What is above is for those who owe less as soon as they come.
     fn owes(&self, tenant: Option<usize>) -> f64 {
-        self.parts(tenant).filter(|(held, part)| held > part).map_or(0.0, |(h, p)| (1.0 + h - p) / 2.0)
+        self.parts(tenant).filter(|(_, held, part)| held > part).map_or(0.0, |(_, h, p)| (1.0 + h - p) / 2.0)
+    }
+
+    /// What is closed to who owes: a part of every line; while others are here within their parts all that is
+    /// above the mark too, and room for one of their sessions at the top beside its own.
+    fn closed(&self, req: &Request) -> (f64, f64) {
+        let (owes, top) = (self.owes(req.tenant), self.set.ladder.len().saturating_sub(1));
+        let line = 1.0 - OWED_ROOM * owes;
+        let near = owes > 0.0 && self.within;
+        if near { (line * MARK / FULL_LINE, self.set.rate(req.class, top)) } else { (line, 0.0) }
+    }
+
+    /// What all viewers would ask before and with a rung, over the room. One tenant's demand is not the
+    /// other's: for its sessions it is what they alone would ask of its part of the room, if that is less.
+    fn pressed(&self, class: usize, tenant: Option<usize>, rung: usize) -> Option<(f64, f64)> {
+        let (before, after) = self.overfill.get(&(class, rung)).copied()?;
+        let Some((sessions, _, part)) = self.parts(tenant) else { return Some((before, after)) };
+        let own = |kb: f64| sessions * kb * self.set.sharers() / (part * self.room);
+        let below = rung.checked_sub(1).map_or(0.0, |below| own(self.set.rate(class, below)));
+        Some((before.min(below), after.min(own(self.set.rate(class, rung)))))
     }
 
     /// The mark answers demand (the paper's choice of C0), on each rung of the ladder: a rung at which
-    /// the viewers seen would overfill the fleet is given only while the link is that much emptier. One
-    /// tenant's demand is not another's: who holds less than its part answers for what it holds of it.
+    /// the viewers seen would overfill the fleet is given only while the link is that much emptier.
     fn answer(&self, req: &Request, rung: usize) -> f64 {
-        let (_, overfill) = self.overfill.get(&(req.class, rung)).copied().unwrap_or_default();
-        let own = self.parts(req.tenant).map_or(1.0, |(held, part)| (held / part).min(1.0));
-        1.0 / (overfill * own).max(1.0)
+        1.0 / self.pressed(req.class, req.tenant, rung).map_or(1.0, |(_, all)| all.max(1.0))
     }
 
     /// Whether all viewers could have a rung where it is so much fuller than the mean: or that part of them.
-    fn common(&self, class: usize, rung: usize, part: f64, fuller: f64) -> bool {
-        let found = self.overfill.get(&(class, rung));
+    fn common(&self, group: &Group, rung: usize, part: f64, fuller: f64) -> bool {
+        let found = self.pressed(group.class, group.tenant, rung);
         found.is_some_and(|(before, after)| (before + part * (after - before)) * fuller <= 1.0)
     }
 
@@ -688,6 +697,7 @@
     fn weigh_demand(&mut self) {
         self.survey();
         self.turned.retain(|_, (t, _)| self.now - *t < WANTS_FOR);
+        self.within = self.held.by_tenant.keys().any(|t| self.owes(Some(*t)) == 0.0);
         let mut racks: BTreeMap<Option<u64>, f64> = BTreeMap::new();
         for s in self.servers.values().filter(|s| s.listed.state == Standing::Ready && s.fails == 0) {
             *racks.entry(self.set.rack(s.listed.cell)).or_insert(0.0) += s.link.kb;
@@ -695,7 +705,7 @@
         let uplink =
             if self.set.racks > 0 && self.set.uplink_kb > 0.0 { self.set.uplink_kb } else { f64::INFINITY };
         let room = FULL_LINE * racks.values().map(|kb| kb.min(uplink)).sum::<f64>();
-        self.overfill.clear();
+        (self.room, self.overfill) = (room, BTreeMap::new());
         if room <= 0.0 {
             return;
         }
@@ -773,15 +783,6 @@
         mix(self.seed ^ mix(ask.req.session.0) ^ mix(s.listed.server.0.wrapping_add(0x9e37_79b9_7f4a_7c15)))
     }
 
-    fn holds(&self, s: &Server, req: &Request) -> bool {
-        let (cell, cells) = (s.listed.cell, self.set.cells);
-        if cell >= cells || s.listed.fleet != req.fleet {
-            return false;
-        }
-        let home = req.home % cells;
-        (if cell >= home { cell - home } else { cells - home + cell }) < req.spread
-    }
-
     fn send(&mut self, mut ask: Ask, server: ServerId, rung: usize) {
         let session = ask.req.session;
         let kb = self.set.rate(ask.req.class, rung);
@@ -806,7 +807,7 @@
     fn patience(&self, ask: &Ask) -> Option<Micros> {
         let last = ask.attempts + 1 >= self.set.limits.max_attempts;
         let usual = ((self.setup * PATIENCE_TIMES) as Micros).max(PATIENCE_MIN);
-        if !self.harmless(ask.req.class) || last || self.now + usual >= ask.req.deadline {
+        if !self.set.harmless(ask.req.class) || last || self.now + usual >= ask.req.deadline {
             return None;
         }
         Some(usual)
@@ -822,32 +823,29 @@
 
     // ---- exception: held rungs ----------------------------------------------------------------
 
-    /// Groups that may step down at some servers, least worth for the rate first. `to`: which rung, if any.
+    /// Groups that may step down at some servers, who owes most, then least worth for the rate first.
     fn cheapest(&self, at: &[ServerId], to: impl Fn(&Group) -> Option<usize>) -> Vec<Step> {
         let step = |(g, _): (&Group, _)| {
             let rung = to(g)?;
-            let (from, down) = (self.set.ladder.get(g.2)?, self.set.ladder.get(rung)?);
-            let freed = self.set.rate(g.1, g.2) - self.set.rate(g.1, rung);
-            let lost = self.set.classes.get(g.1)?.worth * (from.worth - down.worth);
+            let (from, down) = (self.set.ladder.get(g.rung)?, self.set.ladder.get(rung)?);
+            let freed = self.set.rate(g.class, g.rung) - self.set.rate(g.class, rung);
+            let lost = self.set.classes.get(g.class)?.worth * (from.worth - down.worth);
             Some((lost / freed.max(1.0), *g, rung, freed, lost))
         };
         let mut steps: Vec<_> = at.iter().flat_map(|s| self.held.groups(*s)).filter_map(step).collect();
-        steps.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        let owes = |s: &Step| self.owes(s.1.tenant);
+        steps.sort_by(|a, b| owes(b).total_cmp(&owes(a)).then(a.0.total_cmp(&b.0)).then(a.1.cmp(&b.1)));
         steps
     }
 
-    fn floor(&self, class: usize) -> usize {
-        self.set.classes.get(class).map_or(0, |c| c.floor)
-    }
-
     /// Exception: the shortage that a server tells, of its link or its uplink, has cost each session there as
     /// much as a change of rung costs, so it lasts. This director's sessions step down by their own part of
     /// what is missing, least worth for the rate first.
     fn step_down(&mut self, server: ServerId, share: f64) {
-        let rate = |(g, ids): (&Group, &ByTime)| self.set.rate(g.1, g.2) * ids.len() as f64;
+        let rate = |(g, ids): (&Group, &ByTime)| self.set.rate(g.class, g.rung) * ids.len() as f64;
         let own: f64 = self.held.groups(server).map(rate).sum();
         let mut need = own * (1.0 - share.max(0.0) / RELIEF_TO);
-        let down = |g: &Group| g.2.checked_sub(1).filter(|r| *r >= self.floor(g.1));
+        let down = |g: &Group| g.rung.checked_sub(1).filter(|r| *r >= self.set.floor(g.class));
         for (_, group, rung, freed, _) in self.cheapest(&[server], down) {
             let ids: BTreeSet<_> =
                 self.held.due.get(&group).into_iter().flatten().map(|(_, id)| *id).collect();
@@ -875,10 +873,10 @@
         let kb = self.set.rate(ask.req.class, class.floor);
         let worth = self.set.ladder.get(class.floor).map_or(0.0, |r| r.worth);
         let (gain, owes) = (class.worth * worth * self.left(&ask.req, 0), self.owes(ask.req.tenant));
+        let (line, beside) = self.closed(&ask.req);
         let mut looked = BTreeSet::new();
         let found = self.holders(ask).into_iter().filter(|s| !s.short && s.fails == 0).find_map(|s| {
-            let line = FULL_LINE * (1.0 - OWED_ROOM * owes);
-            let lacks = |a: &Account, share: f64| (share + a.part(kb) - line) * a.kb;
+            let lacks = |a: &Account, share: f64| (share + a.part(kb + beside) - line * FULL_LINE) * a.kb;
             let link = lacks(&s.link, self.link_share(s));
             let uplink = self.uplink_of(s).map_or(0.0, |u| lacks(u, self.uplink_share(s)));
             let rack = self.set.rack(s.listed.cell).filter(|_| link <= 0.0);
@@ -889,21 +887,21 @@
             let near = self.servers.values().filter(|o| same(o) || o.listed.server == s.listed.server);
             let at: Vec<_> = near.map(|o| o.listed.server).collect();
             let down = |g: &Group| {
-                let (floor, fuller) = (self.floor(g.1), self.fuller(&self.servers[&g.0]));
-                let common = |r: &usize| self.common(g.1, *r, 1.0, fuller);
-                (g.2 > floor).then(|| (floor..g.2).rev().find(common).unwrap_or(floor))
+                let (floor, fuller) = (self.set.floor(g.class), self.fuller(&self.servers[&g.server]));
+                let common = |r: &usize| self.common(g, *r, 1.0, fuller);
+                // Who owes less makes no room for who owes more.
+                let may = g.rung > floor && self.owes(g.tenant) >= owes;
+                may.then(|| (floor..g.rung).rev().find(common).unwrap_or(floor))
             };
             let (need, mut freed, mut lost, mut taken) = (link.max(uplink), 0.0, 0.0, Vec::new());
             for (_, group, rung, frees, loses) in self.cheapest(&at, down) {
                 let due = self.held.due[&group].iter().take_while(|(due, _)| *due <= self.now);
-                // Who owes less makes no room for who owes more.
-                let due = due.filter_map(|(_, id)| self.held.live.get(id));
-                for t in due.filter(|t| self.owes(t.ask.req.tenant) >= owes) {
+                for t in due.filter_map(|(_, id)| self.held.live.get(id)) {
                     if freed >= need {
                         break;
                     }
                     let left = self.left(&t.ask.req, self.now - t.sent);
-                    let step = self.set.switch_s * self.set.classes[group.1].worth;
+                    let step = self.set.switch_s * self.set.classes[group.class].worth;
                     (freed, lost) = (freed + frees, lost + loses * left + step);
                     taken.push((t.ask.req.session, rung));
                 }
@@ -930,7 +928,8 @@
     /// are reported it is decided like a new one, upwards only, if its rest is worth more than the step.
     fn settled(&self) -> BTreeMap<SessionId, usize> {
         let mut steps = BTreeMap::new();
-        for ((server, class, held, top), sessions) in &self.held.due {
+        for (group, sessions) in &self.held.due {
+            let Group { server, class, rung: held, top, .. } = group;
             let Some(s) = self.servers.get(server).filter(|s| !s.short) else { continue };
             let Some(terms) = self.set.classes.get(*class) else { continue };
             let Some(last) = self.set.ladder.len().checked_sub(1) else { continue };
@@ -943,7 +942,7 @@
             // but what all viewers there would ask at that rung. Of a rung for which there is room for a part
             // of them only, that part takes it, by draw.
             let fuller = self.fuller(s);
-            let common = |r: &usize, part: f64| self.common(*class, *r, part, fuller);
+            let common = |r: &usize, part: f64| self.common(group, *r, part, fuller);
             // Where no draw has room the sessions need not be looked at one by one.
             if !(held + 1..=top).any(|r| common(&r, 0.0) || common(&r, 1.0)) {
                 continue;
@@ -967,10 +966,6 @@
 
     // ---- guards -----------------------------------------------------------------------------
 
-    fn harmless(&self, class: usize) -> bool {
-        self.set.classes.get(class).is_some_and(|c| c.effect == Effect::Harmless)
-    }
-
     /// Seats, attempts and the ration of further attempts allow another send.
     fn may_send(&self, ask: &Ask) -> bool {
         let seats = self.set.classes.get(ask.req.class).map_or(0, |c| c.seats);
@@ -995,7 +990,7 @@
         }
         // A failing server is tried with harmless set-ups only, one at a time, ever more rarely.
         let wait = TRIAL_WAIT << s.fails.saturating_sub(1).min(3);
-        let trial = self.harmless(ask.req.class) && self.now - s.failed_at >= wait;
+        let trial = self.set.harmless(ask.req.class) && self.now - s.failed_at >= wait;
         s.fails == 0 || (trial && !self.held.out.contains_key(&s.listed.server))
     }
 
--- a/src/control/counts.rs
+++ b/src/control/counts.rs
@@ -29,7 +29,8 @@
             continue;
         }
         let (fuller, part) = (d.fuller(s), draw(id.0));
-        let Some(top) = (t.rung + 1..=top).rev().find(|r| d.common(class, *r, part, fuller)) else {
+        let group = Group { server: t.server, class, rung: t.rung, top: req.top, tenant: req.tenant };
+        let Some(top) = (t.rung + 1..=top).rev().find(|r| d.common(&group, *r, part, fuller)) else {
             continue;
         };
         let Some(rung) = d.rung_at(s, req, terms.floor, top, t.kb).filter(|r| *r > t.rung) else {
@@ -55,9 +56,10 @@
     }
     let of = |tenant| live().filter(move |l| l.ask.req.tenant == Some(tenant)).map(|l| l.kb);
     for tenant in 0..3 {
-        let kb = d.held.by_tenant.get(&tenant).copied().unwrap_or(0.0);
+        let (sessions, kb) = d.held.by_tenant.get(&tenant).copied().unwrap_or_default();
         assert!((kb - of(tenant).sum::<f64>()).abs() < 1e-6);
-        assert_eq!(d.held.by_tenant.contains_key(&tenant), of(tenant).count() > 0);
+        assert_eq!(sessions, of(tenant).count());
+        assert_eq!(d.held.by_tenant.contains_key(&tenant), sessions > 0);
     }
     assert!((d.held.tenants_kb - (0..3).flat_map(of).sum::<f64>()).abs() < 1e-6);
     for ago in [0, S, 2 * S, 3 * S, 10 * S] {
--- a/src/control/held.rs
+++ b/src/control/held.rs
@@ -8,8 +8,24 @@
 /// Sessions by the time of their last send, or by when they are due.
 pub(super) type ByTime = BTreeSet<(Micros, SessionId)>;
 
-/// Sessions for which `settle` asks the same: server, class, rung, the viewer's highest rung.
-pub(super) type Group = (ServerId, usize, usize, usize);
+/// Sessions for which the same is decided anew.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Group {
+    pub server: ServerId,
+    pub class: usize,
+    pub rung: usize,
+    /// The viewer's highest.
+    pub top: usize,
+    pub tenant: Option<usize>,
+}
+
+/// New viewers of one step of time: how many, and the seconds that they want, by class.
+#[derive(Default)]
+pub(super) struct Arrivals {
+    pub from: Micros,
+    pub count: f64,
+    pub seconds: BTreeMap<usize, f64>,
+}
 
 /// The sessions held, and what is counted of them: a decision that walked them all would cost the more the
 /// more of them play. Every change goes through here, so that the counts can't stray.
@@ -18,7 +34,8 @@
     pub live: BTreeMap<SessionId, Live>,
     pub by_class: BTreeMap<usize, usize>,
     pub by_title: BTreeMap<TitleId, usize>,
-    pub by_tenant: BTreeMap<usize, f64>, // rates held, kB a second; and their sum
+    /// Sessions and rates held, kB a second; and the sum of these.
+    pub by_tenant: BTreeMap<usize, (usize, f64)>,
     pub tenants_kb: f64,
     pub sent: ByTime,
     pub at: BTreeMap<ServerId, ByTime>,
@@ -46,7 +63,8 @@
 
     /// The groups that play at a server.
     pub fn groups(&self, server: ServerId) -> impl Iterator<Item = (&Group, &ByTime)> {
-        self.due.range((server, 0, 0, 0)..=(server, usize::MAX, usize::MAX, usize::MAX))
+        let first = Group { server, class: 0, rung: 0, top: 0, tenant: None };
+        self.due.range(first..).take_while(move |(g, _)| g.server == server)
     }
 
     /// Enters a session into every count, or takes it out; what is empty goes.
@@ -71,11 +89,11 @@
         tally(&mut self.by_title, req.title, enter);
         if let Some(tenant) = req.tenant {
             let change = if enter { live.kb } else { -live.kb };
-            let kb = self.by_tenant.entry(tenant).or_default();
+            let (sessions, kb) = self.by_tenant.entry(tenant).or_default();
+            *sessions = if enter { *sessions + 1 } else { sessions.saturating_sub(1) };
             *kb += change;
             self.tenants_kb += change;
-            // What is left of sums once all is gone is far below any rate.
-            if *kb < 1e-6 {
+            if *sessions == 0 {
                 self.by_tenant.remove(&tenant);
             }
             if self.by_tenant.is_empty() {
@@ -88,7 +106,7 @@
         if live.state != State::Plays {
             tally(&mut self.out, server, enter);
         } else {
-            let group = (server, req.class, live.rung, req.top);
+            let group = Group { server, class: req.class, rung: live.rung, top: req.top, tenant: req.tenant };
             file(&mut self.due, group, (live.due, req.session), enter);
         }
     }
--- a/src/control/views.rs
+++ b/src/control/views.rs
@@ -28,4 +28,22 @@
     pub(super) fn places(&self, kind: Option<usize>) -> f64 {
         kind.and_then(|k| self.places_by_kind.get(k)).copied().filter(|p| *p > 0.0).unwrap_or(0.0)
     }
+
+    pub(super) fn floor(&self, class: usize) -> usize {
+        self.classes.get(class).map_or(0, |c| c.floor)
+    }
+
+    pub(super) fn harmless(&self, class: usize) -> bool {
+        self.classes.get(class).is_some_and(|c| c.effect == Effect::Harmless)
+    }
+
+    /// Whether a server is of the request's fleet and its cell holds the title.
+    pub(super) fn holds(&self, listed: &Listed, req: &Request) -> bool {
+        let (cell, cells) = (listed.cell, self.cells);
+        if cell >= cells || listed.fleet != req.fleet {
+            return false;
+        }
+        let home = req.home % cells;
+        (if cell >= home { cell - home } else { cells - home + cell }) < req.spread
+    }
 }
