Connections, heads and contents bounded by tenant before content is read

Need: a front shared its connections among whoever came first: one tenant, or one that never says whose it is, could hold them all with slow heads and contents without end; a tenant's limits on connections and sizes were kept and rolled out, and not in force.

Change: a request names its tenant in its head. shalewall_hosting::connections decides whose connections are kept, without I/O: a quarter of the front for those that are nobody's, the rest by share with a reserve, idle places of who is farthest above its part for who is within its own; a connection with a whole request is never closed for another. The server asks a gate once a head has come, when the request is whole and when it is answered. Calls of the client take fields in place of two optional ones that a dozen callers spelled out as none.

--- a/crates/front/src/api.rs
+++ b/crates/front/src/api.rs
@@ -1,6 +1,7 @@
 //! The viewers' side: sessions asked for and ended, as `docs/protocol.md` has it.
 
 use crate::hub::Hub;
+use crate::keeper::FIELD;
 use serde::Deserialize;
 use shalewall::{Micros, SessionId};
 use shalewall_engine::{Answer, Input, NewSession};
@@ -32,8 +33,15 @@
     }
 }
 
-fn read(body: &[u8]) -> Result<NewSession, String> {
-    let w: Wanted = serde_json::from_slice(body).map_err(|e| e.to_string())?;
+fn read(request: &Request) -> Result<NewSession, String> {
+    let mut w: Wanted = serde_json::from_slice(&request.body).map_err(|e| e.to_string())?;
+    // In the head, so that it is known before the content is read; in the content for those who say it there.
+    if let Some(named) = request.head.fields.get(FIELD) {
+        if w.tenant.as_deref().is_some_and(|tenant| tenant != named) {
+            return Err("head and content name different tenants".to_string());
+        }
+        w.tenant = Some(named.to_string());
+    }
     let names = [&w.viewer, &w.class, &w.title, w.tenant.as_ref().unwrap_or(&w.class)];
     if names.iter().any(|n| n.is_empty() || n.len() > NAME) {
         return Err(format!("viewer, tenant, class and title take 1 to {NAME} bytes"));
@@ -57,7 +65,7 @@
     match (head.method.as_str(), head.path(), session) {
         // Not taken, so nothing was set up: another front may have it at once.
         ("POST", "/sessions", _) if hub.leaving() => problem(503, "this front is ending", None, Some(0)),
-        ("POST", "/sessions", _) => match read(&request.body) {
+        ("POST", "/sessions", _) => match read(&request) {
             Err(why) => Reply::problem(422, &why),
             Ok(new) => match hub.ask(new).answer().await {
                 Some(answer) => reply(answer),
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -10,7 +10,8 @@
 pub mod api;
 pub mod day;
 pub mod hub;
-pub mod list;
+pub mod keeper;
+mod list;
 pub mod manage;
 pub mod node;
 pub mod serve;
--- a/crates/front/src/list.rs
+++ b/crates/front/src/list.rs
@@ -69,14 +69,7 @@
     let pool = Pool::new(address, hub.limits.clone(), Duration::ZERO, 0);
     let host = address.to_string();
     let target = format!("/servers?director={}", hub.director);
-    let call = Call {
-        method: "GET",
-        target: &target,
-        host: &host,
-        authorization: None,
-        if_match: None,
-        content: None,
-    };
+    let call = Call::new("GET", &target, &host);
     loop {
         let opening = async { pool.connect().await?.stream(&call).await };
         if let Some(Ok((head, incoming))) = in_time(hub.silence, opening).await
--- a/crates/front/src/manage.rs
+++ b/crates/front/src/manage.rs
@@ -177,8 +177,9 @@
     call(reach, |host, authorization| {
         let pool = Pool::new(reach.api, Limits { body: 64 << 20, ..Limits::default() }, Duration::ZERO, 0);
         let content = content.as_ref().map(|(kind, body)| (*kind, body.as_bytes()));
-        let authorization = Some(authorization);
-        let call = Call { method, target: &target, host, authorization, if_match: tag.as_deref(), content };
+        let mut fields = vec![("Authorization", authorization)];
+        fields.extend(tag.as_deref().map(|tag| ("If-Match", tag)));
+        let call = Call { content, ..Call::new(method, &target, host).fields(&fields) };
         let answer = async_io::block_on(in_time(Duration::from_secs(30), pool.call(&call)));
         answer.ok_or("no answer in time")?.map_err(|e| e.to_string())
     })
--- a/crates/front/src/node.rs
+++ b/crates/front/src/node.rs
@@ -56,8 +56,7 @@
         CallKind::Probe => ("GET", "/probe".to_string(), None),
     };
     let content = body.as_ref().map(|b| ("application/json", b.as_bytes()));
-    let call =
-        Call { method, target: &target, host: &peer.host, authorization: None, if_match: None, content };
+    let call = Call { content, ..Call::new(method, &target, &peer.host) };
     match peer.pool.call(&call).await {
         Ok(response) => answered(&response),
         Err(Failure::NeverRan(why)) => Done::NeverRan(why),
@@ -120,14 +119,7 @@
         Err(_) => return Some(false),
     };
     let target = format!("/events?director={}", hub.director);
-    let call = Call {
-        method: "GET",
-        target: &target,
-        host: &peer.host,
-        authorization: None,
-        if_match: None,
-        content: None,
-    };
+    let call = Call::new("GET", &target, &peer.host);
     let (head, incoming) = in_time(hub.silence, connection.stream(&call)).await?.ok()?;
     if head.status != 200 {
         warn!(server = peer.server.0, status = head.status, "a node refuses its event stream");
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -1,6 +1,7 @@
 //! One front: its sockets, put together from its settings.
 
 use crate::hub::Hub;
+use crate::keeper::Keeper;
 use crate::tenants::{Door, Tenants};
 use crate::{api, list, tenants};
 use async_executor::{LocalExecutor, Task};
@@ -9,7 +10,7 @@
 use futures_lite::StreamExt;
 use shalewall_engine::Engine;
 use shalewall_http::Limits;
-use shalewall_http::server::serve;
+use shalewall_http::server::{serve, serve_at};
 use shalewall_settings::FrontPlan;
 use std::cell::Cell;
 use std::net::{SocketAddr, TcpListener};
@@ -70,7 +71,8 @@
         None => None,
         Some(hosting) => {
             let token = std::fs::read_to_string(&hosting.token_file)?;
-            let tenants = Tenants::new(hosting.set_ups_per_s, plan.front.most_sessions);
+            let tenants =
+                Tenants::new(hosting.set_ups_per_s, plan.front.most_sessions, plan.front.most_connections);
             engine.set_door(Box::new(Door(tenants.clone())));
             Some((tenants, hosting.clone(), token))
         }
@@ -92,6 +94,7 @@
 
 async fn accept(hub: Rc<Hub>, listener: Async<TcpListener>, most: usize) {
     let open = Rc::new(Cell::new(0usize));
+    let keeper = hub.tenants.get().cloned().map(Keeper::new);
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -102,10 +105,21 @@
                 continue;
             }
         };
+        let _ = stream.get_ref().set_nodelay(true);
+        if let Some(keeper) = &keeper {
+            let Some(mut kept) = keeper.open() else { continue };
+            let (hub, ticket) = (hub.clone(), kept.ticket);
+            let ex = hub.ex.clone();
+            let task = ex.spawn(async move {
+                let limits = hub.limits.clone();
+                serve_at(stream, &limits, &mut kept, |request| api::answer(hub.clone(), request)).await;
+            });
+            keeper.serves(ticket, task);
+            continue;
+        }
         if open.get() >= most {
             continue; // closed at once: bounded memory before anything else
         }
-        let _ = stream.get_ref().set_nodelay(true);
         open.set(open.get() + 1);
         let (hub, open) = (hub.clone(), open.clone());
         let ex = hub.ex.clone();
--- a/crates/front/src/tenants.rs
+++ b/crates/front/src/tenants.rs
@@ -7,10 +7,11 @@
 use serde::Deserialize;
 use shalewall::{ClassTerms, Effect, Micros, ServerId};
 use shalewall_engine::{Admission, Admit, Agreed, Input, Place};
-use shalewall_hosting::model::{Class, Fleet, State, Tenant, TenantId};
+use shalewall_hosting::connections::Connections;
+use shalewall_hosting::model::{Class, Fleet, Limits as Terms, State, Tenant, TenantId};
 use shalewall_hosting::share::{Capacity, Cause, Shares, Verdict};
 use shalewall_http::Limits;
-use shalewall_http::client::{Call, in_time};
+use shalewall_http::client::{Call, Response, in_time};
 use shalewall_http::pool::Pool;
 use shalewall_settings::Hosting;
 use std::cell::{Cell, RefCell};
@@ -32,6 +33,9 @@
 /// What this front knows of its tenants.
 pub struct Tenants {
     shares: RefCell<Shares>,
+    pub(crate) connections: RefCell<Connections>,
+    /// Each tenant's limits.
+    limits: RefCell<BTreeMap<TenantId, Terms>>,
     /// Number of the last change that is applied here, and whether the API could be reached last.
     pub number: Cell<u64>,
     pub reached: Cell<bool>,
@@ -103,22 +107,36 @@
 }
 
 impl Tenants {
-    pub fn new(set_ups_per_s: f64, sessions: usize) -> Rc<Tenants> {
+    pub fn new(set_ups_per_s: f64, sessions: usize, connections: usize) -> Rc<Tenants> {
         let capacity = Capacity { set_ups_per_s, sessions: sessions as f64 };
         Rc::new(Tenants {
             shares: RefCell::new(Shares::new(capacity, shalewall_clock::now())),
+            connections: RefCell::new(Connections::new(connections)),
+            limits: RefCell::default(),
             number: Cell::new(0),
             reached: Cell::new(false),
             ending: RefCell::default(),
         })
     }
 
+    /// A tenant's limits; none where it has none.
+    pub(crate) fn limits(&self, tenant: &TenantId) -> Terms {
+        self.limits.borrow().get(tenant).cloned().unwrap_or_default()
+    }
+
     /// Door and engine hear of all of it in one turn: no request is decided in between.
     fn apply(&self, hub: &Rc<Hub>, news: News) {
         let now = shalewall_clock::now();
         hub.feed(Input::Tenants(news.tenants.iter().map(|t| (t.id.to_string(), agreed(t))).collect()));
         for tenant in news.tenants {
             let (id, terms) = (&tenant.id, &tenant.terms);
+            if let State::Gone { .. } = tenant.state {
+                self.connections.borrow_mut().forget(id);
+                self.limits.borrow_mut().remove(id);
+            } else {
+                self.connections.borrow_mut().agree(id, terms.share, terms.limits.connections);
+                self.limits.borrow_mut().insert(id.clone(), terms.limits.clone());
+            }
             self.ending.borrow_mut().remove(id);
             match tenant.state {
                 State::Active => {
@@ -144,11 +162,46 @@
     }
 }
 
+/// The administration API as this front calls it.
+struct Service {
+    pool: Pool,
+    host: String,
+    authorization: String,
+}
+
+impl Service {
+    /// `body`: bytes of an answer at most.
+    fn new(hosting: &Hosting, token: &str, body: usize) -> Service {
+        let limits = Limits { body, ..Limits::default() };
+        Service {
+            pool: Pool::new(hosting.admin, limits, Duration::from_secs(20), 1),
+            host: hosting.admin.to_string(),
+            authorization: format!("Bearer {}", token.trim()),
+        }
+    }
+
+    async fn call(
+        &self,
+        method: &str,
+        target: &str,
+        said: &[u8],
+        within: Duration,
+    ) -> Result<Response, String> {
+        let fields = [("Authorization", self.authorization.as_str())];
+        let call = Call::new(method, target, &self.host).fields(&fields);
+        let call = if said.is_empty() { call } else { call.json(said) };
+        let answer = in_time(within, self.pool.call(&call)).await.ok_or("no answer in time")?;
+        let answer = answer.map_err(|e| e.to_string())?;
+        match answer.head.status {
+            200..=299 => Ok(answer),
+            status => Err(format!("status {status}")),
+        }
+    }
+}
+
 /// Tells the API each second what this front holds of its tenants.
 pub async fn report(hub: Rc<Hub>, tenants: Rc<Tenants>, hosting: Hosting, token: String) {
-    let pool = Pool::new(hosting.admin, Limits::default(), Duration::from_secs(20), 1);
-    let host = hosting.admin.to_string();
-    let authorization = format!("Bearer {}", token.trim());
+    let service = Service::new(&hosting, &token, Limits::default().body);
     loop {
         Timer::after(REPORT).await;
         let said = {
@@ -157,35 +210,18 @@
             serde_json::json!({ "front": hub.director, "number": tenants.number.get(), "held": held })
                 .to_string()
         };
-        let content = Some(("application/json", said.as_bytes()));
-        let authorization = Some(authorization.as_str());
-        let (method, target) = ("POST", "/usage");
-        let call = Call { method, target, host: &host, authorization, if_match: None, content };
         // One that is lost is followed by the next; that the API is away is told by the other call.
-        let _ = in_time(Duration::from_secs(2), pool.call(&call)).await;
+        let _ = service.call("POST", "/usage", said.as_bytes(), Duration::from_secs(2)).await;
     }
 }
 
 /// Keeps this front's tenants up to date.
 pub async fn follow(hub: Rc<Hub>, tenants: Rc<Tenants>, hosting: Hosting, token: String) {
-    let limits = Limits { body: NEWS, ..Limits::default() };
-    let pool = Pool::new(hosting.admin, limits, Duration::from_secs(20), 1);
-    let host = hosting.admin.to_string();
-    let authorization = format!("Bearer {}", token.trim());
+    let service = Service::new(&hosting, &token, NEWS);
     loop {
         let target = format!("/changes?after={}&wait_ms={}", tenants.number.get(), WAIT.as_millis());
-        let (method, authorization) = ("GET", Some(authorization.as_str()));
-        let call =
-            Call { method, target: &target, host: &host, authorization, if_match: None, content: None };
-        let answer = in_time(WAIT + Duration::from_secs(2), pool.call(&call)).await;
-        let news = match answer {
-            Some(Ok(answer)) if answer.head.status == 200 => {
-                serde_json::from_slice::<News>(&answer.body).map_err(|e| e.to_string())
-            }
-            Some(Ok(answer)) => Err(format!("status {}", answer.head.status)),
-            Some(Err(e)) => Err(e.to_string()),
-            None => Err("no answer in time".to_string()),
-        };
+        let answer = service.call("GET", &target, &[], WAIT + Duration::from_secs(2)).await;
+        let news = answer.and_then(|a| serde_json::from_slice::<News>(&a.body).map_err(|e| e.to_string()));
         match news {
             Ok(news) => {
                 if !tenants.reached.replace(true) {
--- a/crates/front/tests/hosting.rs
+++ b/crates/front/tests/hosting.rs
@@ -3,7 +3,7 @@
 mod scripted;
 use scripted::*;
 use serde_json::{Value, json};
-use shalewall_settings::Hosting;
+use shalewall_settings::{FrontPlan, Hosting};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
@@ -41,6 +41,11 @@
 
 impl Service {
     fn new(nodes: &[&Node], fronts: u32) -> Service {
+        Service::with(nodes, fronts, |_| {})
+    }
+
+    /// The same with a change to the fronts' settings.
+    fn with(nodes: &[&Node], fronts: u32, change: impl Fn(&mut FrontPlan)) -> Service {
         let dir = tempfile::tempdir().unwrap();
         let store = dir.path().join("tenants.redb");
         let make = |role: &str| {
@@ -55,6 +60,7 @@
         let token_file = dir.path().join("token");
         plan.hosting = Some(Hosting { admin: admin.1, token_file, set_ups_per_s: 1000.0 });
         plan.front.directors = fronts;
+        change(&mut plan);
         let fronts = (0..fronts).map(|number| {
             plan.front.number = number;
             let file = dir.path().join(format!("front-{number}.hcl"));
@@ -287,3 +293,58 @@
     assert_eq!(waits.join().unwrap().0, 201);
     assert_eq!(node.lines("PUT").len(), 1);
 }
+
+/// Sends a request in two parts and returns the connection between them.
+fn begun(front: SocketAddr, fields: &str, body: &str, length: usize) -> TcpStream {
+    let mut stream = TcpStream::connect(front).unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+    let head =
+        format!("POST /sessions HTTP/1.1\r\nHost: x\r\n{fields}Content-Length: {length}\r\n\r\n{body}");
+    stream.write_all(head.as_bytes()).unwrap();
+    stream
+}
+
+fn status(mut stream: TcpStream) -> Option<u16> {
+    let mut said = [0; 12];
+    stream.read_exact(&mut said).ok()?;
+    String::from_utf8_lossy(&said[9..]).parse().ok()
+}
+
+#[test]
+fn connections_and_sizes_are_each_tenants_own_before_content_is_read() {
+    let node = Node::start(&[]);
+    let service = Service::with(&[&node], 1, |plan| plan.front.most_connections = 40);
+    let front = service.fronts[0].1;
+    let limit = terms(json!({ "connections": 3, "body_bytes": 200, "head_bytes": 400 }));
+    service.rolled_out("POST", "/tenants", &json!({ "id": "loud", "terms": limit }));
+    service.rolled_out("POST", "/tenants", &json!({ "id": "quiet", "terms": terms(json!({})) }));
+    let field = |tenant: &str| format!("Shalewall-Tenant: {tenant}\r\n");
+    let wanted = |viewer: &str| json!({ "viewer": viewer, "class": "room", "title": "monday" }).to_string();
+    let ask = |tenant: &str, viewer: &str| {
+        let body = wanted(viewer);
+        status(begun(front, &field(tenant), &body, body.len()))
+    };
+    assert_eq!(ask("quiet", "v"), Some(201), "the field alone names the tenant");
+    // Sizes: too much is told from the head, before any of the content has come.
+    assert_eq!(status(begun(front, &field("loud"), "", 201)), Some(413));
+    let long = format!("{}X-Long: {}\r\n", field("loud"), "x".repeat(400));
+    assert_eq!(status(begun(front, &long, "", 10)), Some(431));
+    assert_eq!(status(begun(front, &field("nobody"), "", 10)), Some(404));
+    let other = json!({ "viewer": "v", "tenant": "quiet", "class": "room", "title": "monday" }).to_string();
+    assert_eq!(status(begun(front, &field("loud"), &other, other.len())), Some(422), "two names");
+    // Content that never ends: three of the loud one's own, and a fourth takes the place of the first.
+    let mut slow: Vec<_> = (0..4).map(|_| begun(front, &field("loud"), "{", 100)).collect();
+    slow[0].set_read_timeout(Some(Duration::from_secs(2))).unwrap();
+    assert_eq!(slow[0].read(&mut [0; 9]).unwrap(), 0, "closed for its tenant's next");
+    // Those who say nothing have a quarter of the front, and the longest silent goes first.
+    let mut silent: Vec<_> = (0..30).map(|_| TcpStream::connect(front).unwrap()).collect();
+    for i in 0..5 {
+        assert_eq!(ask("quiet", &format!("w{i}")), Some(201), "{i}");
+    }
+    silent[0].set_read_timeout(Some(Duration::from_secs(2))).unwrap();
+    assert_eq!(silent[0].read(&mut [0; 9]).unwrap(), 0);
+    // A request that waits for its answer is not closed, however many come.
+    let last = silent.len() - 1;
+    silent[last].set_read_timeout(Some(Duration::from_millis(100))).unwrap();
+    assert!(silent[last].read(&mut [0; 9]).is_err(), "the last to come is still there");
+}
--- a/crates/front/tests/wrong_front.rs
+++ b/crates/front/tests/wrong_front.rs
@@ -55,9 +55,7 @@
         json!({ "director": 0, "class": ask["class"], "title": ask["title"], "rung": rung, "kb": 300.0 });
     let body = body.to_string();
     let (target, host) = (format!("/sessions/{session}/{attempt}"), node.to_string());
-    let content = Some(("application/json", body.as_bytes()));
-    let call =
-        Call { method: "PUT", target: &target, host: &host, authorization: None, if_match: None, content };
+    let call = Call::new("PUT", &target, &host).json(body.as_bytes());
     let patience = Duration::from_millis(if waste { 5 } else { 3000 });
     let answer = in_time(patience, pool.call(&call)).await?.ok()?;
     let said: Value = serde_json::from_slice(&answer.body).ok()?;
@@ -105,14 +103,7 @@
     // Told of the list like any front, so that the list's side records what it was told.
     let pool = Pool::new(world.list_address, Limits::default(), Duration::ZERO, 0);
     let connection: Connection<_> = pool.connect().await.unwrap();
-    let call = Call {
-        method: "GET",
-        target: "/servers?director=0",
-        host: "list",
-        authorization: None,
-        if_match: None,
-        content: None,
-    };
+    let call = Call::new("GET", "/servers?director=0", "list");
     let (_, incoming) = connection.stream(&call).await.unwrap();
     ex.spawn(async move {
         let mut events = Events::new(incoming, 1 << 20);
--- a/crates/hosting/src/lib.rs
+++ b/crates/hosting/src/lib.rs
@@ -12,6 +12,7 @@
 
 pub mod access;
 pub mod change;
+pub mod connections;
 pub mod model;
 pub mod share;
 pub mod usage;
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -38,24 +38,33 @@
     pub method: &'a str,
     pub target: &'a str,
     pub host: &'a str,
-    /// Who asks, as `Authorization` has it.
-    pub authorization: Option<&'a str>,
-    /// What a change is meant for, as `If-Match` has it.
-    pub if_match: Option<&'a str>,
+    /// Further fields: `Authorization`, say.
+    pub fields: &'a [(&'a str, &'a str)],
     /// Content and its media type.
     pub content: Option<(&'a str, &'a [u8])>,
 }
 
-impl Call<'_> {
+impl<'a> Call<'a> {
+    /// A call without further fields or content.
+    pub fn new(method: &'a str, target: &'a str, host: &'a str) -> Call<'a> {
+        Call { method, target, host, fields: &[], content: None }
+    }
+
+    pub fn fields(self, fields: &'a [(&'a str, &'a str)]) -> Call<'a> {
+        Call { fields, ..self }
+    }
+
+    pub fn json(self, content: &'a [u8]) -> Call<'a> {
+        Call { content: Some(("application/json", content)), ..self }
+    }
+
     fn bytes(&self) -> Vec<u8> {
         let mut out = Vec::with_capacity(256);
         let length = self.content.map_or(String::new(), |(_, data)| data.len().to_string());
         let content =
             self.content.map(|(kind, _)| [("Content-Type", kind), ("Content-Length", length.as_str())]);
-        let named = [("Authorization", self.authorization), ("If-Match", self.if_match)];
-        let named = named.into_iter().map(|(name, value)| Some((name, value?)));
-        let fields = std::iter::once(Some(("Host", self.host))).chain(named);
-        let fields: Vec<_> = fields.flatten().chain(content.into_iter().flatten()).collect();
+        let fields = std::iter::once(("Host", self.host)).chain(self.fields.iter().copied());
+        let fields: Vec<_> = fields.chain(content.into_iter().flatten()).collect();
         write_request(&mut out, self.method, self.target, &fields);
         out.extend_from_slice(self.content.map_or(&[], |(_, data)| data));
         out
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -65,7 +65,7 @@
 }
 
 impl Bad {
-    pub(crate) const fn new(status: u16, what: &'static str) -> Bad {
+    pub const fn new(status: u16, what: &'static str) -> Bad {
         Bad { status, what }
     }
 }
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -85,6 +85,30 @@
     Stuck,
 }
 
+/// What is asked about a connection while it is served.
+pub trait Gate {
+    /// The head of a request has come, of so many bytes; the content may have so many at most. An error is the
+    /// answer, and the connection is closed after it.
+    fn head(&mut self, head: &RequestHead, size: usize) -> Result<usize, Bad>;
+
+    /// The request has come whole: it is owed an answer.
+    fn whole(&mut self);
+
+    /// A request has been answered, and none is under way.
+    fn idle(&mut self);
+}
+
+/// Nobody is asked.
+impl Gate for () {
+    fn head(&mut self, _: &RequestHead, _: usize) -> Result<usize, Bad> {
+        Ok(usize::MAX)
+    }
+
+    fn whole(&mut self) {}
+
+    fn idle(&mut self) {}
+}
+
 struct Server<'l, S> {
     stream: S,
     buf: Vec<u8>,
@@ -92,7 +116,17 @@
 }
 
 /// Serves a connection to its end. The handler's future is dropped when the peer closes before its answer.
-pub async fn serve<S, H, F>(stream: S, limits: &Limits, mut handle: H) -> Ended
+pub async fn serve<S, H, F>(stream: S, limits: &Limits, handle: H) -> Ended
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+    H: FnMut(Request) -> F,
+    F: Future<Output = Reply>,
+{
+    serve_at(stream, limits, &mut (), handle).await
+}
+
+/// The same at a gate that each request's head has to pass.
+pub async fn serve_at<S, H, F>(stream: S, limits: &Limits, gate: &mut impl Gate, mut handle: H) -> Ended
 where
     S: AsyncRead + AsyncWrite + Unpin,
     H: FnMut(Request) -> F,
@@ -100,7 +134,7 @@
 {
     let mut server = Server { stream, buf: Vec::new(), limits };
     loop {
-        let request = match server.read().await {
+        let request = match server.read(gate).await {
             Ok(request) => request,
             Err(Ended::Refused(bad)) => {
                 let reply = Reply::problem(bad.status, bad.what);
@@ -111,10 +145,11 @@
             }
             Err(ended) => return ended,
         };
+        gate.whole();
         let keep = request.head.keep;
         let Some(reply) = server.answer(handle(request)).await else { return Ended::Left };
         match server.write(reply, keep).await {
-            Some(true) => {}
+            Some(true) => gate.idle(),
             Some(false) => return Ended::Idle,
             None => return Ended::Stuck,
         }
@@ -122,7 +157,7 @@
 }
 
 impl<S: AsyncRead + AsyncWrite + Unpin> Server<'_, S> {
-    async fn read(&mut self) -> Result<Request, Ended> {
+    async fn read(&mut self, gate: &mut impl Gate) -> Result<Request, Ended> {
         if self.buf.is_empty() {
             let first = in_time(self.limits.idle_time, fill(&mut self.stream, &mut self.buf)).await;
             if !matches!(first, Some(Ok(n)) if n > 0) {
@@ -136,8 +171,10 @@
         };
         let limits = self.limits;
         let head = in_time(limits.head_time, self.head()).await;
-        let head = head.unwrap_or_else(|| Err(late(&mut self.buf, "the head took too long")))?;
-        let mut body = Body::new(head.framing, limits).map_err(Ended::Refused)?;
+        let (head, size) = head.unwrap_or_else(|| Err(late(&mut self.buf, "the head took too long")))?;
+        let most = gate.head(&head, size).map_err(Ended::Refused)?.min(limits.body);
+        let own = Limits { body: most, ..limits.clone() };
+        let mut body = Body::new(head.framing, &own).map_err(Ended::Refused)?;
         if head.expects_continue() && self.buf.is_empty() {
             self.put(b"HTTP/1.1 100 Continue\r\n\r\n", limits.write_time).await.ok_or(Ended::Stuck)?;
         }
@@ -146,12 +183,13 @@
         Ok(Request { head, body })
     }
 
-    async fn head(&mut self) -> Result<RequestHead, Ended> {
+    /// A head and its size in bytes.
+    async fn head(&mut self) -> Result<(RequestHead, usize), Ended> {
         let mut finder = Finder::default();
         loop {
             if let Some((head, used)) = finder.request(&self.buf, self.limits).map_err(Ended::Refused)? {
                 self.buf.drain(..used);
-                return Ok(head);
+                return Ok((head, used));
             }
             if !matches!(fill(&mut self.stream, &mut self.buf).await, Ok(n) if n > 0) {
                 return Err(Ended::Cut(std::mem::take(&mut self.buf)));
--- a/crates/measure/src/load.rs
+++ b/crates/measure/src/load.rs
@@ -46,18 +46,12 @@
 
 /// One set-up; its session, where it plays.
 async fn set_up(front: &mut Kept, viewer: &str, tenant: Option<&str>) -> Option<u64> {
-    let tenant = tenant.map_or(String::new(), |t| format!("\"tenant\":\"{t}\","));
+    let named = tenant.map_or(String::new(), |t| format!("\"tenant\":\"{t}\","));
     let body =
-        format!("{{{tenant}\"viewer\":\"{viewer}\",\"class\":\"report\",\"title\":\"t\",\"wait_ms\":4000}}");
-    let content = Some(("application/json", body.as_bytes()));
-    let call = Call {
-        method: "POST",
-        target: "/sessions",
-        host: "front",
-        authorization: None,
-        if_match: None,
-        content,
-    };
+        format!("{{{named}\"viewer\":\"{viewer}\",\"class\":\"report\",\"title\":\"t\",\"wait_ms\":4000}}");
+    let field = tenant.map(|name| [("Shalewall-Tenant", name)]);
+    let fields = field.as_ref().map_or(&[][..], |f| &f[..]);
+    let call = Call::new("POST", "/sessions", "front").fields(fields).json(body.as_bytes());
     let answer = front.call(&call).await.ok()?;
     let said: serde_json::Value = serde_json::from_slice(&answer.body).ok()?;
     (answer.head.status == 201).then(|| said["session"].as_u64())?
@@ -90,14 +84,7 @@
         }
         if let Some(session) = session {
             let target = format!("/sessions/{session}");
-            let end = Call {
-                method: "DELETE",
-                target: &target,
-                host: "front",
-                authorization: None,
-                if_match: None,
-                content: None,
-            };
+            let end = Call::new("DELETE", &target, "front");
             let _ = front.call(&end).await;
         }
         if !front.reusable() {
@@ -140,15 +127,7 @@
                 return;
             }
             let target = format!("/sessions/{sent}/0");
-            let content = Some(("application/json", &body[..]));
-            let call = Call {
-                method: "PUT",
-                target: &target,
-                host: "node",
-                authorization: None,
-                if_match: None,
-                content,
-            };
+            let call = Call::new("PUT", &target, "node").json(&body[..]);
             let ok = node.call(&call).await.is_ok();
             outcome.set_ups += u64::from(ok);
             outcome.wrong += u64::from(!ok);
--- a/crates/measure/src/tenants.rs
+++ b/crates/measure/src/tenants.rs
@@ -39,9 +39,9 @@
 fn call(to: SocketAddr, token: &str, method: &str, target: &str, body: &str) -> std::io::Result<u16> {
     let pool = Pool::new(to, Limits::default(), Duration::ZERO, 0);
     let authorization = format!("Bearer {token}");
-    let content = (!body.is_empty()).then_some(("application/json", body.as_bytes()));
-    let authorization = Some(authorization.as_str());
-    let call = Call { method, target, host: "admin", authorization, if_match: Some("*"), content };
+    let fields = [("Authorization", authorization.as_str()), ("If-Match", "*")];
+    let call = Call::new(method, target, "admin").fields(&fields);
+    let call = if body.is_empty() { call } else { call.json(body.as_bytes()) };
     let answer = async_io::block_on(pool.call(&call));
     answer.map(|a| a.head.status).map_err(|e| std::io::Error::other(e.to_string()))
 }
--- a/crates/standins/src/viewers.rs
+++ b/crates/standins/src/viewers.rs
@@ -239,15 +239,10 @@
         })
         .to_string();
         let host = front.to_string();
-        let content = Some(("application/json", body.as_bytes()));
-        let call = Call {
-            method: "POST",
-            target: "/sessions",
-            host: &host,
-            authorization: None,
-            if_match: None,
-            content,
-        };
+        // Of a hosted service: whose viewer it is has to be known before its content is read.
+        let tenant = viewer.tenant.as_deref().map(|name| [("Shalewall-Tenant", name)]);
+        let fields = tenant.as_ref().map_or(&[][..], |f| &f[..]);
+        let call = Call::new("POST", "/sessions", &host).fields(fields).json(body.as_bytes());
         let pool = Pool::new(front, Limits::default(), Duration::ZERO, 0);
         let Ok(mut connection) = pool.connect().await else {
             self.enter(viewer, |t| t.unanswered += 1);
@@ -292,14 +287,7 @@
                 let watched = self.watch(viewer, ask, session, media, late).await;
                 if self.roll() < 0.5 {
                     let target = format!("/sessions/{session}");
-                    let end = Call {
-                        method: "DELETE",
-                        target: &target,
-                        host: &host,
-                        authorization: None,
-                        if_match: None,
-                        content: None,
-                    };
+                    let end = Call::new("DELETE", &target, &host);
                     let _ = in_time(Duration::from_secs(2), pool.call(&end)).await;
                 }
                 watched
@@ -398,8 +386,7 @@
     let (host, path) = url.strip_prefix("http://")?.split_once('/')?;
     let target = format!("/{path}");
     let pool = Pool::new(host.parse().ok()?, Limits::default(), Duration::ZERO, 0);
-    let call =
-        Call { method: "GET", target: &target, host, authorization: None, if_match: None, content: None };
+    let call = Call::new("GET", &target, host);
     let opening = async { pool.connect().await.ok()?.stream(&call).await.ok() };
     let (head, frames) = in_time(Duration::from_secs(5), opening).await??;
     (head.status == 200).then_some(frames)
