--- a/crates/store/src/dump.rs
+++ b/crates/store/src/dump.rs
@@ -2,7 +2,7 @@
 
 use crate::format::{CHANGES, HISTORY, META, TENANTS, TOKENS};
 use crate::{Error, Store, VERSION, fault, read, written};
-use redb::{ReadableDatabase, ReadableTable};
+use redb::ReadableTable;
 use serde::{Deserialize, Serialize};
 use shalewall_hosting::access::Token;
 use shalewall_hosting::change::{Entry, replay};
@@ -30,7 +30,7 @@
 impl Store {
     /// Reads everything: each tenant has to be what its history comes to, and each change to be in both orders.
     pub fn check(&self) -> Result<Found, Error> {
-        let txn = self.db.begin_read().map_err(fault)?;
+        let txn = self.kept.read()?;
         let wrong = |what: String| Err(Error::Corrupt(what));
         let mut histories: BTreeMap<String, Vec<Entry>> = BTreeMap::new();
         let mut found = Found::default();
@@ -75,7 +75,7 @@
             out.write_all(b"\n").map_err(io)
         };
         put(&Line::Store { version: VERSION })?;
-        let txn = self.db.begin_read().map_err(fault)?;
+        let txn = self.kept.read()?;
         let history = txn.open_table(HISTORY).map_err(fault)?;
         let mut next: BTreeMap<String, u64> = BTreeMap::new();
         let mut found = Found::default();
@@ -101,7 +101,7 @@
         if self.last()? > 0 {
             return Err(Error::Unable("only an empty store can be filled".into()));
         }
-        let txn = self.db.begin_write().map_err(fault)?;
+        let txn = self.kept.write()?;
         {
             let mut history = txn.open_table(HISTORY).map_err(fault)?;
             let mut changes = txn.open_table(CHANGES).map_err(fault)?;
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -6,11 +6,13 @@
 
 mod dump;
 mod format;
+mod kept;
 
 pub use dump::Found;
 
 use format::{CHANGES, HISTORY, KEYS, META, TENANTS, TOKENS};
-use redb::{Database, ReadableDatabase, ReadableTable, ReadableTableMetadata};
+use kept::Kept;
+use redb::{ReadableTable, ReadableTableMetadata};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use shalewall_hosting::Millis;
@@ -91,17 +93,14 @@
 }
 
 /// All tenants.
-#[derive(Debug)]
 pub struct Store {
-    db: Database,
+    kept: Kept,
 }
 
 impl Store {
     /// Opens a store, or makes an empty one. One of an earlier version is moved forward in one transaction.
     pub fn open(path: &Path) -> Result<Store, Error> {
-        let db = Database::create(path).map_err(fault)?;
-        format::forward(&db)?;
-        Ok(Store { db })
+        Ok(Store { kept: Kept::open(path)? })
     }
 
     /// Changes a tenant, or makes it. `key`: a wish that comes again under it is not done twice; `request` tells
@@ -113,7 +112,7 @@
         by: &By<'_>,
         key: Option<(&str, &str)>,
     ) -> Result<Done, Error> {
-        let txn = self.db.begin_write().map_err(fault)?;
+        let txn = self.kept.write()?;
         let done = {
             let mut tenants = txn.open_table(TENANTS).map_err(fault)?;
             let mut changes = txn.open_table(CHANGES).map_err(fault)?;
@@ -154,7 +153,7 @@
     }
 
     pub fn tenant(&self, id: &TenantId) -> Result<Option<Tenant>, Error> {
-        let txn = self.db.begin_read().map_err(fault)?;
+        let txn = self.kept.read()?;
         let tenants = txn.open_table(TENANTS).map_err(fault)?;
         let found = tenants.get(id.as_str()).map_err(fault)?;
         found.map(|bytes| read(bytes.value())).transpose()
@@ -163,7 +162,7 @@
     /// Tenants in the order of their ids, after one, so many at most.
     pub fn list(&self, after: Option<&TenantId>, most: usize) -> Result<Vec<Tenant>, Error> {
         use std::ops::Bound::{Excluded, Unbounded};
-        let txn = self.db.begin_read().map_err(fault)?;
+        let txn = self.kept.read()?;
         let tenants = txn.open_table(TENANTS).map_err(fault)?;
         let from = after.map_or(Unbounded, |id| Excluded(id.as_str()));
         let range = tenants.range::<&str>((from, Unbounded)).map_err(fault)?;
@@ -172,7 +171,7 @@
 
     /// A tenant's history from a revision on, so many entries at most.
     pub fn history(&self, id: &TenantId, from: u64, most: usize) -> Result<Vec<Entry>, Error> {
-        let txn = self.db.begin_read().map_err(fault)?;
+        let txn = self.kept.read()?;
         let history = txn.open_table(HISTORY).map_err(fault)?;
         let range = history.range((id.as_str(), from)..=(id.as_str(), u64::MAX)).map_err(fault)?;
         range.take(most).map(|row| read(row.map_err(fault)?.1.value())).collect()
@@ -180,7 +179,7 @@
 
     /// Tenants that have changed after a number, as they are now, and the number that this is the state of.
     pub fn since(&self, number: u64) -> Result<(u64, Vec<Tenant>), Error> {
-        let txn = self.db.begin_read().map_err(fault)?;
+        let txn = self.kept.read()?;
         let changes = txn.open_table(CHANGES).map_err(fault)?;
         let tenants = txn.open_table(TENANTS).map_err(fault)?;
         let mut ids = std::collections::BTreeSet::new();
@@ -200,7 +199,7 @@
     }
 
     pub fn keep_token(&self, token: &Token) -> Result<(), Error> {
-        let txn = self.db.begin_write().map_err(fault)?;
+        let txn = self.kept.write()?;
         {
             let mut tokens = txn.open_table(TOKENS).map_err(fault)?;
             tokens.insert(token.id.as_str(), written(token)?.as_slice()).map_err(fault)?;
@@ -209,7 +208,7 @@
     }
 
     pub fn token(&self, id: &str) -> Result<Option<Token>, Error> {
-        let txn = self.db.begin_read().map_err(fault)?;
+        let txn = self.kept.read()?;
         let tokens = txn.open_table(TOKENS).map_err(fault)?;
         let found = tokens.get(id).map_err(fault)?;
         found.map(|bytes| read(bytes.value())).transpose()
@@ -217,7 +216,7 @@
 
     /// All tokens: there are as many as people and programs that administer.
     pub fn tokens(&self) -> Result<Vec<Token>, Error> {
-        let txn = self.db.begin_read().map_err(fault)?;
+        let txn = self.kept.read()?;
         let tokens = txn.open_table(TOKENS).map_err(fault)?;
         let rows = tokens.iter().map_err(fault)?;
         rows.map(|row| read(row.map_err(fault)?.1.value())).collect()
@@ -236,7 +235,7 @@
 
     /// Number of the last change.
     pub fn last(&self) -> Result<u64, Error> {
-        let txn = self.db.begin_read().map_err(fault)?;
+        let txn = self.kept.read()?;
         let changes = txn.open_table(CHANGES).map_err(fault)?;
         let last = changes.last().map_err(fault)?;
         Ok(last.map_or(0, |(n, _)| n.value()))
@@ -244,7 +243,7 @@
 
     /// The version that the file says of itself.
     pub fn version(&self) -> Result<u64, Error> {
-        let txn = self.db.begin_read().map_err(fault)?;
+        let txn = self.kept.read()?;
         let meta = txn.open_table(META).map_err(fault)?;
         let version = meta.get("version").map_err(fault)?;
         Ok(version.map_or(0, |v| v.value()))
