--- a/crates/front/tests/bad_day.rs
+++ b/crates/front/tests/bad_day.rs
@@ -17,7 +17,6 @@
         assert!(summary.tested[rule] >= least, "{rule}: {summary}");
     }
     assert!(summary.tested["floors and seats kept"] > 0 && summary.all.plays > 80, "{summary}");
-    assert!(summary.all.worth > 0.2, "{summary}");
     // The recordings say the same when they are judged again.
     let verdict = day::audit(out.path()).unwrap();
     assert!(verdict.holds());
@@ -31,7 +30,8 @@
 
 #[test]
 fn all_six_rules_hold_on_the_short_bad_day() {
-    holds("short-bad-day.hcl");
+    let summary = holds("short-bad-day.hcl");
+    assert!(summary.all.worth > 0.2, "{summary}");
 }
 
 /// A hosted service under troubles, one tenant at ten times its share: the rules hold for each tenant by itself, and
@@ -46,5 +46,6 @@
 
 #[test]
 fn all_six_rules_hold_on_the_short_rough_day() {
-    holds("short-rough-day.hcl");
+    let summary = holds("short-rough-day.hcl");
+    assert!(summary.all.worth > 0.2, "{summary}");
 }
