A late refusal ends no move, and what was cancelled is not prepared again

Cause: with three nodes, two moves and a crash the model found a move that never ended. A refusal of a first ticket came after a second ticket for the same epoch had been taken, and a node that served an earlier epoch forgot what had been cancelled there.

Change: a refusal is followed by a cancelling, whose answer alone is final; a cancelled epoch stays over also where an earlier one serves.

--- a/crates/moving/src/front.rs
+++ b/crates/moving/src/front.rs
@@ -236,9 +236,11 @@
                 }
             }
             Input::Refused { node, epoch } => {
-                let here = self.going.filter(|m| (m.to, m.epoch) == (node, epoch) && !m.fetched);
-                if here.is_some() {
-                    self.stay(node);
+                // Another ticket for it may have been taken meanwhile: only the answer to a cancelling is final.
+                let here = self.going.as_mut().filter(|m| (m.to, m.epoch) == (node, epoch) && !m.fetched);
+                if let Some(m) = here {
+                    m.step = Step::Cancelling;
+                    self.out.push_back(Output::Cancel { node, epoch });
                 }
             }
             Input::Serving { node, epoch } => {
--- a/crates/moving/src/node.rs
+++ b/crates/moving/src/node.rs
@@ -89,13 +89,14 @@
 
     /// The player fetches. From then on this epoch serves, and can't be cancelled.
     pub fn fetch(&mut self, session: SessionId, epoch: Epoch) -> Result<(), Refusal> {
+        // What serves goes on, also where a later epoch has been cancelled here.
+        if self.held(session).serving == Some(epoch) {
+            return Ok(());
+        }
         if self.over(session.0, epoch) {
             return Err(Refusal::Over);
         }
         let Some(held) = self.held.get_mut(&session.0) else { return Err(Refusal::Unknown) };
-        if held.serving == Some(epoch) {
-            return Ok(());
-        }
         if held.prepared != Some(epoch) {
             return Err(Refusal::Unknown);
         }
@@ -112,9 +113,7 @@
         // A session that is served here under an earlier epoch goes on: only what is prepared goes.
         let kept = Held { prepared: held.prepared.filter(|p| *p > epoch), ..held };
         self.keep(session.0, kept);
-        if kept.serving.is_none() {
-            self.end(session.0, epoch);
-        }
+        self.end(session.0, epoch);
         Cancelled::Never
     }
 
