--- a/crates/admin/src/api.rs
+++ b/crates/admin/src/api.rs
@@ -295,7 +295,7 @@
         let json = |status, value: Value| Ok(Reply::json(status, value.to_string()));
         match route.call {
             Call::Openapi => json(200, openapi()),
-            Call::Schema => json(200, schema()),
+            Call::Schema => json(200, schema().clone()),
             Call::List => {
                 let after = request.head.query("after").map(|t| TenantId::try_from(t.to_string()));
                 let after = after.transpose().map_err(|e| problem(400, &format!("after {e}")))?;
--- a/crates/engine/benches/decisions.rs
+++ b/crates/engine/benches/decisions.rs
@@ -72,6 +72,22 @@
     }
 }
 
+/// One that comes, plays and ends: what is held stays the same.
+fn one(director: &mut Director, now: Micros, req: Request, out: &mut Vec<Action>) -> usize {
+    out.clear();
+    director.handle(now, Event::Asked(req), out);
+    let sent = out.iter().find_map(|a| match a {
+        Action::Send { session, server, .. } => Some((*session, *server)),
+        _ => None,
+    });
+    let (session, server) = sent.expect("there is room for it");
+    let (attempt, waited) = (0, 50_000);
+    director.handle(now, Event::Started { session, attempt, server, waited }, out);
+    let (outcome, closed, load) = (Outcome::Good, true, Load::default());
+    director.handle(now, Event::Finished { session, attempt, server, outcome, closed, load }, out);
+    out.len()
+}
+
 fn decisions(c: &mut Criterion) {
     for held in [100, 1_000, 10_000, 50_000] {
         let (mut director, mut now) = holding(held);
@@ -79,21 +95,8 @@
         let mut id = held;
         c.bench_with_input(BenchmarkId::new("request, set up and ended", held), &held, |b, _| {
             b.iter(|| {
-                // One that comes, plays and ends: what is held stays the same.
                 (id, now) = (id + 1, now + 30_000);
-                out.clear();
-                director.handle(now, Event::Asked(request(id, now)), &mut out);
-                let sent = out.iter().find_map(|a| match a {
-                    Action::Send { session, server, .. } => Some((*session, *server)),
-                    _ => None,
-                });
-                let (session, server) = sent.expect("there is room for it");
-                let (attempt, waited) = (0, 50_000);
-                director.handle(now, Event::Started { session, attempt, server, waited }, &mut out);
-                let (outcome, closed, load) = (Outcome::Good, true, Load::default());
-                let over = Event::Finished { session, attempt, server, outcome, closed, load };
-                director.handle(now, over, &mut out);
-                black_box(out.len())
+                black_box(one(&mut director, now, request(id, now), &mut out))
             })
         });
         c.bench_with_input(BenchmarkId::new("tick", held), &held, |b, _| {
@@ -124,21 +127,9 @@
         c.bench_with_input(BenchmarkId::new("request of a tenant among", count), &count, |b, _| {
             b.iter(|| {
                 (id, now) = (id + 1, now + 30_000);
-                out.clear();
                 let tenant = (id % 10) as usize % count;
                 let req = Request { tenant: Some(tenant), class: 2 + tenant, ..request(id, now) };
-                director.handle(now, Event::Asked(req), &mut out);
-                let sent = out.iter().find_map(|a| match a {
-                    Action::Send { session, server, .. } => Some((*session, *server)),
-                    _ => None,
-                });
-                let (session, server) = sent.expect("there is room for it");
-                let (attempt, waited) = (0, 50_000);
-                director.handle(now, Event::Started { session, attempt, server, waited }, &mut out);
-                let (outcome, closed, load) = (Outcome::Good, true, Load::default());
-                let over = Event::Finished { session, attempt, server, outcome, closed, load };
-                director.handle(now, over, &mut out);
-                black_box(out.len())
+                black_box(one(&mut director, now, req, &mut out))
             })
         });
     }
--- a/crates/engine/src/catalogue.rs
+++ b/crates/engine/src/catalogue.rs
@@ -9,6 +9,7 @@
 use crate::io::Agreed;
 use shalewall::{ClassTerms, Micros, ServerId, TenantTerms, TitleId};
 use std::collections::BTreeMap;
+use std::mem::take;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Numbers that are handed out, and taken back when nothing holds them.
@@ -97,26 +98,26 @@
 }
 
 impl Catalogue {
-    pub fn new(config: &Config) -> Catalogue {
-        let terms = &config.settings.classes;
-        let number = |(i, (name, wait)): (usize, &(String, Micros))| (name.clone(), (i, *wait));
+    /// Takes the names out of the settings: from here on they are known here alone.
+    pub fn new(config: &mut Config) -> Catalogue {
+        let (classes, tenants) = (take(&mut config.classes), take(&mut config.tenants));
+        let number = |(i, (name, wait)): (usize, (String, Micros))| (name, (i, wait));
         let site = Tenant {
             takes: true,
-            classes: config.classes.iter().enumerate().map(number).collect(),
-            titles: config.titles.clone(),
+            classes: classes.into_iter().enumerate().map(number).collect(),
+            titles: take(&mut config.titles),
             ..Tenant::default()
         };
-        let told = &config.settings.tenants;
-        let tenant = |(number, name): (usize, &String)| {
-            (name.clone(), Tenant { number, takes: true, ..Tenant::default() })
-        };
+        let (terms, told) = (&config.settings.classes, &config.settings.tenants);
+        let tenant =
+            |(number, name): (usize, String)| (name, Tenant { number, takes: true, ..Tenant::default() });
         Catalogue {
             // Held by the settings: never given to others.
             classes: Numbers(terms.iter().map(|t| (*t, 1)).collect()),
             shares: Numbers(told.iter().map(|t| (t.part, 1)).collect()),
             allowances: told.iter().map(|t| t.allowance_per_s).collect(),
             site,
-            tenants: config.tenants.iter().enumerate().map(tenant).collect(),
+            tenants: tenants.into_iter().enumerate().map(tenant).collect(),
             fleets: BTreeMap::new(),
         }
     }
@@ -178,7 +179,7 @@
     /// Lays out the fleets anew; the servers whose fleet has changed. A node that several tenants name is the
     /// first one's by name, whatever the order in which a front heard of them, unless all name the same nodes.
     pub fn lay_out(&mut self) -> Vec<ServerId> {
-        let before = std::mem::take(&mut self.fleets);
+        let before = take(&mut self.fleets);
         let mut same: BTreeMap<Vec<ServerId>, u32> = BTreeMap::new();
         for tenant in self.tenants.values_mut() {
             tenant.fleet = 0;
@@ -242,7 +243,7 @@
 
     #[test]
     fn equal_terms_share_a_number_and_held_ones_are_never_given_to_others() {
-        let mut c = Catalogue::new(&Config::default());
+        let mut c = Catalogue::new(&mut Config::default());
         c.agree("a", Some(agreed(1.0, 2.0, &[])));
         c.agree("b", Some(agreed(3.0, 2.0, &[])));
         let (a, b) = (find(&c, "a"), find(&c, "b"));
@@ -275,7 +276,7 @@
     fn fleets_do_not_depend_on_the_order_of_news() {
         let tenants = [("a", vec![1, 2]), ("b", vec![2, 3]), ("c", vec![2, 1]), ("d", vec![])];
         let lay = |order: &[usize]| {
-            let mut c = Catalogue::new(&Config::default());
+            let mut c = Catalogue::new(&mut Config::default());
             order.iter().for_each(|i| c.agree(tenants[*i].0, Some(agreed(1.0, 1.0, &tenants[*i].1))));
             c.lay_out();
             let of = ["a", "b", "c", "d"].map(|t| find(&c, t).fleet);
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -182,14 +182,14 @@
     }
 
     /// The same under another decider.
-    pub fn with(config: Config, director: Box<dyn Decide>, now: Micros) -> Engine {
+    pub fn with(mut config: Config, director: Box<dyn Decide>, now: Micros) -> Engine {
         // Session ids stay below 2^52: 10 bits of the front's number, 14 of its start, 28 that count.
         let number = u64::from(config.settings.number & 0x3ff);
         let first = number << 42 | u64::from(config.incarnation & 0x3fff) << 28;
         Engine {
             director,
             door: Box::new(Everyone(config.tenants.clone())),
-            catalogue: Catalogue::new(&config),
+            catalogue: Catalogue::new(&mut config),
             config,
             now,
             sessions: BTreeMap::new(),
--- a/crates/front/src/day/service.rs
+++ b/crates/front/src/day/service.rs
@@ -1,10 +1,10 @@
 //! The hosted service of a day: a store, the administration API in this process, and the plan's tenants in it.
 
+use crate::manage::new_token;
 use async_executor::LocalExecutor;
-use rand::RngExt;
 use shalewall_admin::api::Api;
 use shalewall_admin::serve::{now, start};
-use shalewall_hosting::access::{Role, Token};
+use shalewall_hosting::access::Role;
 use shalewall_hosting::change::{By, Match, Wish};
 use shalewall_hosting::model::TenantId;
 use shalewall_settings::{DayPlan, HostedDay, Hosting, Site};
@@ -38,8 +38,7 @@
         std::fs::remove_file(&file)?; // an earlier day's
     }
     let store = Store::open(&file).map_err(io::Error::other)?;
-    let (token, shown) = Token::new(Role::Front, rand::rng().random(), rand::rng().random(), now());
-    store.keep_token(&token).map_err(io::Error::other)?;
+    let shown = new_token(&store, Role::Front).map_err(io::Error::other)?;
     for (name, tenant) in &plan.site.tenant {
         let id = TenantId::try_from(name.clone()).map_err(io::Error::other)?;
         let by = By { who: "day", now: now(), agrees: true, of: Match::Missing };
--- a/crates/front/src/keeper.rs
+++ b/crates/front/src/keeper.rs
@@ -70,7 +70,8 @@
             Err(Turned::Own) => return Err(Bad::new(503, "above the tenant's connections")),
             Err(Turned::Part) => return Err(Bad::new(503, "the front is full, and the tenant has its part")),
         }
-        let limits = self.keeper.tenants.limits(&tenant);
+        let book = self.keeper.book();
+        let Some(limits) = book.limits(&tenant) else { return Err(unknown) };
         if limits.head_bytes.is_some_and(|most| size > most as usize) {
             return Err(Bad::new(431, "the head is above the tenant's limit"));
         }
--- a/crates/front/src/manage.rs
+++ b/crates/front/src/manage.rs
@@ -111,6 +111,13 @@
     Store::open(file).map_err(|e| format!("{}: {e}", file.display()))
 }
 
+/// Makes a token and keeps it; what its holder is to show.
+pub(crate) fn new_token(store: &Store, role: Role) -> Result<String, shalewall_store::Error> {
+    let (token, shown) = Token::new(role, rand::rng().random(), rand::rng().random(), now());
+    store.keep_token(&token)?;
+    Ok(shown)
+}
+
 pub fn store(command: StoreCommand) -> Outcome {
     let tell = |f: Found| eprintln!("{} tenants, {} changes, {} tokens", f.tenants, f.changes, f.tokens);
     match command {
@@ -129,9 +136,7 @@
         StoreCommand::Token { file, role, tenant } => {
             let role = Role::named(&role, tenant)?;
             let store = Store::open(&file).map_err(text)?;
-            let (token, shown) = Token::new(role, rand::rng().random(), rand::rng().random(), now());
-            store.keep_token(&token).map_err(text)?;
-            println!("{shown}");
+            println!("{}", new_token(&store, role).map_err(text)?);
             Ok(())
         }
     }
--- a/crates/front/src/tenants.rs
+++ b/crates/front/src/tenants.rs
@@ -8,7 +8,7 @@
 use shalewall::{ClassTerms, Effect, Micros, ServerId};
 use shalewall_engine::{Admission, Admit, Agreed, Input, Place, Shown};
 use shalewall_hosting::connections::Connections;
-use shalewall_hosting::model::{Class, Fleet, Limits as Terms, State, Tenant, TenantId};
+use shalewall_hosting::model::{Class, Fleet, State, Tenant, TenantId};
 use shalewall_hosting::share::{Capacity, Cause, Shares, Verdict};
 use shalewall_hosting::usage::Row;
 use shalewall_http::Limits;
@@ -37,8 +37,6 @@
 pub struct Tenants {
     shares: RefCell<Shares>,
     pub(crate) connections: RefCell<Connections>,
-    /// Each tenant's limits.
-    limits: RefCell<BTreeMap<TenantId, Terms>>,
     /// Number of the last change that is applied here, and whether the API could be reached last.
     pub number: Cell<u64>,
     pub reached: Cell<bool>,
@@ -115,18 +113,12 @@
         Rc::new(Tenants {
             shares: RefCell::new(Shares::new(capacity, shalewall_clock::now())),
             connections: RefCell::new(Connections::new(connections)),
-            limits: RefCell::default(),
             number: Cell::new(0),
             reached: Cell::new(false),
             ending: RefCell::default(),
         })
     }
 
-    /// A tenant's limits; none where it has none.
-    pub(crate) fn limits(&self, tenant: &TenantId) -> Terms {
-        self.limits.borrow().get(tenant).cloned().unwrap_or_default()
-    }
-
     /// Door and engine hear of all of it in one turn: no request is decided in between.
     fn apply(&self, hub: &Rc<Hub>, news: News) {
         let now = shalewall_clock::now();
@@ -135,10 +127,8 @@
             let (id, terms) = (&tenant.id, &tenant.terms);
             if let State::Gone { .. } = tenant.state {
                 self.connections.borrow_mut().forget(id);
-                self.limits.borrow_mut().remove(id);
             } else {
-                self.connections.borrow_mut().agree(id, terms.share, terms.limits.connections);
-                self.limits.borrow_mut().insert(id.clone(), terms.limits.clone());
+                self.connections.borrow_mut().agree(id, terms.share, &terms.limits);
             }
             self.ending.borrow_mut().remove(id);
             match tenant.state {
--- a/crates/hosting/src/connections.rs
+++ b/crates/hosting/src/connections.rs
@@ -9,7 +9,7 @@
 //!
 //! Cost of a request: look-ups, whatever the number of tenants; a walk over them only when the front is full.
 
-use crate::model::TenantId;
+use crate::model::{Limits, TenantId};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Numbers a connection. Later ones are greater.
@@ -36,7 +36,7 @@
 struct Book {
     known: bool,
     share: f64,
-    limit: Option<u32>,
+    limits: Limits,
     open: usize,
     /// Idle ones, by when they became so.
     idle: BTreeSet<(u64, Ticket)>,
@@ -78,10 +78,10 @@
     }
 
     /// A tenant's terms, from now on. What it holds it holds, also above a limit that has become smaller.
-    pub fn agree(&mut self, tenant: &TenantId, share: f64, limit: Option<u32>) {
+    pub fn agree(&mut self, tenant: &TenantId, share: f64, limits: &Limits) {
         let book = self.tenants.entry(tenant.clone()).or_default();
         self.all_shares += share - if book.known { book.share } else { 0.0 };
-        (book.known, book.share, book.limit) = (true, share, limit);
+        (book.known, book.share, book.limits) = (true, share, limits.clone());
     }
 
     /// A tenant is gone: its name opens nothing any more.
@@ -98,6 +98,11 @@
         }
     }
 
+    /// What is agreed with a tenant; nothing where there is none.
+    pub fn limits(&self, tenant: &TenantId) -> Option<&Limits> {
+        self.tenants.get(tenant).filter(|b| b.known).map(|b| &b.limits)
+    }
+
     fn nobodys_most(&self) -> usize {
         ((self.most as f64 * NOBODYS) as usize).max(1)
     }
@@ -156,7 +161,7 @@
         let part = self.part(tenant);
         let full = self.named_most() as f64;
         let Some(book) = self.tenants.get(tenant).filter(|b| b.known) else { return Err(Turned::Unknown) };
-        let victim = if book.limit.is_some_and(|most| book.open >= most as usize) {
+        let victim = if book.limits.connections.is_some_and(|most| book.open >= most as usize) {
             // Its own idle ones make room for those that it uses.
             Some(book.idle.first().map(|(_, t)| *t).ok_or(Turned::Own)?)
         } else {
--- a/crates/hosting/src/model.rs
+++ b/crates/hosting/src/model.rs
@@ -182,12 +182,15 @@
 }
 
 /// The JSON Schema of a tenant's terms, as the API publishes it.
-pub fn schema() -> Value {
-    let settings = schemars::generate::SchemaSettings::draft2020_12();
-    let mut schema: Value = settings.into_generator().into_root_schema_for::<Terms>().into();
-    // A name of its own, so that its references stay its own within another document.
-    schema["$id"] = "urn:shalewall:terms".into();
-    schema
+pub fn schema() -> &'static Value {
+    static SCHEMA: LazyLock<Value> = LazyLock::new(|| {
+        let settings = schemars::generate::SchemaSettings::draft2020_12();
+        let mut schema: Value = settings.into_generator().into_root_schema_for::<Terms>().into();
+        // A name of its own, so that its references stay its own within another document.
+        schema["$id"] = "urn:shalewall:terms".into();
+        schema
+    });
+    &SCHEMA
 }
 
 /// At most so many faults of one document are told.
@@ -195,9 +198,9 @@
 
 /// Reads terms: by the published schema, then by what holds between their fields.
 pub fn terms(document: &Value) -> Result<Terms, Vec<Wrong>> {
-    static SCHEMA: LazyLock<jsonschema::Validator> =
-        LazyLock::new(|| jsonschema::validator_for(&schema()).expect("the published schema is a schema"));
-    let faults = SCHEMA.iter_errors(document).take(MOST_WRONG);
+    static VALIDATOR: LazyLock<jsonschema::Validator> =
+        LazyLock::new(|| jsonschema::validator_for(schema()).expect("the published schema is a schema"));
+    let faults = VALIDATOR.iter_errors(document).take(MOST_WRONG);
     let mut wrong: Vec<Wrong> =
         faults.map(|e| Wrong { pointer: e.instance_path().to_string(), detail: e.to_string() }).collect();
     if !wrong.is_empty() {
--- a/crates/hosting/tests/connections.rs
+++ b/crates/hosting/tests/connections.rs
@@ -3,13 +3,17 @@
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use shalewall_hosting::connections::{Connections, Ticket, Turned};
-use shalewall_hosting::model::TenantId;
+use shalewall_hosting::model::{Limits, TenantId};
 use std::collections::{BTreeMap, BTreeSet};
 
 fn id(name: &str) -> TenantId {
     TenantId::try_from(name.to_string()).unwrap()
 }
 
+fn most_open(connections: Option<u32>) -> Limits {
+    Limits { connections, ..Limits::default() }
+}
+
 /// One that comes and names a tenant.
 fn come(c: &mut Connections, tenant: &str) -> Result<Ticket, Turned> {
     let (ticket, _) = c.open().expect("nobody is at work");
@@ -27,8 +31,8 @@
 
 fn two(most: usize) -> Connections {
     let mut c = Connections::new(most);
-    c.agree(&id("loud"), 1.0, None);
-    c.agree(&id("quiet"), 1.0, None);
+    c.agree(&id("loud"), 1.0, &Limits::default());
+    c.agree(&id("quiet"), 1.0, &Limits::default());
     c
 }
 
@@ -72,7 +76,7 @@
 #[test]
 fn limits_names_and_leavers() {
     let mut c = two(100);
-    c.agree(&id("loud"), 1.0, Some(2));
+    c.agree(&id("loud"), 1.0, &most_open(Some(2)));
     let first = come(&mut c, "loud").unwrap();
     let second = come(&mut c, "loud").unwrap();
     assert_eq!(come(&mut c, "loud"), Err(Turned::Own));
@@ -100,7 +104,7 @@
         let mut c = Connections::new(most);
         let names = ["a", "b", "c"];
         for (i, name) in names.iter().enumerate() {
-            c.agree(&id(name), 1.0 + i as f64, (i == 2).then_some(5));
+            c.agree(&id(name), 1.0 + i as f64, &most_open((i == 2).then_some(5)));
         }
         let mut open: BTreeMap<Ticket, (Option<u8>, bool)> = BTreeMap::new(); // whose, and at work
         for (what, whose, which) in steps {
--- /dev/null
+++ b/crates/lab/src/world/troubles.rs
@@ -0,0 +1,80 @@
+//! Troubles of a day, as they begin and end.
+
+use super::*;
+
+impl World<'_> {
+    /// Those that a trouble meets: as told, or its part of them, at least one.
+    pub(super) fn met(&mut self, of: Vec<u64>, trouble: &Trouble) -> Vec<u64> {
+        let mut met = of;
+        if let Some(on) = &trouble.on {
+            met.retain(|x| on.contains(x));
+            return met;
+        }
+        let n = ((trouble.part * met.len() as f64).round() as usize).max(1);
+        // Of the same day the same are met, whoever decides.
+        met.shuffle(&mut ChaCha8Rng::seed_from_u64(self.plan.day.seed ^ trouble.at_s.to_bits()));
+        met.truncate(n);
+        met
+    }
+
+    pub(super) fn trouble_begins(&mut self, i: usize) {
+        let trouble = self.troubles[i].clone();
+        let mut met = Vec::new();
+        match trouble.kind {
+            TroubleKind::Crash => {
+                let up = self.fleet.nodes.iter().filter(|(_, n)| n.process == Process::Runs);
+                let up = up.map(|(id, _)| *id).collect();
+                met = self.met(up, &trouble);
+                met.iter().for_each(|id| self.down(*id));
+            }
+            TroubleKind::TenantBurst if trouble.name.is_some() => {
+                self.bursts.extend(trouble.name.clone().map(|name| (name, trouble.size)));
+            }
+            TroubleKind::Burst | TroubleKind::TenantBurst => self.burst = trouble.size,
+            TroubleKind::HotTitle => {
+                self.extra = trouble.name.clone().map(|n| (Draw::Title(n), trouble.size));
+            }
+            TroubleKind::ClassFlood => {
+                let class = self.crowd.classes.iter().position(|c| trouble.name.as_ref() == Some(&c.name));
+                self.extra = class.map(|c| (Draw::Class(c), trouble.size));
+            }
+            TroubleKind::SharedSlow => self.fleet.slow_links = trouble.size,
+            TroubleKind::DirectorKill => {
+                let up = (0..self.engines.len()).filter(|d| self.engines[*d].is_some());
+                let up = up.map(|d| d as u64).collect();
+                met = self.met(up, &trouble);
+                met.iter().for_each(|d| self.kill(*d as usize));
+            }
+            _ => {}
+        }
+        self.later(us(trouble.len_s * 1000.0), Due::Ends(i, met));
+    }
+
+    pub(super) fn trouble_ends(&mut self, i: usize, met: Vec<u64>) {
+        match self.troubles[i].kind {
+            TroubleKind::Crash => met.into_iter().for_each(|id| self.up(id)),
+            TroubleKind::Burst | TroubleKind::TenantBurst => {
+                (self.burst, self.bursts) = (1.0, BTreeMap::new());
+            }
+            TroubleKind::HotTitle | TroubleKind::ClassFlood => self.extra = None,
+            TroubleKind::SharedSlow => self.fleet.slow_links = 1.0,
+            TroubleKind::DirectorKill => met.into_iter().for_each(|d| self.start(d as usize)),
+            _ => {}
+        }
+    }
+
+    pub(super) fn lapse(&mut self, director: u32) {
+        if self.engines[director as usize].is_some() {
+            return; // back in time: it has ended them, or holds them
+        }
+        let held = |(id, n): (&u64, &shalewall_physics::fleet::Node)| {
+            let of = n.playing.iter().filter(|(_, p)| p.director == director);
+            of.map(|(run, _)| (*id, *run)).collect::<Vec<_>>()
+        };
+        let held: Vec<(u64, Run)> = self.fleet.nodes.iter().flat_map(held).collect();
+        for (node, run) in held {
+            self.fleet.end(node, run);
+            self.hide(run.0, true);
+        }
+    }
+}
--- a/crates/measure/src/load.rs
+++ b/crates/measure/src/load.rs
@@ -49,9 +49,8 @@
     let named = tenant.map_or(String::new(), |t| format!("\"tenant\":\"{t}\","));
     let body =
         format!("{{{named}\"viewer\":\"{viewer}\",\"class\":\"report\",\"title\":\"t\",\"wait_ms\":4000}}");
-    let field = tenant.map(|name| [("Shalewall-Tenant", name)]);
-    let fields = field.as_ref().map_or(&[][..], |f| &f[..]);
-    let call = Call::new("POST", "/sessions", "front").fields(fields).json(body.as_bytes());
+    let field = tenant.map(|name| ("Shalewall-Tenant", name));
+    let call = Call::new("POST", "/sessions", "front").fields(field.as_slice()).json(body.as_bytes());
     let answer = front.call(&call).await.ok()?;
     let said: serde_json::Value = serde_json::from_slice(&answer.body).ok()?;
     (answer.head.status == 201).then(|| said["session"].as_u64())?
--- a/crates/standins/src/viewers.rs
+++ b/crates/standins/src/viewers.rs
@@ -240,9 +240,8 @@
         .to_string();
         let host = front.to_string();
         // Of a hosted service: whose viewer it is has to be known before its content is read.
-        let tenant = viewer.tenant.as_deref().map(|name| [("Shalewall-Tenant", name)]);
-        let fields = tenant.as_ref().map_or(&[][..], |f| &f[..]);
-        let call = Call::new("POST", "/sessions", &host).fields(fields).json(body.as_bytes());
+        let tenant = viewer.tenant.as_deref().map(|name| ("Shalewall-Tenant", name));
+        let call = Call::new("POST", "/sessions", &host).fields(tenant.as_slice()).json(body.as_bytes());
         let pool = Pool::new(front, Limits::default(), Duration::ZERO, 0);
         let Ok(mut connection) = pool.connect().await else {
             self.enter(viewer, |t| t.unanswered += 1);
