The module hands sessions over: another holder, rates and seats at both meanwhile

Need: a session that plays on a node that drains or stands still could only be ended; its viewer came back as a new request.

Change: Event::HandOver asks for another holder of a session that plays. It is found like for a new one (mark, full line, tenants' parts, cold pace, seats), never where it plays; rate and seat count at both until Event::HandedOver says where it is. Hand-overs count to a cold server's pace. Event::Silent: players hear nothing from a server, which then counts as failing. Nothing of it happens unless the caller asks.

--- a/benchlink/src/lib.rs
+++ b/benchlink/src/lib.rs
@@ -432,6 +432,8 @@
         Action::Fail { session } => writeln!(out, "END_FAILED {name} {}", session.0),
         Action::Recall { session, attempt } => writeln!(out, "RECALL {name} {} {attempt}", session.0),
         Action::Move { session } => writeln!(out, "GO_AWAY {name} {}", session.0),
+        // Asked for by nobody here: the simulator moves sessions by ending them.
+        Action::HandOver { .. } => Ok(()),
         Action::Timer { after, token } => writeln!(out, "SLEEP {name} {} {token}", ms(*after)),
         Action::Probe { server } => writeln!(out, "PING {name} {}", server.0),
         Action::FetchList => writeln!(out, "FETCH {name}"),
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -322,6 +322,7 @@
             Action::Timer { after, token } => {
                 self.timers.set(self.now + after.max(0), Timer::Director(token))
             }
+            Action::HandOver { .. } => {}
             Action::Probe { server } => self.probe(server),
             Action::CloseIdle { server } => self.outputs.push_back(Output::CloseIdle { server }),
             Action::Log(text) => self.outputs.push_back(Output::Log(text)),
--- a/crates/lab/src/plain.rs
+++ b/crates/lab/src/plain.rs
@@ -168,7 +168,9 @@
                 }
             }
             Event::Terms { classes, tenants } => (self.set.classes, self.set.tenants) = (classes, tenants),
+            // Baselines hand nothing over.
             Event::Carried(..) | Event::Withdrawn(_) | Event::Probed { .. } | Event::Peer { .. } => {}
+            Event::HandOver(_) | Event::HandedOver { .. } | Event::Silent(_) => {}
         }
     }
 }
--- a/src/control.rs
+++ b/src/control.rs
@@ -6,7 +6,7 @@
 
 use crate::interface::*;
 use hash::{draw, mix};
-use held::{Arrivals, ByTime, Group, Held, later};
+use held::{Arrivals, Ask, ByTime, Group, Held, Live, State, later, twin};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 mod hash;
@@ -60,35 +60,6 @@
 const LIST_RETRY: Micros = 2_000_000; // a failed call for the list is repeated after this
 const TICK_TOKEN: u64 = u64::MAX; // the tick's timer; tokens of requests are session ids, below 2^52
 
-// ---- request state machine -------------------------------------------------------------------
-
-/// A request without an attempt. Sending and answering consume it, so neither can happen twice.
-#[derive(Clone)]
-struct Ask {
-    req: Request,
-    attempts: u32, // attempts sent; the last one's number is one less
-    tried: Vec<ServerId>,
-}
-
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum State {
-    Pending, // sent, no answer yet
-    Plays,
-    /// Answered or withdrawn while its attempt is still out: holds its seat and rate, is never sent again.
-    Closed,
-}
-
-/// A request with its one attempt that is out, or the session that it became.
-struct Live {
-    ask: Ask,
-    state: State,
-    server: ServerId,
-    rung: usize,
-    kb: f64,
-    sent: Micros,
-    due: Micros, // from then on its rung may be decided anew
-}
-
 // ---- account ---------------------------------------------------------------------------------
 
 /// What is believed asked of one link or uplink, as a part of what it gives.
@@ -224,6 +195,7 @@
     asking: BTreeMap<SessionId, (Ask, Vec<ServerId>)>, // requests that wait for these probes
     taken: VecDeque<Micros>,                           // times of requests taken and of further attempts sent
     further: VecDeque<Micros>,
+    moved: VecDeque<Micros>,                // and of sessions handed over
     turned: BTreeMap<u64, (Micros, usize)>, // viewers turned away lately: when, and of which class
     came: VecDeque<Arrivals>,               // new viewers of late
     ends: Ends,
@@ -296,6 +268,9 @@
                 }
                 self.on_probed(server);
             }
+            Event::HandOver(session) => self.hand_over(session),
+            Event::HandedOver { session, moved } => self.handed_over(session, moved),
+            Event::Silent(server) => self.on_sign(server, false),
             Event::Terms { classes, tenants } => (self.set.classes, self.set.tenants) = (classes, tenants),
             Event::Peer { .. } => {}
         }
@@ -313,7 +288,7 @@
     fn on_asked(&mut self, mut req: Request) {
         let span = self.set.contract.further.map_or(0, |f| f.span).max(self.set.contract.fall);
         self.taken.push_back(self.now);
-        for times in [&mut self.taken, &mut self.further] {
+        for times in [&mut self.taken, &mut self.further, &mut self.moved] {
             while times.front().is_some_and(|t| *t < self.now - span) {
                 times.pop_front();
             }
@@ -385,6 +360,7 @@
         if self.held.live.get(&id).is_none_or(|l| l.ask.attempts != attempts) {
             return;
         }
+        self.handed_over(id, false);
         let Some(Live { ask, state, server, kb, sent, .. }) = self.held.remove(id) else { return };
         self.charge(server, -kb);
         if state == State::Plays && outcome == Outcome::Good {
@@ -543,11 +519,9 @@
     /// The accounts of a server's link and of its rack's uplink.
     fn accounts(&mut self, server: ServerId) -> [Option<&mut Account>; 2] {
         let Some(s) = self.servers.get_mut(&server) else { return [None, None] };
-        let kb = self.set.uplink_kb.max(0.0);
-        let uplink = self
-            .set
-            .rack(s.listed.cell)
-            .map(|rack| self.uplinks.entry(rack).or_insert_with(|| Account { kb, ..Account::default() }));
+        let (rack, kb) = (self.set.rack(s.listed.cell), self.set.uplink_kb.max(0.0));
+        let new = || Account { kb, ..Account::default() };
+        let uplink = rack.map(|rack| self.uplinks.entry(rack).or_insert_with(new));
         [Some(&mut s.link), uplink]
     }
 
@@ -563,14 +537,17 @@
     // ---- placement: D(C0) -------------------------------------------------------------------
 
     fn place(&mut self, ask: Ask) {
-        let found = self.choose(&ask);
-        let Some((server, rung)) = found.or_else(|| self.make_room(&ask).then(|| self.choose(&ask))?) else {
+        let Some((server, rung)) = self.find(&ask) else {
             self.turned.insert(ask.req.viewer, (self.now, ask.req.class));
             return self.out.push(self.refusal(&ask.req));
         };
         self.send(ask, server, rung);
     }
 
+    fn find(&mut self, ask: &Ask) -> Option<(ServerId, usize)> {
+        self.choose(ask).or_else(|| self.make_room(ask).then(|| self.choose(ask))?)
+    }
+
     /// The holder with the least account, and the rung that its occupancy allows.
     fn choose(&self, ask: &Ask) -> Option<(ServerId, usize)> {
         let class = self.set.classes.get(ask.req.class)?;
@@ -931,9 +908,8 @@
         for (group, sessions) in &self.held.due {
             let Group { server, class, rung: held, top, .. } = group;
             let Some(s) = self.servers.get(server).filter(|s| !s.short) else { continue };
-            let Some(terms) = self.set.classes.get(*class) else { continue };
+            let (Some(terms), Some(told)) = (self.set.classes.get(*class), s.link.reported) else { continue };
             let Some(last) = self.set.ladder.len().checked_sub(1) else { continue };
-            let Some(told) = s.link.reported else { continue };
             let top = (*top).min(terms.top).min(last);
             if self.uplink_of(s).is_some_and(|u| u.reported.is_none()) {
                 continue;
@@ -964,6 +940,38 @@
         steps
     }
 
+    /// Exception: a caller that hands sessions over while they play asks for another holder for one of them. It
+    /// is found like for a new one; rates and seats count at both until it is known where it plays.
+    fn hand_over(&mut self, id: SessionId) {
+        let alone = !self.held.live.contains_key(&twin(id));
+        if !self.held.live.get(&id).is_some_and(|l| alone && l.state == State::Plays) {
+            return;
+        }
+        let Some(own) = self.held.remove(id) else { return };
+        let hint = own.ask.req.hint.map(|h| h - (self.now - own.sent));
+        let req = Request { hint, deadline: self.now + LONGEST, ..own.ask.req };
+        let ask = Ask { req, attempts: 0, tried: vec![own.server] };
+        let found = self.find(&ask); // its own seat is no hindrance, and it makes no room for itself
+        self.held.insert(own);
+        let Some((server, rung)) = found else { return };
+        self.moved.push_back(self.now);
+        let (kb, sent) = (self.set.rate(req.class, rung), self.now);
+        let ask = Ask { req: Request { session: twin(id), ..req }, ..ask };
+        self.hold(Live { ask, state: State::Closed, server, rung, kb, sent, due: sent + CALM });
+        self.out.push(Action::HandOver { session: id, server, rung });
+    }
+
+    /// It plays where it was to be handed over to, or it stays.
+    fn handed_over(&mut self, id: SessionId, moved: bool) {
+        let Some(there) = self.held.remove(twin(id)) else { return };
+        let Some(own) = moved.then(|| self.held.remove(id)).flatten() else {
+            return self.charge(there.server, -there.kb);
+        };
+        self.charge(own.server, -own.kb);
+        let ask = Ask { req: Request { session: id, ..there.ask.req }, ..own.ask };
+        self.held.insert(Live { ask, state: State::Plays, ..there });
+    }
+
     // ---- guards -----------------------------------------------------------------------------
 
     /// Seats, attempts and the ration of further attempts allow another send.
@@ -1006,7 +1014,7 @@
         let span = c.fall.max(1);
         let lately =
             |times: &VecDeque<Micros>| times.iter().rev().take_while(|t| **t > self.now - span).count();
-        let asked = lately(&self.taken) + lately(&self.further);
+        let asked = [&self.taken, &self.further, &self.moved].map(lately).iter().sum::<usize>();
         let warm = c.warm_after.max(1) as f64;
         let pace = (c.overload_factor * c.start_capacity * self.set.places(s.listed.kind)).max(1.0) / warm;
         let part = if known { (ask.req.spread as f64 / cells).clamp(CROWD, 1.0) } else { 1.0 / cells };
@@ -1031,19 +1039,13 @@
         let warm = self.set.contract.warm_after;
         for line in lines {
             let cold_until = line.came_up.unwrap_or(self.now - warm) + warm;
-            match self.servers.get_mut(&line.server) {
-                Some(s) => {
-                    if line.came_up > s.listed.came_up {
-                        (s.fails, s.short, s.link.share) = (0, false, 0.0);
-                        s.cold_until = s.cold_until.max(cold_until);
-                    }
-                    s.listed = line;
-                }
-                None => {
-                    self.servers
-                        .insert(line.server, Server { listed: line, cold_until, ..Server::default() });
-                }
+            let new = || Server { listed: line, cold_until, ..Server::default() };
+            let s = self.servers.entry(line.server).or_insert_with(new);
+            if line.came_up > s.listed.came_up {
+                (s.fails, s.short, s.link.share) = (0, false, 0.0);
+                s.cold_until = s.cold_until.max(cold_until);
             }
+            s.listed = line;
         }
         let held = &self.held.at; // what is gone is forgotten once nothing plays there
         self.servers.retain(|id, s| s.listed.state != Standing::Gone || held.contains_key(id));
--- a/src/control/held.rs
+++ b/src/control/held.rs
@@ -1,10 +1,41 @@
 //! The sessions that a director holds, and what is counted of them. Nothing is decided here.
 
-use super::{Live, State};
 use crate::interface::*;
 use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Bound::{Excluded, Unbounded};
 
+/// A request without an attempt. Sending and answering consume it, so neither can happen twice.
+#[derive(Clone)]
+pub(super) struct Ask {
+    pub req: Request,
+    pub attempts: u32, // attempts sent; the last one's number is one less
+    pub tried: Vec<ServerId>,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(super) enum State {
+    Pending, // sent, no answer yet
+    Plays,
+    /// Answered or withdrawn while its attempt is still out: holds its seat and rate, is never sent again.
+    Closed,
+}
+
+/// A request with its one attempt that is out, or the session that it became.
+pub(super) struct Live {
+    pub ask: Ask,
+    pub state: State,
+    pub server: ServerId,
+    pub rung: usize,
+    pub kb: f64,
+    pub sent: Micros,
+    pub due: Micros, // from then on its rung may be decided anew
+}
+
+/// What stands for a session at the server that it is handed over to. Ids of sessions are below 2^52.
+pub(super) fn twin(id: SessionId) -> SessionId {
+    SessionId(id.0 | 1 << 52)
+}
+
 /// Sessions by the time of their last send, or by when they are due.
 pub(super) type ByTime = BTreeSet<(Micros, SessionId)>;
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -316,6 +316,17 @@
         classes: Vec<ClassTerms>,
         tenants: Vec<TenantTerms>,
     },
+    /// A session that plays is to be handed over while it plays, if another server has room. Answered at once by
+    /// [`Action::HandOver`], or by nothing.
+    HandOver(SessionId),
+    /// That hand-over is over: the session plays at the other server, or where it was. Until then it may be at
+    /// both.
+    HandedOver {
+        session: SessionId,
+        moved: bool,
+    },
+    /// Players hear nothing from this server: it stands still, or is gone.
+    Silent(ServerId),
     /// A message of another director.
     Peer {
         from: u32,
@@ -355,6 +366,12 @@
     Move {
         session: SessionId,
     },
+    /// Hand a session that plays over to this server, at this rung.
+    HandOver {
+        session: SessionId,
+        server: ServerId,
+        rung: usize,
+    },
     Timer {
         after: Micros,
         token: u64,
