A move that its player never heard of is given up at once; an orphan can be moved yet

Need: a target that stood still before it was ready kept a move open until it came back, so that the session could not be moved elsewhere while its source drained; and a session whose node died was lost although its player's buffer lasted.

Change: a move whose target was not ready in time, or refused, ends at once, and its target is told until it answers. A player that has no picture in time declines the epoch for good, so that the next move may begin. A session whose node is gone is an orphan for 3 s: its booking is the front's, so it can be handed over yet.

--- a/crates/moving/src/front.rs
+++ b/crates/moving/src/front.rs
@@ -8,6 +8,9 @@
 
 /// A step that has no answer is repeated after this.
 pub const REPEAT: Micros = 100_000;
+/// A session that nobody serves any more is given up after this: its player's buffer has run dry by then. Until
+/// then it can be handed over yet, since the booking is the front's.
+pub const ORPHANED: Micros = 3_000_000;
 
 /// What a front hears.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -30,6 +33,10 @@
     Playing {
         epoch: Epoch,
     },
+    /// The player had no picture of this epoch in time, and takes none of it any more.
+    Declined {
+        epoch: Epoch,
+    },
     Cancelled {
         node: u64,
         epoch: Epoch,
@@ -78,7 +85,9 @@
     Stayed {
         to: u64,
     },
-    /// Nothing holds the session any more.
+    /// Where it plays is gone: it is to be handed over at once, or it will be lost.
+    Orphaned,
+    /// Nothing holds the session any more, and no move came in time.
     Lost,
 }
 
@@ -117,8 +126,8 @@
     /// Releases owed to nodes, up to which epoch each, until they confirm.
     owed: BTreeMap<u64, Epoch>,
     gone: bool,
-    /// Where it plays is dead, and whether the target has it is not known yet.
-    dead: bool,
+    /// Where it plays is dead: whatever has not taken it over by then comes too late.
+    dead: Option<Micros>,
     repeat: Option<Micros>,
     out: VecDeque<Output>,
 }
@@ -134,7 +143,7 @@
             going: None,
             owed: BTreeMap::new(),
             gone: false,
-            dead: false,
+            dead: None,
             repeat: None,
             out: VecDeque::new(),
         }
@@ -186,13 +195,23 @@
 
     /// Nothing is under way or owed.
     pub fn settled(&self) -> bool {
-        self.going.is_none() && self.owed.is_empty()
+        self.going.is_none() && self.owed.is_empty() && (self.dead.is_none() || self.gone)
     }
 
     pub fn over(&self) -> bool {
         self.gone
     }
 
+    /// Nobody serves it, as far as is known.
+    pub fn orphaned(&self) -> bool {
+        self.dead.is_some() && !self.gone
+    }
+
+    /// All that is held of it elsewhere is of this epoch at most.
+    pub fn behind(&self) -> Epoch {
+        Epoch(self.epoch.0.saturating_sub(1))
+    }
+
     pub fn poll_output(&mut self) -> Option<Output> {
         self.out.pop_front()
     }
@@ -236,11 +255,15 @@
                 }
             }
             Input::Refused { node, epoch } => {
-                // Another ticket for it may have been taken meanwhile: only the answer to a cancelling is final.
                 let here = self.going.as_mut().filter(|m| (m.to, m.epoch) == (node, epoch) && !m.fetched);
-                if let Some(m) = here {
-                    m.step = Step::Cancelling;
-                    self.out.push_back(Output::Cancel { node, epoch });
+                match here {
+                    Some(m) if m.step == Step::Preparing => self.abandon(),
+                    // Another ticket for it may have been taken meanwhile: only the answer to a cancelling is final.
+                    Some(m) => {
+                        m.step = Step::Cancelling;
+                        self.out.push_back(Output::Cancel { node, epoch });
+                    }
+                    None => {}
                 }
             }
             Input::Serving { node, epoch } => {
@@ -259,12 +282,18 @@
                 let from = std::mem::replace(&mut self.at, m.to);
                 let before = std::mem::replace(&mut self.epoch, epoch);
                 self.going = None;
-                if from != m.to && !self.dead {
+                if from != m.to && self.dead.is_none() {
                     self.owe(from, before);
                 }
-                self.dead = false;
+                self.dead = None;
                 self.out.push_back(Output::Moved { from, to: m.to });
             }
+            // Its word is final: whatever the target has of it, nobody will play.
+            Input::Declined { epoch } => {
+                if self.going.is_some_and(|m| m.epoch == epoch) {
+                    self.abandon();
+                }
+            }
             Input::Cancelled { node, epoch, how } => {
                 let here =
                     self.going.filter(|m| (m.to, m.epoch) == (node, epoch) && m.step == Step::Cancelling);
@@ -302,12 +331,22 @@
         self.out.push_back(Output::Offer { node: to, epoch });
     }
 
+    /// The player will not go there: it was never told of it, or says so. The target is told until it answers, and
+    /// the next move need not wait for that.
+    fn abandon(&mut self) {
+        let Some(m) = self.going else { return };
+        self.stay(m.to);
+        if m.to != self.at {
+            self.owe(m.to, m.epoch);
+        }
+    }
+
     /// The move did not happen.
     fn stay(&mut self, to: u64) {
         self.going = None;
         self.out.push_back(Output::Stayed { to });
-        if self.dead {
-            self.lose();
+        if self.dead.is_some() {
+            self.out.push_back(Output::Orphaned);
         }
     }
 
@@ -316,34 +355,38 @@
         if self.gone {
             return;
         }
+        if self.at == node && self.dead.is_none() {
+            self.dead = Some(now + ORPHANED);
+            // The target may have it yet: nothing is lost before that is known.
+            if self.going.is_none() {
+                self.out.push_back(Output::Orphaned);
+            }
+        }
         match self.going {
-            Some(m) if m.to == node && m.fetched && self.at != node && !self.dead => {
+            Some(m) if m.to == node && m.fetched && self.dead.is_none() => {
                 // The player may have gone over to it: it is offered the source anew, under an epoch of its own.
                 self.out.push_back(Output::Stayed { to: node });
                 self.prepare(now, self.at, m.until.max(now + 10 * REPEAT));
             }
-            Some(m) if m.to == node => {
-                self.dead |= self.at == node;
-                self.stay(node);
-            }
-            // The target may have it yet: nothing is lost before that is known.
-            Some(_) if self.at == node => self.dead = true,
-            None if self.at == node => self.lose(),
+            Some(m) if m.to == node => self.stay(node),
             _ => {}
         }
     }
 
-    fn lose(&mut self) {
-        self.gone = true;
-        self.out.push_back(Output::Lost);
-    }
-
     /// Repeats what has no answer, and gives up what took too long.
     pub fn handle_timeout(&mut self, now: Micros) {
+        let late = self.going.as_mut().filter(|m| now >= m.until && !m.fetched);
+        match late {
+            // The player has never heard of it.
+            Some(m) if m.step == Step::Preparing => self.abandon(),
+            Some(m) => m.step = Step::Cancelling,
+            None => {}
+        }
+        if self.going.is_none() && !self.gone && self.dead.is_some_and(|until| now >= until) {
+            self.gone = true;
+            self.out.push_back(Output::Lost);
+        }
         if let Some(m) = &mut self.going {
-            if now >= m.until && !m.fetched {
-                m.step = Step::Cancelling;
-            }
             let Move { to: node, epoch, step, .. } = *m;
             self.out.push_back(match step {
                 Step::Preparing => Output::Prepare { from: self.at, to: node, epoch },
--- a/crates/moving/src/player.rs
+++ b/crates/moving/src/player.rs
@@ -12,6 +12,8 @@
     Close { node: u64 },
     /// Tell the front that this epoch plays. Said again whenever it is offered again.
     Say { epoch: Epoch },
+    /// Tell the front that this epoch will not be taken any more.
+    Decline { epoch: Epoch },
 }
 
 /// Where a session plays, for its player.
@@ -21,11 +23,13 @@
     pub epoch: Epoch,
     /// Fetched, and no picture of it has come.
     pub trying: Option<(u64, Epoch)>,
+    /// Nothing up to this one is taken any more, beside what plays.
+    barred: Epoch,
 }
 
 impl Seat {
     pub fn new(node: ServerId) -> Seat {
-        Seat { node: node.0, epoch: Epoch(0), trying: None }
+        Seat { node: node.0, epoch: Epoch(0), trying: None, barred: Epoch(0) }
     }
 
     /// The front offers an epoch.
@@ -33,6 +37,9 @@
         if epoch == self.epoch {
             return vec![Do::Say { epoch }]; // it has not heard so yet
         }
+        if epoch > self.epoch && epoch <= self.barred {
+            return vec![Do::Decline { epoch }]; // nor this
+        }
         let best = self.trying.map_or(self.epoch, |(_, e)| e.max(self.epoch));
         if epoch < best {
             return Vec::new();
@@ -45,7 +52,7 @@
 
     /// A picture of an epoch has come, whole from a boundary on.
     pub fn on_picture(&mut self, node: ServerId, epoch: Epoch) -> Vec<Do> {
-        if epoch <= self.epoch {
+        if epoch <= self.epoch.max(self.barred) {
             return Vec::new();
         }
         let old = std::mem::replace(&mut self.node, node.0);
@@ -55,6 +62,14 @@
         close.into_iter().chain([Do::Say { epoch }]).collect()
     }
 
+    /// No picture came in time: what was fetched is not taken any more, so that the front can try another.
+    pub fn give_up(&mut self) -> Vec<Do> {
+        let Some((node, epoch)) = self.trying.take() else { return Vec::new() };
+        self.barred = self.barred.max(epoch);
+        let close = (node != self.node).then_some(Do::Close { node });
+        close.into_iter().chain([Do::Decline { epoch }]).collect()
+    }
+
     /// What was fetched is not to be had, or its connection broke before a picture came.
     pub fn on_refused(&mut self, node: ServerId, epoch: Epoch) {
         self.trying = self.trying.filter(|t| *t != (node.0, epoch));
