--- a/crates/moving/src/lib.rs
+++ b/crates/moving/src/lib.rs
@@ -11,6 +11,7 @@
 //! state machines.
 
 pub mod front;
+pub mod mover;
 pub mod node;
 pub mod player;
 pub mod ticket;
