--- a/crates/moving/tests/mover.rs
+++ b/crates/moving/tests/mover.rs
@@ -135,7 +135,7 @@
         for (id, _) in desk.wishes().into_iter().filter(|(id, _)| *id < 2) {
             assert!(desk.now - last[id as usize] >= 15 * S);
             last[id as usize] = desk.now;
-            desk.mover.began(SessionId(id), ServerId(3 + (desk.now / S) as u64 % 3));
+            desk.mover.began(SessionId(id), ServerId(3 + (desk.now / (15 * S)) as u64 % 3));
             desk.mover.ended(desk.now, SessionId(id), true);
         }
         desk.wait(S);
