--- a/crates/audit/src/judge.rs
+++ b/crates/audit/src/judge.rs
@@ -123,7 +123,9 @@
 
 /// An attempt as the nodes saw it.
 struct Attempt {
+    /// Where it was set up, and those that hold it now: two while it is handed over.
     node: u64,
+    at: BTreeSet<u64>,
     director: u32,
     tenant: Option<String>,
     class: String,
@@ -202,27 +204,25 @@
     fn take(&mut self, record: &Record) {
         self.verdict.of = None;
         match record {
-            Record::NodeUp { t, node, places, warm } => {
+            Record::NodeUp { t, node, places, warm, .. } => {
                 self.ups.insert(*node, (*t, *places, *warm));
                 self.cold.remove(node);
             }
             Record::NodeDown { t, node, fell } => {
-                let sessions: Vec<(u64, u32)> = self
-                    .attempts
-                    .iter()
-                    .filter(|(_, a)| a.node == *node && a.over.is_none())
-                    .map(|(id, _)| *id)
-                    .collect();
+                let sessions: Vec<(u64, u32)> =
+                    self.attempts.iter().filter(|(_, a)| a.at.contains(node)).map(|(id, _)| *id).collect();
                 for id in sessions {
                     let a = self.attempts.get_mut(&id);
                     let director = a.map(|a| {
-                        a.out.get_or_insert(*t);
+                        if a.node == *node {
+                            a.out.get_or_insert(*t);
+                        }
                         a.director
                     });
                     director.into_iter().for_each(|d| {
                         self.saw_fail.insert((d, *node), *t);
                     });
-                    self.release(id, *t);
+                    self.release(id, *node, *t);
                 }
                 if *fell {
                     // The node's own count agrees that it was pushed: see `cold_pace` for who pushed.
@@ -252,7 +252,8 @@
                     self.saw_fail.insert(key, *t);
                 }
                 if *ran != Ran::Plays {
-                    self.release(id, *t);
+                    let node = a.node;
+                    self.release(id, node, *t);
                 }
             }
             Record::Partial { session: Some(session), attempt: Some(attempt), .. } => {
@@ -271,7 +272,16 @@
                 self.verdict.of.clone_from(&a.tenant);
                 self.floor(*t, *session, &class, *rung);
             }
-            Record::Over { t, session, attempt, .. } => self.release((*session, *attempt), *t),
+            Record::Over { t, node, session, attempt } => self.release((*session, *attempt), *node, *t),
+            Record::HandIn { t, node, director, session, class, tenant, rung, .. } => {
+                self.verdict.of.clone_from(tenant);
+                self.floor(*t, *session, class, *rung);
+                self.drained(*t, *node, *director);
+                self.cold_pace(*t, *node, *director);
+            }
+            Record::HandInDone { t, node, session, attempt, .. } => {
+                self.hold((*session, *attempt), *node, *t)
+            }
             Record::Told { t, director, node, standing, came_up } => {
                 let off = standing != "ready";
                 if off {
@@ -308,8 +318,13 @@
         }
     }
 
-    fn release(&mut self, id: (u64, u32), t: i64) {
+    /// One node holds it no more; the seat is free when none does.
+    fn release(&mut self, id: (u64, u32), node: u64, t: i64) {
         let Some(a) = self.attempts.get_mut(&id) else { return };
+        a.at.remove(&node);
+        if !a.at.is_empty() {
+            return;
+        }
         a.over.get_or_insert(t);
         let owner = self.rules.owner(a.tenant.as_ref());
         let key = (a.director, owner, a.class.clone(), a.title.clone());
@@ -318,6 +333,46 @@
         }
     }
 
+    /// A node holds it, by its set-up or by a hand-over: it has a seat.
+    fn hold(&mut self, id: (u64, u32), node: u64, t: i64) {
+        let Some(a) = self.attempts.get_mut(&id) else { return };
+        a.at.insert(node);
+        a.over = None;
+        let (director, class, title) = (a.director, a.class.clone(), a.title.clone());
+        self.verdict.of.clone_from(&a.tenant);
+        let owner = self.rules.owner(a.tenant.as_ref());
+        let terms = self.rules.class(a.tenant.as_deref(), &class);
+        let seats = terms.map_or(0, |c| c.seats);
+        let held = self.held.entry((director, owner, class.clone(), title.clone())).or_default();
+        held.insert(id);
+        let count = held.len() as u32;
+        if seats > 0 {
+            self.verdict.test(Rule::Terms, f64::from(count) / f64::from(seats));
+            if count > seats {
+                let what = format!(
+                    "director {director} holds {count} sessions of {title} in {class}, seats {seats}"
+                );
+                self.verdict.broken(Rule::Terms, t, what);
+            }
+        }
+    }
+
+    /// Nothing new to a node that drains or is gone.
+    fn drained(&mut self, t: i64, node: u64, director: u32) {
+        let transit = self.rules.transit;
+        self.verdict.test(Rule::Drains, 0.0);
+        if let Some(told) = self.told_off.get(&(director, node)).copied() {
+            let within = self.rules.drain_within;
+            let after = t - told - self.stalled(director, told, t);
+            self.verdict.test(Rule::Drains, after as f64 / (within + transit).max(1) as f64);
+            if after > within + transit {
+                let what =
+                    format!("director {director} sent to node {node} {} ms after it was told", after / 1000);
+                self.verdict.broken(Rule::Drains, t, what);
+            }
+        }
+    }
+
     #[allow(clippy::too_many_arguments)] // one record's fields
     fn set_up(
         &mut self,
@@ -362,35 +417,13 @@
         }
         self.sessions.entry(session).or_default().push(attempt);
 
-        // Drains.
-        self.verdict.test(Rule::Drains, 0.0);
-        if let Some(told) = self.told_off.get(&(director, node)).copied() {
-            let within = self.rules.drain_within;
-            let after = t - told - self.stalled(director, told, t);
-            self.verdict.test(Rule::Drains, after as f64 / (within + transit).max(1) as f64);
-            if after > within + transit {
-                let what =
-                    format!("director {director} sent to node {node} {} ms after it was told", after / 1000);
-                self.verdict.broken(Rule::Drains, t, what);
-            }
-        }
-
+        self.drained(t, node, director);
         self.cold_pace(t, node, director);
 
-        // Seats.
-        let key = (director, self.rules.owner(tenant.as_ref()), class.to_string(), title.to_string());
-        let held = self.held.entry(key).or_default();
-        held.insert(id);
-        let (count, seats) = (held.len() as u32, terms.map_or(0, |c| c.seats));
-        if seats > 0 {
-            self.verdict.test(Rule::Terms, f64::from(count) / f64::from(seats));
-            if count > seats {
-                let what = format!(
-                    "director {director} holds {count} sessions of {title} in {class}, seats {seats}"
-                );
-                self.verdict.broken(Rule::Terms, t, what);
-            }
-        }
+        let (class, title) = (class.to_string(), title.to_string());
+        let (out, over, ran, at) = (None, None, None, BTreeSet::new());
+        self.attempts.insert(id, Attempt { node, at, director, tenant, class, title, out, over, ran });
+        self.hold(id, node, t);
 
         // Ration.
         if attempt > 0
@@ -409,9 +442,6 @@
                 self.verdict.broken(Rule::Ration, t, what);
             }
         }
-        let (class, title) = (class.to_string(), title.to_string());
-        let (out, over, ran) = (None, None, None);
-        self.attempts.insert(id, Attempt { node, director, tenant, class, title, out, over, ran });
     }
 
     /// What is sent within any span stays under multiple x present capacity x span, with a little slack for
--- a/crates/audit/src/lib.rs
+++ b/crates/audit/src/lib.rs
@@ -4,7 +4,9 @@
 //! front, decisions. It can't be talked round by the program that it judges.
 
 mod judge;
+mod moves;
 mod record;
 
 pub use judge::{Finding, Rule, Verdict, judge};
+pub use moves::{Cause, Moves, moves};
 pub use record::{ClassRule, Further, Ran, Record, Rules, Writer, read, read_rules};
--- a/crates/audit/src/record.rs
+++ b/crates/audit/src/record.rs
@@ -31,6 +31,8 @@
         node: u64,
         places: f64,
         warm: bool,
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        cell: Option<u64>,
     },
     /// A node's process died. `fell`: it was pushed over.
     NodeDown {
@@ -82,6 +84,55 @@
         attempt: u32,
     },
 
+    /// A hand-over arrived whole: a session that plays elsewhere is to be made ready.
+    HandIn {
+        t: i64,
+        node: u64,
+        director: u32,
+        session: u64,
+        attempt: u32,
+        epoch: u32,
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        tenant: Option<String>,
+        class: String,
+        title: String,
+        rung: usize,
+    },
+    /// It is ready there.
+    HandInDone {
+        t: i64,
+        node: u64,
+        session: u64,
+        attempt: u32,
+        epoch: u32,
+        ran: Ran,
+    },
+    /// Its player has fetched it there.
+    Fetched {
+        t: i64,
+        node: u64,
+        session: u64,
+        attempt: u32,
+        epoch: u32,
+    },
+    /// A node's process stands still, and goes on.
+    Froze {
+        t: i64,
+        node: u64,
+    },
+    Thawed {
+        t: i64,
+        node: u64,
+    },
+    /// What is asked of a node's link and uplink over what they give, and the part of its places that is taken.
+    Load {
+        t: i64,
+        node: u64,
+        link: f64,
+        uplink: f64,
+        streams: f64,
+    },
+
     // ---- list -------------------------------------------------------------------------------
     /// A director was told how a node stands: `ready`, `draining` or `gone`, and of a start of its process.
     Told {
@@ -134,6 +185,14 @@
         rungs: Vec<(usize, i64)>,
     },
 
+    /// The picture stood still for so long, from `t` on.
+    Gap {
+        t: i64,
+        ask: u64,
+        session: u64,
+        micros: i64,
+    },
+
     // ---- directors --------------------------------------------------------------------------
     DirectorUp {
         t: i64,
@@ -158,6 +217,8 @@
             NodeUp { t, .. } | NodeDown { t, .. } | SetUp { t, .. } | SetUpDone { t, .. } => *t,
             Partial { t, .. } | Rung { t, .. } | Over { t, .. } | Told { t, .. } | Asked { t, .. } => *t,
             Answered { t, .. } | Unanswered { t, .. } | Left { t, .. } | Watched { t, .. } => *t,
+            HandIn { t, .. } | HandInDone { t, .. } | Fetched { t, .. } | Froze { t, .. } => *t,
+            Thawed { t, .. } | Load { t, .. } | Gap { t, .. } => *t,
             DirectorUp { t, .. } | DirectorKilled { t, .. } | DirectorStalled { t, .. } => *t,
         }
     }
@@ -177,6 +238,11 @@
     pub overload_factor: f64,
     pub fall: i64,
     pub further: Option<Further>,
+    /// Cells, and the first and the number of those that hold each title.
+    #[serde(default)]
+    pub cells: u64,
+    #[serde(default)]
+    pub titles: BTreeMap<String, (u64, u64)>,
     /// What passes on one machine may be seen so much later, or in another order.
     pub transit: i64,
 }
--- a/crates/audit/tests/convicts.rs
+++ b/crates/audit/tests/convicts.rs
@@ -24,6 +24,8 @@
         fall: 2 * S,
         further: Some(Further { free: 1.0, per_request: 0.5, span: 10 * S }),
         transit: S / 20,
+        cells: 4,
+        titles: BTreeMap::from([("t".to_string(), (0, 4))]),
     }
 }
 
@@ -115,7 +117,7 @@
 fn no_cold_node_pushed_over() {
     // 10 places over 10 s at 0.4, twice that over 2 s: 1.6, and 2 for chance.
     let push = |n: u64, knew: bool| {
-        let mut records = vec![Record::NodeUp { t: 0, node: 1, places: 10.0, warm: false }];
+        let mut records = vec![Record::NodeUp { t: 0, node: 1, places: 10.0, warm: false, cell: None }];
         records.extend(knew.then(|| told(1, "ready", Some(0))));
         records.extend((0..n).map(|i| set_up(1000 + i as i64, i, 0, "open")));
         records
--- a/crates/engine/src/attempts.rs
+++ b/crates/engine/src/attempts.rs
@@ -3,6 +3,7 @@
 use crate::engine::*;
 use crate::io::*;
 use shalewall::{Event, Load, Micros, Outcome, ServerId, SessionId};
+use shalewall_moving::Epoch;
 
 impl Engine {
     pub(crate) fn send(&mut self, session: SessionId, server: ServerId, patience: Option<Micros>) {
@@ -11,10 +12,11 @@
             return debug_assert!(false, "the director sends a session only while it decides it");
         };
         let attempt = s.attempts;
-        s.attempts += 1;
+        (s.attempts, s.owed) = (s.attempts + 1, 0);
         let kind = CallKind::SetUp {
             session,
             attempt,
+            viewer: s.key,
             tenant: s.tenant.clone(),
             class: s.class.clone(),
             title: s.title.clone(),
@@ -69,7 +71,7 @@
         let Stage::SettingUp { call, server, sent, .. } = s.stage else { return };
         self.give_up(call);
         self.tried(session, server, sent, Outcome::Late);
-        self.owe_end(server, session, attempt);
+        self.owe_end(server, session, attempt, None);
         self.finished(session, attempt, server, Outcome::Late, Load::default());
     }
 
@@ -79,7 +81,7 @@
         s.stage = Stage::Leaving { server, outcome: Outcome::Cancelled };
         self.give_up(call);
         self.tried(session, server, sent, Outcome::Cancelled);
-        self.owe_end(server, session, attempt);
+        self.owe_end(server, session, attempt, None);
     }
 
     pub(crate) fn on_done(&mut self, call: CallId, done: Done) {
@@ -94,13 +96,15 @@
                 // 404: it does not run there, which is what was wanted.
                 if matches!(done, Done::Answered { status: 200..=299 | 404 | 410, .. }) {
                     self.end_confirmed(server, session, attempt);
-                } else if let Some((call, tries)) = self.ends.get_mut(&(server, session, attempt)) {
-                    *call = None;
-                    let wait = (RETRY << (*tries).min(4)).min(LONGEST_RETRY);
+                } else if let Some(owed) = self.ends.get_mut(&(server, session, attempt)) {
+                    owed.call = None;
+                    let wait = (RETRY << owed.tries.min(4)).min(LONGEST_RETRY);
                     self.timers.set(self.now + wait, Timer::End(server, session, attempt));
                 }
             }
             Some(Purpose::Rung(session, rung)) => self.on_rung_done(session, rung, &done),
+            Some(Purpose::Prepare(session, node, epoch)) => self.on_prepared(session, node, epoch, done),
+            Some(Purpose::Cancel(session, node, epoch)) => self.on_cancelled(session, node, epoch, &done),
         }
     }
 
@@ -114,7 +118,7 @@
             Done::Answered { status: 201, media: Some(media), .. } => media,
             _ => {
                 if !matches!(outcome, Outcome::Full | Outcome::NoConnection) {
-                    self.owe_end(server, session, attempt);
+                    self.owe_end(server, session, attempt, None);
                 }
                 // A 201 that does not say where the stream is may run, and is of no use.
                 let outcome = if outcome == Outcome::Good { Outcome::Error } else { outcome };
@@ -127,7 +131,7 @@
             s.stage = Stage::Leaving { server, outcome: Outcome::Good };
             let key = s.key;
             self.unkey(key, session);
-            return self.owe_end(server, session, attempt);
+            return self.owe_end(server, session, attempt, None);
         }
         s.stage = Stage::Plays { server, since: self.now, media: media.clone() };
         let rung = s.confirmed;
@@ -142,28 +146,47 @@
 
     /// A session that played has ended at its node.
     pub(crate) fn over(&mut self, session: SessionId, server: ServerId, attempt: u32, outcome: Outcome) {
+        let attempt = attempt - self.sessions.get(&session).map_or(0, |s| s.before).min(attempt);
         self.forget(session);
         let load = Load::default();
         self.pending.push_back(Event::Finished { session, attempt, server, outcome, closed: true, load });
     }
 
     /// The node may hold this attempt: it is told to end it until it has confirmed that.
-    pub(crate) fn owe_end(&mut self, server: ServerId, session: SessionId, attempt: u32) {
-        if self.ends.insert((server, session, attempt), (None, 0)).is_none() {
-            self.send_end(server, session, attempt);
+    pub(crate) fn owe_end(
+        &mut self,
+        server: ServerId,
+        session: SessionId,
+        attempt: u32,
+        upto: Option<Epoch>,
+    ) {
+        let key = (server, session, attempt);
+        match self.ends.get_mut(&key) {
+            // No end of an epoch is one of all.
+            Some(owed) if owed.upto.is_none() || (upto.is_some() && owed.upto >= upto) => return,
+            Some(owed) => owed.upto = upto,
+            None => {
+                self.ends.insert(key, Owed { call: None, tries: 0, upto });
+                if let Some(s) = self.sessions.get_mut(&session).filter(|s| s.attempts == attempt + 1) {
+                    s.owed += 1;
+                }
+            }
         }
+        self.send_end(server, session, attempt);
     }
 
     pub(crate) fn send_end(&mut self, server: ServerId, session: SessionId, attempt: u32) {
         let key = (server, session, attempt);
-        let Some((out, tries)) = self.ends.get(&key).copied() else { return };
+        let Some(owed) = self.ends.get_mut(&key) else { return };
+        let (out, tries, upto) = (owed.call.take(), owed.tries, owed.upto);
         if let Some(call) = out {
-            // Unanswered for too long: given up and tried again on another connection.
+            // Unanswered for too long, or of less than is owed now: given up and sent on another connection.
             self.give_up(call);
         }
-        match self.call(server, Purpose::End(server, session, attempt), CallKind::End { session, attempt }) {
+        let kind = CallKind::End { session, attempt, upto };
+        match self.call(server, Purpose::End(server, session, attempt), kind) {
             Some(call) => {
-                self.ends.insert(key, (Some(call), tries + 1));
+                self.ends.insert(key, Owed { call: Some(call), tries: tries + 1, upto });
                 let wait = CONFIRM_TIME + (RETRY << tries.min(4)).min(LONGEST_RETRY);
                 self.timers.set(self.now + wait, Timer::End(server, session, attempt));
             }
@@ -173,15 +196,22 @@
 
     /// The node holds it no more.
     pub(crate) fn end_confirmed(&mut self, server: ServerId, session: SessionId, attempt: u32) {
-        if let Some((Some(call), _)) = self.ends.remove(&(server, session, attempt)) {
+        let Some(Owed { call, upto, .. }) = self.ends.remove(&(server, session, attempt)) else { return };
+        if let Some(call) = call {
             // Confirmed by other news than its answer, which may never come: nobody waits for it any more.
             self.give_up(call);
         }
-        let Some(s) = self.sessions.get(&session).filter(|s| s.attempts == attempt + 1) else { return };
-        if let Stage::Leaving { server: at, outcome } = s.stage
-            && at == server
-        {
-            self.over(session, server, attempt, outcome);
+        let Some(s) = self.sessions.get_mut(&session).filter(|s| s.attempts == attempt + 1) else { return };
+        s.owed = s.owed.saturating_sub(1);
+        self.released(session, server, upto);
+        self.left(session);
+    }
+
+    /// Over, if it is leaving and no node holds it any more.
+    pub(crate) fn left(&mut self, session: SessionId) {
+        let Some(s) = self.sessions.get(&session).filter(|s| s.owed == 0) else { return };
+        if let Stage::Leaving { server, outcome } = s.stage {
+            self.over(session, server, s.attempts - 1, outcome);
         }
     }
 }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -2,9 +2,12 @@
 
 use crate::catalogue::Catalogue;
 use crate::io::*;
+use crate::moves::{Hand, Moves};
 use crate::nodes::Nodes;
 use crate::timers::Timers;
 use shalewall::{Action, Director, Event, Load, Micros, Outcome, Request, ServerId, SessionId, Settings};
+use shalewall_moving::Epoch;
+use shalewall_moving::mover::{self, Mover};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
 /// Cells that hold a title: `spread` in a row from `home` on.
@@ -29,6 +32,8 @@
     pub most_sessions: usize,
     /// Distinguishes the sessions of one start of this front from those of another; 14 bits count.
     pub incarnation: u16,
+    /// Sessions whose players follow may be handed over while they play; absent: none is.
+    pub moves: Option<mover::Terms>,
 }
 
 /// How many sessions there are, by what is under way.
@@ -39,6 +44,8 @@
     pub leaving: usize,
     /// Ends that nodes have not confirmed yet.
     pub owed_ends: usize,
+    /// Of those that play, how many are being handed over.
+    pub moving: usize,
 }
 
 /// Where a session stands. Each stage holds just what is true of it.
@@ -72,14 +79,28 @@
     pub(crate) tenant: Option<String>,
     pub(crate) class: String,
     pub(crate) stage: Stage,
-    /// Attempts sent; the last one's number is one less.
+    /// Attempts sent; the last one's number is one less. The director counts from those of an earlier process on.
     pub(crate) attempts: u32,
+    pub(crate) before: u32,
     pub(crate) rung: usize,
     /// Rung that the node has confirmed, and the call that tells it of another.
     pub(crate) confirmed: usize,
     pub(crate) telling: Option<CallId>,
     /// Viewer's requests that wait for the answer: more than one where it asked again.
     pub(crate) waiting: Vec<AskId>,
+    /// Ends of its last attempt that nodes have not confirmed, wherever.
+    pub(crate) owed: u32,
+    /// Its hand-overs; none where its player has never followed.
+    pub(crate) hand: Option<Box<Hand>>,
+}
+
+/// An end that a node owes.
+pub(crate) struct Owed {
+    /// The call that is out, and how often it was tried.
+    pub(crate) call: Option<CallId>,
+    pub(crate) tries: u32,
+    /// What it holds under later epochs goes on; none: all ends, and nothing begins any more.
+    pub(crate) upto: Option<Epoch>,
 }
 
 /// What a call was for.
@@ -88,6 +109,8 @@
     Rung(SessionId, usize),
     End(ServerId, SessionId, u32),
     Probe(ServerId),
+    Prepare(SessionId, ServerId, Epoch),
+    Cancel(SessionId, ServerId, Epoch),
 }
 
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -99,6 +122,7 @@
     Probe(CallId),
     End(ServerId, SessionId, u32),
     Rung(SessionId),
+    Hand(SessionId),
 }
 
 /// A probe counts as unanswered after this; the director waits for less.
@@ -164,8 +188,8 @@
     pub(crate) by_ask: HashMap<AskId, SessionId>,
     pub(crate) nodes: Nodes,
     pub(crate) calls: HashMap<CallId, Purpose>,
-    /// Ends owed to nodes, with the call that is out and how often it was tried.
-    pub(crate) ends: BTreeMap<(ServerId, SessionId, u32), (Option<CallId>, u32)>,
+    pub(crate) ends: BTreeMap<(ServerId, SessionId, u32), Owed>,
+    pub(crate) moves: Option<Moves>,
     pub(crate) timers: Timers<Timer>,
     /// Events for the director that came up while its actions were carried out.
     pub(crate) pending: VecDeque<Event>,
@@ -190,6 +214,7 @@
             director,
             door: Box::new(Everyone(config.tenants.clone())),
             catalogue: Catalogue::new(&mut config),
+            moves: config.moves.map(|terms| Moves::new(Mover::new(terms, config.seed), now)),
             config,
             now,
             sessions: BTreeMap::new(),
@@ -220,13 +245,19 @@
             Input::Ended { session } => self.on_ended(session),
             Input::List { news, lines } => self.on_list(news, lines),
             Input::Done { call, done } => self.on_done(call, done),
+            Input::NodeHolds { server, sessions } => self.on_holds(server, sessions),
             Input::NodeUp { server, asked, held } => self.on_node_up(server, asked, &held),
             Input::NodeTold { server, told } => self.on_told(server, told),
             Input::Tenants(news) => self.on_tenants(news),
             Input::TenantEnded { tenant } => self.on_tenant_ended(&tenant),
             Input::NodeDown { server } => self.lose_sessions(server, Micros::MAX, &[]),
+            Input::Follows { session, follows } => self.on_follows(session, follows),
+            Input::Silent { session, buffer } => self.on_silent(session, buffer),
+            Input::Playing { session, epoch } => self.on_playing(session, epoch),
+            Input::Declined { session, epoch } => self.on_declined(session, epoch),
         }
         self.settle();
+        self.plan_moves();
     }
 
     /// Rings what is due.
@@ -243,9 +274,12 @@
                 }
                 Timer::End(server, session, attempt) => self.send_end(server, session, attempt),
                 Timer::Rung(session) => self.tell_rung(session),
+                Timer::Hand(session) => self.on_hand_timer(session),
             }
             self.settle();
         }
+        self.look_for_moves();
+        self.plan_moves();
     }
 
     pub fn poll_output(&mut self) -> Option<Output> {
@@ -254,12 +288,14 @@
 
     /// When [`Engine::handle_timeout`] is to be called next.
     pub fn poll_timeout(&self) -> Option<Micros> {
-        self.timers.next()
+        let moves = self.moves.iter().flat_map(|m| [m.mover.poll_timeout(), m.adopt]);
+        self.timers.next().into_iter().chain(moves.flatten()).min()
     }
 
     pub fn held(&self) -> Held {
         let mut held = Held { owed_ends: self.ends.len(), ..Held::default() };
         for s in self.sessions.values() {
+            held.moving += usize::from(s.hand.as_ref().is_some_and(|h| h.target.is_some()));
             match s.stage {
                 Stage::Deciding | Stage::SettingUp { .. } => held.waiting += 1,
                 Stage::Plays { .. } => held.playing += 1,
@@ -322,7 +358,7 @@
             Action::Timer { after, token } => {
                 self.timers.set(self.now + after.max(0), Timer::Director(token))
             }
-            Action::HandOver { .. } => {}
+            Action::HandOver { session, server, rung } => self.hand_over(session, server, rung),
             Action::Probe { server } => self.probe(server),
             Action::CloseIdle { server } => self.outputs.push_back(Output::CloseIdle { server }),
             Action::Log(text) => self.outputs.push_back(Output::Log(text)),
--- a/crates/engine/src/io.rs
+++ b/crates/engine/src/io.rs
@@ -2,6 +2,8 @@
 
 use crate::engine::Place;
 use shalewall::{ClassTerms, ListNews, Load, Micros, Outcome, ServerId, SessionId, Standing};
+use shalewall_moving::Epoch;
+use shalewall_moving::mover::Why;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -90,11 +92,28 @@
     },
 }
 
+/// A session that a node holds, with all that a front which begins anew needs to go on with it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Carried {
+    pub session: SessionId,
+    pub attempt: u32,
+    /// The viewer's key, as the front that set it up had it.
+    pub viewer: u64,
+    pub tenant: Option<String>,
+    pub class: String,
+    pub title: String,
+    pub rung: usize,
+    pub held: shalewall_moving::node::Held,
+    pub media: String,
+}
+
 /// What a node tells on its event stream.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Told {
     /// The session has ended there: its viewer left, or it was over.
     Ended { session: SessionId, attempt: u32 },
+    /// The player of a session that is handed over to this node has fetched its stream.
+    Fetched { session: SessionId, attempt: u32, epoch: Epoch },
     /// Figures, told on one of the sessions there.
     Figures { session: SessionId, delivered: Option<f64>, link: Option<f64>, uplink: Option<f64> },
 }
@@ -122,6 +141,12 @@
         call: CallId,
         done: Done,
     },
+    /// What a node holds for this front, told before [`Input::NodeUp`]: sessions of an earlier process of it go on
+    /// where players can be handed over.
+    NodeHolds {
+        server: ServerId,
+        sessions: Vec<Carried>,
+    },
     /// A node's event stream is open. `asked`: when it was asked for; `held`: what the node holds for this
     /// front since then or before.
     NodeUp {
@@ -139,6 +164,26 @@
     TenantEnded {
         tenant: String,
     },
+    /// The player of a session can be offered another node from now on, or can't any more.
+    Follows {
+        session: SessionId,
+        follows: bool,
+    },
+    /// A player hears nothing, and has so much left to play.
+    Silent {
+        session: SessionId,
+        buffer: Micros,
+    },
+    /// A player has gone over to this epoch.
+    Playing {
+        session: SessionId,
+        epoch: Epoch,
+    },
+    /// A player had nothing of this epoch in time, and takes nothing of it any more.
+    Declined {
+        session: SessionId,
+        epoch: Epoch,
+    },
     /// A node's event stream broke and a new connection is refused: its process is gone.
     NodeDown {
         server: ServerId,
@@ -174,6 +219,8 @@
     SetUp {
         session: SessionId,
         attempt: u32,
+        /// Kept by the node for a front that begins anew.
+        viewer: u64,
         tenant: Option<String>,
         class: String,
         title: String,
@@ -186,10 +233,31 @@
         rung: usize,
         kb: f64,
     },
-    /// Whatever runs there under this number has to end, and must not begin any more.
+    /// Whatever runs there under this number has to end, and must not begin any more; with `upto`, what is held
+    /// under later epochs goes on, and may begin.
     End {
         session: SessionId,
         attempt: u32,
+        upto: Option<Epoch>,
+    },
+    /// Make ready to take a session over from another node.
+    Prepare {
+        session: SessionId,
+        attempt: u32,
+        epoch: Epoch,
+        from: ServerId,
+        viewer: u64,
+        tenant: Option<String>,
+        class: String,
+        title: String,
+        rung: usize,
+        kb: f64,
+    },
+    /// What is ready under this epoch is not to be fetched any more: 409 where it has been.
+    Cancel {
+        session: SessionId,
+        attempt: u32,
+        epoch: Epoch,
     },
     Probe,
 }
@@ -222,6 +290,24 @@
     CloseIdle {
         server: ServerId,
     },
+    /// Tell the session's player where it may fetch.
+    Offer {
+        session: SessionId,
+        epoch: Epoch,
+        media: String,
+    },
+    /// The session is over, for a player that follows it.
+    Gone {
+        session: SessionId,
+    },
+    /// A hand-over has ended, for the record. `moved`: it plays at its target.
+    Moved {
+        session: SessionId,
+        to: ServerId,
+        why: Why,
+        took: Micros,
+        moved: bool,
+    },
     /// A set-up attempt is over, for the record.
     Tried {
         session: SessionId,
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -11,9 +11,11 @@
 //! that the rules need: never ran, or may have run.
 
 mod attempts;
+mod carried;
 mod catalogue;
 mod engine;
 mod io;
+mod moves;
 mod nodes;
 mod playing;
 mod timers;
--- a/crates/engine/src/playing.rs
+++ b/crates/engine/src/playing.rs
@@ -47,6 +47,7 @@
     pub(crate) fn on_list(&mut self, news: shalewall::ListNews, lines: Vec<Line>) {
         let change = self.nodes.list(news, &lines);
         // The director first: nothing that follows may send to a node that has just been listed as gone.
+        self.drains(&lines);
         let listed = |l: &Line| crate::nodes::listed(l, &self.config, self.catalogue.fleet(l.server));
         let lines: Vec<_> = lines.iter().map(listed).collect();
         self.nodes.told(news, &lines);
@@ -67,30 +68,44 @@
     pub(crate) fn on_node_up(&mut self, server: ServerId, asked: Micros, held: &[(SessionId, u32)]) {
         self.lose_sessions(server, asked, held);
         for (session, attempt) in held {
-            let ours = self.sessions.get(session).is_some_and(|s| match s.stage {
+            let known = self.sessions.get(session).filter(|s| s.attempts == attempt + 1);
+            let ours = known.is_some_and(|s| match s.stage {
                 Stage::Plays { server: at, .. } | Stage::SettingUp { server: at, .. } => {
-                    at == server && s.attempts == attempt + 1
+                    at == server || s.moves_to(server)
                 }
                 Stage::Deciding | Stage::Leaving { .. } => false,
             });
-            if !ours {
-                self.owe_end(server, *session, *attempt);
+            let found = self.moves.as_ref().is_some_and(|m| m.found.contains_key(session));
+            if !ours && !found && !self.ends.contains_key(&(server, *session, *attempt)) {
+                // One that plays elsewhere may come back here by a later move.
+                let upto = known.and_then(|s| s.hand.as_ref()).map(|h| h.handover.last());
+                self.owe_end(server, *session, *attempt, upto);
             }
         }
     }
 
-    /// Sessions that began to play there before `before`, and that the node does not hold, are lost.
+    /// Sessions that began to play there before `before`, and that the node does not hold, are lost; and so is what
+    /// was ready there for sessions that are handed over.
     pub(crate) fn lose_sessions(&mut self, server: ServerId, before: Micros, held: &[(SessionId, u32)]) {
         let lost: Vec<(SessionId, u32)> = self
             .sessions
             .iter()
             .filter(|(id, s)| {
-                let there = matches!(s.stage, Stage::Plays { server: at, since, .. } if at == server && since < before);
+                let there = match s.stage {
+                    Stage::Plays { server: at, since, .. } => {
+                        (at == server && since < before) || s.ready_at(server, before)
+                    }
+                    _ => false,
+                };
                 there && !held.contains(&(**id, s.attempts - 1))
             })
             .map(|(id, s)| (*id, s.attempts - 1))
             .collect();
-        lost.into_iter().for_each(|(session, attempt)| self.over(session, server, attempt, Outcome::Reset));
+        for (session, attempt) in lost {
+            if !self.dead(session, server) {
+                self.over(session, server, attempt, Outcome::Reset);
+            }
+        }
     }
 
     pub(crate) fn on_told(&mut self, server: ServerId, told: Told) {
@@ -98,17 +113,22 @@
             Told::Figures { session, delivered, link, uplink } => {
                 self.figures(session, server, delivered, link, uplink);
             }
+            Told::Fetched { session, attempt, epoch } => self.on_fetched(server, session, attempt, epoch),
             Told::Ended { session, attempt } => {
                 let Some(s) = self.sessions.get_mut(&session) else { return };
                 if s.attempts != attempt + 1 {
                     return;
                 }
+                if s.hand.as_ref().is_some_and(|h| h.target.is_some()) && self.dead(session, server) {
+                    return; // its player has closed one of two streams: the other one may go on
+                }
+                let Some(s) = self.sessions.get_mut(&session) else { return };
                 match &mut s.stage {
                     Stage::SettingUp { server: at, over, .. } if *at == server => *over = true,
                     Stage::Plays { server: at, .. } if *at == server => {
                         self.over(session, server, attempt, Outcome::Good);
                     }
-                    Stage::Leaving { server: at, .. } if *at == server => {
+                    Stage::Plays { .. } | Stage::Leaving { .. } => {
                         self.end_confirmed(server, session, attempt);
                     }
                     _ => {}
@@ -130,7 +150,8 @@
         if !matches!(s.stage, Stage::Plays { server: at, .. } if at == server) {
             return;
         }
-        let attempt = s.attempts - 1;
+        let attempt = s.attempts - 1 - s.before;
+        self.delivers(server, delivered);
         let notes = [delivered.map(Note::Delivered), link.map(Note::Link), uplink.map(Note::Uplink)];
         for note in notes.into_iter().flatten() {
             self.pending.push_back(Event::Noted { session, attempt, server, note });
--- a/crates/engine/src/viewers.rs
+++ b/crates/engine/src/viewers.rs
@@ -75,10 +75,13 @@
                 class: new.class,
                 stage: Stage::Deciding,
                 attempts: 0,
+                before: 0,
                 rung: 0,
                 confirmed: 0,
                 telling: None,
                 waiting: vec![ask],
+                owed: 0,
+                hand: None,
             },
         );
         self.pending.push_back(Event::Asked(request));
@@ -137,8 +140,13 @@
         let Stage::Plays { server, .. } = s.stage else { return };
         s.stage = Stage::Leaving { server, outcome: Outcome::Good };
         let (key, attempt) = (s.key, s.attempts - 1);
+        // It is not over before the last of its nodes has confirmed.
+        s.owed += 1;
         self.unkey(key, session);
-        self.owe_end(server, session, attempt);
+        self.stop_moving(session);
+        self.owe_end(server, session, attempt, None);
+        self.sessions.get_mut(&session).into_iter().for_each(|s| s.owed -= 1);
+        self.left(session);
     }
 
     /// Gives everyone who waits the final answer. The session stays while an attempt of it is out.
@@ -165,6 +173,7 @@
     }
 
     pub(crate) fn forget(&mut self, session: SessionId) {
+        self.stop_moving(session);
         if let Some(s) = self.sessions.remove(&session) {
             self.unkey(s.key, session);
             self.catalogue.release(s.request.class, s.request.tenant);
--- /dev/null
+++ b/crates/engine/tests/moves.rs
@@ -0,0 +1,488 @@
+//! Hand-overs of the engine in a small world of simulated time. Nodes and players are the protocol's own state
+//! machines; calls are late, lost or answered twice, nodes drain, stand still, die and come back, viewers leave.
+
+#[path = "../../../tests/common/mod.rs"]
+mod common;
+use common::{Dice, MS, S};
+use shalewall::*;
+use shalewall_engine::*;
+use shalewall_moving::Epoch;
+use shalewall_moving::mover::Terms;
+use shalewall_moving::node::{Cancelled, Holds};
+use shalewall_moving::player::{Do, Seat};
+use shalewall_moving::ticket::Key;
+use std::collections::BTreeMap;
+
+const NODES: u64 = 4;
+/// A player that hears nothing says so after this; its buffer lasts so long.
+const SILENT: Micros = 300 * MS;
+const BUFFER: Micros = S;
+
+fn config() -> Config {
+    let class = ClassTerms { aim: S, worth: 1.0, scale: 1.0, ..Default::default() };
+    Config {
+        seed: 3,
+        settings: Settings {
+            directors: 1,
+            classes: vec![ClassTerms { effect: Effect::Paid, ..class }],
+            ladder: vec![Rung { kb: 300.0, worth: 1.0 }],
+            cells: NODES,
+            places_by_kind: vec![400.0],
+            weights_tell_size: true,
+            link_kb_per_weight: 30_000.0,
+            join_adds: 1.0,
+            told_every: 3 * S,
+            told_late: S,
+            contract: Contract { warm_after: S, start_capacity: 0.4, fall: S, ..Default::default() },
+            limits: Limits { max_attempts: 4, may_cancel: true, step: 10 * MS, ..Default::default() },
+            ..Default::default()
+        },
+        classes: vec![("paid".into(), 4 * S)],
+        kinds: vec!["box".into()],
+        titles: [("t".to_string(), Place { home: 0, spread: NODES })].into(),
+        most_sessions: 1000,
+        moves: Some(Terms {
+            takes: 600 * MS,
+            again: 10 * S,
+            lasts: 6 * S,
+            at_node: 16,
+            at_front: 64,
+            costs_s: 1.0,
+        }),
+        ..Default::default()
+    }
+}
+
+fn key() -> Key {
+    Key::new([5; 32])
+}
+
+struct Player {
+    seat: Seat,
+    heard: Micros,
+    said: Micros,
+    /// Fetched, and by when a picture is to have come.
+    tries: Option<Micros>,
+    gaps: Vec<Micros>,
+    dry: Option<Micros>,
+    gone: bool,
+}
+
+struct World {
+    engine: Engine,
+    now: Micros,
+    nodes: Vec<Option<Holds>>,
+    frozen: Vec<bool>,
+    drained: Vec<bool>,
+    players: BTreeMap<SessionId, Player>,
+    out: Vec<(Micros, CallId, ServerId, CallKind)>,
+    booked: BTreeMap<SessionId, u32>,
+    /// Words between player and front that are on their way.
+    words: Vec<(Micros, Input)>,
+    dice: Dice,
+    loss: u64,
+    moved: u32,
+    stayed: u32,
+}
+
+impl World {
+    fn new(seed: u64, loss: u64) -> World {
+        let mut world = World {
+            engine: Engine::new(config(), 0),
+            now: 0,
+            nodes: (0..NODES).map(|_| Some(Holds::new(0))).collect(),
+            frozen: vec![false; NODES as usize],
+            drained: vec![false; NODES as usize],
+            players: BTreeMap::new(),
+            out: Vec::new(),
+            booked: BTreeMap::new(),
+            words: Vec::new(),
+            dice: Dice(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15)),
+            loss,
+            moved: 0,
+            stayed: 0,
+        };
+        (0..NODES).for_each(|n| world.list(n, Standing::Ready));
+        world.pass(2 * S);
+        world
+    }
+
+    fn list(&mut self, id: u64, standing: Standing) {
+        let address = Some(std::net::SocketAddr::from(([127, 0, 0, 1], 1000 + id as u16)));
+        let (zone, kind) = (String::new(), "box".to_string());
+        let (server, cell, came_up) = (ServerId(id), id, None);
+        let line = Line { server, address, zone, kind, cell, standing, weight: 1.0, came_up };
+        self.tell(Input::List { news: ListNews::Delta, lines: vec![line] });
+    }
+
+    fn tell(&mut self, input: Input) {
+        self.engine.handle(self.now, input);
+        self.collect();
+    }
+
+    fn lost(&mut self) -> bool {
+        self.dice.roll(100) < self.loss
+    }
+
+    fn collect(&mut self) {
+        while let Some(output) = self.engine.poll_output() {
+            match output {
+                Output::Answer { answer: Answer::Plays { session, .. }, .. } => {
+                    let at = self.held_at(session).expect("it was set up");
+                    let seat = Seat::new(ServerId(at));
+                    let (heard, said) = (self.now, self.now);
+                    let player =
+                        Player { seat, heard, said, tries: None, gaps: vec![], dry: None, gone: false };
+                    self.players.insert(session, player);
+                    self.words.push((self.now + 5 * MS, Input::Follows { session, follows: true }));
+                }
+                Output::Call { call, server, kind, .. } => {
+                    let wait = 2 + self.dice.roll(30) as Micros;
+                    self.out.push((self.now + wait * MS, call, server, kind));
+                }
+                Output::Drop { call } => self.out.retain(|(_, c, ..)| *c != call),
+                Output::Offer { session, epoch, media } => {
+                    let node = ServerId(media.parse().unwrap());
+                    if !self.lost() {
+                        self.player(session, |seat| seat.on_offer(node, epoch));
+                    }
+                }
+                Output::Moved { moved, .. } => {
+                    self.moved += u32::from(moved);
+                    self.stayed += u32::from(!moved);
+                }
+                Output::Gone { session } => {
+                    self.players.get_mut(&session).into_iter().for_each(|p| p.gone = true);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn held_at(&self, session: SessionId) -> Option<u64> {
+        let serves = |n: &Holds| n.held(session).serving.is_some();
+        (0..NODES).find(|n| self.nodes[*n as usize].as_ref().is_some_and(serves))
+    }
+
+    /// Lets a player do something, and carries out what it says.
+    fn player(&mut self, session: SessionId, what: impl FnOnce(&mut Seat) -> Vec<Do>) {
+        let Some(player) = self.players.get_mut(&session).filter(|p| !p.gone) else { return };
+        for done in what(&mut player.seat) {
+            match done {
+                Do::Fetch { node, epoch } => {
+                    let player = self.players.get_mut(&session).unwrap();
+                    player.tries.get_or_insert(self.now + 400 * MS);
+                    let frozen = self.frozen[node as usize];
+                    let there = self.nodes[node as usize].as_mut().filter(|_| !frozen);
+                    match there.map(|n| n.fetch(session, epoch)) {
+                        None => {}
+                        Some(Err(_)) => player.seat.on_refused(ServerId(node), epoch),
+                        Some(Ok(())) => {
+                            let told = Told::Fetched { session, attempt: 0, epoch };
+                            self.words
+                                .push((self.now + 5 * MS, Input::NodeTold { server: ServerId(node), told }));
+                        }
+                    }
+                }
+                Do::Say { epoch } => {
+                    if !self.lost() {
+                        self.words.push((self.now + 5 * MS, Input::Playing { session, epoch }));
+                    }
+                }
+                Do::Decline { epoch } => {
+                    if !self.lost() {
+                        self.words.push((self.now + 5 * MS, Input::Declined { session, epoch }));
+                    }
+                }
+                Do::Close { .. } => {}
+            }
+        }
+    }
+
+    /// The call arrives; what the node answers.
+    fn answer(&mut self, server: ServerId, kind: &CallKind) -> Done {
+        let i = server.0 as usize;
+        let now = (self.now / MS) as u64;
+        let Some(node) = &mut self.nodes[i] else { return Done::NeverRan("refused".into()) };
+        let said = |status| Done::Answered {
+            status,
+            never_ran: false,
+            load: Load::default(),
+            media: Some(server.0.to_string()),
+        };
+        match kind {
+            CallKind::SetUp { session, .. } => {
+                *self.booked.entry(*session).or_default() += 1;
+                node.set_up(*session);
+                said(201)
+            }
+            CallKind::Prepare { session, epoch, from, .. } => {
+                let ticket = key().issue(*session, *epoch, *from, server, now..now + 2000);
+                said(if node.prepare(server, &key(), now, &ticket).is_ok() { 201 } else { 410 })
+            }
+            CallKind::Cancel { session, epoch, .. } => {
+                said(if node.cancel(*session, *epoch) == Cancelled::Never { 204 } else { 409 })
+            }
+            CallKind::End { session, upto, .. } => {
+                node.release(*session, upto.unwrap_or(Epoch(u32::MAX)));
+                said(204)
+            }
+            CallKind::Rung { .. } | CallKind::Probe => said(204),
+        }
+    }
+
+    fn call_due(&mut self, n: usize) {
+        let (_, call, server, kind) = self.out.remove(n);
+        if self.frozen[server.0 as usize] && self.nodes[server.0 as usize].is_some() {
+            // It waits until the node goes on.
+            self.out.push((self.now + 50 * MS, call, server, kind));
+            return;
+        }
+        let moving = !matches!(kind, CallKind::SetUp { .. });
+        if moving && self.lost() {
+            return self.tell(Input::Done { call, done: Done::MayHaveRun("lost on its way".into()) });
+        }
+        let done = self.answer(server, &kind);
+        if moving && self.lost() {
+            return self.tell(Input::Done { call, done: Done::MayHaveRun("its answer was lost".into()) });
+        }
+        self.tell(Input::Done { call, done });
+    }
+
+    /// Players take a picture each 50 ms from whoever serves them, and say so when nothing comes.
+    fn pictures(&mut self) {
+        let ids: Vec<SessionId> = self.players.iter().filter(|(_, p)| !p.gone).map(|(id, _)| *id).collect();
+        for session in ids {
+            let p = &self.players[&session];
+            let (at, epoch, trying) = (p.seat.node, p.seat.epoch, p.seat.trying);
+            let serves = |node: u64, epoch: Epoch| {
+                let there = self.nodes[node as usize].as_ref();
+                !self.frozen[node as usize] && there.is_some_and(|n| n.held(session).serving == Some(epoch))
+            };
+            let (now, old) = (self.now, serves(at, epoch));
+            let new = trying.filter(|(node, epoch)| serves(*node, *epoch));
+            if let Some((node, epoch)) = new {
+                self.player(session, |seat| seat.on_picture(ServerId(node), epoch));
+            }
+            let late = self.players[&session].tries.is_some_and(|t| now >= t);
+            if new.is_none() && trying.is_some() && late {
+                self.player(session, Seat::give_up);
+            }
+            let p = self.players.get_mut(&session).unwrap();
+            if new.is_some() || p.seat.trying.is_none() {
+                p.tries = None;
+            }
+            if old || new.is_some() {
+                p.heard = now;
+                if let Some(since) = p.dry.take() {
+                    p.gaps.push(now - since);
+                }
+            } else if now - p.heard >= BUFFER {
+                p.dry.get_or_insert(p.heard + BUFFER);
+            }
+            if now - p.heard >= SILENT && now - p.said >= 200 * MS {
+                p.said = now;
+                let buffer = (p.heard + BUFFER - now).max(0);
+                self.words.push((now + 5 * MS, Input::Silent { session, buffer }));
+            }
+        }
+    }
+
+    fn pass(&mut self, until: Micros) {
+        while self.now < until {
+            self.now += 5 * MS;
+            while let Some(n) = self.out.iter().position(|(due, ..)| *due <= self.now) {
+                self.call_due(n);
+            }
+            while let Some(n) = self.words.iter().position(|(due, _)| *due <= self.now) {
+                let (_, word) = self.words.remove(n);
+                self.tell(word);
+            }
+            while self.engine.poll_timeout().is_some_and(|due| due <= self.now) {
+                self.engine.handle_timeout(self.now);
+                self.collect();
+            }
+            if self.now % (50 * MS) == 0 {
+                self.pictures();
+            }
+        }
+    }
+
+    fn wait(&mut self, span: Micros) {
+        self.pass(self.now + span);
+    }
+
+    fn ask(&mut self, count: u64) {
+        for ask in 0..count {
+            let (viewer, class, title) = (format!("v{}-{ask}", self.now), "paid".into(), "t".into());
+            let new = NewSession { viewer, class, title, ..NewSession::default() };
+            let ask = AskId(self.now as u64 * 1000 + ask);
+            self.tell(Input::Asked { ask, new });
+        }
+        self.wait(S);
+    }
+
+    fn crash(&mut self, node: u64) {
+        self.nodes[node as usize] = None;
+        self.frozen[node as usize] = false;
+        self.tell(Input::NodeDown { server: ServerId(node) });
+    }
+
+    fn back(&mut self, node: u64) {
+        self.nodes[node as usize] = Some(Holds::new((self.now / MS) as u64));
+        self.tell(Input::NodeUp { server: ServerId(node), asked: self.now, held: vec![] });
+    }
+
+    fn gaps(&self) -> Vec<Micros> {
+        self.players.values().flat_map(|p| p.gaps.iter().copied()).collect()
+    }
+
+    /// What must hold once all is well again.
+    fn settled(&mut self) {
+        self.loss = 0;
+        for node in 0..NODES {
+            self.frozen[node as usize] = false;
+            if self.nodes[node as usize].is_none() {
+                self.back(node);
+            }
+        }
+        self.wait(20 * S);
+        let held = self.engine.held();
+        assert_eq!((held.waiting, held.leaving, held.owed_ends, held.moving), (0, 0, 0, 0));
+        for (session, booked) in &self.booked {
+            assert_eq!(*booked, 1, "{session:?} was set up once, whatever happened");
+            let serving = self.nodes.iter().flatten().filter(|n| n.held(*session).serving.is_some()).count();
+            let prepared =
+                self.nodes.iter().flatten().filter(|n| n.held(*session).prepared.is_some()).count();
+            let playing = self.players.get(session).is_some_and(|p| !p.gone);
+            assert_eq!((serving, prepared), (usize::from(playing), 0), "{session:?}");
+            if playing {
+                let p = &self.players[session].seat;
+                let at = self.nodes[p.node as usize].as_ref().unwrap();
+                assert_eq!(at.held(*session).serving, Some(p.epoch), "its player is where it is served");
+            }
+        }
+        let playing = self.players.values().filter(|p| !p.gone).count();
+        assert_eq!(held.playing, playing);
+    }
+}
+
+#[test]
+fn a_node_that_drains_is_empty_before_it_dies_and_nobody_sees_a_gap() {
+    for loss in [0, 10] {
+        let mut world = World::new(1, loss);
+        world.ask(40);
+        let at = |w: &World, n: u64| w.players.values().filter(|p| p.seat.node == n).count();
+        let before = at(&world, 1);
+        assert!(before >= 5, "{before} there");
+        world.list(1, Standing::Draining);
+        world.wait(600 * MS);
+        let left = at(&world, 1);
+        world.crash(1);
+        world.list(1, Standing::Gone);
+        world.wait(5 * S);
+        assert_eq!(at(&world, 1), 0, "loss {loss}: {left} were there when it died");
+        assert_eq!(world.players.values().filter(|p| p.gone).count(), 0, "none is lost");
+        assert_eq!(world.gaps(), [], "loss {loss}");
+        assert_eq!(world.moved as usize, before);
+        world.settled();
+    }
+}
+
+#[test]
+fn a_node_that_stands_still_is_left_before_buffers_run_dry_and_released_when_it_goes_on() {
+    let mut world = World::new(2, 0);
+    world.ask(40);
+    world.frozen[2] = true;
+    world.wait(3 * S);
+    assert!(world.players.values().all(|p| p.seat.node != 2 && !p.gone));
+    assert_eq!(world.gaps(), []);
+    assert!(world.moved >= 5);
+    world.settled();
+}
+
+#[test]
+fn a_node_that_dies_without_a_word_loses_none_whose_buffer_lasts() {
+    let mut world = World::new(3, 0);
+    world.ask(40);
+    world.crash(0);
+    world.wait(3 * S);
+    assert!(world.players.values().all(|p| p.seat.node != 0 && !p.gone));
+    assert_eq!(world.gaps(), []);
+    world.settled();
+}
+
+#[test]
+fn a_target_that_fails_at_any_step_costs_no_session() {
+    for step in 0..12 {
+        for kind in 0..3 {
+            let mut world = World::new(10 + step, 0);
+            world.ask(12);
+            world.list(0, Standing::Draining);
+            // Somewhere in the middle of the moves, all targets but one fail.
+            world.wait(step as Micros * 10 * MS);
+            for node in 1..3 {
+                match kind {
+                    0 => world.crash(node),
+                    1 => world.frozen[node as usize] = true,
+                    _ => {
+                        world.crash(node);
+                        world.back(node);
+                    }
+                }
+            }
+            world.wait(4 * S);
+            let gone = world.players.values().filter(|p| p.gone).count();
+            assert_eq!(gone, 0, "step {step}, kind {kind}");
+            let worst = world.gaps().into_iter().max().unwrap_or(0);
+            assert!(worst <= 200 * MS, "step {step}, kind {kind}: a gap of {worst}");
+            world.settled();
+        }
+    }
+}
+
+#[test]
+fn both_nodes_frozen_end_cleanly_or_go_on() {
+    let mut world = World::new(4, 0);
+    world.ask(20);
+    world.frozen = vec![true; NODES as usize];
+    world.wait(3 * S);
+    world.settled();
+    assert!(world.players.values().all(|p| !p.gone), "all go on where they were");
+}
+
+#[test]
+fn whatever_happens_each_session_is_booked_once_and_every_move_ends() {
+    let (mut moved, mut stayed) = (0, 0);
+    for seed in 1..=25 {
+        let mut world = World::new(seed, 15);
+        for _ in 0..12 {
+            world.ask(4);
+            let node = world.dice.roll(NODES);
+            let i = node as usize;
+            match world.dice.roll(6) {
+                0 if world.nodes[i].is_some() => world.crash(node),
+                1 | 2 => world.frozen[i] = !world.frozen[i],
+                3 => {
+                    world.drained[i] = !world.drained[i];
+                    let drains = world.drained[i];
+                    world.list(node, if drains { Standing::Draining } else { Standing::Ready });
+                }
+                4 => {
+                    let one = world.players.iter().find(|(_, p)| !p.gone).map(|(id, _)| *id);
+                    if let Some(session) = one {
+                        world.tell(Input::Ended { session });
+                        world.players.get_mut(&session).unwrap().gone = true;
+                    }
+                }
+                _ if world.nodes[i].is_none() => world.back(node),
+                _ => {}
+            }
+            let span = world.dice.roll(900) as Micros;
+            world.wait(span * MS);
+        }
+        (moved, stayed) = (moved + world.moved, stayed + world.stayed);
+        world.settled();
+    }
+    assert!(moved > 100 && stayed > 10, "the runs have to move sessions: {moved}, and fail: {stayed}");
+}
--- a/crates/engine/tests/world.rs
+++ b/crates/engine/tests/world.rs
@@ -174,11 +174,11 @@
                     runs.insert((*session, *attempt));
                 }
             }
-            CallKind::End { session, attempt } => {
+            CallKind::End { session, attempt, .. } => {
                 runs.remove(&(*session, *attempt));
                 self.ended.insert((server, *session, *attempt));
             }
-            CallKind::Rung { .. } | CallKind::Probe => {}
+            _ => {}
         }
     }
 
--- a/crates/front/src/api.rs
+++ b/crates/front/src/api.rs
@@ -1,5 +1,6 @@
 //! The viewers' side: sessions asked for and ended, as `docs/protocol.md` has it.
 
+use crate::follow;
 use crate::hub::Hub;
 use crate::keeper::FIELD;
 use serde::Deserialize;
@@ -61,7 +62,17 @@
 /// Answers one request.
 pub async fn answer(hub: Rc<Hub>, request: Request) -> Reply {
     let head = &request.head;
-    let session = head.path().strip_prefix("/sessions/").and_then(|s| s.parse().ok());
+    let path = head.path().strip_prefix("/sessions/").unwrap_or_default();
+    let (number, word) = path.split_once('/').map_or((path, None), |(number, word)| (number, Some(word)));
+    let session: Option<u64> = number.parse().ok();
+    if let (Some(session), Some(word)) = (session.map(SessionId), word) {
+        let reply = match head.method.as_str() {
+            "GET" if word == "events" => Some(follow::events(&hub, session)),
+            "POST" => follow::word(&hub, session, word, &request),
+            _ => None,
+        };
+        return reply.unwrap_or_else(|| Reply::problem(404, "no such thing here"));
+    }
     match (head.method.as_str(), head.path(), session) {
         // Not taken, so nothing was set up: another front may have it at once.
         ("POST", "/sessions", _) if hub.leaving() => problem(503, "this front is ending", None, Some(0)),
@@ -80,7 +91,7 @@
         ("GET", "/state", _) => {
             let held = hub.held();
             let mut state = serde_json::json!({ "waiting": held.waiting, "playing": held.playing,
-                "leaving": held.leaving, "owed_ends": held.owed_ends });
+                "moving": held.moving, "leaving": held.leaving, "owed_ends": held.owed_ends });
             if let Some(tenants) = hub.tenants.get() {
                 // As of which change, and whether later ones would be heard of.
                 state["tenants"] = tenants.number.get().into();
--- a/crates/front/src/day.rs
+++ b/crates/front/src/day.rs
@@ -11,6 +11,7 @@
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use shalewall_audit::{ClassRule, Further, Rules, Verdict, judge};
+use shalewall_moving::ticket::Key;
 use shalewall_physics::fleet::Fleet;
 use shalewall_settings::{DayPlan, us};
 use shalewall_standins::list::{Line, List};
@@ -59,6 +60,8 @@
         fall: us(r.fall_ms),
         further: r.further.as_ref().map(further),
         transit: TRANSIT,
+        cells: plan.site.layout.cells,
+        titles: plan.site.title.iter().map(|(name, t)| (name.clone(), (t.home, t.spread))).collect(),
     }
 }
 
@@ -68,6 +71,8 @@
     pub nodes: Nodes,
     pub list: List,
     pub list_address: std::net::SocketAddr,
+    /// Where the key of hand-overs is, where sessions are moved.
+    pub key_file: Option<std::path::PathBuf>,
     pub viewers: Viewers,
     pub recorder: Recorder,
 }
@@ -88,14 +93,31 @@
     })
 }
 
+/// A key for the day's hand-overs, in a file for its fronts.
+fn move_key(plan: &DayPlan, out: &Path) -> io::Result<Option<(std::path::PathBuf, Key)>> {
+    if plan.site.moves.is_none() {
+        return Ok(None);
+    }
+    let file = out.join("move.key");
+    let bytes: [u8; 32] = rand::random();
+    std::fs::write(&file, bytes.iter().map(|b| format!("{b:02x}")).collect::<String>())?;
+    Ok(Some((file, Key::new(bytes))))
+}
+
 /// Starts nodes and list, and readies the viewers.
-pub fn world(ex: &Rc<LocalExecutor<'static>>, plan: &DayPlan, recorder: Recorder) -> io::Result<World> {
+pub fn world(
+    ex: &Rc<LocalExecutor<'static>>,
+    plan: &DayPlan,
+    recorder: Recorder,
+    key: Option<(std::path::PathBuf, Key)>,
+) -> io::Result<World> {
     let (site, fleet) = (&plan.site, &plan.fleet);
     let (physics, machines) = shalewall_lab::plan::fleet(plan);
     let telling = Telling {
         every: ms(site.notes.every_ms),
         late: ms(site.notes.late_ms),
         fraction: plan.day.media_fraction,
+        key: key.as_ref().map(|(_, key)| key.clone()),
     };
     let nodes = Nodes::new(ex.clone(), Fleet::new(physics, plan.day.seed ^ 1), recorder.clone(), telling);
     let late = ms(fleet.list_late_ms);
@@ -108,7 +130,8 @@
     let crowd = shalewall_lab::plan::crowd(plan);
     let arrivals = shalewall_lab::plan::arrivals(plan);
     let viewers = Viewers::new(ex.clone(), recorder.clone(), crowd, arrivals, plan.day.seed ^ 3);
-    Ok(World { ex: ex.clone(), nodes, list, list_address, viewers, recorder })
+    let key_file = key.map(|(file, _)| file);
+    Ok(World { ex: ex.clone(), nodes, list, list_address, key_file, viewers, recorder })
 }
 
 /// Runs a day and judges it. `program`: the binary whose `serve` is each director. Recordings, settings and
@@ -136,7 +159,7 @@
     let recorder = Recorder::file(&out.join("day.jsonl"))?;
     let ex = Rc::new(LocalExecutor::new());
     let count = async_io::block_on(ex.run(async {
-        let world = Rc::new(world(&ex, plan, recorder.clone())?);
+        let world = Rc::new(world(&ex, plan, recorder.clone(), move_key(plan, out)?)?);
         let hosting = plan.hosted.as_ref().map(|hosted| service::host(&ex, plan, hosted, out)).transpose()?;
         let directors = Rc::new(Directors::new(plan, program, out, &world, hosting));
         for number in 0..plan.day.directors {
@@ -173,11 +196,15 @@
             }
         }
         directors.stop();
-        Ok::<_, io::Error>(world.viewers.count.borrow().clone())
+        let mut count = world.viewers.count.borrow().clone();
+        count.lag = world.viewers.lag.get();
+        Ok::<_, io::Error>(count)
     }))?;
     recorder.flush()?;
-    let verdict = audit(out)?;
-    let summary = Summary::new(&count, &verdict);
+    let records = shalewall_audit::read(out)?;
+    let verdict = judge(&records, &rules);
+    let moves = (plan.load.follow > 0.0).then(|| shalewall_audit::moves(&records, &rules));
+    let summary = Summary::new(&count, &verdict, moves);
     std::fs::write(out.join("summary.json"), serde_json::to_string_pretty(&summary)?)?;
     std::fs::write(out.join("summary.txt"), summary.to_string())?;
     Ok(summary)
--- a/crates/front/src/day/directors.rs
+++ b/crates/front/src/day/directors.rs
@@ -50,6 +50,7 @@
             most_connections: 20_000,
             silence_ms: 3_000,
             leave_s: 0.0,
+            move_key_file: world.key_file.clone(),
         };
         let plans = (0..plan.day.directors).map(|n| FrontPlan {
             front: front(n),
--- a/crates/front/src/day/import.rs
+++ b/crates/front/src/day/import.rs
@@ -184,6 +184,7 @@
     let allow = day.at("allow");
     let prices = day.at("prices");
     Ok(Site {
+        moves: None,
         zones: day.at("zones").list()?.iter().map(Source::text).collect::<Result<_, _>>()?,
         kind,
         class,
@@ -279,6 +280,9 @@
     debug_assert_eq!(mix.len(), site.class.len());
     let mean = fam.at("life_s").number()? * life;
     Ok(Load {
+        follow: 0.0,
+        live_buffer_ms: 1000.0,
+        buffer_ms: 4000.0,
         tenants: BTreeMap::new(),
         per_s: (day.at("traffic").at("load").number()? * fam.at("capacity").number()?).max(0.01),
         mix,
--- a/crates/front/src/day/summary.rs
+++ b/crates/front/src/day/summary.rs
@@ -2,7 +2,7 @@
 
 use hdrhistogram::Histogram;
 use serde::Serialize;
-use shalewall_audit::Verdict;
+use shalewall_audit::{Moves, Verdict};
 use shalewall_physics::tally::Tally;
 use shalewall_standins::viewers::Count;
 use std::collections::BTreeMap;
@@ -66,6 +66,9 @@
     /// The same for each tenant's viewers, where they name any.
     pub tenants: BTreeMap<String, Got>,
     pub waits: BTreeMap<String, Waits>,
+    /// Hand-overs and gaps, where players follow; and the latest wake-up of one, milliseconds.
+    pub moves: Option<Moves>,
+    pub lag_ms: f64,
     pub rules_hold: bool,
     /// How near each rule came to its limit, 1 is at it; and on how many things it was tested.
     pub nearest: BTreeMap<String, f64>,
@@ -76,7 +79,7 @@
 }
 
 impl Summary {
-    pub fn new(count: &Count, verdict: &Verdict) -> Summary {
+    pub fn new(count: &Count, verdict: &Verdict, moves: Option<Moves>) -> Summary {
         let waits = |took: &Vec<u64>| {
             let mut histogram = Histogram::<u64>::new_with_bounds(1, 3_600_000_000, 3)
                 .expect("an hour in microseconds at three digits");
@@ -89,6 +92,8 @@
             all: Got::new(&count.tallies.all),
             tenants: count.tallies.tenants.iter().map(|(name, t)| (name.clone(), Got::new(t))).collect(),
             waits: count.took.iter().map(|(class, took)| (class.clone(), waits(took))).collect(),
+            moves,
+            lag_ms: count.lag as f64 / 1000.0,
             rules_hold: verdict.holds(),
             nearest: named(&verdict.nearest),
             tested: verdict.tested.iter().map(|(k, v)| (k.to_string(), *v)).collect(),
@@ -132,6 +137,10 @@
                 "answers {class:<10} {answers:>6}  p50 {p50:.0} ms  p99 {p99:.0} ms  most {most:.0} ms"
             )?;
         }
+        if let Some(moves) = &self.moves {
+            write!(f, "{moves}")?;
+            writeln!(f, "latest wake-up of a player {:.0} ms", self.lag_ms)?;
+        }
         write!(f, "{}", self.verdict)
     }
 }
--- a/crates/front/src/hub.rs
+++ b/crates/front/src/hub.rs
@@ -1,5 +1,6 @@
 //! Drives the engine: inputs from sockets, outputs to sockets, timers. One thread, no locks.
 
+use crate::follow::Follows;
 use crate::node::{self, Peer};
 use crate::tenants::Tenants;
 use async_channel::{Receiver, Sender};
@@ -10,6 +11,7 @@
 use shalewall::ServerId;
 use shalewall_engine::{Answer, AskId, CallId, Engine, Input, NewSession, Output, Shown};
 use shalewall_http::Limits;
+use shalewall_moving::ticket::Key;
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
@@ -34,6 +36,9 @@
     next_ask: Cell<u64>,
     /// The tenants that this front follows, where it is shared by some.
     pub tenants: OnceCell<Rc<Tenants>>,
+    /// Seals the tickets of hand-overs, where sessions are moved.
+    pub key: OnceCell<Key>,
+    pub follows: Follows,
     /// Told to end: nothing new is taken.
     leaving: Cell<bool>,
     /// When the ringing task will look at the engine's timers next.
@@ -82,6 +87,8 @@
             peers: RefCell::default(),
             next_ask: Cell::new(0),
             tenants: OnceCell::new(),
+            key: OnceCell::new(),
+            follows: Follows::default(),
             leaving: Cell::new(false),
             armed: Cell::new(i64::MAX),
             kick: Event::new(),
@@ -148,7 +155,7 @@
                     let peer = peer.unwrap_or_else(|| Rc::new(Peer::new(server, address, &self.limits)));
                     let hub = self.clone();
                     let task = self.ex.spawn(async move {
-                        let done = node::call(&peer, hub.director, &kind).await;
+                        let done = node::call(&peer, hub.director, hub.key.get(), &kind).await;
                         let own = hub.calls.borrow_mut().remove(&call);
                         if let Some(task) = own {
                             task.detach();
@@ -170,6 +177,12 @@
                         peer.pool.clear();
                     }
                 }
+                Output::Offer { session, epoch, media } => self.follows.offer(session, epoch, &media),
+                Output::Gone { session } => self.follows.over(session),
+                Output::Moved { session, to, why, took, moved } => {
+                    let (session, to) = (session.0, to.0);
+                    info!(session, to, ?why, took_us = took, moved, "hand-over");
+                }
                 Output::Tried { session, attempt, server, outcome, took } => {
                     debug!(
                         session = session.0,
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -1,7 +1,8 @@
 //! The session front on sockets, and the scripted days that try it.
 //!
 //! [`hub`] drives one [`shalewall_engine::Engine`]: it feeds it what happens and carries out what it says.
-//! [`api`] is the viewers' side, [`node`] the media nodes', [`list`] the list of servers'. [`serve`] puts them
+//! [`api`] is the viewers' side, [`node`] the media nodes', [`list`] the list of servers', [`follow`] the side of
+//! players whose sessions can be handed over. [`serve`] puts them
 //! together; [`tenants`] follows the tenants of a hosted service, [`manage`] is its operators' commands; [`day`] runs whole days of fronts against the stand-ins.
 //!
 //! What this crate may know: everything above it. What it must not: decide. A request is answered by the
@@ -9,6 +10,7 @@
 
 pub mod api;
 pub mod day;
+pub mod follow;
 pub mod hub;
 pub mod keeper;
 mod list;
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -129,7 +129,7 @@
             logs();
             let ex = Rc::new(async_executor::LocalExecutor::new());
             let recorder = shalewall_standins::recorder::Recorder::nowhere();
-            let world = day::world(&ex, &plan, recorder).map_err(bad)?;
+            let world = day::world(&ex, &plan, recorder, None).map_err(bad)?;
             tracing::info!(address = %world.list_address, what = "list", "listening");
             for id in world.nodes.running() {
                 let address = world.nodes.address(id).map_or(String::new(), |a| a.to_string());
--- a/crates/front/src/node.rs
+++ b/crates/front/src/node.rs
@@ -3,13 +3,16 @@
 
 use crate::hub::Hub;
 use async_io::Timer;
+use serde::Deserialize;
 use serde_json::Value;
 use shalewall::{Load, ServerId, SessionId};
-use shalewall_engine::{CallKind, Done, Input, Told};
+use shalewall_engine::{CallKind, Carried, Done, Input, Told};
 use shalewall_http::Limits;
 use shalewall_http::client::{Call, Events, Failure, Response, in_time};
 use shalewall_http::head::Fields;
 use shalewall_http::pool::Pool;
+use shalewall_moving::Epoch;
+use shalewall_moving::ticket::Key;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -21,6 +24,8 @@
 /// Pauses between attempts at an event stream.
 const PAUSE: Duration = Duration::from_millis(200);
 const LONGEST_PAUSE: Duration = Duration::from_secs(2);
+/// A ticket is good for so long: clocks of fronts and nodes may differ by less.
+const TICKET_MS: u64 = 5_000;
 /// One event holds at most so many bytes: a snapshot of all sessions of a node.
 const EVENT: usize = 4 * 1024 * 1024;
 
@@ -39,12 +44,15 @@
 }
 
 /// Carries out one call. Waits as long as it is let; dropped, it closes its connection.
-pub async fn call(peer: &Peer, director: u32, kind: &CallKind) -> Done {
+///
+/// `key`: seals the tickets of hand-overs.
+pub async fn call(peer: &Peer, director: u32, key: Option<&Key>, kind: &CallKind) -> Done {
     let path = |session: &SessionId, attempt: &u32| format!("/sessions/{}/{attempt}", session.0);
     let (method, target, body) = match kind {
-        CallKind::SetUp { session, attempt, tenant, class, title, rung, kb } => {
+        CallKind::SetUp { session, attempt, viewer, tenant, class, title, rung, kb } => {
             let body = serde_json::json!({
-                "director": director, "tenant": tenant, "class": class, "title": title, "rung": rung, "kb": kb,
+                "director": director, "viewer": viewer, "tenant": tenant, "class": class, "title": title,
+                "rung": rung, "kb": kb,
             });
             ("PUT", path(session, attempt), Some(body.to_string()))
         }
@@ -52,7 +60,23 @@
             let body = serde_json::json!({ "rung": rung, "kb": kb });
             ("PATCH", path(session, attempt), Some(body.to_string()))
         }
-        CallKind::End { session, attempt } => ("DELETE", path(session, attempt), None),
+        CallKind::End { session, attempt, upto: None } => ("DELETE", path(session, attempt), None),
+        CallKind::End { session, attempt, upto: Some(upto) } => {
+            ("DELETE", format!("{}?upto={}", path(session, attempt), upto.0), None)
+        }
+        CallKind::Prepare { session, attempt, epoch, from, viewer, tenant, class, title, rung, kb } => {
+            let Some(key) = key else { return Done::NeverRan("this front has no key for tickets".into()) };
+            let now = (shalewall_clock::now() / 1000) as u64;
+            let ticket = key.issue(*session, *epoch, *from, peer.server, now..now + TICKET_MS);
+            let body = serde_json::json!({
+                "director": director, "viewer": viewer, "tenant": tenant, "class": class, "title": title,
+                "rung": rung, "kb": kb, "ticket": ticket,
+            });
+            ("PUT", format!("/moves/{}/{attempt}", session.0), Some(body.to_string()))
+        }
+        CallKind::Cancel { session, attempt, epoch } => {
+            ("DELETE", format!("/moves/{}/{attempt}?epoch={}", session.0, epoch.0), None)
+        }
         CallKind::Probe => ("GET", "/probe".to_string(), None),
     };
     let content = body.as_ref().map(|b| ("application/json", b.as_bytes()));
@@ -129,7 +153,16 @@
     let mut events = Events::new(incoming, EVENT);
     while let Some(batch) = events.next(hub.silence).await {
         for event in batch {
-            match input(server, asked, &event.kind, &event.data) {
+            if event.kind == "held" {
+                let Some((sessions, held)) = held(&event.data) else {
+                    warn!(server = server.0, "a snapshot that is not understood");
+                    return None;
+                };
+                hub.feed(Input::NodeHolds { server, sessions });
+                hub.feed(Input::NodeUp { server, asked, held });
+                continue;
+            }
+            match input(server, &event.kind, &event.data) {
                 Some(input) => hub.feed(input),
                 None => warn!(server = server.0, kind = event.kind, "an event that is not understood"),
             }
@@ -138,17 +171,51 @@
     Some(true)
 }
 
-fn input(server: ServerId, asked: i64, kind: &str, data: &str) -> Option<Input> {
-    if kind == "held" {
-        let held: Vec<(u64, u32)> = serde_json::from_str(data).ok()?;
-        let held = held.into_iter().map(|(s, a)| (SessionId(s), a)).collect();
-        return Some(Input::NodeUp { server, asked, held });
-    }
+/// A session as a node's snapshot tells of it.
+#[derive(Deserialize)]
+struct Snapped {
+    session: u64,
+    attempt: u32,
+    viewer: u64,
+    tenant: Option<String>,
+    class: String,
+    title: String,
+    rung: usize,
+    #[serde(flatten)]
+    held: shalewall_moving::node::Held,
+    media: String,
+}
+
+type Snapshot = (Vec<Carried>, Vec<(SessionId, u32)>);
+
+fn held(data: &str) -> Option<Snapshot> {
+    let told: Vec<Snapped> = serde_json::from_str(data).ok()?;
+    let held = told.iter().map(|t| (SessionId(t.session), t.attempt)).collect();
+    let carried = |t: Snapped| Carried {
+        session: SessionId(t.session),
+        attempt: t.attempt,
+        viewer: t.viewer,
+        tenant: t.tenant,
+        class: t.class,
+        title: t.title,
+        rung: t.rung,
+        held: t.held,
+        media: t.media,
+    };
+    Some((told.into_iter().map(carried).collect(), held))
+}
+
+fn input(server: ServerId, kind: &str, data: &str) -> Option<Input> {
     let data: Value = serde_json::from_str(data).ok()?;
     let session = SessionId(data["session"].as_u64()?);
     let share = |name: &str| data[name].as_f64().filter(|x| *x >= 0.0);
     let told = match kind {
         "ended" => Told::Ended { session, attempt: u32::try_from(data["attempt"].as_u64()?).ok()? },
+        "fetched" => Told::Fetched {
+            session,
+            attempt: u32::try_from(data["attempt"].as_u64()?).ok()?,
+            epoch: Epoch(u32::try_from(data["epoch"].as_u64()?).ok()?),
+        },
         "figures" => Told::Figures {
             session,
             delivered: share("delivered"),
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -11,6 +11,7 @@
 use shalewall_engine::Engine;
 use shalewall_http::Limits;
 use shalewall_http::server::{serve, serve_at};
+use shalewall_moving::ticket::Key;
 use shalewall_settings::FrontPlan;
 use std::cell::Cell;
 use std::net::{SocketAddr, TcpListener};
@@ -77,8 +78,11 @@
             Some((tenants, hosting.clone(), token))
         }
     };
+    let key = plan.front.move_key_file.as_deref().filter(|_| plan.site.moves.is_some());
+    let key = key.map(read_key).transpose()?;
     let silence = Duration::from_millis(plan.front.silence_ms);
     let hub = Hub::new(ex.clone(), engine, plan.front.number, Limits::default(), silence);
+    key.into_iter().for_each(|key| drop(hub.key.set(key)));
     ex.spawn(list::watch(hub.clone(), plan.front.list)).detach();
     if let Some((tenants, hosting, token)) = hosted {
         let _ = hub.tenants.set(tenants.clone());
@@ -92,6 +96,13 @@
     Ok(Serving { hub, address, accepts, leave })
 }
 
+/// The key of tickets: 32 bytes in hexadecimal.
+fn read_key(file: &std::path::Path) -> std::io::Result<Key> {
+    let wrong = |what: String| std::io::Error::other(format!("{}: {what}", file.display()));
+    let text = std::fs::read_to_string(file).map_err(|e| wrong(e.to_string()))?;
+    Key::from_hex(text.trim()).ok_or_else(|| wrong("has to hold 64 hexadecimal digits".to_string()))
+}
+
 async fn accept(hub: Rc<Hub>, listener: Async<TcpListener>, most: usize) {
     let open = Rc::new(Cell::new(0usize));
     let keeper = hub.tenants.get().cloned().map(Keeper::new);
--- a/crates/front/tests/scripted/mod.rs
+++ b/crates/front/tests/scripted/mod.rs
@@ -210,6 +210,7 @@
         most_connections: 1000,
         silence_ms: 3000,
         leave_s: 0.0,
+        move_key_file: None,
     };
     FrontPlan { front, hosting: None, site }
 }
--- a/crates/front/tests/wrong_front.rs
+++ b/crates/front/tests/wrong_front.rs
@@ -153,7 +153,7 @@
     let recorder = Recorder::memory();
     let ex = Rc::new(LocalExecutor::new());
     async_io::block_on(ex.run(async {
-        let world = world(&ex, &plan, recorder.clone()).unwrap();
+        let world = world(&ex, &plan, recorder.clone(), None).unwrap();
         run(ex.clone(), &world, wrong).await;
     }));
     let verdict = judge(&recorder.records(), &rules(&plan));
--- a/crates/lab/src/plan.rs
+++ b/crates/lab/src/plan.rs
@@ -76,6 +76,7 @@
             worth: c.worth,
             top: c.top.unwrap_or(site.ladder.len() - 1),
             lasts: load.lasts(name),
+            live: c.live,
         }
     };
     Crowd {
@@ -88,6 +89,8 @@
         weak: load.weak,
         come_again: load.come_again,
         pause: ms(load.pause_ms),
+        follow: load.follow,
+        buffers: (ms(load.live_buffer_ms), ms(load.buffer_ms)),
         worth: site.ladder.iter().map(|r| r.worth).collect(),
         stall_cost: site.costs.stall,
         switch_s: site.costs.switch_s,
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -314,6 +314,7 @@
             }
             Output::Drop { call } => self.drop_call(d, call),
             Output::Watch { .. } | Output::Unwatch { .. } | Output::CloseIdle { .. } => {}
+            Output::Offer { .. } | Output::Gone { .. } | Output::Moved { .. } => {}
             Output::Tried { .. } | Output::Log(_) => {}
         }
     }
@@ -374,12 +375,14 @@
                 }
                 self.reply(d, call, node, if known { 204 } else { 404 }, false);
             }
-            CallKind::End { session, attempt } => {
+            CallKind::End { session, attempt, .. } => {
                 let played = self.fleet.end(node, (session.0, attempt));
                 self.hide(session.0, true);
                 self.reply(d, call, node, if played { 204 } else { 404 }, false);
             }
             CallKind::Probe => self.reply(d, call, node, 204, false),
+            // Nobody follows here, so nothing is handed over.
+            CallKind::Prepare { .. } | CallKind::Cancel { .. } => self.reply(d, call, node, 404, false),
         }
     }
 
@@ -391,7 +394,8 @@
             return;
         };
         let run = (session.0, attempt);
-        let playing = Playing { director: d as u32, class, title, rung, kb, true_kb: kb };
+        let playing =
+            Playing { director: d as u32, viewer: 0, tenant: None, class, title, rung, kb, true_kb: kb };
         if self.fleet.begin(node, run, playing) {
             self.began.insert(session.0, (node, run));
             self.reply(d, call, node, 201, false);
@@ -534,6 +538,7 @@
         most_connections: 1,
         silence_ms: 3000,
         leave_s: 0.0,
+        move_key_file: None,
     }
 }
 
--- a/crates/moving/src/front.rs
+++ b/crates/moving/src/front.rs
@@ -189,6 +189,16 @@
         ServerId(self.at)
     }
 
+    /// Under which epoch.
+    pub fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+
+    /// Where it is being moved to.
+    pub fn target(&self) -> Option<ServerId> {
+        self.going.map(|m| ServerId(m.to))
+    }
+
     pub fn moving(&self) -> bool {
         self.going.is_some()
     }
@@ -207,9 +217,9 @@
         self.dead.is_some() && !self.gone
     }
 
-    /// All that is held of it elsewhere is of this epoch at most.
-    pub fn behind(&self) -> Epoch {
-        Epoch(self.epoch.0.saturating_sub(1))
+    /// The greatest epoch that it was ever moved under.
+    pub fn last(&self) -> Epoch {
+        self.last
     }
 
     pub fn poll_output(&mut self) -> Option<Output> {
--- a/crates/moving/src/mover.rs
+++ b/crates/moving/src/mover.rs
@@ -124,6 +124,10 @@
         self.ring(now);
     }
 
+    pub fn knows(&self, session: SessionId) -> bool {
+        self.sessions.contains_key(&session.0)
+    }
+
     /// It has ended, or can't be moved any more.
     pub fn over(&mut self, session: SessionId) {
         let Some(gone) = self.sessions.remove(&session.0) else { return };
--- a/crates/moving/src/ticket.rs
+++ b/crates/moving/src/ticket.rs
@@ -29,11 +29,29 @@
 #[derive(Clone)]
 pub struct Key([u8; 32]);
 
+impl std::fmt::Debug for Key {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Key(..)")
+    }
+}
+
 impl Key {
     pub fn new(bytes: [u8; 32]) -> Key {
         Key(bytes)
     }
 
+    /// From 64 hexadecimal digits.
+    pub fn from_hex(text: &str) -> Option<Key> {
+        let mut bytes = [0; 32];
+        if text.len() != 64 || !text.bytes().all(|b| b.is_ascii_hexdigit()) {
+            return None;
+        }
+        for (i, byte) in bytes.iter_mut().enumerate() {
+            *byte = u8::from_str_radix(&text[2 * i..2 * i + 2], 16).ok()?;
+        }
+        Some(Key(bytes))
+    }
+
     fn seal(&self, t: &Ticket) -> [u8; 16] {
         let mut hasher = blake3::Hasher::new_keyed(&self.0);
         hasher.update(b"shalewall hand-over 1");
@@ -70,6 +88,16 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn a_key_is_64_hexadecimal_digits_and_nothing_else() {
+        let ticket = |key: &Key| key.issue(SessionId(1), Epoch(2), ServerId(3), ServerId(4), 5..9);
+        let key = Key::from_hex(&"0a".repeat(32)).expect("a key");
+        assert!(Key::new([10; 32]).knows(&ticket(&key)));
+        for wrong in ["", "0a", &"0a".repeat(33), &"0g".repeat(32), &"é".repeat(32)] {
+            assert!(Key::from_hex(wrong).is_none(), "{wrong}");
+        }
+    }
+
     #[test]
     fn a_ticket_with_anything_changed_is_not_known() {
         let key = Key::new([7; 32]);
--- a/crates/physics/src/crowd.rs
+++ b/crates/physics/src/crowd.rs
@@ -17,6 +17,8 @@
     pub top: usize,
     /// Its sessions last from the one to the other.
     pub lasts: (Duration, Duration),
+    /// Nothing of its titles is there before it happens.
+    pub live: bool,
 }
 
 /// What extra viewers come for.
@@ -43,6 +45,10 @@
     pub weak: f64,
     pub come_again: f64,
     pub pause: Duration,
+    /// Part of them whose players follow their sessions, and what these keep in their buffers, of a live title and
+    /// of a recorded one.
+    pub follow: f64,
+    pub buffers: (Duration, Duration),
     /// What each rung earns.
     pub worth: Vec<f64>,
     pub stall_cost: f64,
--- a/crates/physics/src/fleet.rs
+++ b/crates/physics/src/fleet.rs
@@ -45,6 +45,9 @@
 #[derive(Clone, Debug)]
 pub struct Playing {
     pub director: u32,
+    /// The viewer's key as its front has it, and its tenant.
+    pub viewer: u64,
+    pub tenant: Option<String>,
     pub class: String,
     pub title: String,
     pub rung: usize,
@@ -181,6 +184,15 @@
         Arrival::Takes((time * node.slow) as Micros)
     }
 
+    /// A session arrives from another node. It may have been here before: whether it may come again is not told by
+    /// its number.
+    pub fn hand_in(&mut self, id: u64, run: Run, now: Micros) -> Arrival {
+        if let Some(node) = self.nodes.get_mut(&id) {
+            node.ended.remove(&run);
+        }
+        self.arrive(id, run, now)
+    }
+
     /// A set-up is over: it plays, unless it was told to end meanwhile. False: it does not.
     pub fn begin(&mut self, id: u64, run: Run, mut playing: Playing) -> bool {
         let stray = self.physics.rate_stray;
@@ -316,7 +328,7 @@
         assert!(fleet.begin(
             id,
             (session, 0),
-            Playing { director: 0, class, title, rung: 0, kb, true_kb: kb }
+            Playing { director: 0, viewer: 0, tenant: None, class, title, rung: 0, kb, true_kb: kb }
         ));
     }
 
--- a/crates/physics/src/lib.rs
+++ b/crates/physics/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod crowd;
 pub mod fleet;
 pub mod news;
+pub mod playhead;
 pub mod tally;
 
 pub type Micros = i64;
--- a/crates/settings/src/day.rs
+++ b/crates/settings/src/day.rs
@@ -176,6 +176,17 @@
     #[garde(range(min = 0.0, max = 600_000.0))]
     #[serde(default)]
     pub pause_ms: f64,
+    /// Part of the viewers whose players have a buffer and can be offered another node.
+    #[garde(range(min = 0.0, max = 1.0))]
+    #[serde(default)]
+    pub follow: f64,
+    /// What such a player keeps in its buffer, of a live title and of a recorded one.
+    #[garde(range(min = 100.0, max = 60_000.0))]
+    #[serde(default = "live_buffer")]
+    pub live_buffer_ms: f64,
+    #[garde(range(min = 100.0, max = 60_000.0))]
+    #[serde(default = "buffer")]
+    pub buffer_ms: f64,
 }
 
 impl Load {
@@ -187,6 +198,14 @@
     }
 }
 
+fn live_buffer() -> f64 {
+    1_000.0
+}
+
+fn buffer() -> f64 {
+    4_000.0
+}
+
 fn true_hints() -> f64 {
     1.0
 }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -5,9 +5,11 @@
 
 mod day;
 mod locate;
+mod moves;
 mod site;
 
 pub use day::{Day, DayPlan, Fleet, HostedDay, Load, Machine, Trouble, TroubleKind};
+pub use moves::Moves;
 pub use site::{
     Admin, AdminPlan, Class, Costs, Front, FrontPlan, Further, Hosting, Kind, Layout, Limits, Link, Notes,
     Rules, Site, Step, Tenant, Title, us,
--- /dev/null
+++ b/crates/settings/src/moves.rs
@@ -0,0 +1,72 @@
+//! Hand-overs of sessions that play.
+
+use crate::site::us;
+use garde::Validate;
+use serde::{Deserialize, Serialize};
+use shalewall_moving::mover::Terms;
+
+/// When sessions may be handed over to another node while they play. Absent in a site: never.
+#[derive(Clone, Debug, Serialize, Deserialize, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct Moves {
+    /// A move takes about so long: a player that hears nothing waits while its buffer lasts longer.
+    #[garde(range(min = 50.0, max = 60_000.0))]
+    #[serde(default = "takes_ms")]
+    pub takes_ms: f64,
+    /// No session is moved again within this, unless nobody serves it any more.
+    #[garde(range(min = 0.0, max = 3600.0))]
+    #[serde(default = "again_s")]
+    pub again_s: f64,
+    /// A shortage that has lasted so long is a cause to move.
+    #[garde(range(min = 1.0, max = 3600.0))]
+    #[serde(default = "lasts_s")]
+    pub lasts_s: f64,
+    /// Moves under way at most, from and to one node, and of one front.
+    #[garde(range(min = 1, max = 10_000))]
+    #[serde(default = "at_node")]
+    pub at_node: usize,
+    #[garde(range(min = 1, max = 100_000))]
+    #[serde(default = "at_front")]
+    pub at_front: usize,
+    /// A move costs as much as so many seconds of the session: for less it is not made.
+    #[garde(range(min = 0.0, max = 3600.0))]
+    #[serde(default = "costs_s")]
+    pub costs_s: f64,
+}
+
+fn takes_ms() -> f64 {
+    600.0
+}
+
+fn again_s() -> f64 {
+    15.0
+}
+
+fn lasts_s() -> f64 {
+    6.0
+}
+
+fn at_node() -> usize {
+    16
+}
+
+fn at_front() -> usize {
+    64
+}
+
+fn costs_s() -> f64 {
+    1.0
+}
+
+impl Moves {
+    pub(crate) fn terms(&self) -> Terms {
+        Terms {
+            takes: us(self.takes_ms),
+            again: us(self.again_s * 1000.0),
+            lasts: us(self.lasts_s * 1000.0),
+            at_node: self.at_node,
+            at_front: self.at_front,
+            costs_s: self.costs_s,
+        }
+    }
+}
--- a/crates/settings/src/site.rs
+++ b/crates/settings/src/site.rs
@@ -57,6 +57,10 @@
     #[garde(range(min = 0.0, max = 86_400.0))]
     #[serde(default)]
     pub leave_s: f64,
+    /// File of 32 bytes in hexadecimal that fronts and nodes share: seals the tickets of hand-overs. Needed where the
+    /// site has `moves`.
+    #[garde(skip)]
+    pub move_key_file: Option<std::path::PathBuf>,
 }
 
 fn most_sessions() -> usize {
@@ -152,6 +156,9 @@
     pub rules: Rules,
     #[garde(dive)]
     pub limits: Limits,
+    /// Absent: sessions stay where they play.
+    #[garde(dive)]
+    pub moves: Option<crate::Moves>,
     #[garde(dive, length(min = 1))]
     pub title: BTreeMap<String, Title>,
 }
@@ -386,6 +393,7 @@
             titles: self.title.iter().map(|(name, t)| (name.clone(), place(t))).collect(),
             most_sessions: front.most_sessions,
             incarnation,
+            moves: self.moves.as_ref().map(crate::Moves::terms),
         }
     }
 
@@ -497,6 +505,9 @@
                 format!("has to be under directors, {}", self.front.directors),
             ));
         }
+        if self.site.moves.is_some() && self.front.move_key_file.is_none() {
+            wrong.push(("front.move_key_file".into(), "is needed where the site has moves".into()));
+        }
         if self.front.zone.as_ref().is_some_and(|z| !self.site.zones.contains(z)) {
             let known = self.site.zones.join(", ");
             wrong.push(("front.zone".into(), format!("is none of the site's zones: {known}")));
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -8,5 +8,6 @@
 
 pub mod list;
 pub mod nodes;
+mod player;
 pub mod recorder;
 pub mod viewers;
--- a/crates/standins/src/nodes.rs
+++ b/crates/standins/src/nodes.rs
@@ -1,4 +1,7 @@
-//! Media nodes on sockets, and what can be done to them.
+//! Media nodes on sockets, and what can be done to them. What viewers fetch is in `media`, hand-overs in `moves`.
+
+mod media;
+mod moves;
 
 use crate::recorder::Recorder;
 use async_channel::{Receiver, Sender};
@@ -8,9 +11,13 @@
 use futures_lite::{StreamExt, future, stream};
 use rustix::net::sockopt::set_socket_linger;
 use serde::Deserialize;
+use shalewall::SessionId;
 use shalewall_audit::{Ran, Record};
 use shalewall_http::server::{Ended, Reply, Request, serve};
 use shalewall_http::{Limits, sse};
+use shalewall_moving::Epoch;
+use shalewall_moving::node::Holds;
+use shalewall_moving::ticket::Key;
 use shalewall_physics::fleet::{Arrival, Fleet, Machine, Playing, Process, Run};
 use shalewall_physics::news::Teller;
 use std::cell::RefCell;
@@ -36,6 +43,8 @@
     pub late: Duration,
     /// Part of the true rates that sockets carry.
     pub fraction: f64,
+    /// Opens the tickets of hand-overs; none: nothing is taken over.
+    pub key: Option<Key>,
 }
 
 struct Socket {
@@ -53,8 +62,11 @@
 struct Inner {
     fleet: Fleet,
     sockets: BTreeMap<u64, Socket>,
-    /// Sessions whose viewer has fetched its stream.
-    watched: BTreeSet<(u64, Run)>,
+    /// Streams that viewers have open of a session: two for a moment, where one is opened again.
+    watched: BTreeMap<(u64, Run), usize>,
+    /// What each node's process knows of hand-overs, and those that it makes ready now.
+    holds: BTreeMap<u64, Holds>,
+    preparing: BTreeSet<(u64, Run)>,
 }
 
 impl Inner {
@@ -78,6 +90,8 @@
 #[derive(Deserialize)]
 struct SetUp {
     director: u32,
+    #[serde(default)]
+    viewer: u64,
     tenant: Option<String>,
     class: String,
     title: String,
@@ -133,7 +147,8 @@
 
 impl Nodes {
     pub fn new(ex: Rc<LocalExecutor<'static>>, fleet: Fleet, recorder: Recorder, telling: Telling) -> Nodes {
-        let inner = Inner { fleet, sockets: BTreeMap::new(), watched: BTreeSet::new() };
+        let (sockets, watched, holds) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
+        let inner = Inner { fleet, sockets, watched, holds, preparing: BTreeSet::new() };
         let nodes = Nodes {
             ex: ex.clone(),
             inner: Rc::new(RefCell::new(inner)),
@@ -142,6 +157,7 @@
             limits: Rc::new(Limits::default()),
         };
         ex.spawn(nodes.clone().tell()).detach();
+        ex.spawn(nodes.clone().note_loads()).detach();
         nodes
     }
 
@@ -149,14 +165,15 @@
 
     /// Brings a machine up and gives its address; the same as before where it had one.
     pub fn start(&self, machine: Machine, warm: bool) -> std::io::Result<SocketAddr> {
-        let (id, places) = (machine.id, machine.places);
+        let (id, places, cell) = (machine.id, machine.places, Some(machine.cell));
         let before = self.inner.borrow().sockets.get(&id).map(|s| s.address);
         let listener = TcpListener::bind(before.unwrap_or(SocketAddr::from(([127, 0, 0, 1], 0))))?;
         let address = listener.local_addr()?;
         let listener = Async::new(listener)?;
         let now = shalewall_clock::now();
         self.inner.borrow_mut().fleet.start(machine, now, warm);
-        self.recorder.note(Record::NodeUp { t: now, node: id, places, warm });
+        self.inner.borrow_mut().holds.insert(id, Holds::new((now / 1000) as u64));
+        self.recorder.note(Record::NodeUp { t: now, node: id, places, warm, cell });
         let (died, thawed) = (Rc::new(Event::new()), Rc::new(Event::new()));
         let accepting = self.ex.spawn(self.clone().accept(id, listener, died.clone()));
         let socket = Socket { address, accepts: Some(accepting), died, thawed, fronts: BTreeMap::new() };
@@ -189,6 +206,7 @@
             && node.process == Process::Runs
         {
             node.process = Process::Frozen;
+            self.recorder.note(Record::Froze { t: shalewall_clock::now(), node: id });
         }
     }
 
@@ -198,6 +216,7 @@
             && node.process == Process::Frozen
         {
             node.process = Process::Runs;
+            self.recorder.note(Record::Thawed { t: shalewall_clock::now(), node: id });
         }
         if let Some(socket) = inner.sockets.get(&id) {
             socket.thawed.notify(usize::MAX.relaxed());
@@ -317,12 +336,11 @@
                 self.recorder.note(Record::Rung { t, node: id, session: run.0, rung: new.rung });
                 self.with_load(id, Reply::new(204))
             }
+            ("PUT" | "DELETE", path, _) if path.starts_with("/moves/") => self.hand_over(id, request).await,
             ("DELETE", _, Some(run)) => {
+                let upto = head.query("upto").and_then(|e| e.parse().ok()).map(Epoch);
                 self.awake(id).await;
-                let played = self.inner.borrow_mut().fleet.end(id, run);
-                if played {
-                    self.over(id, run);
-                }
+                let played = self.release(id, run, upto);
                 self.with_load(id, Reply::new(if played { 204 } else { 404 }))
             }
             ("GET", "/probe", _) => {
@@ -333,7 +351,10 @@
                 Some(director) => self.events(id, director).await,
                 None => Reply::problem(400, "the director's number is needed"),
             },
-            ("GET", path, Some(run)) if path.ends_with("/media") => self.media(id, run).await,
+            ("GET", path, Some(run)) if path.ends_with("/media") => match media::Wanted::of(&request.head) {
+                Ok(wanted) => self.media(id, run, wanted).await,
+                Err(what) => Reply::problem(400, what),
+            },
             ("GET" | "PUT" | "PATCH" | "DELETE", ..) => Reply::problem(404, "no such thing here"),
             _ => Reply::problem(405, "no such method here"),
         }
@@ -379,6 +400,8 @@
                 self.awake(id).await;
                 let playing = Playing {
                     director: new.director,
+                    viewer: new.viewer,
+                    tenant: new.tenant,
                     class: new.class,
                     title: new.title,
                     rung: new.rung,
@@ -391,19 +414,26 @@
                     return self.with_load(id, never_ran(410, "ended before it began"));
                 }
                 pending.over(Ran::Plays);
+                if let Some(holds) = self.inner.borrow_mut().holds.get_mut(&id) {
+                    holds.set_up(SessionId(run.0));
+                }
                 self.ex.spawn(self.clone().unfetched(id, run)).detach();
-                let address = self.address(id).map_or(String::new(), |a| a.to_string());
-                let media = format!("http://{address}/sessions/{}/{}/media", run.0, run.1);
+                let media = self.media_of(id, run);
                 let text = serde_json::json!({ "media": media, "rung": new.rung }).to_string();
                 self.with_load(id, Reply::json(201, text))
             }
         }
     }
 
+    fn media_of(&self, id: u64, run: Run) -> String {
+        let address = self.address(id).map_or(String::new(), |a| a.to_string());
+        format!("http://{address}/sessions/{}/{}/media", run.0, run.1)
+    }
+
     /// A session that nobody fetches ends.
     async fn unfetched(self, id: u64, run: Run) {
         Timer::after(FETCH_WITHIN).await;
-        if !self.inner.borrow().watched.contains(&(id, run)) {
+        if !self.inner.borrow().watched.contains_key(&(id, run)) {
             self.end_here(id, run);
         }
     }
@@ -415,6 +445,10 @@
             let playing = inner.fleet.nodes.get(&id).and_then(|n| n.playing.get(&run));
             let Some(director) = playing.map(|p| p.director) else { return };
             inner.fleet.end(id, run);
+            // It may be handed back to this node later, under a later epoch.
+            let held = inner.holds.get(&id).map(|h| h.held(SessionId(run.0))).unwrap_or_default();
+            let (holds, upto) = (inner.holds.get_mut(&id), held.serving.max(held.prepared));
+            holds.zip(upto).into_iter().for_each(|(h, upto)| h.release(SessionId(run.0), upto));
             director
         };
         self.over(id, run);
@@ -444,13 +478,14 @@
     async fn events(self, id: u64, director: u32) -> Reply {
         self.awake(id).await;
         let (sender, receiver) = async_channel::bounded(MOST_EVENTS);
-        let held: Vec<Run> = {
+        let held = {
             let mut inner = self.inner.borrow_mut();
             if let Some(socket) = inner.sockets.get_mut(&id) {
                 socket.fronts.insert(director, sender);
             }
             inner.held_for(id, director)
         };
+        let held: Vec<_> = held.into_iter().filter_map(|run| self.held_as_told(id, run)).collect();
         let mut first = Vec::new();
         sse::write(&mut first, "held", &serde_json::json!(held).to_string());
         let lease = Lease { nodes: self.clone(), id, director, receiver: receiver.clone() };
@@ -502,40 +537,6 @@
             }
         }
     }
-
-    // ---- media ------------------------------------------------------------------------------
-
-    /// Frames as docs/protocol.md has them: rung, full rate in bytes a second, length, bytes.
-    async fn media(self, id: u64, run: Run) -> Reply {
-        self.awake(id).await;
-        {
-            let mut inner = self.inner.borrow_mut();
-            if inner.fleet.nodes.get(&id).is_none_or(|n| !n.playing.contains_key(&run)) {
-                return Reply::problem(404, "no such session here");
-            }
-            inner.watched.insert((id, run));
-        }
-        let viewer = Watched { nodes: self, id, run };
-        let frames = stream::unfold(viewer, |viewer| async {
-            Timer::after(FRAME).await;
-            viewer.nodes.awake(viewer.id).await;
-            let frame = {
-                let inner = viewer.nodes.inner.borrow();
-                let playing = inner.fleet.nodes.get(&viewer.id)?.playing.get(&viewer.run)?;
-                let full = playing.true_kb * 1000.0 * viewer.nodes.telling.fraction;
-                let share = inner.fleet.figures(viewer.id).delivered;
-                let length = (full * FRAME.as_secs_f64() * share) as usize;
-                let mut frame = Vec::with_capacity(9 + length);
-                frame.push(playing.rung as u8);
-                frame.extend_from_slice(&(full as u32).to_be_bytes());
-                frame.extend_from_slice(&(length as u32).to_be_bytes());
-                frame.resize(9 + length, b'x');
-                frame
-            };
-            Some((frame, viewer))
-        });
-        Reply::new(200).with("Content-Type", "application/octet-stream").pieces(frames)
-    }
 }
 
 /// Held by an event stream; when it goes, the front's lease begins to run.
@@ -552,17 +553,3 @@
         self.nodes.ex.spawn(self.nodes.clone().lapse(self.id, self.director)).detach();
     }
 }
-
-/// Held by a viewer's stream; when it goes, the session is over.
-struct Watched {
-    nodes: Nodes,
-    id: u64,
-    run: Run,
-}
-
-impl Drop for Watched {
-    fn drop(&mut self) {
-        self.nodes.inner.borrow_mut().watched.remove(&(self.id, self.run));
-        self.nodes.end_here(self.id, self.run);
-    }
-}
--- /dev/null
+++ b/crates/standins/src/nodes/moves.rs
@@ -0,0 +1,242 @@
+//! The nodes' part in hand-overs: made ready, fetched, cancelled, released.
+
+use super::Nodes;
+use async_io::Timer;
+use serde::Deserialize;
+use shalewall::{ServerId, SessionId};
+use shalewall_audit::{Ran, Record};
+use shalewall_http::server::{Reply, Request};
+use shalewall_moving::Epoch;
+use shalewall_moving::node::{Cancelled, Held};
+use shalewall_moving::ticket::Ticket;
+use shalewall_physics::fleet::{Arrival, Playing, Process, Run};
+use std::time::Duration;
+
+#[derive(Deserialize)]
+struct HandIn {
+    director: u32,
+    #[serde(default)]
+    viewer: u64,
+    tenant: Option<String>,
+    class: String,
+    title: String,
+    rung: usize,
+    kb: f64,
+    ticket: Ticket,
+}
+
+/// A stream that is being made ready; dropped before it is, nothing of it is left.
+struct Preparing {
+    nodes: Nodes,
+    id: u64,
+    run: Run,
+    epoch: Epoch,
+    ready: bool,
+}
+
+impl Drop for Preparing {
+    fn drop(&mut self) {
+        let mut inner = self.nodes.inner.borrow_mut();
+        inner.preparing.remove(&(self.id, self.run));
+        if !self.ready
+            && let Some(holds) = inner.holds.get_mut(&self.id)
+        {
+            holds.cancel(SessionId(self.run.0), self.epoch);
+        }
+    }
+}
+
+/// Loads are noted so often, for the auditor: whether a target had room.
+const LOADS: Duration = Duration::from_millis(500);
+
+impl Nodes {
+    pub(super) async fn hand_over(self, id: u64, request: Request) -> Reply {
+        let head = &request.head;
+        let mut parts = head.path().trim_start_matches("/moves/").split('/').map(str::parse);
+        let (Some(Ok(session)), Some(Ok(attempt))) = (parts.next(), parts.next()) else {
+            return Reply::problem(404, "no such thing here");
+        };
+        let run: Run = (session, attempt as u32);
+        if head.method == "PUT" {
+            return match serde_json::from_slice::<HandIn>(&request.body) {
+                Ok(new) => self.prepare(id, run, new).await,
+                Err(e) => Reply::problem(422, &e.to_string()),
+            };
+        }
+        let Some(epoch) = head.query("epoch").and_then(|e| e.parse().ok()).map(Epoch) else {
+            return Reply::problem(400, "the epoch is needed");
+        };
+        self.awake(id).await;
+        let how = {
+            let mut inner = self.inner.borrow_mut();
+            inner.holds.get_mut(&id).map(|h| h.cancel(SessionId(run.0), epoch))
+        };
+        let reply = match how {
+            Some(Cancelled::Serves) => Reply::problem(409, "its player has fetched it"),
+            Some(Cancelled::Never) | None => {
+                self.tidy(id, run);
+                Reply::new(204)
+            }
+        };
+        self.with_load(id, reply)
+    }
+
+    /// Ends what is held up to an epoch, or at all. True: something played.
+    pub(super) fn release(&self, id: u64, run: Run, upto: Option<Epoch>) -> bool {
+        let session = SessionId(run.0);
+        let played = {
+            let mut inner = self.inner.borrow_mut();
+            if let Some(holds) = inner.holds.get_mut(&id) {
+                holds.release(session, upto.unwrap_or(Epoch(u32::MAX)));
+            }
+            inner.fleet.nodes.get(&id).is_some_and(|n| n.playing.contains_key(&run))
+        };
+        if upto.is_none() && !played {
+            // A set-up of that number that comes later must not begin.
+            self.inner.borrow_mut().fleet.end(id, run);
+            return false;
+        }
+        self.tidy(id, run) && played
+    }
+
+    /// Ends the stream of a session of which nothing is held any more.
+    fn tidy(&self, id: u64, run: Run) -> bool {
+        let ended = {
+            let mut inner = self.inner.borrow_mut();
+            let held = inner.holds.get(&id).map(|h| h.held(SessionId(run.0))).unwrap_or_default();
+            let plays = inner.fleet.nodes.get(&id).is_some_and(|n| n.playing.contains_key(&run));
+            plays && held == Held::default() && inner.fleet.end(id, run)
+        };
+        if ended {
+            self.over(id, run);
+        }
+        ended
+    }
+
+    async fn prepare(self, id: u64, run: Run, new: HandIn) -> Reply {
+        let (session, epoch) = (SessionId(run.0), new.ticket.epoch);
+        let now = shalewall_clock::now();
+        self.recorder.note(Record::HandIn {
+            t: now,
+            node: id,
+            director: new.director,
+            session: run.0,
+            attempt: run.1,
+            epoch: epoch.0,
+            tenant: new.tenant.clone(),
+            class: new.class.clone(),
+            title: new.title.clone(),
+            rung: new.rung,
+        });
+        // The same again, while the first is being made ready: one answer for both.
+        while self.inner.borrow().preparing.contains(&(id, run)) {
+            Timer::after(Duration::from_millis(5)).await;
+        }
+        self.awake(id).await;
+        let before = self.inner.borrow().holds.get(&id).map(|h| h.held(session)).unwrap_or_default();
+        let taken = {
+            let mut inner = self.inner.borrow_mut();
+            let key = self.telling.key.as_ref();
+            let millis = (shalewall_clock::now() / 1000) as u64;
+            let holds = inner.holds.get_mut(&id);
+            let fits = new.ticket.session == run.0;
+            let done = holds.zip(key).map(|(h, key)| h.prepare(ServerId(id), key, millis, &new.ticket));
+            fits && done.is_some_and(|d| d.is_ok())
+        };
+        if !taken {
+            return self.with_load(id, Reply::problem(410, "the ticket is not good here"));
+        }
+        let media = serde_json::json!({ "media": self.media_of(id, run), "rung": new.rung }).to_string();
+        let plays = self.inner.borrow().fleet.nodes.get(&id).is_some_and(|n| n.playing.contains_key(&run));
+        if before.serving.max(before.prepared) == Some(epoch) || plays {
+            return self.with_load(id, Reply::json(201, media));
+        }
+        self.inner.borrow_mut().preparing.insert((id, run));
+        let mut preparing = Preparing { nodes: self.clone(), id, run, epoch, ready: false };
+        let arrival = self.inner.borrow_mut().fleet.hand_in(id, run, now);
+        let time = match arrival {
+            Arrival::Takes(time) => time,
+            Arrival::Falls => {
+                self.crash(id);
+                return futures_lite::future::pending().await;
+            }
+            Arrival::Full | Arrival::Ended => {
+                drop(preparing);
+                return self.with_load(id, Reply::problem(503, "no place"));
+            }
+        };
+        let mut counted = Counted { nodes: self.clone(), id, armed: true };
+        Timer::after(Duration::from_micros(time.max(0) as u64)).await;
+        self.awake(id).await;
+        counted.armed = false;
+        let playing = Playing {
+            director: new.director,
+            viewer: new.viewer,
+            tenant: new.tenant,
+            class: new.class,
+            title: new.title,
+            rung: new.rung,
+            kb: new.kb,
+            true_kb: new.kb,
+        };
+        // Cancelled meanwhile, or ended: then it is not to begin.
+        let held = self.inner.borrow().holds.get(&id).map(|h| h.held(session)).unwrap_or_default();
+        if held.prepared != Some(epoch) || !self.inner.borrow_mut().fleet.begin(id, run, playing) {
+            return self.with_load(id, Reply::problem(410, "ended before it was ready"));
+        }
+        preparing.ready = true;
+        let (session, attempt) = run;
+        let (t, ran, epoch) = (shalewall_clock::now(), Ran::Plays, epoch.0);
+        self.recorder.note(Record::HandInDone { t, node: id, session, attempt, epoch, ran });
+        self.ex.spawn(self.clone().unfetched(id, run)).detach();
+        self.with_load(id, Reply::json(201, media))
+    }
+
+    /// What a front is told of a session here when it opens its event stream: all that it needs to go on with it.
+    pub(super) fn held_as_told(&self, id: u64, run: Run) -> Option<serde_json::Value> {
+        let media = self.media_of(id, run);
+        let inner = self.inner.borrow();
+        let p = inner.fleet.nodes.get(&id)?.playing.get(&run)?;
+        let held = inner.holds.get(&id).map(|h| h.held(SessionId(run.0))).unwrap_or_default();
+        Some(serde_json::json!({
+            "session": run.0, "attempt": run.1, "viewer": p.viewer, "tenant": p.tenant, "class": p.class,
+            "title": p.title, "rung": p.rung, "serving": held.serving, "prepared": held.prepared, "media": media,
+        }))
+    }
+
+    pub(super) fn note_fetched(&self, id: u64, (session, attempt): Run, epoch: Epoch) {
+        let (t, epoch) = (shalewall_clock::now(), epoch.0);
+        self.recorder.note(Record::Fetched { t, node: id, session, attempt, epoch });
+    }
+
+    /// Tells the auditor how loaded each node is.
+    pub(super) async fn note_loads(self) {
+        loop {
+            Timer::after(LOADS).await;
+            if self.telling.key.is_none() {
+                return;
+            }
+            let (inner, t) = (self.inner.borrow(), shalewall_clock::now());
+            for (node, n) in inner.fleet.nodes.iter().filter(|(_, n)| n.process == Process::Runs) {
+                let f = inner.fleet.figures(*node);
+                let streams = f.streams as f64 / n.machine.places;
+                self.recorder.note(Record::Load { t, node: *node, link: f.link, uplink: f.uplink, streams });
+            }
+        }
+    }
+}
+
+/// A place that is taken while a stream is made ready.
+struct Counted {
+    nodes: Nodes,
+    id: u64,
+    armed: bool,
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        if self.armed {
+            self.nodes.inner.borrow_mut().fleet.give_up(self.id);
+        }
+    }
+}
--- a/crates/standins/src/viewers.rs
+++ b/crates/standins/src/viewers.rs
@@ -24,13 +24,15 @@
     pub tallies: Tallies,
     /// Answers by class: microseconds.
     pub took: BTreeMap<String, Vec<u64>>,
+    /// The latest wake-up of a player that follows, microseconds: gaps are measured no better.
+    pub lag: i64,
 }
 
 /// All viewers of a run.
 #[derive(Clone)]
 pub struct Viewers {
-    ex: Rc<LocalExecutor<'static>>,
-    recorder: Recorder,
+    pub(crate) ex: Rc<LocalExecutor<'static>>,
+    pub(crate) recorder: Recorder,
     crowd: Rc<Crowd>,
     fronts: Rc<RefCell<Vec<SocketAddr>>>,
     dice: Rc<RefCell<ChaCha8Rng>>,
@@ -45,23 +47,30 @@
     here: Rc<Cell<usize>>,
     /// The day's end: worth is counted up to it.
     close: Rc<Cell<Option<Instant>>>,
+    /// Of players that follow, what they keep in their buffers, microseconds; and the latest wake-up of any.
+    pub(crate) buffers: (i64, i64),
+    pub lag: Rc<Cell<i64>>,
 }
 
 /// One that wants to watch.
-struct Viewer {
+pub(crate) struct Viewer {
     tenant: Option<String>,
     key: String,
-    class: Class,
+    pub(crate) class: Class,
     title: String,
     top: usize,
-    until: Instant,
+    pub(crate) until: Instant,
+    /// Its player can be offered another node.
+    follows: bool,
+    /// Since when it sees nothing, and of which session.
+    pub(crate) dry: Cell<Option<(u64, u64, i64)>>,
     /// It was turned away before, and it has played.
     refused: Cell<bool>,
     played: Cell<bool>,
 }
 
 /// How one try went.
-enum Try {
+pub(crate) enum Try {
     /// Watched to the end.
     Done,
     /// Turned away, failed or broken off: may come again after this.
@@ -79,7 +88,10 @@
         arrivals: Vec<ChaCha8Rng>,
         seed: u64,
     ) -> Viewers {
+        let micros = |d: Duration| d.as_micros() as i64;
         Viewers {
+            buffers: (micros(crowd.buffers.0), micros(crowd.buffers.1)),
+            lag: Rc::default(),
             ex,
             recorder,
             crowd: Rc::new(crowd),
@@ -187,6 +199,8 @@
             title: person.title,
             top: person.top,
             until: now + person.span,
+            follows: self.crowd.follow > 0.0 && self.roll() < self.crowd.follow,
+            dry: Cell::default(),
             refused: Cell::default(),
             played: Cell::default(),
         };
@@ -283,7 +297,13 @@
                     (t.played, t.people_unserved) = (t.played + 1, t.people_unserved - first)
                 });
                 let late = Duration::from_micros(took) > viewer.class.aim;
-                let watched = self.watch(viewer, ask, session, media, late).await;
+                if let Some((before, session, since)) = viewer.dry.take() {
+                    self.gap(before, session, since, now - since);
+                }
+                let watched = match viewer.follows {
+                    true => crate::player::watch(self, viewer, number, ask, session, media, late).await,
+                    false => self.watch(viewer, ask, session, media, late).await,
+                };
                 if self.roll() < 0.5 {
                     let target = format!("/sessions/{session}");
                     let end = Call::new("DELETE", &target, &host);
@@ -309,14 +329,45 @@
         }
     }
 
+    /// Where a front listens now.
+    pub(crate) fn front(&self, number: u32) -> Option<SocketAddr> {
+        self.fronts.borrow().get(number as usize).copied()
+    }
+
+    /// When the day is over, on the clock of recordings.
+    pub(crate) fn close_at(&self) -> Option<i64> {
+        let left = self.close.get()?.saturating_duration_since(Instant::now());
+        Some(shalewall_clock::now() + left.as_micros() as i64)
+    }
+
+    pub(crate) fn gap(&self, ask: u64, session: u64, t: i64, micros: i64) {
+        self.recorder.note(Record::Gap { t, ask, session, micros });
+    }
+
+    pub(crate) fn enter_broken(&self, viewer: &Viewer, broken: bool) {
+        self.enter(viewer, |t| t.broken += u64::from(broken));
+    }
+
     /// Enters what a session came to into the count.
     fn tally(&self, viewer: &Viewer, meter: &Meter, late: bool) {
         let share = if meter.due > 0.0 { (meter.got as f64 / meter.due).min(1.0) } else { 0.0 };
+        self.enter_watched(viewer, &meter.rungs, meter.steps, share, late);
+    }
+
+    /// `rungs`: seconds at each; `share`: part of it that was delivered.
+    pub(crate) fn enter_watched(
+        &self,
+        viewer: &Viewer,
+        rungs: &BTreeMap<usize, f64>,
+        steps: u64,
+        share: f64,
+        late: bool,
+    ) {
         let kept = self.crowd.kept(share);
         self.enter(viewer, |t| {
-            t.steps += meter.steps;
-            t.got -= meter.steps as f64 * self.crowd.switch_s * viewer.class.worth;
-            for (rung, time) in &meter.rungs {
+            t.steps += steps;
+            t.got -= steps as f64 * self.crowd.switch_s * viewer.class.worth;
+            for (rung, time) in rungs {
                 *t.rungs.entry(*rung).or_default() += time;
                 // What plays after the wanted time earns nothing for its first second.
                 let lost = if late { 1.0_f64.min(*time) } else { 0.0 };
@@ -365,7 +416,7 @@
         if !counted {
             self.tally(viewer, &meter, late);
         }
-        self.enter(viewer, |t| t.broken += u64::from(!whole));
+        self.enter_broken(viewer, !whole);
         let rungs = meter.rungs.iter().map(|(r, s)| (*r, (s * 1e6) as i64)).collect();
         self.recorder.note(Record::Watched {
             t: shalewall_clock::now(),
@@ -381,7 +432,7 @@
 }
 
 /// Opens a stream by its URL.
-async fn open(url: &str) -> Option<Incoming<async_io::Async<std::net::TcpStream>>> {
+pub(crate) async fn open(url: &str) -> Option<Incoming<async_io::Async<std::net::TcpStream>>> {
     let (host, path) = url.strip_prefix("http://")?.split_once('/')?;
     let target = format!("/{path}");
     let pool = Pool::new(host.parse().ok()?, Limits::default(), Duration::ZERO, 0);
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -106,7 +106,9 @@
 #[test]
 fn its_own_seat_is_no_hindrance_and_no_seat_is_given_while_it_may_be_at_both() {
     let mut desk = desk(2);
-    (1..=3).for_each(|id| drop(plays(&mut desk, id, PAID)));
+    for id in 1..=3 {
+        plays(&mut desk, id, PAID);
+    }
     assert!(hand_over(&mut desk, 1).is_some(), "all seats are taken, one of them by itself");
     over(&mut desk, 1, true);
     desk.finish(2, 0, ServerId(1), Outcome::Good);
