A set-up out at a node that is gone has its answer; targets are ready in time or left

Targets that stood still as well were waited for longer than buffers last, and a node that had stood still once took no paid session over again.

Change: a session that leaves is not over while somebody waits for an answer. A target is to be ready within half of what a move takes, or it counts as silent. A hand-over sets nothing up, so it may try a failing server as harmless set-ups do, and clears it.

--- a/crates/engine/src/attempts.rs
+++ b/crates/engine/src/attempts.rs
@@ -207,9 +207,10 @@
         self.left(session);
     }
 
-    /// Over, if it is leaving and no node holds it any more.
+    /// Over, if it is leaving, nobody waits for an answer and no node holds it any more.
     pub(crate) fn left(&mut self, session: SessionId) {
-        let Some(s) = self.sessions.get(&session).filter(|s| s.owed == 0) else { return };
+        let done = |s: &&Session| s.owed == 0 && s.waiting.is_empty();
+        let Some(s) = self.sessions.get(&session).filter(done) else { return };
         if let Stage::Leaving { server, outcome } = s.stage {
             self.over(session, server, s.attempts - 1, outcome);
         }
--- a/crates/engine/src/moves.rs
+++ b/crates/engine/src/moves.rs
@@ -10,8 +10,6 @@
 use shalewall_moving::node::Cancelled;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// A target that is not ready by then is given up, and so is a player that has not fetched.
-const MOVE_TIME: Micros = 1_500_000;
 /// A front that begins anew hears what nodes hold for so long before it goes on with any of it.
 const ADOPT: Micros = 1_000_000;
 /// The director hears of a silent node again after this, while it lasts.
@@ -237,12 +235,14 @@
     pub(crate) fn hand_over(&mut self, session: SessionId, server: ServerId, rung: usize) {
         let now = self.now;
         let why = self.moves.as_mut().and_then(|m| m.asked.take()).filter(|(id, _)| *id == session);
+        // Half of what a move takes is for the target to be ready, so that a buffer lasts for another one.
+        let until = now + self.config.moves.map_or(0, |terms| terms.takes / 2);
         let free = self.moves.as_ref().is_some_and(|m| m.mover.may_take(server));
         let begun = why.filter(|_| free).and_then(|(_, why)| {
             let s = self.sessions.get_mut(&session)?;
             let plays = matches!(s.stage, Stage::Plays { .. });
             let hand = s.hand.as_deref_mut().filter(|h| plays && h.follows && h.target.is_none())?;
-            hand.handover.begin(now, server, now + MOVE_TIME).then(|| {
+            hand.handover.begin(now, server, until).then(|| {
                 let (media, ready, call) = (None, None, None);
                 hand.target = Some(Target { server, rung, media, ready, call, began: now, why });
             })
@@ -407,9 +407,13 @@
         let now = self.now;
         let Some(s) = self.sessions.get_mut(&session) else { return };
         let Some(target) = s.hand.as_deref_mut().and_then(|h| h.target.take()) else { return };
-        let Target { call, began, why, .. } = target;
-        if let Some(call) = call {
-            self.give_up(call);
+        let Target { server, call, ready, began, why, .. } = target;
+        if let Some(call) = call
+            && self.give_up(call).is_some()
+            && ready.is_none()
+        {
+            // It did not answer in time: a sign that it stands still.
+            self.pending.push_back(Event::Silent(server));
         }
         self.pending.push_back(Event::HandedOver { session, moved });
         if let Some(moves) = &mut self.moves {
--- a/crates/engine/src/viewers.rs
+++ b/crates/engine/src/viewers.rs
@@ -164,6 +164,7 @@
         if deciding {
             self.forget(session);
         }
+        self.left(session);
     }
 
     pub(crate) fn unkey(&mut self, key: u64, session: SessionId) {
--- a/crates/engine/tests/world.rs
+++ b/crates/engine/tests/world.rs
@@ -403,3 +403,29 @@
     assert!(world.out.is_empty(), "{:?}", world.out);
     assert_eq!(world.engine.held(), Held::default());
 }
+
+/// An incident of a day of moves: the node of a set-up that was out vanished, the list said so, and at the viewer's
+/// deadline the end that was owed counted as confirmed at once. The session was forgotten before its answer.
+#[test]
+fn a_set_up_that_is_out_at_a_node_that_is_gone_has_its_answer_at_the_deadline() {
+    for class in ["open", "paid"] {
+        let mut world = World::new(1);
+        world.pass(2 * S);
+        let (viewer, class, title) = ("a".into(), class.into(), "t1".into());
+        world.asks.insert(AskId(0), AskSeen { due: world.now + 4 * S, ..Default::default() });
+        world.tell(Input::Asked {
+            ask: AskId(0),
+            new: NewSession { viewer, class, title, ..Default::default() },
+        });
+        let (_, server, ..) = world.out.values().next().cloned().expect("a set-up");
+        // None of them ever answers, and all are gone.
+        world.out.values_mut().for_each(|(due, ..)| *due = Micros::MAX);
+        let gone =
+            (0..NODES).map(|n| line(n, if n == server.0 { Standing::Gone } else { Standing::Draining }));
+        let lines = gone.collect();
+        world.tell(Input::List { news: ListNews::Delta, lines });
+        world.pass(world.now + 6 * S);
+        assert_eq!(world.asks[&AskId(0)].answers, 1);
+        assert_eq!(world.engine.held(), Held::default());
+    }
+}
--- a/crates/settings/src/moves.rs
+++ b/crates/settings/src/moves.rs
@@ -9,7 +9,8 @@
 #[derive(Clone, Debug, Serialize, Deserialize, Validate)]
 #[serde(deny_unknown_fields)]
 pub struct Moves {
-    /// A move takes about so long: a player that hears nothing waits while its buffer lasts longer.
+    /// A move takes about so long: a player that hears nothing waits while its buffer lasts longer. Half of it is what
+    /// a target has to be ready within.
     #[garde(range(min = 50.0, max = 60_000.0))]
     #[serde(default = "takes_ms")]
     pub takes_ms: f64,
@@ -35,7 +36,7 @@
 }
 
 fn takes_ms() -> f64 {
-    600.0
+    700.0
 }
 
 fn again_s() -> f64 {
--- a/src/control.rs
+++ b/src/control.rs
@@ -300,7 +300,7 @@
         if self.held.live.contains_key(&req.session) || self.asking.contains_key(&req.session) {
             return; // an id that is already held: odd input, and its answer is under way
         }
-        let ask = Ask { req, attempts: 0, tried: Vec::new() };
+        let ask = Ask { req, attempts: 0, tried: Vec::new(), booked: false };
         let probed = self.unsure_of(&ask);
         if probed.is_empty() {
             return self.place(ask);
@@ -344,7 +344,7 @@
         }
         let rung = self.set.floor(req.class);
         let kb = self.set.rate(req.class, rung);
-        let ask = Ask { req, attempts: 1, tried: vec![server] };
+        let ask = Ask { req, attempts: 1, tried: vec![server], booked: true };
         self.hold(Live { ask, state: State::Plays, server, rung, kb, sent: self.now, due: self.now });
     }
 
@@ -412,8 +412,7 @@
                 let load = Load { uplink: uplink.then_some(1.0 / share), ..Load::default() };
                 self.on_load(server, load, self.set.told_late, ANSWER_WEIGHT);
             }
-            Note::Rung(rung) if rung < self.set.ladder.len() => self.set_rung(id, rung),
-            Note::Rung(_) => {}
+            Note::Rung(rung) => self.set_rung(id, rung),
             Note::Link(x) => self.on_fullness(id, server, Load { link: Some(x), ..Load::default() }),
             Note::Uplink(x) => self.on_fullness(id, server, Load { uplink: Some(x), ..Load::default() }),
         }
@@ -527,7 +526,8 @@
 
     /// Books a change of rung of a session that plays.
     fn set_rung(&mut self, id: SessionId, rung: usize) {
-        let Some(t) = self.held.live.get(&id).filter(|l| l.state == State::Plays) else { return };
+        let plays = |l: &&Live| l.state == State::Plays && rung < self.set.ladder.len();
+        let Some(t) = self.held.live.get(&id).filter(plays) else { return };
         let kb = self.set.rate(t.ask.req.class, rung);
         let (server, change) = (t.server, kb - t.kb);
         self.held.change(id, |t| (t.rung, t.kb) = (rung, kb));
@@ -679,9 +679,8 @@
         for s in self.servers.values().filter(|s| s.listed.state == Standing::Ready && s.fails == 0) {
             *racks.entry(self.set.rack(s.listed.cell)).or_insert(0.0) += s.link.kb;
         }
-        let uplink =
-            if self.set.racks > 0 && self.set.uplink_kb > 0.0 { self.set.uplink_kb } else { f64::INFINITY };
-        let room = FULL_LINE * racks.values().map(|kb| kb.min(uplink)).sum::<f64>();
+        let told = Some(self.set.uplink_kb).filter(|kb| self.set.racks > 0 && *kb > 0.0);
+        let room = FULL_LINE * racks.values().map(|kb| kb.min(told.unwrap_or(*kb))).sum::<f64>();
         (self.room, self.overfill) = (room, BTreeMap::new());
         if room <= 0.0 {
             return;
@@ -940,7 +939,7 @@
         steps
     }
 
-    /// Exception: a caller that hands sessions over while they play asks for another holder for one of them. It
+    /// Exception: a caller that hands sessions over while they play asks for another holder for one. It
     /// is found like for a new one; rates and seats count at both until it is known where it plays.
     fn hand_over(&mut self, id: SessionId) {
         let alone = !self.held.live.contains_key(&twin(id));
@@ -950,7 +949,7 @@
         let Some(own) = self.held.remove(id) else { return };
         let hint = own.ask.req.hint.map(|h| h - (self.now - own.sent));
         let req = Request { hint, deadline: self.now + LONGEST, ..own.ask.req };
-        let ask = Ask { req, attempts: 0, tried: vec![own.server] };
+        let ask = Ask { req, attempts: 0, tried: vec![own.server], booked: true };
         let found = self.find(&ask); // its own seat is no hindrance, and it makes no room for itself
         self.held.insert(own);
         let Some((server, rung)) = found else { return };
@@ -967,6 +966,7 @@
         let Some(own) = moved.then(|| self.held.remove(id)).flatten() else {
             return self.charge(there.server, -there.kb);
         };
+        self.on_sign(there.server, true);
         self.charge(own.server, -own.kb);
         let ask = Ask { req: Request { session: id, ..there.ask.req }, ..own.ask };
         self.held.insert(Live { ask, state: State::Plays, ..there });
@@ -996,9 +996,9 @@
         if barred || !self.open(s, ask) {
             return false;
         }
-        // A failing server is tried with harmless set-ups only, one at a time, ever more rarely.
+        // A failing server is tried with what may be repeated only, one at a time, ever more rarely.
         let wait = TRIAL_WAIT << s.fails.saturating_sub(1).min(3);
-        let trial = self.set.harmless(ask.req.class) && self.now - s.failed_at >= wait;
+        let trial = (ask.booked || self.set.harmless(ask.req.class)) && self.now - s.failed_at >= wait;
         s.fails == 0 || (trial && !self.held.out.contains_key(&s.listed.server))
     }
 
--- a/src/control/held.rs
+++ b/src/control/held.rs
@@ -10,6 +10,8 @@
     pub req: Request,
     pub attempts: u32, // attempts sent; the last one's number is one less
     pub tried: Vec<ServerId>,
+    /// It has been set up, so that asking again sets nothing up.
+    pub booked: bool,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq)]
