--- a/crates/engine/tests/moves.rs
+++ b/crates/engine/tests/moves.rs
@@ -83,6 +83,9 @@
     loss: u64,
     moved: u32,
     stayed: u32,
+    starts: u16,
+    /// Nodes that have not told the new front yet.
+    untold: Vec<u64>,
 }
 
 impl World {
@@ -101,6 +104,8 @@
             loss,
             moved: 0,
             stayed: 0,
+            starts: 0,
+            untold: Vec::new(),
         };
         (0..NODES).for_each(|n| world.list(n, Standing::Ready));
         world.pass(2 * S);
@@ -304,6 +309,9 @@
             }
             if self.now % (50 * MS) == 0 {
                 self.pictures();
+                for n in std::mem::take(&mut self.untold) {
+                    self.snapshot(n);
+                }
             }
         }
     }
@@ -325,6 +333,7 @@
     fn crash(&mut self, node: u64) {
         self.nodes[node as usize] = None;
         self.frozen[node as usize] = false;
+        self.untold.retain(|n| *n != node);
         self.tell(Input::NodeDown { server: ServerId(node) });
     }
 
@@ -333,6 +342,60 @@
         self.tell(Input::NodeUp { server: ServerId(node), asked: self.now, held: vec![] });
     }
 
+    /// The front dies and begins anew: calls and words to it are gone, nodes tell what they hold, players follow again.
+    fn restart(&mut self, away: Micros) {
+        self.out.clear();
+        self.words.clear();
+        let until = self.now + away;
+        while self.now < until {
+            self.now += 50 * MS;
+            self.pictures();
+            self.words.clear();
+        }
+        self.starts += 1;
+        self.engine = Engine::new(Config { incarnation: self.starts, ..config() }, self.now);
+        for n in 0..NODES {
+            self.list(n, if self.drained[n as usize] { Standing::Draining } else { Standing::Ready });
+        }
+        for n in 0..NODES {
+            self.snapshot(n);
+        }
+        let playing = self.players.iter().filter(|(_, p)| !p.gone).map(|(id, _)| *id);
+        let follows: Vec<_> = playing.map(|session| Input::Follows { session, follows: true }).collect();
+        let now = self.now;
+        self.words.extend(follows.into_iter().map(|word| (now + 5 * MS, word)));
+    }
+
+    /// A node opens its event stream to a new front; one that stands still does so when it goes on.
+    fn snapshot(&mut self, n: u64) {
+        let (server, asked) = (ServerId(n), self.now);
+        // Of those that left, a node that runs sees that nobody fetches.
+        let mut node = self.nodes[n as usize].as_mut().filter(|_| !self.frozen[n as usize]);
+        for (session, _) in self.players.iter().filter(|(_, p)| p.gone) {
+            node.iter_mut().for_each(|n| n.release(*session, Epoch(u32::MAX)));
+        }
+        let Some(node) = self.nodes[n as usize].as_ref().filter(|_| !self.frozen[n as usize]) else {
+            return self.untold.push(n);
+        };
+        let there = self.booked.keys().map(|session| (*session, node.held(*session)));
+        let there: Vec<_> = there.filter(|(_, held)| held.serving.or(held.prepared).is_some()).collect();
+        let carried = |(session, held): &(SessionId, shalewall_moving::node::Held)| Carried {
+            session: *session,
+            attempt: 0,
+            viewer: session.0,
+            tenant: None,
+            class: "paid".into(),
+            title: "t".into(),
+            rung: 0,
+            held: *held,
+            media: n.to_string(),
+        };
+        let sessions = there.iter().map(carried).collect();
+        self.tell(Input::NodeHolds { server, sessions });
+        let held = there.iter().map(|(session, _)| (*session, 0)).collect();
+        self.tell(Input::NodeUp { server, asked, held });
+    }
+
     fn gaps(&self) -> Vec<Micros> {
         self.players.values().flat_map(|p| p.gaps.iter().copied()).collect()
     }
@@ -441,6 +504,26 @@
     }
 }
 
+#[test]
+fn a_front_that_dies_in_the_middle_of_moves_finishes_or_undoes_each() {
+    for step in 0..20 {
+        for loss in [0, 10] {
+            let mut world = World::new(30 + step, loss);
+            world.ask(24);
+            world.drained[1] = true;
+            world.list(1, Standing::Draining);
+            world.wait(step as Micros * 5 * MS);
+            world.restart(200 * MS);
+            world.wait(4 * S);
+            assert_eq!(world.players.values().filter(|p| p.gone).count(), 0, "step {step}: none is lost");
+            let left = world.players.values().filter(|p| p.seat.node == 1).count();
+            assert_eq!(left, 0, "step {step}: the node that drains is empty");
+            assert_eq!(world.gaps(), [], "step {step}");
+            world.settled();
+        }
+    }
+}
+
 #[test]
 fn both_nodes_frozen_end_cleanly_or_go_on() {
     let mut world = World::new(4, 0);
@@ -468,6 +551,7 @@
                     let drains = world.drained[i];
                     world.list(node, if drains { Standing::Draining } else { Standing::Ready });
                 }
+                4 if world.dice.roll(3) == 0 => world.restart(300 * MS),
                 4 => {
                     let one = world.players.iter().find(|(_, p)| !p.gone).map(|(id, _)| *id);
                     if let Some(session) = one {
