--- a/crates/engine/src/moves.rs
+++ b/crates/engine/src/moves.rs
@@ -187,6 +187,17 @@
             moves.mover.drains(now, line.server, line.standing == Standing::Draining);
         }
         moves.news = true;
+        // What is on its way to such a node goes elsewhere, unless its player has been told already.
+        let off: Vec<_> = lines.iter().filter(|l| l.standing != Standing::Ready).map(|l| l.server).collect();
+        let to = |s: &Session| off.iter().any(|server| s.moves_to(*server));
+        let ids: Vec<_> = match off[..] {
+            [] => Vec::new(),
+            _ => self.sessions.iter().filter(|(_, s)| to(s)).map(|(id, _)| *id).collect(),
+        };
+        for session in ids {
+            self.hand(session).into_iter().for_each(|h| h.handover.unwanted(now));
+            self.carry_on(session);
+        }
     }
 
     pub(crate) fn delivers(&mut self, server: ServerId, part: Option<f64>) {
--- a/crates/engine/tests/moves.rs
+++ b/crates/engine/tests/moves.rs
@@ -570,3 +570,95 @@
     }
     assert!(moved > 100 && stayed > 10, "the runs have to move sessions: {moved}, and fail: {stayed}");
 }
+
+#[test]
+fn a_viewer_that_leaves_at_any_step_leaves_nothing_behind() {
+    for step in 0..20 {
+        let mut world = World::new(50 + step, 0);
+        world.ask(24);
+        world.list(1, Standing::Draining);
+        world.wait(step as Micros * 5 * MS);
+        let ids: Vec<_> = world.players.keys().copied().collect();
+        for session in ids {
+            world.tell(Input::Ended { session });
+            world.players.get_mut(&session).unwrap().gone = true;
+        }
+        world.settled();
+        assert_eq!(world.engine.held(), Held::default(), "step {step}");
+    }
+}
+
+#[test]
+fn a_drain_told_for_the_target_in_the_middle_of_moves_costs_nobody_a_gap() {
+    for step in 0..16 {
+        let mut world = World::new(70 + step, 0);
+        world.ask(24);
+        world.list(1, Standing::Draining);
+        world.wait(step as Micros * 10 * MS);
+        world.list(2, Standing::Draining);
+        world.wait(600 * MS);
+        world.crash(1);
+        world.crash(2);
+        world.wait(4 * S);
+        assert_eq!(world.players.values().filter(|p| p.gone).count(), 0, "step {step}");
+        assert_eq!(world.gaps(), [], "step {step}");
+        world.settled();
+    }
+}
+
+#[test]
+fn a_whole_rack_lost_at_once_is_taken_over_by_the_other_within_buffers() {
+    let mut world = World::new(5, 0);
+    world.ask(40);
+    world.crash(0);
+    world.crash(2);
+    world.wait(4 * S);
+    assert!(world.players.values().all(|p| p.seat.node % 2 == 1 && !p.gone));
+    assert_eq!(world.gaps(), []);
+    world.settled();
+}
+
+/// Places for some only: each session either goes on without a gap or has one clean end.
+#[test]
+fn forty_sessions_on_a_node_that_dies_and_holders_with_little_room() {
+    let mut world = World::new(6, 0);
+    // Everyone is at node 0: the others take nothing yet. Each link takes some 93 sessions of 300 in all.
+    (1..NODES).for_each(|n| world.list(n, Standing::Draining));
+    world.ask(40);
+    world.list(0, Standing::Draining);
+    (1..NODES).for_each(|n| world.list(n, Standing::Ready));
+    world.wait(3 * S);
+    let at = |w: &World, n: u64| w.players.values().filter(|p| p.seat.node == n && !p.gone).count();
+    assert_eq!(at(&world, 0), 0, "there is room for all");
+    // The second time two of three are gone already, and the third is told nearly full.
+    world.list(1, Standing::Draining);
+    world.list(2, Standing::Draining);
+    world.list(0, Standing::Gone);
+    let one = *world.players.iter().find(|(_, p)| p.seat.node == 3).expect("somebody there").0;
+    let full = Told::Figures { session: one, delivered: None, link: Some(0.88), uplink: None };
+    world.tell(Input::NodeTold { server: ServerId(3), told: full });
+    let (three, all) = (at(&world, 3), world.players.len());
+    world.wait(600 * MS);
+    world.crash(1);
+    world.crash(2);
+    world.wait(6 * S);
+    let stayed = world.players.values().filter(|p| !p.gone).count();
+    assert_eq!(stayed, at(&world, 3), "whoever plays does so where there was room");
+    assert!(stayed > three && stayed < all, "{three} were there, {stayed} of {all} play");
+    assert_eq!(world.gaps(), [], "those that went on saw nothing of it");
+    world.settled();
+}
+
+#[test]
+fn moves_and_a_burst_of_new_viewers_together() {
+    let mut world = World::new(7, 5);
+    world.ask(40);
+    world.list(1, Standing::Draining);
+    world.ask(150);
+    world.crash(1);
+    world.wait(4 * S);
+    assert_eq!(world.players.values().filter(|p| p.gone).count(), 0);
+    assert!(world.players.values().all(|p| p.seat.node != 1));
+    assert_eq!(world.gaps(), []);
+    world.settled();
+}
--- a/crates/moving/src/front.rs
+++ b/crates/moving/src/front.rs
@@ -239,6 +239,14 @@
         true
     }
 
+    /// The target is not wanted any more. Where its player has heard of it, the move goes on.
+    pub fn unwanted(&mut self, now: Micros) {
+        if self.going.is_some_and(|m| m.step == Step::Preparing && !m.fetched) {
+            self.abandon();
+            self.repeat = Some(now + REPEAT);
+        }
+    }
+
     fn prepare(&mut self, now: Micros, to: u64, until: Micros) {
         self.last = self.last.next();
         let epoch = self.last;
