A front back in the middle of a drain goes on at once; players say which epoch they play

Change: a drain or a death binds also right after a move, a guess not within 5 s. A front goes on as soon as all nodes have told; what dies meanwhile is an orphan, not forgotten. A player says which epoch it plays when it follows: one that the front can't know of is moved under a greater one. Sessions of a node that has not told yet are not given up.

--- a/crates/engine/benches/decisions.rs
+++ b/crates/engine/benches/decisions.rs
@@ -6,6 +6,7 @@
 use common::S;
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use shalewall::*;
+use shalewall_moving::mover::{Mover, Terms};
 use std::hint::black_box;
 
 const TICK: u64 = u64::MAX;
@@ -135,10 +136,46 @@
     }
 }
 
+/// When to move: a player's word and a look, among so many sessions at 100 nodes.
+fn moves(c: &mut Criterion) {
+    for held in [1_000u64, 100_000] {
+        let terms =
+            Terms { takes: 700_000, again: 15 * S, lasts: 6 * S, at_node: 16, at_front: 64, costs_s: 1.0 };
+        let (mut mover, mut now) = (Mover::new(terms, 1), 0);
+        (0..held).for_each(|id| mover.plays(0, SessionId(id), ServerId(id % 100), None));
+        mover.handle_timeout(S);
+        now += S;
+        let mut id = 0;
+        c.bench_with_input(BenchmarkId::new("word and look among", held), &held, |b, _| {
+            b.iter(|| {
+                (id, now) = ((id + 7) % held, now + 100_000);
+                mover.handle_timeout(now);
+                mover.silent(now, SessionId(id), 300_000);
+                black_box(mover.wishes(now).len())
+            })
+        });
+        let mut director = holding(held.min(50_000)).0;
+        let (mut out, mut at) = (Vec::new(), 100 * S);
+        c.bench_with_input(
+            BenchmarkId::new("target found, move over, among", held.min(50_000)),
+            &held,
+            |b, _| {
+                b.iter(|| {
+                    (id, at) = ((id + 7) % held.min(50_000), at + 1_000);
+                    out.clear();
+                    director.handle(at, Event::HandOver(SessionId(id)), &mut out);
+                    director.handle(at, Event::HandedOver { session: SessionId(id), moved: false }, &mut out);
+                    black_box(out.len())
+                })
+            },
+        );
+    }
+}
+
 criterion_group! {
     name = benches;
     config = Criterion::default().sample_size(20).warm_up_time(std::time::Duration::from_millis(500))
         .measurement_time(std::time::Duration::from_secs(2));
-    targets = decisions, tenants
+    targets = decisions, tenants, moves
 }
 criterion_main!(benches);
--- a/crates/engine/src/carried.rs
+++ b/crates/engine/src/carried.rs
@@ -3,7 +3,7 @@
 use crate::engine::*;
 use crate::io::*;
 use crate::moves::{Hand, Target};
-use shalewall::{Event, Note, Request, ServerId, SessionId};
+use shalewall::{Event, Micros, Note, Request, ServerId, SessionId};
 use shalewall_moving::Epoch;
 use shalewall_moving::front::{self, Handover};
 use shalewall_moving::mover::Why;
@@ -44,8 +44,20 @@
                 moves.found.entry(session).or_default().push((server, carried));
             }
         }
-        if self.moves.as_ref().is_some_and(|m| m.adopt.is_none()) {
-            self.adopt(); // a node that was out of reach before
+        let Some(moves) = &mut self.moves else { return };
+        moves.told.insert(server);
+        moves.died.remove(&server);
+        // All have told; or one has that was out of reach before.
+        if moves.adopt.is_none() || self.nodes.all_in(&moves.told) {
+            self.adopt();
+        }
+    }
+
+    /// A node dies before what it has told of is gone on with.
+    pub(crate) fn dies_early(&mut self, server: ServerId) {
+        if let Some(moves) = self.moves.as_mut().filter(|m| m.adopt.is_some()) {
+            moves.died.insert(server);
+            moves.told.insert(server); // it has nothing more to tell
         }
     }
 
@@ -71,9 +83,11 @@
                 }
             }
         }
-        for session in early {
-            self.on_follows(session, true);
+        for (session, epoch) in early {
+            self.on_follows(session, Some(epoch));
         }
+        let died = self.moves.as_mut().map(|m| std::mem::take(&mut m.died)).unwrap_or_default();
+        died.into_iter().for_each(|server| self.lose_sessions(server, Micros::MAX, &[]));
     }
 
     fn go_on(&mut self, session: SessionId, all: &[(ServerId, Carried)]) -> bool {
@@ -116,6 +130,7 @@
                 stage: Stage::Plays { server: at, since: now, media: carried.media.clone() },
                 attempts,
                 before: attempts - 1,
+                carried: true,
                 rung: carried.rung,
                 confirmed: carried.rung,
                 telling: None,
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -82,6 +82,8 @@
     /// Attempts sent; the last one's number is one less. The director counts from those of an earlier process on.
     pub(crate) attempts: u32,
     pub(crate) before: u32,
+    /// Gone on with, and its player has not come back to this process yet.
+    pub(crate) carried: bool,
     pub(crate) rung: usize,
     /// Rung that the node has confirmed, and the call that tells it of another.
     pub(crate) confirmed: usize,
@@ -250,8 +252,11 @@
             Input::NodeTold { server, told } => self.on_told(server, told),
             Input::Tenants(news) => self.on_tenants(news),
             Input::TenantEnded { tenant } => self.on_tenant_ended(&tenant),
-            Input::NodeDown { server } => self.lose_sessions(server, Micros::MAX, &[]),
-            Input::Follows { session, follows } => self.on_follows(session, follows),
+            Input::NodeDown { server } => {
+                self.dies_early(server);
+                self.lose_sessions(server, Micros::MAX, &[]);
+            }
+            Input::Follows { session, plays } => self.on_follows(session, plays),
             Input::Silent { session, buffer } => self.on_silent(session, buffer),
             Input::Playing { session, epoch } => self.on_playing(session, epoch),
             Input::Declined { session, epoch } => self.on_declined(session, epoch),
--- a/crates/engine/src/io.rs
+++ b/crates/engine/src/io.rs
@@ -164,10 +164,10 @@
     TenantEnded {
         tenant: String,
     },
-    /// The player of a session can be offered another node from now on, or can't any more.
+    /// The player of a session can be offered another node from now on, and plays this epoch; none: it can't any more.
     Follows {
         session: SessionId,
-        follows: bool,
+        plays: Option<Epoch>,
     },
     /// A player hears nothing, and has so much left to play.
     Silent {
--- a/crates/engine/src/moves.rs
+++ b/crates/engine/src/moves.rs
@@ -10,8 +10,8 @@
 use shalewall_moving::node::Cancelled;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// A front that begins anew hears what nodes hold for so long before it goes on with any of it.
-const ADOPT: Micros = 1_000_000;
+/// A front that begins anew hears what nodes hold for so long, or until all have told, before it goes on with it.
+const ADOPT: Micros = 500_000;
 /// The director hears of a silent node again after this, while it lasts.
 const SILENT_AGAIN: Micros = 1_000_000;
 
@@ -25,15 +25,27 @@
     pub found: BTreeMap<SessionId, Vec<(ServerId, Carried)>>,
     /// When that is, at the latest; and those whose players follow already.
     pub adopt: Option<Micros>,
-    pub early: BTreeSet<SessionId>,
+    pub early: BTreeMap<SessionId, Epoch>,
+    /// Nodes that have told, and those that have died meanwhile.
+    pub told: BTreeSet<ServerId>,
+    pub died: BTreeSet<ServerId>,
     /// Why a session is to be moved that the director is being asked about.
     asked: Option<(SessionId, Why)>,
 }
 
 impl Moves {
     pub fn new(mover: Mover, now: Micros) -> Moves {
-        let (found, early, adopt) = (BTreeMap::new(), BTreeSet::new(), Some(now + ADOPT));
-        Moves { mover, news: false, silent: BTreeMap::new(), found, adopt, early, asked: None }
+        Moves {
+            mover,
+            news: false,
+            silent: BTreeMap::new(),
+            found: BTreeMap::new(),
+            adopt: Some(now + ADOPT),
+            early: BTreeMap::new(),
+            told: BTreeSet::new(),
+            died: BTreeSet::new(),
+            asked: None,
+        }
     }
 }
 
@@ -78,28 +90,32 @@
 
     // ---- players ----------------------------------------------------------------------------
 
-    pub(crate) fn on_follows(&mut self, session: SessionId, follows: bool) {
+    pub(crate) fn on_follows(&mut self, session: SessionId, plays: Option<Epoch>) {
         let now = self.now;
         let Some(moves) = &mut self.moves else { return };
         let Some(s) = self.sessions.get_mut(&session) else {
-            if moves.adopt.is_some() && follows {
-                moves.early.insert(session);
-            } else if follows {
+            let Some(epoch) = plays else {
+                moves.early.remove(&session);
+                return;
+            };
+            if moves.adopt.is_some() || !self.nodes.all_in(&moves.told) {
+                moves.early.insert(session, epoch); // a node that has not told yet may hold it
+            } else {
                 // Over already: its player has not heard so.
                 self.outputs.push_back(Output::Gone { session });
             }
             return;
         };
         let Stage::Plays { server, since, .. } = s.stage else { return };
-        if !follows {
+        let Some(epoch) = plays else {
             s.hand.iter_mut().for_each(|h| h.follows = false);
             return moves.mover.over(session);
-        }
+        };
         let hand = s.hand.get_or_insert_with(|| {
             let handover = Handover::new(session, server);
             Box::new(Hand { handover, follows: true, target: None, rings: None })
         });
-        hand.follows = true;
+        (hand.follows, s.carried) = (true, false);
         if !moves.mover.knows(session) {
             moves.mover.plays(now, session, server, s.request.hint.map(|h| since + h));
             if hand.handover.orphaned() {
@@ -107,6 +123,8 @@
             }
             moves.news = true;
         }
+        hand.handover.player_plays(epoch);
+        self.carry_on(session);
     }
 
     pub(crate) fn on_silent(&mut self, session: SessionId, buffer: Micros) {
@@ -172,7 +190,9 @@
 
     /// A node's process, or this session's stream there, is gone. False: there are no hand-overs of it.
     pub(crate) fn dead(&mut self, session: SessionId, server: ServerId) -> bool {
-        if self.hand(session).is_none_or(|h| !h.follows && h.target.is_none()) {
+        // Of an earlier process's sessions players are on their way back.
+        let carried = self.sessions.get(&session).is_some_and(|s| s.carried);
+        if self.hand(session).is_none_or(|h| !h.follows && h.target.is_none() && !carried) {
             return false;
         }
         self.hand_on(session, Some(front::Input::Dead { node: server.0 }));
--- a/crates/engine/src/nodes.rs
+++ b/crates/engine/src/nodes.rs
@@ -3,7 +3,7 @@
 use crate::engine::Config;
 use crate::io::Line;
 use shalewall::{ListNews, Listed, ServerId, Standing};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 #[derive(Default)]
@@ -25,6 +25,11 @@
         self.addresses.get(&server).copied()
     }
 
+    /// Whether these are all that there are.
+    pub fn all_in(&self, told: &BTreeSet<ServerId>) -> bool {
+        self.addresses.keys().all(|server| told.contains(server))
+    }
+
     /// Keeps what the director is told of the list.
     pub fn told(&mut self, news: ListNews, lines: &[Listed]) {
         if matches!(news, ListNews::Full | ListNews::Cached) {
--- a/crates/engine/src/viewers.rs
+++ b/crates/engine/src/viewers.rs
@@ -76,6 +76,7 @@
                 stage: Stage::Deciding,
                 attempts: 0,
                 before: 0,
+                carried: false,
                 rung: 0,
                 confirmed: 0,
                 telling: None,
--- a/crates/engine/tests/moves.rs
+++ b/crates/engine/tests/moves.rs
@@ -139,7 +139,7 @@
                     let player =
                         Player { seat, heard, said, tries: None, gaps: vec![], dry: None, gone: false };
                     self.players.insert(session, player);
-                    self.words.push((self.now + 5 * MS, Input::Follows { session, follows: true }));
+                    self.words.push((self.now + 5 * MS, Input::Follows { session, plays: Some(Epoch(0)) }));
                 }
                 Output::Call { call, server, kind, .. } => {
                     let wait = 2 + self.dice.roll(30) as Micros;
@@ -360,8 +360,12 @@
         for n in 0..NODES {
             self.snapshot(n);
         }
-        let playing = self.players.iter().filter(|(_, p)| !p.gone).map(|(id, _)| *id);
-        let follows: Vec<_> = playing.map(|session| Input::Follows { session, follows: true }).collect();
+        let playing = self.players.iter().filter(|(_, p)| !p.gone);
+        let follows = |(session, p): (&SessionId, &Player)| Input::Follows {
+            session: *session,
+            plays: Some(p.seat.epoch),
+        };
+        let follows: Vec<_> = playing.map(follows).collect();
         let now = self.now;
         self.words.extend(follows.into_iter().map(|word| (now + 5 * MS, word)));
     }
@@ -524,6 +528,28 @@
     }
 }
 
+/// Seen on a day: the front was back some 100 ms before a node that had drained meanwhile died.
+#[test]
+fn a_node_that_dies_just_after_its_front_is_back_loses_none_whose_buffer_lasts() {
+    for after in [0, 5, 20, 100, 400] {
+        let mut world = World::new(40, 0);
+        world.ask(24);
+        world.frozen[3] = true; // one that tells nothing yet
+        let there: Vec<_> =
+            world.players.iter().filter(|(_, p)| p.seat.node == 1).map(|(id, _)| *id).collect();
+        world.restart(200 * MS);
+        world.wait(after * MS);
+        world.crash(1);
+        world.wait(S);
+        world.frozen[3] = false;
+        world.wait(3 * S);
+        assert!(world.players.values().all(|p| p.seat.node != 1 && !p.gone), "{after} ms after");
+        let gaps = there.iter().flat_map(|id| world.players[id].gaps.clone());
+        assert!(gaps.max().unwrap_or(0) <= 200 * MS, "{after} ms after");
+        world.settled();
+    }
+}
+
 #[test]
 fn both_nodes_frozen_end_cleanly_or_go_on() {
     let mut world = World::new(4, 0);
--- a/crates/front/src/api.rs
+++ b/crates/front/src/api.rs
@@ -67,7 +67,7 @@
     let session: Option<u64> = number.parse().ok();
     if let (Some(session), Some(word)) = (session.map(SessionId), word) {
         let reply = match head.method.as_str() {
-            "GET" if word == "events" => Some(follow::events(&hub, session)),
+            "GET" if word == "events" => Some(follow::events(&hub, session, &request)),
             "POST" => follow::word(&hub, session, word, &request),
             _ => None,
         };
--- a/crates/front/src/day.rs
+++ b/crates/front/src/day.rs
@@ -118,6 +118,7 @@
         late: ms(site.notes.late_ms),
         fraction: plan.day.media_fraction,
         key: key.as_ref().map(|(_, key)| key.clone()),
+        loads: plan.load.follow > 0.0,
     };
     let nodes = Nodes::new(ex.clone(), Fleet::new(physics, plan.day.seed ^ 1), recorder.clone(), telling);
     let late = ms(fleet.list_late_ms);
--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -61,13 +61,18 @@
         if open.get(&self.session).is_some_and(|(number, _)| *number == self.number) {
             open.remove(&self.session);
             drop(open);
-            self.hub.feed(Input::Follows { session: self.session, follows: false });
+            self.hub.feed(Input::Follows { session: self.session, plays: None });
         }
     }
 }
 
 /// `GET /sessions/{session}/events`.
-pub fn events(hub: &Rc<Hub>, session: SessionId) -> Reply {
+pub fn events(hub: &Rc<Hub>, session: SessionId, request: &Request) -> Reply {
+    let plays = match request.head.query("epoch").map(str::parse) {
+        None => Epoch(0),
+        Some(Ok(epoch)) => Epoch(epoch),
+        Some(Err(_)) => return Reply::problem(400, "epoch is a number"),
+    };
     if hub.key.get().is_none() {
         return Reply::problem(404, "sessions are not handed over here");
     }
@@ -77,7 +82,7 @@
     let (sender, receiver) = async_channel::bounded(MOST_WAITING);
     follows.open.borrow_mut().insert(session, (number, sender));
     let open = Open { hub: hub.clone(), session, number };
-    hub.feed(Input::Follows { session, follows: true });
+    hub.feed(Input::Follows { session, plays: Some(plays) });
     let rest = stream::unfold((open, receiver), |(open, receiver)| async {
         let beat = async {
             Timer::after(BEAT).await;
--- a/crates/moving/src/front.rs
+++ b/crates/moving/src/front.rs
@@ -239,6 +239,16 @@
         true
     }
 
+    /// The player says which epoch it plays. One that is not known here is of a node that an earlier process had moved
+    /// it to and that has not told of it: the session is to be moved under a greater one, since it never goes back.
+    pub fn player_plays(&mut self, epoch: Epoch) {
+        let known = epoch <= self.epoch || self.going.is_some_and(|m| m.epoch == epoch);
+        self.last = self.last.max(epoch);
+        if !known && !self.gone {
+            self.out.push_back(Output::Orphaned);
+        }
+    }
+
     /// The target is not wanted any more. Where its player has heard of it, the move goes on.
     pub fn unwanted(&mut self, now: Micros) {
         if self.going.is_some_and(|m| m.step == Step::Preparing && !m.fetched) {
--- a/crates/moving/src/mover.rs
+++ b/crates/moving/src/mover.rs
@@ -18,7 +18,7 @@
 pub struct Terms {
     /// A move takes about so long: a player whose buffer lasts longer waits.
     pub takes: Micros,
-    /// No session is moved again within this, unless nobody serves it.
+    /// No session is moved again within this, unless its node drains or nobody serves it: these are told, not guessed.
     pub again: Micros,
     /// A shortage that has lasted so long is not mended by steps.
     pub lasts: Micros,
@@ -69,8 +69,9 @@
     ends: Option<Micros>,
     word: Option<Word>,
     orphaned: bool,
-    /// Not before then.
+    /// Not before then; and not on a guess before `guess`.
     due: Micros,
+    guess: Micros,
     /// Where it is on its way to.
     to: Option<u64>,
 }
@@ -117,8 +118,8 @@
     /// A session plays there, and its player can be moved. `ends`: when it is to end, as far as is known.
     pub fn plays(&mut self, now: Micros, session: SessionId, node: ServerId, ends: Option<Micros>) {
         self.over(session);
-        let (word, orphaned, to, due) = (None, false, None, now);
-        self.sessions.insert(session.0, Session { node: node.0, ends, word, orphaned, due, to });
+        let (word, orphaned, to, due, guess) = (None, false, None, now, now);
+        self.sessions.insert(session.0, Session { node: node.0, ends, word, orphaned, due, guess, to });
         self.nodes.entry(node.0).or_default().sessions.insert(session.0);
         self.marked.insert(node.0);
         self.ring(now);
@@ -272,11 +273,15 @@
                 let leaves = || draw(self.seed ^ key ^ now as u64) > node.delivered;
                 let wish = if s.orphaned {
                     (Why::Orphaned, dry.unwrap_or(now))
-                } else if silent && dry.is_some_and(|dry| dry - now <= self.terms.takes) {
+                } else if silent && now >= s.guess && dry.is_some_and(|dry| dry - now <= self.terms.takes) {
                     (Why::Silent, dry.unwrap_or(now))
                 } else if node.drains && self.worth(now, s, 1.0) {
                     (Why::Drains, s.ends.map_or(0, |t| -t))
-                } else if short.is_some() && leaves() && self.worth(now, s, 1.0 - node.delivered) {
+                } else if short.is_some()
+                    && now >= s.guess
+                    && leaves()
+                    && self.worth(now, s, 1.0 - node.delivered)
+                {
                     (Why::Short, 0)
                 } else {
                     continue;
@@ -345,8 +350,9 @@
         let Some(s) = self.sessions.get_mut(&session.0) else { return };
         let Some(to) = s.to.take() else { return };
         let from = s.node;
-        s.due = if moved { now + self.terms.again } else { now + LOOK };
+        s.due = now + if moved { 0 } else { LOOK };
         if moved {
+            s.guess = now + self.terms.again;
             (s.node, s.word, s.orphaned) = (to, None, false);
             self.nodes.entry(to).or_default().sessions.insert(session.0);
             self.marked.insert(to);
--- a/crates/moving/tests/mover.rs
+++ b/crates/moving/tests/mover.rs
@@ -178,6 +178,7 @@
     desk.mover.ended(0, SessionId(0), true);
     desk.mover.orphaned(0, SessionId(0));
     assert_eq!(desk.wishes(), [(0, Why::Orphaned), (1, Why::Drains)]);
+    assert_eq!(desk.wishes(), [(0, Why::Orphaned), (1, Why::Drains)]);
     // Without room it is looked for again soon, not at once.
     desk.mover.no_room(0, SessionId(0));
     assert_eq!(desk.wishes(), [(1, Why::Drains)]);
@@ -185,6 +186,17 @@
     assert!(desk.wishes().contains(&(0, Why::Orphaned)));
 }
 
+#[test]
+fn a_drain_is_no_guess_and_binds_also_right_after_a_move() {
+    let mut desk = Desk::new(1);
+    desk.mover.began(SessionId(0), ServerId(3));
+    desk.mover.ended(0, SessionId(0), true);
+    desk.mover.silent(0, SessionId(0), 100 * MS);
+    assert_eq!(desk.wishes(), [], "moved just now");
+    desk.mover.drains(0, ServerId(3), true);
+    assert_eq!(desk.wishes(), [(0, Why::Drains)]);
+}
+
 #[test]
 fn a_move_that_did_not_happen_is_tried_again_and_an_end_in_its_middle_frees_its_place() {
     let mut desk = Desk::new(1);
--- a/crates/settings/src/moves.rs
+++ b/crates/settings/src/moves.rs
@@ -14,7 +14,7 @@
     #[garde(range(min = 50.0, max = 60_000.0))]
     #[serde(default = "takes_ms")]
     pub takes_ms: f64,
-    /// No session is moved again within this, unless nobody serves it any more.
+    /// No session is moved again within this, unless its node drains or nobody serves it any more.
     #[garde(range(min = 0.0, max = 3600.0))]
     #[serde(default = "again_s")]
     pub again_s: f64,
@@ -40,7 +40,7 @@
 }
 
 fn again_s() -> f64 {
-    15.0
+    5.0
 }
 
 fn lasts_s() -> f64 {
--- a/crates/standins/src/nodes.rs
+++ b/crates/standins/src/nodes.rs
@@ -45,6 +45,8 @@
     pub fraction: f64,
     /// Opens the tickets of hand-overs; none: nothing is taken over.
     pub key: Option<Key>,
+    /// Whether loads are noted for the auditor.
+    pub loads: bool,
 }
 
 struct Socket {
@@ -157,7 +159,9 @@
             limits: Rc::new(Limits::default()),
         };
         ex.spawn(nodes.clone().tell()).detach();
-        ex.spawn(nodes.clone().note_loads()).detach();
+        if nodes.telling.loads {
+            ex.spawn(nodes.clone().note_loads()).detach();
+        }
         nodes
     }
 
--- a/crates/standins/src/nodes/moves.rs
+++ b/crates/standins/src/nodes/moves.rs
@@ -213,9 +213,6 @@
     pub(super) async fn note_loads(self) {
         loop {
             Timer::after(LOADS).await;
-            if self.telling.key.is_none() {
-                return;
-            }
             let (inner, t) = (self.inner.borrow(), shalewall_clock::now());
             for (node, n) in inner.fleet.nodes.iter().filter(|(_, n)| n.process == Process::Runs) {
                 let f = inner.fleet.figures(*node);
--- a/crates/standins/src/player.rs
+++ b/crates/standins/src/player.rs
@@ -14,7 +14,9 @@
 use shalewall_moving::player::{Do, Seat};
 use shalewall_physics::Micros;
 use shalewall_physics::playhead::Playhead;
+use std::cell::Cell;
 use std::collections::BTreeMap;
+use std::rc::Rc;
 use std::time::Duration;
 
 /// Nothing has come for so long: it says so, and again after this.
@@ -56,6 +58,7 @@
     viewers: &'v Viewers,
     front: u32,
     session: u64,
+    tenant: Option<String>,
     /// Media addresses by their numbers here, which stand for nodes.
     sources: Vec<String>,
     seat: Seat,
@@ -99,10 +102,12 @@
     fn say(&self, word: &'static str, data: serde_json::Value) {
         let Some(front) = self.viewers.front(self.front) else { return };
         let target = format!("/sessions/{}/{word}", self.session);
+        let tenant = self.tenant.clone();
         let task = async move {
             let (host, body) = (front.to_string(), data.to_string());
+            let tenant = tenant.as_deref().map(|name| ("Shalewall-Tenant", name));
             let pool = Pool::new(front, Limits::default(), Duration::ZERO, 0);
-            let call = Call::new("POST", &target, &host).json(body.as_bytes());
+            let call = Call::new("POST", &target, &host).fields(tenant.as_slice()).json(body.as_bytes());
             let _ = in_time(Duration::from_secs(2), pool.call(&call)).await;
         };
         self.viewers.ex.spawn(task).detach();
@@ -178,12 +183,21 @@
 }
 
 /// Keeps the stream of offers open, also over restarts of the front.
-async fn follow(viewers: Viewers, number: u32, session: u64, news: Sender<News>) {
+async fn follow(
+    viewers: Viewers,
+    number: u32,
+    session: u64,
+    tenant: Option<String>,
+    plays: Rc<Cell<Epoch>>,
+    news: Sender<News>,
+) {
+    let tenant = tenant.as_deref().map(|name| ("Shalewall-Tenant", name));
     loop {
         if let Some(front) = viewers.front(number) {
             let pool = Pool::new(front, Limits::default(), Duration::ZERO, 0);
-            let (target, host) = (format!("/sessions/{session}/events"), front.to_string());
-            let call = Call::new("GET", &target, &host);
+            let (target, host) =
+                (format!("/sessions/{session}/events?epoch={}", plays.get().0), front.to_string());
+            let call = Call::new("GET", &target, &host).fields(tenant.as_slice());
             let opening = async { pool.connect().await.ok()?.stream(&call).await.ok() };
             let opened = in_time(Duration::from_secs(2), opening).await.flatten();
             if let Some((head, incoming)) = opened {
@@ -232,6 +246,7 @@
         viewers,
         front,
         session,
+        tenant: viewer.tenant.clone(),
         sources: Vec::new(),
         seat: Seat::new(ServerId(0)),
         head: Playhead::new(begin, START.min(ahead)),
@@ -244,9 +259,17 @@
         tries: None,
         over: false,
     };
+    let plays = Rc::new(Cell::new(Epoch(0)));
     player.number(media);
     player.fetch(0, Epoch(0));
-    let _follow = viewers.ex.spawn(follow(viewers.clone(), front, session, sender));
+    let _follow = viewers.ex.spawn(follow(
+        viewers.clone(),
+        front,
+        session,
+        viewer.tenant.clone(),
+        plays.clone(),
+        sender,
+    ));
     let mut rungs: BTreeMap<usize, Micros> = BTreeMap::new();
     let (mut last_rung, mut steps, mut stood) = (None, 0u64, 0);
     let until = now + viewer.until.saturating_duration_since(std::time::Instant::now()).as_micros() as i64;
@@ -256,10 +279,10 @@
         let due = player.due(now).min(until);
         let heard = in_time(Duration::from_micros((due - now).max(0) as u64), news.recv()).await;
         let now = shalewall_clock::now();
+        viewers.lag.set(viewers.lag.get().max(now - due));
         if now - due > LAG {
             // This process stood still: what did not come meanwhile is not the node's doing.
             player.heard = now;
-            viewers.lag.set(viewers.lag.get().max(now - due));
         }
         match heard {
             Some(Ok(News::Frame { source, epoch, rung, position, span })) => {
@@ -268,6 +291,7 @@
                     player.tries = None;
                 }
                 player.carry_out(now, all);
+                plays.set(player.seat.epoch);
                 if (source, epoch) == (player.seat.node, player.seat.epoch) {
                     let before = player.head.received();
                     player.head.take(now, position, span);
--- a/crates/standins/src/viewers.rs
+++ b/crates/standins/src/viewers.rs
@@ -54,7 +54,7 @@
 
 /// One that wants to watch.
 pub(crate) struct Viewer {
-    tenant: Option<String>,
+    pub(crate) tenant: Option<String>,
     key: String,
     pub(crate) class: Class,
     title: String,
