--- a/days/moves.hcl
+++ b/days/moves.hcl
@@ -145,12 +145,13 @@
   len_s = 5
   part  = 0.15
 }
+# Links that give less and less, at last less than what is there asks at its lowest rungs; then the nodes die.
 trouble "short" {
-  kind  = "neighbour"
-  at_s  = 50
-  len_s = 18
-  part  = 0.15
-  size  = 0.75
+  kind  = "ageing"
+  at_s  = 42
+  len_s = 50
+  on    = [3, 8]
+  size  = 60
 }
 trouble "died" {
   kind  = "crash"
