--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -16,7 +16,8 @@
 };
 
 use garde::Validate;
-use serde::de::DeserializeOwned;
+use hcl::Value;
+use serde::de::{DeserializeOwned, IntoDeserializer};
 use std::fmt;
 use std::path::Path;
 
@@ -52,32 +53,107 @@
     fn together(&self) -> Vec<(String, String)>;
 }
 
-/// Reads and checks a file. All that is wrong with its values is told at once.
+/// A file's name and what is in it.
+struct Source {
+    name: String,
+    text: String,
+}
+
+/// Reads and checks a file. All that is wrong with its values is told at once. A file may name another one of its
+/// folder with `include`: what it says itself goes before what that one says, block by block.
 pub fn read<T: Settings>(file: &Path) -> Result<T, Vec<Error>> {
-    let name = file.display().to_string();
-    let text = std::fs::read_to_string(file).map_err(|e| {
-        vec![Error { file: name.clone(), line: None, path: String::new(), what: e.to_string() }]
-    })?;
-    parse(&name, &text)
+    let own = source(file)?;
+    let included = match included(&own)? {
+        None => None,
+        Some(name) => Some(source(&file.with_file_name(name))?),
+    };
+    check(&own, included.as_ref())
 }
 
-/// The same from text; `name` stands for the file in errors.
+/// The same from text, which includes nothing; `name` stands for the file in errors.
 pub fn parse<T: Settings>(name: &str, text: &str) -> Result<T, Vec<Error>> {
+    check(&Source { name: name.to_string(), text: text.to_string() }, None)
+}
+
+fn source(file: &Path) -> Result<Source, Vec<Error>> {
+    let name = file.display().to_string();
+    match std::fs::read_to_string(file) {
+        Ok(text) => Ok(Source { name, text }),
+        Err(e) => Err(vec![Error { file: name, line: None, path: String::new(), what: e.to_string() }]),
+    }
+}
+
+/// The file that this one includes.
+fn included(own: &Source) -> Result<Option<String>, Vec<Error>> {
+    let body = syntax(own)?;
+    let Some(name) = body.get_attribute("include") else { return Ok(None) };
+    match name.value.as_str().filter(|name| !name.contains(['/', '\\'])) {
+        Some(name) => Ok(Some(name.to_string())),
+        None => Err(vec![error_in(own, "include", "has to name a file of the same folder".to_string())]),
+    }
+}
+
+fn syntax(source: &Source) -> Result<hcl_edit::structure::Body, Vec<Error>> {
+    hcl_edit::parser::parse_body(&source.text).map_err(|e| {
+        let (file, line) = (source.name.clone(), Some(e.location().line()));
+        vec![Error { file, line, path: String::new(), what: e.message().to_string() }]
+    })
+}
+
+fn error_in(source: &Source, path: &str, what: String) -> Error {
+    let line = locate::line(&source.text, path).map(|(_, line)| line);
+    Error { file: source.name.clone(), line, path: path.to_string(), what }
+}
+
+/// `over` before `under`, block by block.
+fn merge(under: Value, over: Value) -> Value {
+    match (under, over) {
+        (Value::Object(mut under), Value::Object(over)) => {
+            for (key, value) in over {
+                let merged = match under.swap_remove(&key) {
+                    Some(before) => merge(before, value),
+                    None => value,
+                };
+                under.insert(key, merged);
+            }
+            Value::Object(under)
+        }
+        (_, over) => over,
+    }
+}
+
+fn check<T: Settings>(own: &Source, included: Option<&Source>) -> Result<T, Vec<Error>> {
+    // Of two files, the one that has more of the path.
     let error = |path: &str, what: String| {
-        let line = locate::line(text, path);
-        Error { file: name.to_string(), line, path: path.to_string(), what }
+        let depth = |s: &Source| locate::line(&s.text, path).map_or(0, |(depth, _)| depth);
+        let other = included.filter(|other| depth(other) > depth(own));
+        error_in(other.unwrap_or(own), path, what)
     };
-    let body = hcl_edit::parser::parse_body(text).map_err(|e| {
-        let line = Some(e.location().line());
-        vec![Error { file: name.to_string(), line, path: String::new(), what: e.message().to_string() }]
-    })?;
-    drop(body);
-    let form = hcl::de::Deserializer::from_str(text).map_err(|e| vec![error("", e.to_string())])?;
-    let read: T = serde_path_to_error::deserialize(form).map_err(|e| {
+    syntax(own)?;
+    let at = |e: serde_path_to_error::Error<hcl::Error>| {
         let path = e.path().to_string();
         let path = if path == "." { "" } else { &path };
         vec![error(path, e.inner().to_string())]
-    })?;
+    };
+    let read: T = match included {
+        None => {
+            let form =
+                hcl::de::Deserializer::from_str(&own.text).map_err(|e| vec![error("", e.to_string())])?;
+            serde_path_to_error::deserialize(form).map_err(at)?
+        }
+        Some(other) => {
+            syntax(other)?;
+            let value = |s: &Source| {
+                hcl::from_str::<Value>(&s.text).map_err(|e| vec![error_in(s, "", e.to_string())])
+            };
+            let (under, mut over) = (value(other)?, value(own)?);
+            if let Some(own) = over.as_object_mut() {
+                own.swap_remove("include");
+            }
+            let form = IntoDeserializer::<hcl::Error>::into_deserializer(merge(under, over));
+            serde_path_to_error::deserialize(form).map_err(at)?
+        }
+    };
     let mut wrong: Vec<Error> = Vec::new();
     if let Err(report) = read.validate() {
         for (path, e) in report.iter() {
@@ -85,6 +161,6 @@
         }
     }
     wrong.extend(read.together().into_iter().map(|(path, what)| error(&path, what)));
-    wrong.sort_by_key(|e| e.line);
+    wrong.sort_by(|a, b| (&a.file, a.line).cmp(&(&b.file, b.line)));
     if wrong.is_empty() { Ok(read) } else { Err(wrong) }
 }
--- a/crates/settings/src/locate.rs
+++ b/crates/settings/src/locate.rs
@@ -8,21 +8,21 @@
     path.replace('[', ".").replace(']', "").trim_matches('.').to_string()
 }
 
-/// The line, from 1, of the deepest part of the path that the file has.
-pub fn line(text: &str, path: &str) -> Option<usize> {
+/// How many parts of the path the file has, and the line, from 1, of the deepest one.
+pub fn line(text: &str, path: &str) -> Option<(usize, usize)> {
     let body = hcl_edit::parser::parse_body(text).ok()?;
     let path = dotted(path);
     let parts: Vec<&str> = path.split('.').filter(|p| !p.is_empty()).collect();
-    let at = find(&body, &parts).unwrap_or(0);
-    Some(text.get(..at)?.matches('\n').count() + 1)
+    let (depth, at) = find(&body, &parts).unwrap_or((0, 0));
+    Some((depth, text.get(..at)?.matches('\n').count() + 1))
 }
 
-fn find(body: &Body, parts: &[&str]) -> Option<usize> {
+fn find(body: &Body, parts: &[&str]) -> Option<(usize, usize)> {
     let (first, rest) = parts.split_first()?;
     for structure in body.iter() {
         match structure {
             Structure::Attribute(a) if a.key.as_str() == *first => {
-                return a.span().map(|s| s.start);
+                return a.span().map(|s| (1, s.start));
             }
             Structure::Block(b) if b.ident.as_str() == *first => {
                 let labels: Vec<&str> = b.labels.iter().map(|l| l.as_str()).collect();
@@ -31,7 +31,8 @@
                     continue;
                 }
                 let start = b.span().map(|s| s.start);
-                return find(&b.body, &rest[named..]).or(start);
+                let deeper = find(&b.body, &rest[named..]).map(|(depth, at)| (depth + 1 + named, at));
+                return deeper.or(start.map(|at| (1 + named, at)));
             }
             _ => {}
         }
--- a/crates/settings/tests/errors.rs
+++ b/crates/settings/tests/errors.rs
@@ -91,3 +91,35 @@
     );
     assert_eq!(errors(&text).len(), 3);
 }
+
+#[test]
+fn of_a_file_that_includes_another_errors_name_the_one_that_says_it() {
+    let dir = tempfile::tempdir().unwrap();
+    let file = |name: &str, text: &str| {
+        std::fs::write(dir.path().join(name), text).unwrap();
+        dir.path().join(name)
+    };
+    let text = day();
+    let at = text.find("trouble ").unwrap();
+    file("house.hcl", &text[..at]);
+    let wrong = |own: &str| {
+        let found = shalewall_settings::read::<DayPlan>(&file("own.hcl", own)).expect_err("wrong");
+        let short = |e: &Error| (e.file.rsplit('/').next().unwrap().to_string(), e.line, e.path.clone());
+        found.iter().map(short).collect::<Vec<_>>()
+    };
+    // Its own words go before the included ones, block by block.
+    let own = "include = \"house.hcl\"\n\nday {\n  seconds = 7\n}\n";
+    let plan: DayPlan = shalewall_settings::read(&file("own.hcl", own)).unwrap();
+    let whole: DayPlan = parse("x.hcl", &text).unwrap();
+    assert_eq!((plan.day.seconds, plan.day.seed, plan.trouble.len()), (7.0, whole.day.seed, 0));
+    assert_eq!(plan.site.class.len(), whole.site.class.len());
+    let own = |what: &str| format!("include = \"house.hcl\"\n\n{what}\n");
+    assert_eq!(wrong(&own("day {\n  seconds = 0\n}")), [("own.hcl".into(), Some(4), "day.seconds".into())]);
+    assert_eq!(wrong(&own("day {\n  secs = 1\n}"))[0].0, "own.hcl");
+    // What is wrong stands in the house.
+    let line = text[..text.find("floor      = 1").unwrap()].matches('\n').count() + 1;
+    file("house.hcl", &text[..at].replacen("floor      = 1", "floor = 9", 1));
+    assert_eq!(wrong(&own("")), [("house.hcl".into(), Some(line), "site.class.report.floor".into())]);
+    assert_eq!(wrong("include = \"../x.hcl\"\n"), [("own.hcl".into(), Some(1), "include".into())]);
+    assert_eq!(wrong("include = \"none.hcl\"\n")[0].0, "none.hcl");
+}
--- a/days/bad-day.hcl
+++ b/days/bad-day.hcl
@@ -134,12 +134,14 @@
   len_s = 8
   part  = 0.15
 }
+
 trouble "two boxes stand still" {
   kind  = "hang"
   at_s  = 12
   len_s = 7
   part  = 0.15
 }
+
 trouble "boxes are taken away" {
   kind      = "preempt"
   at_s      = 20
@@ -148,17 +150,20 @@
   waves     = 2
   notice_ms = 1500
 }
+
 trouble "no list" {
   kind  = "list_out"
   at_s  = 16
   len_s = 6
 }
+
 trouble "pickup" {
   kind  = "burst"
   at_s  = 24
   len_s = 8
   size  = 2
 }
+
 trouble "one director stands still" {
   kind     = "director_stall"
   at_s     = 10
@@ -166,12 +171,14 @@
   part     = 0.34
   stall_ms = 1500
 }
+
 trouble "one director is killed" {
   kind  = "director_kill"
   at_s  = 30
   len_s = 4
   part  = 0.34
 }
+
 trouble "another program" {
   kind  = "neighbour"
   at_s  = 33
--- a/days/flap.hcl
+++ b/days/flap.hcl
@@ -1,5 +1,7 @@
 # One node stands still for a second in every four, for a minute. A session is to be moved once at most. Players follow: they have a buffer (a second of what is live, four of what is not), and record each gap.
 
+include = "house.hcl"
+
 day {
   seconds        = 90
   seed           = 13
@@ -8,122 +10,35 @@
 }
 
 site {
-  zones = ["north", "garden", "east"]
-
-  kind "small" { places = 45 }
-  kind "large" { places = 60 }
-
+  kind "small" {
+    places = 45
+  }
+  kind "large" {
+    places = 60
+  }
   class "report" {
-    paid       = true
-    aim_ms     = 1500
-    give_up_ms = 4000
-    worth      = 2
-    seats      = 60
-    floor      = 1
+    seats = 60
   }
   class "room" {
-    paid       = false
-    aim_ms     = 1000
-    give_up_ms = 4000
-    worth      = 1
-    live       = true
-  }
-
-  ladder = [
-    { kb = 190, worth = 0.24 },
-    { kb = 350, worth = 0.46 },
-    { kb = 640, worth = 0.65 },
-    { kb = 1160, worth = 0.83 },
-    { kb = 2110, worth = 1 },
-  ]
-
-  layout {
-    cells = 15
-    racks = 2
+    live = true
   }
   link {
-    kb_per_weight     = 40000
-    weights_tell_size = true
-    fleet_kb          = 600000
-    uplink_kb         = 320000
-  }
-  notes {
-    every_ms = 3000
-    late_ms  = 1000
-  }
-  costs {
-    stall    = 7
-    switch_s = 0.7
-    cross    = 0.01
-    probe    = 0.01
+    kb_per_weight = 40000
+    fleet_kb      = 600000
+    uplink_kb     = 320000
   }
-  rules {
-    drain_within_ms = 250
-    answer_slack_ms = 150
-    warm_after_ms   = 4000
-    start_capacity  = 0.4
-    overload_factor = 2
-    fall_ms         = 2000
-    further {
-      free        = 3
-      per_request = 0.3
-      span_ms     = 10000
-    }
-  }
-  limits {
-    max_attempts     = 4
-    may_cancel       = true
-    may_probe        = true
-    max_come_back_ms = 1000
-    step_ms          = 20
-  }
-
   moves {}
-
-  title "playroom-1" {
-    home   = 0
-    spread = 5
-  }
-  title "playroom-2" {
-    home   = 5
-    spread = 4
-  }
-  title "garden" {
-    home   = 9
-    spread = 4
-  }
-  title "monday" {
-    home   = 2
-    spread = 5
-  }
-  title "tuesday" {
-    home   = 7
-    spread = 5
-  }
-  title "summer" {
-    home   = 12
-    spread = 5
-  }
 }
 
 fleet {
-  nodes        = 15
-  link_kb      = 40000
-  link_stray   = 0.1
-  rate_stray   = 0.15
-  uplink_kb    = 320000
-  set_up_ms    = 60
-  refresh_ms   = 300
-  noise        = 0.05
-  list_late_ms = 1500
+  link_kb    = 40000
+  link_stray = 0.1
+  uplink_kb  = 320000
 }
 
 load {
-  per_s      = 7
-  mix        = { report = 0.4, room = 0.6 }
   shortest_s = 20
   longest_s  = 50
-  weak       = 0.3
   skew       = 0.3
   come_again = 0.9
   pause_ms   = 400
@@ -136,84 +51,98 @@
   len_s = 1
   on    = [4]
 }
+
 trouble "still 02" {
   kind  = "hang"
   at_s  = 24
   len_s = 1
   on    = [4]
 }
+
 trouble "still 03" {
   kind  = "hang"
   at_s  = 28
   len_s = 1
   on    = [4]
 }
+
 trouble "still 04" {
   kind  = "hang"
   at_s  = 32
   len_s = 1
   on    = [4]
 }
+
 trouble "still 05" {
   kind  = "hang"
   at_s  = 36
   len_s = 1
   on    = [4]
 }
+
 trouble "still 06" {
   kind  = "hang"
   at_s  = 40
   len_s = 1
   on    = [4]
 }
+
 trouble "still 07" {
   kind  = "hang"
   at_s  = 44
   len_s = 1
   on    = [4]
 }
+
 trouble "still 08" {
   kind  = "hang"
   at_s  = 48
   len_s = 1
   on    = [4]
 }
+
 trouble "still 09" {
   kind  = "hang"
   at_s  = 52
   len_s = 1
   on    = [4]
 }
+
 trouble "still 10" {
   kind  = "hang"
   at_s  = 56
   len_s = 1
   on    = [4]
 }
+
 trouble "still 11" {
   kind  = "hang"
   at_s  = 60
   len_s = 1
   on    = [4]
 }
+
 trouble "still 12" {
   kind  = "hang"
   at_s  = 64
   len_s = 1
   on    = [4]
 }
+
 trouble "still 13" {
   kind  = "hang"
   at_s  = 68
   len_s = 1
   on    = [4]
 }
+
 trouble "still 14" {
   kind  = "hang"
   at_s  = 72
   len_s = 1
   on    = [4]
 }
+
 trouble "still 15" {
   kind  = "hang"
   at_s  = 76
