A player's word costs the same among 1,000 sessions and 100,000; words of players tried

Need: each word looked at all sessions of the nodes that had a cause: 3.3 ms among 100,000 sessions at 100 nodes, and each player of a node that stands still says one each 200 ms.

Change: words and orphans are kept by node, and only these are looked at, or all sessions of a node that drains or is short.

--- a/crates/moving/src/mover.rs
+++ b/crates/moving/src/mover.rs
@@ -67,8 +67,6 @@
     node: u64,
     /// It is to end then, as far as is known.
     ends: Option<Micros>,
-    word: Option<Word>,
-    orphaned: bool,
     /// Not before then; and not on a guess before `guess`.
     due: Micros,
     guess: Micros,
@@ -79,6 +77,9 @@
 #[derive(Debug, Default)]
 struct Node {
     sessions: BTreeSet<u64>,
+    /// Of these, whose players say that nothing comes, and which nobody serves any more.
+    words: BTreeMap<u64, Word>,
+    orphans: BTreeSet<u64>,
     drains: bool,
     /// Told short since then, last by so much, and the last time that sessions went for it.
     short: Option<Micros>,
@@ -118,8 +119,8 @@
     /// A session plays there, and its player can be moved. `ends`: when it is to end, as far as is known.
     pub fn plays(&mut self, now: Micros, session: SessionId, node: ServerId, ends: Option<Micros>) {
         self.over(session);
-        let (word, orphaned, to, due, guess) = (None, false, None, now, now);
-        self.sessions.insert(session.0, Session { node: node.0, ends, word, orphaned, due, guess, to });
+        let (to, due, guess) = (None, now, now);
+        self.sessions.insert(session.0, Session { node: node.0, ends, due, guess, to });
         self.nodes.entry(node.0).or_default().sessions.insert(session.0);
         self.marked.insert(node.0);
         self.ring(now);
@@ -141,6 +142,8 @@
     fn leave(&mut self, node: u64, session: u64) {
         if let Some(at) = self.nodes.get_mut(&node) {
             at.sessions.remove(&session);
+            at.words.remove(&session);
+            at.orphans.remove(&session);
         }
         self.tidy(node);
     }
@@ -170,8 +173,9 @@
         if self.stalled.is_some_and(|t| now - t < OLD_NEWS) {
             return;
         }
-        if let Some(s) = self.sessions.get_mut(&session.0) {
-            s.word = Some(Word { at: now, dry: now + buffer.clamp(0, 60_000_000) });
+        if let Some(s) = self.sessions.get(&session.0) {
+            let word = Word { at: now, dry: now + buffer.clamp(0, 60_000_000) };
+            self.nodes.entry(s.node).or_default().words.insert(session.0, word);
             self.marked.insert(s.node);
         }
         self.ring(now);
@@ -180,7 +184,8 @@
     /// Nobody serves it any more.
     pub fn orphaned(&mut self, now: Micros, session: SessionId) {
         if let Some(s) = self.sessions.get_mut(&session.0) {
-            (s.orphaned, s.due) = (true, now);
+            s.due = now;
+            self.nodes.entry(s.node).or_default().orphans.insert(session.0);
             self.marked.insert(s.node);
         }
         self.ring(now);
@@ -209,7 +214,7 @@
     fn notice(&mut self, now: Micros) {
         if self.look.is_some_and(|due| now - due > STALL) {
             (self.stalled, self.look) = (Some(now), Some(now + LOOK));
-            self.sessions.values_mut().for_each(|s| s.word = None);
+            self.nodes.values_mut().for_each(|n| n.words.clear());
         }
     }
 
@@ -220,30 +225,24 @@
             return;
         }
         self.look = None;
-        let (sessions, nodes) = (&mut self.sessions, &self.nodes);
+        let nodes = &mut self.nodes;
         self.marked.retain(|id| {
-            let Some(node) = nodes.get(id) else { return false };
-            let mut cause = node.drains || node.short.is_some();
-            for key in &node.sessions {
-                let Some(s) = sessions.get_mut(key) else { continue };
-                s.word = s.word.filter(|w| now - w.at < WORD);
-                cause |= s.word.is_some() || s.orphaned;
-            }
-            cause
+            let Some(node) = nodes.get_mut(id) else { return false };
+            node.words.retain(|_, w| now - w.at < WORD);
+            node.drains || node.short.is_some() || !node.words.is_empty() || !node.orphans.is_empty()
         });
         self.ring(now);
     }
 
     /// Whether most players there say that nothing comes: at least two, where there are so many.
-    fn silent_at(&self, node: &Node) -> bool {
-        let silent = node.sessions.iter().filter(|s| self.sessions[s].word.is_some()).count();
-        silent >= 2.min(node.sessions.len()) && 2 * silent >= node.sessions.len()
+    fn silent_at(node: &Node) -> bool {
+        let (silent, all) = (node.words.len(), node.sessions.len());
+        all > 0 && silent >= 2.min(all) && 2 * silent >= all
     }
 
     /// Nodes whose players hear nothing, for who places new sessions.
     pub fn silent_nodes(&self) -> Vec<ServerId> {
-        let silent = |n: &Node| !n.sessions.is_empty() && self.silent_at(n);
-        let silent = self.marked.iter().filter(|id| self.nodes.get(id).is_some_and(silent));
+        let silent = self.marked.iter().filter(|id| self.nodes.get(id).is_some_and(Mover::silent_at));
         silent.map(|id| ServerId(*id)).collect()
     }
 
@@ -262,16 +261,22 @@
         let mut wishes: Vec<(Why, Micros, u64)> = Vec::new();
         let mut stepped = Vec::new();
         for (id, node) in self.marked.iter().filter_map(|id| Some((id, self.nodes.get(id)?))) {
-            let silent = self.silent_at(node);
+            let silent = Mover::silent_at(node);
             let short = node.short.filter(|t| now - t >= self.terms.lasts);
             let short = short.filter(|_| node.stepped.is_none_or(|t| now - t >= STEP));
-            for (key, s) in node.sessions.iter().map(|key| (*key, &self.sessions[key])) {
+            // Those with a cause of their own, or all.
+            let own: BTreeSet<u64> = match node.drains || short.is_some() {
+                true => BTreeSet::new(),
+                false => node.words.keys().chain(&node.orphans).copied().collect(),
+            };
+            let looked = if node.drains || short.is_some() { &node.sessions } else { &own };
+            for (key, s) in looked.iter().filter_map(|key| Some((*key, self.sessions.get(key)?))) {
                 if s.to.is_some() || now < s.due {
                     continue;
                 }
-                let dry = s.word.map(|w| w.dry);
+                let dry = node.words.get(&key).map(|w| w.dry);
                 let leaves = || draw(self.seed ^ key ^ now as u64) > node.delivered;
-                let wish = if s.orphaned {
+                let wish = if node.orphans.contains(&key) {
                     (Why::Orphaned, dry.unwrap_or(now))
                 } else if silent && now >= s.guess && dry.is_some_and(|dry| dry - now <= self.terms.takes) {
                     (Why::Silent, dry.unwrap_or(now))
@@ -353,7 +358,7 @@
         s.due = now + if moved { 0 } else { LOOK };
         if moved {
             s.guess = now + self.terms.again;
-            (s.node, s.word, s.orphaned) = (to, None, false);
+            s.node = to;
             self.nodes.entry(to).or_default().sessions.insert(session.0);
             self.marked.insert(to);
             self.leave(from, session.0);
--- a/tests/tenants.rs
+++ b/tests/tenants.rs
@@ -175,3 +175,21 @@
     assert!(sent(&desk.ask(4, 2)).is_some());
     assert!(sent(&desk.ask(5, PAID)).is_none() && sent(&desk.ask(6, 2)).is_none());
 }
+
+/// Room for a hand-over is the same as for a new session: who owes finds none where who does not owe does.
+#[test]
+fn a_hand_over_finds_room_within_its_tenants_share_only() {
+    let mut desk = shared([0.5, 0.5]);
+    let loud = fill(&mut desk, 0..1000, LOUD);
+    let quiet = fill(&mut desk, 1000..2000, QUIET);
+    assert!(loud.len() > 100 && quiet.len() > 1, "{} {}", loud.len(), quiet.len());
+    for (id, server) in &loud[..12] {
+        desk.finish(*id, 0, *server, Outcome::Good);
+    }
+    let moves = |desk: &mut Desk, id: u64| {
+        let out = desk.tell(Event::HandOver(SessionId(id)));
+        out.iter().any(|a| matches!(a, Action::HandOver { .. }))
+    };
+    assert!(!moves(&mut desk, loud.last().unwrap().0), "what came free is for who owes less");
+    assert!(moves(&mut desk, quiet[0].0));
+}
