Own faults are not a node's: only a refused connection proves that a node is gone

Need: a front out of descriptors or local ports, or with a route that is away for a second, took any failure to connect for a refusal, declared its nodes dead and lost all that played there; a set-up that failed so was charged to the node.

Change: failures to connect are told apart by the system's error: refused, own shortage, unknown. An event stream that can't be opened for another reason than a refusal says nothing; a call that was never sent for want of something of one's own is NotSent, which judges no server. The event streams of stand-in nodes do not take room for 10,000 events each any more.

Measured: tests: 40 requests while nothing can be sent are turned away at once, nothing is owed, and right after it all four nodes take paid set-ups; the table of errors.

--- a/crates/engine/src/attempts.rs
+++ b/crates/engine/src/attempts.rs
@@ -117,7 +117,7 @@
         let media = match done {
             Done::Answered { status: 201, media: Some(media), .. } => media,
             _ => {
-                if !matches!(outcome, Outcome::Full | Outcome::NoConnection) {
+                if !matches!(outcome, Outcome::Full | Outcome::NoConnection | Outcome::NotSent) {
                     self.owe_end(server, session, attempt, None);
                 }
                 // A 201 that does not say where the stream is may run, and is of no use.
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -392,6 +392,7 @@
 /// A call's end in the words of the rules.
 pub(crate) fn outcome(done: &Done) -> (Outcome, Load) {
     match done {
+        Done::NotSent(_) => (Outcome::NotSent, Load::default()),
         Done::NeverRan(_) => (Outcome::NoConnection, Load::default()),
         Done::MayHaveRun(_) => (Outcome::Reset, Load::default()),
         Done::Answered { status: 200..=299, load, .. } => (Outcome::Good, *load),
--- a/crates/engine/src/io.rs
+++ b/crates/engine/src/io.rs
@@ -77,6 +77,8 @@
 /// How a call to a node ended.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Done {
+    /// Nothing left this machine, for want of something of its own: it says nothing of the node.
+    NotSent(String),
     /// No byte of it was taken by a connection.
     NeverRan(String),
     /// Some byte was, and no whole answer came.
--- a/crates/engine/src/moves.rs
+++ b/crates/engine/src/moves.rs
@@ -168,7 +168,7 @@
             }
             Done::Answered { .. } | Done::NeverRan(_) => front::Input::Refused { node, epoch },
             // It may be ready: asked again by the next repeat, with the same answer.
-            Done::MayHaveRun(_) => return,
+            Done::MayHaveRun(_) | Done::NotSent(_) => return,
         };
         self.hand_on(session, Some(input));
     }
--- a/crates/engine/tests/world.rs
+++ b/crates/engine/tests/world.rs
@@ -429,3 +429,39 @@
         assert_eq!(world.engine.held(), Held::default());
     }
 }
+
+/// A front that is out of descriptors: nothing is charged to nodes, and whoever asks is turned away at once.
+#[test]
+fn what_never_left_this_machine_is_charged_to_no_node() {
+    let mut world = World::new(1);
+    world.pass(2 * S);
+    for ask in 0..40 {
+        let class = if ask % 2 == 0 { "open" } else { "paid" };
+        let (viewer, title) = (format!("v{ask}"), format!("t{}", ask % 6));
+        world.asks.insert(AskId(ask), AskSeen { due: world.now + 4 * S, ..Default::default() });
+        world.tell(Input::Asked {
+            ask: AskId(ask),
+            new: NewSession { viewer, class: class.into(), title, ..Default::default() },
+        });
+        while let Some((call, _)) = world.out.pop_first() {
+            world.tell(Input::Done { call, done: Done::NotSent("too many open files".into()) });
+        }
+        assert_eq!(world.asks[&AskId(ask)].answers, 1, "turned away at once");
+    }
+    assert_eq!(world.engine.held(), Held::default(), "no end is owed for what was never sent");
+    // It is over: every node takes sessions of both classes at once, as none of them has failed.
+    let before = world.set_ups;
+    for ask in 100..124 {
+        world.now += 100 * MS;
+        world.asks.insert(AskId(ask), AskSeen { due: world.now + 4 * S, ..Default::default() });
+        let (viewer, title) = (format!("w{ask}"), format!("t{}", ask % 6));
+        let class = "paid".to_string();
+        world.tell(Input::Asked {
+            ask: AskId(ask),
+            new: NewSession { viewer, class, title, ..Default::default() },
+        });
+    }
+    assert_eq!(world.set_ups - before, 24);
+    let at: BTreeSet<ServerId> = world.out.values().map(|(_, server, ..)| *server).collect();
+    assert_eq!(at.len(), NODES as usize, "{at:?}");
+}
--- a/crates/front/src/node.rs
+++ b/crates/front/src/node.rs
@@ -8,7 +8,7 @@
 use shalewall::{Load, ServerId, SessionId};
 use shalewall_engine::{CallKind, Carried, Done, Input, Told};
 use shalewall_http::Limits;
-use shalewall_http::client::{Call, Events, Failure, Response, in_time};
+use shalewall_http::client::{Call, Events, Failure, Response, Unconnected, in_time};
 use shalewall_http::head::Fields;
 use shalewall_http::pool::Pool;
 use shalewall_moving::Epoch;
@@ -16,7 +16,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tracing::{info, warn};
+use tracing::{debug, info, warn};
 
 /// Idle connections to a node are kept for less than nodes keep theirs, so that few calls meet a closing one.
 const IDLE: Duration = Duration::from_secs(10);
@@ -83,7 +83,8 @@
     let call = Call { content, ..Call::new(method, &target, &peer.host) };
     match peer.pool.call(&call).await {
         Ok(response) => answered(&response),
-        Err(Failure::NeverRan(why)) => Done::NeverRan(why),
+        Err(Failure::NotConnected(Unconnected::Own, why)) => Done::NotSent(why),
+        Err(Failure::NotConnected(_, why) | Failure::NeverRan(why)) => Done::NeverRan(why),
         Err(Failure::MayHaveRun(why)) => Done::MayHaveRun(why),
     }
 }
@@ -140,7 +141,12 @@
     let asked = shalewall_clock::now();
     let connection = match in_time(hub.silence, peer.pool.connect()).await? {
         Ok(connection) => connection,
-        Err(_) => return Some(false),
+        // Only this is proof. Out of descriptors, or with a route that is away, a front knows nothing of its nodes.
+        Err(Failure::NotConnected(Unconnected::Refused, _)) => return Some(false),
+        Err(e) => {
+            debug!(server = peer.server.0, error = %e, "no connection for an event stream");
+            return None;
+        }
     };
     let target = format!("/events?director={}", hub.director);
     let call = Call::new("GET", &target, &peer.host);
--- a/crates/front/tests/cli.rs
+++ b/crates/front/tests/cli.rs
@@ -22,6 +22,9 @@
     let mut count = 0;
     for day in std::fs::read_dir(days()).unwrap() {
         let path = day.unwrap().path();
+        if path.file_name().is_some_and(|name| name == "house.hcl") {
+            continue; // a part of days, not one
+        }
         let out = shalewall(&["day", "run", path.to_str().unwrap(), "--check"]);
         assert_eq!(
             out.status.code(),
@@ -32,7 +35,7 @@
         );
         count += 1;
     }
-    assert!(count >= 3);
+    assert!(count >= 9);
 }
 
 #[test]
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -5,6 +5,7 @@
 use crate::{Limits, sse};
 use async_io::Timer;
 use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, future};
+use rustix::io::Errno;
 use std::future::Future;
 use std::io;
 use std::time::Duration;
@@ -12,12 +13,37 @@
 /// Why a call has no whole answer.
 #[derive(Debug)]
 pub enum Failure {
+    /// There is no connection, so nothing of it left.
+    NotConnected(Unconnected, String),
     /// No byte of the request was taken by the stream: it never ran.
     NeverRan(String),
     /// At least one byte was: it may have run, whatever else is known.
     MayHaveRun(String),
 }
 
+/// What a connection that could not be made says of the other side.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unconnected {
+    /// Nobody listens there: the only proof that a process is gone.
+    Refused,
+    /// This machine is short of something of its own: descriptors, ports, memory. It says nothing of the other side.
+    Own,
+    /// Anything else, as a route that is away: no proof of anything.
+    Unknown,
+}
+
+impl Unconnected {
+    pub fn of(error: &std::io::Error) -> Unconnected {
+        let own =
+            [Errno::MFILE, Errno::NFILE, Errno::ADDRNOTAVAIL, Errno::NOBUFS, Errno::NOMEM, Errno::AGAIN];
+        match error.raw_os_error().map(Errno::from_raw_os_error) {
+            Some(Errno::CONNREFUSED) => Unconnected::Refused,
+            Some(errno) if own.contains(&errno) => Unconnected::Own,
+            _ => Unconnected::Unknown,
+        }
+    }
+}
+
 /// A whole answer.
 #[derive(Debug)]
 pub struct Response {
@@ -27,7 +53,7 @@
 
 impl std::fmt::Display for Failure {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        let (Failure::NeverRan(why) | Failure::MayHaveRun(why)) = self;
+        let (Failure::NotConnected(_, why) | Failure::NeverRan(why) | Failure::MayHaveRun(why)) = self;
         write!(f, "{why}")
     }
 }
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -1,7 +1,7 @@
 //! Kept connections to one peer.
 
 use crate::Limits;
-use crate::client::{Call, Connection, Failure, Response};
+use crate::client::{Call, Connection, Failure, Response, Unconnected};
 use async_io::Async;
 use std::cell::RefCell;
 use std::net::{SocketAddr, TcpStream};
@@ -34,7 +34,8 @@
     /// A new connection, for content without an end.
     pub async fn connect(&self) -> Result<Connection<Async<TcpStream>>, Failure> {
         let made = Async::<TcpStream>::connect(self.address).await;
-        let stream = made.map_err(|e| Failure::NeverRan(format!("no connection: {e}")))?;
+        let stream =
+            made.map_err(|e| Failure::NotConnected(Unconnected::of(&e), format!("no connection: {e}")))?;
         // Small requests and answers: waiting to fill a segment would only add delay.
         let _ = stream.get_ref().set_nodelay(true);
         Ok(Connection::new(stream, self.limits.clone()))
--- a/crates/http/tests/hostile.rs
+++ b/crates/http/tests/hostile.rs
@@ -158,3 +158,20 @@
     });
     assert!(matches!(ended, Ended::Left));
 }
+
+/// What a failure to connect says of the other side: only a refusal is proof that nobody is there.
+#[test]
+fn failures_to_connect_are_told_apart() {
+    use shalewall_http::client::Unconnected;
+    let of =
+        |errno: rustix::io::Errno| Unconnected::of(&std::io::Error::from_raw_os_error(errno.raw_os_error()));
+    use rustix::io::Errno;
+    assert_eq!(of(Errno::CONNREFUSED), Unconnected::Refused);
+    for own in [Errno::MFILE, Errno::NFILE, Errno::ADDRNOTAVAIL, Errno::NOBUFS, Errno::NOMEM, Errno::AGAIN] {
+        assert_eq!(of(own), Unconnected::Own, "{own}");
+    }
+    for other in [Errno::NETUNREACH, Errno::HOSTUNREACH, Errno::TIMEDOUT, Errno::CONNRESET, Errno::ACCESS] {
+        assert_eq!(of(other), Unconnected::Unknown, "{other}");
+    }
+    assert_eq!(Unconnected::of(&std::io::Error::other("x")), Unconnected::Unknown);
+}
--- a/crates/standins/src/nodes.rs
+++ b/crates/standins/src/nodes.rs
@@ -473,15 +473,17 @@
     fn say(&self, id: u64, director: u32, kind: &'static str, data: String) {
         let mut inner = self.inner.borrow_mut();
         let Some(socket) = inner.sockets.get_mut(&id) else { return };
-        let sent = socket.fronts.get(&director).map(|s| s.try_send((kind, data)));
-        if matches!(sent, Some(Err(_))) {
+        let sent =
+            socket.fronts.get(&director).map(|s| s.len() < MOST_EVENTS && s.try_send((kind, data)).is_ok());
+        if sent == Some(false) {
             socket.fronts.remove(&director);
         }
     }
 
     async fn events(self, id: u64, director: u32) -> Reply {
         self.awake(id).await;
-        let (sender, receiver) = async_channel::bounded(MOST_EVENTS);
+        // A bounded channel takes its whole room at once, for each stream.
+        let (sender, receiver) = async_channel::unbounded();
         let held = {
             let mut inner = self.inner.borrow_mut();
             if let Some(socket) = inner.sockets.get_mut(&id) {
--- a/crates/standins/src/viewers.rs
+++ b/crates/standins/src/viewers.rs
@@ -273,7 +273,7 @@
         let now = shalewall_clock::now();
         let answer = match answer {
             Some(Ok(answer)) => answer,
-            Some(Err(Failure::NeverRan(_))) => {
+            Some(Err(Failure::NotConnected(..) | Failure::NeverRan(_))) => {
                 self.recorder.note(Record::Left { t: now, ask });
                 return Try::Again(self.crowd.pause);
             }
