--- a/crates/front/src/day.rs
+++ b/crates/front/src/day.rs
@@ -3,11 +3,13 @@
 
 mod directors;
 mod import;
+mod rig;
 mod service;
 mod summary;
 mod troubles;
 
 use crate::day::directors::Directors;
+use crate::day::rig::Lacked;
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use shalewall_audit::{ClassRule, Further, Rules, Verdict, judge};
@@ -147,6 +149,7 @@
         let what = format!("{MOST_DIRECTORS} directors at most can be run as processes of one machine");
         return Err(io::Error::new(io::ErrorKind::InvalidInput, what));
     }
+    rig::allow(plan)?;
     std::fs::create_dir_all(out)?;
     for old in std::fs::read_dir(out)? {
         // What an earlier day left would be judged with this one's.
@@ -159,7 +162,7 @@
     std::fs::write(out.join("rules.json"), serde_json::to_string_pretty(&rules)?)?;
     let recorder = Recorder::file(&out.join("day.jsonl"))?;
     let ex = Rc::new(LocalExecutor::new());
-    let count = async_io::block_on(ex.run(async {
+    let (count, lacked) = async_io::block_on(ex.run(async {
         let world = Rc::new(world(&ex, plan, recorder.clone(), move_key(plan, out)?)?);
         let hosting = plan.hosted.as_ref().map(|hosted| service::host(&ex, plan, hosted, out)).transpose()?;
         let directors = Rc::new(Directors::new(plan, program, out, &world, hosting));
@@ -176,9 +179,11 @@
         let time = Duration::from_secs_f64(plan.day.seconds);
         let arrivals = ex.spawn(async move { viewers.arrive(time).await });
         let began = Instant::now();
-        let mut over = None;
+        let (mut over, mut lag) = (None, Duration::ZERO);
         loop {
-            Timer::after(Duration::from_secs(1)).await;
+            let due = Instant::now() + Duration::from_secs(1);
+            Timer::at(due).await;
+            lag = lag.max(due.elapsed());
             let count = world.viewers.count.borrow().tallies.all.clone();
             progress(&format!(
                 "{:>4.0} s  {} asked, {} play now, {} refused, {} failed, {} without an answer",
@@ -199,13 +204,15 @@
         directors.stop();
         let mut count = world.viewers.count.borrow().clone();
         count.lag = world.viewers.lag.get();
-        Ok::<_, io::Error>(count)
+        let lag = lag.max(Duration::from_micros(count.lag.max(0) as u64));
+        let connections = world.nodes.lacked() + world.viewers.lacked.get();
+        Ok::<_, io::Error>((count, Lacked { lag, connections }))
     }))?;
     recorder.flush()?;
     let records = shalewall_audit::read(out)?;
     let verdict = judge(&records, &rules);
     let moves = (plan.load.follow > 0.0).then(|| shalewall_audit::moves(&records, &rules));
-    let summary = Summary::new(&count, &verdict, moves);
+    let summary = Summary::new(&count, &verdict, moves, &lacked);
     std::fs::write(out.join("summary.json"), serde_json::to_string_pretty(&summary)?)?;
     std::fs::write(out.join("summary.txt"), summary.to_string())?;
     Ok(summary)
--- a/crates/front/src/day/summary.rs
+++ b/crates/front/src/day/summary.rs
@@ -1,5 +1,6 @@
 //! What a day came to.
 
+use crate::day::rig::Lacked;
 use hdrhistogram::Histogram;
 use serde::Serialize;
 use shalewall_audit::{Moves, Verdict};
@@ -66,9 +67,12 @@
     /// The same for each tenant's viewers, where they name any.
     pub tenants: BTreeMap<String, Got>,
     pub waits: BTreeMap<String, Waits>,
-    /// Hand-overs and gaps, where players follow; and the latest wake-up of one, milliseconds.
+    /// Hand-overs and gaps, where players follow.
     pub moves: Option<Moves>,
+    /// The latest that a timer of the stand-ins rang, milliseconds.
     pub lag_ms: f64,
+    /// What the machine lacked: figures of such a day are not of the program.
+    pub not_valid: Vec<String>,
     pub rules_hold: bool,
     /// How near each rule came to its limit, 1 is at it; and on how many things it was tested.
     pub nearest: BTreeMap<String, f64>,
@@ -79,7 +83,7 @@
 }
 
 impl Summary {
-    pub fn new(count: &Count, verdict: &Verdict, moves: Option<Moves>) -> Summary {
+    pub fn new(count: &Count, verdict: &Verdict, moves: Option<Moves>, lacked: &Lacked) -> Summary {
         let waits = |took: &Vec<u64>| {
             let mut histogram = Histogram::<u64>::new_with_bounds(1, 3_600_000_000, 3)
                 .expect("an hour in microseconds at three digits");
@@ -93,7 +97,8 @@
             tenants: count.tallies.tenants.iter().map(|(name, t)| (name.clone(), Got::new(t))).collect(),
             waits: count.took.iter().map(|(class, took)| (class.clone(), waits(took))).collect(),
             moves,
-            lag_ms: count.lag as f64 / 1000.0,
+            lag_ms: lacked.lag.as_secs_f64() * 1000.0,
+            not_valid: lacked.reasons(),
             rules_hold: verdict.holds(),
             nearest: named(&verdict.nearest),
             tested: verdict.tested.iter().map(|(k, v)| (k.to_string(), *v)).collect(),
@@ -139,7 +144,10 @@
         }
         if let Some(moves) = &self.moves {
             write!(f, "{moves}")?;
-            writeln!(f, "latest wake-up of a player {:.0} ms", self.lag_ms)?;
+        }
+        writeln!(f, "timers of the stand-ins rang up to {:.0} ms late", self.lag_ms)?;
+        for why in &self.not_valid {
+            writeln!(f, "NOT VALID: {why}")?;
         }
         write!(f, "{}", self.verdict)
     }
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -146,6 +146,9 @@
             let summary = day::run(&plan, &program, &out, |line| eprintln!("{line}")).map_err(bad)?;
             println!("{summary}");
             println!("recordings, logs and summary: {}", out.display());
+            if !summary.not_valid.is_empty() {
+                return Err(bad(format!("the day is not valid: {}", summary.not_valid.join("; "))));
+            }
             if !summary.rules_hold {
                 return Ok(ExitCode::from(BROKEN));
             }
--- a/crates/front/tests/cli.rs
+++ b/crates/front/tests/cli.rs
@@ -102,3 +102,20 @@
     let ports: std::collections::BTreeSet<u16> = told.iter().map(|l| address(l).port()).collect();
     assert_eq!(ports.len(), 16);
 }
+
+/// A rig without the descriptors that a day needs is told so before the day begins, not by wrong figures after it.
+#[test]
+fn a_day_that_the_machine_can_not_run_is_refused() {
+    let day = days().join("short-bad-day.hcl");
+    let dir = tempfile::tempdir().unwrap();
+    let run = format!(
+        "ulimit -n 150; exec {} day run {} --out {}",
+        env!("CARGO_BIN_EXE_shalewall"),
+        day.display(),
+        dir.path().display()
+    );
+    let out = std::process::Command::new("sh").args(["-c", &run]).output().unwrap();
+    let said = String::from_utf8_lossy(&out.stderr).into_owned();
+    assert_eq!(out.status.code(), Some(2), "{said}");
+    assert!(said.contains("descriptors") && said.contains("150"), "{said}");
+}
--- a/crates/standins/src/nodes.rs
+++ b/crates/standins/src/nodes.rs
@@ -69,6 +69,8 @@
     /// What each node's process knows of hand-overs, and those that it makes ready now.
     holds: BTreeMap<u64, Holds>,
     preparing: BTreeSet<(u64, Run)>,
+    /// Connections that could not be taken.
+    lacked: u64,
 }
 
 impl Inner {
@@ -150,7 +152,7 @@
 impl Nodes {
     pub fn new(ex: Rc<LocalExecutor<'static>>, fleet: Fleet, recorder: Recorder, telling: Telling) -> Nodes {
         let (sockets, watched, holds) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
-        let inner = Inner { fleet, sockets, watched, holds, preparing: BTreeSet::new() };
+        let inner = Inner { fleet, sockets, watched, holds, preparing: BTreeSet::new(), lacked: 0 };
         let nodes = Nodes {
             ex: ex.clone(),
             inner: Rc::new(RefCell::new(inner)),
@@ -254,6 +256,11 @@
         Some((node.up, node.warm))
     }
 
+    /// Connections that could not be taken for want of something of this machine's own.
+    pub fn lacked(&self) -> u64 {
+        self.inner.borrow().lacked
+    }
+
     /// Sessions that play now, over all nodes.
     pub fn playing(&self) -> usize {
         self.inner.borrow().fleet.nodes.values().map(|n| n.playing.len()).sum()
@@ -262,7 +269,13 @@
     // ---- connections ------------------------------------------------------------------------
 
     async fn accept(self, id: u64, listener: Async<TcpListener>, died: Rc<Event>) {
-        while let Ok((stream, _)) = listener.accept().await {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                // Out of descriptors: this process's own fault, and it passes.
+                self.inner.borrow_mut().lacked += 1;
+                Timer::after(Duration::from_millis(50)).await;
+                continue;
+            };
             let _ = stream.get_ref().set_nodelay(true);
             self.ex.spawn(self.clone().connection(id, stream, died.clone())).detach();
         }
--- a/crates/standins/src/viewers.rs
+++ b/crates/standins/src/viewers.rs
@@ -8,7 +8,7 @@
 use serde_json::Value;
 use shalewall_audit::Record;
 use shalewall_http::Limits;
-use shalewall_http::client::{Call, Failure, Incoming, in_time};
+use shalewall_http::client::{Call, Failure, Incoming, Unconnected, in_time};
 use shalewall_http::pool::Pool;
 use shalewall_physics::crowd::{Class, Crowd, Draw};
 use shalewall_physics::tally::{Tallies, Tally};
@@ -50,6 +50,8 @@
     /// Of players that follow, what they keep in their buffers, microseconds; and the latest wake-up of any.
     pub(crate) buffers: (i64, i64),
     pub lag: Rc<Cell<i64>>,
+    /// Connections that could not be made for want of something of this machine's own.
+    pub lacked: Rc<Cell<u64>>,
 }
 
 /// One that wants to watch.
@@ -92,6 +94,7 @@
         Viewers {
             buffers: (micros(crowd.buffers.0), micros(crowd.buffers.1)),
             lag: Rc::default(),
+            lacked: Rc::default(),
             ex,
             recorder,
             crowd: Rc::new(crowd),
@@ -257,9 +260,14 @@
         let tenant = viewer.tenant.as_deref().map(|name| ("Shalewall-Tenant", name));
         let call = Call::new("POST", "/sessions", &host).fields(tenant.as_slice()).json(body.as_bytes());
         let pool = Pool::new(front, Limits::default(), Duration::ZERO, 0);
-        let Ok(mut connection) = pool.connect().await else {
-            self.enter(viewer, |t| t.unanswered += 1);
-            return Try::Again(self.crowd.pause);
+        let mut connection = match pool.connect().await {
+            Ok(connection) => connection,
+            Err(e) => {
+                let own = matches!(e, Failure::NotConnected(Unconnected::Own, _));
+                self.lacked.set(self.lacked.get() + u64::from(own));
+                self.enter(viewer, |t| t.unanswered += 1);
+                return Try::Again(self.crowd.pause);
+            }
         };
         let t = shalewall_clock::now();
         let wait = viewer.class.give_up.as_micros() as i64;
