--- a/crates/moving/src/lib.rs
+++ b/crates/moving/src/lib.rs
@@ -6,9 +6,11 @@
 //! picture ([`front`]). Whether a move happened is decided at one place only, the target: what it has under an epoch
 //! is either fetched or cancelled, whichever comes first, and both answers can be asked for again.
 //!
+//! [`mover`] says when a session is to be moved, and how many at once.
+//!
 //! What this crate may know: ids, epochs, time as an argument. What it must not: sockets, clocks, which node to take
-//! or when: that is decided elsewhere. Program, stand-ins and the model checker (`tests/model.rs`) drive these same
-//! state machines.
+//! and at which rung: that is the decision module's. Program, stand-ins and the model checker (`tests/model.rs`)
+//! drive these same state machines.
 
 pub mod front;
 pub mod mover;
