Read again: a hand-over is a set-up with a ticket at nodes; no session kept where none is asked

Need: the stand-in nodes spelt out what a set-up tells twice, and built what plays from it twice; a front's part of a hand-over kept its session's number for a question that nobody asks.

Change: HandIn holds a SetUp and the ticket, and what plays is made of a set-up at one place; the number and its question are gone. Behaviour and tests stay as they are.

--- a/crates/engine/src/carried.rs
+++ b/crates/engine/src/carried.rs
@@ -94,7 +94,7 @@
         let now = self.now;
         let held: Vec<(ServerId, HeldThere)> = all.iter().map(|(server, c)| (*server, c.held)).collect();
         let greatest = held.iter().filter_map(|(_, h)| h.serving.max(h.prepared)).max().unwrap_or_default();
-        let Some(handover) = Handover::found(session, &held, Epoch(greatest.0 + FAR), now) else {
+        let Some(handover) = Handover::found(&held, Epoch(greatest.0 + FAR), now) else {
             return false;
         };
         let at = handover.at();
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -79,8 +79,9 @@
     pub(crate) tenant: Option<String>,
     pub(crate) class: String,
     pub(crate) stage: Stage,
-    /// Attempts sent; the last one's number is one less. The director counts from those of an earlier process on.
+    /// Attempts sent; the last one's number is one less.
     pub(crate) attempts: u32,
+    /// Of these, how many an earlier process sent: the director counts from there on.
     pub(crate) before: u32,
     /// Gone on with, and its player has not come back to this process yet.
     pub(crate) carried: bool,
--- a/crates/engine/src/moves.rs
+++ b/crates/engine/src/moves.rs
@@ -112,7 +112,7 @@
             return moves.mover.over(session);
         };
         let hand = s.hand.get_or_insert_with(|| {
-            let handover = Handover::new(session, server);
+            let handover = Handover::new(server);
             Box::new(Hand { handover, follows: true, target: None, rings: None })
         });
         (hand.follows, s.carried) = (true, false);
--- a/crates/moving/src/front.rs
+++ b/crates/moving/src/front.rs
@@ -3,7 +3,7 @@
 
 use crate::Epoch;
 use crate::node::{Cancelled, Held};
-use shalewall::{Micros, ServerId, SessionId};
+use shalewall::{Micros, ServerId};
 use std::collections::{BTreeMap, VecDeque};
 
 /// A step that has no answer is repeated after this.
@@ -116,7 +116,6 @@
 /// One session's moves.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Handover {
-    session: u64,
     /// Where the session plays as far as is known, and under which epoch.
     at: u64,
     epoch: Epoch,
@@ -134,9 +133,8 @@
 
 impl Handover {
     /// A session that plays where it was set up.
-    pub fn new(session: SessionId, at: ServerId) -> Handover {
+    pub fn new(at: ServerId) -> Handover {
         Handover {
-            session: session.0,
             at: at.0,
             epoch: Epoch(0),
             last: Epoch(0),
@@ -153,15 +151,10 @@
     /// and not fetched is cancelled, what is served under an earlier epoch stays until its player has said that it
     /// plays the later one. `last`: an epoch that no move of it has passed; where that is not known, one far above
     /// those found.
-    pub fn found(
-        session: SessionId,
-        held: &[(ServerId, Held)],
-        last: Epoch,
-        now: Micros,
-    ) -> Option<Handover> {
+    pub fn found(held: &[(ServerId, Held)], last: Epoch, now: Micros) -> Option<Handover> {
         let serving = held.iter().filter_map(|(node, h)| Some((h.serving?, node.0)));
         let (epoch, at) = serving.max()?;
-        let mut found = Handover::new(session, ServerId(at));
+        let mut found = Handover::new(ServerId(at));
         (found.epoch, found.last) = (epoch, last.max(epoch));
         // The player may be at any of those that serve: it is told of the latest, and says so.
         let older = held.iter().filter_map(|(n, h)| Some((h.serving?, n.0))).filter(|(_, n)| *n != at).max();
@@ -180,10 +173,6 @@
         Some(found)
     }
 
-    pub fn session(&self) -> SessionId {
-        SessionId(self.session)
-    }
-
     /// Where it plays as far as is known.
     pub fn at(&self) -> ServerId {
         ServerId(self.at)
--- a/crates/moving/tests/model.rs
+++ b/crates/moving/tests/model.rs
@@ -235,7 +235,7 @@
                     .filter_map(|i| Some((ServerId(i as u64), s.nodes[i].as_ref()?.held(SESSION))))
                     .collect();
                 s.unheard.iter_mut().for_each(|u| *u = false); // it sees who is there
-                if let Some(found) = Handover::found(SESSION, &held, Epoch(5), EARLY) {
+                if let Some(found) = Handover::found(&held, Epoch(5), EARLY) {
                     s.front = found;
                     self.put_out(s);
                 }
@@ -285,7 +285,7 @@
         // The one booking.
         nodes[0].iter_mut().for_each(|n| n.set_up(SESSION));
         vec![State {
-            front: Handover::new(SESSION, ServerId(0)),
+            front: Handover::new(ServerId(0)),
             nodes,
             crashed: vec![false; self.nodes],
             unheard: vec![false; self.nodes],
--- a/crates/standins/src/nodes.rs
+++ b/crates/standins/src/nodes.rs
@@ -103,6 +103,13 @@
     kb: f64,
 }
 
+impl SetUp {
+    fn playing(self) -> Playing {
+        let SetUp { director, viewer, tenant, class, title, rung, kb } = self;
+        Playing { director, viewer, tenant, class, title, rung, kb, true_kb: kb }
+    }
+}
+
 #[derive(Deserialize)]
 struct NewRung {
     rung: usize,
@@ -415,18 +422,9 @@
                 pending.counted = true;
                 Timer::after(Duration::from_micros(time.max(0) as u64)).await;
                 self.awake(id).await;
-                let playing = Playing {
-                    director: new.director,
-                    viewer: new.viewer,
-                    tenant: new.tenant,
-                    class: new.class,
-                    title: new.title,
-                    rung: new.rung,
-                    kb: new.kb,
-                    true_kb: new.kb,
-                };
                 pending.counted = false;
-                if !self.inner.borrow_mut().fleet.begin(id, run, playing) {
+                let rung = new.rung;
+                if !self.inner.borrow_mut().fleet.begin(id, run, new.playing()) {
                     pending.over(Ran::Ended);
                     return self.with_load(id, never_ran(410, "ended before it began"));
                 }
@@ -436,7 +434,7 @@
                 }
                 self.ex.spawn(self.clone().unfetched(id, run)).detach();
                 let media = self.media_of(id, run);
-                let text = serde_json::json!({ "media": media, "rung": new.rung }).to_string();
+                let text = serde_json::json!({ "media": media, "rung": rung }).to_string();
                 self.with_load(id, Reply::json(201, text))
             }
         }
--- a/crates/standins/src/nodes/moves.rs
+++ b/crates/standins/src/nodes/moves.rs
@@ -1,6 +1,6 @@
 //! The nodes' part in hand-overs: made ready, fetched, cancelled, released.
 
-use super::Nodes;
+use super::{Nodes, SetUp};
 use async_io::Timer;
 use serde::Deserialize;
 use shalewall::{ServerId, SessionId};
@@ -9,19 +9,14 @@
 use shalewall_moving::Epoch;
 use shalewall_moving::node::{Cancelled, Held};
 use shalewall_moving::ticket::Ticket;
-use shalewall_physics::fleet::{Arrival, Playing, Process, Run};
+use shalewall_physics::fleet::{Arrival, Process, Run};
 use std::time::Duration;
 
+/// What a set-up tells, and the ticket for it.
 #[derive(Deserialize)]
 struct HandIn {
-    director: u32,
-    #[serde(default)]
-    viewer: u64,
-    tenant: Option<String>,
-    class: String,
-    title: String,
-    rung: usize,
-    kb: f64,
+    #[serde(flatten)]
+    new: SetUp,
     ticket: Ticket,
 }
 
@@ -113,8 +108,8 @@
         ended
     }
 
-    async fn prepare(self, id: u64, run: Run, new: HandIn) -> Reply {
-        let (session, epoch) = (SessionId(run.0), new.ticket.epoch);
+    async fn prepare(self, id: u64, run: Run, HandIn { new, ticket }: HandIn) -> Reply {
+        let (session, epoch) = (SessionId(run.0), ticket.epoch);
         let now = shalewall_clock::now();
         self.recorder.note(Record::HandIn {
             t: now,
@@ -139,8 +134,8 @@
             let key = self.telling.key.as_ref();
             let millis = (shalewall_clock::now() / 1000) as u64;
             let holds = inner.holds.get_mut(&id);
-            let fits = new.ticket.session == run.0;
-            let done = holds.zip(key).map(|(h, key)| h.prepare(ServerId(id), key, millis, &new.ticket));
+            let fits = ticket.session == run.0;
+            let done = holds.zip(key).map(|(h, key)| h.prepare(ServerId(id), key, millis, &ticket));
             fits && done.is_some_and(|d| d.is_ok())
         };
         if !taken {
@@ -169,19 +164,9 @@
         Timer::after(Duration::from_micros(time.max(0) as u64)).await;
         self.awake(id).await;
         counted.armed = false;
-        let playing = Playing {
-            director: new.director,
-            viewer: new.viewer,
-            tenant: new.tenant,
-            class: new.class,
-            title: new.title,
-            rung: new.rung,
-            kb: new.kb,
-            true_kb: new.kb,
-        };
         // Cancelled meanwhile, or ended: then it is not to begin.
         let held = self.inner.borrow().holds.get(&id).map(|h| h.held(session)).unwrap_or_default();
-        if held.prepared != Some(epoch) || !self.inner.borrow_mut().fleet.begin(id, run, playing) {
+        if held.prepared != Some(epoch) || !self.inner.borrow_mut().fleet.begin(id, run, new.playing()) {
             return self.with_load(id, Reply::problem(410, "ended before it was ready"));
         }
         preparing.ready = true;
