--- a/benchlink/src/lib.rs
+++ b/benchlink/src/lib.rs
@@ -1,8 +1,7 @@
 //! The simulator's text wire, turned into director events and back. No decision is made here.
 
-mod settings;
-
 use shalewall::*;
+use shalewall_instance::{FAR, Names, micros, report, title};
 use std::collections::BTreeMap;
 use std::fmt::{self, Write};
 
@@ -23,7 +22,7 @@
 /// One instance: a director and the names that its settings use.
 struct Instance {
     director: Director,
-    names: settings::Names,
+    names: Names,
 }
 
 /// A line of a process-wide list, with the names as they came.
@@ -147,31 +146,13 @@
             let Some((name, value)) = pair.split_once(':') else {
                 return Err(self.fault("Stats", &format!("'{pair}' is not a name and a value")));
             };
-            let slot = match name {
-                "rif" => &mut load.streams,
-                "x0" | "busy" => &mut load.link,
-                "x1" => &mut load.uplink,
-                _ => continue,
-            };
             let bad = |_| self.fault("Stats", &format!("'{value}' is not a number"));
-            let value: f64 = value.parse().map_err(bad)?;
-            // `busy` stops at 1; where `x0` comes too, that one stands.
-            if name != "busy" || slot.is_none() {
-                *slot = Some(value);
-            }
+            report(&mut load, name, value).map_err(bad)?;
         }
         Ok(load)
     }
 }
 
-/// Far beyond any clock, in microseconds, and still safe to add up.
-const FAR: Micros = 100_000_000_000_000_000;
-
-/// Wire milliseconds to microseconds.
-pub(crate) fn micros(ms: f64) -> Micros {
-    ((ms * 1000.0).round() as Micros).clamp(-FAR, FAR)
-}
-
 fn ms(t: Micros) -> f64 {
     t as f64 / 1000.0
 }
@@ -242,10 +223,12 @@
                 let seed = seed.parse::<u64>().or_else(|_| seed.parse::<i64>().map(|s| s as u64));
                 let seed = seed.map_err(|_| self.fault("Seed", "is not a whole number"))?;
                 let text = parts.rest.collect::<Vec<_>>().join(" ");
-                let (set, names) =
-                    settings::read(&text).map_err(|(field, what)| self.fault(&field, &what))?;
-                let director = Director::new(seed, set, now);
-                self.instances.insert(name.into(), Instance { director, names });
+                let v = serde_json::from_str(&text)
+                    .map_err(|e| self.fault("Setup", &format!("is not JSON: {e}")))?;
+                let given =
+                    shalewall_instance::read(&v).map_err(|(field, what)| self.fault(&field, &what))?;
+                let director = Director::new(seed, given.settings, now);
+                self.instances.insert(name.into(), Instance { director, names: given.names });
             }
             "RETIRE" => {
                 self.instances.remove(parts.text("Director")?);
@@ -274,7 +257,7 @@
         let name = p.text("Director")?;
         let names = match self.instances.get(name) {
             Some(i) => &i.names,
-            None => &settings::Names::default(),
+            None => &Names::default(),
         };
         let event = match word {
             "ANNOUNCE" => {
@@ -386,7 +369,7 @@
     Ok(Node { server, zone, kind, cell, state, weight, came_up })
 }
 
-fn listed(node: &Node, names: &settings::Names) -> Listed {
+fn listed(node: &Node, names: &Names) -> Listed {
     Listed {
         server: node.server,
         zone: names.zones.iter().position(|z| *z == node.zone),
@@ -399,14 +382,13 @@
     }
 }
 
-fn read_request(p: &mut Parts, names: &settings::Names) -> Read<Request> {
+fn read_request(p: &mut Parts, names: &Names) -> Read<Request> {
     let session = SessionId(p.int("OpId")?);
     let class = p.text("Priority")?;
-    let class = names.classes.iter().position(|c| c == class).unwrap_or(usize::MAX);
+    let class = names.class(class).unwrap_or(usize::MAX);
     let tenant = p.opt("Party")?.and_then(|t| names.tenants.iter().position(|n| n == t));
     let viewer = p.hex("Subject")?;
-    // The same item under two classes is two titles.
-    let title = TitleId(p.hex("Item")?.wrapping_add((class as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15)));
+    let title = title(p.hex("Item")?, class);
     let deadline = p.opt_time("ClientDeadline")?.unwrap_or(FAR);
     let hint = p.opt_time("WorkHint")?;
     let home = p.opt_int("Home")?.unwrap_or(0);
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -4,10 +4,10 @@
 use crate::io::*;
 use crate::moves::{Hand, Moves};
 use crate::nodes::Nodes;
-use crate::timers::Timers;
 use shalewall::{Action, Director, Event, Load, Micros, Outcome, Request, ServerId, SessionId, Settings};
 use shalewall_moving::Epoch;
 use shalewall_moving::mover::{self, Mover};
+use shalewall_timers::Timers;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
 /// Cells that hold a title: `spread` in a row from `home` on.
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -18,7 +18,6 @@
 mod moves;
 mod nodes;
 mod playing;
-mod timers;
 mod viewers;
 
 pub use engine::{Admission, Admit, Config, Decide, Engine, Held, Place};
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -29,6 +29,12 @@
         #[arg(long, hide = true)]
         with_parent: bool,
     },
+    /// Serve as a director on the platform, by its configuration file. Nothing else of the program is started: no
+    /// HTTP front, no administration API, no store, no other listener.
+    Direct {
+        #[arg(long, value_name = "FILE", env = "ROUTER_CONFIG")]
+        config: PathBuf,
+    },
     /// Run the stand-ins of a day alone: media nodes and the list of servers.
     Nodes {
         #[arg(long, value_name = "FILE")]
@@ -121,6 +127,10 @@
             let serving = serve::start(&ex, &plan).map_err(bad)?;
             async_io::block_on(ex.run(serving.until_told())).map_err(bad)?;
         }
+        Command::Direct { config } => {
+            logs();
+            shalewall_platform::run(&config).map_err(bad)?;
+        }
         Command::Nodes { config, check } => {
             let plan: DayPlan = settings(&config)?;
             if check {
--- a/crates/http/src/head.rs
+++ b/crates/http/src/head.rs
@@ -90,7 +90,7 @@
 
 impl Finder {
     /// Length of the head, its empty line included, once it is whole.
-    fn find(&mut self, buf: &[u8], limits: &Limits) -> Result<Option<usize>, Bad> {
+    pub fn find(&mut self, buf: &[u8], limits: &Limits) -> Result<Option<usize>, Bad> {
         let from = self.at.saturating_sub(3);
         let end = buf[from..].windows(4).position(|w| w == b"\r\n\r\n").map(|i| from + i + 4);
         self.at = buf.len();
@@ -197,7 +197,9 @@
     Ok((text(method), text(target)))
 }
 
-fn fields(block: &[u8], limits: &Limits) -> Result<Fields, Bad> {
+/// The header fields of a head, from behind its start line to its empty line. RTSP's have the same form
+/// (RFC 7826, section 5.2).
+pub fn fields(block: &[u8], limits: &Limits) -> Result<Fields, Bad> {
     let mut found = Fields { block: block.to_vec(), spans: Vec::new() };
     let mut at = 0;
     while at < block.len() {
--- a/benchlink/src/settings.rs
+++ b/crates/instance/src/settings.rs
@@ -1,20 +1,9 @@
-//! The settings of an instance, from the JSON of its first message.
+//! The settings object, turned into the module's settings.
 
-use crate::micros;
+use crate::{Bounds, Names, Wrong, micros};
 use serde_json::Value;
 use shalewall::*;
 
-/// Names that events use, by index. They stop here.
-#[derive(Default)]
-pub struct Names {
-    pub zones: Vec<String>,
-    pub kinds: Vec<String>,
-    pub classes: Vec<String>,
-    pub tenants: Vec<String>,
-}
-
-type Wrong = (String, String);
-
 fn wrong(path: &str, what: &str) -> Wrong {
     (format!("Setup.{path}"), what.to_string())
 }
@@ -60,31 +49,37 @@
     v.pointer(path).and_then(Value::as_bool).unwrap_or(false)
 }
 
-pub fn read(text: &str) -> Result<(Settings, Names), Wrong> {
-    let v: Value =
-        serde_json::from_str(text).map_err(|e| ("Setup".to_string(), format!("is not JSON: {e}")))?;
+/// What a settings object tells.
+pub struct Given {
+    pub settings: Settings,
+    pub names: Names,
+    pub bounds: Bounds,
+}
+
+/// Reads the object. An error names the path and what is wrong with it; keys that are not known are passed over.
+pub fn read(v: &Value) -> Result<Given, Wrong> {
     if !v.is_object() {
         return Err(("Setup".into(), "is not an object".into()));
     }
     let mut names = Names {
-        zones: texts(&v, "FailureDomains")?,
-        kinds: texts(&v, "Shapes")?,
+        zones: texts(v, "FailureDomains")?,
+        kinds: texts(v, "Shapes")?,
         classes: Vec::new(),
         tenants: Vec::new(),
     };
-    let scales = numbers(&v, "Specifics.ClassScale")?;
-    let floors = numbers(&v, "Specifics.LowestRung")?;
-    let tops = numbers(&v, "Specifics.HighestRung")?;
-    let seats = numbers(&v, "Specifics.LicenceCap")?;
-    let live = list(&v, "Specifics.Live")?;
-    let kbs = numbers(&v, "Specifics.RungKb")?;
-    let worths = numbers(&v, "Specifics.RungWorth")?;
+    let scales = numbers(v, "Specifics.ClassScale")?;
+    let floors = numbers(v, "Specifics.LowestRung")?;
+    let tops = numbers(v, "Specifics.HighestRung")?;
+    let seats = numbers(v, "Specifics.LicenceCap")?;
+    let live = list(v, "Specifics.Live")?;
+    let kbs = numbers(v, "Specifics.RungKb")?;
+    let worths = numbers(v, "Specifics.RungWorth")?;
     let at = |list: &[f64], i: usize, other: f64| list.get(i).copied().unwrap_or(other);
     if v.get("Categories").is_none() {
         return Err(wrong("Categories", "is missing"));
     }
     let mut classes = Vec::new();
-    for (i, c) in list(&v, "Categories")?.iter().enumerate() {
+    for (i, c) in list(v, "Categories")?.iter().enumerate() {
         let name = c
             .get("Name")
             .and_then(Value::as_str)
@@ -103,61 +98,67 @@
         });
     }
     let mut tenants = Vec::new();
-    for t in list(&v, "Tenants")? {
+    for t in list(v, "Tenants")? {
         names.tenants.push(t.get("Name").and_then(Value::as_str).unwrap_or_default().to_string());
         let allowance_per_s = num(t, "AllowancePerS")?.unwrap_or(0.0);
         tenants.push(TenantTerms { allowance_per_s, part: 0.0 });
     }
     let ladder = kbs.iter().enumerate().map(|(i, kb)| Rung { kb: *kb, worth: at(&worths, i, 0.0) }).collect();
-    let ration = match (num(&v, "Contract.ExtraPerRequest")?, num(&v, "Contract.MinExtra")?) {
+    let ration = match (num(v, "Contract.ExtraPerRequest")?, num(v, "Contract.MinExtra")?) {
         (None, None) => None,
         (share, free) => Some(FurtherAttempts {
             free: free.unwrap_or(0.0),
             per_request: share.unwrap_or(0.0),
-            span: span(&v, "Contract.ResendSpan")?,
+            span: span(v, "Contract.ResendSpan")?,
         }),
     };
-    let advice = flag(&v, "/Limits/RetryAfter");
+    let advice = flag(v, "/Limits/RetryAfter");
     let weights = v.get("WeightSource").and_then(Value::as_str);
     let zone = v.get("Zone").and_then(Value::as_str);
     let settings = Settings {
-        number: need(&v, "MyNumber")? as u32,
-        directors: need(&v, "Balancers")? as u32,
+        number: need(v, "MyNumber")? as u32,
+        directors: need(v, "Balancers")? as u32,
         zone: zone.and_then(|z| names.zones.iter().position(|n| n == z)),
         classes,
         tenants,
         ladder,
-        cells: num(&v, "Specifics.Places")?.unwrap_or(0.0) as u64,
-        racks: num(&v, "Specifics.Cabinets")?.unwrap_or(0.0) as u64,
-        places_by_kind: numbers(&v, "Specifics.PlacesByKind")?,
+        cells: num(v, "Specifics.Places")?.unwrap_or(0.0) as u64,
+        racks: num(v, "Specifics.Cabinets")?.unwrap_or(0.0) as u64,
+        places_by_kind: numbers(v, "Specifics.PlacesByKind")?,
         weights_tell_size: matches!(weights, Some("nominal" | "rough")),
-        link_kb_per_weight: num(&v, "Specifics.KbPerWeight")?.unwrap_or(0.0),
-        fleet_kb: num(&v, "Specifics.FleetKb")?.unwrap_or(0.0),
-        uplink_kb: num(&v, "Specifics.RackLinkKb")?.unwrap_or(0.0),
-        join_adds: num(&v, "Specifics.JoinAdds")?.unwrap_or(1.0),
-        told_late: span(&v, "Specifics.ToldLate")?,
-        told_every: span(&v, "Specifics.ToldEvery")?,
-        stall_cost: num(&v, "Specifics.StallCost")?.unwrap_or(0.0),
-        switch_s: num(&v, "Specifics.SwitchS")?.unwrap_or(0.0),
-        cross_price: num(&v, "Deductions.CrossZone")?.unwrap_or(0.0),
-        over_share_worth: num(&v, "OverShareWorth")?.unwrap_or(1.0),
+        link_kb_per_weight: num(v, "Specifics.KbPerWeight")?.unwrap_or(0.0),
+        fleet_kb: num(v, "Specifics.FleetKb")?.unwrap_or(0.0),
+        uplink_kb: num(v, "Specifics.RackLinkKb")?.unwrap_or(0.0),
+        join_adds: num(v, "Specifics.JoinAdds")?.unwrap_or(1.0),
+        told_late: span(v, "Specifics.ToldLate")?,
+        told_every: span(v, "Specifics.ToldEvery")?,
+        stall_cost: num(v, "Specifics.StallCost")?.unwrap_or(0.0),
+        switch_s: num(v, "Specifics.SwitchS")?.unwrap_or(0.0),
+        cross_price: num(v, "Deductions.CrossZone")?.unwrap_or(0.0),
+        over_share_worth: num(v, "OverShareWorth")?.unwrap_or(1.0),
         contract: Contract {
-            warm_after: span(&v, "Contract.WarmAfter")?,
-            start_capacity: num(&v, "Contract.StartCapacity")?.unwrap_or(1.0),
-            overload_factor: num(&v, "Contract.OverloadFactor")?.unwrap_or(0.0),
-            fall: span(&v, "Contract.Fall")?,
-            must_ask_in: span(&v, "Contract.MustAskIn")?,
+            warm_after: span(v, "Contract.WarmAfter")?,
+            start_capacity: num(v, "Contract.StartCapacity")?.unwrap_or(1.0),
+            overload_factor: num(v, "Contract.OverloadFactor")?.unwrap_or(0.0),
+            fall: span(v, "Contract.Fall")?,
+            must_ask_in: span(v, "Contract.MustAskIn")?,
             further: ration,
         },
         limits: Limits {
-            max_attempts: num(&v, "Limits.MaxAttempts")?.unwrap_or(1.0) as u32,
-            may_cancel: flag(&v, "/Limits/MayCancel"),
-            may_probe: flag(&v, "/Limits/Probes"),
-            probe_price: num(&v, "Deductions.Probe")?.unwrap_or(0.0),
-            max_come_back: if advice { span(&v, "Limits.MaxRetryAfter")? } else { 0 },
-            step: span(&v, "Step")?,
+            max_attempts: num(v, "Limits.MaxAttempts")?.unwrap_or(1.0) as u32,
+            may_cancel: flag(v, "/Limits/MayCancel"),
+            may_probe: flag(v, "/Limits/Probes"),
+            probe_price: num(v, "Deductions.Probe")?.unwrap_or(0.0),
+            max_come_back: if advice { span(v, "Limits.MaxRetryAfter")? } else { 0 },
+            step: span(v, "Step")?,
         },
         ask_for_list: v.get("MembershipMode").and_then(Value::as_str) == Some("on_request"),
     };
-    Ok((settings, names))
+    let bounds = Bounds {
+        drain_grace: span(v, "Contract.StopSendingWithin")?,
+        connect: span(v, "Limits.ConnectTimeout")?,
+        idle: span(v, "Limits.ConnIdle")?,
+        held: num(v, "Limits.MaxOpen")?.map_or(usize::MAX, |n| n as usize),
+    };
+    Ok(Given { settings, names, bounds })
 }
--- /dev/null
+++ b/crates/platform-proto/src/ask.rs
@@ -0,0 +1,79 @@
+//! A viewer's set-up, read and checked: what the module is to weigh has to be sound, whoever sent it.
+
+use crate::lines::Message;
+use crate::{Hex16, MESSAGE};
+use shalewall::{Micros, Request, ServerId, SessionId, Settings};
+use shalewall_instance::{Names, micros, title};
+
+/// Longest wait and longest hint that are taken for meant, in milliseconds.
+const LONGEST_WAIT: f64 = 3_600_000.0;
+const LONGEST_HINT: f64 = 1e9;
+/// A set-up's head at a node is shorter than this.
+const HEAD: usize = 512;
+
+pub(crate) struct Asked {
+    pub title: Hex16,
+    pub description: String,
+    /// With the session's number still to be given.
+    pub request: Request,
+    /// It plays at that node already.
+    pub at: Option<ServerId>,
+}
+
+/// What is wrong is said in a word; nothing of it has been kept then.
+pub(crate) fn read(
+    message: Message,
+    tag: Hex16,
+    names: &Names,
+    set: &Settings,
+    now: Micros,
+) -> Result<Asked, &'static str> {
+    let class = message.text("class").and_then(|name| names.class(&name)).ok_or("class")?;
+    let item = message.text("key").as_deref().and_then(Hex16::read).ok_or("key")?;
+    let left = message.number("left").map_err(|_| "left")?.filter(|ms| (0.0..=LONGEST_WAIT).contains(ms));
+    let hint = message.number("hint").map_err(|_| "hint")?;
+    if hint.is_some_and(|ms| !(0.0..=LONGEST_HINT).contains(&ms)) {
+        return Err("hint");
+    }
+    let tenant = message.text("tenant").and_then(|name| names.tenants.iter().position(|t| *t == name));
+    let mut request = Request {
+        session: SessionId(0),
+        class,
+        tenant,
+        viewer: tag.value(),
+        title: title(item.value(), class),
+        deadline: now + micros(left.unwrap_or(0.0)),
+        hint: hint.map(micros),
+        home: u64::MAX,
+        spread: 0,
+        top: usize::MAX,
+        again: false,
+        fleet: 0,
+    };
+    let mut at = None;
+    let extras = message.text("extras").ok_or("extras")?;
+    for pair in extras.split(';').filter(|p| !p.is_empty()) {
+        let (name, value) = pair.split_once(':').ok_or("extras")?;
+        let number = || value.parse::<u64>().map_err(|_| "extras");
+        match name {
+            "home" => request.home = number()?,
+            "copies" => request.spread = number()?,
+            "top" => request.top = number()? as usize,
+            "again" => request.again = number()? != 0,
+            "viewer" => request.viewer = Hex16::read(value).ok_or("extras")?.value(),
+            "at" => at = Some(crate::journal::server(value).ok_or("extras")?),
+            _ => {}
+        }
+    }
+    let sound = request.home < set.cells
+        && (1..=set.cells).contains(&request.spread)
+        && request.top < set.ladder.len().max(1);
+    if !sound {
+        return Err("extras");
+    }
+    let description = message.blob.filter(|b| b.len() + HEAD <= MESSAGE).ok_or("description")?;
+    if left.is_none() && at.is_none() {
+        return Err("left");
+    }
+    Ok(Asked { title: item, description, request, at })
+}
--- /dev/null
+++ b/crates/platform-proto/src/door.rs
@@ -0,0 +1,552 @@
+//! The door as a whole: what comes in, what goes out, and the round that looks after connections.
+
+use crate::config::Config;
+use crate::journal::News;
+use crate::lines::{Message, Verb, cause};
+use crate::links::{Item, LinkId, Links, ProbeId};
+use crate::nodes::{Nodes, RETRY, SILENCE, UNREACHABLE};
+use crate::rtsp::{self, Start};
+use crate::table::{Probe, Session};
+use crate::viewers::{ViewerId, Viewers};
+use crate::{Hex16, Unreadable};
+use shalewall::{
+    Action, Director, Event, ListNews, Micros, Outcome, ServerId, SessionId, Settings, Standing,
+};
+use shalewall_instance::{Bounds, Given, Names};
+use shalewall_timers::Timers;
+use std::collections::{BTreeMap, VecDeque};
+use std::net::{IpAddr, SocketAddr};
+
+/// Connections are looked after so often.
+const ROUND: Micros = 250_000;
+/// A connection to a node that is not up within this is none, where the settings name no time.
+const CONNECT: Micros = 250_000;
+/// An idle connection to a node is closed after this part of the time after which the node would: a set-up is not to
+/// meet a closing one.
+const IDLE_PART: f64 = 0.6;
+/// Descriptors that are neither viewers' nor nodes': listener, journal, log, signals and what the runtime needs.
+const OWN: usize = 32;
+
+/// A connection: to a viewer or to a node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Conn(pub(crate) ConnId);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum ConnId {
+    Viewer(ViewerId),
+    Node(LinkId),
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Output {
+    /// Connect to a node, and say [`Door::node_up`] or [`Door::node_failed`].
+    Open {
+        conn: Conn,
+        address: SocketAddr,
+        within: Micros,
+    },
+    /// There is something to [`Door::transmit`].
+    Write(Conn),
+    /// Close without another byte; nothing more is heard of it.
+    Close(Conn),
+    Log(String),
+}
+
+/// What a connection is to do next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Transmit {
+    /// Write this whole, then ask again: asking says that it was written.
+    Bytes(Vec<u8>),
+    Wait,
+    Close,
+}
+
+/// Why a connection to a node did not come up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NotUp {
+    /// Nobody listens there: proof that no process runs.
+    Refused,
+    /// Not in time, or no route.
+    Silent,
+    /// This machine is short of something of its own.
+    Own,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Due {
+    Module(u64),
+    Attempt(SessionId, u32),
+    Probe(ProbeId),
+    Round,
+}
+
+/// One director.
+pub struct Door {
+    pub(crate) now: Micros,
+    pub(crate) director: Director,
+    pub(crate) settings: Settings,
+    pub(crate) names: Names,
+    pub(crate) bounds: Bounds,
+    pub(crate) nodes: Nodes,
+    pub(crate) links: Links,
+    pub(crate) viewers: Viewers,
+    pub(crate) sessions: BTreeMap<SessionId, Session>,
+    pub(crate) tags: BTreeMap<Hex16, SessionId>,
+    /// Tags of requests that are over, the last ones.
+    pub(crate) past: VecDeque<Hex16>,
+    pub(crate) probes: BTreeMap<ProbeId, Probe>,
+    pub(crate) next: u64,
+    pub(crate) timers: Timers<Due>,
+    pub(crate) events: VecDeque<Event>,
+    pub(crate) actions: Vec<Action>,
+    pub(crate) outputs: VecDeque<Output>,
+    pub(crate) leaving: bool,
+}
+
+impl Door {
+    /// A director that knows what its configuration tells. `now` is the time of its start.
+    pub fn new(config: &Config, now: Micros) -> Result<Door, String> {
+        let given =
+            shalewall_instance::read(&config.settings).map_err(|(path, what)| format!("{path}: {what}"))?;
+        let Given { settings, names, bounds } = given;
+        let sockets = config.limits.sockets.saturating_sub(OWN).max(8);
+        let most = sockets / 3;
+        let mut door = Door {
+            now,
+            director: Director::new(config.seed(), settings.clone(), now),
+            settings,
+            names,
+            bounds,
+            nodes: Nodes::default(),
+            links: Links::new(most),
+            viewers: Viewers::new(sockets - most),
+            sessions: BTreeMap::new(),
+            tags: BTreeMap::new(),
+            past: VecDeque::new(),
+            probes: BTreeMap::new(),
+            next: 0,
+            timers: Timers::default(),
+            events: VecDeque::new(),
+            actions: Vec::new(),
+            outputs: VecDeque::new(),
+            leaving: false,
+        };
+        door.timers.set(now + ROUND, Due::Round);
+        door.known(config, now);
+        Ok(door)
+    }
+
+    /// The events of a configuration, at the start or when it is read anew; those taken before are passed over.
+    pub fn known(&mut self, config: &Config, now: Micros) {
+        for news in config.known.news(&self.names) {
+            self.news(now, &news, if news.whole { ListNews::Cached } else { ListNews::Delta });
+        }
+        self.nodes.position = self.nodes.position.max(config.known.pos);
+    }
+
+    /// Number of the last event of the journal that was taken.
+    pub fn position(&self) -> u64 {
+        self.nodes.position
+    }
+
+    /// An event of the journal service.
+    pub fn journal(&mut self, now: Micros, news: &News) {
+        self.news(now, news, if news.whole { ListNews::Full } else { ListNews::Delta });
+    }
+
+    fn news(&mut self, now: Micros, news: &News, kind: ListNews) {
+        self.now = now;
+        let Some(changed) = self.nodes.take(news, now) else { return };
+        let (zones, kinds) = (self.names.zones.len(), self.names.kinds.len());
+        let lines = news.entries.iter().map(|e| shalewall::Listed {
+            zone: e.listed.zone.filter(|z| *z < zones),
+            kind: e.listed.kind.filter(|k| *k < kinds),
+            ..e.listed
+        });
+        self.events.push_back(Event::List { news: kind, lines: lines.collect() });
+        self.run();
+        for server in changed.replaced {
+            self.gone(server);
+        }
+        for server in changed.leaving {
+            let idle: Vec<_> = self.links.of(server).filter(|(_, l)| !l.busy()).map(|(id, _)| id).collect();
+            // What stands there is heard over one of them.
+            let stands = self.nodes.all.get(&server).is_some_and(|n| !n.standing.is_empty());
+            idle.into_iter().skip(usize::from(stands)).for_each(|id| self.drop_link(id, Outcome::Reset));
+        }
+        self.run();
+    }
+
+    /// The process that was known there is no more: its connections are of no use, what stood there is over.
+    pub(crate) fn gone(&mut self, server: ServerId) {
+        let links: Vec<_> = self.links.of(server).map(|(id, _)| id).collect();
+        links.into_iter().for_each(|id| self.drop_link(id, Outcome::Reset));
+        self.over(server);
+    }
+
+    /// What stood at a node is over.
+    pub(crate) fn over(&mut self, server: ServerId) {
+        let Some(node) = self.nodes.all.get_mut(&server) else { return };
+        node.unreachable = None;
+        for id in std::mem::take(&mut node.standing) {
+            self.ended(id, Outcome::Reset, shalewall::Load::default(), Some(cause::FAILED));
+        }
+    }
+
+    // ---- viewers ----------------------------------------------------------------------------
+
+    /// A viewer has connected. None: there is no room, and it is to be closed.
+    pub fn viewer_open(&mut self, now: Micros, ip: IpAddr) -> Option<Conn> {
+        self.now = now;
+        let (id, spare) = self.viewers.open(ip, now)?;
+        if let Some(spare) = spare {
+            self.drop_viewer(spare);
+        }
+        Some(Conn(ConnId::Viewer(id)))
+    }
+
+    fn viewer_bytes(&mut self, id: ViewerId, bytes: &[u8]) {
+        let Some(viewer) = self.viewers.all.get_mut(&id).filter(|v| !v.closing) else { return };
+        viewer.last = self.now;
+        viewer.lines.push(bytes);
+        loop {
+            let Some(viewer) = self.viewers.all.get_mut(&id).filter(|v| !v.closing) else { return };
+            match viewer.lines.message() {
+                Ok(Some(message)) => {
+                    viewer.part = None;
+                    if let Err(why) = self.said(id, message) {
+                        return self.odd(id, why);
+                    }
+                    self.run();
+                }
+                Ok(None) => {
+                    let since = viewer.part.unwrap_or(self.now);
+                    viewer.part = viewer.lines.partial().then_some(since);
+                    return;
+                }
+                Err(why) => return self.odd(id, why),
+            }
+        }
+    }
+
+    /// A viewer said what can't be read: what it has open is given up, and it is closed.
+    fn odd(&mut self, id: ViewerId, why: Unreadable) {
+        self.outputs.push_back(Output::Log(format!("viewer closed: {why}")));
+        self.forget_viewer(id);
+        let Some(viewer) = self.viewers.all.get_mut(&id) else { return };
+        viewer.closing = true;
+        viewer.lines = Default::default();
+        let error = Message::finish(Hex16::of(0), cause::INVALID);
+        self.say(id, &error);
+        self.outputs.push_back(Output::Write(Conn(ConnId::Viewer(id))));
+    }
+
+    fn said(&mut self, id: ViewerId, message: Message) -> Result<(), Unreadable> {
+        let tag = Hex16::read(&message.tag).ok_or(Unreadable("a tag is not an id"))?;
+        match message.verb {
+            Verb::Start => self.asked(id, tag, message),
+            Verb::Finish => self.released(id, tag),
+            Verb::Echo => {
+                let ready =
+                    !self.leaving && self.nodes.all.values().any(|n| n.listed.state == Standing::Ready);
+                let answer = Message { rc: Some(i64::from(ready)), ..Message::new(Verb::Echoed, tag) };
+                self.say(id, &answer);
+            }
+            Verb::Pending | Verb::Finished | Verb::Notice => {}
+            _ => return Err(Unreadable("a viewer does not say that")),
+        }
+        if let Some(viewer) = self.viewers.all.get_mut(&id) {
+            viewer.said = true;
+        }
+        Ok(())
+    }
+
+    /// Says something to a viewer; one that reads nothing is closed.
+    pub(crate) fn say(&mut self, id: ViewerId, message: &Message) -> bool {
+        if !self.viewers.all.contains_key(&id) {
+            return false;
+        }
+        if self.viewers.say(id, message.write()) {
+            self.outputs.push_back(Output::Write(Conn(ConnId::Viewer(id))));
+            return true;
+        }
+        self.drop_viewer(id);
+        false
+    }
+
+    fn drop_viewer(&mut self, id: ViewerId) {
+        self.forget_viewer(id);
+        if self.viewers.all.remove(&id).is_some() {
+            self.outputs.push_back(Output::Close(Conn(ConnId::Viewer(id))));
+        }
+    }
+
+    // ---- nodes ------------------------------------------------------------------------------
+
+    /// A connection to a node is up.
+    pub fn node_up(&mut self, now: Micros, conn: Conn) {
+        self.now = now;
+        let ConnId::Node(id) = conn.0 else { return };
+        let Some(link) = self.links.get(id) else { return };
+        link.up = true;
+        link.used = now;
+        let server = link.server;
+        if let Some(node) = self.nodes.all.get_mut(&server) {
+            // The machine is there; one that stands still accepts connections, too.
+            (node.unreachable, node.heard) = (None, now);
+        }
+        self.outputs.push_back(Output::Write(conn));
+    }
+
+    /// A connection to a node did not come up.
+    pub fn node_failed(&mut self, now: Micros, conn: Conn, why: NotUp) {
+        self.now = now;
+        let ConnId::Node(id) = conn.0 else { return };
+        let Some(link) = self.links.get(id) else { return };
+        let (server, opened) = (link.server, link.opened);
+        self.drop_link(id, if why == NotUp::Own { Outcome::NotSent } else { Outcome::NoConnection });
+        let alive = self.links.of(server).any(|(_, l)| l.up);
+        if let Some(node) = self.nodes.all.get_mut(&server) {
+            node.retry = now + RETRY;
+            if why == NotUp::Silent {
+                node.unreachable.get_or_insert(opened);
+            }
+        }
+        if why == NotUp::Refused && !alive {
+            self.over(server);
+        }
+        self.run();
+    }
+
+    fn node_bytes(&mut self, id: LinkId, bytes: &[u8]) {
+        let Some(link) = self.links.get(id) else { return };
+        link.reader.push(bytes);
+        loop {
+            let Some(link) = self.links.get(id) else { return };
+            match link.reader.message() {
+                Ok(Some(message)) => {
+                    (link.doubt, link.used) = (false, self.now);
+                    let server = link.server;
+                    if let Some(node) = self.nodes.all.get_mut(&server) {
+                        (node.heard, node.unreachable) = (self.now, None);
+                    }
+                    self.heard(id, server, message);
+                    self.run();
+                }
+                Ok(None) => return,
+                Err(why) => {
+                    self.outputs.push_back(Output::Log(format!("node s-{:08x}: {why}", link.server.0)));
+                    self.drop_link(id, Outcome::Reset);
+                    return self.run();
+                }
+            }
+        }
+    }
+
+    fn heard(&mut self, id: LinkId, server: ServerId, message: rtsp::Message) {
+        let Some(tag) = message.session else { return };
+        match (&message.start, message.cseq) {
+            (Start::Status(100..200), _) => {}
+            (Start::Status(status), Some(rtsp::SETUP)) => self.answered(id, tag, *status, message),
+            (Start::Status(status), Some(rtsp::OPTIONS)) => {
+                let outcome = if *status == 200 { Outcome::Good } else { Outcome::Error };
+                self.probed(ProbeId(tag.value()), Some(id), outcome, message.load());
+            }
+            (Start::Request(method), _) if method == "TEARDOWN" => {
+                self.queue(id, Item::Bytes(rtsp::heard(tag)));
+                self.torn_down(server, tag, &message);
+            }
+            (Start::Request(method), _) if method == "ANNOUNCE" => self.noted(server, tag, &message),
+            _ => {}
+        }
+    }
+
+    /// Queues something on a connection to a node.
+    pub(crate) fn queue(&mut self, id: LinkId, item: Item) -> bool {
+        let taken = self.links.get(id).is_some_and(|l| l.queue(item));
+        if taken {
+            self.outputs.push_back(Output::Write(Conn(ConnId::Node(id))));
+        }
+        taken
+    }
+
+    /// Opens a connection to a node.
+    pub(crate) fn open_link(&mut self, server: ServerId) -> Option<LinkId> {
+        let address = self.nodes.all.get(&server)?.address;
+        let id = self.links.open(server, self.now);
+        let within = if self.bounds.connect > 0 { self.bounds.connect } else { CONNECT };
+        self.outputs.push_back(Output::Open { conn: Conn(ConnId::Node(id)), address, within });
+        Some(id)
+    }
+
+    /// A connection to a node ends; what was open on it ends with this outcome, or never left.
+    pub(crate) fn drop_link(&mut self, id: LinkId, outcome: Outcome) {
+        let Some(link) = self.links.remove(id) else { return };
+        self.outputs.push_back(Output::Close(Conn(ConnId::Node(id))));
+        for session in link.open {
+            self.cut(session, outcome);
+        }
+        for probe in link.probes {
+            self.probed(probe, None, outcome, shalewall::Load::default());
+        }
+        let stands = self.nodes.all.get(&link.server).is_some_and(|n| !n.standing.is_empty());
+        if stands && self.links.of(link.server).next().is_none() {
+            // What stands there is told over the next connection, and a refused one tells that it is over.
+            let retry = self.nodes.all.get(&link.server).map_or(0, |n| n.retry);
+            if retry <= self.now {
+                self.open_link(link.server);
+            }
+        }
+    }
+
+    // ---- both -------------------------------------------------------------------------------
+
+    /// Bytes have come.
+    pub fn bytes(&mut self, now: Micros, conn: Conn, bytes: &[u8]) {
+        self.now = now;
+        match conn.0 {
+            ConnId::Viewer(id) => self.viewer_bytes(id, bytes),
+            ConnId::Node(id) => self.node_bytes(id, bytes),
+        }
+    }
+
+    /// The other side has closed, or the connection broke.
+    pub fn closed(&mut self, now: Micros, conn: Conn) {
+        self.now = now;
+        match conn.0 {
+            ConnId::Viewer(id) => self.drop_viewer(id),
+            ConnId::Node(id) => self.drop_link(id, Outcome::Reset),
+        }
+        self.run();
+    }
+
+    /// The next bytes of a connection; those given before have been written whole.
+    pub fn transmit(&mut self, now: Micros, conn: Conn) -> Transmit {
+        self.now = now;
+        let id = match conn.0 {
+            ConnId::Node(id) => id,
+            ConnId::Viewer(id) => {
+                if let Some(bytes) = self.viewers.pop(id) {
+                    return Transmit::Bytes(bytes);
+                }
+                if self.viewers.all.get(&id).is_none_or(|v| v.closing) {
+                    self.drop_viewer(id);
+                    return Transmit::Close;
+                }
+                return Transmit::Wait;
+            }
+        };
+        loop {
+            let Some(link) = self.links.get(id) else { return Transmit::Close };
+            if let Some((session, attempt)) = link.writing.take() {
+                self.whole(session, attempt);
+                continue;
+            }
+            link.used = now;
+            match link.pop() {
+                None => return Transmit::Wait,
+                Some(Item::Bytes(bytes)) => return Transmit::Bytes(bytes),
+                Some(Item::SetUp(session, attempt)) => match self.worded(session, attempt) {
+                    Some(bytes) => {
+                        if let Some(link) = self.links.get(id) {
+                            link.writing = Some((session, attempt));
+                        }
+                        return Transmit::Bytes(bytes);
+                    }
+                    None => self.run(),
+                },
+            }
+        }
+    }
+
+    /// What is to be done next.
+    pub fn poll_output(&mut self) -> Option<Output> {
+        self.outputs.pop_front()
+    }
+
+    /// When to call [`Door::timeout`].
+    pub fn poll_timeout(&self) -> Option<Micros> {
+        self.timers.next()
+    }
+
+    /// Rings what is due.
+    pub fn timeout(&mut self, now: Micros) {
+        self.now = now;
+        while let Some(due) = self.timers.pop(now) {
+            match due {
+                Due::Module(token) => self.events.push_back(Event::Timer(token)),
+                Due::Attempt(session, attempt) => self.out_of_time(session, attempt),
+                Due::Probe(id) => self.probed(id, None, Outcome::Late, shalewall::Load::default()),
+                Due::Round => {
+                    self.timers.set(now + ROUND, Due::Round);
+                    self.round();
+                }
+            }
+            self.run();
+        }
+    }
+
+    /// Told to end: nothing new is taken from now on.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+    }
+
+    /// Requests without an answer, and sessions that stand.
+    pub fn held(&self) -> (usize, usize) {
+        let waiting = self.sessions.values().filter(|s| s.owed).count();
+        (waiting, self.sessions.len() - waiting)
+    }
+
+    /// How many connections there are to viewers and to nodes, and how many nodes are known.
+    pub fn sizes(&self) -> (usize, usize, usize) {
+        (self.viewers.all.len(), self.links.len(), self.nodes.all.len())
+    }
+
+    fn round(&mut self) {
+        let now = self.now;
+        for id in self.viewers.stale(now) {
+            self.drop_viewer(id);
+        }
+        let idle = self.bounds.idle as f64 * IDLE_PART;
+        let idle = if idle > 0.0 { idle as Micros } else { 10 * 1_000_000 };
+        let mut last: BTreeMap<ServerId, usize> = BTreeMap::new();
+        self.links.iter().for_each(|(_, l)| *last.entry(l.server).or_default() += 1);
+        let mut stale = Vec::new();
+        for (id, link) in self.links.iter().filter(|(_, l)| l.up && !l.busy()) {
+            let node = self.nodes.all.get(&link.server);
+            let needed = node.is_some_and(|n| !n.standing.is_empty());
+            let left = last.entry(link.server).or_default();
+            let old = now - link.used >= idle || link.doubt;
+            if old && (!needed || *left > 1) {
+                *left -= 1;
+                stale.push(id);
+            }
+        }
+        stale.into_iter().for_each(|id| self.drop_link(id, Outcome::Reset));
+        let mut over = Vec::new();
+        let mut open = Vec::new();
+        for (server, node) in self.nodes.all.iter().filter(|(_, n)| !n.standing.is_empty()) {
+            if node.unreachable.is_some_and(|t| now - t >= UNREACHABLE) {
+                over.push(*server);
+                continue;
+            }
+            let none = self.links.of(*server).next().is_none();
+            let under_way = self.links.of(*server).any(|(_, l)| !l.up);
+            if now >= node.retry
+                && !under_way
+                && (none || now - node.heard >= SILENCE || node.unreachable.is_some())
+            {
+                open.push(*server);
+            }
+        }
+        over.into_iter().for_each(|server| self.gone(server));
+        for server in open {
+            self.open_link(server);
+        }
+        let links = &self.links;
+        self.nodes.all.retain(|id, n| {
+            n.listed.state != Standing::Gone || !n.standing.is_empty() || links.of(*id).next().is_some()
+        });
+    }
+}
--- /dev/null
+++ b/crates/platform-proto/src/journal.rs
@@ -0,0 +1,199 @@
+//! The journal service: numbered events that change the list of media nodes, as frames and as JSON.
+
+use crate::{Unreadable, trim};
+use serde::Deserialize;
+use shalewall::{Listed, ServerId, Standing};
+use shalewall_instance::Names;
+use std::net::{Ipv4Addr, SocketAddr};
+
+/// A frame is so long at most: some 38,000 nodes.
+const FRAME: usize = 1 << 20;
+const RECORD: usize = 27;
+/// Number and kind.
+const HEAD: usize = 9;
+/// The service says something each second; after so long without a byte it is asked again elsewhere.
+pub const SILENCE: i64 = 2_200_000;
+
+/// A node as the service lists it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Entry {
+    pub listed: Listed,
+    pub address: SocketAddr,
+}
+
+/// One event.
+#[derive(Clone, Debug, PartialEq)]
+pub struct News {
+    pub number: u64,
+    /// The whole list, or what has changed.
+    pub whole: bool,
+    pub entries: Vec<Entry>,
+}
+
+/// One frame: an event, or word that there is nothing new.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Frame {
+    Nothing(u64),
+    News(News),
+}
+
+/// Reads frames from bytes as they come.
+#[derive(Debug, Default)]
+pub struct Frames {
+    buf: Vec<u8>,
+}
+
+fn uint(bytes: &[u8]) -> u64 {
+    bytes.iter().fold(0, |n, b| n << 8 | u64::from(*b))
+}
+
+impl Frames {
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.buf.extend_from_slice(bytes);
+    }
+
+    /// The next whole frame. A length that can't be is told at once, before its bytes are kept.
+    pub fn frame(&mut self) -> Result<Option<Frame>, Unreadable> {
+        if self.buf.len() < 4 {
+            return Ok(None);
+        }
+        let length = uint(&self.buf[..4]) as usize;
+        if !(HEAD..=FRAME).contains(&length) {
+            return Err(Unreadable("a frame's length can't be"));
+        }
+        if self.buf.len() < 4 + length {
+            return Ok(None);
+        }
+        let frame = read_frame(&self.buf[4..4 + length]);
+        self.buf.drain(..4 + length);
+        trim(&mut self.buf);
+        frame.map(Some)
+    }
+}
+
+fn read_frame(bytes: &[u8]) -> Result<Frame, Unreadable> {
+    let (number, kind, payload) = (uint(&bytes[..8]), bytes[8], &bytes[HEAD..]);
+    let whole = match kind {
+        0 => return Ok(Frame::Nothing(number)),
+        1 => true,
+        2 => false,
+        _ => return Err(Unreadable("a frame's kind is not known")),
+    };
+    if payload.len() % RECORD != 0 {
+        return Err(Unreadable("a frame holds part of a record"));
+    }
+    let entries = payload.chunks(RECORD).map(record).collect::<Result<_, _>>()?;
+    Ok(Frame::News(News { number, whole, entries }))
+}
+
+fn record(r: &[u8]) -> Result<Entry, Unreadable> {
+    let state = match r[10] {
+        0 => Standing::Ready,
+        1 => Standing::Draining,
+        2 => Standing::Gone,
+        _ => return Err(Unreadable("a node's state is not known")),
+    };
+    let address = Ipv4Addr::new(r[4], r[5], r[6], r[7]);
+    let listed = Listed {
+        server: ServerId(uint(&r[..4])),
+        zone: Some(usize::from(r[11])),
+        kind: Some(usize::from(r[12])),
+        cell: uint(&r[13..15]),
+        state,
+        weight: uint(&r[15..19]) as f64 / 1000.0,
+        came_up: came_up(uint(&r[19..27])),
+        fleet: 0,
+    };
+    Ok(Entry { listed, address: SocketAddr::from((address, uint(&r[8..10]) as u16)) })
+}
+
+/// Unix milliseconds of a start; 0: long past.
+fn came_up(ms: u64) -> Option<i64> {
+    i64::try_from(ms).ok().filter(|ms| (1..1 << 50).contains(ms)).map(|ms| ms * 1000)
+}
+
+/// The events of a configuration.
+#[derive(Debug, Default, Deserialize)]
+pub struct Known {
+    pub pos: u64,
+    #[serde(default)]
+    entries: Vec<KnownNews>,
+}
+
+#[derive(Debug, Deserialize)]
+struct KnownNews {
+    pos: u64,
+    hosts: Hosts,
+}
+
+#[derive(Debug, Deserialize)]
+struct Hosts {
+    #[serde(default)]
+    complete: bool,
+    #[serde(default)]
+    members: Vec<Member>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Member {
+    id: String,
+    host_port: SocketAddr,
+    #[serde(default)]
+    locality: String,
+    #[serde(default)]
+    flavor: String,
+    #[serde(default)]
+    cell: u64,
+    phase: Phase,
+    #[serde(default = "one")]
+    size: f64,
+    #[serde(default)]
+    up_since_ms: f64,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum Phase {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// A node's id in text.
+pub fn server(text: &str) -> Option<ServerId> {
+    let digits = text.strip_prefix("s-").filter(|d| d.len() == 8)?;
+    u32::from_str_radix(digits, 16).ok().map(|id| ServerId(u64::from(id)))
+}
+
+impl Known {
+    /// The events, in order; one that names a node that can't be is left out as a whole.
+    pub fn news(&self, names: &Names) -> Vec<News> {
+        let entry = |m: &Member| {
+            let state = match m.phase {
+                Phase::Ready => Standing::Ready,
+                Phase::Draining => Standing::Draining,
+                Phase::Gone => Standing::Gone,
+            };
+            let listed = Listed {
+                server: server(&m.id)?,
+                zone: names.zones.iter().position(|z| *z == m.locality),
+                kind: names.kinds.iter().position(|k| *k == m.flavor),
+                cell: m.cell,
+                state,
+                weight: m.size,
+                came_up: came_up(m.up_since_ms as u64),
+                fleet: 0,
+            };
+            Some(Entry { listed, address: m.host_port })
+        };
+        let news = |k: &KnownNews| {
+            let entries = k.hosts.members.iter().map(entry).collect::<Option<_>>()?;
+            Some(News { number: k.pos, whole: k.hosts.complete, entries })
+        };
+        self.entries.iter().filter_map(news).collect()
+    }
+}
--- /dev/null
+++ b/crates/platform-proto/src/links.rs
@@ -0,0 +1,152 @@
+//! Connections to media nodes. One set-up at a time is open on a connection where that can be had: a node closes on
+//! what it can't read whatever else the connection holds, and a spoilt answer spoils the whole stream.
+
+use crate::rtsp::Reader;
+use shalewall::{Micros, ServerId, SessionId};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct LinkId(pub u64);
+
+/// A probe's id.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct ProbeId(pub u64);
+
+/// What waits to be written.
+pub(crate) enum Item {
+    /// The session's attempt of this number, worded when its turn has come.
+    SetUp(SessionId, u32),
+    Bytes(Vec<u8>),
+}
+
+pub(crate) struct Link {
+    pub server: ServerId,
+    pub up: bool,
+    pub reader: Reader,
+    queue: VecDeque<Item>,
+    /// The set-up that is being written: not whole yet.
+    pub writing: Option<(SessionId, u32)>,
+    /// Set-ups and probes without an answer.
+    pub open: BTreeSet<SessionId>,
+    pub probes: BTreeSet<ProbeId>,
+    /// A set-up was given up on it and nothing has been heard since: it may be as silent for the next one.
+    pub doubt: bool,
+    pub opened: Micros,
+    /// Last time that anything was sent or heard.
+    pub used: Micros,
+}
+
+/// One connection holds back so many messages at most; they are small and are written at once unless a node
+/// stands still.
+const QUEUE: usize = 256;
+/// Connections to one node: more set-ups at once share them.
+const OF_ONE: usize = 16;
+
+impl Link {
+    pub fn busy(&self) -> bool {
+        !self.open.is_empty() || !self.probes.is_empty() || !self.queue.is_empty() || self.writing.is_some()
+    }
+
+    /// False where nothing more is taken.
+    pub fn queue(&mut self, item: Item) -> bool {
+        let room = self.queue.len() < QUEUE;
+        if room {
+            self.queue.push_back(item);
+        }
+        room
+    }
+
+    pub fn pop(&mut self) -> Option<Item> {
+        self.queue.pop_front()
+    }
+
+    /// A set-up that has not begun to be written is taken back.
+    pub fn unqueue(&mut self, id: SessionId) {
+        self.queue.retain(|item| !matches!(item, Item::SetUp(s, _) if *s == id));
+    }
+}
+
+#[derive(Default)]
+pub(crate) struct Links {
+    all: BTreeMap<LinkId, Link>,
+    of: BTreeMap<ServerId, BTreeSet<LinkId>>,
+    next: u64,
+    /// So many at most.
+    most: usize,
+}
+
+impl Links {
+    pub fn new(most: usize) -> Links {
+        Links { most, ..Links::default() }
+    }
+
+    pub fn get(&mut self, id: LinkId) -> Option<&mut Link> {
+        self.all.get_mut(&id)
+    }
+
+    pub fn len(&self) -> usize {
+        self.all.len()
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = (LinkId, &Link)> {
+        self.all.iter().map(|(id, link)| (*id, link))
+    }
+
+    pub fn of(&self, server: ServerId) -> impl Iterator<Item = (LinkId, &Link)> {
+        self.of.get(&server).into_iter().flatten().filter_map(|id| Some((*id, self.all.get(id)?)))
+    }
+
+    /// A connection that is up and has nothing open: the one last used, so that the others grow old.
+    pub fn idle(&self, server: ServerId) -> Option<LinkId> {
+        let free = self.of(server).filter(|(_, l)| l.up && !l.doubt && !l.busy());
+        free.max_by_key(|(id, l)| (l.used, *id)).map(|(id, _)| id)
+    }
+
+    /// Any connection that is up, for what wants no answer: one that answers before one in doubt.
+    pub fn any(&self, server: ServerId) -> Option<LinkId> {
+        let up = self.of(server).filter(|(_, l)| l.up);
+        up.max_by_key(|(id, l)| (!l.doubt, l.used, *id)).map(|(id, _)| id)
+    }
+
+    /// The connection to share where no further one may be opened.
+    pub fn shared(&self, server: ServerId) -> Option<LinkId> {
+        let rank = |(id, l): &(LinkId, &Link)| (l.doubt, l.open.len(), *id);
+        self.of(server).min_by_key(rank).map(|(id, _)| id)
+    }
+
+    /// Whether the node may have another connection, and the fleet.
+    pub fn room(&self, server: ServerId) -> bool {
+        self.of.get(&server).is_none_or(|of| of.len() < OF_ONE) && self.all.len() < self.most
+    }
+
+    pub fn open(&mut self, server: ServerId, now: Micros) -> LinkId {
+        let id = LinkId(self.next);
+        self.next += 1;
+        let link = Link {
+            server,
+            up: false,
+            reader: Reader::default(),
+            queue: VecDeque::new(),
+            writing: None,
+            open: BTreeSet::new(),
+            probes: BTreeSet::new(),
+            doubt: false,
+            opened: now,
+            used: now,
+        };
+        self.all.insert(id, link);
+        self.of.entry(server).or_default().insert(id);
+        id
+    }
+
+    pub fn remove(&mut self, id: LinkId) -> Option<Link> {
+        let link = self.all.remove(&id)?;
+        if let Some(of) = self.of.get_mut(&link.server) {
+            of.remove(&id);
+            if of.is_empty() {
+                self.of.remove(&link.server);
+            }
+        }
+        Some(link)
+    }
+}
--- /dev/null
+++ b/crates/platform-proto/src/nodes.rs
@@ -0,0 +1,87 @@
+//! The media nodes as the journal tells of them, which sessions stand there, and whether they can be reached.
+
+use crate::journal::{Entry, News};
+use shalewall::{Listed, Micros, ServerId, SessionId, Standing};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+/// A node of which nothing was heard for so long is tried with a new connection: a machine that is gone gives no
+/// sign, one that stands still lets connections come up.
+pub(crate) const SILENCE: Micros = 3_000_000;
+/// A node to which no connection has come up for so long is gone, and what stood there is over. With the silence
+/// before it and one try it stays under the 8 s that the protocol gives for releases.
+pub(crate) const UNREACHABLE: Micros = 2_500_000;
+/// Pause between tries.
+pub(crate) const RETRY: Micros = 300_000;
+
+pub(crate) struct Node {
+    pub listed: Listed,
+    pub address: SocketAddr,
+    pub standing: BTreeSet<SessionId>,
+    pub heard: Micros,
+    /// Since when no connection has come up.
+    pub unreachable: Option<Micros>,
+    /// No new connection only for what stands there before this.
+    pub retry: Micros,
+}
+
+#[derive(Default)]
+pub(crate) struct Nodes {
+    pub all: BTreeMap<ServerId, Node>,
+    /// Number of the last event taken.
+    pub position: u64,
+}
+
+/// What an event comes to beside the lines for the module.
+#[derive(Default)]
+pub(crate) struct Changed {
+    /// Another process than the one that was known: what stood there is over, and its connections are of no use.
+    pub replaced: Vec<ServerId>,
+    /// Nothing new may go there; connections without use can close.
+    pub leaving: Vec<ServerId>,
+}
+
+impl Nodes {
+    /// Takes an event, in its order: none where it was taken before. Its zones and kinds are places in the
+    /// settings' lists.
+    pub fn take(&mut self, news: &News, now: Micros) -> Option<Changed> {
+        if news.number <= self.position {
+            return None;
+        }
+        self.position = news.number;
+        let mut changed = Changed::default();
+        let named: BTreeSet<ServerId> = news.entries.iter().map(|e| e.listed.server).collect();
+        if news.whole {
+            for (id, node) in self.all.iter_mut().filter(|(id, _)| !named.contains(id)) {
+                node.listed.state = Standing::Gone;
+                changed.leaving.push(*id);
+            }
+        }
+        for Entry { listed, address } in &news.entries {
+            let id = listed.server;
+            if listed.state != Standing::Gone {
+                // Whoever had this address before has gone, whatever the list says of it.
+                let other = |(o, n): &(&ServerId, &Node)| **o != id && n.address == *address;
+                let others: Vec<_> = self.all.iter().filter(other).map(|(o, _)| *o).collect();
+                changed.replaced.extend(others);
+            }
+            let node = self.all.entry(id).or_insert_with(|| Node {
+                listed: *listed,
+                address: *address,
+                standing: BTreeSet::new(),
+                heard: now,
+                unreachable: None,
+                retry: now,
+            });
+            let started = listed.came_up > node.listed.came_up;
+            if node.address != *address || (started && listed.state != Standing::Gone) {
+                changed.replaced.push(id);
+            }
+            if listed.state != Standing::Ready {
+                changed.leaving.push(id);
+            }
+            (node.listed, node.address) = (*listed, *address);
+        }
+        Some(changed)
+    }
+}
--- /dev/null
+++ b/crates/platform-proto/src/rtsp.rs
@@ -0,0 +1,224 @@
+//! Messages to and from media nodes: RTSP 1.0 as the platform uses it. Heads are read by the same parser as HTTP's.
+
+use crate::{Hex16, MESSAGE, Unreadable, trim};
+use shalewall::{Load, Note};
+use shalewall_http::Limits;
+use shalewall_http::head::{Fields, Finder, fields};
+
+/// `CSeq` of a set-up and its answers, of a release, of a test.
+pub const SETUP: u64 = 1;
+pub const TEARDOWN: u64 = 2;
+pub const OPTIONS: u64 = 3;
+
+/// A first line is so long at most.
+const START_LINE: usize = 512;
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Start {
+    Request(String),
+    Status(u16),
+}
+
+/// One message of a node.
+#[derive(Clone, Debug)]
+pub struct Message {
+    pub start: Start,
+    pub cseq: Option<u64>,
+    pub session: Option<Hex16>,
+    pub fields: Fields,
+    pub body: String,
+}
+
+impl Message {
+    /// The cause in `Reason: cause=N`.
+    pub fn cause(&self) -> Option<i64> {
+        self.fields
+            .get("reason")?
+            .split([';', ','])
+            .find_map(|p| p.trim().strip_prefix("cause="))?
+            .parse()
+            .ok()
+    }
+
+    /// The report in `P-Report`; a value that is no number leaves its figure out.
+    pub fn load(&self) -> Load {
+        let mut load = Load::default();
+        for pair in self.fields.get("p-report").unwrap_or_default().split(';') {
+            if let Some((name, value)) = pair.split_once(':') {
+                let _ = shalewall_instance::report(&mut load, name.trim(), value.trim());
+            }
+        }
+        for figure in [&mut load.streams, &mut load.link, &mut load.uplink] {
+            *figure = figure.filter(|x| x.is_finite() && *x >= 0.0);
+        }
+        load
+    }
+
+    /// What an `ANNOUNCE` tells.
+    pub fn note(&self) -> Option<Note> {
+        let value: f64 = self.fields.get("x-value")?.trim().parse().ok()?;
+        if !value.is_finite() || value < 0.0 {
+            return None;
+        }
+        match self.fields.get("p-reason")? {
+            "got" => Some(Note::Delivered(value)),
+            "level" => Some(Note::Rung(value as usize)),
+            "port" => Some(Note::Link(value)),
+            "spine" => Some(Note::Uplink(value)),
+            _ => None,
+        }
+    }
+}
+
+/// Reads messages from bytes as they come.
+#[derive(Debug, Default)]
+pub struct Reader {
+    buf: Vec<u8>,
+    finder: Finder,
+    /// A head that has been read, how long it is, and its content's length.
+    head: Option<(Message, usize, usize)>,
+}
+
+impl Reader {
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.buf.extend_from_slice(bytes);
+    }
+
+    /// The next whole message.
+    pub fn message(&mut self) -> Result<Option<Message>, Unreadable> {
+        if self.head.is_none() {
+            self.plausible()?;
+            let limits = Limits { head: MESSAGE, ..Limits::default() };
+            let found = self.finder.find(&self.buf, &limits).map_err(|_| Unreadable("a head is too long"))?;
+            let Some(end) = found else { return Ok(None) };
+            self.finder = Finder::default();
+            let (message, length) = head(&self.buf[..end], &limits)?;
+            if end + length > MESSAGE {
+                return Err(Unreadable("a message is too long"));
+            }
+            self.head = Some((message, end, length));
+        }
+        let Some((mut message, end, length)) = self.head.take() else { return Ok(None) };
+        if self.buf.len() < end + length {
+            self.head = Some((message, end, length));
+            return Ok(None);
+        }
+        let body = std::str::from_utf8(&self.buf[end..end + length]);
+        message.body = body.map_err(|_| Unreadable("a description is not text"))?.to_string();
+        self.buf.drain(..end + length);
+        trim(&mut self.buf);
+        // Where a length did not fit, what follows can't begin a message, and what came before is not to be
+        // trusted either.
+        self.plausible()?;
+        Ok(Some(message))
+    }
+
+    /// Whether what has come can begin a message: noise is told before the end of a head that never comes.
+    fn plausible(&self) -> Result<(), Unreadable> {
+        let odd = Err(Unreadable("not the first line of a message"));
+        let line = self.buf.split(|b| *b == b'\n').next().unwrap_or_default();
+        if line.len() > START_LINE || line.iter().any(|b| !matches!(b, b' '..=b'~' | b'\r')) {
+            return odd;
+        }
+        let word = line.split(|b| matches!(b, b' ' | b'/')).next().unwrap_or_default();
+        let fits = word.len() <= 24 && word.iter().all(|b| b.is_ascii_uppercase() || *b == b'_');
+        if !fits || (line.len() > word.len() && word.is_empty()) { odd } else { Ok(()) }
+    }
+}
+
+fn head(bytes: &[u8], limits: &Limits) -> Result<(Message, usize), Unreadable> {
+    let odd = Unreadable("not the first line of a message");
+    let line = bytes.split(|b| *b == b'\n').next().unwrap_or_default();
+    let text = line.strip_suffix(b"\r").and_then(|l| std::str::from_utf8(l).ok()).ok_or(odd)?;
+    let mut words = text.splitn(3, ' ');
+    let (first, second, third) = (words.next(), words.next(), words.next());
+    let start = match (first, second, third) {
+        (Some("RTSP/1.0"), Some(status), _) => {
+            let status: u16 = status.parse().map_err(|_| odd)?;
+            if !(100..600).contains(&status) {
+                return Err(odd);
+            }
+            Start::Status(status)
+        }
+        (Some(method), Some(_), Some("RTSP/1.0")) => Start::Request(method.to_string()),
+        _ => return Err(odd),
+    };
+    let fields = fields(&bytes[line.len() + 1..], limits).map_err(|_| Unreadable("a field is malformed"))?;
+    let one = |name: &'static str| {
+        let mut all = fields.all(name);
+        let first = all.next();
+        if all.next().is_some() { Err(Unreadable("a field comes twice")) } else { Ok(first) }
+    };
+    let number = |value: Option<&[u8]>| -> Result<Option<u64>, Unreadable> {
+        let Some(value) = value else { return Ok(None) };
+        let digits = std::str::from_utf8(value).ok().filter(|v| v.bytes().all(|b| b.is_ascii_digit()));
+        digits.and_then(|v| v.parse().ok()).map(Some).ok_or(Unreadable("a field is not a whole number"))
+    };
+    let length = number(one("content-length")?)?.ok_or(Unreadable("Content-Length is missing"))?;
+    let cseq = number(one("cseq")?)?;
+    let session = match one("session")? {
+        None => None,
+        Some(id) => {
+            let id = std::str::from_utf8(id).ok().and_then(Hex16::read);
+            Some(id.ok_or(Unreadable("Session is not an id"))?)
+        }
+    };
+    let length = usize::try_from(length).unwrap_or(usize::MAX / 2).min(usize::MAX / 2);
+    Ok((Message { start, cseq, session, fields, body: String::new() }, length))
+}
+
+/// Writes a request without content.
+fn request(method: &str, path: &str, cseq: u64, session: Hex16, more: &str) -> Vec<u8> {
+    format!(
+        "{method} rtsp://media/{path} RTSP/1.0\r\nCSeq: {cseq}\r\nSession: {session}\r\n{more}Content-Length: 0\r\n\r\n"
+    )
+    .into_bytes()
+}
+
+/// A set-up. `class` is one of the settings' names; `left`: how long the director will wait, in milliseconds.
+pub struct SetUp<'a> {
+    pub session: Hex16,
+    pub title: Hex16,
+    pub class: &'a str,
+    pub left: i64,
+    pub rung: usize,
+    pub description: &'a str,
+}
+
+impl SetUp<'_> {
+    pub fn write(&self) -> Vec<u8> {
+        let SetUp { session, title, class, left, rung, description } = self;
+        format!(
+            "SETUP rtsp://media/{title} RTSP/1.0\r\nCSeq: {SETUP}\r\nSession: {session}\r\nP-Kind: {class}\r\n\
+             P-Time-Left: {left}\r\nX-Rung: {rung}\r\nContent-Length: {}\r\n\r\n{description}",
+            description.len()
+        )
+        .into_bytes()
+    }
+}
+
+/// The set-up is given up.
+pub fn give_up(session: Hex16) -> Vec<u8> {
+    request("TEARDOWN", &session.to_string(), TEARDOWN, session, "")
+}
+
+/// A session that stands is released.
+pub fn release(session: Hex16, cause: i64) -> Vec<u8> {
+    request("TEARDOWN", &session.to_string(), TEARDOWN, session, &format!("Reason: cause={cause}\r\n"))
+}
+
+/// A new rung for a session that stands.
+pub fn rung(session: Hex16, rung: usize) -> Vec<u8> {
+    request("SET_PARAMETER", &session.to_string(), 4, session, &format!("X-Rung: {rung}\r\n"))
+}
+
+/// Asks for a load report, which is a test as well.
+pub fn probe(id: Hex16) -> Vec<u8> {
+    request("OPTIONS", "load", OPTIONS, id, "")
+}
+
+/// A release was heard.
+pub fn heard(session: Hex16) -> Vec<u8> {
+    format!("RTSP/1.0 200 OK\r\nCSeq: {TEARDOWN}\r\nSession: {session}\r\nContent-Length: 0\r\n\r\n")
+        .into_bytes()
+}
--- /dev/null
+++ b/crates/platform-proto/src/table.rs
@@ -0,0 +1,567 @@
+//! The table of sessions: messages become the module's events, its actions become messages, one for one.
+
+use crate::Hex16;
+use crate::ask::{self, Asked};
+use crate::door::{Door, Due};
+use crate::lines::{Message, Verb, cause};
+use crate::links::{Item, LinkId, ProbeId};
+use crate::rtsp::{self, SetUp};
+use crate::viewers::ViewerId;
+use serde_json::Value;
+use shalewall::{Action, Event, Load, Micros, Outcome, ServerId, SessionId, Standing};
+use std::net::IpAddr;
+
+/// Sessions held at most; what comes beyond that is turned away unasked.
+const MOST: usize = 50_000;
+/// So many tags of the past are known: none is taken twice.
+const PAST: usize = 4096;
+
+/// A request, and the session that it became.
+pub(crate) struct Session {
+    pub tag: Hex16,
+    title: Hex16,
+    class: usize,
+    /// Until it stands.
+    description: String,
+    viewer: Option<ViewerId>,
+    ip: IpAddr,
+    deadline: Micros,
+    rung: usize,
+    attempts: u32,
+    /// Its viewer waits for an answer.
+    pub owed: bool,
+    stage: Stage,
+}
+
+enum Stage {
+    /// Nothing of it is at a node.
+    Asked,
+    Out(Attempt),
+    Stands {
+        server: ServerId,
+        attempt: u32,
+        link: Option<LinkId>,
+    },
+}
+
+struct Attempt {
+    server: ServerId,
+    number: u32,
+    link: LinkId,
+    sent: Micros,
+    until: Micros,
+    way: Way,
+}
+
+/// How far a set-up has come.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Way {
+    /// No byte of it has been written.
+    Waits,
+    /// Some may have, not all: the node can't have it whole.
+    Partly,
+    /// The node may have it.
+    Whole,
+}
+
+/// A probe that is out.
+pub(crate) struct Probe {
+    server: ServerId,
+    link: LinkId,
+}
+
+impl Door {
+    /// Feeds the module what has happened, and carries out what it says.
+    pub(crate) fn run(&mut self) {
+        while let Some(event) = self.events.pop_front() {
+            let mut actions = std::mem::take(&mut self.actions);
+            self.director.handle(self.now, event, &mut actions);
+            actions.drain(..).for_each(|action| self.act(action));
+            self.actions = actions;
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Send { session, server, patience } => self.send(session, server, patience),
+            Action::SetRung { session, rung } => self.set_rung(session, rung),
+            Action::Refuse { session, come_back } => {
+                let Some(s) = self.sessions.get(&session) else { return };
+                let mut answer = Message::finish(s.tag, cause::REFUSED);
+                if let Some(wait) = come_back {
+                    answer.opts.insert("wait".into(), Value::String((wait / 1000).to_string()));
+                }
+                self.answer(session, &answer);
+            }
+            Action::Fail { session } => {
+                let Some(s) = self.sessions.get(&session) else { return };
+                let answer = Message::finish(s.tag, cause::FAILED);
+                self.answer(session, &answer);
+            }
+            Action::Recall { session, attempt } => {
+                let out = |s: &Session| matches!(&s.stage, Stage::Out(a) if a.number == attempt);
+                if self.sessions.get(&session).is_some_and(out) {
+                    self.give_up(session, Outcome::Cancelled);
+                }
+            }
+            Action::Move { session } => {
+                let Some(s) = self.sessions.get(&session) else { return };
+                let (tag, viewer) = (s.tag, s.viewer);
+                if let Some(viewer) = viewer {
+                    self.say(viewer, &Message::new(Verb::Move, tag));
+                }
+                self.release(session);
+            }
+            Action::Timer { after, token } => self.timers.set(self.now + after.max(0), Due::Module(token)),
+            Action::Probe { server } => self.probe(server),
+            Action::CloseIdle { server } => {
+                let idle = self.links.of(server).filter(|(_, l)| l.up && !l.busy()).map(|(id, _)| id);
+                let idle: Vec<_> = idle.collect();
+                idle.into_iter().skip(1).for_each(|id| self.drop_link(id, Outcome::Reset));
+            }
+            Action::Log(text) => self.outputs.push_back(crate::Output::Log(text)),
+            // The journal tells without being asked, and directors don't talk; nobody here asks for hand-overs.
+            Action::FetchList | Action::Subscribe(_) | Action::Tell { .. } | Action::HandOver { .. } => {}
+        }
+    }
+
+    // ---- viewers ----------------------------------------------------------------------------
+
+    /// A viewer asks, or says what it has from before this director's start.
+    pub(crate) fn asked(&mut self, viewer: ViewerId, tag: Hex16, message: Message) {
+        let invalid = Message::finish(tag, cause::INVALID);
+        let asked = ask::read(message, tag, &self.names, &self.settings, self.now);
+        if let Some(id) = self.tags.get(&tag).copied() {
+            if matches!(&asked, Ok(a) if a.at.is_some()) {
+                return; // what is held already
+            }
+            // Two requests under one id: neither is to be believed where both come from one side, and the one
+            // that is under way goes on where another tries to spoil it.
+            let same = self.sessions.get(&id).is_some_and(|s| s.viewer == Some(viewer) && s.owed);
+            if same {
+                self.withdraw(id);
+            }
+            self.say(viewer, &invalid);
+            return;
+        }
+        let Ok(Asked { title, description, mut request, at }) = asked else {
+            self.say(viewer, &invalid);
+            return;
+        };
+        if self.past.contains(&tag) {
+            self.say(viewer, &invalid); // an id is used once
+            return;
+        }
+        if at.is_none() && (self.leaving || self.sessions.len() >= MOST.min(self.bounds.held)) {
+            self.say(viewer, &Message::finish(tag, cause::REFUSED));
+            return;
+        }
+        if at.is_some_and(|server| !self.nodes.all.contains_key(&server)) {
+            // It plays at a node that nobody has named: it is over.
+            self.say(viewer, &Message::finish(tag, cause::FAILED));
+            return;
+        }
+        let Some(ip) = self.viewers.ip(viewer) else { return };
+        self.next += 1;
+        let id = SessionId(self.next);
+        request.session = id;
+        let stage = match at {
+            None => Stage::Asked,
+            Some(server) => Stage::Stands { server, attempt: 0, link: None },
+        };
+        let session = Session {
+            tag,
+            title,
+            class: request.class,
+            description,
+            viewer: Some(viewer),
+            ip,
+            deadline: request.deadline,
+            rung: self.settings.classes.get(request.class).map_or(0, |c| c.floor),
+            attempts: u32::from(at.is_some()),
+            owed: at.is_none(),
+            stage,
+        };
+        self.sessions.insert(id, session);
+        self.tags.insert(tag, id);
+        match at {
+            None => {
+                if let Some(v) = self.viewers.all.get_mut(&viewer) {
+                    v.open.insert(id);
+                }
+                self.events.push_back(Event::Asked(request));
+            }
+            Some(server) => {
+                self.stands(id, server);
+                self.events.push_back(Event::Carried(request, server));
+            }
+        }
+    }
+
+    /// A viewer gives a set-up up, or ends a session.
+    pub(crate) fn released(&mut self, viewer: ViewerId, tag: Hex16) {
+        if let Some(id) = self.tags.get(&tag).copied() {
+            let stands = matches!(self.sessions.get(&id), Some(Session { stage: Stage::Stands { .. }, .. }));
+            if stands { self.release(id) } else { self.withdraw(id) }
+        }
+        self.say(viewer, &Message::new(Verb::Finished, tag));
+    }
+
+    /// A viewer's connection is going: what waits on it can't be answered any more.
+    pub(crate) fn forget_viewer(&mut self, viewer: ViewerId) {
+        let Some(v) = self.viewers.all.get_mut(&viewer) else { return };
+        let (open, standing) = (std::mem::take(&mut v.open), std::mem::take(&mut v.standing));
+        for id in open {
+            self.withdraw(id);
+        }
+        for id in standing {
+            self.sessions.entry(id).and_modify(|s| s.viewer = None);
+        }
+        self.run();
+    }
+
+    /// No answer is owed any more.
+    fn withdraw(&mut self, id: SessionId) {
+        let Some(s) = self.sessions.get(&id) else { return };
+        if s.owed {
+            self.settle(id);
+            self.events.push_back(Event::Withdrawn(id));
+        }
+        match self.sessions.get(&id).map(|s| &s.stage) {
+            Some(Stage::Out(_)) => self.give_up(id, Outcome::Cancelled),
+            Some(Stage::Asked) => self.forget(id),
+            _ => {}
+        }
+    }
+
+    /// The one answer that is no session.
+    fn answer(&mut self, id: SessionId, answer: &Message) {
+        let Some(s) = self.sessions.get(&id).filter(|s| s.owed) else { return };
+        let viewer = s.viewer;
+        self.settle(id);
+        if let Some(viewer) = viewer {
+            self.say(viewer, answer);
+        }
+        if matches!(self.sessions.get(&id), Some(Session { stage: Stage::Asked, .. })) {
+            self.forget(id);
+        }
+    }
+
+    /// It has its answer, or needs none.
+    fn settle(&mut self, id: SessionId) {
+        let Some(s) = self.sessions.get_mut(&id) else { return };
+        s.owed = false;
+        s.description = String::new();
+        if let Some(v) = s.viewer.and_then(|v| self.viewers.all.get_mut(&v)) {
+            v.open.remove(&id);
+        }
+    }
+
+    fn forget(&mut self, id: SessionId) {
+        let Some(s) = self.sessions.remove(&id) else { return };
+        self.tags.remove(&s.tag);
+        if let Some(v) = s.viewer.and_then(|v| self.viewers.all.get_mut(&v)) {
+            v.open.remove(&id);
+            v.standing.remove(&id);
+        }
+        self.past.push_back(s.tag);
+        if self.past.len() > PAST {
+            self.past.pop_front();
+        }
+    }
+
+    // ---- attempts ---------------------------------------------------------------------------
+
+    fn send(&mut self, id: SessionId, server: ServerId, patience: Option<Micros>) {
+        let now = self.now;
+        let Some(s) = self.sessions.get_mut(&id) else { return };
+        let number = s.attempts;
+        s.attempts += 1;
+        if !matches!(s.stage, Stage::Asked) || !s.owed {
+            return;
+        }
+        let until = patience.map_or(s.deadline, |p| (now + p).min(s.deadline));
+        let link = match self.links.idle(server) {
+            Some(link) => Some(link),
+            None => self.link_for(server),
+        };
+        let Some(link) = link else {
+            self.outcome(id, server, number, Outcome::NotSent, Load::default());
+            return;
+        };
+        if let Some(s) = self.sessions.get_mut(&id) {
+            s.stage = Stage::Out(Attempt { server, number, link, sent: now, until, way: Way::Waits });
+        }
+        if let Some(link) = self.links.get(link) {
+            link.open.insert(id);
+        }
+        self.timers.set(until, Due::Attempt(id, number));
+        if !self.queue(link, Item::SetUp(id, number)) {
+            self.cut(id, Outcome::NotSent);
+        }
+    }
+
+    /// A further connection to a node, or where there are too many one to share.
+    fn link_for(&mut self, server: ServerId) -> Option<LinkId> {
+        if !self.links.room(server) {
+            let spare = self.links.iter().filter(|(_, l)| l.server != server && l.up && !l.busy());
+            let spare = spare.min_by_key(|(id, l)| (l.used, *id)).map(|(id, _)| id);
+            match spare.filter(|_| self.links.of(server).next().is_none()) {
+                Some(spare) => self.drop_link(spare, Outcome::Reset),
+                None => return self.links.shared(server),
+            }
+        }
+        self.open_link(server)
+    }
+
+    /// A set-up's turn to be written: it is judged again, since it may have waited for its connection. None: it is
+    /// not to be sent.
+    pub(crate) fn worded(&mut self, id: SessionId, number: u32) -> Option<Vec<u8>> {
+        let now = self.now;
+        let s = self.sessions.get_mut(&id)?;
+        let Stage::Out(a) = &mut s.stage else { return None };
+        if a.number != number || a.way != Way::Waits {
+            return None;
+        }
+        let ready = self.nodes.all.get(&a.server).is_some_and(|n| n.listed.state == Standing::Ready);
+        let left = (a.until - now) / 1000;
+        if !s.owed || !ready || left <= 0 {
+            self.cut(id, Outcome::NotSent);
+            return None;
+        }
+        a.way = Way::Partly;
+        let class = self.names.classes.get(s.class)?;
+        let set_up =
+            SetUp { session: s.tag, title: s.title, class, left, rung: s.rung, description: &s.description };
+        Some(set_up.write())
+    }
+
+    /// A set-up has been written whole: its node may have it.
+    pub(crate) fn whole(&mut self, id: SessionId, number: u32) {
+        if let Some(Session { stage: Stage::Out(a), .. }) = self.sessions.get_mut(&id)
+            && a.number == number
+        {
+            a.way = Way::Whole;
+        }
+    }
+
+    /// The connection of a set-up is gone.
+    pub(crate) fn cut(&mut self, id: SessionId, outcome: Outcome) {
+        let Some(Session { stage: Stage::Out(a), .. }) = self.sessions.get(&id) else { return };
+        let never_whole = a.way != Way::Whole && outcome == Outcome::Reset;
+        let (server, number) = (a.server, a.number);
+        let outcome = if never_whole { Outcome::NotSent } else { outcome };
+        self.outcome(id, server, number, outcome, Load::default());
+    }
+
+    /// An attempt is over without a session.
+    fn outcome(&mut self, id: SessionId, server: ServerId, attempt: u32, outcome: Outcome, load: Load) {
+        let Some(s) = self.sessions.get_mut(&id) else { return };
+        if let Stage::Out(a) = std::mem::replace(&mut s.stage, Stage::Asked)
+            && let Some(link) = self.links.get(a.link)
+        {
+            link.open.remove(&id);
+            link.unqueue(id);
+        }
+        let closed = !s.owed;
+        if closed {
+            self.forget(id);
+        }
+        self.events.push_back(Event::Finished { session: id, attempt, server, outcome, closed, load });
+    }
+
+    /// A set-up is given up: its node is told, if it can have heard of it.
+    fn give_up(&mut self, id: SessionId, outcome: Outcome) {
+        let Some(Session { tag, stage: Stage::Out(a), .. }) = self.sessions.get(&id) else { return };
+        let (tag, server, number, link, way) = (*tag, a.server, a.number, a.link, a.way);
+        if way != Way::Waits {
+            if let Some(link) = self.links.get(link) {
+                link.doubt = true;
+            }
+            if !self.queue(link, Item::Bytes(rtsp::give_up(tag))) {
+                self.drop_link(link, outcome);
+            }
+        }
+        self.outcome(id, server, number, outcome, Load::default());
+    }
+
+    /// An attempt's time has run out.
+    pub(crate) fn out_of_time(&mut self, id: SessionId, number: u32) {
+        if matches!(self.sessions.get(&id), Some(Session { stage: Stage::Out(a), .. }) if a.number == number)
+        {
+            self.give_up(id, Outcome::Late);
+        }
+    }
+
+    /// A node answers a set-up.
+    pub(crate) fn answered(&mut self, link: LinkId, tag: Hex16, status: u16, message: rtsp::Message) {
+        let Some(id) = self.tags.get(&tag).copied() else { return };
+        let Some(s) = self.sessions.get_mut(&id) else { return };
+        // A second copy, or an answer to what was given up.
+        let Stage::Out(a) = &s.stage else { return };
+        if a.link != link || a.way == Way::Waits {
+            return;
+        }
+        let (server, number, sent, viewer, owed) = (a.server, a.number, a.sent, s.viewer, s.owed);
+        if status != 200 {
+            let outcome = match status {
+                453 => Outcome::Full,
+                454 => Outcome::NotSent,
+                504 => Outcome::Reset,
+                _ => Outcome::Error,
+            };
+            return self.outcome(id, server, number, outcome, message.load());
+        }
+        if !owed {
+            return self.give_up(id, Outcome::Cancelled);
+        }
+        s.stage = Stage::Stands { server, attempt: number, link: Some(link) };
+        if let Some(link) = self.links.get(link) {
+            link.open.remove(&id);
+        }
+        self.settle(id);
+        self.stands(id, server);
+        self.events.push_back(Event::Started {
+            session: id,
+            attempt: number,
+            server,
+            waited: self.now - sent,
+        });
+        let answer = Message { blob: Some(message.body), ..Message::new(Verb::Started, tag) };
+        if let Some(viewer) = viewer {
+            self.say(viewer, &answer);
+        }
+    }
+
+    // ---- sessions ---------------------------------------------------------------------------
+
+    /// A session stands at a node from now on.
+    fn stands(&mut self, id: SessionId, server: ServerId) {
+        let viewer = self.sessions.get(&id).and_then(|s| s.viewer);
+        if let Some(v) = viewer.and_then(|v| self.viewers.all.get_mut(&v)) {
+            v.standing.insert(id);
+        }
+        if let Some(node) = self.nodes.all.get_mut(&server) {
+            node.standing.insert(id);
+        }
+        if self.links.of(server).next().is_none() {
+            self.open_link(server);
+        }
+    }
+
+    /// A node ends a session, or breaks a set-up off.
+    pub(crate) fn torn_down(&mut self, server: ServerId, tag: Hex16, message: &rtsp::Message) {
+        let Some(id) = self.tags.get(&tag).copied() else { return };
+        match self.sessions.get(&id).map(|s| &s.stage) {
+            Some(Stage::Stands { server: at, .. }) if *at == server => {
+                // Who ended it himself, or was moved, is owed no release.
+                let (outcome, rc) = match message.cause() {
+                    Some(cause::NORMAL) => (Outcome::Good, Some(cause::NORMAL)),
+                    Some(cause::CANCELLED) => (Outcome::Cancelled, None),
+                    _ => (Outcome::Reset, Some(cause::FAILED)),
+                };
+                self.ended(id, outcome, message.load(), rc);
+            }
+            Some(Stage::Out(a)) if a.server == server && a.way != Way::Waits => {
+                let number = a.number;
+                self.outcome(id, server, number, Outcome::Reset, message.load());
+            }
+            _ => {}
+        }
+    }
+
+    /// A session is over; `rc`: what its viewer is told.
+    pub(crate) fn ended(&mut self, id: SessionId, outcome: Outcome, load: Load, rc: Option<i64>) {
+        let Some(s) = self.sessions.get(&id) else { return };
+        let Stage::Stands { server, attempt, .. } = s.stage else { return };
+        let (tag, viewer, ip) = (s.tag, s.viewer, s.ip);
+        if let Some(node) = self.nodes.all.get_mut(&server) {
+            node.standing.remove(&id);
+        }
+        self.forget(id);
+        if let Some(rc) = rc {
+            let release = Message::finish(tag, rc);
+            let said = viewer.or_else(|| self.viewers.near(ip)).is_some_and(|v| self.say(v, &release));
+            if !said {
+                self.viewers.keep(ip, release.write(), self.now);
+            }
+        }
+        self.events.push_back(Event::Finished { session: id, attempt, server, outcome, closed: true, load });
+    }
+
+    /// A session that stands is released by its viewer, or moved: its node is told.
+    fn release(&mut self, id: SessionId) {
+        let Some(s) = self.sessions.get(&id) else { return };
+        let Stage::Stands { server, link, .. } = s.stage else { return };
+        let tag = s.tag;
+        if let Some(link) = self.way_to(server, link) {
+            self.queue(link, Item::Bytes(rtsp::release(tag, cause::CANCELLED)));
+        }
+        self.ended(id, Outcome::Cancelled, Load::default(), None);
+    }
+
+    /// The connection that a message on a session goes by: that of its set-up, else any, else a new one.
+    fn way_to(&mut self, server: ServerId, link: Option<LinkId>) -> Option<LinkId> {
+        let own = link.filter(|l| self.links.get(*l).is_some_and(|l| l.up && !l.doubt));
+        own.or_else(|| self.links.any(server))
+            .or_else(|| self.links.shared(server))
+            .or_else(|| self.open_link(server))
+    }
+
+    fn set_rung(&mut self, id: SessionId, rung: usize) {
+        let Some(s) = self.sessions.get_mut(&id) else { return };
+        s.rung = rung;
+        let Stage::Stands { server, link, .. } = s.stage else { return };
+        let tag = s.tag;
+        if let Some(link) = self.way_to(server, link) {
+            self.queue(link, Item::Bytes(rtsp::rung(tag, rung)));
+        }
+    }
+
+    pub(crate) fn noted(&mut self, server: ServerId, tag: Hex16, message: &rtsp::Message) {
+        let Some(session) = self.tags.get(&tag).copied() else { return };
+        let Some(Session { stage: Stage::Stands { server: at, attempt, .. }, .. }) =
+            self.sessions.get(&session)
+        else {
+            return;
+        };
+        let attempt = *attempt;
+        if let Some(note) = message.note().filter(|_| *at == server) {
+            self.events.push_back(Event::Noted { session, attempt, server, note });
+        }
+    }
+
+    // ---- probes -----------------------------------------------------------------------------
+
+    fn probe(&mut self, server: ServerId) {
+        let link = match self.links.idle(server) {
+            Some(link) => Some(link),
+            None => self.link_for(server),
+        };
+        self.next += 1;
+        let id = ProbeId(self.next);
+        let Some(link) = link.filter(|l| self.queue(*l, Item::Bytes(rtsp::probe(Hex16::of(id.0))))) else {
+            let (outcome, load) = (Outcome::NotSent, Load::default());
+            return self.events.push_back(Event::Probed { server, outcome, load });
+        };
+        self.probes.insert(id, Probe { server, link });
+        if let Some(link) = self.links.get(link) {
+            link.probes.insert(id);
+        }
+        let within = if self.bounds.connect > 0 { self.bounds.connect } else { 250_000 };
+        self.timers.set(self.now + within, Due::Probe(id));
+    }
+
+    /// A probe has its answer, or will have none. `from`: the connection that the answer came by.
+    pub(crate) fn probed(&mut self, id: ProbeId, from: Option<LinkId>, outcome: Outcome, load: Load) {
+        if from.is_some_and(|from| self.probes.get(&id).is_some_and(|p| p.link != from)) {
+            return;
+        }
+        let Some(Probe { server, link }) = self.probes.remove(&id) else { return };
+        if let Some(link) = self.links.get(link) {
+            link.probes.remove(&id);
+            link.doubt |= outcome == Outcome::Late;
+        }
+        self.events.push_back(Event::Probed { server, outcome, load });
+    }
+}
--- /dev/null
+++ b/crates/platform/src/hub.rs
@@ -0,0 +1,186 @@
+//! Drives the door: bytes from sockets, bytes to sockets, timers. One thread, no locks.
+
+use async_executor::{LocalExecutor, Task};
+use async_io::{Async, Timer};
+use event_listener::{Event, IntoNotification};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
+use shalewall_clock::now;
+use shalewall_http::client::{Unconnected, in_time};
+use shalewall_platform_proto::{Conn, Door, NotUp, Output, Transmit};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+use tracing::{debug, warn};
+
+/// So much is read at once.
+const READ: usize = 4 * 1024;
+/// Pause where a connection could not be taken.
+const SHORT: Duration = Duration::from_millis(20);
+
+/// An open connection: what wakes its writer, and its task.
+struct Open {
+    kick: Rc<Event>,
+    _task: Task<()>,
+}
+
+pub(crate) struct Hub {
+    ex: Rc<LocalExecutor<'static>>,
+    door: RefCell<Door>,
+    conns: RefCell<BTreeMap<Conn, Open>>,
+    /// When the ringing task will look at the door's timers next.
+    armed: Cell<i64>,
+    kick: Event,
+}
+
+impl Hub {
+    pub fn new(ex: Rc<LocalExecutor<'static>>, door: Door) -> Rc<Hub> {
+        let hub = Rc::new(Hub {
+            ex: ex.clone(),
+            door: RefCell::new(door),
+            conns: RefCell::default(),
+            armed: Cell::new(i64::MAX),
+            kick: Event::new(),
+        });
+        ex.spawn(hub.clone().ring()).detach();
+        hub
+    }
+
+    /// Works on the door, and carries out what it says then.
+    pub fn with<T>(self: &Rc<Hub>, work: impl FnOnce(&mut Door) -> T) -> T {
+        let done = work(&mut self.door.borrow_mut());
+        self.pump();
+        // Most timers are set behind the one that is waited for: the system's timer is not set anew for each.
+        if self.door.borrow().poll_timeout().unwrap_or(i64::MAX) < self.armed.get() {
+            self.kick.notify(1.relaxed());
+        }
+        done
+    }
+
+    fn pump(self: &Rc<Hub>) {
+        loop {
+            // Bound to a name, so that the borrow ends before the output is carried out.
+            let output = self.door.borrow_mut().poll_output();
+            match output {
+                None => return,
+                Some(Output::Open { conn, address, within }) => {
+                    let within = Duration::from_micros(within.max(0) as u64);
+                    self.spawn(conn, |hub, kick| hub.node(conn, address, within, kick));
+                }
+                Some(Output::Write(conn)) => {
+                    if let Some(open) = self.conns.borrow().get(&conn) {
+                        open.kick.notify(1.relaxed());
+                    }
+                }
+                // Dropping its task closes the socket.
+                Some(Output::Close(conn)) => {
+                    let open = self.conns.borrow_mut().remove(&conn);
+                    drop(open);
+                }
+                Some(Output::Log(text)) => debug!(text, "door"),
+            }
+        }
+    }
+
+    fn spawn<F: Future<Output = ()> + 'static>(
+        self: &Rc<Hub>,
+        conn: Conn,
+        task: impl FnOnce(Rc<Hub>, Rc<Event>) -> F,
+    ) {
+        let kick = Rc::new(Event::new());
+        let task = self.ex.spawn(task(self.clone(), kick.clone()));
+        self.conns.borrow_mut().insert(conn, Open { kick, _task: task });
+    }
+
+    /// Takes viewers' connections for as long as the process runs.
+    pub async fn accept(self: Rc<Hub>, listener: Async<TcpListener>) {
+        loop {
+            let (stream, peer) = match listener.accept().await {
+                Ok(taken) => taken,
+                Err(e) => {
+                    // Out of descriptors, most likely: what is open goes on, and this passes.
+                    warn!(error = %e, "a connection could not be taken");
+                    Timer::after(SHORT).await;
+                    continue;
+                }
+            };
+            // A crowd of connections is taken one by one: whoever is connected already has a turn in between.
+            future::yield_now().await;
+            let _ = stream.get_ref().set_nodelay(true);
+            if let Some(conn) = self.with(|door| door.viewer_open(now(), peer.ip())) {
+                self.spawn(conn, |hub, kick| hub.serve(conn, stream, kick));
+            }
+        }
+    }
+
+    /// A connection to a node, from its first packet on.
+    async fn node(self: Rc<Hub>, conn: Conn, address: SocketAddr, within: Duration, kick: Rc<Event>) {
+        let failed = |why| self.with(|door| door.node_failed(now(), conn, why));
+        match in_time(within, Async::<TcpStream>::connect(address)).await {
+            Some(Ok(stream)) => {
+                let _ = stream.get_ref().set_nodelay(true);
+                self.with(|door| door.node_up(now(), conn));
+                self.clone().serve(conn, stream, kick).await;
+            }
+            Some(Err(e)) => failed(match Unconnected::of(&e) {
+                Unconnected::Refused => NotUp::Refused,
+                Unconnected::Own => NotUp::Own,
+                Unconnected::Unknown => NotUp::Silent,
+            }),
+            None => failed(NotUp::Silent),
+        }
+    }
+
+    /// Carries bytes both ways until either side closes.
+    async fn serve(self: Rc<Hub>, conn: Conn, stream: Async<TcpStream>, kick: Rc<Event>) {
+        let reads = async {
+            let mut buf = [0; READ];
+            let mut stream = &stream;
+            loop {
+                match stream.read(&mut buf).await {
+                    Ok(0) | Err(_) => return,
+                    Ok(n) => self.with(|door| door.bytes(now(), conn, &buf[..n])),
+                }
+                // Who sends without a pause leaves turns to the others.
+                future::yield_now().await;
+            }
+        };
+        let writes = async {
+            let mut stream = &stream;
+            loop {
+                let kicked = kick.listen();
+                match self.with(|door| door.transmit(now(), conn)) {
+                    Transmit::Close => return,
+                    Transmit::Wait => kicked.await,
+                    Transmit::Bytes(bytes) => {
+                        if stream.write_all(&bytes).await.is_err() {
+                            return;
+                        }
+                    }
+                }
+            }
+        };
+        future::or(reads, writes).await;
+        self.with(|door| door.closed(now(), conn));
+    }
+
+    /// Rings the door's timers when they are due.
+    async fn ring(self: Rc<Hub>) {
+        loop {
+            let kicked = self.kick.listen();
+            let due = self.door.borrow().poll_timeout();
+            self.armed.set(due.unwrap_or(i64::MAX));
+            match due {
+                None => kicked.await,
+                Some(due) if due <= now() => self.with(|door| door.timeout(now())),
+                Some(due) => {
+                    let timer = async {
+                        Timer::at(shalewall_clock::instant(due)).await;
+                    };
+                    future::or(timer, kicked).await;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/src/run.rs
@@ -0,0 +1,87 @@
+//! One director from its start to its end.
+
+use crate::hub::Hub;
+use crate::journal::{Place, follow};
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use async_signal::{Signal, Signals};
+use event_listener::Event;
+use futures_lite::{StreamExt, future};
+use shalewall_clock::now;
+use shalewall_platform_proto::Door;
+use shalewall_platform_proto::config::Config;
+use std::cell::Cell;
+use std::io;
+use std::net::TcpListener;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+use tracing::{info, warn};
+
+/// Requests come until then after the word to end, and are still to be answered.
+const LATE_COMERS: Duration = Duration::from_millis(900);
+/// Longest wait for what stands; whoever wants a process gone sooner kills it.
+const LEAVE: Duration = Duration::from_secs(30);
+/// How often is looked whether everything is answered.
+const LOOK: Duration = Duration::from_millis(20);
+
+fn wrong(what: impl std::fmt::Display) -> io::Error {
+    io::Error::other(what.to_string())
+}
+
+fn read(file: &Path) -> io::Result<Config> {
+    let text = std::fs::read(file).map_err(|e| wrong(format!("{}: {e}", file.display())))?;
+    Config::read(&text).map_err(|e| wrong(format!("{}: {e}", file.display())))
+}
+
+/// Serves as a director by the configuration in `file`, until told to end (SIGTERM or SIGINT). SIGHUP: the file is
+/// read anew.
+pub fn run(file: &Path) -> io::Result<()> {
+    // Before anything else: a signal that nobody waits for would end the process.
+    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
+    let config = read(file)?;
+    let door = Door::new(&config, now()).map_err(|e| wrong(format!("{}: settings: {e}", file.display())))?;
+    let listener = Async::new(TcpListener::bind(config.listen)?)?;
+    let ex = Rc::new(LocalExecutor::new());
+    let hub = Hub::new(ex.clone(), door);
+    let place = Rc::new(Place { address: Cell::new(config.journal), moved: Event::new() });
+    ex.spawn(follow(hub.clone(), place.clone())).detach();
+    ex.spawn(hub.clone().accept(listener)).detach();
+    info!(name = config.name, address = %config.listen, nodes = hub.with(|d| d.sizes().2), "listening");
+    drop(config);
+    async_io::block_on(ex.run(async {
+        while let Some(signal) = signals.next().await {
+            match signal? {
+                Signal::Hup => match read(file) {
+                    Ok(config) => {
+                        hub.with(|door| door.known(&config, now()));
+                        place.address.set(config.journal);
+                        place.moved.notify(usize::MAX);
+                    }
+                    Err(e) => warn!(error = %e, "the configuration is kept as it was"),
+                },
+                _ => break,
+            }
+        }
+        hub.with(Door::leave);
+        info!(held = ?hub.with(|d| d.held()), "leaving");
+        let begun = std::time::Instant::now();
+        let emptied = async {
+            loop {
+                let (waiting, standing) = hub.with(|d| d.held());
+                let patient = begun.elapsed() < LEAVE;
+                if begun.elapsed() >= LATE_COMERS && waiting == 0 && (standing == 0 || !patient) {
+                    return;
+                }
+                Timer::after(LOOK).await;
+            }
+        };
+        future::or(emptied, async {
+            // A file that is read anew matters no more; told to end once more, it ends at once.
+            while let Some(Ok(Signal::Hup)) = signals.next().await {}
+        })
+        .await;
+        Timer::after(LOOK).await;
+        io::Result::Ok(())
+    }))
+}
--- a/crates/engine/src/timers.rs
+++ b/crates/timers/src/lib.rs
@@ -1,11 +1,16 @@
 //! Timers in the order in which they are due; equal times ring in the order in which they were set.
+//!
+//! What this crate may know: times that it is given. What it must not: a clock, or what a timer is for.
 
-use shalewall::Micros;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
+/// A point on the caller's clock, in microseconds.
+type Micros = i64;
+
+/// What is due when.
 #[derive(Debug)]
-pub(crate) struct Timers<T> {
+pub struct Timers<T> {
     heap: BinaryHeap<Reverse<(Micros, u64, T)>>,
     set: u64,
 }
@@ -17,11 +22,13 @@
 }
 
 impl<T: Ord> Timers<T> {
+    /// Rings once at `due`, or at the next look after it.
     pub fn set(&mut self, due: Micros, what: T) {
         self.set += 1;
         self.heap.push(Reverse((due, self.set, what)));
     }
 
+    /// When the next one is due.
     pub fn next(&self) -> Option<Micros> {
         self.heap.peek().map(|Reverse((due, _, _))| *due)
     }
