A connection that only looks open no longer hides that its process is gone

Guess checked with a log line for each connection's end: node s- refused a new connection every 0.5 s for 8 s, 'alive true, 14 stand', while connection 13, which a spoilt answer had left open and silent, ended only at 16.18 s. To blame: Door::node_failed, which took any connection that was up for a sign of life. Ruled out: viewers' connections (none was lost) and missed releases (a dead process sends none).

A refusal counts against the node unless something is heard over another connection within a second; with no other connection it is proof at once, as before.

--- a/crates/platform-proto/src/door.rs
+++ b/crates/platform-proto/src/door.rs
@@ -4,7 +4,7 @@
 use crate::journal::News;
 use crate::lines::{Message, Verb, cause};
 use crate::links::{Item, LinkId, Links, ProbeId};
-use crate::nodes::{Nodes, RETRY, SILENCE, UNREACHABLE};
+use crate::nodes::{Nodes, REFUSED, RETRY, SILENCE, UNREACHABLE};
 use crate::rtsp::{self, Start};
 use crate::table::{Probe, Session};
 use crate::viewers::{ViewerId, Viewers};
@@ -195,15 +195,15 @@
 
     /// The process that was known there is no more: its connections are of no use, what stood there is over.
     pub(crate) fn gone(&mut self, server: ServerId) {
+        self.over(server);
         let links: Vec<_> = self.links.of(server).map(|(id, _)| id).collect();
         links.into_iter().for_each(|id| self.drop_link(id, Lost::Closed));
-        self.over(server);
     }
 
     /// What stood at a node is over.
     pub(crate) fn over(&mut self, server: ServerId) {
         let Some(node) = self.nodes.all.get_mut(&server) else { return };
-        node.unreachable = None;
+        (node.unreachable, node.refused) = (None, None);
         for id in std::mem::take(&mut node.standing) {
             self.ended(id, Outcome::Reset, shalewall::Load::default(), Some(cause::FAILED));
         }
@@ -309,7 +309,7 @@
         let server = link.server;
         if let Some(node) = self.nodes.all.get_mut(&server) {
             // The machine is there; one that stands still accepts connections, too.
-            (node.unreachable, node.heard) = (None, now);
+            (node.unreachable, node.refused, node.heard) = (None, None, now);
         }
         self.outputs.push_back(Output::Write(conn));
     }
@@ -324,12 +324,16 @@
             node.retry = now + RETRY;
         }
         self.drop_link(id, Lost::NotUp(why));
-        let alive = self.links.of(server).any(|(_, l)| l.up);
-        if let Some(node) = self.nodes.all.get_mut(&server).filter(|_| why == NotUp::Silent) {
-            node.unreachable.get_or_insert(opened);
-        }
-        if why == NotUp::Refused && !alive {
-            self.over(server);
+        let alone = !self.links.of(server).any(|(_, l)| l.up);
+        if let Some(node) = self.nodes.all.get_mut(&server) {
+            match why {
+                NotUp::Silent => drop(node.unreachable.get_or_insert(opened)),
+                // A connection that was spoilt or cut off may stay open when its process is long gone, and a node
+                // may refuse connections beyond its limit: what else is heard of it decides.
+                NotUp::Refused if alone => self.gone(server),
+                NotUp::Refused => drop(node.refused.get_or_insert(now)),
+                NotUp::Own => {}
+            }
         }
         self.run();
     }
@@ -344,7 +348,7 @@
                     (link.doubt, link.part, link.used) = (false, None, self.now);
                     let server = link.server;
                     if let Some(node) = self.nodes.all.get_mut(&server) {
-                        (node.heard, node.unreachable) = (self.now, None);
+                        (node.heard, node.unreachable, node.refused) = (self.now, None, None);
                     }
                     self.heard(id, server, message);
                     self.run();
@@ -403,6 +407,7 @@
     pub(crate) fn drop_link(&mut self, id: LinkId, lost: Lost) {
         let Some(link) = self.links.remove(id) else { return };
         self.outputs.push_back(Output::Close(Conn(ConnId::Node(id))));
+        self.outputs.push_back(Output::Log(format!("node s-{:08x}: link {} {lost:?}", link.server.0, id.0)));
         let outcome = match lost {
             Lost::NotUp(NotUp::Own) => Outcome::NotSent,
             Lost::NotUp(_) => Outcome::NoConnection,
@@ -552,16 +557,15 @@
         let mut over = Vec::new();
         let mut open = Vec::new();
         for (server, node) in self.nodes.all.iter().filter(|(_, n)| !n.standing.is_empty()) {
-            if node.unreachable.is_some_and(|t| now - t >= UNREACHABLE) {
+            let since = |t: Option<Micros>, span| t.is_some_and(|t| now - t >= span);
+            if since(node.unreachable, UNREACHABLE) || since(node.refused, REFUSED) {
                 over.push(*server);
                 continue;
             }
             let none = self.links.of(*server).next().is_none();
             let under_way = self.links.of(*server).any(|(_, l)| !l.up);
-            if now >= node.retry
-                && !under_way
-                && (none || now - node.heard >= SILENCE || node.unreachable.is_some())
-            {
+            let doubt = node.unreachable.is_some() || node.refused.is_some();
+            if now >= node.retry && !under_way && (none || doubt || now - node.heard >= SILENCE) {
                 open.push(*server);
             }
         }
--- a/crates/platform-proto/src/nodes.rs
+++ b/crates/platform-proto/src/nodes.rs
@@ -11,6 +11,8 @@
 /// A node to which no connection has come up for so long is gone, and what stood there is over. With the silence
 /// before it and one try it stays under the 8 s that the protocol gives for releases.
 pub(crate) const UNREACHABLE: Micros = 2_500_000;
+/// Nobody listens and nothing was heard for so long: the process is gone, though some connection of it may look open.
+pub(crate) const REFUSED: Micros = 1_000_000;
 /// Pause between tries.
 pub(crate) const RETRY: Micros = 300_000;
 
@@ -21,6 +23,8 @@
     pub heard: Micros,
     /// Since when no connection has come up.
     pub unreachable: Option<Micros>,
+    /// Since when connections are refused and nothing has been heard over others.
+    pub refused: Option<Micros>,
     /// No new connection only for what stands there before this.
     pub retry: Micros,
 }
@@ -71,6 +75,7 @@
                 standing: BTreeSet::new(),
                 heard: now,
                 unreachable: None,
+                refused: None,
                 retry: now,
             });
             let started = listed.came_up > node.listed.came_up;
--- a/crates/platform-proto/tests/sessions.rs
+++ b/crates/platform-proto/tests/sessions.rs
@@ -82,6 +82,36 @@
     assert_eq!(rig.door.held(), (0, 0));
 }
 
+/// Seen: a spoilt connection stayed open while its process died, and the sessions there were never released.
+#[test]
+fn a_connection_that_only_looks_open_proves_nothing() {
+    let mut rig = Rig::new();
+    let (viewer, node) = rig.standing(7, "free");
+    rig.heard(viewer);
+    for _ in 0..60 {
+        rig.pass(100 * MS);
+        for conn in rig.links.keys().copied().filter(|c| *c != node).collect::<Vec<_>>() {
+            rig.fail(conn, NotUp::Refused);
+        }
+    }
+    assert!(rig.heard(viewer).contains(r#""rc":41"#));
+    // One that refuses further connections and is heard over others is alive.
+    let mut rig = Rig::new();
+    let (viewer, node) = rig.standing(7, "free");
+    rig.heard(viewer);
+    for _ in 0..60 {
+        rig.pass(100 * MS);
+        rig.hear(
+            node,
+            "ANNOUNCE rtsp://media/x RTSP/1.0\r\nSession: 0000000000000007\r\nContent-Length: 0\r\n\r\n",
+        );
+        for conn in rig.links.keys().copied().filter(|c| *c != node).collect::<Vec<_>>() {
+            rig.fail(conn, NotUp::Refused);
+        }
+    }
+    assert!(rig.heard(viewer).is_empty());
+}
+
 /// A machine that vanished gives no sign: its connections stay open and new ones never come up. What stood there
 /// is released within the 8 s that the protocol gives. One that stands still lets connections come up: it keeps
 /// what it has.
