--- a/crates/platform-proto/tests/hostile.rs
+++ b/crates/platform-proto/tests/hostile.rs
@@ -35,7 +35,7 @@
             "{line}: {told}"
         );
         assert!(rig.links.is_empty() && rig.door.held() == (0, 0), "{line}");
-        rig.hear(viewer, &good.replace("0007", "0008"));
+        rig.hear(viewer, good.replace("0007", "0008"));
         assert_eq!(rig.door.held(), (1, 0), "the connection serves on");
     }
 }
--- a/src/control.rs
+++ b/src/control.rs
@@ -248,7 +248,7 @@
             Event::Noted { session, server, note, .. } => self.on_note(session, server, note),
             Event::Withdrawn(session) => {
                 self.asking.remove(&session);
-                self.turn(session, State::Closed);
+                self.held.change(session, |l| l.state = State::Closed);
             }
             Event::Timer(TICK_TOKEN) => {
                 self.ring();
@@ -297,7 +297,7 @@
         if self.held.live.contains_key(&req.session) || self.asking.contains_key(&req.session) {
             return; // an id that is already held: odd input, and its answer is under way
         }
-        let ask = Ask { req, attempts: 0, tried: Vec::new(), booked: false };
+        let ask = Ask { req, attempts: 0, tried: Vec::new(), booked: false, errors: 0 };
         let probed = self.unsure_of(&ask);
         if probed.is_empty() {
             return self.place(ask);
@@ -344,7 +344,7 @@
         req.hint = req.hint.map(|h| h + (self.now - sent)); // its hint counts from now
         let rung = self.set.floor(req.class);
         let kb = self.set.rate(req.class, rung);
-        let ask = Ask { req, attempts: 1, tried: vec![server], booked: true };
+        let ask = Ask { req, attempts: 1, tried: vec![server], booked: true, errors: 0 };
         self.hold(Live { ask, state: State::Plays, server, rung, kb, sent, due: self.now });
     }
 
@@ -352,7 +352,7 @@
         self.setup += 0.1 * (waited.max(0) as f64 - self.setup);
         self.on_sign(server, true);
         if self.held.live.get(&id).is_some_and(|l| l.state == State::Pending && l.ask.attempts == attempts) {
-            self.turn(id, State::Plays);
+            self.held.change(id, |l| l.state = State::Plays);
         }
     }
 
@@ -361,18 +361,20 @@
             return;
         }
         self.handed_over(id, false);
-        let Some(Live { ask, state, server, kb, sent, .. }) = self.held.remove(id) else { return };
+        let Some(Live { mut ask, state, server, kb, sent, .. }) = self.held.remove(id) else { return };
         self.charge(server, -kb);
         if state == State::Plays && outcome == Outcome::Good {
             self.ends.count((self.now - sent) as f64 / 1e6, ask.req.hint);
         }
-        self.judge(server, outcome);
+        // What two servers answer with an error is wrong by itself: the second is not judged by it, nor a third.
+        ask.errors += u32::from(outcome == Outcome::Error);
+        self.judge(server, if ask.errors < 2 { outcome } else { Outcome::NotSent });
         // Only a request that is still owed its answer goes on; a paid one only on proof.
         if closed || outcome == Outcome::Good || state != State::Pending {
             return;
         }
         let never_ran = matches!(outcome, Outcome::Full | Outcome::NoConnection | Outcome::NotSent);
-        if never_ran || self.set.harmless(ask.req.class) {
+        if never_ran || (self.set.harmless(ask.req.class) && ask.errors < 2) {
             return self.place(ask);
         }
         self.out.push(Action::Fail { session: id });
@@ -382,9 +384,10 @@
     fn judge(&mut self, server: ServerId, outcome: Outcome) {
         match outcome {
             Outcome::Late if self.stalled == self.now => {}
-            Outcome::NoConnection | Outcome::Reset | Outcome::Late | Outcome::Error => {
-                self.on_sign(server, false);
-            }
+            Outcome::NoConnection | Outcome::Reset | Outcome::Late => self.on_sign(server, false),
+            Outcome::Error => self.servers.get_mut(&server).into_iter().for_each(|s| {
+                (s.fails, s.failed_at) = (s.fails + 1, self.now); // it answers: it will not be back cold
+            }),
             Outcome::Good | Outcome::Full => self.on_sign(server, true),
             Outcome::Cancelled | Outcome::NotSent => {}
         }
@@ -396,8 +399,7 @@
             Note::Delivered(share) => {
                 let Some(s) = self.servers.get_mut(&server) else { return };
                 if share >= 0.98 {
-                    (s.short, s.lost) = (false, 0.0);
-                    return;
+                    return (s.short, s.lost) = (false, 0.0);
                 }
                 // Such notes come each second while it lasts, also where no others do.
                 let uplink = s.link.reported.is_some() && s.link.share < FULL_LINE;
@@ -436,7 +438,7 @@
         }
         let fail = Action::Fail { session: id };
         self.out.push(if self.set.harmless(ask.req.class) { self.refusal(&ask.req) } else { fail });
-        self.turn(id, State::Closed);
+        self.held.change(id, |l| l.state = State::Closed);
     }
 
     fn on_load(&mut self, server: ServerId, load: Load, age: Micros, weight: f64) {
@@ -492,18 +494,14 @@
         let Some(s) = self.servers.get_mut(&server) else { return };
         s.fails = if alive { 0 } else { s.fails + 1 };
         if !alive {
-            s.failed_at = self.now;
             // It may be back at any moment, and cold: pace it from the failure on.
-            s.cold_until = s.cold_until.max(self.now + self.set.contract.warm_after);
+            let warm = self.now + self.set.contract.warm_after;
+            (s.failed_at, s.cold_until) = (self.now, s.cold_until.max(warm));
         }
     }
 
     // ---- holding ----------------------------------------------------------------------------
 
-    fn turn(&mut self, id: SessionId, state: State) {
-        self.held.change(id, |l| l.state = state);
-    }
-
     fn hold(&mut self, mut live: Live) {
         live.ask.req.tenant = live.ask.req.tenant.filter(|t| self.parts(Some(*t)).is_some());
         self.charge(live.server, live.kb);
@@ -949,7 +947,7 @@
         let Some(own) = self.held.remove(id) else { return };
         let hint = own.ask.req.hint.map(|h| h - (self.now - own.sent));
         let req = Request { hint, deadline: self.now + LONGEST, ..own.ask.req };
-        let ask = Ask { req, attempts: 0, tried: vec![own.server], booked: true };
+        let ask = Ask { req, attempts: 0, tried: vec![own.server], booked: true, errors: 0 };
         let found = self.find(&ask); // its own seat is no hindrance, and it makes no room for itself
         self.held.insert(own);
         let Some((server, rung)) = found else { return };
--- a/src/control/held.rs
+++ b/src/control/held.rs
@@ -12,6 +12,7 @@
     pub tried: Vec<ServerId>,
     /// It has been set up, so that asking again sets nothing up.
     pub booked: bool,
+    pub errors: u32, // servers that answered it with an error
 }
 
 #[derive(Clone, Copy, PartialEq, Eq)]
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -305,3 +305,18 @@
     assert!(sent_to(&desk.tell(Event::Timer(1))).is_some());
     assert!(desk.tell(Event::Timer(2)).is_empty());
 }
+
+/// Seen on sockets: bad clients ask for titles that no node knows. Each such request took four nodes out of use.
+#[test]
+fn a_request_that_two_servers_answer_with_an_error_is_tried_no_further() {
+    let mut desk = Desk::new(settings(), 4);
+    let first = sent_to(&desk.ask(1, HARMLESS)).unwrap();
+    let second = sent_to(&desk.finish(1, 0, first, Outcome::Error)).unwrap();
+    assert_ne!(first, second);
+    assert!(failed(&desk.finish(1, 1, second, Outcome::Error)));
+    // One was judged by it, the other was not; and neither counts as one that may come back cold.
+    desk.now += 1500 * MS;
+    let sent: std::collections::BTreeSet<_> =
+        (10..60).filter_map(|id| sent_to(&desk.ask(id, HARMLESS))).collect();
+    assert_eq!(sent.len(), 4, "all are in use again: {sent:?}");
+}
