--- a/crates/platform-proto/src/door.rs
+++ b/crates/platform-proto/src/door.rs
@@ -398,6 +398,7 @@
     pub(crate) fn open_link(&mut self, server: ServerId) -> Option<LinkId> {
         let address = self.nodes.all.get(&server)?.address;
         let id = self.links.open(server, self.now);
+        self.outputs.push_back(Output::Log(format!("node s-{:08x}: link {} opens", server.0, id.0)));
         let within = if self.bounds.connect > 0 { self.bounds.connect } else { CONNECT };
         self.outputs.push_back(Output::Open { conn: Conn(ConnId::Node(id)), address, within });
         Some(id)
