--- a/src/control.rs
+++ b/src/control.rs
@@ -366,7 +366,7 @@
         if state == State::Plays && outcome == Outcome::Good {
             self.ends.count((self.now - sent) as f64 / 1e6, ask.req.hint);
         }
-        // What two servers answer with an error is wrong by itself: the second is not judged by it, nor a third.
+        // What two servers answer with an error is wrong by itself: the second is not judged by it.
         ask.errors += u32::from(outcome == Outcome::Error);
         self.judge(server, if ask.errors < 2 { outcome } else { Outcome::NotSent });
         // Only a request that is still owed its answer goes on; a paid one only on proof.
