State logged each second; a director told to end goes by itself before the kill

Told to end, a director ends by itself 0.55 s after the longest deadline (3 s at most), ahead of the kill, instead of waiting to be killed.

Tests: sessions handed over twice and at unknown nodes, a refusal at once with its wait, a node that stands still, a release whose viewer's connection is gone.

--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -39,6 +39,8 @@
     pub connect: Micros,
     /// Connections without traffic are closed after this. Microseconds; 0: not told.
     pub idle: Micros,
+    /// The longest that a viewer of any class waits. Microseconds.
+    pub give_up: Micros,
     /// Requests that may be open at once.
     pub held: usize,
 }
--- a/crates/instance/src/settings.rs
+++ b/crates/instance/src/settings.rs
@@ -154,7 +154,12 @@
         },
         ask_for_list: v.get("MembershipMode").and_then(Value::as_str) == Some("on_request"),
     };
+    let mut give_up = 0;
+    for c in list(v, "Categories")? {
+        give_up = give_up.max(span(c, "GiveUp")?);
+    }
     let bounds = Bounds {
+        give_up,
         drain_grace: span(v, "Contract.StopSendingWithin")?,
         connect: span(v, "Limits.ConnectTimeout")?,
         idle: span(v, "Limits.ConnIdle")?,
--- a/crates/platform-proto/src/door.rs
+++ b/crates/platform-proto/src/door.rs
@@ -26,6 +26,9 @@
 const IDLE_PART: f64 = 0.6;
 /// That time, where the settings name none.
 const IDLE: Micros = 15_000_000;
+/// The longest deadline counts so long at most when a director is told to end; the kill comes 0.7 s after it.
+const LEAVE: Micros = 3_000_000;
+const LEAVE_MORE: Micros = 550_000;
 /// A message of which part has come is whole after this, or never.
 const PART: Micros = 500_000;
 /// Descriptors that are neither viewers' nor nodes': listener, journal, log, signals and what the runtime needs.
@@ -117,6 +120,9 @@
     pub(crate) actions: Vec<Action>,
     pub(crate) outputs: VecDeque<Output>,
     pub(crate) leaving: bool,
+    /// What has ended since the last look, by outcome, and how late the latest timer rang.
+    pub(crate) ends: BTreeMap<String, u32>,
+    pub(crate) late: Micros,
 }
 
 impl Door {
@@ -146,6 +152,8 @@
             actions: Vec::new(),
             outputs: VecDeque::new(),
             leaving: false,
+            ends: BTreeMap::new(),
+            late: 0,
         };
         door.timers.set(now + ROUND, Due::Round);
         door.known(config, now);
@@ -509,6 +517,7 @@
     /// Rings what is due.
     pub fn timeout(&mut self, now: Micros) {
         self.now = now;
+        self.late = self.late.max(self.timers.next().map_or(0, |due| now - due));
         while let Some(due) = self.timers.pop(now) {
             match due {
                 Due::Module(token) => self.events.push_back(Event::Timer(token)),
@@ -528,6 +537,12 @@
         self.leaving = true;
     }
 
+    /// How long a director that is told to end may go on: everything that it took is answered by then, and whoever
+    /// wants it gone kills it no sooner.
+    pub fn leave_within(&self) -> Micros {
+        self.bounds.give_up.min(LEAVE) + LEAVE_MORE
+    }
+
     /// Requests without an answer, and sessions that stand.
     pub fn held(&self) -> (usize, usize) {
         let waiting = self.sessions.values().filter(|s| s.owed).count();
--- a/crates/platform-proto/src/lib.rs
+++ b/crates/platform-proto/src/lib.rs
@@ -21,11 +21,13 @@
 mod links;
 mod nodes;
 pub mod rtsp;
+mod status;
 mod table;
 mod viewers;
 
 pub use door::{Conn, Door, NotUp, Output, Transmit};
 pub use hex::Hex16;
+pub use status::Status;
 
 /// A message is so long at most, in bytes.
 pub const MESSAGE: usize = 16 * 1024;
--- /dev/null
+++ b/crates/platform-proto/src/status.rs
@@ -0,0 +1,54 @@
+//! What a director holds and believes, for its log.
+
+use crate::Door;
+use shalewall::Micros;
+
+/// So many of the fullest servers are named.
+const WORST: usize = 3;
+
+/// A second of a director, or what has passed since the last look.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Status {
+    /// Requests without an answer, and sessions that stand.
+    pub waiting: usize,
+    pub standing: usize,
+    /// Connections to viewers and to nodes, and nodes known.
+    pub viewers: usize,
+    pub links: usize,
+    pub nodes: usize,
+    /// The servers believed fullest: id, link, uplink, as `s-0000002a 0.71/0.44`, with `cold`, `short` or failures.
+    pub worst: String,
+    /// Attempts and sessions that ended, by outcome, as `Good 12, Full 1`.
+    pub ended: String,
+    /// How late the latest timer rang, in microseconds: this director's own delay.
+    pub late: Micros,
+}
+
+impl Door {
+    /// What there is now, and what has ended since the last look.
+    pub fn status(&mut self) -> Status {
+        let (waiting, standing) = self.held();
+        let (viewers, links, nodes) = self.sizes();
+        let mut worst: Vec<_> = self.director.beliefs().collect();
+        worst.sort_by(|a, b| b.link.max(b.uplink).total_cmp(&a.link.max(a.uplink)));
+        let named = worst.iter().take(WORST).map(|b| {
+            let cold = if b.cold { " cold" } else { "" };
+            let short = if b.short { " short" } else { "" };
+            let fails = if b.fails > 0 { format!(" failed {}", b.fails) } else { String::new() };
+            format!("s-{:08x} {:.2}/{:.2}{cold}{short}{fails}", b.server.0, b.link, b.uplink)
+        });
+        let worst = named.collect::<Vec<_>>().join(", ");
+        let ended = std::mem::take(&mut self.ends).into_iter().map(|(what, n)| format!("{what} {n}"));
+        let ended = ended.collect::<Vec<_>>().join(", ");
+        Status {
+            waiting,
+            standing,
+            viewers,
+            links,
+            nodes,
+            worst,
+            ended,
+            late: std::mem::take(&mut self.late),
+        }
+    }
+}
--- a/crates/platform-proto/src/table.rs
+++ b/crates/platform-proto/src/table.rs
@@ -367,6 +367,7 @@
         if closed {
             self.forget(id);
         }
+        *self.ends.entry(format!("{outcome:?}")).or_default() += 1;
         self.events.push_back(Event::Finished { session: id, attempt, server, outcome, closed, load });
     }
 
@@ -494,6 +495,7 @@
                 self.viewers.keep(ip, release.write(), self.now);
             }
         }
+        *self.ends.entry(format!("{outcome:?}")).or_default() += 1;
         self.events.push_back(Event::Finished { session: id, attempt, server, outcome, closed: true, load });
     }
 
--- a/crates/platform-proto/tests/sessions.rs
+++ b/crates/platform-proto/tests/sessions.rs
@@ -192,3 +192,65 @@
     let other = rig.up();
     assert!(rig.heard(other).contains("SETUP"), "it goes to the other node");
 }
+
+/// Sessions from before the start: no answer, once only, released like any other; at a node nobody knows, at once.
+#[test]
+fn sessions_handed_over_stand_once_and_are_released() {
+    let mut rig = Rig::new();
+    let viewer = rig.viewer();
+    for _ in 0..2 {
+        rig.hear(viewer, start(7, "paid", 4294967, ";at:s-00000001"));
+    }
+    assert!(rig.heard(viewer).is_empty());
+    assert_eq!(rig.door.held(), (0, 1));
+    let node = rig.up();
+    rig.hear(node, release(7, 41, b""));
+    assert!(rig.heard(viewer).contains(r#""rc":41"#));
+    rig.hear(viewer, start(8, "paid", 4294967, ";at:s-000000ff"));
+    assert!(rig.heard(viewer).contains(r#""tag":"0000000000000008","opts":{},"rc":41"#));
+    assert_eq!(rig.door.held(), (0, 0));
+}
+
+/// What the module has given up on is answered at once, with the time to keep away.
+#[test]
+fn a_refusal_goes_at_once_and_says_when_to_come_back() {
+    let mut rig = Rig::new();
+    let viewer = rig.viewer();
+    rig.ask(viewer, 7, "free");
+    for _ in 0..2 {
+        let conn = *rig.links.keys().last().unwrap();
+        rig.fail(conn, NotUp::Refused);
+    }
+    let told = rig.heard(viewer);
+    assert!(told.contains(r#""rc":34"#) && told.contains(r#""wait":""#), "{told}");
+}
+
+/// The answer comes in time though its node stands still, and the node is told to forget it.
+#[test]
+fn a_node_that_stands_still_makes_no_answer_late() {
+    let mut rig = Rig::new();
+    let viewer = rig.viewer();
+    rig.ask(viewer, 7, "paid");
+    let node = rig.up();
+    rig.heard(node);
+    rig.pass(1400 * MS);
+    assert!(rig.heard(viewer).is_empty());
+    rig.pass(100 * MS);
+    assert!(rig.heard(viewer).contains(r#""rc":41"#));
+    assert!(rig.heard(node).contains("TEARDOWN"));
+    rig.hear(node, answer(7, "there"));
+    assert!(rig.heard(viewer).is_empty());
+}
+
+/// A release finds its viewer though the connection of its set-up is gone.
+#[test]
+fn a_release_waits_for_its_viewers_next_connection() {
+    let mut rig = Rig::new();
+    let (viewer, node) = rig.standing(7, "free");
+    rig.broken(viewer, true);
+    assert_eq!(rig.door.held(), (0, 1));
+    rig.hear(node, release(7, 16, b""));
+    let next = rig.viewer();
+    rig.write(next);
+    assert!(rig.heard(next).contains(r#""rc":16"#));
+}
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -20,8 +20,8 @@
 
 /// Requests come until then after the word to end, and are still to be answered.
 const LATE_COMERS: Duration = Duration::from_millis(900);
-/// Longest wait for what stands; whoever wants a process gone sooner kills it.
-const LEAVE: Duration = Duration::from_secs(30);
+/// How often the state is logged.
+const SECOND: Duration = Duration::from_secs(1);
 /// How often is looked whether everything is answered.
 const LOOK: Duration = Duration::from_millis(20);
 
@@ -49,6 +49,7 @@
     ex.spawn(hub.clone().accept(listener)).detach();
     info!(name = config.name, address = %config.listen, nodes = hub.with(|d| d.sizes().2), "listening");
     drop(config);
+    ex.spawn(tell(hub.clone())).detach();
     async_io::block_on(ex.run(async {
         while let Some(signal) = signals.next().await {
             match signal? {
@@ -66,10 +67,11 @@
         hub.with(Door::leave);
         info!(held = ?hub.with(|d| d.held()), "leaving");
         let begun = std::time::Instant::now();
+        let leave = Duration::from_micros(hub.with(|d| d.leave_within()).max(0) as u64).max(LATE_COMERS);
         let emptied = async {
             loop {
                 let (waiting, standing) = hub.with(|d| d.held());
-                let patient = begun.elapsed() < LEAVE;
+                let patient = begun.elapsed() < leave;
                 if begun.elapsed() >= LATE_COMERS && waiting == 0 && (standing == 0 || !patient) {
                     return;
                 }
@@ -85,3 +87,18 @@
         io::Result::Ok(())
     }))
 }
+
+/// Logs once a second what this director holds and believes, and what it takes of the machine.
+async fn tell(hub: Rc<Hub>) {
+    loop {
+        Timer::after(SECOND).await;
+        let s = hub.with(Door::status);
+        // Pages of 4 KiB; 0 where the system does not tell.
+        let pages = std::fs::read_to_string("/proc/self/statm").ok();
+        let pages = pages.and_then(|t| t.split(' ').nth(1)?.parse::<u64>().ok()).unwrap_or(0);
+        let files = std::fs::read_dir("/proc/self/fd").map_or(0, |dir| dir.count());
+        let (waiting, standing, viewers, links, nodes) = (s.waiting, s.standing, s.viewers, s.links, s.nodes);
+        let (worst, ended, late_us, resident_kb) = (s.worst, s.ended, s.late, pages * 4);
+        info!(waiting, standing, viewers, links, nodes, worst, ended, late_us, resident_kb, files, "state");
+    }
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -9,6 +9,7 @@
 use held::{Arrivals, Ask, ByTime, Group, Held, Live, State, later, twin};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+pub mod belief;
 mod hash;
 mod held;
 mod views;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -56,4 +56,5 @@
 mod interface;
 
 pub use control::Director;
+pub use control::belief::Belief;
 pub use interface::*;
