One alarm rings both hubs' timers; the platform's door says less twice

Found written twice and made one: the loop that rings a state machine's timers (front's hub and the platform's, now shalewall_clock::Alarm), the choice of a connection for set-ups and probes, the time that a connection may take, the end told to the module and counted. Taken out: a bound that nobody read (the table judges by the list at once), a second word to the writer of a viewer that is closed, a look for a viewer that the next line makes again, a search for a connection to close at each new one though there was room, a string for each end. Tests share what they repeated; their assertions stay.

--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -2,8 +2,11 @@
 //!
 //! Times of processes on one machine can be compared, as recordings need, and a wall clock that is set back
 //! moves nothing. What this crate may know: the machine's clocks. Only what drives a state machine asks it;
-//! the state machines themselves take the time as an argument.
+//! the state machines themselves take the time as an argument. [`Alarm`] rings their timers for whoever drives them.
 
+mod alarm;
+
+pub use alarm::Alarm;
 use std::sync::OnceLock;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
--- a/crates/front/src/hub.rs
+++ b/crates/front/src/hub.rs
@@ -5,10 +5,8 @@
 use crate::tenants::Tenants;
 use async_channel::{Receiver, Sender};
 use async_executor::{LocalExecutor, Task};
-use async_io::Timer;
-use event_listener::{Event, IntoNotification};
-use futures_lite::future;
 use shalewall::ServerId;
+use shalewall_clock::Alarm;
 use shalewall_engine::{Answer, AskId, CallId, Engine, Input, NewSession, Output, Shown};
 use shalewall_http::Limits;
 use shalewall_moving::ticket::Key;
@@ -41,9 +39,7 @@
     pub follows: Follows,
     /// Told to end: nothing new is taken.
     leaving: Cell<bool>,
-    /// When the ringing task will look at the engine's timers next.
-    armed: Cell<i64>,
-    kick: Event,
+    alarm: Alarm,
 }
 
 /// A viewer's request that waits. Dropped without an answer, it tells the engine that the viewer has left.
@@ -90,8 +86,7 @@
             key: OnceCell::new(),
             follows: Follows::default(),
             leaving: Cell::new(false),
-            armed: Cell::new(i64::MAX),
-            kick: Event::new(),
+            alarm: Alarm::default(),
         });
         ex.spawn(hub.clone().ring()).detach();
         hub
@@ -101,12 +96,7 @@
     pub fn feed(self: &Rc<Hub>, input: Input) {
         self.engine.borrow_mut().handle(shalewall_clock::now(), input);
         self.pump();
-        // Most timers are set behind the one that is waited for. Setting the system's timer anew for each input
-        // would cost a wake-up each.
-        let next = self.engine.borrow().poll_timeout().unwrap_or(i64::MAX);
-        if next < self.armed.get() {
-            self.kick.notify(1.relaxed());
-        }
+        self.alarm.moved(self.engine.borrow().poll_timeout());
     }
 
     /// A viewer asks.
@@ -200,23 +190,10 @@
 
     /// Rings the engine's timers when they are due.
     async fn ring(self: Rc<Hub>) {
-        loop {
-            let kicked = self.kick.listen();
-            let due = self.engine.borrow().poll_timeout();
-            self.armed.set(due.unwrap_or(i64::MAX));
-            match due {
-                None => kicked.await,
-                Some(due) if due <= shalewall_clock::now() => {
-                    self.engine.borrow_mut().handle_timeout(shalewall_clock::now());
-                    self.pump();
-                }
-                Some(due) => {
-                    let timer = async {
-                        Timer::at(shalewall_clock::instant(due)).await;
-                    };
-                    future::or(timer, kicked).await;
-                }
-            }
-        }
+        let ring = || {
+            self.engine.borrow_mut().handle_timeout(shalewall_clock::now());
+            self.pump();
+        };
+        self.alarm.ring(|| self.engine.borrow().poll_timeout(), ring).await;
     }
 }
--- a/crates/front/tests/direct.rs
+++ b/crates/front/tests/direct.rs
@@ -102,6 +102,18 @@
         ));
     }
 
+    /// Tests until the director says that it is not ready.
+    fn until_not_ready(&mut self) {
+        let begun = Instant::now();
+        loop {
+            self.say(r#"{"verb":"ECHO","tag":"0000000000000001","opts":{},"rc":0}"#);
+            if self.hear().contains("\"rc\":0") {
+                return;
+            }
+            assert!(begun.elapsed() < WAIT);
+        }
+    }
+
     fn hear(&mut self) -> String {
         let mut line = String::new();
         self.0.read_line(&mut line).unwrap();
@@ -163,14 +175,7 @@
     journal.write_all(&[&frame[..], &frame[..]].concat()).unwrap();
     // Draining: the test fails, as nothing is ready.
     let mut viewer = place.viewer();
-    let begun = Instant::now();
-    loop {
-        viewer.say(r#"{"verb":"ECHO","tag":"0000000000000001","opts":{},"rc":0}"#);
-        if viewer.hear().contains("\"rc\":0") {
-            break;
-        }
-        assert!(begun.elapsed() < WAIT);
-    }
+    viewer.until_not_ready();
     let elsewhere = listener();
     place.write(&address(&elsewhere));
     director.signal(rustix::process::Signal::HUP);
@@ -191,14 +196,7 @@
     director.signal(rustix::process::Signal::TERM);
     let mut late = place.viewer();
     // The signal and the request race: what comes behind the failed test comes behind the signal.
-    let begun = Instant::now();
-    loop {
-        late.say(r#"{"verb":"ECHO","tag":"0000000000000001","opts":{},"rc":0}"#);
-        if late.hear().contains("\"rc\":0") {
-            break;
-        }
-        assert!(begun.elapsed() < WAIT);
-    }
+    late.until_not_ready();
     late.ask(8);
     assert!(late.hear().contains(r#""rc":34"#));
     serve(&mut node, 7);
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -33,8 +33,6 @@
 /// Bounds on how a director goes about its work, for whoever drives the module.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Bounds {
-    /// Nothing new goes to a server later than this after it was told to drain. Microseconds.
-    pub drain_grace: Micros,
     /// A connection that is not up within this is none. Microseconds; 0: not told.
     pub connect: Micros,
     /// Connections without traffic are closed after this. Microseconds; 0: not told.
--- a/crates/instance/src/settings.rs
+++ b/crates/instance/src/settings.rs
@@ -160,7 +160,6 @@
     }
     let bounds = Bounds {
         give_up,
-        drain_grace: span(v, "Contract.StopSendingWithin")?,
         connect: span(v, "Limits.ConnectTimeout")?,
         idle: span(v, "Limits.ConnIdle")?,
         held: num(v, "Limits.MaxOpen")?.map_or(usize::MAX, |n| n as usize),
--- a/crates/platform-proto/src/door.rs
+++ b/crates/platform-proto/src/door.rs
@@ -121,7 +121,7 @@
     pub(crate) outputs: VecDeque<Output>,
     pub(crate) leaving: bool,
     /// What has ended since the last look, by outcome, and how late the latest timer rang.
-    pub(crate) ends: BTreeMap<String, u32>,
+    pub(crate) ends: Vec<(Outcome, u32)>,
     pub(crate) late: Micros,
 }
 
@@ -152,7 +152,7 @@
             actions: Vec::new(),
             outputs: VecDeque::new(),
             leaving: false,
-            ends: BTreeMap::new(),
+            ends: Vec::new(),
             late: 0,
         };
         door.timers.set(now + ROUND, Due::Round);
@@ -260,9 +260,7 @@
         let Some(viewer) = self.viewers.all.get_mut(&id) else { return };
         viewer.closing = true;
         viewer.lines = Default::default();
-        let error = Message::finish(Hex16::of(0), cause::INVALID);
-        self.say(id, &error);
-        self.outputs.push_back(Output::Write(Conn(ConnId::Viewer(id))));
+        self.say(id, &Message::finish(Hex16::of(0), cause::INVALID));
     }
 
     fn said(&mut self, id: ViewerId, message: Message) -> Result<(), Unreadable> {
@@ -287,9 +285,6 @@
 
     /// Says something to a viewer; one that reads nothing is closed.
     pub(crate) fn say(&mut self, id: ViewerId, message: &Message) -> bool {
-        if !self.viewers.all.contains_key(&id) {
-            return false;
-        }
         if self.viewers.say(id, message.write()) {
             self.outputs.push_back(Output::Write(Conn(ConnId::Viewer(id))));
             return true;
@@ -407,11 +402,16 @@
         let address = self.nodes.all.get(&server)?.address;
         let id = self.links.open(server, self.now);
         self.outputs.push_back(Output::Log(format!("node s-{:08x}: link {} opens", server.0, id.0)));
-        let within = if self.bounds.connect > 0 { self.bounds.connect } else { CONNECT };
+        let within = self.connect_within();
         self.outputs.push_back(Output::Open { conn: Conn(ConnId::Node(id)), address, within });
         Some(id)
     }
 
+    /// How long a connection to a node may take to come up, and a probe to be answered.
+    pub(crate) fn connect_within(&self) -> Micros {
+        if self.bounds.connect > 0 { self.bounds.connect } else { CONNECT }
+    }
+
     /// A connection to a node ends; what was open on it ends with it, or never left.
     pub(crate) fn drop_link(&mut self, id: LinkId, lost: Lost) {
         let Some(link) = self.links.remove(id) else { return };
--- a/crates/platform-proto/src/status.rs
+++ b/crates/platform-proto/src/status.rs
@@ -38,7 +38,7 @@
             format!("s-{:08x} {:.2}/{:.2}{cold}{short}{fails}", b.server.0, b.link, b.uplink)
         });
         let worst = named.collect::<Vec<_>>().join(", ");
-        let ended = std::mem::take(&mut self.ends).into_iter().map(|(what, n)| format!("{what} {n}"));
+        let ended = std::mem::take(&mut self.ends).into_iter().map(|(what, n)| format!("{what:?} {n}"));
         let ended = ended.collect::<Vec<_>>().join(", ");
         Status {
             waiting,
--- a/crates/platform-proto/src/table.rs
+++ b/crates/platform-proto/src/table.rs
@@ -281,11 +281,7 @@
             return;
         }
         let until = patience.map_or(s.deadline, |p| (now + p).min(s.deadline));
-        let link = match self.links.idle(server, self.fresh()) {
-            Some(link) => Some(link),
-            None => self.link_for(server),
-        };
-        let Some(link) = link else {
+        let Some(link) = self.link_for(server) else {
             self.outcome(id, server, number, Outcome::NotSent, Load::default());
             return;
         };
@@ -301,8 +297,12 @@
         }
     }
 
-    /// A further connection to a node, or where there are too many one to share.
+    /// The connection that a set-up or a probe goes by: an idle one, else a further one, or where there are too many
+    /// one to share.
     fn link_for(&mut self, server: ServerId) -> Option<LinkId> {
+        if let Some(link) = self.links.idle(server, self.fresh()) {
+            return Some(link);
+        }
         if !self.links.room(server) {
             let spare = self.links.iter().filter(|(_, l)| l.server != server && l.up && !l.busy());
             let spare = spare.min_by_key(|(id, l)| (l.used, *id)).map(|(id, _)| id);
@@ -367,8 +367,16 @@
         if closed {
             self.forget(id);
         }
-        *self.ends.entry(format!("{outcome:?}")).or_default() += 1;
-        self.events.push_back(Event::Finished { session: id, attempt, server, outcome, closed, load });
+        self.finished(Event::Finished { session: id, attempt, server, outcome, closed, load }, outcome);
+    }
+
+    /// Tells the module of an end, and counts it for the log.
+    fn finished(&mut self, end: Event, outcome: Outcome) {
+        match self.ends.iter_mut().find(|(counted, _)| *counted == outcome) {
+            Some((_, n)) => *n += 1,
+            None => self.ends.push((outcome, 1)),
+        }
+        self.events.push_back(end);
     }
 
     /// A set-up is given up: its node is told, if it can have heard of it.
@@ -495,8 +503,7 @@
                 self.viewers.keep(ip, release.write(), self.now);
             }
         }
-        *self.ends.entry(format!("{outcome:?}")).or_default() += 1;
-        self.events.push_back(Event::Finished { session: id, attempt, server, outcome, closed: true, load });
+        self.finished(Event::Finished { session: id, attempt, server, outcome, closed: true, load }, outcome);
     }
 
     /// A session that stands is released by its viewer, or moved: its node is told.
@@ -544,10 +551,7 @@
     // ---- probes -----------------------------------------------------------------------------
 
     fn probe(&mut self, server: ServerId) {
-        let link = match self.links.idle(server, self.fresh()) {
-            Some(link) => Some(link),
-            None => self.link_for(server),
-        };
+        let link = self.link_for(server);
         self.next += 1;
         let id = ProbeId(self.next);
         let Some(link) = link.filter(|l| self.queue(*l, Item::Bytes(rtsp::probe(Hex16::of(id.0))))) else {
@@ -558,8 +562,7 @@
         if let Some(link) = self.links.get(link) {
             link.probes.insert(id);
         }
-        let within = if self.bounds.connect > 0 { self.bounds.connect } else { 250_000 };
-        self.timers.set(self.now + within, Due::Probe(id));
+        self.timers.set(self.now + self.connect_within(), Due::Probe(id));
     }
 
     /// A probe has its answer, or will have none. `from`: the connection that the answer came by.
--- a/crates/platform-proto/src/viewers.rs
+++ b/crates/platform-proto/src/viewers.rs
@@ -65,12 +65,11 @@
     /// A connection has come. Where there are too many, also the one to close for it: one that said nothing yet
     /// before one that is merely idle, the oldest first. None: there is no room.
     pub fn open(&mut self, ip: IpAddr, now: Micros) -> Option<(ViewerId, Option<ViewerId>)> {
-        let full = self.all.len() >= self.most;
-        let useless = |v: &&Viewer| v.open.is_empty() && v.standing.is_empty() && v.queue.is_empty();
-        let spare = self.all.iter().filter(|(_, v)| useless(v)).min_by_key(|(_, v)| (v.said, v.last));
-        let spare = spare.map(|(id, _)| *id).filter(|_| full);
-        if full && spare.is_none() {
-            return None;
+        let mut spare = None;
+        if self.all.len() >= self.most {
+            let useless = |v: &&Viewer| v.open.is_empty() && v.standing.is_empty() && v.queue.is_empty();
+            let found = self.all.iter().filter(|(_, v)| useless(v)).min_by_key(|(_, v)| (v.said, v.last));
+            spare = Some(found.map(|(id, _)| *id)?);
         }
         let id = ViewerId(self.next);
         self.next += 1;
--- a/crates/platform-proto/tests/common/mod.rs
+++ b/crates/platform-proto/tests/common/mod.rs
@@ -147,11 +147,16 @@
         self.pump();
     }
 
-    /// A session that stands: its viewer's connection and its node's.
-    pub fn standing(&mut self, tag: u64, class: &str) -> (Conn, Conn) {
+    /// A set-up that is out: its viewer's connection and its node's.
+    pub fn out(&mut self, tag: u64, class: &str) -> (Conn, Conn) {
         let viewer = self.viewer();
         self.ask(viewer, tag, class);
-        let node = self.up();
+        (viewer, self.up())
+    }
+
+    /// A session that stands: the same.
+    pub fn standing(&mut self, tag: u64, class: &str) -> (Conn, Conn) {
+        let (viewer, node) = self.out(tag, class);
         self.hear(node, answer(tag, "there"));
         (viewer, node)
     }
--- a/crates/platform-proto/tests/hostile.rs
+++ b/crates/platform-proto/tests/hostile.rs
@@ -74,9 +74,7 @@
 #[test]
 fn two_requests_under_one_id() {
     let mut rig = Rig::new();
-    let viewer = rig.viewer();
-    rig.ask(viewer, 7, "paid");
-    let node = rig.up();
+    let (viewer, node) = rig.out(7, "paid");
     rig.ask(viewer, 7, "paid");
     assert_eq!(rig.heard(viewer).matches("FINISH").count(), 1);
     assert!(rig.heard(node).contains("TEARDOWN"), "given up at its node");
@@ -99,9 +97,7 @@
 #[test]
 fn a_request_that_is_taken_back_ends_at_its_node() {
     let mut rig = Rig::new();
-    let viewer = rig.viewer();
-    rig.ask(viewer, 7, "paid");
-    let node = rig.up();
+    let (viewer, node) = rig.out(7, "paid");
     rig.heard(node);
     rig.hear(viewer, r#"{"verb":"FINISH","tag":"0000000000000007","opts":{},"rc":16}"#.to_string() + "\n");
     assert!(rig.heard(node).starts_with("TEARDOWN") && !rig.heard(viewer).contains("\"FINISH\""));
@@ -242,9 +238,7 @@
     #[test]
     fn a_changed_byte_never_makes_an_answer_of_its_own(at in any::<usize>(), byte in any::<u8>()) {
         let mut rig = Rig::new();
-        let viewer = rig.viewer();
-        rig.ask(viewer, 7, "paid");
-        let node = rig.up();
+        let (viewer, node) = rig.out(7, "paid");
         let mut bytes = answer(7, "there\r\n").into_bytes();
         let at = at % (bytes.len() - 7);
         bytes[at] = byte;
--- a/crates/platform-proto/tests/sessions.rs
+++ b/crates/platform-proto/tests/sessions.rs
@@ -48,9 +48,7 @@
 #[test]
 fn a_release_with_a_description_before_the_answer_is_both() {
     let mut rig = Rig::new();
-    let viewer = rig.viewer();
-    rig.ask(viewer, 7, "paid");
-    let node = rig.up();
+    let (viewer, node) = rig.out(7, "paid");
     rig.hear(node, release(7, 16, b"there\r\n"));
     let told = rig.heard(viewer);
     assert!(told.contains("STARTED") && told.ends_with("\"rc\":16}\n"), "{told}");
@@ -139,9 +137,7 @@
 #[test]
 fn half_a_message_spoils_its_connection_within_a_second() {
     let mut rig = Rig::new();
-    let viewer = rig.viewer();
-    rig.ask(viewer, 7, "paid");
-    let node = rig.up();
+    let (viewer, node) = rig.out(7, "paid");
     rig.hear(node, &answer(7, "there, and more")[..70]);
     rig.pass(S);
     assert!(rig.closed.contains(&node));
@@ -159,9 +155,7 @@
     ];
     for bytes in odd {
         let mut rig = Rig::new();
-        let viewer = rig.viewer();
-        rig.ask(viewer, 7, "paid");
-        let node = rig.up();
+        let (viewer, node) = rig.out(7, "paid");
         rig.hear(node, bytes);
         let told = rig.heard(viewer);
         assert!(told.contains(r#""rc":41"#) && !told.contains("STARTED"), "{told}");
@@ -229,9 +223,7 @@
 #[test]
 fn a_node_that_stands_still_makes_no_answer_late() {
     let mut rig = Rig::new();
-    let viewer = rig.viewer();
-    rig.ask(viewer, 7, "paid");
-    let node = rig.up();
+    let (viewer, node) = rig.out(7, "paid");
     rig.heard(node);
     rig.pass(1400 * MS);
     assert!(rig.heard(viewer).is_empty());
--- a/crates/platform/src/hub.rs
+++ b/crates/platform/src/hub.rs
@@ -4,10 +4,10 @@
 use async_io::{Async, Timer};
 use event_listener::{Event, IntoNotification};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
-use shalewall_clock::now;
+use shalewall_clock::{Alarm, now};
 use shalewall_http::client::{Unconnected, in_time};
 use shalewall_platform_proto::{Conn, Door, NotUp, Output, Transmit};
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
@@ -29,9 +29,7 @@
     ex: Rc<LocalExecutor<'static>>,
     door: RefCell<Door>,
     conns: RefCell<BTreeMap<Conn, Open>>,
-    /// When the ringing task will look at the door's timers next.
-    armed: Cell<i64>,
-    kick: Event,
+    alarm: Alarm,
 }
 
 impl Hub {
@@ -40,8 +38,7 @@
             ex: ex.clone(),
             door: RefCell::new(door),
             conns: RefCell::default(),
-            armed: Cell::new(i64::MAX),
-            kick: Event::new(),
+            alarm: Alarm::default(),
         });
         ex.spawn(hub.clone().ring()).detach();
         hub
@@ -51,10 +48,7 @@
     pub fn with<T>(self: &Rc<Hub>, work: impl FnOnce(&mut Door) -> T) -> T {
         let done = work(&mut self.door.borrow_mut());
         self.pump();
-        // Most timers are set behind the one that is waited for: the system's timer is not set anew for each.
-        if self.door.borrow().poll_timeout().unwrap_or(i64::MAX) < self.armed.get() {
-            self.kick.notify(1.relaxed());
-        }
+        self.alarm.moved(self.door.borrow().poll_timeout());
         done
     }
 
@@ -173,20 +167,7 @@
 
     /// Rings the door's timers when they are due.
     async fn ring(self: Rc<Hub>) {
-        loop {
-            let kicked = self.kick.listen();
-            let due = self.door.borrow().poll_timeout();
-            self.armed.set(due.unwrap_or(i64::MAX));
-            match due {
-                None => kicked.await,
-                Some(due) if due <= now() => self.with(|door| door.timeout(now())),
-                Some(due) => {
-                    let timer = async {
-                        Timer::at(shalewall_clock::instant(due)).await;
-                    };
-                    future::or(timer, kicked).await;
-                }
-            }
-        }
+        let ring = || self.with(|door| door.timeout(now()));
+        self.alarm.ring(|| self.door.borrow().poll_timeout(), ring).await;
     }
 }
