--- a/crates/platform-proto/src/door.rs
+++ b/crates/platform-proto/src/door.rs
@@ -3,7 +3,7 @@
 use crate::config::Config;
 use crate::journal::News;
 use crate::lines::{Message, Verb, cause};
-use crate::links::{Item, LinkId, Links, ProbeId};
+use crate::links::{Item, LinkId, Links, ProbeId, Why};
 use crate::nodes::{Nodes, REFUSED, RETRY, SILENCE, UNREACHABLE};
 use crate::rtsp::{self, Start};
 use crate::table::{Probe, Session};
@@ -70,7 +70,7 @@
 }
 
 /// Why a connection to a node did not come up.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum NotUp {
     /// Nobody listens there: proof that no process runs.
     Refused,
@@ -89,11 +89,13 @@
 }
 
 /// How a connection to a node ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Lost {
     /// It did not come up.
     NotUp(NotUp),
-    /// Closed by this side or by the other after its last message: nothing on it is unheard.
+    /// Of no more use to this side.
+    Done,
+    /// Closed by the node after its last message: nothing on it is unheard.
     Closed,
     /// Broken or spoilt: what the node said last on it may be unheard, and is said again on the next one.
     Spoilt,
@@ -122,6 +124,9 @@
     pub(crate) leaving: bool,
     /// What has ended since the last look, by outcome, and how late the latest timer rang.
     pub(crate) ends: Vec<(Outcome, u32)>,
+    /// And connections to nodes, opened and ended, by cause.
+    pub(crate) opened: BTreeMap<Why, u32>,
+    pub(crate) lost: BTreeMap<Lost, u32>,
     pub(crate) late: Micros,
 }
 
@@ -153,6 +158,8 @@
             outputs: VecDeque::new(),
             leaving: false,
             ends: Vec::new(),
+            opened: BTreeMap::new(),
+            lost: BTreeMap::new(),
             late: 0,
         };
         door.timers.set(now + ROUND, Due::Round);
@@ -196,7 +203,7 @@
             let idle: Vec<_> = self.links.of(server).filter(|(_, l)| !l.busy()).map(|(id, _)| id).collect();
             // What stands there is heard over one of them.
             let stands = self.nodes.all.get(&server).is_some_and(|n| !n.standing.is_empty());
-            idle.into_iter().skip(usize::from(stands)).for_each(|id| self.drop_link(id, Lost::Closed));
+            idle.into_iter().skip(usize::from(stands)).for_each(|id| self.drop_link(id, Lost::Done));
         }
         self.run();
     }
@@ -205,7 +212,7 @@
     pub(crate) fn gone(&mut self, server: ServerId) {
         self.over(server);
         let links: Vec<_> = self.links.of(server).map(|(id, _)| id).collect();
-        links.into_iter().for_each(|id| self.drop_link(id, Lost::Closed));
+        links.into_iter().for_each(|id| self.drop_link(id, Lost::Done));
     }
 
     /// What stood at a node is over.
@@ -398,10 +405,13 @@
     }
 
     /// Opens a connection to a node.
-    pub(crate) fn open_link(&mut self, server: ServerId) -> Option<LinkId> {
-        let address = self.nodes.all.get(&server)?.address;
+    pub(crate) fn open_link(&mut self, server: ServerId, why: Why) -> Option<LinkId> {
+        let node = self.nodes.all.get_mut(&server)?;
+        node.met = true;
+        let address = node.address;
+        *self.opened.entry(why).or_default() += 1;
         let id = self.links.open(server, self.now);
-        self.outputs.push_back(Output::Log(format!("node s-{:08x}: link {} opens", server.0, id.0)));
+        self.outputs.push_back(Output::Log(format!("node s-{:08x}: link {} opens: {why:?}", server.0, id.0)));
         let within = self.connect_within();
         self.outputs.push_back(Output::Open { conn: Conn(ConnId::Node(id)), address, within });
         Some(id)
@@ -415,12 +425,13 @@
     /// A connection to a node ends; what was open on it ends with it, or never left.
     pub(crate) fn drop_link(&mut self, id: LinkId, lost: Lost) {
         let Some(link) = self.links.remove(id) else { return };
+        *self.lost.entry(lost).or_default() += 1;
         self.outputs.push_back(Output::Close(Conn(ConnId::Node(id))));
         self.outputs.push_back(Output::Log(format!("node s-{:08x}: link {} {lost:?}", link.server.0, id.0)));
         let outcome = match lost {
             Lost::NotUp(NotUp::Own) => Outcome::NotSent,
             Lost::NotUp(_) => Outcome::NoConnection,
-            Lost::Closed | Lost::Spoilt => Outcome::Reset,
+            Lost::Done | Lost::Closed | Lost::Spoilt => Outcome::Reset,
         };
         for session in link.open {
             self.cut(session, outcome);
@@ -432,7 +443,7 @@
         let stands = self.nodes.all.get(&link.server).filter(|n| !n.standing.is_empty());
         let retry = stands.is_some_and(|n| n.retry <= self.now);
         if retry && (lost == Lost::Spoilt || self.links.of(link.server).next().is_none()) {
-            self.open_link(link.server);
+            self.open_link(link.server, Why::Stands);
         }
     }
 
@@ -566,7 +577,7 @@
             if link.part.is_some_and(|t| now - t >= PART) || (!link.busy() && link.doubt) {
                 lost.push((id, Lost::Spoilt));
             } else if !link.busy() && link.used < since && !stands {
-                lost.push((id, Lost::Closed));
+                lost.push((id, Lost::Done));
             }
         }
         lost.into_iter().for_each(|(id, lost)| self.drop_link(id, lost));
@@ -587,7 +598,7 @@
         }
         over.into_iter().for_each(|server| self.gone(server));
         for server in open {
-            self.open_link(server);
+            self.open_link(server, Why::Silence);
         }
         let links = &self.links;
         self.nodes.all.retain(|id, n| {
--- a/crates/platform-proto/src/links.rs
+++ b/crates/platform-proto/src/links.rs
@@ -12,6 +12,25 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct ProbeId(pub u64);
 
+/// Why a connection to a node is opened. Each costs a handshake, which a fleet of directors pays hundreds of times.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Why {
+    /// There was none to that node yet.
+    First,
+    /// There was one that has ended since.
+    Again,
+    /// Those there are in use.
+    Busy,
+    /// Those there have not been used for so long that the node may be closing them.
+    Old,
+    /// Something was given up on those there, or part of a message stands on them.
+    Doubt,
+    /// Sessions stand there, and what the node says of them comes over a connection.
+    Stands,
+    /// A node says nothing: it is tried.
+    Silence,
+}
+
 /// What waits to be written.
 pub(crate) enum Item {
     /// The session's attempt of this number, worded when its turn has come.
@@ -112,6 +131,23 @@
         up.max_by_key(|(id, l)| (!l.doubt, l.used, *id)).map(|(id, _)| id)
     }
 
+    /// Why a set-up that goes there needs a connection of its own. `met`: there was one to that node.
+    pub fn why(&self, server: ServerId, since: Micros, met: bool) -> Why {
+        let any = |what: &dyn Fn(&Link) -> bool| self.of(server).any(|(_, l)| what(l));
+        match () {
+            () if !any(&|_| true) => {
+                if met {
+                    Why::Again
+                } else {
+                    Why::First
+                }
+            }
+            () if any(&|l| l.up && !l.busy() && !l.doubt && l.used < since) => Why::Old,
+            () if any(&|l| l.doubt || l.part.is_some()) => Why::Doubt,
+            () => Why::Busy,
+        }
+    }
+
     /// The connection to share where no further one may be opened.
     pub fn shared(&self, server: ServerId) -> Option<LinkId> {
         let rank = |(id, l): &(LinkId, &Link)| (l.doubt, l.open.len(), *id);
--- a/crates/platform-proto/src/nodes.rs
+++ b/crates/platform-proto/src/nodes.rs
@@ -27,6 +27,8 @@
     pub refused: Option<Micros>,
     /// No new connection only for what stands there before this.
     pub retry: Micros,
+    /// There has been a connection to it.
+    pub met: bool,
 }
 
 #[derive(Default)]
@@ -77,6 +79,7 @@
                 unreachable: None,
                 refused: None,
                 retry: now,
+                met: false,
             });
             let started = listed.came_up > node.listed.came_up;
             if node.address != *address || (started && listed.state != Standing::Gone) {
--- a/crates/platform-proto/src/status.rs
+++ b/crates/platform-proto/src/status.rs
@@ -20,6 +20,9 @@
     pub worst: String,
     /// Attempts and sessions that ended, by outcome, as `Good 12, Full 1`.
     pub ended: String,
+    /// Connections to nodes opened and ended, by cause, as `First 3, Silence 1`.
+    pub opened: String,
+    pub lost: String,
     /// How late the latest timer rang, in microseconds: this director's own delay.
     pub late: Micros,
 }
@@ -38,8 +41,9 @@
             format!("s-{:08x} {:.2}/{:.2}{cold}{short}{fails}", b.server.0, b.link, b.uplink)
         });
         let worst = named.collect::<Vec<_>>().join(", ");
-        let ended = std::mem::take(&mut self.ends).into_iter().map(|(what, n)| format!("{what:?} {n}"));
-        let ended = ended.collect::<Vec<_>>().join(", ");
+        let ended = counted(std::mem::take(&mut self.ends));
+        let opened = counted(std::mem::take(&mut self.opened));
+        let lost = counted(std::mem::take(&mut self.lost));
         Status {
             waiting,
             standing,
@@ -48,7 +52,13 @@
             nodes,
             worst,
             ended,
+            opened,
+            lost,
             late: std::mem::take(&mut self.late),
         }
     }
 }
+
+fn counted<T: std::fmt::Debug>(counts: impl IntoIterator<Item = (T, u32)>) -> String {
+    counts.into_iter().map(|(what, n)| format!("{what:?} {n}")).collect::<Vec<_>>().join(", ")
+}
--- a/crates/platform-proto/src/table.rs
+++ b/crates/platform-proto/src/table.rs
@@ -4,7 +4,7 @@
 use crate::ask::{self, Asked};
 use crate::door::{Door, Due, Lost};
 use crate::lines::{Message, Verb, cause};
-use crate::links::{Item, LinkId, ProbeId};
+use crate::links::{Item, LinkId, ProbeId, Why};
 use crate::rtsp::{self, SetUp};
 use crate::viewers::ViewerId;
 use serde_json::Value;
@@ -117,7 +117,7 @@
             Action::CloseIdle { server } => {
                 let idle = self.links.of(server).filter(|(_, l)| l.up && !l.busy()).map(|(id, _)| id);
                 let idle: Vec<_> = idle.collect();
-                idle.into_iter().skip(1).for_each(|id| self.drop_link(id, Lost::Closed));
+                idle.into_iter().skip(1).for_each(|id| self.drop_link(id, Lost::Done));
             }
             Action::Log(text) => self.outputs.push_back(crate::Output::Log(text)),
             // The journal tells without being asked, and directors don't talk; nobody here asks for hand-overs.
@@ -307,11 +307,13 @@
             let spare = self.links.iter().filter(|(_, l)| l.server != server && l.up && !l.busy());
             let spare = spare.min_by_key(|(id, l)| (l.used, *id)).map(|(id, _)| id);
             match spare.filter(|_| self.links.of(server).next().is_none()) {
-                Some(spare) => self.drop_link(spare, Lost::Closed),
+                Some(spare) => self.drop_link(spare, Lost::Done),
                 None => return self.links.shared(server),
             }
         }
-        self.open_link(server)
+        let met = self.nodes.all.get(&server).is_some_and(|n| n.met);
+        let why = self.links.why(server, self.fresh(), met);
+        self.open_link(server, why)
     }
 
     /// A set-up's turn to be written: it is judged again, since it may have waited for its connection. None: it is
@@ -457,7 +459,7 @@
             node.standing.insert(id);
         }
         if self.links.of(server).next().is_none() {
-            self.open_link(server);
+            self.open_link(server, Why::Stands);
         }
     }
 
@@ -522,7 +524,7 @@
         let own = link.filter(|l| self.links.get(*l).is_some_and(|l| l.up && !l.doubt));
         own.or_else(|| self.links.any(server))
             .or_else(|| self.links.shared(server))
-            .or_else(|| self.open_link(server))
+            .or_else(|| self.open_link(server, Why::Stands))
     }
 
     fn set_rung(&mut self, id: SessionId, rung: usize) {
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -99,6 +99,10 @@
         let files = std::fs::read_dir("/proc/self/fd").map_or(0, |dir| dir.count());
         let (waiting, standing, viewers, links, nodes) = (s.waiting, s.standing, s.viewers, s.links, s.nodes);
         let (worst, ended, late_us, resident_kb) = (s.worst, s.ended, s.late, pages * 4);
-        info!(waiting, standing, viewers, links, nodes, worst, ended, late_us, resident_kb, files, "state");
+        let (opened, lost) = (s.opened, s.lost);
+        info!(
+            waiting,
+            standing, viewers, links, nodes, worst, ended, opened, lost, late_us, resident_kb, files, "state"
+        );
     }
 }
