--- a/crates/instance/src/settings.rs
+++ b/crates/instance/src/settings.rs
@@ -135,7 +135,6 @@
         stall_cost: num(v, "Specifics.StallCost")?.unwrap_or(0.0),
         switch_s: num(v, "Specifics.SwitchS")?.unwrap_or(0.0),
         cross_price: num(v, "Deductions.CrossZone")?.unwrap_or(0.0),
-        handshake_price: num(v, "Deductions.Handshake")?.unwrap_or(0.0),
         over_share_worth: num(v, "OverShareWorth")?.unwrap_or(1.0),
         contract: Contract {
             warm_after: span(v, "Contract.WarmAfter")?,
--- a/crates/settings/src/site.rs
+++ b/crates/settings/src/site.rs
@@ -437,7 +437,6 @@
             stall_cost: self.costs.stall,
             switch_s: self.costs.switch_s,
             cross_price: self.costs.cross,
-            handshake_price: 0.0, // a front opens few connections, and they last
             over_share_worth: self.costs.over_share_worth,
             contract: Contract {
                 warm_after: us(self.rules.warm_after_ms),
--- a/src/control.rs
+++ b/src/control.rs
@@ -75,8 +75,8 @@
 }
 
 impl Account {
-    fn heard(&self, now: Micros, within: Micros) -> bool {
-        self.reported.is_some_and(|t| now - t <= within)
+    fn fresh(&self, now: Micros) -> bool {
+        self.reported.is_some_and(|t| now - t <= PROBE_FRESH)
     }
 
     fn part(&self, kb: f64) -> f64 {
@@ -87,7 +87,9 @@
         self.own = (self.own + kb).max(0.0);
         self.share = (self.share + self.part(kb)).max(0.0);
         self.log.push_back((now, kb));
-        self.log.drain(..self.log.partition_point(|(t, _)| *t < now - LOG_SPAN));
+        while self.log.front().is_some_and(|(t, _)| *t < now - LOG_SPAN) {
+            self.log.pop_front();
+        }
     }
 
     /// Own changes after a time. The log is in order of time, and at thousands of set-ups a second the rest
@@ -285,7 +287,9 @@
         let span = self.set.contract.further.map_or(0, |f| f.span).max(self.set.contract.fall);
         self.taken.push_back(self.now);
         for times in [&mut self.taken, &mut self.further, &mut self.moved] {
-            times.drain(..times.partition_point(|t| *t < self.now - span));
+            while times.front().is_some_and(|t| *t < self.now - span) {
+                times.pop_front();
+            }
         }
         req.deadline = req.deadline.clamp(self.now, self.now + LONGEST);
         let known = self.turned.remove(&req.viewer).is_some();
@@ -313,10 +317,10 @@
             return Vec::new();
         }
         let holders = self.holders(ask);
-        if holders.first().is_none_or(|s| s.link.heard(self.now, PROBE_FRESH)) {
+        if holders.first().is_none_or(|s| s.link.fresh(self.now)) {
             return Vec::new();
         }
-        let unsure = holders.iter().filter(|s| !s.link.heard(self.now, PROBE_FRESH));
+        let unsure = holders.iter().filter(|s| !s.link.fresh(self.now));
         unsure.take(most.min(PROBES)).map(|s| s.listed.server).collect()
     }
 
@@ -550,19 +554,9 @@
         if top < class.floor || !self.may_send(ask) {
             return None;
         }
-        let holders = self.holders(ask);
-        let at = |s: &&Server| Some((s.listed.server, self.rung_at(s, &ask.req, class.floor, top, 0.0)?));
-        let found = holders.iter().find_map(at)?;
-        let mut met = holders.iter().filter(|s| self.met(s)).filter_map(at);
-        met.find(|(_, rung)| *rung >= found.1).or(Some(found))
-    }
-
-    /// Exception: where a new connection is priced, a holder that gives no lower rung goes before the
-    /// least account, if it has just told of itself, so that a connection to it is
-    /// up and sound; not while a set-up of this director is out there, which has the connection to itself.
-    fn met(&self, s: &Server) -> bool {
-        let priced = self.set.handshake_price > 0.0 && s.fails == 0;
-        priced && s.link.heard(self.now, self.set.told_every) && !self.held.out.contains_key(&s.listed.server)
+        self.holders(ask).into_iter().find_map(|s| {
+            self.rung_at(s, &ask.req, class.floor, top, 0.0).map(|rung| (s.listed.server, rung))
+        })
     }
 
     /// Holders that may take the request, the least account first.
@@ -651,7 +645,9 @@
     /// What the sessions held will grow by, by class, if viewers go on coming as of late: their rate
     /// times their length is what they come to (Little), and a part of it is there within the horizon.
     fn growth(&mut self, held: f64) -> BTreeMap<usize, f64> {
-        self.came.drain(..self.came.partition_point(|a| a.from < self.now - FLOW_SPAN));
+        while self.came.front().is_some_and(|a| a.from < self.now - FLOW_SPAN) {
+            self.came.pop_front();
+        }
         let (mut count, mut all, mut late, mut growth) = (0.0f64, 1e-9, 0.0, BTreeMap::new());
         for step in &self.came {
             count += step.count;
@@ -1056,9 +1052,13 @@
     }
 
     fn absent_gone(&mut self, lines: &[Listed]) {
-        let named: BTreeSet<ServerId> = lines.iter().map(|l| l.server).collect();
-        let absent = self.servers.values_mut().filter(|s| !named.contains(&s.listed.server));
-        absent.for_each(|s| s.listed.state = Standing::Gone);
+        let mut named: Vec<ServerId> = lines.iter().map(|l| l.server).collect();
+        named.sort_unstable();
+        for s in self.servers.values_mut() {
+            if named.binary_search(&s.listed.server).is_err() {
+                s.listed.state = Standing::Gone;
+            }
+        }
     }
 
     /// Told link: by weight where weights tell size, else the mean link shared out by places.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -57,8 +57,6 @@
     pub switch_s: f64,
     /// What it costs if all sessions cross zones, as a part of all worth.
     pub cross_price: f64,
-    /// What it costs if each request opens a connection to a server, as a part of all worth.
-    pub handshake_price: f64,
     /// Worth of a request beyond its tenant's share, as a part of its class's worth.
     pub over_share_worth: f64,
     /// The terms of the rules.
