The next attempt waits until the last one is given up on its socket

Need: two attempts of one session must not be out together, and two sockets are written in any order.

Changed: the word that a set-up is given up is a kind of its own in a connection's queue (links.rs); a later attempt stays in its queue until that has been written whole or its connection has ended (door.rs, transmit). The round that looks after connections has a file of its own (care.rs), door.rs was full.

The order in which two nodes read their sockets is nobody's to keep; the rig allows for that.

--- /dev/null
+++ b/crates/platform-proto/src/care.rs
@@ -0,0 +1,52 @@
+//! The round that looks after connections: which are of no more use, and which nodes are to be tried.
+
+use crate::door::{Door, Lost};
+use crate::links::Why;
+use crate::nodes::{REFUSED, SILENCE, UNREACHABLE};
+use shalewall::{Micros, Standing};
+
+/// A message of which part has come is whole after this, or never.
+const PART: Micros = 500_000;
+
+impl Door {
+    pub(crate) fn round(&mut self) {
+        let now = self.now;
+        for id in self.viewers.stale(now) {
+            self.drop_viewer(id);
+        }
+        let since = self.fresh();
+        let mut lost = Vec::new();
+        for (id, link) in self.links.iter().filter(|(_, l)| l.up) {
+            let stands = self.nodes.all.get(&link.server).is_some_and(|n| !n.standing.is_empty());
+            if link.part.is_some_and(|t| now - t >= PART) || (!link.busy() && link.doubt) {
+                lost.push((id, Lost::Spoilt));
+            } else if !link.busy() && link.used < since && !stands {
+                lost.push((id, Lost::Done));
+            }
+        }
+        lost.into_iter().for_each(|(id, lost)| self.drop_link(id, lost));
+        let mut over = Vec::new();
+        let mut open = Vec::new();
+        for (server, node) in self.nodes.all.iter().filter(|(_, n)| !n.standing.is_empty()) {
+            let since = |t: Option<Micros>, span| t.is_some_and(|t| now - t >= span);
+            if since(node.unreachable, UNREACHABLE) || since(node.refused, REFUSED) {
+                over.push(*server);
+                continue;
+            }
+            let none = self.links.of(*server).next().is_none();
+            let under_way = self.links.of(*server).any(|(_, l)| !l.up);
+            let doubt = node.unreachable.is_some() || node.refused.is_some();
+            if now >= node.retry && !under_way && (none || doubt || now - node.heard >= SILENCE) {
+                open.push(*server);
+            }
+        }
+        over.into_iter().for_each(|server| self.gone(server));
+        for server in open {
+            self.open_link(server, Why::Silence);
+        }
+        let links = &self.links;
+        self.nodes.all.retain(|id, n| {
+            n.listed.state != Standing::Gone || !n.standing.is_empty() || links.of(*id).next().is_some()
+        });
+    }
+}
--- a/crates/platform-proto/src/door.rs
+++ b/crates/platform-proto/src/door.rs
@@ -4,7 +4,7 @@
 use crate::journal::News;
 use crate::lines::{Message, Verb, cause};
 use crate::links::{Item, LinkId, Links, ProbeId, Why};
-use crate::nodes::{Nodes, REFUSED, RETRY, SILENCE, UNREACHABLE};
+use crate::nodes::{Nodes, RETRY};
 use crate::rtsp::{self, Start};
 use crate::table::{Probe, Session};
 use crate::viewers::{ViewerId, Viewers};
@@ -29,8 +29,6 @@
 /// The longest deadline counts so long at most when a director is told to end; the kill comes 0.7 s after it.
 const LEAVE: Micros = 3_000_000;
 const LEAVE_MORE: Micros = 550_000;
-/// A message of which part has come is whole after this, or never.
-const PART: Micros = 500_000;
 /// Descriptors that are neither viewers' nor nodes': listener, journal, log, signals and what the runtime needs.
 const OWN: usize = 32;
 
@@ -301,7 +299,7 @@
         false
     }
 
-    fn drop_viewer(&mut self, id: ViewerId) {
+    pub(crate) fn drop_viewer(&mut self, id: ViewerId) {
         self.forget_viewer(id);
         if self.viewers.all.remove(&id).is_some() {
             self.outputs.push_back(Output::Close(Conn(ConnId::Viewer(id))));
@@ -434,6 +432,7 @@
             Lost::NotUp(_) => Outcome::NoConnection,
             Lost::Done | Lost::Closed | Lost::Spoilt => Outcome::Reset,
         };
+        link.given_up().for_each(|session| self.next_attempt(session));
         for session in link.open {
             self.cut(session, outcome);
         }
@@ -499,10 +498,23 @@
                 self.whole(session, attempt);
                 continue;
             }
+            if let Some(session) = link.giving.take() {
+                self.next_attempt(session);
+                continue;
+            }
             link.used = now;
             match link.pop() {
                 None => return Transmit::Wait,
                 Some(Item::Bytes(bytes)) => return Transmit::Bytes(bytes),
+                Some(Item::GiveUp(session, bytes)) => {
+                    link.giving = Some(session);
+                    return Transmit::Bytes(bytes);
+                }
+                // Two nodes may be reached in either order: no two attempts are to be out.
+                Some(Item::SetUp(session, attempt @ 1..)) if self.links.gives_up(session) => {
+                    self.links.get(id).into_iter().for_each(|l| l.put_back(Item::SetUp(session, attempt)));
+                    return Transmit::Wait;
+                }
                 Some(Item::SetUp(session, attempt)) => match self.worded(session, attempt) {
                     Some(bytes) => {
                         if let Some(link) = self.links.get(id) {
@@ -565,45 +577,4 @@
     pub fn sizes(&self) -> (usize, usize, usize) {
         (self.viewers.all.len(), self.links.len(), self.nodes.all.len())
     }
-
-    fn round(&mut self) {
-        let now = self.now;
-        for id in self.viewers.stale(now) {
-            self.drop_viewer(id);
-        }
-        let since = self.fresh();
-        let mut lost = Vec::new();
-        for (id, link) in self.links.iter().filter(|(_, l)| l.up) {
-            let stands = self.nodes.all.get(&link.server).is_some_and(|n| !n.standing.is_empty());
-            if link.part.is_some_and(|t| now - t >= PART) || (!link.busy() && link.doubt) {
-                lost.push((id, Lost::Spoilt));
-            } else if !link.busy() && link.used < since && !stands {
-                lost.push((id, Lost::Done));
-            }
-        }
-        lost.into_iter().for_each(|(id, lost)| self.drop_link(id, lost));
-        let mut over = Vec::new();
-        let mut open = Vec::new();
-        for (server, node) in self.nodes.all.iter().filter(|(_, n)| !n.standing.is_empty()) {
-            let since = |t: Option<Micros>, span| t.is_some_and(|t| now - t >= span);
-            if since(node.unreachable, UNREACHABLE) || since(node.refused, REFUSED) {
-                over.push(*server);
-                continue;
-            }
-            let none = self.links.of(*server).next().is_none();
-            let under_way = self.links.of(*server).any(|(_, l)| !l.up);
-            let doubt = node.unreachable.is_some() || node.refused.is_some();
-            if now >= node.retry && !under_way && (none || doubt || now - node.heard >= SILENCE) {
-                open.push(*server);
-            }
-        }
-        over.into_iter().for_each(|server| self.gone(server));
-        for server in open {
-            self.open_link(server, Why::Silence);
-        }
-        let links = &self.links;
-        self.nodes.all.retain(|id, n| {
-            n.listed.state != Standing::Gone || !n.standing.is_empty() || links.of(*id).next().is_some()
-        });
-    }
 }
--- a/crates/platform-proto/src/lib.rs
+++ b/crates/platform-proto/src/lib.rs
@@ -13,6 +13,7 @@
 //! table has a bound.
 
 mod ask;
+mod care;
 pub mod config;
 mod door;
 mod hex;
--- a/crates/platform-proto/src/links.rs
+++ b/crates/platform-proto/src/links.rs
@@ -35,6 +35,8 @@
 pub(crate) enum Item {
     /// The session's attempt of this number, worded when its turn has come.
     SetUp(SessionId, u32),
+    /// The word that a set-up is given up: the session's next one waits for it.
+    GiveUp(SessionId, Vec<u8>),
     Bytes(Vec<u8>),
 }
 
@@ -45,6 +47,8 @@
     queue: VecDeque<Item>,
     /// The set-up that is being written: not whole yet.
     pub writing: Option<(SessionId, u32)>,
+    /// The set-up whose giving up is being written.
+    pub giving: Option<SessionId>,
     /// Set-ups and probes without an answer.
     pub open: BTreeSet<SessionId>,
     pub probes: BTreeSet<ProbeId>,
@@ -81,6 +85,20 @@
         self.queue.pop_front()
     }
 
+    /// What was popped too early goes back.
+    pub fn put_back(&mut self, item: Item) {
+        self.queue.push_front(item);
+    }
+
+    /// Sessions that are given up on it and whose node has not had the word yet.
+    pub fn given_up(&self) -> impl Iterator<Item = SessionId> {
+        let queued = self.queue.iter().filter_map(|item| match item {
+            Item::GiveUp(session, _) => Some(*session),
+            Item::SetUp(..) | Item::Bytes(_) => None,
+        });
+        self.giving.into_iter().chain(queued)
+    }
+
     /// A set-up that has not begun to be written is taken back.
     pub fn unqueue(&mut self, id: SessionId) {
         self.queue.retain(|item| !matches!(item, Item::SetUp(s, _) if *s == id));
@@ -148,6 +166,11 @@
         }
     }
 
+    /// Whether an earlier attempt of a session is still to be given up.
+    pub fn gives_up(&self, session: SessionId) -> bool {
+        self.all.values().any(|l| l.given_up().any(|s| s == session))
+    }
+
     /// The connection to share where no further one may be opened.
     pub fn shared(&self, server: ServerId) -> Option<LinkId> {
         let rank = |(id, l): &(LinkId, &Link)| (l.doubt, l.open.len(), *id);
@@ -168,6 +191,7 @@
             reader: Reader::default(),
             queue: VecDeque::new(),
             writing: None,
+            giving: None,
             open: BTreeSet::new(),
             probes: BTreeSet::new(),
             doubt: false,
--- a/crates/platform-proto/src/table.rs
+++ b/crates/platform-proto/src/table.rs
@@ -2,7 +2,7 @@
 
 use crate::Hex16;
 use crate::ask::{self, Asked};
-use crate::door::{Door, Due, Lost};
+use crate::door::{Conn, ConnId, Door, Due, Lost, Output};
 use crate::lines::{Message, Verb, cause};
 use crate::links::{Item, LinkId, ProbeId, Why};
 use crate::rtsp::{self, SetUp};
@@ -119,7 +119,7 @@
                 let idle: Vec<_> = idle.collect();
                 idle.into_iter().skip(1).for_each(|id| self.drop_link(id, Lost::Done));
             }
-            Action::Log(text) => self.outputs.push_back(crate::Output::Log(text)),
+            Action::Log(text) => self.outputs.push_back(Output::Log(text)),
             // The journal tells without being asked, and directors don't talk; nobody here asks for hand-overs.
             Action::FetchList | Action::Subscribe(_) | Action::Tell { .. } | Action::HandOver { .. } => {}
         }
@@ -338,6 +338,13 @@
         Some(set_up.write())
     }
 
+    /// An attempt is given up for good: the next one, which may have waited for that, can be written.
+    pub(crate) fn next_attempt(&mut self, id: SessionId) {
+        if let Some(Session { stage: Stage::Out(a), .. }) = self.sessions.get(&id) {
+            self.outputs.push_back(Output::Write(Conn(ConnId::Node(a.link))));
+        }
+    }
+
     /// A set-up has been written whole: its node may have it.
     pub(crate) fn whole(&mut self, id: SessionId, number: u32) {
         if let Some(Session { stage: Stage::Out(a), .. }) = self.sessions.get_mut(&id)
@@ -389,7 +396,7 @@
             if let Some(link) = self.links.get(link) {
                 link.doubt = true;
             }
-            if !self.queue(link, Item::Bytes(rtsp::give_up(tag))) {
+            if !self.queue(link, Item::GiveUp(id, rtsp::give_up(tag))) {
                 self.drop_link(link, Lost::Spoilt);
             }
         }
--- a/crates/platform-proto/tests/common/mod.rs
+++ b/crates/platform-proto/tests/common/mod.rs
@@ -47,6 +47,8 @@
     /// Connections to nodes that are open or under way, by what they were opened to.
     pub links: BTreeMap<Conn, SocketAddr>,
     under_way: BTreeSet<Conn>,
+    /// Sockets that take no bytes at present.
+    pub stuck: BTreeSet<Conn>,
     pub closed: Vec<Conn>,
     pub said: BTreeMap<Conn, String>,
 }
@@ -59,6 +61,7 @@
             now: START,
             links: BTreeMap::new(),
             under_way: BTreeSet::new(),
+            stuck: BTreeSet::new(),
             closed: Vec::new(),
             said: BTreeMap::new(),
         };
@@ -73,7 +76,7 @@
                     self.links.insert(conn, address);
                     self.under_way.insert(conn);
                 }
-                Output::Write(conn) if self.under_way.contains(&conn) => {}
+                Output::Write(conn) if self.under_way.contains(&conn) || self.stuck.contains(&conn) => {}
                 Output::Write(conn) => self.write(conn),
                 Output::Close(conn) => {
                     self.links.remove(&conn);
--- a/crates/platform-proto/tests/sessions.rs
+++ b/crates/platform-proto/tests/sessions.rs
@@ -83,6 +83,32 @@
     assert_eq!(rig.door.held(), (0, 0));
 }
 
+/// Two sockets are written in any order: the word that an attempt is given up must be on its way before the next
+/// attempt is, or both are out.
+#[test]
+fn the_next_attempt_waits_until_the_last_one_is_given_up() {
+    let mut rig = Rig::new();
+    let (_, slow) = rig.out(7, "free");
+    assert!(rig.heard(slow).starts_with("SETUP"));
+    rig.stuck.insert(slow);
+    rig.pass(600 * MS);
+    let next = rig.up();
+    assert!(rig.heard(next).is_empty(), "set up while the first is out");
+    rig.stuck.clear();
+    rig.write(slow);
+    assert!(rig.heard(slow).starts_with("TEARDOWN"));
+    rig.pump();
+    assert!(rig.heard(next).starts_with("SETUP"), "the way is free");
+    // And where the connection ends, its set-ups are given up by that.
+    let mut rig = Rig::new();
+    let (_, slow) = rig.out(7, "free");
+    rig.stuck.insert(slow);
+    rig.pass(600 * MS);
+    let next = rig.up();
+    rig.broken(slow, false);
+    assert!(rig.heard(next).starts_with("SETUP"));
+}
+
 /// A node says its releases again on the next connection that is opened: so one has to be.
 #[test]
 fn after_a_broken_connection_the_next_one_is_opened_at_once() {
