--- a/crates/audit/src/judge.rs
+++ b/crates/audit/src/judge.rs
@@ -527,7 +527,9 @@
                     let killed =
                         kills.clone().any(|k| *k >= *from - self.rules.transit && *k <= *from + slack);
                     if !killed {
-                        let what = format!("request {ask} to director {director} has no answer");
+                        let waited = (t - from) / 1000;
+                        let what =
+                            format!("request {ask} to director {director} has no answer after {waited} ms");
                         self.verdict.broken(Rule::Answered, *t, what);
                     }
                 }
--- a/crates/front/tests/direct.rs
+++ b/crates/front/tests/direct.rs
@@ -206,3 +206,29 @@
     assert!(viewer.hear().contains(r#""rc":16"#));
     assert!(director.0.wait().unwrap().success());
 }
+
+/// The platform loads a library into the one process that `run` starts, and refuses it other programs, io_uring,
+/// splice and sendfile.
+#[test]
+fn it_is_one_process_linked_dynamically_that_starts_no_other() {
+    let run = include_str!("../../../deploy/balancer.toml").lines().find(|l| l.starts_with("run")).unwrap();
+    assert_eq!(run, "run = \"exec target/release/shalewall direct\"");
+    let place = Place::new();
+    let director = place.begin();
+    let mut viewer = place.viewer();
+    viewer.ask(7);
+    let mut node = accept(&place.node);
+    serve(&mut node, 7);
+    assert!(viewer.hear().contains("STARTED"));
+    let proc = std::path::PathBuf::from(format!("/proc/{}", director.0.id()));
+    let maps = std::fs::read_to_string(proc.join("maps")).unwrap();
+    assert!(maps.contains("/libc.so") && maps.contains("/ld-linux"), "not linked against the C library");
+    for task in std::fs::read_dir(proc.join("task")).unwrap() {
+        let children = std::fs::read_to_string(task.unwrap().path().join("children")).unwrap();
+        assert!(children.is_empty(), "started {children}");
+    }
+    for fd in std::fs::read_dir(proc.join("fd")).unwrap() {
+        let to = std::fs::read_link(fd.unwrap().path()).unwrap();
+        assert!(!to.to_string_lossy().contains("io_uring"), "uses io_uring");
+    }
+}
--- /dev/null
+++ b/crates/rig/src/director.rs
@@ -0,0 +1,137 @@
+//! One process of `shalewall direct`: started, signalled, killed, started again.
+
+use crate::journal::Line;
+use crate::tape::Tape;
+use crate::{free_port, now};
+use serde_json::{Value, json};
+use shalewall_audit::Record;
+use std::fs::File;
+use std::io;
+use std::net::TcpStream;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// A director listens within this of its start, or never.
+const UP: Duration = Duration::from_secs(10);
+
+/// The platform's settings object, with the figures of [`crate::tape::rules`].
+pub fn settings(number: u32, directors: u32) -> Value {
+    json!({ "Balancers": directors, "MyNumber": number, "Categories": [
+        { "Name": "paid", "Effect": "at_most_once", "Target": 500.0, "GiveUp": 1200.0, "Value": 2.0 },
+        { "Name": "free", "Effect": "idempotent", "Target": 400.0, "GiveUp": 1200.0, "Value": 1.0 }],
+        "FailureDomains": ["north"], "Shapes": ["small"], "Zone": "north", "WeightSource": "silent", "Step": 1.0,
+        "Contract": { "AnswerSlack": 5.0, "ExtraPerRequest": 0.3, "MinExtra": 3.0, "ResendSpan": 10000.0,
+            "MustAskIn": 10000.0, "StopSendingWithin": 250.0, "WarmAfter": 4000.0, "StartCapacity": 0.4,
+            "OverloadFactor": 2.0, "Fall": 1000.0 },
+        "Deductions": { "Handshake": 0.08, "Probe": 0.08 },
+        "Limits": { "MaxAttempts": 4, "MayCancel": true, "RetryAfter": true, "MaxRetryAfter": 1000.0,
+            "ConnectTimeout": 250.0, "ConnIdle": 15000.0, "Probes": true },
+        "Specifics": { "Places": 6, "Cabinets": 2, "PlacesByKind": [60], "RungKb": [200, 600, 1200],
+            "RungWorth": [0.4, 0.7, 1.0], "HighestRung": [2, 2], "LowestRung": [1, 0], "ClassScale": [1.0, 1.0],
+            "KbPerWeight": 90000.0, "FleetKb": 540000.0, "RackLinkKb": 400000.0, "ToldEvery": 1000.0,
+            "ToldLate": 100.0, "StallCost": 7.0, "SwitchS": 0.25 } })
+}
+
+pub struct Director {
+    pub number: u32,
+    pub port: u16,
+    binary: PathBuf,
+    dir: PathBuf,
+    tape: Tape,
+    child: Option<Child>,
+    gone: Option<i64>,
+}
+
+impl Director {
+    pub fn new(binary: &Path, dir: &Path, number: u32, tape: Tape) -> io::Result<Director> {
+        let (binary, dir) = (binary.to_path_buf(), dir.to_path_buf());
+        Ok(Director { number, port: free_port()?, binary, dir, tape, child: None, gone: None })
+    }
+
+    /// Starts the process, and waits until it listens.
+    pub fn start(&mut self, journal: u16, list: &[Line], directors: u32) -> io::Result<()> {
+        let members: Vec<Value> = list.iter().map(Line::json).collect();
+        let config = json!({ "name": format!("n{}", self.number), "listen": format!("127.0.0.1:{}", self.port),
+            "seed": format!("{:016x}", 0x8c1f_30d2_7a5b_e964_u64 ^ u64::from(self.number)),
+            "limits": { "sockets": 256 }, "journal": format!("127.0.0.1:{journal}"),
+            "known": { "pos": 1, "entries": [{ "pos": 1,
+                "hosts": { "revision": 1, "complete": true, "members": members } }] },
+            "settings": settings(self.number, directors) });
+        let file = self.dir.join(format!("n{}.json", self.number));
+        std::fs::write(&file, config.to_string())?;
+        let log = File::options().create(true).append(true).open(self.log())?;
+        let child = Command::new(&self.binary)
+            .arg("direct")
+            .env("ROUTER_CONFIG", file)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()?;
+        self.child = Some(child);
+        let begun = Instant::now();
+        while TcpStream::connect(("127.0.0.1", self.port)).is_err() {
+            if begun.elapsed() > UP {
+                return Err(io::Error::other(format!("director {} does not listen", self.number)));
+            }
+            thread::sleep(Duration::from_millis(10));
+        }
+        let t = now();
+        if let Some(from) = self.gone.take() {
+            self.tape.open().down.entry(self.number).or_default().push((from, t));
+        }
+        self.tape.note(Record::DirectorUp { t, director: self.number });
+        Ok(())
+    }
+
+    pub fn log(&self) -> PathBuf {
+        self.dir.join(format!("n{}.log", self.number))
+    }
+
+    pub fn pid(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
+    /// SIGKILL, without a word before it.
+    pub fn kill(&mut self) {
+        let Some(mut child) = self.child.take() else { return };
+        let t = now();
+        self.gone = Some(t);
+        self.tape.note(Record::DirectorKilled { t, director: self.number });
+        let _ = child.kill();
+        let _ = child.wait();
+    }
+
+    /// SIGTERM; true where it ended by itself within `patience`.
+    pub fn leave(&mut self, patience: Duration) -> bool {
+        let Some(mut child) = self.child.take() else { return true };
+        self.gone = Some(now());
+        let pid = rustix::process::Pid::from_child(&child);
+        let _ = rustix::process::kill_process(pid, rustix::process::Signal::TERM);
+        let begun = Instant::now();
+        while begun.elapsed() < patience {
+            if let Ok(Some(status)) = child.try_wait() {
+                return status.success();
+            }
+            thread::sleep(Duration::from_millis(10));
+        }
+        let _ = child.kill();
+        let _ = child.wait();
+        false
+    }
+
+    /// Whether it still runs.
+    pub fn runs(&mut self) -> bool {
+        self.child.as_mut().is_some_and(|c| matches!(c.try_wait(), Ok(None)))
+    }
+}
+
+impl Drop for Director {
+    fn drop(&mut self) {
+        if let Some(child) = &mut self.child {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
--- /dev/null
+++ b/crates/rig/src/lies.rs
@@ -0,0 +1,204 @@
+//! Directors that are wrong on purpose: relays that lie in a director's name, between it and its viewers or its
+//! nodes. What the stand-ins see on their sockets is what a director with that fault would do.
+
+use crate::rtsp::{self, Message};
+use serde_json::Value;
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+
+/// What is wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lie {
+    /// Every fifth answer is never said.
+    Loses,
+    /// Every fifth answer is said twice.
+    Twice,
+    /// Serves with a description that no node made.
+    MakesUp,
+    /// Never says that a session has come to its end.
+    KeepsReleases,
+    /// Sets paid sessions up at two nodes.
+    PaysTwice,
+    /// Plays paid sessions below their floor.
+    UnderFloor,
+    /// Goes on sending to a node that drains.
+    IgnoresDrains,
+    /// Sends everything to a node that has just started.
+    PushesCold,
+    /// Gives every harmless set-up up once and sends it again.
+    Wastes,
+}
+
+impl Lie {
+    /// Told to viewers; the others are told to nodes.
+    pub fn to_viewers(self) -> bool {
+        matches!(self, Lie::Loses | Lie::Twice | Lie::MakesUp | Lie::KeepsReleases)
+    }
+}
+
+/// No node is favoured.
+pub const NOBODY: usize = usize::MAX;
+
+/// What the relays of one day have in common.
+pub struct Liar {
+    lie: Lie,
+    /// The nodes' own ports.
+    nodes: Vec<u16>,
+    /// The node that everything is to go to.
+    pub favoured: AtomicUsize,
+    count: AtomicU64,
+}
+
+type Stream = Arc<Mutex<TcpStream>>;
+
+fn shared(stream: &TcpStream) -> io::Result<Stream> {
+    Ok(Arc::new(Mutex::new(stream.try_clone()?)))
+}
+
+fn write(to: &Stream, bytes: &[u8]) -> io::Result<()> {
+    to.lock().unwrap_or_else(PoisonError::into_inner).write_all(bytes)
+}
+
+/// Carries bytes one way, as `said` words them, until either side ends.
+fn carry(mut from: TcpStream, to: &Stream, mut said: impl FnMut(&mut Vec<u8>) -> Vec<u8>) {
+    let (mut buf, mut chunk) = (Vec::new(), [0; 4096]);
+    while let Ok(n) = from.read(&mut chunk) {
+        if n == 0 {
+            break;
+        }
+        buf.extend(&chunk[..n]);
+        if write(to, &said(&mut buf)).is_err() {
+            break;
+        }
+    }
+    let _ = to.lock().unwrap_or_else(PoisonError::into_inner).shutdown(Shutdown::Both);
+    let _ = from.shutdown(Shutdown::Both);
+}
+
+impl Liar {
+    pub fn new(lie: Lie, nodes: Vec<u16>) -> Arc<Liar> {
+        Arc::new(Liar { lie, nodes, favoured: AtomicUsize::new(NOBODY), count: AtomicU64::new(0) })
+    }
+
+    /// A relay to a port; its own port.
+    pub fn before(self: &Arc<Liar>, port: u16) -> io::Result<u16> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let own = listener.local_addr()?.port();
+        let liar = self.clone();
+        thread::spawn(move || {
+            for near in listener.incoming().flatten() {
+                let liar = liar.clone();
+                thread::spawn(move || liar.relay(near, port));
+            }
+        });
+        Ok(own)
+    }
+
+    fn relay(self: Arc<Liar>, near: TcpStream, port: u16) -> io::Result<()> {
+        let Ok(far) = TcpStream::connect(("127.0.0.1", port)) else {
+            return near.shutdown(Shutdown::Both);
+        };
+        let (to_near, to_far) = (shared(&near)?, shared(&far)?);
+        let back = self.clone();
+        let answers = to_near.clone();
+        if self.lie.to_viewers() {
+            thread::spawn(move || carry(far, &answers, |buf| back.lines(buf)));
+            carry(near, &to_far, std::mem::take);
+            return Ok(());
+        }
+        thread::spawn(move || carry(far, &answers, std::mem::take));
+        let mut others: Vec<(u16, Stream)> = Vec::new();
+        carry(near, &to_far, |buf| {
+            let mut out = Vec::new();
+            while let Some(message) = rtsp::take(buf) {
+                out.extend(self.message(message, &to_near, &mut others));
+            }
+            out
+        });
+        for (_, other) in others {
+            let _ = other.lock().unwrap_or_else(PoisonError::into_inner).shutdown(Shutdown::Both);
+        }
+        Ok(())
+    }
+
+    /// Lines on their way to a viewer.
+    fn lines(&self, buf: &mut Vec<u8>) -> Vec<u8> {
+        let mut out = Vec::new();
+        while let Some(end) = buf.iter().position(|b| *b == b'\n') {
+            let line: Vec<u8> = buf.drain(..=end).collect();
+            let Ok(mut said) = serde_json::from_slice::<Value>(&line) else { continue };
+            let answers = said["verb"] == "STARTED";
+            let fifth = answers && self.count.fetch_add(1, Ordering::Relaxed) % 5 == 4;
+            match self.lie {
+                Lie::Loses if fifth => {}
+                Lie::Twice if fifth => out.extend([&line[..], &line[..]].concat()),
+                Lie::MakesUp if answers => {
+                    said["blob"] = "s-00000009-made up\r\n".into();
+                    out.extend(format!("{said}\n").into_bytes());
+                }
+                Lie::KeepsReleases if said["verb"] == "FINISH" && said["rc"] == 16 => {}
+                _ => out.extend(line),
+            }
+        }
+        out
+    }
+
+    /// A message on its way to a node: what goes there instead.
+    fn message(&self, mut message: Message, near: &Stream, others: &mut Vec<(u16, Stream)>) -> Vec<u8> {
+        if message.method() != "SETUP" {
+            return message.write();
+        }
+        let paid = message.field("p-kind") == Some("paid");
+        match self.lie {
+            Lie::PaysTwice if paid => {
+                let other =
+                    self.nodes[self.count.fetch_add(1, Ordering::Relaxed) as usize % self.nodes.len()];
+                // What that one answers is heard by nobody.
+                if let Some(to) = self.way(other, None, others) {
+                    let _ = write(&to, &message.write());
+                }
+                message.write()
+            }
+            Lie::UnderFloor if paid => {
+                message.fields.iter_mut().filter(|(n, _)| n == "x-rung").for_each(|(_, v)| *v = "0".into());
+                message.write()
+            }
+            Lie::IgnoresDrains | Lie::PushesCold => {
+                let favoured = self.nodes.get(self.favoured.load(Ordering::Relaxed)).copied();
+                let to = favoured.and_then(|port| self.way(port, Some(near), others));
+                match to {
+                    Some(to) => {
+                        let _ = write(&to, &message.write());
+                        Vec::new()
+                    }
+                    None => message.write(),
+                }
+            }
+            Lie::Wastes if !paid => {
+                let tag = message.field("session").unwrap_or("").to_string();
+                let given_up = format!(
+                    "TEARDOWN rtsp://media/x RTSP/1.0\r\nCSeq: 2\r\nSession: {tag}\r\nContent-Length: 0\r\n\r\n"
+                );
+                [message.write(), given_up.into_bytes(), message.write()].concat()
+            }
+            _ => message.write(),
+        }
+    }
+
+    /// A connection to another node; `near`: where its answers go.
+    fn way(&self, port: u16, near: Option<&Stream>, others: &mut Vec<(u16, Stream)>) -> Option<Stream> {
+        if let Some((_, open)) = others.iter().find(|(p, _)| *p == port) {
+            return Some(open.clone());
+        }
+        let stream = TcpStream::connect(("127.0.0.1", port)).ok()?;
+        let to = shared(&stream).ok()?;
+        if let Some(near) = near.cloned() {
+            thread::spawn(move || carry(stream, &near, std::mem::take));
+        }
+        others.push((port, to.clone()));
+        Some(to)
+    }
+}
--- /dev/null
+++ b/crates/rig/src/viewer.rs
@@ -0,0 +1,183 @@
+//! The viewers of one director: they ask, hear answers and releases, and hand over what they have after a restart.
+
+use crate::tape::{End, Tape};
+use crate::{name, now};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde_json::{Value, json};
+use shalewall_audit::Record;
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Write};
+use std::net::TcpStream;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+/// How long a viewer waits, in milliseconds.
+pub const LEFT: i64 = 1_200;
+/// Pauses between requests, in milliseconds.
+const GAP: std::ops::Range<u64> = 40..160;
+pub const TITLES: u64 = 40;
+
+#[derive(Default)]
+struct Inner {
+    /// Requests without an answer.
+    open: BTreeMap<u64, i64>,
+    /// Sessions that stand, and their nodes.
+    standing: BTreeMap<u64, String>,
+}
+
+/// All viewers of a director, on one connection at a time.
+pub struct Viewers {
+    inner: Arc<Mutex<Inner>>,
+    stop: Arc<AtomicBool>,
+    /// No new requests meanwhile: the front has taken the director out.
+    pub paused: Arc<AtomicBool>,
+    pub asked: Arc<AtomicU64>,
+    thread: Option<JoinHandle<()>>,
+}
+
+fn open(inner: &Mutex<Inner>) -> MutexGuard<'_, Inner> {
+    inner.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn line(verb: &str, tag: u64, opts: Value, blob: Option<String>) -> String {
+    let mut line = json!({ "verb": verb, "tag": format!("{tag:016x}"), "opts": opts });
+    if let Some(blob) = blob {
+        line["blob"] = blob.into();
+    }
+    format!("{line}\n")
+}
+
+fn start(tag: u64, class: &str, left: i64, title: u64, more: &str) -> String {
+    let extras = format!("home:{};copies:3;top:2;viewer:{tag:016x}{more}", title % 6);
+    let opts = json!({ "class": class, "left": left.to_string(), "key": format!("{title:016x}"),
+        "hint": "1500.0", "extras": extras });
+    line("START", tag, opts, Some(format!("v-{tag:016x}\r\n")))
+}
+
+/// Class and title of a request follow from its tag, so that it can be told anew.
+fn asks_for(tag: u64) -> (&'static str, u64) {
+    (if tag.is_multiple_of(3) { "paid" } else { "free" }, (tag >> 3) % TITLES)
+}
+
+impl Viewers {
+    pub fn start(director: u32, port: u16, seed: u64, tape: Tape) -> Viewers {
+        let inner = Arc::new(Mutex::new(Inner::default()));
+        let (stop, paused) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
+        let asked = Arc::new(AtomicU64::new(0));
+        let own = (inner.clone(), stop.clone(), paused.clone(), asked.clone());
+        let thread = thread::spawn(move || {
+            let mut rng = ChaCha8Rng::seed_from_u64(seed ^ (u64::from(director) << 32));
+            let (inner, stop, paused, asked) = own;
+            while !stop.load(Ordering::Relaxed) {
+                let Ok(stream) = TcpStream::connect(("127.0.0.1", port)) else {
+                    thread::sleep(Duration::from_millis(50));
+                    continue;
+                };
+                let _ = stream.set_nodelay(true);
+                let Ok(reader) = stream.try_clone() else { return };
+                let alive = Arc::new(AtomicBool::new(true));
+                let (heard, up, seen) = (inner.clone(), alive.clone(), tape.clone());
+                let listens = thread::spawn(move || listen(reader, &heard, &seen, &up));
+                converse(director, stream, &inner, &tape, &mut rng, (&stop, &paused, &alive, &asked));
+                let _ = listens.join();
+                for (ask, _) in std::mem::take(&mut open(&inner).open) {
+                    tape.note(Record::Unanswered { t: now(), ask });
+                }
+            }
+        });
+        Viewers { inner, stop, paused, asked, thread: Some(thread) }
+    }
+
+    pub fn standing(&self) -> usize {
+        open(&self.inner).standing.len()
+    }
+
+    pub fn end(&mut self) {
+        self.stop.store(true, Ordering::Relaxed);
+        self.thread.take().into_iter().for_each(|t| drop(t.join()));
+    }
+}
+
+/// Says what stands, then asks until the connection ends or is to end.
+fn converse(
+    director: u32,
+    mut stream: TcpStream,
+    inner: &Mutex<Inner>,
+    tape: &Tape,
+    rng: &mut ChaCha8Rng,
+    (stop, paused, alive, asked): (&AtomicBool, &AtomicBool, &AtomicBool, &AtomicU64),
+) {
+    let stood = open(inner).standing.clone();
+    for (tag, node) in stood {
+        let (class, title) = asks_for(tag);
+        let _ = stream.write_all(start(tag, class, 0, title, &format!(";at:{node}")).as_bytes());
+    }
+    while alive.load(Ordering::Relaxed) && !stop.load(Ordering::Relaxed) {
+        thread::sleep(Duration::from_millis(rng.random_range(GAP)));
+        if paused.load(Ordering::Relaxed) || !alive.load(Ordering::Relaxed) {
+            continue;
+        }
+        let tag = (u64::from(director) << 48) | (asked.fetch_add(1, Ordering::Relaxed) + 1);
+        let (class, title) = asks_for(tag);
+        let (t, wait) = (now(), LEFT * 1000);
+        open(inner).open.insert(tag, t);
+        if stream.write_all(start(tag, class, LEFT, title, "").as_bytes()).is_err() {
+            open(inner).open.remove(&tag); // it never came whole
+            break;
+        }
+        let (class, title, key) = (class.to_string(), title.to_string(), format!("{tag:016x}"));
+        tape.note(Record::Asked { t, director, ask: tag, key, tenant: None, class, title, wait });
+        // Now and then a viewer has seen enough.
+        let leaves = rng.random_range(0..20) == 0;
+        let left = if leaves { open(inner).standing.pop_first() } else { None };
+        if let Some((tag, _)) = left {
+            tape.ended(tag, End::Own);
+            let _ = stream.write_all(line("FINISH", tag, json!({}), None).as_bytes());
+        }
+    }
+    let _ = stream.shutdown(std::net::Shutdown::Write);
+}
+
+fn listen(stream: TcpStream, inner: &Mutex<Inner>, tape: &Tape, alive: &AtomicBool) {
+    for said in BufReader::new(stream).lines() {
+        let Ok(said) = said else { break };
+        let Ok(message) = serde_json::from_str::<Value>(&said) else {
+            tape.odd(format!("a viewer was told what can't be read: {said}"));
+            break;
+        };
+        let tag = message["tag"].as_str().and_then(|t| u64::from_str_radix(t, 16).ok()).unwrap_or(0);
+        heard(tag, &message, inner, tape);
+    }
+    alive.store(false, Ordering::Relaxed);
+}
+
+fn heard(tag: u64, message: &Value, inner: &Mutex<Inner>, tape: &Tape) {
+    let t = now();
+    let mut inner = open(inner);
+    let waits = inner.open.remove(&tag).is_some();
+    match message["verb"].as_str().unwrap_or("") {
+        "STARTED" => {
+            tape.note(Record::Answered { t, ask: tag, status: 200, session: Some(tag) });
+            let blob = message["blob"].as_str().unwrap_or("");
+            let made = tape.open().made.get(&tag).is_some_and(|made| made.iter().any(|m| m == blob));
+            if !made {
+                tape.odd(format!("{tag:016x} was served with what no node made for it: {blob:?}"));
+            }
+            tape.open().stood.entry(tag).or_insert(t);
+            // The node's name begins the description.
+            inner.standing.insert(tag, blob.get(..10).unwrap_or(&name(0)).to_string());
+        }
+        "FINISH" if waits => {
+            let status = if matches!(message["rc"].as_i64(), Some(34 | 42 | 102)) { 503 } else { 502 };
+            tape.note(Record::Answered { t, ask: tag, status, session: Some(tag) });
+        }
+        "FINISH" => {
+            inner.standing.remove(&tag);
+            tape.open().released.entry(tag).or_insert(t);
+        }
+        _ => {}
+    }
+}
