A panic leaves a line that says where, and ends only the connection it happened in

Changed: a panic is logged with its place (guard.rs); one in a connection's task closes that connection as broken, one at a timer or a new connection is passed over, since the door takes events off its queues before it looks at them; the look at the list begins anew after a second.

None has been seen in service.

--- a/crates/platform/src/hub.rs
+++ b/crates/platform/src/hub.rs
@@ -1,5 +1,6 @@
 //! Drives the door: bytes from sockets, bytes to sockets, timers. One thread, no locks.
 
+use crate::guard::{alone, caught};
 use async_executor::{LocalExecutor, Task};
 use async_io::{Async, Timer};
 use event_listener::{Event, IntoNotification};
@@ -99,7 +100,12 @@
         task: impl FnOnce(Rc<Hub>, Rc<Event>) -> F,
     ) {
         let kick = Rc::new(Event::new());
-        let task = self.ex.spawn(task(self.clone(), kick.clone()));
+        let (hub, task) = (self.clone(), task(self.clone(), kick.clone()));
+        let task = self.ex.spawn(async move {
+            if alone(task).await.is_none() {
+                caught(|| hub.with(|door| door.closed(now(), conn, false)));
+            }
+        });
         self.conns.borrow_mut().insert(conn, Open { kick, _task: task });
     }
 
@@ -118,7 +124,7 @@
             // A crowd of connections is taken one by one: whoever is connected already has a turn in between.
             future::yield_now().await;
             let _ = stream.get_ref().set_nodelay(true);
-            if let Some(conn) = self.with(|door| door.viewer_open(now(), peer.ip())) {
+            if let Some(conn) = caught(|| self.with(|door| door.viewer_open(now(), peer.ip()))).flatten() {
                 self.spawn(conn, |hub, kick| hub.serve(conn, stream, kick));
             }
         }
@@ -187,7 +193,9 @@
 
     /// Rings the door's timers when they are due.
     async fn ring(self: Rc<Hub>) {
-        let ring = || self.with(|door| door.timeout(now()));
+        let ring = || {
+            caught(|| self.with(|door| door.timeout(now())));
+        };
         self.alarm.ring(|| self.door.borrow().poll_timeout(), ring).await;
     }
 }
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -1,5 +1,6 @@
 //! One director from its start to its end.
 
+use crate::guard;
 use crate::hub::Hub;
 use crate::journal::{Place, follow};
 use async_executor::LocalExecutor;
@@ -39,17 +40,24 @@
 pub fn run(file: &Path) -> io::Result<()> {
     // Before anything else: a signal that nobody waits for would end the process.
     let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
+    guard::tell();
     let config = read(file)?;
     let door = Door::new(&config, now()).map_err(|e| wrong(format!("{}: settings: {e}", file.display())))?;
     let listener = Async::new(TcpListener::bind(config.listen)?)?;
     let ex = Rc::new(LocalExecutor::new());
     let hub = Hub::new(ex.clone(), door);
     let place = Rc::new(Place { address: Cell::new(config.journal), moved: Event::new() });
-    ex.spawn(follow(hub.clone(), place.clone())).detach();
+    let (own, at) = (hub.clone(), place.clone());
+    ex.spawn(async move {
+        while guard::alone(follow(own.clone(), at.clone())).await.is_none() {
+            Timer::after(SECOND).await;
+        }
+    })
+    .detach();
     ex.spawn(hub.clone().accept(listener)).detach();
     info!(name = config.name, address = %config.listen, nodes = hub.with(|d| d.sizes().2), "listening");
     drop(config);
-    ex.spawn(tell(hub.clone())).detach();
+    ex.spawn(guard::alone(tell(hub.clone()))).detach();
     async_io::block_on(ex.run(async {
         while let Some(signal) = signals.next().await {
             match signal? {
