--- a/crates/platform-proto/src/table.rs
+++ b/crates/platform-proto/src/table.rs
@@ -371,6 +371,8 @@
         {
             link.open.remove(&id);
             link.unqueue(id);
+            // What stood behind it there goes on.
+            self.outputs.push_back(Output::Write(Conn(ConnId::Node(a.link))));
         }
         let closed = !s.owed;
         if closed {
