--- a/crates/rig/src/director.rs
+++ b/crates/rig/src/director.rs
@@ -89,10 +89,6 @@
         self.dir.join(format!("n{}.log", self.number))
     }
 
-    pub fn pid(&self) -> Option<u32> {
-        self.child.as_ref().map(Child::id)
-    }
-
     /// SIGKILL, without a word before it.
     pub fn kill(&mut self) {
         let Some(mut child) = self.child.take() else { return };
--- a/crates/rig/src/node.rs
+++ b/crates/rig/src/node.rs
@@ -6,7 +6,7 @@
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use shalewall_audit::{Ran, Record};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -311,11 +311,6 @@
         }
         inner.out.insert(tag, (conn, attempt, t + self.draw(ANSWER)));
     }
-
-    /// Sessions that stand here.
-    pub fn standing(&self) -> BTreeSet<u64> {
-        self.open().standing.keys().copied().collect()
-    }
 }
 
 fn say(inner: &mut Inner, conn: u64, bytes: &[u8]) {
--- a/crates/rig/src/viewer.rs
+++ b/crates/rig/src/viewer.rs
@@ -30,7 +30,6 @@
 
 /// All viewers of a director, on one connection at a time.
 pub struct Viewers {
-    inner: Arc<Mutex<Inner>>,
     stop: Arc<AtomicBool>,
     /// No new requests meanwhile: the front has taken the director out.
     pub paused: Arc<AtomicBool>,
@@ -67,7 +66,7 @@
         let inner = Arc::new(Mutex::new(Inner::default()));
         let (stop, paused) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
         let asked = Arc::new(AtomicU64::new(0));
-        let own = (inner.clone(), stop.clone(), paused.clone(), asked.clone());
+        let own = (inner, stop.clone(), paused.clone(), asked.clone());
         let thread = thread::spawn(move || {
             let mut rng = ChaCha8Rng::seed_from_u64(seed ^ (u64::from(director) << 32));
             let (inner, stop, paused, asked) = own;
@@ -88,11 +87,7 @@
                 }
             }
         });
-        Viewers { inner, stop, paused, asked, thread: Some(thread) }
-    }
-
-    pub fn standing(&self) -> usize {
-        open(&self.inner).standing.len()
+        Viewers { stop, paused, asked, thread: Some(thread) }
     }
 
     pub fn end(&mut self) {
