--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -14,17 +14,12 @@
 pub mod tape;
 pub mod viewer;
 
+pub(crate) use shalewall_clock::now;
 use std::net::TcpListener;
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::time::{SystemTime, UNIX_EPOCH};
 
 const PORTS: u32 = 18_000;
 
-/// Microseconds of the Unix clock.
-pub fn now() -> i64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |t| t.as_micros() as i64)
-}
-
 /// A port of this machine's loopback that is free and stays so: below those that the system gives out by itself, and
 /// handed out once by this process. Tests of several processes begin at different ones.
 pub fn free_port() -> std::io::Result<u16> {
