Connections to nodes are closed in two steps: a release that crosses the close is heard

To blame: `drop_link` in care.rs (doubt, idle), and beside it in table.rs (CloseIdle, a spare connection) and door.rs (nodes that drain): each closed a connection on which a release may be under way, with another left open or opened too soon.

Changed: such a connection is written no more and read until the node has closed, too (5 s at most; crate::linger). One that can't be read is closed at once as before, but the next is opened ConnectTimeout later. A break by the peer is counted apart.

Made wrong on purpose (closed at once; next one opened at once), each is convicted by its own test, the first also over sockets.

Also: `unqueue` says whether something can go on, `unheard` is called what it does.

--- a/crates/front/tests/direct.rs
+++ b/crates/front/tests/direct.rs
@@ -160,6 +160,30 @@
     assert!(viewer.hear().contains(r#""verb":"FINISH","tag":"0000000000000007","opts":{},"rc":41"#));
 }
 
+/// The node writes a release when the director has closed its half of the connection already: as late as can be.
+#[test]
+fn what_a_node_says_while_its_connection_is_closed_is_heard() {
+    let place = Place::new();
+    let _director = place.begin();
+    let mut viewer = place.viewer();
+    viewer.ask(7);
+    let mut node = accept(&place.node);
+    serve(&mut node, 7);
+    assert!(viewer.hear().contains("STARTED"));
+    // A set-up that is given up puts its connection in doubt.
+    viewer.ask(8);
+    let mut buf = [0; 4096];
+    assert!(node.read(&mut buf).unwrap() > 0);
+    viewer.say(r#"{"verb":"FINISH","tag":"0000000000000008","opts":{},"rc":16}"#);
+    while node.read(&mut buf).unwrap() > 0 {}
+    let head = "TEARDOWN rtsp://media/x RTSP/1.0\r\nCSeq: 2\r\nSession: 0000000000000007\r\n";
+    let release = format!("{head}Reason: cause=16\r\nContent-Length: 0\r\n\r\n");
+    node.write_all(release.as_bytes()).unwrap();
+    drop(node);
+    assert!(viewer.hear().contains("FINISHED"));
+    assert!(viewer.hear().contains(r#""verb":"FINISH","tag":"0000000000000007","opts":{},"rc":16"#));
+}
+
 #[test]
 fn the_journal_service_breaks_off_inside_an_event_and_moves() {
     let place = Place::new();
--- a/crates/platform-proto/src/care.rs
+++ b/crates/platform-proto/src/care.rs
@@ -1,6 +1,7 @@
 //! The round that looks after connections: which are of no more use, and which nodes are to be tried.
 
-use crate::door::{Door, Lost};
+use crate::door::Door;
+use crate::linger::Lost;
 use crate::links::Why;
 use crate::nodes::{REFUSED, SILENCE, UNREACHABLE};
 use shalewall::{Micros, Standing};
@@ -24,7 +25,8 @@
                 lost.push((id, Lost::Done));
             }
         }
-        lost.into_iter().for_each(|(id, lost)| self.drop_link(id, lost));
+        lost.into_iter().for_each(|(id, lost)| self.part_with(id, lost));
+        self.let_stale_go();
         let mut over = Vec::new();
         let mut open = Vec::new();
         for (server, node) in self.nodes.all.iter().filter(|(_, n)| !n.standing.is_empty()) {
--- a/crates/platform-proto/src/door.rs
+++ b/crates/platform-proto/src/door.rs
@@ -3,6 +3,7 @@
 use crate::config::Config;
 use crate::journal::News;
 use crate::lines::{Message, Verb, cause};
+use crate::linger::{Lingering, Lost};
 use crate::links::{Item, LinkId, Links, ProbeId, Why};
 use crate::nodes::{Nodes, RETRY};
 use crate::rtsp::{self, Start};
@@ -64,6 +65,8 @@
     /// Write this whole, then ask again: asking says that it was written.
     Bytes(Vec<u8>),
     Wait,
+    /// Close this side's half; what comes is still to be given to [`Door::bytes`].
+    Finish,
     Close,
 }
 
@@ -83,22 +86,11 @@
     Module(u64),
     Attempt(SessionId, u32),
     Probe(ProbeId),
+    /// A connection to a node is to be opened after one that this side closed.
+    Again(ServerId),
     Round,
 }
 
-/// How a connection to a node ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum Lost {
-    /// It did not come up.
-    NotUp(NotUp),
-    /// Of no more use to this side.
-    Done,
-    /// Closed by the node after its last message: nothing on it is unheard.
-    Closed,
-    /// Broken or spoilt: what the node said last on it may be unheard, and is said again on the next one.
-    Spoilt,
-}
-
 /// One director.
 pub struct Door {
     pub(crate) now: Micros,
@@ -108,6 +100,7 @@
     pub(crate) bounds: Bounds,
     pub(crate) nodes: Nodes,
     pub(crate) links: Links,
+    pub(crate) lingering: Lingering,
     pub(crate) viewers: Viewers,
     pub(crate) sessions: BTreeMap<SessionId, Session>,
     pub(crate) tags: BTreeMap<Hex16, SessionId>,
@@ -144,6 +137,7 @@
             bounds,
             nodes: Nodes::default(),
             links: Links::new(most),
+            lingering: Lingering::default(),
             viewers: Viewers::new(sockets - most),
             sessions: BTreeMap::new(),
             tags: BTreeMap::new(),
@@ -201,7 +195,7 @@
             let idle: Vec<_> = self.links.of(server).filter(|(_, l)| !l.busy()).map(|(id, _)| id).collect();
             // What stands there is heard over one of them.
             let stands = self.nodes.all.get(&server).is_some_and(|n| !n.standing.is_empty());
-            idle.into_iter().skip(usize::from(stands)).for_each(|id| self.drop_link(id, Lost::Done));
+            idle.into_iter().skip(usize::from(stands)).for_each(|id| self.part_with(id, Lost::Done));
         }
         self.run();
     }
@@ -348,6 +342,9 @@
     }
 
     fn node_bytes(&mut self, id: LinkId, bytes: &[u8]) {
+        if self.last_words(id, bytes) {
+            return;
+        }
         let Some(link) = self.links.get(id) else { return };
         link.reader.push(bytes);
         loop {
@@ -376,7 +373,7 @@
         }
     }
 
-    fn heard(&mut self, id: LinkId, server: ServerId, message: rtsp::Message) {
+    pub(crate) fn heard(&mut self, id: LinkId, server: ServerId, message: rtsp::Message) {
         let Some(tag) = message.session else { return };
         match (&message.start, message.cseq) {
             (Start::Status(100..200), _) => {}
@@ -421,32 +418,6 @@
         if self.bounds.connect > 0 { self.bounds.connect } else { CONNECT }
     }
 
-    /// A connection to a node ends; what was open on it ends with it, or never left.
-    pub(crate) fn drop_link(&mut self, id: LinkId, lost: Lost) {
-        let Some(link) = self.links.remove(id) else { return };
-        *self.lost.entry(lost).or_default() += 1;
-        self.outputs.push_back(Output::Close(Conn(ConnId::Node(id))));
-        self.outputs.push_back(Output::Log(format!("node s-{:08x}: link {} {lost:?}", link.server.0, id.0)));
-        let outcome = match lost {
-            Lost::NotUp(NotUp::Own) => Outcome::NotSent,
-            Lost::NotUp(_) => Outcome::NoConnection,
-            Lost::Done | Lost::Closed | Lost::Spoilt => Outcome::Reset,
-        };
-        link.given_up().for_each(|session| self.next_attempt(session));
-        for session in link.open {
-            self.cut(session, outcome);
-        }
-        for probe in link.probes {
-            self.probed(probe, None, outcome, shalewall::Load::default());
-        }
-        // What stands there is told over the next connection, and a refused one tells that it is over.
-        let stands = self.nodes.all.get(&link.server).filter(|n| !n.standing.is_empty());
-        let retry = stands.is_some_and(|n| n.retry <= self.now);
-        if retry && (lost == Lost::Spoilt || self.links.of(link.server).next().is_none()) {
-            self.open_link(link.server, Why::Stands);
-        }
-    }
-
     /// A connection that was last used before this may be closing at the node's side.
     pub(crate) fn fresh(&self) -> Micros {
         let idle = if self.bounds.idle > 0 { self.bounds.idle } else { IDLE };
@@ -471,7 +442,8 @@
         self.now = now;
         match conn.0 {
             ConnId::Viewer(id) => self.drop_viewer(id),
-            ConnId::Node(id) => self.drop_link(id, if clean { Lost::Closed } else { Lost::Spoilt }),
+            ConnId::Node(id) if self.let_go(id) => {}
+            ConnId::Node(id) => self.drop_link(id, if clean { Lost::Closed } else { Lost::Broken }),
         }
         self.run();
     }
@@ -493,7 +465,9 @@
             }
         };
         loop {
-            let Some(link) = self.links.get(id) else { return Transmit::Close };
+            let Some(link) = self.links.get(id) else {
+                return if self.lingering.has(id) { Transmit::Finish } else { Transmit::Close };
+            };
             if let Some((session, attempt)) = link.writing.take() {
                 self.whole(session, attempt);
                 continue;
@@ -547,6 +521,7 @@
                 Due::Module(token) => self.events.push_back(Event::Timer(token)),
                 Due::Attempt(session, attempt) => self.out_of_time(session, attempt),
                 Due::Probe(id) => self.probed(id, None, Outcome::Late, shalewall::Load::default()),
+                Due::Again(server) => self.open_again(server),
                 Due::Round => {
                     self.timers.set(now + ROUND, Due::Round);
                     self.round();
@@ -575,6 +550,6 @@
 
     /// How many connections there are to viewers and to nodes, and how many nodes are known.
     pub fn sizes(&self) -> (usize, usize, usize) {
-        (self.viewers.all.len(), self.links.len(), self.nodes.all.len())
+        (self.viewers.all.len(), self.links.len() + self.lingering.len(), self.nodes.all.len())
     }
 }
--- a/crates/platform-proto/src/lib.rs
+++ b/crates/platform-proto/src/lib.rs
@@ -19,6 +19,7 @@
 mod hex;
 pub mod journal;
 pub mod lines;
+mod linger;
 mod links;
 mod nodes;
 pub mod rtsp;
--- a/crates/platform-proto/src/links.rs
+++ b/crates/platform-proto/src/links.rs
@@ -99,9 +99,11 @@
         self.giving.into_iter().chain(queued)
     }
 
-    /// A set-up that has not begun to be written is taken back.
-    pub fn unqueue(&mut self, id: SessionId) {
+    /// A set-up that has not begun to be written is taken back. True: what stood behind it can go on.
+    pub fn unqueue(&mut self, id: SessionId) -> bool {
+        let before = self.queue.len();
         self.queue.retain(|item| !matches!(item, Item::SetUp(s, _) if *s == id));
+        self.queue.len() < before && !self.queue.is_empty()
     }
 }
 
@@ -111,7 +113,7 @@
     of: BTreeMap<ServerId, BTreeSet<LinkId>>,
     next: u64,
     /// So many at most.
-    most: usize,
+    pub most: usize,
 }
 
 impl Links {
--- a/crates/platform-proto/src/table.rs
+++ b/crates/platform-proto/src/table.rs
@@ -2,8 +2,9 @@
 
 use crate::Hex16;
 use crate::ask::{self, Asked};
-use crate::door::{Conn, ConnId, Door, Due, Lost, Output};
+use crate::door::{Conn, ConnId, Door, Due, Output};
 use crate::lines::{Message, Verb, cause};
+use crate::linger::Lost;
 use crate::links::{Item, LinkId, ProbeId, Why};
 use crate::rtsp::{self, SetUp};
 use crate::viewers::ViewerId;
@@ -117,7 +118,7 @@
             Action::CloseIdle { server } => {
                 let idle = self.links.of(server).filter(|(_, l)| l.up && !l.busy()).map(|(id, _)| id);
                 let idle: Vec<_> = idle.collect();
-                idle.into_iter().skip(1).for_each(|id| self.drop_link(id, Lost::Done));
+                idle.into_iter().skip(1).for_each(|id| self.part_with(id, Lost::Done));
             }
             Action::Log(text) => self.outputs.push_back(Output::Log(text)),
             // The journal tells without being asked, and directors don't talk; nobody here asks for hand-overs.
@@ -303,11 +304,12 @@
         if let Some(link) = self.links.idle(server, self.fresh()) {
             return Some(link);
         }
+        self.make_room();
         if !self.links.room(server) {
             let spare = self.links.iter().filter(|(_, l)| l.server != server && l.up && !l.busy());
             let spare = spare.min_by_key(|(id, l)| (l.used, *id)).map(|(id, _)| id);
             match spare.filter(|_| self.links.of(server).next().is_none()) {
-                Some(spare) => self.drop_link(spare, Lost::Done),
+                Some(spare) => self.part_with(spare, Lost::Done),
                 None => return self.links.shared(server),
             }
         }
@@ -370,9 +372,9 @@
             && let Some(link) = self.links.get(a.link)
         {
             link.open.remove(&id);
-            link.unqueue(id);
-            // What stood behind it there goes on.
-            self.outputs.push_back(Output::Write(Conn(ConnId::Node(a.link))));
+            if link.unqueue(id) {
+                self.outputs.push_back(Output::Write(Conn(ConnId::Node(a.link))));
+            }
         }
         let closed = !s.owed;
         if closed {
@@ -480,7 +482,9 @@
                 // Who ended it himself, or was moved, is owed no release.
                 let (outcome, rc) = match message.cause() {
                     Some(cause::NORMAL) => (Outcome::Good, Some(cause::NORMAL)),
-                    Some(cause::CANCELLED) => (Outcome::Cancelled, self.unheard(id).then_some(cause::FAILED)),
+                    Some(cause::CANCELLED) => {
+                        (Outcome::Cancelled, self.take_answer_back(id).then_some(cause::FAILED))
+                    }
                     _ => (Outcome::Reset, Some(cause::FAILED)),
                 };
                 self.ended(id, outcome, message.load(), rc);
@@ -498,9 +502,9 @@
         }
     }
 
-    /// Whoever has not heard that a session stands can't have ended it. Where its answer has not left yet it is taken
-    /// back: one answer is owed, and it is no more true.
-    fn unheard(&mut self, id: SessionId) -> bool {
+    /// Takes an answer back that has not left yet: it is no more true, and one answer is owed. Whoever has not heard
+    /// that a session stands can't have ended it.
+    fn take_answer_back(&mut self, id: SessionId) -> bool {
         let Some(s) = self.sessions.get(&id) else { return false };
         s.viewer.is_some_and(|viewer| self.viewers.take_back(viewer, s.tag))
     }
--- a/crates/platform-proto/tests/common/mod.rs
+++ b/crates/platform-proto/tests/common/mod.rs
@@ -50,6 +50,8 @@
     /// Sockets that take no bytes at present.
     pub stuck: BTreeSet<Conn>,
     pub closed: Vec<Conn>,
+    /// Of which this side's half is closed.
+    pub finished: Vec<Conn>,
     pub said: BTreeMap<Conn, String>,
 }
 
@@ -63,6 +65,7 @@
             under_way: BTreeSet::new(),
             stuck: BTreeSet::new(),
             closed: Vec::new(),
+            finished: Vec::new(),
             said: BTreeMap::new(),
         };
         rig.pump();
@@ -94,6 +97,7 @@
                     self.said.entry(conn).or_default().push_str(&String::from_utf8_lossy(&bytes));
                 }
                 Transmit::Wait => return,
+                Transmit::Finish => return self.finished.push(conn),
                 Transmit::Close => return self.closed.push(conn),
             }
         }
--- a/crates/platform-proto/tests/sessions.rs
+++ b/crates/platform-proto/tests/sessions.rs
@@ -2,7 +2,8 @@
 
 mod common;
 use common::*;
-use shalewall_platform_proto::{Door, NotUp};
+use shalewall_platform_proto::lines::Message;
+use shalewall_platform_proto::{Conn, Door, Hex16, NotUp};
 
 #[test]
 fn a_session_is_set_up_told_and_over() {
@@ -121,6 +122,61 @@
     assert!(rig.heard(viewer).contains(r#""tag":"0000000000000007","opts":{},"rc":41"#));
 }
 
+/// Sessions stand at both nodes, and a set-up by one of their connections is given up at once: that connection, and
+/// the session there.
+fn given_up(rig: &mut Rig) -> (Conn, Conn, u64) {
+    let (viewer, first) = rig.standing(7, "free");
+    rig.ask(viewer, 8, "free");
+    let second = rig.up();
+    rig.hear(second, answer(8, "there"));
+    rig.said.clear();
+    rig.ask(viewer, 9, "free");
+    let met = if rig.heard(first).contains("SETUP") { (first, 7) } else { (second, 8) };
+    rig.hear(viewer, Message::finish(Hex16::of(9), 16).write());
+    assert!(rig.heard(met.0).contains("TEARDOWN"));
+    rig.said.clear();
+    (viewer, met.0, met.1)
+}
+
+/// Seen: a set-up was given up, its connection closed for that, and nineteen releases that the node had written there
+/// in the same millisecond were never read.
+#[test]
+fn what_a_node_wrote_before_it_learned_of_a_close_is_heard() {
+    let mut rig = Rig::new();
+    let (viewer, node, tag) = given_up(&mut rig);
+    rig.pass(S);
+    assert!(rig.finished.contains(&node) && !rig.closed.contains(&node), "it says no more and listens");
+    rig.hear(node, release(tag, 16, b""));
+    assert!(rig.heard(viewer).contains(&format!(r#""tag":"{tag:016x}","opts":{{}},"rc":16"#)));
+    rig.broken(node, true);
+    assert!(rig.closed.contains(&node));
+    assert_eq!(rig.door.held(), (0, 1));
+}
+
+/// A node that stands still does not close: its connection is not waited for without an end.
+#[test]
+fn a_close_that_is_not_answered_ends() {
+    let mut rig = Rig::new();
+    let (_, node, _) = given_up(&mut rig);
+    rig.pass(7 * S);
+    assert!(rig.closed.contains(&node));
+}
+
+/// What can't be read is closed at once; the next one is opened when the node has learned of that, since what it
+/// says in between is lost, and said again on the next one only.
+#[test]
+fn after_a_spoilt_connection_the_next_one_waits_for_the_node_to_know() {
+    let mut rig = Rig::new();
+    let (viewer, node) = rig.standing(7, "free");
+    rig.heard(viewer);
+    rig.hear(node, "no such thing\r\n\r\n");
+    assert!(rig.closed.contains(&node) && rig.links.keys().all(|c| *c == node));
+    rig.pass(300 * MS);
+    let next = rig.up();
+    rig.hear(next, release(7, 41, b""));
+    assert!(rig.heard(viewer).contains(r#""tag":"0000000000000007","opts":{},"rc":41"#));
+}
+
 /// A refused connection proves that the process is gone, and with it what stood there.
 #[test]
 fn a_refused_connection_ends_what_stood_there() {
--- a/crates/platform/src/hub.rs
+++ b/crates/platform/src/hub.rs
@@ -11,7 +11,7 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::io::{ErrorKind, Read};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
 use tracing::{debug, trace, warn};
@@ -177,6 +177,10 @@
                 match self.with(|door| door.transmit(now(), conn)) {
                     Transmit::Close => return true,
                     Transmit::Wait => kicked.await,
+                    Transmit::Finish => match stream.get_ref().shutdown(Shutdown::Write) {
+                        Ok(()) => return future::pending().await,
+                        Err(_) => return false,
+                    },
                     Transmit::Bytes(bytes) => {
                         trace!(?conn, bytes = %String::from_utf8_lossy(&bytes), "said");
                         if stream.write_all(&bytes).await.is_err() {
