The last connection to a node is kept until there is a better one: sessions were released while they stood

In its log: a node that drains closes its listener and holds its sessions on. At 26.61 s the round gave up the only connection to it, in doubt after a set-up that its viewer took back; the next one was refused, none was up, and that counted as proof: eleven sessions were told that they are over. The other director's connection to that node lived until 27.86 s.

Ruled out: ends that the nodes told (no cause other than 16 in four logs), the list (gone came after 27 s); in the other groups of that log the node itself had closed the last connection first.

To blame: care.rs gave a connection in doubt up before there was another; door.rs, node_failed, took that for a node's end; and REFUSED of 1 s is less than the time in which a quiet node says nothing (nodes tell every 3 s where nothing changes).

Changed: in the round a further connection is opened first, and what is in doubt is given up when it is up. A connection that lingers is one the node has not closed. REFUSED is now SILENCE (3 s): with the silence before it and the tries 6.5 s, under the protocol's 8 s.

The new test fails with the old round; the tests of a spoilt connection whose process is gone hold at 6 s.

--- a/crates/platform-proto/src/care.rs
+++ b/crates/platform-proto/src/care.rs
@@ -19,7 +19,10 @@
         let mut lost = Vec::new();
         for (id, link) in self.links.iter().filter(|(_, l)| l.up) {
             let stands = self.nodes.all.get(&link.server).is_some_and(|n| !n.standing.is_empty());
-            if link.part.is_some_and(|t| now - t >= PART) || (!link.busy() && link.doubt) {
+            // A node that drains may take no further connection and still hold what stands there: the last one to it
+            // is given up for a better one only, in `node_up`.
+            let last = stands && !self.links.of(link.server).any(|(other, l)| other != id && l.up);
+            if link.part.is_some_and(|t| now - t >= PART) || (!link.busy() && link.doubt && !last) {
                 lost.push((id, Lost::Spoilt));
             } else if !link.busy() && link.used < since && !stands {
                 lost.push((id, Lost::Done));
@@ -35,16 +38,21 @@
                 over.push(*server);
                 continue;
             }
-            let none = self.links.of(*server).next().is_none();
+            let sound = self.links.of(*server).any(|(_, l)| l.up && !l.doubt);
             let under_way = self.links.of(*server).any(|(_, l)| !l.up);
             let doubt = node.unreachable.is_some() || node.refused.is_some();
-            if now >= node.retry && !under_way && (none || doubt || now - node.heard >= SILENCE) {
-                open.push(*server);
+            if now >= node.retry && !under_way && (!sound || doubt || now - node.heard >= SILENCE) {
+                let why = match self.links.of(*server).next() {
+                    None => Why::Stands,
+                    Some(_) if sound => Why::Silence,
+                    Some(_) => Why::Doubt,
+                };
+                open.push((*server, why));
             }
         }
         over.into_iter().for_each(|server| self.gone(server));
-        for server in open {
-            self.open_link(server, Why::Silence);
+        for (server, why) in open {
+            self.open_link(server, why);
         }
         let links = &self.links;
         self.nodes.all.retain(|id, n| {
--- a/crates/platform-proto/src/door.rs
+++ b/crates/platform-proto/src/door.rs
@@ -315,6 +315,10 @@
             (node.unreachable, node.refused, node.heard) = (None, None, now);
         }
         self.outputs.push_back(Output::Write(conn));
+        let doubted = self.links.of(server).filter(|(_, l)| l.up && l.doubt && !l.busy()).map(|(id, _)| id);
+        for id in doubted.collect::<Vec<_>>() {
+            self.part_with(id, Lost::Doubt);
+        }
     }
 
     /// A connection to a node did not come up.
@@ -327,7 +331,7 @@
             node.retry = now + RETRY;
         }
         self.drop_link(id, Lost::NotUp(why));
-        let alone = !self.links.of(server).any(|(_, l)| l.up);
+        let alone = !self.links.of(server).any(|(_, l)| l.up) && !self.lingering.at(server);
         if let Some(node) = self.nodes.all.get_mut(&server) {
             match why {
                 NotUp::Silent => drop(node.unreachable.get_or_insert(opened)),
--- a/crates/platform-proto/src/linger.rs
+++ b/crates/platform-proto/src/linger.rs
@@ -23,6 +23,8 @@
     NotUp(NotUp),
     /// Of no more use to this side.
     Done,
+    /// Something was given up on it, and there is a better one.
+    Doubt,
     /// Closed by the node after its last message: nothing on it is unheard.
     Closed,
     /// Broken: what the node said last on it may be unheard, and is said again on the next one.
@@ -50,6 +52,11 @@
         self.0.contains_key(&id)
     }
 
+    /// Whether the node there has still to close one.
+    pub fn at(&self, server: ServerId) -> bool {
+        self.0.values().any(|l| l.server == server)
+    }
+
     fn stale(&self, now: Micros) -> Vec<LinkId> {
         self.0.iter().filter(|(_, l)| l.until <= now).map(|(id, _)| *id).collect()
     }
@@ -63,7 +70,7 @@
         let outcome = match lost {
             Lost::NotUp(NotUp::Own) => Outcome::NotSent,
             Lost::NotUp(_) => Outcome::NoConnection,
-            Lost::Done | Lost::Closed | Lost::Broken | Lost::Spoilt => Outcome::Reset,
+            Lost::Done | Lost::Doubt | Lost::Closed | Lost::Broken | Lost::Spoilt => Outcome::Reset,
         };
         link.given_up().for_each(|session| self.next_attempt(session));
         for session in link.open {
@@ -116,6 +123,9 @@
             let server = link.server;
             match link.reader.message() {
                 Ok(Some(message)) => {
+                    if let Some(node) = self.nodes.all.get_mut(&server) {
+                        (node.heard, node.refused) = (self.now, None);
+                    }
                     self.heard(id, server, message);
                     self.run();
                 }
--- a/crates/platform-proto/src/nodes.rs
+++ b/crates/platform-proto/src/nodes.rs
@@ -12,7 +12,9 @@
 /// before it and one try it stays under the 8 s that the protocol gives for releases.
 pub(crate) const UNREACHABLE: Micros = 2_500_000;
 /// Nobody listens and nothing was heard for so long: the process is gone, though some connection of it may look open.
-pub(crate) const REFUSED: Micros = 1_000_000;
+/// As long as any silence: one that drains has nobody listen either, and sends no notes where nothing changes. With
+/// the silence before it this, too, stays under the 8 s.
+pub(crate) const REFUSED: Micros = SILENCE;
 /// Pause between tries.
 pub(crate) const RETRY: Micros = 300_000;
 
--- a/crates/platform-proto/tests/sessions.rs
+++ b/crates/platform-proto/tests/sessions.rs
@@ -145,6 +145,7 @@
     let mut rig = Rig::new();
     let (viewer, node, tag) = given_up(&mut rig);
     rig.pass(S);
+    rig.up();
     assert!(rig.finished.contains(&node) && !rig.closed.contains(&node), "it says no more and listens");
     rig.hear(node, release(tag, 16, b""));
     assert!(rig.heard(viewer).contains(&format!(r#""tag":"{tag:016x}","opts":{{}},"rc":16"#)));
@@ -153,12 +154,30 @@
     assert_eq!(rig.door.held(), (0, 1));
 }
 
+/// Seen: a node that drains took no further connection, this side closed the last one to it after a set-up that was
+/// given up, and released what stood there, and went on standing.
+#[test]
+fn the_last_connection_to_a_node_is_kept_until_there_is_another() {
+    let mut rig = Rig::new();
+    let (viewer, node, tag) = given_up(&mut rig);
+    for _ in 0..25 {
+        rig.pass(100 * MS);
+        let further: Vec<_> = rig.links.keys().copied().skip(2).collect();
+        further.into_iter().for_each(|conn| rig.fail(conn, NotUp::Refused));
+    }
+    assert!(rig.heard(viewer).is_empty() && !rig.finished.contains(&node));
+    rig.hear(node, release(tag, 16, b""));
+    assert!(rig.heard(viewer).contains(&format!(r#""tag":"{tag:016x}","opts":{{}},"rc":16"#)));
+}
+
 /// A node that stands still does not close: its connection is not waited for without an end.
 #[test]
 fn a_close_that_is_not_answered_ends() {
     let mut rig = Rig::new();
     let (_, node, _) = given_up(&mut rig);
-    rig.pass(7 * S);
+    rig.pass(S);
+    rig.up();
+    rig.pass(6 * S);
     assert!(rig.closed.contains(&node));
 }
 
