A node that is taken for gone leaves a log line with the sessions that it ends

The line says the node and the number; it is at debug, beside its connections' ends. part_with is shorter by one closure.

--- a/crates/platform-proto/src/door.rs
+++ b/crates/platform-proto/src/door.rs
@@ -211,7 +211,10 @@
     pub(crate) fn over(&mut self, server: ServerId) {
         let Some(node) = self.nodes.all.get_mut(&server) else { return };
         (node.unreachable, node.refused) = (None, None);
-        for id in std::mem::take(&mut node.standing) {
+        let standing = std::mem::take(&mut node.standing);
+        let count = standing.len();
+        self.outputs.push_back(Output::Log(format!("node s-{:08x}: gone, {count} sessions over", server.0)));
+        for id in standing {
             self.ended(id, Outcome::Reset, shalewall::Load::default(), Some(cause::FAILED));
         }
     }
--- a/crates/platform-proto/src/linger.rs
+++ b/crates/platform-proto/src/linger.rs
@@ -7,7 +7,7 @@
 //! the node must have learned of the close: whatever it said before that, it says again there.
 
 use crate::door::{Conn, ConnId, Door, Due, NotUp, Output};
-use crate::links::{Link, LinkId, Why};
+use crate::links::{LinkId, Why};
 use crate::rtsp::Reader;
 use shalewall::{Load, Micros, Outcome, ServerId};
 use std::collections::BTreeMap;
@@ -99,16 +99,13 @@
 
     /// Gives up a connection that nothing waits on.
     pub(crate) fn part_with(&mut self, id: LinkId, lost: Lost) {
-        let worth = |link: &Link| {
-            let stands = self.nodes.all.get(&link.server).is_some_and(|n| !n.standing.is_empty());
-            stands && link.up && !link.busy() && link.part.is_none()
-        };
-        let link = self.links.iter().find(|(other, _)| *other == id).map(|(_, link)| link);
-        if !link.is_some_and(worth) {
+        let Some(link) = self.links.get(id) else { return };
+        let (server, quiet) = (link.server, link.up && !link.busy() && link.part.is_none());
+        let stands = self.nodes.all.get(&server).is_some_and(|n| !n.standing.is_empty());
+        if !quiet || !stands {
             return self.drop_link(id, lost);
         }
         let Some(link) = self.links.remove(id) else { return };
-        let server = link.server;
         let until = self.now + LINGER;
         self.lingering.0.insert(id, Lingerer { server, reader: link.reader, until });
         self.outputs.push_back(Output::Write(Conn(ConnId::Node(id))));
