Whether sessions stand at a node is asked in one place

Seen on reading the change once more: the same look into the table of nodes stood in six places, and with the pause between tries in two. Nodes::stands and Nodes::due now; what is done on them is as before.

--- a/crates/platform-proto/src/care.rs
+++ b/crates/platform-proto/src/care.rs
@@ -18,7 +18,7 @@
         let since = self.fresh();
         let mut lost = Vec::new();
         for (id, link) in self.links.iter().filter(|(_, l)| l.up) {
-            let stands = self.nodes.all.get(&link.server).is_some_and(|n| !n.standing.is_empty());
+            let stands = self.nodes.stands(link.server);
             // A node that drains may take no further connection and still hold what stands there: the last one to it
             // is given up for a better one only, in `node_up`.
             let last = stands && !self.links.of(link.server).any(|(other, l)| other != id && l.up);
--- a/crates/platform-proto/src/door.rs
+++ b/crates/platform-proto/src/door.rs
@@ -194,7 +194,7 @@
         for server in changed.leaving {
             let idle: Vec<_> = self.links.of(server).filter(|(_, l)| !l.busy()).map(|(id, _)| id).collect();
             // What stands there is heard over one of them.
-            let stands = self.nodes.all.get(&server).is_some_and(|n| !n.standing.is_empty());
+            let stands = self.nodes.stands(server);
             idle.into_iter().skip(usize::from(stands)).for_each(|id| self.part_with(id, Lost::Done));
         }
         self.run();
--- a/crates/platform-proto/src/linger.rs
+++ b/crates/platform-proto/src/linger.rs
@@ -89,10 +89,8 @@
     fn lost(&mut self, id: LinkId, server: ServerId, lost: Lost) {
         *self.lost.entry(lost).or_default() += 1;
         self.outputs.push_back(Output::Log(format!("node s-{:08x}: link {} {lost:?}", server.0, id.0)));
-        let stands = self.nodes.all.get(&server).filter(|n| !n.standing.is_empty());
-        let retry = stands.is_some_and(|n| n.retry <= self.now);
         let unheard = matches!(lost, Lost::Broken | Lost::Spoilt);
-        if retry && (unheard || self.links.of(server).next().is_none()) {
+        if self.nodes.due(server, self.now) && (unheard || self.links.of(server).next().is_none()) {
             self.open_link(server, Why::Stands);
         }
     }
@@ -101,8 +99,7 @@
     pub(crate) fn part_with(&mut self, id: LinkId, lost: Lost) {
         let Some(link) = self.links.get(id) else { return };
         let (server, quiet) = (link.server, link.up && !link.busy() && link.part.is_none());
-        let stands = self.nodes.all.get(&server).is_some_and(|n| !n.standing.is_empty());
-        if !quiet || !stands {
+        if !quiet || !self.nodes.stands(server) {
             return self.drop_link(id, lost);
         }
         let Some(link) = self.links.remove(id) else { return };
@@ -174,8 +171,7 @@
 
     /// The time for that has come.
     pub(crate) fn open_again(&mut self, server: ServerId) {
-        let due = |n: &crate::nodes::Node| !n.standing.is_empty() && n.retry <= self.now;
-        if self.nodes.all.get(&server).is_some_and(due) {
+        if self.nodes.due(server, self.now) {
             self.open_link(server, Why::Stands);
         }
     }
--- a/crates/platform-proto/src/nodes.rs
+++ b/crates/platform-proto/src/nodes.rs
@@ -50,6 +50,16 @@
 }
 
 impl Nodes {
+    /// Whether sessions stand there: what ends them comes over a connection.
+    pub fn stands(&self, server: ServerId) -> bool {
+        self.all.get(&server).is_some_and(|n| !n.standing.is_empty())
+    }
+
+    /// Whether a connection may be opened now for what stands there.
+    pub fn due(&self, server: ServerId, now: Micros) -> bool {
+        self.stands(server) && self.all.get(&server).is_some_and(|n| n.retry <= now)
+    }
+
     /// Takes an event, in its order: none where it was taken before. Its zones and kinds are places in the
     /// settings' lists.
     pub fn take(&mut self, news: &News, now: Micros) -> Option<Changed> {
--- a/crates/platform-proto/src/table.rs
+++ b/crates/platform-proto/src/table.rs
@@ -306,9 +306,9 @@
         }
         self.make_room();
         if !self.links.room(server) {
-            let needed = |s: &ServerId| self.nodes.all.get(s).is_some_and(|n| !n.standing.is_empty());
             let spare = self.links.iter().filter(|(_, l)| l.server != server && l.up && !l.busy());
-            let spare = spare.filter(|(_, l)| self.links.of(l.server).count() > 1 || !needed(&l.server));
+            let spare =
+                spare.filter(|(_, l)| self.links.of(l.server).count() > 1 || !self.nodes.stands(l.server));
             let spare = spare.min_by_key(|(id, l)| (l.used, *id)).map(|(id, _)| id);
             match spare.filter(|_| self.links.of(server).next().is_none()) {
                 Some(spare) => self.part_with(spare, Lost::Done),
