--- a/crates/platform-proto/src/ask.rs
+++ b/crates/platform-proto/src/ask.rs
@@ -35,7 +35,12 @@
     if hint.is_some_and(|ms| !(0.0..=LONGEST_HINT).contains(&ms)) {
         return Err("hint");
     }
-    let tenant = message.text("tenant").and_then(|name| names.tenants.iter().position(|t| *t == name));
+    // Where there are no tenants the field says nothing; where there are, one who is none of them has nobody's terms.
+    let tenant = message.text("tenant").filter(|_| !names.tenants.is_empty());
+    let tenant = match tenant {
+        None => None,
+        Some(name) => Some(names.tenants.iter().position(|t| *t == name).ok_or("tenant")?),
+    };
     let mut request = Request {
         session: SessionId(0),
         class,
--- a/crates/platform-proto/src/care.rs
+++ b/crates/platform-proto/src/care.rs
@@ -12,9 +12,12 @@
 impl Door {
     pub(crate) fn round(&mut self) {
         let now = self.now;
-        for id in self.viewers.stale(now) {
+        for id in self.viewers.overdue(now) {
             self.drop_viewer(id);
         }
+        for id in self.viewers.stale(now) {
+            self.part_viewer(id);
+        }
         let since = self.fresh();
         let mut lost = Vec::new();
         for (id, link) in self.links.iter().filter(|(_, l)| l.up) {
@@ -22,7 +25,9 @@
             // A node that drains may take no further connection and still hold what stands there: the last one to it
             // is given up for a better one only, in `node_up`.
             let last = stands && !self.links.of(link.server).any(|(other, l)| other != id && l.up);
-            if link.part.is_some_and(|t| now - t >= PART) || (!link.busy() && link.doubt && !last) {
+            // Half a message that has come, or bytes that a node does not take.
+            let halts = |since: Option<Micros>| since.is_some_and(|t| now - t >= PART);
+            if halts(link.part) || halts(link.stuck) || (!link.busy() && link.doubt && !last) {
                 lost.push((id, Lost::Spoilt));
             } else if !link.busy() && link.used < since && !stands {
                 lost.push((id, Lost::Done));
--- a/crates/platform-proto/src/config.rs
+++ b/crates/platform-proto/src/config.rs
@@ -43,6 +43,18 @@
         Ok(config)
     }
 
+    /// What a configuration read anew differs in that only the start heeds: one customer's terms never become another's
+    /// while requests are under way.
+    pub fn other(&self, new: &Config) -> impl Iterator<Item = &'static str> + use<> {
+        let parts = [
+            ("name", self.name != new.name),
+            ("listen", self.listen != new.listen),
+            ("limits", self.limits.sockets != new.limits.sockets),
+            ("settings", self.settings != new.settings),
+        ];
+        parts.into_iter().filter(|(_, differs)| *differs).map(|(part, _)| part)
+    }
+
     pub fn seed(&self) -> u64 {
         Hex16::read(&self.seed).map_or(0, Hex16::value)
     }
--- a/crates/platform-proto/src/door.rs
+++ b/crates/platform-proto/src/door.rs
@@ -1,14 +1,15 @@
 //! The door as a whole: what comes in, what goes out, and the round that looks after connections.
 
 use crate::config::Config;
-use crate::journal::News;
+use crate::journal::{Frame, News};
 use crate::lines::{Message, Verb, cause};
 use crate::linger::{Lingering, Lost};
 use crate::links::{Item, LinkId, Links, ProbeId, Why};
 use crate::nodes::{Nodes, RETRY};
+use crate::probes::Probe;
 use crate::rtsp::{self, Start};
-use crate::table::{Probe, Session};
-use crate::viewers::{ViewerId, Viewers};
+use crate::table::Session;
+use crate::viewers::{ViewerId, Viewers, Word};
 use crate::{Hex16, Unreadable};
 use shalewall::{
     Action, Director, Event, ListNews, Micros, Outcome, ServerId, SessionId, Settings, Standing,
@@ -27,9 +28,12 @@
 const IDLE_PART: f64 = 0.6;
 /// That time, where the settings name none.
 const IDLE: Micros = 15_000_000;
-/// The longest deadline counts so long at most when a director is told to end; the kill comes 0.7 s after it.
+/// The longest deadline counts so long at most when a director is told to end, and so long where the settings name none;
+/// the kill comes 0.7 s after it.
 const LEAVE: Micros = 3_000_000;
 const LEAVE_MORE: Micros = 550_000;
+/// What has no answer so long before the end has none in time: a viewer may wait longer than a director may stay.
+const LAST_WORDS: Micros = 100_000;
 /// Descriptors that are neither viewers' nor nodes': listener, journal, log, signals and what the runtime needs.
 const OWN: usize = 32;
 
@@ -59,17 +63,6 @@
     Log(String),
 }
 
-/// What a connection is to do next.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Transmit {
-    /// Write this whole, then ask again: asking says that it was written.
-    Bytes(Vec<u8>),
-    Wait,
-    /// Close this side's half; what comes is still to be given to [`Door::bytes`].
-    Finish,
-    Close,
-}
-
 /// Why a connection to a node did not come up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum NotUp {
@@ -88,6 +81,8 @@
     Probe(ProbeId),
     /// A connection to a node is to be opened after one that this side closed.
     Again(ServerId),
+    /// A director that is told to end answers what it still owes.
+    LastWords,
     Round,
 }
 
@@ -118,6 +113,11 @@
     /// And connections to nodes, opened and ended, by cause.
     pub(crate) opened: BTreeMap<Why, u32>,
     pub(crate) lost: BTreeMap<Lost, u32>,
+    /// Requests whose viewer left before a node had them, and set-ups that were written for such a one all the same.
+    pub(crate) left: u32,
+    pub(crate) sent_for_left: u32,
+    /// Set-ups that were given up before they came, on another connection.
+    pub(crate) forgone: VecDeque<Hex16>,
     pub(crate) late: Micros,
 }
 
@@ -152,6 +152,9 @@
             ends: Vec::new(),
             opened: BTreeMap::new(),
             lost: BTreeMap::new(),
+            left: 0,
+            sent_for_left: 0,
+            forgone: VecDeque::new(),
             late: 0,
         };
         door.timers.set(now + ROUND, Due::Round);
@@ -161,10 +164,11 @@
 
     /// The events of a configuration, at the start or when it is read anew; those taken before are passed over.
     pub fn known(&mut self, config: &Config, now: Micros) {
-        for news in config.known.news(&self.names) {
+        let (known, reaches) = config.known.news(&self.names);
+        for news in known {
             self.news(now, &news, if news.whole { ListNews::Cached } else { ListNews::Delta });
         }
-        self.nodes.position = self.nodes.position.max(config.known.pos);
+        self.nodes.position = self.nodes.position.max(reaches);
     }
 
     /// Number of the last event of the journal that was taken.
@@ -172,19 +176,30 @@
         self.nodes.position
     }
 
-    /// An event of the journal service.
-    pub fn journal(&mut self, now: Micros, news: &News) {
-        self.news(now, news, if news.whole { ListNews::Full } else { ListNews::Delta });
+    /// What the journal service says. An error: it left events out, and is to be asked again from the position.
+    ///
+    /// Word that there is nothing new names the last event, too: one that was never told is missed by that alone.
+    pub fn journal(&mut self, now: Micros, frame: &Frame) -> Result<(), Unreadable> {
+        let (Frame::Nothing(number) | Frame::News(News { number, .. })) = frame;
+        let next = self.nodes.position + u64::from(matches!(frame, Frame::News(_)));
+        if *number > next {
+            return Err(Unreadable("events were left out"));
+        }
+        if let Frame::News(news) = frame {
+            self.news(now, news, if news.whole { ListNews::Full } else { ListNews::Delta });
+        }
+        Ok(())
     }
 
     fn news(&mut self, now: Micros, news: &News, kind: ListNews) {
         self.now = now;
         let Some(changed) = self.nodes.take(news, now) else { return };
         let (zones, kinds) = (self.names.zones.len(), self.names.kinds.len());
-        let lines = news.entries.iter().map(|e| shalewall::Listed {
-            zone: e.listed.zone.filter(|z| *z < zones),
-            kind: e.listed.kind.filter(|k| *k < kinds),
-            ..e.listed
+        let lines = news.entries.iter().map(|e| e.listed).chain(changed.displaced);
+        let lines = lines.map(|listed| shalewall::Listed {
+            zone: listed.zone.filter(|z| *z < zones),
+            kind: listed.kind.filter(|k| *k < kinds),
+            ..listed
         });
         self.events.push_back(Event::List { news: kind, lines: lines.collect() });
         self.run();
@@ -226,17 +241,29 @@
         self.now = now;
         let (id, spare) = self.viewers.open(ip, now)?;
         if let Some(spare) = spare {
-            self.drop_viewer(spare);
+            self.part_viewer(spare);
         }
         Some(Conn(ConnId::Viewer(id)))
     }
 
+    /// Closes a viewer's connection that is of no use, if nothing of it waits unread.
+    pub(crate) fn part_viewer(&mut self, id: ViewerId) {
+        self.viewers.part(id);
+        self.outputs.push_back(Output::Write(Conn(ConnId::Viewer(id))));
+    }
+
     fn viewer_bytes(&mut self, id: ViewerId, bytes: &[u8]) {
-        let Some(viewer) = self.viewers.all.get_mut(&id).filter(|v| !v.closing) else { return };
-        viewer.last = self.now;
+        if self.viewers.all.get(&id).is_some_and(|v| v.closes()) {
+            if !self.viewers.ignore(id, bytes.len()) {
+                self.drop_viewer(id);
+            }
+            return;
+        }
+        let Some(viewer) = self.viewers.all.get_mut(&id) else { return };
+        viewer.speaks(self.now);
         viewer.lines.push(bytes);
         loop {
-            let Some(viewer) = self.viewers.all.get_mut(&id).filter(|v| !v.closing) else { return };
+            let Some(viewer) = self.viewers.all.get_mut(&id).filter(|v| !v.closes()) else { return };
             match viewer.lines.message() {
                 Ok(Some(message)) => {
                     viewer.part = None;
@@ -259,10 +286,8 @@
     fn odd(&mut self, id: ViewerId, why: Unreadable) {
         self.outputs.push_back(Output::Log(format!("viewer closed: {why}")));
         self.forget_viewer(id);
-        let Some(viewer) = self.viewers.all.get_mut(&id) else { return };
-        viewer.closing = true;
-        viewer.lines = Default::default();
         self.say(id, &Message::finish(Hex16::of(0), cause::INVALID));
+        self.viewers.all.entry(id).and_modify(|v| v.close(self.now));
     }
 
     fn said(&mut self, id: ViewerId, message: Message) -> Result<(), Unreadable> {
@@ -286,9 +311,13 @@
     }
 
     /// Says something to a viewer; one that reads nothing is closed.
-    pub(crate) fn say(&mut self, id: ViewerId, message: &Message) -> bool {
-        let answer = if message.verb == Verb::Started { Hex16::read(&message.tag) } else { None };
-        if self.viewers.say(id, answer, message.write()) {
+    pub(crate) fn say(&mut self, id: ViewerId, message: &Message) {
+        self.word(id, Word::Other, message.write());
+    }
+
+    /// The same. False: it can't be said there.
+    pub(crate) fn word(&mut self, id: ViewerId, word: Word, bytes: Vec<u8>) -> bool {
+        if self.viewers.say(id, word, bytes) {
             self.outputs.push_back(Output::Write(Conn(ConnId::Viewer(id))));
             return true;
         }
@@ -296,11 +325,26 @@
         false
     }
 
+    /// Says that a session that stood is over: on the connection of its set-up, else on another one of that viewer, else
+    /// on its next one.
+    pub(crate) fn say_over(&mut self, id: Option<ViewerId>, ip: IpAddr, bytes: Vec<u8>) {
+        let said = id.or_else(|| self.viewers.near(ip));
+        if !said.is_some_and(|v| self.word(v, Word::Release, bytes.clone())) {
+            self.viewers.keep(ip, bytes, self.now);
+        }
+    }
+
+    /// A viewer's connection ends. What it has not heard by then: a session whose answer it is, is nobody's; a release
+    /// is owed elsewhere.
     pub(crate) fn drop_viewer(&mut self, id: ViewerId) {
+        let unsaid = self.viewers.unsaid(id);
         self.forget_viewer(id);
-        if self.viewers.all.remove(&id).is_some() {
-            self.outputs.push_back(Output::Close(Conn(ConnId::Viewer(id))));
-        }
+        let Some(ip) = self.viewers.ip(id) else { return };
+        self.viewers.all.remove(&id);
+        self.outputs.push_back(Output::Close(Conn(ConnId::Viewer(id))));
+        unsaid.answers.into_iter().for_each(|session| self.unheard(session));
+        unsaid.releases.into_iter().for_each(|bytes| self.say_over(None, ip, bytes));
+        self.run();
     }
 
     // ---- nodes ------------------------------------------------------------------------------
@@ -455,60 +499,6 @@
         self.run();
     }
 
-    /// The next bytes of a connection; those given before have been written whole.
-    pub fn transmit(&mut self, now: Micros, conn: Conn) -> Transmit {
-        self.now = now;
-        let id = match conn.0 {
-            ConnId::Node(id) => id,
-            ConnId::Viewer(id) => {
-                if let Some(bytes) = self.viewers.pop(id) {
-                    return Transmit::Bytes(bytes);
-                }
-                if self.viewers.all.get(&id).is_none_or(|v| v.closing) {
-                    self.drop_viewer(id);
-                    return Transmit::Close;
-                }
-                return Transmit::Wait;
-            }
-        };
-        loop {
-            let Some(link) = self.links.get(id) else {
-                return if self.lingering.has(id) { Transmit::Finish } else { Transmit::Close };
-            };
-            if let Some((session, attempt)) = link.writing.take() {
-                self.whole(session, attempt);
-                continue;
-            }
-            if let Some(session) = link.giving.take() {
-                self.next_attempt(session);
-                continue;
-            }
-            link.used = now;
-            match link.pop() {
-                None => return Transmit::Wait,
-                Some(Item::Bytes(bytes)) => return Transmit::Bytes(bytes),
-                Some(Item::GiveUp(session, bytes)) => {
-                    link.giving = Some(session);
-                    return Transmit::Bytes(bytes);
-                }
-                // Two nodes may be reached in either order: no two attempts are to be out.
-                Some(Item::SetUp(session, attempt @ 1..)) if self.links.gives_up(session) => {
-                    self.links.get(id).into_iter().for_each(|l| l.put_back(Item::SetUp(session, attempt)));
-                    return Transmit::Wait;
-                }
-                Some(Item::SetUp(session, attempt)) => match self.worded(session, attempt) {
-                    Some(bytes) => {
-                        if let Some(link) = self.links.get(id) {
-                            link.writing = Some((session, attempt));
-                        }
-                        return Transmit::Bytes(bytes);
-                    }
-                    None => self.run(),
-                },
-            }
-        }
-    }
-
     /// What is to be done next.
     pub fn poll_output(&mut self) -> Option<Output> {
         self.outputs.pop_front()
@@ -529,6 +519,7 @@
                 Due::Attempt(session, attempt) => self.out_of_time(session, attempt),
                 Due::Probe(id) => self.probed(id, None, Outcome::Late, shalewall::Load::default()),
                 Due::Again(server) => self.open_again(server),
+                Due::LastWords => self.last_words_to_viewers(),
                 Due::Round => {
                     self.timers.set(now + ROUND, Due::Round);
                     self.round();
@@ -538,15 +529,31 @@
         }
     }
 
-    /// Told to end: nothing new is taken from now on.
-    pub fn leave(&mut self) {
+    /// Told to end: nothing new is taken from now on, and what was taken has its answer while there is time.
+    pub fn leave(&mut self, now: Micros) {
         self.leaving = true;
+        self.timers.set(now + self.leave_within() - LAST_WORDS, Due::LastWords);
+    }
+
+    /// Closes viewers' connections: once all is written, and in two steps, so that nothing said is lost by it.
+    pub fn finish(&mut self, now: Micros) {
+        let ids: Vec<_> = self.viewers.all.iter().filter(|(_, v)| !v.closes()).map(|(id, _)| *id).collect();
+        for id in ids {
+            self.viewers.all.entry(id).and_modify(|v| v.close(now));
+            self.outputs.push_back(Output::Write(Conn(ConnId::Viewer(id))));
+        }
+    }
+
+    /// Whether something that was said is still to be written, to a viewer or a node.
+    pub fn unsaid(&self) -> bool {
+        self.viewers.any_unsaid() || self.links.iter().any(|(_, l)| l.up && l.unsaid())
     }
 
     /// How long a director that is told to end may go on: everything that it took is answered by then, and whoever
     /// wants it gone kills it no sooner.
     pub fn leave_within(&self) -> Micros {
-        self.bounds.give_up.min(LEAVE) + LEAVE_MORE
+        let longest = if self.bounds.give_up > 0 { self.bounds.give_up.min(LEAVE) } else { LEAVE };
+        longest + LEAVE_MORE
     }
 
     /// Requests without an answer, and sessions that stand.
--- a/crates/platform-proto/src/journal.rs
+++ b/crates/platform-proto/src/journal.rs
@@ -170,8 +170,9 @@
 }
 
 impl Known {
-    /// The events, in order; one that names a node that can't be is left out as a whole.
-    pub fn news(&self, names: &Names) -> Vec<News> {
+    /// The events, in order, and the number that they reach. One that names a node that can't be is left out as a whole,
+    /// with all that come after it: the journal service is asked for those.
+    pub fn news(&self, names: &Names) -> (Vec<News>, u64) {
         let entry = |m: &Member| {
             let state = match m.phase {
                 Phase::Ready => Standing::Ready,
@@ -194,6 +195,9 @@
             let entries = k.hosts.members.iter().map(entry).collect::<Option<_>>()?;
             Some(News { number: k.pos, whole: k.hosts.complete, entries })
         };
-        self.entries.iter().filter_map(news).collect()
+        let readable: Vec<_> = self.entries.iter().map_while(news).collect();
+        let all = readable.len() == self.entries.len();
+        let reaches = if all { self.pos } else { readable.last().map_or(0, |n| n.number) };
+        (readable, reaches)
     }
 }
--- a/crates/platform-proto/src/lib.rs
+++ b/crates/platform-proto/src/lib.rs
@@ -22,14 +22,18 @@
 mod linger;
 mod links;
 mod nodes;
+mod probes;
+mod requests;
 pub mod rtsp;
 mod status;
 mod table;
+mod transmit;
 mod viewers;
 
-pub use door::{Conn, Door, NotUp, Output, Transmit};
+pub use door::{Conn, Door, NotUp, Output};
 pub use hex::Hex16;
 pub use status::Status;
+pub use transmit::Transmit;
 
 /// A message is so long at most, in bytes.
 pub const MESSAGE: usize = 16 * 1024;
--- a/crates/platform-proto/src/links.rs
+++ b/crates/platform-proto/src/links.rs
@@ -1,6 +1,7 @@
 //! Connections to media nodes. One set-up at a time is open on a connection where that can be had: a node closes on
 //! what it can't read whatever else the connection holds, and a spoilt answer spoils the whole stream.
 
+use crate::Hex16;
 use crate::rtsp::Reader;
 use shalewall::{Micros, ServerId, SessionId};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -59,17 +60,44 @@
     pub opened: Micros,
     /// Last time that anything was sent or heard.
     pub used: Micros,
+    /// Since when bytes wait that its socket does not take.
+    pub stuck: Option<Micros>,
+    /// The last set-ups that were refused on it. A node that lets one stand all the same says so a little later, and
+    /// nobody here would know of that session.
+    refused: VecDeque<Hex16>,
 }
 
 /// One connection holds back so many messages at most; they are small and are written at once unless a node
 /// stands still.
 const QUEUE: usize = 256;
+/// Refused set-ups that are known of a connection. One set-up at a time is open on most.
+const REFUSED: usize = 16;
 /// Connections to one node: more set-ups at once share them.
 const OF_ONE: usize = 16;
 
 impl Link {
     pub fn busy(&self) -> bool {
-        !self.open.is_empty() || !self.probes.is_empty() || !self.queue.is_empty() || self.writing.is_some()
+        let waits = !self.open.is_empty() || !self.probes.is_empty();
+        waits || self.unsaid()
+    }
+
+    /// Something is still to be written, or being written. Whoever gives the connection up in the middle of a word that
+    /// an attempt is given up leaves the next attempt waiting for that word.
+    pub fn unsaid(&self) -> bool {
+        !self.queue.is_empty() || self.writing.is_some() || self.giving.is_some()
+    }
+
+    pub fn refuse(&mut self, tag: Hex16) {
+        if self.refused.len() >= REFUSED {
+            self.refused.pop_front();
+        }
+        self.refused.push_back(tag);
+    }
+
+    /// Whether a set-up was refused on it; asked once.
+    pub fn take_refused(&mut self, tag: Hex16) -> bool {
+        let at = self.refused.iter().position(|t| *t == tag);
+        at.and_then(|at| self.refused.remove(at)).is_some()
     }
 
     /// False where nothing more is taken.
@@ -200,6 +228,8 @@
             part: None,
             opened: now,
             used: now,
+            stuck: None,
+            refused: VecDeque::new(),
         };
         self.all.insert(id, link);
         self.of.entry(server).or_default().insert(id);
--- a/crates/platform-proto/src/nodes.rs
+++ b/crates/platform-proto/src/nodes.rs
@@ -45,6 +45,8 @@
 pub(crate) struct Changed {
     /// Another process than the one that was known: what stood there is over, and its connections are of no use.
     pub replaced: Vec<ServerId>,
+    /// Of which the list has not said so: their address is another's now.
+    pub displaced: Vec<Listed>,
     /// Nothing new may go there; connections without use can close.
     pub leaving: Vec<ServerId>,
 }
@@ -81,6 +83,14 @@
                 // Whoever had this address before has gone, whatever the list says of it.
                 let other = |(o, n): &(&ServerId, &Node)| **o != id && n.address == *address;
                 let others: Vec<_> = self.all.iter().filter(other).map(|(o, _)| *o).collect();
+                // Nothing goes there under the old name before the list says so: it would reach the new process.
+                for other in &others {
+                    let Some(node) = self.all.get_mut(other) else { continue };
+                    if node.listed.state != Standing::Gone && !named.contains(&node.listed.server) {
+                        changed.displaced.push(Listed { state: Standing::Gone, ..node.listed });
+                    }
+                    node.listed.state = Standing::Gone;
+                }
                 changed.replaced.extend(others);
             }
             let node = self.all.entry(id).or_insert_with(|| Node {
--- a/crates/platform-proto/src/rtsp.rs
+++ b/crates/platform-proto/src/rtsp.rs
@@ -133,7 +133,8 @@
         }
         let word = line.split(|b| matches!(b, b' ' | b'/')).next().unwrap_or_default();
         let fits = word.len() <= 24 && word.iter().all(|b| b.is_ascii_uppercase() || *b == b'_');
-        if !fits || (line.len() > word.len() && word.is_empty()) { odd } else { Ok(()) }
+        // Nor does one begin with an empty line: it is what a length one too small leaves of a description.
+        if !fits || (word.is_empty() && !self.buf.is_empty()) { odd } else { Ok(()) }
     }
 }
 
--- a/crates/platform-proto/src/status.rs
+++ b/crates/platform-proto/src/status.rs
@@ -23,6 +23,9 @@
     /// Connections to nodes opened and ended, by cause, as `First 3, Silence 1`.
     pub opened: String,
     pub lost: String,
+    /// Requests whose viewer left before any node had them, and set-ups that were sent for such a one.
+    pub left: u32,
+    pub sent_for_left: u32,
     /// How late the latest timer rang, in microseconds: this director's own delay.
     pub late: Micros,
 }
@@ -54,6 +57,8 @@
             ended,
             opened,
             lost,
+            left: std::mem::take(&mut self.left),
+            sent_for_left: std::mem::take(&mut self.sent_for_left),
             late: std::mem::take(&mut self.late),
         }
     }
--- a/crates/platform-proto/src/table.rs
+++ b/crates/platform-proto/src/table.rs
@@ -1,40 +1,34 @@
 //! The table of sessions: messages become the module's events, its actions become messages, one for one.
 
 use crate::Hex16;
-use crate::ask::{self, Asked};
 use crate::door::{Conn, ConnId, Door, Due, Output};
 use crate::lines::{Message, Verb, cause};
 use crate::linger::Lost;
-use crate::links::{Item, LinkId, ProbeId, Why};
+use crate::links::{Item, LinkId, Why};
 use crate::rtsp::{self, SetUp};
-use crate::viewers::ViewerId;
+use crate::viewers::{ViewerId, Word};
 use serde_json::Value;
 use shalewall::{Action, Event, Load, Micros, Outcome, ServerId, SessionId, Standing};
 use std::net::IpAddr;
 
-/// Sessions held at most; what comes beyond that is turned away unasked.
-const MOST: usize = 50_000;
-/// So many tags of the past are known: none is taken twice.
-const PAST: usize = 4096;
-
 /// A request, and the session that it became.
 pub(crate) struct Session {
     pub tag: Hex16,
-    title: Hex16,
-    class: usize,
+    pub title: Hex16,
+    pub class: usize,
     /// Until it stands.
-    description: String,
-    viewer: Option<ViewerId>,
-    ip: IpAddr,
-    deadline: Micros,
-    rung: usize,
-    attempts: u32,
+    pub description: String,
+    pub viewer: Option<ViewerId>,
+    pub ip: IpAddr,
+    pub deadline: Micros,
+    pub rung: usize,
+    pub attempts: u32,
     /// Its viewer waits for an answer.
     pub owed: bool,
-    stage: Stage,
+    pub stage: Stage,
 }
 
-enum Stage {
+pub(crate) enum Stage {
     /// Nothing of it is at a node.
     Asked,
     Out(Attempt),
@@ -45,18 +39,18 @@
     },
 }
 
-struct Attempt {
-    server: ServerId,
-    number: u32,
-    link: LinkId,
-    sent: Micros,
-    until: Micros,
-    way: Way,
+pub(crate) struct Attempt {
+    pub server: ServerId,
+    pub number: u32,
+    pub link: LinkId,
+    pub sent: Micros,
+    pub until: Micros,
+    pub way: Way,
 }
 
 /// How far a set-up has come.
 #[derive(Clone, Copy, PartialEq, Eq)]
-enum Way {
+pub(crate) enum Way {
     /// No byte of it has been written.
     Waits,
     /// Some may have, not all: the node can't have it whole.
@@ -65,12 +59,6 @@
     Whole,
 }
 
-/// A probe that is out.
-pub(crate) struct Probe {
-    server: ServerId,
-    link: LinkId,
-}
-
 impl Door {
     /// Feeds the module what has happened, and carries out what it says.
     pub(crate) fn run(&mut self) {
@@ -107,9 +95,9 @@
             }
             Action::Move { session } => {
                 let Some(s) = self.sessions.get(&session) else { return };
-                let (tag, viewer) = (s.tag, s.viewer);
-                if let Some(viewer) = viewer {
-                    self.say(viewer, &Message::new(Verb::Move, tag));
+                let (tag, viewer, ip) = (s.tag, s.viewer, s.ip);
+                if matches!(s.stage, Stage::Stands { .. }) {
+                    self.say_over(viewer, ip, Message::new(Verb::Move, tag).write());
                 }
                 self.release(session);
             }
@@ -126,151 +114,6 @@
         }
     }
 
-    // ---- viewers ----------------------------------------------------------------------------
-
-    /// A viewer asks, or says what it has from before this director's start.
-    pub(crate) fn asked(&mut self, viewer: ViewerId, tag: Hex16, message: Message) {
-        let invalid = Message::finish(tag, cause::INVALID);
-        let asked = ask::read(message, tag, &self.names, &self.settings, self.now);
-        if let Some(id) = self.tags.get(&tag).copied() {
-            if matches!(&asked, Ok(a) if a.at.is_some()) {
-                return; // what is held already
-            }
-            // Two requests under one id: neither is to be believed where both come from one side, and the one
-            // that is under way goes on where another tries to spoil it.
-            let same = self.sessions.get(&id).is_some_and(|s| s.viewer == Some(viewer) && s.owed);
-            if same {
-                self.withdraw(id);
-            }
-            self.say(viewer, &invalid);
-            return;
-        }
-        let Ok(Asked { title, description, mut request, at }) = asked else {
-            self.say(viewer, &invalid);
-            return;
-        };
-        if self.past.contains(&tag) {
-            self.say(viewer, &invalid); // an id is used once
-            return;
-        }
-        if at.is_none() && (self.leaving || self.sessions.len() >= MOST.min(self.bounds.held)) {
-            self.say(viewer, &Message::finish(tag, cause::REFUSED));
-            return;
-        }
-        if at.is_some_and(|server| !self.nodes.all.contains_key(&server)) {
-            // It plays at a node that nobody has named: it is over.
-            self.say(viewer, &Message::finish(tag, cause::FAILED));
-            return;
-        }
-        let Some(ip) = self.viewers.ip(viewer) else { return };
-        self.next += 1;
-        let id = SessionId(self.next);
-        request.session = id;
-        let stage = match at {
-            None => Stage::Asked,
-            Some(server) => Stage::Stands { server, attempt: 0, link: None },
-        };
-        let session = Session {
-            tag,
-            title,
-            class: request.class,
-            description,
-            viewer: Some(viewer),
-            ip,
-            deadline: request.deadline,
-            rung: self.settings.classes.get(request.class).map_or(0, |c| c.floor),
-            attempts: u32::from(at.is_some()),
-            owed: at.is_none(),
-            stage,
-        };
-        self.sessions.insert(id, session);
-        self.tags.insert(tag, id);
-        match at {
-            None => {
-                if let Some(v) = self.viewers.all.get_mut(&viewer) {
-                    v.open.insert(id);
-                }
-                self.events.push_back(Event::Asked(request));
-            }
-            Some(server) => {
-                self.stands(id, server);
-                self.events.push_back(Event::Carried(request, server));
-            }
-        }
-    }
-
-    /// A viewer gives a set-up up, or ends a session.
-    pub(crate) fn released(&mut self, viewer: ViewerId, tag: Hex16) {
-        if let Some(id) = self.tags.get(&tag).copied() {
-            let stands = matches!(self.sessions.get(&id), Some(Session { stage: Stage::Stands { .. }, .. }));
-            if stands { self.release(id) } else { self.withdraw(id) }
-        }
-        self.say(viewer, &Message::new(Verb::Finished, tag));
-    }
-
-    /// A viewer's connection is going: what waits on it can't be answered any more.
-    pub(crate) fn forget_viewer(&mut self, viewer: ViewerId) {
-        let Some(v) = self.viewers.all.get_mut(&viewer) else { return };
-        let (open, standing) = (std::mem::take(&mut v.open), std::mem::take(&mut v.standing));
-        for id in open {
-            self.withdraw(id);
-        }
-        for id in standing {
-            self.sessions.entry(id).and_modify(|s| s.viewer = None);
-        }
-        self.run();
-    }
-
-    /// No answer is owed any more.
-    fn withdraw(&mut self, id: SessionId) {
-        let Some(s) = self.sessions.get(&id) else { return };
-        if s.owed {
-            self.settle(id);
-            self.events.push_back(Event::Withdrawn(id));
-        }
-        match self.sessions.get(&id).map(|s| &s.stage) {
-            Some(Stage::Out(_)) => self.give_up(id, Outcome::Cancelled),
-            Some(Stage::Asked) => self.forget(id),
-            _ => {}
-        }
-    }
-
-    /// The one answer that is no session.
-    fn answer(&mut self, id: SessionId, answer: &Message) {
-        let Some(s) = self.sessions.get(&id).filter(|s| s.owed) else { return };
-        let viewer = s.viewer;
-        self.settle(id);
-        if let Some(viewer) = viewer {
-            self.say(viewer, answer);
-        }
-        if matches!(self.sessions.get(&id), Some(Session { stage: Stage::Asked, .. })) {
-            self.forget(id);
-        }
-    }
-
-    /// It has its answer, or needs none.
-    fn settle(&mut self, id: SessionId) {
-        let Some(s) = self.sessions.get_mut(&id) else { return };
-        s.owed = false;
-        s.description = String::new();
-        if let Some(v) = s.viewer.and_then(|v| self.viewers.all.get_mut(&v)) {
-            v.open.remove(&id);
-        }
-    }
-
-    fn forget(&mut self, id: SessionId) {
-        let Some(s) = self.sessions.remove(&id) else { return };
-        self.tags.remove(&s.tag);
-        if let Some(v) = s.viewer.and_then(|v| self.viewers.all.get_mut(&v)) {
-            v.open.remove(&id);
-            v.standing.remove(&id);
-        }
-        self.past.push_back(s.tag);
-        if self.past.len() > PAST {
-            self.past.pop_front();
-        }
-    }
-
     // ---- attempts ---------------------------------------------------------------------------
 
     fn send(&mut self, id: SessionId, server: ServerId, patience: Option<Micros>) {
@@ -300,7 +143,7 @@
 
     /// The connection that a set-up or a probe goes by: an idle one, else a further one, or where there are too many
     /// one to share.
-    fn link_for(&mut self, server: ServerId) -> Option<LinkId> {
+    pub(crate) fn link_for(&mut self, server: ServerId) -> Option<LinkId> {
         if let Some(link) = self.links.idle(server, self.fresh()) {
             return Some(link);
         }
@@ -336,6 +179,8 @@
             return None;
         }
         a.way = Way::Partly;
+        // `owed` was judged above; this counts what must not be.
+        self.sent_for_left += u32::from(s.viewer.is_none_or(|v| !self.viewers.all.contains_key(&v)));
         let class = self.names.classes.get(s.class)?;
         let set_up =
             SetUp { session: s.tag, title: s.title, class, left, rung: s.rung, description: &s.description };
@@ -349,6 +194,16 @@
         }
     }
 
+    /// None of it was taken: it waits again.
+    pub(crate) fn unworded(&mut self, id: SessionId, number: u32) {
+        if let Some(Session { stage: Stage::Out(a), .. }) = self.sessions.get_mut(&id)
+            && a.number == number
+            && a.way == Way::Partly
+        {
+            a.way = Way::Waits;
+        }
+    }
+
     /// A set-up has been written whole: its node may have it.
     pub(crate) fn whole(&mut self, id: SessionId, number: u32) {
         if let Some(Session { stage: Stage::Out(a), .. }) = self.sessions.get_mut(&id)
@@ -368,7 +223,14 @@
     }
 
     /// An attempt is over without a session.
-    fn outcome(&mut self, id: SessionId, server: ServerId, attempt: u32, outcome: Outcome, load: Load) {
+    pub(crate) fn outcome(
+        &mut self,
+        id: SessionId,
+        server: ServerId,
+        attempt: u32,
+        outcome: Outcome,
+        load: Load,
+    ) {
         let Some(s) = self.sessions.get_mut(&id) else { return };
         if let Stage::Out(a) = std::mem::replace(&mut s.stage, Stage::Asked)
             && let Some(link) = self.links.get(a.link)
@@ -395,10 +257,10 @@
     }
 
     /// A set-up is given up: its node is told, if it can have heard of it.
-    fn give_up(&mut self, id: SessionId, outcome: Outcome) {
+    pub(crate) fn give_up(&mut self, id: SessionId, outcome: Outcome) {
         let Some(Session { tag, stage: Stage::Out(a), .. }) = self.sessions.get(&id) else { return };
         let (tag, server, number, link, way) = (*tag, a.server, a.number, a.link, a.way);
-        if way != Way::Waits {
+        if way == Way::Whole {
             if let Some(link) = self.links.get(link) {
                 link.doubt = true;
             }
@@ -407,6 +269,10 @@
             }
         }
         self.outcome(id, server, number, outcome, Load::default());
+        // Half of it is with the node, which does not read on: the other half never follows.
+        if way == Way::Partly {
+            self.drop_link(link, Lost::Spoilt);
+        }
     }
 
     /// An attempt's time has run out.
@@ -419,6 +285,9 @@
 
     /// A node answers a set-up.
     pub(crate) fn answered(&mut self, link: LinkId, tag: Hex16, status: u16, message: rtsp::Message) {
+        if status == 200 && self.links.get(link).is_some_and(|l| l.take_refused(tag)) {
+            return self.disown(link, tag);
+        }
         let Some(id) = self.tags.get(&tag).copied() else { return };
         let Some(s) = self.sessions.get_mut(&id) else { return };
         // A second copy, or an answer to what was given up.
@@ -428,6 +297,7 @@
         }
         let (server, number, sent, viewer, owed) = (a.server, a.number, a.sent, s.viewer, s.owed);
         if status != 200 {
+            self.links.get(link).into_iter().for_each(|l| l.refuse(tag));
             let outcome = match status {
                 453 => Outcome::Full,
                 454 => Outcome::NotSent,
@@ -456,14 +326,31 @@
         });
         if let Some(viewer) = viewer {
             let answer = Message { blob: Some(description), ..Message::new(Verb::Started, tag) };
-            self.say(viewer, &answer);
+            if !self.word(viewer, Word::Answer(id), answer.write()) {
+                self.unheard(id);
+            }
+        }
+    }
+
+    /// A node that refused a set-up says that it stands: nobody here waits for that any more, and another node may have
+    /// the next attempt. It is released, unless the same node has that one, too, and the word would be taken for it.
+    fn disown(&mut self, link: LinkId, tag: Hex16) {
+        let Some(server) = self.links.get(link).map(|l| l.server) else { return };
+        let there =
+            self.tags.get(&tag).and_then(|id| self.sessions.get(id)).is_some_and(|s| match &s.stage {
+                Stage::Asked => false,
+                Stage::Out(a) => a.server == server,
+                Stage::Stands { server: at, .. } => *at == server,
+            });
+        if !there {
+            self.queue(link, Item::Bytes(rtsp::release(tag, cause::CANCELLED)));
         }
     }
 
     // ---- sessions ---------------------------------------------------------------------------
 
     /// A session stands at a node from now on.
-    fn stands(&mut self, id: SessionId, server: ServerId) {
+    pub(crate) fn stands(&mut self, id: SessionId, server: ServerId) {
         let viewer = self.sessions.get(&id).and_then(|s| s.viewer);
         if let Some(v) = viewer.and_then(|v| self.viewers.all.get_mut(&v)) {
             v.standing.insert(id);
@@ -508,7 +395,7 @@
     /// that a session stands can't have ended it.
     fn take_answer_back(&mut self, id: SessionId) -> bool {
         let Some(s) = self.sessions.get(&id) else { return false };
-        s.viewer.is_some_and(|viewer| self.viewers.take_back(viewer, s.tag))
+        s.viewer.is_some_and(|viewer| self.viewers.take_back(viewer, id))
     }
 
     /// A session is over; `rc`: what its viewer is told.
@@ -521,17 +408,13 @@
         }
         self.forget(id);
         if let Some(rc) = rc {
-            let release = Message::finish(tag, rc);
-            let said = viewer.or_else(|| self.viewers.near(ip)).is_some_and(|v| self.say(v, &release));
-            if !said {
-                self.viewers.keep(ip, release.write(), self.now);
-            }
+            self.say_over(viewer, ip, Message::finish(tag, rc).write());
         }
         self.finished(Event::Finished { session: id, attempt, server, outcome, closed: true, load }, outcome);
     }
 
     /// A session that stands is released by its viewer, or moved: its node is told.
-    fn release(&mut self, id: SessionId) {
+    pub(crate) fn release(&mut self, id: SessionId) {
         let Some(s) = self.sessions.get(&id) else { return };
         let Stage::Stands { server, link, .. } = s.stage else { return };
         let tag = s.tag;
@@ -571,34 +454,4 @@
             self.events.push_back(Event::Noted { session, attempt, server, note });
         }
     }
-
-    // ---- probes -----------------------------------------------------------------------------
-
-    fn probe(&mut self, server: ServerId) {
-        let link = self.link_for(server);
-        self.next += 1;
-        let id = ProbeId(self.next);
-        let Some(link) = link.filter(|l| self.queue(*l, Item::Bytes(rtsp::probe(Hex16::of(id.0))))) else {
-            let (outcome, load) = (Outcome::NotSent, Load::default());
-            return self.events.push_back(Event::Probed { server, outcome, load });
-        };
-        self.probes.insert(id, Probe { server, link });
-        if let Some(link) = self.links.get(link) {
-            link.probes.insert(id);
-        }
-        self.timers.set(self.now + self.connect_within(), Due::Probe(id));
-    }
-
-    /// A probe has its answer, or will have none. `from`: the connection that the answer came by.
-    pub(crate) fn probed(&mut self, id: ProbeId, from: Option<LinkId>, outcome: Outcome, load: Load) {
-        if from.is_some_and(|from| self.probes.get(&id).is_some_and(|p| p.link != from)) {
-            return;
-        }
-        let Some(Probe { server, link }) = self.probes.remove(&id) else { return };
-        if let Some(link) = self.links.get(link) {
-            link.probes.remove(&id);
-            link.doubt |= outcome == Outcome::Late;
-        }
-        self.events.push_back(Event::Probed { server, outcome, load });
-    }
 }
--- a/crates/platform-proto/tests/common/mod.rs
+++ b/crates/platform-proto/tests/common/mod.rs
@@ -1,7 +1,9 @@
 //! A door with two nodes, a viewer, and what passes on their connections, without sockets.
 #![allow(dead_code)] // each test file uses a part of it
 
+use shalewall::{Listed, ServerId, Standing};
 use shalewall_platform_proto::config::Config;
+use shalewall_platform_proto::journal::{Entry, Frame, News};
 use shalewall_platform_proto::{Conn, Door, Output, Transmit};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -49,6 +51,11 @@
     under_way: BTreeSet<Conn>,
     /// Sockets that take no bytes at present.
     pub stuck: BTreeSet<Conn>,
+    /// Sockets that take nothing when they are given something, and that take half of it and no more.
+    pub full: BTreeSet<Conn>,
+    pub half: BTreeSet<Conn>,
+    /// Sockets in which something waits to be read.
+    pub unread: BTreeSet<Conn>,
     pub closed: Vec<Conn>,
     /// Of which this side's half is closed.
     pub finished: Vec<Conn>,
@@ -64,6 +71,9 @@
             links: BTreeMap::new(),
             under_way: BTreeSet::new(),
             stuck: BTreeSet::new(),
+            full: BTreeSet::new(),
+            half: BTreeSet::new(),
+            unread: BTreeSet::new(),
             closed: Vec::new(),
             finished: Vec::new(),
             said: BTreeMap::new(),
@@ -80,6 +90,8 @@
                     self.under_way.insert(conn);
                 }
                 Output::Write(conn) if self.under_way.contains(&conn) || self.stuck.contains(&conn) => {}
+                // It is in the middle of a write.
+                Output::Write(conn) if self.half.contains(&conn) && self.said.contains_key(&conn) => {}
                 Output::Write(conn) => self.write(conn),
                 Output::Close(conn) => {
                     self.links.remove(&conn);
@@ -93,11 +105,21 @@
     pub fn write(&mut self, conn: Conn) {
         loop {
             match self.door.transmit(self.now, conn) {
+                Transmit::Bytes(bytes) if self.full.contains(&conn) => {
+                    return self.door.untaken(self.now, conn, bytes);
+                }
+                Transmit::Bytes(bytes) if self.half.contains(&conn) => {
+                    let taken = String::from_utf8_lossy(&bytes[..bytes.len() / 2]).into_owned();
+                    self.said.entry(conn).or_default().push_str(&taken);
+                    return self.door.taken_in_part(self.now, conn);
+                }
                 Transmit::Bytes(bytes) => {
                     self.said.entry(conn).or_default().push_str(&String::from_utf8_lossy(&bytes));
                 }
                 Transmit::Wait => return,
                 Transmit::Finish => return self.finished.push(conn),
+                Transmit::CloseIfQuiet if self.unread.contains(&conn) => return,
+                Transmit::CloseIfQuiet => return self.broken(conn, true),
                 Transmit::Close => return self.closed.push(conn),
             }
         }
@@ -115,7 +137,9 @@
     }
 
     pub fn viewer(&mut self) -> Conn {
-        self.door.viewer_open(self.now, "10.9.0.1".parse().unwrap()).unwrap()
+        let conn = self.door.viewer_open(self.now, "10.9.0.1".parse().unwrap()).unwrap();
+        self.pump();
+        conn
     }
 
     pub fn hear(&mut self, conn: Conn, bytes: impl AsRef<[u8]>) {
@@ -168,12 +192,39 @@
         (viewer, node)
     }
 
+    /// An event of the journal service.
+    pub fn list(&mut self, number: u64, entries: &[Entry]) {
+        let news = News { number, whole: false, entries: entries.to_vec() };
+        self.door.journal(self.now, &Frame::News(news)).unwrap();
+        self.pump();
+    }
+
+    /// The node that a connection goes to, as a number.
+    pub fn node_of(&self, conn: Conn) -> u64 {
+        if self.links[&conn].to_string() == NODE[0] { 1 } else { 2 }
+    }
+
     /// What was said on a connection since the last look.
     pub fn heard(&mut self, conn: Conn) -> String {
         self.said.remove(&conn).unwrap_or_default()
     }
 }
 
+/// A line of the list.
+pub fn entry(id: u64, address: &str, state: Standing, started: Option<i64>) -> Entry {
+    let listed = Listed {
+        server: ServerId(id),
+        zone: Some(0),
+        kind: Some(0),
+        cell: (id - 1) % 2,
+        state,
+        weight: 1.0,
+        came_up: started,
+        fleet: 0,
+    };
+    Entry { listed, address: address.parse().unwrap() }
+}
+
 pub fn start(tag: u64, class: &str, left: i64, more: &str) -> String {
     format!(
         r#"{{"verb":"START","tag":"{tag:016x}","opts":{{"class":"{class}","left":"{left}","key":"7f3a9c21e0b4d655","hint":"8200.0","extras":"home:0;copies:2;top:1;viewer:{tag:016x}{more}"}},"blob":"here\r\n"}}"#
--- a/crates/platform-proto/tests/hostile.rs
+++ b/crates/platform-proto/tests/hostile.rs
@@ -55,12 +55,14 @@
     let mut rig = Rig::new();
     let good = rig.viewer();
     rig.ask(good, 1, "free");
+    let mut all_bad = Vec::new();
     for (tag, bytes) in (2..).zip(odd) {
         let bad = rig.viewer();
         rig.ask(bad, tag, "free");
         rig.hear(bad, bytes);
         rig.write(bad);
-        assert!(rig.closed.contains(&bad), "{bytes:.40}");
+        assert!(rig.finished.contains(&bad), "this side's half is closed at once: {bytes:.40}");
+        all_bad.push(bad);
         assert_eq!(rig.door.held(), (1, 0), "what it had open is given up");
     }
     for node in rig.links.keys().copied().collect::<Vec<_>>() {
@@ -68,6 +70,11 @@
         rig.hear(node, answer(1, "there"));
     }
     assert_eq!(rig.heard(good).matches("STARTED").count(), 1);
+    rig.pass(1300 * MS);
+    assert!(
+        all_bad.iter().all(|bad| rig.closed.contains(bad)),
+        "and the other, whether they close theirs or not"
+    );
 }
 
 /// One answer: two requests under one id from one side are both given up, and nobody else's is hurt by its id.
@@ -152,8 +159,8 @@
         frame.extend(payload);
         let mut frames = Frames::default();
         frames.push(&frame);
-        let Ok(Some(Frame::News(news))) = frames.frame() else { panic!("not read") };
-        rig.door.journal(rig.now, &news);
+        let Ok(Some(frame @ Frame::News(_))) = frames.frame() else { panic!("not read") };
+        rig.door.journal(rig.now, &frame).unwrap();
         rig.pump();
         let viewer = rig.viewer();
         rig.ask(viewer, 1000 + u64::from(round), "free");
--- a/crates/platform-proto/tests/sessions.rs
+++ b/crates/platform-proto/tests/sessions.rs
@@ -2,8 +2,9 @@
 
 mod common;
 use common::*;
+use shalewall_platform_proto::journal::{Frame, Frames};
 use shalewall_platform_proto::lines::Message;
-use shalewall_platform_proto::{Conn, Door, Hex16, NotUp};
+use shalewall_platform_proto::{Conn, Hex16, NotUp};
 
 #[test]
 fn a_session_is_set_up_told_and_over() {
@@ -276,7 +277,9 @@
 /// An answer whose length does not fit is not passed on.
 #[test]
 fn an_answer_that_is_not_sound_serves_nobody() {
-    let odd: [&[u8]; 4] = [
+    let odd: [&[u8]; 5] = [
+        // Seen once in some thousand drawn cases: what a length one too small leaves is an empty line.
+        b"RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: 0000000000000007\r\nContent-Length: 6\r\n\r\nthere\r\n",
         b"RTSP/1.0 200 OK\r\nContent-Length: -4\r\nCSeq: 1\r\nSession: 0000000000000007\r\nContent-Length: 5\r\n\r\nthere",
         b"RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: 0000000000000007\r\nContent-Length: 3\r\n\r\nthere\r\n",
         b"RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: 0000000000000007\r\nContent-Length: 3221225472\r\n\r\nthere",
@@ -295,7 +298,6 @@
 /// Judged again before its first byte: the node was told to drain while the connection came up.
 #[test]
 fn a_set_up_that_waited_is_judged_again() {
-    use shalewall_platform_proto::journal::{Frame, Frames};
     let mut rig = Rig::new();
     let viewer = rig.viewer();
     rig.ask(viewer, 7, "free");
@@ -307,9 +309,8 @@
     bytes.extend(record);
     let mut frames = Frames::default();
     frames.push(&bytes);
-    let Ok(Some(Frame::News(news))) = frames.frame() else { panic!("not read") };
-    let tell = |door: &mut Door| door.journal(START, &news);
-    tell(&mut rig.door);
+    let Ok(Some(frame @ Frame::News(_))) = frames.frame() else { panic!("not read") };
+    rig.door.journal(START, &frame).unwrap();
     rig.come_up(first);
     assert!(!rig.heard(first).contains("SETUP"));
     let other = rig.up();
--- a/crates/platform/src/hub.rs
+++ b/crates/platform/src/hub.rs
@@ -10,7 +10,7 @@
 use shalewall_platform_proto::{Conn, Door, NotUp, Output, Transmit};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::io::{ErrorKind, Read};
+use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
@@ -36,6 +36,14 @@
     (filled, false)
 }
 
+/// Whether nothing waits to be read: what a close would destroy.
+fn quiet(stream: &TcpStream) -> bool {
+    match stream.peek(&mut [0]) {
+        Ok(n) => n == 0,
+        Err(e) => e.kind() != ErrorKind::Interrupted,
+    }
+}
+
 /// An open connection: what wakes its writer, and its task.
 struct Open {
     kick: Rc<Event>,
@@ -177,13 +185,30 @@
                 match self.with(|door| door.transmit(now(), conn)) {
                     Transmit::Close => return true,
                     Transmit::Wait => kicked.await,
+                    Transmit::CloseIfQuiet if quiet(stream.get_ref()) => return true,
+                    // What waits there is read in its turn.
+                    Transmit::CloseIfQuiet => kicked.await,
                     Transmit::Finish => match stream.get_ref().shutdown(Shutdown::Write) {
                         Ok(()) => return future::pending().await,
                         Err(_) => return false,
                     },
                     Transmit::Bytes(bytes) => {
+                        let sent = match stream.get_ref().write(&bytes) {
+                            Ok(sent) => sent,
+                            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {
+                                self.with(|door| door.untaken(now(), conn, bytes));
+                                if stream.writable().await.is_err() {
+                                    return false;
+                                }
+                                continue;
+                            }
+                            Err(_) => return false,
+                        };
                         trace!(?conn, bytes = %String::from_utf8_lossy(&bytes), "said");
-                        if stream.write_all(&bytes).await.is_err() {
+                        if sent < bytes.len() {
+                            self.with(|door| door.taken_in_part(now(), conn));
+                        }
+                        if stream.write_all(&bytes[sent..]).await.is_err() {
                             return false;
                         }
                     }
--- a/crates/platform/src/journal.rs
+++ b/crates/platform/src/journal.rs
@@ -6,17 +6,22 @@
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
 use shalewall_clock::now;
 use shalewall_http::client::in_time;
-use shalewall_platform_proto::journal::{Frame, Frames, SILENCE};
+use shalewall_platform_proto::journal::{Frames, SILENCE};
 use std::cell::Cell;
+use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tracing::{info, warn};
 
 /// Pauses between tries; what the service would have told counts as told 2 s after a break.
 const PAUSE: Duration = Duration::from_millis(100);
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
 
+/// A connection that is not up and told the position within this is none. With the silence before it, which begins at
+/// the last word, and the pause, the next one speaks within the 4 s in which news counts as told.
+const CONNECT: Duration = Duration::from_millis(700);
+
 /// Where the service is, and what tells that it has moved.
 pub(crate) struct Place {
     pub address: Cell<SocketAddr>,
@@ -44,38 +49,52 @@
 /// Listens until the connection is of no use. True where it brought anything.
 async fn listen(hub: &Rc<Hub>, address: SocketAddr) -> bool {
     let silence = Duration::from_micros(SILENCE as u64);
-    let mut stream = match in_time(silence, Async::<TcpStream>::connect(address)).await {
+    let connected = async {
+        let mut stream = Async::<TcpStream>::connect(address).await?;
+        let position = hub.with(|door| door.position());
+        stream.write_all(&position.to_be_bytes()).await?;
+        io::Result::Ok(stream)
+    };
+    let mut stream = match in_time(CONNECT, connected).await {
         Some(Ok(stream)) => stream,
         Some(Err(e)) => {
             warn!(error = %e, "no connection to the journal service");
             return false;
         }
-        None => return false,
+        None => {
+            warn!("no connection to the journal service in time");
+            return false;
+        }
     };
-    let position = hub.with(|door| door.position());
-    if stream.write_all(&position.to_be_bytes()).await.is_err() {
-        return false;
-    }
     let mut frames = Frames::default();
     let mut buf = [0; 4096];
     let mut heard = false;
+    // Only a whole frame is a word: one that drips in byte by byte tells nothing.
+    let mut last_word = Instant::now();
     loop {
-        match in_time(silence, stream.read(&mut buf)).await {
+        match in_time(silence.saturating_sub(last_word.elapsed()), stream.read(&mut buf)).await {
             Some(Ok(n)) if n > 0 => frames.push(&buf[..n]),
-            _ => return heard,
+            Some(Ok(_)) => return heard,
+            Some(Err(e)) => {
+                warn!(error = %e, "the journal service broke off");
+                return heard;
+            }
+            None => {
+                warn!("the journal service is silent");
+                return heard;
+            }
         }
         loop {
             match frames.frame() {
                 Ok(None) => break,
-                Ok(Some(Frame::Nothing(_))) => heard = true,
-                Ok(Some(Frame::News(news))) => {
-                    heard = true;
-                    // A gap: what is missing is asked for on a new connection.
-                    if news.number > hub.with(|door| door.position()) + 1 {
-                        warn!(number = news.number, "the journal service left events out");
+                Ok(Some(frame)) => {
+                    last_word = Instant::now();
+                    // What is missing is asked for on a new connection.
+                    if let Err(why) = hub.with(|door| door.journal(now(), &frame)) {
+                        warn!(%why, "the journal service");
                         return heard;
                     }
-                    hub.with(|door| door.journal(now(), &news));
+                    heard = true;
                 }
                 Err(why) => {
                     warn!(%why, "the journal service can't be read");
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -3,7 +3,7 @@
 use crate::guard;
 use crate::hub::Hub;
 use crate::journal::{Place, follow};
-use async_executor::LocalExecutor;
+use async_executor::{LocalExecutor, Task};
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
 use event_listener::Event;
@@ -11,12 +11,13 @@
 use shalewall_clock::now;
 use shalewall_platform_proto::Door;
 use shalewall_platform_proto::config::Config;
+use shalewall_platform_proto::journal::Known;
 use std::cell::Cell;
 use std::io;
 use std::net::TcpListener;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tracing::{info, warn};
 
 /// Requests come until then after the word to end, and are still to be answered.
@@ -25,6 +26,12 @@
 const SECOND: Duration = Duration::from_secs(1);
 /// How often is looked whether everything is answered.
 const LOOK: Duration = Duration::from_millis(20);
+/// At the end viewers' connections are closed in two steps, and waited for so long: the kill comes 0.7 s after the longest
+/// wait, and that ends 0.55 s after it.
+const CLOSING: Duration = Duration::from_millis(60);
+/// A file that can't be read is tried again so often and after so long.
+const REREADS: u32 = 10;
+const REREAD: Duration = Duration::from_millis(100);
 
 fn wrong(what: impl std::fmt::Display) -> io::Error {
     io::Error::other(what.to_string())
@@ -41,7 +48,7 @@
     // Before anything else: a signal that nobody waits for would end the process.
     let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
     guard::tell();
-    let config = read(file)?;
+    let mut config = read(file)?;
     let door = Door::new(&config, now()).map_err(|e| wrong(format!("{}: settings: {e}", file.display())))?;
     let listener = Async::new(TcpListener::bind(config.listen)?)?;
     let ex = Rc::new(LocalExecutor::new());
@@ -56,44 +63,79 @@
     .detach();
     ex.spawn(hub.clone().accept(listener)).detach();
     info!(name = config.name, address = %config.listen, nodes = hub.with(|d| d.sizes().2), "listening");
-    drop(config);
+    // Its events are taken; the rest is compared with what a signal brings.
+    config.known = Known::default();
+    let given = Rc::new(config);
     ex.spawn(guard::alone(tell(hub.clone()))).detach();
     async_io::block_on(ex.run(async {
-        while let Some(signal) = signals.next().await {
-            match signal? {
-                Signal::Hup => match read(file) {
-                    Ok(config) => {
-                        hub.with(|door| door.known(&config, now()));
-                        place.address.set(config.journal);
-                        place.moved.notify(usize::MAX);
-                    }
-                    Err(e) => warn!(error = %e, "the configuration is kept as it was"),
-                },
-                _ => break,
+        let mut leaving: Option<Task<()>> = None;
+        let mut rereads: Option<Task<()>> = None;
+        loop {
+            let left = async {
+                match &mut leaving {
+                    Some(task) => task.await,
+                    None => future::pending().await,
+                }
+                None
+            };
+            match future::or(async { signals.next().await }, left).await.transpose()? {
+                // What one signal began to read the next one reads anew.
+                Some(Signal::Hup) => {
+                    let reread = reread(file.to_path_buf(), hub.clone(), place.clone(), given.clone());
+                    drop(rereads.replace(ex.spawn(reread)));
+                }
+                Some(_) if leaving.is_none() => leaving = Some(ex.spawn(leave(hub.clone()))),
+                // Told so once more by whoever ends it in an orderly way, it is on its way already; at a terminal it is
+                // to end at once.
+                Some(Signal::Term) => info!("leaving already"),
+                Some(_) | None => return Ok(()),
             }
         }
-        hub.with(Door::leave);
-        info!(held = ?hub.with(|d| d.held()), "leaving");
-        let begun = std::time::Instant::now();
-        let leave = Duration::from_micros(hub.with(|d| d.leave_within()).max(0) as u64).max(LATE_COMERS);
-        let emptied = async {
-            loop {
-                let (waiting, standing) = hub.with(|d| d.held());
-                let patient = begun.elapsed() < leave;
-                if begun.elapsed() >= LATE_COMERS && waiting == 0 && (standing == 0 || !patient) {
-                    return;
+    }))
+}
+
+/// Reads the file anew: where the journal service is, and events that were not heard yet.
+async fn reread(file: PathBuf, hub: Rc<Hub>, place: Rc<Place>, given: Rc<Config>) {
+    for tries in 0..REREADS {
+        match read(&file) {
+            Ok(config) => {
+                for other in given.other(&config) {
+                    warn!(other, "the new configuration differs in what is kept as at the start");
                 }
-                Timer::after(LOOK).await;
+                hub.with(|door| door.known(&config, now()));
+                place.address.set(config.journal);
+                place.moved.notify(usize::MAX);
+                return;
             }
-        };
-        future::or(emptied, async {
-            // A file that is read anew matters no more; told to end once more, it ends at once.
-            while let Some(Ok(Signal::Hup)) = signals.next().await {}
-        })
-        .await;
+            Err(e) if tries == 0 => warn!(error = %e, "the configuration is kept as it was"),
+            Err(_) => {}
+        }
+        // Whoever replaces a file by writing it over may be in the middle of it.
+        Timer::after(REREAD).await;
+    }
+}
+
+/// Answers what was taken, holds what stands for as long as there is time, and closes what was said to.
+async fn leave(hub: Rc<Hub>) {
+    hub.with(|door| door.leave(now()));
+    info!(held = ?hub.with(|d| d.held()), "leaving");
+    let begun = Instant::now();
+    let most = Duration::from_micros(hub.with(|d| d.leave_within()).max(0) as u64).max(LATE_COMERS);
+    while begun.elapsed() < most {
+        let (waiting, standing) = hub.with(|d| d.held());
+        if begun.elapsed() >= LATE_COMERS && waiting + standing == 0 && !hub.with(|d| d.unsaid()) {
+            break;
+        }
         Timer::after(LOOK).await;
-        io::Result::Ok(())
-    }))
+    }
+    hub.with(|door| door.finish(now()));
+    let closing = Instant::now();
+    while closing.elapsed() < CLOSING && hub.with(|d| d.unsaid() || d.sizes().0 > 0) {
+        Timer::after(LOOK).await;
+    }
+    if hub.with(|d| d.unsaid()) {
+        warn!("ending with words that were not taken");
+    }
 }
 
 /// Logs once a second what this director holds and believes, and what it takes of the machine.
@@ -107,10 +149,23 @@
         let files = std::fs::read_dir("/proc/self/fd").map_or(0, |dir| dir.count());
         let (waiting, standing, viewers, links, nodes) = (s.waiting, s.standing, s.viewers, s.links, s.nodes);
         let (worst, ended, late_us, resident_kb) = (s.worst, s.ended, s.late, pages * 4);
-        let (opened, lost) = (s.opened, s.lost);
+        let (opened, lost, left, sent_for_left) = (s.opened, s.lost, s.left, s.sent_for_left);
         info!(
             waiting,
-            standing, viewers, links, nodes, worst, ended, opened, lost, late_us, resident_kb, files, "state"
+            standing,
+            viewers,
+            links,
+            nodes,
+            worst,
+            ended,
+            opened,
+            lost,
+            left,
+            sent_for_left,
+            late_us,
+            resident_kb,
+            files,
+            "state"
         );
     }
 }
