--- a/crates/platform-proto/src/care.rs
+++ b/crates/platform-proto/src/care.rs
@@ -55,13 +55,20 @@
                 open.push((*server, why));
             }
         }
+        for (server, node) in &mut self.nodes.all {
+            node.owed.retain(|(until, _)| *until > now);
+            if !node.owed.is_empty() && now >= node.retry && self.links.of(*server).next().is_none() {
+                open.push((*server, Why::Stands));
+            }
+        }
         over.into_iter().for_each(|server| self.gone(server));
         for (server, why) in open {
             self.open_link(server, why);
         }
         let links = &self.links;
         self.nodes.all.retain(|id, n| {
-            n.listed.state != Standing::Gone || !n.standing.is_empty() || links.of(*id).next().is_some()
+            let of_use = !n.standing.is_empty() || !n.owed.is_empty() || links.of(*id).next().is_some();
+            n.listed.state != Standing::Gone || of_use
         });
     }
 }
--- a/crates/platform-proto/src/door.rs
+++ b/crates/platform-proto/src/door.rs
@@ -226,6 +226,7 @@
     pub(crate) fn over(&mut self, server: ServerId) {
         let Some(node) = self.nodes.all.get_mut(&server) else { return };
         (node.unreachable, node.refused) = (None, None);
+        node.owed.clear();
         let standing = std::mem::take(&mut node.standing);
         let count = standing.len();
         self.outputs.push_back(Output::Log(format!("node s-{:08x}: gone, {count} sessions over", server.0)));
@@ -362,6 +363,7 @@
             (node.unreachable, node.refused, node.heard) = (None, None, now);
         }
         self.outputs.push_back(Output::Write(conn));
+        self.say_owed(server, id);
         let doubted = self.links.of(server).filter(|(_, l)| l.up && l.doubt && !l.busy()).map(|(id, _)| id);
         for id in doubted.collect::<Vec<_>>() {
             self.part_with(id, Lost::Doubt);
--- a/crates/platform-proto/src/linger.rs
+++ b/crates/platform-proto/src/linger.rs
@@ -72,7 +72,12 @@
             Lost::NotUp(_) => Outcome::NoConnection,
             Lost::Done | Lost::Doubt | Lost::Closed | Lost::Broken | Lost::Spoilt => Outcome::Reset,
         };
-        link.given_up().for_each(|session| self.next_attempt(session));
+        // Closed by the node after its last message, nothing on it is unheard.
+        let crossed = !matches!(lost, Lost::Closed | Lost::NotUp(_));
+        let given_up = link.given_up().map(|(_, tag)| tag);
+        let whole = link.open.iter().filter(|_| crossed).filter_map(|id| self.may_stand(*id));
+        let owed: Vec<_> = given_up.chain(whole).collect();
+        link.given_up().for_each(|(session, _)| self.next_attempt(session));
         for session in link.open {
             self.cut(session, outcome);
         }
@@ -82,6 +87,9 @@
         if lost == Lost::Spoilt {
             self.open_after(link.server);
         }
+        if !owed.is_empty() {
+            self.owe_release(link.server, owed);
+        }
         self.lost(id, link.server, lost);
     }
 
--- a/crates/platform-proto/src/links.rs
+++ b/crates/platform-proto/src/links.rs
@@ -37,7 +37,7 @@
     /// The session's attempt of this number, worded when its turn has come.
     SetUp(SessionId, u32),
     /// The word that a set-up is given up: the session's next one waits for it.
-    GiveUp(SessionId, Vec<u8>),
+    GiveUp(SessionId, Hex16),
     Bytes(Vec<u8>),
 }
 
@@ -49,7 +49,7 @@
     /// The set-up that is being written: not whole yet.
     pub writing: Option<(SessionId, u32)>,
     /// The set-up whose giving up is being written.
-    pub giving: Option<SessionId>,
+    pub giving: Option<(SessionId, Hex16)>,
     /// Set-ups and probes without an answer.
     pub open: BTreeSet<SessionId>,
     pub probes: BTreeSet<ProbeId>,
@@ -119,9 +119,9 @@
     }
 
     /// Sessions that are given up on it and whose node has not had the word yet.
-    pub fn given_up(&self) -> impl Iterator<Item = SessionId> {
+    pub fn given_up(&self) -> impl Iterator<Item = (SessionId, Hex16)> {
         let queued = self.queue.iter().filter_map(|item| match item {
-            Item::GiveUp(session, _) => Some(*session),
+            Item::GiveUp(session, tag) => Some((*session, *tag)),
             Item::SetUp(..) | Item::Bytes(_) => None,
         });
         self.giving.into_iter().chain(queued)
@@ -198,7 +198,7 @@
 
     /// Whether an earlier attempt of a session is still to be given up.
     pub fn gives_up(&self, session: SessionId) -> bool {
-        self.all.values().any(|l| l.given_up().any(|s| s == session))
+        self.all.values().any(|l| l.given_up().any(|(s, _)| s == session))
     }
 
     /// The connection to share where no further one may be opened.
--- a/crates/platform-proto/src/nodes.rs
+++ b/crates/platform-proto/src/nodes.rs
@@ -1,5 +1,6 @@
 //! The media nodes as the journal tells of them, which sessions stand there, and whether they can be reached.
 
+use crate::Hex16;
 use crate::journal::{Entry, News};
 use shalewall::{Listed, Micros, ServerId, SessionId, Standing};
 use std::collections::{BTreeMap, BTreeSet};
@@ -31,6 +32,8 @@
     pub retry: Micros,
     /// There has been a connection to it.
     pub met: bool,
+    /// Releases of what may stand there and is nobody's, and until when they are worth saying.
+    pub owed: Vec<(Micros, Hex16)>,
 }
 
 #[derive(Default)]
@@ -102,6 +105,7 @@
                 refused: None,
                 retry: now,
                 met: false,
+                owed: Vec::new(),
             });
             let started = listed.came_up > node.listed.came_up;
             if node.address != *address || (started && listed.state != Standing::Gone) {
--- a/crates/platform-proto/src/table.rs
+++ b/crates/platform-proto/src/table.rs
@@ -59,6 +59,11 @@
     Whole,
 }
 
+/// A release of what may stand at a node is owed so long: by then a connection has come up, or the node is gone.
+const OWED: Micros = 8_000_000;
+/// And so many at most to one node.
+const MOST_OWED: usize = 64;
+
 impl Door {
     /// Feeds the module what has happened, and carries out what it says.
     pub(crate) fn run(&mut self) {
@@ -264,7 +269,7 @@
             if let Some(link) = self.links.get(link) {
                 link.doubt = true;
             }
-            if !self.queue(link, Item::GiveUp(id, rtsp::give_up(tag))) {
+            if !self.queue(link, Item::GiveUp(id, tag)) {
                 self.drop_link(link, Lost::Spoilt);
             }
         }
@@ -347,6 +352,34 @@
         }
     }
 
+    /// The tag of a set-up that its node may have whole.
+    pub(crate) fn may_stand(&self, id: SessionId) -> Option<Hex16> {
+        let whole = |s: &&Session| matches!(&s.stage, Stage::Out(a) if a.way == Way::Whole);
+        self.sessions.get(&id).filter(whole).map(|s| s.tag)
+    }
+
+    /// Set-ups ended with a connection that closed, and an answer may have crossed that: what stands at the node then is nobody's.
+    /// It is released over another connection, at once or when the next one is up.
+    pub(crate) fn owe_release(&mut self, server: ServerId, tags: Vec<Hex16>) {
+        let until = self.now + OWED;
+        let Some(node) = self.nodes.all.get_mut(&server) else { return };
+        for tag in tags {
+            if node.owed.len() < MOST_OWED {
+                node.owed.push((until, tag));
+            }
+        }
+        if let Some(link) = self.links.any(server) {
+            self.say_owed(server, link);
+        }
+    }
+
+    pub(crate) fn say_owed(&mut self, server: ServerId, link: LinkId) {
+        let Some(node) = self.nodes.all.get_mut(&server) else { return };
+        for (_, tag) in std::mem::take(&mut node.owed) {
+            self.disown(link, tag);
+        }
+    }
+
     // ---- sessions ---------------------------------------------------------------------------
 
     /// A session stands at a node from now on.
--- a/crates/platform-proto/src/transmit.rs
+++ b/crates/platform-proto/src/transmit.rs
@@ -4,6 +4,7 @@
 use crate::door::{Conn, ConnId, Door};
 use crate::linger::Lost;
 use crate::links::{Item, LinkId};
+use crate::rtsp;
 use shalewall::Micros;
 
 /// What a connection is to do next.
@@ -47,16 +48,16 @@
                 self.whole(session, attempt);
                 continue;
             }
-            if let Some(session) = link.giving.take() {
+            if let Some((session, _)) = link.giving.take() {
                 self.next_attempt(session);
                 continue;
             }
             let bytes = match link.pop() {
                 None => return Transmit::Wait,
                 Some(Item::Bytes(bytes)) => bytes,
-                Some(Item::GiveUp(session, bytes)) => {
-                    link.giving = Some(session);
-                    bytes
+                Some(Item::GiveUp(session, tag)) => {
+                    link.giving = Some((session, tag));
+                    rtsp::give_up(tag)
                 }
                 // Two nodes may be reached in either order: no two attempts are to be out.
                 Some(Item::SetUp(session, attempt @ 1..)) if self.links.gives_up(session) => {
@@ -93,8 +94,8 @@
         if let Some((session, attempt)) = link.writing.take() {
             link.put_back(Item::SetUp(session, attempt));
             self.unworded(session, attempt);
-        } else if let Some(session) = link.giving.take() {
-            link.put_back(Item::GiveUp(session, bytes));
+        } else if let Some((session, tag)) = link.giving.take() {
+            link.put_back(Item::GiveUp(session, tag));
             self.said_by_closing(id);
         } else {
             link.put_back(Item::Bytes(bytes));
--- a/crates/platform-proto/tests/common/mod.rs
+++ b/crates/platform-proto/tests/common/mod.rs
@@ -199,6 +199,11 @@
         self.pump();
     }
 
+    /// Whether a connection is still coming up.
+    pub fn coming(&self, conn: Conn) -> bool {
+        self.under_way.contains(&conn)
+    }
+
     /// The node that a connection goes to, as a number.
     pub fn node_of(&self, conn: Conn) -> u64 {
         if self.links[&conn].to_string() == NODE[0] { 1 } else { 2 }
--- a/crates/platform-proto/tests/crossings.rs
+++ b/crates/platform-proto/tests/crossings.rs
@@ -155,6 +155,7 @@
         rig.full.insert(node);
         rig.come_up(node);
         leave(&mut rig, viewer);
+        assert!(!rig.closed.contains(&node), "none of it was taken, and the connection is as it was");
         rig.full.clear();
         rig.write(node);
         rig.pass(3 * S);
@@ -327,6 +328,14 @@
 
 // ---- nodes ------------------------------------------------------------------------------------
 
+/// Lets all connections come up; how many set-ups went out on others than that one.
+fn set_up_elsewhere(rig: &mut Rig, than: Conn) -> usize {
+    for conn in rig.links.keys().copied().filter(|c| rig.coming(*c)).collect::<Vec<_>>() {
+        rig.come_up(conn);
+    }
+    rig.said.iter().filter(|(c, said)| **c != than && said.contains("SETUP")).count()
+}
+
 /// A connection on which the word that an attempt is given up is half written: the next attempt is not left waiting for it.
 #[test]
 fn a_connection_with_half_a_word_on_it_holds_nothing_up() {
@@ -336,8 +345,7 @@
     rig.full.insert(slow);
     rig.pass(600 * MS);
     assert!(rig.closed.contains(&slow));
-    let next = rig.up();
-    assert!(rig.heard(next).starts_with("SETUP"));
+    assert_eq!(set_up_elsewhere(&mut rig, slow), 1);
     // It takes half, and no more.
     let mut rig = Rig::new();
     let (_, slow) = rig.out(7, "free");
@@ -345,8 +353,7 @@
     rig.half.insert(slow);
     rig.pass(600 * MS);
     assert!(rig.closed.contains(&slow));
-    let next = rig.up();
-    assert!(rig.heard(next).starts_with("SETUP"));
+    assert_eq!(set_up_elsewhere(&mut rig, slow), 1);
 }
 
 /// The same where sessions stand at the node, so that its connections are closed in two steps: one on which the word is under
@@ -416,6 +423,28 @@
     assert!(rig.heard(viewer).is_empty());
 }
 
+/// A connection breaks under a set-up whose answer may be on its way: what then stands at the node is nobody's, and is released
+/// over the next connection.
+#[test]
+fn what_stands_behind_a_broken_connection_is_released() {
+    let mut rig = Rig::new();
+    let (viewer, node) = rig.out(7, "paid");
+    let server = rig.node_of(node);
+    rig.broken(node, false);
+    assert!(rig.heard(viewer).contains(r#""rc":41"#));
+    rig.pass(300 * MS);
+    let next = rig.up();
+    assert_eq!(rig.node_of(next), server);
+    let told = rig.heard(next);
+    assert!(told.contains("TEARDOWN") && told.contains("0000000000000007"), "{told}");
+    // Closed by the node behind its last message: it has given up what was open there.
+    let mut rig = Rig::new();
+    let (_, node) = rig.out(7, "paid");
+    rig.broken(node, true);
+    rig.pass(S);
+    assert!(rig.links.is_empty());
+}
+
 /// The other orders at a node. Before its set-up is whole nothing ran, and a paid one goes elsewhere; after that it may have.
 #[test]
 fn a_paid_set_up_is_repeated_only_where_its_node_can_not_have_it() {
