Settings tried by metamorphoses: names, order of classes, two directors, tenants unknown

Renamed classes, zones, kinds and tenants give the same outputs and bytes but for the class's name; classes in another order the same set-ups and words; two directors of different settings, interleaved, act as each alone; an unknown class or tenant is turned away.

--- a/crates/platform-proto/tests/common/mod.rs
+++ b/crates/platform-proto/tests/common/mod.rs
@@ -60,6 +60,7 @@
     /// Of which this side's half is closed.
     pub finished: Vec<Conn>,
     pub said: BTreeMap<Conn, String>,
+    pub logs: Vec<String>,
 }
 
 impl Rig {
@@ -77,6 +78,7 @@
             closed: Vec::new(),
             finished: Vec::new(),
             said: BTreeMap::new(),
+            logs: Vec::new(),
         };
         rig.pump();
         rig
@@ -97,7 +99,7 @@
                     self.links.remove(&conn);
                     self.closed.push(conn);
                 }
-                Output::Log(_) => {}
+                Output::Log(text) => self.logs.push(text),
             }
         }
     }
--- a/crates/platform-proto/tests/crossings.rs
+++ b/crates/platform-proto/tests/crossings.rs
@@ -306,6 +306,7 @@
     let (old, other) = if rig.node_of(conn) == 1 { (1, 2) } else { (2, 1) };
     rig.list(2, &[entry(9, NODE[old as usize - 1], Ready, Some(START))]);
     assert!(rig.closed.contains(&conn), "the connection under way went to the old one");
+    rig.logs.clear();
     // Whatever it asks now, the old name gets nothing before its `gone` comes, and after.
     for number in [3, 4] {
         for tag in 0..20 {
@@ -321,6 +322,9 @@
             rig.list(number, &[entry(old, NODE[old as usize - 1], Gone, None)]);
         }
     }
+    let name = |id: u64| format!("node s-{id:08x}: link");
+    let opens = |name: String| rig.logs.iter().any(|l| l.starts_with(&name) && l.contains("opens"));
+    assert!(!opens(name(old)) && opens(name(9)), "{:?}", rig.logs);
     rig.pass(S);
     assert_eq!(rig.door.status().nodes, 2, "the old one is forgotten, {other} and 9 stay");
     assert!(rig.said.iter().any(|(_, said)| said.contains("SETUP")));
@@ -464,6 +468,37 @@
     }
 }
 
+/// A second copy of a refusal, and an answer to it while the same node has the session's next attempt, or holds it: the word
+/// would be taken for that one.
+#[test]
+fn a_late_answer_ends_nothing_that_the_same_node_holds() {
+    let mut rig = Rig::new();
+    let (_, node) = rig.out(7, "free");
+    let server = rig.node_of(node);
+    let other = 3 - server;
+    rig.list(2, &[entry(other, NODE[other as usize - 1], Gone, None)]);
+    rig.heard(node);
+    rig.hear(node, refusal(7, 454));
+    rig.pass(50 * MS);
+    let again = rig.said.values().any(|said| said.contains("SETUP"));
+    rig.hear(node, answer(7, "there"));
+    let ended = rig.said.values().any(|said| said.contains("TEARDOWN"));
+    assert!(again != ended, "set up there again: {again}, released: {ended}");
+}
+
+/// Bytes that a node takes only half of, on a connection that others share: it is given up after half a second.
+#[test]
+fn a_connection_whose_bytes_are_not_taken_is_given_up() {
+    let mut rig = Rig::new();
+    let (viewer, node) = rig.standing(7, "free");
+    rig.heard(node);
+    rig.half.insert(node);
+    rig.hear(viewer, gives_up(7));
+    assert!(rig.said.get(&node).is_some_and(|said| said.starts_with("TEAR")));
+    rig.pass(800 * MS);
+    assert!(rig.closed.contains(&node));
+}
+
 /// The other orders at a node. Before its set-up is whole nothing ran, and a paid one goes elsewhere; after that it may have.
 #[test]
 fn a_paid_set_up_is_repeated_only_where_its_node_can_not_have_it() {
--- /dev/null
+++ b/crates/platform-proto/tests/settings.rs
@@ -0,0 +1,160 @@
+//! Settings of several customers: names are only names, an order is only an order, and two directors in one process know nothing
+//! of each other.
+
+mod common;
+use common::*;
+use shalewall_platform_proto::config::Config;
+use shalewall_platform_proto::{Conn, Door, NotUp, Output, Transmit};
+
+fn text(classes: [&str; 2], zone: &str, kind: &str, tenants: &[&str], turned: bool) -> String {
+    let class = |name: &str, effect: &str, target: f64, value: f64| {
+        format!(r#"{{"Name":"{name}","Effect":"{effect}","Target":{target:?},"Value":{value:?}}}"#)
+    };
+    let mut listed =
+        [class(classes[0], "at_most_once", 1500.0, 2.0), class(classes[1], "idempotent", 1000.0, 1.0)];
+    let (mut scales, mut floors) = (["1.2", "0.8"], ["1", "0"]);
+    if turned {
+        (listed.reverse(), scales.reverse(), floors.reverse());
+    }
+    let (scales, floors) = (scales.join(","), floors.join(","));
+    let tenants: Vec<_> =
+        tenants.iter().map(|t| format!(r#"{{"Name":"{t}","Share":0.5,"AllowancePerS":1.0}}"#)).collect();
+    let members: Vec<_> = (0..2)
+        .map(|n| format!(
+            r#"{{"id":"s-0000000{}","host_port":"{}","locality":"{zone}","flavor":"{kind}","cell":{n},"phase":"ready","size":1}}"#,
+            n + 1, NODE[n]
+        ))
+        .collect();
+    format!(
+        r#"{{"name":"n1","listen":"10.0.0.4:5060","seed":"8c1f30d27a5be964","limits":{{"sockets":256}},
+        "journal":"10.2.0.1:8500","known":{{"pos":1,"entries":[{{"pos":1,"hosts":{{"complete":true,"members":[{}]}}}}]}},
+        "settings":{{"Balancers":1,"MyNumber":0,"Categories":[{}],"Tenants":[{}],"OverShareWorth":0.1,
+        "FailureDomains":["{zone}"],"Shapes":["{kind}"],"Zone":"{zone}","WeightSource":"nominal","Step":10.0,
+        "Contract":{{"WarmAfter":0,"StartCapacity":0.4,"OverloadFactor":2.0,"Fall":2000.0}},
+        "Limits":{{"MaxAttempts":4,"MayCancel":true,"RetryAfter":true,"MaxRetryAfter":1000.0,"ConnectTimeout":250.0}},
+        "Specifics":{{"Places":2,"Cabinets":1,"PlacesByKind":[30],"RungKb":[200,600],"RungWorth":[0.4,1.0],
+        "HighestRung":[1,1],"LowestRung":[{floors}],"ClassScale":[{scales}],"KbPerWeight":9000.0,
+        "RackLinkKb":20000.0,"ToldEvery":3000.0}}}}}}"#,
+        members.join(","),
+        listed.join(","),
+        tenants.join(",")
+    )
+}
+
+/// One director and all that it says, in order.
+struct Told {
+    door: Door,
+    now: i64,
+    viewer: Conn,
+    under_way: Vec<Conn>,
+    all: Vec<String>,
+}
+
+impl Told {
+    fn new(text: &str) -> Told {
+        let mut door = Door::new(&Config::read(text.as_bytes()).unwrap(), START).unwrap();
+        let viewer = door.viewer_open(START, "10.9.0.1".parse().unwrap()).unwrap();
+        Told { door, now: START, viewer, under_way: Vec::new(), all: Vec::new() }
+    }
+
+    fn pump(&mut self) {
+        while let Some(output) = self.door.poll_output() {
+            self.all.push(format!("{output:?}"));
+            match output {
+                Output::Open { conn, .. } => self.under_way.push(conn),
+                Output::Write(conn) if !self.under_way.contains(&conn) => {
+                    while let Transmit::Bytes(bytes) = self.door.transmit(self.now, conn) {
+                        self.all.push(format!("{conn:?} {}", String::from_utf8_lossy(&bytes)));
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// The nth thing that happens: the same for whoever is asked.
+    fn step(&mut self, n: u64, classes: [&str; 2], tenants: &[&str]) {
+        self.now += 7 * MS;
+        while let Some(due) = self.door.poll_timeout().filter(|due| *due <= self.now) {
+            self.door.timeout(due);
+            self.pump();
+        }
+        let tag = 1000 + n;
+        let tenant =
+            if tenants.is_empty() { String::new() } else { tenants[n as usize % tenants.len()].into() };
+        let line = start(tag, classes[n as usize % 2], 1500, "").replace(
+            r#""hint""#,
+            &if tenant.is_empty() { r#""hint""#.into() } else { format!(r#""tenant":"{tenant}","hint""#) },
+        );
+        self.door.bytes(self.now, self.viewer, line.as_bytes());
+        self.pump();
+        for conn in std::mem::take(&mut self.under_way) {
+            if n % 11 == 3 {
+                self.door.node_failed(self.now, conn, NotUp::Silent);
+            } else {
+                self.door.node_up(self.now, conn);
+            }
+            self.pump();
+            let word = if n % 5 == 4 { refusal(tag, 453) } else { answer(tag, "there") };
+            self.door.bytes(self.now, conn, word.as_bytes());
+            self.pump();
+        }
+    }
+
+    fn play(text: &str, classes: [&str; 2], tenants: &[&str]) -> Vec<String> {
+        let mut told = Told::new(text);
+        (0..300).for_each(|n| told.step(n, classes, tenants));
+        told.all
+    }
+}
+
+const OWN: [&str; 2] = ["paid", "free"];
+const OTHER: [&str; 2] = ["seat", "loop"];
+
+#[test]
+fn names_are_only_names() {
+    let ours = Told::play(&text(OWN, "north", "small", &["left", "right"], false), OWN, &["left", "right"]);
+    let theirs =
+        Told::play(&text(OTHER, "quay-9", "brick", &["sand", "salt"], false), OTHER, &["sand", "salt"]);
+    let renamed =
+        |l: &String| l.replace("P-Kind: seat", "P-Kind: paid").replace("P-Kind: loop", "P-Kind: free");
+    assert!(ours.iter().any(|l| l.contains("SETUP")) && ours.iter().any(|l| l.contains("STARTED")));
+    assert_eq!(ours, theirs.iter().map(renamed).collect::<Vec<_>>());
+}
+
+#[test]
+fn classes_in_another_order_are_the_same_classes() {
+    let ours = Told::play(&text(OWN, "north", "small", &[], false), OWN, &[]);
+    let turned = Told::play(&text(OWN, "north", "small", &[], true), OWN, &[]);
+    let set_ups = |all: &[String]| {
+        all.iter().filter(|l| l.contains("SETUP") || l.contains("verb")).cloned().collect::<Vec<_>>()
+    };
+    assert_eq!(set_ups(&ours), set_ups(&turned));
+}
+
+#[test]
+fn two_directors_in_one_process_act_as_each_alone() {
+    let (a, b) =
+        (text(OWN, "north", "small", &[], false), text(OTHER, "quay", "brick", &["sand", "salt"], true));
+    let alone = (Told::play(&a, OWN, &[]), Told::play(&b, OTHER, &["sand", "salt"]));
+    let (mut one, mut two) = (Told::new(&a), Told::new(&b));
+    for n in 0..300 {
+        one.step(n, OWN, &[]);
+        two.step(n, OTHER, &["sand", "salt"]);
+    }
+    assert_eq!((one.all, two.all), alone);
+}
+
+/// Who is none of the tenants, or asks under a class that is not there, has nobody's terms; where there are no tenants the name of one
+/// says nothing.
+#[test]
+fn an_unknown_tenant_or_class_is_turned_away() {
+    let mut told = Told::new(&text(OWN, "north", "small", &["left", "right"], false));
+    told.step(0, OWN, &["nobody"]);
+    told.step(1, OTHER, &["left"]);
+    assert_eq!(told.all.iter().filter(|l| l.contains(r#""rc":95"#)).count(), 2, "{:?}", told.all);
+    assert_eq!(told.door.held(), (0, 0));
+    let mut told = Told::new(&text(OWN, "north", "small", &[], false));
+    told.step(0, OWN, &["nobody"]);
+    assert!(told.all.iter().any(|l| l.contains("SETUP")));
+}
