--- a/crates/platform-proto/tests/settings.rs
+++ b/crates/platform-proto/tests/settings.rs
@@ -14,7 +14,9 @@
         [class(classes[0], "at_most_once", 1500.0, 2.0), class(classes[1], "idempotent", 1000.0, 1.0)];
     let (mut scales, mut floors) = (["1.2", "0.8"], ["1", "0"]);
     if turned {
-        (listed.reverse(), scales.reverse(), floors.reverse());
+        listed.reverse();
+        scales.reverse();
+        floors.reverse();
     }
     let (scales, floors) = (scales.join(","), floors.join(","));
     let tenants: Vec<_> =
