--- a/crates/front/tests/direct_day.rs
+++ b/crates/front/tests/direct_day.rs
@@ -70,7 +70,11 @@
         _ => None,
     };
     let favoured = favoured.map(|n| (late + 1_200, Favour(n)));
-    let troubles = troubles.into_iter().chain(favoured).collect();
+    // Told to end with requests in flight: nodes answer nothing for a while.
+    let ends = lie == Lie::EndsAtOnce;
+    let mute = (0..6).filter(|_| ends).map(|n| (1_500, Turn(n, Mood::Mute)));
+    let told = (0..4).filter(|_| ends).map(|d| (1_900, Leave(d)));
+    let troubles = troubles.into_iter().chain(favoured).chain(mute).chain(told).collect();
     let plan = Plan { directors: 4, nodes: 6, seconds: 4 + late / 1000, seed: 2, lie: Some(lie), troubles };
     let day = played(&plan);
     let found = broken(&day.verdict);
@@ -104,6 +108,16 @@
     convicted(Lie::PushesCold, Some(Rule::Cold));
 }
 
+#[test]
+fn who_sends_on_for_viewers_that_left_is_convicted() {
+    convicted(Lie::SendsForLeft, None);
+}
+
+#[test]
+fn who_ends_at_once_when_told_to_is_convicted() {
+    convicted(Lie::EndsAtOnce, Some(Rule::Answered));
+}
+
 #[test]
 fn who_wastes_attempts_is_convicted() {
     convicted(Lie::Wastes, Some(Rule::Ration));
--- a/crates/rig/src/day.rs
+++ b/crates/rig/src/day.rs
@@ -117,6 +117,9 @@
                 self.viewers[d].paused.store(true, Ordering::Relaxed);
                 self.directors[d].kill();
             }
+            Trouble::Leave(d) if self.liar.as_ref().is_some_and(|l| l.ends_at_once()) => {
+                self.directors[d].crash()
+            }
             Trouble::Leave(d) => {
                 // The front has taken it out: its viewers ask it no more.
                 self.viewers[d].paused.store(true, Ordering::Relaxed);
--- a/crates/rig/src/director.rs
+++ b/crates/rig/src/director.rs
@@ -99,6 +99,13 @@
         let _ = child.wait();
     }
 
+    /// What one would do that ends at once when it is told to: whoever judges knows of no kill.
+    pub fn crash(&mut self) {
+        let Some(mut child) = self.child.take() else { return };
+        let _ = child.kill();
+        let _ = child.wait();
+    }
+
     /// SIGTERM; true where it ended by itself within `patience`.
     pub fn leave(&mut self, patience: Duration) -> bool {
         let Some(mut child) = self.child.take() else { return true };
--- a/crates/rig/src/lies.rs
+++ b/crates/rig/src/lies.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
+use std::time::Duration;
 
 /// What is wrong.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -30,15 +31,25 @@
     PushesCold,
     /// Gives every harmless set-up up once and sends it again.
     Wastes,
+    /// Holds requests back, and sends them on whoever has left meanwhile.
+    SendsForLeft,
+    /// Ends as soon as it is told to.
+    EndsAtOnce,
 }
 
 impl Lie {
     /// Told to viewers; the others are told to nodes.
     pub fn to_viewers(self) -> bool {
-        matches!(self, Lie::Loses | Lie::Twice | Lie::MakesUp | Lie::KeepsReleases)
+        matches!(
+            self,
+            Lie::Loses | Lie::Twice | Lie::MakesUp | Lie::KeepsReleases | Lie::SendsForLeft | Lie::EndsAtOnce
+        )
     }
 }
 
+/// Longer than a request may be sent on after its viewer has left.
+const HELD: Duration = Duration::from_millis(550);
+
 /// No node is favoured.
 pub const NOBODY: usize = usize::MAX;
 
@@ -78,11 +89,25 @@
     let _ = from.shutdown(Shutdown::Both);
 }
 
+/// Requests later, and no word of those that are given up.
+fn held_back(buf: &mut Vec<u8>) -> Vec<u8> {
+    thread::sleep(HELD);
+    let lines = std::mem::take(buf);
+    let given_up = |line: &&[u8]| {
+        !(line.windows(8).any(|w| w == b"\"FINISH\"") && line.windows(7).any(|w| w == b"\"rc\":16"))
+    };
+    lines.split_inclusive(|b| *b == b'\n').filter(given_up).flatten().copied().collect()
+}
+
 impl Liar {
     pub fn new(lie: Lie, nodes: Vec<u16>) -> Arc<Liar> {
         Arc::new(Liar { lie, nodes, favoured: AtomicUsize::new(NOBODY), count: AtomicU64::new(0) })
     }
 
+    pub fn ends_at_once(&self) -> bool {
+        self.lie == Lie::EndsAtOnce
+    }
+
     /// A relay to a port; its own port.
     pub fn before(self: &Arc<Liar>, port: u16) -> io::Result<u16> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
@@ -106,7 +131,8 @@
         let answers = to_near.clone();
         if self.lie.to_viewers() {
             thread::spawn(move || carry(far, &answers, |buf| back.lines(buf)));
-            carry(near, &to_far, std::mem::take);
+            let holds = self.lie == Lie::SendsForLeft;
+            carry(near, &to_far, |buf| if holds { held_back(buf) } else { std::mem::take(buf) });
             return Ok(());
         }
         thread::spawn(move || carry(far, &answers, std::mem::take));
--- a/crates/rig/src/node.rs
+++ b/crates/rig/src/node.rs
@@ -299,6 +299,7 @@
             title,
             rung,
         });
+        self.tape.came(tag, t);
         if message.body != format!("v-{tag:016x}\r\n").into_bytes() {
             self.tape.odd(format!("set-up of {tag:016x} with another description than its viewer's"));
         }
--- a/crates/rig/src/tape.rs
+++ b/crates/rig/src/tape.rs
@@ -13,6 +13,9 @@
 const RELEASE: i64 = 1_000_000;
 const RELEASE_UNTOLD: i64 = 8_000_000;
 
+/// A request that was given up is not sent on so much later.
+const SENT_ON: i64 = 300_000;
+
 /// How a session's end came to its director.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
@@ -37,6 +40,8 @@
     pub released: BTreeMap<u64, i64>,
     /// Times at which a director was down: from, until.
     pub down: BTreeMap<u32, Vec<(i64, i64)>>,
+    /// Requests that were given up while they waited, and when their directors had been told.
+    pub left: BTreeMap<u64, i64>,
     /// When the day began.
     pub begun: i64,
     /// What can be wrong beside the six rules.
@@ -61,6 +66,15 @@
         self.open().odd.push(what);
     }
 
+    /// A node has a set-up whole.
+    pub fn came(&self, tag: u64, t: i64) {
+        let mut inner = self.open();
+        let late = inner.left.get(&tag).map(|left| t - left).filter(|late| *late > SENT_ON + TRANSIT);
+        if let Some(late) = late {
+            inner.odd.push(format!("{tag:016x} was sent on {} ms after its viewer had left", late / 1000));
+        }
+    }
+
     pub fn ended(&self, tag: u64, end: End) {
         self.open().ends.entry(tag).or_insert((now(), end));
     }
--- a/crates/rig/src/viewer.rs
+++ b/crates/rig/src/viewer.rs
@@ -125,6 +125,20 @@
         }
         let (class, title, key) = (class.to_string(), title.to_string(), format!("{tag:016x}"));
         tape.note(Record::Asked { t, director, ask: tag, key, tenant: None, class, title, wait });
+        // Now and then one waits no longer, at once or after a while.
+        if rng.random_range(0..10) == 0 {
+            thread::sleep(Duration::from_millis(rng.random_range(0..30)));
+            if open(inner).open.remove(&tag).is_some() {
+                let given_up =
+                    json!({ "verb": "FINISH", "tag": format!("{tag:016x}"), "opts": {}, "rc": 16 });
+                let said = stream.write_all(format!("{given_up}\n").as_bytes());
+                tape.note(Record::Left { t: now(), ask: tag });
+                tape.open().left.insert(tag, now());
+                if said.is_err() {
+                    break;
+                }
+            }
+        }
         // Now and then a viewer has seen enough.
         let leaves = rng.random_range(0..20) == 0;
         let left = if leaves { open(inner).standing.pop_first() } else { None };
@@ -154,6 +168,8 @@
     let mut inner = open(inner);
     let waits = inner.open.remove(&tag).is_some();
     match message["verb"].as_str().unwrap_or("") {
+        // It crossed the word that its viewer waits no more: the session ends by that.
+        "STARTED" if !waits && tape.open().left.contains_key(&tag) => tape.ended(tag, End::Own),
         "STARTED" => {
             tape.note(Record::Answered { t, ask: tag, status: 200, session: Some(tag) });
             let blob = message["blob"].as_str().unwrap_or("");
