--- a/crates/front/tests/direct_day.rs
+++ b/crates/front/tests/direct_day.rs
@@ -62,7 +62,13 @@
 fn convicted(lie: Lie, of: Option<Rule>) {
     use Trouble::*;
     // A director takes few requests until its nodes are warm for sure, 4 s after its start: too few for these.
-    let late = if matches!(lie, Lie::PushesCold | Lie::Wastes) { 3_600 } else { 0 };
+    let late = match lie {
+        Lie::PushesCold | Lie::Wastes => 3_600,
+        // What is not told counts as told 4 s later.
+        Lie::IgnoresSilence => 5_000,
+        _ => 0,
+    };
+    let hush = (lie == Lie::IgnoresSilence).then_some([(500, JournalHush), (600, Drain(0)), (610, Drain(3))]);
     let troubles = vec![(late + 700, Drain(1)), (late + 800, Die(2)), (late + 1_100, Back(2))];
     let favoured = match lie {
         Lie::IgnoresDrains => Some(1),
@@ -74,7 +80,8 @@
     let ends = lie == Lie::EndsAtOnce;
     let mute = (0..6).filter(|_| ends).map(|n| (1_500, Turn(n, Mood::Mute)));
     let told = (0..4).filter(|_| ends).map(|d| (1_900, Leave(d)));
-    let troubles = troubles.into_iter().chain(favoured).chain(mute).chain(told).collect();
+    let troubles =
+        hush.into_iter().flatten().chain(troubles).chain(favoured).chain(mute).chain(told).collect();
     let plan = Plan { directors: 4, nodes: 6, seconds: 4 + late / 1000, seed: 2, lie: Some(lie), troubles };
     let day = played(&plan);
     let found = broken(&day.verdict);
@@ -118,6 +125,23 @@
     convicted(Lie::EndsAtOnce, Some(Rule::Answered));
 }
 
+#[test]
+fn who_ignores_a_silent_list_is_convicted() {
+    convicted(Lie::IgnoresSilence, Some(Rule::Drains));
+}
+
+/// The two days on which those are convicted, with right directors: what is judged there can be kept.
+#[test]
+fn a_silent_list_and_an_end_with_requests_in_flight_break_no_rule() {
+    use Trouble::*;
+    let mute = (0..6).map(|n| (6_500, Turn(n, Mood::Mute)));
+    let troubles =
+        [(500, JournalHush), (700, Drain(1))].into_iter().chain(mute).chain([(6_900, Leave(0))]).collect();
+    let day = played(&Plan { directors: 4, nodes: 6, seconds: 9, seed: 3, lie: None, troubles });
+    assert!(day.verdict.holds() && day.odd.is_empty(), "{}{:#?}", day.verdict, day.odd);
+    assert!(day.verdict.tested.contains_key(Rule::Drains.name()) && day.asked > 50);
+}
+
 #[test]
 fn who_wastes_attempts_is_convicted() {
     convicted(Lie::Wastes, Some(Rule::Ration));
--- a/crates/rig/src/day.rs
+++ b/crates/rig/src/day.rs
@@ -37,6 +37,8 @@
     Start(usize),
     /// The journal service breaks off, and is back.
     JournalAway(bool),
+    /// Its open connections fall silent and stay open.
+    JournalHush,
     /// Clients that send what is no message, to every director.
     Noise,
     /// A wrong director's node from now on.
@@ -91,10 +93,14 @@
             let port = to_nodes.map_or(Ok(node.port), |liar| liar.before(node.port))?;
             list.push(Line { node: node.id, port, state: 0, cell: node.id as u16 - 1, started: 0 });
         }
+        let listens = match liar.as_ref().filter(|l| l.ignores_silence()) {
+            Some(liar) => liar.before_list(journal.port)?,
+            None => journal.port,
+        };
         let (mut directors, mut viewers) = (Vec::new(), Vec::new());
         for number in 0..plan.directors {
             let mut director = Director::new(binary, dir, number, tape.clone())?;
-            director.start(journal.port, &list, plan.directors)?;
+            director.start(listens, &list, plan.directors)?;
             let to_viewers = liar.as_ref().filter(|_| to_nodes.is_none());
             let port = to_viewers.map_or(Ok(director.port), |liar| liar.before(director.port))?;
             viewers.push(Viewers::start(number, port, plan.seed, tape.clone()));
@@ -133,6 +139,7 @@
                 self.directors[d].start(self.journal.port, &self.list, directors)?;
                 self.viewers[d].paused.store(false, Ordering::Relaxed);
             }
+            Trouble::JournalHush => self.journal.hush(),
             Trouble::JournalAway(away) => self.journal.away(away),
             Trouble::Noise => {
                 for director in &self.directors {
--- a/crates/rig/src/journal.rs
+++ b/crates/rig/src/journal.rs
@@ -6,7 +6,7 @@
 use shalewall_audit::Record;
 use std::io::{self, Read, Write};
 use std::net::{TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicI64, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -14,6 +14,8 @@
 /// Looks for news so often, and says that there is none each second.
 const LOOK: Duration = Duration::from_millis(5);
 const QUIET: Duration = Duration::from_secs(1);
+/// What a service that fell silent would have told counts as told so long after that, in microseconds.
+const NOTICED: i64 = 4_000_000;
 
 /// One line of the list.
 #[derive(Clone, Copy, Debug)]
@@ -51,6 +53,10 @@
     /// Changes after the first event, which is in every configuration.
     changes: Mutex<Vec<Line>>,
     away: AtomicBool,
+    /// Connections before this one are open and silent, for good; since when.
+    hushed: AtomicU64,
+    since: AtomicI64,
+    connections: AtomicU64,
     over: AtomicBool,
 }
 
@@ -84,7 +90,9 @@
     ///
     /// `came_up`: the start that it tells of, in microseconds.
     pub fn tell(&self, line: Line, came_up: Option<i64>) {
-        let t = now();
+        // What silent connections do not tell counts as told in the time in which a director has to notice.
+        let noticed = self.inner.since.load(Ordering::Relaxed) + NOTICED;
+        let t = now().max(noticed);
         let standing = ["ready", "draining", "gone"][usize::from(line.state.min(2))].to_string();
         for director in 0..self.directors {
             let (node, standing) = (line.node.into(), standing.clone());
@@ -93,6 +101,12 @@
         self.inner.changes.lock().unwrap_or_else(PoisonError::into_inner).push(line);
     }
 
+    /// Connections that are open fall silent and stay open; new ones are told all.
+    pub fn hush(&self) {
+        self.inner.since.store(now(), Ordering::Relaxed);
+        self.inner.hushed.store(self.inner.connections.load(Ordering::Relaxed), Ordering::Relaxed);
+    }
+
     /// Breaks every connection and takes no new one, until it is back.
     pub fn away(&self, away: bool) {
         self.inner.away.store(away, Ordering::Relaxed);
@@ -119,9 +133,14 @@
     if inner.away.load(Ordering::Relaxed) || stream.read_exact(&mut position).is_err() {
         return;
     }
+    let number = inner.connections.fetch_add(1, Ordering::Relaxed);
     let mut at = u64::from_be_bytes(position).max(1);
     let mut said = Instant::now();
     while !inner.over.load(Ordering::Relaxed) && !inner.away.load(Ordering::Relaxed) {
+        if number < inner.hushed.load(Ordering::Relaxed) {
+            thread::sleep(LOOK);
+            continue;
+        }
         let news: Vec<Line> = {
             let changes = inner.changes.lock().unwrap_or_else(PoisonError::into_inner);
             changes.iter().skip(at as usize - 1).copied().collect()
--- a/crates/rig/src/lies.rs
+++ b/crates/rig/src/lies.rs
@@ -35,6 +35,8 @@
     SendsForLeft,
     /// Ends as soon as it is told to.
     EndsAtOnce,
+    /// Takes a list service that says nothing for one that has nothing to say.
+    IgnoresSilence,
 }
 
 impl Lie {
@@ -42,7 +44,13 @@
     pub fn to_viewers(self) -> bool {
         matches!(
             self,
-            Lie::Loses | Lie::Twice | Lie::MakesUp | Lie::KeepsReleases | Lie::SendsForLeft | Lie::EndsAtOnce
+            Lie::Loses
+                | Lie::Twice
+                | Lie::MakesUp
+                | Lie::KeepsReleases
+                | Lie::SendsForLeft
+                | Lie::EndsAtOnce
+                | Lie::IgnoresSilence
         )
     }
 }
@@ -89,6 +97,31 @@
     let _ = from.shutdown(Shutdown::Both);
 }
 
+/// Carries the list's frames whole, and a word of nothing new under the last number where none comes.
+fn calm(near: TcpStream, port: u16) -> io::Result<()> {
+    let mut far = TcpStream::connect(("127.0.0.1", port))?;
+    let mut asked = [0; 8];
+    let to = shared(&near)?;
+    { &near }.read_exact(&mut asked)?;
+    far.write_all(&asked)?;
+    far.set_read_timeout(Some(Duration::from_secs(1)))?;
+    let (mut buf, mut chunk) = (Vec::new(), [0; 4096]);
+    loop {
+        match far.read(&mut chunk) {
+            Ok(0) => return near.shutdown(Shutdown::Both),
+            Ok(n) => buf.extend(&chunk[..n]),
+            Err(_) => write(&to, &[&[0, 0, 0, 9][..], &asked, &[0]].concat())?,
+        }
+        while let Some(length) = buf.get(..4).map(|l| 4 + l.iter().fold(0, |n, b| n << 8 | usize::from(*b))) {
+            if buf.len() < length {
+                break;
+            }
+            asked.copy_from_slice(&buf[4..12]);
+            write(&to, &buf.drain(..length).collect::<Vec<_>>())?;
+        }
+    }
+}
+
 /// Requests later, and no word of those that are given up.
 fn held_back(buf: &mut Vec<u8>) -> Vec<u8> {
     thread::sleep(HELD);
@@ -104,6 +137,22 @@
         Arc::new(Liar { lie, nodes, favoured: AtomicUsize::new(NOBODY), count: AtomicU64::new(0) })
     }
 
+    pub fn ignores_silence(&self) -> bool {
+        self.lie == Lie::IgnoresSilence
+    }
+
+    /// A relay to the list service that says each second that there is nothing new, whether the service does or not.
+    pub fn before_list(self: &Arc<Liar>, port: u16) -> io::Result<u16> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let own = listener.local_addr()?.port();
+        thread::spawn(move || {
+            for near in listener.incoming().flatten() {
+                thread::spawn(move || calm(near, port));
+            }
+        });
+        Ok(own)
+    }
+
     pub fn ends_at_once(&self) -> bool {
         self.lie == Lie::EndsAtOnce
     }
