--- a/crates/front/tests/place/mod.rs
+++ b/crates/front/tests/place/mod.rs
@@ -44,8 +44,8 @@
 
 impl Place {
     pub fn new() -> Place {
-        // A port that was free a moment ago.
-        let listen = address(&listener());
+        // Not one that the system gives out by itself: another test's listener may have it by the time the director starts.
+        let listen = format!("127.0.0.1:{}", shalewall_rig::free_port().unwrap());
         Place { dir: tempfile::tempdir().unwrap(), listen, journal: listener(), node: listener(), left: 1500 }
     }
 
--- a/crates/platform-proto/tests/crossings.rs
+++ b/crates/platform-proto/tests/crossings.rs
@@ -390,6 +390,8 @@
     let mut rig = Rig::new();
     let (viewer, node) = rig.standing(7, "free");
     rig.hear(node, release(7, 16, b""));
+    let other = 3 - rig.node_of(node);
+    rig.list(2, &[entry(other, NODE[other as usize - 1], Gone, None)]);
     rig.pass(8 * S);
     rig.write(node);
     rig.pass(S + 100 * MS);
