--- a/crates/platform-proto/src/table.rs
+++ b/crates/platform-proto/src/table.rs
@@ -290,7 +290,10 @@
 
     /// A node answers a set-up.
     pub(crate) fn answered(&mut self, link: LinkId, tag: Hex16, status: u16, message: rtsp::Message) {
-        if status == 200 && self.links.get(link).is_some_and(|l| l.take_refused(tag)) {
+        // Where the next attempt is out on the same connection, it is that one's answer.
+        let here = |s: &Session| matches!(&s.stage, Stage::Out(a) if a.link == link && a.way != Way::Waits);
+        let here = self.tags.get(&tag).and_then(|id| self.sessions.get(id)).is_some_and(here);
+        if status == 200 && !here && self.links.get(link).is_some_and(|l| l.take_refused(tag)) {
             return self.disown(link, tag);
         }
         let Some(id) = self.tags.get(&tag).copied() else { return };
