Nothing is owed to a process that has gone: no connection under its old name

Found on reading the change again: gone() (door.rs) cleared what is owed before it dropped the connections, and those with a set-up that may stand put it back. A node whose address had changed hands was then connected to once more under its old name. Cleared behind them now. Test: crossings.rs, nothing_is_owed_to_a_process_that_has_gone, seen to fail at :342 without the mend (link 1 opens: Stands).

--- a/crates/platform-proto/src/door.rs
+++ b/crates/platform-proto/src/door.rs
@@ -220,13 +220,14 @@
         self.over(server);
         let links: Vec<_> = self.links.of(server).map(|(id, _)| id).collect();
         links.into_iter().for_each(|id| self.drop_link(id, Lost::Done));
+        // Nothing stands there to be released, also of what its connections carried; its address may be another's by now.
+        self.nodes.all.entry(server).and_modify(|node| node.owed.clear());
     }
 
     /// What stood at a node is over.
     pub(crate) fn over(&mut self, server: ServerId) {
         let Some(node) = self.nodes.all.get_mut(&server) else { return };
         (node.unreachable, node.refused) = (None, None);
-        node.owed.clear();
         let standing = std::mem::take(&mut node.standing);
         let count = standing.len();
         self.outputs.push_back(Output::Log(format!("node s-{:08x}: gone, {count} sessions over", server.0)));
--- a/crates/platform-proto/tests/crossings.rs
+++ b/crates/platform-proto/tests/crossings.rs
@@ -330,6 +330,18 @@
     assert!(rig.said.iter().any(|(_, said)| said.contains("SETUP")));
 }
 
+/// The same with a set-up in flight there: it is over with its process, and no release of it is owed at that address.
+#[test]
+fn nothing_is_owed_to_a_process_that_has_gone() {
+    let mut rig = Rig::new();
+    let (viewer, node) = rig.out(7, "paid");
+    let old = rig.node_of(node);
+    rig.list(2, &[entry(9, NODE[old as usize - 1], Ready, Some(START))]);
+    assert!(rig.heard(viewer).contains(r#""rc":41"#));
+    rig.pass(9 * S);
+    assert!(rig.links.is_empty() && rig.door.status().nodes == 2, "{:?}", rig.logs);
+}
+
 // ---- nodes ------------------------------------------------------------------------------------
 
 /// Lets all connections come up; how many set-ups went out on others than that one.
