One look-up of a session by its tag; a node's answer written in one place in the tests

table.rs asked for the session under a tag twice in the same words; the process tests wrote a node's answer out four times.

--- a/crates/front/tests/crossings.rs
+++ b/crates/front/tests/crossings.rs
@@ -85,9 +85,7 @@
     rustix::net::sockopt::set_socket_linger(viewer.0.get_ref(), Some(Duration::ZERO)).unwrap();
     drop(viewer);
     until(&mut node, "TEARDOWN");
-    let answer =
-        "RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: 0000000000000007\r\nContent-Length: 7\r\n\r\nthere\r\n";
-    node.write_all(answer.as_bytes()).unwrap();
+    answer(&mut node, 7, "there\r\n");
     // A release that concerns nobody is confirmed behind it: the answer was read by then.
     until_heard(
         &mut node,
@@ -119,11 +117,7 @@
     place.viewer().until_not_ready();
     // An answer as long as they come, in pieces that a socket takes only as they are read.
     let long = "x".repeat(15_000);
-    let head = format!(
-        "RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: 0000000000000007\r\nContent-Length: {}\r\n\r\n",
-        long.len()
-    );
-    node.write_all(format!("{head}{long}").as_bytes()).unwrap();
+    answer(&mut node, 7, &long);
     let over = "TEARDOWN rtsp://media/x RTSP/1.0\r\nCSeq: 2\r\nSession: 0000000000000007\r\nReason: cause=16\r\nContent-Length: 0\r\n\r\n";
     until_heard(&mut node, over);
     // Meanwhile the director may end.
@@ -287,9 +281,7 @@
     until(&mut node, "here");
     refuse(&mut node, 7, 500);
     assert!(viewer.hear().contains(r#""rc":41"#));
-    let answer =
-        "RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: 0000000000000007\r\nContent-Length: 7\r\n\r\nthere\r\n";
-    node.write_all(answer.as_bytes()).unwrap();
+    answer(&mut node, 7, "there\r\n");
     until(&mut node, "TEARDOWN");
 }
 
--- a/crates/front/tests/place/mod.rs
+++ b/crates/front/tests/place/mod.rs
@@ -154,9 +154,14 @@
     let mut buf = [0; 4096];
     let n = node.read(&mut buf).unwrap();
     assert!(buf[..n].starts_with(b"SETUP rtsp://media/7f3a9c21e0b4d655 RTSP/1.0\r\n"));
-    let answer =
-        format!("RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: {tag:016x}\r\nContent-Length: 7\r\n\r\nthere\r\n");
-    node.write_all(answer.as_bytes()).unwrap();
+    answer(node, tag, "there\r\n");
+}
+
+pub fn answer(node: &mut TcpStream, tag: u64, description: &str) {
+    let length = description.len();
+    let head =
+        format!("RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: {tag:016x}\r\nContent-Length: {length}\r\n\r\n");
+    node.write_all(format!("{head}{description}").as_bytes()).unwrap();
 }
 
 pub fn position(journal: &mut TcpStream) -> u64 {
--- a/crates/platform-proto/src/table.rs
+++ b/crates/platform-proto/src/table.rs
@@ -292,7 +292,7 @@
     pub(crate) fn answered(&mut self, link: LinkId, tag: Hex16, status: u16, message: rtsp::Message) {
         // Where the next attempt is out on the same connection, it is that one's answer.
         let here = |s: &Session| matches!(&s.stage, Stage::Out(a) if a.link == link && a.way != Way::Waits);
-        let here = self.tags.get(&tag).and_then(|id| self.sessions.get(id)).is_some_and(here);
+        let here = self.under(tag).is_some_and(here);
         if status == 200 && !here && self.links.get(link).is_some_and(|l| l.take_refused(tag)) {
             return self.disown(link, tag);
         }
@@ -344,17 +344,20 @@
     /// the next attempt. It is released, unless the same node has that one, too, and the word would be taken for it.
     fn disown(&mut self, link: LinkId, tag: Hex16) {
         let Some(server) = self.links.get(link).map(|l| l.server) else { return };
-        let there =
-            self.tags.get(&tag).and_then(|id| self.sessions.get(id)).is_some_and(|s| match &s.stage {
-                Stage::Asked => false,
-                Stage::Out(a) => a.server == server,
-                Stage::Stands { server: at, .. } => *at == server,
-            });
+        let there = self.under(tag).is_some_and(|s| match &s.stage {
+            Stage::Asked => false,
+            Stage::Out(a) => a.server == server,
+            Stage::Stands { server: at, .. } => *at == server,
+        });
         if !there {
             self.queue(link, Item::Release(tag));
         }
     }
 
+    fn under(&self, tag: Hex16) -> Option<&Session> {
+        self.sessions.get(self.tags.get(&tag)?)
+    }
+
     /// The tag of a set-up that its node may have whole.
     pub(crate) fn may_stand(&self, id: SessionId) -> Option<Hex16> {
         let whole = |s: &&Session| matches!(&s.stage, Stage::Out(a) if a.way == Way::Whole);
