--- a/crates/platform-proto/tests/common/mod.rs
+++ b/crates/platform-proto/tests/common/mod.rs
@@ -141,6 +141,8 @@
     pub fn viewer(&mut self) -> Conn {
         let conn = self.door.viewer_open(self.now, "10.9.0.1".parse().unwrap()).unwrap();
         self.pump();
+        // Whoever drives a connection asks at once what there is to write on it.
+        self.write(conn);
         conn
     }
 
