A connection that takes no more is read to its end: releases behind the first reset were lost

Seen by reading serve() in crates/platform/src/hub.rs: the first write that failed ended the connection, with whatever lay unread in its socket beyond the 4 KiB read at once. A client that says goodbye in many words and goes, or a node whose process ends behind a burst of ends, answers our first confirmation with a reset; the second one fails. To blame: 'Err(_) => return false' in the writer. Now the writer stops, and the reader goes on to the end that is there by then, 1 s at most; the connection counts as broken. Tests (front/tests/crossings.rs), forced with a stopped process, seen to fail without the mend: all_that_a_client_said_before_it_went_is_heard (:129, 67 of 200 sessions released at their node) and all_that_a_node_said_before_it_went_is_heard (:153, after 37 ends the rest were told as cut, cause 41, though the node had said 16). The kernel drops what a client had not sent yet when it resets (SO_LINGER 0): only what had come is to be had.

--- a/crates/front/tests/crossings.rs
+++ b/crates/front/tests/crossings.rs
@@ -98,6 +98,62 @@
     assert!(viewer.hear().contains("0000000000000008"));
 }
 
+/// Sessions that a viewer has from before, so many of them, at the place's node, to which there is a connection.
+fn handed_over(place: &Place, sessions: u64) -> (Viewer, TcpStream) {
+    let mut viewer = place.viewer();
+    for tag in 100..100 + sessions {
+        viewer.say(&format!(
+            r#"{{"verb":"START","tag":"{tag:016x}","opts":{{"class":"paid","key":"7f3a9c21e0b4d655","extras":"home:0;copies:1;top:1;viewer:{tag:016x};at:s-00000001"}},"blob":"here\r\n"}}"#
+        ));
+    }
+    echoed(&mut viewer, 1);
+    (viewer, accept(&place.node))
+}
+
+/// A client ends many sessions in one go and is gone before it has read a word: the first answer is met by a reset, and the
+/// second can't be written. All that it said is heard all the same, also what is not read yet by then.
+#[test]
+fn all_that_a_client_said_before_it_went_is_heard() {
+    let place = Place::new();
+    let director = place.begin();
+    let (mut viewer, mut node) = handed_over(&place, 200);
+    director.signal(Signal::STOP);
+    for tag in 100..300 {
+        viewer.say(&format!(r#"{{"verb":"FINISH","tag":"{tag:016x}","opts":{{}},"rc":16}}"#));
+    }
+    drop(viewer);
+    director.signal(Signal::CONT);
+    let (mut all, mut buf) = (String::new(), [0; 4096]);
+    while all.matches("TEARDOWN rtsp").count() < 200 {
+        let n = node.read(&mut buf).unwrap_or(0);
+        assert!(n > 0, "{} of 200 sessions released", all.matches("TEARDOWN rtsp").count());
+        all.push_str(&String::from_utf8_lossy(&buf[..n]));
+    }
+}
+
+/// A node says the ends of many sessions, and its process is gone, which the first confirmation shows: none of them is taken for cut.
+#[test]
+fn all_that_a_node_said_before_it_went_is_heard() {
+    let mut place = Place::new();
+    let director = place.begin();
+    let (mut viewer, mut node) = handed_over(&place, 200);
+    director.signal(Signal::STOP);
+    for tag in 100..300 {
+        let over = format!(
+            "TEARDOWN rtsp://media/x RTSP/1.0\r\nCSeq: 2\r\nSession: {tag:016x}\r\nReason: cause=16\r\nContent-Length: 0\r\n\r\n"
+        );
+        node.write_all(over.as_bytes()).unwrap();
+    }
+    drop(node);
+    // Nobody listens there any more.
+    place.node = listener();
+    director.signal(Signal::CONT);
+    for heard in 0..200 {
+        let word = viewer.hear();
+        assert!(word.contains(r#""rc":16"#), "after {heard} ends: {word}");
+    }
+}
+
 // ---- shutdown ---------------------------------------------------------------------------------
 
 /// Answers that lie in the sockets of a client that reads nothing for a while are owed like any other: the process does not end
--- a/crates/platform/src/hub.rs
+++ b/crates/platform/src/hub.rs
@@ -8,7 +8,7 @@
 use shalewall_clock::{Alarm, now};
 use shalewall_http::client::{Unconnected, in_time};
 use shalewall_platform_proto::{Conn, Door, NotUp, Output, Transmit};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -20,6 +20,8 @@
 const READ: usize = 4 * 1024;
 /// Pause where a connection could not be taken.
 const SHORT: Duration = Duration::from_millis(20);
+/// A connection that takes no more is read so long at most: what came before its end is there, and so is the end.
+const READ_OUT: Duration = Duration::from_secs(1);
 
 /// Reads on into the room that is left for as long as there is something to read: what has come together is judged
 /// together, before anything of it is passed on. Says how much there is now, and whether the connection broke.
@@ -178,46 +180,58 @@
                 future::yield_now().await;
             }
         };
+        let broken = Cell::new(false);
         let writes = async {
-            let mut stream = &stream;
-            loop {
-                let kicked = kick.listen();
-                match self.with(|door| door.transmit(now(), conn)) {
-                    Transmit::Close => return true,
-                    Transmit::Wait => kicked.await,
-                    Transmit::CloseIfQuiet if quiet(stream.get_ref()) => return true,
-                    // What waits there is read in its turn.
-                    Transmit::CloseIfQuiet => kicked.await,
-                    Transmit::Finish => match stream.get_ref().shutdown(Shutdown::Write) {
-                        Ok(()) => return future::pending().await,
-                        Err(_) => return false,
-                    },
-                    Transmit::Bytes(bytes) => {
-                        let sent = match stream.get_ref().write(&bytes) {
-                            Ok(sent) => sent,
-                            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {
-                                self.with(|door| door.untaken(now(), conn, bytes));
-                                if stream.writable().await.is_err() {
-                                    return false;
-                                }
-                                continue;
+            if self.write(conn, &stream, &kick).await {
+                return true;
+            }
+            // It takes no more, and what came before that is still there: a client that says goodbye in many words and goes
+            // resets the connection by the first answer. It is read to its end, which is there by now.
+            broken.set(true);
+            Timer::after(READ_OUT).await;
+            false
+        };
+        let clean = future::or(reads, writes).await && !broken.get();
+        debug!(?conn, clean, "closed");
+        self.with(|door| door.closed(now(), conn, clean));
+    }
+
+    /// Writes what there is to say until this side is to close. False: the connection takes no more.
+    async fn write(self: &Rc<Hub>, conn: Conn, mut stream: &Async<TcpStream>, kick: &Event) -> bool {
+        loop {
+            let kicked = kick.listen();
+            match self.with(|door| door.transmit(now(), conn)) {
+                Transmit::Close => return true,
+                Transmit::Wait => kicked.await,
+                Transmit::CloseIfQuiet if quiet(stream.get_ref()) => return true,
+                // What waits there is read in its turn.
+                Transmit::CloseIfQuiet => kicked.await,
+                Transmit::Finish => match stream.get_ref().shutdown(Shutdown::Write) {
+                    Ok(()) => return future::pending().await,
+                    Err(_) => return false,
+                },
+                Transmit::Bytes(bytes) => {
+                    let sent = match stream.get_ref().write(&bytes) {
+                        Ok(sent) => sent,
+                        Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {
+                            self.with(|door| door.untaken(now(), conn, bytes));
+                            if stream.writable().await.is_err() {
+                                return false;
                             }
-                            Err(_) => return false,
-                        };
-                        trace!(?conn, bytes = %String::from_utf8_lossy(&bytes), "said");
-                        if sent < bytes.len() {
-                            self.with(|door| door.taken_in_part(now(), conn));
-                        }
-                        if stream.write_all(&bytes[sent..]).await.is_err() {
-                            return false;
+                            continue;
                         }
+                        Err(_) => return false,
+                    };
+                    trace!(?conn, bytes = %String::from_utf8_lossy(&bytes), "said");
+                    if sent < bytes.len() {
+                        self.with(|door| door.taken_in_part(now(), conn));
+                    }
+                    if stream.write_all(&bytes[sent..]).await.is_err() {
+                        return false;
                     }
                 }
             }
-        };
-        let clean = future::or(reads, writes).await;
-        debug!(?conn, clean, "closed");
-        self.with(|door| door.closed(now(), conn, clean));
+        }
     }
 
     /// Rings the door's timers when they are due.
