--- a/crates/platform/src/hub.rs
+++ b/crates/platform/src/hub.rs
@@ -8,7 +8,7 @@
 use shalewall_clock::{Alarm, now};
 use shalewall_http::client::{Unconnected, in_time};
 use shalewall_platform_proto::{Conn, Door, NotUp, Output, Transmit};
-use std::cell::{Cell, OnceCell, RefCell};
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -46,37 +46,9 @@
     }
 }
 
-/// A connection as its task and the hub share it. What the door has to say is written at once where the socket takes it: an
-/// answer that waits for its task's turn is late by all that comes first, and a viewer may leave meanwhile.
-#[derive(Default)]
-struct Wire {
-    /// None yet: it is coming up.
-    stream: OnceCell<Async<TcpStream>>,
-    /// Wakes the task that writes what the socket did not take.
-    kick: Event,
-    /// That task has nothing to write.
-    idle: Cell<bool>,
-    /// Of what was written in part, the rest.
-    rest: RefCell<Vec<u8>>,
-    /// It takes no more.
-    broken: Cell<bool>,
-}
-
-/// How far saying came.
-enum Said {
-    All,
-    /// The socket takes nothing more at present, of nothing or of a part that was begun.
-    Full,
-    Part,
-    /// It takes no more at all.
-    Broken,
-    /// And then it is to be closed, in this way.
-    Last(Transmit),
-}
-
-/// An open connection.
+/// An open connection: what wakes its writer, and its task.
 struct Open {
-    wire: Rc<Wire>,
+    kick: Rc<Event>,
     _task: Task<()>,
 }
 
@@ -115,11 +87,12 @@
                 None => return,
                 Some(Output::Open { conn, address, within }) => {
                     let within = Duration::from_micros(within.max(0) as u64);
-                    self.spawn(conn, |hub, wire| hub.node(conn, address, within, wire));
+                    self.spawn(conn, |hub, kick| hub.node(conn, address, within, kick));
                 }
                 Some(Output::Write(conn)) => {
-                    let wire = self.conns.borrow().get(&conn).map(|open| open.wire.clone());
-                    wire.into_iter().for_each(|wire| self.write_now(conn, &wire));
+                    if let Some(open) = self.conns.borrow().get(&conn) {
+                        open.kick.notify(1.relaxed());
+                    }
                 }
                 // Dropping its task closes the socket.
                 Some(Output::Close(conn)) => {
@@ -134,16 +107,16 @@
     fn spawn<F: Future<Output = ()> + 'static>(
         self: &Rc<Hub>,
         conn: Conn,
-        task: impl FnOnce(Rc<Hub>, Rc<Wire>) -> F,
+        task: impl FnOnce(Rc<Hub>, Rc<Event>) -> F,
     ) {
-        let wire = Rc::new(Wire::default());
-        let (hub, task) = (self.clone(), task(self.clone(), wire.clone()));
+        let kick = Rc::new(Event::new());
+        let (hub, task) = (self.clone(), task(self.clone(), kick.clone()));
         let task = self.ex.spawn(async move {
             if alone(task).await.is_none() {
                 caught(|| hub.with(|door| door.closed(now(), conn, false)));
             }
         });
-        self.conns.borrow_mut().insert(conn, Open { wire, _task: task });
+        self.conns.borrow_mut().insert(conn, Open { kick, _task: task });
     }
 
     /// Takes viewers' connections for as long as the process runs.
@@ -162,19 +135,19 @@
             future::yield_now().await;
             let _ = stream.get_ref().set_nodelay(true);
             if let Some(conn) = caught(|| self.with(|door| door.viewer_open(now(), peer.ip()))).flatten() {
-                self.spawn(conn, |hub, wire| hub.serve(conn, stream, wire));
+                self.spawn(conn, |hub, kick| hub.serve(conn, stream, kick));
             }
         }
     }
 
     /// A connection to a node, from its first packet on.
-    async fn node(self: Rc<Hub>, conn: Conn, address: SocketAddr, within: Duration, wire: Rc<Wire>) {
+    async fn node(self: Rc<Hub>, conn: Conn, address: SocketAddr, within: Duration, kick: Rc<Event>) {
         let failed = |why| self.with(|door| door.node_failed(now(), conn, why));
         match in_time(within, Async::<TcpStream>::connect(address)).await {
             Some(Ok(stream)) => {
                 let _ = stream.get_ref().set_nodelay(true);
                 self.with(|door| door.node_up(now(), conn));
-                self.clone().serve(conn, stream, wire).await;
+                self.clone().serve(conn, stream, kick).await;
             }
             Some(Err(e)) => failed(match Unconnected::of(&e) {
                 Unconnected::Refused => NotUp::Refused,
@@ -186,11 +159,10 @@
     }
 
     /// Carries bytes both ways until either side closes.
-    async fn serve(self: Rc<Hub>, conn: Conn, stream: Async<TcpStream>, wire: Rc<Wire>) {
-        let stream = wire.stream.get_or_init(|| stream);
+    async fn serve(self: Rc<Hub>, conn: Conn, stream: Async<TcpStream>, kick: Rc<Event>) {
         let reads = async {
             let mut buf = [0; READ];
-            let mut stream = stream;
+            let mut stream = &stream;
             loop {
                 match stream.read(&mut buf).await {
                     Ok(0) => return true,
@@ -208,87 +180,56 @@
                 future::yield_now().await;
             }
         };
+        let broken = Cell::new(false);
         let writes = async {
-            if self.write(conn, stream, &wire).await {
+            if self.write(conn, &stream, &kick).await {
                 return true;
             }
             // It takes no more, and what came before that is still there: a client that says goodbye in many words and goes
             // resets the connection by the first answer. It is read to its end, which is there by now.
-            wire.broken.set(true);
+            broken.set(true);
             Timer::after(READ_OUT).await;
             false
         };
-        let clean = future::or(reads, writes).await && !wire.broken.get();
+        let clean = future::or(reads, writes).await && !broken.get();
         debug!(?conn, clean, "closed");
         self.with(|door| door.closed(now(), conn, clean));
     }
 
     /// Writes what there is to say until this side is to close. False: the connection takes no more.
-    async fn write(self: &Rc<Hub>, conn: Conn, mut stream: &Async<TcpStream>, wire: &Wire) -> bool {
+    async fn write(self: &Rc<Hub>, conn: Conn, mut stream: &Async<TcpStream>, kick: &Event) -> bool {
         loop {
-            let kicked = wire.kick.listen();
-            let rest = wire.rest.take();
-            if wire.broken.get() || stream.write_all(&rest).await.is_err() {
-                return false;
-            }
-            let said = self.say(conn, stream, wire);
-            self.with(|_| ());
-            match said {
-                Said::All => {
-                    wire.idle.set(true);
-                    kicked.await;
-                    wire.idle.set(false);
-                }
-                Said::Full if stream.writable().await.is_err() => return false,
-                Said::Full | Said::Part => {}
-                Said::Broken => return false,
-                Said::Last(Transmit::Finish) => match stream.get_ref().shutdown(Shutdown::Write) {
+            let kicked = kick.listen();
+            match self.with(|door| door.transmit(now(), conn)) {
+                Transmit::Close => return true,
+                Transmit::Wait => kicked.await,
+                Transmit::CloseIfQuiet if quiet(stream.get_ref()) => return true,
+                // What waits there is read in its turn.
+                Transmit::CloseIfQuiet => kicked.await,
+                Transmit::Finish => match stream.get_ref().shutdown(Shutdown::Write) {
                     Ok(()) => return future::pending().await,
                     Err(_) => return false,
                 },
-                // What waits there is read in its turn.
-                Said::Last(Transmit::CloseIfQuiet) if !quiet(stream.get_ref()) => kicked.await,
-                Said::Last(_) => return true,
-            }
-        }
-    }
-
-    /// The same at once, where its task has nothing to write; whatever has to be waited for is that task's.
-    fn write_now(self: &Rc<Hub>, conn: Conn, wire: &Wire) {
-        let Some(stream) = wire.stream.get().filter(|_| wire.idle.get()) else {
-            wire.kick.notify(1.relaxed());
-            return;
-        };
-        match self.say(conn, stream, wire) {
-            Said::All => return,
-            Said::Broken => wire.broken.set(true),
-            Said::Full | Said::Part | Said::Last(_) => {}
-        }
-        wire.idle.set(false);
-        wire.kick.notify(1.relaxed());
-    }
-
-    /// Says what there is to say, for as long as the socket takes it. What comes of that is for the caller to pump.
-    fn say(&self, conn: Conn, stream: &Async<TcpStream>, wire: &Wire) -> Said {
-        loop {
-            let bytes = match self.door.borrow_mut().transmit(now(), conn) {
-                Transmit::Bytes(bytes) => bytes,
-                Transmit::Wait => return Said::All,
-                last => return Said::Last(last),
-            };
-            let sent = match stream.get_ref().write(&bytes) {
-                Ok(sent) => sent,
-                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {
-                    self.door.borrow_mut().untaken(now(), conn, bytes);
-                    return Said::Full;
+                Transmit::Bytes(bytes) => {
+                    let sent = match stream.get_ref().write(&bytes) {
+                        Ok(sent) => sent,
+                        Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {
+                            self.with(|door| door.untaken(now(), conn, bytes));
+                            if stream.writable().await.is_err() {
+                                return false;
+                            }
+                            continue;
+                        }
+                        Err(_) => return false,
+                    };
+                    trace!(?conn, bytes = %String::from_utf8_lossy(&bytes), "said");
+                    if sent < bytes.len() {
+                        self.with(|door| door.taken_in_part(now(), conn));
+                    }
+                    if stream.write_all(&bytes[sent..]).await.is_err() {
+                        return false;
+                    }
                 }
-                Err(_) => return Said::Broken,
-            };
-            trace!(?conn, bytes = %String::from_utf8_lossy(&bytes), "said");
-            if sent < bytes.len() {
-                self.door.borrow_mut().taken_in_part(now(), conn);
-                wire.rest.replace(bytes[sent..].to_vec());
-                return Said::Part;
             }
         }
     }
