--- a/crates/front/tests/crossings.rs
+++ b/crates/front/tests/crossings.rs
@@ -4,8 +4,9 @@
 mod place;
 use place::*;
 use rustix::process::Signal;
-use std::io::{ErrorKind, Read, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::TcpStream;
+use std::process::Stdio;
 use std::time::{Duration, Instant};
 
 const GIVE_UP: &str = r#"{"verb":"FINISH","tag":"0000000000000007","opts":{},"rc":16}"#;
@@ -307,6 +308,36 @@
     assert_eq!(position(&mut accept(&elsewhere)), 1);
 }
 
+/// A file of another director, with another fleet's service and nodes, lies where this one's was when the signal comes: nothing
+/// of it is taken.
+#[test]
+fn nothing_is_taken_of_another_directors_configuration() {
+    let place = Place::new();
+    let mut director = place.begin_logged(Stdio::piped());
+    let mut log = BufReader::new(director.0.stderr.take().unwrap()).lines();
+    let mut journal = accept(&place.journal);
+    assert_eq!(position(&mut journal), 1);
+    let foreign = listener();
+    let text = place.text(&address(&foreign)).replace(r#""name":"n1""#, r#""name":"n2""#);
+    let text = text.replace(r#""pos":1"#, r#""pos":9"#).replace(&address(&place.node), "127.0.0.1:9");
+    std::fs::write(place.file(), text).unwrap();
+    director.signal(Signal::HUP);
+    // It has read the file, and says what it makes of it: that, or that the service has moved.
+    let said = log.find(|l| l.as_ref().is_ok_and(|l| l.contains("configuration is") || l.contains("moved")));
+    let said = said.unwrap().unwrap();
+    assert!(said.contains("another director's"), "{said}");
+    let next = listener();
+    place.write(&address(&next));
+    director.signal(Signal::HUP);
+    assert_eq!(position(&mut accept(&next)), 1, "its events are not taken");
+    foreign.set_nonblocking(true).unwrap();
+    assert!(foreign.accept().is_err(), "its service is not asked");
+    let mut viewer = place.viewer();
+    viewer.ask(7);
+    serve(&mut accept(&place.node), 7);
+    assert!(viewer.hear().contains("STARTED"));
+}
+
 /// The list is down at the start, and for good: what the configuration knows is served from.
 #[test]
 fn without_a_journal_service_it_serves_from_what_it_knows() {
--- a/crates/front/tests/place/mod.rs
+++ b/crates/front/tests/place/mod.rs
@@ -76,11 +76,16 @@
     }
 
     pub fn begin(&self) -> Director {
+        self.begin_logged(Stdio::null())
+    }
+
+    /// With its log to there.
+    pub fn begin_logged(&self, log: Stdio) -> Director {
         self.write(&address(&self.journal));
         let child = Command::new(env!("CARGO_BIN_EXE_shalewall"))
             .arg("direct")
             .env("ROUTER_CONFIG", self.file())
-            .stderr(Stdio::null())
+            .stderr(log)
             .spawn()
             .unwrap();
         Director(child)
--- a/crates/platform-proto/src/config.rs
+++ b/crates/platform-proto/src/config.rs
@@ -47,7 +47,6 @@
     /// while requests are under way.
     pub fn other(&self, new: &Config) -> impl Iterator<Item = &'static str> + use<> {
         let parts = [
-            ("name", self.name != new.name),
             ("listen", self.listen != new.listen),
             ("limits", self.limits.sockets != new.limits.sockets),
             ("settings", self.settings != new.settings),
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -98,6 +98,12 @@
 async fn reread(file: PathBuf, hub: Rc<Hub>, place: Rc<Place>, given: Rc<Config>) {
     for tries in 0..REREADS {
         match read(&file) {
+            // One that lies in the wrong place names another fleet's service and nodes: nothing of it is taken.
+            Ok(config) if config.name != given.name => {
+                let (own, other) = (&given.name, &config.name);
+                warn!(own, other, "the new configuration is another director's, and all is kept as it was");
+                return;
+            }
             Ok(config) => {
                 for other in given.other(&config) {
                     warn!(other, "the new configuration differs in what is kept as at the start");
