A set-up that its node has is begun in one place in the tests; a member's number asked of foca

Found on reading the change again: four process tests wrote the same four lines, and Members kept its own name and start number beside those that foca holds. No assertion and no behaviour changed; members' and process tests pass.

--- a/crates/front/tests/crossings.rs
+++ b/crates/front/tests/crossings.rs
@@ -22,6 +22,15 @@
     all
 }
 
+/// A set-up that its node has whole: its viewer, and that node's connection.
+fn asked(place: &Place) -> (Viewer, TcpStream) {
+    let mut viewer = place.viewer();
+    viewer.ask(7);
+    let mut node = accept(&place.node);
+    until(&mut node, "here");
+    (viewer, node)
+}
+
 fn refuse(node: &mut TcpStream, tag: u64, status: u16) {
     let refusal =
         format!("RTSP/1.0 {status} No\r\nCSeq: 1\r\nSession: {tag:016x}\r\nContent-Length: 0\r\n\r\n");
@@ -79,10 +88,7 @@
 fn a_client_that_resets_its_connection_leaves_nothing_behind() {
     let place = Place::new();
     let _director = place.begin();
-    let mut viewer = place.viewer();
-    viewer.ask(7);
-    let mut node = accept(&place.node);
-    until(&mut node, "here");
+    let (viewer, mut node) = asked(&place);
     rustix::net::sockopt::set_socket_linger(viewer.0.get_ref(), Some(Duration::ZERO)).unwrap();
     drop(viewer);
     until(&mut node, "TEARDOWN");
@@ -196,10 +202,7 @@
     let mut place = Place::new();
     place.left = 20_000;
     let mut director = place.begin();
-    let mut viewer = place.viewer();
-    viewer.ask(7);
-    let mut node = accept(&place.node);
-    until(&mut node, "here");
+    let (mut viewer, mut node) = asked(&place);
     director.signal(Signal::TERM);
     let told = Instant::now();
     assert!(viewer.hear().contains(r#""rc":41"#));
@@ -213,10 +216,7 @@
 fn told_to_end_twice_it_answers_what_it_has_taken() {
     let place = Place::new();
     let mut director = place.begin();
-    let mut viewer = place.viewer();
-    viewer.ask(7);
-    let mut node = accept(&place.node);
-    until(&mut node, "here");
+    let (mut viewer, mut node) = asked(&place);
     let elsewhere = listener();
     place.write(&address(&elsewhere));
     director.signal(Signal::TERM);
@@ -362,10 +362,7 @@
 fn a_session_that_stands_behind_its_refusal_is_released() {
     let place = Place::new();
     let _director = place.begin();
-    let mut viewer = place.viewer();
-    viewer.ask(7);
-    let mut node = accept(&place.node);
-    until(&mut node, "here");
+    let (mut viewer, mut node) = asked(&place);
     refuse(&mut node, 7, 500);
     assert!(viewer.hear().contains(r#""rc":41"#));
     answer(&mut node, 7, "there\r\n");
--- a/crates/members/src/members.rs
+++ b/crates/members/src/members.rs
@@ -87,8 +87,6 @@
     foca: Foca<Member, PostcardCodec, ChaCha8Rng, NoCustomBroadcast>,
     runtime: AccumulatingRuntime<Member>,
     seals: Seals,
-    own: Peer,
-    start: u64,
     timers: Timers<Timer<Member>>,
     seeds: Vec<(String, SocketAddr)>,
     ask_seeds: Micros,
@@ -107,14 +105,11 @@
         }
         let seals = Seals::new(key, &own.name, own.start, secret);
         let rng = ChaCha8Rng::from_seed(secret);
-        let (peer, number) = (Peer::named(&own.name), own.start);
         let foca = Foca::new(own, config, rng, PostcardCodec);
         let mut members = Members {
             foca,
             runtime: AccumulatingRuntime::new(),
             seals,
-            own: peer,
-            start: number,
             timers: Timers::default(),
             seeds,
             ask_seeds: now,
@@ -177,7 +172,7 @@
         if self.alone() && now >= self.ask_seeds {
             self.ask_seeds = now + SEEDS_AGAIN;
             for (name, address) in self.seeds.clone() {
-                if Peer::named(&name) != self.own {
+                if name != self.foca.identity().name {
                     let seed = Member { name, start: 0, address, zone: String::new(), region: String::new() };
                     let _ = self.foca.announce(seed, &mut self.runtime);
                 }
@@ -203,8 +198,6 @@
             match notification {
                 OwnedNotification::MemberUp(member) => self.outputs.push_back(Output::Up(member)),
                 OwnedNotification::MemberDown(member) => self.outputs.push_back(Output::Down(member)),
-                // It was declared down while it ran, and goes on under this number.
-                OwnedNotification::Rejoin(own) => self.start = own.start,
                 _ => {}
             }
         }
@@ -221,7 +214,7 @@
 
     /// This one's start number, higher than at the start if it was declared down meanwhile.
     pub fn start(&self) -> u64 {
-        self.start
+        self.foca.identity().start
     }
 }
 
