--- a/benchlink/src/lib.rs
+++ b/benchlink/src/lib.rs
@@ -61,7 +61,11 @@
 
 impl<'a> Parts<'a> {
     fn fault(&self, field: &str, what: &str) -> Fault {
-        Fault { line: self.line, field: field.into(), what: what.into() }
+        Fault {
+            line: self.line,
+            field: field.into(),
+            what: what.into(),
+        }
     }
 
     fn text(&mut self, field: &str) -> Read<&'a str> {
@@ -75,7 +79,8 @@
 
     fn int(&mut self, field: &str) -> Read<u64> {
         let text = self.text(field)?;
-        text.parse().map_err(|_| self.fault(field, &format!("'{text}' is not a whole number")))
+        text.parse()
+            .map_err(|_| self.fault(field, &format!("'{text}' is not a whole number")))
     }
 
     fn opt_int(&mut self, field: &str) -> Read<Option<u64>> {
@@ -113,11 +118,18 @@
 
     fn time(&mut self, field: &str) -> Read<Micros> {
         let ms = self.number(field)?;
-        if ms.is_finite() { Ok(micros(ms)) } else { Err(self.fault(field, "is not a time")) }
+        if ms.is_finite() {
+            Ok(micros(ms))
+        } else {
+            Err(self.fault(field, "is not a time"))
+        }
     }
 
     fn opt_time(&mut self, field: &str) -> Read<Option<Micros>> {
-        Ok(self.opt_number(field)?.filter(|t| t.is_finite()).map(micros))
+        Ok(self
+            .opt_number(field)?
+            .filter(|t| t.is_finite())
+            .map(micros))
     }
 
     fn outcome(&mut self) -> Read<Outcome> {
@@ -159,7 +171,11 @@
 
 impl Link {
     pub fn fault(&self, field: &str, what: &str) -> Fault {
-        Fault { line: self.number, field: field.into(), what: what.into() }
+        Fault {
+            line: self.number,
+            field: field.into(),
+            what: what.into(),
+        }
     }
 
     /// A line that is not UTF-8 text.
@@ -179,7 +195,10 @@
     /// Takes one line. True when it ends a batch: `reply` then holds the whole answer.
     pub fn line(&mut self, line: &str, reply: &mut String) -> Read<bool> {
         self.number += 1;
-        let mut parts = Parts { line: self.number, rest: line.split(' ') };
+        let mut parts = Parts {
+            line: self.number,
+            rest: line.split(' '),
+        };
         if line.trim().is_empty() {
             return Ok(false);
         }
@@ -220,15 +239,23 @@
                 let name = parts.text("Director")?;
                 let seed = parts.text("Seed")?;
                 // Seeds may use the whole range of either sign; only their bits matter.
-                let seed = seed.parse::<u64>().or_else(|_| seed.parse::<i64>().map(|s| s as u64));
+                let seed = seed
+                    .parse::<u64>()
+                    .or_else(|_| seed.parse::<i64>().map(|s| s as u64));
                 let seed = seed.map_err(|_| self.fault("Seed", "is not a whole number"))?;
                 let text = parts.rest.collect::<Vec<_>>().join(" ");
                 let v = serde_json::from_str(&text)
                     .map_err(|e| self.fault("Setup", &format!("is not JSON: {e}")))?;
-                let given =
-                    shalewall_instance::read(&v).map_err(|(field, what)| self.fault(&field, &what))?;
+                let given = shalewall_instance::read(&v)
+                    .map_err(|(field, what)| self.fault(&field, &what))?;
                 let director = Director::new(seed, given.settings, now);
-                self.instances.insert(name.into(), Instance { director, names: given.names });
+                self.instances.insert(
+                    name.into(),
+                    Instance {
+                        director,
+                        names: given.names,
+                    },
+                );
             }
             "RETIRE" => {
                 self.instances.remove(parts.text("Director")?);
@@ -303,7 +330,12 @@
                     4 => Some(Note::Uplink(value)),
                     _ => None,
                 };
-                note.map(|note| Event::Noted { session, attempt, server, note })
+                note.map(|note| Event::Noted {
+                    session,
+                    attempt,
+                    server,
+                    note,
+                })
             }
             "FINISHED" => {
                 let session = SessionId(p.int("OpId")?);
@@ -313,7 +345,14 @@
                 let attempt = p.int("Copy")? as u32;
                 let closed = p.int("Last")? != 0;
                 let load = p.load()?;
-                Some(Event::Finished { session, attempt, server, outcome, closed, load })
+                Some(Event::Finished {
+                    session,
+                    attempt,
+                    server,
+                    outcome,
+                    closed,
+                    load,
+                })
             }
             "WITHDRAWN" => Some(Event::Withdrawn(SessionId(p.int("OpId")?))),
             // A token that is no number was never set by a director here.
@@ -322,7 +361,11 @@
                 let server = ServerId(p.int("Node")?);
                 let outcome = p.outcome()?;
                 p.opt_time("DelaySeen")?;
-                Some(Event::Probed { server, outcome, load: p.load()? })
+                Some(Event::Probed {
+                    server,
+                    outcome,
+                    load: p.load()?,
+                })
             }
             _ => {
                 let from = p.int("Author")? as u32;
@@ -366,7 +409,15 @@
     };
     let weight = p.opt_number("Rating")?.unwrap_or(1.0);
     let came_up = p.opt_time("CameUp")?.filter(|t| *t != 0);
-    Ok(Node { server, zone, kind, cell, state, weight, came_up })
+    Ok(Node {
+        server,
+        zone,
+        kind,
+        cell,
+        state,
+        weight,
+        came_up,
+    })
 }
 
 fn listed(node: &Node, names: &Names) -> Listed {
@@ -386,7 +437,9 @@
     let session = SessionId(p.int("OpId")?);
     let class = p.text("Priority")?;
     let class = names.class(class).unwrap_or(usize::MAX);
-    let tenant = p.opt("Party")?.and_then(|t| names.tenants.iter().position(|n| n == t));
+    let tenant = p
+        .opt("Party")?
+        .and_then(|t| names.tenants.iter().position(|n| n == t));
     let viewer = p.hex("Subject")?;
     let title = title(p.hex("Item")?, class);
     let deadline = p.opt_time("ClientDeadline")?.unwrap_or(FAR);
@@ -397,12 +450,29 @@
     let marks = p.opt_int("Marks")?.unwrap_or(0);
     let hint = hint.filter(|_| marks & 1 != 0);
     let again = marks & (8 | 16) != 0;
-    Ok(Request { session, class, tenant, viewer, title, deadline, hint, home, spread, top, again, fleet: 0 })
+    Ok(Request {
+        session,
+        class,
+        tenant,
+        viewer,
+        title,
+        deadline,
+        hint,
+        home,
+        spread,
+        top,
+        again,
+        fleet: 0,
+    })
 }
 
 fn write_action(name: &str, action: &Action, out: &mut String) {
     let written = match action {
-        Action::Send { session, server, patience } => {
+        Action::Send {
+            session,
+            server,
+            patience,
+        } => {
             let cap = patience.map_or("-".to_string(), |p| ms(p).to_string());
             writeln!(out, "TRANSMIT {name} {} {} {cap}", session.0, server.0)
         }
@@ -412,7 +482,9 @@
             writeln!(out, "OVERLOAD_REPLY {name} {} {advice}", session.0)
         }
         Action::Fail { session } => writeln!(out, "END_FAILED {name} {}", session.0),
-        Action::Recall { session, attempt } => writeln!(out, "RECALL {name} {} {attempt}", session.0),
+        Action::Recall { session, attempt } => {
+            writeln!(out, "RECALL {name} {} {attempt}", session.0)
+        }
         Action::Move { session } => writeln!(out, "GO_AWAY {name} {}", session.0),
         // Asked for by nobody here: the simulator moves sessions by ending them.
         Action::HandOver { .. } => Ok(()),
--- a/benchlink/src/main.rs
+++ b/benchlink/src/main.rs
@@ -12,7 +12,9 @@
     let mut reply = String::new();
     loop {
         raw.clear();
-        let read = input.read_until(b'\n', &mut raw).map_err(|e| link.fault("input", &e.to_string()))?;
+        let read = input
+            .read_until(b'\n', &mut raw)
+            .map_err(|e| link.fault("input", &e.to_string()))?;
         if read == 0 {
             return link.end();
         }
--- a/benchlink/tests/wire.rs
+++ b/benchlink/tests/wire.rs
@@ -50,7 +50,8 @@
     talk(&lines)
 }
 
-const ASK: &str = "SUBMIT director-3 77 live - 91f03b7c55d20a64 2b8e6401d9f37c10 9000.0 12.0 0 2 1 1";
+const ASK: &str =
+    "SUBMIT director-3 77 live - 91f03b7c55d20a64 2b8e6401d9f37c10 9000.0 12.0 0 2 1 1";
 
 #[test]
 fn an_empty_batch_is_answered() {
@@ -60,12 +61,20 @@
 #[test]
 fn a_request_goes_through_to_its_end() {
     let reply = with("pushed", &["SYNC 1010", ASK, "COMMIT"]).unwrap();
-    assert!(reply.contains("STEP_TO director-3 77 1\nTRANSMIT director-3 77 1"), "{reply}");
-    let node = if reply.contains("TRANSMIT director-3 77 11") { 11 } else { 12 };
+    assert!(
+        reply.contains("STEP_TO director-3 77 1\nTRANSMIT director-3 77 1"),
+        "{reply}"
+    );
+    let node = if reply.contains("TRANSMIT director-3 77 11") {
+        11
+    } else {
+        12
+    };
     let started = format!("HEADERS director-3 77 0 {node} 80.0");
     let note = format!("HINT_UPDATE director-3 77 0 0.5 {node} 3");
     let odd = format!("HINT_UPDATE director-3 77 0 0.5 {node} 9");
-    let ended = format!("FINISHED director-3 77 GOOD 30000.5 {node} 0 1 rif:7,x0:0.4,x1:1.25,new:3 extra");
+    let ended =
+        format!("FINISHED director-3 77 GOOD 30000.5 {node} 0 1 rif:7,x0:0.4,x1:1.25,new:3 extra");
     let gone = "WITHDRAWN director-3 77";
     let all = [
         "SYNC 1010",
@@ -81,27 +90,44 @@
         gone,
     ];
     let reply = with("pushed", &[&all[..], &["COMMIT"]].concat()).unwrap();
-    assert!(!reply.contains("OVERLOAD_REPLY") && !reply.contains("END_FAILED"), "{reply}");
+    assert!(
+        !reply.contains("OVERLOAD_REPLY") && !reply.contains("END_FAILED"),
+        "{reply}"
+    );
     assert_eq!(reply.matches("ACK\n").count(), 4);
 }
 
 #[test]
 fn where_probes_are_allowed_and_cheap_they_go_out_first_and_their_answers_place() {
     let setup = |price: &str, probes: &str| {
-        let probing = format!("\"Deductions\": {{\"Probe\": {price}}}, \"Limits\": {{\"Probes\": {probes}, ");
+        let probing =
+            format!("\"Deductions\": {{\"Probe\": {price}}}, \"Limits\": {{\"Probes\": {probes}, ");
         setup().replacen("\"Limits\": {", &probing, 1)
     };
     let talk_on = |setup: String, more: &[&str]| {
         let begin = format!("BEGIN director-3 -17 {setup}");
-        let (nodes, ask) = (["NODE 11 north small 0 1 1 -", "NODE 12 north small 1 1 1 -"], ASK);
-        let head =
-            ["SYNC 1000.5", &begin, "LIST 0 2", nodes[0], nodes[1], "ANNOUNCE director-3 2 41 0", "COMMIT"];
+        let (nodes, ask) = (
+            ["NODE 11 north small 0 1 1 -", "NODE 12 north small 1 1 1 -"],
+            ASK,
+        );
+        let head = [
+            "SYNC 1000.5",
+            &begin,
+            "LIST 0 2",
+            nodes[0],
+            nodes[1],
+            "ANNOUNCE director-3 2 41 0",
+            "COMMIT",
+        ];
         let mut lines = head.to_vec();
         // The director's timer rings when it is due: otherwise it would have stood still, and not probe.
-        let ticks: Vec<String> =
-            (1..=30).map(|n| format!("SYNC {}", 1000.5 + 200.0 * f64::from(n))).collect();
+        let ticks: Vec<String> = (1..=30)
+            .map(|n| format!("SYNC {}", 1000.5 + 200.0 * f64::from(n)))
+            .collect();
         let bell = format!("BELL director-3 {}", u64::MAX);
-        ticks.iter().for_each(|t| lines.extend([t.as_str(), bell.as_str(), "COMMIT"]));
+        ticks
+            .iter()
+            .for_each(|t| lines.extend([t.as_str(), bell.as_str(), "COMMIT"]));
         lines.extend(["SYNC 7000.5", ask, "COMMIT"]);
         lines.extend(more);
         talk(&lines).unwrap()
@@ -114,7 +140,10 @@
         );
     }
     let reply = talk_on(setup("0.01", "true"), &[]);
-    assert!(reply.contains("PING director-3 11\n") && reply.contains("PING director-3 12\n"), "{reply}");
+    assert!(
+        reply.contains("PING director-3 11\n") && reply.contains("PING director-3 12\n"),
+        "{reply}"
+    );
     assert!(!reply.contains("TRANSMIT"), "{reply}");
     let answers = [
         "SYNC 7003",
@@ -123,18 +152,35 @@
         "COMMIT",
     ];
     let reply = talk_on(setup("0.01", "true"), &answers);
-    assert!(reply.contains("TRANSMIT director-3 77 12 "), "the emptier one: {reply}");
+    assert!(
+        reply.contains("TRANSMIT director-3 77 12 "),
+        "the emptier one: {reply}"
+    );
 }
 
 #[test]
 fn an_unknown_class_is_refused_with_advice_and_an_unheld_id_passed_over() {
     let ask = ASK.replace("live", "unheard-of");
-    let reply =
-        with("pushed", &["SYNC 1010", &ask, "BELL director-3 sweep", "BELL director-9 1", "COMMIT"]).unwrap();
+    let reply = with(
+        "pushed",
+        &[
+            "SYNC 1010",
+            &ask,
+            "BELL director-3 sweep",
+            "BELL director-9 1",
+            "COMMIT",
+        ],
+    )
+    .unwrap();
     assert!(reply.contains("OVERLOAD_REPLY director-3 77 "), "{reply}");
     let lost = "FINISHED director-3 5 RST 1.0 11 0 1 -";
-    let all =
-        ["SYNC 1010", lost, "PROBE_RESULT director-3 11 GOOD 1.0 -", "DATAGRAM director-3 2 6869", "COMMIT"];
+    let all = [
+        "SYNC 1010",
+        lost,
+        "PROBE_RESULT director-3 11 GOOD 1.0 -",
+        "DATAGRAM director-3 2 6869",
+        "COMMIT",
+    ];
     assert!(with("pushed", &all).is_ok());
 }
 
@@ -158,7 +204,11 @@
 
 #[test]
 fn where_the_list_is_asked_for_the_first_reply_subscribes() {
-    assert!(with("on_request", &[]).unwrap().contains("STREAM_CHANGES director-3 1"));
+    assert!(
+        with("on_request", &[])
+            .unwrap()
+            .contains("STREAM_CHANGES director-3 1")
+    );
     assert!(!with("pushed", &[]).unwrap().contains("STREAM_CHANGES"));
 }
 
@@ -172,19 +222,39 @@
         (&["SYNC 1", "BELL"], 2, "Director"),
         (&["SYNC 1", "SUBMIT director-3 x live"], 2, "OpId"),
         (&["SYNC 1", "SUBMIT director-3 7 live - zz"], 2, "Subject"),
-        (&["SYNC 1", "FINISHED director-3 7 GOOD 1 2 0 1 x0"], 2, "Stats"),
+        (
+            &["SYNC 1", "FINISHED director-3 7 GOOD 1 2 0 1 x0"],
+            2,
+            "Stats",
+        ),
         (&["SYNC 1", "ANNOUNCE director-3 2 1 5"], 2, "Slot"),
         (&["SYNC 1", "ANNOUNCE director-3 8 1 5"], 2, "Form"),
-        (&["SYNC 1", "LIST 0 2", "NODE 1 a b 0 1 1 -", "COMMIT"], 4, "message"),
-        (&["SYNC 1", "LIST 0 1", "NODE 1 a b 0 7 1 -"], 3, "Availability"),
-        (&["SYNC 1", "BEGIN director-3 1 {\"Balancers\": 1}"], 2, "Setup.Categories"),
+        (
+            &["SYNC 1", "LIST 0 2", "NODE 1 a b 0 1 1 -", "COMMIT"],
+            4,
+            "message",
+        ),
+        (
+            &["SYNC 1", "LIST 0 1", "NODE 1 a b 0 7 1 -"],
+            3,
+            "Availability",
+        ),
+        (
+            &["SYNC 1", "BEGIN director-3 1 {\"Balancers\": 1}"],
+            2,
+            "Setup.Categories",
+        ),
         (&["SYNC 1", "BEGIN director-3 1 {"], 2, "Setup"),
         (&["SYNC 1", "DATAGRAM director-3 1 6"], 2, "Body"),
         (&["SYNC 1"], 1, "COMMIT"),
     ];
     for (lines, line, field) in cases {
         let fault = talk(lines).expect_err(&format!("{lines:?}"));
-        assert_eq!((fault.line, fault.field.as_str()), (*line, *field), "{lines:?}: {fault}");
+        assert_eq!(
+            (fault.line, fault.field.as_str()),
+            (*line, *field),
+            "{lines:?}: {fault}"
+        );
     }
 }
 
@@ -195,7 +265,12 @@
         .stderr(Stdio::piped())
         .spawn()
         .unwrap();
-    child.stdin.take().unwrap().write_all(input.as_bytes()).unwrap();
+    child
+        .stdin
+        .take()
+        .unwrap()
+        .write_all(input.as_bytes())
+        .unwrap();
     let out = child.wait_with_output().unwrap();
     let text = |b: Vec<u8>| String::from_utf8(b).unwrap();
     (text(out.stdout), text(out.stderr), out.status.success())
@@ -203,7 +278,10 @@
 
 #[test]
 fn the_binary_flushes_each_reply_and_ends_well_at_the_end_of_input() {
-    assert_eq!(binary("SYNC 1\nCOMMIT\n\nSYNC 2\nCOMMIT\n"), ("ACK\nACK\n".into(), String::new(), true));
+    assert_eq!(
+        binary("SYNC 1\nCOMMIT\n\nSYNC 2\nCOMMIT\n"),
+        ("ACK\nACK\n".into(), String::new(), true)
+    );
     assert_eq!(binary(""), (String::new(), String::new(), true));
 }
 
--- a/crates/admin/src/api.rs
+++ b/crates/admin/src/api.rs
@@ -53,7 +53,8 @@
         Error::Newer(_) | Error::Corrupt(_) | Error::Unable(_) => {
             // What is wrong with the disk is for the operators' log, not for callers.
             tracing::error!(error = %e, "the store failed");
-            problem(503, "the store can't do this now; nothing was changed").with("Retry-After", "5")
+            problem(503, "the store can't do this now; nothing was changed")
+                .with("Retry-After", "5")
         }
     }
 }
@@ -61,15 +62,23 @@
 fn refused(why: Refusal) -> Reply {
     match why {
         Refusal::NotFound => nothing(),
-        Refusal::Taken => problem(409, "the id is in use, or what was called so has not ended yet"),
-        Refusal::MatchRequired => problem(428, "name the revision that the change is for in If-Match"),
-        Refusal::Stale(now) => {
-            problem(412, "another change came first; read it again").with("ETag", format!("\"{now}\""))
+        Refusal::Taken => problem(
+            409,
+            "the id is in use, or what was called so has not ended yet",
+        ),
+        Refusal::MatchRequired => {
+            problem(428, "name the revision that the change is for in If-Match")
         }
+        Refusal::Stale(now) => problem(412, "another change came first; read it again")
+            .with("ETag", format!("\"{now}\"")),
         Refusal::State(what) => problem(409, &format!("the tenant {what}")),
-        Refusal::Agreed(fields) => {
-            problem(403, &format!("agreed with the operators, and theirs to change: {}", fields.join(", ")))
-        }
+        Refusal::Agreed(fields) => problem(
+            403,
+            &format!(
+                "agreed with the operators, and theirs to change: {}",
+                fields.join(", ")
+            ),
+        ),
         Refusal::Invalid(wrong) => invalid(&wrong),
     }
 }
@@ -100,17 +109,25 @@
             tags.extend(plain.and_then(|t| t.parse::<u64>().ok()));
         }
     }
-    if seen { Match::Revisions(tags) } else { Match::Missing }
+    if seen {
+        Match::Revisions(tags)
+    } else {
+        Match::Missing
+    }
 }
 
 fn body(request: &Request) -> Result<Value, Reply> {
-    serde_json::from_slice(&request.body).map_err(|e| problem(400, &format!("the content is not JSON: {e}")))
+    serde_json::from_slice(&request.body)
+        .map_err(|e| problem(400, &format!("the content is not JSON: {e}")))
 }
 
 /// A number in the query.
 fn number(request: &Request, name: &str, usual: u64) -> Result<u64, Reply> {
     let wrong = |_| problem(400, &format!("{name} has to be a number"));
-    request.head.query(name).map_or(Ok(usual), |text| text.parse().map_err(wrong))
+    request
+        .head
+        .query(name)
+        .map_or(Ok(usual), |text| text.parse().map_err(wrong))
 }
 
 fn page(request: &Request) -> Result<usize, Reply> {
@@ -133,7 +150,11 @@
 impl Api {
     /// `forget`: a front that is not heard of for so long is taken for gone.
     pub fn new(store: Store, now: Millis, forget: Millis) -> Api {
-        Api { store, calls: RefCell::default(), fronts: RefCell::new(Fronts::new(now, forget)) }
+        Api {
+            store,
+            calls: RefCell::default(),
+            fronts: RefCell::new(Fronts::new(now, forget)),
+        }
     }
 
     /// Buries deleted tenants of which no front holds a session any more. Returns how many; call it every second
@@ -143,9 +164,17 @@
         let (mut after, mut buried) = (None, 0);
         loop {
             let page = self.store.list(after.as_ref(), LONGEST_PAGE)?;
-            for t in page.iter().filter(|t| matches!(t.state, State::Deleting { .. })) {
+            for t in page
+                .iter()
+                .filter(|t| matches!(t.state, State::Deleting { .. }))
+            {
                 if self.fronts.borrow().empty(now, &t.id, number) {
-                    let by = By { who: "service", agrees: true, of: Match::Revisions(vec![t.revision]), now };
+                    let by = By {
+                        who: "service",
+                        agrees: true,
+                        of: Match::Revisions(vec![t.revision]),
+                        now,
+                    };
                     self.store.change(&t.id, &Wish::Bury, &by, None)?;
                     buried += 1;
                 }
@@ -159,7 +188,8 @@
 
     /// Answers a request. `random`: as many fresh bytes as a token needs; `now`: the wall clock.
     pub fn answer(&self, request: &Request, now: Millis, random: [u8; 40]) -> Reply {
-        self.answered(request, now, random).unwrap_or_else(|reply| reply)
+        self.answered(request, now, random)
+            .unwrap_or_else(|reply| reply)
     }
 
     fn answered(&self, request: &Request, now: Millis, random: [u8; 40]) -> Answer {
@@ -174,13 +204,20 @@
         self.within(&caller, now)?;
         let public = matches!(route.call, Call::Openapi | Call::Schema);
         // A name that no tenant can have is looked for like any other: in vain.
-        let about = route.path.starts_with("/tenants/").then(|| TenantId::try_from(id.to_string()));
+        let about = route
+            .path
+            .starts_with("/tenants/")
+            .then(|| TenantId::try_from(id.to_string()));
         let about = match about {
             None => None,
             Some(Ok(id)) => Some(id),
             Some(Err(_)) => return Err(nothing()),
         };
-        let access = if public { Access::Granted } else { caller.role.may(route.act, about.as_ref()) };
+        let access = if public {
+            Access::Granted
+        } else {
+            caller.role.may(route.act, about.as_ref())
+        };
         match access {
             Access::Granted => {}
             Access::Forbidden => return Err(problem(403, "not for this role")),
@@ -197,18 +234,27 @@
     }
 
     fn caller(&self, request: &Request) -> Result<Caller, Reply> {
-        let unknown = || problem(401, "a bearer token is needed").with("WWW-Authenticate", "Bearer");
+        let unknown =
+            || problem(401, "a bearer token is needed").with("WWW-Authenticate", "Bearer");
         let text = request.head.fields.get("authorization").unwrap_or_default();
-        let text = text.strip_prefix("Bearer ").or_else(|| text.strip_prefix("bearer ")).unwrap_or_default();
+        let text = text
+            .strip_prefix("Bearer ")
+            .or_else(|| text.strip_prefix("bearer "))
+            .unwrap_or_default();
         let (id, secret) = access::parts(text.trim()).ok_or_else(unknown)?;
         let kept = self.store.token(id).map_err(failed)?;
         let role = access::role(kept.as_ref(), secret).ok_or_else(unknown)?;
-        Ok(Caller { role, name: format!("token {id}") })
+        Ok(Caller {
+            role,
+            name: format!("token {id}"),
+        })
     }
 
     /// A tenant's own calls are limited, so that one that hammers the API does not keep it from others.
     fn within(&self, caller: &Caller, now: Millis) -> Result<(), Reply> {
-        let (Role::Admin(id) | Role::Reader(id)) = &caller.role else { return Ok(()) };
+        let (Role::Admin(id) | Role::Reader(id)) = &caller.role else {
+            return Ok(());
+        };
         let mut calls = self.calls.borrow_mut();
         let minute = now / 60_000;
         calls.retain(|_, (at, _)| *at == minute);
@@ -217,8 +263,14 @@
         if *count <= CALLS_PER_MIN.min(10) {
             return Ok(()); // few calls are not worth a look at the terms
         }
-        let terms = self.store.tenant(id).map_err(failed)?.map(|t| t.terms.limits);
-        let most = terms.and_then(|l| l.admin_calls_per_min).unwrap_or(CALLS_PER_MIN);
+        let terms = self
+            .store
+            .tenant(id)
+            .map_err(failed)?
+            .map(|t| t.terms.limits);
+        let most = terms
+            .and_then(|l| l.admin_calls_per_min)
+            .unwrap_or(CALLS_PER_MIN);
         if *count <= most {
             return Ok(());
         }
@@ -227,7 +279,14 @@
     }
 
     /// Calls about one tenant.
-    fn about(&self, route: &Route, id: &TenantId, caller: &Caller, request: &Request, now: Millis) -> Answer {
+    fn about(
+        &self,
+        route: &Route,
+        id: &TenantId,
+        caller: &Caller,
+        request: &Request,
+        now: Millis,
+    ) -> Answer {
         let wish = match route.call {
             Call::Read => {
                 let found = self.store.tenant(id).map_err(failed)?;
@@ -237,12 +296,18 @@
             }
             Call::History => {
                 let from = number(request, "from", 0)?;
-                let entries = self.store.history(id, from, page(request)?).map_err(failed)?;
+                let entries = self
+                    .store
+                    .history(id, from, page(request)?)
+                    .map_err(failed)?;
                 if entries.is_empty() && from == 0 {
                     return Err(nothing());
                 }
                 let next = entries.last().map(|e| e.revision + 1);
-                return Ok(Reply::json(200, json!({ "entries": entries, "next": next }).to_string()));
+                return Ok(Reply::json(
+                    200,
+                    json!({ "entries": entries, "next": next }).to_string(),
+                ));
             }
             Call::Usage => {
                 let found = self.store.tenant(id).map_err(failed)?.ok_or_else(nothing)?;
@@ -260,8 +325,15 @@
                 let parts = self.fronts.borrow_mut().sessions(now, id);
                 // Fronts are asked with their next reports.
                 let asked = parts.iter().all(|p| p.sessions.is_some());
-                let reply = Reply::json(200, json!({ "tenant": found.id, "fronts": parts }).to_string());
-                return Ok(if asked { reply } else { reply.with("Retry-After", "2") });
+                let reply = Reply::json(
+                    200,
+                    json!({ "tenant": found.id, "fronts": parts }).to_string(),
+                );
+                return Ok(if asked {
+                    reply
+                } else {
+                    reply.with("Retry-After", "2")
+                });
             }
             Call::Replace => Wish::Replace(body(request)?),
             Call::Patch => {
@@ -277,9 +349,17 @@
             _ => return Err(nothing()),
         };
         let agrees = caller.role == Role::Operator;
-        let by = By { who: &caller.name, agrees, of: matching(request), now };
+        let by = By {
+            who: &caller.name,
+            agrees,
+            of: matching(request),
+            now,
+        };
         let done = self.store.change(id, &wish, &by, None).map_err(failed)?;
-        Ok(tenant(if wish == Wish::Delete { 202 } else { 200 }, &done.tenant))
+        Ok(tenant(
+            if wish == Wish::Delete { 202 } else { 200 },
+            &done.tenant,
+        ))
     }
 
     /// Calls about the service as a whole.
@@ -297,30 +377,44 @@
             Call::Openapi => json(200, openapi()),
             Call::Schema => json(200, schema().clone()),
             Call::List => {
-                let after = request.head.query("after").map(|t| TenantId::try_from(t.to_string()));
-                let after = after.transpose().map_err(|e| problem(400, &format!("after {e}")))?;
+                let after = request
+                    .head
+                    .query("after")
+                    .map(|t| TenantId::try_from(t.to_string()));
+                let after = after
+                    .transpose()
+                    .map_err(|e| problem(400, &format!("after {e}")))?;
                 let most = page(request)?;
                 let tenants = self.store.list(after.as_ref(), most).map_err(failed)?;
-                let next = tenants.last().filter(|_| tenants.len() == most).map(|t| t.id.to_string());
+                let next = tenants
+                    .last()
+                    .filter(|_| tenants.len() == most)
+                    .map(|t| t.id.to_string());
                 json(200, json!({ "tenants": tenants, "next": next }))
             }
             Call::Create => self.create(caller, request, now),
             Call::Changes => {
-                let (number, tenants) = self.store.since(number(request, "after", 0)?).map_err(failed)?;
+                let (number, tenants) = self
+                    .store
+                    .since(number(request, "after", 0)?)
+                    .map_err(failed)?;
                 json(200, json!({ "number": number, "tenants": tenants }))
             }
             Call::Report => {
-                let said: Told = serde_json::from_value(body(request)?)
-                    .map_err(|e| problem(422, &format!("front, number and held are needed: {e}")))?;
+                let said: Told = serde_json::from_value(body(request)?).map_err(|e| {
+                    problem(422, &format!("front, number and held are needed: {e}"))
+                })?;
                 let wished = self.fronts.borrow_mut().report(now, said);
                 let wished = wished.ok_or_else(|| problem(422, "there are too many fronts"))?;
                 json(200, json!({ "sessions_of": wished }))
             }
             Call::Tokens => {
-                let shown =
-                    |t: Token| json!({ "id": t.id, "role": t.role, "made": t.made, "revoked": t.revoked });
+                let shown = |t: Token| json!({ "id": t.id, "role": t.role, "made": t.made, "revoked": t.revoked });
                 let tokens = self.store.tokens().map_err(failed)?;
-                json(200, json!({ "tokens": tokens.into_iter().map(shown).collect::<Vec<_>>() }))
+                json(
+                    200,
+                    json!({ "tokens": tokens.into_iter().map(shown).collect::<Vec<_>>() }),
+                )
             }
             Call::NewToken => {
                 let new: NewToken = serde_json::from_value(body(request)?)
@@ -344,7 +438,12 @@
     fn create(&self, caller: &Caller, request: &Request, now: Millis) -> Answer {
         let new: New = serde_json::from_value(body(request)?)
             .map_err(|e| problem(422, &format!("id and terms are needed: {e}")))?;
-        let at_id = |detail: &str| invalid(&[Wrong { pointer: "/id".into(), detail: detail.into() }]);
+        let at_id = |detail: &str| {
+            invalid(&[Wrong {
+                pointer: "/id".into(),
+                detail: detail.into(),
+            }])
+        };
         let id = TenantId::try_from(new.id).map_err(at_id)?;
         let key = request.head.fields.get("idempotency-key");
         if key.is_some_and(|k| k.is_empty() || k.len() > KEY) {
@@ -353,9 +452,17 @@
         // Keys are each caller's own.
         let key = key.map(|k| format!("{} {k}", caller.name));
         let text = new.terms.to_string();
-        let by = By { who: &caller.name, agrees: true, of: Match::Missing, now };
+        let by = By {
+            who: &caller.name,
+            agrees: true,
+            of: Match::Missing,
+            now,
+        };
         let same = key.as_deref().map(|k| (k, text.as_str()));
-        let done = self.store.change(&id, &Wish::Create(new.terms), &by, same).map_err(failed)?;
+        let done = self
+            .store
+            .change(&id, &Wish::Create(new.terms), &by, same)
+            .map_err(failed)?;
         let status = if done.number.is_some() { 201 } else { 200 };
         Ok(tenant(status, &done.tenant).with("Location", format!("/tenants/{id}")))
     }
--- a/crates/admin/src/routes.rs
+++ b/crates/admin/src/routes.rs
@@ -49,19 +49,61 @@
     answers: &'static [u16],
     summary: &'static str,
 ) -> Route {
-    Route { call, method, path, act, answers, summary }
+    Route {
+        call,
+        method,
+        path,
+        act,
+        answers,
+        summary,
+    }
 }
 
 const TENANT: &str = "/tenants/{}";
 
 /// All calls. Those that change a tenant take `If-Match`: 428 without, 412 where it is stale.
 pub const ROUTES: [Route; 18] = [
-    route(Call::Openapi, "GET", "/openapi.json", Act::Read, &[200], "This document"),
-    route(Call::Schema, "GET", "/schema/terms.json", Act::Read, &[200], "The schema of a tenant's terms"),
-    route(Call::List, "GET", "/tenants", Act::Directory, &[200, 400], "Tenants by id, in pages"),
-    route(Call::Create, "POST", "/tenants", Act::Directory, &[200, 201, 400, 409, 422], "Make a tenant"),
+    route(
+        Call::Openapi,
+        "GET",
+        "/openapi.json",
+        Act::Read,
+        &[200],
+        "This document",
+    ),
+    route(
+        Call::Schema,
+        "GET",
+        "/schema/terms.json",
+        Act::Read,
+        &[200],
+        "The schema of a tenant's terms",
+    ),
+    route(
+        Call::List,
+        "GET",
+        "/tenants",
+        Act::Directory,
+        &[200, 400],
+        "Tenants by id, in pages",
+    ),
+    route(
+        Call::Create,
+        "POST",
+        "/tenants",
+        Act::Directory,
+        &[200, 201, 400, 409, 422],
+        "Make a tenant",
+    ),
     route(Call::Read, "GET", TENANT, Act::Read, &[200], "A tenant"),
-    route(Call::Replace, "PUT", TENANT, Act::Change, &[200, 400, 409, 412, 422, 428], "Replace its terms"),
+    route(
+        Call::Replace,
+        "PUT",
+        TENANT,
+        Act::Change,
+        &[200, 400, 409, 412, 422, 428],
+        "Replace its terms",
+    ),
     route(
         Call::Patch,
         "PATCH",
@@ -78,7 +120,14 @@
         &[202, 412, 428],
         "Delete it: nothing new, what plays ends",
     ),
-    route(Call::Suspend, "POST", "/tenants/{}/suspend", Act::Agree, &[200, 409, 412, 428], "Nothing new"),
+    route(
+        Call::Suspend,
+        "POST",
+        "/tenants/{}/suspend",
+        Act::Agree,
+        &[200, 409, 412, 428],
+        "Nothing new",
+    ),
     route(
         Call::Resume,
         "POST",
@@ -95,13 +144,62 @@
         &[200, 400],
         "Its changes: who, when, from, to",
     ),
-    route(Call::Usage, "GET", "/tenants/{}/usage", Act::Read, &[200], "Sessions that fronts hold of it"),
-    route(Call::Sessions, "GET", "/tenants/{}/sessions", Act::Read, &[200], "Its sessions, by front"),
-    route(Call::Report, "POST", "/usage", Act::Follow, &[200, 400, 422], "A front tells what it holds"),
-    route(Call::Changes, "GET", "/changes", Act::Follow, &[200, 400], "Tenants changed after a number"),
-    route(Call::Tokens, "GET", "/tokens", Act::Tokens, &[200], "Tokens, without their secrets"),
-    route(Call::NewToken, "POST", "/tokens", Act::Tokens, &[201, 400, 422], "Make a token; shown once"),
-    route(Call::Revoke, "DELETE", "/tokens/{}", Act::Tokens, &[204], "Revoke a token"),
+    route(
+        Call::Usage,
+        "GET",
+        "/tenants/{}/usage",
+        Act::Read,
+        &[200],
+        "Sessions that fronts hold of it",
+    ),
+    route(
+        Call::Sessions,
+        "GET",
+        "/tenants/{}/sessions",
+        Act::Read,
+        &[200],
+        "Its sessions, by front",
+    ),
+    route(
+        Call::Report,
+        "POST",
+        "/usage",
+        Act::Follow,
+        &[200, 400, 422],
+        "A front tells what it holds",
+    ),
+    route(
+        Call::Changes,
+        "GET",
+        "/changes",
+        Act::Follow,
+        &[200, 400],
+        "Tenants changed after a number",
+    ),
+    route(
+        Call::Tokens,
+        "GET",
+        "/tokens",
+        Act::Tokens,
+        &[200],
+        "Tokens, without their secrets",
+    ),
+    route(
+        Call::NewToken,
+        "POST",
+        "/tokens",
+        Act::Tokens,
+        &[201, 400, 422],
+        "Make a token; shown once",
+    ),
+    route(
+        Call::Revoke,
+        "DELETE",
+        "/tokens/{}",
+        Act::Tokens,
+        &[204],
+        "Revoke a token",
+    ),
 ];
 
 /// What a target leads to.
@@ -115,11 +213,16 @@
 /// Finds a call. The id is as it stands in the path: ids need no escapes.
 pub fn find<'t>(method: &str, path: &'t str) -> Found<'t> {
     let id = |pattern: &str| -> Option<&'t str> {
-        let Some((before, after)) = pattern.split_once("{}") else { return (pattern == path).then_some("") };
+        let Some((before, after)) = pattern.split_once("{}") else {
+            return (pattern == path).then_some("");
+        };
         let id = path.strip_prefix(before)?.strip_suffix(after)?;
         (!id.is_empty() && !id.contains('/')).then_some(id)
     };
-    let here: Vec<(&'static Route, &str)> = ROUTES.iter().filter_map(|r| Some((r, id(r.path)?))).collect();
+    let here: Vec<(&'static Route, &str)> = ROUTES
+        .iter()
+        .filter_map(|r| Some((r, id(r.path)?)))
+        .collect();
     match here.iter().find(|(r, _)| r.method == method) {
         Some((route, id)) => Found::Call(route, id),
         None if here.is_empty() => Found::Nothing,
@@ -136,7 +239,10 @@
             let (kind, schema) = match status {
                 204 => ("", json!({})),
                 200..=299 => ("application/json", json!({})),
-                _ => ("application/problem+json", json!({ "$ref": "#/components/schemas/Problem" })),
+                _ => (
+                    "application/problem+json",
+                    json!({ "$ref": "#/components/schemas/Problem" }),
+                ),
             };
             let mut answer = json!({ "description": shalewall_http::head::reason(*status) });
             if !kind.is_empty() {
@@ -153,8 +259,10 @@
             );
         }
         if route.answers.contains(&428) {
-            parameters.push(json!({ "name": "If-Match", "in": "header", "required": true,
-                "schema": { "type": "string" } }));
+            parameters.push(
+                json!({ "name": "If-Match", "in": "header", "required": true,
+                "schema": { "type": "string" } }),
+            );
         }
         if route.call == Call::Create {
             parameters
@@ -162,7 +270,10 @@
         }
         call["parameters"] = parameters.into();
         let content = match route.call {
-            Call::Replace => Some(("application/json", json!({ "$ref": "#/components/schemas/Terms" }))),
+            Call::Replace => Some((
+                "application/json",
+                json!({ "$ref": "#/components/schemas/Terms" }),
+            )),
             Call::Patch => Some(("application/merge-patch+json", json!({ "type": "object" }))),
             Call::Create => Some((
                 "application/json",
@@ -174,13 +285,19 @@
                 json!({ "type": "object",
                 "required": ["front", "number", "held"] }),
             )),
-            Call::NewToken => Some(("application/json", json!({ "type": "object", "required": ["role"] }))),
+            Call::NewToken => Some((
+                "application/json",
+                json!({ "type": "object", "required": ["role"] }),
+            )),
             _ => None,
         };
         if let Some((kind, schema)) = content {
-            call["requestBody"] = json!({ "required": true, "content": { kind: { "schema": schema } } });
+            call["requestBody"] =
+                json!({ "required": true, "content": { kind: { "schema": schema } } });
         }
-        let path = paths.entry(route.path.replace("{}", "{id}")).or_insert_with(|| json!({}));
+        let path = paths
+            .entry(route.path.replace("{}", "{id}"))
+            .or_insert_with(|| json!({}));
         path[route.method.to_ascii_lowercase()] = call;
     }
     json!({
--- a/crates/admin/src/serve.rs
+++ b/crates/admin/src/serve.rs
@@ -20,7 +20,9 @@
 
 /// The wall clock, milliseconds since 1970.
 pub fn now() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |d| d.as_millis() as u64)
 }
 
 /// Listens, and answers for as long as the executor runs. Returns the address.
@@ -50,7 +52,10 @@
     let spawner = ex.clone();
     ex.spawn(async move {
         // A document with a hundred thousand titles is some 6 MB.
-        let limits = Rc::new(Limits { body: 8 << 20, ..Limits::default() });
+        let limits = Rc::new(Limits {
+            body: 8 << 20,
+            ..Limits::default()
+        });
         let open = Rc::new(Cell::new(0usize));
         loop {
             let Ok((stream, _)) = listener.accept().await else {
@@ -61,7 +66,8 @@
                 continue;
             }
             open.set(open.get() + 1);
-            let (api, limits, open, changed) = (api.clone(), limits.clone(), open.clone(), changed.clone());
+            let (api, limits, open, changed) =
+                (api.clone(), limits.clone(), open.clone(), changed.clone());
             spawner
                 .spawn(async move {
                     let answer = |request| answer(api.clone(), changed.clone(), request);
@@ -77,9 +83,17 @@
 
 /// Answers a call. One for changes that names a `wait_ms` is held until there are some, for that time at most.
 async fn answer(api: Rc<Api>, changed: Rc<Event>, request: Request) -> Reply {
-    let wait = request.head.query("wait_ms").and_then(|ms| ms.parse().ok()).unwrap_or(0);
+    let wait = request
+        .head
+        .query("wait_ms")
+        .and_then(|ms| ms.parse().ok())
+        .unwrap_or(0);
     let until = Instant::now() + Duration::from_millis(wait).min(LONGEST_WAIT);
-    let after = request.head.query("after").and_then(|n| n.parse().ok()).unwrap_or(0);
+    let after = request
+        .head
+        .query("after")
+        .and_then(|n| n.parse().ok())
+        .unwrap_or(0);
     let reply = loop {
         let news = changed.listen();
         let reply = api.answer(&request, now(), rand::rng().random());
--- a/crates/admin/tests/api.rs
+++ b/crates/admin/tests/api.rs
@@ -31,7 +31,10 @@
 
 impl Said {
     fn field(&self, name: &str) -> &str {
-        self.fields.iter().find(|(n, _)| *n == name).map_or("", |(_, v)| v)
+        self.fields
+            .iter()
+            .find(|(n, _)| *n == name)
+            .map_or("", |(_, v)| v)
     }
 }
 
@@ -50,41 +53,86 @@
         let dir = tempfile::tempdir().unwrap();
         let store = Store::open(&dir.path().join("t.redb")).unwrap();
         let mut tokens = Vec::new();
-        for (i, role) in [Role::Operator, Role::Admin(id("a")), Role::Reader(id("a"))].into_iter().enumerate()
+        for (i, role) in [Role::Operator, Role::Admin(id("a")), Role::Reader(id("a"))]
+            .into_iter()
+            .enumerate()
         {
             let (token, text) = Token::new(role, [i as u8; 8], [i as u8 + 1; 32], 0);
             store.keep_token(&token).unwrap();
             tokens.push(text);
         }
-        let mut desk = Desk { api: Api::new(store, 0, 600_000), tokens, now: 60_000_000, _dir: dir };
+        let mut desk = Desk {
+            api: Api::new(store, 0, 600_000),
+            tokens,
+            now: 60_000_000,
+            _dir: dir,
+        };
         for name in ["a", "b"] {
             let body = json!({ "id": name, "terms": terms(name) });
-            assert_eq!(desk.ask(OPERATOR, "POST", "/tenants", &[], &body.to_string()).status, 201);
+            assert_eq!(
+                desk.ask(OPERATOR, "POST", "/tenants", &[], &body.to_string())
+                    .status,
+                201
+            );
         }
         desk
     }
 
-    fn ask(&mut self, who: usize, method: &str, target: &str, fields: &[(&str, &str)], body: &str) -> Said {
-        let bearer = self.tokens.get(who).map_or(String::new(), |t| format!("Authorization: Bearer {t}\r\n"));
-        let fields: String = fields.iter().map(|(n, v)| format!("{n}: {v}\r\n")).collect();
+    fn ask(
+        &mut self,
+        who: usize,
+        method: &str,
+        target: &str,
+        fields: &[(&str, &str)],
+        body: &str,
+    ) -> Said {
+        let bearer = self
+            .tokens
+            .get(who)
+            .map_or(String::new(), |t| format!("Authorization: Bearer {t}\r\n"));
+        let fields: String = fields
+            .iter()
+            .map(|(n, v)| format!("{n}: {v}\r\n"))
+            .collect();
         let head = format!(
             "{method} {target} HTTP/1.1\r\nHost: x\r\n{bearer}{fields}Content-Length: {}\r\n\r\n",
             body.len()
         );
-        let head = Finder::default().request(head.as_bytes(), &Limits::default()).unwrap().unwrap().0;
+        let head = Finder::default()
+            .request(head.as_bytes(), &Limits::default())
+            .unwrap()
+            .unwrap()
+            .0;
         self.now += 1;
-        let request = Request { head, body: body.as_bytes().to_vec() };
-        let Reply { status, fields, content } = self.api.answer(&request, self.now, [self.now as u8; 40]);
-        let Content::Whole(bytes) = content else { panic!("a whole answer") };
+        let request = Request {
+            head,
+            body: body.as_bytes().to_vec(),
+        };
+        let Reply {
+            status,
+            fields,
+            content,
+        } = self.api.answer(&request, self.now, [self.now as u8; 40]);
+        let Content::Whole(bytes) = content else {
+            panic!("a whole answer")
+        };
         let text = String::from_utf8(bytes).unwrap();
-        Said { status, fields, body: serde_json::from_str(&text).unwrap_or_default(), text }
+        Said {
+            status,
+            fields,
+            body: serde_json::from_str(&text).unwrap_or_default(),
+            text,
+        }
     }
 
     /// A call as it ought to be made of a tenant, at the tag that it is at.
     fn call(&mut self, who: usize, call: Call, about: &str) -> Said {
         let route = ROUTES.iter().find(|r| r.call == call).unwrap();
         let target = route.path.replace("{}", about);
-        let tag = self.ask(OPERATOR, "GET", &format!("/tenants/{about}"), &[], "").field("ETag").to_string();
+        let tag = self
+            .ask(OPERATOR, "GET", &format!("/tenants/{about}"), &[], "")
+            .field("ETag")
+            .to_string();
         let mut fields = vec![("If-Match", tag.as_str())];
         let body = match call {
             Call::Replace => terms("new").to_string(),
@@ -92,7 +140,9 @@
                 fields.push(("Content-Type", "application/merge-patch+json"));
                 json!({ "display_name": "newer" }).to_string()
             }
-            Call::Create => json!({ "id": format!("n{}", self.now), "terms": terms("n") }).to_string(),
+            Call::Create => {
+                json!({ "id": format!("n{}", self.now), "terms": terms("n") }).to_string()
+            }
             Call::NewToken => json!({ "role": "reader", "tenant": "a" }).to_string(),
             Call::Report => json!({ "front": 1, "number": 2, "held": { "a": 3 } }).to_string(),
             _ => String::new(),
@@ -177,11 +227,16 @@
     for who in [3, 4, 5, 6, 99] {
         for target in ["/tenants/a", "/tenants", "/nothing", "/openapi.json"] {
             let said = desk.ask(who, "GET", target, &[], "");
-            assert_eq!((said.status, said.field("WWW-Authenticate")), (401, "Bearer"), "{who} {target}");
+            assert_eq!(
+                (said.status, said.field("WWW-Authenticate")),
+                (401, "Bearer"),
+                "{who} {target}"
+            );
         }
     }
     let made = desk.call(OPERATOR, Call::NewToken, "");
-    desk.tokens.push(made.body["token"].as_str().unwrap().to_string());
+    desk.tokens
+        .push(made.body["token"].as_str().unwrap().to_string());
     let newest = desk.tokens.len() - 1;
     assert_eq!(desk.ask(newest, "GET", "/tenants/a", &[], "").status, 200);
     let revoke = format!("/tokens/{}", made.body["id"].as_str().unwrap());
@@ -196,21 +251,38 @@
     let mut desk = Desk::new();
     let patch = [("Content-Type", "application/merge-patch+json")];
     let put = |desk: &mut Desk, tag: Option<&str>| {
-        let fields: Vec<_> = patch.into_iter().chain(tag.map(|t| ("If-Match", t))).collect();
-        desk.ask(ADMIN, "PATCH", "/tenants/a", &fields, r#"{ "display_name": "x" }"#)
+        let fields: Vec<_> = patch
+            .into_iter()
+            .chain(tag.map(|t| ("If-Match", t)))
+            .collect();
+        desk.ask(
+            ADMIN,
+            "PATCH",
+            "/tenants/a",
+            &fields,
+            r#"{ "display_name": "x" }"#,
+        )
     };
     assert_eq!(put(&mut desk, None).status, 428);
     for stale in ["\"0\"", "\"2\"", "W/\"1\"", "1", "\"x\""] {
         let said = put(&mut desk, Some(stale));
         assert_eq!((said.status, said.field("ETag")), (412, "\"1\""), "{stale}");
     }
-    assert_eq!(desk.ask(OPERATOR, "GET", "/tenants/a", &[], "").body["terms"]["display_name"], "a");
+    assert_eq!(
+        desk.ask(OPERATOR, "GET", "/tenants/a", &[], "").body["terms"]["display_name"],
+        "a"
+    );
     let done = put(&mut desk, Some("\"9\", \"1\""));
     assert_eq!((done.status, done.field("ETag")), (200, "\"2\""));
     assert_eq!(put(&mut desk, Some("*")).status, 200);
-    let history = desk.ask(READER, "GET", "/tenants/a/history?from=2", &[], "").body;
+    let history = desk
+        .ask(READER, "GET", "/tenants/a/history?from=2", &[], "")
+        .body;
     assert_eq!(history["entries"].as_array().unwrap().len(), 2);
-    assert_eq!(history["entries"][0]["who"], format!("token {}", "01".repeat(8)));
+    assert_eq!(
+        history["entries"][0]["who"],
+        format!("token {}", "01".repeat(8))
+    );
 }
 
 #[test]
@@ -220,16 +292,51 @@
     let cases = [
         ("POST", "/tenants", None, "{", 400, ""),
         ("POST", "/tenants", None, "{}", 422, ""),
-        ("POST", "/tenants", None, r#"{ "id": "A B", "terms": {} }"#, 422, "/id"),
-        ("POST", "/tenants", None, r#"{ "id": "c", "terms": { "share": "much" } }"#, 422, "/share"),
-        ("POST", "/tenants", None, r#"{ "id": "a", "terms": {} }"#, 409, ""),
+        (
+            "POST",
+            "/tenants",
+            None,
+            r#"{ "id": "A B", "terms": {} }"#,
+            422,
+            "/id",
+        ),
+        (
+            "POST",
+            "/tenants",
+            None,
+            r#"{ "id": "c", "terms": { "share": "much" } }"#,
+            422,
+            "/share",
+        ),
+        (
+            "POST",
+            "/tenants",
+            None,
+            r#"{ "id": "a", "terms": {} }"#,
+            409,
+            "",
+        ),
         ("PATCH", "/tenants/a", None, "{}", 415, ""),
         ("PATCH", "/tenants/a", Some(merge), "[", 400, ""),
-        ("PATCH", "/tenants/a", Some(merge), r#"{ "share": 0 }"#, 422, "/share"),
+        (
+            "PATCH",
+            "/tenants/a",
+            Some(merge),
+            r#"{ "share": 0 }"#,
+            422,
+            "/share",
+        ),
         ("PATCH", "/tenants/a", Some(merge), "7", 422, ""),
         ("PUT", "/tenants/a", None, "{}", 422, ""),
         ("POST", "/tokens", None, r#"{ "role": "king" }"#, 422, ""),
-        ("POST", "/tokens", None, r#"{ "role": "operator", "tenant": "a" }"#, 422, ""),
+        (
+            "POST",
+            "/tokens",
+            None,
+            r#"{ "role": "operator", "tenant": "a" }"#,
+            422,
+            "",
+        ),
         ("GET", "/tenants?limit=many", None, "", 400, ""),
         ("GET", "/tenants?after=A", None, "", 400, ""),
         ("PUT", "/tenants", None, "", 405, ""),
@@ -238,15 +345,24 @@
     for (method, target, field, body, status, pointer) in cases {
         let fields: Vec<_> = [("If-Match", "*")].into_iter().chain(field).collect();
         let said = desk.ask(OPERATOR, method, target, &fields, body);
-        assert_eq!(said.status, status, "{method} {target} {body}: {}", said.text);
+        assert_eq!(
+            said.status, status,
+            "{method} {target} {body}: {}",
+            said.text
+        );
         assert_eq!(said.field("Content-Type"), "application/problem+json");
         assert_eq!(said.body["status"], status);
         if !pointer.is_empty() {
-            assert!(said.text.contains(&format!("\"pointer\":\"{pointer}\"")), "{}", said.text);
+            assert!(
+                said.text.contains(&format!("\"pointer\":\"{pointer}\"")),
+                "{}",
+                said.text
+            );
         }
     }
     assert_eq!(
-        desk.ask(OPERATOR, "GET", "/tenants/a", &[], "").field("ETag"),
+        desk.ask(OPERATOR, "GET", "/tenants/a", &[], "")
+            .field("ETag"),
         "\"1\"",
         "nothing was changed"
     );
@@ -257,21 +373,37 @@
     let mut desk = Desk::new();
     let body = json!({ "id": "c", "terms": terms("c") }).to_string();
     let key = [("Idempotency-Key", "k1")];
-    let statuses: Vec<u16> =
-        (0..3).map(|_| desk.ask(OPERATOR, "POST", "/tenants", &key, &body).status).collect();
+    let statuses: Vec<u16> = (0..3)
+        .map(|_| desk.ask(OPERATOR, "POST", "/tenants", &key, &body).status)
+        .collect();
     assert_eq!(statuses, [201, 200, 200]);
     let other = json!({ "id": "c", "terms": terms("other") }).to_string();
-    assert_eq!(desk.ask(OPERATOR, "POST", "/tenants", &key, &other).status, 422);
-    assert_eq!(desk.ask(OPERATOR, "POST", "/tenants", &[], &body).status, 409);
+    assert_eq!(
+        desk.ask(OPERATOR, "POST", "/tenants", &key, &other).status,
+        422
+    );
+    assert_eq!(
+        desk.ask(OPERATOR, "POST", "/tenants", &[], &body).status,
+        409
+    );
 }
 
 #[test]
 fn an_administrator_that_hammers_is_held_to_its_calls_and_others_are_not() {
     let mut desk = Desk::new();
     let limit = json!({ "limits": { "admin_calls_per_min": 50 } }).to_string();
-    let fields = [("If-Match", "*"), ("Content-Type", "application/merge-patch+json")];
-    assert_eq!(desk.ask(OPERATOR, "PATCH", "/tenants/a", &fields, &limit).status, 200);
-    let answers: Vec<u16> = (0..80).map(|_| desk.ask(ADMIN, "GET", "/tenants/a", &[], "").status).collect();
+    let fields = [
+        ("If-Match", "*"),
+        ("Content-Type", "application/merge-patch+json"),
+    ];
+    assert_eq!(
+        desk.ask(OPERATOR, "PATCH", "/tenants/a", &fields, &limit)
+            .status,
+        200
+    );
+    let answers: Vec<u16> = (0..80)
+        .map(|_| desk.ask(ADMIN, "GET", "/tenants/a", &[], "").status)
+        .collect();
     assert_eq!(answers.iter().filter(|s| **s == 200).count(), 50);
     assert!(answers[50..].iter().all(|s| *s == 429));
     assert_eq!(desk.ask(OPERATOR, "GET", "/tenants/a", &[], "").status, 200);
@@ -283,11 +415,21 @@
 fn a_deleted_tenant_is_gone_for_readers_and_its_id_is_not_free_before_its_end() {
     let mut desk = Desk::new();
     let deleted = desk.call(OPERATOR, Call::Delete, "a");
-    assert_eq!((deleted.status, &deleted.body["state"]["is"]), (202, &json!("deleting")));
+    assert_eq!(
+        (deleted.status, &deleted.body["state"]["is"]),
+        (202, &json!("deleting"))
+    );
     assert_eq!(desk.call(ADMIN, Call::Patch, "a").status, 409);
     let body = json!({ "id": "a", "terms": terms("another") }).to_string();
-    assert_eq!(desk.ask(OPERATOR, "POST", "/tenants", &[], &body).status, 409);
-    assert_eq!(desk.ask(READER, "GET", "/tenants/a", &[], "").status, 200, "while it plays out");
+    assert_eq!(
+        desk.ask(OPERATOR, "POST", "/tenants", &[], &body).status,
+        409
+    );
+    assert_eq!(
+        desk.ask(READER, "GET", "/tenants/a", &[], "").status,
+        200,
+        "while it plays out"
+    );
     // The last front says that it holds nothing, and the id is free: the history goes on under it.
     let mut report = |held: Value| {
         let said = json!({ "front": 1, "number": 3, "held": held }).to_string();
@@ -296,9 +438,19 @@
     };
     assert_eq!((report(json!({ "a": 1 })), report(json!({}))), (0, 1));
     assert_eq!(desk.ask(READER, "GET", "/tenants/a", &[], "").status, 404);
-    assert_eq!(desk.ask(OPERATOR, "POST", "/tenants", &[], &body).status, 201);
-    let history = desk.ask(OPERATOR, "GET", "/tenants/a/history", &[], "").body;
-    let what: Vec<_> = history["entries"].as_array().unwrap().iter().map(|e| e["what"].clone()).collect();
+    assert_eq!(
+        desk.ask(OPERATOR, "POST", "/tenants", &[], &body).status,
+        201
+    );
+    let history = desk
+        .ask(OPERATOR, "GET", "/tenants/a/history", &[], "")
+        .body;
+    let what: Vec<_> = history["entries"]
+        .as_array()
+        .unwrap()
+        .iter()
+        .map(|e| e["what"].clone())
+        .collect();
     assert_eq!(what, ["create", "delete", "bury", "create"]);
     desk.api.store.check().unwrap();
 }
@@ -311,9 +463,9 @@
     for (path, methods) in document["paths"].as_object().unwrap() {
         for (method, call) in methods.as_object().unwrap() {
             calls += 1;
-            let route = ROUTES
-                .iter()
-                .find(|r| r.path.replace("{}", "{id}") == *path && r.method.to_lowercase() == *method);
+            let route = ROUTES.iter().find(|r| {
+                r.path.replace("{}", "{id}") == *path && r.method.to_lowercase() == *method
+            });
             assert_eq!(
                 call["operationId"],
                 format!("{:?}", route.expect("a call that the server knows").call)
@@ -322,7 +474,11 @@
     }
     assert_eq!(calls, ROUTES.len());
     let text = document.to_string();
-    for reference in text.split("\"$ref\":\"#").skip(1).map(|r| r.split('"').next().unwrap()) {
+    for reference in text
+        .split("\"$ref\":\"#")
+        .skip(1)
+        .map(|r| r.split('"').next().unwrap())
+    {
         // Those within the terms' own schema are relative to it.
         let found = document
             .pointer(reference)
--- a/crates/audit/src/moves.rs
+++ b/crates/audit/src/moves.rs
@@ -60,7 +60,11 @@
 }
 
 fn at<T: Copy>(changes: &[(i64, T)], t: i64) -> Option<T> {
-    changes.iter().rev().find(|(from, _)| *from <= t).map(|(_, x)| *x)
+    changes
+        .iter()
+        .rev()
+        .find(|(from, _)| *from <= t)
+        .map(|(_, x)| *x)
 }
 
 /// Whether something was so at any time of a span.
@@ -70,8 +74,12 @@
 
 impl Node {
     fn load(&self, t: i64) -> Option<(f64, f64, f64)> {
-        let last =
-            self.loads.iter().rev().find(|(from, ..)| *from <= t).filter(|(from, ..)| t - from < 1_500_000);
+        let last = self
+            .loads
+            .iter()
+            .rev()
+            .find(|(from, ..)| *from <= t)
+            .filter(|(from, ..)| t - from < 1_500_000);
         last.map(|(_, link, uplink, streams)| (*link, *uplink, *streams))
     }
 
@@ -85,7 +93,9 @@
     }
 
     fn short(&self, from: i64, to: i64) -> bool {
-        self.loads.iter().any(|(t, link, uplink, _)| *t > from && *t <= to && link.max(*uplink) > 1.0)
+        self.loads
+            .iter()
+            .any(|(t, link, uplink, _)| *t > from && *t <= to && link.max(*uplink) > 1.0)
     }
 }
 
@@ -116,46 +126,108 @@
                 node.up.push((*t, true));
                 node.frozen.push((*t, false));
             }
-            Record::NodeDown { t, node, .. } => self.nodes.entry(*node).or_default().up.push((*t, false)),
-            Record::Froze { t, node } => self.nodes.entry(*node).or_default().frozen.push((*t, true)),
-            Record::Thawed { t, node } => self.nodes.entry(*node).or_default().frozen.push((*t, false)),
-            Record::Load { t, node, link, uplink, streams } => {
-                self.nodes.entry(*node).or_default().loads.push((*t, *link, *uplink, *streams));
+            Record::NodeDown { t, node, .. } => {
+                self.nodes.entry(*node).or_default().up.push((*t, false))
+            }
+            Record::Froze { t, node } => {
+                self.nodes.entry(*node).or_default().frozen.push((*t, true))
+            }
+            Record::Thawed { t, node } => self
+                .nodes
+                .entry(*node)
+                .or_default()
+                .frozen
+                .push((*t, false)),
+            Record::Load {
+                t,
+                node,
+                link,
+                uplink,
+                streams,
+            } => {
+                self.nodes
+                    .entry(*node)
+                    .or_default()
+                    .loads
+                    .push((*t, *link, *uplink, *streams));
             }
-            Record::Told { t, director, node, standing, .. } => {
-                self.off.entry((*director, *node)).or_default().push((*t, standing != "ready"));
+            Record::Told {
+                t,
+                director,
+                node,
+                standing,
+                ..
+            } => {
+                self.off
+                    .entry((*director, *node))
+                    .or_default()
+                    .push((*t, standing != "ready"));
             }
-            Record::SetUp { t, node, director, session, title, .. } => {
-                let new = || Session { director: *director, title: title.clone(), nodes: Vec::new() };
-                self.sessions.entry(*session).or_insert_with(new).nodes.push((*t, *node));
+            Record::SetUp {
+                t,
+                node,
+                director,
+                session,
+                title,
+                ..
+            } => {
+                let new = || Session {
+                    director: *director,
+                    title: title.clone(),
+                    nodes: Vec::new(),
+                };
+                self.sessions
+                    .entry(*session)
+                    .or_insert_with(new)
+                    .nodes
+                    .push((*t, *node));
             }
-            Record::HandIn { t, session, epoch, .. } => {
+            Record::HandIn {
+                t, session, epoch, ..
+            } => {
                 self.asked.entry((*session, *epoch)).or_insert(*t);
             }
-            Record::Fetched { t, node, session, epoch, .. } => match self.fetched.get(&(*session, *epoch)) {
+            Record::Fetched {
+                t,
+                node,
+                session,
+                epoch,
+                ..
+            } => match self.fetched.get(&(*session, *epoch)) {
                 Some((_, at)) if at != node => moves.served_twice += 1,
                 Some(_) => {}
                 None => drop(self.fetched.insert((*session, *epoch), (*t, *node))),
             },
-            Record::Gap { t, session, micros, .. } => self.gaps.push((*t, *session, *micros)),
+            Record::Gap {
+                t, session, micros, ..
+            } => self.gaps.push((*t, *session, *micros)),
             _ => {}
         }
     }
 
     fn off(&self, director: u32, node: u64, from: i64, to: i64) -> bool {
-        self.off.get(&(director, node)).is_some_and(|changes| ever(changes, from, to))
+        self.off
+            .get(&(director, node))
+            .is_some_and(|changes| ever(changes, from, to))
     }
 
     /// Whether some other holder of the title had room.
     fn room(&self, rules: &Rules, session: &Session, not: u64, t: i64) -> bool {
-        let Some((home, spread)) = rules.titles.get(&session.title) else { return false };
+        let Some((home, spread)) = rules.titles.get(&session.title) else {
+            return false;
+        };
         let holds = |cell: u64| (cell + rules.cells - home) % rules.cells.max(1) < *spread;
-        let mut others = self.nodes.iter().filter(|(id, n)| **id != not && n.cell.is_some_and(holds));
+        let mut others = self
+            .nodes
+            .iter()
+            .filter(|(id, n)| **id != not && n.cell.is_some_and(holds));
         others.any(|(id, n)| n.has_room(t) && !self.off(session.director, *id, t, t))
     }
 
     fn cause(&self, session: &Session, node: u64, t: i64) -> Cause {
-        let (from, Some(n)) = (t - BUFFERS, self.nodes.get(&node)) else { return Cause::Other };
+        let (from, Some(n)) = (t - BUFFERS, self.nodes.get(&node)) else {
+            return Cause::Other;
+        };
         let died = n.up.iter().any(|(at, up)| !up && *at > from && *at <= t);
         match () {
             _ if died || self.off(session.director, node, from, t) => Cause::Death,
@@ -171,36 +243,57 @@
     let (mut seen, mut moves) = (Seen::default(), Moves::default());
     records.iter().for_each(|r| seen.take(r, &mut moves));
     let mut counts: BTreeMap<u64, u64> = BTreeMap::new();
-    let by_time: BTreeSet<(i64, u64, u32, u64)> =
-        seen.fetched.iter().map(|((session, epoch), (t, node))| (*t, *session, *epoch, *node)).collect();
+    let by_time: BTreeSet<(i64, u64, u32, u64)> = seen
+        .fetched
+        .iter()
+        .map(|((session, epoch), (t, node))| (*t, *session, *epoch, *node))
+        .collect();
     for (t, session, epoch, node) in by_time {
-        let Some(s) = seen.sessions.get_mut(&session) else { continue };
+        let Some(s) = seen.sessions.get_mut(&session) else {
+            continue;
+        };
         let from = s.nodes.last().map_or(0, |(_, node)| *node);
         s.nodes.push((t, node));
         moves.made += 1;
         let count = counts.entry(session).or_default();
         *count += 1;
         moves.most = moves.most.max(*count);
-        let (s, asked) = (&seen.sessions[&session], seen.asked.get(&(session, epoch)).copied().unwrap_or(t));
+        let (s, asked) = (
+            &seen.sessions[&session],
+            seen.asked.get(&(session, epoch)).copied().unwrap_or(t),
+        );
         let source = &seen.nodes[&from];
-        let soon = source.well(asked) || (at(&source.up, asked) == Some(true) && source.well(asked + REGRET));
+        let soon = source.well(asked)
+            || (at(&source.up, asked) == Some(true) && source.well(asked + REGRET));
         let leaves = seen.off(s.director, from, asked - BUFFERS, asked + REGRET);
         let short = source.short(asked - BUFFERS, asked + REGRET);
         moves.regretted += u64::from(soon && !leaves && !short);
-        let near = seen
+        let near = seen.gaps.iter().filter(|(g, id, len)| {
+            *id == session && g + len >= asked - 1_000_000 && *g <= t + 2_000_000
+        });
+        moves
             .gaps
-            .iter()
-            .filter(|(g, id, len)| *id == session && g + len >= asked - 1_000_000 && *g <= t + 2_000_000);
-        moves.gaps.push(near.map(|(.., len)| *len).max().unwrap_or(0));
+            .push(near.map(|(.., len)| *len).max().unwrap_or(0));
     }
     let mut worst = Vec::new();
     for (t, session, length) in &seen.gaps {
         moves.stood += length;
-        let Some(s) = seen.sessions.get(session).filter(|_| *length > GAP) else { continue };
-        let node = s.nodes.iter().rev().find(|(from, _)| from < t).map_or(0, |(_, node)| *node);
+        let Some(s) = seen.sessions.get(session).filter(|_| *length > GAP) else {
+            continue;
+        };
+        let node = s
+            .nodes
+            .iter()
+            .rev()
+            .find(|(from, _)| from < t)
+            .map_or(0, |(_, node)| *node);
         let cause = seen.cause(s, node, *t);
         let room = seen.room(rules, s, node, *t);
-        let counts = if room { &mut moves.with_room } else { &mut moves.without };
+        let counts = if room {
+            &mut moves.with_room
+        } else {
+            &mut moves.without
+        };
         *counts.entry(cause).or_default() += 1;
         if room {
             let what = format!(
@@ -213,7 +306,12 @@
     }
     moves.gaps.sort_unstable();
     worst.sort();
-    moves.worst = worst.into_iter().rev().take(10).map(|(_, what)| what).collect();
+    moves.worst = worst
+        .into_iter()
+        .rev()
+        .take(10)
+        .map(|(_, what)| what)
+        .collect();
     moves
 }
 
@@ -241,7 +339,11 @@
         )?;
         let named = |counts: &BTreeMap<Cause, u64>| {
             let words: Vec<_> = counts.iter().map(|(c, n)| format!("{n} {c:?}")).collect();
-            if words.is_empty() { "none".to_string() } else { words.join(", ") }
+            if words.is_empty() {
+                "none".to_string()
+            } else {
+                words.join(", ")
+            }
         };
         writeln!(
             f,
@@ -251,6 +353,8 @@
             self.stood as f64 / 1e6,
             self.served_twice
         )?;
-        self.worst.iter().try_for_each(|what| writeln!(f, "  {what}"))
+        self.worst
+            .iter()
+            .try_for_each(|what| writeln!(f, "  {what}"))
     }
 }
--- a/crates/audit/src/record.rs
+++ b/crates/audit/src/record.rs
@@ -215,7 +215,11 @@
         use Record::*;
         match self {
             NodeUp { t, .. } | NodeDown { t, .. } | SetUp { t, .. } | SetUpDone { t, .. } => *t,
-            Partial { t, .. } | Rung { t, .. } | Over { t, .. } | Told { t, .. } | Asked { t, .. } => *t,
+            Partial { t, .. }
+            | Rung { t, .. }
+            | Over { t, .. }
+            | Told { t, .. }
+            | Asked { t, .. } => *t,
             Answered { t, .. } | Unanswered { t, .. } | Left { t, .. } | Watched { t, .. } => *t,
             HandIn { t, .. } | HandInDone { t, .. } | Fetched { t, .. } | Froze { t, .. } => *t,
             Thawed { t, .. } | Load { t, .. } | Gap { t, .. } => *t,
@@ -301,8 +305,9 @@
     let mut records = Vec::new();
     for file in files {
         for (number, line) in BufReader::new(File::open(file.path())?).lines().enumerate() {
-            let record = serde_json::from_str(&line?)
-                .map_err(|e| io::Error::other(format!("{}:{}: {e}", file.path().display(), number + 1)))?;
+            let record = serde_json::from_str(&line?).map_err(|e| {
+                io::Error::other(format!("{}:{}: {e}", file.path().display(), number + 1))
+            })?;
             records.push(record);
         }
     }
--- a/crates/audit/tests/convicts.rs
+++ b/crates/audit/tests/convicts.rs
@@ -22,7 +22,11 @@
         start_capacity: 0.4,
         overload_factor: 2.0,
         fall: 2 * S,
-        further: Some(Further { free: 1.0, per_request: 0.5, span: 10 * S }),
+        further: Some(Further {
+            free: 1.0,
+            per_request: 0.5,
+            span: 10 * S,
+        }),
         transit: S / 20,
         cells: 4,
         titles: BTreeMap::from([("t".to_string(), (0, 4))]),
@@ -34,25 +38,65 @@
 }
 
 fn set_up_of(t: i64, session: u64, attempt: u32, class: &str, tenant: Option<&str>) -> Record {
-    let (class, title, tenant) = (class.to_string(), "t".to_string(), tenant.map(str::to_string));
-    Record::SetUp { t, node: 1, director: 0, session, attempt, tenant, class, title, rung: 1 }
+    let (class, title, tenant) = (
+        class.to_string(),
+        "t".to_string(),
+        tenant.map(str::to_string),
+    );
+    Record::SetUp {
+        t,
+        node: 1,
+        director: 0,
+        session,
+        attempt,
+        tenant,
+        class,
+        title,
+        rung: 1,
+    }
 }
 
 fn done(t: i64, session: u64, attempt: u32, ran: Ran) -> Record {
-    Record::SetUpDone { t, node: 1, session, attempt, ran }
+    Record::SetUpDone {
+        t,
+        node: 1,
+        session,
+        attempt,
+        ran,
+    }
 }
 
 fn asked(t: i64, ask: u64, class: &str) -> Record {
     let (key, class, title) = (format!("v{ask}"), class.to_string(), "t".to_string());
-    Record::Asked { t, director: 0, ask, key, tenant: None, class, title, wait: 2 * S }
+    Record::Asked {
+        t,
+        director: 0,
+        ask,
+        key,
+        tenant: None,
+        class,
+        title,
+        wait: 2 * S,
+    }
 }
 
 fn answered(t: i64, ask: u64, status: u16, session: u64) -> Record {
-    Record::Answered { t, ask, status, session: Some(session) }
+    Record::Answered {
+        t,
+        ask,
+        status,
+        session: Some(session),
+    }
 }
 
 fn told(t: i64, standing: &str, came_up: Option<i64>) -> Record {
-    Record::Told { t, director: 0, node: 1, standing: standing.to_string(), came_up }
+    Record::Told {
+        t,
+        director: 0,
+        node: 1,
+        standing: standing.to_string(),
+        came_up,
+    }
 }
 
 #[track_caller]
@@ -60,42 +104,104 @@
     records.sort_by_key(Record::time);
     let verdict = judge(&records, &rules());
     let found: Vec<Rule> = verdict.findings.iter().map(|f| f.rule).collect();
-    assert!(found.iter().all(|f| Some(*f) == rule) && found.is_empty() == rule.is_none(), "{verdict}");
+    assert!(
+        found.iter().all(|f| Some(*f) == rule) && found.is_empty() == rule.is_none(),
+        "{verdict}"
+    );
 }
 
 #[test]
 fn one_answer_in_time() {
     let late = S / 20 + S / 20;
-    breaks(vec![asked(0, 1, "open"), answered(2 * S + late, 1, 201, 1)], None);
-    breaks(vec![asked(0, 1, "open"), answered(2 * S + late + 1, 1, 201, 1)], Some(Rule::Answered));
-    let twice = vec![asked(0, 1, "open"), answered(S, 1, 201, 1), answered(S, 1, 503, 1)];
+    breaks(
+        vec![asked(0, 1, "open"), answered(2 * S + late, 1, 201, 1)],
+        None,
+    );
+    breaks(
+        vec![asked(0, 1, "open"), answered(2 * S + late + 1, 1, 201, 1)],
+        Some(Rule::Answered),
+    );
+    let twice = vec![
+        asked(0, 1, "open"),
+        answered(S, 1, 201, 1),
+        answered(S, 1, 503, 1),
+    ];
     breaks(twice, Some(Rule::Answered));
-    breaks(vec![asked(0, 1, "open"), asked(9 * S, 2, "open")], Some(Rule::Answered));
-    breaks(vec![asked(0, 1, "open"), Record::Unanswered { t: S, ask: 1 }], Some(Rule::Answered));
+    breaks(
+        vec![asked(0, 1, "open"), asked(9 * S, 2, "open")],
+        Some(Rule::Answered),
+    );
+    breaks(
+        vec![asked(0, 1, "open"), Record::Unanswered { t: S, ask: 1 }],
+        Some(Rule::Answered),
+    );
     // A killed director owes nothing, one that was stopped owes it later.
     let killed = Record::DirectorKilled { t: S, director: 0 };
-    breaks(vec![asked(0, 1, "open"), killed, Record::Unanswered { t: S, ask: 1 }], None);
-    let stalled = Record::DirectorStalled { t: S, director: 0, until: 3 * S };
-    breaks(vec![asked(0, 1, "open"), stalled, answered(3 * S, 1, 504, 1)], None);
+    breaks(
+        vec![
+            asked(0, 1, "open"),
+            killed,
+            Record::Unanswered { t: S, ask: 1 },
+        ],
+        None,
+    );
+    let stalled = Record::DirectorStalled {
+        t: S,
+        director: 0,
+        until: 3 * S,
+    };
+    breaks(
+        vec![asked(0, 1, "open"), stalled, answered(3 * S, 1, 504, 1)],
+        None,
+    );
 }
 
 #[test]
 fn no_set_up_twice() {
     for ran in [Ran::Plays, Ran::Given, Ran::Ended] {
-        let again = vec![set_up(0, 1, 0, "paid"), done(S, 1, 0, ran), set_up(2 * S, 1, 1, "paid")];
+        let again = vec![
+            set_up(0, 1, 0, "paid"),
+            done(S, 1, 0, ran),
+            set_up(2 * S, 1, 1, "paid"),
+        ];
         breaks(again, Some(Rule::Once));
     }
-    let proven = vec![set_up(0, 1, 0, "paid"), done(S, 1, 0, Ran::TurnedAway), set_up(2 * S, 1, 1, "paid")];
+    let proven = vec![
+        set_up(0, 1, 0, "paid"),
+        done(S, 1, 0, Ran::TurnedAway),
+        set_up(2 * S, 1, 1, "paid"),
+    ];
     breaks(proven, None);
-    let harmless = vec![set_up(0, 1, 0, "open"), done(S, 1, 0, Ran::Given), set_up(2 * S, 1, 1, "open")];
+    let harmless = vec![
+        set_up(0, 1, 0, "open"),
+        done(S, 1, 0, Ran::Given),
+        set_up(2 * S, 1, 1, "open"),
+    ];
     breaks(harmless, None);
-    breaks(vec![set_up(0, 1, 0, "open"), set_up(S, 1, 1, "open")], Some(Rule::Once));
-    let part = Record::Partial { t: 0, node: 1, bytes: 30, session: Some(1), attempt: Some(0) };
-    breaks(vec![part.clone(), set_up(S, 1, 1, "paid")], Some(Rule::Once));
+    breaks(
+        vec![set_up(0, 1, 0, "open"), set_up(S, 1, 1, "open")],
+        Some(Rule::Once),
+    );
+    let part = Record::Partial {
+        t: 0,
+        node: 1,
+        bytes: 30,
+        session: Some(1),
+        attempt: Some(0),
+    };
+    breaks(
+        vec![part.clone(), set_up(S, 1, 1, "paid")],
+        Some(Rule::Once),
+    );
     breaks(vec![part, set_up(S, 1, 1, "open")], None);
     // A refusal says that it never ran.
     let refused = |ran| {
-        vec![asked(0, 1, "paid"), set_up(S / 2, 7, 0, "paid"), done(S, 7, 0, ran), answered(S, 1, 503, 7)]
+        vec![
+            asked(0, 1, "paid"),
+            set_up(S / 2, 7, 0, "paid"),
+            done(S, 7, 0, ran),
+            answered(S, 1, 503, 7),
+        ]
     };
     breaks(refused(Ran::TurnedAway), None);
     breaks(refused(Ran::Given), Some(Rule::Once));
@@ -104,12 +210,35 @@
 #[test]
 fn drains_kept() {
     let within = S / 4 + S / 20;
-    breaks(vec![told(S, "draining", None), set_up(S + within, 1, 0, "open")], None);
-    breaks(vec![told(S, "draining", None), set_up(S + within + 1, 1, 0, "open")], Some(Rule::Drains));
-    breaks(vec![told(S, "gone", None), set_up(3 * S, 1, 0, "open")], Some(Rule::Drains));
-    breaks(vec![told(S, "gone", None), told(2 * S, "ready", None), set_up(3 * S, 1, 0, "open")], None);
+    breaks(
+        vec![told(S, "draining", None), set_up(S + within, 1, 0, "open")],
+        None,
+    );
+    breaks(
+        vec![
+            told(S, "draining", None),
+            set_up(S + within + 1, 1, 0, "open"),
+        ],
+        Some(Rule::Drains),
+    );
+    breaks(
+        vec![told(S, "gone", None), set_up(3 * S, 1, 0, "open")],
+        Some(Rule::Drains),
+    );
+    breaks(
+        vec![
+            told(S, "gone", None),
+            told(2 * S, "ready", None),
+            set_up(3 * S, 1, 0, "open"),
+        ],
+        None,
+    );
     // Told again of the same drain is no new grace.
-    let twice = vec![told(S, "draining", None), told(2 * S, "draining", None), set_up(2 * S, 1, 0, "open")];
+    let twice = vec![
+        told(S, "draining", None),
+        told(2 * S, "draining", None),
+        set_up(2 * S, 1, 0, "open"),
+    ];
     breaks(twice, Some(Rule::Drains));
 }
 
@@ -117,7 +246,13 @@
 fn no_cold_node_pushed_over() {
     // 10 places over 10 s at 0.4, twice that over 2 s: 1.6, and 2 for chance.
     let push = |n: u64, knew: bool| {
-        let mut records = vec![Record::NodeUp { t: 0, node: 1, places: 10.0, warm: false, cell: None }];
+        let mut records = vec![Record::NodeUp {
+            t: 0,
+            node: 1,
+            places: 10.0,
+            warm: false,
+            cell: None,
+        }];
         records.extend(knew.then(|| told(1, "ready", Some(0))));
         records.extend((0..n).map(|i| set_up(1000 + i as i64, i, 0, "open")));
         records
@@ -126,7 +261,11 @@
     breaks(push(4, true), Some(Rule::Cold));
     breaks(push(4, false), None);
     let mut fell = push(3, true);
-    fell.push(Record::NodeDown { t: 5000, node: 1, fell: true });
+    fell.push(Record::NodeDown {
+        t: 5000,
+        node: 1,
+        fell: true,
+    });
     breaks(fell, Some(Rule::Cold));
 }
 
@@ -137,14 +276,31 @@
         *rung = 0;
     }
     breaks(vec![low], Some(Rule::Terms));
-    let step = Record::Rung { t: S, node: 1, session: 1, rung: 0 };
-    breaks(vec![set_up(0, 1, 0, "paid"), done(1, 1, 0, Ran::Plays), step], Some(Rule::Terms));
-    let seats = |n: u64| (0..n).map(|i| set_up(i as i64, i, 0, "paid")).collect::<Vec<_>>();
+    let step = Record::Rung {
+        t: S,
+        node: 1,
+        session: 1,
+        rung: 0,
+    };
+    breaks(
+        vec![set_up(0, 1, 0, "paid"), done(1, 1, 0, Ran::Plays), step],
+        Some(Rule::Terms),
+    );
+    let seats = |n: u64| {
+        (0..n)
+            .map(|i| set_up(i as i64, i, 0, "paid"))
+            .collect::<Vec<_>>()
+    };
     breaks(seats(2), None);
     breaks(seats(3), Some(Rule::Terms));
     let mut freed = seats(2);
     freed.push(done(10, 0, 0, Ran::Plays));
-    freed.push(Record::Over { t: 20, node: 1, session: 0, attempt: 0 });
+    freed.push(Record::Over {
+        t: 20,
+        node: 1,
+        session: 0,
+        attempt: 0,
+    });
     freed.push(set_up(30, 9, 0, "paid"));
     breaks(freed, None);
 }
@@ -183,18 +339,34 @@
 #[test]
 fn a_tenants_own_classes_are_its_rules_and_its_findings_its_own() {
     // Its "open" is paid and has one seat; the site's is neither.
-    let others =
-        || vec![set_up(0, 1, 0, "open"), set_up(1, 2, 0, "open"), set_up_of(2, 3, 0, "open", Some("other"))];
-    breaks([others(), vec![set_up_of(3, 4, 0, "open", Some("own"))]].concat(), None);
-    let mut two =
-        [others(), vec![set_up_of(3, 4, 0, "open", Some("own")), set_up_of(4, 5, 0, "open", Some("own"))]]
-            .concat();
+    let others = || {
+        vec![
+            set_up(0, 1, 0, "open"),
+            set_up(1, 2, 0, "open"),
+            set_up_of(2, 3, 0, "open", Some("other")),
+        ]
+    };
+    breaks(
+        [others(), vec![set_up_of(3, 4, 0, "open", Some("own"))]].concat(),
+        None,
+    );
+    let mut two = [
+        others(),
+        vec![
+            set_up_of(3, 4, 0, "open", Some("own")),
+            set_up_of(4, 5, 0, "open", Some("own")),
+        ],
+    ]
+    .concat();
     breaks(two.clone(), Some(Rule::Terms));
     two.sort_by_key(Record::time);
     let verdict = judge(&two, &rules());
     assert_eq!(verdict.findings[0].tenant.as_deref(), Some("own"));
     let said = verdict.to_string();
-    assert!(said.contains("tenant own: ") && said.contains("floors and seats kept BROKEN 1 times"), "{said}");
+    assert!(
+        said.contains("tenant own: ") && said.contains("floors and seats kept BROKEN 1 times"),
+        "{said}"
+    );
     assert_eq!(verdict.tenants["other"][Rule::Once.name()].1, 1);
     let again = vec![
         set_up_of(0, 4, 0, "open", Some("own")),
--- a/crates/clock/src/alarm.rs
+++ b/crates/clock/src/alarm.rs
@@ -15,7 +15,10 @@
 
 impl Default for Alarm {
     fn default() -> Alarm {
-        Alarm { armed: Cell::new(i64::MAX), kick: Event::new() }
+        Alarm {
+            armed: Cell::new(i64::MAX),
+            kick: Event::new(),
+        }
     }
 }
 
--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -14,7 +14,9 @@
 
 fn start() -> (Instant, i64) {
     *START.get_or_init(|| {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let unix = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
         (Instant::now(), unix.as_micros() as i64)
     })
 }
@@ -29,5 +31,7 @@
 pub fn instant(t: i64) -> Instant {
     let (at, unix) = start();
     let after = u64::try_from(t - unix).unwrap_or(0);
-    at.checked_add(Duration::from_micros(after)).unwrap_or_else(Instant::now).max(at)
+    at.checked_add(Duration::from_micros(after))
+        .unwrap_or_else(Instant::now)
+        .max(at)
 }
--- a/crates/engine/benches/decisions.rs
+++ b/crates/engine/benches/decisions.rs
@@ -37,11 +37,22 @@
         weight: 1.0,
         ..Default::default()
     };
-    director.handle(0, Event::List { news: ListNews::Full, lines: (0..15).map(line).collect() }, &mut out);
+    director.handle(
+        0,
+        Event::List {
+            news: ListNews::Full,
+            lines: (0..15).map(line).collect(),
+        },
+        &mut out,
+    );
     for id in 0..count {
         out.clear();
         let req = request(id, 0);
-        director.handle(0, Event::Carried(req, ServerId(req.home + id % 5)), &mut out);
+        director.handle(
+            0,
+            Event::Carried(req, ServerId(req.home + id % 5)),
+            &mut out,
+        );
     }
     let now = 60 * S;
     // Figures of every link and uplink, as notes would keep them.
@@ -49,7 +60,16 @@
         let session = SessionId(id);
         let server = ServerId(request(id, 0).home + id % 5);
         for note in [Note::Link(0.4), Note::Uplink(0.5)] {
-            director.handle(now, Event::Noted { session, attempt: 0, server, note }, &mut out);
+            director.handle(
+                now,
+                Event::Noted {
+                    session,
+                    attempt: 0,
+                    server,
+                    note,
+                },
+                &mut out,
+            );
         }
     }
     director.handle(now, Event::Timer(TICK), &mut out);
@@ -78,14 +98,36 @@
     out.clear();
     director.handle(now, Event::Asked(req), out);
     let sent = out.iter().find_map(|a| match a {
-        Action::Send { session, server, .. } => Some((*session, *server)),
+        Action::Send {
+            session, server, ..
+        } => Some((*session, *server)),
         _ => None,
     });
     let (session, server) = sent.expect("there is room for it");
     let (attempt, waited) = (0, 50_000);
-    director.handle(now, Event::Started { session, attempt, server, waited }, out);
+    director.handle(
+        now,
+        Event::Started {
+            session,
+            attempt,
+            server,
+            waited,
+        },
+        out,
+    );
     let (outcome, closed, load) = (Outcome::Good, true, Load::default());
-    director.handle(now, Event::Finished { session, attempt, server, outcome, closed, load }, out);
+    director.handle(
+        now,
+        Event::Finished {
+            session,
+            attempt,
+            server,
+            outcome,
+            closed,
+            load,
+        },
+        out,
+    );
     out.len()
 }
 
@@ -94,12 +136,16 @@
         let (mut director, mut now) = holding(held);
         let mut out = Vec::new();
         let mut id = held;
-        c.bench_with_input(BenchmarkId::new("request, set up and ended", held), &held, |b, _| {
-            b.iter(|| {
-                (id, now) = (id + 1, now + 30_000);
-                black_box(one(&mut director, now, request(id, now), &mut out))
-            })
-        });
+        c.bench_with_input(
+            BenchmarkId::new("request, set up and ended", held),
+            &held,
+            |b, _| {
+                b.iter(|| {
+                    (id, now) = (id + 1, now + 30_000);
+                    black_box(one(&mut director, now, request(id, now), &mut out))
+                })
+            },
+        );
         c.bench_with_input(BenchmarkId::new("tick", held), &held, |b, _| {
             b.iter(|| {
                 now += 200_000;
@@ -120,40 +166,68 @@
             worth: 1.0 + i as f64 / 1e4,
             ..common::settings().classes[common::HARMLESS]
         };
-        let classes = common::settings().classes.into_iter().chain((0..count).map(class)).collect();
+        let classes = common::settings()
+            .classes
+            .into_iter()
+            .chain((0..count).map(class))
+            .collect();
         let part = 1.0 / count as f64;
-        let tenants = vec![TenantTerms { part, ..TenantTerms::default() }; count];
+        let tenants = vec![
+            TenantTerms {
+                part,
+                ..TenantTerms::default()
+            };
+            count
+        ];
         director.handle(now, Event::Terms { classes, tenants }, &mut out);
         let mut id = 1_000u64;
-        c.bench_with_input(BenchmarkId::new("request of a tenant among", count), &count, |b, _| {
-            b.iter(|| {
-                (id, now) = (id + 1, now + 30_000);
-                let tenant = (id % 10) as usize % count;
-                let req = Request { tenant: Some(tenant), class: 2 + tenant, ..request(id, now) };
-                black_box(one(&mut director, now, req, &mut out))
-            })
-        });
+        c.bench_with_input(
+            BenchmarkId::new("request of a tenant among", count),
+            &count,
+            |b, _| {
+                b.iter(|| {
+                    (id, now) = (id + 1, now + 30_000);
+                    let tenant = (id % 10) as usize % count;
+                    let req = Request {
+                        tenant: Some(tenant),
+                        class: 2 + tenant,
+                        ..request(id, now)
+                    };
+                    black_box(one(&mut director, now, req, &mut out))
+                })
+            },
+        );
     }
 }
 
 /// When to move: a player's word and a look, among so many sessions at 100 nodes.
 fn moves(c: &mut Criterion) {
     for held in [1_000u64, 100_000] {
-        let terms =
-            Terms { takes: 700_000, again: 15 * S, lasts: 6 * S, at_node: 16, at_front: 64, costs_s: 1.0 };
+        let terms = Terms {
+            takes: 700_000,
+            again: 15 * S,
+            lasts: 6 * S,
+            at_node: 16,
+            at_front: 64,
+            costs_s: 1.0,
+        };
         let (mut mover, mut now) = (Mover::new(terms, 1), 0);
         (0..held).for_each(|id| mover.plays(0, SessionId(id), ServerId(id % 100), None));
         mover.handle_timeout(S);
         now += S;
         let mut id = 0;
-        c.bench_with_input(BenchmarkId::new("word and look among", held), &held, |b, _| {
-            b.iter(|| {
-                (id, now) = ((id + 7) % held, now + 100_000);
-                mover.handle_timeout(now);
-                mover.silent(now, SessionId(id), 300_000);
-                black_box(mover.wishes(now).len())
-            })
-        });
+        c.bench_with_input(
+            BenchmarkId::new("word and look among", held),
+            &held,
+            |b, _| {
+                b.iter(|| {
+                    (id, now) = ((id + 7) % held, now + 100_000);
+                    mover.handle_timeout(now);
+                    mover.silent(now, SessionId(id), 300_000);
+                    black_box(mover.wishes(now).len())
+                })
+            },
+        );
         let mut director = holding(held.min(50_000)).0;
         let (mut out, mut at) = (Vec::new(), 100 * S);
         c.bench_with_input(
@@ -164,7 +238,14 @@
                     (id, at) = ((id + 7) % held.min(50_000), at + 30_000);
                     out.clear();
                     director.handle(at, Event::HandOver(SessionId(id)), &mut out);
-                    director.handle(at, Event::HandedOver { session: SessionId(id), moved: false }, &mut out);
+                    director.handle(
+                        at,
+                        Event::HandedOver {
+                            session: SessionId(id),
+                            moved: false,
+                        },
+                        &mut out,
+                    );
                     black_box(out.len())
                 })
             },
--- a/crates/engine/src/carried.rs
+++ b/crates/engine/src/carried.rs
@@ -28,20 +28,39 @@
             if !self.is_earlier(carried.session) {
                 continue;
             }
-            let Carried { session, attempt, held, .. } = carried;
+            let Carried {
+                session,
+                attempt,
+                held,
+                ..
+            } = carried;
             if let Some(s) = self.sessions.get(&session) {
                 // Its player may have gone over there before this process began.
-                let (known, later) = (s.attempts == attempt + 1, held.serving.filter(|e| *e > Epoch(0)));
-                let newer = later.filter(|e| s.hand.as_ref().is_some_and(|h| *e > h.handover.epoch()));
+                let (known, later) = (
+                    s.attempts == attempt + 1,
+                    held.serving.filter(|e| *e > Epoch(0)),
+                );
+                let newer =
+                    later.filter(|e| s.hand.as_ref().is_some_and(|h| *e > h.handover.epoch()));
                 if let Some(epoch) = newer.filter(|_| known) {
                     self.aim(session, server, &carried);
-                    self.hand_on(session, Some(front::Input::Serving { node: server.0, epoch }));
+                    self.hand_on(
+                        session,
+                        Some(front::Input::Serving {
+                            node: server.0,
+                            epoch,
+                        }),
+                    );
                 }
                 continue;
             }
             let Some(moves) = &mut self.moves else { return };
             if !self.ends.contains_key(&(server, session, attempt)) {
-                moves.found.entry(session).or_default().push((server, carried));
+                moves
+                    .found
+                    .entry(session)
+                    .or_default()
+                    .push((server, carried));
             }
         }
         let Some(moves) = &mut self.moves else { return };
@@ -64,10 +83,24 @@
     /// Where it is on its way to, as another process had decided.
     fn aim(&mut self, session: SessionId, server: ServerId, carried: &Carried) {
         let now = self.now;
-        let Some(hand) = self.sessions.get_mut(&session).and_then(|s| s.hand.as_deref_mut()) else { return };
+        let Some(hand) = self
+            .sessions
+            .get_mut(&session)
+            .and_then(|s| s.hand.as_deref_mut())
+        else {
+            return;
+        };
         let (media, rung) = (Some(carried.media.clone()), carried.rung);
         let (ready, call, began, why) = (Some(now), None, now, Why::Orphaned);
-        hand.target.get_or_insert(Target { server, rung, media, ready, call, began, why });
+        hand.target.get_or_insert(Target {
+            server,
+            rung,
+            media,
+            ready,
+            call,
+            began,
+            why,
+        });
     }
 
     /// Goes on with all that was found: where it is served, under the greatest epoch; moves that were under way are
@@ -75,7 +108,10 @@
     pub(crate) fn adopt(&mut self) {
         let Some(moves) = &mut self.moves else { return };
         moves.adopt = None;
-        let (found, early) = (std::mem::take(&mut moves.found), std::mem::take(&mut moves.early));
+        let (found, early) = (
+            std::mem::take(&mut moves.found),
+            std::mem::take(&mut moves.early),
+        );
         for (session, all) in found {
             if !self.go_on(session, &all) {
                 for (server, c) in all {
@@ -86,20 +122,35 @@
         for (session, epoch) in early {
             self.on_follows(session, Some(epoch));
         }
-        let died = self.moves.as_mut().map(|m| std::mem::take(&mut m.died)).unwrap_or_default();
-        died.into_iter().for_each(|server| self.lose_sessions(server, Micros::MAX, &[]));
+        let died = self
+            .moves
+            .as_mut()
+            .map(|m| std::mem::take(&mut m.died))
+            .unwrap_or_default();
+        died.into_iter()
+            .for_each(|server| self.lose_sessions(server, Micros::MAX, &[]));
     }
 
     fn go_on(&mut self, session: SessionId, all: &[(ServerId, Carried)]) -> bool {
         let now = self.now;
-        let held: Vec<(ServerId, HeldThere)> = all.iter().map(|(server, c)| (*server, c.held)).collect();
-        let greatest = held.iter().filter_map(|(_, h)| h.serving.max(h.prepared)).max().unwrap_or_default();
+        let held: Vec<(ServerId, HeldThere)> =
+            all.iter().map(|(server, c)| (*server, c.held)).collect();
+        let greatest = held
+            .iter()
+            .filter_map(|(_, h)| h.serving.max(h.prepared))
+            .max()
+            .unwrap_or_default();
         let Some(handover) = Handover::found(&held, Epoch(greatest.0 + FAR), now) else {
             return false;
         };
         let at = handover.at();
-        let Some((_, carried)) = all.iter().find(|(server, _)| *server == at) else { return false };
-        let Ok(found) = self.catalogue.find(carried.tenant.as_deref(), &carried.class, &carried.title) else {
+        let Some((_, carried)) = all.iter().find(|(server, _)| *server == at) else {
+            return false;
+        };
+        let Ok(found) =
+            self.catalogue
+                .find(carried.tenant.as_deref(), &carried.class, &carried.title)
+        else {
             return false;
         };
         self.catalogue.hold(found.class, found.tenant);
@@ -127,7 +178,11 @@
                 title: carried.title.clone(),
                 tenant: carried.tenant.clone(),
                 class: carried.class.clone(),
-                stage: Stage::Plays { server: at, since: now, media: carried.media.clone() },
+                stage: Stage::Plays {
+                    server: at,
+                    since: now,
+                    media: carried.media.clone(),
+                },
                 attempts,
                 before: attempts - 1,
                 carried: true,
@@ -136,14 +191,27 @@
                 telling: None,
                 waiting: Vec::new(),
                 owed: 0,
-                hand: Some(Box::new(Hand { handover, follows: false, target: None, rings: None })),
+                hand: Some(Box::new(Hand {
+                    handover,
+                    follows: false,
+                    target: None,
+                    rings: None,
+                })),
             },
         );
         self.pending.push_back(Event::Carried(request, at));
         let (rung, attempt) = (Note::Rung(carried.rung), 0);
-        self.pending.push_back(Event::Noted { session, attempt, server: at, note: rung });
+        self.pending.push_back(Event::Noted {
+            session,
+            attempt,
+            server: at,
+            note: rung,
+        });
         // One of the others is where a move was on its way to; the rest is behind.
-        let going = self.sessions[&session].hand.as_ref().and_then(|h| h.handover.target());
+        let going = self.sessions[&session]
+            .hand
+            .as_ref()
+            .and_then(|h| h.handover.target());
         for (server, c) in all.iter().filter(|(server, _)| *server != at) {
             if Some(*server) == going {
                 self.aim(session, *server, c);
--- a/crates/engine/src/catalogue.rs
+++ b/crates/engine/src/catalogue.rs
@@ -33,7 +33,11 @@
 
     /// The number of an equal one, or a new one.
     fn shared(&mut self, what: T) -> usize {
-        match self.0.iter().position(|(same, holders)| *holders > 0 && *same == what) {
+        match self
+            .0
+            .iter()
+            .position(|(same, holders)| *holders > 0 && *same == what)
+        {
             Some(number) => {
                 self.hold(number);
                 number
@@ -109,8 +113,16 @@
             ..Tenant::default()
         };
         let (terms, told) = (&config.settings.classes, &config.settings.tenants);
-        let tenant =
-            |(number, name): (usize, String)| (name, Tenant { number, takes: true, ..Tenant::default() });
+        let tenant = |(number, name): (usize, String)| {
+            (
+                name,
+                Tenant {
+                    number,
+                    takes: true,
+                    ..Tenant::default()
+                },
+            )
+        };
         Catalogue {
             // Held by the settings: never given to others.
             classes: Numbers(terms.iter().map(|t| (*t, 1)).collect()),
@@ -126,18 +138,40 @@
     pub fn find(&self, tenant: Option<&str>, class: &str, title: &str) -> Result<Found, Missing> {
         let of = match tenant {
             None => None,
-            Some(name) => Some(self.tenants.get(name).filter(|t| t.takes).ok_or(Missing::Tenant)?),
+            Some(name) => Some(
+                self.tenants
+                    .get(name)
+                    .filter(|t| t.takes)
+                    .ok_or(Missing::Tenant)?,
+            ),
         };
         let own_classes = of.filter(|t| !t.classes.is_empty());
         let own_titles = of.filter(|t| !t.titles.is_empty());
         let classes = &own_classes.unwrap_or(&self.site).classes;
         let (class_number, give_up) = *classes.get(class).ok_or(Missing::Class)?;
-        let place = *own_titles.unwrap_or(&self.site).titles.get(title).ok_or(Missing::Title)?;
+        let place = *own_titles
+            .unwrap_or(&self.site)
+            .titles
+            .get(title)
+            .ok_or(Missing::Title)?;
         // Seats go by title and class; of tenants that have classes or titles of their own nothing is in common.
-        let owner = if own_classes.is_some() || own_titles.is_some() { tenant } else { None };
-        let title = TitleId(xxh3_64(format!("{}\n{class}\n{title}", owner.unwrap_or("")).as_bytes()));
+        let owner = if own_classes.is_some() || own_titles.is_some() {
+            tenant
+        } else {
+            None
+        };
+        let title = TitleId(xxh3_64(
+            format!("{}\n{class}\n{title}", owner.unwrap_or("")).as_bytes(),
+        ));
         let (tenant, fleet) = (of.map(|t| t.number), of.map_or(0, |t| t.fleet));
-        Ok(Found { class: class_number, give_up, title, place, tenant, fleet })
+        Ok(Found {
+            class: class_number,
+            give_up,
+            title,
+            place,
+            tenant,
+            fleet,
+        })
     }
 
     /// A session that names these numbers is under way.
@@ -155,10 +189,13 @@
     pub fn agree(&mut self, name: &str, agreed: Option<Agreed>) {
         let before = self.tenants.remove(name);
         if let Some(agreed) = agreed {
-            let number = before.as_ref().map_or_else(|| self.shares.new_one(0.0), |t| t.number);
+            let number = before
+                .as_ref()
+                .map_or_else(|| self.shares.new_one(0.0), |t| t.number);
             self.shares.0[number].0 = agreed.share.unwrap_or(0.0);
             let classes = agreed.classes.into_iter();
-            let classes = classes.map(|(name, (terms, wait))| (name, (self.classes.shared(terms), wait)));
+            let classes =
+                classes.map(|(name, (terms, wait))| (name, (self.classes.shared(terms), wait)));
             let tenant = Tenant {
                 number,
                 takes: agreed.share.is_some(),
@@ -173,7 +210,10 @@
             self.shares.0[before.number].0 = 0.0;
         }
         // After the new ones, so that what did not change keeps its number.
-        before.into_iter().flat_map(|t| t.classes).for_each(|(_, (class, _))| self.classes.release(class));
+        before
+            .into_iter()
+            .flat_map(|t| t.classes)
+            .for_each(|(_, (class, _))| self.classes.release(class));
     }
 
     /// Lays out the fleets anew; the servers whose fleet has changed. A node that several tenants name is the
@@ -195,7 +235,12 @@
             }
         }
         let changed = |s: &&ServerId| before.get(s) != self.fleets.get(s);
-        let mut changed: Vec<_> = before.keys().chain(self.fleets.keys()).filter(changed).copied().collect();
+        let mut changed: Vec<_> = before
+            .keys()
+            .chain(self.fleets.keys())
+            .filter(changed)
+            .copied()
+            .collect();
         changed.sort_unstable();
         changed.dedup();
         changed
@@ -218,7 +263,10 @@
         let allowance = |number: usize| self.allowances.get(number).copied().unwrap_or(0.0);
         let tenants = self.shares.all().enumerate();
         tenants
-            .map(|(number, share)| TenantTerms { allowance_per_s: allowance(number), part: part(share) })
+            .map(|(number, share)| TenantTerms {
+                allowance_per_s: allowance(number),
+                part: part(share),
+            })
             .collect()
     }
 }
@@ -228,7 +276,10 @@
     use super::*;
 
     fn agreed(share: f64, worth: f64, nodes: &[u64]) -> Agreed {
-        let terms = ClassTerms { worth, ..ClassTerms::default() };
+        let terms = ClassTerms {
+            worth,
+            ..ClassTerms::default()
+        };
         Agreed {
             share: Some(share),
             classes: [("room".to_string(), (terms, 5))].into(),
@@ -248,8 +299,14 @@
         c.agree("b", Some(agreed(3.0, 2.0, &[])));
         let (a, b) = (find(&c, "a"), find(&c, "b"));
         assert_eq!((a.class, a.tenant), (b.class, Some(0)));
-        assert_ne!(a.title, b.title, "titles of two tenants have nothing in common");
-        assert_eq!(c.tenants().iter().map(|t| t.part).collect::<Vec<_>>(), [0.25, 0.75]);
+        assert_ne!(
+            a.title, b.title,
+            "titles of two tenants have nothing in common"
+        );
+        assert_eq!(
+            c.tenants().iter().map(|t| t.part).collect::<Vec<_>>(),
+            [0.25, 0.75]
+        );
 
         // A session of a plays on the old terms while they change, and while a is gone.
         c.hold(a.class, a.tenant);
@@ -274,10 +331,17 @@
 
     #[test]
     fn fleets_do_not_depend_on_the_order_of_news() {
-        let tenants = [("a", vec![1, 2]), ("b", vec![2, 3]), ("c", vec![2, 1]), ("d", vec![])];
+        let tenants = [
+            ("a", vec![1, 2]),
+            ("b", vec![2, 3]),
+            ("c", vec![2, 1]),
+            ("d", vec![]),
+        ];
         let lay = |order: &[usize]| {
             let mut c = Catalogue::new(&mut Config::default());
-            order.iter().for_each(|i| c.agree(tenants[*i].0, Some(agreed(1.0, 1.0, &tenants[*i].1))));
+            order
+                .iter()
+                .for_each(|i| c.agree(tenants[*i].0, Some(agreed(1.0, 1.0, &tenants[*i].1))));
             c.lay_out();
             let of = ["a", "b", "c", "d"].map(|t| find(&c, t).fleet);
             (of, [1, 2, 3, 4].map(|n| c.fleet(ServerId(n))))
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -4,7 +4,9 @@
 use crate::io::*;
 use crate::moves::{Hand, Moves};
 use crate::nodes::Nodes;
-use shalewall::{Action, Director, Event, Load, Micros, Outcome, Request, ServerId, SessionId, Settings};
+use shalewall::{
+    Action, Director, Event, Load, Micros, Outcome, Request, ServerId, SessionId, Settings,
+};
 use shalewall_moving::Epoch;
 use shalewall_moving::mover::{self, Mover};
 use shalewall_timers::Timers;
@@ -66,10 +68,7 @@
     },
     /// Over for the viewer; the director hears `outcome` when the node has confirmed the end, since until then
     /// the node may hold it, and its seat is taken.
-    Leaving {
-        server: ServerId,
-        outcome: Outcome,
-    },
+    Leaving { server: ServerId, outcome: Outcome },
 }
 
 pub(crate) struct Session {
@@ -217,7 +216,9 @@
             director,
             door: Box::new(Everyone(config.tenants.clone())),
             catalogue: Catalogue::new(&mut config),
-            moves: config.moves.map(|terms| Moves::new(Mover::new(terms, config.seed), now)),
+            moves: config
+                .moves
+                .map(|terms| Moves::new(Mover::new(terms, config.seed), now)),
             config,
             now,
             sessions: BTreeMap::new(),
@@ -249,7 +250,11 @@
             Input::List { news, lines } => self.on_list(news, lines),
             Input::Done { call, done } => self.on_done(call, done),
             Input::NodeHolds { server, sessions } => self.on_holds(server, sessions),
-            Input::NodeUp { server, asked, held } => self.on_node_up(server, asked, &held),
+            Input::NodeUp {
+                server,
+                asked,
+                held,
+            } => self.on_node_up(server, asked, &held),
             Input::NodeTold { server, told } => self.on_told(server, told),
             Input::Tenants(news) => self.on_tenants(news),
             Input::TenantEnded { tenant } => self.on_tenant_ended(&tenant),
@@ -294,12 +299,18 @@
 
     /// When [`Engine::handle_timeout`] is to be called next.
     pub fn poll_timeout(&self) -> Option<Micros> {
-        let moves = self.moves.iter().flat_map(|m| [m.mover.poll_timeout(), m.adopt]);
+        let moves = self
+            .moves
+            .iter()
+            .flat_map(|m| [m.mover.poll_timeout(), m.adopt]);
         self.timers.next().into_iter().chain(moves.flatten()).min()
     }
 
     pub fn held(&self) -> Held {
-        let mut held = Held { owed_ends: self.ends.len(), ..Held::default() };
+        let mut held = Held {
+            owed_ends: self.ends.len(),
+            ..Held::default()
+        };
         for s in self.sessions.values() {
             held.moving += usize::from(s.hand.as_ref().is_some_and(|h| h.target.is_some()));
             match s.stage {
@@ -327,7 +338,12 @@
             rung: s.rung,
             plays: matches!(s.stage, Stage::Plays { .. }),
         };
-        self.sessions.values().filter(of).take(most).map(shown).collect()
+        self.sessions
+            .values()
+            .filter(of)
+            .take(most)
+            .map(shown)
+            .collect()
     }
 
     /// Feeds the director what is pending, and carries out what it says, until neither is left.
@@ -343,16 +359,24 @@
 
     pub(crate) fn carry_out(&mut self, action: Action) {
         match action {
-            Action::Send { session, server, patience } => self.send(session, server, patience),
+            Action::Send {
+                session,
+                server,
+                patience,
+            } => self.send(session, server, patience),
             Action::SetRung { session, rung } => {
                 if let Some(s) = self.sessions.get_mut(&session) {
                     s.rung = rung;
                     self.tell_rung(session);
                 }
             }
-            Action::Refuse { session, come_back } => {
-                self.answer(session, Answer::Refused { session: Some(session), come_back })
-            }
+            Action::Refuse { session, come_back } => self.answer(
+                session,
+                Answer::Refused {
+                    session: Some(session),
+                    come_back,
+                },
+            ),
             Action::Fail { session } => {
                 let late = self.sessions.get(&session).is_some_and(|s| {
                     self.now >= s.request.deadline - self.config.settings.limits.step - 1_000
@@ -361,10 +385,14 @@
             }
             Action::Recall { session, attempt } => self.recall(session, attempt),
             Action::Move { session } => self.on_ended(session),
-            Action::Timer { after, token } => {
-                self.timers.set(self.now + after.max(0), Timer::Director(token))
-            }
-            Action::HandOver { session, server, rung } => self.hand_over(session, server, rung),
+            Action::Timer { after, token } => self
+                .timers
+                .set(self.now + after.max(0), Timer::Director(token)),
+            Action::HandOver {
+                session,
+                server,
+                rung,
+            } => self.hand_over(session, server, rung),
             Action::Probe { server } => self.probe(server),
             Action::CloseIdle { server } => self.outputs.push_back(Output::CloseIdle { server }),
             Action::Log(text) => self.outputs.push_back(Output::Log(text)),
@@ -380,12 +408,22 @@
         Some(purpose)
     }
 
-    pub(crate) fn call(&mut self, server: ServerId, purpose: Purpose, kind: CallKind) -> Option<CallId> {
+    pub(crate) fn call(
+        &mut self,
+        server: ServerId,
+        purpose: Purpose,
+        kind: CallKind,
+    ) -> Option<CallId> {
         let address = self.nodes.address(server)?;
         let call = CallId(self.next_call);
         self.next_call += 1;
         self.calls.insert(call, purpose);
-        self.outputs.push_back(Output::Call { call, server, address, kind });
+        self.outputs.push_back(Output::Call {
+            call,
+            server,
+            address,
+            kind,
+        });
         Some(call)
     }
 }
@@ -396,8 +434,16 @@
         Done::NotSent(_) => (Outcome::NotSent, Load::default()),
         Done::NeverRan(_) => (Outcome::NoConnection, Load::default()),
         Done::MayHaveRun(_) => (Outcome::Reset, Load::default()),
-        Done::Answered { status: 200..=299, load, .. } => (Outcome::Good, *load),
-        Done::Answered { never_ran: true, load, .. } => (Outcome::Full, *load),
+        Done::Answered {
+            status: 200..=299,
+            load,
+            ..
+        } => (Outcome::Good, *load),
+        Done::Answered {
+            never_ran: true,
+            load,
+            ..
+        } => (Outcome::Full, *load),
         Done::Answered { load, .. } => (Outcome::Error, *load),
     }
 }
--- a/crates/engine/src/io.rs
+++ b/crates/engine/src/io.rs
@@ -115,9 +115,18 @@
     /// The session has ended there: its viewer left, or it was over.
     Ended { session: SessionId, attempt: u32 },
     /// The player of a session that is handed over to this node has fetched its stream.
-    Fetched { session: SessionId, attempt: u32, epoch: Epoch },
+    Fetched {
+        session: SessionId,
+        attempt: u32,
+        epoch: Epoch,
+    },
     /// Figures, told on one of the sessions there.
-    Figures { session: SessionId, delivered: Option<f64>, link: Option<f64>, uplink: Option<f64> },
+    Figures {
+        session: SessionId,
+        delivered: Option<f64>,
+        link: Option<f64>,
+        uplink: Option<f64>,
+    },
 }
 
 /// What happens to a front.
--- a/crates/engine/src/moves.rs
+++ b/crates/engine/src/moves.rs
@@ -78,7 +78,11 @@
     }
 
     pub(crate) fn ready_at(&self, server: ServerId, before: Micros) -> bool {
-        let target = self.hand.as_ref().and_then(|h| h.target.as_ref()).filter(|t| t.server == server);
+        let target = self
+            .hand
+            .as_ref()
+            .and_then(|h| h.target.as_ref())
+            .filter(|t| t.server == server);
         target.and_then(|t| t.ready).is_some_and(|t| t < before)
     }
 }
@@ -106,18 +110,27 @@
             }
             return;
         };
-        let Stage::Plays { server, since, .. } = s.stage else { return };
+        let Stage::Plays { server, since, .. } = s.stage else {
+            return;
+        };
         let Some(epoch) = plays else {
             s.hand.iter_mut().for_each(|h| h.follows = false);
             return moves.mover.over(session);
         };
         let hand = s.hand.get_or_insert_with(|| {
             let handover = Handover::new(server);
-            Box::new(Hand { handover, follows: true, target: None, rings: None })
+            Box::new(Hand {
+                handover,
+                follows: true,
+                target: None,
+                rings: None,
+            })
         });
         (hand.follows, s.carried) = (true, false);
         if !moves.mover.knows(session) {
-            moves.mover.plays(now, session, server, s.request.hint.map(|h| since + h));
+            moves
+                .mover
+                .plays(now, session, server, s.request.hint.map(|h| since + h));
             if hand.handover.orphaned() {
                 moves.mover.orphaned(now, session);
             }
@@ -150,16 +163,43 @@
 
     // ---- nodes ------------------------------------------------------------------------------
 
-    pub(crate) fn on_fetched(&mut self, server: ServerId, session: SessionId, attempt: u32, epoch: Epoch) {
-        if self.sessions.get(&session).is_some_and(|s| s.attempts == attempt + 1) {
-            self.hand_on(session, Some(front::Input::Serving { node: server.0, epoch }));
+    pub(crate) fn on_fetched(
+        &mut self,
+        server: ServerId,
+        session: SessionId,
+        attempt: u32,
+        epoch: Epoch,
+    ) {
+        if self
+            .sessions
+            .get(&session)
+            .is_some_and(|s| s.attempts == attempt + 1)
+        {
+            self.hand_on(
+                session,
+                Some(front::Input::Serving {
+                    node: server.0,
+                    epoch,
+                }),
+            );
         }
     }
 
-    pub(crate) fn on_prepared(&mut self, session: SessionId, server: ServerId, epoch: Epoch, done: Done) {
+    pub(crate) fn on_prepared(
+        &mut self,
+        session: SessionId,
+        server: ServerId,
+        epoch: Epoch,
+        done: Done,
+    ) {
         let (now, node) = (self.now, server.0);
         let input = match done {
-            Done::Answered { status: 201, media: Some(media), load, .. } => {
+            Done::Answered {
+                status: 201,
+                media: Some(media),
+                load,
+                ..
+            } => {
                 self.figures(session, server, None, load.link, load.uplink);
                 if let Some(t) = self.hand(session).and_then(|h| h.target.as_mut()) {
                     (t.media, t.ready) = (Some(media), Some(now));
@@ -173,26 +213,51 @@
         self.hand_on(session, Some(input));
     }
 
-    pub(crate) fn on_cancelled(&mut self, session: SessionId, server: ServerId, epoch: Epoch, done: &Done) {
+    pub(crate) fn on_cancelled(
+        &mut self,
+        session: SessionId,
+        server: ServerId,
+        epoch: Epoch,
+        done: &Done,
+    ) {
         let how = match done {
-            Done::Answered { status: 200..=299 | 404 | 410, .. } => Cancelled::Never,
+            Done::Answered {
+                status: 200..=299 | 404 | 410,
+                ..
+            } => Cancelled::Never,
             Done::Answered { status: 409, .. } => Cancelled::Serves,
             _ => return, // asked again by the next repeat
         };
-        self.hand_on(session, Some(front::Input::Cancelled { node: server.0, epoch, how }));
+        self.hand_on(
+            session,
+            Some(front::Input::Cancelled {
+                node: server.0,
+                epoch,
+                how,
+            }),
+        );
     }
 
     /// A node holds nothing of it any more, as it has said.
     pub(crate) fn released(&mut self, session: SessionId, server: ServerId, upto: Option<Epoch>) {
         let epoch = upto.unwrap_or(Epoch(u32::MAX));
-        self.hand_on(session, Some(front::Input::Released { node: server.0, epoch }));
+        self.hand_on(
+            session,
+            Some(front::Input::Released {
+                node: server.0,
+                epoch,
+            }),
+        );
     }
 
     /// A node's process, or this session's stream there, is gone. False: there are no hand-overs of it.
     pub(crate) fn dead(&mut self, session: SessionId, server: ServerId) -> bool {
         // Of an earlier process's sessions players are on their way back.
         let carried = self.sessions.get(&session).is_some_and(|s| s.carried);
-        if self.hand(session).is_none_or(|h| !h.follows && h.target.is_none() && !carried) {
+        if self
+            .hand(session)
+            .is_none_or(|h| !h.follows && h.target.is_none() && !carried)
+        {
             return false;
         }
         self.hand_on(session, Some(front::Input::Dead { node: server.0 }));
@@ -204,18 +269,31 @@
         let now = self.now;
         let Some(moves) = &mut self.moves else { return };
         for line in lines {
-            moves.mover.drains(now, line.server, line.standing == Standing::Draining);
+            moves
+                .mover
+                .drains(now, line.server, line.standing == Standing::Draining);
         }
         moves.news = true;
         // What is on its way to such a node goes elsewhere, unless its player has been told already.
-        let off: Vec<_> = lines.iter().filter(|l| l.standing != Standing::Ready).map(|l| l.server).collect();
+        let off: Vec<_> = lines
+            .iter()
+            .filter(|l| l.standing != Standing::Ready)
+            .map(|l| l.server)
+            .collect();
         let to = |s: &Session| off.iter().any(|server| s.moves_to(*server));
         let ids: Vec<_> = match off[..] {
             [] => Vec::new(),
-            _ => self.sessions.iter().filter(|(_, s)| to(s)).map(|(id, _)| *id).collect(),
+            _ => self
+                .sessions
+                .iter()
+                .filter(|(_, s)| to(s))
+                .map(|(id, _)| *id)
+                .collect(),
         };
         for session in ids {
-            self.hand(session).into_iter().for_each(|h| h.handover.unwanted(now));
+            self.hand(session)
+                .into_iter()
+                .for_each(|h| h.handover.unwanted(now));
             self.carry_on(session);
         }
     }
@@ -231,7 +309,11 @@
 
     pub(crate) fn look_for_moves(&mut self) {
         let now = self.now;
-        if self.moves.as_ref().is_some_and(|m| m.adopt.is_some_and(|t| t <= now)) {
+        if self
+            .moves
+            .as_ref()
+            .is_some_and(|m| m.adopt.is_some_and(|t| t <= now))
+        {
             self.adopt();
         }
         let due = |m: &&mut Moves| m.mover.poll_timeout().is_some_and(|due| due <= now);
@@ -244,7 +326,9 @@
     /// Asks the director for each session that the mover wants to be moved.
     pub(crate) fn plan_moves(&mut self) {
         let now = self.now;
-        let Some(moves) = self.moves.as_mut().filter(|m| m.news) else { return };
+        let Some(moves) = self.moves.as_mut().filter(|m| m.news) else {
+            return;
+        };
         moves.news = false;
         let wishes = moves.mover.wishes(now);
         for (session, why) in wishes {
@@ -265,21 +349,42 @@
     /// The director has found where to.
     pub(crate) fn hand_over(&mut self, session: SessionId, server: ServerId, rung: usize) {
         let now = self.now;
-        let why = self.moves.as_mut().and_then(|m| m.asked.take()).filter(|(id, _)| *id == session);
+        let why = self
+            .moves
+            .as_mut()
+            .and_then(|m| m.asked.take())
+            .filter(|(id, _)| *id == session);
         // Half of what a move takes is for the target to be ready, so that a buffer lasts for another one.
         let until = now + self.config.moves.map_or(0, |terms| terms.takes / 2);
-        let free = self.moves.as_ref().is_some_and(|m| m.mover.may_take(server));
+        let free = self
+            .moves
+            .as_ref()
+            .is_some_and(|m| m.mover.may_take(server));
         let begun = why.filter(|_| free).and_then(|(_, why)| {
             let s = self.sessions.get_mut(&session)?;
             let plays = matches!(s.stage, Stage::Plays { .. });
-            let hand = s.hand.as_deref_mut().filter(|h| plays && h.follows && h.target.is_none())?;
+            let hand = s
+                .hand
+                .as_deref_mut()
+                .filter(|h| plays && h.follows && h.target.is_none())?;
             hand.handover.begin(now, server, until).then(|| {
                 let (media, ready, call) = (None, None, None);
-                hand.target = Some(Target { server, rung, media, ready, call, began: now, why });
+                hand.target = Some(Target {
+                    server,
+                    rung,
+                    media,
+                    ready,
+                    call,
+                    began: now,
+                    why,
+                });
             })
         });
         if begun.is_none() {
-            return self.pending.push_back(Event::HandedOver { session, moved: false });
+            return self.pending.push_back(Event::HandedOver {
+                session,
+                moved: false,
+            });
         }
         if let Some(moves) = &mut self.moves {
             moves.mover.began(session, server);
@@ -290,14 +395,23 @@
     /// Feeds a session's protocol and carries out what it says.
     pub(crate) fn hand_on(&mut self, session: SessionId, input: Option<front::Input>) {
         let now = self.now;
-        let Some(hand) = self.hand(session) else { return };
-        input.into_iter().for_each(|input| hand.handover.handle(now, input));
+        let Some(hand) = self.hand(session) else {
+            return;
+        };
+        input
+            .into_iter()
+            .for_each(|input| hand.handover.handle(now, input));
         self.carry_on(session);
     }
 
     pub(crate) fn on_hand_timer(&mut self, session: SessionId) {
         let now = self.now;
-        let Some(hand) = self.hand(session).filter(|h| h.rings.is_some_and(|t| t <= now)) else { return };
+        let Some(hand) = self
+            .hand(session)
+            .filter(|h| h.rings.is_some_and(|t| t <= now))
+        else {
+            return;
+        };
         hand.rings = None;
         if hand.handover.poll_timeout().is_some_and(|due| due <= now) {
             hand.handover.handle_timeout(now);
@@ -310,11 +424,14 @@
         while let Some(output) = self.hand(session).and_then(|h| h.handover.poll_output()) {
             self.carry_out_move(session, output);
         }
-        let Some(hand) = self.hand(session) else { return };
+        let Some(hand) = self.hand(session) else {
+            return;
+        };
         let due = hand.handover.poll_timeout();
         if due.is_some() && hand.rings.is_none_or(|t| Some(t) > due) {
             hand.rings = due;
-            due.into_iter().for_each(|due| self.timers.set(due, Timer::Hand(session)));
+            due.into_iter()
+                .for_each(|due| self.timers.set(due, Timer::Hand(session)));
         }
     }
 
@@ -327,20 +444,39 @@
                 let target = self.hand(session).and_then(|h| h.target.as_ref());
                 let target = target.filter(|t| t.server.0 == node);
                 if let Some(media) = target.and_then(|t| t.media.clone()) {
-                    self.outputs.push_back(Output::Offer { session, epoch, media });
+                    self.outputs.push_back(Output::Offer {
+                        session,
+                        epoch,
+                        media,
+                    });
                 }
             }
             front::Output::Cancel { node, epoch } => {
                 let server = ServerId(node);
-                let Some(attempt) = self.attempt_of(session) else { return };
-                let kind = CallKind::Cancel { session, attempt, epoch };
-                if self.call_target(session, server, Purpose::Cancel(session, server, epoch), kind).is_none()
+                let Some(attempt) = self.attempt_of(session) else {
+                    return;
+                };
+                let kind = CallKind::Cancel {
+                    session,
+                    attempt,
+                    epoch,
+                };
+                if self
+                    .call_target(
+                        session,
+                        server,
+                        Purpose::Cancel(session, server, epoch),
+                        kind,
+                    )
+                    .is_none()
                 {
                     self.hand_on(session, Some(front::Input::Dead { node }));
                 }
             }
             front::Output::Release { node, epoch } => {
-                let Some(attempt) = self.attempt_of(session) else { return };
+                let Some(attempt) = self.attempt_of(session) else {
+                    return;
+                };
                 self.owe_end(ServerId(node), session, attempt, Some(epoch));
             }
             front::Output::Moved { to, .. } => self.moved(session, ServerId(to)),
@@ -353,7 +489,9 @@
                 }
             }
             front::Output::Lost => {
-                let Some(s) = self.sessions.get(&session) else { return };
+                let Some(s) = self.sessions.get(&session) else {
+                    return;
+                };
                 if let Stage::Plays { server, .. } = s.stage {
                     self.over(session, server, s.attempts - 1, shalewall::Outcome::Reset);
                 }
@@ -362,13 +500,19 @@
     }
 
     fn attempt_of(&self, session: SessionId) -> Option<u32> {
-        self.sessions.get(&session).map(|s| s.attempts.saturating_sub(1))
+        self.sessions
+            .get(&session)
+            .map(|s| s.attempts.saturating_sub(1))
     }
 
     fn prepare(&mut self, session: SessionId, from: ServerId, to: ServerId, epoch: Epoch) {
         let now = self.now;
-        let Some(s) = self.sessions.get_mut(&session) else { return };
-        let Some(hand) = s.hand.as_deref_mut() else { return };
+        let Some(s) = self.sessions.get_mut(&session) else {
+            return;
+        };
+        let Some(hand) = s.hand.as_deref_mut() else {
+            return;
+        };
         // Back where it was, when the target that it may have gone over to is gone.
         let target = hand.target.get_or_insert(Target {
             server: to,
@@ -392,7 +536,10 @@
             rung,
             kb: self.config.settings.rate(s.request.class, rung),
         };
-        if self.call_target(session, to, Purpose::Prepare(session, to, epoch), kind).is_none() {
+        if self
+            .call_target(session, to, Purpose::Prepare(session, to, epoch), kind)
+            .is_none()
+        {
             self.hand_on(session, Some(front::Input::Refused { node: to.0, epoch }));
         }
     }
@@ -420,7 +567,11 @@
         let now = self.now;
         if let Some(s) = self.sessions.get_mut(&session)
             && let Some(target) = s.hand.as_deref().and_then(|h| h.target.as_ref())
-            && let Stage::Plays { server, since, media } = &mut s.stage
+            && let Stage::Plays {
+                server,
+                since,
+                media,
+            } = &mut s.stage
         {
             // Rungs chosen for the source meanwhile do not hold for the target.
             (s.rung, s.confirmed) = (target.rung, target.rung);
@@ -436,9 +587,20 @@
 
     fn move_over(&mut self, session: SessionId, to: ServerId, moved: bool) {
         let now = self.now;
-        let Some(s) = self.sessions.get_mut(&session) else { return };
-        let Some(target) = s.hand.as_deref_mut().and_then(|h| h.target.take()) else { return };
-        let Target { server, call, ready, began, why, .. } = target;
+        let Some(s) = self.sessions.get_mut(&session) else {
+            return;
+        };
+        let Some(target) = s.hand.as_deref_mut().and_then(|h| h.target.take()) else {
+            return;
+        };
+        let Target {
+            server,
+            call,
+            ready,
+            began,
+            why,
+            ..
+        } = target;
         if let Some(call) = call
             && self.give_up(call).is_some()
             && ready.is_none()
@@ -451,12 +613,20 @@
             moves.mover.ended(now, session, moved);
             moves.news = true;
         }
-        self.outputs.push_back(Output::Moved { session, to, why, took: now - began, moved });
+        self.outputs.push_back(Output::Moved {
+            session,
+            to,
+            why,
+            took: now - began,
+            moved,
+        });
     }
 
     /// It is leaving, or over: whatever is under way to another node ends there.
     pub(crate) fn stop_moving(&mut self, session: SessionId) {
-        let Some(s) = self.sessions.get_mut(&session) else { return };
+        let Some(s) = self.sessions.get_mut(&session) else {
+            return;
+        };
         let (hand, attempt) = (s.hand.take(), s.attempts.saturating_sub(1));
         let Some(hand) = hand else { return };
         if let Some(moves) = &mut self.moves {
@@ -469,7 +639,10 @@
             if let Some(call) = target.call {
                 self.give_up(call);
             }
-            self.pending.push_back(Event::HandedOver { session, moved: false });
+            self.pending.push_back(Event::HandedOver {
+                session,
+                moved: false,
+            });
             self.owe_end(target.server, session, attempt, None);
         }
     }
--- a/crates/engine/src/nodes.rs
+++ b/crates/engine/src/nodes.rs
@@ -44,7 +44,11 @@
     }
 
     /// Servers are of other fleets now: the lines that say so.
-    pub fn move_to(&mut self, servers: &[ServerId], fleet: impl Fn(ServerId) -> u32) -> Vec<Listed> {
+    pub fn move_to(
+        &mut self,
+        servers: &[ServerId],
+        fleet: impl Fn(ServerId) -> u32,
+    ) -> Vec<Listed> {
         let mut changed = Vec::new();
         for server in servers {
             if let Some(line) = self.lines.get_mut(server) {
--- a/crates/engine/src/playing.rs
+++ b/crates/engine/src/playing.rs
@@ -7,28 +7,46 @@
 impl Engine {
     /// Tells the node of a rung that it has not confirmed; one call at a time for a session.
     pub(crate) fn tell_rung(&mut self, session: SessionId) {
-        let Some(s) = self.sessions.get(&session) else { return };
-        let Stage::Plays { server, .. } = s.stage else { return };
+        let Some(s) = self.sessions.get(&session) else {
+            return;
+        };
+        let Stage::Plays { server, .. } = s.stage else {
+            return;
+        };
         if s.rung == s.confirmed || s.telling.is_some() {
             return;
         }
         let rung = s.rung;
         let kb = self.config.settings.rate(s.request.class, rung);
-        let kind = CallKind::Rung { session, attempt: s.attempts - 1, rung, kb };
+        let kind = CallKind::Rung {
+            session,
+            attempt: s.attempts - 1,
+            rung,
+            kb,
+        };
         let call = self.call(server, Purpose::Rung(session, rung), kind);
-        self.sessions.get_mut(&session).into_iter().for_each(|s| s.telling = call);
+        self.sessions
+            .get_mut(&session)
+            .into_iter()
+            .for_each(|s| s.telling = call);
     }
 
     pub(crate) fn on_rung_done(&mut self, session: SessionId, rung: usize, done: &Done) {
-        let Some(s) = self.sessions.get_mut(&session) else { return };
+        let Some(s) = self.sessions.get_mut(&session) else {
+            return;
+        };
         s.telling = None;
         match done {
-            Done::Answered { status: 200..=299, .. } => {
+            Done::Answered {
+                status: 200..=299, ..
+            } => {
                 s.confirmed = rung;
                 self.tell_rung(session);
             }
             // The node does not know it: its end is told on the event stream, or by the next snapshot.
-            Done::Answered { status: 404 | 410, .. } => {}
+            Done::Answered {
+                status: 404 | 410, ..
+            } => {}
             _ => self.timers.set(self.now + RETRY, Timer::Rung(session)),
         }
     }
@@ -41,14 +59,19 @@
     }
 
     pub(crate) fn probed(&mut self, server: ServerId, outcome: Outcome, load: Load) {
-        self.pending.push_back(Event::Probed { server, outcome, load });
+        self.pending.push_back(Event::Probed {
+            server,
+            outcome,
+            load,
+        });
     }
 
     pub(crate) fn on_list(&mut self, news: shalewall::ListNews, lines: Vec<Line>) {
         let change = self.nodes.list(news, &lines);
         // The director first: nothing that follows may send to a node that has just been listed as gone.
         self.drains(&lines);
-        let listed = |l: &Line| crate::nodes::listed(l, &self.config, self.catalogue.fleet(l.server));
+        let listed =
+            |l: &Line| crate::nodes::listed(l, &self.config, self.catalogue.fleet(l.server));
         let lines: Vec<_> = lines.iter().map(listed).collect();
         self.nodes.told(news, &lines);
         self.pending.push_back(Event::List { news, lines });
@@ -59,26 +82,45 @@
         for server in change.gone {
             self.outputs.push_back(Output::Unwatch { server });
             self.lose_sessions(server, Micros::MAX, &[]);
-            let owed: Vec<_> = self.ends.keys().filter(|(s, _, _)| *s == server).copied().collect();
-            owed.into_iter()
-                .for_each(|(server, session, attempt)| self.end_confirmed(server, session, attempt));
+            let owed: Vec<_> = self
+                .ends
+                .keys()
+                .filter(|(s, _, _)| *s == server)
+                .copied()
+                .collect();
+            owed.into_iter().for_each(|(server, session, attempt)| {
+                self.end_confirmed(server, session, attempt)
+            });
         }
     }
 
-    pub(crate) fn on_node_up(&mut self, server: ServerId, asked: Micros, held: &[(SessionId, u32)]) {
+    pub(crate) fn on_node_up(
+        &mut self,
+        server: ServerId,
+        asked: Micros,
+        held: &[(SessionId, u32)],
+    ) {
         self.lose_sessions(server, asked, held);
         for (session, attempt) in held {
-            let known = self.sessions.get(session).filter(|s| s.attempts == attempt + 1);
+            let known = self
+                .sessions
+                .get(session)
+                .filter(|s| s.attempts == attempt + 1);
             let ours = known.is_some_and(|s| match s.stage {
                 Stage::Plays { server: at, .. } | Stage::SettingUp { server: at, .. } => {
                     at == server || s.moves_to(server)
                 }
                 Stage::Deciding | Stage::Leaving { .. } => false,
             });
-            let found = self.moves.as_ref().is_some_and(|m| m.found.contains_key(session));
+            let found = self
+                .moves
+                .as_ref()
+                .is_some_and(|m| m.found.contains_key(session));
             if !ours && !found && !self.ends.contains_key(&(server, *session, *attempt)) {
                 // One that plays elsewhere may come back here by a later move.
-                let upto = known.and_then(|s| s.hand.as_ref()).map(|h| h.handover.last());
+                let upto = known
+                    .and_then(|s| s.hand.as_ref())
+                    .map(|h| h.handover.last());
                 self.owe_end(server, *session, *attempt, upto);
             }
         }
@@ -86,15 +128,20 @@
 
     /// Sessions that began to play there before `before`, and that the node does not hold, are lost; and so is what
     /// was ready there for sessions that are handed over.
-    pub(crate) fn lose_sessions(&mut self, server: ServerId, before: Micros, held: &[(SessionId, u32)]) {
+    pub(crate) fn lose_sessions(
+        &mut self,
+        server: ServerId,
+        before: Micros,
+        held: &[(SessionId, u32)],
+    ) {
         let lost: Vec<(SessionId, u32)> = self
             .sessions
             .iter()
             .filter(|(id, s)| {
                 let there = match s.stage {
-                    Stage::Plays { server: at, since, .. } => {
-                        (at == server && since < before) || s.ready_at(server, before)
-                    }
+                    Stage::Plays {
+                        server: at, since, ..
+                    } => (at == server && since < before) || s.ready_at(server, before),
                     _ => false,
                 };
                 there && !held.contains(&(**id, s.attempts - 1))
@@ -110,21 +157,37 @@
 
     pub(crate) fn on_told(&mut self, server: ServerId, told: Told) {
         match told {
-            Told::Figures { session, delivered, link, uplink } => {
+            Told::Figures {
+                session,
+                delivered,
+                link,
+                uplink,
+            } => {
                 self.figures(session, server, delivered, link, uplink);
             }
-            Told::Fetched { session, attempt, epoch } => self.on_fetched(server, session, attempt, epoch),
+            Told::Fetched {
+                session,
+                attempt,
+                epoch,
+            } => self.on_fetched(server, session, attempt, epoch),
             Told::Ended { session, attempt } => {
-                let Some(s) = self.sessions.get_mut(&session) else { return };
+                let Some(s) = self.sessions.get_mut(&session) else {
+                    return;
+                };
                 if s.attempts != attempt + 1 {
                     return;
                 }
-                if s.hand.as_ref().is_some_and(|h| h.target.is_some()) && self.dead(session, server) {
+                if s.hand.as_ref().is_some_and(|h| h.target.is_some()) && self.dead(session, server)
+                {
                     return; // its player has closed one of two streams: the other one may go on
                 }
-                let Some(s) = self.sessions.get_mut(&session) else { return };
+                let Some(s) = self.sessions.get_mut(&session) else {
+                    return;
+                };
                 match &mut s.stage {
-                    Stage::SettingUp { server: at, over, .. } if *at == server => *over = true,
+                    Stage::SettingUp {
+                        server: at, over, ..
+                    } if *at == server => *over = true,
                     Stage::Plays { server: at, .. } if *at == server => {
                         self.over(session, server, attempt, Outcome::Good);
                     }
@@ -146,15 +209,26 @@
         link: Option<f64>,
         uplink: Option<f64>,
     ) {
-        let Some(s) = self.sessions.get(&session) else { return };
+        let Some(s) = self.sessions.get(&session) else {
+            return;
+        };
         if !matches!(s.stage, Stage::Plays { server: at, .. } if at == server) {
             return;
         }
         let attempt = s.attempts - 1 - s.before;
         self.delivers(server, delivered);
-        let notes = [delivered.map(Note::Delivered), link.map(Note::Link), uplink.map(Note::Uplink)];
+        let notes = [
+            delivered.map(Note::Delivered),
+            link.map(Note::Link),
+            uplink.map(Note::Uplink),
+        ];
         for note in notes.into_iter().flatten() {
-            self.pending.push_back(Event::Noted { session, attempt, server, note });
+            self.pending.push_back(Event::Noted {
+                session,
+                attempt,
+                server,
+                note,
+            });
         }
     }
 }
--- a/crates/engine/src/viewers.rs
+++ b/crates/engine/src/viewers.rs
@@ -8,7 +8,8 @@
 
 impl Engine {
     pub(crate) fn on_asked(&mut self, ask: AskId, new: NewSession) {
-        let key = xxh3_64(format!("{}\n{}", new.tenant.as_deref().unwrap_or(""), new.viewer).as_bytes());
+        let key =
+            xxh3_64(format!("{}\n{}", new.tenant.as_deref().unwrap_or(""), new.viewer).as_bytes());
         if let Some(session) = self.by_key.get(&key).copied() {
             if let Some(answer) = self.join(session, ask, &new) {
                 return self.outputs.push_back(Output::Answer { ask, answer });
@@ -21,11 +22,20 @@
         }
         if self.sessions.len() >= self.config.most_sessions {
             let come_back = Some(self.config.settings.limits.max_come_back);
-            let answer = Answer::Refused { session: None, come_back };
+            let answer = Answer::Refused {
+                session: None,
+                come_back,
+            };
             return self.outputs.push_back(Output::Answer { ask, answer });
         }
-        let unknown = |what| Output::Answer { ask, answer: Answer::Unknown(what) };
-        let found = match self.catalogue.find(new.tenant.as_deref(), &new.class, &new.title) {
+        let unknown = |what| Output::Answer {
+            ask,
+            answer: Answer::Unknown(what),
+        };
+        let found = match self
+            .catalogue
+            .find(new.tenant.as_deref(), &new.class, &new.title)
+        {
             // Of tenants the door may know better: before the first news of them nobody is unknown.
             Err(Missing::Tenant) => None,
             Err(Missing::Class) => return self.outputs.push_back(unknown("class")),
@@ -35,7 +45,10 @@
         match (self.door.admit(self.now, new.tenant.as_deref()), found) {
             (Admission::Taken, Some(_)) => {}
             (Admission::Away { come_back }, _) => {
-                let answer = Answer::Refused { session: None, come_back: Some(come_back) };
+                let answer = Answer::Refused {
+                    session: None,
+                    come_back: Some(come_back),
+                };
                 return self.outputs.push_back(Output::Answer { ask, answer });
             }
             (Admission::Taken, None) => {
@@ -44,7 +57,17 @@
             }
             (Admission::Unknown, _) => return self.outputs.push_back(unknown("tenant")),
         }
-        let Some(Found { class, give_up, title, place, tenant, fleet }) = found else { return };
+        let Some(Found {
+            class,
+            give_up,
+            title,
+            place,
+            tenant,
+            fleet,
+        }) = found
+        else {
+            return;
+        };
         self.catalogue.hold(class, tenant);
         let session = SessionId(self.next_session);
         self.next_session += 1;
@@ -90,19 +113,28 @@
 
     /// The same key again: the answer at once where it plays, a place among those who wait for it where it is
     /// under way. None without a place: it is over for the viewer.
-    pub(crate) fn join(&mut self, session: SessionId, ask: AskId, new: &NewSession) -> Option<Answer> {
+    pub(crate) fn join(
+        &mut self,
+        session: SessionId,
+        ask: AskId,
+        new: &NewSession,
+    ) -> Option<Answer> {
         let s = self.sessions.get_mut(&session)?;
         let same = s.class == new.class && s.title == new.title;
         match &s.stage {
             Stage::Plays { .. } if new.again => None,
-            Stage::Plays { .. } | Stage::Deciding | Stage::SettingUp { .. } if !same => {
-                Some(Answer::Clash("the key is in use for another title or class"))
-            }
-            Stage::Plays { media, .. } => Some(Answer::Plays { session, rung: s.rung, media: media.clone() }),
+            Stage::Plays { .. } | Stage::Deciding | Stage::SettingUp { .. } if !same => Some(
+                Answer::Clash("the key is in use for another title or class"),
+            ),
+            Stage::Plays { media, .. } => Some(Answer::Plays {
+                session,
+                rung: s.rung,
+                media: media.clone(),
+            }),
             // Nobody waits for it any more: its viewer left, and the module was told so.
-            Stage::SettingUp { .. } if s.waiting.is_empty() => {
-                Some(Answer::Clash("an earlier request with this key is still being ended"))
-            }
+            Stage::SettingUp { .. } if s.waiting.is_empty() => Some(Answer::Clash(
+                "an earlier request with this key is still being ended",
+            )),
             Stage::Deciding | Stage::SettingUp { .. } => {
                 s.waiting.push(ask);
                 self.by_ask.insert(ask, session);
@@ -113,8 +145,12 @@
     }
 
     pub(crate) fn on_left(&mut self, ask: AskId) {
-        let Some(session) = self.by_ask.remove(&ask) else { return };
-        let Some(s) = self.sessions.get_mut(&session) else { return };
+        let Some(session) = self.by_ask.remove(&ask) else {
+            return;
+        };
+        let Some(s) = self.sessions.get_mut(&session) else {
+            return;
+        };
         s.waiting.retain(|a| *a != ask);
         if !s.waiting.is_empty() {
             return;
@@ -130,32 +166,51 @@
     }
 
     pub(crate) fn on_ended(&mut self, session: SessionId) {
-        if self.sessions.get(&session).is_some_and(|s| matches!(s.stage, Stage::Plays { .. })) {
+        if self
+            .sessions
+            .get(&session)
+            .is_some_and(|s| matches!(s.stage, Stage::Plays { .. }))
+        {
             self.leave(session);
         }
     }
 
     /// Ends a session that plays; the director hears of it when the node has confirmed.
     pub(crate) fn leave(&mut self, session: SessionId) {
-        let Some(s) = self.sessions.get_mut(&session) else { return };
-        let Stage::Plays { server, .. } = s.stage else { return };
-        s.stage = Stage::Leaving { server, outcome: Outcome::Good };
+        let Some(s) = self.sessions.get_mut(&session) else {
+            return;
+        };
+        let Stage::Plays { server, .. } = s.stage else {
+            return;
+        };
+        s.stage = Stage::Leaving {
+            server,
+            outcome: Outcome::Good,
+        };
         let (key, attempt) = (s.key, s.attempts - 1);
         // It is not over before the last of its nodes has confirmed.
         s.owed += 1;
         self.unkey(key, session);
         self.stop_moving(session);
         self.owe_end(server, session, attempt, None);
-        self.sessions.get_mut(&session).into_iter().for_each(|s| s.owed -= 1);
+        self.sessions
+            .get_mut(&session)
+            .into_iter()
+            .for_each(|s| s.owed -= 1);
         self.left(session);
     }
 
     /// Gives everyone who waits the final answer. The session stays while an attempt of it is out.
     pub(crate) fn answer(&mut self, session: SessionId, answer: Answer) {
-        let Some(s) = self.sessions.get_mut(&session) else { return };
+        let Some(s) = self.sessions.get_mut(&session) else {
+            return;
+        };
         for ask in std::mem::take(&mut s.waiting) {
             self.by_ask.remove(&ask);
-            self.outputs.push_back(Output::Answer { ask, answer: answer.clone() });
+            self.outputs.push_back(Output::Answer {
+                ask,
+                answer: answer.clone(),
+            });
         }
         if matches!(answer, Answer::Plays { .. }) {
             return;
@@ -185,21 +240,34 @@
 
     /// Tenants are agreed on anew. The module hears of it before the next request.
     pub(crate) fn on_tenants(&mut self, news: Vec<(String, Option<Agreed>)>) {
-        news.into_iter().for_each(|(name, agreed)| self.catalogue.agree(&name, agreed));
+        news.into_iter()
+            .for_each(|(name, agreed)| self.catalogue.agree(&name, agreed));
         let (classes, tenants) = (self.catalogue.classes(), self.catalogue.tenants());
         self.config.settings.classes.clone_from(&classes);
         self.pending.push_back(Event::Terms { classes, tenants });
         let moved = self.catalogue.lay_out();
-        let lines = self.nodes.move_to(&moved, |server| self.catalogue.fleet(server));
+        let lines = self
+            .nodes
+            .move_to(&moved, |server| self.catalogue.fleet(server));
         if !lines.is_empty() {
-            self.pending.push_back(Event::List { news: ListNews::Delta, lines });
+            self.pending.push_back(Event::List {
+                news: ListNews::Delta,
+                lines,
+            });
         }
     }
 
     /// What plays of a tenant ends; what waits has its answer as usual.
     pub(crate) fn on_tenant_ended(&mut self, tenant: &str) {
-        let of = |s: &Session| s.tenant.as_deref() == Some(tenant) && matches!(s.stage, Stage::Plays { .. });
-        let ids: Vec<_> = self.sessions.iter().filter(|(_, s)| of(s)).map(|(id, _)| *id).collect();
+        let of = |s: &Session| {
+            s.tenant.as_deref() == Some(tenant) && matches!(s.stage, Stage::Plays { .. })
+        };
+        let ids: Vec<_> = self
+            .sessions
+            .iter()
+            .filter(|(_, s)| of(s))
+            .map(|(id, _)| *id)
+            .collect();
         ids.into_iter().for_each(|id| self.leave(id));
     }
 }
--- a/crates/engine/tests/moves.rs
+++ b/crates/engine/tests/moves.rs
@@ -19,13 +19,24 @@
 const BUFFER: Micros = S;
 
 fn config() -> Config {
-    let class = ClassTerms { aim: S, worth: 1.0, scale: 1.0, ..Default::default() };
+    let class = ClassTerms {
+        aim: S,
+        worth: 1.0,
+        scale: 1.0,
+        ..Default::default()
+    };
     Config {
         seed: 3,
         settings: Settings {
             directors: 1,
-            classes: vec![ClassTerms { effect: Effect::Paid, ..class }],
-            ladder: vec![Rung { kb: 300.0, worth: 1.0 }],
+            classes: vec![ClassTerms {
+                effect: Effect::Paid,
+                ..class
+            }],
+            ladder: vec![Rung {
+                kb: 300.0,
+                worth: 1.0,
+            }],
             cells: NODES,
             places_by_kind: vec![400.0],
             weights_tell_size: true,
@@ -33,13 +44,30 @@
             join_adds: 1.0,
             told_every: 3 * S,
             told_late: S,
-            contract: Contract { warm_after: S, start_capacity: 0.4, fall: S, ..Default::default() },
-            limits: Limits { max_attempts: 4, may_cancel: true, step: 10 * MS, ..Default::default() },
+            contract: Contract {
+                warm_after: S,
+                start_capacity: 0.4,
+                fall: S,
+                ..Default::default()
+            },
+            limits: Limits {
+                max_attempts: 4,
+                may_cancel: true,
+                step: 10 * MS,
+                ..Default::default()
+            },
             ..Default::default()
         },
         classes: vec![("paid".into(), 4 * S)],
         kinds: vec!["box".into()],
-        titles: [("t".to_string(), Place { home: 0, spread: NODES })].into(),
+        titles: [(
+            "t".to_string(),
+            Place {
+                home: 0,
+                spread: NODES,
+            },
+        )]
+        .into(),
         most_sessions: 1000,
         moves: Some(Terms {
             takes: 600 * MS,
@@ -113,11 +141,26 @@
     }
 
     fn list(&mut self, id: u64, standing: Standing) {
-        let address = Some(std::net::SocketAddr::from(([127, 0, 0, 1], 1000 + id as u16)));
+        let address = Some(std::net::SocketAddr::from((
+            [127, 0, 0, 1],
+            1000 + id as u16,
+        )));
         let (zone, kind) = (String::new(), "box".to_string());
         let (server, cell, came_up) = (ServerId(id), id, None);
-        let line = Line { server, address, zone, kind, cell, standing, weight: 1.0, came_up };
-        self.tell(Input::List { news: ListNews::Delta, lines: vec![line] });
+        let line = Line {
+            server,
+            address,
+            zone,
+            kind,
+            cell,
+            standing,
+            weight: 1.0,
+            came_up,
+        };
+        self.tell(Input::List {
+            news: ListNews::Delta,
+            lines: vec![line],
+        });
     }
 
     fn tell(&mut self, input: Input) {
@@ -132,21 +175,43 @@
     fn collect(&mut self) {
         while let Some(output) = self.engine.poll_output() {
             match output {
-                Output::Answer { answer: Answer::Plays { session, .. }, .. } => {
+                Output::Answer {
+                    answer: Answer::Plays { session, .. },
+                    ..
+                } => {
                     let at = self.held_at(session).expect("it was set up");
                     let seat = Seat::new(ServerId(at));
                     let (heard, said) = (self.now, self.now);
-                    let player =
-                        Player { seat, heard, said, tries: None, gaps: vec![], dry: None, gone: false };
+                    let player = Player {
+                        seat,
+                        heard,
+                        said,
+                        tries: None,
+                        gaps: vec![],
+                        dry: None,
+                        gone: false,
+                    };
                     self.players.insert(session, player);
-                    self.words.push((self.now + 5 * MS, Input::Follows { session, plays: Some(Epoch(0)) }));
+                    self.words.push((
+                        self.now + 5 * MS,
+                        Input::Follows {
+                            session,
+                            plays: Some(Epoch(0)),
+                        },
+                    ));
                 }
-                Output::Call { call, server, kind, .. } => {
+                Output::Call {
+                    call, server, kind, ..
+                } => {
                     let wait = 2 + self.dice.roll(30) as Micros;
                     self.out.push((self.now + wait * MS, call, server, kind));
                 }
                 Output::Drop { call } => self.out.retain(|(_, c, ..)| *c != call),
-                Output::Offer { session, epoch, media } => {
+                Output::Offer {
+                    session,
+                    epoch,
+                    media,
+                } => {
                     let node = ServerId(media.parse().unwrap());
                     if !self.lost() {
                         self.player(session, |seat| seat.on_offer(node, epoch));
@@ -157,7 +222,10 @@
                     self.stayed += u32::from(!moved);
                 }
                 Output::Gone { session } => {
-                    self.players.get_mut(&session).into_iter().for_each(|p| p.gone = true);
+                    self.players
+                        .get_mut(&session)
+                        .into_iter()
+                        .for_each(|p| p.gone = true);
                 }
                 _ => {}
             }
@@ -171,7 +239,9 @@
 
     /// Lets a player do something, and carries out what it says.
     fn player(&mut self, session: SessionId, what: impl FnOnce(&mut Seat) -> Vec<Do>) {
-        let Some(player) = self.players.get_mut(&session).filter(|p| !p.gone) else { return };
+        let Some(player) = self.players.get_mut(&session).filter(|p| !p.gone) else {
+            return;
+        };
         for done in what(&mut player.seat) {
             match done {
                 Do::Fetch { node, epoch } => {
@@ -183,20 +253,31 @@
                         None => {}
                         Some(Err(_)) => player.seat.on_refused(ServerId(node), epoch),
                         Some(Ok(())) => {
-                            let told = Told::Fetched { session, attempt: 0, epoch };
-                            self.words
-                                .push((self.now + 5 * MS, Input::NodeTold { server: ServerId(node), told }));
+                            let told = Told::Fetched {
+                                session,
+                                attempt: 0,
+                                epoch,
+                            };
+                            self.words.push((
+                                self.now + 5 * MS,
+                                Input::NodeTold {
+                                    server: ServerId(node),
+                                    told,
+                                },
+                            ));
                         }
                     }
                 }
                 Do::Say { epoch } => {
                     if !self.lost() {
-                        self.words.push((self.now + 5 * MS, Input::Playing { session, epoch }));
+                        self.words
+                            .push((self.now + 5 * MS, Input::Playing { session, epoch }));
                     }
                 }
                 Do::Decline { epoch } => {
                     if !self.lost() {
-                        self.words.push((self.now + 5 * MS, Input::Declined { session, epoch }));
+                        self.words
+                            .push((self.now + 5 * MS, Input::Declined { session, epoch }));
                     }
                 }
                 Do::Close { .. } => {}
@@ -208,7 +289,9 @@
     fn answer(&mut self, server: ServerId, kind: &CallKind) -> Done {
         let i = server.0 as usize;
         let now = (self.now / MS) as u64;
-        let Some(node) = &mut self.nodes[i] else { return Done::NeverRan("refused".into()) };
+        let Some(node) = &mut self.nodes[i] else {
+            return Done::NeverRan("refused".into());
+        };
         let said = |status| Done::Answered {
             status,
             never_ran: false,
@@ -221,12 +304,25 @@
                 node.set_up(*session);
                 said(201)
             }
-            CallKind::Prepare { session, epoch, from, .. } => {
+            CallKind::Prepare {
+                session,
+                epoch,
+                from,
+                ..
+            } => {
                 let ticket = key().issue(*session, *epoch, *from, server, now..now + 2000);
-                said(if node.prepare(server, &key(), now, &ticket).is_ok() { 201 } else { 410 })
+                said(if node.prepare(server, &key(), now, &ticket).is_ok() {
+                    201
+                } else {
+                    410
+                })
             }
             CallKind::Cancel { session, epoch, .. } => {
-                said(if node.cancel(*session, *epoch) == Cancelled::Never { 204 } else { 409 })
+                said(if node.cancel(*session, *epoch) == Cancelled::Never {
+                    204
+                } else {
+                    409
+                })
             }
             CallKind::End { session, upto, .. } => {
                 node.release(*session, upto.unwrap_or(Epoch(u32::MAX)));
@@ -245,24 +341,36 @@
         }
         let moving = !matches!(kind, CallKind::SetUp { .. });
         if moving && self.lost() {
-            return self.tell(Input::Done { call, done: Done::MayHaveRun("lost on its way".into()) });
+            return self.tell(Input::Done {
+                call,
+                done: Done::MayHaveRun("lost on its way".into()),
+            });
         }
         let done = self.answer(server, &kind);
         if moving && self.lost() {
-            return self.tell(Input::Done { call, done: Done::MayHaveRun("its answer was lost".into()) });
+            return self.tell(Input::Done {
+                call,
+                done: Done::MayHaveRun("its answer was lost".into()),
+            });
         }
         self.tell(Input::Done { call, done });
     }
 
     /// Players take a picture each 50 ms from whoever serves them, and say so when nothing comes.
     fn pictures(&mut self) {
-        let ids: Vec<SessionId> = self.players.iter().filter(|(_, p)| !p.gone).map(|(id, _)| *id).collect();
+        let ids: Vec<SessionId> = self
+            .players
+            .iter()
+            .filter(|(_, p)| !p.gone)
+            .map(|(id, _)| *id)
+            .collect();
         for session in ids {
             let p = &self.players[&session];
             let (at, epoch, trying) = (p.seat.node, p.seat.epoch, p.seat.trying);
             let serves = |node: u64, epoch: Epoch| {
                 let there = self.nodes[node as usize].as_ref();
-                !self.frozen[node as usize] && there.is_some_and(|n| n.held(session).serving == Some(epoch))
+                !self.frozen[node as usize]
+                    && there.is_some_and(|n| n.held(session).serving == Some(epoch))
             };
             let (now, old) = (self.now, serves(at, epoch));
             let new = trying.filter(|(node, epoch)| serves(*node, *epoch));
@@ -288,7 +396,8 @@
             if now - p.heard >= SILENT && now - p.said >= 200 * MS {
                 p.said = now;
                 let buffer = (p.heard + BUFFER - now).max(0);
-                self.words.push((now + 5 * MS, Input::Silent { session, buffer }));
+                self.words
+                    .push((now + 5 * MS, Input::Silent { session, buffer }));
             }
         }
     }
@@ -303,7 +412,11 @@
                 let (_, word) = self.words.remove(n);
                 self.tell(word);
             }
-            while self.engine.poll_timeout().is_some_and(|due| due <= self.now) {
+            while self
+                .engine
+                .poll_timeout()
+                .is_some_and(|due| due <= self.now)
+            {
                 self.engine.handle_timeout(self.now);
                 self.collect();
             }
@@ -322,8 +435,14 @@
 
     fn ask(&mut self, count: u64) {
         for ask in 0..count {
-            let (viewer, class, title) = (format!("v{}-{ask}", self.now), "paid".into(), "t".into());
-            let new = NewSession { viewer, class, title, ..NewSession::default() };
+            let (viewer, class, title) =
+                (format!("v{}-{ask}", self.now), "paid".into(), "t".into());
+            let new = NewSession {
+                viewer,
+                class,
+                title,
+                ..NewSession::default()
+            };
             let ask = AskId(self.now as u64 * 1000 + ask);
             self.tell(Input::Asked { ask, new });
         }
@@ -334,12 +453,18 @@
         self.nodes[node as usize] = None;
         self.frozen[node as usize] = false;
         self.untold.retain(|n| *n != node);
-        self.tell(Input::NodeDown { server: ServerId(node) });
+        self.tell(Input::NodeDown {
+            server: ServerId(node),
+        });
     }
 
     fn back(&mut self, node: u64) {
         self.nodes[node as usize] = Some(Holds::new((self.now / MS) as u64));
-        self.tell(Input::NodeUp { server: ServerId(node), asked: self.now, held: vec![] });
+        self.tell(Input::NodeUp {
+            server: ServerId(node),
+            asked: self.now,
+            held: vec![],
+        });
     }
 
     /// The front dies and begins anew: calls and words to it are gone, nodes tell what they hold, players follow again.
@@ -353,9 +478,22 @@
             self.words.clear();
         }
         self.starts += 1;
-        self.engine = Engine::new(Config { incarnation: self.starts, ..config() }, self.now);
+        self.engine = Engine::new(
+            Config {
+                incarnation: self.starts,
+                ..config()
+            },
+            self.now,
+        );
         for n in 0..NODES {
-            self.list(n, if self.drained[n as usize] { Standing::Draining } else { Standing::Ready });
+            self.list(
+                n,
+                if self.drained[n as usize] {
+                    Standing::Draining
+                } else {
+                    Standing::Ready
+                },
+            );
         }
         for n in 0..NODES {
             self.snapshot(n);
@@ -367,22 +505,34 @@
         };
         let follows: Vec<_> = playing.map(follows).collect();
         let now = self.now;
-        self.words.extend(follows.into_iter().map(|word| (now + 5 * MS, word)));
+        self.words
+            .extend(follows.into_iter().map(|word| (now + 5 * MS, word)));
     }
 
     /// A node opens its event stream to a new front; one that stands still does so when it goes on.
     fn snapshot(&mut self, n: u64) {
         let (server, asked) = (ServerId(n), self.now);
         // Of those that left, a node that runs sees that nobody fetches.
-        let mut node = self.nodes[n as usize].as_mut().filter(|_| !self.frozen[n as usize]);
+        let mut node = self.nodes[n as usize]
+            .as_mut()
+            .filter(|_| !self.frozen[n as usize]);
         for (session, _) in self.players.iter().filter(|(_, p)| p.gone) {
-            node.iter_mut().for_each(|n| n.release(*session, Epoch(u32::MAX)));
+            node.iter_mut()
+                .for_each(|n| n.release(*session, Epoch(u32::MAX)));
         }
-        let Some(node) = self.nodes[n as usize].as_ref().filter(|_| !self.frozen[n as usize]) else {
+        let Some(node) = self.nodes[n as usize]
+            .as_ref()
+            .filter(|_| !self.frozen[n as usize])
+        else {
             return self.untold.push(n);
         };
-        let there = self.booked.keys().map(|session| (*session, node.held(*session)));
-        let there: Vec<_> = there.filter(|(_, held)| held.serving.or(held.prepared).is_some()).collect();
+        let there = self
+            .booked
+            .keys()
+            .map(|session| (*session, node.held(*session)));
+        let there: Vec<_> = there
+            .filter(|(_, held)| held.serving.or(held.prepared).is_some())
+            .collect();
         let carried = |(session, held): &(SessionId, shalewall_moving::node::Held)| Carried {
             session: *session,
             attempt: 0,
@@ -397,11 +547,18 @@
         let sessions = there.iter().map(carried).collect();
         self.tell(Input::NodeHolds { server, sessions });
         let held = there.iter().map(|(session, _)| (*session, 0)).collect();
-        self.tell(Input::NodeUp { server, asked, held });
+        self.tell(Input::NodeUp {
+            server,
+            asked,
+            held,
+        });
     }
 
     fn gaps(&self) -> Vec<Micros> {
-        self.players.values().flat_map(|p| p.gaps.iter().copied()).collect()
+        self.players
+            .values()
+            .flat_map(|p| p.gaps.iter().copied())
+            .collect()
     }
 
     /// What must hold once all is well again.
@@ -415,18 +572,38 @@
         }
         self.wait(20 * S);
         let held = self.engine.held();
-        assert_eq!((held.waiting, held.leaving, held.owed_ends, held.moving), (0, 0, 0, 0));
+        assert_eq!(
+            (held.waiting, held.leaving, held.owed_ends, held.moving),
+            (0, 0, 0, 0)
+        );
         for (session, booked) in &self.booked {
             assert_eq!(*booked, 1, "{session:?} was set up once, whatever happened");
-            let serving = self.nodes.iter().flatten().filter(|n| n.held(*session).serving.is_some()).count();
-            let prepared =
-                self.nodes.iter().flatten().filter(|n| n.held(*session).prepared.is_some()).count();
+            let serving = self
+                .nodes
+                .iter()
+                .flatten()
+                .filter(|n| n.held(*session).serving.is_some())
+                .count();
+            let prepared = self
+                .nodes
+                .iter()
+                .flatten()
+                .filter(|n| n.held(*session).prepared.is_some())
+                .count();
             let playing = self.players.get(session).is_some_and(|p| !p.gone);
-            assert_eq!((serving, prepared), (usize::from(playing), 0), "{session:?}");
+            assert_eq!(
+                (serving, prepared),
+                (usize::from(playing), 0),
+                "{session:?}"
+            );
             if playing {
                 let p = &self.players[session].seat;
                 let at = self.nodes[p.node as usize].as_ref().unwrap();
-                assert_eq!(at.held(*session).serving, Some(p.epoch), "its player is where it is served");
+                assert_eq!(
+                    at.held(*session).serving,
+                    Some(p.epoch),
+                    "its player is where it is served"
+                );
             }
         }
         let playing = self.players.values().filter(|p| !p.gone).count();
@@ -448,8 +625,16 @@
         world.crash(1);
         world.list(1, Standing::Gone);
         world.wait(5 * S);
-        assert_eq!(at(&world, 1), 0, "loss {loss}: {left} were there when it died");
-        assert_eq!(world.players.values().filter(|p| p.gone).count(), 0, "none is lost");
+        assert_eq!(
+            at(&world, 1),
+            0,
+            "loss {loss}: {left} were there when it died"
+        );
+        assert_eq!(
+            world.players.values().filter(|p| p.gone).count(),
+            0,
+            "none is lost"
+        );
         assert_eq!(world.gaps(), [], "loss {loss}");
         assert_eq!(world.moved as usize, before);
         world.settled();
@@ -502,7 +687,10 @@
             let gone = world.players.values().filter(|p| p.gone).count();
             assert_eq!(gone, 0, "step {step}, kind {kind}");
             let worst = world.gaps().into_iter().max().unwrap_or(0);
-            assert!(worst <= 200 * MS, "step {step}, kind {kind}: a gap of {worst}");
+            assert!(
+                worst <= 200 * MS,
+                "step {step}, kind {kind}: a gap of {worst}"
+            );
             world.settled();
         }
     }
@@ -519,7 +707,11 @@
             world.wait(step as Micros * 5 * MS);
             world.restart(200 * MS);
             world.wait(4 * S);
-            assert_eq!(world.players.values().filter(|p| p.gone).count(), 0, "step {step}: none is lost");
+            assert_eq!(
+                world.players.values().filter(|p| p.gone).count(),
+                0,
+                "step {step}: none is lost"
+            );
             let left = world.players.values().filter(|p| p.seat.node == 1).count();
             assert_eq!(left, 0, "step {step}: the node that drains is empty");
             assert_eq!(world.gaps(), [], "step {step}");
@@ -535,15 +727,22 @@
         let mut world = World::new(40, 0);
         world.ask(24);
         world.frozen[3] = true; // one that tells nothing yet
-        let there: Vec<_> =
-            world.players.iter().filter(|(_, p)| p.seat.node == 1).map(|(id, _)| *id).collect();
+        let there: Vec<_> = world
+            .players
+            .iter()
+            .filter(|(_, p)| p.seat.node == 1)
+            .map(|(id, _)| *id)
+            .collect();
         world.restart(200 * MS);
         world.wait(after * MS);
         world.crash(1);
         world.wait(S);
         world.frozen[3] = false;
         world.wait(3 * S);
-        assert!(world.players.values().all(|p| p.seat.node != 1 && !p.gone), "{after} ms after");
+        assert!(
+            world.players.values().all(|p| p.seat.node != 1 && !p.gone),
+            "{after} ms after"
+        );
         let gaps = there.iter().flat_map(|id| world.players[id].gaps.clone());
         assert!(gaps.max().unwrap_or(0) <= 200 * MS, "{after} ms after");
         world.settled();
@@ -557,7 +756,10 @@
     world.frozen = vec![true; NODES as usize];
     world.wait(3 * S);
     world.settled();
-    assert!(world.players.values().all(|p| !p.gone), "all go on where they were");
+    assert!(
+        world.players.values().all(|p| !p.gone),
+        "all go on where they were"
+    );
 }
 
 #[test]
@@ -575,11 +777,22 @@
                 3 => {
                     world.drained[i] = !world.drained[i];
                     let drains = world.drained[i];
-                    world.list(node, if drains { Standing::Draining } else { Standing::Ready });
+                    world.list(
+                        node,
+                        if drains {
+                            Standing::Draining
+                        } else {
+                            Standing::Ready
+                        },
+                    );
                 }
                 4 if world.dice.roll(3) == 0 => world.restart(300 * MS),
                 4 => {
-                    let one = world.players.iter().find(|(_, p)| !p.gone).map(|(id, _)| *id);
+                    let one = world
+                        .players
+                        .iter()
+                        .find(|(_, p)| !p.gone)
+                        .map(|(id, _)| *id);
                     if let Some(session) = one {
                         world.tell(Input::Ended { session });
                         world.players.get_mut(&session).unwrap().gone = true;
@@ -594,7 +807,10 @@
         (moved, stayed) = (moved + world.moved, stayed + world.stayed);
         world.settled();
     }
-    assert!(moved > 100 && stayed > 10, "the runs have to move sessions: {moved}, and fail: {stayed}");
+    assert!(
+        moved > 100 && stayed > 10,
+        "the runs have to move sessions: {moved}, and fail: {stayed}"
+    );
 }
 
 #[test]
@@ -626,7 +842,11 @@
         world.crash(1);
         world.crash(2);
         world.wait(4 * S);
-        assert_eq!(world.players.values().filter(|p| p.gone).count(), 0, "step {step}");
+        assert_eq!(
+            world.players.values().filter(|p| p.gone).count(),
+            0,
+            "step {step}"
+        );
         assert_eq!(world.gaps(), [], "step {step}");
         world.settled();
     }
@@ -639,7 +859,12 @@
     world.crash(0);
     world.crash(2);
     world.wait(4 * S);
-    assert!(world.players.values().all(|p| p.seat.node % 2 == 1 && !p.gone));
+    assert!(
+        world
+            .players
+            .values()
+            .all(|p| p.seat.node % 2 == 1 && !p.gone)
+    );
     assert_eq!(world.gaps(), []);
     world.settled();
 }
@@ -654,23 +879,48 @@
     world.list(0, Standing::Draining);
     (1..NODES).for_each(|n| world.list(n, Standing::Ready));
     world.wait(3 * S);
-    let at = |w: &World, n: u64| w.players.values().filter(|p| p.seat.node == n && !p.gone).count();
+    let at = |w: &World, n: u64| {
+        w.players
+            .values()
+            .filter(|p| p.seat.node == n && !p.gone)
+            .count()
+    };
     assert_eq!(at(&world, 0), 0, "there is room for all");
     // The second time two of three are gone already, and the third is told nearly full.
     world.list(1, Standing::Draining);
     world.list(2, Standing::Draining);
     world.list(0, Standing::Gone);
-    let one = *world.players.iter().find(|(_, p)| p.seat.node == 3).expect("somebody there").0;
-    let full = Told::Figures { session: one, delivered: None, link: Some(0.88), uplink: None };
-    world.tell(Input::NodeTold { server: ServerId(3), told: full });
+    let one = *world
+        .players
+        .iter()
+        .find(|(_, p)| p.seat.node == 3)
+        .expect("somebody there")
+        .0;
+    let full = Told::Figures {
+        session: one,
+        delivered: None,
+        link: Some(0.88),
+        uplink: None,
+    };
+    world.tell(Input::NodeTold {
+        server: ServerId(3),
+        told: full,
+    });
     let (three, all) = (at(&world, 3), world.players.len());
     world.wait(600 * MS);
     world.crash(1);
     world.crash(2);
     world.wait(6 * S);
     let stayed = world.players.values().filter(|p| !p.gone).count();
-    assert_eq!(stayed, at(&world, 3), "whoever plays does so where there was room");
-    assert!(stayed > three && stayed < all, "{three} were there, {stayed} of {all} play");
+    assert_eq!(
+        stayed,
+        at(&world, 3),
+        "whoever plays does so where there was room"
+    );
+    assert!(
+        stayed > three && stayed < all,
+        "{three} were there, {stayed} of {all} play"
+    );
     assert_eq!(world.gaps(), [], "those that went on saw nothing of it");
     world.settled();
 }
