--- a/crates/engine/tests/world.rs
+++ b/crates/engine/tests/world.rs
@@ -12,15 +12,42 @@
 const NODES: u64 = 4;
 
 fn config() -> Config {
-    let class = ClassTerms { aim: S, worth: 1.0, scale: 1.0, top: 1, ..Default::default() };
-    let harmless = ClassTerms { effect: Effect::Harmless, ..class };
-    let titles = (0..6).map(|i| (format!("t{i}"), Place { home: i, spread: 3 })).collect();
+    let class = ClassTerms {
+        aim: S,
+        worth: 1.0,
+        scale: 1.0,
+        top: 1,
+        ..Default::default()
+    };
+    let harmless = ClassTerms {
+        effect: Effect::Harmless,
+        ..class
+    };
+    let titles = (0..6)
+        .map(|i| (format!("t{i}"), Place { home: i, spread: 3 }))
+        .collect();
     Config {
         seed: 3,
         settings: Settings {
             directors: 1,
-            classes: vec![harmless, ClassTerms { effect: Effect::Paid, seats: 5, ..class }],
-            ladder: vec![Rung { kb: 300.0, worth: 0.4 }, Rung { kb: 900.0, worth: 1.0 }],
+            classes: vec![
+                harmless,
+                ClassTerms {
+                    effect: Effect::Paid,
+                    seats: 5,
+                    ..class
+                },
+            ],
+            ladder: vec![
+                Rung {
+                    kb: 300.0,
+                    worth: 0.4,
+                },
+                Rung {
+                    kb: 900.0,
+                    worth: 1.0,
+                },
+            ],
             cells: NODES,
             racks: 0,
             places_by_kind: vec![40.0],
@@ -109,7 +136,10 @@
             set_ups: 0,
         };
         let lines = (0..NODES).map(|n| line(n, Standing::Ready)).collect();
-        world.tell(Input::List { news: ListNews::Full, lines });
+        world.tell(Input::List {
+            news: ListNews::Full,
+            lines,
+        });
         world
     }
 
@@ -126,30 +156,51 @@
                     seen.answers += 1;
                     assert_eq!(seen.answers, 1, "one answer for {ask:?}");
                     assert!(!seen.left, "an answer to one who left");
-                    assert!(self.now <= seen.due + 20 * MS, "an answer {} late", self.now - seen.due);
+                    assert!(
+                        self.now <= seen.due + 20 * MS,
+                        "an answer {} late",
+                        self.now - seen.due
+                    );
                     if let Answer::Plays { session, .. } = answer {
                         self.plays.insert(session);
                     }
                 }
-                Output::Call { call, server, kind, .. } => {
-                    if let CallKind::SetUp { session, attempt, class, .. } = &kind {
+                Output::Call {
+                    call, server, kind, ..
+                } => {
+                    if let CallKind::SetUp {
+                        session,
+                        attempt,
+                        class,
+                        ..
+                    } = &kind
+                    {
                         self.set_ups += 1;
                         let again = self.out.values().any(
                             |(_, _, k, _)| matches!(k, CallKind::SetUp { session: s, .. } if s == session),
                         );
                         assert!(!again, "two attempts out");
                         if class == "paid" {
-                            assert_eq!(self.paid.get(session), None, "paid twice, attempt {attempt}");
+                            assert_eq!(
+                                self.paid.get(session),
+                                None,
+                                "paid twice, attempt {attempt}"
+                            );
                         }
                     }
                     let how = self.dice.roll(100);
-                    let wait =
-                        if how < 70 { self.dice.roll(200) } else { self.dice.roll(6000) } as Micros * MS;
+                    let wait = if how < 70 {
+                        self.dice.roll(200)
+                    } else {
+                        self.dice.roll(6000)
+                    } as Micros
+                        * MS;
                     self.out.insert(call, (self.now + wait, server, kind, how));
                 }
                 Output::Drop { call } => {
                     // Given up: it may still run, now or later.
-                    let (_, server, kind, how) = self.out.remove(&call).expect("a call that is out");
+                    let (_, server, kind, how) =
+                        self.out.remove(&call).expect("a call that is out");
                     if how % 2 == 0 {
                         self.run(server, &kind);
                     }
@@ -166,7 +217,12 @@
         }
         let runs = self.runs.get_mut(&server).unwrap();
         match kind {
-            CallKind::SetUp { session, attempt, class, .. } => {
+            CallKind::SetUp {
+                session,
+                attempt,
+                class,
+                ..
+            } => {
                 if class == "paid" {
                     *self.paid.entry(*session).or_default() += 1;
                 }
@@ -174,7 +230,9 @@
                     runs.insert((*session, *attempt));
                 }
             }
-            CallKind::End { session, attempt, .. } => {
+            CallKind::End {
+                session, attempt, ..
+            } => {
                 runs.remove(&(*session, *attempt));
                 self.ended.insert((server, *session, *attempt));
             }
@@ -184,12 +242,23 @@
 
     fn answer_call(&mut self, call: CallId) {
         let (_, server, kind, how) = self.out.remove(&call).unwrap();
-        let load = Load { link: Some(how as f64 / 100.0), ..Load::default() };
-        let answered =
-            |status, never_ran| Done::Answered { status, never_ran, load, media: Some("m".into()) };
+        let load = Load {
+            link: Some(how as f64 / 100.0),
+            ..Load::default()
+        };
+        let answered = |status, never_ran| Done::Answered {
+            status,
+            never_ran,
+            load,
+            media: Some("m".into()),
+        };
         let set_up = matches!(kind, CallKind::SetUp { .. });
         let done = if self.down.contains(&server) {
-            if how < 50 { Done::NeverRan("refused".into()) } else { Done::MayHaveRun("reset".into()) }
+            if how < 50 {
+                Done::NeverRan("refused".into())
+            } else {
+                Done::MayHaveRun("reset".into())
+            }
         } else if set_up && how >= 92 {
             self.run(server, &kind);
             Done::MayHaveRun("cut".into())
@@ -214,14 +283,21 @@
         loop {
             let call = self.out.iter().map(|(id, (due, ..))| (*due, *id)).min();
             let timer = self.engine.poll_timeout();
-            let next = call.map(|(due, _)| due).into_iter().chain(timer).min().unwrap_or(until);
+            let next = call
+                .map(|(due, _)| due)
+                .into_iter()
+                .chain(timer)
+                .min()
+                .unwrap_or(until);
             if next > until {
                 self.now = until;
                 return;
             }
             self.now = self.now.max(next);
             match call {
-                Some((due, id)) if due <= self.now && timer.is_none_or(|t| due <= t) => self.answer_call(id),
+                Some((due, id)) if due <= self.now && timer.is_none_or(|t| due <= t) => {
+                    self.answer_call(id)
+                }
                 _ => {
                     self.engine.handle_timeout(self.now);
                     self.collect();
@@ -231,7 +307,11 @@
     }
 
     fn ask(&mut self, ask: u64) {
-        let class = if self.dice.roll(2) == 0 { "open" } else { "paid" };
+        let class = if self.dice.roll(2) == 0 {
+            "open"
+        } else {
+            "paid"
+        };
         let new = NewSession {
             viewer: format!("v{}", self.dice.roll(60)),
             class: class.into(),
@@ -239,8 +319,17 @@
             again: self.dice.roll(3) > 0,
             ..NewSession::default()
         };
-        self.asks.insert(AskId(ask), AskSeen { due: self.now + 4 * S, ..AskSeen::default() });
-        self.tell(Input::Asked { ask: AskId(ask), new });
+        self.asks.insert(
+            AskId(ask),
+            AskSeen {
+                due: self.now + 4 * S,
+                ..AskSeen::default()
+            },
+        );
+        self.tell(Input::Asked {
+            ask: AskId(ask),
+            new,
+        });
     }
 
     fn trouble(&mut self) {
@@ -255,8 +344,14 @@
                 // A viewer ends at its node.
                 let one = self.runs[&server].iter().next().copied();
                 if let Some((session, attempt)) = one {
-                    self.runs.get_mut(&server).unwrap().remove(&(session, attempt));
-                    self.tell(Input::NodeTold { server, told: Told::Ended { session, attempt } });
+                    self.runs
+                        .get_mut(&server)
+                        .unwrap()
+                        .remove(&(session, attempt));
+                    self.tell(Input::NodeTold {
+                        server,
+                        told: Told::Ended { session, attempt },
+                    });
                 }
             }
             3 => {
@@ -276,7 +371,11 @@
 
     fn snapshot(&mut self, server: ServerId) {
         let held = self.runs[&server].iter().copied().collect();
-        self.tell(Input::NodeUp { server, asked: self.now, held });
+        self.tell(Input::NodeUp {
+            server,
+            asked: self.now,
+            held,
+        });
     }
 }
 
@@ -300,32 +399,75 @@
         }
         world.pass(world.now + 60 * S);
         for (ask, seen) in &world.asks {
-            assert!(seen.left || seen.answers == 1, "seed {seed}: {ask:?} has {} answers", seen.answers);
+            assert!(
+                seen.left || seen.answers == 1,
+                "seed {seed}: {ask:?} has {} answers",
+                seen.answers
+            );
         }
         let held = world.engine.held();
-        assert_eq!((held.waiting, held.leaving, held.owed_ends), (0, 0, 0), "seed {seed}");
+        assert_eq!(
+            (held.waiting, held.leaving, held.owed_ends),
+            (0, 0, 0),
+            "seed {seed}"
+        );
         let runs: usize = world.runs.values().map(BTreeSet::len).sum();
-        assert_eq!(runs, held.playing, "seed {seed}: what nodes hold is what is known here");
+        assert_eq!(
+            runs, held.playing,
+            "seed {seed}: what nodes hold is what is known here"
+        );
         set_ups += world.set_ups;
     }
-    assert!(set_ups > 3000, "the runs have to exercise the engine: {set_ups} set-ups");
+    assert!(
+        set_ups > 3000,
+        "the runs have to exercise the engine: {set_ups} set-ups"
+    );
 }
 
 #[test]
 fn the_same_key_gets_the_same_session() {
     let mut world = World::new(1);
     world.pass(2 * S);
-    let new =
-        NewSession { viewer: "a".into(), class: "open".into(), title: "t1".into(), ..Default::default() };
+    let new = NewSession {
+        viewer: "a".into(),
+        class: "open".into(),
+        title: "t1".into(),
+        ..Default::default()
+    };
     for ask in 0..3 {
-        world.asks.insert(AskId(ask), AskSeen { due: world.now + 4 * S, ..Default::default() });
-        world.tell(Input::Asked { ask: AskId(ask), new: new.clone() });
+        world.asks.insert(
+            AskId(ask),
+            AskSeen {
+                due: world.now + 4 * S,
+                ..Default::default()
+            },
+        );
+        world.tell(Input::Asked {
+            ask: AskId(ask),
+            new: new.clone(),
+        });
     }
     assert_eq!(world.set_ups, 1);
-    let other = NewSession { title: "t2".into(), ..new };
-    world.asks.insert(AskId(9), AskSeen { due: world.now, ..Default::default() });
-    world.tell(Input::Asked { ask: AskId(9), new: other });
-    assert_eq!(world.asks[&AskId(9)].answers, 1, "another title under a key in use clashes at once");
+    let other = NewSession {
+        title: "t2".into(),
+        ..new
+    };
+    world.asks.insert(
+        AskId(9),
+        AskSeen {
+            due: world.now,
+            ..Default::default()
+        },
+    );
+    world.tell(Input::Asked {
+        ask: AskId(9),
+        new: other,
+    });
+    assert_eq!(
+        world.asks[&AskId(9)].answers,
+        1,
+        "another title under a key in use clashes at once"
+    );
     world.pass(world.now + 10 * S);
     assert!((0..3).all(|a| world.asks[&AskId(a)].answers == 1));
     assert_eq!(world.plays.len(), 1);
@@ -336,7 +478,13 @@
     let run = || {
         let mut engine = Engine::new(config(), 0);
         let lines = (0..NODES).map(|n| line(n, Standing::Ready)).collect();
-        engine.handle(0, Input::List { news: ListNews::Full, lines });
+        engine.handle(
+            0,
+            Input::List {
+                news: ListNews::Full,
+                lines,
+            },
+        );
         for ask in 0..50 {
             let new = NewSession {
                 viewer: format!("v{ask}"),
@@ -344,10 +492,18 @@
                 title: "t0".into(),
                 ..Default::default()
             };
-            engine.handle(ask as Micros * 10 * MS, Input::Asked { ask: AskId(ask), new });
+            engine.handle(
+                ask as Micros * 10 * MS,
+                Input::Asked {
+                    ask: AskId(ask),
+                    new,
+                },
+            );
         }
         engine.handle_timeout(10 * S);
-        std::iter::from_fn(|| engine.poll_output()).map(|o| format!("{o:?}")).collect::<Vec<_>>()
+        std::iter::from_fn(|| engine.poll_output())
+            .map(|o| format!("{o:?}"))
+            .collect::<Vec<_>>()
     };
     assert_eq!(run(), run());
 }
@@ -357,18 +513,35 @@
     for answer_first in [true, false] {
         let mut world = World::new(1);
         world.pass(2 * S);
-        let new =
-            NewSession { viewer: "a".into(), class: "paid".into(), title: "t1".into(), ..Default::default() };
-        world.asks.insert(AskId(0), AskSeen { due: world.now + 4 * S, ..Default::default() });
+        let new = NewSession {
+            viewer: "a".into(),
+            class: "paid".into(),
+            title: "t1".into(),
+            ..Default::default()
+        };
+        world.asks.insert(
+            AskId(0),
+            AskSeen {
+                due: world.now + 4 * S,
+                ..Default::default()
+            },
+        );
         world.tell(Input::Asked { ask: AskId(0), new });
         let (call, (_, server, kind, _)) = world.out.pop_first().unwrap();
         assert!(matches!(kind, CallKind::SetUp { .. }));
         world.run(server, &kind);
-        let done =
-            Done::Answered { status: 201, never_ran: false, load: Load::default(), media: Some("m".into()) };
+        let done = Done::Answered {
+            status: 201,
+            never_ran: false,
+            load: Load::default(),
+            media: Some("m".into()),
+        };
         world.now += 4 * S - 10 * MS;
         if answer_first {
-            world.tell(Input::Done { call, done: done.clone() });
+            world.tell(Input::Done {
+                call,
+                done: done.clone(),
+            });
         }
         // The call was taken off the list: hand it back so that giving it up finds it.
         world.out.insert(call, (Micros::MAX, server, kind, 1));
@@ -382,7 +555,10 @@
         assert_eq!(world.asks[&AskId(0)].answers, 1);
         let held = world.engine.held();
         let runs: usize = world.runs.values().map(BTreeSet::len).sum();
-        assert_eq!((held.playing, runs), if answer_first { (1, 1) } else { (0, 0) });
+        assert_eq!(
+            (held.playing, runs),
+            if answer_first { (1, 1) } else { (0, 0) }
+        );
     }
 }
 
@@ -390,16 +566,34 @@
 fn an_end_that_is_confirmed_by_other_news_leaves_no_call_waiting() {
     let mut world = World::new(1);
     world.pass(2 * S);
-    let new =
-        NewSession { viewer: "a".into(), class: "open".into(), title: "t1".into(), ..Default::default() };
-    world.asks.insert(AskId(0), AskSeen { due: world.now + 4 * S, ..Default::default() });
+    let new = NewSession {
+        viewer: "a".into(),
+        class: "open".into(),
+        title: "t1".into(),
+        ..Default::default()
+    };
+    world.asks.insert(
+        AskId(0),
+        AskSeen {
+            due: world.now + 4 * S,
+            ..Default::default()
+        },
+    );
     world.tell(Input::Asked { ask: AskId(0), new });
     world.pass(world.now + 10 * S);
     let session = world.plays.pop_first().unwrap();
     world.tell(Input::Ended { session });
-    let (_, server, ..) = world.out.values().next().cloned().expect("the node is told to end it");
+    let (_, server, ..) = world
+        .out
+        .values()
+        .next()
+        .cloned()
+        .expect("the node is told to end it");
     // The node never answers; the list says that it is gone.
-    world.tell(Input::List { news: ListNews::Delta, lines: vec![line(server.0, Standing::Gone)] });
+    world.tell(Input::List {
+        news: ListNews::Delta,
+        lines: vec![line(server.0, Standing::Gone)],
+    });
     assert!(world.out.is_empty(), "{:?}", world.out);
     assert_eq!(world.engine.held(), Held::default());
 }
@@ -412,18 +606,43 @@
         let mut world = World::new(1);
         world.pass(2 * S);
         let (viewer, class, title) = ("a".into(), class.into(), "t1".into());
-        world.asks.insert(AskId(0), AskSeen { due: world.now + 4 * S, ..Default::default() });
+        world.asks.insert(
+            AskId(0),
+            AskSeen {
+                due: world.now + 4 * S,
+                ..Default::default()
+            },
+        );
         world.tell(Input::Asked {
             ask: AskId(0),
-            new: NewSession { viewer, class, title, ..Default::default() },
+            new: NewSession {
+                viewer,
+                class,
+                title,
+                ..Default::default()
+            },
         });
         let (_, server, ..) = world.out.values().next().cloned().expect("a set-up");
         // None of them ever answers, and all are gone.
-        world.out.values_mut().for_each(|(due, ..)| *due = Micros::MAX);
-        let gone =
-            (0..NODES).map(|n| line(n, if n == server.0 { Standing::Gone } else { Standing::Draining }));
+        world
+            .out
+            .values_mut()
+            .for_each(|(due, ..)| *due = Micros::MAX);
+        let gone = (0..NODES).map(|n| {
+            line(
+                n,
+                if n == server.0 {
+                    Standing::Gone
+                } else {
+                    Standing::Draining
+                },
+            )
+        });
         let lines = gone.collect();
-        world.tell(Input::List { news: ListNews::Delta, lines });
+        world.tell(Input::List {
+            news: ListNews::Delta,
+            lines,
+        });
         world.pass(world.now + 6 * S);
         assert_eq!(world.asks[&AskId(0)].answers, 1);
         assert_eq!(world.engine.held(), Held::default());
@@ -438,27 +657,56 @@
     for ask in 0..40 {
         let class = if ask % 2 == 0 { "open" } else { "paid" };
         let (viewer, title) = (format!("v{ask}"), format!("t{}", ask % 6));
-        world.asks.insert(AskId(ask), AskSeen { due: world.now + 4 * S, ..Default::default() });
+        world.asks.insert(
+            AskId(ask),
+            AskSeen {
+                due: world.now + 4 * S,
+                ..Default::default()
+            },
+        );
         world.tell(Input::Asked {
             ask: AskId(ask),
-            new: NewSession { viewer, class: class.into(), title, ..Default::default() },
+            new: NewSession {
+                viewer,
+                class: class.into(),
+                title,
+                ..Default::default()
+            },
         });
         while let Some((call, _)) = world.out.pop_first() {
-            world.tell(Input::Done { call, done: Done::NotSent("too many open files".into()) });
+            world.tell(Input::Done {
+                call,
+                done: Done::NotSent("too many open files".into()),
+            });
         }
         assert_eq!(world.asks[&AskId(ask)].answers, 1, "turned away at once");
     }
-    assert_eq!(world.engine.held(), Held::default(), "no end is owed for what was never sent");
+    assert_eq!(
+        world.engine.held(),
+        Held::default(),
+        "no end is owed for what was never sent"
+    );
     // It is over: every node takes sessions of both classes at once, as none of them has failed.
     let before = world.set_ups;
     for ask in 100..124 {
         world.now += 100 * MS;
-        world.asks.insert(AskId(ask), AskSeen { due: world.now + 4 * S, ..Default::default() });
+        world.asks.insert(
+            AskId(ask),
+            AskSeen {
+                due: world.now + 4 * S,
+                ..Default::default()
+            },
+        );
         let (viewer, title) = (format!("w{ask}"), format!("t{}", ask % 6));
         let class = "paid".to_string();
         world.tell(Input::Asked {
             ask: AskId(ask),
-            new: NewSession { viewer, class, title, ..Default::default() },
+            new: NewSession {
+                viewer,
+                class,
+                title,
+                ..Default::default()
+            },
         });
     }
     assert_eq!(world.set_ups - before, 24);
--- a/crates/front/src/api.rs
+++ b/crates/front/src/api.rs
@@ -43,9 +43,16 @@
         }
         w.tenant = Some(named.to_string());
     }
-    let names = [&w.viewer, &w.class, &w.title, w.tenant.as_ref().unwrap_or(&w.class)];
+    let names = [
+        &w.viewer,
+        &w.class,
+        &w.title,
+        w.tenant.as_ref().unwrap_or(&w.class),
+    ];
     if names.iter().any(|n| n.is_empty() || n.len() > NAME) {
-        return Err(format!("viewer, tenant, class and title take 1 to {NAME} bytes"));
+        return Err(format!(
+            "viewer, tenant, class and title take 1 to {NAME} bytes"
+        ));
     }
     Ok(NewSession {
         wait: micros(w.wait_ms, 1e3)?,
@@ -63,7 +70,9 @@
 pub async fn answer(hub: Rc<Hub>, request: Request) -> Reply {
     let head = &request.head;
     let path = head.path().strip_prefix("/sessions/").unwrap_or_default();
-    let (number, word) = path.split_once('/').map_or((path, None), |(number, word)| (number, Some(word)));
+    let (number, word) = path
+        .split_once('/')
+        .map_or((path, None), |(number, word)| (number, Some(word)));
     let session: Option<u64> = number.parse().ok();
     if let (Some(session), Some(word)) = (session.map(SessionId), word) {
         let reply = match head.method.as_str() {
@@ -75,7 +84,9 @@
     }
     match (head.method.as_str(), head.path(), session) {
         // Not taken, so nothing was set up: another front may have it at once.
-        ("POST", "/sessions", _) if hub.leaving() => problem(503, "this front is ending", None, Some(0)),
+        ("POST", "/sessions", _) if hub.leaving() => {
+            problem(503, "this front is ending", None, Some(0))
+        }
         ("POST", "/sessions", _) => match read(&request) {
             Err(why) => Reply::problem(422, &why),
             Ok(new) => match hub.ask(new).answer().await {
@@ -85,7 +96,9 @@
         },
         ("DELETE", _, Some(session)) => {
             // Ending what has ended, or never was, is no error: the wish is fulfilled.
-            hub.feed(Input::Ended { session: SessionId(session) });
+            hub.feed(Input::Ended {
+                session: SessionId(session),
+            });
             Reply::new(204)
         }
         ("GET", "/state", _) => {
@@ -105,7 +118,12 @@
 }
 
 /// A problem that names its session and says when to come back, where there are such.
-fn problem(status: u16, detail: &str, session: Option<SessionId>, come_back: Option<Micros>) -> Reply {
+fn problem(
+    status: u16,
+    detail: &str,
+    session: Option<SessionId>,
+    come_back: Option<Micros>,
+) -> Reply {
     let mut members = serde_json::Map::new();
     if let Some(session) = session {
         members.insert("session".into(), session.0.into());
@@ -118,7 +136,11 @@
 
 fn reply(answer: Answer) -> Reply {
     match answer {
-        Answer::Plays { session, rung, media } => {
+        Answer::Plays {
+            session,
+            rung,
+            media,
+        } => {
             let body = serde_json::json!({ "session": session.0, "rung": rung, "media": media });
             Reply::json(201, body.to_string()).with("Location", format!("/sessions/{}", session.0))
         }
@@ -126,16 +148,25 @@
             let reply = problem(503, "turned away, free to come back", session, come_back);
             match come_back {
                 // The field has whole seconds; the exact time is in the body.
-                Some(after) => reply.with("Retry-After", ((after + 999_999) / 1_000_000).to_string()),
+                Some(after) => {
+                    reply.with("Retry-After", ((after + 999_999) / 1_000_000).to_string())
+                }
                 None => reply,
             }
         }
-        Answer::Failed { session, late: false } => {
-            problem(502, "failed; it may have been set up", Some(session), None)
-        }
-        Answer::Failed { session, late: true } => {
-            problem(504, "the time was up; it may have been set up", Some(session), None)
-        }
+        Answer::Failed {
+            session,
+            late: false,
+        } => problem(502, "failed; it may have been set up", Some(session), None),
+        Answer::Failed {
+            session,
+            late: true,
+        } => problem(
+            504,
+            "the time was up; it may have been set up",
+            Some(session),
+            None,
+        ),
         Answer::Unknown(what) => Reply::problem(404, &format!("{what} is not known here")),
         Answer::Clash(what) => Reply::problem(409, what),
     }
--- a/crates/front/src/day.rs
+++ b/crates/front/src/day.rs
@@ -43,13 +43,22 @@
 /// The rules as the auditor wants them.
 pub fn rules(plan: &DayPlan) -> Rules {
     let r = &plan.site.rules;
-    let class = |c: &shalewall_settings::Class| ClassRule { paid: c.paid, floor: c.floor, seats: c.seats };
+    let class = |c: &shalewall_settings::Class| ClassRule {
+        paid: c.paid,
+        floor: c.floor,
+        seats: c.seats,
+    };
     let further = |f: &shalewall_settings::Further| Further {
         free: f.free,
         per_request: f.per_request,
         span: us(f.span_ms),
     };
-    let classes: BTreeMap<_, _> = plan.site.class.iter().map(|(n, c)| (n.clone(), class(c))).collect();
+    let classes: BTreeMap<_, _> = plan
+        .site
+        .class
+        .iter()
+        .map(|(n, c)| (n.clone(), class(c)))
+        .collect();
     let hosted = plan.site.tenant.keys().filter(|_| plan.hosted.is_some());
     Rules {
         tenants: hosted.map(|name| (name.clone(), classes.clone())).collect(),
@@ -63,7 +72,12 @@
         further: r.further.as_ref().map(further),
         transit: TRANSIT,
         cells: plan.site.layout.cells,
-        titles: plan.site.title.iter().map(|(name, t)| (name.clone(), (t.home, t.spread))).collect(),
+        titles: plan
+            .site
+            .title
+            .iter()
+            .map(|(name, t)| (name.clone(), (t.home, t.spread)))
+            .collect(),
     }
 }
 
@@ -102,7 +116,10 @@
     }
     let file = out.join("move.key");
     let bytes: [u8; 32] = rand::random();
-    std::fs::write(&file, bytes.iter().map(|b| format!("{b:02x}")).collect::<String>())?;
+    std::fs::write(
+        &file,
+        bytes.iter().map(|b| format!("{b:02x}")).collect::<String>(),
+    )?;
     Ok(Some((file, Key::new(bytes))))
 }
 
@@ -122,19 +139,40 @@
         key: key.as_ref().map(|(_, key)| key.clone()),
         loads: plan.load.follow > 0.0,
     };
-    let nodes = Nodes::new(ex.clone(), Fleet::new(physics, plan.day.seed ^ 1), recorder.clone(), telling);
+    let nodes = Nodes::new(
+        ex.clone(),
+        Fleet::new(physics, plan.day.seed ^ 1),
+        recorder.clone(),
+        telling,
+    );
     let late = ms(fleet.list_late_ms);
     let (list, list_address) = List::start(ex.clone(), recorder.clone(), late)?;
     for machine in machines {
         let id = machine.id;
         nodes.start(machine, true)?;
-        line(&nodes, id, "ready").into_iter().for_each(|l| list.tell(l));
+        line(&nodes, id, "ready")
+            .into_iter()
+            .for_each(|l| list.tell(l));
     }
     let crowd = shalewall_lab::plan::crowd(plan);
     let arrivals = shalewall_lab::plan::arrivals(plan);
-    let viewers = Viewers::new(ex.clone(), recorder.clone(), crowd, arrivals, plan.day.seed ^ 3);
+    let viewers = Viewers::new(
+        ex.clone(),
+        recorder.clone(),
+        crowd,
+        arrivals,
+        plan.day.seed ^ 3,
+    );
     let key_file = key.map(|(file, _)| file);
-    Ok(World { ex: ex.clone(), nodes, list, list_address, key_file, viewers, recorder })
+    Ok(World {
+        ex: ex.clone(),
+        nodes,
+        list,
+        list_address,
+        key_file,
+        viewers,
+        recorder,
+    })
 }
 
 /// Runs a day and judges it. `program`: the binary whose `serve` is each director. Recordings, settings and
@@ -146,7 +184,8 @@
     mut progress: impl FnMut(&str),
 ) -> io::Result<Summary> {
     if plan.day.directors > MOST_DIRECTORS {
-        let what = format!("{MOST_DIRECTORS} directors at most can be run as processes of one machine");
+        let what =
+            format!("{MOST_DIRECTORS} directors at most can be run as processes of one machine");
         return Err(io::Error::new(io::ErrorKind::InvalidInput, what));
     }
     rig::allow(plan)?;
@@ -159,12 +198,19 @@
         }
     }
     let rules = rules(plan);
-    std::fs::write(out.join("rules.json"), serde_json::to_string_pretty(&rules)?)?;
+    std::fs::write(
+        out.join("rules.json"),
+        serde_json::to_string_pretty(&rules)?,
+    )?;
     let recorder = Recorder::file(&out.join("day.jsonl"))?;
     let ex = Rc::new(LocalExecutor::new());
     let (count, lacked) = async_io::block_on(ex.run(async {
         let world = Rc::new(world(&ex, plan, recorder.clone(), move_key(plan, out)?)?);
-        let hosting = plan.hosted.as_ref().map(|hosted| service::host(&ex, plan, hosted, out)).transpose()?;
+        let hosting = plan
+            .hosted
+            .as_ref()
+            .map(|hosted| service::host(&ex, plan, hosted, out))
+            .transpose()?;
         let directors = Rc::new(Directors::new(plan, program, out, &world, hosting));
         for number in 0..plan.day.directors {
             directors.start(number).await?;
@@ -213,12 +259,18 @@
     let verdict = judge(&records, &rules);
     let moves = (plan.load.follow > 0.0).then(|| shalewall_audit::moves(&records, &rules));
     let summary = Summary::new(&count, &verdict, moves, &lacked);
-    std::fs::write(out.join("summary.json"), serde_json::to_string_pretty(&summary)?)?;
+    std::fs::write(
+        out.join("summary.json"),
+        serde_json::to_string_pretty(&summary)?,
+    )?;
     std::fs::write(out.join("summary.txt"), summary.to_string())?;
     Ok(summary)
 }
 
 /// Judges the recordings of a folder.
 pub fn audit(dir: &Path) -> io::Result<Verdict> {
-    Ok(judge(&shalewall_audit::read(dir)?, &shalewall_audit::read_rules(dir)?))
+    Ok(judge(
+        &shalewall_audit::read(dir)?,
+        &shalewall_audit::read_rules(dir)?,
+    ))
 }
--- a/crates/front/src/day/directors.rs
+++ b/crates/front/src/day/directors.rs
@@ -70,7 +70,11 @@
     /// Numbers of those that are of this zone, or all.
     pub fn numbers(&self, zone: Option<&str>) -> Vec<u32> {
         let of = |p: &&FrontPlan| zone.is_none() || p.front.zone.as_deref() == zone;
-        self.plans.iter().filter(of).map(|p| p.front.number).collect()
+        self.plans
+            .iter()
+            .filter(of)
+            .map(|p| p.front.number)
+            .collect()
     }
 
     /// Starts one and waits until it listens.
@@ -85,16 +89,24 @@
             .stdout(Stdio::null())
             .stderr(Stdio::piped())
             .spawn()?;
-        let told = child.stderr.take().ok_or_else(|| io::Error::other("no log of a director"))?;
+        let told = child
+            .stderr
+            .take()
+            .ok_or_else(|| io::Error::other("no log of a director"))?;
         let log = self.out.join(format!("director-{number}.log"));
-        let mut log = std::fs::OpenOptions::new().create(true).append(true).open(log)?;
+        let mut log = std::fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(log)?;
         let (sender, address) = async_channel::bounded(1);
         std::thread::spawn(move || {
             for line in BufReader::new(told).lines().map_while(Result::ok) {
                 let _ = writeln!(log, "{line}");
                 let said: serde_json::Value = serde_json::from_str(&line).unwrap_or_default();
                 if said["fields"]["message"] == "listening"
-                    && let Some(at) = said["fields"]["address"].as_str().and_then(|a| a.parse().ok())
+                    && let Some(at) = said["fields"]["address"]
+                        .as_str()
+                        .and_then(|a| a.parse().ok())
                 {
                     let _ = sender.try_send(at);
                 }
@@ -103,24 +115,36 @@
         self.running.borrow_mut().insert(number, child);
         let listens = shalewall_http::client::in_time(STARTS_WITHIN, address.recv()).await;
         let Some(Ok(address)) = listens else {
-            return Err(io::Error::other(format!("director {number} does not listen: see its log")));
+            return Err(io::Error::other(format!(
+                "director {number} does not listen: see its log"
+            )));
         };
-        self.recorder.note(Record::DirectorUp { t: shalewall_clock::now(), director: number });
+        self.recorder.note(Record::DirectorUp {
+            t: shalewall_clock::now(),
+            director: number,
+        });
         self.viewers.set_front(number, address);
         Ok(())
     }
 
     /// Kills one outright.
     pub fn kill(&self, number: u32) -> io::Result<()> {
-        let Some(mut child) = self.running.borrow_mut().remove(&number) else { return Ok(()) };
-        self.recorder.note(Record::DirectorKilled { t: shalewall_clock::now(), director: number });
+        let Some(mut child) = self.running.borrow_mut().remove(&number) else {
+            return Ok(());
+        };
+        self.recorder.note(Record::DirectorKilled {
+            t: shalewall_clock::now(),
+            director: number,
+        });
         child.kill()?;
         child.wait().map(|_| ())
     }
 
     fn signal(&self, number: u32, signal: Signal) -> bool {
         let running = self.running.borrow();
-        let pid = running.get(&number).and_then(|c| Pid::from_raw(c.id() as i32));
+        let pid = running
+            .get(&number)
+            .and_then(|c| Pid::from_raw(c.id() as i32));
         pid.is_some_and(|pid| kill_process(pid, signal).is_ok())
     }
 
@@ -133,7 +157,11 @@
         async_io::Timer::after(time).await;
         self.signal(number, Signal::CONT);
         let until = shalewall_clock::now();
-        self.recorder.note(Record::DirectorStalled { t, director: number, until });
+        self.recorder.note(Record::DirectorStalled {
+            t,
+            director: number,
+            until,
+        });
     }
 
     /// Ends all of them.
--- a/crates/front/src/day/import.rs
+++ b/crates/front/src/day/import.rs
@@ -2,8 +2,8 @@
 
 use serde_json::Value;
 use shalewall_settings::{
-    Class, Costs, Day, DayPlan, Fleet, Further, Kind, Layout, Limits, Link, Load, Machine, Notes, Rules,
-    Site, Step, Tenant, Title, Trouble, TroubleKind,
+    Class, Costs, Day, DayPlan, Fleet, Further, Kind, Layout, Limits, Link, Load, Machine, Notes,
+    Rules, Site, Step, Tenant, Title, Trouble, TroubleKind,
 };
 use std::collections::BTreeMap;
 
@@ -18,7 +18,9 @@
     /// The script's text, with what was left out at its head.
     pub fn script(&self) -> Result<String, String> {
         let mut text = String::from("# Imported from a day of the bench. Left out or changed:\n");
-        self.left_out.iter().for_each(|l| text.push_str(&format!("# - {l}\n")));
+        self.left_out
+            .iter()
+            .for_each(|l| text.push_str(&format!("# - {l}\n")));
         text.push_str(&hcl::to_string(&self.plan).map_err(|e| e.to_string())?);
         Ok(text)
     }
@@ -37,7 +39,10 @@
             Ok(i) => self.value.get(i),
             Err(_) => self.value.get(name),
         };
-        Source { value: value.unwrap_or(&NONE), path: format!("{}/{name}", self.path) }
+        Source {
+            value: value.unwrap_or(&NONE),
+            path: format!("{}/{name}", self.path),
+        }
     }
 
     fn wrong<T>(&self, what: &str) -> Result<T, String> {
@@ -45,11 +50,16 @@
     }
 
     fn number(&self) -> Result<f64, String> {
-        self.value.as_f64().filter(|x| x.is_finite()).map_or_else(|| self.wrong("has to be a number"), Ok)
+        self.value
+            .as_f64()
+            .filter(|x| x.is_finite())
+            .map_or_else(|| self.wrong("has to be a number"), Ok)
     }
 
     fn text(&self) -> Result<String, String> {
-        self.value.as_str().map_or_else(|| self.wrong("has to be a text"), |t| Ok(t.to_string()))
+        self.value
+            .as_str()
+            .map_or_else(|| self.wrong("has to be a text"), |t| Ok(t.to_string()))
     }
 
     fn flag(&self) -> bool {
@@ -74,15 +84,21 @@
 /// Turns the text of a day file into a script.
 pub fn import(text: &str) -> Result<Imported, String> {
     let value: Value = serde_json::from_str(text).map_err(|e| format!("is not JSON: {e}"))?;
-    let day = Source { value: &value, path: String::new() };
+    let day = Source {
+        value: &value,
+        path: String::new(),
+    };
     if day.at("family").text()? != "streams" {
-        return day.at("family").wrong("only days of streams have a counterpart");
+        return day
+            .at("family")
+            .wrong("only days of streams have a counterpart");
     }
     let mut left_out = vec![
         "net: delays and jitter are those of this machine's loopback".to_string(),
         "sessions that play when the day begins: the day begins empty".to_string(),
         "session lengths: evenly from 0.3 to 1.7 times the day's mean".to_string(),
-        "titles: laid out anew, with the day's number, spread and skew; all classes share them".to_string(),
+        "titles: laid out anew, with the day's number, spread and skew; all classes share them"
+            .to_string(),
         "clients: pauses, patience and back-off are the stand-ins'".to_string(),
         "connections: handshakes, caps and idle times are this machine's".to_string(),
     ];
@@ -101,7 +117,9 @@
     let seconds = (day.at("length").number()? / 1e6).clamp(1.0, 3600.0);
     let directors = day.at("balancers").list()?.len();
     if directors == 0 || directors > 64 {
-        return day.at("balancers").wrong("1 to 64 directors can be run as processes of one machine");
+        return day
+            .at("balancers")
+            .wrong("1 to 64 directors can be run as processes of one machine");
     }
     let load = load(&day, &site)?;
     let trouble = troubles(&day, &site, seconds, &mut left_out)?;
@@ -109,8 +127,20 @@
         left_out.push("tenants: viewers do not name theirs, so their shares are not played".into());
     }
     let seed = day.at("noise").value.as_u64().unwrap_or(1) >> 12;
-    let day = Day { seconds, seed, directors: directors as u32, media_fraction: 0.01 };
-    let plan = DayPlan { day, site, fleet, load, hosted: None, trouble };
+    let day = Day {
+        seconds,
+        seed,
+        directors: directors as u32,
+        media_fraction: 0.01,
+    };
+    let plan = DayPlan {
+        day,
+        site,
+        fleet,
+        load,
+        hosted: None,
+        trouble,
+    };
     Ok(Imported { plan, left_out })
 }
 
@@ -120,7 +150,9 @@
     let kinds = tier.at("kinds").list()?;
     let mut kind = BTreeMap::new();
     for k in &kinds {
-        let places = (k.at("cores").number()? * fam.at("core_slots").number()?).round().max(1.0);
+        let places = (k.at("cores").number()? * fam.at("core_slots").number()?)
+            .round()
+            .max(1.0);
         kind.insert(k.at("name").text()?, Kind { places });
     }
     let uses = fam.at("uses").list()?;
@@ -167,7 +199,13 @@
     };
     let mut tenant = BTreeMap::new();
     for t in day.at("tenants").list()? {
-        tenant.insert(t.at("name").text()?, Tenant { allowance_per_s: t.at("quota").number()?, share: 0.0 });
+        tenant.insert(
+            t.at("name").text()?,
+            Tenant {
+                allowance_per_s: t.at("quota").number()?,
+                share: 0.0,
+            },
+        );
     }
     let copies = fam.at("copies").number()?;
     let titles = (fam.at("titles").number()? as u64).clamp(1, 10_000);
@@ -175,21 +213,43 @@
     let all: f64 = (1..=titles).map(|i| (i as f64).powf(-zipf)).sum();
     let spread = |i: u64| {
         let part = (i as f64 + 1.0).powf(-zipf) / all;
-        ((copies * part * servers.len() as f64).ceil() as u64).max(3).min(cells)
+        ((copies * part * servers.len() as f64).ceil() as u64)
+            .max(3)
+            .min(cells)
     };
     // Homes go round the cells by a step that meets them all.
     let title = (0..titles)
-        .map(|i| (format!("title-{i:04}"), Title { home: (i * 7 + i / cells) % cells, spread: spread(i) }))
+        .map(|i| {
+            (
+                format!("title-{i:04}"),
+                Title {
+                    home: (i * 7 + i / cells) % cells,
+                    spread: spread(i),
+                },
+            )
+        })
         .collect();
     let allow = day.at("allow");
     let prices = day.at("prices");
     Ok(Site {
         moves: None,
-        zones: day.at("zones").list()?.iter().map(Source::text).collect::<Result<_, _>>()?,
+        zones: day
+            .at("zones")
+            .list()?
+            .iter()
+            .map(Source::text)
+            .collect::<Result<_, _>>()?,
         kind,
         class,
         tenant,
-        ladder: rates.iter().zip(&worths).map(|(kb, worth)| Step { kb: *kb, worth: *worth }).collect(),
+        ladder: rates
+            .iter()
+            .zip(&worths)
+            .map(|(kb, worth)| Step {
+                kb: *kb,
+                worth: *worth,
+            })
+            .collect(),
         layout: Layout { cells, racks },
         link: Link {
             kb_per_weight: links / weights.max(1e-9),
@@ -198,7 +258,10 @@
             uplink_kb: uplinks.iter().sum::<f64>() / uplinks.len().max(1) as f64,
             join_adds: fam.at("join").number()?,
         },
-        notes: Notes { every_ms: ms(fam.at("tell"))?, late_ms: ms(fam.at("see"))? },
+        notes: Notes {
+            every_ms: ms(fam.at("tell"))?,
+            late_ms: ms(fam.at("see"))?,
+        },
         costs: Costs {
             stall: fam.at("stall").number()?,
             switch_s: fam.at("switch_s").number()?,
@@ -338,12 +401,15 @@
             TroubleKind::Crash | TroubleKind::Vanish | TroubleKind::Hang => trouble.on = nodes(),
             TroubleKind::Neighbour => {
                 (trouble.on, trouble.size) = (nodes(), size.clamp(0.001, 1.0));
-                left_out.push(format!("trouble {label}: its spells on and off are drawn anew"));
+                left_out.push(format!(
+                    "trouble {label}: its spells on and off are drawn anew"
+                ));
             }
             TroubleKind::Ageing => {
                 (trouble.on, trouble.size) = (nodes(), size);
-                left_out
-                    .push(format!("trouble {label}: its course is a straight line, links slow with set-ups"));
+                left_out.push(format!(
+                    "trouble {label}: its course is a straight line, links slow with set-ups"
+                ));
             }
             TroubleKind::SharedSlow | TroubleKind::Burst => trouble.size = size,
             TroubleKind::ListOut => {}
@@ -360,20 +426,33 @@
                 ));
             }
             TroubleKind::ZoneLoss => {
-                let first = on.first().map(|n| (*n as usize).to_string()).unwrap_or_default();
-                let zone = day.at("servers").at(&first).at("zone").number().unwrap_or(0.0) as usize;
+                let first = on
+                    .first()
+                    .map(|n| (*n as usize).to_string())
+                    .unwrap_or_default();
+                let zone = day
+                    .at("servers")
+                    .at(&first)
+                    .at("zone")
+                    .number()
+                    .unwrap_or(0.0) as usize;
                 trouble.name = site.zones.get(zone).cloned();
-                left_out.push(format!("trouble {label}: its directors are not lost with it"));
+                left_out.push(format!(
+                    "trouble {label}: its directors are not lost with it"
+                ));
             }
             TroubleKind::TenantBurst => {
                 (trouble.size, trouble.name) = (size, site.tenant.keys().nth(which).cloned());
-                left_out.push(format!("trouble {label}: a burst of all, since viewers name no tenant"));
+                left_out.push(format!(
+                    "trouble {label}: a burst of all, since viewers name no tenant"
+                ));
             }
             TroubleKind::HotTitle => {
                 (trouble.size, trouble.name) = (size, site.title.keys().nth(which).cloned());
             }
             TroubleKind::DirectorStall => {
-                (trouble.on, trouble.stall_ms) = (Some(on.iter().map(|n| *n as u64).collect()), size);
+                (trouble.on, trouble.stall_ms) =
+                    (Some(on.iter().map(|n| *n as u64).collect()), size);
                 left_out.push(format!(
                     "trouble {label}: stalls follow each other after 1 to 2 of their own length"
                 ));
--- a/crates/front/src/day/rig.rs
+++ b/crates/front/src/day/rig.rs
@@ -18,9 +18,14 @@
     let nodes = plan.fleet.nodes.max(plan.fleet.machine.len() as u64);
     let nodes = nodes * (1 + 2 * directors);
     // A viewer that plays has two ends of its stream here, and one that follows an end of its front's.
-    let more = |kind: &shalewall_settings::Trouble| kind.size.max(1.0) * f64::from(u8::from(kind.size > 0.0));
+    let more = |kind: &shalewall_settings::Trouble| {
+        kind.size.max(1.0) * f64::from(u8::from(kind.size > 0.0))
+    };
     use shalewall_settings::TroubleKind::{Burst, TenantBurst};
-    let bursts = plan.trouble.values().filter(|t| matches!(t.kind, Burst | TenantBurst));
+    let bursts = plan
+        .trouble
+        .values()
+        .filter(|t| matches!(t.kind, Burst | TenantBurst));
     let times = bursts.map(more).fold(1.0, f64::max) * load.tenants.values().sum::<f64>().max(1.0);
     let longest = (load.longest_s + load.shortest_s) / 2.0;
     let playing = load.per_s * longest.min(plan.day.seconds) * times;
@@ -37,7 +42,8 @@
     }
     match getrlimit(Resource::Nofile).current {
         Some(have) if have < need => {
-            let what = format!("the day needs some {need} descriptors, and this process may have {have}");
+            let what =
+                format!("the day needs some {need} descriptors, and this process may have {have}");
             Err(io::Error::new(io::ErrorKind::InvalidInput, what))
         }
         _ => Ok(()),
@@ -58,7 +64,10 @@
     pub fn reasons(&self) -> Vec<String> {
         let mut reasons = Vec::new();
         if self.lag > MOST_LAG {
-            reasons.push(format!("timers of the stand-ins rang up to {} ms late", self.lag.as_millis()));
+            reasons.push(format!(
+                "timers of the stand-ins rang up to {} ms late",
+                self.lag.as_millis()
+            ));
         }
         if self.connections > 0 {
             reasons.push(format!(
@@ -77,7 +86,10 @@
     #[test]
     fn a_rig_that_lacked_something_says_what() {
         assert!(Lacked::default().reasons().is_empty());
-        let lacked = Lacked { lag: Duration::from_millis(900), connections: 3 };
+        let lacked = Lacked {
+            lag: Duration::from_millis(900),
+            connections: 3,
+        };
         assert_eq!(lacked.reasons().len(), 2);
         assert!(lacked.reasons()[0].contains("900 ms"));
     }
--- a/crates/front/src/day/service.rs
+++ b/crates/front/src/day/service.rs
@@ -22,7 +22,11 @@
         serde_json::json!({ "paid": c.paid, "aim_ms": c.aim_ms as u32, "give_up_ms": c.give_up_ms as u32,
             "worth": c.worth, "floor": c.floor, "top": c.top, "seats": c.seats })
     };
-    let classes: serde_json::Map<_, _> = site.class.iter().map(|(n, c)| (n.clone(), class(c))).collect();
+    let classes: serde_json::Map<_, _> = site
+        .class
+        .iter()
+        .map(|(n, c)| (n.clone(), class(c)))
+        .collect();
     serde_json::json!({ "display_name": name, "share": share, "classes": classes })
 }
 
@@ -41,13 +45,24 @@
     let shown = new_token(&store, Role::Front).map_err(io::Error::other)?;
     for (name, tenant) in &plan.site.tenant {
         let id = TenantId::try_from(name.clone()).map_err(io::Error::other)?;
-        let by = By { who: "day", now: now(), agrees: true, of: Match::Missing };
+        let by = By {
+            who: "day",
+            now: now(),
+            agrees: true,
+            of: Match::Missing,
+        };
         let wish = Wish::Create(terms(&plan.site, name, tenant.share));
-        store.change(&id, &wish, &by, None).map_err(|e| io::Error::other(format!("tenant {name}: {e}")))?;
+        store
+            .change(&id, &wish, &by, None)
+            .map_err(|e| io::Error::other(format!("tenant {name}: {e}")))?;
     }
     let token_file = out.join("front.token");
     std::fs::write(&token_file, shown)?;
     let api = Rc::new(Api::new(store, now(), FORGET_FRONT_MS));
     let admin = start(ex, ([127, 0, 0, 1], 0).into(), api)?;
-    Ok(Hosting { admin, token_file, set_ups_per_s: hosted.set_ups_per_s })
+    Ok(Hosting {
+        admin,
+        token_file,
+        set_ups_per_s: hosted.set_ups_per_s,
+    })
 }
--- a/crates/front/src/day/summary.rs
+++ b/crates/front/src/day/summary.rs
@@ -89,20 +89,43 @@
                 .expect("an hour in microseconds at three digits");
             took.iter().for_each(|t| histogram.saturating_record(*t));
             let ms = |q: f64| histogram.value_at_quantile(q) as f64 / 1000.0;
-            Waits { answers: histogram.len(), p50: ms(0.5), p99: ms(0.99), most: ms(1.0) }
+            Waits {
+                answers: histogram.len(),
+                p50: ms(0.5),
+                p99: ms(0.99),
+                most: ms(1.0),
+            }
         };
-        let named = |x: &BTreeMap<&'static str, f64>| x.iter().map(|(k, v)| (k.to_string(), *v)).collect();
+        let named =
+            |x: &BTreeMap<&'static str, f64>| x.iter().map(|(k, v)| (k.to_string(), *v)).collect();
         Summary {
             all: Got::new(&count.tallies.all),
-            tenants: count.tallies.tenants.iter().map(|(name, t)| (name.clone(), Got::new(t))).collect(),
-            waits: count.took.iter().map(|(class, took)| (class.clone(), waits(took))).collect(),
+            tenants: count
+                .tallies
+                .tenants
+                .iter()
+                .map(|(name, t)| (name.clone(), Got::new(t)))
+                .collect(),
+            waits: count
+                .took
+                .iter()
+                .map(|(class, took)| (class.clone(), waits(took)))
+                .collect(),
             moves,
             lag_ms: lacked.lag.as_secs_f64() * 1000.0,
             not_valid: lacked.reasons(),
             rules_hold: verdict.holds(),
             nearest: named(&verdict.nearest),
-            tested: verdict.tested.iter().map(|(k, v)| (k.to_string(), *v)).collect(),
-            findings: verdict.findings.iter().map(|f| format!("{}: {}", f.rule.name(), f.what)).collect(),
+            tested: verdict
+                .tested
+                .iter()
+                .map(|(k, v)| (k.to_string(), *v))
+                .collect(),
+            findings: verdict
+                .findings
+                .iter()
+                .map(|f| format!("{}: {}", f.rule.name(), f.what))
+                .collect(),
             verdict: verdict.to_string(),
         }
     }
@@ -122,9 +145,17 @@
             self.people_refused * 100.0,
             self.people_unserved * 100.0
         )?;
-        writeln!(f, "worth {:.3} of what was asked for within the day (stand-in nodes)", self.worth)?;
+        writeln!(
+            f,
+            "worth {:.3} of what was asked for within the day (stand-in nodes)",
+            self.worth
+        )?;
         writeln!(f, "changes of rung {:.2} a session-minute", self.steps)?;
-        let rungs: Vec<_> = self.rungs.iter().map(|(r, p)| format!("{r}: {:.0}%", p * 100.0)).collect();
+        let rungs: Vec<_> = self
+            .rungs
+            .iter()
+            .map(|(r, p)| format!("{r}: {:.0}%", p * 100.0))
+            .collect();
         writeln!(f, "time by rung  {}", rungs.join("  "))
     }
 }
@@ -136,7 +167,12 @@
             write!(f, "-- tenant {tenant}\n{got}")?;
         }
         for (class, w) in &self.waits {
-            let Waits { answers, p50, p99, most } = w;
+            let Waits {
+                answers,
+                p50,
+                p99,
+                most,
+            } = w;
             writeln!(
                 f,
                 "answers {class:<10} {answers:>6}  p50 {p50:.0} ms  p99 {p99:.0} ms  most {most:.0} ms"
@@ -145,7 +181,11 @@
         if let Some(moves) = &self.moves {
             write!(f, "{moves}")?;
         }
-        writeln!(f, "timers of the stand-ins rang up to {:.0} ms late", self.lag_ms)?;
+        writeln!(
+            f,
+            "timers of the stand-ins rang up to {:.0} ms late",
+            self.lag_ms
+        )?;
         for why in &self.not_valid {
             writeln!(f, "NOT VALID: {why}")?;
         }
--- a/crates/front/src/day/troubles.rs
+++ b/crates/front/src/day/troubles.rs
@@ -35,7 +35,9 @@
     name: &str,
     trouble: &Trouble,
 ) -> impl Future<Output = ()> + 'static {
-    let salt = name.bytes().fold(plan.day.seed, |h, b| h.wrapping_mul(31).wrapping_add(u64::from(b)));
+    let salt = name.bytes().fold(plan.day.seed, |h, b| {
+        h.wrapping_mul(31).wrapping_add(u64::from(b))
+    });
     let trouble = trouble.clone();
     async move {
         let mut dice = ChaCha8Rng::seed_from_u64(salt);
@@ -68,16 +70,26 @@
                 let mut left = trouble.len_s;
                 while left > 0.0 {
                     let spell = (0.5 + 1.5 * dice.random::<f64>()).min(left);
-                    let taken = if dice.random::<f64>() < 0.7 { trouble.size } else { 0.0 };
+                    let taken = if dice.random::<f64>() < 0.7 {
+                        trouble.size
+                    } else {
+                        0.0
+                    };
                     world.nodes.change(|fleet| {
                         for id in &ids {
-                            fleet.nodes.get_mut(id).into_iter().for_each(|n| n.neighbour = taken);
+                            fleet
+                                .nodes
+                                .get_mut(id)
+                                .into_iter()
+                                .for_each(|n| n.neighbour = taken);
                         }
                     });
                     Timer::after(secs(spell)).await;
                     left -= spell;
                 }
-                world.nodes.change(|fleet| fleet.nodes.values_mut().for_each(|n| n.neighbour = 0.0));
+                world
+                    .nodes
+                    .change(|fleet| fleet.nodes.values_mut().for_each(|n| n.neighbour = 0.0));
             }
             TroubleKind::SharedSlow => {
                 world.nodes.change(|fleet| fleet.slow_links = trouble.size);
@@ -88,15 +100,23 @@
                 let ids = met(&world.nodes.running(), &trouble, &mut dice);
                 let steps = 10;
                 for step in 1..=steps {
-                    let slow = 1.0 + (trouble.size - 1.0).max(0.0) * f64::from(step) / f64::from(steps);
+                    let slow =
+                        1.0 + (trouble.size - 1.0).max(0.0) * f64::from(step) / f64::from(steps);
                     world.nodes.change(|fleet| {
                         for id in &ids {
-                            fleet.nodes.get_mut(id).into_iter().for_each(|n| n.slow = slow);
+                            fleet
+                                .nodes
+                                .get_mut(id)
+                                .into_iter()
+                                .for_each(|n| n.slow = slow);
                         }
                     });
                     Timer::after(secs(trouble.len_s / 2.0 / f64::from(steps))).await;
                 }
-                let rest = Trouble { len_s: trouble.len_s / 2.0, ..trouble.clone() };
+                let rest = Trouble {
+                    len_s: trouble.len_s / 2.0,
+                    ..trouble.clone()
+                };
                 down_and_up(&world, &ids, &rest).await;
             }
             TroubleKind::Preempt => preempt(&world, &trouble, &mut dice).await,
@@ -104,7 +124,11 @@
                 let zone = name.unwrap_or_default();
                 let there = |id: &u64| world.nodes.machine(*id).is_some_and(|m| m.zone == zone);
                 let ids: Vec<u64> = world.nodes.running().into_iter().filter(there).collect();
-                let lost = if trouble.directors { directors.numbers(name) } else { Vec::new() };
+                let lost = if trouble.directors {
+                    directors.numbers(name)
+                } else {
+                    Vec::new()
+                };
                 kill(&directors, &lost);
                 down_and_up(&world, &ids, &trouble).await;
                 start(&directors, &lost).await;
@@ -128,7 +152,12 @@
             }
             TroubleKind::HotTitle | TroubleKind::ClassFlood => {
                 let crowd = world.viewers.crowd();
-                let class = || crowd.classes.iter().position(|c| name == Some(c.name.as_str()));
+                let class = || {
+                    crowd
+                        .classes
+                        .iter()
+                        .position(|c| name == Some(c.name.as_str()))
+                };
                 let draw = match trouble.kind {
                     TroubleKind::HotTitle => name.map(|n| Draw::Title(n.to_string())),
                     _ => class().map(Draw::Class),
@@ -150,7 +179,9 @@
                 while left > 0.0 {
                     let all = numbers.iter().map(|n| {
                         let (directors, n) = (directors.clone(), *n);
-                        world.ex.spawn(async move { directors.stall(n, stall).await })
+                        world
+                            .ex
+                            .spawn(async move { directors.stall(n, stall).await })
                     });
                     for one in all.collect::<Vec<_>>() {
                         one.await;
@@ -182,11 +213,15 @@
 
 /// The list's news of a node, late as always.
 fn told(world: &World, id: u64, standing: &'static str) {
-    line(&world.nodes, id, standing).into_iter().for_each(|l| world.list.change(l));
+    line(&world.nodes, id, standing)
+        .into_iter()
+        .for_each(|l| world.list.change(l));
 }
 
 fn up(world: &World, id: u64) {
-    let Some(machine) = world.nodes.machine(id) else { return };
+    let Some(machine) = world.nodes.machine(id) else {
+        return;
+    };
     match world.nodes.start(machine, false) {
         Ok(_) => told(world, id, "ready"),
         Err(e) => tracing::warn!(node = id, error = %e, "a node could not be started again"),
@@ -208,7 +243,9 @@
     for wave in waves {
         for id in wave {
             // A notice is news at once: the list has it from who takes the machines away.
-            line(&world.nodes, *id, "draining").into_iter().for_each(|l| world.list.tell(l));
+            line(&world.nodes, *id, "draining")
+                .into_iter()
+                .for_each(|l| world.list.tell(l));
         }
         let (world, wave) = (world.clone(), wave.to_vec());
         let (notice, back) = (secs(trouble.notice_ms / 1000.0), secs(trouble.len_s / 2.0));
@@ -220,12 +257,16 @@
             Timer::after(back).await;
             for id in wave {
                 // Another machine in the same cell.
-                let Some(mut machine) = world.nodes.machine(id) else { continue };
+                let Some(mut machine) = world.nodes.machine(id) else {
+                    continue;
+                };
                 machine.id = id + 1000;
                 let new = machine.id;
                 match world.nodes.start(machine, false) {
                     Ok(_) => told(&world, new, "ready"),
-                    Err(e) => tracing::warn!(node = new, error = %e, "a replacement could not be started"),
+                    Err(e) => {
+                        tracing::warn!(node = new, error = %e, "a replacement could not be started")
+                    }
                 }
             }
         })
--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -58,10 +58,16 @@
 impl Drop for Open {
     fn drop(&mut self) {
         let mut open = self.hub.follows.open.borrow_mut();
-        if open.get(&self.session).is_some_and(|(number, _)| *number == self.number) {
+        if open
+            .get(&self.session)
+            .is_some_and(|(number, _)| *number == self.number)
+        {
             open.remove(&self.session);
             drop(open);
-            self.hub.feed(Input::Follows { session: self.session, plays: None });
+            self.hub.feed(Input::Follows {
+                session: self.session,
+                plays: None,
+            });
         }
     }
 }
@@ -81,8 +87,15 @@
     follows.next.set(number + 1);
     let (sender, receiver) = async_channel::bounded(MOST_WAITING);
     follows.open.borrow_mut().insert(session, (number, sender));
-    let open = Open { hub: hub.clone(), session, number };
-    hub.feed(Input::Follows { session, plays: Some(plays) });
+    let open = Open {
+        hub: hub.clone(),
+        session,
+        number,
+    };
+    hub.feed(Input::Follows {
+        session,
+        plays: Some(plays),
+    });
     let rest = stream::unfold((open, receiver), |(open, receiver)| async {
         let beat = async {
             Timer::after(BEAT).await;
@@ -94,11 +107,15 @@
             sse::write(&mut out, kind, &data);
             Some(out)
         };
-        future::or(next, beat).await.map(|out| (out, (open, receiver)))
+        future::or(next, beat)
+            .await
+            .map(|out| (out, (open, receiver)))
     });
     let first = stream::once(sse::BEAT.to_vec());
     let events = futures_lite::StreamExt::chain(first, rest);
-    Reply::new(200).with("Content-Type", "text/event-stream").pieces(events)
+    Reply::new(200)
+        .with("Content-Type", "text/event-stream")
+        .pieces(events)
 }
 
 #[derive(Deserialize)]
@@ -117,8 +134,10 @@
     let input = match word {
         "playing" => epoch().map(|epoch| Input::Playing { session, epoch }),
         "declined" => epoch().map(|epoch| Input::Declined { session, epoch }),
-        "silent" => serde_json::from_slice::<Silent>(&request.body)
-            .map(|x| Input::Silent { session, buffer: i64::from(x.buffer_ms) * 1000 }),
+        "silent" => serde_json::from_slice::<Silent>(&request.body).map(|x| Input::Silent {
+            session,
+            buffer: i64::from(x.buffer_ms) * 1000,
+        }),
         _ => return None,
     };
     Some(match input {
--- a/crates/front/src/hub.rs
+++ b/crates/front/src/hub.rs
@@ -94,7 +94,9 @@
 
     /// Something has happened.
     pub fn feed(self: &Rc<Hub>, input: Input) {
-        self.engine.borrow_mut().handle(shalewall_clock::now(), input);
+        self.engine
+            .borrow_mut()
+            .handle(shalewall_clock::now(), input);
         self.pump();
         self.alarm.moved(self.engine.borrow().poll_timeout());
     }
@@ -105,7 +107,11 @@
         self.next_ask.set(ask.0 + 1);
         let (sender, answer) = async_channel::bounded(1);
         self.asks.borrow_mut().insert(ask, sender);
-        let waiting = Waiting { hub: self.clone(), ask, answer };
+        let waiting = Waiting {
+            hub: self.clone(),
+            ask,
+            answer,
+        };
         self.feed(Input::Asked { ask, new });
         waiting
     }
@@ -139,10 +145,16 @@
                         let _ = sender.try_send(answer);
                     }
                 }
-                Output::Call { call, server, address, kind } => {
+                Output::Call {
+                    call,
+                    server,
+                    address,
+                    kind,
+                } => {
                     let peer = self.peers.borrow().get(&server).map(|(p, _)| p.clone());
                     // A call before its node is watched, or after: on connections of its own.
-                    let peer = peer.unwrap_or_else(|| Rc::new(Peer::new(server, address, &self.limits)));
+                    let peer =
+                        peer.unwrap_or_else(|| Rc::new(Peer::new(server, address, &self.limits)));
                     let hub = self.clone();
                     let task = self.ex.spawn(async move {
                         let done = node::call(&peer, hub.director, hub.key.get(), &kind).await;
@@ -167,13 +179,29 @@
                         peer.pool.clear();
                     }
                 }
-                Output::Offer { session, epoch, media } => self.follows.offer(session, epoch, &media),
+                Output::Offer {
+                    session,
+                    epoch,
+                    media,
+                } => self.follows.offer(session, epoch, &media),
                 Output::Gone { session } => self.follows.over(session),
-                Output::Moved { session, to, why, took, moved } => {
+                Output::Moved {
+                    session,
+                    to,
+                    why,
+                    took,
+                    moved,
+                } => {
                     let (session, to) = (session.0, to.0);
                     info!(session, to, ?why, took_us = took, moved, "hand-over");
                 }
-                Output::Tried { session, attempt, server, outcome, took } => {
+                Output::Tried {
+                    session,
+                    attempt,
+                    server,
+                    outcome,
+                    took,
+                } => {
                     debug!(
                         session = session.0,
                         attempt,
@@ -191,9 +219,13 @@
     /// Rings the engine's timers when they are due.
     async fn ring(self: Rc<Hub>) {
         let ring = || {
-            self.engine.borrow_mut().handle_timeout(shalewall_clock::now());
+            self.engine
+                .borrow_mut()
+                .handle_timeout(shalewall_clock::now());
             self.pump();
         };
-        self.alarm.ring(|| self.engine.borrow().poll_timeout(), ring).await;
+        self.alarm
+            .ring(|| self.engine.borrow().poll_timeout(), ring)
+            .await;
     }
 }
--- a/crates/front/src/keeper.rs
+++ b/crates/front/src/keeper.rs
@@ -23,7 +23,10 @@
 
 impl Keeper {
     pub fn new(tenants: Rc<Tenants>) -> Rc<Keeper> {
-        Rc::new(Keeper { tenants, tasks: RefCell::default() })
+        Rc::new(Keeper {
+            tenants,
+            tasks: RefCell::default(),
+        })
     }
 
     fn book(&self) -> std::cell::RefMut<'_, Connections> {
@@ -40,7 +43,10 @@
     pub fn open(self: &Rc<Keeper>) -> Option<Kept> {
         let (ticket, victim) = self.book().open()?;
         self.drop_one(victim);
-        Some(Kept { keeper: self.clone(), ticket })
+        Some(Kept {
+            keeper: self.clone(),
+            ticket,
+        })
     }
 
     /// The task that serves it.
@@ -57,9 +63,13 @@
 
 impl Gate for Kept {
     fn head(&mut self, head: &RequestHead, size: usize) -> Result<usize, Bad> {
-        let Some(name) = head.fields.get(FIELD) else { return Ok(usize::MAX) };
+        let Some(name) = head.fields.get(FIELD) else {
+            return Ok(usize::MAX);
+        };
         let unknown = Bad::new(404, "tenant is not known here");
-        let Ok(tenant) = TenantId::try_from(name.to_string()) else { return Err(unknown) };
+        let Ok(tenant) = TenantId::try_from(name.to_string()) else {
+            return Err(unknown);
+        };
         if self.keeper.tenants.number.get() == 0 {
             return Ok(usize::MAX); // nothing is known yet, so nobody is unknown
         }
@@ -68,10 +78,17 @@
             Ok(victim) => self.keeper.drop_one(victim),
             Err(Turned::Unknown) => return Err(unknown),
             Err(Turned::Own) => return Err(Bad::new(503, "above the tenant's connections")),
-            Err(Turned::Part) => return Err(Bad::new(503, "the front is full, and the tenant has its part")),
+            Err(Turned::Part) => {
+                return Err(Bad::new(
+                    503,
+                    "the front is full, and the tenant has its part",
+                ));
+            }
         }
         let book = self.keeper.book();
-        let Some(limits) = book.limits(&tenant) else { return Err(unknown) };
+        let Some(limits) = book.limits(&tenant) else {
+            return Err(unknown);
+        };
         if limits.head_bytes.is_some_and(|most| size > most as usize) {
             return Err(Bad::new(431, "the head is above the tenant's limit"));
         }
--- a/crates/front/src/list.rs
+++ b/crates/front/src/list.rs
@@ -45,7 +45,11 @@
             "gone" => Standing::Gone,
             other => return Err(format!("server {}: '{other}' is no standing", w.server)),
         };
-        let address = w.address.as_deref().map(str::parse::<SocketAddr>).transpose();
+        let address = w
+            .address
+            .as_deref()
+            .map(str::parse::<SocketAddr>)
+            .transpose();
         let address = address.map_err(|e| format!("server {}: address: {e}", w.server))?;
         if !w.weight.is_finite() || w.weight < 0.0 {
             return Err(format!("server {}: weight {}", w.server, w.weight));
@@ -91,7 +95,10 @@
                 }
             }
             warn!("list is out of reach, the last one stands");
-            hub.feed(Input::List { news: ListNews::Failed, lines: Vec::new() });
+            hub.feed(Input::List {
+                news: ListNews::Failed,
+                lines: Vec::new(),
+            });
         }
         Timer::after(PAUSE).await;
     }
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -107,13 +107,22 @@
 
 /// Structured logs, a JSON object a line, on standard error. `RUST_LOG` sets the level.
 fn logs() {
-    let level = tracing_subscriber::EnvFilter::try_from_default_env().unwrap_or_else(|_| "info".into());
-    tracing_subscriber::fmt().json().with_env_filter(level).with_writer(std::io::stderr).init();
+    let level =
+        tracing_subscriber::EnvFilter::try_from_default_env().unwrap_or_else(|_| "info".into());
+    tracing_subscriber::fmt()
+        .json()
+        .with_env_filter(level)
+        .with_writer(std::io::stderr)
+        .init();
 }
 
 fn run(cli: Cli) -> Result<ExitCode, ExitCode> {
     match cli.command {
-        Command::Serve { config, check, with_parent } => {
+        Command::Serve {
+            config,
+            check,
+            with_parent,
+        } => {
             if with_parent {
                 let killed = Some(rustix::process::Signal::KILL);
                 rustix::process::set_parent_process_death_signal(killed).map_err(bad)?;
@@ -142,31 +151,47 @@
             let world = day::world(&ex, &plan, recorder, None).map_err(bad)?;
             tracing::info!(address = %world.list_address, what = "list", "listening");
             for id in world.nodes.running() {
-                let address = world.nodes.address(id).map_or(String::new(), |a| a.to_string());
+                let address = world
+                    .nodes
+                    .address(id)
+                    .map_or(String::new(), |a| a.to_string());
                 tracing::info!(address, what = "node", node = id, "listening");
             }
             async_io::block_on(ex.run(futures_lite::future::pending::<()>()));
         }
-        Command::Day { command: DayCommand::Run { file, out, check } } => {
+        Command::Day {
+            command: DayCommand::Run { file, out, check },
+        } => {
             let plan: DayPlan = settings(&file)?;
             if check {
                 return Ok(ExitCode::SUCCESS);
             }
             let program = std::env::current_exe().map_err(bad)?;
-            let summary = day::run(&plan, &program, &out, |line| eprintln!("{line}")).map_err(bad)?;
+            let summary =
+                day::run(&plan, &program, &out, |line| eprintln!("{line}")).map_err(bad)?;
             println!("{summary}");
             println!("recordings, logs and summary: {}", out.display());
             if !summary.not_valid.is_empty() {
-                return Err(bad(format!("the day is not valid: {}", summary.not_valid.join("; "))));
+                return Err(bad(format!(
+                    "the day is not valid: {}",
+                    summary.not_valid.join("; ")
+                )));
             }
             if !summary.rules_hold {
                 return Ok(ExitCode::from(BROKEN));
             }
         }
-        Command::Day { command: DayCommand::Import { file } } => {
-            let text = std::fs::read_to_string(&file).map_err(|e| bad(format!("{}: {e}", file.display())))?;
-            let imported = day::import(&text).map_err(|e| bad(format!("{}: {e}", file.display())))?;
-            imported.left_out.iter().for_each(|l| eprintln!("shalewall: left out or changed: {l}"));
+        Command::Day {
+            command: DayCommand::Import { file },
+        } => {
+            let text = std::fs::read_to_string(&file)
+                .map_err(|e| bad(format!("{}: {e}", file.display())))?;
+            let imported =
+                day::import(&text).map_err(|e| bad(format!("{}: {e}", file.display())))?;
+            imported
+                .left_out
+                .iter()
+                .for_each(|l| eprintln!("shalewall: left out or changed: {l}"));
             print!("{}", imported.script().map_err(bad)?);
         }
         Command::Admin { config, check } => {
--- a/crates/front/src/manage.rs
+++ b/crates/front/src/manage.rs
@@ -95,7 +95,11 @@
     let address = start(
         &ex,
         plan.admin.listen,
-        Rc::new(Api::new(store, now(), (plan.admin.forget_front_s * 1000.0) as u64)),
+        Rc::new(Api::new(
+            store,
+            now(),
+            (plan.admin.forget_front_s * 1000.0) as u64,
+        )),
     )
     .map_err(text)?;
     tracing::info!(address = %address, what = "administration", "listening");
@@ -119,7 +123,12 @@
 }
 
 pub fn store(command: StoreCommand) -> Outcome {
-    let tell = |f: Found| eprintln!("{} tenants, {} changes, {} tokens", f.tenants, f.changes, f.tokens);
+    let tell = |f: Found| {
+        eprintln!(
+            "{} tenants, {} changes, {} tokens",
+            f.tenants, f.changes, f.tokens
+        )
+    };
     match command {
         StoreCommand::Check { file } => existing(&file)?.check().map(tell).map_err(text),
         StoreCommand::Export { file } => {
@@ -131,7 +140,10 @@
         }
         StoreCommand::Import { file } => {
             let store = Store::open(&file).map_err(text)?;
-            store.import(BufReader::new(std::io::stdin().lock())).map(tell).map_err(text)
+            store
+                .import(BufReader::new(std::io::stdin().lock()))
+                .map(tell)
+                .map_err(text)
         }
         StoreCommand::Token { file, role, tenant } => {
             let role = Role::named(&role, tenant)?;
@@ -158,7 +170,11 @@
 pub fn tenant(reach: &Reach, command: TenantCommand) -> Outcome {
     let input = || {
         let mut text = String::new();
-        std::io::stdin().lock().read_to_string(&mut text).map(|_| text).map_err(|e| e.to_string())
+        std::io::stdin()
+            .lock()
+            .read_to_string(&mut text)
+            .map(|_| text)
+            .map_err(|e| e.to_string())
     };
     let json = "application/json";
     let of = |id: &str, rest: &str| format!("/tenants/{id}{rest}");
@@ -171,21 +187,39 @@
             let body = serde_json::json!({ "id": id, "terms": terms }).to_string();
             ("POST", "/tenants".to_string(), None, Some((json, body)))
         }
-        TenantCommand::Patch { id, at } => {
-            ("PATCH", of(&id, ""), Some(at), Some(("application/merge-patch+json", input()?)))
-        }
+        TenantCommand::Patch { id, at } => (
+            "PATCH",
+            of(&id, ""),
+            Some(at),
+            Some(("application/merge-patch+json", input()?)),
+        ),
         TenantCommand::Suspend { id, at } => ("POST", of(&id, "/suspend"), Some(at), None),
         TenantCommand::Resume { id, at } => ("POST", of(&id, "/resume"), Some(at), None),
         TenantCommand::Delete { id, at } => ("DELETE", of(&id, ""), Some(at), None),
     };
     let tag = at.map(|at| format!("\"{at}\""));
     call(reach, |host, authorization| {
-        let pool = Pool::new(reach.api, Limits { body: 64 << 20, ..Limits::default() }, Duration::ZERO, 0);
-        let content = content.as_ref().map(|(kind, body)| (*kind, body.as_bytes()));
+        let pool = Pool::new(
+            reach.api,
+            Limits {
+                body: 64 << 20,
+                ..Limits::default()
+            },
+            Duration::ZERO,
+            0,
+        );
+        let content = content
+            .as_ref()
+            .map(|(kind, body)| (*kind, body.as_bytes()));
         let mut fields = vec![("Authorization", authorization)];
         fields.extend(tag.as_deref().map(|tag| ("If-Match", tag)));
-        let call = Call { content, ..Call::new(method, &target, host).fields(&fields) };
+        let call = Call {
+            content,
+            ..Call::new(method, &target, host).fields(&fields)
+        };
         let answer = async_io::block_on(in_time(Duration::from_secs(30), pool.call(&call)));
-        answer.ok_or("no answer in time")?.map_err(|e| e.to_string())
+        answer
+            .ok_or("no answer in time")?
+            .map_err(|e| e.to_string())
     })
 }
--- a/crates/front/src/node.rs
+++ b/crates/front/src/node.rs
@@ -39,7 +39,11 @@
 impl Peer {
     pub fn new(server: ServerId, address: SocketAddr, limits: &Limits) -> Peer {
         let pool = Pool::new(address, limits.clone(), IDLE, MOST_IDLE);
-        Peer { server, pool, host: address.to_string() }
+        Peer {
+            server,
+            pool,
+            host: address.to_string(),
+        }
     }
 }
 
@@ -49,38 +53,88 @@
 pub async fn call(peer: &Peer, director: u32, key: Option<&Key>, kind: &CallKind) -> Done {
     let path = |session: &SessionId, attempt: &u32| format!("/sessions/{}/{attempt}", session.0);
     let (method, target, body) = match kind {
-        CallKind::SetUp { session, attempt, viewer, tenant, class, title, rung, kb } => {
+        CallKind::SetUp {
+            session,
+            attempt,
+            viewer,
+            tenant,
+            class,
+            title,
+            rung,
+            kb,
+        } => {
             let body = serde_json::json!({
                 "director": director, "viewer": viewer, "tenant": tenant, "class": class, "title": title,
                 "rung": rung, "kb": kb,
             });
             ("PUT", path(session, attempt), Some(body.to_string()))
         }
-        CallKind::Rung { session, attempt, rung, kb } => {
+        CallKind::Rung {
+            session,
+            attempt,
+            rung,
+            kb,
+        } => {
             let body = serde_json::json!({ "rung": rung, "kb": kb });
             ("PATCH", path(session, attempt), Some(body.to_string()))
         }
-        CallKind::End { session, attempt, upto: None } => ("DELETE", path(session, attempt), None),
-        CallKind::End { session, attempt, upto: Some(upto) } => {
-            ("DELETE", format!("{}?upto={}", path(session, attempt), upto.0), None)
-        }
-        CallKind::Prepare { session, attempt, epoch, from, viewer, tenant, class, title, rung, kb } => {
-            let Some(key) = key else { return Done::NeverRan("this front has no key for tickets".into()) };
+        CallKind::End {
+            session,
+            attempt,
+            upto: None,
+        } => ("DELETE", path(session, attempt), None),
+        CallKind::End {
+            session,
+            attempt,
+            upto: Some(upto),
+        } => (
+            "DELETE",
+            format!("{}?upto={}", path(session, attempt), upto.0),
+            None,
+        ),
+        CallKind::Prepare {
+            session,
+            attempt,
+            epoch,
+            from,
+            viewer,
+            tenant,
+            class,
+            title,
+            rung,
+            kb,
+        } => {
+            let Some(key) = key else {
+                return Done::NeverRan("this front has no key for tickets".into());
+            };
             let now = (shalewall_clock::now() / 1000) as u64;
             let ticket = key.issue(*session, *epoch, *from, peer.server, now..now + TICKET_MS);
             let body = serde_json::json!({
                 "director": director, "viewer": viewer, "tenant": tenant, "class": class, "title": title,
                 "rung": rung, "kb": kb, "ticket": ticket,
             });
-            ("PUT", format!("/moves/{}/{attempt}", session.0), Some(body.to_string()))
-        }
-        CallKind::Cancel { session, attempt, epoch } => {
-            ("DELETE", format!("/moves/{}/{attempt}?epoch={}", session.0, epoch.0), None)
+            (
+                "PUT",
+                format!("/moves/{}/{attempt}", session.0),
+                Some(body.to_string()),
+            )
         }
+        CallKind::Cancel {
+            session,
+            attempt,
+            epoch,
+        } => (
+            "DELETE",
+            format!("/moves/{}/{attempt}?epoch={}", session.0, epoch.0),
+            None,
+        ),
         CallKind::Probe => ("GET", "/probe".to_string(), None),
     };
     let content = body.as_ref().map(|b| ("application/json", b.as_bytes()));
-    let call = Call { content, ..Call::new(method, &target, &peer.host) };
+    let call = Call {
+        content,
+        ..Call::new(method, &target, &peer.host)
+    };
     match peer.pool.call(&call).await {
         Ok(response) => answered(&response),
         Err(Failure::NotConnected(Unconnected::Own, why)) => Done::NotSent(why),
@@ -104,8 +158,12 @@
 fn load(fields: &Fields) -> Load {
     let mut load = Load::default();
     for part in fields.get("shalewall-load").unwrap_or_default().split(',') {
-        let Some((name, value)) = part.split_once('=') else { continue };
-        let Ok(value) = value.trim().parse::<f64>() else { continue };
+        let Some((name, value)) = part.split_once('=') else {
+            continue;
+        };
+        let Ok(value) = value.trim().parse::<f64>() else {
+            continue;
+        };
         if !value.is_finite() || value < 0.0 {
             continue;
         }
@@ -126,8 +184,13 @@
         match listen(&hub, &peer).await {
             Some(true) => pause = PAUSE,
             Some(false) => {
-                info!(server = peer.server.0, "node is gone: connections are refused");
-                hub.feed(Input::NodeDown { server: peer.server });
+                info!(
+                    server = peer.server.0,
+                    "node is gone: connections are refused"
+                );
+                hub.feed(Input::NodeDown {
+                    server: peer.server,
+                });
             }
             None => {}
         }
@@ -152,7 +215,11 @@
     let call = Call::new("GET", &target, &peer.host);
     let (head, incoming) = in_time(hub.silence, connection.stream(&call)).await?.ok()?;
     if head.status != 200 {
-        warn!(server = peer.server.0, status = head.status, "a node refuses its event stream");
+        warn!(
+            server = peer.server.0,
+            status = head.status,
+            "a node refuses its event stream"
+        );
         return None;
     }
     let server = peer.server;
@@ -165,12 +232,20 @@
                     return None;
                 };
                 hub.feed(Input::NodeHolds { server, sessions });
-                hub.feed(Input::NodeUp { server, asked, held });
+                hub.feed(Input::NodeUp {
+                    server,
+                    asked,
+                    held,
+                });
                 continue;
             }
             match input(server, &event.kind, &event.data) {
                 Some(input) => hub.feed(input),
-                None => warn!(server = server.0, kind = event.kind, "an event that is not understood"),
+                None => warn!(
+                    server = server.0,
+                    kind = event.kind,
+                    "an event that is not understood"
+                ),
             }
         }
     }
@@ -196,7 +271,10 @@
 
 fn held(data: &str) -> Option<Snapshot> {
     let told: Vec<Snapped> = serde_json::from_str(data).ok()?;
-    let held = told.iter().map(|t| (SessionId(t.session), t.attempt)).collect();
+    let held = told
+        .iter()
+        .map(|t| (SessionId(t.session), t.attempt))
+        .collect();
     let carried = |t: Snapped| Carried {
         session: SessionId(t.session),
         attempt: t.attempt,
@@ -216,7 +294,10 @@
     let session = SessionId(data["session"].as_u64()?);
     let share = |name: &str| data[name].as_f64().filter(|x| *x >= 0.0);
     let told = match kind {
-        "ended" => Told::Ended { session, attempt: u32::try_from(data["attempt"].as_u64()?).ok()? },
+        "ended" => Told::Ended {
+            session,
+            attempt: u32::try_from(data["attempt"].as_u64()?).ok()?,
+        },
         "fetched" => Told::Fetched {
             session,
             attempt: u32::try_from(data["attempt"].as_u64()?).ok()?,
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -33,7 +33,12 @@
     pub async fn until_told(self) -> std::io::Result<()> {
         let mut signals = Signals::new([Signal::Term, Signal::Int])?;
         signals.next().await;
-        let Serving { hub, accepts, leave, .. } = self;
+        let Serving {
+            hub,
+            accepts,
+            leave,
+            ..
+        } = self;
         hub.leave();
         accepts.cancel().await;
         info!(held = ?hub.held(), "leaving");
@@ -42,7 +47,9 @@
             loop {
                 let held = hub.held();
                 let patient = std::time::Instant::now() < until;
-                if held.waiting == 0 && (held.playing + held.leaving + held.owed_ends == 0 || !patient) {
+                if held.waiting == 0
+                    && (held.playing + held.leaving + held.owed_ends == 0 || !patient)
+                {
                     return;
                 }
                 Timer::after(Duration::from_millis(20)).await;
@@ -72,28 +79,47 @@
         None => None,
         Some(hosting) => {
             let token = std::fs::read_to_string(&hosting.token_file)?;
-            let tenants =
-                Tenants::new(hosting.set_ups_per_s, plan.front.most_sessions, plan.front.most_connections);
+            let tenants = Tenants::new(
+                hosting.set_ups_per_s,
+                plan.front.most_sessions,
+                plan.front.most_connections,
+            );
             engine.set_door(Box::new(Door(tenants.clone())));
             Some((tenants, hosting.clone(), token))
         }
     };
-    let key = plan.front.move_key_file.as_deref().filter(|_| plan.site.moves.is_some());
+    let key = plan
+        .front
+        .move_key_file
+        .as_deref()
+        .filter(|_| plan.site.moves.is_some());
     let key = key.map(read_key).transpose()?;
     let silence = Duration::from_millis(plan.front.silence_ms);
-    let hub = Hub::new(ex.clone(), engine, plan.front.number, Limits::default(), silence);
+    let hub = Hub::new(
+        ex.clone(),
+        engine,
+        plan.front.number,
+        Limits::default(),
+        silence,
+    );
     key.into_iter().for_each(|key| drop(hub.key.set(key)));
     ex.spawn(list::watch(hub.clone(), plan.front.list)).detach();
     if let Some((tenants, hosting, token)) = hosted {
         let _ = hub.tenants.set(tenants.clone());
         let report = tenants::report(hub.clone(), tenants.clone(), hosting.clone(), token.clone());
         ex.spawn(report).detach();
-        ex.spawn(tenants::follow(hub.clone(), tenants, hosting, token)).detach();
+        ex.spawn(tenants::follow(hub.clone(), tenants, hosting, token))
+            .detach();
     }
     let accepts = ex.spawn(accept(hub.clone(), listener, plan.front.most_connections));
     let leave = Duration::from_secs_f64(plan.front.leave_s);
     info!(address = %address, number = plan.front.number, "listening");
-    Ok(Serving { hub, address, accepts, leave })
+    Ok(Serving {
+        hub,
+        address,
+        accepts,
+        leave,
+    })
 }
 
 /// The key of tickets: 32 bytes in hexadecimal.
@@ -120,12 +146,17 @@
         futures_lite::future::yield_now().await;
         let _ = stream.get_ref().set_nodelay(true);
         if let Some(keeper) = &keeper {
-            let Some(mut kept) = keeper.open() else { continue };
+            let Some(mut kept) = keeper.open() else {
+                continue;
+            };
             let (hub, ticket) = (hub.clone(), kept.ticket);
             let ex = hub.ex.clone();
             let task = ex.spawn(async move {
                 let limits = hub.limits.clone();
-                serve_at(stream, &limits, &mut kept, |request| api::answer(hub.clone(), request)).await;
+                serve_at(stream, &limits, &mut kept, |request| {
+                    api::answer(hub.clone(), request)
+                })
+                .await;
             });
             keeper.serves(ticket, task);
             continue;
--- a/crates/front/src/tenants.rs
+++ b/crates/front/src/tenants.rs
@@ -56,10 +56,15 @@
         if self.0.number.get() == 0 {
             return Admission::Away { come_back: FIRST }; // nothing is known yet, so nobody is unknown
         }
-        let Some(tenant) = id(tenant) else { return Admission::Unknown };
+        let Some(tenant) = id(tenant) else {
+            return Admission::Unknown;
+        };
         match self.0.shares.borrow_mut().ask(now, &tenant) {
             Verdict::Take => Admission::Taken,
-            Verdict::TurnAway { cause: Cause::NoSuchTenant, .. } => Admission::Unknown,
+            Verdict::TurnAway {
+                cause: Cause::NoSuchTenant,
+                ..
+            } => Admission::Unknown,
             Verdict::TurnAway { come_back, .. } => Admission::Away { come_back },
         }
     }
@@ -81,7 +86,11 @@
 fn agreed(tenant: &Tenant) -> Option<Agreed> {
     let ms = |ms: u32| Micros::from(ms) * 1000;
     let class = |c: &Class| ClassTerms {
-        effect: if c.paid { Effect::Paid } else { Effect::Harmless },
+        effect: if c.paid {
+            Effect::Paid
+        } else {
+            Effect::Harmless
+        },
         aim: ms(c.aim_ms),
         worth: c.worth,
         scale: 1.0,
@@ -94,11 +103,21 @@
     let classes = terms.classes.iter();
     (!matches!(tenant.state, State::Gone { .. })).then(|| Agreed {
         share: tenant.state.takes().then_some(terms.share),
-        classes: classes.map(|(name, c)| (name.clone(), (class(c), ms(c.give_up_ms)))).collect(),
+        classes: classes
+            .map(|(name, c)| (name.clone(), (class(c), ms(c.give_up_ms))))
+            .collect(),
         titles: terms
             .titles
             .iter()
-            .map(|(name, t)| (name.clone(), Place { home: t.home, spread: t.spread }))
+            .map(|(name, t)| {
+                (
+                    name.clone(),
+                    Place {
+                        home: t.home,
+                        spread: t.spread,
+                    },
+                )
+            })
             .collect(),
         nodes: match &terms.fleet {
             Fleet::Pool => Vec::new(),
@@ -109,7 +128,10 @@
 
 impl Tenants {
     pub fn new(set_ups_per_s: f64, sessions: usize, connections: usize) -> Rc<Tenants> {
-        let capacity = Capacity { set_ups_per_s, sessions: sessions as f64 };
+        let capacity = Capacity {
+            set_ups_per_s,
+            sessions: sessions as f64,
+        };
         Rc::new(Tenants {
             shares: RefCell::new(Shares::new(capacity, shalewall_clock::now())),
             connections: RefCell::new(Connections::new(connections)),
@@ -122,27 +144,41 @@
     /// Door and engine hear of all of it in one turn: no request is decided in between.
     fn apply(&self, hub: &Rc<Hub>, news: News) {
         let now = shalewall_clock::now();
-        hub.feed(Input::Tenants(news.tenants.iter().map(|t| (t.id.to_string(), agreed(t))).collect()));
+        hub.feed(Input::Tenants(
+            news.tenants
+                .iter()
+                .map(|t| (t.id.to_string(), agreed(t)))
+                .collect(),
+        ));
         for tenant in news.tenants {
             let (id, terms) = (&tenant.id, &tenant.terms);
             if let State::Gone { .. } = tenant.state {
                 self.connections.borrow_mut().forget(id);
             } else {
-                self.connections.borrow_mut().agree(id, terms.share, &terms.limits);
+                self.connections
+                    .borrow_mut()
+                    .agree(id, terms.share, &terms.limits);
             }
             self.ending.borrow_mut().remove(id);
             match tenant.state {
                 State::Active => {
-                    self.shares.borrow_mut().agree(now, id, true, terms.share, &terms.limits);
+                    self.shares
+                        .borrow_mut()
+                        .agree(now, id, true, terms.share, &terms.limits);
                 }
                 State::Suspended => self.shares.borrow_mut().forget(id),
                 State::Deleting { until, .. } => {
                     self.shares.borrow_mut().forget(id);
                     let (hub, name) = (hub.clone(), id.to_string());
                     let task = hub.ex.clone().spawn(async move {
-                        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+                        let wall = SystemTime::now()
+                            .duration_since(UNIX_EPOCH)
+                            .unwrap_or_default();
                         Timer::after(Duration::from_millis(until).saturating_sub(wall)).await;
-                        info!(tenant = name, "a deleted tenant's time is over: what plays ends");
+                        info!(
+                            tenant = name,
+                            "a deleted tenant's time is over: what plays ends"
+                        );
                         hub.feed(Input::TenantEnded { tenant: name });
                     });
                     self.ending.borrow_mut().insert(id.clone(), task);
@@ -165,7 +201,10 @@
 impl Service {
     /// `body`: bytes of an answer at most.
     fn new(hosting: &Hosting, token: &str, body: usize) -> Service {
-        let limits = Limits { body, ..Limits::default() };
+        let limits = Limits {
+            body,
+            ..Limits::default()
+        };
         Service {
             pool: Pool::new(hosting.admin, limits, Duration::from_secs(20), 1),
             host: hosting.admin.to_string(),
@@ -182,8 +221,14 @@
     ) -> Result<Response, String> {
         let fields = [("Authorization", self.authorization.as_str())];
         let call = Call::new(method, target, &self.host).fields(&fields);
-        let call = if said.is_empty() { call } else { call.json(said) };
-        let answer = in_time(within, self.pool.call(&call)).await.ok_or("no answer in time")?;
+        let call = if said.is_empty() {
+            call
+        } else {
+            call.json(said)
+        };
+        let answer = in_time(within, self.pool.call(&call))
+            .await
+            .ok_or("no answer in time")?;
         let answer = answer.map_err(|e| e.to_string())?;
         match answer.head.status {
             200..=299 => Ok(answer),
@@ -199,8 +244,22 @@
 }
 
 fn row(shown: Shown) -> Row {
-    let Shown { session, class, title, server, rung, plays } = shown;
-    Row { session: session.0, class, title, node: server.map(|s| s.0), rung, plays }
+    let Shown {
+        session,
+        class,
+        title,
+        server,
+        rung,
+        plays,
+    } = shown;
+    Row {
+        session: session.0,
+        class,
+        title,
+        node: server.map(|s| s.0),
+        rung,
+        plays,
+    }
 }
 
 /// Tells the API each second what this front holds of its tenants.
@@ -219,14 +278,22 @@
         }
         let said = {
             let shares = tenants.shares.borrow();
-            let held: BTreeMap<String, usize> = shares.holding().map(|(id, n)| (id.to_string(), n)).collect();
+            let held: BTreeMap<String, usize> = shares
+                .holding()
+                .map(|(id, n)| (id.to_string(), n))
+                .collect();
             serde_json::json!({ "front": hub.director, "number": tenants.number.get(), "held": held,
                 "sessions": sessions })
             .to_string()
         };
         // One that is lost is followed by the next; that the API is away is told by the other call.
-        let answer = service.call("POST", "/usage", said.as_bytes(), Duration::from_secs(2)).await;
-        wished = answer.ok().and_then(|a| serde_json::from_slice(&a.body).ok()).unwrap_or_default();
+        let answer = service
+            .call("POST", "/usage", said.as_bytes(), Duration::from_secs(2))
+            .await;
+        wished = answer
+            .ok()
+            .and_then(|a| serde_json::from_slice(&a.body).ok())
+            .unwrap_or_default();
     }
 }
 
@@ -234,9 +301,16 @@
 pub async fn follow(hub: Rc<Hub>, tenants: Rc<Tenants>, hosting: Hosting, token: String) {
     let service = Service::new(&hosting, &token, NEWS);
     loop {
-        let target = format!("/changes?after={}&wait_ms={}", tenants.number.get(), WAIT.as_millis());
-        let answer = service.call("GET", &target, &[], WAIT + Duration::from_secs(2)).await;
-        let news = answer.and_then(|a| serde_json::from_slice::<News>(&a.body).map_err(|e| e.to_string()));
+        let target = format!(
+            "/changes?after={}&wait_ms={}",
+            tenants.number.get(),
+            WAIT.as_millis()
+        );
+        let answer = service
+            .call("GET", &target, &[], WAIT + Duration::from_secs(2))
+            .await;
+        let news =
+            answer.and_then(|a| serde_json::from_slice::<News>(&a.body).map_err(|e| e.to_string()));
         match news {
             Ok(news) => {
                 if !tenants.reached.replace(true) {
--- a/crates/front/tests/bad_day.rs
+++ b/crates/front/tests/bad_day.rs
@@ -13,15 +13,27 @@
     let summary = day::run(&plan, program, out.path(), |_| {}).unwrap();
     assert!(summary.rules_hold, "{summary}");
     // A rule that was tested on nothing was not shown to hold.
-    for (rule, least) in [("one answer in time", 100), ("no set-up twice", 100), ("drains kept", 100)] {
+    for (rule, least) in [
+        ("one answer in time", 100),
+        ("no set-up twice", 100),
+        ("drains kept", 100),
+    ] {
         assert!(summary.tested[rule] >= least, "{rule}: {summary}");
     }
-    assert!(summary.tested["floors and seats kept"] > 0 && summary.all.plays > 80, "{summary}");
+    assert!(
+        summary.tested["floors and seats kept"] > 0 && summary.all.plays > 80,
+        "{summary}"
+    );
     // The recordings say the same when they are judged again.
     let verdict = day::audit(out.path()).unwrap();
     assert!(verdict.holds());
     for (tenant, tested) in &verdict.tenants {
-        for rule in ["one answer in time", "no set-up twice", "drains kept", "floors and seats kept"] {
+        for rule in [
+            "one answer in time",
+            "no set-up twice",
+            "drains kept",
+            "floors and seats kept",
+        ] {
             assert!(tested[rule].1 > 10, "{tenant}: {rule}: {summary}");
         }
     }
@@ -40,8 +52,14 @@
 fn all_six_rules_hold_for_each_tenant_on_the_short_hosted_day() {
     let summary = holds("short-hosted-day.hcl");
     let (quiet, loud) = (&summary.tenants["quiet"], &summary.tenants["loud"]);
-    assert!(loud.people_refused > 0.5 && loud.asked > 1000, "the loud one has to be loud: {summary}");
-    assert!(quiet.people_unserved < 0.15 && quiet.worth > 2.0 * loud.worth, "{summary}");
+    assert!(
+        loud.people_refused > 0.5 && loud.asked > 1000,
+        "the loud one has to be loud: {summary}"
+    );
+    assert!(
+        quiet.people_unserved < 0.15 && quiet.worth > 2.0 * loud.worth,
+        "{summary}"
+    );
 }
 
 #[test]
@@ -58,5 +76,8 @@
     assert!(moves.made >= 20, "{summary}");
     assert_eq!(moves.served_twice, 0, "{summary}");
     // Gaps on a machine that keeps players waiting say nothing of the front.
-    assert!(moves.gap(0.9) <= 200_000 || summary.lag_ms > 100.0, "{summary}");
+    assert!(
+        moves.gap(0.9) <= 200_000 || summary.lag_ms > 100.0,
+        "{summary}"
+    );
 }
--- a/crates/front/tests/cli.rs
+++ b/crates/front/tests/cli.rs
@@ -4,7 +4,10 @@
 use std::process::{Command, Output};
 
 fn shalewall(args: &[&str]) -> Output {
-    Command::new(env!("CARGO_BIN_EXE_shalewall")).args(args).output().unwrap()
+    Command::new(env!("CARGO_BIN_EXE_shalewall"))
+        .args(args)
+        .output()
+        .unwrap()
 }
 
 fn days() -> PathBuf {
@@ -42,13 +45,27 @@
 fn bad_settings_exit_2_and_name_file_line_and_path() {
     let dir = tempfile::tempdir().unwrap();
     let text = std::fs::read_to_string(days().join("bad-day.hcl")).unwrap();
-    let file = write(dir.path(), "day.hcl", &text.replacen("start_capacity  = 0.4", "start_capacity = 4", 1));
-    let line = text.lines().position(|l| l.contains("start_capacity")).unwrap() + 1;
-    for args in [vec!["day", "run", &file, "--check"], vec!["nodes", "--config", &file, "--check"]] {
+    let file = write(
+        dir.path(),
+        "day.hcl",
+        &text.replacen("start_capacity  = 0.4", "start_capacity = 4", 1),
+    );
+    let line = text
+        .lines()
+        .position(|l| l.contains("start_capacity"))
+        .unwrap()
+        + 1;
+    for args in [
+        vec!["day", "run", &file, "--check"],
+        vec!["nodes", "--config", &file, "--check"],
+    ] {
         let out = shalewall(&args);
         let said = String::from_utf8(out.stderr).unwrap();
         assert_eq!(out.status.code(), Some(2), "{said}");
-        assert!(said.contains(&format!("{file}:{line}: site.rules.start_capacity: ")), "{said}");
+        assert!(
+            said.contains(&format!("{file}:{line}: site.rules.start_capacity: ")),
+            "{said}"
+        );
     }
     let none = dir.path().join("none.hcl");
     let out = shalewall(&["serve", "--config", none.to_str().unwrap()]);
@@ -60,7 +77,11 @@
 fn an_audit_exits_by_what_it_finds() {
     let dir = tempfile::tempdir().unwrap();
     let path = dir.path().to_str().unwrap();
-    assert_eq!(shalewall(&["audit", path]).status.code(), Some(2), "no rules to judge by");
+    assert_eq!(
+        shalewall(&["audit", path]).status.code(),
+        Some(2),
+        "no rules to judge by"
+    );
     let rules = r#"{"classes":{"once":{"paid":true,"floor":0,"seats":0}},"drain_within":250000,"answer_slack":50000,
         "warm_after":0,"start_capacity":1,"overload_factor":2,"fall":1,"further":null,"transit":1000}"#;
     write(dir.path(), "rules.json", rules);
@@ -76,7 +97,10 @@
     let out = shalewall(&["audit", path]);
     assert_eq!(out.status.code(), Some(1));
     let said = String::from_utf8(out.stdout).unwrap();
-    assert!(said.contains("no set-up twice") && said.contains("BROKEN"), "{said}");
+    assert!(
+        said.contains("no set-up twice") && said.contains("BROKEN"),
+        "{said}"
+    );
     write(dir.path(), "c.jsonl", "{\"what\":\"nothing known\"}\n");
     assert_eq!(shalewall(&["audit", path]).status.code(), Some(2));
 }
@@ -90,14 +114,23 @@
         .stderr(std::process::Stdio::piped())
         .spawn()
         .unwrap();
-    let lines = BufReader::new(child.stderr.take().unwrap()).lines().map_while(Result::ok);
+    let lines = BufReader::new(child.stderr.take().unwrap())
+        .lines()
+        .map_while(Result::ok);
     // The list and fifteen nodes.
-    let told: Vec<String> = lines.filter(|l| l.contains("\"listening\"")).take(16).collect();
+    let told: Vec<String> = lines
+        .filter(|l| l.contains("\"listening\""))
+        .take(16)
+        .collect();
     child.kill().unwrap();
     child.wait().unwrap();
     let address = |l: &String| {
         let said: serde_json::Value = serde_json::from_str(l).unwrap();
-        said["fields"]["address"].as_str().unwrap().parse::<std::net::SocketAddr>().unwrap()
+        said["fields"]["address"]
+            .as_str()
+            .unwrap()
+            .parse::<std::net::SocketAddr>()
+            .unwrap()
     };
     let ports: std::collections::BTreeSet<u16> = told.iter().map(|l| address(l).port()).collect();
     assert_eq!(ports.len(), 16);
@@ -114,8 +147,14 @@
         day.display(),
         dir.path().display()
     );
-    let out = std::process::Command::new("sh").args(["-c", &run]).output().unwrap();
+    let out = std::process::Command::new("sh")
+        .args(["-c", &run])
+        .output()
+        .unwrap();
     let said = String::from_utf8_lossy(&out.stderr).into_owned();
     assert_eq!(out.status.code(), Some(2), "{said}");
-    assert!(said.contains("descriptors") && said.contains("150"), "{said}");
+    assert!(
+        said.contains("descriptors") && said.contains("150"),
+        "{said}"
+    );
 }
--- a/crates/front/tests/crossings.rs
+++ b/crates/front/tests/crossings.rs
@@ -32,13 +32,16 @@
 }
 
 fn refuse(node: &mut TcpStream, tag: u64, status: u16) {
-    let refusal =
-        format!("RTSP/1.0 {status} No\r\nCSeq: 1\r\nSession: {tag:016x}\r\nContent-Length: 0\r\n\r\n");
+    let refusal = format!(
+        "RTSP/1.0 {status} No\r\nCSeq: 1\r\nSession: {tag:016x}\r\nContent-Length: 0\r\n\r\n"
+    );
     node.write_all(refusal.as_bytes()).unwrap();
 }
 
 fn echoed(viewer: &mut Viewer, tag: u64) {
-    viewer.say(&format!(r#"{{"verb":"ECHO","tag":"{tag:016x}","opts":{{}},"rc":0}}"#));
+    viewer.say(&format!(
+        r#"{{"verb":"ECHO","tag":"{tag:016x}","opts":{{}},"rc":0}}"#
+    ));
     assert!(viewer.hear().contains("ECHOED"));
 }
 
@@ -126,14 +129,20 @@
     let (mut viewer, mut node) = handed_over(&place, 200);
     director.signal(Signal::STOP);
     for tag in 100..300 {
-        viewer.say(&format!(r#"{{"verb":"FINISH","tag":"{tag:016x}","opts":{{}},"rc":16}}"#));
+        viewer.say(&format!(
+            r#"{{"verb":"FINISH","tag":"{tag:016x}","opts":{{}},"rc":16}}"#
+        ));
     }
     drop(viewer);
     director.signal(Signal::CONT);
     let (mut all, mut buf) = (String::new(), [0; 4096]);
     while all.matches("TEARDOWN rtsp").count() < 200 {
         let n = node.read(&mut buf).unwrap_or(0);
-        assert!(n > 0, "{} of 200 sessions released", all.matches("TEARDOWN rtsp").count());
+        assert!(
+            n > 0,
+            "{} of 200 sessions released",
+            all.matches("TEARDOWN rtsp").count()
+        );
         all.push_str(&String::from_utf8_lossy(&buf[..n]));
     }
 }
@@ -208,7 +217,10 @@
     assert!(viewer.hear().contains(r#""rc":41"#));
     until(&mut node, "TEARDOWN");
     assert!(director.0.wait().unwrap().success());
-    assert!(told.elapsed() < Duration::from_millis(3_700), "killed by then");
+    assert!(
+        told.elapsed() < Duration::from_millis(3_700),
+        "killed by then"
+    );
 }
 
 /// Told twice, told to read its configuration in between: what was taken is answered, and the new journal service is asked.
@@ -245,11 +257,19 @@
         9, 9
     ));
     viewer.ask(7);
-    assert!(viewer.hear().contains(r#""tag":"0000000000000007","opts":{},"rc":34"#));
+    assert!(
+        viewer
+            .hear()
+            .contains(r#""tag":"0000000000000007","opts":{},"rc":34"#)
+    );
     // What was handed over is held: its release is told.
     let mut node = accept(&place.node);
     node.write_all(b"TEARDOWN rtsp://media/x RTSP/1.0\r\nCSeq: 2\r\nSession: 0000000000000009\r\nReason: cause=16\r\nContent-Length: 0\r\n\r\n").unwrap();
-    assert!(viewer.hear().contains(r#""tag":"0000000000000009","opts":{},"rc":16"#));
+    assert!(
+        viewer
+            .hear()
+            .contains(r#""tag":"0000000000000009","opts":{},"rc":16"#)
+    );
     assert!(director.0.wait().unwrap().success());
 }
 
@@ -283,11 +303,16 @@
     let _director = place.begin();
     let mut journal = accept(&place.journal);
     assert_eq!(position(&mut journal), 1);
-    journal.write_all(&[0, 0, 0, 9, 0, 0, 0, 0, 0, 0, 0, 2, 0]).unwrap();
+    journal
+        .write_all(&[0, 0, 0, 9, 0, 0, 0, 0, 0, 0, 0, 2, 0])
+        .unwrap();
     let mut again = accept(&place.journal);
     assert_eq!(position(&mut again), 1);
     let mut rest = Vec::new();
-    assert!(journal.read_to_end(&mut rest).is_ok(), "the first is closed");
+    assert!(
+        journal.read_to_end(&mut rest).is_ok(),
+        "the first is closed"
+    );
 }
 
 /// A configuration that is written over, not replaced, is read when it is whole; no second signal is needed.
@@ -318,12 +343,19 @@
     let mut journal = accept(&place.journal);
     assert_eq!(position(&mut journal), 1);
     let foreign = listener();
-    let text = place.text(&address(&foreign)).replace(r#""name":"n1""#, r#""name":"n2""#);
-    let text = text.replace(r#""pos":1"#, r#""pos":9"#).replace(&address(&place.node), "127.0.0.1:9");
+    let text = place
+        .text(&address(&foreign))
+        .replace(r#""name":"n1""#, r#""name":"n2""#);
+    let text = text
+        .replace(r#""pos":1"#, r#""pos":9"#)
+        .replace(&address(&place.node), "127.0.0.1:9");
     std::fs::write(place.file(), text).unwrap();
     director.signal(Signal::HUP);
     // It has read the file, and says what it makes of it: that, or that the service has moved.
-    let said = log.find(|l| l.as_ref().is_ok_and(|l| l.contains("configuration is") || l.contains("moved")));
+    let said = log.find(|l| {
+        l.as_ref()
+            .is_ok_and(|l| l.contains("configuration is") || l.contains("moved"))
+    });
     let said = said.unwrap().unwrap();
     assert!(said.contains("another director's"), "{said}");
     let next = listener();
@@ -392,10 +424,14 @@
         match place.node.accept() {
             Ok((mut stream, _)) => {
                 stream.set_nonblocking(false).unwrap();
-                stream.set_read_timeout(Some(Duration::from_millis(200))).unwrap();
+                stream
+                    .set_read_timeout(Some(Duration::from_millis(200)))
+                    .unwrap();
                 let _ = stream.read_to_end(&mut heard);
             }
-            Err(e) if e.kind() == ErrorKind::WouldBlock => std::thread::sleep(Duration::from_millis(10)),
+            Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                std::thread::sleep(Duration::from_millis(10))
+            }
             Err(e) => panic!("{e}"),
         }
     }
--- a/crates/front/tests/direct.rs
+++ b/crates/front/tests/direct.rs
@@ -10,7 +10,11 @@
     let _director = place.begin();
     let mut viewer = place.viewer();
     viewer.say(r#"{"verb":"ECHO","tag":"0000000000000001","opts":{},"rc":0}"#);
-    assert!(viewer.hear().contains(r#""verb":"ECHOED","tag":"0000000000000001","opts":{},"rc":1"#));
+    assert!(
+        viewer
+            .hear()
+            .contains(r#""verb":"ECHOED","tag":"0000000000000001","opts":{},"rc":1"#)
+    );
     viewer.ask(7);
     let mut node = accept(&place.node);
     serve(&mut node, 7);
@@ -18,7 +22,11 @@
     // Its process dies: the connection is reset, the next one refused.
     drop(place.node);
     drop(node);
-    assert!(viewer.hear().contains(r#""verb":"FINISH","tag":"0000000000000007","opts":{},"rc":41"#));
+    assert!(
+        viewer
+            .hear()
+            .contains(r#""verb":"FINISH","tag":"0000000000000007","opts":{},"rc":41"#)
+    );
 }
 
 /// The node writes a release when the director has closed its half of the connection already: as late as can be.
@@ -42,7 +50,11 @@
     node.write_all(release.as_bytes()).unwrap();
     drop(node);
     assert!(viewer.hear().contains("FINISHED"));
-    assert!(viewer.hear().contains(r#""verb":"FINISH","tag":"0000000000000007","opts":{},"rc":16"#));
+    assert!(
+        viewer
+            .hear()
+            .contains(r#""verb":"FINISH","tag":"0000000000000007","opts":{},"rc":16"#)
+    );
 }
 
 #[test]
@@ -51,13 +63,17 @@
     let director = place.begin();
     let mut journal = accept(&place.journal);
     assert_eq!(position(&mut journal), 1);
-    let drain = [0, 0, 0, 1, 127, 0, 0, 1, 0, 9, 1, 0, 0, 0, 0, 0, 0, 3, 0xe8, 0, 0, 0, 0, 0, 0, 0, 0];
+    let drain = [
+        0, 0, 0, 1, 127, 0, 0, 1, 0, 9, 1, 0, 0, 0, 0, 0, 0, 3, 0xe8, 0, 0, 0, 0, 0, 0, 0, 0,
+    ];
     let frame = [&[0, 0, 0, 36, 0, 0, 0, 0, 0, 0, 0, 2, 2], &drain[..]].concat();
     journal.write_all(&frame[..20]).unwrap();
     drop(journal);
     let mut journal = accept(&place.journal);
     assert_eq!(position(&mut journal), 1, "half an event is none");
-    journal.write_all(&[&frame[..], &frame[..]].concat()).unwrap();
+    journal
+        .write_all(&[&frame[..], &frame[..]].concat())
+        .unwrap();
     // Draining: the test fails, as nothing is ready.
     let mut viewer = place.viewer();
     viewer.until_not_ready();
@@ -68,7 +84,10 @@
     std::fs::write(place.dir.path().join("config.json"), "{ half a file").unwrap();
     director.signal(rustix::process::Signal::HUP);
     viewer.say(r#"{"verb":"ECHO","tag":"0000000000000002","opts":{},"rc":0}"#);
-    assert!(viewer.hear().contains("ECHOED"), "it goes on with what it had");
+    assert!(
+        viewer.hear().contains("ECHOED"),
+        "it goes on with what it had"
+    );
 }
 
 #[test]
@@ -96,7 +115,10 @@
 /// splice and sendfile.
 #[test]
 fn it_is_one_process_linked_dynamically_that_starts_no_other() {
-    let run = include_str!("../../../deploy/balancer.toml").lines().find(|l| l.starts_with("run")).unwrap();
+    let run = include_str!("../../../deploy/balancer.toml")
+        .lines()
+        .find(|l| l.starts_with("run"))
+        .unwrap();
     assert_eq!(run, "run = \"exec target/release/shalewall direct\"");
     let place = Place::new();
     let director = place.begin();
@@ -107,7 +129,10 @@
     assert!(viewer.hear().contains("STARTED"));
     let proc = std::path::PathBuf::from(format!("/proc/{}", director.0.id()));
     let maps = std::fs::read_to_string(proc.join("maps")).unwrap();
-    assert!(maps.contains("/libc.so") && maps.contains("/ld-linux"), "not linked against the C library");
+    assert!(
+        maps.contains("/libc.so") && maps.contains("/ld-linux"),
+        "not linked against the C library"
+    );
     for task in std::fs::read_dir(proc.join("task")).unwrap() {
         let children = std::fs::read_to_string(task.unwrap().path().join("children")).unwrap();
         assert!(children.is_empty(), "started {children}");
--- a/crates/front/tests/direct_day.rs
+++ b/crates/front/tests/direct_day.rs
@@ -45,16 +45,55 @@
         (9_300, Turn(4, Mood::Full)),
         (9_800, Turn(4, Mood::Well)),
     ];
-    let plan = Plan { directors: 9, nodes: 6, seconds: 11, seed: 1, lie: None, troubles };
+    let plan = Plan {
+        directors: 9,
+        nodes: 6,
+        seconds: 11,
+        seed: 1,
+        lie: None,
+        troubles,
+    };
     let day = played(&plan);
     let at = |t: i64| (t - day.begun) / 1000;
-    let found: Vec<_> = day.verdict.findings.iter().map(|f| (at(f.t), f.rule, &f.what)).collect();
-    println!("{} requests\n{}{found:#?}{:#?}", day.asked, day.verdict, day.odd);
-    assert!(day.verdict.holds() && day.odd.is_empty(), "{}{:#?}", day.verdict, day.odd);
-    assert!(day.fallen.is_empty() && !day.logs.contains("panic"), "{:?}", day.fallen);
-    assert!(day.asked > 300, "{} requests: nothing was tested", day.asked);
-    for rule in [Rule::Answered, Rule::Once, Rule::Drains, Rule::Cold, Rule::Terms, Rule::Ration] {
-        assert!(day.verdict.tested.contains_key(rule.name()), "{} was not tested", rule.name());
+    let found: Vec<_> = day
+        .verdict
+        .findings
+        .iter()
+        .map(|f| (at(f.t), f.rule, &f.what))
+        .collect();
+    println!(
+        "{} requests\n{}{found:#?}{:#?}",
+        day.asked, day.verdict, day.odd
+    );
+    assert!(
+        day.verdict.holds() && day.odd.is_empty(),
+        "{}{:#?}",
+        day.verdict,
+        day.odd
+    );
+    assert!(
+        day.fallen.is_empty() && !day.logs.contains("panic"),
+        "{:?}",
+        day.fallen
+    );
+    assert!(
+        day.asked > 300,
+        "{} requests: nothing was tested",
+        day.asked
+    );
+    for rule in [
+        Rule::Answered,
+        Rule::Once,
+        Rule::Drains,
+        Rule::Cold,
+        Rule::Terms,
+        Rule::Ration,
+    ] {
+        assert!(
+            day.verdict.tested.contains_key(rule.name()),
+            "{} was not tested",
+            rule.name()
+        );
     }
 }
 
@@ -68,8 +107,16 @@
         Lie::IgnoresSilence => 5_000,
         _ => 0,
     };
-    let hush = (lie == Lie::IgnoresSilence).then_some([(500, JournalHush), (600, Drain(0)), (610, Drain(3))]);
-    let troubles = vec![(late + 700, Drain(1)), (late + 800, Die(2)), (late + 1_100, Back(2))];
+    let hush = (lie == Lie::IgnoresSilence).then_some([
+        (500, JournalHush),
+        (600, Drain(0)),
+        (610, Drain(3)),
+    ]);
+    let troubles = vec![
+        (late + 700, Drain(1)),
+        (late + 800, Die(2)),
+        (late + 1_100, Back(2)),
+    ];
     let favoured = match lie {
         Lie::IgnoresDrains => Some(1),
         Lie::PushesCold => Some(2),
@@ -78,15 +125,35 @@
     let favoured = favoured.map(|n| (late + 1_200, Favour(n)));
     // Told to end with requests in flight: nodes answer nothing for a while.
     let ends = lie == Lie::EndsAtOnce;
-    let mute = (0..6).filter(|_| ends).map(|n| (1_500, Turn(n, Mood::Mute)));
+    let mute = (0..6)
+        .filter(|_| ends)
+        .map(|n| (1_500, Turn(n, Mood::Mute)));
     let told = (0..4).filter(|_| ends).map(|d| (1_900, Leave(d)));
-    let troubles =
-        hush.into_iter().flatten().chain(troubles).chain(favoured).chain(mute).chain(told).collect();
-    let plan = Plan { directors: 4, nodes: 6, seconds: 4 + late / 1000, seed: 2, lie: Some(lie), troubles };
+    let troubles = hush
+        .into_iter()
+        .flatten()
+        .chain(troubles)
+        .chain(favoured)
+        .chain(mute)
+        .chain(told)
+        .collect();
+    let plan = Plan {
+        directors: 4,
+        nodes: 6,
+        seconds: 4 + late / 1000,
+        seed: 2,
+        lie: Some(lie),
+        troubles,
+    };
     let day = played(&plan);
     let found = broken(&day.verdict);
     match of {
-        Some(rule) => assert!(found.contains(&rule), "{lie:?} goes free: {}{:#?}", day.verdict, day.odd),
+        Some(rule) => assert!(
+            found.contains(&rule),
+            "{lie:?} goes free: {}{:#?}",
+            day.verdict,
+            day.odd
+        ),
         None => assert!(!day.odd.is_empty(), "{lie:?} goes free: {}", day.verdict),
     }
 }
@@ -135,10 +202,25 @@
 fn a_silent_list_and_an_end_with_requests_in_flight_break_no_rule() {
     use Trouble::*;
     let mute = (0..6).map(|n| (6_500, Turn(n, Mood::Mute)));
-    let troubles =
-        [(500, JournalHush), (700, Drain(1))].into_iter().chain(mute).chain([(6_900, Leave(0))]).collect();
-    let day = played(&Plan { directors: 4, nodes: 6, seconds: 9, seed: 3, lie: None, troubles });
-    assert!(day.verdict.holds() && day.odd.is_empty(), "{}{:#?}", day.verdict, day.odd);
+    let troubles = [(500, JournalHush), (700, Drain(1))]
+        .into_iter()
+        .chain(mute)
+        .chain([(6_900, Leave(0))])
+        .collect();
+    let day = played(&Plan {
+        directors: 4,
+        nodes: 6,
+        seconds: 9,
+        seed: 3,
+        lie: None,
+        troubles,
+    });
+    assert!(
+        day.verdict.holds() && day.odd.is_empty(),
+        "{}{:#?}",
+        day.verdict,
+        day.odd
+    );
     assert!(day.verdict.tested.contains_key(Rule::Drains.name()) && day.asked > 50);
 }
 
--- a/crates/front/tests/following.rs
+++ b/crates/front/tests/following.rs
@@ -40,8 +40,13 @@
 /// What comes within a moment on a request of its own connection.
 fn call(front: SocketAddr, line: &str, body: &str) -> String {
     let mut stream = TcpStream::connect(front).unwrap();
-    stream.set_read_timeout(Some(Duration::from_millis(400))).unwrap();
-    let request = format!("{line} HTTP/1.1\r\nHost: f\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    stream
+        .set_read_timeout(Some(Duration::from_millis(400)))
+        .unwrap();
+    let request = format!(
+        "{line} HTTP/1.1\r\nHost: f\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
     stream.write_all(request.as_bytes()).unwrap();
     let (mut said, mut buf) = (Vec::new(), [0; 4096]);
     while let Ok(n @ 1..) = stream.read(&mut buf) {
@@ -92,7 +97,11 @@
     let front = front(false);
     assert_eq!(status(&call(front, "GET /sessions/7/events", "")), 404);
     assert_eq!(
-        status(&call(front, "POST /sessions/7/silent", "{\"buffer_ms\":700}")),
+        status(&call(
+            front,
+            "POST /sessions/7/silent",
+            "{\"buffer_ms\":700}"
+        )),
         204,
         "and it does no harm"
     );
@@ -108,10 +117,14 @@
     plan.site.moves = found.into_values().next();
     for text in [None, Some(""), Some("5a5a"), Some("not hexadecimal")] {
         let file = dir.path().join("move.key");
-        text.into_iter().for_each(|text| std::fs::write(&file, text).unwrap());
+        text.into_iter()
+            .for_each(|text| std::fs::write(&file, text).unwrap());
         plan.front.move_key_file = Some(file);
         let ex = Rc::new(async_executor::LocalExecutor::new());
-        let error = shalewall_front::serve::start(&ex, &plan).err().expect("no front").to_string();
+        let error = shalewall_front::serve::start(&ex, &plan)
+            .err()
+            .expect("no front")
+            .to_string();
         assert!(error.contains("move.key"), "{error}");
     }
 }
--- a/crates/front/tests/hosted/mod.rs
+++ b/crates/front/tests/hosted/mod.rs
@@ -22,13 +22,26 @@
 
 pub fn start(args: &[&str]) -> Process {
     // As the kernel has it on a full disk: a write that is too much is an error, and no end of the process.
-    let ignoring = ["-c", "trap '' XFSZ; exec \"$0\" \"$@\"", env!("CARGO_BIN_EXE_shalewall")];
+    let ignoring = [
+        "-c",
+        "trap '' XFSZ; exec \"$0\" \"$@\"",
+        env!("CARGO_BIN_EXE_shalewall"),
+    ];
     let mut command = Command::new("sh");
-    let mut child = command.args(ignoring).args(args).stderr(Stdio::piped()).spawn().unwrap();
-    let mut lines = BufReader::new(child.stderr.take().unwrap()).lines().map_while(Result::ok);
+    let mut child = command
+        .args(ignoring)
+        .args(args)
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut lines = BufReader::new(child.stderr.take().unwrap())
+        .lines()
+        .map_while(Result::ok);
     let address = lines.by_ref().find_map(|line| {
         let said: Value = serde_json::from_str(&line).unwrap_or_else(|e| panic!("{line}: {e}"));
-        said["fields"]["address"].as_str().map(|a| a.parse().unwrap())
+        said["fields"]["address"]
+            .as_str()
+            .map(|a| a.parse().unwrap())
     });
     std::thread::spawn(move || lines.for_each(drop));
     Process(child, address.expect("it listens"))
@@ -52,7 +65,10 @@
         let store = dir.path().join("tenants.redb");
         let make = |role: &str| {
             let args = ["store", "token", store.to_str().unwrap(), role];
-            let shown = Command::new(env!("CARGO_BIN_EXE_shalewall")).args(args).output().unwrap();
+            let shown = Command::new(env!("CARGO_BIN_EXE_shalewall"))
+                .args(args)
+                .output()
+                .unwrap();
             String::from_utf8(shown.stdout).unwrap().trim().to_string()
         };
         let token = make("operator");
@@ -60,7 +76,11 @@
         let admin = Service::admin(&dir, "127.0.0.1:0");
         let mut plan = plan(nodes);
         let token_file = dir.path().join("token");
-        plan.hosting = Some(Hosting { admin: admin.1, token_file, set_ups_per_s: 1000.0 });
+        plan.hosting = Some(Hosting {
+            admin: admin.1,
+            token_file,
+            set_ups_per_s: 1000.0,
+        });
         plan.front.directors = fronts;
         change(&mut plan);
         let fronts = (0..fronts).map(|number| {
@@ -70,14 +90,20 @@
             start(&["serve", "--config", file.to_str().unwrap()])
         });
         let fronts = fronts.collect();
-        Service { admin, fronts, token, dir }
+        Service {
+            admin,
+            fronts,
+            token,
+            dir,
+        }
     }
 
     pub fn admin(dir: &tempfile::TempDir, listen: &str) -> Process {
         let file = dir.path().join("admin.hcl");
         let store: PathBuf = dir.path().join("tenants.redb");
-        let text =
-            format!("admin {{\n  listen = \"{listen}\"\n  store = {store:?}\n  forget_front_s = 10\n}}\n");
+        let text = format!(
+            "admin {{\n  listen = \"{listen}\"\n  store = {store:?}\n  forget_front_s = 10\n}}\n"
+        );
         std::fs::write(&file, text).unwrap();
         start(&["admin", "--config", file.to_str().unwrap()])
     }
@@ -94,11 +120,21 @@
     pub fn rolled_out(&self, method: &str, target: &str, body: &Value) -> Duration {
         let began = Instant::now();
         let (status, said) = self.api(method, target, body);
-        assert!((200..300).contains(&status), "{method} {target}: {status} {said}");
-        let number = self.api("GET", "/changes?after=0", &Value::Null).1["number"].as_u64().unwrap();
+        assert!(
+            (200..300).contains(&status),
+            "{method} {target}: {status} {said}"
+        );
+        let number = self.api("GET", "/changes?after=0", &Value::Null).1["number"]
+            .as_u64()
+            .unwrap();
         for front in &self.fronts {
-            while http(front.1, "GET", "/state", "", &Value::Null).1["tenants"].as_u64() < Some(number) {
-                assert!(began.elapsed() < Duration::from_secs(10), "it does not reach all fronts");
+            while http(front.1, "GET", "/state", "", &Value::Null).1["tenants"].as_u64()
+                < Some(number)
+            {
+                assert!(
+                    began.elapsed() < Duration::from_secs(10),
+                    "it does not reach all fronts"
+                );
                 std::thread::sleep(Duration::from_millis(2));
             }
         }
@@ -106,15 +142,28 @@
     }
 
     pub fn ask(&self, front: usize, tenant: &str, viewer: &str) -> (u16, Value) {
-        let wanted = json!({ "viewer": viewer, "tenant": tenant, "class": "room", "title": "monday" });
+        let wanted =
+            json!({ "viewer": viewer, "tenant": tenant, "class": "room", "title": "monday" });
         http(self.fronts[front].1, "POST", "/sessions", "", &wanted)
     }
 }
 
-pub fn http(to: SocketAddr, method: &str, target: &str, fields: &str, body: &Value) -> (u16, Value) {
-    let body = if body.is_null() { String::new() } else { body.to_string() };
+pub fn http(
+    to: SocketAddr,
+    method: &str,
+    target: &str,
+    fields: &str,
+    body: &Value,
+) -> (u16, Value) {
+    let body = if body.is_null() {
+        String::new()
+    } else {
+        body.to_string()
+    };
     let mut stream = TcpStream::connect(to).unwrap();
-    stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+    stream
+        .set_read_timeout(Some(Duration::from_secs(10)))
+        .unwrap();
     let head = format!(
         "{method} {target} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n{fields}Content-Length: {}\r\n\r\n{body}",
         body.len()
--- a/crates/front/tests/hosting.rs
+++ b/crates/front/tests/hosting.rs
@@ -14,17 +14,34 @@
 fn changes_reach_three_fronts_and_a_front_cut_off_goes_on_with_the_last() {
     let node = Node::start(&[]);
     let mut service = Service::new(&[&node], 3);
-    assert_eq!(service.ask(0, "a", "v0").0, 503, "nothing is known yet, so nobody is unknown");
-    service.rolled_out("POST", "/tenants", &json!({ "id": "a", "terms": terms(json!({})) }));
+    assert_eq!(
+        service.ask(0, "a", "v0").0,
+        503,
+        "nothing is known yet, so nobody is unknown"
+    );
+    service.rolled_out(
+        "POST",
+        "/tenants",
+        &json!({ "id": "a", "terms": terms(json!({})) }),
+    );
     for front in 0..3 {
         assert_eq!(service.ask(front, "a", "v1").0, 201);
         assert_eq!(service.ask(front, "b", "v1").0, 404, "no such tenant");
     }
     let mut took: Vec<Duration> = (0..100)
-        .map(|i| service.rolled_out("PATCH", "/tenants/a", &json!({ "display_name": format!("{i}") })))
+        .map(|i| {
+            service.rolled_out(
+                "PATCH",
+                "/tenants/a",
+                &json!({ "display_name": format!("{i}") }),
+            )
+        })
         .collect();
     took.sort();
-    println!("a change at three fronts: p50 {:?}, p99 {:?}", took[50], took[98]);
+    println!(
+        "a change at three fronts: p50 {:?}, p99 {:?}",
+        took[50], took[98]
+    );
     assert!(took[98] < Duration::from_millis(500), "{:?}", took[98]);
 
     // The API is gone: fronts go on with what they had and say so.
@@ -32,10 +49,14 @@
     service.admin.0.kill().unwrap();
     service.admin.0.wait().unwrap();
     let until = Instant::now() + Duration::from_secs(5);
-    let followed =
-        |s: &Service| http(s.fronts[1].1, "GET", "/state", "", &Value::Null).1["tenants_followed"].clone();
+    let followed = |s: &Service| {
+        http(s.fronts[1].1, "GET", "/state", "", &Value::Null).1["tenants_followed"].clone()
+    };
     while followed(&service) != json!(false) {
-        assert!(Instant::now() < until, "it is not told that changes are not heard");
+        assert!(
+            Instant::now() < until,
+            "it is not told that changes are not heard"
+        );
         std::thread::sleep(Duration::from_millis(20));
     }
     assert_eq!(service.ask(1, "a", "v2").0, 201);
@@ -51,7 +72,11 @@
     let service = Service::new(&[&node], 1);
     let limit = terms(json!({ "set_ups_per_s": 5.0 }));
     service.rolled_out("POST", "/tenants", &json!({ "id": "loud", "terms": limit }));
-    service.rolled_out("POST", "/tenants", &json!({ "id": "quiet", "terms": terms(json!({})) }));
+    service.rolled_out(
+        "POST",
+        "/tenants",
+        &json!({ "id": "quiet", "terms": terms(json!({})) }),
+    );
     let mut away = Vec::new();
     for i in 0..40 {
         let (status, said) = service.ask(0, "loud", &format!("l{i}"));
@@ -61,7 +86,9 @@
         assert_eq!(service.ask(0, "quiet", &format!("q{i}")).0, 201, "{i}");
     }
     assert!(away.len() > 10, "{away:?}");
-    std::thread::sleep(Duration::from_secs_f64(away.last().unwrap() / 1000.0 + 0.01));
+    std::thread::sleep(Duration::from_secs_f64(
+        away.last().unwrap() / 1000.0 + 0.01,
+    ));
     assert_eq!(service.ask(0, "loud", "again").0, 201, "the advice holds");
     // The same viewer asks again for what plays: that is no new set-up, whatever the limit.
     assert_eq!(service.ask(0, "loud", "again").0, 201);
@@ -72,17 +99,35 @@
     let node = Node::start(&[]);
     let service = Service::new(&[&node], 1);
     for id in ["kept", "gone"] {
-        service.rolled_out("POST", "/tenants", &json!({ "id": id, "terms": terms(json!({})) }));
+        service.rolled_out(
+            "POST",
+            "/tenants",
+            &json!({ "id": id, "terms": terms(json!({})) }),
+        );
         assert_eq!(service.ask(0, id, "v").0, 201);
     }
     service.rolled_out("POST", "/tenants/kept/suspend", &Value::Null);
     service.rolled_out("DELETE", "/tenants/gone", &Value::Null);
-    assert_eq!((service.ask(0, "gone", "w").0, service.ask(0, "kept", "w").0), (404, 404), "nothing new");
-    assert_eq!(http(service.fronts[0].1, "GET", "/state", "", &Value::Null).1["playing"], 2);
-    assert_eq!(node.wait_for("DELETE", 1).len(), 1, "the deleted one's ends after its second");
+    assert_eq!(
+        (service.ask(0, "gone", "w").0, service.ask(0, "kept", "w").0),
+        (404, 404),
+        "nothing new"
+    );
+    assert_eq!(
+        http(service.fronts[0].1, "GET", "/state", "", &Value::Null).1["playing"],
+        2
+    );
+    assert_eq!(
+        node.wait_for("DELETE", 1).len(),
+        1,
+        "the deleted one's ends after its second"
+    );
     std::thread::sleep(Duration::from_millis(300));
     assert_eq!(node.lines("DELETE").len(), 1);
-    assert_eq!(http(service.fronts[0].1, "GET", "/state", "", &Value::Null).1["playing"], 1);
+    assert_eq!(
+        http(service.fronts[0].1, "GET", "/state", "", &Value::Null).1["playing"],
+        1
+    );
     // Its id is free once the front has said so, and no other front can be there that has not.
     let made = json!({ "id": "gone", "terms": terms(json!({})) });
     assert_eq!(service.api("POST", "/tenants", &made).0, 409);
@@ -91,7 +136,8 @@
     // Its sessions one by one, as the front tells once it has been asked.
     let until = Instant::now() + Duration::from_secs(8);
     let shown = loop {
-        let shown = service.api("GET", "/tenants/kept/sessions", &Value::Null).1["fronts"][0].clone();
+        let shown =
+            service.api("GET", "/tenants/kept/sessions", &Value::Null).1["fronts"][0].clone();
         if shown["sessions"].is_array() {
             break shown;
         }
@@ -127,7 +173,11 @@
     // The same names mean each tenant's own: where they lie, and the rungs.
     for (tenant, rung, node) in [("low", 0, 0), ("high", 1, 1)] {
         let (status, said) = ask(tenant, "v", "playroom", "garden");
-        assert_eq!((status, &said["rung"]), (201, &json!(rung)), "{tenant}: {said}");
+        assert_eq!(
+            (status, &said["rung"]),
+            (201, &json!(rung)),
+            "{tenant}: {said}"
+        );
         assert_eq!(nodes[node].wait_for("PUT", 1).len(), 1, "{tenant}");
     }
     // What the site or another tenant calls its own is not there for one that has its own.
@@ -137,7 +187,11 @@
     let change = json!({ "classes": { "playroom": { "floor": 1, "top": 1 } } });
     service.rolled_out("PATCH", "/tenants/low", &change);
     let (status, said) = ask("low", "v", "playroom", "garden");
-    assert_eq!((status, &said["rung"]), (201, &json!(0)), "the viewer's session as it was: {said}");
+    assert_eq!(
+        (status, &said["rung"]),
+        (201, &json!(0)),
+        "the viewer's session as it was: {said}"
+    );
     assert_eq!(ask("low", "w", "playroom", "garden").1["rung"], 1);
     // Its title is taken away while it is watched: nothing new of it, and the viewer's own is still there.
     let change = json!({ "titles": { "garden": null, "street": { "home": 0, "spread": 2 } } });
@@ -151,16 +205,27 @@
 fn nodes_of_a_tenants_own_take_its_sessions_alone() {
     let nodes = [Node::start(&[]), Node::start(&[])];
     let service = Service::new(&[&nodes[0], &nodes[1]], 1);
-    service.rolled_out("POST", "/tenants", &json!({ "id": "pool", "terms": terms(json!({})) }));
+    service.rolled_out(
+        "POST",
+        "/tenants",
+        &json!({ "id": "pool", "terms": terms(json!({})) }),
+    );
     let mut own = terms(json!({}));
     own["fleet"] = json!({ "own": [1] });
     service.rolled_out("POST", "/tenants", &json!({ "id": "own", "terms": own }));
     for i in 0..12 {
         for tenant in ["pool", "own"] {
-            assert_eq!(service.ask(0, tenant, &format!("v{i}")).0, 201, "{tenant} {i}");
+            assert_eq!(
+                service.ask(0, tenant, &format!("v{i}")).0,
+                201,
+                "{tenant} {i}"
+            );
         }
     }
-    assert_eq!([nodes[0].lines("PUT").len(), nodes[1].lines("PUT").len()], [12, 12]);
+    assert_eq!(
+        [nodes[0].lines("PUT").len(), nodes[1].lines("PUT").len()],
+        [12, 12]
+    );
     // The nodes go back to the pool while its sessions play there.
     service.rolled_out("PATCH", "/tenants/own", &json!({ "fleet": "pool" }));
     for i in 0..40 {
@@ -174,7 +239,11 @@
 fn a_paid_set_up_of_a_tenant_suspended_mid_way_has_one_answer_and_is_set_up_once() {
     let node = Node::start(&[Act::Play(Duration::from_millis(900))]);
     let service = Service::new(&[&node], 1);
-    service.rolled_out("POST", "/tenants", &json!({ "id": "a", "terms": terms(json!({})) }));
+    service.rolled_out(
+        "POST",
+        "/tenants",
+        &json!({ "id": "a", "terms": terms(json!({})) }),
+    );
     let front = service.fronts[0].1;
     let waits = std::thread::spawn(move || {
         let wanted = json!({ "viewer": "v", "tenant": "a", "class": "report", "title": "monday" });
@@ -189,9 +258,12 @@
 /// Sends a request in two parts and returns the connection between them.
 fn begun(front: SocketAddr, fields: &str, body: &str, length: usize) -> TcpStream {
     let mut stream = TcpStream::connect(front).unwrap();
-    stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
-    let head =
-        format!("POST /sessions HTTP/1.1\r\nHost: x\r\n{fields}Content-Length: {length}\r\n\r\n{body}");
+    stream
+        .set_read_timeout(Some(Duration::from_secs(10)))
+        .unwrap();
+    let head = format!(
+        "POST /sessions HTTP/1.1\r\nHost: x\r\n{fields}Content-Length: {length}\r\n\r\n{body}"
+    );
     stream.write_all(head.as_bytes()).unwrap();
     stream
 }
@@ -209,34 +281,65 @@
     let front = service.fronts[0].1;
     let limit = terms(json!({ "connections": 3, "body_bytes": 200, "head_bytes": 400 }));
     service.rolled_out("POST", "/tenants", &json!({ "id": "loud", "terms": limit }));
-    service.rolled_out("POST", "/tenants", &json!({ "id": "quiet", "terms": terms(json!({})) }));
+    service.rolled_out(
+        "POST",
+        "/tenants",
+        &json!({ "id": "quiet", "terms": terms(json!({})) }),
+    );
     let field = |tenant: &str| format!("Shalewall-Tenant: {tenant}\r\n");
-    let wanted = |viewer: &str| json!({ "viewer": viewer, "class": "room", "title": "monday" }).to_string();
+    let wanted =
+        |viewer: &str| json!({ "viewer": viewer, "class": "room", "title": "monday" }).to_string();
     let ask = |tenant: &str, viewer: &str| {
         let body = wanted(viewer);
         status(begun(front, &field(tenant), &body, body.len()))
     };
-    assert_eq!(ask("quiet", "v"), Some(201), "the field alone names the tenant");
+    assert_eq!(
+        ask("quiet", "v"),
+        Some(201),
+        "the field alone names the tenant"
+    );
     // Sizes: too much is told from the head, before any of the content has come.
     assert_eq!(status(begun(front, &field("loud"), "", 201)), Some(413));
     let long = format!("{}X-Long: {}\r\n", field("loud"), "x".repeat(400));
     assert_eq!(status(begun(front, &long, "", 10)), Some(431));
     assert_eq!(status(begun(front, &field("nobody"), "", 10)), Some(404));
-    let other = json!({ "viewer": "v", "tenant": "quiet", "class": "room", "title": "monday" }).to_string();
-    assert_eq!(status(begun(front, &field("loud"), &other, other.len())), Some(422), "two names");
+    let other =
+        json!({ "viewer": "v", "tenant": "quiet", "class": "room", "title": "monday" }).to_string();
+    assert_eq!(
+        status(begun(front, &field("loud"), &other, other.len())),
+        Some(422),
+        "two names"
+    );
     // Content that never ends: three of the loud one's own, and a fourth takes the place of the first.
-    let mut slow: Vec<_> = (0..4).map(|_| begun(front, &field("loud"), "{", 100)).collect();
-    slow[0].set_read_timeout(Some(Duration::from_secs(2))).unwrap();
-    assert_eq!(slow[0].read(&mut [0; 9]).unwrap(), 0, "closed for its tenant's next");
+    let mut slow: Vec<_> = (0..4)
+        .map(|_| begun(front, &field("loud"), "{", 100))
+        .collect();
+    slow[0]
+        .set_read_timeout(Some(Duration::from_secs(2)))
+        .unwrap();
+    assert_eq!(
+        slow[0].read(&mut [0; 9]).unwrap(),
+        0,
+        "closed for its tenant's next"
+    );
     // Those who say nothing have a quarter of the front, and the longest silent goes first.
-    let mut silent: Vec<_> = (0..30).map(|_| TcpStream::connect(front).unwrap()).collect();
+    let mut silent: Vec<_> = (0..30)
+        .map(|_| TcpStream::connect(front).unwrap())
+        .collect();
     for i in 0..5 {
         assert_eq!(ask("quiet", &format!("w{i}")), Some(201), "{i}");
     }
-    silent[0].set_read_timeout(Some(Duration::from_secs(2))).unwrap();
+    silent[0]
+        .set_read_timeout(Some(Duration::from_secs(2)))
+        .unwrap();
     assert_eq!(silent[0].read(&mut [0; 9]).unwrap(), 0);
     // A request that waits for its answer is not closed, however many come.
     let last = silent.len() - 1;
-    silent[last].set_read_timeout(Some(Duration::from_millis(100))).unwrap();
-    assert!(silent[last].read(&mut [0; 9]).is_err(), "the last to come is still there");
+    silent[last]
+        .set_read_timeout(Some(Duration::from_millis(100)))
+        .unwrap();
+    assert!(
+        silent[last].read(&mut [0; 9]).is_err(),
+        "the last to come is still there"
+    );
 }
--- a/crates/front/tests/import.rs
+++ b/crates/front/tests/import.rs
@@ -58,19 +58,43 @@
 fn a_day_becomes_a_script_that_reads_back() {
     let imported = import(&day().to_string()).unwrap();
     let script = imported.script().unwrap();
-    let plan: DayPlan = parse("imported.hcl", &script).unwrap_or_else(|e| panic!("{e:?}\n{script}"));
-    assert_eq!((plan.day.seconds, plan.day.directors, plan.fleet.machine.len()), (40.0, 2, 3));
+    let plan: DayPlan =
+        parse("imported.hcl", &script).unwrap_or_else(|e| panic!("{e:?}\n{script}"));
+    assert_eq!(
+        (
+            plan.day.seconds,
+            plan.day.directors,
+            plan.fleet.machine.len()
+        ),
+        (40.0, 2, 3)
+    );
     let once = &plan.site.class["once"];
     assert!(once.paid && once.floor == 1 && once.seats == 4 && !plan.site.class["many"].paid);
-    assert_eq!((plan.site.rules.fall_ms, plan.site.rules.further.as_ref().unwrap().free), (2000.0, 2.0));
+    assert_eq!(
+        (
+            plan.site.rules.fall_ms,
+            plan.site.rules.further.as_ref().unwrap().free
+        ),
+        (2000.0, 2.0)
+    );
     assert_eq!(plan.fleet.machine["2"].zone, "right");
     assert!((plan.load.per_s - 1.6).abs() < 1e-9);
     let trouble = |kind| plan.trouble.values().find(|t| t.kind == kind).unwrap();
     // Nodes count from 1 in a script, directors from 0.
     assert_eq!(trouble(TroubleKind::Crash).on, Some(vec![3]));
-    assert_eq!((trouble(TroubleKind::Preempt).waves, trouble(TroubleKind::Preempt).notice_ms), (2, 800.0));
+    assert_eq!(
+        (
+            trouble(TroubleKind::Preempt).waves,
+            trouble(TroubleKind::Preempt).notice_ms
+        ),
+        (2, 800.0)
+    );
     assert_eq!(trouble(TroubleKind::DirectorStall).on, Some(vec![1]));
-    assert_eq!(trouble(TroubleKind::DirectorStall).len_s, 31.0, "cut where the day ends");
+    assert_eq!(
+        trouble(TroubleKind::DirectorStall).len_s,
+        31.0,
+        "cut where the day ends"
+    );
 }
 
 #[test]
@@ -78,7 +102,10 @@
     let imported = import(&day().to_string()).unwrap();
     assert!(imported.left_out.iter().any(|l| l.contains("moonlight")));
     let script = imported.script().unwrap();
-    imported.left_out.iter().for_each(|l| assert!(script.contains(l), "{l}"));
+    imported
+        .left_out
+        .iter()
+        .for_each(|l| assert!(script.contains(l), "{l}"));
 }
 
 #[test]
@@ -97,7 +124,10 @@
         *day.pointer_mut(path).unwrap() = value;
         let error = import(&day.to_string()).expect_err(path);
         let start: String = path.split('/').take(2).collect::<Vec<_>>().join("/");
-        assert!(error.starts_with(&start) || error.starts_with("/tiers"), "{path}: {error}");
+        assert!(
+            error.starts_with(&start) || error.starts_with("/tiers"),
+            "{path}: {error}"
+        );
     }
     assert!(import("{").unwrap_err().contains("JSON"));
     assert!(import("[]").is_err());
--- a/crates/front/tests/leaving.rs
+++ b/crates/front/tests/leaving.rs
@@ -16,15 +16,25 @@
     let file = dir.path().join("front.hcl");
     std::fs::write(&file, hcl::to_string(&plan).unwrap()).unwrap();
     let mut command = Command::new(env!("CARGO_BIN_EXE_shalewall"));
-    command.arg("serve").arg("--config").arg(&file).stderr(Stdio::piped());
+    command
+        .arg("serve")
+        .arg("--config")
+        .arg(&file)
+        .stderr(Stdio::piped());
     let mut child = command.spawn().unwrap();
-    let mut lines = BufReader::new(child.stderr.take().unwrap()).lines().map_while(Result::ok);
+    let mut lines = BufReader::new(child.stderr.take().unwrap())
+        .lines()
+        .map_while(Result::ok);
     let address = lines.by_ref().find_map(|line| {
         let said: serde_json::Value = serde_json::from_str(&line).unwrap();
-        said["fields"]["address"].as_str().map(|a| a.parse().unwrap())
+        said["fields"]["address"]
+            .as_str()
+            .map(|a| a.parse().unwrap())
     });
     std::thread::spawn(move || lines.for_each(drop));
-    nodes.iter().for_each(|n| drop(n.wait_for("GET /events", 1)));
+    nodes
+        .iter()
+        .for_each(|n| drop(n.wait_for("GET /events", 1)));
     std::thread::sleep(Duration::from_millis(200));
     (child, address.unwrap())
 }
@@ -42,7 +52,10 @@
     let began = Instant::now();
     end(&child);
     std::thread::sleep(Duration::from_millis(100));
-    assert!(std::net::TcpStream::connect(front).is_err(), "new connections are refused");
+    assert!(
+        std::net::TcpStream::connect(front).is_err(),
+        "new connections are refused"
+    );
     assert_eq!(statuses(waits), [201]);
     assert!(child.wait().unwrap().success());
     assert!(began.elapsed() < Duration::from_secs(3));
@@ -58,5 +71,8 @@
     end(&child);
     assert!(child.wait().unwrap().success());
     let took = began.elapsed();
-    assert!(took > Duration::from_millis(900) && took < Duration::from_secs(4), "{took:?}");
+    assert!(
+        took > Duration::from_millis(900) && took < Duration::from_secs(4),
+        "{took:?}"
+    );
 }
--- a/crates/front/tests/place/mod.rs
+++ b/crates/front/tests/place/mod.rs
@@ -46,7 +46,13 @@
     pub fn new() -> Place {
         // Not one that the system gives out by itself: another test's listener may have it by the time the director starts.
         let listen = format!("127.0.0.1:{}", shalewall_rig::free_port().unwrap());
-        Place { dir: tempfile::tempdir().unwrap(), listen, journal: listener(), node: listener(), left: 1500 }
+        Place {
+            dir: tempfile::tempdir().unwrap(),
+            listen,
+            journal: listener(),
+            node: listener(),
+            left: 1500,
+        }
     }
 
     pub fn file(&self) -> std::path::PathBuf {
@@ -109,7 +115,10 @@
 
 impl Viewer {
     pub fn say(&mut self, line: &str) {
-        self.0.get_mut().write_all(format!("{line}\n").as_bytes()).unwrap();
+        self.0
+            .get_mut()
+            .write_all(format!("{line}\n").as_bytes())
+            .unwrap();
     }
 
     pub fn ask(&mut self, tag: u64) {
@@ -164,9 +173,11 @@
 
 pub fn answer(node: &mut TcpStream, tag: u64, description: &str) {
     let length = description.len();
-    let head =
-        format!("RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: {tag:016x}\r\nContent-Length: {length}\r\n\r\n");
-    node.write_all(format!("{head}{description}").as_bytes()).unwrap();
+    let head = format!(
+        "RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: {tag:016x}\r\nContent-Length: {length}\r\n\r\n"
+    );
+    node.write_all(format!("{head}{description}").as_bytes())
+        .unwrap();
 }
 
 pub fn position(journal: &mut TcpStream) -> u64 {
--- a/crates/front/tests/scripted/mod.rs
+++ b/crates/front/tests/scripted/mod.rs
@@ -64,11 +64,21 @@
                 thread::spawn(move || connection(stream.unwrap(), number, &seen, &acts));
             }
         });
-        Node { address, seen, acts }
+        Node {
+            address,
+            seen,
+            acts,
+        }
     }
 
     pub fn lines(&self, method: &str) -> Vec<Seen> {
-        self.seen.lock().unwrap().iter().filter(|s| s.line.starts_with(method)).cloned().collect()
+        self.seen
+            .lock()
+            .unwrap()
+            .iter()
+            .filter(|s| s.line.starts_with(method))
+            .cloned()
+            .collect()
     }
 
     /// Waits until so many requests of a method have come.
@@ -85,7 +95,12 @@
     let _ = set_socket_linger(stream, Some(Duration::ZERO));
 }
 
-fn connection(mut stream: TcpStream, number: usize, seen: &Mutex<Vec<Seen>>, acts: &Mutex<Vec<Act>>) {
+fn connection(
+    mut stream: TcpStream,
+    number: usize,
+    seen: &Mutex<Vec<Seen>>,
+    acts: &Mutex<Vec<Act>>,
+) {
     let _ = stream.set_nodelay(true);
     let mut buf = Vec::new();
     loop {
@@ -96,7 +111,12 @@
         }
         buf.clear();
         buf.push(byte[0]);
-        let act = (byte[0] == b'P').then(|| acts.lock().unwrap().pop().unwrap_or(Act::Play(Duration::ZERO)));
+        let act = (byte[0] == b'P').then(|| {
+            acts.lock()
+                .unwrap()
+                .pop()
+                .unwrap_or(Act::Play(Duration::ZERO))
+        });
         let whole = loop {
             if let Some(Act::ResetAt(at)) = act
                 && buf.len() >= at
@@ -105,9 +125,14 @@
             }
             let text = String::from_utf8_lossy(&buf);
             if let Some(end) = text.find("\r\n\r\n") {
-                let length = text
-                    .find("Content-Length: ")
-                    .map_or(0, |i| text[i + 16..].split('\r').next().unwrap().parse::<usize>().unwrap());
+                let length = text.find("Content-Length: ").map_or(0, |i| {
+                    text[i + 16..]
+                        .split('\r')
+                        .next()
+                        .unwrap()
+                        .parse::<usize>()
+                        .unwrap()
+                });
                 if buf.len() >= end + 4 + length {
                     break true;
                 }
@@ -117,8 +142,16 @@
             }
             buf.push(byte[0]);
         };
-        let line = String::from_utf8_lossy(&buf).lines().next().unwrap_or_default().to_string();
-        seen.lock().unwrap().push(Seen { at: Instant::now(), line: line.clone(), connection: number });
+        let line = String::from_utf8_lossy(&buf)
+            .lines()
+            .next()
+            .unwrap_or_default()
+            .to_string();
+        seen.lock().unwrap().push(Seen {
+            at: Instant::now(),
+            line: line.clone(),
+            connection: number,
+        });
         if !whole {
             return reset(&stream);
         }
@@ -138,7 +171,11 @@
                 return;
             }
             Some(Act::Refuse { proof }) => {
-                let proof = if proof { "Shalewall-Never-Ran: yes\r\n" } else { "" };
+                let proof = if proof {
+                    "Shalewall-Never-Ran: yes\r\n"
+                } else {
+                    ""
+                };
                 format!("HTTP/1.1 503 x\r\n{proof}Content-Length: 0\r\n\r\n").into_bytes()
             }
             Some(Act::ResetAt(_)) => return reset(&stream),
@@ -188,7 +225,10 @@
 
 /// What a front over these nodes is told.
 pub fn plan(nodes: &[&Node]) -> FrontPlan {
-    let file = Path::new(concat!(env!("CARGO_MANIFEST_DIR"), "/../../days/short-bad-day.hcl"));
+    let file = Path::new(concat!(
+        env!("CARGO_MANIFEST_DIR"),
+        "/../../days/short-bad-day.hcl"
+    ));
     let day: DayPlan = read(file).unwrap();
     let mut site = day.site;
     // The nodes are warm for the front soon, and nothing else decides which of them is taken.
@@ -212,7 +252,11 @@
         leave_s: 0.0,
         move_key_file: None,
     };
-    FrontPlan { front, hosting: None, site }
+    FrontPlan {
+        front,
+        hosting: None,
+        site,
+    }
 }
 
 /// Starts a front over these nodes, on a thread of its own, and waits until it knows them.
@@ -226,7 +270,9 @@
         async_io::block_on(ex.run(futures_lite::future::pending::<()>()));
     });
     let address = address.recv().unwrap();
-    nodes.iter().for_each(|n| drop(n.wait_for("GET /events", 1)));
+    nodes
+        .iter()
+        .for_each(|n| drop(n.wait_for("GET /events", 1)));
     thread::sleep(Duration::from_millis(200));
     address
 }
@@ -241,9 +287,13 @@
     let wanted = format!("\"viewer\":\"{viewer}\",\"class\":\"{class}\",\"title\":\"monday\"");
     let body = format!("{{{wanted},\"wait_ms\":{wait}}}");
     let mut stream = TcpStream::connect(front).unwrap();
-    stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
-    let request =
-        format!("POST /sessions HTTP/1.1\r\nHost: f\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    stream
+        .set_read_timeout(Some(Duration::from_secs(10)))
+        .unwrap();
+    let request = format!(
+        "POST /sessions HTTP/1.1\r\nHost: f\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
     stream.write_all(request.as_bytes()).unwrap();
     stream
 }
@@ -257,8 +307,12 @@
             break;
         }
         said.extend_from_slice(&buf[..n]);
-        stream.set_read_timeout(Some(Duration::from_millis(150))).unwrap();
+        stream
+            .set_read_timeout(Some(Duration::from_millis(150)))
+            .unwrap();
     }
     let text = String::from_utf8_lossy(&said).into_owned();
-    text.match_indices("HTTP/1.1 ").map(|(i, _)| text[i + 9..i + 12].parse().unwrap()).collect()
+    text.match_indices("HTTP/1.1 ")
+        .map(|(i, _)| text[i + 9..i + 12].parse().unwrap())
+        .collect()
 }
--- a/crates/front/tests/store_trouble.rs
+++ b/crates/front/tests/store_trouble.rs
@@ -12,8 +12,10 @@
 fn named(id: &str, words: usize) -> Value {
     let mut terms = terms(json!({}));
     let title = |i| (format!("title-{i}"), json!({ "home": 0, "spread": 1 }));
-    let titles: serde_json::Map<_, _> =
-        (0..words).map(title).chain([("monday".into(), title(0).1)]).collect();
+    let titles: serde_json::Map<_, _> = (0..words)
+        .map(title)
+        .chain([("monday".into(), title(0).1)])
+        .collect();
     terms["titles"] = titles.into();
     json!({ "id": id, "terms": terms })
 }
@@ -28,7 +30,15 @@
     let size = std::fs::metadata(&file).unwrap().len();
     let pid = Pid::from_raw(service.admin.0.id() as i32);
     let bound = |most| {
-        prlimit(pid, Resource::Fsize, Rlimit { current: most, maximum: None }).unwrap();
+        prlimit(
+            pid,
+            Resource::Fsize,
+            Rlimit {
+                current: most,
+                maximum: None,
+            },
+        )
+        .unwrap();
     };
     bound(Some(size));
     let mut made = Vec::new();
@@ -44,10 +54,21 @@
     });
     let (i, status, said) = refused.expect("the disk is full at last");
     assert_eq!((status, &said["status"]), (503, &json!(503)), "{said}");
-    assert!(said["detail"].as_str().unwrap().contains("nothing was changed"), "{said}");
+    assert!(
+        said["detail"]
+            .as_str()
+            .unwrap()
+            .contains("nothing was changed"),
+        "{said}"
+    );
     // What was there is read, the front serves, and the one that was turned away is not there.
     assert_eq!(service.api("GET", "/tenants/a", &Value::Null).0, 200);
-    assert_eq!(service.api("GET", &format!("/tenants/t{i}"), &Value::Null).0, 404);
+    assert_eq!(
+        service
+            .api("GET", &format!("/tenants/t{i}"), &Value::Null)
+            .0,
+        404
+    );
     assert_eq!(service.ask(0, "a", "v").0, 201);
     for i in 0..5 {
         let (status, said) = service.api("POST", "/tenants", &named(&format!("u{i}"), 5000));
@@ -59,9 +80,20 @@
     service.rolled_out("POST", "/tenants", &named("late", 500));
     assert_eq!(service.ask(0, "late", "v").0, 201);
     for id in made.iter().chain([&"a".to_string()]) {
-        assert_eq!(service.api("GET", &format!("/tenants/{id}"), &Value::Null).0, 200, "{id}");
+        assert_eq!(
+            service
+                .api("GET", &format!("/tenants/{id}"), &Value::Null)
+                .0,
+            200,
+            "{id}"
+        );
     }
-    let Service { mut admin, fronts, dir, .. } = service;
+    let Service {
+        mut admin,
+        fronts,
+        dir,
+        ..
+    } = service;
     admin.0.kill().unwrap();
     admin.0.wait().unwrap();
     drop(fronts);
@@ -81,10 +113,16 @@
     std::fs::write(&file, &whole[..whole.len() / 3]).unwrap();
     let plan = service.dir.path().join("admin.hcl");
     let args = ["admin", "--config", plan.to_str().unwrap()];
-    let shown = std::process::Command::new(env!("CARGO_BIN_EXE_shalewall")).args(args).output().unwrap();
+    let shown = std::process::Command::new(env!("CARGO_BIN_EXE_shalewall"))
+        .args(args)
+        .output()
+        .unwrap();
     assert!(!shown.status.success());
     let said = String::from_utf8_lossy(&shown.stderr).into_owned();
-    assert!(said.contains("damaged") && !said.contains("panicked"), "{said}");
+    assert!(
+        said.contains("damaged") && !said.contains("panicked"),
+        "{said}"
+    );
     assert_eq!(service.ask(0, "a", "v").0, 201);
     // What is put back in its place goes on.
     std::fs::write(&file, whole).unwrap();
@@ -105,7 +143,10 @@
     service.admin.0.wait().unwrap();
     assert_eq!(node.wait_for("DELETE", 1).len(), 1);
     service.admin = Service::admin(&service.dir, &address);
-    assert_eq!(service.api("GET", "/tenants/gone", &Value::Null).1["state"]["is"], "deleting");
+    assert_eq!(
+        service.api("GET", "/tenants/gone", &Value::Null).1["state"]["is"],
+        "deleting"
+    );
     assert_eq!(
         service.api("POST", "/tenants", &named("gone", 1)).0,
         409,
@@ -114,11 +155,16 @@
     // A front that begins anew hears of the deletion before anything else.
     let plan = service.dir.path().join("front-0.hcl");
     service.fronts.clear();
-    service.fronts.push(start(&["serve", "--config", plan.to_str().unwrap()]));
+    service
+        .fronts
+        .push(start(&["serve", "--config", plan.to_str().unwrap()]));
     let until = Instant::now() + Duration::from_secs(20);
     while service.api("POST", "/tenants", &named("gone", 1)).0 != 201 {
         let asked = service.ask(0, "gone", "w").0;
-        assert!(matches!(asked, 404 | 503), "{asked}: nothing new of what is being deleted");
+        assert!(
+            matches!(asked, 404 | 503),
+            "{asked}: nothing new of what is being deleted"
+        );
         assert!(Instant::now() < until, "the id is never free");
         std::thread::sleep(Duration::from_millis(200));
     }
--- a/crates/front/tests/wrong_front.rs
+++ b/crates/front/tests/wrong_front.rs
@@ -51,8 +51,7 @@
     waste: bool,
 ) -> Option<String> {
     let pool = Pool::new(node, Limits::default(), Duration::ZERO, 0);
-    let body =
-        json!({ "director": 0, "class": ask["class"], "title": ask["title"], "rung": rung, "kb": 300.0 });
+    let body = json!({ "director": 0, "class": ask["class"], "title": ask["title"], "rung": rung, "kb": 300.0 });
     let body = body.to_string();
     let (target, host) = (format!("/sessions/{session}/{attempt}"), node.to_string());
     let call = Call::new("PUT", &target, &host).json(body.as_bytes());
@@ -92,7 +91,10 @@
         _ => media = set_up(at(0), session, 0, &ask, 1, false).await,
     }
     match media {
-        Some(media) => Reply::json(201, json!({ "session": session, "rung": 1, "media": media }).to_string()),
+        Some(media) => Reply::json(
+            201,
+            json!({ "session": session, "rung": 1, "media": media }).to_string(),
+        ),
         None => Reply::json(502, json!({ "session": session }).to_string()),
     }
 }
@@ -115,14 +117,28 @@
         world.nodes.crash(ids[0]);
         // Until its socket is closed.
         Timer::after(Duration::from_millis(50)).await;
-        world.nodes.start(world.nodes.machine(ids[0]).unwrap(), false).unwrap();
-        world.list.tell(line(&world.nodes, ids[0], "ready").unwrap());
+        world
+            .nodes
+            .start(world.nodes.machine(ids[0]).unwrap(), false)
+            .unwrap();
+        world
+            .list
+            .tell(line(&world.nodes, ids[0], "ready").unwrap());
     }
     if wrong == Wrong::IgnoresDrains {
-        world.list.tell(line(&world.nodes, ids[0], "draining").unwrap());
+        world
+            .list
+            .tell(line(&world.nodes, ids[0], "draining").unwrap());
     }
-    let nodes = ids.iter().map(|id| world.nodes.address(*id).unwrap()).collect();
-    let front = Rc::new(Front { wrong, nodes, next: Cell::new(1) });
+    let nodes = ids
+        .iter()
+        .map(|id| world.nodes.address(*id).unwrap())
+        .collect();
+    let front = Rc::new(Front {
+        wrong,
+        nodes,
+        next: Cell::new(1),
+    });
     let spawner = ex.clone();
     ex.spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
@@ -135,17 +151,27 @@
     })
     .detach();
     // As the day does: the director is up, and its node streams stand in for its lease.
-    world.recorder.note(Record::DirectorUp { t: shalewall_clock::now(), director: 0 });
+    world.recorder.note(Record::DirectorUp {
+        t: shalewall_clock::now(),
+        director: 0,
+    });
     world.viewers.set_front(0, address);
     world.viewers.arrive(Duration::from_secs(3)).await;
     Timer::after(Duration::from_millis(5500)).await;
 }
 
 fn findings(wrong: Wrong) -> Vec<Rule> {
-    let file = Path::new(concat!(env!("CARGO_MANIFEST_DIR"), "/../../days/short-bad-day.hcl"));
+    let file = Path::new(concat!(
+        env!("CARGO_MANIFEST_DIR"),
+        "/../../days/short-bad-day.hcl"
+    ));
     let mut plan: DayPlan = read(file).unwrap();
     (plan.day.directors, plan.load.per_s) = (1, 25.0);
-    (plan.load.shortest_s, plan.load.longest_s, plan.load.come_again) = (0.5, 1.5, 0.0);
+    (
+        plan.load.shortest_s,
+        plan.load.longest_s,
+        plan.load.come_again,
+    ) = (0.5, 1.5, 0.0);
     // Seats are not what these fronts are wrong about.
     plan.site.class.get_mut("report").unwrap().seats = 0;
     plan.site.class.get_mut("report").unwrap().give_up_ms = 2000.0;
--- a/crates/hosting/src/access.rs
+++ b/crates/hosting/src/access.rs
@@ -50,7 +50,10 @@
 impl Role {
     /// A role by its name, and whose it is where it is one tenant's.
     pub fn named(name: &str, tenant: Option<String>) -> Result<Role, String> {
-        let tenant = tenant.map(TenantId::try_from).transpose().map_err(|e| format!("tenant {e}"))?;
+        let tenant = tenant
+            .map(TenantId::try_from)
+            .transpose()
+            .map_err(|e| format!("tenant {e}"))?;
         match (name, tenant) {
             ("operator", None) => Ok(Role::Operator),
             ("front", None) => Ok(Role::Front),
@@ -66,7 +69,13 @@
             Role::Operator => return Access::Granted,
             Role::Front if act == Act::Follow => return Access::Granted,
             // What a front may not do it is not told of either.
-            Role::Front => return if to.is_some() { Access::Hidden } else { Access::Forbidden },
+            Role::Front => {
+                return if to.is_some() {
+                    Access::Hidden
+                } else {
+                    Access::Forbidden
+                };
+            }
             Role::Admin(own) => (own, true),
             Role::Reader(own) => (own, false),
         };
@@ -103,7 +112,16 @@
     pub fn new(role: Role, id: [u8; 8], secret: [u8; 32], now: Millis) -> (Token, String) {
         let (id, secret) = (hex(&id), hex(&secret));
         let text = format!("swt.{id}.{secret}");
-        (Token { id, role, hash: hash(&secret), made: now, revoked: None }, text)
+        (
+            Token {
+                id,
+                role,
+                hash: hash(&secret),
+                made: now,
+                revoked: None,
+            },
+            text,
+        )
     }
 }
 
@@ -118,5 +136,6 @@
 pub fn role(kept: Option<&Token>, secret: &str) -> Option<Role> {
     let nobody = [0u8; 32];
     let same: bool = hash(secret).ct_eq(kept.map_or(&nobody, |t| &t.hash)).into();
-    kept.filter(|t| same && t.revoked.is_none()).map(|t| t.role.clone())
+    kept.filter(|t| same && t.revoked.is_none())
+        .map(|t| t.role.clone())
 }
--- a/crates/hosting/src/change.rs
+++ b/crates/hosting/src/change.rs
@@ -106,7 +106,11 @@
             changed: by.now,
         },
         (_, None) => return Err(Refusal::NotFound),
-        (_, Some(living)) => Tenant { revision: next, changed: by.now, ..living.clone() },
+        (_, Some(living)) => Tenant {
+            revision: next,
+            changed: by.now,
+            ..living.clone()
+        },
     };
     if let Some(living) = living {
         match &by.of {
@@ -122,7 +126,9 @@
             return Err(Refusal::Agreed(agreed));
         }
     }
-    let from = living.map(|t| t.terms.clone()).filter(|t| *t != after.terms);
+    let from = living
+        .map(|t| t.terms.clone())
+        .filter(|t| *t != after.terms);
     let to = (living.is_none() || from.is_some()).then(|| after.terms.clone());
     let entry = Entry {
         tenant: id.clone(),
@@ -170,26 +176,48 @@
         ("limits", a.limits != b.limits),
         ("ends_within_s", a.ends_within_s != b.ends_within_s),
     ];
-    differ.into_iter().filter(|(_, differ)| *differ).map(|(name, _)| name).collect()
+    differ
+        .into_iter()
+        .filter(|(_, differ)| *differ)
+        .map(|(name, _)| name)
+        .collect()
 }
 
 /// The tenant that a history comes to. None: the entries are not one tenant's history in order.
 pub fn replay(history: &[Entry]) -> Option<Tenant> {
     let mut tenant: Option<Tenant> = None;
     for entry in history {
-        let living =
-            tenant.take().filter(|t| !matches!(t.state, State::Gone { .. }) || entry.what != "create");
+        let living = tenant
+            .take()
+            .filter(|t| !matches!(t.state, State::Gone { .. }) || entry.what != "create");
         let (created, terms) = match (&living, &entry.to) {
             (None, Some(terms)) if entry.what == "create" => (entry.when, terms.clone()),
-            (Some(t), Some(terms)) if Some(&t.terms) == entry.from.as_ref() => (t.created, terms.clone()),
+            (Some(t), Some(terms)) if Some(&t.terms) == entry.from.as_ref() => {
+                (t.created, terms.clone())
+            }
             (Some(t), None) => (t.created, t.terms.clone()),
             _ => return None,
         };
-        if living.as_ref().is_some_and(|t| entry.revision != t.revision + 1) {
+        if living
+            .as_ref()
+            .is_some_and(|t| entry.revision != t.revision + 1)
+        {
             return None;
         }
-        let (id, revision, state, changed) = (entry.tenant.clone(), entry.revision, entry.state, entry.when);
-        tenant = Some(Tenant { id, revision, state, terms, created, changed });
+        let (id, revision, state, changed) = (
+            entry.tenant.clone(),
+            entry.revision,
+            entry.state,
+            entry.when,
+        );
+        tenant = Some(Tenant {
+            id,
+            revision,
+            state,
+            terms,
+            created,
+            changed,
+        });
     }
     tenant
 }
--- a/crates/hosting/src/connections.rs
+++ b/crates/hosting/src/connections.rs
@@ -86,21 +86,30 @@
 
     /// A tenant is gone: its name opens nothing any more.
     pub fn forget(&mut self, tenant: &TenantId) {
-        let Some(book) = self.tenants.get_mut(tenant).filter(|b| b.known) else { return };
+        let Some(book) = self.tenants.get_mut(tenant).filter(|b| b.known) else {
+            return;
+        };
         book.known = false;
         self.all_shares -= book.share;
         self.drop_if_empty(tenant);
     }
 
     fn drop_if_empty(&mut self, tenant: &TenantId) {
-        if self.tenants.get(tenant).is_some_and(|b| !b.known && b.open == 0) {
+        if self
+            .tenants
+            .get(tenant)
+            .is_some_and(|b| !b.known && b.open == 0)
+        {
             self.tenants.remove(tenant);
         }
     }
 
     /// What is agreed with a tenant; nothing where there is none.
     pub fn limits(&self, tenant: &TenantId) -> Option<&Limits> {
-        self.tenants.get(tenant).filter(|b| b.known).map(|b| &b.limits)
+        self.tenants
+            .get(tenant)
+            .filter(|b| b.known)
+            .map(|b| &b.limits)
     }
 
     fn nobodys_most(&self) -> usize {
@@ -117,7 +126,11 @@
 
     /// A tenant's part of the named connections.
     pub fn part(&self, tenant: &TenantId) -> f64 {
-        let share = self.tenants.get(tenant).filter(|b| b.known).map_or(0.0, |b| b.share);
+        let share = self
+            .tenants
+            .get(tenant)
+            .filter(|b| b.known)
+            .map_or(0.0, |b| b.share);
         self.named_most() as f64 * share / self.all_shares.max(f64::MIN_POSITIVE)
     }
 
@@ -139,11 +152,21 @@
     /// since all that are nobody's are at work.
     pub fn open(&mut self) -> Option<(Ticket, Option<Ticket>)> {
         let full = self.nobodys >= self.nobodys_most();
-        let victim = if full { Some(self.silent.first()?.1) } else { None };
+        let victim = if full {
+            Some(self.silent.first()?.1)
+        } else {
+            None
+        };
         victim.into_iter().for_each(|v| self.close(v));
         let now = self.next();
         let ticket = Ticket(now);
-        self.open.insert(ticket, Open { of: None, idle: Some(now) });
+        self.open.insert(
+            ticket,
+            Open {
+                of: None,
+                idle: Some(now),
+            },
+        );
         self.nobodys += 1;
         self.silent.insert((now, ticket));
         Some((ticket, victim))
@@ -152,7 +175,9 @@
     /// The head of a request has come, and names a tenant. With leave to go on, perhaps, a connection that is to
     /// be closed for it. Turned away, the connection is nobody's again.
     pub fn name(&mut self, ticket: Ticket, tenant: &TenantId) -> Result<Option<Ticket>, Turned> {
-        let Some(before) = self.open.get(&ticket) else { return Err(Turned::Unknown) };
+        let Some(before) = self.open.get(&ticket) else {
+            return Err(Turned::Unknown);
+        };
         if before.of.as_ref() == Some(tenant) && self.tenants.get(tenant).is_some_and(|b| b.known) {
             self.idle(ticket);
             return Ok(None);
@@ -160,13 +185,23 @@
         self.unname(ticket);
         let part = self.part(tenant);
         let full = self.named_most() as f64;
-        let Some(book) = self.tenants.get(tenant).filter(|b| b.known) else { return Err(Turned::Unknown) };
-        let victim = if book.limits.connections.is_some_and(|most| book.open >= most as usize) {
+        let Some(book) = self.tenants.get(tenant).filter(|b| b.known) else {
+            return Err(Turned::Unknown);
+        };
+        let victim = if book
+            .limits
+            .connections
+            .is_some_and(|most| book.open >= most as usize)
+        {
             // Its own idle ones make room for those that it uses.
             Some(book.idle.first().map(|(_, t)| *t).ok_or(Turned::Own)?)
         } else {
             let within = book.open as f64 + 1.0 <= part.max(1.0);
-            let most = if within { full } else { (full * (1.0 - RESERVE)).max(1.0) };
+            let most = if within {
+                full
+            } else {
+                (full * (1.0 - RESERVE)).max(1.0)
+            };
             if self.named() as f64 + 1.0 <= most {
                 None
             } else {
@@ -196,8 +231,12 @@
 
     /// A request has come whole, and is owed an answer: it is not closed for another. Until then nothing is.
     pub fn busy(&mut self, ticket: Ticket) {
-        let Some(open) = self.open.get_mut(&ticket) else { return };
-        let Some(since) = open.idle.take() else { return };
+        let Some(open) = self.open.get_mut(&ticket) else {
+            return;
+        };
+        let Some(since) = open.idle.take() else {
+            return;
+        };
         let idle = match &open.of {
             None => Some(&mut self.silent),
             Some(tenant) => self.tenants.get_mut(tenant).map(|b| &mut b.idle),
@@ -211,7 +250,9 @@
     pub fn idle(&mut self, ticket: Ticket) {
         self.busy(ticket);
         let now = self.next();
-        let Some(open) = self.open.get_mut(&ticket) else { return };
+        let Some(open) = self.open.get_mut(&ticket) else {
+            return;
+        };
         open.idle = Some(now);
         let idle = match &open.of {
             None => &mut self.silent,
@@ -223,10 +264,15 @@
     /// It is nobody's again, and at work.
     fn unname(&mut self, ticket: Ticket) {
         self.busy(ticket);
-        let Some(open) = self.open.get_mut(&ticket) else { return };
+        let Some(open) = self.open.get_mut(&ticket) else {
+            return;
+        };
         let Some(tenant) = open.of.take() else { return };
         self.nobodys += 1;
-        self.tenants.get_mut(&tenant).into_iter().for_each(|b| b.open -= 1);
+        self.tenants
+            .get_mut(&tenant)
+            .into_iter()
+            .for_each(|b| b.open -= 1);
         self.drop_if_empty(&tenant);
     }
 
--- a/crates/hosting/src/model.rs
+++ b/crates/hosting/src/model.rs
@@ -185,7 +185,10 @@
 pub fn schema() -> &'static Value {
     static SCHEMA: LazyLock<Value> = LazyLock::new(|| {
         let settings = schemars::generate::SchemaSettings::draft2020_12();
-        let mut schema: Value = settings.into_generator().into_root_schema_for::<Terms>().into();
+        let mut schema: Value = settings
+            .into_generator()
+            .into_root_schema_for::<Terms>()
+            .into();
         // A name of its own, so that its references stay its own within another document.
         schema["$id"] = "urn:shalewall:terms".into();
         schema
@@ -198,21 +201,34 @@
 
 /// Reads terms: by the published schema, then by what holds between their fields.
 pub fn terms(document: &Value) -> Result<Terms, Vec<Wrong>> {
-    static VALIDATOR: LazyLock<jsonschema::Validator> =
-        LazyLock::new(|| jsonschema::validator_for(schema()).expect("the published schema is a schema"));
+    static VALIDATOR: LazyLock<jsonschema::Validator> = LazyLock::new(|| {
+        jsonschema::validator_for(schema()).expect("the published schema is a schema")
+    });
     let faults = VALIDATOR.iter_errors(document).take(MOST_WRONG);
-    let mut wrong: Vec<Wrong> =
-        faults.map(|e| Wrong { pointer: e.instance_path().to_string(), detail: e.to_string() }).collect();
+    let mut wrong: Vec<Wrong> = faults
+        .map(|e| Wrong {
+            pointer: e.instance_path().to_string(),
+            detail: e.to_string(),
+        })
+        .collect();
     if !wrong.is_empty() {
         return Err(wrong);
     }
-    let at = |e: serde_json::Error| vec![Wrong { pointer: String::new(), detail: e.to_string() }];
+    let at = |e: serde_json::Error| {
+        vec![Wrong {
+            pointer: String::new(),
+            detail: e.to_string(),
+        }]
+    };
     let terms: Terms = serde_json::from_value(document.clone()).map_err(at)?;
     for (name, class) in &terms.classes {
         let mut say = |field: &str, detail: &str| {
             let name = name.replace('~', "~0").replace('/', "~1");
             let pointer = format!("/classes/{name}/{field}");
-            wrong.push(Wrong { pointer, detail: detail.to_string() });
+            wrong.push(Wrong {
+                pointer,
+                detail: detail.to_string(),
+            });
         };
         if class.top.is_some_and(|top| top < class.floor) {
             say("top", "has to be the floor or above");
@@ -222,5 +238,9 @@
         }
     }
     wrong.truncate(MOST_WRONG);
-    if wrong.is_empty() { Ok(terms) } else { Err(wrong) }
+    if wrong.is_empty() {
+        Ok(terms)
+    } else {
+        Err(wrong)
+    }
 }
--- a/crates/hosting/src/share.rs
+++ b/crates/hosting/src/share.rs
@@ -105,8 +105,14 @@
 
 impl Shares {
     pub fn new(capacity: Capacity, now: Micros) -> Shares {
-        let free = Bucket { level: capacity.set_ups_per_s * SAVED_S, at: now };
-        let ends = Bucket { level: 0.0, at: now };
+        let free = Bucket {
+            level: capacity.set_ups_per_s * SAVED_S,
+            at: now,
+        };
+        let ends = Bucket {
+            level: 0.0,
+            at: now,
+        };
         Shares {
             capacity,
             tenants: BTreeMap::new(),
@@ -120,15 +126,29 @@
 
     /// A tenant's terms, from now on. `takes`: new sessions are wanted. What it holds it holds, also above a
     /// part that has become smaller: it gets nothing new until it is within it.
-    pub fn agree(&mut self, now: Micros, tenant: &TenantId, takes: bool, share: f64, limits: &Limits) {
+    pub fn agree(
+        &mut self,
+        now: Micros,
+        tenant: &TenantId,
+        takes: bool,
+        share: f64,
+        limits: &Limits,
+    ) {
         let known = self.tenants.contains_key(tenant);
         let book = self.tenants.entry(tenant.clone()).or_default();
-        self.all_shares += if takes { share } else { 0.0 } - if book.takes { book.share } else { 0.0 };
+        self.all_shares +=
+            if takes { share } else { 0.0 } - if book.takes { book.share } else { 0.0 };
         (book.takes, book.share, book.limits) = (takes, share, limits.clone());
         if !known {
             let rate = self.capacity.set_ups_per_s * share / self.all_shares.max(share);
-            book.part = Bucket { level: rate * SAVED_S, at: now };
-            book.own = Bucket { level: limits.set_ups_per_s.unwrap_or(0.0) * SAVED_S, at: now };
+            book.part = Bucket {
+                level: rate * SAVED_S,
+                at: now,
+            };
+            book.own = Bucket {
+                level: limits.set_ups_per_s.unwrap_or(0.0) * SAVED_S,
+                at: now,
+            };
         }
     }
 
@@ -142,7 +162,11 @@
     }
 
     fn drop_if_empty(&mut self, tenant: &TenantId) {
-        if self.tenants.get(tenant).is_some_and(|b| !b.takes && b.held == 0) {
+        if self
+            .tenants
+            .get(tenant)
+            .is_some_and(|b| !b.takes && b.held == 0)
+        {
             self.tenants.remove(tenant);
         }
     }
@@ -154,12 +178,19 @@
 
     /// Tenants that hold sessions, and how many.
     pub fn holding(&self) -> impl Iterator<Item = (&TenantId, usize)> {
-        self.tenants.iter().filter(|(_, b)| b.held > 0).map(|(id, b)| (id, b.held))
+        self.tenants
+            .iter()
+            .filter(|(_, b)| b.held > 0)
+            .map(|(id, b)| (id, b.held))
     }
 
     /// A tenant's part of all sessions held.
     pub fn part(&self, tenant: &TenantId) -> f64 {
-        let share = self.tenants.get(tenant).filter(|b| b.takes).map_or(0.0, |b| b.share);
+        let share = self
+            .tenants
+            .get(tenant)
+            .filter(|b| b.takes)
+            .map_or(0.0, |b| b.share);
         self.capacity.sessions * share / self.all_shares.max(f64::MIN_POSITIVE)
     }
 
@@ -168,7 +199,8 @@
         if self.claims.is_empty() {
             return 0.0;
         }
-        self.claims.retain(|_, (last, places)| *places > 0 && now - *last < CLAIM);
+        self.claims
+            .retain(|_, (last, places)| *places > 0 && now - *last < CLAIM);
         let others = self.claims.iter().filter(|(t, _)| *t != tenant);
         let claim = |(t, (_, places)): (&TenantId, &(Micros, usize))| {
             (self.part(t) - self.held(t) as f64).clamp(0.0, *places as f64)
@@ -190,7 +222,11 @@
         };
         let rate = capacity.set_ups_per_s * book.share / all.max(f64::MIN_POSITIVE);
         book.part.fill(now, rate, (rate * SAVED_S).max(1.0));
-        self.free.fill(now, capacity.set_ups_per_s, (capacity.set_ups_per_s * SAVED_S).max(1.0));
+        self.free.fill(
+            now,
+            capacity.set_ups_per_s,
+            (capacity.set_ups_per_s * SAVED_S).max(1.0),
+        );
         self.ends.fill(now, 0.0, f64::INFINITY);
 
         // The tenant's own limits, whatever is free.
@@ -200,14 +236,22 @@
                 return away(Cause::OwnSetUps, (1.0 - book.own.level) / most.max(1e-6));
             }
         }
-        if book.limits.sessions.is_some_and(|most| book.held >= most as usize) {
+        if book
+            .limits
+            .sessions
+            .is_some_and(|most| book.held >= most as usize)
+        {
             return away(Cause::OwnSessions, LONGEST as f64 / 4e6);
         }
 
         // Sessions held: beyond its part a tenant leaves the reserve alone.
         // Parts are rounded down, or their sum would be more than there is.
         let within = book.held as f64 + 1.0 <= sessions.max(1.0);
-        let most = if within { capacity.sessions } else { capacity.sessions * (1.0 - RESERVE) - claimed };
+        let most = if within {
+            capacity.sessions
+        } else {
+            capacity.sessions * (1.0 - RESERVE) - claimed
+        };
         if self.held as f64 + 1.0 > most {
             if within {
                 let claim = self.claims.entry(tenant.clone()).or_default();
@@ -215,13 +259,20 @@
             }
             let too_many = self.held as f64 + 1.0 - most;
             let rate = self.ends.level / ENDS_S;
-            return away(Cause::Sessions, if rate > 0.0 { too_many / rate } else { 1.0 });
+            return away(
+                Cause::Sessions,
+                if rate > 0.0 { too_many / rate } else { 1.0 },
+            );
         }
 
         // Set-ups: its part as saved up, else what others leave; the more it owes, the more has to be free.
         let depth = (capacity.set_ups_per_s * SAVED_S).max(1.0);
         let owed = (-book.part.level / (rate * OWED_S).max(1.0)).clamp(0.0, 1.0);
-        let keep = if book.part.level >= 1.0 { f64::NEG_INFINITY } else { depth * (RESERVE + owed * 0.5) };
+        let keep = if book.part.level >= 1.0 {
+            f64::NEG_INFINITY
+        } else {
+            depth * (RESERVE + owed * 0.5)
+        };
         if self.free.level - 1.0 < keep {
             let part = (1.0 - book.part.level) / rate.max(1e-6);
             let free = (keep + 1.0 - self.free.level) / capacity.set_ups_per_s.max(1e-6);
@@ -240,7 +291,9 @@
 
     /// A session that was taken is over, or its set-up came to nothing.
     pub fn ended(&mut self, now: Micros, tenant: &TenantId) {
-        let Some(book) = self.tenants.get_mut(tenant).filter(|b| b.held > 0) else { return };
+        let Some(book) = self.tenants.get_mut(tenant).filter(|b| b.held > 0) else {
+            return;
+        };
         book.held -= 1;
         self.held -= 1;
         let since = (now - self.ends.at).max(0) as f64 / 1e6;
--- a/crates/hosting/src/usage.rs
+++ b/crates/hosting/src/usage.rs
@@ -69,14 +69,20 @@
 impl Fronts {
     /// `now`: since when reports are heard. Nothing is known of fronts that were heard before.
     pub fn new(now: Millis, forget: Millis) -> Fronts {
-        Fronts { began: now, forget, reports: BTreeMap::new(), wishes: BTreeMap::new() }
+        Fronts {
+            began: now,
+            forget,
+            reports: BTreeMap::new(),
+            wishes: BTreeMap::new(),
+        }
     }
 
     /// A front tells what it holds. Whose sessions it is to tell of with its next report; none: there are too many
     /// fronts.
     pub fn report(&mut self, now: Millis, told: Told) -> Option<Vec<TenantId>> {
         let forget = self.forget;
-        self.reports.retain(|_, r| now.saturating_sub(r.at) < forget);
+        self.reports
+            .retain(|_, r| now.saturating_sub(r.at) < forget);
         self.wishes.retain(|_, at| now.saturating_sub(*at) < WISHED);
         if self.reports.len() >= MOST_FRONTS && !self.reports.contains_key(&told.front) {
             return None;
@@ -103,7 +109,11 @@
     /// Sessions of a tenant by front, as of the last reports; with how old each is.
     pub fn held(&self, now: Millis, tenant: &TenantId) -> Vec<(u32, u64, Millis)> {
         let row = |(front, r): (&u32, &Report)| {
-            (*front, r.told.held.get(tenant).copied().unwrap_or(0), now.saturating_sub(r.at))
+            (
+                *front,
+                r.told.held.get(tenant).copied().unwrap_or(0),
+                now.saturating_sub(r.at),
+            )
         };
         self.reports.iter().map(row).collect()
     }
@@ -112,9 +122,12 @@
     pub fn empty(&self, now: Millis, tenant: &TenantId, number: u64) -> bool {
         let lives = |r: &&Report| now.saturating_sub(r.at) < self.forget;
         let says = |r: &Report| {
-            now.saturating_sub(r.at) < FRESH && r.told.number >= number && !r.told.held.contains_key(tenant)
+            now.saturating_sub(r.at) < FRESH
+                && r.told.number >= number
+                && !r.told.held.contains_key(tenant)
         };
-        now.saturating_sub(self.began) >= self.forget && self.reports.values().filter(lives).all(says)
+        now.saturating_sub(self.began) >= self.forget
+            && self.reports.values().filter(lives).all(says)
     }
 }
 
@@ -126,17 +139,31 @@
     fn a_tenant_is_over_when_every_front_that_may_live_says_so() {
         let id = TenantId::try_from("a".to_string()).unwrap();
         let some = || BTreeMap::from([(id.clone(), 1)]);
-        let told = |front, number, held| Told { front, number, held, sessions: BTreeMap::new() };
+        let told = |front, number, held| Told {
+            front,
+            number,
+            held,
+            sessions: BTreeMap::new(),
+        };
         let mut fronts = Fronts::new(0, 60_000);
-        assert!(!fronts.empty(1_000, &id, 1), "too early to know of any front");
+        assert!(
+            !fronts.empty(1_000, &id, 1),
+            "too early to know of any front"
+        );
         fronts.report(70_000, told(1, 9, some()));
         fronts.report(70_000, told(2, 9, BTreeMap::new()));
         assert!(!fronts.empty(70_001, &id, 9), "one holds a session");
         fronts.report(71_000, told(1, 9, BTreeMap::new()));
         assert!(fronts.empty(71_001, &id, 9));
-        assert!(!fronts.empty(71_001, &id, 10), "they don't know of the last change");
+        assert!(
+            !fronts.empty(71_001, &id, 10),
+            "they don't know of the last change"
+        );
         fronts.report(80_000, told(1, 10, BTreeMap::new()));
-        assert!(!fronts.empty(80_001, &id, 10), "front 2 is silent: it may serve what it knew");
+        assert!(
+            !fronts.empty(80_001, &id, 10),
+            "front 2 is silent: it may serve what it knew"
+        );
         fronts.report(131_000, told(1, 10, BTreeMap::new()));
         assert!(fronts.empty(131_001, &id, 10), "until it is taken for gone");
         assert_eq!(fronts.held(131_001, &id), [(1, 0, 1)]);
@@ -146,16 +173,46 @@
     fn sessions_are_asked_for_while_somebody_wishes_to_see_them() {
         let id = |name: &str| TenantId::try_from(name.to_string()).unwrap();
         let mut fronts = Fronts::new(0, 60_000);
-        let told = |sessions| Told { front: 1, number: 9, held: BTreeMap::from([(id("a"), 1)]), sessions };
+        let told = |sessions| Told {
+            front: 1,
+            number: 9,
+            held: BTreeMap::from([(id("a"), 1)]),
+            sessions,
+        };
         assert_eq!(fronts.report(1_000, told(BTreeMap::new())), Some(vec![]));
-        assert_eq!(fronts.sessions(1_500, &id("a"))[0].sessions, None, "not asked for yet");
-        assert_eq!(fronts.report(2_000, told(BTreeMap::new())), Some(vec![id("a")]));
+        assert_eq!(
+            fronts.sessions(1_500, &id("a"))[0].sessions,
+            None,
+            "not asked for yet"
+        );
+        assert_eq!(
+            fronts.report(2_000, told(BTreeMap::new())),
+            Some(vec![id("a")])
+        );
         let (class, title) = ("room".to_string(), "monday".to_string());
-        let row = Row { session: 7, class, title, node: Some(3), rung: 1, plays: true };
+        let row = Row {
+            session: 7,
+            class,
+            title,
+            node: Some(3),
+            rung: 1,
+            plays: true,
+        };
         fronts.report(3_000, told(BTreeMap::from([(id("a"), vec![row.clone()])])));
         let part = &fronts.sessions(3_400, &id("a"))[0];
-        assert_eq!((part.age_ms, part.held, &part.sessions), (400, 1, &Some(vec![row])));
-        assert_eq!(fronts.sessions(3_400, &id("b"))[0].sessions, None, "another's are not there");
-        assert_eq!(fronts.report(20_000, told(BTreeMap::new())), Some(vec![]), "nobody looks any more");
+        assert_eq!(
+            (part.age_ms, part.held, &part.sessions),
+            (400, 1, &Some(vec![row]))
+        );
+        assert_eq!(
+            fronts.sessions(3_400, &id("b"))[0].sessions,
+            None,
+            "another's are not there"
+        );
+        assert_eq!(
+            fronts.report(20_000, told(BTreeMap::new())),
+            Some(vec![]),
+            "nobody looks any more"
+        );
     }
 }
--- a/crates/hosting/tests/connections.rs
+++ b/crates/hosting/tests/connections.rs
@@ -11,7 +11,10 @@
 }
 
 fn most_open(connections: Option<u32>) -> Limits {
-    Limits { connections, ..Limits::default() }
+    Limits {
+        connections,
+        ..Limits::default()
+    }
 }
 
 /// One that comes and names a tenant.
@@ -46,7 +49,11 @@
         let (_, victim) = c.open().expect("they are silent");
         closed += u32::from(victim.is_some_and(|v| !kept.contains(&v)));
     }
-    assert_eq!((closed, c.open_now()), (900, 150), "a quarter of the front is theirs");
+    assert_eq!(
+        (closed, c.open_now()),
+        (900, 150),
+        "a quarter of the front is theirs"
+    );
     assert_eq!(c.held(&id("quiet")), 50);
     assert!(come(&mut c, "quiet").is_ok());
 }
@@ -55,12 +62,18 @@
 fn a_tenant_within_its_part_gets_idle_places_of_one_above_it_and_no_busy_one() {
     let mut c = two(400);
     let loud: Vec<_> = std::iter::from_fn(|| come(&mut c, "loud").ok()).collect();
-    assert_eq!(loud.len(), 285, "all but the reserve, while nobody else wants them");
+    assert_eq!(
+        loud.len(),
+        285,
+        "all but the reserve, while nobody else wants them"
+    );
     loud[..200].iter().for_each(|t| c.idle(*t));
     let mut closed = Vec::new();
     for i in 0..150 {
         let (ticket, _) = c.open().expect("there is room");
-        let victim = c.name(ticket, &id("quiet")).unwrap_or_else(|e| panic!("{i}: {e:?}"));
+        let victim = c
+            .name(ticket, &id("quiet"))
+            .unwrap_or_else(|e| panic!("{i}: {e:?}"));
         c.busy(ticket);
         closed.extend(victim);
     }
@@ -82,7 +95,11 @@
     assert_eq!(come(&mut c, "loud"), Err(Turned::Own));
     c.idle(first);
     let (third, _) = c.open().expect("there is room");
-    assert_eq!(c.name(third, &id("loud")), Ok(Some(first)), "its own idle one makes room");
+    assert_eq!(
+        c.name(third, &id("loud")),
+        Ok(Some(first)),
+        "its own idle one makes room"
+    );
     assert_eq!(come(&mut c, "nobody"), Err(Turned::Unknown));
     // The same connection under another name counts there; gone, the name opens nothing.
     assert_eq!(c.name(second, &id("quiet")), Ok(None));
@@ -176,7 +193,10 @@
     assert_eq!(c.open(), None, "what is at work is not closed for another");
     c.idle(asked[3]);
     assert_eq!(c.open().expect("one is silent").1, Some(asked[3]));
-    assert!(come_as(&mut c, asked[0], "quiet"), "named, it is nobody's no more");
+    assert!(
+        come_as(&mut c, asked[0], "quiet"),
+        "named, it is nobody's no more"
+    );
     assert!(c.open().is_some());
 }
 
