--- a/crates/hosting/tests/share.rs
+++ b/crates/hosting/tests/share.rs
@@ -25,7 +25,11 @@
         for (i, weight) in weights.iter().enumerate() {
             shares.agree(0, &id(i), true, *weight, &Limits::default());
         }
-        Run { shares, ends: Default::default(), next: 0 }
+        Run {
+            shares,
+            ends: Default::default(),
+            next: 0,
+        }
     }
 
     fn pass(&mut self, now: i64) {
@@ -59,7 +63,10 @@
     }
 }
 
-const WIDE: Capacity = Capacity { set_ups_per_s: 100.0, sessions: 1e9 };
+const WIDE: Capacity = Capacity {
+    set_ups_per_s: 100.0,
+    sessions: 1e9,
+};
 
 #[test]
 fn alone_a_tenant_has_the_whole_front() {
@@ -89,7 +96,10 @@
 
 #[test]
 fn sessions_held_come_back_to_a_tenants_part_as_others_end() {
-    let capacity = Capacity { set_ups_per_s: 1e6, sessions: 1000.0 };
+    let capacity = Capacity {
+        set_ups_per_s: 1e6,
+        sessions: 1000.0,
+    };
     let mut run = Run::new(capacity, &[1.0, 1.0]);
     // The loud one fills all but the reserve with sessions of a minute that come and go steadily.
     run.ask(0, 70, &[0.0, 16.0], 60 * S);
@@ -97,13 +107,19 @@
     assert!(run.shares.held(&id(1)) >= 940);
     // The quiet one comes back with what its half could carry: 8 a second for a minute each.
     let taken = run.ask(75, 195, &[8.0, 100.0], 60 * S);
-    assert!(taken[0] >= 8 * 120 - 8, "hardly any is turned away: {taken:?}");
+    assert!(
+        taken[0] >= 8 * 120 - 8,
+        "hardly any is turned away: {taken:?}"
+    );
     assert!(run.shares.held(&id(0)) >= 470);
 }
 
 #[test]
 fn where_others_all_end_at_once_a_tenant_has_its_part_after_a_few_of_their_lengths() {
-    let capacity = Capacity { set_ups_per_s: 1e6, sessions: 1000.0 };
+    let capacity = Capacity {
+        set_ups_per_s: 1e6,
+        sessions: 1000.0,
+    };
     let mut run = Run::new(capacity, &[1.0, 1.0]);
     run.ask(0, 15, &[0.0, 100.0], 60 * S);
     let first = run.ask(15, 60, &[8.0, 100.0], 60 * S);
@@ -119,12 +135,16 @@
 
 #[test]
 fn a_part_lowered_below_what_is_in_use_ends_nothing_and_gives_nothing_new() {
-    let capacity = Capacity { set_ups_per_s: 1e6, sessions: 100.0 };
+    let capacity = Capacity {
+        set_ups_per_s: 1e6,
+        sessions: 100.0,
+    };
     let mut run = Run::new(capacity, &[1.0, 1.0]);
     run.ask(0, 10, &[0.0, 9.0], 600 * S);
     let held = run.shares.held(&id(1));
     assert!(held >= 89);
-    run.shares.agree(10 * S, &id(1), true, 0.1, &Limits::default());
+    run.shares
+        .agree(10 * S, &id(1), true, 0.1, &Limits::default());
     assert_eq!(run.shares.held(&id(1)), held);
     let taken = run.ask(10, 15, &[2.0, 9.0], 600 * S);
     assert!(taken[0] >= 5 && taken[1] <= 5, "{taken:?}");
@@ -136,26 +156,47 @@
     run.ask(0, 1, &[10.0, 10.0], 30 * S);
     run.shares.forget(&id(1));
     assert_eq!((run.shares.known(), run.shares.held(&id(1))), (2, 10));
-    let Verdict::TurnAway { cause, .. } = run.shares.ask(2 * S, &id(1)) else { panic!("taken") };
+    let Verdict::TurnAway { cause, .. } = run.shares.ask(2 * S, &id(1)) else {
+        panic!("taken")
+    };
     assert_eq!(cause, Cause::NoSuchTenant);
     run.pass(60 * S);
     assert_eq!(run.shares.known(), 1, "and then nothing of it is left");
-    assert!((run.shares.part(&id(0)) - WIDE.sessions).abs() < 1.0, "the other has it all");
+    assert!(
+        (run.shares.part(&id(0)) - WIDE.sessions).abs() < 1.0,
+        "the other has it all"
+    );
 }
 
 #[test]
 fn advice_to_come_back_proves_true_for_a_tenant_above_its_own_limit() {
     let mut shares = Shares::new(WIDE, 0);
-    shares.agree(0, &id(0), true, 1.0, &Limits { set_ups_per_s: Some(2.0), ..Limits::default() });
+    shares.agree(
+        0,
+        &id(0),
+        true,
+        1.0,
+        &Limits {
+            set_ups_per_s: Some(2.0),
+            ..Limits::default()
+        },
+    );
     let mut now = 0;
     for _ in 0..50 {
         match shares.ask(now, &id(0)) {
             Verdict::Take => now += 1000,
             Verdict::TurnAway { cause, come_back } => {
                 assert_eq!(cause, Cause::OwnSetUps);
-                assert!(shares.ask(now + come_back - 50_000, &id(0)) != Verdict::Take, "not long before");
+                assert!(
+                    shares.ask(now + come_back - 50_000, &id(0)) != Verdict::Take,
+                    "not long before"
+                );
                 now += come_back + 1;
-                assert_eq!(shares.ask(now, &id(0)), Verdict::Take, "and then it is taken");
+                assert_eq!(
+                    shares.ask(now, &id(0)),
+                    Verdict::Take,
+                    "and then it is taken"
+                );
             }
         }
     }
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -53,7 +53,11 @@
         if matches!(framing, Framing::Length(n) if n > limits.body as u64) {
             return Err(Bad::new(413, "content over the limit"));
         }
-        Ok(Body { left: limits.body, trailer: limits.head, ..Body::endless(framing) })
+        Ok(Body {
+            left: limits.body,
+            trailer: limits.head,
+            ..Body::endless(framing)
+        })
     }
 
     /// Content without a bound, for event streams; each piece is bounded by what is read at once.
@@ -63,7 +67,11 @@
             Framing::Chunked => State::Size,
             Framing::ToClose => State::ToClose,
         };
-        Body { state, left: usize::MAX, trailer: 16 * 1024 }
+        Body {
+            state,
+            left: usize::MAX,
+            trailer: 16 * 1024,
+        }
     }
 
     /// The connection has closed: whether the content was whole.
@@ -105,7 +113,9 @@
                     };
                 };
                 let line = &buf[..end];
-                let line = line.strip_suffix(b"\r").ok_or(Bad::new(400, "a line ends without CR"))?;
+                let line = line
+                    .strip_suffix(b"\r")
+                    .ok_or(Bad::new(400, "a line ends without CR"))?;
                 let size = line.split(|b| *b == b';').next().unwrap_or_default();
                 if size.is_empty() || !size.iter().all(u8::is_ascii_hexdigit) {
                     return Err(Bad::new(400, "chunk size is not hex digits"));
@@ -118,14 +128,22 @@
                 if size > self.left as u64 {
                     return Err(Bad::new(413, "content over the limit"));
                 }
-                self.state = if size == 0 { State::Trailer(0) } else { State::Data(size) };
+                self.state = if size == 0 {
+                    State::Trailer(0)
+                } else {
+                    State::Data(size)
+                };
                 Ok(Piece::Data(end + 1, &[]))
             }
             State::Data(n) => {
                 let piece = self.data(buf, n)?;
                 if let Piece::Data(used, _) = piece {
                     let rest = n - used as u64;
-                    self.state = if rest == 0 { State::DataEnd } else { State::Data(rest) };
+                    self.state = if rest == 0 {
+                        State::DataEnd
+                    } else {
+                        State::Data(rest)
+                    };
                 }
                 Ok(piece)
             }
@@ -140,7 +158,11 @@
             State::Trailer(seen) => {
                 let Some(end) = buf.iter().position(|b| *b == b'\n') else {
                     let long = seen + buf.len() > self.trailer;
-                    return if long { Err(Bad::new(431, "trailer too large")) } else { Ok(Piece::More) };
+                    return if long {
+                        Err(Bad::new(431, "trailer too large"))
+                    } else {
+                        Ok(Piece::More)
+                    };
                 };
                 if seen + end > self.trailer {
                     return Err(Bad::new(431, "trailer too large"));
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -34,8 +34,14 @@
 
 impl Unconnected {
     pub fn of(error: &std::io::Error) -> Unconnected {
-        let own =
-            [Errno::MFILE, Errno::NFILE, Errno::ADDRNOTAVAIL, Errno::NOBUFS, Errno::NOMEM, Errno::AGAIN];
+        let own = [
+            Errno::MFILE,
+            Errno::NFILE,
+            Errno::ADDRNOTAVAIL,
+            Errno::NOBUFS,
+            Errno::NOMEM,
+            Errno::AGAIN,
+        ];
         match error.raw_os_error().map(Errno::from_raw_os_error) {
             Some(Errno::CONNREFUSED) => Unconnected::Refused,
             Some(errno) if own.contains(&errno) => Unconnected::Own,
@@ -53,7 +59,8 @@
 
 impl std::fmt::Display for Failure {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        let (Failure::NotConnected(_, why) | Failure::NeverRan(why) | Failure::MayHaveRun(why)) = self;
+        let (Failure::NotConnected(_, why) | Failure::NeverRan(why) | Failure::MayHaveRun(why)) =
+            self;
         write!(f, "{why}")
     }
 }
@@ -73,7 +80,13 @@
 impl<'a> Call<'a> {
     /// A call without further fields or content.
     pub fn new(method: &'a str, target: &'a str, host: &'a str) -> Call<'a> {
-        Call { method, target, host, fields: &[], content: None }
+        Call {
+            method,
+            target,
+            host,
+            fields: &[],
+            content: None,
+        }
     }
 
     pub fn fields(self, fields: &'a [(&'a str, &'a str)]) -> Call<'a> {
@@ -81,14 +94,20 @@
     }
 
     pub fn json(self, content: &'a [u8]) -> Call<'a> {
-        Call { content: Some(("application/json", content)), ..self }
+        Call {
+            content: Some(("application/json", content)),
+            ..self
+        }
     }
 
     fn bytes(&self) -> Vec<u8> {
         let mut out = Vec::with_capacity(256);
-        let length = self.content.map_or(String::new(), |(_, data)| data.len().to_string());
-        let content =
-            self.content.map(|(kind, _)| [("Content-Type", kind), ("Content-Length", length.as_str())]);
+        let length = self
+            .content
+            .map_or(String::new(), |(_, data)| data.len().to_string());
+        let content = self
+            .content
+            .map(|(kind, _)| [("Content-Type", kind), ("Content-Length", length.as_str())]);
         let fields = std::iter::once(("Host", self.host)).chain(self.fields.iter().copied());
         let fields: Vec<_> = fields.chain(content.into_iter().flatten()).collect();
         write_request(&mut out, self.method, self.target, &fields);
@@ -118,7 +137,10 @@
 const READ: usize = 4 * 1024;
 
 /// Reads more into a buffer. 0: the peer has closed.
-pub(crate) async fn fill<S: AsyncRead + Unpin>(stream: &mut S, buf: &mut Vec<u8>) -> io::Result<usize> {
+pub(crate) async fn fill<S: AsyncRead + Unpin>(
+    stream: &mut S,
+    buf: &mut Vec<u8>,
+) -> io::Result<usize> {
     // Into the buffer's own end: an array here would be a part of every future that waits for bytes, and be
     // moved with it.
     let before = buf.len();
@@ -143,7 +165,12 @@
 
 impl<S: AsyncRead + AsyncWrite + Unpin> Connection<S> {
     pub fn new(stream: S, limits: Limits) -> Connection<S> {
-        Connection { stream, buf: Vec::new(), limits, spent: false }
+        Connection {
+            stream,
+            buf: Vec::new(),
+            limits,
+            spent: false,
+        }
     }
 
     /// Another call may follow on it.
@@ -155,7 +182,10 @@
     /// set-up: whether the request was read could not be told any more.
     pub async fn stale(&mut self) -> bool {
         let mut byte = [0];
-        !self.buf.is_empty() || future::poll_once(self.stream.read(&mut byte)).await.is_some()
+        !self.buf.is_empty()
+            || future::poll_once(self.stream.read(&mut byte))
+                .await
+                .is_some()
     }
 
     /// Sends a request and waits for the head of its answer.
@@ -167,7 +197,9 @@
         while at < bytes.len() {
             match self.stream.write(&bytes[at..]).await {
                 Ok(n) if n > 0 => at += n,
-                result if at == 0 => return Err(Failure::NeverRan(format!("nothing written: {result:?}"))),
+                result if at == 0 => {
+                    return Err(Failure::NeverRan(format!("nothing written: {result:?}")));
+                }
                 result => {
                     // The peer may have answered early and closed: its answer stands.
                     broke = Some(format!("broke after {at} bytes: {result:?}"));
@@ -193,7 +225,11 @@
             match fill(&mut self.stream, &mut self.buf).await {
                 Ok(0) => return Err(failed(broke.unwrap_or("closed before the answer".into()))),
                 Ok(_) => {}
-                Err(e) => return Err(failed(broke.unwrap_or(format!("broke before the answer: {e}")))),
+                Err(e) => {
+                    return Err(failed(
+                        broke.unwrap_or(format!("broke before the answer: {e}")),
+                    ));
+                }
             }
         }
     }
@@ -213,10 +249,18 @@
                 Piece::End(used) => {
                     self.buf.drain(..used);
                     self.spent = !head.keep;
-                    return Ok(Response { head, body: content });
+                    return Ok(Response {
+                        head,
+                        body: content,
+                    });
                 }
                 Piece::More => match fill(&mut self.stream, &mut self.buf).await {
-                    Ok(0) if body.closed() => return Ok(Response { head, body: content }),
+                    Ok(0) if body.closed() => {
+                        return Ok(Response {
+                            head,
+                            body: content,
+                        });
+                    }
                     Ok(0) => return Err(cut("closed".into())),
                     Ok(_) => {}
                     Err(e) => return Err(cut(e.to_string())),
@@ -229,7 +273,14 @@
     pub async fn stream(mut self, call: &Call<'_>) -> Result<(ResponseHead, Incoming<S>), Failure> {
         let head = self.start(call).await?;
         let body = Body::endless(head.framing);
-        Ok((head, Incoming { stream: self.stream, buf: self.buf, body }))
+        Ok((
+            head,
+            Incoming {
+                stream: self.stream,
+                buf: self.buf,
+                body,
+            },
+        ))
     }
 }
 
@@ -273,7 +324,11 @@
 impl<S: AsyncRead + Unpin> Events<S> {
     /// `most`: bytes that one event may hold.
     pub fn new(incoming: Incoming<S>, most: usize) -> Events<S> {
-        Events { incoming, reader: sse::Reader::new(most), ready: Vec::new() }
+        Events {
+            incoming,
+            reader: sse::Reader::new(most),
+            ready: Vec::new(),
+        }
     }
 
     /// The next events, in order; none when the stream has ended, broke, or was silent for so long. Beats
--- a/crates/http/src/head.rs
+++ b/crates/http/src/head.rs
@@ -19,12 +19,17 @@
         let same = move |(n, _): &&(Range<usize>, Range<usize>)| {
             self.block[n.clone()].eq_ignore_ascii_case(name.as_bytes())
         };
-        self.spans.iter().filter(same).map(|(_, v)| &self.block[v.clone()])
+        self.spans
+            .iter()
+            .filter(same)
+            .map(|(_, v)| &self.block[v.clone()])
     }
 
     /// The first value of a name, where it is text.
     pub fn get<'a>(&'a self, name: &'a str) -> Option<&'a str> {
-        self.all(name).next().and_then(|v| std::str::from_utf8(v).ok())
+        self.all(name)
+            .next()
+            .and_then(|v| std::str::from_utf8(v).ok())
     }
 
     /// Whether a comma-separated field names this token.
@@ -63,7 +68,11 @@
     /// A value of the query, as it came.
     pub fn query(&self, name: &str) -> Option<&str> {
         let (_, query) = self.target.split_once('?')?;
-        query.split('&').filter_map(|pair| pair.split_once('=')).find(|(n, _)| *n == name).map(|(_, v)| v)
+        query
+            .split('&')
+            .filter_map(|pair| pair.split_once('='))
+            .find(|(n, _)| *n == name)
+            .map(|(_, v)| v)
     }
 
     /// The sender waits for a go-ahead before it sends the content.
@@ -92,7 +101,10 @@
     /// Length of the head, its empty line included, once it is whole.
     pub fn find(&mut self, buf: &[u8], limits: &Limits) -> Result<Option<usize>, Bad> {
         let from = self.at.saturating_sub(3);
-        let end = buf[from..].windows(4).position(|w| w == b"\r\n\r\n").map(|i| from + i + 4);
+        let end = buf[from..]
+            .windows(4)
+            .position(|w| w == b"\r\n\r\n")
+            .map(|i| from + i + 4);
         self.at = buf.len();
         if end.unwrap_or(buf.len()) > limits.head {
             return Err(Bad::new(431, "header block too large"));
@@ -101,7 +113,11 @@
     }
 
     /// A request head, and how many bytes it took. None: more is needed.
-    pub fn request(&mut self, buf: &[u8], limits: &Limits) -> Result<Option<(RequestHead, usize)>, Bad> {
+    pub fn request(
+        &mut self,
+        buf: &[u8],
+        limits: &Limits,
+    ) -> Result<Option<(RequestHead, usize)>, Bad> {
         // One empty line before a request is passed over (RFC 9112, section 2.2).
         let skip = if buf.starts_with(b"\r\n") { 2 } else { 0 };
         let rest = &buf[skip..];
@@ -113,7 +129,9 @@
             return self.find(rest, limits).map(|_| None);
         }
         let line = rest.split(|b| *b == b'\n').next().unwrap_or_default();
-        let line = line.strip_suffix(b"\r").ok_or(Bad::new(400, "a line ends without CR"))?;
+        let line = line
+            .strip_suffix(b"\r")
+            .ok_or(Bad::new(400, "a line ends without CR"))?;
         let (method, target) = start_line(line, limits)?;
         let Some(end) = self.find(rest, limits)? else {
             return Ok(None);
@@ -124,8 +142,18 @@
         if !old && fields.all("host").count() != 1 {
             return Err(Bad::new(400, "one Host is needed"));
         }
-        let keep = !fields.lists("connection", "close") && (!old || fields.lists("connection", "keep-alive"));
-        Ok(Some((RequestHead { method, target, fields, framing, keep }, skip + end)))
+        let keep = !fields.lists("connection", "close")
+            && (!old || fields.lists("connection", "keep-alive"));
+        Ok(Some((
+            RequestHead {
+                method,
+                target,
+                fields,
+                framing,
+                keep,
+            },
+            skip + end,
+        )))
     }
 
     /// A response head, and how many bytes it took. `bodiless`: the request was a HEAD.
@@ -135,7 +163,9 @@
         limits: &Limits,
         bodiless: bool,
     ) -> Result<Option<(ResponseHead, usize)>, Bad> {
-        let Some(end) = self.find(buf, limits)? else { return Ok(None) };
+        let Some(end) = self.find(buf, limits)? else {
+            return Ok(None);
+        };
         let line = buf[..end].split(|b| *b == b'\n').next().unwrap_or_default();
         let bad = Bad::new(502, "status line is malformed");
         let line = line.strip_suffix(b"\r").ok_or(bad)?;
@@ -158,7 +188,15 @@
             None => Framing::ToClose,
         };
         let keep = !old && framing != Framing::ToClose && !fields.lists("connection", "close");
-        Ok(Some((ResponseHead { status, fields, framing, keep }, end)))
+        Ok(Some((
+            ResponseHead {
+                status,
+                fields,
+                framing,
+                keep,
+            },
+            end,
+        )))
     }
 }
 
@@ -179,7 +217,11 @@
     else {
         return Err(bad);
     };
-    if method.is_empty() || method.len() > 24 || !method.iter().all(|b| token(*b)) || target.is_empty() {
+    if method.is_empty()
+        || method.len() > 24
+        || !method.iter().all(|b| token(*b))
+        || target.is_empty()
+    {
         return Err(bad);
     }
     if target.len() > limits.target {
@@ -190,7 +232,9 @@
     }
     match version {
         b"HTTP/1.1" | b"HTTP/1.0" => {}
-        v if v.starts_with(b"HTTP/") => return Err(Bad::new(505, "only version 1.1 is spoken here")),
+        v if v.starts_with(b"HTTP/") => {
+            return Err(Bad::new(505, "only version 1.1 is spoken here"));
+        }
         _ => return Err(bad),
     }
     let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
@@ -200,10 +244,16 @@
 /// The header fields of a head, from behind its start line to its empty line. RTSP's have the same form
 /// (RFC 7826, section 5.2).
 pub fn fields(block: &[u8], limits: &Limits) -> Result<Fields, Bad> {
-    let mut found = Fields { block: block.to_vec(), spans: Vec::new() };
+    let mut found = Fields {
+        block: block.to_vec(),
+        spans: Vec::new(),
+    };
     let mut at = 0;
     while at < block.len() {
-        let len = block[at..].iter().position(|b| *b == b'\n').unwrap_or(block.len() - at);
+        let len = block[at..]
+            .iter()
+            .position(|b| *b == b'\n')
+            .unwrap_or(block.len() - at);
         let line = &block[at..at + len];
         let Some(line) = line.strip_suffix(b"\r") else {
             return Err(Bad::new(400, "a line ends without CR"));
@@ -217,20 +267,27 @@
         if line[0] == b' ' || line[0] == b'\t' {
             return Err(Bad::new(400, "a header field is folded"));
         }
-        let colon =
-            line.iter().position(|b| *b == b':').ok_or(Bad::new(400, "a header field has no colon"))?;
+        let colon = line
+            .iter()
+            .position(|b| *b == b':')
+            .ok_or(Bad::new(400, "a header field has no colon"))?;
         if colon == 0 || !line[..colon].iter().all(|b| token(*b)) {
             return Err(Bad::new(400, "a header field's name is malformed"));
         }
         let value = &line[colon + 1..];
         if value.iter().any(|b| control(*b)) {
-            return Err(Bad::new(400, "a header field's value holds a control character"));
+            return Err(Bad::new(
+                400,
+                "a header field's value holds a control character",
+            ));
         }
         let blank = |b: &u8| *b == b' ' || *b == b'\t';
         let lead = value.iter().take_while(|b| blank(b)).count();
         let tail = value[lead..].iter().rev().take_while(|b| blank(b)).count();
         let start = at + colon + 1;
-        found.spans.push((at..at + colon, start + lead..start + value.len() - tail));
+        found
+            .spans
+            .push((at..at + colon, start + lead..start + value.len() - tail));
         at += len + 1;
     }
     Ok(found)
@@ -257,7 +314,9 @@
             if digits.is_empty() || digits.len() > 15 || !digits.iter().all(u8::is_ascii_digit) {
                 return Err(Bad::new(400, "Content-Length is not a length"));
             }
-            let length = digits.iter().fold(0, |n: u64, d| n * 10 + u64::from(d - b'0'));
+            let length = digits
+                .iter()
+                .fold(0, |n: u64, d| n * 10 + u64::from(d - b'0'));
             Ok(Some(Framing::Length(length)))
         }
         (None, None) => Ok(None),
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -19,7 +19,13 @@
 
 impl Pool {
     pub fn new(address: SocketAddr, limits: Limits, idle_time: Duration, most_idle: usize) -> Pool {
-        Pool { address, limits, idle_time, most_idle, idle: RefCell::default() }
+        Pool {
+            address,
+            limits,
+            idle_time,
+            most_idle,
+            idle: RefCell::default(),
+        }
     }
 
     pub fn address(&self) -> SocketAddr {
@@ -34,8 +40,9 @@
     /// A new connection, for content without an end.
     pub async fn connect(&self) -> Result<Connection<Async<TcpStream>>, Failure> {
         let made = Async::<TcpStream>::connect(self.address).await;
-        let stream =
-            made.map_err(|e| Failure::NotConnected(Unconnected::of(&e), format!("no connection: {e}")))?;
+        let stream = made.map_err(|e| {
+            Failure::NotConnected(Unconnected::of(&e), format!("no connection: {e}"))
+        })?;
         // Small requests and answers: waiting to fill a segment would only add delay.
         let _ = stream.get_ref().set_nodelay(true);
         Ok(Connection::new(stream, self.limits.clone()))
@@ -43,7 +50,9 @@
 
     async fn take(&self) -> Result<Connection<Async<TcpStream>>, Failure> {
         loop {
-            let Some((since, mut kept)) = self.idle.borrow_mut().pop() else { return self.connect().await };
+            let Some((since, mut kept)) = self.idle.borrow_mut().pop() else {
+                return self.connect().await;
+            };
             if since.elapsed() < self.idle_time && !kept.stale().await {
                 return Ok(kept);
             }
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -33,11 +33,17 @@
 
 impl Reply {
     pub fn new(status: u16) -> Reply {
-        Reply { status, fields: Vec::new(), content: Content::Whole(Vec::new()) }
+        Reply {
+            status,
+            fields: Vec::new(),
+            content: Content::Whole(Vec::new()),
+        }
     }
 
     pub fn json(status: u16, text: String) -> Reply {
-        Reply::new(status).with("Content-Type", "application/json").content(text.into_bytes())
+        Reply::new(status)
+            .with("Content-Type", "application/json")
+            .content(text.into_bytes())
     }
 
     /// An error as RFC 9457 has it. `detail` is for people.
@@ -51,7 +57,9 @@
         members.insert("title".into(), crate::head::reason(status).into());
         members.insert("detail".into(), detail.into());
         let text = Value::Object(members).to_string();
-        Reply::new(status).with("Content-Type", "application/problem+json").content(text.into_bytes())
+        Reply::new(status)
+            .with("Content-Type", "application/problem+json")
+            .content(text.into_bytes())
     }
 
     pub fn with(mut self, name: &'static str, value: impl Into<String>) -> Reply {
@@ -126,13 +134,22 @@
 }
 
 /// The same at a gate that each request's head has to pass.
-pub async fn serve_at<S, H, F>(stream: S, limits: &Limits, gate: &mut impl Gate, mut handle: H) -> Ended
+pub async fn serve_at<S, H, F>(
+    stream: S,
+    limits: &Limits,
+    gate: &mut impl Gate,
+    mut handle: H,
+) -> Ended
 where
     S: AsyncRead + AsyncWrite + Unpin,
     H: FnMut(Request) -> F,
     F: Future<Output = Reply>,
 {
-    let mut server = Server { stream, buf: Vec::new(), limits };
+    let mut server = Server {
+        stream,
+        buf: Vec::new(),
+        limits,
+    };
     loop {
         let request = match server.read(gate).await {
             Ok(request) => request,
@@ -147,7 +164,9 @@
         };
         gate.whole();
         let keep = request.head.keep;
-        let Some(reply) = server.answer(handle(request)).await else { return Ended::Left };
+        let Some(reply) = server.answer(handle(request)).await else {
+            return Ended::Left;
+        };
         match server.write(reply, keep).await {
             Some(true) => gate.idle(),
             Some(false) => return Ended::Idle,
@@ -171,15 +190,25 @@
         };
         let limits = self.limits;
         let head = in_time(limits.head_time, self.head()).await;
-        let (head, size) = head.unwrap_or_else(|| Err(late(&mut self.buf, "the head took too long")))?;
-        let most = gate.head(&head, size).map_err(Ended::Refused)?.min(limits.body);
-        let own = Limits { body: most, ..limits.clone() };
+        let (head, size) =
+            head.unwrap_or_else(|| Err(late(&mut self.buf, "the head took too long")))?;
+        let most = gate
+            .head(&head, size)
+            .map_err(Ended::Refused)?
+            .min(limits.body);
+        let own = Limits {
+            body: most,
+            ..limits.clone()
+        };
         let mut body = Body::new(head.framing, &own).map_err(Ended::Refused)?;
         if head.expects_continue() && self.buf.is_empty() {
-            self.put(b"HTTP/1.1 100 Continue\r\n\r\n", limits.write_time).await.ok_or(Ended::Stuck)?;
+            self.put(b"HTTP/1.1 100 Continue\r\n\r\n", limits.write_time)
+                .await
+                .ok_or(Ended::Stuck)?;
         }
         let content = in_time(limits.body_time, self.content(&mut body)).await;
-        let body = content.unwrap_or_else(|| Err(late(&mut self.buf, "the content took too long")))?;
+        let body =
+            content.unwrap_or_else(|| Err(late(&mut self.buf, "the content took too long")))?;
         Ok(Request { head, body })
     }
 
@@ -187,7 +216,10 @@
     async fn head(&mut self) -> Result<(RequestHead, usize), Ended> {
         let mut finder = Finder::default();
         loop {
-            if let Some((head, used)) = finder.request(&self.buf, self.limits).map_err(Ended::Refused)? {
+            if let Some((head, used)) = finder
+                .request(&self.buf, self.limits)
+                .map_err(Ended::Refused)?
+            {
                 self.buf.drain(..used);
                 return Ok((head, used));
             }
@@ -220,7 +252,11 @@
 
     /// Waits for the handler, or a piece, while it watches the peer. None: the peer has left.
     async fn answer<T>(&mut self, work: impl Future<Output = T>) -> Option<T> {
-        let Server { stream, buf, limits } = self;
+        let Server {
+            stream,
+            buf,
+            limits,
+        } = self;
         let gone = async {
             // What comes early is the next request, kept up to the limit; past it the peer has to wait.
             while buf.len() < limits.pipeline {
@@ -236,7 +272,11 @@
     /// Closing over unread bytes would reset the connection and could take the answer with it, so what a
     /// refused peer still sends is read and dropped, for a short time and up to a bound.
     async fn linger(&mut self) {
-        let Server { stream, buf, limits } = self;
+        let Server {
+            stream,
+            buf,
+            limits,
+        } = self;
         let mut left = limits.body;
         let drain = async {
             while left > 0 {
@@ -256,10 +296,17 @@
 
     /// Writes an answer. Some(true): another request may follow; None: the peer takes nothing.
     async fn write(&mut self, reply: Reply, keep: bool) -> Option<bool> {
-        let Reply { status, fields, content } = reply;
+        let Reply {
+            status,
+            fields,
+            content,
+        } = reply;
         let mut list: Vec<(&str, &str)> = fields.iter().map(|(n, v)| (*n, v.as_str())).collect();
-        let length =
-            if let Content::Whole(bytes) = &content { bytes.len().to_string() } else { String::new() };
+        let length = if let Content::Whole(bytes) = &content {
+            bytes.len().to_string()
+        } else {
+            String::new()
+        };
         match &content {
             // A 204 has no content and says nothing of its length (RFC 9110, section 8.6).
             Content::Whole(_) if status == 204 => {}
--- a/crates/http/src/sse.rs
+++ b/crates/http/src/sse.rs
@@ -20,7 +20,11 @@
 impl Reader {
     /// `most`: bytes that one event may hold.
     pub fn new(most: usize) -> Reader {
-        Reader { line: Vec::new(), event: Event::default(), most }
+        Reader {
+            line: Vec::new(),
+            event: Event::default(),
+            most,
+        }
     }
 
     /// Takes bytes and appends the events that they complete.
@@ -32,7 +36,8 @@
             self.line.extend_from_slice(part);
             if part.ends_with(b"\n") {
                 let line = std::mem::take(&mut self.line);
-                let text = std::str::from_utf8(&line).map_err(|_| Bad::new(400, "event is not UTF-8"))?;
+                let text =
+                    std::str::from_utf8(&line).map_err(|_| Bad::new(400, "event is not UTF-8"))?;
                 self.take(text.trim_end_matches(['\n', '\r']), out);
             }
         }
--- a/crates/http/tests/hostile.rs
+++ b/crates/http/tests/hostile.rs
@@ -38,7 +38,10 @@
         let client = async {
             let _ = stream.write_all(bytes).await;
             if close {
-                stream.get_ref().shutdown(std::net::Shutdown::Write).unwrap();
+                stream
+                    .get_ref()
+                    .shutdown(std::net::Shutdown::Write)
+                    .unwrap();
             }
             let mut said = Vec::new();
             let _ = stream.read_to_end(&mut said).await;
@@ -56,7 +59,8 @@
     let table: Vec<(&str, String, u16)> = vec![
         (
             "both framings",
-            "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n".into(),
+            "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n"
+                .into(),
             400,
         ),
         (
@@ -64,27 +68,91 @@
             "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n".into(),
             400,
         ),
-        ("length list", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3, 3\r\n\r\n".into(), 400),
-        ("signed length", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: +3\r\n\r\n".into(), 400),
-        ("folded field", "GET / HTTP/1.1\r\nHost: a\r\nX: b\r\n c\r\n\r\n".into(), 400),
+        (
+            "length list",
+            "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3, 3\r\n\r\n".into(),
+            400,
+        ),
+        (
+            "signed length",
+            "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: +3\r\n\r\n".into(),
+            400,
+        ),
+        (
+            "folded field",
+            "GET / HTTP/1.1\r\nHost: a\r\nX: b\r\n c\r\n\r\n".into(),
+            400,
+        ),
         ("bare LF", "GET / HTTP/1.1\nHost: a\n\n".into(), 400),
-        ("bare LF in fields", "GET / HTTP/1.1\r\nHost: a\nX: b\r\n\r\n".into(), 400),
-        ("bare CR", "GET / HTTP/1.1\r\nHost: a\rX: b\r\n\r\n".into(), 400),
-        ("space before colon", "GET / HTTP/1.1\r\nHost : a\r\n\r\n".into(), 400),
+        (
+            "bare LF in fields",
+            "GET / HTTP/1.1\r\nHost: a\nX: b\r\n\r\n".into(),
+            400,
+        ),
+        (
+            "bare CR",
+            "GET / HTTP/1.1\r\nHost: a\rX: b\r\n\r\n".into(),
+            400,
+        ),
+        (
+            "space before colon",
+            "GET / HTTP/1.1\r\nHost : a\r\n\r\n".into(),
+            400,
+        ),
         ("no colon", "GET / HTTP/1.1\r\nHost a\r\n\r\n".into(), 400),
-        ("NUL in value", "GET / HTTP/1.1\r\nHost: a\0b\r\n\r\n".into(), 400),
-        ("NUL in target", "GET /\0 HTTP/1.1\r\nHost: a\r\n\r\n".into(), 400),
+        (
+            "NUL in value",
+            "GET / HTTP/1.1\r\nHost: a\0b\r\n\r\n".into(),
+            400,
+        ),
+        (
+            "NUL in target",
+            "GET /\0 HTTP/1.1\r\nHost: a\r\n\r\n".into(),
+            400,
+        ),
         ("no host", "GET / HTTP/1.1\r\n\r\n".into(), 400),
-        ("two hosts", "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n".into(), 400),
-        ("two spaces", "GET  / HTTP/1.1\r\nHost: a\r\n\r\n".into(), 400),
-        ("head too large", format!("GET / HTTP/1.1\r\nHost: a\r\nX: {long}\r\n\r\n"), 431),
-        ("head without end", format!("GET / HTTP/1.1\r\nHost: a\r\nX: {long}"), 431),
-        ("too many fields", format!("GET / HTTP/1.1\r\nHost: a\r\n{fields}\r\n"), 431),
-        ("target too long", format!("GET /{long} HTTP/1.1\r\nHost: a\r\n\r\n"), 414),
+        (
+            "two hosts",
+            "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n".into(),
+            400,
+        ),
+        (
+            "two spaces",
+            "GET  / HTTP/1.1\r\nHost: a\r\n\r\n".into(),
+            400,
+        ),
+        (
+            "head too large",
+            format!("GET / HTTP/1.1\r\nHost: a\r\nX: {long}\r\n\r\n"),
+            431,
+        ),
+        (
+            "head without end",
+            format!("GET / HTTP/1.1\r\nHost: a\r\nX: {long}"),
+            431,
+        ),
+        (
+            "too many fields",
+            format!("GET / HTTP/1.1\r\nHost: a\r\n{fields}\r\n"),
+            431,
+        ),
+        (
+            "target too long",
+            format!("GET /{long} HTTP/1.1\r\nHost: a\r\n\r\n"),
+            414,
+        ),
         ("start line without end", long.clone(), 414),
-        ("HTTP/2 preface", "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n".into(), 505),
+        (
+            "HTTP/2 preface",
+            "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n".into(),
+            505,
+        ),
         ("HTTP/0.9", "GET /\r\n\r\n".into(), 400),
-        ("body over the limit", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 201\r\n\r\n".into(), 413),
+        (
+            "body over the limit",
+            "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 201\r\n\r\n".into(),
+            413,
+        ),
         (
             "chunk over the limit",
             "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nff\r\n".into(),
@@ -92,7 +160,8 @@
         ),
         (
             "chunk size overflow",
-            "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n10000000000000001\r\n".into(),
+            "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n10000000000000001\r\n"
+                .into(),
             413,
         ),
         (
@@ -110,16 +179,37 @@
             "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip, chunked\r\n\r\n".into(),
             501,
         ),
-        ("coding in 1.0", "POST / HTTP/1.0\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n".into(), 400),
+        (
+            "coding in 1.0",
+            "POST / HTTP/1.0\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n".into(),
+            400,
+        ),
         ("slow head", "GET / HTTP/1.1\r\nHost".into(), 408),
-        ("slow content", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nabc".into(), 408),
+        (
+            "slow content",
+            "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nabc".into(),
+            408,
+        ),
     ];
     for (name, bytes, status) in table {
         let (said, ended) = answer_to(bytes.as_bytes(), false);
-        assert!(said.starts_with(&format!("HTTP/1.1 {status} ")), "{name}: {said}");
-        assert!(said.contains("Connection: close") && said.contains("problem+json"), "{name}: {said}");
-        assert_eq!(said.matches("HTTP/1.1").count(), 1, "{name}: one answer only");
-        assert!(matches!(ended, Ended::Refused(bad) if bad.status == status), "{name}: {ended:?}");
+        assert!(
+            said.starts_with(&format!("HTTP/1.1 {status} ")),
+            "{name}: {said}"
+        );
+        assert!(
+            said.contains("Connection: close") && said.contains("problem+json"),
+            "{name}: {said}"
+        );
+        assert_eq!(
+            said.matches("HTTP/1.1").count(),
+            1,
+            "{name}: one answer only"
+        );
+        assert!(
+            matches!(ended, Ended::Refused(bad) if bad.status == status),
+            "{name}: {ended:?}"
+        );
     }
 }
 
@@ -129,7 +219,10 @@
         Transfer-Encoding: Chunked\r\n\r\n3;x=y\r\nabc\r\n2\r\nde\r\n0\r\nT: u\r\n\r\n\
         GET /c HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
     let (said, ended) = answer_to(bytes, false);
-    let places: Vec<_> = ["/a 0", "/b 5", "/c 0"].iter().map(|p| said.find(p).expect(p)).collect();
+    let places: Vec<_> = ["/a 0", "/b 5", "/c 0"]
+        .iter()
+        .map(|p| said.find(p).expect(p))
+        .collect();
     assert!(places.is_sorted(), "{said}");
     assert!(matches!(ended, Ended::Idle));
 }
@@ -151,7 +244,10 @@
     let limits = limits();
     let ended = block_on(async {
         let mut client = Async::<TcpStream>::connect(address).await.unwrap();
-        client.write_all(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n").await.unwrap();
+        client
+            .write_all(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            .await
+            .unwrap();
         drop(client);
         let stream = Async::new(listener.accept().unwrap().0).unwrap();
         serve(stream, &limits, |_| future::pending()).await
@@ -163,15 +259,32 @@
 #[test]
 fn failures_to_connect_are_told_apart() {
     use shalewall_http::client::Unconnected;
-    let of =
-        |errno: rustix::io::Errno| Unconnected::of(&std::io::Error::from_raw_os_error(errno.raw_os_error()));
+    let of = |errno: rustix::io::Errno| {
+        Unconnected::of(&std::io::Error::from_raw_os_error(errno.raw_os_error()))
+    };
     use rustix::io::Errno;
     assert_eq!(of(Errno::CONNREFUSED), Unconnected::Refused);
-    for own in [Errno::MFILE, Errno::NFILE, Errno::ADDRNOTAVAIL, Errno::NOBUFS, Errno::NOMEM, Errno::AGAIN] {
+    for own in [
+        Errno::MFILE,
+        Errno::NFILE,
+        Errno::ADDRNOTAVAIL,
+        Errno::NOBUFS,
+        Errno::NOMEM,
+        Errno::AGAIN,
+    ] {
         assert_eq!(of(own), Unconnected::Own, "{own}");
     }
-    for other in [Errno::NETUNREACH, Errno::HOSTUNREACH, Errno::TIMEDOUT, Errno::CONNRESET, Errno::ACCESS] {
+    for other in [
+        Errno::NETUNREACH,
+        Errno::HOSTUNREACH,
+        Errno::TIMEDOUT,
+        Errno::CONNRESET,
+        Errno::ACCESS,
+    ] {
         assert_eq!(of(other), Unconnected::Unknown, "{other}");
     }
-    assert_eq!(Unconnected::of(&std::io::Error::other("x")), Unconnected::Unknown);
+    assert_eq!(
+        Unconnected::of(&std::io::Error::other("x")),
+        Unconnected::Unknown
+    );
 }
--- a/crates/http/tests/parser.rs
+++ b/crates/http/tests/parser.rs
@@ -14,8 +14,16 @@
     let mut request = httparse::Request::new(&mut space);
     match request.parse(bytes) {
         Ok(httparse::Status::Complete(_)) => {
-            let fields = request.headers.iter().map(|h| (h.name.to_string(), h.value.to_vec())).collect();
-            Some((request.method?.to_string(), request.path?.to_string(), fields))
+            let fields = request
+                .headers
+                .iter()
+                .map(|h| (h.name.to_string(), h.value.to_vec()))
+                .collect();
+            Some((
+                request.method?.to_string(),
+                request.path?.to_string(),
+                fields,
+            ))
         }
         _ => None,
     }
@@ -122,20 +130,34 @@
 
 #[test]
 fn responses_are_framed_by_their_status() {
-    let read =
-        |text: &str, bodiless| Finder::default().response(text.as_bytes(), &Limits::default(), bodiless);
+    let read = |text: &str, bodiless| {
+        Finder::default().response(text.as_bytes(), &Limits::default(), bodiless)
+    };
     let head = |text: &str| read(text, false).unwrap().unwrap().0;
-    assert_eq!(head("HTTP/1.1 204 No Content\r\n\r\n").framing, Framing::Length(0));
+    assert_eq!(
+        head("HTTP/1.1 204 No Content\r\n\r\n").framing,
+        Framing::Length(0)
+    );
     assert_eq!(head("HTTP/1.1 200 OK\r\n\r\n").framing, Framing::ToClose);
     assert!(!head("HTTP/1.1 200 OK\r\n\r\n").keep);
     assert!(head("HTTP/1.1 200\r\nContent-Length: 4\r\n\r\n").keep);
     assert!(!head("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nConnection: Close\r\n\r\n").keep);
-    for bad in ["HTTP/1.1 20 OK\r\n\r\n", "HTTP/2 200 OK\r\n\r\n", "HTTP/1.1 999999 OK\r\n\r\n", "x\r\n\r\n"]
-    {
+    for bad in [
+        "HTTP/1.1 20 OK\r\n\r\n",
+        "HTTP/2 200 OK\r\n\r\n",
+        "HTTP/1.1 999999 OK\r\n\r\n",
+        "x\r\n\r\n",
+    ] {
         assert!(read(bad, false).is_err(), "{bad}");
     }
     let mut out = Vec::new();
     write_response(&mut out, 200, &[("X", "a\r\nInjected: b")]);
-    let (head, _) = read(std::str::from_utf8(&out).unwrap(), false).unwrap().unwrap();
-    assert_eq!(head.fields.len(), 1, "a value can't bring a field of its own");
+    let (head, _) = read(std::str::from_utf8(&out).unwrap(), false)
+        .unwrap()
+        .unwrap();
+    assert_eq!(
+        head.fields.len(),
+        1,
+        "a value can't bring a field of its own"
+    );
 }
--- a/crates/instance/src/settings.rs
+++ b/crates/instance/src/settings.rs
@@ -13,7 +13,10 @@
     let pointer = format!("/{}", path.replace('.', "/"));
     match v.pointer(&pointer) {
         None | Some(Value::Null) => Ok(None),
-        Some(x) => x.as_f64().map(Some).ok_or_else(|| wrong(path, "is not a number")),
+        Some(x) => x
+            .as_f64()
+            .map(Some)
+            .ok_or_else(|| wrong(path, "is not a number")),
     }
 }
 
@@ -29,18 +32,26 @@
     let pointer = format!("/{}", path.replace('.', "/"));
     match v.pointer(&pointer) {
         None | Some(Value::Null) => Ok(&[]),
-        Some(x) => x.as_array().map(Vec::as_slice).ok_or_else(|| wrong(path, "is not a list")),
+        Some(x) => x
+            .as_array()
+            .map(Vec::as_slice)
+            .ok_or_else(|| wrong(path, "is not a list")),
     }
 }
 
 fn numbers(v: &Value, path: &str) -> Result<Vec<f64>, Wrong> {
-    let number = |x: &Value| x.as_f64().ok_or_else(|| wrong(path, "holds something that is not a number"));
+    let number = |x: &Value| {
+        x.as_f64()
+            .ok_or_else(|| wrong(path, "holds something that is not a number"))
+    };
     list(v, path)?.iter().map(number).collect()
 }
 
 fn texts(v: &Value, path: &str) -> Result<Vec<String>, Wrong> {
     let text = |x: &Value| {
-        x.as_str().map(str::to_string).ok_or_else(|| wrong(path, "holds something that is not a name"))
+        x.as_str()
+            .map(str::to_string)
+            .ok_or_else(|| wrong(path, "holds something that is not a name"))
     };
     list(v, path)?.iter().map(text).collect()
 }
@@ -87,7 +98,11 @@
         names.classes.push(name.to_string());
         let effect = c.get("Effect").and_then(Value::as_str);
         classes.push(ClassTerms {
-            effect: if effect == Some("idempotent") { Effect::Harmless } else { Effect::Paid },
+            effect: if effect == Some("idempotent") {
+                Effect::Harmless
+            } else {
+                Effect::Paid
+            },
             aim: span(c, "Target")?,
             worth: num(c, "Value")?.unwrap_or(1.0),
             scale: at(&scales, i, 1.0),
@@ -99,12 +114,30 @@
     }
     let mut tenants = Vec::new();
     for t in list(v, "Tenants")? {
-        names.tenants.push(t.get("Name").and_then(Value::as_str).unwrap_or_default().to_string());
+        names.tenants.push(
+            t.get("Name")
+                .and_then(Value::as_str)
+                .unwrap_or_default()
+                .to_string(),
+        );
         let allowance_per_s = num(t, "AllowancePerS")?.unwrap_or(0.0);
-        tenants.push(TenantTerms { allowance_per_s, part: 0.0 });
+        tenants.push(TenantTerms {
+            allowance_per_s,
+            part: 0.0,
+        });
     }
-    let ladder = kbs.iter().enumerate().map(|(i, kb)| Rung { kb: *kb, worth: at(&worths, i, 0.0) }).collect();
-    let ration = match (num(v, "Contract.ExtraPerRequest")?, num(v, "Contract.MinExtra")?) {
+    let ladder = kbs
+        .iter()
+        .enumerate()
+        .map(|(i, kb)| Rung {
+            kb: *kb,
+            worth: at(&worths, i, 0.0),
+        })
+        .collect();
+    let ration = match (
+        num(v, "Contract.ExtraPerRequest")?,
+        num(v, "Contract.MinExtra")?,
+    ) {
         (None, None) => None,
         (share, free) => Some(FurtherAttempts {
             free: free.unwrap_or(0.0),
@@ -149,7 +182,11 @@
             may_cancel: flag(v, "/Limits/MayCancel"),
             may_probe: flag(v, "/Limits/Probes"),
             probe_price: num(v, "Deductions.Probe")?.unwrap_or(0.0),
-            max_come_back: if advice { span(v, "Limits.MaxRetryAfter")? } else { 0 },
+            max_come_back: if advice {
+                span(v, "Limits.MaxRetryAfter")?
+            } else {
+                0
+            },
             step: span(v, "Step")?,
         },
         ask_for_list: v.get("MembershipMode").and_then(Value::as_str) == Some("on_request"),
@@ -164,5 +201,9 @@
         idle: span(v, "Limits.ConnIdle")?,
         held: num(v, "Limits.MaxOpen")?.map_or(usize::MAX, |n| n as usize),
     };
-    Ok(Given { settings, names, bounds })
+    Ok(Given {
+        settings,
+        names,
+        bounds,
+    })
 }
--- a/crates/lab/src/bounds.rs
+++ b/crates/lab/src/bounds.rs
@@ -19,7 +19,11 @@
 impl Bounds {
     /// What the best constant rung could have given.
     pub fn best_rung(&self) -> (usize, f64) {
-        let best = self.at_rung.iter().enumerate().max_by(|a, b| a.1.total_cmp(b.1));
+        let best = self
+            .at_rung
+            .iter()
+            .enumerate()
+            .max_by(|a, b| a.1.total_cmp(b.1));
         best.map_or((0, 0.0), |(rung, worth)| (rung, *worth))
     }
 
@@ -49,15 +53,24 @@
     for ((class, top), n) in wanting {
         let terms = &set.classes[*class];
         let (mut kb, mut worth, mut from) = (0.0, 0.0, terms.floor);
-        let last = (*top).min(terms.top).min(set.ladder.len().saturating_sub(1));
+        let last = (*top)
+            .min(terms.top)
+            .min(set.ladder.len().saturating_sub(1));
         while from <= last {
-            let density =
-                |r: usize| (terms.worth * set.ladder[r].worth - worth) / (set.rate(*class, r) - kb).max(1e-9);
+            let density = |r: usize| {
+                (terms.worth * set.ladder[r].worth - worth) / (set.rate(*class, r) - kb).max(1e-9)
+            };
             let best = (from..=last).max_by(|a, b| density(*a).total_cmp(&density(*b)));
-            let Some(best) = best.filter(|r| density(*r) > 0.0) else { break };
+            let Some(best) = best.filter(|r| density(*r) > 0.0) else {
+                break;
+            };
             let here = density(best);
             parts.push((here, *n as f64 * (set.rate(*class, best) - kb)));
-            (kb, worth, from) = (set.rate(*class, best), terms.worth * set.ladder[best].worth, best + 1);
+            (kb, worth, from) = (
+                set.rate(*class, best),
+                terms.worth * set.ladder[best].worth,
+                best + 1,
+            );
         }
     }
     parts.sort_by(|a, b| b.0.total_cmp(&a.0));
@@ -76,12 +89,25 @@
 
     #[test]
     fn the_bound_fills_the_room_with_the_densest_parts() {
-        let class = ClassTerms { worth: 1.0, scale: 1.0, top: 2, ..Default::default() };
+        let class = ClassTerms {
+            worth: 1.0,
+            scale: 1.0,
+            top: 2,
+            ..Default::default()
+        };
         let rung = |kb, worth| Rung { kb, worth };
         let ladder = vec![rung(100.0, 0.4), rung(200.0, 0.6), rung(400.0, 1.0)];
-        let set = Settings { classes: vec![class], ladder, ..Default::default() };
+        let set = Settings {
+            classes: vec![class],
+            ladder,
+            ..Default::default()
+        };
         let wanting = Wanting::from([((0, 2), 10)]);
-        assert_eq!(most(&set, &wanting, 1000.0), 4.0, "just the lowest rung for all");
+        assert_eq!(
+            most(&set, &wanting, 1000.0),
+            4.0,
+            "just the lowest rung for all"
+        );
         assert!((most(&set, &wanting, 1300.0) - (4.0 + 0.6 * 300.0 / 300.0)).abs() < 1e-9);
         assert_eq!(most(&set, &wanting, 1e9), 10.0);
         let mut bounds = Bounds::default();
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -33,7 +33,10 @@
 fn print_spans(report: &Report) {
     for (i, s) in report.count.spans.iter().enumerate() {
         let all: f64 = s.rungs.values().sum();
-        let rungs = s.rungs.iter().map(|(r, t)| format!("{r}:{:.0}%", t * 100.0 / all.max(1e-9)));
+        let rungs = s
+            .rungs
+            .iter()
+            .map(|(r, t)| format!("{r}:{:.0}%", t * 100.0 / all.max(1e-9)));
         println!(
             "  {:>5.0} s  asked {:>4}  refused {:>4}  plays {:>6.1}  worth {:.3} of {:.3}  {}",
             i as f64 * SPAN,
@@ -56,7 +59,11 @@
             return ExitCode::from(2);
         }
     };
-    let policy = if cli.plain { Policy::Plain } else { Policy::Module };
+    let policy = if cli.plain {
+        Policy::Plain
+    } else {
+        Policy::Module
+    };
     println!(
         "| scene | asked | refused | never watched | worth | best one rung | most | steps a minute | pushed over |"
     );
@@ -77,7 +84,8 @@
                 }
             }
         }
-        let mean = |f: &dyn Fn(&Report) -> f64| reports.iter().map(f).sum::<f64>() / reports.len() as f64;
+        let mean =
+            |f: &dyn Fn(&Report) -> f64| reports.iter().map(f).sum::<f64>() / reports.len() as f64;
         println!(
             "| {} | {:.0} | {:.1}% | {:.1}% | {:.3} | {:.3} | {:.3} | {:.2} | {:.1} |",
             scene.name,
@@ -90,7 +98,11 @@
             mean(&|r| r.count.tallies.all.steps_a_minute()),
             mean(&|r| r.count.fell as f64),
         );
-        for tenant in reports.iter().flat_map(|r| r.count.tallies.tenants.keys()).collect::<BTreeSet<_>>() {
+        for tenant in reports
+            .iter()
+            .flat_map(|r| r.count.tallies.tenants.keys())
+            .collect::<BTreeSet<_>>()
+        {
             let of = |f: &dyn Fn(&Tally) -> f64| mean(&|r| f(&r.count.tallies.tenants[tenant]));
             println!(
                 "| {}: {tenant} | {:.0} | {:.1}% | {:.1}% | {:.3} | - | - | {:.2} | - |",
--- a/crates/lab/src/plain.rs
+++ b/crates/lab/src/plain.rs
@@ -3,8 +3,8 @@
 //! exceptions, no evidence but what nodes report, no care for cold nodes. A baseline, not a decider for service.
 
 use shalewall::{
-    Action, Effect, Event, ListNews, Listed, Micros, Note, Outcome, Request, ServerId, SessionId, Settings,
-    Standing,
+    Action, Effect, Event, ListNews, Listed, Micros, Note, Outcome, Request, ServerId, SessionId,
+    Settings, Standing,
 };
 use shalewall_engine::Decide;
 use std::collections::BTreeMap;
@@ -47,9 +47,23 @@
 
 impl Plain {
     pub fn new(set: Settings) -> Plain {
-        let uplink = |rack| (rack, Link { kb: set.uplink_kb, share: 0.0 });
+        let uplink = |rack| {
+            (
+                rack,
+                Link {
+                    kb: set.uplink_kb,
+                    share: 0.0,
+                },
+            )
+        };
         let uplinks = (0..set.racks).map(uplink).collect();
-        Plain { set, listed: BTreeMap::new(), links: BTreeMap::new(), uplinks, out: BTreeMap::new() }
+        Plain {
+            set,
+            listed: BTreeMap::new(),
+            links: BTreeMap::new(),
+            uplinks,
+            out: BTreeMap::new(),
+        }
     }
 
     fn rack(&self, server: ServerId) -> Option<u64> {
@@ -58,8 +72,14 @@
 
     fn charge(&mut self, server: ServerId, kb: f64) {
         let rack = self.rack(server);
-        let links = [self.links.get_mut(&server), rack.and_then(|r| self.uplinks.get_mut(&r))];
-        links.into_iter().flatten().for_each(|l| l.share = l.with(kb).max(0.0));
+        let links = [
+            self.links.get_mut(&server),
+            rack.and_then(|r| self.uplinks.get_mut(&r)),
+        ];
+        links
+            .into_iter()
+            .flatten()
+            .for_each(|l| l.share = l.with(kb).max(0.0));
     }
 
     fn fits(&self, server: ServerId, kb: f64, line: f64) -> bool {
@@ -78,7 +98,10 @@
             .map(|l| l.server)
             .collect();
         let account = |s: &ServerId| {
-            let uplink = self.rack(*s).and_then(|r| self.uplinks.get(&r)).map_or(0.0, |l| l.share);
+            let uplink = self
+                .rack(*s)
+                .and_then(|r| self.uplinks.get(&r))
+                .map_or(0.0, |l| l.share);
             self.links.get(s).map_or(0.0, |l| l.share) + uplink
         };
         holders.sort_by(|a, b| account(a).total_cmp(&account(b)));
@@ -89,12 +112,17 @@
         let (session, class) = (out.req.session, out.req.class);
         let terms = self.set.classes[class];
         let top = out.req.top.min(terms.top).min(self.set.ladder.len() - 1);
-        let held = self.out.values().filter(|o| (o.req.title, o.req.class) == (out.req.title, class));
+        let held = self
+            .out
+            .values()
+            .filter(|o| (o.req.title, o.req.class) == (out.req.title, class));
         let seated = terms.seats > 0 && held.count() >= terms.seats as usize;
         let late = now + self.set.limits.step >= out.req.deadline;
         let spent = out.tried.len() as u32 >= self.set.limits.max_attempts.max(1);
         let found = self.holders(&out).into_iter().find_map(|s| {
-            let asked = self.fits(s, self.set.rate(class, top), MARK).then_some((s, top));
+            let asked = self
+                .fits(s, self.set.rate(class, top), MARK)
+                .then_some((s, top));
             let least = || self.fits(s, self.set.rate(class, terms.floor), FULL_LINE);
             asked.or_else(|| least().then_some((s, terms.floor)))
         });
@@ -108,7 +136,11 @@
         out.at = Some((server, kb));
         self.out.insert(session, out);
         actions.push(Action::SetRung { session, rung });
-        actions.push(Action::Send { session, server, patience: None });
+        actions.push(Action::Send {
+            session,
+            server,
+            patience: None,
+        });
     }
 
     fn note(&mut self, server: ServerId, note: Note) {
@@ -139,16 +171,43 @@
             Event::List { news, lines } => self.list(news, lines),
             Event::Asked(req) => {
                 let after = req.deadline - self.set.limits.step - now;
-                actions.push(Action::Timer { after, token: req.session.0 });
-                self.place(now, Out { req, at: None, plays: false, tried: Vec::new() }, actions);
+                actions.push(Action::Timer {
+                    after,
+                    token: req.session.0,
+                });
+                self.place(
+                    now,
+                    Out {
+                        req,
+                        at: None,
+                        plays: false,
+                        tried: Vec::new(),
+                    },
+                    actions,
+                );
             }
             Event::Started { session, .. } => {
-                self.out.get_mut(&session).into_iter().for_each(|o| o.plays = true);
+                self.out
+                    .get_mut(&session)
+                    .into_iter()
+                    .for_each(|o| o.plays = true);
             }
-            Event::Finished { session, outcome, closed, .. } => {
-                let Some(out) = self.out.remove(&session) else { return };
-                out.at.into_iter().for_each(|(server, kb)| self.charge(server, -kb));
-                let never_ran = matches!(outcome, Outcome::Full | Outcome::NoConnection | Outcome::NotSent);
+            Event::Finished {
+                session,
+                outcome,
+                closed,
+                ..
+            } => {
+                let Some(out) = self.out.remove(&session) else {
+                    return;
+                };
+                out.at
+                    .into_iter()
+                    .for_each(|(server, kb)| self.charge(server, -kb));
+                let never_ran = matches!(
+                    outcome,
+                    Outcome::Full | Outcome::NoConnection | Outcome::NotSent
+                );
                 if closed || out.plays || outcome == Outcome::Good {
                 } else if never_ran || self.set.classes[out.req.class].effect == Effect::Harmless {
                     self.place(now, out, actions);
@@ -164,12 +223,19 @@
                         session: out.req.session,
                         attempt: out.tried.len() as u32 - 1,
                     });
-                    actions.push(Action::Fail { session: out.req.session });
+                    actions.push(Action::Fail {
+                        session: out.req.session,
+                    });
                 }
             }
-            Event::Terms { classes, tenants } => (self.set.classes, self.set.tenants) = (classes, tenants),
+            Event::Terms { classes, tenants } => {
+                (self.set.classes, self.set.tenants) = (classes, tenants)
+            }
             // Baselines hand nothing over.
-            Event::Carried(..) | Event::Withdrawn(_) | Event::Probed { .. } | Event::Peer { .. } => {}
+            Event::Carried(..)
+            | Event::Withdrawn(_)
+            | Event::Probed { .. }
+            | Event::Peer { .. } => {}
             Event::HandOver(_) | Event::HandedOver { .. } | Event::Silent(_) => {}
         }
     }
--- a/crates/lab/src/plan.rs
+++ b/crates/lab/src/plan.rs
@@ -17,7 +17,11 @@
     let (site, fleet) = (&plan.site, &plan.fleet);
     let mut dice = ChaCha8Rng::seed_from_u64(plan.day.seed);
     let mut stray = |part: f64| 1.0 + part * (2.0 * dice.random::<f64>() - 1.0);
-    let racks = if fleet.uplink_kb > 0.0 { site.layout.racks } else { 0 };
+    let racks = if fleet.uplink_kb > 0.0 {
+        site.layout.racks
+    } else {
+        0
+    };
     let physics = Physics {
         rate_stray: fleet.rate_stray,
         set_up: us(fleet.set_up_ms),
@@ -29,7 +33,9 @@
         overload_factor: site.rules.overload_factor,
         fall: us(site.rules.fall_ms),
         uplinks: match &fleet.uplinks_kb[..] {
-            [] => (0..racks).map(|_| fleet.uplink_kb * stray(fleet.link_stray)).collect(),
+            [] => (0..racks)
+                .map(|_| fleet.uplink_kb * stray(fleet.link_stray))
+                .collect(),
             told => told.to_vec(),
         },
     };
@@ -48,10 +54,16 @@
     }
     let kinds: Vec<&String> = site.kind.keys().collect();
     let machine = |id: u64| {
-        let kind = kinds.get(id as usize % kinds.len().max(1)).map_or("", |k| k.as_str());
+        let kind = kinds
+            .get(id as usize % kinds.len().max(1))
+            .map_or("", |k| k.as_str());
         Machine {
             id: id + 1,
-            zone: site.zones.get(id as usize % site.zones.len().max(1)).cloned().unwrap_or_default(),
+            zone: site
+                .zones
+                .get(id as usize % site.zones.len().max(1))
+                .cloned()
+                .unwrap_or_default(),
             kind: kind.to_string(),
             cell: id % site.layout.cells,
             weight: 1.0,
@@ -81,7 +93,11 @@
     };
     Crowd {
         per_s: load.per_s,
-        tenants: load.tenants.iter().map(|(name, times)| (name.clone(), *times)).collect(),
+        tenants: load
+            .tenants
+            .iter()
+            .map(|(name, times)| (name.clone(), *times))
+            .collect(),
         classes: load.mix.iter().map(class).collect(),
         titles: site.title.keys().cloned().collect(),
         skew: load.skew,
@@ -99,7 +115,18 @@
 
 /// Chance of who comes, one stream for each tenant: a tenant's viewers are the same whoever else comes.
 pub fn arrivals(plan: &DayPlan) -> Vec<ChaCha8Rng> {
-    let seed = |name: &str| name.bytes().fold(plan.day.seed ^ 2, |s, b| s.rotate_left(9) ^ u64::from(b));
-    let tenants = plan.load.tenants.keys().map(|name| ChaCha8Rng::seed_from_u64(seed(name)));
-    if plan.load.tenants.is_empty() { vec![ChaCha8Rng::seed_from_u64(seed(""))] } else { tenants.collect() }
+    let seed = |name: &str| {
+        name.bytes()
+            .fold(plan.day.seed ^ 2, |s, b| s.rotate_left(9) ^ u64::from(b))
+    };
+    let tenants = plan
+        .load
+        .tenants
+        .keys()
+        .map(|name| ChaCha8Rng::seed_from_u64(seed(name)));
+    if plan.load.tenants.is_empty() {
+        vec![ChaCha8Rng::seed_from_u64(seed(""))]
+    } else {
+        tenants.collect()
+    }
 }
--- a/crates/lab/src/scenes.rs
+++ b/crates/lab/src/scenes.rs
@@ -44,95 +44,178 @@
         plan.day.seconds = 180.0;
         plan.load.per_s = usual(&plan);
         change(&mut plan);
-        scenes.push(Scene { name: name.to_string(), shows, plan });
+        scenes.push(Scene {
+            name: name.to_string(),
+            shows,
+            plan,
+        });
     };
     for per_s in [2.0, 3.0] {
-        scene(&format!("fill-{per_s}"), "an empty start, 100 s, nobody comes again", &|p| {
-            (p.day.seconds, p.load.per_s) = (100.0, per_s);
-        });
+        scene(
+            &format!("fill-{per_s}"),
+            "an empty start, 100 s, nobody comes again",
+            &|p| {
+                (p.day.seconds, p.load.per_s) = (100.0, per_s);
+            },
+        );
     }
     for times in [0.5, 1.0, 1.5, 2.0] {
-        scene(&format!("empty-{times}"), "an empty start, sessions of 60 to 120 s", &|p| {
-            p.load.per_s *= times
-        });
-        scene(&format!("long-{times}"), "an empty start, sessions of half an hour", &|p| {
-            long(p);
-            p.load.per_s = times * usual(p);
-        });
+        scene(
+            &format!("empty-{times}"),
+            "an empty start, sessions of 60 to 120 s",
+            &|p| p.load.per_s *= times,
+        );
+        scene(
+            &format!("long-{times}"),
+            "an empty start, sessions of half an hour",
+            &|p| {
+                long(p);
+                p.load.per_s = times * usual(p);
+            },
+        );
     }
     let again = |p: &mut DayPlan| (p.load.come_again, p.load.pause_ms) = (0.9, 1500.0);
-    scene("half", "half of the nodes die and come back cold after 30 s", &|p| {
-        again(p);
-        let t = Trouble { part: 0.5, ..Trouble::new(TroubleKind::Crash, 90.0, 30.0) };
-        p.trouble.insert("half".into(), t);
-    });
-    scene("half-long", "the same, sessions of half an hour, back after a minute", &|p| {
-        long(p);
-        again(p);
-        p.load.per_s = usual(p);
-        let t = Trouble { part: 0.5, ..Trouble::new(TroubleKind::Crash, 1800.0, 60.0) };
-        p.trouble.insert("half".into(), t);
-    });
-    scene("tripled", "two thirds of the usual load, tripled for good", &|p| {
-        p.load.per_s *= 2.0 / 3.0;
-        let t = Trouble { size: 3.0, ..Trouble::new(TroubleKind::Burst, 90.0, 90.0) };
-        p.trouble.insert("more".into(), t);
-    });
+    scene(
+        "half",
+        "half of the nodes die and come back cold after 30 s",
+        &|p| {
+            again(p);
+            let t = Trouble {
+                part: 0.5,
+                ..Trouble::new(TroubleKind::Crash, 90.0, 30.0)
+            };
+            p.trouble.insert("half".into(), t);
+        },
+    );
+    scene(
+        "half-long",
+        "the same, sessions of half an hour, back after a minute",
+        &|p| {
+            long(p);
+            again(p);
+            p.load.per_s = usual(p);
+            let t = Trouble {
+                part: 0.5,
+                ..Trouble::new(TroubleKind::Crash, 1800.0, 60.0)
+            };
+            p.trouble.insert("half".into(), t);
+        },
+    );
+    scene(
+        "tripled",
+        "two thirds of the usual load, tripled for good",
+        &|p| {
+            p.load.per_s *= 2.0 / 3.0;
+            let t = Trouble {
+                size: 3.0,
+                ..Trouble::new(TroubleKind::Burst, 90.0, 90.0)
+            };
+            p.trouble.insert("more".into(), t);
+        },
+    );
     scene("tripled-long", "the same, sessions of half an hour", &|p| {
         long(p);
         p.load.per_s = usual(p) * 2.0 / 3.0;
-        let t = Trouble { size: 3.0, ..Trouble::new(TroubleKind::Burst, 1800.0, 1800.0) };
+        let t = Trouble {
+            size: 3.0,
+            ..Trouble::new(TroubleKind::Burst, 1800.0, 1800.0)
+        };
         p.trouble.insert("more".into(), t);
     });
-    scene("falls", "twice the usual load for a while, then a third of it", &|p| {
-        (p.day.seconds, p.load.per_s) = (360.0, p.load.per_s / 3.0);
-        let t = Trouble { size: 6.0, ..Trouble::new(TroubleKind::Burst, 0.0, 150.0) };
-        p.trouble.insert("more".into(), t);
-    });
-    scene("peeks", "a crowd of ten times the rate whose sessions last 5 s", &|p| {
-        let mut peek = p.site.class["room"].clone();
-        peek.paid = false;
-        p.site.class.insert("peek".into(), peek);
-        p.load.mix.insert("peek".into(), 0.0);
-        p.load.lasts_s.insert("peek".into(), (4.0, 6.0));
-        let name = Some("peek".to_string());
-        let t = Trouble { size: 10.0, name, ..Trouble::new(TroubleKind::ClassFlood, 60.0, 20.0) };
-        p.trouble.insert("peeks".into(), t);
-    });
+    scene(
+        "falls",
+        "twice the usual load for a while, then a third of it",
+        &|p| {
+            (p.day.seconds, p.load.per_s) = (360.0, p.load.per_s / 3.0);
+            let t = Trouble {
+                size: 6.0,
+                ..Trouble::new(TroubleKind::Burst, 0.0, 150.0)
+            };
+            p.trouble.insert("more".into(), t);
+        },
+    );
+    scene(
+        "peeks",
+        "a crowd of ten times the rate whose sessions last 5 s",
+        &|p| {
+            let mut peek = p.site.class["room"].clone();
+            peek.paid = false;
+            p.site.class.insert("peek".into(), peek);
+            p.load.mix.insert("peek".into(), 0.0);
+            p.load.lasts_s.insert("peek".into(), (4.0, 6.0));
+            let name = Some("peek".to_string());
+            let t = Trouble {
+                size: 10.0,
+                name,
+                ..Trouble::new(TroubleKind::ClassFlood, 60.0, 20.0)
+            };
+            p.trouble.insert("peeks".into(), t);
+        },
+    );
     for (name, times) in [("hints-10", 10.0), ("hints-0.1", 0.1), ("no-hints", 0.0)] {
         scene(name, "an empty start with hints that lie, or none", &|p| {
             p.load.per_s *= 1.5;
             p.load.hint_times = times;
         });
     }
-    scene("flood", "one class floods at three times the usual rate", &|p| {
-        let name = Some("report".to_string());
-        let t = Trouble { size: 3.0, name, ..Trouble::new(TroubleKind::ClassFlood, 60.0, 60.0) };
-        p.trouble.insert("flood".into(), t);
-    });
+    scene(
+        "flood",
+        "one class floods at three times the usual rate",
+        &|p| {
+            let name = Some("report".to_string());
+            let t = Trouble {
+                size: 3.0,
+                name,
+                ..Trouble::new(TroubleKind::ClassFlood, 60.0, 60.0)
+            };
+            p.trouble.insert("flood".into(), t);
+        },
+    );
     scene("hot", "half of all viewers come for one title", &|p| {
         (p.load.per_s, p.load.skew) = (p.load.per_s * 0.5, 0.0);
         let name = Some("garden".to_string());
-        let t = Trouble { size: 1.0, name, ..Trouble::new(TroubleKind::HotTitle, 0.0, 180.0) };
+        let t = Trouble {
+            size: 1.0,
+            name,
+            ..Trouble::new(TroubleKind::HotTitle, 0.0, 180.0)
+        };
         p.trouble.insert("hot".into(), t);
     });
-    scene("at-once", "four times the load; those turned away come again at once", &|p| {
-        p.load.per_s *= 4.0;
-        (p.load.come_again, p.load.pause_ms) = (1.0, 200.0);
-        p.site.limits.max_come_back_ms = 400.0;
-    });
-    scene("directors", "a director of three is lost for a minute", &|p| {
-        again(p);
-        let t = Trouble { on: Some(vec![1]), ..Trouble::new(TroubleKind::DirectorKill, 60.0, 60.0) };
-        p.trouble.insert("lost".into(), t);
-    });
-    scene("swing", "load from none to twice the usual and back, as long as a session", &|p| {
-        (p.day.seconds, p.load.per_s) = (450.0, p.load.per_s * 0.1);
-        for i in 0..5 {
-            let t = Trouble { size: 20.0, ..Trouble::new(TroubleKind::Burst, 90.0 * f64::from(i), 45.0) };
-            p.trouble.insert(format!("swing {i}"), t);
-        }
-    });
+    scene(
+        "at-once",
+        "four times the load; those turned away come again at once",
+        &|p| {
+            p.load.per_s *= 4.0;
+            (p.load.come_again, p.load.pause_ms) = (1.0, 200.0);
+            p.site.limits.max_come_back_ms = 400.0;
+        },
+    );
+    scene(
+        "directors",
+        "a director of three is lost for a minute",
+        &|p| {
+            again(p);
+            let t = Trouble {
+                on: Some(vec![1]),
+                ..Trouble::new(TroubleKind::DirectorKill, 60.0, 60.0)
+            };
+            p.trouble.insert("lost".into(), t);
+        },
+    );
+    scene(
+        "swing",
+        "load from none to twice the usual and back, as long as a session",
+        &|p| {
+            (p.day.seconds, p.load.per_s) = (450.0, p.load.per_s * 0.1);
+            for i in 0..5 {
+                let t = Trouble {
+                    size: 20.0,
+                    ..Trouble::new(TroubleKind::Burst, 90.0 * f64::from(i), 45.0)
+                };
+                p.trouble.insert(format!("swing {i}"), t);
+            }
+        },
+    );
     // Neighbours: a quiet tenant at two thirds of what its share carries at the top rungs, and one at ten times
     // its own, each alone and beside the other.
     for (name, quiet, loud, share) in [
@@ -145,23 +228,40 @@
         scene(name, "two tenants with half of the fleet each", &|p| {
             again(p);
             for (tenant, times) in [("quiet", quiet), ("loud", loud)] {
-                p.site.tenant.insert(tenant.into(), Tenant { allowance_per_s: 0.0, share });
+                p.site.tenant.insert(
+                    tenant.into(),
+                    Tenant {
+                        allowance_per_s: 0.0,
+                        share,
+                    },
+                );
                 if times > 0.0 {
                     p.load.tenants.insert(tenant.into(), times);
                 }
             }
         });
     }
-    scene("large-1", "an empty start: 100 directors, 150 nodes", &|p| grow(p, 10, 100));
+    scene(
+        "large-1",
+        "an empty start: 100 directors, 150 nodes",
+        &|p| grow(p, 10, 100),
+    );
     scene("large-2", "the same at twice the usual load", &|p| {
         grow(p, 10, 100);
         p.load.per_s *= 2.0;
     });
-    scene("large-tripled", "100 directors, two thirds of the usual load, tripled for good", &|p| {
-        grow(p, 10, 100);
-        p.load.per_s *= 2.0 / 3.0;
-        let t = Trouble { size: 3.0, ..Trouble::new(TroubleKind::Burst, 90.0, 90.0) };
-        p.trouble.insert("more".into(), t);
-    });
+    scene(
+        "large-tripled",
+        "100 directors, two thirds of the usual load, tripled for good",
+        &|p| {
+            grow(p, 10, 100);
+            p.load.per_s *= 2.0 / 3.0;
+            let t = Trouble {
+                size: 3.0,
+                ..Trouble::new(TroubleKind::Burst, 90.0, 90.0)
+            };
+            p.trouble.insert("more".into(), t);
+        },
+    );
     scenes
 }
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -147,7 +147,10 @@
 pub fn run(plan: &DayPlan, policy: Policy) -> Result<Report, String> {
     for (name, t) in &plan.trouble {
         if !PLAYED.contains(&t.kind) {
-            return Err(format!("trouble '{name}': {:?} can't be played in simulated time yet", t.kind));
+            return Err(format!(
+                "trouble '{name}': {:?} can't be played in simulated time yet",
+                t.kind
+            ));
         }
     }
     let mut world = World::new(plan, policy);
@@ -164,7 +167,9 @@
             }
             _ => {
                 world.now = at;
-                let due = world.queue.remove(&(at, world.queue.first_key_value().map_or(0, |(k, _)| k.1)));
+                let due = world
+                    .queue
+                    .remove(&(at, world.queue.first_key_value().map_or(0, |(k, _)| k.1)));
                 due.into_iter().for_each(|due| world.carry_out(due));
             }
         }
@@ -180,7 +185,13 @@
         let directors = plan.day.directors as usize;
         let notes = &plan.site.notes;
         let crowd = plan::crowd(plan);
-        let known = |c: &Class| plan.site.class.keys().position(|n| *n == c.name).unwrap_or(0);
+        let known = |c: &Class| {
+            plan.site
+                .class
+                .keys()
+                .position(|n| *n == c.name)
+                .unwrap_or(0)
+        };
         let mut world = World {
             plan,
             policy,
@@ -210,10 +221,15 @@
             extra: None,
             troubles: plan.trouble.values().cloned().collect(),
             listed: BTreeMap::new(),
-            result: Report { count: Count::default(), bounds: Bounds::default() },
+            result: Report {
+                count: Count::default(),
+                bounds: Bounds::default(),
+            },
         };
         for machine in machines {
-            world.listed.insert(machine.id, line(&machine, Standing::Ready, None));
+            world
+                .listed
+                .insert(machine.id, line(&machine, Standing::Ready, None));
             world.fleet.start(machine, 0, true);
         }
         (0..directors).for_each(|d| world.start(d));
@@ -227,7 +243,8 @@
 
     fn later(&mut self, after: Micros, due: Due) {
         self.queued += 1;
-        self.queue.insert((self.now + after.max(0), self.queued), due);
+        self.queue
+            .insert((self.now + after.max(0), self.queued), due);
     }
 
     fn seconds(&self) -> f64 {
@@ -249,14 +266,32 @@
         };
         self.engines[d] = Some(engine);
         let lines = self.listed.values().cloned().collect();
-        self.tell(d, Input::List { news: ListNews::Full, lines });
+        self.tell(
+            d,
+            Input::List {
+                news: ListNews::Full,
+                lines,
+            },
+        );
         for (node, n) in &self.fleet.nodes {
-            let held: Vec<_> = n.playing.iter().filter(|(_, p)| p.director == d as u32).collect();
+            let held: Vec<_> = n
+                .playing
+                .iter()
+                .filter(|(_, p)| p.director == d as u32)
+                .collect();
             if !held.is_empty() {
-                let held = held.into_iter().map(|((s, a), _)| (SessionId(*s), *a)).collect();
-                let up = Input::NodeUp { server: ServerId(*node), asked: self.now, held };
+                let held = held
+                    .into_iter()
+                    .map(|((s, a), _)| (SessionId(*s), *a))
+                    .collect();
+                let up = Input::NodeUp {
+                    server: ServerId(*node),
+                    asked: self.now,
+                    held,
+                };
                 self.queued += 1;
-                self.queue.insert((self.now + NET, self.queued), Due::Tell(d, up));
+                self.queue
+                    .insert((self.now + NET, self.queued), Due::Tell(d, up));
             }
         }
     }
@@ -264,12 +299,21 @@
     fn kill(&mut self, d: usize) {
         self.engines[d] = None;
         self.ring(d);
-        let calls: Vec<_> = self.calls.keys().filter(|(of, _)| *of == d).copied().collect();
-        calls.into_iter().for_each(|(of, call)| self.drop_call(of, call));
+        let calls: Vec<_> = self
+            .calls
+            .keys()
+            .filter(|(of, _)| *of == d)
+            .copied()
+            .collect();
+        calls
+            .into_iter()
+            .for_each(|(of, call)| self.drop_call(of, call));
         let asks: Vec<u64> = self.asks.keys().copied().collect();
         for ask in asks {
             if self.viewers[self.asks[&ask]].front == d {
-                let Some(viewer) = self.asks.remove(&ask) else { continue };
+                let Some(viewer) = self.asks.remove(&ask) else {
+                    continue;
+                };
                 self.tally(viewer, |t| t.unanswered += 1);
                 self.again(viewer, None);
             }
@@ -293,7 +337,10 @@
     }
 
     fn ring(&mut self, d: usize) {
-        let next = self.engines[d].as_ref().and_then(Engine::poll_timeout).map(|t| t.max(self.now));
+        let next = self.engines[d]
+            .as_ref()
+            .and_then(Engine::poll_timeout)
+            .map(|t| t.max(self.now));
         if self.rings[d] != next {
             self.rings[d].into_iter().for_each(|t| {
                 self.timers.remove(&(t, d));
@@ -308,8 +355,17 @@
     fn on_output(&mut self, d: usize, output: Output) {
         match output {
             Output::Answer { ask, answer } => self.on_answer(ask.0, answer),
-            Output::Call { call, server, kind, .. } => {
-                self.calls.insert((d, call), Call { server: server.0, kind, setting_up: false });
+            Output::Call {
+                call, server, kind, ..
+            } => {
+                self.calls.insert(
+                    (d, call),
+                    Call {
+                        server: server.0,
+                        kind,
+                        setting_up: false,
+                    },
+                );
                 self.later(NET, Due::Reach(d, call));
             }
             Output::Drop { call } => self.drop_call(d, call),
@@ -331,39 +387,66 @@
 
     fn load(&self, node: u64) -> Load {
         let f = self.fleet.told(node);
-        Load { streams: Some(f.streams as f64), link: Some(f.link), uplink: Some(f.uplink) }
+        Load {
+            streams: Some(f.streams as f64),
+            link: Some(f.link),
+            uplink: Some(f.uplink),
+        }
     }
 
     fn reply(&mut self, d: usize, call: CallId, node: u64, status: u16, never_ran: bool) {
         let media = (status == 201).then(String::new);
-        let done = Done::Answered { status, never_ran, load: self.load(node), media };
+        let done = Done::Answered {
+            status,
+            never_ran,
+            load: self.load(node),
+            media,
+        };
         self.later(NET, Due::Reply(d, call, done));
     }
 
     /// A call reaches its node.
     fn reach(&mut self, d: usize, call: CallId) {
-        let Some(Call { server, kind, .. }) = self.calls.get(&(d, call)) else { return };
+        let Some(Call { server, kind, .. }) = self.calls.get(&(d, call)) else {
+            return;
+        };
         let (node, kind) = (*server, kind.clone());
-        if self.fleet.nodes.get(&node).is_none_or(|n| n.process == Process::Down) {
+        if self
+            .fleet
+            .nodes
+            .get(&node)
+            .is_none_or(|n| n.process == Process::Down)
+        {
             return self.later(NET, Due::Reply(d, call, Done::NeverRan("refused".into())));
         }
         match kind {
-            CallKind::SetUp { session, attempt, .. } => {
-                match self.fleet.arrive(node, (session.0, attempt), self.now) {
-                    Arrival::Takes(time) => {
-                        self.calls.get_mut(&(d, call)).into_iter().for_each(|c| c.setting_up = true);
-                        self.later(time, Due::Begin(d, call));
-                    }
-                    Arrival::Full => self.reply(d, call, node, 503, true),
-                    Arrival::Ended => self.reply(d, call, node, 410, true),
-                    Arrival::Falls => self.down(node),
+            CallKind::SetUp {
+                session, attempt, ..
+            } => match self.fleet.arrive(node, (session.0, attempt), self.now) {
+                Arrival::Takes(time) => {
+                    self.calls
+                        .get_mut(&(d, call))
+                        .into_iter()
+                        .for_each(|c| c.setting_up = true);
+                    self.later(time, Due::Begin(d, call));
                 }
-            }
-            CallKind::Rung { session, attempt, rung, kb } => {
+                Arrival::Full => self.reply(d, call, node, 503, true),
+                Arrival::Ended => self.reply(d, call, node, 410, true),
+                Arrival::Falls => self.down(node),
+            },
+            CallKind::Rung {
+                session,
+                attempt,
+                rung,
+                kb,
+            } => {
                 let run = (session.0, attempt);
                 let before = self.fleet.nodes[&node].playing.get(&run).map(|p| p.rung);
                 let known = self.fleet.set_rung(node, run, rung, kb);
-                if let Some(shown) = self.shown.get(&session.0).filter(|_| before.is_some_and(|r| r != rung))
+                if let Some(shown) = self
+                    .shown
+                    .get(&session.0)
+                    .filter(|_| before.is_some_and(|r| r != rung))
                 {
                     let viewer = shown.viewer;
                     let class = self.viewers[viewer].person.class;
@@ -375,27 +458,50 @@
                 }
                 self.reply(d, call, node, if known { 204 } else { 404 }, false);
             }
-            CallKind::End { session, attempt, .. } => {
+            CallKind::End {
+                session, attempt, ..
+            } => {
                 let played = self.fleet.end(node, (session.0, attempt));
                 self.hide(session.0, true);
                 self.reply(d, call, node, if played { 204 } else { 404 }, false);
             }
             CallKind::Probe => self.reply(d, call, node, 204, false),
             // Nobody follows here, so nothing is handed over.
-            CallKind::Prepare { .. } | CallKind::Cancel { .. } => self.reply(d, call, node, 404, false),
+            CallKind::Prepare { .. } | CallKind::Cancel { .. } => {
+                self.reply(d, call, node, 404, false)
+            }
         }
     }
 
     fn begin(&mut self, d: usize, call: CallId) {
-        let Some(out) = self.calls.get_mut(&(d, call)) else { return };
+        let Some(out) = self.calls.get_mut(&(d, call)) else {
+            return;
+        };
         out.setting_up = false;
         let node = out.server;
-        let CallKind::SetUp { session, attempt, class, title, rung, kb, .. } = out.kind.clone() else {
+        let CallKind::SetUp {
+            session,
+            attempt,
+            class,
+            title,
+            rung,
+            kb,
+            ..
+        } = out.kind.clone()
+        else {
             return;
         };
         let run = (session.0, attempt);
-        let playing =
-            Playing { director: d as u32, viewer: 0, tenant: None, class, title, rung, kb, true_kb: kb };
+        let playing = Playing {
+            director: d as u32,
+            viewer: 0,
+            tenant: None,
+            class,
+            title,
+            rung,
+            kb,
+            true_kb: kb,
+        };
         if self.fleet.begin(node, run, playing) {
             self.began.insert(session.0, (node, run));
             self.reply(d, call, node, 201, false);
@@ -408,24 +514,46 @@
 
     /// A node's process is gone: calls to it break, what played there ends, fronts see it at once.
     fn down(&mut self, node: u64) {
-        let Some(n) = self.fleet.nodes.get_mut(&node) else { return };
+        let Some(n) = self.fleet.nodes.get_mut(&node) else {
+            return;
+        };
         n.process = Process::Down;
         let playing: Vec<Run> = std::mem::take(&mut n.playing).into_keys().collect();
         n.setting_up = 0;
-        playing.into_iter().for_each(|(session, _)| self.hide(session, true));
-        let broken: Vec<_> = self.calls.iter().filter(|(_, c)| c.server == node).map(|(k, _)| *k).collect();
+        playing
+            .into_iter()
+            .for_each(|(session, _)| self.hide(session, true));
+        let broken: Vec<_> = self
+            .calls
+            .iter()
+            .filter(|(_, c)| c.server == node)
+            .map(|(k, _)| *k)
+            .collect();
         for (d, call) in broken {
-            self.calls.get_mut(&(d, call)).into_iter().for_each(|c| c.setting_up = false);
+            self.calls
+                .get_mut(&(d, call))
+                .into_iter()
+                .for_each(|c| c.setting_up = false);
             self.later(NET, Due::Reply(d, call, Done::MayHaveRun("reset".into())));
         }
         for d in 0..self.engines.len() {
-            self.later(NET, Due::Tell(d, Input::NodeDown { server: ServerId(node) }));
+            self.later(
+                NET,
+                Due::Tell(
+                    d,
+                    Input::NodeDown {
+                        server: ServerId(node),
+                    },
+                ),
+            );
         }
         self.list(node, Standing::Gone, None);
     }
 
     fn up(&mut self, node: u64) {
-        let Some(n) = self.fleet.nodes.get(&node) else { return };
+        let Some(n) = self.fleet.nodes.get(&node) else {
+            return;
+        };
         if n.fell {
             return; // pushed over: it stays down
         }
@@ -442,7 +570,16 @@
         let late = us(self.plan.fleet.list_late_ms);
         for d in 0..self.engines.len() {
             let lines = vec![line.clone()];
-            self.later(late, Due::Tell(d, Input::List { news: ListNews::Delta, lines }));
+            self.later(
+                late,
+                Due::Tell(
+                    d,
+                    Input::List {
+                        news: ListNews::Delta,
+                        lines,
+                    },
+                ),
+            );
         }
     }
 
@@ -450,19 +587,41 @@
     fn look(&mut self) {
         self.later(LOOK, Due::Look);
         let news = self.teller.look(&mut self.fleet, self.now);
-        for News { node, director, session, delivered, link, uplink } in news {
-            let told = Told::Figures { session: SessionId(session), delivered, link, uplink };
-            let input = Input::NodeTold { server: ServerId(node), told };
+        for News {
+            node,
+            director,
+            session,
+            delivered,
+            link,
+            uplink,
+        } in news
+        {
+            let told = Told::Figures {
+                session: SessionId(session),
+                delivered,
+                link,
+                uplink,
+            };
+            let input = Input::NodeTold {
+                server: ServerId(node),
+                told,
+            };
             self.later(NET, Due::Tell(director as usize, input));
         }
         let (dt, at) = (LOOK as f64 / 1e6, self.seconds());
-        let shares: BTreeMap<u64, f64> =
-            self.fleet.nodes.keys().map(|id| (*id, self.fleet.figures(*id).delivered)).collect();
+        let shares: BTreeMap<u64, f64> = self
+            .fleet
+            .nodes
+            .keys()
+            .map(|id| (*id, self.fleet.figures(*id).delivered))
+            .collect();
         let (mut got, mut leaving) = (0.0, Vec::new());
         let mut rungs: BTreeMap<usize, f64> = BTreeMap::new();
         let tallies = &mut self.result.count.tallies;
         for (session, shown) in &self.shown {
-            let Some(playing) = self.fleet.nodes[&shown.node].playing.get(&shown.run) else { continue };
+            let Some(playing) = self.fleet.nodes[&shown.node].playing.get(&shown.run) else {
+                continue;
+            };
             let viewer = &self.viewers[shown.viewer];
             let class = &self.crowd.classes[viewer.person.class];
             let share = shares[&shown.node];
@@ -474,19 +633,34 @@
             });
             self.result.count.stalled += full * (1.0 - self.crowd.kept(share));
             *rungs.entry(playing.rung).or_default() += dt;
-            if share < POOR && self.now - shown.since > POOR_AFTER && self.dice.random::<f64>() < LEAVES {
+            if share < POOR
+                && self.now - shown.since > POOR_AFTER
+                && self.dice.random::<f64>() < LEAVES
+            {
                 leaving.push(*session);
             }
         }
         let racks = &self.fleet.physics.uplinks;
         let mut room: BTreeMap<u64, f64> = BTreeMap::new();
-        for n in self.fleet.nodes.values().filter(|n| n.process == Process::Runs) {
-            let rack = n.machine.cell.checked_rem(racks.len() as u64).unwrap_or(n.machine.id);
+        for n in self
+            .fleet
+            .nodes
+            .values()
+            .filter(|n| n.process == Process::Runs)
+        {
+            let rack = n
+                .machine
+                .cell
+                .checked_rem(racks.len() as u64)
+                .unwrap_or(n.machine.id);
             *room.entry(rack).or_default() += n.machine.link_kb / self.fleet.slow_links;
         }
         let uplink = |rack: &u64| racks.get(*rack as usize).copied().unwrap_or(f64::INFINITY);
         let room: f64 = room.iter().map(|(rack, kb)| kb.min(uplink(rack))).sum();
-        let bound = self.result.bounds.pass(&self.settings, &self.wanting, room, dt);
+        let bound = self
+            .result
+            .bounds
+            .pass(&self.settings, &self.wanting, room, dt);
         let (terms, ladder) = (&self.settings.classes, &self.settings.ladder);
         let wanted = |((class, top), n): (&(usize, usize), &usize)| {
             *n as f64 * terms[*class].worth * ladder[*top].worth
@@ -495,8 +669,14 @@
         let count = &mut self.result.count;
         count.tallies.all.wanted += wanted * dt;
         let span = count.span(at);
-        (span.got, span.wanted, span.bound) = (span.got + got, span.wanted + wanted * dt, span.bound + bound);
-        rungs.into_iter().for_each(|(r, t)| *span.rungs.entry(r).or_default() += t);
+        (span.got, span.wanted, span.bound) = (
+            span.got + got,
+            span.wanted + wanted * dt,
+            span.bound + bound,
+        );
+        rungs
+            .into_iter()
+            .for_each(|(r, t)| *span.rungs.entry(r).or_default() += t);
         leaving.into_iter().for_each(|s| self.leave(s, true));
     }
 
@@ -506,7 +686,9 @@
             Due::Ask(viewer) => self.ask(viewer),
             Due::Gone(viewer) => {
                 let p = &self.viewers[viewer].person;
-                self.wanting.entry((self.classes[p.class], p.top)).and_modify(|n| *n -= 1);
+                self.wanting
+                    .entry((self.classes[p.class], p.top))
+                    .and_modify(|n| *n -= 1);
             }
             Due::Leave(session, poor) => self.leave(session, poor),
             Due::Reach(d, call) => self.reach(d, call),
--- a/crates/lab/src/world/troubles.rs
+++ b/crates/lab/src/world/troubles.rs
@@ -12,7 +12,9 @@
         }
         let n = ((trouble.part * met.len() as f64).round() as usize).max(1);
         // Of the same day the same are met, whoever decides.
-        met.shuffle(&mut ChaCha8Rng::seed_from_u64(self.plan.day.seed ^ trouble.at_s.to_bits()));
+        met.shuffle(&mut ChaCha8Rng::seed_from_u64(
+            self.plan.day.seed ^ trouble.at_s.to_bits(),
+        ));
         met.truncate(n);
         met
     }
@@ -22,20 +24,29 @@
         let mut met = Vec::new();
         match trouble.kind {
             TroubleKind::Crash => {
-                let up = self.fleet.nodes.iter().filter(|(_, n)| n.process == Process::Runs);
+                let up = self
+                    .fleet
+                    .nodes
+                    .iter()
+                    .filter(|(_, n)| n.process == Process::Runs);
                 let up = up.map(|(id, _)| *id).collect();
                 met = self.met(up, &trouble);
                 met.iter().for_each(|id| self.down(*id));
             }
             TroubleKind::TenantBurst if trouble.name.is_some() => {
-                self.bursts.extend(trouble.name.clone().map(|name| (name, trouble.size)));
+                self.bursts
+                    .extend(trouble.name.clone().map(|name| (name, trouble.size)));
             }
             TroubleKind::Burst | TroubleKind::TenantBurst => self.burst = trouble.size,
             TroubleKind::HotTitle => {
                 self.extra = trouble.name.clone().map(|n| (Draw::Title(n), trouble.size));
             }
             TroubleKind::ClassFlood => {
-                let class = self.crowd.classes.iter().position(|c| trouble.name.as_ref() == Some(&c.name));
+                let class = self
+                    .crowd
+                    .classes
+                    .iter()
+                    .position(|c| trouble.name.as_ref() == Some(&c.name));
                 self.extra = class.map(|c| (Draw::Class(c), trouble.size));
             }
             TroubleKind::SharedSlow => self.fleet.slow_links = trouble.size,
--- a/crates/lab/src/world/viewers.rs
+++ b/crates/lab/src/world/viewers.rs
@@ -5,12 +5,18 @@
 impl World<'_> {
     /// Enters something of one viewer.
     pub(super) fn tally(&mut self, viewer: usize, what: impl Fn(&mut Tally)) {
-        self.result.count.tallies.enter(self.viewers[viewer].tenant.as_deref(), what);
+        self.result
+            .count
+            .tallies
+            .enter(self.viewers[viewer].tenant.as_deref(), what);
     }
 
     pub(super) fn arrive(&mut self, stream: usize) {
         let tenant = self.crowd.tenants.get(stream).cloned();
-        let burst = tenant.as_ref().and_then(|(name, _)| self.bursts.get(name)).unwrap_or(&1.0);
+        let burst = tenant
+            .as_ref()
+            .and_then(|(name, _)| self.bursts.get(name))
+            .unwrap_or(&1.0);
         let times = tenant.as_ref().map_or(1.0, |(_, times)| *times) * burst;
         let extra = self.extra.as_ref().map_or(0.0, |(_, part)| *part);
         let all = self.burst + extra;
@@ -21,19 +27,36 @@
         let front = (dice.random::<f64>() * self.engines.len() as f64) as usize;
         self.later(gap, Due::Arrive(stream));
         let span = person.span.as_micros() as Micros;
-        *self.wanting.entry((self.classes[person.class], person.top)).or_default() += 1;
+        *self
+            .wanting
+            .entry((self.classes[person.class], person.top))
+            .or_default() += 1;
         let viewer = self.viewers.len();
         let until = self.now + span;
         let tenant = tenant.map(|(name, _)| name);
-        let within = Duration::from_micros((us(self.plan.day.seconds * 1000.0) - self.now).max(0) as u64);
+        let within =
+            Duration::from_micros((us(self.plan.day.seconds * 1000.0) - self.now).max(0) as u64);
         let wanted = self.crowd.wanted(&person, within);
-        let new = Viewer { person, tenant, until, front, asks: 0, refused: false, played: false };
+        let new = Viewer {
+            person,
+            tenant,
+            until,
+            front,
+            asks: 0,
+            refused: false,
+            played: false,
+        };
         self.viewers.push(new);
-        self.tally(viewer, |t| (t.people, t.people_unserved) = (t.people + 1, t.people_unserved + 1));
+        self.tally(viewer, |t| {
+            (t.people, t.people_unserved) = (t.people + 1, t.people_unserved + 1)
+        });
         // Of all viewers what is wanted is summed up as time passes, beside the bound.
         let tenant = self.viewers[viewer].tenant.as_ref();
         let tallies = &mut self.result.count.tallies.tenants;
-        tenant.and_then(|t| tallies.get_mut(t)).into_iter().for_each(|t| t.wanted += wanted);
+        tenant
+            .and_then(|t| tallies.get_mut(t))
+            .into_iter()
+            .for_each(|t| t.wanted += wanted);
         self.later(span, Due::Gone(viewer));
         self.ask(viewer);
     }
@@ -66,7 +89,13 @@
         let ask = self.next_ask;
         self.next_ask += 1;
         self.asks.insert(ask, viewer);
-        self.tell(front, Input::Asked { ask: AskId(ask), new });
+        self.tell(
+            front,
+            Input::Asked {
+                ask: AskId(ask),
+                new,
+            },
+        );
     }
 
     /// Turned away, failed or broken off: most come again, to the next front half of the time.
@@ -84,18 +113,30 @@
     }
 
     pub(super) fn on_answer(&mut self, ask: u64, answer: Answer) {
-        let Some(viewer) = self.asks.remove(&ask) else { return };
+        let Some(viewer) = self.asks.remove(&ask) else {
+            return;
+        };
         let at = self.seconds();
         let v = &mut self.viewers[viewer];
         match answer {
             Answer::Plays { session, .. } => {
-                let Some((node, run)) = self.began.remove(&session.0) else { return };
+                let Some((node, run)) = self.began.remove(&session.0) else {
+                    return;
+                };
                 let left = v.until - self.now;
                 let first = u64::from(!std::mem::replace(&mut v.played, true));
                 self.tally(viewer, |t| {
                     (t.played, t.people_unserved) = (t.played + 1, t.people_unserved - first)
                 });
-                self.shown.insert(session.0, Shown { viewer, node, run, since: self.now });
+                self.shown.insert(
+                    session.0,
+                    Shown {
+                        viewer,
+                        node,
+                        run,
+                        since: self.now,
+                    },
+                );
                 if !self.fleet.nodes[&node].playing.contains_key(&run) {
                     return self.hide(session.0, true); // the node died while it answered
                 }
@@ -117,20 +158,39 @@
 
     /// A viewer ends its session at the node; the front hears of it from there.
     pub(super) fn leave(&mut self, session: u64, poor: bool) {
-        let Some(shown) = self.shown.get(&session) else { return };
+        let Some(shown) = self.shown.get(&session) else {
+            return;
+        };
         let (node, run) = (shown.node, shown.run);
-        let director = self.fleet.nodes[&node].playing.get(&run).map(|p| p.director);
+        let director = self.fleet.nodes[&node]
+            .playing
+            .get(&run)
+            .map(|p| p.director);
         self.fleet.end(node, run);
         if let Some(d) = director {
-            let told = Told::Ended { session: SessionId(session), attempt: run.1 };
-            self.later(NET, Due::Tell(d as usize, Input::NodeTold { server: ServerId(node), told }));
+            let told = Told::Ended {
+                session: SessionId(session),
+                attempt: run.1,
+            };
+            self.later(
+                NET,
+                Due::Tell(
+                    d as usize,
+                    Input::NodeTold {
+                        server: ServerId(node),
+                        told,
+                    },
+                ),
+            );
         }
         self.hide(session, poor);
     }
 
     /// A session is over for its viewer. `broke`: it had wanted more, and may come again.
     pub(super) fn hide(&mut self, session: u64, broke: bool) {
-        let Some(shown) = self.shown.remove(&session) else { return };
+        let Some(shown) = self.shown.remove(&session) else {
+            return;
+        };
         if broke && self.viewers[shown.viewer].until > self.now {
             self.tally(shown.viewer, |t| t.broken += 1);
             self.again(shown.viewer, None);
--- a/crates/lab/tests/scenes.rs
+++ b/crates/lab/tests/scenes.rs
@@ -11,7 +11,10 @@
 }
 
 fn scene(name: &str) -> Scene {
-    all(&base()).into_iter().find(|s| s.name == name).expect("a scene of that name")
+    all(&base())
+        .into_iter()
+        .find(|s| s.name == name)
+        .expect("a scene of that name")
 }
 
 fn report(name: &str) -> Report {
@@ -27,8 +30,14 @@
 #[test]
 fn who_comes_does_not_hang_on_who_decides() {
     let plan = scene("half").plan;
-    let (module, plain) = (run(&plan, Policy::Module).unwrap(), run(&plan, Policy::Plain).unwrap());
-    assert_eq!(module.count.tallies.all.people, plain.count.tallies.all.people);
+    let (module, plain) = (
+        run(&plan, Policy::Module).unwrap(),
+        run(&plan, Policy::Plain).unwrap(),
+    );
+    assert_eq!(
+        module.count.tallies.all.people,
+        plain.count.tallies.all.people
+    );
     assert_eq!(module.bounds, plain.bounds);
 }
 
@@ -41,14 +50,18 @@
             "{name}: true rates stray a little"
         );
         assert!(report.bounds.best_rung().1 <= report.bounds.most);
-        assert!(report.count.tallies.all.played_s() > 1000.0, "{name}: it has to be played");
+        assert!(
+            report.count.tallies.all.played_s() > 1000.0,
+            "{name}: it has to be played"
+        );
     }
 }
 
 #[test]
 fn a_trouble_that_cannot_be_played_is_an_error() {
     let mut plan = base();
-    plan.trouble.insert("frozen".into(), Trouble::new(TroubleKind::Hang, 1.0, 1.0));
+    plan.trouble
+        .insert("frozen".into(), Trouble::new(TroubleKind::Hang, 1.0, 1.0));
     assert!(run(&plan, Policy::Module).unwrap_err().contains("frozen"));
 }
 
@@ -62,7 +75,11 @@
         "{name}: {} refused",
         count.tallies.all.refused_part()
     );
-    assert!(count.tallies.all.worth() >= worth, "{name}: worth {}", count.tallies.all.worth());
+    assert!(
+        count.tallies.all.worth() >= worth,
+        "{name}: worth {}",
+        count.tallies.all.worth()
+    );
     assert!(
         count.tallies.all.steps_a_minute() < 1.0,
         "{name}: {} steps a session-minute",
@@ -95,8 +112,16 @@
         let rungs = &spans[i].rungs;
         rungs.get(&0).copied().unwrap_or(0.0) / rungs.values().sum::<f64>()
     };
-    assert!(low(14) > 0.3, "the crowd has to press rungs down: {}", low(14));
-    assert!(low(26) < 0.05 && spans[26].got > 0.85 * spans[26].bound, "{}", low(26));
+    assert!(
+        low(14) > 0.3,
+        "the crowd has to press rungs down: {}",
+        low(14)
+    );
+    assert!(
+        low(26) < 0.05 && spans[26].got > 0.85 * spans[26].bound,
+        "{}",
+        low(26)
+    );
 }
 
 #[test]
@@ -107,21 +132,42 @@
     comes_to("no-hints", 0.09, 0.52);
     // A crowd of visits of 5 s: the sessions of a minute keep their worth.
     let peeks = report("peeks");
-    assert!(peeks.count.tallies.all.worth() > 0.6, "{}", peeks.count.tallies.all.worth());
+    assert!(
+        peeks.count.tallies.all.worth() > 0.6,
+        "{}",
+        peeks.count.tallies.all.worth()
+    );
 }
 
 #[test]
 fn a_tenant_ten_times_above_its_share_leaves_a_quiet_one_nearly_all_of_its_own() {
     let quiet = |name: &str| report(name).count.tallies.tenants["quiet"].clone();
-    let (alone, beside, shareless) = (quiet("quiet-alone"), quiet("quiet-beside"), quiet("quiet-shareless"));
+    let (alone, beside, shareless) = (
+        quiet("quiet-alone"),
+        quiet("quiet-beside"),
+        quiet("quiet-shareless"),
+    );
     // The same viewers come, whoever else does.
     assert_eq!((alone.people, alone.wanted), (beside.people, beside.wanted));
     assert!(alone.worth() > 0.98, "{}", alone.worth());
     // By itself the fleet would be the loud one's: one in two of the quiet one's viewers never got to watch.
-    assert!(shareless.worth() < 0.4, "the loud one has to be felt: {}", shareless.worth());
-    assert!(beside.worth() > 0.85 && beside.unserved_part() < 0.05, "{}", beside.worth());
+    assert!(
+        shareless.worth() < 0.4,
+        "the loud one has to be felt: {}",
+        shareless.worth()
+    );
+    assert!(
+        beside.worth() > 0.85 && beside.unserved_part() < 0.05,
+        "{}",
+        beside.worth()
+    );
     // What nobody else wants is the loud one's, but for a little.
     let loud = |name: &str| report(name).count.tallies.tenants["loud"].clone();
     let (with, without) = (loud("loud-alone"), loud("loud-shareless"));
-    assert!(with.worth() > 0.9 * without.worth(), "{} of {}", with.worth(), without.worth());
+    assert!(
+        with.worth() > 0.9 * without.worth(),
+        "{} of {}",
+        with.worth(),
+        without.worth()
+    );
 }
--- a/crates/measure/src/hyper_front.rs
+++ b/crates/measure/src/hyper_front.rs
@@ -25,19 +25,27 @@
 
 fn answer(status: u16, body: String) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from(body)));
-    *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    *response.status_mut() =
+        StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     response
 }
 
 async fn call(state: &State, method: Method, uri: String, body: String) -> Option<Value> {
-    let request = Request::builder().method(method).uri(uri).body(Full::new(Bytes::from(body))).ok()?;
+    let request = Request::builder()
+        .method(method)
+        .uri(uri)
+        .body(Full::new(Bytes::from(body)))
+        .ok()?;
     let response = state.client.request(request).await.ok()?;
     let ok = response.status().is_success();
     let body = response.into_body().collect().await.ok()?.to_bytes();
     ok.then(|| serde_json::from_slice(&body).unwrap_or_default())
 }
 
-async fn serve(state: Rc<State>, request: Request<Incoming>) -> Result<Response<Full<Bytes>>, hyper::Error> {
+async fn serve(
+    state: Rc<State>,
+    request: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, hyper::Error> {
     let path = request.uri().path().to_string();
     let posted = request.method() == Method::POST;
     let body = request.into_body().collect().await?.to_bytes();
@@ -57,7 +65,9 @@
         let body = serde_json::json!({ "session": session, "rung": 1, "media": said["media"] });
         return Ok(answer(201, body.to_string()));
     }
-    let session = path.strip_prefix("/sessions/").and_then(|s| s.parse::<u64>().ok());
+    let session = path
+        .strip_prefix("/sessions/")
+        .and_then(|s| s.parse::<u64>().ok());
     let node = session.and_then(|s| state.sessions.borrow_mut().remove(&s));
     if let (Some(session), Some(node)) = (session, node) {
         let uri = format!("http://{node}/sessions/{session}/0");
@@ -71,7 +81,9 @@
 }
 
 pub fn run(nodes: Vec<SocketAddr>) -> std::io::Result<()> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
     let local = tokio::task::LocalSet::new();
     local.block_on(&runtime, async move {
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await?;
--- a/crates/measure/src/load.rs
+++ b/crates/measure/src/load.rs
@@ -34,30 +34,43 @@
 impl Outcome {
     fn new() -> Outcome {
         let waits = Histogram::new_with_bounds(1, 60_000_000, 3).expect("a minute at three digits");
-        Outcome { set_ups: 0, wrong: 0, waits, time: Duration::ZERO }
+        Outcome {
+            set_ups: 0,
+            wrong: 0,
+            waits,
+            time: Duration::ZERO,
+        }
     }
 }
 
 type Kept = Connection<Async<TcpStream>>;
 
 async fn connect(to: SocketAddr) -> Option<Kept> {
-    Pool::new(to, Limits::default(), Duration::ZERO, 0).connect().await.ok()
+    Pool::new(to, Limits::default(), Duration::ZERO, 0)
+        .connect()
+        .await
+        .ok()
 }
 
 /// One set-up; its session, where it plays.
 async fn set_up(front: &mut Kept, viewer: &str, tenant: Option<&str>) -> Option<u64> {
     let named = tenant.map_or(String::new(), |t| format!("\"tenant\":\"{t}\","));
-    let body =
-        format!("{{{named}\"viewer\":\"{viewer}\",\"class\":\"report\",\"title\":\"t\",\"wait_ms\":4000}}");
+    let body = format!(
+        "{{{named}\"viewer\":\"{viewer}\",\"class\":\"report\",\"title\":\"t\",\"wait_ms\":4000}}"
+    );
     let field = tenant.map(|name| ("Shalewall-Tenant", name));
-    let call = Call::new("POST", "/sessions", "front").fields(field.as_slice()).json(body.as_bytes());
+    let call = Call::new("POST", "/sessions", "front")
+        .fields(field.as_slice())
+        .json(body.as_bytes());
     let answer = front.call(&call).await.ok()?;
     let said: serde_json::Value = serde_json::from_slice(&answer.body).ok()?;
     (answer.head.status == 201).then(|| said["session"].as_u64())?
 }
 
 async fn one(plan: Rc<Plan>, number: usize, began: Instant, outcome: Rc<RefCell<Outcome>>) {
-    let Some(mut front) = connect(plan.front).await else { return };
+    let Some(mut front) = connect(plan.front).await else {
+        return;
+    };
     let mut sent = 0u64;
     loop {
         let due = match plan.rate {
@@ -87,7 +100,9 @@
             let _ = front.call(&end).await;
         }
         if !front.reusable() {
-            let Some(next) = connect(plan.front).await else { return };
+            let Some(next) = connect(plan.front).await else {
+                return;
+            };
             front = next;
         }
     }
@@ -95,13 +110,26 @@
 
 /// Loads a front.
 pub fn run(plan: &Plan) -> Outcome {
-    let Plan { front, rate, time, connections, tenant } = *plan;
-    let plan = Rc::new(Plan { front, rate, time, connections, tenant });
+    let Plan {
+        front,
+        rate,
+        time,
+        connections,
+        tenant,
+    } = *plan;
+    let plan = Rc::new(Plan {
+        front,
+        rate,
+        time,
+        connections,
+        tenant,
+    });
     let ex = LocalExecutor::new();
     let outcome = Rc::new(RefCell::new(Outcome::new()));
     let began = Instant::now() + Duration::from_millis(20);
-    let all: Vec<_> =
-        (0..connections).map(|n| ex.spawn(one(plan.clone(), n, began, outcome.clone()))).collect();
+    let all: Vec<_> = (0..connections)
+        .map(|n| ex.spawn(one(plan.clone(), n, began, outcome.clone())))
+        .collect();
     async_io::block_on(ex.run(async {
         for one in all {
             one.await;
@@ -117,7 +145,9 @@
     let mut outcome = Outcome::new();
     let began = Instant::now();
     async_io::block_on(async {
-        let Some(mut node) = connect(node).await else { return };
+        let Some(mut node) = connect(node).await else {
+            return;
+        };
         let body = b"{\"director\":0,\"class\":\"report\",\"title\":\"t\",\"rung\":1,\"kb\":900.0}";
         for sent in 0.. {
             let due = began + Duration::from_secs_f64(f64::from(sent) / rate);
@@ -130,7 +160,9 @@
             let ok = node.call(&call).await.is_ok();
             outcome.set_ups += u64::from(ok);
             outcome.wrong += u64::from(!ok);
-            outcome.waits.saturating_record(due.elapsed().as_micros() as u64);
+            outcome
+                .waits
+                .saturating_record(due.elapsed().as_micros() as u64);
         }
     });
     outcome.time = began.elapsed();
@@ -145,10 +177,16 @@
         .map(|_| {
             let next = next.clone();
             ex.spawn(async move {
-                let Some(mut front) = connect(front).await else { return };
+                let Some(mut front) = connect(front).await else {
+                    return;
+                };
                 loop {
                     let number = next.replace_with(|n| *n + 1);
-                    if number >= to || set_up(&mut front, &format!("held-{number}"), None).await.is_none() {
+                    if number >= to
+                        || set_up(&mut front, &format!("held-{number}"), None)
+                            .await
+                            .is_none()
+                    {
                         return;
                     }
                 }
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -66,8 +66,15 @@
 
 impl Front {
     fn start(command: &mut Command) -> std::io::Result<Front> {
-        let mut child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped()).spawn()?;
-        let log = child.stderr.take().ok_or_else(|| std::io::Error::other("no log"))?;
+        let mut child = command
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(Stdio::piped())
+            .spawn()?;
+        let log = child
+            .stderr
+            .take()
+            .ok_or_else(|| std::io::Error::other("no log"))?;
         let mut lines = BufReader::new(log).lines();
         let address = lines.by_ref().map_while(Result::ok).find_map(|line| {
             let said: serde_json::Value = serde_json::from_str(&line).ok()?;
@@ -84,16 +91,29 @@
 
     /// Memory in use, kB (1,024 bytes), as the system counts it.
     fn memory(&self) -> f64 {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
-        let line = status.lines().find(|l| l.starts_with("VmRSS:")).unwrap_or_default();
-        line.split_whitespace().nth(1).and_then(|kb| kb.parse().ok()).unwrap_or(f64::NAN)
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()))
+            .unwrap_or_default();
+        let line = status
+            .lines()
+            .find(|l| l.starts_with("VmRSS:"))
+            .unwrap_or_default();
+        line.split_whitespace()
+            .nth(1)
+            .and_then(|kb| kb.parse().ok())
+            .unwrap_or(f64::NAN)
     }
 
     /// Processor time used so far, seconds.
     fn cpu(&self) -> f64 {
-        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap_or_default();
+        let stat =
+            std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap_or_default();
         let after = stat.rsplit(')').next().unwrap_or_default();
-        let field = |n: usize| after.split_whitespace().nth(n).and_then(|t| t.parse::<f64>().ok());
+        let field = |n: usize| {
+            after
+                .split_whitespace()
+                .nth(n)
+                .and_then(|t| t.parse::<f64>().ok())
+        };
         // User and system time, in the hundredths of a second that the kernel counts in.
         (field(11).unwrap_or(f64::NAN) + field(12).unwrap_or(f64::NAN)) / 100.0
     }
@@ -109,7 +129,12 @@
 fn ours(program: &Path, world: &nodes::Addresses) -> std::io::Result<Front> {
     let file = std::env::temp_dir().join(format!("shalewall-measure-{}.hcl", std::process::id()));
     std::fs::write(&file, nodes::front_settings(world.list)?)?;
-    let front = Front::start(Command::new(program).arg("serve").arg("--config").arg(&file));
+    let front = Front::start(
+        Command::new(program)
+            .arg("serve")
+            .arg("--config")
+            .arg(&file),
+    );
     std::fs::remove_file(&file)?;
     let front = front?;
     // The list has to have come.
@@ -120,7 +145,10 @@
 fn hyper(world: &nodes::Addresses) -> std::io::Result<Front> {
     let nodes: Vec<String> = world.nodes.iter().map(ToString::to_string).collect();
     Front::start(
-        Command::new(std::env::current_exe()?).arg("hyper-front").arg("--nodes").arg(nodes.join(",")),
+        Command::new(std::env::current_exe()?)
+            .arg("hyper-front")
+            .arg("--nodes")
+            .arg(nodes.join(",")),
     )
 }
 
@@ -137,7 +165,13 @@
     );
 }
 
-fn run(program: &Path, seconds: u64, held: &[usize], beside: usize, rounds: usize) -> std::io::Result<()> {
+fn run(
+    program: &Path,
+    seconds: u64,
+    held: &[usize],
+    beside: usize,
+    rounds: usize,
+) -> std::io::Result<()> {
     let world = nodes::start()?;
     let time = Duration::from_secs(seconds);
     println!(
@@ -146,14 +180,23 @@
     println!("| --- | --- | --- | --- | --- | --- | --- | --- |");
     for _ in 0..rounds {
         for name in ["shalewall", "hyper"] {
-            let front = if name == "hyper" { hyper(&world)? } else { ours(program, &world)? };
+            let front = if name == "hyper" {
+                hyper(&world)?
+            } else {
+                ours(program, &world)?
+            };
             if beside > 0 {
                 load::hold(front.address, 0, beside);
             }
             let measured = |rate: Option<f64>| {
                 let before = front.cpu();
-                let outcome =
-                    load::run(&Plan { front: front.address, rate, time, connections: 64, tenant: None });
+                let outcome = load::run(&Plan {
+                    front: front.address,
+                    rate,
+                    time,
+                    connections: 64,
+                    tenant: None,
+                });
                 (outcome, front.cpu() - before)
             };
             let (most, cpu) = measured(None);
@@ -161,7 +204,12 @@
             let limit = most.set_ups as f64 / most.time.as_secs_f64();
             for part in [0.1, 0.25, 0.5, 0.75] {
                 let (outcome, cpu) = measured(Some(limit * part));
-                report(name, &format!("{:.0} ({:.0}% of that)", limit * part, part * 100.0), &outcome, cpu);
+                report(
+                    name,
+                    &format!("{:.0} ({:.0}% of that)", limit * part, part * 100.0),
+                    &outcome,
+                    cpu,
+                );
             }
         }
     }
@@ -169,7 +217,11 @@
     report("none: straight to a node", "500", &direct, f64::NAN);
     println!("\n| front | sessions held | memory kB | kB a session |\n| --- | --- | --- | --- |");
     for name in ["shalewall", "hyper"] {
-        let front = if name == "hyper" { hyper(&world)? } else { ours(program, &world)? };
+        let front = if name == "hyper" {
+            hyper(&world)?
+        } else {
+            ours(program, &world)?
+        };
         let empty = front.memory();
         println!("| {name} | 0 | {empty:.0} | |");
         let mut so_far = 0;
@@ -177,7 +229,10 @@
             load::hold(front.address, so_far, *count);
             so_far = *count;
             let now = front.memory();
-            println!("| {name} | {count} | {now:.0} | {:.2} |", (now - empty) / *count as f64);
+            println!(
+                "| {name} | {count} | {now:.0} | {:.2} |",
+                (now - empty) / *count as f64
+            );
         }
     }
     Ok(())
@@ -185,8 +240,18 @@
 
 fn main() -> std::io::Result<()> {
     match Cli::parse().command {
-        What::Run { front, seconds, held, beside, rounds } => run(&front, seconds, &held, beside, rounds),
-        What::Tenants { front, seconds, rounds } => tenants::run(&front, seconds, rounds),
+        What::Run {
+            front,
+            seconds,
+            held,
+            beside,
+            rounds,
+        } => run(&front, seconds, &held, beside, rounds),
+        What::Tenants {
+            front,
+            seconds,
+            rounds,
+        } => tenants::run(&front, seconds, rounds),
         What::HyperFront { nodes } => hyper_front::run(nodes),
     }
 }
--- a/crates/measure/src/nodes.rs
+++ b/crates/measure/src/nodes.rs
@@ -27,7 +27,9 @@
         Timer::after(Duration::from_millis(500)).await;
         Some((sse::BEAT.to_vec(), ()))
     });
-    Reply::new(200).with("Content-Type", "text/event-stream").pieces(stream::once(bytes).chain(beats))
+    Reply::new(200)
+        .with("Content-Type", "text/event-stream")
+        .pieces(stream::once(bytes).chain(beats))
 }
 
 async fn node(request: Request) -> Reply {
@@ -44,17 +46,22 @@
 
 fn list(nodes: &[SocketAddr]) -> String {
     let line = |(i, a): (usize, &SocketAddr)| {
-        format!("{{\"server\":{i},\"address\":\"{a}\",\"kind\":\"box\",\"cell\":{i},\"standing\":\"ready\"}}")
+        format!(
+            "{{\"server\":{i},\"address\":\"{a}\",\"kind\":\"box\",\"cell\":{i},\"standing\":\"ready\"}}"
+        )
     };
     let lines: Vec<_> = nodes.iter().enumerate().map(line).collect();
     format!("[{}]", lines.join(","))
 }
 
 pub fn start() -> std::io::Result<Addresses> {
-    let listeners: Vec<_> =
-        (0..=NODES).map(|_| TcpListener::bind("127.0.0.1:0")).collect::<Result<_, _>>()?;
-    let mut nodes: Vec<SocketAddr> =
-        listeners.iter().map(TcpListener::local_addr).collect::<Result<_, _>>()?;
+    let listeners: Vec<_> = (0..=NODES)
+        .map(|_| TcpListener::bind("127.0.0.1:0"))
+        .collect::<Result<_, _>>()?;
+    let mut nodes: Vec<SocketAddr> = listeners
+        .iter()
+        .map(TcpListener::local_addr)
+        .collect::<Result<_, _>>()?;
     let list_address = nodes.remove(0);
     let told = list(&nodes);
     let (ready, wait) = mpsc::channel();
@@ -71,7 +78,13 @@
                     let served = async move {
                         serve(stream, &limits, |request| {
                             let told = told.clone();
-                            async move { if i == 0 { events("full", &told) } else { node(request).await } }
+                            async move {
+                                if i == 0 {
+                                    events("full", &told)
+                                } else {
+                                    node(request).await
+                                }
+                            }
                         })
                         .await;
                     };
@@ -84,7 +97,10 @@
         async_io::block_on(ex.run(future::pending::<()>()));
     });
     let _ = wait.recv();
-    Ok(Addresses { nodes, list: list_address })
+    Ok(Addresses {
+        nodes,
+        list: list_address,
+    })
 }
 
 /// A site that turns nobody away, so that all that is asked is set up.
@@ -126,7 +142,12 @@
         "#
     );
     let plan: FrontPlan = parse("measure", &text).map_err(|e| {
-        std::io::Error::other(e.iter().map(ToString::to_string).collect::<Vec<_>>().join("; "))
+        std::io::Error::other(
+            e.iter()
+                .map(ToString::to_string)
+                .collect::<Vec<_>>()
+                .join("; "),
+        )
     })?;
     hcl::to_string(&plan).map_err(std::io::Error::other)
 }
--- a/crates/measure/src/tenants.rs
+++ b/crates/measure/src/tenants.rs
@@ -36,14 +36,26 @@
     }
 }
 
-fn call(to: SocketAddr, token: &str, method: &str, target: &str, body: &str) -> std::io::Result<u16> {
+fn call(
+    to: SocketAddr,
+    token: &str,
+    method: &str,
+    target: &str,
+    body: &str,
+) -> std::io::Result<u16> {
     let pool = Pool::new(to, Limits::default(), Duration::ZERO, 0);
     let authorization = format!("Bearer {token}");
     let fields = [("Authorization", authorization.as_str()), ("If-Match", "*")];
     let call = Call::new(method, target, "admin").fields(&fields);
-    let call = if body.is_empty() { call } else { call.json(body.as_bytes()) };
+    let call = if body.is_empty() {
+        call
+    } else {
+        call.json(body.as_bytes())
+    };
     let answer = async_io::block_on(pool.call(&call));
-    answer.map(|a| a.head.status).map_err(|e| std::io::Error::other(e.to_string()))
+    answer
+        .map(|a| a.head.status)
+        .map_err(|e| std::io::Error::other(e.to_string()))
 }
 
 impl Service {
@@ -52,20 +64,42 @@
         std::fs::create_dir_all(&dir)?;
         let files = Files(dir.clone());
         let (store, file) = (dir.join("tenants.redb"), dir.join("token"));
-        let shown = Command::new(program).args(["store", "token"]).arg(&store).arg("operator").output()?;
+        let shown = Command::new(program)
+            .args(["store", "token"])
+            .arg(&store)
+            .arg("operator")
+            .output()?;
         let token = String::from_utf8_lossy(&shown.stdout).trim().to_string();
         std::fs::write(&file, &token)?;
         let plan = dir.join("admin.hcl");
-        std::fs::write(&plan, format!("admin {{\n  listen = \"127.0.0.1:0\"\n  store = {store:?}\n}}\n"))?;
-        let admin = Front::start(Command::new(program).arg("admin").arg("--config").arg(&plan))?;
+        std::fs::write(
+            &plan,
+            format!("admin {{\n  listen = \"127.0.0.1:0\"\n  store = {store:?}\n}}\n"),
+        )?;
+        let admin = Front::start(
+            Command::new(program)
+                .arg("admin")
+                .arg("--config")
+                .arg(&plan),
+        )?;
         let hosting = format!(
             "hosting {{\n  admin = \"{}\"\n  token_file = {file:?}\n  set_ups_per_s = {SET_UPS}\n}}\n",
             admin.address
         );
         let plan = dir.join("front.hcl");
         std::fs::write(&plan, nodes::front_settings(world.list)? + &hosting)?;
-        let front = Front::start(Command::new(program).arg("serve").arg("--config").arg(&plan))?;
-        let service = Service { admin, front, token, _dir: files };
+        let front = Front::start(
+            Command::new(program)
+                .arg("serve")
+                .arg("--config")
+                .arg(&plan),
+        )?;
+        let service = Service {
+            admin,
+            front,
+            token,
+            _dir: files,
+        };
         service.create(&["quiet".to_string(), "loud".to_string()], 1.0)?;
         thread::sleep(Duration::from_millis(700));
         Ok(service)
@@ -102,7 +136,11 @@
 }
 
 /// A neighbour that goes on until it is told to stop; `work` is called again and again.
-fn neighbour(stop: &Arc<AtomicBool>, threads: usize, work: impl Fn(&AtomicBool) + Send + Sync + 'static) {
+fn neighbour(
+    stop: &Arc<AtomicBool>,
+    threads: usize,
+    work: impl Fn(&AtomicBool) + Send + Sync + 'static,
+) {
     let work = Arc::new(work);
     for _ in 0..threads {
         let (stop, work) = (stop.clone(), work.clone());
@@ -119,7 +157,9 @@
     let mut open: Vec<TcpStream> = Vec::new();
     let body = "POST /sessions HTTP/1.1\r\nHost: x\r\nContent-Length: 65000\r\n\r\n";
     for i in 0..200 {
-        let Ok(mut stream) = TcpStream::connect(front) else { break };
+        let Ok(mut stream) = TcpStream::connect(front) else {
+            break;
+        };
         let _ = stream.set_nonblocking(true);
         let _ = stream.write_all(if i % 2 == 0 { b"G" } else { body.as_bytes() });
         open.push(stream);
@@ -140,7 +180,9 @@
     let world = nodes::start()?;
     let service = Service::start(program, &world)?;
     let front = service.front.address;
-    println!("| quiet tenant, {QUIET} a second | done | not played | p50 us | p99 us | front's CPU |");
+    println!(
+        "| quiet tenant, {QUIET} a second | done | not played | p50 us | p99 us | front's CPU |"
+    );
     println!("| --- | --- | --- | --- | --- | --- |");
     let row = |name: &str, (outcome, cpu): (Outcome, f64)| {
         let us = |q: f64| outcome.waits.value_at_quantile(q);
@@ -159,7 +201,10 @@
     let empty = service.front.memory();
     let began = Instant::now();
     // With a thousandth of a share each, so that the two keep a third of the front each.
-    service.create(&(0..1000).map(|i| format!("idle-{i}")).collect::<Vec<_>>(), 0.001)?;
+    service.create(
+        &(0..1000).map(|i| format!("idle-{i}")).collect::<Vec<_>>(),
+        0.001,
+    )?;
     println!(
         "\n1,000 tenants made in {:.1} s, one call and one transaction each",
         began.elapsed().as_secs_f64()
@@ -182,15 +227,26 @@
         beside("beside one at ten times its share", &|stop| {
             neighbour(stop, 1, move |_| {
                 let (rate, time) = (Some(10.0 * SET_UPS / 2.0), Duration::from_secs(1));
-                load::run(&Plan { front, rate, time, connections: 64, tenant: Some("loud") });
+                load::run(&Plan {
+                    front,
+                    rate,
+                    time,
+                    connections: 64,
+                    tenant: Some("loud"),
+                });
             });
         });
-        beside("beside 800 connections, slow heads, bodies without end", &|stop| {
-            neighbour(stop, 4, move |stop| hold(front, stop));
-        });
+        beside(
+            "beside 800 connections, slow heads, bodies without end",
+            &|stop| {
+                neighbour(stop, 4, move |stop| hold(front, stop));
+            },
+        );
         beside("beside one that hammers the administration", &|stop| {
             let (admin, token) = (service.admin.address, service.token.clone());
-            neighbour(stop, 1, move |_| drop(call(admin, &token, "GET", "/tenants/loud", "")));
+            neighbour(stop, 1, move |_| {
+                drop(call(admin, &token, "GET", "/tenants/loud", ""))
+            });
         });
     }
     Ok(())
--- a/crates/members/src/members.rs
+++ b/crates/members/src/members.rs
@@ -8,7 +8,8 @@
 use crate::Micros;
 use crate::seal::{CONTENT, Key, Peer, Refused, Seals};
 use foca::{
-    AccumulatingRuntime, Config, Foca, Identity, NoCustomBroadcast, OwnedNotification, PostcardCodec, Timer,
+    AccumulatingRuntime, Config, Foca, Identity, NoCustomBroadcast, OwnedNotification,
+    PostcardCodec, Timer,
 };
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -44,7 +45,10 @@
     type Addr = String;
 
     fn renew(&self) -> Option<Member> {
-        Some(Member { start: self.start + 1, ..self.clone() })
+        Some(Member {
+            start: self.start + 1,
+            ..self.clone()
+        })
     }
 
     fn addr(&self) -> String {
@@ -97,9 +101,18 @@
 
 impl Members {
     pub fn new(start: Start, now: Micros) -> Members {
-        let Start { own, key, secret, told, seeds } = start;
+        let Start {
+            own,
+            key,
+            secret,
+            told,
+            seeds,
+        } = start;
         let fits = NonZeroUsize::new(CONTENT).unwrap_or(NonZeroUsize::MIN);
-        let mut config = Config { max_packet_size: fits, ..Config::new_lan(told) };
+        let mut config = Config {
+            max_packet_size: fits,
+            ..Config::new_lan(told)
+        };
         if let Some(down) = &mut config.periodic_announce_to_down_members {
             down.frequency = DOWN_AGAIN;
         }
@@ -140,9 +153,10 @@
                 let _ = self.foca.handle_data(opened.content, &mut self.runtime);
                 self.carry_out(now);
             }
-            Err(Refused::Unknown { greeting }) => {
-                self.outputs.push_back(Output::Send { to: from, bytes: greeting })
-            }
+            Err(Refused::Unknown { greeting }) => self.outputs.push_back(Output::Send {
+                to: from,
+                bytes: greeting,
+            }),
             Err(Refused::SameName { start }) => self.outputs.push_back(Output::SameName { start }),
             Err(Refused::Shape | Refused::Stranger | Refused::Old | Refused::Full) => {}
         }
@@ -173,7 +187,13 @@
             self.ask_seeds = now + SEEDS_AGAIN;
             for (name, address) in self.seeds.clone() {
                 if name != self.foca.identity().name {
-                    let seed = Member { name, start: 0, address, zone: String::new(), region: String::new() };
+                    let seed = Member {
+                        name,
+                        start: 0,
+                        address,
+                        zone: String::new(),
+                        region: String::new(),
+                    };
                     let _ = self.foca.announce(seed, &mut self.runtime);
                 }
             }
@@ -192,19 +212,29 @@
             self.timers.set(now + micros(after), timer);
         }
         while let Some((to, content)) = self.runtime.to_send() {
-            self.say(now, Peer::named(&to.name), to.address, content.to_vec(), true);
+            self.say(
+                now,
+                Peer::named(&to.name),
+                to.address,
+                content.to_vec(),
+                true,
+            );
         }
         while let Some(notification) = self.runtime.to_notify() {
             match notification {
                 OwnedNotification::MemberUp(member) => self.outputs.push_back(Output::Up(member)),
-                OwnedNotification::MemberDown(member) => self.outputs.push_back(Output::Down(member)),
+                OwnedNotification::MemberDown(member) => {
+                    self.outputs.push_back(Output::Down(member))
+                }
                 _ => {}
             }
         }
     }
 
     fn say(&mut self, now: Micros, peer: Peer, to: SocketAddr, content: Vec<u8>, keep: bool) {
-        let Some(bytes) = self.seals.seal(now, peer, &content) else { return };
+        let Some(bytes) = self.seals.seal(now, peer, &content) else {
+            return;
+        };
         self.outputs.push_back(Output::Send { to, bytes });
         if keep {
             self.last.retain(|_, (at, _, _)| now - *at <= AGAIN);
--- a/crates/members/src/seal.rs
+++ b/crates/members/src/seal.rs
@@ -108,7 +108,14 @@
 impl Seals {
     /// `start` grows with each start of this name; `secret` is drawn anew at each.
     pub fn new(key: Key, name: &str, start: u64, secret: [u8; 32]) -> Seals {
-        Seals { key, own: Peer::named(name), start, secret, number: 0, peers: BTreeMap::new() }
+        Seals {
+            key,
+            own: Peer::named(name),
+            start,
+            secret,
+            number: 0,
+            peers: BTreeMap::new(),
+        }
     }
 
     /// A datagram to a peer. None: the content is too long.
@@ -154,7 +161,11 @@
         let (from, start, count, token, theirs) =
             (Peer(number(0)), number(1), number(2), number(3), number(4));
         if from == self.own {
-            return Err(if start == self.start { Refused::Old } else { Refused::SameName { start } });
+            return Err(if start == self.start {
+                Refused::Old
+            } else {
+                Refused::SameName { start }
+            });
         }
         let span = now / SPAN;
         if token != self.token(from, span) && token != self.token(from, span - 1) {
@@ -166,19 +177,35 @@
         if !self.peers.contains_key(&from) && self.peers.len() >= PEERS {
             return Err(Refused::Full);
         }
-        let fresh = Known { start, highest: 0, seen: 0, heard: now, token: theirs };
+        let fresh = Known {
+            start,
+            highest: 0,
+            seen: 0,
+            heard: now,
+            token: theirs,
+        };
         let known = self.peers.entry(from).or_insert(fresh);
         if start < known.start {
             return Err(Refused::Old);
         }
         if start > known.start {
-            *known = Known { start, highest: 0, seen: 0, heard: now, token: theirs };
+            *known = Known {
+                start,
+                highest: 0,
+                seen: 0,
+                heard: now,
+                token: theirs,
+            };
         }
         if !known.take(count) {
             return Err(Refused::Old);
         }
         (known.heard, known.token) = (now, theirs);
-        Ok(Opened { from, start, content: &sealed[HEAD..] })
+        Ok(Opened {
+            from,
+            start,
+            content: &sealed[HEAD..],
+        })
     }
 
     /// Peers whose datagrams were opened lately.
@@ -192,7 +219,11 @@
     fn take(&mut self, number: u64) -> bool {
         if number > self.highest {
             let ahead = number - self.highest;
-            self.seen = if ahead < 64 { self.seen << ahead | 1 } else { 1 };
+            self.seen = if ahead < 64 {
+                self.seen << ahead | 1
+            } else {
+                1
+            };
             self.highest = number;
             return true;
         }
--- a/crates/members/tests/seal.rs
+++ b/crates/members/tests/seal.rs
@@ -8,7 +8,12 @@
 }
 
 fn seals(name: &str, start: u64) -> Seals {
-    Seals::new(key("f"), name, start, [start as u8 ^ name.as_bytes()[0]; 32])
+    Seals::new(
+        key("f"),
+        name,
+        start,
+        [start as u8 ^ name.as_bytes()[0]; 32],
+    )
 }
 
 /// Two that have greeted each other.
@@ -21,7 +26,9 @@
 /// From nothing known: the first word is refused, the greeting tells the token, the next is taken.
 fn greet(a: &mut Seals, b: &mut Seals) {
     let first = a.seal(0, Peer::named("b"), b"join").unwrap();
-    let Err(Refused::Unknown { greeting }) = b.open(0, &first) else { panic!("taken without a token") };
+    let Err(Refused::Unknown { greeting }) = b.open(0, &first) else {
+        panic!("taken without a token")
+    };
     assert!(greeting.len() <= first.len(), "a greeting is no lever");
     assert!(a.open(0, &greeting).unwrap().content.is_empty());
     let next = a.seal(0, Peer::named("b"), b"join").unwrap();
@@ -35,7 +42,10 @@
     assert!(b.open(0, &word).is_ok());
     assert_eq!(b.open(0, &word), Err(Refused::Old));
     // Later, when b knows nothing of a any more: the token is over.
-    assert!(matches!(b.open(3 * SPAN, &word), Err(Refused::Unknown { .. })));
+    assert!(matches!(
+        b.open(3 * SPAN, &word),
+        Err(Refused::Unknown { .. })
+    ));
     // And by a b that has begun anew.
     let mut b = seals("b", 2);
     assert!(matches!(b.open(0, &word), Err(Refused::Unknown { .. })));
@@ -45,7 +55,9 @@
 #[test]
 fn numbers_out_of_order_are_taken_once_each() {
     let (mut a, mut b) = met();
-    let words: Vec<_> = (0..70).map(|_| a.seal(0, Peer::named("b"), b"x").unwrap()).collect();
+    let words: Vec<_> = (0..70)
+        .map(|_| a.seal(0, Peer::named("b"), b"x").unwrap())
+        .collect();
     assert!(b.open(0, &words[69]).is_ok());
     for (n, word) in words.iter().enumerate().take(69).rev() {
         assert_eq!(b.open(0, word).is_ok(), n > 5, "{n}: 64 are told apart");
@@ -78,11 +90,16 @@
         greet(&mut seals(&name, 1), &mut b);
     }
     let mut one = seals("z", 1);
-    let Err(Refused::Unknown { greeting }) = b.open(0, &one.seal(0, Peer::named("b"), b"").unwrap()) else {
+    let Err(Refused::Unknown { greeting }) =
+        b.open(0, &one.seal(0, Peer::named("b"), b"").unwrap())
+    else {
         panic!()
     };
     one.open(0, &greeting).unwrap();
-    assert_eq!(b.open(0, &one.seal(0, Peer::named("b"), b"").unwrap()), Err(Refused::Full));
+    assert_eq!(
+        b.open(0, &one.seal(0, Peer::named("b"), b"").unwrap()),
+        Err(Refused::Full)
+    );
     let longest = one.seal(0, Peer::named("b"), &[0; CONTENT]).unwrap();
     assert_eq!(longest.len(), MOST);
     assert!(one.seal(0, Peer::named("b"), &[0; CONTENT + 1]).is_none());
--- a/crates/members/tests/swim.rs
+++ b/crates/members/tests/swim.rs
@@ -47,15 +47,40 @@
     // One of the three is dead.
     let seeds = [0, 1, 99].map(|n| (format!("n{n}"), address(n))).to_vec();
     let told = NonZeroU32::new(told).unwrap();
-    Members::new(Start { own, key: Key::new(&[1; 32], "f"), secret, told, seeds }, now)
+    Members::new(
+        Start {
+            own,
+            key: Key::new(&[1; 32], "f"),
+            secret,
+            told,
+            seeds,
+        },
+        now,
+    )
 }
 
 impl Fleet {
     fn new(size: usize, loss: f64) -> Fleet {
-        let all = (0..size).map(|n| (n, begin(n, 1, 0, size as u32))).collect();
-        let (paused, under_way, draws) = (BTreeSet::new(), BTreeMap::new(), ChaCha8Rng::seed_from_u64(32));
+        let all = (0..size)
+            .map(|n| (n, begin(n, 1, 0, size as u32)))
+            .collect();
+        let (paused, under_way, draws) = (
+            BTreeSet::new(),
+            BTreeMap::new(),
+            ChaCha8Rng::seed_from_u64(32),
+        );
         let (cut, downs) = (None, Vec::new());
-        let mut fleet = Fleet { now: 0, all, paused, cut, under_way, said: 0, loss, draws, downs };
+        let mut fleet = Fleet {
+            now: 0,
+            all,
+            paused,
+            cut,
+            under_way,
+            said: 0,
+            loss,
+            draws,
+            downs,
+        };
         (0..size).for_each(|n| fleet.collect(n));
         fleet
     }
@@ -68,7 +93,8 @@
                     let other = usize::from(to.port() - 7000);
                     let cut = self.cut.is_some_and(|at| (n < at) != (other < at));
                     if !cut && self.draws.random::<f64>() >= self.loss {
-                        self.under_way.insert((self.now + MS, self.said), (n, to, bytes));
+                        self.under_way
+                            .insert((self.now + MS, self.said), (n, to, bytes));
                     }
                 }
                 Output::Down(member) => self.downs.push((n, member.name)),
@@ -81,10 +107,18 @@
         let until = self.now + span;
         loop {
             let timers = self.all.iter().filter(|(n, _)| !self.paused.contains(n));
-            let timer = timers.filter_map(|(n, m)| Some((m.poll_timeout()?, *n))).min();
+            let timer = timers
+                .filter_map(|(n, m)| Some((m.poll_timeout()?, *n)))
+                .min();
             let word = self.under_way.keys().next().copied();
-            let next = timer.map(|(at, _)| at).into_iter().chain(word.map(|(at, _)| at)).min();
-            let Some(at) = next.filter(|at| *at <= until) else { break };
+            let next = timer
+                .map(|(at, _)| at)
+                .into_iter()
+                .chain(word.map(|(at, _)| at))
+                .min();
+            let Some(at) = next.filter(|at| *at <= until) else {
+                break;
+            };
             self.now = self.now.max(at);
             if let Some(key) = word.filter(|(w, _)| *w <= at) {
                 let (from, to, bytes) = self.under_way.remove(&key).unwrap();
@@ -92,7 +126,9 @@
                 if self.paused.contains(&to) {
                     continue; // its socket's buffer is full of older ones
                 }
-                let Some(member) = self.all.get_mut(&to) else { continue };
+                let Some(member) = self.all.get_mut(&to) else {
+                    continue;
+                };
                 member.datagram(self.now, address(from), &bytes);
                 self.collect(to);
             } else if let Some((_, n)) = timer {
@@ -135,7 +171,9 @@
         assert!(
             took.is_some(),
             "{size}: {:?}",
-            all.iter().map(|n| fleet.knows(*n).len()).collect::<Vec<_>>()
+            all.iter()
+                .map(|n| fleet.knows(*n).len())
+                .collect::<Vec<_>>()
         );
         assert!(fleet.downs.is_empty(), "{:?}", fleet.downs);
         // What it costs once all is quiet does not grow with the fleet.
@@ -157,7 +195,11 @@
     fleet.all.remove(&7);
     let rest: Vec<_> = (0..12).filter(|n| *n != 7).collect();
     assert!(fleet.until_all_know(&rest, 60 * S).is_some());
-    assert!(fleet.downs.iter().all(|(_, name)| name == "n7"), "{:?}", fleet.downs);
+    assert!(
+        fleet.downs.iter().all(|(_, name)| name == "n7"),
+        "{:?}",
+        fleet.downs
+    );
 }
 
 #[test]
@@ -188,7 +230,10 @@
     fleet.collect(3);
     assert!(fleet.until_all_know(&all, 20 * S).is_some());
     for n in all.iter().filter(|n| **n != 3) {
-        assert!(fleet.all[n].alive().any(|m| m.name == "n3" && m.start >= 2), "n{n}");
+        assert!(
+            fleet.all[n].alive().any(|m| m.name == "n3" && m.start >= 2),
+            "n{n}"
+        );
     }
 }
 
@@ -201,7 +246,10 @@
     assert!(fleet.until_all_know(&all, 20 * S).is_some());
     fleet.cut = Some(6);
     fleet.pass(30 * S);
-    assert!(fleet.all_know(&all[..6]) && fleet.all_know(&all[6..]), "each side knows itself");
+    assert!(
+        fleet.all_know(&all[..6]) && fleet.all_know(&all[6..]),
+        "each side knows itself"
+    );
     fleet.cut = None;
     let (begun, mut most) = (fleet.now, 0);
     while !fleet.all_know(&all) {
@@ -211,7 +259,9 @@
         assert!(
             fleet.now - begun < 240 * S,
             "{:?}",
-            all.iter().map(|n| fleet.knows(*n).len()).collect::<Vec<_>>()
+            all.iter()
+                .map(|n| fleet.knows(*n).len())
+                .collect::<Vec<_>>()
         );
     }
     println!(
--- a/crates/moving/src/front.rs
+++ b/crates/moving/src/front.rs
@@ -152,13 +152,22 @@
     /// plays the later one. `last`: an epoch that no move of it has passed; where that is not known, one far above
     /// those found.
     pub fn found(held: &[(ServerId, Held)], last: Epoch, now: Micros) -> Option<Handover> {
-        let serving = held.iter().filter_map(|(node, h)| Some((h.serving?, node.0)));
+        let serving = held
+            .iter()
+            .filter_map(|(node, h)| Some((h.serving?, node.0)));
         let (epoch, at) = serving.max()?;
         let mut found = Handover::new(ServerId(at));
         (found.epoch, found.last) = (epoch, last.max(epoch));
         // The player may be at any of those that serve: it is told of the latest, and says so.
-        let older = held.iter().filter_map(|(n, h)| Some((h.serving?, n.0))).filter(|(_, n)| *n != at).max();
-        let prepared = held.iter().filter_map(|(n, h)| Some((h.prepared?, n.0))).max();
+        let older = held
+            .iter()
+            .filter_map(|(n, h)| Some((h.serving?, n.0)))
+            .filter(|(_, n)| *n != at)
+            .max();
+        let prepared = held
+            .iter()
+            .filter_map(|(n, h)| Some((h.prepared?, n.0)))
+            .max();
         if let Some((older, node)) = older {
             (found.at, found.epoch) = (node, older);
             found.adopt(now, at, epoch);
@@ -166,8 +175,17 @@
             // Whether it happened is the target's to say.
             found.last = found.last.max(prepared);
             let step = Step::Cancelling;
-            found.going = Some(Move { to, epoch: prepared, step, until: now, fetched: false });
-            found.out.push_back(Output::Cancel { node: to, epoch: prepared });
+            found.going = Some(Move {
+                to,
+                epoch: prepared,
+                step,
+                until: now,
+                fetched: false,
+            });
+            found.out.push_back(Output::Cancel {
+                node: to,
+                epoch: prepared,
+            });
         }
         found.repeat = found.going.map(|_| now + REPEAT);
         Some(found)
@@ -240,7 +258,10 @@
 
     /// The target is not wanted any more. Where its player has heard of it, the move goes on.
     pub fn unwanted(&mut self, now: Micros) {
-        if self.going.is_some_and(|m| m.step == Step::Preparing && !m.fetched) {
+        if self
+            .going
+            .is_some_and(|m| m.step == Step::Preparing && !m.fetched)
+        {
             self.abandon();
             self.repeat = Some(now + REPEAT);
         }
@@ -249,8 +270,18 @@
     fn prepare(&mut self, now: Micros, to: u64, until: Micros) {
         self.last = self.last.next();
         let epoch = self.last;
-        self.going = Some(Move { to, epoch, step: Step::Preparing, until, fetched: false });
-        self.out.push_back(Output::Prepare { from: self.at, to, epoch });
+        self.going = Some(Move {
+            to,
+            epoch,
+            step: Step::Preparing,
+            until,
+            fetched: false,
+        });
+        self.out.push_back(Output::Prepare {
+            from: self.at,
+            to,
+            epoch,
+        });
         self.repeat = Some(now + REPEAT);
     }
 
@@ -263,7 +294,11 @@
     pub fn handle(&mut self, now: Micros, input: Input) {
         match input {
             Input::Prepared { node, epoch } => {
-                let Some(m) = self.going.as_mut().filter(|m| (m.to, m.epoch) == (node, epoch)) else {
+                let Some(m) = self
+                    .going
+                    .as_mut()
+                    .filter(|m| (m.to, m.epoch) == (node, epoch))
+                else {
                     return;
                 };
                 if m.step == Step::Preparing {
@@ -272,7 +307,10 @@
                 }
             }
             Input::Refused { node, epoch } => {
-                let here = self.going.as_mut().filter(|m| (m.to, m.epoch) == (node, epoch) && !m.fetched);
+                let here = self
+                    .going
+                    .as_mut()
+                    .filter(|m| (m.to, m.epoch) == (node, epoch) && !m.fetched);
                 match here {
                     Some(m) if m.step == Step::Preparing => self.abandon(),
                     // Another ticket for it may have been taken meanwhile: only the answer to a cancelling is final.
@@ -284,7 +322,10 @@
                 }
             }
             Input::Serving { node, epoch } => {
-                let known = self.going.as_mut().filter(|m| (m.to, m.epoch) == (node, epoch));
+                let known = self
+                    .going
+                    .as_mut()
+                    .filter(|m| (m.to, m.epoch) == (node, epoch));
                 if let Some(m) = known {
                     (m.fetched, m.step) = (true, Step::Offered);
                 } else if epoch < self.epoch {
@@ -295,7 +336,9 @@
                 }
             }
             Input::Playing { epoch } => {
-                let Some(m) = self.going.filter(|m| m.epoch == epoch) else { return };
+                let Some(m) = self.going.filter(|m| m.epoch == epoch) else {
+                    return;
+                };
                 let from = std::mem::replace(&mut self.at, m.to);
                 let before = std::mem::replace(&mut self.epoch, epoch);
                 self.going = None;
@@ -312,8 +355,9 @@
                 }
             }
             Input::Cancelled { node, epoch, how } => {
-                let here =
-                    self.going.filter(|m| (m.to, m.epoch) == (node, epoch) && m.step == Step::Cancelling);
+                let here = self
+                    .going
+                    .filter(|m| (m.to, m.epoch) == (node, epoch) && m.step == Step::Cancelling);
                 match (here, how) {
                     (Some(_), Cancelled::Never) => self.stay(node),
                     (_, Cancelled::Serves) => self.handle(now, Input::Serving { node, epoch }),
@@ -344,7 +388,13 @@
     /// The player has fetched there: it is told until it says that it plays.
     fn adopt(&mut self, now: Micros, to: u64, epoch: Epoch) {
         self.last = self.last.max(epoch);
-        self.going = Some(Move { to, epoch, step: Step::Offered, until: now + 10 * REPEAT, fetched: true });
+        self.going = Some(Move {
+            to,
+            epoch,
+            step: Step::Offered,
+            until: now + 10 * REPEAT,
+            fetched: true,
+        });
         self.out.push_back(Output::Offer { node: to, epoch });
     }
 
@@ -404,14 +454,27 @@
             self.out.push_back(Output::Lost);
         }
         if let Some(m) = &mut self.going {
-            let Move { to: node, epoch, step, .. } = *m;
+            let Move {
+                to: node,
+                epoch,
+                step,
+                ..
+            } = *m;
             self.out.push_back(match step {
-                Step::Preparing => Output::Prepare { from: self.at, to: node, epoch },
+                Step::Preparing => Output::Prepare {
+                    from: self.at,
+                    to: node,
+                    epoch,
+                },
                 Step::Offered => Output::Offer { node, epoch },
                 Step::Cancelling => Output::Cancel { node, epoch },
             });
         }
-        self.out.extend(self.owed.iter().map(|(node, epoch)| Output::Release { node: *node, epoch: *epoch }));
+        self.out
+            .extend(self.owed.iter().map(|(node, epoch)| Output::Release {
+                node: *node,
+                epoch: *epoch,
+            }));
         self.repeat = (!self.settled()).then_some(now + REPEAT);
     }
 }
--- a/crates/moving/src/lib.rs
+++ b/crates/moving/src/lib.rs
@@ -21,7 +21,9 @@
 use serde::{Deserialize, Serialize};
 
 /// Counts the moves of one session; its set-up is epoch 0. Of two who think that they serve, the greater one does.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 pub struct Epoch(pub u32);
 
 impl Epoch {
--- a/crates/moving/src/mover.rs
+++ b/crates/moving/src/mover.rs
@@ -120,8 +120,21 @@
     pub fn plays(&mut self, now: Micros, session: SessionId, node: ServerId, ends: Option<Micros>) {
         self.over(session);
         let (to, due, guess) = (None, now, now);
-        self.sessions.insert(session.0, Session { node: node.0, ends, due, guess, to });
-        self.nodes.entry(node.0).or_default().sessions.insert(session.0);
+        self.sessions.insert(
+            session.0,
+            Session {
+                node: node.0,
+                ends,
+                due,
+                guess,
+                to,
+            },
+        );
+        self.nodes
+            .entry(node.0)
+            .or_default()
+            .sessions
+            .insert(session.0);
         self.marked.insert(node.0);
         self.ring(now);
     }
@@ -132,7 +145,9 @@
 
     /// It has ended, or can't be moved any more.
     pub fn over(&mut self, session: SessionId) {
-        let Some(gone) = self.sessions.remove(&session.0) else { return };
+        let Some(gone) = self.sessions.remove(&session.0) else {
+            return;
+        };
         if let Some(to) = gone.to {
             self.landed(gone.node, to);
         }
@@ -174,8 +189,15 @@
             return;
         }
         if let Some(s) = self.sessions.get(&session.0) {
-            let word = Word { at: now, dry: now + buffer.clamp(0, 60_000_000) };
-            self.nodes.entry(s.node).or_default().words.insert(session.0, word);
+            let word = Word {
+                at: now,
+                dry: now + buffer.clamp(0, 60_000_000),
+            };
+            self.nodes
+                .entry(s.node)
+                .or_default()
+                .words
+                .insert(session.0, word);
             self.marked.insert(s.node);
         }
         self.ring(now);
@@ -185,7 +207,11 @@
     pub fn orphaned(&mut self, now: Micros, session: SessionId) {
         if let Some(s) = self.sessions.get_mut(&session.0) {
             s.due = now;
-            self.nodes.entry(s.node).or_default().orphans.insert(session.0);
+            self.nodes
+                .entry(s.node)
+                .or_default()
+                .orphans
+                .insert(session.0);
             self.marked.insert(s.node);
         }
         self.ring(now);
@@ -193,7 +219,9 @@
 
     /// A node tells what part of the rates it delivers.
     pub fn delivers(&mut self, now: Micros, node: ServerId, part: f64) {
-        let Some(n) = self.nodes.get_mut(&node.0) else { return };
+        let Some(n) = self.nodes.get_mut(&node.0) else {
+            return;
+        };
         n.delivered = part;
         n.short = (part < SHORT).then(|| n.short.unwrap_or(now));
         self.marked.insert(node.0);
@@ -227,9 +255,14 @@
         self.look = None;
         let nodes = &mut self.nodes;
         self.marked.retain(|id| {
-            let Some(node) = nodes.get_mut(id) else { return false };
+            let Some(node) = nodes.get_mut(id) else {
+                return false;
+            };
             node.words.retain(|_, w| now - w.at < WORD);
-            node.drains || node.short.is_some() || !node.words.is_empty() || !node.orphans.is_empty()
+            node.drains
+                || node.short.is_some()
+                || !node.words.is_empty()
+                || !node.orphans.is_empty()
         });
         self.ring(now);
     }
@@ -242,7 +275,10 @@
 
     /// Nodes whose players hear nothing, for who places new sessions.
     pub fn silent_nodes(&self) -> Vec<ServerId> {
-        let silent = self.marked.iter().filter(|id| self.nodes.get(id).is_some_and(Mover::silent_at));
+        let silent = self
+            .marked
+            .iter()
+            .filter(|id| self.nodes.get(id).is_some_and(Mover::silent_at));
         silent.map(|id| ServerId(*id)).collect()
     }
 
@@ -260,7 +296,11 @@
         }
         let mut wishes: Vec<(Why, Micros, u64)> = Vec::new();
         let mut stepped = Vec::new();
-        for (id, node) in self.marked.iter().filter_map(|id| Some((id, self.nodes.get(id)?))) {
+        for (id, node) in self
+            .marked
+            .iter()
+            .filter_map(|id| Some((id, self.nodes.get(id)?)))
+        {
             let silent = Mover::silent_at(node);
             let short = node.short.filter(|t| now - t >= self.terms.lasts);
             let short = short.filter(|_| node.stepped.is_none_or(|t| now - t >= STEP));
@@ -269,8 +309,15 @@
                 true => BTreeSet::new(),
                 false => node.words.keys().chain(&node.orphans).copied().collect(),
             };
-            let looked = if node.drains || short.is_some() { &node.sessions } else { &own };
-            for (key, s) in looked.iter().filter_map(|key| Some((*key, self.sessions.get(key)?))) {
+            let looked = if node.drains || short.is_some() {
+                &node.sessions
+            } else {
+                &own
+            };
+            for (key, s) in looked
+                .iter()
+                .filter_map(|key| Some((*key, self.sessions.get(key)?)))
+            {
                 if s.to.is_some() || now < s.due {
                     continue;
                 }
@@ -278,7 +325,10 @@
                 let leaves = || draw(self.seed ^ key ^ now as u64) > node.delivered;
                 let wish = if node.orphans.contains(&key) {
                     (Why::Orphaned, dry.unwrap_or(now))
-                } else if silent && now >= s.guess && dry.is_some_and(|dry| dry - now <= self.terms.takes) {
+                } else if silent
+                    && now >= s.guess
+                    && dry.is_some_and(|dry| dry - now <= self.terms.takes)
+                {
                     (Why::Silent, dry.unwrap_or(now))
                 } else if node.drains && self.worth(now, s, 1.0) {
                     (Why::Drains, s.ends.map_or(0, |t| -t))
@@ -307,23 +357,32 @@
         let taken = wishes.into_iter().filter(|(_, _, key)| {
             let node = of_node(key);
             let left = room.entry(node).or_insert_with(|| {
-                self.terms.at_node.saturating_sub(self.nodes.get(&node).map_or(0, |n| n.under_way))
+                self.terms
+                    .at_node
+                    .saturating_sub(self.nodes.get(&node).map_or(0, |n| n.under_way))
             });
             let fits = *left > 0;
             *left = left.saturating_sub(1);
             fits
         });
-        taken.take(free).map(|(why, _, key)| (SessionId(key), why)).collect()
+        taken
+            .take(free)
+            .map(|(why, _, key)| (SessionId(key), why))
+            .collect()
     }
 
     /// Whether a node may take one more session over now.
     pub fn may_take(&self, node: ServerId) -> bool {
-        self.nodes.get(&node.0).is_none_or(|n| n.under_way < self.terms.at_node)
+        self.nodes
+            .get(&node.0)
+            .is_none_or(|n| n.under_way < self.terms.at_node)
     }
 
     /// A move is under way.
     pub fn began(&mut self, session: SessionId, to: ServerId) {
-        let Some(s) = self.sessions.get_mut(&session.0).filter(|s| s.to.is_none()) else { return };
+        let Some(s) = self.sessions.get_mut(&session.0).filter(|s| s.to.is_none()) else {
+            return;
+        };
         s.to = Some(to.0);
         let from = s.node;
         self.under_way += 1;
@@ -352,7 +411,9 @@
 
     /// A move is over. One that did not happen may be tried again at once: what it was for is not done.
     pub fn ended(&mut self, now: Micros, session: SessionId, moved: bool) {
-        let Some(s) = self.sessions.get_mut(&session.0) else { return };
+        let Some(s) = self.sessions.get_mut(&session.0) else {
+            return;
+        };
         let Some(to) = s.to.take() else { return };
         let from = s.node;
         s.due = now + if moved { 0 } else { LOOK };
--- a/crates/moving/src/node.rs
+++ b/crates/moving/src/node.rs
@@ -48,12 +48,22 @@
 impl Holds {
     /// A process that begins and holds nothing. Fronts' clocks may be off by less than a start takes.
     pub fn new(born: Millis) -> Holds {
-        Holds { born, held: BTreeMap::new(), ended: BTreeMap::new() }
+        Holds {
+            born,
+            held: BTreeMap::new(),
+            ended: BTreeMap::new(),
+        }
     }
 
     /// A session has been set up here: the one time that it is booked.
     pub fn set_up(&mut self, session: SessionId) {
-        self.held.insert(session.0, Held { serving: Some(Epoch(0)), prepared: None });
+        self.held.insert(
+            session.0,
+            Held {
+                serving: Some(Epoch(0)),
+                prepared: None,
+            },
+        );
     }
 
     pub fn held(&self, session: SessionId) -> Held {
@@ -65,7 +75,13 @@
     }
 
     /// Makes ready to serve. The same ticket again has the same answer, also when it has been fetched meanwhile.
-    pub fn prepare(&mut self, me: ServerId, key: &Key, now: Millis, ticket: &Ticket) -> Result<(), Refusal> {
+    pub fn prepare(
+        &mut self,
+        me: ServerId,
+        key: &Key,
+        now: Millis,
+        ticket: &Ticket,
+    ) -> Result<(), Refusal> {
         if ticket.to != me.0 || !key.knows(ticket) {
             return Err(Refusal::NotGood);
         }
@@ -82,7 +98,10 @@
         if self.over(ticket.session, ticket.epoch) || known > Some(ticket.epoch) {
             return Err(Refusal::Over);
         }
-        let held = Held { prepared: Some(ticket.epoch), ..before };
+        let held = Held {
+            prepared: Some(ticket.epoch),
+            ..before
+        };
         self.held.insert(ticket.session, held);
         Ok(())
     }
@@ -96,11 +115,16 @@
         if self.over(session.0, epoch) {
             return Err(Refusal::Over);
         }
-        let Some(held) = self.held.get_mut(&session.0) else { return Err(Refusal::Unknown) };
+        let Some(held) = self.held.get_mut(&session.0) else {
+            return Err(Refusal::Unknown);
+        };
         if held.prepared != Some(epoch) {
             return Err(Refusal::Unknown);
         }
-        *held = Held { serving: Some(epoch), prepared: None };
+        *held = Held {
+            serving: Some(epoch),
+            prepared: None,
+        };
         Ok(())
     }
 
@@ -111,7 +135,10 @@
             return Cancelled::Serves;
         }
         // A session that is served here under an earlier epoch goes on: only what is prepared goes.
-        let kept = Held { prepared: held.prepared.filter(|p| *p > epoch), ..held };
+        let kept = Held {
+            prepared: held.prepared.filter(|p| *p > epoch),
+            ..held
+        };
         self.keep(session.0, kept);
         self.end(session.0, epoch);
         Cancelled::Never
@@ -123,7 +150,10 @@
         let later = |e: &Epoch| *e > epoch;
         self.keep(
             session.0,
-            Held { serving: held.serving.filter(later), prepared: held.prepared.filter(later) },
+            Held {
+                serving: held.serving.filter(later),
+                prepared: held.prepared.filter(later),
+            },
         );
         self.end(session.0, epoch);
     }
--- a/crates/moving/src/player.rs
+++ b/crates/moving/src/player.rs
@@ -29,7 +29,12 @@
 
 impl Seat {
     pub fn new(node: ServerId) -> Seat {
-        Seat { node: node.0, epoch: Epoch(0), trying: None, barred: Epoch(0) }
+        Seat {
+            node: node.0,
+            epoch: Epoch(0),
+            trying: None,
+            barred: Epoch(0),
+        }
     }
 
     /// The front offers an epoch.
@@ -45,9 +50,18 @@
             return Vec::new();
         }
         // The same again is fetched again: the first may have been lost.
-        let before = self.trying.filter(|(n, _)| *n != node.0).map(|(node, _)| Do::Close { node });
+        let before = self
+            .trying
+            .filter(|(n, _)| *n != node.0)
+            .map(|(node, _)| Do::Close { node });
         self.trying = Some((node.0, epoch));
-        before.into_iter().chain([Do::Fetch { node: node.0, epoch }]).collect()
+        before
+            .into_iter()
+            .chain([Do::Fetch {
+                node: node.0,
+                epoch,
+            }])
+            .collect()
     }
 
     /// A picture of an epoch has come, whole from a boundary on.
@@ -64,7 +78,9 @@
 
     /// No picture came in time: what was fetched is not taken any more, so that the front can try another.
     pub fn give_up(&mut self) -> Vec<Do> {
-        let Some((node, epoch)) = self.trying.take() else { return Vec::new() };
+        let Some((node, epoch)) = self.trying.take() else {
+            return Vec::new();
+        };
         self.barred = self.barred.max(epoch);
         let close = (node != self.node).then_some(Do::Close { node });
         close.into_iter().chain([Do::Decline { epoch }]).collect()
--- a/crates/moving/src/ticket.rs
+++ b/crates/moving/src/ticket.rs
@@ -55,7 +55,14 @@
     fn seal(&self, t: &Ticket) -> [u8; 16] {
         let mut hasher = blake3::Hasher::new_keyed(&self.0);
         hasher.update(b"shalewall hand-over 1");
-        for part in [t.session, u64::from(t.epoch.0), t.from, t.to, t.issued, t.until] {
+        for part in [
+            t.session,
+            u64::from(t.epoch.0),
+            t.from,
+            t.to,
+            t.issued,
+            t.until,
+        ] {
             hasher.update(&part.to_le_bytes());
         }
         let mut seal = [0; 16];
@@ -73,7 +80,15 @@
         good: std::ops::Range<Millis>,
     ) -> Ticket {
         let (issued, until, seal) = (good.start, good.end, [0; 16]);
-        let mut ticket = Ticket { session: session.0, epoch, from: from.0, to: to.0, issued, until, seal };
+        let mut ticket = Ticket {
+            session: session.0,
+            epoch,
+            from: from.0,
+            to: to.0,
+            issued,
+            until,
+            seal,
+        };
         ticket.seal = self.seal(&ticket);
         ticket
     }
@@ -93,7 +108,13 @@
         let ticket = |key: &Key| key.issue(SessionId(1), Epoch(2), ServerId(3), ServerId(4), 5..9);
         let key = Key::from_hex(&"0a".repeat(32)).expect("a key");
         assert!(Key::new([10; 32]).knows(&ticket(&key)));
-        for wrong in ["", "0a", &"0a".repeat(33), &"0g".repeat(32), &"é".repeat(32)] {
+        for wrong in [
+            "",
+            "0a",
+            &"0a".repeat(33),
+            &"0g".repeat(32),
+            &"é".repeat(32),
+        ] {
             assert!(Key::from_hex(wrong).is_none(), "{wrong}");
         }
     }
@@ -105,12 +126,30 @@
         assert!(key.knows(&good));
         assert!(!Key::new([8; 32]).knows(&good));
         for wrong in [
-            Ticket { session: 9, ..good.clone() },
-            Ticket { epoch: Epoch(3), ..good.clone() },
-            Ticket { from: 9, ..good.clone() },
-            Ticket { to: 9, ..good.clone() },
-            Ticket { issued: 6, ..good.clone() },
-            Ticket { until: 10, ..good.clone() },
+            Ticket {
+                session: 9,
+                ..good.clone()
+            },
+            Ticket {
+                epoch: Epoch(3),
+                ..good.clone()
+            },
+            Ticket {
+                from: 9,
+                ..good.clone()
+            },
+            Ticket {
+                to: 9,
+                ..good.clone()
+            },
+            Ticket {
+                issued: 6,
+                ..good.clone()
+            },
+            Ticket {
+                until: 10,
+                ..good.clone()
+            },
         ] {
             assert!(!key.knows(&wrong), "{wrong:?}");
         }
--- a/crates/moving/tests/model.rs
+++ b/crates/moving/tests/model.rs
@@ -18,20 +18,63 @@
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 enum Msg {
-    Prepare { to: u64, from: u64, epoch: Epoch, issued: u64 },
-    Fetch { to: u64, epoch: Epoch },
-    Cancel { to: u64, epoch: Epoch },
-    Release { to: u64, epoch: Epoch },
-    Offer { node: u64, epoch: Epoch },
-    Picture { node: u64, epoch: Epoch },
-    NotThere { node: u64, epoch: Epoch },
-    Prepared { node: u64, epoch: Epoch },
-    Refused { node: u64, epoch: Epoch },
-    Serving { node: u64, epoch: Epoch },
-    Playing { epoch: Epoch },
-    Declined { epoch: Epoch },
-    CancelSaid { node: u64, epoch: Epoch, never: bool },
-    Released { node: u64, epoch: Epoch },
+    Prepare {
+        to: u64,
+        from: u64,
+        epoch: Epoch,
+        issued: u64,
+    },
+    Fetch {
+        to: u64,
+        epoch: Epoch,
+    },
+    Cancel {
+        to: u64,
+        epoch: Epoch,
+    },
+    Release {
+        to: u64,
+        epoch: Epoch,
+    },
+    Offer {
+        node: u64,
+        epoch: Epoch,
+    },
+    Picture {
+        node: u64,
+        epoch: Epoch,
+    },
+    NotThere {
+        node: u64,
+        epoch: Epoch,
+    },
+    Prepared {
+        node: u64,
+        epoch: Epoch,
+    },
+    Refused {
+        node: u64,
+        epoch: Epoch,
+    },
+    Serving {
+        node: u64,
+        epoch: Epoch,
+    },
+    Playing {
+        epoch: Epoch,
+    },
+    Declined {
+        epoch: Epoch,
+    },
+    CancelSaid {
+        node: u64,
+        epoch: Epoch,
+        never: bool,
+    },
+    Released {
+        node: u64,
+        epoch: Epoch,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -109,11 +152,18 @@
     fn put_out(&self, s: &mut State) {
         while let Some(out) = s.front.poll_output() {
             let msg = match out {
-                Output::Prepare { from, to, epoch } => Msg::Prepare { to, from, epoch, issued: s.clock },
+                Output::Prepare { from, to, epoch } => Msg::Prepare {
+                    to,
+                    from,
+                    epoch,
+                    issued: s.clock,
+                },
                 Output::Offer { node, epoch } => Msg::Offer { node, epoch },
                 Output::Cancel { node, epoch } => Msg::Cancel { to: node, epoch },
                 Output::Release { node, epoch } => Msg::Release { to: node, epoch },
-                Output::Moved { .. } | Output::Stayed { .. } | Output::Orphaned | Output::Lost => continue,
+                Output::Moved { .. } | Output::Stayed { .. } | Output::Orphaned | Output::Lost => {
+                    continue;
+                }
             };
             s.net.insert(msg);
         }
@@ -145,8 +195,15 @@
 
     fn arrives(&self, s: &mut State, msg: Msg) {
         match msg {
-            Msg::Prepare { to, from, epoch, issued } => {
-                let Some(node) = &mut s.nodes[to as usize] else { return self.refused(s, to) };
+            Msg::Prepare {
+                to,
+                from,
+                epoch,
+                issued,
+            } => {
+                let Some(node) = &mut s.nodes[to as usize] else {
+                    return self.refused(s, to);
+                };
                 let ticket = key().issue(SESSION, epoch, ServerId(from), ServerId(to), issued..100);
                 let done = node.prepare(ServerId(to), &key(), issued, &ticket);
                 s.net.insert(match done {
@@ -155,7 +212,9 @@
                 });
             }
             Msg::Fetch { to, epoch } => {
-                let Some(node) = &mut s.nodes[to as usize] else { return };
+                let Some(node) = &mut s.nodes[to as usize] else {
+                    return;
+                };
                 if node.fetch(SESSION, epoch).is_ok() {
                     s.net.insert(Msg::Serving { node: to, epoch });
                     s.net.insert(Msg::Picture { node: to, epoch });
@@ -164,13 +223,21 @@
                 }
             }
             Msg::Cancel { to, epoch } => {
-                let Some(node) = &mut s.nodes[to as usize] else { return self.refused(s, to) };
+                let Some(node) = &mut s.nodes[to as usize] else {
+                    return self.refused(s, to);
+                };
                 let never = node.cancel(SESSION, epoch) == Cancelled::Never;
                 let never = never || self.flaw == Flaw::CancelsBlindly;
-                s.net.insert(Msg::CancelSaid { node: to, epoch, never });
+                s.net.insert(Msg::CancelSaid {
+                    node: to,
+                    epoch,
+                    never,
+                });
             }
             Msg::Release { to, epoch } => {
-                let Some(node) = &mut s.nodes[to as usize] else { return self.refused(s, to) };
+                let Some(node) = &mut s.nodes[to as usize] else {
+                    return self.refused(s, to);
+                };
                 node.release(SESSION, epoch);
                 s.net.insert(Msg::Released { node: to, epoch });
             }
@@ -194,7 +261,11 @@
             Msg::Playing { epoch } => self.tell(s, Input::Playing { epoch }),
             Msg::Declined { epoch } => self.tell(s, Input::Declined { epoch }),
             Msg::CancelSaid { node, epoch, never } => {
-                let how = if never { Cancelled::Never } else { Cancelled::Serves };
+                let how = if never {
+                    Cancelled::Never
+                } else {
+                    Cancelled::Serves
+                };
                 self.tell(s, Input::Cancelled { node, epoch, how });
             }
             Msg::Released { node, epoch } => self.tell(s, Input::Released { node, epoch }),
@@ -270,7 +341,14 @@
             if s.front.settled() || s.front.over() {
                 return true;
             }
-            self.act(&mut s, if round < 2 { Action::Repeat } else { Action::GiveUp });
+            self.act(
+                &mut s,
+                if round < 2 {
+                    Action::Repeat
+                } else {
+                    Action::GiveUp
+                },
+            );
         }
         false
     }
@@ -304,7 +382,12 @@
         actions.extend(s.net.iter().cloned().map(Action::Arrives));
         let nodes = 0..s.nodes.len() as u64;
         if s.moves < self.moves && !s.front.moving() && !s.front.over() {
-            actions.extend(nodes.clone().filter(|n| *n != s.front.at().0).map(Action::Begin));
+            actions.extend(
+                nodes
+                    .clone()
+                    .filter(|n| *n != s.front.at().0)
+                    .map(Action::Begin),
+            );
         }
         if !s.front.settled() {
             actions.extend([Action::Repeat, Action::GiveUp]);
@@ -341,16 +424,23 @@
         vec![
             // Of one epoch there is one who serves.
             Property::always("one serves an epoch", |_: &Bounds, s: &State| {
-                let serving = s.nodes.iter().flatten().filter_map(|n| n.held(SESSION).serving);
+                let serving = s
+                    .nodes
+                    .iter()
+                    .flatten()
+                    .filter_map(|n| n.held(SESSION).serving);
                 let all: Vec<_> = serving.collect();
                 all.iter().collect::<BTreeSet<_>>().len() == all.len()
             }),
             // Where the player is, it is served, unless that node has crashed.
-            Property::always("the player is served where it is", |_: &Bounds, s: &State| {
-                let i = s.player.node as usize;
-                let serving = s.nodes[i].as_ref().and_then(|n| n.held(SESSION).serving);
-                s.crashed[i] || s.left || serving >= Some(s.player.epoch)
-            }),
+            Property::always(
+                "the player is served where it is",
+                |_: &Bounds, s: &State| {
+                    let i = s.player.node as usize;
+                    let serving = s.nodes[i].as_ref().and_then(|n| n.held(SESSION).serving);
+                    s.crashed[i] || s.left || serving >= Some(s.player.epoch)
+                },
+            ),
             // A session is not given up while the one that its player is at serves it.
             Property::always("none is lost that plays", |_: &Bounds, s: &State| {
                 let i = s.player.node as usize;
@@ -368,7 +458,11 @@
 fn check(bounds: Bounds) -> (usize, usize, Vec<&'static str>) {
     let checker = bounds.checker().threads(4).spawn_bfs().join();
     let broken = checker.discoveries();
-    let mut names: Vec<_> = broken.keys().copied().filter(|n| *n != "a move happens").collect();
+    let mut names: Vec<_> = broken
+        .keys()
+        .copied()
+        .filter(|n| *n != "a move happens")
+        .collect();
     for name in &names {
         println!("{name}: {:?}", broken[name].clone().into_actions());
     }
@@ -376,8 +470,15 @@
     (checker.unique_state_count(), checker.max_depth(), names)
 }
 
-const USUAL: Bounds =
-    Bounds { nodes: 2, moves: 1, crashes: 0, restarts: 0, declines: 0, leaves: false, flaw: Flaw::None };
+const USUAL: Bounds = Bounds {
+    nodes: 2,
+    moves: 1,
+    crashes: 0,
+    restarts: 0,
+    declines: 0,
+    leaves: false,
+    flaw: Flaw::None,
+};
 
 #[test]
 fn a_move_with_every_loss_double_and_order() {
@@ -388,21 +489,31 @@
 
 #[test]
 fn a_crash_of_either_node_at_any_point() {
-    let (states, depth, broken) = check(Bounds { crashes: 1, ..USUAL });
+    let (states, depth, broken) = check(Bounds {
+        crashes: 1,
+        ..USUAL
+    });
     println!("one move, one crash: {states} states, depth {depth}");
     assert_eq!(broken, Vec::<&str>::new());
 }
 
 #[test]
 fn a_viewer_that_leaves_at_any_point() {
-    let (states, depth, broken) = check(Bounds { leaves: true, crashes: 1, ..USUAL });
+    let (states, depth, broken) = check(Bounds {
+        leaves: true,
+        crashes: 1,
+        ..USUAL
+    });
     println!("one move, one crash, the viewer leaves: {states} states, depth {depth}");
     assert_eq!(broken, Vec::<&str>::new());
 }
 
 #[test]
 fn a_front_that_begins_anew_at_any_point() {
-    let (states, depth, broken) = check(Bounds { restarts: 1, ..USUAL });
+    let (states, depth, broken) = check(Bounds {
+        restarts: 1,
+        ..USUAL
+    });
     println!("one move, the front anew: {states} states, depth {depth}");
     assert_eq!(broken, Vec::<&str>::new());
 }
@@ -416,15 +527,29 @@
 
 #[test]
 fn mistakes_in_the_protocol_are_found() {
-    let (.., broken) = check(Bounds { flaw: Flaw::ReleasesEarly, ..USUAL });
-    assert!(broken.contains(&"the player is served where it is"), "{broken:?}");
-    let (.., broken) = check(Bounds { flaw: Flaw::CancelsBlindly, crashes: 1, ..USUAL });
+    let (.., broken) = check(Bounds {
+        flaw: Flaw::ReleasesEarly,
+        ..USUAL
+    });
+    assert!(
+        broken.contains(&"the player is served where it is"),
+        "{broken:?}"
+    );
+    let (.., broken) = check(Bounds {
+        flaw: Flaw::CancelsBlindly,
+        crashes: 1,
+        ..USUAL
+    });
     assert!(!broken.is_empty());
 }
 
 #[test]
 fn a_crash_and_the_front_anew() {
-    let (states, depth, broken) = check(Bounds { crashes: 1, restarts: 1, ..USUAL });
+    let (states, depth, broken) = check(Bounds {
+        crashes: 1,
+        restarts: 1,
+        ..USUAL
+    });
     println!("one move, one crash, the front anew: {states} states, depth {depth}");
     assert_eq!(broken, Vec::<&str>::new());
 }
@@ -432,7 +557,12 @@
 #[test]
 #[ignore = "a minute, and longer without optimization"]
 fn three_nodes_two_moves_a_crash() {
-    let (states, depth, broken) = check(Bounds { nodes: 3, moves: 2, crashes: 1, ..USUAL });
+    let (states, depth, broken) = check(Bounds {
+        nodes: 3,
+        moves: 2,
+        crashes: 1,
+        ..USUAL
+    });
     println!("three nodes, two moves, one crash: {states} states, depth {depth}");
     assert_eq!(broken, Vec::<&str>::new());
 }
@@ -440,21 +570,34 @@
 #[test]
 #[ignore = "a minute, and longer without optimization"]
 fn two_moves_a_crash_and_the_front_anew() {
-    let (states, depth, broken) = check(Bounds { moves: 2, crashes: 1, restarts: 1, ..USUAL });
+    let (states, depth, broken) = check(Bounds {
+        moves: 2,
+        crashes: 1,
+        restarts: 1,
+        ..USUAL
+    });
     println!("two moves, one crash, the front anew: {states} states, depth {depth}");
     assert_eq!(broken, Vec::<&str>::new());
 }
 
 #[test]
 fn a_player_that_takes_nothing_of_an_epoch_any_more() {
-    let (states, depth, broken) = check(Bounds { declines: 1, moves: 2, ..USUAL });
+    let (states, depth, broken) = check(Bounds {
+        declines: 1,
+        moves: 2,
+        ..USUAL
+    });
     println!("two moves, the player declines one: {states} states, depth {depth}");
     assert_eq!(broken, Vec::<&str>::new());
 }
 
 #[test]
 fn a_player_that_declines_and_a_crash() {
-    let (states, depth, broken) = check(Bounds { declines: 1, crashes: 1, ..USUAL });
+    let (states, depth, broken) = check(Bounds {
+        declines: 1,
+        crashes: 1,
+        ..USUAL
+    });
     println!("one move, the player declines it, one crash: {states} states, depth {depth}");
     assert_eq!(broken, Vec::<&str>::new());
 }
--- a/crates/moving/tests/mover.rs
+++ b/crates/moving/tests/mover.rs
@@ -7,7 +7,14 @@
 const S: Micros = 1_000_000;
 
 fn terms() -> Terms {
-    Terms { takes: 600 * MS, again: 15 * S, lasts: 6 * S, at_node: 4, at_front: 6, costs_s: 1.0 }
+    Terms {
+        takes: 600 * MS,
+        again: 15 * S,
+        lasts: 6 * S,
+        at_node: 4,
+        at_front: 6,
+        costs_s: 1.0,
+    }
 }
 
 /// A mover, and the time that its look has been rung up to.
@@ -37,7 +44,11 @@
     }
 
     fn wishes(&mut self) -> Vec<(u64, Why)> {
-        self.mover.wishes(self.now).into_iter().map(|(s, why)| (s.0, why)).collect()
+        self.mover
+            .wishes(self.now)
+            .into_iter()
+            .map(|(s, why)| (s.0, why))
+            .collect()
     }
 
     /// Moves all that are wished for to node 3; how many.
@@ -67,9 +78,14 @@
     (1..=2).for_each(|node| desk.mover.drains(0, ServerId(node), true));
     let first = desk.wishes();
     assert_eq!(first.len(), 6, "six of this front");
-    first.iter().for_each(|(id, _)| desk.mover.began(SessionId(*id), ServerId(9)));
+    first
+        .iter()
+        .for_each(|(id, _)| desk.mover.began(SessionId(*id), ServerId(9)));
     assert_eq!(desk.wishes(), []);
-    assert!(!desk.mover.may_take(ServerId(9)), "six are on their way there");
+    assert!(
+        !desk.mover.may_take(ServerId(9)),
+        "six are on their way there"
+    );
     desk.mover.ended(0, SessionId(first[0].0), true);
     assert_eq!(desk.wishes().len(), 1);
 }
@@ -77,7 +93,8 @@
 #[test]
 fn what_ends_soon_is_not_worth_a_move() {
     let mut desk = Desk::new(0);
-    desk.mover.plays(0, SessionId(1), ServerId(1), Some(800 * MS));
+    desk.mover
+        .plays(0, SessionId(1), ServerId(1), Some(800 * MS));
     desk.mover.plays(0, SessionId(2), ServerId(1), Some(8 * S));
     desk.mover.drains(0, ServerId(1), true);
     assert_eq!(desk.wishes(), [(2, Why::Drains)]);
@@ -89,7 +106,11 @@
     desk.mover.silent(0, SessionId(0), 300 * MS);
     assert_eq!(desk.wishes(), [], "its own network, most likely");
     desk.mover.silent(0, SessionId(1), 200 * MS);
-    assert_eq!(desk.wishes(), [(1, Why::Silent), (0, Why::Silent)], "whose buffer runs dry first");
+    assert_eq!(
+        desk.wishes(),
+        [(1, Why::Silent), (0, Why::Silent)],
+        "whose buffer runs dry first"
+    );
     assert_eq!(desk.mover.silent_nodes(), [ServerId(1)]);
     // The words are old when nobody says them again.
     desk.wait(S);
@@ -135,7 +156,10 @@
         for (id, _) in desk.wishes().into_iter().filter(|(id, _)| *id < 2) {
             assert!(desk.now - last[id as usize] >= 15 * S);
             last[id as usize] = desk.now;
-            desk.mover.began(SessionId(id), ServerId(3 + (desk.now / (15 * S)) as u64 % 3));
+            desk.mover.began(
+                SessionId(id),
+                ServerId(3 + (desk.now / (15 * S)) as u64 % 3),
+            );
             desk.mover.ended(desk.now, SessionId(id), true);
         }
         desk.wait(S);
@@ -151,7 +175,11 @@
         desk.mover.delivers(desk.now, ServerId(1), 0.5);
         let wishes = desk.wishes();
         assert!(second >= 6 || wishes.is_empty());
-        assert!(wishes.iter().all(|(id, why)| *id < 100 && *why == Why::Short));
+        assert!(
+            wishes
+                .iter()
+                .all(|(id, why)| *id < 100 && *why == Why::Short)
+        );
         for (id, _) in wishes {
             desk.mover.began(SessionId(id), ServerId(3));
             desk.mover.ended(desk.now, SessionId(id), true);
--- a/crates/moving/tests/node.rs
+++ b/crates/moving/tests/node.rs
@@ -30,21 +30,38 @@
     assert_eq!(node.fetch(SESSION, Epoch(1)), Ok(()));
     // Also when its time is over: what it was for has been done.
     assert_eq!(node.prepare(ME, &key(), 5000, &ticket(1)), Ok(()));
-    assert_eq!(node.held(SESSION), Held { serving: Some(Epoch(1)), prepared: None });
+    assert_eq!(
+        node.held(SESSION),
+        Held {
+            serving: Some(Epoch(1)),
+            prepared: None
+        }
+    );
 }
 
 #[test]
 fn late_for_another_forged_or_older_than_the_process_it_is_not_good() {
-    let refused =
-        |node: &mut Holds, me, now, t: &Ticket| node.prepare(me, &key(), now, t) == Err(Refusal::NotGood);
+    let refused = |node: &mut Holds, me, now, t: &Ticket| {
+        node.prepare(me, &key(), now, t) == Err(Refusal::NotGood)
+    };
     let mut node = Holds::new(900);
     assert!(refused(&mut node, ME, 2000, &ticket(1)), "late");
-    assert!(refused(&mut node, ServerId(5), 1100, &ticket(1)), "another node's");
+    assert!(
+        refused(&mut node, ServerId(5), 1100, &ticket(1)),
+        "another node's"
+    );
     let mut forged: Ticket = ticket(1);
     forged.epoch = Epoch(7);
     assert!(refused(&mut node, ME, 1100, &forged));
-    assert!(refused(&mut Holds::new(1001), ME, 1100, &ticket(1)), "issued before the process began");
-    assert_eq!(node.held(SESSION), Held::default(), "nothing came of any of them");
+    assert!(
+        refused(&mut Holds::new(1001), ME, 1100, &ticket(1)),
+        "issued before the process began"
+    );
+    assert_eq!(
+        node.held(SESSION),
+        Held::default(),
+        "nothing came of any of them"
+    );
 }
 
 #[test]
@@ -52,14 +69,23 @@
     let mut node = ready();
     assert_eq!(node.fetch(SESSION, Epoch(1)), Ok(()));
     node.release(SESSION, Epoch(1));
-    assert_eq!(node.prepare(ME, &key(), 1100, &ticket(1)), Err(Refusal::Over));
+    assert_eq!(
+        node.prepare(ME, &key(), 1100, &ticket(1)),
+        Err(Refusal::Over)
+    );
     assert_eq!(node.fetch(SESSION, Epoch(1)), Err(Refusal::Over));
     // It may come back under a later one.
     assert_eq!(node.prepare(ME, &key(), 1100, &ticket(2)), Ok(()));
-    assert_eq!(node.prepare(ME, &key(), 1100, &ticket(1)), Err(Refusal::Over));
+    assert_eq!(
+        node.prepare(ME, &key(), 1100, &ticket(1)),
+        Err(Refusal::Over)
+    );
     // The whole session is over: no epoch is good any more.
     node.release(SESSION, Epoch(u32::MAX));
-    assert_eq!(node.prepare(ME, &key(), 1100, &ticket(3)), Err(Refusal::Over));
+    assert_eq!(
+        node.prepare(ME, &key(), 1100, &ticket(3)),
+        Err(Refusal::Over)
+    );
 }
 
 #[test]
@@ -75,9 +101,16 @@
     let mut node = ready();
     assert_eq!(node.fetch(SESSION, Epoch(1)), Ok(()));
     assert_eq!(node.cancel(SESSION, Epoch(1)), Cancelled::Serves);
-    assert_eq!(node.cancel(SESSION, Epoch(1)), Cancelled::Serves, "and again");
+    assert_eq!(
+        node.cancel(SESSION, Epoch(1)),
+        Cancelled::Serves,
+        "and again"
+    );
     // Something that was never here can be cancelled before it comes.
     let mut node = Holds::new(900);
     assert_eq!(node.cancel(SESSION, Epoch(1)), Cancelled::Never);
-    assert_eq!(node.prepare(ME, &key(), 1100, &ticket(1)), Err(Refusal::Over));
+    assert_eq!(
+        node.prepare(ME, &key(), 1100, &ticket(1)),
+        Err(Refusal::Over)
+    );
 }
--- a/crates/physics/src/crowd.rs
+++ b/crates/physics/src/crowd.rs
@@ -89,17 +89,40 @@
 
     /// One that comes. `extra`: what some come for, and the part of all arrivals that they are.
     pub fn draw(&self, extra: Option<(&Draw, f64)>, dice: &mut impl Rng) -> Person {
-        let extra = extra.filter(|(_, part)| dice.random::<f64>() < *part).map(|(draw, _)| draw);
+        let extra = extra
+            .filter(|(_, part)| dice.random::<f64>() < *part)
+            .map(|(draw, _)| draw);
         let class = pick(self.classes.iter().map(|c| c.part), dice);
-        let title = pick((0..self.titles.len()).map(|i| (i as f64 + 1.0).powf(-self.skew)), dice);
-        let class = if let Some(Draw::Class(class)) = extra { *class } else { class };
-        let title = if let Some(Draw::Title(title)) = extra { title } else { &self.titles[title] };
+        let title = pick(
+            (0..self.titles.len()).map(|i| (i as f64 + 1.0).powf(-self.skew)),
+            dice,
+        );
+        let class = if let Some(Draw::Class(class)) = extra {
+            *class
+        } else {
+            class
+        };
+        let title = if let Some(Draw::Title(title)) = extra {
+            title
+        } else {
+            &self.titles[title]
+        };
         let weak = dice.random::<f64>() < self.weak;
-        let Class { lasts: (shortest, longest), top, .. } = self.classes[class];
+        let Class {
+            lasts: (shortest, longest),
+            top,
+            ..
+        } = self.classes[class];
         let span = shortest + (longest - shortest).mul_f64(dice.random());
         let key = format!("viewer-{:016x}", dice.random::<u64>());
         let top = if weak { top.saturating_sub(2) } else { top };
-        Person { key, class, title: title.clone(), top, span }
+        Person {
+            key,
+            class,
+            title: title.clone(),
+            top,
+            span,
+        }
     }
 
     /// Seconds of worth that this one could have within a time.
