--- a/crates/physics/src/fleet.rs
+++ b/crates/physics/src/fleet.rs
@@ -120,7 +120,12 @@
 
 impl Fleet {
     pub fn new(physics: Physics, seed: u64) -> Fleet {
-        Fleet { physics, nodes: BTreeMap::new(), slow_links: 1.0, dice: ChaCha8Rng::seed_from_u64(seed) }
+        Fleet {
+            physics,
+            nodes: BTreeMap::new(),
+            slow_links: 1.0,
+            dice: ChaCha8Rng::seed_from_u64(seed),
+        }
     }
 
     /// Brings a machine up: warm, or cold from now on.
@@ -136,7 +141,10 @@
             arrivals: VecDeque::new(),
             neighbour: 0.0,
             slow: 1.0,
-            figures: Figures { delivered: 1.0, ..Figures::default() },
+            figures: Figures {
+                delivered: 1.0,
+                ..Figures::default()
+            },
             history: VecDeque::new(),
             machine,
         };
@@ -155,7 +163,9 @@
 
     /// A set-up arrives.
     pub fn arrive(&mut self, id: u64, run: Run, now: Micros) -> Arrival {
-        let Some(node) = self.nodes.get(&id) else { return Arrival::Full };
+        let Some(node) = self.nodes.get(&id) else {
+            return Arrival::Full;
+        };
         let warmed = self.warmed(node, now);
         let p = &self.physics;
         let cold = !node.warm && now - node.up < p.warm_after;
@@ -165,7 +175,9 @@
         let turned = p.full_from > 0.0 && figures.link >= p.full_from;
         let (set_up, fall) = (p.set_up as f64, p.fall);
         let time = set_up / warmed * (0.7 + 0.6 * self.dice.random::<f64>());
-        let Some(node) = self.nodes.get_mut(&id) else { return Arrival::Full };
+        let Some(node) = self.nodes.get_mut(&id) else {
+            return Arrival::Full;
+        };
         node.arrivals.push_back(now);
         while node.arrivals.front().is_some_and(|t| *t <= now - fall) {
             node.arrivals.pop_front();
@@ -197,7 +209,9 @@
     pub fn begin(&mut self, id: u64, run: Run, mut playing: Playing) -> bool {
         let stray = self.physics.rate_stray;
         playing.true_kb = playing.kb * (1.0 + stray * (2.0 * self.dice.random::<f64>() - 1.0));
-        let Some(node) = self.nodes.get_mut(&id) else { return false };
+        let Some(node) = self.nodes.get_mut(&id) else {
+            return false;
+        };
         node.setting_up = node.setting_up.saturating_sub(1);
         if node.process == Process::Down || node.ended.contains(&run) {
             return false;
@@ -215,24 +229,35 @@
 
     /// Ends a session, now or when its set-up comes. True: it played.
     pub fn end(&mut self, id: u64, run: Run) -> bool {
-        let Some(node) = self.nodes.get_mut(&id) else { return false };
+        let Some(node) = self.nodes.get_mut(&id) else {
+            return false;
+        };
         node.ended.insert(run);
         node.playing.remove(&run).is_some()
     }
 
     pub fn set_rung(&mut self, id: u64, run: Run, rung: usize, kb: f64) -> bool {
-        let Some(p) = self.nodes.get_mut(&id).and_then(|n| n.playing.get_mut(&run)) else { return false };
+        let Some(p) = self
+            .nodes
+            .get_mut(&id)
+            .and_then(|n| n.playing.get_mut(&run))
+        else {
+            return false;
+        };
         (p.true_kb, p.kb, p.rung) = (p.true_kb / p.kb.max(1e-9) * kb, kb, rung);
         true
     }
 
     fn given(&self, node: &Node) -> f64 {
-        node.machine.link_kb * (1.0 - node.neighbour).max(0.01) / (self.slow_links * node.slow).max(0.01)
+        node.machine.link_kb * (1.0 - node.neighbour).max(0.01)
+            / (self.slow_links * node.slow).max(0.01)
     }
 
     /// The figures of a node as they are now.
     pub fn figures(&self, id: u64) -> Figures {
-        let Some(node) = self.nodes.get(&id) else { return Figures::default() };
+        let Some(node) = self.nodes.get(&id) else {
+            return Figures::default();
+        };
         let asked = |n: &Node| n.playing.values().map(|p| p.true_kb).sum::<f64>();
         let link = asked(node) / self.given(node);
         let racks = self.physics.uplinks.len() as u64;
@@ -248,7 +273,12 @@
         let cut = |x: f64| if x > 1.0 { 1.0 / x } else { 1.0 };
         let frozen = node.process != Process::Runs;
         let delivered = if frozen { 0.0 } else { cut(link) * cut(uplink) };
-        Figures { link, uplink, delivered, streams: node.playing.len() + node.setting_up }
+        Figures {
+            link,
+            uplink,
+            delivered,
+            streams: node.playing.len() + node.setting_up,
+        }
     }
 
     /// Looks at all nodes, so that reports can be of their age. Call every 100 ms or so.
@@ -258,10 +288,19 @@
         for id in ids {
             let seen = self.figures(id);
             let mut stray = || 1.0 + noise * (2.0 * self.dice.random::<f64>() - 1.0);
-            let told = Figures { link: seen.link * stray(), uplink: seen.uplink * stray(), ..seen };
+            let told = Figures {
+                link: seen.link * stray(),
+                uplink: seen.uplink * stray(),
+                ..seen
+            };
             let refresh = self.physics.refresh;
-            let Some(node) = self.nodes.get_mut(&id) else { continue };
-            let due = node.history.back().is_none_or(|(t, _)| now / refresh != t / refresh);
+            let Some(node) = self.nodes.get_mut(&id) else {
+                continue;
+            };
+            let due = node
+                .history
+                .back()
+                .is_none_or(|(t, _)| now / refresh != t / refresh);
             if due {
                 node.figures = told;
             }
@@ -280,7 +319,11 @@
     /// What was so long ago, for notes that come late.
     pub fn past(&self, id: u64, at: Micros) -> Option<Figures> {
         let history = &self.nodes.get(&id)?.history;
-        history.iter().rev().find(|(t, _)| *t <= at).map(|(_, f)| *f)
+        history
+            .iter()
+            .rev()
+            .find(|(t, _)| *t <= at)
+            .map(|(_, f)| *f)
     }
 
     /// A number of this run's own, for what happens by chance.
@@ -323,12 +366,24 @@
     }
 
     fn play(fleet: &mut Fleet, id: u64, session: u64, kb: f64) {
-        assert!(matches!(fleet.arrive(id, (session, 0), 0), Arrival::Takes(_)));
+        assert!(matches!(
+            fleet.arrive(id, (session, 0), 0),
+            Arrival::Takes(_)
+        ));
         let (class, title) = (String::new(), String::new());
         assert!(fleet.begin(
             id,
             (session, 0),
-            Playing { director: 0, viewer: 0, tenant: None, class, title, rung: 0, kb, true_kb: kb }
+            Playing {
+                director: 0,
+                viewer: 0,
+                tenant: None,
+                class,
+                title,
+                rung: 0,
+                kb,
+                true_kb: kb
+            }
         ));
     }
 
--- a/crates/physics/src/news.rs
+++ b/crates/physics/src/news.rs
@@ -29,7 +29,11 @@
 impl Teller {
     /// Fullness is told every so often (0: never), and all news is so late.
     pub fn new(every: Micros, late: Micros) -> Teller {
-        Teller { every, late, ..Teller::default() }
+        Teller {
+            every,
+            late,
+            ..Teller::default()
+        }
     }
 
     /// Looks at the fleet and gives what is to be told now. Call every 100 ms or so.
@@ -43,8 +47,14 @@
         }
         self.last_second = now / 1_000_000;
         self.last_every = if self.every > 0 { now / self.every } else { 0 };
-        for (node, n) in fleet.nodes.iter().filter(|(_, n)| n.process == Process::Runs) {
-            let Some(f) = fleet.past(*node, now - self.late) else { continue };
+        for (node, n) in fleet
+            .nodes
+            .iter()
+            .filter(|(_, n)| n.process == Process::Runs)
+        {
+            let Some(f) = fleet.past(*node, now - self.late) else {
+                continue;
+            };
             let mut told: BTreeMap<u32, u64> = BTreeMap::new();
             for ((session, _), p) in &n.playing {
                 told.entry(p.director).or_insert(*session);
@@ -55,9 +65,20 @@
                 if second {
                     *was = f.delivered < 0.98;
                 }
-                let (link, uplink) = if full { (Some(f.link), Some(f.uplink)) } else { (None, None) };
+                let (link, uplink) = if full {
+                    (Some(f.link), Some(f.uplink))
+                } else {
+                    (None, None)
+                };
                 if delivered.is_some() || link.is_some() {
-                    news.push(News { node: *node, director, session, delivered, link, uplink });
+                    news.push(News {
+                        node: *node,
+                        director,
+                        session,
+                        delivered,
+                        link,
+                        uplink,
+                    });
                 }
             }
         }
--- a/crates/physics/src/playhead.rs
+++ b/crates/physics/src/playhead.rs
@@ -32,7 +32,13 @@
 impl Playhead {
     /// From this position on, once so much of it has come.
     pub fn new(begin: Micros, start: Micros) -> Playhead {
-        Playhead { state: State::Fills, begin, start, received: begin, gaps: Vec::new() }
+        Playhead {
+            state: State::Fills,
+            begin,
+            start,
+            received: begin,
+            gaps: Vec::new(),
+        }
     }
 
     /// Up to where media have come.
@@ -88,16 +94,31 @@
         }
         match self.state {
             State::Fills if self.received - self.begin - missing >= self.start => {
-                self.state = State::Plays { since: now, from: self.begin };
+                self.state = State::Plays {
+                    since: now,
+                    from: self.begin,
+                };
             }
             State::Fills => self.begin += missing,
             State::Dry { since } => {
-                self.gaps.push(Gap { at: since, length: now - since });
-                self.state = State::Plays { since: now, from: before + missing };
+                self.gaps.push(Gap {
+                    at: since,
+                    length: now - since,
+                });
+                self.state = State::Plays {
+                    since: now,
+                    from: before + missing,
+                };
             }
             State::Plays { since, from } if missing > 0 => {
-                self.gaps.push(Gap { at: now, length: missing });
-                self.state = State::Plays { since, from: from + missing };
+                self.gaps.push(Gap {
+                    at: now,
+                    length: missing,
+                });
+                self.state = State::Plays {
+                    since,
+                    from: from + missing,
+                };
             }
             State::Plays { .. } => {}
         }
@@ -130,7 +151,13 @@
         assert_eq!(head.dry_at(), Some(450 * MS));
         // 137 ms too late, and then in time again.
         feed(&mut head, 587 * MS, 4..6);
-        assert_eq!(head.gaps(), [Gap { at: 450 * MS, length: 137 * MS }]);
+        assert_eq!(
+            head.gaps(),
+            [Gap {
+                at: 450 * MS,
+                length: 137 * MS
+            }]
+        );
         assert_eq!(head.buffer(600 * MS), 187 * MS);
         feed(&mut head, 700 * MS, 6..20);
         head.advance(2 * 1000 * MS);
@@ -146,7 +173,17 @@
         feed(&mut head, 100 * MS, 2..6);
         assert_eq!(head.buffer(100 * MS), 500 * MS);
         feed(&mut head, 100 * MS, 8..9);
-        assert_eq!(head.gaps(), [Gap { at: 100 * MS, length: 200 * MS }]);
-        assert_eq!(head.buffer(100 * MS), 600 * MS, "what is missing is not there to be shown");
+        assert_eq!(
+            head.gaps(),
+            [Gap {
+                at: 100 * MS,
+                length: 200 * MS
+            }]
+        );
+        assert_eq!(
+            head.buffer(100 * MS),
+            600 * MS,
+            "what is missing is not there to be shown"
+        );
     }
 }
--- a/crates/platform-proto/src/ask.rs
+++ b/crates/platform-proto/src/ask.rs
@@ -28,9 +28,19 @@
     set: &Settings,
     now: Micros,
 ) -> Result<Asked, &'static str> {
-    let class = message.text("class").and_then(|name| names.class(&name)).ok_or("class")?;
-    let item = message.text("key").as_deref().and_then(Hex16::read).ok_or("key")?;
-    let left = message.number("left").map_err(|_| "left")?.filter(|ms| (0.0..=LONGEST_WAIT).contains(ms));
+    let class = message
+        .text("class")
+        .and_then(|name| names.class(&name))
+        .ok_or("class")?;
+    let item = message
+        .text("key")
+        .as_deref()
+        .and_then(Hex16::read)
+        .ok_or("key")?;
+    let left = message
+        .number("left")
+        .map_err(|_| "left")?
+        .filter(|ms| (0.0..=LONGEST_WAIT).contains(ms));
     let hint = message.number("hint").map_err(|_| "hint")?;
     if hint.is_some_and(|ms| !(0.0..=LONGEST_HINT).contains(&ms)) {
         return Err("hint");
@@ -39,7 +49,13 @@
     let tenant = message.text("tenant").filter(|_| !names.tenants.is_empty());
     let tenant = match tenant {
         None => None,
-        Some(name) => Some(names.tenants.iter().position(|t| *t == name).ok_or("tenant")?),
+        Some(name) => Some(
+            names
+                .tenants
+                .iter()
+                .position(|t| *t == name)
+                .ok_or("tenant")?,
+        ),
     };
     let mut request = Request {
         session: SessionId(0),
@@ -76,9 +92,17 @@
     if !sound {
         return Err("extras");
     }
-    let description = message.blob.filter(|b| b.len() + HEAD <= MESSAGE).ok_or("description")?;
+    let description = message
+        .blob
+        .filter(|b| b.len() + HEAD <= MESSAGE)
+        .ok_or("description")?;
     if left.is_none() && at.is_none() {
         return Err("left");
     }
-    Ok(Asked { title: item, description, request, at })
+    Ok(Asked {
+        title: item,
+        description,
+        request,
+        at,
+    })
 }
--- a/crates/platform-proto/src/care.rs
+++ b/crates/platform-proto/src/care.rs
@@ -24,7 +24,11 @@
             let stands = self.nodes.stands(link.server);
             // A node that drains may take no further connection and still hold what stands there: the last one to it
             // is given up for a better one only, in `node_up`.
-            let last = stands && !self.links.of(link.server).any(|(other, l)| other != id && l.up);
+            let last = stands
+                && !self
+                    .links
+                    .of(link.server)
+                    .any(|(other, l)| other != id && l.up);
             // Half a message that has come, or bytes that a node does not take.
             let halts = |since: Option<Micros>| since.is_some_and(|t| now - t >= PART);
             if halts(link.part) || halts(link.stuck) || (!link.busy() && link.doubt && !last) {
@@ -33,11 +37,17 @@
                 lost.push((id, Lost::Done));
             }
         }
-        lost.into_iter().for_each(|(id, lost)| self.part_with(id, lost));
+        lost.into_iter()
+            .for_each(|(id, lost)| self.part_with(id, lost));
         self.let_stale_go();
         let mut over = Vec::new();
         let mut open = Vec::new();
-        for (server, node) in self.nodes.all.iter().filter(|(_, n)| !n.standing.is_empty()) {
+        for (server, node) in self
+            .nodes
+            .all
+            .iter()
+            .filter(|(_, n)| !n.standing.is_empty())
+        {
             let since = |t: Option<Micros>, span| t.is_some_and(|t| now - t >= span);
             if since(node.unreachable, UNREACHABLE) || since(node.refused, REFUSED) {
                 over.push(*server);
@@ -57,7 +67,8 @@
         }
         for (server, node) in &mut self.nodes.all {
             node.owed.retain(|(until, _)| *until > now);
-            if !node.owed.is_empty() && now >= node.retry && self.links.of(*server).next().is_none() {
+            if !node.owed.is_empty() && now >= node.retry && self.links.of(*server).next().is_none()
+            {
                 open.push((*server, Why::Stands));
             }
         }
@@ -67,7 +78,8 @@
         }
         let links = &self.links;
         self.nodes.all.retain(|id, n| {
-            let of_use = !n.standing.is_empty() || !n.owed.is_empty() || links.of(*id).next().is_some();
+            let of_use =
+                !n.standing.is_empty() || !n.owed.is_empty() || links.of(*id).next().is_some();
             n.listed.state != Standing::Gone || of_use
         });
     }
--- a/crates/platform-proto/src/config.rs
+++ b/crates/platform-proto/src/config.rs
@@ -51,7 +51,10 @@
             ("limits", self.limits.sockets != new.limits.sockets),
             ("settings", self.settings != new.settings),
         ];
-        parts.into_iter().filter(|(_, differs)| *differs).map(|(part, _)| part)
+        parts
+            .into_iter()
+            .filter(|(_, differs)| *differs)
+            .map(|(part, _)| part)
     }
 
     pub fn seed(&self) -> u64 {
--- a/crates/platform-proto/src/door.rs
+++ b/crates/platform-proto/src/door.rs
@@ -124,9 +124,13 @@
 impl Door {
     /// A director that knows what its configuration tells. `now` is the time of its start.
     pub fn new(config: &Config, now: Micros) -> Result<Door, String> {
-        let given =
-            shalewall_instance::read(&config.settings).map_err(|(path, what)| format!("{path}: {what}"))?;
-        let Given { settings, names, bounds } = given;
+        let given = shalewall_instance::read(&config.settings)
+            .map_err(|(path, what)| format!("{path}: {what}"))?;
+        let Given {
+            settings,
+            names,
+            bounds,
+        } = given;
         let sockets = config.limits.sockets.saturating_sub(OWN).max(8);
         let most = sockets / 3;
         let mut door = Door {
@@ -166,7 +170,15 @@
     pub fn known(&mut self, config: &Config, now: Micros) {
         let (known, reaches) = config.known.news(&self.names);
         for news in known {
-            self.news(now, &news, if news.whole { ListNews::Cached } else { ListNews::Delta });
+            self.news(
+                now,
+                &news,
+                if news.whole {
+                    ListNews::Cached
+                } else {
+                    ListNews::Delta
+                },
+            );
         }
         self.nodes.position = self.nodes.position.max(reaches);
     }
@@ -186,31 +198,55 @@
             return Err(Unreadable("events were left out"));
         }
         if let Frame::News(news) = frame {
-            self.news(now, news, if news.whole { ListNews::Full } else { ListNews::Delta });
+            self.news(
+                now,
+                news,
+                if news.whole {
+                    ListNews::Full
+                } else {
+                    ListNews::Delta
+                },
+            );
         }
         Ok(())
     }
 
     fn news(&mut self, now: Micros, news: &News, kind: ListNews) {
         self.now = now;
-        let Some(changed) = self.nodes.take(news, now) else { return };
+        let Some(changed) = self.nodes.take(news, now) else {
+            return;
+        };
         let (zones, kinds) = (self.names.zones.len(), self.names.kinds.len());
-        let lines = news.entries.iter().map(|e| e.listed).chain(changed.displaced);
+        let lines = news
+            .entries
+            .iter()
+            .map(|e| e.listed)
+            .chain(changed.displaced);
         let lines = lines.map(|listed| shalewall::Listed {
             zone: listed.zone.filter(|z| *z < zones),
             kind: listed.kind.filter(|k| *k < kinds),
             ..listed
         });
-        self.events.push_back(Event::List { news: kind, lines: lines.collect() });
+        self.events.push_back(Event::List {
+            news: kind,
+            lines: lines.collect(),
+        });
         self.run();
         for server in changed.replaced {
             self.gone(server);
         }
         for server in changed.leaving {
-            let idle: Vec<_> = self.links.of(server).filter(|(_, l)| !l.busy()).map(|(id, _)| id).collect();
+            let idle: Vec<_> = self
+                .links
+                .of(server)
+                .filter(|(_, l)| !l.busy())
+                .map(|(id, _)| id)
+                .collect();
             // What stands there is heard over one of them.
             let stands = self.nodes.stands(server);
-            idle.into_iter().skip(usize::from(stands)).for_each(|id| self.part_with(id, Lost::Done));
+            idle.into_iter()
+                .skip(usize::from(stands))
+                .for_each(|id| self.part_with(id, Lost::Done));
         }
         self.run();
     }
@@ -219,20 +255,35 @@
     pub(crate) fn gone(&mut self, server: ServerId) {
         self.over(server);
         let links: Vec<_> = self.links.of(server).map(|(id, _)| id).collect();
-        links.into_iter().for_each(|id| self.drop_link(id, Lost::Done));
+        links
+            .into_iter()
+            .for_each(|id| self.drop_link(id, Lost::Done));
         // Nothing stands there to be released, also of what its connections carried; its address may be another's by now.
-        self.nodes.all.entry(server).and_modify(|node| node.owed.clear());
+        self.nodes
+            .all
+            .entry(server)
+            .and_modify(|node| node.owed.clear());
     }
 
     /// What stood at a node is over.
     pub(crate) fn over(&mut self, server: ServerId) {
-        let Some(node) = self.nodes.all.get_mut(&server) else { return };
+        let Some(node) = self.nodes.all.get_mut(&server) else {
+            return;
+        };
         (node.unreachable, node.refused) = (None, None);
         let standing = std::mem::take(&mut node.standing);
         let count = standing.len();
-        self.outputs.push_back(Output::Log(format!("node s-{:08x}: gone, {count} sessions over", server.0)));
+        self.outputs.push_back(Output::Log(format!(
+            "node s-{:08x}: gone, {count} sessions over",
+            server.0
+        )));
         for id in standing {
-            self.ended(id, Outcome::Reset, shalewall::Load::default(), Some(cause::FAILED));
+            self.ended(
+                id,
+                Outcome::Reset,
+                shalewall::Load::default(),
+                Some(cause::FAILED),
+            );
         }
     }
 
@@ -251,7 +302,8 @@
     /// Closes a viewer's connection that is of no use, if nothing of it waits unread.
     pub(crate) fn part_viewer(&mut self, id: ViewerId) {
         self.viewers.part(id);
-        self.outputs.push_back(Output::Write(Conn(ConnId::Viewer(id))));
+        self.outputs
+            .push_back(Output::Write(Conn(ConnId::Viewer(id))));
     }
 
     fn viewer_bytes(&mut self, id: ViewerId, bytes: &[u8]) {
@@ -261,11 +313,15 @@
             }
             return;
         }
-        let Some(viewer) = self.viewers.all.get_mut(&id) else { return };
+        let Some(viewer) = self.viewers.all.get_mut(&id) else {
+            return;
+        };
         viewer.speaks(self.now);
         viewer.lines.push(bytes);
         loop {
-            let Some(viewer) = self.viewers.all.get_mut(&id).filter(|v| !v.closes()) else { return };
+            let Some(viewer) = self.viewers.all.get_mut(&id).filter(|v| !v.closes()) else {
+                return;
+            };
             match viewer.lines.message() {
                 Ok(Some(message)) => {
                     viewer.part = None;
@@ -286,7 +342,8 @@
 
     /// A viewer said what can't be read: what it has open is given up, and it is closed.
     fn odd(&mut self, id: ViewerId, why: Unreadable) {
-        self.outputs.push_back(Output::Log(format!("viewer closed: {why}")));
+        self.outputs
+            .push_back(Output::Log(format!("viewer closed: {why}")));
         self.forget_viewer(id);
         self.say(id, &Message::finish(Hex16::of(0), cause::INVALID));
         self.viewers.all.entry(id).and_modify(|v| v.close(self.now));
@@ -298,9 +355,16 @@
             Verb::Start => self.asked(id, tag, message),
             Verb::Finish => self.released(id, tag),
             Verb::Echo => {
-                let ready =
-                    !self.leaving && self.nodes.all.values().any(|n| n.listed.state == Standing::Ready);
-                let answer = Message { rc: Some(i64::from(ready)), ..Message::new(Verb::Echoed, tag) };
+                let ready = !self.leaving
+                    && self
+                        .nodes
+                        .all
+                        .values()
+                        .any(|n| n.listed.state == Standing::Ready);
+                let answer = Message {
+                    rc: Some(i64::from(ready)),
+                    ..Message::new(Verb::Echoed, tag)
+                };
                 self.say(id, &answer);
             }
             Verb::Pending | Verb::Finished | Verb::Notice => {}
@@ -320,7 +384,8 @@
     /// The same. False: it can't be said there.
     pub(crate) fn word(&mut self, id: ViewerId, word: Word, bytes: Vec<u8>) -> bool {
         if self.viewers.say(id, word, bytes) {
-            self.outputs.push_back(Output::Write(Conn(ConnId::Viewer(id))));
+            self.outputs
+                .push_back(Output::Write(Conn(ConnId::Viewer(id))));
             return true;
         }
         self.drop_viewer(id);
@@ -341,11 +406,20 @@
     pub(crate) fn drop_viewer(&mut self, id: ViewerId) {
         let unsaid = self.viewers.unsaid(id);
         self.forget_viewer(id);
-        let Some(ip) = self.viewers.ip(id) else { return };
+        let Some(ip) = self.viewers.ip(id) else {
+            return;
+        };
         self.viewers.all.remove(&id);
-        self.outputs.push_back(Output::Close(Conn(ConnId::Viewer(id))));
-        unsaid.answers.into_iter().for_each(|session| self.unheard(session));
-        unsaid.releases.into_iter().for_each(|bytes| self.say_over(None, ip, bytes));
+        self.outputs
+            .push_back(Output::Close(Conn(ConnId::Viewer(id))));
+        unsaid
+            .answers
+            .into_iter()
+            .for_each(|session| self.unheard(session));
+        unsaid
+            .releases
+            .into_iter()
+            .for_each(|bytes| self.say_over(None, ip, bytes));
         self.run();
     }
 
@@ -355,7 +429,9 @@
     pub fn node_up(&mut self, now: Micros, conn: Conn) {
         self.now = now;
         let ConnId::Node(id) = conn.0 else { return };
-        let Some(link) = self.links.get(id) else { return };
+        let Some(link) = self.links.get(id) else {
+            return;
+        };
         link.up = true;
         link.used = now;
         let server = link.server;
@@ -365,7 +441,11 @@
         }
         self.outputs.push_back(Output::Write(conn));
         self.say_owed(server, id);
-        let doubted = self.links.of(server).filter(|(_, l)| l.up && l.doubt && !l.busy()).map(|(id, _)| id);
+        let doubted = self
+            .links
+            .of(server)
+            .filter(|(_, l)| l.up && l.doubt && !l.busy())
+            .map(|(id, _)| id);
         for id in doubted.collect::<Vec<_>>() {
             self.part_with(id, Lost::Doubt);
         }
@@ -375,7 +455,9 @@
     pub fn node_failed(&mut self, now: Micros, conn: Conn, why: NotUp) {
         self.now = now;
         let ConnId::Node(id) = conn.0 else { return };
-        let Some(link) = self.links.get(id) else { return };
+        let Some(link) = self.links.get(id) else {
+            return;
+        };
         let (server, opened) = (link.server, link.opened);
         if let Some(node) = self.nodes.all.get_mut(&server) {
             node.retry = now + RETRY;
@@ -399,10 +481,14 @@
         if self.last_words(id, bytes) {
             return;
         }
-        let Some(link) = self.links.get(id) else { return };
+        let Some(link) = self.links.get(id) else {
+            return;
+        };
         link.reader.push(bytes);
         loop {
-            let Some(link) = self.links.get(id) else { return };
+            let Some(link) = self.links.get(id) else {
+                return;
+            };
             match link.reader.message() {
                 Ok(Some(message)) => {
                     (link.doubt, link.part, link.used) = (false, None, self.now);
@@ -419,7 +505,8 @@
                     return;
                 }
                 Err(why) => {
-                    self.outputs.push_back(Output::Log(format!("node s-{:08x}: {why}", link.server.0)));
+                    self.outputs
+                        .push_back(Output::Log(format!("node s-{:08x}: {why}", link.server.0)));
                     self.drop_link(id, Lost::Spoilt);
                     return self.run();
                 }
@@ -433,14 +520,20 @@
             (Start::Status(100..200), _) => {}
             (Start::Status(status), Some(rtsp::SETUP)) => self.answered(id, tag, *status, message),
             (Start::Status(status), Some(rtsp::OPTIONS)) => {
-                let outcome = if *status == 200 { Outcome::Good } else { Outcome::Error };
+                let outcome = if *status == 200 {
+                    Outcome::Good
+                } else {
+                    Outcome::Error
+                };
                 self.probed(ProbeId(tag.value()), Some(id), outcome, message.load());
             }
             (Start::Request(method), _) if method == "TEARDOWN" => {
                 self.queue(id, Item::Bytes(rtsp::heard(tag)));
                 self.torn_down(id, server, tag, message);
             }
-            (Start::Request(method), _) if method == "ANNOUNCE" => self.noted(server, tag, &message),
+            (Start::Request(method), _) if method == "ANNOUNCE" => {
+                self.noted(server, tag, &message)
+            }
             _ => {}
         }
     }
@@ -449,7 +542,8 @@
     pub(crate) fn queue(&mut self, id: LinkId, item: Item) -> bool {
         let taken = self.links.get(id).is_some_and(|l| l.queue(item));
         if taken {
-            self.outputs.push_back(Output::Write(Conn(ConnId::Node(id))));
+            self.outputs
+                .push_back(Output::Write(Conn(ConnId::Node(id))));
         }
         taken
     }
@@ -461,20 +555,35 @@
         let address = node.address;
         *self.opened.entry(why).or_default() += 1;
         let id = self.links.open(server, self.now);
-        self.outputs.push_back(Output::Log(format!("node s-{:08x}: link {} opens: {why:?}", server.0, id.0)));
+        self.outputs.push_back(Output::Log(format!(
+            "node s-{:08x}: link {} opens: {why:?}",
+            server.0, id.0
+        )));
         let within = self.connect_within();
-        self.outputs.push_back(Output::Open { conn: Conn(ConnId::Node(id)), address, within });
+        self.outputs.push_back(Output::Open {
+            conn: Conn(ConnId::Node(id)),
+            address,
+            within,
+        });
         Some(id)
     }
 
     /// How long a connection to a node may take to come up, and a probe to be answered.
     pub(crate) fn connect_within(&self) -> Micros {
-        if self.bounds.connect > 0 { self.bounds.connect } else { CONNECT }
+        if self.bounds.connect > 0 {
+            self.bounds.connect
+        } else {
+            CONNECT
+        }
     }
 
     /// A connection that was last used before this may be closing at the node's side.
     pub(crate) fn fresh(&self) -> Micros {
-        let idle = if self.bounds.idle > 0 { self.bounds.idle } else { IDLE };
+        let idle = if self.bounds.idle > 0 {
+            self.bounds.idle
+        } else {
+            IDLE
+        };
         self.now - (idle as f64 * IDLE_PART) as Micros
     }
 
@@ -535,15 +644,23 @@
     /// Told to end: nothing new is taken from now on, and what was taken has its answer while there is time.
     pub fn leave(&mut self, now: Micros) {
         self.leaving = true;
-        self.timers.set(now + self.leave_within() - LAST_WORDS, Due::LastWords);
+        self.timers
+            .set(now + self.leave_within() - LAST_WORDS, Due::LastWords);
     }
 
     /// Closes viewers' connections: once all is written, and in two steps, so that nothing said is lost by it.
     pub fn finish(&mut self, now: Micros) {
-        let ids: Vec<_> = self.viewers.all.iter().filter(|(_, v)| !v.closes()).map(|(id, _)| *id).collect();
+        let ids: Vec<_> = self
+            .viewers
+            .all
+            .iter()
+            .filter(|(_, v)| !v.closes())
+            .map(|(id, _)| *id)
+            .collect();
         for id in ids {
             self.viewers.all.entry(id).and_modify(|v| v.close(now));
-            self.outputs.push_back(Output::Write(Conn(ConnId::Viewer(id))));
+            self.outputs
+                .push_back(Output::Write(Conn(ConnId::Viewer(id))));
         }
     }
 
@@ -555,7 +672,11 @@
     /// How long a director that is told to end may go on: everything that it took is answered by then, and whoever
     /// wants it gone kills it no sooner.
     pub fn leave_within(&self) -> Micros {
-        let longest = if self.bounds.give_up > 0 { self.bounds.give_up.min(LEAVE) } else { LEAVE };
+        let longest = if self.bounds.give_up > 0 {
+            self.bounds.give_up.min(LEAVE)
+        } else {
+            LEAVE
+        };
         longest + LEAVE_MORE
     }
 
@@ -567,6 +688,10 @@
 
     /// How many connections there are to viewers and to nodes, and how many nodes are known.
     pub fn sizes(&self) -> (usize, usize, usize) {
-        (self.viewers.all.len(), self.links.len() + self.lingering.len(), self.nodes.all.len())
+        (
+            self.viewers.all.len(),
+            self.links.len() + self.lingering.len(),
+            self.nodes.all.len(),
+        )
     }
 }
--- a/crates/platform-proto/src/hex.rs
+++ b/crates/platform-proto/src/hex.rs
@@ -10,7 +10,10 @@
     /// None where it is not 16 hexadecimal digits.
     pub fn read(text: &str) -> Option<Hex16> {
         let digits: [u8; 16] = text.as_bytes().try_into().ok()?;
-        digits.iter().all(u8::is_ascii_hexdigit).then_some(Hex16(digits))
+        digits
+            .iter()
+            .all(u8::is_ascii_hexdigit)
+            .then_some(Hex16(digits))
     }
 
     pub fn of(value: u64) -> Hex16 {
@@ -19,7 +22,9 @@
     }
 
     pub fn value(self) -> u64 {
-        self.0.iter().fold(0, |n, d| n << 4 | u64::from((*d as char).to_digit(16).unwrap_or(0)))
+        self.0.iter().fold(0, |n, d| {
+            n << 4 | u64::from((*d as char).to_digit(16).unwrap_or(0))
+        })
     }
 
     pub fn as_str(&self) -> &str {
--- a/crates/platform-proto/src/journal.rs
+++ b/crates/platform-proto/src/journal.rs
@@ -82,8 +82,15 @@
     if payload.len() % RECORD != 0 {
         return Err(Unreadable("a frame holds part of a record"));
     }
-    let entries = payload.chunks(RECORD).map(record).collect::<Result<_, _>>()?;
-    Ok(Frame::News(News { number, whole, entries }))
+    let entries = payload
+        .chunks(RECORD)
+        .map(record)
+        .collect::<Result<_, _>>()?;
+    Ok(Frame::News(News {
+        number,
+        whole,
+        entries,
+    }))
 }
 
 fn record(r: &[u8]) -> Result<Entry, Unreadable> {
@@ -104,12 +111,18 @@
         came_up: came_up(uint(&r[19..27])),
         fleet: 0,
     };
-    Ok(Entry { listed, address: SocketAddr::from((address, uint(&r[8..10]) as u16)) })
+    Ok(Entry {
+        listed,
+        address: SocketAddr::from((address, uint(&r[8..10]) as u16)),
+    })
 }
 
 /// Unix milliseconds of a start; 0: long past.
 fn came_up(ms: u64) -> Option<i64> {
-    i64::try_from(ms).ok().filter(|ms| (1..1 << 50).contains(ms)).map(|ms| ms * 1000)
+    i64::try_from(ms)
+        .ok()
+        .filter(|ms| (1..1 << 50).contains(ms))
+        .map(|ms| ms * 1000)
 }
 
 /// The events of a configuration.
@@ -166,7 +179,9 @@
 /// A node's id in text.
 pub fn server(text: &str) -> Option<ServerId> {
     let digits = text.strip_prefix("s-").filter(|d| d.len() == 8)?;
-    u32::from_str_radix(digits, 16).ok().map(|id| ServerId(u64::from(id)))
+    u32::from_str_radix(digits, 16)
+        .ok()
+        .map(|id| ServerId(u64::from(id)))
 }
 
 impl Known {
@@ -189,15 +204,26 @@
                 came_up: came_up(m.up_since_ms as u64),
                 fleet: 0,
             };
-            Some(Entry { listed, address: m.host_port })
+            Some(Entry {
+                listed,
+                address: m.host_port,
+            })
         };
         let news = |k: &KnownNews| {
             let entries = k.hosts.members.iter().map(entry).collect::<Option<_>>()?;
-            Some(News { number: k.pos, whole: k.hosts.complete, entries })
+            Some(News {
+                number: k.pos,
+                whole: k.hosts.complete,
+                entries,
+            })
         };
         let readable: Vec<_> = self.entries.iter().map_while(news).collect();
         let all = readable.len() == self.entries.len();
-        let reaches = if all { self.pos } else { readable.last().map_or(0, |n| n.number) };
+        let reaches = if all {
+            self.pos
+        } else {
+            readable.last().map_or(0, |n| n.number)
+        };
         (readable, reaches)
     }
 }
--- a/crates/platform-proto/src/lines.rs
+++ b/crates/platform-proto/src/lines.rs
@@ -52,11 +52,20 @@
 
 impl Message {
     pub fn new(verb: Verb, tag: Hex16) -> Message {
-        Message { verb, tag: tag.to_string(), opts: Map::new(), rc: None, blob: None }
+        Message {
+            verb,
+            tag: tag.to_string(),
+            opts: Map::new(),
+            rc: None,
+            blob: None,
+        }
     }
 
     pub fn finish(tag: Hex16, rc: i64) -> Message {
-        Message { rc: Some(rc), ..Message::new(Verb::Finish, tag) }
+        Message {
+            rc: Some(rc),
+            ..Message::new(Verb::Finish, tag)
+        }
     }
 
     /// A field as text, whether it came as a string or as a number.
@@ -70,7 +79,9 @@
 
     /// A number, of either form.
     pub fn number(&self, name: &str) -> Result<Option<f64>, NoNumber> {
-        let Some(value) = self.opts.get(name) else { return Ok(None) };
+        let Some(value) = self.opts.get(name) else {
+            return Ok(None);
+        };
         let number = match value {
             Value::Number(n) => n.as_f64(),
             Value::String(text) => text.parse().ok(),
@@ -106,7 +117,11 @@
 
     /// The next whole message.
     pub fn message(&mut self) -> Result<Option<Message>, Unreadable> {
-        let Some(end) = self.buf[self.seen..].iter().position(|b| *b == b'\n').map(|i| self.seen + i) else {
+        let Some(end) = self.buf[self.seen..]
+            .iter()
+            .position(|b| *b == b'\n')
+            .map(|i| self.seen + i)
+        else {
             self.seen = self.buf.len();
             if self.buf.len() >= MESSAGE {
                 return Err(Unreadable("a line is too long"));
@@ -120,6 +135,8 @@
         self.buf.drain(..=end);
         self.seen = 0;
         trim(&mut self.buf);
-        message.map(Some).map_err(|_| Unreadable("a line is not a message"))
+        message
+            .map(Some)
+            .map_err(|_| Unreadable("a line is not a message"))
     }
 }
--- a/crates/platform-proto/src/linger.rs
+++ b/crates/platform-proto/src/linger.rs
@@ -58,15 +58,22 @@
     }
 
     fn stale(&self, now: Micros) -> Vec<LinkId> {
-        self.0.iter().filter(|(_, l)| l.until <= now).map(|(id, _)| *id).collect()
+        self.0
+            .iter()
+            .filter(|(_, l)| l.until <= now)
+            .map(|(id, _)| *id)
+            .collect()
     }
 }
 
 impl Door {
     /// A connection to a node ends; what was open on it ends with it, or never left.
     pub(crate) fn drop_link(&mut self, id: LinkId, lost: Lost) {
-        let Some(link) = self.links.remove(id) else { return };
-        self.outputs.push_back(Output::Close(Conn(ConnId::Node(id))));
+        let Some(link) = self.links.remove(id) else {
+            return;
+        };
+        self.outputs
+            .push_back(Output::Close(Conn(ConnId::Node(id))));
         let outcome = match lost {
             Lost::NotUp(NotUp::Own) => Outcome::NotSent,
             Lost::NotUp(_) => Outcome::NoConnection,
@@ -75,9 +82,14 @@
         // Closed by the node after its last message, nothing on it is unheard.
         let crossed = !matches!(lost, Lost::Closed | Lost::NotUp(_));
         let given_up = link.given_up().map(|(_, tag)| tag);
-        let whole = link.open.iter().filter(|_| crossed).filter_map(|id| self.may_stand(*id));
+        let whole = link
+            .open
+            .iter()
+            .filter(|_| crossed)
+            .filter_map(|id| self.may_stand(*id));
         let owed: Vec<_> = given_up.chain(whole).chain(link.unreleased()).collect();
-        link.given_up().for_each(|(session, _)| self.next_attempt(session));
+        link.given_up()
+            .for_each(|(session, _)| self.next_attempt(session));
         for session in link.open {
             self.cut(session, outcome);
         }
@@ -96,7 +108,10 @@
     /// What stands at a node is told over the next connection, and a refused one tells that it is over.
     fn lost(&mut self, id: LinkId, server: ServerId, lost: Lost) {
         *self.lost.entry(lost).or_default() += 1;
-        self.outputs.push_back(Output::Log(format!("node s-{:08x}: link {} {lost:?}", server.0, id.0)));
+        self.outputs.push_back(Output::Log(format!(
+            "node s-{:08x}: link {} {lost:?}",
+            server.0, id.0
+        )));
         let unheard = matches!(lost, Lost::Broken | Lost::Spoilt);
         if self.nodes.due(server, self.now) && (unheard || self.links.of(server).next().is_none()) {
             self.open_link(server, Why::Stands);
@@ -105,21 +120,35 @@
 
     /// Gives up a connection that nothing waits on.
     pub(crate) fn part_with(&mut self, id: LinkId, lost: Lost) {
-        let Some(link) = self.links.get(id) else { return };
+        let Some(link) = self.links.get(id) else {
+            return;
+        };
         let (server, quiet) = (link.server, link.up && !link.busy() && link.part.is_none());
         if !quiet || !self.nodes.stands(server) {
             return self.drop_link(id, lost);
         }
-        let Some(link) = self.links.remove(id) else { return };
+        let Some(link) = self.links.remove(id) else {
+            return;
+        };
         let until = self.now + LINGER;
-        self.lingering.0.insert(id, Lingerer { server, reader: link.reader, until });
-        self.outputs.push_back(Output::Write(Conn(ConnId::Node(id))));
+        self.lingering.0.insert(
+            id,
+            Lingerer {
+                server,
+                reader: link.reader,
+                until,
+            },
+        );
+        self.outputs
+            .push_back(Output::Write(Conn(ConnId::Node(id))));
         self.lost(id, server, lost);
     }
 
     /// What a node says on a connection that is given up. False: it is not one of those.
     pub(crate) fn last_words(&mut self, id: LinkId, bytes: &[u8]) -> bool {
-        let Some(link) = self.lingering.0.get_mut(&id) else { return false };
+        let Some(link) = self.lingering.0.get_mut(&id) else {
+            return false;
+        };
         link.reader.push(bytes);
         while let Some(link) = self.lingering.0.get_mut(&id) {
             let server = link.server;
@@ -133,7 +162,8 @@
                 }
                 Ok(None) => break,
                 Err(why) => {
-                    self.outputs.push_back(Output::Log(format!("node s-{:08x}: {why}", server.0)));
+                    self.outputs
+                        .push_back(Output::Log(format!("node s-{:08x}: {why}", server.0)));
                     self.let_go(id);
                     self.open_after(server);
                 }
@@ -146,7 +176,8 @@
     pub(crate) fn let_go(&mut self, id: LinkId) -> bool {
         let was = self.lingering.0.remove(&id).is_some();
         if was {
-            self.outputs.push_back(Output::Close(Conn(ConnId::Node(id))));
+            self.outputs
+                .push_back(Output::Close(Conn(ConnId::Node(id))));
         }
         was
     }
@@ -171,7 +202,12 @@
     /// learned of the close, which takes it no longer than a connection takes to come up.
     pub(crate) fn open_after(&mut self, server: ServerId) {
         let at = self.now + self.connect_within();
-        if let Some(node) = self.nodes.all.get_mut(&server).filter(|n| !n.standing.is_empty()) {
+        if let Some(node) = self
+            .nodes
+            .all
+            .get_mut(&server)
+            .filter(|n| !n.standing.is_empty())
+        {
             node.retry = node.retry.max(at);
             self.timers.set(at, Due::Again(server));
         }
--- a/crates/platform-proto/src/links.rs
+++ b/crates/platform-proto/src/links.rs
@@ -88,7 +88,10 @@
     /// Something is still to be written, or being written. Whoever gives the connection up in the middle of a word that
     /// an attempt is given up leaves the next attempt waiting for that word.
     pub fn unsaid(&self) -> bool {
-        !self.queue.is_empty() || self.writing.is_some() || self.giving.is_some() || self.releasing.is_some()
+        !self.queue.is_empty()
+            || self.writing.is_some()
+            || self.giving.is_some()
+            || self.releasing.is_some()
     }
 
     pub fn refuse(&mut self, tag: Hex16) {
@@ -143,7 +146,8 @@
     /// A set-up that has not begun to be written is taken back. True: what stood behind it can go on.
     pub fn unqueue(&mut self, id: SessionId) -> bool {
         let before = self.queue.len();
-        self.queue.retain(|item| !matches!(item, Item::SetUp(s, _) if *s == id));
+        self.queue
+            .retain(|item| !matches!(item, Item::SetUp(s, _) if *s == id));
         self.queue.len() < before && !self.queue.is_empty()
     }
 }
@@ -159,7 +163,10 @@
 
 impl Links {
     pub fn new(most: usize) -> Links {
-        Links { most, ..Links::default() }
+        Links {
+            most,
+            ..Links::default()
+        }
     }
 
     pub fn get(&mut self, id: LinkId) -> Option<&mut Link> {
@@ -175,7 +182,11 @@
     }
 
     pub fn of(&self, server: ServerId) -> impl Iterator<Item = (LinkId, &Link)> {
-        self.of.get(&server).into_iter().flatten().filter_map(|id| Some((*id, self.all.get(id)?)))
+        self.of
+            .get(&server)
+            .into_iter()
+            .flatten()
+            .filter_map(|id| Some((*id, self.all.get(id)?)))
     }
 
     /// A connection that is up and has nothing open: the one last used, so that the others grow old. One not used
@@ -189,7 +200,8 @@
     /// Any connection that is up, for what wants no answer: one that answers before one in doubt.
     pub fn any(&self, server: ServerId) -> Option<LinkId> {
         let up = self.of(server).filter(|(_, l)| l.up);
-        up.max_by_key(|(id, l)| (!l.doubt, l.used, *id)).map(|(id, _)| id)
+        up.max_by_key(|(id, l)| (!l.doubt, l.used, *id))
+            .map(|(id, _)| id)
     }
 
     /// Why a set-up that goes there needs a connection of its own. `met`: there was one to that node.
@@ -211,7 +223,9 @@
 
     /// Whether an earlier attempt of a session is still to be given up.
     pub fn gives_up(&self, session: SessionId) -> bool {
-        self.all.values().any(|l| l.given_up().any(|(s, _)| s == session))
+        self.all
+            .values()
+            .any(|l| l.given_up().any(|(s, _)| s == session))
     }
 
     /// The connection to share where no further one may be opened.
--- a/crates/platform-proto/src/nodes.rs
+++ b/crates/platform-proto/src/nodes.rs
@@ -57,7 +57,9 @@
 impl Nodes {
     /// Whether sessions stand there: what ends them comes over a connection.
     pub fn stands(&self, server: ServerId) -> bool {
-        self.all.get(&server).is_some_and(|n| !n.standing.is_empty())
+        self.all
+            .get(&server)
+            .is_some_and(|n| !n.standing.is_empty())
     }
 
     /// Whether a connection may be opened now for what stands there.
@@ -88,9 +90,14 @@
                 let others: Vec<_> = self.all.iter().filter(other).map(|(o, _)| *o).collect();
                 // Nothing goes there under the old name before the list says so: it would reach the new process.
                 for other in &others {
-                    let Some(node) = self.all.get_mut(other) else { continue };
+                    let Some(node) = self.all.get_mut(other) else {
+                        continue;
+                    };
                     if node.listed.state != Standing::Gone && !named.contains(&node.listed.server) {
-                        changed.displaced.push(Listed { state: Standing::Gone, ..node.listed });
+                        changed.displaced.push(Listed {
+                            state: Standing::Gone,
+                            ..node.listed
+                        });
                     }
                     node.listed.state = Standing::Gone;
                 }
--- a/crates/platform-proto/src/probes.rs
+++ b/crates/platform-proto/src/probes.rs
@@ -17,27 +17,45 @@
         let link = self.link_for(server);
         self.next += 1;
         let id = ProbeId(self.next);
-        let Some(link) = link.filter(|l| self.queue(*l, Item::Bytes(rtsp::probe(Hex16::of(id.0))))) else {
+        let Some(link) = link.filter(|l| self.queue(*l, Item::Bytes(rtsp::probe(Hex16::of(id.0)))))
+        else {
             let (outcome, load) = (Outcome::NotSent, Load::default());
-            return self.events.push_back(Event::Probed { server, outcome, load });
+            return self.events.push_back(Event::Probed {
+                server,
+                outcome,
+                load,
+            });
         };
         self.probes.insert(id, Probe { server, link });
         if let Some(link) = self.links.get(link) {
             link.probes.insert(id);
         }
-        self.timers.set(self.now + self.connect_within(), Due::Probe(id));
+        self.timers
+            .set(self.now + self.connect_within(), Due::Probe(id));
     }
 
     /// A probe has its answer, or will have none. `from`: the connection that the answer came by.
-    pub(crate) fn probed(&mut self, id: ProbeId, from: Option<LinkId>, outcome: Outcome, load: Load) {
+    pub(crate) fn probed(
+        &mut self,
+        id: ProbeId,
+        from: Option<LinkId>,
+        outcome: Outcome,
+        load: Load,
+    ) {
         if from.is_some_and(|from| self.probes.get(&id).is_some_and(|p| p.link != from)) {
             return;
         }
-        let Some(Probe { server, link }) = self.probes.remove(&id) else { return };
+        let Some(Probe { server, link }) = self.probes.remove(&id) else {
+            return;
+        };
         if let Some(link) = self.links.get(link) {
             link.probes.remove(&id);
             link.doubt |= outcome == Outcome::Late;
         }
-        self.events.push_back(Event::Probed { server, outcome, load });
+        self.events.push_back(Event::Probed {
+            server,
+            outcome,
+            load,
+        });
     }
 }
--- a/crates/platform-proto/src/requests.rs
+++ b/crates/platform-proto/src/requests.rs
@@ -26,14 +26,23 @@
             }
             // Two requests under one id: neither is to be believed where both come from one side, and the one
             // that is under way goes on where another tries to spoil it.
-            let same = self.sessions.get(&id).is_some_and(|s| s.viewer == Some(viewer) && s.owed);
+            let same = self
+                .sessions
+                .get(&id)
+                .is_some_and(|s| s.viewer == Some(viewer) && s.owed);
             if same {
                 self.withdraw(id);
             }
             self.say(viewer, &invalid);
             return;
         }
-        let Ok(Asked { title, description, mut request, at }) = asked else {
+        let Ok(Asked {
+            title,
+            description,
+            mut request,
+            at,
+        }) = asked
+        else {
             self.say(viewer, &invalid);
             return;
         };
@@ -54,13 +63,19 @@
             self.say(viewer, &Message::finish(tag, cause::FAILED));
             return;
         }
-        let Some(ip) = self.viewers.ip(viewer) else { return };
+        let Some(ip) = self.viewers.ip(viewer) else {
+            return;
+        };
         self.next += 1;
         let id = SessionId(self.next);
         request.session = id;
         let stage = match at {
             None => Stage::Asked,
-            Some(server) => Stage::Stands { server, attempt: 0, link: None },
+            Some(server) => Stage::Stands {
+                server,
+                attempt: 0,
+                link: None,
+            },
         };
         let session = Session {
             tag,
@@ -70,7 +85,11 @@
             viewer: Some(viewer),
             ip,
             deadline: request.deadline,
-            rung: self.settings.classes.get(request.class).map_or(0, |c| c.floor),
+            rung: self
+                .settings
+                .classes
+                .get(request.class)
+                .map_or(0, |c| c.floor),
             attempts: u32::from(at.is_some()),
             owed: at.is_none(),
             stage,
@@ -94,8 +113,18 @@
     /// A viewer gives a set-up up, or ends a session.
     pub(crate) fn released(&mut self, viewer: ViewerId, tag: Hex16) {
         if let Some(id) = self.tags.get(&tag).copied() {
-            let stands = matches!(self.sessions.get(&id), Some(Session { stage: Stage::Stands { .. }, .. }));
-            if stands { self.release(id) } else { self.withdraw(id) }
+            let stands = matches!(
+                self.sessions.get(&id),
+                Some(Session {
+                    stage: Stage::Stands { .. },
+                    ..
+                })
+            );
+            if stands {
+                self.release(id)
+            } else {
+                self.withdraw(id)
+            }
         } else if !self.past.contains(&tag) {
             // Said on one connection, and heard before the set-up on another.
             if self.forgone.len() >= FORGONE {
@@ -108,7 +137,9 @@
 
     /// A viewer's connection is going: what waits on it can't be answered any more.
     pub(crate) fn forget_viewer(&mut self, viewer: ViewerId) {
-        let Some(v) = self.viewers.all.get_mut(&viewer) else { return };
+        let Some(v) = self.viewers.all.get_mut(&viewer) else {
+            return;
+        };
         let (open, standing) = (std::mem::take(&mut v.open), std::mem::take(&mut v.standing));
         for id in open {
             self.withdraw(id);
@@ -121,7 +152,9 @@
 
     /// No answer is owed any more.
     pub(crate) fn withdraw(&mut self, id: SessionId) {
-        let Some(s) = self.sessions.get(&id) else { return };
+        let Some(s) = self.sessions.get(&id) else {
+            return;
+        };
         if s.owed {
             self.left += u32::from(!matches!(&s.stage, Stage::Out(a) if a.way == Way::Whole));
             self.settle(id);
@@ -136,22 +169,42 @@
 
     /// The answer of a session was never written whole: whoever it was for has gone, and it is nobody's.
     pub(crate) fn unheard(&mut self, id: SessionId) {
-        if matches!(self.sessions.get(&id), Some(Session { stage: Stage::Stands { .. }, .. })) {
+        if matches!(
+            self.sessions.get(&id),
+            Some(Session {
+                stage: Stage::Stands { .. },
+                ..
+            })
+        ) {
             self.release(id);
         }
     }
 
     /// What a director that is told to end still owes is answered before it must be gone.
     pub(crate) fn last_words_to_viewers(&mut self) {
-        let owed: Vec<_> = self.sessions.iter().filter(|(_, s)| s.owed).map(|(id, _)| *id).collect();
+        let owed: Vec<_> = self
+            .sessions
+            .iter()
+            .filter(|(_, s)| s.owed)
+            .map(|(id, _)| *id)
+            .collect();
         for id in owed {
-            let Some(s) = self.sessions.get(&id) else { continue };
+            let Some(s) = self.sessions.get(&id) else {
+                continue;
+            };
             let never_sent = match &s.stage {
                 Stage::Asked => s.attempts == 0,
                 Stage::Out(a) => a.number == 0 && a.way == Way::Waits,
                 Stage::Stands { .. } => false,
             };
-            let answer = Message::finish(s.tag, if never_sent { cause::REFUSED } else { cause::FAILED });
+            let answer = Message::finish(
+                s.tag,
+                if never_sent {
+                    cause::REFUSED
+                } else {
+                    cause::FAILED
+                },
+            );
             let viewer = s.viewer;
             self.withdraw(id);
             viewer.into_iter().for_each(|v| self.say(v, &answer));
@@ -161,20 +214,30 @@
 
     /// The one answer that is no session.
     pub(crate) fn answer(&mut self, id: SessionId, answer: &Message) {
-        let Some(s) = self.sessions.get(&id).filter(|s| s.owed) else { return };
+        let Some(s) = self.sessions.get(&id).filter(|s| s.owed) else {
+            return;
+        };
         let viewer = s.viewer;
         self.settle(id);
         if let Some(viewer) = viewer {
             self.say(viewer, answer);
         }
-        if matches!(self.sessions.get(&id), Some(Session { stage: Stage::Asked, .. })) {
+        if matches!(
+            self.sessions.get(&id),
+            Some(Session {
+                stage: Stage::Asked,
+                ..
+            })
+        ) {
             self.forget(id);
         }
     }
 
     /// It has its answer, or needs none.
     pub(crate) fn settle(&mut self, id: SessionId) {
-        let Some(s) = self.sessions.get_mut(&id) else { return };
+        let Some(s) = self.sessions.get_mut(&id) else {
+            return;
+        };
         s.owed = false;
         s.description = String::new();
         if let Some(v) = s.viewer.and_then(|v| self.viewers.all.get_mut(&v)) {
@@ -183,7 +246,9 @@
     }
 
     pub(crate) fn forget(&mut self, id: SessionId) {
-        let Some(s) = self.sessions.remove(&id) else { return };
+        let Some(s) = self.sessions.remove(&id) else {
+            return;
+        };
         self.tags.remove(&s.tag);
         if let Some(v) = s.viewer.and_then(|v| self.viewers.all.get_mut(&v)) {
             v.open.remove(&id);
--- a/crates/platform-proto/src/rtsp.rs
+++ b/crates/platform-proto/src/rtsp.rs
@@ -34,7 +34,10 @@
     /// A session's description, as a node made it for that session.
     pub fn description(self) -> Result<String, Unreadable> {
         let odd = Unreadable("a description is not text");
-        String::from_utf8(self.body).ok().filter(|text| !text.is_empty()).ok_or(odd)
+        String::from_utf8(self.body)
+            .ok()
+            .filter(|text| !text.is_empty())
+            .ok_or(odd)
     }
 
     /// The cause in `Reason: cause=N`.
@@ -100,8 +103,14 @@
     pub fn message(&mut self) -> Result<Option<Message>, Unreadable> {
         if self.head.is_none() {
             self.plausible()?;
-            let limits = Limits { head: MESSAGE, ..Limits::default() };
-            let found = self.finder.find(&self.buf, &limits).map_err(|_| Unreadable("a head is too long"))?;
+            let limits = Limits {
+                head: MESSAGE,
+                ..Limits::default()
+            };
+            let found = self
+                .finder
+                .find(&self.buf, &limits)
+                .map_err(|_| Unreadable("a head is too long"))?;
             let Some(end) = found else { return Ok(None) };
             self.finder = Finder::default();
             let (message, length) = head(&self.buf[..end], &limits)?;
@@ -110,7 +119,9 @@
             }
             self.head = Some((message, end, length));
         }
-        let Some((mut message, end, length)) = self.head.take() else { return Ok(None) };
+        let Some((mut message, end, length)) = self.head.take() else {
+            return Ok(None);
+        };
         if self.buf.len() < end + length {
             self.head = Some((message, end, length));
             return Ok(None);
@@ -131,17 +142,27 @@
         if line.len() > START_LINE || line.iter().any(|b| !matches!(b, b' '..=b'~' | b'\r')) {
             return odd;
         }
-        let word = line.split(|b| matches!(b, b' ' | b'/')).next().unwrap_or_default();
+        let word = line
+            .split(|b| matches!(b, b' ' | b'/'))
+            .next()
+            .unwrap_or_default();
         let fits = word.len() <= 24 && word.iter().all(|b| b.is_ascii_uppercase() || *b == b'_');
         // Nor does one begin with an empty line: it is what a length one too small leaves of a description.
-        if !fits || (word.is_empty() && !self.buf.is_empty()) { odd } else { Ok(()) }
+        if !fits || (word.is_empty() && !self.buf.is_empty()) {
+            odd
+        } else {
+            Ok(())
+        }
     }
 }
 
 fn head(bytes: &[u8], limits: &Limits) -> Result<(Message, usize), Unreadable> {
     let odd = Unreadable("not the first line of a message");
     let line = bytes.split(|b| *b == b'\n').next().unwrap_or_default();
-    let text = line.strip_suffix(b"\r").and_then(|l| std::str::from_utf8(l).ok()).ok_or(odd)?;
+    let text = line
+        .strip_suffix(b"\r")
+        .and_then(|l| std::str::from_utf8(l).ok())
+        .ok_or(odd)?;
     let mut words = text.splitn(3, ' ');
     let (first, second, third) = (words.next(), words.next(), words.next());
     let start = match (first, second, third) {
@@ -155,16 +176,26 @@
         (Some(method), Some(_), Some("RTSP/1.0")) => Start::Request(method.to_string()),
         _ => return Err(odd),
     };
-    let fields = fields(&bytes[line.len() + 1..], limits).map_err(|_| Unreadable("a field is malformed"))?;
+    let fields =
+        fields(&bytes[line.len() + 1..], limits).map_err(|_| Unreadable("a field is malformed"))?;
     let one = |name: &'static str| {
         let mut all = fields.all(name);
         let first = all.next();
-        if all.next().is_some() { Err(Unreadable("a field comes twice")) } else { Ok(first) }
+        if all.next().is_some() {
+            Err(Unreadable("a field comes twice"))
+        } else {
+            Ok(first)
+        }
     };
     let number = |value: Option<&[u8]>| -> Result<Option<u64>, Unreadable> {
         let Some(value) = value else { return Ok(None) };
-        let digits = std::str::from_utf8(value).ok().filter(|v| v.bytes().all(|b| b.is_ascii_digit()));
-        digits.and_then(|v| v.parse().ok()).map(Some).ok_or(Unreadable("a field is not a whole number"))
+        let digits = std::str::from_utf8(value)
+            .ok()
+            .filter(|v| v.bytes().all(|b| b.is_ascii_digit()));
+        digits
+            .and_then(|v| v.parse().ok())
+            .map(Some)
+            .ok_or(Unreadable("a field is not a whole number"))
     };
     let length = number(one("content-length")?)?.ok_or(Unreadable("Content-Length is missing"))?;
     let cseq = number(one("cseq")?)?;
@@ -175,8 +206,19 @@
             Some(id.ok_or(Unreadable("Session is not an id"))?)
         }
     };
-    let length = usize::try_from(length).unwrap_or(usize::MAX / 2).min(usize::MAX / 2);
-    Ok((Message { start, cseq, session, fields, body: Vec::new() }, length))
+    let length = usize::try_from(length)
+        .unwrap_or(usize::MAX / 2)
+        .min(usize::MAX / 2);
+    Ok((
+        Message {
+            start,
+            cseq,
+            session,
+            fields,
+            body: Vec::new(),
+        },
+        length,
+    ))
 }
 
 /// Writes a request without content.
@@ -199,7 +241,14 @@
 
 impl SetUp<'_> {
     pub fn write(&self) -> Vec<u8> {
-        let SetUp { session, title, class, left, rung, description } = self;
+        let SetUp {
+            session,
+            title,
+            class,
+            left,
+            rung,
+            description,
+        } = self;
         format!(
             "SETUP rtsp://media/{title} RTSP/1.0\r\nCSeq: {SETUP}\r\nSession: {session}\r\nP-Kind: {class}\r\n\
              P-Time-Left: {left}\r\nX-Rung: {rung}\r\nContent-Length: {}\r\n\r\n{description}",
@@ -216,12 +265,24 @@
 
 /// A session that stands is released.
 pub fn release(session: Hex16, cause: i64) -> Vec<u8> {
-    request("TEARDOWN", &session.to_string(), TEARDOWN, session, &format!("Reason: cause={cause}\r\n"))
+    request(
+        "TEARDOWN",
+        &session.to_string(),
+        TEARDOWN,
+        session,
+        &format!("Reason: cause={cause}\r\n"),
+    )
 }
 
 /// A new rung for a session that stands.
 pub fn rung(session: Hex16, rung: usize) -> Vec<u8> {
-    request("SET_PARAMETER", &session.to_string(), 4, session, &format!("X-Rung: {rung}\r\n"))
+    request(
+        "SET_PARAMETER",
+        &session.to_string(),
+        4,
+        session,
+        &format!("X-Rung: {rung}\r\n"),
+    )
 }
 
 /// Asks for a load report, which is a test as well.
@@ -231,6 +292,8 @@
 
 /// A release was heard.
 pub fn heard(session: Hex16) -> Vec<u8> {
-    format!("RTSP/1.0 200 OK\r\nCSeq: {TEARDOWN}\r\nSession: {session}\r\nContent-Length: 0\r\n\r\n")
-        .into_bytes()
+    format!(
+        "RTSP/1.0 200 OK\r\nCSeq: {TEARDOWN}\r\nSession: {session}\r\nContent-Length: 0\r\n\r\n"
+    )
+    .into_bytes()
 }
--- a/crates/platform-proto/src/status.rs
+++ b/crates/platform-proto/src/status.rs
@@ -40,8 +40,15 @@
         let named = worst.iter().take(WORST).map(|b| {
             let cold = if b.cold { " cold" } else { "" };
             let short = if b.short { " short" } else { "" };
-            let fails = if b.fails > 0 { format!(" failed {}", b.fails) } else { String::new() };
-            format!("s-{:08x} {:.2}/{:.2}{cold}{short}{fails}", b.server.0, b.link, b.uplink)
+            let fails = if b.fails > 0 {
+                format!(" failed {}", b.fails)
+            } else {
+                String::new()
+            };
+            format!(
+                "s-{:08x} {:.2}/{:.2}{cold}{short}{fails}",
+                b.server.0, b.link, b.uplink
+            )
         });
         let worst = named.collect::<Vec<_>>().join(", ");
         let ended = counted(std::mem::take(&mut self.ends));
@@ -65,5 +72,9 @@
 }
 
 fn counted<T: std::fmt::Debug>(counts: impl IntoIterator<Item = (T, u32)>) -> String {
-    counts.into_iter().map(|(what, n)| format!("{what:?} {n}")).collect::<Vec<_>>().join(", ")
+    counts
+        .into_iter()
+        .map(|(what, n)| format!("{what:?} {n}"))
+        .collect::<Vec<_>>()
+        .join(", ")
 }
--- a/crates/platform-proto/src/table.rs
+++ b/crates/platform-proto/src/table.rs
@@ -77,18 +77,28 @@
 
     fn act(&mut self, action: Action) {
         match action {
-            Action::Send { session, server, patience } => self.send(session, server, patience),
+            Action::Send {
+                session,
+                server,
+                patience,
+            } => self.send(session, server, patience),
             Action::SetRung { session, rung } => self.set_rung(session, rung),
             Action::Refuse { session, come_back } => {
-                let Some(s) = self.sessions.get(&session) else { return };
+                let Some(s) = self.sessions.get(&session) else {
+                    return;
+                };
                 let mut answer = Message::finish(s.tag, cause::REFUSED);
                 if let Some(wait) = come_back {
-                    answer.opts.insert("wait".into(), Value::String((wait / 1000).to_string()));
+                    answer
+                        .opts
+                        .insert("wait".into(), Value::String((wait / 1000).to_string()));
                 }
                 self.answer(session, &answer);
             }
             Action::Fail { session } => {
-                let Some(s) = self.sessions.get(&session) else { return };
+                let Some(s) = self.sessions.get(&session) else {
+                    return;
+                };
                 let answer = Message::finish(s.tag, cause::FAILED);
                 self.answer(session, &answer);
             }
@@ -99,23 +109,36 @@
                 }
             }
             Action::Move { session } => {
-                let Some(s) = self.sessions.get(&session) else { return };
+                let Some(s) = self.sessions.get(&session) else {
+                    return;
+                };
                 let (tag, viewer, ip) = (s.tag, s.viewer, s.ip);
                 if matches!(s.stage, Stage::Stands { .. }) {
                     self.say_over(viewer, ip, Message::new(Verb::Move, tag).write());
                 }
                 self.release(session);
             }
-            Action::Timer { after, token } => self.timers.set(self.now + after.max(0), Due::Module(token)),
+            Action::Timer { after, token } => {
+                self.timers.set(self.now + after.max(0), Due::Module(token))
+            }
             Action::Probe { server } => self.probe(server),
             Action::CloseIdle { server } => {
-                let idle = self.links.of(server).filter(|(_, l)| l.up && !l.busy()).map(|(id, _)| id);
+                let idle = self
+                    .links
+                    .of(server)
+                    .filter(|(_, l)| l.up && !l.busy())
+                    .map(|(id, _)| id);
                 let idle: Vec<_> = idle.collect();
-                idle.into_iter().skip(1).for_each(|id| self.part_with(id, Lost::Done));
+                idle.into_iter()
+                    .skip(1)
+                    .for_each(|id| self.part_with(id, Lost::Done));
             }
             Action::Log(text) => self.outputs.push_back(Output::Log(text)),
             // The journal tells without being asked, and directors don't talk; nobody here asks for hand-overs.
-            Action::FetchList | Action::Subscribe(_) | Action::Tell { .. } | Action::HandOver { .. } => {}
+            Action::FetchList
+            | Action::Subscribe(_)
+            | Action::Tell { .. }
+            | Action::HandOver { .. } => {}
         }
     }
 
@@ -123,7 +146,9 @@
 
     fn send(&mut self, id: SessionId, server: ServerId, patience: Option<Micros>) {
         let now = self.now;
-        let Some(s) = self.sessions.get_mut(&id) else { return };
+        let Some(s) = self.sessions.get_mut(&id) else {
+            return;
+        };
         let number = s.attempts;
         s.attempts += 1;
         if !matches!(s.stage, Stage::Asked) || !s.owed {
@@ -135,7 +160,14 @@
             return;
         };
         if let Some(s) = self.sessions.get_mut(&id) {
-            s.stage = Stage::Out(Attempt { server, number, link, sent: now, until, way: Way::Waits });
+            s.stage = Stage::Out(Attempt {
+                server,
+                number,
+                link,
+                sent: now,
+                until,
+                way: Way::Waits,
+            });
         }
         if let Some(link) = self.links.get(link) {
             link.open.insert(id);
@@ -154,9 +186,13 @@
         }
         self.make_room();
         if !self.links.room(server) {
-            let spare = self.links.iter().filter(|(_, l)| l.server != server && l.up && !l.busy());
-            let spare =
-                spare.filter(|(_, l)| self.links.of(l.server).count() > 1 || !self.nodes.stands(l.server));
+            let spare = self
+                .links
+                .iter()
+                .filter(|(_, l)| l.server != server && l.up && !l.busy());
+            let spare = spare.filter(|(_, l)| {
+                self.links.of(l.server).count() > 1 || !self.nodes.stands(l.server)
+            });
             let spare = spare.min_by_key(|(id, l)| (l.used, *id)).map(|(id, _)| id);
             match spare.filter(|_| self.links.of(server).next().is_none()) {
                 Some(spare) => self.part_with(spare, Lost::Done),
@@ -173,11 +209,17 @@
     pub(crate) fn worded(&mut self, id: SessionId, number: u32) -> Option<Vec<u8>> {
         let now = self.now;
         let s = self.sessions.get_mut(&id)?;
-        let Stage::Out(a) = &mut s.stage else { return None };
+        let Stage::Out(a) = &mut s.stage else {
+            return None;
+        };
         if a.number != number || a.way != Way::Waits {
             return None;
         }
-        let ready = self.nodes.all.get(&a.server).is_some_and(|n| n.listed.state == Standing::Ready);
+        let ready = self
+            .nodes
+            .all
+            .get(&a.server)
+            .is_some_and(|n| n.listed.state == Standing::Ready);
         let left = (a.until - now) / 1000;
         if !s.owed || !ready || left <= 0 {
             self.cut(id, Outcome::NotSent);
@@ -185,23 +227,38 @@
         }
         a.way = Way::Partly;
         // `owed` was judged above; this counts what must not be.
-        self.sent_for_left += u32::from(s.viewer.is_none_or(|v| !self.viewers.all.contains_key(&v)));
+        self.sent_for_left +=
+            u32::from(s.viewer.is_none_or(|v| !self.viewers.all.contains_key(&v)));
         let class = self.names.classes.get(s.class)?;
-        let set_up =
-            SetUp { session: s.tag, title: s.title, class, left, rung: s.rung, description: &s.description };
+        let set_up = SetUp {
+            session: s.tag,
+            title: s.title,
+            class,
+            left,
+            rung: s.rung,
+            description: &s.description,
+        };
         Some(set_up.write())
     }
 
     /// An attempt is given up for good: the next one, which may have waited for that, can be written.
     pub(crate) fn next_attempt(&mut self, id: SessionId) {
-        if let Some(Session { stage: Stage::Out(a), .. }) = self.sessions.get(&id) {
-            self.outputs.push_back(Output::Write(Conn(ConnId::Node(a.link))));
+        if let Some(Session {
+            stage: Stage::Out(a),
+            ..
+        }) = self.sessions.get(&id)
+        {
+            self.outputs
+                .push_back(Output::Write(Conn(ConnId::Node(a.link))));
         }
     }
 
     /// None of it was taken: it waits again.
     pub(crate) fn unworded(&mut self, id: SessionId, number: u32) {
-        if let Some(Session { stage: Stage::Out(a), .. }) = self.sessions.get_mut(&id)
+        if let Some(Session {
+            stage: Stage::Out(a),
+            ..
+        }) = self.sessions.get_mut(&id)
             && a.number == number
             && a.way == Way::Partly
         {
@@ -211,7 +268,10 @@
 
     /// A set-up has been written whole: its node may have it.
     pub(crate) fn whole(&mut self, id: SessionId, number: u32) {
-        if let Some(Session { stage: Stage::Out(a), .. }) = self.sessions.get_mut(&id)
+        if let Some(Session {
+            stage: Stage::Out(a),
+            ..
+        }) = self.sessions.get_mut(&id)
             && a.number == number
         {
             a.way = Way::Whole;
@@ -220,10 +280,20 @@
 
     /// The connection of a set-up is gone.
     pub(crate) fn cut(&mut self, id: SessionId, outcome: Outcome) {
-        let Some(Session { stage: Stage::Out(a), .. }) = self.sessions.get(&id) else { return };
+        let Some(Session {
+            stage: Stage::Out(a),
+            ..
+        }) = self.sessions.get(&id)
+        else {
+            return;
+        };
         let never_whole = a.way != Way::Whole && outcome == Outcome::Reset;
         let (server, number) = (a.server, a.number);
-        let outcome = if never_whole { Outcome::NotSent } else { outcome };
+        let outcome = if never_whole {
+            Outcome::NotSent
+        } else {
+            outcome
+        };
         self.outcome(id, server, number, outcome, Load::default());
     }
 
@@ -236,25 +306,42 @@
         outcome: Outcome,
         load: Load,
     ) {
-        let Some(s) = self.sessions.get_mut(&id) else { return };
+        let Some(s) = self.sessions.get_mut(&id) else {
+            return;
+        };
         if let Stage::Out(a) = std::mem::replace(&mut s.stage, Stage::Asked)
             && let Some(link) = self.links.get(a.link)
         {
             link.open.remove(&id);
             if link.unqueue(id) {
-                self.outputs.push_back(Output::Write(Conn(ConnId::Node(a.link))));
+                self.outputs
+                    .push_back(Output::Write(Conn(ConnId::Node(a.link))));
             }
         }
         let closed = !s.owed;
         if closed {
             self.forget(id);
         }
-        self.finished(Event::Finished { session: id, attempt, server, outcome, closed, load }, outcome);
+        self.finished(
+            Event::Finished {
+                session: id,
+                attempt,
+                server,
+                outcome,
+                closed,
+                load,
+            },
+            outcome,
+        );
     }
 
     /// Tells the module of an end, and counts it for the log.
     fn finished(&mut self, end: Event, outcome: Outcome) {
-        match self.ends.iter_mut().find(|(counted, _)| *counted == outcome) {
+        match self
+            .ends
+            .iter_mut()
+            .find(|(counted, _)| *counted == outcome)
+        {
             Some((_, n)) => *n += 1,
             None => self.ends.push((outcome, 1)),
         }
@@ -263,7 +350,14 @@
 
     /// A set-up is given up: its node is told, if it can have heard of it.
     pub(crate) fn give_up(&mut self, id: SessionId, outcome: Outcome) {
-        let Some(Session { tag, stage: Stage::Out(a), .. }) = self.sessions.get(&id) else { return };
+        let Some(Session {
+            tag,
+            stage: Stage::Out(a),
+            ..
+        }) = self.sessions.get(&id)
+        else {
+            return;
+        };
         let (tag, server, number, link, way) = (*tag, a.server, a.number, a.link, a.way);
         if way == Way::Whole {
             if let Some(link) = self.links.get(link) {
@@ -289,15 +383,25 @@
     }
 
     /// A node answers a set-up.
-    pub(crate) fn answered(&mut self, link: LinkId, tag: Hex16, status: u16, message: rtsp::Message) {
+    pub(crate) fn answered(
+        &mut self,
+        link: LinkId,
+        tag: Hex16,
+        status: u16,
+        message: rtsp::Message,
+    ) {
         // Where the next attempt is out on the same connection, it is that one's answer.
         let here = |s: &Session| matches!(&s.stage, Stage::Out(a) if a.link == link && a.way != Way::Waits);
         let here = self.under(tag).is_some_and(here);
         if status == 200 && !here && self.links.get(link).is_some_and(|l| l.take_refused(tag)) {
             return self.disown(link, tag);
         }
-        let Some(id) = self.tags.get(&tag).copied() else { return };
-        let Some(s) = self.sessions.get_mut(&id) else { return };
+        let Some(id) = self.tags.get(&tag).copied() else {
+            return;
+        };
+        let Some(s) = self.sessions.get_mut(&id) else {
+            return;
+        };
         // A second copy, or an answer to what was given up.
         let Stage::Out(a) = &s.stage else { return };
         if a.link != link || a.way == Way::Waits {
@@ -320,7 +424,11 @@
         let Ok(description) = message.description() else {
             return self.drop_link(link, Lost::Spoilt); // the set-up on it ends with it
         };
-        s.stage = Stage::Stands { server, attempt: number, link: Some(link) };
+        s.stage = Stage::Stands {
+            server,
+            attempt: number,
+            link: Some(link),
+        };
         if let Some(link) = self.links.get(link) {
             link.open.remove(&id);
         }
@@ -333,7 +441,10 @@
             waited: self.now - sent,
         });
         if let Some(viewer) = viewer {
-            let answer = Message { blob: Some(description), ..Message::new(Verb::Started, tag) };
+            let answer = Message {
+                blob: Some(description),
+                ..Message::new(Verb::Started, tag)
+            };
             if !self.word(viewer, Word::Answer(id), answer.write()) {
                 self.unheard(id);
             }
@@ -343,7 +454,9 @@
     /// A node that refused a set-up says that it stands: nobody here waits for that any more, and another node may have
     /// the next attempt. It is released, unless the same node has that one, too, and the word would be taken for it.
     fn disown(&mut self, link: LinkId, tag: Hex16) {
-        let Some(server) = self.links.get(link).map(|l| l.server) else { return };
+        let Some(server) = self.links.get(link).map(|l| l.server) else {
+            return;
+        };
         let there = self.under(tag).is_some_and(|s| match &s.stage {
             Stage::Asked => false,
             Stage::Out(a) => a.server == server,
@@ -368,7 +481,9 @@
     /// It is released over another connection, at once or when the next one is up.
     pub(crate) fn owe_release(&mut self, server: ServerId, tags: Vec<Hex16>) {
         let until = self.now + OWED;
-        let Some(node) = self.nodes.all.get_mut(&server) else { return };
+        let Some(node) = self.nodes.all.get_mut(&server) else {
+            return;
+        };
         for tag in tags {
             if node.owed.len() < MOST_OWED {
                 node.owed.push((until, tag));
@@ -380,7 +495,9 @@
     }
 
     pub(crate) fn say_owed(&mut self, server: ServerId, link: LinkId) {
-        let Some(node) = self.nodes.all.get_mut(&server) else { return };
+        let Some(node) = self.nodes.all.get_mut(&server) else {
+            return;
+        };
         for (_, tag) in std::mem::take(&mut node.owed) {
             self.disown(link, tag);
         }
@@ -403,16 +520,25 @@
     }
 
     /// A node ends a session, or breaks a set-up off.
-    pub(crate) fn torn_down(&mut self, link: LinkId, server: ServerId, tag: Hex16, message: rtsp::Message) {
-        let Some(id) = self.tags.get(&tag).copied() else { return };
+    pub(crate) fn torn_down(
+        &mut self,
+        link: LinkId,
+        server: ServerId,
+        tag: Hex16,
+        message: rtsp::Message,
+    ) {
+        let Some(id) = self.tags.get(&tag).copied() else {
+            return;
+        };
         match self.sessions.get(&id).map(|s| &s.stage) {
             Some(Stage::Stands { server: at, .. }) if *at == server => {
                 // Who ended it himself, or was moved, is owed no release.
                 let (outcome, rc) = match message.cause() {
                     Some(cause::NORMAL) => (Outcome::Good, Some(cause::NORMAL)),
-                    Some(cause::CANCELLED) => {
-                        (Outcome::Cancelled, self.take_answer_back(id).then_some(cause::FAILED))
-                    }
+                    Some(cause::CANCELLED) => (
+                        Outcome::Cancelled,
+                        self.take_answer_back(id).then_some(cause::FAILED),
+                    ),
                     _ => (Outcome::Reset, Some(cause::FAILED)),
                 };
                 self.ended(id, outcome, message.load(), rc);
@@ -433,14 +559,24 @@
     /// Takes an answer back that has not left yet: it is no more true, and one answer is owed. Whoever has not heard
     /// that a session stands can't have ended it.
     fn take_answer_back(&mut self, id: SessionId) -> bool {
-        let Some(s) = self.sessions.get(&id) else { return false };
-        s.viewer.is_some_and(|viewer| self.viewers.take_back(viewer, id))
+        let Some(s) = self.sessions.get(&id) else {
+            return false;
+        };
+        s.viewer
+            .is_some_and(|viewer| self.viewers.take_back(viewer, id))
     }
 
     /// A session is over; `rc`: what its viewer is told.
     pub(crate) fn ended(&mut self, id: SessionId, outcome: Outcome, load: Load, rc: Option<i64>) {
-        let Some(s) = self.sessions.get(&id) else { return };
-        let Stage::Stands { server, attempt, .. } = s.stage else { return };
+        let Some(s) = self.sessions.get(&id) else {
+            return;
+        };
+        let Stage::Stands {
+            server, attempt, ..
+        } = s.stage
+        else {
+            return;
+        };
         let (tag, viewer, ip) = (s.tag, s.viewer, s.ip);
         if let Some(node) = self.nodes.all.get_mut(&server) {
             node.standing.remove(&id);
@@ -449,13 +585,27 @@
         if let Some(rc) = rc {
             self.say_over(viewer, ip, Message::finish(tag, rc).write());
         }
-        self.finished(Event::Finished { session: id, attempt, server, outcome, closed: true, load }, outcome);
+        self.finished(
+            Event::Finished {
+                session: id,
+                attempt,
+                server,
+                outcome,
+                closed: true,
+                load,
+            },
+            outcome,
+        );
     }
 
     /// A session that stands is released by its viewer, or moved: its node is told.
     pub(crate) fn release(&mut self, id: SessionId) {
-        let Some(s) = self.sessions.get(&id) else { return };
-        let Stage::Stands { server, link, .. } = s.stage else { return };
+        let Some(s) = self.sessions.get(&id) else {
+            return;
+        };
+        let Stage::Stands { server, link, .. } = s.stage else {
+            return;
+        };
         let tag = s.tag;
         let way = self.way_to(server, link);
         if !way.is_some_and(|link| self.queue(link, Item::Release(tag))) {
@@ -473,9 +623,13 @@
     }
 
     fn set_rung(&mut self, id: SessionId, rung: usize) {
-        let Some(s) = self.sessions.get_mut(&id) else { return };
+        let Some(s) = self.sessions.get_mut(&id) else {
+            return;
+        };
         s.rung = rung;
-        let Stage::Stands { server, link, .. } = s.stage else { return };
+        let Stage::Stands { server, link, .. } = s.stage else {
+            return;
+        };
         let tag = s.tag;
         if let Some(link) = self.way_to(server, link) {
             self.queue(link, Item::Bytes(rtsp::rung(tag, rung)));
@@ -485,14 +639,25 @@
     /// A note on a session that stands, or that its node has whole: the first one, which is the freshest word of how full
     /// the node is, comes ahead of the answer.
     pub(crate) fn noted(&mut self, server: ServerId, tag: Hex16, message: &rtsp::Message) {
-        let Some(session) = self.tags.get(&tag).copied() else { return };
+        let Some(session) = self.tags.get(&tag).copied() else {
+            return;
+        };
         let attempt = match self.sessions.get(&session).map(|s| &s.stage) {
-            Some(Stage::Stands { server: at, attempt, .. }) if *at == server => *attempt,
+            Some(Stage::Stands {
+                server: at,
+                attempt,
+                ..
+            }) if *at == server => *attempt,
             Some(Stage::Out(a)) if a.server == server && a.way == Way::Whole => a.number,
             _ => return,
         };
         if let Some(note) = message.note() {
-            self.events.push_back(Event::Noted { session, attempt, server, note });
+            self.events.push_back(Event::Noted {
+                session,
+                attempt,
+                server,
+                note,
+            });
         }
     }
 }
--- a/crates/platform-proto/src/transmit.rs
+++ b/crates/platform-proto/src/transmit.rs
@@ -42,7 +42,11 @@
         };
         loop {
             let Some(link) = self.links.get(id) else {
-                return if self.lingering.has(id) { Transmit::Finish } else { Transmit::Close };
+                return if self.lingering.has(id) {
+                    Transmit::Finish
+                } else {
+                    Transmit::Close
+                };
             };
             (link.stuck, link.releasing) = (None, None);
             if let Some((session, attempt)) = link.writing.take() {
@@ -66,12 +70,18 @@
                 }
                 // Two nodes may be reached in either order: no two attempts are to be out.
                 Some(Item::SetUp(session, attempt @ 1..)) if self.links.gives_up(session) => {
-                    self.links.get(id).into_iter().for_each(|l| l.put_back(Item::SetUp(session, attempt)));
+                    self.links
+                        .get(id)
+                        .into_iter()
+                        .for_each(|l| l.put_back(Item::SetUp(session, attempt)));
                     return Transmit::Wait;
                 }
                 Some(Item::SetUp(session, attempt)) => match self.worded(session, attempt) {
                     Some(bytes) => {
-                        self.links.get(id).into_iter().for_each(|l| l.writing = Some((session, attempt)));
+                        self.links
+                            .get(id)
+                            .into_iter()
+                            .for_each(|l| l.writing = Some((session, attempt)));
                         bytes
                     }
                     None => {
@@ -95,7 +105,9 @@
             ConnId::Viewer(id) => return self.viewers.untaken(id, bytes),
             ConnId::Node(id) => id,
         };
-        let Some(link) = self.links.get(id) else { return };
+        let Some(link) = self.links.get(id) else {
+            return;
+        };
         if let Some((session, attempt)) = link.writing.take() {
             link.put_back(Item::SetUp(session, attempt));
             self.unworded(session, attempt);
--- a/crates/platform-proto/src/viewers.rs
+++ b/crates/platform-proto/src/viewers.rs
@@ -109,7 +109,10 @@
 
 impl Viewers {
     pub fn new(most: usize) -> Viewers {
-        Viewers { most, ..Viewers::default() }
+        Viewers {
+            most,
+            ..Viewers::default()
+        }
     }
 
     /// A connection has come. Where there are too many, also the one to close for it: one that said nothing yet
@@ -117,10 +120,17 @@
     pub fn open(&mut self, ip: IpAddr, now: Micros) -> Option<(ViewerId, Option<ViewerId>)> {
         let mut spare = None;
         if self.all.len() >= self.most {
-            let useless =
-                |v: &Viewer| v.open.is_empty() && v.standing.is_empty() && !v.unsaid() && !v.parting;
-            let found = self.all.iter().filter(|(_, v)| useless(v)).min_by_key(|(_, v)| (v.said, v.last));
-            let found = found.map(|(id, _)| *id).filter(|_| self.all.len() < self.most + BEYOND);
+            let useless = |v: &Viewer| {
+                v.open.is_empty() && v.standing.is_empty() && !v.unsaid() && !v.parting
+            };
+            let found = self
+                .all
+                .iter()
+                .filter(|(_, v)| useless(v))
+                .min_by_key(|(_, v)| (v.said, v.last));
+            let found = found
+                .map(|(id, _)| *id)
+                .filter(|_| self.all.len() < self.most + BEYOND);
             spare = Some(found?);
         }
         let id = ViewerId(self.next);
@@ -145,7 +155,9 @@
             let other = *whose != ip;
             if !other {
                 viewer.queued += bytes.len();
-                viewer.queue.push_back((Word::Release, std::mem::take(bytes)));
+                viewer
+                    .queue
+                    .push_back((Word::Release, std::mem::take(bytes)));
             }
             other
         });
@@ -155,7 +167,9 @@
 
     /// Queues a line. False where the connection is gone, or its peer reads nothing and it is to be closed.
     pub fn say(&mut self, id: ViewerId, word: Word, bytes: Vec<u8>) -> bool {
-        let Some(viewer) = self.all.get_mut(&id) else { return false };
+        let Some(viewer) = self.all.get_mut(&id) else {
+            return false;
+        };
         if viewer.queued + bytes.len() > QUEUE {
             return false;
         }
@@ -167,8 +181,15 @@
     /// What it comes to if the connection ends now.
     pub fn unsaid(&mut self, id: ViewerId) -> Unsaid {
         let mut unsaid = Unsaid::default();
-        let Some(viewer) = self.all.get_mut(&id) else { return unsaid };
-        for (word, bytes) in viewer.writing.take().into_iter().chain(viewer.queue.drain(..)) {
+        let Some(viewer) = self.all.get_mut(&id) else {
+            return unsaid;
+        };
+        for (word, bytes) in viewer
+            .writing
+            .take()
+            .into_iter()
+            .chain(viewer.queue.drain(..))
+        {
             match word {
                 Word::Answer(session) => unsaid.answers.push(session),
                 Word::Release => unsaid.releases.push(bytes),
@@ -203,8 +224,14 @@
 
     /// Takes back an answer that has not begun to be written. False: it is on its way, or has been read.
     pub fn take_back(&mut self, id: ViewerId, session: SessionId) -> bool {
-        let Some(viewer) = self.all.get_mut(&id) else { return false };
-        let Some(at) = viewer.queue.iter().position(|(word, _)| *word == Word::Answer(session)) else {
+        let Some(viewer) = self.all.get_mut(&id) else {
+            return false;
+        };
+        let Some(at) = viewer
+            .queue
+            .iter()
+            .position(|(word, _)| *word == Word::Answer(session))
+        else {
             return false;
         };
         let taken = viewer.queue.remove(at).map_or(0, |(_, bytes)| bytes.len());
@@ -219,14 +246,20 @@
         let (word, bytes) = viewer.queue.pop_front()?;
         viewer.queued -= bytes.len().min(viewer.queued);
         // Only a release is said again.
-        let again = if word == Word::Release { bytes.clone() } else { Vec::new() };
+        let again = if word == Word::Release {
+            bytes.clone()
+        } else {
+            Vec::new()
+        };
         viewer.writing = Some((word, again));
         Some(bytes)
     }
 
     /// The bytes given last are still to be written, all of them.
     pub fn untaken(&mut self, id: ViewerId, bytes: Vec<u8>) {
-        let Some(viewer) = self.all.get_mut(&id) else { return };
+        let Some(viewer) = self.all.get_mut(&id) else {
+            return;
+        };
         if let Some((word, _)) = viewer.writing.take() {
             viewer.queued += bytes.len();
             viewer.queue.push_front((word, bytes));
@@ -254,7 +287,11 @@
     /// Those to close at once: told to go, and still there.
     pub fn overdue(&self, now: Micros) -> Vec<ViewerId> {
         let overdue = |v: &Viewer| v.closing.is_some_and(|since| now - since >= PARTING);
-        self.all.iter().filter(|(_, v)| overdue(v)).map(|(id, _)| *id).collect()
+        self.all
+            .iter()
+            .filter(|(_, v)| overdue(v))
+            .map(|(id, _)| *id)
+            .collect()
     }
 
     /// Those to close now.
@@ -262,6 +299,10 @@
         while self.kept.front().is_some_and(|(until, _, _)| *until <= now) {
             self.kept.pop_front();
         }
-        self.all.iter().filter(|(_, v)| !v.closes() && v.may_close(now)).map(|(id, _)| *id).collect()
+        self.all
+            .iter()
+            .filter(|(_, v)| !v.closes() && v.may_close(now))
+            .map(|(id, _)| *id)
+            .collect()
     }
 }
--- a/crates/platform-proto/tests/common/mod.rs
+++ b/crates/platform-proto/tests/common/mod.rs
@@ -91,9 +91,11 @@
                     self.links.insert(conn, address);
                     self.under_way.insert(conn);
                 }
-                Output::Write(conn) if self.under_way.contains(&conn) || self.stuck.contains(&conn) => {}
+                Output::Write(conn)
+                    if self.under_way.contains(&conn) || self.stuck.contains(&conn) => {}
                 // It is in the middle of a write.
-                Output::Write(conn) if self.half.contains(&conn) && self.said.contains_key(&conn) => {}
+                Output::Write(conn)
+                    if self.half.contains(&conn) && self.said.contains_key(&conn) => {}
                 Output::Write(conn) => self.write(conn),
                 Output::Close(conn) => {
                     self.links.remove(&conn);
@@ -116,7 +118,10 @@
                     return self.door.taken_in_part(self.now, conn);
                 }
                 Transmit::Bytes(bytes) => {
-                    self.said.entry(conn).or_default().push_str(&String::from_utf8_lossy(&bytes));
+                    self.said
+                        .entry(conn)
+                        .or_default()
+                        .push_str(&String::from_utf8_lossy(&bytes));
                 }
                 Transmit::Wait => return,
                 Transmit::Finish => return self.finished.push(conn),
@@ -139,7 +144,10 @@
     }
 
     pub fn viewer(&mut self) -> Conn {
-        let conn = self.door.viewer_open(self.now, "10.9.0.1".parse().unwrap()).unwrap();
+        let conn = self
+            .door
+            .viewer_open(self.now, "10.9.0.1".parse().unwrap())
+            .unwrap();
         self.pump();
         // Whoever drives a connection asks at once what there is to write on it.
         self.write(conn);
@@ -157,7 +165,10 @@
 
     /// The one connection under way comes up.
     pub fn up(&mut self) -> Conn {
-        let conn = self.under_way.pop_last().expect("a connection was asked for");
+        let conn = self
+            .under_way
+            .pop_last()
+            .expect("a connection was asked for");
         self.door.node_up(self.now, conn);
         self.pump();
         conn
@@ -198,7 +209,11 @@
 
     /// An event of the journal service.
     pub fn list(&mut self, number: u64, entries: &[Entry]) {
-        let news = News { number, whole: false, entries: entries.to_vec() };
+        let news = News {
+            number,
+            whole: false,
+            entries: entries.to_vec(),
+        };
         self.door.journal(self.now, &Frame::News(news)).unwrap();
         self.pump();
     }
@@ -210,7 +225,11 @@
 
     /// The node that a connection goes to, as a number.
     pub fn node_of(&self, conn: Conn) -> u64 {
-        if self.links[&conn].to_string() == NODE[0] { 1 } else { 2 }
+        if self.links[&conn].to_string() == NODE[0] {
+            1
+        } else {
+            2
+        }
     }
 
     /// What was said on a connection since the last look.
@@ -231,7 +250,10 @@
         came_up: started,
         fleet: 0,
     };
-    Entry { listed, address: address.parse().unwrap() }
+    Entry {
+        listed,
+        address: address.parse().unwrap(),
+    }
 }
 
 pub fn start(tag: u64, class: &str, left: i64, more: &str) -> String {
--- a/crates/platform-proto/tests/crossings.rs
+++ b/crates/platform-proto/tests/crossings.rs
@@ -27,7 +27,10 @@
         assert_eq!(rig.door.held(), (0, 1));
         rig.broken(viewer, true);
         let told = rig.heard(node);
-        assert!(told.contains("TEARDOWN") && told.contains("0000000000000007"), "half {half}: {told}");
+        assert!(
+            told.contains("TEARDOWN") && told.contains("0000000000000007"),
+            "half {half}: {told}"
+        );
         assert_eq!(rig.door.held(), (0, 0));
     }
     // One that was written whole stands without its connection.
@@ -53,7 +56,10 @@
         let near = near.unwrap_or_else(|| rig.viewer());
         rig.write(near);
         let told = rig.heard(near);
-        assert!(told.contains(r#""tag":"0000000000000007","opts":{},"rc":16"#), "{half} {other}: {told}");
+        assert!(
+            told.contains(r#""tag":"0000000000000007","opts":{},"rc":16"#),
+            "{half} {other}: {told}"
+        );
     }
 }
 
@@ -92,7 +98,10 @@
 fn a_connection_is_not_closed_over_a_request_that_waits_in_it() {
     let mut rig = Rig::new();
     let viewer = rig.viewer();
-    rig.hear(viewer, Message::new(shalewall_platform_proto::lines::Verb::Echo, Hex16::of(1)).write());
+    rig.hear(
+        viewer,
+        Message::new(shalewall_platform_proto::lines::Verb::Echo, Hex16::of(1)).write(),
+    );
     rig.unread.insert(viewer);
     rig.pass(12 * S);
     assert!(!rig.closed.contains(&viewer));
@@ -108,19 +117,29 @@
     rig.unread.insert(first);
     let mut others: Vec<Conn> = Vec::new();
     for _ in 0..400 {
-        let Some(conn) = rig.door.viewer_open(rig.now, "10.9.0.2".parse().unwrap()) else { break };
+        let Some(conn) = rig.door.viewer_open(rig.now, "10.9.0.2".parse().unwrap()) else {
+            break;
+        };
         rig.pump();
         rig.unread.insert(conn);
         others.push(conn);
     }
-    assert!(rig.closed.is_empty() && others.len() < 170, "{} beyond the limit", others.len());
+    assert!(
+        rig.closed.is_empty() && others.len() < 170,
+        "{} beyond the limit",
+        others.len()
+    );
     rig.ask(first, 7, "free");
     assert_eq!(rig.door.held(), (1, 0));
     // Nothing waits in them: they go, and the next ones have their room.
     rig.unread.clear();
     others.iter().for_each(|conn| rig.write(*conn));
     assert!(rig.closed.len() > 10);
-    assert!(rig.door.viewer_open(rig.now, "10.9.0.2".parse().unwrap()).is_some());
+    assert!(
+        rig.door
+            .viewer_open(rig.now, "10.9.0.2".parse().unwrap())
+            .is_some()
+    );
 }
 
 /// The ways in which a viewer leaves: it closes, it is cut, it gives the set-up up, on its own connection or on another.
@@ -137,7 +156,12 @@
 /// Wherever a request can wait when its viewer leaves, not a byte of its set-up goes out later.
 #[test]
 fn nothing_is_sent_on_for_a_viewer_that_has_left() {
-    let set_ups = |rig: &Rig| rig.said.values().map(|said| said.matches("SETUP").count()).sum::<usize>();
+    let set_ups = |rig: &Rig| {
+        rig.said
+            .values()
+            .map(|said| said.matches("SETUP").count())
+            .sum::<usize>()
+    };
     for leave in WAYS {
         // Its connection is coming up.
         let mut rig = Rig::new();
@@ -155,7 +179,10 @@
         rig.full.insert(node);
         rig.come_up(node);
         leave(&mut rig, viewer);
-        assert!(!rig.closed.contains(&node), "none of it was taken, and the connection is as it was");
+        assert!(
+            !rig.closed.contains(&node),
+            "none of it was taken, and the connection is as it was"
+        );
         rig.full.clear();
         rig.write(node);
         rig.pass(3 * S);
@@ -175,7 +202,13 @@
         let (viewer, node) = rig.out(7, "free");
         rig.hear(node, refusal(7, 500));
         leave(&mut rig, viewer);
-        for conn in rig.links.keys().copied().filter(|c| *c != node).collect::<Vec<_>>() {
+        for conn in rig
+            .links
+            .keys()
+            .copied()
+            .filter(|c| *c != node)
+            .collect::<Vec<_>>()
+        {
             rig.come_up(conn);
         }
         rig.pass(3 * S);
@@ -262,7 +295,11 @@
 fn word_of_nothing_new_tells_that_events_are_missing() {
     let mut rig = Rig::new();
     assert_eq!(rig.door.journal(START, &Frame::Nothing(1)), Ok(()));
-    assert_eq!(rig.door.journal(START, &Frame::Nothing(0)), Ok(()), "behind: nothing is missing here");
+    assert_eq!(
+        rig.door.journal(START, &Frame::Nothing(0)),
+        Ok(()),
+        "behind: nothing is missing here"
+    );
     assert!(rig.door.journal(START, &Frame::Nothing(2)).is_err());
     rig.list(2, &[entry(3, "10.1.0.3:5060", Ready, None)]);
     assert_eq!(rig.door.journal(START, &Frame::Nothing(2)), Ok(()));
@@ -280,7 +317,11 @@
         )
     };
     let text = |ids: [&str; 3]| {
-        let events: Vec<_> = ids.iter().enumerate().map(|(i, id)| event(i as u64 + 1, id)).collect();
+        let events: Vec<_> = ids
+            .iter()
+            .enumerate()
+            .map(|(i, id)| event(i as u64 + 1, id))
+            .collect();
         format!(
             r#"{{"name":"n1","listen":"10.0.0.4:5060","seed":"8c1f30d27a5be964","limits":{{"sockets":256}},
             "journal":"10.2.0.1:8500","known":{{"pos":5,"entries":[{}]}},"settings":{{"Balancers":1,"MyNumber":0,
@@ -303,9 +344,16 @@
     let viewer = rig.viewer();
     rig.ask(viewer, 7, "paid");
     let conn = *rig.links.keys().next().unwrap();
-    let (old, other) = if rig.node_of(conn) == 1 { (1, 2) } else { (2, 1) };
+    let (old, other) = if rig.node_of(conn) == 1 {
+        (1, 2)
+    } else {
+        (2, 1)
+    };
     rig.list(2, &[entry(9, NODE[old as usize - 1], Ready, Some(START))]);
-    assert!(rig.closed.contains(&conn), "the connection under way went to the old one");
+    assert!(
+        rig.closed.contains(&conn),
+        "the connection under way went to the old one"
+    );
     rig.logs.clear();
     // Whatever it asks now, the old name gets nothing before its `gone` comes, and after.
     for number in [3, 4] {
@@ -315,7 +363,8 @@
             for conn in rig.links.keys().copied().collect::<Vec<_>>() {
                 rig.come_up(conn);
                 let mine: Vec<u64> = (7..=7).chain(number * 100..number * 100 + 20).collect();
-                mine.into_iter().for_each(|tag| rig.hear(conn, refusal(tag, 453)));
+                mine.into_iter()
+                    .for_each(|tag| rig.hear(conn, refusal(tag, 453)));
             }
         }
         if number == 3 {
@@ -323,10 +372,18 @@
         }
     }
     let name = |id: u64| format!("node s-{id:08x}: link");
-    let opens = |name: String| rig.logs.iter().any(|l| l.starts_with(&name) && l.contains("opens"));
+    let opens = |name: String| {
+        rig.logs
+            .iter()
+            .any(|l| l.starts_with(&name) && l.contains("opens"))
+    };
     assert!(!opens(name(old)) && opens(name(9)), "{:?}", rig.logs);
     rig.pass(S);
-    assert_eq!(rig.door.status().nodes, 2, "the old one is forgotten, {other} and 9 stay");
+    assert_eq!(
+        rig.door.status().nodes,
+        2,
+        "the old one is forgotten, {other} and 9 stay"
+    );
     assert!(rig.said.iter().any(|(_, said)| said.contains("SETUP")));
 }
 
@@ -339,17 +396,30 @@
     rig.list(2, &[entry(9, NODE[old as usize - 1], Ready, Some(START))]);
     assert!(rig.heard(viewer).contains(r#""rc":41"#));
     rig.pass(9 * S);
-    assert!(rig.links.is_empty() && rig.door.status().nodes == 2, "{:?}", rig.logs);
+    assert!(
+        rig.links.is_empty() && rig.door.status().nodes == 2,
+        "{:?}",
+        rig.logs
+    );
 }
 
 // ---- nodes ------------------------------------------------------------------------------------
 
 /// Lets all connections come up; how many set-ups went out on others than that one.
 fn set_up_elsewhere(rig: &mut Rig, than: Conn) -> usize {
-    for conn in rig.links.keys().copied().filter(|c| rig.coming(*c)).collect::<Vec<_>>() {
+    for conn in rig
+        .links
+        .keys()
+        .copied()
+        .filter(|c| rig.coming(*c))
+        .collect::<Vec<_>>()
+    {
         rig.come_up(conn);
     }
-    rig.said.iter().filter(|(c, said)| **c != than && said.contains("SETUP")).count()
+    rig.said
+        .iter()
+        .filter(|(c, said)| **c != than && said.contains("SETUP"))
+        .count()
 }
 
 /// A connection on which the word that an attempt is given up is half written: the next attempt is not left waiting for it.
@@ -379,20 +449,40 @@
     let mut rig = Rig::new();
     let (viewer, first) = rig.standing(7, "free");
     rig.ask(viewer, 8, "free");
-    let Some(second) = rig.links.keys().copied().find(|c| *c != first) else { return };
+    let Some(second) = rig.links.keys().copied().find(|c| *c != first) else {
+        return;
+    };
     rig.come_up(second);
     rig.hear(second, answer(8, "there"));
     rig.ask(viewer, 9, "free");
-    let (node, server) = if rig.heard(first).contains("0000000000000009") { (first, 7) } else { (second, 8) };
+    let (node, server) = if rig.heard(first).contains("0000000000000009") {
+        (first, 7)
+    } else {
+        (second, 8)
+    };
     rig.said.clear();
     rig.half.insert(node);
     rig.pass(600 * MS);
-    assert!(rig.said.get(&node).is_some_and(|said| said.starts_with("TEARDOWN")), "{server}");
-    for conn in rig.links.keys().copied().filter(|c| ![first, second].contains(c)).collect::<Vec<_>>() {
+    assert!(
+        rig.said
+            .get(&node)
+            .is_some_and(|said| said.starts_with("TEARDOWN")),
+        "{server}"
+    );
+    for conn in rig
+        .links
+        .keys()
+        .copied()
+        .filter(|c| ![first, second].contains(c))
+        .collect::<Vec<_>>()
+    {
         rig.come_up(conn);
     }
     rig.pass(900 * MS);
-    let next = rig.said.values().filter(|said| said.contains("SETUP") && said.contains("0000000000000009"));
+    let next = rig
+        .said
+        .values()
+        .filter(|said| said.contains("SETUP") && said.contains("0000000000000009"));
     assert_eq!(next.count(), 1, "{:?}", rig.said);
 }
 
@@ -423,7 +513,10 @@
     rig.pass(3 * MS);
     rig.hear(node, answer(7, "there"));
     let told = rig.heard(node);
-    assert!(told.contains("TEARDOWN") && told.contains("0000000000000007"), "{told}");
+    assert!(
+        told.contains("TEARDOWN") && told.contains("0000000000000007"),
+        "{told}"
+    );
     let next = rig.up();
     assert!(rig.heard(next).starts_with("SETUP"));
     rig.hear(next, answer(7, "here"));
@@ -454,7 +547,10 @@
     let next = rig.up();
     assert_eq!(rig.node_of(next), server);
     let told = rig.heard(next);
-    assert!(told.contains("TEARDOWN") && told.contains("0000000000000007"), "{told}");
+    assert!(
+        told.contains("TEARDOWN") && told.contains("0000000000000007"),
+        "{told}"
+    );
     // Closed by the node behind its last message: it has given up what was open there.
     let mut rig = Rig::new();
     let (_, node) = rig.out(7, "paid");
@@ -477,7 +573,10 @@
         rig.pass(600 * MS);
         let next = rig.up();
         let told = rig.heard(next);
-        assert!(told.contains("TEARDOWN") && told.contains("0000000000000007"), "half {half}: {told}");
+        assert!(
+            told.contains("TEARDOWN") && told.contains("0000000000000007"),
+            "half {half}: {told}"
+        );
         assert_eq!(rig.door.held(), (0, 0));
     }
 }
@@ -497,7 +596,10 @@
     let again = rig.said.values().any(|said| said.contains("SETUP"));
     rig.hear(node, answer(7, "there"));
     let ended = rig.said.values().any(|said| said.contains("TEARDOWN"));
-    assert!(again != ended, "set up there again: {again}, released: {ended}");
+    assert!(
+        again != ended,
+        "set up there again: {again}, released: {ended}"
+    );
 }
 
 /// Bytes that a node takes only half of, on a connection that others share: it is given up after half a second.
@@ -508,7 +610,11 @@
     rig.heard(node);
     rig.half.insert(node);
     rig.hear(viewer, gives_up(7));
-    assert!(rig.said.get(&node).is_some_and(|said| said.starts_with("TEAR")));
+    assert!(
+        rig.said
+            .get(&node)
+            .is_some_and(|said| said.starts_with("TEAR"))
+    );
     rig.pass(800 * MS);
     assert!(rig.closed.contains(&node));
 }
@@ -559,11 +665,21 @@
         rig.ask(viewer, 7, "paid");
         let conn = *rig.links.keys().next().unwrap();
         breaks(&mut rig, conn);
-        for next in rig.links.keys().copied().filter(|c| *c != conn).collect::<Vec<_>>() {
+        for next in rig
+            .links
+            .keys()
+            .copied()
+            .filter(|c| *c != conn)
+            .collect::<Vec<_>>()
+        {
             rig.come_up(next);
         }
         rig.pass(100 * MS);
-        let set_ups = rig.said.iter().filter(|(c, said)| **c != conn && said.contains("SETUP")).count();
+        let set_ups = rig
+            .said
+            .iter()
+            .filter(|(c, said)| **c != conn && said.contains("SETUP"))
+            .count();
         assert_eq!(set_ups, usize::from(again), "{n}");
         let told = rig.heard(viewer);
         assert_eq!(told.contains(r#""rc":41"#), !again, "{n}: {told}");
--- a/crates/platform-proto/tests/drawn.rs
+++ b/crates/platform-proto/tests/drawn.rs
@@ -104,7 +104,12 @@
     }
 
     fn leaves(&mut self, viewer: Conn) {
-        let tags: Vec<_> = self.asked.iter().filter(|(_, v)| **v == viewer).map(|(t, _)| *t).collect();
+        let tags: Vec<_> = self
+            .asked
+            .iter()
+            .filter(|(_, v)| **v == viewer)
+            .map(|(t, _)| *t)
+            .collect();
         for tag in tags {
             self.asked.remove(&tag);
             self.left.insert(tag);
@@ -114,12 +119,26 @@
     /// One of the connections to nodes, and whether it is up.
     fn link(&self, n: usize) -> Option<Conn> {
         let all: Vec<_> = self.rig.links.keys().copied().collect();
-        if all.is_empty() { None } else { Some(all[n % all.len()]) }
+        if all.is_empty() {
+            None
+        } else {
+            Some(all[n % all.len()])
+        }
     }
 
     fn up(&self, n: usize) -> Option<Conn> {
-        let all: Vec<_> = self.rig.links.keys().copied().filter(|c| !self.rig.coming(*c)).collect();
-        if all.is_empty() { None } else { Some(all[n % all.len()]) }
+        let all: Vec<_> = self
+            .rig
+            .links
+            .keys()
+            .copied()
+            .filter(|c| !self.rig.coming(*c))
+            .collect();
+        if all.is_empty() {
+            None
+        } else {
+            Some(all[n % all.len()])
+        }
     }
 
     fn take(&mut self, step: &Step) {
@@ -138,11 +157,15 @@
                 self.rig.hear(viewer, start(self.next, class, 1500, ""));
             }
             Step::GiveUp(v) => {
-                let Some((tag, viewer)) = self.asked.iter().nth(v).map(|(t, v)| (*t, *v)) else { return };
+                let Some((tag, viewer)) = self.asked.iter().nth(v).map(|(t, v)| (*t, *v)) else {
+                    return;
+                };
                 self.asked.remove(&tag);
                 self.left.insert(tag);
-                self.rig.hear(viewer, Message::finish(Hex16::of(tag), 16).write());
-                self.stands.retain(|(_, t)| *t != tag || !self.told.contains(t));
+                self.rig
+                    .hear(viewer, Message::finish(Hex16::of(tag), 16).write());
+                self.stands
+                    .retain(|(_, t)| *t != tag || !self.told.contains(t));
             }
             Step::Hangs(v, clean) => {
                 let viewer = self.viewers.remove(v % self.viewers.len());
@@ -155,17 +178,26 @@
                 self.viewers.push(viewer);
             }
             Step::Up(n) => {
-                let Some(conn) = self.link(n).filter(|c| self.rig.coming(*c)) else { return };
+                let Some(conn) = self.link(n).filter(|c| self.rig.coming(*c)) else {
+                    return;
+                };
                 self.rig.come_up(conn);
             }
             Step::NotUp(n, why) => {
-                let Some(conn) = self.link(n).filter(|c| self.rig.coming(*c)) else { return };
+                let Some(conn) = self.link(n).filter(|c| self.rig.coming(*c)) else {
+                    return;
+                };
                 let why = [NotUp::Silent, NotUp::Own, NotUp::Silent][usize::from(why)];
                 self.rig.fail(conn, why);
             }
             Step::Answers(n, status) => {
                 let Some(conn) = self.up(n) else { return };
-                let Some(tag) = self.has.get_mut(&conn).filter(|h| !h.is_empty()).map(|h| h.remove(0)) else {
+                let Some(tag) = self
+                    .has
+                    .get_mut(&conn)
+                    .filter(|h| !h.is_empty())
+                    .map(|h| h.remove(0))
+                else {
                     return;
                 };
                 if status == 200 {
@@ -177,7 +209,9 @@
             }
             Step::Unheard(n) => {
                 let Some(conn) = self.up(n) else { return };
-                let Some(tag) = self.has.get_mut(&conn).and_then(Vec::pop) else { return };
+                let Some(tag) = self.has.get_mut(&conn).and_then(Vec::pop) else {
+                    return;
+                };
                 self.stands.insert((self.to[&conn], tag));
                 self.has.remove(&conn);
                 self.rig.broken(conn, false);
@@ -185,8 +219,11 @@
             Step::Releases(n, rc) => {
                 let Some(conn) = self.up(n) else { return };
                 let server = self.to.get(&conn).copied().unwrap_or(0);
-                let Some((_, tag)) =
-                    self.stands.iter().find(|(s, t)| *s == server && self.told.contains(t)).copied()
+                let Some((_, tag)) = self
+                    .stands
+                    .iter()
+                    .find(|(s, t)| *s == server && self.told.contains(t))
+                    .copied()
                 else {
                     return;
                 };
@@ -199,13 +236,28 @@
                 self.rig.broken(conn, clean);
             }
             Step::Full(n) => {
-                let conn = if n % 2 == 0 { self.up(n / 2) } else { self.viewers.get(n / 2).copied() };
-                self.rig.full.extend(conn.filter(|c| !self.rig.half.contains(c)));
+                let conn = if n % 2 == 0 {
+                    self.up(n / 2)
+                } else {
+                    self.viewers.get(n / 2).copied()
+                };
+                self.rig
+                    .full
+                    .extend(conn.filter(|c| !self.rig.half.contains(c)));
             }
             Step::Half(n) => {
-                let conn = if n % 2 == 0 { self.up(n / 2) } else { self.viewers.get(n / 2).copied() };
-                self.rig.full.iter().for_each(|c| assert!(!self.rig.half.contains(c)));
-                self.rig.half.extend(conn.filter(|c| !self.rig.full.contains(c)));
+                let conn = if n % 2 == 0 {
+                    self.up(n / 2)
+                } else {
+                    self.viewers.get(n / 2).copied()
+                };
+                self.rig
+                    .full
+                    .iter()
+                    .for_each(|c| assert!(!self.rig.half.contains(c)));
+                self.rig
+                    .half
+                    .extend(conn.filter(|c| !self.rig.full.contains(c)));
             }
             Step::Free => {
                 for conn in std::mem::take(&mut self.rig.full) {
@@ -214,10 +266,16 @@
                 }
             }
             Step::Drains(id) | Step::Ready(id) => {
-                let state =
-                    if matches!(step, Step::Drains(_)) { Standing::Draining } else { Standing::Ready };
+                let state = if matches!(step, Step::Drains(_)) {
+                    Standing::Draining
+                } else {
+                    Standing::Ready
+                };
                 self.number += 1;
-                self.rig.list(self.number, &[entry(id, NODE[id as usize - 1], state, None)]);
+                self.rig.list(
+                    self.number,
+                    &[entry(id, NODE[id as usize - 1], state, None)],
+                );
             }
             // A connection that was not refused in the time that it may take is up: no node is out of reach for seconds here.
             Step::Passes(span) if span >= WITHIN => {
@@ -231,7 +289,14 @@
     }
 
     fn all_up(&mut self) {
-        for conn in self.rig.links.keys().copied().filter(|c| self.rig.coming(*c)).collect::<Vec<_>>() {
+        for conn in self
+            .rig
+            .links
+            .keys()
+            .copied()
+            .filter(|c| self.rig.coming(*c))
+            .collect::<Vec<_>>()
+        {
             // Known by now: it may be closed before the next look at what was said on it.
             self.to.insert(conn, self.rig.node_of(conn));
             self.rig.come_up(conn);
@@ -240,10 +305,20 @@
 
     /// Reads what was said since the last look, and judges it.
     fn look(&mut self) -> Result<(), TestCaseError> {
-        let to: Vec<_> = self.rig.links.keys().map(|c| (*c, self.rig.node_of(*c))).collect();
+        let to: Vec<_> = self
+            .rig
+            .links
+            .keys()
+            .map(|c| (*c, self.rig.node_of(*c)))
+            .collect();
         self.to.extend(to);
         // A connection that this side closed: its set-ups are given up, what stands there stands.
-        let closed: Vec<_> = self.has.keys().filter(|c| self.rig.closed.contains(c)).copied().collect();
+        let closed: Vec<_> = self
+            .has
+            .keys()
+            .filter(|c| self.rig.closed.contains(c))
+            .copied()
+            .collect();
         closed.into_iter().for_each(|c| drop(self.has.remove(&c)));
         let fresh: Vec<_> = std::mem::take(&mut self.rig.said).into_iter().collect();
         // Words that give up before those that set up: they were said first, on whichever connection.
@@ -255,14 +330,18 @@
             whole.push_str(&said);
             if let Some(server) = self.to.get(&conn).copied() {
                 while let Some(end) = whole.find("\r\n\r\n") {
-                    let length =
-                        whole[..end].rsplit("Content-Length: ").next().and_then(|l| l.parse::<usize>().ok());
+                    let length = whole[..end]
+                        .rsplit("Content-Length: ")
+                        .next()
+                        .and_then(|l| l.parse::<usize>().ok());
                     let end = end + 4 + length.unwrap_or(0);
                     if whole.len() < end {
                         break;
                     }
                     let message: String = whole.drain(..end).collect();
-                    let Some(tag) = tag_in(&message) else { continue };
+                    let Some(tag) = tag_in(&message) else {
+                        continue;
+                    };
                     if message.starts_with("SETUP") {
                         prop_assert!(!self.left.contains(&tag), "sent on for who has left: {tag}");
                         self.has.entry(conn).or_default().push(tag);
@@ -327,7 +406,11 @@
         prop_assert!(self.asked.is_empty(), "no answer to {:?}", self.asked);
         prop_assert_eq!(self.rig.door.held().0, 0);
         prop_assert!(!self.rig.door.unsaid());
-        let nobodys: Vec<_> = self.stands.iter().filter(|(_, t)| !self.told.contains(t)).collect();
+        let nobodys: Vec<_> = self
+            .stands
+            .iter()
+            .filter(|(_, t)| !self.told.contains(t))
+            .collect();
         prop_assert!(nobodys.is_empty(), "nobody's: {nobodys:?}");
         Ok(())
     }
@@ -335,10 +418,18 @@
 
 /// A few of a stated seed in CI, the same each time; PROPTEST_CASES asks for more, and for others.
 fn drawn() -> ProptestConfig {
-    let more = std::env::var("PROPTEST_CASES").ok().and_then(|n| n.parse().ok());
-    let config =
-        ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(more.unwrap_or(400)) };
-    let rng_seed = if more.is_some() { RngSeed::Random } else { RngSeed::Fixed(39) };
+    let more = std::env::var("PROPTEST_CASES")
+        .ok()
+        .and_then(|n| n.parse().ok());
+    let config = ProptestConfig {
+        failure_persistence: None,
+        ..ProptestConfig::with_cases(more.unwrap_or(400))
+    };
+    let rng_seed = if more.is_some() {
+        RngSeed::Random
+    } else {
+        RngSeed::Fixed(39)
+    };
     ProptestConfig { rng_seed, ..config }
 }
 
--- a/crates/platform-proto/tests/hostile.rs
+++ b/crates/platform-proto/tests/hostile.rs
@@ -61,7 +61,10 @@
         rig.ask(bad, tag, "free");
         rig.hear(bad, bytes);
         rig.write(bad);
-        assert!(rig.finished.contains(&bad), "this side's half is closed at once: {bytes:.40}");
+        assert!(
+            rig.finished.contains(&bad),
+            "this side's half is closed at once: {bytes:.40}"
+        );
         all_bad.push(bad);
         assert_eq!(rig.door.held(), (1, 0), "what it had open is given up");
     }
@@ -88,7 +91,10 @@
     rig.hear(node, answer(7, "there"));
     assert!(rig.heard(viewer).is_empty(), "no second answer");
     rig.ask(viewer, 7, "paid");
-    assert!(rig.heard(viewer).contains("\"rc\":95"), "an id is used once");
+    assert!(
+        rig.heard(viewer).contains("\"rc\":95"),
+        "an id is used once"
+    );
 
     let mut rig = Rig::new();
     let (viewer, thief) = (rig.viewer(), rig.viewer());
@@ -106,7 +112,10 @@
     let mut rig = Rig::new();
     let (viewer, node) = rig.out(7, "paid");
     rig.heard(node);
-    rig.hear(viewer, r#"{"verb":"FINISH","tag":"0000000000000007","opts":{},"rc":16}"#.to_string() + "\n");
+    rig.hear(
+        viewer,
+        r#"{"verb":"FINISH","tag":"0000000000000007","opts":{},"rc":16}"#.to_string() + "\n",
+    );
     assert!(rig.heard(node).starts_with("TEARDOWN") && !rig.heard(viewer).contains("\"FINISH\""));
     assert_eq!(rig.door.held(), (0, 0));
     rig.hear(node, answer(7, "there"));
@@ -121,7 +130,9 @@
     rig.hear(half, "{\"verb\":");
     let (viewer, _) = rig.standing(7, "free");
     rig.pass(3 * S);
-    assert!(rig.closed.contains(&silent) && rig.closed.contains(&half) && !rig.closed.contains(&viewer));
+    assert!(
+        rig.closed.contains(&silent) && rig.closed.contains(&half) && !rig.closed.contains(&viewer)
+    );
 }
 
 /// Hundreds of silent connections take no usual viewer's place.
@@ -147,7 +158,23 @@
         // Each round a node is new, at the address of one that has gone.
         let record = |id: u32, state: u8| {
             let mut r = id.to_be_bytes().to_vec();
-            r.extend([10, 3, 0, (id % 4) as u8, 0x13, 0xc4, state, 0, 0, 0, (id % 2) as u8, 0, 0, 3, 0xe8]);
+            r.extend([
+                10,
+                3,
+                0,
+                (id % 4) as u8,
+                0x13,
+                0xc4,
+                state,
+                0,
+                0,
+                0,
+                (id % 2) as u8,
+                0,
+                0,
+                3,
+                0xe8,
+            ]);
             r.extend([0; 8]);
             r
         };
@@ -159,7 +186,9 @@
         frame.extend(payload);
         let mut frames = Frames::default();
         frames.push(&frame);
-        let Ok(Some(frame @ Frame::News(_))) = frames.frame() else { panic!("not read") };
+        let Ok(Some(frame @ Frame::News(_))) = frames.frame() else {
+            panic!("not read")
+        };
         rig.door.journal(rig.now, &frame).unwrap();
         rig.pump();
         let viewer = rig.viewer();
@@ -174,7 +203,10 @@
         sizes.push(rig.door.sizes());
     }
     let (viewers, links, nodes) = *sizes.last().unwrap();
-    assert!(viewers <= 1 && nodes <= 12 && links <= 85, "{viewers} {links} {nodes}");
+    assert!(
+        viewers <= 1 && nodes <= 12 && links <= 85,
+        "{viewers} {links} {nodes}"
+    );
     assert_eq!(rig.door.held().0, 0);
 }
 
--- a/crates/platform-proto/tests/sessions.rs
+++ b/crates/platform-proto/tests/sessions.rs
@@ -29,7 +29,10 @@
             && told.contains(r#""blob":"there\r\n""#)
     );
     rig.hear(node, release(7, 16, b""));
-    assert!(rig.heard(viewer).contains(r#""verb":"FINISH","tag":"0000000000000007","opts":{},"rc":16"#));
+    assert!(
+        rig.heard(viewer)
+            .contains(r#""verb":"FINISH","tag":"0000000000000007","opts":{},"rc":16"#)
+    );
     assert_eq!(rig.door.held(), (0, 0));
 }
 
@@ -40,7 +43,14 @@
     let mut rig = Rig::new();
     let (viewer, node) = rig.standing(7, "free");
     rig.heard(viewer);
-    rig.hear(node, [release(99, 16, b"\xff\xfe noise\r\n\r\n"), release(7, 16, b"")].concat());
+    rig.hear(
+        node,
+        [
+            release(99, 16, b"\xff\xfe noise\r\n\r\n"),
+            release(7, 16, b""),
+        ]
+        .concat(),
+    );
     assert!(rig.heard(viewer).contains(r#""rc":16"#));
     assert!(rig.closed.is_empty());
 }
@@ -53,7 +63,10 @@
     let (viewer, node) = rig.out(7, "paid");
     rig.hear(node, release(7, 16, b"there\r\n"));
     let told = rig.heard(viewer);
-    assert!(told.contains("STARTED") && told.ends_with("\"rc\":16}\n"), "{told}");
+    assert!(
+        told.contains("STARTED") && told.ends_with("\"rc\":16}\n"),
+        "{told}"
+    );
     assert_eq!(rig.door.held(), (0, 0));
 }
 
@@ -64,13 +77,19 @@
 fn a_session_over_before_its_answer_has_left_is_one_failed_answer() {
     let mut rig = Rig::new();
     let (viewer, node) = rig.out(7, "paid");
-    rig.hear(node, [answer(7, "there\r\n").into(), release(7, 31, b"")].concat());
+    rig.hear(
+        node,
+        [answer(7, "there\r\n").into(), release(7, 31, b"")].concat(),
+    );
     let told = rig.heard(viewer);
     assert!(
         !told.contains("STARTED") && told.contains(r#""verb":"FINISH","tag":"0000000000000007""#),
         "{told}"
     );
-    assert!(told.contains(r#""rc":41"#) && told.lines().count() == 1, "{told}");
+    assert!(
+        told.contains(r#""rc":41"#) && told.lines().count() == 1,
+        "{told}"
+    );
     assert_eq!(rig.door.held(), (0, 0));
 }
 
@@ -120,7 +139,10 @@
     rig.broken(node, false);
     let next = rig.up();
     rig.hear(next, release(7, 41, b""));
-    assert!(rig.heard(viewer).contains(r#""tag":"0000000000000007","opts":{},"rc":41"#));
+    assert!(
+        rig.heard(viewer)
+            .contains(r#""tag":"0000000000000007","opts":{},"rc":41"#)
+    );
 }
 
 /// Sessions stand at both nodes, and a set-up by one of their connections is given up at once: that connection, and
@@ -132,7 +154,11 @@
     rig.hear(second, answer(8, "there"));
     rig.said.clear();
     rig.ask(viewer, 9, "free");
-    let met = if rig.heard(first).contains("SETUP") { (first, 7) } else { (second, 8) };
+    let met = if rig.heard(first).contains("SETUP") {
+        (first, 7)
+    } else {
+        (second, 8)
+    };
     rig.hear(viewer, Message::finish(Hex16::of(9), 16).write());
     assert!(rig.heard(met.0).contains("TEARDOWN"));
     rig.said.clear();
@@ -147,9 +173,15 @@
     let (viewer, node, tag) = given_up(&mut rig);
     rig.pass(S);
     rig.up();
-    assert!(rig.finished.contains(&node) && !rig.closed.contains(&node), "it says no more and listens");
+    assert!(
+        rig.finished.contains(&node) && !rig.closed.contains(&node),
+        "it says no more and listens"
+    );
     rig.hear(node, release(tag, 16, b""));
-    assert!(rig.heard(viewer).contains(&format!(r#""tag":"{tag:016x}","opts":{{}},"rc":16"#)));
+    assert!(
+        rig.heard(viewer)
+            .contains(&format!(r#""tag":"{tag:016x}","opts":{{}},"rc":16"#))
+    );
     rig.broken(node, true);
     assert!(rig.closed.contains(&node));
     assert_eq!(rig.door.held(), (0, 1));
@@ -164,11 +196,16 @@
     for _ in 0..25 {
         rig.pass(100 * MS);
         let further: Vec<_> = rig.links.keys().copied().skip(2).collect();
-        further.into_iter().for_each(|conn| rig.fail(conn, NotUp::Refused));
+        further
+            .into_iter()
+            .for_each(|conn| rig.fail(conn, NotUp::Refused));
     }
     assert!(rig.heard(viewer).is_empty() && !rig.finished.contains(&node));
     rig.hear(node, release(tag, 16, b""));
-    assert!(rig.heard(viewer).contains(&format!(r#""tag":"{tag:016x}","opts":{{}},"rc":16"#)));
+    assert!(
+        rig.heard(viewer)
+            .contains(&format!(r#""tag":"{tag:016x}","opts":{{}},"rc":16"#))
+    );
 }
 
 /// A node that stands still does not close: its connection is not waited for without an end.
@@ -194,7 +231,10 @@
     rig.pass(300 * MS);
     let next = rig.up();
     rig.hear(next, release(7, 41, b""));
-    assert!(rig.heard(viewer).contains(r#""tag":"0000000000000007","opts":{},"rc":41"#));
+    assert!(
+        rig.heard(viewer)
+            .contains(r#""tag":"0000000000000007","opts":{},"rc":41"#)
+    );
 }
 
 /// A refused connection proves that the process is gone, and with it what stood there.
@@ -218,7 +258,13 @@
     rig.heard(viewer);
     for _ in 0..60 {
         rig.pass(100 * MS);
-        for conn in rig.links.keys().copied().filter(|c| *c != node).collect::<Vec<_>>() {
+        for conn in rig
+            .links
+            .keys()
+            .copied()
+            .filter(|c| *c != node)
+            .collect::<Vec<_>>()
+        {
             rig.fail(conn, NotUp::Refused);
         }
     }
@@ -233,7 +279,13 @@
             node,
             "ANNOUNCE rtsp://media/x RTSP/1.0\r\nSession: 0000000000000007\r\nContent-Length: 0\r\n\r\n",
         );
-        for conn in rig.links.keys().copied().filter(|c| *c != node).collect::<Vec<_>>() {
+        for conn in rig
+            .links
+            .keys()
+            .copied()
+            .filter(|c| *c != node)
+            .collect::<Vec<_>>()
+        {
             rig.fail(conn, NotUp::Refused);
         }
     }
@@ -251,7 +303,13 @@
         rig.heard(viewer);
         for _ in 0..75 {
             rig.pass(100 * MS);
-            for conn in rig.links.keys().copied().filter(|c| *c != node).collect::<Vec<_>>() {
+            for conn in rig
+                .links
+                .keys()
+                .copied()
+                .filter(|c| *c != node)
+                .collect::<Vec<_>>()
+            {
                 if vanished {
                     rig.fail(conn, NotUp::Silent);
                 } else {
@@ -271,7 +329,10 @@
     rig.hear(node, &answer(7, "there, and more")[..70]);
     rig.pass(S);
     assert!(rig.closed.contains(&node));
-    assert!(rig.heard(viewer).contains(r#""rc":41"#), "it may have run: a paid set-up fails");
+    assert!(
+        rig.heard(viewer).contains(r#""rc":41"#),
+        "it may have run: a paid set-up fails"
+    );
 }
 
 /// An answer whose length does not fit is not passed on.
@@ -290,7 +351,10 @@
         let (viewer, node) = rig.out(7, "paid");
         rig.hear(node, bytes);
         let told = rig.heard(viewer);
-        assert!(told.contains(r#""rc":41"#) && !told.contains("STARTED"), "{told}");
+        assert!(
+            told.contains(r#""rc":41"#) && !told.contains("STARTED"),
+            "{told}"
+        );
         assert!(rig.closed.contains(&node));
     }
 }
@@ -302,19 +366,48 @@
     let viewer = rig.viewer();
     rig.ask(viewer, 7, "free");
     let first = *rig.links.iter().next().unwrap().0;
-    let id = if rig.links[&first].to_string() == NODE[0] { 1 } else { 2 };
-    let mut record = vec![0, 0, 0, id, 10, 1, 0, id, 0x13, 0xc4, 1, 0, 0, 0, id - 1, 0, 0, 3, 0xe8];
+    let id = if rig.links[&first].to_string() == NODE[0] {
+        1
+    } else {
+        2
+    };
+    let mut record = vec![
+        0,
+        0,
+        0,
+        id,
+        10,
+        1,
+        0,
+        id,
+        0x13,
+        0xc4,
+        1,
+        0,
+        0,
+        0,
+        id - 1,
+        0,
+        0,
+        3,
+        0xe8,
+    ];
     record.extend([0; 8]);
     let mut bytes = vec![0, 0, 0, 9 + 27, 0, 0, 0, 0, 0, 0, 0, 2, 2];
     bytes.extend(record);
     let mut frames = Frames::default();
     frames.push(&bytes);
-    let Ok(Some(frame @ Frame::News(_))) = frames.frame() else { panic!("not read") };
+    let Ok(Some(frame @ Frame::News(_))) = frames.frame() else {
+        panic!("not read")
+    };
     rig.door.journal(START, &frame).unwrap();
     rig.come_up(first);
     assert!(!rig.heard(first).contains("SETUP"));
     let other = rig.up();
-    assert!(rig.heard(other).contains("SETUP"), "it goes to the other node");
+    assert!(
+        rig.heard(other).contains("SETUP"),
+        "it goes to the other node"
+    );
 }
 
 /// Sessions from before the start: no answer, once only, released like any other; at a node nobody knows, at once.
@@ -331,7 +424,10 @@
     rig.hear(node, release(7, 41, b""));
     assert!(rig.heard(viewer).contains(r#""rc":41"#));
     rig.hear(viewer, start(8, "paid", 4294967, ";at:s-000000ff"));
-    assert!(rig.heard(viewer).contains(r#""tag":"0000000000000008","opts":{},"rc":41"#));
+    assert!(
+        rig.heard(viewer)
+            .contains(r#""tag":"0000000000000008","opts":{},"rc":41"#)
+    );
     assert_eq!(rig.door.held(), (0, 0));
 }
 
@@ -346,7 +442,10 @@
         rig.fail(conn, NotUp::Refused);
     }
     let told = rig.heard(viewer);
-    assert!(told.contains(r#""rc":34"#) && told.contains(r#""wait":""#), "{told}");
+    assert!(
+        told.contains(r#""rc":34"#) && told.contains(r#""wait":""#),
+        "{told}"
+    );
 }
 
 /// The answer comes in time though its node stands still, and the node is told to forget it.
--- a/crates/platform-proto/tests/settings.rs
+++ b/crates/platform-proto/tests/settings.rs
@@ -10,8 +10,10 @@
     let class = |name: &str, effect: &str, target: f64, value: f64| {
         format!(r#"{{"Name":"{name}","Effect":"{effect}","Target":{target:?},"Value":{value:?}}}"#)
     };
-    let mut listed =
-        [class(classes[0], "at_most_once", 1500.0, 2.0), class(classes[1], "idempotent", 1000.0, 1.0)];
+    let mut listed = [
+        class(classes[0], "at_most_once", 1500.0, 2.0),
+        class(classes[1], "idempotent", 1000.0, 1.0),
+    ];
     let (mut scales, mut floors) = (["1.2", "0.8"], ["1", "0"]);
     if turned {
         listed.reverse();
@@ -19,8 +21,10 @@
         floors.reverse();
     }
     let (scales, floors) = (scales.join(","), floors.join(","));
-    let tenants: Vec<_> =
-        tenants.iter().map(|t| format!(r#"{{"Name":"{t}","Share":0.5,"AllowancePerS":1.0}}"#)).collect();
+    let tenants: Vec<_> = tenants
+        .iter()
+        .map(|t| format!(r#"{{"Name":"{t}","Share":0.5,"AllowancePerS":1.0}}"#))
+        .collect();
     let members: Vec<_> = (0..2)
         .map(|n| format!(
             r#"{{"id":"s-0000000{}","host_port":"{}","locality":"{zone}","flavor":"{kind}","cell":{n},"phase":"ready","size":1}}"#,
@@ -55,8 +59,16 @@
 impl Told {
     fn new(text: &str) -> Told {
         let mut door = Door::new(&Config::read(text.as_bytes()).unwrap(), START).unwrap();
-        let viewer = door.viewer_open(START, "10.9.0.1".parse().unwrap()).unwrap();
-        Told { door, now: START, viewer, under_way: Vec::new(), all: Vec::new() }
+        let viewer = door
+            .viewer_open(START, "10.9.0.1".parse().unwrap())
+            .unwrap();
+        Told {
+            door,
+            now: START,
+            viewer,
+            under_way: Vec::new(),
+            all: Vec::new(),
+        }
     }
 
     fn pump(&mut self) {
@@ -66,7 +78,8 @@
                 Output::Open { conn, .. } => self.under_way.push(conn),
                 Output::Write(conn) if !self.under_way.contains(&conn) => {
                     while let Transmit::Bytes(bytes) = self.door.transmit(self.now, conn) {
-                        self.all.push(format!("{conn:?} {}", String::from_utf8_lossy(&bytes)));
+                        self.all
+                            .push(format!("{conn:?} {}", String::from_utf8_lossy(&bytes)));
                     }
                 }
                 _ => {}
@@ -82,11 +95,18 @@
             self.pump();
         }
         let tag = 1000 + n;
-        let tenant =
-            if tenants.is_empty() { String::new() } else { tenants[n as usize % tenants.len()].into() };
+        let tenant = if tenants.is_empty() {
+            String::new()
+        } else {
+            tenants[n as usize % tenants.len()].into()
+        };
         let line = start(tag, classes[n as usize % 2], 1500, "").replace(
             r#""hint""#,
-            &if tenant.is_empty() { r#""hint""#.into() } else { format!(r#""tenant":"{tenant}","hint""#) },
+            &if tenant.is_empty() {
+                r#""hint""#.into()
+            } else {
+                format!(r#""tenant":"{tenant}","hint""#)
+            },
         );
         self.door.bytes(self.now, self.viewer, line.as_bytes());
         self.pump();
@@ -97,7 +117,11 @@
                 self.door.node_up(self.now, conn);
             }
             self.pump();
-            let word = if n % 5 == 4 { refusal(tag, 453) } else { answer(tag, "there") };
+            let word = if n % 5 == 4 {
+                refusal(tag, 453)
+            } else {
+                answer(tag, "there")
+            };
             self.door.bytes(self.now, conn, word.as_bytes());
             self.pump();
         }
@@ -115,11 +139,20 @@
 
 #[test]
 fn names_are_only_names() {
-    let ours = Told::play(&text(OWN, "north", "small", &["left", "right"], false), OWN, &["left", "right"]);
-    let theirs =
-        Told::play(&text(OTHER, "quay-9", "brick", &["sand", "salt"], false), OTHER, &["sand", "salt"]);
-    let renamed =
-        |l: &String| l.replace("P-Kind: seat", "P-Kind: paid").replace("P-Kind: loop", "P-Kind: free");
+    let ours = Told::play(
+        &text(OWN, "north", "small", &["left", "right"], false),
+        OWN,
+        &["left", "right"],
+    );
+    let theirs = Told::play(
+        &text(OTHER, "quay-9", "brick", &["sand", "salt"], false),
+        OTHER,
+        &["sand", "salt"],
+    );
+    let renamed = |l: &String| {
+        l.replace("P-Kind: seat", "P-Kind: paid")
+            .replace("P-Kind: loop", "P-Kind: free")
+    };
     assert!(ours.iter().any(|l| l.contains("SETUP")) && ours.iter().any(|l| l.contains("STARTED")));
     assert_eq!(ours, theirs.iter().map(renamed).collect::<Vec<_>>());
 }
@@ -129,16 +162,24 @@
     let ours = Told::play(&text(OWN, "north", "small", &[], false), OWN, &[]);
     let turned = Told::play(&text(OWN, "north", "small", &[], true), OWN, &[]);
     let set_ups = |all: &[String]| {
-        all.iter().filter(|l| l.contains("SETUP") || l.contains("verb")).cloned().collect::<Vec<_>>()
+        all.iter()
+            .filter(|l| l.contains("SETUP") || l.contains("verb"))
+            .cloned()
+            .collect::<Vec<_>>()
     };
     assert_eq!(set_ups(&ours), set_ups(&turned));
 }
 
 #[test]
 fn two_directors_in_one_process_act_as_each_alone() {
-    let (a, b) =
-        (text(OWN, "north", "small", &[], false), text(OTHER, "quay", "brick", &["sand", "salt"], true));
-    let alone = (Told::play(&a, OWN, &[]), Told::play(&b, OTHER, &["sand", "salt"]));
+    let (a, b) = (
+        text(OWN, "north", "small", &[], false),
+        text(OTHER, "quay", "brick", &["sand", "salt"], true),
+    );
+    let alone = (
+        Told::play(&a, OWN, &[]),
+        Told::play(&b, OTHER, &["sand", "salt"]),
+    );
     let (mut one, mut two) = (Told::new(&a), Told::new(&b));
     for n in 0..300 {
         one.step(n, OWN, &[]);
@@ -154,7 +195,12 @@
     let mut told = Told::new(&text(OWN, "north", "small", &["left", "right"], false));
     told.step(0, OWN, &["nobody"]);
     told.step(1, OTHER, &["left"]);
-    assert_eq!(told.all.iter().filter(|l| l.contains(r#""rc":95"#)).count(), 2, "{:?}", told.all);
+    assert_eq!(
+        told.all.iter().filter(|l| l.contains(r#""rc":95"#)).count(),
+        2,
+        "{:?}",
+        told.all
+    );
     assert_eq!(told.door.held(), (0, 0));
     let mut told = Told::new(&text(OWN, "north", "small", &[], false));
     told.step(0, OWN, &["nobody"]);
--- a/crates/platform/src/guard.rs
+++ b/crates/platform/src/guard.rs
@@ -9,7 +9,10 @@
     set_hook(Box::new(|info: &PanicHookInfo| {
         let place = info.location().map(ToString::to_string).unwrap_or_default();
         let said = info.payload();
-        let said = said.downcast_ref::<&str>().copied().or(said.downcast_ref::<String>().map(String::as_str));
+        let said = said
+            .downcast_ref::<&str>()
+            .copied()
+            .or(said.downcast_ref::<String>().map(String::as_str));
         error!(place, said = said.unwrap_or("nothing"), "panicked");
     }));
 }
@@ -52,13 +55,19 @@
     fn a_panic_leaves_a_line_that_says_where() {
         let lines = Lines::default();
         let own = lines.clone();
-        let log = tracing_subscriber::fmt().json().with_writer(move || own.clone()).finish();
+        let log = tracing_subscriber::fmt()
+            .json()
+            .with_writer(move || own.clone())
+            .finish();
         let before = take_hook();
         tell();
         tracing::subscriber::with_default(log, || caught(|| panic!("seat {} is gone", 7)));
         set_hook(before);
         let said = String::from_utf8(lines.0.lock().unwrap().clone()).unwrap();
-        assert!(said.contains("guard.rs:") && said.contains("seat 7 is gone"), "{said}");
+        assert!(
+            said.contains("guard.rs:") && said.contains("seat 7 is gone"),
+            "{said}"
+        );
     }
 
     #[test]
--- a/crates/platform/src/hub.rs
+++ b/crates/platform/src/hub.rs
@@ -85,7 +85,11 @@
             let output = self.door.borrow_mut().poll_output();
             match output {
                 None => return,
-                Some(Output::Open { conn, address, within }) => {
+                Some(Output::Open {
+                    conn,
+                    address,
+                    within,
+                }) => {
                     let within = Duration::from_micros(within.max(0) as u64);
                     self.spawn(conn, |hub, kick| hub.node(conn, address, within, kick));
                 }
@@ -116,7 +120,9 @@
                 caught(|| hub.with(|door| door.closed(now(), conn, false)));
             }
         });
-        self.conns.borrow_mut().insert(conn, Open { kick, _task: task });
+        self.conns
+            .borrow_mut()
+            .insert(conn, Open { kick, _task: task });
     }
 
     /// Takes viewers' connections for as long as the process runs.
@@ -134,14 +140,22 @@
             // A crowd of connections is taken one by one: whoever is connected already has a turn in between.
             future::yield_now().await;
             let _ = stream.get_ref().set_nodelay(true);
-            if let Some(conn) = caught(|| self.with(|door| door.viewer_open(now(), peer.ip()))).flatten() {
+            if let Some(conn) =
+                caught(|| self.with(|door| door.viewer_open(now(), peer.ip()))).flatten()
+            {
                 self.spawn(conn, |hub, kick| hub.serve(conn, stream, kick));
             }
         }
     }
 
     /// A connection to a node, from its first packet on.
-    async fn node(self: Rc<Hub>, conn: Conn, address: SocketAddr, within: Duration, kick: Rc<Event>) {
+    async fn node(
+        self: Rc<Hub>,
+        conn: Conn,
+        address: SocketAddr,
+        within: Duration,
+        kick: Rc<Event>,
+    ) {
         let failed = |why| self.with(|door| door.node_failed(now(), conn, why));
         match in_time(within, Async::<TcpStream>::connect(address)).await {
             Some(Ok(stream)) => {
@@ -197,7 +211,12 @@
     }
 
     /// Writes what there is to say until this side is to close. False: the connection takes no more.
-    async fn write(self: &Rc<Hub>, conn: Conn, mut stream: &Async<TcpStream>, kick: &Event) -> bool {
+    async fn write(
+        self: &Rc<Hub>,
+        conn: Conn,
+        mut stream: &Async<TcpStream>,
+        kick: &Event,
+    ) -> bool {
         loop {
             let kicked = kick.listen();
             match self.with(|door| door.transmit(now(), conn)) {
@@ -213,7 +232,12 @@
                 Transmit::Bytes(bytes) => {
                     let sent = match stream.get_ref().write(&bytes) {
                         Ok(sent) => sent,
-                        Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {
+                        Err(e)
+                            if matches!(
+                                e.kind(),
+                                ErrorKind::WouldBlock | ErrorKind::Interrupted
+                            ) =>
+                        {
                             self.with(|door| door.untaken(now(), conn, bytes));
                             if stream.writable().await.is_err() {
                                 return false;
@@ -239,6 +263,8 @@
         let ring = || {
             caught(|| self.with(|door| door.timeout(now())));
         };
-        self.alarm.ring(|| self.door.borrow().poll_timeout(), ring).await;
+        self.alarm
+            .ring(|| self.door.borrow().poll_timeout(), ring)
+            .await;
     }
 }
--- a/crates/platform/src/journal.rs
+++ b/crates/platform/src/journal.rs
@@ -35,7 +35,11 @@
         let address = place.address.get();
         let work = async {
             let heard = listen(&hub, address).await;
-            pause = if heard { PAUSE } else { (pause * 2).min(LONGEST_PAUSE) };
+            pause = if heard {
+                PAUSE
+            } else {
+                (pause * 2).min(LONGEST_PAUSE)
+            };
             Timer::after(pause).await;
         };
         let told = async {
@@ -72,7 +76,12 @@
     // Only a whole frame is a word: one that drips in byte by byte tells nothing.
     let mut last_word = Instant::now();
     loop {
-        match in_time(silence.saturating_sub(last_word.elapsed()), stream.read(&mut buf)).await {
+        match in_time(
+            silence.saturating_sub(last_word.elapsed()),
+            stream.read(&mut buf),
+        )
+        .await
+        {
             Some(Ok(n)) if n > 0 => frames.push(&buf[..n]),
             Some(Ok(_)) => return heard,
             Some(Err(e)) => {
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -49,14 +49,21 @@
     let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
     guard::tell();
     let mut config = read(file)?;
-    let door = Door::new(&config, now()).map_err(|e| wrong(format!("{}: settings: {e}", file.display())))?;
+    let door = Door::new(&config, now())
+        .map_err(|e| wrong(format!("{}: settings: {e}", file.display())))?;
     let listener = Async::new(TcpListener::bind(config.listen)?)?;
     let ex = Rc::new(LocalExecutor::new());
     let hub = Hub::new(ex.clone(), door);
-    let place = Rc::new(Place { address: Cell::new(config.journal), moved: Event::new() });
+    let place = Rc::new(Place {
+        address: Cell::new(config.journal),
+        moved: Event::new(),
+    });
     let (own, at) = (hub.clone(), place.clone());
     ex.spawn(async move {
-        while guard::alone(follow(own.clone(), at.clone())).await.is_none() {
+        while guard::alone(follow(own.clone(), at.clone()))
+            .await
+            .is_none()
+        {
             Timer::after(SECOND).await;
         }
     })
@@ -78,10 +85,18 @@
                 }
                 None
             };
-            match future::or(async { signals.next().await }, left).await.transpose()? {
+            match future::or(async { signals.next().await }, left)
+                .await
+                .transpose()?
+            {
                 // What one signal began to read the next one reads anew.
                 Some(Signal::Hup) => {
-                    let reread = reread(file.to_path_buf(), hub.clone(), place.clone(), given.clone());
+                    let reread = reread(
+                        file.to_path_buf(),
+                        hub.clone(),
+                        place.clone(),
+                        given.clone(),
+                    );
                     drop(rereads.replace(ex.spawn(reread)));
                 }
                 Some(_) if leaving.is_none() => leaving = Some(ex.spawn(leave(hub.clone()))),
@@ -101,12 +116,18 @@
             // One that lies in the wrong place names another fleet's service and nodes: nothing of it is taken.
             Ok(config) if config.name != given.name => {
                 let (own, other) = (&given.name, &config.name);
-                warn!(own, other, "the new configuration is another director's, and all is kept as it was");
+                warn!(
+                    own,
+                    other, "the new configuration is another director's, and all is kept as it was"
+                );
                 return;
             }
             Ok(config) => {
                 for other in given.other(&config) {
-                    warn!(other, "the new configuration differs in what is kept as at the start");
+                    warn!(
+                        other,
+                        "the new configuration differs in what is kept as at the start"
+                    );
                 }
                 hub.with(|door| door.known(&config, now()));
                 place.address.set(config.journal);
@@ -151,9 +172,12 @@
         let s = hub.with(Door::status);
         // Pages of 4 KiB; 0 where the system does not tell.
         let pages = std::fs::read_to_string("/proc/self/statm").ok();
-        let pages = pages.and_then(|t| t.split(' ').nth(1)?.parse::<u64>().ok()).unwrap_or(0);
+        let pages = pages
+            .and_then(|t| t.split(' ').nth(1)?.parse::<u64>().ok())
+            .unwrap_or(0);
         let files = std::fs::read_dir("/proc/self/fd").map_or(0, |dir| dir.count());
-        let (waiting, standing, viewers, links, nodes) = (s.waiting, s.standing, s.viewers, s.links, s.nodes);
+        let (waiting, standing, viewers, links, nodes) =
+            (s.waiting, s.standing, s.viewers, s.links, s.nodes);
         let (worst, ended, late_us, resident_kb) = (s.worst, s.ended, s.late, pages * 4);
         let (opened, lost, left, sent_for_left) = (s.opened, s.lost, s.left, s.sent_for_left);
         info!(
--- a/crates/rig/src/day.rs
+++ b/crates/rig/src/day.rs
@@ -87,11 +87,19 @@
         let nodes = nodes.collect::<io::Result<Vec<_>>>()?;
         let ports: Vec<u16> = nodes.iter().map(|n| n.port).collect();
         let liar = plan.lie.map(|lie| Liar::new(lie, ports));
-        let to_nodes = liar.as_ref().filter(|_| plan.lie.is_some_and(|l| !l.to_viewers()));
+        let to_nodes = liar
+            .as_ref()
+            .filter(|_| plan.lie.is_some_and(|l| !l.to_viewers()));
         let mut list = Vec::new();
         for node in &nodes {
             let port = to_nodes.map_or(Ok(node.port), |liar| liar.before(node.port))?;
-            list.push(Line { node: node.id, port, state: 0, cell: node.id as u16 - 1, started: 0 });
+            list.push(Line {
+                node: node.id,
+                port,
+                state: 0,
+                cell: node.id as u16 - 1,
+                started: 0,
+            });
         }
         let listens = match liar.as_ref().filter(|l| l.ignores_silence()) {
             Some(liar) => liar.before_list(journal.port)?,
@@ -106,17 +114,44 @@
             viewers.push(Viewers::start(number, port, plan.seed, tape.clone()));
             directors.push(director);
         }
-        Ok(World { tape, journal, nodes, list, directors, viewers, liar, fallen: Vec::new() })
+        Ok(World {
+            tape,
+            journal,
+            nodes,
+            list,
+            directors,
+            viewers,
+            liar,
+            fallen: Vec::new(),
+        })
     }
 
     fn happen(&mut self, trouble: Trouble) -> io::Result<()> {
         match trouble {
-            Trouble::Drain(n) => self.journal.tell(Line { state: 1, ..self.list[n] }, None),
-            Trouble::Gone(n) => self.journal.tell(Line { state: 2, ..self.list[n] }, None),
+            Trouble::Drain(n) => self.journal.tell(
+                Line {
+                    state: 1,
+                    ..self.list[n]
+                },
+                None,
+            ),
+            Trouble::Gone(n) => self.journal.tell(
+                Line {
+                    state: 2,
+                    ..self.list[n]
+                },
+                None,
+            ),
             Trouble::Die(n) => self.nodes[n].die(),
             Trouble::Back(n) => {
                 let up = self.nodes[n].live(false)?;
-                self.journal.tell(Line { started: up as u64 / 1000, ..self.list[n] }, Some(up));
+                self.journal.tell(
+                    Line {
+                        started: up as u64 / 1000,
+                        ..self.list[n]
+                    },
+                    Some(up),
+                );
             }
             Trouble::Turn(n, mood) => self.nodes[n].mood(mood),
             Trouble::Kill(d) => {
@@ -143,9 +178,13 @@
             Trouble::JournalAway(away) => self.journal.away(away),
             Trouble::Noise => {
                 for director in &self.directors {
-                    for noise in [&b"{\"verb\":\"START\",\"tag\":\n"[..], &[b'x'; 40_000], b"{\"verb\":\"ST"]
-                    {
-                        let Ok(mut stream) = TcpStream::connect(("127.0.0.1", director.port)) else {
+                    for noise in [
+                        &b"{\"verb\":\"START\",\"tag\":\n"[..],
+                        &[b'x'; 40_000],
+                        b"{\"verb\":\"ST",
+                    ] {
+                        let Ok(mut stream) = TcpStream::connect(("127.0.0.1", director.port))
+                        else {
                             continue;
                         };
                         let _ = stream.write_all(noise);
@@ -153,7 +192,9 @@
                 }
             }
             Trouble::Favour(n) => {
-                self.liar.iter().for_each(|liar| liar.favoured.store(n, Ordering::Relaxed));
+                self.liar
+                    .iter()
+                    .for_each(|liar| liar.favoured.store(n, Ordering::Relaxed));
             }
         }
         Ok(())
@@ -170,7 +211,10 @@
         world.happen(*trouble)?;
     }
     thread::sleep(Duration::from_secs(plan.seconds).saturating_sub(begun.elapsed()));
-    world.viewers.iter().for_each(|v| v.paused.store(true, Ordering::Relaxed));
+    world
+        .viewers
+        .iter()
+        .for_each(|v| v.paused.store(true, Ordering::Relaxed));
     thread::sleep(SETTLE);
     let mut fallen = world.fallen.clone();
     for director in &mut world.directors {
@@ -180,10 +224,24 @@
     }
     // Judged before they end: who is told to end at the same time is no part of the day.
     let (verdict, odd) = world.tape.judged(&rules());
-    let asked = world.viewers.iter().map(|v| v.asked.load(Ordering::Relaxed)).sum();
+    let asked = world
+        .viewers
+        .iter()
+        .map(|v| v.asked.load(Ordering::Relaxed))
+        .sum();
     world.directors.iter_mut().for_each(Director::kill);
     world.viewers.iter_mut().for_each(Viewers::end);
-    let logs = world.directors.iter().map(|d| std::fs::read_to_string(d.log()).unwrap_or_default());
+    let logs = world
+        .directors
+        .iter()
+        .map(|d| std::fs::read_to_string(d.log()).unwrap_or_default());
     let begun = world.tape.open().begun;
-    Ok(Outcome { verdict, odd, begun, asked, fallen, logs: logs.collect() })
+    Ok(Outcome {
+        verdict,
+        odd,
+        begun,
+        asked,
+        fallen,
+        logs: logs.collect(),
+    })
 }
--- a/crates/rig/src/director.rs
+++ b/crates/rig/src/director.rs
@@ -47,7 +47,15 @@
 impl Director {
     pub fn new(binary: &Path, dir: &Path, number: u32, tape: Tape) -> io::Result<Director> {
         let (binary, dir) = (binary.to_path_buf(), dir.to_path_buf());
-        Ok(Director { number, port: free_port()?, binary, dir, tape, child: None, gone: None })
+        Ok(Director {
+            number,
+            port: free_port()?,
+            binary,
+            dir,
+            tape,
+            child: None,
+            gone: None,
+        })
     }
 
     /// Starts the process, and waits until it listens.
@@ -73,15 +81,26 @@
         let begun = Instant::now();
         while TcpStream::connect(("127.0.0.1", self.port)).is_err() {
             if begun.elapsed() > UP {
-                return Err(io::Error::other(format!("director {} does not listen", self.number)));
+                return Err(io::Error::other(format!(
+                    "director {} does not listen",
+                    self.number
+                )));
             }
             thread::sleep(Duration::from_millis(10));
         }
         let t = now();
         if let Some(from) = self.gone.take() {
-            self.tape.open().down.entry(self.number).or_default().push((from, t));
+            self.tape
+                .open()
+                .down
+                .entry(self.number)
+                .or_default()
+                .push((from, t));
         }
-        self.tape.note(Record::DirectorUp { t, director: self.number });
+        self.tape.note(Record::DirectorUp {
+            t,
+            director: self.number,
+        });
         Ok(())
     }
 
@@ -91,24 +110,33 @@
 
     /// SIGKILL, without a word before it.
     pub fn kill(&mut self) {
-        let Some(mut child) = self.child.take() else { return };
+        let Some(mut child) = self.child.take() else {
+            return;
+        };
         let t = now();
         self.gone = Some(t);
-        self.tape.note(Record::DirectorKilled { t, director: self.number });
+        self.tape.note(Record::DirectorKilled {
+            t,
+            director: self.number,
+        });
         let _ = child.kill();
         let _ = child.wait();
     }
 
     /// What one would do that ends at once when it is told to: whoever judges knows of no kill.
     pub fn crash(&mut self) {
-        let Some(mut child) = self.child.take() else { return };
+        let Some(mut child) = self.child.take() else {
+            return;
+        };
         let _ = child.kill();
         let _ = child.wait();
     }
 
     /// SIGTERM; true where it ended by itself within `patience`.
     pub fn leave(&mut self, patience: Duration) -> bool {
-        let Some(mut child) = self.child.take() else { return true };
+        let Some(mut child) = self.child.take() else {
+            return true;
+        };
         self.gone = Some(now());
         let pid = rustix::process::Pid::from_child(&child);
         let _ = rustix::process::kill_process(pid, rustix::process::Signal::TERM);
@@ -126,7 +154,9 @@
 
     /// Whether it still runs.
     pub fn runs(&mut self) -> bool {
-        self.child.as_mut().is_some_and(|c| matches!(c.try_wait(), Ok(None)))
+        self.child
+            .as_mut()
+            .is_some_and(|c| matches!(c.try_wait(), Ok(None)))
     }
 }
 
--- a/crates/rig/src/journal.rs
+++ b/crates/rig/src/journal.rs
@@ -83,7 +83,12 @@
                 thread::spawn(move || serve(&own, stream));
             }
         });
-        Ok(Journal { inner, port, tape, directors })
+        Ok(Journal {
+            inner,
+            port,
+            tape,
+            directors,
+        })
     }
 
     /// A change: told to every director from now on, connected or not.
@@ -96,15 +101,28 @@
         let standing = ["ready", "draining", "gone"][usize::from(line.state.min(2))].to_string();
         for director in 0..self.directors {
             let (node, standing) = (line.node.into(), standing.clone());
-            self.tape.note(Record::Told { t, director, node, standing, came_up });
+            self.tape.note(Record::Told {
+                t,
+                director,
+                node,
+                standing,
+                came_up,
+            });
         }
-        self.inner.changes.lock().unwrap_or_else(PoisonError::into_inner).push(line);
+        self.inner
+            .changes
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .push(line);
     }
 
     /// Connections that are open fall silent and stay open; new ones are told all.
     pub fn hush(&self) {
         self.inner.since.store(now(), Ordering::Relaxed);
-        self.inner.hushed.store(self.inner.connections.load(Ordering::Relaxed), Ordering::Relaxed);
+        self.inner.hushed.store(
+            self.inner.connections.load(Ordering::Relaxed),
+            Ordering::Relaxed,
+        );
     }
 
     /// Breaks every connection and takes no new one, until it is back.
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -26,7 +26,8 @@
     static NEXT: AtomicU32 = AtomicU32::new(0);
     let first = std::process::id().wrapping_mul(257);
     for _ in 0..PORTS {
-        let port = 12_000 + (first.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed)) % PORTS) as u16;
+        let port =
+            12_000 + (first.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed)) % PORTS) as u16;
         if TcpListener::bind(("127.0.0.1", port)).is_ok() {
             return Ok(port);
         }
--- a/crates/rig/src/lies.rs
+++ b/crates/rig/src/lies.rs
@@ -78,7 +78,9 @@
 }
 
 fn write(to: &Stream, bytes: &[u8]) -> io::Result<()> {
-    to.lock().unwrap_or_else(PoisonError::into_inner).write_all(bytes)
+    to.lock()
+        .unwrap_or_else(PoisonError::into_inner)
+        .write_all(bytes)
 }
 
 /// Carries bytes one way, as `said` words them, until either side ends.
@@ -93,7 +95,10 @@
             break;
         }
     }
-    let _ = to.lock().unwrap_or_else(PoisonError::into_inner).shutdown(Shutdown::Both);
+    let _ = to
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
+        .shutdown(Shutdown::Both);
     let _ = from.shutdown(Shutdown::Both);
 }
 
@@ -112,7 +117,10 @@
             Ok(n) => buf.extend(&chunk[..n]),
             Err(_) => write(&to, &[&[0, 0, 0, 9][..], &asked, &[0]].concat())?,
         }
-        while let Some(length) = buf.get(..4).map(|l| 4 + l.iter().fold(0, |n, b| n << 8 | usize::from(*b))) {
+        while let Some(length) = buf
+            .get(..4)
+            .map(|l| 4 + l.iter().fold(0, |n, b| n << 8 | usize::from(*b)))
+        {
             if buf.len() < length {
                 break;
             }
@@ -129,12 +137,22 @@
     let given_up = |line: &&[u8]| {
         !(line.windows(8).any(|w| w == b"\"FINISH\"") && line.windows(7).any(|w| w == b"\"rc\":16"))
     };
-    lines.split_inclusive(|b| *b == b'\n').filter(given_up).flatten().copied().collect()
+    lines
+        .split_inclusive(|b| *b == b'\n')
+        .filter(given_up)
+        .flatten()
+        .copied()
+        .collect()
 }
 
 impl Liar {
     pub fn new(lie: Lie, nodes: Vec<u16>) -> Arc<Liar> {
-        Arc::new(Liar { lie, nodes, favoured: AtomicUsize::new(NOBODY), count: AtomicU64::new(0) })
+        Arc::new(Liar {
+            lie,
+            nodes,
+            favoured: AtomicUsize::new(NOBODY),
+            count: AtomicU64::new(0),
+        })
     }
 
     pub fn ignores_silence(&self) -> bool {
@@ -181,7 +199,13 @@
         if self.lie.to_viewers() {
             thread::spawn(move || carry(far, &answers, |buf| back.lines(buf)));
             let holds = self.lie == Lie::SendsForLeft;
-            carry(near, &to_far, |buf| if holds { held_back(buf) } else { std::mem::take(buf) });
+            carry(near, &to_far, |buf| {
+                if holds {
+                    held_back(buf)
+                } else {
+                    std::mem::take(buf)
+                }
+            });
             return Ok(());
         }
         thread::spawn(move || carry(far, &answers, std::mem::take));
@@ -194,7 +218,10 @@
             out
         });
         for (_, other) in others {
-            let _ = other.lock().unwrap_or_else(PoisonError::into_inner).shutdown(Shutdown::Both);
+            let _ = other
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .shutdown(Shutdown::Both);
         }
         Ok(())
     }
@@ -204,7 +231,9 @@
         let mut out = Vec::new();
         while let Some(end) = buf.iter().position(|b| *b == b'\n') {
             let line: Vec<u8> = buf.drain(..=end).collect();
-            let Ok(mut said) = serde_json::from_slice::<Value>(&line) else { continue };
+            let Ok(mut said) = serde_json::from_slice::<Value>(&line) else {
+                continue;
+            };
             let answers = said["verb"] == "STARTED";
             let fifth = answers && self.count.fetch_add(1, Ordering::Relaxed) % 5 == 4;
             match self.lie {
@@ -222,15 +251,20 @@
     }
 
     /// A message on its way to a node: what goes there instead.
-    fn message(&self, mut message: Message, near: &Stream, others: &mut Vec<(u16, Stream)>) -> Vec<u8> {
+    fn message(
+        &self,
+        mut message: Message,
+        near: &Stream,
+        others: &mut Vec<(u16, Stream)>,
+    ) -> Vec<u8> {
         if message.method() != "SETUP" {
             return message.write();
         }
         let paid = message.field("p-kind") == Some("paid");
         match self.lie {
             Lie::PaysTwice if paid => {
-                let other =
-                    self.nodes[self.count.fetch_add(1, Ordering::Relaxed) as usize % self.nodes.len()];
+                let other = self.nodes
+                    [self.count.fetch_add(1, Ordering::Relaxed) as usize % self.nodes.len()];
                 // What that one answers is heard by nobody.
                 if let Some(to) = self.way(other, None, others) {
                     let _ = write(&to, &message.write());
@@ -238,11 +272,18 @@
                 message.write()
             }
             Lie::UnderFloor if paid => {
-                message.fields.iter_mut().filter(|(n, _)| n == "x-rung").for_each(|(_, v)| *v = "0".into());
+                message
+                    .fields
+                    .iter_mut()
+                    .filter(|(n, _)| n == "x-rung")
+                    .for_each(|(_, v)| *v = "0".into());
                 message.write()
             }
             Lie::IgnoresDrains | Lie::PushesCold => {
-                let favoured = self.nodes.get(self.favoured.load(Ordering::Relaxed)).copied();
+                let favoured = self
+                    .nodes
+                    .get(self.favoured.load(Ordering::Relaxed))
+                    .copied();
                 let to = favoured.and_then(|port| self.way(port, Some(near), others));
                 match to {
                     Some(to) => {
@@ -264,7 +305,12 @@
     }
 
     /// A connection to another node; `near`: where its answers go.
-    fn way(&self, port: u16, near: Option<&Stream>, others: &mut Vec<(u16, Stream)>) -> Option<Stream> {
+    fn way(
+        &self,
+        port: u16,
+        near: Option<&Stream>,
+        others: &mut Vec<(u16, Stream)>,
+    ) -> Option<Stream> {
         if let Some((_, open)) = others.iter().find(|(p, _)| *p == port) {
             return Some(open.clone());
         }
--- a/crates/rig/src/node.rs
+++ b/crates/rig/src/node.rs
@@ -75,7 +75,13 @@
     pub fn start(id: u32, seed: u64, tape: Tape) -> io::Result<Arc<Node>> {
         let port = crate::free_port()?;
         let rng = Mutex::new(ChaCha8Rng::seed_from_u64(seed ^ u64::from(id)));
-        let node = Arc::new(Node { id, port, tape, rng, inner: Mutex::default() });
+        let node = Arc::new(Node {
+            id,
+            port,
+            tape,
+            rng,
+            inner: Mutex::default(),
+        });
         node.live(true)?;
         Ok(node)
     }
@@ -99,7 +105,13 @@
         let listener = TcpListener::bind(("127.0.0.1", self.port))?;
         listener.set_nonblocking(true)?;
         let (t, node) = (now(), self.id.into());
-        self.tape.note(Record::NodeUp { t, node, places: PLACES, warm, cell: None });
+        self.tape.note(Record::NodeUp {
+            t,
+            node,
+            places: PLACES,
+            warm,
+            cell: None,
+        });
         let life = {
             let mut inner = self.open();
             inner.life += 1;
@@ -122,15 +134,30 @@
             self.done(session, attempt, Ran::Given);
         }
         for (session, s) in std::mem::take(&mut inner.standing) {
-            self.tape.note(Record::Over { t, node: self.id.into(), session, attempt: s.attempt });
+            self.tape.note(Record::Over {
+                t,
+                node: self.id.into(),
+                session,
+                attempt: s.attempt,
+            });
             self.tape.ended(session, End::Untold);
         }
         inner.said.clear();
-        self.tape.note(Record::NodeDown { t, node: self.id.into(), fell: false });
+        self.tape.note(Record::NodeDown {
+            t,
+            node: self.id.into(),
+            fell: false,
+        });
     }
 
     fn done(&self, session: u64, attempt: u32, ran: Ran) {
-        self.tape.note(Record::SetUpDone { t: now(), node: self.id.into(), session, attempt, ran });
+        self.tape.note(Record::SetUpDone {
+            t: now(),
+            node: self.id.into(),
+            session,
+            attempt,
+            ran,
+        });
     }
 
     fn run(self: Arc<Node>, listener: &TcpListener, life: u64) {
@@ -139,7 +166,9 @@
                 let own = self.clone();
                 let _ = stream.set_nonblocking(false);
                 let _ = stream.set_nodelay(true);
-                let Ok(writer) = stream.try_clone() else { continue };
+                let Ok(writer) = stream.try_clone() else {
+                    continue;
+                };
                 let id = {
                     let mut inner = self.open();
                     inner.next += 1;
@@ -148,11 +177,18 @@
                     // What was released of late is said again: its first connection may be gone.
                     let t = now();
                     inner.said.retain(|(at, ..)| t - at < 5_000_000);
-                    let again: Vec<_> = inner.said.iter().map(|(_, tag, cause)| (*tag, *cause)).collect();
+                    let again: Vec<_> = inner
+                        .said
+                        .iter()
+                        .map(|(_, tag, cause)| (*tag, *cause))
+                        .collect();
                     let mute = inner.mood == Mood::Mute;
-                    again.into_iter().filter(|_| !mute).for_each(|(tag, cause)| {
-                        say(&mut inner, id, &rtsp::release(tag, cause));
-                    });
+                    again
+                        .into_iter()
+                        .filter(|_| !mute)
+                        .for_each(|(tag, cause)| {
+                            say(&mut inner, id, &rtsp::release(tag, cause));
+                        });
                     id
                 };
                 thread::spawn(move || own.hear(stream, id, life));
@@ -169,25 +205,54 @@
         if inner.mood == Mood::Mute {
             return;
         }
-        let due: Vec<_> = inner.out.iter().filter(|(_, (.., at))| *at <= t).map(|(tag, _)| *tag).collect();
+        let due: Vec<_> = inner
+            .out
+            .iter()
+            .filter(|(_, (.., at))| *at <= t)
+            .map(|(tag, _)| *tag)
+            .collect();
         for tag in due {
-            let Some((conn, attempt, _)) = inner.out.remove(&tag) else { continue };
+            let Some((conn, attempt, _)) = inner.out.remove(&tag) else {
+                continue;
+            };
             self.answer(&mut inner, tag, conn, attempt);
         }
-        let over: Vec<_> = inner.standing.iter().filter(|(_, s)| s.until <= t).map(|(tag, _)| *tag).collect();
+        let over: Vec<_> = inner
+            .standing
+            .iter()
+            .filter(|(_, s)| s.until <= t)
+            .map(|(tag, _)| *tag)
+            .collect();
         for tag in over {
-            let Some(s) = inner.standing.remove(&tag) else { continue };
-            self.tape.note(Record::Over { t, node: self.id.into(), session: tag, attempt: s.attempt });
+            let Some(s) = inner.standing.remove(&tag) else {
+                continue;
+            };
+            self.tape.note(Record::Over {
+                t,
+                node: self.id.into(),
+                session: tag,
+                attempt: s.attempt,
+            });
             self.tape.ended(tag, End::Told);
             inner.said.push((t, tag, 16));
             // Whose a connection is shows by what is set up on it only: where that one is gone all hear it.
             let own = inner.conns.contains_key(&s.conn);
-            let hear: Vec<_> = inner.conns.keys().copied().filter(|c| !own || *c == s.conn).collect();
-            hear.into_iter().for_each(|conn| say(&mut inner, conn, &rtsp::release(tag, 16)));
+            let hear: Vec<_> = inner
+                .conns
+                .keys()
+                .copied()
+                .filter(|c| !own || *c == s.conn)
+                .collect();
+            hear.into_iter()
+                .for_each(|conn| say(&mut inner, conn, &rtsp::release(tag, 16)));
         }
         let full = inner.standing.len() as f64 / PLACES;
         let mut notes = Vec::new();
-        for (tag, s) in inner.standing.iter_mut().filter(|(_, s)| t - s.noted >= NOTES) {
+        for (tag, s) in inner
+            .standing
+            .iter_mut()
+            .filter(|(_, s)| t - s.noted >= NOTES)
+        {
             s.noted = t;
             notes.push((s.conn, *tag));
         }
@@ -210,15 +275,32 @@
             }
             Mood::Garbled if odd.is_multiple_of(3) => {
                 self.done(tag, attempt, Ran::Ended);
-                return say(inner, conn, b"RTSP/1.0 200 OK\r\nContent-Length: -7\r\n\r\n\xff\xfe\r\n\r\n");
+                return say(
+                    inner,
+                    conn,
+                    b"RTSP/1.0 200 OK\r\nContent-Length: -7\r\n\r\n\xff\xfe\r\n\r\n",
+                );
             }
             _ => {}
         }
         let made = format!("{}-{tag:016x}-{odd}\r\n", name(self.id));
-        self.tape.open().made.entry(tag).or_default().push(made.clone());
+        self.tape
+            .open()
+            .made
+            .entry(tag)
+            .or_default()
+            .push(made.clone());
         self.done(tag, attempt, Ran::Plays);
         let until = now() + self.draw(LASTS);
-        inner.standing.insert(tag, Standing { conn, attempt, until, noted: now() });
+        inner.standing.insert(
+            tag,
+            Standing {
+                conn,
+                attempt,
+                until,
+                noted: now(),
+            },
+        );
         say(inner, conn, &rtsp::answer(tag, 200, &made));
     }
 
@@ -236,7 +318,12 @@
         let mut inner = self.open();
         inner.conns.remove(&conn);
         // Set-ups on a connection that ends are given up.
-        let open: Vec<_> = inner.out.iter().filter(|(_, o)| o.0 == conn).map(|(t, o)| (*t, o.1)).collect();
+        let open: Vec<_> = inner
+            .out
+            .iter()
+            .filter(|(_, o)| o.0 == conn)
+            .map(|(t, o)| (*t, o.1))
+            .collect();
         for (tag, attempt) in open {
             inner.out.remove(&tag);
             self.done(tag, attempt, Ran::Given);
@@ -264,8 +351,16 @@
                 }
             }
             "SET_PARAMETER" => {
-                let rung = message.field("x-rung").and_then(|r| r.parse().ok()).unwrap_or(0);
-                self.tape.note(Record::Rung { t: now(), node: self.id.into(), session: tag, rung });
+                let rung = message
+                    .field("x-rung")
+                    .and_then(|r| r.parse().ok())
+                    .unwrap_or(0);
+                self.tape.note(Record::Rung {
+                    t: now(),
+                    node: self.id.into(),
+                    session: tag,
+                    rung,
+                });
             }
             "OPTIONS" => say(&mut self.open(), conn, &rtsp::answer(tag, 200, "")),
             _ => {}
@@ -281,10 +376,18 @@
             *count - 1
         };
         let class = message.field("p-kind").unwrap_or("").to_string();
-        let title = message.first.split(['/', ' ']).nth(4).unwrap_or("").to_string();
+        let title = message
+            .first
+            .split(['/', ' '])
+            .nth(4)
+            .unwrap_or("")
+            .to_string();
         // In a set-up without a rung the lowest of the class is meant.
         let lowest = usize::from(class == "paid");
-        let rung = message.field("x-rung").and_then(|r| r.parse().ok()).unwrap_or(lowest);
+        let rung = message
+            .field("x-rung")
+            .and_then(|r| r.parse().ok())
+            .unwrap_or(lowest);
         let director = crate::director_of(tag);
         let (t, node) = (now(), self.id.into());
         let session = tag;
@@ -301,7 +404,9 @@
         });
         self.tape.came(tag, t);
         if message.body != format!("v-{tag:016x}\r\n").into_bytes() {
-            self.tape.odd(format!("set-up of {tag:016x} with another description than its viewer's"));
+            self.tape.odd(format!(
+                "set-up of {tag:016x} with another description than its viewer's"
+            ));
         }
         if inner.mood == Mood::Resets && tag.is_multiple_of(2) {
             self.done(tag, attempt, Ran::Given);
@@ -310,12 +415,17 @@
             }
             return;
         }
-        inner.out.insert(tag, (conn, attempt, t + self.draw(ANSWER)));
+        inner
+            .out
+            .insert(tag, (conn, attempt, t + self.draw(ANSWER)));
     }
 }
 
 fn say(inner: &mut Inner, conn: u64, bytes: &[u8]) {
-    let broken = inner.conns.get_mut(&conn).is_some_and(|stream| stream.write_all(bytes).is_err());
+    let broken = inner
+        .conns
+        .get_mut(&conn)
+        .is_some_and(|stream| stream.write_all(bytes).is_err());
     if broken {
         inner.conns.remove(&conn);
     }
--- a/crates/rig/src/rtsp.rs
+++ b/crates/rig/src/rtsp.rs
@@ -10,7 +10,10 @@
 
 impl Message {
     pub fn field(&self, name: &str) -> Option<&str> {
-        self.fields.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
+        self.fields
+            .iter()
+            .find(|(n, _)| n == name)
+            .map(|(_, v)| v.as_str())
     }
 
     pub fn tag(&self) -> Option<u64> {
@@ -38,10 +41,20 @@
     let text = String::from_utf8_lossy(&buf[..head]).to_string();
     let mut lines = text.split("\r\n");
     let first = lines.next().unwrap_or("").to_string();
-    let split = |l: &str| l.split_once(':').map(|(n, v)| (n.to_ascii_lowercase(), v.trim().to_string()));
+    let split = |l: &str| {
+        l.split_once(':')
+            .map(|(n, v)| (n.to_ascii_lowercase(), v.trim().to_string()))
+    };
     let fields: Vec<_> = lines.filter_map(split).collect();
-    let message = Message { first, fields, body: Vec::new() };
-    let length = message.field("content-length").and_then(|l| l.parse::<usize>().ok()).unwrap_or(0);
+    let message = Message {
+        first,
+        fields,
+        body: Vec::new(),
+    };
+    let length = message
+        .field("content-length")
+        .and_then(|l| l.parse::<usize>().ok())
+        .unwrap_or(0);
     let end = head + 4 + length;
     if buf.len() < end {
         return None;
@@ -61,7 +74,8 @@
 /// The release of a session that has stood.
 pub fn release(tag: u64, cause: i64) -> Vec<u8> {
     let first = "TEARDOWN rtsp://media/x RTSP/1.0\r\nCSeq: 2\r\n";
-    format!("{first}Session: {tag:016x}\r\nReason: cause={cause}\r\nContent-Length: 0\r\n\r\n").into()
+    format!("{first}Session: {tag:016x}\r\nReason: cause={cause}\r\nContent-Length: 0\r\n\r\n")
+        .into()
 }
 
 /// A note on a session: how full the node's link is.
--- a/crates/rig/src/tape.rs
+++ b/crates/rig/src/tape.rs
@@ -69,9 +69,16 @@
     /// A node has a set-up whole.
     pub fn came(&self, tag: u64, t: i64) {
         let mut inner = self.open();
-        let late = inner.left.get(&tag).map(|left| t - left).filter(|late| *late > SENT_ON + TRANSIT);
+        let late = inner
+            .left
+            .get(&tag)
+            .map(|left| t - left)
+            .filter(|late| *late > SENT_ON + TRANSIT);
         if let Some(late) = late {
-            inner.odd.push(format!("{tag:016x} was sent on {} ms after its viewer had left", late / 1000));
+            inner.odd.push(format!(
+                "{tag:016x} was sent on {} ms after its viewer had left",
+                late / 1000
+            ));
         }
     }
 
@@ -87,7 +94,14 @@
         // much earlier, though not before it came.
         let came: BTreeMap<(u64, u32), i64> = records.iter().filter_map(arrival).collect();
         for record in &mut records {
-            if let Record::SetUpDone { t, session, attempt, ran: Ran::Given, .. } = record {
+            if let Record::SetUpDone {
+                t,
+                session,
+                attempt,
+                ran: Ran::Given,
+                ..
+            } = record
+            {
                 *t = (*t - TRANSIT).max(came.get(&(*session, *attempt)).copied().unwrap_or(*t));
             }
         }
@@ -103,7 +117,10 @@
             } + TRANSIT;
             // What never stood for its viewer has its one answer, and a director that was away hears of it later.
             let away = |(from, until): &(i64, i64)| *from <= at + within && *until + within >= *at;
-            let excused = inner.down.get(&director_of(*tag)).is_some_and(|d| d.iter().any(away));
+            let excused = inner
+                .down
+                .get(&director_of(*tag))
+                .is_some_and(|d| d.iter().any(away));
             if !inner.stood.contains_key(tag) || excused || at + within > last {
                 continue;
             }
@@ -119,7 +136,15 @@
 }
 
 fn arrival(record: &Record) -> Option<((u64, u32), i64)> {
-    let Record::SetUp { t, session, attempt, .. } = record else { return None };
+    let Record::SetUp {
+        t,
+        session,
+        attempt,
+        ..
+    } = record
+    else {
+        return None;
+    };
     Some(((*session, *attempt), *t))
 }
 
@@ -127,7 +152,11 @@
 pub fn rules() -> Rules {
     let class = |paid, floor, seats| ClassRule { paid, floor, seats };
     Rules {
-        classes: [("paid".into(), class(true, 1, 0)), ("free".into(), class(false, 0, 0))].into(),
+        classes: [
+            ("paid".into(), class(true, 1, 0)),
+            ("free".into(), class(false, 0, 0)),
+        ]
+        .into(),
         tenants: BTreeMap::new(),
         drain_within: 250_000,
         answer_slack: SLACK,
@@ -135,7 +164,11 @@
         start_capacity: 0.4,
         overload_factor: 2.0,
         fall: 1_000_000,
-        further: Some(Further { free: 4.0, per_request: 0.345, span: 10_000_000 }),
+        further: Some(Further {
+            free: 4.0,
+            per_request: 0.345,
+            span: 10_000_000,
+        }),
         cells: 0,
         titles: BTreeMap::new(),
         transit: TRANSIT,
--- a/crates/rig/src/viewer.rs
+++ b/crates/rig/src/viewer.rs
@@ -58,13 +58,23 @@
 
 /// Class and title of a request follow from its tag, so that it can be told anew.
 fn asks_for(tag: u64) -> (&'static str, u64) {
-    (if tag.is_multiple_of(3) { "paid" } else { "free" }, (tag >> 3) % TITLES)
+    (
+        if tag.is_multiple_of(3) {
+            "paid"
+        } else {
+            "free"
+        },
+        (tag >> 3) % TITLES,
+    )
 }
 
 impl Viewers {
     pub fn start(director: u32, port: u16, seed: u64, tape: Tape) -> Viewers {
         let inner = Arc::new(Mutex::new(Inner::default()));
-        let (stop, paused) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
+        let (stop, paused) = (
+            Arc::new(AtomicBool::new(false)),
+            Arc::new(AtomicBool::new(false)),
+        );
         let asked = Arc::new(AtomicU64::new(0));
         let own = (inner, stop.clone(), paused.clone(), asked.clone());
         let thread = thread::spawn(move || {
@@ -76,18 +86,32 @@
                     continue;
                 };
                 let _ = stream.set_nodelay(true);
-                let Ok(reader) = stream.try_clone() else { return };
+                let Ok(reader) = stream.try_clone() else {
+                    return;
+                };
                 let alive = Arc::new(AtomicBool::new(true));
                 let (heard, up, seen) = (inner.clone(), alive.clone(), tape.clone());
                 let listens = thread::spawn(move || listen(reader, &heard, &seen, &up));
-                converse(director, stream, &inner, &tape, &mut rng, (&stop, &paused, &alive, &asked));
+                converse(
+                    director,
+                    stream,
+                    &inner,
+                    &tape,
+                    &mut rng,
+                    (&stop, &paused, &alive, &asked),
+                );
                 let _ = listens.join();
                 for (ask, _) in std::mem::take(&mut open(&inner).open) {
                     tape.note(Record::Unanswered { t: now(), ask });
                 }
             }
         });
-        Viewers { stop, paused, asked, thread: Some(thread) }
+        Viewers {
+            stop,
+            paused,
+            asked,
+            thread: Some(thread),
+        }
     }
 
     pub fn end(&mut self) {
@@ -119,12 +143,24 @@
         let (class, title) = asks_for(tag);
         let (t, wait) = (now(), LEFT * 1000);
         open(inner).open.insert(tag, t);
-        if stream.write_all(start(tag, class, LEFT, title, "").as_bytes()).is_err() {
+        if stream
+            .write_all(start(tag, class, LEFT, title, "").as_bytes())
+            .is_err()
+        {
             open(inner).open.remove(&tag); // it never came whole
             break;
         }
         let (class, title, key) = (class.to_string(), title.to_string(), format!("{tag:016x}"));
-        tape.note(Record::Asked { t, director, ask: tag, key, tenant: None, class, title, wait });
+        tape.note(Record::Asked {
+            t,
+            director,
+            ask: tag,
+            key,
+            tenant: None,
+            class,
+            title,
+            wait,
+        });
         // Now and then one waits no longer, at once or after a while.
         if rng.random_range(0..10) == 0 {
             thread::sleep(Duration::from_millis(rng.random_range(0..30)));
@@ -141,7 +177,11 @@
         }
         // Now and then a viewer has seen enough.
         let leaves = rng.random_range(0..20) == 0;
-        let left = if leaves { open(inner).standing.pop_first() } else { None };
+        let left = if leaves {
+            open(inner).standing.pop_first()
+        } else {
+            None
+        };
         if let Some((tag, _)) = left {
             tape.ended(tag, End::Own);
             let _ = stream.write_all(line("FINISH", tag, json!({}), None).as_bytes());
@@ -157,7 +197,10 @@
             tape.odd(format!("a viewer was told what can't be read: {said}"));
             break;
         };
-        let tag = message["tag"].as_str().and_then(|t| u64::from_str_radix(t, 16).ok()).unwrap_or(0);
+        let tag = message["tag"]
+            .as_str()
+            .and_then(|t| u64::from_str_radix(t, 16).ok())
+            .unwrap_or(0);
         heard(tag, &message, inner, tape);
     }
     alive.store(false, Ordering::Relaxed);
@@ -171,19 +214,41 @@
         // It crossed the word that its viewer waits no more: the session ends by that.
         "STARTED" if !waits && tape.open().left.contains_key(&tag) => tape.ended(tag, End::Own),
         "STARTED" => {
-            tape.note(Record::Answered { t, ask: tag, status: 200, session: Some(tag) });
+            tape.note(Record::Answered {
+                t,
+                ask: tag,
+                status: 200,
+                session: Some(tag),
+            });
             let blob = message["blob"].as_str().unwrap_or("");
-            let made = tape.open().made.get(&tag).is_some_and(|made| made.iter().any(|m| m == blob));
+            let made = tape
+                .open()
+                .made
+                .get(&tag)
+                .is_some_and(|made| made.iter().any(|m| m == blob));
             if !made {
-                tape.odd(format!("{tag:016x} was served with what no node made for it: {blob:?}"));
+                tape.odd(format!(
+                    "{tag:016x} was served with what no node made for it: {blob:?}"
+                ));
             }
             tape.open().stood.entry(tag).or_insert(t);
             // The node's name begins the description.
-            inner.standing.insert(tag, blob.get(..10).unwrap_or(&name(0)).to_string());
+            inner
+                .standing
+                .insert(tag, blob.get(..10).unwrap_or(&name(0)).to_string());
         }
         "FINISH" if waits => {
-            let status = if matches!(message["rc"].as_i64(), Some(34 | 42 | 102)) { 503 } else { 502 };
-            tape.note(Record::Answered { t, ask: tag, status, session: Some(tag) });
+            let status = if matches!(message["rc"].as_i64(), Some(34 | 42 | 102)) {
+                503
+            } else {
+                502
+            };
+            tape.note(Record::Answered {
+                t,
+                ask: tag,
+                status,
+                session: Some(tag),
+            });
         }
         "FINISH" => {
             inner.standing.remove(&tag);
