Crates named by what they do: server, migration, membership, tenancy, emulator and others

Cause: front, moving, members, instance, hosting, standins, physics, lab, rig, measure and benchlink had to be explained to newcomers. Change: directories, packages and uses renamed; the commands keep their names (shalewall, shalewall-lab, shalewall-benchlink, measure).

--- a/crates/admin/src/api.rs
+++ b/crates/admin/src/api.rs
@@ -3,13 +3,13 @@
 use crate::routes::{Call, Found, Route, find, openapi};
 use serde::Deserialize;
 use serde_json::{Map, Value, json};
-use shalewall_hosting::Millis;
-use shalewall_hosting::access::{self, Access, Role, Token};
-use shalewall_hosting::change::{By, Match, Refusal, Wish};
-use shalewall_hosting::model::{State, Tenant, TenantId, Wrong, schema};
-use shalewall_hosting::usage::{Fronts, Told};
 use shalewall_http::server::{Reply, Request};
 use shalewall_store::{Error, Store};
+use shalewall_tenancy::Millis;
+use shalewall_tenancy::access::{self, Access, Role, Token};
+use shalewall_tenancy::change::{By, Match, Refusal, Wish};
+use shalewall_tenancy::model::{State, Tenant, TenantId, Wrong, schema};
+use shalewall_tenancy::usage::{Fronts, Told};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 
--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -5,7 +5,7 @@
 //! puts it on a socket of its own.
 //!
 //! What this crate may know: HTTP messages, the store, roles. What it must not: sessions, nodes, how changes are
-//! decided ([`shalewall_hosting`] does).
+//! decided ([`shalewall_tenancy`] does).
 
 pub mod api;
 pub mod routes;
--- a/crates/admin/src/routes.rs
+++ b/crates/admin/src/routes.rs
@@ -1,8 +1,8 @@
 //! The calls there are.
 
 use serde_json::{Map, Value, json};
-use shalewall_hosting::access::Act;
-use shalewall_hosting::model;
+use shalewall_tenancy::access::Act;
+use shalewall_tenancy::model;
 
 /// What a call is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/admin/tests/api.rs
+++ b/crates/admin/tests/api.rs
@@ -4,12 +4,12 @@
 use serde_json::{Value, json};
 use shalewall_admin::api::Api;
 use shalewall_admin::routes::{ANY, Call, ROUTES, openapi};
-use shalewall_hosting::access::{Role, Token};
-use shalewall_hosting::model::TenantId;
 use shalewall_http::Limits;
 use shalewall_http::head::Finder;
 use shalewall_http::server::{Content, Reply, Request};
 use shalewall_store::Store;
+use shalewall_tenancy::access::{Role, Token};
+use shalewall_tenancy::model::TenantId;
 
 struct Desk {
     api: Api,
--- a/crates/standins/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -1,6 +1,6 @@
 //! Stand-ins for what a front meets: media nodes, the list of servers, viewers.
 //!
-//! [`nodes`], [`list`] and [`viewers`] put the models of `shalewall-physics` on loopback sockets by
+//! [`nodes`], [`list`] and [`viewers`] put the models of `shalewall-fleet-model` on loopback sockets by
 //! `docs/protocol.md`, with faults on demand, and record what passes there.
 //!
 //! What this crate may know: the protocol and the physics. What it must not: engine, front, decisions; it
--- a/crates/standins/src/nodes/media.rs
+++ b/crates/emulator/src/nodes/media.rs
@@ -4,10 +4,10 @@
 use async_io::Timer;
 use futures_lite::stream;
 use shalewall::SessionId;
+use shalewall_fleet_model::fleet::Run;
 use shalewall_http::head::RequestHead;
 use shalewall_http::server::Reply;
-use shalewall_moving::Epoch;
-use shalewall_physics::fleet::Run;
+use shalewall_migration::Epoch;
 
 /// A stream that is behind where it should be catches up at so many times its rate, where the link is not full.
 const CATCH_UP: f64 = 3.0;
--- a/crates/standins/src/nodes/moves.rs
+++ b/crates/emulator/src/nodes/moves.rs
@@ -5,11 +5,11 @@
 use serde::Deserialize;
 use shalewall::{ServerId, SessionId};
 use shalewall_audit::{Ran, Record};
+use shalewall_fleet_model::fleet::{Arrival, Process, Run};
 use shalewall_http::server::{Reply, Request};
-use shalewall_moving::Epoch;
-use shalewall_moving::node::{Cancelled, Held};
-use shalewall_moving::ticket::Ticket;
-use shalewall_physics::fleet::{Arrival, Process, Run};
+use shalewall_migration::Epoch;
+use shalewall_migration::node::{Cancelled, Held};
+use shalewall_migration::ticket::Ticket;
 use std::time::Duration;
 
 /// What a set-up tells, and the ticket for it.
--- a/crates/engine/benches/decisions.rs
+++ b/crates/engine/benches/decisions.rs
@@ -6,7 +6,7 @@
 use common::S;
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use shalewall::*;
-use shalewall_moving::mover::{Mover, Terms};
+use shalewall_migration::mover::{Mover, Terms};
 use std::hint::black_box;
 
 const TICK: u64 = u64::MAX;
--- a/crates/engine/src/attempts.rs
+++ b/crates/engine/src/attempts.rs
@@ -3,7 +3,7 @@
 use crate::engine::*;
 use crate::io::*;
 use shalewall::{Event, Load, Micros, Outcome, ServerId, SessionId};
-use shalewall_moving::Epoch;
+use shalewall_migration::Epoch;
 
 impl Engine {
     pub(crate) fn send(&mut self, session: SessionId, server: ServerId, patience: Option<Micros>) {
--- a/crates/engine/src/carried.rs
+++ b/crates/engine/src/carried.rs
@@ -4,10 +4,10 @@
 use crate::io::*;
 use crate::moves::{Hand, Target};
 use shalewall::{Event, Micros, Note, Request, ServerId, SessionId};
-use shalewall_moving::Epoch;
-use shalewall_moving::front::{self, Handover};
-use shalewall_moving::mover::Why;
-use shalewall_moving::node::Held as HeldThere;
+use shalewall_migration::Epoch;
+use shalewall_migration::front::{self, Handover};
+use shalewall_migration::mover::Why;
+use shalewall_migration::node::Held as HeldThere;
 
 /// Epochs that an earlier process used are not known: its own begin so far above those found.
 const FAR: u32 = 1_000;
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -7,8 +7,8 @@
 use shalewall::{
     Action, Director, Event, Load, Micros, Outcome, Request, ServerId, SessionId, Settings,
 };
-use shalewall_moving::Epoch;
-use shalewall_moving::mover::{self, Mover};
+use shalewall_migration::Epoch;
+use shalewall_migration::mover::{self, Mover};
 use shalewall_timers::Timers;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
--- a/crates/engine/src/io.rs
+++ b/crates/engine/src/io.rs
@@ -2,8 +2,8 @@
 
 use crate::engine::Place;
 use shalewall::{ClassTerms, ListNews, Load, Micros, Outcome, ServerId, SessionId, Standing};
-use shalewall_moving::Epoch;
-use shalewall_moving::mover::Why;
+use shalewall_migration::Epoch;
+use shalewall_migration::mover::Why;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -105,7 +105,7 @@
     pub class: String,
     pub title: String,
     pub rung: usize,
-    pub held: shalewall_moving::node::Held,
+    pub held: shalewall_migration::node::Held,
     pub media: String,
 }
 
--- a/crates/engine/src/moves.rs
+++ b/crates/engine/src/moves.rs
@@ -1,13 +1,13 @@
 //! Sessions handed over to other nodes while they play. When is the mover's to say, where to and at which rung the
-//! director's, and how the protocol's (`shalewall-moving`): here they are put together with calls and timers.
+//! director's, and how the protocol's (`shalewall-migration`): here they are put together with calls and timers.
 
 use crate::engine::*;
 use crate::io::*;
 use shalewall::{Event, Micros, ServerId, SessionId, Standing};
-use shalewall_moving::Epoch;
-use shalewall_moving::front::{self, Handover};
-use shalewall_moving::mover::{Mover, Why};
-use shalewall_moving::node::Cancelled;
+use shalewall_migration::Epoch;
+use shalewall_migration::front::{self, Handover};
+use shalewall_migration::mover::{Mover, Why};
+use shalewall_migration::node::Cancelled;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A front that begins anew hears what nodes hold for so long, or until all have told, before it goes on with it.
--- a/crates/engine/tests/moves.rs
+++ b/crates/engine/tests/moves.rs
@@ -6,11 +6,11 @@
 use common::{Dice, MS, S};
 use shalewall::*;
 use shalewall_engine::*;
-use shalewall_moving::Epoch;
-use shalewall_moving::mover::Terms;
-use shalewall_moving::node::{Cancelled, Holds};
-use shalewall_moving::player::{Do, Seat};
-use shalewall_moving::ticket::Key;
+use shalewall_migration::Epoch;
+use shalewall_migration::mover::Terms;
+use shalewall_migration::node::{Cancelled, Holds};
+use shalewall_migration::player::{Do, Seat};
+use shalewall_migration::ticket::Key;
 use std::collections::BTreeMap;
 
 const NODES: u64 = 4;
@@ -533,7 +533,7 @@
         let there: Vec<_> = there
             .filter(|(_, held)| held.serving.or(held.prepared).is_some())
             .collect();
-        let carried = |(session, held): &(SessionId, shalewall_moving::node::Held)| Carried {
+        let carried = |(session, held): &(SessionId, shalewall_migration::node::Held)| Carried {
             session: *session,
             attempt: 0,
             viewer: session.0,
--- a/crates/measure/src/main.rs
+++ b/crates/load-test/src/main.rs
@@ -127,7 +127,7 @@
 }
 
 fn ours(program: &Path, world: &nodes::Addresses) -> std::io::Result<Front> {
-    let file = std::env::temp_dir().join(format!("shalewall-measure-{}.hcl", std::process::id()));
+    let file = std::env::temp_dir().join(format!("shalewall-load-test-{}.hcl", std::process::id()));
     std::fs::write(&file, nodes::front_settings(world.list)?)?;
     let front = Front::start(
         Command::new(program)
--- a/crates/members/tests/seal.rs
+++ b/crates/membership/tests/seal.rs
@@ -1,7 +1,7 @@
 //! Datagrams that must change nothing, and those that must pass.
 
 use proptest::prelude::*;
-use shalewall_members::seal::{CONTENT, Key, MOST, PEERS, Peer, Refused, SPAN, Seals};
+use shalewall_membership::seal::{CONTENT, Key, MOST, PEERS, Peer, Refused, SPAN, Seals};
 
 fn key(fleet: &str) -> Key {
     Key::new(&[7; 32], fleet)
--- a/crates/members/tests/swim.rs
+++ b/crates/membership/tests/swim.rs
@@ -2,9 +2,9 @@
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use shalewall_members::Micros;
-use shalewall_members::members::{Member, Members, Output, Start};
-use shalewall_members::seal::Key;
+use shalewall_membership::Micros;
+use shalewall_membership::members::{Member, Members, Output, Start};
+use shalewall_membership::seal::Key;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::num::NonZeroU32;
--- a/crates/moving/tests/model.rs
+++ b/crates/migration/tests/model.rs
@@ -3,11 +3,11 @@
 //! driven are the state machines of the program themselves.
 
 use shalewall::{ServerId, SessionId};
-use shalewall_moving::Epoch;
-use shalewall_moving::front::{Handover, Input, Output};
-use shalewall_moving::node::{Cancelled, Held, Holds};
-use shalewall_moving::player::{Do, Seat};
-use shalewall_moving::ticket::Key;
+use shalewall_migration::Epoch;
+use shalewall_migration::front::{Handover, Input, Output};
+use shalewall_migration::node::{Cancelled, Held, Holds};
+use shalewall_migration::player::{Do, Seat};
+use shalewall_migration::ticket::Key;
 use stateright::{Checker, Model, Property};
 use std::collections::BTreeSet;
 
--- a/crates/moving/tests/mover.rs
+++ b/crates/migration/tests/mover.rs
@@ -1,7 +1,7 @@
 //! When sessions are moved: each cause, what each is worth, the bounds, and what is no cause.
 
 use shalewall::{Micros, ServerId, SessionId};
-use shalewall_moving::mover::{Mover, Terms, Why};
+use shalewall_migration::mover::{Mover, Terms, Why};
 
 const MS: Micros = 1_000;
 const S: Micros = 1_000_000;
--- a/crates/moving/tests/node.rs
+++ b/crates/migration/tests/node.rs
@@ -1,9 +1,9 @@
 //! Tickets at a node: twice, late, for another, of an earlier process, after the end.
 
 use shalewall::{ServerId, SessionId};
-use shalewall_moving::Epoch;
-use shalewall_moving::node::{Cancelled, Held, Holds, Refusal};
-use shalewall_moving::ticket::{Key, Ticket};
+use shalewall_migration::Epoch;
+use shalewall_migration::node::{Cancelled, Held, Holds, Refusal};
+use shalewall_migration::ticket::{Key, Ticket};
 
 const ME: ServerId = ServerId(4);
 const SESSION: SessionId = SessionId(9);
--- a/crates/platform-proto/src/ask.rs
+++ b/crates/platform-proto/src/ask.rs
@@ -3,7 +3,7 @@
 use crate::lines::Message;
 use crate::{Hex16, MESSAGE};
 use shalewall::{Micros, Request, ServerId, SessionId, Settings};
-use shalewall_instance::{Names, micros, title};
+use shalewall_director_config::{Names, micros, title};
 
 /// Longest wait and longest hint that are taken for meant, in milliseconds.
 const LONGEST_WAIT: f64 = 3_600_000.0;
--- a/crates/platform-proto/src/config.rs
+++ b/crates/platform-proto/src/config.rs
@@ -20,7 +20,7 @@
     /// Its events up to now.
     #[serde(default)]
     pub known: Known,
-    /// What the module and its driver are told; read by `shalewall-instance`.
+    /// What the module and its driver are told; read by `shalewall-director-config`.
     pub settings: Value,
 }
 
--- a/crates/platform-proto/src/door.rs
+++ b/crates/platform-proto/src/door.rs
@@ -14,7 +14,7 @@
 use shalewall::{
     Action, Director, Event, ListNews, Micros, Outcome, ServerId, SessionId, Settings, Standing,
 };
-use shalewall_instance::{Bounds, Given, Names};
+use shalewall_director_config::{Bounds, Given, Names};
 use shalewall_timers::Timers;
 use std::collections::{BTreeMap, VecDeque};
 use std::net::{IpAddr, SocketAddr};
@@ -124,7 +124,7 @@
 impl Door {
     /// A director that knows what its configuration tells. `now` is the time of its start.
     pub fn new(config: &Config, now: Micros) -> Result<Door, String> {
-        let given = shalewall_instance::read(&config.settings)
+        let given = shalewall_director_config::read(&config.settings)
             .map_err(|(path, what)| format!("{path}: {what}"))?;
         let Given {
             settings,
--- a/crates/platform-proto/src/journal.rs
+++ b/crates/platform-proto/src/journal.rs
@@ -3,7 +3,7 @@
 use crate::{Unreadable, trim};
 use serde::Deserialize;
 use shalewall::{Listed, ServerId, Standing};
-use shalewall_instance::Names;
+use shalewall_director_config::Names;
 use std::net::{Ipv4Addr, SocketAddr};
 
 /// A frame is so long at most: some 38,000 nodes.
--- a/crates/front/src/day.rs
+++ b/crates/server/src/day.rs
@@ -13,13 +13,13 @@
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use shalewall_audit::{ClassRule, Further, Rules, Verdict, judge};
-use shalewall_moving::ticket::Key;
-use shalewall_physics::fleet::Fleet;
+use shalewall_emulator::list::{Line, List};
+use shalewall_emulator::nodes::{Nodes, Telling};
+use shalewall_emulator::recorder::Recorder;
+use shalewall_emulator::viewers::Viewers;
+use shalewall_fleet_model::fleet::Fleet;
+use shalewall_migration::ticket::Key;
 use shalewall_settings::{DayPlan, us};
-use shalewall_standins::list::{Line, List};
-use shalewall_standins::nodes::{Nodes, Telling};
-use shalewall_standins::recorder::Recorder;
-use shalewall_standins::viewers::Viewers;
 use std::collections::BTreeMap;
 use std::io;
 use std::path::Path;
@@ -131,7 +131,7 @@
     key: Option<(std::path::PathBuf, Key)>,
 ) -> io::Result<World> {
     let (site, fleet) = (&plan.site, &plan.fleet);
-    let (physics, machines) = shalewall_lab::plan::fleet(plan);
+    let (physics, machines) = shalewall_simulation::plan::fleet(plan);
     let telling = Telling {
         every: ms(site.notes.every_ms),
         late: ms(site.notes.late_ms),
@@ -154,8 +154,8 @@
             .into_iter()
             .for_each(|l| list.tell(l));
     }
-    let crowd = shalewall_lab::plan::crowd(plan);
-    let arrivals = shalewall_lab::plan::arrivals(plan);
+    let crowd = shalewall_simulation::plan::crowd(plan);
+    let arrivals = shalewall_simulation::plan::arrivals(plan);
     let viewers = Viewers::new(
         ex.clone(),
         recorder.clone(),
--- a/crates/front/src/day/directors.rs
+++ b/crates/server/src/day/directors.rs
@@ -3,9 +3,9 @@
 use crate::day::World;
 use rustix::process::{Pid, Signal, kill_process};
 use shalewall_audit::Record;
+use shalewall_emulator::recorder::Recorder;
+use shalewall_emulator::viewers::Viewers;
 use shalewall_settings::{DayPlan, Front, FrontPlan, Hosting};
-use shalewall_standins::recorder::Recorder;
-use shalewall_standins::viewers::Viewers;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, BufReader, Write};
--- a/crates/front/src/day/summary.rs
+++ b/crates/server/src/day/summary.rs
@@ -4,8 +4,8 @@
 use hdrhistogram::Histogram;
 use serde::Serialize;
 use shalewall_audit::{Moves, Verdict};
-use shalewall_physics::tally::Tally;
-use shalewall_standins::viewers::Count;
+use shalewall_emulator::viewers::Count;
+use shalewall_fleet_model::tally::Tally;
 use std::collections::BTreeMap;
 use std::fmt;
 
--- a/crates/front/src/day/troubles.rs
+++ b/crates/server/src/day/troubles.rs
@@ -5,7 +5,7 @@
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use shalewall_physics::crowd::Draw;
+use shalewall_fleet_model::crowd::Draw;
 use shalewall_settings::{DayPlan, Trouble, TroubleKind};
 use std::future::Future;
 use std::rc::Rc;
--- a/crates/front/src/follow.rs
+++ b/crates/server/src/follow.rs
@@ -9,7 +9,7 @@
 use shalewall_engine::Input;
 use shalewall_http::server::{Reply, Request};
 use shalewall_http::sse;
-use shalewall_moving::Epoch;
+use shalewall_migration::Epoch;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
--- a/crates/front/src/hub.rs
+++ b/crates/server/src/hub.rs
@@ -9,7 +9,7 @@
 use shalewall_clock::Alarm;
 use shalewall_engine::{Answer, AskId, CallId, Engine, Input, NewSession, Output, Shown};
 use shalewall_http::Limits;
-use shalewall_moving::ticket::Key;
+use shalewall_migration::ticket::Key;
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
--- a/crates/front/src/keeper.rs
+++ b/crates/server/src/keeper.rs
@@ -1,13 +1,13 @@
 //! The connections of a hosted front: which tenant's each is, by the head of its requests, and which are closed for
-//! others. What is decided is decided in `shalewall_hosting::connections`.
+//! others. What is decided is decided in `shalewall_tenancy::connections`.
 
 use crate::tenants::Tenants;
 use async_executor::Task;
-use shalewall_hosting::connections::{Connections, Ticket, Turned};
-use shalewall_hosting::model::TenantId;
 use shalewall_http::Bad;
 use shalewall_http::head::RequestHead;
 use shalewall_http::server::Gate;
+use shalewall_tenancy::connections::{Connections, Ticket, Turned};
+use shalewall_tenancy::model::TenantId;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
--- a/crates/front/src/main.rs
+++ b/crates/server/src/main.rs
@@ -1,8 +1,8 @@
 //! The command line.
 
 use clap::{Parser, Subcommand};
-use shalewall_front::manage::{self, Reach, StoreCommand, TenantCommand};
-use shalewall_front::{day, serve};
+use shalewall_server::manage::{self, Reach, StoreCommand, TenantCommand};
+use shalewall_server::{day, serve};
 use shalewall_settings::{AdminPlan, DayPlan, Error, FrontPlan, Settings, read};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -147,7 +147,7 @@
             }
             logs();
             let ex = Rc::new(async_executor::LocalExecutor::new());
-            let recorder = shalewall_standins::recorder::Recorder::nowhere();
+            let recorder = shalewall_emulator::recorder::Recorder::nowhere();
             let world = day::world(&ex, &plan, recorder, None).map_err(bad)?;
             tracing::info!(address = %world.list_address, what = "list", "listening");
             for id in world.nodes.running() {
--- a/crates/front/src/node.rs
+++ b/crates/server/src/node.rs
@@ -11,8 +11,8 @@
 use shalewall_http::client::{Call, Events, Failure, Response, Unconnected, in_time};
 use shalewall_http::head::Fields;
 use shalewall_http::pool::Pool;
-use shalewall_moving::Epoch;
-use shalewall_moving::ticket::Key;
+use shalewall_migration::Epoch;
+use shalewall_migration::ticket::Key;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -263,7 +263,7 @@
     title: String,
     rung: usize,
     #[serde(flatten)]
-    held: shalewall_moving::node::Held,
+    held: shalewall_migration::node::Held,
     media: String,
 }
 
--- a/crates/front/src/serve.rs
+++ b/crates/server/src/serve.rs
@@ -11,7 +11,7 @@
 use shalewall_engine::Engine;
 use shalewall_http::Limits;
 use shalewall_http::server::{serve, serve_at};
-use shalewall_moving::ticket::Key;
+use shalewall_migration::ticket::Key;
 use shalewall_settings::FrontPlan;
 use std::cell::Cell;
 use std::net::{SocketAddr, TcpListener};
--- a/crates/front/tests/direct_day.rs
+++ b/crates/server/tests/direct_day.rs
@@ -1,10 +1,10 @@
 //! Days of several `shalewall direct` processes among stand-ins of the platform, judged from what passed on sockets.
 
 use shalewall_audit::Rule;
-use shalewall_rig::day::{Outcome, Plan, Trouble, play};
-use shalewall_rig::lies::Lie;
-use shalewall_rig::node::Mood;
-use shalewall_rig::tape::broken;
+use shalewall_test_harness::day::{Outcome, Plan, Trouble, play};
+use shalewall_test_harness::lies::Lie;
+use shalewall_test_harness::node::Mood;
+use shalewall_test_harness::tape::broken;
 use std::path::Path;
 
 fn played(plan: &Plan) -> Outcome {
--- a/crates/front/tests/place/mod.rs
+++ b/crates/server/tests/place/mod.rs
@@ -45,7 +45,7 @@
 impl Place {
     pub fn new() -> Place {
         // Not one that the system gives out by itself: another test's listener may have it by the time the director starts.
-        let listen = format!("127.0.0.1:{}", shalewall_rig::free_port().unwrap());
+        let listen = format!("127.0.0.1:{}", shalewall_test_harness::free_port().unwrap());
         Place {
             dir: tempfile::tempdir().unwrap(),
             listen,
--- a/crates/settings/src/moves.rs
+++ b/crates/settings/src/moves.rs
@@ -3,7 +3,7 @@
 use crate::site::us;
 use garde::Validate;
 use serde::{Deserialize, Serialize};
-use shalewall_moving::mover::Terms;
+use shalewall_migration::mover::Terms;
 
 /// When sessions may be handed over to another node while they play. Absent in a site: never.
 #[derive(Clone, Debug, Serialize, Deserialize, Validate)]
--- a/crates/lab/src/count.rs
+++ b/crates/simulation/src/count.rs
@@ -1,6 +1,6 @@
 //! What came of a run.
 
-use shalewall_physics::tally::Tallies;
+use shalewall_fleet_model::tally::Tallies;
 use std::collections::BTreeMap;
 
 /// Sums over a run; worth in seconds at a rung of worth 1.
--- a/crates/lab/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -1,6 +1,6 @@
 //! The lab: engines, fleet and viewers in simulated time.
 //!
-//! [`world`] drives the same engines as sockets do, against the models of `shalewall-physics`; [`plan`] turns a
+//! [`world`] drives the same engines as sockets do, against the models of `shalewall-fleet-model`; [`plan`] turns a
 //! day's plan into those models, for sockets too; [`bounds`] tells what could have been had; [`plain`] is the
 //! design's textbook form, to compare with; [`scenes`] are days that show one thing.
 //!
--- a/crates/lab/src/main.rs
+++ b/crates/simulation/src/main.rs
@@ -1,10 +1,10 @@
 //! `shalewall-lab`: scenes in simulated time, as a table.
 
 use clap::Parser;
-use shalewall_lab::world::{Policy, Report, run};
-use shalewall_lab::{count::SPAN, scenes};
-use shalewall_physics::tally::Tally;
+use shalewall_fleet_model::tally::Tally;
 use shalewall_settings::DayPlan;
+use shalewall_simulation::world::{Policy, Report, run};
+use shalewall_simulation::{count::SPAN, scenes};
 use std::collections::BTreeSet;
 use std::path::PathBuf;
 use std::process::ExitCode;
--- a/crates/lab/src/plan.rs
+++ b/crates/simulation/src/plan.rs
@@ -2,8 +2,8 @@
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use shalewall_physics::crowd::{Class, Crowd};
-use shalewall_physics::fleet::{Machine, Physics};
+use shalewall_fleet_model::crowd::{Class, Crowd};
+use shalewall_fleet_model::fleet::{Machine, Physics};
 use shalewall_settings::{DayPlan, us};
 use std::time::Duration;
 
--- a/crates/lab/src/world/troubles.rs
+++ b/crates/simulation/src/world/troubles.rs
@@ -78,7 +78,7 @@
         if self.engines[director as usize].is_some() {
             return; // back in time: it has ended them, or holds them
         }
-        let held = |(id, n): (&u64, &shalewall_physics::fleet::Node)| {
+        let held = |(id, n): (&u64, &shalewall_fleet_model::fleet::Node)| {
             let of = n.playing.iter().filter(|(_, p)| p.director == director);
             of.map(|(run, _)| (*id, *run)).collect::<Vec<_>>()
         };
--- a/crates/lab/tests/scenes.rs
+++ b/crates/simulation/tests/scenes.rs
@@ -1,8 +1,8 @@
 //! Scenes in simulated time: what they have to show, and that they are the same each time.
 
-use shalewall_lab::scenes::{Scene, all};
-use shalewall_lab::world::{Policy, Report, run};
 use shalewall_settings::{DayPlan, Trouble, TroubleKind};
+use shalewall_simulation::scenes::{Scene, all};
+use shalewall_simulation::world::{Policy, Report, run};
 use std::path::Path;
 
 fn base() -> DayPlan {
--- a/benchlink/src/lib.rs
+++ b/crates/simulator-adapter/src/lib.rs
@@ -1,7 +1,7 @@
 //! The simulator's text wire, turned into director events and back. No decision is made here.
 
 use shalewall::*;
-use shalewall_instance::{FAR, Names, micros, report, title};
+use shalewall_director_config::{FAR, Names, micros, report, title};
 use std::collections::BTreeMap;
 use std::fmt::{self, Write};
 
@@ -246,7 +246,7 @@
                 let text = parts.rest.collect::<Vec<_>>().join(" ");
                 let v = serde_json::from_str(&text)
                     .map_err(|e| self.fault("Setup", &format!("is not JSON: {e}")))?;
-                let given = shalewall_instance::read(&v)
+                let given = shalewall_director_config::read(&v)
                     .map_err(|(field, what)| self.fault(&field, &what))?;
                 let director = Director::new(seed, given.settings, now);
                 self.instances.insert(
--- a/benchlink/src/main.rs
+++ b/crates/simulator-adapter/src/main.rs
@@ -1,6 +1,6 @@
 //! Hosts directors on the simulator's wire: standard input to standard output.
 
-use shalewall_benchlink::{Fault, Link};
+use shalewall_simulator_adapter::{Fault, Link};
 use std::io::{self, BufRead, BufWriter, Write};
 use std::process::ExitCode;
 
--- a/benchlink/tests/wire.rs
+++ b/crates/simulator-adapter/tests/wire.rs
@@ -1,6 +1,6 @@
 //! The wire, line by line and through the binary.
 
-use shalewall_benchlink::{Fault, Link};
+use shalewall_simulator_adapter::{Fault, Link};
 use std::io::Write;
 use std::process::{Command, Stdio};
 
--- a/crates/store/src/dump.rs
+++ b/crates/store/src/dump.rs
@@ -4,9 +4,9 @@
 use crate::{Error, Store, VERSION, fault, read, written};
 use redb::ReadableTable;
 use serde::{Deserialize, Serialize};
-use shalewall_hosting::access::Token;
-use shalewall_hosting::change::{Entry, replay};
-use shalewall_hosting::model::Tenant;
+use shalewall_tenancy::access::Token;
+use shalewall_tenancy::change::{Entry, replay};
+use shalewall_tenancy::model::Tenant;
 use std::collections::BTreeMap;
 use std::io::{BufRead, Write};
 
--- a/crates/store/src/format.rs
+++ b/crates/store/src/format.rs
@@ -5,7 +5,7 @@
     Database, ReadableDatabase, ReadableTable, ReadableTableMetadata, TableDefinition,
     WriteTransaction,
 };
-use shalewall_hosting::change::Entry;
+use shalewall_tenancy::change::Entry;
 
 /// What the file says of itself: `version`.
 pub(crate) const META: TableDefinition<'_, &str, u64> = TableDefinition::new("meta");
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -2,7 +2,7 @@
 //! Killed at any point it opens at the state before a change or after it.
 //!
 //! What this crate may know: files, and what a change decides. What it must not: HTTP, sessions, a clock, and
-//! how to decide; [`shalewall_hosting::change`] does.
+//! how to decide; [`shalewall_tenancy::change`] does.
 
 mod dump;
 mod format;
@@ -15,10 +15,10 @@
 use redb::{ReadableTable, ReadableTableMetadata};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
-use shalewall_hosting::Millis;
-use shalewall_hosting::access::Token;
-use shalewall_hosting::change::{By, Entry, Refusal, Wish, decide};
-use shalewall_hosting::model::{Tenant, TenantId};
+use shalewall_tenancy::Millis;
+use shalewall_tenancy::access::Token;
+use shalewall_tenancy::change::{By, Entry, Refusal, Wish, decide};
+use shalewall_tenancy::model::{Tenant, TenantId};
 use std::fmt;
 use std::path::Path;
 
--- a/crates/store/tests/store.rs
+++ b/crates/store/tests/store.rs
@@ -2,10 +2,10 @@
 
 use redb::TableDefinition;
 use serde_json::json;
-use shalewall_hosting::access::{Role, Token};
-use shalewall_hosting::change::{By, Match, Refusal, Wish, replay};
-use shalewall_hosting::model::{State, TenantId};
 use shalewall_store::{Error, Store, VERSION};
+use shalewall_tenancy::access::{Role, Token};
+use shalewall_tenancy::change::{By, Match, Refusal, Wish, replay};
+use shalewall_tenancy::model::{State, TenantId};
 use std::path::Path;
 use std::process::{Command, Stdio};
 
--- a/crates/hosting/tests/change.rs
+++ b/crates/tenancy/tests/change.rs
@@ -1,9 +1,9 @@
 //! Changes of a tenant: every state with every wish, tags, replay, and what the schema refuses.
 
 use serde_json::{Value, json};
-use shalewall_hosting::access::{Access, Act, Role, Token, parts, role};
-use shalewall_hosting::change::{By, Entry, Match, Refusal, Wish, decide, replay};
-use shalewall_hosting::model::{State, Tenant, TenantId, schema, terms};
+use shalewall_tenancy::access::{Access, Act, Role, Token, parts, role};
+use shalewall_tenancy::change::{By, Entry, Match, Refusal, Wish, decide, replay};
+use shalewall_tenancy::model::{State, Tenant, TenantId, schema, terms};
 
 fn id(name: &str) -> TenantId {
     TenantId::try_from(name.to_string()).unwrap()
--- a/crates/hosting/tests/connections.rs
+++ b/crates/tenancy/tests/connections.rs
@@ -2,8 +2,8 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use shalewall_hosting::connections::{Connections, Ticket, Turned};
-use shalewall_hosting::model::{Limits, TenantId};
+use shalewall_tenancy::connections::{Connections, Ticket, Turned};
+use shalewall_tenancy::model::{Limits, TenantId};
 use std::collections::{BTreeMap, BTreeSet};
 
 fn id(name: &str) -> TenantId {
--- a/crates/hosting/tests/share.rs
+++ b/crates/tenancy/tests/share.rs
@@ -3,8 +3,8 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use shalewall_hosting::model::{Limits, TenantId};
-use shalewall_hosting::share::{Capacity, Cause, Shares, Verdict};
+use shalewall_tenancy::model::{Limits, TenantId};
+use shalewall_tenancy::share::{Capacity, Cause, Shares, Verdict};
 
 const S: i64 = 1_000_000;
 
