--- a/crates/director-config/src/lib.rs
+++ b/crates/director-config/src/lib.rs
@@ -9,7 +9,7 @@
 mod settings;
 
 pub use settings::{Given, read};
-use shalewall::{Load, Micros, TitleId};
+use shalewall::{LoadReport, Micros, TitleId};
 
 /// Path of a value, and what is wrong with it.
 pub type Wrong = (String, String);
@@ -58,11 +58,15 @@
 
 /// Puts one named value of a load report where the module looks for it. Names that are not known are passed over,
 /// whatever their values are.
-pub fn report(load: &mut Load, name: &str, value: &str) -> Result<(), std::num::ParseFloatError> {
+pub fn report(
+    load: &mut LoadReport,
+    name: &str,
+    value: &str,
+) -> Result<(), std::num::ParseFloatError> {
     let slot = match name {
         "rif" | "inflight" => &mut load.streams,
-        "x0" | "busy" | "util" => &mut load.link,
-        "x1" => &mut load.uplink,
+        "x0" | "busy" | "util" => &mut load.link_utilization,
+        "x1" => &mut load.uplink_utilization,
         _ => return Ok(()),
     };
     let value = value.parse()?;
--- a/crates/director-config/src/settings.rs
+++ b/crates/director-config/src/settings.rs
@@ -96,20 +96,20 @@
             .and_then(Value::as_str)
             .ok_or_else(|| wrong(&format!("Categories.{i}.Name"), "is missing"))?;
         names.classes.push(name.to_string());
-        let effect = c.get("Effect").and_then(Value::as_str);
-        classes.push(ClassTerms {
-            effect: if effect == Some("idempotent") {
-                Effect::Harmless
+        let effect = c.get("Idempotency").and_then(Value::as_str);
+        classes.push(ClassSettings {
+            idempotency: if effect == Some("idempotent") {
+                Idempotency::Idempotent
             } else {
-                Effect::Paid
+                Idempotency::AtMostOnce
             },
-            aim: span(c, "Target")?,
-            worth: num(c, "Value")?.unwrap_or(1.0),
-            scale: at(&scales, i, 1.0),
-            floor: at(&floors, i, 0.0) as usize,
-            top: at(&tops, i, kbs.len().saturating_sub(1) as f64) as usize,
-            seats: at(&seats, i, 0.0) as u32,
-            live: live.get(i).and_then(Value::as_bool).unwrap_or(false),
+            latency_objective: span(c, "Target")?,
+            priority_weight: num(c, "Value")?.unwrap_or(1.0),
+            rate_scale: at(&scales, i, 1.0),
+            lowest_rung: at(&floors, i, 0.0) as usize,
+            highest_rung: at(&tops, i, kbs.len().saturating_sub(1) as f64) as usize,
+            session_limit_per_title: at(&seats, i, 0.0) as u32,
+            is_live: live.get(i).and_then(Value::as_bool).unwrap_or(false),
         });
     }
     let mut tenants = Vec::new();
@@ -121,75 +121,75 @@
                 .to_string(),
         );
         let allowance_per_s = num(t, "AllowancePerS")?.unwrap_or(0.0);
-        tenants.push(TenantTerms {
-            allowance_per_s,
-            part: 0.0,
+        tenants.push(TenantSettings {
+            request_quota_per_s: allowance_per_s,
+            fleet_quota: 0.0,
         });
     }
     let ladder = kbs
         .iter()
         .enumerate()
         .map(|(i, kb)| Rung {
-            kb: *kb,
-            worth: at(&worths, i, 0.0),
+            rate_kb_s: *kb,
+            utility: at(&worths, i, 0.0),
         })
         .collect();
     let ration = match (
-        num(v, "Contract.ExtraPerRequest")?,
-        num(v, "Contract.MinExtra")?,
+        num(v, "RuleSettings.ExtraPerRequest")?,
+        num(v, "RuleSettings.MinExtra")?,
     ) {
         (None, None) => None,
-        (share, free) => Some(FurtherAttempts {
-            free: free.unwrap_or(0.0),
+        (share, free) => Some(RetryBudget {
+            base: free.unwrap_or(0.0),
             per_request: share.unwrap_or(0.0),
-            span: span(v, "Contract.ResendSpan")?,
+            window: span(v, "RuleSettings.ResendSpan")?,
         }),
     };
     let advice = flag(v, "/Limits/RetryAfter");
     let weights = v.get("WeightSource").and_then(Value::as_str);
     let zone = v.get("Zone").and_then(Value::as_str);
     let settings = Settings {
-        number: need(v, "MyNumber")? as u32,
-        directors: need(v, "Balancers")? as u32,
+        director_index: need(v, "MyNumber")? as u32,
+        director_count: need(v, "Balancers")? as u32,
         zone: zone.and_then(|z| names.zones.iter().position(|n| n == z)),
         classes,
         tenants,
         ladder,
-        cells: num(v, "Specifics.Places")?.unwrap_or(0.0) as u64,
-        racks: num(v, "Specifics.Cabinets")?.unwrap_or(0.0) as u64,
-        places_by_kind: numbers(v, "Specifics.PlacesByKind")?,
-        weights_tell_size: matches!(weights, Some("nominal" | "rough")),
-        link_kb_per_weight: num(v, "Specifics.KbPerWeight")?.unwrap_or(0.0),
-        fleet_kb: num(v, "Specifics.FleetKb")?.unwrap_or(0.0),
-        uplink_kb: num(v, "Specifics.RackLinkKb")?.unwrap_or(0.0),
-        join_adds: num(v, "Specifics.JoinAdds")?.unwrap_or(1.0),
-        told_late: span(v, "Specifics.ToldLate")?,
-        told_every: span(v, "Specifics.ToldEvery")?,
-        stall_cost: num(v, "Specifics.StallCost")?.unwrap_or(0.0),
-        switch_s: num(v, "Specifics.SwitchS")?.unwrap_or(0.0),
-        cross_price: num(v, "Deductions.CrossZone")?.unwrap_or(0.0),
-        over_share_worth: num(v, "OverShareWorth")?.unwrap_or(1.0),
-        contract: Contract {
-            warm_after: span(v, "Contract.WarmAfter")?,
-            start_capacity: num(v, "Contract.StartCapacity")?.unwrap_or(1.0),
-            overload_factor: num(v, "Contract.OverloadFactor")?.unwrap_or(0.0),
-            fall: span(v, "Contract.Fall")?,
-            must_ask_in: span(v, "Contract.MustAskIn")?,
-            further: ration,
+        cell_count: num(v, "Specifics.Places")?.unwrap_or(0.0) as u64,
+        rack_count: num(v, "Specifics.Cabinets")?.unwrap_or(0.0) as u64,
+        stream_capacity_by_kind: numbers(v, "Specifics.PlacesByKind")?,
+        weight_is_capacity: matches!(weights, Some("nominal" | "rough")),
+        link_kb_s_per_weight: num(v, "Specifics.KbPerWeight")?.unwrap_or(0.0),
+        fleet_kb_s: num(v, "Specifics.FleetKb")?.unwrap_or(0.0),
+        rack_uplink_kb_s: num(v, "Specifics.RackLinkKb")?.unwrap_or(0.0),
+        join_rate_fraction: num(v, "Specifics.JoinAdds")?.unwrap_or(1.0),
+        notification_delay: span(v, "Specifics.ToldLate")?,
+        notification_interval: span(v, "Specifics.ToldEvery")?,
+        stall_penalty: num(v, "Specifics.StallCost")?.unwrap_or(0.0),
+        rung_change_cost_s: num(v, "Specifics.SwitchS")?.unwrap_or(0.0),
+        zone_crossing_price: num(v, "Deductions.CrossZone")?.unwrap_or(0.0),
+        over_quota_weight: num(v, "OverShareWorth")?.unwrap_or(1.0),
+        rules: RuleSettings {
+            warm_up: span(v, "RuleSettings.WarmAfter")?,
+            initial_capacity: num(v, "RuleSettings.StartCapacity")?.unwrap_or(1.0),
+            overload_factor: num(v, "RuleSettings.OverloadFactor")?.unwrap_or(0.0),
+            overload_window: span(v, "RuleSettings.Fall")?,
+            poll_deadline: span(v, "RuleSettings.MustAskIn")?,
+            retry_budget: ration,
         },
         limits: Limits {
             max_attempts: num(v, "Limits.MaxAttempts")?.unwrap_or(1.0) as u32,
-            may_cancel: flag(v, "/Limits/MayCancel"),
-            may_probe: flag(v, "/Limits/Probes"),
-            probe_price: num(v, "Deductions.Probe")?.unwrap_or(0.0),
-            max_come_back: if advice {
+            can_cancel: flag(v, "/Limits/MayCancel"),
+            can_check_health: flag(v, "/Limits/Probes"),
+            health_check_price: num(v, "Deductions.Probe")?.unwrap_or(0.0),
+            max_retry_after: if advice {
                 span(v, "Limits.MaxRetryAfter")?
             } else {
                 0
             },
-            step: span(v, "Step")?,
+            min_batch_interval: span(v, "Step")?,
         },
-        ask_for_list: v.get("MembershipMode").and_then(Value::as_str) == Some("on_request"),
+        must_poll_endpoints: v.get("MembershipMode").and_then(Value::as_str) == Some("on_request"),
     };
     let mut give_up = 0;
     for c in list(v, "Categories")? {
--- a/crates/engine/benches/decisions.rs
+++ b/crates/engine/benches/decisions.rs
@@ -16,32 +16,32 @@
 fn holding(count: u64) -> (Director, Micros) {
     let link = 2000.0 * (count as f64 / 15.0 + 100.0) * 2.0;
     let mut settings = Settings {
-        directors: 3,
-        cells: 15,
-        places_by_kind: vec![1e6],
-        link_kb_per_weight: link,
-        uplink_kb: link * 7.0,
+        director_count: 3,
+        cell_count: 15,
+        stream_capacity_by_kind: vec![1e6],
+        link_kb_s_per_weight: link,
+        rack_uplink_kb_s: link * 7.0,
         ..common::settings()
     };
     let paid = &mut settings.classes[common::PAID];
-    (paid.seats, paid.floor) = (1_000_000, 0);
-    settings.contract.warm_after = 10 * S;
-    settings.contract.further = None;
+    (paid.session_limit_per_title, paid.lowest_rung) = (1_000_000, 0);
+    settings.rules.warm_up = 10 * S;
+    settings.rules.retry_budget = None;
     let mut director = Director::new(1, settings, 0);
     let mut out = Vec::new();
-    let line = |id| Listed {
+    let line = |id| Endpoint {
         server: ServerId(id),
-        kind: Some(0),
+        machine_kind: Some(0),
         cell: id,
-        state: Standing::Ready,
+        state: EndpointState::Ready,
         weight: 1.0,
         ..Default::default()
     };
     director.handle(
         0,
-        Event::List {
-            news: ListNews::Full,
-            lines: (0..15).map(line).collect(),
+        Event::EndpointsUpdated {
+            update: EndpointUpdate::Full,
+            endpoints: (0..15).map(line).collect(),
         },
         &mut out,
     );
@@ -50,7 +50,7 @@
         let req = request(id, 0);
         director.handle(
             0,
-            Event::Carried(req, ServerId(req.home + id % 5)),
+            Event::SessionTransferred(req, ServerId(req.first_cell + id % 5)),
             &mut out,
         );
     }
@@ -58,21 +58,24 @@
     // Figures of every link and uplink, as notes would keep them.
     for id in 0..count.min(100) {
         let session = SessionId(id);
-        let server = ServerId(request(id, 0).home + id % 5);
-        for note in [Note::Link(0.4), Note::Uplink(0.5)] {
+        let server = ServerId(request(id, 0).first_cell + id % 5);
+        for note in [
+            Notification::LinkUtilization(0.4),
+            Notification::UplinkUtilization(0.5),
+        ] {
             director.handle(
                 now,
-                Event::Noted {
+                Event::Notified {
                     session,
                     attempt: 0,
                     server,
-                    note,
+                    notification: note,
                 },
                 &mut out,
             );
         }
     }
-    director.handle(now, Event::Timer(TICK), &mut out);
+    director.handle(now, Event::TimerFired(TICK), &mut out);
     (director, now)
 }
 
@@ -84,11 +87,11 @@
         viewer: id,
         title: TitleId(id % 50),
         deadline: now + 4 * S,
-        hint: Some(40 * S),
-        home: id % 10,
-        spread: 5,
-        top: 4,
-        again: false,
+        duration_hint: Some(40 * S),
+        first_cell: id % 10,
+        replica_cells: 5,
+        highest_rung: 4,
+        is_retry: false,
         fleet: 0,
     }
 }
@@ -96,9 +99,9 @@
 /// One that comes, plays and ends: what is held stays the same.
 fn one(director: &mut Director, now: Micros, req: Request, out: &mut Vec<Action>) -> usize {
     out.clear();
-    director.handle(now, Event::Asked(req), out);
+    director.handle(now, Event::RequestReceived(req), out);
     let sent = out.iter().find_map(|a| match a {
-        Action::Send {
+        Action::StartAttempt {
             session, server, ..
         } => Some((*session, *server)),
         _ => None,
@@ -107,24 +110,24 @@
     let (attempt, waited) = (0, 50_000);
     director.handle(
         now,
-        Event::Started {
+        Event::SessionStarted {
             session,
             attempt,
             server,
-            waited,
+            setup_time: waited,
         },
         out,
     );
-    let (outcome, closed, load) = (Outcome::Good, true, Load::default());
+    let (outcome, closed, load) = (Outcome::Success, true, LoadReport::default());
     director.handle(
         now,
-        Event::Finished {
+        Event::AttemptFinished {
             session,
             attempt,
             server,
             outcome,
-            closed,
-            load,
+            is_answered: closed,
+            load_report: load,
         },
         out,
     );
@@ -150,7 +153,7 @@
             b.iter(|| {
                 now += 200_000;
                 out.clear();
-                director.handle(now, Event::Timer(TICK), &mut out);
+                director.handle(now, Event::TimerFired(TICK), &mut out);
                 black_box(out.len())
             })
         });
@@ -162,8 +165,8 @@
     for count in [1usize, 10, 1_000] {
         let (mut director, mut now) = holding(1_000);
         let mut out = Vec::new();
-        let class = |i: usize| ClassTerms {
-            worth: 1.0 + i as f64 / 1e4,
+        let class = |i: usize| ClassSettings {
+            priority_weight: 1.0 + i as f64 / 1e4,
             ..common::settings().classes[common::HARMLESS]
         };
         let classes = common::settings()
@@ -173,13 +176,13 @@
             .collect();
         let part = 1.0 / count as f64;
         let tenants = vec![
-            TenantTerms {
-                part,
-                ..TenantTerms::default()
+            TenantSettings {
+                fleet_quota: part,
+                ..TenantSettings::default()
             };
             count
         ];
-        director.handle(now, Event::Terms { classes, tenants }, &mut out);
+        director.handle(now, Event::SettingsUpdated { classes, tenants }, &mut out);
         let mut id = 1_000u64;
         c.bench_with_input(
             BenchmarkId::new("request of a tenant among", count),
@@ -237,12 +240,12 @@
                 b.iter(|| {
                     (id, at) = ((id + 7) % held.min(50_000), at + 30_000);
                     out.clear();
-                    director.handle(at, Event::HandOver(SessionId(id)), &mut out);
+                    director.handle(at, Event::MigrationRequested(SessionId(id)), &mut out);
                     director.handle(
                         at,
-                        Event::HandedOver {
+                        Event::MigrationFinished {
                             session: SessionId(id),
-                            moved: false,
+                            migrated: false,
                         },
                         &mut out,
                     );
--- a/crates/engine/src/attempts.rs
+++ b/crates/engine/src/attempts.rs
@@ -2,7 +2,7 @@
 
 use crate::engine::*;
 use crate::io::*;
-use shalewall::{Event, Load, Micros, Outcome, ServerId, SessionId};
+use shalewall::{Event, LoadReport, Micros, Outcome, ServerId, SessionId};
 use shalewall_migration::Epoch;
 
 impl Engine {
@@ -46,7 +46,13 @@
                 self.timers.set(due, Timer::Attempt(session, attempt));
             }
             // A server without an address was never reached.
-            None => self.finished(session, attempt, server, Outcome::NotSent, Load::default()),
+            None => self.finished(
+                session,
+                attempt,
+                server,
+                Outcome::NotSent,
+                LoadReport::default(),
+            ),
         }
     }
 
@@ -57,7 +63,7 @@
         attempt: u32,
         server: ServerId,
         outcome: Outcome,
-        load: Load,
+        load: LoadReport,
     ) {
         let closed = match self.sessions.get_mut(&session) {
             None => true,
@@ -70,13 +76,13 @@
                 !owed
             }
         };
-        self.pending.push_back(Event::Finished {
+        self.pending.push_back(Event::AttemptFinished {
             session,
             attempt,
             server,
             outcome,
-            closed,
-            load,
+            is_answered: closed,
+            load_report: load,
         });
     }
 
@@ -116,9 +122,15 @@
             return;
         };
         self.give_up(call);
-        self.tried(session, server, sent, Outcome::Late);
+        self.tried(session, server, sent, Outcome::TimedOut);
         self.owe_end(server, session, attempt, None);
-        self.finished(session, attempt, server, Outcome::Late, Load::default());
+        self.finished(
+            session,
+            attempt,
+            server,
+            Outcome::TimedOut,
+            LoadReport::default(),
+        );
     }
 
     pub(crate) fn recall(&mut self, session: SessionId, attempt: u32) {
@@ -201,12 +213,12 @@
             _ => {
                 if !matches!(
                     outcome,
-                    Outcome::Full | Outcome::NoConnection | Outcome::NotSent
+                    Outcome::Rejected | Outcome::ConnectionFailed | Outcome::NotSent
                 ) {
                     self.owe_end(server, session, attempt, None);
                 }
                 // A 201 that does not say where the stream is may run, and is of no use.
-                let outcome = if outcome == Outcome::Good {
+                let outcome = if outcome == Outcome::Success {
                     Outcome::Error
                 } else {
                     outcome
@@ -221,7 +233,7 @@
             // The viewer left, or has had its answer: what runs now must not be leaked.
             s.stage = Stage::Leaving {
                 server,
-                outcome: Outcome::Good,
+                outcome: Outcome::Success,
             };
             let key = s.key;
             self.unkey(key, session);
@@ -234,13 +246,19 @@
         };
         let rung = s.confirmed;
         let waited = self.now - sent;
-        self.pending.push_back(Event::Started {
+        self.pending.push_back(Event::SessionStarted {
             session,
             attempt,
             server,
-            waited,
+            setup_time: waited,
         });
-        self.figures(session, server, None, load.link, load.uplink);
+        self.figures(
+            session,
+            server,
+            None,
+            load.link_utilization,
+            load.uplink_utilization,
+        );
         self.answer(
             session,
             Answer::Plays {
@@ -250,7 +268,7 @@
             },
         );
         if over {
-            self.over(session, server, attempt, Outcome::Good);
+            self.over(session, server, attempt, Outcome::Success);
         }
     }
 
@@ -269,14 +287,14 @@
                 .map_or(0, |s| s.before)
                 .min(attempt);
         self.forget(session);
-        let load = Load::default();
-        self.pending.push_back(Event::Finished {
+        let load = LoadReport::default();
+        self.pending.push_back(Event::AttemptFinished {
             session,
             attempt,
             server,
             outcome,
-            closed: true,
-            load,
+            is_answered: true,
+            load_report: load,
         });
     }
 
--- a/crates/engine/src/carried.rs
+++ b/crates/engine/src/carried.rs
@@ -3,7 +3,7 @@
 use crate::engine::*;
 use crate::io::*;
 use crate::moves::{Hand, Target};
-use shalewall::{Event, Micros, Note, Request, ServerId, SessionId};
+use shalewall::{Event, Micros, Notification, Request, ServerId, SessionId};
 use shalewall_migration::Epoch;
 use shalewall_migration::front::{self, Handover};
 use shalewall_migration::mover::Why;
@@ -161,11 +161,11 @@
             viewer: carried.viewer,
             title: found.title,
             deadline: now,
-            hint: None,
-            home: found.place.home,
-            spread: found.place.spread,
-            top: usize::MAX,
-            again: false,
+            duration_hint: None,
+            first_cell: found.place.home,
+            replica_cells: found.place.spread,
+            highest_rung: usize::MAX,
+            is_retry: false,
             fleet: found.fleet,
         };
         let attempts = carried.attempt + 1;
@@ -199,13 +199,14 @@
                 })),
             },
         );
-        self.pending.push_back(Event::Carried(request, at));
-        let (rung, attempt) = (Note::Rung(carried.rung), 0);
-        self.pending.push_back(Event::Noted {
+        self.pending
+            .push_back(Event::SessionTransferred(request, at));
+        let (rung, attempt) = (Notification::CurrentRung(carried.rung), 0);
+        self.pending.push_back(Event::Notified {
             session,
             attempt,
             server: at,
-            note: rung,
+            notification: rung,
         });
         // One of the others is where a move was on its way to; the rest is behind.
         let going = self.sessions[&session]
--- a/crates/engine/src/catalogue.rs
+++ b/crates/engine/src/catalogue.rs
@@ -7,7 +7,7 @@
 
 use crate::engine::{Config, Place};
 use crate::io::Agreed;
-use shalewall::{ClassTerms, Micros, ServerId, TenantTerms, TitleId};
+use shalewall::{ClassSettings, Micros, ServerId, TenantSettings, TitleId};
 use std::collections::BTreeMap;
 use std::mem::take;
 use xxhash_rust::xxh3::xxh3_64;
@@ -91,7 +91,7 @@
 }
 
 pub(crate) struct Catalogue {
-    classes: Numbers<ClassTerms>,
+    classes: Numbers<ClassSettings>,
     /// Each tenant's share; what it comes to as a part depends on the others'.
     shares: Numbers<f64>,
     allowances: Vec<f64>,
@@ -126,8 +126,8 @@
         Catalogue {
             // Held by the settings: never given to others.
             classes: Numbers(terms.iter().map(|t| (*t, 1)).collect()),
-            shares: Numbers(told.iter().map(|t| (t.part, 1)).collect()),
-            allowances: told.iter().map(|t| t.allowance_per_s).collect(),
+            shares: Numbers(told.iter().map(|t| (t.fleet_quota, 1)).collect()),
+            allowances: told.iter().map(|t| t.request_quota_per_s).collect(),
             site,
             tenants: tenants.into_iter().enumerate().map(tenant).collect(),
             fleets: BTreeMap::new(),
@@ -252,20 +252,20 @@
     }
 
     /// Classes by number, as the module wants them.
-    pub fn classes(&self) -> Vec<ClassTerms> {
+    pub fn classes(&self) -> Vec<ClassSettings> {
         self.classes.all().collect()
     }
 
     /// Tenants by number: each share over the sum of all.
-    pub fn tenants(&self) -> Vec<TenantTerms> {
+    pub fn tenants(&self) -> Vec<TenantSettings> {
         let all: f64 = self.shares.all().sum();
         let part = |share: f64| if all > 0.0 { share / all } else { 0.0 };
         let allowance = |number: usize| self.allowances.get(number).copied().unwrap_or(0.0);
         let tenants = self.shares.all().enumerate();
         tenants
-            .map(|(number, share)| TenantTerms {
-                allowance_per_s: allowance(number),
-                part: part(share),
+            .map(|(number, share)| TenantSettings {
+                request_quota_per_s: allowance(number),
+                fleet_quota: part(share),
             })
             .collect()
     }
@@ -276,9 +276,9 @@
     use super::*;
 
     fn agreed(share: f64, worth: f64, nodes: &[u64]) -> Agreed {
-        let terms = ClassTerms {
-            worth,
-            ..ClassTerms::default()
+        let terms = ClassSettings {
+            priority_weight: worth,
+            ..ClassSettings::default()
         };
         Agreed {
             share: Some(share),
@@ -304,7 +304,10 @@
             "titles of two tenants have nothing in common"
         );
         assert_eq!(
-            c.tenants().iter().map(|t| t.part).collect::<Vec<_>>(),
+            c.tenants()
+                .iter()
+                .map(|t| t.fleet_quota)
+                .collect::<Vec<_>>(),
             [0.25, 0.75]
         );
 
@@ -319,7 +322,7 @@
         let other = find(&c, "c");
         assert_ne!((other.class, other.tenant), (a.class, a.tenant));
         assert!(other.class != a.class && other.tenant != a.tenant);
-        assert_eq!(c.classes()[a.class].worth, 2.0);
+        assert_eq!(c.classes()[a.class].priority_weight, 2.0);
         // Over: the numbers are free again, and a thousand changes need no more of them.
         c.release(a.class, a.tenant);
         for i in 0..1000 {
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -5,7 +5,7 @@
 use crate::moves::{Hand, Moves};
 use crate::nodes::Nodes;
 use shalewall::{
-    Action, Director, Event, Load, Micros, Outcome, Request, ServerId, SessionId, Settings,
+    Action, Director, Event, LoadReport, Micros, Outcome, Request, ServerId, SessionId, Settings,
 };
 use shalewall_migration::Epoch;
 use shalewall_migration::mover::{self, Mover};
@@ -210,7 +210,7 @@
     /// The same under another decider.
     pub fn with(mut config: Config, director: Box<dyn Decide>, now: Micros) -> Engine {
         // Session ids stay below 2^52: 10 bits of the front's number, 14 of its start, 28 that count.
-        let number = u64::from(config.settings.number & 0x3ff);
+        let number = u64::from(config.settings.director_index & 0x3ff);
         let first = number << 42 | u64::from(config.incarnation & 0x3fff) << 28;
         Engine {
             director,
@@ -276,11 +276,11 @@
         self.now = now;
         while let Some(timer) = self.timers.pop(now) {
             match timer {
-                Timer::Director(token) => self.pending.push_back(Event::Timer(token)),
+                Timer::Director(token) => self.pending.push_back(Event::TimerFired(token)),
                 Timer::Attempt(session, attempt) => self.on_patience(session, attempt),
                 Timer::Probe(call) => {
                     if let Some(Purpose::Probe(server)) = self.give_up(call) {
-                        self.probed(server, Outcome::Late, Load::default());
+                        self.probed(server, Outcome::TimedOut, LoadReport::default());
                     }
                 }
                 Timer::End(server, session, attempt) => self.send_end(server, session, attempt),
@@ -359,10 +359,10 @@
 
     pub(crate) fn carry_out(&mut self, action: Action) {
         match action {
-            Action::Send {
+            Action::StartAttempt {
                 session,
                 server,
-                patience,
+                attempt_timeout: patience,
             } => self.send(session, server, patience),
             Action::SetRung { session, rung } => {
                 if let Some(s) = self.sessions.get_mut(&session) {
@@ -370,7 +370,10 @@
                     self.tell_rung(session);
                 }
             }
-            Action::Refuse { session, come_back } => self.answer(
+            Action::Reject {
+                session,
+                retry_after: come_back,
+            } => self.answer(
                 session,
                 Answer::Refused {
                     session: Some(session),
@@ -379,25 +382,30 @@
             ),
             Action::Fail { session } => {
                 let late = self.sessions.get(&session).is_some_and(|s| {
-                    self.now >= s.request.deadline - self.config.settings.limits.step - 1_000
+                    self.now
+                        >= s.request.deadline
+                            - self.config.settings.limits.min_batch_interval
+                            - 1_000
                 });
                 self.answer(session, Answer::Failed { session, late });
             }
-            Action::Recall { session, attempt } => self.recall(session, attempt),
-            Action::Move { session } => self.on_ended(session),
-            Action::Timer { after, token } => self
+            Action::CancelAttempt { session, attempt } => self.recall(session, attempt),
+            Action::Redirect { session } => self.on_ended(session),
+            Action::SetTimer { after, token } => self
                 .timers
                 .set(self.now + after.max(0), Timer::Director(token)),
-            Action::HandOver {
+            Action::Migrate {
                 session,
                 server,
                 rung,
             } => self.hand_over(session, server, rung),
-            Action::Probe { server } => self.probe(server),
-            Action::CloseIdle { server } => self.outputs.push_back(Output::CloseIdle { server }),
+            Action::CheckHealth { server } => self.probe(server),
+            Action::CloseIdleConnections { server } => {
+                self.outputs.push_back(Output::CloseIdle { server })
+            }
             Action::Log(text) => self.outputs.push_back(Output::Log(text)),
             // The list is pushed, and fronts do not talk to each other yet.
-            Action::FetchList | Action::Subscribe(_) | Action::Tell { .. } => {}
+            Action::PollEndpoints | Action::WatchEndpoints(_) | Action::SendToPeer { .. } => {}
         }
     }
 
@@ -429,21 +437,21 @@
 }
 
 /// A call's end in the words of the rules.
-pub(crate) fn outcome(done: &Done) -> (Outcome, Load) {
+pub(crate) fn outcome(done: &Done) -> (Outcome, LoadReport) {
     match done {
-        Done::NotSent(_) => (Outcome::NotSent, Load::default()),
-        Done::NeverRan(_) => (Outcome::NoConnection, Load::default()),
-        Done::MayHaveRun(_) => (Outcome::Reset, Load::default()),
+        Done::NotSent(_) => (Outcome::NotSent, LoadReport::default()),
+        Done::NeverRan(_) => (Outcome::ConnectionFailed, LoadReport::default()),
+        Done::MayHaveRun(_) => (Outcome::ConnectionReset, LoadReport::default()),
         Done::Answered {
             status: 200..=299,
             load,
             ..
-        } => (Outcome::Good, *load),
+        } => (Outcome::Success, *load),
         Done::Answered {
             never_ran: true,
             load,
             ..
-        } => (Outcome::Full, *load),
+        } => (Outcome::Rejected, *load),
         Done::Answered { load, .. } => (Outcome::Error, *load),
     }
 }
--- a/crates/engine/src/io.rs
+++ b/crates/engine/src/io.rs
@@ -1,7 +1,9 @@
 //! Inputs and outputs. No logic lives here.
 
 use crate::engine::Place;
-use shalewall::{ClassTerms, ListNews, Load, Micros, Outcome, ServerId, SessionId, Standing};
+use shalewall::{
+    ClassSettings, EndpointState, EndpointUpdate, LoadReport, Micros, Outcome, ServerId, SessionId,
+};
 use shalewall_migration::Epoch;
 use shalewall_migration::mover::Why;
 use std::collections::BTreeMap;
@@ -40,7 +42,7 @@
     /// Its share of what all share, over the sum of all shares; none: it takes nothing new.
     pub share: Option<f64>,
     /// Its classes with how long their viewers wait at most; without any it has the site's.
-    pub classes: BTreeMap<String, (ClassTerms, Micros)>,
+    pub classes: BTreeMap<String, (ClassSettings, Micros)>,
     /// Its titles; without any it has the site's.
     pub titles: BTreeMap<String, Place>,
     /// Nodes of its own, which take nothing of others; without any it has those that all share.
@@ -56,7 +58,7 @@
     pub zone: String,
     pub kind: String,
     pub cell: u64,
-    pub standing: Standing,
+    pub standing: EndpointState,
     pub weight: f64,
     /// Its last start, on the engine's clock.
     pub came_up: Option<Micros>,
@@ -88,7 +90,7 @@
         status: u16,
         /// The answer carries the stated proof that nothing was set up.
         never_ran: bool,
-        load: Load,
+        load: LoadReport,
         /// Where the viewer finds the stream.
         media: Option<String>,
     },
@@ -145,7 +147,7 @@
         session: SessionId,
     },
     List {
-        news: ListNews,
+        news: EndpointUpdate,
         lines: Vec<Line>,
     },
     Done {
--- a/crates/engine/src/moves.rs
+++ b/crates/engine/src/moves.rs
@@ -3,7 +3,7 @@
 
 use crate::engine::*;
 use crate::io::*;
-use shalewall::{Event, Micros, ServerId, SessionId, Standing};
+use shalewall::{EndpointState, Event, Micros, ServerId, SessionId};
 use shalewall_migration::Epoch;
 use shalewall_migration::front::{self, Handover};
 use shalewall_migration::mover::{Mover, Why};
@@ -128,9 +128,12 @@
         });
         (hand.follows, s.carried) = (true, false);
         if !moves.mover.knows(session) {
-            moves
-                .mover
-                .plays(now, session, server, s.request.hint.map(|h| since + h));
+            moves.mover.plays(
+                now,
+                session,
+                server,
+                s.request.duration_hint.map(|h| since + h),
+            );
             if hand.handover.orphaned() {
                 moves.mover.orphaned(now, session);
             }
@@ -148,7 +151,7 @@
         moves.silent.retain(|_, told| now - *told < SILENT_AGAIN);
         for server in moves.mover.silent_nodes() {
             if moves.silent.insert(server, now).is_none() {
-                self.pending.push_back(Event::Silent(server));
+                self.pending.push_back(Event::ServerSilent(server));
             }
         }
     }
@@ -200,7 +203,13 @@
                 load,
                 ..
             } => {
-                self.figures(session, server, None, load.link, load.uplink);
+                self.figures(
+                    session,
+                    server,
+                    None,
+                    load.link_utilization,
+                    load.uplink_utilization,
+                );
                 if let Some(t) = self.hand(session).and_then(|h| h.target.as_mut()) {
                     (t.media, t.ready) = (Some(media), Some(now));
                 }
@@ -271,13 +280,13 @@
         for line in lines {
             moves
                 .mover
-                .drains(now, line.server, line.standing == Standing::Draining);
+                .drains(now, line.server, line.standing == EndpointState::Draining);
         }
         moves.news = true;
         // What is on its way to such a node goes elsewhere, unless its player has been told already.
         let off: Vec<_> = lines
             .iter()
-            .filter(|l| l.standing != Standing::Ready)
+            .filter(|l| l.standing != EndpointState::Ready)
             .map(|l| l.server)
             .collect();
         let to = |s: &Session| off.iter().any(|server| s.moves_to(*server));
@@ -335,7 +344,7 @@
             if let Some(moves) = &mut self.moves {
                 moves.asked = Some((session, why));
             }
-            self.pending.push_back(Event::HandOver(session));
+            self.pending.push_back(Event::MigrationRequested(session));
             self.settle();
             let under_way = self.hand(session).is_some_and(|h| h.target.is_some());
             if let Some(moves) = &mut self.moves
@@ -381,9 +390,9 @@
             })
         });
         if begun.is_none() {
-            return self.pending.push_back(Event::HandedOver {
+            return self.pending.push_back(Event::MigrationFinished {
                 session,
-                moved: false,
+                migrated: false,
             });
         }
         if let Some(moves) = &mut self.moves {
@@ -493,7 +502,12 @@
                     return;
                 };
                 if let Stage::Plays { server, .. } = s.stage {
-                    self.over(session, server, s.attempts - 1, shalewall::Outcome::Reset);
+                    self.over(
+                        session,
+                        server,
+                        s.attempts - 1,
+                        shalewall::Outcome::ConnectionReset,
+                    );
                 }
             }
         }
@@ -606,9 +620,12 @@
             && ready.is_none()
         {
             // It did not answer in time: a sign that it stands still.
-            self.pending.push_back(Event::Silent(server));
+            self.pending.push_back(Event::ServerSilent(server));
         }
-        self.pending.push_back(Event::HandedOver { session, moved });
+        self.pending.push_back(Event::MigrationFinished {
+            session,
+            migrated: moved,
+        });
         if let Some(moves) = &mut self.moves {
             moves.mover.ended(now, session, moved);
             moves.news = true;
@@ -639,9 +656,9 @@
             if let Some(call) = target.call {
                 self.give_up(call);
             }
-            self.pending.push_back(Event::HandedOver {
+            self.pending.push_back(Event::MigrationFinished {
                 session,
-                moved: false,
+                migrated: false,
             });
             self.owe_end(target.server, session, attempt, None);
         }
--- a/crates/engine/src/nodes.rs
+++ b/crates/engine/src/nodes.rs
@@ -2,7 +2,7 @@
 
 use crate::engine::Config;
 use crate::io::Line;
-use shalewall::{ListNews, Listed, ServerId, Standing};
+use shalewall::{Endpoint, EndpointState, EndpointUpdate, ServerId};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
@@ -10,7 +10,7 @@
 pub(crate) struct Nodes {
     addresses: BTreeMap<ServerId, SocketAddr>,
     /// The list as the director last heard it.
-    lines: BTreeMap<ServerId, Listed>,
+    lines: BTreeMap<ServerId, Endpoint>,
 }
 
 /// What a piece of news changed.
@@ -31,13 +31,13 @@
     }
 
     /// Keeps what the director is told of the list.
-    pub fn told(&mut self, news: ListNews, lines: &[Listed]) {
-        if matches!(news, ListNews::Full | ListNews::Cached) {
+    pub fn told(&mut self, news: EndpointUpdate, lines: &[Endpoint]) {
+        if matches!(news, EndpointUpdate::Full | EndpointUpdate::Cached) {
             self.lines.clear();
         }
         for line in lines {
             match line.state {
-                Standing::Gone => drop(self.lines.remove(&line.server)),
+                EndpointState::Gone => drop(self.lines.remove(&line.server)),
                 _ => drop(self.lines.insert(line.server, *line)),
             }
         }
@@ -48,7 +48,7 @@
         &mut self,
         servers: &[ServerId],
         fleet: impl Fn(ServerId) -> u32,
-    ) -> Vec<Listed> {
+    ) -> Vec<Endpoint> {
         let mut changed = Vec::new();
         for server in servers {
             if let Some(line) = self.lines.get_mut(server) {
@@ -59,10 +59,10 @@
         changed
     }
 
-    pub fn list(&mut self, news: ListNews, lines: &[Line]) -> Change {
+    pub fn list(&mut self, news: EndpointUpdate, lines: &[Line]) -> Change {
         let mut change = Change::default();
-        let whole = matches!(news, ListNews::Full | ListNews::Cached);
-        if news == ListNews::Failed {
+        let whole = matches!(news, EndpointUpdate::Full | EndpointUpdate::Cached);
+        if news == EndpointUpdate::Failed {
             return change;
         }
         if whole {
@@ -72,7 +72,7 @@
         }
         for line in lines {
             match line.address {
-                Some(address) if line.standing != Standing::Gone => {
+                Some(address) if line.standing != EndpointState::Gone => {
                     let before = self.addresses.insert(line.server, address);
                     if before != Some(address) {
                         change.new.push((line.server, address));
@@ -87,15 +87,15 @@
 }
 
 /// A line in the director's words: names become indices.
-pub(crate) fn listed(line: &Line, config: &Config, fleet: u32) -> Listed {
-    Listed {
+pub(crate) fn listed(line: &Line, config: &Config, fleet: u32) -> Endpoint {
+    Endpoint {
         server: line.server,
         zone: config.zones.iter().position(|z| *z == line.zone),
-        kind: config.kinds.iter().position(|k| *k == line.kind),
+        machine_kind: config.kinds.iter().position(|k| *k == line.kind),
         cell: line.cell,
         state: line.standing,
         weight: line.weight,
-        came_up: line.came_up,
+        started_at: line.came_up,
         fleet,
     }
 }
--- a/crates/engine/src/playing.rs
+++ b/crates/engine/src/playing.rs
@@ -2,7 +2,7 @@
 
 use crate::engine::*;
 use crate::io::*;
-use shalewall::{Event, Load, Micros, Note, Outcome, ServerId, SessionId};
+use shalewall::{Event, LoadReport, Micros, Notification, Outcome, ServerId, SessionId};
 
 impl Engine {
     /// Tells the node of a rung that it has not confirmed; one call at a time for a session.
@@ -54,19 +54,19 @@
     pub(crate) fn probe(&mut self, server: ServerId) {
         match self.call(server, Purpose::Probe(server), CallKind::Probe) {
             Some(call) => self.timers.set(self.now + PROBE_TIME, Timer::Probe(call)),
-            None => self.probed(server, Outcome::NotSent, Load::default()),
+            None => self.probed(server, Outcome::NotSent, LoadReport::default()),
         }
     }
 
-    pub(crate) fn probed(&mut self, server: ServerId, outcome: Outcome, load: Load) {
-        self.pending.push_back(Event::Probed {
+    pub(crate) fn probed(&mut self, server: ServerId, outcome: Outcome, load: LoadReport) {
+        self.pending.push_back(Event::HealthCheckFinished {
             server,
             outcome,
-            load,
+            load_report: load,
         });
     }
 
-    pub(crate) fn on_list(&mut self, news: shalewall::ListNews, lines: Vec<Line>) {
+    pub(crate) fn on_list(&mut self, news: shalewall::EndpointUpdate, lines: Vec<Line>) {
         let change = self.nodes.list(news, &lines);
         // The director first: nothing that follows may send to a node that has just been listed as gone.
         self.drains(&lines);
@@ -74,7 +74,10 @@
             |l: &Line| crate::nodes::listed(l, &self.config, self.catalogue.fleet(l.server));
         let lines: Vec<_> = lines.iter().map(listed).collect();
         self.nodes.told(news, &lines);
-        self.pending.push_back(Event::List { news, lines });
+        self.pending.push_back(Event::EndpointsUpdated {
+            update: news,
+            endpoints: lines,
+        });
         self.settle();
         for (server, address) in change.new {
             self.outputs.push_back(Output::Watch { server, address });
@@ -150,7 +153,7 @@
             .collect();
         for (session, attempt) in lost {
             if !self.dead(session, server) {
-                self.over(session, server, attempt, Outcome::Reset);
+                self.over(session, server, attempt, Outcome::ConnectionReset);
             }
         }
     }
@@ -189,7 +192,7 @@
                         server: at, over, ..
                     } if *at == server => *over = true,
                     Stage::Plays { server: at, .. } if *at == server => {
-                        self.over(session, server, attempt, Outcome::Good);
+                        self.over(session, server, attempt, Outcome::Success);
                     }
                     Stage::Plays { .. } | Stage::Leaving { .. } => {
                         self.end_confirmed(server, session, attempt);
@@ -218,16 +221,16 @@
         let attempt = s.attempts - 1 - s.before;
         self.delivers(server, delivered);
         let notes = [
-            delivered.map(Note::Delivered),
-            link.map(Note::Link),
-            uplink.map(Note::Uplink),
+            delivered.map(Notification::DeliveredFraction),
+            link.map(Notification::LinkUtilization),
+            uplink.map(Notification::UplinkUtilization),
         ];
         for note in notes.into_iter().flatten() {
-            self.pending.push_back(Event::Noted {
+            self.pending.push_back(Event::Notified {
                 session,
                 attempt,
                 server,
-                note,
+                notification: note,
             });
         }
     }
--- a/crates/engine/src/viewers.rs
+++ b/crates/engine/src/viewers.rs
@@ -3,7 +3,7 @@
 use crate::catalogue::{Found, Missing};
 use crate::engine::{Admission, Engine, Session, Stage};
 use crate::io::*;
-use shalewall::{Event, ListNews, Outcome, Request, SessionId};
+use shalewall::{EndpointUpdate, Event, Outcome, Request, SessionId};
 use xxhash_rust::xxh3::xxh3_64;
 
 impl Engine {
@@ -21,7 +21,7 @@
             self.leave(session);
         }
         if self.sessions.len() >= self.config.most_sessions {
-            let come_back = Some(self.config.settings.limits.max_come_back);
+            let come_back = Some(self.config.settings.limits.max_retry_after);
             let answer = Answer::Refused {
                 session: None,
                 come_back,
@@ -79,11 +79,11 @@
             viewer: key,
             title,
             deadline: self.now + wait,
-            hint: new.hint,
-            home: place.home,
-            spread: place.spread,
-            top: new.top.unwrap_or(usize::MAX),
-            again: new.again,
+            duration_hint: new.hint,
+            first_cell: place.home,
+            replica_cells: place.spread,
+            highest_rung: new.top.unwrap_or(usize::MAX),
+            is_retry: new.again,
             fleet,
         };
         self.by_key.insert(key, session);
@@ -108,7 +108,7 @@
                 hand: None,
             },
         );
-        self.pending.push_back(Event::Asked(request));
+        self.pending.push_back(Event::RequestReceived(request));
     }
 
     /// The same key again: the answer at once where it plays, a place among those who wait for it where it is
@@ -157,10 +157,10 @@
         }
         match s.stage {
             Stage::Deciding => {
-                self.pending.push_back(Event::Withdrawn(session));
+                self.pending.push_back(Event::RequestWithdrawn(session));
                 self.forget(session);
             }
-            Stage::SettingUp { .. } => self.pending.push_back(Event::Withdrawn(session)),
+            Stage::SettingUp { .. } => self.pending.push_back(Event::RequestWithdrawn(session)),
             Stage::Plays { .. } | Stage::Leaving { .. } => {}
         }
     }
@@ -185,7 +185,7 @@
         };
         s.stage = Stage::Leaving {
             server,
-            outcome: Outcome::Good,
+            outcome: Outcome::Success,
         };
         let (key, attempt) = (s.key, s.attempts - 1);
         // It is not over before the last of its nodes has confirmed.
@@ -244,15 +244,16 @@
             .for_each(|(name, agreed)| self.catalogue.agree(&name, agreed));
         let (classes, tenants) = (self.catalogue.classes(), self.catalogue.tenants());
         self.config.settings.classes.clone_from(&classes);
-        self.pending.push_back(Event::Terms { classes, tenants });
+        self.pending
+            .push_back(Event::SettingsUpdated { classes, tenants });
         let moved = self.catalogue.lay_out();
         let lines = self
             .nodes
             .move_to(&moved, |server| self.catalogue.fleet(server));
         if !lines.is_empty() {
-            self.pending.push_back(Event::List {
-                news: ListNews::Delta,
-                lines,
+            self.pending.push_back(Event::EndpointsUpdated {
+                update: EndpointUpdate::Delta,
+                endpoints: lines,
             });
         }
     }
--- a/crates/engine/tests/moves.rs
+++ b/crates/engine/tests/moves.rs
@@ -19,41 +19,41 @@
 const BUFFER: Micros = S;
 
 fn config() -> Config {
-    let class = ClassTerms {
-        aim: S,
-        worth: 1.0,
-        scale: 1.0,
+    let class = ClassSettings {
+        latency_objective: S,
+        priority_weight: 1.0,
+        rate_scale: 1.0,
         ..Default::default()
     };
     Config {
         seed: 3,
         settings: Settings {
-            directors: 1,
-            classes: vec![ClassTerms {
-                effect: Effect::Paid,
+            director_count: 1,
+            classes: vec![ClassSettings {
+                idempotency: Idempotency::AtMostOnce,
                 ..class
             }],
             ladder: vec![Rung {
-                kb: 300.0,
-                worth: 1.0,
+                rate_kb_s: 300.0,
+                utility: 1.0,
             }],
-            cells: NODES,
-            places_by_kind: vec![400.0],
-            weights_tell_size: true,
-            link_kb_per_weight: 30_000.0,
-            join_adds: 1.0,
-            told_every: 3 * S,
-            told_late: S,
-            contract: Contract {
-                warm_after: S,
-                start_capacity: 0.4,
-                fall: S,
+            cell_count: NODES,
+            stream_capacity_by_kind: vec![400.0],
+            weight_is_capacity: true,
+            link_kb_s_per_weight: 30_000.0,
+            join_rate_fraction: 1.0,
+            notification_interval: 3 * S,
+            notification_delay: S,
+            rules: RuleSettings {
+                warm_up: S,
+                initial_capacity: 0.4,
+                overload_window: S,
                 ..Default::default()
             },
             limits: Limits {
                 max_attempts: 4,
-                may_cancel: true,
-                step: 10 * MS,
+                can_cancel: true,
+                min_batch_interval: 10 * MS,
                 ..Default::default()
             },
             ..Default::default()
@@ -135,12 +135,12 @@
             starts: 0,
             untold: Vec::new(),
         };
-        (0..NODES).for_each(|n| world.list(n, Standing::Ready));
+        (0..NODES).for_each(|n| world.list(n, EndpointState::Ready));
         world.pass(2 * S);
         world
     }
 
-    fn list(&mut self, id: u64, standing: Standing) {
+    fn list(&mut self, id: u64, standing: EndpointState) {
         let address = Some(std::net::SocketAddr::from((
             [127, 0, 0, 1],
             1000 + id as u16,
@@ -158,7 +158,7 @@
             came_up,
         };
         self.tell(Input::List {
-            news: ListNews::Delta,
+            news: EndpointUpdate::Delta,
             lines: vec![line],
         });
     }
@@ -295,7 +295,7 @@
         let said = |status| Done::Answered {
             status,
             never_ran: false,
-            load: Load::default(),
+            load: LoadReport::default(),
             media: Some(server.0.to_string()),
         };
         match kind {
@@ -489,9 +489,9 @@
             self.list(
                 n,
                 if self.drained[n as usize] {
-                    Standing::Draining
+                    EndpointState::Draining
                 } else {
-                    Standing::Ready
+                    EndpointState::Ready
                 },
             );
         }
@@ -619,11 +619,11 @@
         let at = |w: &World, n: u64| w.players.values().filter(|p| p.seat.node == n).count();
         let before = at(&world, 1);
         assert!(before >= 5, "{before} there");
-        world.list(1, Standing::Draining);
+        world.list(1, EndpointState::Draining);
         world.wait(600 * MS);
         let left = at(&world, 1);
         world.crash(1);
-        world.list(1, Standing::Gone);
+        world.list(1, EndpointState::Gone);
         world.wait(5 * S);
         assert_eq!(
             at(&world, 1),
@@ -670,7 +670,7 @@
         for kind in 0..3 {
             let mut world = World::new(10 + step, 0);
             world.ask(12);
-            world.list(0, Standing::Draining);
+            world.list(0, EndpointState::Draining);
             // Somewhere in the middle of the moves, all targets but one fail.
             world.wait(step as Micros * 10 * MS);
             for node in 1..3 {
@@ -703,7 +703,7 @@
             let mut world = World::new(30 + step, loss);
             world.ask(24);
             world.drained[1] = true;
-            world.list(1, Standing::Draining);
+            world.list(1, EndpointState::Draining);
             world.wait(step as Micros * 5 * MS);
             world.restart(200 * MS);
             world.wait(4 * S);
@@ -780,9 +780,9 @@
                     world.list(
                         node,
                         if drains {
-                            Standing::Draining
+                            EndpointState::Draining
                         } else {
-                            Standing::Ready
+                            EndpointState::Ready
                         },
                     );
                 }
@@ -818,7 +818,7 @@
     for step in 0..20 {
         let mut world = World::new(50 + step, 0);
         world.ask(24);
-        world.list(1, Standing::Draining);
+        world.list(1, EndpointState::Draining);
         world.wait(step as Micros * 5 * MS);
         let ids: Vec<_> = world.players.keys().copied().collect();
         for session in ids {
@@ -835,9 +835,9 @@
     for step in 0..16 {
         let mut world = World::new(70 + step, 0);
         world.ask(24);
-        world.list(1, Standing::Draining);
+        world.list(1, EndpointState::Draining);
         world.wait(step as Micros * 10 * MS);
-        world.list(2, Standing::Draining);
+        world.list(2, EndpointState::Draining);
         world.wait(600 * MS);
         world.crash(1);
         world.crash(2);
@@ -874,10 +874,10 @@
 fn forty_sessions_on_a_node_that_dies_and_holders_with_little_room() {
     let mut world = World::new(6, 0);
     // Everyone is at node 0: the others take nothing yet. Each link takes some 93 sessions of 300 in all.
-    (1..NODES).for_each(|n| world.list(n, Standing::Draining));
+    (1..NODES).for_each(|n| world.list(n, EndpointState::Draining));
     world.ask(40);
-    world.list(0, Standing::Draining);
-    (1..NODES).for_each(|n| world.list(n, Standing::Ready));
+    world.list(0, EndpointState::Draining);
+    (1..NODES).for_each(|n| world.list(n, EndpointState::Ready));
     world.wait(3 * S);
     let at = |w: &World, n: u64| {
         w.players
@@ -887,9 +887,9 @@
     };
     assert_eq!(at(&world, 0), 0, "there is room for all");
     // The second time two of three are gone already, and the third is told nearly full.
-    world.list(1, Standing::Draining);
-    world.list(2, Standing::Draining);
-    world.list(0, Standing::Gone);
+    world.list(1, EndpointState::Draining);
+    world.list(2, EndpointState::Draining);
+    world.list(0, EndpointState::Gone);
     let one = *world
         .players
         .iter()
@@ -929,7 +929,7 @@
 fn moves_and_a_burst_of_new_viewers_together() {
     let mut world = World::new(7, 5);
     world.ask(40);
-    world.list(1, Standing::Draining);
+    world.list(1, EndpointState::Draining);
     world.ask(150);
     world.crash(1);
     world.wait(4 * S);
--- a/crates/engine/tests/world.rs
+++ b/crates/engine/tests/world.rs
@@ -12,15 +12,15 @@
 const NODES: u64 = 4;
 
 fn config() -> Config {
-    let class = ClassTerms {
-        aim: S,
-        worth: 1.0,
-        scale: 1.0,
-        top: 1,
+    let class = ClassSettings {
+        latency_objective: S,
+        priority_weight: 1.0,
+        rate_scale: 1.0,
+        highest_rung: 1,
         ..Default::default()
     };
-    let harmless = ClassTerms {
-        effect: Effect::Harmless,
+    let harmless = ClassSettings {
+        idempotency: Idempotency::Idempotent,
         ..class
     };
     let titles = (0..6)
@@ -29,47 +29,47 @@
     Config {
         seed: 3,
         settings: Settings {
-            directors: 1,
+            director_count: 1,
             classes: vec![
                 harmless,
-                ClassTerms {
-                    effect: Effect::Paid,
-                    seats: 5,
+                ClassSettings {
+                    idempotency: Idempotency::AtMostOnce,
+                    session_limit_per_title: 5,
                     ..class
                 },
             ],
             ladder: vec![
                 Rung {
-                    kb: 300.0,
-                    worth: 0.4,
+                    rate_kb_s: 300.0,
+                    utility: 0.4,
                 },
                 Rung {
-                    kb: 900.0,
-                    worth: 1.0,
+                    rate_kb_s: 900.0,
+                    utility: 1.0,
                 },
             ],
-            cells: NODES,
-            racks: 0,
-            places_by_kind: vec![40.0],
-            weights_tell_size: true,
-            link_kb_per_weight: 10_000.0,
-            join_adds: 1.0,
-            told_every: 3 * S,
-            told_late: S,
-            stall_cost: 7.0,
-            switch_s: 0.5,
-            contract: Contract {
-                warm_after: S,
-                start_capacity: 0.4,
+            cell_count: NODES,
+            rack_count: 0,
+            stream_capacity_by_kind: vec![40.0],
+            weight_is_capacity: true,
+            link_kb_s_per_weight: 10_000.0,
+            join_rate_fraction: 1.0,
+            notification_interval: 3 * S,
+            notification_delay: S,
+            stall_penalty: 7.0,
+            rung_change_cost_s: 0.5,
+            rules: RuleSettings {
+                warm_up: S,
+                initial_capacity: 0.4,
                 overload_factor: 3.0,
-                fall: S,
+                overload_window: S,
                 ..Default::default()
             },
             limits: Limits {
                 max_attempts: 4,
-                may_cancel: true,
-                step: 10 * MS,
-                max_come_back: S,
+                can_cancel: true,
+                min_batch_interval: 10 * MS,
+                max_retry_after: S,
                 ..Default::default()
             },
             ..Default::default()
@@ -82,7 +82,7 @@
     }
 }
 
-fn line(id: u64, standing: Standing) -> Line {
+fn line(id: u64, standing: EndpointState) -> Line {
     let address: SocketAddr = format!("127.0.0.1:{}", 1000 + id).parse().unwrap();
     Line {
         server: ServerId(id),
@@ -135,9 +135,9 @@
             dice: Dice(seed),
             set_ups: 0,
         };
-        let lines = (0..NODES).map(|n| line(n, Standing::Ready)).collect();
+        let lines = (0..NODES).map(|n| line(n, EndpointState::Ready)).collect();
         world.tell(Input::List {
-            news: ListNews::Full,
+            news: EndpointUpdate::Full,
             lines,
         });
         world
@@ -242,9 +242,9 @@
 
     fn answer_call(&mut self, call: CallId) {
         let (_, server, kind, how) = self.out.remove(&call).unwrap();
-        let load = Load {
-            link: Some(how as f64 / 100.0),
-            ..Load::default()
+        let load = LoadReport {
+            link_utilization: Some(how as f64 / 100.0),
+            ..LoadReport::default()
         };
         let answered = |status, never_ran| Done::Answered {
             status,
@@ -477,11 +477,11 @@
 fn equal_inputs_give_equal_outputs() {
     let run = || {
         let mut engine = Engine::new(config(), 0);
-        let lines = (0..NODES).map(|n| line(n, Standing::Ready)).collect();
+        let lines = (0..NODES).map(|n| line(n, EndpointState::Ready)).collect();
         engine.handle(
             0,
             Input::List {
-                news: ListNews::Full,
+                news: EndpointUpdate::Full,
                 lines,
             },
         );
@@ -533,7 +533,7 @@
         let done = Done::Answered {
             status: 201,
             never_ran: false,
-            load: Load::default(),
+            load: LoadReport::default(),
             media: Some("m".into()),
         };
         world.now += 4 * S - 10 * MS;
@@ -591,8 +591,8 @@
         .expect("the node is told to end it");
     // The node never answers; the list says that it is gone.
     world.tell(Input::List {
-        news: ListNews::Delta,
-        lines: vec![line(server.0, Standing::Gone)],
+        news: EndpointUpdate::Delta,
+        lines: vec![line(server.0, EndpointState::Gone)],
     });
     assert!(world.out.is_empty(), "{:?}", world.out);
     assert_eq!(world.engine.held(), Held::default());
@@ -632,15 +632,15 @@
             line(
                 n,
                 if n == server.0 {
-                    Standing::Gone
+                    EndpointState::Gone
                 } else {
-                    Standing::Draining
+                    EndpointState::Draining
                 },
             )
         });
         let lines = gone.collect();
         world.tell(Input::List {
-            news: ListNews::Delta,
+            news: EndpointUpdate::Delta,
             lines,
         });
         world.pass(world.now + 6 * S);
--- a/crates/platform-proto/src/ask.rs
+++ b/crates/platform-proto/src/ask.rs
@@ -64,11 +64,11 @@
         viewer: tag.value(),
         title: title(item.value(), class),
         deadline: now + micros(left.unwrap_or(0.0)),
-        hint: hint.map(micros),
-        home: u64::MAX,
-        spread: 0,
-        top: usize::MAX,
-        again: false,
+        duration_hint: hint.map(micros),
+        first_cell: u64::MAX,
+        replica_cells: 0,
+        highest_rung: usize::MAX,
+        is_retry: false,
         fleet: 0,
     };
     let mut at = None;
@@ -77,18 +77,18 @@
         let (name, value) = pair.split_once(':').ok_or("extras")?;
         let number = || value.parse::<u64>().map_err(|_| "extras");
         match name {
-            "home" => request.home = number()?,
-            "copies" => request.spread = number()?,
-            "top" => request.top = number()? as usize,
-            "again" => request.again = number()? != 0,
+            "home" => request.first_cell = number()?,
+            "copies" => request.replica_cells = number()?,
+            "top" => request.highest_rung = number()? as usize,
+            "again" => request.is_retry = number()? != 0,
             "viewer" => request.viewer = Hex16::read(value).ok_or("extras")?.value(),
             "at" => at = Some(crate::journal::server(value).ok_or("extras")?),
             _ => {}
         }
     }
-    let sound = request.home < set.cells
-        && (1..=set.cells).contains(&request.spread)
-        && request.top < set.ladder.len().max(1);
+    let sound = request.first_cell < set.cell_count
+        && (1..=set.cell_count).contains(&request.replica_cells)
+        && request.highest_rung < set.ladder.len().max(1);
     if !sound {
         return Err("extras");
     }
--- a/crates/platform-proto/src/care.rs
+++ b/crates/platform-proto/src/care.rs
@@ -4,7 +4,7 @@
 use crate::linger::Lost;
 use crate::links::Why;
 use crate::nodes::{REFUSED, SILENCE, UNREACHABLE};
-use shalewall::{Micros, Standing};
+use shalewall::{EndpointState, Micros};
 
 /// A message of which part has come is whole after this, or never.
 const PART: Micros = 500_000;
@@ -80,7 +80,7 @@
         self.nodes.all.retain(|id, n| {
             let of_use =
                 !n.standing.is_empty() || !n.owed.is_empty() || links.of(*id).next().is_some();
-            n.listed.state != Standing::Gone || of_use
+            n.listed.state != EndpointState::Gone || of_use
         });
     }
 }
--- a/crates/platform-proto/src/door.rs
+++ b/crates/platform-proto/src/door.rs
@@ -12,7 +12,8 @@
 use crate::viewers::{ViewerId, Viewers, Word};
 use crate::{Hex16, Unreadable};
 use shalewall::{
-    Action, Director, Event, ListNews, Micros, Outcome, ServerId, SessionId, Settings, Standing,
+    Action, Director, EndpointState, EndpointUpdate, Event, Micros, Outcome, ServerId, SessionId,
+    Settings,
 };
 use shalewall_director_config::{Bounds, Given, Names};
 use shalewall_timers::Timers;
@@ -174,9 +175,9 @@
                 now,
                 &news,
                 if news.whole {
-                    ListNews::Cached
+                    EndpointUpdate::Cached
                 } else {
-                    ListNews::Delta
+                    EndpointUpdate::Delta
                 },
             );
         }
@@ -202,16 +203,16 @@
                 now,
                 news,
                 if news.whole {
-                    ListNews::Full
+                    EndpointUpdate::Full
                 } else {
-                    ListNews::Delta
+                    EndpointUpdate::Delta
                 },
             );
         }
         Ok(())
     }
 
-    fn news(&mut self, now: Micros, news: &News, kind: ListNews) {
+    fn news(&mut self, now: Micros, news: &News, kind: EndpointUpdate) {
         self.now = now;
         let Some(changed) = self.nodes.take(news, now) else {
             return;
@@ -222,14 +223,14 @@
             .iter()
             .map(|e| e.listed)
             .chain(changed.displaced);
-        let lines = lines.map(|listed| shalewall::Listed {
+        let lines = lines.map(|listed| shalewall::Endpoint {
             zone: listed.zone.filter(|z| *z < zones),
-            kind: listed.kind.filter(|k| *k < kinds),
+            machine_kind: listed.machine_kind.filter(|k| *k < kinds),
             ..listed
         });
-        self.events.push_back(Event::List {
-            news: kind,
-            lines: lines.collect(),
+        self.events.push_back(Event::EndpointsUpdated {
+            update: kind,
+            endpoints: lines.collect(),
         });
         self.run();
         for server in changed.replaced {
@@ -280,8 +281,8 @@
         for id in standing {
             self.ended(
                 id,
-                Outcome::Reset,
-                shalewall::Load::default(),
+                Outcome::ConnectionReset,
+                shalewall::LoadReport::default(),
                 Some(cause::FAILED),
             );
         }
@@ -360,7 +361,7 @@
                         .nodes
                         .all
                         .values()
-                        .any(|n| n.listed.state == Standing::Ready);
+                        .any(|n| n.listed.state == EndpointState::Ready);
                 let answer = Message {
                     rc: Some(i64::from(ready)),
                     ..Message::new(Verb::Echoed, tag)
@@ -521,7 +522,7 @@
             (Start::Status(status), Some(rtsp::SETUP)) => self.answered(id, tag, *status, message),
             (Start::Status(status), Some(rtsp::OPTIONS)) => {
                 let outcome = if *status == 200 {
-                    Outcome::Good
+                    Outcome::Success
                 } else {
                     Outcome::Error
                 };
@@ -627,9 +628,14 @@
         self.late = self.late.max(self.timers.next().map_or(0, |due| now - due));
         while let Some(due) = self.timers.pop(now) {
             match due {
-                Due::Module(token) => self.events.push_back(Event::Timer(token)),
+                Due::Module(token) => self.events.push_back(Event::TimerFired(token)),
                 Due::Attempt(session, attempt) => self.out_of_time(session, attempt),
-                Due::Probe(id) => self.probed(id, None, Outcome::Late, shalewall::Load::default()),
+                Due::Probe(id) => self.probed(
+                    id,
+                    None,
+                    Outcome::TimedOut,
+                    shalewall::LoadReport::default(),
+                ),
                 Due::Again(server) => self.open_again(server),
                 Due::LastWords => self.last_words_to_viewers(),
                 Due::Round => {
--- a/crates/platform-proto/src/journal.rs
+++ b/crates/platform-proto/src/journal.rs
@@ -2,7 +2,7 @@
 
 use crate::{Unreadable, trim};
 use serde::Deserialize;
-use shalewall::{Listed, ServerId, Standing};
+use shalewall::{Endpoint, EndpointState, ServerId};
 use shalewall_director_config::Names;
 use std::net::{Ipv4Addr, SocketAddr};
 
@@ -17,7 +17,7 @@
 /// A node as the service lists it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Entry {
-    pub listed: Listed,
+    pub listed: Endpoint,
     pub address: SocketAddr,
 }
 
@@ -95,20 +95,20 @@
 
 fn record(r: &[u8]) -> Result<Entry, Unreadable> {
     let state = match r[10] {
-        0 => Standing::Ready,
-        1 => Standing::Draining,
-        2 => Standing::Gone,
+        0 => EndpointState::Ready,
+        1 => EndpointState::Draining,
+        2 => EndpointState::Gone,
         _ => return Err(Unreadable("a node's state is not known")),
     };
     let address = Ipv4Addr::new(r[4], r[5], r[6], r[7]);
-    let listed = Listed {
+    let listed = Endpoint {
         server: ServerId(uint(&r[..4])),
         zone: Some(usize::from(r[11])),
-        kind: Some(usize::from(r[12])),
+        machine_kind: Some(usize::from(r[12])),
         cell: uint(&r[13..15]),
         state,
         weight: uint(&r[15..19]) as f64 / 1000.0,
-        came_up: came_up(uint(&r[19..27])),
+        started_at: came_up(uint(&r[19..27])),
         fleet: 0,
     };
     Ok(Entry {
@@ -190,18 +190,18 @@
     pub fn news(&self, names: &Names) -> (Vec<News>, u64) {
         let entry = |m: &Member| {
             let state = match m.phase {
-                Phase::Ready => Standing::Ready,
-                Phase::Draining => Standing::Draining,
-                Phase::Gone => Standing::Gone,
+                Phase::Ready => EndpointState::Ready,
+                Phase::Draining => EndpointState::Draining,
+                Phase::Gone => EndpointState::Gone,
             };
-            let listed = Listed {
+            let listed = Endpoint {
                 server: server(&m.id)?,
                 zone: names.zones.iter().position(|z| *z == m.locality),
-                kind: names.kinds.iter().position(|k| *k == m.flavor),
+                machine_kind: names.kinds.iter().position(|k| *k == m.flavor),
                 cell: m.cell,
                 state,
                 weight: m.size,
-                came_up: came_up(m.up_since_ms as u64),
+                started_at: came_up(m.up_since_ms as u64),
                 fleet: 0,
             };
             Some(Entry {
--- a/crates/platform-proto/src/linger.rs
+++ b/crates/platform-proto/src/linger.rs
@@ -9,7 +9,7 @@
 use crate::door::{Conn, ConnId, Door, Due, NotUp, Output};
 use crate::links::{LinkId, Why};
 use crate::rtsp::Reader;
-use shalewall::{Load, Micros, Outcome, ServerId};
+use shalewall::{LoadReport, Micros, Outcome, ServerId};
 use std::collections::BTreeMap;
 
 /// A node that stands still has not closed after this, and its connection is not waited for any longer: what it says
@@ -76,8 +76,10 @@
             .push_back(Output::Close(Conn(ConnId::Node(id))));
         let outcome = match lost {
             Lost::NotUp(NotUp::Own) => Outcome::NotSent,
-            Lost::NotUp(_) => Outcome::NoConnection,
-            Lost::Done | Lost::Doubt | Lost::Closed | Lost::Broken | Lost::Spoilt => Outcome::Reset,
+            Lost::NotUp(_) => Outcome::ConnectionFailed,
+            Lost::Done | Lost::Doubt | Lost::Closed | Lost::Broken | Lost::Spoilt => {
+                Outcome::ConnectionReset
+            }
         };
         // Closed by the node after its last message, nothing on it is unheard.
         let crossed = !matches!(lost, Lost::Closed | Lost::NotUp(_));
@@ -94,7 +96,7 @@
             self.cut(session, outcome);
         }
         for probe in link.probes {
-            self.probed(probe, None, outcome, Load::default());
+            self.probed(probe, None, outcome, LoadReport::default());
         }
         if lost == Lost::Spoilt {
             self.open_after(link.server);
--- a/crates/platform-proto/src/nodes.rs
+++ b/crates/platform-proto/src/nodes.rs
@@ -2,7 +2,7 @@
 
 use crate::Hex16;
 use crate::journal::{Entry, News};
-use shalewall::{Listed, Micros, ServerId, SessionId, Standing};
+use shalewall::{Endpoint, EndpointState, Micros, ServerId, SessionId};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
@@ -20,7 +20,7 @@
 pub(crate) const RETRY: Micros = 300_000;
 
 pub(crate) struct Node {
-    pub listed: Listed,
+    pub listed: Endpoint,
     pub address: SocketAddr,
     pub standing: BTreeSet<SessionId>,
     pub heard: Micros,
@@ -49,7 +49,7 @@
     /// Another process than the one that was known: what stood there is over, and its connections are of no use.
     pub replaced: Vec<ServerId>,
     /// Of which the list has not said so: their address is another's now.
-    pub displaced: Vec<Listed>,
+    pub displaced: Vec<Endpoint>,
     /// Nothing new may go there; connections without use can close.
     pub leaving: Vec<ServerId>,
 }
@@ -78,13 +78,13 @@
         let named: BTreeSet<ServerId> = news.entries.iter().map(|e| e.listed.server).collect();
         if news.whole {
             for (id, node) in self.all.iter_mut().filter(|(id, _)| !named.contains(id)) {
-                node.listed.state = Standing::Gone;
+                node.listed.state = EndpointState::Gone;
                 changed.leaving.push(*id);
             }
         }
         for Entry { listed, address } in &news.entries {
             let id = listed.server;
-            if listed.state != Standing::Gone {
+            if listed.state != EndpointState::Gone {
                 // Whoever had this address before has gone, whatever the list says of it.
                 let other = |(o, n): &(&ServerId, &Node)| **o != id && n.address == *address;
                 let others: Vec<_> = self.all.iter().filter(other).map(|(o, _)| *o).collect();
@@ -93,13 +93,15 @@
                     let Some(node) = self.all.get_mut(other) else {
                         continue;
                     };
-                    if node.listed.state != Standing::Gone && !named.contains(&node.listed.server) {
-                        changed.displaced.push(Listed {
-                            state: Standing::Gone,
+                    if node.listed.state != EndpointState::Gone
+                        && !named.contains(&node.listed.server)
+                    {
+                        changed.displaced.push(Endpoint {
+                            state: EndpointState::Gone,
                             ..node.listed
                         });
                     }
-                    node.listed.state = Standing::Gone;
+                    node.listed.state = EndpointState::Gone;
                 }
                 changed.replaced.extend(others);
             }
@@ -114,11 +116,11 @@
                 met: false,
                 owed: Vec::new(),
             });
-            let started = listed.came_up > node.listed.came_up;
-            if node.address != *address || (started && listed.state != Standing::Gone) {
+            let started = listed.started_at > node.listed.started_at;
+            if node.address != *address || (started && listed.state != EndpointState::Gone) {
                 changed.replaced.push(id);
             }
-            if listed.state != Standing::Ready {
+            if listed.state != EndpointState::Ready {
                 changed.leaving.push(id);
             }
             (node.listed, node.address) = (*listed, *address);
--- a/crates/platform-proto/src/probes.rs
+++ b/crates/platform-proto/src/probes.rs
@@ -4,7 +4,7 @@
 use crate::door::{Door, Due};
 use crate::links::{Item, LinkId, ProbeId};
 use crate::rtsp;
-use shalewall::{Event, Load, Outcome, ServerId};
+use shalewall::{Event, LoadReport, Outcome, ServerId};
 
 /// A probe that is out.
 pub(crate) struct Probe {
@@ -19,11 +19,11 @@
         let id = ProbeId(self.next);
         let Some(link) = link.filter(|l| self.queue(*l, Item::Bytes(rtsp::probe(Hex16::of(id.0)))))
         else {
-            let (outcome, load) = (Outcome::NotSent, Load::default());
-            return self.events.push_back(Event::Probed {
+            let (outcome, load) = (Outcome::NotSent, LoadReport::default());
+            return self.events.push_back(Event::HealthCheckFinished {
                 server,
                 outcome,
-                load,
+                load_report: load,
             });
         };
         self.probes.insert(id, Probe { server, link });
@@ -40,7 +40,7 @@
         id: ProbeId,
         from: Option<LinkId>,
         outcome: Outcome,
-        load: Load,
+        load: LoadReport,
     ) {
         if from.is_some_and(|from| self.probes.get(&id).is_some_and(|p| p.link != from)) {
             return;
@@ -50,12 +50,12 @@
         };
         if let Some(link) = self.links.get(link) {
             link.probes.remove(&id);
-            link.doubt |= outcome == Outcome::Late;
+            link.doubt |= outcome == Outcome::TimedOut;
         }
-        self.events.push_back(Event::Probed {
+        self.events.push_back(Event::HealthCheckFinished {
             server,
             outcome,
-            load,
+            load_report: load,
         });
     }
 }
--- a/crates/platform-proto/src/requests.rs
+++ b/crates/platform-proto/src/requests.rs
@@ -89,7 +89,7 @@
                 .settings
                 .classes
                 .get(request.class)
-                .map_or(0, |c| c.floor),
+                .map_or(0, |c| c.lowest_rung),
             attempts: u32::from(at.is_some()),
             owed: at.is_none(),
             stage,
@@ -101,11 +101,12 @@
                 if let Some(v) = self.viewers.all.get_mut(&viewer) {
                     v.open.insert(id);
                 }
-                self.events.push_back(Event::Asked(request));
+                self.events.push_back(Event::RequestReceived(request));
             }
             Some(server) => {
                 self.stands(id, server);
-                self.events.push_back(Event::Carried(request, server));
+                self.events
+                    .push_back(Event::SessionTransferred(request, server));
             }
         }
     }
@@ -158,7 +159,7 @@
         if s.owed {
             self.left += u32::from(!matches!(&s.stage, Stage::Out(a) if a.way == Way::Whole));
             self.settle(id);
-            self.events.push_back(Event::Withdrawn(id));
+            self.events.push_back(Event::RequestWithdrawn(id));
         }
         match self.sessions.get(&id).map(|s| &s.stage) {
             Some(Stage::Out(_)) => self.give_up(id, Outcome::Cancelled),
--- a/crates/platform-proto/src/rtsp.rs
+++ b/crates/platform-proto/src/rtsp.rs
@@ -1,7 +1,7 @@
 //! Messages to and from media nodes: RTSP 1.0 as the platform uses it. Heads are read by the same parser as HTTP's.
 
 use crate::{Hex16, MESSAGE, Unreadable, trim};
-use shalewall::{Load, Note};
+use shalewall::{LoadReport, Notification};
 use shalewall_http::Limits;
 use shalewall_http::head::{Fields, Finder, fields};
 
@@ -51,30 +51,34 @@
     }
 
     /// The report in `P-Report`; a value that is no number leaves its figure out.
-    pub fn load(&self) -> Load {
-        let mut load = Load::default();
+    pub fn load(&self) -> LoadReport {
+        let mut load = LoadReport::default();
         for pair in self.fields.get("p-report").unwrap_or_default().split(';') {
             if let Some((name, value)) = pair.split_once(':') {
                 let _ = shalewall_director_config::report(&mut load, name.trim(), value.trim());
             }
         }
-        for figure in [&mut load.streams, &mut load.link, &mut load.uplink] {
+        for figure in [
+            &mut load.streams,
+            &mut load.link_utilization,
+            &mut load.uplink_utilization,
+        ] {
             *figure = figure.filter(|x| x.is_finite() && *x >= 0.0);
         }
         load
     }
 
     /// What an `ANNOUNCE` tells.
-    pub fn note(&self) -> Option<Note> {
+    pub fn note(&self) -> Option<Notification> {
         let value: f64 = self.fields.get("x-value")?.trim().parse().ok()?;
         if !value.is_finite() || value < 0.0 {
             return None;
         }
         match self.fields.get("p-reason")? {
-            "got" => Some(Note::Delivered(value)),
-            "level" => Some(Note::Rung(value as usize)),
-            "port" => Some(Note::Link(value)),
-            "spine" => Some(Note::Uplink(value)),
+            "got" => Some(Notification::DeliveredFraction(value)),
+            "level" => Some(Notification::CurrentRung(value as usize)),
+            "port" => Some(Notification::LinkUtilization(value)),
+            "spine" => Some(Notification::UplinkUtilization(value)),
             _ => None,
         }
     }
--- a/crates/platform-proto/src/table.rs
+++ b/crates/platform-proto/src/table.rs
@@ -8,7 +8,7 @@
 use crate::rtsp::{self, SetUp};
 use crate::viewers::{ViewerId, Word};
 use serde_json::Value;
-use shalewall::{Action, Event, Load, Micros, Outcome, ServerId, SessionId, Standing};
+use shalewall::{Action, EndpointState, Event, LoadReport, Micros, Outcome, ServerId, SessionId};
 use std::net::IpAddr;
 
 /// A request, and the session that it became.
@@ -77,13 +77,16 @@
 
     fn act(&mut self, action: Action) {
         match action {
-            Action::Send {
+            Action::StartAttempt {
                 session,
                 server,
-                patience,
+                attempt_timeout: patience,
             } => self.send(session, server, patience),
             Action::SetRung { session, rung } => self.set_rung(session, rung),
-            Action::Refuse { session, come_back } => {
+            Action::Reject {
+                session,
+                retry_after: come_back,
+            } => {
                 let Some(s) = self.sessions.get(&session) else {
                     return;
                 };
@@ -102,13 +105,13 @@
                 let answer = Message::finish(s.tag, cause::FAILED);
                 self.answer(session, &answer);
             }
-            Action::Recall { session, attempt } => {
+            Action::CancelAttempt { session, attempt } => {
                 let out = |s: &Session| matches!(&s.stage, Stage::Out(a) if a.number == attempt);
                 if self.sessions.get(&session).is_some_and(out) {
                     self.give_up(session, Outcome::Cancelled);
                 }
             }
-            Action::Move { session } => {
+            Action::Redirect { session } => {
                 let Some(s) = self.sessions.get(&session) else {
                     return;
                 };
@@ -118,11 +121,11 @@
                 }
                 self.release(session);
             }
-            Action::Timer { after, token } => {
+            Action::SetTimer { after, token } => {
                 self.timers.set(self.now + after.max(0), Due::Module(token))
             }
-            Action::Probe { server } => self.probe(server),
-            Action::CloseIdle { server } => {
+            Action::CheckHealth { server } => self.probe(server),
+            Action::CloseIdleConnections { server } => {
                 let idle = self
                     .links
                     .of(server)
@@ -135,10 +138,10 @@
             }
             Action::Log(text) => self.outputs.push_back(Output::Log(text)),
             // The journal tells without being asked, and directors don't talk; nobody here asks for hand-overs.
-            Action::FetchList
-            | Action::Subscribe(_)
-            | Action::Tell { .. }
-            | Action::HandOver { .. } => {}
+            Action::PollEndpoints
+            | Action::WatchEndpoints(_)
+            | Action::SendToPeer { .. }
+            | Action::Migrate { .. } => {}
         }
     }
 
@@ -156,7 +159,7 @@
         }
         let until = patience.map_or(s.deadline, |p| (now + p).min(s.deadline));
         let Some(link) = self.link_for(server) else {
-            self.outcome(id, server, number, Outcome::NotSent, Load::default());
+            self.outcome(id, server, number, Outcome::NotSent, LoadReport::default());
             return;
         };
         if let Some(s) = self.sessions.get_mut(&id) {
@@ -219,7 +222,7 @@
             .nodes
             .all
             .get(&a.server)
-            .is_some_and(|n| n.listed.state == Standing::Ready);
+            .is_some_and(|n| n.listed.state == EndpointState::Ready);
         let left = (a.until - now) / 1000;
         if !s.owed || !ready || left <= 0 {
             self.cut(id, Outcome::NotSent);
@@ -287,14 +290,14 @@
         else {
             return;
         };
-        let never_whole = a.way != Way::Whole && outcome == Outcome::Reset;
+        let never_whole = a.way != Way::Whole && outcome == Outcome::ConnectionReset;
         let (server, number) = (a.server, a.number);
         let outcome = if never_whole {
             Outcome::NotSent
         } else {
             outcome
         };
-        self.outcome(id, server, number, outcome, Load::default());
+        self.outcome(id, server, number, outcome, LoadReport::default());
     }
 
     /// An attempt is over without a session.
@@ -304,7 +307,7 @@
         server: ServerId,
         attempt: u32,
         outcome: Outcome,
-        load: Load,
+        load: LoadReport,
     ) {
         let Some(s) = self.sessions.get_mut(&id) else {
             return;
@@ -323,13 +326,13 @@
             self.forget(id);
         }
         self.finished(
-            Event::Finished {
+            Event::AttemptFinished {
                 session: id,
                 attempt,
                 server,
                 outcome,
-                closed,
-                load,
+                is_answered: closed,
+                load_report: load,
             },
             outcome,
         );
@@ -367,7 +370,7 @@
                 self.drop_link(link, Lost::Spoilt);
             }
         }
-        self.outcome(id, server, number, outcome, Load::default());
+        self.outcome(id, server, number, outcome, LoadReport::default());
         // Half of it is with the node, which does not read on: the other half never follows.
         if way == Way::Partly {
             self.drop_link(link, Lost::Spoilt);
@@ -378,7 +381,7 @@
     pub(crate) fn out_of_time(&mut self, id: SessionId, number: u32) {
         if matches!(self.sessions.get(&id), Some(Session { stage: Stage::Out(a), .. }) if a.number == number)
         {
-            self.give_up(id, Outcome::Late);
+            self.give_up(id, Outcome::TimedOut);
         }
     }
 
@@ -411,9 +414,9 @@
         if status != 200 {
             self.links.get(link).into_iter().for_each(|l| l.refuse(tag));
             let outcome = match status {
-                453 => Outcome::Full,
+                453 => Outcome::Rejected,
                 454 => Outcome::NotSent,
-                504 => Outcome::Reset,
+                504 => Outcome::ConnectionReset,
                 _ => Outcome::Error,
             };
             return self.outcome(id, server, number, outcome, message.load());
@@ -434,11 +437,11 @@
         }
         self.settle(id);
         self.stands(id, server);
-        self.events.push_back(Event::Started {
+        self.events.push_back(Event::SessionStarted {
             session: id,
             attempt: number,
             server,
-            waited: self.now - sent,
+            setup_time: self.now - sent,
         });
         if let Some(viewer) = viewer {
             let answer = Message {
@@ -534,12 +537,12 @@
             Some(Stage::Stands { server: at, .. }) if *at == server => {
                 // Who ended it himself, or was moved, is owed no release.
                 let (outcome, rc) = match message.cause() {
-                    Some(cause::NORMAL) => (Outcome::Good, Some(cause::NORMAL)),
+                    Some(cause::NORMAL) => (Outcome::Success, Some(cause::NORMAL)),
                     Some(cause::CANCELLED) => (
                         Outcome::Cancelled,
                         self.take_answer_back(id).then_some(cause::FAILED),
                     ),
-                    _ => (Outcome::Reset, Some(cause::FAILED)),
+                    _ => (Outcome::ConnectionReset, Some(cause::FAILED)),
                 };
                 self.ended(id, outcome, message.load(), rc);
             }
@@ -548,9 +551,9 @@
                 // It has stood and come to its end at once: its answer comes with its release.
                 if message.cause() == Some(cause::NORMAL) && !message.body.is_empty() {
                     self.answered(link, tag, 200, message);
-                    return self.ended(id, Outcome::Good, load, Some(cause::NORMAL));
+                    return self.ended(id, Outcome::Success, load, Some(cause::NORMAL));
                 }
-                self.outcome(id, server, number, Outcome::Reset, load);
+                self.outcome(id, server, number, Outcome::ConnectionReset, load);
             }
             _ => {}
         }
@@ -567,7 +570,13 @@
     }
 
     /// A session is over; `rc`: what its viewer is told.
-    pub(crate) fn ended(&mut self, id: SessionId, outcome: Outcome, load: Load, rc: Option<i64>) {
+    pub(crate) fn ended(
+        &mut self,
+        id: SessionId,
+        outcome: Outcome,
+        load: LoadReport,
+        rc: Option<i64>,
+    ) {
         let Some(s) = self.sessions.get(&id) else {
             return;
         };
@@ -586,13 +595,13 @@
             self.say_over(viewer, ip, Message::finish(tag, rc).write());
         }
         self.finished(
-            Event::Finished {
+            Event::AttemptFinished {
                 session: id,
                 attempt,
                 server,
                 outcome,
-                closed: true,
-                load,
+                is_answered: true,
+                load_report: load,
             },
             outcome,
         );
@@ -611,7 +620,7 @@
         if !way.is_some_and(|link| self.queue(link, Item::Release(tag))) {
             self.owe_release(server, vec![tag]);
         }
-        self.ended(id, Outcome::Cancelled, Load::default(), None);
+        self.ended(id, Outcome::Cancelled, LoadReport::default(), None);
     }
 
     /// The connection that a message on a session goes by: that of its set-up, else any, else a new one.
@@ -652,11 +661,11 @@
             _ => return,
         };
         if let Some(note) = message.note() {
-            self.events.push_back(Event::Noted {
+            self.events.push_back(Event::Notified {
                 session,
                 attempt,
                 server,
-                note,
+                notification: note,
             });
         }
     }
--- a/crates/platform-proto/tests/common/mod.rs
+++ b/crates/platform-proto/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A door with two nodes, a viewer, and what passes on their connections, without sockets.
 #![allow(dead_code)] // each test file uses a part of it
 
-use shalewall::{Listed, ServerId, Standing};
+use shalewall::{Endpoint, EndpointState, ServerId};
 use shalewall_platform_proto::config::Config;
 use shalewall_platform_proto::journal::{Entry, Frame, News};
 use shalewall_platform_proto::{Conn, Door, Output, Transmit};
@@ -27,10 +27,10 @@
         r#"{{"name":"n1","listen":"10.0.0.4:5060","seed":"8c1f30d27a5be964","limits":{{"sockets":256}},
         "journal":"10.2.0.1:8500","known":{{"pos":1,"entries":[{{"pos":1,"hosts":{{"revision":1,"complete":true,
         "members":[{},{}]}}}}]}},"settings":{{"Balancers":1,"MyNumber":0,"Categories":[
-        {{"Name":"paid","Effect":"at_most_once","Target":1500.0,"Value":2.0}},
-        {{"Name":"free","Effect":"idempotent","Target":1000.0,"Value":1.0}}],
+        {{"Name":"paid","Idempotency":"at_most_once","Target":1500.0,"Value":2.0}},
+        {{"Name":"free","Idempotency":"idempotent","Target":1000.0,"Value":1.0}}],
         "FailureDomains":["north"],"Shapes":["small"],"Zone":"north","WeightSource":"nominal","Step":10.0,
-        "Contract":{{"WarmAfter":0,"StartCapacity":0.4,"OverloadFactor":2.0,"Fall":2000.0,
+        "RuleSettings":{{"WarmAfter":0,"StartCapacity":0.4,"OverloadFactor":2.0,"Fall":2000.0,
         "StopSendingWithin":250.0}},"Limits":{{"MaxAttempts":4,"MayCancel":true,"RetryAfter":true,
         "MaxRetryAfter":1000.0,"ConnectTimeout":250.0,"ConnIdle":15000.0}},
         "Specifics":{{"Places":2,"Cabinets":1,"PlacesByKind":[30],"RungKb":[200,600],"RungWorth":[0.4,1.0],
@@ -239,15 +239,15 @@
 }
 
 /// A line of the list.
-pub fn entry(id: u64, address: &str, state: Standing, started: Option<i64>) -> Entry {
-    let listed = Listed {
+pub fn entry(id: u64, address: &str, state: EndpointState, started: Option<i64>) -> Entry {
+    let listed = Endpoint {
         server: ServerId(id),
         zone: Some(0),
-        kind: Some(0),
+        machine_kind: Some(0),
         cell: (id - 1) % 2,
         state,
         weight: 1.0,
-        came_up: started,
+        started_at: started,
         fleet: 0,
     };
     Entry {
--- a/crates/platform-proto/tests/crossings.rs
+++ b/crates/platform-proto/tests/crossings.rs
@@ -3,7 +3,7 @@
 
 mod common;
 use common::*;
-use shalewall::Standing::{Gone, Ready};
+use shalewall::EndpointState::{Gone, Ready};
 use shalewall_platform_proto::journal::Frame;
 use shalewall_platform_proto::lines::Message;
 use shalewall_platform_proto::{Conn, Door, Hex16, NotUp};
--- a/crates/platform-proto/tests/drawn.rs
+++ b/crates/platform-proto/tests/drawn.rs
@@ -5,7 +5,7 @@
 use common::*;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use shalewall::Standing;
+use shalewall::EndpointState;
 use shalewall_platform_proto::lines::Message;
 use shalewall_platform_proto::{Conn, Hex16, NotUp};
 use std::collections::{BTreeMap, BTreeSet};
@@ -267,9 +267,9 @@
             }
             Step::Drains(id) | Step::Ready(id) => {
                 let state = if matches!(step, Step::Drains(_)) {
-                    Standing::Draining
+                    EndpointState::Draining
                 } else {
-                    Standing::Ready
+                    EndpointState::Ready
                 };
                 self.number += 1;
                 self.rig.list(
--- a/crates/server/src/list.rs
+++ b/crates/server/src/list.rs
@@ -3,7 +3,7 @@
 use crate::hub::Hub;
 use async_io::Timer;
 use serde::Deserialize;
-use shalewall::{ListNews, ServerId, Standing};
+use shalewall::{EndpointState, EndpointUpdate, ServerId};
 use shalewall_engine::{Input, Line};
 use shalewall_http::client::{Call, Events, in_time};
 use shalewall_http::pool::Pool;
@@ -40,9 +40,9 @@
     let wire: Vec<Wire> = serde_json::from_str(data).map_err(|e| e.to_string())?;
     let line = |w: Wire| {
         let standing = match w.standing.as_str() {
-            "ready" => Standing::Ready,
-            "draining" => Standing::Draining,
-            "gone" => Standing::Gone,
+            "ready" => EndpointState::Ready,
+            "draining" => EndpointState::Draining,
+            "gone" => EndpointState::Gone,
             other => return Err(format!("server {}: '{other}' is no standing", w.server)),
         };
         let address = w
@@ -84,8 +84,8 @@
             while let Some(batch) = events.next(hub.silence).await {
                 for event in batch {
                     let news = match event.kind.as_str() {
-                        "full" => ListNews::Full,
-                        "delta" => ListNews::Delta,
+                        "full" => EndpointUpdate::Full,
+                        "delta" => EndpointUpdate::Delta,
                         _ => continue,
                     };
                     match read(&event.data) {
@@ -96,7 +96,7 @@
             }
             warn!("list is out of reach, the last one stands");
             hub.feed(Input::List {
-                news: ListNews::Failed,
+                news: EndpointUpdate::Failed,
                 lines: Vec::new(),
             });
         }
--- a/crates/server/src/node.rs
+++ b/crates/server/src/node.rs
@@ -5,7 +5,7 @@
 use async_io::Timer;
 use serde::Deserialize;
 use serde_json::Value;
-use shalewall::{Load, ServerId, SessionId};
+use shalewall::{LoadReport, ServerId, SessionId};
 use shalewall_engine::{CallKind, Carried, Done, Input, Told};
 use shalewall_http::Limits;
 use shalewall_http::client::{Call, Events, Failure, Response, Unconnected, in_time};
@@ -155,8 +155,8 @@
 }
 
 /// `streams=7, link=0.4, uplink=1.2`; what is missing or no number is left out.
-fn load(fields: &Fields) -> Load {
-    let mut load = Load::default();
+fn load(fields: &Fields) -> LoadReport {
+    let mut load = LoadReport::default();
     for part in fields.get("shalewall-load").unwrap_or_default().split(',') {
         let Some((name, value)) = part.split_once('=') else {
             continue;
@@ -169,8 +169,8 @@
         }
         match name.trim() {
             "streams" => load.streams = Some(value),
-            "link" => load.link = Some(value),
-            "uplink" => load.uplink = Some(value),
+            "link" => load.link_utilization = Some(value),
+            "uplink" => load.uplink_utilization = Some(value),
             _ => {}
         }
     }
--- a/crates/server/src/tenants.rs
+++ b/crates/server/src/tenants.rs
@@ -5,7 +5,7 @@
 use async_executor::Task;
 use async_io::Timer;
 use serde::Deserialize;
-use shalewall::{ClassTerms, Effect, Micros, ServerId};
+use shalewall::{ClassSettings, Idempotency, Micros, ServerId};
 use shalewall_engine::{Admission, Admit, Agreed, Input, Place, Shown};
 use shalewall_http::Limits;
 use shalewall_http::client::{Call, Response, in_time};
@@ -85,19 +85,19 @@
 /// What a tenant's terms are to the engine; nothing once it is gone.
 fn agreed(tenant: &Tenant) -> Option<Agreed> {
     let ms = |ms: u32| Micros::from(ms) * 1000;
-    let class = |c: &Class| ClassTerms {
-        effect: if c.paid {
-            Effect::Paid
+    let class = |c: &Class| ClassSettings {
+        idempotency: if c.paid {
+            Idempotency::AtMostOnce
         } else {
-            Effect::Harmless
+            Idempotency::Idempotent
         },
-        aim: ms(c.aim_ms),
-        worth: c.worth,
-        scale: 1.0,
-        floor: c.floor as usize,
-        top: c.top.map_or(usize::MAX, |top| top as usize),
-        seats: c.seats,
-        live: false,
+        latency_objective: ms(c.aim_ms),
+        priority_weight: c.worth,
+        rate_scale: 1.0,
+        lowest_rung: c.floor as usize,
+        highest_rung: c.top.map_or(usize::MAX, |top| top as usize),
+        session_limit_per_title: c.seats,
+        is_live: false,
     };
     let terms = &tenant.terms;
     let classes = terms.classes.iter();
--- a/crates/settings/src/site.rs
+++ b/crates/settings/src/site.rs
@@ -4,7 +4,7 @@
 use garde::Validate;
 use serde::{Deserialize, Serialize};
 use shalewall::{
-    ClassTerms, Contract, Effect, FurtherAttempts, Micros, Rung, Settings, TenantTerms,
+    ClassSettings, Idempotency, Micros, RetryBudget, RuleSettings, Rung, Settings, TenantSettings,
 };
 use shalewall_engine::{Config, Place};
 use std::collections::BTreeMap;
@@ -418,33 +418,33 @@
     /// What the module of one front is told.
     pub fn settings(&self, front: &Front) -> Settings {
         let top = self.ladder.len().saturating_sub(1);
-        let class = |c: &Class| ClassTerms {
-            effect: if c.paid {
-                Effect::Paid
+        let class = |c: &Class| ClassSettings {
+            idempotency: if c.paid {
+                Idempotency::AtMostOnce
             } else {
-                Effect::Harmless
+                Idempotency::Idempotent
             },
-            aim: us(c.aim_ms),
-            worth: c.worth,
-            scale: c.scale,
-            floor: c.floor,
-            top: c.top.unwrap_or(top),
-            seats: c.seats,
-            live: c.live,
+            latency_objective: us(c.aim_ms),
+            priority_weight: c.worth,
+            rate_scale: c.scale,
+            lowest_rung: c.floor,
+            highest_rung: c.top.unwrap_or(top),
+            session_limit_per_title: c.seats,
+            is_live: c.live,
         };
         let shares: f64 = self.tenant.values().map(|t| t.share).sum();
-        let tenant = |t: &Tenant| TenantTerms {
-            allowance_per_s: t.allowance_per_s,
-            part: if shares > 0.0 { t.share / shares } else { 0.0 },
+        let tenant = |t: &Tenant| TenantSettings {
+            request_quota_per_s: t.allowance_per_s,
+            fleet_quota: if shares > 0.0 { t.share / shares } else { 0.0 },
         };
-        let further = |f: &Further| FurtherAttempts {
-            free: f.free,
+        let further = |f: &Further| RetryBudget {
+            base: f.free,
             per_request: f.per_request,
-            span: us(f.span_ms),
+            window: us(f.span_ms),
         };
         Settings {
-            number: front.number,
-            directors: front.directors,
+            director_index: front.number,
+            director_count: front.directors,
             zone: front
                 .zone
                 .as_ref()
@@ -455,41 +455,41 @@
                 .ladder
                 .iter()
                 .map(|r| Rung {
-                    kb: r.kb,
-                    worth: r.worth,
+                    rate_kb_s: r.kb,
+                    utility: r.worth,
                 })
                 .collect(),
-            cells: self.layout.cells,
-            racks: self.layout.racks,
-            places_by_kind: self.kind.values().map(|k| k.places).collect(),
-            weights_tell_size: self.link.weights_tell_size,
-            link_kb_per_weight: self.link.kb_per_weight,
-            fleet_kb: self.link.fleet_kb,
-            uplink_kb: self.link.uplink_kb,
-            join_adds: self.link.join_adds,
-            told_late: us(self.notes.late_ms),
-            told_every: us(self.notes.every_ms),
-            stall_cost: self.costs.stall,
-            switch_s: self.costs.switch_s,
-            cross_price: self.costs.cross,
-            over_share_worth: self.costs.over_share_worth,
-            contract: Contract {
-                warm_after: us(self.rules.warm_after_ms),
-                start_capacity: self.rules.start_capacity,
+            cell_count: self.layout.cells,
+            rack_count: self.layout.racks,
+            stream_capacity_by_kind: self.kind.values().map(|k| k.places).collect(),
+            weight_is_capacity: self.link.weights_tell_size,
+            link_kb_s_per_weight: self.link.kb_per_weight,
+            fleet_kb_s: self.link.fleet_kb,
+            rack_uplink_kb_s: self.link.uplink_kb,
+            join_rate_fraction: self.link.join_adds,
+            notification_delay: us(self.notes.late_ms),
+            notification_interval: us(self.notes.every_ms),
+            stall_penalty: self.costs.stall,
+            rung_change_cost_s: self.costs.switch_s,
+            zone_crossing_price: self.costs.cross,
+            over_quota_weight: self.costs.over_share_worth,
+            rules: RuleSettings {
+                warm_up: us(self.rules.warm_after_ms),
+                initial_capacity: self.rules.start_capacity,
                 overload_factor: self.rules.overload_factor,
-                fall: us(self.rules.fall_ms),
-                must_ask_in: 0,
-                further: self.rules.further.as_ref().map(further),
+                overload_window: us(self.rules.fall_ms),
+                poll_deadline: 0,
+                retry_budget: self.rules.further.as_ref().map(further),
             },
             limits: shalewall::Limits {
                 max_attempts: self.limits.max_attempts,
-                may_cancel: self.limits.may_cancel,
-                may_probe: self.limits.may_probe,
-                probe_price: self.costs.probe,
-                max_come_back: us(self.limits.max_come_back_ms),
-                step: us(self.limits.step_ms),
+                can_cancel: self.limits.may_cancel,
+                can_check_health: self.limits.may_probe,
+                health_check_price: self.costs.probe,
+                max_retry_after: us(self.limits.max_come_back_ms),
+                min_batch_interval: us(self.limits.step_ms),
             },
-            ask_for_list: false,
+            must_poll_endpoints: false,
         }
     }
 
--- a/crates/settings/tests/errors.rs
+++ b/crates/settings/tests/errors.rs
@@ -42,7 +42,12 @@
     let plan: FrontPlan = parse("y.hcl", &format!("{front}{}", &site[from..to])).unwrap();
     let set = plan.site.settings(&plan.front);
     assert_eq!(
-        (set.number, set.zone, set.classes.len(), set.ladder.len()),
+        (
+            set.director_index,
+            set.zone,
+            set.classes.len(),
+            set.ladder.len()
+        ),
         (1, Some(2), 2, 5)
     );
     // Written out and read again it is the same: that is how a day gives each director its file.
--- a/crates/simulation/src/bounds.rs
+++ b/crates/simulation/src/bounds.rs
@@ -36,9 +36,12 @@
             let (mut kb, mut worth) = (0.0, 0.0);
             for ((class, top), n) in wanting {
                 let terms = &set.classes[*class];
-                let rung = rung.min(*top).min(terms.top).max(terms.floor);
+                let rung = rung
+                    .min(*top)
+                    .min(terms.highest_rung)
+                    .max(terms.lowest_rung);
                 kb += *n as f64 * set.rate(*class, rung);
-                worth += *n as f64 * terms.worth * set.ladder[rung].worth;
+                worth += *n as f64 * terms.priority_weight * set.ladder[rung].utility;
             }
             *sum += seconds * worth * if kb > room { room / kb } else { 1.0 };
         }
@@ -52,13 +55,14 @@
     let mut parts: Vec<(f64, f64)> = Vec::new(); // worth for a kB, kB
     for ((class, top), n) in wanting {
         let terms = &set.classes[*class];
-        let (mut kb, mut worth, mut from) = (0.0, 0.0, terms.floor);
+        let (mut kb, mut worth, mut from) = (0.0, 0.0, terms.lowest_rung);
         let last = (*top)
-            .min(terms.top)
+            .min(terms.highest_rung)
             .min(set.ladder.len().saturating_sub(1));
         while from <= last {
             let density = |r: usize| {
-                (terms.worth * set.ladder[r].worth - worth) / (set.rate(*class, r) - kb).max(1e-9)
+                (terms.priority_weight * set.ladder[r].utility - worth)
+                    / (set.rate(*class, r) - kb).max(1e-9)
             };
             let best = (from..=last).max_by(|a, b| density(*a).total_cmp(&density(*b)));
             let Some(best) = best.filter(|r| density(*r) > 0.0) else {
@@ -68,7 +72,7 @@
             parts.push((here, *n as f64 * (set.rate(*class, best) - kb)));
             (kb, worth, from) = (
                 set.rate(*class, best),
-                terms.worth * set.ladder[best].worth,
+                terms.priority_weight * set.ladder[best].utility,
                 best + 1,
             );
         }
@@ -85,17 +89,20 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use shalewall::{ClassTerms, Rung};
+    use shalewall::{ClassSettings, Rung};
 
     #[test]
     fn the_bound_fills_the_room_with_the_densest_parts() {
-        let class = ClassTerms {
-            worth: 1.0,
-            scale: 1.0,
-            top: 2,
+        let class = ClassSettings {
+            priority_weight: 1.0,
+            rate_scale: 1.0,
+            highest_rung: 2,
             ..Default::default()
         };
-        let rung = |kb, worth| Rung { kb, worth };
+        let rung = |kb, worth| Rung {
+            rate_kb_s: kb,
+            utility: worth,
+        };
         let ladder = vec![rung(100.0, 0.4), rung(200.0, 0.6), rung(400.0, 1.0)];
         let set = Settings {
             classes: vec![class],
--- a/crates/simulation/src/plain.rs
+++ b/crates/simulation/src/plain.rs
@@ -3,8 +3,8 @@
 //! exceptions, no evidence but what nodes report, no care for cold nodes. A baseline, not a decider for service.
 
 use shalewall::{
-    Action, Effect, Event, ListNews, Listed, Micros, Note, Outcome, Request, ServerId, SessionId,
-    Settings, Standing,
+    Action, Endpoint, EndpointState, EndpointUpdate, Event, Idempotency, Micros, Notification,
+    Outcome, Request, ServerId, SessionId, Settings,
 };
 use shalewall_engine::Decide;
 use std::collections::BTreeMap;
@@ -39,7 +39,7 @@
 
 pub struct Plain {
     set: Settings,
-    listed: BTreeMap<ServerId, Listed>,
+    listed: BTreeMap<ServerId, Endpoint>,
     links: BTreeMap<ServerId, Link>,
     uplinks: BTreeMap<u64, Link>,
     out: BTreeMap<SessionId, Out>,
@@ -51,12 +51,12 @@
             (
                 rack,
                 Link {
-                    kb: set.uplink_kb,
+                    kb: set.rack_uplink_kb_s,
                     share: 0.0,
                 },
             )
         };
-        let uplinks = (0..set.racks).map(uplink).collect();
+        let uplinks = (0..set.rack_count).map(uplink).collect();
         Plain {
             set,
             listed: BTreeMap::new(),
@@ -67,7 +67,10 @@
     }
 
     fn rack(&self, server: ServerId) -> Option<u64> {
-        self.listed.get(&server)?.cell.checked_rem(self.set.racks)
+        self.listed
+            .get(&server)?
+            .cell
+            .checked_rem(self.set.rack_count)
     }
 
     fn charge(&mut self, server: ServerId, kb: f64) {
@@ -89,12 +92,12 @@
     }
 
     fn holders(&self, out: &Out) -> Vec<ServerId> {
-        let (req, cells) = (&out.req, self.set.cells.max(1));
+        let (req, cells) = (&out.req, self.set.cell_count.max(1));
         let mut holders: Vec<ServerId> = self
             .listed
             .values()
-            .filter(|l| l.state == Standing::Ready && !out.tried.contains(&l.server))
-            .filter(|l| (l.cell + cells - req.home % cells) % cells < req.spread)
+            .filter(|l| l.state == EndpointState::Ready && !out.tried.contains(&l.server))
+            .filter(|l| (l.cell + cells - req.first_cell % cells) % cells < req.replica_cells)
             .map(|l| l.server)
             .collect();
         let account = |s: &ServerId| {
@@ -111,24 +114,32 @@
     fn place(&mut self, now: Micros, mut out: Out, actions: &mut Vec<Action>) {
         let (session, class) = (out.req.session, out.req.class);
         let terms = self.set.classes[class];
-        let top = out.req.top.min(terms.top).min(self.set.ladder.len() - 1);
+        let top = out
+            .req
+            .highest_rung
+            .min(terms.highest_rung)
+            .min(self.set.ladder.len() - 1);
         let held = self
             .out
             .values()
             .filter(|o| (o.req.title, o.req.class) == (out.req.title, class));
-        let seated = terms.seats > 0 && held.count() >= terms.seats as usize;
-        let late = now + self.set.limits.step >= out.req.deadline;
+        let seated = terms.session_limit_per_title > 0
+            && held.count() >= terms.session_limit_per_title as usize;
+        let late = now + self.set.limits.min_batch_interval >= out.req.deadline;
         let spent = out.tried.len() as u32 >= self.set.limits.max_attempts.max(1);
         let found = self.holders(&out).into_iter().find_map(|s| {
             let asked = self
                 .fits(s, self.set.rate(class, top), MARK)
                 .then_some((s, top));
-            let least = || self.fits(s, self.set.rate(class, terms.floor), FULL_LINE);
-            asked.or_else(|| least().then_some((s, terms.floor)))
+            let least = || self.fits(s, self.set.rate(class, terms.lowest_rung), FULL_LINE);
+            asked.or_else(|| least().then_some((s, terms.lowest_rung)))
         });
         let Some((server, rung)) = found.filter(|_| !seated && !late && !spent) else {
-            let come_back = Some(self.set.limits.max_come_back);
-            return actions.push(Action::Refuse { session, come_back });
+            let come_back = Some(self.set.limits.max_retry_after);
+            return actions.push(Action::Reject {
+                session,
+                retry_after: come_back,
+            });
         };
         let kb = self.set.rate(class, rung);
         self.charge(server, kb);
@@ -136,29 +147,29 @@
         out.at = Some((server, kb));
         self.out.insert(session, out);
         actions.push(Action::SetRung { session, rung });
-        actions.push(Action::Send {
+        actions.push(Action::StartAttempt {
             session,
             server,
-            patience: None,
+            attempt_timeout: None,
         });
     }
 
-    fn note(&mut self, server: ServerId, note: Note) {
+    fn note(&mut self, server: ServerId, note: Notification) {
         let rack = self.rack(server);
         let (link, share) = match note {
-            Note::Link(x) => (self.links.get_mut(&server), x),
-            Note::Uplink(x) => (rack.and_then(|r| self.uplinks.get_mut(&r)), x),
-            Note::Delivered(_) | Note::Rung(_) => return,
+            Notification::LinkUtilization(x) => (self.links.get_mut(&server), x),
+            Notification::UplinkUtilization(x) => (rack.and_then(|r| self.uplinks.get_mut(&r)), x),
+            Notification::DeliveredFraction(_) | Notification::CurrentRung(_) => return,
         };
         link.into_iter().for_each(|l| l.share = share);
     }
 
-    fn list(&mut self, news: ListNews, lines: Vec<Listed>) {
-        if matches!(news, ListNews::Full | ListNews::Cached) {
+    fn list(&mut self, news: EndpointUpdate, lines: Vec<Endpoint>) {
+        if matches!(news, EndpointUpdate::Full | EndpointUpdate::Cached) {
             self.listed.clear();
         }
         for line in lines {
-            let kb = self.set.link_kb_per_weight * line.weight;
+            let kb = self.set.link_kb_s_per_weight * line.weight;
             self.links.entry(line.server).or_default().kb = kb;
             self.listed.insert(line.server, line);
         }
@@ -168,10 +179,13 @@
 impl Decide for Plain {
     fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
         match event {
-            Event::List { news, lines } => self.list(news, lines),
-            Event::Asked(req) => {
-                let after = req.deadline - self.set.limits.step - now;
-                actions.push(Action::Timer {
+            Event::EndpointsUpdated {
+                update: news,
+                endpoints: lines,
+            } => self.list(news, lines),
+            Event::RequestReceived(req) => {
+                let after = req.deadline - self.set.limits.min_batch_interval - now;
+                actions.push(Action::SetTimer {
                     after,
                     token: req.session.0,
                 });
@@ -186,16 +200,16 @@
                     actions,
                 );
             }
-            Event::Started { session, .. } => {
+            Event::SessionStarted { session, .. } => {
                 self.out
                     .get_mut(&session)
                     .into_iter()
                     .for_each(|o| o.plays = true);
             }
-            Event::Finished {
+            Event::AttemptFinished {
                 session,
                 outcome,
-                closed,
+                is_answered: closed,
                 ..
             } => {
                 let Some(out) = self.out.remove(&session) else {
@@ -206,20 +220,26 @@
                     .for_each(|(server, kb)| self.charge(server, -kb));
                 let never_ran = matches!(
                     outcome,
-                    Outcome::Full | Outcome::NoConnection | Outcome::NotSent
+                    Outcome::Rejected | Outcome::ConnectionFailed | Outcome::NotSent
                 );
-                if closed || out.plays || outcome == Outcome::Good {
-                } else if never_ran || self.set.classes[out.req.class].effect == Effect::Harmless {
+                if closed || out.plays || outcome == Outcome::Success {
+                } else if never_ran
+                    || self.set.classes[out.req.class].idempotency == Idempotency::Idempotent
+                {
                     self.place(now, out, actions);
                 } else {
                     actions.push(Action::Fail { session });
                 }
             }
-            Event::Noted { server, note, .. } => self.note(server, note),
-            Event::Timer(token) => {
+            Event::Notified {
+                server,
+                notification: note,
+                ..
+            } => self.note(server, note),
+            Event::TimerFired(token) => {
                 let waits = self.out.get(&SessionId(token)).filter(|o| !o.plays);
                 if let Some(out) = waits {
-                    actions.push(Action::Recall {
+                    actions.push(Action::CancelAttempt {
                         session: out.req.session,
                         attempt: out.tried.len() as u32 - 1,
                     });
@@ -228,15 +248,17 @@
                     });
                 }
             }
-            Event::Terms { classes, tenants } => {
+            Event::SettingsUpdated { classes, tenants } => {
                 (self.set.classes, self.set.tenants) = (classes, tenants)
             }
             // Baselines hand nothing over.
-            Event::Carried(..)
-            | Event::Withdrawn(_)
-            | Event::Probed { .. }
-            | Event::Peer { .. } => {}
-            Event::HandOver(_) | Event::HandedOver { .. } | Event::Silent(_) => {}
+            Event::SessionTransferred(..)
+            | Event::RequestWithdrawn(_)
+            | Event::HealthCheckFinished { .. }
+            | Event::PeerMessage { .. } => {}
+            Event::MigrationRequested(_)
+            | Event::MigrationFinished { .. }
+            | Event::ServerSilent(_) => {}
         }
     }
 }
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -10,7 +10,7 @@
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use shalewall::{ListNews, Load, Micros, ServerId, SessionId, Settings, Standing};
+use shalewall::{EndpointState, EndpointUpdate, LoadReport, Micros, ServerId, SessionId, Settings};
 use shalewall_engine::*;
 use shalewall_fleet_model::crowd::{Class, Crowd, Draw, Person};
 use shalewall_fleet_model::fleet::{Arrival, Fleet, Machine, Playing, Process, Run};
@@ -229,7 +229,7 @@
         for machine in machines {
             world
                 .listed
-                .insert(machine.id, line(&machine, Standing::Ready, None));
+                .insert(machine.id, line(&machine, EndpointState::Ready, None));
             world.fleet.start(machine, 0, true);
         }
         (0..directors).for_each(|d| world.start(d));
@@ -269,7 +269,7 @@
         self.tell(
             d,
             Input::List {
-                news: ListNews::Full,
+                news: EndpointUpdate::Full,
                 lines,
             },
         );
@@ -385,12 +385,12 @@
         }
     }
 
-    fn load(&self, node: u64) -> Load {
+    fn load(&self, node: u64) -> LoadReport {
         let f = self.fleet.told(node);
-        Load {
+        LoadReport {
             streams: Some(f.streams as f64),
-            link: Some(f.link),
-            uplink: Some(f.uplink),
+            link_utilization: Some(f.link),
+            uplink_utilization: Some(f.uplink),
         }
     }
 
@@ -547,7 +547,7 @@
                 ),
             );
         }
-        self.list(node, Standing::Gone, None);
+        self.list(node, EndpointState::Gone, None);
     }
 
     fn up(&mut self, node: u64) {
@@ -559,11 +559,11 @@
         }
         let machine = n.machine.clone();
         self.fleet.start(machine, self.now, false);
-        self.list(node, Standing::Ready, Some(self.now));
+        self.list(node, EndpointState::Ready, Some(self.now));
     }
 
     /// The list hears of it late.
-    fn list(&mut self, node: u64, standing: Standing, came_up: Option<Micros>) {
+    fn list(&mut self, node: u64, standing: EndpointState, came_up: Option<Micros>) {
         let machine = self.fleet.nodes[&node].machine.clone();
         let line = line(&machine, standing, came_up);
         self.listed.insert(node, line.clone());
@@ -575,7 +575,7 @@
                 Due::Tell(
                     d,
                     Input::List {
-                        news: ListNews::Delta,
+                        news: EndpointUpdate::Delta,
                         lines,
                     },
                 ),
@@ -663,7 +663,7 @@
             .pass(&self.settings, &self.wanting, room, dt);
         let (terms, ladder) = (&self.settings.classes, &self.settings.ladder);
         let wanted = |((class, top), n): (&(usize, usize), &usize)| {
-            *n as f64 * terms[*class].worth * ladder[*top].worth
+            *n as f64 * terms[*class].priority_weight * ladder[*top].utility
         };
         let wanted: f64 = self.wanting.iter().map(wanted).sum();
         let count = &mut self.result.count;
@@ -724,7 +724,7 @@
     }
 }
 
-fn line(machine: &Machine, standing: Standing, came_up: Option<Micros>) -> Line {
+fn line(machine: &Machine, standing: EndpointState, came_up: Option<Micros>) -> Line {
     Line {
         server: ServerId(machine.id),
         address: Some(SocketAddr::from((Ipv4Addr::LOCALHOST, 1))),
--- a/crates/simulator-adapter/src/lib.rs
+++ b/crates/simulator-adapter/src/lib.rs
@@ -32,7 +32,7 @@
     zone: String,
     kind: String,
     cell: u64,
-    state: Standing,
+    state: EndpointState,
     weight: f64,
     came_up: Option<Micros>,
 }
@@ -135,11 +135,11 @@
     fn outcome(&mut self) -> Read<Outcome> {
         let field = "StateCode";
         Ok(match self.text(field)? {
-            "GOOD" => Outcome::Good,
-            "FULL" => Outcome::Full,
-            "LATE" => Outcome::Late,
-            "NOCONN" => Outcome::NoConnection,
-            "RST" => Outcome::Reset,
+            "GOOD" => Outcome::Success,
+            "FULL" => Outcome::Rejected,
+            "LATE" => Outcome::TimedOut,
+            "NOCONN" => Outcome::ConnectionFailed,
+            "RST" => Outcome::ConnectionReset,
             "CXL" => Outcome::Cancelled,
             "NOP" => Outcome::NotSent,
             // BAD, and any code that is not known: it may have run.
@@ -148,8 +148,8 @@
     }
 
     /// The load report, which older senders may leave out altogether.
-    fn load(&mut self) -> Read<Load> {
-        let mut load = Load::default();
+    fn load(&mut self) -> Read<LoadReport> {
+        let mut load = LoadReport::default();
         let text = self.rest.next().unwrap_or("-");
         if text == "-" || text.is_empty() {
             return Ok(load);
@@ -291,32 +291,35 @@
                 let form = p.int("Form")?;
                 p.opt_int("SeqNo")?;
                 let news = match form {
-                    1 => ListNews::Full,
-                    2 => ListNews::Cached,
-                    3 => ListNews::Failed,
-                    4 => ListNews::Delta,
+                    1 => EndpointUpdate::Full,
+                    2 => EndpointUpdate::Cached,
+                    3 => EndpointUpdate::Failed,
+                    4 => EndpointUpdate::Delta,
                     _ => return Err(p.fault("Form", &format!("'{form}' is not a kind of news"))),
                 };
                 let mut lines = Vec::new();
-                if news != ListNews::Failed {
+                if news != EndpointUpdate::Failed {
                     let slot = p.int("Slot")?;
                     let Some(list) = self.lists.get(&slot) else {
                         return Err(p.fault("Slot", &format!("no list {slot} has come")));
                     };
                     lines.extend(list.iter().map(|n| listed(n, names)));
                 }
-                Some(Event::List { news, lines })
+                Some(Event::EndpointsUpdated {
+                    update: news,
+                    endpoints: lines,
+                })
             }
-            "SUBMIT" => Some(Event::Asked(read_request(&mut p, names)?)),
+            "SUBMIT" => Some(Event::RequestReceived(read_request(&mut p, names)?)),
             "CARRIED" => {
                 let request = read_request(&mut p, names)?;
-                Some(Event::Carried(request, ServerId(p.int("Node")?)))
+                Some(Event::SessionTransferred(request, ServerId(p.int("Node")?)))
             }
-            "HEADERS" => Some(Event::Started {
+            "HEADERS" => Some(Event::SessionStarted {
                 session: SessionId(p.int("OpId")?),
                 attempt: p.int("Copy")? as u32,
                 server: ServerId(p.int("Node")?),
-                waited: p.opt_time("DelaySeen")?.unwrap_or(0),
+                setup_time: p.opt_time("DelaySeen")?.unwrap_or(0),
             }),
             "HINT_UPDATE" => {
                 let session = SessionId(p.int("OpId")?);
@@ -324,17 +327,17 @@
                 let value = p.number("Value")?;
                 let server = ServerId(p.int("Node")?);
                 let note = match p.int("Sort")? {
-                    1 => Some(Note::Delivered(value)),
-                    2 => Some(Note::Rung(value.max(0.0) as usize)),
-                    3 => Some(Note::Link(value)),
-                    4 => Some(Note::Uplink(value)),
+                    1 => Some(Notification::DeliveredFraction(value)),
+                    2 => Some(Notification::CurrentRung(value.max(0.0) as usize)),
+                    3 => Some(Notification::LinkUtilization(value)),
+                    4 => Some(Notification::UplinkUtilization(value)),
                     _ => None,
                 };
-                note.map(|note| Event::Noted {
+                note.map(|note| Event::Notified {
                     session,
                     attempt,
                     server,
-                    note,
+                    notification: note,
                 })
             }
             "FINISHED" => {
@@ -345,33 +348,33 @@
                 let attempt = p.int("Copy")? as u32;
                 let closed = p.int("Last")? != 0;
                 let load = p.load()?;
-                Some(Event::Finished {
+                Some(Event::AttemptFinished {
                     session,
                     attempt,
                     server,
                     outcome,
-                    closed,
-                    load,
+                    is_answered: closed,
+                    load_report: load,
                 })
             }
-            "WITHDRAWN" => Some(Event::Withdrawn(SessionId(p.int("OpId")?))),
+            "WITHDRAWN" => Some(Event::RequestWithdrawn(SessionId(p.int("OpId")?))),
             // A token that is no number was never set by a director here.
-            "BELL" => p.text("Ref")?.parse().ok().map(Event::Timer),
+            "BELL" => p.text("Ref")?.parse().ok().map(Event::TimerFired),
             "PROBE_RESULT" => {
                 let server = ServerId(p.int("Node")?);
                 let outcome = p.outcome()?;
                 p.opt_time("DelaySeen")?;
-                Some(Event::Probed {
+                Some(Event::HealthCheckFinished {
                     server,
                     outcome,
-                    load: p.load()?,
+                    load_report: p.load()?,
                 })
             }
             _ => {
                 let from = p.int("Author")? as u32;
                 let text = p.opt("Body")?.unwrap_or("");
                 let body = bytes(text).ok_or_else(|| p.fault("Body", "is not hex digits"))?;
-                Some(Event::Peer { from, body })
+                Some(Event::PeerMessage { from, body })
             }
         };
         let (Some(event), Some(instance)) = (event, self.instances.get_mut(name)) else {
@@ -402,9 +405,9 @@
     let kind = p.text("ClassOfHost")?.to_string();
     let cell = p.opt_int("Position")?.unwrap_or(u64::MAX);
     let state = match p.int("Availability")? {
-        0 => Standing::Gone,
-        1 => Standing::Ready,
-        2 => Standing::Draining,
+        0 => EndpointState::Gone,
+        1 => EndpointState::Ready,
+        2 => EndpointState::Draining,
         other => return Err(p.fault("Availability", &format!("'{other}' is not a state"))),
     };
     let weight = p.opt_number("Rating")?.unwrap_or(1.0);
@@ -420,15 +423,15 @@
     })
 }
 
-fn listed(node: &Node, names: &Names) -> Listed {
-    Listed {
+fn listed(node: &Node, names: &Names) -> Endpoint {
+    Endpoint {
         server: node.server,
         zone: names.zones.iter().position(|z| *z == node.zone),
-        kind: names.kinds.iter().position(|k| *k == node.kind),
+        machine_kind: names.kinds.iter().position(|k| *k == node.kind),
         cell: node.cell,
         state: node.state,
         weight: node.weight,
-        came_up: node.came_up,
+        started_at: node.came_up,
         fleet: 0,
     }
 }
@@ -457,43 +460,46 @@
         viewer,
         title,
         deadline,
-        hint,
-        home,
-        spread,
-        top,
-        again,
+        duration_hint: hint,
+        first_cell: home,
+        replica_cells: spread,
+        highest_rung: top,
+        is_retry: again,
         fleet: 0,
     })
 }
 
 fn write_action(name: &str, action: &Action, out: &mut String) {
     let written = match action {
-        Action::Send {
+        Action::StartAttempt {
             session,
             server,
-            patience,
+            attempt_timeout: patience,
         } => {
             let cap = patience.map_or("-".to_string(), |p| ms(p).to_string());
             writeln!(out, "TRANSMIT {name} {} {} {cap}", session.0, server.0)
         }
         Action::SetRung { session, rung } => writeln!(out, "STEP_TO {name} {} {rung}", session.0),
-        Action::Refuse { session, come_back } => {
+        Action::Reject {
+            session,
+            retry_after: come_back,
+        } => {
             let advice = come_back.map_or("-".to_string(), |t| ms(t).to_string());
             writeln!(out, "OVERLOAD_REPLY {name} {} {advice}", session.0)
         }
         Action::Fail { session } => writeln!(out, "END_FAILED {name} {}", session.0),
-        Action::Recall { session, attempt } => {
+        Action::CancelAttempt { session, attempt } => {
             writeln!(out, "RECALL {name} {} {attempt}", session.0)
         }
-        Action::Move { session } => writeln!(out, "GO_AWAY {name} {}", session.0),
+        Action::Redirect { session } => writeln!(out, "GO_AWAY {name} {}", session.0),
         // Asked for by nobody here: the simulator moves sessions by ending them.
-        Action::HandOver { .. } => Ok(()),
-        Action::Timer { after, token } => writeln!(out, "SLEEP {name} {} {token}", ms(*after)),
-        Action::Probe { server } => writeln!(out, "PING {name} {}", server.0),
-        Action::FetchList => writeln!(out, "FETCH {name}"),
-        Action::Subscribe(on) => writeln!(out, "STREAM_CHANGES {name} {}", u8::from(*on)),
-        Action::CloseIdle { server } => writeln!(out, "FREE_LINKS {name} {}", server.0),
-        Action::Tell { to, body } => {
+        Action::Migrate { .. } => Ok(()),
+        Action::SetTimer { after, token } => writeln!(out, "SLEEP {name} {} {token}", ms(*after)),
+        Action::CheckHealth { server } => writeln!(out, "PING {name} {}", server.0),
+        Action::PollEndpoints => writeln!(out, "FETCH {name}"),
+        Action::WatchEndpoints(on) => writeln!(out, "STREAM_CHANGES {name} {}", u8::from(*on)),
+        Action::CloseIdleConnections { server } => writeln!(out, "FREE_LINKS {name} {}", server.0),
+        Action::SendToPeer { to, body } => {
             let to = to.map_or("*".to_string(), |n| n.to_string());
             let hex: String = body.iter().map(|b| format!("{b:02x}")).collect();
             let hex = if hex.is_empty() { "-" } else { &hex };
--- a/crates/simulator-adapter/tests/wire.rs
+++ b/crates/simulator-adapter/tests/wire.rs
@@ -5,10 +5,10 @@
 use std::process::{Command, Stdio};
 
 const SETUP: &str = r#"{"Balancers": 1, "MyNumber": 0, "Categories": [
- {"Name": "report", "Effect": "at_most_once", "Target": 1500.0, "Value": 2.0},
- {"Name": "live", "Effect": "idempotent", "Target": 1000.0, "Value": 1.0}],
+ {"Name": "report", "Idempotency": "at_most_once", "Target": 1500.0, "Value": 2.0},
+ {"Name": "live", "Idempotency": "idempotent", "Target": 1000.0, "Value": 1.0}],
  "FailureDomains": ["north"], "Shapes": ["small"], "Zone": "north", "WeightSource": "nominal",
- "Contract": {"WarmAfter": 0, "StartCapacity": 0.4, "OverloadFactor": 2.0, "Fall": 2000.0},
+ "RuleSettings": {"WarmAfter": 0, "StartCapacity": 0.4, "OverloadFactor": 2.0, "Fall": 2000.0},
  "Limits": {"MaxAttempts": 4, "MayCancel": true, "RetryAfter": true, "MaxRetryAfter": 1000.0},
  "Specifics": {"Places": 4, "Cabinets": 1, "PlacesByKind": [30], "RungKb": [200, 600], "RungWorth": [0.4, 1.0],
  "HighestRung": [1, 1], "LowestRung": [0, 0], "ClassScale": [1.0, 1.0], "KbPerWeight": 9000.0, "RackLinkKb": 20000.0},
--- a/crates/test-harness/src/node.rs
+++ b/crates/test-harness/src/node.rs
@@ -39,7 +39,7 @@
     Resets,
 }
 
-struct Standing {
+struct EndpointState {
     conn: u64,
     attempt: u32,
     until: i64,
@@ -55,7 +55,7 @@
     conns: BTreeMap<u64, TcpStream>,
     /// Set-ups that are out: their connection, attempt, and when they are answered.
     out: BTreeMap<u64, (u64, u32, i64)>,
-    standing: BTreeMap<u64, Standing>,
+    standing: BTreeMap<u64, EndpointState>,
     /// Releases of the last seconds, said again on the next connection.
     said: Vec<(i64, u64, i64)>,
     /// The process lives; another start is another number.
@@ -294,7 +294,7 @@
         let until = now() + self.draw(LASTS);
         inner.standing.insert(
             tag,
-            Standing {
+            EndpointState {
                 conn,
                 attempt,
                 until,
--- a/src/control.rs
+++ b/src/control.rs
@@ -151,7 +151,7 @@
 /// Evidence on one server.
 #[derive(Default)]
 struct Server {
-    listed: Listed,
+    listed: Endpoint,
     link: Account,
     short: bool, // a note says that it delivers short; full until cleared
     lost: f64,   // worth of a session, in seconds, that the shortage told has cost so far
@@ -236,41 +236,52 @@
             self.stalled = now;
         }
         match event {
-            Event::List { news, lines } => self.on_list(news, lines),
-            Event::Asked(req) => self.on_asked(req),
-            Event::Carried(req, server) => self.on_carried(req, server),
-            Event::Started { session, attempt, server, waited } => {
+            Event::EndpointsUpdated { update: news, endpoints: lines } => self.on_list(news, lines),
+            Event::RequestReceived(req) => self.on_asked(req),
+            Event::SessionTransferred(req, server) => self.on_carried(req, server),
+            Event::SessionStarted { session, attempt, server, setup_time: waited } => {
                 self.on_started(session, attempt.wrapping_add(1), server, waited);
             }
-            Event::Finished { session, attempt, server, outcome, closed, load } => {
+            Event::AttemptFinished {
+                session,
+                attempt,
+                server,
+                outcome,
+                is_answered: closed,
+                load_report: load,
+            } => {
                 self.on_load(server, load, ANSWER_AGE, ANSWER_WEIGHT);
                 self.on_finished(session, attempt.wrapping_add(1), outcome, closed);
             }
-            Event::Noted { session, server, note, .. } => self.on_note(session, server, note),
-            Event::Withdrawn(session) => {
+            Event::Notified { session, server, notification: note, .. } => {
+                self.on_note(session, server, note)
+            }
+            Event::RequestWithdrawn(session) => {
                 self.asking.remove(&session);
                 self.held.change(session, |l| l.state = State::Closed);
             }
-            Event::Timer(TICK_TOKEN) => {
+            Event::TimerFired(TICK_TOKEN) => {
                 self.ring();
                 self.weigh_demand();
                 self.forget();
                 self.settled().into_iter().for_each(|(id, rung)| self.step(id, rung));
             }
-            Event::Timer(token) => self.on_deadline(SessionId(token)),
-            Event::Probed { server, outcome, load } => {
+            Event::TimerFired(token) => self.on_deadline(SessionId(token)),
+            Event::HealthCheckFinished { server, outcome, load_report: load } => {
                 self.on_load(server, load, ANSWER_AGE, ANSWER_WEIGHT);
                 // A probe shows that the process runs, not that it sets sessions up.
-                if outcome != Outcome::Good {
+                if outcome != Outcome::Success {
                     self.judge(server, outcome);
                 }
                 self.on_probed(server);
             }
-            Event::HandOver(session) => self.hand_over(session),
-            Event::HandedOver { session, moved } => self.handed_over(session, moved),
-            Event::Silent(server) => self.on_sign(server, false),
-            Event::Terms { classes, tenants } => (self.set.classes, self.set.tenants) = (classes, tenants),
-            Event::Peer { .. } => {}
+            Event::MigrationRequested(session) => self.hand_over(session),
+            Event::MigrationFinished { session, migrated: moved } => self.handed_over(session, moved),
+            Event::ServerSilent(server) => self.on_sign(server, false),
+            Event::SettingsUpdated { classes, tenants } => {
+                (self.set.classes, self.set.tenants) = (classes, tenants)
+            }
+            Event::PeerMessage { .. } => {}
         }
         self.keep_list();
         out.append(&mut self.out);
@@ -278,13 +289,13 @@
 
     fn ring(&mut self) {
         self.tick_due = Some(self.now + TICK);
-        self.out.push(Action::Timer { after: TICK, token: TICK_TOKEN });
+        self.out.push(Action::SetTimer { after: TICK, token: TICK_TOKEN });
     }
 
     // ---- events -----------------------------------------------------------------------------
 
     fn on_asked(&mut self, mut req: Request) {
-        let span = self.set.contract.further.map_or(0, |f| f.span).max(self.set.contract.fall);
+        let span = self.set.rules.retry_budget.map_or(0, |f| f.window).max(self.set.rules.overload_window);
         self.taken.push_back(self.now);
         for times in [&mut self.taken, &mut self.further, &mut self.moved] {
             while times.front().is_some_and(|t| *t < self.now - span) {
@@ -293,7 +304,7 @@
         }
         req.deadline = req.deadline.clamp(self.now, self.now + LONGEST);
         let known = self.turned.remove(&req.viewer).is_some();
-        self.count_new(&req, known || req.again);
+        self.count_new(&req, known || req.is_retry);
         self.weigh_demand();
         if self.held.live.contains_key(&req.session) || self.asking.contains_key(&req.session) {
             return; // an id that is already held: odd input, and its answer is under way
@@ -303,8 +314,8 @@
         if probed.is_empty() {
             return self.place(ask);
         }
-        self.out.extend(probed.iter().map(|s| Action::Probe { server: *s }));
-        self.out.push(Action::Timer { after: PROBE_WAIT, token: ask.req.session.0 });
+        self.out.extend(probed.iter().map(|s| Action::CheckHealth { server: *s }));
+        self.out.push(Action::SetTimer { after: PROBE_WAIT, token: ask.req.session.0 });
         self.asking.insert(ask.req.session, (ask, probed));
     }
 
@@ -312,7 +323,11 @@
     /// of the holder that would be taken, the best holders of which that is so are asked first.
     fn unsure_of(&self, ask: &Ask) -> Vec<ServerId> {
         let limits = &self.set.limits;
-        let most = if limits.may_probe { (NEWS_WORTH / limits.probe_price.max(1e-4)) as usize } else { 0 };
+        let most = if limits.can_check_health {
+            (NEWS_WORTH / limits.health_check_price.max(1e-4)) as usize
+        } else {
+            0
+        };
         if most == 0 || self.now - self.stalled < STALL_MEMORY {
             return Vec::new();
         }
@@ -342,7 +357,7 @@
         }
         // What is handed over played at the start, a little late as the word may come: it is no growth since.
         let sent = if self.now - self.born < GROWTH_SPAN { self.born } else { self.now };
-        req.hint = req.hint.map(|h| h + (self.now - sent)); // its hint counts from now
+        req.duration_hint = req.duration_hint.map(|h| h + (self.now - sent)); // its hint counts from now
         let rung = self.set.floor(req.class);
         let kb = self.set.rate(req.class, rung);
         let ask = Ask { req, attempts: 1, tried: vec![server], booked: true, errors: 0 };
@@ -364,17 +379,17 @@
         self.handed_over(id, false);
         let Some(Live { mut ask, state, server, kb, sent, .. }) = self.held.remove(id) else { return };
         self.charge(server, -kb);
-        if state == State::Plays && outcome == Outcome::Good {
-            self.ends.count((self.now - sent) as f64 / 1e6, ask.req.hint);
+        if state == State::Plays && outcome == Outcome::Success {
+            self.ends.count((self.now - sent) as f64 / 1e6, ask.req.duration_hint);
         }
         // What two servers answer with an error is wrong by itself: the second is not judged by it.
         ask.errors += u32::from(outcome == Outcome::Error);
         self.judge(server, if ask.errors < 2 { outcome } else { Outcome::NotSent });
         // Only a request that is still owed its answer goes on; a paid one only on proof.
-        if closed || outcome == Outcome::Good || state != State::Pending {
+        if closed || outcome == Outcome::Success || state != State::Pending {
             return;
         }
-        let never_ran = matches!(outcome, Outcome::Full | Outcome::NoConnection | Outcome::NotSent);
+        let never_ran = matches!(outcome, Outcome::Rejected | Outcome::ConnectionFailed | Outcome::NotSent);
         if never_ran || (self.set.harmless(ask.req.class) && ask.errors < 2) {
             return self.place(ask);
         }
@@ -384,67 +399,81 @@
     /// What an outcome says of the server; a time-out while this director stood still says nothing.
     fn judge(&mut self, server: ServerId, outcome: Outcome) {
         match outcome {
-            Outcome::Late if self.stalled == self.now => {}
-            Outcome::NoConnection | Outcome::Reset | Outcome::Late => self.on_sign(server, false),
+            Outcome::TimedOut if self.stalled == self.now => {}
+            Outcome::ConnectionFailed | Outcome::ConnectionReset | Outcome::TimedOut => {
+                self.on_sign(server, false)
+            }
             Outcome::Error => self.servers.get_mut(&server).into_iter().for_each(|s| {
                 (s.fails, s.failed_at) = (s.fails + 1, self.now); // it answers: it will not be back cold
             }),
-            Outcome::Good | Outcome::Full => self.on_sign(server, true),
+            Outcome::Success | Outcome::Rejected => self.on_sign(server, true),
             Outcome::Cancelled | Outcome::NotSent => {}
         }
     }
 
-    fn on_note(&mut self, id: SessionId, server: ServerId, note: Note) {
+    fn on_note(&mut self, id: SessionId, server: ServerId, note: Notification) {
         // A note shows that the process runs, not that it sets sessions up: it clears no failure.
         match note {
-            Note::Delivered(share) => {
+            Notification::DeliveredFraction(share) => {
                 let Some(s) = self.servers.get_mut(&server) else { return };
                 if share >= 0.98 {
                     return (s.short, s.lost) = (false, 0.0);
                 }
                 // Such notes come each second while it lasts, also where no others do.
                 let uplink = s.link.reported.is_some() && s.link.share < FULL_LINE;
-                s.lost += (self.set.stall_cost * (0.98 - share)).clamp(0.0, 1.0);
+                s.lost += (self.set.stall_penalty * (0.98 - share)).clamp(0.0, 1.0);
                 (s.short, s.short_at) = (true, self.now);
                 let calm = s.relief_at.is_none_or(|t| self.now - t >= STEP_PAUSE);
-                if self.set.stall_cost > 0.0 && s.lost >= self.set.switch_s && calm {
+                if self.set.stall_penalty > 0.0 && s.lost >= self.set.rung_change_cost_s && calm {
                     (s.lost, s.relief_at) = (0.0, Some(self.now));
                     self.step_down(server, share);
                 }
                 // Where the link is not full the uplink falls short, and this tells how full it is.
-                let load = Load { uplink: uplink.then_some(1.0 / share), ..Load::default() };
-                self.on_load(server, load, self.set.told_late, ANSWER_WEIGHT);
+                let load =
+                    LoadReport { uplink_utilization: uplink.then_some(1.0 / share), ..LoadReport::default() };
+                self.on_load(server, load, self.set.notification_delay, ANSWER_WEIGHT);
             }
-            Note::Rung(rung) => self.set_rung(id, rung),
-            Note::Link(x) => self.on_fullness(id, server, Load { link: Some(x), ..Load::default() }),
-            Note::Uplink(x) => self.on_fullness(id, server, Load { uplink: Some(x), ..Load::default() }),
+            Notification::CurrentRung(rung) => self.set_rung(id, rung),
+            Notification::LinkUtilization(x) => self.on_fullness(
+                id,
+                server,
+                LoadReport { link_utilization: Some(x), ..LoadReport::default() },
+            ),
+            Notification::UplinkUtilization(x) => self.on_fullness(
+                id,
+                server,
+                LoadReport { uplink_utilization: Some(x), ..LoadReport::default() },
+            ),
         }
     }
 
     /// The first note of a session comes with its set-up and is fresh; later ones are late.
-    fn on_fullness(&mut self, id: SessionId, server: ServerId, load: Load) {
-        let first = self.held.live.get(&id).is_some_and(|l| self.now - l.sent < self.set.told_every / 2);
-        self.on_load(server, load, if first { 0 } else { self.set.told_late }, NOTE_WEIGHT);
+    fn on_fullness(&mut self, id: SessionId, server: ServerId, load: LoadReport) {
+        let first =
+            self.held.live.get(&id).is_some_and(|l| self.now - l.sent < self.set.notification_interval / 2);
+        self.on_load(server, load, if first { 0 } else { self.set.notification_delay }, NOTE_WEIGHT);
     }
 
     /// Probes are late, or the viewer's time is up: the final answer is due now, whatever is still out.
     fn on_deadline(&mut self, id: SessionId) {
         self.asked(id);
         let Some(Live { ask, state: State::Pending, .. }) = self.held.live.get(&id) else { return };
-        if self.now + self.set.limits.step < ask.req.deadline {
+        if self.now + self.set.limits.min_batch_interval < ask.req.deadline {
             return; // rang for probes that had answered before
         }
-        if self.set.limits.may_cancel {
-            self.out.push(Action::Recall { session: id, attempt: ask.attempts - 1 });
+        if self.set.limits.can_cancel {
+            self.out.push(Action::CancelAttempt { session: id, attempt: ask.attempts - 1 });
         }
         let fail = Action::Fail { session: id };
         self.out.push(if self.set.harmless(ask.req.class) { self.refusal(&ask.req) } else { fail });
         self.held.change(id, |l| l.state = State::Closed);
     }
 
-    fn on_load(&mut self, server: ServerId, load: Load, age: Micros, weight: f64) {
+    fn on_load(&mut self, server: ServerId, load: LoadReport, age: Micros, weight: f64) {
         let now = self.now;
-        for (account, share) in self.accounts(server).into_iter().zip([load.link, load.uplink]) {
+        for (account, share) in
+            self.accounts(server).into_iter().zip([load.link_utilization, load.uplink_utilization])
+        {
             if let (Some(account), Some(share)) = (account, share) {
                 account.report(now, age, share, weight);
             }
@@ -453,7 +482,7 @@
 
     /// Missing evidence is not bad evidence: what no report has confirmed for long is forgotten.
     fn forget(&mut self) {
-        let stale = STALE_TIMES * self.set.told_every.max(1_000_000) + self.set.told_late;
+        let stale = STALE_TIMES * self.set.notification_interval.max(1_000_000) + self.set.notification_delay;
         let fresh = |t: &Micros| self.now - *t <= stale;
         for s in self.servers.values_mut() {
             s.link.reported = s.link.reported.filter(fresh);
@@ -476,7 +505,7 @@
             (mean, spread.max(0.0).sqrt())
         };
         let links: f64 = self.servers.values().map(|s| s.link.kb).sum();
-        let uplinks = self.set.racks as f64 * self.set.uplink_kb.max(0.0);
+        let uplinks = self.set.rack_count as f64 * self.set.rack_uplink_kb_s.max(0.0);
         let own: f64 = self.servers.values().map(|s| s.link.own).sum();
         let (held, middle) = (self.held.live.len() as f64, self.set.rate(0, self.set.ladder.len() / 2));
         let (link, link_spread) = mean(&mut self.servers.values().map(|s| &s.link), own, links);
@@ -496,7 +525,7 @@
         s.fails = if alive { 0 } else { s.fails + 1 };
         if !alive {
             // It may be back at any moment, and cold: pace it from the failure on.
-            let warm = self.now + self.set.contract.warm_after;
+            let warm = self.now + self.set.rules.warm_up;
             (s.failed_at, s.cold_until) = (self.now, s.cold_until.max(warm));
         }
     }
@@ -517,7 +546,7 @@
     /// The accounts of a server's link and of its rack's uplink.
     fn accounts(&mut self, server: ServerId) -> [Option<&mut Account>; 2] {
         let Some(s) = self.servers.get_mut(&server) else { return [None, None] };
-        let (rack, kb) = (self.set.rack(s.listed.cell), self.set.uplink_kb.max(0.0));
+        let (rack, kb) = (self.set.rack(s.listed.cell), self.set.rack_uplink_kb_s.max(0.0));
         let new = || Account { kb, ..Account::default() };
         let uplink = rack.map(|rack| self.uplinks.entry(rack).or_insert_with(new));
         [Some(&mut s.link), uplink]
@@ -551,11 +580,11 @@
     fn choose(&self, ask: &Ask) -> Option<(ServerId, usize)> {
         let class = self.set.classes.get(ask.req.class)?;
         let top = self.set.top(&ask.req)?;
-        if top < class.floor || !self.may_send(ask) {
+        if top < class.lowest_rung || !self.may_send(ask) {
             return None;
         }
         self.holders(ask).into_iter().find_map(|s| {
-            self.rung_at(s, &ask.req, class.floor, top, 0.0).map(|rung| (s.listed.server, rung))
+            self.rung_at(s, &ask.req, class.lowest_rung, top, 0.0).map(|rung| (s.listed.server, rung))
         })
     }
 
@@ -587,7 +616,7 @@
     /// A tenant's sessions, its part of the rates held here, and the part of the fleet that is its own; none
     /// where none is told. The others are taken to hold theirs alike.
     fn parts(&self, tenant: Option<usize>) -> Option<(f64, f64, f64)> {
-        let part = self.set.tenants.get(tenant?).map(|t| t.part).filter(|p| *p > 0.0)?;
+        let part = self.set.tenants.get(tenant?).map(|t| t.fleet_quota).filter(|p| *p > 0.0)?;
         let (sessions, kb) = self.held.by_tenant.get(&tenant?).copied().unwrap_or_default();
         Some((sessions as f64, kb / self.held.tenants_kb.max(f64::MIN_POSITIVE), part))
     }
@@ -675,10 +704,10 @@
         self.turned.retain(|_, (t, _)| self.now - *t < WANTS_FOR);
         self.within = self.held.by_tenant.keys().any(|t| self.owes(Some(*t)) == 0.0);
         let mut racks: BTreeMap<Option<u64>, f64> = BTreeMap::new();
-        for s in self.servers.values().filter(|s| s.listed.state == Standing::Ready && s.fails == 0) {
+        for s in self.servers.values().filter(|s| s.listed.state == EndpointState::Ready && s.fails == 0) {
             *racks.entry(self.set.rack(s.listed.cell)).or_insert(0.0) += s.link.kb;
         }
-        let told = Some(self.set.uplink_kb).filter(|kb| self.set.racks > 0 && *kb > 0.0);
+        let told = Some(self.set.rack_uplink_kb_s).filter(|kb| self.set.rack_count > 0 && *kb > 0.0);
         let room = FULL_LINE * racks.values().map(|kb| kb.min(told.unwrap_or(*kb))).sum::<f64>();
         (self.room, self.overfill) = (room, BTreeMap::new());
         if room <= 0.0 {
@@ -699,12 +728,13 @@
             let Some(class) = self.set.classes.get(c) else { continue };
             let wanting = seen / (held + PRIOR) * self.fleet.sessions;
             let mut density = f64::INFINITY;
-            for rung in class.floor..=class.top {
+            for rung in class.lowest_rung..=class.highest_rung {
                 let Some(here) = self.set.ladder.get(rung) else { break };
-                let below = if rung > class.floor { self.set.ladder[rung - 1] } else { Rung::default() };
-                let kb = (here.kb - below.kb) * class.scale;
+                let below =
+                    if rung > class.lowest_rung { self.set.ladder[rung - 1] } else { Rung::default() };
+                let kb = (here.rate_kb_s - below.rate_kb_s) * class.rate_scale;
                 if kb > 0.0 {
-                    density = density.min(class.worth * (here.worth - below.worth) / kb);
+                    density = density.min(class.priority_weight * (here.utility - below.utility) / kb);
                 }
                 steps.push((density, c, rung, kb * wanting));
             }
@@ -743,7 +773,7 @@
     /// What places: link and uplink alike, and what a crossing of zones costs, in shares of a link.
     fn account(&self, s: &Server) -> f64 {
         let crosses = self.set.zone.is_some() && s.listed.zone.is_some() && self.set.zone != s.listed.zone;
-        let price = if crosses { self.set.cross_price * CROSS_SHARE } else { 0.0 };
+        let price = if crosses { self.set.zone_crossing_price * CROSS_SHARE } else { 0.0 };
         self.link_share(s) + self.uplink_share(s) + price
     }
 
@@ -763,15 +793,15 @@
         let kb = self.set.rate(ask.req.class, rung);
         let patience = self.patience(&ask);
         if ask.attempts == 0 {
-            let after = (ask.req.deadline - self.set.limits.step - self.now).max(0);
-            self.out.push(Action::Timer { after, token: session.0 });
+            let after = (ask.req.deadline - self.set.limits.min_batch_interval - self.now).max(0);
+            self.out.push(Action::SetTimer { after, token: session.0 });
         } else {
             self.further.push_back(self.now);
         }
         ask.attempts += 1;
         ask.tried.push(server);
         self.out.push(Action::SetRung { session, rung });
-        self.out.push(Action::Send { session, server, patience });
+        self.out.push(Action::StartAttempt { session, server, attempt_timeout: patience });
         let blind = self.servers.get(&server).is_some_and(|s| s.link.reported.is_none());
         let due = self.now + if blind { 0 } else { CALM };
         self.hold(Live { ask, state: State::Pending, server, rung, kb, sent: self.now, due });
@@ -789,11 +819,11 @@
     }
 
     fn refusal(&self, req: &Request) -> Action {
-        let most = self.set.limits.max_come_back;
+        let most = self.set.limits.max_retry_after;
         // Spread over the upper half of what viewers honour, so that they don't come back as one crowd.
         let spread = mix(self.seed ^ req.session.0) % 1000;
         let come_back = (most > 0).then(|| most / 2 + most / 2 * spread as Micros / 1000);
-        Action::Refuse { session: req.session, come_back }
+        Action::Reject { session: req.session, retry_after: come_back }
     }
 
     // ---- exception: held rungs ----------------------------------------------------------------
@@ -804,7 +834,7 @@
             let rung = to(g)?;
             let (from, down) = (self.set.ladder.get(g.rung)?, self.set.ladder.get(rung)?);
             let freed = self.set.rate(g.class, g.rung) - self.set.rate(g.class, rung);
-            let lost = self.set.classes.get(g.class)?.worth * (from.worth - down.worth);
+            let lost = self.set.classes.get(g.class)?.priority_weight * (from.utility - down.utility);
             Some((lost / freed.max(1.0), *g, rung, freed, lost))
         };
         let mut steps: Vec<_> = at.iter().flat_map(|s| self.held.groups(*s)).filter_map(step).collect();
@@ -843,11 +873,12 @@
     /// have. They step down to that, least worth for the rate first, if the request gains more than they lose
     /// and the steps cost (what is freed beyond its need serves the next), not within `CALM` of the last.
     fn make_room(&mut self, ask: &Ask) -> bool {
-        let may = |c: &&ClassTerms| self.may_send(ask) && self.set.top(&ask.req) >= Some(c.floor);
+        let may = |c: &&ClassSettings| self.may_send(ask) && self.set.top(&ask.req) >= Some(c.lowest_rung);
         let Some(class) = self.set.classes.get(ask.req.class).filter(may) else { return false };
-        let kb = self.set.rate(ask.req.class, class.floor);
-        let worth = self.set.ladder.get(class.floor).map_or(0.0, |r| r.worth);
-        let (gain, owes) = (class.worth * worth * self.left(&ask.req, 0), self.owes(ask.req.tenant));
+        let kb = self.set.rate(ask.req.class, class.lowest_rung);
+        let worth = self.set.ladder.get(class.lowest_rung).map_or(0.0, |r| r.utility);
+        let (gain, owes) =
+            (class.priority_weight * worth * self.left(&ask.req, 0), self.owes(ask.req.tenant));
         let (line, beside) = self.closed(&ask.req);
         let mut looked = BTreeSet::new();
         let found = self.holders(ask).into_iter().filter(|s| !s.short && s.fails == 0).find_map(|s| {
@@ -876,7 +907,7 @@
                         break;
                     }
                     let left = self.left(&t.ask.req, self.now - t.sent);
-                    let step = self.set.switch_s * self.set.classes[group.class].worth;
+                    let step = self.set.rung_change_cost_s * self.set.classes[group.class].priority_weight;
                     (freed, lost) = (freed + frees, lost + loses * left + step);
                     taken.push((t.ask.req.session, rung));
                 }
@@ -890,7 +921,7 @@
     /// Seconds that a session has to go, as far as is known; `age`: how long it has lasted.
     fn left(&self, req: &Request, age: Micros) -> f64 {
         let oldest = self.held.sent.first().map_or(0, |(sent, _)| self.now - sent) as f64 / 1e6;
-        (self.ends.length(req.hint, oldest) - age as f64 / 1e6).max(0.0)
+        (self.ends.length(req.duration_hint, oldest) - age as f64 / 1e6).max(0.0)
     }
 
     fn step(&mut self, id: SessionId, rung: usize) {
@@ -908,7 +939,7 @@
             let Some(s) = self.servers.get(server).filter(|s| !s.short) else { continue };
             let (Some(terms), Some(told)) = (self.set.classes.get(*class), s.link.reported) else { continue };
             let Some(last) = self.set.ladder.len().checked_sub(1) else { continue };
-            let top = (*top).min(terms.top).min(last);
+            let top = (*top).min(terms.highest_rung).min(last);
             if self.uplink_of(s).is_some_and(|u| u.reported.is_none()) {
                 continue;
             }
@@ -926,11 +957,12 @@
                 let Some(t) = self.held.live.get(id).filter(|t| told >= t.sent) else { continue };
                 let part = draw(id.0);
                 let Some(top) = (held + 1..=top).rev().find(|r| common(r, part)) else { continue };
-                let found = self.rung_at(s, &t.ask.req, terms.floor, top, kb);
+                let found = self.rung_at(s, &t.ask.req, terms.lowest_rung, top, kb);
                 let Some(rung) = found.filter(|r| r > held) else { continue };
-                let more = self.set.ladder[rung].worth - self.set.ladder[*held].worth;
-                let left = t.ask.req.hint.map_or(f64::INFINITY, |h| (h - (self.now - t.sent)) as f64 / 1e6);
-                if left * more > self.set.switch_s {
+                let more = self.set.ladder[rung].utility - self.set.ladder[*held].utility;
+                let left =
+                    t.ask.req.duration_hint.map_or(f64::INFINITY, |h| (h - (self.now - t.sent)) as f64 / 1e6);
+                if left * more > self.set.rung_change_cost_s {
                     steps.insert(*id, rung);
                 }
             }
@@ -946,8 +978,8 @@
             return;
         }
         let Some(own) = self.held.remove(id) else { return };
-        let hint = own.ask.req.hint.map(|h| h - (self.now - own.sent));
-        let req = Request { hint, deadline: self.now + LONGEST, ..own.ask.req };
+        let hint = own.ask.req.duration_hint.map(|h| h - (self.now - own.sent));
+        let req = Request { duration_hint: hint, deadline: self.now + LONGEST, ..own.ask.req };
         let ask = Ask { req, attempts: 0, tried: vec![own.server], booked: true, errors: 0 };
         let found = self.find(&ask); // its own seat is no hindrance, and it makes no room for itself
         self.held.insert(own);
@@ -956,7 +988,7 @@
         let (kb, sent) = (self.set.rate(req.class, rung), self.now);
         let ask = Ask { req: Request { session: twin(id), ..req }, ..ask };
         self.hold(Live { ask, state: State::Closed, server, rung, kb, sent, due: sent + CALM });
-        self.out.push(Action::HandOver { session: id, server, rung });
+        self.out.push(Action::Migrate { session: id, server, rung });
     }
 
     /// It plays where it was to be handed over to, or it stays.
@@ -975,23 +1007,23 @@
 
     /// Seats, attempts and the ration of further attempts allow another send.
     fn may_send(&self, ask: &Ask) -> bool {
-        let seats = self.set.classes.get(ask.req.class).map_or(0, |c| c.seats);
+        let seats = self.set.classes.get(ask.req.class).map_or(0, |c| c.session_limit_per_title);
         let held = self.held.by_title.get(&ask.req.title).copied().unwrap_or(0);
         let seated = seats > 0 && held >= seats as usize;
         let used_up = seated || ask.attempts >= self.set.limits.max_attempts.max(1);
-        if used_up || self.now >= ask.req.deadline - self.set.limits.step {
+        if used_up || self.now >= ask.req.deadline - self.set.limits.min_batch_interval {
             return false;
         }
-        let Some(f) = self.set.contract.further.filter(|_| ask.attempts > 0) else { return true };
+        let Some(f) = self.set.rules.retry_budget.filter(|_| ask.attempts > 0) else { return true };
         // Strict edges: an attempt on the window's edge counts, a request on it does not.
-        let sent = self.further.iter().filter(|t| **t >= self.now - f.span).count() as f64;
-        let taken = self.taken.iter().filter(|t| **t > self.now - f.span).count() as f64;
-        sent + 1.0 <= f.free + f.per_request * taken
+        let sent = self.further.iter().filter(|t| **t >= self.now - f.window).count() as f64;
+        let taken = self.taken.iter().filter(|t| **t > self.now - f.window).count() as f64;
+        sent + 1.0 <= f.base + f.per_request * taken
     }
 
-    /// Listed ready, not tried for this request, not ahead of its cold pace, not failing.
+    /// Endpoint ready, not tried for this request, not ahead of its cold pace, not failing.
     fn may_take(&self, s: &Server, ask: &Ask) -> bool {
-        let barred = s.listed.state != Standing::Ready || ask.tried.contains(&s.listed.server);
+        let barred = s.listed.state != EndpointState::Ready || ask.tried.contains(&s.listed.server);
         if barred || !self.open(s, ask) {
             return false;
         }
@@ -1005,18 +1037,19 @@
     /// director sends it all that it may. One that is known cold draws all requests for its titles; while
     /// any may be, since a cached list may hide a start, they draw alike.
     fn open(&self, s: &Server, ask: &Ask) -> bool {
-        let c = &self.set.contract;
-        let (known, cells) = (self.now < s.cold_until, self.set.cells.max(1) as f64);
-        if !known && self.now >= self.born + c.warm_after {
+        let c = &self.set.rules;
+        let (known, cells) = (self.now < s.cold_until, self.set.cell_count.max(1) as f64);
+        if !known && self.now >= self.born + c.warm_up {
             return true;
         }
-        let span = c.fall.max(1);
+        let span = c.overload_window.max(1);
         let lately =
             |times: &VecDeque<Micros>| times.iter().rev().take_while(|t| **t > self.now - span).count();
         let asked = [&self.taken, &self.further, &self.moved].map(lately).iter().sum::<usize>();
-        let warm = c.warm_after.max(1) as f64;
-        let pace = (c.overload_factor * c.start_capacity * self.set.places(s.listed.kind)).max(1.0) / warm;
-        let part = if known { (ask.req.spread as f64 / cells).clamp(CROWD, 1.0) } else { 1.0 / cells };
+        let warm = c.warm_up.max(1) as f64;
+        let pace =
+            (c.overload_factor * c.initial_capacity * self.set.places(s.listed.machine_kind)).max(1.0) / warm;
+        let part = if known { (ask.req.replica_cells as f64 / cells).clamp(CROWD, 1.0) } else { 1.0 / cells };
         let all = self.set.sharers() * asked.max(1) as f64 * part;
         let most = pace * PACE_MARGIN * span as f64;
         let sent = self.held.at.get(&s.listed.server).map_or(0, |at| later(at, self.now - span));
@@ -1025,51 +1058,51 @@
 
     // ---- list -------------------------------------------------------------------------------
 
-    fn on_list(&mut self, news: ListNews, lines: Vec<Listed>) {
+    fn on_list(&mut self, news: EndpointUpdate, lines: Vec<Endpoint>) {
         match news {
-            ListNews::Failed => return self.subscribed = false,
-            ListNews::Delta => self.subscribed = true,
-            ListNews::Full => {
+            EndpointUpdate::Failed => return self.subscribed = false,
+            EndpointUpdate::Delta => self.subscribed = true,
+            EndpointUpdate::Full => {
                 self.subscribed = self.asked_list.is_some();
                 self.absent_gone(&lines);
             }
-            ListNews::Cached => self.absent_gone(&lines),
+            EndpointUpdate::Cached => self.absent_gone(&lines),
         }
-        let warm = self.set.contract.warm_after;
+        let warm = self.set.rules.warm_up;
         for line in lines {
-            let cold_until = line.came_up.unwrap_or(self.now - warm) + warm;
+            let cold_until = line.started_at.unwrap_or(self.now - warm) + warm;
             let new = || Server { listed: line, cold_until, ..Server::default() };
             let s = self.servers.entry(line.server).or_insert_with(new);
-            if line.came_up > s.listed.came_up {
+            if line.started_at > s.listed.started_at {
                 (s.fails, s.short, s.link.share) = (0, false, 0.0);
                 s.cold_until = s.cold_until.max(cold_until);
             }
             s.listed = line;
         }
         let held = &self.held.at; // what is gone is forgotten once nothing plays there
-        self.servers.retain(|id, s| s.listed.state != Standing::Gone || held.contains_key(id));
+        self.servers.retain(|id, s| s.listed.state != EndpointState::Gone || held.contains_key(id));
         self.size_links();
     }
 
-    fn absent_gone(&mut self, lines: &[Listed]) {
+    fn absent_gone(&mut self, lines: &[Endpoint]) {
         let mut named: Vec<ServerId> = lines.iter().map(|l| l.server).collect();
         named.sort_unstable();
         for s in self.servers.values_mut() {
             if named.binary_search(&s.listed.server).is_err() {
-                s.listed.state = Standing::Gone;
+                s.listed.state = EndpointState::Gone;
             }
         }
     }
 
     /// Told link: by weight where weights tell size, else the mean link shared out by places.
     fn size_links(&mut self) {
-        let known: Vec<f64> = self.servers.values().map(|s| self.set.places(s.listed.kind)).collect();
+        let known: Vec<f64> = self.servers.values().map(|s| self.set.places(s.listed.machine_kind)).collect();
         let mean = known.iter().sum::<f64>() / known.len().max(1) as f64;
         for s in self.servers.values_mut() {
-            let places = self.set.places(s.listed.kind);
+            let places = self.set.places(s.listed.machine_kind);
             let size =
-                if self.set.weights_tell_size || mean <= 0.0 { s.listed.weight } else { places / mean };
-            let kb = self.set.link_kb_per_weight * size;
+                if self.set.weight_is_capacity || mean <= 0.0 { s.listed.weight } else { places / mean };
+            let kb = self.set.link_kb_s_per_weight * size;
             s.link.kb = if kb.is_finite() { kb.max(0.0) } else { 0.0 };
         }
     }
@@ -1077,9 +1110,9 @@
     /// Where the list must be asked for: subscribe, and again after a failure.
     fn keep_list(&mut self) {
         let waited = self.asked_list.is_none_or(|t| self.now - t >= LIST_RETRY);
-        if self.set.ask_for_list && !self.subscribed && waited {
+        if self.set.must_poll_endpoints && !self.subscribed && waited {
             self.asked_list = Some(self.now);
-            self.out.push(Action::Subscribe(true));
+            self.out.push(Action::WatchEndpoints(true));
         }
     }
 }
--- a/src/control/counts.rs
+++ b/src/control/counts.rs
@@ -8,10 +8,11 @@
 use common::{Dice, MS, S, line};
 
 fn settings() -> Settings {
-    let mut set = Settings { directors: 3, cells: 6, uplink_kb: 25_000.0, ..common::settings() };
-    set.classes[common::PAID].seats = 4;
-    set.contract.warm_after = 8 * S;
-    set.contract.further = Some(FurtherAttempts { free: 2.0, per_request: 0.2, span: 10 * S });
+    let mut set =
+        Settings { director_count: 3, cell_count: 6, rack_uplink_kb_s: 25_000.0, ..common::settings() };
+    set.classes[common::PAID].session_limit_per_title = 4;
+    set.rules.warm_up = 8 * S;
+    set.rules.retry_budget = Some(RetryBudget { base: 2.0, per_request: 0.2, window: 10 * S });
     set
 }
 
@@ -30,15 +31,16 @@
             continue;
         }
         let (fuller, part) = (d.fuller(s), draw(id.0));
-        let group = Group { server: t.server, class, rung: t.rung, top: req.top, tenant: req.tenant };
+        let group =
+            Group { server: t.server, class, rung: t.rung, top: req.highest_rung, tenant: req.tenant };
         let Some(top) = (t.rung + 1..=top).rev().find(|r| d.common(&group, *r, part, fuller)) else {
             continue;
         };
-        let Some(rung) = d.rung_at(s, req, terms.floor, top, t.kb).filter(|r| *r > t.rung) else {
+        let Some(rung) = d.rung_at(s, req, terms.lowest_rung, top, t.kb).filter(|r| *r > t.rung) else {
             continue;
         };
-        let left = req.hint.map_or(f64::INFINITY, |h| (h - (d.now - t.sent)) as f64 / 1e6);
-        if left * (d.set.ladder[rung].worth - d.set.ladder[t.rung].worth) > d.set.switch_s {
+        let left = req.duration_hint.map_or(f64::INFINITY, |h| (h - (d.now - t.sent)) as f64 / 1e6);
+        if left * (d.set.ladder[rung].utility - d.set.ladder[t.rung].utility) > d.set.rung_change_cost_s {
             steps.insert(*id, rung);
         }
     }
@@ -81,8 +83,8 @@
     assert_eq!(d.settled(), plainly_settled(d));
 }
 
-fn listed(id: u64, state: Standing) -> Listed {
-    Listed { state, ..line(id) }
+fn listed(id: u64, state: EndpointState) -> Endpoint {
+    Endpoint { state, ..line(id) }
 }
 
 fn request(dice: &mut Dice, id: u64, now: Micros) -> Request {
@@ -93,11 +95,11 @@
         viewer: dice.roll(80),
         title: TitleId(dice.roll(6)),
         deadline: now + 4 * S,
-        hint: (dice.roll(3) > 0).then_some(40 * S),
-        home: dice.roll(6),
-        spread: 3,
-        top: dice.roll(6) as usize,
-        again: false,
+        duration_hint: (dice.roll(3) > 0).then_some(40 * S),
+        first_cell: dice.roll(6),
+        replica_cells: 3,
+        highest_rung: dice.roll(6) as usize,
+        is_retry: false,
         fleet: 0,
     }
 }
@@ -107,14 +109,16 @@
     let mut settled = 0;
     for seed in 1..=8u64 {
         let mut dice = Dice(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15));
-        let tenants = [0.2, 0.8, 0.0].map(|part| TenantTerms { part, ..TenantTerms::default() }).to_vec();
+        let tenants = [0.2, 0.8, 0.0]
+            .map(|part| TenantSettings { fleet_quota: part, ..TenantSettings::default() })
+            .to_vec();
         let set = Settings { tenants, ..settings() };
         let (mut d, mut out, mut now) = (Director::new(seed, set, 0), Vec::new(), 0);
-        let lines = (1..=6).map(|id| listed(id, Standing::Ready)).collect();
-        d.handle(now, Event::List { news: ListNews::Full, lines }, &mut out);
+        let lines = (1..=6).map(|id| listed(id, EndpointState::Ready)).collect();
+        d.handle(now, Event::EndpointsUpdated { update: EndpointUpdate::Full, endpoints: lines }, &mut out);
         for id in 0..40 {
             let req = request(&mut dice, id, now);
-            d.handle(now, Event::Carried(req, ServerId(1 + dice.roll(6))), &mut out);
+            d.handle(now, Event::SessionTransferred(req, ServerId(1 + dice.roll(6))), &mut out);
         }
         for id in 40..1200 {
             now += dice.roll(80) as Micros * MS;
@@ -127,31 +131,45 @@
                     .map(|l| (l.ask.req.session, l.ask.attempts - 1, l.server, l.state == State::Pending))
             };
             let event = match (dice.roll(10), some(&mut dice, &d)) {
-                (0..=2, _) => Event::Asked(request(&mut dice, id, now)),
+                (0..=2, _) => Event::RequestReceived(request(&mut dice, id, now)),
                 (3..=4, Some((session, attempt, server, true))) => {
-                    Event::Started { session, attempt, server, waited: 80 * MS }
+                    Event::SessionStarted { session, attempt, server, setup_time: 80 * MS }
                 }
                 (3..=5, Some((session, attempt, server, _))) if dice.roll(2) == 0 => {
-                    let outcomes = [Outcome::Good, Outcome::Reset, Outcome::Full, Outcome::Late];
+                    let outcomes =
+                        [Outcome::Success, Outcome::ConnectionReset, Outcome::Rejected, Outcome::TimedOut];
                     let outcome = outcomes[dice.roll(4) as usize];
-                    let load = Load { link: Some(dice.roll(12) as f64 / 10.0), ..Load::default() };
-                    Event::Finished { session, attempt, server, outcome, closed: dice.roll(2) == 0, load }
+                    let load = LoadReport {
+                        link_utilization: Some(dice.roll(12) as f64 / 10.0),
+                        ..LoadReport::default()
+                    };
+                    Event::AttemptFinished {
+                        session,
+                        attempt,
+                        server,
+                        outcome,
+                        is_answered: dice.roll(2) == 0,
+                        load_report: load,
+                    }
                 }
                 (6..=7, Some((session, attempt, server, false))) => {
                     let note = match dice.roll(5) {
-                        0 => Note::Delivered(if dice.roll(2) == 0 { 0.6 } else { 1.0 }),
-                        1 => Note::Rung(dice.roll(6) as usize),
-                        2 => Note::Link(dice.roll(10) as f64 / 10.0),
-                        _ => Note::Uplink(dice.roll(10) as f64 / 10.0),
+                        0 => Notification::DeliveredFraction(if dice.roll(2) == 0 { 0.6 } else { 1.0 }),
+                        1 => Notification::CurrentRung(dice.roll(6) as usize),
+                        2 => Notification::LinkUtilization(dice.roll(10) as f64 / 10.0),
+                        _ => Notification::UplinkUtilization(dice.roll(10) as f64 / 10.0),
                     };
-                    Event::Noted { session, attempt, server, note }
+                    Event::Notified { session, attempt, server, notification: note }
                 }
-                (8, Some((session, ..))) if dice.roll(4) == 0 => Event::Withdrawn(session),
+                (8, Some((session, ..))) if dice.roll(4) == 0 => Event::RequestWithdrawn(session),
                 (9, _) if dice.roll(8) == 0 => {
-                    let state = if dice.roll(2) == 0 { Standing::Gone } else { Standing::Ready };
-                    Event::List { news: ListNews::Delta, lines: vec![listed(1 + dice.roll(6), state)] }
+                    let state = if dice.roll(2) == 0 { EndpointState::Gone } else { EndpointState::Ready };
+                    Event::EndpointsUpdated {
+                        update: EndpointUpdate::Delta,
+                        endpoints: vec![listed(1 + dice.roll(6), state)],
+                    }
                 }
-                _ => Event::Timer(TICK_TOKEN),
+                _ => Event::TimerFired(TICK_TOKEN),
             };
             d.handle(now, event, &mut out);
             compare(&d);
--- a/src/control/held.rs
+++ b/src/control/held.rs
@@ -140,7 +140,13 @@
         if live.state != State::Plays {
             tally(&mut self.out, server, enter);
         } else {
-            let group = Group { server, class: req.class, rung: live.rung, top: req.top, tenant: req.tenant };
+            let group = Group {
+                server,
+                class: req.class,
+                rung: live.rung,
+                top: req.highest_rung,
+                tenant: req.tenant,
+            };
             file(&mut self.due, group, (live.due, req.session), enter);
         }
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -20,124 +20,124 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Settings {
     /// This director's number, from 0.
-    pub number: u32,
+    pub director_index: u32,
     /// How many directors share the fleet.
-    pub directors: u32,
+    pub director_count: u32,
     /// Index of this director's zone, if it is known.
     pub zone: Option<usize>,
     /// Request classes; events name them by index.
-    pub classes: Vec<ClassTerms>,
+    pub classes: Vec<ClassSettings>,
     /// Tenants; events name them by index. May be empty.
-    pub tenants: Vec<TenantTerms>,
+    pub tenants: Vec<TenantSettings>,
     /// The ladder of rates, lowest first.
     pub ladder: Vec<Rung>,
     /// Number of cells that titles are laid out over.
-    pub cells: u64,
+    pub cell_count: u64,
     /// Number of racks; a server's rack is its cell modulo this. 0: no rack uplinks.
-    pub racks: u64,
+    pub rack_count: u64,
     /// Streams that a server runs at most, for each machine kind.
-    pub places_by_kind: Vec<f64>,
+    pub stream_capacity_by_kind: Vec<f64>,
     /// Whether the listed weights say something of a server's size.
-    pub weights_tell_size: bool,
+    pub weight_is_capacity: bool,
     /// Told link, kB a second, for each unit of a server's weight. 0: not told.
-    pub link_kb_per_weight: f64,
+    pub link_kb_s_per_weight: f64,
     /// All links together at the start, kB a second. 0: not told.
-    pub fleet_kb: f64,
+    pub fleet_kb_s: f64,
     /// Mean uplink of a rack, kB a second. 0: not told.
-    pub uplink_kb: f64,
+    pub rack_uplink_kb_s: f64,
     /// What a further viewer of a live title adds to a stream, as a part of its rate. 1: shares nothing.
-    pub join_adds: f64,
+    pub join_rate_fraction: f64,
     /// How late notes come.
-    pub told_late: Micros,
+    pub notification_delay: Micros,
     /// Time between fullness notes of one server. 0: none come.
-    pub told_every: Micros,
+    pub notification_interval: Micros,
     /// Points of worth lost for each point of the rate that is missing. 0: not told.
-    pub stall_cost: f64,
+    pub stall_penalty: f64,
     /// A change of rung while playing costs so many seconds of worth.
-    pub switch_s: f64,
+    pub rung_change_cost_s: f64,
     /// What it costs if all sessions cross zones, as a part of all worth.
-    pub cross_price: f64,
+    pub zone_crossing_price: f64,
     /// Worth of a request beyond its tenant's share, as a part of its class's worth.
-    pub over_share_worth: f64,
+    pub over_quota_weight: f64,
     /// The terms of the rules.
-    pub contract: Contract,
+    pub rules: RuleSettings,
     /// What the site permits.
     pub limits: Limits,
     /// True where the list of servers must be asked for.
-    pub ask_for_list: bool,
+    pub must_poll_endpoints: bool,
 }
 
 /// One rung of the ladder.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Rung {
     /// Rate, kB a second.
-    pub kb: f64,
+    pub rate_kb_s: f64,
     /// What it earns, 1 at the top.
-    pub worth: f64,
+    pub utility: f64,
 }
 
 /// Whether a set-up of a class may be repeated.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Effect {
+pub enum Idempotency {
     /// May be set up again without harm.
-    Harmless,
+    Idempotent,
     /// Paid for at set-up, or not known to be harmless: set up once.
     #[default]
-    Paid,
+    AtMostOnce,
 }
 
 /// Terms of a request class.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct ClassTerms {
-    pub effect: Effect,
+pub struct ClassSettings {
+    pub idempotency: Idempotency,
     /// Wanted playing within this time.
-    pub aim: Micros,
+    pub latency_objective: Micros,
     /// Worth of one second at a rung of worth 1.
-    pub worth: f64,
+    pub priority_weight: f64,
     /// Rates of the class over those of the ladder.
-    pub scale: f64,
+    pub rate_scale: f64,
     /// Lowest rung that may be set.
-    pub floor: usize,
+    pub lowest_rung: usize,
     /// Highest rung of the class.
-    pub top: usize,
+    pub highest_rung: usize,
     /// Sessions of one title that a director may hold. 0: no limit.
-    pub seats: u32,
+    pub session_limit_per_title: u32,
     /// The class's titles are live.
-    pub live: bool,
+    pub is_live: bool,
 }
 
 /// A tenant's share.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct TenantTerms {
+pub struct TenantSettings {
     /// Requests a second, over all directors, within its share. 0: no limit told.
-    pub allowance_per_s: f64,
+    pub request_quota_per_s: f64,
     /// Part of the fleet that is its own when all want theirs, from 0 to 1. 0: not told.
-    pub part: f64,
+    pub fleet_quota: f64,
 }
 
 /// Figures of the rules.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Contract {
+pub struct RuleSettings {
     /// A started server is warm after this at the latest.
-    pub warm_after: Micros,
+    pub warm_up: Micros,
     /// It begins at this part of its capacity.
-    pub start_capacity: f64,
+    pub initial_capacity: f64,
     /// It falls over at this multiple of its pace ...
     pub overload_factor: f64,
     /// ... over this span.
-    pub fall: Micros,
+    pub overload_window: Micros,
     /// An unsubscribed director that has not asked for the list this long counts as told.
-    pub must_ask_in: Micros,
+    pub poll_deadline: Micros,
     /// Further attempts allowed in each window; absent: not rationed.
-    pub further: Option<FurtherAttempts>,
+    pub retry_budget: Option<RetryBudget>,
 }
 
 /// The ration of attempts beyond each request's first.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct FurtherAttempts {
-    pub free: f64,
+pub struct RetryBudget {
+    pub base: f64,
     pub per_request: f64,
-    pub span: Micros,
+    pub window: Micros,
 }
 
 /// What a site permits.
@@ -146,37 +146,37 @@
     /// Attempts for one request at most.
     pub max_attempts: u32,
     /// Attempts may be recalled.
-    pub may_cancel: bool,
+    pub can_cancel: bool,
     /// Servers may be probed.
-    pub may_probe: bool,
+    pub can_check_health: bool,
     /// What one probe for each request costs, as a part of all worth.
-    pub probe_price: f64,
+    pub health_check_price: f64,
     /// Longest come-back advice that viewers honour. 0: advice is not passed on.
-    pub max_come_back: Micros,
+    pub max_retry_after: Micros,
     /// Smallest time between two batches of events.
-    pub step: Micros,
+    pub min_batch_interval: Micros,
 }
 
 /// One line of the list of servers.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Listed {
+pub struct Endpoint {
     pub server: ServerId,
     /// Index of its zone, if it is one of the settings' zones.
     pub zone: Option<usize>,
     /// Index of its machine kind, if it is one of the settings' kinds.
-    pub kind: Option<usize>,
+    pub machine_kind: Option<usize>,
     pub cell: u64,
-    pub state: Standing,
+    pub state: EndpointState,
     pub weight: f64,
     /// Time of its last start; absent: long past.
-    pub came_up: Option<Micros>,
+    pub started_at: Option<Micros>,
     /// It takes requests of this fleet alone. 0: the one that all share.
     pub fleet: u32,
 }
 
 /// What the list says of a server.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Standing {
+pub enum EndpointState {
     Ready,
     Draining,
     #[default]
@@ -185,7 +185,7 @@
 
 /// How much of the list an event brings.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ListNews {
+pub enum EndpointUpdate {
     /// The whole list as it is now.
     Full,
     /// The whole list as this director last held it; may be stale.
@@ -209,44 +209,44 @@
     /// The viewer waits until then.
     pub deadline: Micros,
     /// Guess of the session's length.
-    pub hint: Option<Micros>,
+    pub duration_hint: Option<Micros>,
     /// First cell that holds the title.
-    pub home: u64,
+    pub first_cell: u64,
     /// Cells in a row that hold it.
-    pub spread: u64,
+    pub replica_cells: u64,
     /// Highest rung that the viewer can use.
-    pub top: usize,
+    pub highest_rung: usize,
     /// Known to be a repeat of an earlier try.
-    pub again: bool,
+    pub is_retry: bool,
     /// The fleet that it is for.
     pub fleet: u32,
 }
 
 /// Load figures that came with an answer; each may be missing.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Load {
+pub struct LoadReport {
     /// Streams run or being set up.
     pub streams: Option<f64>,
     /// Asked of the link over what it gives.
-    pub link: Option<f64>,
+    pub link_utilization: Option<f64>,
     /// The same of the rack's uplink.
-    pub uplink: Option<f64>,
+    pub uplink_utilization: Option<f64>,
 }
 
 /// How an attempt or a probe ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
-    Good,
+    Success,
     /// The server returned an error; may have run.
     Error,
     /// Turned away uninspected; never ran.
-    Full,
+    Rejected,
     /// No answer in time; may have run.
-    Late,
+    TimedOut,
     /// No connection; never ran.
-    NoConnection,
+    ConnectionFailed,
     /// The connection broke; may have run.
-    Reset,
+    ConnectionReset,
     /// Called off; may have run.
     Cancelled,
     /// Never sent.
@@ -255,80 +255,80 @@
 
 /// What a note on a session tells.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Note {
+pub enum Notification {
     /// Share of the rate that the server delivers.
-    Delivered(f64),
+    DeliveredFraction(f64),
     /// The rung in force.
-    Rung(usize),
+    CurrentRung(usize),
     /// Asked of the server's link over what it gives.
-    Link(f64),
+    LinkUtilization(f64),
     /// Asked of its rack's uplink over what that gives.
-    Uplink(f64),
+    UplinkUtilization(f64),
 }
 
 /// What happens to a director.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
     /// News of the list of servers.
-    List {
-        news: ListNews,
-        lines: Vec<Listed>,
+    EndpointsUpdated {
+        update: EndpointUpdate,
+        endpoints: Vec<Endpoint>,
     },
     /// A viewer asks for a session.
-    Asked(Request),
+    RequestReceived(Request),
     /// A session that already played at the start, on this server.
-    Carried(Request, ServerId),
+    SessionTransferred(Request, ServerId),
     /// The session plays.
-    Started {
+    SessionStarted {
         session: SessionId,
         attempt: u32,
         server: ServerId,
-        waited: Micros,
+        setup_time: Micros,
     },
     /// An attempt, or the session that it began, has ended.
-    Finished {
+    AttemptFinished {
         session: SessionId,
         attempt: u32,
         server: ServerId,
         outcome: Outcome,
         /// The request needs no further answer.
-        closed: bool,
-        load: Load,
+        is_answered: bool,
+        load_report: LoadReport,
     },
-    Noted {
+    Notified {
         session: SessionId,
         attempt: u32,
         server: ServerId,
-        note: Note,
+        notification: Notification,
     },
     /// The viewer left, or the answer is overdue: nothing more is owed.
-    Withdrawn(SessionId),
+    RequestWithdrawn(SessionId),
     /// A timer that the director set.
-    Timer(u64),
-    Probed {
+    TimerFired(u64),
+    HealthCheckFinished {
         server: ServerId,
         outcome: Outcome,
-        load: Load,
+        load_report: LoadReport,
     },
     /// Classes and tenants as they are from now on, in place of those of the settings. An index means the same
     /// as long as a request or session that names it is under way.
-    Terms {
-        classes: Vec<ClassTerms>,
-        tenants: Vec<TenantTerms>,
+    SettingsUpdated {
+        classes: Vec<ClassSettings>,
+        tenants: Vec<TenantSettings>,
     },
     /// A session that plays is to be handed over while it plays, if another server has room. Answered at once by
-    /// [`Action::HandOver`], or by nothing.
-    HandOver(SessionId),
+    /// [`Action::Migrate`], or by nothing.
+    MigrationRequested(SessionId),
     /// That hand-over is over: the session plays at the other server, or where it was. Until then it may be at
     /// both.
-    HandedOver {
+    MigrationFinished {
         session: SessionId,
-        moved: bool,
+        migrated: bool,
     },
     /// Players hear nothing from this server: it stands still, or is gone.
-    Silent(ServerId),
+    ServerSilent(ServerId),
     /// A message of another director.
-    Peer {
+    PeerMessage {
         from: u32,
         body: Vec<u8>,
     },
@@ -338,10 +338,10 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
     /// Set the session up there; `patience` bounds the wait, absent: as long as the viewer waits.
-    Send {
+    StartAttempt {
         session: SessionId,
         server: ServerId,
-        patience: Option<Micros>,
+        attempt_timeout: Option<Micros>,
     },
     /// Choose the rung: before sending, or while it plays.
     SetRung {
@@ -349,45 +349,45 @@
         rung: usize,
     },
     /// Final: turned away, and free to come back after `come_back`.
-    Refuse {
+    Reject {
         session: SessionId,
-        come_back: Option<Micros>,
+        retry_after: Option<Micros>,
     },
     /// Final: failed.
     Fail {
         session: SessionId,
     },
     /// Stop waiting for an attempt.
-    Recall {
+    CancelAttempt {
         session: SessionId,
         attempt: u32,
     },
     /// End a session that plays; its viewer comes back.
-    Move {
+    Redirect {
         session: SessionId,
     },
     /// Hand a session that plays over to this server, at this rung.
-    HandOver {
+    Migrate {
         session: SessionId,
         server: ServerId,
         rung: usize,
     },
-    Timer {
+    SetTimer {
         after: Micros,
         token: u64,
     },
-    Probe {
+    CheckHealth {
         server: ServerId,
     },
     /// Ask for the list once.
-    FetchList,
+    PollEndpoints,
     /// Subscribe to changes of the list, or stop.
-    Subscribe(bool),
-    CloseIdle {
+    WatchEndpoints(bool),
+    CloseIdleConnections {
         server: ServerId,
     },
     /// Tell another director, or all.
-    Tell {
+    SendToPeer {
         to: Option<u32>,
         body: Vec<u8>,
     },
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,43 +9,43 @@
 //!
 //! let second = 1_000_000;
 //! let settings = Settings {
-//!     directors: 1,
-//!     classes: vec![ClassTerms {
-//!         effect: Effect::Harmless, aim: second, worth: 1.0, scale: 1.0, top: 1,
-//!         ..ClassTerms::default()
+//!     director_count: 1,
+//!     classes: vec![ClassSettings {
+//!         idempotency: Idempotency::Idempotent, latency_objective: second, priority_weight: 1.0, rate_scale: 1.0, highest_rung: 1,
+//!         ..ClassSettings::default()
 //!     }],
-//!     ladder: vec![Rung { kb: 300.0, worth: 0.4 }, Rung { kb: 900.0, worth: 1.0 }],
-//!     cells: 1,
-//!     link_kb_per_weight: 10_000.0,
-//!     weights_tell_size: true,
+//!     ladder: vec![Rung { rate_kb_s: 300.0, utility: 0.4 }, Rung { rate_kb_s: 900.0, utility: 1.0 }],
+//!     cell_count: 1,
+//!     link_kb_s_per_weight: 10_000.0,
+//!     weight_is_capacity: true,
 //!     limits: Limits { max_attempts: 3, ..Limits::default() },
 //!     ..Settings::default()
 //! };
 //! let mut out = Vec::new();
 //! let mut director = Director::new(7, settings, 0);
 //! let box_1 = ServerId(1);
-//! director.handle(0, Event::List { news: ListNews::Full, lines: vec![Listed {
-//!     server: box_1, zone: None, kind: None, cell: 0, state: Standing::Ready, weight: 1.0,
-//!     came_up: None,
+//! director.handle(0, Event::EndpointsUpdated { update: EndpointUpdate::Full, endpoints: vec![Endpoint {
+//!     server: box_1, zone: None, machine_kind: None, cell: 0, state: EndpointState::Ready, weight: 1.0,
+//!     started_at: None,
 //!     fleet: 0,
 //! }] }, &mut out);
 //!
 //! out.clear();
 //! let session = SessionId(42);
-//! director.handle(second, Event::Asked(Request {
+//! director.handle(second, Event::RequestReceived(Request {
 //!     session, class: 0, tenant: None, viewer: 5, title: TitleId(9), deadline: 4 * second,
-//!     hint: None, home: 0, spread: 1, top: 1, again: false, fleet: 0,
+//!     duration_hint: None, first_cell: 0, replica_cells: 1, highest_rung: 1, is_retry: false, fleet: 0,
 //! }), &mut out);
 //! assert!(out.contains(&Action::SetRung { session, rung: 1 }));
-//! assert!(out.iter().any(|a| matches!(a, Action::Send { server, .. } if *server == box_1)));
+//! assert!(out.iter().any(|a| matches!(a, Action::StartAttempt { server, .. } if *server == box_1)));
 //!
 //! out.clear();
-//! director.handle(second + 80_000, Event::Started {
-//!     session, attempt: 0, server: box_1, waited: 80_000 }, &mut out);
-//! director.handle(30 * second, Event::Finished {
-//!     session, attempt: 0, server: box_1, outcome: Outcome::Good, closed: true,
-//!     load: Load::default() }, &mut out);
-//! assert!(!out.iter().any(|a| matches!(a, Action::Refuse { .. } | Action::Fail { .. })));
+//! director.handle(second + 80_000, Event::SessionStarted {
+//!     session, attempt: 0, server: box_1, setup_time: 80_000 }, &mut out);
+//! director.handle(30 * second, Event::AttemptFinished {
+//!     session, attempt: 0, server: box_1, outcome: Outcome::Success, is_answered: true,
+//!     load_report: LoadReport::default() }, &mut out);
+//! assert!(!out.iter().any(|a| matches!(a, Action::Reject { .. } | Action::Fail { .. })));
 //! ```
 
 // The helpers of the tests name the crate from outside.
@@ -54,7 +54,9 @@
 
 mod control;
 mod interface;
+mod time;
 
 pub use control::Director;
 pub use control::belief::Belief;
 pub use interface::*;
+pub use time::{TimeDelta, Timestamp};
