--- a/tests/audit.rs
+++ b/tests/audit.rs
@@ -36,21 +36,24 @@
         let now = self.now;
         for action in out {
             match action {
-                Action::Timer { after, token } => self.timers.push((now + (*after).max(1), *token)),
+                Action::SetTimer { after, token } => {
+                    self.timers.push((now + (*after).max(1), *token))
+                }
                 Action::SetRung { session, rung } => {
                     let seen = &self.seen[&session.0];
                     assert!(
-                        *rung >= self.set.classes[seen.class].floor,
+                        *rung >= self.set.classes[seen.class].lowest_rung,
                         "under the floor"
                     );
                 }
-                Action::Send {
+                Action::StartAttempt {
                     session, server, ..
                 } => {
                     let seen = self.seen.get_mut(&session.0).unwrap();
                     assert!(!seen.answered && !seen.plays, "a send after closing");
                     assert!(seen.out.is_none(), "two attempts out");
-                    let harmless = self.set.classes[seen.class].effect == Effect::Harmless;
+                    let harmless =
+                        self.set.classes[seen.class].idempotency == Idempotency::Idempotent;
                     assert!(harmless || !seen.may_have_run, "a paid set-up twice");
                     assert!(
                         !self.told_off.contains(&server.0),
@@ -61,29 +64,36 @@
                     self.sends += 1;
                     if seen.sends > 1 {
                         self.further.push(now);
-                        let f = self.set.contract.further.unwrap();
-                        let sent =
-                            self.further.iter().filter(|t| **t >= now - f.span).count() as f64;
-                        let taken = self.taken.iter().filter(|t| **t > now - f.span).count() as f64;
+                        let f = self.set.rules.retry_budget.unwrap();
+                        let sent = self
+                            .further
+                            .iter()
+                            .filter(|t| **t >= now - f.window)
+                            .count() as f64;
+                        let taken =
+                            self.taken.iter().filter(|t| **t > now - f.window).count() as f64;
                         assert!(
-                            sent <= f.free + f.per_request * taken,
+                            sent <= f.base + f.per_request * taken,
                             "ration of further attempts"
                         );
                     }
-                    let c = self.set.contract;
+                    let c = self.set.rules;
                     if self
                         .started
                         .get(&server.0)
-                        .is_some_and(|t| now < t + c.warm_after)
+                        .is_some_and(|t| now < t + c.warm_up)
                     {
                         let sends = self.cold_sends.entry(server.0).or_default();
                         sends.push(now);
-                        let within = sends.iter().filter(|t| **t > now - c.fall).count() as f64;
-                        let places = self.set.places_by_kind[0];
+                        let within = sends
+                            .iter()
+                            .filter(|t| **t > now - c.overload_window)
+                            .count() as f64;
+                        let places = self.set.stream_capacity_by_kind[0];
                         // What all directors may send, and as much again for chance.
                         let pace =
-                            c.overload_factor * c.start_capacity * places / c.warm_after as f64;
-                        let most = 2.0 * pace * c.fall as f64;
+                            c.overload_factor * c.initial_capacity * places / c.warm_up as f64;
+                        let most = 2.0 * pace * c.overload_window as f64;
                         assert!(
                             within <= most.max(1.0),
                             "cold server pushed: {within} of {most}"
@@ -95,14 +105,14 @@
                         .values()
                         .filter(|s| s.class == class && s.out.is_some())
                         .count() as u32;
-                    let seats = self.set.classes[class].seats;
+                    let seats = self.set.classes[class].session_limit_per_title;
                     assert!(seats == 0 || held <= seats, "seats");
                 }
-                Action::Refuse { session, .. } | Action::Fail { session } => {
+                Action::Reject { session, .. } | Action::Fail { session } => {
                     let seen = self.seen.get_mut(&session.0).unwrap();
                     assert!(!seen.answered && !seen.plays, "two answers");
-                    let paid = self.set.classes[seen.class].effect == Effect::Paid;
-                    if paid && matches!(action, Action::Refuse { .. }) {
+                    let paid = self.set.classes[seen.class].idempotency == Idempotency::AtMostOnce;
+                    if paid && matches!(action, Action::Reject { .. }) {
                         assert!(
                             !seen.may_have_run && seen.out.is_none(),
                             "a refusal of what may have run"
@@ -131,12 +141,12 @@
 
 fn run(seed: u64) -> u32 {
     let mut set = settings();
-    set.directors = 2;
-    set.classes[PAID].seats = 2;
-    set.contract.further = Some(FurtherAttempts {
-        free: 1.0,
+    set.director_count = 2;
+    set.classes[PAID].session_limit_per_title = 2;
+    set.rules.retry_budget = Some(RetryBudget {
+        base: 1.0,
         per_request: 0.02,
-        span: 10 * S,
+        window: 10 * S,
     });
     let mut a = Auditor {
         now: 0,
@@ -155,7 +165,7 @@
         director: Director::new(seed, set, 0),
         now: 0,
     };
-    let out = desk.list(ListNews::Cached, (1..=4).map(line).collect());
+    let out = desk.list(EndpointUpdate::Cached, (1..=4).map(line).collect());
     a.check(&out);
     for id in 0..4000u64 {
         let next = desk.now + (dice.roll(120) as Micros + 1) * MS;
@@ -164,7 +174,7 @@
         while a.timers.first().is_some_and(|(t, _)| *t <= next) {
             let (due, token) = a.timers.remove(0);
             (desk.now, a.now) = (due, due);
-            let out = desk.tell(Event::Timer(token));
+            let out = desk.tell(Event::TimerFired(token));
             assert!(sent_to(&out).is_none(), "a send from a timer");
             a.check(&out);
             a.timers.sort_unstable();
@@ -183,7 +193,7 @@
                 };
                 a.seen.insert(id, seen);
                 a.taken.push(desk.now);
-                let out = desk.tell(Event::Asked(req));
+                let out = desk.tell(Event::RequestReceived(req));
                 a.check(&out);
             }
             4..=9 => {
@@ -210,27 +220,27 @@
                 } else {
                     seen.out = None;
                     let (outcome, ran) = match dice.roll(6) {
-                        0 => (Outcome::Full, false),
-                        1 => (Outcome::NoConnection, false),
-                        2 => (Outcome::Late, true),
-                        3 => (Outcome::Reset, true),
+                        0 => (Outcome::Rejected, false),
+                        1 => (Outcome::ConnectionFailed, false),
+                        2 => (Outcome::TimedOut, true),
+                        3 => (Outcome::ConnectionReset, true),
                         4 => (Outcome::Error, true),
                         _ => (Outcome::NotSent, false),
                     };
                     let closed = seen.plays || seen.answered;
                     seen.may_have_run |= ran || seen.plays;
-                    let load = Load {
-                        link: Some(dice.roll(10) as f64 / 10.0),
-                        ..Load::default()
+                    let load = LoadReport {
+                        link_utilization: Some(dice.roll(10) as f64 / 10.0),
+                        ..LoadReport::default()
                     };
                     let session = SessionId(id);
-                    let out = desk.tell(Event::Finished {
+                    let out = desk.tell(Event::AttemptFinished {
                         session,
                         attempt,
                         server,
                         outcome,
-                        closed,
-                        load,
+                        is_answered: closed,
+                        load_report: load,
                     });
                     a.check(&out);
                 }
@@ -238,11 +248,11 @@
             10 => {
                 let id = dice.roll(4) + 1;
                 let state = match dice.roll(6) {
-                    0 => Standing::Draining,
-                    1 => Standing::Gone,
-                    _ => Standing::Ready,
+                    0 => EndpointState::Draining,
+                    1 => EndpointState::Gone,
+                    _ => EndpointState::Ready,
                 };
-                let restarted = state == Standing::Ready && dice.roll(4) == 0;
+                let restarted = state == EndpointState::Ready && dice.roll(4) == 0;
                 let came_up = a
                     .started
                     .get(&id)
@@ -253,16 +263,16 @@
                     a.started.insert(id, desk.now);
                     a.cold_sends.remove(&id);
                 }
-                if state == Standing::Ready {
+                if state == EndpointState::Ready {
                     a.told_off.remove(&id);
                 } else {
                     a.told_off.insert(id);
                 }
                 let out = desk.list(
-                    ListNews::Delta,
-                    vec![Listed {
+                    EndpointUpdate::Delta,
+                    vec![Endpoint {
                         state,
-                        came_up,
+                        started_at: came_up,
                         ..line(id)
                     }],
                 );
@@ -270,9 +280,9 @@
             }
             _ => {
                 let note = match dice.roll(3) {
-                    0 => Note::Delivered(if dice.roll(4) == 0 { 0.8 } else { 1.0 }),
-                    1 => Note::Link(dice.roll(10) as f64 / 10.0),
-                    _ => Note::Uplink(dice.roll(10) as f64 / 10.0),
+                    0 => Notification::DeliveredFraction(if dice.roll(4) == 0 { 0.8 } else { 1.0 }),
+                    1 => Notification::LinkUtilization(dice.roll(10) as f64 / 10.0),
+                    _ => Notification::UplinkUtilization(dice.roll(10) as f64 / 10.0),
                 };
                 let session = dice.roll(id + 1);
                 let server = ServerId(dice.roll(4) + 1);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -17,74 +17,74 @@
         (1200.0, 0.85),
         (2000.0, 1.0),
     ];
-    let class = ClassTerms {
-        effect: Effect::Harmless,
-        aim: S,
-        worth: 1.0,
-        scale: 1.0,
-        top: 4,
+    let class = ClassSettings {
+        idempotency: Idempotency::Idempotent,
+        latency_objective: S,
+        priority_weight: 1.0,
+        rate_scale: 1.0,
+        highest_rung: 4,
         ..Default::default()
     };
-    let paid = ClassTerms {
-        effect: Effect::Paid,
-        worth: 2.0,
-        floor: 1,
-        seats: 3,
+    let paid = ClassSettings {
+        idempotency: Idempotency::AtMostOnce,
+        priority_weight: 2.0,
+        lowest_rung: 1,
+        session_limit_per_title: 3,
         ..class
     };
     Settings {
-        directors: 1,
+        director_count: 1,
         classes: vec![class, paid],
         ladder: ladder
             .iter()
             .map(|(kb, worth)| Rung {
-                kb: *kb,
-                worth: *worth,
+                rate_kb_s: *kb,
+                utility: *worth,
             })
             .collect(),
-        cells: 4,
-        racks: 2,
-        places_by_kind: vec![30.0],
-        weights_tell_size: true,
-        link_kb_per_weight: 10_000.0,
-        uplink_kb: 20_000.0,
-        told_late: S,
-        told_every: 3 * S,
-        join_adds: 1.0,
-        stall_cost: 7.0,
-        switch_s: 0.5,
-        contract: Contract {
-            warm_after: 12 * S,
-            start_capacity: 0.4,
+        cell_count: 4,
+        rack_count: 2,
+        stream_capacity_by_kind: vec![30.0],
+        weight_is_capacity: true,
+        link_kb_s_per_weight: 10_000.0,
+        rack_uplink_kb_s: 20_000.0,
+        notification_delay: S,
+        notification_interval: 3 * S,
+        join_rate_fraction: 1.0,
+        stall_penalty: 7.0,
+        rung_change_cost_s: 0.5,
+        rules: RuleSettings {
+            warm_up: 12 * S,
+            initial_capacity: 0.4,
             overload_factor: 2.0,
-            fall: 2 * S,
-            must_ask_in: 10 * S,
-            further: Some(FurtherAttempts {
-                free: 2.0,
+            overload_window: 2 * S,
+            poll_deadline: 10 * S,
+            retry_budget: Some(RetryBudget {
+                base: 2.0,
                 per_request: 0.0,
-                span: 10 * S,
+                window: 10 * S,
             }),
         },
         limits: Limits {
             max_attempts: 4,
-            may_cancel: true,
-            max_come_back: S,
-            step: 10 * MS,
+            can_cancel: true,
+            max_retry_after: S,
+            min_batch_interval: 10 * MS,
             ..Default::default()
         },
         ..Default::default()
     }
 }
 
-pub fn line(id: u64) -> Listed {
-    Listed {
+pub fn line(id: u64) -> Endpoint {
+    Endpoint {
         server: ServerId(id),
         zone: None,
-        kind: Some(0),
+        machine_kind: Some(0),
         cell: id - 1,
-        state: Standing::Ready,
+        state: EndpointState::Ready,
         weight: 1.0,
-        came_up: None,
+        started_at: None,
         fleet: 0,
     }
 }
@@ -97,11 +97,11 @@
         viewer: id,
         title: TitleId(7),
         deadline: now + 4 * S,
-        hint: Some(40 * S),
-        home: 0,
-        spread: 4,
-        top: 4,
-        again: false,
+        duration_hint: Some(40 * S),
+        first_cell: 0,
+        replica_cells: 4,
+        highest_rung: 4,
+        is_retry: false,
         fleet: 0,
     }
 }
@@ -119,7 +119,7 @@
             director: Director::new(1, set, 0),
             now: 0,
         };
-        desk.list(ListNews::Full, (1..=servers).map(line).collect());
+        desk.list(EndpointUpdate::Full, (1..=servers).map(line).collect());
         desk.now = 60 * S;
         desk
     }
@@ -130,21 +130,24 @@
         out
     }
 
-    pub fn list(&mut self, news: ListNews, lines: Vec<Listed>) -> Vec<Action> {
-        self.tell(Event::List { news, lines })
+    pub fn list(&mut self, news: EndpointUpdate, lines: Vec<Endpoint>) -> Vec<Action> {
+        self.tell(Event::EndpointsUpdated {
+            update: news,
+            endpoints: lines,
+        })
     }
 
     pub fn ask(&mut self, id: u64, class: usize) -> Vec<Action> {
         let req = request(id, class, self.now);
-        self.tell(Event::Asked(req))
+        self.tell(Event::RequestReceived(req))
     }
 
     pub fn start(&mut self, id: u64, attempt: u32, server: ServerId) -> Vec<Action> {
-        self.tell(Event::Started {
+        self.tell(Event::SessionStarted {
             session: SessionId(id),
             attempt,
             server,
-            waited: 80 * MS,
+            setup_time: 80 * MS,
         })
     }
 
@@ -155,26 +158,26 @@
         server: ServerId,
         outcome: Outcome,
     ) -> Vec<Action> {
-        let load = Load::default();
-        self.tell(Event::Finished {
+        let load = LoadReport::default();
+        self.tell(Event::AttemptFinished {
             session: SessionId(id),
             attempt,
             server,
             outcome,
-            closed: false,
-            load,
+            is_answered: false,
+            load_report: load,
         })
     }
 
     /// A session that already played there when the director began.
     pub fn carry(&mut self, id: u64, class: usize, server: ServerId) {
         let req = request(id, class, self.now);
-        self.tell(Event::Carried(req, server));
+        self.tell(Event::SessionTransferred(req, server));
     }
 
     /// The director's own timer rings.
     pub fn tick(&mut self) -> Vec<Action> {
-        self.tell(Event::Timer(u64::MAX))
+        self.tell(Event::TimerFired(u64::MAX))
     }
 
     /// Time passes, and the timer rings when it is due.
@@ -187,23 +190,23 @@
 
     /// Link and uplink are reported, on a session's notes.
     pub fn report(&mut self, id: u64, server: ServerId, link: f64, uplink: f64) {
-        self.note(id, server, Note::Link(link));
-        self.note(id, server, Note::Uplink(uplink));
+        self.note(id, server, Notification::LinkUtilization(link));
+        self.note(id, server, Notification::UplinkUtilization(uplink));
     }
 
-    pub fn note(&mut self, id: u64, server: ServerId, note: Note) -> Vec<Action> {
-        self.tell(Event::Noted {
+    pub fn note(&mut self, id: u64, server: ServerId, note: Notification) -> Vec<Action> {
+        self.tell(Event::Notified {
             session: SessionId(id),
             attempt: 0,
             server,
-            note,
+            notification: note,
         })
     }
 }
 
 pub fn sent_to(out: &[Action]) -> Option<ServerId> {
     out.iter().find_map(|a| match a {
-        Action::Send { server, .. } => Some(*server),
+        Action::StartAttempt { server, .. } => Some(*server),
         _ => None,
     })
 }
@@ -216,7 +219,7 @@
 }
 
 pub fn refused(out: &[Action]) -> bool {
-    out.iter().any(|a| matches!(a, Action::Refuse { .. }))
+    out.iter().any(|a| matches!(a, Action::Reject { .. }))
 }
 
 pub fn failed(out: &[Action]) -> bool {
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -7,8 +7,8 @@
 #[test]
 fn a_paid_set_up_that_may_have_run_is_failed_at_once_and_never_resent() {
     for outcome in [
-        Outcome::Late,
-        Outcome::Reset,
+        Outcome::TimedOut,
+        Outcome::ConnectionReset,
         Outcome::Error,
         Outcome::Cancelled,
     ] {
@@ -24,7 +24,11 @@
 
 #[test]
 fn a_paid_set_up_that_never_ran_is_tried_at_another_holder() {
-    for outcome in [Outcome::Full, Outcome::NoConnection, Outcome::NotSent] {
+    for outcome in [
+        Outcome::Rejected,
+        Outcome::ConnectionFailed,
+        Outcome::NotSent,
+    ] {
         let mut desk = Desk::new(settings(), 4);
         let server = sent_to(&desk.ask(1, PAID)).unwrap();
         let next = sent_to(&desk.finish(1, 0, server, outcome));
@@ -37,7 +41,10 @@
     let mut desk = Desk::new(settings(), 4);
     let patience = |out: &[Action]| {
         out.iter().find_map(|a| match a {
-            Action::Send { patience, .. } => Some(*patience),
+            Action::StartAttempt {
+                attempt_timeout: patience,
+                ..
+            } => Some(*patience),
             _ => None,
         })
     };
@@ -52,31 +59,31 @@
         let out = desk.ask(9, class);
         let server = sent_to(&out).unwrap();
         let due = out.iter().find_map(|a| match a {
-            Action::Timer { after, token: 9 } => Some(*after),
+            Action::SetTimer { after, token: 9 } => Some(*after),
             _ => None,
         });
         assert!(due.is_some_and(|d| d <= 4 * S));
         desk.now += due.unwrap();
-        let out = desk.tell(Event::Timer(9));
+        let out = desk.tell(Event::TimerFired(9));
         assert_eq!((failed(&out), refused(&out)), (paid, !paid));
         // The late outcome, a second bell and a late start find it answered.
-        assert!(desk.tell(Event::Timer(9)).is_empty());
+        assert!(desk.tell(Event::TimerFired(9)).is_empty());
         assert!(desk.start(9, 0, server).is_empty());
-        assert!(desk.finish(9, 0, server, Outcome::Late).is_empty());
+        assert!(desk.finish(9, 0, server, Outcome::TimedOut).is_empty());
     }
 }
 
 #[test]
 fn nothing_new_goes_to_a_server_from_the_event_that_tells_of_its_drain() {
-    for state in [Standing::Draining, Standing::Gone] {
+    for state in [EndpointState::Draining, EndpointState::Gone] {
         let mut desk = Desk::new(settings(), 1);
         assert!(sent_to(&desk.ask(1, HARMLESS)).is_some());
-        desk.list(ListNews::Delta, vec![Listed { state, ..line(1) }]);
+        desk.list(EndpointUpdate::Delta, vec![Endpoint { state, ..line(1) }]);
         assert!(refused(&desk.ask(2, HARMLESS)));
     }
     // A full list without it says the same.
     let mut desk = Desk::new(settings(), 1);
-    desk.list(ListNews::Full, vec![]);
+    desk.list(EndpointUpdate::Full, vec![]);
     assert!(refused(&desk.ask(1, HARMLESS)));
 }
 
@@ -88,7 +95,7 @@
         .collect();
     assert!(refused(&desk.ask(4, PAID)));
     // Withdrawn is not enough: the attempt is still out.
-    desk.tell(Event::Withdrawn(SessionId(1)));
+    desk.tell(Event::RequestWithdrawn(SessionId(1)));
     assert!(refused(&desk.ask(5, PAID)));
     desk.finish(1, 0, servers[0], Outcome::Cancelled);
     assert!(sent_to(&desk.ask(6, PAID)).is_some());
@@ -103,7 +110,7 @@
 #[test]
 fn the_floor_and_the_viewers_top_bound_every_rung() {
     let mut desk = Desk::new(settings(), 1);
-    desk.note(99, ServerId(1), Note::Link(0.90));
+    desk.note(99, ServerId(1), Notification::LinkUtilization(0.90));
     assert!(
         refused(&desk.ask(1, PAID)),
         "rung 0 would fit, the floor does not"
@@ -111,15 +118,18 @@
     assert_eq!(rung(&desk.ask(2, HARMLESS)), Some(0));
     let mut desk = Desk::new(settings(), 1);
     let req = Request {
-        top: 2,
+        highest_rung: 2,
         ..request(3, HARMLESS, desk.now)
     };
-    assert_eq!(rung(&desk.tell(Event::Asked(req))), Some(2));
+    assert_eq!(rung(&desk.tell(Event::RequestReceived(req))), Some(2));
     let req = Request {
-        top: 0,
+        highest_rung: 0,
         ..request(4, PAID, desk.now)
     };
-    assert!(refused(&desk.tell(Event::Asked(req))), "no legal rung");
+    assert!(
+        refused(&desk.tell(Event::RequestReceived(req))),
+        "no legal rung"
+    );
 }
 
 #[test]
@@ -127,7 +137,7 @@
     let mut desk = Desk::new(settings(), 4);
     let again = |desk: &mut Desk, id| {
         let server = sent_to(&desk.ask(id, HARMLESS)).unwrap();
-        sent_to(&desk.finish(id, 0, server, Outcome::Full))
+        sent_to(&desk.finish(id, 0, server, Outcome::Rejected))
     };
     assert!(again(&mut desk, 1).is_some());
     assert!(again(&mut desk, 2).is_some());
@@ -143,9 +153,9 @@
     let mut desk = Desk::new(settings(), 0);
     let now = desk.now;
     desk.list(
-        ListNews::Delta,
-        vec![Listed {
-            came_up: Some(now - S),
+        EndpointUpdate::Delta,
+        vec![Endpoint {
+            started_at: Some(now - S),
             ..line(1)
         }],
     );
@@ -161,7 +171,7 @@
 /// Set-ups that so many directors send together when each is asked once, all for titles of one server.
 fn herd(directors: u32, list: impl Fn(&mut Desk)) -> usize {
     let set = Settings {
-        directors,
+        director_count: directors,
         ..settings()
     };
     (0..u64::from(directors))
@@ -182,9 +192,9 @@
     let fresh = |desk: &mut Desk| {
         desk.now = 60 * S;
         desk.list(
-            ListNews::Delta,
-            vec![Listed {
-                came_up: Some(desk.now - S),
+            EndpointUpdate::Delta,
+            vec![Endpoint {
+                started_at: Some(desk.now - S),
                 ..line(1)
             }],
         );
@@ -201,9 +211,9 @@
 fn a_crowd_for_a_title_that_few_servers_hold_does_not_push_a_fresh_one_over() {
     // Found by a hunt: the draw presumed that few ask for a title that 3 of 300 servers hold, and let 2 in 3 through.
     let set = Settings {
-        directors: 300,
-        cells: 300,
-        racks: 30,
+        director_count: 300,
+        cell_count: 300,
+        rack_count: 30,
         ..settings()
     };
     let sent = (0..300u64).filter(|id| {
@@ -212,17 +222,17 @@
             now: 60 * S,
         };
         desk.list(
-            ListNews::Delta,
-            vec![Listed {
-                came_up: Some(desk.now - S),
+            EndpointUpdate::Delta,
+            vec![Endpoint {
+                started_at: Some(desk.now - S),
                 ..line(1)
             }],
         );
         let req = Request {
-            spread: 3,
+            replica_cells: 3,
             ..request(1000 + id, HARMLESS, desk.now)
         };
-        sent_to(&desk.tell(Event::Asked(req))).is_some()
+        sent_to(&desk.tell(Event::RequestReceived(req))).is_some()
     });
     let sent = sent.count();
     assert!((20..150).contains(&sent), "{sent} of 300");
@@ -231,7 +241,7 @@
 #[test]
 fn in_a_directors_first_time_servers_are_paced_since_its_list_may_hide_a_start() {
     let cached = |desk: &mut Desk| {
-        desk.list(ListNews::Cached, vec![line(1)]);
+        desk.list(EndpointUpdate::Cached, vec![line(1)]);
     };
     // The fleet of 4 cells shares what is asked, so 4 times as many may go to each.
     let sent = herd(300, cached);
@@ -241,7 +251,7 @@
 /// One server, further attempts not rationed, and a first harmless set-up there that ended so.
 fn after(outcome: Outcome) -> (Desk, ServerId) {
     let mut set = settings();
-    set.contract.further = None;
+    set.rules.retry_budget = None;
     let mut desk = Desk::new(set, 1);
     let server = sent_to(&desk.ask(1, HARMLESS)).unwrap();
     desk.finish(1, 0, server, outcome);
@@ -250,7 +260,7 @@
 
 #[test]
 fn a_server_seen_failing_is_paced_as_cold_and_tried_with_harmless_set_ups_only() {
-    let (mut desk, server) = after(Outcome::NoConnection);
+    let (mut desk, server) = after(Outcome::ConnectionFailed);
     assert!(refused(&desk.ask(2, HARMLESS)), "not at once");
     desk.now += 2 * S;
     assert!(refused(&desk.ask(3, PAID)), "not a paid one");
@@ -262,7 +272,7 @@
         .collect();
     assert!(sent.len() < 8, "back, but it may be cold: {sent:?} sent");
     for id in sent {
-        desk.finish(id, 0, server, Outcome::Good);
+        desk.finish(id, 0, server, Outcome::Success);
     }
     desk.now += 12 * S;
     assert!(sent_to(&desk.ask(7, PAID)).is_some());
@@ -273,16 +283,19 @@
     let mut desk = Desk::new(settings(), 0);
     let out = desk.ask(1, PAID);
     let advice = out.iter().find_map(|a| match a {
-        Action::Refuse { come_back, .. } => *come_back,
+        Action::Reject {
+            retry_after: come_back,
+            ..
+        } => *come_back,
         _ => None,
     });
     assert!(advice.is_some_and(|t| t > 0 && t <= S));
     let mut set = settings();
-    set.limits.max_come_back = 0;
+    set.limits.max_retry_after = 0;
     let mut desk = Desk::new(set, 0);
-    assert!(desk.ask(1, PAID).contains(&Action::Refuse {
+    assert!(desk.ask(1, PAID).contains(&Action::Reject {
         session: SessionId(1),
-        come_back: None
+        retry_after: None
     }));
 }
 
@@ -292,7 +305,7 @@
         director: Director::new(
             1,
             Settings {
-                ask_for_list: true,
+                must_poll_endpoints: true,
                 ..settings()
             },
             0,
@@ -300,27 +313,27 @@
         now: 0,
     };
     assert!(
-        desk.list(ListNews::Cached, vec![line(1)])
-            .contains(&Action::Subscribe(true))
+        desk.list(EndpointUpdate::Cached, vec![line(1)])
+            .contains(&Action::WatchEndpoints(true))
     );
     assert!(
         !desk
-            .list(ListNews::Failed, vec![])
-            .contains(&Action::Subscribe(true)),
+            .list(EndpointUpdate::Failed, vec![])
+            .contains(&Action::WatchEndpoints(true)),
         "not at once"
     );
     desk.now += 3 * S;
-    assert!(desk.tick().contains(&Action::Subscribe(true)));
-    desk.list(ListNews::Delta, vec![]);
+    assert!(desk.tick().contains(&Action::WatchEndpoints(true)));
+    desk.list(EndpointUpdate::Delta, vec![]);
     desk.now += 60 * S;
-    assert!(!desk.tick().contains(&Action::Subscribe(true)));
+    assert!(!desk.tick().contains(&Action::WatchEndpoints(true)));
 }
 
 #[test]
 fn a_server_that_answers_errors_is_left_like_one_that_resets_and_notes_do_not_clear_it() {
     // Incident id52cfd: errors came at once, so the server looked the emptiest and drew every set-up.
     let (mut desk, server) = after(Outcome::Error);
-    desk.note(1, server, Note::Link(0.1));
+    desk.note(1, server, Notification::LinkUtilization(0.1));
     desk.now += 2 * S;
     assert!(
         refused(&desk.ask(2, PAID)),
@@ -333,12 +346,12 @@
 fn a_director_that_stood_still_judges_no_server_by_what_ran_out_meanwhile() {
     // balancer_stall: the batch after a stall holds time-outs that ran out here; resets in it bind as ever.
     for (outcome, still, taken) in [
-        (Outcome::Late, true, true),
-        (Outcome::Late, false, false),
-        (Outcome::Reset, true, false),
+        (Outcome::TimedOut, true, true),
+        (Outcome::TimedOut, false, false),
+        (Outcome::ConnectionReset, true, false),
     ] {
         let mut set = settings();
-        set.contract.further = None;
+        set.rules.retry_budget = None;
         let mut desk = Desk::new(set, 1);
         desk.tick();
         let server = sent_to(&desk.ask(1, HARMLESS)).unwrap();
@@ -360,15 +373,15 @@
 fn where_probes_are_allowed_and_cheap_holders_are_asked_before_a_blind_set_up() {
     let probes = |out: &[Action]| {
         let asked = |a: &Action| match a {
-            Action::Probe { server } => Some(*server),
+            Action::CheckHealth { server } => Some(*server),
             _ => None,
         };
         out.iter().filter_map(asked).collect::<Vec<_>>()
     };
     let mut set = settings();
-    set.limits.may_probe = true;
+    set.limits.can_check_health = true;
     for (price, want) in [(0.01, 2), (0.02, 1), (0.5, 0)] {
-        set.limits.probe_price = price;
+        set.limits.health_check_price = price;
         let mut desk = Desk::new(set.clone(), 4);
         desk.wait(6 * S);
         let out = desk.ask(1, HARMLESS);
@@ -379,14 +392,14 @@
         );
         // The answers are in: it is sent, once, and the timer of the probes finds it sent.
         for (i, server) in probes(&out).into_iter().enumerate() {
-            let load = Load {
-                link: Some(0.5 - i as f64 / 10.0),
-                ..Load::default()
+            let load = LoadReport {
+                link_utilization: Some(0.5 - i as f64 / 10.0),
+                ..LoadReport::default()
             };
-            let out = desk.tell(Event::Probed {
+            let out = desk.tell(Event::HealthCheckFinished {
                 server,
-                outcome: Outcome::Good,
-                load,
+                outcome: Outcome::Success,
+                load_report: load,
             });
             assert_eq!(
                 sent_to(&out).is_some(),
@@ -395,18 +408,18 @@
             );
         }
         desk.now += 60 * MS;
-        assert!(desk.tell(Event::Timer(1)).is_empty());
+        assert!(desk.tell(Event::TimerFired(1)).is_empty());
     }
     // No answer: it is decided on what is known. Withdrawn: nothing is sent any more.
-    set.limits.probe_price = 0.01;
+    set.limits.health_check_price = 0.01;
     let mut desk = Desk::new(set, 4);
     desk.wait(6 * S);
     desk.ask(1, HARMLESS);
     desk.ask(2, HARMLESS);
-    desk.tell(Event::Withdrawn(SessionId(2)));
+    desk.tell(Event::RequestWithdrawn(SessionId(2)));
     desk.now += 60 * MS;
-    assert!(sent_to(&desk.tell(Event::Timer(1))).is_some());
-    assert!(desk.tell(Event::Timer(2)).is_empty());
+    assert!(sent_to(&desk.tell(Event::TimerFired(1))).is_some());
+    assert!(desk.tell(Event::TimerFired(2)).is_empty());
 }
 
 /// Seen on sockets: bad clients ask for titles that no node knows. Each such request took four nodes out of use.
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -13,9 +13,9 @@
 
 /// Asks for a session to be handed over: where to, and at which rung.
 fn hand_over(desk: &mut Desk, id: u64) -> Option<(ServerId, usize)> {
-    let out = desk.tell(Event::HandOver(SessionId(id)));
+    let out = desk.tell(Event::MigrationRequested(SessionId(id)));
     out.iter().find_map(|a| match a {
-        Action::HandOver {
+        Action::Migrate {
             session,
             server,
             rung,
@@ -25,9 +25,9 @@
 }
 
 fn over(desk: &mut Desk, id: u64, moved: bool) {
-    desk.tell(Event::HandedOver {
+    desk.tell(Event::MigrationFinished {
         session: SessionId(id),
-        moved,
+        migrated: moved,
     });
 }
 
@@ -35,7 +35,7 @@
 fn desk(servers: u64) -> Desk {
     Desk::new(
         Settings {
-            uplink_kb: 0.0,
+            rack_uplink_kb_s: 0.0,
             ..settings()
         },
         servers,
@@ -57,12 +57,12 @@
 
 #[test]
 fn what_drains_is_gone_or_silent_takes_nothing_over() {
-    for state in [Standing::Draining, Standing::Gone] {
+    for state in [EndpointState::Draining, EndpointState::Gone] {
         let mut desk = desk(2);
         let from = plays(&mut desk, 1, HARMLESS);
         desk.list(
-            ListNews::Delta,
-            vec![Listed {
+            EndpointUpdate::Delta,
+            vec![Endpoint {
                 state,
                 ..line(3 - from.0)
             }],
@@ -71,11 +71,11 @@
     }
     let mut desk = desk(2);
     let other = ServerId(3 - plays(&mut desk, 1, PAID).0);
-    desk.tell(Event::Silent(other));
+    desk.tell(Event::ServerSilent(other));
     assert_eq!(hand_over(&mut desk, 1), None, "it has just failed");
     // Nothing is set up by a hand-over: it tries a failing server as harmless set-ups do, and clears it.
     desk.now += 2 * S;
-    desk.tell(Event::Silent(ServerId(3 - other.0)));
+    desk.tell(Event::ServerSilent(ServerId(3 - other.0)));
     assert_eq!(hand_over(&mut desk, 1).map(|(to, _)| to), Some(other));
     over(&mut desk, 1, true);
     assert_eq!(
@@ -88,10 +88,10 @@
 /// The same where every session wants the top rung and nothing less: four to a link.
 fn whole(servers: u64) -> Desk {
     let mut set = Settings {
-        uplink_kb: 0.0,
+        rack_uplink_kb_s: 0.0,
         ..settings()
     };
-    set.classes[HARMLESS].floor = 4;
+    set.classes[HARMLESS].lowest_rung = 4;
     Desk::new(set, servers)
 }
 
@@ -129,7 +129,7 @@
         "there is no room for another move"
     );
     // It is accounted where it plays now: its end there frees that.
-    desk.finish(1, 0, ServerId(3 - from.0), Outcome::Good);
+    desk.finish(1, 0, ServerId(3 - from.0), Outcome::Success);
     assert_eq!(fill(&mut desk, 200..300), 1);
 }
 
@@ -158,7 +158,7 @@
         "all seats are taken, one of them by itself"
     );
     over(&mut desk, 1, true);
-    desk.finish(2, 0, ServerId(1), Outcome::Good);
+    desk.finish(2, 0, ServerId(1), Outcome::Success);
     hand_over(&mut desk, 3).expect("room");
     assert_eq!(sent_to(&desk.ask(9, PAID)), None, "may be at both");
     over(&mut desk, 3, true);
@@ -170,7 +170,7 @@
     let mut desk = desk(2);
     let from = plays(&mut desk, 1, PAID);
     hand_over(&mut desk, 1).expect("room");
-    desk.finish(1, 0, from, Outcome::Good);
+    desk.finish(1, 0, from, Outcome::Success);
     over(&mut desk, 1, false);
     let playing = (2..10)
         .filter(|id| sent_to(&desk.ask(*id, PAID)).is_some())
@@ -183,9 +183,9 @@
     let mut desk = desk(2);
     let ids: Vec<u64> = (1..=8).collect();
     desk.list(
-        ListNews::Delta,
-        vec![Listed {
-            state: Standing::Draining,
+        EndpointUpdate::Delta,
+        vec![Endpoint {
+            state: EndpointState::Draining,
             ..line(2)
         }],
     );
@@ -194,9 +194,9 @@
     // The other comes back cold: 30 places over 12 s at 0.4, twice that, half of it used: 2 in 2 s.
     desk.now += S;
     desk.list(
-        ListNews::Delta,
-        vec![Listed {
-            came_up: Some(desk.now),
+        EndpointUpdate::Delta,
+        vec![Endpoint {
+            started_at: Some(desk.now),
             ..line(2)
         }],
     );
--- a/tests/held.rs
+++ b/tests/held.rs
@@ -19,10 +19,10 @@
         director: Director::new(1, set, 60 * S),
         now: 60 * S,
     };
-    desk.list(ListNews::Full, vec![line(1)]);
+    desk.list(EndpointUpdate::Full, vec![line(1)]);
     let server = ServerId(1);
     desk.carry(1, class, server);
-    desk.note(1, server, Note::Rung(at));
+    desk.note(1, server, Notification::CurrentRung(at));
     (desk, server)
 }
 
@@ -30,7 +30,7 @@
     let mut all = Vec::new();
     for _ in 0..seconds {
         desk.now += S;
-        all.extend(desk.note(1, server, Note::Delivered(share)));
+        all.extend(desk.note(1, server, Notification::DeliveredFraction(share)));
     }
     all
 }
@@ -39,7 +39,7 @@
 fn a_shortage_moves_no_held_rung_before_it_has_cost_as_much_as_a_step() {
     // At 0.6 points for a point, 0.6 costs 0.23 s of worth a note; a change of rung costs 0.5 s.
     let set = Settings {
-        stall_cost: 0.6,
+        stall_penalty: 0.6,
         ..settings()
     };
     let (mut desk, server, _) = playing(set.clone());
@@ -49,11 +49,11 @@
     let (mut desk, server, _) = playing(set);
     for _ in 0..5 {
         assert_eq!(rung(&tell_short(&mut desk, server, 0.6, 2)), None);
-        desk.note(1, server, Note::Delivered(0.99));
+        desk.note(1, server, Notification::DeliveredFraction(0.99));
     }
     let (mut desk, server) = carried(
         Settings {
-            stall_cost: 0.0,
+            stall_penalty: 0.0,
             ..settings()
         },
         HARMLESS,
@@ -86,9 +86,9 @@
                 director: Director::new(*seed, settings(), 0),
                 now: 60 * S,
             };
-            desk.list(ListNews::Full, vec![line(1)]);
+            desk.list(EndpointUpdate::Full, vec![line(1)]);
             desk.carry(1, HARMLESS, ServerId(1));
-            desk.note(1, ServerId(1), Note::Rung(2));
+            desk.note(1, ServerId(1), Notification::CurrentRung(2));
             rung(&tell_short(&mut desk, ServerId(1), share, 1)).is_some()
         };
         (0..200).filter(stepped).count()
@@ -103,7 +103,7 @@
     let (mut desk, server, at) = playing(settings());
     for _ in 0..2 {
         assert_eq!(rung(&tell_short(&mut desk, server, 0.6, 2)), Some(at - 1));
-        desk.note(1, server, Note::Delivered(1.0));
+        desk.note(1, server, Notification::DeliveredFraction(1.0));
         for (wait, want) in [(2 * S, None), (6 * S, Some(at))] {
             desk.now += wait;
             desk.report(1, server, 0.12, 0.06);
@@ -146,13 +146,13 @@
         (0.02, 40 * S, Some(4)),
     ] {
         let mut set = settings();
-        set.switch_s = 0.7;
+        set.rung_change_cost_s = 0.7;
         let mut desk = Desk::new(set, 1);
         let req = Request {
-            hint: Some(hint),
+            duration_hint: Some(hint),
             ..request(1, HARMLESS, desk.now)
         };
-        desk.tell(Event::Carried(req, ServerId(1)));
+        desk.tell(Event::SessionTransferred(req, ServerId(1)));
         desk.report(1, ServerId(1), share, share / 2.0);
         assert_eq!(rung(&desk.tick()), want, "at {share} with {hint} left");
     }
@@ -163,7 +163,7 @@
     // Scene 'falls': sessions begun in a crowd kept its rung to their end, a minute after it was gone.
     let mut desk = Desk::new(settings(), 1);
     let server = ServerId(1);
-    desk.note(99, server, Note::Link(0.88));
+    desk.note(99, server, Notification::LinkUtilization(0.88));
     let at = rung(&desk.ask(1, HARMLESS)).unwrap();
     assert!(at < 4);
     desk.start(1, 0, server);
@@ -184,13 +184,13 @@
 fn sessions_handed_over_late_are_no_crowd() {
     let rung_after = |late: Micros| {
         let mut set = settings();
-        set.contract.warm_after = 0;
-        set.directors = 3;
+        set.rules.warm_up = 0;
+        set.director_count = 3;
         let mut desk = Desk {
             director: Director::new(1, set, 60 * S),
             now: 60 * S,
         };
-        desk.list(ListNews::Full, (1..=4).map(line).collect());
+        desk.list(EndpointUpdate::Full, (1..=4).map(line).collect());
         desk.now += late;
         for id in 1..=6 {
             desk.carry(id, HARMLESS, ServerId(1 + id % 4));
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -14,7 +14,7 @@
         (0.95, None),
     ] {
         let mut desk = Desk::new(settings(), 1);
-        desk.note(99, ServerId(1), Note::Link(share));
+        desk.note(99, ServerId(1), Notification::LinkUtilization(share));
         let out = desk.ask(1, HARMLESS);
         assert_eq!(
             (rung(&out), refused(&out)),
@@ -27,16 +27,16 @@
 #[test]
 fn a_set_up_must_fit_the_racks_uplink_too() {
     let mut desk = Desk::new(settings(), 1);
-    desk.note(99, ServerId(1), Note::Uplink(0.95));
+    desk.note(99, ServerId(1), Notification::UplinkUtilization(0.95));
     assert!(refused(&desk.ask(1, HARMLESS)));
 }
 
 #[test]
 fn a_note_of_short_delivery_marks_the_link_full_until_cleared() {
     let mut desk = Desk::new(settings(), 1);
-    desk.note(99, ServerId(1), Note::Delivered(0.9));
+    desk.note(99, ServerId(1), Notification::DeliveredFraction(0.9));
     assert!(refused(&desk.ask(1, HARMLESS)));
-    desk.note(99, ServerId(1), Note::Delivered(0.99));
+    desk.note(99, ServerId(1), Notification::DeliveredFraction(0.99));
     assert!(sent_to(&desk.ask(2, HARMLESS)).is_some());
 }
 
@@ -54,23 +54,23 @@
 fn only_holders_of_the_title_are_taken() {
     let mut desk = Desk::new(settings(), 4);
     let req = Request {
-        home: 3,
-        spread: 2,
+        first_cell: 3,
+        replica_cells: 2,
         ..request(1, HARMLESS, desk.now)
     };
     let cells = [ServerId(4), ServerId(1)]; // cells 3 and 0, around the end
-    assert!(cells.contains(&sent_to(&desk.tell(Event::Asked(req))).unwrap()));
+    assert!(cells.contains(&sent_to(&desk.tell(Event::RequestReceived(req))).unwrap()));
     let req = Request {
-        spread: 0,
+        replica_cells: 0,
         ..request(2, HARMLESS, desk.now)
     };
-    assert!(refused(&desk.tell(Event::Asked(req))));
+    assert!(refused(&desk.tell(Event::RequestReceived(req))));
 }
 
 #[test]
 fn own_set_ups_count_until_they_end() {
     let mut set = settings();
-    set.racks = 0;
+    set.rack_count = 0;
     let mut desk = Desk::new(set, 1);
     let mut held = Vec::new();
     for id in 1..60 {
@@ -82,14 +82,14 @@
     assert!(!held.is_empty() && held.len() < 59, "the link fills up");
     assert!(refused(&desk.ask(100, HARMLESS)));
     desk.start(held[0], 0, ServerId(1));
-    desk.finish(held[0], 0, ServerId(1), Outcome::Good);
+    desk.finish(held[0], 0, ServerId(1), Outcome::Success);
     assert!(sent_to(&desk.ask(101, HARMLESS)).is_some());
 }
 
 #[test]
 fn demand_that_would_overfill_the_fleet_lowers_the_rungs_given() {
     let mut set = settings();
-    set.classes[HARMLESS].seats = 0;
+    set.classes[HARMLESS].session_limit_per_title = 0;
     let first = rung(&Desk::new(set.clone(), 4).ask(1, HARMLESS));
     let mut desk = Desk::new(set, 4);
     for id in 1..=60 {
@@ -115,19 +115,19 @@
     let mut desk = Desk::new(settings(), 2);
     assert!(refused(&desk.ask(1, 77)), "no such class");
     for value in [f64::NAN, f64::INFINITY, -1.0] {
-        desk.note(5, ServerId(1), Note::Link(value));
-        desk.note(5, ServerId(1), Note::Delivered(value));
-        desk.note(5, ServerId(77), Note::Uplink(value));
+        desk.note(5, ServerId(1), Notification::LinkUtilization(value));
+        desk.note(5, ServerId(1), Notification::DeliveredFraction(value));
+        desk.note(5, ServerId(77), Notification::UplinkUtilization(value));
     }
-    desk.note(5, ServerId(1), Note::Rung(usize::MAX));
-    desk.tell(Event::Withdrawn(SessionId(404)));
-    desk.tell(Event::Timer(404));
-    desk.finish(404, 3, ServerId(404), Outcome::Good);
+    desk.note(5, ServerId(1), Notification::CurrentRung(usize::MAX));
+    desk.tell(Event::RequestWithdrawn(SessionId(404)));
+    desk.tell(Event::TimerFired(404));
+    desk.finish(404, 3, ServerId(404), Outcome::Success);
     desk.start(404, 3, ServerId(404));
     desk.ask(6, HARMLESS);
     desk.start(6, u32::MAX, ServerId(1));
-    desk.finish(6, u32::MAX, ServerId(1), Outcome::Good);
-    desk.tell(Event::Peer {
+    desk.finish(6, u32::MAX, ServerId(1), Outcome::Success);
+    desk.tell(Event::PeerMessage {
         from: 9,
         body: vec![1],
     });
@@ -138,7 +138,7 @@
     .ask(1, 0);
     assert!(refused(&out), "empty settings refuse");
     let mut zero = settings();
-    (zero.link_kb_per_weight, zero.uplink_kb) = (0.0, 0.0);
+    (zero.link_kb_s_per_weight, zero.rack_uplink_kb_s) = (0.0, 0.0);
     let mut desk = Desk::new(zero, 2);
     assert!(
         sent_to(&desk.ask(1, HARMLESS)).is_some(),
@@ -151,10 +151,10 @@
     // Incident id3f40a: every director saw the same room and all filled it.
     let taken = |directors| {
         let mut set = Settings {
-            directors,
+            director_count: directors,
             ..settings()
         };
-        set.contract.further = None;
+        set.rules.retry_budget = None;
         let mut desk = Desk::new(set, 1);
         desk.report(99, ServerId(1), 0.3, 0.1);
         (1..60)
@@ -167,13 +167,16 @@
 #[test]
 fn under_demand_the_class_that_is_worth_more_for_its_rate_gets_the_higher_rung() {
     let mut set = settings();
-    (set.classes[PAID].seats, set.classes[PAID].floor) = (0, 0);
+    (
+        set.classes[PAID].session_limit_per_title,
+        set.classes[PAID].lowest_rung,
+    ) = (0, 0);
     let given = |class| {
         let mut desk = Desk {
             director: Director::new(1, set.clone(), 0),
             now: 0,
         };
-        desk.list(ListNews::Full, (1..=4).map(line).collect());
+        desk.list(EndpointUpdate::Full, (1..=4).map(line).collect());
         for id in 1..=60 {
             desk.carry(id, (id % 2) as usize, ServerId(1 + id % 4));
         }
@@ -191,7 +194,11 @@
 #[test]
 fn a_server_believed_full_is_tried_again_when_no_report_confirms_it() {
     // Found by the audit run: notes come only on own sessions, so without any the belief stood for ever.
-    for note in [Note::Link(1.2), Note::Uplink(1.2), Note::Delivered(0.5)] {
+    for note in [
+        Notification::LinkUtilization(1.2),
+        Notification::UplinkUtilization(1.2),
+        Notification::DeliveredFraction(0.5),
+    ] {
         let mut desk = Desk::new(settings(), 1);
         desk.note(99, ServerId(1), note);
         assert!(refused(&desk.ask(1, HARMLESS)), "{note:?}");
@@ -208,15 +215,15 @@
     // Hunt at size, h68a016: twice the viewers within a second were set up as if nothing had changed.
     let given = |crowd: u64| {
         let mut set = Settings {
-            directors: 10,
+            director_count: 10,
             ..settings()
         };
-        set.classes[HARMLESS].seats = 0;
+        set.classes[HARMLESS].session_limit_per_title = 0;
         let mut desk = Desk {
             director: Director::new(1, set, 0),
             now: 0,
         };
-        desk.list(ListNews::Full, (1..=4).map(line).collect());
+        desk.list(EndpointUpdate::Full, (1..=4).map(line).collect());
         for id in 1..=6 {
             desk.carry(id, HARMLESS, ServerId(1 + id % 4));
         }
@@ -225,7 +232,7 @@
             desk.report(id, ServerId(id), 0.3, 0.3);
         }
         (100..100 + crowd).for_each(|id| drop(desk.ask(id, HARMLESS)));
-        desk.note(99, ServerId(1), Note::Link(0.3));
+        desk.note(99, ServerId(1), Notification::LinkUtilization(0.3));
         rung(&desk.ask(1000, HARMLESS))
     };
     assert!(given(8) < given(0), "{:?} and {:?}", given(8), given(0));
@@ -244,7 +251,7 @@
     );
     // Servers 1 and 3 share a rack: what 1 tells bears on 3.
     for _ in 0..4 {
-        desk.note(99, ServerId(1), Note::Delivered(0.7));
+        desk.note(99, ServerId(1), Notification::DeliveredFraction(0.7));
     }
     assert!(
         sent_to(&desk.ask(2, HARMLESS)).is_some_and(|s| s.0 % 2 == 0),
@@ -257,31 +264,31 @@
     for (price, share, want) in [(0.04, 0.3, 1), (0.04, 0.9, 2), (0.0, 0.3, 2)] {
         let mut set = Settings {
             zone: Some(0),
-            cross_price: price,
+            zone_crossing_price: price,
             ..settings()
         };
-        set.racks = 0;
+        set.rack_count = 0;
         let mut desk = Desk {
             director: Director::new(1, set, 0),
             now: 0,
         };
-        let near = Listed {
+        let near = Endpoint {
             zone: Some(0),
             ..line(1)
         };
         desk.list(
-            ListNews::Full,
+            EndpointUpdate::Full,
             vec![
                 near,
-                Listed {
+                Endpoint {
                     zone: Some(1),
                     ..line(2)
                 },
             ],
         );
         desk.now = 60 * S;
-        desk.note(99, ServerId(1), Note::Link(share));
-        desk.note(99, ServerId(2), Note::Link(0.2));
+        desk.note(99, ServerId(1), Notification::LinkUtilization(share));
+        desk.note(99, ServerId(2), Notification::LinkUtilization(0.2));
         assert_eq!(
             sent_to(&desk.ask(1, HARMLESS)),
             Some(ServerId(want)),
@@ -295,19 +302,19 @@
     for directors in [0, 1, 2, 300, u32::MAX] {
         for servers in [0, 1, 1000] {
             let set = Settings {
-                directors,
-                number: 7,
-                cells: 1000,
-                racks: 100,
+                director_count: directors,
+                director_index: 7,
+                cell_count: 1000,
+                rack_count: 100,
                 ..settings()
             };
             let mut desk = Desk::new(set, servers);
             desk.wait(S);
             let req = Request {
-                spread: 1000,
+                replica_cells: 1000,
                 ..request(1, HARMLESS, desk.now)
             };
-            let out = desk.tell(Event::Asked(req));
+            let out = desk.tell(Event::RequestReceived(req));
             assert_eq!(
                 (sent_to(&out).is_some(), refused(&out)),
                 (servers > 0, servers == 0),
@@ -318,23 +325,23 @@
     // All holders draining, or gone and replaced under the same cell: the answer comes at once.
     let mut desk = Desk::new(settings(), 2);
     desk.list(
-        ListNews::Delta,
-        vec![Listed {
-            state: Standing::Draining,
+        EndpointUpdate::Delta,
+        vec![Endpoint {
+            state: EndpointState::Draining,
             ..line(1)
         }],
     );
     desk.list(
-        ListNews::Delta,
-        vec![Listed {
-            state: Standing::Gone,
+        EndpointUpdate::Delta,
+        vec![Endpoint {
+            state: EndpointState::Gone,
             ..line(2)
         }],
     );
     assert!(refused(&desk.ask(1, HARMLESS)) && refused(&desk.ask(2, PAID)));
     desk.list(
-        ListNews::Delta,
-        vec![Listed {
+        EndpointUpdate::Delta,
+        vec![Endpoint {
             server: ServerId(9),
             ..line(2)
         }],
@@ -345,7 +352,7 @@
 #[test]
 fn a_probe_of_a_server_that_is_gone_or_that_fails_is_evidence_only() {
     let mut set = settings();
-    (set.limits.may_probe, set.limits.probe_price) = (true, 0.01);
+    (set.limits.can_check_health, set.limits.health_check_price) = (true, 0.01);
     let mut desk = Desk::new(set, 2);
     desk.wait(6 * S);
     assert!(
@@ -353,28 +360,28 @@
         "it waits for its probes"
     );
     desk.list(
-        ListNews::Delta,
-        vec![Listed {
-            state: Standing::Gone,
+        EndpointUpdate::Delta,
+        vec![Endpoint {
+            state: EndpointState::Gone,
             ..line(1)
         }],
     );
-    let load = Load {
-        link: Some(0.0),
-        ..Load::default()
+    let load = LoadReport {
+        link_utilization: Some(0.0),
+        ..LoadReport::default()
     };
     assert!(
-        sent_to(&desk.tell(Event::Probed {
+        sent_to(&desk.tell(Event::HealthCheckFinished {
             server: ServerId(1),
-            outcome: Outcome::Good,
-            load
+            outcome: Outcome::Success,
+            load_report: load
         }))
         .is_none()
     );
-    let out = desk.tell(Event::Probed {
+    let out = desk.tell(Event::HealthCheckFinished {
         server: ServerId(2),
-        outcome: Outcome::Late,
-        load: Load::default(),
+        outcome: Outcome::TimedOut,
+        load_report: LoadReport::default(),
     });
     assert!(
         refused(&out),
--- a/tests/room.rs
+++ b/tests/room.rs
@@ -7,26 +7,30 @@
 /// One server, and on it so many sessions at the top rung that fill its link.
 fn full_of_top_rungs(sessions: u64, hint: Micros) -> Desk {
     let mut set = settings();
-    (set.racks, set.uplink_kb, set.link_kb_per_weight) = (0, 0.0, 2_000.0 * sessions as f64);
+    (
+        set.rack_count,
+        set.rack_uplink_kb_s,
+        set.link_kb_s_per_weight,
+    ) = (0, 0.0, 2_000.0 * sessions as f64);
     let mut desk = Desk::new(set, 1);
     for id in 1..=sessions {
         let req = Request {
-            hint: Some(hint),
+            duration_hint: Some(hint),
             ..request(id, HARMLESS, desk.now)
         };
-        desk.tell(Event::Carried(req, ServerId(1)));
-        desk.note(id, ServerId(1), Note::Rung(4));
+        desk.tell(Event::SessionTransferred(req, ServerId(1)));
+        desk.note(id, ServerId(1), Notification::CurrentRung(4));
     }
-    desk.note(1, ServerId(1), Note::Link(0.95));
+    desk.note(1, ServerId(1), Notification::LinkUtilization(0.95));
     desk
 }
 
 fn asked(desk: &mut Desk, id: u64, hint: Micros) -> Vec<Action> {
     let req = Request {
-        hint: Some(hint),
+        duration_hint: Some(hint),
         ..request(id, HARMLESS, desk.now)
     };
-    desk.tell(Event::Asked(req))
+    desk.tell(Event::RequestReceived(req))
 }
 
 fn stepped(out: &[Action], new: u64) -> Vec<u64> {
@@ -48,7 +52,9 @@
         "one top rung makes more room than it needs: {out:?}"
     );
     // The steps come before the set-up that they make room for.
-    let send = out.iter().position(|a| matches!(a, Action::Send { .. }));
+    let send = out
+        .iter()
+        .position(|a| matches!(a, Action::StartAttempt { .. }));
     assert!(out.iter().position(|a| matches!(a, Action::SetRung { .. })) < send);
 }
 
@@ -64,11 +70,11 @@
 fn the_same_session_does_not_step_again_before_it_has_been_calm() {
     let mut desk = full_of_top_rungs(1, 600 * S);
     assert_eq!(stepped(&asked(&mut desk, 9, 600 * S), 9), vec![1]);
-    desk.note(1, ServerId(1), Note::Link(0.97));
+    desk.note(1, ServerId(1), Notification::LinkUtilization(0.97));
     assert!(refused(&asked(&mut desk, 10, 600 * S)));
     // Time for reports to show what the step has freed; then it may.
     desk.wait(5 * S);
-    desk.note(1, ServerId(1), Note::Link(0.94));
+    desk.note(1, ServerId(1), Notification::LinkUtilization(0.94));
     assert_eq!(
         stepped(&asked(&mut desk, 11, 600 * S), 11).first(),
         Some(&1)
@@ -78,16 +84,16 @@
 #[test]
 fn no_room_is_made_where_a_shortage_is_told_or_the_viewer_could_not_be_served_anyway() {
     let mut desk = full_of_top_rungs(4, 600 * S);
-    desk.note(1, ServerId(1), Note::Delivered(0.9));
+    desk.note(1, ServerId(1), Notification::DeliveredFraction(0.9));
     assert!(refused(&asked(&mut desk, 9, 600 * S)));
     // A player that can't show the class's lowest rung.
     let mut desk = full_of_top_rungs(4, 600 * S);
     let req = Request {
-        top: 0,
-        hint: Some(600 * S),
+        highest_rung: 0,
+        duration_hint: Some(600 * S),
         ..request(9, PAID, desk.now)
     };
-    let out = desk.tell(Event::Asked(req));
+    let out = desk.tell(Event::RequestReceived(req));
     assert!(refused(&out) && stepped(&out, 9).is_empty());
 }
 
@@ -95,18 +101,22 @@
 /// say that they stay for `hint`, and leave after `stay`.
 fn rungs_from_empty(hint: Micros, stay: u64, again: bool, viewers: u64) -> Vec<usize> {
     let mut set = settings();
-    (set.racks, set.uplink_kb, set.link_kb_per_weight) = (0, 0.0, 30_000.0);
+    (
+        set.rack_count,
+        set.rack_uplink_kb_s,
+        set.link_kb_s_per_weight,
+    ) = (0, 0.0, 30_000.0);
     let ladder = set.ladder.clone();
     let mut desk = Desk::new(set, 1);
     let (mut given, mut held) = (Vec::new(), std::collections::BTreeMap::new());
     for id in 1..=viewers {
         desk.wait(S);
         let req = Request {
-            hint: Some(hint),
-            again,
+            duration_hint: Some(hint),
+            is_retry: again,
             ..request(id, HARMLESS, desk.now)
         };
-        let out = desk.tell(Event::Asked(req));
+        let out = desk.tell(Event::RequestReceived(req));
         assert!(!refused(&out), "viewer {id}");
         for action in &out {
             if let Action::SetRung { session, rung } = action {
@@ -116,11 +126,15 @@
         given.push(held[&id]);
         desk.start(id, 0, ServerId(1));
         if id > stay {
-            desk.finish(id - stay, 0, ServerId(1), Outcome::Good);
+            desk.finish(id - stay, 0, ServerId(1), Outcome::Success);
             held.remove(&(id - stay));
         }
-        let kb: f64 = held.values().map(|r| ladder[*r].kb).sum();
-        desk.note(id, ServerId(1), Note::Link(kb / 30_000.0));
+        let kb: f64 = held.values().map(|r| ladder[*r].rate_kb_s).sum();
+        desk.note(
+            id,
+            ServerId(1),
+            Notification::LinkUtilization(kb / 30_000.0),
+        );
     }
     given
 }
@@ -177,13 +191,13 @@
 #[test]
 fn a_crowd_at_a_director_that_is_just_back_does_not_fill_the_fleet() {
     let mut set = settings();
-    (set.directors, set.contract.warm_after, set.uplink_kb) = (2, 0, 200_000.0);
-    set.link_kb_per_weight = 100_000.0;
+    (set.director_count, set.rules.warm_up, set.rack_uplink_kb_s) = (2, 0, 200_000.0);
+    set.link_kb_s_per_weight = 100_000.0;
     let mut desk = Desk {
         director: Director::new(1, set, 60 * S),
         now: 60 * S,
     };
-    desk.list(ListNews::Full, (1..=4).map(line).collect());
+    desk.list(EndpointUpdate::Full, (1..=4).map(line).collect());
     desk.now += S;
     for id in 1..=40 {
         desk.now += 10 * MS;
--- a/tests/tenants.rs
+++ b/tests/tenants.rs
@@ -10,10 +10,10 @@
 /// Two tenants with half of the fleet each; every server is warm and its link's size is told.
 fn shared(parts: [f64; 2]) -> Desk {
     let mut set = settings();
-    set.uplink_kb = 0.0;
+    set.rack_uplink_kb_s = 0.0;
     set.tenants = parts
-        .map(|part| TenantTerms {
-            part,
+        .map(|part| TenantSettings {
+            fleet_quota: part,
             ..Default::default()
         })
         .to_vec();
@@ -26,13 +26,13 @@
         tenant: Some(tenant),
         ..request(id, HARMLESS, desk.now)
     };
-    let actions = desk.tell(Event::Asked(req));
+    let actions = desk.tell(Event::RequestReceived(req));
     let rung = actions.iter().rev().find_map(|a| match a {
         Action::SetRung { session, rung } if session.0 == id => Some(*rung),
         _ => None,
     });
     let sent = actions.iter().find_map(|a| match a {
-        Action::Send {
+        Action::StartAttempt {
             session, server, ..
         } if session.0 == id => Some(*server),
         _ => None,
@@ -71,7 +71,7 @@
     let (mut next, mut got) = (2000, [0, 0]);
     for (id, server) in &loud[..60] {
         desk.now += 100 * MS;
-        desk.finish(*id, 0, *server, Outcome::Good);
+        desk.finish(*id, 0, *server, Outcome::Success);
         for tenant in [LOUD, QUIET] {
             got[tenant] += u32::from(ask(&mut desk, next, tenant).is_some());
             next += 1;
@@ -97,7 +97,7 @@
             let Some((id, server, _)) = playing.pop_front() else {
                 break;
             };
-            desk.finish(id, 0, server, Outcome::Good);
+            desk.finish(id, 0, server, Outcome::Success);
             for tenant in [LOUD, QUIET] {
                 if let Some((server, _)) = ask(&mut desk, next, tenant) {
                     playing.push_back((next, server, tenant));
@@ -130,14 +130,14 @@
             tenant: Some(LOUD),
             ..request(id, HARMLESS, desk.now)
         };
-        let actions = desk.tell(Event::Asked(req));
+        let actions = desk.tell(Event::RequestReceived(req));
         for a in &actions {
             match a {
                 Action::SetRung { session, .. } if quiet.contains(&session.0) => {
                     panic!("{id}: {a:?}")
                 }
                 Action::SetRung { session, .. } if session.0 != id => stepped += 1,
-                Action::Send {
+                Action::StartAttempt {
                     session, server, ..
                 } => drop(desk.start(session.0, 0, *server)),
                 _ => {}
@@ -162,8 +162,8 @@
             ..req
         };
         let (a, b) = (
-            with.tell(Event::Asked(req)),
-            without.tell(Event::Asked(nobody)),
+            with.tell(Event::RequestReceived(req)),
+            without.tell(Event::RequestReceived(nobody)),
         );
         assert_eq!(a, b, "{id}");
         with.now += 50 * MS;
@@ -174,36 +174,36 @@
 #[test]
 fn a_request_goes_to_its_own_fleet_alone() {
     let mut desk = Desk::new(settings(), 4);
-    let own = |id| Listed {
+    let own = |id| Endpoint {
         fleet: u32::from(id >= 3),
         ..line(id)
     };
-    desk.list(ListNews::Delta, (1..=4).map(own).collect());
+    desk.list(EndpointUpdate::Delta, (1..=4).map(own).collect());
     for id in 0..20 {
         let fleet = (id % 3 == 0) as u32;
-        let actions = desk.tell(Event::Asked(Request {
+        let actions = desk.tell(Event::RequestReceived(Request {
             fleet,
             ..request(id, HARMLESS, desk.now)
         }));
         let sent = actions.iter().find_map(|a| match a {
-            Action::Send { server, .. } => Some(server.0),
+            Action::StartAttempt { server, .. } => Some(server.0),
             _ => None,
         });
         assert_eq!(sent.expect("there is room") >= 3, fleet == 1, "{id}");
     }
     // Nothing of its own that is up: refused, never sent to the others'.
-    let gone = |id| Listed {
+    let gone = |id| Endpoint {
         fleet: 1,
-        state: Standing::Draining,
+        state: EndpointState::Draining,
         ..line(id)
     };
-    desk.list(ListNews::Delta, (3..=4).map(gone).collect());
-    let actions = desk.tell(Event::Asked(Request {
+    desk.list(EndpointUpdate::Delta, (3..=4).map(gone).collect());
+    let actions = desk.tell(Event::RequestReceived(Request {
         fleet: 1,
         ..request(100, HARMLESS, desk.now)
     }));
     assert!(
-        actions.iter().any(|a| matches!(a, Action::Refuse { .. })),
+        actions.iter().any(|a| matches!(a, Action::Reject { .. })),
         "{actions:?}"
     );
 }
@@ -213,23 +213,23 @@
     let mut desk = Desk::new(settings(), 4);
     let sent = |actions: &[Action]| {
         actions.iter().find_map(|a| match a {
-            Action::Send { server, .. } => Some(*server),
+            Action::StartAttempt { server, .. } => Some(*server),
             _ => None,
         })
     };
     let server = sent(&desk.ask(1, PAID)).expect("there is room");
     // The same class on new terms has a number of its own; a set-up that is out stays what it was.
     let mut classes = settings().classes;
-    classes.push(ClassTerms {
-        effect: Effect::Harmless,
-        floor: 3,
+    classes.push(ClassSettings {
+        idempotency: Idempotency::Idempotent,
+        lowest_rung: 3,
         ..classes[PAID]
     });
-    desk.tell(Event::Terms {
+    desk.tell(Event::SettingsUpdated {
         classes,
         tenants: Vec::new(),
     });
-    let actions = desk.finish(1, 0, server, Outcome::Late);
+    let actions = desk.finish(1, 0, server, Outcome::TimedOut);
     assert_eq!(
         actions,
         [Action::Fail {
@@ -261,11 +261,11 @@
         quiet.len()
     );
     for (id, server) in &loud[..12] {
-        desk.finish(*id, 0, *server, Outcome::Good);
+        desk.finish(*id, 0, *server, Outcome::Success);
     }
     let moves = |desk: &mut Desk, id: u64| {
-        let out = desk.tell(Event::HandOver(SessionId(id)));
-        out.iter().any(|a| matches!(a, Action::HandOver { .. }))
+        let out = desk.tell(Event::MigrationRequested(SessionId(id)));
+        out.iter().any(|a| matches!(a, Action::Migrate { .. }))
     };
     assert!(
         !moves(&mut desk, loud.last().unwrap().0),
