--- a/crates/membership/tests/seal.rs
+++ b/crates/membership/tests/seal.rs
@@ -122,3 +122,28 @@
         prop_assert!(b.open(0, &whole).is_ok());
     }
 }
+
+/// Fleets of mixed versions have to understand each other: these bytes were written by the code of commit 7a79dca.
+#[test]
+fn datagrams_are_byte_for_byte_as_they_were() {
+    let (mut a, mut b) = (seals("a", 1), seals("b", 1));
+    let first = a.seal(0, Peer::named("b"), b"join").unwrap();
+    let Err(Refused::Unknown { greeting }) = b.open(0, &first) else {
+        panic!("taken without a token")
+    };
+    a.open(0, &greeting).unwrap();
+    let next = a.seal(SPAN + 1, Peer::named("b"), b"alive").unwrap();
+    let hex = |bytes: &[u8]| -> String { bytes.iter().map(|b| format!("{b:02x}")).collect() };
+    assert_eq!(
+        hex(&first),
+        "0117762fddd969a453000000000000000100000000000000010000000000000000976713bc6d42241a6a6f696ee57837a3bed19e0c19c320aaa1e1236c"
+    );
+    assert_eq!(
+        hex(&greeting),
+        "0110e5cf3d3c8a4f9f00000000000000010000000000000001976713bc6d42241a533ec60b4e3378040a49a391f0d5211085a897ad451e0b3d"
+    );
+    assert_eq!(
+        hex(&next),
+        "0117762fddd969a45300000000000000010000000000000002533ec60b4e3378049f9cf030844845dc616c697665de636b1767d55f905a59fb3b9b0e7d34"
+    );
+}
--- a/crates/membership/tests/swim.rs
+++ b/crates/membership/tests/swim.rs
@@ -271,3 +271,38 @@
     );
     assert!(most / 12 <= 40, "{most} datagrams in a second");
 }
+
+/// Fleets of mixed versions have to understand each other: the first datagrams of a member, as the code of commit
+/// 7a79dca wrote them, and what became of two seeds that answered.
+#[test]
+fn datagrams_are_byte_for_byte_as_they_were() {
+    let mut member = begin(3, 2, 5 * S, 8);
+    let mut digest = blake3::Hasher::new();
+    let mut lengths = Vec::new();
+    while let Some(output) = member.poll_output() {
+        let Output::Send { to, bytes } = output else {
+            panic!("{output:?}")
+        };
+        digest.update(&to.port().to_be_bytes());
+        digest.update(&bytes);
+        lengths.push(bytes.len());
+    }
+    assert_eq!(lengths, [87, 87, 88]);
+    assert_eq!(
+        digest.finalize().to_hex().as_str(),
+        "497c797158fb7b04826b9c2317336b635a76eb5b90d1874f4a0eeba92d461e5f"
+    );
+    let mut fleet = Fleet::new(5, 0.1);
+    let mut digest = blake3::Hasher::new();
+    for _ in 0..400 {
+        for (at, (from, to, bytes)) in &fleet.under_way {
+            digest.update(format!("{} {} {from} {to}", at.0, at.1).as_bytes());
+            digest.update(bytes);
+        }
+        fleet.pass(50 * MS);
+    }
+    assert_eq!(
+        digest.finalize().to_hex().as_str(),
+        "61adb517864a8e9896836d30710f4a930f0cb1d89141e90e0dc5ae8a59ad51bc"
+    );
+}
