The store: modules with one job, typed errors, names of the field

lib.rs and dump.rs did five jobs each; now tables, upgrade, database, change, tenants, tokens, check and export. StoreError says what is damaged (Corruption: which tenant, revision or line) or unavailable in place of strings; every text is as it was. Tuples became IdempotencyKey, ChangeOutcome and ChangedTenants.

--- a/crates/admin/src/api.rs
+++ b/crates/admin/src/api.rs
@@ -4,7 +4,7 @@
 use serde::Deserialize;
 use serde_json::{Map, Value, json};
 use shalewall_http::server::{Reply, Request};
-use shalewall_store::{Error, Store};
+use shalewall_store::{IdempotencyKey, Store, StoreError};
 use shalewall_tenancy::Millis;
 use shalewall_tenancy::access::{self, Access, Role, Token};
 use shalewall_tenancy::change::{By, Match, Refusal, Wish};
@@ -46,11 +46,13 @@
     problem(404, "there is no such thing here")
 }
 
-fn failed(e: Error) -> Reply {
+fn failed(e: StoreError) -> Reply {
     match e {
-        Error::Refused(why) => refused(why),
-        Error::KeyReused => problem(422, "the idempotency key was used for another request"),
-        Error::Newer(_) | Error::Corrupt(_) | Error::Unable(_) => {
+        StoreError::Rejected(why) => refused(why),
+        StoreError::IdempotencyKeyReused => {
+            problem(422, "the idempotency key was used for another request")
+        }
+        StoreError::NewerFormat { .. } | StoreError::Corrupt(_) | StoreError::Unavailable(_) => {
             // What is wrong with the disk is for the operators' log, not for callers.
             tracing::error!(error = %e, "the store failed");
             problem(503, "the store can't do this now; nothing was changed")
@@ -159,11 +161,11 @@
 
     /// Buries deleted tenants of which no front holds a session any more. Returns how many; call it every second
     /// or so.
-    pub fn bury(&self, now: Millis) -> Result<usize, Error> {
-        let number = self.store.last()?;
+    pub fn bury(&self, now: Millis) -> Result<usize, StoreError> {
+        let number = self.store.last_change_number()?;
         let (mut after, mut buried) = (None, 0);
         loop {
-            let page = self.store.list(after.as_ref(), LONGEST_PAGE)?;
+            let page = self.store.list_tenants(after.as_ref(), LONGEST_PAGE)?;
             for t in page
                 .iter()
                 .filter(|t| matches!(t.state, State::Deleting { .. }))
@@ -175,7 +177,7 @@
                         of: Match::Revisions(vec![t.revision]),
                         now,
                     };
-                    self.store.change(&t.id, &Wish::Bury, &by, None)?;
+                    self.store.change_tenant(&t.id, &Wish::Bury, &by, None)?;
                     buried += 1;
                 }
             }
@@ -355,7 +357,10 @@
             of: matching(request),
             now,
         };
-        let done = self.store.change(id, &wish, &by, None).map_err(failed)?;
+        let done = self
+            .store
+            .change_tenant(id, &wish, &by, None)
+            .map_err(failed)?;
         Ok(tenant(
             if wish == Wish::Delete { 202 } else { 200 },
             &done.tenant,
@@ -385,7 +390,10 @@
                     .transpose()
                     .map_err(|e| problem(400, &format!("after {e}")))?;
                 let most = page(request)?;
-                let tenants = self.store.list(after.as_ref(), most).map_err(failed)?;
+                let tenants = self
+                    .store
+                    .list_tenants(after.as_ref(), most)
+                    .map_err(failed)?;
                 let next = tenants
                     .last()
                     .filter(|_| tenants.len() == most)
@@ -394,11 +402,14 @@
             }
             Call::Create => self.create(caller, request, now),
             Call::Changes => {
-                let (number, tenants) = self
+                let changed = self
                     .store
-                    .since(number(request, "after", 0)?)
+                    .changed_since(number(request, "after", 0)?)
                     .map_err(failed)?;
-                json(200, json!({ "number": number, "tenants": tenants }))
+                json(
+                    200,
+                    json!({ "number": changed.last_change_number, "tenants": changed.tenants }),
+                )
             }
             Call::Report => {
                 let said: Told = serde_json::from_value(body(request)?).map_err(|e| {
@@ -424,10 +435,10 @@
                 short.copy_from_slice(&random[..8]);
                 secret.copy_from_slice(&random[8..]);
                 let (token, text) = Token::new(role, short, secret, now);
-                self.store.keep_token(&token).map_err(failed)?;
+                self.store.put_token(&token).map_err(failed)?;
                 json(201, json!({ "id": token.id, "token": text }))
             }
-            Call::Revoke => match self.store.revoke(id, now).map_err(failed)? {
+            Call::Revoke => match self.store.revoke_token(id, now).map_err(failed)? {
                 true => Ok(Reply::new(204)),
                 false => Err(nothing()),
             },
@@ -458,12 +469,19 @@
             of: Match::Missing,
             now,
         };
-        let same = key.as_deref().map(|k| (k, text.as_str()));
+        let same = key.as_deref().map(|key| IdempotencyKey {
+            key,
+            request: &text,
+        });
         let done = self
             .store
-            .change(&id, &Wish::Create(new.terms), &by, same)
+            .change_tenant(&id, &Wish::Create(new.terms), &by, same)
             .map_err(failed)?;
-        let status = if done.number.is_some() { 201 } else { 200 };
+        let status = if done.change_number.is_some() {
+            201
+        } else {
+            200
+        };
         Ok(tenant(status, &done.tenant).with("Location", format!("/tenants/{id}")))
     }
 }
--- a/crates/admin/src/serve.rs
+++ b/crates/admin/src/serve.rs
@@ -98,7 +98,13 @@
         let news = changed.listen();
         let reply = api.answer(&request, now(), rand::rng().random());
         let waits = request.head.path() == "/changes" && reply.status == 200;
-        if !waits || Instant::now() >= until || api.store.last().is_ok_and(|last| last > after) {
+        if !waits
+            || Instant::now() >= until
+            || api
+                .store
+                .last_change_number()
+                .is_ok_and(|last| last > after)
+        {
             break reply;
         }
         let timer = async {
--- a/crates/admin/tests/api.rs
+++ b/crates/admin/tests/api.rs
@@ -58,7 +58,7 @@
             .enumerate()
         {
             let (token, text) = Token::new(role, [i as u8; 8], [i as u8 + 1; 32], 0);
-            store.keep_token(&token).unwrap();
+            store.put_token(&token).unwrap();
             tokens.push(text);
         }
         let mut desk = Desk {
--- a/crates/server/src/day/service.rs
+++ b/crates/server/src/day/service.rs
@@ -53,7 +53,7 @@
         };
         let wish = Wish::Create(terms(&plan.site, name, tenant.share));
         store
-            .change(&id, &wish, &by, None)
+            .change_tenant(&id, &wish, &by, None)
             .map_err(|e| io::Error::other(format!("tenant {name}: {e}")))?;
     }
     let token_file = out.join("front.token");
--- a/crates/server/src/manage.rs
+++ b/crates/server/src/manage.rs
@@ -9,7 +9,7 @@
 use shalewall_http::client::{Call, Response, in_time};
 use shalewall_http::pool::Pool;
 use shalewall_settings::AdminPlan;
-use shalewall_store::{Found, Store};
+use shalewall_store::{Store, StoreSummary};
 use shalewall_tenancy::access::{Role, Token};
 use std::io::{BufReader, Read, Write};
 use std::net::SocketAddr;
@@ -116,14 +116,14 @@
 }
 
 /// Makes a token and keeps it; what its holder is to show.
-pub(crate) fn new_token(store: &Store, role: Role) -> Result<String, shalewall_store::Error> {
+pub(crate) fn new_token(store: &Store, role: Role) -> Result<String, shalewall_store::StoreError> {
     let (token, shown) = Token::new(role, rand::rng().random(), rand::rng().random(), now());
-    store.keep_token(&token)?;
+    store.put_token(&token)?;
     Ok(shown)
 }
 
 pub fn store(command: StoreCommand) -> Outcome {
-    let tell = |f: Found| {
+    let tell = |f: StoreSummary| {
         eprintln!(
             "{} tenants, {} changes, {} tokens",
             f.tenants, f.changes, f.tokens
--- a/crates/store/examples/write_fixture.rs
+++ b/crates/store/examples/write_fixture.rs
@@ -10,7 +10,7 @@
 
 use redb::Database;
 use serde_json::json;
-use shalewall_store::Store;
+use shalewall_store::{IdempotencyKey, Store};
 use shalewall_tenancy::access::{Role, Token};
 use shalewall_tenancy::change::{By, Match, Wish};
 use shalewall_tenancy::model::TenantId;
@@ -35,11 +35,18 @@
     })
 }
 
-/// Every kind of change, each at its own time: (when, who, tenant, change, idempotency key and request).
+/// Every kind of change, each at its own time, a second after the one before.
 fn write_tenants(store: &Store) {
     let create = |name: &str| Wish::Create(terms(name));
     let changes = [
-        ("active", create("first name"), Some(("key 1", "request 1"))),
+        (
+            "active",
+            create("first name"),
+            Some(IdempotencyKey {
+                key: "key 1",
+                request: "request 1",
+            }),
+        ),
         ("suspended", create("suspended"), None),
         ("deleting", create("deleting"), None),
         ("gone", create("gone"), None),
@@ -68,11 +75,14 @@
         (
             "again",
             create("second holder"),
-            Some(("key 2", "request 2")),
+            Some(IdempotencyKey {
+                key: "key 2",
+                request: "request 2",
+            }),
         ),
     ];
-    for (number, (tenant, wish, key)) in (1u64..).zip(changes) {
-        let by = By {
+    for (number, (tenant, change, key)) in (1u64..).zip(changes) {
+        let context = By {
             who: if number % 2 == 0 {
                 "token 00"
             } else {
@@ -83,7 +93,7 @@
             now: 1_700_000_000_000 + 1_000 * number,
         };
         store
-            .change(&id(tenant), &wish, &by, key)
+            .change_tenant(&id(tenant), &change, &context, key)
             .expect("the change is allowed");
     }
 }
@@ -100,9 +110,9 @@
     for (number, role) in (1u8..).zip(roles) {
         let made = 1_700_000_000_000 + u64::from(number);
         let (token, _) = Token::new(role, [number; 8], [number; 32], made);
-        store.keep_token(&token).expect("the token is stored");
+        store.put_token(&token).expect("the token is stored");
     }
-    let revoked = store.revoke("0505050505050505", 1_700_000_000_100);
+    let revoked = store.revoke_token("0505050505050505", 1_700_000_000_100);
     assert!(revoked.expect("the token is revoked"), "it was there");
 }
 
@@ -118,7 +128,10 @@
     };
     let (file, export) = (path("redb"), path("jsonl"));
     let store = Store::open(&file).expect("a new store");
-    assert_eq!(store.version().expect("a version").to_string(), version);
+    assert_eq!(
+        store.format_version().expect("a version").to_string(),
+        version
+    );
     write_tenants(&store);
     write_tokens(&store);
     let mut lines = Vec::new();
--- /dev/null
+++ b/crates/store/src/check.rs
@@ -0,0 +1,91 @@
+//! Verification of a whole store: every tenant has to be what its history replays to, and every change has to be
+//! in the tenant's history and in the order of all changes.
+
+use crate::tables::{CHANGES, HISTORY, TENANTS, decode};
+use crate::{Corruption, Store, StoreError};
+use redb::{ReadTransaction, ReadableTable};
+use shalewall_tenancy::change::{Entry, replay};
+use shalewall_tenancy::model::Tenant;
+use std::collections::BTreeMap;
+
+/// How much a store holds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StoreSummary {
+    /// Tenants, with those that are gone.
+    pub tenants: usize,
+    /// Changes of all tenants.
+    pub changes: usize,
+    /// Tokens, with those that are revoked.
+    pub tokens: usize,
+}
+
+impl Store {
+    /// Reads everything, and fails at the first contradiction.
+    pub fn check(&self) -> Result<StoreSummary, StoreError> {
+        let transaction = self.database.begin_read()?;
+        let mut histories = read_histories(&transaction)?;
+        let mut change_counts = count_changes(&transaction)?;
+        let mut summary = StoreSummary {
+            changes: histories.values().map(Vec::len).sum(),
+            ..StoreSummary::default()
+        };
+        for row in transaction.open_table(TENANTS)?.iter()? {
+            let (_, value) = row?;
+            let tenant: Tenant = decode(value.value())?;
+            let id = tenant.id.to_string();
+            let history = histories.remove(&id).unwrap_or_default();
+            check_tenant(&tenant, &history, change_counts.remove(&id))?;
+            summary.tenants += 1;
+        }
+        if let Some(id) = histories.keys().chain(change_counts.keys()).next() {
+            let tenant = id.clone();
+            return Err(Corruption::HistoryWithoutTenant { tenant }.into());
+        }
+        summary.tokens = self.tokens()?.len();
+        Ok(summary)
+    }
+}
+
+/// All entries by tenant, in the order of their revisions.
+fn read_histories(
+    transaction: &ReadTransaction,
+) -> Result<BTreeMap<String, Vec<Entry>>, StoreError> {
+    let mut histories: BTreeMap<String, Vec<Entry>> = BTreeMap::new();
+    for row in transaction.open_table(HISTORY)?.iter()? {
+        let (key, value) = row?;
+        let (tenant, revision) = key.value();
+        let entry: Entry = decode(value.value())?;
+        if entry.tenant.as_str() != tenant || entry.revision != revision {
+            let tenant = tenant.to_string();
+            return Err(Corruption::MisplacedEntry { tenant, revision }.into());
+        }
+        histories.entry(tenant.to_string()).or_default().push(entry);
+    }
+    Ok(histories)
+}
+
+/// How often each tenant is named in the order of changes.
+fn count_changes(transaction: &ReadTransaction) -> Result<BTreeMap<String, usize>, StoreError> {
+    let mut counts: BTreeMap<String, usize> = BTreeMap::new();
+    for row in transaction.open_table(CHANGES)?.iter()? {
+        let (_, tenant) = row?;
+        *counts.entry(tenant.value().to_string()).or_default() += 1;
+    }
+    Ok(counts)
+}
+
+/// Compares a tenant with its history and with the number of its changes.
+fn check_tenant(
+    tenant: &Tenant,
+    history: &[Entry],
+    change_count: Option<usize>,
+) -> Result<(), Corruption> {
+    let id = tenant.id.to_string();
+    if change_count != Some(history.len()) {
+        return Err(Corruption::ChangeCountMismatch { tenant: id });
+    }
+    if replay(history).as_ref() != Some(tenant) {
+        return Err(Corruption::ReplayMismatch { tenant: id });
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/store/src/tokens.rs
@@ -0,0 +1,43 @@
+//! Tokens of the administration API. Only hashes of their secrets are stored.
+
+use crate::tables::{TOKENS, decode, encode, get};
+use crate::{Store, StoreError};
+use redb::ReadableTable;
+use shalewall_tenancy::Millis;
+use shalewall_tenancy::access::Token;
+
+impl Store {
+    /// Writes a token under its id.
+    pub fn put_token(&self, token: &Token) -> Result<(), StoreError> {
+        let transaction = self.database.begin_write()?;
+        transaction
+            .open_table(TOKENS)?
+            .insert(token.id.as_str(), encode(token)?.as_slice())?;
+        transaction.commit()?;
+        Ok(())
+    }
+
+    /// A token by its id, also one that is revoked.
+    pub fn token(&self, id: &str) -> Result<Option<Token>, StoreError> {
+        let transaction = self.database.begin_read()?;
+        get(&transaction.open_table(TOKENS)?, id)
+    }
+
+    /// All tokens by id. There are as many as people and programs that administer, so no pages are needed.
+    pub fn tokens(&self) -> Result<Vec<Token>, StoreError> {
+        let transaction = self.database.begin_read()?;
+        let tokens = transaction.open_table(TOKENS)?;
+        let rows = tokens.iter()?;
+        rows.map(|row| decode(row?.1.value())).collect()
+    }
+
+    /// Revokes a token; one that is revoked keeps its first time. False: there is none of that id.
+    pub fn revoke_token(&self, id: &str, now: Millis) -> Result<bool, StoreError> {
+        let Some(mut token) = self.token(id)? else {
+            return Ok(false);
+        };
+        token.revoked = token.revoked.or(Some(now));
+        self.put_token(&token)?;
+        Ok(true)
+    }
+}
--- /dev/null
+++ b/crates/store/tests/crash.rs
@@ -0,0 +1,96 @@
+//! A process that is killed while it writes.
+
+mod support;
+
+use serde_json::json;
+use shalewall_store::Store;
+use shalewall_tenancy::change::{Match, Wish};
+use shalewall_tenancy::model::State;
+use std::io::{BufRead, BufReader};
+use std::path::Path;
+use std::process::{Command, Stdio};
+use std::time::Duration;
+use support::{context, id, terms};
+
+/// The environment variable that makes [`write_until_killed`] write, and names its store.
+const STORE_VARIABLE: &str = "CRASH_TEST_STORE";
+/// Begins a line of the child's output, before the number of a committed change.
+const COMMITTED: &str = "committed ";
+
+/// The child of the test below: changes tenants until it is killed, and prints each change's number.
+#[test]
+fn write_until_killed() {
+    let Ok(path) = std::env::var(STORE_VARIABLE) else {
+        return;
+    };
+    let store = Store::open(Path::new(&path)).unwrap();
+    for i in 0u64.. {
+        let name = format!("t{}", i % 7);
+        let change = match store.tenant(&id(&name)).unwrap().map(|t| t.state) {
+            None | Some(State::Gone { .. }) => Wish::Create(terms(&name)),
+            Some(State::Deleting { .. }) => Wish::Bury,
+            _ if i % 11 == 0 => Wish::Delete,
+            _ => Wish::Patch(json!({ "display_name": format!("{i}") })),
+        };
+        let outcome = store
+            .change_tenant(&id(&name), &change, &context(Match::Any), None)
+            .unwrap();
+        println!("{COMMITTED}{}", outcome.change_number.unwrap());
+    }
+}
+
+/// Numbers on the lines of a child that tell of a change.
+fn committed_number(line: &str) -> Option<&str> {
+    line.contains(COMMITTED).then_some(line)?.rsplit(' ').next()
+}
+
+/// Runs a writer and kills it after a few changes, at a point within the next that differs from kill to kill.
+/// Returns the last number that it printed; `before`: the last one of the writer before.
+fn last_printed_by_killed_writer(path: &Path, kill: u64, before: u64) -> u64 {
+    let mut child = Command::new(std::env::current_exe().unwrap())
+        .args(["--exact", "write_until_killed", "--nocapture"])
+        .env(STORE_VARIABLE, path)
+        .stdout(Stdio::piped())
+        .stderr(Stdio::null())
+        .spawn()
+        .unwrap();
+    let mut output = BufReader::new(child.stdout.take().unwrap()).lines();
+    let mut last = before;
+    for _ in 0..1 + kill % 4 {
+        let number = output
+            .by_ref()
+            .map(Result::unwrap)
+            .find_map(|line| committed_number(&line).map(str::to_string));
+        last = number.expect("it writes").parse().unwrap();
+    }
+    std::thread::sleep(Duration::from_micros(kill * 37 % 3000));
+    child.kill().unwrap();
+    child.wait().unwrap();
+    for line in output.map_while(Result::ok) {
+        let number = committed_number(&line).and_then(|number| number.parse().ok());
+        last = number.unwrap_or(last); // the last line may be cut short
+    }
+    last
+}
+
+#[test]
+fn every_store_of_200_killed_writers_is_consistent() {
+    let directory = tempfile::tempdir().unwrap();
+    let path = directory.path().join("t.redb");
+    let mut committed = 0;
+    for kill in 0..200u64 {
+        committed = last_printed_by_killed_writer(&path, kill, committed);
+        let store = Store::open(&path).unwrap();
+        store
+            .check()
+            .unwrap_or_else(|error| panic!("after kill {kill}: {error}"));
+        // Every change that was printed is there; at most the one under way came on top.
+        let last = store.last_change_number().unwrap();
+        assert!(
+            last == committed || last == committed + 1,
+            "after kill {kill}: {committed} printed, {last} there"
+        );
+        committed = last;
+    }
+    assert!(committed > 400, "it has to have written: {committed}");
+}
--- a/crates/store/tests/fixtures.rs
+++ b/crates/store/tests/fixtures.rs
@@ -9,19 +9,18 @@
 //! by the code of commit 7a79dca (before the types of this crate were renamed), and have to stay as they are. The
 //! tests work on copies. `examples/write_fixture.rs` refuses to replace a file.
 
-use shalewall_store::{Store, VERSION};
+mod support;
+
+use shalewall_store::{FORMAT_VERSION, IdempotencyKey, Store};
 use shalewall_tenancy::access::{Role, Token, role};
 use shalewall_tenancy::change::{By, Match, Wish, replay};
-use shalewall_tenancy::model::{State, TenantId};
+use shalewall_tenancy::model::State;
 use std::path::Path;
+use support::id;
 
 const STORE_FILE: &[u8] = include_bytes!("fixtures/version-2.redb");
 const EXPORT: &str = include_str!("fixtures/version-2.jsonl");
 
-fn id(name: &str) -> TenantId {
-    TenantId::try_from(name.to_string()).unwrap()
-}
-
 /// A copy of the fixture, opened.
 fn open_copy(directory: &Path) -> Store {
     let path = directory.join("copy.redb");
@@ -33,11 +32,14 @@
 fn a_file_of_version_2_holds_its_tenants() {
     let directory = tempfile::tempdir().unwrap();
     let store = open_copy(directory.path());
-    assert_eq!((store.version().unwrap(), VERSION), (2, 2));
-    let found = store.check().unwrap();
-    assert_eq!((found.tenants, found.changes, found.tokens), (5, 16, 5));
-    assert_eq!(store.last().unwrap(), 16);
-    let tenants = store.list(None, 10).unwrap();
+    assert_eq!((store.format_version().unwrap(), FORMAT_VERSION), (2, 2));
+    let summary = store.check().unwrap();
+    assert_eq!(
+        (summary.tenants, summary.changes, summary.tokens),
+        (5, 16, 5)
+    );
+    assert_eq!(store.last_change_number().unwrap(), 16);
+    let tenants = store.list_tenants(None, 10).unwrap();
     let rows: Vec<_> = tenants
         .iter()
         .map(|t| (t.id.as_str(), t.revision, t.state, t.created, t.changed))
@@ -86,8 +88,8 @@
     assert_eq!(changes("deleting"), ["create", "delete"]);
     assert_eq!(changes("gone"), ["create", "delete", "bury"]);
     assert_eq!(changes("suspended"), ["create", "suspend"]);
-    let (number, changed) = store.since(14).unwrap();
-    assert_eq!((number, changed.len()), (16, 1));
+    let changed = store.changed_since(14).unwrap();
+    assert_eq!((changed.last_change_number, changed.tenants.len()), (16, 1));
 }
 
 #[test]
@@ -123,14 +125,19 @@
     };
     let repeat = |name: &str, key, request| {
         let wish = Wish::Create(serde_json::json!({}));
-        store.change(&id(name), &wish, &by, Some((key, request)))
+        let key = IdempotencyKey { key, request };
+        store.change_tenant(&id(name), &wish, &by, Some(key))
     };
     let done = repeat("active", "key 1", "request 1").unwrap();
-    assert_eq!((done.number, done.tenant.revision), (None, 5));
+    assert_eq!((done.change_number, done.tenant.revision), (None, 5));
     let done = repeat("again", "key 2", "request 2").unwrap();
-    assert_eq!((done.number, done.tenant.revision), (None, 4));
+    assert_eq!((done.change_number, done.tenant.revision), (None, 4));
     assert!(repeat("active", "key 1", "request 2").is_err());
-    assert_eq!(store.last().unwrap(), 16, "nothing was changed");
+    assert_eq!(
+        store.last_change_number().unwrap(),
+        16,
+        "nothing was changed"
+    );
 }
 
 #[test]
@@ -149,8 +156,8 @@
     let filled = Store::open(&directory.path().join("filled.redb")).unwrap();
     filled.import(EXPORT.as_bytes()).unwrap();
     assert_eq!(
-        filled.list(None, 10).unwrap(),
-        store.list(None, 10).unwrap()
+        filled.list_tenants(None, 10).unwrap(),
+        store.list_tenants(None, 10).unwrap()
     );
     let mut lines = Vec::new();
     filled.export(&mut lines).unwrap();
--- /dev/null
+++ b/crates/store/tests/support/mod.rs
@@ -0,0 +1,50 @@
+#![allow(dead_code)] // no test file needs all of them
+//! Tenants and changes that the store's tests share.
+
+use serde_json::json;
+use shalewall_store::Store;
+use shalewall_tenancy::change::{By, Match, Wish};
+use shalewall_tenancy::model::TenantId;
+use std::path::Path;
+
+pub fn id(name: &str) -> TenantId {
+    TenantId::try_from(name.to_string()).unwrap()
+}
+
+/// Terms of a tenant with one class.
+pub fn terms(display_name: &str) -> serde_json::Value {
+    json!({ "display_name": display_name, "share": 1.0,
+        "classes": { "report": { "paid": true, "aim_ms": 1000, "give_up_ms": 4000, "worth": 2.0 } } })
+}
+
+/// An operator's change, at one time for all.
+pub fn context(revision: Match) -> By<'static> {
+    By {
+        who: "test",
+        agrees: true,
+        of: revision,
+        now: 5,
+    }
+}
+
+pub fn open(directory: &Path, name: &str) -> Store {
+    Store::open(&directory.join(name)).unwrap()
+}
+
+/// Changes a tenant at whatever revision it is.
+pub fn change(store: &Store, name: &str, change: Wish) {
+    store
+        .change_tenant(&id(name), &change, &context(Match::Any), None)
+        .unwrap();
+}
+
+pub fn create(store: &Store, name: &str) {
+    store
+        .change_tenant(
+            &id(name),
+            &Wish::Create(terms(name)),
+            &context(Match::Missing),
+            None,
+        )
+        .unwrap();
+}
