--- a/crates/director-config/src/settings.rs
+++ b/crates/director-config/src/settings.rs
@@ -103,7 +103,7 @@
             } else {
                 Idempotency::AtMostOnce
             },
-            latency_objective: span(c, "Target")?,
+            latency_objective: shalewall::TimeDelta::from_micros(span(c, "Target")?),
             priority_weight: num(c, "Value")?.unwrap_or(1.0),
             rate_scale: at(&scales, i, 1.0),
             lowest_rung: at(&floors, i, 0.0) as usize,
@@ -142,7 +142,7 @@
         (share, free) => Some(RetryBudget {
             base: free.unwrap_or(0.0),
             per_request: share.unwrap_or(0.0),
-            window: span(v, "RuleSettings.ResendSpan")?,
+            window: shalewall::TimeDelta::from_micros(span(v, "RuleSettings.ResendSpan")?),
         }),
     };
     let advice = flag(v, "/Limits/RetryAfter");
@@ -163,18 +163,18 @@
         fleet_kb_s: num(v, "Specifics.FleetKb")?.unwrap_or(0.0),
         rack_uplink_kb_s: num(v, "Specifics.RackLinkKb")?.unwrap_or(0.0),
         join_rate_fraction: num(v, "Specifics.JoinAdds")?.unwrap_or(1.0),
-        notification_delay: span(v, "Specifics.ToldLate")?,
-        notification_interval: span(v, "Specifics.ToldEvery")?,
+        notification_delay: shalewall::TimeDelta::from_micros(span(v, "Specifics.ToldLate")?),
+        notification_interval: shalewall::TimeDelta::from_micros(span(v, "Specifics.ToldEvery")?),
         stall_penalty: num(v, "Specifics.StallCost")?.unwrap_or(0.0),
         rung_change_cost_s: num(v, "Specifics.SwitchS")?.unwrap_or(0.0),
         zone_crossing_price: num(v, "Deductions.CrossZone")?.unwrap_or(0.0),
         over_quota_weight: num(v, "OverShareWorth")?.unwrap_or(1.0),
         rules: RuleSettings {
-            warm_up: span(v, "RuleSettings.WarmAfter")?,
+            warm_up: shalewall::TimeDelta::from_micros(span(v, "RuleSettings.WarmAfter")?),
             initial_capacity: num(v, "RuleSettings.StartCapacity")?.unwrap_or(1.0),
             overload_factor: num(v, "RuleSettings.OverloadFactor")?.unwrap_or(0.0),
-            overload_window: span(v, "RuleSettings.Fall")?,
-            poll_deadline: span(v, "RuleSettings.MustAskIn")?,
+            overload_window: shalewall::TimeDelta::from_micros(span(v, "RuleSettings.Fall")?),
+            poll_deadline: shalewall::TimeDelta::from_micros(span(v, "RuleSettings.MustAskIn")?),
             retry_budget: ration,
         },
         limits: Limits {
@@ -183,11 +183,11 @@
             can_check_health: flag(v, "/Limits/Probes"),
             health_check_price: num(v, "Deductions.Probe")?.unwrap_or(0.0),
             max_retry_after: if advice {
-                span(v, "Limits.MaxRetryAfter")?
+                shalewall::TimeDelta::from_micros(span(v, "Limits.MaxRetryAfter")?)
             } else {
-                0
+                shalewall::TimeDelta::from_micros(0)
             },
-            min_batch_interval: span(v, "Step")?,
+            min_batch_interval: shalewall::TimeDelta::from_micros(span(v, "Step")?),
         },
         must_poll_endpoints: v.get("MembershipMode").and_then(Value::as_str) == Some("on_request"),
     };
--- a/crates/engine/benches/decisions.rs
+++ b/crates/engine/benches/decisions.rs
@@ -3,9 +3,10 @@
 
 #[path = "../../../tests/common/mod.rs"]
 mod common;
-use common::S;
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use shalewall::*;
+
+const S: i64 = 1_000_000;
 use shalewall_migration::mover::{Mover, Terms};
 use std::hint::black_box;
 
@@ -25,9 +26,9 @@
     };
     let paid = &mut settings.classes[common::PAID];
     (paid.session_limit_per_title, paid.lowest_rung) = (1_000_000, 0);
-    settings.rules.warm_up = 10 * S;
+    settings.rules.warm_up = shalewall::TimeDelta::from_micros(10 * S);
     settings.rules.retry_budget = None;
-    let mut director = Director::new(1, settings, 0);
+    let mut director = Director::new(1, settings, shalewall::Timestamp::from_micros(0));
     let mut out = Vec::new();
     let line = |id| Endpoint {
         server: ServerId(id),
@@ -38,7 +39,7 @@
         ..Default::default()
     };
     director.handle(
-        0,
+        shalewall::Timestamp::from_micros(0),
         Event::EndpointsUpdated {
             update: EndpointUpdate::Full,
             endpoints: (0..15).map(line).collect(),
@@ -49,7 +50,7 @@
         out.clear();
         let req = request(id, 0);
         director.handle(
-            0,
+            shalewall::Timestamp::from_micros(0),
             Event::SessionTransferred(req, ServerId(req.first_cell + id % 5)),
             &mut out,
         );
@@ -64,7 +65,7 @@
             Notification::UplinkUtilization(0.5),
         ] {
             director.handle(
-                now,
+                shalewall::Timestamp::from_micros(now),
                 Event::Notified {
                     session,
                     attempt: 0,
@@ -75,7 +76,11 @@
             );
         }
     }
-    director.handle(now, Event::TimerFired(TICK), &mut out);
+    director.handle(
+        shalewall::Timestamp::from_micros(now),
+        Event::TimerFired(TICK),
+        &mut out,
+    );
     (director, now)
 }
 
@@ -86,8 +91,8 @@
         tenant: None,
         viewer: id,
         title: TitleId(id % 50),
-        deadline: now + 4 * S,
-        duration_hint: Some(40 * S),
+        deadline: shalewall::Timestamp::from_micros(now + 4 * S),
+        duration_hint: Some(shalewall::TimeDelta::from_micros(40 * S)),
         first_cell: id % 10,
         replica_cells: 5,
         highest_rung: 4,
@@ -99,7 +104,11 @@
 /// One that comes, plays and ends: what is held stays the same.
 fn one(director: &mut Director, now: Micros, req: Request, out: &mut Vec<Action>) -> usize {
     out.clear();
-    director.handle(now, Event::RequestReceived(req), out);
+    director.handle(
+        shalewall::Timestamp::from_micros(now),
+        Event::RequestReceived(req),
+        out,
+    );
     let sent = out.iter().find_map(|a| match a {
         Action::StartAttempt {
             session, server, ..
@@ -109,18 +118,18 @@
     let (session, server) = sent.expect("there is room for it");
     let (attempt, waited) = (0, 50_000);
     director.handle(
-        now,
+        shalewall::Timestamp::from_micros(now),
         Event::SessionStarted {
             session,
             attempt,
             server,
-            setup_time: waited,
+            setup_time: shalewall::TimeDelta::from_micros(waited),
         },
         out,
     );
     let (outcome, closed, load) = (Outcome::Success, true, LoadReport::default());
     director.handle(
-        now,
+        shalewall::Timestamp::from_micros(now),
         Event::AttemptFinished {
             session,
             attempt,
@@ -153,7 +162,11 @@
             b.iter(|| {
                 now += 200_000;
                 out.clear();
-                director.handle(now, Event::TimerFired(TICK), &mut out);
+                director.handle(
+                    shalewall::Timestamp::from_micros(now),
+                    Event::TimerFired(TICK),
+                    &mut out,
+                );
                 black_box(out.len())
             })
         });
@@ -182,7 +195,11 @@
             };
             count
         ];
-        director.handle(now, Event::SettingsUpdated { classes, tenants }, &mut out);
+        director.handle(
+            shalewall::Timestamp::from_micros(now),
+            Event::SettingsUpdated { classes, tenants },
+            &mut out,
+        );
         let mut id = 1_000u64;
         c.bench_with_input(
             BenchmarkId::new("request of a tenant among", count),
@@ -240,9 +257,13 @@
                 b.iter(|| {
                     (id, at) = ((id + 7) % held.min(50_000), at + 30_000);
                     out.clear();
-                    director.handle(at, Event::MigrationRequested(SessionId(id)), &mut out);
                     director.handle(
-                        at,
+                        shalewall::Timestamp::from_micros(at),
+                        Event::MigrationRequested(SessionId(id)),
+                        &mut out,
+                    );
+                    director.handle(
+                        shalewall::Timestamp::from_micros(at),
                         Event::MigrationFinished {
                             session: SessionId(id),
                             migrated: false,
--- a/crates/engine/src/attempts.rs
+++ b/crates/engine/src/attempts.rs
@@ -28,10 +28,9 @@
             rung: s.rung,
             kb: self.config.settings.rate(s.request.class, s.rung),
         };
-        let due = s
-            .request
-            .deadline
-            .min(self.now + patience.unwrap_or(Micros::MAX / 2).max(0));
+        let due = s.request.deadline.min(shalewall::Timestamp::from_micros(
+            self.now + patience.unwrap_or(Micros::MAX / 2).max(0),
+        ));
         match self.call(server, Purpose::SetUp(session), kind) {
             Some(call) => {
                 let stage = Stage::SettingUp {
@@ -43,7 +42,8 @@
                 if let Some(s) = self.sessions.get_mut(&session) {
                     (s.stage, s.confirmed) = (stage, s.rung);
                 }
-                self.timers.set(due, Timer::Attempt(session, attempt));
+                self.timers
+                    .set(due.as_micros(), Timer::Attempt(session, attempt));
             }
             // A server without an address was never reached.
             None => self.finished(
@@ -250,7 +250,7 @@
             session,
             attempt,
             server,
-            setup_time: waited,
+            setup_time: shalewall::TimeDelta::from_micros(waited),
         });
         self.figures(
             session,
--- a/crates/engine/src/carried.rs
+++ b/crates/engine/src/carried.rs
@@ -160,7 +160,7 @@
             tenant: found.tenant,
             viewer: carried.viewer,
             title: found.title,
-            deadline: now,
+            deadline: shalewall::Timestamp::from_micros(now),
             duration_hint: None,
             first_cell: found.place.home,
             replica_cells: found.place.spread,
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -143,7 +143,7 @@
 
 impl Decide for Director {
     fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
-        Director::handle(self, now, event, out);
+        Director::handle(self, shalewall::Timestamp::from_micros(now), event, out);
     }
 }
 
@@ -203,7 +203,11 @@
 impl Engine {
     /// `now` is the time of the front's start, on any clock that does not go back.
     pub fn new(config: Config, now: Micros) -> Engine {
-        let director = Director::new(config.seed, config.settings.clone(), now);
+        let director = Director::new(
+            config.seed,
+            config.settings.clone(),
+            shalewall::Timestamp::from_micros(now),
+        );
         Engine::with(config, Box::new(director), now)
     }
 
@@ -363,7 +367,11 @@
                 session,
                 server,
                 attempt_timeout: patience,
-            } => self.send(session, server, patience),
+            } => self.send(
+                session,
+                server,
+                patience.map(shalewall::TimeDelta::as_micros),
+            ),
             Action::SetRung { session, rung } => {
                 if let Some(s) = self.sessions.get_mut(&session) {
                     s.rung = rung;
@@ -377,23 +385,24 @@
                 session,
                 Answer::Refused {
                     session: Some(session),
-                    come_back,
+                    come_back: come_back.map(shalewall::TimeDelta::as_micros),
                 },
             ),
             Action::Fail { session } => {
                 let late = self.sessions.get(&session).is_some_and(|s| {
-                    self.now
+                    shalewall::Timestamp::from_micros(self.now)
                         >= s.request.deadline
                             - self.config.settings.limits.min_batch_interval
-                            - 1_000
+                            - shalewall::TimeDelta::from_micros(1_000)
                 });
                 self.answer(session, Answer::Failed { session, late });
             }
             Action::CancelAttempt { session, attempt } => self.recall(session, attempt),
             Action::Redirect { session } => self.on_ended(session),
-            Action::SetTimer { after, token } => self
-                .timers
-                .set(self.now + after.max(0), Timer::Director(token)),
+            Action::SetTimer { after, token } => self.timers.set(
+                self.now + after.max(shalewall::TimeDelta::ZERO).as_micros(),
+                Timer::Director(token),
+            ),
             Action::Migrate {
                 session,
                 server,
--- a/crates/engine/src/moves.rs
+++ b/crates/engine/src/moves.rs
@@ -132,7 +132,7 @@
                 now,
                 session,
                 server,
-                s.request.duration_hint.map(|h| since + h),
+                s.request.duration_hint.map(|h| since + h.as_micros()),
             );
             if hand.handover.orphaned() {
                 moves.mover.orphaned(now, session);
--- a/crates/engine/src/nodes.rs
+++ b/crates/engine/src/nodes.rs
@@ -95,7 +95,7 @@
         cell: line.cell,
         state: line.standing,
         weight: line.weight,
-        started_at: line.came_up,
+        started_at: line.came_up.map(shalewall::Timestamp::from_micros),
         fleet,
     }
 }
--- a/crates/engine/src/viewers.rs
+++ b/crates/engine/src/viewers.rs
@@ -24,7 +24,7 @@
             let come_back = Some(self.config.settings.limits.max_retry_after);
             let answer = Answer::Refused {
                 session: None,
-                come_back,
+                come_back: come_back.map(shalewall::TimeDelta::as_micros),
             };
             return self.outputs.push_back(Output::Answer { ask, answer });
         }
@@ -78,8 +78,8 @@
             tenant,
             viewer: key,
             title,
-            deadline: self.now + wait,
-            duration_hint: new.hint,
+            deadline: shalewall::Timestamp::from_micros(self.now + wait),
+            duration_hint: new.hint.map(shalewall::TimeDelta::from_micros),
             first_cell: place.home,
             replica_cells: place.spread,
             highest_rung: new.top.unwrap_or(usize::MAX),
--- a/crates/engine/tests/moves.rs
+++ b/crates/engine/tests/moves.rs
@@ -3,8 +3,11 @@
 
 #[path = "../../../tests/common/mod.rs"]
 mod common;
-use common::{Dice, MS, S};
+use common::Dice;
 use shalewall::*;
+
+const MS: i64 = 1_000;
+const S: i64 = 1_000_000;
 use shalewall_engine::*;
 use shalewall_migration::Epoch;
 use shalewall_migration::mover::Terms;
@@ -20,7 +23,7 @@
 
 fn config() -> Config {
     let class = ClassSettings {
-        latency_objective: S,
+        latency_objective: shalewall::TimeDelta::from_micros(S),
         priority_weight: 1.0,
         rate_scale: 1.0,
         ..Default::default()
@@ -42,18 +45,18 @@
             weight_is_capacity: true,
             link_kb_s_per_weight: 30_000.0,
             join_rate_fraction: 1.0,
-            notification_interval: 3 * S,
-            notification_delay: S,
+            notification_interval: shalewall::TimeDelta::from_micros(3 * S),
+            notification_delay: shalewall::TimeDelta::from_micros(S),
             rules: RuleSettings {
-                warm_up: S,
+                warm_up: shalewall::TimeDelta::from_micros(S),
                 initial_capacity: 0.4,
-                overload_window: S,
+                overload_window: shalewall::TimeDelta::from_micros(S),
                 ..Default::default()
             },
             limits: Limits {
                 max_attempts: 4,
                 can_cancel: true,
-                min_batch_interval: 10 * MS,
+                min_batch_interval: shalewall::TimeDelta::from_micros(10 * MS),
                 ..Default::default()
             },
             ..Default::default()
--- a/crates/engine/tests/world.rs
+++ b/crates/engine/tests/world.rs
@@ -3,8 +3,11 @@
 
 #[path = "../../../tests/common/mod.rs"]
 mod common;
-use common::{Dice, MS, S};
+use common::Dice;
 use shalewall::*;
+
+const MS: i64 = 1_000;
+const S: i64 = 1_000_000;
 use shalewall_engine::*;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -13,7 +16,7 @@
 
 fn config() -> Config {
     let class = ClassSettings {
-        latency_objective: S,
+        latency_objective: shalewall::TimeDelta::from_micros(S),
         priority_weight: 1.0,
         rate_scale: 1.0,
         highest_rung: 1,
@@ -54,22 +57,22 @@
             weight_is_capacity: true,
             link_kb_s_per_weight: 10_000.0,
             join_rate_fraction: 1.0,
-            notification_interval: 3 * S,
-            notification_delay: S,
+            notification_interval: shalewall::TimeDelta::from_micros(3 * S),
+            notification_delay: shalewall::TimeDelta::from_micros(S),
             stall_penalty: 7.0,
             rung_change_cost_s: 0.5,
             rules: RuleSettings {
-                warm_up: S,
+                warm_up: shalewall::TimeDelta::from_micros(S),
                 initial_capacity: 0.4,
                 overload_factor: 3.0,
-                overload_window: S,
+                overload_window: shalewall::TimeDelta::from_micros(S),
                 ..Default::default()
             },
             limits: Limits {
                 max_attempts: 4,
                 can_cancel: true,
-                min_batch_interval: 10 * MS,
-                max_retry_after: S,
+                min_batch_interval: shalewall::TimeDelta::from_micros(10 * MS),
+                max_retry_after: shalewall::TimeDelta::from_micros(S),
                 ..Default::default()
             },
             ..Default::default()
--- a/crates/platform-proto/src/door.rs
+++ b/crates/platform-proto/src/door.rs
@@ -136,7 +136,11 @@
         let most = sockets / 3;
         let mut door = Door {
             now,
-            director: Director::new(config.seed(), settings.clone(), now),
+            director: Director::new(
+                config.seed(),
+                settings.clone(),
+                shalewall::Timestamp::from_micros(now),
+            ),
             settings,
             names,
             bounds,
--- a/crates/platform-proto/src/journal.rs
+++ b/crates/platform-proto/src/journal.rs
@@ -108,7 +108,7 @@
         cell: uint(&r[13..15]),
         state,
         weight: uint(&r[15..19]) as f64 / 1000.0,
-        started_at: came_up(uint(&r[19..27])),
+        started_at: (came_up(uint(&r[19..27]))).map(shalewall::Timestamp::from_micros),
         fleet: 0,
     };
     Ok(Entry {
@@ -201,7 +201,7 @@
                 cell: m.cell,
                 state,
                 weight: m.size,
-                started_at: came_up(m.up_since_ms as u64),
+                started_at: came_up(m.up_since_ms as u64).map(shalewall::Timestamp::from_micros),
                 fleet: 0,
             };
             Some(Entry {
--- a/crates/platform-proto/src/requests.rs
+++ b/crates/platform-proto/src/requests.rs
@@ -84,7 +84,7 @@
             description,
             viewer: Some(viewer),
             ip,
-            deadline: request.deadline,
+            deadline: request.deadline.as_micros(),
             rung: self
                 .settings
                 .classes
--- a/crates/platform-proto/src/table.rs
+++ b/crates/platform-proto/src/table.rs
@@ -69,7 +69,11 @@
     pub(crate) fn run(&mut self) {
         while let Some(event) = self.events.pop_front() {
             let mut actions = std::mem::take(&mut self.actions);
-            self.director.handle(self.now, event, &mut actions);
+            self.director.handle(
+                shalewall::Timestamp::from_micros(self.now),
+                event,
+                &mut actions,
+            );
             actions.drain(..).for_each(|action| self.act(action));
             self.actions = actions;
         }
@@ -81,7 +85,11 @@
                 session,
                 server,
                 attempt_timeout: patience,
-            } => self.send(session, server, patience),
+            } => self.send(
+                session,
+                server,
+                patience.map(shalewall::TimeDelta::as_micros),
+            ),
             Action::SetRung { session, rung } => self.set_rung(session, rung),
             Action::Reject {
                 session,
@@ -94,7 +102,7 @@
                 if let Some(wait) = come_back {
                     answer
                         .opts
-                        .insert("wait".into(), Value::String((wait / 1000).to_string()));
+                        .insert("wait".into(), Value::String(wait.as_millis().to_string()));
                 }
                 self.answer(session, &answer);
             }
@@ -121,9 +129,10 @@
                 }
                 self.release(session);
             }
-            Action::SetTimer { after, token } => {
-                self.timers.set(self.now + after.max(0), Due::Module(token))
-            }
+            Action::SetTimer { after, token } => self.timers.set(
+                self.now + after.max(shalewall::TimeDelta::ZERO).as_micros(),
+                Due::Module(token),
+            ),
             Action::CheckHealth { server } => self.probe(server),
             Action::CloseIdleConnections { server } => {
                 let idle = self
@@ -441,7 +450,7 @@
             session: id,
             attempt: number,
             server,
-            setup_time: self.now - sent,
+            setup_time: shalewall::TimeDelta::from_micros(self.now - sent),
         });
         if let Some(viewer) = viewer {
             let answer = Message {
--- a/crates/platform-proto/tests/common/mod.rs
+++ b/crates/platform-proto/tests/common/mod.rs
@@ -247,7 +247,7 @@
         cell: (id - 1) % 2,
         state,
         weight: 1.0,
-        started_at: started,
+        started_at: started.map(shalewall::Timestamp::from_micros),
         fleet: 0,
     };
     Entry {
--- a/crates/server/src/tenants.rs
+++ b/crates/server/src/tenants.rs
@@ -91,7 +91,7 @@
         } else {
             Idempotency::Idempotent
         },
-        latency_objective: ms(c.aim_ms),
+        latency_objective: shalewall::TimeDelta::from_micros(ms(c.aim_ms)),
         priority_weight: c.worth,
         rate_scale: 1.0,
         lowest_rung: c.floor as usize,
--- a/crates/settings/src/site.rs
+++ b/crates/settings/src/site.rs
@@ -424,7 +424,7 @@
             } else {
                 Idempotency::Idempotent
             },
-            latency_objective: us(c.aim_ms),
+            latency_objective: shalewall::TimeDelta::from_micros(us(c.aim_ms)),
             priority_weight: c.worth,
             rate_scale: c.scale,
             lowest_rung: c.floor,
@@ -440,7 +440,7 @@
         let further = |f: &Further| RetryBudget {
             base: f.free,
             per_request: f.per_request,
-            window: us(f.span_ms),
+            window: shalewall::TimeDelta::from_micros(us(f.span_ms)),
         };
         Settings {
             director_index: front.number,
@@ -467,18 +467,18 @@
             fleet_kb_s: self.link.fleet_kb,
             rack_uplink_kb_s: self.link.uplink_kb,
             join_rate_fraction: self.link.join_adds,
-            notification_delay: us(self.notes.late_ms),
-            notification_interval: us(self.notes.every_ms),
+            notification_delay: shalewall::TimeDelta::from_micros(us(self.notes.late_ms)),
+            notification_interval: shalewall::TimeDelta::from_micros(us(self.notes.every_ms)),
             stall_penalty: self.costs.stall,
             rung_change_cost_s: self.costs.switch_s,
             zone_crossing_price: self.costs.cross,
             over_quota_weight: self.costs.over_share_worth,
             rules: RuleSettings {
-                warm_up: us(self.rules.warm_after_ms),
+                warm_up: shalewall::TimeDelta::from_micros(us(self.rules.warm_after_ms)),
                 initial_capacity: self.rules.start_capacity,
                 overload_factor: self.rules.overload_factor,
-                overload_window: us(self.rules.fall_ms),
-                poll_deadline: 0,
+                overload_window: shalewall::TimeDelta::from_micros(us(self.rules.fall_ms)),
+                poll_deadline: shalewall::TimeDelta::from_micros(0),
                 retry_budget: self.rules.further.as_ref().map(further),
             },
             limits: shalewall::Limits {
@@ -486,8 +486,10 @@
                 can_cancel: self.limits.may_cancel,
                 can_check_health: self.limits.may_probe,
                 health_check_price: self.costs.probe,
-                max_retry_after: us(self.limits.max_come_back_ms),
-                min_batch_interval: us(self.limits.step_ms),
+                max_retry_after: shalewall::TimeDelta::from_micros(us(self
+                    .limits
+                    .max_come_back_ms)),
+                min_batch_interval: shalewall::TimeDelta::from_micros(us(self.limits.step_ms)),
             },
             must_poll_endpoints: false,
         }
--- a/crates/simulation/src/plain.rs
+++ b/crates/simulation/src/plain.rs
@@ -125,7 +125,8 @@
             .filter(|o| (o.req.title, o.req.class) == (out.req.title, class));
         let seated = terms.session_limit_per_title > 0
             && held.count() >= terms.session_limit_per_title as usize;
-        let late = now + self.set.limits.min_batch_interval >= out.req.deadline;
+        let late = shalewall::Timestamp::from_micros(now) + self.set.limits.min_batch_interval
+            >= out.req.deadline;
         let spent = out.tried.len() as u32 >= self.set.limits.max_attempts.max(1);
         let found = self.holders(&out).into_iter().find_map(|s| {
             let asked = self
@@ -184,7 +185,9 @@
                 endpoints: lines,
             } => self.list(news, lines),
             Event::RequestReceived(req) => {
-                let after = req.deadline - self.set.limits.min_batch_interval - now;
+                let after = req.deadline
+                    - self.set.limits.min_batch_interval
+                    - shalewall::Timestamp::from_micros(now);
                 actions.push(Action::SetTimer {
                     after,
                     token: req.session.0,
--- a/crates/simulator-adapter/src/lib.rs
+++ b/crates/simulator-adapter/src/lib.rs
@@ -248,7 +248,8 @@
                     .map_err(|e| self.fault("Setup", &format!("is not JSON: {e}")))?;
                 let given = shalewall_director_config::read(&v)
                     .map_err(|(field, what)| self.fault(&field, &what))?;
-                let director = Director::new(seed, given.settings, now);
+                let director =
+                    Director::new(seed, given.settings, shalewall::Timestamp::from_micros(now));
                 self.instances.insert(
                     name.into(),
                     Instance {
@@ -319,7 +320,9 @@
                 session: SessionId(p.int("OpId")?),
                 attempt: p.int("Copy")? as u32,
                 server: ServerId(p.int("Node")?),
-                setup_time: p.opt_time("DelaySeen")?.unwrap_or(0),
+                setup_time: shalewall::TimeDelta::from_micros(
+                    p.opt_time("DelaySeen")?.unwrap_or(0),
+                ),
             }),
             "HINT_UPDATE" => {
                 let session = SessionId(p.int("OpId")?);
@@ -381,7 +384,11 @@
             return Ok(());
         };
         self.actions.clear();
-        instance.director.handle(now, event, &mut self.actions);
+        instance.director.handle(
+            shalewall::Timestamp::from_micros(now),
+            event,
+            &mut self.actions,
+        );
         for action in &self.actions {
             write_action(name, action, &mut self.reply);
         }
@@ -431,7 +438,7 @@
         cell: node.cell,
         state: node.state,
         weight: node.weight,
-        started_at: node.came_up,
+        started_at: node.came_up.map(shalewall::Timestamp::from_micros),
         fleet: 0,
     }
 }
@@ -459,8 +466,8 @@
         tenant,
         viewer,
         title,
-        deadline,
-        duration_hint: hint,
+        deadline: shalewall::Timestamp::from_micros(deadline),
+        duration_hint: hint.map(shalewall::TimeDelta::from_micros),
         first_cell: home,
         replica_cells: spread,
         highest_rung: top,
@@ -476,7 +483,7 @@
             server,
             attempt_timeout: patience,
         } => {
-            let cap = patience.map_or("-".to_string(), |p| ms(p).to_string());
+            let cap = patience.map_or("-".to_string(), |p| ms(p.as_micros()).to_string());
             writeln!(out, "TRANSMIT {name} {} {} {cap}", session.0, server.0)
         }
         Action::SetRung { session, rung } => writeln!(out, "STEP_TO {name} {} {rung}", session.0),
@@ -484,7 +491,7 @@
             session,
             retry_after: come_back,
         } => {
-            let advice = come_back.map_or("-".to_string(), |t| ms(t).to_string());
+            let advice = come_back.map_or("-".to_string(), |t| ms(t.as_micros()).to_string());
             writeln!(out, "OVERLOAD_REPLY {name} {} {advice}", session.0)
         }
         Action::Fail { session } => writeln!(out, "END_FAILED {name} {}", session.0),
@@ -494,7 +501,9 @@
         Action::Redirect { session } => writeln!(out, "GO_AWAY {name} {}", session.0),
         // Asked for by nobody here: the simulator moves sessions by ending them.
         Action::Migrate { .. } => Ok(()),
-        Action::SetTimer { after, token } => writeln!(out, "SLEEP {name} {} {token}", ms(*after)),
+        Action::SetTimer { after, token } => {
+            writeln!(out, "SLEEP {name} {} {token}", ms((*after).as_micros()))
+        }
         Action::CheckHealth { server } => writeln!(out, "PING {name} {}", server.0),
         Action::PollEndpoints => writeln!(out, "FETCH {name}"),
         Action::WatchEndpoints(on) => writeln!(out, "STREAM_CHANGES {name} {}", u8::from(*on)),
--- a/src/control.rs
+++ b/src/control.rs
@@ -5,6 +5,7 @@
 //! a guard that a rule needs or an exception whose condition stands beside it.
 
 use crate::interface::*;
+use crate::time::{TimeDelta, Timestamp};
 use hash::{draw, mix};
 use held::{Arrivals, Ask, ByTime, Group, Held, Live, State, later, twin};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -19,20 +20,20 @@
 // Times are in microseconds.
 const MARK: f64 = 0.85; // part of a link under which the asked rung is given (the design's default)
 const FULL_LINE: f64 = 0.93; // part that no set-up passes (the design's default): rates stray by some points
-const WANTS_FOR: Micros = 3_000_000; // a viewer turned away still wants a session so long: most return sooner
-const FLOW_SPAN: Micros = 30_000_000; // arrivals are counted so long: what they will come to is demand
-const FLOW_LATE: Micros = 5_000_000; // and a flow goes on only if they came in the last of it as well
-const FLOW_STEP: Micros = 1_000_000; // and by steps of this, so that a crowd does not cost more to count
+const WANTS_FOR: TimeDelta = TimeDelta::from_micros(3_000_000); // a viewer turned away still wants a session so long: most return sooner
+const FLOW_SPAN: TimeDelta = TimeDelta::from_micros(30_000_000); // arrivals are counted so long: what they will come to is demand
+const FLOW_LATE: TimeDelta = TimeDelta::from_micros(5_000_000); // and a flow goes on only if they came in the last of it as well
+const FLOW_STEP: TimeDelta = TimeDelta::from_micros(1_000_000); // and by steps of this, so that a crowd does not cost more to count
 const FLOW_START: f64 = 2.0; // seconds without arrivals presumed before the start: a first viewer is no flow
 const HORIZON: f64 = 40.0; // seconds ahead that a rung is chosen for: what is later can step for it
 const ENDS_PRIOR: f64 = 8.0; // hints weigh as much as so many sessions that have ended as told
 const ENDS_FADE: f64 = 0.98; // and the older ends fade by this with each
-const STALE_TIMES: Micros = 2; // evidence older than so many usual times between reports is forgotten
+const STALE_TIMES: i64 = 2; // evidence older than so many usual times between reports is forgotten
 const RELIEF_TO: f64 = 0.97; // steps down aim at this share of what is delivered
 const RELIEF_TIMES: f64 = 2.0; // and free so many times what is missing: shortage costs more than room
-const STEP_PAUSE: Micros = 2_000_000; // a server's sessions step down again after this: it must show
+const STEP_PAUSE: TimeDelta = TimeDelta::from_micros(2_000_000); // a server's sessions step down again after this: it must show
 const CROSS_SHARE: f64 = 10.0; // a crossing weighs as much as so many times its price of a link
-const CALM: Micros = 4_000_000; // a stepped session may be decided anew after so long
+const CALM: TimeDelta = TimeDelta::from_micros(4_000_000); // a stepped session may be decided anew after so long
 const PACE_MARGIN: f64 = 0.5; // part used of a cold server's falling pace: chance bunches, places stray
 const CROWD: f64 = 0.02; // a title may draw so large a part of all viewers however few servers hold it
 const ANSWER_WEIGHT: f64 = 0.4; // weight of a report in an answer, noisy, of unknown age, against the belief
@@ -41,24 +42,24 @@
 const PRIOR_LEAST: f64 = 0.02; // and what is less of it for each class is left out
 const PRIOR_RATE: f64 = 0.5; // own sessions that the ladder's middle weighs as: a few own rates tell more
 const ECHO: f64 = 4.0; // an own set-up not yet reported stands for so many of others at most: weak evidence
-const ANSWER_AGE: Micros = 500_000; // age of the figures in an answer: refresh and delay
-const LOG_SPAN: Micros = 5_000_000; // own set-ups are remembered so long, for reports that predate them
-const GROWTH_SPAN: Micros = 3_000_000; // reports lag by about so much
-const TICK: Micros = 200_000; // often enough to follow the notes
-const STALL: Micros = 300_000; // a tick this much late was held up here: a batch takes a few milliseconds
+const ANSWER_AGE: TimeDelta = TimeDelta::from_micros(500_000); // age of the figures in an answer: refresh and delay
+const LOG_SPAN: TimeDelta = TimeDelta::from_micros(5_000_000); // own set-ups are remembered so long, for reports that predate them
+const GROWTH_SPAN: TimeDelta = TimeDelta::from_micros(3_000_000); // reports lag by about so much
+const TICK: TimeDelta = TimeDelta::from_micros(200_000); // often enough to follow the notes
+const STALL: TimeDelta = TimeDelta::from_micros(300_000); // a tick this much late was held up here: a batch takes a few milliseconds
 const OWED_ROOM: f64 = 0.05; // part of a link closed to a tenant that owes all; half of it to one that owes
 const CAUTION: f64 = 0.7; // spreads over the mean for the unheard, but not for the lowest rung
 const NEWS_WORTH: f64 = 0.03; // what fresh readings save of a session's worth: dearer probes are not sent
 const PROBES: usize = 2; // holders probed for one request at most
-const PROBE_FRESH: Micros = 2_000_000; // a younger report needs no probe
-const PROBE_WAIT: Micros = 60_000; // probes answer in milliseconds or not at all
-const STALL_MEMORY: Micros = 5_000_000; // no probes so long after a stall here: their answers would wait too
+const PROBE_FRESH: TimeDelta = TimeDelta::from_micros(2_000_000); // a younger report needs no probe
+const PROBE_WAIT: TimeDelta = TimeDelta::from_micros(60_000); // probes answer in milliseconds or not at all
+const STALL_MEMORY: TimeDelta = TimeDelta::from_micros(5_000_000); // no probes so long after a stall here: their answers would wait too
 const PATIENCE_TIMES: f64 = 4.0; // a harmless set-up is tried elsewhere after so many usual set-up times
-const PATIENCE_MIN: Micros = 300_000; // shortest patience: a handshake and a busy core
+const PATIENCE_MIN: TimeDelta = TimeDelta::from_micros(300_000); // shortest patience: a handshake and a busy core
 const SETUP_GUESS: f64 = 120_000.0; // usual set-up time before any was seen, microseconds
-const TRIAL_WAIT: Micros = 1_000_000; // a failing server is tried again after this; doubles three times
-const LONGEST: Micros = 3_600_000_000; // odd deadlines are cut to an hour
-const LIST_RETRY: Micros = 2_000_000; // a failed call for the list is repeated after this
+const TRIAL_WAIT: TimeDelta = TimeDelta::from_micros(1_000_000); // a failing server is tried again after this; doubles three times
+const LONGEST: TimeDelta = TimeDelta::from_micros(3_600_000_000); // odd deadlines are cut to an hour
+const LIST_RETRY: TimeDelta = TimeDelta::from_micros(2_000_000); // a failed call for the list is repeated after this
 const TICK_TOKEN: u64 = u64::MAX; // the tick's timer; tokens of requests are session ids, below 2^52
 
 // ---- account ---------------------------------------------------------------------------------
@@ -66,16 +67,16 @@
 /// What is believed asked of one link or uplink, as a part of what it gives.
 #[derive(Default)]
 struct Account {
-    kb: f64,                      // told size, kB a second; 0 where not told
-    share: f64,                   // believed share asked
-    own: f64,                     // own rate on it, kB a second
-    log: VecDeque<(Micros, f64)>, // own changes of the last seconds: time and kB a second
-    reported: Option<Micros>,
-    seen_to: Micros, // time that the last report tells of
+    kb: f64,                         // told size, kB a second; 0 where not told
+    share: f64,                      // believed share asked
+    own: f64,                        // own rate on it, kB a second
+    log: VecDeque<(Timestamp, f64)>, // own changes of the last seconds: time and kB a second
+    reported: Option<Timestamp>,
+    seen_to: Timestamp, // time that the last report tells of
 }
 
 impl Account {
-    fn fresh(&self, now: Micros) -> bool {
+    fn fresh(&self, now: Timestamp) -> bool {
         self.reported.is_some_and(|t| now - t <= PROBE_FRESH)
     }
 
@@ -83,7 +84,7 @@
         if self.kb > 0.0 { kb / self.kb } else { 0.0 }
     }
 
-    fn add(&mut self, now: Micros, kb: f64) {
+    fn add(&mut self, now: Timestamp, kb: f64) {
         self.own = (self.own + kb).max(0.0);
         self.share = (self.share + self.part(kb)).max(0.0);
         self.log.push_back((now, kb));
@@ -94,12 +95,12 @@
 
     /// Own changes after a time. The log is in order of time, and at thousands of set-ups a second the rest
     /// of it is long.
-    fn since(&self, time: Micros) -> impl Iterator<Item = &(Micros, f64)> {
+    fn since(&self, time: Timestamp) -> impl Iterator<Item = &(Timestamp, f64)> {
         self.log.range(self.log.partition_point(|(t, _)| *t <= time)..)
     }
 
     /// A report of `age`: own changes since then are added to it.
-    fn report(&mut self, now: Micros, age: Micros, share: f64, weight: f64) {
+    fn report(&mut self, now: Timestamp, age: TimeDelta, share: f64, weight: f64) {
         if !share.is_finite() || share < 0.0 {
             return;
         }
@@ -156,25 +157,27 @@
     short: bool, // a note says that it delivers short; full until cleared
     lost: f64,   // worth of a session, in seconds, that the shortage told has cost so far
     /// Last time that sessions were to step down for it: that must show in the notes first.
-    relief_at: Option<Micros>,
-    short_at: Micros, // last time that it was told short
-    fails: u32,       // failures since the last sign of life
-    failed_at: Micros,
-    cold_until: Micros, // cold until then, as far as this director can tell
+    relief_at: Option<Timestamp>,
+    short_at: Timestamp, // last time that it was told short
+    fails: u32,          // failures since the last sign of life
+    failed_at: Timestamp,
+    cold_until: Timestamp, // cold until then, as far as this director can tell
 }
 
 impl Ends {
-    fn count(&mut self, seconds: f64, hint: Option<Micros>) {
-        let part = hint.filter(|h| *h > 0).map(|h| seconds * 1e6 / h as f64);
+    fn count(&mut self, seconds: f64, hint: Option<TimeDelta>) {
+        let part = hint.filter(|h| *h > TimeDelta::ZERO).map(|h| seconds * 1e6 / h.as_micros() as f64);
         let (told, part) = part.map_or((0.0, 0.0), |p| (1.0, p));
         let sums = [&mut self.all, &mut self.seconds, &mut self.told, &mut self.parts];
         sums.into_iter().zip([1.0, seconds, told, part]).for_each(|(sum, x)| *sum = *sum * ENDS_FADE + x);
     }
 
     /// Expected seconds of a session; `oldest`: how long the oldest one held has lasted.
-    fn length(&self, hint: Option<Micros>, oldest: f64) -> f64 {
+    fn length(&self, hint: Option<TimeDelta>, oldest: f64) -> f64 {
         match hint {
-            Some(hint) => hint.max(0) as f64 / 1e6 * (self.parts + ENDS_PRIOR) / (self.told + ENDS_PRIOR),
+            Some(hint) => {
+                hint.max(TimeDelta::ZERO).as_secs_f64() * (self.parts + ENDS_PRIOR) / (self.told + ENDS_PRIOR)
+            }
             None => (self.seconds + 2.0 * oldest * ENDS_PRIOR) / (self.all + ENDS_PRIOR),
         }
     }
@@ -187,18 +190,18 @@
 pub struct Director {
     set: Settings,
     seed: u64,
-    born: Micros,
-    now: Micros, // time of the event under way, and what is to be done for it
+    born: Timestamp,
+    now: Timestamp, // time of the event under way, and what is to be done for it
     out: Vec<Action>,
     servers: BTreeMap<ServerId, Server>,
     uplinks: BTreeMap<u64, Account>,
     held: Held,
     asking: BTreeMap<SessionId, (Ask, Vec<ServerId>)>, // requests that wait for these probes
-    taken: VecDeque<Micros>,                           // times of requests taken and of further attempts sent
-    further: VecDeque<Micros>,
-    moved: VecDeque<Micros>,                // and of sessions handed over
-    turned: BTreeMap<u64, (Micros, usize)>, // viewers turned away lately: when, and of which class
-    came: VecDeque<Arrivals>,               // new viewers of late
+    taken: VecDeque<Timestamp>,                        // times of requests taken and of further attempts sent
+    further: VecDeque<Timestamp>,
+    moved: VecDeque<Timestamp>,                // and of sessions handed over
+    turned: BTreeMap<u64, (Timestamp, usize)>, // viewers turned away lately: when, and of which class
+    came: VecDeque<Arrivals>,                  // new viewers of late
     ends: Ends,
     fleet: Fleet,
     /// What the demand seen asks before and with each class's rung, over what the fleet gives.
@@ -207,14 +210,14 @@
     within: bool, // some tenant here holds no more than its part
     setup: f64,   // usual time of a set-up, microseconds
     subscribed: bool,
-    asked_list: Option<Micros>,
-    tick_due: Option<Micros>, // when the tick is due; and the last time at which it was found long overdue
-    stalled: Micros,
+    asked_list: Option<Timestamp>,
+    tick_due: Option<Timestamp>, // when the tick is due; and the last time at which it was found long overdue
+    stalled: Timestamp,
 }
 
 impl Director {
     /// A director that knows nothing yet. `now` is the time of its start.
-    pub fn new(seed: u64, settings: Settings, now: Micros) -> Director {
+    pub fn new(seed: u64, settings: Settings, now: Timestamp) -> Director {
         Director {
             set: settings,
             seed,
@@ -226,7 +229,7 @@
     }
 
     /// Takes one event and appends what is to be done, in order.
-    pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
+    pub fn handle(&mut self, now: Timestamp, event: Event, out: &mut Vec<Action>) {
         self.now = now;
         if self.tick_due.is_none() {
             self.ring();
@@ -295,7 +298,12 @@
     // ---- events -----------------------------------------------------------------------------
 
     fn on_asked(&mut self, mut req: Request) {
-        let span = self.set.rules.retry_budget.map_or(0, |f| f.window).max(self.set.rules.overload_window);
+        let span = self
+            .set
+            .rules
+            .retry_budget
+            .map_or(TimeDelta::ZERO, |f| f.window)
+            .max(self.set.rules.overload_window);
         self.taken.push_back(self.now);
         for times in [&mut self.taken, &mut self.further, &mut self.moved] {
             while times.front().is_some_and(|t| *t < self.now - span) {
@@ -364,8 +372,8 @@
         self.hold(Live { ask, state: State::Plays, server, rung, kb, sent, due: self.now });
     }
 
-    fn on_started(&mut self, id: SessionId, attempts: u32, server: ServerId, waited: Micros) {
-        self.setup += 0.1 * (waited.max(0) as f64 - self.setup);
+    fn on_started(&mut self, id: SessionId, attempts: u32, server: ServerId, waited: TimeDelta) {
+        self.setup += 0.1 * (waited.max(TimeDelta::ZERO).as_micros() as f64 - self.setup);
         self.on_sign(server, true);
         if self.held.live.get(&id).is_some_and(|l| l.state == State::Pending && l.ask.attempts == attempts) {
             self.held.change(id, |l| l.state = State::Plays);
@@ -380,7 +388,7 @@
         let Some(Live { mut ask, state, server, kb, sent, .. }) = self.held.remove(id) else { return };
         self.charge(server, -kb);
         if state == State::Plays && outcome == Outcome::Success {
-            self.ends.count((self.now - sent) as f64 / 1e6, ask.req.duration_hint);
+            self.ends.count((self.now - sent).as_secs_f64(), ask.req.duration_hint);
         }
         // What two servers answer with an error is wrong by itself: the second is not judged by it.
         ask.errors += u32::from(outcome == Outcome::Error);
@@ -451,7 +459,12 @@
     fn on_fullness(&mut self, id: SessionId, server: ServerId, load: LoadReport) {
         let first =
             self.held.live.get(&id).is_some_and(|l| self.now - l.sent < self.set.notification_interval / 2);
-        self.on_load(server, load, if first { 0 } else { self.set.notification_delay }, NOTE_WEIGHT);
+        self.on_load(
+            server,
+            load,
+            if first { TimeDelta::ZERO } else { self.set.notification_delay },
+            NOTE_WEIGHT,
+        );
     }
 
     /// Probes are late, or the viewer's time is up: the final answer is due now, whatever is still out.
@@ -469,7 +482,7 @@
         self.held.change(id, |l| l.state = State::Closed);
     }
 
-    fn on_load(&mut self, server: ServerId, load: LoadReport, age: Micros, weight: f64) {
+    fn on_load(&mut self, server: ServerId, load: LoadReport, age: TimeDelta, weight: f64) {
         let now = self.now;
         for (account, share) in
             self.accounts(server).into_iter().zip([load.link_utilization, load.uplink_utilization])
@@ -482,8 +495,9 @@
 
     /// Missing evidence is not bad evidence: what no report has confirmed for long is forgotten.
     fn forget(&mut self) {
-        let stale = STALE_TIMES * self.set.notification_interval.max(1_000_000) + self.set.notification_delay;
-        let fresh = |t: &Micros| self.now - *t <= stale;
+        let stale = self.set.notification_interval.max(TimeDelta::from_secs(1)) * STALE_TIMES
+            + self.set.notification_delay;
+        let fresh = |t: &Timestamp| self.now - *t <= stale;
         for s in self.servers.values_mut() {
             s.link.reported = s.link.reported.filter(fresh);
             s.short &= fresh(&s.short_at);
@@ -661,7 +675,7 @@
     /// Counts a new viewer: by its hint, corrected by how hints have proved; without one by how long sessions
     /// lasted, and at first twice as long as any has by now. A `known` one was counted when it came first.
     fn count_new(&mut self, req: &Request, known: bool) {
-        let (from, seconds) = (self.now - self.now % FLOW_STEP, self.left(req, 0));
+        let (from, seconds) = (self.now.round_down(FLOW_STEP), self.left(req, TimeDelta::ZERO));
         if self.came.back().is_none_or(|a| a.from < from) {
             self.came.push_back(Arrivals { from, ..Arrivals::default() });
         }
@@ -688,7 +702,7 @@
         }
         // Few arrivals, as at each of hundreds of directors, are weak evidence: two spreads are taken off.
         // A crowd that is over is no flow either.
-        let time = |span| (self.now - self.born).min(span) as f64 / 1e6 + FLOW_START;
+        let time = |span| (self.now - self.born).min(span).as_secs_f64() + FLOW_START;
         let flow =
             f64::min(late / time(FLOW_LATE), all / time(FLOW_SPAN) * (1.0 - 2.0 / count.max(4.0).sqrt()));
         let more = (flow - held).max(0.0) * (HORIZON * count / all).min(1.0);
@@ -750,7 +764,8 @@
     /// `caution`: how far an unheard link or uplink is taken for fuller than the mean, in spreads.
     fn fits(&self, s: &Server, kb: f64, line: f64, caution: f64) -> bool {
         let rack = self.uplink_of(s);
-        let doubt = |heard: Option<Micros>, spread: f64| if heard.is_some() { 0.0 } else { caution * spread };
+        let doubt =
+            |heard: Option<Timestamp>, spread: f64| if heard.is_some() { 0.0 } else { caution * spread };
         let link = doubt(s.link.reported, self.fleet.link_spread) + s.link.part(kb);
         let uplink = doubt(rack.and_then(|u| u.reported), self.fleet.uplink_spread);
         let uplink = uplink + rack.map_or(0.0, |u| u.part(kb));
@@ -793,7 +808,8 @@
         let kb = self.set.rate(ask.req.class, rung);
         let patience = self.patience(&ask);
         if ask.attempts == 0 {
-            let after = (ask.req.deadline - self.set.limits.min_batch_interval - self.now).max(0);
+            let after =
+                (ask.req.deadline - self.set.limits.min_batch_interval - self.now).max(TimeDelta::ZERO);
             self.out.push(Action::SetTimer { after, token: session.0 });
         } else {
             self.further.push_back(self.now);
@@ -803,15 +819,15 @@
         self.out.push(Action::SetRung { session, rung });
         self.out.push(Action::StartAttempt { session, server, attempt_timeout: patience });
         let blind = self.servers.get(&server).is_some_and(|s| s.link.reported.is_none());
-        let due = self.now + if blind { 0 } else { CALM };
+        let due = self.now + if blind { TimeDelta::ZERO } else { CALM };
         self.hold(Live { ask, state: State::Pending, server, rung, kb, sent: self.now, due });
     }
 
     /// A harmless set-up is tried elsewhere while the viewer's aim can still be met; a paid one may
     /// not be sent again after a time-out, so it waits as long as the viewer does.
-    fn patience(&self, ask: &Ask) -> Option<Micros> {
+    fn patience(&self, ask: &Ask) -> Option<TimeDelta> {
         let last = ask.attempts + 1 >= self.set.limits.max_attempts;
-        let usual = ((self.setup * PATIENCE_TIMES) as Micros).max(PATIENCE_MIN);
+        let usual = (TimeDelta::from_micros((self.setup * PATIENCE_TIMES) as i64)).max(PATIENCE_MIN);
         if !self.set.harmless(ask.req.class) || last || self.now + usual >= ask.req.deadline {
             return None;
         }
@@ -822,7 +838,7 @@
         let most = self.set.limits.max_retry_after;
         // Spread over the upper half of what viewers honour, so that they don't come back as one crowd.
         let spread = mix(self.seed ^ req.session.0) % 1000;
-        let come_back = (most > 0).then(|| most / 2 + most / 2 * spread as Micros / 1000);
+        let come_back = (most > TimeDelta::ZERO).then(|| most / 2 + most / 2 * spread as i64 / 1000);
         Action::Reject { session: req.session, retry_after: come_back }
     }
 
@@ -857,7 +873,7 @@
             for id in ids {
                 // Many directors hold one session each there: of the last step only the part that is needed
                 // is taken, by draw, or all together would free several times what is missing.
-                if draw(self.seed ^ id.0 ^ self.now as u64) * freed < RELIEF_TIMES * need {
+                if draw(self.seed ^ id.0 ^ self.now.as_micros() as u64) * freed < RELIEF_TIMES * need {
                     self.step(id, rung);
                 }
                 need -= freed;
@@ -878,7 +894,7 @@
         let kb = self.set.rate(ask.req.class, class.lowest_rung);
         let worth = self.set.ladder.get(class.lowest_rung).map_or(0.0, |r| r.utility);
         let (gain, owes) =
-            (class.priority_weight * worth * self.left(&ask.req, 0), self.owes(ask.req.tenant));
+            (class.priority_weight * worth * self.left(&ask.req, TimeDelta::ZERO), self.owes(ask.req.tenant));
         let (line, beside) = self.closed(&ask.req);
         let mut looked = BTreeSet::new();
         let found = self.holders(ask).into_iter().filter(|s| !s.short && s.fails == 0).find_map(|s| {
@@ -919,9 +935,10 @@
     }
 
     /// Seconds that a session has to go, as far as is known; `age`: how long it has lasted.
-    fn left(&self, req: &Request, age: Micros) -> f64 {
-        let oldest = self.held.sent.first().map_or(0, |(sent, _)| self.now - sent) as f64 / 1e6;
-        (self.ends.length(req.duration_hint, oldest) - age as f64 / 1e6).max(0.0)
+    fn left(&self, req: &Request, age: TimeDelta) -> f64 {
+        let oldest =
+            self.held.sent.first().map_or(TimeDelta::ZERO, |(sent, _)| self.now - *sent).as_secs_f64();
+        (self.ends.length(req.duration_hint, oldest) - age.as_secs_f64()).max(0.0)
     }
 
     fn step(&mut self, id: SessionId, rung: usize) {
@@ -960,8 +977,11 @@
                 let found = self.rung_at(s, &t.ask.req, terms.lowest_rung, top, kb);
                 let Some(rung) = found.filter(|r| r > held) else { continue };
                 let more = self.set.ladder[rung].utility - self.set.ladder[*held].utility;
-                let left =
-                    t.ask.req.duration_hint.map_or(f64::INFINITY, |h| (h - (self.now - t.sent)) as f64 / 1e6);
+                let left = t
+                    .ask
+                    .req
+                    .duration_hint
+                    .map_or(f64::INFINITY, |h| (h - (self.now - t.sent)).as_secs_f64());
                 if left * more > self.set.rung_change_cost_s {
                     steps.insert(*id, rung);
                 }
@@ -1028,7 +1048,7 @@
             return false;
         }
         // A failing server is tried with what may be repeated only, one at a time, ever more rarely.
-        let wait = TRIAL_WAIT << s.fails.saturating_sub(1).min(3);
+        let wait = TRIAL_WAIT * (1 << s.fails.saturating_sub(1).min(3));
         let trial = (ask.booked || self.set.harmless(ask.req.class)) && self.now - s.failed_at >= wait;
         s.fails == 0 || (trial && !self.held.out.contains_key(&s.listed.server))
     }
@@ -1042,16 +1062,16 @@
         if !known && self.now >= self.born + c.warm_up {
             return true;
         }
-        let span = c.overload_window.max(1);
+        let span = c.overload_window.max(TimeDelta::from_micros(1));
         let lately =
-            |times: &VecDeque<Micros>| times.iter().rev().take_while(|t| **t > self.now - span).count();
+            |times: &VecDeque<Timestamp>| times.iter().rev().take_while(|t| **t > self.now - span).count();
         let asked = [&self.taken, &self.further, &self.moved].map(lately).iter().sum::<usize>();
-        let warm = c.warm_up.max(1) as f64;
+        let warm = c.warm_up.max(TimeDelta::from_micros(1)).as_micros() as f64;
         let pace =
             (c.overload_factor * c.initial_capacity * self.set.places(s.listed.machine_kind)).max(1.0) / warm;
         let part = if known { (ask.req.replica_cells as f64 / cells).clamp(CROWD, 1.0) } else { 1.0 / cells };
         let all = self.set.sharers() * asked.max(1) as f64 * part;
-        let most = pace * PACE_MARGIN * span as f64;
+        let most = pace * PACE_MARGIN * span.as_micros() as f64;
         let sent = self.held.at.get(&s.listed.server).map_or(0, |at| later(at, self.now - span));
         draw(self.tie(ask, s)) * all < most && sent < (most / self.set.sharers()).max(1.0) as usize
     }
--- a/src/control/counts.rs
+++ b/src/control/counts.rs
@@ -39,7 +39,7 @@
         let Some(rung) = d.rung_at(s, req, terms.lowest_rung, top, t.kb).filter(|r| *r > t.rung) else {
             continue;
         };
-        let left = req.duration_hint.map_or(f64::INFINITY, |h| (h - (d.now - t.sent)) as f64 / 1e6);
+        let left = req.duration_hint.map_or(f64::INFINITY, |h| (h - (d.now - t.sent)).as_secs_f64());
         if left * (d.set.ladder[rung].utility - d.set.ladder[t.rung].utility) > d.set.rung_change_cost_s {
             steps.insert(*id, rung);
         }
@@ -65,7 +65,7 @@
         assert_eq!(d.held.by_tenant.contains_key(&tenant), sessions > 0);
     }
     assert!((d.held.tenants_kb - (0..3).flat_map(of).sum::<f64>()).abs() < 1e-6);
-    for ago in [0, S, 2 * S, 3 * S, 10 * S] {
+    for ago in [TimeDelta::ZERO, S, 2 * S, 3 * S, 10 * S] {
         let than = d.now - ago;
         assert_eq!(later(&d.held.sent, than), live().filter(|l| l.sent > than).count());
         for server in (1..=6).map(ServerId) {
@@ -87,7 +87,7 @@
     Endpoint { state, ..line(id) }
 }
 
-fn request(dice: &mut Dice, id: u64, now: Micros) -> Request {
+fn request(dice: &mut Dice, id: u64, now: Timestamp) -> Request {
     Request {
         session: SessionId(id),
         class: dice.roll(2) as usize,
@@ -113,7 +113,8 @@
             .map(|part| TenantSettings { fleet_quota: part, ..TenantSettings::default() })
             .to_vec();
         let set = Settings { tenants, ..settings() };
-        let (mut d, mut out, mut now) = (Director::new(seed, set, 0), Vec::new(), 0);
+        let (mut d, mut out, mut now) =
+            (Director::new(seed, set, Timestamp::ZERO), Vec::new(), Timestamp::ZERO);
         let lines = (1..=6).map(|id| listed(id, EndpointState::Ready)).collect();
         d.handle(now, Event::EndpointsUpdated { update: EndpointUpdate::Full, endpoints: lines }, &mut out);
         for id in 0..40 {
@@ -121,7 +122,7 @@
             d.handle(now, Event::SessionTransferred(req, ServerId(1 + dice.roll(6))), &mut out);
         }
         for id in 40..1200 {
-            now += dice.roll(80) as Micros * MS;
+            now += dice.roll(80) as i64 * MS;
             let some = |dice: &mut Dice, d: &Director| {
                 let n = d.held.live.len().max(1) as u64;
                 d.held
--- a/src/control/held.rs
+++ b/src/control/held.rs
@@ -1,6 +1,7 @@
 //! The sessions that a director holds, and what is counted of them. Nothing is decided here.
 
 use crate::interface::*;
+use crate::time::Timestamp;
 use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Bound::{Excluded, Unbounded};
 
@@ -30,8 +31,8 @@
     pub server: ServerId,
     pub rung: usize,
     pub kb: f64,
-    pub sent: Micros,
-    pub due: Micros, // from then on its rung may be decided anew
+    pub sent: Timestamp,
+    pub due: Timestamp, // from then on its rung may be decided anew
 }
 
 /// What stands for a session at the server that it is handed over to. Ids of sessions are below 2^52.
@@ -40,7 +41,7 @@
 }
 
 /// Sessions by the time of their last send, or by when they are due.
-pub(super) type ByTime = BTreeSet<(Micros, SessionId)>;
+pub(super) type ByTime = BTreeSet<(Timestamp, SessionId)>;
 
 /// Sessions for which the same is decided anew.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -56,7 +57,7 @@
 /// New viewers of one step of time: how many, and the seconds that they want, by class.
 #[derive(Default)]
 pub(super) struct Arrivals {
-    pub from: Micros,
+    pub from: Timestamp,
     pub count: f64,
     pub seconds: BTreeMap<usize, f64>,
 }
@@ -111,7 +112,7 @@
             }
         }
         type Sets<K> = BTreeMap<K, ByTime>;
-        fn file<K: Ord + Copy>(sets: &mut Sets<K>, key: K, entry: (Micros, SessionId), enter: bool) {
+        fn file<K: Ord + Copy>(sets: &mut Sets<K>, key: K, entry: (Timestamp, SessionId), enter: bool) {
             let set = sets.entry(key).or_default();
             let _ = if enter { set.insert(entry) } else { set.remove(&entry) };
             if set.is_empty() {
@@ -153,6 +154,6 @@
 }
 
 /// How many there are later than a time.
-pub(super) fn later(set: &ByTime, than: Micros) -> usize {
+pub(super) fn later(set: &ByTime, than: Timestamp) -> usize {
     set.range((Excluded((than, SessionId(u64::MAX))), Unbounded)).count()
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,6 +1,8 @@
 //! What a director is told and what it says: settings, events, actions, ids, times, outcomes.
 //! No logic lives here.
 
+use crate::time::{TimeDelta, Timestamp};
+
 /// A point on the caller's clock, or a span of it, in microseconds. The clock may start anywhere.
 pub type Micros = i64;
 
@@ -48,9 +50,9 @@
     /// What a further viewer of a live title adds to a stream, as a part of its rate. 1: shares nothing.
     pub join_rate_fraction: f64,
     /// How late notes come.
-    pub notification_delay: Micros,
+    pub notification_delay: TimeDelta,
     /// Time between fullness notes of one server. 0: none come.
-    pub notification_interval: Micros,
+    pub notification_interval: TimeDelta,
     /// Points of worth lost for each point of the rate that is missing. 0: not told.
     pub stall_penalty: f64,
     /// A change of rung while playing costs so many seconds of worth.
@@ -91,7 +93,7 @@
 pub struct ClassSettings {
     pub idempotency: Idempotency,
     /// Wanted playing within this time.
-    pub latency_objective: Micros,
+    pub latency_objective: TimeDelta,
     /// Worth of one second at a rung of worth 1.
     pub priority_weight: f64,
     /// Rates of the class over those of the ladder.
@@ -119,15 +121,15 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct RuleSettings {
     /// A started server is warm after this at the latest.
-    pub warm_up: Micros,
+    pub warm_up: TimeDelta,
     /// It begins at this part of its capacity.
     pub initial_capacity: f64,
     /// It falls over at this multiple of its pace ...
     pub overload_factor: f64,
     /// ... over this span.
-    pub overload_window: Micros,
+    pub overload_window: TimeDelta,
     /// An unsubscribed director that has not asked for the list this long counts as told.
-    pub poll_deadline: Micros,
+    pub poll_deadline: TimeDelta,
     /// Further attempts allowed in each window; absent: not rationed.
     pub retry_budget: Option<RetryBudget>,
 }
@@ -137,7 +139,7 @@
 pub struct RetryBudget {
     pub base: f64,
     pub per_request: f64,
-    pub window: Micros,
+    pub window: TimeDelta,
 }
 
 /// What a site permits.
@@ -152,9 +154,9 @@
     /// What one probe for each request costs, as a part of all worth.
     pub health_check_price: f64,
     /// Longest come-back advice that viewers honour. 0: advice is not passed on.
-    pub max_retry_after: Micros,
+    pub max_retry_after: TimeDelta,
     /// Smallest time between two batches of events.
-    pub min_batch_interval: Micros,
+    pub min_batch_interval: TimeDelta,
 }
 
 /// One line of the list of servers.
@@ -169,7 +171,7 @@
     pub state: EndpointState,
     pub weight: f64,
     /// Time of its last start; absent: long past.
-    pub started_at: Option<Micros>,
+    pub started_at: Option<Timestamp>,
     /// It takes requests of this fleet alone. 0: the one that all share.
     pub fleet: u32,
 }
@@ -207,9 +209,9 @@
     pub viewer: u64,
     pub title: TitleId,
     /// The viewer waits until then.
-    pub deadline: Micros,
+    pub deadline: Timestamp,
     /// Guess of the session's length.
-    pub duration_hint: Option<Micros>,
+    pub duration_hint: Option<TimeDelta>,
     /// First cell that holds the title.
     pub first_cell: u64,
     /// Cells in a row that hold it.
@@ -283,7 +285,7 @@
         session: SessionId,
         attempt: u32,
         server: ServerId,
-        setup_time: Micros,
+        setup_time: TimeDelta,
     },
     /// An attempt, or the session that it began, has ended.
     AttemptFinished {
@@ -341,7 +343,7 @@
     StartAttempt {
         session: SessionId,
         server: ServerId,
-        attempt_timeout: Option<Micros>,
+        attempt_timeout: Option<TimeDelta>,
     },
     /// Choose the rung: before sending, or while it plays.
     SetRung {
@@ -351,7 +353,7 @@
     /// Final: turned away, and free to come back after `come_back`.
     Reject {
         session: SessionId,
-        retry_after: Option<Micros>,
+        retry_after: Option<TimeDelta>,
     },
     /// Final: failed.
     Fail {
@@ -373,7 +375,7 @@
         rung: usize,
     },
     SetTimer {
-        after: Micros,
+        after: TimeDelta,
         token: u64,
     },
     CheckHealth {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,7 +7,8 @@
 //! ```
 //! use shalewall::*;
 //!
-//! let second = 1_000_000;
+//! let second = TimeDelta::from_secs(1);
+//! let start = Timestamp::ZERO;
 //! let settings = Settings {
 //!     director_count: 1,
 //!     classes: vec![ClassSettings {
@@ -22,9 +23,9 @@
 //!     ..Settings::default()
 //! };
 //! let mut out = Vec::new();
-//! let mut director = Director::new(7, settings, 0);
+//! let mut director = Director::new(7, settings, start);
 //! let box_1 = ServerId(1);
-//! director.handle(0, Event::EndpointsUpdated { update: EndpointUpdate::Full, endpoints: vec![Endpoint {
+//! director.handle(start, Event::EndpointsUpdated { update: EndpointUpdate::Full, endpoints: vec![Endpoint {
 //!     server: box_1, zone: None, machine_kind: None, cell: 0, state: EndpointState::Ready, weight: 1.0,
 //!     started_at: None,
 //!     fleet: 0,
@@ -32,17 +33,17 @@
 //!
 //! out.clear();
 //! let session = SessionId(42);
-//! director.handle(second, Event::RequestReceived(Request {
-//!     session, class: 0, tenant: None, viewer: 5, title: TitleId(9), deadline: 4 * second,
+//! director.handle(start + second, Event::RequestReceived(Request {
+//!     session, class: 0, tenant: None, viewer: 5, title: TitleId(9), deadline: start + 4 * second,
 //!     duration_hint: None, first_cell: 0, replica_cells: 1, highest_rung: 1, is_retry: false, fleet: 0,
 //! }), &mut out);
 //! assert!(out.contains(&Action::SetRung { session, rung: 1 }));
 //! assert!(out.iter().any(|a| matches!(a, Action::StartAttempt { server, .. } if *server == box_1)));
 //!
 //! out.clear();
-//! director.handle(second + 80_000, Event::SessionStarted {
-//!     session, attempt: 0, server: box_1, setup_time: 80_000 }, &mut out);
-//! director.handle(30 * second, Event::AttemptFinished {
+//! director.handle(start + second + TimeDelta::from_millis(80), Event::SessionStarted {
+//!     session, attempt: 0, server: box_1, setup_time: TimeDelta::from_millis(80) }, &mut out);
+//! director.handle(start + 30 * second, Event::AttemptFinished {
 //!     session, attempt: 0, server: box_1, outcome: Outcome::Success, is_answered: true,
 //!     load_report: LoadReport::default() }, &mut out);
 //! assert!(!out.iter().any(|a| matches!(a, Action::Reject { .. } | Action::Fail { .. })));
--- a/src/time.rs
+++ b/src/time.rs
@@ -167,6 +167,14 @@
     }
 }
 
+impl Mul<TimeDelta> for i64 {
+    type Output = TimeDelta;
+
+    fn mul(self, delta: TimeDelta) -> TimeDelta {
+        delta * self
+    }
+}
+
 impl Div<i64> for TimeDelta {
     type Output = TimeDelta;
 
--- a/tests/audit.rs
+++ b/tests/audit.rs
@@ -8,8 +8,8 @@
 #[derive(Default)]
 struct Seen {
     class: usize,
-    asked: Micros,
-    deadline: Micros,
+    asked: Timestamp,
+    deadline: Timestamp,
     sends: u32,
     /// Server of the attempt that is out.
     out: Option<ServerId>,
@@ -19,15 +19,15 @@
 }
 
 struct Auditor {
-    now: Micros,
+    now: Timestamp,
     set: Settings,
     seen: BTreeMap<u64, Seen>,
     told_off: BTreeSet<u64>,
-    started: BTreeMap<u64, Micros>,
-    cold_sends: BTreeMap<u64, Vec<Micros>>,
-    taken: Vec<Micros>,
-    further: Vec<Micros>,
-    timers: Vec<(Micros, u64)>,
+    started: BTreeMap<u64, Timestamp>,
+    cold_sends: BTreeMap<u64, Vec<Timestamp>>,
+    taken: Vec<Timestamp>,
+    further: Vec<Timestamp>,
+    timers: Vec<(Timestamp, u64)>,
     sends: u32,
 }
 
@@ -36,9 +36,9 @@
         let now = self.now;
         for action in out {
             match action {
-                Action::SetTimer { after, token } => {
-                    self.timers.push((now + (*after).max(1), *token))
-                }
+                Action::SetTimer { after, token } => self
+                    .timers
+                    .push((now + (*after).max(TimeDelta::from_micros(1)), *token)),
                 Action::SetRung { session, rung } => {
                     let seen = &self.seen[&session.0];
                     assert!(
@@ -81,7 +81,7 @@
                     if self
                         .started
                         .get(&server.0)
-                        .is_some_and(|t| now < t + c.warm_up)
+                        .is_some_and(|t| now < *t + c.warm_up)
                     {
                         let sends = self.cold_sends.entry(server.0).or_default();
                         sends.push(now);
@@ -91,9 +91,9 @@
                             .count() as f64;
                         let places = self.set.stream_capacity_by_kind[0];
                         // What all directors may send, and as much again for chance.
-                        let pace =
-                            c.overload_factor * c.initial_capacity * places / c.warm_up as f64;
-                        let most = 2.0 * pace * c.overload_window as f64;
+                        let pace = c.overload_factor * c.initial_capacity * places
+                            / c.warm_up.as_micros() as f64;
+                        let most = 2.0 * pace * c.overload_window.as_micros() as f64;
                         assert!(
                             within <= most.max(1.0),
                             "cold server pushed: {within} of {most}"
@@ -128,7 +128,7 @@
             let waits = !seen.answered && !seen.plays;
             assert!(
                 !waits || now <= seen.deadline + 40 * MS,
-                "a session lost: asked at {}",
+                "a session lost: asked at {:?}",
                 seen.asked
             );
             assert!(
@@ -149,11 +149,11 @@
         window: 10 * S,
     });
     let mut a = Auditor {
-        now: 0,
+        now: Timestamp::ZERO,
         set: set.clone(),
         seen: BTreeMap::new(),
         told_off: BTreeSet::new(),
-        started: (1..=4).map(|id| (id, 0)).collect(),
+        started: (1..=4).map(|id| (id, Timestamp::ZERO)).collect(),
         cold_sends: BTreeMap::new(),
         taken: Vec::new(),
         further: Vec::new(),
@@ -162,13 +162,13 @@
     };
     let mut dice = Dice(seed);
     let mut desk = Desk {
-        director: Director::new(seed, set, 0),
-        now: 0,
+        director: Director::new(seed, set, Timestamp::ZERO),
+        now: Timestamp::ZERO,
     };
     let out = desk.list(EndpointUpdate::Cached, (1..=4).map(line).collect());
     a.check(&out);
     for id in 0..4000u64 {
-        let next = desk.now + (dice.roll(120) as Micros + 1) * MS;
+        let next = desk.now + (dice.roll(120) as i64 + 1) * MS;
         // Timers ring when they are due, in order, as the wire would bring them.
         a.timers.sort_unstable();
         while a.timers.first().is_some_and(|(t, _)| *t <= next) {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -3,8 +3,8 @@
 
 use shalewall::*;
 
-pub const MS: Micros = 1_000;
-pub const S: Micros = 1_000_000;
+pub const MS: TimeDelta = TimeDelta::from_millis(1);
+pub const S: TimeDelta = TimeDelta::from_secs(1);
 /// Index of the harmless class, and of the paid one (floor 1, seats 3).
 pub const HARMLESS: usize = 0;
 pub const PAID: usize = 1;
@@ -89,7 +89,7 @@
     }
 }
 
-pub fn request(id: u64, class: usize, now: Micros) -> Request {
+pub fn request(id: u64, class: usize, now: Timestamp) -> Request {
     Request {
         session: SessionId(id),
         class,
@@ -109,18 +109,18 @@
 /// A director with the time of its script.
 pub struct Desk {
     pub director: Director,
-    pub now: Micros,
+    pub now: Timestamp,
 }
 
 impl Desk {
     /// Servers 1 to `servers`, ready and warm for this director.
     pub fn new(set: Settings, servers: u64) -> Desk {
         let mut desk = Desk {
-            director: Director::new(1, set, 0),
-            now: 0,
+            director: Director::new(1, set, Timestamp::ZERO),
+            now: Timestamp::ZERO,
         };
         desk.list(EndpointUpdate::Full, (1..=servers).map(line).collect());
-        desk.now = 60 * S;
+        desk.now = Timestamp::ZERO + 60 * S;
         desk
     }
 
@@ -181,8 +181,8 @@
     }
 
     /// Time passes, and the timer rings when it is due.
-    pub fn wait(&mut self, span: Micros) {
-        for _ in 0..span / (200 * MS) {
+    pub fn wait(&mut self, span: TimeDelta) {
+        for _ in 0..span.as_micros() / (200 * MS).as_micros() {
             self.now += 200 * MS;
             self.tick();
         }
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -144,7 +144,7 @@
     assert!(again(&mut desk, 3).is_none());
     desk.now += 10 * S; // exactly the window: the old ones still count
     assert!(again(&mut desk, 4).is_none());
-    desk.now += 1;
+    desk.now += TimeDelta::from_micros(1);
     assert!(again(&mut desk, 5).is_some());
 }
 
@@ -177,8 +177,8 @@
     (0..u64::from(directors))
         .filter(|id| {
             let mut desk = Desk {
-                director: Director::new(*id, set.clone(), 0),
-                now: 0,
+                director: Director::new(*id, set.clone(), Timestamp::ZERO),
+                now: Timestamp::ZERO,
             };
             list(&mut desk);
             sent_to(&desk.ask(1000 + id, HARMLESS)).is_some()
@@ -190,7 +190,7 @@
 fn three_hundred_directors_do_not_push_a_fresh_server_over_with_one_set_up_each() {
     // preempt, zone loss: the replacement is empty, so all send there, and each one's first was free.
     let fresh = |desk: &mut Desk| {
-        desk.now = 60 * S;
+        desk.now = Timestamp::ZERO + 60 * S;
         desk.list(
             EndpointUpdate::Delta,
             vec![Endpoint {
@@ -218,8 +218,8 @@
     };
     let sent = (0..300u64).filter(|id| {
         let mut desk = Desk {
-            director: Director::new(*id, set.clone(), 0),
-            now: 60 * S,
+            director: Director::new(*id, set.clone(), Timestamp::ZERO),
+            now: Timestamp::ZERO + 60 * S,
         };
         desk.list(
             EndpointUpdate::Delta,
@@ -289,9 +289,9 @@
         } => *come_back,
         _ => None,
     });
-    assert!(advice.is_some_and(|t| t > 0 && t <= S));
+    assert!(advice.is_some_and(|t| t > TimeDelta::ZERO && t <= S));
     let mut set = settings();
-    set.limits.max_retry_after = 0;
+    set.limits.max_retry_after = TimeDelta::ZERO;
     let mut desk = Desk::new(set, 0);
     assert!(desk.ask(1, PAID).contains(&Action::Reject {
         session: SessionId(1),
@@ -308,9 +308,9 @@
                 must_poll_endpoints: true,
                 ..settings()
             },
-            0,
+            Timestamp::ZERO,
         ),
-        now: 0,
+        now: Timestamp::ZERO,
     };
     assert!(
         desk.list(EndpointUpdate::Cached, vec![line(1)])
--- a/tests/held.rs
+++ b/tests/held.rs
@@ -16,8 +16,8 @@
 /// One server, and on it a session that was carried over at this rung.
 fn carried(set: Settings, class: usize, at: usize) -> (Desk, ServerId) {
     let mut desk = Desk {
-        director: Director::new(1, set, 60 * S),
-        now: 60 * S,
+        director: Director::new(1, set, Timestamp::ZERO + 60 * S),
+        now: Timestamp::ZERO + 60 * S,
     };
     desk.list(EndpointUpdate::Full, vec![line(1)]);
     let server = ServerId(1);
@@ -83,8 +83,8 @@
     let steps = |share: f64| {
         let stepped = |seed: &u64| {
             let mut desk = Desk {
-                director: Director::new(*seed, settings(), 0),
-                now: 60 * S,
+                director: Director::new(*seed, settings(), Timestamp::ZERO),
+                now: Timestamp::ZERO + 60 * S,
             };
             desk.list(EndpointUpdate::Full, vec![line(1)]);
             desk.carry(1, HARMLESS, ServerId(1));
@@ -154,7 +154,7 @@
         };
         desk.tell(Event::SessionTransferred(req, ServerId(1)));
         desk.report(1, ServerId(1), share, share / 2.0);
-        assert_eq!(rung(&desk.tick()), want, "at {share} with {hint} left");
+        assert_eq!(rung(&desk.tick()), want, "at {share} with {hint:?} left");
     }
 }
 
@@ -182,22 +182,22 @@
 /// set up since, it looked like a crowd, and the first 3 s of a director got the lowest rung.
 #[test]
 fn sessions_handed_over_late_are_no_crowd() {
-    let rung_after = |late: Micros| {
+    let rung_after = |late: TimeDelta| {
         let mut set = settings();
-        set.rules.warm_up = 0;
+        set.rules.warm_up = TimeDelta::ZERO;
         set.director_count = 3;
         let mut desk = Desk {
-            director: Director::new(1, set, 60 * S),
-            now: 60 * S,
+            director: Director::new(1, set, Timestamp::ZERO + 60 * S),
+            now: Timestamp::ZERO + 60 * S,
         };
         desk.list(EndpointUpdate::Full, (1..=4).map(line).collect());
         desk.now += late;
         for id in 1..=6 {
             desk.carry(id, HARMLESS, ServerId(1 + id % 4));
         }
-        desk.now = 61 * S;
+        desk.now = Timestamp::ZERO + 61 * S;
         rung(&desk.ask(50, HARMLESS))
     };
-    assert!(rung_after(0) > Some(0));
-    assert_eq!(rung_after(100 * MS), rung_after(0));
+    assert!(rung_after(TimeDelta::ZERO) > Some(0));
+    assert_eq!(rung_after(100 * MS), rung_after(TimeDelta::ZERO));
 }
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -132,8 +132,8 @@
         body: vec![1],
     });
     let out = Desk {
-        director: Director::new(0, Settings::default(), 0),
-        now: 0,
+        director: Director::new(0, Settings::default(), Timestamp::ZERO),
+        now: Timestamp::ZERO,
     }
     .ask(1, 0);
     assert!(refused(&out), "empty settings refuse");
@@ -173,8 +173,8 @@
     ) = (0, 0);
     let given = |class| {
         let mut desk = Desk {
-            director: Director::new(1, set.clone(), 0),
-            now: 0,
+            director: Director::new(1, set.clone(), Timestamp::ZERO),
+            now: Timestamp::ZERO,
         };
         desk.list(EndpointUpdate::Full, (1..=4).map(line).collect());
         for id in 1..=60 {
@@ -220,8 +220,8 @@
         };
         set.classes[HARMLESS].session_limit_per_title = 0;
         let mut desk = Desk {
-            director: Director::new(1, set, 0),
-            now: 0,
+            director: Director::new(1, set, Timestamp::ZERO),
+            now: Timestamp::ZERO,
         };
         desk.list(EndpointUpdate::Full, (1..=4).map(line).collect());
         for id in 1..=6 {
@@ -269,8 +269,8 @@
         };
         set.rack_count = 0;
         let mut desk = Desk {
-            director: Director::new(1, set, 0),
-            now: 0,
+            director: Director::new(1, set, Timestamp::ZERO),
+            now: Timestamp::ZERO,
         };
         let near = Endpoint {
             zone: Some(0),
@@ -286,7 +286,7 @@
                 },
             ],
         );
-        desk.now = 60 * S;
+        desk.now = Timestamp::ZERO + 60 * S;
         desk.note(99, ServerId(1), Notification::LinkUtilization(share));
         desk.note(99, ServerId(2), Notification::LinkUtilization(0.2));
         assert_eq!(
--- a/tests/room.rs
+++ b/tests/room.rs
@@ -5,7 +5,7 @@
 use shalewall::*;
 
 /// One server, and on it so many sessions at the top rung that fill its link.
-fn full_of_top_rungs(sessions: u64, hint: Micros) -> Desk {
+fn full_of_top_rungs(sessions: u64, hint: TimeDelta) -> Desk {
     let mut set = settings();
     (
         set.rack_count,
@@ -25,7 +25,7 @@
     desk
 }
 
-fn asked(desk: &mut Desk, id: u64, hint: Micros) -> Vec<Action> {
+fn asked(desk: &mut Desk, id: u64, hint: TimeDelta) -> Vec<Action> {
     let req = Request {
         duration_hint: Some(hint),
         ..request(id, HARMLESS, desk.now)
@@ -99,7 +99,7 @@
 
 /// What viewers that come each second get, the first of them on an empty link that carries 14 top rungs. They
 /// say that they stay for `hint`, and leave after `stay`.
-fn rungs_from_empty(hint: Micros, stay: u64, again: bool, viewers: u64) -> Vec<usize> {
+fn rungs_from_empty(hint: TimeDelta, stay: u64, again: bool, viewers: u64) -> Vec<usize> {
     let mut set = settings();
     (
         set.rack_count,
@@ -191,11 +191,11 @@
 #[test]
 fn a_crowd_at_a_director_that_is_just_back_does_not_fill_the_fleet() {
     let mut set = settings();
-    (set.director_count, set.rules.warm_up, set.rack_uplink_kb_s) = (2, 0, 200_000.0);
+    (set.director_count, set.rules.warm_up, set.rack_uplink_kb_s) = (2, TimeDelta::ZERO, 200_000.0);
     set.link_kb_s_per_weight = 100_000.0;
     let mut desk = Desk {
-        director: Director::new(1, set, 60 * S),
-        now: 60 * S,
+        director: Director::new(1, set, Timestamp::ZERO + 60 * S),
+        now: Timestamp::ZERO + 60 * S,
     };
     desk.list(EndpointUpdate::Full, (1..=4).map(line).collect());
     desk.now += S;
