The administration API: one module for each job, refusals as one enum, explicit operation ids

The OpenAPI document's operation ids were made from the Debug form of an enum: now they are strings in the table. The socket's tasks are named functions with named limits.

--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -1,12 +1,21 @@
-//! The administration API.
+//! The administration API: tenants, their histories, usage and tokens over HTTP.
 //!
-//! [`routes`] is the table of calls: the server finds them by it, and the published OpenAPI document is made from
-//! it, so that the two can't part. [`api`] answers one request from the store, without sockets or clock. [`serve`]
-//! puts it on a socket of its own.
+//! [`routes`] is the table of operations. Requests are found by it and the OpenAPI document ([`openapi`]) is made
+//! from it, so the two can't differ. [`api`] answers one request from the store, without sockets and without a
+//! clock; its operations are in `service_operations` and `tenant_operations`, what it reads of a request in
+//! `request`, and what it refuses in [`error`]. [`serve`] puts it on a socket.
 //!
-//! What this crate may know: HTTP messages, the store, roles. What it must not: sessions, nodes, how changes are
-//! decided ([`shalewall_tenancy`] does).
+//! This crate knows HTTP messages, the store and roles. It knows nothing of sessions and nodes, and does not decide
+//! what a change does to a tenant: [`shalewall_tenancy`] does.
+
+#![deny(missing_docs)]
 
 pub mod api;
+pub mod error;
+pub mod openapi;
+mod rate_limit;
+mod request;
 pub mod routes;
 pub mod serve;
+mod service_operations;
+mod tenant_operations;
--- a/crates/admin/src/routes.rs
+++ b/crates/admin/src/routes.rs
@@ -1,313 +1,299 @@
-//! The calls there are.
+//! The table of operations, and how a request finds its operation.
 
-use serde_json::{Map, Value, json};
 use shalewall_tenancy::access::Act;
-use shalewall_tenancy::model;
 
-/// What a call is for.
+/// An operation on the service as a whole.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Call {
-    Openapi,
-    Schema,
-    List,
-    Create,
+pub enum ServiceOperation {
+    /// The API's OpenAPI document.
+    OpenApi,
+    /// The JSON Schema of a tenant's terms.
+    TermsSchema,
+    /// Tenants in pages.
+    ListTenants,
+    /// A new tenant.
+    CreateTenant,
+    /// A front reports its sessions.
+    ReportUsage,
+    /// Tenants that have changed after a change number.
+    Changes,
+    /// Tokens without their secrets.
+    ListTokens,
+    /// A new token.
+    CreateToken,
+    /// The end of a token.
+    RevokeToken,
+}
+
+/// An operation on one tenant.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TenantOperation {
+    /// The tenant as it is.
     Read,
+    /// Other terms in place of its own.
     Replace,
+    /// A merge patch of its terms.
     Patch,
+    /// No new sessions; the tenant is removed when the last one is over.
     Delete,
+    /// No new sessions.
     Suspend,
+    /// New sessions again.
     Resume,
+    /// Its changes.
     History,
+    /// How many sessions fronts hold of it.
     Usage,
+    /// Its sessions, as fronts report them.
     Sessions,
-    Report,
-    Changes,
-    Tokens,
-    NewToken,
-    Revoke,
 }
 
-/// One call: its method, its path (`{}` stands for an id), who may make it, and the answers beside those that
-/// every call can have.
+/// What a request is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Operation {
+    /// On the service as a whole.
+    Service(ServiceOperation),
+    /// On the tenant that the path names.
+    Tenant(TenantOperation),
+}
+
+impl Operation {
+    /// Whether every role may call it: it shows what the API is, and nothing of a tenant.
+    pub fn is_public(self) -> bool {
+        matches!(
+            self,
+            Operation::Service(ServiceOperation::OpenApi | ServiceOperation::TermsSchema)
+        )
+    }
+}
+
+/// A row of the table.
+#[derive(Debug)]
 pub struct Route {
-    pub call: Call,
+    /// What it does.
+    pub operation: Operation,
+    /// Its name in the published document. Clients are generated from it, so it stays as it is.
+    pub operation_id: &'static str,
+    /// The HTTP method.
     pub method: &'static str,
+    /// The path; `{}` stands for an id.
     pub path: &'static str,
+    /// What a role has to be allowed.
     pub act: Act,
-    pub answers: &'static [u16],
+    /// The statuses of its answers, beside [`COMMON_STATUSES`].
+    pub statuses: &'static [u16],
+    /// One line for the published document.
     pub summary: &'static str,
 }
 
-/// Answers that any call may have: not known who asks, not allowed, hidden or not there, too many, the store.
-pub const ANY: [u16; 6] = [401, 403, 404, 405, 429, 503];
-
-const fn route(
-    call: Call,
-    method: &'static str,
-    path: &'static str,
-    act: Act,
-    answers: &'static [u16],
-    summary: &'static str,
-) -> Route {
-    Route {
-        call,
-        method,
-        path,
-        act,
-        answers,
-        summary,
-    }
-}
+/// Statuses that any operation may answer with: unknown caller, not allowed, not there, another method, too many
+/// calls, a store that fails.
+pub const COMMON_STATUSES: [u16; 6] = [401, 403, 404, 405, 429, 503];
 
 const TENANT: &str = "/tenants/{}";
 
-/// All calls. Those that change a tenant take `If-Match`: 428 without, 412 where it is stale.
+/// All operations. Those that change a tenant take `If-Match`: 428 without it, 412 where it is stale.
 pub const ROUTES: [Route; 18] = [
-    route(
-        Call::Openapi,
-        "GET",
-        "/openapi.json",
-        Act::Read,
-        &[200],
-        "This document",
-    ),
-    route(
-        Call::Schema,
-        "GET",
-        "/schema/terms.json",
-        Act::Read,
-        &[200],
-        "The schema of a tenant's terms",
-    ),
-    route(
-        Call::List,
-        "GET",
-        "/tenants",
-        Act::Directory,
-        &[200, 400],
-        "Tenants by id, in pages",
-    ),
-    route(
-        Call::Create,
-        "POST",
-        "/tenants",
-        Act::Directory,
-        &[200, 201, 400, 409, 422],
-        "Make a tenant",
-    ),
-    route(Call::Read, "GET", TENANT, Act::Read, &[200], "A tenant"),
-    route(
-        Call::Replace,
-        "PUT",
-        TENANT,
-        Act::Change,
-        &[200, 400, 409, 412, 422, 428],
-        "Replace its terms",
-    ),
-    route(
-        Call::Patch,
-        "PATCH",
-        TENANT,
-        Act::Change,
-        &[200, 400, 409, 412, 415, 422, 428],
-        "Merge into its terms",
-    ),
-    route(
-        Call::Delete,
-        "DELETE",
-        TENANT,
-        Act::Agree,
-        &[202, 412, 428],
-        "Delete it: nothing new, what plays ends",
-    ),
-    route(
-        Call::Suspend,
-        "POST",
-        "/tenants/{}/suspend",
-        Act::Agree,
-        &[200, 409, 412, 428],
-        "Nothing new",
-    ),
-    route(
-        Call::Resume,
-        "POST",
-        "/tenants/{}/resume",
-        Act::Agree,
-        &[200, 409, 412, 428],
-        "New sessions again",
-    ),
-    route(
-        Call::History,
-        "GET",
-        "/tenants/{}/history",
-        Act::Read,
-        &[200, 400],
-        "Its changes: who, when, from, to",
-    ),
-    route(
-        Call::Usage,
-        "GET",
-        "/tenants/{}/usage",
-        Act::Read,
-        &[200],
-        "Sessions that fronts hold of it",
-    ),
-    route(
-        Call::Sessions,
-        "GET",
-        "/tenants/{}/sessions",
-        Act::Read,
-        &[200],
-        "Its sessions, by front",
-    ),
-    route(
-        Call::Report,
-        "POST",
-        "/usage",
-        Act::Follow,
-        &[200, 400, 422],
-        "A front tells what it holds",
-    ),
-    route(
-        Call::Changes,
-        "GET",
-        "/changes",
-        Act::Follow,
-        &[200, 400],
-        "Tenants changed after a number",
-    ),
-    route(
-        Call::Tokens,
-        "GET",
-        "/tokens",
-        Act::Tokens,
-        &[200],
-        "Tokens, without their secrets",
-    ),
-    route(
-        Call::NewToken,
-        "POST",
-        "/tokens",
-        Act::Tokens,
-        &[201, 400, 422],
-        "Make a token; shown once",
-    ),
-    route(
-        Call::Revoke,
-        "DELETE",
-        "/tokens/{}",
-        Act::Tokens,
-        &[204],
-        "Revoke a token",
-    ),
+    Route {
+        operation: Operation::Service(ServiceOperation::OpenApi),
+        operation_id: "Openapi",
+        method: "GET",
+        path: "/openapi.json",
+        act: Act::Read,
+        statuses: &[200],
+        summary: "This document",
+    },
+    Route {
+        operation: Operation::Service(ServiceOperation::TermsSchema),
+        operation_id: "Schema",
+        method: "GET",
+        path: "/schema/terms.json",
+        act: Act::Read,
+        statuses: &[200],
+        summary: "The schema of a tenant's terms",
+    },
+    Route {
+        operation: Operation::Service(ServiceOperation::ListTenants),
+        operation_id: "List",
+        method: "GET",
+        path: "/tenants",
+        act: Act::Directory,
+        statuses: &[200, 400],
+        summary: "Tenants by id, in pages",
+    },
+    Route {
+        operation: Operation::Service(ServiceOperation::CreateTenant),
+        operation_id: "Create",
+        method: "POST",
+        path: "/tenants",
+        act: Act::Directory,
+        statuses: &[200, 201, 400, 409, 422],
+        summary: "Make a tenant",
+    },
+    Route {
+        operation: Operation::Tenant(TenantOperation::Read),
+        operation_id: "Read",
+        method: "GET",
+        path: TENANT,
+        act: Act::Read,
+        statuses: &[200],
+        summary: "A tenant",
+    },
+    Route {
+        operation: Operation::Tenant(TenantOperation::Replace),
+        operation_id: "Replace",
+        method: "PUT",
+        path: TENANT,
+        act: Act::Change,
+        statuses: &[200, 400, 409, 412, 422, 428],
+        summary: "Replace its terms",
+    },
+    Route {
+        operation: Operation::Tenant(TenantOperation::Patch),
+        operation_id: "Patch",
+        method: "PATCH",
+        path: TENANT,
+        act: Act::Change,
+        statuses: &[200, 400, 409, 412, 415, 422, 428],
+        summary: "Merge into its terms",
+    },
+    Route {
+        operation: Operation::Tenant(TenantOperation::Delete),
+        operation_id: "Delete",
+        method: "DELETE",
+        path: TENANT,
+        act: Act::Agree,
+        statuses: &[202, 412, 428],
+        summary: "Delete it: nothing new, what plays ends",
+    },
+    Route {
+        operation: Operation::Tenant(TenantOperation::Suspend),
+        operation_id: "Suspend",
+        method: "POST",
+        path: "/tenants/{}/suspend",
+        act: Act::Agree,
+        statuses: &[200, 409, 412, 428],
+        summary: "Nothing new",
+    },
+    Route {
+        operation: Operation::Tenant(TenantOperation::Resume),
+        operation_id: "Resume",
+        method: "POST",
+        path: "/tenants/{}/resume",
+        act: Act::Agree,
+        statuses: &[200, 409, 412, 428],
+        summary: "New sessions again",
+    },
+    Route {
+        operation: Operation::Tenant(TenantOperation::History),
+        operation_id: "History",
+        method: "GET",
+        path: "/tenants/{}/history",
+        act: Act::Read,
+        statuses: &[200, 400],
+        summary: "Its changes: who, when, from, to",
+    },
+    Route {
+        operation: Operation::Tenant(TenantOperation::Usage),
+        operation_id: "Usage",
+        method: "GET",
+        path: "/tenants/{}/usage",
+        act: Act::Read,
+        statuses: &[200],
+        summary: "Sessions that fronts hold of it",
+    },
+    Route {
+        operation: Operation::Tenant(TenantOperation::Sessions),
+        operation_id: "Sessions",
+        method: "GET",
+        path: "/tenants/{}/sessions",
+        act: Act::Read,
+        statuses: &[200],
+        summary: "Its sessions, by front",
+    },
+    Route {
+        operation: Operation::Service(ServiceOperation::ReportUsage),
+        operation_id: "Report",
+        method: "POST",
+        path: "/usage",
+        act: Act::Follow,
+        statuses: &[200, 400, 422],
+        summary: "A front tells what it holds",
+    },
+    Route {
+        operation: Operation::Service(ServiceOperation::Changes),
+        operation_id: "Changes",
+        method: "GET",
+        path: "/changes",
+        act: Act::Follow,
+        statuses: &[200, 400],
+        summary: "Tenants changed after a number",
+    },
+    Route {
+        operation: Operation::Service(ServiceOperation::ListTokens),
+        operation_id: "Tokens",
+        method: "GET",
+        path: "/tokens",
+        act: Act::Tokens,
+        statuses: &[200],
+        summary: "Tokens, without their secrets",
+    },
+    Route {
+        operation: Operation::Service(ServiceOperation::CreateToken),
+        operation_id: "NewToken",
+        method: "POST",
+        path: "/tokens",
+        act: Act::Tokens,
+        statuses: &[201, 400, 422],
+        summary: "Make a token; shown once",
+    },
+    Route {
+        operation: Operation::Service(ServiceOperation::RevokeToken),
+        operation_id: "Revoke",
+        method: "DELETE",
+        path: "/tokens/{}",
+        act: Act::Tokens,
+        statuses: &[204],
+        summary: "Revoke a token",
+    },
 ];
 
-/// What a target leads to.
-pub enum Found<'t> {
-    Call(&'static Route, &'t str),
+/// Where a request leads.
+#[derive(Debug)]
+pub enum Resolution<'path> {
+    /// To an operation.
+    Found {
+        /// Its row.
+        route: &'static Route,
+        /// The id as it stands in the path (ids need no escapes); empty where the path takes none.
+        id: &'path str,
+    },
     /// The path is known, for these methods.
-    Methods(Vec<&'static str>),
-    Nothing,
+    OtherMethods(Vec<&'static str>),
+    /// There is no such path.
+    UnknownPath,
 }
 
-/// Finds a call. The id is as it stands in the path: ids need no escapes.
-pub fn find<'t>(method: &str, path: &'t str) -> Found<'t> {
-    let id = |pattern: &str| -> Option<&'t str> {
-        let Some((before, after)) = pattern.split_once("{}") else {
-            return (pattern == path).then_some("");
-        };
-        let id = path.strip_prefix(before)?.strip_suffix(after)?;
-        (!id.is_empty() && !id.contains('/')).then_some(id)
-    };
-    let here: Vec<(&'static Route, &str)> = ROUTES
+/// Finds the operation of a method and a path.
+pub fn resolve<'path>(method: &str, path: &'path str) -> Resolution<'path> {
+    let of_path: Vec<(&'static Route, &str)> = ROUTES
         .iter()
-        .filter_map(|r| Some((r, id(r.path)?)))
+        .filter_map(|route| Some((route, match_path(route.path, path)?)))
         .collect();
-    match here.iter().find(|(r, _)| r.method == method) {
-        Some((route, id)) => Found::Call(route, id),
-        None if here.is_empty() => Found::Nothing,
-        None => Found::Methods(here.iter().map(|(r, _)| r.method).collect()),
+    if of_path.is_empty() {
+        return Resolution::UnknownPath;
+    }
+    match of_path.iter().find(|(route, _)| route.method == method) {
+        Some((route, id)) => Resolution::Found { route, id },
+        None => Resolution::OtherMethods(of_path.iter().map(|(route, _)| route.method).collect()),
     }
 }
 
-/// The OpenAPI 3.1 document, made from the table.
-pub fn openapi() -> Value {
-    let mut paths: Map<String, Value> = Map::new();
-    for route in &ROUTES {
-        let mut answers = Map::new();
-        for status in route.answers.iter().chain(&ANY) {
-            let (kind, schema) = match status {
-                204 => ("", json!({})),
-                200..=299 => ("application/json", json!({})),
-                _ => (
-                    "application/problem+json",
-                    json!({ "$ref": "#/components/schemas/Problem" }),
-                ),
-            };
-            let mut answer = json!({ "description": shalewall_http::head::reason(*status) });
-            if !kind.is_empty() {
-                answer["content"] = json!({ kind: { "schema": schema } });
-            }
-            answers.insert(status.to_string(), answer);
-        }
-        let mut call = json!({ "summary": route.summary, "operationId": format!("{:?}", route.call),
-            "responses": answers });
-        let mut parameters = Vec::new();
-        if route.path.contains("{}") {
-            parameters.push(
-                json!({ "name": "id", "in": "path", "required": true, "schema": { "type": "string" } }),
-            );
-        }
-        if route.answers.contains(&428) {
-            parameters.push(
-                json!({ "name": "If-Match", "in": "header", "required": true,
-                "schema": { "type": "string" } }),
-            );
-        }
-        if route.call == Call::Create {
-            parameters
-                .push(json!({ "name": "Idempotency-Key", "in": "header", "schema": { "type": "string" } }));
-        }
-        call["parameters"] = parameters.into();
-        let content = match route.call {
-            Call::Replace => Some((
-                "application/json",
-                json!({ "$ref": "#/components/schemas/Terms" }),
-            )),
-            Call::Patch => Some(("application/merge-patch+json", json!({ "type": "object" }))),
-            Call::Create => Some((
-                "application/json",
-                json!({ "type": "object", "required": ["id", "terms"],
-                "properties": { "id": { "type": "string" }, "terms": { "$ref": "#/components/schemas/Terms" } } }),
-            )),
-            Call::Report => Some((
-                "application/json",
-                json!({ "type": "object",
-                "required": ["front", "number", "held"] }),
-            )),
-            Call::NewToken => Some((
-                "application/json",
-                json!({ "type": "object", "required": ["role"] }),
-            )),
-            _ => None,
-        };
-        if let Some((kind, schema)) = content {
-            call["requestBody"] =
-                json!({ "required": true, "content": { kind: { "schema": schema } } });
-        }
-        let path = paths
-            .entry(route.path.replace("{}", "{id}"))
-            .or_insert_with(|| json!({}));
-        path[route.method.to_ascii_lowercase()] = call;
-    }
-    json!({
-        "openapi": "3.1.0",
-        "info": { "title": "shalewall administration", "version": env!("CARGO_PKG_VERSION") },
-        "security": [{ "bearer": [] }],
-        "paths": paths,
-        "components": {
-            "securitySchemes": { "bearer": { "type": "http", "scheme": "bearer" } },
-            "schemas": { "Terms": model::schema(), "Problem": { "type": "object", "required": ["status", "title"] } },
-        },
-    })
+/// The id that a path has in a pattern's place for it, empty where the pattern has none; none: it does not match.
+fn match_path<'path>(pattern: &str, path: &'path str) -> Option<&'path str> {
+    let Some((before, after)) = pattern.split_once("{}") else {
+        return (pattern == path).then_some("");
+    };
+    let id = path.strip_prefix(before)?.strip_suffix(after)?;
+    (!id.is_empty() && !id.contains('/')).then_some(id)
 }
--- a/crates/admin/src/serve.rs
+++ b/crates/admin/src/serve.rs
@@ -1,6 +1,6 @@
-//! The API on a socket of its own.
+//! The API on a socket of its own: connections, calls that wait for changes, and the removal of deleted tenants.
 
-use crate::api::Api;
+use crate::api::{Api, TokenSeed};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use event_listener::Event;
@@ -8,118 +8,148 @@
 use rand::RngExt;
 use shalewall_http::Limits;
 use shalewall_http::server::{Reply, Request, serve};
+use shalewall_tenancy::Millis;
 use std::cell::Cell;
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-/// Connections at most; further ones are closed at once.
-const CONNECTIONS: usize = 1024;
-/// A call for changes is held so long at most.
-const LONGEST_WAIT: Duration = Duration::from_secs(30);
+/// Connections at once; further ones are closed as they come.
+const MAX_CONNECTIONS: usize = 1024;
+/// How long a call waits for changes at most.
+const MAX_WAIT_FOR_CHANGES: Duration = Duration::from_secs(30);
+/// How often deleted tenants are looked at.
+const PURGE_INTERVAL: Duration = Duration::from_secs(1);
+/// How long no connection is accepted after one could not be.
+const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
+/// A document with a hundred thousand titles is some 6 MB.
+const MAX_BODY_BYTES: usize = 8 << 20;
 
 /// The wall clock, milliseconds since 1970.
-pub fn now() -> u64 {
+pub fn unix_time_millis() -> Millis {
     SystemTime::now()
         .duration_since(UNIX_EPOCH)
-        .map_or(0, |d| d.as_millis() as u64)
+        .map_or(0, |since| since.as_millis() as Millis)
 }
 
-/// Listens, and answers for as long as the executor runs. Returns the address.
-pub fn start(
-    ex: &Rc<LocalExecutor<'static>>,
+/// Listens, and answers for as long as the executor runs. Returns the address that it listens on.
+pub fn start_server(
+    executor: &Rc<LocalExecutor<'static>>,
     listen: SocketAddr,
     api: Rc<Api>,
 ) -> std::io::Result<SocketAddr> {
     let listener = Async::<TcpListener>::bind(listen)?;
-    let changed = Rc::new(Event::new());
     let address = listener.get_ref().local_addr()?;
-    let (burying, wake) = (api.clone(), changed.clone());
-    ex.spawn(async move {
-        loop {
-            Timer::after(Duration::from_secs(1)).await;
-            match burying.bury(now()) {
-                Ok(0) => {}
-                Ok(buried) => {
-                    tracing::info!(buried, "deleted tenants are gone, their ids are free");
-                    wake.notify(usize::MAX);
-                }
-                Err(e) => tracing::error!(error = %e, "deleted tenants could not be looked at"),
-            }
-        }
-    })
-    .detach();
-    let spawner = ex.clone();
-    ex.spawn(async move {
-        // A document with a hundred thousand titles is some 6 MB.
-        let limits = Rc::new(Limits {
-            body: 8 << 20,
+    let server = Rc::new(Server {
+        api,
+        tenants_changed: Event::new(),
+        connections: Cell::new(0),
+        limits: Limits {
+            body: MAX_BODY_BYTES,
             ..Limits::default()
-        });
-        let open = Rc::new(Cell::new(0usize));
-        loop {
-            let Ok((stream, _)) = listener.accept().await else {
-                Timer::after(Duration::from_millis(50)).await;
-                continue;
-            };
-            if open.get() >= CONNECTIONS {
-                continue;
-            }
-            open.set(open.get() + 1);
-            let (api, limits, open, changed) =
-                (api.clone(), limits.clone(), open.clone(), changed.clone());
-            spawner
-                .spawn(async move {
-                    let answer = |request| answer(api.clone(), changed.clone(), request);
-                    serve(stream, &limits, answer).await;
-                    open.set(open.get() - 1);
-                })
-                .detach();
-        }
-    })
-    .detach();
+        },
+    });
+    executor
+        .spawn(purge_deleted_tenants(server.clone()))
+        .detach();
+    executor
+        .spawn(accept_connections(server, listener, executor.clone()))
+        .detach();
     Ok(address)
 }
 
-/// Answers a call. One for changes that names a `wait_ms` is held until there are some, for that time at most.
-async fn answer(api: Rc<Api>, changed: Rc<Event>, request: Request) -> Reply {
-    let wait = request
-        .head
-        .query("wait_ms")
-        .and_then(|ms| ms.parse().ok())
-        .unwrap_or(0);
-    let until = Instant::now() + Duration::from_millis(wait).min(LONGEST_WAIT);
-    let after = request
-        .head
-        .query("after")
-        .and_then(|n| n.parse().ok())
-        .unwrap_or(0);
-    let reply = loop {
-        let news = changed.listen();
-        let reply = api.answer(&request, now(), rand::rng().random());
-        let waits = request.head.path() == "/changes" && reply.status == 200;
-        if !waits
-            || Instant::now() >= until
-            || api
-                .store
-                .last_change_number()
-                .is_ok_and(|last| last > after)
-        {
-            break reply;
+struct Server {
+    api: Rc<Api>,
+    /// Wakes the calls that wait for changes.
+    tenants_changed: Event,
+    /// How many are open.
+    connections: Cell<usize>,
+    limits: Limits,
+}
+
+impl Server {
+    fn has_changes_after(&self, change_number: u64) -> bool {
+        let last = self.api.store.last_change_number();
+        last.is_ok_and(|last| last > change_number)
+    }
+}
+
+async fn purge_deleted_tenants(server: Rc<Server>) {
+    loop {
+        Timer::after(PURGE_INTERVAL).await;
+        match server.api.purge_deleted_tenants(unix_time_millis()) {
+            Ok(0) => {}
+            Ok(count) => {
+                tracing::info!(count, "deleted tenants purged");
+                server.tenants_changed.notify(usize::MAX);
+            }
+            Err(error) => tracing::error!(error = %error, "purge of deleted tenants failed"),
         }
-        let timer = async {
-            Timer::at(until).await;
+    }
+}
+
+async fn accept_connections(
+    server: Rc<Server>,
+    listener: Async<TcpListener>,
+    executor: Rc<LocalExecutor<'static>>,
+) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            Timer::after(ACCEPT_BACKOFF).await;
+            continue;
         };
-        future::or(news, timer).await;
-    };
-    if request.head.method != "GET" && request.head.path() != "/usage" {
-        changed.notify(usize::MAX);
+        if server.connections.get() >= MAX_CONNECTIONS {
+            continue;
+        }
+        server.connections.set(server.connections.get() + 1);
+        let server = server.clone();
+        executor
+            .spawn(async move {
+                let answer = |request| answer(server.clone(), request);
+                serve(stream, &server.limits, answer).await;
+                server.connections.set(server.connections.get() - 1);
+            })
+            .detach();
     }
-    tracing::info!(
-        method = request.head.method,
-        path = request.head.path(),
-        status = reply.status,
-        "administration"
-    );
+}
+
+/// Answers a request, logs it, and wakes the calls that wait for changes if it may have made one.
+async fn answer(server: Rc<Server>, request: Request) -> Reply {
+    let reply = answer_or_wait(&server, &request).await;
+    let method = &request.head.method;
+    let path = request.head.path();
+    if method != "GET" && path != "/usage" {
+        server.tenants_changed.notify(usize::MAX);
+    }
+    tracing::info!(method, path, status = reply.status, "administration call");
     reply
 }
+
+/// A call for changes that names `wait_ms` is answered once there are some, or when that time is over.
+async fn answer_or_wait(server: &Server, request: &Request) -> Reply {
+    let wait = Duration::from_millis(query_number_or_zero(request, "wait_ms"));
+    let deadline = Instant::now() + wait.min(MAX_WAIT_FOR_CHANGES);
+    let after = query_number_or_zero(request, "after");
+    loop {
+        let change = server.tenants_changed.listen();
+        let seed = TokenSeed {
+            id: rand::rng().random(),
+            secret: rand::rng().random(),
+        };
+        let reply = server.api.answer(request, unix_time_millis(), seed);
+        let may_wait = request.head.path() == "/changes" && reply.status == 200;
+        if !may_wait || Instant::now() >= deadline || server.has_changes_after(after) {
+            return reply;
+        }
+        let timeout = async {
+            Timer::at(deadline).await;
+        };
+        future::or(change, timeout).await;
+    }
+}
+
+/// A number of the query; what is none counts as 0, and is refused by the operation where it matters.
+fn query_number_or_zero(request: &Request, name: &str) -> u64 {
+    let text = request.head.query(name);
+    text.and_then(|text| text.parse().ok()).unwrap_or(0)
+}
--- /dev/null
+++ b/crates/admin/src/service_operations.rs
@@ -0,0 +1,146 @@
+//! Operations on the service as a whole: the directory of tenants, the order of changes, fronts' reports and
+//! tokens.
+
+use crate::api::{Api, Call};
+use crate::error::ApiError;
+use crate::openapi;
+use crate::request::{content, idempotency_key, page_rows, query_number};
+use crate::routes::ServiceOperation;
+use crate::tenant_operations::tenant_reply;
+use serde::Deserialize;
+use serde_json::{Value, json};
+use shalewall_http::server::Reply;
+use shalewall_store::IdempotencyKey;
+use shalewall_tenancy::access::{Role, Token};
+use shalewall_tenancy::change::{By, Match, Wish};
+use shalewall_tenancy::model::{TenantId, Wrong, schema};
+use shalewall_tenancy::usage::Told;
+
+/// Content of a request for a new tenant.
+#[derive(Deserialize)]
+struct NewTenant {
+    id: String,
+    terms: Value,
+}
+
+/// Content of a request for a new token.
+#[derive(Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+struct NewToken {
+    role: String,
+    tenant: Option<String>,
+}
+
+fn ok(content: Value) -> Result<Reply, ApiError> {
+    Ok(Reply::json(200, content.to_string()))
+}
+
+impl Api {
+    /// `id`: of the path, for the operation that takes one.
+    pub(crate) fn serve_service(
+        &self,
+        operation: ServiceOperation,
+        id: &str,
+        call: &Call<'_>,
+    ) -> Result<Reply, ApiError> {
+        match operation {
+            ServiceOperation::OpenApi => ok(openapi::document()),
+            ServiceOperation::TermsSchema => ok(schema().clone()),
+            ServiceOperation::ListTenants => self.list_tenants(call),
+            ServiceOperation::CreateTenant => self.create_tenant(call),
+            ServiceOperation::Changes => self.read_changes(call),
+            ServiceOperation::ReportUsage => self.report_usage(call),
+            ServiceOperation::ListTokens => self.list_tokens(),
+            ServiceOperation::CreateToken => self.create_token(call),
+            ServiceOperation::RevokeToken => self.revoke_token(id, call),
+        }
+    }
+
+    fn list_tenants(&self, call: &Call<'_>) -> Result<Reply, ApiError> {
+        let after = call.request.head.query("after");
+        let after = after
+            .map(|id| TenantId::try_from(id.to_string()))
+            .transpose()
+            .map_err(|error| ApiError::InvalidAfter {
+                detail: error.to_string(),
+            })?;
+        let rows = page_rows(call.request)?;
+        let tenants = self.store.list_tenants(after.as_ref(), rows)?;
+        let last_of_full_page = tenants.last().filter(|_| tenants.len() == rows);
+        let next = last_of_full_page.map(|tenant| tenant.id.to_string());
+        ok(json!({ "tenants": tenants, "next": next }))
+    }
+
+    fn create_tenant(&self, call: &Call<'_>) -> Result<Reply, ApiError> {
+        let new: NewTenant = content(call.request, "id and terms are needed")?;
+        let id = TenantId::try_from(new.id).map_err(|error| {
+            ApiError::InvalidTerms(vec![Wrong {
+                pointer: "/id".to_string(),
+                detail: error.to_string(),
+            }])
+        })?;
+        // Keys are each caller's own.
+        let key = idempotency_key(call.request)?.map(|key| format!("{} {key}", call.caller.name));
+        let request = new.terms.to_string();
+        let key = key.as_deref().map(|key| IdempotencyKey {
+            key,
+            request: &request,
+        });
+        let context = By {
+            who: &call.caller.name,
+            agrees: true,
+            of: Match::Missing,
+            now: call.now,
+        };
+        let change = Wish::Create(new.terms);
+        let outcome = self.store.change_tenant(&id, &change, &context, key)?;
+        let status = match outcome.change_number {
+            Some(_) => 201,
+            None => 200,
+        };
+        Ok(tenant_reply(status, &outcome.tenant).with("Location", format!("/tenants/{id}")))
+    }
+
+    fn read_changes(&self, call: &Call<'_>) -> Result<Reply, ApiError> {
+        let after = query_number(call.request, "after", 0)?;
+        let changed = self.store.changed_since(after)?;
+        ok(json!({ "number": changed.last_change_number, "tenants": changed.tenants }))
+    }
+
+    fn report_usage(&self, call: &Call<'_>) -> Result<Reply, ApiError> {
+        let report: Told = content(call.request, "front, number and held are needed")?;
+        let wanted = self.fronts.borrow_mut().report(call.now, report);
+        let wanted = wanted.ok_or(ApiError::TooManyFronts)?;
+        ok(json!({ "sessions_of": wanted }))
+    }
+
+    fn list_tokens(&self) -> Result<Reply, ApiError> {
+        let tokens: Vec<_> = self
+            .store
+            .tokens()?
+            .into_iter()
+            .map(|token| {
+                json!({ "id": token.id, "role": token.role, "made": token.made, "revoked": token.revoked })
+            })
+            .collect();
+        ok(json!({ "tokens": tokens }))
+    }
+
+    /// The only answer that shows a token's text.
+    fn create_token(&self, call: &Call<'_>) -> Result<Reply, ApiError> {
+        let new: NewToken = content(call.request, "role and tenant")?;
+        let role = Role::named(&new.role, new.tenant)
+            .map_err(|error| ApiError::InvalidRole(error.to_string()))?;
+        let (token, text) = Token::new(role, call.seed.id, call.seed.secret, call.now);
+        self.store.put_token(&token)?;
+        let content = json!({ "id": token.id, "token": text });
+        Ok(Reply::json(201, content.to_string()))
+    }
+
+    fn revoke_token(&self, id: &str, call: &Call<'_>) -> Result<Reply, ApiError> {
+        if !self.store.revoke_token(id, call.now)? {
+            return Err(ApiError::NotFound);
+        }
+        Ok(Reply::new(204))
+    }
+}
--- /dev/null
+++ b/crates/admin/src/tenant_operations.rs
@@ -0,0 +1,106 @@
+//! Operations on one tenant.
+
+use crate::api::{Api, Call};
+use crate::error::{ApiError, entity_tag};
+use crate::request::{if_match, json, merge_patch, page_rows, query_number};
+use crate::routes::TenantOperation;
+use serde_json::json;
+use shalewall_http::server::Reply;
+use shalewall_tenancy::access::Role;
+use shalewall_tenancy::change::{By, Wish};
+use shalewall_tenancy::model::{State, Tenant, TenantId};
+
+/// When a caller is to ask again for sessions that fronts have not reported yet, seconds.
+const SESSIONS_RETRY_AFTER_S: &str = "2";
+
+/// A tenant, with the entity tag that the next change has to name.
+pub(crate) fn tenant_reply(status: u16, tenant: &Tenant) -> Reply {
+    Reply::json(status, json!(tenant).to_string()).with("ETag", entity_tag(tenant.revision))
+}
+
+impl Api {
+    pub(crate) fn serve_tenant(
+        &self,
+        operation: TenantOperation,
+        id: &TenantId,
+        call: &Call<'_>,
+    ) -> Result<Reply, ApiError> {
+        match operation {
+            TenantOperation::Read => self.read_tenant(id),
+            TenantOperation::History => self.read_history(id, call),
+            TenantOperation::Usage => self.read_usage(id, call),
+            TenantOperation::Sessions => self.read_sessions(id, call),
+            TenantOperation::Replace => self.change(id, Wish::Replace(json(call.request)?), call),
+            TenantOperation::Patch => {
+                let patch = merge_patch(call.request)?;
+                self.change(id, Wish::Patch(patch), call)
+            }
+            TenantOperation::Suspend => self.change(id, Wish::Suspend, call),
+            TenantOperation::Resume => self.change(id, Wish::Resume, call),
+            TenantOperation::Delete => self.change(id, Wish::Delete, call),
+        }
+    }
+
+    fn existing_tenant(&self, id: &TenantId) -> Result<Tenant, ApiError> {
+        self.store.tenant(id)?.ok_or(ApiError::NotFound)
+    }
+
+    /// One that is gone is not there, though operators may read its history still.
+    fn read_tenant(&self, id: &TenantId) -> Result<Reply, ApiError> {
+        let tenant = self.existing_tenant(id)?;
+        match tenant.state {
+            State::Gone { .. } => Err(ApiError::NotFound),
+            _ => Ok(tenant_reply(200, &tenant)),
+        }
+    }
+
+    fn read_history(&self, id: &TenantId, call: &Call<'_>) -> Result<Reply, ApiError> {
+        let from = query_number(call.request, "from", 0)?;
+        let rows = page_rows(call.request)?;
+        let entries = self.store.history(id, from, rows)?;
+        if entries.is_empty() && from == 0 {
+            return Err(ApiError::NotFound);
+        }
+        let next = entries.last().map(|entry| entry.revision + 1);
+        let content = json!({ "entries": entries, "next": next });
+        Ok(Reply::json(200, content.to_string()))
+    }
+
+    fn read_usage(&self, id: &TenantId, call: &Call<'_>) -> Result<Reply, ApiError> {
+        let tenant = self.existing_tenant(id)?;
+        let usage = self.fronts.borrow().held(call.now, id);
+        let sessions: u64 = usage.iter().map(|(_, sessions, _)| sessions).sum();
+        let fronts: Vec<_> = usage
+            .iter()
+            .map(|(front, sessions, age_ms)| {
+                json!({ "front": front, "sessions": sessions, "age_ms": age_ms })
+            })
+            .collect();
+        let content = json!({ "tenant": tenant.id, "sessions": sessions, "fronts": fronts });
+        Ok(Reply::json(200, content.to_string()))
+    }
+
+    /// Fronts report sessions only after they were asked for; until all have, the caller is to come again.
+    fn read_sessions(&self, id: &TenantId, call: &Call<'_>) -> Result<Reply, ApiError> {
+        let tenant = self.existing_tenant(id)?;
+        let fronts = self.fronts.borrow_mut().sessions(call.now, id);
+        let content = json!({ "tenant": tenant.id, "fronts": fronts });
+        let reply = Reply::json(200, content.to_string());
+        if fronts.iter().all(|front| front.sessions.is_some()) {
+            return Ok(reply);
+        }
+        Ok(reply.with("Retry-After", SESSIONS_RETRY_AFTER_S))
+    }
+
+    fn change(&self, id: &TenantId, change: Wish, call: &Call<'_>) -> Result<Reply, ApiError> {
+        let context = By {
+            who: &call.caller.name,
+            agrees: call.caller.role == Role::Operator,
+            of: if_match(call.request),
+            now: call.now,
+        };
+        let outcome = self.store.change_tenant(id, &change, &context, None)?;
+        let status = if change == Wish::Delete { 202 } else { 200 };
+        Ok(tenant_reply(status, &outcome.tenant))
+    }
+}
--- a/crates/server/src/day/service.rs
+++ b/crates/server/src/day/service.rs
@@ -3,7 +3,7 @@
 use crate::manage::new_token;
 use async_executor::LocalExecutor;
 use shalewall_admin::api::Api;
-use shalewall_admin::serve::{now, start};
+use shalewall_admin::serve::{start_server, unix_time_millis};
 use shalewall_settings::{DayPlan, HostedDay, Hosting, Site};
 use shalewall_store::Store;
 use shalewall_tenancy::access::Role;
@@ -47,7 +47,7 @@
         let id = TenantId::try_from(name.clone()).map_err(io::Error::other)?;
         let by = By {
             who: "day",
-            now: now(),
+            now: unix_time_millis(),
             agrees: true,
             of: Match::Missing,
         };
@@ -58,8 +58,8 @@
     }
     let token_file = out.join("front.token");
     std::fs::write(&token_file, shown)?;
-    let api = Rc::new(Api::new(store, now(), FORGET_FRONT_MS));
-    let admin = start(ex, ([127, 0, 0, 1], 0).into(), api)?;
+    let api = Rc::new(Api::new(store, unix_time_millis(), FORGET_FRONT_MS));
+    let admin = start_server(ex, ([127, 0, 0, 1], 0).into(), api)?;
     Ok(Hosting {
         admin,
         token_file,
--- a/crates/server/src/manage.rs
+++ b/crates/server/src/manage.rs
@@ -4,7 +4,7 @@
 use clap::{Args, Subcommand};
 use rand::RngExt;
 use shalewall_admin::api::Api;
-use shalewall_admin::serve::{now, start};
+use shalewall_admin::serve::{start_server, unix_time_millis};
 use shalewall_http::Limits;
 use shalewall_http::client::{Call, Response, in_time};
 use shalewall_http::pool::Pool;
@@ -92,12 +92,12 @@
 pub fn admin(plan: &AdminPlan) -> Outcome {
     let store = Store::open(&plan.admin.store).map_err(text)?;
     let ex = Rc::new(LocalExecutor::new());
-    let address = start(
+    let address = start_server(
         &ex,
         plan.admin.listen,
         Rc::new(Api::new(
             store,
-            now(),
+            unix_time_millis(),
             (plan.admin.forget_front_s * 1000.0) as u64,
         )),
     )
@@ -117,7 +117,12 @@
 
 /// Makes a token and keeps it; what its holder is to show.
 pub(crate) fn new_token(store: &Store, role: Role) -> Result<String, shalewall_store::StoreError> {
-    let (token, shown) = Token::new(role, rand::rng().random(), rand::rng().random(), now());
+    let (token, shown) = Token::new(
+        role,
+        rand::rng().random(),
+        rand::rng().random(),
+        unix_time_millis(),
+    );
     store.put_token(&token)?;
     Ok(shown)
 }
