A platform configuration in today's form, each field of it checked by tests

No test read a whole configuration file and every key of its settings object, so a renaming could have changed what is read without a sign. The file has invented names and a value other than the default under each key; the tests compare the settings, names, bounds, events and positions with explicit values, and the errors with their paths.

--- /dev/null
+++ b/crates/platform-proto/tests/config_file.rs
@@ -0,0 +1,98 @@
+//! A whole configuration file of the platform, in the form in which it is handed over today.
+
+use shalewall::{Endpoint, EndpointState, ServerId, Timestamp};
+use shalewall_director_config::read;
+use shalewall_platform_proto::config::Config;
+use shalewall_platform_proto::journal::{Entry, News};
+
+const PLATFORM_CONFIGURATION: &[u8] =
+    include_bytes!("../../director-config/tests/fixtures/platform.json");
+
+#[test]
+fn every_field_of_a_platform_configuration_is_read() {
+    let config = Config::read(PLATFORM_CONFIGURATION).unwrap();
+    assert_eq!(config.name, "d7");
+    assert_eq!(config.listen, "192.0.2.14:6010".parse().unwrap());
+    assert_eq!(config.seed(), 0x0123_4567_89ab_cdef);
+    assert_eq!(config.limits.sockets, 768);
+    assert_eq!(config.journal, "192.0.2.90:7400".parse().unwrap());
+    assert_eq!(config.settings["MyNumber"], 3);
+    assert_eq!(config.known.pos, 12);
+    let names = read(&config.settings).unwrap().names;
+    let (events, position) = config.known.news(&names);
+    assert_eq!(position, 12);
+    let first = News {
+        number: 11,
+        whole: true,
+        entries: vec![
+            Entry {
+                listed: Endpoint {
+                    server: ServerId(0x2a),
+                    zone: Some(1),
+                    machine_kind: Some(1),
+                    cell: 5,
+                    state: EndpointState::Ready,
+                    weight: 2.5,
+                    started_at: None,
+                    fleet: 0,
+                },
+                address: "198.51.100.1:6020".parse().unwrap(),
+            },
+            Entry {
+                listed: Endpoint {
+                    server: ServerId(0x00c0_ffee),
+                    zone: None,
+                    machine_kind: None,
+                    cell: 6,
+                    state: EndpointState::Draining,
+                    weight: 0.75,
+                    started_at: Some(Timestamp::from_micros(1_800_000_000_123_000)),
+                    fleet: 0,
+                },
+                address: "198.51.100.2:6021".parse().unwrap(),
+            },
+        ],
+    };
+    let second = News {
+        number: 12,
+        whole: false,
+        entries: vec![Entry {
+            listed: Endpoint {
+                server: ServerId(0x2a),
+                zone: None,
+                machine_kind: None,
+                cell: 0,
+                state: EndpointState::Gone,
+                weight: 1.0,
+                started_at: None,
+                fleet: 0,
+            },
+            address: "198.51.100.1:6020".parse().unwrap(),
+        }],
+    };
+    assert_eq!(events, [first, second]);
+}
+
+#[test]
+fn an_unreadable_field_is_named_by_its_path() {
+    let text = String::from_utf8(PLATFORM_CONFIGURATION.to_vec()).unwrap();
+    for (field, replacement, expected) in [
+        (
+            r#""0123456789abcdef""#,
+            r#""0123""#,
+            "seed: is not 16 hexadecimal digits",
+        ),
+        (r#""sockets": 768"#, r#""sockets": -1"#, "limits.sockets: "),
+        (r#""192.0.2.90:7400""#, r#""nowhere""#, "journal: "),
+        (
+            r#""phase": "gone""#,
+            r#""phase": "lost""#,
+            "known.entries[1].hosts.members[0].phase: ",
+        ),
+    ] {
+        let refusal = Config::read(text.replace(field, replacement).as_bytes())
+            .err()
+            .unwrap_or_else(|| panic!("{replacement} is read"));
+        assert!(refusal.starts_with(expected), "{refusal}");
+    }
+}
