--- /dev/null
+++ b/crates/settings/tests/stored_forms.rs
@@ -0,0 +1,149 @@
+//! Settings files in the form of 2026-12-02, before any renaming: every later version reads them with the same result.
+//!
+//! The JSON files beside the HCL ones hold each value that the version of that date read, defaults included.
+
+use serde::Serialize;
+use shalewall::TimeDelta;
+use shalewall_settings::{AdminPlan, DayPlan, FrontPlan, Settings, read};
+use std::path::{Path, PathBuf};
+
+fn fixture(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR"))
+        .join("tests/fixtures")
+        .join(name)
+}
+
+/// Reads a fixture and compares the result, as settings files name it, with the recorded one.
+fn read_as_recorded<T: Settings + Serialize>(name: &str) -> T {
+    let settings: T = read(&fixture(&format!("{name}.hcl"))).expect("the fixture is right");
+    let recorded = std::fs::read_to_string(fixture(&format!("{name}.json"))).unwrap();
+    let recorded: serde_json::Value = serde_json::from_str(&recorded).unwrap();
+    let result = serde_json::to_value(&settings).unwrap();
+    assert_eq!(
+        result,
+        recorded,
+        "{}",
+        serde_json::to_string_pretty(&result).unwrap()
+    );
+    settings
+}
+
+#[test]
+fn a_site_of_the_version_before_becomes_the_same_settings() {
+    let plan: FrontPlan = read_as_recorded("site");
+    let module = plan.site.settings(&plan.front);
+    assert_eq!((module.director_index, module.director_count), (2, 5));
+    assert_eq!(module.zone, Some(1));
+    assert_eq!(module.classes.len(), 2);
+    // In the order of their names: call, film.
+    let (call, film) = (&module.classes[0], &module.classes[1]);
+    assert_eq!(film.idempotency, shalewall::Idempotency::AtMostOnce);
+    assert_eq!(call.idempotency, shalewall::Idempotency::Idempotent);
+    assert_eq!(film.latency_objective, TimeDelta::from_micros(1_500_000));
+    assert_eq!((film.lowest_rung, film.highest_rung), (1, 2));
+    assert_eq!((call.lowest_rung, call.highest_rung), (0, 2));
+    assert_eq!((film.rate_scale, call.rate_scale), (1.5, 1.0));
+    assert_eq!((film.is_live, call.is_live), (false, true));
+    assert_eq!(film.session_limit_per_title, 12);
+    // In the order of their names: acme, guest, zeta.
+    let quotas: Vec<f64> = module.tenants.iter().map(|t| t.fleet_quota).collect();
+    assert_eq!(quotas, [0.75, 0.0, 0.25]);
+    assert_eq!(module.tenants[0].request_quota_per_s, 7.0);
+    assert_eq!(module.stream_capacity_by_kind, [45.0, 30.0]);
+    assert_eq!((module.cell_count, module.rack_count), (10, 2));
+    assert_eq!(module.notification_delay, TimeDelta::from_micros(1_000_000));
+    assert_eq!(
+        module.notification_interval,
+        TimeDelta::from_micros(3_000_000)
+    );
+    assert_eq!(module.rules.warm_up, TimeDelta::from_micros(8_000_000));
+    let retry_budget = module.rules.retry_budget.as_ref().unwrap();
+    assert_eq!((retry_budget.base, retry_budget.per_request), (3.0, 0.3));
+    assert_eq!(retry_budget.window, TimeDelta::from_micros(10_000_000));
+    assert_eq!(module.limits.max_attempts, 4);
+    assert_eq!(
+        module.limits.max_retry_after,
+        TimeDelta::from_micros(1_000_000)
+    );
+    assert_eq!(
+        module.limits.min_batch_interval,
+        TimeDelta::from_micros(20_000)
+    );
+    assert_eq!(module.over_quota_weight, 0.5);
+}
+
+#[test]
+fn a_short_site_of_the_version_before_takes_the_same_defaults() {
+    let plan: FrontPlan = read_as_recorded("site-defaults");
+    assert_eq!(plan.front.most_sessions, 100_000);
+    assert_eq!(plan.front.most_connections, 20_000);
+    assert_eq!(plan.front.silence_ms, 3_000);
+    let module = plan.site.settings(&plan.front);
+    assert_eq!(module.zone, None);
+    assert_eq!(module.classes[0].highest_rung, 0);
+    assert_eq!(module.join_rate_fraction, 1.0);
+    assert_eq!(module.over_quota_weight, 1.0);
+    assert!(module.rules.retry_budget.is_none());
+    assert_eq!(
+        module.limits.min_batch_interval,
+        TimeDelta::from_micros(10_000)
+    );
+}
+
+#[test]
+fn a_day_of_the_version_before_becomes_the_same_plan() {
+    let plan: DayPlan = read_as_recorded("day");
+    // Its own word goes before the included file's, field by field.
+    assert_eq!((plan.day.seed, plan.day.directors), (9, 2));
+    assert_eq!((plan.day.seconds, plan.day.media_fraction), (60.0, 0.02));
+    let moves = plan.site.moves.as_ref().unwrap();
+    assert_eq!((moves.takes_ms, moves.at_node), (900.0, 3));
+    assert_eq!(plan.site.tenant["acme"].share, 3.0);
+    assert_eq!(plan.hosted.as_ref().unwrap().most_sessions, 500);
+    assert_eq!(plan.fleet.machine["7"].zone, "");
+    assert_eq!(plan.trouble.len(), 15);
+    let kinds: std::collections::BTreeSet<String> = plan
+        .trouble
+        .values()
+        .map(|trouble| format!("{:?}", trouble.kind))
+        .collect();
+    assert_eq!(kinds.len(), 15, "one of each kind: {kinds:?}");
+    assert_eq!(plan.trouble["director kill"].on, Some(vec![1]));
+    assert_eq!(plan.trouble["preempt"].waves, 2);
+    assert_eq!(plan.trouble["crash"].waves, 1);
+    assert!(plan.trouble["zone loss"].directors);
+    let (shortest, longest) = plan.load.lasts("call");
+    assert_eq!((shortest.as_secs(), longest.as_secs()), (2, 9));
+}
+
+#[test]
+fn an_administration_file_of_the_version_before_is_read_the_same() {
+    let plan: AdminPlan = read_as_recorded("admin");
+    assert_eq!(plan.admin.forget_front_s, 120.0);
+    assert_eq!(plan.admin.store, Path::new("data/tenants.redb"));
+}
+
+/// Reads a wrong fixture and compares the lines that its user is shown with the recorded ones.
+fn refused_as_recorded<T: Settings>(name: &str) {
+    let Err(errors) = read::<T>(&fixture(&format!("{name}.hcl"))) else {
+        panic!("{name} has to be refused");
+    };
+    let folder = fixture("").display().to_string();
+    let shown: String = errors
+        .iter()
+        .map(|error| format!("{error}\n").replacen(&folder, "", 1))
+        .collect();
+    let recorded = std::fs::read_to_string(fixture(&format!("{name}.txt"))).unwrap();
+    assert_eq!(shown, recorded, "\n{shown}");
+}
+
+#[test]
+fn wrong_files_of_the_version_before_are_refused_in_the_same_words() {
+    refused_as_recorded::<DayPlan>("wrong-day");
+    refused_as_recorded::<FrontPlan>("wrong-site");
+    refused_as_recorded::<DayPlan>("wrong-form");
+    refused_as_recorded::<DayPlan>("wrong-syntax");
+    refused_as_recorded::<DayPlan>("wrong-include");
+    refused_as_recorded::<AdminPlan>("missing-include");
+    refused_as_recorded::<AdminPlan>("missing-file");
+}
