Membership: layout, keys, replay window, sealer and state machine apart; typed errors and times

seal.rs held the layout of a datagram, the keys, the replay window and the peers; members.rs the member, its settings and the state machine. Now one module each, without circles. Times are Timestamp and TimeDelta, not bare integers; sealing and opening fail with enums; a process's start number is its incarnation.

--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -1,13 +1,18 @@
-//! Who is in the fleet.
+//! Which directors are in the fleet, by SWIM over sealed datagrams.
 //!
-//! May know: names, start numbers, keys, bytes that came and the time that it is told. Must not: open a socket, read a clock,
-//! draw a number, or decide anything about sessions; what is made of a member is for others.
+//! [`membership`] is the entry point: a state machine that takes datagrams and times and gives datagrams to send and
+//! changes of the fleet. [`member`] is what directors know of each other. Every datagram is sealed by [`sealer`],
+//! which keeps out strangers and replays; [`datagram`] is the layout, [`keys`] the fleet's key and peers' ids, and
+//! `replay_window` what is remembered of a sender's sequence numbers.
 //!
-//! [`seal`] is the envelope of every datagram, [`members`] the membership inside it: SWIM as `foca` has it. What is built on them
-//! and what is still to come is in docs/members.md.
+//! This crate opens no socket, reads no clock and draws no random numbers: the caller does. It decides nothing about
+//! sessions. The design, and what is still to be built on it, is in `docs/members.md`.
 
-pub mod members;
-pub mod seal;
+#![deny(missing_docs)]
 
-/// Microseconds of a clock that only goes forward.
-pub type Micros = i64;
+pub mod datagram;
+pub mod keys;
+pub mod member;
+pub mod membership;
+mod replay_window;
+pub mod sealer;
