--- a/crates/behavior-digest/src/platform_protocol.rs
+++ b/crates/behavior-digest/src/platform_protocol.rs
@@ -1,12 +1,12 @@
-//! Digest of the platform's protocol: every output of `shalewall_platform_proto::Door`, and every byte that it writes
+//! Digest of the platform's protocol: every output of `shalewall_platform_proto::DirectorProtocol`, and every byte that it writes
 //! to each connection, over random steps of viewers, nodes, the journal service and the director's operator.
 
 use crate::encoder::{Encoder, PartDigest};
 use crate::random::Random;
 use shalewall::{Endpoint, EndpointState, ServerId};
 use shalewall_platform_proto::config::Config;
-use shalewall_platform_proto::journal::{Entry, Frame, News};
-use shalewall_platform_proto::{Conn, Door, NotUp, Output, Transmit};
+use shalewall_platform_proto::endpoint_watch::{EndpointEntry, EndpointEvent, Frame};
+use shalewall_platform_proto::{ConnectError, ConnectionId, DirectorProtocol, Output, Transmit};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
@@ -153,15 +153,15 @@
 
 /// One run of a door with its viewers and nodes.
 struct Script<'e> {
-    door: Door,
+    protocol: DirectorProtocol,
     variant: Variant,
     encoder: &'e mut Encoder,
     random: Random,
     now: i64,
-    connections: BTreeMap<Conn, Connection>,
+    connections: BTreeMap<ConnectionId, Connection>,
     next_number: u64,
     /// Requests that were made, and the viewer's connection of each.
-    requests: BTreeMap<u64, Conn>,
+    requests: BTreeMap<u64, ConnectionId>,
     next_tag: u64,
     /// Sessions that nodes hold.
     standing: BTreeSet<(u64, u64)>,
@@ -169,9 +169,10 @@
 
 impl<'e> Script<'e> {
     fn new(seed: u64, variant: Variant, encoder: &'e mut Encoder) -> Script<'e> {
-        let door = Door::new(&variant.config(1, "ready"), START).expect("the settings are valid");
+        let protocol = DirectorProtocol::new(&variant.config(1, "ready"), START)
+            .expect("the settings are valid");
         Script {
-            door,
+            protocol,
             variant,
             encoder,
             random: Random::new(seed),
@@ -193,9 +194,9 @@
         }
         // Half of the cases end as a director does that is told to end.
         if self.random.percent(50) {
-            self.door.leave(self.now);
+            self.protocol.begin_shutdown(self.now);
             self.settle();
-            self.door.finish(self.now);
+            self.protocol.close_viewers(self.now);
             self.pump();
         }
         self.settle();
@@ -231,13 +232,13 @@
     // ---- the door's outputs ------------------------------------------------------------------
 
     fn pump(&mut self) {
-        while let Some(output) = self.door.poll_output() {
+        while let Some(output) = self.protocol.poll_output() {
             self.encoder.i64(self.now);
             match output {
                 Output::Open {
-                    conn,
+                    connection: conn,
                     address,
-                    within,
+                    timeout: within,
                 } => {
                     self.encoder.begin_output(1);
                     self.register(conn, Some(node_at(address)), false);
@@ -261,7 +262,7 @@
         }
     }
 
-    fn register(&mut self, conn: Conn, node: Option<u64>, up: bool) {
+    fn register(&mut self, conn: ConnectionId, node: Option<u64>, up: bool) {
         self.next_number += 1;
         let connection = Connection {
             number: self.next_number,
@@ -275,18 +276,18 @@
         self.connections.insert(conn, connection);
     }
 
-    fn encode_connection(&mut self, conn: Conn) {
+    fn encode_connection(&mut self, conn: ConnectionId) {
         let number = self.connections.get(&conn).map(|c| c.number);
         self.encoder.option(number, Encoder::u64);
     }
 
-    fn forget(&mut self, conn: Conn) {
+    fn forget(&mut self, conn: ConnectionId) {
         self.connections.remove(&conn);
         self.requests.retain(|_, viewer| *viewer != conn);
     }
 
     /// Writes on a connection until its socket takes no more or nothing is left.
-    fn write(&mut self, conn: Conn) {
+    fn write(&mut self, conn: ConnectionId) {
         loop {
             let Some(connection) = self.connections.get_mut(&conn).filter(|c| c.up) else {
                 return;
@@ -294,7 +295,7 @@
             if connection.socket == (Socket::Half { taken: true }) {
                 return;
             }
-            let next = self.door.transmit(self.now, conn);
+            let next = self.protocol.poll_transmit(self.now, conn);
             self.encode_transmit(conn, &next);
             match next {
                 Transmit::Bytes(bytes) => {
@@ -309,7 +310,7 @@
         }
     }
 
-    fn encode_transmit(&mut self, conn: Conn, next: &Transmit) {
+    fn encode_transmit(&mut self, conn: ConnectionId, next: &Transmit) {
         self.encode_connection(conn);
         match next {
             Transmit::Bytes(bytes) => {
@@ -324,7 +325,7 @@
     }
 
     /// The socket takes the bytes, a part of them or none. Whether it takes more.
-    fn take_bytes(&mut self, conn: Conn, bytes: Vec<u8>) -> bool {
+    fn take_bytes(&mut self, conn: ConnectionId, bytes: Vec<u8>) -> bool {
         let Some(connection) = self.connections.get_mut(&conn) else {
             return false;
         };
@@ -335,7 +336,7 @@
                 true
             }
             Socket::Full => {
-                self.door.untaken(self.now, conn, bytes);
+                self.protocol.return_unwritten(self.now, conn, bytes);
                 false
             }
             Socket::Half { taken } => {
@@ -343,14 +344,14 @@
                 connection
                     .written
                     .extend_from_slice(&bytes[..bytes.len() / PART_TAKEN]);
-                self.door.taken_in_part(self.now, conn);
+                self.protocol.partially_written(self.now, conn);
                 false
             }
         }
     }
 
     /// A node takes note of what it is told to set up and to end.
-    fn read_as_node(&mut self, conn: Conn) {
+    fn read_as_node(&mut self, conn: ConnectionId) {
         let Some(connection) = self.connections.get_mut(&conn) else {
             return;
         };
@@ -373,14 +374,14 @@
     }
 
     fn encode_state(&mut self) {
-        let (waiting, standing) = self.door.held();
-        let (viewers, links, nodes) = self.door.sizes();
+        let (waiting, standing) = self.protocol.session_counts();
+        let (viewers, links, nodes) = self.protocol.connection_counts();
         for count in [waiting, standing, viewers, links, nodes] {
             self.encoder.usize(count);
         }
-        self.encoder.u64(self.door.position());
-        self.encoder.bool(self.door.unsaid());
-        let timeout = self.door.poll_timeout();
+        self.encoder.u64(self.protocol.watch_position());
+        self.encoder.bool(self.protocol.has_pending_writes());
+        let timeout = self.protocol.poll_timeout();
         self.encoder.option(timeout, Encoder::i64);
     }
 
@@ -388,9 +389,9 @@
 
     fn pass(&mut self, span: i64) {
         let until = self.now + span;
-        while let Some(due) = self.door.poll_timeout().filter(|due| *due <= until) {
+        while let Some(due) = self.protocol.poll_timeout().filter(|due| *due <= until) {
             self.now = due.max(self.now);
-            self.door.timeout(self.now);
+            self.protocol.handle_timeout(self.now);
             self.pump();
         }
         self.now = until;
@@ -404,7 +405,7 @@
             (0..4).for_each(|_| self.node_answers());
             self.pass(250 * MILLISECOND);
         }
-        let status = self.door.status();
+        let status = self.protocol.status();
         for count in [
             status.waiting,
             status.standing,
@@ -422,7 +423,7 @@
     // ---- viewers -----------------------------------------------------------------------------
 
     /// One of the connections for which `which` holds.
-    fn draw_connection(&mut self, which: impl Fn(&Connection) -> bool) -> Option<Conn> {
+    fn draw_connection(&mut self, which: impl Fn(&Connection) -> bool) -> Option<ConnectionId> {
         let found = self.find_connections(which);
         if found.is_empty() {
             None
@@ -432,14 +433,15 @@
     }
 
     /// In the order of their numbers, so that nothing depends on how connections compare.
-    fn find_connections(&self, which: impl Fn(&Connection) -> bool) -> Vec<Conn> {
+    fn find_connections(&self, which: impl Fn(&Connection) -> bool) -> Vec<ConnectionId> {
         let matching = self.connections.iter().filter(|(_, c)| which(c));
-        let mut found: Vec<(u64, Conn)> = matching.map(|(conn, c)| (c.number, *conn)).collect();
+        let mut found: Vec<(u64, ConnectionId)> =
+            matching.map(|(conn, c)| (c.number, *conn)).collect();
         found.sort_unstable();
         found.into_iter().map(|(_, conn)| conn).collect()
     }
 
-    fn draw_viewer(&mut self) -> Option<Conn> {
+    fn draw_viewer(&mut self) -> Option<ConnectionId> {
         self.draw_connection(|c| c.node.is_none())
     }
 
@@ -453,7 +455,7 @@
             return;
         }
         let ip = IpAddr::V4(Ipv4Addr::new(10, 9, 0, self.random.below(3) as u8));
-        let opened = self.door.viewer_open(self.now, ip);
+        let opened = self.protocol.accept_viewer(self.now, ip);
         self.encoder.bool(opened.is_some());
         if let Some(conn) = opened {
             self.register(conn, None, true);
@@ -471,14 +473,14 @@
         self.viewer_connects();
     }
 
-    fn ends(&mut self, conn: Conn, clean: bool) {
+    fn ends(&mut self, conn: ConnectionId, clean: bool) {
         self.forget(conn);
-        self.door.closed(self.now, conn, clean);
+        self.protocol.connection_closed(self.now, conn, clean);
         self.pump();
     }
 
     /// Bytes come on a connection, sometimes in two pieces.
-    fn hear(&mut self, conn: Conn, bytes: &[u8]) {
+    fn hear(&mut self, conn: ConnectionId, bytes: &[u8]) {
         let cut = if self.random.percent(10) {
             self.random.index(bytes.len())
         } else {
@@ -486,7 +488,7 @@
         };
         for piece in [&bytes[..cut], &bytes[cut..]] {
             if !piece.is_empty() && self.connections.contains_key(&conn) {
-                self.door.bytes(self.now, conn, piece);
+                self.protocol.handle_bytes(self.now, conn, piece);
                 self.pump();
             }
         }
@@ -532,7 +534,7 @@
     }
 
     fn gives_up(&mut self) {
-        let requests: Vec<(u64, Conn)> = self
+        let requests: Vec<(u64, ConnectionId)> = self
             .requests
             .iter()
             .map(|(tag, conn)| (*tag, *conn))
@@ -557,7 +559,7 @@
         if let Some(connection) = self.connections.get_mut(&conn) {
             connection.up = true;
         }
-        self.door.node_up(self.now, conn);
+        self.protocol.node_connected(self.now, conn);
         self.pump();
         self.write(conn);
     }
@@ -566,21 +568,23 @@
         let Some(conn) = self.draw_connection(|c| !c.up) else {
             return;
         };
-        let why = self
-            .random
-            .pick(&[NotUp::Refused, NotUp::Silent, NotUp::Own]);
+        let why = self.random.pick(&[
+            ConnectError::Refused,
+            ConnectError::Unreachable,
+            ConnectError::LocalShortage,
+        ]);
         self.forget(conn);
-        self.door.node_failed(self.now, conn, why);
+        self.protocol.node_connect_failed(self.now, conn, why);
         self.pump();
     }
 
-    fn draw_node(&mut self) -> Option<(Conn, u64)> {
+    fn draw_node(&mut self) -> Option<(ConnectionId, u64)> {
         let conn = self.draw_connection(|c| c.up && c.node.is_some())?;
         let node = self.connections.get(&conn).and_then(|c| c.node)?;
         Some((conn, node))
     }
 
-    fn draw_busy(&mut self) -> Option<(Conn, u64, u64)> {
+    fn draw_busy(&mut self) -> Option<(ConnectionId, u64, u64)> {
         let conn = self.draw_connection(|c| c.up && !c.set_ups.is_empty())?;
         let connection = self.connections.get_mut(&conn)?;
         let tag = connection.set_ups.remove(0);
@@ -727,37 +731,37 @@
     }
 
     fn journal_tells(&mut self) {
-        let next = self.door.position() + 1;
+        let next = self.protocol.watch_position() + 1;
         let frame = match self.random.below(10) {
-            0 => Frame::Nothing(next - 1),
-            1 => Frame::Nothing(next),
-            2 => Frame::News(News {
-                number: next + 1,
-                whole: false,
+            0 => Frame::Heartbeat(next - 1),
+            1 => Frame::Heartbeat(next),
+            2 => Frame::Event(EndpointEvent {
+                sequence: next + 1,
+                is_snapshot: false,
                 entries: vec![self.draw_entry()],
             }),
             3 => {
                 let entries = (1..=NODES)
                     .map(|id| entry(id, EndpointState::Ready, None))
                     .collect();
-                Frame::News(News {
-                    number: next,
-                    whole: true,
+                Frame::Event(EndpointEvent {
+                    sequence: next,
+                    is_snapshot: true,
                     entries,
                 })
             }
-            _ => Frame::News(News {
-                number: next,
-                whole: false,
+            _ => Frame::Event(EndpointEvent {
+                sequence: next,
+                is_snapshot: false,
                 entries: vec![self.draw_entry()],
             }),
         };
-        let taken = self.door.journal(self.now, &frame);
+        let taken = self.protocol.handle_watch_frame(self.now, &frame);
         self.encoder.bool(taken.is_ok());
         self.pump();
     }
 
-    fn draw_entry(&mut self) -> Entry {
+    fn draw_entry(&mut self) -> EndpointEntry {
         let id = self.random.below(NODES) + 1;
         let up = self.random.percent(75);
         let state = if up {
@@ -772,12 +776,12 @@
 
     /// The configuration is read anew: it knows of a later event, or of nothing new.
     fn reconfigure(&mut self) {
-        let position = self.door.position() + self.random.below(2);
+        let position = self.protocol.watch_position() + self.random.below(2);
         let phase = self
             .random
             .pick(&["ready", "ready", "ready", "draining", "gone"]);
         let config = self.variant.config(position, phase);
-        self.door.known(&config, self.now);
+        self.protocol.apply_known_events(&config, self.now);
         self.pump();
     }
 
@@ -806,7 +810,7 @@
         .unwrap_or(0)
 }
 
-fn entry(id: u64, state: EndpointState, came_up: Option<i64>) -> Entry {
+fn entry(id: u64, state: EndpointState, came_up: Option<i64>) -> EndpointEntry {
     let listed = Endpoint {
         server: ServerId(id),
         zone: Some(0),
@@ -817,8 +821,8 @@
         started_at: came_up.map(shalewall::Timestamp::from_micros),
         fleet: 0,
     };
-    Entry {
-        listed,
+    EndpointEntry {
+        endpoint: listed,
         address: address(id),
     }
 }
--- a/crates/platform-proto/src/ask.rs
+++ b/crates/platform-proto/src/ask.rs
@@ -1,7 +1,7 @@
 //! A viewer's set-up, read and checked: what the module is to weigh has to be sound, whoever sent it.
 
-use crate::lines::Message;
-use crate::{Hex16, MESSAGE};
+use crate::viewer_message::Message;
+use crate::{HexId, MAX_MESSAGE_BYTES};
 use shalewall::{Micros, Request, ServerId, SessionId, Settings};
 use shalewall_director_config::{Names, micros, title};
 
@@ -12,7 +12,7 @@
 const HEAD: usize = 512;
 
 pub(crate) struct Asked {
-    pub title: Hex16,
+    pub title: HexId,
     pub description: String,
     /// With the session's number still to be given.
     pub request: Request,
@@ -23,7 +23,7 @@
 /// What is wrong is said in a word; nothing of it has been kept then.
 pub(crate) fn read(
     message: Message,
-    tag: Hex16,
+    tag: HexId,
     names: &Names,
     set: &Settings,
     now: Micros,
@@ -35,7 +35,7 @@
     let item = message
         .text("key")
         .as_deref()
-        .and_then(Hex16::read)
+        .and_then(HexId::parse)
         .ok_or("key")?;
     let left = message
         .number("left")
@@ -81,8 +81,8 @@
             "copies" => request.replica_cells = number()?,
             "top" => request.highest_rung = number()? as usize,
             "again" => request.is_retry = number()? != 0,
-            "viewer" => request.viewer = Hex16::read(value).ok_or("extras")?.value(),
-            "at" => at = Some(crate::journal::server(value).ok_or("extras")?),
+            "viewer" => request.viewer = HexId::parse(value).ok_or("extras")?.value(),
+            "at" => at = Some(crate::endpoint_watch::server(value).ok_or("extras")?),
             _ => {}
         }
     }
@@ -94,7 +94,7 @@
     }
     let description = message
         .blob
-        .filter(|b| b.len() + HEAD <= MESSAGE)
+        .filter(|b| b.len() + HEAD <= MAX_MESSAGE_BYTES)
         .ok_or("description")?;
     if left.is_none() && at.is_none() {
         return Err("left");
--- a/crates/platform-proto/src/care.rs
+++ b/crates/platform-proto/src/care.rs
@@ -1,15 +1,15 @@
 //! The round that looks after connections: which are of no more use, and which nodes are to be tried.
 
-use crate::door::Door;
-use crate::linger::Lost;
-use crate::links::Why;
+use crate::director_protocol::DirectorProtocol;
+use crate::linger::CloseReason;
+use crate::links::ConnectReason;
 use crate::nodes::{REFUSED, SILENCE, UNREACHABLE};
 use shalewall::{EndpointState, Micros};
 
 /// A message of which part has come is whole after this, or never.
 const PART: Micros = 500_000;
 
-impl Door {
+impl DirectorProtocol {
     pub(crate) fn round(&mut self) {
         let now = self.now;
         for id in self.viewers.overdue(now) {
@@ -23,7 +23,7 @@
         for (id, link) in self.links.iter().filter(|(_, l)| l.up) {
             let stands = self.nodes.stands(link.server);
             // A node that drains may take no further connection and still hold what stands there: the last one to it
-            // is given up for a better one only, in `node_up`.
+            // is given up for a better one only, in `node_connected`.
             let last = stands
                 && !self
                     .links
@@ -32,9 +32,9 @@
             // Half a message that has come, or bytes that a node does not take.
             let halts = |since: Option<Micros>| since.is_some_and(|t| now - t >= PART);
             if halts(link.part) || halts(link.stuck) || (!link.busy() && link.doubt && !last) {
-                lost.push((id, Lost::Spoilt));
+                lost.push((id, CloseReason::Unusable));
             } else if !link.busy() && link.used < since && !stands {
-                lost.push((id, Lost::Done));
+                lost.push((id, CloseReason::NotNeeded));
             }
         }
         lost.into_iter()
@@ -58,9 +58,9 @@
             let doubt = node.unreachable.is_some() || node.refused.is_some();
             if now >= node.retry && !under_way && (!sound || doubt || now - node.heard >= SILENCE) {
                 let why = match self.links.of(*server).next() {
-                    None => Why::Stands,
-                    Some(_) if sound => Why::Silence,
-                    Some(_) => Why::Doubt,
+                    None => ConnectReason::ActiveSessions,
+                    Some(_) if sound => ConnectReason::NodeSilent,
+                    Some(_) => ConnectReason::AllSuspect,
                 };
                 open.push((*server, why));
             }
@@ -69,7 +69,7 @@
             node.owed.retain(|(until, _)| *until > now);
             if !node.owed.is_empty() && now >= node.retry && self.links.of(*server).next().is_none()
             {
-                open.push((*server, Why::Stands));
+                open.push((*server, ConnectReason::ActiveSessions));
             }
         }
         over.into_iter().for_each(|server| self.gone(server));
--- a/crates/platform-proto/src/config.rs
+++ b/crates/platform-proto/src/config.rs
@@ -1,7 +1,7 @@
 //! The file that a director starts from, and is told anew by a signal.
 
-use crate::Hex16;
-use crate::journal::Known;
+use crate::HexId;
+use crate::endpoint_watch::KnownEvents;
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -19,7 +19,7 @@
     pub journal: SocketAddr,
     /// Its events up to now.
     #[serde(default)]
-    pub known: Known,
+    pub known: KnownEvents,
     /// What the module and its driver are told; read by `shalewall-director-config`.
     pub settings: Value,
 }
@@ -37,7 +37,7 @@
         let mut json = serde_json::Deserializer::from_slice(text);
         let config: Config = serde_path_to_error::deserialize(&mut json)
             .map_err(|e| format!("{}: {}", e.path(), e.inner()))?;
-        if Hex16::read(&config.seed).is_none() {
+        if HexId::parse(&config.seed).is_none() {
             return Err("seed: is not 16 hexadecimal digits".into());
         }
         Ok(config)
@@ -58,6 +58,6 @@
     }
 
     pub fn seed(&self) -> u64 {
-        Hex16::read(&self.seed).map_or(0, Hex16::value)
+        HexId::parse(&self.seed).map_or(0, HexId::value)
     }
 }
--- a/crates/platform-proto/src/door.rs
+++ b/crates/platform-proto/src/director_protocol.rs
@@ -1,16 +1,16 @@
 //! The door as a whole: what comes in, what goes out, and the round that looks after connections.
 
 use crate::config::Config;
-use crate::journal::{Frame, News};
-use crate::lines::{Message, Verb, cause};
-use crate::linger::{Lingering, Lost};
-use crate::links::{Item, LinkId, Links, ProbeId, Why};
+use crate::endpoint_watch::{EndpointEvent, Frame};
+use crate::linger::{CloseReason, Lingering};
+use crate::links::{ConnectReason, Item, LinkId, Links, ProbeId};
 use crate::nodes::{Nodes, RETRY};
 use crate::probes::Probe;
 use crate::rtsp::{self, Start};
 use crate::table::Session;
+use crate::viewer_message::{Message, Verb, cause};
 use crate::viewers::{ViewerId, Viewers, Word};
-use crate::{Hex16, Unreadable};
+use crate::{DecodeError, HexId};
 use shalewall::{
     Action, Director, EndpointState, EndpointUpdate, Event, Micros, Outcome, ServerId, SessionId,
     Settings,
@@ -40,10 +40,10 @@
 
 /// A connection: to a viewer or to a node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Conn(pub(crate) ConnId);
+pub struct ConnectionId(pub(crate) ConnectionKind);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum ConnId {
+pub(crate) enum ConnectionKind {
     Viewer(ViewerId),
     Node(LinkId),
 }
@@ -51,28 +51,28 @@
 /// What is to be done.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Output {
-    /// Connect to a node, and say [`Door::node_up`] or [`Door::node_failed`].
+    /// Connect to a node, and say [`DirectorProtocol::node_connected`] or [`DirectorProtocol::node_connect_failed`].
     Open {
-        conn: Conn,
+        connection: ConnectionId,
         address: SocketAddr,
-        within: Micros,
+        timeout: Micros,
     },
-    /// There is something to [`Door::transmit`].
-    Write(Conn),
+    /// There is something to [`DirectorProtocol::poll_transmit`].
+    Write(ConnectionId),
     /// Close without another byte; nothing more is heard of it.
-    Close(Conn),
+    Close(ConnectionId),
     Log(String),
 }
 
 /// Why a connection to a node did not come up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum NotUp {
+pub enum ConnectError {
     /// Nobody listens there: proof that no process runs.
     Refused,
     /// Not in time, or no route.
-    Silent,
+    Unreachable,
     /// This machine is short of something of its own.
-    Own,
+    LocalShortage,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -88,7 +88,7 @@
 }
 
 /// One director.
-pub struct Door {
+pub struct DirectorProtocol {
     pub(crate) now: Micros,
     pub(crate) director: Director,
     pub(crate) settings: Settings,
@@ -99,9 +99,9 @@
     pub(crate) lingering: Lingering,
     pub(crate) viewers: Viewers,
     pub(crate) sessions: BTreeMap<SessionId, Session>,
-    pub(crate) tags: BTreeMap<Hex16, SessionId>,
+    pub(crate) tags: BTreeMap<HexId, SessionId>,
     /// Tags of requests that are over, the last ones.
-    pub(crate) past: VecDeque<Hex16>,
+    pub(crate) past: VecDeque<HexId>,
     pub(crate) probes: BTreeMap<ProbeId, Probe>,
     pub(crate) next: u64,
     pub(crate) timers: Timers<Due>,
@@ -112,19 +112,19 @@
     /// What has ended since the last look, by outcome, and how late the latest timer rang.
     pub(crate) ends: Vec<(Outcome, u32)>,
     /// And connections to nodes, opened and ended, by cause.
-    pub(crate) opened: BTreeMap<Why, u32>,
-    pub(crate) lost: BTreeMap<Lost, u32>,
+    pub(crate) opened: BTreeMap<ConnectReason, u32>,
+    pub(crate) lost: BTreeMap<CloseReason, u32>,
     /// Requests whose viewer left before a node had them, and set-ups that were written for such a one all the same.
     pub(crate) left: u32,
     pub(crate) sent_for_left: u32,
     /// Set-ups that were given up before they came, on another connection.
-    pub(crate) forgone: VecDeque<Hex16>,
+    pub(crate) forgone: VecDeque<HexId>,
     pub(crate) late: Micros,
 }
 
-impl Door {
+impl DirectorProtocol {
     /// A director that knows what its configuration tells. `now` is the time of its start.
-    pub fn new(config: &Config, now: Micros) -> Result<Door, String> {
+    pub fn new(config: &Config, now: Micros) -> Result<DirectorProtocol, String> {
         let given = shalewall_director_config::read(&config.settings)
             .map_err(|(path, what)| format!("{path}: {what}"))?;
         let Given {
@@ -134,7 +134,7 @@
         } = given;
         let sockets = config.limits.sockets.saturating_sub(OWN).max(8);
         let most = sockets / 3;
-        let mut door = Door {
+        let mut door = DirectorProtocol {
             now,
             director: Director::new(
                 config.seed(),
@@ -167,18 +167,18 @@
             late: 0,
         };
         door.timers.set(now + ROUND, Due::Round);
-        door.known(config, now);
+        door.apply_known_events(config, now);
         Ok(door)
     }
 
     /// The events of a configuration, at the start or when it is read anew; those taken before are passed over.
-    pub fn known(&mut self, config: &Config, now: Micros) {
+    pub fn apply_known_events(&mut self, config: &Config, now: Micros) {
         let (known, reaches) = config.known.news(&self.names);
         for news in known {
             self.news(
                 now,
                 &news,
-                if news.whole {
+                if news.is_snapshot {
                     EndpointUpdate::Cached
                 } else {
                     EndpointUpdate::Delta
@@ -189,24 +189,27 @@
     }
 
     /// Number of the last event of the journal that was taken.
-    pub fn position(&self) -> u64 {
+    pub fn watch_position(&self) -> u64 {
         self.nodes.position
     }
 
     /// What the journal service says. An error: it left events out, and is to be asked again from the position.
     ///
     /// Word that there is nothing new names the last event, too: one that was never told is missed by that alone.
-    pub fn journal(&mut self, now: Micros, frame: &Frame) -> Result<(), Unreadable> {
-        let (Frame::Nothing(number) | Frame::News(News { number, .. })) = frame;
-        let next = self.nodes.position + u64::from(matches!(frame, Frame::News(_)));
+    pub fn handle_watch_frame(&mut self, now: Micros, frame: &Frame) -> Result<(), DecodeError> {
+        let (Frame::Heartbeat(number)
+        | Frame::Event(EndpointEvent {
+            sequence: number, ..
+        })) = frame;
+        let next = self.nodes.position + u64::from(matches!(frame, Frame::Event(_)));
         if *number > next {
-            return Err(Unreadable("events were left out"));
+            return Err(DecodeError("events were left out"));
         }
-        if let Frame::News(news) = frame {
+        if let Frame::Event(news) = frame {
             self.news(
                 now,
                 news,
-                if news.whole {
+                if news.is_snapshot {
                     EndpointUpdate::Full
                 } else {
                     EndpointUpdate::Delta
@@ -216,7 +219,7 @@
         Ok(())
     }
 
-    fn news(&mut self, now: Micros, news: &News, kind: EndpointUpdate) {
+    fn news(&mut self, now: Micros, news: &EndpointEvent, kind: EndpointUpdate) {
         self.now = now;
         let Some(changed) = self.nodes.take(news, now) else {
             return;
@@ -225,7 +228,7 @@
         let lines = news
             .entries
             .iter()
-            .map(|e| e.listed)
+            .map(|e| e.endpoint)
             .chain(changed.displaced);
         let lines = lines.map(|listed| shalewall::Endpoint {
             zone: listed.zone.filter(|z| *z < zones),
@@ -251,7 +254,7 @@
             let stands = self.nodes.stands(server);
             idle.into_iter()
                 .skip(usize::from(stands))
-                .for_each(|id| self.part_with(id, Lost::Done));
+                .for_each(|id| self.part_with(id, CloseReason::NotNeeded));
         }
         self.run();
     }
@@ -262,7 +265,7 @@
         let links: Vec<_> = self.links.of(server).map(|(id, _)| id).collect();
         links
             .into_iter()
-            .for_each(|id| self.drop_link(id, Lost::Done));
+            .for_each(|id| self.drop_link(id, CloseReason::NotNeeded));
         // Nothing stands there to be released, also of what its connections carried; its address may be another's by now.
         self.nodes
             .all
@@ -295,20 +298,20 @@
     // ---- viewers ----------------------------------------------------------------------------
 
     /// A viewer has connected. None: there is no room, and it is to be closed.
-    pub fn viewer_open(&mut self, now: Micros, ip: IpAddr) -> Option<Conn> {
+    pub fn accept_viewer(&mut self, now: Micros, ip: IpAddr) -> Option<ConnectionId> {
         self.now = now;
         let (id, spare) = self.viewers.open(ip, now)?;
         if let Some(spare) = spare {
             self.part_viewer(spare);
         }
-        Some(Conn(ConnId::Viewer(id)))
+        Some(ConnectionId(ConnectionKind::Viewer(id)))
     }
 
     /// Closes a viewer's connection that is of no use, if nothing of it waits unread.
     pub(crate) fn part_viewer(&mut self, id: ViewerId) {
         self.viewers.part(id);
         self.outputs
-            .push_back(Output::Write(Conn(ConnId::Viewer(id))));
+            .push_back(Output::Write(ConnectionId(ConnectionKind::Viewer(id))));
     }
 
     fn viewer_bytes(&mut self, id: ViewerId, bytes: &[u8]) {
@@ -346,16 +349,16 @@
     }
 
     /// A viewer said what can't be read: what it has open is given up, and it is closed.
-    fn odd(&mut self, id: ViewerId, why: Unreadable) {
+    fn odd(&mut self, id: ViewerId, why: DecodeError) {
         self.outputs
             .push_back(Output::Log(format!("viewer closed: {why}")));
         self.forget_viewer(id);
-        self.say(id, &Message::finish(Hex16::of(0), cause::INVALID));
+        self.say(id, &Message::finish(HexId::from_value(0), cause::INVALID));
         self.viewers.all.entry(id).and_modify(|v| v.close(self.now));
     }
 
-    fn said(&mut self, id: ViewerId, message: Message) -> Result<(), Unreadable> {
-        let tag = Hex16::read(&message.tag).ok_or(Unreadable("a tag is not an id"))?;
+    fn said(&mut self, id: ViewerId, message: Message) -> Result<(), DecodeError> {
+        let tag = HexId::parse(&message.tag).ok_or(DecodeError("a tag is not an id"))?;
         match message.verb {
             Verb::Start => self.asked(id, tag, message),
             Verb::Finish => self.released(id, tag),
@@ -373,7 +376,7 @@
                 self.say(id, &answer);
             }
             Verb::Pending | Verb::Finished | Verb::Notice => {}
-            _ => return Err(Unreadable("a viewer does not say that")),
+            _ => return Err(DecodeError("a viewer does not say that")),
         }
         if let Some(viewer) = self.viewers.all.get_mut(&id) {
             viewer.said = true;
@@ -390,7 +393,7 @@
     pub(crate) fn word(&mut self, id: ViewerId, word: Word, bytes: Vec<u8>) -> bool {
         if self.viewers.say(id, word, bytes) {
             self.outputs
-                .push_back(Output::Write(Conn(ConnId::Viewer(id))));
+                .push_back(Output::Write(ConnectionId(ConnectionKind::Viewer(id))));
             return true;
         }
         self.drop_viewer(id);
@@ -416,7 +419,7 @@
         };
         self.viewers.all.remove(&id);
         self.outputs
-            .push_back(Output::Close(Conn(ConnId::Viewer(id))));
+            .push_back(Output::Close(ConnectionId(ConnectionKind::Viewer(id))));
         unsaid
             .answers
             .into_iter()
@@ -431,9 +434,11 @@
     // ---- nodes ------------------------------------------------------------------------------
 
     /// A connection to a node is up.
-    pub fn node_up(&mut self, now: Micros, conn: Conn) {
+    pub fn node_connected(&mut self, now: Micros, conn: ConnectionId) {
         self.now = now;
-        let ConnId::Node(id) = conn.0 else { return };
+        let ConnectionKind::Node(id) = conn.0 else {
+            return;
+        };
         let Some(link) = self.links.get(id) else {
             return;
         };
@@ -452,14 +457,16 @@
             .filter(|(_, l)| l.up && l.doubt && !l.busy())
             .map(|(id, _)| id);
         for id in doubted.collect::<Vec<_>>() {
-            self.part_with(id, Lost::Doubt);
+            self.part_with(id, CloseReason::Replaced);
         }
     }
 
     /// A connection to a node did not come up.
-    pub fn node_failed(&mut self, now: Micros, conn: Conn, why: NotUp) {
+    pub fn node_connect_failed(&mut self, now: Micros, conn: ConnectionId, why: ConnectError) {
         self.now = now;
-        let ConnId::Node(id) = conn.0 else { return };
+        let ConnectionKind::Node(id) = conn.0 else {
+            return;
+        };
         let Some(link) = self.links.get(id) else {
             return;
         };
@@ -467,16 +474,16 @@
         if let Some(node) = self.nodes.all.get_mut(&server) {
             node.retry = now + RETRY;
         }
-        self.drop_link(id, Lost::NotUp(why));
+        self.drop_link(id, CloseReason::ConnectFailed(why));
         let alone = !self.links.of(server).any(|(_, l)| l.up) && !self.lingering.at(server);
         if let Some(node) = self.nodes.all.get_mut(&server) {
             match why {
-                NotUp::Silent => drop(node.unreachable.get_or_insert(opened)),
+                ConnectError::Unreachable => drop(node.unreachable.get_or_insert(opened)),
                 // A connection that was spoilt or cut off may stay open when its process is long gone, and a node
                 // may refuse connections beyond its limit: what else is heard of it decides.
-                NotUp::Refused if alone => self.gone(server),
-                NotUp::Refused => drop(node.refused.get_or_insert(now)),
-                NotUp::Own => {}
+                ConnectError::Refused if alone => self.gone(server),
+                ConnectError::Refused => drop(node.refused.get_or_insert(now)),
+                ConnectError::LocalShortage => {}
             }
         }
         self.run();
@@ -512,7 +519,7 @@
                 Err(why) => {
                     self.outputs
                         .push_back(Output::Log(format!("node s-{:08x}: {why}", link.server.0)));
-                    self.drop_link(id, Lost::Spoilt);
+                    self.drop_link(id, CloseReason::Unusable);
                     return self.run();
                 }
             }
@@ -548,13 +555,13 @@
         let taken = self.links.get(id).is_some_and(|l| l.queue(item));
         if taken {
             self.outputs
-                .push_back(Output::Write(Conn(ConnId::Node(id))));
+                .push_back(Output::Write(ConnectionId(ConnectionKind::Node(id))));
         }
         taken
     }
 
     /// Opens a connection to a node.
-    pub(crate) fn open_link(&mut self, server: ServerId, why: Why) -> Option<LinkId> {
+    pub(crate) fn open_link(&mut self, server: ServerId, why: ConnectReason) -> Option<LinkId> {
         let node = self.nodes.all.get_mut(&server)?;
         node.met = true;
         let address = node.address;
@@ -566,9 +573,9 @@
         )));
         let within = self.connect_within();
         self.outputs.push_back(Output::Open {
-            conn: Conn(ConnId::Node(id)),
+            connection: ConnectionId(ConnectionKind::Node(id)),
             address,
-            within,
+            timeout: within,
         });
         Some(id)
     }
@@ -595,23 +602,30 @@
     // ---- both -------------------------------------------------------------------------------
 
     /// Bytes have come.
-    pub fn bytes(&mut self, now: Micros, conn: Conn, bytes: &[u8]) {
+    pub fn handle_bytes(&mut self, now: Micros, conn: ConnectionId, bytes: &[u8]) {
         self.now = now;
         match conn.0 {
-            ConnId::Viewer(id) => self.viewer_bytes(id, bytes),
-            ConnId::Node(id) => self.node_bytes(id, bytes),
+            ConnectionKind::Viewer(id) => self.viewer_bytes(id, bytes),
+            ConnectionKind::Node(id) => self.node_bytes(id, bytes),
         }
     }
 
     /// The other side has closed, or the connection broke.
     ///
     /// `clean`: it was closed after its last message, not broken.
-    pub fn closed(&mut self, now: Micros, conn: Conn, clean: bool) {
+    pub fn connection_closed(&mut self, now: Micros, conn: ConnectionId, clean: bool) {
         self.now = now;
         match conn.0 {
-            ConnId::Viewer(id) => self.drop_viewer(id),
-            ConnId::Node(id) if self.let_go(id) => {}
-            ConnId::Node(id) => self.drop_link(id, if clean { Lost::Closed } else { Lost::Broken }),
+            ConnectionKind::Viewer(id) => self.drop_viewer(id),
+            ConnectionKind::Node(id) if self.let_go(id) => {}
+            ConnectionKind::Node(id) => self.drop_link(
+                id,
+                if clean {
+                    CloseReason::ClosedByNode
+                } else {
+                    CloseReason::Broken
+                },
+            ),
         }
         self.run();
     }
@@ -621,13 +635,13 @@
         self.outputs.pop_front()
     }
 
-    /// When to call [`Door::timeout`].
+    /// When to call [`DirectorProtocol::handle_timeout`].
     pub fn poll_timeout(&self) -> Option<Micros> {
         self.timers.next()
     }
 
     /// Rings what is due.
-    pub fn timeout(&mut self, now: Micros) {
+    pub fn handle_timeout(&mut self, now: Micros) {
         self.now = now;
         self.late = self.late.max(self.timers.next().map_or(0, |due| now - due));
         while let Some(due) = self.timers.pop(now) {
@@ -652,14 +666,16 @@
     }
 
     /// Told to end: nothing new is taken from now on, and what was taken has its answer while there is time.
-    pub fn leave(&mut self, now: Micros) {
+    pub fn begin_shutdown(&mut self, now: Micros) {
         self.leaving = true;
-        self.timers
-            .set(now + self.leave_within() - LAST_WORDS, Due::LastWords);
+        self.timers.set(
+            now + self.shutdown_time_limit() - LAST_WORDS,
+            Due::LastWords,
+        );
     }
 
     /// Closes viewers' connections: once all is written, and in two steps, so that nothing said is lost by it.
-    pub fn finish(&mut self, now: Micros) {
+    pub fn close_viewers(&mut self, now: Micros) {
         let ids: Vec<_> = self
             .viewers
             .all
@@ -670,18 +686,18 @@
         for id in ids {
             self.viewers.all.entry(id).and_modify(|v| v.close(now));
             self.outputs
-                .push_back(Output::Write(Conn(ConnId::Viewer(id))));
+                .push_back(Output::Write(ConnectionId(ConnectionKind::Viewer(id))));
         }
     }
 
     /// Whether something that was said is still to be written, to a viewer or a node.
-    pub fn unsaid(&self) -> bool {
+    pub fn has_pending_writes(&self) -> bool {
         self.viewers.any_unsaid() || self.links.iter().any(|(_, l)| l.up && l.unsaid())
     }
 
     /// How long a director that is told to end may go on: everything that it took is answered by then, and whoever
     /// wants it gone kills it no sooner.
-    pub fn leave_within(&self) -> Micros {
+    pub fn shutdown_time_limit(&self) -> Micros {
         let longest = if self.bounds.give_up > 0 {
             self.bounds.give_up.min(LEAVE)
         } else {
@@ -691,13 +707,13 @@
     }
 
     /// Requests without an answer, and sessions that stand.
-    pub fn held(&self) -> (usize, usize) {
+    pub fn session_counts(&self) -> (usize, usize) {
         let waiting = self.sessions.values().filter(|s| s.owed).count();
         (waiting, self.sessions.len() - waiting)
     }
 
     /// How many connections there are to viewers and to nodes, and how many nodes are known.
-    pub fn sizes(&self) -> (usize, usize, usize) {
+    pub fn connection_counts(&self) -> (usize, usize, usize) {
         (
             self.viewers.all.len(),
             self.links.len() + self.lingering.len(),
--- a/crates/platform-proto/src/journal.rs
+++ b/crates/platform-proto/src/endpoint_watch.rs
@@ -1,6 +1,6 @@
 //! The journal service: numbered events that change the list of media nodes, as frames and as JSON.
 
-use crate::{Unreadable, trim};
+use crate::{DecodeError, trim};
 use serde::Deserialize;
 use shalewall::{Endpoint, EndpointState, ServerId};
 use shalewall_director_config::Names;
@@ -12,34 +12,34 @@
 /// Number and kind.
 const HEAD: usize = 9;
 /// The service says something each second; after so long without a byte it is asked again elsewhere.
-pub const SILENCE: i64 = 2_200_000;
+pub const SILENCE_TIMEOUT: i64 = 2_200_000;
 
 /// A node as the service lists it.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Entry {
-    pub listed: Endpoint,
+pub struct EndpointEntry {
+    pub endpoint: Endpoint,
     pub address: SocketAddr,
 }
 
 /// One event.
 #[derive(Clone, Debug, PartialEq)]
-pub struct News {
-    pub number: u64,
+pub struct EndpointEvent {
+    pub sequence: u64,
     /// The whole list, or what has changed.
-    pub whole: bool,
-    pub entries: Vec<Entry>,
+    pub is_snapshot: bool,
+    pub entries: Vec<EndpointEntry>,
 }
 
 /// One frame: an event, or word that there is nothing new.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Frame {
-    Nothing(u64),
-    News(News),
+    Heartbeat(u64),
+    Event(EndpointEvent),
 }
 
 /// Reads frames from bytes as they come.
 #[derive(Debug, Default)]
-pub struct Frames {
+pub struct FrameDecoder {
     buf: Vec<u8>,
 }
 
@@ -47,19 +47,19 @@
     bytes.iter().fold(0, |n, b| n << 8 | u64::from(*b))
 }
 
-impl Frames {
+impl FrameDecoder {
     pub fn push(&mut self, bytes: &[u8]) {
         self.buf.extend_from_slice(bytes);
     }
 
     /// The next whole frame. A length that can't be is told at once, before its bytes are kept.
-    pub fn frame(&mut self) -> Result<Option<Frame>, Unreadable> {
+    pub fn frame(&mut self) -> Result<Option<Frame>, DecodeError> {
         if self.buf.len() < 4 {
             return Ok(None);
         }
         let length = uint(&self.buf[..4]) as usize;
         if !(HEAD..=FRAME).contains(&length) {
-            return Err(Unreadable("a frame's length can't be"));
+            return Err(DecodeError("a frame's length can't be"));
         }
         if self.buf.len() < 4 + length {
             return Ok(None);
@@ -71,34 +71,34 @@
     }
 }
 
-fn read_frame(bytes: &[u8]) -> Result<Frame, Unreadable> {
+fn read_frame(bytes: &[u8]) -> Result<Frame, DecodeError> {
     let (number, kind, payload) = (uint(&bytes[..8]), bytes[8], &bytes[HEAD..]);
     let whole = match kind {
-        0 => return Ok(Frame::Nothing(number)),
+        0 => return Ok(Frame::Heartbeat(number)),
         1 => true,
         2 => false,
-        _ => return Err(Unreadable("a frame's kind is not known")),
+        _ => return Err(DecodeError("a frame's kind is not known")),
     };
     if payload.len() % RECORD != 0 {
-        return Err(Unreadable("a frame holds part of a record"));
+        return Err(DecodeError("a frame holds part of a record"));
     }
     let entries = payload
         .chunks(RECORD)
         .map(record)
         .collect::<Result<_, _>>()?;
-    Ok(Frame::News(News {
-        number,
-        whole,
+    Ok(Frame::Event(EndpointEvent {
+        sequence: number,
+        is_snapshot: whole,
         entries,
     }))
 }
 
-fn record(r: &[u8]) -> Result<Entry, Unreadable> {
+fn record(r: &[u8]) -> Result<EndpointEntry, DecodeError> {
     let state = match r[10] {
         0 => EndpointState::Ready,
         1 => EndpointState::Draining,
         2 => EndpointState::Gone,
-        _ => return Err(Unreadable("a node's state is not known")),
+        _ => return Err(DecodeError("a node's state is not known")),
     };
     let address = Ipv4Addr::new(r[4], r[5], r[6], r[7]);
     let listed = Endpoint {
@@ -111,8 +111,8 @@
         started_at: (came_up(uint(&r[19..27]))).map(shalewall::Timestamp::from_micros),
         fleet: 0,
     };
-    Ok(Entry {
-        listed,
+    Ok(EndpointEntry {
+        endpoint: listed,
         address: SocketAddr::from((address, uint(&r[8..10]) as u16)),
     })
 }
@@ -127,14 +127,14 @@
 
 /// The events of a configuration.
 #[derive(Debug, Default, Deserialize)]
-pub struct Known {
+pub struct KnownEvents {
     pub pos: u64,
     #[serde(default)]
-    entries: Vec<KnownNews>,
+    entries: Vec<KnownEvent>,
 }
 
 #[derive(Debug, Deserialize)]
-struct KnownNews {
+struct KnownEvent {
     pos: u64,
     hosts: Hosts,
 }
@@ -184,10 +184,10 @@
         .map(|id| ServerId(u64::from(id)))
 }
 
-impl Known {
+impl KnownEvents {
     /// The events, in order, and the number that they reach. One that names a node that can't be is left out as a whole,
     /// with all that come after it: the journal service is asked for those.
-    pub fn news(&self, names: &Names) -> (Vec<News>, u64) {
+    pub fn news(&self, names: &Names) -> (Vec<EndpointEvent>, u64) {
         let entry = |m: &Member| {
             let state = match m.phase {
                 Phase::Ready => EndpointState::Ready,
@@ -204,16 +204,16 @@
                 started_at: came_up(m.up_since_ms as u64).map(shalewall::Timestamp::from_micros),
                 fleet: 0,
             };
-            Some(Entry {
-                listed,
+            Some(EndpointEntry {
+                endpoint: listed,
                 address: m.host_port,
             })
         };
-        let news = |k: &KnownNews| {
+        let news = |k: &KnownEvent| {
             let entries = k.hosts.members.iter().map(entry).collect::<Option<_>>()?;
-            Some(News {
-                number: k.pos,
-                whole: k.hosts.complete,
+            Some(EndpointEvent {
+                sequence: k.pos,
+                is_snapshot: k.hosts.complete,
                 entries,
             })
         };
@@ -222,7 +222,7 @@
         let reaches = if all {
             self.pos
         } else {
-            readable.last().map_or(0, |n| n.number)
+            readable.last().map_or(0, |n| n.sequence)
         };
         (readable, reaches)
     }
--- a/crates/platform-proto/src/hex.rs
+++ b/crates/platform-proto/src/hex_id.rs
@@ -4,21 +4,21 @@
 
 /// An id of a session, a title or a viewer, with the case of its digits.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Hex16([u8; 16]);
+pub struct HexId([u8; 16]);
 
-impl Hex16 {
+impl HexId {
     /// None where it is not 16 hexadecimal digits.
-    pub fn read(text: &str) -> Option<Hex16> {
+    pub fn parse(text: &str) -> Option<HexId> {
         let digits: [u8; 16] = text.as_bytes().try_into().ok()?;
         digits
             .iter()
             .all(u8::is_ascii_hexdigit)
-            .then_some(Hex16(digits))
+            .then_some(HexId(digits))
     }
 
-    pub fn of(value: u64) -> Hex16 {
+    pub fn from_value(value: u64) -> HexId {
         let digit = |i: usize| b"0123456789abcdef"[(value >> (60 - 4 * i)) as usize & 15];
-        Hex16(std::array::from_fn(digit))
+        HexId(std::array::from_fn(digit))
     }
 
     pub fn value(self) -> u64 {
@@ -32,13 +32,13 @@
     }
 }
 
-impl fmt::Display for Hex16 {
+impl fmt::Display for HexId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(self.as_str())
     }
 }
 
-impl fmt::Debug for Hex16 {
+impl fmt::Debug for HexId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(self.as_str())
     }
--- a/crates/platform-proto/src/lib.rs
+++ b/crates/platform-proto/src/lib.rs
@@ -1,9 +1,9 @@
 //! The platform's protocol, without I/O: what a director hears from viewers, media nodes and the journal service,
 //! and what it says to them.
 //!
-//! In the manner of quinn-proto beside quinn: [`Door`] takes what happened and the time, gives what is to be done
-//! ([`Door::poll_output`]), the bytes that a connection is to send ([`Door::transmit`]) and when it wants to be called
-//! again ([`Door::poll_timeout`]). [`lines`], [`rtsp`] and [`journal`] are the codecs, [`config`] is the file that a
+//! In the manner of quinn-proto beside quinn: [`DirectorProtocol`] takes what happened and the time, gives what is to be done
+//! ([`DirectorProtocol::poll_output`]), the bytes that a connection is to send ([`DirectorProtocol::poll_transmit`]) and when it wants to be called
+//! again ([`DirectorProtocol::poll_timeout`]). [`viewer_message`], [`rtsp`] and [`endpoint_watch`] are the codecs, [`config`] is the file that a
 //! director starts from; behind the door are the nodes and the connections to them, the viewers' connections, and the
 //! table of sessions, which turns messages into the module's events and its actions into messages, one for one.
 //!
@@ -15,10 +15,9 @@
 mod ask;
 mod care;
 pub mod config;
-mod door;
-mod hex;
-pub mod journal;
-pub mod lines;
+mod director_protocol;
+pub mod endpoint_watch;
+mod hex_id;
 mod linger;
 mod links;
 mod nodes;
@@ -28,21 +27,22 @@
 mod status;
 mod table;
 mod transmit;
+pub mod viewer_message;
 mod viewers;
 
-pub use door::{Conn, Door, NotUp, Output};
-pub use hex::Hex16;
+pub use director_protocol::{ConnectError, ConnectionId, DirectorProtocol, Output};
+pub use hex_id::HexId;
 pub use status::Status;
 pub use transmit::Transmit;
 
 /// A message is so long at most, in bytes.
-pub const MESSAGE: usize = 16 * 1024;
+pub const MAX_MESSAGE_BYTES: usize = 16 * 1024;
 
 /// Why a stream can't be read any further.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Unreadable(pub &'static str);
+pub struct DecodeError(pub &'static str);
 
-impl std::fmt::Display for Unreadable {
+impl std::fmt::Display for DecodeError {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.write_str(self.0)
     }
--- a/crates/platform-proto/src/linger.rs
+++ b/crates/platform-proto/src/linger.rs
@@ -6,9 +6,11 @@
 //! until the node has closed, too. Where a stream can't be read any further, the next connection is opened only once
 //! the node must have learned of the close: whatever it said before that, it says again there.
 
-use crate::door::{Conn, ConnId, Door, Due, NotUp, Output};
-use crate::links::{LinkId, Why};
-use crate::rtsp::Reader;
+use crate::director_protocol::{
+    ConnectError, ConnectionId, ConnectionKind, DirectorProtocol, Due, Output,
+};
+use crate::links::{ConnectReason, LinkId};
+use crate::rtsp::RtspDecoder;
 use shalewall::{LoadReport, Micros, Outcome, ServerId};
 use std::collections::BTreeMap;
 
@@ -18,24 +20,24 @@
 
 /// How a connection to a node ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum Lost {
+pub(crate) enum CloseReason {
     /// It did not come up.
-    NotUp(NotUp),
+    ConnectFailed(ConnectError),
     /// Of no more use to this side.
-    Done,
+    NotNeeded,
     /// Something was given up on it, and there is a better one.
-    Doubt,
+    Replaced,
     /// Closed by the node after its last message: nothing on it is unheard.
-    Closed,
+    ClosedByNode,
     /// Broken: what the node said last on it may be unheard, and is said again on the next one.
     Broken,
     /// Not to be read any further, or silent: as `Broken`, but the node has still to learn of it.
-    Spoilt,
+    Unusable,
 }
 
 struct Lingerer {
     server: ServerId,
-    reader: Reader,
+    reader: RtspDecoder,
     until: Micros,
 }
 
@@ -66,23 +68,28 @@
     }
 }
 
-impl Door {
+impl DirectorProtocol {
     /// A connection to a node ends; what was open on it ends with it, or never left.
-    pub(crate) fn drop_link(&mut self, id: LinkId, lost: Lost) {
+    pub(crate) fn drop_link(&mut self, id: LinkId, lost: CloseReason) {
         let Some(link) = self.links.remove(id) else {
             return;
         };
         self.outputs
-            .push_back(Output::Close(Conn(ConnId::Node(id))));
+            .push_back(Output::Close(ConnectionId(ConnectionKind::Node(id))));
         let outcome = match lost {
-            Lost::NotUp(NotUp::Own) => Outcome::NotSent,
-            Lost::NotUp(_) => Outcome::ConnectionFailed,
-            Lost::Done | Lost::Doubt | Lost::Closed | Lost::Broken | Lost::Spoilt => {
-                Outcome::ConnectionReset
-            }
+            CloseReason::ConnectFailed(ConnectError::LocalShortage) => Outcome::NotSent,
+            CloseReason::ConnectFailed(_) => Outcome::ConnectionFailed,
+            CloseReason::NotNeeded
+            | CloseReason::Replaced
+            | CloseReason::ClosedByNode
+            | CloseReason::Broken
+            | CloseReason::Unusable => Outcome::ConnectionReset,
         };
         // Closed by the node after its last message, nothing on it is unheard.
-        let crossed = !matches!(lost, Lost::Closed | Lost::NotUp(_));
+        let crossed = !matches!(
+            lost,
+            CloseReason::ClosedByNode | CloseReason::ConnectFailed(_)
+        );
         let given_up = link.given_up().map(|(_, tag)| tag);
         let whole = link
             .open
@@ -98,7 +105,7 @@
         for probe in link.probes {
             self.probed(probe, None, outcome, LoadReport::default());
         }
-        if lost == Lost::Spoilt {
+        if lost == CloseReason::Unusable {
             self.open_after(link.server);
         }
         if !owed.is_empty() {
@@ -108,20 +115,20 @@
     }
 
     /// What stands at a node is told over the next connection, and a refused one tells that it is over.
-    fn lost(&mut self, id: LinkId, server: ServerId, lost: Lost) {
+    fn lost(&mut self, id: LinkId, server: ServerId, lost: CloseReason) {
         *self.lost.entry(lost).or_default() += 1;
         self.outputs.push_back(Output::Log(format!(
             "node s-{:08x}: link {} {lost:?}",
             server.0, id.0
         )));
-        let unheard = matches!(lost, Lost::Broken | Lost::Spoilt);
+        let unheard = matches!(lost, CloseReason::Broken | CloseReason::Unusable);
         if self.nodes.due(server, self.now) && (unheard || self.links.of(server).next().is_none()) {
-            self.open_link(server, Why::Stands);
+            self.open_link(server, ConnectReason::ActiveSessions);
         }
     }
 
     /// Gives up a connection that nothing waits on.
-    pub(crate) fn part_with(&mut self, id: LinkId, lost: Lost) {
+    pub(crate) fn part_with(&mut self, id: LinkId, lost: CloseReason) {
         let Some(link) = self.links.get(id) else {
             return;
         };
@@ -142,7 +149,7 @@
             },
         );
         self.outputs
-            .push_back(Output::Write(Conn(ConnId::Node(id))));
+            .push_back(Output::Write(ConnectionId(ConnectionKind::Node(id))));
         self.lost(id, server, lost);
     }
 
@@ -179,7 +186,7 @@
         let was = self.lingering.0.remove(&id).is_some();
         if was {
             self.outputs
-                .push_back(Output::Close(Conn(ConnId::Node(id))));
+                .push_back(Output::Close(ConnectionId(ConnectionKind::Node(id))));
         }
         was
     }
@@ -218,7 +225,7 @@
     /// The time for that has come.
     pub(crate) fn open_again(&mut self, server: ServerId) {
         if self.nodes.due(server, self.now) {
-            self.open_link(server, Why::Stands);
+            self.open_link(server, ConnectReason::ActiveSessions);
         }
     }
 }
--- a/crates/platform-proto/src/links.rs
+++ b/crates/platform-proto/src/links.rs
@@ -1,8 +1,8 @@
 //! Connections to media nodes. One set-up at a time is open on a connection where that can be had: a node closes on
 //! what it can't read whatever else the connection holds, and a spoilt answer spoils the whole stream.
 
-use crate::Hex16;
-use crate::rtsp::Reader;
+use crate::HexId;
+use crate::rtsp::RtspDecoder;
 use shalewall::{Micros, ServerId, SessionId};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -13,23 +13,23 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct ProbeId(pub u64);
 
-/// Why a connection to a node is opened. Each costs a handshake, which a fleet of directors pays hundreds of times.
+/// ConnectReason a connection to a node is opened. Each costs a handshake, which a fleet of directors pays hundreds of times.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum Why {
+pub(crate) enum ConnectReason {
     /// There was none to that node yet.
     First,
     /// There was one that has ended since.
-    Again,
+    Reconnect,
     /// Those there are in use.
-    Busy,
+    AllBusy,
     /// Those there have not been used for so long that the node may be closing them.
-    Old,
+    AllStale,
     /// Something was given up on those there, or part of a message stands on them.
-    Doubt,
+    AllSuspect,
     /// Sessions stand there, and what the node says of them comes over a connection.
-    Stands,
+    ActiveSessions,
     /// A node says nothing: it is tried.
-    Silence,
+    NodeSilent,
 }
 
 /// What waits to be written.
@@ -37,23 +37,23 @@
     /// The session's attempt of this number, worded when its turn has come.
     SetUp(SessionId, u32),
     /// The word that a set-up is given up: the session's next one waits for it.
-    GiveUp(SessionId, Hex16),
+    GiveUp(SessionId, HexId),
     /// The word that a session is released: owed on another connection where it is not written on this one.
-    Release(Hex16),
+    Release(HexId),
     Bytes(Vec<u8>),
 }
 
 pub(crate) struct Link {
     pub server: ServerId,
     pub up: bool,
-    pub reader: Reader,
+    pub reader: RtspDecoder,
     queue: VecDeque<Item>,
     /// The set-up that is being written: not whole yet.
     pub writing: Option<(SessionId, u32)>,
     /// The set-up whose giving up is being written.
-    pub giving: Option<(SessionId, Hex16)>,
+    pub giving: Option<(SessionId, HexId)>,
     /// The session whose release is being written.
-    pub releasing: Option<Hex16>,
+    pub releasing: Option<HexId>,
     /// Set-ups and probes without an answer.
     pub open: BTreeSet<SessionId>,
     pub probes: BTreeSet<ProbeId>,
@@ -68,7 +68,7 @@
     pub stuck: Option<Micros>,
     /// The last set-ups that were refused on it. A node that lets one stand all the same says so a little later, and
     /// nobody here would know of that session.
-    refused: VecDeque<Hex16>,
+    refused: VecDeque<HexId>,
 }
 
 /// One connection holds back so many messages at most; they are small and are written at once unless a node
@@ -94,7 +94,7 @@
             || self.releasing.is_some()
     }
 
-    pub fn refuse(&mut self, tag: Hex16) {
+    pub fn refuse(&mut self, tag: HexId) {
         if self.refused.len() >= REFUSED {
             self.refused.pop_front();
         }
@@ -102,7 +102,7 @@
     }
 
     /// Whether a set-up was refused on it; asked once.
-    pub fn take_refused(&mut self, tag: Hex16) -> bool {
+    pub fn take_refused(&mut self, tag: HexId) -> bool {
         let at = self.refused.iter().position(|t| *t == tag);
         at.and_then(|at| self.refused.remove(at)).is_some()
     }
@@ -126,7 +126,7 @@
     }
 
     /// Sessions that are given up on it and whose node has not had the word yet.
-    pub fn given_up(&self) -> impl Iterator<Item = (SessionId, Hex16)> {
+    pub fn given_up(&self) -> impl Iterator<Item = (SessionId, HexId)> {
         let queued = self.queue.iter().filter_map(|item| match item {
             Item::GiveUp(session, tag) => Some((*session, *tag)),
             Item::SetUp(..) | Item::Release(_) | Item::Bytes(_) => None,
@@ -135,7 +135,7 @@
     }
 
     /// Sessions whose release is not written.
-    pub fn unreleased(&self) -> impl Iterator<Item = Hex16> {
+    pub fn unreleased(&self) -> impl Iterator<Item = HexId> {
         let queued = self.queue.iter().filter_map(|item| match item {
             Item::Release(tag) => Some(*tag),
             Item::SetUp(..) | Item::GiveUp(..) | Item::Bytes(_) => None,
@@ -204,20 +204,22 @@
             .map(|(id, _)| id)
     }
 
-    /// Why a set-up that goes there needs a connection of its own. `met`: there was one to that node.
-    pub fn why(&self, server: ServerId, since: Micros, met: bool) -> Why {
+    /// ConnectReason a set-up that goes there needs a connection of its own. `met`: there was one to that node.
+    pub fn why(&self, server: ServerId, since: Micros, met: bool) -> ConnectReason {
         let any = |what: &dyn Fn(&Link) -> bool| self.of(server).any(|(_, l)| what(l));
         match () {
             () if !any(&|_| true) => {
                 if met {
-                    Why::Again
+                    ConnectReason::Reconnect
                 } else {
-                    Why::First
+                    ConnectReason::First
                 }
             }
-            () if any(&|l| l.up && !l.busy() && !l.doubt && l.used < since) => Why::Old,
-            () if any(&|l| l.doubt || l.part.is_some()) => Why::Doubt,
-            () => Why::Busy,
+            () if any(&|l| l.up && !l.busy() && !l.doubt && l.used < since) => {
+                ConnectReason::AllStale
+            }
+            () if any(&|l| l.doubt || l.part.is_some()) => ConnectReason::AllSuspect,
+            () => ConnectReason::AllBusy,
         }
     }
 
@@ -245,7 +247,7 @@
         let link = Link {
             server,
             up: false,
-            reader: Reader::default(),
+            reader: RtspDecoder::default(),
             queue: VecDeque::new(),
             writing: None,
             giving: None,
--- a/crates/platform-proto/src/nodes.rs
+++ b/crates/platform-proto/src/nodes.rs
@@ -1,7 +1,7 @@
 //! The media nodes as the journal tells of them, which sessions stand there, and whether they can be reached.
 
-use crate::Hex16;
-use crate::journal::{Entry, News};
+use crate::HexId;
+use crate::endpoint_watch::{EndpointEntry, EndpointEvent};
 use shalewall::{Endpoint, EndpointState, Micros, ServerId, SessionId};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -33,7 +33,7 @@
     /// There has been a connection to it.
     pub met: bool,
     /// Releases of what may stand there and is nobody's, and until when they are worth saying.
-    pub owed: Vec<(Micros, Hex16)>,
+    pub owed: Vec<(Micros, HexId)>,
 }
 
 #[derive(Default)]
@@ -69,20 +69,24 @@
 
     /// Takes an event, in its order: none where it was taken before. Its zones and kinds are places in the
     /// settings' lists.
-    pub fn take(&mut self, news: &News, now: Micros) -> Option<Changed> {
-        if news.number <= self.position {
+    pub fn take(&mut self, news: &EndpointEvent, now: Micros) -> Option<Changed> {
+        if news.sequence <= self.position {
             return None;
         }
-        self.position = news.number;
+        self.position = news.sequence;
         let mut changed = Changed::default();
-        let named: BTreeSet<ServerId> = news.entries.iter().map(|e| e.listed.server).collect();
-        if news.whole {
+        let named: BTreeSet<ServerId> = news.entries.iter().map(|e| e.endpoint.server).collect();
+        if news.is_snapshot {
             for (id, node) in self.all.iter_mut().filter(|(id, _)| !named.contains(id)) {
                 node.listed.state = EndpointState::Gone;
                 changed.leaving.push(*id);
             }
         }
-        for Entry { listed, address } in &news.entries {
+        for EndpointEntry {
+            endpoint: listed,
+            address,
+        } in &news.entries
+        {
             let id = listed.server;
             if listed.state != EndpointState::Gone {
                 // Whoever had this address before has gone, whatever the list says of it.
--- a/crates/platform-proto/src/probes.rs
+++ b/crates/platform-proto/src/probes.rs
@@ -1,7 +1,7 @@
 //! Probes: a node is asked for its report, which is a test as well.
 
-use crate::Hex16;
-use crate::door::{Door, Due};
+use crate::HexId;
+use crate::director_protocol::{DirectorProtocol, Due};
 use crate::links::{Item, LinkId, ProbeId};
 use crate::rtsp;
 use shalewall::{Event, LoadReport, Outcome, ServerId};
@@ -12,12 +12,13 @@
     link: LinkId,
 }
 
-impl Door {
+impl DirectorProtocol {
     pub(crate) fn probe(&mut self, server: ServerId) {
         let link = self.link_for(server);
         self.next += 1;
         let id = ProbeId(self.next);
-        let Some(link) = link.filter(|l| self.queue(*l, Item::Bytes(rtsp::probe(Hex16::of(id.0)))))
+        let Some(link) =
+            link.filter(|l| self.queue(*l, Item::Bytes(rtsp::probe(HexId::from_value(id.0)))))
         else {
             let (outcome, load) = (Outcome::NotSent, LoadReport::default());
             return self.events.push_back(Event::HealthCheckFinished {
--- a/crates/platform-proto/src/requests.rs
+++ b/crates/platform-proto/src/requests.rs
@@ -1,10 +1,10 @@
 //! A viewer's request, from its first word to its one answer; who has left is owed none, and nothing more is done for him.
 
-use crate::Hex16;
+use crate::HexId;
 use crate::ask::{self, Asked};
-use crate::door::Door;
-use crate::lines::{Message, Verb, cause};
+use crate::director_protocol::DirectorProtocol;
 use crate::table::{Session, Stage, Way};
+use crate::viewer_message::{Message, Verb, cause};
 use crate::viewers::ViewerId;
 use shalewall::{Event, Outcome, SessionId};
 
@@ -15,9 +15,9 @@
 /// And so many that were given up before they came.
 const FORGONE: usize = 1024;
 
-impl Door {
+impl DirectorProtocol {
     /// A viewer asks, or says what it has from before this director's start.
-    pub(crate) fn asked(&mut self, viewer: ViewerId, tag: Hex16, message: Message) {
+    pub(crate) fn asked(&mut self, viewer: ViewerId, tag: HexId, message: Message) {
         let invalid = Message::finish(tag, cause::INVALID);
         let asked = ask::read(message, tag, &self.names, &self.settings, self.now);
         if let Some(id) = self.tags.get(&tag).copied() {
@@ -112,7 +112,7 @@
     }
 
     /// A viewer gives a set-up up, or ends a session.
-    pub(crate) fn released(&mut self, viewer: ViewerId, tag: Hex16) {
+    pub(crate) fn released(&mut self, viewer: ViewerId, tag: HexId) {
         if let Some(id) = self.tags.get(&tag).copied() {
             let stands = matches!(
                 self.sessions.get(&id),
--- a/crates/platform-proto/src/rtsp.rs
+++ b/crates/platform-proto/src/rtsp.rs
@@ -1,6 +1,6 @@
 //! Messages to and from media nodes: RTSP 1.0 as the platform uses it. Heads are read by the same parser as HTTP's.
 
-use crate::{Hex16, MESSAGE, Unreadable, trim};
+use crate::{DecodeError, HexId, MAX_MESSAGE_BYTES, trim};
 use shalewall::{LoadReport, Notification};
 use shalewall_http::Limits;
 use shalewall_http::head::{Fields, Finder, fields};
@@ -24,7 +24,7 @@
 pub struct Message {
     pub start: Start,
     pub cseq: Option<u64>,
-    pub session: Option<Hex16>,
+    pub session: Option<HexId>,
     pub fields: Fields,
     /// Only a description has to be text.
     pub body: Vec<u8>,
@@ -32,8 +32,8 @@
 
 impl Message {
     /// A session's description, as a node made it for that session.
-    pub fn description(self) -> Result<String, Unreadable> {
-        let odd = Unreadable("a description is not text");
+    pub fn description(self) -> Result<String, DecodeError> {
+        let odd = DecodeError("a description is not text");
         String::from_utf8(self.body)
             .ok()
             .filter(|text| !text.is_empty())
@@ -86,14 +86,14 @@
 
 /// Reads messages from bytes as they come.
 #[derive(Debug, Default)]
-pub struct Reader {
+pub struct RtspDecoder {
     buf: Vec<u8>,
     finder: Finder,
     /// A head that has been read, how long it is, and its content's length.
     head: Option<(Message, usize, usize)>,
 }
 
-impl Reader {
+impl RtspDecoder {
     pub fn push(&mut self, bytes: &[u8]) {
         self.buf.extend_from_slice(bytes);
     }
@@ -104,22 +104,22 @@
     }
 
     /// The next whole message.
-    pub fn message(&mut self) -> Result<Option<Message>, Unreadable> {
+    pub fn message(&mut self) -> Result<Option<Message>, DecodeError> {
         if self.head.is_none() {
             self.plausible()?;
             let limits = Limits {
-                head: MESSAGE,
+                head: MAX_MESSAGE_BYTES,
                 ..Limits::default()
             };
             let found = self
                 .finder
                 .find(&self.buf, &limits)
-                .map_err(|_| Unreadable("a head is too long"))?;
+                .map_err(|_| DecodeError("a head is too long"))?;
             let Some(end) = found else { return Ok(None) };
             self.finder = Finder::default();
             let (message, length) = head(&self.buf[..end], &limits)?;
-            if end + length > MESSAGE {
-                return Err(Unreadable("a message is too long"));
+            if end + length > MAX_MESSAGE_BYTES {
+                return Err(DecodeError("a message is too long"));
             }
             self.head = Some((message, end, length));
         }
@@ -140,8 +140,8 @@
     }
 
     /// Whether what has come can begin a message: noise is told before the end of a head that never comes.
-    fn plausible(&self) -> Result<(), Unreadable> {
-        let odd = Err(Unreadable("not the first line of a message"));
+    fn plausible(&self) -> Result<(), DecodeError> {
+        let odd = Err(DecodeError("not the first line of a message"));
         let line = self.buf.split(|b| *b == b'\n').next().unwrap_or_default();
         if line.len() > START_LINE || line.iter().any(|b| !matches!(b, b' '..=b'~' | b'\r')) {
             return odd;
@@ -160,8 +160,8 @@
     }
 }
 
-fn head(bytes: &[u8], limits: &Limits) -> Result<(Message, usize), Unreadable> {
-    let odd = Unreadable("not the first line of a message");
+fn head(bytes: &[u8], limits: &Limits) -> Result<(Message, usize), DecodeError> {
+    let odd = DecodeError("not the first line of a message");
     let line = bytes.split(|b| *b == b'\n').next().unwrap_or_default();
     let text = line
         .strip_suffix(b"\r")
@@ -180,18 +180,18 @@
         (Some(method), Some(_), Some("RTSP/1.0")) => Start::Request(method.to_string()),
         _ => return Err(odd),
     };
-    let fields =
-        fields(&bytes[line.len() + 1..], limits).map_err(|_| Unreadable("a field is malformed"))?;
+    let fields = fields(&bytes[line.len() + 1..], limits)
+        .map_err(|_| DecodeError("a field is malformed"))?;
     let one = |name: &'static str| {
         let mut all = fields.all(name);
         let first = all.next();
         if all.next().is_some() {
-            Err(Unreadable("a field comes twice"))
+            Err(DecodeError("a field comes twice"))
         } else {
             Ok(first)
         }
     };
-    let number = |value: Option<&[u8]>| -> Result<Option<u64>, Unreadable> {
+    let number = |value: Option<&[u8]>| -> Result<Option<u64>, DecodeError> {
         let Some(value) = value else { return Ok(None) };
         let digits = std::str::from_utf8(value)
             .ok()
@@ -199,15 +199,15 @@
         digits
             .and_then(|v| v.parse().ok())
             .map(Some)
-            .ok_or(Unreadable("a field is not a whole number"))
+            .ok_or(DecodeError("a field is not a whole number"))
     };
-    let length = number(one("content-length")?)?.ok_or(Unreadable("Content-Length is missing"))?;
+    let length = number(one("content-length")?)?.ok_or(DecodeError("Content-Length is missing"))?;
     let cseq = number(one("cseq")?)?;
     let session = match one("session")? {
         None => None,
         Some(id) => {
-            let id = std::str::from_utf8(id).ok().and_then(Hex16::read);
-            Some(id.ok_or(Unreadable("Session is not an id"))?)
+            let id = std::str::from_utf8(id).ok().and_then(HexId::parse);
+            Some(id.ok_or(DecodeError("Session is not an id"))?)
         }
     };
     let length = usize::try_from(length)
@@ -226,7 +226,7 @@
 }
 
 /// Writes a request without content.
-fn request(method: &str, path: &str, cseq: u64, session: Hex16, more: &str) -> Vec<u8> {
+fn request(method: &str, path: &str, cseq: u64, session: HexId, more: &str) -> Vec<u8> {
     format!(
         "{method} rtsp://media/{path} RTSP/1.0\r\nCSeq: {cseq}\r\nSession: {session}\r\n{more}Content-Length: 0\r\n\r\n"
     )
@@ -235,8 +235,8 @@
 
 /// A set-up. `class` is one of the settings' names; `left`: how long the director will wait, in milliseconds.
 pub struct SetUp<'a> {
-    pub session: Hex16,
-    pub title: Hex16,
+    pub session: HexId,
+    pub title: HexId,
     pub class: &'a str,
     pub left: i64,
     pub rung: usize,
@@ -263,12 +263,12 @@
 }
 
 /// The set-up is given up.
-pub fn give_up(session: Hex16) -> Vec<u8> {
+pub fn give_up(session: HexId) -> Vec<u8> {
     request("TEARDOWN", &session.to_string(), TEARDOWN, session, "")
 }
 
 /// A session that stands is released.
-pub fn release(session: Hex16, cause: i64) -> Vec<u8> {
+pub fn release(session: HexId, cause: i64) -> Vec<u8> {
     request(
         "TEARDOWN",
         &session.to_string(),
@@ -279,7 +279,7 @@
 }
 
 /// A new rung for a session that stands.
-pub fn rung(session: Hex16, rung: usize) -> Vec<u8> {
+pub fn rung(session: HexId, rung: usize) -> Vec<u8> {
     request(
         "SET_PARAMETER",
         &session.to_string(),
@@ -290,12 +290,12 @@
 }
 
 /// Asks for a load report, which is a test as well.
-pub fn probe(id: Hex16) -> Vec<u8> {
+pub fn probe(id: HexId) -> Vec<u8> {
     request("OPTIONS", "load", OPTIONS, id, "")
 }
 
 /// A release was heard.
-pub fn heard(session: Hex16) -> Vec<u8> {
+pub fn heard(session: HexId) -> Vec<u8> {
     format!(
         "RTSP/1.0 200 OK\r\nCSeq: {TEARDOWN}\r\nSession: {session}\r\nContent-Length: 0\r\n\r\n"
     )
--- a/crates/platform-proto/src/status.rs
+++ b/crates/platform-proto/src/status.rs
@@ -1,6 +1,6 @@
 //! What a director holds and believes, for its log.
 
-use crate::Door;
+use crate::DirectorProtocol;
 use shalewall::Micros;
 
 /// So many of the fullest servers are named.
@@ -30,11 +30,11 @@
     pub late: Micros,
 }
 
-impl Door {
+impl DirectorProtocol {
     /// What there is now, and what has ended since the last look.
     pub fn status(&mut self) -> Status {
-        let (waiting, standing) = self.held();
-        let (viewers, links, nodes) = self.sizes();
+        let (waiting, standing) = self.session_counts();
+        let (viewers, links, nodes) = self.connection_counts();
         let mut worst: Vec<_> = self.director.beliefs().collect();
         worst.sort_by(|a, b| b.link.max(b.uplink).total_cmp(&a.link.max(a.uplink)));
         let named = worst.iter().take(WORST).map(|b| {
--- a/crates/platform-proto/src/table.rs
+++ b/crates/platform-proto/src/table.rs
@@ -1,11 +1,11 @@
 //! The table of sessions: messages become the module's events, its actions become messages, one for one.
 
-use crate::Hex16;
-use crate::door::{Conn, ConnId, Door, Due, Output};
-use crate::lines::{Message, Verb, cause};
-use crate::linger::Lost;
-use crate::links::{Item, LinkId, Why};
+use crate::HexId;
+use crate::director_protocol::{ConnectionId, ConnectionKind, DirectorProtocol, Due, Output};
+use crate::linger::CloseReason;
+use crate::links::{ConnectReason, Item, LinkId};
 use crate::rtsp::{self, SetUp};
+use crate::viewer_message::{Message, Verb, cause};
 use crate::viewers::{ViewerId, Word};
 use serde_json::Value;
 use shalewall::{Action, EndpointState, Event, LoadReport, Micros, Outcome, ServerId, SessionId};
@@ -13,8 +13,8 @@
 
 /// A request, and the session that it became.
 pub(crate) struct Session {
-    pub tag: Hex16,
-    pub title: Hex16,
+    pub tag: HexId,
+    pub title: HexId,
     pub class: usize,
     /// Until it stands.
     pub description: String,
@@ -64,7 +64,7 @@
 /// And so many at most to one node.
 const MOST_OWED: usize = 64;
 
-impl Door {
+impl DirectorProtocol {
     /// Feeds the module what has happened, and carries out what it says.
     pub(crate) fn run(&mut self) {
         while let Some(event) = self.events.pop_front() {
@@ -143,7 +143,7 @@
                 let idle: Vec<_> = idle.collect();
                 idle.into_iter()
                     .skip(1)
-                    .for_each(|id| self.part_with(id, Lost::Done));
+                    .for_each(|id| self.part_with(id, CloseReason::NotNeeded));
             }
             Action::Log(text) => self.outputs.push_back(Output::Log(text)),
             // The journal tells without being asked, and directors don't talk; nobody here asks for hand-overs.
@@ -207,7 +207,7 @@
             });
             let spare = spare.min_by_key(|(id, l)| (l.used, *id)).map(|(id, _)| id);
             match spare.filter(|_| self.links.of(server).next().is_none()) {
-                Some(spare) => self.part_with(spare, Lost::Done),
+                Some(spare) => self.part_with(spare, CloseReason::NotNeeded),
                 None => return self.links.shared(server),
             }
         }
@@ -261,7 +261,7 @@
         }) = self.sessions.get(&id)
         {
             self.outputs
-                .push_back(Output::Write(Conn(ConnId::Node(a.link))));
+                .push_back(Output::Write(ConnectionId(ConnectionKind::Node(a.link))));
         }
     }
 
@@ -327,7 +327,7 @@
             link.open.remove(&id);
             if link.unqueue(id) {
                 self.outputs
-                    .push_back(Output::Write(Conn(ConnId::Node(a.link))));
+                    .push_back(Output::Write(ConnectionId(ConnectionKind::Node(a.link))));
             }
         }
         let closed = !s.owed;
@@ -376,13 +376,13 @@
                 link.doubt = true;
             }
             if !self.queue(link, Item::GiveUp(id, tag)) {
-                self.drop_link(link, Lost::Spoilt);
+                self.drop_link(link, CloseReason::Unusable);
             }
         }
         self.outcome(id, server, number, outcome, LoadReport::default());
         // Half of it is with the node, which does not read on: the other half never follows.
         if way == Way::Partly {
-            self.drop_link(link, Lost::Spoilt);
+            self.drop_link(link, CloseReason::Unusable);
         }
     }
 
@@ -398,7 +398,7 @@
     pub(crate) fn answered(
         &mut self,
         link: LinkId,
-        tag: Hex16,
+        tag: HexId,
         status: u16,
         message: rtsp::Message,
     ) {
@@ -434,7 +434,7 @@
             return self.give_up(id, Outcome::Cancelled);
         }
         let Ok(description) = message.description() else {
-            return self.drop_link(link, Lost::Spoilt); // the set-up on it ends with it
+            return self.drop_link(link, CloseReason::Unusable); // the set-up on it ends with it
         };
         s.stage = Stage::Stands {
             server,
@@ -465,7 +465,7 @@
 
     /// A node that refused a set-up says that it stands: nobody here waits for that any more, and another node may have
     /// the next attempt. It is released, unless the same node has that one, too, and the word would be taken for it.
-    fn disown(&mut self, link: LinkId, tag: Hex16) {
+    fn disown(&mut self, link: LinkId, tag: HexId) {
         let Some(server) = self.links.get(link).map(|l| l.server) else {
             return;
         };
@@ -479,19 +479,19 @@
         }
     }
 
-    fn under(&self, tag: Hex16) -> Option<&Session> {
+    fn under(&self, tag: HexId) -> Option<&Session> {
         self.sessions.get(self.tags.get(&tag)?)
     }
 
     /// The tag of a set-up that its node may have whole.
-    pub(crate) fn may_stand(&self, id: SessionId) -> Option<Hex16> {
+    pub(crate) fn may_stand(&self, id: SessionId) -> Option<HexId> {
         let whole = |s: &&Session| matches!(&s.stage, Stage::Out(a) if a.way == Way::Whole);
         self.sessions.get(&id).filter(whole).map(|s| s.tag)
     }
 
     /// Set-ups ended with a connection that closed, and an answer may have crossed that: what stands at the node then is nobody's.
     /// It is released over another connection, at once or when the next one is up.
-    pub(crate) fn owe_release(&mut self, server: ServerId, tags: Vec<Hex16>) {
+    pub(crate) fn owe_release(&mut self, server: ServerId, tags: Vec<HexId>) {
         let until = self.now + OWED;
         let Some(node) = self.nodes.all.get_mut(&server) else {
             return;
@@ -527,7 +527,7 @@
             node.standing.insert(id);
         }
         if self.links.of(server).next().is_none() {
-            self.open_link(server, Why::Stands);
+            self.open_link(server, ConnectReason::ActiveSessions);
         }
     }
 
@@ -536,7 +536,7 @@
         &mut self,
         link: LinkId,
         server: ServerId,
-        tag: Hex16,
+        tag: HexId,
         message: rtsp::Message,
     ) {
         let Some(id) = self.tags.get(&tag).copied() else {
@@ -637,7 +637,7 @@
         let own = link.filter(|l| self.links.get(*l).is_some_and(|l| l.up && !l.doubt));
         own.or_else(|| self.links.any(server))
             .or_else(|| self.links.shared(server))
-            .or_else(|| self.open_link(server, Why::Stands))
+            .or_else(|| self.open_link(server, ConnectReason::ActiveSessions))
     }
 
     fn set_rung(&mut self, id: SessionId, rung: usize) {
@@ -656,7 +656,7 @@
 
     /// A note on a session that stands, or that its node has whole: the first one, which is the freshest word of how full
     /// the node is, comes ahead of the answer.
-    pub(crate) fn noted(&mut self, server: ServerId, tag: Hex16, message: &rtsp::Message) {
+    pub(crate) fn noted(&mut self, server: ServerId, tag: HexId, message: &rtsp::Message) {
         let Some(session) = self.tags.get(&tag).copied() else {
             return;
         };
--- a/crates/platform-proto/src/transmit.rs
+++ b/crates/platform-proto/src/transmit.rs
@@ -1,34 +1,34 @@
 //! What a connection writes next. Nothing leaves the table of sessions before its socket takes it: what waits for room
 //! there is judged again when there is some.
 
-use crate::door::{Conn, ConnId, Door};
-use crate::lines::cause;
-use crate::linger::Lost;
+use crate::director_protocol::{ConnectionId, ConnectionKind, DirectorProtocol};
+use crate::linger::CloseReason;
 use crate::links::{Item, LinkId};
 use crate::rtsp;
+use crate::viewer_message::cause;
 use shalewall::Micros;
 
 /// What a connection is to do next.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Transmit {
     /// Write this whole, then ask again: asking says that it was written. Where the socket takes nothing of it, give it
-    /// back with [`Door::untaken`] and ask again when it does.
+    /// back with [`DirectorProtocol::return_unwritten`] and ask again when it does.
     Bytes(Vec<u8>),
     Wait,
-    /// Close this side's half; what comes is still to be given to [`Door::bytes`].
+    /// Close this side's half; what comes is still to be given to [`DirectorProtocol::handle_bytes`].
     Finish,
-    /// Close it if nothing waits to be read, and say [`Door::closed`]; else give what came to [`Door::bytes`].
+    /// Close it if nothing waits to be read, and say [`DirectorProtocol::connection_closed`]; else give what came to [`DirectorProtocol::handle_bytes`].
     CloseIfQuiet,
     Close,
 }
 
-impl Door {
+impl DirectorProtocol {
     /// The next bytes of a connection; those given before have been written whole.
-    pub fn transmit(&mut self, now: Micros, conn: Conn) -> Transmit {
+    pub fn poll_transmit(&mut self, now: Micros, conn: ConnectionId) -> Transmit {
         self.now = now;
         let id = match conn.0 {
-            ConnId::Node(id) => id,
-            ConnId::Viewer(id) => {
+            ConnectionKind::Node(id) => id,
+            ConnectionKind::Viewer(id) => {
                 if let Some(bytes) = self.viewers.pop(id) {
                     return Transmit::Bytes(bytes);
                 }
@@ -99,11 +99,11 @@
     }
 
     /// The socket took nothing of the bytes given last: what goes back to its place can still be taken back.
-    pub fn untaken(&mut self, now: Micros, conn: Conn, bytes: Vec<u8>) {
+    pub fn return_unwritten(&mut self, now: Micros, conn: ConnectionId, bytes: Vec<u8>) {
         self.now = now;
         let id = match conn.0 {
-            ConnId::Viewer(id) => return self.viewers.untaken(id, bytes),
-            ConnId::Node(id) => id,
+            ConnectionKind::Viewer(id) => return self.viewers.untaken(id, bytes),
+            ConnectionKind::Node(id) => id,
         };
         let Some(link) = self.links.get(id) else {
             return;
@@ -122,9 +122,9 @@
     }
 
     /// The socket took a part of the bytes given last, and no more at present.
-    pub fn taken_in_part(&mut self, now: Micros, conn: Conn) {
+    pub fn partially_written(&mut self, now: Micros, conn: ConnectionId) {
         self.now = now;
-        if let ConnId::Node(id) = conn.0
+        if let ConnectionKind::Node(id) = conn.0
             && self.links.get(id).is_some_and(|l| l.giving.is_some())
         {
             self.said_by_closing(id);
@@ -135,7 +135,7 @@
     /// next attempt need not wait. Not where the answer to another one is waited for on it.
     fn said_by_closing(&mut self, id: LinkId) {
         if self.links.get(id).is_some_and(|l| l.open.is_empty()) {
-            self.drop_link(id, Lost::Spoilt);
+            self.drop_link(id, CloseReason::Unusable);
             self.run();
         }
     }
--- a/crates/platform-proto/src/lines.rs
+++ b/crates/platform-proto/src/viewer_message.rs
@@ -1,6 +1,6 @@
 //! Messages to and from viewers: one JSON object a line.
 
-use crate::{Hex16, MESSAGE, Unreadable, trim};
+use crate::{DecodeError, HexId, MAX_MESSAGE_BYTES, trim};
 use serde::{Deserialize, Serialize};
 use serde_json::{Map, Value};
 
@@ -51,7 +51,7 @@
 pub struct NoNumber;
 
 impl Message {
-    pub fn new(verb: Verb, tag: Hex16) -> Message {
+    pub fn new(verb: Verb, tag: HexId) -> Message {
         Message {
             verb,
             tag: tag.to_string(),
@@ -61,7 +61,7 @@
         }
     }
 
-    pub fn finish(tag: Hex16, rc: i64) -> Message {
+    pub fn finish(tag: HexId, rc: i64) -> Message {
         Message {
             rc: Some(rc),
             ..Message::new(Verb::Finish, tag)
@@ -100,12 +100,12 @@
 
 /// Reads messages from bytes as they come. Looks at no byte twice.
 #[derive(Debug, Default)]
-pub struct Lines {
+pub struct LineDecoder {
     buf: Vec<u8>,
     seen: usize,
 }
 
-impl Lines {
+impl LineDecoder {
     pub fn push(&mut self, bytes: &[u8]) {
         self.buf.extend_from_slice(bytes);
     }
@@ -116,20 +116,20 @@
     }
 
     /// The next whole message.
-    pub fn message(&mut self) -> Result<Option<Message>, Unreadable> {
+    pub fn message(&mut self) -> Result<Option<Message>, DecodeError> {
         let Some(end) = self.buf[self.seen..]
             .iter()
             .position(|b| *b == b'\n')
             .map(|i| self.seen + i)
         else {
             self.seen = self.buf.len();
-            if self.buf.len() >= MESSAGE {
-                return Err(Unreadable("a line is too long"));
+            if self.buf.len() >= MAX_MESSAGE_BYTES {
+                return Err(DecodeError("a line is too long"));
             }
             return Ok(None);
         };
-        if end >= MESSAGE {
-            return Err(Unreadable("a line is too long"));
+        if end >= MAX_MESSAGE_BYTES {
+            return Err(DecodeError("a line is too long"));
         }
         let message = serde_json::from_slice(&self.buf[..end]);
         self.buf.drain(..=end);
@@ -137,6 +137,6 @@
         trim(&mut self.buf);
         message
             .map(Some)
-            .map_err(|_| Unreadable("a line is not a message"))
+            .map_err(|_| DecodeError("a line is not a message"))
     }
 }
--- a/crates/platform-proto/src/viewers.rs
+++ b/crates/platform-proto/src/viewers.rs
@@ -1,7 +1,7 @@
 //! Viewers' connections: what they have said, what they are owed, and when one may be closed.
 
-use crate::MESSAGE;
-use crate::lines::Lines;
+use crate::MAX_MESSAGE_BYTES;
+use crate::viewer_message::LineDecoder;
 use shalewall::{Micros, SessionId};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::IpAddr;
@@ -22,7 +22,7 @@
 /// Connections beyond the most there may be, while those closed for them turn out to have something to say.
 const BEYOND: usize = 16;
 /// Bytes held back for one who does not read.
-const QUEUE: usize = 16 * MESSAGE;
+const QUEUE: usize = 16 * MAX_MESSAGE_BYTES;
 /// Releases kept for viewers without a connection, and how long: later they help nobody.
 const KEPT: usize = 4096;
 const KEPT_FOR: Micros = 8_000_000;
@@ -47,8 +47,8 @@
 
 pub(crate) struct Viewer {
     ip: IpAddr,
-    pub lines: Lines,
-    /// Lines to write.
+    pub lines: LineDecoder,
+    /// LineDecoder to write.
     queue: VecDeque<(Word, Vec<u8>)>,
     queued: usize,
     /// The line that is being written: whoever is closed in the middle of it has not heard it.
@@ -84,7 +84,7 @@
     /// Closed once all is written; no more of it is looked at.
     pub fn close(&mut self, now: Micros) {
         self.closing = Some(now);
-        self.lines = Lines::default();
+        self.lines = LineDecoder::default();
     }
 
     pub fn closes(&self) -> bool {
@@ -137,7 +137,7 @@
         self.next += 1;
         let mut viewer = Viewer {
             ip,
-            lines: Lines::default(),
+            lines: LineDecoder::default(),
             queue: VecDeque::new(),
             queued: 0,
             writing: None,
--- a/crates/platform-proto/tests/common/mod.rs
+++ b/crates/platform-proto/tests/common/mod.rs
@@ -3,8 +3,8 @@
 
 use shalewall::{Endpoint, EndpointState, ServerId};
 use shalewall_platform_proto::config::Config;
-use shalewall_platform_proto::journal::{Entry, Frame, News};
-use shalewall_platform_proto::{Conn, Door, Output, Transmit};
+use shalewall_platform_proto::endpoint_watch::{EndpointEntry, EndpointEvent, Frame};
+use shalewall_platform_proto::{ConnectionId, DirectorProtocol, Output, Transmit};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
@@ -44,30 +44,30 @@
 
 /// The door, its connections and all that it wrote on them.
 pub struct Rig {
-    pub door: Door,
+    pub protocol: DirectorProtocol,
     pub now: i64,
     /// Connections to nodes that are open or under way, by what they were opened to.
-    pub links: BTreeMap<Conn, SocketAddr>,
-    under_way: BTreeSet<Conn>,
+    pub links: BTreeMap<ConnectionId, SocketAddr>,
+    under_way: BTreeSet<ConnectionId>,
     /// Sockets that take no bytes at present.
-    pub stuck: BTreeSet<Conn>,
+    pub stuck: BTreeSet<ConnectionId>,
     /// Sockets that take nothing when they are given something, and that take half of it and no more.
-    pub full: BTreeSet<Conn>,
-    pub half: BTreeSet<Conn>,
+    pub full: BTreeSet<ConnectionId>,
+    pub half: BTreeSet<ConnectionId>,
     /// Sockets in which something waits to be read.
-    pub unread: BTreeSet<Conn>,
-    pub closed: Vec<Conn>,
+    pub unread: BTreeSet<ConnectionId>,
+    pub closed: Vec<ConnectionId>,
     /// Of which this side's half is closed.
-    pub finished: Vec<Conn>,
-    pub said: BTreeMap<Conn, String>,
+    pub finished: Vec<ConnectionId>,
+    pub said: BTreeMap<ConnectionId, String>,
     pub logs: Vec<String>,
 }
 
 impl Rig {
     pub fn new() -> Rig {
-        let door = Door::new(&config(), START).unwrap();
+        let protocol = DirectorProtocol::new(&config(), START).unwrap();
         let mut rig = Rig {
-            door,
+            protocol,
             now: START,
             links: BTreeMap::new(),
             under_way: BTreeSet::new(),
@@ -85,9 +85,13 @@
     }
 
     pub fn pump(&mut self) {
-        while let Some(output) = self.door.poll_output() {
+        while let Some(output) = self.protocol.poll_output() {
             match output {
-                Output::Open { conn, address, .. } => {
+                Output::Open {
+                    connection: conn,
+                    address,
+                    ..
+                } => {
                     self.links.insert(conn, address);
                     self.under_way.insert(conn);
                 }
@@ -106,16 +110,16 @@
         }
     }
 
-    pub fn write(&mut self, conn: Conn) {
+    pub fn write(&mut self, conn: ConnectionId) {
         loop {
-            match self.door.transmit(self.now, conn) {
+            match self.protocol.poll_transmit(self.now, conn) {
                 Transmit::Bytes(bytes) if self.full.contains(&conn) => {
-                    return self.door.untaken(self.now, conn, bytes);
+                    return self.protocol.return_unwritten(self.now, conn, bytes);
                 }
                 Transmit::Bytes(bytes) if self.half.contains(&conn) => {
                     let taken = String::from_utf8_lossy(&bytes[..bytes.len() / 2]).into_owned();
                     self.said.entry(conn).or_default().push_str(&taken);
-                    return self.door.taken_in_part(self.now, conn);
+                    return self.protocol.partially_written(self.now, conn);
                 }
                 Transmit::Bytes(bytes) => {
                     self.said
@@ -135,18 +139,18 @@
     /// Time passes, and timers ring.
     pub fn pass(&mut self, span: i64) {
         let until = self.now + span;
-        while let Some(due) = self.door.poll_timeout().filter(|due| *due <= until) {
+        while let Some(due) = self.protocol.poll_timeout().filter(|due| *due <= until) {
             self.now = due.max(self.now);
-            self.door.timeout(self.now);
+            self.protocol.handle_timeout(self.now);
             self.pump();
         }
         self.now = until;
     }
 
-    pub fn viewer(&mut self) -> Conn {
+    pub fn viewer(&mut self) -> ConnectionId {
         let conn = self
-            .door
-            .viewer_open(self.now, "10.9.0.1".parse().unwrap())
+            .protocol
+            .accept_viewer(self.now, "10.9.0.1".parse().unwrap())
             .unwrap();
         self.pump();
         // Whoever drives a connection asks at once what there is to write on it.
@@ -154,77 +158,79 @@
         conn
     }
 
-    pub fn hear(&mut self, conn: Conn, bytes: impl AsRef<[u8]>) {
-        self.door.bytes(self.now, conn, bytes.as_ref());
+    pub fn hear(&mut self, conn: ConnectionId, bytes: impl AsRef<[u8]>) {
+        self.protocol.handle_bytes(self.now, conn, bytes.as_ref());
         self.pump();
     }
 
-    pub fn ask(&mut self, viewer: Conn, tag: u64, class: &str) {
+    pub fn ask(&mut self, viewer: ConnectionId, tag: u64, class: &str) {
         self.hear(viewer, start(tag, class, 1500, ""));
     }
 
     /// The one connection under way comes up.
-    pub fn up(&mut self) -> Conn {
+    pub fn up(&mut self) -> ConnectionId {
         let conn = self
             .under_way
             .pop_last()
             .expect("a connection was asked for");
-        self.door.node_up(self.now, conn);
+        self.protocol.node_connected(self.now, conn);
         self.pump();
         conn
     }
 
-    pub fn come_up(&mut self, conn: Conn) {
+    pub fn come_up(&mut self, conn: ConnectionId) {
         self.under_way.remove(&conn);
-        self.door.node_up(self.now, conn);
+        self.protocol.node_connected(self.now, conn);
         self.pump();
     }
 
-    pub fn fail(&mut self, conn: Conn, why: shalewall_platform_proto::NotUp) {
+    pub fn fail(&mut self, conn: ConnectionId, why: shalewall_platform_proto::ConnectError) {
         self.links.remove(&conn);
         self.under_way.remove(&conn);
-        self.door.node_failed(self.now, conn, why);
+        self.protocol.node_connect_failed(self.now, conn, why);
         self.pump();
     }
 
-    pub fn broken(&mut self, conn: Conn, clean: bool) {
+    pub fn broken(&mut self, conn: ConnectionId, clean: bool) {
         self.links.remove(&conn);
-        self.door.closed(self.now, conn, clean);
+        self.protocol.connection_closed(self.now, conn, clean);
         self.pump();
     }
 
     /// A set-up that is out: its viewer's connection and its node's.
-    pub fn out(&mut self, tag: u64, class: &str) -> (Conn, Conn) {
+    pub fn out(&mut self, tag: u64, class: &str) -> (ConnectionId, ConnectionId) {
         let viewer = self.viewer();
         self.ask(viewer, tag, class);
         (viewer, self.up())
     }
 
     /// A session that stands: the same.
-    pub fn standing(&mut self, tag: u64, class: &str) -> (Conn, Conn) {
+    pub fn standing(&mut self, tag: u64, class: &str) -> (ConnectionId, ConnectionId) {
         let (viewer, node) = self.out(tag, class);
         self.hear(node, answer(tag, "there"));
         (viewer, node)
     }
 
     /// An event of the journal service.
-    pub fn list(&mut self, number: u64, entries: &[Entry]) {
-        let news = News {
-            number,
-            whole: false,
+    pub fn list(&mut self, number: u64, entries: &[EndpointEntry]) {
+        let news = EndpointEvent {
+            sequence: number,
+            is_snapshot: false,
             entries: entries.to_vec(),
         };
-        self.door.journal(self.now, &Frame::News(news)).unwrap();
+        self.protocol
+            .handle_watch_frame(self.now, &Frame::Event(news))
+            .unwrap();
         self.pump();
     }
 
     /// Whether a connection is still coming up.
-    pub fn coming(&self, conn: Conn) -> bool {
+    pub fn coming(&self, conn: ConnectionId) -> bool {
         self.under_way.contains(&conn)
     }
 
     /// The node that a connection goes to, as a number.
-    pub fn node_of(&self, conn: Conn) -> u64 {
+    pub fn node_of(&self, conn: ConnectionId) -> u64 {
         if self.links[&conn].to_string() == NODE[0] {
             1
         } else {
@@ -233,13 +239,13 @@
     }
 
     /// What was said on a connection since the last look.
-    pub fn heard(&mut self, conn: Conn) -> String {
+    pub fn heard(&mut self, conn: ConnectionId) -> String {
         self.said.remove(&conn).unwrap_or_default()
     }
 }
 
 /// A line of the list.
-pub fn entry(id: u64, address: &str, state: EndpointState, started: Option<i64>) -> Entry {
+pub fn entry(id: u64, address: &str, state: EndpointState, started: Option<i64>) -> EndpointEntry {
     let listed = Endpoint {
         server: ServerId(id),
         zone: Some(0),
@@ -250,8 +256,8 @@
         started_at: started.map(shalewall::Timestamp::from_micros),
         fleet: 0,
     };
-    Entry {
-        listed,
+    EndpointEntry {
+        endpoint: listed,
         address: address.parse().unwrap(),
     }
 }
--- a/crates/platform-proto/tests/crossings.rs
+++ b/crates/platform-proto/tests/crossings.rs
@@ -4,12 +4,12 @@
 mod common;
 use common::*;
 use shalewall::EndpointState::{Gone, Ready};
-use shalewall_platform_proto::journal::Frame;
-use shalewall_platform_proto::lines::Message;
-use shalewall_platform_proto::{Conn, Door, Hex16, NotUp};
+use shalewall_platform_proto::endpoint_watch::Frame;
+use shalewall_platform_proto::viewer_message::Message;
+use shalewall_platform_proto::{ConnectError, ConnectionId, DirectorProtocol, HexId};
 
 fn gives_up(tag: u64) -> Vec<u8> {
-    Message::finish(Hex16::of(tag), 16).write()
+    Message::finish(HexId::from_value(tag), 16).write()
 }
 
 // ---- viewers ----------------------------------------------------------------------------------
@@ -24,14 +24,14 @@
         rig.heard(node);
         if half { &mut rig.half } else { &mut rig.full }.insert(viewer);
         rig.hear(node, answer(7, "there"));
-        assert_eq!(rig.door.held(), (0, 1));
+        assert_eq!(rig.protocol.session_counts(), (0, 1));
         rig.broken(viewer, true);
         let told = rig.heard(node);
         assert!(
             told.contains("TEARDOWN") && told.contains("0000000000000007"),
             "half {half}: {told}"
         );
-        assert_eq!(rig.door.held(), (0, 0));
+        assert_eq!(rig.protocol.session_counts(), (0, 0));
     }
     // One that was written whole stands without its connection.
     let mut rig = Rig::new();
@@ -39,7 +39,7 @@
     rig.heard(node);
     rig.broken(viewer, true);
     assert!(rig.heard(node).is_empty());
-    assert_eq!(rig.door.held(), (0, 1));
+    assert_eq!(rig.protocol.session_counts(), (0, 1));
 }
 
 /// A release that was queued, or half written, when its connection ended is said on another one, or on the next.
@@ -73,7 +73,11 @@
     assert!(rig.heard(viewer).contains(r#""rc":95"#));
     assert!(rig.finished.contains(&viewer) && !rig.closed.contains(&viewer));
     rig.hear(viewer, start(9, "paid", 1500, ""));
-    assert_eq!(rig.door.held(), (0, 0), "what comes later is passed over");
+    assert_eq!(
+        rig.protocol.session_counts(),
+        (0, 0),
+        "what comes later is passed over"
+    );
     rig.broken(viewer, true);
     assert!(rig.closed.contains(&viewer));
     // It does not close.
@@ -100,14 +104,18 @@
     let viewer = rig.viewer();
     rig.hear(
         viewer,
-        Message::new(shalewall_platform_proto::lines::Verb::Echo, Hex16::of(1)).write(),
+        Message::new(
+            shalewall_platform_proto::viewer_message::Verb::Echo,
+            HexId::from_value(1),
+        )
+        .write(),
     );
     rig.unread.insert(viewer);
     rig.pass(12 * S);
     assert!(!rig.closed.contains(&viewer));
     rig.unread.clear();
     rig.ask(viewer, 7, "free");
-    assert_eq!(rig.door.held(), (1, 0));
+    assert_eq!(rig.protocol.session_counts(), (1, 0));
     let node = rig.up();
     rig.hear(node, answer(7, "there"));
     assert!(rig.heard(viewer).contains("STARTED"));
@@ -115,9 +123,12 @@
     let mut rig = Rig::new();
     let first = rig.viewer();
     rig.unread.insert(first);
-    let mut others: Vec<Conn> = Vec::new();
+    let mut others: Vec<ConnectionId> = Vec::new();
     for _ in 0..400 {
-        let Some(conn) = rig.door.viewer_open(rig.now, "10.9.0.2".parse().unwrap()) else {
+        let Some(conn) = rig
+            .protocol
+            .accept_viewer(rig.now, "10.9.0.2".parse().unwrap())
+        else {
             break;
         };
         rig.pump();
@@ -130,20 +141,20 @@
         others.len()
     );
     rig.ask(first, 7, "free");
-    assert_eq!(rig.door.held(), (1, 0));
+    assert_eq!(rig.protocol.session_counts(), (1, 0));
     // Nothing waits in them: they go, and the next ones have their room.
     rig.unread.clear();
     others.iter().for_each(|conn| rig.write(*conn));
     assert!(rig.closed.len() > 10);
     assert!(
-        rig.door
-            .viewer_open(rig.now, "10.9.0.2".parse().unwrap())
+        rig.protocol
+            .accept_viewer(rig.now, "10.9.0.2".parse().unwrap())
             .is_some()
     );
 }
 
 /// The ways in which a viewer leaves: it closes, it is cut, it gives the set-up up, on its own connection or on another.
-const WAYS: [fn(&mut Rig, Conn); 4] = [
+const WAYS: [fn(&mut Rig, ConnectionId); 4] = [
     |rig, viewer| rig.broken(viewer, true),
     |rig, viewer| rig.broken(viewer, false),
     |rig, viewer| rig.hear(viewer, gives_up(7)),
@@ -225,7 +236,7 @@
         rig.pump();
         rig.pass(3 * S);
         assert_eq!(set_ups(&rig), 1);
-        assert_eq!(rig.door.held(), (0, 0));
+        assert_eq!(rig.protocol.session_counts(), (0, 0));
     }
 }
 
@@ -236,10 +247,10 @@
     let (viewer, other) = (rig.viewer(), rig.viewer());
     rig.hear(other, gives_up(7));
     rig.ask(viewer, 7, "paid");
-    assert!(rig.links.is_empty() && rig.door.held() == (0, 0));
+    assert!(rig.links.is_empty() && rig.protocol.session_counts() == (0, 0));
     assert!(rig.heard(viewer).contains(r#""rc":34"#));
     rig.ask(viewer, 8, "paid");
-    assert_eq!(rig.door.held(), (1, 0));
+    assert_eq!(rig.protocol.session_counts(), (1, 0));
 }
 
 // ---- shutdown ---------------------------------------------------------------------------------
@@ -255,17 +266,17 @@
         if sent {
             rig.up();
         }
-        rig.door.leave(rig.now);
+        rig.protocol.begin_shutdown(rig.now);
         rig.pump();
-        let most = rig.door.leave_within();
+        let most = rig.protocol.shutdown_time_limit();
         for _ in 0..most / (50 * MS) - 1 {
             rig.pass(50 * MS);
         }
         let told = rig.heard(viewer);
         let rc = if sent { r#""rc":41"# } else { r#""rc":34"# };
         assert!(told.contains(rc) && told.lines().count() == 1, "{told}");
-        assert_eq!(rig.door.held(), (0, 0));
-        assert!(!rig.door.unsaid());
+        assert_eq!(rig.protocol.session_counts(), (0, 0));
+        assert!(!rig.protocol.has_pending_writes());
     }
 }
 
@@ -275,17 +286,17 @@
     let mut rig = Rig::new();
     let (viewer, node) = rig.out(7, "paid");
     rig.full.insert(viewer);
-    rig.door.leave(rig.now);
+    rig.protocol.begin_shutdown(rig.now);
     rig.hear(node, answer(7, "there"));
-    assert_eq!(rig.door.held(), (0, 1));
-    assert!(rig.door.unsaid());
-    rig.door.finish(rig.now);
+    assert_eq!(rig.protocol.session_counts(), (0, 1));
+    assert!(rig.protocol.has_pending_writes());
+    rig.protocol.close_viewers(rig.now);
     rig.pump();
-    assert!(rig.door.unsaid() && !rig.finished.contains(&viewer));
+    assert!(rig.protocol.has_pending_writes() && !rig.finished.contains(&viewer));
     rig.full.clear();
     rig.write(viewer);
     assert!(rig.heard(viewer).contains("STARTED"));
-    assert!(!rig.door.unsaid() && rig.finished.contains(&viewer));
+    assert!(!rig.protocol.has_pending_writes() && rig.finished.contains(&viewer));
 }
 
 // ---- the list ---------------------------------------------------------------------------------
@@ -294,15 +305,25 @@
 #[test]
 fn word_of_nothing_new_tells_that_events_are_missing() {
     let mut rig = Rig::new();
-    assert_eq!(rig.door.journal(START, &Frame::Nothing(1)), Ok(()));
     assert_eq!(
-        rig.door.journal(START, &Frame::Nothing(0)),
+        rig.protocol.handle_watch_frame(START, &Frame::Heartbeat(1)),
+        Ok(())
+    );
+    assert_eq!(
+        rig.protocol.handle_watch_frame(START, &Frame::Heartbeat(0)),
         Ok(()),
         "behind: nothing is missing here"
     );
-    assert!(rig.door.journal(START, &Frame::Nothing(2)).is_err());
+    assert!(
+        rig.protocol
+            .handle_watch_frame(START, &Frame::Heartbeat(2))
+            .is_err()
+    );
     rig.list(2, &[entry(3, "10.1.0.3:5060", Ready, None)]);
-    assert_eq!(rig.door.journal(START, &Frame::Nothing(2)), Ok(()));
+    assert_eq!(
+        rig.protocol.handle_watch_frame(START, &Frame::Heartbeat(2)),
+        Ok(())
+    );
 }
 
 /// The file of a new configuration names an event that can't be read: the position stays before it, and the journal service
@@ -330,10 +351,12 @@
         )
     };
     let read = |ids| shalewall_platform_proto::config::Config::read(text(ids).as_bytes()).unwrap();
-    let door = Door::new(&read(["s-00000001", "s-00000002", "s-00000003"]), START).unwrap();
-    assert_eq!(door.position(), 5);
-    let door = Door::new(&read(["s-00000001", "no id", "s-00000003"]), START).unwrap();
-    assert_eq!(door.position(), 1);
+    let protocol =
+        DirectorProtocol::new(&read(["s-00000001", "s-00000002", "s-00000003"]), START).unwrap();
+    assert_eq!(protocol.watch_position(), 5);
+    let protocol =
+        DirectorProtocol::new(&read(["s-00000001", "no id", "s-00000003"]), START).unwrap();
+    assert_eq!(protocol.watch_position(), 1);
 }
 
 /// A new node is told under the address of one that the list has not said gone yet, or says gone in the same event: nothing
@@ -380,7 +403,7 @@
     assert!(!opens(name(old)) && opens(name(9)), "{:?}", rig.logs);
     rig.pass(S);
     assert_eq!(
-        rig.door.status().nodes,
+        rig.protocol.status().nodes,
         2,
         "the old one is forgotten, {other} and 9 stay"
     );
@@ -397,7 +420,7 @@
     assert!(rig.heard(viewer).contains(r#""rc":41"#));
     rig.pass(9 * S);
     assert!(
-        rig.links.is_empty() && rig.door.status().nodes == 2,
+        rig.links.is_empty() && rig.protocol.status().nodes == 2,
         "{:?}",
         rig.logs
     );
@@ -406,7 +429,7 @@
 // ---- nodes ------------------------------------------------------------------------------------
 
 /// Lets all connections come up; how many set-ups went out on others than that one.
-fn set_up_elsewhere(rig: &mut Rig, than: Conn) -> usize {
+fn set_up_elsewhere(rig: &mut Rig, than: ConnectionId) -> usize {
     for conn in rig
         .links
         .keys()
@@ -577,7 +600,7 @@
             told.contains("TEARDOWN") && told.contains("0000000000000007"),
             "half {half}: {told}"
         );
-        assert_eq!(rig.door.held(), (0, 0));
+        assert_eq!(rig.protocol.session_counts(), (0, 0));
     }
 }
 
@@ -622,10 +645,10 @@
 /// The other orders at a node. Before its set-up is whole nothing ran, and a paid one goes elsewhere; after that it may have.
 #[test]
 fn a_paid_set_up_is_repeated_only_where_its_node_can_not_have_it() {
-    type Break = fn(&mut Rig, Conn);
+    type Break = fn(&mut Rig, ConnectionId);
     let breaks: [(Break, bool); 6] = [
-        (|rig, conn| rig.fail(conn, NotUp::Refused), true),
-        (|rig, conn| rig.fail(conn, NotUp::Silent), true),
+        (|rig, conn| rig.fail(conn, ConnectError::Refused), true),
+        (|rig, conn| rig.fail(conn, ConnectError::Unreachable), true),
         // Up, and closed before the first byte; between the first and the last.
         (
             |rig, conn| {
@@ -698,10 +721,10 @@
     let mut rig = Rig::new();
     let (_, node) = rig.out(7, "paid");
     rig.hear(node, note(8));
-    assert!(!rig.door.status().worst.contains("0.94"));
+    assert!(!rig.protocol.status().worst.contains("0.94"));
     rig.hear(node, note(7));
-    let worst = rig.door.status().worst;
+    let worst = rig.protocol.status().worst;
     assert!(worst.contains("0.94"), "{worst}");
     rig.hear(node, answer(7, "there"));
-    assert_eq!(rig.door.held(), (0, 1));
+    assert_eq!(rig.protocol.session_counts(), (0, 1));
 }
--- a/crates/platform-proto/tests/drawn.rs
+++ b/crates/platform-proto/tests/drawn.rs
@@ -6,8 +6,8 @@
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use shalewall::EndpointState;
-use shalewall_platform_proto::lines::Message;
-use shalewall_platform_proto::{Conn, Hex16, NotUp};
+use shalewall_platform_proto::viewer_message::Message;
+use shalewall_platform_proto::{ConnectError, ConnectionId, HexId};
 use std::collections::{BTreeMap, BTreeSet};
 
 #[derive(Clone, Debug)]
@@ -17,7 +17,7 @@
     Hangs(usize, bool),
     Comes,
     Up(usize),
-    NotUp(usize, u8),
+    ConnectFails(usize, u8),
     /// A node answers the set-up it has had longest on that connection.
     Answers(usize, u16),
     /// It lets a session stand, and the answer is lost with the connection.
@@ -41,7 +41,7 @@
         2 => (one.clone(), any::<bool>()).prop_map(|(v, clean)| Step::Hangs(v, clean)),
         1 => Just(Step::Comes),
         6 => one.clone().prop_map(Step::Up),
-        1 => (one.clone(), 0..3u8).prop_map(|(c, why)| Step::NotUp(c, why)),
+        1 => (one.clone(), 0..3u8).prop_map(|(c, why)| Step::ConnectFails(c, why)),
         6 => (one.clone(), prop::sample::select(vec![200, 200, 200, 453, 454, 500, 504])).prop_map(|(c, s)| Step::Answers(c, s)),
         1 => one.clone().prop_map(Step::Unheard),
         3 => (one.clone(), prop::sample::select(vec![16, 31, 41])).prop_map(|(c, rc)| Step::Releases(c, rc)),
@@ -62,18 +62,18 @@
 /// What all parties know.
 struct World {
     rig: Rig,
-    viewers: Vec<Conn>,
+    viewers: Vec<ConnectionId>,
     next: u64,
     number: u64,
     /// Set-ups whose viewer has left, and those that still want their answer: by connection.
     left: BTreeSet<u64>,
-    asked: BTreeMap<u64, Conn>,
+    asked: BTreeMap<u64, ConnectionId>,
     /// All that was ever said on a connection, and how much of it was looked at.
-    said: BTreeMap<Conn, String>,
+    said: BTreeMap<ConnectionId, String>,
     /// What nodes have: set-ups without an answer by connection, sessions by node.
-    has: BTreeMap<Conn, Vec<u64>>,
+    has: BTreeMap<ConnectionId, Vec<u64>>,
     stands: BTreeSet<(u64, u64)>,
-    to: BTreeMap<Conn, u64>,
+    to: BTreeMap<ConnectionId, u64>,
     answers: BTreeMap<u64, u32>,
     told: BTreeSet<u64>,
 }
@@ -103,7 +103,7 @@
         }
     }
 
-    fn leaves(&mut self, viewer: Conn) {
+    fn leaves(&mut self, viewer: ConnectionId) {
         let tags: Vec<_> = self
             .asked
             .iter()
@@ -117,7 +117,7 @@
     }
 
     /// One of the connections to nodes, and whether it is up.
-    fn link(&self, n: usize) -> Option<Conn> {
+    fn link(&self, n: usize) -> Option<ConnectionId> {
         let all: Vec<_> = self.rig.links.keys().copied().collect();
         if all.is_empty() {
             None
@@ -126,7 +126,7 @@
         }
     }
 
-    fn up(&self, n: usize) -> Option<Conn> {
+    fn up(&self, n: usize) -> Option<ConnectionId> {
         let all: Vec<_> = self
             .rig
             .links
@@ -163,7 +163,7 @@
                 self.asked.remove(&tag);
                 self.left.insert(tag);
                 self.rig
-                    .hear(viewer, Message::finish(Hex16::of(tag), 16).write());
+                    .hear(viewer, Message::finish(HexId::from_value(tag), 16).write());
                 self.stands
                     .retain(|(_, t)| *t != tag || !self.told.contains(t));
             }
@@ -183,11 +183,15 @@
                 };
                 self.rig.come_up(conn);
             }
-            Step::NotUp(n, why) => {
+            Step::ConnectFails(n, why) => {
                 let Some(conn) = self.link(n).filter(|c| self.rig.coming(*c)) else {
                     return;
                 };
-                let why = [NotUp::Silent, NotUp::Own, NotUp::Silent][usize::from(why)];
+                let why = [
+                    ConnectError::Unreachable,
+                    ConnectError::LocalShortage,
+                    ConnectError::Unreachable,
+                ][usize::from(why)];
                 self.rig.fail(conn, why);
             }
             Step::Answers(n, status) => {
@@ -284,7 +288,7 @@
                 self.rig.pass(span - WITHIN);
             }
             Step::Passes(span) => self.rig.pass(span),
-            Step::Leaves => self.rig.door.leave(self.rig.now),
+            Step::Leaves => self.rig.protocol.begin_shutdown(self.rig.now),
         }
     }
 
@@ -297,7 +301,7 @@
             .filter(|c| self.rig.coming(*c))
             .collect::<Vec<_>>()
         {
-            // Known by now: it may be closed before the next look at what was said on it.
+            // KnownEvents by now: it may be closed before the next look at what was said on it.
             self.to.insert(conn, self.rig.node_of(conn));
             self.rig.come_up(conn);
         }
@@ -355,14 +359,16 @@
             while let Some(end) = whole.find('\n') {
                 let line: String = whole.drain(..=end).collect();
                 let message: Message = serde_json::from_str(&line).unwrap();
-                let tag = Hex16::read(&message.tag).unwrap().value();
+                let tag = HexId::parse(&message.tag).unwrap().value();
                 match message.verb {
-                    shalewall_platform_proto::lines::Verb::Started => {
+                    shalewall_platform_proto::viewer_message::Verb::Started => {
                         prop_assert!(self.told.insert(tag), "answered twice: {tag}");
                         *self.answers.entry(tag).or_default() += 1;
                         self.asked.remove(&tag);
                     }
-                    shalewall_platform_proto::lines::Verb::Finish if !self.told.contains(&tag) => {
+                    shalewall_platform_proto::viewer_message::Verb::Finish
+                        if !self.told.contains(&tag) =>
+                    {
                         *self.answers.entry(tag).or_default() += 1;
                         self.asked.remove(&tag);
                     }
@@ -404,8 +410,8 @@
             self.look()?;
         }
         prop_assert!(self.asked.is_empty(), "no answer to {:?}", self.asked);
-        prop_assert_eq!(self.rig.door.held().0, 0);
-        prop_assert!(!self.rig.door.unsaid());
+        prop_assert_eq!(self.rig.protocol.session_counts().0, 0);
+        prop_assert!(!self.rig.protocol.has_pending_writes());
         let nobodys: Vec<_> = self
             .stands
             .iter()
--- a/crates/platform-proto/tests/hostile.rs
+++ b/crates/platform-proto/tests/hostile.rs
@@ -3,10 +3,10 @@
 mod common;
 use common::*;
 use proptest::prelude::*;
-use shalewall_platform_proto::journal::{Frame, Frames};
-use shalewall_platform_proto::lines::Lines;
-use shalewall_platform_proto::rtsp::Reader;
-use shalewall_platform_proto::{MESSAGE, NotUp};
+use shalewall_platform_proto::endpoint_watch::{Frame, FrameDecoder};
+use shalewall_platform_proto::rtsp::RtspDecoder;
+use shalewall_platform_proto::viewer_message::LineDecoder;
+use shalewall_platform_proto::{ConnectError, MAX_MESSAGE_BYTES};
 
 /// What is refused in words, with the connection kept.
 #[test]
@@ -34,16 +34,26 @@
             told.contains(r#""verb":"FINISH","tag":"0000000000000007","opts":{},"rc":95"#),
             "{line}: {told}"
         );
-        assert!(rig.links.is_empty() && rig.door.held() == (0, 0), "{line}");
+        assert!(
+            rig.links.is_empty() && rig.protocol.session_counts() == (0, 0),
+            "{line}"
+        );
         rig.hear(viewer, good.replace("0007", "0008"));
-        assert_eq!(rig.door.held(), (1, 0), "the connection serves on");
+        assert_eq!(
+            rig.protocol.session_counts(),
+            (1, 0),
+            "the connection serves on"
+        );
     }
 }
 
 /// What can't be read closes the connection, and what is open on others goes on.
 #[test]
 fn a_viewer_that_can_not_be_read_is_closed_and_hurts_nobody() {
-    let long = format!("{{\"verb\":\"START\",\"blob\":\"{}", "x".repeat(MESSAGE));
+    let long = format!(
+        "{{\"verb\":\"START\",\"blob\":\"{}",
+        "x".repeat(MAX_MESSAGE_BYTES)
+    );
     let odd = [
         "\n",
         "{}\n",
@@ -66,7 +76,11 @@
             "this side's half is closed at once: {bytes:.40}"
         );
         all_bad.push(bad);
-        assert_eq!(rig.door.held(), (1, 0), "what it had open is given up");
+        assert_eq!(
+            rig.protocol.session_counts(),
+            (1, 0),
+            "what it had open is given up"
+        );
     }
     for node in rig.links.keys().copied().collect::<Vec<_>>() {
         rig.come_up(node);
@@ -117,7 +131,7 @@
         r#"{"verb":"FINISH","tag":"0000000000000007","opts":{},"rc":16}"#.to_string() + "\n",
     );
     assert!(rig.heard(node).starts_with("TEARDOWN") && !rig.heard(viewer).contains("\"FINISH\""));
-    assert_eq!(rig.door.held(), (0, 0));
+    assert_eq!(rig.protocol.session_counts(), (0, 0));
     rig.hear(node, answer(7, "there"));
     assert!(rig.heard(viewer).is_empty());
 }
@@ -142,10 +156,10 @@
     for _ in 0..2000 {
         rig.viewer();
     }
-    let (viewers, _, _) = rig.door.sizes();
+    let (viewers, _, _) = rig.protocol.connection_counts();
     assert!(viewers <= 256, "{viewers}");
     rig.standing(7, "free");
-    assert_eq!(rig.door.held(), (0, 1));
+    assert_eq!(rig.protocol.session_counts(), (0, 1));
 }
 
 /// A fleet and viewers that are always new: nothing grows.
@@ -184,12 +198,12 @@
         frame.extend(number.to_be_bytes());
         frame.push(2);
         frame.extend(payload);
-        let mut frames = Frames::default();
+        let mut frames = FrameDecoder::default();
         frames.push(&frame);
-        let Ok(Some(frame @ Frame::News(_))) = frames.frame() else {
+        let Ok(Some(frame @ Frame::Event(_))) = frames.frame() else {
             panic!("not read")
         };
-        rig.door.journal(rig.now, &frame).unwrap();
+        rig.protocol.handle_watch_frame(rig.now, &frame).unwrap();
         rig.pump();
         let viewer = rig.viewer();
         rig.ask(viewer, 1000 + u64::from(round), "free");
@@ -200,14 +214,14 @@
         }
         rig.pass(100 * MS);
         rig.broken(viewer, true);
-        sizes.push(rig.door.sizes());
+        sizes.push(rig.protocol.connection_counts());
     }
     let (viewers, links, nodes) = *sizes.last().unwrap();
     assert!(
         viewers <= 1 && nodes <= 12 && links <= 85,
         "{viewers} {links} {nodes}"
     );
-    assert_eq!(rig.door.held().0, 0);
+    assert_eq!(rig.protocol.session_counts().0, 0);
 }
 
 /// An own shortage is charged to no node: the request goes on to another.
@@ -217,7 +231,7 @@
     let viewer = rig.viewer();
     rig.ask(viewer, 7, "paid");
     let first = *rig.links.keys().next().unwrap();
-    rig.fail(first, NotUp::Own);
+    rig.fail(first, ConnectError::LocalShortage);
     let second = rig.up();
     rig.hear(second, answer(7, "there"));
     assert!(rig.heard(viewer).contains("STARTED"));
@@ -236,7 +250,7 @@
     #[test]
     fn cuts_change_nothing(at in prop::collection::vec(any::<usize>(), 0..12)) {
         let stream = [answer(1, "one\r\n").into_bytes(), release(2, 16, b"\xff\x00"), refusal(3, 453).into_bytes()].concat();
-        let mut reader = Reader::default();
+        let mut reader = RtspDecoder::default();
         let mut tags = Vec::new();
         for piece in cut(&stream, &at) {
             reader.push(&piece);
@@ -246,7 +260,7 @@
         }
         prop_assert_eq!(tags, vec![1, 2, 3]);
         let stream = [start(1, "paid", 10, ""), start(2, "free", 10, "")].concat();
-        let mut lines = Lines::default();
+        let mut lines = LineDecoder::default();
         let mut tags = Vec::new();
         for piece in cut(stream.as_bytes(), &at) {
             lines.push(&piece);
@@ -265,12 +279,12 @@
         let conn = if to_node { node } else { viewer };
         rig.hear(conn, &noise);
         rig.pass(S);
-        let mut frames = Frames::default();
+        let mut frames = FrameDecoder::default();
         frames.push(&noise);
         let _ = frames.frame();
         let other = rig.viewer();
         rig.ask(other, 8, "free");
-        prop_assert!(rig.door.held().0 <= 1);
+        prop_assert!(rig.protocol.session_counts().0 <= 1);
     }
 
     /// A good message with one byte changed serves nobody wrongly: what a viewer is told is the node's word or none.
--- a/crates/platform-proto/tests/sessions.rs
+++ b/crates/platform-proto/tests/sessions.rs
@@ -2,9 +2,9 @@
 
 mod common;
 use common::*;
-use shalewall_platform_proto::journal::{Frame, Frames};
-use shalewall_platform_proto::lines::Message;
-use shalewall_platform_proto::{Conn, Hex16, NotUp};
+use shalewall_platform_proto::endpoint_watch::{Frame, FrameDecoder};
+use shalewall_platform_proto::viewer_message::Message;
+use shalewall_platform_proto::{ConnectError, ConnectionId, HexId};
 
 #[test]
 fn a_session_is_set_up_told_and_over() {
@@ -33,7 +33,7 @@
         rig.heard(viewer)
             .contains(r#""verb":"FINISH","tag":"0000000000000007","opts":{},"rc":16"#)
     );
-    assert_eq!(rig.door.held(), (0, 0));
+    assert_eq!(rig.protocol.session_counts(), (0, 0));
 }
 
 /// Seen on a garbled day: a release under an unknown id with noise for content closed the connection, and the
@@ -67,7 +67,7 @@
         told.contains("STARTED") && told.ends_with("\"rc\":16}\n"),
         "{told}"
     );
-    assert_eq!(rig.door.held(), (0, 0));
+    assert_eq!(rig.protocol.session_counts(), (0, 0));
 }
 
 /// Seen on a day of replaced nodes (two requests of 18,000, and the day was lost by them): a node let a session stand
@@ -90,7 +90,7 @@
         told.contains(r#""rc":41"#) && told.lines().count() == 1,
         "{told}"
     );
-    assert_eq!(rig.door.held(), (0, 0));
+    assert_eq!(rig.protocol.session_counts(), (0, 0));
 }
 
 /// Who has heard that it stands and ended it is owed no release.
@@ -101,7 +101,7 @@
     assert!(rig.heard(viewer).contains("STARTED"));
     rig.hear(node, release(7, 31, b""));
     assert!(rig.heard(viewer).is_empty());
-    assert_eq!(rig.door.held(), (0, 0));
+    assert_eq!(rig.protocol.session_counts(), (0, 0));
 }
 
 /// Two sockets are written in any order: the word that an attempt is given up must be on its way before the next
@@ -147,7 +147,7 @@
 
 /// Sessions stand at both nodes, and a set-up by one of their connections is given up at once: that connection, and
 /// the session there.
-fn given_up(rig: &mut Rig) -> (Conn, Conn, u64) {
+fn given_up(rig: &mut Rig) -> (ConnectionId, ConnectionId, u64) {
     let (viewer, first) = rig.standing(7, "free");
     rig.ask(viewer, 8, "free");
     let second = rig.up();
@@ -159,7 +159,7 @@
     } else {
         (second, 8)
     };
-    rig.hear(viewer, Message::finish(Hex16::of(9), 16).write());
+    rig.hear(viewer, Message::finish(HexId::from_value(9), 16).write());
     assert!(rig.heard(met.0).contains("TEARDOWN"));
     rig.said.clear();
     (viewer, met.0, met.1)
@@ -184,7 +184,7 @@
     );
     rig.broken(node, true);
     assert!(rig.closed.contains(&node));
-    assert_eq!(rig.door.held(), (0, 1));
+    assert_eq!(rig.protocol.session_counts(), (0, 1));
 }
 
 /// Seen: a node that drains took no further connection, this side closed the last one to it after a set-up that was
@@ -198,7 +198,7 @@
         let further: Vec<_> = rig.links.keys().copied().skip(2).collect();
         further
             .into_iter()
-            .for_each(|conn| rig.fail(conn, NotUp::Refused));
+            .for_each(|conn| rig.fail(conn, ConnectError::Refused));
     }
     assert!(rig.heard(viewer).is_empty() && !rig.finished.contains(&node));
     rig.hear(node, release(tag, 16, b""));
@@ -245,9 +245,9 @@
     rig.heard(viewer);
     rig.broken(node, false);
     let next = *rig.links.keys().last().unwrap();
-    rig.fail(next, NotUp::Refused);
+    rig.fail(next, ConnectError::Refused);
     assert!(rig.heard(viewer).contains(r#""rc":41"#));
-    assert_eq!(rig.door.held(), (0, 0));
+    assert_eq!(rig.protocol.session_counts(), (0, 0));
 }
 
 /// Seen: a spoilt connection stayed open while its process died, and the sessions there were never released.
@@ -265,7 +265,7 @@
             .filter(|c| *c != node)
             .collect::<Vec<_>>()
         {
-            rig.fail(conn, NotUp::Refused);
+            rig.fail(conn, ConnectError::Refused);
         }
     }
     assert!(rig.heard(viewer).contains(r#""rc":41"#));
@@ -286,7 +286,7 @@
             .filter(|c| *c != node)
             .collect::<Vec<_>>()
         {
-            rig.fail(conn, NotUp::Refused);
+            rig.fail(conn, ConnectError::Refused);
         }
     }
     assert!(rig.heard(viewer).is_empty());
@@ -311,7 +311,7 @@
                 .collect::<Vec<_>>()
             {
                 if vanished {
-                    rig.fail(conn, NotUp::Silent);
+                    rig.fail(conn, ConnectError::Unreachable);
                 } else {
                     rig.come_up(conn);
                 }
@@ -395,12 +395,12 @@
     record.extend([0; 8]);
     let mut bytes = vec![0, 0, 0, 9 + 27, 0, 0, 0, 0, 0, 0, 0, 2, 2];
     bytes.extend(record);
-    let mut frames = Frames::default();
+    let mut frames = FrameDecoder::default();
     frames.push(&bytes);
-    let Ok(Some(frame @ Frame::News(_))) = frames.frame() else {
+    let Ok(Some(frame @ Frame::Event(_))) = frames.frame() else {
         panic!("not read")
     };
-    rig.door.journal(START, &frame).unwrap();
+    rig.protocol.handle_watch_frame(START, &frame).unwrap();
     rig.come_up(first);
     assert!(!rig.heard(first).contains("SETUP"));
     let other = rig.up();
@@ -419,7 +419,7 @@
         rig.hear(viewer, start(7, "paid", 4294967, ";at:s-00000001"));
     }
     assert!(rig.heard(viewer).is_empty());
-    assert_eq!(rig.door.held(), (0, 1));
+    assert_eq!(rig.protocol.session_counts(), (0, 1));
     let node = rig.up();
     rig.hear(node, release(7, 41, b""));
     assert!(rig.heard(viewer).contains(r#""rc":41"#));
@@ -428,7 +428,7 @@
         rig.heard(viewer)
             .contains(r#""tag":"0000000000000008","opts":{},"rc":41"#)
     );
-    assert_eq!(rig.door.held(), (0, 0));
+    assert_eq!(rig.protocol.session_counts(), (0, 0));
 }
 
 /// What the module has given up on is answered at once, with the time to keep away.
@@ -439,7 +439,7 @@
     rig.ask(viewer, 7, "free");
     for _ in 0..2 {
         let conn = *rig.links.keys().last().unwrap();
-        rig.fail(conn, NotUp::Refused);
+        rig.fail(conn, ConnectError::Refused);
     }
     let told = rig.heard(viewer);
     assert!(
@@ -469,7 +469,7 @@
     let mut rig = Rig::new();
     let (viewer, node) = rig.standing(7, "free");
     rig.broken(viewer, true);
-    assert_eq!(rig.door.held(), (0, 1));
+    assert_eq!(rig.protocol.session_counts(), (0, 1));
     rig.hear(node, release(7, 16, b""));
     let next = rig.viewer();
     rig.write(next);
--- a/crates/platform-proto/tests/settings.rs
+++ b/crates/platform-proto/tests/settings.rs
@@ -4,7 +4,7 @@
 mod common;
 use common::*;
 use shalewall_platform_proto::config::Config;
-use shalewall_platform_proto::{Conn, Door, NotUp, Output, Transmit};
+use shalewall_platform_proto::{ConnectError, ConnectionId, DirectorProtocol, Output, Transmit};
 
 fn text(classes: [&str; 2], zone: &str, kind: &str, tenants: &[&str], turned: bool) -> String {
     let class = |name: &str, effect: &str, target: f64, value: f64| {
@@ -51,21 +51,22 @@
 
 /// One director and all that it says, in order.
 struct Told {
-    door: Door,
+    protocol: DirectorProtocol,
     now: i64,
-    viewer: Conn,
-    under_way: Vec<Conn>,
+    viewer: ConnectionId,
+    under_way: Vec<ConnectionId>,
     all: Vec<String>,
 }
 
 impl Told {
     fn new(text: &str) -> Told {
-        let mut door = Door::new(&Config::read(text.as_bytes()).unwrap(), START).unwrap();
-        let viewer = door
-            .viewer_open(START, "10.9.0.1".parse().unwrap())
+        let mut protocol =
+            DirectorProtocol::new(&Config::read(text.as_bytes()).unwrap(), START).unwrap();
+        let viewer = protocol
+            .accept_viewer(START, "10.9.0.1".parse().unwrap())
             .unwrap();
         Told {
-            door,
+            protocol,
             now: START,
             viewer,
             under_way: Vec::new(),
@@ -74,12 +75,14 @@
     }
 
     fn pump(&mut self) {
-        while let Some(output) = self.door.poll_output() {
+        while let Some(output) = self.protocol.poll_output() {
             self.all.push(format!("{output:?}"));
             match output {
-                Output::Open { conn, .. } => self.under_way.push(conn),
+                Output::Open {
+                    connection: conn, ..
+                } => self.under_way.push(conn),
                 Output::Write(conn) if !self.under_way.contains(&conn) => {
-                    while let Transmit::Bytes(bytes) = self.door.transmit(self.now, conn) {
+                    while let Transmit::Bytes(bytes) = self.protocol.poll_transmit(self.now, conn) {
                         self.all
                             .push(format!("{conn:?} {}", String::from_utf8_lossy(&bytes)));
                     }
@@ -92,8 +95,8 @@
     /// The nth thing that happens: the same for whoever is asked.
     fn step(&mut self, n: u64, classes: [&str; 2], tenants: &[&str]) {
         self.now += 7 * MS;
-        while let Some(due) = self.door.poll_timeout().filter(|due| *due <= self.now) {
-            self.door.timeout(due);
+        while let Some(due) = self.protocol.poll_timeout().filter(|due| *due <= self.now) {
+            self.protocol.handle_timeout(due);
             self.pump();
         }
         let tag = 1000 + n;
@@ -110,13 +113,15 @@
                 format!(r#""tenant":"{tenant}","hint""#)
             },
         );
-        self.door.bytes(self.now, self.viewer, line.as_bytes());
+        self.protocol
+            .handle_bytes(self.now, self.viewer, line.as_bytes());
         self.pump();
         for conn in std::mem::take(&mut self.under_way) {
             if n % 11 == 3 {
-                self.door.node_failed(self.now, conn, NotUp::Silent);
+                self.protocol
+                    .node_connect_failed(self.now, conn, ConnectError::Unreachable);
             } else {
-                self.door.node_up(self.now, conn);
+                self.protocol.node_connected(self.now, conn);
             }
             self.pump();
             let word = if n % 5 == 4 {
@@ -124,7 +129,7 @@
             } else {
                 answer(tag, "there")
             };
-            self.door.bytes(self.now, conn, word.as_bytes());
+            self.protocol.handle_bytes(self.now, conn, word.as_bytes());
             self.pump();
         }
     }
@@ -203,7 +208,7 @@
         "{:?}",
         told.all
     );
-    assert_eq!(told.door.held(), (0, 0));
+    assert_eq!(told.protocol.session_counts(), (0, 0));
     let mut told = Told::new(&text(OWN, "north", "small", &[], false));
     told.step(0, OWN, &["nobody"]);
     assert!(told.all.iter().any(|l| l.contains("SETUP")));
--- a/crates/platform/src/hub.rs
+++ b/crates/platform/src/hub.rs
@@ -7,7 +7,7 @@
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
 use shalewall_clock::{Alarm, now};
 use shalewall_http::client::{Unconnected, in_time};
-use shalewall_platform_proto::{Conn, Door, NotUp, Output, Transmit};
+use shalewall_platform_proto::{ConnectError, ConnectionId, DirectorProtocol, Output, Transmit};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io::{ErrorKind, Read, Write};
@@ -54,16 +54,16 @@
 
 pub(crate) struct Hub {
     ex: Rc<LocalExecutor<'static>>,
-    door: RefCell<Door>,
-    conns: RefCell<BTreeMap<Conn, Open>>,
+    protocol: RefCell<DirectorProtocol>,
+    conns: RefCell<BTreeMap<ConnectionId, Open>>,
     alarm: Alarm,
 }
 
 impl Hub {
-    pub fn new(ex: Rc<LocalExecutor<'static>>, door: Door) -> Rc<Hub> {
+    pub fn new(ex: Rc<LocalExecutor<'static>>, protocol: DirectorProtocol) -> Rc<Hub> {
         let hub = Rc::new(Hub {
             ex: ex.clone(),
-            door: RefCell::new(door),
+            protocol: RefCell::new(protocol),
             conns: RefCell::default(),
             alarm: Alarm::default(),
         });
@@ -72,23 +72,23 @@
     }
 
     /// Works on the door, and carries out what it says then.
-    pub fn with<T>(self: &Rc<Hub>, work: impl FnOnce(&mut Door) -> T) -> T {
-        let done = work(&mut self.door.borrow_mut());
+    pub fn with<T>(self: &Rc<Hub>, work: impl FnOnce(&mut DirectorProtocol) -> T) -> T {
+        let done = work(&mut self.protocol.borrow_mut());
         self.pump();
-        self.alarm.moved(self.door.borrow().poll_timeout());
+        self.alarm.moved(self.protocol.borrow().poll_timeout());
         done
     }
 
     fn pump(self: &Rc<Hub>) {
         loop {
             // Bound to a name, so that the borrow ends before the output is carried out.
-            let output = self.door.borrow_mut().poll_output();
+            let output = self.protocol.borrow_mut().poll_output();
             match output {
                 None => return,
                 Some(Output::Open {
-                    conn,
+                    connection: conn,
                     address,
-                    within,
+                    timeout: within,
                 }) => {
                     let within = Duration::from_micros(within.max(0) as u64);
                     self.spawn(conn, |hub, kick| hub.node(conn, address, within, kick));
@@ -110,14 +110,14 @@
 
     fn spawn<F: Future<Output = ()> + 'static>(
         self: &Rc<Hub>,
-        conn: Conn,
+        conn: ConnectionId,
         task: impl FnOnce(Rc<Hub>, Rc<Event>) -> F,
     ) {
         let kick = Rc::new(Event::new());
         let (hub, task) = (self.clone(), task(self.clone(), kick.clone()));
         let task = self.ex.spawn(async move {
             if alone(task).await.is_none() {
-                caught(|| hub.with(|door| door.closed(now(), conn, false)));
+                caught(|| hub.with(|protocol| protocol.connection_closed(now(), conn, false)));
             }
         });
         self.conns
@@ -141,7 +141,7 @@
             future::yield_now().await;
             let _ = stream.get_ref().set_nodelay(true);
             if let Some(conn) =
-                caught(|| self.with(|door| door.viewer_open(now(), peer.ip()))).flatten()
+                caught(|| self.with(|protocol| protocol.accept_viewer(now(), peer.ip()))).flatten()
             {
                 self.spawn(conn, |hub, kick| hub.serve(conn, stream, kick));
             }
@@ -151,29 +151,29 @@
     /// A connection to a node, from its first packet on.
     async fn node(
         self: Rc<Hub>,
-        conn: Conn,
+        conn: ConnectionId,
         address: SocketAddr,
         within: Duration,
         kick: Rc<Event>,
     ) {
-        let failed = |why| self.with(|door| door.node_failed(now(), conn, why));
+        let failed = |why| self.with(|protocol| protocol.node_connect_failed(now(), conn, why));
         match in_time(within, Async::<TcpStream>::connect(address)).await {
             Some(Ok(stream)) => {
                 let _ = stream.get_ref().set_nodelay(true);
-                self.with(|door| door.node_up(now(), conn));
+                self.with(|protocol| protocol.node_connected(now(), conn));
                 self.clone().serve(conn, stream, kick).await;
             }
             Some(Err(e)) => failed(match Unconnected::of(&e) {
-                Unconnected::Refused => NotUp::Refused,
-                Unconnected::Own => NotUp::Own,
-                Unconnected::Unknown => NotUp::Silent,
+                Unconnected::Refused => ConnectError::Refused,
+                Unconnected::Own => ConnectError::LocalShortage,
+                Unconnected::Unknown => ConnectError::Unreachable,
             }),
-            None => failed(NotUp::Silent),
+            None => failed(ConnectError::Unreachable),
         }
     }
 
     /// Carries bytes both ways until either side closes.
-    async fn serve(self: Rc<Hub>, conn: Conn, stream: Async<TcpStream>, kick: Rc<Event>) {
+    async fn serve(self: Rc<Hub>, conn: ConnectionId, stream: Async<TcpStream>, kick: Rc<Event>) {
         let reads = async {
             let mut buf = [0; READ];
             let mut stream = &stream;
@@ -184,7 +184,7 @@
                     Ok(n) => {
                         let (n, broken) = more(stream.get_ref(), &mut buf, n);
                         trace!(?conn, bytes = %String::from_utf8_lossy(&buf[..n]), "heard");
-                        self.with(|door| door.bytes(now(), conn, &buf[..n]));
+                        self.with(|protocol| protocol.handle_bytes(now(), conn, &buf[..n]));
                         if broken {
                             return false;
                         }
@@ -207,19 +207,19 @@
         };
         let clean = future::or(reads, writes).await && !broken.get();
         debug!(?conn, clean, "closed");
-        self.with(|door| door.closed(now(), conn, clean));
+        self.with(|protocol| protocol.connection_closed(now(), conn, clean));
     }
 
     /// Writes what there is to say until this side is to close. False: the connection takes no more.
     async fn write(
         self: &Rc<Hub>,
-        conn: Conn,
+        conn: ConnectionId,
         mut stream: &Async<TcpStream>,
         kick: &Event,
     ) -> bool {
         loop {
             let kicked = kick.listen();
-            match self.with(|door| door.transmit(now(), conn)) {
+            match self.with(|protocol| protocol.poll_transmit(now(), conn)) {
                 Transmit::Close => return true,
                 Transmit::Wait => kicked.await,
                 Transmit::CloseIfQuiet if quiet(stream.get_ref()) => return true,
@@ -238,7 +238,7 @@
                                 ErrorKind::WouldBlock | ErrorKind::Interrupted
                             ) =>
                         {
-                            self.with(|door| door.untaken(now(), conn, bytes));
+                            self.with(|protocol| protocol.return_unwritten(now(), conn, bytes));
                             if stream.writable().await.is_err() {
                                 return false;
                             }
@@ -248,7 +248,7 @@
                     };
                     trace!(?conn, bytes = %String::from_utf8_lossy(&bytes), "said");
                     if sent < bytes.len() {
-                        self.with(|door| door.taken_in_part(now(), conn));
+                        self.with(|protocol| protocol.partially_written(now(), conn));
                     }
                     if stream.write_all(&bytes[sent..]).await.is_err() {
                         return false;
@@ -261,10 +261,10 @@
     /// Rings the door's timers when they are due.
     async fn ring(self: Rc<Hub>) {
         let ring = || {
-            caught(|| self.with(|door| door.timeout(now())));
+            caught(|| self.with(|protocol| protocol.handle_timeout(now())));
         };
         self.alarm
-            .ring(|| self.door.borrow().poll_timeout(), ring)
+            .ring(|| self.protocol.borrow().poll_timeout(), ring)
             .await;
     }
 }
--- a/crates/platform/src/journal.rs
+++ b/crates/platform/src/journal.rs
@@ -6,7 +6,7 @@
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
 use shalewall_clock::now;
 use shalewall_http::client::in_time;
-use shalewall_platform_proto::journal::{Frames, SILENCE};
+use shalewall_platform_proto::endpoint_watch::{FrameDecoder, SILENCE_TIMEOUT};
 use std::cell::Cell;
 use std::io;
 use std::net::{SocketAddr, TcpStream};
@@ -52,10 +52,10 @@
 
 /// Listens until the connection is of no use. True where it brought anything.
 async fn listen(hub: &Rc<Hub>, address: SocketAddr) -> bool {
-    let silence = Duration::from_micros(SILENCE as u64);
+    let silence = Duration::from_micros(SILENCE_TIMEOUT as u64);
     let connected = async {
         let mut stream = Async::<TcpStream>::connect(address).await?;
-        let position = hub.with(|door| door.position());
+        let position = hub.with(|protocol| protocol.watch_position());
         stream.write_all(&position.to_be_bytes()).await?;
         io::Result::Ok(stream)
     };
@@ -70,7 +70,7 @@
             return false;
         }
     };
-    let mut frames = Frames::default();
+    let mut frames = FrameDecoder::default();
     let mut buf = [0; 4096];
     let mut heard = false;
     // Only a whole frame is a word: one that drips in byte by byte tells nothing.
@@ -99,7 +99,9 @@
                 Ok(Some(frame)) => {
                     last_word = Instant::now();
                     // What is missing is asked for on a new connection.
-                    if let Err(why) = hub.with(|door| door.journal(now(), &frame)) {
+                    if let Err(why) =
+                        hub.with(|protocol| protocol.handle_watch_frame(now(), &frame))
+                    {
                         warn!(%why, "the journal service");
                         return heard;
                     }
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -9,9 +9,9 @@
 use event_listener::Event;
 use futures_lite::{StreamExt, future};
 use shalewall_clock::now;
-use shalewall_platform_proto::Door;
+use shalewall_platform_proto::DirectorProtocol;
 use shalewall_platform_proto::config::Config;
-use shalewall_platform_proto::journal::Known;
+use shalewall_platform_proto::endpoint_watch::KnownEvents;
 use std::cell::Cell;
 use std::io;
 use std::net::TcpListener;
@@ -49,11 +49,11 @@
     let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
     guard::tell();
     let mut config = read(file)?;
-    let door = Door::new(&config, now())
+    let protocol = DirectorProtocol::new(&config, now())
         .map_err(|e| wrong(format!("{}: settings: {e}", file.display())))?;
     let listener = Async::new(TcpListener::bind(config.listen)?)?;
     let ex = Rc::new(LocalExecutor::new());
-    let hub = Hub::new(ex.clone(), door);
+    let hub = Hub::new(ex.clone(), protocol);
     let place = Rc::new(Place {
         address: Cell::new(config.journal),
         moved: Event::new(),
@@ -69,9 +69,9 @@
     })
     .detach();
     ex.spawn(hub.clone().accept(listener)).detach();
-    info!(name = config.name, address = %config.listen, nodes = hub.with(|d| d.sizes().2), "listening");
+    info!(name = config.name, address = %config.listen, nodes = hub.with(|d| d.connection_counts().2), "listening");
     // Its events are taken; the rest is compared with what a signal brings.
-    config.known = Known::default();
+    config.known = KnownEvents::default();
     let given = Rc::new(config);
     ex.spawn(guard::alone(tell(hub.clone()))).detach();
     async_io::block_on(ex.run(async {
@@ -129,7 +129,7 @@
                         "the new configuration differs in what is kept as at the start"
                     );
                 }
-                hub.with(|door| door.known(&config, now()));
+                hub.with(|protocol| protocol.apply_known_events(&config, now()));
                 place.address.set(config.journal);
                 place.moved.notify(usize::MAX);
                 return;
@@ -144,23 +144,29 @@
 
 /// Answers what was taken, holds what stands for as long as there is time, and closes what was said to.
 async fn leave(hub: Rc<Hub>) {
-    hub.with(|door| door.leave(now()));
-    info!(held = ?hub.with(|d| d.held()), "leaving");
+    hub.with(|protocol| protocol.begin_shutdown(now()));
+    info!(held = ?hub.with(|d| d.session_counts()), "leaving");
     let begun = Instant::now();
-    let most = Duration::from_micros(hub.with(|d| d.leave_within()).max(0) as u64).max(LATE_COMERS);
+    let most =
+        Duration::from_micros(hub.with(|d| d.shutdown_time_limit()).max(0) as u64).max(LATE_COMERS);
     while begun.elapsed() < most {
-        let (waiting, standing) = hub.with(|d| d.held());
-        if begun.elapsed() >= LATE_COMERS && waiting + standing == 0 && !hub.with(|d| d.unsaid()) {
+        let (waiting, standing) = hub.with(|d| d.session_counts());
+        if begun.elapsed() >= LATE_COMERS
+            && waiting + standing == 0
+            && !hub.with(|d| d.has_pending_writes())
+        {
             break;
         }
         Timer::after(LOOK).await;
     }
-    hub.with(|door| door.finish(now()));
+    hub.with(|protocol| protocol.close_viewers(now()));
     let closing = Instant::now();
-    while closing.elapsed() < CLOSING && hub.with(|d| d.unsaid() || d.sizes().0 > 0) {
+    while closing.elapsed() < CLOSING
+        && hub.with(|d| d.has_pending_writes() || d.connection_counts().0 > 0)
+    {
         Timer::after(LOOK).await;
     }
-    if hub.with(|d| d.unsaid()) {
+    if hub.with(|d| d.has_pending_writes()) {
         warn!("ending with words that were not taken");
     }
 }
@@ -169,7 +175,7 @@
 async fn tell(hub: Rc<Hub>) {
     loop {
         Timer::after(SECOND).await;
-        let s = hub.with(Door::status);
+        let s = hub.with(DirectorProtocol::status);
         // Pages of 4 KiB; 0 where the system does not tell.
         let pages = std::fs::read_to_string("/proc/self/statm").ok();
         let pages = pages
