--- a/crates/platform-proto/tests/config_file.rs
+++ b/crates/platform-proto/tests/config_file.rs
@@ -3,7 +3,7 @@
 use shalewall::{Endpoint, EndpointState, ServerId, Timestamp};
 use shalewall_director_config::read;
 use shalewall_platform_proto::config::Config;
-use shalewall_platform_proto::journal::{Entry, News};
+use shalewall_platform_proto::endpoint_watch::{EndpointEntry, EndpointEvent};
 
 const PLATFORM_CONFIGURATION: &[u8] =
     include_bytes!("../../director-config/tests/fixtures/platform.json");
@@ -21,12 +21,12 @@
     let names = read(&config.settings).unwrap().names;
     let (events, position) = config.known.news(&names);
     assert_eq!(position, 12);
-    let first = News {
-        number: 11,
-        whole: true,
+    let first = EndpointEvent {
+        sequence: 11,
+        is_snapshot: true,
         entries: vec![
-            Entry {
-                listed: Endpoint {
+            EndpointEntry {
+                endpoint: Endpoint {
                     server: ServerId(0x2a),
                     zone: Some(1),
                     machine_kind: Some(1),
@@ -38,8 +38,8 @@
                 },
                 address: "198.51.100.1:6020".parse().unwrap(),
             },
-            Entry {
-                listed: Endpoint {
+            EndpointEntry {
+                endpoint: Endpoint {
                     server: ServerId(0x00c0_ffee),
                     zone: None,
                     machine_kind: None,
@@ -53,11 +53,11 @@
             },
         ],
     };
-    let second = News {
-        number: 12,
-        whole: false,
-        entries: vec![Entry {
-            listed: Endpoint {
+    let second = EndpointEvent {
+        sequence: 12,
+        is_snapshot: false,
+        entries: vec![EndpointEntry {
+            endpoint: Endpoint {
                 server: ServerId(0x2a),
                 zone: None,
                 machine_kind: None,
