Timers are generic over the type of time

The queue of timers took bare microseconds, so that its users converted at each call. It takes any ordered type now; membership passes timestamps. `next` and `pop` say what they look at: `next_due`, `pop_due`.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -279,7 +279,7 @@
     /// Rings what is due.
     pub fn handle_timeout(&mut self, now: Micros) {
         self.now = now;
-        while let Some(timer) = self.timers.pop(now) {
+        while let Some(timer) = self.timers.pop_due(now) {
             match timer {
                 Timer::Director(token) => self.pending.push_back(Event::TimerFired(token)),
                 Timer::Attempt(session, attempt) => self.on_patience(session, attempt),
@@ -308,7 +308,11 @@
             .moves
             .iter()
             .flat_map(|m| [m.mover.poll_timeout().map(Timestamp::as_micros), m.adopt]);
-        self.timers.next().into_iter().chain(moves.flatten()).min()
+        self.timers
+            .next_due()
+            .into_iter()
+            .chain(moves.flatten())
+            .min()
     }
 
     pub fn held(&self) -> Held {
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -85,7 +85,7 @@
     foca: Foca<Member, PostcardCodec, ChaCha8Rng, NoCustomBroadcast>,
     runtime: AccumulatingRuntime<Member>,
     sealer: Sealer,
-    timers: Timers<Timer<Member>>,
+    timers: Timers<Timer<Member>, Timestamp>,
     seeds: Vec<Seed>,
     next_seed_retry: Timestamp,
     /// The last datagram to each peer, for as long as it may have to be sent again.
@@ -131,7 +131,7 @@
 
     /// When to call [`Membership::handle_timeout`].
     pub fn poll_timeout(&self) -> Option<Timestamp> {
-        let timer = self.timers.next().map(Timestamp::from_micros);
+        let timer = self.timers.next_due();
         let seed_retry = self.needs_seeds().then_some(self.next_seed_retry);
         timer.into_iter().chain(seed_retry).min()
     }
@@ -174,7 +174,7 @@
 
     /// Does what is due.
     pub fn handle_timeout(&mut self, now: Timestamp) {
-        while let Some(timer) = self.timers.pop(now.as_micros()) {
+        while let Some(timer) = self.timers.pop_due(now) {
             // An error is a timer that is of no use any more.
             let _ = self.foca.handle_timer(timer, &mut self.runtime);
             self.drain_runtime(now);
@@ -219,7 +219,7 @@
     fn drain_runtime(&mut self, now: Timestamp) {
         while let Some((delay, timer)) = self.runtime.to_schedule() {
             let due = now + time_delta(delay);
-            self.timers.set(due.as_micros(), timer);
+            self.timers.set(due, timer);
         }
         while let Some((member, content)) = self.runtime.to_send() {
             let peer = PeerId::of_name(&member.name);
--- a/crates/platform-proto/src/director_protocol.rs
+++ b/crates/platform-proto/src/director_protocol.rs
@@ -637,14 +637,16 @@
 
     /// When to call [`DirectorProtocol::handle_timeout`].
     pub fn poll_timeout(&self) -> Option<Micros> {
-        self.timers.next()
+        self.timers.next_due()
     }
 
     /// Rings what is due.
     pub fn handle_timeout(&mut self, now: Micros) {
         self.now = now;
-        self.late = self.late.max(self.timers.next().map_or(0, |due| now - due));
-        while let Some(due) = self.timers.pop(now) {
+        self.late = self
+            .late
+            .max(self.timers.next_due().map_or(0, |due| now - due));
+        while let Some(due) = self.timers.pop_due(now) {
             match due {
                 Due::Module(token) => self.events.push_back(Event::TimerFired(token)),
                 Due::Attempt(session, attempt) => self.out_of_time(session, attempt),
--- a/crates/timers/src/lib.rs
+++ b/crates/timers/src/lib.rs
@@ -1,46 +1,48 @@
-//! Timers in the order in which they are due; equal times ring in the order in which they were set.
+//! A queue of timers, ordered by due time. Timers that are due at the same time fire in the order in which they were
+//! set.
 //!
-//! What this crate may know: times that it is given. What it must not: a clock, or what a timer is for.
+//! The queue holds no clock: the caller passes the current time to [`Timers::pop_due`]. It is generic over the type of
+//! time as well as over the type that identifies a timer, and knows nothing of either beyond their order.
+
+#![deny(missing_docs)]
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
-/// A point on the caller's clock, in microseconds.
-type Micros = i64;
-
-/// What is due when.
+/// Pending timers. `T` says what a timer is for, `Time` is the type of the caller's timestamps.
 #[derive(Debug)]
-pub struct Timers<T> {
-    heap: BinaryHeap<Reverse<(Micros, u64, T)>>,
-    set: u64,
+pub struct Timers<T, Time = i64> {
+    /// Due time, number in the order of setting, and timer; the earliest first.
+    heap: BinaryHeap<Reverse<(Time, u64, T)>>,
+    timers_set: u64,
 }
 
-impl<T: Ord> Default for Timers<T> {
-    fn default() -> Timers<T> {
+impl<T: Ord, Time: Ord> Default for Timers<T, Time> {
+    fn default() -> Timers<T, Time> {
         Timers {
             heap: BinaryHeap::new(),
-            set: 0,
+            timers_set: 0,
         }
     }
 }
 
-impl<T: Ord> Timers<T> {
-    /// Rings once at `due`, or at the next look after it.
-    pub fn set(&mut self, due: Micros, what: T) {
-        self.set += 1;
-        self.heap.push(Reverse((due, self.set, what)));
+impl<T: Ord, Time: Copy + Ord> Timers<T, Time> {
+    /// Adds a timer that fires once, at `due` or at the first call of [`Timers::pop_due`] after it.
+    pub fn set(&mut self, due: Time, timer: T) {
+        self.timers_set += 1;
+        self.heap.push(Reverse((due, self.timers_set, timer)));
     }
 
-    /// When the next one is due.
-    pub fn next(&self) -> Option<Micros> {
+    /// When the earliest pending timer is due.
+    pub fn next_due(&self) -> Option<Time> {
         self.heap.peek().map(|Reverse((due, _, _))| *due)
     }
 
-    /// The next one that is due.
-    pub fn pop(&mut self, now: Micros) -> Option<T> {
-        if self.next()? > now {
+    /// Removes the earliest timer, if it is due at `now`.
+    pub fn pop_due(&mut self, now: Time) -> Option<T> {
+        if self.next_due()? > now {
             return None;
         }
-        self.heap.pop().map(|Reverse((_, _, what))| what)
+        self.heap.pop().map(|Reverse((_, _, timer))| timer)
     }
 }
