--- a/crates/admin/tests/authorization.rs
+++ b/crates/admin/tests/authorization.rs
@@ -106,15 +106,18 @@
     ];
     assert_eq!(table.len(), ROUTES.len());
     for (operation, own, other) in table {
-        for (about, want) in [("a", own), ("b", other)] {
+        for (tenant, expected) in [("a", own), ("b", other)] {
             // Deleted last, and by the operator last of all.
-            for who in [READER, ADMIN, OPERATOR] {
-                let got = api.call(who, operation, about).status;
-                assert_eq!(got, want[who], "{operation:?} of {about} by {who}");
+            for caller in [READER, ADMIN, OPERATOR] {
+                let status = api.call(caller, operation, tenant).status;
+                assert_eq!(
+                    status, expected[caller],
+                    "{operation:?} of {tenant} by {caller}"
+                );
                 let route = ROUTES.iter().find(|r| r.operation == operation).unwrap();
                 assert!(
-                    route.statuses.contains(&got) || COMMON_STATUSES.contains(&got),
-                    "{got} of {operation:?} is not published"
+                    route.statuses.contains(&status) || COMMON_STATUSES.contains(&status),
+                    "{status} of {operation:?} is not published"
                 );
             }
         }
@@ -125,7 +128,7 @@
 fn another_tenant_and_a_missing_one_are_answered_alike() {
     let mut api = TestApi::new();
     for route in ROUTES.iter().filter(|r| r.path.starts_with("/tenants/{}")) {
-        let mut ask = |name: &str| {
+        let mut request = |name: &str| {
             let response = api.request(
                 ADMIN,
                 route.method,
@@ -135,8 +138,13 @@
             );
             (response.status, response.text, response.fields)
         };
-        assert_eq!(ask("b"), ask("nobody"), "{:?}", route.operation);
-        assert_eq!(ask("b"), ask("No_Such-Name"), "{:?}", route.operation);
+        assert_eq!(request("b"), request("nobody"), "{:?}", route.operation);
+        assert_eq!(
+            request("b"),
+            request("No_Such-Name"),
+            "{:?}",
+            route.operation
+        );
     }
 }
 
@@ -153,13 +161,13 @@
         String::new(),
         "x".into(),
     ]);
-    for who in [3, 4, 5, 6, 99] {
+    for caller in [3, 4, 5, 6, 99] {
         for target in ["/tenants/a", "/tenants", "/nothing", "/openapi.json"] {
-            let response = api.request(who, "GET", target, &[], "");
+            let response = api.request(caller, "GET", target, &[], "");
             assert_eq!(
                 (response.status, response.field("WWW-Authenticate")),
                 (401, "Bearer"),
-                "{who} {target}"
+                "{caller} {target}"
             );
         }
     }
--- a/crates/admin/tests/replies.rs
+++ b/crates/admin/tests/replies.rs
@@ -145,8 +145,8 @@
     ];
     let mut api = TestApi::new();
     let mut out = String::new();
-    for (who, method, target, fields, body) in calls {
-        let response = api.request(*who, method, target, fields, body);
+    for (caller, method, target, fields, body) in calls {
+        let response = api.request(*caller, method, target, fields, body);
         transcribe(&mut out, method, target, &response);
     }
     for _ in 0..600 {
--- a/crates/admin/tests/support/mod.rs
+++ b/crates/admin/tests/support/mod.rs
@@ -84,7 +84,7 @@
 
     pub fn request(
         &mut self,
-        who: usize,
+        caller: usize,
         method: &str,
         target: &str,
         fields: &[(&str, &str)],
@@ -92,7 +92,7 @@
     ) -> Response {
         let bearer = self
             .tokens
-            .get(who)
+            .get(caller)
             .map_or(String::new(), |t| format!("Authorization: Bearer {t}\r\n"));
         let fields: String = fields
             .iter()
@@ -135,7 +135,7 @@
     }
 
     /// A valid call of an operation on a tenant, at the revision that it is at.
-    pub fn call(&mut self, who: usize, operation: Operation, tenant: &str) -> Response {
+    pub fn call(&mut self, caller: usize, operation: Operation, tenant: &str) -> Response {
         let route = ROUTES.iter().find(|r| r.operation == operation).unwrap();
         let target = route.path.replace("{}", tenant);
         let tag = self
@@ -160,6 +160,6 @@
             }
             _ => String::new(),
         };
-        self.request(who, route.method, &target, &fields, &body)
+        self.request(caller, route.method, &target, &fields, &body)
     }
 }
