Director settings: a reader with typed errors, driver limits as times, names by index

Now: an accessor that names paths, the module's settings by topic, limits of the driver with optional times, and index lookups in one place.

--- /dev/null
+++ b/crates/director-config/src/config.rs
@@ -0,0 +1,48 @@
+//! The whole settings object, read into its three parts.
+
+use crate::module_settings::read_module_settings;
+use crate::settings_object::SettingsObject;
+use crate::{DriverLimits, Names, SettingError};
+use serde_json::Value;
+use shalewall::Settings;
+
+/// The settings of one director.
+#[derive(Clone, Debug, PartialEq)]
+pub struct DirectorConfig {
+    /// For the decision module.
+    pub settings: Settings,
+    /// What messages call that which the module knows by index.
+    pub names: Names,
+    /// For whoever drives the module.
+    pub driver_limits: DriverLimits,
+}
+
+impl DirectorConfig {
+    /// Reads the object. Unknown keys are ignored; an absent optional key, or `null` under it, stands for its default.
+    pub fn from_json(value: &Value) -> Result<DirectorConfig, SettingError> {
+        if !value.is_object() {
+            return Err(SettingError::root_is_not_an_object());
+        }
+        let object = SettingsObject::new(value);
+        let mut names = Names {
+            zones: object.texts("FailureDomains")?,
+            machine_kinds: object.texts("Shapes")?,
+            ..Names::default()
+        };
+        let settings = read_module_settings(object, &mut names)?;
+        let driver_limits = DriverLimits::read(object)?;
+        Ok(DirectorConfig {
+            settings,
+            names,
+            driver_limits,
+        })
+    }
+}
+
+impl TryFrom<&Value> for DirectorConfig {
+    type Error = SettingError;
+
+    fn try_from(value: &Value) -> Result<DirectorConfig, SettingError> {
+        DirectorConfig::from_json(value)
+    }
+}
--- /dev/null
+++ b/crates/director-config/src/settings_object.rs
@@ -0,0 +1,107 @@
+//! Typed access to the values of the settings object by their paths, with errors that name them.
+
+use crate::{SettingError, SettingProblem, time_delta_from_millis};
+use serde_json::Value;
+use shalewall::TimeDelta;
+
+/// The settings object, or the object of one class or tenant in it. Paths are keys joined by dots; `null` under a
+/// path counts as absent.
+#[derive(Clone, Copy)]
+pub(crate) struct SettingsObject<'a> {
+    value: &'a Value,
+}
+
+impl<'a> SettingsObject<'a> {
+    pub fn new(value: &'a Value) -> SettingsObject<'a> {
+        SettingsObject { value }
+    }
+
+    fn find(self, path: &str) -> Option<&'a Value> {
+        let pointer = format!("/{}", path.replace('.', "/"));
+        self.value.pointer(&pointer)
+    }
+
+    fn find_not_null(self, path: &str) -> Option<&'a Value> {
+        self.find(path).filter(|value| !value.is_null())
+    }
+
+    /// Whether there is anything under a path, be it `null`.
+    pub fn contains(self, path: &str) -> bool {
+        self.find(path).is_some()
+    }
+
+    /// An optional number.
+    pub fn number(self, path: &str) -> Result<Option<f64>, SettingError> {
+        let Some(value) = self.find_not_null(path) else {
+            return Ok(None);
+        };
+        let number = value
+            .as_f64()
+            .ok_or_else(|| SettingError::new(path, SettingProblem::NotANumber))?;
+        Ok(Some(number))
+    }
+
+    /// A number, or what an absent one stands for.
+    pub fn number_or(self, path: &str, default: f64) -> Result<f64, SettingError> {
+        let number = self.number(path)?;
+        Ok(number.unwrap_or(default))
+    }
+
+    /// A number that has no default.
+    pub fn required_number(self, path: &str) -> Result<f64, SettingError> {
+        self.number(path)?
+            .ok_or_else(|| SettingError::new(path, SettingProblem::Missing))
+    }
+
+    /// A time, given in milliseconds; an absent one is zero.
+    pub fn time_delta(self, path: &str) -> Result<TimeDelta, SettingError> {
+        let millis = self.number_or(path, 0.0)?;
+        Ok(time_delta_from_millis(millis))
+    }
+
+    /// A list; an absent one is empty.
+    pub fn list(self, path: &str) -> Result<&'a [Value], SettingError> {
+        let Some(value) = self.find_not_null(path) else {
+            return Ok(&[]);
+        };
+        value
+            .as_array()
+            .map(Vec::as_slice)
+            .ok_or_else(|| SettingError::new(path, SettingProblem::NotAList))
+    }
+
+    /// A list of objects; an absent one is empty.
+    pub fn objects(
+        self,
+        path: &str,
+    ) -> Result<impl Iterator<Item = SettingsObject<'a>> + use<'a>, SettingError> {
+        let list = self.list(path)?;
+        Ok(list.iter().map(SettingsObject::new))
+    }
+
+    /// A list of numbers; an absent one is empty.
+    pub fn numbers(self, path: &str) -> Result<Vec<f64>, SettingError> {
+        let not_a_number = || SettingError::new(path, SettingProblem::ElementNotANumber);
+        let list = self.list(path)?.iter();
+        list.map(|value| value.as_f64().ok_or_else(not_a_number))
+            .collect()
+    }
+
+    /// A list of names; an absent one is empty.
+    pub fn texts(self, path: &str) -> Result<Vec<String>, SettingError> {
+        let not_a_name = || SettingError::new(path, SettingProblem::ElementNotAName);
+        let list = self.list(path)?.iter();
+        list.map(|value| value.as_str().map(str::to_string).ok_or_else(not_a_name))
+            .collect()
+    }
+
+    /// A text; none where anything else stands there.
+    pub fn text(self, path: &str) -> Option<&'a str> {
+        self.find(path)?.as_str()
+    }
+
+    /// Whether `true` stands there.
+    pub fn flag(self, path: &str) -> bool {
+        self.find(path).and_then(Value::as_bool).unwrap_or(false)
+    }
+}
--- a/crates/director-config/tests/settings_object.rs
+++ b/crates/director-config/tests/settings_object.rs
@@ -6,7 +6,7 @@
     ClassSettings, Idempotency, Limits, RetryBudget, RuleSettings, Rung, Settings, TenantSettings,
     TimeDelta,
 };
-use shalewall_director_config::{Bounds, read};
+use shalewall_director_config::{DirectorConfig, DriverLimits, Names, SettingError};
 
 const PLATFORM_CONFIGURATION: &str = include_str!("fixtures/platform.json");
 
@@ -21,7 +21,7 @@
 
 #[test]
 fn every_key_of_a_platform_configuration_is_read() {
-    let given = read(&platform_settings()).unwrap();
+    let config = DirectorConfig::from_json(&platform_settings()).unwrap();
     let expected = Settings {
         director_index: 3,
         director_count: 9,
@@ -118,18 +118,18 @@
         },
         must_poll_endpoints: true,
     };
-    assert_eq!(given.settings, expected);
-    assert_eq!(given.names.zones, ["east", "west", "south"]);
-    assert_eq!(given.names.kinds, ["small", "large"]);
-    assert_eq!(given.names.classes, ["gold", "bronze", "plain"]);
-    assert_eq!(given.names.tenants, ["acme", "globex"]);
-    let bounds = Bounds {
-        connect: 260_500,
-        idle: 15_000_000,
-        give_up: 2_250_250,
-        held: 900,
+    assert_eq!(config.settings, expected);
+    assert_eq!(config.names.zones, ["east", "west", "south"]);
+    assert_eq!(config.names.machine_kinds, ["small", "large"]);
+    assert_eq!(config.names.classes, ["gold", "bronze", "plain"]);
+    assert_eq!(config.names.tenants, ["acme", "globex"]);
+    let driver_limits = DriverLimits {
+        connect_timeout: Some(micros(260_500)),
+        idle_timeout: Some(micros(15_000_000)),
+        longest_wait: Some(micros(2_250_250)),
+        max_open_requests: 900,
     };
-    assert_eq!(given.bounds, bounds);
+    assert_eq!(config.driver_limits, driver_limits);
 }
 
 #[test]
@@ -159,20 +159,26 @@
         },
         ..Settings::default()
     };
-    let bounds = Bounds {
-        held: usize::MAX,
-        ..Bounds::default()
+    let driver_limits = DriverLimits {
+        connect_timeout: None,
+        idle_timeout: None,
+        longest_wait: None,
+        max_open_requests: usize::MAX,
+    };
+    let names = Names {
+        classes: vec!["only".to_string()],
+        ..Names::default()
     };
     for settings in [absent, null] {
-        let given = read(&settings).unwrap();
-        assert_eq!(given.settings, expected);
-        assert_eq!(given.bounds, bounds);
-        assert!(given.names.zones.is_empty() && given.names.tenants.is_empty());
+        let config = DirectorConfig::from_json(&settings).unwrap();
+        assert_eq!(config.settings, expected);
+        assert_eq!(config.driver_limits, driver_limits);
+        assert_eq!(config.names, names);
     }
 }
 
 /// The error's text of a platform configuration with the value at `pointer` replaced, or removed.
-fn refusal(pointer: &str, value: Option<Value>) -> String {
+fn error_text(pointer: &str, value: Option<Value>) -> String {
     let mut settings = platform_settings();
     let (parent, key) = pointer.rsplit_once('/').unwrap();
     match value {
@@ -185,18 +191,15 @@
                 .remove(key),
         ),
     }
-    let Err((path, what)) = read(&settings) else {
-        panic!("{pointer} is read");
-    };
-    format!("{path}: {what}")
+    DirectorConfig::from_json(&settings)
+        .expect_err(pointer)
+        .to_string()
 }
 
 #[test]
 fn an_unreadable_setting_is_named_by_its_path() {
-    let Err((path, what)) = read(&json!([])) else {
-        panic!("a list is read");
-    };
-    assert_eq!(format!("{path}: {what}"), "Setup: is not an object");
+    let error: SettingError = DirectorConfig::from_json(&json!([])).unwrap_err();
+    assert_eq!(error.to_string(), "Setup: is not an object");
     for (pointer, value, expected) in [
         ("/MyNumber", None, "Setup.MyNumber: is missing"),
         (
@@ -256,6 +259,6 @@
             "Setup.Limits.MaxOpen: is not a number",
         ),
     ] {
-        assert_eq!(refusal(pointer, value), expected);
+        assert_eq!(error_text(pointer, value), expected);
     }
 }
--- a/crates/platform-proto/src/ask.rs
+++ b/crates/platform-proto/src/ask.rs
@@ -3,7 +3,7 @@
 use crate::viewer_message::Message;
 use crate::{HexId, MAX_MESSAGE_BYTES};
 use shalewall::{Micros, Request, ServerId, SessionId, Settings};
-use shalewall_director_config::{Names, micros, title};
+use shalewall_director_config::{Names, time_delta_from_millis, title_id};
 
 /// Longest wait and longest hint that are taken for meant, in milliseconds.
 const LONGEST_WAIT: f64 = 3_600_000.0;
@@ -30,7 +30,7 @@
 ) -> Result<Asked, &'static str> {
     let class = message
         .text("class")
-        .and_then(|name| names.class(&name))
+        .and_then(|name| names.class_index(&name))
         .ok_or("class")?;
     let item = message
         .text("key")
@@ -49,22 +49,17 @@
     let tenant = message.text("tenant").filter(|_| !names.tenants.is_empty());
     let tenant = match tenant {
         None => None,
-        Some(name) => Some(
-            names
-                .tenants
-                .iter()
-                .position(|t| *t == name)
-                .ok_or("tenant")?,
-        ),
+        Some(name) => Some(names.tenant_index(&name).ok_or("tenant")?),
     };
     let mut request = Request {
         session: SessionId(0),
         class,
         tenant,
         viewer: tag.value(),
-        title: title(item.value(), class),
-        deadline: shalewall::Timestamp::from_micros(now + micros(left.unwrap_or(0.0))),
-        duration_hint: hint.map(micros).map(shalewall::TimeDelta::from_micros),
+        title: title_id(item.value(), class),
+        deadline: shalewall::Timestamp::from_micros(now)
+            + time_delta_from_millis(left.unwrap_or(0.0)),
+        duration_hint: hint.map(time_delta_from_millis),
         first_cell: u64::MAX,
         replica_cells: 0,
         highest_rung: usize::MAX,
--- a/crates/platform-proto/src/director_protocol.rs
+++ b/crates/platform-proto/src/director_protocol.rs
@@ -15,7 +15,7 @@
     Action, Director, EndpointState, EndpointUpdate, Event, Micros, Outcome, ServerId, SessionId,
     Settings,
 };
-use shalewall_director_config::{Bounds, Given, Names};
+use shalewall_director_config::{DirectorConfig, DriverLimits, Names};
 use shalewall_timers::Timers;
 use std::collections::{BTreeMap, VecDeque};
 use std::net::{IpAddr, SocketAddr};
@@ -93,7 +93,7 @@
     pub(crate) director: Director,
     pub(crate) settings: Settings,
     pub(crate) names: Names,
-    pub(crate) bounds: Bounds,
+    pub(crate) driver_limits: DriverLimits,
     pub(crate) nodes: Nodes,
     pub(crate) links: Links,
     pub(crate) lingering: Lingering,
@@ -125,13 +125,11 @@
 impl DirectorProtocol {
     /// A director that knows what its configuration tells. `now` is the time of its start.
     pub fn new(config: &Config, now: Micros) -> Result<DirectorProtocol, String> {
-        let given = shalewall_director_config::read(&config.settings)
-            .map_err(|(path, what)| format!("{path}: {what}"))?;
-        let Given {
+        let DirectorConfig {
             settings,
             names,
-            bounds,
-        } = given;
+            driver_limits,
+        } = DirectorConfig::from_json(&config.settings).map_err(|error| error.to_string())?;
         let sockets = config.limits.sockets.saturating_sub(OWN).max(8);
         let most = sockets / 3;
         let mut door = DirectorProtocol {
@@ -143,7 +141,7 @@
             ),
             settings,
             names,
-            bounds,
+            driver_limits,
             nodes: Nodes::default(),
             links: Links::new(most),
             lingering: Lingering::default(),
@@ -224,7 +222,7 @@
         let Some(changed) = self.nodes.take(news, now) else {
             return;
         };
-        let (zones, kinds) = (self.names.zones.len(), self.names.kinds.len());
+        let (zones, kinds) = (self.names.zones.len(), self.names.machine_kinds.len());
         let lines = news
             .entries
             .iter()
@@ -582,20 +580,14 @@
 
     /// How long a connection to a node may take to come up, and a probe to be answered.
     pub(crate) fn connect_within(&self) -> Micros {
-        if self.bounds.connect > 0 {
-            self.bounds.connect
-        } else {
-            CONNECT
-        }
+        let told = self.driver_limits.connect_timeout;
+        told.map_or(CONNECT, |timeout| timeout.as_micros())
     }
 
     /// A connection that was last used before this may be closing at the node's side.
     pub(crate) fn fresh(&self) -> Micros {
-        let idle = if self.bounds.idle > 0 {
-            self.bounds.idle
-        } else {
-            IDLE
-        };
+        let told = self.driver_limits.idle_timeout;
+        let idle = told.map_or(IDLE, |timeout| timeout.as_micros());
         self.now - (idle as f64 * IDLE_PART) as Micros
     }
 
@@ -700,11 +692,8 @@
     /// How long a director that is told to end may go on: everything that it took is answered by then, and whoever
     /// wants it gone kills it no sooner.
     pub fn shutdown_time_limit(&self) -> Micros {
-        let longest = if self.bounds.give_up > 0 {
-            self.bounds.give_up.min(LEAVE)
-        } else {
-            LEAVE
-        };
+        let told = self.driver_limits.longest_wait;
+        let longest = told.map_or(LEAVE, |wait| wait.as_micros().min(LEAVE));
         longest + LEAVE_MORE
     }
 
--- a/crates/platform-proto/src/endpoint_watch.rs
+++ b/crates/platform-proto/src/endpoint_watch.rs
@@ -196,8 +196,8 @@
             };
             let listed = Endpoint {
                 server: server(&m.id)?,
-                zone: names.zones.iter().position(|z| *z == m.locality),
-                machine_kind: names.kinds.iter().position(|k| *k == m.flavor),
+                zone: names.zone_index(&m.locality),
+                machine_kind: names.machine_kind_index(&m.flavor),
                 cell: m.cell,
                 state,
                 weight: m.size,
--- a/crates/platform-proto/src/requests.rs
+++ b/crates/platform-proto/src/requests.rs
@@ -54,7 +54,10 @@
             self.say(viewer, &Message::finish(tag, cause::REFUSED)); // its viewer waits no more
             return;
         }
-        if at.is_none() && (self.leaving || self.sessions.len() >= MOST.min(self.bounds.held)) {
+        if at.is_none()
+            && (self.leaving
+                || self.sessions.len() >= MOST.min(self.driver_limits.max_open_requests))
+        {
             self.say(viewer, &Message::finish(tag, cause::REFUSED));
             return;
         }
--- a/crates/platform-proto/src/rtsp.rs
+++ b/crates/platform-proto/src/rtsp.rs
@@ -55,7 +55,11 @@
         let mut load = LoadReport::default();
         for pair in self.fields.get("p-report").unwrap_or_default().split(';') {
             if let Some((name, value)) = pair.split_once(':') {
-                let _ = shalewall_director_config::report(&mut load, name.trim(), value.trim());
+                let _ = shalewall_director_config::apply_load_value(
+                    &mut load,
+                    name.trim(),
+                    value.trim(),
+                );
             }
         }
         for figure in [
--- a/crates/platform-proto/tests/config_file.rs
+++ b/crates/platform-proto/tests/config_file.rs
@@ -1,7 +1,7 @@
 //! A whole configuration file of the platform, in the form in which it is handed over today.
 
 use shalewall::{Endpoint, EndpointState, ServerId, Timestamp};
-use shalewall_director_config::read;
+use shalewall_director_config::DirectorConfig;
 use shalewall_platform_proto::config::Config;
 use shalewall_platform_proto::endpoint_watch::{EndpointEntry, EndpointEvent};
 
@@ -18,7 +18,7 @@
     assert_eq!(config.journal, "192.0.2.90:7400".parse().unwrap());
     assert_eq!(config.settings["MyNumber"], 3);
     assert_eq!(config.known.pos, 12);
-    let names = read(&config.settings).unwrap().names;
+    let names = DirectorConfig::from_json(&config.settings).unwrap().names;
     let (events, position) = config.known.news(&names);
     assert_eq!(position, 12);
     let first = EndpointEvent {
--- a/crates/simulator-adapter/src/lib.rs
+++ b/crates/simulator-adapter/src/lib.rs
@@ -1,7 +1,9 @@
 //! The simulator's text wire, turned into director events and back. No decision is made here.
 
 use shalewall::*;
-use shalewall_director_config::{FAR, Names, micros, report, title};
+use shalewall_director_config::{
+    DirectorConfig, FARTHEST_MICROS, Names, apply_load_value, time_delta_from_millis, title_id,
+};
 use std::collections::BTreeMap;
 use std::fmt::{self, Write};
 
@@ -119,7 +121,7 @@
     fn time(&mut self, field: &str) -> Read<Micros> {
         let ms = self.number(field)?;
         if ms.is_finite() {
-            Ok(micros(ms))
+            Ok(time_delta_from_millis(ms).as_micros())
         } else {
             Err(self.fault(field, "is not a time"))
         }
@@ -129,7 +131,7 @@
         Ok(self
             .opt_number(field)?
             .filter(|t| t.is_finite())
-            .map(micros))
+            .map(|millis| time_delta_from_millis(millis).as_micros()))
     }
 
     fn outcome(&mut self) -> Read<Outcome> {
@@ -159,7 +161,7 @@
                 return Err(self.fault("Stats", &format!("'{pair}' is not a name and a value")));
             };
             let bad = |_| self.fault("Stats", &format!("'{value}' is not a number"));
-            report(&mut load, name, value).map_err(bad)?;
+            apply_load_value(&mut load, name, value).map_err(bad)?;
         }
         Ok(load)
     }
@@ -246,8 +248,8 @@
                 let text = parts.rest.collect::<Vec<_>>().join(" ");
                 let v = serde_json::from_str(&text)
                     .map_err(|e| self.fault("Setup", &format!("is not JSON: {e}")))?;
-                let given = shalewall_director_config::read(&v)
-                    .map_err(|(field, what)| self.fault(&field, &what))?;
+                let given = DirectorConfig::from_json(&v)
+                    .map_err(|error| self.fault(&error.path, &error.problem.to_string()))?;
                 let director =
                     Director::new(seed, given.settings, shalewall::Timestamp::from_micros(now));
                 self.instances.insert(
@@ -433,8 +435,8 @@
 fn listed(node: &Node, names: &Names) -> Endpoint {
     Endpoint {
         server: node.server,
-        zone: names.zones.iter().position(|z| *z == node.zone),
-        machine_kind: names.kinds.iter().position(|k| *k == node.kind),
+        zone: names.zone_index(&node.zone),
+        machine_kind: names.machine_kind_index(&node.kind),
         cell: node.cell,
         state: node.state,
         weight: node.weight,
@@ -446,13 +448,11 @@
 fn read_request(p: &mut Parts, names: &Names) -> Read<Request> {
     let session = SessionId(p.int("OpId")?);
     let class = p.text("Priority")?;
-    let class = names.class(class).unwrap_or(usize::MAX);
-    let tenant = p
-        .opt("Party")?
-        .and_then(|t| names.tenants.iter().position(|n| n == t));
+    let class = names.class_index(class).unwrap_or(usize::MAX);
+    let tenant = p.opt("Party")?.and_then(|t| names.tenant_index(t));
     let viewer = p.hex("Subject")?;
-    let title = title(p.hex("Item")?, class);
-    let deadline = p.opt_time("ClientDeadline")?.unwrap_or(FAR);
+    let title = title_id(p.hex("Item")?, class);
+    let deadline = p.opt_time("ClientDeadline")?.unwrap_or(FARTHEST_MICROS);
     let hint = p.opt_time("WorkHint")?;
     let home = p.opt_int("Home")?.unwrap_or(0);
     let spread = p.opt_int("Spread")?.unwrap_or(0);
