--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -19,3 +19,4 @@
 pub mod serve;
 mod service_operations;
 mod tenant_operations;
+pub mod tokens;
--- a/crates/server/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,8 +1,11 @@
 //! The command line.
 
+mod manage;
+
 use clap::{Parser, Subcommand};
-use shalewall_server::manage::{self, Reach, StoreCommand, TenantCommand};
-use shalewall_server::{day, serve};
+use manage::{Reach, StoreCommand, TenantCommand};
+use shalewall_scripted_days as day;
+use shalewall_server::serve;
 use shalewall_settings::{AdminPlan, DayPlan, Error, FrontPlan, Settings, read};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
--- a/crates/server/src/manage.rs
+++ b/crates/cli/src/manage.rs
@@ -2,15 +2,15 @@
 
 use async_executor::LocalExecutor;
 use clap::{Args, Subcommand};
-use rand::RngExt;
 use shalewall_admin::api::Api;
 use shalewall_admin::serve::{start_server, unix_time_millis};
+use shalewall_admin::tokens::issue_token;
 use shalewall_http::Limits;
 use shalewall_http::client::{Call, Response, in_time};
 use shalewall_http::pool::Pool;
 use shalewall_settings::AdminPlan;
 use shalewall_store::{Store, StoreSummary};
-use shalewall_tenancy::access::{Role, Token};
+use shalewall_tenancy::access::Role;
 use std::io::{BufReader, Read, Write};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -115,18 +115,6 @@
     Store::open(file).map_err(|e| format!("{}: {e}", file.display()))
 }
 
-/// Makes a token and keeps it; what its holder is to show.
-pub(crate) fn new_token(store: &Store, role: Role) -> Result<String, shalewall_store::StoreError> {
-    let (token, shown) = Token::new(
-        role,
-        rand::rng().random(),
-        rand::rng().random(),
-        unix_time_millis(),
-    );
-    store.put_token(&token)?;
-    Ok(shown)
-}
-
 pub fn store(command: StoreCommand) -> Outcome {
     let tell = |f: StoreSummary| {
         eprintln!(
@@ -153,7 +141,7 @@
         StoreCommand::Token { file, role, tenant } => {
             let role = Role::named(&role, tenant)?;
             let store = Store::open(&file).map_err(text)?;
-            println!("{}", new_token(&store, role).map_err(text)?);
+            println!("{}", issue_token(&store, role).map_err(text)?);
             Ok(())
         }
     }
--- a/crates/server/tests/bad_day.rs
+++ b/crates/cli/tests/bad_day.rs
@@ -1,7 +1,7 @@
 //! The bad day in short, and the other kinds of trouble, on real sockets and with each director a process of
 //! its own.
 
-use shalewall_server::day::{self, Summary};
+use shalewall_scripted_days::{self as day, Summary};
 use shalewall_settings::{DayPlan, read};
 use std::path::Path;
 
--- a/crates/server/tests/hosting.rs
+++ b/crates/cli/tests/hosting.rs
@@ -1,6 +1,7 @@
 //! A hosted service in processes: the API, and fronts that follow its tenants.
 
 mod hosted;
+#[path = "../../server/tests/scripted/mod.rs"]
 mod scripted;
 use hosted::*;
 use scripted::Act;
--- a/crates/server/tests/leaving.rs
+++ b/crates/cli/tests/leaving.rs
@@ -1,5 +1,6 @@
 //! A front that is told to end answers all that it has taken, and takes nothing new.
 
+#[path = "../../server/tests/scripted/mod.rs"]
 mod scripted;
 use rustix::process::{Pid, Signal, kill_process};
 use scripted::*;
--- a/crates/server/tests/store_trouble.rs
+++ b/crates/cli/tests/store_trouble.rs
@@ -2,6 +2,7 @@
 //! half done.
 
 mod hosted;
+#[path = "../../server/tests/scripted/mod.rs"]
 mod scripted;
 use hosted::*;
 use rustix::process::{Pid, Resource, Rlimit, prlimit};
--- a/crates/server/src/day/directors.rs
+++ b/crates/scripted-days/src/directors.rs
@@ -1,6 +1,6 @@
 //! Directors of a day: processes of their own, started, stopped, killed by their own id.
 
-use crate::day::World;
+use crate::World;
 use rustix::process::{Pid, Signal, kill_process};
 use shalewall_audit::Record;
 use shalewall_emulator::recorder::Recorder;
--- a/crates/server/src/day.rs
+++ b/crates/scripted-days/src/lib.rs
@@ -8,8 +8,8 @@
 mod summary;
 mod troubles;
 
-use crate::day::directors::Directors;
-use crate::day::rig::Lacked;
+use crate::directors::Directors;
+use crate::rig::Lacked;
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use shalewall_audit::{ClassRule, Further, Rules, Verdict, judge};
--- a/crates/server/src/day/service.rs
+++ b/crates/scripted-days/src/service.rs
@@ -1,9 +1,9 @@
 //! The hosted service of a day: a store, the administration API in this process, and the plan's tenants in it.
 
-use crate::manage::new_token;
 use async_executor::LocalExecutor;
 use shalewall_admin::api::Api;
 use shalewall_admin::serve::{start_server, unix_time_millis};
+use shalewall_admin::tokens::issue_token;
 use shalewall_settings::{DayPlan, HostedDay, Hosting, Site};
 use shalewall_store::Store;
 use shalewall_tenancy::access::Role;
@@ -42,7 +42,7 @@
         std::fs::remove_file(&file)?; // an earlier day's
     }
     let store = Store::open(&file).map_err(io::Error::other)?;
-    let shown = new_token(&store, Role::Front).map_err(io::Error::other)?;
+    let shown = issue_token(&store, Role::Front).map_err(io::Error::other)?;
     for (name, tenant) in &plan.site.tenant {
         let id = TenantId::try_from(name.clone()).map_err(io::Error::other)?;
         let by = By {
--- a/crates/server/src/day/summary.rs
+++ b/crates/scripted-days/src/summary.rs
@@ -1,6 +1,6 @@
 //! What a day came to.
 
-use crate::day::rig::Lacked;
+use crate::rig::Lacked;
 use hdrhistogram::Histogram;
 use serde::Serialize;
 use shalewall_audit::{Moves, Verdict};
--- a/crates/server/src/day/troubles.rs
+++ b/crates/scripted-days/src/troubles.rs
@@ -1,6 +1,6 @@
 //! What goes wrong on a day, done to the stand-ins and the directors' processes.
 
-use crate::day::{World, directors::Directors, line};
+use crate::{World, directors::Directors, line};
 use async_io::Timer;
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
--- a/crates/server/tests/import.rs
+++ b/crates/scripted-days/tests/import.rs
@@ -2,7 +2,7 @@
 #![recursion_limit = "256"]
 
 use serde_json::{Value, json};
-use shalewall_server::day::import;
+use shalewall_scripted_days::import;
 use shalewall_settings::{DayPlan, TroubleKind, parse};
 
 /// A small day of our own making, in the bench's form.
--- a/crates/server/tests/wrong_front.rs
+++ b/crates/scripted-days/tests/wrong_front.rs
@@ -10,7 +10,7 @@
 use shalewall_http::client::{Call, Connection, Events, in_time};
 use shalewall_http::pool::Pool;
 use shalewall_http::server::{Reply, Request, serve};
-use shalewall_server::day::{World, line, rules, world};
+use shalewall_scripted_days::{World, line, rules, world};
 use shalewall_settings::{DayPlan, read};
 use std::cell::Cell;
 use std::net::{SocketAddr, TcpListener};
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -1,20 +1,18 @@
-//! The session front on sockets, and the scripted days that try it.
+//! The session service on sockets.
 //!
 //! [`hub`] drives one [`shalewall_engine::Engine`]: it feeds it what happens and carries out what it says.
 //! [`api`] is the viewers' side, [`node`] the media nodes', [`list`] the list of servers', [`follow`] the side of
 //! players whose sessions can be handed over. [`serve`] puts them
-//! together; [`tenants`] follows the tenants of a hosted service, [`manage`] is its operators' commands; [`day`] runs whole days of fronts against the stand-ins.
+//! together; [`tenants`] follows the tenants of a hosted service.
 //!
 //! What this crate may know: everything above it. What it must not: decide. A request is answered by the
 //! engine, a server chosen by the module.
 
 pub mod api;
-pub mod day;
 pub mod follow;
 pub mod hub;
 pub mod keeper;
 mod list;
-pub mod manage;
 pub mod node;
 pub mod serve;
 pub mod tenants;
