Clock: timestamps in place of bare integers, timers by a named driver

The clock gave microseconds as i64, and its Alarm read as one that tells of trouble. now() gives a Timestamp, to_instant() takes one, TimeoutDriver calls a state machine when its next timer is due; users that still count in integers convert where they ask. Three tests of the crate, which had none.

--- /dev/null
+++ b/crates/clock/tests/clock.rs
@@ -0,0 +1,59 @@
+//! The clock beside the system's clocks, and the driver of timers.
+
+use futures_lite::future;
+use shalewall::{TimeDelta, Timestamp};
+use shalewall_clock::{TimeoutDriver, now, to_instant};
+use std::cell::{Cell, RefCell};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+#[test]
+fn the_clock_tells_unix_time_and_never_goes_back() {
+    let unix_time = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    let difference = now().as_micros() - unix_time.as_micros() as i64;
+    assert!(difference.abs() < 5_000_000, "{difference} us");
+    let readings: Vec<_> = (0..1000).map(|_| now()).collect();
+    assert!(readings.is_sorted());
+}
+
+#[test]
+fn times_of_the_clock_are_instants_of_the_system() {
+    let time = now();
+    let later = to_instant(time + TimeDelta::from_secs(3));
+    assert_eq!(later - to_instant(time), Duration::from_secs(3));
+    assert!(to_instant(Timestamp::ZERO) <= Instant::now());
+    assert!(to_instant(time) <= Instant::now());
+    // Some 290,000 years on: an instant may not reach so far, and asking for it does no harm.
+    let _ = to_instant(Timestamp::MAX);
+}
+
+#[test]
+fn timeouts_are_handled_in_their_order_and_not_early() {
+    let start = now();
+    let at = |millis| start + TimeDelta::from_millis(millis);
+    // The last one, which is due first, comes while the driver waits for another.
+    let timers = RefCell::new(vec![at(40), at(60)]);
+    let next_timeout = || timers.borrow().iter().min().copied();
+    let handled = RefCell::new(Vec::new());
+    let done = Cell::new(false);
+    let driver = TimeoutDriver::default();
+    let handle_timeout = || {
+        let due = next_timeout().unwrap();
+        assert!(now() >= due);
+        timers.borrow_mut().retain(|timer| *timer != due);
+        handled.borrow_mut().push(due);
+        done.set(timers.borrow().is_empty());
+    };
+    let input = async {
+        future::yield_now().await;
+        timers.borrow_mut().push(at(20));
+        driver.update(next_timeout());
+        while !done.get() {
+            async_io::Timer::after(Duration::from_millis(1)).await;
+        }
+    };
+    let run = async {
+        driver.run(next_timeout, handle_timeout).await;
+    };
+    async_io::block_on(future::or(run, input));
+    assert_eq!(*handled.borrow(), [at(20), at(40), at(60)]);
+}
--- a/crates/emulator/src/list.rs
+++ b/crates/emulator/src/list.rs
@@ -186,7 +186,7 @@
 
     /// The event, and the record that this director is told of it now.
     fn bytes(&self, director: u32, (kind, lines): &News) -> Vec<u8> {
-        let t = shalewall_clock::now();
+        let t = shalewall_clock::now().as_micros();
         for line in lines {
             let (node, standing) = (line.server, line.standing.to_string());
             self.recorder.note(Record::Told {
--- a/crates/emulator/src/nodes.rs
+++ b/crates/emulator/src/nodes.rs
@@ -155,7 +155,7 @@
         self.armed = false;
         let (session, attempt) = self.run;
         self.nodes.recorder.note(Record::SetUpDone {
-            t: shalewall_clock::now(),
+            t: shalewall_clock::now().as_micros(),
             node: self.node,
             session,
             attempt,
@@ -223,7 +223,7 @@
         let listener = TcpListener::bind(before.unwrap_or(SocketAddr::from(([127, 0, 0, 1], 0))))?;
         let address = listener.local_addr()?;
         let listener = Async::new(listener)?;
-        let now = shalewall_clock::now();
+        let now = shalewall_clock::now().as_micros();
         self.inner.borrow_mut().fleet.start(machine, now, warm);
         self.inner
             .borrow_mut()
@@ -274,7 +274,7 @@
         }
         drop(inner);
         self.recorder.note(Record::NodeDown {
-            t: shalewall_clock::now(),
+            t: shalewall_clock::now().as_micros(),
             node: id,
             fell,
         });
@@ -287,7 +287,7 @@
         {
             node.process = Process::Frozen;
             self.recorder.note(Record::Froze {
-                t: shalewall_clock::now(),
+                t: shalewall_clock::now().as_micros(),
                 node: id,
             });
         }
@@ -300,7 +300,7 @@
         {
             node.process = Process::Runs;
             self.recorder.note(Record::Thawed {
-                t: shalewall_clock::now(),
+                t: shalewall_clock::now().as_micros(),
                 node: id,
             });
         }
@@ -404,7 +404,7 @@
             Some(Ended::Cut(bytes)) => {
                 let text = String::from_utf8_lossy(&bytes);
                 let run = text.split(' ').nth(1).and_then(run_of);
-                let (t, bytes) = (shalewall_clock::now(), bytes.len());
+                let (t, bytes) = (shalewall_clock::now().as_micros(), bytes.len());
                 let (session, attempt) = (run.map(|r| r.0), run.map(|r| r.1));
                 self.recorder.note(Record::Partial {
                     t,
@@ -467,7 +467,7 @@
                 if !found {
                     return Reply::problem(404, "no such session here");
                 }
-                let t = shalewall_clock::now();
+                let t = shalewall_clock::now().as_micros();
                 self.recorder.note(Record::Rung {
                     t,
                     node: id,
@@ -508,7 +508,7 @@
         let Ok(new) = serde_json::from_slice::<SetUp>(body) else {
             return Reply::problem(422, "director, class, title, rung and kb are needed");
         };
-        let now = shalewall_clock::now();
+        let now = shalewall_clock::now().as_micros();
         self.recorder.note(Record::SetUp {
             t: now,
             node: id,
@@ -613,7 +613,7 @@
 
     fn over(&self, id: u64, (session, attempt): Run) {
         self.recorder.note(Record::Over {
-            t: shalewall_clock::now(),
+            t: shalewall_clock::now().as_micros(),
             node: id,
             session,
             attempt,
@@ -703,7 +703,10 @@
         );
         loop {
             Timer::after(FRAME).await;
-            let news = teller.look(&mut self.inner.borrow_mut().fleet, shalewall_clock::now());
+            let news = teller.look(
+                &mut self.inner.borrow_mut().fleet,
+                shalewall_clock::now().as_micros(),
+            );
             for n in news {
                 let note = serde_json::json!({ "session": n.session, "delivered": n.delivered,
                     "link": n.link, "uplink": n.uplink });
--- a/crates/emulator/src/nodes/media.rs
+++ b/crates/emulator/src/nodes/media.rs
@@ -73,7 +73,7 @@
             *inner.watched.entry((id, run)).or_default() += 1;
             (epoch > Epoch(0)).then_some((director, epoch))
         };
-        let now = shalewall_clock::now();
+        let now = shalewall_clock::now().as_micros();
         if let Some((director, epoch)) = told {
             let (session, attempt) = run;
             self.note_fetched(id, run, epoch);
@@ -153,7 +153,7 @@
     /// The next frame with its position; nothing where there is none yet.
     fn frame(&mut self) -> Option<Option<Vec<u8>>> {
         let (rung, full, share) = self.viewer.now()?;
-        let now = shalewall_clock::now();
+        let now = shalewall_clock::now().as_micros();
         let passed = (now - self.last) as f64 / 1000.0;
         self.last = now;
         let mut to = self.from + (now - self.opened) as f64 / 1000.0 + self.ahead;
--- a/crates/emulator/src/nodes/moves.rs
+++ b/crates/emulator/src/nodes/moves.rs
@@ -129,7 +129,7 @@
 
     async fn prepare(self, id: u64, run: Run, HandIn { new, ticket }: HandIn) -> Reply {
         let (session, epoch) = (SessionId(run.0), ticket.epoch);
-        let now = shalewall_clock::now();
+        let now = shalewall_clock::now().as_micros();
         self.recorder.note(Record::HandIn {
             t: now,
             node: id,
@@ -157,7 +157,7 @@
         let taken = {
             let mut inner = self.inner.borrow_mut();
             let key = self.telling.key.as_ref();
-            let millis = (shalewall_clock::now() / 1000) as u64;
+            let millis = (shalewall_clock::now().as_micros() / 1000) as u64;
             let holds = inner.holds.get_mut(&id);
             let fits = ticket.session == run.0;
             let done = holds
@@ -223,7 +223,7 @@
         }
         preparing.ready = true;
         let (session, attempt) = run;
-        let (t, ran, epoch) = (shalewall_clock::now(), Ran::Plays, epoch.0);
+        let (t, ran, epoch) = (shalewall_clock::now().as_micros(), Ran::Plays, epoch.0);
         self.recorder.note(Record::HandInDone {
             t,
             node: id,
@@ -253,7 +253,7 @@
     }
 
     pub(super) fn note_fetched(&self, id: u64, (session, attempt): Run, epoch: Epoch) {
-        let (t, epoch) = (shalewall_clock::now(), epoch.0);
+        let (t, epoch) = (shalewall_clock::now().as_micros(), epoch.0);
         self.recorder.note(Record::Fetched {
             t,
             node: id,
@@ -267,7 +267,7 @@
     pub(super) async fn note_loads(self) {
         loop {
             Timer::after(LOADS).await;
-            let (inner, t) = (self.inner.borrow(), shalewall_clock::now());
+            let (inner, t) = (self.inner.borrow(), shalewall_clock::now().as_micros());
             for (node, n) in inner
                 .fleet
                 .nodes
--- a/crates/emulator/src/player.rs
+++ b/crates/emulator/src/player.rs
@@ -274,7 +274,7 @@
     late: bool,
 ) -> Try {
     let (sender, news) = async_channel::bounded(64);
-    let now = shalewall_clock::now();
+    let now = shalewall_clock::now().as_micros();
     let ahead = if viewer.class.live {
         viewers.buffers.0
     } else {
@@ -325,14 +325,14 @@
             .as_micros() as i64;
     let close = viewers.close_at();
     let whole = loop {
-        let now = shalewall_clock::now();
+        let now = shalewall_clock::now().as_micros();
         let due = player.due(now).min(until);
         let heard = in_time(
             Duration::from_micros((due - now).max(0) as u64),
             news.recv(),
         )
         .await;
-        let now = shalewall_clock::now();
+        let now = shalewall_clock::now().as_micros();
         viewers.lag.set(viewers.lag.get().max(now - due));
         if now - due > LAG {
             // This process stood still: what did not come meanwhile is not the node's doing.
@@ -425,7 +425,7 @@
             break false;
         }
     };
-    let now = shalewall_clock::now();
+    let now = shalewall_clock::now().as_micros();
     if let Some(since) = player.head.dry_since() {
         stood += now - since;
         match whole {
--- a/crates/emulator/src/viewers.rs
+++ b/crates/emulator/src/viewers.rs
@@ -291,7 +291,7 @@
                 return Try::Again(self.crowd.pause);
             }
         };
-        let t = shalewall_clock::now();
+        let t = shalewall_clock::now().as_micros();
         let wait = viewer.class.give_up.as_micros() as i64;
         let (key, class, title) = (
             viewer.key.clone(),
@@ -313,7 +313,7 @@
         // A viewer waits somewhat longer than it said: an answer that is late is to be seen.
         let patience = viewer.class.give_up + Duration::from_secs(3);
         let answer = in_time(patience, connection.call(&call)).await;
-        let now = shalewall_clock::now();
+        let now = shalewall_clock::now().as_micros();
         let answer = match answer {
             Some(Ok(answer)) => answer,
             Some(Err(Failure::NotConnected(..) | Failure::NeverRan(_))) => {
@@ -394,7 +394,7 @@
     /// When the day is over, on the clock of recordings.
     pub(crate) fn close_at(&self) -> Option<i64> {
         let left = self.close.get()?.saturating_duration_since(Instant::now());
-        Some(shalewall_clock::now() + left.as_micros() as i64)
+        Some(shalewall_clock::now().as_micros() + left.as_micros() as i64)
     }
 
     pub(crate) fn gap(&self, ask: u64, session: u64, t: i64, micros: i64) {
@@ -489,7 +489,7 @@
             .map(|(r, s)| (*r, (s * 1e6) as i64))
             .collect();
         self.recorder.note(Record::Watched {
-            t: shalewall_clock::now(),
+            t: shalewall_clock::now().as_micros(),
             ask,
             session,
             micros: (meter.rungs.values().sum::<f64>() * 1e6) as i64,
--- a/crates/platform/src/hub.rs
+++ b/crates/platform/src/hub.rs
@@ -5,7 +5,7 @@
 use async_io::{Async, Timer};
 use event_listener::{Event, IntoNotification};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
-use shalewall_clock::{Alarm, now};
+use shalewall_clock::{TimeoutDriver, now};
 use shalewall_http::client::{Unconnected, in_time};
 use shalewall_platform_proto::{ConnectError, ConnectionId, DirectorProtocol, Output, Transmit};
 use std::cell::{Cell, RefCell};
@@ -56,7 +56,7 @@
     ex: Rc<LocalExecutor<'static>>,
     protocol: RefCell<DirectorProtocol>,
     conns: RefCell<BTreeMap<ConnectionId, Open>>,
-    alarm: Alarm,
+    timeout_driver: TimeoutDriver,
 }
 
 impl Hub {
@@ -65,7 +65,7 @@
             ex: ex.clone(),
             protocol: RefCell::new(protocol),
             conns: RefCell::default(),
-            alarm: Alarm::default(),
+            timeout_driver: TimeoutDriver::default(),
         });
         ex.spawn(hub.clone().ring()).detach();
         hub
@@ -75,7 +75,7 @@
     pub fn with<T>(self: &Rc<Hub>, work: impl FnOnce(&mut DirectorProtocol) -> T) -> T {
         let done = work(&mut self.protocol.borrow_mut());
         self.pump();
-        self.alarm.moved(self.protocol.borrow().poll_timeout());
+        self.timeout_driver.update(self.next_timeout());
         done
     }
 
@@ -117,7 +117,9 @@
         let (hub, task) = (self.clone(), task(self.clone(), kick.clone()));
         let task = self.ex.spawn(async move {
             if alone(task).await.is_none() {
-                caught(|| hub.with(|protocol| protocol.connection_closed(now(), conn, false)));
+                caught(|| {
+                    hub.with(|protocol| protocol.connection_closed(now().as_micros(), conn, false))
+                });
             }
         });
         self.conns
@@ -140,8 +142,10 @@
             // A crowd of connections is taken one by one: whoever is connected already has a turn in between.
             future::yield_now().await;
             let _ = stream.get_ref().set_nodelay(true);
-            if let Some(conn) =
-                caught(|| self.with(|protocol| protocol.accept_viewer(now(), peer.ip()))).flatten()
+            if let Some(conn) = caught(|| {
+                self.with(|protocol| protocol.accept_viewer(now().as_micros(), peer.ip()))
+            })
+            .flatten()
             {
                 self.spawn(conn, |hub, kick| hub.serve(conn, stream, kick));
             }
@@ -156,11 +160,12 @@
         within: Duration,
         kick: Rc<Event>,
     ) {
-        let failed = |why| self.with(|protocol| protocol.node_connect_failed(now(), conn, why));
+        let failed =
+            |why| self.with(|protocol| protocol.node_connect_failed(now().as_micros(), conn, why));
         match in_time(within, Async::<TcpStream>::connect(address)).await {
             Some(Ok(stream)) => {
                 let _ = stream.get_ref().set_nodelay(true);
-                self.with(|protocol| protocol.node_connected(now(), conn));
+                self.with(|protocol| protocol.node_connected(now().as_micros(), conn));
                 self.clone().serve(conn, stream, kick).await;
             }
             Some(Err(e)) => failed(match Unconnected::of(&e) {
@@ -184,7 +189,9 @@
                     Ok(n) => {
                         let (n, broken) = more(stream.get_ref(), &mut buf, n);
                         trace!(?conn, bytes = %String::from_utf8_lossy(&buf[..n]), "heard");
-                        self.with(|protocol| protocol.handle_bytes(now(), conn, &buf[..n]));
+                        self.with(|protocol| {
+                            protocol.handle_bytes(now().as_micros(), conn, &buf[..n])
+                        });
                         if broken {
                             return false;
                         }
@@ -207,7 +214,7 @@
         };
         let clean = future::or(reads, writes).await && !broken.get();
         debug!(?conn, clean, "closed");
-        self.with(|protocol| protocol.connection_closed(now(), conn, clean));
+        self.with(|protocol| protocol.connection_closed(now().as_micros(), conn, clean));
     }
 
     /// Writes what there is to say until this side is to close. False: the connection takes no more.
@@ -219,7 +226,7 @@
     ) -> bool {
         loop {
             let kicked = kick.listen();
-            match self.with(|protocol| protocol.poll_transmit(now(), conn)) {
+            match self.with(|protocol| protocol.poll_transmit(now().as_micros(), conn)) {
                 Transmit::Close => return true,
                 Transmit::Wait => kicked.await,
                 Transmit::CloseIfQuiet if quiet(stream.get_ref()) => return true,
@@ -238,7 +245,9 @@
                                 ErrorKind::WouldBlock | ErrorKind::Interrupted
                             ) =>
                         {
-                            self.with(|protocol| protocol.return_unwritten(now(), conn, bytes));
+                            self.with(|protocol| {
+                                protocol.return_unwritten(now().as_micros(), conn, bytes)
+                            });
                             if stream.writable().await.is_err() {
                                 return false;
                             }
@@ -248,7 +257,7 @@
                     };
                     trace!(?conn, bytes = %String::from_utf8_lossy(&bytes), "said");
                     if sent < bytes.len() {
-                        self.with(|protocol| protocol.partially_written(now(), conn));
+                        self.with(|protocol| protocol.partially_written(now().as_micros(), conn));
                     }
                     if stream.write_all(&bytes[sent..]).await.is_err() {
                         return false;
@@ -258,13 +267,16 @@
         }
     }
 
+    fn next_timeout(&self) -> Option<shalewall::Timestamp> {
+        let next = self.protocol.borrow().poll_timeout();
+        next.map(shalewall::Timestamp::from_micros)
+    }
+
     /// Rings the door's timers when they are due.
     async fn ring(self: Rc<Hub>) {
         let ring = || {
-            caught(|| self.with(|protocol| protocol.handle_timeout(now())));
+            caught(|| self.with(|protocol| protocol.handle_timeout(now().as_micros())));
         };
-        self.alarm
-            .ring(|| self.protocol.borrow().poll_timeout(), ring)
-            .await;
+        self.timeout_driver.run(|| self.next_timeout(), ring).await;
     }
 }
--- a/crates/platform/src/journal.rs
+++ b/crates/platform/src/journal.rs
@@ -100,7 +100,7 @@
                     last_word = Instant::now();
                     // What is missing is asked for on a new connection.
                     if let Err(why) =
-                        hub.with(|protocol| protocol.handle_watch_frame(now(), &frame))
+                        hub.with(|protocol| protocol.handle_watch_frame(now().as_micros(), &frame))
                     {
                         warn!(%why, "the journal service");
                         return heard;
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -49,7 +49,7 @@
     let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
     guard::tell();
     let mut config = read(file)?;
-    let protocol = DirectorProtocol::new(&config, now())
+    let protocol = DirectorProtocol::new(&config, now().as_micros())
         .map_err(|e| wrong(format!("{}: settings: {e}", file.display())))?;
     let listener = Async::new(TcpListener::bind(config.listen)?)?;
     let ex = Rc::new(LocalExecutor::new());
@@ -129,7 +129,7 @@
                         "the new configuration differs in what is kept as at the start"
                     );
                 }
-                hub.with(|protocol| protocol.apply_known_events(&config, now()));
+                hub.with(|protocol| protocol.apply_known_events(&config, now().as_micros()));
                 place.address.set(config.journal);
                 place.moved.notify(usize::MAX);
                 return;
@@ -144,7 +144,7 @@
 
 /// Answers what was taken, holds what stands for as long as there is time, and closes what was said to.
 async fn leave(hub: Rc<Hub>) {
-    hub.with(|protocol| protocol.begin_shutdown(now()));
+    hub.with(|protocol| protocol.begin_shutdown(now().as_micros()));
     info!(held = ?hub.with(|d| d.session_counts()), "leaving");
     let begun = Instant::now();
     let most =
@@ -159,7 +159,7 @@
         }
         Timer::after(LOOK).await;
     }
-    hub.with(|protocol| protocol.close_viewers(now()));
+    hub.with(|protocol| protocol.close_viewers(now().as_micros()));
     let closing = Instant::now();
     while closing.elapsed() < CLOSING
         && hub.with(|d| d.has_pending_writes() || d.connection_counts().0 > 0)
--- a/crates/scripted-days/src/directors.rs
+++ b/crates/scripted-days/src/directors.rs
@@ -120,7 +120,7 @@
             )));
         };
         self.recorder.note(Record::DirectorUp {
-            t: shalewall_clock::now(),
+            t: shalewall_clock::now().as_micros(),
             director: number,
         });
         self.viewers.set_front(number, address);
@@ -133,7 +133,7 @@
             return Ok(());
         };
         self.recorder.note(Record::DirectorKilled {
-            t: shalewall_clock::now(),
+            t: shalewall_clock::now().as_micros(),
             director: number,
         });
         child.kill()?;
@@ -150,13 +150,13 @@
 
     /// Lets one stand still for a while.
     pub async fn stall(&self, number: u32, time: Duration) {
-        let t = shalewall_clock::now();
+        let t = shalewall_clock::now().as_micros();
         if !self.signal(number, Signal::STOP) {
             return;
         }
         async_io::Timer::after(time).await;
         self.signal(number, Signal::CONT);
-        let until = shalewall_clock::now();
+        let until = shalewall_clock::now().as_micros();
         self.recorder.note(Record::DirectorStalled {
             t,
             director: number,
--- a/crates/scripted-days/tests/wrong_front.rs
+++ b/crates/scripted-days/tests/wrong_front.rs
@@ -152,7 +152,7 @@
     .detach();
     // As the day does: the director is up, and its node streams stand in for its lease.
     world.recorder.note(Record::DirectorUp {
-        t: shalewall_clock::now(),
+        t: shalewall_clock::now().as_micros(),
         director: 0,
     });
     world.viewers.set_front(0, address);
--- a/crates/server/src/hub.rs
+++ b/crates/server/src/hub.rs
@@ -6,7 +6,7 @@
 use async_channel::{Receiver, Sender};
 use async_executor::{LocalExecutor, Task};
 use shalewall::ServerId;
-use shalewall_clock::Alarm;
+use shalewall_clock::TimeoutDriver;
 use shalewall_engine::{Answer, AskId, CallId, Engine, Input, NewSession, Output, Shown};
 use shalewall_http::Limits;
 use shalewall_migration::ticket::TicketKey;
@@ -39,7 +39,7 @@
     pub follows: Follows,
     /// Told to end: nothing new is taken.
     leaving: Cell<bool>,
-    alarm: Alarm,
+    timeout_driver: TimeoutDriver,
 }
 
 /// A viewer's request that waits. Dropped without an answer, it tells the engine that the viewer has left.
@@ -86,7 +86,7 @@
             key: OnceCell::new(),
             follows: Follows::default(),
             leaving: Cell::new(false),
-            alarm: Alarm::default(),
+            timeout_driver: TimeoutDriver::default(),
         });
         ex.spawn(hub.clone().ring()).detach();
         hub
@@ -96,9 +96,9 @@
     pub fn feed(self: &Rc<Hub>, input: Input) {
         self.engine
             .borrow_mut()
-            .handle(shalewall_clock::now(), input);
+            .handle(shalewall_clock::now().as_micros(), input);
         self.pump();
-        self.alarm.moved(self.engine.borrow().poll_timeout());
+        self.timeout_driver.update(self.next_timeout());
     }
 
     /// A viewer asks.
@@ -216,16 +216,19 @@
         }
     }
 
+    fn next_timeout(&self) -> Option<shalewall::Timestamp> {
+        let next = self.engine.borrow().poll_timeout();
+        next.map(shalewall::Timestamp::from_micros)
+    }
+
     /// Rings the engine's timers when they are due.
     async fn ring(self: Rc<Hub>) {
         let ring = || {
             self.engine
                 .borrow_mut()
-                .handle_timeout(shalewall_clock::now());
+                .handle_timeout(shalewall_clock::now().as_micros());
             self.pump();
         };
-        self.alarm
-            .ring(|| self.engine.borrow().poll_timeout(), ring)
-            .await;
+        self.timeout_driver.run(|| self.next_timeout(), ring).await;
     }
 }
--- a/crates/server/src/node.rs
+++ b/crates/server/src/node.rs
@@ -107,7 +107,7 @@
             let Some(key) = key else {
                 return Done::NeverRan("this front has no key for tickets".into());
             };
-            let now = (shalewall_clock::now() / 1000) as u64;
+            let now = (shalewall_clock::now().as_micros() / 1000) as u64;
             let validity = Validity {
                 issued_at: now,
                 expires_at: now + TICKET_MS,
@@ -205,7 +205,7 @@
 
 /// Some(true): it was open for a while; Some(false): refused; None: no answer came.
 async fn listen(hub: &Rc<Hub>, peer: &Peer) -> Option<bool> {
-    let asked = shalewall_clock::now();
+    let asked = shalewall_clock::now().as_micros();
     let connection = match in_time(hub.silence, peer.pool.connect()).await? {
         Ok(connection) => connection,
         // Only this is proof. Out of descriptors, or with a route that is away, a front knows nothing of its nodes.
--- a/crates/server/src/serve.rs
+++ b/crates/server/src/serve.rs
@@ -68,7 +68,7 @@
 
 /// Starts a front on an executor; it runs as long as that does.
 pub fn start(ex: &Rc<LocalExecutor<'static>>, plan: &FrontPlan) -> std::io::Result<Serving> {
-    let now = shalewall_clock::now();
+    let now = shalewall_clock::now().as_micros();
     // Starts within some hours of each other differ in their seconds.
     let incarnation = ((now / 1_000_000) & 0x3fff) as u16;
     let listener = TcpListener::bind(plan.front.listen)?;
--- a/crates/server/src/tenants.rs
+++ b/crates/server/src/tenants.rs
@@ -133,7 +133,7 @@
             sessions: sessions as f64,
         };
         Rc::new(Tenants {
-            shares: RefCell::new(Shares::new(capacity, shalewall_clock::now())),
+            shares: RefCell::new(Shares::new(capacity, shalewall_clock::now().as_micros())),
             connections: RefCell::new(Connections::new(connections)),
             number: Cell::new(0),
             reached: Cell::new(false),
@@ -143,7 +143,7 @@
 
     /// Door and engine hear of all of it in one turn: no request is decided in between.
     fn apply(&self, hub: &Rc<Hub>, news: News) {
-        let now = shalewall_clock::now();
+        let now = shalewall_clock::now().as_micros();
         hub.feed(Input::Tenants(
             news.tenants
                 .iter()
--- a/crates/test-harness/src/lib.rs
+++ b/crates/test-harness/src/lib.rs
@@ -14,10 +14,14 @@
 pub mod tape;
 pub mod viewer;
 
-pub(crate) use shalewall_clock::now;
 use std::net::TcpListener;
 use std::sync::atomic::{AtomicU32, Ordering};
 
+/// The present time, in microseconds from 1970 on.
+pub(crate) fn now() -> i64 {
+    shalewall_clock::now().as_micros()
+}
+
 const PORTS: u32 = 18_000;
 
 /// A port of this machine's loopback that is free and stays so: below those that the system gives out by itself, and
