The decisions by concern: a file a policy, records apart, the running-counts test in tests/

Change: src/policy holds every decision and tuned value, one concern a file, each constant beside what it tunes: admission is the ordinary path D(C0); capacity_estimate, demand and quotas are what it reads; retries, health, health_checks, warm_up, timers are guards; downgrades and upgrades are the exceptions for playing sessions. src/state keeps records and counts, src/director hands events on and puts decisions into effect. Names of the field stand throughout (LinkEstimate, utilization, quota debt, feedback, placeholder for the session at a migration's target).

The comparison of running counts with plain walks was a test body inside the module; it is tests/counts.rs now, over a hidden view of the records (`Director::inspect`), with the same draws, sums and assertions. `Belief` is `ServerBelief`.

--- a/crates/behavior-digest/src/decisions.rs
+++ b/crates/behavior-digest/src/decisions.rs
@@ -669,11 +669,11 @@
     fn encode_beliefs(&mut self) {
         for belief in self.director.beliefs() {
             self.encoder.u64(belief.server.0);
-            self.encoder.f64(belief.link);
-            self.encoder.f64(belief.uplink);
-            self.encoder.u64(u64::from(belief.fails));
-            self.encoder.bool(belief.cold);
-            self.encoder.bool(belief.short);
+            self.encoder.f64(belief.link_utilization);
+            self.encoder.f64(belief.uplink_utilization);
+            self.encoder.u64(u64::from(belief.failures));
+            self.encoder.bool(belief.is_warming_up);
+            self.encoder.bool(belief.is_short);
         }
         let playing = self.sessions.values().filter(|s| s.plays);
         let classes: usize = playing.map(|s| s.class + 1).sum();
--- a/crates/platform-proto/src/status.rs
+++ b/crates/platform-proto/src/status.rs
@@ -1,7 +1,7 @@
 //! What a director holds and believes, for its log.
 
 use crate::DirectorProtocol;
-use shalewall::Micros;
+use shalewall::{Micros, ServerBelief};
 
 /// So many of the fullest servers are named.
 const WORST: usize = 3;
@@ -36,18 +36,21 @@
         let (waiting, standing) = self.session_counts();
         let (viewers, links, nodes) = self.connection_counts();
         let mut worst: Vec<_> = self.director.beliefs().collect();
-        worst.sort_by(|a, b| b.link.max(b.uplink).total_cmp(&a.link.max(a.uplink)));
+        worst.sort_by(|a, b| {
+            let fullest = |s: &ServerBelief| s.link_utilization.max(s.uplink_utilization);
+            fullest(b).total_cmp(&fullest(a))
+        });
         let named = worst.iter().take(WORST).map(|b| {
-            let cold = if b.cold { " cold" } else { "" };
-            let short = if b.short { " short" } else { "" };
-            let fails = if b.fails > 0 {
-                format!(" failed {}", b.fails)
+            let cold = if b.is_warming_up { " cold" } else { "" };
+            let short = if b.is_short { " short" } else { "" };
+            let fails = if b.failures > 0 {
+                format!(" failed {}", b.failures)
             } else {
                 String::new()
             };
             format!(
                 "s-{:08x} {:.2}/{:.2}{cold}{short}{fails}",
-                b.server.0, b.link, b.uplink
+                b.server.0, b.link_utilization, b.uplink_utilization
             )
         });
         let worst = named.collect::<Vec<_>>().join(", ");
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -49,15 +49,21 @@
 //! assert!(!out.iter().any(|a| matches!(a, Action::Reject { .. } | Action::Fail { .. })));
 //! ```
 
-// The helpers of the tests name the crate from outside.
-#[cfg(test)]
-extern crate self as shalewall;
-
-mod control;
+mod belief;
+mod director;
+mod hash;
+#[doc(hidden)]
+pub mod inspection;
 mod interface;
+mod policy;
+mod state;
 mod time;
 
-pub use control::Director;
-pub use control::belief::Belief;
-pub use interface::*;
+pub use belief::ServerBelief;
+pub use director::Director;
+pub use interface::{
+    Action, ClassSettings, Endpoint, EndpointState, EndpointUpdate, Event, Idempotency, Limits, LoadReport,
+    Micros, Notification, Outcome, Request, RetryBudget, RuleSettings, Rung, ServerId, SessionId, Settings,
+    TenantSettings, TitleId,
+};
 pub use time::{TimeDelta, Timestamp};
--- /dev/null
+++ b/src/policy/admission.rs
@@ -0,0 +1,140 @@
+//! The ordinary path, D(C0): a request goes to the holder of its title with the least load. It gets the
+//! highest rung that viewer and class allow while that fits under the mark C0, else the highest lower rung
+//! that fits under the full line, else it is rejected.
+
+use crate::director::Director;
+use crate::hash::{mix, tie_breaker};
+use crate::interface::{Action, Request};
+use crate::state::records::{Candidate, Placement};
+use crate::state::servers::Server;
+use crate::state::sessions::PendingRequest;
+use crate::time::{TimeDelta, Timestamp};
+
+/// The mark C0: fraction of a link's capacity under which the asked rung is given (the design's default).
+pub(crate) const MARK: f64 = 0.85;
+/// Fraction that no set-up passes (the design's default): rates stray by some points.
+pub(crate) const FULL_LINE: f64 = 0.93;
+/// Standard deviations over the mean that an unreported link is taken for, but not for the lowest rung.
+const CAUTION: f64 = 0.7;
+/// A crossing of zones weighs as much as a link fuller by its price times this.
+const ZONE_CROSSING_WEIGHT: f64 = 10.0;
+
+impl Director {
+    /// Sets the session up where there is capacity, or rejects the request.
+    pub(crate) fn admit(&mut self, pending: PendingRequest) {
+        match self.place(&pending) {
+            Some(placement) => self.start_attempt(pending, placement),
+            None => {
+                self.demand.record_rejection(&pending.request, self.now);
+                self.reject(&pending.request);
+            }
+        }
+    }
+
+    /// Finds capacity; where there is none, frees some if the request is worth it.
+    pub(crate) fn place(&mut self, pending: &PendingRequest) -> Option<Placement> {
+        self.choose_placement(pending).or_else(|| {
+            let is_freed = self.free_capacity(pending);
+            is_freed.then(|| self.choose_placement(pending))?
+        })
+    }
+
+    /// The holder with the least load, and the rung that its load allows.
+    fn choose_placement(&self, pending: &PendingRequest) -> Option<Placement> {
+        let lowest = self.settings.classes.get(pending.request.class)?.lowest_rung;
+        let asked = self.settings.highest_rung(&pending.request)?;
+        if asked < lowest || !self.allows_attempt(pending) {
+            return None;
+        }
+        self.candidates(pending).into_iter().find_map(|server| {
+            let rung = self.choose_rung(server, &pending.request, lowest, asked, 0.0)?;
+            Some(Placement { server: server.endpoint.server, rung })
+        })
+    }
+
+    /// Holders that may take the request, healthy ones first, then the least load first.
+    pub(crate) fn candidates(&self, pending: &PendingRequest) -> Vec<&Server> {
+        let may_take = |server: &&Server| {
+            self.settings.hosts_title(&server.endpoint, &pending.request)
+                && self.is_available(server, pending)
+        };
+        let rank = |server| Candidate {
+            server,
+            load: self.placement_load(server),
+            tie_breaker: tie_breaker(self.seed, pending.request.session, server.endpoint.server),
+        };
+        let mut candidates: Vec<_> = self.servers.values().filter(may_take).map(rank).collect();
+        candidates.sort_by(|a, b| {
+            let by_health = a.server.health.is_failing().cmp(&b.server.health.is_failing());
+            by_health.then(a.load.total_cmp(&b.load)).then(a.tie_breaker.cmp(&b.tie_breaker))
+        });
+        candidates.into_iter().map(|candidate| candidate.server).collect()
+    }
+
+    /// D(C0): the asked rung under the mark, else the highest under the full line, else none.
+    /// `current_kb_s` is the rate that the session has there already.
+    pub(crate) fn choose_rung(
+        &self,
+        server: &Server,
+        request: &Request,
+        lowest: usize,
+        asked: usize,
+        current_kb_s: f64,
+    ) -> Option<usize> {
+        let limit = self.quota_limit(request);
+        let added_kb_s = |rung| self.settings.rate(request.class, rung) - current_kb_s + limit.reserved_kb_s;
+        let mark = limit.line_scale * MARK * self.demand_scale(request, asked);
+        if self.fits(server, added_kb_s(asked), mark, CAUTION) {
+            return Some(asked);
+        }
+        let full_line = limit.line_scale * FULL_LINE;
+        let mut lower = (lowest + 1..asked).rev();
+        let highest_fitting = lower.find(|rung| {
+            self.fits(server, added_kb_s(*rung), full_line * self.demand_scale(request, *rung), CAUTION)
+        });
+        highest_fitting.or_else(|| self.fits(server, added_kb_s(lowest), full_line, 0.0).then_some(lowest))
+    }
+
+    /// The mark answers demand (the paper's choice of C0), on each rung: one at which the viewers seen would
+    /// overfill the fleet is given only while the link is that much emptier.
+    fn demand_scale(&self, request: &Request, rung: usize) -> f64 {
+        let demand = self.rung_demand(request.class, request.tenant, rung);
+        1.0 / demand.map_or(1.0, |demand| demand.with_rung.max(1.0))
+    }
+
+    /// Whether a rate fits under a line on both link and uplink. `caution`: standard deviations over the mean
+    /// that an unreported one is taken for.
+    fn fits(&self, server: &Server, kb_s: f64, line: f64, caution: f64) -> bool {
+        let uplink = self.uplink_of(server);
+        let margin = |reported_at: Option<Timestamp>, deviation: f64| {
+            if reported_at.is_some() { 0.0 } else { caution * deviation }
+        };
+        let link_margin = margin(server.link.reported_at, self.fleet_load.link.deviation);
+        let link_added = link_margin + server.link.fraction(kb_s);
+        let uplink_margin = margin(uplink.and_then(|u| u.reported_at), self.fleet_load.uplink.deviation);
+        let uplink_added = uplink_margin + uplink.map_or(0.0, |u| u.fraction(kb_s));
+        !server.shortage.is_short
+            && self.link_utilization(server) + link_added <= line
+            && self.uplink_utilization(server) + uplink_added <= line
+    }
+
+    /// What holders are ranked by: utilization of link and uplink, and the price of a crossing of zones.
+    fn placement_load(&self, server: &Server) -> f64 {
+        let own_zone = self.settings.zone;
+        let is_crossing =
+            own_zone.is_some() && server.endpoint.zone.is_some() && own_zone != server.endpoint.zone;
+        let crossing =
+            if is_crossing { self.settings.zone_crossing_price * ZONE_CROSSING_WEIGHT } else { 0.0 };
+        self.link_utilization(server) + self.uplink_utilization(server) + crossing
+    }
+
+    /// Rejects a request, with advice when to return where viewers honour it.
+    pub(crate) fn reject(&mut self, request: &Request) {
+        let longest = self.settings.limits.max_retry_after;
+        // Spread over the upper half of what viewers honour, so that they don't return as one crowd.
+        let spread_permille = (mix(self.seed ^ request.session.0) % 1000) as i64;
+        let is_advised = longest > TimeDelta::ZERO;
+        let retry_after = is_advised.then(|| longest / 2 + longest / 2 * spread_permille / 1000);
+        self.actions.push(Action::Reject { session: request.session, retry_after });
+    }
+}
--- /dev/null
+++ b/src/policy/downgrades.rs
@@ -0,0 +1,200 @@
+//! Exceptions: playing sessions go to lower rungs, to relieve a server that delivers short, or to free
+//! capacity for a request that would be rejected. The tenant of the greatest quota debt goes first, then the
+//! least utility for the rate.
+
+use super::admission::FULL_LINE;
+use crate::director::Director;
+use crate::hash::draw;
+use crate::interface::{LoadReport, ServerId};
+use crate::state::link_estimate::LinkEstimate;
+use crate::state::records::{CapacityNeed, Downgrade, ReportSource, RungChanges};
+use crate::state::servers::Server;
+use crate::state::sessions::{PendingRequest, SessionGroup, SessionsByTime};
+use crate::time::{TimeDelta, Timestamp};
+use std::collections::BTreeSet;
+
+/// A server that delivers at least this fraction is not short.
+const FULL_DELIVERY: f64 = 0.98;
+/// Downgrades aim at this fraction of what is delivered ...
+const RELIEF_TARGET: f64 = 0.97;
+/// ... and free so many times what is missing: shortage costs more than free capacity.
+const RELIEF_FACTOR: f64 = 2.0;
+/// A server's sessions are downgraded again after this: it must show in the reports first.
+const RELIEF_INTERVAL: TimeDelta = TimeDelta::from_secs(2);
+/// A session whose rung was set may be reconsidered after this.
+pub(crate) const RECONSIDER_AFTER: TimeDelta = TimeDelta::from_secs(4);
+
+impl Director {
+    /// When the rung of a new session may be reconsidered: at once where nothing was known of its link.
+    pub(crate) fn reconsider_placement_at(&self, server: ServerId) -> Timestamp {
+        let is_unreported = self.servers.get(&server).is_some_and(|s| s.link.reported_at.is_none());
+        self.now + if is_unreported { TimeDelta::ZERO } else { RECONSIDER_AFTER }
+    }
+
+    /// Downgrades that groups at some servers may take, in the order in which they should.
+    fn cheapest_downgrades(
+        &self,
+        servers: &[ServerId],
+        target_rung: impl Fn(&SessionGroup) -> Option<usize>,
+    ) -> Vec<Downgrade> {
+        let downgrade = |(group, _): (&SessionGroup, _)| {
+            let rung = target_rung(group)?;
+            let freed_kb_s =
+                self.settings.rate(group.class, group.rung) - self.settings.rate(group.class, rung);
+            let lost_utility = self.settings.utility_loss(group.class, group.rung, rung)?;
+            let utility_per_kb = lost_utility / freed_kb_s.max(1.0);
+            Some(Downgrade { utility_per_kb, group: *group, rung, freed_kb_s, lost_utility })
+        };
+        let groups = servers.iter().flat_map(|server| self.sessions.groups_at(*server));
+        let mut downgrades: Vec<_> = groups.filter_map(downgrade).collect();
+        let debt = |downgrade: &Downgrade| self.quota_debt(downgrade.group.tenant);
+        downgrades.sort_by(|a, b| {
+            let by_utility = a.utility_per_kb.total_cmp(&b.utility_per_kb);
+            debt(b).total_cmp(&debt(a)).then(by_utility).then(a.group.cmp(&b.group))
+        });
+        downgrades
+    }
+
+    /// Takes the fraction of its sessions' rates that a server delivers: each second while that is short.
+    pub(crate) fn record_delivery(&mut self, id: ServerId, delivered: f64) {
+        let Some(server) = self.servers.get_mut(&id) else { return };
+        let shortage = &mut server.shortage;
+        if delivered >= FULL_DELIVERY {
+            return shortage.clear();
+        }
+        // Where the link is not full the uplink falls short, and this tells how full it is.
+        let is_uplink_short = server.link.reported_at.is_some() && server.link.utilization < FULL_LINE;
+        let penalty = self.settings.stall_penalty;
+        shortage.lost_utility_s += (penalty * (FULL_DELIVERY - delivered)).clamp(0.0, 1.0);
+        shortage.is_short = true;
+        shortage.reported_at = self.now;
+        let is_paused = shortage.relieved_at.is_some_and(|at| self.now - at < RELIEF_INTERVAL);
+        let is_lasting = shortage.lost_utility_s >= self.settings.rung_change_cost_s;
+        if penalty > 0.0 && is_lasting && !is_paused {
+            shortage.lost_utility_s = 0.0;
+            shortage.relieved_at = Some(self.now);
+            self.relieve(id, delivered);
+        }
+        let uplink_utilization = is_uplink_short.then_some(1.0 / delivered);
+        let report = LoadReport { uplink_utilization, ..LoadReport::default() };
+        self.record_load(id, report, ReportSource::Shortage);
+    }
+
+    /// A shortage, of link or uplink, has cost each session there as much as a change of rung does, so it
+    /// lasts. This director's sessions free their own part of what is missing.
+    fn relieve(&mut self, server: ServerId, delivered: f64) {
+        let group_kb_s = |(group, sessions): (&SessionGroup, &SessionsByTime)| {
+            self.settings.rate(group.class, group.rung) * sessions.len() as f64
+        };
+        let own_kb_s: f64 = self.sessions.groups_at(server).map(group_kb_s).sum();
+        let mut missing_kb_s = own_kb_s * (1.0 - delivered.max(0.0) / RELIEF_TARGET);
+        let rung_below = |group: &SessionGroup| {
+            group.rung.checked_sub(1).filter(|rung| *rung >= self.settings.lowest_rung(group.class))
+        };
+        for Downgrade { group, rung, freed_kb_s, .. } in self.cheapest_downgrades(&[server], rung_below) {
+            let sessions = self.sessions.playing.get(&group).into_iter().flatten();
+            let sessions: BTreeSet<_> = sessions.map(|(_, id)| *id).collect();
+            for session in sessions {
+                // Many directors hold one session each there: of the last downgrade only the needed part is
+                // taken, by draw, or all together would free several times what is missing.
+                let seed = self.seed ^ session.0 ^ self.now.as_micros() as u64;
+                if draw(seed) * freed_kb_s < RELIEF_FACTOR * missing_kb_s {
+                    self.change_rung(session, rung);
+                }
+                missing_kb_s -= freed_kb_s;
+                if missing_kb_s <= 0.0 {
+                    return;
+                }
+            }
+        }
+    }
+
+    /// A request would be rejected for want of capacity, though this director's own sessions on a holder (or
+    /// under its rack's uplink, if only that is full) play above what all viewers there could have. They go
+    /// down to that, if the request gains more than they lose and the changes cost. True if they did.
+    pub(crate) fn free_capacity(&mut self, pending: &PendingRequest) -> bool {
+        let Some(need) = self.capacity_need(pending) else { return false };
+        let mut seen_racks = BTreeSet::new();
+        let candidates = self.candidates(pending).into_iter();
+        let mut healthy =
+            candidates.filter(|server| !server.shortage.is_short && !server.health.is_failing());
+        let found = healthy.find_map(|server| self.downgrades_at(server, &need, &mut seen_racks));
+        let is_freed = found.is_some();
+        found.into_iter().flatten().for_each(|(session, rung)| self.change_rung(session, rung));
+        is_freed
+    }
+
+    /// What a request lacks, if it could be set up at all.
+    fn capacity_need(&self, pending: &PendingRequest) -> Option<CapacityNeed> {
+        let request = &pending.request;
+        let class = self.settings.classes.get(request.class)?;
+        if !self.allows_attempt(pending) || self.settings.highest_rung(request) < Some(class.lowest_rung) {
+            return None;
+        }
+        let utility = self.settings.ladder.get(class.lowest_rung).map_or(0.0, |rung| rung.utility);
+        let duration_s = self.remaining_seconds(request, TimeDelta::ZERO);
+        let limit = self.quota_limit(request);
+        Some(CapacityNeed {
+            line: limit.line_scale * FULL_LINE,
+            kb_s: self.settings.rate(request.class, class.lowest_rung) + limit.reserved_kb_s,
+            debt: self.quota_debt(request.tenant),
+            gained_utility_s: class.priority_weight * utility * duration_s,
+        })
+    }
+
+    /// The downgrades that make room for a request at one server; none if they are not worth it.
+    fn downgrades_at(
+        &self,
+        server: &Server,
+        need: &CapacityNeed,
+        seen_racks: &mut BTreeSet<u64>,
+    ) -> Option<RungChanges> {
+        let missing = |estimate: &LinkEstimate, utilization: f64| {
+            (utilization + estimate.fraction(need.kb_s) - need.line) * estimate.capacity_kb_s
+        };
+        let link_kb_s = missing(&server.link, self.link_utilization(server));
+        let uplink = self.uplink_of(server);
+        let uplink_kb_s = uplink.map_or(0.0, |uplink| missing(uplink, self.uplink_utilization(server)));
+        let rack = self.settings.rack_of_cell(server.endpoint.cell).filter(|_| link_kb_s <= 0.0);
+        if rack.is_some_and(|rack| !seen_racks.insert(rack)) {
+            return None; // the same sessions for the same need
+        }
+        let servers = self.servers_sharing(server, rack);
+        let missing_kb_s = link_kb_s.max(uplink_kb_s);
+        let mut freed_kb_s = 0.0;
+        let mut lost_utility_s = 0.0;
+        let mut changes = Vec::new();
+        for downgrade in self.cheapest_downgrades(&servers, |group| self.affordable_rung(group, need.debt)) {
+            let group = &downgrade.group;
+            let change_cost =
+                self.settings.rung_change_cost_s * self.settings.classes[group.class].priority_weight;
+            let sessions = self.sessions.playing[group].iter();
+            let due = sessions.take_while(|(reconsider_at, _)| *reconsider_at <= self.now);
+            for session in due.filter_map(|(_, id)| self.sessions.get(*id)) {
+                if freed_kb_s >= missing_kb_s {
+                    break;
+                }
+                let age = self.now - session.sent_at;
+                let remaining_s = self.remaining_seconds(&session.pending.request, age);
+                freed_kb_s += downgrade.freed_kb_s;
+                lost_utility_s = lost_utility_s + downgrade.lost_utility * remaining_s + change_cost;
+                changes.push((session.pending.request.session, downgrade.rung));
+            }
+        }
+        // What is freed beyond the need serves the next request, so only the needed part is weighed.
+        let is_worth_it = lost_utility_s * missing_kb_s < need.gained_utility_s * freed_kb_s;
+        (freed_kb_s >= missing_kb_s && is_worth_it).then_some(changes)
+    }
+
+    /// The highest lower rung that all viewers could have where a group plays, else the lowest. One whose
+    /// tenant is less in debt than the request's makes no room for it.
+    fn affordable_rung(&self, group: &SessionGroup, debt: f64) -> Option<usize> {
+        let lowest = self.settings.lowest_rung(group.class);
+        if group.rung <= lowest || self.quota_debt(group.tenant) < debt {
+            return None;
+        }
+        let load_ratio = self.load_ratio(&self.servers[&group.server]);
+        let mut lower = (lowest..group.rung).rev();
+        Some(lower.find(|rung| self.is_affordable(group, *rung, 1.0, load_ratio)).unwrap_or(lowest))
+    }
+}
--- /dev/null
+++ b/tests/counts.rs
@@ -0,0 +1,298 @@
+//! The running counts beside the plain walks over all sessions that they stand for, on random events.
+
+mod common;
+
+use common::{Dice, MS, PAID, S, line};
+use shalewall::inspection::{Inspection, SessionRecord, TenantRecord};
+use shalewall::{
+    Director, Endpoint, EndpointState, EndpointUpdate, Event, LoadReport, Notification, Outcome,
+    Request, RetryBudget, ServerId, SessionId, Settings, TenantSettings, TimeDelta, Timestamp,
+    TitleId,
+};
+use std::collections::BTreeMap;
+
+const CLASSES: usize = 3;
+const TENANTS: usize = 3;
+const TITLES: u64 = 6;
+const SERVERS: u64 = 6;
+/// Token of the director's periodic timer.
+const TICK_TOKEN: u64 = u64::MAX;
+
+fn settings() -> Settings {
+    let mut settings = Settings {
+        director_count: 3,
+        cell_count: 6,
+        rack_uplink_kb_s: 25_000.0,
+        ..common::settings()
+    };
+    settings.classes[PAID].session_limit_per_title = 4;
+    settings.rules.warm_up = 8 * S;
+    settings.rules.retry_budget = Some(RetryBudget {
+        base: 2.0,
+        per_request: 0.2,
+        window: 10 * S,
+    });
+    settings.tenants = [0.2, 0.8, 0.0]
+        .map(|fleet_quota| TenantSettings {
+            fleet_quota,
+            ..TenantSettings::default()
+        })
+        .to_vec();
+    settings
+}
+
+/// The upgrade of one session, found by itself.
+fn upgrade_of(director: &Inspection, session: &SessionRecord) -> Option<usize> {
+    if !session.is_playing() || director.now() < session.reconsider_at() {
+        return None;
+    }
+    let reported_at = director.usable_report_at(session.server())?;
+    let settings = director.settings();
+    let request = session.request();
+    let class = settings.classes.get(request.class)?;
+    let top = settings.ladder.len().checked_sub(1)?;
+    let highest = request.highest_rung.min(class.highest_rung).min(top);
+    let is_unreported = director.has_unreported_uplink(session.server());
+    if reported_at < session.sent_at() || is_unreported || highest <= session.rung() {
+        return None;
+    }
+    let part = director.upgrade_draw(request.session);
+    let mut higher = (session.rung() + 1..=highest).rev();
+    let asked = higher.find(|rung| director.is_affordable(session, *rung, part))?;
+    let rung = director.choose_rung(session, asked)?;
+    if rung <= session.rung() {
+        return None;
+    }
+    let remaining = request
+        .duration_hint
+        .map(|hint| hint - (director.now() - session.sent_at()));
+    let remaining_s = remaining.map_or(f64::INFINITY, |remaining| remaining.as_secs_f64());
+    let gained = settings.ladder[rung].utility - settings.ladder[session.rung()].utility;
+    (remaining_s * gained > settings.rung_change_cost_s).then_some(rung)
+}
+
+/// What [`Inspection::upgrades`] stands for: every session that is due, by itself.
+fn upgrades_by_walk(director: &Inspection) -> BTreeMap<SessionId, usize> {
+    let upgrade = |session: SessionRecord| {
+        let rung = upgrade_of(director, &session)?;
+        Some((session.request().session, rung))
+    };
+    director.sessions().filter_map(upgrade).collect()
+}
+
+/// How many sessions are so.
+fn count(director: &Inspection, is_counted: impl Fn(&SessionRecord) -> bool) -> usize {
+    director.sessions().filter(is_counted).count()
+}
+
+fn compare_classes_and_titles(director: &Inspection) {
+    for class in 0..CLASSES {
+        let walked = count(director, |session| session.request().class == class);
+        assert_eq!(director.count_of_class(class), walked);
+    }
+    for title in (0..TITLES).map(TitleId) {
+        let walked = count(director, |session| session.request().title == title);
+        assert_eq!(director.count_of_title(title), walked);
+    }
+}
+
+fn compare_tenants(director: &Inspection) {
+    let rate_kb_s = |tenant| -> f64 {
+        let sessions = director.sessions();
+        let own = sessions.filter(|session| session.request().tenant == Some(tenant));
+        own.map(|session| session.rate_kb_s()).sum()
+    };
+    for tenant in 0..TENANTS {
+        let walked = count(director, |session| session.request().tenant == Some(tenant));
+        let counted = director.tenant(tenant);
+        assert_eq!(counted.is_some(), walked > 0);
+        let counted = counted.unwrap_or(TenantRecord {
+            sessions: 0,
+            rate_kb_s: 0.0,
+        });
+        assert_eq!(counted.sessions, walked);
+        assert!((counted.rate_kb_s - rate_kb_s(tenant)).abs() < 1e-6);
+    }
+    let walked: f64 = (0..TENANTS).map(rate_kb_s).sum();
+    assert!((director.tenants_rate_kb_s() - walked).abs() < 1e-6);
+}
+
+fn compare_servers(director: &Inspection) {
+    for ago in [TimeDelta::ZERO, S, 2 * S, 3 * S, 10 * S] {
+        let time = director.now() - ago;
+        let walked = count(director, |session| session.sent_at() > time);
+        assert_eq!(director.count_sent_after(time), walked);
+        for server in (1..=SERVERS).map(ServerId) {
+            let walked = count(director, |session| {
+                session.server() == server && session.sent_at() > time
+            });
+            assert_eq!(director.count_sent_to_after(server, time), walked);
+        }
+    }
+    for server in (1..=SERVERS).map(ServerId) {
+        let walked = count(director, |session| {
+            session.server() == server && !session.is_playing()
+        });
+        assert_eq!(director.count_not_playing_at(server), walked);
+        let held = count(director, |session| session.server() == server);
+        assert_eq!(director.has_sessions_at(server), held > 0);
+    }
+}
+
+fn compare(director: &Inspection) {
+    compare_classes_and_titles(director);
+    compare_tenants(director);
+    compare_servers(director);
+    assert_eq!(
+        director.count_playing(),
+        count(director, |session| session.is_playing())
+    );
+    assert_eq!(director.upgrades(), upgrades_by_walk(director));
+}
+
+fn listed(id: u64, state: EndpointState) -> Endpoint {
+    Endpoint { state, ..line(id) }
+}
+
+fn request(dice: &mut Dice, id: u64, now: Timestamp) -> Request {
+    Request {
+        session: SessionId(id),
+        class: dice.roll(2) as usize,
+        tenant: Some(dice.roll(4) as usize).filter(|t| *t < 3),
+        viewer: dice.roll(80),
+        title: TitleId(dice.roll(6)),
+        deadline: now + 4 * S,
+        duration_hint: (dice.roll(3) > 0).then_some(40 * S),
+        first_cell: dice.roll(6),
+        replica_cells: 3,
+        highest_rung: dice.roll(6) as usize,
+        is_retry: false,
+        fleet: 0,
+    }
+}
+
+/// A session held, of which an event may tell.
+struct DrawnSession {
+    session: SessionId,
+    attempt: u32,
+    server: ServerId,
+    awaits_answer: bool,
+}
+
+fn draw_session(dice: &mut Dice, director: &Director) -> Option<DrawnSession> {
+    let held = director.inspect().sessions().count().max(1) as u64;
+    let record = director
+        .inspect()
+        .sessions()
+        .nth(dice.roll(held) as usize)?;
+    Some(DrawnSession {
+        session: record.request().session,
+        attempt: record.attempt(),
+        server: record.server(),
+        awaits_answer: record.awaits_answer(),
+    })
+}
+
+fn draw_end(dice: &mut Dice, drawn: DrawnSession) -> Event {
+    let outcomes = [
+        Outcome::Success,
+        Outcome::ConnectionReset,
+        Outcome::Rejected,
+        Outcome::TimedOut,
+    ];
+    let outcome = outcomes[dice.roll(4) as usize];
+    let load_report = LoadReport {
+        link_utilization: Some(dice.roll(12) as f64 / 10.0),
+        ..LoadReport::default()
+    };
+    Event::AttemptFinished {
+        session: drawn.session,
+        attempt: drawn.attempt,
+        server: drawn.server,
+        outcome,
+        is_answered: dice.roll(2) == 0,
+        load_report,
+    }
+}
+
+fn draw_notification(dice: &mut Dice) -> Notification {
+    match dice.roll(5) {
+        0 => Notification::DeliveredFraction(if dice.roll(2) == 0 { 0.6 } else { 1.0 }),
+        1 => Notification::CurrentRung(dice.roll(6) as usize),
+        2 => Notification::LinkUtilization(dice.roll(10) as f64 / 10.0),
+        _ => Notification::UplinkUtilization(dice.roll(10) as f64 / 10.0),
+    }
+}
+
+fn draw_event(dice: &mut Dice, director: &Director, id: u64, now: Timestamp) -> Event {
+    match (dice.roll(10), draw_session(dice, director)) {
+        (0..=2, _) => Event::RequestReceived(request(dice, id, now)),
+        (3..=4, Some(drawn)) if drawn.awaits_answer => Event::SessionStarted {
+            session: drawn.session,
+            attempt: drawn.attempt,
+            server: drawn.server,
+            setup_time: 80 * MS,
+        },
+        (3..=5, Some(drawn)) if dice.roll(2) == 0 => draw_end(dice, drawn),
+        (6..=7, Some(drawn)) if !drawn.awaits_answer => Event::Notified {
+            session: drawn.session,
+            attempt: drawn.attempt,
+            server: drawn.server,
+            notification: draw_notification(dice),
+        },
+        (8, Some(drawn)) if dice.roll(4) == 0 => Event::RequestWithdrawn(drawn.session),
+        (9, _) if dice.roll(8) == 0 => {
+            let state = if dice.roll(2) == 0 {
+                EndpointState::Gone
+            } else {
+                EndpointState::Ready
+            };
+            Event::EndpointsUpdated {
+                update: EndpointUpdate::Delta,
+                endpoints: vec![listed(1 + dice.roll(6), state)],
+            }
+        }
+        _ => Event::TimerFired(TICK_TOKEN),
+    }
+}
+
+#[test]
+fn running_counts_are_what_plain_walks_find() {
+    let mut upgraded = 0;
+    for seed in 1..=8u64 {
+        let mut dice = Dice(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+        let mut now = Timestamp::ZERO;
+        let mut out = Vec::new();
+        let mut director = Director::new(seed, settings(), now);
+        let endpoints = (1..=SERVERS)
+            .map(|id| listed(id, EndpointState::Ready))
+            .collect();
+        director.handle(
+            now,
+            Event::EndpointsUpdated {
+                update: EndpointUpdate::Full,
+                endpoints,
+            },
+            &mut out,
+        );
+        for id in 0..40 {
+            let req = request(&mut dice, id, now);
+            director.handle(
+                now,
+                Event::SessionTransferred(req, ServerId(1 + dice.roll(6))),
+                &mut out,
+            );
+        }
+        for id in 40..1200 {
+            now += dice.roll(80) as i64 * MS;
+            let event = draw_event(&mut dice, &director, id, now);
+            director.handle(now, event, &mut out);
+            compare(&director.inspect());
+            upgraded += director.inspect().upgrades().len();
+        }
+    }
+    assert!(
+        upgraded > 20,
+        "the runs have to bring sessions that may step up: {upgraded}"
+    );
+}
