--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -6,7 +6,7 @@
 use manage::{Reach, StoreCommand, TenantCommand};
 use shalewall_scripted_days as day;
 use shalewall_server::serve;
-use shalewall_settings::{AdminPlan, DayPlan, Error, FrontPlan, Settings, read};
+use shalewall_settings::{AdminPlan, DayPlan, Error, FrontPlan, SettingsFile, read};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -96,7 +96,7 @@
 const BROKEN: u8 = 1;
 const BAD_INPUT: u8 = 2;
 
-fn settings<T: Settings>(file: &Path) -> Result<T, ExitCode> {
+fn settings<T: SettingsFile>(file: &Path) -> Result<T, ExitCode> {
     read(file).map_err(|errors: Vec<Error>| {
         errors.iter().for_each(|e| eprintln!("shalewall: {e}"));
         ExitCode::from(BAD_INPUT)
--- a/crates/settings/src/locate.rs
+++ b/crates/settings/src/locate.rs
@@ -1,45 +1,81 @@
 //! Where in a file a path is, so that an error can name the line.
 
 use hcl_edit::Span;
-use hcl_edit::structure::{Body, Structure};
+use hcl_edit::structure::{Block, Body, Structure};
+
+/// The deepest part of a path that a text has.
+pub(crate) struct Found {
+    /// How many parts of the path the text has.
+    pub depth: usize,
+    /// The line of the last of them, from 1.
+    pub line: usize,
+}
 
 /// Validation paths come as `a.b[c].d`; elsewhere they are `a.b.c.d`.
-pub fn dotted(path: &str) -> String {
+pub(crate) fn dotted(path: &str) -> String {
     path.replace('[', ".")
         .replace(']', "")
         .trim_matches('.')
         .to_string()
 }
 
-/// How many parts of the path the file has, and the line, from 1, of the deepest one.
-pub fn line(text: &str, path: &str) -> Option<(usize, usize)> {
+/// Looks for a path in a text; none where the text is not HCL.
+pub(crate) fn find(text: &str, path: &str) -> Option<Found> {
     let body = hcl_edit::parser::parse_body(text).ok()?;
     let path = dotted(path);
-    let parts: Vec<&str> = path.split('.').filter(|p| !p.is_empty()).collect();
-    let (depth, at) = find(&body, &parts).unwrap_or((0, 0));
-    Some((depth, text.get(..at)?.matches('\n').count() + 1))
+    let parts: Vec<&str> = path.split('.').filter(|part| !part.is_empty()).collect();
+    let deepest = find_in_body(&body, &parts).unwrap_or(Deepest {
+        depth: 0,
+        offset: 0,
+    });
+    let line = text.get(..deepest.offset)?.matches('\n').count() + 1;
+    Some(Found {
+        depth: deepest.depth,
+        line,
+    })
 }
 
-fn find(body: &Body, parts: &[&str]) -> Option<(usize, usize)> {
+/// As [`Found`], by the offset in bytes.
+struct Deepest {
+    depth: usize,
+    offset: usize,
+}
+
+fn find_in_body(body: &Body, parts: &[&str]) -> Option<Deepest> {
     let (first, rest) = parts.split_first()?;
     for structure in body.iter() {
         match structure {
-            Structure::Attribute(a) if a.key.as_str() == *first => {
-                return a.span().map(|s| (1, s.start));
+            Structure::Attribute(attribute) if attribute.key.as_str() == *first => {
+                let offset = attribute.span()?.start;
+                return Some(Deepest { depth: 1, offset });
             }
-            Structure::Block(b) if b.ident.as_str() == *first => {
-                let labels: Vec<&str> = b.labels.iter().map(|l| l.as_str()).collect();
-                let named = rest.len().min(labels.len());
-                if labels[..named] != rest[..named] {
-                    continue;
-                }
-                let start = b.span().map(|s| s.start);
-                let deeper =
-                    find(&b.body, &rest[named..]).map(|(depth, at)| (depth + 1 + named, at));
-                return deeper.or(start.map(|at| (1 + named, at)));
+            Structure::Block(block) if block.ident.as_str() == *first && is_named(block, rest) => {
+                return find_in_block(block, rest);
             }
             _ => {}
         }
     }
     None
 }
+
+/// Whether the labels of a block are the next parts of the path.
+fn is_named(block: &Block, rest: &[&str]) -> bool {
+    let mut labels = block.labels.iter().zip(rest);
+    labels.all(|(label, part)| label.as_str() == *part)
+}
+
+/// The block itself, or what is deeper in it.
+fn find_in_block(block: &Block, rest: &[&str]) -> Option<Deepest> {
+    let labels = rest.len().min(block.labels.len());
+    let own_depth = 1 + labels;
+    if let Some(deeper) = find_in_body(&block.body, &rest[labels..]) {
+        return Some(Deepest {
+            depth: own_depth + deeper.depth,
+            offset: deeper.offset,
+        });
+    }
+    Some(Deepest {
+        depth: own_depth,
+        offset: block.span()?.start,
+    })
+}
--- a/crates/settings/src/moves.rs
+++ b/crates/settings/src/moves.rs
@@ -1,9 +1,8 @@
-//! Hand-overs of sessions that play.
+//! When sessions that play are moved to another node.
 
-use crate::site::us;
+use crate::units::{from_millis, from_seconds};
 use garde::Validate;
 use serde::{Deserialize, Serialize};
-use shalewall::TimeDelta;
 use shalewall_migration::planner::MigrationPolicy;
 
 /// When sessions may be handed over to another node while they play. Absent in a site: never.
@@ -23,10 +22,11 @@
     #[garde(range(min = 1.0, max = 3600.0))]
     #[serde(default = "lasts_s")]
     pub lasts_s: f64,
-    /// Moves under way at most, from and to one node, and of one front.
+    /// Moves under way at most, from and to one node.
     #[garde(range(min = 1, max = 10_000))]
     #[serde(default = "at_node")]
     pub at_node: usize,
+    /// Moves under way at most, of one director.
     #[garde(range(min = 1, max = 100_000))]
     #[serde(default = "at_front")]
     pub at_front: usize,
@@ -61,11 +61,12 @@
 }
 
 impl Moves {
-    pub(crate) fn terms(&self) -> MigrationPolicy {
+    /// As the engine is told.
+    pub(crate) fn policy(&self) -> MigrationPolicy {
         MigrationPolicy {
-            duration: TimeDelta::from_micros(us(self.takes_ms)),
-            cooldown: TimeDelta::from_micros(us(self.again_s * 1000.0)),
-            min_shortage: TimeDelta::from_micros(us(self.lasts_s * 1000.0)),
+            duration: from_millis(self.takes_ms),
+            cooldown: from_seconds(self.again_s),
+            min_shortage: from_seconds(self.lasts_s),
             max_per_node: self.at_node,
             max_per_director: self.at_front,
             cost_s: self.costs_s,
--- a/crates/settings/tests/errors.rs
+++ b/crates/settings/tests/errors.rs
@@ -108,16 +108,16 @@
         let found = errors(&text);
         let one = found
             .iter()
-            .find(|e| e.path.starts_with(path))
+            .find(|e| e.location.path.starts_with(path))
             .unwrap_or_else(|| panic!("{path}: {found:?}"));
-        assert_eq!(one.file, "x.hcl");
-        let near = one.line.unwrap_or(0).abs_diff(line);
+        assert_eq!(one.location.file, "x.hcl");
+        let near = one.location.line.unwrap_or(0).abs_diff(line);
         assert!(
             near <= 12,
             "{path}: line {:?}, changed was {line}: {one}",
-            one.line
+            one.location.line
         );
-        assert!(!one.what.is_empty());
+        assert!(!one.problem.to_string().is_empty());
     }
     let exact = [
         "day.seconds",
@@ -126,16 +126,18 @@
     ];
     for (from, to, path) in table.iter().filter(|(_, _, p)| exact.contains(p)) {
         let (text, line) = changed(from, to);
-        assert_eq!(errors(&text)[0].line, Some(line), "{path}");
+        assert_eq!(errors(&text)[0].location.line, Some(line), "{path}");
     }
 }
 
 #[test]
 fn text_that_is_no_hcl_is_told_with_its_line() {
     let found = errors("day {\n  seconds = = 4\n}\n");
-    assert_eq!(found[0].line, Some(2), "{}", found[0]);
+    assert_eq!(found[0].location.line, Some(2), "{}", found[0]);
     assert!(
-        errors("").iter().any(|e| e.what.contains("day")),
+        errors("")
+            .iter()
+            .any(|e| e.problem.to_string().contains("day")),
         "what is missing is named"
     );
 }
@@ -165,9 +167,9 @@
         let found = shalewall_settings::read::<DayPlan>(&file("own.hcl", own)).expect_err("wrong");
         let short = |e: &Error| {
             (
-                e.file.rsplit('/').next().unwrap().to_string(),
-                e.line,
-                e.path.clone(),
+                e.location.file.rsplit('/').next().unwrap().to_string(),
+                e.location.line,
+                e.location.path.clone(),
             )
         };
         found.iter().map(short).collect::<Vec<_>>()
--- a/crates/settings/tests/stored_forms.rs
+++ b/crates/settings/tests/stored_forms.rs
@@ -4,7 +4,7 @@
 
 use serde::Serialize;
 use shalewall::TimeDelta;
-use shalewall_settings::{AdminPlan, DayPlan, FrontPlan, Settings, read};
+use shalewall_settings::{AdminPlan, DayPlan, FrontPlan, SettingsFile, read};
 use std::path::{Path, PathBuf};
 
 fn fixture(name: &str) -> PathBuf {
@@ -14,7 +14,7 @@
 }
 
 /// Reads a fixture and compares the result, as settings files name it, with the recorded one.
-fn read_as_recorded<T: Settings + Serialize>(name: &str) -> T {
+fn read_as_recorded<T: SettingsFile + Serialize>(name: &str) -> T {
     let settings: T = read(&fixture(&format!("{name}.hcl"))).expect("the fixture is right");
     let recorded = std::fs::read_to_string(fixture(&format!("{name}.json"))).unwrap();
     let recorded: serde_json::Value = serde_json::from_str(&recorded).unwrap();
@@ -124,7 +124,7 @@
 }
 
 /// Reads a wrong fixture and compares the lines that its user is shown with the recorded ones.
-fn refused_as_recorded<T: Settings>(name: &str) {
+fn refused_as_recorded<T: SettingsFile>(name: &str) {
     let Err(errors) = read::<T>(&fixture(&format!("{name}.hcl"))) else {
         panic!("{name} has to be refused");
     };
