--- a/crates/behavior-digest/src/engine.rs
+++ b/crates/behavior-digest/src/engine.rs
@@ -142,9 +142,9 @@
         .map(|i| {
             (
                 format!("t{i}"),
-                Place {
-                    home: i % NODES,
-                    spread: 3,
+                TitlePlacement {
+                    first_cell: i % NODES,
+                    replica_cells: 3,
                 },
             )
         })
@@ -160,16 +160,21 @@
     Config {
         seed,
         settings: settings(variant),
-        classes: vec![("open".into(), 4 * SECOND), ("paid".into(), 4 * SECOND)],
+        classes: ["open", "paid"]
+            .map(|name| NamedClass {
+                name: name.into(),
+                max_wait: 4 * SECOND,
+            })
+            .to_vec(),
         tenants: if variant.tenants {
             vec!["a".into(), "b".into()]
         } else {
             Vec::new()
         },
-        kinds: vec!["box".into()],
+        machine_kinds: vec!["box".into()],
         titles,
-        most_sessions: 150,
-        moves: variant.moves.then_some(terms),
+        max_sessions: 150,
+        migration: variant.moves.then_some(terms),
         ..Default::default()
     }
 }
@@ -180,17 +185,19 @@
     wishes: u64,
 }
 
-impl Admit for EveryTwentiethWaits {
+impl AdmissionControl for EveryTwentiethWaits {
     fn admit(&mut self, _: Micros, tenant: Option<&str>) -> Admission {
         self.wishes += 1;
         match tenant {
-            Some("nobody") => Admission::Unknown,
-            _ if self.wishes.is_multiple_of(20) => Admission::Away { come_back: SECOND },
-            _ => Admission::Taken,
+            Some("nobody") => Admission::UnknownTenant,
+            _ if self.wishes.is_multiple_of(20) => Admission::Rejected {
+                retry_after: SECOND,
+            },
+            _ => Admission::Admitted,
         }
     }
 
-    fn over(&mut self, _: Micros, _: Option<&str>) {}
+    fn release(&mut self, _: Micros, _: Option<&str>) {}
 }
 
 /// What happens at a later time.
@@ -216,7 +223,7 @@
     queued: u64,
     calls: BTreeMap<CallId, Call>,
     next_ask: u64,
-    waiting: BTreeSet<AskId>,
+    waiting: BTreeSet<RequestId>,
     /// Sessions that play, with the epoch that each player plays.
     playing: BTreeMap<SessionId, Epoch>,
     /// What each node holds.
@@ -227,7 +234,7 @@
 impl<'e> Script<'e> {
     fn new(seed: u64, variant: Variant, encoder: &'e mut Encoder) -> Script<'e> {
         let mut engine = Engine::new(config(seed, variant), 0);
-        engine.set_door(Box::new(EveryTwentiethWaits::default()));
+        engine.set_admission_control(Box::new(EveryTwentiethWaits::default()));
         Script {
             engine,
             variant,
@@ -264,23 +271,23 @@
         let lines = (0..NODES)
             .map(|n| line(n, EndpointState::Ready, None))
             .collect();
-        self.tell(Input::List {
-            news: EndpointUpdate::Full,
-            lines,
+        self.tell(Input::EndpointsUpdated {
+            update: EndpointUpdate::Full,
+            endpoints: lines,
         });
         let restarted = self.variant.moves && self.random.percent(50);
         for node in 0..NODES {
             let server = ServerId(node);
             if restarted {
                 let sessions = self.draw_carried(node);
-                self.tell(Input::NodeHolds { server, sessions });
+                self.tell(Input::NodeSessionsReported { server, sessions });
             }
             self.node_up(server);
         }
         self.pass(2 * SECOND);
     }
 
-    fn draw_carried(&mut self, node: u64) -> Vec<Carried> {
+    fn draw_carried(&mut self, node: u64) -> Vec<TransferredSession> {
         let count = self.random.below(MOST_CARRIED + 1);
         let server = ServerId(node);
         let mut sessions = Vec::new();
@@ -293,7 +300,7 @@
                 serving: fetched.then_some(Epoch(0)),
                 prepared: (!fetched).then_some(Epoch(1)),
             };
-            sessions.push(Carried {
+            sessions.push(TransferredSession {
                 session,
                 attempt: 0,
                 viewer: session.0,
@@ -301,7 +308,7 @@
                 class: self.random.pick(&["open", "paid"]).into(),
                 title: format!("t{}", self.random.below(TITLES)),
                 rung: 0,
-                held,
+                epochs: held,
                 media: format!("m{node}"),
             });
         }
@@ -351,7 +358,7 @@
                     return;
                 };
                 let done = self.answer(&out);
-                self.tell(Input::Done { call, done });
+                self.tell(Input::CallFinished { call, result: done });
             }
         }
     }
@@ -384,26 +391,29 @@
         let class = random.pick(&[
             "open", "paid", "open", "paid", "open", "paid", "open", "none",
         ]);
-        let new = NewSession {
-            viewer: format!("v{}", random.below(70)),
+        let new = SessionRequest {
+            viewer_key: format!("v{}", random.below(70)),
             tenant: tenant.map(String::from),
             class: class.into(),
             title: format!("t{}", random.below(TITLES)),
-            wait: random
+            max_wait: random
                 .percent(30)
                 .then(|| random.between(1, 50) * 100 * MILLISECOND),
-            hint: random.percent(70).then(|| random.between(5, 90) * SECOND),
-            top: random.percent(30).then(|| random.index(2)),
-            again: random.percent(60),
+            duration_hint: random.percent(70).then(|| random.between(5, 90) * SECOND),
+            highest_rung: random.percent(30).then(|| random.index(2)),
+            is_retry: random.percent(60),
         };
-        let ask = AskId(self.next_ask);
+        let ask = RequestId(self.next_ask);
         self.waiting.insert(ask);
-        self.tell(Input::Asked { ask, new });
+        self.tell(Input::RequestReceived {
+            request_id: ask,
+            request: new,
+        });
     }
 
     fn viewer_leaves(&mut self) {
         if let Some(ask) = self.waiting.pop_first() {
-            self.tell(Input::Left { ask });
+            self.tell(Input::RequestWithdrawn { request_id: ask });
         }
     }
 
@@ -425,7 +435,7 @@
             return;
         };
         self.playing.remove(&session);
-        self.tell(Input::Ended { session });
+        self.tell(Input::EndSession { session });
     }
 
     fn node_ends_session(&mut self) {
@@ -434,9 +444,9 @@
         else {
             return;
         };
-        self.tell(Input::NodeTold {
+        self.tell(Input::NodeNotified {
             server,
-            told: Told::Ended { session, attempt },
+            event: NodeEvent::SessionEnded { session, attempt },
         });
     }
 
@@ -446,13 +456,16 @@
             return;
         };
         let random = &mut self.random;
-        let told = Told::Figures {
+        let told = NodeEvent::LoadNotified {
             session,
-            delivered: random.percent(50).then(|| random.pick(&[1.0, 1.0, 0.8])),
-            link: random.percent(70).then(|| random.share()),
-            uplink: random.percent(30).then(|| random.share()),
+            delivered_fraction: random.percent(50).then(|| random.pick(&[1.0, 1.0, 0.8])),
+            link_utilization: random.percent(70).then(|| random.share()),
+            uplink_utilization: random.percent(30).then(|| random.share()),
         };
-        self.tell(Input::NodeTold { server, told });
+        self.tell(Input::NodeNotified {
+            server,
+            event: told,
+        });
     }
 
     fn player_is_silent(&mut self) {
@@ -460,7 +473,10 @@
             return;
         };
         let buffer = self.random.between(0, 20) * 100 * MILLISECOND;
-        self.tell(Input::Silent { session, buffer });
+        self.tell(Input::StreamSilent {
+            session,
+            buffered: buffer,
+        });
     }
 
     fn node_down(&mut self) {
@@ -478,10 +494,16 @@
     }
 
     fn node_up(&mut self, server: ServerId) {
-        let held = self.held[&server].iter().copied().collect();
-        self.tell(Input::NodeUp {
+        let held = self.held[&server]
+            .iter()
+            .map(|(session, attempt)| SessionAttempt {
+                session: *session,
+                attempt: *attempt,
+            })
+            .collect();
+        self.tell(Input::NodeConnected {
             server,
-            asked: self.now,
+            requested_at: self.now,
             held,
         });
     }
@@ -498,9 +520,9 @@
         let standing = self.random.pick(&states);
         let came_up = self.random.percent(20).then_some(self.now);
         let lines = vec![line(node, standing, came_up)];
-        self.tell(Input::List {
-            news: EndpointUpdate::Delta,
-            lines,
+        self.tell(Input::EndpointsUpdated {
+            update: EndpointUpdate::Delta,
+            endpoints: lines,
         });
     }
 
@@ -508,9 +530,9 @@
         let Some(session) = self.draw_playing() else {
             return;
         };
-        self.tell(Input::Follows {
+        self.tell(Input::PlayerFollowing {
             session,
-            plays: None,
+            playing_epoch: None,
         });
     }
 
@@ -521,14 +543,17 @@
         }
         let random = &mut self.random;
         if random.percent(25) {
-            return self.tell(Input::TenantEnded { tenant: "c".into() });
+            return self.tell(Input::EndTenantSessions { tenant: "c".into() });
         }
         let classes = [(
             "open".to_string(),
-            (class_terms(Idempotency::Idempotent, 0), 3 * SECOND),
+            ClassTerms {
+                settings: class_terms(Idempotency::Idempotent, 0),
+                max_wait: 3 * SECOND,
+            },
         )];
-        let agreed = Agreed {
-            share: random.percent(80).then_some(0.3),
+        let agreed = TenantTerms {
+            quota: random.percent(80).then_some(0.3),
             classes: if random.percent(50) {
                 classes.into()
             } else {
@@ -542,31 +567,37 @@
             },
         };
         let agreed = random.percent(80).then_some(agreed);
-        self.tell(Input::Tenants(vec![("c".into(), agreed)]));
+        self.tell(Input::TenantsUpdated(vec![TenantUpdate {
+            tenant: "c".into(),
+            terms: agreed,
+        }]));
     }
 
     // ---- nodes -------------------------------------------------------------------------------
 
     /// What comes of a call at its node.
-    fn answer(&mut self, call: &Call) -> Done {
+    fn answer(&mut self, call: &Call) -> CallResult {
         let chance = self.random.below(100);
         if self.down.contains(&call.server) {
             return if chance < 50 {
-                Done::NeverRan("refused".into())
+                CallResult::NotStarted("refused".into())
             } else {
-                Done::MayHaveRun("reset".into())
+                CallResult::MaybeExecuted("reset".into())
             };
         }
-        let set_up = matches!(call.kind, CallKind::SetUp { .. } | CallKind::Prepare { .. });
+        let set_up = matches!(
+            call.kind,
+            CallKind::SetUpSession { .. } | CallKind::PrepareMigration { .. }
+        );
         match chance {
-            99 => return Done::NotSent("out of descriptors".into()),
+            99 => return CallResult::NotSent("out of descriptors".into()),
             94..=98 => {
                 self.run_call(call);
-                return Done::MayHaveRun("cut".into());
+                return CallResult::MaybeExecuted("cut".into());
             }
             88..=93 if set_up => return self.answered(503, true, call.server),
             84..=87 if set_up => return self.answered(500, false, call.server),
-            90..=93 if matches!(call.kind, CallKind::Cancel { .. }) => {
+            90..=93 if matches!(call.kind, CallKind::CancelMigration { .. }) => {
                 return self.answered(409, false, call.server);
             }
             _ => {}
@@ -575,7 +606,7 @@
         self.answered(if set_up { 201 } else { 204 }, false, call.server)
     }
 
-    fn answered(&mut self, status: u16, never_ran: bool, server: ServerId) -> Done {
+    fn answered(&mut self, status: u16, never_ran: bool, server: ServerId) -> CallResult {
         let random = &mut self.random;
         let load = LoadReport {
             streams: random.percent(20).then(|| random.below(40) as f64),
@@ -583,10 +614,10 @@
             uplink_utilization: None,
         };
         let media = random.percent(98).then(|| format!("m{}", server.0));
-        Done::Answered {
+        CallResult::Answered {
             status,
-            never_ran,
-            load,
+            not_started: never_ran,
+            load_report: load,
             media,
         }
     }
@@ -595,18 +626,18 @@
     fn run_call(&mut self, call: &Call) {
         let held = self.held.entry(call.server).or_default();
         match call.kind {
-            CallKind::SetUp {
+            CallKind::SetUpSession {
                 session, attempt, ..
             }
-            | CallKind::Prepare {
+            | CallKind::PrepareMigration {
                 session, attempt, ..
             } => {
                 held.insert((session, attempt));
             }
-            CallKind::End {
+            CallKind::EndSession {
                 session,
                 attempt,
-                upto: None,
+                up_to_epoch: None,
             } => {
                 held.remove(&(session, attempt));
             }
@@ -628,9 +659,12 @@
 
     fn carry_out(&mut self, output: Output) {
         match output {
-            Output::Answer { ask, answer } => {
+            Output::Answer {
+                request_id: ask,
+                answer,
+            } => {
                 self.waiting.remove(&ask);
-                if let Answer::Plays { session, .. } = answer {
+                if let Answer::Playing { session, .. } = answer {
                     self.plays(session);
                 }
             }
@@ -646,7 +680,7 @@
                 self.calls.insert(call, Call { server, kind });
                 self.schedule(wait * MILLISECOND, Later::CallAnswered(call));
             }
-            Output::Drop { call } => {
+            Output::CancelCall { call } => {
                 if let Some(out) = self.calls.remove(&call)
                     && self.random.percent(50)
                     && !self.down.contains(&out.server)
@@ -654,19 +688,19 @@
                     self.run_call(&out);
                 }
             }
-            Output::Offer {
+            Output::OfferMigration {
                 session,
                 epoch,
                 media,
             } => self.offered(session, epoch, &media),
-            Output::Gone { session } => {
+            Output::SessionEnded { session } => {
                 self.playing.remove(&session);
             }
-            Output::Watch { .. }
-            | Output::Unwatch { .. }
-            | Output::CloseIdle { .. }
-            | Output::Moved { .. }
-            | Output::Tried { .. }
+            Output::WatchNode { .. }
+            | Output::UnwatchNode { .. }
+            | Output::CloseIdleConnections { .. }
+            | Output::MigrationFinished { .. }
+            | Output::AttemptFinished { .. }
             | Output::Log(_) => {}
         }
     }
@@ -674,9 +708,9 @@
     fn plays(&mut self, session: SessionId) {
         self.playing.insert(session, Epoch(0));
         if self.variant.moves && self.random.percent(85) {
-            let input = Input::Follows {
+            let input = Input::PlayerFollowing {
                 session,
-                plays: Some(Epoch(0)),
+                playing_epoch: Some(Epoch(0)),
             };
             self.schedule(5 * MILLISECOND, Later::Tell(input));
         }
@@ -693,35 +727,38 @@
             return;
         }
         if chance >= 75 {
-            let input = Input::Declined { session, epoch };
+            let input = Input::EpochDeclined { session, epoch };
             return self.schedule(400 * MILLISECOND, Later::Tell(input));
         }
         self.playing
             .entry(session)
             .and_modify(|plays| *plays = epoch);
-        let told = Told::Fetched {
+        let told = NodeEvent::StreamFetched {
             session,
             attempt: 0,
             epoch,
         };
         self.schedule(
             5 * MILLISECOND,
-            Later::Tell(Input::NodeTold { server, told }),
+            Later::Tell(Input::NodeNotified {
+                server,
+                event: told,
+            }),
         );
         self.schedule(
             60 * MILLISECOND,
-            Later::Tell(Input::Playing { session, epoch }),
+            Later::Tell(Input::EpochPlaying { session, epoch }),
         );
     }
 
     fn encode_held(&mut self) {
-        let held = self.engine.held();
+        let held = self.engine.session_counts();
         for count in [
             held.waiting,
             held.playing,
             held.leaving,
-            held.owed_ends,
-            held.moving,
+            held.unconfirmed_ends,
+            held.migrating,
         ] {
             self.encoder.usize(count);
         }
@@ -735,31 +772,34 @@
     }
 }
 
-fn line(node: u64, standing: EndpointState, came_up: Option<Micros>) -> Line {
-    Line {
+fn line(node: u64, standing: EndpointState, came_up: Option<Micros>) -> EndpointEntry {
+    EndpointEntry {
         server: ServerId(node),
         address: Some(SocketAddr::from(([127, 0, 0, 1], 1000 + node as u16))),
         zone: String::new(),
-        kind: "box".into(),
+        machine_kind: "box".into(),
         cell: node,
-        standing,
+        state: standing,
         weight: 1.0,
-        came_up,
+        started_at: came_up,
     }
 }
 
-fn encode_shown(encoder: &mut Encoder, shown: &Shown) {
+fn encode_shown(encoder: &mut Encoder, shown: &SessionSummary) {
     encoder.u64(shown.session.0);
     encoder.text(&shown.class);
     encoder.text(&shown.title);
     encoder.option(shown.server, |e, server| e.u64(server.0));
     encoder.usize(shown.rung);
-    encoder.bool(shown.plays);
+    encoder.bool(shown.is_playing);
 }
 
 fn encode_output(encoder: &mut Encoder, output: &Output) {
     match output {
-        Output::Answer { ask, answer } => {
+        Output::Answer {
+            request_id: ask,
+            answer,
+        } => {
             encoder.begin_output(1);
             encoder.u64(ask.0);
             encode_answer(encoder, answer);
@@ -776,24 +816,24 @@
             encoder.text(&address.to_string());
             encode_call(encoder, kind);
         }
-        Output::Drop { call } => {
+        Output::CancelCall { call } => {
             encoder.begin_output(3);
             encoder.u64(call.0);
         }
-        Output::Watch { server, address } => {
+        Output::WatchNode { server, address } => {
             encoder.begin_output(4);
             encoder.u64(server.0);
             encoder.text(&address.to_string());
         }
-        Output::Unwatch { server } => {
+        Output::UnwatchNode { server } => {
             encoder.begin_output(5);
             encoder.u64(server.0);
         }
-        Output::CloseIdle { server } => {
+        Output::CloseIdleConnections { server } => {
             encoder.begin_output(6);
             encoder.u64(server.0);
         }
-        Output::Offer {
+        Output::OfferMigration {
             session,
             epoch,
             media,
@@ -803,16 +843,16 @@
             encode_epoch(encoder, *epoch);
             encoder.text(media);
         }
-        Output::Gone { session } => {
+        Output::SessionEnded { session } => {
             encoder.begin_output(8);
             encoder.u64(session.0);
         }
-        Output::Moved {
+        Output::MigrationFinished {
             session,
             to,
-            why,
-            took,
-            moved,
+            reason: why,
+            duration: took,
+            migrated: moved,
         } => {
             encoder.begin_output(9);
             encoder.u64(session.0);
@@ -821,12 +861,12 @@
             encoder.i64(*took);
             encoder.bool(*moved);
         }
-        Output::Tried {
+        Output::AttemptFinished {
             session,
             attempt,
             server,
             outcome,
-            took,
+            duration: took,
         } => {
             encoder.begin_output(10);
             encode_attempt(encoder, *session, *attempt);
@@ -841,7 +881,7 @@
 
 fn encode_answer(encoder: &mut Encoder, answer: &Answer) {
     match answer {
-        Answer::Plays {
+        Answer::Playing {
             session,
             rung,
             media,
@@ -851,12 +891,18 @@
             encoder.usize(*rung);
             encoder.text(media);
         }
-        Answer::Refused { session, come_back } => {
+        Answer::Rejected {
+            session,
+            retry_after: come_back,
+        } => {
             encoder.tag(2);
             encoder.option(*session, |e, session| e.u64(session.0));
             encoder.option(*come_back, Encoder::i64);
         }
-        Answer::Failed { session, late } => {
+        Answer::Failed {
+            session,
+            is_deadline_exceeded: late,
+        } => {
             encoder.tag(3);
             encoder.u64(session.0);
             encoder.bool(*late);
@@ -866,7 +912,7 @@
             encoder.tag(4);
             encoder.text(what);
         }
-        Answer::Clash(what) => {
+        Answer::Conflict(what) => {
             encoder.tag(5);
             encoder.text(what);
         }
@@ -875,7 +921,7 @@
 
 fn encode_call(encoder: &mut Encoder, kind: &CallKind) {
     match kind {
-        CallKind::SetUp {
+        CallKind::SetUpSession {
             session,
             attempt,
             viewer,
@@ -883,7 +929,7 @@
             class,
             title,
             rung,
-            kb,
+            rate_kb_s: kb,
         } => {
             encoder.tag(1);
             encode_attempt(encoder, *session, *attempt);
@@ -892,27 +938,27 @@
             encoder.usize(*rung);
             encoder.f64(*kb);
         }
-        CallKind::Rung {
+        CallKind::SetRung {
             session,
             attempt,
             rung,
-            kb,
+            rate_kb_s: kb,
         } => {
             encoder.tag(2);
             encode_attempt(encoder, *session, *attempt);
             encoder.usize(*rung);
             encoder.f64(*kb);
         }
-        CallKind::End {
+        CallKind::EndSession {
             session,
             attempt,
-            upto,
+            up_to_epoch: upto,
         } => {
             encoder.tag(3);
             encode_attempt(encoder, *session, *attempt);
             encoder.option(*upto, encode_epoch);
         }
-        CallKind::Prepare {
+        CallKind::PrepareMigration {
             session,
             attempt,
             epoch,
@@ -922,7 +968,7 @@
             class,
             title,
             rung,
-            kb,
+            rate_kb_s: kb,
         } => {
             encoder.tag(4);
             encode_attempt(encoder, *session, *attempt);
@@ -933,7 +979,7 @@
             encoder.usize(*rung);
             encoder.f64(*kb);
         }
-        CallKind::Cancel {
+        CallKind::CancelMigration {
             session,
             attempt,
             epoch,
@@ -942,7 +988,7 @@
             encode_attempt(encoder, *session, *attempt);
             encode_epoch(encoder, *epoch);
         }
-        CallKind::Probe => encoder.tag(6),
+        CallKind::CheckHealth => encoder.tag(6),
     }
 }
 
--- a/crates/engine/src/attempts.rs
+++ b/crates/engine/src/attempts.rs
@@ -1,7 +1,8 @@
 //! Attempts at nodes, and the ends that are owed for what they may have begun.
 
 use crate::engine::*;
-use crate::io::*;
+use crate::input::*;
+use crate::output::*;
 use shalewall::{Event, LoadReport, Micros, Outcome, ServerId, SessionId};
 use shalewall_migration::Epoch;
 
@@ -18,7 +19,7 @@
         };
         let attempt = s.attempts;
         (s.attempts, s.owed) = (s.attempts + 1, 0);
-        let kind = CallKind::SetUp {
+        let kind = CallKind::SetUpSession {
             session,
             attempt,
             viewer: s.key,
@@ -26,7 +27,7 @@
             class: s.class.clone(),
             title: s.title.clone(),
             rung: s.rung,
-            kb: self.config.settings.rate(s.request.class, s.rung),
+            rate_kb_s: self.config.settings.rate(s.request.class, s.rung),
         };
         let due = s.request.deadline.min(shalewall::Timestamp::from_micros(
             self.now + patience.unwrap_or(Micros::MAX / 2).max(0),
@@ -98,12 +99,12 @@
             .get(&session)
             .map_or(0, |s| s.attempts.saturating_sub(1));
         let took = self.now - sent;
-        self.outputs.push_back(Output::Tried {
+        self.outputs.push_back(Output::AttemptFinished {
             session,
             attempt,
             server,
             outcome,
-            took,
+            duration: took,
         });
     }
 
@@ -156,7 +157,7 @@
         self.owe_end(server, session, attempt, None);
     }
 
-    pub(crate) fn on_done(&mut self, call: CallId, done: Done) {
+    pub(crate) fn on_done(&mut self, call: CallId, done: CallResult) {
         match self.calls.remove(&call) {
             None => {} // given up before
             Some(Purpose::SetUp(session)) => self.on_set_up(session, done),
@@ -168,7 +169,7 @@
                 // 404: it does not run there, which is what was wanted.
                 if matches!(
                     done,
-                    Done::Answered {
+                    CallResult::Answered {
                         status: 200..=299 | 404 | 410,
                         ..
                     }
@@ -191,7 +192,7 @@
         }
     }
 
-    pub(crate) fn on_set_up(&mut self, session: SessionId, done: Done) {
+    pub(crate) fn on_set_up(&mut self, session: SessionId, done: CallResult) {
         let Some(s) = self.sessions.get(&session) else {
             return;
         };
@@ -205,7 +206,7 @@
         let (outcome, load) = outcome(&done);
         self.tried(session, server, sent, outcome);
         let media = match done {
-            Done::Answered {
+            CallResult::Answered {
                 status: 201,
                 media: Some(media),
                 ..
@@ -261,7 +262,7 @@
         );
         self.answer(
             session,
-            Answer::Plays {
+            Answer::Playing {
                 session,
                 rung,
                 media,
@@ -342,10 +343,10 @@
             // Unanswered for too long, or of less than is owed now: given up and sent on another connection.
             self.give_up(call);
         }
-        let kind = CallKind::End {
+        let kind = CallKind::EndSession {
             session,
             attempt,
-            upto,
+            up_to_epoch: upto,
         };
         match self.call(server, Purpose::End(server, session, attempt), kind) {
             Some(call) => {
--- a/crates/engine/src/carried.rs
+++ b/crates/engine/src/carried.rs
@@ -1,7 +1,7 @@
 //! A front that begins anew goes on with the sessions of the process before it, as nodes hold them.
 
 use crate::engine::*;
-use crate::io::*;
+use crate::input::*;
 use crate::moves::{Hand, Target};
 use shalewall::{Event, Micros, Notification, Request, ServerId, SessionId, Timestamp};
 use shalewall_migration::Epoch;
@@ -19,7 +19,7 @@
     }
 
     /// What a node holds, as it tells on a new event stream.
-    pub(crate) fn on_holds(&mut self, server: ServerId, sessions: Vec<Carried>) {
+    pub(crate) fn on_holds(&mut self, server: ServerId, sessions: Vec<TransferredSession>) {
         if self.moves.is_none() {
             return;
         }
@@ -27,10 +27,10 @@
             if !self.is_earlier(carried.session) {
                 continue;
             }
-            let Carried {
+            let TransferredSession {
                 session,
                 attempt,
-                held,
+                epochs: held,
                 ..
             } = carried;
             if let Some(s) = self.sessions.get(&session) {
@@ -83,7 +83,7 @@
     }
 
     /// Where it is on its way to, as another process had decided.
-    fn aim(&mut self, session: SessionId, server: ServerId, carried: &Carried) {
+    fn aim(&mut self, session: SessionId, server: ServerId, carried: &TransferredSession) {
         let now = self.now;
         let Some(hand) = self
             .sessions
@@ -133,13 +133,13 @@
             .for_each(|server| self.lose_sessions(server, Micros::MAX, &[]));
     }
 
-    fn go_on(&mut self, session: SessionId, all: &[(ServerId, Carried)]) -> bool {
+    fn go_on(&mut self, session: SessionId, all: &[(ServerId, TransferredSession)]) -> bool {
         let now = self.now;
         let reports: Vec<NodeReport> = all
             .iter()
             .map(|(server, c)| NodeReport {
                 node: *server,
-                epochs: c.held,
+                epochs: c.epochs,
             })
             .collect();
         let greatest = reports
@@ -173,8 +173,8 @@
             title: found.title,
             deadline: shalewall::Timestamp::from_micros(now),
             duration_hint: None,
-            first_cell: found.place.home,
-            replica_cells: found.place.spread,
+            first_cell: found.place.first_cell,
+            replica_cells: found.place.replica_cells,
             highest_rung: usize::MAX,
             is_retry: false,
             fleet: found.fleet,
--- a/crates/engine/src/catalogue.rs
+++ b/crates/engine/src/catalogue.rs
@@ -5,8 +5,8 @@
 //! class. A class whose terms change gets another number: what plays keeps the terms that it was set up on, and a
 //! paid set-up that is out stays paid.
 
-use crate::engine::{Config, Place};
-use crate::io::Agreed;
+use crate::config::{Config, NamedClass, TitlePlacement};
+use crate::input::TenantTerms;
 use shalewall::{ClassSettings, Micros, ServerId, TenantSettings, TitleId};
 use std::collections::BTreeMap;
 use std::mem::take;
@@ -66,7 +66,7 @@
     takes: bool,
     /// Number and longest wait of each class; without any, the site's are its own.
     classes: BTreeMap<String, (usize, Micros)>,
-    titles: BTreeMap<String, Place>,
+    titles: BTreeMap<String, TitlePlacement>,
     nodes: Vec<ServerId>,
     fleet: u32,
 }
@@ -77,7 +77,7 @@
     pub class: usize,
     pub give_up: Micros,
     pub title: TitleId,
-    pub place: Place,
+    pub place: TitlePlacement,
     pub tenant: Option<usize>,
     pub fleet: u32,
 }
@@ -105,7 +105,7 @@
     /// Takes the names out of the settings: from here on they are known here alone.
     pub fn new(config: &mut Config) -> Catalogue {
         let (classes, tenants) = (take(&mut config.classes), take(&mut config.tenants));
-        let number = |(i, (name, wait)): (usize, (String, Micros))| (name, (i, wait));
+        let number = |(number, class): (usize, NamedClass)| (class.name, (number, class.max_wait));
         let site = Tenant {
             takes: true,
             classes: classes.into_iter().enumerate().map(number).collect(),
@@ -186,19 +186,19 @@
     }
 
     /// What is agreed with a tenant from now on; nothing: it is gone. Its sessions keep what they hold.
-    pub fn agree(&mut self, name: &str, agreed: Option<Agreed>) {
+    pub fn agree(&mut self, name: &str, agreed: Option<TenantTerms>) {
         let before = self.tenants.remove(name);
         if let Some(agreed) = agreed {
             let number = before
                 .as_ref()
                 .map_or_else(|| self.shares.new_one(0.0), |t| t.number);
-            self.shares.0[number].0 = agreed.share.unwrap_or(0.0);
+            self.shares.0[number].0 = agreed.quota.unwrap_or(0.0);
             let classes = agreed.classes.into_iter();
-            let classes =
-                classes.map(|(name, (terms, wait))| (name, (self.classes.shared(terms), wait)));
+            let classes = classes
+                .map(|(name, terms)| (name, (self.classes.shared(terms.settings), terms.max_wait)));
             let tenant = Tenant {
                 number,
-                takes: agreed.share.is_some(),
+                takes: agreed.quota.is_some(),
                 classes: classes.collect(),
                 titles: agreed.titles,
                 nodes: agreed.nodes,
@@ -275,15 +275,29 @@
 mod tests {
     use super::*;
 
-    fn agreed(share: f64, worth: f64, nodes: &[u64]) -> Agreed {
+    fn agreed(share: f64, worth: f64, nodes: &[u64]) -> TenantTerms {
         let terms = ClassSettings {
             priority_weight: worth,
             ..ClassSettings::default()
         };
-        Agreed {
-            share: Some(share),
-            classes: [("room".to_string(), (terms, 5))].into(),
-            titles: [("monday".to_string(), Place { home: 1, spread: 2 })].into(),
+        TenantTerms {
+            quota: Some(share),
+            classes: [(
+                "room".to_string(),
+                crate::input::ClassTerms {
+                    settings: terms,
+                    max_wait: 5,
+                },
+            )]
+            .into(),
+            titles: [(
+                "monday".to_string(),
+                TitlePlacement {
+                    first_cell: 1,
+                    replica_cells: 2,
+                },
+            )]
+            .into(),
             nodes: nodes.iter().map(|n| ServerId(*n)).collect(),
         }
     }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -1,56 +1,20 @@
 //! The session table, and the way from inputs to the director and from its actions to outputs.
 
 use crate::catalogue::Catalogue;
-use crate::io::*;
+use crate::config::Config;
+use crate::input::*;
 use crate::moves::{Hand, Moves};
 use crate::nodes::Nodes;
+use crate::output::*;
+use crate::policy::{AdmissionControl, AdmitKnownTenants, DecisionPolicy};
 use shalewall::{
-    Action, Director, Event, LoadReport, Micros, Outcome, Request, ServerId, SessionId, Settings,
-    Timestamp,
+    Action, Director, Event, LoadReport, Micros, Outcome, Request, ServerId, SessionId, Timestamp,
 };
 use shalewall_migration::Epoch;
-use shalewall_migration::planner::{MigrationPlanner, MigrationPolicy};
+use shalewall_migration::planner::MigrationPlanner;
 use shalewall_timers::Timers;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
-/// Cells that hold a title: `spread` in a row from `home` on.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Place {
-    pub home: u64,
-    pub spread: u64,
-}
-
-/// What a front is told at its start. Names stop at the engine; the module knows indices.
-#[derive(Clone, Debug, Default)]
-pub struct Config {
-    pub seed: u64,
-    pub settings: Settings,
-    /// Names of the settings' classes, and how long their viewers wait at most.
-    pub classes: Vec<(String, Micros)>,
-    pub tenants: Vec<String>,
-    pub zones: Vec<String>,
-    pub kinds: Vec<String>,
-    pub titles: BTreeMap<String, Place>,
-    /// Requests beyond so many sessions are turned away before the director sees them.
-    pub most_sessions: usize,
-    /// Distinguishes the sessions of one start of this front from those of another; 14 bits count.
-    pub incarnation: u16,
-    /// Sessions whose players follow may be handed over while they play; absent: none is.
-    pub moves: Option<MigrationPolicy>,
-}
-
-/// How many sessions there are, by what is under way.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Held {
-    pub waiting: usize,
-    pub playing: usize,
-    pub leaving: usize,
-    /// Ends that nodes have not confirmed yet.
-    pub owed_ends: usize,
-    /// Of those that play, how many are being handed over.
-    pub moving: usize,
-}
-
 /// Where a session stands. Each stage holds just what is true of it.
 pub(crate) enum Stage {
     /// The director has it; no attempt is out.
@@ -90,7 +54,7 @@
     pub(crate) confirmed: usize,
     pub(crate) telling: Option<CallId>,
     /// Viewer's requests that wait for the answer: more than one where it asked again.
-    pub(crate) waiting: Vec<AskId>,
+    pub(crate) waiting: Vec<RequestId>,
     /// Ends of its last attempt that nodes have not confirmed, wherever.
     pub(crate) owed: u32,
     /// Its hand-overs; none where its player has never followed.
@@ -136,59 +100,16 @@
 /// The wait for one such call.
 pub(crate) const CONFIRM_TIME: Micros = 2_000_000;
 
-/// What decides for an engine: the decision module, or a baseline to compare it with.
-pub trait Decide {
-    /// Takes one event and appends what is to be done, in order.
-    fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>);
-}
-
-impl Decide for Director {
-    fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
-        Director::handle(self, shalewall::Timestamp::from_micros(now), event, out);
-    }
-}
-
-/// What is said of a viewer's wish for a session before the director sees it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Admission {
-    Taken,
-    Away {
-        come_back: Micros,
-    },
-    /// There is no such tenant, or it takes nothing new.
-    Unknown,
-}
-
-/// Who is let in, where many share a front. Every wish that was taken is over once, whatever becomes of it.
-pub trait Admit {
-    fn admit(&mut self, now: Micros, tenant: Option<&str>) -> Admission;
-    fn over(&mut self, now: Micros, tenant: Option<&str>);
-}
-
-/// Everyone is; tenants are those of the settings.
-struct Everyone(Vec<String>);
-
-impl Admit for Everyone {
-    fn admit(&mut self, _: Micros, tenant: Option<&str>) -> Admission {
-        match tenant {
-            Some(name) if !self.0.iter().any(|t| t == name) => Admission::Unknown,
-            _ => Admission::Taken,
-        }
-    }
-
-    fn over(&mut self, _: Micros, _: Option<&str>) {}
-}
-
 /// One front's sessions.
 pub struct Engine {
     pub(crate) config: Config,
     pub(crate) catalogue: Catalogue,
-    pub(crate) director: Box<dyn Decide>,
-    pub(crate) door: Box<dyn Admit>,
+    pub(crate) director: Box<dyn DecisionPolicy>,
+    pub(crate) door: Box<dyn AdmissionControl>,
     pub(crate) now: Micros,
     pub(crate) sessions: BTreeMap<SessionId, Session>,
     pub(crate) by_key: HashMap<u64, SessionId>,
-    pub(crate) by_ask: HashMap<AskId, SessionId>,
+    pub(crate) by_ask: HashMap<RequestId, SessionId>,
     pub(crate) nodes: Nodes,
     pub(crate) calls: HashMap<CallId, Purpose>,
     pub(crate) ends: BTreeMap<(ServerId, SessionId, u32), Owed>,
@@ -209,20 +130,24 @@
             config.settings.clone(),
             shalewall::Timestamp::from_micros(now),
         );
-        Engine::with(config, Box::new(director), now)
+        Engine::with_policy(config, Box::new(director), now)
     }
 
     /// The same under another decider.
-    pub fn with(mut config: Config, director: Box<dyn Decide>, now: Micros) -> Engine {
+    pub fn with_policy(
+        mut config: Config,
+        director: Box<dyn DecisionPolicy>,
+        now: Micros,
+    ) -> Engine {
         // Session ids stay below 2^52: 10 bits of the front's number, 14 of its start, 28 that count.
         let number = u64::from(config.settings.director_index & 0x3ff);
         let first = number << 42 | u64::from(config.incarnation & 0x3fff) << 28;
         Engine {
             director,
-            door: Box::new(Everyone(config.tenants.clone())),
+            door: Box::new(AdmitKnownTenants(config.tenants.clone())),
             catalogue: Catalogue::new(&mut config),
             moves: config
-                .moves
+                .migration
                 .map(|terms| Moves::new(MigrationPlanner::new(terms, config.seed), now)),
             config,
             now,
@@ -241,7 +166,7 @@
     }
 
     /// Lets in whom this one does, from now on. For the start: who is in already is not known to it.
-    pub fn set_door(&mut self, door: Box<dyn Admit>) {
+    pub fn set_admission_control(&mut self, door: Box<dyn AdmissionControl>) {
         self.door = door;
     }
 
@@ -249,28 +174,43 @@
     pub fn handle(&mut self, now: Micros, input: Input) {
         self.now = now;
         match input {
-            Input::Asked { ask, new } => self.on_asked(ask, new),
-            Input::Left { ask } => self.on_left(ask),
-            Input::Ended { session } => self.on_ended(session),
-            Input::List { news, lines } => self.on_list(news, lines),
-            Input::Done { call, done } => self.on_done(call, done),
-            Input::NodeHolds { server, sessions } => self.on_holds(server, sessions),
-            Input::NodeUp {
+            Input::RequestReceived {
+                request_id: ask,
+                request: new,
+            } => self.on_asked(ask, new),
+            Input::RequestWithdrawn { request_id: ask } => self.on_left(ask),
+            Input::EndSession { session } => self.on_ended(session),
+            Input::EndpointsUpdated {
+                update: news,
+                endpoints: lines,
+            } => self.on_list(news, lines),
+            Input::CallFinished { call, result: done } => self.on_done(call, done),
+            Input::NodeSessionsReported { server, sessions } => self.on_holds(server, sessions),
+            Input::NodeConnected {
                 server,
-                asked,
+                requested_at: asked,
                 held,
             } => self.on_node_up(server, asked, &held),
-            Input::NodeTold { server, told } => self.on_told(server, told),
-            Input::Tenants(news) => self.on_tenants(news),
-            Input::TenantEnded { tenant } => self.on_tenant_ended(&tenant),
+            Input::NodeNotified {
+                server,
+                event: told,
+            } => self.on_told(server, told),
+            Input::TenantsUpdated(news) => self.on_tenants(news),
+            Input::EndTenantSessions { tenant } => self.on_tenant_ended(&tenant),
             Input::NodeDown { server } => {
                 self.dies_early(server);
                 self.lose_sessions(server, Micros::MAX, &[]);
             }
-            Input::Follows { session, plays } => self.on_follows(session, plays),
-            Input::Silent { session, buffer } => self.on_silent(session, buffer),
-            Input::Playing { session, epoch } => self.on_playing(session, epoch),
-            Input::Declined { session, epoch } => self.on_declined(session, epoch),
+            Input::PlayerFollowing {
+                session,
+                playing_epoch: plays,
+            } => self.on_follows(session, plays),
+            Input::StreamSilent {
+                session,
+                buffered: buffer,
+            } => self.on_silent(session, buffer),
+            Input::EpochPlaying { session, epoch } => self.on_playing(session, epoch),
+            Input::EpochDeclined { session, epoch } => self.on_declined(session, epoch),
         }
         self.settle();
         self.plan_moves();
@@ -315,13 +255,13 @@
             .min()
     }
 
-    pub fn held(&self) -> Held {
-        let mut held = Held {
-            owed_ends: self.ends.len(),
-            ..Held::default()
+    pub fn session_counts(&self) -> SessionCounts {
+        let mut held = SessionCounts {
+            unconfirmed_ends: self.ends.len(),
+            ..SessionCounts::default()
         };
         for s in self.sessions.values() {
-            held.moving += usize::from(s.hand.as_ref().is_some_and(|h| h.target.is_some()));
+            held.migrating += usize::from(s.hand.as_ref().is_some_and(|h| h.target.is_some()));
             match s.stage {
                 Stage::Deciding | Stage::SettingUp { .. } => held.waiting += 1,
                 Stage::Plays { .. } => held.playing += 1,
@@ -332,9 +272,9 @@
     }
 
     /// Sessions of a tenant, `most` at most. Walks all that are held: for people, not for the path of requests.
-    pub fn sessions_of(&self, tenant: &str, most: usize) -> Vec<Shown> {
+    pub fn sessions_of(&self, tenant: &str, most: usize) -> Vec<SessionSummary> {
         let of = |s: &&Session| s.tenant.as_deref() == Some(tenant);
-        let shown = |s: &Session| Shown {
+        let shown = |s: &Session| SessionSummary {
             session: s.request.session,
             class: s.class.clone(),
             title: s.title.clone(),
@@ -345,7 +285,7 @@
                 | Stage::Leaving { server, .. } => Some(server),
             },
             rung: s.rung,
-            plays: matches!(s.stage, Stage::Plays { .. }),
+            is_playing: matches!(s.stage, Stage::Plays { .. }),
         };
         self.sessions
             .values()
@@ -388,9 +328,9 @@
                 retry_after: come_back,
             } => self.answer(
                 session,
-                Answer::Refused {
+                Answer::Rejected {
                     session: Some(session),
-                    come_back: come_back.map(shalewall::TimeDelta::as_micros),
+                    retry_after: come_back.map(shalewall::TimeDelta::as_micros),
                 },
             ),
             Action::Fail { session } => {
@@ -400,7 +340,13 @@
                             - self.config.settings.limits.min_batch_interval
                             - shalewall::TimeDelta::from_micros(1_000)
                 });
-                self.answer(session, Answer::Failed { session, late });
+                self.answer(
+                    session,
+                    Answer::Failed {
+                        session,
+                        is_deadline_exceeded: late,
+                    },
+                );
             }
             Action::CancelAttempt { session, attempt } => self.recall(session, attempt),
             Action::Redirect { session } => self.on_ended(session),
@@ -414,9 +360,9 @@
                 rung,
             } => self.hand_over(session, server, rung),
             Action::CheckHealth { server } => self.probe(server),
-            Action::CloseIdleConnections { server } => {
-                self.outputs.push_back(Output::CloseIdle { server })
-            }
+            Action::CloseIdleConnections { server } => self
+                .outputs
+                .push_back(Output::CloseIdleConnections { server }),
             Action::Log(text) => self.outputs.push_back(Output::Log(text)),
             // The list is pushed, and fronts do not talk to each other yet.
             Action::PollEndpoints | Action::WatchEndpoints(_) | Action::SendToPeer { .. } => {}
@@ -426,7 +372,7 @@
     /// Gives a call up, if it is still out.
     pub(crate) fn give_up(&mut self, call: CallId) -> Option<Purpose> {
         let purpose = self.calls.remove(&call)?;
-        self.outputs.push_back(Output::Drop { call });
+        self.outputs.push_back(Output::CancelCall { call });
         Some(purpose)
     }
 
@@ -451,21 +397,23 @@
 }
 
 /// A call's end in the words of the rules.
-pub(crate) fn outcome(done: &Done) -> (Outcome, LoadReport) {
+pub(crate) fn outcome(done: &CallResult) -> (Outcome, LoadReport) {
     match done {
-        Done::NotSent(_) => (Outcome::NotSent, LoadReport::default()),
-        Done::NeverRan(_) => (Outcome::ConnectionFailed, LoadReport::default()),
-        Done::MayHaveRun(_) => (Outcome::ConnectionReset, LoadReport::default()),
-        Done::Answered {
+        CallResult::NotSent(_) => (Outcome::NotSent, LoadReport::default()),
+        CallResult::NotStarted(_) => (Outcome::ConnectionFailed, LoadReport::default()),
+        CallResult::MaybeExecuted(_) => (Outcome::ConnectionReset, LoadReport::default()),
+        CallResult::Answered {
             status: 200..=299,
-            load,
+            load_report: load,
             ..
         } => (Outcome::Success, *load),
-        Done::Answered {
-            never_ran: true,
-            load,
+        CallResult::Answered {
+            not_started: true,
+            load_report: load,
             ..
         } => (Outcome::Rejected, *load),
-        Done::Answered { load, .. } => (Outcome::Error, *load),
+        CallResult::Answered {
+            load_report: load, ..
+        } => (Outcome::Error, *load),
     }
 }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -13,12 +13,21 @@
 mod attempts;
 mod carried;
 mod catalogue;
+mod config;
 mod engine;
-mod io;
+mod input;
 mod moves;
 mod nodes;
+mod output;
 mod playing;
+mod policy;
 mod viewers;
 
-pub use engine::{Admission, Admit, Config, Decide, Engine, Held, Place};
-pub use io::*;
+pub use config::{Config, NamedClass, TitlePlacement};
+pub use engine::Engine;
+pub use input::{
+    CallResult, ClassTerms, EndpointEntry, Input, NodeEvent, RequestId, SessionAttempt,
+    SessionRequest, TenantTerms, TenantUpdate, TransferredSession,
+};
+pub use output::{Answer, CallId, CallKind, Output, SessionCounts, SessionSummary};
+pub use policy::{Admission, AdmissionControl, DecisionPolicy};
--- a/crates/engine/src/moves.rs
+++ b/crates/engine/src/moves.rs
@@ -2,7 +2,8 @@
 //! director's, and how the protocol's (`shalewall-migration`): here they are put together with calls and timers.
 
 use crate::engine::*;
-use crate::io::*;
+use crate::input::*;
+use crate::output::*;
 use shalewall::{EndpointState, Event, Micros, ServerId, SessionId, TimeDelta, Timestamp};
 use shalewall_migration::Epoch;
 use shalewall_migration::coordinator::{self, MigrationCoordinator};
@@ -22,7 +23,7 @@
     news: bool,
     silent: BTreeMap<ServerId, Micros>,
     /// What nodes hold of an earlier process, until it is gone on with: by then all nodes that run have told.
-    pub found: BTreeMap<SessionId, Vec<(ServerId, Carried)>>,
+    pub found: BTreeMap<SessionId, Vec<(ServerId, TransferredSession)>>,
     /// When that is, at the latest; and those whose players follow already.
     pub adopt: Option<Micros>,
     pub early: BTreeMap<SessionId, Epoch>,
@@ -106,7 +107,7 @@
                 moves.early.insert(session, epoch); // a node that has not told yet may hold it
             } else {
                 // Over already: its player has not heard so.
-                self.outputs.push_back(Output::Gone { session });
+                self.outputs.push_back(Output::SessionEnded { session });
             }
             return;
         };
@@ -201,14 +202,14 @@
         session: SessionId,
         server: ServerId,
         epoch: Epoch,
-        done: Done,
+        done: CallResult,
     ) {
         let (now, node) = (self.now, server);
         let input = match done {
-            Done::Answered {
+            CallResult::Answered {
                 status: 201,
                 media: Some(media),
-                load,
+                load_report: load,
                 ..
             } => {
                 self.figures(
@@ -223,11 +224,11 @@
                 }
                 coordinator::Input::Prepared { node, epoch }
             }
-            Done::Answered { .. } | Done::NeverRan(_) => {
+            CallResult::Answered { .. } | CallResult::NotStarted(_) => {
                 coordinator::Input::PrepareRejected { node, epoch }
             }
             // It may be ready: asked again by the next repeat, with the same answer.
-            Done::MayHaveRun(_) | Done::NotSent(_) => return,
+            CallResult::MaybeExecuted(_) | CallResult::NotSent(_) => return,
         };
         self.hand_on(session, Some(input));
     }
@@ -237,14 +238,14 @@
         session: SessionId,
         server: ServerId,
         epoch: Epoch,
-        done: &Done,
+        done: &CallResult,
     ) {
         let how = match done {
-            Done::Answered {
+            CallResult::Answered {
                 status: 200..=299 | 404 | 410,
                 ..
             } => CancelOutcome::Cancelled,
-            Done::Answered { status: 409, .. } => CancelOutcome::AlreadyServing,
+            CallResult::Answered { status: 409, .. } => CancelOutcome::AlreadyServing,
             _ => return, // asked again by the next repeat
         };
         self.hand_on(
@@ -287,21 +288,21 @@
     }
 
     /// What the list says of nodes, as far as it is a cause to move.
-    pub(crate) fn drains(&mut self, lines: &[Line]) {
+    pub(crate) fn drains(&mut self, lines: &[EndpointEntry]) {
         let now = self.now;
         let Some(moves) = &mut self.moves else { return };
         for line in lines {
             moves.mover.set_draining(
                 Timestamp::from_micros(now),
                 line.server,
-                line.standing == EndpointState::Draining,
+                line.state == EndpointState::Draining,
             );
         }
         moves.news = true;
         // What is on its way to such a node goes elsewhere, unless its player has been told already.
         let off: Vec<_> = lines
             .iter()
-            .filter(|l| l.standing != EndpointState::Ready)
+            .filter(|l| l.state != EndpointState::Ready)
             .map(|l| l.server)
             .collect();
         let to = |s: &Session| off.iter().any(|server| s.moves_to(*server));
@@ -390,7 +391,7 @@
         // Half of what a move takes is for the target to be ready, so that a buffer lasts for another one.
         let within = self
             .config
-            .moves
+            .migration
             .map_or(TimeDelta::ZERO, |terms| terms.duration / 2);
         let until = Timestamp::from_micros(now) + within;
         let free = self
@@ -491,7 +492,7 @@
                 let target = self.hand(session).and_then(|h| h.target.as_ref());
                 let target = target.filter(|t| t.server == node);
                 if let Some(media) = target.and_then(|t| t.media.clone()) {
-                    self.outputs.push_back(Output::Offer {
+                    self.outputs.push_back(Output::OfferMigration {
                         session,
                         epoch,
                         media,
@@ -503,7 +504,7 @@
                 let Some(attempt) = self.attempt_of(session) else {
                     return;
                 };
-                let kind = CallKind::Cancel {
+                let kind = CallKind::CancelMigration {
                     session,
                     attempt,
                     epoch,
@@ -578,7 +579,7 @@
             why: MigrationReason::Orphaned,
         });
         let rung = target.rung;
-        let kind = CallKind::Prepare {
+        let kind = CallKind::PrepareMigration {
             session,
             attempt: s.attempts.saturating_sub(1),
             epoch,
@@ -588,7 +589,7 @@
             class: s.class.clone(),
             title: s.title.clone(),
             rung,
-            kb: self.config.settings.rate(s.request.class, rung),
+            rate_kb_s: self.config.settings.rate(s.request.class, rung),
         };
         if self
             .call_target(session, to, Purpose::Prepare(session, to, epoch), kind)
@@ -675,12 +676,12 @@
                 .migration_finished(Timestamp::from_micros(now), session, moved);
             moves.news = true;
         }
-        self.outputs.push_back(Output::Moved {
+        self.outputs.push_back(Output::MigrationFinished {
             session,
             to,
-            why,
-            took: now - began,
-            moved,
+            reason: why,
+            duration: now - began,
+            migrated: moved,
         });
     }
 
@@ -695,7 +696,7 @@
             moves.mover.remove_session(session);
         }
         if hand.follows {
-            self.outputs.push_back(Output::Gone { session });
+            self.outputs.push_back(Output::SessionEnded { session });
         }
         if let Some(target) = hand.target {
             if let Some(call) = target.call {
--- a/crates/engine/src/nodes.rs
+++ b/crates/engine/src/nodes.rs
@@ -1,7 +1,7 @@
 //! The list of servers as this front holds it: addresses for calls, lines for the director.
 
-use crate::engine::Config;
-use crate::io::Line;
+use crate::config::Config;
+use crate::input::EndpointEntry;
 use shalewall::{Endpoint, EndpointState, EndpointUpdate, ServerId};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -59,7 +59,7 @@
         changed
     }
 
-    pub fn list(&mut self, news: EndpointUpdate, lines: &[Line]) -> Change {
+    pub fn list(&mut self, news: EndpointUpdate, lines: &[EndpointEntry]) -> Change {
         let mut change = Change::default();
         let whole = matches!(news, EndpointUpdate::Full | EndpointUpdate::Cached);
         if news == EndpointUpdate::Failed {
@@ -72,7 +72,7 @@
         }
         for line in lines {
             match line.address {
-                Some(address) if line.standing != EndpointState::Gone => {
+                Some(address) if line.state != EndpointState::Gone => {
                     let before = self.addresses.insert(line.server, address);
                     if before != Some(address) {
                         change.new.push((line.server, address));
@@ -87,15 +87,18 @@
 }
 
 /// A line in the director's words: names become indices.
-pub(crate) fn listed(line: &Line, config: &Config, fleet: u32) -> Endpoint {
+pub(crate) fn listed(line: &EndpointEntry, config: &Config, fleet: u32) -> Endpoint {
     Endpoint {
         server: line.server,
         zone: config.zones.iter().position(|z| *z == line.zone),
-        machine_kind: config.kinds.iter().position(|k| *k == line.kind),
+        machine_kind: config
+            .machine_kinds
+            .iter()
+            .position(|k| *k == line.machine_kind),
         cell: line.cell,
-        state: line.standing,
+        state: line.state,
         weight: line.weight,
-        started_at: line.came_up.map(shalewall::Timestamp::from_micros),
+        started_at: line.started_at.map(shalewall::Timestamp::from_micros),
         fleet,
     }
 }
--- a/crates/engine/src/playing.rs
+++ b/crates/engine/src/playing.rs
@@ -1,7 +1,8 @@
 //! Sessions that play: rungs, notes, and what becomes of them when nodes come and go.
 
 use crate::engine::*;
-use crate::io::*;
+use crate::input::*;
+use crate::output::*;
 use shalewall::{Event, LoadReport, Micros, Notification, Outcome, ServerId, SessionId};
 
 impl Engine {
@@ -18,11 +19,11 @@
         }
         let rung = s.rung;
         let kb = self.config.settings.rate(s.request.class, rung);
-        let kind = CallKind::Rung {
+        let kind = CallKind::SetRung {
             session,
             attempt: s.attempts - 1,
             rung,
-            kb,
+            rate_kb_s: kb,
         };
         let call = self.call(server, Purpose::Rung(session, rung), kind);
         self.sessions
@@ -31,20 +32,20 @@
             .for_each(|s| s.telling = call);
     }
 
-    pub(crate) fn on_rung_done(&mut self, session: SessionId, rung: usize, done: &Done) {
+    pub(crate) fn on_rung_done(&mut self, session: SessionId, rung: usize, done: &CallResult) {
         let Some(s) = self.sessions.get_mut(&session) else {
             return;
         };
         s.telling = None;
         match done {
-            Done::Answered {
+            CallResult::Answered {
                 status: 200..=299, ..
             } => {
                 s.confirmed = rung;
                 self.tell_rung(session);
             }
             // The node does not know it: its end is told on the event stream, or by the next snapshot.
-            Done::Answered {
+            CallResult::Answered {
                 status: 404 | 410, ..
             } => {}
             _ => self.timers.set(self.now + RETRY, Timer::Rung(session)),
@@ -52,7 +53,7 @@
     }
 
     pub(crate) fn probe(&mut self, server: ServerId) {
-        match self.call(server, Purpose::Probe(server), CallKind::Probe) {
+        match self.call(server, Purpose::Probe(server), CallKind::CheckHealth) {
             Some(call) => self.timers.set(self.now + PROBE_TIME, Timer::Probe(call)),
             None => self.probed(server, Outcome::NotSent, LoadReport::default()),
         }
@@ -66,12 +67,13 @@
         });
     }
 
-    pub(crate) fn on_list(&mut self, news: shalewall::EndpointUpdate, lines: Vec<Line>) {
+    pub(crate) fn on_list(&mut self, news: shalewall::EndpointUpdate, lines: Vec<EndpointEntry>) {
         let change = self.nodes.list(news, &lines);
         // The director first: nothing that follows may send to a node that has just been listed as gone.
         self.drains(&lines);
-        let listed =
-            |l: &Line| crate::nodes::listed(l, &self.config, self.catalogue.fleet(l.server));
+        let listed = |l: &EndpointEntry| {
+            crate::nodes::listed(l, &self.config, self.catalogue.fleet(l.server))
+        };
         let lines: Vec<_> = lines.iter().map(listed).collect();
         self.nodes.told(news, &lines);
         self.pending.push_back(Event::EndpointsUpdated {
@@ -80,10 +82,11 @@
         });
         self.settle();
         for (server, address) in change.new {
-            self.outputs.push_back(Output::Watch { server, address });
+            self.outputs
+                .push_back(Output::WatchNode { server, address });
         }
         for server in change.gone {
-            self.outputs.push_back(Output::Unwatch { server });
+            self.outputs.push_back(Output::UnwatchNode { server });
             self.lose_sessions(server, Micros::MAX, &[]);
             let owed: Vec<_> = self
                 .ends
@@ -97,14 +100,9 @@
         }
     }
 
-    pub(crate) fn on_node_up(
-        &mut self,
-        server: ServerId,
-        asked: Micros,
-        held: &[(SessionId, u32)],
-    ) {
+    pub(crate) fn on_node_up(&mut self, server: ServerId, asked: Micros, held: &[SessionAttempt]) {
         self.lose_sessions(server, asked, held);
-        for (session, attempt) in held {
+        for SessionAttempt { session, attempt } in held {
             let known = self
                 .sessions
                 .get(session)
@@ -135,7 +133,7 @@
         &mut self,
         server: ServerId,
         before: Micros,
-        held: &[(SessionId, u32)],
+        held: &[SessionAttempt],
     ) {
         let lost: Vec<(SessionId, u32)> = self
             .sessions
@@ -147,7 +145,11 @@
                     } => (at == server && since < before) || s.ready_at(server, before),
                     _ => false,
                 };
-                there && !held.contains(&(**id, s.attempts - 1))
+                there
+                    && !held.contains(&SessionAttempt {
+                        session: **id,
+                        attempt: s.attempts - 1,
+                    })
             })
             .map(|(id, s)| (*id, s.attempts - 1))
             .collect();
@@ -158,22 +160,22 @@
         }
     }
 
-    pub(crate) fn on_told(&mut self, server: ServerId, told: Told) {
+    pub(crate) fn on_told(&mut self, server: ServerId, told: NodeEvent) {
         match told {
-            Told::Figures {
+            NodeEvent::LoadNotified {
                 session,
-                delivered,
-                link,
-                uplink,
+                delivered_fraction: delivered,
+                link_utilization: link,
+                uplink_utilization: uplink,
             } => {
                 self.figures(session, server, delivered, link, uplink);
             }
-            Told::Fetched {
+            NodeEvent::StreamFetched {
                 session,
                 attempt,
                 epoch,
             } => self.on_fetched(server, session, attempt, epoch),
-            Told::Ended { session, attempt } => {
+            NodeEvent::SessionEnded { session, attempt } => {
                 let Some(s) = self.sessions.get_mut(&session) else {
                     return;
                 };
--- a/crates/engine/src/viewers.rs
+++ b/crates/engine/src/viewers.rs
@@ -1,18 +1,29 @@
 //! Viewers: asked, asked again, left, ended, answered.
 
 use crate::catalogue::{Found, Missing};
-use crate::engine::{Admission, Engine, Session, Stage};
-use crate::io::*;
+use crate::engine::{Engine, Session, Stage};
+use crate::input::*;
+use crate::output::*;
+use crate::policy::Admission;
 use shalewall::{EndpointUpdate, Event, Outcome, Request, SessionId};
 use xxhash_rust::xxh3::xxh3_64;
 
 impl Engine {
-    pub(crate) fn on_asked(&mut self, ask: AskId, new: NewSession) {
-        let key =
-            xxh3_64(format!("{}\n{}", new.tenant.as_deref().unwrap_or(""), new.viewer).as_bytes());
+    pub(crate) fn on_asked(&mut self, ask: RequestId, new: SessionRequest) {
+        let key = xxh3_64(
+            format!(
+                "{}\n{}",
+                new.tenant.as_deref().unwrap_or(""),
+                new.viewer_key
+            )
+            .as_bytes(),
+        );
         if let Some(session) = self.by_key.get(&key).copied() {
             if let Some(answer) = self.join(session, ask, &new) {
-                return self.outputs.push_back(Output::Answer { ask, answer });
+                return self.outputs.push_back(Output::Answer {
+                    request_id: ask,
+                    answer,
+                });
             }
             if self.by_ask.contains_key(&ask) {
                 return;
@@ -20,16 +31,19 @@
             // Over for the viewer: what is left of it ends, and a new one begins.
             self.leave(session);
         }
-        if self.sessions.len() >= self.config.most_sessions {
+        if self.sessions.len() >= self.config.max_sessions {
             let come_back = Some(self.config.settings.limits.max_retry_after);
-            let answer = Answer::Refused {
+            let answer = Answer::Rejected {
                 session: None,
-                come_back: come_back.map(shalewall::TimeDelta::as_micros),
+                retry_after: come_back.map(shalewall::TimeDelta::as_micros),
             };
-            return self.outputs.push_back(Output::Answer { ask, answer });
+            return self.outputs.push_back(Output::Answer {
+                request_id: ask,
+                answer,
+            });
         }
         let unknown = |what| Output::Answer {
-            ask,
+            request_id: ask,
             answer: Answer::Unknown(what),
         };
         let found = match self
@@ -43,19 +57,27 @@
             Ok(found) => Some(found),
         };
         match (self.door.admit(self.now, new.tenant.as_deref()), found) {
-            (Admission::Taken, Some(_)) => {}
-            (Admission::Away { come_back }, _) => {
-                let answer = Answer::Refused {
+            (Admission::Admitted, Some(_)) => {}
+            (
+                Admission::Rejected {
+                    retry_after: come_back,
+                },
+                _,
+            ) => {
+                let answer = Answer::Rejected {
                     session: None,
-                    come_back: Some(come_back),
+                    retry_after: Some(come_back),
                 };
-                return self.outputs.push_back(Output::Answer { ask, answer });
+                return self.outputs.push_back(Output::Answer {
+                    request_id: ask,
+                    answer,
+                });
             }
-            (Admission::Taken, None) => {
-                self.door.over(self.now, new.tenant.as_deref());
+            (Admission::Admitted, None) => {
+                self.door.release(self.now, new.tenant.as_deref());
                 return self.outputs.push_back(unknown("tenant"));
             }
-            (Admission::Unknown, _) => return self.outputs.push_back(unknown("tenant")),
+            (Admission::UnknownTenant, _) => return self.outputs.push_back(unknown("tenant")),
         }
         let Some(Found {
             class,
@@ -71,7 +93,7 @@
         self.catalogue.hold(class, tenant);
         let session = SessionId(self.next_session);
         self.next_session += 1;
-        let wait = new.wait.unwrap_or(give_up).clamp(0, give_up);
+        let wait = new.max_wait.unwrap_or(give_up).clamp(0, give_up);
         let request = Request {
             session,
             class,
@@ -79,11 +101,11 @@
             viewer: key,
             title,
             deadline: shalewall::Timestamp::from_micros(self.now + wait),
-            duration_hint: new.hint.map(shalewall::TimeDelta::from_micros),
-            first_cell: place.home,
-            replica_cells: place.spread,
-            highest_rung: new.top.unwrap_or(usize::MAX),
-            is_retry: new.again,
+            duration_hint: new.duration_hint.map(shalewall::TimeDelta::from_micros),
+            first_cell: place.first_cell,
+            replica_cells: place.replica_cells,
+            highest_rung: new.highest_rung.unwrap_or(usize::MAX),
+            is_retry: new.is_retry,
             fleet,
         };
         self.by_key.insert(key, session);
@@ -116,23 +138,23 @@
     pub(crate) fn join(
         &mut self,
         session: SessionId,
-        ask: AskId,
-        new: &NewSession,
+        ask: RequestId,
+        new: &SessionRequest,
     ) -> Option<Answer> {
         let s = self.sessions.get_mut(&session)?;
         let same = s.class == new.class && s.title == new.title;
         match &s.stage {
-            Stage::Plays { .. } if new.again => None,
+            Stage::Plays { .. } if new.is_retry => None,
             Stage::Plays { .. } | Stage::Deciding | Stage::SettingUp { .. } if !same => Some(
-                Answer::Clash("the key is in use for another title or class"),
+                Answer::Conflict("the key is in use for another title or class"),
             ),
-            Stage::Plays { media, .. } => Some(Answer::Plays {
+            Stage::Plays { media, .. } => Some(Answer::Playing {
                 session,
                 rung: s.rung,
                 media: media.clone(),
             }),
             // Nobody waits for it any more: its viewer left, and the module was told so.
-            Stage::SettingUp { .. } if s.waiting.is_empty() => Some(Answer::Clash(
+            Stage::SettingUp { .. } if s.waiting.is_empty() => Some(Answer::Conflict(
                 "an earlier request with this key is still being ended",
             )),
             Stage::Deciding | Stage::SettingUp { .. } => {
@@ -144,7 +166,7 @@
         }
     }
 
-    pub(crate) fn on_left(&mut self, ask: AskId) {
+    pub(crate) fn on_left(&mut self, ask: RequestId) {
         let Some(session) = self.by_ask.remove(&ask) else {
             return;
         };
@@ -208,11 +230,11 @@
         for ask in std::mem::take(&mut s.waiting) {
             self.by_ask.remove(&ask);
             self.outputs.push_back(Output::Answer {
-                ask,
+                request_id: ask,
                 answer: answer.clone(),
             });
         }
-        if matches!(answer, Answer::Plays { .. }) {
+        if matches!(answer, Answer::Playing { .. }) {
             return;
         }
         let (key, deciding) = (s.key, matches!(s.stage, Stage::Deciding));
@@ -234,14 +256,14 @@
         if let Some(s) = self.sessions.remove(&session) {
             self.unkey(s.key, session);
             self.catalogue.release(s.request.class, s.request.tenant);
-            self.door.over(self.now, s.tenant.as_deref());
+            self.door.release(self.now, s.tenant.as_deref());
         }
     }
 
     /// Tenants are agreed on anew. The module hears of it before the next request.
-    pub(crate) fn on_tenants(&mut self, news: Vec<(String, Option<Agreed>)>) {
+    pub(crate) fn on_tenants(&mut self, news: Vec<TenantUpdate>) {
         news.into_iter()
-            .for_each(|(name, agreed)| self.catalogue.agree(&name, agreed));
+            .for_each(|update| self.catalogue.agree(&update.tenant, update.terms));
         let (classes, tenants) = (self.catalogue.classes(), self.catalogue.tenants());
         self.config.settings.classes.clone_from(&classes);
         self.pending
--- a/crates/engine/tests/moves.rs
+++ b/crates/engine/tests/moves.rs
@@ -61,18 +61,21 @@
             },
             ..Default::default()
         },
-        classes: vec![("paid".into(), 4 * S)],
-        kinds: vec!["box".into()],
+        classes: vec![NamedClass {
+            name: "paid".into(),
+            max_wait: 4 * S,
+        }],
+        machine_kinds: vec!["box".into()],
         titles: [(
             "t".to_string(),
-            Place {
-                home: 0,
-                spread: NODES,
+            TitlePlacement {
+                first_cell: 0,
+                replica_cells: NODES,
             },
         )]
         .into(),
-        most_sessions: 1000,
-        moves: Some(MigrationPolicy {
+        max_sessions: 1000,
+        migration: Some(MigrationPolicy {
             duration: TimeDelta::from_micros(600 * MS),
             cooldown: TimeDelta::from_micros(10 * S),
             min_shortage: TimeDelta::from_micros(6 * S),
@@ -150,19 +153,19 @@
         )));
         let (zone, kind) = (String::new(), "box".to_string());
         let (server, cell, came_up) = (ServerId(id), id, None);
-        let line = Line {
+        let line = EndpointEntry {
             server,
             address,
             zone,
-            kind,
+            machine_kind: kind,
             cell,
-            standing,
+            state: standing,
             weight: 1.0,
-            came_up,
+            started_at: came_up,
         };
-        self.tell(Input::List {
-            news: EndpointUpdate::Delta,
-            lines: vec![line],
+        self.tell(Input::EndpointsUpdated {
+            update: EndpointUpdate::Delta,
+            endpoints: vec![line],
         });
     }
 
@@ -179,7 +182,7 @@
         while let Some(output) = self.engine.poll_output() {
             match output {
                 Output::Answer {
-                    answer: Answer::Plays { session, .. },
+                    answer: Answer::Playing { session, .. },
                     ..
                 } => {
                     let at = self.held_at(session).expect("it was set up");
@@ -197,9 +200,9 @@
                     self.players.insert(session, player);
                     self.words.push((
                         self.now + 5 * MS,
-                        Input::Follows {
+                        Input::PlayerFollowing {
                             session,
-                            plays: Some(Epoch(0)),
+                            playing_epoch: Some(Epoch(0)),
                         },
                     ));
                 }
@@ -209,8 +212,8 @@
                     let wait = 2 + self.dice.roll(30) as Micros;
                     self.out.push((self.now + wait * MS, call, server, kind));
                 }
-                Output::Drop { call } => self.out.retain(|(_, c, ..)| *c != call),
-                Output::Offer {
+                Output::CancelCall { call } => self.out.retain(|(_, c, ..)| *c != call),
+                Output::OfferMigration {
                     session,
                     epoch,
                     media,
@@ -220,11 +223,13 @@
                         self.player(session, |seat| seat.on_offer(node, epoch));
                     }
                 }
-                Output::Moved { moved, .. } => {
+                Output::MigrationFinished {
+                    migrated: moved, ..
+                } => {
                     self.moved += u32::from(moved);
                     self.stayed += u32::from(!moved);
                 }
-                Output::Gone { session } => {
+                Output::SessionEnded { session } => {
                     self.players
                         .get_mut(&session)
                         .into_iter()
@@ -261,16 +266,16 @@
                         None => {}
                         Some(Err(_)) => player.seat.on_fetch_failed(ServerId(node), epoch),
                         Some(Ok(())) => {
-                            let told = Told::Fetched {
+                            let told = NodeEvent::StreamFetched {
                                 session,
                                 attempt: 0,
                                 epoch,
                             };
                             self.words.push((
                                 self.now + 5 * MS,
-                                Input::NodeTold {
+                                Input::NodeNotified {
                                     server: ServerId(node),
-                                    told,
+                                    event: told,
                                 },
                             ));
                         }
@@ -279,13 +284,13 @@
                 PlayerAction::ConfirmSwitch { epoch } => {
                     if !self.lost() {
                         self.words
-                            .push((self.now + 5 * MS, Input::Playing { session, epoch }));
+                            .push((self.now + 5 * MS, Input::EpochPlaying { session, epoch }));
                     }
                 }
                 PlayerAction::Decline { epoch } => {
                     if !self.lost() {
                         self.words
-                            .push((self.now + 5 * MS, Input::Declined { session, epoch }));
+                            .push((self.now + 5 * MS, Input::EpochDeclined { session, epoch }));
                     }
                 }
                 PlayerAction::Close { .. } => {}
@@ -294,25 +299,25 @@
     }
 
     /// The call arrives; what the node answers.
-    fn answer(&mut self, server: ServerId, kind: &CallKind) -> Done {
+    fn answer(&mut self, server: ServerId, kind: &CallKind) -> CallResult {
         let i = server.0 as usize;
         let now = (self.now / MS) as u64;
         let Some(node) = &mut self.nodes[i] else {
-            return Done::NeverRan("refused".into());
+            return CallResult::NotStarted("refused".into());
         };
-        let said = |status| Done::Answered {
+        let said = |status| CallResult::Answered {
             status,
-            never_ran: false,
-            load: LoadReport::default(),
+            not_started: false,
+            load_report: LoadReport::default(),
             media: Some(server.0.to_string()),
         };
         match kind {
-            CallKind::SetUp { session, .. } => {
+            CallKind::SetUpSession { session, .. } => {
                 *self.booked.entry(*session).or_default() += 1;
                 node.set_up(*session);
                 said(201)
             }
-            CallKind::Prepare {
+            CallKind::PrepareMigration {
                 session,
                 epoch,
                 from,
@@ -334,18 +339,22 @@
                     410
                 })
             }
-            CallKind::Cancel { session, epoch, .. } => said(
+            CallKind::CancelMigration { session, epoch, .. } => said(
                 if node.cancel(*session, *epoch) == CancelOutcome::Cancelled {
                     204
                 } else {
                     409
                 },
             ),
-            CallKind::End { session, upto, .. } => {
+            CallKind::EndSession {
+                session,
+                up_to_epoch: upto,
+                ..
+            } => {
                 node.release(*session, upto.unwrap_or(Epoch(u32::MAX)));
                 said(204)
             }
-            CallKind::Rung { .. } | CallKind::Probe => said(204),
+            CallKind::SetRung { .. } | CallKind::CheckHealth => said(204),
         }
     }
 
@@ -356,21 +365,21 @@
             self.out.push((self.now + 50 * MS, call, server, kind));
             return;
         }
-        let moving = !matches!(kind, CallKind::SetUp { .. });
+        let moving = !matches!(kind, CallKind::SetUpSession { .. });
         if moving && self.lost() {
-            return self.tell(Input::Done {
+            return self.tell(Input::CallFinished {
                 call,
-                done: Done::MayHaveRun("lost on its way".into()),
+                result: CallResult::MaybeExecuted("lost on its way".into()),
             });
         }
         let done = self.answer(server, &kind);
         if moving && self.lost() {
-            return self.tell(Input::Done {
+            return self.tell(Input::CallFinished {
                 call,
-                done: Done::MayHaveRun("its answer was lost".into()),
+                result: CallResult::MaybeExecuted("its answer was lost".into()),
             });
         }
-        self.tell(Input::Done { call, done });
+        self.tell(Input::CallFinished { call, result: done });
     }
 
     /// Players take a picture each 50 ms from whoever serves them, and say so when nothing comes.
@@ -413,8 +422,13 @@
             if now - p.heard >= SILENT && now - p.said >= 200 * MS {
                 p.said = now;
                 let buffer = (p.heard + BUFFER - now).max(0);
-                self.words
-                    .push((now + 5 * MS, Input::Silent { session, buffer }));
+                self.words.push((
+                    now + 5 * MS,
+                    Input::StreamSilent {
+                        session,
+                        buffered: buffer,
+                    },
+                ));
             }
         }
     }
@@ -454,14 +468,17 @@
         for ask in 0..count {
             let (viewer, class, title) =
                 (format!("v{}-{ask}", self.now), "paid".into(), "t".into());
-            let new = NewSession {
-                viewer,
+            let new = SessionRequest {
+                viewer_key: viewer,
                 class,
                 title,
-                ..NewSession::default()
+                ..SessionRequest::default()
             };
-            let ask = AskId(self.now as u64 * 1000 + ask);
-            self.tell(Input::Asked { ask, new });
+            let ask = RequestId(self.now as u64 * 1000 + ask);
+            self.tell(Input::RequestReceived {
+                request_id: ask,
+                request: new,
+            });
         }
         self.wait(S);
     }
@@ -477,9 +494,9 @@
 
     fn back(&mut self, node: u64) {
         self.nodes[node as usize] = Some(NodeSessions::new((self.now / MS) as u64));
-        self.tell(Input::NodeUp {
+        self.tell(Input::NodeConnected {
             server: ServerId(node),
-            asked: self.now,
+            requested_at: self.now,
             held: vec![],
         });
     }
@@ -516,9 +533,9 @@
             self.snapshot(n);
         }
         let playing = self.players.iter().filter(|(_, p)| !p.gone);
-        let follows = |(session, p): (&SessionId, &Player)| Input::Follows {
+        let follows = |(session, p): (&SessionId, &Player)| Input::PlayerFollowing {
             session: *session,
-            plays: Some(p.seat.epoch()),
+            playing_epoch: Some(p.seat.epoch()),
         };
         let follows: Vec<_> = playing.map(follows).collect();
         let now = self.now;
@@ -550,7 +567,7 @@
         let there: Vec<_> = there
             .filter(|(_, held)| held.serving.or(held.prepared).is_some())
             .collect();
-        let carried = |(session, held): &(SessionId, SessionEpochs)| Carried {
+        let carried = |(session, held): &(SessionId, SessionEpochs)| TransferredSession {
             session: *session,
             attempt: 0,
             viewer: session.0,
@@ -558,15 +575,21 @@
             class: "paid".into(),
             title: "t".into(),
             rung: 0,
-            held: *held,
+            epochs: *held,
             media: n.to_string(),
         };
         let sessions = there.iter().map(carried).collect();
-        self.tell(Input::NodeHolds { server, sessions });
-        let held = there.iter().map(|(session, _)| (*session, 0)).collect();
-        self.tell(Input::NodeUp {
+        self.tell(Input::NodeSessionsReported { server, sessions });
+        let held = there
+            .iter()
+            .map(|(session, _)| SessionAttempt {
+                session: *session,
+                attempt: 0,
+            })
+            .collect();
+        self.tell(Input::NodeConnected {
             server,
-            asked,
+            requested_at: asked,
             held,
         });
     }
@@ -588,9 +611,14 @@
             }
         }
         self.wait(20 * S);
-        let held = self.engine.held();
+        let held = self.engine.session_counts();
         assert_eq!(
-            (held.waiting, held.leaving, held.owed_ends, held.moving),
+            (
+                held.waiting,
+                held.leaving,
+                held.unconfirmed_ends,
+                held.migrating
+            ),
             (0, 0, 0, 0)
         );
         for (session, booked) in &self.booked {
@@ -828,7 +856,7 @@
                         .find(|(_, p)| !p.gone)
                         .map(|(id, _)| *id);
                     if let Some(session) = one {
-                        world.tell(Input::Ended { session });
+                        world.tell(Input::EndSession { session });
                         world.players.get_mut(&session).unwrap().gone = true;
                     }
                 }
@@ -856,11 +884,15 @@
         world.wait(step as Micros * 5 * MS);
         let ids: Vec<_> = world.players.keys().copied().collect();
         for session in ids {
-            world.tell(Input::Ended { session });
+            world.tell(Input::EndSession { session });
             world.players.get_mut(&session).unwrap().gone = true;
         }
         world.settled();
-        assert_eq!(world.engine.held(), Held::default(), "step {step}");
+        assert_eq!(
+            world.engine.session_counts(),
+            SessionCounts::default(),
+            "step {step}"
+        );
     }
 }
 
@@ -930,15 +962,15 @@
         .find(|(_, p)| p.seat.node().0 == 3)
         .expect("somebody there")
         .0;
-    let full = Told::Figures {
+    let full = NodeEvent::LoadNotified {
         session: one,
-        delivered: None,
-        link: Some(0.88),
-        uplink: None,
+        delivered_fraction: None,
+        link_utilization: Some(0.88),
+        uplink_utilization: None,
     };
-    world.tell(Input::NodeTold {
+    world.tell(Input::NodeNotified {
         server: ServerId(3),
-        told: full,
+        event: full,
     });
     let (three, all) = (at(&world, 3), world.players.len());
     world.wait(600 * MS);
--- a/crates/engine/tests/world.rs
+++ b/crates/engine/tests/world.rs
@@ -27,7 +27,15 @@
         ..class
     };
     let titles = (0..6)
-        .map(|i| (format!("t{i}"), Place { home: i, spread: 3 }))
+        .map(|i| {
+            (
+                format!("t{i}"),
+                TitlePlacement {
+                    first_cell: i,
+                    replica_cells: 3,
+                },
+            )
+        })
         .collect();
     Config {
         seed: 3,
@@ -77,25 +85,30 @@
             },
             ..Default::default()
         },
-        classes: vec![("open".into(), 4 * S), ("paid".into(), 4 * S)],
-        kinds: vec!["box".into()],
+        classes: ["open", "paid"]
+            .map(|name| NamedClass {
+                name: name.into(),
+                max_wait: 4 * S,
+            })
+            .to_vec(),
+        machine_kinds: vec!["box".into()],
         titles,
-        most_sessions: 1000,
+        max_sessions: 1000,
         ..Default::default()
     }
 }
 
-fn line(id: u64, standing: EndpointState) -> Line {
+fn line(id: u64, standing: EndpointState) -> EndpointEntry {
     let address: SocketAddr = format!("127.0.0.1:{}", 1000 + id).parse().unwrap();
-    Line {
+    EndpointEntry {
         server: ServerId(id),
         address: Some(address),
         zone: String::new(),
-        kind: "box".into(),
+        machine_kind: "box".into(),
         cell: id,
-        standing,
+        state: standing,
         weight: 1.0,
-        came_up: None,
+        started_at: None,
     }
 }
 
@@ -109,11 +122,11 @@
 struct World {
     engine: Engine,
     now: Micros,
-    asks: BTreeMap<AskId, AskSeen>,
+    asks: BTreeMap<RequestId, AskSeen>,
     /// Calls that are out, and when the world answers them.
     out: BTreeMap<CallId, (Micros, ServerId, CallKind, u64)>,
     /// What each node holds, and what it was told to end.
-    runs: BTreeMap<ServerId, BTreeSet<(SessionId, u32)>>,
+    runs: BTreeMap<ServerId, BTreeSet<SessionAttempt>>,
     ended: BTreeSet<(ServerId, SessionId, u32)>,
     /// Set-ups of paid sessions that may have run.
     paid: BTreeMap<SessionId, u32>,
@@ -139,9 +152,9 @@
             set_ups: 0,
         };
         let lines = (0..NODES).map(|n| line(n, EndpointState::Ready)).collect();
-        world.tell(Input::List {
-            news: EndpointUpdate::Full,
-            lines,
+        world.tell(Input::EndpointsUpdated {
+            update: EndpointUpdate::Full,
+            endpoints: lines,
         });
         world
     }
@@ -154,7 +167,10 @@
     fn collect(&mut self) {
         while let Some(output) = self.engine.poll_output() {
             match output {
-                Output::Answer { ask, answer } => {
+                Output::Answer {
+                    request_id: ask,
+                    answer,
+                } => {
                     let seen = self.asks.get_mut(&ask).expect("an answer to nobody");
                     seen.answers += 1;
                     assert_eq!(seen.answers, 1, "one answer for {ask:?}");
@@ -164,14 +180,14 @@
                         "an answer {} late",
                         self.now - seen.due
                     );
-                    if let Answer::Plays { session, .. } = answer {
+                    if let Answer::Playing { session, .. } = answer {
                         self.plays.insert(session);
                     }
                 }
                 Output::Call {
                     call, server, kind, ..
                 } => {
-                    if let CallKind::SetUp {
+                    if let CallKind::SetUpSession {
                         session,
                         attempt,
                         class,
@@ -180,7 +196,7 @@
                     {
                         self.set_ups += 1;
                         let again = self.out.values().any(
-                            |(_, _, k, _)| matches!(k, CallKind::SetUp { session: s, .. } if s == session),
+                            |(_, _, k, _)| matches!(k, CallKind::SetUpSession { session: s, .. } if s == session),
                         );
                         assert!(!again, "two attempts out");
                         if class == "paid" {
@@ -200,7 +216,7 @@
                         * MS;
                     self.out.insert(call, (self.now + wait, server, kind, how));
                 }
-                Output::Drop { call } => {
+                Output::CancelCall { call } => {
                     // Given up: it may still run, now or later.
                     let (_, server, kind, how) =
                         self.out.remove(&call).expect("a call that is out");
@@ -220,7 +236,7 @@
         }
         let runs = self.runs.get_mut(&server).unwrap();
         match kind {
-            CallKind::SetUp {
+            CallKind::SetUpSession {
                 session,
                 attempt,
                 class,
@@ -230,13 +246,19 @@
                     *self.paid.entry(*session).or_default() += 1;
                 }
                 if !self.ended.contains(&(server, *session, *attempt)) {
-                    runs.insert((*session, *attempt));
+                    runs.insert(SessionAttempt {
+                        session: *session,
+                        attempt: *attempt,
+                    });
                 }
             }
-            CallKind::End {
+            CallKind::EndSession {
                 session, attempt, ..
             } => {
-                runs.remove(&(*session, *attempt));
+                runs.remove(&SessionAttempt {
+                    session: *session,
+                    attempt: *attempt,
+                });
                 self.ended.insert((server, *session, *attempt));
             }
             _ => {}
@@ -249,22 +271,22 @@
             link_utilization: Some(how as f64 / 100.0),
             ..LoadReport::default()
         };
-        let answered = |status, never_ran| Done::Answered {
+        let answered = |status, never_ran| CallResult::Answered {
             status,
-            never_ran,
-            load,
+            not_started: never_ran,
+            load_report: load,
             media: Some("m".into()),
         };
-        let set_up = matches!(kind, CallKind::SetUp { .. });
+        let set_up = matches!(kind, CallKind::SetUpSession { .. });
         let done = if self.down.contains(&server) {
             if how < 50 {
-                Done::NeverRan("refused".into())
+                CallResult::NotStarted("refused".into())
             } else {
-                Done::MayHaveRun("reset".into())
+                CallResult::MaybeExecuted("reset".into())
             }
         } else if set_up && how >= 92 {
             self.run(server, &kind);
-            Done::MayHaveRun("cut".into())
+            CallResult::MaybeExecuted("cut".into())
         } else if set_up && how >= 86 {
             answered(503, true)
         } else if set_up && how >= 80 {
@@ -273,12 +295,13 @@
             self.run(server, &kind);
             answered(201, false)
         };
-        if let (CallKind::SetUp { session, class, .. }, Done::MayHaveRun(_)) = (&kind, &done)
+        if let (CallKind::SetUpSession { session, class, .. }, CallResult::MaybeExecuted(_)) =
+            (&kind, &done)
             && class == "paid"
         {
             self.paid.entry(*session).or_default();
         }
-        self.tell(Input::Done { call, done });
+        self.tell(Input::CallFinished { call, result: done });
     }
 
     /// Lets time pass up to `until`; calls are answered and timers ring when they are due.
@@ -315,23 +338,23 @@
         } else {
             "paid"
         };
-        let new = NewSession {
-            viewer: format!("v{}", self.dice.roll(60)),
+        let new = SessionRequest {
+            viewer_key: format!("v{}", self.dice.roll(60)),
             class: class.into(),
             title: format!("t{}", self.dice.roll(6)),
-            again: self.dice.roll(3) > 0,
-            ..NewSession::default()
+            is_retry: self.dice.roll(3) > 0,
+            ..SessionRequest::default()
         };
         self.asks.insert(
-            AskId(ask),
+            RequestId(ask),
             AskSeen {
                 due: self.now + 4 * S,
                 ..AskSeen::default()
             },
         );
-        self.tell(Input::Asked {
-            ask: AskId(ask),
-            new,
+        self.tell(Input::RequestReceived {
+            request_id: RequestId(ask),
+            request: new,
         });
     }
 
@@ -346,27 +369,27 @@
             2 => {
                 // A viewer ends at its node.
                 let one = self.runs[&server].iter().next().copied();
-                if let Some((session, attempt)) = one {
+                if let Some(SessionAttempt { session, attempt }) = one {
                     self.runs
                         .get_mut(&server)
                         .unwrap()
-                        .remove(&(session, attempt));
-                    self.tell(Input::NodeTold {
+                        .remove(&SessionAttempt { session, attempt });
+                    self.tell(Input::NodeNotified {
                         server,
-                        told: Told::Ended { session, attempt },
+                        event: NodeEvent::SessionEnded { session, attempt },
                     });
                 }
             }
             3 => {
-                let open = |(_, s): &(&AskId, &AskSeen)| s.answers == 0 && !s.left;
+                let open = |(_, s): &(&RequestId, &AskSeen)| s.answers == 0 && !s.left;
                 if let Some(ask) = self.asks.iter().find(open).map(|(id, _)| *id) {
                     self.asks.get_mut(&ask).unwrap().left = true;
-                    self.tell(Input::Left { ask });
+                    self.tell(Input::RequestWithdrawn { request_id: ask });
                 }
             }
             _ => {
                 if let Some(session) = self.plays.pop_first() {
-                    self.tell(Input::Ended { session });
+                    self.tell(Input::EndSession { session });
                 }
             }
         }
@@ -374,9 +397,9 @@
 
     fn snapshot(&mut self, server: ServerId) {
         let held = self.runs[&server].iter().copied().collect();
-        self.tell(Input::NodeUp {
+        self.tell(Input::NodeConnected {
             server,
-            asked: self.now,
+            requested_at: self.now,
             held,
         });
     }
@@ -408,9 +431,9 @@
                 seen.answers
             );
         }
-        let held = world.engine.held();
+        let held = world.engine.session_counts();
         assert_eq!(
-            (held.waiting, held.leaving, held.owed_ends),
+            (held.waiting, held.leaving, held.unconfirmed_ends),
             (0, 0, 0),
             "seed {seed}"
         );
@@ -431,48 +454,48 @@
 fn the_same_key_gets_the_same_session() {
     let mut world = World::new(1);
     world.pass(2 * S);
-    let new = NewSession {
-        viewer: "a".into(),
+    let new = SessionRequest {
+        viewer_key: "a".into(),
         class: "open".into(),
         title: "t1".into(),
         ..Default::default()
     };
     for ask in 0..3 {
         world.asks.insert(
-            AskId(ask),
+            RequestId(ask),
             AskSeen {
                 due: world.now + 4 * S,
                 ..Default::default()
             },
         );
-        world.tell(Input::Asked {
-            ask: AskId(ask),
-            new: new.clone(),
+        world.tell(Input::RequestReceived {
+            request_id: RequestId(ask),
+            request: new.clone(),
         });
     }
     assert_eq!(world.set_ups, 1);
-    let other = NewSession {
+    let other = SessionRequest {
         title: "t2".into(),
         ..new
     };
     world.asks.insert(
-        AskId(9),
+        RequestId(9),
         AskSeen {
             due: world.now,
             ..Default::default()
         },
     );
-    world.tell(Input::Asked {
-        ask: AskId(9),
-        new: other,
+    world.tell(Input::RequestReceived {
+        request_id: RequestId(9),
+        request: other,
     });
     assert_eq!(
-        world.asks[&AskId(9)].answers,
+        world.asks[&RequestId(9)].answers,
         1,
         "another title under a key in use clashes at once"
     );
     world.pass(world.now + 10 * S);
-    assert!((0..3).all(|a| world.asks[&AskId(a)].answers == 1));
+    assert!((0..3).all(|a| world.asks[&RequestId(a)].answers == 1));
     assert_eq!(world.plays.len(), 1);
 }
 
@@ -483,23 +506,23 @@
         let lines = (0..NODES).map(|n| line(n, EndpointState::Ready)).collect();
         engine.handle(
             0,
-            Input::List {
-                news: EndpointUpdate::Full,
-                lines,
+            Input::EndpointsUpdated {
+                update: EndpointUpdate::Full,
+                endpoints: lines,
             },
         );
         for ask in 0..50 {
-            let new = NewSession {
-                viewer: format!("v{ask}"),
+            let new = SessionRequest {
+                viewer_key: format!("v{ask}"),
                 class: "open".into(),
                 title: "t0".into(),
                 ..Default::default()
             };
             engine.handle(
                 ask as Micros * 10 * MS,
-                Input::Asked {
-                    ask: AskId(ask),
-                    new,
+                Input::RequestReceived {
+                    request_id: RequestId(ask),
+                    request: new,
                 },
             );
         }
@@ -516,34 +539,37 @@
     for answer_first in [true, false] {
         let mut world = World::new(1);
         world.pass(2 * S);
-        let new = NewSession {
-            viewer: "a".into(),
+        let new = SessionRequest {
+            viewer_key: "a".into(),
             class: "paid".into(),
             title: "t1".into(),
             ..Default::default()
         };
         world.asks.insert(
-            AskId(0),
+            RequestId(0),
             AskSeen {
                 due: world.now + 4 * S,
                 ..Default::default()
             },
         );
-        world.tell(Input::Asked { ask: AskId(0), new });
+        world.tell(Input::RequestReceived {
+            request_id: RequestId(0),
+            request: new,
+        });
         let (call, (_, server, kind, _)) = world.out.pop_first().unwrap();
-        assert!(matches!(kind, CallKind::SetUp { .. }));
+        assert!(matches!(kind, CallKind::SetUpSession { .. }));
         world.run(server, &kind);
-        let done = Done::Answered {
+        let done = CallResult::Answered {
             status: 201,
-            never_ran: false,
-            load: LoadReport::default(),
+            not_started: false,
+            load_report: LoadReport::default(),
             media: Some("m".into()),
         };
         world.now += 4 * S - 10 * MS;
         if answer_first {
-            world.tell(Input::Done {
+            world.tell(Input::CallFinished {
                 call,
-                done: done.clone(),
+                result: done.clone(),
             });
         }
         // The call was taken off the list: hand it back so that giving it up finds it.
@@ -551,12 +577,12 @@
         world.engine.handle_timeout(world.now);
         world.collect();
         if !answer_first {
-            world.tell(Input::Done { call, done });
+            world.tell(Input::CallFinished { call, result: done });
         }
         world.out.remove(&call);
         world.pass(world.now + 20 * S);
-        assert_eq!(world.asks[&AskId(0)].answers, 1);
-        let held = world.engine.held();
+        assert_eq!(world.asks[&RequestId(0)].answers, 1);
+        let held = world.engine.session_counts();
         let runs: usize = world.runs.values().map(BTreeSet::len).sum();
         assert_eq!(
             (held.playing, runs),
@@ -569,23 +595,26 @@
 fn an_end_that_is_confirmed_by_other_news_leaves_no_call_waiting() {
     let mut world = World::new(1);
     world.pass(2 * S);
-    let new = NewSession {
-        viewer: "a".into(),
+    let new = SessionRequest {
+        viewer_key: "a".into(),
         class: "open".into(),
         title: "t1".into(),
         ..Default::default()
     };
     world.asks.insert(
-        AskId(0),
+        RequestId(0),
         AskSeen {
             due: world.now + 4 * S,
             ..Default::default()
         },
     );
-    world.tell(Input::Asked { ask: AskId(0), new });
+    world.tell(Input::RequestReceived {
+        request_id: RequestId(0),
+        request: new,
+    });
     world.pass(world.now + 10 * S);
     let session = world.plays.pop_first().unwrap();
-    world.tell(Input::Ended { session });
+    world.tell(Input::EndSession { session });
     let (_, server, ..) = world
         .out
         .values()
@@ -593,12 +622,12 @@
         .cloned()
         .expect("the node is told to end it");
     // The node never answers; the list says that it is gone.
-    world.tell(Input::List {
-        news: EndpointUpdate::Delta,
-        lines: vec![line(server.0, EndpointState::Gone)],
+    world.tell(Input::EndpointsUpdated {
+        update: EndpointUpdate::Delta,
+        endpoints: vec![line(server.0, EndpointState::Gone)],
     });
     assert!(world.out.is_empty(), "{:?}", world.out);
-    assert_eq!(world.engine.held(), Held::default());
+    assert_eq!(world.engine.session_counts(), SessionCounts::default());
 }
 
 /// An incident of a day of moves: the node of a set-up that was out vanished, the list said so, and at the viewer's
@@ -610,16 +639,16 @@
         world.pass(2 * S);
         let (viewer, class, title) = ("a".into(), class.into(), "t1".into());
         world.asks.insert(
-            AskId(0),
+            RequestId(0),
             AskSeen {
                 due: world.now + 4 * S,
                 ..Default::default()
             },
         );
-        world.tell(Input::Asked {
-            ask: AskId(0),
-            new: NewSession {
-                viewer,
+        world.tell(Input::RequestReceived {
+            request_id: RequestId(0),
+            request: SessionRequest {
+                viewer_key: viewer,
                 class,
                 title,
                 ..Default::default()
@@ -642,13 +671,13 @@
             )
         });
         let lines = gone.collect();
-        world.tell(Input::List {
-            news: EndpointUpdate::Delta,
-            lines,
+        world.tell(Input::EndpointsUpdated {
+            update: EndpointUpdate::Delta,
+            endpoints: lines,
         });
         world.pass(world.now + 6 * S);
-        assert_eq!(world.asks[&AskId(0)].answers, 1);
-        assert_eq!(world.engine.held(), Held::default());
+        assert_eq!(world.asks[&RequestId(0)].answers, 1);
+        assert_eq!(world.engine.session_counts(), SessionCounts::default());
     }
 }
 
@@ -661,32 +690,36 @@
         let class = if ask % 2 == 0 { "open" } else { "paid" };
         let (viewer, title) = (format!("v{ask}"), format!("t{}", ask % 6));
         world.asks.insert(
-            AskId(ask),
+            RequestId(ask),
             AskSeen {
                 due: world.now + 4 * S,
                 ..Default::default()
             },
         );
-        world.tell(Input::Asked {
-            ask: AskId(ask),
-            new: NewSession {
-                viewer,
+        world.tell(Input::RequestReceived {
+            request_id: RequestId(ask),
+            request: SessionRequest {
+                viewer_key: viewer,
                 class: class.into(),
                 title,
                 ..Default::default()
             },
         });
         while let Some((call, _)) = world.out.pop_first() {
-            world.tell(Input::Done {
+            world.tell(Input::CallFinished {
                 call,
-                done: Done::NotSent("too many open files".into()),
+                result: CallResult::NotSent("too many open files".into()),
             });
         }
-        assert_eq!(world.asks[&AskId(ask)].answers, 1, "turned away at once");
+        assert_eq!(
+            world.asks[&RequestId(ask)].answers,
+            1,
+            "turned away at once"
+        );
     }
     assert_eq!(
-        world.engine.held(),
-        Held::default(),
+        world.engine.session_counts(),
+        SessionCounts::default(),
         "no end is owed for what was never sent"
     );
     // It is over: every node takes sessions of both classes at once, as none of them has failed.
@@ -694,7 +727,7 @@
     for ask in 100..124 {
         world.now += 100 * MS;
         world.asks.insert(
-            AskId(ask),
+            RequestId(ask),
             AskSeen {
                 due: world.now + 4 * S,
                 ..Default::default()
@@ -702,10 +735,10 @@
         );
         let (viewer, title) = (format!("w{ask}"), format!("t{}", ask % 6));
         let class = "paid".to_string();
-        world.tell(Input::Asked {
-            ask: AskId(ask),
-            new: NewSession {
-                viewer,
+        world.tell(Input::RequestReceived {
+            request_id: RequestId(ask),
+            request: SessionRequest {
+                viewer_key: viewer,
                 class,
                 title,
                 ..Default::default()
--- a/crates/server/src/api.rs
+++ b/crates/server/src/api.rs
@@ -5,7 +5,7 @@
 use crate::keeper::FIELD;
 use serde::Deserialize;
 use shalewall::{Micros, SessionId};
-use shalewall_engine::{Answer, Input, NewSession};
+use shalewall_engine::{Answer, Input, SessionRequest};
 use shalewall_http::server::{Reply, Request};
 use std::rc::Rc;
 
@@ -34,7 +34,7 @@
     }
 }
 
-fn read(request: &Request) -> Result<NewSession, String> {
+fn read(request: &Request) -> Result<SessionRequest, String> {
     let mut w: Wanted = serde_json::from_slice(&request.body).map_err(|e| e.to_string())?;
     // In the head, so that it is known before the content is read; in the content for those who say it there.
     if let Some(named) = request.head.fields.get(FIELD) {
@@ -54,15 +54,15 @@
             "viewer, tenant, class and title take 1 to {NAME} bytes"
         ));
     }
-    Ok(NewSession {
-        wait: micros(w.wait_ms, 1e3)?,
-        hint: micros(w.hint_s, 1e6)?,
-        viewer: w.viewer,
+    Ok(SessionRequest {
+        max_wait: micros(w.wait_ms, 1e3)?,
+        duration_hint: micros(w.hint_s, 1e6)?,
+        viewer_key: w.viewer,
         tenant: w.tenant,
         class: w.class,
         title: w.title,
-        top: w.top,
-        again: w.again,
+        highest_rung: w.top,
+        is_retry: w.again,
     })
 }
 
@@ -96,7 +96,7 @@
         },
         ("DELETE", _, Some(session)) => {
             // Ending what has ended, or never was, is no error: the wish is fulfilled.
-            hub.feed(Input::Ended {
+            hub.feed(Input::EndSession {
                 session: SessionId(session),
             });
             Reply::new(204)
@@ -104,7 +104,7 @@
         ("GET", "/state", _) => {
             let held = hub.held();
             let mut state = serde_json::json!({ "waiting": held.waiting, "playing": held.playing,
-                "moving": held.moving, "leaving": held.leaving, "owed_ends": held.owed_ends });
+                "moving": held.migrating, "leaving": held.leaving, "owed_ends": held.unconfirmed_ends });
             if let Some(tenants) = hub.tenants.get() {
                 // As of which change, and whether later ones would be heard of.
                 state["tenants"] = tenants.number.get().into();
@@ -136,7 +136,7 @@
 
 fn reply(answer: Answer) -> Reply {
     match answer {
-        Answer::Plays {
+        Answer::Playing {
             session,
             rung,
             media,
@@ -144,7 +144,10 @@
             let body = serde_json::json!({ "session": session.0, "rung": rung, "media": media });
             Reply::json(201, body.to_string()).with("Location", format!("/sessions/{}", session.0))
         }
-        Answer::Refused { session, come_back } => {
+        Answer::Rejected {
+            session,
+            retry_after: come_back,
+        } => {
             let reply = problem(503, "turned away, free to come back", session, come_back);
             match come_back {
                 // The field has whole seconds; the exact time is in the body.
@@ -156,11 +159,11 @@
         }
         Answer::Failed {
             session,
-            late: false,
+            is_deadline_exceeded: false,
         } => problem(502, "failed; it may have been set up", Some(session), None),
         Answer::Failed {
             session,
-            late: true,
+            is_deadline_exceeded: true,
         } => problem(
             504,
             "the time was up; it may have been set up",
@@ -168,6 +171,6 @@
             None,
         ),
         Answer::Unknown(what) => Reply::problem(404, &format!("{what} is not known here")),
-        Answer::Clash(what) => Reply::problem(409, what),
+        Answer::Conflict(what) => Reply::problem(409, what),
     }
 }
--- a/crates/server/src/follow.rs
+++ b/crates/server/src/follow.rs
@@ -64,9 +64,9 @@
         {
             open.remove(&self.session);
             drop(open);
-            self.hub.feed(Input::Follows {
+            self.hub.feed(Input::PlayerFollowing {
                 session: self.session,
-                plays: None,
+                playing_epoch: None,
             });
         }
     }
@@ -92,9 +92,9 @@
         session,
         number,
     };
-    hub.feed(Input::Follows {
+    hub.feed(Input::PlayerFollowing {
         session,
-        plays: Some(plays),
+        playing_epoch: Some(plays),
     });
     let rest = stream::unfold((open, receiver), |(open, receiver)| async {
         let beat = async {
@@ -132,11 +132,11 @@
 pub fn word(hub: &Rc<Hub>, session: SessionId, word: &str, request: &Request) -> Option<Reply> {
     let epoch = || serde_json::from_slice::<OfEpoch>(&request.body).map(|x| Epoch(x.epoch));
     let input = match word {
-        "playing" => epoch().map(|epoch| Input::Playing { session, epoch }),
-        "declined" => epoch().map(|epoch| Input::Declined { session, epoch }),
-        "silent" => serde_json::from_slice::<Silent>(&request.body).map(|x| Input::Silent {
+        "playing" => epoch().map(|epoch| Input::EpochPlaying { session, epoch }),
+        "declined" => epoch().map(|epoch| Input::EpochDeclined { session, epoch }),
+        "silent" => serde_json::from_slice::<Silent>(&request.body).map(|x| Input::StreamSilent {
             session,
-            buffer: i64::from(x.buffer_ms) * 1000,
+            buffered: i64::from(x.buffer_ms) * 1000,
         }),
         _ => return None,
     };
--- a/crates/server/src/hub.rs
+++ b/crates/server/src/hub.rs
@@ -7,7 +7,9 @@
 use async_executor::{LocalExecutor, Task};
 use shalewall::ServerId;
 use shalewall_clock::TimeoutDriver;
-use shalewall_engine::{Answer, AskId, CallId, Engine, Input, NewSession, Output, Shown};
+use shalewall_engine::{
+    Answer, CallId, Engine, Input, Output, RequestId, SessionRequest, SessionSummary,
+};
 use shalewall_http::Limits;
 use shalewall_migration::ticket::TicketKey;
 use std::cell::{Cell, OnceCell, RefCell};
@@ -28,7 +30,7 @@
     /// An event stream without any byte for so long counts as broken.
     pub silence: Duration,
     engine: RefCell<Engine>,
-    asks: RefCell<HashMap<AskId, Sender<Answer>>>,
+    asks: RefCell<HashMap<RequestId, Sender<Answer>>>,
     calls: RefCell<HashMap<CallId, Task<()>>>,
     peers: RefCell<BTreeMap<ServerId, Watched>>,
     next_ask: Cell<u64>,
@@ -45,7 +47,7 @@
 /// A viewer's request that waits. Dropped without an answer, it tells the engine that the viewer has left.
 pub struct Waiting {
     hub: Rc<Hub>,
-    ask: AskId,
+    ask: RequestId,
     answer: Receiver<Answer>,
 }
 
@@ -59,7 +61,9 @@
 impl Drop for Waiting {
     fn drop(&mut self) {
         if self.hub.asks.borrow_mut().remove(&self.ask).is_some() {
-            self.hub.feed(Input::Left { ask: self.ask });
+            self.hub.feed(Input::RequestWithdrawn {
+                request_id: self.ask,
+            });
         }
     }
 }
@@ -102,8 +106,8 @@
     }
 
     /// A viewer asks.
-    pub fn ask(self: &Rc<Hub>, new: NewSession) -> Waiting {
-        let ask = AskId(self.next_ask.get());
+    pub fn ask(self: &Rc<Hub>, new: SessionRequest) -> Waiting {
+        let ask = RequestId(self.next_ask.get());
         self.next_ask.set(ask.0 + 1);
         let (sender, answer) = async_channel::bounded(1);
         self.asks.borrow_mut().insert(ask, sender);
@@ -112,7 +116,10 @@
             ask,
             answer,
         };
-        self.feed(Input::Asked { ask, new });
+        self.feed(Input::RequestReceived {
+            request_id: ask,
+            request: new,
+        });
         waiting
     }
 
@@ -125,11 +132,11 @@
         self.leaving.get()
     }
 
-    pub fn held(&self) -> shalewall_engine::Held {
-        self.engine.borrow().held()
+    pub fn held(&self) -> shalewall_engine::SessionCounts {
+        self.engine.borrow().session_counts()
     }
 
-    pub fn sessions_of(&self, tenant: &str, most: usize) -> Vec<Shown> {
+    pub fn sessions_of(&self, tenant: &str, most: usize) -> Vec<SessionSummary> {
         self.engine.borrow().sessions_of(tenant, most)
     }
 
@@ -140,7 +147,10 @@
             let output = self.engine.borrow_mut().poll_output();
             let Some(output) = output else { return };
             match output {
-                Output::Answer { ask, answer } => {
+                Output::Answer {
+                    request_id: ask,
+                    answer,
+                } => {
                     if let Some(sender) = self.asks.borrow_mut().remove(&ask) {
                         let _ = sender.try_send(answer);
                     }
@@ -161,46 +171,46 @@
                         let own = hub.calls.borrow_mut().remove(&call);
                         if let Some(task) = own {
                             task.detach();
-                            hub.feed(Input::Done { call, done });
+                            hub.feed(Input::CallFinished { call, result: done });
                         }
                     });
                     self.calls.borrow_mut().insert(call, task);
                 }
                 // Dropping the task drops its connection.
-                Output::Drop { call } => drop(self.calls.borrow_mut().remove(&call)),
-                Output::Watch { server, address } => {
+                Output::CancelCall { call } => drop(self.calls.borrow_mut().remove(&call)),
+                Output::WatchNode { server, address } => {
                     let peer = Rc::new(Peer::new(server, address, &self.limits));
                     let task = self.ex.spawn(node::watch(self.clone(), peer.clone()));
                     self.peers.borrow_mut().insert(server, (peer, task));
                 }
-                Output::Unwatch { server } => drop(self.peers.borrow_mut().remove(&server)),
-                Output::CloseIdle { server } => {
+                Output::UnwatchNode { server } => drop(self.peers.borrow_mut().remove(&server)),
+                Output::CloseIdleConnections { server } => {
                     if let Some((peer, _)) = self.peers.borrow().get(&server) {
                         peer.pool.clear();
                     }
                 }
-                Output::Offer {
+                Output::OfferMigration {
                     session,
                     epoch,
                     media,
                 } => self.follows.offer(session, epoch, &media),
-                Output::Gone { session } => self.follows.over(session),
-                Output::Moved {
+                Output::SessionEnded { session } => self.follows.over(session),
+                Output::MigrationFinished {
                     session,
                     to,
-                    why,
-                    took,
-                    moved,
+                    reason: why,
+                    duration: took,
+                    migrated: moved,
                 } => {
                     let (session, to) = (session.0, to.0);
                     info!(session, to, ?why, took_us = took, moved, "hand-over");
                 }
-                Output::Tried {
+                Output::AttemptFinished {
                     session,
                     attempt,
                     server,
                     outcome,
-                    took,
+                    duration: took,
                 } => {
                     debug!(
                         session = session.0,
--- a/crates/server/src/list.rs
+++ b/crates/server/src/list.rs
@@ -4,7 +4,7 @@
 use async_io::Timer;
 use serde::Deserialize;
 use shalewall::{EndpointState, EndpointUpdate, ServerId};
-use shalewall_engine::{Input, Line};
+use shalewall_engine::{EndpointEntry, Input};
 use shalewall_http::client::{Call, Events, in_time};
 use shalewall_http::pool::Pool;
 use std::net::SocketAddr;
@@ -36,7 +36,7 @@
 }
 
 /// A piece of news, read whole or not at all.
-fn read(data: &str) -> Result<Vec<Line>, String> {
+fn read(data: &str) -> Result<Vec<EndpointEntry>, String> {
     let wire: Vec<Wire> = serde_json::from_str(data).map_err(|e| e.to_string())?;
     let line = |w: Wire| {
         let standing = match w.standing.as_str() {
@@ -54,15 +54,15 @@
         if !w.weight.is_finite() || w.weight < 0.0 {
             return Err(format!("server {}: weight {}", w.server, w.weight));
         }
-        Ok(Line {
+        Ok(EndpointEntry {
             server: ServerId(w.server),
             address,
             zone: w.zone,
-            kind: w.kind,
+            machine_kind: w.kind,
             cell: w.cell,
-            standing,
+            state: standing,
             weight: w.weight,
-            came_up: w.started,
+            started_at: w.started,
         })
     };
     wire.into_iter().map(line).collect()
@@ -89,15 +89,18 @@
                         _ => continue,
                     };
                     match read(&event.data) {
-                        Ok(lines) => hub.feed(Input::List { news, lines }),
+                        Ok(lines) => hub.feed(Input::EndpointsUpdated {
+                            update: news,
+                            endpoints: lines,
+                        }),
                         Err(why) => warn!(why, "news of the list refused, the old list stands"),
                     }
                 }
             }
             warn!("list is out of reach, the last one stands");
-            hub.feed(Input::List {
-                news: EndpointUpdate::Failed,
-                lines: Vec::new(),
+            hub.feed(Input::EndpointsUpdated {
+                update: EndpointUpdate::Failed,
+                endpoints: Vec::new(),
             });
         }
         Timer::after(PAUSE).await;
--- a/crates/server/src/node.rs
+++ b/crates/server/src/node.rs
@@ -6,7 +6,9 @@
 use serde::Deserialize;
 use serde_json::Value;
 use shalewall::{LoadReport, ServerId, SessionId};
-use shalewall_engine::{CallKind, Carried, Done, Input, Told};
+use shalewall_engine::{
+    CallKind, CallResult, Input, NodeEvent, SessionAttempt, TransferredSession,
+};
 use shalewall_http::Limits;
 use shalewall_http::client::{Call, Events, Failure, Response, Unconnected, in_time};
 use shalewall_http::head::Fields;
@@ -50,10 +52,15 @@
 /// Carries out one call. Waits as long as it is let; dropped, it closes its connection.
 ///
 /// `key`: seals the tickets of hand-overs.
-pub async fn call(peer: &Peer, director: u32, key: Option<&TicketKey>, kind: &CallKind) -> Done {
+pub async fn call(
+    peer: &Peer,
+    director: u32,
+    key: Option<&TicketKey>,
+    kind: &CallKind,
+) -> CallResult {
     let path = |session: &SessionId, attempt: &u32| format!("/sessions/{}/{attempt}", session.0);
     let (method, target, body) = match kind {
-        CallKind::SetUp {
+        CallKind::SetUpSession {
             session,
             attempt,
             viewer,
@@ -61,7 +68,7 @@
             class,
             title,
             rung,
-            kb,
+            rate_kb_s: kb,
         } => {
             let body = serde_json::json!({
                 "director": director, "viewer": viewer, "tenant": tenant, "class": class, "title": title,
@@ -69,30 +76,30 @@
             });
             ("PUT", path(session, attempt), Some(body.to_string()))
         }
-        CallKind::Rung {
+        CallKind::SetRung {
             session,
             attempt,
             rung,
-            kb,
+            rate_kb_s: kb,
         } => {
             let body = serde_json::json!({ "rung": rung, "kb": kb });
             ("PATCH", path(session, attempt), Some(body.to_string()))
         }
-        CallKind::End {
+        CallKind::EndSession {
             session,
             attempt,
-            upto: None,
+            up_to_epoch: None,
         } => ("DELETE", path(session, attempt), None),
-        CallKind::End {
+        CallKind::EndSession {
             session,
             attempt,
-            upto: Some(upto),
+            up_to_epoch: Some(upto),
         } => (
             "DELETE",
             format!("{}?upto={}", path(session, attempt), upto.0),
             None,
         ),
-        CallKind::Prepare {
+        CallKind::PrepareMigration {
             session,
             attempt,
             epoch,
@@ -102,10 +109,10 @@
             class,
             title,
             rung,
-            kb,
+            rate_kb_s: kb,
         } => {
             let Some(key) = key else {
-                return Done::NeverRan("this front has no key for tickets".into());
+                return CallResult::NotStarted("this front has no key for tickets".into());
             };
             let now = (shalewall_clock::now().as_micros() / 1000) as u64;
             let validity = Validity {
@@ -123,7 +130,7 @@
                 Some(body.to_string()),
             )
         }
-        CallKind::Cancel {
+        CallKind::CancelMigration {
             session,
             attempt,
             epoch,
@@ -132,7 +139,7 @@
             format!("/moves/{}/{attempt}?epoch={}", session.0, epoch.0),
             None,
         ),
-        CallKind::Probe => ("GET", "/probe".to_string(), None),
+        CallKind::CheckHealth => ("GET", "/probe".to_string(), None),
     };
     let content = body.as_ref().map(|b| ("application/json", b.as_bytes()));
     let call = Call {
@@ -141,19 +148,19 @@
     };
     match peer.pool.call(&call).await {
         Ok(response) => answered(&response),
-        Err(Failure::NotConnected(Unconnected::Own, why)) => Done::NotSent(why),
-        Err(Failure::NotConnected(_, why) | Failure::NeverRan(why)) => Done::NeverRan(why),
-        Err(Failure::MayHaveRun(why)) => Done::MayHaveRun(why),
+        Err(Failure::NotConnected(Unconnected::Own, why)) => CallResult::NotSent(why),
+        Err(Failure::NotConnected(_, why) | Failure::NeverRan(why)) => CallResult::NotStarted(why),
+        Err(Failure::MayHaveRun(why)) => CallResult::MaybeExecuted(why),
     }
 }
 
-fn answered(response: &Response) -> Done {
+fn answered(response: &Response) -> CallResult {
     let fields = &response.head.fields;
     let body: Value = serde_json::from_slice(&response.body).unwrap_or_default();
-    Done::Answered {
+    CallResult::Answered {
         status: response.head.status,
-        never_ran: fields.get("shalewall-never-ran") == Some("yes"),
-        load: load(fields),
+        not_started: fields.get("shalewall-never-ran") == Some("yes"),
+        load_report: load(fields),
         media: body["media"].as_str().map(str::to_string),
     }
 }
@@ -235,10 +242,10 @@
                     warn!(server = server.0, "a snapshot that is not understood");
                     return None;
                 };
-                hub.feed(Input::NodeHolds { server, sessions });
-                hub.feed(Input::NodeUp {
+                hub.feed(Input::NodeSessionsReported { server, sessions });
+                hub.feed(Input::NodeConnected {
                     server,
-                    asked,
+                    requested_at: asked,
                     held,
                 });
                 continue;
@@ -271,15 +278,18 @@
     media: String,
 }
 
-type Snapshot = (Vec<Carried>, Vec<(SessionId, u32)>);
+type Snapshot = (Vec<TransferredSession>, Vec<SessionAttempt>);
 
 fn held(data: &str) -> Option<Snapshot> {
     let told: Vec<Snapped> = serde_json::from_str(data).ok()?;
     let held = told
         .iter()
-        .map(|t| (SessionId(t.session), t.attempt))
+        .map(|t| SessionAttempt {
+            session: SessionId(t.session),
+            attempt: t.attempt,
+        })
         .collect();
-    let carried = |t: Snapped| Carried {
+    let carried = |t: Snapped| TransferredSession {
         session: SessionId(t.session),
         attempt: t.attempt,
         viewer: t.viewer,
@@ -287,7 +297,7 @@
         class: t.class,
         title: t.title,
         rung: t.rung,
-        held: t.held,
+        epochs: t.held,
         media: t.media,
     };
     Some((told.into_iter().map(carried).collect(), held))
@@ -298,22 +308,25 @@
     let session = SessionId(data["session"].as_u64()?);
     let share = |name: &str| data[name].as_f64().filter(|x| *x >= 0.0);
     let told = match kind {
-        "ended" => Told::Ended {
+        "ended" => NodeEvent::SessionEnded {
             session,
             attempt: u32::try_from(data["attempt"].as_u64()?).ok()?,
         },
-        "fetched" => Told::Fetched {
+        "fetched" => NodeEvent::StreamFetched {
             session,
             attempt: u32::try_from(data["attempt"].as_u64()?).ok()?,
             epoch: Epoch(u32::try_from(data["epoch"].as_u64()?).ok()?),
         },
-        "figures" => Told::Figures {
+        "figures" => NodeEvent::LoadNotified {
             session,
-            delivered: share("delivered"),
-            link: share("link"),
-            uplink: share("uplink"),
+            delivered_fraction: share("delivered"),
+            link_utilization: share("link"),
+            uplink_utilization: share("uplink"),
         },
         _ => return None,
     };
-    Some(Input::NodeTold { server, told })
+    Some(Input::NodeNotified {
+        server,
+        event: told,
+    })
 }
--- a/crates/server/src/serve.rs
+++ b/crates/server/src/serve.rs
@@ -48,7 +48,7 @@
                 let held = hub.held();
                 let patient = std::time::Instant::now() < until;
                 if held.waiting == 0
-                    && (held.playing + held.leaving + held.owed_ends == 0 || !patient)
+                    && (held.playing + held.leaving + held.unconfirmed_ends == 0 || !patient)
                 {
                     return;
                 }
@@ -84,7 +84,7 @@
                 plan.front.most_sessions,
                 plan.front.most_connections,
             );
-            engine.set_door(Box::new(Door(tenants.clone())));
+            engine.set_admission_control(Box::new(Door(tenants.clone())));
             Some((tenants, hosting.clone(), token))
         }
     };
--- a/crates/server/src/tenants.rs
+++ b/crates/server/src/tenants.rs
@@ -6,7 +6,10 @@
 use async_io::Timer;
 use serde::Deserialize;
 use shalewall::{ClassSettings, Idempotency, Micros, ServerId};
-use shalewall_engine::{Admission, Admit, Agreed, Input, Place, Shown};
+use shalewall_engine::{
+    Admission, AdmissionControl, ClassTerms, Input, SessionSummary, TenantTerms, TenantUpdate,
+    TitlePlacement,
+};
 use shalewall_http::Limits;
 use shalewall_http::client::{Call, Response, in_time};
 use shalewall_http::pool::Pool;
@@ -51,25 +54,27 @@
     TenantId::try_from(tenant?.to_string()).ok()
 }
 
-impl Admit for Door {
+impl AdmissionControl for Door {
     fn admit(&mut self, now: Micros, tenant: Option<&str>) -> Admission {
         if self.0.number.get() == 0 {
-            return Admission::Away { come_back: FIRST }; // nothing is known yet, so nobody is unknown
+            return Admission::Rejected { retry_after: FIRST }; // nothing is known yet, so nobody is unknown
         }
         let Some(tenant) = id(tenant) else {
-            return Admission::Unknown;
+            return Admission::UnknownTenant;
         };
         match self.0.shares.borrow_mut().ask(now, &tenant) {
-            Verdict::Take => Admission::Taken,
+            Verdict::Take => Admission::Admitted,
             Verdict::TurnAway {
                 cause: Cause::NoSuchTenant,
                 ..
-            } => Admission::Unknown,
-            Verdict::TurnAway { come_back, .. } => Admission::Away { come_back },
+            } => Admission::UnknownTenant,
+            Verdict::TurnAway { come_back, .. } => Admission::Rejected {
+                retry_after: come_back,
+            },
         }
     }
 
-    fn over(&mut self, now: Micros, tenant: Option<&str>) {
+    fn release(&mut self, now: Micros, tenant: Option<&str>) {
         if let Some(tenant) = id(tenant) {
             self.0.shares.borrow_mut().ended(now, &tenant);
         }
@@ -83,7 +88,7 @@
 }
 
 /// What a tenant's terms are to the engine; nothing once it is gone.
-fn agreed(tenant: &Tenant) -> Option<Agreed> {
+fn agreed(tenant: &Tenant) -> Option<TenantTerms> {
     let ms = |ms: u32| Micros::from(ms) * 1000;
     let class = |c: &Class| ClassSettings {
         idempotency: if c.paid {
@@ -101,10 +106,18 @@
     };
     let terms = &tenant.terms;
     let classes = terms.classes.iter();
-    (!matches!(tenant.state, State::Gone { .. })).then(|| Agreed {
-        share: tenant.state.takes().then_some(terms.share),
+    (!matches!(tenant.state, State::Gone { .. })).then(|| TenantTerms {
+        quota: tenant.state.takes().then_some(terms.share),
         classes: classes
-            .map(|(name, c)| (name.clone(), (class(c), ms(c.give_up_ms))))
+            .map(|(name, c)| {
+                (
+                    name.clone(),
+                    ClassTerms {
+                        settings: class(c),
+                        max_wait: ms(c.give_up_ms),
+                    },
+                )
+            })
             .collect(),
         titles: terms
             .titles
@@ -112,9 +125,9 @@
             .map(|(name, t)| {
                 (
                     name.clone(),
-                    Place {
-                        home: t.home,
-                        spread: t.spread,
+                    TitlePlacement {
+                        first_cell: t.home,
+                        replica_cells: t.spread,
                     },
                 )
             })
@@ -144,10 +157,13 @@
     /// Door and engine hear of all of it in one turn: no request is decided in between.
     fn apply(&self, hub: &Rc<Hub>, news: News) {
         let now = shalewall_clock::now().as_micros();
-        hub.feed(Input::Tenants(
+        hub.feed(Input::TenantsUpdated(
             news.tenants
                 .iter()
-                .map(|t| (t.id.to_string(), agreed(t)))
+                .map(|t| TenantUpdate {
+                    tenant: t.id.to_string(),
+                    terms: agreed(t),
+                })
                 .collect(),
         ));
         for tenant in news.tenants {
@@ -179,7 +195,7 @@
                             tenant = name,
                             "a deleted tenant's time is over: what plays ends"
                         );
-                        hub.feed(Input::TenantEnded { tenant: name });
+                        hub.feed(Input::EndTenantSessions { tenant: name });
                     });
                     self.ending.borrow_mut().insert(id.clone(), task);
                 }
@@ -243,14 +259,14 @@
     sessions_of: Vec<String>,
 }
 
-fn row(shown: Shown) -> Row {
-    let Shown {
+fn row(shown: SessionSummary) -> Row {
+    let SessionSummary {
         session,
         class,
         title,
         server,
         rung,
-        plays,
+        is_playing: plays,
     } = shown;
     Row {
         session: session.0,
--- a/crates/settings/src/site/module_settings.rs
+++ b/crates/settings/src/site/module_settings.rs
@@ -8,17 +8,20 @@
 use crate::server::Front;
 use crate::units::{from_millis, us};
 use shalewall::{
-    ClassSettings, Idempotency, Micros, RetryBudget, RuleSettings, Rung, Settings, TenantSettings,
+    ClassSettings, Idempotency, RetryBudget, RuleSettings, Rung, Settings, TenantSettings,
     TimeDelta,
 };
-use shalewall_engine::{Config, Place};
+use shalewall_engine::{Config, NamedClass, TitlePlacement};
 
 impl Site {
     /// Classes in the order of the module's indices, with how long their viewers wait.
-    pub fn classes(&self) -> Vec<(String, Micros)> {
+    pub fn classes(&self) -> Vec<NamedClass> {
         let classes = self.class.iter();
         classes
-            .map(|(name, class)| (name.clone(), us(class.give_up_ms)))
+            .map(|(name, class)| NamedClass {
+                name: name.clone(),
+                max_wait: us(class.give_up_ms),
+            })
             .collect()
     }
 
@@ -31,13 +34,13 @@
             classes: self.classes(),
             tenants: self.tenant.keys().cloned().collect(),
             zones: self.zones.clone(),
-            kinds: self.kind.keys().cloned().collect(),
+            machine_kinds: self.kind.keys().cloned().collect(),
             titles: titles
                 .map(|(name, title)| (name.clone(), title.place()))
                 .collect(),
-            most_sessions: front.most_sessions,
+            max_sessions: front.most_sessions,
             incarnation,
-            moves: self.moves.as_ref().map(Moves::policy),
+            migration: self.moves.as_ref().map(Moves::policy),
         }
     }
 
@@ -159,10 +162,10 @@
 }
 
 impl Title {
-    fn place(&self) -> Place {
-        Place {
-            home: self.home,
-            spread: self.spread,
+    fn place(&self) -> TitlePlacement {
+        TitlePlacement {
+            first_cell: self.home,
+            replica_cells: self.spread,
         }
     }
 }
--- a/crates/simulation/src/plain.rs
+++ b/crates/simulation/src/plain.rs
@@ -6,7 +6,7 @@
     Action, Endpoint, EndpointState, EndpointUpdate, Event, Idempotency, Micros, Notification,
     Outcome, Request, ServerId, SessionId, Settings,
 };
-use shalewall_engine::Decide;
+use shalewall_engine::DecisionPolicy;
 use std::collections::BTreeMap;
 
 /// The design's defaults.
@@ -177,7 +177,7 @@
     }
 }
 
-impl Decide for Plain {
+impl DecisionPolicy for Plain {
     fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
         match event {
             Event::EndpointsUpdated {
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -61,7 +61,7 @@
     Reach(usize, CallId),
     /// A set-up is over at its node.
     Begin(usize, CallId),
-    Reply(usize, CallId, Done),
+    Reply(usize, CallId, CallResult),
     Tell(usize, Input),
     Look,
     Begins(usize),
@@ -128,7 +128,7 @@
     bursts: BTreeMap<String, f64>,
     extra: Option<(Draw, f64)>,
     troubles: Vec<Trouble>,
-    listed: BTreeMap<u64, Line>,
+    listed: BTreeMap<u64, EndpointEntry>,
     result: Report,
 }
 
@@ -261,16 +261,16 @@
             Policy::Module => Engine::new(config, self.now),
             Policy::Plain => {
                 let plain = Box::new(Plain::new(config.settings.clone()));
-                Engine::with(config, plain, self.now)
+                Engine::with_policy(config, plain, self.now)
             }
         };
         self.engines[d] = Some(engine);
         let lines = self.listed.values().cloned().collect();
         self.tell(
             d,
-            Input::List {
-                news: EndpointUpdate::Full,
-                lines,
+            Input::EndpointsUpdated {
+                update: EndpointUpdate::Full,
+                endpoints: lines,
             },
         );
         for (node, n) in &self.fleet.nodes {
@@ -282,11 +282,14 @@
             if !held.is_empty() {
                 let held = held
                     .into_iter()
-                    .map(|((s, a), _)| (SessionId(*s), *a))
+                    .map(|((session, attempt), _)| SessionAttempt {
+                        session: SessionId(*session),
+                        attempt: *attempt,
+                    })
                     .collect();
-                let up = Input::NodeUp {
+                let up = Input::NodeConnected {
                     server: ServerId(*node),
-                    asked: self.now,
+                    requested_at: self.now,
                     held,
                 };
                 self.queued += 1;
@@ -354,7 +357,10 @@
 
     fn on_output(&mut self, d: usize, output: Output) {
         match output {
-            Output::Answer { ask, answer } => self.on_answer(ask.0, answer),
+            Output::Answer {
+                request_id: ask,
+                answer,
+            } => self.on_answer(ask.0, answer),
             Output::Call {
                 call, server, kind, ..
             } => {
@@ -368,10 +374,14 @@
                 );
                 self.later(NET, Due::Reach(d, call));
             }
-            Output::Drop { call } => self.drop_call(d, call),
-            Output::Watch { .. } | Output::Unwatch { .. } | Output::CloseIdle { .. } => {}
-            Output::Offer { .. } | Output::Gone { .. } | Output::Moved { .. } => {}
-            Output::Tried { .. } | Output::Log(_) => {}
+            Output::CancelCall { call } => self.drop_call(d, call),
+            Output::WatchNode { .. }
+            | Output::UnwatchNode { .. }
+            | Output::CloseIdleConnections { .. } => {}
+            Output::OfferMigration { .. }
+            | Output::SessionEnded { .. }
+            | Output::MigrationFinished { .. } => {}
+            Output::AttemptFinished { .. } | Output::Log(_) => {}
         }
     }
 
@@ -396,10 +406,10 @@
 
     fn reply(&mut self, d: usize, call: CallId, node: u64, status: u16, never_ran: bool) {
         let media = (status == 201).then(String::new);
-        let done = Done::Answered {
+        let done = CallResult::Answered {
             status,
-            never_ran,
-            load: self.load(node),
+            not_started: never_ran,
+            load_report: self.load(node),
             media,
         };
         self.later(NET, Due::Reply(d, call, done));
@@ -417,10 +427,13 @@
             .get(&node)
             .is_none_or(|n| n.process == Process::Down)
         {
-            return self.later(NET, Due::Reply(d, call, Done::NeverRan("refused".into())));
+            return self.later(
+                NET,
+                Due::Reply(d, call, CallResult::NotStarted("refused".into())),
+            );
         }
         match kind {
-            CallKind::SetUp {
+            CallKind::SetUpSession {
                 session, attempt, ..
             } => match self.fleet.arrive(node, (session.0, attempt), self.now) {
                 Arrival::Takes(time) => {
@@ -434,11 +447,11 @@
                 Arrival::Ended => self.reply(d, call, node, 410, true),
                 Arrival::Falls => self.down(node),
             },
-            CallKind::Rung {
+            CallKind::SetRung {
                 session,
                 attempt,
                 rung,
-                kb,
+                rate_kb_s: kb,
             } => {
                 let run = (session.0, attempt);
                 let before = self.fleet.nodes[&node].playing.get(&run).map(|p| p.rung);
@@ -458,16 +471,16 @@
                 }
                 self.reply(d, call, node, if known { 204 } else { 404 }, false);
             }
-            CallKind::End {
+            CallKind::EndSession {
                 session, attempt, ..
             } => {
                 let played = self.fleet.end(node, (session.0, attempt));
                 self.hide(session.0, true);
                 self.reply(d, call, node, if played { 204 } else { 404 }, false);
             }
-            CallKind::Probe => self.reply(d, call, node, 204, false),
+            CallKind::CheckHealth => self.reply(d, call, node, 204, false),
             // Nobody follows here, so nothing is handed over.
-            CallKind::Prepare { .. } | CallKind::Cancel { .. } => {
+            CallKind::PrepareMigration { .. } | CallKind::CancelMigration { .. } => {
                 self.reply(d, call, node, 404, false)
             }
         }
@@ -479,13 +492,13 @@
         };
         out.setting_up = false;
         let node = out.server;
-        let CallKind::SetUp {
+        let CallKind::SetUpSession {
             session,
             attempt,
             class,
             title,
             rung,
-            kb,
+            rate_kb_s: kb,
             ..
         } = out.kind.clone()
         else {
@@ -534,7 +547,10 @@
                 .get_mut(&(d, call))
                 .into_iter()
                 .for_each(|c| c.setting_up = false);
-            self.later(NET, Due::Reply(d, call, Done::MayHaveRun("reset".into())));
+            self.later(
+                NET,
+                Due::Reply(d, call, CallResult::MaybeExecuted("reset".into())),
+            );
         }
         for d in 0..self.engines.len() {
             self.later(
@@ -574,9 +590,9 @@
                 late,
                 Due::Tell(
                     d,
-                    Input::List {
-                        news: EndpointUpdate::Delta,
-                        lines,
+                    Input::EndpointsUpdated {
+                        update: EndpointUpdate::Delta,
+                        endpoints: lines,
                     },
                 ),
             );
@@ -596,15 +612,15 @@
             uplink,
         } in news
         {
-            let told = Told::Figures {
+            let told = NodeEvent::LoadNotified {
                 session: SessionId(session),
-                delivered,
-                link,
-                uplink,
+                delivered_fraction: delivered,
+                link_utilization: link,
+                uplink_utilization: uplink,
             };
-            let input = Input::NodeTold {
+            let input = Input::NodeNotified {
                 server: ServerId(node),
-                told,
+                event: told,
             };
             self.later(NET, Due::Tell(director as usize, input));
         }
@@ -695,7 +711,7 @@
             Due::Begin(d, call) => self.begin(d, call),
             Due::Reply(d, call, done) => {
                 if self.calls.remove(&(d, call)).is_some() {
-                    self.tell(d, Input::Done { call, done });
+                    self.tell(d, Input::CallFinished { call, result: done });
                 }
             }
             Due::Tell(d, input) => self.tell(d, input),
@@ -724,15 +740,15 @@
     }
 }
 
-fn line(machine: &Machine, standing: EndpointState, came_up: Option<Micros>) -> Line {
-    Line {
+fn line(machine: &Machine, standing: EndpointState, came_up: Option<Micros>) -> EndpointEntry {
+    EndpointEntry {
         server: ServerId(machine.id),
         address: Some(SocketAddr::from((Ipv4Addr::LOCALHOST, 1))),
         zone: machine.zone.clone(),
-        kind: machine.kind.clone(),
+        machine_kind: machine.kind.clone(),
         cell: machine.cell,
-        standing,
+        state: standing,
         weight: machine.weight,
-        came_up,
+        started_at: came_up,
     }
 }
--- a/crates/simulation/src/world/viewers.rs
+++ b/crates/simulation/src/world/viewers.rs
@@ -75,15 +75,15 @@
         }
         let v = &mut self.viewers[viewer];
         let left = (v.until - self.now) as f64 * self.crowd.hint_times;
-        let new = NewSession {
-            viewer: v.person.key.clone(),
+        let new = SessionRequest {
+            viewer_key: v.person.key.clone(),
             class: self.crowd.classes[v.person.class].name.clone(),
             title: v.person.title.clone(),
-            hint: (left > 0.0).then_some(left as Micros),
-            top: Some(v.person.top),
-            again: v.asks > 0,
+            duration_hint: (left > 0.0).then_some(left as Micros),
+            highest_rung: Some(v.person.top),
+            is_retry: v.asks > 0,
             tenant: v.tenant.clone(),
-            ..NewSession::default()
+            ..SessionRequest::default()
         };
         v.asks += 1;
         let ask = self.next_ask;
@@ -91,9 +91,9 @@
         self.asks.insert(ask, viewer);
         self.tell(
             front,
-            Input::Asked {
-                ask: AskId(ask),
-                new,
+            Input::RequestReceived {
+                request_id: RequestId(ask),
+                request: new,
             },
         );
     }
@@ -119,7 +119,7 @@
         let at = self.seconds();
         let v = &mut self.viewers[viewer];
         match answer {
-            Answer::Plays { session, .. } => {
+            Answer::Playing { session, .. } => {
                 let Some((node, run)) = self.began.remove(&session.0) else {
                     return;
                 };
@@ -142,7 +142,10 @@
                 }
                 self.later(left, Due::Leave(session.0, false));
             }
-            Answer::Refused { come_back, .. } => {
+            Answer::Rejected {
+                retry_after: come_back,
+                ..
+            } => {
                 let first = u64::from(!std::mem::replace(&mut v.refused, true));
                 self.tally(viewer, |t| {
                     (t.refused, t.people_refused) = (t.refused + 1, t.people_refused + first)
@@ -150,7 +153,7 @@
                 self.result.count.span(at).refused += 1;
                 self.again(viewer, come_back);
             }
-            Answer::Failed { .. } | Answer::Unknown(_) | Answer::Clash(_) => {
+            Answer::Failed { .. } | Answer::Unknown(_) | Answer::Conflict(_) => {
                 self.tally(viewer, |t| t.failed += 1);
             }
         }
@@ -168,7 +171,7 @@
             .map(|p| p.director);
         self.fleet.end(node, run);
         if let Some(d) = director {
-            let told = Told::Ended {
+            let told = NodeEvent::SessionEnded {
                 session: SessionId(session),
                 attempt: run.1,
             };
@@ -176,9 +179,9 @@
                 NET,
                 Due::Tell(
                     d as usize,
-                    Input::NodeTold {
+                    Input::NodeNotified {
                         server: ServerId(node),
-                        told,
+                        event: told,
                     },
                 ),
             );
