--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,11 +1,15 @@
-//! shalewall decides for a front of media servers with shared links: which server a session is set
-//! up on, at which rung of the ladder of rates, and when a viewer is turned away.
+//! shalewall decides for a front of media servers with shared links: which server a session is set up on, at which
+//! rung of the ladder of rates, and when a request is rejected.
 //!
-//! A [`Director`] is fed what happens, with the time, and answers with what to do. It keeps no
-//! clock, opens no connection and shares nothing; equal events give equal actions.
+//! A [`Director`] is fed events, with the time, and answers with actions. It keeps no clock, opens no connection and
+//! shares nothing; equal events give equal actions. Decisions are in `policy`, records in `state`; the types of the
+//! interface are all here.
 //!
 //! ```
-//! use shalewall::*;
+//! use shalewall::{
+//!     Action, ClassSettings, Director, Endpoint, EndpointState, EndpointUpdate, Event, Idempotency, Limits, LoadReport,
+//!     Outcome, Request, Rung, ServerId, SessionId, Settings, TimeDelta, Timestamp, TitleId,
+//! };
 //!
 //! let second = TimeDelta::from_secs(1);
 //! let start = Timestamp::ZERO;
@@ -49,6 +53,8 @@
 //! assert!(!out.iter().any(|a| matches!(a, Action::Reject { .. } | Action::Fail { .. })));
 //! ```
 
+#![deny(missing_docs)]
+
 mod belief;
 mod director;
 mod hash;
