Platform director: an event loop, connections and tasks with owners, typed errors, event logs

Now: one module a job; the caller of run() owns the executor, the director its tasks, the event loop its connections, and a drop closes them (new test: a second director in one process leaves not one descriptor more, and the list service reads the end). Errors name the file and field or the address (four new tests). Logs are event names with fields.

--- /dev/null
+++ b/crates/platform/src/connection.rs
@@ -0,0 +1,224 @@
+//! One connection, to a viewer or a media node: carries bytes between its socket and the protocol's state machine.
+
+use crate::event_loop::EventLoop;
+use async_io::{Async, Timer};
+use event_listener::Event;
+use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
+use shalewall_clock::now;
+use shalewall_http::client::{Unconnected, in_time};
+use shalewall_platform_proto::{ConnectError, ConnectionId, Transmit};
+use std::cell::Cell;
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+use tracing::{debug, trace};
+
+const READ_BUFFER_BYTES: usize = 4 * 1024;
+/// A connection whose writes fail is still read for so long at most: what the peer sent before it reset the connection
+/// is there, and so is the end.
+const DRAIN_TIME: Duration = Duration::from_secs(1);
+
+/// Connects to a media node, and serves the connection once it is established.
+pub(crate) async fn connect_node(
+    event_loop: Rc<EventLoop>,
+    id: ConnectionId,
+    address: SocketAddr,
+    timeout: Duration,
+    write_ready: Rc<Event>,
+) {
+    let connected = in_time(timeout, Async::<TcpStream>::connect(address)).await;
+    let connected = match connected {
+        Some(Ok(stream)) => Ok(stream),
+        Some(Err(error)) => Err(classify_connect_error(&error)),
+        None => Err(ConnectError::Unreachable),
+    };
+    match connected {
+        Ok(stream) => {
+            // A connection that sends small messages later still works.
+            let _ = stream.get_ref().set_nodelay(true);
+            event_loop.with_protocol(|protocol| protocol.node_connected(now().as_micros(), id));
+            Connection::new(event_loop, id, stream, write_ready)
+                .run()
+                .await;
+        }
+        Err(error) => event_loop.with_protocol(|protocol| {
+            protocol.node_connect_failed(now().as_micros(), id, error);
+        }),
+    }
+}
+
+fn classify_connect_error(error: &io::Error) -> ConnectError {
+    match Unconnected::of(error) {
+        Unconnected::Refused => ConnectError::Refused,
+        Unconnected::Own => ConnectError::LocalShortage,
+        Unconnected::Unknown => ConnectError::Unreachable,
+    }
+}
+
+/// An established connection.
+pub(crate) struct Connection {
+    event_loop: Rc<EventLoop>,
+    id: ConnectionId,
+    stream: Async<TcpStream>,
+    /// Told when the state machine has something to write.
+    write_ready: Rc<Event>,
+    write_failed: Cell<bool>,
+}
+
+/// How one direction of a connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum StreamEnd {
+    /// The peer closed its side, or this side is to close.
+    Closed,
+    /// The socket failed.
+    Failed,
+}
+
+/// What a read without waiting brought.
+struct Available {
+    /// Bytes in the buffer now.
+    filled: usize,
+    failed: bool,
+}
+
+impl Connection {
+    pub fn new(
+        event_loop: Rc<EventLoop>,
+        id: ConnectionId,
+        stream: Async<TcpStream>,
+        write_ready: Rc<Event>,
+    ) -> Connection {
+        Connection {
+            event_loop,
+            id,
+            stream,
+            write_ready,
+            write_failed: Cell::new(false),
+        }
+    }
+
+    /// Carries bytes both ways until either side closes, then reports the end. The socket is closed by the drop.
+    pub async fn run(self) {
+        let end = future::or(self.read_until_end(), self.write_until_end()).await;
+        let clean = end == StreamEnd::Closed && !self.write_failed.get();
+        debug!(connection = ?self.id, clean, "connection closed");
+        self.event_loop.with_protocol(|protocol| {
+            protocol.connection_closed(now().as_micros(), self.id, clean);
+        });
+    }
+
+    async fn read_until_end(&self) -> StreamEnd {
+        let mut buffer = [0; READ_BUFFER_BYTES];
+        let mut stream = &self.stream;
+        loop {
+            let first_read = match stream.read(&mut buffer).await {
+                Ok(0) => return StreamEnd::Closed,
+                Ok(count) => count,
+                Err(_) => return StreamEnd::Failed,
+            };
+            let available = self.read_available(&mut buffer, first_read);
+            self.handle_bytes(&buffer[..available.filled]);
+            if available.failed {
+                return StreamEnd::Failed;
+            }
+            // A peer that sends without a pause leaves turns to the other connections.
+            future::yield_now().await;
+        }
+    }
+
+    /// Fills the rest of the buffer with what can be read at once: bytes that arrived together are judged together,
+    /// before any of them is passed on.
+    fn read_available(&self, buffer: &mut [u8], mut filled: usize) -> Available {
+        let mut stream = self.stream.get_ref();
+        while filled < buffer.len() {
+            match stream.read(&mut buffer[filled..]) {
+                // The next read finds the end again.
+                Ok(0) => break,
+                Ok(count) => filled += count,
+                Err(error) if is_transient(&error) => break,
+                Err(_) => {
+                    let failed = true;
+                    return Available { filled, failed };
+                }
+            }
+        }
+        let failed = false;
+        Available { filled, failed }
+    }
+
+    fn handle_bytes(&self, bytes: &[u8]) {
+        trace!(connection = ?self.id, bytes = %String::from_utf8_lossy(bytes), "bytes received");
+        self.event_loop.with_protocol(|protocol| {
+            protocol.handle_bytes(now().as_micros(), self.id, bytes);
+        });
+    }
+
+    async fn write_until_end(&self) -> StreamEnd {
+        if self.write_until_close().await.is_ok() {
+            return StreamEnd::Closed;
+        }
+        // The bytes that came before are still there: a client that ends several sessions and goes resets the
+        // connection by the first answer. The reader gets them all to the end, which is there by now.
+        self.write_failed.set(true);
+        Timer::after(DRAIN_TIME).await;
+        StreamEnd::Failed
+    }
+
+    /// Writes what the state machine has to send until it wants the connection closed. An error: the socket failed.
+    async fn write_until_close(&self) -> io::Result<()> {
+        loop {
+            // Listening begins before the state machine is asked, so that nothing new is missed in between.
+            let write_ready = self.write_ready.listen();
+            let transmit = self
+                .event_loop
+                .with_protocol(|protocol| protocol.poll_transmit(now().as_micros(), self.id));
+            match transmit {
+                Transmit::Bytes(bytes) => self.write(bytes).await?,
+                Transmit::Wait => write_ready.await,
+                Transmit::Finish => {
+                    self.stream.get_ref().shutdown(Shutdown::Write)?;
+                    return future::pending().await;
+                }
+                // Unread bytes are read in their turn.
+                Transmit::CloseIfQuiet if self.has_unread_bytes() => write_ready.await,
+                Transmit::CloseIfQuiet | Transmit::Close => return Ok(()),
+            }
+        }
+    }
+
+    /// Writes bytes whole. Where the socket takes none of them at once they go back to the state machine, which may
+    /// think better of them; this returns when the socket takes some.
+    async fn write(&self, bytes: Vec<u8>) -> io::Result<()> {
+        let written = match self.stream.get_ref().write(&bytes) {
+            Ok(written) => written,
+            Err(error) if is_transient(&error) => {
+                self.event_loop.with_protocol(|protocol| {
+                    protocol.return_unwritten(now().as_micros(), self.id, bytes);
+                });
+                return self.stream.writable().await;
+            }
+            Err(error) => return Err(error),
+        };
+        trace!(connection = ?self.id, bytes = %String::from_utf8_lossy(&bytes), "bytes sent");
+        if written < bytes.len() {
+            self.event_loop.with_protocol(|protocol| {
+                protocol.partially_written(now().as_micros(), self.id);
+            });
+        }
+        let mut stream = &self.stream;
+        stream.write_all(&bytes[written..]).await
+    }
+
+    /// Whether bytes wait to be read, which a close would destroy.
+    fn has_unread_bytes(&self) -> bool {
+        match self.stream.get_ref().peek(&mut [0]) {
+            Ok(count) => count > 0,
+            Err(error) => error.kind() == ErrorKind::Interrupted,
+        }
+    }
+}
+
+fn is_transient(error: &io::Error) -> bool {
+    matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted)
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,14 +1,25 @@
-//! The platform's door on sockets: one director, as the platform starts it.
+//! One director of the platform on sockets, as `shalewall direct` starts it.
 //!
-//! Everything that is said and heard is `shalewall-platform-proto`'s; here are its connections ([`hub`]), the journal
-//! service's ([`journal`]) and the signals ([`run`]); what panics ends alone ([`guard`]).
+//! The protocol with viewers, media nodes and the endpoint list service is `shalewall-platform-proto`, a state machine
+//! without I/O. This crate drives it on one thread: [`run`] starts a director and waits for signals, the event loop
+//! owns the state machine and its connections, and further tasks follow the endpoint list, accept viewers, log the
+//! state, reload the configuration file and shut down. A panic ends only the task that it happens in ([`panics`]).
 //!
-//! What this crate may know: sockets, files, signals, the clock. What it must not: messages, sessions, nodes; and it
-//! decides nothing.
+//! The crate knows sockets, files, signals and the clock. It reads no message, knows no session and takes no decision.
 
-mod guard;
-mod hub;
-mod journal;
+#![deny(missing_docs)]
+
+mod accept;
+mod config_file;
+mod connection;
+mod endpoint_watch;
+mod error;
+mod event_loop;
+pub mod panics;
+mod reload;
 mod run;
+mod shutdown;
+mod state_log;
 
+pub use error::{ConfigFileError, ConfigFileProblem, RunError};
 pub use run::run;
--- /dev/null
+++ b/crates/platform/src/reload.rs
@@ -0,0 +1,77 @@
+//! Reloads the configuration file on SIGHUP: the address of the endpoint list service, and events not known yet.
+//!
+//! Name, listener, limits and settings are those of the start; a file that differs in them is logged.
+
+use crate::config_file::ConfigFile;
+use crate::endpoint_watch::ServiceAddress;
+use crate::error::ConfigFileError;
+use crate::event_loop::EventLoop;
+use async_io::Timer;
+use shalewall_clock::now;
+use shalewall_platform_proto::config::Config;
+use std::rc::Rc;
+use std::time::Duration;
+use tracing::warn;
+
+/// A file that can't be read is read again so often, with this delay: it may be in the middle of being written.
+const MAX_ATTEMPTS: u32 = 10;
+const RETRY_DELAY: Duration = Duration::from_millis(100);
+
+/// What a reload needs.
+#[derive(Clone)]
+pub(crate) struct Reloader {
+    pub config_file: ConfigFile,
+    /// The configuration of the start, without its events.
+    pub initial_config: Rc<Config>,
+    pub event_loop: Rc<EventLoop>,
+    pub service_address: Rc<ServiceAddress>,
+}
+
+/// Why nothing of a file is applied.
+#[derive(Debug, thiserror::Error)]
+enum ReloadError {
+    #[error(transparent)]
+    ConfigFile(#[from] ConfigFileError),
+    /// A file in the wrong place names another fleet's service and nodes.
+    #[error("the configuration is another director's: {found}, this is {own}")]
+    OtherDirector { own: String, found: String },
+}
+
+impl Reloader {
+    /// Reads the file and applies it; until it can be read, again and again for a second. Where the file can't be
+    /// applied everything stays as it was.
+    pub async fn reload(self) {
+        for attempt in 0..MAX_ATTEMPTS {
+            match self.read() {
+                Ok(config) => return self.apply(&config),
+                Err(error @ ReloadError::OtherDirector { .. }) => {
+                    warn!(%error, "configuration rejected");
+                    return;
+                }
+                Err(error) if attempt == 0 => warn!(%error, "configuration unreadable"),
+                Err(_) => {}
+            }
+            Timer::after(RETRY_DELAY).await;
+        }
+    }
+
+    fn read(&self) -> Result<Config, ReloadError> {
+        let config = self.config_file.read()?;
+        if config.name != self.initial_config.name {
+            return Err(ReloadError::OtherDirector {
+                own: self.initial_config.name.clone(),
+                found: config.name,
+            });
+        }
+        Ok(config)
+    }
+
+    fn apply(&self, config: &Config) {
+        for field in self.initial_config.other(config) {
+            warn!(field, "configuration change ignored until restart");
+        }
+        self.event_loop
+            .with_protocol(|protocol| protocol.apply_known_events(config, now().as_micros()));
+        self.service_address.set(config.journal);
+    }
+}
