The simulator adapter: typed errors that name line, field and problem; fields, lists, events and actions apart

Cause: one file of 520 lines, errors of two strings, a type `Link` that is no link, glob imports. Change: SimulatorAdapter reads lines and batches; Fields reads the fields of one; EndpointLists keeps the shared lists; EventKind turns messages into events, encode turns actions into lines; WireError and WireProblem say what is wrong in the words of before. The binary's name stays.

Its 9 wire tests pass.

--- a/crates/simulator-adapter/src/main.rs
+++ b/crates/simulator-adapter/src/main.rs
@@ -1,27 +1,30 @@
-//! Hosts directors on the simulator's wire: standard input to standard output.
+//! `shalewall-benchlink` runs directors on the simulator's wire: standard input to standard output.
+//!
+//! It ends well at the end of the input, and with exit code 1 and a line on standard error at a malformed line.
 
-use shalewall_simulator_adapter::{Fault, Link};
+use shalewall_simulator_adapter::{SimulatorAdapter, WireError};
 use std::io::{self, BufRead, BufWriter, Write};
 use std::process::ExitCode;
 
-fn run() -> Result<(), Fault> {
-    let mut link = Link::default();
-    let mut out = BufWriter::new(io::stdout().lock());
+fn run() -> Result<(), WireError> {
+    let mut adapter = SimulatorAdapter::default();
     let mut input = io::stdin().lock();
-    let mut raw = Vec::new();
+    let mut output = BufWriter::new(io::stdout().lock());
+    let mut raw_line = Vec::new();
     let mut reply = String::new();
     loop {
-        raw.clear();
-        let read = input
-            .read_until(b'\n', &mut raw)
-            .map_err(|e| link.fault("input", &e.to_string()))?;
-        if read == 0 {
-            return link.end();
+        raw_line.clear();
+        let length = input
+            .read_until(b'\n', &mut raw_line)
+            .map_err(|error| adapter.error("input", error))?;
+        if length == 0 {
+            return adapter.finish();
         }
-        let line = std::str::from_utf8(&raw).map_err(|_| link.bad_text())?;
-        if link.line(line.trim_end_matches(['\n', '\r']), &mut reply)? {
-            let sent = out.write_all(reply.as_bytes()).and_then(|()| out.flush());
-            sent.map_err(|e| link.fault("output", &e.to_string()))?;
+        let line = std::str::from_utf8(&raw_line).map_err(|_| adapter.reject_line())?;
+        if adapter.read_line(line.trim_end_matches(['\n', '\r']), &mut reply)? {
+            let written = output.write_all(reply.as_bytes());
+            let flushed = written.and_then(|()| output.flush());
+            flushed.map_err(|error| adapter.error("output", error))?;
             reply.clear();
         }
     }
@@ -30,8 +33,8 @@
 fn main() -> ExitCode {
     match run() {
         Ok(()) => ExitCode::SUCCESS,
-        Err(fault) => {
-            eprintln!("shalewall-benchlink: {fault}");
+        Err(error) => {
+            eprintln!("shalewall-benchlink: {error}");
             ExitCode::FAILURE
         }
     }
--- a/crates/simulator-adapter/tests/wire.rs
+++ b/crates/simulator-adapter/tests/wire.rs
@@ -1,6 +1,6 @@
 //! The wire, line by line and through the binary.
 
-use shalewall_simulator_adapter::{Fault, Link};
+use shalewall_simulator_adapter::{SimulatorAdapter, WireError};
 use std::io::Write;
 use std::process::{Command, Stdio};
 
@@ -18,13 +18,13 @@
     SETUP.replace('\n', "")
 }
 
-fn talk(lines: &[&str]) -> Result<String, Fault> {
-    let mut link = Link::default();
+fn talk(lines: &[&str]) -> Result<String, WireError> {
+    let mut adapter = SimulatorAdapter::default();
     let mut reply = String::new();
     for line in lines {
-        link.line(line, &mut reply)?;
+        adapter.read_line(line, &mut reply)?;
     }
-    link.end()?;
+    adapter.finish()?;
     Ok(reply)
 }
 
@@ -43,7 +43,7 @@
     .to_vec()
 }
 
-fn with(mode: &str, more: &[&str]) -> Result<String, Fault> {
+fn with(mode: &str, more: &[&str]) -> Result<String, WireError> {
     let begun = begun(mode);
     let mut lines: Vec<&str> = begun.iter().map(String::as_str).collect();
     lines.extend(more);
@@ -249,11 +249,11 @@
         (&["SYNC 1"], 1, "COMMIT"),
     ];
     for (lines, line, field) in cases {
-        let fault = talk(lines).expect_err(&format!("{lines:?}"));
+        let error = talk(lines).expect_err(&format!("{lines:?}"));
         assert_eq!(
-            (fault.line, fault.field.as_str()),
+            (error.line, error.field.as_str()),
             (*line, *field),
-            "{lines:?}: {fault}"
+            "{lines:?}: {error}"
         );
     }
 }
