--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -4,7 +4,7 @@
 
 use clap::{Parser, Subcommand};
 use manage::{Reach, StoreCommand, TenantCommand};
-use shalewall_scripted_days as day;
+use shalewall_scripted_days::{self as day, Emulation};
 use shalewall_server::serve;
 use shalewall_settings::{AdminPlan, DayPlan, Error, FrontPlan, SettingsFile, read};
 use std::path::{Path, PathBuf};
@@ -151,14 +151,12 @@
             logs();
             let ex = Rc::new(async_executor::LocalExecutor::new());
             let recorder = shalewall_emulator::recorder::Recorder::nowhere();
-            let world = day::world(&ex, &plan, recorder, None).map_err(bad)?;
-            tracing::info!(address = %world.list_address, what = "list", "listening");
-            for id in world.nodes.running() {
-                let address = world
-                    .nodes
-                    .address(id)
-                    .map_or(String::new(), |a| a.to_string());
-                tracing::info!(address, what = "node", node = id, "listening");
+            let emulation = Emulation::start(&ex, &plan, recorder, None).map_err(bad)?;
+            tracing::info!(address = %emulation.list_address, what = "list", "listening");
+            for node in emulation.nodes.running() {
+                let address = emulation.nodes.address(node);
+                let address = address.map_or(String::new(), |address| address.to_string());
+                tracing::info!(address, what = "node", node, "listening");
             }
             async_io::block_on(ex.run(futures_lite::future::pending::<()>()));
         }
--- /dev/null
+++ b/crates/scripted-days/src/faults.rs
@@ -0,0 +1,355 @@
+//! The faults of a day, injected into emulated nodes, list and viewers and into the directors' processes.
+
+use crate::director_processes::DirectorProcesses;
+use crate::emulation::Emulation;
+use async_io::Timer;
+use rand::seq::SliceRandom;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use shalewall_fleet_model::crowd::Draw;
+use shalewall_settings::{Trouble, TroubleKind};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// The sockets of a node that crashed are closed by then, and its address is free.
+const SOCKET_CLOSE: Duration = Duration::from_millis(100);
+/// Steps in which an ageing node gets slower.
+const AGEING_STEPS: i32 = 10;
+/// Part of the spells in which a neighbour takes its share of the link.
+const NEIGHBOUR_ACTIVE: f64 = 0.7;
+/// Numbers of replacement machines lie so far above those that they replace.
+const REPLACEMENT_OFFSET: u64 = 1000;
+
+/// The seed of what is drawn for a fault: each name has draws of its own.
+pub fn seed(day_seed: u64, name: &str) -> u64 {
+    name.bytes().fold(day_seed, |hash, byte| {
+        hash.wrapping_mul(31).wrapping_add(u64::from(byte))
+    })
+}
+
+/// Injects one fault, from its beginning to its end.
+pub async fn inject(
+    emulation: Rc<Emulation>,
+    directors: Rc<DirectorProcesses>,
+    fault: Trouble,
+    seed: u64,
+) {
+    Timer::after(seconds(fault.at_s)).await;
+    let injection = Injection {
+        emulation,
+        directors,
+        fault,
+        rng: ChaCha8Rng::seed_from_u64(seed),
+    };
+    injection.run().await;
+}
+
+fn seconds(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds.max(0.0))
+}
+
+/// A fault under way.
+struct Injection {
+    emulation: Rc<Emulation>,
+    directors: Rc<DirectorProcesses>,
+    fault: Trouble,
+    rng: ChaCha8Rng,
+}
+
+impl Injection {
+    async fn run(mut self) {
+        match self.fault.kind {
+            TroubleKind::Crash => {
+                let nodes = self.choose_nodes();
+                self.crash_and_restart(&nodes, self.fault.len_s).await;
+            }
+            TroubleKind::Vanish => self.vanish().await,
+            TroubleKind::Hang => self.hang().await,
+            TroubleKind::Neighbour => self.crowd_links().await,
+            TroubleKind::SharedSlow => self.slow_all_links().await,
+            TroubleKind::Ageing => self.age().await,
+            TroubleKind::Preempt => self.preempt().await,
+            TroubleKind::ZoneLoss => self.lose_zone().await,
+            TroubleKind::ListOut => self.withdraw_list().await,
+            TroubleKind::Burst => self.burst().await,
+            TroubleKind::TenantBurst => self.tenant_burst().await,
+            TroubleKind::HotTitle | TroubleKind::ClassFlood => self.add_viewers().await,
+            TroubleKind::DirectorKill => self.kill_directors().await,
+            TroubleKind::DirectorStall => self.stall_directors().await,
+        }
+    }
+
+    async fn wait_for_end(&self) {
+        Timer::after(seconds(self.fault.len_s)).await;
+    }
+
+    /// The nodes that the fault meets.
+    fn choose_nodes(&mut self) -> Vec<u64> {
+        let running = self.emulation.nodes.running();
+        self.choose(running)
+    }
+
+    /// The directors that the fault meets.
+    fn choose_directors(&mut self) -> Vec<u32> {
+        let numbers = self.directors.numbers(None);
+        self.choose(numbers)
+    }
+
+    /// Those that the fault meets: as told, or its part of them, at least one.
+    fn choose<T: Copy + Into<u64>>(&mut self, mut all: Vec<T>) -> Vec<T> {
+        if let Some(on) = &self.fault.on {
+            all.retain(|one| on.contains(&(*one).into()));
+            return all;
+        }
+        let wanted = (self.fault.part * all.len() as f64).round() as usize;
+        all.shuffle(&mut self.rng);
+        all.truncate(wanted.max(1));
+        all
+    }
+
+    async fn vanish(&mut self) {
+        let nodes = self.choose_nodes();
+        let emulation = &self.emulation;
+        nodes.iter().for_each(|id| emulation.nodes.freeze(*id));
+        // Gone without a byte: the list hears late, and what comes back is new.
+        nodes.iter().for_each(|id| emulation.announce(*id, "gone"));
+        self.wait_for_end().await;
+        nodes.iter().for_each(|id| emulation.nodes.crash(*id));
+        Timer::after(SOCKET_CLOSE).await;
+        nodes.iter().for_each(|id| restart(emulation, *id));
+    }
+
+    async fn hang(&mut self) {
+        let nodes = self.choose_nodes();
+        let emulation = &self.emulation;
+        nodes.iter().for_each(|id| emulation.nodes.freeze(*id));
+        self.wait_for_end().await;
+        nodes.iter().for_each(|id| emulation.nodes.thaw(*id));
+    }
+
+    /// Another program takes a part of the nodes' links, on and off.
+    async fn crowd_links(&mut self) {
+        let nodes = self.choose_nodes();
+        let mut left_s = self.fault.len_s;
+        while left_s > 0.0 {
+            let spell_s = (0.5 + 1.5 * self.rng.random::<f64>()).min(left_s);
+            let is_active = self.rng.random::<f64>() < NEIGHBOUR_ACTIVE;
+            let taken = if is_active { self.fault.size } else { 0.0 };
+            self.emulation.nodes.change(|fleet| {
+                for id in &nodes {
+                    if let Some(node) = fleet.nodes.get_mut(id) {
+                        node.neighbour = taken;
+                    }
+                }
+            });
+            Timer::after(seconds(spell_s)).await;
+            left_s -= spell_s;
+        }
+        self.emulation.nodes.change(|fleet| {
+            for node in fleet.nodes.values_mut() {
+                node.neighbour = 0.0;
+            }
+        });
+    }
+
+    async fn slow_all_links(&self) {
+        let nodes = &self.emulation.nodes;
+        nodes.change(|fleet| fleet.slow_links = self.fault.size);
+        self.wait_for_end().await;
+        nodes.change(|fleet| fleet.slow_links = 1.0);
+    }
+
+    /// Nodes get slower for half of the time, then they crash for the other half.
+    async fn age(&mut self) {
+        let nodes = self.choose_nodes();
+        let half_s = self.fault.len_s / 2.0;
+        for step in 1..=AGEING_STEPS {
+            let excess = (self.fault.size - 1.0).max(0.0);
+            let slow = 1.0 + excess * f64::from(step) / f64::from(AGEING_STEPS);
+            self.emulation.nodes.change(|fleet| {
+                for id in &nodes {
+                    if let Some(node) = fleet.nodes.get_mut(id) {
+                        node.slow = slow;
+                    }
+                }
+            });
+            Timer::after(seconds(half_s / f64::from(AGEING_STEPS))).await;
+        }
+        self.crash_and_restart(&nodes, half_s).await;
+    }
+
+    async fn lose_zone(&self) {
+        let zone = self.fault.name.as_deref();
+        let nodes = &self.emulation.nodes;
+        let is_there = |id: &u64| {
+            let machine = nodes.machine(*id);
+            machine.is_some_and(|machine| machine.zone == zone.unwrap_or_default())
+        };
+        let ids: Vec<u64> = nodes.running().into_iter().filter(is_there).collect();
+        let lost_directors = if self.fault.directors {
+            self.directors.numbers(zone)
+        } else {
+            Vec::new()
+        };
+        kill_all(&self.directors, &lost_directors);
+        self.crash_and_restart(&ids, self.fault.len_s).await;
+        start_all(&self.directors, &lost_directors).await;
+    }
+
+    async fn withdraw_list(&self) {
+        self.emulation.list.out(true);
+        self.wait_for_end().await;
+        self.emulation.list.out(false);
+    }
+
+    async fn burst(&self) {
+        let viewers = &self.emulation.viewers;
+        viewers.set_burst(self.fault.size);
+        self.wait_for_end().await;
+        viewers.set_burst(1.0);
+    }
+
+    async fn tenant_burst(&self) {
+        let viewers = &self.emulation.viewers;
+        if viewers.crowd().tenants.is_empty() {
+            // Where viewers name no tenant, one tenant's crowd is a crowd.
+            return self.burst().await;
+        }
+        let tenant = self.fault.name.as_deref().unwrap_or_default();
+        viewers.set_tenant_burst(tenant, self.fault.size);
+        self.wait_for_end().await;
+        viewers.set_tenant_burst(tenant, 1.0);
+    }
+
+    /// More viewers come for one title or of one class.
+    async fn add_viewers(&self) {
+        let viewers = &self.emulation.viewers;
+        let name = self.fault.name.as_deref();
+        let draw = match self.fault.kind {
+            TroubleKind::HotTitle => name.map(|name| Draw::Title(name.to_string())),
+            _ => {
+                let crowd = viewers.crowd();
+                let mut classes = crowd.classes.iter();
+                let class = classes.position(|class| name == Some(class.name.as_str()));
+                class.map(Draw::Class)
+            }
+        };
+        viewers.set_extra(draw.map(|draw| (draw, self.fault.size)));
+        self.wait_for_end().await;
+        viewers.set_extra(None);
+    }
+
+    async fn kill_directors(&mut self) {
+        let numbers = self.choose_directors();
+        kill_all(&self.directors, &numbers);
+        self.wait_for_end().await;
+        start_all(&self.directors, &numbers).await;
+    }
+
+    /// Directors stand still together, again and again.
+    async fn stall_directors(&mut self) {
+        let numbers = self.choose_directors();
+        let stall = seconds(self.fault.stall_ms / 1000.0);
+        let mut left_s = self.fault.len_s;
+        while left_s > 0.0 {
+            let stalls = numbers.iter().map(|number| {
+                let directors = self.directors.clone();
+                let number = *number;
+                let stalled = async move { directors.stall(number, stall).await };
+                self.emulation.executor.spawn(stalled)
+            });
+            for stalled in stalls.collect::<Vec<_>>() {
+                stalled.await;
+            }
+            let pause = stall.mul_f64(1.0 + self.rng.random::<f64>());
+            Timer::after(pause).await;
+            left_s -= (stall + pause).as_secs_f64();
+        }
+    }
+
+    async fn crash_and_restart(&self, nodes: &[u64], after_s: f64) {
+        let emulation = &self.emulation;
+        crash_all(emulation, nodes);
+        Timer::after(seconds(after_s)).await;
+        nodes.iter().for_each(|id| restart(emulation, *id));
+    }
+
+    /// Taken away in waves: listed as draining, dead soon after, replaced by new machines that are cold.
+    async fn preempt(&mut self) {
+        let nodes = self.choose_nodes();
+        let waves = self.fault.waves;
+        let half_s = self.fault.len_s / 2.0;
+        let wave_interval = seconds(half_s / f64::from(waves));
+        for wave in nodes.chunks(nodes.len().div_ceil(waves as usize).max(1)) {
+            for id in wave {
+                // A notice is known at once: the list has it from who takes the machines away.
+                self.emulation.announce_now(*id, "draining");
+            }
+            let notice = seconds(self.fault.notice_ms / 1000.0);
+            let replaced = replace_nodes(
+                self.emulation.clone(),
+                wave.to_vec(),
+                notice,
+                seconds(half_s),
+            );
+            self.emulation.executor.spawn(replaced).detach();
+            Timer::after(wave_interval).await;
+        }
+    }
+}
+
+/// Crashes nodes after a notice, and starts other machines in the same cells later.
+async fn replace_nodes(
+    emulation: Rc<Emulation>,
+    nodes: Vec<u64>,
+    notice: Duration,
+    replacement_delay: Duration,
+) {
+    Timer::after(notice).await;
+    crash_all(&emulation, &nodes);
+    Timer::after(replacement_delay).await;
+    for id in nodes {
+        let Some(mut machine) = emulation.nodes.machine(id) else {
+            continue;
+        };
+        let replacement = id + REPLACEMENT_OFFSET;
+        machine.id = replacement;
+        match emulation.nodes.start(machine, false) {
+            Ok(_) => emulation.announce(replacement, "ready"),
+            Err(error) => {
+                tracing::warn!(node = replacement, %error, "replacement node not started")
+            }
+        }
+    }
+}
+
+fn crash_all(emulation: &Emulation, nodes: &[u64]) {
+    nodes.iter().for_each(|id| emulation.nodes.crash(*id));
+    nodes.iter().for_each(|id| emulation.announce(*id, "gone"));
+}
+
+fn restart(emulation: &Emulation, id: u64) {
+    let Some(machine) = emulation.nodes.machine(id) else {
+        return;
+    };
+    match emulation.nodes.start(machine, false) {
+        Ok(_) => emulation.announce(id, "ready"),
+        Err(error) => tracing::warn!(node = id, %error, "node not restarted"),
+    }
+}
+
+fn kill_all(directors: &DirectorProcesses, numbers: &[u32]) {
+    for number in numbers {
+        if let Err(error) = directors.kill(*number) {
+            tracing::warn!(number, %error, "director not killed");
+        }
+    }
+}
+
+async fn start_all(directors: &DirectorProcesses, numbers: &[u32]) {
+    for number in numbers {
+        if let Err(error) = directors.start(*number).await {
+            tracing::warn!(number, %error, "director not restarted");
+        }
+    }
+}
--- /dev/null
+++ b/crates/scripted-days/src/hosted_service.rs
@@ -0,0 +1,89 @@
+//! The hosted service of a day: a store, the administration API in this process, and the plan's tenants in it.
+
+use crate::error::DayError;
+use async_executor::LocalExecutor;
+use shalewall_admin::api::Api;
+use shalewall_admin::serve::{start_server, unix_time_millis};
+use shalewall_admin::tokens::issue_token;
+use shalewall_settings::{Class, DayPlan, HostedDay, Hosting, Site, Tenant};
+use shalewall_store::Store;
+use shalewall_tenancy::access::Role;
+use shalewall_tenancy::change::{By, Match, Wish};
+use shalewall_tenancy::model::TenantId;
+use std::io;
+use std::path::Path;
+use std::rc::Rc;
+
+/// A director that is silent for so long is taken for gone.
+const FORGET_DIRECTOR_MS: u64 = 10_000;
+
+/// Starts it; it runs as long as the executor does. Returns what directors are to be told of it.
+pub fn start(
+    executor: &Rc<LocalExecutor<'static>>,
+    plan: &DayPlan,
+    hosted: &HostedDay,
+    out: &Path,
+) -> Result<Hosting, DayError> {
+    let store = Store::open(&new_store_file(out)?)?;
+    let token = issue_token(&store, Role::Front)?;
+    for (name, tenant) in &plan.site.tenant {
+        create_tenant(&store, &plan.site, name, tenant)?;
+    }
+    let token_file = out.join("front.token");
+    std::fs::write(&token_file, token)?;
+    let api = Rc::new(Api::new(store, unix_time_millis(), FORGET_DIRECTOR_MS));
+    let admin = start_server(executor, ([127, 0, 0, 1], 0).into(), api)?;
+    Ok(Hosting {
+        admin,
+        token_file,
+        set_ups_per_s: hosted.set_ups_per_s,
+    })
+}
+
+/// The store's file, without what an earlier day left in it.
+fn new_store_file(out: &Path) -> io::Result<std::path::PathBuf> {
+    let file = out.join("tenants.redb");
+    if file.exists() {
+        std::fs::remove_file(&file)?;
+    }
+    Ok(file)
+}
+
+fn create_tenant(store: &Store, site: &Site, name: &str, tenant: &Tenant) -> Result<(), DayError> {
+    let refused = |reason: String| DayError::Tenant {
+        name: name.to_string(),
+        reason,
+    };
+    let id = TenantId::try_from(name.to_string()).map_err(|error| refused(error.to_string()))?;
+    let by = By {
+        who: "day",
+        now: unix_time_millis(),
+        agrees: true,
+        of: Match::Missing,
+    };
+    let change = Wish::Create(terms(site, name, tenant.share));
+    let created = store.change_tenant(&id, &change, &by, None);
+    created.map_err(|error| refused(error.to_string()))?;
+    Ok(())
+}
+
+/// What a tenant of the plan is agreed on: the site's classes are its own.
+fn terms(site: &Site, name: &str, share: f64) -> serde_json::Value {
+    let classes = site.class.iter();
+    let classes: serde_json::Map<_, _> = classes
+        .map(|(name, class)| (name.clone(), class_terms(class)))
+        .collect();
+    serde_json::json!({ "display_name": name, "share": share, "classes": classes })
+}
+
+fn class_terms(class: &Class) -> serde_json::Value {
+    serde_json::json!({
+        "paid": class.paid,
+        "aim_ms": class.aim_ms as u32,
+        "give_up_ms": class.give_up_ms as u32,
+        "worth": class.worth,
+        "floor": class.floor,
+        "top": class.top,
+        "seats": class.seats,
+    })
+}
--- /dev/null
+++ b/crates/scripted-days/src/import/faults.rs
@@ -0,0 +1,159 @@
+//! The faults of a script: the troubles of a day file, as far as they have a counterpart.
+
+use super::error::ImportError;
+use super::reader::Reader;
+use shalewall_settings::{Site, Trouble, TroubleKind};
+use std::collections::BTreeMap;
+
+/// Waves of a preemption at most.
+const MAX_WAVES: u32 = 16;
+
+pub(super) fn faults(
+    day: &Reader,
+    site: &Site,
+    seconds: f64,
+    left_out: &mut Vec<String>,
+) -> Result<BTreeMap<String, Trouble>, ImportError> {
+    let mut faults = BTreeMap::new();
+    for (index, entry) in day.at("troubles").list()?.iter().enumerate() {
+        let name = entry.at("kind").text()?;
+        let label = format!("{index:02} {name}");
+        let Some(kind) = counterpart(&name) else {
+            left_out.push(format!("trouble {label}: has no counterpart here"));
+            continue;
+        };
+        let imported = BenchFault::read(entry, seconds)?;
+        if let Some(change) = change_in_script(kind) {
+            left_out.push(format!("trouble {label}: {change}"));
+        }
+        faults.insert(label, imported.fault(kind, entry, day, site, seconds)?);
+    }
+    Ok(faults)
+}
+
+/// The kind of fault that a trouble of the bench becomes.
+fn counterpart(name: &str) -> Option<TroubleKind> {
+    Some(match name {
+        "crash" => TroubleKind::Crash,
+        "vanish" => TroubleKind::Vanish,
+        "hang" => TroubleKind::Hang,
+        "neighbour" => TroubleKind::Neighbour,
+        "shared_slow" => TroubleKind::SharedSlow,
+        "ageing" => TroubleKind::Ageing,
+        "preempt" => TroubleKind::Preempt,
+        "zone_loss" => TroubleKind::ZoneLoss,
+        "discovery_down" => TroubleKind::ListOut,
+        "burst" => TroubleKind::Burst,
+        "tenant_burst" => TroubleKind::TenantBurst,
+        "hot_key" => TroubleKind::HotTitle,
+        "balancer_stall" => TroubleKind::DirectorStall,
+        _ => return None,
+    })
+}
+
+/// In what a fault of the script differs from the trouble that it was.
+fn change_in_script(kind: TroubleKind) -> Option<&'static str> {
+    match kind {
+        TroubleKind::Neighbour => Some("its spells on and off are drawn anew"),
+        TroubleKind::Ageing => Some("its course is a straight line, links slow with set-ups"),
+        TroubleKind::Preempt => Some("waves are evenly spaced, replacements the machines' twins"),
+        TroubleKind::ZoneLoss => Some("its directors are not lost with it"),
+        TroubleKind::TenantBurst => Some("a burst of all, since viewers name no tenant"),
+        TroubleKind::DirectorStall => {
+            Some("stalls follow each other after 1 to 2 of their own length")
+        }
+        _ => None,
+    }
+}
+
+/// A trouble of the bench, its times as a script has them.
+struct BenchFault {
+    at_s: f64,
+    len_s: f64,
+    size: f64,
+    extra: f64,
+    /// Position of the tenant or title that it meets.
+    target: usize,
+    /// Positions of the servers or balancers that it meets.
+    on: Vec<f64>,
+}
+
+impl BenchFault {
+    fn read(entry: &Reader, seconds: f64) -> Result<BenchFault, ImportError> {
+        let at_s = (entry.at("at").number()? / 1e6).clamp(0.0, seconds);
+        let len_s = (entry.at("len").number()? / 1e6).min(seconds - at_s);
+        Ok(BenchFault {
+            at_s,
+            len_s: len_s.max(0.0),
+            size: entry.at("size").number()?,
+            extra: entry.at("extra").number()?,
+            target: entry.at("which").number()? as usize,
+            on: entry.at("on").numbers()?,
+        })
+    }
+
+    fn fault(
+        &self,
+        kind: TroubleKind,
+        entry: &Reader,
+        day: &Reader,
+        site: &Site,
+        seconds: f64,
+    ) -> Result<Trouble, ImportError> {
+        let mut fault = Trouble::new(kind, self.at_s, self.len_s);
+        match kind {
+            TroubleKind::Crash | TroubleKind::Vanish | TroubleKind::Hang => {
+                fault.on = Some(node_numbers(&self.on));
+            }
+            TroubleKind::Neighbour => {
+                fault.on = Some(node_numbers(&self.on));
+                fault.size = self.size.clamp(0.001, 1.0);
+            }
+            TroubleKind::Ageing => {
+                fault.on = Some(node_numbers(&self.on));
+                fault.size = self.size;
+            }
+            TroubleKind::SharedSlow | TroubleKind::Burst => fault.size = self.size,
+            TroubleKind::Preempt => {
+                let steps = entry.at("steps").list()?;
+                let mut stopped = Vec::new();
+                for step in &steps {
+                    stopped.extend(node_numbers(&step.at("stop").numbers()?));
+                }
+                fault.waves = (steps.len() as u32).clamp(1, MAX_WAVES);
+                fault.on = Some(stopped);
+                fault.notice_ms = self.size * 1000.0;
+                fault.len_s = (2.0 * self.extra).min(seconds - self.at_s);
+            }
+            TroubleKind::ZoneLoss => fault.name = site.zones.get(self.first_zone(day)).cloned(),
+            TroubleKind::TenantBurst => {
+                fault.size = self.size;
+                fault.name = site.tenant.keys().nth(self.target).cloned();
+            }
+            TroubleKind::HotTitle => {
+                fault.size = self.size;
+                fault.name = site.title.keys().nth(self.target).cloned();
+            }
+            TroubleKind::DirectorStall => {
+                fault.on = Some(self.on.iter().map(|number| *number as u64).collect());
+                fault.stall_ms = self.size;
+            }
+            TroubleKind::ListOut | TroubleKind::DirectorKill | TroubleKind::ClassFlood => {}
+        }
+        Ok(fault)
+    }
+
+    /// The zone of the first server that it meets.
+    fn first_zone(&self, day: &Reader) -> usize {
+        let first = self.on.first();
+        let first = first.map(|number| (*number as usize).to_string());
+        let server = day.at("servers").at(&first.unwrap_or_default());
+        server.at("zone").number().unwrap_or(0.0) as usize
+    }
+}
+
+/// Nodes count from 1 in a script, directors from 0 as at the bench.
+fn node_numbers(positions: &[f64]) -> Vec<u64> {
+    let positions = positions.iter();
+    positions.map(|position| *position as u64 + 1).collect()
+}
--- /dev/null
+++ b/crates/scripted-days/src/import/reader.rs
@@ -0,0 +1,95 @@
+//! Values of a day file, each read by its path so that an error can name it.
+
+use super::error::{ImportError, ValueProblem};
+use serde_json::Value;
+
+/// Microseconds in a millisecond: day files of the bench count in microseconds.
+const MICROS_PER_MILLI: f64 = 1000.0;
+
+/// A value and its path.
+pub(super) struct Reader<'v> {
+    value: &'v Value,
+    path: String,
+}
+
+impl<'v> Reader<'v> {
+    /// The whole file.
+    pub(super) fn new(value: &'v Value) -> Reader<'v> {
+        Reader {
+            value,
+            path: String::new(),
+        }
+    }
+
+    /// A field, or an entry of a list by its position; null where there is none.
+    pub(super) fn at(&self, name: &str) -> Reader<'v> {
+        static NULL: Value = Value::Null;
+        let value = match name.parse::<usize>() {
+            Ok(index) => self.value.get(index),
+            Err(_) => self.value.get(name),
+        };
+        Reader {
+            value: value.unwrap_or(&NULL),
+            path: format!("{}/{name}", self.path),
+        }
+    }
+
+    /// An entry of a list.
+    pub(super) fn entry(&self, index: usize) -> Reader<'v> {
+        self.at(&index.to_string())
+    }
+
+    /// An error at this value.
+    pub(super) fn error(&self, problem: ValueProblem) -> ImportError {
+        ImportError::Value {
+            path: self.path.clone(),
+            problem,
+        }
+    }
+
+    pub(super) fn is_null(&self) -> bool {
+        self.value.is_null()
+    }
+
+    /// A whole number; none where it is anything else.
+    pub(super) fn whole_number(&self) -> Option<u64> {
+        self.value.as_u64()
+    }
+
+    pub(super) fn number(&self) -> Result<f64, ImportError> {
+        let number = self.value.as_f64().filter(|number| number.is_finite());
+        number.ok_or_else(|| self.error(ValueProblem::NotANumber))
+    }
+
+    /// A time of the day file, as milliseconds of a script.
+    pub(super) fn millis(&self) -> Result<f64, ImportError> {
+        Ok(self.number()? / MICROS_PER_MILLI)
+    }
+
+    pub(super) fn text(&self) -> Result<String, ImportError> {
+        match self.value.as_str() {
+            Some(text) => Ok(text.to_string()),
+            None => Err(self.error(ValueProblem::NotAText)),
+        }
+    }
+
+    /// Whether it is true; anything else is false.
+    pub(super) fn flag(&self) -> bool {
+        self.value.as_bool().unwrap_or(false)
+    }
+
+    pub(super) fn list(&self) -> Result<Vec<Reader<'v>>, ImportError> {
+        match self.value.as_array() {
+            Some(list) => Ok((0..list.len()).map(|index| self.entry(index)).collect()),
+            None => Err(self.error(ValueProblem::NotAList)),
+        }
+    }
+
+    pub(super) fn numbers(&self) -> Result<Vec<f64>, ImportError> {
+        self.list()?.iter().map(Reader::number).collect()
+    }
+
+    pub(super) fn texts(&self) -> Result<Vec<String>, ImportError> {
+        self.list()?.iter().map(Reader::text).collect()
+    }
+}
--- a/crates/scripted-days/src/summary.rs
+++ b/crates/scripted-days/src/summary.rs
@@ -1,6 +1,6 @@
-//! What a day came to.
+//! What a day came to: what viewers got, how long they waited, and how near the rules came to be broken.
 
-use crate::rig::Lacked;
+use crate::host_resources::Shortfall;
 use hdrhistogram::Histogram;
 use serde::Serialize;
 use shalewall_audit::{Moves, Verdict};
@@ -9,27 +9,42 @@
 use std::collections::BTreeMap;
 use std::fmt;
 
+/// Longest wait that is distinguished, microseconds: an hour.
+const MAX_WAIT_US: u64 = 3_600_000_000;
+
 /// Waits of one class for an answer, milliseconds.
 #[derive(Clone, Debug, Serialize)]
-pub struct Waits {
+pub struct WaitTimes {
+    /// How many answers there were.
     pub answers: u64,
+    /// Half of them came within this.
     pub p50: f64,
+    /// 99 of 100 came within this.
     pub p99: f64,
+    /// The slowest one.
     pub most: f64,
 }
 
 /// What viewers got: all of them, or one tenant's.
 #[derive(Clone, Debug, Serialize)]
-pub struct Got {
+pub struct ViewerFigures {
+    /// Requests.
     pub asked: u64,
+    /// Answered with a session.
     pub plays: u64,
+    /// Rejected.
     pub refused: u64,
+    /// Failed.
     pub failed: u64,
+    /// Without an answer.
     pub unanswered: u64,
+    /// Sessions that broke off.
     pub broken: u64,
-    /// Viewers that came, part of them that was turned away at least once, and that never got to watch.
+    /// Viewers that came.
     pub people: u64,
+    /// Part of them that was rejected at least once.
     pub people_refused: f64,
+    /// Part of them that never got to watch.
     pub people_unserved: f64,
     /// Changes of rung for each minute that a session played.
     pub steps: f64,
@@ -40,10 +55,10 @@
     pub rungs: BTreeMap<usize, f64>,
 }
 
-impl Got {
-    fn new(t: &Tally) -> Got {
+impl ViewerFigures {
+    fn new(t: &Tally) -> ViewerFigures {
         let time = t.played_s().max(1e-9);
-        Got {
+        ViewerFigures {
             asked: t.asked,
             plays: t.played,
             refused: t.refused,
@@ -60,78 +75,92 @@
     }
 }
 
+/// What a day came to.
 #[derive(Clone, Debug, Serialize)]
 pub struct Summary {
+    /// All viewers.
     #[serde(flatten)]
-    pub all: Got,
+    pub all: ViewerFigures,
     /// The same for each tenant's viewers, where they name any.
-    pub tenants: BTreeMap<String, Got>,
-    pub waits: BTreeMap<String, Waits>,
+    pub tenants: BTreeMap<String, ViewerFigures>,
+    /// Waits by class.
+    pub waits: BTreeMap<String, WaitTimes>,
     /// Hand-overs and gaps, where players follow.
     pub moves: Option<Moves>,
-    /// The latest that a timer of the stand-ins rang, milliseconds.
+    /// The latest that a timer of the emulators fired, milliseconds.
     pub lag_ms: f64,
-    /// What the machine lacked: figures of such a day are not of the program.
+    /// What the machine shortfall: figures of such a day are not of the program.
     pub not_valid: Vec<String>,
+    /// Whether no rule was broken.
     pub rules_hold: bool,
-    /// How near each rule came to its limit, 1 is at it; and on how many things it was tested.
+    /// How near each rule came to its limit; 1 is at it.
     pub nearest: BTreeMap<String, f64>,
+    /// On how many things each rule was tested.
     pub tested: BTreeMap<String, u64>,
+    /// Each breach of a rule.
     pub findings: Vec<String>,
     #[serde(skip)]
     verdict: String,
 }
 
 impl Summary {
-    pub fn new(count: &Count, verdict: &Verdict, moves: Option<Moves>, lacked: &Lacked) -> Summary {
-        let waits = |took: &Vec<u64>| {
-            let mut histogram = Histogram::<u64>::new_with_bounds(1, 3_600_000_000, 3)
-                .expect("an hour in microseconds at three digits");
-            took.iter().for_each(|t| histogram.saturating_record(*t));
-            let ms = |q: f64| histogram.value_at_quantile(q) as f64 / 1000.0;
-            Waits {
-                answers: histogram.len(),
-                p50: ms(0.5),
-                p99: ms(0.99),
-                most: ms(1.0),
-            }
-        };
-        let named =
-            |x: &BTreeMap<&'static str, f64>| x.iter().map(|(k, v)| (k.to_string(), *v)).collect();
+    /// The summary of what was counted and judged.
+    pub fn new(
+        count: &Count,
+        verdict: &Verdict,
+        moves: Option<Moves>,
+        shortfall: &Shortfall,
+    ) -> Summary {
+        let tenants = count.tallies.tenants.iter();
+        let waits = count.took.iter();
+        let nearest = verdict.nearest.iter();
+        let tested = verdict.tested.iter();
+        let findings = verdict.findings.iter();
         Summary {
-            all: Got::new(&count.tallies.all),
-            tenants: count
-                .tallies
-                .tenants
-                .iter()
-                .map(|(name, t)| (name.clone(), Got::new(t)))
+            all: ViewerFigures::new(&count.tallies.all),
+            tenants: tenants
+                .map(|(name, tally)| (name.clone(), ViewerFigures::new(tally)))
                 .collect(),
-            waits: count
-                .took
-                .iter()
-                .map(|(class, took)| (class.clone(), waits(took)))
+            waits: waits
+                .map(|(class, waits)| (class.clone(), WaitTimes::new(waits)))
                 .collect(),
             moves,
-            lag_ms: lacked.lag.as_secs_f64() * 1000.0,
-            not_valid: lacked.reasons(),
+            lag_ms: shortfall.timer_delay.as_secs_f64() * 1000.0,
+            not_valid: shortfall.reasons(),
             rules_hold: verdict.holds(),
-            nearest: named(&verdict.nearest),
-            tested: verdict
-                .tested
-                .iter()
-                .map(|(k, v)| (k.to_string(), *v))
+            nearest: nearest
+                .map(|(rule, value)| (rule.to_string(), *value))
+                .collect(),
+            tested: tested
+                .map(|(rule, count)| (rule.to_string(), *count))
                 .collect(),
-            findings: verdict
-                .findings
-                .iter()
-                .map(|f| format!("{}: {}", f.rule.name(), f.what))
+            findings: findings
+                .map(|finding| format!("{}: {}", finding.rule.name(), finding.what))
                 .collect(),
             verdict: verdict.to_string(),
         }
     }
 }
 
-impl fmt::Display for Got {
+impl WaitTimes {
+    /// `waits`: one for each answer, microseconds.
+    fn new(waits: &[u64]) -> WaitTimes {
+        let mut histogram = Histogram::<u64>::new_with_bounds(1, MAX_WAIT_US, 3)
+            .expect("an hour in microseconds at three digits");
+        for wait in waits {
+            histogram.saturating_record(*wait);
+        }
+        let millis_at = |quantile: f64| histogram.value_at_quantile(quantile) as f64 / 1000.0;
+        WaitTimes {
+            answers: histogram.len(),
+            p50: millis_at(0.5),
+            p99: millis_at(0.99),
+            most: millis_at(1.0),
+        }
+    }
+}
+
+impl fmt::Display for ViewerFigures {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(
             f,
@@ -167,7 +196,7 @@
             write!(f, "-- tenant {tenant}\n{got}")?;
         }
         for (class, w) in &self.waits {
-            let Waits {
+            let WaitTimes {
                 answers,
                 p50,
                 p99,
--- a/crates/scripted-days/tests/import.rs
+++ b/crates/scripted-days/tests/import.rs
@@ -122,13 +122,21 @@
     for (path, value) in table {
         let mut day = day();
         *day.pointer_mut(path).unwrap() = value;
-        let error = import(&day.to_string()).expect_err(path);
+        let error = import(&day.to_string()).expect_err(path).to_string();
         let start: String = path.split('/').take(2).collect::<Vec<_>>().join("/");
         assert!(
             error.starts_with(&start) || error.starts_with("/tiers"),
             "{path}: {error}"
         );
     }
-    assert!(import("{").unwrap_err().contains("JSON"));
+    assert!(import("{").unwrap_err().to_string().contains("JSON"));
     assert!(import("[]").is_err());
 }
+
+/// The script as it was written on 2026-12-02, before any renaming.
+#[test]
+fn a_day_becomes_the_same_script_as_before() {
+    let imported = import(&day().to_string()).unwrap();
+    let recorded = include_str!("fixtures/imported.hcl");
+    assert_eq!(imported.script().unwrap(), recorded);
+}
--- a/crates/scripted-days/tests/wrong_front.rs
+++ b/crates/scripted-days/tests/wrong_front.rs
@@ -10,7 +10,7 @@
 use shalewall_http::client::{Call, Connection, Events, in_time};
 use shalewall_http::pool::Pool;
 use shalewall_http::server::{Reply, Request, serve};
-use shalewall_scripted_days::{World, line, rules, world};
+use shalewall_scripted_days::{Emulation, endpoint, rules};
 use shalewall_settings::{DayPlan, read};
 use std::cell::Cell;
 use std::net::{SocketAddr, TcpListener};
@@ -99,11 +99,11 @@
     }
 }
 
-async fn run(ex: Rc<LocalExecutor<'static>>, world: &World, wrong: Wrong) {
+async fn run(ex: Rc<LocalExecutor<'static>>, emulation: &Emulation, wrong: Wrong) {
     let listener = Async::new(TcpListener::bind("127.0.0.1:0").unwrap()).unwrap();
     let address = listener.get_ref().local_addr().unwrap();
     // Told of the list like any front, so that the list's side records what it was told.
-    let pool = Pool::new(world.list_address, Limits::default(), Duration::ZERO, 0);
+    let pool = Pool::new(emulation.list_address, Limits::default(), Duration::ZERO, 0);
     let connection: Connection<_> = pool.connect().await.unwrap();
     let call = Call::new("GET", "/servers?director=0", "list");
     let (_, incoming) = connection.stream(&call).await.unwrap();
@@ -112,27 +112,27 @@
         while events.next(Duration::from_secs(5)).await.is_some() {}
     })
     .detach();
-    let ids = world.nodes.running();
+    let ids = emulation.nodes.running();
     if wrong == Wrong::PushesCold {
-        world.nodes.crash(ids[0]);
+        emulation.nodes.crash(ids[0]);
         // Until its socket is closed.
         Timer::after(Duration::from_millis(50)).await;
-        world
+        emulation
             .nodes
-            .start(world.nodes.machine(ids[0]).unwrap(), false)
+            .start(emulation.nodes.machine(ids[0]).unwrap(), false)
             .unwrap();
-        world
+        emulation
             .list
-            .tell(line(&world.nodes, ids[0], "ready").unwrap());
+            .tell(endpoint(&emulation.nodes, ids[0], "ready").unwrap());
     }
     if wrong == Wrong::IgnoresDrains {
-        world
+        emulation
             .list
-            .tell(line(&world.nodes, ids[0], "draining").unwrap());
+            .tell(endpoint(&emulation.nodes, ids[0], "draining").unwrap());
     }
     let nodes = ids
         .iter()
-        .map(|id| world.nodes.address(*id).unwrap())
+        .map(|id| emulation.nodes.address(*id).unwrap())
         .collect();
     let front = Rc::new(Front {
         wrong,
@@ -151,12 +151,12 @@
     })
     .detach();
     // As the day does: the director is up, and its node streams stand in for its lease.
-    world.recorder.note(Record::DirectorUp {
+    emulation.recorder.note(Record::DirectorUp {
         t: shalewall_clock::now().as_micros(),
         director: 0,
     });
-    world.viewers.set_front(0, address);
-    world.viewers.arrive(Duration::from_secs(3)).await;
+    emulation.viewers.set_front(0, address);
+    emulation.viewers.arrive(Duration::from_secs(3)).await;
     Timer::after(Duration::from_millis(5500)).await;
 }
 
@@ -179,8 +179,8 @@
     let recorder = Recorder::memory();
     let ex = Rc::new(LocalExecutor::new());
     async_io::block_on(ex.run(async {
-        let world = world(&ex, &plan, recorder.clone(), None).unwrap();
-        run(ex.clone(), &world, wrong).await;
+        let emulation = Emulation::start(&ex, &plan, recorder.clone(), None).unwrap();
+        run(ex.clone(), &emulation, wrong).await;
     }));
     let verdict = judge(&recorder.records(), &rules(&plan));
     let mut found: Vec<Rule> = verdict.findings.iter().map(|f| f.rule).collect();
