The settings object's keys are `Effect` and `Contract` again, as on the wire and in configuration files

Both sides of each test had been renamed together, so none failed.

Change: the keys as before in the reader and in all tests. The adapter's settings stand in a JSON file of its tests now, out of reach of a renaming over code, and a test reads effect and rules from it.

Tests of the adapter, the director settings and the platform's protocol pass.

--- a/crates/cli/tests/place/mod.rs
+++ b/crates/cli/tests/place/mod.rs
@@ -70,9 +70,9 @@
             "journal":"{journal}","known":{{"pos":1,"entries":[{{"pos":1,"hosts":{{"complete":true,"members":[
             {{"id":"s-00000001","host_port":"{node}","locality":"north","flavor":"small","cell":0,
             "phase":"ready","size":1,"up_since_ms":0}}]}}}}]}},"settings":{{"Balancers":1,"MyNumber":0,"Categories":[
-            {{"Name":"paid","Idempotency":"at_most_once","Target":1500.0,"Value":2.0}}],
+            {{"Name":"paid","Effect":"at_most_once","Target":1500.0,"Value":2.0}}],
             "FailureDomains":["north"],"Shapes":["small"],"Zone":"north","WeightSource":"nominal","Step":10.0,
-            "RuleSettings":{{"WarmAfter":0,"StartCapacity":0.4,"OverloadFactor":2.0,"Fall":2000.0}},
+            "Contract":{{"WarmAfter":0,"StartCapacity":0.4,"OverloadFactor":2.0,"Fall":2000.0}},
             "Limits":{{"MaxAttempts":4,"MayCancel":true,"RetryAfter":true,"MaxRetryAfter":1000.0,
             "ConnectTimeout":250.0}},"Specifics":{{"Places":1,"Cabinets":1,"PlacesByKind":[30],
             "RungKb":[200,600],"RungWorth":[0.4,1.0],"HighestRung":[1],"LowestRung":[0],"ClassScale":[1.0],
--- a/crates/director-config/src/module_settings.rs
+++ b/crates/director-config/src/module_settings.rs
@@ -130,7 +130,7 @@
     columns: &ClassColumns<'_>,
     top_rung: usize,
 ) -> Result<ClassSettings, SettingError> {
-    let idempotency = match class.text("Idempotency") {
+    let idempotency = match class.text("Effect") {
         Some("idempotent") => Idempotency::Idempotent,
         _ => Idempotency::AtMostOnce,
     };
@@ -167,15 +167,15 @@
 
 /// The budget for further attempts; none where neither of its parts is given.
 fn read_retry_budget(object: SettingsObject<'_>) -> Result<Option<RetryBudget>, SettingError> {
-    let per_request = object.number("RuleSettings.ExtraPerRequest")?;
-    let base = object.number("RuleSettings.MinExtra")?;
+    let per_request = object.number("Contract.ExtraPerRequest")?;
+    let base = object.number("Contract.MinExtra")?;
     if per_request.is_none() && base.is_none() {
         return Ok(None);
     }
     Ok(Some(RetryBudget {
         base: base.unwrap_or(0.0),
         per_request: per_request.unwrap_or(0.0),
-        window: object.time_delta("RuleSettings.ResendSpan")?,
+        window: object.time_delta("Contract.ResendSpan")?,
     }))
 }
 
@@ -184,11 +184,11 @@
     retry_budget: Option<RetryBudget>,
 ) -> Result<RuleSettings, SettingError> {
     Ok(RuleSettings {
-        warm_up: object.time_delta("RuleSettings.WarmAfter")?,
-        initial_capacity: object.number_or("RuleSettings.StartCapacity", 1.0)?,
-        overload_factor: object.number_or("RuleSettings.OverloadFactor", 0.0)?,
-        overload_window: object.time_delta("RuleSettings.Fall")?,
-        poll_deadline: object.time_delta("RuleSettings.MustAskIn")?,
+        warm_up: object.time_delta("Contract.WarmAfter")?,
+        initial_capacity: object.number_or("Contract.StartCapacity", 1.0)?,
+        overload_factor: object.number_or("Contract.OverloadFactor", 0.0)?,
+        overload_window: object.time_delta("Contract.Fall")?,
+        poll_deadline: object.time_delta("Contract.MustAskIn")?,
         retry_budget,
     })
 }
--- a/crates/director-config/tests/settings_object.rs
+++ b/crates/director-config/tests/settings_object.rs
@@ -137,7 +137,7 @@
     let absent = json!({"MyNumber": 0, "Balancers": 1, "Categories": [{"Name": "only"}]});
     let null = json!({
         "MyNumber": 0, "Balancers": 1, "Categories": [{"Name": "only", "Target": null}],
-        "Tenants": null, "Specifics": null, "RuleSettings": {"MinExtra": null, "ExtraPerRequest": null},
+        "Tenants": null, "Specifics": null, "Contract": {"MinExtra": null, "ExtraPerRequest": null},
         "Limits": {"MaxOpen": null, "MaxRetryAfter": 900.0}, "Unheard": [1, {"of": 2}],
     });
     let expected = Settings {
@@ -249,9 +249,9 @@
             "Setup.Specifics.Live: is not a list",
         ),
         (
-            "/RuleSettings/Fall",
+            "/Contract/Fall",
             Some(json!(false)),
-            "Setup.RuleSettings.Fall: is not a number",
+            "Setup.Contract.Fall: is not a number",
         ),
         (
             "/Limits/MaxOpen",
--- a/crates/platform-proto/tests/common/mod.rs
+++ b/crates/platform-proto/tests/common/mod.rs
@@ -29,10 +29,10 @@
         r#"{{"name":"n1","listen":"10.0.0.4:5060","seed":"8c1f30d27a5be964","limits":{{"sockets":256}},
         "journal":"10.2.0.1:8500","known":{{"pos":1,"entries":[{{"pos":1,"hosts":{{"revision":1,"complete":true,
         "members":[{},{}]}}}}]}},"settings":{{"Balancers":1,"MyNumber":0,"Categories":[
-        {{"Name":"paid","Idempotency":"at_most_once","Target":1500.0,"Value":2.0}},
-        {{"Name":"free","Idempotency":"idempotent","Target":1000.0,"Value":1.0}}],
+        {{"Name":"paid","Effect":"at_most_once","Target":1500.0,"Value":2.0}},
+        {{"Name":"free","Effect":"idempotent","Target":1000.0,"Value":1.0}}],
         "FailureDomains":["north"],"Shapes":["small"],"Zone":"north","WeightSource":"nominal","Step":10.0,
-        "RuleSettings":{{"WarmAfter":0,"StartCapacity":0.4,"OverloadFactor":2.0,"Fall":2000.0,
+        "Contract":{{"WarmAfter":0,"StartCapacity":0.4,"OverloadFactor":2.0,"Fall":2000.0,
         "StopSendingWithin":250.0}},"Limits":{{"MaxAttempts":4,"MayCancel":true,"RetryAfter":true,
         "MaxRetryAfter":1000.0,"ConnectTimeout":250.0,"ConnIdle":15000.0}},
         "Specifics":{{"Places":2,"Cabinets":1,"PlacesByKind":[30],"RungKb":[200,600],"RungWorth":[0.4,1.0],
--- a/crates/platform-proto/tests/settings.rs
+++ b/crates/platform-proto/tests/settings.rs
@@ -9,9 +9,7 @@
 
 fn text(classes: [&str; 2], zone: &str, kind: &str, tenants: &[&str], turned: bool) -> String {
     let class = |name: &str, effect: &str, target: f64, value: f64| {
-        format!(
-            r#"{{"Name":"{name}","Idempotency":"{effect}","Target":{target:?},"Value":{value:?}}}"#
-        )
+        format!(r#"{{"Name":"{name}","Effect":"{effect}","Target":{target:?},"Value":{value:?}}}"#)
     };
     let mut listed = [
         class(classes[0], "at_most_once", 1500.0, 2.0),
@@ -39,7 +37,7 @@
         "journal":"10.2.0.1:8500","known":{{"pos":1,"entries":[{{"pos":1,"hosts":{{"complete":true,"members":[{}]}}}}]}},
         "settings":{{"Balancers":1,"MyNumber":0,"Categories":[{}],"Tenants":[{}],"OverShareWorth":0.1,
         "FailureDomains":["{zone}"],"Shapes":["{kind}"],"Zone":"{zone}","WeightSource":"nominal","Step":10.0,
-        "RuleSettings":{{"WarmAfter":0,"StartCapacity":0.4,"OverloadFactor":2.0,"Fall":2000.0}},
+        "Contract":{{"WarmAfter":0,"StartCapacity":0.4,"OverloadFactor":2.0,"Fall":2000.0}},
         "Limits":{{"MaxAttempts":4,"MayCancel":true,"RetryAfter":true,"MaxRetryAfter":1000.0,"ConnectTimeout":250.0}},
         "Specifics":{{"Places":2,"Cabinets":1,"PlacesByKind":[30],"RungKb":[200,600],"RungWorth":[0.4,1.0],
         "HighestRung":[1,1],"LowestRung":[{floors}],"ClassScale":[{scales}],"KbPerWeight":9000.0,
--- a/crates/simulator-adapter/tests/wire.rs
+++ b/crates/simulator-adapter/tests/wire.rs
@@ -4,15 +4,9 @@
 use std::io::Write;
 use std::process::{Command, Stdio};
 
-const SETUP: &str = r#"{"Balancers": 1, "MyNumber": 0, "Categories": [
- {"Name": "report", "Idempotency": "at_most_once", "Target": 1500.0, "Value": 2.0},
- {"Name": "live", "Idempotency": "idempotent", "Target": 1000.0, "Value": 1.0}],
- "FailureDomains": ["north"], "Shapes": ["small"], "Zone": "north", "WeightSource": "nominal",
- "RuleSettings": {"WarmAfter": 0, "StartCapacity": 0.4, "OverloadFactor": 2.0, "Fall": 2000.0},
- "Limits": {"MaxAttempts": 4, "MayCancel": true, "RetryAfter": true, "MaxRetryAfter": 1000.0},
- "Specifics": {"Places": 4, "Cabinets": 1, "PlacesByKind": [30], "RungKb": [200, 600], "RungWorth": [0.4, 1.0],
- "HighestRung": [1, 1], "LowestRung": [0, 0], "ClassScale": [1.0, 1.0], "KbPerWeight": 9000.0, "RackLinkKb": 20000.0},
- "Step": 10.0, "SomethingNew": {"a": [1]}}"#;
+/// The settings of a director as the simulator writes them. They stand in a file of their own so that no renaming in
+/// the code reaches their keys.
+const SETUP: &str = include_str!("fixtures/setup.json");
 
 fn setup() -> String {
     SETUP.replace('\n', "")
@@ -158,6 +152,31 @@
     );
 }
 
+#[test]
+fn the_settings_keys_of_the_wire_are_read() {
+    let attempt = |class: &str| {
+        let request = ASK.replace("live", class);
+        let reply = with("pushed", &["SYNC 1010", &request, "COMMIT"]).unwrap();
+        let line = reply.lines().find(|line| line.starts_with("TRANSMIT"));
+        line.unwrap().to_string()
+    };
+    // What may run only once waits as long as the viewer does; what is idempotent has an attempt timeout.
+    assert!(attempt("report").ends_with(" -"), "{}", attempt("report"));
+    assert!(attempt("live").ends_with(" 480"), "{}", attempt("live"));
+    for (key, path) in [
+        ("Fall", "Setup.Contract.Fall"),
+        ("WarmAfter", "Setup.Contract.WarmAfter"),
+    ] {
+        let wrong = setup().replace(
+            &format!("\"{key}\": "),
+            &format!("\"{key}\": \"x\", \"Unread\": "),
+        );
+        let begin = format!("BEGIN director-3 1 {wrong}");
+        let error = talk(&["SYNC 1", &begin]).expect_err(key);
+        assert_eq!(error.field, path, "{error}");
+    }
+}
+
 #[test]
 fn an_unknown_class_is_refused_with_advice_and_an_unheld_id_passed_over() {
     let ask = ASK.replace("live", "unheard-of");
--- a/crates/test-harness/src/director.rs
+++ b/crates/test-harness/src/director.rs
@@ -19,10 +19,10 @@
 /// The platform's settings object, with the figures of [`crate::tape::rules`].
 pub fn settings(number: u32, directors: u32) -> Value {
     json!({ "Balancers": directors, "MyNumber": number, "Categories": [
-        { "Name": "paid", "Idempotency": "at_most_once", "Target": 500.0, "GiveUp": 1200.0, "Value": 2.0 },
-        { "Name": "free", "Idempotency": "idempotent", "Target": 400.0, "GiveUp": 1200.0, "Value": 1.0 }],
+        { "Name": "paid", "Effect": "at_most_once", "Target": 500.0, "GiveUp": 1200.0, "Value": 2.0 },
+        { "Name": "free", "Effect": "idempotent", "Target": 400.0, "GiveUp": 1200.0, "Value": 1.0 }],
         "FailureDomains": ["north"], "Shapes": ["small"], "Zone": "north", "WeightSource": "silent", "Step": 1.0,
-        "RuleSettings": { "AnswerSlack": 5.0, "ExtraPerRequest": 0.3, "MinExtra": 3.0, "ResendSpan": 10000.0,
+        "Contract": { "AnswerSlack": 5.0, "ExtraPerRequest": 0.3, "MinExtra": 3.0, "ResendSpan": 10000.0,
             "MustAskIn": 10000.0, "StopSendingWithin": 250.0, "WarmAfter": 4000.0, "StartCapacity": 0.4,
             "OverloadFactor": 2.0, "Fall": 1000.0 },
         "Deductions": { "Handshake": 0.08, "Probe": 0.08 },
