--- a/crates/admin/src/api.rs
+++ b/crates/admin/src/api.rs
@@ -7,11 +7,12 @@
 use crate::routes::{Operation, Resolution, Route, resolve};
 use shalewall_http::server::{Reply, Request};
 use shalewall_store::{Store, StoreError};
-use shalewall_tenancy::Millis;
-use shalewall_tenancy::access::{self, Access, Role};
-use shalewall_tenancy::change::{By, Match, Wish};
-use shalewall_tenancy::model::{State, Tenant, TenantId};
-use shalewall_tenancy::usage::Fronts;
+use shalewall_tenancy::UnixMillis;
+use shalewall_tenancy::access::{Access, Role};
+use shalewall_tenancy::change::{Change, ChangeContext, Precondition};
+use shalewall_tenancy::tenant::{Tenant, TenantId, TenantState};
+use shalewall_tenancy::token::PresentedToken;
+use shalewall_tenancy::usage::UsageTracker;
 use std::cell::RefCell;
 
 /// Calls a minute of a tenant's administrators, where its terms name no limit.
@@ -23,7 +24,7 @@
 pub struct Api {
     /// The tenants, their histories and the tokens.
     pub store: Store,
-    pub(crate) fronts: RefCell<Fronts>,
+    pub(crate) usage: RefCell<UsageTracker>,
     calls: RefCell<CallCounter>,
 }
 
@@ -48,23 +49,23 @@
     pub request: &'a Request,
     pub caller: Caller,
     /// The wall clock.
-    pub now: Millis,
+    pub now: UnixMillis,
     pub seed: TokenSeed,
 }
 
 impl Api {
     /// `now`: since when fronts are heard; one that has not been heard of for `front_expiry` is taken for
     /// gone, with its sessions.
-    pub fn new(store: Store, now: Millis, front_expiry: Millis) -> Api {
+    pub fn new(store: Store, now: UnixMillis, front_expiry: UnixMillis) -> Api {
         Api {
             store,
-            fronts: RefCell::new(Fronts::new(now, front_expiry)),
+            usage: RefCell::new(UsageTracker::new(now, front_expiry)),
             calls: RefCell::default(),
         }
     }
 
     /// Answers a request. `now`: the wall clock; `seed`: fresh random bytes.
-    pub fn answer(&self, request: &Request, now: Millis, seed: TokenSeed) -> Reply {
+    pub fn answer(&self, request: &Request, now: UnixMillis, seed: TokenSeed) -> Reply {
         self.try_answer(request, now, seed).unwrap_or_else(|error| {
             if let ApiError::StoreFailed(cause) = &error {
                 tracing::error!(error = %cause, "store operation failed");
@@ -76,7 +77,7 @@
     fn try_answer(
         &self,
         request: &Request,
-        now: Millis,
+        now: UnixMillis,
         seed: TokenSeed,
     ) -> Result<Reply, ApiError> {
         let caller = self.authenticate(request)?;
@@ -109,15 +110,18 @@
     }
 
     fn authenticate(&self, request: &Request) -> Result<Caller, ApiError> {
-        let (id, secret) = access::parts(bearer_token(request)).ok_or(ApiError::Unauthenticated)?;
-        let stored = self.store.token(id)?;
-        let role = access::role(stored.as_ref(), secret).ok_or(ApiError::Unauthenticated)?;
-        let name = format!("token {id}");
+        let token =
+            PresentedToken::parse(bearer_token(request)).ok_or(ApiError::Unauthenticated)?;
+        let stored = self.store.token(token.id)?;
+        let role = token
+            .authenticate(stored.as_ref())
+            .ok_or(ApiError::Unauthenticated)?;
+        let name = format!("token {}", token.id);
         Ok(Caller { role, name })
     }
 
     /// Limits the calls of one tenant's administrators and readers, so that they can't keep the API from others.
-    fn limit_calls(&self, caller: &Caller, now: Millis) -> Result<(), ApiError> {
+    fn limit_calls(&self, caller: &Caller, now: UnixMillis) -> Result<(), ApiError> {
         let (Role::Admin(id) | Role::Reader(id)) = &caller.role else {
             return Ok(());
         };
@@ -146,7 +150,7 @@
         if route.operation.is_public() {
             return Ok(());
         }
-        match caller.role.may(route.act, tenant) {
+        match caller.role.access(route.permission, tenant) {
             Access::Granted => Ok(()),
             Access::Forbidden => Err(ApiError::Forbidden),
             Access::Hidden => {
@@ -159,7 +163,7 @@
 
     /// Removes deleted tenants of which no front holds a session any more, and returns how many; to be called
     /// every second or so.
-    pub fn purge_deleted_tenants(&self, now: Millis) -> Result<usize, StoreError> {
+    pub fn purge_deleted_tenants(&self, now: UnixMillis) -> Result<usize, StoreError> {
         let change_number = self.store.last_change_number()?;
         let mut after = None;
         let mut purged = 0;
@@ -179,20 +183,23 @@
     }
 
     /// Whether a tenant is being deleted and its last session is over, as of a change.
-    fn has_ended(&self, tenant: &Tenant, change_number: u64, now: Millis) -> bool {
-        matches!(tenant.state, State::Deleting { .. })
-            && self.fronts.borrow().empty(now, &tenant.id, change_number)
+    fn has_ended(&self, tenant: &Tenant, change_number: u64, now: UnixMillis) -> bool {
+        matches!(tenant.state, TenantState::Deleting { .. })
+            && self
+                .usage
+                .borrow()
+                .is_drained(now, &tenant.id, change_number)
     }
 
-    fn purge(&self, tenant: &Tenant, now: Millis) -> Result<(), StoreError> {
-        let context = By {
-            who: "service",
-            agrees: true,
-            of: Match::Revisions(vec![tenant.revision]),
+    fn purge(&self, tenant: &Tenant, now: UnixMillis) -> Result<(), StoreError> {
+        let context = ChangeContext {
+            actor: "service",
+            may_edit_agreement: true,
+            precondition: Precondition::Revisions(vec![tenant.revision]),
             now,
         };
         self.store
-            .change_tenant(&tenant.id, &Wish::Bury, &context, None)?;
+            .change_tenant(&tenant.id, &Change::FinishDeletion, &context, None)?;
         Ok(())
     }
 }
--- a/crates/admin/src/error.rs
+++ b/crates/admin/src/error.rs
@@ -3,8 +3,10 @@
 use serde_json::{Map, json};
 use shalewall_http::server::Reply;
 use shalewall_store::StoreError;
-use shalewall_tenancy::change::Refusal;
-use shalewall_tenancy::model::Wrong;
+use shalewall_tenancy::access::RoleError;
+use shalewall_tenancy::change::{AgreementField, ChangeError, StateConflict};
+use shalewall_tenancy::schema::ValidationError;
+use shalewall_tenancy::tenant::InvalidTenantId;
 
 /// How long a caller is to wait after the store has failed.
 const STORE_RETRY_AFTER_S: u64 = 5;
@@ -40,11 +42,8 @@
         name: &'static str,
     },
     /// The query's `after` is no tenant's id.
-    #[error("after {detail}")]
-    InvalidAfter {
-        /// What an id has to be.
-        detail: String,
-    },
+    #[error("after {0}")]
+    InvalidAfter(#[source] InvalidTenantId),
     /// The content is not JSON.
     #[error("the content is not JSON: {0}")]
     MalformedJson(#[source] serde_json::Error),
@@ -71,13 +70,13 @@
     IdempotencyKeyReused,
     /// A token's role is none, or does not go with a tenant.
     #[error("{0}")]
-    InvalidRole(String),
+    InvalidRole(#[source] RoleError),
     /// More fronts report usage than are kept account of.
     #[error("there are too many fronts")]
     TooManyFronts,
     /// A tenant's terms, or its id, break the published schema.
     #[error("the terms are not in order")]
-    InvalidTerms(Vec<Wrong>),
+    InvalidTerms(Vec<ValidationError>),
     /// The id of a new tenant is in use, or not free yet.
     #[error("the id is in use, or what was called so has not ended yet")]
     IdInUse,
@@ -91,34 +90,36 @@
         current: u64,
     },
     /// The tenant's state does not allow the change.
-    #[error("the tenant {state}")]
-    StateConflict {
-        /// What the tenant is, or is not.
-        state: &'static str,
-    },
+    #[error("the tenant {0}")]
+    StateConflict(#[source] StateConflict),
     /// A tenant's administrator may not change these fields.
-    #[error("agreed with the operators, and theirs to change: {}", .fields.join(", "))]
+    #[error("agreed with the operators, and theirs to change: {}", join(.fields))]
     OperatorFields {
         /// The fields that would change.
-        fields: Vec<&'static str>,
+        fields: Vec<AgreementField>,
     },
     /// The store failed. What is wrong with it is for the operators' log, not for callers.
     #[error("the store can't do this now; nothing was changed")]
     StoreFailed(#[source] StoreError),
 }
 
+fn join(fields: &[AgreementField]) -> String {
+    let names: Vec<String> = fields.iter().map(ToString::to_string).collect();
+    names.join(", ")
+}
+
 impl ApiError {
     fn status(&self) -> u16 {
         match self {
             ApiError::QueryNotANumber { .. }
-            | ApiError::InvalidAfter { .. }
+            | ApiError::InvalidAfter(_)
             | ApiError::MalformedJson(_)
             | ApiError::IdempotencyKeyLength => 400,
             ApiError::Unauthenticated => 401,
             ApiError::Forbidden | ApiError::OperatorFields { .. } => 403,
             ApiError::NotFound => 404,
             ApiError::MethodNotAllowed { .. } => 405,
-            ApiError::IdInUse | ApiError::StateConflict { .. } => 409,
+            ApiError::IdInUse | ApiError::StateConflict(_) => 409,
             ApiError::StaleRevision { .. } => 412,
             ApiError::UnsupportedMediaType => 415,
             ApiError::InvalidContent { .. }
@@ -178,16 +179,18 @@
     }
 }
 
-impl From<Refusal> for ApiError {
-    fn from(reason: Refusal) -> ApiError {
+impl From<ChangeError> for ApiError {
+    fn from(reason: ChangeError) -> ApiError {
         match reason {
-            Refusal::NotFound => ApiError::NotFound,
-            Refusal::Taken => ApiError::IdInUse,
-            Refusal::MatchRequired => ApiError::RevisionRequired,
-            Refusal::Stale(current) => ApiError::StaleRevision { current },
-            Refusal::State(state) => ApiError::StateConflict { state },
-            Refusal::Agreed(fields) => ApiError::OperatorFields { fields },
-            Refusal::Invalid(errors) => ApiError::InvalidTerms(errors),
+            ChangeError::NotFound => ApiError::NotFound,
+            ChangeError::IdTaken => ApiError::IdInUse,
+            ChangeError::PreconditionRequired => ApiError::RevisionRequired,
+            ChangeError::Stale { current_revision } => ApiError::StaleRevision {
+                current: current_revision,
+            },
+            ChangeError::StateConflict(conflict) => ApiError::StateConflict(conflict),
+            ChangeError::AgreementProtected(fields) => ApiError::OperatorFields { fields },
+            ChangeError::Invalid(errors) => ApiError::InvalidTerms(errors),
         }
     }
 }
--- a/crates/admin/src/openapi.rs
+++ b/crates/admin/src/openapi.rs
@@ -3,7 +3,7 @@
 use crate::routes::{COMMON_STATUSES, Operation, ROUTES, Route, ServiceOperation, TenantOperation};
 use serde_json::{Map, Value, json};
 use shalewall_http::head::reason;
-use shalewall_tenancy::model;
+use shalewall_tenancy::schema::terms_schema;
 
 /// The document as it is published.
 pub fn document() -> Value {
@@ -21,7 +21,7 @@
         "paths": paths,
         "components": {
             "securitySchemes": { "bearer": { "type": "http", "scheme": "bearer" } },
-            "schemas": { "Terms": model::schema(), "Problem": { "type": "object", "required": ["status", "title"] } },
+            "schemas": { "Terms": terms_schema(), "Problem": { "type": "object", "required": ["status", "title"] } },
         },
     })
 }
--- a/crates/admin/src/rate_limit.rs
+++ b/crates/admin/src/rate_limit.rs
@@ -1,10 +1,10 @@
 //! Calls of each tenant's administrators in the present minute, for their limits.
 
-use shalewall_tenancy::Millis;
-use shalewall_tenancy::model::TenantId;
+use shalewall_tenancy::UnixMillis;
+use shalewall_tenancy::tenant::TenantId;
 use std::collections::BTreeMap;
 
-const MILLIS_PER_SECOND: Millis = 1000;
+const MILLIS_PER_SECOND: UnixMillis = 1000;
 const SECONDS_PER_MINUTE: u64 = 60;
 
 /// Counts calls in fixed windows of one minute.
@@ -21,7 +21,7 @@
 
 impl CallCounter {
     /// Counts a call, and returns the tenant's calls in this minute with it.
-    pub fn count(&mut self, tenant: &TenantId, now: Millis) -> u32 {
+    pub fn count(&mut self, tenant: &TenantId, now: UnixMillis) -> u32 {
         let minute = now / MILLIS_PER_SECOND / SECONDS_PER_MINUTE;
         self.windows.retain(|_, window| window.minute == minute);
         let empty = Window { minute, calls: 0 };
@@ -32,6 +32,6 @@
 }
 
 /// Seconds until the next minute begins.
-pub(crate) fn seconds_to_next_minute(now: Millis) -> u64 {
+pub(crate) fn seconds_to_next_minute(now: UnixMillis) -> u64 {
     SECONDS_PER_MINUTE - now / MILLIS_PER_SECOND % SECONDS_PER_MINUTE
 }
--- a/crates/admin/src/request.rs
+++ b/crates/admin/src/request.rs
@@ -4,7 +4,7 @@
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 use shalewall_http::server::Request;
-use shalewall_tenancy::change::Match;
+use shalewall_tenancy::change::Precondition;
 
 /// Rows of a page where the query names no limit.
 const DEFAULT_PAGE_ROWS: u64 = 100;
@@ -25,7 +25,7 @@
 }
 
 /// `If-Match`: `*`, or entity tags of tenants' revisions. Weak tags never match (RFC 9110, section 13.1.1).
-pub(crate) fn if_match(request: &Request) -> Match {
+pub(crate) fn if_match(request: &Request) -> Precondition {
     let mut revisions = Vec::new();
     let mut is_present = false;
     for value in request.head.fields.all("if-match") {
@@ -33,15 +33,15 @@
         let value = String::from_utf8_lossy(value);
         for tag in value.split(',').map(str::trim) {
             if tag == "*" {
-                return Match::Any;
+                return Precondition::Any;
             }
             revisions.extend(parse_entity_tag(tag));
         }
     }
     if is_present {
-        Match::Revisions(revisions)
+        Precondition::Revisions(revisions)
     } else {
-        Match::Missing
+        Precondition::Missing
     }
 }
 
--- a/crates/admin/src/serve.rs
+++ b/crates/admin/src/serve.rs
@@ -8,7 +8,7 @@
 use rand::RngExt;
 use shalewall_http::Limits;
 use shalewall_http::server::{Reply, Request, serve};
-use shalewall_tenancy::Millis;
+use shalewall_tenancy::UnixMillis;
 use std::cell::Cell;
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
@@ -26,10 +26,10 @@
 const MAX_BODY_BYTES: usize = 8 << 20;
 
 /// The wall clock, milliseconds since 1970.
-pub fn unix_time_millis() -> Millis {
+pub fn unix_time_millis() -> UnixMillis {
     SystemTime::now()
         .duration_since(UNIX_EPOCH)
-        .map_or(0, |since| since.as_millis() as Millis)
+        .map_or(0, |since| since.as_millis() as UnixMillis)
 }
 
 /// Listens, and answers for as long as the executor runs. Returns the address that it listens on.
--- a/crates/admin/src/service_operations.rs
+++ b/crates/admin/src/service_operations.rs
@@ -11,10 +11,12 @@
 use serde_json::{Value, json};
 use shalewall_http::server::Reply;
 use shalewall_store::IdempotencyKey;
-use shalewall_tenancy::access::{Role, Token};
-use shalewall_tenancy::change::{By, Match, Wish};
-use shalewall_tenancy::model::{TenantId, Wrong, schema};
-use shalewall_tenancy::usage::Told;
+use shalewall_tenancy::access::Role;
+use shalewall_tenancy::change::{Change, ChangeContext, Precondition};
+use shalewall_tenancy::schema::{ValidationError, terms_schema};
+use shalewall_tenancy::tenant::TenantId;
+use shalewall_tenancy::token::{IssuedToken, Token};
+use shalewall_tenancy::usage::UsageReport;
 
 /// Content of a request for a new tenant.
 #[derive(Deserialize)]
@@ -45,7 +47,7 @@
     ) -> Result<Reply, ApiError> {
         match operation {
             ServiceOperation::OpenApi => ok(openapi::document()),
-            ServiceOperation::TermsSchema => ok(schema().clone()),
+            ServiceOperation::TermsSchema => ok(terms_schema().clone()),
             ServiceOperation::ListTenants => self.list_tenants(call),
             ServiceOperation::CreateTenant => self.create_tenant(call),
             ServiceOperation::Changes => self.read_changes(call),
@@ -61,9 +63,7 @@
         let after = after
             .map(|id| TenantId::try_from(id.to_string()))
             .transpose()
-            .map_err(|error| ApiError::InvalidAfter {
-                detail: error.to_string(),
-            })?;
+            .map_err(ApiError::InvalidAfter)?;
         let rows = page_rows(call.request)?;
         let tenants = self.store.list_tenants(after.as_ref(), rows)?;
         let last_of_full_page = tenants.last().filter(|_| tenants.len() == rows);
@@ -74,7 +74,7 @@
     fn create_tenant(&self, call: &Call<'_>) -> Result<Reply, ApiError> {
         let new: NewTenant = content(call.request, "id and terms are needed")?;
         let id = TenantId::try_from(new.id).map_err(|error| {
-            ApiError::InvalidTerms(vec![Wrong {
+            ApiError::InvalidTerms(vec![ValidationError {
                 pointer: "/id".to_string(),
                 detail: error.to_string(),
             }])
@@ -86,13 +86,13 @@
             key,
             request: &request,
         });
-        let context = By {
-            who: &call.caller.name,
-            agrees: true,
-            of: Match::Missing,
+        let context = ChangeContext {
+            actor: &call.caller.name,
+            may_edit_agreement: true,
+            precondition: Precondition::Missing,
             now: call.now,
         };
-        let change = Wish::Create(new.terms);
+        let change = Change::Create(new.terms);
         let outcome = self.store.change_tenant(&id, &change, &context, key)?;
         let status = match outcome.change_number {
             Some(_) => 201,
@@ -108,9 +108,9 @@
     }
 
     fn report_usage(&self, call: &Call<'_>) -> Result<Reply, ApiError> {
-        let report: Told = content(call.request, "front, number and held are needed")?;
-        let wanted = self.fronts.borrow_mut().report(call.now, report);
-        let wanted = wanted.ok_or(ApiError::TooManyFronts)?;
+        let report: UsageReport = content(call.request, "front, number and held are needed")?;
+        let wanted = self.usage.borrow_mut().record(call.now, report);
+        let wanted = wanted.map_err(|_| ApiError::TooManyFronts)?;
         ok(json!({ "sessions_of": wanted }))
     }
 
@@ -120,7 +120,7 @@
             .tokens()?
             .into_iter()
             .map(|token| {
-                json!({ "id": token.id, "role": token.role, "made": token.made, "revoked": token.revoked })
+                json!({ "id": token.id, "role": token.role, "made": token.created_at, "revoked": token.revoked_at })
             })
             .collect();
         ok(json!({ "tokens": tokens }))
@@ -129,9 +129,9 @@
     /// The only answer that shows a token's text.
     fn create_token(&self, call: &Call<'_>) -> Result<Reply, ApiError> {
         let new: NewToken = content(call.request, "role and tenant")?;
-        let role = Role::named(&new.role, new.tenant)
-            .map_err(|error| ApiError::InvalidRole(error.to_string()))?;
-        let (token, text) = Token::new(role, call.seed.id, call.seed.secret, call.now);
+        let role = Role::from_name(&new.role, new.tenant).map_err(ApiError::InvalidRole)?;
+        let IssuedToken { token, text } =
+            Token::issue(role, call.seed.id, call.seed.secret, call.now);
         self.store.put_token(&token)?;
         let content = json!({ "id": token.id, "token": text });
         Ok(Reply::json(201, content.to_string()))
--- a/crates/admin/src/tenant_operations.rs
+++ b/crates/admin/src/tenant_operations.rs
@@ -7,8 +7,8 @@
 use serde_json::json;
 use shalewall_http::server::Reply;
 use shalewall_tenancy::access::Role;
-use shalewall_tenancy::change::{By, Wish};
-use shalewall_tenancy::model::{State, Tenant, TenantId};
+use shalewall_tenancy::change::{Change, ChangeContext};
+use shalewall_tenancy::tenant::{Tenant, TenantId, TenantState};
 
 /// When a caller is to ask again for sessions that fronts have not reported yet, seconds.
 const SESSIONS_RETRY_AFTER_S: &str = "2";
@@ -30,14 +30,14 @@
             TenantOperation::History => self.read_history(id, call),
             TenantOperation::Usage => self.read_usage(id, call),
             TenantOperation::Sessions => self.read_sessions(id, call),
-            TenantOperation::Replace => self.change(id, Wish::Replace(json(call.request)?), call),
+            TenantOperation::Replace => self.change(id, Change::Replace(json(call.request)?), call),
             TenantOperation::Patch => {
                 let patch = merge_patch(call.request)?;
-                self.change(id, Wish::Patch(patch), call)
+                self.change(id, Change::Patch(patch), call)
             }
-            TenantOperation::Suspend => self.change(id, Wish::Suspend, call),
-            TenantOperation::Resume => self.change(id, Wish::Resume, call),
-            TenantOperation::Delete => self.change(id, Wish::Delete, call),
+            TenantOperation::Suspend => self.change(id, Change::Suspend, call),
+            TenantOperation::Resume => self.change(id, Change::Resume, call),
+            TenantOperation::Delete => self.change(id, Change::Delete, call),
         }
     }
 
@@ -49,7 +49,7 @@
     fn read_tenant(&self, id: &TenantId) -> Result<Reply, ApiError> {
         let tenant = self.existing_tenant(id)?;
         match tenant.state {
-            State::Gone { .. } => Err(ApiError::NotFound),
+            TenantState::Deleted { .. } => Err(ApiError::NotFound),
             _ => Ok(tenant_reply(200, &tenant)),
         }
     }
@@ -68,14 +68,8 @@
 
     fn read_usage(&self, id: &TenantId, call: &Call<'_>) -> Result<Reply, ApiError> {
         let tenant = self.existing_tenant(id)?;
-        let usage = self.fronts.borrow().held(call.now, id);
-        let sessions: u64 = usage.iter().map(|(_, sessions, _)| sessions).sum();
-        let fronts: Vec<_> = usage
-            .iter()
-            .map(|(front, sessions, age_ms)| {
-                json!({ "front": front, "sessions": sessions, "age_ms": age_ms })
-            })
-            .collect();
+        let fronts = self.usage.borrow().usage_by_director(call.now, id);
+        let sessions: u64 = fronts.iter().map(|front| front.session_count).sum();
         let content = json!({ "tenant": tenant.id, "sessions": sessions, "fronts": fronts });
         Ok(Reply::json(200, content.to_string()))
     }
@@ -83,7 +77,7 @@
     /// Fronts report sessions only after they were asked for; until all have, the caller is to come again.
     fn read_sessions(&self, id: &TenantId, call: &Call<'_>) -> Result<Reply, ApiError> {
         let tenant = self.existing_tenant(id)?;
-        let fronts = self.fronts.borrow_mut().sessions(call.now, id);
+        let fronts = self.usage.borrow_mut().sessions_by_director(call.now, id);
         let content = json!({ "tenant": tenant.id, "fronts": fronts });
         let reply = Reply::json(200, content.to_string());
         if fronts.iter().all(|front| front.sessions.is_some()) {
@@ -92,15 +86,15 @@
         Ok(reply.with("Retry-After", SESSIONS_RETRY_AFTER_S))
     }
 
-    fn change(&self, id: &TenantId, change: Wish, call: &Call<'_>) -> Result<Reply, ApiError> {
-        let context = By {
-            who: &call.caller.name,
-            agrees: call.caller.role == Role::Operator,
-            of: if_match(call.request),
+    fn change(&self, id: &TenantId, change: Change, call: &Call<'_>) -> Result<Reply, ApiError> {
+        let context = ChangeContext {
+            actor: &call.caller.name,
+            may_edit_agreement: call.caller.role == Role::Operator,
+            precondition: if_match(call.request),
             now: call.now,
         };
         let outcome = self.store.change_tenant(id, &change, &context, None)?;
-        let status = if change == Wish::Delete { 202 } else { 200 };
+        let status = if change == Change::Delete { 202 } else { 200 };
         Ok(tenant_reply(status, &outcome.tenant))
     }
 }
--- a/crates/admin/tests/support/mod.rs
+++ b/crates/admin/tests/support/mod.rs
@@ -9,8 +9,9 @@
 use shalewall_http::head::Finder;
 use shalewall_http::server::{Content, Reply, Request};
 use shalewall_store::Store;
-use shalewall_tenancy::access::{Role, Token};
-use shalewall_tenancy::model::TenantId;
+use shalewall_tenancy::access::Role;
+use shalewall_tenancy::tenant::TenantId;
+use shalewall_tenancy::token::{IssuedToken, Token};
 
 /// An API on a store of its own, and its callers' tokens.
 pub struct TestApi {
@@ -61,7 +62,8 @@
             .into_iter()
             .enumerate()
         {
-            let (token, text) = Token::new(role, [i as u8; 8], [i as u8 + 1; 32], 0);
+            let IssuedToken { token, text } =
+                Token::issue(role, [i as u8; 8], [i as u8 + 1; 32], 0);
             store.put_token(&token).unwrap();
             tokens.push(text);
         }
--- a/crates/cli/src/manage.rs
+++ b/crates/cli/src/manage.rs
@@ -139,7 +139,7 @@
                 .map_err(text)
         }
         StoreCommand::Token { file, role, tenant } => {
-            let role = Role::named(&role, tenant)?;
+            let role = Role::from_name(&role, tenant).map_err(text)?;
             let store = Store::open(&file).map_err(text)?;
             println!("{}", issue_token(&store, role).map_err(text)?);
             Ok(())
--- a/crates/scripted-days/src/hosted_service.rs
+++ b/crates/scripted-days/src/hosted_service.rs
@@ -8,8 +8,8 @@
 use shalewall_settings::{Class, DayPlan, HostedDay, Hosting, Site, Tenant};
 use shalewall_store::Store;
 use shalewall_tenancy::access::Role;
-use shalewall_tenancy::change::{By, Match, Wish};
-use shalewall_tenancy::model::TenantId;
+use shalewall_tenancy::change::{Change, ChangeContext, Precondition};
+use shalewall_tenancy::tenant::TenantId;
 use std::io;
 use std::path::Path;
 use std::rc::Rc;
@@ -25,7 +25,7 @@
     out: &Path,
 ) -> Result<Hosting, DayError> {
     let store = Store::open(&new_store_file(out)?)?;
-    let token = issue_token(&store, Role::Front)?;
+    let token = issue_token(&store, Role::Director)?;
     for (name, tenant) in &plan.site.tenant {
         create_tenant(&store, &plan.site, name, tenant)?;
     }
@@ -55,14 +55,14 @@
         reason,
     };
     let id = TenantId::try_from(name.to_string()).map_err(|error| refused(error.to_string()))?;
-    let by = By {
-        who: "day",
+    let context = ChangeContext {
+        actor: "day",
         now: unix_time_millis(),
-        agrees: true,
-        of: Match::Missing,
+        may_edit_agreement: true,
+        precondition: Precondition::Missing,
     };
-    let change = Wish::Create(terms(site, name, tenant.share));
-    let created = store.change_tenant(&id, &change, &by, None);
+    let change = Change::Create(terms(site, name, tenant.share));
+    let created = store.change_tenant(&id, &change, &context, None);
     created.map_err(|error| refused(error.to_string()))?;
     Ok(())
 }
--- a/crates/server/src/keeper.rs
+++ b/crates/server/src/keeper.rs
@@ -6,8 +6,8 @@
 use shalewall_http::Bad;
 use shalewall_http::head::RequestHead;
 use shalewall_http::server::Gate;
-use shalewall_tenancy::connections::{Connections, Ticket, Turned};
-use shalewall_tenancy::model::TenantId;
+use shalewall_tenancy::connections::{AssignError, ConnectionId, Connections};
+use shalewall_tenancy::tenant::TenantId;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -18,7 +18,7 @@
 /// All connections of a hosted front.
 pub struct Keeper {
     tenants: Rc<Tenants>,
-    tasks: RefCell<HashMap<Ticket, Task<()>>>,
+    tasks: RefCell<HashMap<ConnectionId, Task<()>>>,
 }
 
 impl Keeper {
@@ -34,23 +34,23 @@
     }
 
     /// Closes a connection by dropping the task that serves it.
-    fn drop_one(&self, victim: Option<Ticket>) {
+    fn drop_one(&self, victim: Option<ConnectionId>) {
         let task = victim.and_then(|ticket| self.tasks.borrow_mut().remove(&ticket));
         drop(task);
     }
 
     /// A connection has come; none: there is no room, and it is to be closed.
     pub fn open(self: &Rc<Keeper>) -> Option<Kept> {
-        let (ticket, victim) = self.book().open()?;
-        self.drop_one(victim);
+        let opened = self.book().open()?;
+        self.drop_one(opened.evicted);
         Some(Kept {
             keeper: self.clone(),
-            ticket,
+            ticket: opened.id,
         })
     }
 
     /// The task that serves it.
-    pub fn serves(&self, ticket: Ticket, task: Task<()>) {
+    pub fn serves(&self, ticket: ConnectionId, task: Task<()>) {
         self.tasks.borrow_mut().insert(ticket, task);
     }
 }
@@ -58,7 +58,7 @@
 /// One connection's place, held for as long as it is served.
 pub struct Kept {
     keeper: Rc<Keeper>,
-    pub ticket: Ticket,
+    pub ticket: ConnectionId,
 }
 
 impl Gate for Kept {
@@ -73,12 +73,14 @@
         if self.keeper.tenants.number.get() == 0 {
             return Ok(usize::MAX); // nothing is known yet, so nobody is unknown
         }
-        let named = self.keeper.book().name(self.ticket, &tenant);
+        let named = self.keeper.book().assign(self.ticket, &tenant);
         match named {
             Ok(victim) => self.keeper.drop_one(victim),
-            Err(Turned::Unknown) => return Err(unknown),
-            Err(Turned::Own) => return Err(Bad::new(503, "above the tenant's connections")),
-            Err(Turned::Part) => {
+            Err(AssignError::UnknownTenant) => return Err(unknown),
+            Err(AssignError::TenantLimit) => {
+                return Err(Bad::new(503, "above the tenant's connections"));
+            }
+            Err(AssignError::Quota) => {
                 return Err(Bad::new(
                     503,
                     "the front is full, and the tenant has its part",
@@ -96,11 +98,11 @@
     }
 
     fn whole(&mut self) {
-        self.keeper.book().busy(self.ticket);
+        self.keeper.book().mark_busy(self.ticket);
     }
 
     fn idle(&mut self) {
-        self.keeper.book().idle(self.ticket);
+        self.keeper.book().mark_idle(self.ticket);
     }
 }
 
--- a/crates/server/src/tenants.rs
+++ b/crates/server/src/tenants.rs
@@ -5,7 +5,7 @@
 use async_executor::Task;
 use async_io::Timer;
 use serde::Deserialize;
-use shalewall::{ClassSettings, Idempotency, Micros, ServerId};
+use shalewall::{ClassSettings, Idempotency, Micros, ServerId, TimeDelta, Timestamp};
 use shalewall_engine::{
     Admission, AdmissionControl, ClassTerms, Input, SessionSummary, TenantTerms, TenantUpdate,
     TitlePlacement,
@@ -14,10 +14,11 @@
 use shalewall_http::client::{Call, Response, in_time};
 use shalewall_http::pool::Pool;
 use shalewall_settings::Hosting;
+use shalewall_tenancy::admission::{Capacity, RejectionCause, TenantAdmission};
 use shalewall_tenancy::connections::Connections;
-use shalewall_tenancy::model::{Class, Fleet, State, Tenant, TenantId};
-use shalewall_tenancy::share::{Capacity, Cause, Shares, Verdict};
-use shalewall_tenancy::usage::Row;
+use shalewall_tenancy::tenant::{Tenant, TenantId, TenantState};
+use shalewall_tenancy::terms::{Class, Fleet};
+use shalewall_tenancy::usage::ReportedSession;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -38,7 +39,7 @@
 
 /// What this front knows of its tenants.
 pub struct Tenants {
-    shares: RefCell<Shares>,
+    shares: RefCell<TenantAdmission>,
     pub(crate) connections: RefCell<Connections>,
     /// Number of the last change that is applied here, and whether the API could be reached last.
     pub number: Cell<u64>,
@@ -62,21 +63,22 @@
         let Some(tenant) = id(tenant) else {
             return Admission::UnknownTenant;
         };
-        match self.0.shares.borrow_mut().ask(now, &tenant) {
-            Verdict::Take => Admission::Admitted,
-            Verdict::TurnAway {
-                cause: Cause::NoSuchTenant,
-                ..
-            } => Admission::UnknownTenant,
-            Verdict::TurnAway { come_back, .. } => Admission::Rejected {
-                retry_after: come_back,
+        let now = Timestamp::from_micros(now);
+        match self.0.shares.borrow_mut().admit(now, &tenant) {
+            Ok(()) => Admission::Admitted,
+            Err(rejection) if rejection.cause == RejectionCause::UnknownTenant => {
+                Admission::UnknownTenant
+            }
+            Err(rejection) => Admission::Rejected {
+                retry_after: rejection.retry_after.as_micros(),
             },
         }
     }
 
     fn release(&mut self, now: Micros, tenant: Option<&str>) {
         if let Some(tenant) = id(tenant) {
-            self.0.shares.borrow_mut().ended(now, &tenant);
+            let now = Timestamp::from_micros(now);
+            self.0.shares.borrow_mut().release(now, &tenant);
         }
     }
 }
@@ -96,25 +98,25 @@
         } else {
             Idempotency::Idempotent
         },
-        latency_objective: shalewall::TimeDelta::from_micros(ms(c.aim_ms)),
-        priority_weight: c.worth,
+        latency_objective: TimeDelta::from_micros(ms(c.latency_objective_ms)),
+        priority_weight: c.priority_weight,
         rate_scale: 1.0,
-        lowest_rung: c.floor as usize,
-        highest_rung: c.top.map_or(usize::MAX, |top| top as usize),
-        session_limit_per_title: c.seats,
+        lowest_rung: c.lowest_rung as usize,
+        highest_rung: c.highest_rung.map_or(usize::MAX, |top| top as usize),
+        session_limit_per_title: c.session_limit_per_title,
         is_live: false,
     };
     let terms = &tenant.terms;
     let classes = terms.classes.iter();
-    (!matches!(tenant.state, State::Gone { .. })).then(|| TenantTerms {
-        quota: tenant.state.takes().then_some(terms.share),
+    (!matches!(tenant.state, TenantState::Deleted { .. })).then(|| TenantTerms {
+        quota: tenant.state.accepts_sessions().then_some(terms.share),
         classes: classes
             .map(|(name, c)| {
                 (
                     name.clone(),
                     ClassTerms {
                         settings: class(c),
-                        max_wait: ms(c.give_up_ms),
+                        max_wait: ms(c.deadline_ms),
                     },
                 )
             })
@@ -126,8 +128,8 @@
                 (
                     name.clone(),
                     TitlePlacement {
-                        first_cell: t.home,
-                        replica_cells: t.spread,
+                        first_cell: t.first_cell,
+                        replica_cells: t.replica_cells,
                     },
                 )
             })
@@ -146,7 +148,7 @@
             sessions: sessions as f64,
         };
         Rc::new(Tenants {
-            shares: RefCell::new(Shares::new(capacity, shalewall_clock::now().as_micros())),
+            shares: RefCell::new(TenantAdmission::new(capacity, shalewall_clock::now())),
             connections: RefCell::new(Connections::new(connections)),
             number: Cell::new(0),
             reached: Cell::new(false),
@@ -156,7 +158,7 @@
 
     /// Door and engine hear of all of it in one turn: no request is decided in between.
     fn apply(&self, hub: &Rc<Hub>, news: News) {
-        let now = shalewall_clock::now().as_micros();
+        let now = shalewall_clock::now();
         hub.feed(Input::TenantsUpdated(
             news.tenants
                 .iter()
@@ -168,23 +170,23 @@
         ));
         for tenant in news.tenants {
             let (id, terms) = (&tenant.id, &tenant.terms);
-            if let State::Gone { .. } = tenant.state {
-                self.connections.borrow_mut().forget(id);
+            if let TenantState::Deleted { .. } = tenant.state {
+                self.connections.borrow_mut().remove_tenant(id);
             } else {
                 self.connections
                     .borrow_mut()
-                    .agree(id, terms.share, &terms.limits);
+                    .set_tenant(id, terms.share, &terms.limits);
             }
             self.ending.borrow_mut().remove(id);
             match tenant.state {
-                State::Active => {
+                TenantState::Active => {
                     self.shares
                         .borrow_mut()
-                        .agree(now, id, true, terms.share, &terms.limits);
+                        .set_tenant(now, id, terms.share, &terms.limits);
                 }
-                State::Suspended => self.shares.borrow_mut().forget(id),
-                State::Deleting { until, .. } => {
-                    self.shares.borrow_mut().forget(id);
+                TenantState::Suspended => self.shares.borrow_mut().remove_tenant(id),
+                TenantState::Deleting { until, .. } => {
+                    self.shares.borrow_mut().remove_tenant(id);
                     let (hub, name) = (hub.clone(), id.to_string());
                     let task = hub.ex.clone().spawn(async move {
                         let wall = SystemTime::now()
@@ -199,7 +201,7 @@
                     });
                     self.ending.borrow_mut().insert(id.clone(), task);
                 }
-                State::Gone { .. } => self.shares.borrow_mut().forget(id),
+                TenantState::Deleted { .. } => self.shares.borrow_mut().remove_tenant(id),
             }
         }
         self.number.set(news.number);
@@ -259,22 +261,22 @@
     sessions_of: Vec<String>,
 }
 
-fn row(shown: SessionSummary) -> Row {
+fn row(shown: SessionSummary) -> ReportedSession {
     let SessionSummary {
         session,
         class,
         title,
         server,
         rung,
-        is_playing: plays,
+        is_playing,
     } = shown;
-    Row {
+    ReportedSession {
         session: session.0,
         class,
         title,
         node: server.map(|s| s.0),
         rung,
-        plays,
+        is_playing,
     }
 }
 
@@ -286,7 +288,7 @@
         Timer::after(REPORT).await;
         // What people look at, of few tenants and not without end.
         let mut left = ROWS;
-        let mut sessions: BTreeMap<String, Vec<Row>> = BTreeMap::new();
+        let mut sessions: BTreeMap<String, Vec<ReportedSession>> = BTreeMap::new();
         for tenant in &wished.sessions_of {
             let rows: Vec<_> = hub.sessions_of(tenant, left).into_iter().map(row).collect();
             left -= rows.len();
@@ -295,7 +297,7 @@
         let said = {
             let shares = tenants.shares.borrow();
             let held: BTreeMap<String, usize> = shares
-                .holding()
+                .sessions_by_tenant()
                 .map(|(id, n)| (id.to_string(), n))
                 .collect();
             serde_json::json!({ "front": hub.director, "number": tenants.number.get(), "held": held,
--- a/crates/store/examples/write_fixture.rs
+++ b/crates/store/examples/write_fixture.rs
@@ -11,9 +11,10 @@
 use redb::Database;
 use serde_json::json;
 use shalewall_store::{IdempotencyKey, Store};
-use shalewall_tenancy::access::{Role, Token};
-use shalewall_tenancy::change::{By, Match, Wish};
-use shalewall_tenancy::model::TenantId;
+use shalewall_tenancy::access::Role;
+use shalewall_tenancy::change::{Change, ChangeContext, Precondition};
+use shalewall_tenancy::tenant::TenantId;
+use shalewall_tenancy::token::Token;
 use std::path::{Path, PathBuf};
 
 fn id(name: &str) -> TenantId {
@@ -37,7 +38,7 @@
 
 /// Every kind of change, each at its own time, a second after the one before.
 fn write_tenants(store: &Store) {
-    let create = |name: &str| Wish::Create(terms(name));
+    let create = |name: &str| Change::Create(terms(name));
     let changes = [
         (
             "active",
@@ -53,25 +54,25 @@
         ("again", create("first holder"), None),
         (
             "active",
-            Wish::Patch(json!({ "display_name": "second name", "limits": { "sessions": null } })),
+            Change::Patch(json!({ "display_name": "second name", "limits": { "sessions": null } })),
             None,
         ),
         (
             "active",
-            Wish::Replace(
+            Change::Replace(
                 json!({ "display_name": "third name", "share": 1.0, "fleet": "pool",
             "classes": { "report": { "paid": true, "aim_ms": 1, "give_up_ms": 2, "worth": 0.0 } } }),
             ),
             None,
         ),
-        ("active", Wish::Suspend, None),
-        ("active", Wish::Resume, None),
-        ("suspended", Wish::Suspend, None),
-        ("deleting", Wish::Delete, None),
-        ("gone", Wish::Delete, None),
-        ("gone", Wish::Bury, None),
-        ("again", Wish::Delete, None),
-        ("again", Wish::Bury, None),
+        ("active", Change::Suspend, None),
+        ("active", Change::Resume, None),
+        ("suspended", Change::Suspend, None),
+        ("deleting", Change::Delete, None),
+        ("gone", Change::Delete, None),
+        ("gone", Change::FinishDeletion, None),
+        ("again", Change::Delete, None),
+        ("again", Change::FinishDeletion, None),
         (
             "again",
             create("second holder"),
@@ -82,14 +83,14 @@
         ),
     ];
     for (number, (tenant, change, key)) in (1u64..).zip(changes) {
-        let context = By {
-            who: if number % 2 == 0 {
+        let context = ChangeContext {
+            actor: if number % 2 == 0 {
                 "token 00"
             } else {
                 "service"
             },
-            agrees: true,
-            of: Match::Any,
+            may_edit_agreement: true,
+            precondition: Precondition::Any,
             now: 1_700_000_000_000 + 1_000 * number,
         };
         store
@@ -102,15 +103,15 @@
 fn write_tokens(store: &Store) {
     let roles = [
         Role::Operator,
-        Role::Front,
+        Role::Director,
         Role::Admin(id("active")),
         Role::Reader(id("active")),
         Role::Operator,
     ];
     for (number, role) in (1u8..).zip(roles) {
         let made = 1_700_000_000_000 + u64::from(number);
-        let (token, _) = Token::new(role, [number; 8], [number; 32], made);
-        store.put_token(&token).expect("the token is stored");
+        let issued = Token::issue(role, [number; 8], [number; 32], made);
+        store.put_token(&issued.token).expect("the token is stored");
     }
     let revoked = store.revoke_token("0505050505050505", 1_700_000_000_100);
     assert!(revoked.expect("the token is revoked"), "it was there");
--- a/crates/store/src/change.rs
+++ b/crates/store/src/change.rs
@@ -5,8 +5,9 @@
 };
 use crate::{Corruption, Store, StoreError};
 use redb::{ReadableTableMetadata, Table, WriteTransaction};
-use shalewall_tenancy::change::{By, Entry, Wish, decide};
-use shalewall_tenancy::model::{Tenant, TenantId};
+use shalewall_tenancy::change::{AppliedChange, Change, ChangeContext, apply_change};
+use shalewall_tenancy::history::HistoryEntry;
+use shalewall_tenancy::tenant::{Tenant, TenantId};
 
 /// An idempotency key is remembered for at least so many later changes.
 const KEYS_REMEMBERED: u64 = 10_000;
@@ -35,8 +36,8 @@
     pub fn change_tenant(
         &self,
         id: &TenantId,
-        change: &Wish,
-        context: &By<'_>,
+        change: &Change,
+        context: &ChangeContext<'_>,
         key: Option<IdempotencyKey<'_>>,
     ) -> Result<ChangeOutcome, StoreError> {
         let transaction = self.database.begin_write()?;
@@ -52,15 +53,16 @@
                 change_number: None,
             });
         }
-        let (after, entry) =
-            decide(id, before.as_ref(), change, context).map_err(StoreError::Rejected)?;
-        let number = write_change(&transaction, &after, &entry)?;
+        let applied =
+            apply_change(id, before.as_ref(), change, context).map_err(StoreError::Rejected)?;
+        let AppliedChange { tenant, entry } = applied;
+        let number = write_change(&transaction, &tenant, &entry)?;
         if let Some(key) = key {
-            remember_key(&transaction, key, &after, number)?;
+            remember_key(&transaction, key, &tenant, number)?;
         }
         transaction.commit()?;
         Ok(ChangeOutcome {
-            tenant: after,
+            tenant,
             change_number: Some(number),
         })
     }
@@ -86,7 +88,7 @@
 fn write_change(
     transaction: &WriteTransaction,
     tenant: &Tenant,
-    entry: &Entry,
+    entry: &HistoryEntry,
 ) -> Result<u64, StoreError> {
     let id = tenant.id.as_str();
     let mut changes = transaction.open_table(CHANGES)?;
--- a/crates/store/src/check.rs
+++ b/crates/store/src/check.rs
@@ -4,8 +4,8 @@
 use crate::tables::{CHANGES, HISTORY, TENANTS, decode};
 use crate::{Corruption, Store, StoreError};
 use redb::{ReadTransaction, ReadableTable};
-use shalewall_tenancy::change::{Entry, replay};
-use shalewall_tenancy::model::Tenant;
+use shalewall_tenancy::history::{HistoryEntry, replay};
+use shalewall_tenancy::tenant::Tenant;
 use std::collections::BTreeMap;
 
 /// How much a store holds.
@@ -49,12 +49,12 @@
 /// All entries by tenant, in the order of their revisions.
 fn read_histories(
     transaction: &ReadTransaction,
-) -> Result<BTreeMap<String, Vec<Entry>>, StoreError> {
-    let mut histories: BTreeMap<String, Vec<Entry>> = BTreeMap::new();
+) -> Result<BTreeMap<String, Vec<HistoryEntry>>, StoreError> {
+    let mut histories: BTreeMap<String, Vec<HistoryEntry>> = BTreeMap::new();
     for row in transaction.open_table(HISTORY)?.iter()? {
         let (key, value) = row?;
         let (tenant, revision) = key.value();
-        let entry: Entry = decode(value.value())?;
+        let entry: HistoryEntry = decode(value.value())?;
         if entry.tenant.as_str() != tenant || entry.revision != revision {
             let tenant = tenant.to_string();
             return Err(Corruption::MisplacedEntry { tenant, revision }.into());
@@ -77,7 +77,7 @@
 /// Compares a tenant with its history and with the number of its changes.
 fn check_tenant(
     tenant: &Tenant,
-    history: &[Entry],
+    history: &[HistoryEntry],
     change_count: Option<usize>,
 ) -> Result<(), Corruption> {
     let id = tenant.id.to_string();
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -1,14 +1,14 @@
 //! What can go wrong with a store. Whatever the error, nothing was changed.
 
 use crate::FORMAT_VERSION;
-use shalewall_tenancy::change::Refusal;
+use shalewall_tenancy::change::ChangeError;
 
 /// Why the store did not do what it was asked for.
 #[derive(Debug, thiserror::Error)]
 pub enum StoreError {
     /// The tenant's state, or the change itself, does not allow it.
-    #[error("refused: {0:?}")]
-    Rejected(Refusal),
+    #[error("refused: {0}")]
+    Rejected(ChangeError),
     /// The idempotency key was used for another request.
     #[error("the idempotency key was used for another request")]
     IdempotencyKeyReused,
--- a/crates/store/src/export.rs
+++ b/crates/store/src/export.rs
@@ -7,8 +7,8 @@
 use crate::{Corruption, FORMAT_VERSION, Store, StoreError, StoreSummary, StoreUnavailable};
 use redb::{ReadableTable, Table, WriteTransaction};
 use serde::{Deserialize, Serialize};
-use shalewall_tenancy::access::Token;
-use shalewall_tenancy::change::{Entry, replay};
+use shalewall_tenancy::history::{HistoryEntry, replay};
+use shalewall_tenancy::token::Token;
 use std::collections::BTreeMap;
 use std::io::{BufRead, Write};
 
@@ -17,7 +17,7 @@
 #[serde(rename_all = "snake_case")]
 enum Line {
     Store { version: u64 },
-    Entry(Box<Entry>),
+    Entry(Box<HistoryEntry>),
     Token(Token),
 }
 
@@ -91,7 +91,7 @@
     changes: Table<'t, u64, &'static str>,
     tokens: Table<'t, &'static str, &'static [u8]>,
     /// Entries by tenant, to be replayed at the end.
-    histories: BTreeMap<String, Vec<Entry>>,
+    histories: BTreeMap<String, Vec<HistoryEntry>>,
     last_change_number: u64,
 }
 
@@ -122,7 +122,7 @@
         }
     }
 
-    fn add_entry(&mut self, entry: Entry) -> Result<(), StoreError> {
+    fn add_entry(&mut self, entry: HistoryEntry) -> Result<(), StoreError> {
         let id = entry.tenant.as_str();
         self.last_change_number += 1;
         self.history
--- a/crates/store/src/tables.rs
+++ b/crates/store/src/tables.rs
@@ -4,7 +4,7 @@
 use redb::{ReadableTable, TableDefinition};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
-use shalewall_tenancy::model::TenantId;
+use shalewall_tenancy::tenant::TenantId;
 
 /// Facts about the file itself, by name.
 pub(crate) const META: TableDefinition<'_, &str, u64> = TableDefinition::new("meta");
--- a/crates/store/src/tenants.rs
+++ b/crates/store/src/tenants.rs
@@ -2,8 +2,8 @@
 
 use crate::tables::{CHANGES, HISTORY, META, META_VERSION, TENANTS, decode, get};
 use crate::{Corruption, Store, StoreError, tables};
-use shalewall_tenancy::change::Entry;
-use shalewall_tenancy::model::{Tenant, TenantId};
+use shalewall_tenancy::history::HistoryEntry;
+use shalewall_tenancy::tenant::{Tenant, TenantId};
 use std::collections::BTreeSet;
 use std::ops::Bound;
 
@@ -42,7 +42,7 @@
         id: &TenantId,
         from_revision: u64,
         limit: usize,
-    ) -> Result<Vec<Entry>, StoreError> {
+    ) -> Result<Vec<HistoryEntry>, StoreError> {
         let transaction = self.database.begin_read()?;
         let history = transaction.open_table(HISTORY)?;
         let rows = history.range((id.as_str(), from_revision)..=(id.as_str(), u64::MAX))?;
--- a/crates/store/src/tokens.rs
+++ b/crates/store/src/tokens.rs
@@ -3,8 +3,8 @@
 use crate::tables::{TOKENS, decode, encode, get};
 use crate::{Store, StoreError};
 use redb::ReadableTable;
-use shalewall_tenancy::Millis;
-use shalewall_tenancy::access::Token;
+use shalewall_tenancy::UnixMillis;
+use shalewall_tenancy::token::Token;
 
 impl Store {
     /// Writes a token under its id.
@@ -32,11 +32,11 @@
     }
 
     /// Revokes a token; one that is revoked keeps its first time. False: there is none of that id.
-    pub fn revoke_token(&self, id: &str, now: Millis) -> Result<bool, StoreError> {
+    pub fn revoke_token(&self, id: &str, now: UnixMillis) -> Result<bool, StoreError> {
         let Some(mut token) = self.token(id)? else {
             return Ok(false);
         };
-        token.revoked = token.revoked.or(Some(now));
+        token.revoked_at = token.revoked_at.or(Some(now));
         self.put_token(&token)?;
         Ok(true)
     }
--- a/crates/store/src/upgrade.rs
+++ b/crates/store/src/upgrade.rs
@@ -3,7 +3,7 @@
 use crate::tables::{CHANGES, HISTORY, KEYS, META, META_VERSION, TENANTS, TOKENS, decode};
 use crate::{FORMAT_VERSION, StoreError};
 use redb::{Database, ReadableDatabase, ReadableTable, ReadableTableMetadata, WriteTransaction};
-use shalewall_tenancy::change::Entry;
+use shalewall_tenancy::history::HistoryEntry;
 
 /// The format that knew no order of changes across tenants.
 const WITHOUT_CHANGE_NUMBERS: u64 = 1;
@@ -53,8 +53,8 @@
     let mut order = Vec::new();
     for row in history.iter()? {
         let (_, value) = row?;
-        let entry: Entry = decode(value.value())?;
-        order.push((entry.when, entry.revision, entry.tenant));
+        let entry: HistoryEntry = decode(value.value())?;
+        order.push((entry.changed_at, entry.revision, entry.tenant));
     }
     order.sort();
     debug_assert_eq!(
--- a/crates/store/tests/changes.rs
+++ b/crates/store/tests/changes.rs
@@ -3,17 +3,17 @@
 mod support;
 
 use shalewall_store::{IdempotencyKey, StoreError};
-use shalewall_tenancy::change::{Match, Wish};
+use shalewall_tenancy::change::{Change, Precondition};
 use support::{change, context, create, id, open, terms};
 
 #[test]
 fn an_idempotency_key_creates_one_tenant_and_refuses_another_request() {
     let directory = tempfile::tempdir().unwrap();
     let store = open(directory.path(), "t.redb");
-    let wish = Wish::Create(terms("a"));
+    let wish = Change::Create(terms("a"));
     let request = |name: &str, request| {
         let key = IdempotencyKey { key: "k1", request };
-        store.change_tenant(&id(name), &wish, &context(Match::Missing), Some(key))
+        store.change_tenant(&id(name), &wish, &context(Precondition::Missing), Some(key))
     };
     assert_eq!(request("a", "r1").unwrap().change_number, Some(1));
     let again = request("a", "r1").unwrap();
@@ -41,8 +41,8 @@
         page.iter().map(|t| t.id.as_str()).collect::<Vec<_>>(),
         ["t4", "t5", "t6", "t7"]
     );
-    change(&store, "t2", Wish::Suspend);
-    change(&store, "t2", Wish::Resume);
+    change(&store, "t2", Change::Suspend);
+    change(&store, "t2", Change::Resume);
     let changed = store.changed_since(9).unwrap();
     assert_eq!(
         (changed.last_change_number, changed.tenants.len()),
--- a/crates/store/tests/concurrency.rs
+++ b/crates/store/tests/concurrency.rs
@@ -4,7 +4,8 @@
 
 use serde_json::json;
 use shalewall_store::{Store, StoreError};
-use shalewall_tenancy::change::{Match, Refusal, Wish, replay};
+use shalewall_tenancy::change::{Change, ChangeError, Precondition};
+use shalewall_tenancy::history::replay;
 use support::{context, create, id, open};
 
 const ADMINISTRATORS: usize = 16;
@@ -16,11 +17,13 @@
     while accepted < CHANGES_EACH {
         let seen = store.tenant(&id("a")).unwrap().unwrap();
         let name = format!("{administrator}-{accepted}");
-        let change = Wish::Patch(json!({ "display_name": name }));
-        let revision = Match::Revisions(vec![seen.revision]);
+        let change = Change::Patch(json!({ "display_name": name }));
+        let revision = Precondition::Revisions(vec![seen.revision]);
         match store.change_tenant(&id("a"), &change, &context(revision), None) {
             Ok(_) => accepted += 1,
-            Err(StoreError::Rejected(Refusal::Stale(now))) => assert!(now > seen.revision),
+            Err(StoreError::Rejected(ChangeError::Stale { current_revision })) => {
+                assert!(current_revision > seen.revision);
+            }
             Err(error) => panic!("{error}"),
         }
     }
@@ -49,7 +52,7 @@
     assert_eq!(replay(&history), store.tenant(&id("a")).unwrap());
     let mut names: Vec<_> = history
         .iter()
-        .map(|e| e.to.as_ref().unwrap().display_name.clone())
+        .map(|e| e.terms_after.as_ref().unwrap().display_name.clone())
         .collect();
     names.sort();
     names.dedup();
--- a/crates/store/tests/crash.rs
+++ b/crates/store/tests/crash.rs
@@ -4,8 +4,8 @@
 
 use serde_json::json;
 use shalewall_store::Store;
-use shalewall_tenancy::change::{Match, Wish};
-use shalewall_tenancy::model::State;
+use shalewall_tenancy::change::{Change, Precondition};
+use shalewall_tenancy::tenant::TenantState;
 use std::io::{BufRead, BufReader};
 use std::path::Path;
 use std::process::{Command, Stdio};
@@ -27,13 +27,13 @@
     for i in 0u64.. {
         let name = format!("t{}", i % 7);
         let change = match store.tenant(&id(&name)).unwrap().map(|t| t.state) {
-            None | Some(State::Gone { .. }) => Wish::Create(terms(&name)),
-            Some(State::Deleting { .. }) => Wish::Bury,
-            _ if i % 11 == 0 => Wish::Delete,
-            _ => Wish::Patch(json!({ "display_name": format!("{i}") })),
+            None | Some(TenantState::Deleted { .. }) => Change::Create(terms(&name)),
+            Some(TenantState::Deleting { .. }) => Change::FinishDeletion,
+            _ if i % 11 == 0 => Change::Delete,
+            _ => Change::Patch(json!({ "display_name": format!("{i}") })),
         };
         let outcome = store
-            .change_tenant(&id(&name), &change, &context(Match::Any), None)
+            .change_tenant(&id(&name), &change, &context(Precondition::Any), None)
             .unwrap();
         println!("{COMMITTED}{}", outcome.change_number.unwrap());
     }
--- a/crates/store/tests/export.rs
+++ b/crates/store/tests/export.rs
@@ -3,8 +3,9 @@
 mod support;
 
 use shalewall_store::{Corruption, StoreError, StoreUnavailable};
-use shalewall_tenancy::access::{Role, Token};
-use shalewall_tenancy::change::Wish;
+use shalewall_tenancy::access::Role;
+use shalewall_tenancy::change::Change;
+use shalewall_tenancy::token::{IssuedToken, Token};
 use support::{change, create, id, open};
 
 #[test]
@@ -14,10 +15,10 @@
     for name in ["b", "a", "c"] {
         create(&store, name);
     }
-    change(&store, "b", Wish::Delete);
-    change(&store, "b", Wish::Bury);
+    change(&store, "b", Change::Delete);
+    change(&store, "b", Change::FinishDeletion);
     create(&store, "b");
-    let (token, text) = Token::new(Role::Reader(id("a")), [1; 8], [2; 32], 3);
+    let IssuedToken { token, text } = Token::issue(Role::Reader(id("a")), [1; 8], [2; 32], 3);
     store.put_token(&token).unwrap();
     let mut out = Vec::new();
     let summary = store.export(&mut out).unwrap();
--- a/crates/store/tests/fixtures.rs
+++ b/crates/store/tests/fixtures.rs
@@ -12,9 +12,11 @@
 mod support;
 
 use shalewall_store::{FORMAT_VERSION, IdempotencyKey, Store};
-use shalewall_tenancy::access::{Role, Token, role};
-use shalewall_tenancy::change::{By, Match, Wish, replay};
-use shalewall_tenancy::model::State;
+use shalewall_tenancy::access::Role;
+use shalewall_tenancy::change::{Change, ChangeContext, Precondition};
+use shalewall_tenancy::history::replay;
+use shalewall_tenancy::tenant::TenantState;
+use shalewall_tenancy::token::{PresentedToken, Token};
 use std::path::Path;
 use support::id;
 
@@ -42,20 +44,34 @@
     let tenants = store.list_tenants(None, 10).unwrap();
     let rows: Vec<_> = tenants
         .iter()
-        .map(|t| (t.id.as_str(), t.revision, t.state, t.created, t.changed))
+        .map(|t| {
+            (
+                t.id.as_str(),
+                t.revision,
+                t.state,
+                t.created_at,
+                t.changed_at,
+            )
+        })
         .collect();
     const T: u64 = 1_700_000_000_000;
-    let deleting = State::Deleting {
+    let deleting = TenantState::Deleting {
         since: T + 11_000,
         until: T + 101_000,
     };
-    let gone = State::Gone { since: T + 13_000 };
+    let gone = TenantState::Deleted { since: T + 13_000 };
     let expected = [
-        ("active", 5, State::Active, T + 1_000, T + 9_000),
-        ("again", 4, State::Active, T + 16_000, T + 16_000),
+        ("active", 5, TenantState::Active, T + 1_000, T + 9_000),
+        ("again", 4, TenantState::Active, T + 16_000, T + 16_000),
         ("deleting", 2, deleting, T + 3_000, T + 11_000),
         ("gone", 3, gone, T + 4_000, T + 13_000),
-        ("suspended", 2, State::Suspended, T + 2_000, T + 10_000),
+        (
+            "suspended",
+            2,
+            TenantState::Suspended,
+            T + 2_000,
+            T + 10_000,
+        ),
     ];
     assert_eq!(rows, expected);
     let names = tenants.iter().map(|t| t.terms.display_name.as_str());
@@ -78,7 +94,7 @@
     let changes = |name: &str| -> Vec<String> {
         let history = store.history(&id(name), 0, 100).unwrap();
         assert_eq!(replay(&history), store.tenant(&id(name)).unwrap(), "{name}");
-        history.into_iter().map(|entry| entry.what).collect()
+        history.into_iter().map(|entry| entry.change).collect()
     };
     assert_eq!(
         changes("active"),
@@ -98,16 +114,20 @@
     let store = open_copy(directory.path());
     let roles = [
         Some(Role::Operator),
-        Some(Role::Front),
+        Some(Role::Director),
         Some(Role::Admin(id("active"))),
         Some(Role::Reader(id("active"))),
         None, // revoked
     ];
     for (number, expected) in (1u8..).zip(roles) {
         let secret = format!("{number:02x}").repeat(32);
-        let stored = store.token(&format!("{number:02x}").repeat(8)).unwrap();
-        assert_eq!(role(stored.as_ref(), &secret), expected, "token {number}");
-        let revoked = stored.and_then(|token: Token| token.revoked);
+        let token_id = format!("{number:02x}").repeat(8);
+        let text = format!("swt.{token_id}.{secret}");
+        let presented = PresentedToken::parse(&text).expect("a token");
+        let stored = store.token(&token_id).unwrap();
+        let role = presented.authenticate(stored.as_ref());
+        assert_eq!(role, expected, "token {number}");
+        let revoked = stored.and_then(|token: Token| token.revoked_at);
         let expected = (number == 5).then_some(1_700_000_000_100);
         assert_eq!(revoked, expected, "token {number}");
     }
@@ -117,14 +137,14 @@
 fn a_file_of_version_2_remembers_its_idempotency_keys() {
     let directory = tempfile::tempdir().unwrap();
     let store = open_copy(directory.path());
-    let by = By {
-        who: "test",
-        agrees: true,
-        of: Match::Missing,
+    let by = ChangeContext {
+        actor: "test",
+        may_edit_agreement: true,
+        precondition: Precondition::Missing,
         now: 0,
     };
     let repeat = |name: &str, key, request| {
-        let wish = Wish::Create(serde_json::json!({}));
+        let wish = Change::Create(serde_json::json!({}));
         let key = IdempotencyKey { key, request };
         store.change_tenant(&id(name), &wish, &by, Some(key))
     };
--- a/crates/store/tests/support/mod.rs
+++ b/crates/store/tests/support/mod.rs
@@ -3,8 +3,8 @@
 
 use serde_json::json;
 use shalewall_store::Store;
-use shalewall_tenancy::change::{By, Match, Wish};
-use shalewall_tenancy::model::TenantId;
+use shalewall_tenancy::change::{Change, ChangeContext, Precondition};
+use shalewall_tenancy::tenant::TenantId;
 use std::path::Path;
 
 pub fn id(name: &str) -> TenantId {
@@ -18,11 +18,11 @@
 }
 
 /// An operator's change, at one time for all.
-pub fn context(revision: Match) -> By<'static> {
-    By {
-        who: "test",
-        agrees: true,
-        of: revision,
+pub fn context(revision: Precondition) -> ChangeContext<'static> {
+    ChangeContext {
+        actor: "test",
+        may_edit_agreement: true,
+        precondition: revision,
         now: 5,
     }
 }
@@ -32,9 +32,9 @@
 }
 
 /// Changes a tenant at whatever revision it is.
-pub fn change(store: &Store, name: &str, change: Wish) {
+pub fn change(store: &Store, name: &str, change: Change) {
     store
-        .change_tenant(&id(name), &change, &context(Match::Any), None)
+        .change_tenant(&id(name), &change, &context(Precondition::Any), None)
         .unwrap();
 }
 
@@ -42,8 +42,8 @@
     store
         .change_tenant(
             &id(name),
-            &Wish::Create(terms(name)),
-            &context(Match::Missing),
+            &Change::Create(terms(name)),
+            &context(Precondition::Missing),
             None,
         )
         .unwrap();
--- a/crates/store/tests/upgrade.rs
+++ b/crates/store/tests/upgrade.rs
@@ -4,7 +4,7 @@
 
 use redb::TableDefinition;
 use shalewall_store::{FORMAT_VERSION, Store, StoreError};
-use shalewall_tenancy::change::Wish;
+use shalewall_tenancy::change::Change;
 use std::path::Path;
 use support::{change, create};
 
@@ -33,7 +33,7 @@
     let store = Store::open(&path).unwrap();
     create(&store, "a");
     create(&store, "b");
-    change(&store, "a", Wish::Suspend);
+    change(&store, "a", Change::Suspend);
     drop(store);
     write_version(&path, 1);
     let store = Store::open(&path).unwrap();
--- /dev/null
+++ b/crates/tenancy/src/admission/budget.rs
@@ -0,0 +1,154 @@
+//! What a director can do, what one tenant has used of it, and the decisions between the two.
+
+use super::bucket::{EndRate, TokenBucket, burst_size};
+use super::{Rejection, RejectionCause};
+use crate::terms::Limits;
+use shalewall::Timestamp;
+
+/// Part of the director that only tenants within their quota may use.
+const RESERVE: f64 = 0.05;
+/// A tenant beyond its quota may owe so many seconds of it.
+const MAX_DEBT_S: f64 = 8.0;
+/// How much more has to be free for a tenant with the greatest debt, as a part of the director's burst.
+const DEBT_HEADROOM: f64 = 0.5;
+/// Advice to a tenant that holds as many sessions as its own limit allows: a quarter of the longest, seconds.
+const SESSION_LIMIT_RETRY_S: f64 = 15.0;
+/// Advice where no session has ended lately, seconds.
+const UNKNOWN_RETRY_S: f64 = 1.0;
+/// Keeps a rate of zero from being divided by.
+const MIN_RATE: f64 = 1e-6;
+
+/// What a director can do.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Capacity {
+    /// Set-ups a second.
+    pub set_ups_per_s: f64,
+    /// Sessions held at once.
+    pub sessions: f64,
+}
+
+/// What a director has left.
+#[derive(Debug)]
+pub(super) struct DirectorBudget {
+    pub capacity: Capacity,
+    /// Set-ups that it can still make.
+    pub free_set_ups: TokenBucket,
+    pub held_sessions: usize,
+    pub ends: EndRate,
+}
+
+/// What one tenant may use, and has used.
+#[derive(Clone, Debug, Default)]
+pub(super) struct TenantBudget {
+    pub accepts_sessions: bool,
+    pub share: f64,
+    pub limits: Limits,
+    /// Set-ups that its quota leaves.
+    pub quota: TokenBucket,
+    /// Set-ups that its own limit leaves.
+    pub limit: TokenBucket,
+    pub held_sessions: usize,
+}
+
+/// How one request stands to a tenant's quota of sessions.
+pub(super) struct SessionQuota {
+    /// Sessions of its quota.
+    pub sessions: f64,
+    /// Sessions that are reserved for other tenants.
+    pub reserved_for_others: f64,
+}
+
+impl TenantBudget {
+    /// The share that counts in the sum of all shares.
+    pub fn effective_share(&self) -> f64 {
+        if self.accepts_sessions {
+            self.share
+        } else {
+            0.0
+        }
+    }
+
+    /// Whether one more session is within its quota. Quotas are rounded down, or their sum would be above the capacity.
+    pub fn is_within_quota(&self, quota: &SessionQuota) -> bool {
+        self.held_sessions as f64 + 1.0 <= quota.sessions.max(1.0)
+    }
+
+    /// The tenant's own limits, whatever is free.
+    pub fn check_limits(&mut self, now: Timestamp) -> Result<(), Rejection> {
+        if let Some(limit_per_s) = self.limits.set_ups_per_s {
+            self.limit.refill(now, limit_per_s);
+            let missing = 1.0 - self.limit.level;
+            if self.limit.level < 1.0 {
+                let wait_s = missing / limit_per_s.max(MIN_RATE);
+                return Err(Rejection::after_s(RejectionCause::TenantSetUpLimit, wait_s));
+            }
+        }
+        let limit = self.limits.sessions;
+        if limit.is_some_and(|limit| self.held_sessions >= limit as usize) {
+            let cause = RejectionCause::TenantSessionLimit;
+            return Err(Rejection::after_s(cause, SESSION_LIMIT_RETRY_S));
+        }
+        Ok(())
+    }
+
+    /// Its debt as a part of the greatest.
+    fn debt(&self, quota_per_s: f64) -> f64 {
+        (-self.quota.level / max_debt(quota_per_s)).clamp(0.0, 1.0)
+    }
+
+    /// Counts an admitted session.
+    pub fn use_set_up(&mut self, quota_per_s: f64) {
+        self.quota.level = (self.quota.level - 1.0).max(-max_debt(quota_per_s));
+        self.limit.level -= 1.0;
+        self.held_sessions += 1;
+    }
+}
+
+fn max_debt(quota_per_s: f64) -> f64 {
+    (quota_per_s * MAX_DEBT_S).max(1.0)
+}
+
+impl DirectorBudget {
+    /// Sessions held: beyond its quota a tenant leaves the reserve, and what is reserved for others, alone.
+    pub fn check_sessions(
+        &self,
+        tenant: &TenantBudget,
+        quota: &SessionQuota,
+    ) -> Result<(), Rejection> {
+        let limit = if tenant.is_within_quota(quota) {
+            self.capacity.sessions
+        } else {
+            self.capacity.sessions * (1.0 - RESERVE) - quota.reserved_for_others
+        };
+        if self.held_sessions as f64 + 1.0 <= limit {
+            return Ok(());
+        }
+        let excess = self.held_sessions as f64 + 1.0 - limit;
+        let ends_per_s = self.ends.per_second();
+        let wait_s = if ends_per_s > 0.0 {
+            excess / ends_per_s
+        } else {
+            UNKNOWN_RETRY_S
+        };
+        Err(Rejection::after_s(RejectionCause::SessionQuota, wait_s))
+    }
+
+    /// Set-ups: what the tenant's quota has saved up, else what others leave. The more it owes, the more has to be
+    /// free for it.
+    pub fn check_set_ups(&self, tenant: &TenantBudget, quota_per_s: f64) -> Result<(), Rejection> {
+        let total_per_s = self.capacity.set_ups_per_s;
+        let headroom = if tenant.quota.level >= 1.0 {
+            f64::NEG_INFINITY
+        } else {
+            burst_size(total_per_s) * (RESERVE + tenant.debt(quota_per_s) * DEBT_HEADROOM)
+        };
+        if self.free_set_ups.level - 1.0 >= headroom {
+            return Ok(());
+        }
+        let quota_wait_s = (1.0 - tenant.quota.level) / quota_per_s.max(MIN_RATE);
+        let missing = headroom + 1.0 - self.free_set_ups.level;
+        let free_wait_s = missing / total_per_s.max(MIN_RATE);
+        let wait_s = quota_wait_s.min(free_wait_s.max(0.0));
+        Err(Rejection::after_s(RejectionCause::SetUpQuota, wait_s))
+    }
+}
--- a/crates/tenancy/src/change.rs
+++ b/crates/tenancy/src/change.rs
@@ -1,223 +1,308 @@
-//! What becomes of a tenant when someone changes it. The store calls [`decide`] within one transaction, so two
-//! who change the same tenant at once come one after the other, and the second finds its tag stale.
+//! What becomes of a tenant when someone changes it. The store calls [`apply_change`] within one transaction, so two
+//! callers that change the same tenant at once come one after the other, and the second finds its revision stale.
 
-use crate::Millis;
-use crate::model::{State, Tenant, TenantId, Terms, Wrong, terms};
-use serde::{Deserialize, Serialize};
+use crate::UnixMillis;
+use crate::history::HistoryEntry;
+use crate::schema::{ValidationError, parse_terms};
+use crate::tenant::{Tenant, TenantId, TenantState};
+use crate::terms::Terms;
 use serde_json::Value;
+use std::fmt;
 
-/// What is wished.
+/// The name of [`Change::Create`] in the history.
+pub(crate) const CREATE: &str = "create";
+const MILLIS_PER_SECOND: u64 = 1000;
+
+/// What is to be changed.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Wish {
+pub enum Change {
+    /// Create the tenant with these terms.
     Create(Value),
+    /// Replace its terms by these.
     Replace(Value),
-    /// A merge patch (RFC 7396) of the terms.
+    /// Apply a merge patch (RFC 7396) to its terms.
     Patch(Value),
+    /// Admit no new sessions.
     Suspend,
+    /// Admit new sessions again.
     Resume,
+    /// Delete the tenant: no new sessions, and an end to those that play.
     Delete,
-    /// No front holds a session of it any more, or its time is over. Wished by the service alone.
-    Bury,
+    /// No director holds a session of it any more, or its time is over. Made by the service alone.
+    FinishDeletion,
 }
 
-impl Wish {
-    fn name(&self) -> &'static str {
+impl Change {
+    /// The change's name, as the history has it.
+    pub fn name(&self) -> &'static str {
         match self {
-            Wish::Create(_) => "create",
-            Wish::Replace(_) => "replace",
-            Wish::Patch(_) => "patch",
-            Wish::Suspend => "suspend",
-            Wish::Resume => "resume",
-            Wish::Delete => "delete",
-            Wish::Bury => "bury",
+            Change::Create(_) => CREATE,
+            Change::Replace(_) => "replace",
+            Change::Patch(_) => "patch",
+            Change::Suspend => "suspend",
+            Change::Resume => "resume",
+            Change::Delete => "delete",
+            Change::FinishDeletion => "bury",
         }
     }
 }
 
-/// The revision that a change is meant for (`If-Match`).
+/// The revisions that a change is meant for (`If-Match`).
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Match {
+pub enum Precondition {
     /// None was named.
     Missing,
     /// `*`: whichever there is.
     Any,
+    /// One of these.
     Revisions(Vec<u64>),
 }
 
+/// Who makes a change, when, and for which revision.
+#[derive(Clone, Debug)]
+pub struct ChangeContext<'a> {
+    /// Who makes it, as the history names them.
+    pub actor: &'a str,
+    /// Whether they may change what is agreed with the operators.
+    pub may_edit_agreement: bool,
+    /// The revisions that the change is meant for.
+    pub precondition: Precondition,
+    /// The time of the change.
+    pub now: UnixMillis,
+}
+
+/// A field of the terms that is agreed with the operators.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AgreementField {
+    /// [`Terms::share`].
+    Share,
+    /// [`Terms::fleet`].
+    Fleet,
+    /// [`Terms::limits`].
+    Limits,
+    /// [`Terms::deletion_grace_s`].
+    DeletionGrace,
+}
+
+impl fmt::Display for AgreementField {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            AgreementField::Share => "share",
+            AgreementField::Fleet => "fleet",
+            AgreementField::Limits => "limits",
+            AgreementField::DeletionGrace => "ends_within_s",
+        })
+    }
+}
+
+/// A state that does not allow a change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum StateConflict {
+    /// Nothing but the end of the deletion can follow.
+    #[error("is being deleted")]
+    Deleting,
+    /// Only a deletion that was begun can be finished.
+    #[error("is not being deleted")]
+    NotDeleting,
+}
+
 /// Why a change was not made. Nothing has changed then.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Refusal {
+#[derive(Clone, Debug, PartialEq, thiserror::Error)]
+pub enum ChangeError {
+    /// There is no such tenant.
+    #[error("there is no such tenant")]
     NotFound,
     /// The id is in use, or not free yet.
-    Taken,
+    #[error("the id is in use, or what was called so has not ended yet")]
+    IdTaken,
     /// A change has to name the revision that it is meant for.
-    MatchRequired,
-    /// It is at this revision.
-    Stale(u64),
-    /// What is agreed with the operators would change: these fields.
-    Agreed(Vec<&'static str>),
+    #[error("the change does not name the revision that it is for")]
+    PreconditionRequired,
+    /// Another change came first.
+    #[error("another change came first: the tenant is at revision {current_revision}")]
+    Stale {
+        /// The revision that the tenant is at.
+        current_revision: u64,
+    },
+    /// What is agreed with the operators would change.
+    #[error("agreed with the operators, and theirs to change: {}", join(.0))]
+    AgreementProtected(Vec<AgreementField>),
     /// The tenant's state does not allow it.
-    State(&'static str),
-    Invalid(Vec<Wrong>),
-}
-
-/// One change, as the history keeps it: enough to replay it.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Entry {
-    pub tenant: TenantId,
-    /// The revision that it made.
-    pub revision: u64,
-    pub when: Millis,
-    pub who: String,
-    pub what: String,
-    pub state: State,
-    /// Terms before and after, where they changed.
-    pub from: Option<Terms>,
-    pub to: Option<Terms>,
-}
-
-/// Whom a change is made by, and for which revision.
-#[derive(Clone, Debug)]
-pub struct By<'a> {
-    pub who: &'a str,
-    /// May change what is agreed with the operators.
-    pub agrees: bool,
-    pub of: Match,
-    pub now: Millis,
+    #[error("the tenant {0}")]
+    StateConflict(#[source] StateConflict),
+    /// The terms are not valid.
+    #[error("the terms are not in order: {}", join(.0))]
+    Invalid(Vec<ValidationError>),
+}
+
+fn join(items: &[impl ToString]) -> String {
+    let texts: Vec<String> = items.iter().map(ToString::to_string).collect();
+    texts.join(", ")
 }
 
-/// The tenant after a change, and its entry in the history.
-pub fn decide(
+/// A change that is to be stored.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AppliedChange {
+    /// The tenant after the change.
+    pub tenant: Tenant,
+    /// The change's entry in the history.
+    pub entry: HistoryEntry,
+}
+
+/// Applies a change to a tenant, or to an id without one.
+pub fn apply_change(
     id: &TenantId,
     before: Option<&Tenant>,
-    wish: &Wish,
-    by: &By<'_>,
-) -> Result<(Tenant, Entry), Refusal> {
-    let living = before.filter(|t| !matches!(t.state, State::Gone { .. }));
-    let next = before.map_or(1, |t| t.revision + 1);
-    let mut after = match (wish, living) {
-        (Wish::Create(_), Some(_)) => return Err(Refusal::Taken),
-        (Wish::Create(document), None) => Tenant {
-            id: id.clone(),
-            revision: next,
-            state: State::Active,
-            terms: terms(document).map_err(Refusal::Invalid)?,
-            created: by.now,
-            changed: by.now,
-        },
-        (_, None) => return Err(Refusal::NotFound),
-        (_, Some(living)) => Tenant {
-            revision: next,
-            changed: by.now,
-            ..living.clone()
-        },
+    change: &Change,
+    context: &ChangeContext<'_>,
+) -> Result<AppliedChange, ChangeError> {
+    let revision = before.map_or(1, |tenant| tenant.revision + 1);
+    let current = before.filter(|tenant| !tenant.state.is_deleted());
+    let tenant = match current {
+        None => create(id, revision, change, context)?,
+        Some(current) => modify(current, revision, change, context)?,
+    };
+    let terms_before = current
+        .map(|current| &current.terms)
+        .filter(|terms| **terms != tenant.terms);
+    let terms_changed = current.is_none() || terms_before.is_some();
+    let entry = HistoryEntry {
+        tenant: id.clone(),
+        revision,
+        changed_at: context.now,
+        actor: context.actor.to_string(),
+        change: change.name().to_string(),
+        state: tenant.state,
+        terms_before: terms_before.cloned(),
+        terms_after: terms_changed.then(|| tenant.terms.clone()),
     };
-    if let Some(living) = living {
-        match &by.of {
-            Match::Missing if *wish != Wish::Bury => return Err(Refusal::MatchRequired),
-            Match::Revisions(of) if !of.contains(&living.revision) => {
-                return Err(Refusal::Stale(living.revision));
-            }
-            Match::Missing | Match::Any | Match::Revisions(_) => {}
+    Ok(AppliedChange { tenant, entry })
+}
+
+/// A change of an id that no tenant has.
+fn create(
+    id: &TenantId,
+    revision: u64,
+    change: &Change,
+    context: &ChangeContext<'_>,
+) -> Result<Tenant, ChangeError> {
+    let Change::Create(document) = change else {
+        return Err(ChangeError::NotFound);
+    };
+    Ok(Tenant {
+        id: id.clone(),
+        revision,
+        state: TenantState::Active,
+        terms: parse_terms(document).map_err(ChangeError::Invalid)?,
+        created_at: context.now,
+        changed_at: context.now,
+    })
+}
+
+/// A change of a tenant.
+fn modify(
+    current: &Tenant,
+    revision: u64,
+    change: &Change,
+    context: &ChangeContext<'_>,
+) -> Result<Tenant, ChangeError> {
+    if let Change::Create(_) = change {
+        return Err(ChangeError::IdTaken);
+    }
+    check_precondition(current, change, context)?;
+    let state = next_state(current, change, context.now)?;
+    let terms = next_terms(current, change)?;
+    let protected = changed_agreement(&current.terms, &terms);
+    if !context.may_edit_agreement && !protected.is_empty() {
+        return Err(ChangeError::AgreementProtected(protected));
+    }
+    Ok(Tenant {
+        id: current.id.clone(),
+        revision,
+        state,
+        terms,
+        created_at: current.created_at,
+        changed_at: context.now,
+    })
+}
+
+fn check_precondition(
+    current: &Tenant,
+    change: &Change,
+    context: &ChangeContext<'_>,
+) -> Result<(), ChangeError> {
+    match &context.precondition {
+        Precondition::Missing if *change != Change::FinishDeletion => {
+            Err(ChangeError::PreconditionRequired)
         }
-        (after.state, after.terms) = changed(living, wish, by.now)?;
-        let agreed = agreed(&living.terms, &after.terms);
-        if !by.agrees && !agreed.is_empty() {
-            return Err(Refusal::Agreed(agreed));
+        Precondition::Revisions(revisions) if !revisions.contains(&current.revision) => {
+            Err(ChangeError::Stale {
+                current_revision: current.revision,
+            })
         }
+        Precondition::Missing | Precondition::Any | Precondition::Revisions(_) => Ok(()),
     }
-    let from = living
-        .map(|t| t.terms.clone())
-        .filter(|t| *t != after.terms);
-    let to = (living.is_none() || from.is_some()).then(|| after.terms.clone());
-    let entry = Entry {
-        tenant: id.clone(),
-        revision: after.revision,
-        when: by.now,
-        who: by.who.to_string(),
-        what: wish.name().to_string(),
-        state: after.state,
-        from,
-        to,
-    };
-    Ok((after, entry))
-}
-
-/// State and terms after a wish that the tenant's state allows.
-fn changed(of: &Tenant, wish: &Wish, now: Millis) -> Result<(State, Terms), Refusal> {
-    let kept = |state| Ok((state, of.terms.clone()));
-    match (wish, of.state) {
-        (Wish::Bury, State::Deleting { .. }) => kept(State::Gone { since: now }),
-        (Wish::Bury, _) => Err(Refusal::State("is not being deleted")),
-        // A deletion that crosses a suspension stands; nothing brings the tenant back.
-        (Wish::Delete, state @ State::Deleting { .. }) => kept(state),
-        (_, State::Deleting { .. }) => Err(Refusal::State("is being deleted")),
-        (Wish::Delete, _) => {
-            let until = now + u64::from(of.terms.ends_within_s) * 1000;
-            kept(State::Deleting { since: now, until })
+}
+
+/// The state after a change that the current state allows.
+fn next_state(
+    current: &Tenant,
+    change: &Change,
+    now: UnixMillis,
+) -> Result<TenantState, ChangeError> {
+    match (change, current.state) {
+        (Change::FinishDeletion, TenantState::Deleting { .. }) => {
+            Ok(TenantState::Deleted { since: now })
+        }
+        (Change::FinishDeletion, _) => Err(ChangeError::StateConflict(StateConflict::NotDeleting)),
+        // Asked again, a deletion keeps its limit; nothing brings the tenant back.
+        (Change::Delete, deleting @ TenantState::Deleting { .. }) => Ok(deleting),
+        (_, TenantState::Deleting { .. }) => {
+            Err(ChangeError::StateConflict(StateConflict::Deleting))
+        }
+        (Change::Delete, _) => {
+            let grace_ms = u64::from(current.terms.deletion_grace_s) * MILLIS_PER_SECOND;
+            Ok(TenantState::Deleting {
+                since: now,
+                until: now + grace_ms,
+            })
         }
-        (Wish::Suspend, _) => kept(State::Suspended),
-        (Wish::Resume, _) => kept(State::Active),
-        (Wish::Replace(document), state) => Ok((state, terms(document).map_err(Refusal::Invalid)?)),
-        (Wish::Patch(patch), state) => {
-            let mut document = serde_json::to_value(&of.terms).unwrap_or_default();
+        (Change::Suspend, _) => Ok(TenantState::Suspended),
+        (Change::Resume, _) => Ok(TenantState::Active),
+        (Change::Create(_) | Change::Replace(_) | Change::Patch(_), state) => Ok(state),
+    }
+}
+
+fn next_terms(current: &Tenant, change: &Change) -> Result<Terms, ChangeError> {
+    match change {
+        Change::Replace(document) => parse_terms(document).map_err(ChangeError::Invalid),
+        Change::Patch(patch) => {
+            let mut document = serde_json::to_value(&current.terms).unwrap_or_default();
             json_patch::merge(&mut document, patch);
-            Ok((state, terms(&document).map_err(Refusal::Invalid)?))
+            parse_terms(&document).map_err(ChangeError::Invalid)
         }
-        (Wish::Create(_), _) => Err(Refusal::Taken),
+        Change::Create(_)
+        | Change::Suspend
+        | Change::Resume
+        | Change::Delete
+        | Change::FinishDeletion => Ok(current.terms.clone()),
     }
 }
 
-/// Fields that differ and are agreed with the operators.
-fn agreed(a: &Terms, b: &Terms) -> Vec<&'static str> {
-    let differ = [
-        ("share", a.share != b.share),
-        ("fleet", a.fleet != b.fleet),
-        ("limits", a.limits != b.limits),
-        ("ends_within_s", a.ends_within_s != b.ends_within_s),
+/// The fields that differ and are agreed with the operators.
+fn changed_agreement(before: &Terms, after: &Terms) -> Vec<AgreementField> {
+    let differences = [
+        (AgreementField::Share, before.share != after.share),
+        (AgreementField::Fleet, before.fleet != after.fleet),
+        (AgreementField::Limits, before.limits != after.limits),
+        (
+            AgreementField::DeletionGrace,
+            before.deletion_grace_s != after.deletion_grace_s,
+        ),
     ];
-    differ
+    differences
         .into_iter()
-        .filter(|(_, differ)| *differ)
-        .map(|(name, _)| name)
+        .filter(|(_, differs)| *differs)
+        .map(|(field, _)| field)
         .collect()
 }
-
-/// The tenant that a history comes to. None: the entries are not one tenant's history in order.
-pub fn replay(history: &[Entry]) -> Option<Tenant> {
-    let mut tenant: Option<Tenant> = None;
-    for entry in history {
-        let living = tenant
-            .take()
-            .filter(|t| !matches!(t.state, State::Gone { .. }) || entry.what != "create");
-        let (created, terms) = match (&living, &entry.to) {
-            (None, Some(terms)) if entry.what == "create" => (entry.when, terms.clone()),
-            (Some(t), Some(terms)) if Some(&t.terms) == entry.from.as_ref() => {
-                (t.created, terms.clone())
-            }
-            (Some(t), None) => (t.created, t.terms.clone()),
-            _ => return None,
-        };
-        if living
-            .as_ref()
-            .is_some_and(|t| entry.revision != t.revision + 1)
-        {
-            return None;
-        }
-        let (id, revision, state, changed) = (
-            entry.tenant.clone(),
-            entry.revision,
-            entry.state,
-            entry.when,
-        );
-        tenant = Some(Tenant {
-            id,
-            revision,
-            state,
-            terms,
-            created,
-            changed,
-        });
-    }
-    tenant
-}
--- a/crates/tenancy/src/connections.rs
+++ b/crates/tenancy/src/connections.rs
@@ -1,286 +1,292 @@
-//! Whose connections a front keeps open, so that neither one tenant nor those who say nothing hold them all.
+//! Which connections a director keeps open, so that neither one tenant nor clients that name none hold them all.
 //!
-//! A connection is nobody's until the head of a request names a tenant. Those that are nobody's have a quarter of
-//! the front; when it is full, the one that has been silent longest is closed for a new one, so slow heads cost
-//! those who send them. The rest goes to tenants by share: unused parts to whoever wants them, but for a reserve;
-//! when it is full, a tenant within its part gets the place of the longest idle connection of whoever is farthest
-//! above. A connection on which a whole request waits for its answer is never closed for another; one on which
-//! only part of a request has come is idle: content that never ends costs who sends it.
+//! A connection is unassigned until the head of a request names a tenant. Unassigned ones have a quarter of the
+//! director's connections; when it is full, the one that has been idle longest is evicted for a new one, so slow heads
+//! cost those who send them. The rest goes to tenants by share. What others leave unused goes to whoever wants it, but
+//! for a reserve; when all is in use, a tenant within its quota gets the place of the longest idle connection of the
+//! tenant that is farthest above its own. A connection on which a complete request waits for its answer is never
+//! evicted; one on which only a part of a request has come is idle: content that never ends costs who sends it.
 //!
-//! Cost of a request: look-ups, whatever the number of tenants; a walk over them only when the front is full.
+//! Cost of a request: look-ups, whatever the number of tenants; a walk over them only when all is in use.
 
-use crate::model::{Limits, TenantId};
-use std::collections::{BTreeMap, BTreeSet};
+mod tenant_connections;
 
-/// Numbers a connection. Later ones are greater.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Ticket(pub u64);
+use crate::tenant::TenantId;
+use crate::terms::Limits;
+use std::collections::BTreeMap;
+use tenant_connections::{Connection, IdleSet, TenantConnections};
 
-/// Part of the front's connections that those who have named no tenant may hold.
-const NOBODYS: f64 = 0.25;
-/// Part of the rest that only tenants within their part may use.
+/// Part of the director's connections that may be unassigned.
+const UNASSIGNED_FRACTION: f64 = 0.25;
+/// Part of the rest that only tenants within their quota may use.
 const RESERVE: f64 = 0.05;
+/// Keeps a quota of zero from being divided by.
+const MIN_QUOTA: f64 = 1e-9;
 
-/// Why a connection may not go on under a tenant's name.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Turned {
-    /// There is no such tenant.
-    Unknown,
-    /// Above the tenant's own limit.
-    Own,
-    /// The front is full, and the tenant has its part.
-    Part,
-}
+/// Numbers a connection. Later ones are greater.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ConnectionId(pub u64);
 
-#[derive(Debug, Default)]
-struct Book {
-    known: bool,
-    share: f64,
-    limits: Limits,
-    open: usize,
-    /// Idle ones, by when they became so.
-    idle: BTreeSet<(u64, Ticket)>,
+/// A connection that has been opened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OpenedConnection {
+    /// Its id.
+    pub id: ConnectionId,
+    /// A connection that has to be closed for it.
+    pub evicted: Option<ConnectionId>,
 }
 
-#[derive(Debug, Default)]
-struct Open {
-    of: Option<TenantId>,
-    /// When it became idle.
-    idle: Option<u64>,
+/// Why a connection is not assigned to a tenant.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum AssignError {
+    /// There is no such tenant.
+    #[error("there is no such tenant")]
+    UnknownTenant,
+    /// The tenant has as many connections as its own limit allows, and none of them is idle.
+    #[error("above the tenant's own limit of connections")]
+    TenantLimit,
+    /// All connections are in use, and the tenant has used its quota.
+    #[error("all connections are in use, and the tenant has used its quota")]
+    Quota,
 }
 
-/// The connections of one front.
+/// The connections of one director.
 #[derive(Debug)]
 pub struct Connections {
-    most: usize,
-    tenants: BTreeMap<TenantId, Book>,
-    all_shares: f64,
-    open: BTreeMap<Ticket, Open>,
-    /// Those that are nobody's, and the idle ones of them by when they became so.
-    nobodys: usize,
-    silent: BTreeSet<(u64, Ticket)>,
-    /// Counts connections and what becomes idle: an order in time.
-    count: u64,
+    capacity: usize,
+    tenants: BTreeMap<TenantId, TenantConnections>,
+    total_share: f64,
+    open: BTreeMap<ConnectionId, Connection>,
+    unassigned: usize,
+    unassigned_idle: IdleSet,
+    /// Counts connections and when they become idle: an order in time.
+    sequence: u64,
 }
 
 impl Connections {
-    /// `most`: connections at most.
-    pub fn new(most: usize) -> Connections {
+    /// A director that keeps so many connections open at most.
+    pub fn new(capacity: usize) -> Connections {
         Connections {
-            most,
+            capacity,
             tenants: BTreeMap::new(),
-            all_shares: 0.0,
+            total_share: 0.0,
             open: BTreeMap::new(),
-            nobodys: 0,
-            silent: BTreeSet::new(),
-            count: 0,
+            unassigned: 0,
+            unassigned_idle: IdleSet::default(),
+            sequence: 0,
         }
     }
 
-    /// A tenant's terms, from now on. What it holds it holds, also above a limit that has become smaller.
-    pub fn agree(&mut self, tenant: &TenantId, share: f64, limits: &Limits) {
-        let book = self.tenants.entry(tenant.clone()).or_default();
-        self.all_shares += share - if book.known { book.share } else { 0.0 };
-        (book.known, book.share, book.limits) = (true, share, limits.clone());
+    /// Sets a tenant's terms. What it holds it keeps, also above a limit that has become smaller.
+    pub fn set_tenant(&mut self, tenant: &TenantId, share: f64, limits: &Limits) {
+        let state = self.tenants.entry(tenant.clone()).or_default();
+        self.total_share += share - if state.exists { state.share } else { 0.0 };
+        state.exists = true;
+        state.share = share;
+        state.limits = limits.clone();
     }
 
-    /// A tenant is gone: its name opens nothing any more.
-    pub fn forget(&mut self, tenant: &TenantId) {
-        let Some(book) = self.tenants.get_mut(tenant).filter(|b| b.known) else {
+    /// A tenant exists no more: no further connection is assigned to it.
+    pub fn remove_tenant(&mut self, tenant: &TenantId) {
+        let state = self.tenants.get_mut(tenant);
+        let Some(state) = state.filter(|state| state.exists) else {
             return;
         };
-        book.known = false;
-        self.all_shares -= book.share;
+        state.exists = false;
+        self.total_share -= state.share;
         self.drop_if_empty(tenant);
     }
 
-    fn drop_if_empty(&mut self, tenant: &TenantId) {
-        if self
-            .tenants
-            .get(tenant)
-            .is_some_and(|b| !b.known && b.open == 0)
-        {
-            self.tenants.remove(tenant);
-        }
-    }
-
-    /// What is agreed with a tenant; nothing where there is none.
+    /// The limits of a tenant; nothing where there is no such tenant.
     pub fn limits(&self, tenant: &TenantId) -> Option<&Limits> {
-        self.tenants
-            .get(tenant)
-            .filter(|b| b.known)
-            .map(|b| &b.limits)
+        self.existing(tenant).map(|state| &state.limits)
     }
 
-    fn nobodys_most(&self) -> usize {
-        ((self.most as f64 * NOBODYS) as usize).max(1)
+    /// A tenant's quota of the connections that are not for unassigned ones.
+    pub fn quota(&self, tenant: &TenantId) -> f64 {
+        let share = self.existing(tenant).map_or(0.0, |state| state.share);
+        self.assigned_capacity() as f64 * share / self.total_share.max(f64::MIN_POSITIVE)
     }
 
-    fn named_most(&self) -> usize {
-        self.most.saturating_sub(self.nobodys_most()).max(1)
-    }
-
-    fn named(&self) -> usize {
-        self.open.len() - self.nobodys
-    }
-
-    /// A tenant's part of the named connections.
-    pub fn part(&self, tenant: &TenantId) -> f64 {
-        let share = self
-            .tenants
-            .get(tenant)
-            .filter(|b| b.known)
-            .map_or(0.0, |b| b.share);
-        self.named_most() as f64 * share / self.all_shares.max(f64::MIN_POSITIVE)
-    }
-
-    /// Connections that are open, and a tenant's.
-    pub fn open_now(&self) -> usize {
+    /// Connections that are open.
+    pub fn open_count(&self) -> usize {
         self.open.len()
     }
 
-    pub fn held(&self, tenant: &TenantId) -> usize {
-        self.tenants.get(tenant).map_or(0, |b| b.open)
+    /// Connections that are assigned to a tenant.
+    pub fn tenant_open_count(&self, tenant: &TenantId) -> usize {
+        self.tenants.get(tenant).map_or(0, |state| state.open)
     }
 
-    fn next(&mut self) -> u64 {
-        self.count += 1;
-        self.count
-    }
-
-    /// A connection has come. With it, perhaps, one that is to be closed for it; none: it is to be closed itself,
-    /// since all that are nobody's are at work.
-    pub fn open(&mut self) -> Option<(Ticket, Option<Ticket>)> {
-        let full = self.nobodys >= self.nobodys_most();
-        let victim = if full {
-            Some(self.silent.first()?.1)
+    /// A connection has come. Nothing: it has to be closed, since all unassigned connections are busy.
+    pub fn open(&mut self) -> Option<OpenedConnection> {
+        let is_full = self.unassigned >= self.unassigned_capacity();
+        let evicted = if is_full {
+            Some(self.unassigned_idle.longest_idle()?)
         } else {
             None
         };
-        victim.into_iter().for_each(|v| self.close(v));
-        let now = self.next();
-        let ticket = Ticket(now);
-        self.open.insert(
-            ticket,
-            Open {
-                of: None,
-                idle: Some(now),
-            },
-        );
-        self.nobodys += 1;
-        self.silent.insert((now, ticket));
-        Some((ticket, victim))
+        if let Some(evicted) = evicted {
+            self.close(evicted);
+        }
+        let now = self.next_sequence();
+        let id = ConnectionId(now);
+        let connection = Connection {
+            tenant: None,
+            idle_since: Some(now),
+        };
+        self.open.insert(id, connection);
+        self.unassigned += 1;
+        self.unassigned_idle.insert(now, id);
+        Some(OpenedConnection { id, evicted })
     }
 
-    /// The head of a request has come, and names a tenant. With leave to go on, perhaps, a connection that is to
-    /// be closed for it. Turned away, the connection is nobody's again.
-    pub fn name(&mut self, ticket: Ticket, tenant: &TenantId) -> Result<Option<Ticket>, Turned> {
-        let Some(before) = self.open.get(&ticket) else {
-            return Err(Turned::Unknown);
+    /// The head of a request names a tenant. Returns a connection that has to be closed for it, if there is one. On an
+    /// error the connection is unassigned.
+    pub fn assign(
+        &mut self,
+        connection: ConnectionId,
+        tenant: &TenantId,
+    ) -> Result<Option<ConnectionId>, AssignError> {
+        let Some(before) = self.open.get(&connection) else {
+            return Err(AssignError::UnknownTenant);
         };
-        if before.of.as_ref() == Some(tenant) && self.tenants.get(tenant).is_some_and(|b| b.known) {
-            self.idle(ticket);
+        if before.tenant.as_ref() == Some(tenant) && self.existing(tenant).is_some() {
+            self.mark_idle(connection);
             return Ok(None);
         }
-        self.unname(ticket);
-        let part = self.part(tenant);
-        let full = self.named_most() as f64;
-        let Some(book) = self.tenants.get(tenant).filter(|b| b.known) else {
-            return Err(Turned::Unknown);
-        };
-        let victim = if book
-            .limits
-            .connections
-            .is_some_and(|most| book.open >= most as usize)
-        {
-            // Its own idle ones make room for those that it uses.
-            Some(book.idle.first().map(|(_, t)| *t).ok_or(Turned::Own)?)
-        } else {
-            let within = book.open as f64 + 1.0 <= part.max(1.0);
-            let most = if within {
-                full
-            } else {
-                (full * (1.0 - RESERVE)).max(1.0)
-            };
-            if self.named() as f64 + 1.0 <= most {
-                None
-            } else {
-                Some(self.farthest_above(tenant).ok_or(Turned::Part)?)
-            }
-        };
-        victim.into_iter().for_each(|v| self.close(v));
-        self.nobodys -= 1;
-        self.open.entry(ticket).or_default().of = Some(tenant.clone());
+        self.unassign(connection);
+        let evicted = self.place_for(tenant)?;
+        if let Some(evicted) = evicted {
+            self.close(evicted);
+        }
+        self.unassigned -= 1;
+        self.open.entry(connection).or_default().tenant = Some(tenant.clone());
         self.tenants.entry(tenant.clone()).or_default().open += 1;
-        self.idle(ticket);
-        Ok(victim)
+        self.mark_idle(connection);
+        Ok(evicted)
     }
 
-    /// The longest idle connection of who is farthest above its part, if that is as far as this tenant with one
-    /// more.
-    fn farthest_above(&self, tenant: &TenantId) -> Option<Ticket> {
-        let above = |id: &TenantId, open: f64| open / self.part(id).max(1e-9);
-        let own = above(tenant, self.held(tenant) as f64 + 1.0);
-        let idle = self.tenants.iter().filter(|(_, b)| !b.idle.is_empty());
-        let found = idle
-            .map(|(id, b)| (above(id, b.open as f64), b))
-            .max_by(|a, b| a.0.total_cmp(&b.0))
-            .filter(|(far, _)| *far >= own)?;
-        found.1.idle.first().map(|(_, ticket)| *ticket)
-    }
-
-    /// A request has come whole, and is owed an answer: it is not closed for another. Until then nothing is.
-    pub fn busy(&mut self, ticket: Ticket) {
-        let Some(open) = self.open.get_mut(&ticket) else {
+    /// A complete request has come and waits for its answer: the connection is not evicted until then.
+    pub fn mark_busy(&mut self, connection: ConnectionId) {
+        let Some(state) = self.open.get_mut(&connection) else {
             return;
         };
-        let Some(since) = open.idle.take() else {
+        let Some(idle_since) = state.idle_since.take() else {
             return;
         };
-        let idle = match &open.of {
-            None => Some(&mut self.silent),
-            Some(tenant) => self.tenants.get_mut(tenant).map(|b| &mut b.idle),
+        let idle = match &state.tenant {
+            None => Some(&mut self.unassigned_idle),
+            Some(tenant) => self.tenants.get_mut(tenant).map(|state| &mut state.idle),
         };
-        idle.into_iter().for_each(|idle| {
-            idle.remove(&(since, ticket));
-        });
+        if let Some(idle) = idle {
+            idle.remove(idle_since, connection);
+        }
     }
 
-    /// Its request has been answered, and another may follow; or only part of one has come.
-    pub fn idle(&mut self, ticket: Ticket) {
-        self.busy(ticket);
-        let now = self.next();
-        let Some(open) = self.open.get_mut(&ticket) else {
+    /// The request has been answered, and another may follow; or only a part of one has come.
+    pub fn mark_idle(&mut self, connection: ConnectionId) {
+        self.mark_busy(connection);
+        let now = self.next_sequence();
+        let Some(state) = self.open.get_mut(&connection) else {
             return;
         };
-        open.idle = Some(now);
-        let idle = match &open.of {
-            None => &mut self.silent,
+        state.idle_since = Some(now);
+        let idle = match &state.tenant {
+            None => &mut self.unassigned_idle,
             Some(tenant) => &mut self.tenants.entry(tenant.clone()).or_default().idle,
         };
-        idle.insert((now, ticket));
+        idle.insert(now, connection);
+    }
+
+    /// A connection is closed.
+    pub fn close(&mut self, connection: ConnectionId) {
+        self.unassign(connection);
+        if self.open.remove(&connection).is_some() {
+            self.unassigned -= 1;
+        }
+    }
+
+    fn existing(&self, tenant: &TenantId) -> Option<&TenantConnections> {
+        let state = self.tenants.get(tenant);
+        state.filter(|state| state.exists)
     }
 
-    /// It is nobody's again, and at work.
-    fn unname(&mut self, ticket: Ticket) {
-        self.busy(ticket);
-        let Some(open) = self.open.get_mut(&ticket) else {
+    fn unassigned_capacity(&self) -> usize {
+        ((self.capacity as f64 * UNASSIGNED_FRACTION) as usize).max(1)
+    }
+
+    fn assigned_capacity(&self) -> usize {
+        self.capacity
+            .saturating_sub(self.unassigned_capacity())
+            .max(1)
+    }
+
+    fn next_sequence(&mut self) -> u64 {
+        self.sequence += 1;
+        self.sequence
+    }
+
+    /// Finds a place for one more connection of a tenant: a free one, or that of a connection to be evicted.
+    fn place_for(&self, tenant: &TenantId) -> Result<Option<ConnectionId>, AssignError> {
+        let state = self.existing(tenant).ok_or(AssignError::UnknownTenant)?;
+        if state.is_at_limit() {
+            // Its own idle connections make room for those that it uses.
+            let own = state.idle.longest_idle();
+            return own.map(Some).ok_or(AssignError::TenantLimit);
+        }
+        let full = self.assigned_capacity() as f64;
+        let is_within_quota = state.open as f64 + 1.0 <= self.quota(tenant).max(1.0);
+        let limit = if is_within_quota {
+            full
+        } else {
+            (full * (1.0 - RESERVE)).max(1.0)
+        };
+        let assigned = self.open.len() - self.unassigned;
+        if assigned as f64 + 1.0 <= limit {
+            return Ok(None);
+        }
+        let evicted = self.idle_of_farthest_above_quota(tenant);
+        evicted.map(Some).ok_or(AssignError::Quota)
+    }
+
+    /// The longest idle connection of the tenant that is farthest above its quota, if that is as far as this tenant
+    /// would be with one more.
+    fn idle_of_farthest_above_quota(&self, tenant: &TenantId) -> Option<ConnectionId> {
+        let usage = |tenant: &TenantId, open: f64| open / self.quota(tenant).max(MIN_QUOTA);
+        let own_usage = usage(tenant, self.tenant_open_count(tenant) as f64 + 1.0);
+        let farthest = self
+            .tenants
+            .iter()
+            .filter_map(|(tenant, state)| {
+                let idle = state.idle.longest_idle()?;
+                Some((usage(tenant, state.open as f64), idle))
+            })
+            .max_by(|(a, _), (b, _)| a.total_cmp(b));
+        let (_, idle) = farthest.filter(|(usage, _)| *usage >= own_usage)?;
+        Some(idle)
+    }
+
+    /// Takes a connection from its tenant; it is unassigned and busy then.
+    fn unassign(&mut self, connection: ConnectionId) {
+        self.mark_busy(connection);
+        let Some(state) = self.open.get_mut(&connection) else {
+            return;
+        };
+        let Some(tenant) = state.tenant.take() else {
             return;
         };
-        let Some(tenant) = open.of.take() else { return };
-        self.nobodys += 1;
-        self.tenants
-            .get_mut(&tenant)
-            .into_iter()
-            .for_each(|b| b.open -= 1);
+        self.unassigned += 1;
+        if let Some(state) = self.tenants.get_mut(&tenant) {
+            state.open -= 1;
+        }
         self.drop_if_empty(&tenant);
     }
 
-    /// It is closed.
-    pub fn close(&mut self, ticket: Ticket) {
-        self.unname(ticket);
-        if self.open.remove(&ticket).is_some() {
-            self.nobodys -= 1;
+    fn drop_if_empty(&mut self, tenant: &TenantId) {
+        let state = self.tenants.get(tenant);
+        if state.is_some_and(|state| !state.exists && state.open == 0) {
+            self.tenants.remove(tenant);
         }
     }
 }
--- /dev/null
+++ b/crates/tenancy/src/connections/tenant_connections.rs
@@ -0,0 +1,51 @@
+//! The connections of one tenant, and one connection.
+
+use super::ConnectionId;
+use crate::tenant::TenantId;
+use crate::terms::Limits;
+use std::collections::BTreeSet;
+
+/// Idle connections, those that became idle first at the front.
+#[derive(Debug, Default)]
+pub(super) struct IdleSet(BTreeSet<(u64, ConnectionId)>);
+
+impl IdleSet {
+    pub fn insert(&mut self, idle_since: u64, connection: ConnectionId) {
+        self.0.insert((idle_since, connection));
+    }
+
+    pub fn remove(&mut self, idle_since: u64, connection: ConnectionId) {
+        self.0.remove(&(idle_since, connection));
+    }
+
+    /// The connection that has been idle longest.
+    pub fn longest_idle(&self) -> Option<ConnectionId> {
+        self.0.first().map(|(_, connection)| *connection)
+    }
+}
+
+#[derive(Debug, Default)]
+pub(super) struct TenantConnections {
+    /// The tenant exists; else only connections that are still open are counted.
+    pub exists: bool,
+    pub share: f64,
+    pub limits: Limits,
+    pub open: usize,
+    pub idle: IdleSet,
+}
+
+impl TenantConnections {
+    /// Whether its own limit does not allow one more.
+    pub fn is_at_limit(&self) -> bool {
+        let limit = self.limits.connections;
+        limit.is_some_and(|limit| self.open >= limit as usize)
+    }
+}
+
+#[derive(Debug, Default)]
+pub(super) struct Connection {
+    /// The tenant that it is assigned to.
+    pub tenant: Option<TenantId>,
+    /// Since when it is idle, in counts of [`Connections`](super::Connections).
+    pub idle_since: Option<u64>,
+}
--- a/crates/tenancy/src/lib.rs
+++ b/crates/tenancy/src/lib.rs
@@ -1,21 +1,29 @@
 //! Tenants of a hosted service.
 //!
-//! [`model`]: what a tenant is, and the JSON Schema of its terms. [`change`]: what becomes of a tenant when
-//! someone changes it, as a state machine: the record before and the wish in, the record after and its entry
-//! in the history out, or the reason why not. [`access`]: tokens, roles, and what each may see and do.
-//! [`share`]: who is taken and who is turned away when a front is short. [`usage`]: what fronts hold, and when a
-//! deleted tenant's last session is over.
+//! - [`tenant`]: what a tenant is, and [`terms`]: what is agreed with it; [`schema`] publishes the JSON Schema of
+//!   terms and validates documents by it.
+//! - [`change`]: what becomes of a tenant when someone changes it, as a state machine, and [`history`]: the record of
+//!   all changes, from which a tenant can be replayed.
+//! - [`access`]: roles and what each may do; [`token`]: how a caller proves its role.
+//! - [`admission`]: which tenant's sessions are admitted when a director is short of capacity.
+//! - [`connections`]: which tenant's connections stay open when a director is short of them.
+//! - [`usage`]: what directors hold of each tenant, and when a deleted tenant's last session is over.
 //!
-//! What this crate may know: tenants, their terms, time as an argument. What it must not: sockets, files, a
-//! clock, sessions beyond their number, and how requests are placed. Whatever drives it (the store and the
-//! administration API now, the lab later) gets the same behaviour from the same inputs.
+//! Nothing here knows sockets, files, a clock, sessions beyond their number, or how requests are placed. Time is an
+//! argument: the same inputs give the same behavior, whatever drives them.
+
+#![deny(missing_docs)]
 
 pub mod access;
+pub mod admission;
 pub mod change;
 pub mod connections;
-pub mod model;
-pub mod share;
+pub mod history;
+pub mod schema;
+pub mod tenant;
+pub mod terms;
+pub mod token;
 pub mod usage;
 
 /// Wall-clock time, milliseconds since 1970.
-pub type Millis = u64;
+pub type UnixMillis = u64;
--- /dev/null
+++ b/crates/tenancy/src/terms.rs
@@ -0,0 +1,119 @@
+//! What is agreed with a tenant. The doc comments here are part of the published JSON Schema: where a field has an
+//! empty `description`, it has none there.
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// What is agreed with a tenant.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Terms {
+    /// The tenant's name, for people.
+    #[schemars(description = "", length(min = 1, max = 128))]
+    pub display_name: String,
+    /// Part of what a front and the pool can do, over the sum of all tenants' shares.
+    #[schemars(range(min = 0.001, max = 1000000.0))]
+    pub share: f64,
+    /// Nodes that the tenant's sessions may be set up on.
+    #[schemars(description = "")]
+    #[serde(default)]
+    pub fleet: Fleet,
+    /// Classes of request by name.
+    #[schemars(extend("minProperties" = 1, "maxProperties" = 32))]
+    pub classes: BTreeMap<String, Class>,
+    /// Titles by name: the tenant's own, whatever others call theirs.
+    #[schemars(extend("maxProperties" = 100000))]
+    #[serde(default)]
+    pub titles: BTreeMap<String, Title>,
+    /// What the tenant may use at most.
+    #[schemars(description = "")]
+    #[serde(default)]
+    pub limits: Limits,
+    /// When the tenant is deleted, what plays may go on for so long, seconds.
+    #[schemars(range(min = 0, max = 86400))]
+    #[serde(rename = "ends_within_s", default = "one_hour_s")]
+    pub deletion_grace_s: u32,
+}
+
+fn one_hour_s() -> u32 {
+    3600
+}
+
+/// Nodes that a tenant's sessions may be set up on.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub enum Fleet {
+    /// Those that all tenants share.
+    #[default]
+    Pool,
+    /// These alone, by number.
+    Own(#[schemars(length(min = 1, max = 10000))] Vec<u64>),
+}
+
+/// A class of request. Rungs are of the site's ladder: a tenant's ladder is a part of it, from `floor` to `top`.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Class {
+    /// Paid for at set-up: set up once.
+    pub paid: bool,
+    /// Latency objective of a set-up.
+    #[schemars(description = "", range(min = 1, max = 3600000))]
+    #[serde(rename = "aim_ms")]
+    pub latency_objective_ms: u32,
+    /// A request that is not answered by then is given up.
+    #[schemars(description = "", range(min = 1, max = 3600000))]
+    #[serde(rename = "give_up_ms")]
+    pub deadline_ms: u32,
+    /// Weight of a session of this class beside one of another class.
+    #[schemars(description = "", range(min = 0.0, max = 1000000.0))]
+    #[serde(rename = "worth")]
+    pub priority_weight: f64,
+    /// The lowest rung that a session may be given.
+    #[schemars(description = "", range(max = 63))]
+    #[serde(rename = "floor", default)]
+    pub lowest_rung: u32,
+    /// The highest rung that a session may be given; absent: the site's highest.
+    #[schemars(description = "", range(max = 63))]
+    #[serde(rename = "top")]
+    pub highest_rung: Option<u32>,
+    /// Sessions of one title that a front may hold; 0: no limit.
+    #[serde(rename = "seats", default)]
+    pub session_limit_per_title: u32,
+}
+
+/// Cells that hold a title: `spread` in a row from `home` on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Title {
+    /// The first cell that holds it.
+    #[schemars(description = "")]
+    #[serde(rename = "home")]
+    pub first_cell: u64,
+    /// How many cells hold it.
+    #[schemars(description = "", range(min = 1))]
+    #[serde(rename = "spread")]
+    pub replica_cells: u64,
+}
+
+/// What a tenant may use at most, whatever is free, at each front. Absent: no limit but the front's own.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    /// Set-ups a second.
+    #[schemars(range(min = 0.0, max = 1000000.0))]
+    pub set_ups_per_s: Option<f64>,
+    /// Sessions held.
+    pub sessions: Option<u32>,
+    /// Viewers' connections.
+    pub connections: Option<u32>,
+    /// Bytes of a request's content, and of its head.
+    #[schemars(range(min = 1, max = 65536))]
+    pub body_bytes: Option<u32>,
+    /// Bytes of a request's head.
+    #[schemars(description = "", range(min = 256, max = 65536))]
+    pub head_bytes: Option<u32>,
+    /// Calls of the administration API a minute.
+    #[schemars(range(min = 1, max = 100000))]
+    pub admin_calls_per_min: Option<u32>,
+}
--- a/crates/tenancy/src/usage.rs
+++ b/crates/tenancy/src/usage.rs
@@ -1,218 +1,197 @@
-//! What fronts say that they hold of each tenant, and when the last session of a deleted one is over.
+//! What directors report that they hold of each tenant, and when the last session of a deleted one is over.
 //!
-//! A front that is cut off can't say what it holds, and goes on serving what it knew. So a tenant is buried only when
-//! every front heard of within a stated time has just said that it knows of the deletion and holds nothing.
+//! A director that is cut off can't report, and goes on serving what it knew. So the deletion of a tenant is finished
+//! only when every director that was heard of within a stated time has just reported that it knows of the deletion and
+//! holds nothing.
 
-use crate::Millis;
-use crate::model::TenantId;
+use crate::UnixMillis;
+use crate::tenant::TenantId;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
-/// A report that is older says nothing of now.
-const FRESH: Millis = 5_000;
-/// Fronts and tenants of one report at most: what more would come is refused.
-pub const MOST_FRONTS: usize = 1024;
+/// Directors at most: a report of one more is rejected.
+pub const MAX_DIRECTORS: usize = 1024;
+/// An older report says nothing of what is held now.
+const FRESH_MS: u64 = 5_000;
+/// Tenants at most whose sessions are asked for at once.
+const MAX_REQUESTED_TENANTS: usize = 64;
+/// A tenant's sessions are asked for so long after somebody wanted to see them.
+const REQUEST_LIFETIME_MS: u64 = 10_000;
 
-/// At most so many tenants' sessions are asked for at once, and for so long after they were wished for.
-const MOST_WISHES: usize = 64;
-const WISHED: Millis = 10_000;
-
-/// A session as its front tells of it.
+/// A session as its director reports it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Row {
+pub struct ReportedSession {
+    /// The session's number.
     pub session: u64,
+    /// Its class, by name.
     pub class: String,
+    /// Its title, by name.
     pub title: String,
-    /// Where it plays or is being set up, and at which rung.
+    /// The node where it plays or is being set up, by number.
     pub node: Option<u64>,
+    /// Its rung.
     pub rung: usize,
-    pub plays: bool,
+    /// Whether it plays; else it is being set up.
+    #[serde(rename = "plays")]
+    pub is_playing: bool,
 }
 
-/// What one front tells.
+/// What one director reports.
 #[derive(Clone, Debug, Deserialize)]
-pub struct Told {
-    pub front: u32,
-    /// As of which change it serves.
-    pub number: u64,
-    pub held: BTreeMap<TenantId, u64>,
+pub struct UsageReport {
+    /// The director's number.
+    #[serde(rename = "front")]
+    pub director: u32,
+    /// The last change of tenants that it has applied.
+    #[serde(rename = "number")]
+    pub change_number: u64,
+    /// Sessions that it holds by tenant, of those that have some.
+    #[serde(rename = "held")]
+    pub session_counts: BTreeMap<TenantId, u64>,
     /// Sessions of the tenants that were asked for, perhaps not all of them.
     #[serde(default)]
-    pub sessions: BTreeMap<TenantId, Vec<Row>>,
+    pub sessions: BTreeMap<TenantId, Vec<ReportedSession>>,
 }
 
-struct Report {
-    at: Millis,
-    told: Told,
+/// There are as many directors as are followed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("there are too many directors: reports of {MAX_DIRECTORS} are kept at most")]
+pub struct TooManyDirectors;
+
+/// How many sessions of a tenant one director holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub struct DirectorUsage {
+    /// The director's number.
+    #[serde(rename = "front")]
+    pub director: u32,
+    /// How many sessions it holds.
+    #[serde(rename = "sessions")]
+    pub session_count: u64,
+    /// Milliseconds since it reported so.
+    pub age_ms: u64,
 }
 
-/// A front's part of a tenant's sessions.
+/// The sessions of a tenant that one director holds.
 #[derive(Clone, Debug, PartialEq, Serialize)]
-pub struct Part {
-    pub front: u32,
-    pub age_ms: Millis,
-    /// How many it holds; and those that it told of, nothing where it has not been asked yet.
-    pub held: u64,
-    pub sessions: Option<Vec<Row>>,
+pub struct DirectorSessions {
+    /// The director's number.
+    #[serde(rename = "front")]
+    pub director: u32,
+    /// Milliseconds since it reported them.
+    pub age_ms: u64,
+    /// How many sessions it holds.
+    #[serde(rename = "held")]
+    pub session_count: u64,
+    /// Those that it reported; nothing where it has not been asked yet.
+    pub sessions: Option<Vec<ReportedSession>>,
 }
 
-/// The fronts' reports.
-pub struct Fronts {
-    began: Millis,
-    /// A front that has not been heard of for so long is taken for gone, and its sessions with it.
-    forget: Millis,
-    reports: BTreeMap<u32, Report>,
-    /// Whose sessions are wished for, and since when.
-    wishes: BTreeMap<TenantId, Millis>,
+struct ReceivedReport {
+    received_at: UnixMillis,
+    report: UsageReport,
 }
 
-impl Fronts {
-    /// `now`: since when reports are heard. Nothing is known of fronts that were heard before.
-    pub fn new(now: Millis, forget: Millis) -> Fronts {
-        Fronts {
-            began: now,
-            forget,
-            reports: BTreeMap::new(),
-            wishes: BTreeMap::new(),
-        }
+impl ReceivedReport {
+    fn age_ms(&self, now: UnixMillis) -> u64 {
+        now.saturating_sub(self.received_at)
     }
 
-    /// A front tells what it holds. Whose sessions it is to tell of with its next report; none: there are too many
-    /// fronts.
-    pub fn report(&mut self, now: Millis, told: Told) -> Option<Vec<TenantId>> {
-        let forget = self.forget;
-        self.reports
-            .retain(|_, r| now.saturating_sub(r.at) < forget);
-        self.wishes.retain(|_, at| now.saturating_sub(*at) < WISHED);
-        if self.reports.len() >= MOST_FRONTS && !self.reports.contains_key(&told.front) {
-            return None;
-        }
-        self.reports.insert(told.front, Report { at: now, told });
-        Some(self.wishes.keys().cloned().collect())
+    fn session_count(&self, tenant: &TenantId) -> u64 {
+        let count = self.report.session_counts.get(tenant);
+        count.copied().unwrap_or(0)
     }
+}
+
+/// The last report of each director.
+pub struct UsageTracker {
+    started_at: UnixMillis,
+    /// A director that has not been heard of for so long is taken for gone, and its sessions with it.
+    forget_after_ms: u64,
+    reports: BTreeMap<u32, ReceivedReport>,
+    /// Tenants whose sessions somebody wants to see, and when that was said last.
+    requested: BTreeMap<TenantId, UnixMillis>,
+}
 
-    /// A tenant's sessions as fronts told of them last. They are asked for from now on for a while: what is not there
-    /// yet is a report or two later.
-    pub fn sessions(&mut self, now: Millis, tenant: &TenantId) -> Vec<Part> {
-        if self.wishes.len() < MOST_WISHES || self.wishes.contains_key(tenant) {
-            self.wishes.insert(tenant.clone(), now);
+impl UsageTracker {
+    /// A tracker that hears reports from now on, and forgets a director that has been silent for so long.
+    pub fn new(now: UnixMillis, forget_after_ms: u64) -> UsageTracker {
+        UsageTracker {
+            started_at: now,
+            forget_after_ms,
+            reports: BTreeMap::new(),
+            requested: BTreeMap::new(),
         }
-        let part = |r: &Report| Part {
-            front: r.told.front,
-            age_ms: now.saturating_sub(r.at),
-            held: r.told.held.get(tenant).copied().unwrap_or(0),
-            sessions: r.told.sessions.get(tenant).cloned(),
-        };
-        self.reports.values().map(part).collect()
     }
 
-    /// Sessions of a tenant by front, as of the last reports; with how old each is.
-    pub fn held(&self, now: Millis, tenant: &TenantId) -> Vec<(u32, u64, Millis)> {
-        let row = |(front, r): (&u32, &Report)| {
-            (
-                *front,
-                r.told.held.get(tenant).copied().unwrap_or(0),
-                now.saturating_sub(r.at),
-            )
+    /// Records a director's report. Returns the tenants whose sessions its next report should list.
+    pub fn record(
+        &mut self,
+        now: UnixMillis,
+        report: UsageReport,
+    ) -> Result<Vec<TenantId>, TooManyDirectors> {
+        let forget_after_ms = self.forget_after_ms;
+        self.reports
+            .retain(|_, received| received.age_ms(now) < forget_after_ms);
+        self.requested
+            .retain(|_, requested_at| now.saturating_sub(*requested_at) < REQUEST_LIFETIME_MS);
+        let director = report.director;
+        if self.reports.len() >= MAX_DIRECTORS && !self.reports.contains_key(&director) {
+            return Err(TooManyDirectors);
+        }
+        let received = ReceivedReport {
+            received_at: now,
+            report,
         };
-        self.reports.iter().map(row).collect()
+        self.reports.insert(director, received);
+        Ok(self.requested.keys().cloned().collect())
     }
 
-    /// Whether the last session of a tenant is over, as of this change: all fronts that may live say so.
-    pub fn empty(&self, now: Millis, tenant: &TenantId, number: u64) -> bool {
-        let lives = |r: &&Report| now.saturating_sub(r.at) < self.forget;
-        let says = |r: &Report| {
-            now.saturating_sub(r.at) < FRESH
-                && r.told.number >= number
-                && !r.told.held.contains_key(tenant)
-        };
-        now.saturating_sub(self.began) >= self.forget
-            && self.reports.values().filter(lives).all(says)
+    /// A tenant's sessions as directors reported them last. From now on for a while they are asked for: what is not
+    /// there yet comes with the next reports.
+    pub fn sessions_by_director(
+        &mut self,
+        now: UnixMillis,
+        tenant: &TenantId,
+    ) -> Vec<DirectorSessions> {
+        let is_requested = self.requested.contains_key(tenant);
+        if is_requested || self.requested.len() < MAX_REQUESTED_TENANTS {
+            self.requested.insert(tenant.clone(), now);
+        }
+        self.reports
+            .values()
+            .map(|received| DirectorSessions {
+                director: received.report.director,
+                age_ms: received.age_ms(now),
+                session_count: received.session_count(tenant),
+                sessions: received.report.sessions.get(tenant).cloned(),
+            })
+            .collect()
     }
-}
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_tenant_is_over_when_every_front_that_may_live_says_so() {
-        let id = TenantId::try_from("a".to_string()).unwrap();
-        let some = || BTreeMap::from([(id.clone(), 1)]);
-        let told = |front, number, held| Told {
-            front,
-            number,
-            held,
-            sessions: BTreeMap::new(),
-        };
-        let mut fronts = Fronts::new(0, 60_000);
-        assert!(
-            !fronts.empty(1_000, &id, 1),
-            "too early to know of any front"
-        );
-        fronts.report(70_000, told(1, 9, some()));
-        fronts.report(70_000, told(2, 9, BTreeMap::new()));
-        assert!(!fronts.empty(70_001, &id, 9), "one holds a session");
-        fronts.report(71_000, told(1, 9, BTreeMap::new()));
-        assert!(fronts.empty(71_001, &id, 9));
-        assert!(
-            !fronts.empty(71_001, &id, 10),
-            "they don't know of the last change"
-        );
-        fronts.report(80_000, told(1, 10, BTreeMap::new()));
-        assert!(
-            !fronts.empty(80_001, &id, 10),
-            "front 2 is silent: it may serve what it knew"
-        );
-        fronts.report(131_000, told(1, 10, BTreeMap::new()));
-        assert!(fronts.empty(131_001, &id, 10), "until it is taken for gone");
-        assert_eq!(fronts.held(131_001, &id), [(1, 0, 1)]);
+    /// How many sessions of a tenant each director holds, as of its last report.
+    pub fn usage_by_director(&self, now: UnixMillis, tenant: &TenantId) -> Vec<DirectorUsage> {
+        self.reports
+            .values()
+            .map(|received| DirectorUsage {
+                director: received.report.director,
+                session_count: received.session_count(tenant),
+                age_ms: received.age_ms(now),
+            })
+            .collect()
     }
 
-    #[test]
-    fn sessions_are_asked_for_while_somebody_wishes_to_see_them() {
-        let id = |name: &str| TenantId::try_from(name.to_string()).unwrap();
-        let mut fronts = Fronts::new(0, 60_000);
-        let told = |sessions| Told {
-            front: 1,
-            number: 9,
-            held: BTreeMap::from([(id("a"), 1)]),
-            sessions,
-        };
-        assert_eq!(fronts.report(1_000, told(BTreeMap::new())), Some(vec![]));
-        assert_eq!(
-            fronts.sessions(1_500, &id("a"))[0].sessions,
-            None,
-            "not asked for yet"
-        );
-        assert_eq!(
-            fronts.report(2_000, told(BTreeMap::new())),
-            Some(vec![id("a")])
-        );
-        let (class, title) = ("room".to_string(), "monday".to_string());
-        let row = Row {
-            session: 7,
-            class,
-            title,
-            node: Some(3),
-            rung: 1,
-            plays: true,
-        };
-        fronts.report(3_000, told(BTreeMap::from([(id("a"), vec![row.clone()])])));
-        let part = &fronts.sessions(3_400, &id("a"))[0];
-        assert_eq!(
-            (part.age_ms, part.held, &part.sessions),
-            (400, 1, &Some(vec![row]))
-        );
-        assert_eq!(
-            fronts.sessions(3_400, &id("b"))[0].sessions,
-            None,
-            "another's are not there"
-        );
-        assert_eq!(
-            fronts.report(20_000, told(BTreeMap::new())),
-            Some(vec![]),
-            "nobody looks any more"
-        );
+    /// Whether the last session of a tenant is over, as of a change: all directors that may be running say so.
+    pub fn is_drained(&self, now: UnixMillis, tenant: &TenantId, change_number: u64) -> bool {
+        let heard_long_enough = now.saturating_sub(self.started_at) >= self.forget_after_ms;
+        let mut maybe_running = self
+            .reports
+            .values()
+            .filter(|received| received.age_ms(now) < self.forget_after_ms);
+        heard_long_enough
+            && maybe_running.all(|received| {
+                received.age_ms(now) < FRESH_MS
+                    && received.report.change_number >= change_number
+                    && !received.report.session_counts.contains_key(tenant)
+            })
     }
 }
--- a/crates/tenancy/tests/connections.rs
+++ b/crates/tenancy/tests/connections.rs
@@ -1,205 +1,303 @@
-//! Connections by tenant: bounds that hold whatever comes, parts that are met, nobody pushed out while it works.
+//! Connections by tenant: bounds that hold whatever comes, quotas that are met, nobody evicted while it is busy.
+
+mod support;
 
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use shalewall_tenancy::connections::{Connections, Ticket, Turned};
-use shalewall_tenancy::model::{Limits, TenantId};
+use shalewall_tenancy::connections::{AssignError, ConnectionId, Connections};
+use shalewall_tenancy::terms::Limits;
 use std::collections::{BTreeMap, BTreeSet};
+use support::id;
 
-fn id(name: &str) -> TenantId {
-    TenantId::try_from(name.to_string()).unwrap()
-}
-
-fn most_open(connections: Option<u32>) -> Limits {
+fn connection_limit(connections: Option<u32>) -> Limits {
     Limits {
         connections,
         ..Limits::default()
     }
 }
 
-/// One that comes and names a tenant.
-fn come(c: &mut Connections, tenant: &str) -> Result<Ticket, Turned> {
-    let (ticket, _) = c.open().expect("nobody is at work");
-    match c.name(ticket, &id(tenant)) {
+/// A connection that comes and sends a complete request of a tenant.
+fn connect(connections: &mut Connections, tenant: &str) -> Result<ConnectionId, AssignError> {
+    let connection = connections.open().expect("none is busy").id;
+    match connections.assign(connection, &id(tenant)) {
         Ok(_) => {
-            c.busy(ticket);
-            Ok(ticket)
+            connections.mark_busy(connection);
+            Ok(connection)
         }
-        Err(turned) => {
-            c.close(ticket);
-            Err(turned)
+        Err(error) => {
+            connections.close(connection);
+            Err(error)
         }
     }
 }
 
-fn two(most: usize) -> Connections {
-    let mut c = Connections::new(most);
-    c.agree(&id("loud"), 1.0, &Limits::default());
-    c.agree(&id("quiet"), 1.0, &Limits::default());
-    c
+fn two_tenants(capacity: usize) -> Connections {
+    let mut connections = Connections::new(capacity);
+    connections.set_tenant(&id("loud"), 1.0, &Limits::default());
+    connections.set_tenant(&id("quiet"), 1.0, &Limits::default());
+    connections
 }
 
 #[test]
 fn slow_heads_cost_those_who_send_them() {
-    let mut c = two(400);
-    let kept: Vec<_> = (0..50).map(|_| come(&mut c, "quiet").unwrap()).collect();
-    // A thousand connections that never say whose they are.
+    let mut connections = two_tenants(400);
+    let of_quiet: Vec<_> = (0..50)
+        .map(|_| connect(&mut connections, "quiet").unwrap())
+        .collect();
+    // A thousand connections that never name a tenant.
     let mut closed = 0;
     for _ in 0..1000 {
-        let (_, victim) = c.open().expect("they are silent");
-        closed += u32::from(victim.is_some_and(|v| !kept.contains(&v)));
+        let opened = connections.open().expect("the others are idle");
+        let is_other = |evicted| !of_quiet.contains(&evicted);
+        closed += u32::from(opened.evicted.is_some_and(is_other));
     }
+    assert_eq!(closed, 900);
     assert_eq!(
-        (closed, c.open_now()),
-        (900, 150),
-        "a quarter of the front is theirs"
+        connections.open_count(),
+        150,
+        "a quarter of the director is theirs"
     );
-    assert_eq!(c.held(&id("quiet")), 50);
-    assert!(come(&mut c, "quiet").is_ok());
+    assert_eq!(connections.tenant_open_count(&id("quiet")), 50);
+    assert!(connect(&mut connections, "quiet").is_ok());
 }
 
 #[test]
-fn a_tenant_within_its_part_gets_idle_places_of_one_above_it_and_no_busy_one() {
-    let mut c = two(400);
-    let loud: Vec<_> = std::iter::from_fn(|| come(&mut c, "loud").ok()).collect();
+fn a_tenant_within_its_quota_gets_idle_places_of_one_above_it_and_no_busy_one() {
+    let mut connections = two_tenants(400);
+    let loud: Vec<_> = std::iter::from_fn(|| connect(&mut connections, "loud").ok()).collect();
     assert_eq!(
         loud.len(),
         285,
         "all but the reserve, while nobody else wants them"
     );
-    loud[..200].iter().for_each(|t| c.idle(*t));
-    let mut closed = Vec::new();
+    for connection in &loud[..200] {
+        connections.mark_idle(*connection);
+    }
+    let mut evicted = Vec::new();
     for i in 0..150 {
-        let (ticket, _) = c.open().expect("there is room");
-        let victim = c
-            .name(ticket, &id("quiet"))
-            .unwrap_or_else(|e| panic!("{i}: {e:?}"));
-        c.busy(ticket);
-        closed.extend(victim);
+        let connection = connections.open().expect("there is room").id;
+        let assigned = connections.assign(connection, &id("quiet"));
+        evicted.extend(assigned.unwrap_or_else(|error| panic!("{i}: {error:?}")));
+        connections.mark_busy(connection);
     }
     // Fifteen places of the reserve; then the idle ones, the longest idle first.
-    assert_eq!(closed, loud[..135]);
-    assert_eq!((c.held(&id("quiet")), c.held(&id("loud"))), (150, 150));
-    // Above its part it gets nothing more while the other is at its own.
-    assert_eq!(come(&mut c, "quiet"), Err(Turned::Part));
+    assert_eq!(evicted, loud[..135]);
+    assert_eq!(connections.tenant_open_count(&id("quiet")), 150);
+    assert_eq!(connections.tenant_open_count(&id("loud")), 150);
+    // Above its quota it gets nothing more while the other is at its own.
+    assert_eq!(connect(&mut connections, "quiet"), Err(AssignError::Quota));
     // Its own idle ones it may have again.
-    assert_eq!(c.name(loud[140], &id("loud")), Ok(None));
+    assert_eq!(connections.assign(loud[140], &id("loud")), Ok(None));
 }
 
 #[test]
-fn limits_names_and_leavers() {
-    let mut c = two(100);
-    c.agree(&id("loud"), 1.0, &most_open(Some(2)));
-    let first = come(&mut c, "loud").unwrap();
-    let second = come(&mut c, "loud").unwrap();
-    assert_eq!(come(&mut c, "loud"), Err(Turned::Own));
-    c.idle(first);
-    let (third, _) = c.open().expect("there is room");
+fn limits_other_names_and_removed_tenants() {
+    let mut connections = two_tenants(100);
+    connections.set_tenant(&id("loud"), 1.0, &connection_limit(Some(2)));
+    let first = connect(&mut connections, "loud").unwrap();
+    let second = connect(&mut connections, "loud").unwrap();
     assert_eq!(
-        c.name(third, &id("loud")),
+        connect(&mut connections, "loud"),
+        Err(AssignError::TenantLimit)
+    );
+    connections.mark_idle(first);
+    let third = connections.open().expect("there is room").id;
+    assert_eq!(
+        connections.assign(third, &id("loud")),
         Ok(Some(first)),
         "its own idle one makes room"
     );
-    assert_eq!(come(&mut c, "nobody"), Err(Turned::Unknown));
-    // The same connection under another name counts there; gone, the name opens nothing.
-    assert_eq!(c.name(second, &id("quiet")), Ok(None));
-    assert_eq!((c.held(&id("loud")), c.held(&id("quiet"))), (1, 1));
-    c.forget(&id("quiet"));
-    assert_eq!(c.name(second, &id("quiet")), Err(Turned::Unknown));
-    c.close(second);
-    c.close(second);
-    assert_eq!((c.open_now(), c.held(&id("quiet"))), (1, 0));
+    assert_eq!(
+        connect(&mut connections, "nobody"),
+        Err(AssignError::UnknownTenant)
+    );
+    // The same connection under another name counts there; once the tenant is removed, no more.
+    assert_eq!(connections.assign(second, &id("quiet")), Ok(None));
+    assert_eq!(connections.tenant_open_count(&id("loud")), 1);
+    assert_eq!(connections.tenant_open_count(&id("quiet")), 1);
+    connections.remove_tenant(&id("quiet"));
+    assert_eq!(
+        connections.assign(second, &id("quiet")),
+        Err(AssignError::UnknownTenant)
+    );
+    connections.close(second);
+    connections.close(second);
+    assert_eq!(connections.open_count(), 1);
+    assert_eq!(connections.tenant_open_count(&id("quiet")), 0);
 }
 
-proptest! {
-    #![proptest_config(ProptestConfig { cases: 64, rng_seed: RngSeed::Fixed(7), ..ProptestConfig::default() })]
+#[test]
+fn a_request_that_names_nobody_is_answered_however_many_come() {
+    let mut connections = two_tenants(40);
+    let busy: Vec<_> = (0..10)
+        .map(|_| connections.open().expect("a quarter").id)
+        .collect();
+    for connection in &busy {
+        connections.mark_busy(*connection);
+    }
+    assert_eq!(connections.open(), None, "no busy one is evicted");
+    connections.mark_idle(busy[3]);
+    let opened = connections.open().expect("one is idle");
+    assert_eq!(opened.evicted, Some(busy[3]));
+    assert!(
+        connections.assign(busy[0], &id("quiet")).is_ok(),
+        "assigned, it leaves room"
+    );
+    assert!(connections.open().is_some());
+}
 
-    /// Whatever comes: the bound holds, counts are what is open, what works is not closed for another, and who is
-    /// within its part is turned away only while all places above parts are at work.
-    #[test]
-    fn bounds_hold_whatever_comes(most in 4usize..60, steps in prop::collection::vec((0u8..6, 0u8..4, any::<u8>()), 1..400)) {
-        let mut c = Connections::new(most);
-        let names = ["a", "b", "c"];
-        for (i, name) in names.iter().enumerate() {
-            c.agree(&id(name), 1.0 + i as f64, &most_open((i == 2).then_some(5)));
+const TENANTS: [&str; 3] = ["a", "b", "c"];
+
+/// What a connection is, as the test knows it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Expected {
+    /// The tenant's place in [`TENANTS`].
+    tenant: Option<usize>,
+    is_busy: bool,
+}
+
+/// The connections of three tenants, of which the last may have five.
+struct Model {
+    connections: Connections,
+    open: BTreeMap<ConnectionId, Expected>,
+}
+
+impl Model {
+    fn new(capacity: usize) -> Model {
+        let mut connections = Connections::new(capacity);
+        for (i, tenant) in TENANTS.iter().enumerate() {
+            let limits = connection_limit((i == 2).then_some(5));
+            connections.set_tenant(&id(tenant), 1.0 + i as f64, &limits);
         }
-        let mut open: BTreeMap<Ticket, (Option<u8>, bool)> = BTreeMap::new(); // whose, and at work
-        for (what, whose, which) in steps {
-            let some = open.keys().nth(which as usize % open.len().max(1)).copied();
-            let mut gone = None;
-            match (what, some) {
-                (0..=1, _) => {
-                    if let Some((ticket, victim)) = c.open() {
-                        prop_assert!(victim.is_none_or(|v| open[&v] == (None, false)));
-                        gone = victim;
-                        open.insert(ticket, (None, false));
-                    } else {
-                        prop_assert!(open.values().all(|(of, work)| of.is_some() || *work));
-                    }
-                }
-                (2..=3, Some(ticket)) if whose < 3 => {
-                    let name = names[whose as usize];
-                    let held = c.held(&id(name)) as f64;
-                    let part = c.part(&id(name));
-                    match c.name(ticket, &id(name)) {
-                        Ok(victim) => {
-                            prop_assert!(victim.is_none_or(|v| v != ticket && !open[&v].1), "at work");
-                            gone = victim;
-                            open.insert(ticket, (Some(whose), false));
-                        }
-                        Err(turned) => {
-                            let idle = open.values().any(|(of, work)| of.is_some_and(|w| w != whose) && !work);
-                            let above = names.iter().any(|n| c.held(&id(n)) as f64 > c.part(&id(n)).max(1.0));
-                            let starved = turned == Turned::Part && held + 1.0 <= part && idle && !above;
-                            prop_assert!(!starved, "{name}: {held} of {part}");
-                            open.insert(ticket, (None, true));
-                        }
-                    }
-                }
-                (2..=3, Some(ticket)) => {
-                    // A whole request.
-                    c.busy(ticket);
-                    open.entry(ticket).and_modify(|(_, work)| *work = true);
-                }
-                (4, Some(ticket)) => {
-                    c.idle(ticket);
-                    open.entry(ticket).and_modify(|(_, work)| *work = false);
-                }
-                (5, Some(ticket)) => {
-                    c.close(ticket);
-                    gone = Some(ticket);
+        Model {
+            connections,
+            open: BTreeMap::new(),
+        }
+    }
+
+    fn evict(&mut self, evicted: Option<ConnectionId>) {
+        if let Some(evicted) = evicted {
+            self.open.remove(&evicted);
+        }
+    }
+
+    fn open(&mut self) -> Result<(), TestCaseError> {
+        let unassigned_idle = Expected {
+            tenant: None,
+            is_busy: false,
+        };
+        let Some(opened) = self.connections.open() else {
+            let all_in_use = self.open.values().all(|c| c.tenant.is_some() || c.is_busy);
+            prop_assert!(all_in_use);
+            return Ok(());
+        };
+        if let Some(evicted) = opened.evicted {
+            prop_assert!(self.open[&evicted] == unassigned_idle);
+        }
+        self.open.insert(opened.id, unassigned_idle);
+        self.evict(opened.evicted);
+        Ok(())
+    }
+
+    fn assign(&mut self, connection: ConnectionId, tenant: usize) -> Result<(), TestCaseError> {
+        let name = TENANTS[tenant];
+        let held = self.connections.tenant_open_count(&id(name)) as f64;
+        let quota = self.connections.quota(&id(name));
+        match self.connections.assign(connection, &id(name)) {
+            Ok(evicted) => {
+                if let Some(evicted) = evicted {
+                    prop_assert!(
+                        evicted != connection && !self.open[&evicted].is_busy,
+                        "busy"
+                    );
                 }
-                _ => {}
+                let assigned = Expected {
+                    tenant: Some(tenant),
+                    is_busy: false,
+                };
+                self.open.insert(connection, assigned);
+                self.evict(evicted);
             }
-            gone.into_iter().for_each(|g| {
-                open.remove(&g);
-            });
-            prop_assert_eq!(c.open_now(), open.len());
-            prop_assert!(c.open_now() <= most.max(2));
-            for (i, name) in names.iter().enumerate() {
-                prop_assert_eq!(c.held(&id(name)), open.values().filter(|(of, _)| *of == Some(i as u8)).count());
+            Err(error) => {
+                let other_is_idle = self
+                    .open
+                    .values()
+                    .any(|c| c.tenant.is_some_and(|other| other != tenant) && !c.is_busy);
+                let any_above_quota = TENANTS.iter().any(|name| {
+                    let held = self.connections.tenant_open_count(&id(name)) as f64;
+                    held > self.connections.quota(&id(name)).max(1.0)
+                });
+                let is_starved = error == AssignError::Quota
+                    && held + 1.0 <= quota
+                    && other_is_idle
+                    && !any_above_quota;
+                prop_assert!(!is_starved, "{name}: {held} of {quota}");
+                let unassigned_busy = Expected {
+                    tenant: None,
+                    is_busy: true,
+                };
+                self.open.insert(connection, unassigned_busy);
             }
-            let all: BTreeSet<_> = open.keys().collect();
-            prop_assert_eq!(all.len(), open.len());
         }
+        Ok(())
     }
-}
 
-#[test]
-fn a_request_that_names_nobody_is_answered_however_many_come() {
-    let mut c = two(40);
-    let asked: Vec<_> = (0..10).map(|_| c.open().expect("a quarter").0).collect();
-    asked.iter().for_each(|t| c.busy(*t));
-    assert_eq!(c.open(), None, "what is at work is not closed for another");
-    c.idle(asked[3]);
-    assert_eq!(c.open().expect("one is silent").1, Some(asked[3]));
-    assert!(
-        come_as(&mut c, asked[0], "quiet"),
-        "named, it is nobody's no more"
-    );
-    assert!(c.open().is_some());
+    fn mark_busy(&mut self, connection: ConnectionId) {
+        self.connections.mark_busy(connection);
+        self.open.entry(connection).and_modify(|c| c.is_busy = true);
+    }
+
+    fn mark_idle(&mut self, connection: ConnectionId) {
+        self.connections.mark_idle(connection);
+        self.open
+            .entry(connection)
+            .and_modify(|c| c.is_busy = false);
+    }
+
+    fn close(&mut self, connection: ConnectionId) {
+        self.connections.close(connection);
+        self.open.remove(&connection);
+    }
+
+    fn check(&self, capacity: usize) -> Result<(), TestCaseError> {
+        let open_count = self.connections.open_count();
+        prop_assert_eq!(open_count, self.open.len());
+        prop_assert!(open_count <= capacity.max(2));
+        for (i, name) in TENANTS.iter().enumerate() {
+            let expected = self.open.values().filter(|c| c.tenant == Some(i)).count();
+            prop_assert_eq!(self.connections.tenant_open_count(&id(name)), expected);
+        }
+        let distinct: BTreeSet<_> = self.open.keys().collect();
+        prop_assert_eq!(distinct.len(), self.open.len());
+        Ok(())
+    }
 }
 
-fn come_as(c: &mut Connections, ticket: Ticket, tenant: &str) -> bool {
-    c.name(ticket, &id(tenant)).is_ok()
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 64, rng_seed: RngSeed::Fixed(7), ..ProptestConfig::default() })]
+
+    /// Whatever comes: the bound holds, counts are what is open, no busy connection is evicted, and a tenant within its
+    /// quota is rejected only while all places above quotas are busy.
+    #[test]
+    fn bounds_hold_whatever_comes(
+        capacity in 4usize..60,
+        steps in prop::collection::vec((0u8..6, 0u8..4, any::<u8>()), 1..400),
+    ) {
+        let mut model = Model::new(capacity);
+        for (step, tenant, which) in steps {
+            let count = model.open.len().max(1);
+            let connection = model.open.keys().nth(which as usize % count).copied();
+            match (step, connection) {
+                (0..=1, _) => model.open()?,
+                (2..=3, Some(connection)) if tenant < 3 => {
+                    model.assign(connection, tenant as usize)?;
+                }
+                (2..=3, Some(connection)) => model.mark_busy(connection),
+                (4, Some(connection)) => model.mark_idle(connection),
+                (5, Some(connection)) => model.close(connection),
+                _ => {}
+            }
+            model.check(capacity)?;
+        }
+    }
 }
