--- a/crates/platform/src/event_loop.rs
+++ b/crates/platform/src/event_loop.rs
@@ -131,7 +131,7 @@
         task: impl FnOnce(Rc<Event>) -> F,
     ) {
         let Some(executor) = self.executor.upgrade() else {
-            return;
+            return; // The director is being dropped.
         };
         let write_ready = Rc::new(Event::new());
         let event_loop = self.clone();
