--- a/src/policy/downgrades.rs
+++ b/src/policy/downgrades.rs
@@ -7,7 +7,7 @@
 use crate::hash::draw;
 use crate::interface::{LoadReport, ServerId};
 use crate::state::link_estimate::LinkEstimate;
-use crate::state::records::{CapacityNeed, Downgrade, ReportSource, RungChanges};
+use crate::state::records::{CapacityNeed, Downgrade, FreedCapacity, ReportSource, RungChanges};
 use crate::state::servers::Server;
 use crate::state::sessions::{PendingRequest, SessionGroup, SessionsByTime};
 use crate::time::{TimeDelta, Timestamp};
@@ -161,29 +161,34 @@
         }
         let servers = self.servers_sharing(server, rack);
         let missing_kb_s = link_kb_s.max(uplink_kb_s);
-        let mut freed_kb_s = 0.0;
-        let mut lost_utility_s = 0.0;
-        let mut changes = Vec::new();
-        for downgrade in self.cheapest_downgrades(&servers, |group| self.affordable_rung(group, need.debt)) {
+        let freed = self.cheapest_capacity(&servers, need.debt, missing_kb_s);
+        // What is freed beyond the need serves the next request, so only the needed part is weighed.
+        let is_worth_it = freed.lost_utility_s * missing_kb_s < need.gained_utility_s * freed.kb_s;
+        (freed.kb_s >= missing_kb_s && is_worth_it).then_some(freed.changes)
+    }
+
+    /// The downgrades at some servers that free this much, or all that there are.
+    fn cheapest_capacity(&self, servers: &[ServerId], debt: f64, missing_kb_s: f64) -> FreedCapacity {
+        let mut freed = FreedCapacity::default();
+        for downgrade in self.cheapest_downgrades(servers, |group| self.affordable_rung(group, debt)) {
             let group = &downgrade.group;
-            let change_cost =
-                self.settings.rung_change_cost_s * self.settings.classes[group.class].priority_weight;
+            let weight = self.settings.classes[group.class].priority_weight;
+            let change_cost = self.settings.rung_change_cost_s * weight;
             let sessions = self.sessions.playing[group].iter();
             let due = sessions.take_while(|(reconsider_at, _)| *reconsider_at <= self.now);
             for session in due.filter_map(|(_, id)| self.sessions.get(*id)) {
-                if freed_kb_s >= missing_kb_s {
+                if freed.kb_s >= missing_kb_s {
                     break;
                 }
                 let age = self.now - session.sent_at;
                 let remaining_s = self.remaining_seconds(&session.pending.request, age);
-                freed_kb_s += downgrade.freed_kb_s;
-                lost_utility_s = lost_utility_s + downgrade.lost_utility * remaining_s + change_cost;
-                changes.push((session.pending.request.session, downgrade.rung));
+                let lost_utility_s = freed.lost_utility_s + downgrade.lost_utility * remaining_s;
+                freed.lost_utility_s = lost_utility_s + change_cost;
+                freed.kb_s += downgrade.freed_kb_s;
+                freed.changes.push((session.pending.request.session, downgrade.rung));
             }
         }
-        // What is freed beyond the need serves the next request, so only the needed part is weighed.
-        let is_worth_it = lost_utility_s * missing_kb_s < need.gained_utility_s * freed_kb_s;
-        (freed_kb_s >= missing_kb_s && is_worth_it).then_some(changes)
+        freed
     }
 
     /// The highest lower rung that all viewers could have where a group plays, else the lowest. One whose
--- a/src/state/records.rs
+++ b/src/state/records.rs
@@ -96,5 +96,14 @@
     pub kb_s: f64,
 }
 
+/// What a number of downgrades free and cost.
+#[derive(Default)]
+pub(crate) struct FreedCapacity {
+    pub changes: RungChanges,
+    pub kb_s: f64,
+    /// Utility lost over the sessions' remaining time, in seconds at full utility.
+    pub lost_utility_s: f64,
+}
+
 /// Sessions that change to these rungs.
 pub(crate) type RungChanges = Vec<(SessionId, usize)>;
