--- a/crates/simulator-adapter/tests/wire.rs
+++ b/crates/simulator-adapter/tests/wire.rs
@@ -12,7 +12,7 @@
     SETUP.replace('\n', "")
 }
 
-fn talk(lines: &[&str]) -> Result<String, WireError> {
+fn exchange(lines: &[&str]) -> Result<String, WireError> {
     let mut adapter = SimulatorAdapter::default();
     let mut reply = String::new();
     for line in lines {
@@ -22,7 +22,7 @@
     Ok(reply)
 }
 
-fn begun(mode: &str) -> Vec<String> {
+fn begin_director(mode: &str) -> Vec<String> {
     let setup = setup().replacen('{', &format!("{{\"MembershipMode\": \"{mode}\", "), 1);
     [
         "SYNC 1000.5",
@@ -37,24 +37,25 @@
     .to_vec()
 }
 
-fn with(mode: &str, more: &[&str]) -> Result<String, WireError> {
-    let begun = begun(mode);
+fn exchange_after_begin(mode: &str, more: &[&str]) -> Result<String, WireError> {
+    let begun = begin_director(mode);
     let mut lines: Vec<&str> = begun.iter().map(String::as_str).collect();
     lines.extend(more);
-    talk(&lines)
+    exchange(&lines)
 }
 
-const ASK: &str =
+/// A request of class `live`, whose marks say that its duration is given.
+const REQUEST: &str =
     "SUBMIT director-3 77 live - 91f03b7c55d20a64 2b8e6401d9f37c10 9000.0 12.0 0 2 1 1";
 
 #[test]
 fn an_empty_batch_is_answered() {
-    assert_eq!(talk(&["SYNC 8412.25", "COMMIT", ""]).unwrap(), "ACK\n");
+    assert_eq!(exchange(&["SYNC 8412.25", "COMMIT", ""]).unwrap(), "ACK\n");
 }
 
 #[test]
 fn a_request_goes_through_to_its_end() {
-    let reply = with("pushed", &["SYNC 1010", ASK, "COMMIT"]).unwrap();
+    let reply = exchange_after_begin("pushed", &["SYNC 1010", REQUEST, "COMMIT"]).unwrap();
     assert!(
         reply.contains("STEP_TO director-3 77 1\nTRANSMIT director-3 77 1"),
         "{reply}"
@@ -72,7 +73,7 @@
     let gone = "WITHDRAWN director-3 77";
     let all = [
         "SYNC 1010",
-        ASK,
+        REQUEST,
         "COMMIT",
         "SYNC 1090",
         &started,
@@ -83,7 +84,7 @@
         &ended,
         gone,
     ];
-    let reply = with("pushed", &[&all[..], &["COMMIT"]].concat()).unwrap();
+    let reply = exchange_after_begin("pushed", &[&all[..], &["COMMIT"]].concat()).unwrap();
     assert!(
         !reply.contains("OVERLOAD_REPLY") && !reply.contains("END_FAILED"),
         "{reply}"
@@ -92,17 +93,17 @@
 }
 
 #[test]
-fn where_probes_are_allowed_and_cheap_they_go_out_first_and_their_answers_place() {
+fn cheap_health_checks_go_out_first_and_their_answers_decide() {
     let setup = |price: &str, probes: &str| {
         let probing =
             format!("\"Deductions\": {{\"Probe\": {price}}}, \"Limits\": {{\"Probes\": {probes}, ");
         setup().replacen("\"Limits\": {", &probing, 1)
     };
-    let talk_on = |setup: String, more: &[&str]| {
+    let exchange_with = |setup: String, more: &[&str]| {
         let begin = format!("BEGIN director-3 -17 {setup}");
         let (nodes, ask) = (
             ["NODE 11 north small 0 1 1 -", "NODE 12 north small 1 1 1 -"],
-            ASK,
+            REQUEST,
         );
         let head = [
             "SYNC 1000.5",
@@ -124,16 +125,16 @@
             .for_each(|t| lines.extend([t.as_str(), bell.as_str(), "COMMIT"]));
         lines.extend(["SYNC 7000.5", ask, "COMMIT"]);
         lines.extend(more);
-        talk(&lines).unwrap()
+        exchange(&lines).unwrap()
     };
     for (price, probes) in [("0.01", "false"), ("0.5", "true")] {
-        let reply = talk_on(setup(price, probes), &[]);
+        let reply = exchange_with(setup(price, probes), &[]);
         assert!(
             !reply.contains("PING") && reply.contains("TRANSMIT director-3 77"),
             "{price} {probes}: {reply}"
         );
     }
-    let reply = talk_on(setup("0.01", "true"), &[]);
+    let reply = exchange_with(setup("0.01", "true"), &[]);
     assert!(
         reply.contains("PING director-3 11\n") && reply.contains("PING director-3 12\n"),
         "{reply}"
@@ -145,7 +146,7 @@
         "PROBE_RESULT director-3 12 GOOD 2.2 rif:3,x0:0.2,x1:0.3",
         "COMMIT",
     ];
-    let reply = talk_on(setup("0.01", "true"), &answers);
+    let reply = exchange_with(setup("0.01", "true"), &answers);
     assert!(
         reply.contains("TRANSMIT director-3 77 12 "),
         "the emptier one: {reply}"
@@ -155,8 +156,8 @@
 #[test]
 fn the_settings_keys_of_the_wire_are_read() {
     let attempt = |class: &str| {
-        let request = ASK.replace("live", class);
-        let reply = with("pushed", &["SYNC 1010", &request, "COMMIT"]).unwrap();
+        let request = REQUEST.replace("live", class);
+        let reply = exchange_after_begin("pushed", &["SYNC 1010", &request, "COMMIT"]).unwrap();
         let line = reply.lines().find(|line| line.starts_with("TRANSMIT"));
         line.unwrap().to_string()
     };
@@ -172,15 +173,15 @@
             &format!("\"{key}\": \"x\", \"Unread\": "),
         );
         let begin = format!("BEGIN director-3 1 {wrong}");
-        let error = talk(&["SYNC 1", &begin]).expect_err(key);
+        let error = exchange(&["SYNC 1", &begin]).expect_err(key);
         assert_eq!(error.field, path, "{error}");
     }
 }
 
 #[test]
-fn an_unknown_class_is_refused_with_advice_and_an_unheld_id_passed_over() {
-    let ask = ASK.replace("live", "unheard-of");
-    let reply = with(
+fn an_unknown_class_is_rejected_with_advice_and_an_unknown_session_ignored() {
+    let ask = REQUEST.replace("live", "unheard-of");
+    let reply = exchange_after_begin(
         "pushed",
         &[
             "SYNC 1010",
@@ -200,11 +201,11 @@
         "DATAGRAM director-3 2 6869",
         "COMMIT",
     ];
-    assert!(with("pushed", &all).is_ok());
+    assert!(exchange_after_begin("pushed", &all).is_ok());
 }
 
 #[test]
-fn retire_then_begin_in_one_batch_starts_afresh_and_list_numbers_are_reused() {
+fn a_director_may_retire_and_begin_in_one_batch_and_list_numbers_are_reused() {
     let begin = format!("BEGIN director-3 5 {}", setup());
     let all = [
         "SYNC 1010",
@@ -213,22 +214,26 @@
         "LIST 0 1",
         "NODE 99 north small 0 1 1 -",
         "ANNOUNCE director-3 2 1 0",
-        ASK,
+        REQUEST,
         "LIST 0 0",
         "COMMIT",
     ];
-    let reply = with("pushed", &all).unwrap();
+    let reply = exchange_after_begin("pushed", &all).unwrap();
     assert!(reply.contains("TRANSMIT director-3 77 99"), "{reply}");
 }
 
 #[test]
-fn where_the_list_is_asked_for_the_first_reply_subscribes() {
+fn a_director_that_polls_the_endpoint_list_subscribes_in_its_first_reply() {
     assert!(
-        with("on_request", &[])
+        exchange_after_begin("on_request", &[])
             .unwrap()
             .contains("STREAM_CHANGES director-3 1")
     );
-    assert!(!with("pushed", &[]).unwrap().contains("STREAM_CHANGES"));
+    assert!(
+        !exchange_after_begin("pushed", &[])
+            .unwrap()
+            .contains("STREAM_CHANGES")
+    );
 }
 
 #[test]
@@ -268,7 +273,7 @@
         (&["SYNC 1"], 1, "COMMIT"),
     ];
     for (lines, line, field) in cases {
-        let error = talk(lines).expect_err(&format!("{lines:?}"));
+        let error = exchange(lines).expect_err(&format!("{lines:?}"));
         assert_eq!(
             (error.line, error.field.as_str()),
             (*line, *field),
@@ -296,7 +301,7 @@
 }
 
 #[test]
-fn the_binary_flushes_each_reply_and_ends_well_at_the_end_of_input() {
+fn the_binary_flushes_each_reply_and_succeeds_at_the_end_of_input() {
     assert_eq!(
         binary("SYNC 1\nCOMMIT\n\nSYNC 2\nCOMMIT\n"),
         ("ACK\nACK\n".into(), String::new(), true)
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -137,13 +137,14 @@
         now: Timestamp::ZERO,
     }
     .request_session(1, 0);
-    assert!(is_rejected(&out), "empty settings refuse");
+    assert!(is_rejected(&out), "empty settings reject");
     let mut zero = settings();
-    (zero.link_kb_s_per_weight, zero.rack_uplink_kb_s) = (0.0, 0.0);
+    zero.link_kb_s_per_weight = 0.0;
+    zero.rack_uplink_kb_s = 0.0;
     let mut harness = DirectorHarness::new(zero, 2);
     assert!(
         attempted_server(&harness.request_session(1, IDEMPOTENT)).is_some(),
-        "untold sizes do not empty the fleet"
+        "unknown capacities do not empty the fleet"
     );
 }
 
--- a/tests/demand.rs
+++ b/tests/demand.rs
@@ -10,6 +10,7 @@
     Action, Director, EndpointUpdate, Event, Notification, Outcome, Request, ServerId, Settings,
     TimeDelta, Timestamp,
 };
+use std::collections::BTreeMap;
 
 #[test]
 fn demand_that_would_overfill_the_fleet_lowers_the_rungs_given() {
@@ -28,10 +29,8 @@
 #[test]
 fn under_demand_the_class_with_more_utility_for_its_rate_gets_the_higher_rung() {
     let mut settings = settings();
-    (
-        settings.classes[AT_MOST_ONCE].session_limit_per_title,
-        settings.classes[AT_MOST_ONCE].lowest_rung,
-    ) = (0, 0);
+    settings.classes[AT_MOST_ONCE].session_limit_per_title = 0;
+    settings.classes[AT_MOST_ONCE].lowest_rung = 0;
     let given = |class| {
         let mut harness = DirectorHarness {
             director: Director::new(1, settings.clone(), Timestamp::ZERO),
@@ -80,23 +79,25 @@
     assert!(given(8) < given(0), "{:?} and {:?}", given(8), given(0));
 }
 
+/// Capacity of the only link in [`rungs_from_empty`].
+const LINK_KB_S: f64 = 30_000.0;
+
 /// What viewers that come each second get, the first of them on an empty link that carries 14 top rungs. They
-/// say that they stay for `hint`, and leave after `stay`.
-fn rungs_from_empty(hint: TimeDelta, stay: u64, again: bool, viewers: u64) -> Vec<usize> {
+/// say that they stay for `hint`, and leave after `stay_s` seconds.
+fn rungs_from_empty(hint: TimeDelta, stay_s: u64, is_retry: bool, viewers: u64) -> Vec<usize> {
     let mut settings = settings();
-    (
-        settings.rack_count,
-        settings.rack_uplink_kb_s,
-        settings.link_kb_s_per_weight,
-    ) = (0, 0.0, 30_000.0);
+    settings.rack_count = 0;
+    settings.rack_uplink_kb_s = 0.0;
+    settings.link_kb_s_per_weight = LINK_KB_S;
     let ladder = settings.ladder.clone();
     let mut harness = DirectorHarness::new(settings, 1);
-    let (mut given, mut held) = (Vec::new(), std::collections::BTreeMap::new());
+    let mut given = Vec::new();
+    let mut held = BTreeMap::new();
     for id in 1..=viewers {
         harness.advance(SECOND);
         let request = Request {
             duration_hint: Some(hint),
-            is_retry: again,
+            is_retry,
             ..viewer_request(id, IDEMPOTENT, harness.now)
         };
         let out = harness.handle(Event::RequestReceived(request));
@@ -108,16 +109,13 @@
         }
         given.push(held[&id]);
         harness.start_session(id, 0, ServerId(1));
-        if id > stay {
-            harness.finish_attempt(id - stay, 0, ServerId(1), Outcome::Success);
-            held.remove(&(id - stay));
+        if id > stay_s {
+            harness.finish_attempt(id - stay_s, 0, ServerId(1), Outcome::Success);
+            held.remove(&(id - stay_s));
         }
-        let kb: f64 = held.values().map(|r| ladder[*r].rate_kb_s).sum();
-        harness.notify(
-            id,
-            ServerId(1),
-            Notification::LinkUtilization(kb / 30_000.0),
-        );
+        let asked_kb_s: f64 = held.values().map(|rung| ladder[*rung].rate_kb_s).sum();
+        let utilization = asked_kb_s / LINK_KB_S;
+        harness.notify(id, ServerId(1), Notification::LinkUtilization(utilization));
     }
     given
 }
@@ -134,8 +132,8 @@
 
 #[test]
 fn returning_viewers_are_no_new_demand() {
-    let tops = |again| {
-        rungs_from_empty(120 * SECOND, 120, again, 40)
+    let tops = |is_retry| {
+        rungs_from_empty(120 * SECOND, 120, is_retry, 40)
             .iter()
             .filter(|r| **r == 4)
             .count()
@@ -169,16 +167,15 @@
     );
 }
 
-/// Seen on sockets: a director back from a restart is met by the viewers that the next one's restart sends off. It
-/// had nothing that it grew from, took the fleet for hundreds of times as full and gave all of them the lowest rung.
+/// Seen on sockets: a director that has restarted is met by the viewers that the next one's restart sends off. Growth
+/// was a ratio to its own earlier sessions then: it had none, took the fleet for hundreds of times as full and gave
+/// all of them the lowest rung.
 #[test]
 fn a_crowd_at_a_restarted_director_does_not_fill_the_fleet() {
     let mut settings = settings();
-    (
-        settings.director_count,
-        settings.rules.warm_up,
-        settings.rack_uplink_kb_s,
-    ) = (2, TimeDelta::ZERO, 200_000.0);
+    settings.director_count = 2;
+    settings.rules.warm_up = TimeDelta::ZERO;
+    settings.rack_uplink_kb_s = 200_000.0;
     settings.link_kb_s_per_weight = 100_000.0;
     let mut harness = DirectorHarness {
         director: Director::new(1, settings, Timestamp::ZERO + 60 * SECOND),
--- a/tests/freed_capacity.rs
+++ b/tests/freed_capacity.rs
@@ -11,11 +11,9 @@
 /// One server, and on it so many sessions at the top rung that fill its link.
 fn full_of_top_rungs(sessions: u64, hint: TimeDelta) -> DirectorHarness {
     let mut settings = settings();
-    (
-        settings.rack_count,
-        settings.rack_uplink_kb_s,
-        settings.link_kb_s_per_weight,
-    ) = (0, 0.0, 2_000.0 * sessions as f64);
+    settings.rack_count = 0;
+    settings.rack_uplink_kb_s = 0.0;
+    settings.link_kb_s_per_weight = 2_000.0 * sessions as f64;
     let mut harness = DirectorHarness::new(settings, 1);
     for id in 1..=sessions {
         let request = Request {
@@ -29,7 +27,7 @@
     harness
 }
 
-fn asked(harness: &mut DirectorHarness, id: u64, hint: TimeDelta) -> Vec<Action> {
+fn request_session(harness: &mut DirectorHarness, id: u64, hint: TimeDelta) -> Vec<Action> {
     let request = Request {
         duration_hint: Some(hint),
         ..viewer_request(id, IDEMPOTENT, harness.now)
@@ -37,7 +35,8 @@
     harness.handle(Event::RequestReceived(request))
 }
 
-fn stepped(out: &[Action], new: u64) -> Vec<u64> {
+/// Sessions other than the new one whose rung was changed.
+fn downgraded(out: &[Action], new: u64) -> Vec<u64> {
     let other = |a: &Action| match a {
         Action::SetRung { session, .. } if session.0 != new => Some(session.0),
         _ => None,
@@ -48,14 +47,14 @@
 #[test]
 fn a_request_that_would_be_rejected_has_own_top_rungs_downgraded_for_it() {
     let mut harness = full_of_top_rungs(4, 600 * SECOND);
-    let out = asked(&mut harness, 9, 600 * SECOND);
+    let out = request_session(&mut harness, 9, 600 * SECOND);
     assert_eq!(attempted_server(&out), Some(ServerId(1)));
     assert_eq!(
-        stepped(&out, 9).len(),
+        downgraded(&out, 9).len(),
         1,
-        "one top rung makes more room than it needs: {out:?}"
+        "one top rung frees more than it needs: {out:?}"
     );
-    // The steps come before the set-up that they make room for.
+    // The downgrades come before the attempt that they free capacity for.
     let send = out
         .iter()
         .position(|a| matches!(a, Action::StartAttempt { .. }));
@@ -66,21 +65,28 @@
 fn a_short_session_does_not_pay_for_a_downgrade() {
     // Scene 'peeks': a crowd whose sessions last 5 s must not push everyone down.
     let mut harness = full_of_top_rungs(4, 600 * SECOND);
-    let out = asked(&mut harness, 9, 3 * SECOND / 2);
-    assert!(is_rejected(&out) && stepped(&out, 9).is_empty());
+    let out = request_session(&mut harness, 9, 3 * SECOND / 2);
+    assert!(is_rejected(&out) && downgraded(&out, 9).is_empty());
 }
 
 #[test]
 fn a_session_is_not_downgraded_again_within_the_reconsider_interval() {
     let mut harness = full_of_top_rungs(1, 600 * SECOND);
-    assert_eq!(stepped(&asked(&mut harness, 9, 600 * SECOND), 9), vec![1]);
+    assert_eq!(
+        downgraded(&request_session(&mut harness, 9, 600 * SECOND), 9),
+        vec![1]
+    );
     harness.notify(1, ServerId(1), Notification::LinkUtilization(0.97));
-    assert!(is_rejected(&asked(&mut harness, 10, 600 * SECOND)));
-    // Time for reports to show what the step has freed; then it may.
+    assert!(is_rejected(&request_session(
+        &mut harness,
+        10,
+        600 * SECOND
+    )));
+    // Time for reports to show what the downgrade has freed; then it may go down again.
     harness.advance(5 * SECOND);
     harness.notify(1, ServerId(1), Notification::LinkUtilization(0.94));
     assert_eq!(
-        stepped(&asked(&mut harness, 11, 600 * SECOND), 11).first(),
+        downgraded(&request_session(&mut harness, 11, 600 * SECOND), 11).first(),
         Some(&1)
     );
 }
@@ -89,7 +95,7 @@
 fn no_capacity_is_freed_where_a_shortage_is_reported_or_the_viewer_could_not_be_served_anyway() {
     let mut harness = full_of_top_rungs(4, 600 * SECOND);
     harness.notify(1, ServerId(1), Notification::DeliveredFraction(0.9));
-    assert!(is_rejected(&asked(&mut harness, 9, 600 * SECOND)));
+    assert!(is_rejected(&request_session(&mut harness, 9, 600 * SECOND)));
     // A player that can't show the class's lowest rung.
     let mut harness = full_of_top_rungs(4, 600 * SECOND);
     let request = Request {
@@ -98,5 +104,5 @@
         ..viewer_request(9, AT_MOST_ONCE, harness.now)
     };
     let out = harness.handle(Event::RequestReceived(request));
-    assert!(is_rejected(&out) && stepped(&out, 9).is_empty());
+    assert!(is_rejected(&out) && downgraded(&out, 9).is_empty());
 }
--- a/tests/health.rs
+++ b/tests/health.rs
@@ -11,8 +11,8 @@
     ServerId, SessionId,
 };
 
-/// One server, further attempts not rationed, and a first harmless set-up there that ended so.
-fn after(outcome: Outcome) -> (DirectorHarness, ServerId) {
+/// One server, no retry budget, and a first idempotent attempt there that ended so.
+fn harness_after(outcome: Outcome) -> (DirectorHarness, ServerId) {
     let mut settings = settings();
     settings.rules.retry_budget = None;
     let mut harness = DirectorHarness::new(settings, 1);
@@ -23,7 +23,7 @@
 
 #[test]
 fn a_failing_server_is_paced_as_warming_up_and_retried_with_idempotent_attempts_only() {
-    let (mut harness, server) = after(Outcome::ConnectionFailed);
+    let (mut harness, server) = harness_after(Outcome::ConnectionFailed);
     assert!(
         is_rejected(&harness.request_session(2, IDEMPOTENT)),
         "not at once"
@@ -31,7 +31,7 @@
     harness.now += 2 * SECOND;
     assert!(
         is_rejected(&harness.request_session(3, AT_MOST_ONCE)),
-        "not a paid one"
+        "not one that may run only once"
     );
     assert!(
         attempted_server(&harness.request_session(4, IDEMPOTENT)).is_some(),
@@ -45,7 +45,10 @@
     let sent: Vec<u64> = (10..30)
         .filter(|id| attempted_server(&harness.request_session(*id, IDEMPOTENT)).is_some())
         .collect();
-    assert!(sent.len() < 8, "back, but it may be cold: {sent:?} sent");
+    assert!(
+        sent.len() < 8,
+        "back, but it may be warming up: {sent:?} sent"
+    );
     for id in sent {
         harness.finish_attempt(id, 0, server, Outcome::Success);
     }
@@ -56,21 +59,21 @@
 #[test]
 fn a_server_that_answers_errors_is_avoided_like_one_that_resets_and_notifications_do_not_clear_it()
 {
-    // Incident id52cfd: errors came at once, so the server looked the emptiest and drew every set-up.
-    let (mut harness, server) = after(Outcome::Error);
+    // Incident id52cfd: errors came at once, so the server looked the emptiest and drew every attempt.
+    let (mut harness, server) = harness_after(Outcome::Error);
     harness.notify(1, server, Notification::LinkUtilization(0.1));
     harness.now += 2 * SECOND;
     assert!(
         is_rejected(&harness.request_session(2, AT_MOST_ONCE)),
-        "no paid set-up before a harmless one has run"
+        "no at-most-once attempt before an idempotent one has run"
     );
     assert!(attempted_server(&harness.request_session(3, IDEMPOTENT)).is_some());
 }
 
 #[test]
 fn a_stalled_director_counts_no_timeout_against_a_server() {
-    // balancer_stall: the batch after a stall holds time-outs that ran out here; resets in it bind as ever.
-    for (outcome, still, taken) in [
+    // balancer_stall: the batch after a stall holds timeouts that are of this director's making; resets in it count.
+    for (outcome, is_stalled, is_available) in [
         (Outcome::TimedOut, true, true),
         (Outcome::TimedOut, false, false),
         (Outcome::ConnectionReset, true, false),
@@ -80,7 +83,7 @@
         let mut harness = DirectorHarness::new(settings, 1);
         harness.fire_tick();
         let server = attempted_server(&harness.request_session(1, IDEMPOTENT)).unwrap();
-        if still {
+        if is_stalled {
             harness.now += 2 * SECOND
         } else {
             harness.advance(2 * SECOND)
@@ -88,20 +91,20 @@
         harness.finish_attempt(1, 0, server, outcome);
         assert_eq!(
             attempted_server(&harness.request_session(2, AT_MOST_ONCE)).is_some(),
-            taken,
-            "{outcome:?}, still: {still}"
+            is_available,
+            "{outcome:?}, stalled: {is_stalled}"
         );
     }
 }
 
 #[test]
 fn where_health_checks_are_allowed_and_cheap_unreported_holders_are_checked_first() {
-    let probes = |out: &[Action]| {
-        let asked = |a: &Action| match a {
+    let checked = |out: &[Action]| {
+        let checked_server = |a: &Action| match a {
             Action::CheckHealth { server } => Some(*server),
             _ => None,
         };
-        out.iter().filter_map(asked).collect::<Vec<_>>()
+        out.iter().filter_map(checked_server).collect::<Vec<_>>()
     };
     let mut settings = settings();
     settings.limits.can_check_health = true;
@@ -111,12 +114,12 @@
         harness.advance(6 * SECOND);
         let out = harness.request_session(1, IDEMPOTENT);
         assert_eq!(
-            (probes(&out).len(), attempted_server(&out).is_none()),
+            (checked(&out).len(), attempted_server(&out).is_none()),
             (want, want > 0),
             "at {price}"
         );
-        // The answers are in: it is sent, once, and the timer of the probes finds it sent.
-        for (i, server) in probes(&out).into_iter().enumerate() {
+        // The answers are in: an attempt is sent, once, and the timer of the health checks finds it sent.
+        for (i, server) in checked(&out).into_iter().enumerate() {
             let load = LoadReport {
                 link_utilization: Some(0.5 - i as f64 / 10.0),
                 ..LoadReport::default()
@@ -135,7 +138,7 @@
         harness.now += 60 * MILLISECOND;
         assert!(harness.handle(Event::TimerFired(1)).is_empty());
     }
-    // No answer: it is decided on what is known. Withdrawn: nothing is sent any more.
+    // No answer: the request is decided on what is known. Withdrawn: nothing is sent any more.
     settings.limits.health_check_price = 0.01;
     let mut harness = DirectorHarness::new(settings, 4);
     harness.advance(6 * SECOND);
@@ -150,15 +153,13 @@
 #[test]
 fn a_health_check_of_a_gone_or_failing_server_is_evidence_only() {
     let mut settings = settings();
-    (
-        settings.limits.can_check_health,
-        settings.limits.health_check_price,
-    ) = (true, 0.01);
+    settings.limits.can_check_health = true;
+    settings.limits.health_check_price = 0.01;
     let mut harness = DirectorHarness::new(settings, 2);
     harness.advance(6 * SECOND);
     assert!(
         attempted_server(&harness.request_session(1, AT_MOST_ONCE)).is_none(),
-        "it waits for its probes"
+        "it waits for its health checks"
     );
     harness.update_endpoints(
         EndpointUpdate::Delta,
@@ -186,6 +187,6 @@
     });
     assert!(
         is_rejected(&out),
-        "the emptiest is gone, and a failing one takes no paid set-up"
+        "the emptiest is gone, and a failing one takes no at-most-once attempt"
     );
 }
--- a/tests/migration.rs
+++ b/tests/migration.rs
@@ -10,13 +10,13 @@
 };
 
 /// A session that plays, and where.
-fn plays(harness: &mut DirectorHarness, id: u64, class: usize) -> ServerId {
-    let server = attempted_server(&harness.request_session(id, class)).expect("room");
+fn play(harness: &mut DirectorHarness, id: u64, class: usize) -> ServerId {
+    let server = attempted_server(&harness.request_session(id, class)).expect("capacity");
     harness.start_session(id, 0, server);
     server
 }
 
-/// Asks for a session to be handed over: where to, and at which rung.
+/// Asks for a session to migrate: where to, and at which rung.
 fn request_migration(harness: &mut DirectorHarness, id: u64) -> Option<(ServerId, usize)> {
     let out = harness.handle(Event::MigrationRequested(SessionId(id)));
     out.iter().find_map(|a| match a {
@@ -29,10 +29,10 @@
     })
 }
 
-fn over(harness: &mut DirectorHarness, id: u64, moved: bool) {
+fn finish_migration(harness: &mut DirectorHarness, id: u64, migrated: bool) {
     harness.handle(Event::MigrationFinished {
         session: SessionId(id),
-        migrated: moved,
+        migrated,
     });
 }
 
@@ -50,13 +50,13 @@
 #[test]
 fn another_holder_is_found_and_never_the_one_where_it_plays() {
     let mut harness = harness(2);
-    let from = plays(&mut harness, 1, IDEMPOTENT);
-    let (to, rung) = request_migration(&mut harness, 1).expect("room");
+    let from = play(&mut harness, 1, IDEMPOTENT);
+    let (to, rung) = request_migration(&mut harness, 1).expect("capacity");
     assert_ne!(to, from);
     assert_eq!(rung, 4, "the asked rung, on an empty link");
-    // One move at a time; once it is over the other way is open.
+    // One migration at a time; once it is over the other way is open.
     assert_eq!(request_migration(&mut harness, 1), None);
-    over(&mut harness, 1, true);
+    finish_migration(&mut harness, 1, true);
     assert_eq!(
         request_migration(&mut harness, 1).map(|(to, _)| to),
         Some(from)
@@ -67,7 +67,7 @@
 fn a_draining_gone_or_silent_server_is_no_migration_target() {
     for state in [EndpointState::Draining, EndpointState::Gone] {
         let mut harness = harness(2);
-        let from = plays(&mut harness, 1, IDEMPOTENT);
+        let from = play(&mut harness, 1, IDEMPOTENT);
         harness.update_endpoints(
             EndpointUpdate::Delta,
             vec![Endpoint {
@@ -78,30 +78,30 @@
         assert_eq!(request_migration(&mut harness, 1), None);
     }
     let mut harness = harness(2);
-    let other = ServerId(3 - plays(&mut harness, 1, AT_MOST_ONCE).0);
+    let other = ServerId(3 - play(&mut harness, 1, AT_MOST_ONCE).0);
     harness.handle(Event::ServerSilent(other));
     assert_eq!(
         request_migration(&mut harness, 1),
         None,
         "it has just failed"
     );
-    // Nothing is set up by a hand-over: it tries a failing server as harmless set-ups do, and clears it.
+    // Nothing is set up by a migration: it tries a failing server as idempotent attempts do, and clears it.
     harness.now += 2 * SECOND;
     harness.handle(Event::ServerSilent(ServerId(3 - other.0)));
     assert_eq!(
         request_migration(&mut harness, 1).map(|(to, _)| to),
         Some(other)
     );
-    over(&mut harness, 1, true);
+    finish_migration(&mut harness, 1, true);
     assert_eq!(
         attempted_server(&harness.request_session(2, AT_MOST_ONCE)),
         Some(other),
-        "it takes paid set-ups again"
+        "it takes at-most-once attempts again"
     );
 }
 
 /// The same where every session wants the top rung and nothing less: four to a link.
-fn whole(servers: u64) -> DirectorHarness {
+fn harness_of_top_rungs(servers: u64) -> DirectorHarness {
     let mut settings = Settings {
         rack_uplink_kb_s: 0.0,
         ..settings()
@@ -112,27 +112,27 @@
 
 /// How many of these viewers play.
 fn fill(harness: &mut DirectorHarness, ids: std::ops::Range<u64>) -> usize {
-    let mut playing_session = 0;
+    let mut playing = 0;
     for id in ids {
         if let Some(server) = attempted_server(&harness.request_session(id, IDEMPOTENT)) {
             harness.start_session(id, 0, server);
-            playing_session += 1;
+            playing += 1;
         }
     }
-    playing_session
+    playing
 }
 
 #[test]
-fn a_rate_counts_at_both_until_the_move_is_over() {
-    let mut harness = whole(2);
-    let from = plays(&mut harness, 1, IDEMPOTENT);
-    request_migration(&mut harness, 1).expect("room");
+fn a_rate_counts_at_both_servers_until_the_migration_is_over() {
+    let mut harness = harness_of_top_rungs(2);
+    let from = play(&mut harness, 1, IDEMPOTENT);
+    request_migration(&mut harness, 1).expect("capacity");
     assert_eq!(
         fill(&mut harness, 10..100),
         6,
-        "two of eight places are its own"
+        "two of eight top rungs are its own"
     );
-    over(&mut harness, 1, true);
+    finish_migration(&mut harness, 1, true);
     assert_eq!(
         fill(&mut harness, 100..200),
         1,
@@ -141,9 +141,9 @@
     assert_eq!(
         request_migration(&mut harness, 1),
         None,
-        "there is no room for another move"
+        "there is no capacity for another migration"
     );
-    // It is accounted where it plays now: its end there frees that.
+    // It counts where it plays now: its end there frees that.
     harness.finish_attempt(1, 0, ServerId(3 - from.0), Outcome::Success);
     assert_eq!(fill(&mut harness, 200..300), 1);
 }
@@ -151,12 +151,12 @@
 #[test]
 fn a_migration_that_failed_leaves_nothing_behind() {
     let mut harness = harness(2);
-    plays(&mut harness, 1, AT_MOST_ONCE);
+    play(&mut harness, 1, AT_MOST_ONCE);
     for _ in 0..50 {
-        request_migration(&mut harness, 1).expect("room each time");
-        over(&mut harness, 1, false);
+        request_migration(&mut harness, 1).expect("capacity each time");
+        finish_migration(&mut harness, 1, false);
     }
-    // Seats of the paid class: 3. The session has one of them, whatever was tried.
+    // Three seats of a title in the at-most-once class. The session has one of them, whatever was tried.
     assert!(attempted_server(&harness.request_session(2, AT_MOST_ONCE)).is_some());
     assert!(attempted_server(&harness.request_session(3, AT_MOST_ONCE)).is_some());
     assert_eq!(
@@ -169,35 +169,35 @@
 fn a_sessions_own_seat_is_no_hindrance_and_no_seat_is_given_while_it_may_be_at_both() {
     let mut harness = harness(2);
     for id in 1..=3 {
-        plays(&mut harness, id, AT_MOST_ONCE);
+        play(&mut harness, id, AT_MOST_ONCE);
     }
     assert!(
         request_migration(&mut harness, 1).is_some(),
         "all seats are taken, one of them by itself"
     );
-    over(&mut harness, 1, true);
+    finish_migration(&mut harness, 1, true);
     harness.finish_attempt(2, 0, ServerId(1), Outcome::Success);
-    request_migration(&mut harness, 3).expect("room");
+    request_migration(&mut harness, 3).expect("capacity");
     assert_eq!(
         attempted_server(&harness.request_session(9, AT_MOST_ONCE)),
         None,
         "may be at both"
     );
-    over(&mut harness, 3, true);
+    finish_migration(&mut harness, 3, true);
     assert!(attempted_server(&harness.request_session(10, AT_MOST_ONCE)).is_some());
 }
 
 #[test]
 fn an_end_during_a_migration_frees_both_servers() {
     let mut harness = harness(2);
-    let from = plays(&mut harness, 1, AT_MOST_ONCE);
-    request_migration(&mut harness, 1).expect("room");
+    let from = play(&mut harness, 1, AT_MOST_ONCE);
+    request_migration(&mut harness, 1).expect("capacity");
     harness.finish_attempt(1, 0, from, Outcome::Success);
-    over(&mut harness, 1, false);
-    let playing_session = (2..10)
+    finish_migration(&mut harness, 1, false);
+    let playing = (2..10)
         .filter(|id| attempted_server(&harness.request_session(*id, AT_MOST_ONCE)).is_some())
         .count();
-    assert_eq!(playing_session, 3, "all seats");
+    assert_eq!(playing, 3, "all seats");
 }
 
 #[test]
@@ -212,8 +212,8 @@
         }],
     );
     ids.iter()
-        .for_each(|id| assert_eq!(plays(&mut harness, *id, IDEMPOTENT), ServerId(1)));
-    // The other comes back cold: 30 places over 12 s at 0.4, twice that, half of it used: 2 in 2 s.
+        .for_each(|id| assert_eq!(play(&mut harness, *id, IDEMPOTENT), ServerId(1)));
+    // The other restarts: 30 streams over 12 s at 0.4, twice that, half of it used: 2 in 2 s.
     harness.now += SECOND;
     harness.update_endpoints(
         EndpointUpdate::Delta,
@@ -222,9 +222,9 @@
             ..endpoint(2)
         }],
     );
-    let moved = ids
+    let migrated = ids
         .iter()
         .filter(|id| request_migration(&mut harness, **id).is_some())
         .count();
-    assert!(moved <= 2, "{moved}");
+    assert!(migrated <= 2, "{migrated}");
 }
--- a/tests/quotas.rs
+++ b/tests/quotas.rs
@@ -13,13 +13,13 @@
 const LOUD: usize = 0;
 const QUIET: usize = 1;
 
-/// Two tenants with half of the fleet each; every server is warm and its link's size is told.
-fn shared(parts: [f64; 2]) -> DirectorHarness {
+/// Two tenants with these quotas; every server is warm and its link's capacity is known.
+fn shared_fleet(quotas: [f64; 2]) -> DirectorHarness {
     let mut settings = settings();
     settings.rack_uplink_kb_s = 0.0;
-    settings.tenants = parts
-        .map(|part| TenantSettings {
-            fleet_quota: part,
+    settings.tenants = quotas
+        .map(|fleet_quota| TenantSettings {
+            fleet_quota,
             ..Default::default()
         })
         .to_vec();
@@ -27,7 +27,11 @@
 }
 
 /// One viewer of a tenant asks; where it was sent, and at which rung.
-fn ask(harness: &mut DirectorHarness, id: u64, tenant: usize) -> Option<(ServerId, usize)> {
+fn request_session(
+    harness: &mut DirectorHarness,
+    id: u64,
+    tenant: usize,
+) -> Option<(ServerId, usize)> {
     let request = Request {
         tenant: Some(tenant),
         ..viewer_request(id, IDEMPOTENT, harness.now)
@@ -48,42 +52,43 @@
     Some((sent, rung.expect("a rung before the set-up")))
 }
 
-/// Viewers of a tenant come one after the other until one is turned away; those that play.
+/// Viewers of a tenant come one after the other until one is rejected; those that play.
 fn fill(
     harness: &mut DirectorHarness,
     ids: std::ops::Range<u64>,
     tenant: usize,
 ) -> Vec<(u64, ServerId)> {
-    let mut playing_session = Vec::new();
+    let mut playing = Vec::new();
     for id in ids {
         harness.now += 100 * MILLISECOND;
-        match ask(harness, id, tenant) {
-            Some((server, _)) => playing_session.push((id, server)),
+        match request_session(harness, id, tenant) {
+            Some((server, _)) => playing.push((id, server)),
             None => break,
         }
     }
-    playing_session
+    playing
 }
 
 #[test]
 fn a_returning_tenant_finds_capacity_at_once_and_then_all_that_ends() {
-    let mut harness = shared([0.5, 0.5]);
+    let mut harness = shared_fleet([0.5, 0.5]);
     let loud = fill(&mut harness, 0..1000, LOUD);
     assert!(
         loud.len() > 150,
         "it may have all that nobody else wants: {}",
         loud.len()
     );
-    // Room is there before anything of the other has ended.
+    // There is capacity before anything of the other has ended.
     let quiet = fill(&mut harness, 1000..2000, QUIET);
     assert!((2..20).contains(&quiet.len()), "{}", quiet.len());
-    // Both ask for every place that comes free. The one that owes gets none of them until the other has its part.
-    let (mut next, mut got) = (2000, [0, 0]);
+    // Both ask for all that comes free. The one in debt gets none of it until the other has its quota.
+    let mut next = 2000;
+    let mut got = [0, 0];
     for (id, server) in &loud[..60] {
         harness.now += 100 * MILLISECOND;
         harness.finish_attempt(*id, 0, *server, Outcome::Success);
         for tenant in [LOUD, QUIET] {
-            got[tenant] += u32::from(ask(&mut harness, next, tenant).is_some());
+            got[tenant] += u32::from(request_session(&mut harness, next, tenant).is_some());
             next += 1;
         }
     }
@@ -93,9 +98,9 @@
 
 #[test]
 fn both_tenants_come_to_their_quotas_whoever_was_first() {
-    for parts in [[0.5, 0.5], [0.8, 0.2], [0.2, 0.8]] {
-        let mut harness = shared(parts);
-        let mut playing_session: std::collections::VecDeque<(u64, ServerId, usize)> =
+    for quotas in [[0.5, 0.5], [0.8, 0.2], [0.2, 0.8]] {
+        let mut harness = shared_fleet(quotas);
+        let mut playing: std::collections::VecDeque<(u64, ServerId, usize)> =
             fill(&mut harness, 0..1000, LOUD)
                 .into_iter()
                 .map(|(id, s)| (id, s, LOUD))
@@ -104,39 +109,36 @@
         // Sessions end in the order in which they came; both want more than there is.
         for _ in 0..1500 {
             harness.now += 100 * MILLISECOND;
-            let Some((id, server, _)) = playing_session.pop_front() else {
+            let Some((id, server, _)) = playing.pop_front() else {
                 break;
             };
             harness.finish_attempt(id, 0, server, Outcome::Success);
             for tenant in [LOUD, QUIET] {
-                if let Some((server, _)) = ask(&mut harness, next, tenant) {
-                    playing_session.push_back((next, server, tenant));
+                if let Some((server, _)) = request_session(&mut harness, next, tenant) {
+                    playing.push_back((next, server, tenant));
                 }
                 next += 1;
             }
         }
-        let quiet = playing_session
-            .iter()
-            .filter(|(_, _, t)| *t == QUIET)
-            .count() as f64
-            / playing_session.len() as f64;
+        let quiet =
+            playing.iter().filter(|(_, _, t)| *t == QUIET).count() as f64 / playing.len() as f64;
         assert!(
-            (quiet - parts[QUIET]).abs() < 0.06,
-            "part {} came to {quiet}",
-            parts[QUIET]
+            (quiet - quotas[QUIET]).abs() < 0.06,
+            "quota {} came to {quiet}",
+            quotas[QUIET]
         );
     }
 }
 
 #[test]
 fn a_tenant_of_less_debt_is_not_downgraded_for_one_of_more() {
-    let mut harness = shared([0.5, 0.5]);
+    let mut harness = shared_fleet([0.5, 0.5]);
     // The quiet one's sessions play at the top on a fleet that is otherwise full of the loud one's.
     let quiet: Vec<u64> = fill(&mut harness, 0..4, QUIET)
         .into_iter()
         .map(|(id, _)| id)
         .collect();
-    let mut stepped = 0;
+    let mut downgraded = 0;
     for id in 1000..2000 {
         harness.now += 100 * MILLISECOND;
         let request = Request {
@@ -149,7 +151,7 @@
                 Action::SetRung { session, .. } if quiet.contains(&session.0) => {
                     panic!("{id}: {a:?}")
                 }
-                Action::SetRung { session, .. } if session.0 != id => stepped += 1,
+                Action::SetRung { session, .. } if session.0 != id => downgraded += 1,
                 Action::StartAttempt {
                     session, server, ..
                 } => drop(harness.start_session(session.0, 0, *server)),
@@ -157,13 +159,13 @@
             }
         }
     }
-    assert!(stepped > 10, "its own make room for it: {stepped}");
+    assert!(downgraded > 10, "its own make room for it: {downgraded}");
 }
 
 #[test]
 fn without_quotas_tenants_change_nothing() {
-    let mut with = shared([0.0, 0.0]);
-    let mut without = shared([0.0, 0.0]);
+    let mut with = shared_fleet([0.0, 0.0]);
+    let mut without = shared_fleet([0.0, 0.0]);
     for id in 0..300 {
         let tenant = Some((id % 2) as usize);
         let request = Request {
@@ -174,11 +176,9 @@
             tenant: None,
             ..request
         };
-        let (a, b) = (
-            with.handle(Event::RequestReceived(request)),
-            without.handle(Event::RequestReceived(nobody)),
-        );
-        assert_eq!(a, b, "{id}");
+        let of_tenant = with.handle(Event::RequestReceived(request));
+        let of_nobody = without.handle(Event::RequestReceived(nobody));
+        assert_eq!(of_tenant, of_nobody, "{id}");
         with.now += 50 * MILLISECOND;
         without.now += 50 * MILLISECOND;
     }
@@ -202,9 +202,9 @@
             Action::StartAttempt { server, .. } => Some(server.0),
             _ => None,
         });
-        assert_eq!(sent.expect("there is room") >= 3, fleet == 1, "{id}");
+        assert_eq!(sent.expect("there is capacity") >= 3, fleet == 1, "{id}");
     }
-    // Nothing of its own that is up: refused, never sent to the others'.
+    // Nothing of its own that is up: rejected, never sent to the others'.
     let gone = |id| Endpoint {
         fleet: 1,
         state: EndpointState::Draining,
@@ -230,8 +230,8 @@
             _ => None,
         })
     };
-    let server = sent(&harness.request_session(1, AT_MOST_ONCE)).expect("there is room");
-    // The same class on new terms has a number of its own; a set-up that is out stays what it was.
+    let server = sent(&harness.request_session(1, AT_MOST_ONCE)).expect("there is capacity");
+    // The same class on new terms has an index of its own; an attempt that is out stays what it was.
     let mut classes = settings().classes;
     classes.push(ClassSettings {
         idempotency: Idempotency::Idempotent,
@@ -248,14 +248,14 @@
         [Action::Fail {
             session: SessionId(1)
         }],
-        "paid, and may have run"
+        "at most once, and may have run"
     );
     let actions = harness.request_session(2, 2);
     assert!(sent(&actions).is_some());
     for a in actions {
         assert!(!matches!(a, Action::SetRung { rung: 0..3, .. }), "{a:?}");
     }
-    // Seats are of the title, whatever the number of its class: two more, and no third.
+    // Seats are of the title, whatever the index of its class: two more, and no third.
     assert!(sent(&harness.request_session(3, AT_MOST_ONCE)).is_some());
     assert!(sent(&harness.request_session(4, 2)).is_some());
     assert!(
@@ -264,10 +264,10 @@
     );
 }
 
-/// Room for a hand-over is the same as for a new session: who owes finds none where who does not owe does.
+/// Capacity for a migration is the same as for a new session: a tenant in debt finds none where another does.
 #[test]
 fn a_migration_finds_capacity_within_its_tenants_quota_only() {
-    let mut harness = shared([0.5, 0.5]);
+    let mut harness = shared_fleet([0.5, 0.5]);
     let loud = fill(&mut harness, 0..1000, LOUD);
     let quiet = fill(&mut harness, 1000..2000, QUIET);
     assert!(
@@ -279,13 +279,13 @@
     for (id, server) in &loud[..12] {
         harness.finish_attempt(*id, 0, *server, Outcome::Success);
     }
-    let moves = |harness: &mut DirectorHarness, id: u64| {
+    let migrates = |harness: &mut DirectorHarness, id: u64| {
         let out = harness.handle(Event::MigrationRequested(SessionId(id)));
         out.iter().any(|a| matches!(a, Action::Migrate { .. }))
     };
     assert!(
-        !moves(&mut harness, loud.last().unwrap().0),
-        "what came free is for who owes less"
+        !migrates(&mut harness, loud.last().unwrap().0),
+        "what came free is for the tenant of less debt"
     );
-    assert!(moves(&mut harness, quiet[0].0));
+    assert!(migrates(&mut harness, quiet[0].0));
 }
--- /dev/null
+++ b/tests/random_events/auditor.rs
@@ -0,0 +1,201 @@
+//! Checks every action of a director against the six rules, from what the events told.
+
+use crate::common::MILLISECOND;
+use shalewall::{Action, Idempotency, ServerId, SessionId, Settings, TimeDelta, Timestamp};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Answers may come so long after the deadline: batches are apart.
+const DEADLINE_TOLERANCE: TimeDelta = TimeDelta::from_millis(40);
+
+/// What is known of a request or session.
+#[derive(Default)]
+pub struct SeenSession {
+    pub class: usize,
+    pub requested_at: Timestamp,
+    pub deadline: Timestamp,
+    pub attempts: u32,
+    /// Server of the attempt that is out, or where it plays.
+    pub server: Option<ServerId>,
+    pub is_playing: bool,
+    pub may_have_run: bool,
+    pub is_answered: bool,
+}
+
+impl SeenSession {
+    fn awaits_answer(&self) -> bool {
+        !self.is_answered && !self.is_playing
+    }
+}
+
+/// A timer that the director set.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct PendingTimer {
+    pub due: Timestamp,
+    pub token: u64,
+}
+
+/// What the run has shown so far.
+pub struct Auditor {
+    pub now: Timestamp,
+    pub settings: Settings,
+    pub sessions: BTreeMap<u64, SeenSession>,
+    /// Servers that are listed as draining or gone.
+    pub closed_servers: BTreeSet<u64>,
+    /// When servers last started.
+    pub started: BTreeMap<u64, Timestamp>,
+    /// Attempts sent to servers that warm up.
+    pub warm_up_attempts: BTreeMap<u64, Vec<Timestamp>>,
+    pub requests: Vec<Timestamp>,
+    pub retries: Vec<Timestamp>,
+    pub timers: Vec<PendingTimer>,
+    pub attempts: u32,
+}
+
+impl Auditor {
+    /// An auditor of a director whose servers 1 to `servers` have just started.
+    pub fn new(settings: Settings, servers: u64) -> Auditor {
+        Auditor {
+            now: Timestamp::ZERO,
+            settings,
+            sessions: BTreeMap::new(),
+            closed_servers: BTreeSet::new(),
+            started: (1..=servers).map(|id| (id, Timestamp::ZERO)).collect(),
+            warm_up_attempts: BTreeMap::new(),
+            requests: Vec::new(),
+            retries: Vec::new(),
+            timers: Vec::new(),
+            attempts: 0,
+        }
+    }
+
+    /// Checks what a director does at one event, and that no request is forgotten.
+    pub fn check(&mut self, actions: &[Action]) {
+        for action in actions {
+            match action {
+                Action::SetTimer { after, token } => self.record_timer(*after, *token),
+                Action::SetRung { session, rung } => self.check_rung(*session, *rung),
+                Action::StartAttempt {
+                    session, server, ..
+                } => self.check_attempt(*session, *server),
+                Action::Reject { session, .. } => self.check_answer(*session, true),
+                Action::Fail { session } => self.check_answer(*session, false),
+                _ => {}
+            }
+        }
+        self.check_waiting_requests();
+    }
+
+    fn record_timer(&mut self, after: TimeDelta, token: u64) {
+        let due = self.now + after.max(TimeDelta::from_micros(1));
+        self.timers.push(PendingTimer { due, token });
+    }
+
+    fn check_rung(&self, session: SessionId, rung: usize) {
+        let seen = &self.sessions[&session.0];
+        let lowest = self.settings.classes[seen.class].lowest_rung;
+        assert!(rung >= lowest, "under the lowest rung");
+    }
+
+    fn check_attempt(&mut self, session: SessionId, server: ServerId) {
+        let seen = self.sessions.get_mut(&session.0).unwrap();
+        assert!(seen.awaits_answer(), "an attempt after the final answer");
+        assert!(seen.server.is_none(), "two attempts out");
+        let class = seen.class;
+        let is_idempotent = self.settings.classes[class].idempotency == Idempotency::Idempotent;
+        assert!(
+            is_idempotent || !seen.may_have_run,
+            "an at-most-once set-up twice"
+        );
+        assert!(
+            !self.closed_servers.contains(&server.0),
+            "an attempt at a draining server"
+        );
+        seen.server = Some(server);
+        seen.attempts += 1;
+        let is_retry = seen.attempts > 1;
+        self.attempts += 1;
+        if is_retry {
+            self.check_retry_budget();
+        }
+        self.check_warm_up(server);
+        self.check_seats(class);
+    }
+
+    fn check_retry_budget(&mut self) {
+        self.retries.push(self.now);
+        let budget = self.settings.rules.retry_budget.unwrap();
+        let window_start = self.now - budget.window;
+        let retries = self.retries.iter().filter(|at| **at >= window_start);
+        let requests = self.requests.iter().filter(|at| **at > window_start);
+        let allowed = budget.base + budget.per_request * requests.count() as f64;
+        assert!(retries.count() as f64 <= allowed, "retry budget");
+    }
+
+    fn check_warm_up(&mut self, server: ServerId) {
+        let rules = self.settings.rules;
+        let is_warming_up = |started: &Timestamp| self.now < *started + rules.warm_up;
+        if !self.started.get(&server.0).is_some_and(is_warming_up) {
+            return;
+        }
+        let attempts = self.warm_up_attempts.entry(server.0).or_default();
+        attempts.push(self.now);
+        let window_start = self.now - rules.overload_window;
+        let recent = attempts.iter().filter(|at| **at > window_start).count() as f64;
+        let capacity = self.settings.stream_capacity_by_kind[0];
+        // What all directors may send, and as much again for chance.
+        let pace_per_us = rules.overload_factor * rules.initial_capacity * capacity
+            / rules.warm_up.as_micros() as f64;
+        let most = 2.0 * pace_per_us * rules.overload_window.as_micros() as f64;
+        assert!(
+            recent <= most.max(1.0),
+            "warming server overloaded: {recent} of {most}"
+        );
+    }
+
+    fn check_seats(&self, class: usize) {
+        let seats = self.settings.classes[class].session_limit_per_title;
+        let is_held = |seen: &&SeenSession| seen.class == class && seen.server.is_some();
+        let held = self.sessions.values().filter(is_held).count() as u32;
+        assert!(seats == 0 || held <= seats, "seats");
+    }
+
+    fn check_answer(&mut self, session: SessionId, is_rejection: bool) {
+        let seen = self.sessions.get_mut(&session.0).unwrap();
+        assert!(seen.awaits_answer(), "two answers");
+        let class = &self.settings.classes[seen.class];
+        if is_rejection && class.idempotency == Idempotency::AtMostOnce {
+            assert!(
+                !seen.may_have_run && seen.server.is_none(),
+                "a rejection of what may have run"
+            );
+        }
+        assert!(
+            self.now <= seen.deadline + DEADLINE_TOLERANCE,
+            "a late answer"
+        );
+        seen.is_answered = true;
+    }
+
+    fn check_waiting_requests(&self) {
+        for seen in self.sessions.values().filter(|seen| seen.awaits_answer()) {
+            assert!(
+                self.now <= seen.deadline + DEADLINE_TOLERANCE,
+                "a request forgotten: received at {:?}",
+                seen.requested_at
+            );
+            assert!(seen.server.is_some(), "a request held without an attempt");
+        }
+    }
+
+    /// Takes out the first timer that is due by then.
+    pub fn next_timer(&mut self, until: Timestamp) -> Option<PendingTimer> {
+        self.timers.sort_unstable();
+        let is_due = self.timers.first().is_some_and(|timer| timer.due <= until);
+        is_due.then(|| self.timers.remove(0))
+    }
+
+    /// A moment after the last event.
+    pub fn moment_after(&self, millis: i64) -> Timestamp {
+        self.now + millis * MILLISECOND
+    }
+}
--- a/tests/retries.rs
+++ b/tests/retries.rs
@@ -46,29 +46,28 @@
 #[test]
 fn an_idempotent_attempt_is_retried_after_a_timeout_but_an_at_most_once_one_waits_for_the_viewer() {
     let mut harness = DirectorHarness::new(settings(), 4);
-    let patience = |out: &[Action]| {
+    let attempt_timeout = |out: &[Action]| {
         out.iter().find_map(|a| match a {
             Action::StartAttempt {
-                attempt_timeout: patience,
-                ..
-            } => Some(*patience),
+                attempt_timeout, ..
+            } => Some(*attempt_timeout),
             _ => None,
         })
     };
     assert!(
-        patience(&harness.request_session(1, IDEMPOTENT))
+        attempt_timeout(&harness.request_session(1, IDEMPOTENT))
             .unwrap()
             .is_some()
     );
     assert_eq!(
-        patience(&harness.request_session(2, AT_MOST_ONCE)),
+        attempt_timeout(&harness.request_session(2, AT_MOST_ONCE)),
         Some(None)
     );
 }
 
 #[test]
 fn every_pending_request_gets_its_final_answer_in_time_and_only_one() {
-    for (class, paid) in [(IDEMPOTENT, false), (AT_MOST_ONCE, true)] {
+    for (class, is_at_most_once) in [(IDEMPOTENT, false), (AT_MOST_ONCE, true)] {
         let mut harness = DirectorHarness::new(settings(), 4);
         let out = harness.request_session(9, class);
         let server = attempted_server(&out).unwrap();
@@ -79,8 +78,11 @@
         assert!(due.is_some_and(|d| d <= 4 * SECOND));
         harness.now += due.unwrap();
         let out = harness.handle(Event::TimerFired(9));
-        assert_eq!((is_failed(&out), is_rejected(&out)), (paid, !paid));
-        // The late outcome, a second bell and a late start find it answered.
+        assert_eq!(
+            (is_failed(&out), is_rejected(&out)),
+            (is_at_most_once, !is_at_most_once)
+        );
+        // The late outcome, a second timer and a late start find it answered.
         assert!(harness.handle(Event::TimerFired(9)).is_empty());
         assert!(harness.start_session(9, 0, server).is_empty());
         assert!(
@@ -123,7 +125,7 @@
     assert!(is_rejected(&harness.request_session(5, AT_MOST_ONCE)));
     harness.finish_attempt(1, 0, servers[0], Outcome::Cancelled);
     assert!(attempted_server(&harness.request_session(6, AT_MOST_ONCE)).is_some());
-    // A transferred_session session takes a seat too.
+    // A transferred session takes a seat too.
     let mut harness = DirectorHarness::new(settings(), 4);
     for id in 1..=3 {
         harness.transfer(id, AT_MOST_ONCE, ServerId(1));
@@ -137,7 +139,7 @@
     harness.notify(99, ServerId(1), Notification::LinkUtilization(0.90));
     assert!(
         is_rejected(&harness.request_session(1, AT_MOST_ONCE)),
-        "rung 0 would fit, the floor does not"
+        "rung 0 would fit, the lowest rung of the class does not"
     );
     assert_eq!(
         chosen_rung(&harness.request_session(2, IDEMPOTENT)),
@@ -165,17 +167,17 @@
 #[test]
 fn retries_stay_within_the_budget_with_strict_edges() {
     let mut harness = DirectorHarness::new(settings(), 4);
-    let again = |harness: &mut DirectorHarness, id| {
+    let retry = |harness: &mut DirectorHarness, id| {
         let server = attempted_server(&harness.request_session(id, IDEMPOTENT)).unwrap();
         attempted_server(&harness.finish_attempt(id, 0, server, Outcome::Rejected))
     };
-    assert!(again(&mut harness, 1).is_some());
-    assert!(again(&mut harness, 2).is_some());
-    assert!(again(&mut harness, 3).is_none());
+    assert!(retry(&mut harness, 1).is_some());
+    assert!(retry(&mut harness, 2).is_some());
+    assert!(retry(&mut harness, 3).is_none());
     harness.now += 10 * SECOND; // exactly the window: the old ones still count
-    assert!(again(&mut harness, 4).is_none());
+    assert!(retry(&mut harness, 4).is_none());
     harness.now += TimeDelta::from_micros(1);
-    assert!(again(&mut harness, 5).is_some());
+    assert!(retry(&mut harness, 5).is_some());
 }
 
 #[test]
@@ -183,10 +185,7 @@
     let mut harness = DirectorHarness::new(settings(), 0);
     let out = harness.request_session(1, AT_MOST_ONCE);
     let advice = out.iter().find_map(|a| match a {
-        Action::Reject {
-            retry_after: come_back,
-            ..
-        } => *come_back,
+        Action::Reject { retry_after, .. } => *retry_after,
         _ => None,
     });
     assert!(advice.is_some_and(|t| t > TimeDelta::ZERO && t <= SECOND));
@@ -247,7 +246,7 @@
         second,
         Outcome::Error
     )));
-    // One was judged by it, the other was not; and neither counts as one that may come back cold.
+    // The error counts against the first only, and neither counts as one that may have restarted.
     harness.now += 1500 * MILLISECOND;
     let sent: std::collections::BTreeSet<_> = (10..60)
         .filter_map(|id| attempted_server(&harness.request_session(id, IDEMPOTENT)))
--- a/tests/rung_changes.rs
+++ b/tests/rung_changes.rs
@@ -11,16 +11,18 @@
     Timestamp,
 };
 
+/// One server, and a session that plays there: the director, the server and the rung.
 fn playing_session(settings: Settings) -> (DirectorHarness, ServerId, usize) {
     let mut harness = DirectorHarness::new(settings, 1);
     let out = harness.request_session(1, IDEMPOTENT);
-    let (server, at) = (attempted_server(&out).unwrap(), chosen_rung(&out).unwrap());
+    let server = attempted_server(&out).unwrap();
+    let at = chosen_rung(&out).unwrap();
     harness.start_session(1, 0, server);
     harness.report_utilization(1, server, 0.2, 0.1);
     (harness, server, at)
 }
 
-/// One server, and on it a session that was transferred_session over at this rung.
+/// One server, and on it a session that was transferred at this rung.
 fn transferred_session(settings: Settings, class: usize, at: usize) -> (DirectorHarness, ServerId) {
     let mut harness = DirectorHarness {
         director: Director::new(1, settings, Timestamp::ZERO + 60 * SECOND),
@@ -33,16 +35,17 @@
     (harness, server)
 }
 
+/// A server reports each second that it delivers short.
 fn report_shortage(
     harness: &mut DirectorHarness,
     server: ServerId,
-    share: f64,
+    delivered: f64,
     seconds: usize,
 ) -> Vec<Action> {
     let mut all = Vec::new();
     for _ in 0..seconds {
         harness.now += SECOND;
-        all.extend(harness.notify(1, server, Notification::DeliveredFraction(share)));
+        all.extend(harness.notify(1, server, Notification::DeliveredFraction(delivered)));
     }
     all
 }
@@ -87,11 +90,11 @@
 fn a_lasting_shortage_downgrades_by_one_rung_and_waits_for_the_effect() {
     let (mut harness, server, at) = playing_session(settings());
     let out = report_shortage(&mut harness, server, 0.6, 2);
-    let steps = out
+    let downgrades = out
         .iter()
         .filter(|a| matches!(a, Action::SetRung { .. }))
         .count();
-    assert_eq!((steps, chosen_rung(&out)), (1, Some(at - 1)));
+    assert_eq!((downgrades, chosen_rung(&out)), (1, Some(at - 1)));
     assert!(
         chosen_rung(&report_shortage(&mut harness, server, 0.6, 2)).is_some(),
         "it lasts: once more"
@@ -100,9 +103,9 @@
 
 #[test]
 fn many_directors_with_one_session_each_free_together_what_is_missing_not_several_times_as_much() {
-    // slniecko-parents-later big-1: each stepped its one session, and uplinks went from 123% to 60%.
-    let steps = |share: f64| {
-        let stepped = |seed: &u64| {
+    // slniecko-parents-later big-1: each downgraded its one session, and uplinks went from 123% to 60%.
+    let downgraded = |delivered: f64| {
+        let is_downgraded = |seed: &u64| {
             let mut harness = DirectorHarness {
                 director: Director::new(*seed, settings(), Timestamp::ZERO),
                 now: Timestamp::ZERO + 60 * SECOND,
@@ -110,13 +113,13 @@
             harness.update_endpoints(EndpointUpdate::Full, vec![endpoint(1)]);
             harness.transfer(1, IDEMPOTENT, ServerId(1));
             harness.notify(1, ServerId(1), Notification::CurrentRung(2));
-            chosen_rung(&report_shortage(&mut harness, ServerId(1), share, 1)).is_some()
+            chosen_rung(&report_shortage(&mut harness, ServerId(1), delivered, 1)).is_some()
         };
-        (0..200).filter(stepped).count()
+        (0..200).filter(is_downgraded).count()
     };
-    // A step from 700 to 400 frees 43%; 0.9 misses 7%, and twice that is freed: a third of the sessions.
-    assert!((40..100).contains(&steps(0.9)), "{}", steps(0.9));
-    assert_eq!(steps(0.5), 200);
+    // From 700 to 400 kB/s frees 43%; 0.9 misses 7%, and twice that is freed: a third of the sessions.
+    assert!((40..100).contains(&downgraded(0.9)), "{}", downgraded(0.9));
+    assert_eq!(downgraded(0.5), 200);
 }
 
 #[test]
@@ -149,7 +152,7 @@
 
 #[test]
 fn a_transferred_session_is_reconsidered_once_reports_are_in() {
-    // Days began with all transferred_session sessions at the lowest rung on links a third full, and stayed so.
+    // Days began with all transferred sessions at the lowest rung on links a third full, and stayed so.
     let (mut harness, server) = transferred_session(settings(), IDEMPOTENT, 0);
     assert_eq!(
         chosen_rung(&harness.fire_tick()),
@@ -213,8 +216,8 @@
     assert!(chosen_rung(&harness.fire_tick()).is_some_and(|r| r > at));
 }
 
-/// Seen on sockets: the word of what played before the start comes some milliseconds after it. Taken for sessions
-/// set up since, it looked like a crowd, and the first 3 s of a director got the lowest rung.
+/// Seen on sockets: the transfer of sessions that played before the start comes some milliseconds after it. Taken for
+/// sessions set up since, they looked like a crowd, and the first 3 s of a director got the lowest rung.
 #[test]
 fn sessions_transferred_late_are_no_crowd() {
     let rung_after = |late: TimeDelta| {
--- a/tests/warm_up.rs
+++ b/tests/warm_up.rs
@@ -24,12 +24,12 @@
         sent += u32::from(attempted_server(&harness.request_session(id, IDEMPOTENT)).is_some());
         harness.now += 50 * MILLISECOND;
     }
-    // 2 x 30 places over 12 s at 0.4 is 4 in two seconds.
-    assert!((1..=6).contains(&sent), "{sent} set-ups in two seconds");
+    // 2 x 30 streams over 12 s at 0.4 is 4 in two seconds.
+    assert!((1..=6).contains(&sent), "{sent} attempts in two seconds");
 }
 
-/// Set-ups that so many directors send together when each is asked once, all for titles of one server.
-fn herd(directors: u32, list: impl Fn(&mut DirectorHarness)) -> usize {
+/// Attempts that so many directors send together when each is asked once, all for titles of one server.
+fn attempts_of_all(directors: u32, update: impl Fn(&mut DirectorHarness)) -> usize {
     let settings = Settings {
         director_count: directors,
         ..settings()
@@ -40,7 +40,7 @@
                 director: Director::new(*id, settings.clone(), Timestamp::ZERO),
                 now: Timestamp::ZERO,
             };
-            list(&mut harness);
+            update(&mut harness);
             attempted_server(&harness.request_session(1000 + id, IDEMPOTENT)).is_some()
         })
         .count()
@@ -49,7 +49,7 @@
 #[test]
 fn three_hundred_directors_do_not_overload_a_warming_server_with_one_attempt_each() {
     // preempt, zone loss: the replacement is empty, so all send there, and each one's first was free.
-    let fresh = |harness: &mut DirectorHarness| {
+    let started = |harness: &mut DirectorHarness| {
         harness.now = Timestamp::ZERO + 60 * SECOND;
         harness.update_endpoints(
             EndpointUpdate::Delta,
@@ -59,11 +59,13 @@
             }],
         );
     };
-    // 2 x 30 places over 12 s at 0.4 is 4 in two seconds.
-    let sent: Vec<usize> = [10, 30, 100, 300].map(|n| herd(n, fresh)).into();
+    // 2 x 30 streams over 12 s at 0.4 is 4 in two seconds.
+    let sent: Vec<usize> = [10, 30, 100, 300]
+        .map(|n| attempts_of_all(n, started))
+        .into();
     assert!(
         sent.iter().all(|n| *n <= 6) && sent.iter().sum::<usize>() >= 4,
-        "{sent:?} set-ups"
+        "{sent:?} attempts"
     );
 }
 
@@ -104,6 +106,6 @@
         harness.update_endpoints(EndpointUpdate::Cached, vec![endpoint(1)]);
     };
     // The fleet of 4 cells shares what is asked, so 4 times as many may go to each.
-    let sent = herd(300, cached);
-    assert!((4..=20).contains(&sent), "{sent} set-ups");
+    let sent = attempts_of_all(300, cached);
+    assert!((4..=20).contains(&sent), "{sent} attempts");
 }
