--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -5,7 +5,7 @@
 use clap::{Parser, Subcommand};
 use manage::{Reach, StoreCommand, TenantCommand};
 use shalewall_scripted_days::{self as day, Emulation};
-use shalewall_server::serve;
+use shalewall_server::Server;
 use shalewall_settings::{AdminPlan, DayPlan, Error, FrontPlan, SettingsFile, read};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -136,8 +136,8 @@
             }
             logs();
             let ex = Rc::new(async_executor::LocalExecutor::new());
-            let serving = serve::start(&ex, &plan).map_err(bad)?;
-            async_io::block_on(ex.run(serving.until_told())).map_err(bad)?;
+            let server = Server::start(&ex, &plan).map_err(bad)?;
+            async_io::block_on(ex.run(server.run_until_signal())).map_err(bad)?;
         }
         Command::Direct { config } => {
             logs();
--- a/crates/emulator/src/nodes.rs
+++ b/crates/emulator/src/nodes.rs
@@ -11,12 +11,10 @@
 use futures_lite::{StreamExt, future, stream};
 use rustix::net::sockopt::set_socket_linger;
 use serde::Deserialize;
-use shalewall::{SessionId, TimeDelta};
+use shalewall::SessionId;
 use shalewall_audit::{Ran, Record};
-use shalewall_fleet_model::fleet::{
-    ActiveSession, AttemptId, Fleet, Machine, ProcessState, SetupDecision,
-};
-use shalewall_fleet_model::notifications::Notifier;
+use shalewall_fleet_model::fleet::{Arrival, Fleet, Machine, Playing, Process, Run};
+use shalewall_fleet_model::news::Teller;
 use shalewall_http::server::{Ended, Reply, Request, serve};
 use shalewall_http::{Limits, sse};
 use shalewall_migration::Epoch;
@@ -67,17 +65,17 @@
     fleet: Fleet,
     sockets: BTreeMap<u64, Socket>,
     /// Streams that viewers have open of a session: two for a moment, where one is opened again.
-    watched: BTreeMap<(u64, AttemptId), usize>,
+    watched: BTreeMap<(u64, Run), usize>,
     /// What each node's process knows of hand-overs, and those that it makes ready now.
     holds: BTreeMap<u64, NodeSessions>,
-    preparing: BTreeSet<(u64, AttemptId)>,
+    preparing: BTreeSet<(u64, Run)>,
     /// Connections that could not be taken.
     lacked: u64,
 }
 
 impl Inner {
     /// Sessions that play at a node for a front.
-    fn held_for(&self, id: u64, director: u32) -> Vec<AttemptId> {
+    fn held_for(&self, id: u64, director: u32) -> Vec<Run> {
         let playing = self
             .fleet
             .nodes
@@ -114,7 +112,7 @@
 }
 
 impl SetUp {
-    fn playing(self) -> ActiveSession {
+    fn playing(self) -> Playing {
         let SetUp {
             director,
             viewer,
@@ -124,15 +122,15 @@
             rung,
             kb,
         } = self;
-        ActiveSession {
+        Playing {
             director,
             viewer,
             tenant,
             class,
             title,
             rung,
-            rate_kb_s: kb,
-            true_rate_kb_s: kb,
+            kb,
+            true_kb: kb,
         }
     }
 }
@@ -147,7 +145,7 @@
 struct Pending {
     nodes: Nodes,
     node: u64,
-    run: AttemptId,
+    run: Run,
     armed: bool,
     counted: bool,
 }
@@ -155,7 +153,7 @@
 impl Pending {
     fn over(&mut self, ran: Ran) {
         self.armed = false;
-        let AttemptId { session, attempt } = self.run;
+        let (session, attempt) = self.run;
         self.nodes.recorder.note(Record::SetUpDone {
             t: shalewall_clock::now().as_micros(),
             node: self.node,
@@ -171,19 +169,19 @@
         if self.armed {
             self.over(Ran::Given);
             if self.counted {
-                self.nodes.inner.borrow_mut().fleet.abandon_setup(self.node);
+                self.nodes.inner.borrow_mut().fleet.give_up(self.node);
             }
         }
     }
 }
 
 /// `/sessions/{id}/{attempt}` or what a start line of one says, even if it is cut behind that.
-fn run_of(target: &str) -> Option<AttemptId> {
+fn run_of(target: &str) -> Option<Run> {
     let mut parts = target.strip_prefix("/sessions/")?.split('/');
-    Some(AttemptId {
-        session: parts.next()?.parse().ok()?,
-        attempt: parts.next()?.split(' ').next()?.parse().ok()?,
-    })
+    Some((
+        parts.next()?.parse().ok()?,
+        parts.next()?.split(' ').next()?.parse().ok()?,
+    ))
 }
 
 impl Nodes {
@@ -220,16 +218,13 @@
 
     /// Brings a machine up and gives its address; the same as before where it had one.
     pub fn start(&self, machine: Machine, warm: bool) -> std::io::Result<SocketAddr> {
-        let (id, places, cell) = (machine.id, machine.stream_capacity, Some(machine.cell));
+        let (id, places, cell) = (machine.id, machine.places, Some(machine.cell));
         let before = self.inner.borrow().sockets.get(&id).map(|s| s.address);
         let listener = TcpListener::bind(before.unwrap_or(SocketAddr::from(([127, 0, 0, 1], 0))))?;
         let address = listener.local_addr()?;
         let listener = Async::new(listener)?;
         let now = shalewall_clock::now().as_micros();
-        self.inner
-            .borrow_mut()
-            .fleet
-            .start(machine, shalewall::Timestamp::from_micros(now), warm);
+        self.inner.borrow_mut().fleet.start(machine, now, warm);
         self.inner
             .borrow_mut()
             .holds
@@ -264,7 +259,7 @@
             .fleet
             .nodes
             .get(&id)
-            .is_some_and(|n| n.fell_over);
+            .is_some_and(|n| n.fell);
         let mut inner = self.inner.borrow_mut();
         if let Some(socket) = inner.sockets.get_mut(&id) {
             if socket.accepts.take().is_none() {
@@ -274,7 +269,7 @@
             socket.died.notify(usize::MAX.relaxed());
         }
         if let Some(node) = inner.fleet.nodes.get_mut(&id) {
-            node.process = ProcessState::Down;
+            node.process = Process::Down;
             node.playing.clear();
         }
         drop(inner);
@@ -288,9 +283,9 @@
     /// The process stands still; connections stay, nothing is answered.
     pub fn freeze(&self, id: u64) {
         if let Some(node) = self.inner.borrow_mut().fleet.nodes.get_mut(&id)
-            && node.process == ProcessState::Running
+            && node.process == Process::Runs
         {
-            node.process = ProcessState::Frozen;
+            node.process = Process::Frozen;
             self.recorder.note(Record::Froze {
                 t: shalewall_clock::now().as_micros(),
                 node: id,
@@ -301,9 +296,9 @@
     pub fn thaw(&self, id: u64) {
         let mut inner = self.inner.borrow_mut();
         if let Some(node) = inner.fleet.nodes.get_mut(&id)
-            && node.process == ProcessState::Frozen
+            && node.process == Process::Frozen
         {
-            node.process = ProcessState::Running;
+            node.process = Process::Runs;
             self.recorder.note(Record::Thawed {
                 t: shalewall_clock::now().as_micros(),
                 node: id,
@@ -326,7 +321,7 @@
             .fleet
             .nodes
             .values()
-            .filter(|n| n.process == ProcessState::Running);
+            .filter(|n| n.process == Process::Runs);
         runs.map(|n| n.machine.id).collect()
     }
 
@@ -350,8 +345,8 @@
             .fleet
             .nodes
             .get(&id)
-            .filter(|n| n.process != ProcessState::Down)?;
-        Some((node.started_at.as_micros(), node.started_warm))
+            .filter(|n| n.process != Process::Down)?;
+        Some((node.up, node.warm))
     }
 
     /// Connections that could not be taken for want of something of this machine's own.
@@ -410,7 +405,7 @@
                 let text = String::from_utf8_lossy(&bytes);
                 let run = text.split(' ').nth(1).and_then(run_of);
                 let (t, bytes) = (shalewall_clock::now().as_micros(), bytes.len());
-                let (session, attempt) = (run.map(|r| r.session), run.map(|r| r.attempt));
+                let (session, attempt) = (run.map(|r| r.0), run.map(|r| r.1));
                 self.recorder.note(Record::Partial {
                     t,
                     node: id,
@@ -432,7 +427,7 @@
                     .fleet
                     .nodes
                     .get(&id)
-                    .is_some_and(|n| n.process == ProcessState::Frozen);
+                    .is_some_and(|n| n.process == Process::Frozen);
                 match inner.sockets.get(&id) {
                     Some(socket) if frozen => socket.thawed.listen(),
                     _ => return,
@@ -444,7 +439,7 @@
 
     /// An answer with the load figures that every answer carries.
     fn with_load(&self, id: u64, reply: Reply) -> Reply {
-        let f = self.inner.borrow().fleet.reported_load(id);
+        let f = self.inner.borrow().fleet.told(id);
         reply.with(
             "Shalewall-Load",
             format!(
@@ -476,7 +471,7 @@
                 self.recorder.note(Record::Rung {
                     t,
                     node: id,
-                    session: run.session,
+                    session: run.0,
                     rung: new.rung,
                 });
                 self.with_load(id, Reply::new(204))
@@ -509,7 +504,7 @@
         }
     }
 
-    async fn set_up(self, id: u64, run: AttemptId, body: &[u8]) -> Reply {
+    async fn set_up(self, id: u64, run: Run, body: &[u8]) -> Reply {
         let Ok(new) = serde_json::from_slice::<SetUp>(body) else {
             return Reply::problem(422, "director, class, title, rung and kb are needed");
         };
@@ -518,8 +513,8 @@
             t: now,
             node: id,
             director: new.director,
-            session: run.session,
-            attempt: run.attempt,
+            session: run.0,
+            attempt: run.1,
             tenant: new.tenant.clone(),
             class: new.class.clone(),
             title: new.title.clone(),
@@ -534,44 +529,35 @@
         };
         let never_ran =
             |status, what| Reply::problem(status, what).with("Shalewall-Never-Ran", "yes");
-        let arrival = self.inner.borrow_mut().fleet.begin_setup(
-            id,
-            run,
-            shalewall::Timestamp::from_micros(now),
-        );
+        let arrival = self.inner.borrow_mut().fleet.arrive(id, run, now);
         match arrival {
-            SetupDecision::Overloaded => {
+            Arrival::Falls => {
                 self.crash(id);
                 future::pending().await
             }
-            SetupDecision::Cancelled => {
+            Arrival::Ended => {
                 self.awake(id).await;
                 pending.over(Ran::Ended);
                 self.with_load(id, never_ran(410, "ended before it began"))
             }
-            SetupDecision::Rejected => {
+            Arrival::Full => {
                 self.awake(id).await;
                 pending.over(Ran::TurnedAway);
                 self.with_load(id, never_ran(503, "no place"))
             }
-            SetupDecision::Accepted(time) => {
+            Arrival::Takes(time) => {
                 pending.counted = true;
-                Timer::after(Duration::from_micros(time.as_micros().max(0) as u64)).await;
+                Timer::after(Duration::from_micros(time.max(0) as u64)).await;
                 self.awake(id).await;
                 pending.counted = false;
                 let rung = new.rung;
-                if !self
-                    .inner
-                    .borrow_mut()
-                    .fleet
-                    .complete_setup(id, run, new.playing())
-                {
+                if !self.inner.borrow_mut().fleet.begin(id, run, new.playing()) {
                     pending.over(Ran::Ended);
                     return self.with_load(id, never_ran(410, "ended before it began"));
                 }
                 pending.over(Ran::Plays);
                 if let Some(holds) = self.inner.borrow_mut().holds.get_mut(&id) {
-                    holds.set_up(SessionId(run.session));
+                    holds.set_up(SessionId(run.0));
                 }
                 self.ex.spawn(self.clone().unfetched(id, run)).detach();
                 let media = self.media_of(id, run);
@@ -581,16 +567,13 @@
         }
     }
 
-    fn media_of(&self, id: u64, run: AttemptId) -> String {
+    fn media_of(&self, id: u64, run: Run) -> String {
         let address = self.address(id).map_or(String::new(), |a| a.to_string());
-        format!(
-            "http://{address}/sessions/{}/{}/media",
-            run.session, run.attempt
-        )
+        format!("http://{address}/sessions/{}/{}/media", run.0, run.1)
     }
 
     /// A session that nobody fetches ends.
-    async fn unfetched(self, id: u64, run: AttemptId) {
+    async fn unfetched(self, id: u64, run: Run) {
         Timer::after(FETCH_WITHIN).await;
         if !self.inner.borrow().watched.contains_key(&(id, run)) {
             self.end_here(id, run);
@@ -598,25 +581,25 @@
     }
 
     /// Ends a session at its node and tells its front.
-    fn end_here(&self, id: u64, run: AttemptId) {
+    fn end_here(&self, id: u64, run: Run) {
         let director = {
             let mut inner = self.inner.borrow_mut();
             let playing = inner.fleet.nodes.get(&id).and_then(|n| n.playing.get(&run));
             let Some(director) = playing.map(|p| p.director) else {
                 return;
             };
-            inner.fleet.end_session(id, run);
+            inner.fleet.end(id, run);
             // It may be handed back to this node later, under a later epoch.
             let held = inner
                 .holds
                 .get(&id)
-                .map(|h| h.epochs(SessionId(run.session)))
+                .map(|h| h.epochs(SessionId(run.0)))
                 .unwrap_or_default();
             let (holds, upto) = (inner.holds.get_mut(&id), held.serving.max(held.prepared));
             holds
                 .zip(upto)
                 .into_iter()
-                .for_each(|(h, upto)| h.release(SessionId(run.session), upto));
+                .for_each(|(h, upto)| h.release(SessionId(run.0), upto));
             director
         };
         self.over(id, run);
@@ -624,11 +607,11 @@
             id,
             director,
             "ended",
-            serde_json::json!({ "session": run.session, "attempt": run.attempt }).to_string(),
+            serde_json::json!({ "session": run.0, "attempt": run.1 }).to_string(),
         );
     }
 
-    fn over(&self, id: u64, AttemptId { session, attempt }: AttemptId) {
+    fn over(&self, id: u64, (session, attempt): Run) {
         self.recorder.note(Record::Over {
             t: shalewall_clock::now().as_micros(),
             node: id,
@@ -701,7 +684,7 @@
     async fn lapse(self, id: u64, director: u32) {
         Timer::after(LEASE).await;
         self.awake(id).await;
-        let runs: Vec<AttemptId> = {
+        let runs: Vec<Run> = {
             let inner = self.inner.borrow();
             let open = inner.sockets.get(&id).and_then(|s| s.fronts.get(&director));
             if open.is_some_and(|s| !s.is_closed()) {
@@ -714,13 +697,16 @@
 
     /// Looks at the fleet and tells fronts what there is to tell.
     async fn tell(self) {
-        let mut teller = Notifier::new(
-            TimeDelta::from_micros(self.telling.every.as_micros() as i64),
-            TimeDelta::from_micros(self.telling.late.as_micros() as i64),
+        let mut teller = Teller::new(
+            self.telling.every.as_micros() as i64,
+            self.telling.late.as_micros() as i64,
         );
         loop {
             Timer::after(FRAME).await;
-            let news = teller.poll(&mut self.inner.borrow_mut().fleet, shalewall_clock::now());
+            let news = teller.look(
+                &mut self.inner.borrow_mut().fleet,
+                shalewall_clock::now().as_micros(),
+            );
             for n in news {
                 let note = serde_json::json!({ "session": n.session, "delivered": n.delivered,
                     "link": n.link, "uplink": n.uplink });
--- a/crates/scripted-days/src/run.rs
+++ b/crates/scripted-days/src/run.rs
@@ -146,9 +146,9 @@
     format!(
         "{:>4.0} s  {} asked, {} play now, {} refused, {} failed, {} without an answer",
         elapsed.as_secs_f64(),
-        count.requested,
+        count.asked,
         emulation.nodes.playing(),
-        count.rejected,
+        count.refused,
         count.failed,
         count.unanswered
     )
--- /dev/null
+++ b/crates/server/src/admin_client.rs
@@ -0,0 +1,79 @@
+//! The administration API as a director calls it.
+
+use shalewall_http::Limits;
+use shalewall_http::client::{Call, Failure, Response, in_time};
+use shalewall_http::pool::Pool;
+use shalewall_settings::Hosting;
+use std::time::Duration;
+use thiserror::Error;
+
+/// An idle connection to the API is kept for so long.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Why a call to the API brought nothing.
+#[derive(Debug, Error)]
+pub enum AdminCallError {
+    /// No answer came within the call's time.
+    #[error("no answer in time")]
+    TimedOut,
+    /// No complete answer came.
+    #[error("{0}")]
+    Failed(Failure),
+    /// The API did not do it.
+    #[error("status {0}")]
+    Status(u16),
+    /// The answer is not of the right form.
+    #[error(transparent)]
+    Json(#[from] serde_json::Error),
+}
+
+/// Calls the API with a director's token.
+pub struct AdminClient {
+    pool: Pool,
+    host: String,
+    authorization: String,
+}
+
+impl AdminClient {
+    /// `max_body`: bytes of an answer at most.
+    pub fn new(hosting: &Hosting, token: &str, max_body: usize) -> AdminClient {
+        let limits = Limits {
+            body: max_body,
+            ..Limits::default()
+        };
+        AdminClient {
+            pool: Pool::new(hosting.admin, limits, IDLE_TIMEOUT, 1),
+            host: hosting.admin.to_string(),
+            authorization: format!("Bearer {}", token.trim()),
+        }
+    }
+
+    /// Gets something.
+    pub async fn get(&self, target: &str, timeout: Duration) -> Result<Response, AdminCallError> {
+        self.call(Call::new("GET", target, &self.host), timeout)
+            .await
+    }
+
+    /// Posts JSON.
+    pub async fn post(
+        &self,
+        target: &str,
+        body: &str,
+        timeout: Duration,
+    ) -> Result<Response, AdminCallError> {
+        let call = Call::new("POST", target, &self.host).json(body.as_bytes());
+        self.call(call, timeout).await
+    }
+
+    async fn call(&self, call: Call<'_>, timeout: Duration) -> Result<Response, AdminCallError> {
+        let fields = [("Authorization", self.authorization.as_str())];
+        let call = call.fields(&fields);
+        let answer = in_time(timeout, self.pool.call(&call)).await;
+        let answer = answer.ok_or(AdminCallError::TimedOut)?;
+        let answer = answer.map_err(AdminCallError::Failed)?;
+        match answer.head.status {
+            200..=299 => Ok(answer),
+            status => Err(AdminCallError::Status(status)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/server/src/connections.rs
@@ -0,0 +1,124 @@
+//! The connections of a director that tenants share: which tenant's each is, by the head of its requests, and which
+//! are closed for others. What is decided is decided in `shalewall_tenancy::connections`.
+
+use crate::tenants::Tenants;
+use async_executor::Task;
+use shalewall_http::Bad;
+use shalewall_http::head::RequestHead;
+use shalewall_http::server::Gate;
+use shalewall_tenancy::connections::{AssignError, ConnectionId};
+use shalewall_tenancy::tenant::TenantId;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+/// The field by which a request says whose it is before its content is read.
+pub const TENANT_FIELD: &str = "shalewall-tenant";
+
+/// All connections of a director that tenants share.
+pub struct TenantConnections {
+    tenants: Rc<Tenants>,
+    tasks: RefCell<HashMap<ConnectionId, Task<()>>>,
+}
+
+impl TenantConnections {
+    /// None is open yet.
+    pub fn new(tenants: Rc<Tenants>) -> Rc<TenantConnections> {
+        Rc::new(TenantConnections {
+            tenants,
+            tasks: RefCell::default(),
+        })
+    }
+
+    /// A connection has come; none: there is no room, and it is to be closed.
+    pub fn open(self: &Rc<TenantConnections>) -> Option<AdmittedConnection> {
+        let opened = self.tenants.connections().open()?;
+        self.evict(opened.evicted);
+        Some(AdmittedConnection {
+            connections: self.clone(),
+            id: opened.id,
+        })
+    }
+
+    /// The task that serves a connection.
+    pub fn set_task(&self, id: ConnectionId, task: Task<()>) {
+        self.tasks.borrow_mut().insert(id, task);
+    }
+
+    /// Closes a connection by dropping the task that serves it.
+    fn evict(&self, evicted: Option<ConnectionId>) {
+        let task = evicted.and_then(|id| self.tasks.borrow_mut().remove(&id));
+        drop(task);
+    }
+}
+
+/// One connection's place, held for as long as it is served.
+pub struct AdmittedConnection {
+    connections: Rc<TenantConnections>,
+    /// Which it is.
+    pub id: ConnectionId,
+}
+
+impl AdmittedConnection {
+    /// Books the connection for the tenant that a head names.
+    fn assign(&self, tenant: &TenantId) -> Result<(), Bad> {
+        let tenants = &self.connections.tenants;
+        let assigned = tenants.connections().assign(self.id, tenant);
+        match assigned {
+            Ok(evicted) => {
+                self.connections.evict(evicted);
+                Ok(())
+            }
+            Err(AssignError::UnknownTenant) => Err(unknown_tenant()),
+            Err(AssignError::TenantLimit) => Err(Bad::new(503, "above the tenant's connections")),
+            Err(AssignError::Quota) => Err(Bad::new(
+                503,
+                "the front is full, and the tenant has its part",
+            )),
+        }
+    }
+}
+
+fn unknown_tenant() -> Bad {
+    Bad::new(404, "tenant is not known here")
+}
+
+impl Gate for AdmittedConnection {
+    fn head(&mut self, head: &RequestHead, size: usize) -> Result<usize, Bad> {
+        let Some(name) = head.fields.get(TENANT_FIELD) else {
+            return Ok(usize::MAX);
+        };
+        let Ok(tenant) = TenantId::try_from(name.to_string()) else {
+            return Err(unknown_tenant());
+        };
+        if self.connections.tenants.is_empty() {
+            return Ok(usize::MAX);
+        }
+        self.assign(&tenant)?;
+        let connections = self.connections.tenants.connections();
+        let Some(limits) = connections.limits(&tenant) else {
+            return Err(unknown_tenant());
+        };
+        if limits.head_bytes.is_some_and(|most| size > most as usize) {
+            return Err(Bad::new(431, "the head is above the tenant's limit"));
+        }
+        Ok(limits.body_bytes.map_or(usize::MAX, |most| most as usize))
+    }
+
+    fn whole(&mut self) {
+        self.connections.tenants.connections().mark_busy(self.id);
+    }
+
+    fn idle(&mut self) {
+        self.connections.tenants.connections().mark_idle(self.id);
+    }
+}
+
+impl Drop for AdmittedConnection {
+    fn drop(&mut self) {
+        self.connections.tenants.connections().close(self.id);
+        // Its own task, if it ends by itself: detached, since it is what runs this.
+        let own = self.connections.tasks.borrow_mut().remove(&self.id);
+        own.into_iter().for_each(Task::detach);
+    }
+}
--- /dev/null
+++ b/crates/server/src/endpoint_list.rs
@@ -0,0 +1,152 @@
+//! The endpoint list, pushed to this director.
+
+use crate::director::Director;
+use async_io::Timer;
+use serde::Deserialize;
+use shalewall::{EndpointState, EndpointUpdate, ServerId};
+use shalewall_engine::{EndpointEntry, Input};
+use shalewall_http::client::{Call, Events, in_time};
+use shalewall_http::pool::Pool;
+use std::net::{AddrParseError, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+use thiserror::Error;
+use tracing::{info, warn};
+
+/// Pause between attempts at the list's stream.
+const RECONNECT_DELAY: Duration = Duration::from_millis(500);
+/// One event holds at most so many bytes: a list of some thousand nodes.
+const MAX_EVENT_BYTES: usize = 8 * 1024 * 1024;
+
+/// Why an update of the list is not taken.
+#[derive(Debug, Error)]
+pub enum EndpointListError {
+    /// It is not JSON, or not of the right form.
+    #[error(transparent)]
+    Json(#[from] serde_json::Error),
+    /// A node's state is none.
+    #[error("server {server}: '{state}' is no standing")]
+    UnknownState {
+        /// The node.
+        server: u64,
+        /// What the list says.
+        state: String,
+    },
+    /// A node's address is none.
+    #[error("server {server}: address: {error}")]
+    InvalidAddress {
+        /// The node.
+        server: u64,
+        /// What is wrong with it.
+        error: AddrParseError,
+    },
+    /// A node's weight is negative or no number.
+    #[error("server {server}: weight {weight}")]
+    InvalidWeight {
+        /// The node.
+        server: u64,
+        /// What the list says.
+        weight: f64,
+    },
+}
+
+/// An entry as the list sends it.
+#[derive(Deserialize)]
+struct WireEntry {
+    server: u64,
+    address: Option<String>,
+    #[serde(default)]
+    zone: String,
+    #[serde(default)]
+    kind: String,
+    cell: u64,
+    standing: String,
+    #[serde(default = "default_weight")]
+    weight: f64,
+    started: Option<i64>,
+}
+
+fn default_weight() -> f64 {
+    1.0
+}
+
+impl TryFrom<WireEntry> for EndpointEntry {
+    type Error = EndpointListError;
+
+    fn try_from(wire: WireEntry) -> Result<EndpointEntry, EndpointListError> {
+        let server = wire.server;
+        let state = match wire.standing.as_str() {
+            "ready" => EndpointState::Ready,
+            "draining" => EndpointState::Draining,
+            "gone" => EndpointState::Gone,
+            _ => {
+                let state = wire.standing;
+                return Err(EndpointListError::UnknownState { server, state });
+            }
+        };
+        let address = wire.address.as_deref().map(str::parse).transpose();
+        let address =
+            address.map_err(|error| EndpointListError::InvalidAddress { server, error })?;
+        let weight = wire.weight;
+        if !weight.is_finite() || weight < 0.0 {
+            return Err(EndpointListError::InvalidWeight { server, weight });
+        }
+        Ok(EndpointEntry {
+            server: ServerId(server),
+            address,
+            zone: wire.zone,
+            machine_kind: wire.kind,
+            cell: wire.cell,
+            state,
+            weight,
+            started_at: wire.started,
+        })
+    }
+}
+
+/// Reads an update, all of it or nothing.
+fn decode_entries(data: &str) -> Result<Vec<EndpointEntry>, EndpointListError> {
+    let entries: Vec<WireEntry> = serde_json::from_str(data)?;
+    entries.into_iter().map(EndpointEntry::try_from).collect()
+}
+
+/// Keeps the list's stream open and passes on its updates; while it is away, the last list stands.
+pub async fn watch(address: SocketAddr, director: Rc<Director>, sink: impl Fn(Input) + 'static) {
+    let timeout = director.stream_timeout;
+    let pool = Pool::new(address, director.limits.clone(), Duration::ZERO, 0);
+    let host = address.to_string();
+    let target = format!("/servers?director={}", director.number);
+    let call = Call::new("GET", &target, &host);
+    loop {
+        let opening = async { pool.connect().await?.stream(&call).await };
+        if let Some(Ok((head, incoming))) = in_time(timeout, opening).await
+            && head.status == 200
+        {
+            info!("endpoint list connected");
+            let mut events = Events::new(incoming, MAX_EVENT_BYTES);
+            while let Some(batch) = events.next(timeout).await {
+                for event in batch {
+                    pass_on_update(&event.kind, &event.data, &sink);
+                }
+            }
+            warn!("endpoint list disconnected");
+            sink(Input::EndpointsUpdated {
+                update: EndpointUpdate::Failed,
+                endpoints: Vec::new(),
+            });
+        }
+        Timer::after(RECONNECT_DELAY).await;
+    }
+}
+
+fn pass_on_update(kind: &str, data: &str, sink: &impl Fn(Input)) {
+    let update = match kind {
+        "full" => EndpointUpdate::Full,
+        "delta" => EndpointUpdate::Delta,
+        _ => return,
+    };
+    match decode_entries(data) {
+        Ok(endpoints) => sink(Input::EndpointsUpdated { update, endpoints }),
+        Err(error) => warn!(%error, "endpoint list update rejected"),
+    }
+}
--- /dev/null
+++ b/crates/server/src/node/events.rs
@@ -0,0 +1,187 @@
+//! A node's event stream: kept open, and what it tells decoded for the engine.
+
+use super::NodeConnections;
+use crate::director::Director;
+use async_io::Timer;
+use serde::Deserialize;
+use serde_json::Value;
+use shalewall::{ServerId, SessionId};
+use shalewall_engine::{Input, NodeEvent, SessionAttempt, TransferredSession};
+use shalewall_http::client::{Call, Events, Failure, Unconnected, in_time};
+use shalewall_migration::Epoch;
+use shalewall_migration::node::SessionEpochs;
+use std::rc::Rc;
+use std::time::Duration;
+use tracing::{debug, info, warn};
+
+/// First pause between attempts at an event stream; each one doubles it.
+const MIN_BACKOFF: Duration = Duration::from_millis(200);
+/// Longest pause between attempts.
+const MAX_BACKOFF: Duration = Duration::from_secs(2);
+/// One event holds at most so many bytes: a snapshot of all sessions of a node.
+const MAX_EVENT_BYTES: usize = 4 * 1024 * 1024;
+
+/// How an attempt at an event stream ended.
+enum StreamEnd {
+    /// It was open for a while.
+    Closed,
+    /// The connection was refused: the node's process is gone.
+    Refused,
+    /// It never opened, or what came on it was not understood.
+    Failed,
+}
+
+/// Keeps a node's event stream open and passes on what it tells.
+pub async fn watch(
+    connections: Rc<NodeConnections>,
+    director: Rc<Director>,
+    sink: impl Fn(Input) + 'static,
+) {
+    let server = connections.server;
+    let mut backoff = MIN_BACKOFF;
+    loop {
+        match read_stream(&connections, &director, &sink).await {
+            StreamEnd::Closed => backoff = MIN_BACKOFF,
+            StreamEnd::Refused => {
+                info!(server = server.0, "node connection refused");
+                sink(Input::NodeDown { server });
+            }
+            StreamEnd::Failed => {}
+        }
+        Timer::after(backoff).await;
+        backoff = (backoff * 2).min(MAX_BACKOFF);
+    }
+}
+
+async fn read_stream(
+    connections: &NodeConnections,
+    director: &Director,
+    sink: &impl Fn(Input),
+) -> StreamEnd {
+    let server = connections.server;
+    let timeout = director.stream_timeout;
+    let requested_at = shalewall_clock::now().as_micros();
+    let connection = match in_time(timeout, connections.pool.connect()).await {
+        None => return StreamEnd::Failed,
+        Some(Ok(connection)) => connection,
+        // Only this is proof. Out of descriptors, or without a route, a director knows nothing of its nodes.
+        Some(Err(Failure::NotConnected(Unconnected::Refused, _))) => return StreamEnd::Refused,
+        Some(Err(error)) => {
+            debug!(server = server.0, %error, "node event stream not connected");
+            return StreamEnd::Failed;
+        }
+    };
+    let target = format!("/events?director={}", director.number);
+    let call = Call::new("GET", &target, &connections.host);
+    let Some(Ok((head, incoming))) = in_time(timeout, connection.stream(&call)).await else {
+        return StreamEnd::Failed;
+    };
+    if head.status != 200 {
+        let status = head.status;
+        warn!(server = server.0, status, "node event stream refused");
+        return StreamEnd::Failed;
+    }
+    let mut events = Events::new(incoming, MAX_EVENT_BYTES);
+    while let Some(batch) = events.next(timeout).await {
+        for event in batch {
+            if event.kind != "held" {
+                pass_on_event(server, &event.kind, &event.data, sink);
+            } else if !pass_on_snapshot(server, requested_at, &event.data, sink) {
+                return StreamEnd::Failed;
+            }
+        }
+    }
+    StreamEnd::Closed
+}
+
+fn pass_on_event(server: ServerId, kind: &str, data: &str, sink: &impl Fn(Input)) {
+    match decode_event(kind, data) {
+        Some(event) => sink(Input::NodeNotified { server, event }),
+        None => warn!(server = server.0, kind, "node event not decoded"),
+    }
+}
+
+/// False where the snapshot is not understood.
+fn pass_on_snapshot(
+    server: ServerId,
+    requested_at: i64,
+    data: &str,
+    sink: &impl Fn(Input),
+) -> bool {
+    let Ok(snapshot) = serde_json::from_str::<Vec<SnapshotEntry>>(data) else {
+        warn!(server = server.0, "node snapshot not decoded");
+        return false;
+    };
+    let held = snapshot.iter().map(SnapshotEntry::attempt).collect();
+    let sessions = snapshot.into_iter().map(SnapshotEntry::session).collect();
+    sink(Input::NodeSessionsReported { server, sessions });
+    sink(Input::NodeConnected {
+        server,
+        requested_at,
+        held,
+    });
+    true
+}
+
+/// A session as a node's snapshot tells of it.
+#[derive(Deserialize)]
+struct SnapshotEntry {
+    session: u64,
+    attempt: u32,
+    viewer: u64,
+    tenant: Option<String>,
+    class: String,
+    title: String,
+    rung: usize,
+    #[serde(flatten)]
+    epochs: SessionEpochs,
+    media: String,
+}
+
+impl SnapshotEntry {
+    fn attempt(&self) -> SessionAttempt {
+        SessionAttempt {
+            session: SessionId(self.session),
+            attempt: self.attempt,
+        }
+    }
+
+    fn session(self) -> TransferredSession {
+        TransferredSession {
+            session: SessionId(self.session),
+            attempt: self.attempt,
+            viewer: self.viewer,
+            tenant: self.tenant,
+            class: self.class,
+            title: self.title,
+            rung: self.rung,
+            epochs: self.epochs,
+            media: self.media,
+        }
+    }
+}
+
+fn decode_event(kind: &str, data: &str) -> Option<NodeEvent> {
+    let data: Value = serde_json::from_str(data).ok()?;
+    let session = SessionId(data["session"].as_u64()?);
+    let number = |name: &str| u32::try_from(data[name].as_u64()?).ok();
+    let part = |name: &str| data[name].as_f64().filter(|part| *part >= 0.0);
+    Some(match kind {
+        "ended" => NodeEvent::SessionEnded {
+            session,
+            attempt: number("attempt")?,
+        },
+        "fetched" => NodeEvent::StreamFetched {
+            session,
+            attempt: number("attempt")?,
+            epoch: Epoch(number("epoch")?),
+        },
+        "figures" => NodeEvent::LoadNotified {
+            session,
+            delivered_fraction: part("delivered"),
+            link_utilization: part("link"),
+            uplink_utilization: part("uplink"),
+        },
+        _ => return None,
+    })
+}
--- /dev/null
+++ b/crates/server/src/player_events.rs
@@ -0,0 +1,136 @@
+//! Players that can be offered another node: their event streams and what they report, as `docs/protocol.md` has it.
+
+use crate::event_loop::EventLoop;
+use crate::offers::{PlayerEvent, StreamId};
+use async_channel::Receiver;
+use async_io::Timer;
+use futures_lite::{StreamExt, future, stream};
+use serde::Deserialize;
+use shalewall::SessionId;
+use shalewall_engine::Input;
+use shalewall_http::server::{Reply, Request};
+use shalewall_http::sse;
+use shalewall_migration::Epoch;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// A stream without events carries a keep-alive this often.
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Held by a stream. When it goes, its player can't be offered another node any more, unless it has opened another
+/// stream.
+struct OpenStream {
+    event_loop: Rc<EventLoop>,
+    session: SessionId,
+    id: StreamId,
+    events: Receiver<PlayerEvent>,
+}
+
+impl Drop for OpenStream {
+    fn drop(&mut self) {
+        let session = self.session;
+        if self.event_loop.player_streams.close(session, self.id) {
+            self.event_loop.handle(Input::PlayerFollowing {
+                session,
+                playing_epoch: None,
+            });
+        }
+    }
+}
+
+impl OpenStream {
+    /// The next event, or a keep-alive where none comes; nothing once the session is over.
+    async fn next_bytes(&self) -> Option<Vec<u8>> {
+        let keep_alive = async {
+            Timer::after(KEEP_ALIVE_INTERVAL).await;
+            Some(sse::BEAT.to_vec())
+        };
+        let event = async {
+            let event = self.events.recv().await.ok()?;
+            let mut bytes = Vec::new();
+            sse::write(&mut bytes, event.kind, &event.data);
+            Some(bytes)
+        };
+        future::or(event, keep_alive).await
+    }
+}
+
+/// `GET /sessions/{session}/events`.
+pub fn open_stream(event_loop: &Rc<EventLoop>, session: SessionId, request: &Request) -> Reply {
+    let playing_epoch = match request.head.query("epoch").map(str::parse) {
+        None => Epoch(0),
+        Some(Ok(epoch)) => Epoch(epoch),
+        Some(Err(_)) => return Reply::problem(400, "epoch is a number"),
+    };
+    if event_loop.director.ticket_key.is_none() {
+        return Reply::problem(404, "sessions are not handed over here");
+    }
+    let (id, events) = event_loop.player_streams.open(session);
+    let open_stream = OpenStream {
+        event_loop: event_loop.clone(),
+        session,
+        id,
+        events,
+    };
+    event_loop.handle(Input::PlayerFollowing {
+        session,
+        playing_epoch: Some(playing_epoch),
+    });
+    let events = stream::unfold(open_stream, |open_stream| async {
+        let bytes = open_stream.next_bytes().await?;
+        Some((bytes, open_stream))
+    });
+    let pieces = stream::once(sse::BEAT.to_vec()).chain(events);
+    Reply::new(200)
+        .with("Content-Type", "text/event-stream")
+        .pieces(pieces)
+}
+
+/// The content of `playing` and `declined`.
+#[derive(Deserialize)]
+struct EpochReport {
+    epoch: u32,
+}
+
+impl EpochReport {
+    fn read(request: &Request) -> Result<Epoch, serde_json::Error> {
+        let report: EpochReport = serde_json::from_slice(&request.body)?;
+        Ok(Epoch(report.epoch))
+    }
+}
+
+/// The content of `silent`.
+#[derive(Deserialize)]
+struct SilenceReport {
+    buffer_ms: u32,
+}
+
+/// `POST /sessions/{session}/{report}`. None: there is no such report.
+pub fn take_report(
+    event_loop: &Rc<EventLoop>,
+    session: SessionId,
+    report: &str,
+    request: &Request,
+) -> Option<Reply> {
+    let input = match report {
+        "playing" => EpochReport::read(request).map(|epoch| Input::EpochPlaying { session, epoch }),
+        "declined" => {
+            EpochReport::read(request).map(|epoch| Input::EpochDeclined { session, epoch })
+        }
+        "silent" => silence(session, request),
+        _ => return None,
+    };
+    Some(match input {
+        Err(error) => Reply::problem(422, &error.to_string()),
+        Ok(input) => {
+            event_loop.handle(input);
+            Reply::new(204)
+        }
+    })
+}
+
+fn silence(session: SessionId, request: &Request) -> Result<Input, serde_json::Error> {
+    let report: SilenceReport = serde_json::from_slice(&request.body)?;
+    let buffered = i64::from(report.buffer_ms) * 1000;
+    Ok(Input::StreamSilent { session, buffered })
+}
--- /dev/null
+++ b/crates/server/src/usage_reports.rs
@@ -0,0 +1,99 @@
+//! Reports to the administration API of what this director holds of its tenants.
+
+use crate::admin_client::AdminClient;
+use crate::event_loop::EventLoop;
+use crate::tenants::Tenants;
+use async_io::Timer;
+use serde::Deserialize;
+use shalewall_engine::SessionSummary;
+use shalewall_http::Limits;
+use shalewall_settings::Hosting;
+use shalewall_tenancy::usage::ReportedSession;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// How often the API is told.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+/// What a report may take.
+const REPORT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Sessions that one report lists at most.
+const MAX_LISTED_SESSIONS: usize = 1000;
+
+/// What the API wants the next report to list.
+#[derive(Default, Deserialize)]
+struct ReportAnswer {
+    /// Tenants whose sessions it wants: those that people look at.
+    sessions_of: Vec<String>,
+}
+
+/// Tells the API each second what a director holds of its tenants.
+pub struct UsageReporter {
+    event_loop: Rc<EventLoop>,
+    tenants: Rc<Tenants>,
+    admin: AdminClient,
+}
+
+impl UsageReporter {
+    /// `token`: what the API knows this director by.
+    pub fn new(
+        event_loop: Rc<EventLoop>,
+        tenants: Rc<Tenants>,
+        hosting: &Hosting,
+        token: &str,
+    ) -> UsageReporter {
+        UsageReporter {
+            event_loop,
+            tenants,
+            admin: AdminClient::new(hosting, token, Limits::default().body),
+        }
+    }
+
+    /// Reports for as long as it is polled.
+    pub async fn run(self) {
+        let mut wanted = ReportAnswer::default();
+        loop {
+            Timer::after(REPORT_INTERVAL).await;
+            let report = self.report(&wanted.sessions_of);
+            // One that is lost is followed by the next; that the API is away is told by the sync of tenants.
+            let answer = self.admin.post("/usage", &report, REPORT_TIMEOUT).await;
+            let answer = answer.ok();
+            wanted = answer
+                .and_then(|answer| serde_json::from_slice(&answer.body).ok())
+                .unwrap_or_default();
+        }
+    }
+
+    fn report(&self, listed_tenants: &[String]) -> String {
+        let report = serde_json::json!({
+            "front": self.event_loop.director.number,
+            "number": self.tenants.change_number(),
+            "held": self.tenants.session_counts(),
+            "sessions": self.listed_sessions(listed_tenants),
+        });
+        report.to_string()
+    }
+
+    fn listed_sessions(&self, tenants: &[String]) -> BTreeMap<String, Vec<ReportedSession>> {
+        let mut sessions = BTreeMap::new();
+        let mut left = MAX_LISTED_SESSIONS;
+        for tenant in tenants {
+            let summaries = self.event_loop.sessions_of(tenant, left).into_iter();
+            let listed: Vec<_> = summaries.map(reported_session).collect();
+            left -= listed.len();
+            sessions.insert(tenant.clone(), listed);
+        }
+        sessions
+    }
+}
+
+fn reported_session(summary: SessionSummary) -> ReportedSession {
+    ReportedSession {
+        session: summary.session.0,
+        class: summary.class,
+        title: summary.title,
+        node: summary.server.map(|server| server.0),
+        rung: summary.rung,
+        is_playing: summary.is_playing,
+    }
+}
--- /dev/null
+++ b/crates/server/src/viewer_api.rs
@@ -0,0 +1,179 @@
+//! The viewers' side: sessions asked for and ended, as `docs/protocol.md` has it.
+
+use crate::event_loop::EventLoop;
+use crate::tenants::Tenants;
+use crate::{player_events, session_request};
+use serde_json::json;
+use shalewall::{Micros, SessionId};
+use shalewall_engine::{Answer, Input};
+use shalewall_http::server::{Reply, Request};
+use std::cell::Cell;
+use std::rc::Rc;
+
+/// Answers viewers' requests.
+pub struct ViewerApi {
+    event_loop: Rc<EventLoop>,
+    /// The tenants that this director follows, where it is shared by some.
+    tenants: Option<Rc<Tenants>>,
+    /// Told to end: no session is begun any more.
+    is_shutting_down: Cell<bool>,
+}
+
+/// What a request names below `/sessions/`.
+struct SessionPath<'r> {
+    session: Option<SessionId>,
+    /// What it names of the session.
+    part: Option<&'r str>,
+}
+
+impl SessionPath<'_> {
+    fn of(path: &str) -> SessionPath<'_> {
+        let rest = path.strip_prefix("/sessions/").unwrap_or_default();
+        let (number, part) = match rest.split_once('/') {
+            Some((number, part)) => (number, Some(part)),
+            None => (rest, None),
+        };
+        SessionPath {
+            session: number.parse().ok().map(SessionId),
+            part,
+        }
+    }
+}
+
+impl ViewerApi {
+    /// The API in front of an event loop.
+    pub fn new(event_loop: Rc<EventLoop>, tenants: Option<Rc<Tenants>>) -> ViewerApi {
+        ViewerApi {
+            event_loop,
+            tenants,
+            is_shutting_down: Cell::new(false),
+        }
+    }
+
+    /// Begins no session any more.
+    pub fn shut_down(&self) {
+        self.is_shutting_down.set(true);
+    }
+
+    /// Answers one request.
+    pub async fn answer(self: Rc<ViewerApi>, request: Request) -> Reply {
+        let head = &request.head;
+        let path = SessionPath::of(head.path());
+        if let (Some(session), Some(part)) = (path.session, path.part) {
+            return self.answer_part(session, part, &request);
+        }
+        match (head.method.as_str(), head.path(), path.session) {
+            ("POST", "/sessions", _) => self.begin_session(&request).await,
+            ("DELETE", _, Some(session)) => {
+                // Ending what has ended, or never was, is no error: it is as the viewer wants it.
+                self.event_loop.handle(Input::EndSession { session });
+                Reply::new(204)
+            }
+            ("GET", "/state", _) => self.state(),
+            ("GET" | "POST" | "DELETE", ..) => Reply::problem(404, "no such thing here"),
+            _ => Reply::problem(405, "no such method here"),
+        }
+    }
+
+    fn answer_part(&self, session: SessionId, part: &str, request: &Request) -> Reply {
+        let event_loop = &self.event_loop;
+        let reply = match request.head.method.as_str() {
+            "GET" if part == "events" => {
+                Some(player_events::open_stream(event_loop, session, request))
+            }
+            "POST" => player_events::take_report(event_loop, session, part, request),
+            _ => None,
+        };
+        reply.unwrap_or_else(|| Reply::problem(404, "no such thing here"))
+    }
+
+    async fn begin_session(&self, request: &Request) -> Reply {
+        if self.is_shutting_down.get() {
+            // Nothing was set up: another director may have it at once.
+            return problem(503, "this front is ending", None, Some(0));
+        }
+        let request = match session_request::decode(request) {
+            Ok(request) => request,
+            Err(error) => return Reply::problem(422, &error.to_string()),
+        };
+        match self.event_loop.request_session(request).answer().await {
+            Some(answer) => reply(answer),
+            None => Reply::problem(500, "the front is being stopped"),
+        }
+    }
+
+    fn state(&self) -> Reply {
+        let counts = self.event_loop.session_counts();
+        let mut state = json!({
+            "waiting": counts.waiting,
+            "playing": counts.playing,
+            "moving": counts.migrating,
+            "leaving": counts.leaving,
+            "owed_ends": counts.unconfirmed_ends,
+        });
+        if let Some(tenants) = &self.tenants {
+            // As of which change, and whether later ones would be heard of.
+            state["tenants"] = tenants.change_number().into();
+            state["tenants_followed"] = tenants.is_connected().into();
+        }
+        Reply::json(200, state.to_string())
+    }
+}
+
+/// A problem that names its session and says when to come back, where there are such.
+fn problem(
+    status: u16,
+    detail: &str,
+    session: Option<SessionId>,
+    retry_after: Option<Micros>,
+) -> Reply {
+    let mut members = serde_json::Map::new();
+    if let Some(session) = session {
+        members.insert("session".into(), session.0.into());
+    }
+    if let Some(retry_after) = retry_after {
+        let millis = retry_after as f64 / 1000.0;
+        members.insert("come_back_ms".into(), millis.into());
+    }
+    Reply::problem_with(status, detail, members)
+}
+
+fn reply(answer: Answer) -> Reply {
+    match answer {
+        Answer::Playing {
+            session,
+            rung,
+            media,
+        } => {
+            let body = json!({ "session": session.0, "rung": rung, "media": media });
+            let location = format!("/sessions/{}", session.0);
+            Reply::json(201, body.to_string()).with("Location", location)
+        }
+        Answer::Rejected {
+            session,
+            retry_after,
+        } => rejection(session, retry_after),
+        Answer::Failed {
+            session,
+            is_deadline_exceeded,
+        } => {
+            let (status, detail) = if is_deadline_exceeded {
+                (504, "the time was up; it may have been set up")
+            } else {
+                (502, "failed; it may have been set up")
+            };
+            problem(status, detail, Some(session), None)
+        }
+        Answer::Unknown(what) => Reply::problem(404, &format!("{what} is not known here")),
+        Answer::Conflict(what) => Reply::problem(409, what),
+    }
+}
+
+fn rejection(session: Option<SessionId>, retry_after: Option<Micros>) -> Reply {
+    let reply = problem(503, "turned away, free to come back", session, retry_after);
+    match retry_after {
+        // The field has whole seconds; the exact time is in the body.
+        Some(after) => reply.with("Retry-After", ((after + 999_999) / 1_000_000).to_string()),
+        None => reply,
+    }
+}
--- a/crates/server/tests/following.rs
+++ b/crates/server/tests/following.rs
@@ -27,7 +27,7 @@
     let (sender, address) = mpsc::channel();
     thread::spawn(move || {
         let ex = Rc::new(async_executor::LocalExecutor::new());
-        let serving = shalewall_server::serve::start(&ex, &plan).unwrap();
+        let serving = shalewall_server::Server::start(&ex, &plan).unwrap();
         sender.send(serving.address).unwrap();
         async_io::block_on(ex.run(futures_lite::future::pending::<()>()));
     });
@@ -121,7 +121,7 @@
             .for_each(|text| std::fs::write(&file, text).unwrap());
         plan.front.move_key_file = Some(file);
         let ex = Rc::new(async_executor::LocalExecutor::new());
-        let error = shalewall_server::serve::start(&ex, &plan)
+        let error = shalewall_server::Server::start(&ex, &plan)
             .err()
             .expect("no front")
             .to_string();
--- a/crates/server/tests/scripted/mod.rs
+++ b/crates/server/tests/scripted/mod.rs
@@ -265,7 +265,7 @@
     let (sender, address) = mpsc::channel();
     thread::spawn(move || {
         let ex = Rc::new(LocalExecutor::new());
-        let serving = shalewall_server::serve::start(&ex, &plan).unwrap();
+        let serving = shalewall_server::Server::start(&ex, &plan).unwrap();
         sender.send(serving.address).unwrap();
         async_io::block_on(ex.run(futures_lite::future::pending::<()>()));
     });
--- a/crates/simulation/src/count.rs
+++ b/crates/simulation/src/count.rs
@@ -1,12 +1,12 @@
 //! What came of a run.
 
-use shalewall_fleet_model::totals::TotalsByTenant;
+use shalewall_fleet_model::tally::Tallies;
 use std::collections::BTreeMap;
 
 /// Sums over a run; worth in seconds at a rung of worth 1.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Count {
-    pub tallies: TotalsByTenant,
+    pub tallies: Tallies,
     /// What stalls and what changes of rung took of the worth.
     pub stalled: f64,
     pub stepped: f64,
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -10,17 +10,12 @@
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use shalewall::{
-    EndpointState, EndpointUpdate, LoadReport, Micros, ServerId, SessionId, Settings, TimeDelta,
-    Timestamp,
-};
+use shalewall::{EndpointState, EndpointUpdate, LoadReport, Micros, ServerId, SessionId, Settings};
 use shalewall_engine::*;
-use shalewall_fleet_model::fleet::{
-    ActiveSession, AttemptId, Fleet, Machine, ProcessState, SetupDecision,
-};
-use shalewall_fleet_model::notifications::{Notification, Notifier};
-use shalewall_fleet_model::population::{Class, DrawnViewer, Interest, ViewerPopulation};
-use shalewall_fleet_model::totals::ViewerTotals;
+use shalewall_fleet_model::crowd::{Class, Crowd, Draw, Person};
+use shalewall_fleet_model::fleet::{Arrival, Fleet, Machine, Playing, Process, Run};
+use shalewall_fleet_model::news::{News, Teller};
+use shalewall_fleet_model::tally::Tally;
 use shalewall_settings::{DayPlan, Front, Trouble, TroubleKind, us};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddr};
@@ -84,7 +79,7 @@
 }
 
 struct Viewer {
-    person: DrawnViewer,
+    person: Person,
     tenant: Option<String>,
     until: Micros,
     front: usize,
@@ -97,19 +92,19 @@
 struct Shown {
     viewer: usize,
     node: u64,
-    run: AttemptId,
+    run: Run,
     since: Micros,
 }
 
 pub struct World<'p> {
     plan: &'p DayPlan,
     policy: Policy,
-    crowd: ViewerPopulation,
+    crowd: Crowd,
     /// The crowd's classes by their numbers in the settings.
     classes: Vec<usize>,
     settings: Settings,
     fleet: Fleet,
-    teller: Notifier,
+    teller: Teller,
     /// Who comes when, the same whoever decides; and all else that chance decides.
     arrivals: Vec<ChaCha8Rng>,
     dice: ChaCha8Rng,
@@ -125,13 +120,13 @@
     asks: BTreeMap<u64, usize>,
     next_ask: u64,
     /// Where a session's set-up began to play.
-    began: BTreeMap<u64, (u64, AttemptId)>,
+    began: BTreeMap<u64, (u64, Run)>,
     shown: BTreeMap<u64, Shown>,
     wanting: Wanting,
     /// How many times the usual rate viewers come, all and each tenant's.
     burst: f64,
     bursts: BTreeMap<String, f64>,
-    extra: Option<(Interest, f64)>,
+    extra: Option<(Draw, f64)>,
     troubles: Vec<Trouble>,
     listed: BTreeMap<u64, EndpointEntry>,
     result: Report,
@@ -179,7 +174,7 @@
             }
         }
     }
-    world.result.count.fell = world.fleet.nodes.values().filter(|n| n.fell_over).count() as u64;
+    world.result.count.fell = world.fleet.nodes.values().filter(|n| n.fell).count() as u64;
     Ok(world.result)
 }
 
@@ -204,10 +199,7 @@
             settings: plan.site.settings(&front(plan, 0)),
             crowd,
             fleet: Fleet::new(physics, seed ^ 1),
-            teller: Notifier::new(
-                TimeDelta::from_micros(us(notes.every_ms)),
-                TimeDelta::from_micros(us(notes.late_ms)),
-            ),
+            teller: Teller::new(us(notes.every_ms), us(notes.late_ms)),
             arrivals: plan::arrivals(plan),
             dice: ChaCha8Rng::seed_from_u64(seed ^ 3),
             now: 0,
@@ -238,7 +230,7 @@
             world
                 .listed
                 .insert(machine.id, line(&machine, EndpointState::Ready, None));
-            world.fleet.start(machine, Timestamp::from_micros(0), true);
+            world.fleet.start(machine, 0, true);
         }
         (0..directors).for_each(|d| world.start(d));
         world.later(0, Due::Look);
@@ -290,9 +282,9 @@
             if !held.is_empty() {
                 let held = held
                     .into_iter()
-                    .map(|(id, _)| SessionAttempt {
-                        session: SessionId(id.session),
-                        attempt: id.attempt,
+                    .map(|((session, attempt), _)| SessionAttempt {
+                        session: SessionId(*session),
+                        attempt: *attempt,
                     })
                     .collect();
                 let up = Input::NodeConnected {
@@ -399,12 +391,12 @@
         if let Some(out) = self.calls.remove(&(d, call))
             && out.setting_up
         {
-            self.fleet.abandon_setup(out.server);
+            self.fleet.give_up(out.server);
         }
     }
 
     fn load(&self, node: u64) -> LoadReport {
-        let f = self.fleet.reported_load(node);
+        let f = self.fleet.told(node);
         LoadReport {
             streams: Some(f.streams as f64),
             link_utilization: Some(f.link),
@@ -433,7 +425,7 @@
             .fleet
             .nodes
             .get(&node)
-            .is_none_or(|n| n.process == ProcessState::Down)
+            .is_none_or(|n| n.process == Process::Down)
         {
             return self.later(
                 NET,
@@ -443,24 +435,17 @@
         match kind {
             CallKind::SetUpSession {
                 session, attempt, ..
-            } => match self.fleet.begin_setup(
-                node,
-                AttemptId {
-                    session: session.0,
-                    attempt,
-                },
-                Timestamp::from_micros(self.now),
-            ) {
-                SetupDecision::Accepted(time) => {
+            } => match self.fleet.arrive(node, (session.0, attempt), self.now) {
+                Arrival::Takes(time) => {
                     self.calls
                         .get_mut(&(d, call))
                         .into_iter()
                         .for_each(|c| c.setting_up = true);
-                    self.later(time.as_micros(), Due::Begin(d, call));
+                    self.later(time, Due::Begin(d, call));
                 }
-                SetupDecision::Rejected => self.reply(d, call, node, 503, true),
-                SetupDecision::Cancelled => self.reply(d, call, node, 410, true),
-                SetupDecision::Overloaded => self.down(node),
+                Arrival::Full => self.reply(d, call, node, 503, true),
+                Arrival::Ended => self.reply(d, call, node, 410, true),
+                Arrival::Falls => self.down(node),
             },
             CallKind::SetRung {
                 session,
@@ -468,10 +453,7 @@
                 rung,
                 rate_kb_s: kb,
             } => {
-                let run = AttemptId {
-                    session: session.0,
-                    attempt,
-                };
+                let run = (session.0, attempt);
                 let before = self.fleet.nodes[&node].playing.get(&run).map(|p| p.rung);
                 let known = self.fleet.set_rung(node, run, rung, kb);
                 if let Some(shown) = self
@@ -481,13 +463,9 @@
                 {
                     let viewer = shown.viewer;
                     let class = self.viewers[viewer].person.class;
-                    let cost =
-                        self.crowd.rung_change_cost_s * self.crowd.classes[class].priority_weight;
+                    let cost = self.crowd.switch_s * self.crowd.classes[class].worth;
                     self.result.count.stepped += cost;
-                    self.tally(viewer, |t| {
-                        (t.rung_changes, t.worth_earned) =
-                            (t.rung_changes + 1, t.worth_earned - cost)
-                    });
+                    self.tally(viewer, |t| (t.steps, t.got) = (t.steps + 1, t.got - cost));
                     let at = self.seconds();
                     self.result.count.span(at).got -= cost;
                 }
@@ -496,13 +474,7 @@
             CallKind::EndSession {
                 session, attempt, ..
             } => {
-                let played = self.fleet.end_session(
-                    node,
-                    AttemptId {
-                        session: session.0,
-                        attempt,
-                    },
-                );
+                let played = self.fleet.end(node, (session.0, attempt));
                 self.hide(session.0, true);
                 self.reply(d, call, node, if played { 204 } else { 404 }, false);
             }
@@ -532,21 +504,18 @@
         else {
             return;
         };
-        let run = AttemptId {
-            session: session.0,
-            attempt,
-        };
-        let playing = ActiveSession {
+        let run = (session.0, attempt);
+        let playing = Playing {
             director: d as u32,
             viewer: 0,
             tenant: None,
             class,
             title,
             rung,
-            rate_kb_s: kb,
-            true_rate_kb_s: kb,
+            kb,
+            true_kb: kb,
         };
-        if self.fleet.complete_setup(node, run, playing) {
+        if self.fleet.begin(node, run, playing) {
             self.began.insert(session.0, (node, run));
             self.reply(d, call, node, 201, false);
         } else {
@@ -561,12 +530,12 @@
         let Some(n) = self.fleet.nodes.get_mut(&node) else {
             return;
         };
-        n.process = ProcessState::Down;
-        let playing: Vec<AttemptId> = std::mem::take(&mut n.playing).into_keys().collect();
-        n.setups_in_flight = 0;
+        n.process = Process::Down;
+        let playing: Vec<Run> = std::mem::take(&mut n.playing).into_keys().collect();
+        n.setting_up = 0;
         playing
             .into_iter()
-            .for_each(|id| self.hide(id.session, true));
+            .for_each(|(session, _)| self.hide(session, true));
         let broken: Vec<_> = self
             .calls
             .iter()
@@ -601,12 +570,11 @@
         let Some(n) = self.fleet.nodes.get(&node) else {
             return;
         };
-        if n.fell_over {
+        if n.fell {
             return; // pushed over: it stays down
         }
         let machine = n.machine.clone();
-        self.fleet
-            .start(machine, Timestamp::from_micros(self.now), false);
+        self.fleet.start(machine, self.now, false);
         self.list(node, EndpointState::Ready, Some(self.now));
     }
 
@@ -634,10 +602,8 @@
     /// Nodes are looked at: what they tell, what their sessions earn, who leaves for want of picture.
     fn look(&mut self) {
         self.later(LOOK, Due::Look);
-        let news = self
-            .teller
-            .poll(&mut self.fleet, Timestamp::from_micros(self.now));
-        for Notification {
+        let news = self.teller.look(&mut self.fleet, self.now);
+        for News {
             node,
             director,
             session,
@@ -663,7 +629,7 @@
             .fleet
             .nodes
             .keys()
-            .map(|id| (*id, self.fleet.load(*id).delivered))
+            .map(|id| (*id, self.fleet.figures(*id).delivered))
             .collect();
         let (mut got, mut leaving) = (0.0, Vec::new());
         let mut rungs: BTreeMap<usize, f64> = BTreeMap::new();
@@ -675,13 +641,13 @@
             let viewer = &self.viewers[shown.viewer];
             let class = &self.crowd.classes[viewer.person.class];
             let share = shares[&shown.node];
-            let full = dt * class.priority_weight * self.crowd.utility[playing.rung];
-            got += full * self.crowd.worth_kept(share);
-            tallies.update(viewer.tenant.as_deref(), |t| {
-                t.worth_earned += full * self.crowd.worth_kept(share);
-                *t.seconds_by_rung.entry(playing.rung).or_default() += dt;
+            let full = dt * class.worth * self.crowd.worth[playing.rung];
+            got += full * self.crowd.kept(share);
+            tallies.enter(viewer.tenant.as_deref(), |t| {
+                t.got += full * self.crowd.kept(share);
+                *t.rungs.entry(playing.rung).or_default() += dt;
             });
-            self.result.count.stalled += full * (1.0 - self.crowd.worth_kept(share));
+            self.result.count.stalled += full * (1.0 - self.crowd.kept(share));
             *rungs.entry(playing.rung).or_default() += dt;
             if share < POOR
                 && self.now - shown.since > POOR_AFTER
@@ -690,20 +656,20 @@
                 leaving.push(*session);
             }
         }
-        let racks = &self.fleet.parameters.uplinks_kb_s;
+        let racks = &self.fleet.physics.uplinks;
         let mut room: BTreeMap<u64, f64> = BTreeMap::new();
         for n in self
             .fleet
             .nodes
             .values()
-            .filter(|n| n.process == ProcessState::Running)
+            .filter(|n| n.process == Process::Runs)
         {
             let rack = n
                 .machine
                 .cell
                 .checked_rem(racks.len() as u64)
                 .unwrap_or(n.machine.id);
-            *room.entry(rack).or_default() += n.machine.link_kb_s / self.fleet.link_slowdown;
+            *room.entry(rack).or_default() += n.machine.link_kb / self.fleet.slow_links;
         }
         let uplink = |rack: &u64| racks.get(*rack as usize).copied().unwrap_or(f64::INFINITY);
         let room: f64 = room.iter().map(|(rack, kb)| kb.min(uplink(rack))).sum();
@@ -717,7 +683,7 @@
         };
         let wanted: f64 = self.wanting.iter().map(wanted).sum();
         let count = &mut self.result.count;
-        count.tallies.all.worth_offered += wanted * dt;
+        count.tallies.all.wanted += wanted * dt;
         let span = count.span(at);
         (span.got, span.wanted, span.bound) = (
             span.got + got,
@@ -737,7 +703,7 @@
             Due::Gone(viewer) => {
                 let p = &self.viewers[viewer].person;
                 self.wanting
-                    .entry((self.classes[p.class], p.highest_rung))
+                    .entry((self.classes[p.class], p.top))
                     .and_modify(|n| *n -= 1);
             }
             Due::Leave(session, poor) => self.leave(session, poor),
