Shorter functions in the protocol's coordinator; statuses and outcomes by name

Session::new builds what a request becomes, a node's statuses stand in one place, and how an attempt ended travels as one ReportedOutcome.

--- a/crates/platform-proto/src/director_protocol/actions.rs
+++ b/crates/platform-proto/src/director_protocol/actions.rs
@@ -81,7 +81,8 @@
         };
         if session.active().is_some() {
             let message = ViewerMessage::new(Verb::Move, session.wire_id);
-            let (viewer, address) = (session.viewer, session.viewer_address);
+            let viewer = session.viewer;
+            let address = session.viewer_address;
             self.send_release_to_viewer(viewer, address, message.encode());
         }
         self.release_session(id);
--- a/crates/platform-proto/src/director_protocol/attempts.rs
+++ b/crates/platform-proto/src/director_protocol/attempts.rs
@@ -1,23 +1,17 @@
 //! Attempts to set a session up: from the module's order to the node's answer, or the end without one.
 
-use super::{AttemptEnd, DirectorProtocol, Timer};
+use super::{DirectorProtocol, ReportedOutcome, Timer};
 use crate::HexId;
 use crate::connection_reasons::CloseReason;
 use crate::ids::NodeConnectionId;
 use crate::node_connection::OutgoingMessage;
-use crate::rtsp::RtspMessage;
 use crate::rtsp::encode::SetUp;
+use crate::rtsp::{RtspMessage, status};
 use crate::session::{ActiveSession, Attempt, SendProgress};
 use crate::viewer_connection::LineKind;
 use crate::viewer_message::{Verb, ViewerMessage};
 use shalewall::{Event, Outcome, ServerId, SessionId, TimeDelta};
 
-/// Statuses by which a node refuses a set-up.
-const STATUS_OK: u16 = 200;
-const STATUS_FULL: u16 = 453;
-const STATUS_NEVER_SENT: u16 = 454;
-const STATUS_RESET: u16 = 504;
-
 impl DirectorProtocol {
     /// Queues the session's next set-up on a connection to the node.
     pub(super) fn start_attempt(
@@ -101,7 +95,7 @@
         id: SessionId,
         server: ServerId,
         number: u32,
-        end: AttemptEnd,
+        reported: ReportedOutcome,
     ) {
         let Some(ended) = self.sessions.end_attempt(id) else {
             return;
@@ -117,7 +111,7 @@
         if ended.is_answered {
             self.forget_session(id);
         }
-        self.report_end(id, number, server, end, ended.is_answered);
+        self.report_end(id, number, server, reported, ended.is_answered);
     }
 
     /// The connection of an attempt has ended, or did not take it.
@@ -187,20 +181,20 @@
         &mut self,
         connection: NodeConnectionId,
         wire_id: HexId,
-        status: u16,
+        answer_status: u16,
         message: RtspMessage,
     ) {
         // Where the next attempt is open on the same connection, it is the answer to that one.
         let Some(id) = self.sessions.find_attempt_on(connection, wire_id) else {
-            if status == STATUS_OK {
+            if answer_status == status::OK {
                 self.release_if_rejected_before(connection, wire_id);
             }
             return;
         };
-        if status == STATUS_OK {
+        if answer_status == status::OK {
             self.handle_set_up_success(id, connection, message);
         } else {
-            self.handle_set_up_refusal(id, connection, status, message);
+            self.handle_set_up_refusal(id, connection, answer_status, message);
         }
     }
 
@@ -208,7 +202,7 @@
         &mut self,
         id: SessionId,
         connection: NodeConnectionId,
-        status: u16,
+        answer_status: u16,
         message: RtspMessage,
     ) {
         let Some(session) = self.sessions.get(id) else {
@@ -220,17 +214,17 @@
         if let Some(connection) = self.node_connections.get_mut(connection) {
             connection.record_rejection(session.wire_id);
         }
-        let outcome = match status {
-            STATUS_FULL => Outcome::Rejected,
-            STATUS_NEVER_SENT => Outcome::NotSent,
-            STATUS_RESET => Outcome::ConnectionReset,
+        let outcome = match answer_status {
+            status::FULL => Outcome::Rejected,
+            status::NOT_SENT => Outcome::NotSent,
+            status::RESET => Outcome::ConnectionReset,
             _ => Outcome::Error,
         };
-        let end = AttemptEnd {
+        let reported = ReportedOutcome {
             outcome,
             load_report: message.load_report(),
         };
-        self.end_attempt(id, attempt.server, attempt.number, end);
+        self.end_attempt(id, attempt.server, attempt.number, reported);
     }
 
     fn handle_set_up_success(
@@ -248,18 +242,33 @@
         if !session.awaits_answer {
             return self.cancel_attempt(id, Outcome::Cancelled);
         }
-        let (wire_id, viewer) = (session.wire_id, session.viewer);
+        let wire_id = session.wire_id;
+        let viewer = session.viewer;
         let Ok(description) = message.into_description() else {
             // The attempt ends with its connection.
             return self.close_node_connection(connection, CloseReason::Unusable);
         };
+        self.activate_session(id, &attempt);
+        if let Some(viewer) = viewer {
+            let answer = ViewerMessage {
+                description: Some(description),
+                ..ViewerMessage::new(Verb::Started, wire_id)
+            };
+            if !self.enqueue_to_viewer(viewer, LineKind::Answer(id), answer.encode()) {
+                self.answer_undelivered(id);
+            }
+        }
+    }
+
+    /// The session that an attempt set up is active.
+    fn activate_session(&mut self, id: SessionId, attempt: &Attempt) {
         let active = ActiveSession {
             server: attempt.server,
             attempt: attempt.number,
-            connection: Some(connection),
+            connection: Some(attempt.connection),
         };
         self.sessions.activate(id, active);
-        if let Some(connection) = self.node_connections.get_mut(connection) {
+        if let Some(connection) = self.node_connections.get_mut(attempt.connection) {
             connection.remove_attempt(id);
         }
         self.mark_answered(id);
@@ -270,14 +279,5 @@
             server: attempt.server,
             setup_time: self.now - attempt.started_at,
         });
-        if let Some(viewer) = viewer {
-            let answer = ViewerMessage {
-                description: Some(description),
-                ..ViewerMessage::new(Verb::Started, wire_id)
-            };
-            if !self.enqueue_to_viewer(viewer, LineKind::Answer(id), answer.encode()) {
-                self.answer_undelivered(id);
-            }
-        }
     }
 }
--- a/crates/platform-proto/src/director_protocol/endpoint_events.rs
+++ b/crates/platform-proto/src/director_protocol/endpoint_events.rs
@@ -131,8 +131,8 @@
             sessions: sessions.len(),
         });
         for session in sessions {
-            let end = Outcome::ConnectionReset.into();
-            self.end_session(session, end, Some(cause::FAILED));
+            let outcome = Outcome::ConnectionReset;
+            self.end_session(session, outcome.into(), Some(cause::FAILED));
         }
     }
 }
--- a/crates/platform-proto/src/director_protocol/health_check_events.rs
+++ b/crates/platform-proto/src/director_protocol/health_check_events.rs
@@ -1,6 +1,6 @@
 //! Health checks of media nodes: sending, and the answer or the end without one.
 
-use super::{AttemptEnd, DirectorProtocol, Timer};
+use super::{DirectorProtocol, ReportedOutcome, Timer};
 use crate::HexId;
 use crate::health_checks::PendingHealthCheck;
 use crate::ids::{HealthCheckId, NodeConnectionId};
@@ -34,10 +34,10 @@
         &mut self,
         id: HealthCheckId,
         received_on: NodeConnectionId,
-        end: AttemptEnd,
+        reported: ReportedOutcome,
     ) {
         if let Some(check) = self.health_checks.finish_by_answer(id, received_on) {
-            self.finish_health_check(id, check, end);
+            self.finish_health_check(id, check, reported);
         }
     }
 
@@ -52,22 +52,22 @@
         &mut self,
         id: HealthCheckId,
         check: PendingHealthCheck,
-        end: AttemptEnd,
+        reported: ReportedOutcome,
     ) {
         if let Some(connection) = self.node_connections.get_mut(check.connection) {
             connection.remove_health_check(id);
-            if end.outcome == Outcome::TimedOut {
+            if reported.outcome == Outcome::TimedOut {
                 connection.mark_suspect();
             }
         }
-        self.report_health_check(check.server, end);
+        self.report_health_check(check.server, reported);
     }
 
-    fn report_health_check(&mut self, server: ServerId, end: AttemptEnd) {
+    fn report_health_check(&mut self, server: ServerId, reported: ReportedOutcome) {
         self.events.push_back(Event::HealthCheckFinished {
             server,
-            outcome: end.outcome,
-            load_report: end.load_report,
+            outcome: reported.outcome,
+            load_report: reported.load_report,
         });
     }
 }
--- a/crates/platform-proto/src/director_protocol/mod.rs
+++ b/crates/platform-proto/src/director_protocol/mod.rs
@@ -232,32 +232,32 @@
         session: SessionId,
         attempt: u32,
         server: ServerId,
-        end: AttemptEnd,
+        reported: ReportedOutcome,
         is_answered: bool,
     ) {
-        self.counters.count_ended(end.outcome);
+        self.counters.count_ended(reported.outcome);
         self.events.push_back(Event::AttemptFinished {
             session,
             attempt,
             server,
-            outcome: end.outcome,
+            outcome: reported.outcome,
             is_answered,
-            load_report: end.load_report,
+            load_report: reported.load_report,
         });
     }
 }
 
 /// How an attempt or a session ended, and what its node reported with that.
 #[derive(Clone, Copy)]
-struct AttemptEnd {
+struct ReportedOutcome {
     outcome: Outcome,
     load_report: LoadReport,
 }
 
-impl From<Outcome> for AttemptEnd {
+impl From<Outcome> for ReportedOutcome {
     /// An end without a word of the node.
-    fn from(outcome: Outcome) -> AttemptEnd {
-        AttemptEnd {
+    fn from(outcome: Outcome) -> ReportedOutcome {
+        ReportedOutcome {
             outcome,
             load_report: LoadReport::default(),
         }
--- a/crates/platform-proto/src/director_protocol/node_events.rs
+++ b/crates/platform-proto/src/director_protocol/node_events.rs
@@ -1,17 +1,15 @@
 //! What media nodes send, and what is queued for them.
 
-use super::{AttemptEnd, DirectorProtocol};
+use super::{DirectorProtocol, ReportedOutcome};
 use crate::HexId;
 use crate::connection_reasons::CloseReason;
 use crate::error::NodeProtocolError;
 use crate::ids::{HealthCheckId, NodeConnectionId};
 use crate::log_event::{LogEvent, NodeName};
 use crate::node_connection::OutgoingMessage;
-use crate::rtsp::{CSEQ_OPTIONS, CSEQ_SETUP, RtspMessage, StartLine, encode};
+use crate::rtsp::{CSEQ_OPTIONS, CSEQ_SETUP, RtspMessage, StartLine, encode, status};
 use shalewall::{Outcome, ServerId};
 
-const STATUS_OK: u16 = 200;
-
 impl DirectorProtocol {
     pub(super) fn handle_node_bytes(&mut self, id: NodeConnectionId, bytes: &[u8]) {
         if self.half_closed.receive(id, bytes) {
@@ -79,9 +77,9 @@
             return;
         };
         match &message.start {
-            StartLine::Status(status) => {
-                let status = *status;
-                self.handle_node_answer(id, wire_id, status, message);
+            StartLine::Status(answer_status) => {
+                let answer_status = *answer_status;
+                self.handle_node_answer(id, wire_id, answer_status, message);
             }
             StartLine::Request(method) if method == "TEARDOWN" => {
                 let confirmation = encode::release_received(wire_id);
@@ -99,24 +97,25 @@
         &mut self,
         id: NodeConnectionId,
         wire_id: HexId,
-        status: u16,
+        answer_status: u16,
         message: RtspMessage,
     ) {
-        let is_progress = (100..200).contains(&status);
+        let is_progress = (100..200).contains(&answer_status);
         match message.cseq {
             _ if is_progress => {}
-            Some(CSEQ_SETUP) => self.handle_set_up_answer(id, wire_id, status, message),
+            Some(CSEQ_SETUP) => self.handle_set_up_answer(id, wire_id, answer_status, message),
             Some(CSEQ_OPTIONS) => {
-                let outcome = if status == STATUS_OK {
+                let outcome = if answer_status == status::OK {
                     Outcome::Success
                 } else {
                     Outcome::Error
                 };
-                let end = AttemptEnd {
+                let reported = ReportedOutcome {
                     outcome,
                     load_report: message.load_report(),
                 };
-                self.handle_health_check_answer(HealthCheckId(wire_id.value()), id, end);
+                let check = HealthCheckId(wire_id.value());
+                self.handle_health_check_answer(check, id, reported);
             }
             _ => {}
         }
--- a/crates/platform-proto/src/director_protocol/node_lifecycle.rs
+++ b/crates/platform-proto/src/director_protocol/node_lifecycle.rs
@@ -1,6 +1,7 @@
 //! Connections to media nodes: which one a message goes by, opening, and the end, graceful or not.
 
 use super::{DirectorProtocol, Timer};
+use crate::HexId;
 use crate::connection_reasons::{CloseReason, ConnectError, ConnectReason};
 use crate::ids::{ConnectionId, NodeConnectionId, Peer};
 use crate::log_event::{LogEvent, NodeName};
@@ -221,7 +222,7 @@
         &self,
         closed: &ClosedNodeConnection,
         reason: CloseReason,
-    ) -> Vec<crate::HexId> {
+    ) -> Vec<HexId> {
         // Where the node closed it after its last message, no answer is on its way.
         let may_cross = !matches!(
             reason,
--- a/crates/platform-proto/src/director_protocol/requests.rs
+++ b/crates/platform-proto/src/director_protocol/requests.rs
@@ -4,7 +4,7 @@
 use super::DirectorProtocol;
 use crate::HexId;
 use crate::ids::ViewerId;
-use crate::session::{ActiveSession, Session, Stage};
+use crate::session::{Session, Stage};
 use crate::session_request::{self, SessionRequest};
 use crate::viewer_connection::LineKind;
 use crate::viewer_message::{Verb, ViewerMessage, cause};
@@ -81,35 +81,12 @@
         parsed: SessionRequest,
     ) {
         let id = SessionId(self.next_id());
-        let SessionRequest {
-            title,
-            description,
-            mut request,
-            active_at,
-        } = parsed;
+        let mut request = parsed.request;
         request.session = id;
+        let active_at = parsed.active_at;
         let class = self.settings.classes.get(request.class);
-        let stage = match active_at {
-            None => Stage::Unassigned,
-            Some(server) => Stage::Active(ActiveSession {
-                server,
-                attempt: 0,
-                connection: None,
-            }),
-        };
-        let session = Session {
-            wire_id,
-            title,
-            class: request.class,
-            description,
-            viewer: Some(viewer),
-            viewer_address: address,
-            deadline: request.deadline,
-            rung: class.map_or(0, |class| class.lowest_rung),
-            attempts_started: u32::from(active_at.is_some()),
-            awaits_answer: active_at.is_none(),
-            stage,
-        };
+        let rung = class.map_or(0, |class| class.lowest_rung);
+        let session = Session::new(wire_id, viewer, address, parsed, rung);
         self.sessions.insert(id, session);
         match active_at {
             None => {
--- a/crates/platform-proto/src/director_protocol/sessions.rs
+++ b/crates/platform-proto/src/director_protocol/sessions.rs
@@ -1,11 +1,11 @@
 //! Active sessions: from a node's answer to their end, whoever ends them.
 
-use super::{AttemptEnd, DirectorProtocol};
+use super::{DirectorProtocol, ReportedOutcome};
 use crate::HexId;
 use crate::connection_reasons::ConnectReason;
 use crate::ids::NodeConnectionId;
 use crate::node_connection::OutgoingMessage;
-use crate::rtsp::{RtspMessage, encode};
+use crate::rtsp::{RtspMessage, encode, status};
 use crate::session::{SendProgress, Stage};
 use crate::viewer_message::{ViewerMessage, cause};
 use shalewall::{Event, Outcome, ServerId, SessionId};
@@ -29,7 +29,7 @@
     pub(super) fn end_session(
         &mut self,
         id: SessionId,
-        end: AttemptEnd,
+        reported: ReportedOutcome,
         viewer_cause: Option<i64>,
     ) {
         let Some(session) = self.sessions.get(id) else {
@@ -38,7 +38,9 @@
         let Some(active) = session.active().copied() else {
             return;
         };
-        let (wire_id, viewer, address) = (session.wire_id, session.viewer, session.viewer_address);
+        let wire_id = session.wire_id;
+        let viewer = session.viewer;
+        let address = session.viewer_address;
         if let Some(node) = self.nodes.get_mut(active.server) {
             node.remove_active_session(id);
         }
@@ -47,7 +49,7 @@
             let release = ViewerMessage::finish(wire_id, cause);
             self.send_release_to_viewer(viewer, address, release.encode());
         }
-        self.report_end(id, active.attempt, active.server, end, true);
+        self.report_end(id, active.attempt, active.server, reported, true);
     }
 
     /// Releases an active session at its node: its viewer ended it, or it moves.
@@ -124,11 +126,11 @@
             }
             _ => (Outcome::ConnectionReset, Some(cause::FAILED)),
         };
-        let end = AttemptEnd {
+        let reported = ReportedOutcome {
             outcome,
             load_report: message.load_report(),
         };
-        self.end_session(id, end, viewer_cause);
+        self.end_session(id, reported, viewer_cause);
     }
 
     fn handle_attempt_end(
@@ -142,21 +144,21 @@
         let load_report = message.load_report();
         // It was active and has ended at once: its answer comes with its release.
         if message.cause() == Some(cause::NORMAL) && !message.body.is_empty() {
-            self.handle_set_up_answer(connection, wire_id, 200, message);
-            let end = AttemptEnd {
+            self.handle_set_up_answer(connection, wire_id, status::OK, message);
+            let reported = ReportedOutcome {
                 outcome: Outcome::Success,
                 load_report,
             };
-            return self.end_session(id, end, Some(cause::NORMAL));
+            return self.end_session(id, reported, Some(cause::NORMAL));
         }
         let Some(server) = self.sessions.attempt(id).map(|attempt| attempt.server) else {
             return;
         };
-        let end = AttemptEnd {
+        let reported = ReportedOutcome {
             outcome: Outcome::ConnectionReset,
             load_report,
         };
-        self.end_attempt(id, server, number, end);
+        self.end_attempt(id, server, number, reported);
     }
 
     /// Takes an answer back that has not begun to be written: it is true no more, and the viewer gets one answer.
--- a/crates/platform-proto/src/rtsp/mod.rs
+++ b/crates/platform-proto/src/rtsp/mod.rs
@@ -21,6 +21,18 @@
 /// `CSeq` of a health check and its answer.
 pub const CSEQ_OPTIONS: u64 = 3;
 
+/// Statuses of a node's answers that mean more than success or error.
+pub mod status {
+    /// The session is active, or the health check passed.
+    pub const OK: u16 = 200;
+    /// The node is full: the set-up was not executed.
+    pub const FULL: u16 = 453;
+    /// The set-up never left this side.
+    pub const NOT_SENT: u16 = 454;
+    /// The set-up broke on its way.
+    pub const RESET: u16 = 504;
+}
+
 /// The first line of a message.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum StartLine {
--- a/crates/platform-proto/src/session.rs
+++ b/crates/platform-proto/src/session.rs
@@ -2,6 +2,7 @@
 
 use crate::HexId;
 use crate::ids::{NodeConnectionId, ViewerId};
+use crate::session_request::SessionRequest;
 use shalewall::{ServerId, Timestamp};
 use std::net::IpAddr;
 
@@ -71,6 +72,35 @@
 }
 
 impl Session {
+    /// A session as its viewer requests it: at no node yet, or transferred from another director.
+    pub(crate) fn new(
+        wire_id: HexId,
+        viewer: ViewerId,
+        viewer_address: IpAddr,
+        request: SessionRequest,
+        rung: usize,
+    ) -> Session {
+        let active_at = request.active_at;
+        let transferred = active_at.map(|server| ActiveSession {
+            server,
+            attempt: 0,
+            connection: None,
+        });
+        Session {
+            wire_id,
+            title: request.title,
+            class: request.request.class,
+            description: request.description,
+            viewer: Some(viewer),
+            viewer_address,
+            deadline: request.request.deadline,
+            rung,
+            attempts_started: u32::from(active_at.is_some()),
+            awaits_answer: active_at.is_none(),
+            stage: transferred.map_or(Stage::Unassigned, Stage::Active),
+        }
+    }
+
     pub(crate) fn attempt(&self) -> Option<&Attempt> {
         match &self.stage {
             Stage::Attempting(attempt) => Some(attempt),
--- a/crates/platform-proto/src/session_request.rs
+++ b/crates/platform-proto/src/session_request.rs
@@ -49,15 +49,8 @@
     settings: &Settings,
     now: Timestamp,
 ) -> Result<SessionRequest, InvalidRequest> {
-    let class = message
-        .text_field("class")
-        .and_then(|name| names.class_index(&name))
-        .ok_or(InvalidRequest::Class)?;
-    let title = message
-        .text_field("key")
-        .as_deref()
-        .and_then(HexId::parse)
-        .ok_or(InvalidRequest::Title)?;
+    let class = parse_class(&message, names)?;
+    let title = parse_title(&message)?;
     let time_left = parse_time_left(&message)?;
     let duration_hint = parse_duration_hint(&message)?;
     let tenant = parse_tenant(&message, names)?;
@@ -94,6 +87,21 @@
     Ok(parsed)
 }
 
+fn parse_class(message: &ViewerMessage, names: &Names) -> Result<usize, InvalidRequest> {
+    message
+        .text_field("class")
+        .and_then(|name| names.class_index(&name))
+        .ok_or(InvalidRequest::Class)
+}
+
+fn parse_title(message: &ViewerMessage) -> Result<HexId, InvalidRequest> {
+    message
+        .text_field("key")
+        .as_deref()
+        .and_then(HexId::parse)
+        .ok_or(InvalidRequest::Title)
+}
+
 /// Milliseconds; one that is out of range counts as missing.
 fn parse_time_left(message: &ViewerMessage) -> Result<Option<f64>, InvalidRequest> {
     let millis = message
