--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -161,7 +161,7 @@
         self.drain_runtime(now);
     }
 
-    /// A peer that refused a datagram has told its token: what it refused is sent again.
+    /// A peer that refused a datagram has sent its token: what it refused is sent again.
     fn resend_after_greeting(&mut self, now: Timestamp, peer: PeerId) {
         let Some(sent) = self.last_sent.remove(&peer) else {
             return;
--- a/crates/membership/src/replay_window.rs
+++ b/crates/membership/src/replay_window.rs
@@ -1,6 +1,6 @@
 //! Which sequence numbers of a sender have come, so that none is taken twice (as RFC 4303, section 3.4.3).
 
-/// Sequence numbers that are told apart, up to the highest that has come.
+/// Sequence numbers that are remembered, up to the highest that has come.
 const WINDOW: u64 = 64;
 
 /// The window below the highest sequence number.
@@ -12,7 +12,7 @@
 }
 
 impl ReplayWindow {
-    /// Whether a number, from 1 on, comes for the first time. One that is below the window can't be told from a
+    /// Whether a number, from 1 on, comes for the first time. One that is below the window can't be distinguished from a
     /// replay, and is taken for one.
     pub fn accept(&mut self, sequence: u64) -> bool {
         if sequence > self.highest {
--- a/crates/membership/tests/sealer.rs
+++ b/crates/membership/tests/sealer.rs
@@ -71,7 +71,7 @@
         assert_eq!(
             b.open(START, datagram).is_ok(),
             n > 5,
-            "{n}: 64 are told apart"
+            "{n}: 64 are remembered"
         );
         assert_eq!(b.open(START, datagram), Err(OpenError::Replayed));
     }
