The command line: arguments, commands and errors apart

main.rs and manage.rs held arguments, commands and their errors as strings. They are args, a module for each group of commands, and CliError.

--- /dev/null
+++ b/crates/cli/src/commands/service.rs
@@ -0,0 +1,34 @@
+//! Directors: of the service over HTTP, and on the platform.
+
+use super::{read_settings, start_logs};
+use crate::error::CliError;
+use async_executor::LocalExecutor;
+use rustix::process::{Signal, set_parent_process_death_signal};
+use shalewall_server::Server;
+use shalewall_settings::FrontPlan;
+use std::io;
+use std::path::Path;
+use std::rc::Rc;
+
+/// Runs one director of the service until it is told to end.
+pub fn serve(config: &Path, check: bool, with_parent: bool) -> Result<(), CliError> {
+    if with_parent {
+        set_parent_process_death_signal(Some(Signal::KILL)).map_err(io::Error::from)?;
+    }
+    let plan: FrontPlan = read_settings(config)?;
+    if check {
+        return Ok(());
+    }
+    start_logs();
+    let executor = Rc::new(LocalExecutor::new());
+    let server = Server::start(&executor, &plan)?;
+    async_io::block_on(executor.run(server.run_until_signal()))?;
+    Ok(())
+}
+
+/// Runs a director on the platform until it is told to end.
+pub fn direct(config: &Path) -> Result<(), CliError> {
+    start_logs();
+    shalewall_platform::run(config)?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/cli/src/commands/tenant.rs
@@ -0,0 +1,134 @@
+//! Tenants of a hosted service, over its administration API.
+
+use crate::args::{ApiAccess, TenantCommand};
+use crate::error::CliError;
+use serde_json::{Value, json};
+use shalewall_http::Limits;
+use shalewall_http::client::{Call, Response, in_time};
+use shalewall_http::pool::Pool;
+use std::io::{Read, stdin};
+use std::time::Duration;
+
+/// What a call may take.
+const CALL_TIMEOUT: Duration = Duration::from_secs(30);
+/// Bytes of an answer at most.
+const MAX_ANSWER_BYTES: usize = 64 << 20;
+
+/// Carries out one command, and prints what the API answers.
+pub fn run(access: &ApiAccess, command: TenantCommand) -> Result<(), CliError> {
+    let request = ApiRequest::of(command)?;
+    let file = &access.token_file;
+    let token = std::fs::read_to_string(file).map_err(CliError::of_file(file))?;
+    let answer = request.send(access, token.trim())?;
+    let body = String::from_utf8_lossy(&answer.body).into_owned();
+    let status = answer.head.status;
+    if !(200..300).contains(&status) {
+        return Err(CliError::Status { status, body });
+    }
+    println!("{body}");
+    Ok(())
+}
+
+/// A call to the API.
+struct ApiRequest {
+    method: &'static str,
+    target: String,
+    /// The revision that it is meant for.
+    revision: Option<u64>,
+    content: Option<Content>,
+}
+
+/// Content of a call.
+struct Content {
+    media_type: &'static str,
+    text: String,
+}
+
+impl ApiRequest {
+    /// The call of a command; its content is read from standard input.
+    fn of(command: TenantCommand) -> Result<ApiRequest, CliError> {
+        Ok(match command {
+            TenantCommand::List => ApiRequest::new("GET", "/tenants".to_string()),
+            TenantCommand::Show { id } => ApiRequest::new("GET", path(&id, "")),
+            TenantCommand::History { id } => ApiRequest::new("GET", path(&id, "/history")),
+            TenantCommand::Create { id } => {
+                let terms: Value = serde_json::from_str(&read_input()?)?;
+                let content = Content {
+                    media_type: "application/json",
+                    text: json!({ "id": id, "terms": terms }).to_string(),
+                };
+                ApiRequest::new("POST", "/tenants".to_string()).with_content(content)
+            }
+            TenantCommand::Patch { id, at } => {
+                let content = Content {
+                    media_type: "application/merge-patch+json",
+                    text: read_input()?,
+                };
+                let request = ApiRequest::new("PATCH", path(&id, ""));
+                request.at_revision(at).with_content(content)
+            }
+            TenantCommand::Suspend { id, at } => {
+                ApiRequest::new("POST", path(&id, "/suspend")).at_revision(at)
+            }
+            TenantCommand::Resume { id, at } => {
+                ApiRequest::new("POST", path(&id, "/resume")).at_revision(at)
+            }
+            TenantCommand::Delete { id, at } => {
+                ApiRequest::new("DELETE", path(&id, "")).at_revision(at)
+            }
+        })
+    }
+
+    fn new(method: &'static str, target: String) -> ApiRequest {
+        ApiRequest {
+            method,
+            target,
+            revision: None,
+            content: None,
+        }
+    }
+
+    fn at_revision(self, revision: u64) -> ApiRequest {
+        ApiRequest {
+            revision: Some(revision),
+            ..self
+        }
+    }
+
+    fn with_content(self, content: Content) -> ApiRequest {
+        ApiRequest {
+            content: Some(content),
+            ..self
+        }
+    }
+
+    fn send(&self, access: &ApiAccess, token: &str) -> Result<Response, CliError> {
+        let limits = Limits {
+            body: MAX_ANSWER_BYTES,
+            ..Limits::default()
+        };
+        let pool = Pool::new(access.api, limits, Duration::ZERO, 0);
+        let host = access.api.to_string();
+        let authorization = format!("Bearer {token}");
+        let entity_tag = self.revision.map(|revision| format!("\"{revision}\""));
+        let mut fields = vec![("Authorization", authorization.as_str())];
+        fields.extend(entity_tag.as_deref().map(|tag| ("If-Match", tag)));
+        let content = self.content.as_ref();
+        let call = Call {
+            content: content.map(|content| (content.media_type, content.text.as_bytes())),
+            ..Call::new(self.method, &self.target, &host).fields(&fields)
+        };
+        let answer = async_io::block_on(in_time(CALL_TIMEOUT, pool.call(&call)));
+        answer.ok_or(CliError::NoAnswer)?.map_err(CliError::Call)
+    }
+}
+
+fn path(id: &str, rest: &str) -> String {
+    format!("/tenants/{id}{rest}")
+}
+
+fn read_input() -> Result<String, CliError> {
+    let mut text = String::new();
+    stdin().lock().read_to_string(&mut text)?;
+    Ok(text)
+}
