Migration planner: reasons and ranks in functions of their own; the model's deliveries by recipient

Change: the reason of a candidate and its rank are decided apart, and the model's test hands what is for the director to a function of its own.

--- a/crates/migration/src/planner/selection.rs
+++ b/crates/migration/src/planner/selection.rs
@@ -74,39 +74,46 @@
         if state.target.is_some() || now < state.not_before {
             return None;
         }
-        let node = view.node;
-        let buffer_empty_at = node.buffer_empty_at(session);
         let may_act_on_suspicion = now >= state.cooldown_until;
-        let candidate = |reason, rank_micros| {
-            Some(Candidate {
-                reason,
-                rank_micros,
-                session,
-            })
+        let silent = || may_act_on_suspicion && self.leaves_silent_node(now, view, session);
+        let draining = || view.node.draining && self.is_worthwhile(now, state, 1.0);
+        let short = || may_act_on_suspicion && self.leaves_short_node(now, view, session, state);
+        let reason = if view.node.orphans.contains(&session) {
+            MigrationReason::Orphaned
+        } else if silent() {
+            MigrationReason::NodeSilent
+        } else if draining() {
+            MigrationReason::NodeDraining
+        } else if short() {
+            MigrationReason::NodeShort
+        } else {
+            return None;
         };
-        if node.orphans.contains(&session) {
-            let rank = buffer_empty_at.unwrap_or(now);
-            return candidate(MigrationReason::Orphaned, rank.as_micros());
-        }
-        if let Some(empty_at) = buffer_empty_at
-            && view.is_silent
-            && may_act_on_suspicion
-            && empty_at - now <= self.policy.duration
-        {
-            return candidate(MigrationReason::NodeSilent, empty_at.as_micros());
-        }
-        if node.draining && self.is_worthwhile(now, state, 1.0) {
-            let rank = state.ends_at.map_or(0, |ends_at| -ends_at.as_micros());
-            return candidate(MigrationReason::NodeDraining, rank);
-        }
-        if view.is_shortage_due
-            && may_act_on_suspicion
-            && self.draw(now, session) > node.delivered_fraction
-            && self.is_worthwhile(now, state, 1.0 - node.delivered_fraction)
-        {
-            return candidate(MigrationReason::NodeShort, 0);
-        }
-        None
+        Some(Candidate {
+            reason,
+            rank_micros: rank_micros(reason, now, view.node, session, state),
+            session,
+        })
+    }
+
+    fn leaves_silent_node(&self, now: Timestamp, view: &NodeView<'_>, session: SessionId) -> bool {
+        let buffer_empty_at = view.node.buffer_empty_at(session);
+        view.is_silent
+            && buffer_empty_at.is_some_and(|empty_at| empty_at - now <= self.policy.duration)
+    }
+
+    /// Of a short node's sessions so many leave, on average, as it does not deliver.
+    fn leaves_short_node(
+        &self,
+        now: Timestamp,
+        view: &NodeView<'_>,
+        session: SessionId,
+        state: &SessionState,
+    ) -> bool {
+        let delivered_fraction = view.node.delivered_fraction;
+        view.is_shortage_due
+            && self.draw(now, session) > delivered_fraction
+            && self.is_worthwhile(now, state, 1.0 - delivered_fraction)
     }
 
     /// Whether what is left of a session is worth a migration that wins this part of each second.
@@ -160,6 +167,23 @@
     }
 }
 
+/// The order of sessions with one reason: see [`Candidate::rank_micros`].
+fn rank_micros(
+    reason: MigrationReason,
+    now: Timestamp,
+    node: &NodeState,
+    session: SessionId,
+    state: &SessionState,
+) -> i64 {
+    match reason {
+        MigrationReason::Orphaned | MigrationReason::NodeSilent => {
+            node.buffer_empty_at(session).unwrap_or(now).as_micros()
+        }
+        MigrationReason::NodeDraining => state.ends_at.map_or(0, |ends_at| -ends_at.as_micros()),
+        MigrationReason::NodeShort => 0,
+    }
+}
+
 /// A number from 0 to 1, evenly spread over the inputs.
 fn unit_hash(input: u64) -> f64 {
     let mut hash = input.wrapping_mul(0x9e37_79b9_7f4a_7c15);
--- a/crates/migration/tests/model/state.rs
+++ b/crates/migration/tests/model/state.rs
@@ -174,36 +174,39 @@
                 self.send_player_actions(actions);
             }
             Message::FetchRejected { node, epoch } => self.player.on_fetch_failed(node, epoch),
-            Message::Prepared { node, epoch } => self.input(Input::Prepared { node, epoch }),
-            Message::PrepareRejected { node, epoch } => {
-                self.input(Input::PrepareRejected { node, epoch });
-            }
             Message::Serving { node, epoch } => {
                 self.input(Input::Serving { node, epoch });
                 if fault == Fault::ReleasesEarly {
                     self.input(Input::PlayerSwitched { epoch });
                 }
             }
-            Message::PlayerSwitched { epoch } => self.input(Input::PlayerSwitched { epoch }),
-            Message::PlayerDeclined { epoch } => self.input(Input::PlayerDeclined { epoch }),
+            answer => self.director_receives(answer),
+        }
+    }
+
+    fn director_receives(&mut self, answer: Message) {
+        let input = match answer {
+            Message::Prepared { node, epoch } => Input::Prepared { node, epoch },
+            Message::PrepareRejected { node, epoch } => Input::PrepareRejected { node, epoch },
+            Message::PlayerSwitched { epoch } => Input::PlayerSwitched { epoch },
+            Message::PlayerDeclined { epoch } => Input::PlayerDeclined { epoch },
+            Message::Released { node, epoch } => Input::Released { node, epoch },
             Message::CancelAnswered {
                 node,
                 epoch,
                 already_serving,
-            } => {
-                let outcome = if already_serving {
+            } => Input::Cancelled {
+                node,
+                epoch,
+                outcome: if already_serving {
                     CancelOutcome::AlreadyServing
                 } else {
                     CancelOutcome::Cancelled
-                };
-                self.input(Input::Cancelled {
-                    node,
-                    epoch,
-                    outcome,
-                });
-            }
-            Message::Released { node, epoch } => self.input(Input::Released { node, epoch }),
-        }
+                },
+            },
+            other => unreachable!("not for the director: {other:?}"),
+        };
+        self.input(input);
     }
 
     fn node_prepares(&mut self, source: ServerId, target: ServerId, epoch: Epoch, now: u64) {
--- a/crates/tenancy/src/connections/tenant_connections.rs
+++ b/crates/tenancy/src/connections/tenant_connections.rs
@@ -5,7 +5,7 @@
 use crate::terms::Limits;
 use std::collections::BTreeSet;
 
-/// Idle connections, those that became idle first at the front.
+/// Idle connections, in the order in which they became idle.
 #[derive(Debug, Default)]
 pub(super) struct IdleSet(BTreeSet<(u64, ConnectionId)>);
 
--- a/crates/tenancy/src/terms.rs
+++ b/crates/tenancy/src/terms.rs
@@ -1,5 +1,7 @@
-//! What is agreed with a tenant. The doc comments here are part of the published JSON Schema: where a field has an
-//! empty `description`, it has none there.
+//! What is agreed with a tenant.
+//!
+//! The doc comments of these types are part of the published JSON Schema, so they stay as they are, with its name for a
+//! director: front. A field with an empty `description` has none there, and its comment may change.
 
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
