--- a/crates/behavior-digest/src/engine.rs
+++ b/crates/behavior-digest/src/engine.rs
@@ -11,8 +11,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
-const MILLISECOND: Micros = 1_000;
-const SECOND: Micros = 1_000_000;
+const MILLISECOND: TimeDelta = TimeDelta::from_millis(1);
+const SECOND: TimeDelta = TimeDelta::from_secs(1);
 const SEEDS: u64 = 200;
 const STEPS: u64 = 500;
 const NODES: u64 = 5;
@@ -65,7 +65,7 @@
 fn class_terms(effect: Idempotency, top: usize) -> ClassSettings {
     ClassSettings {
         idempotency: effect,
-        latency_objective: shalewall::TimeDelta::from_micros(SECOND),
+        latency_objective: SECOND,
         priority_weight: 1.0,
         rate_scale: 1.0,
         highest_rung: top,
@@ -114,23 +114,23 @@
         weight_is_capacity: true,
         link_kb_s_per_weight: 9_000.0,
         join_rate_fraction: 1.0,
-        notification_interval: shalewall::TimeDelta::from_micros(3 * SECOND),
-        notification_delay: shalewall::TimeDelta::from_micros(SECOND),
+        notification_interval: 3 * SECOND,
+        notification_delay: SECOND,
         stall_penalty: 7.0,
         rung_change_cost_s: 0.5,
         rules: RuleSettings {
-            warm_up: shalewall::TimeDelta::from_micros(SECOND),
+            warm_up: SECOND,
             initial_capacity: 0.4,
             overload_factor: 3.0,
-            overload_window: shalewall::TimeDelta::from_micros(SECOND),
+            overload_window: SECOND,
             ..Default::default()
         },
         limits: Limits {
             max_attempts: 4,
             can_cancel: true,
             can_check_health: variant.probes,
-            min_batch_interval: shalewall::TimeDelta::from_micros(10 * MILLISECOND),
-            max_retry_after: shalewall::TimeDelta::from_micros(SECOND),
+            min_batch_interval: 10 * MILLISECOND,
+            max_retry_after: SECOND,
             ..Default::default()
         },
         ..Default::default()
@@ -186,7 +186,7 @@
 }
 
 impl AdmissionControl for EveryTwentiethWaits {
-    fn admit(&mut self, _: Micros, tenant: Option<&str>) -> Admission {
+    fn admit(&mut self, _: Timestamp, tenant: Option<&str>) -> Admission {
         self.wishes += 1;
         match tenant {
             Some("nobody") => Admission::UnknownTenant,
@@ -197,7 +197,7 @@
         }
     }
 
-    fn release(&mut self, _: Micros, _: Option<&str>) {}
+    fn release(&mut self, _: Timestamp, _: Option<&str>) {}
 }
 
 /// What happens at a later time.
@@ -218,8 +218,8 @@
     variant: Variant,
     encoder: &'e mut Encoder,
     random: Random,
-    now: Micros,
-    later: BTreeMap<(Micros, u64), Later>,
+    now: Timestamp,
+    later: BTreeMap<(Timestamp, u64), Later>,
     queued: u64,
     calls: BTreeMap<CallId, Call>,
     next_ask: u64,
@@ -233,14 +233,14 @@
 
 impl<'e> Script<'e> {
     fn new(seed: u64, variant: Variant, encoder: &'e mut Encoder) -> Script<'e> {
-        let mut engine = Engine::new(config(seed, variant), 0);
+        let mut engine = Engine::new(config(seed, variant), Timestamp::ZERO);
         engine.set_admission_control(Box::new(EveryTwentiethWaits::default()));
         Script {
             engine,
             variant,
             encoder,
             random: Random::new(seed),
-            now: 0,
+            now: Timestamp::ZERO,
             later: BTreeMap::new(),
             queued: 0,
             calls: BTreeMap::new(),
@@ -284,7 +284,7 @@
             }
             self.node_up(server);
         }
-        self.pass(2 * SECOND);
+        self.pass(Timestamp::ZERO + 2 * SECOND);
     }
 
     fn draw_carried(&mut self, node: u64) -> Vec<TransferredSession> {
@@ -322,13 +322,13 @@
         self.collect();
     }
 
-    fn schedule(&mut self, after: Micros, later: Later) {
+    fn schedule(&mut self, after: TimeDelta, later: Later) {
         self.queued += 1;
         self.later.insert((self.now + after, self.queued), later);
     }
 
     /// What is due by `until` happens, and timers ring, in order of time.
-    fn pass(&mut self, until: Micros) {
+    fn pass(&mut self, until: Timestamp) {
         loop {
             let event = self.later.keys().next().map(|(due, _)| *due);
             let timer = self.engine.poll_timeout();
@@ -649,12 +649,13 @@
 
     fn collect(&mut self) {
         while let Some(output) = self.engine.poll_output() {
-            self.encoder.i64(self.now);
+            self.encoder.i64(self.now.as_micros());
             encode_output(self.encoder, &output);
             self.carry_out(output);
         }
         let timeout = self.engine.poll_timeout();
-        self.encoder.option(timeout, Encoder::i64);
+        self.encoder
+            .option(timeout, |e, due| e.i64(due.as_micros()));
     }
 
     fn carry_out(&mut self, output: Output) {
@@ -763,7 +764,7 @@
             self.encoder.usize(count);
         }
         for tenant in ["a", "c"] {
-            let sessions = self.engine.sessions_of(tenant, 5);
+            let sessions = self.engine.tenant_sessions(tenant, 5);
             self.encoder.usize(sessions.len());
             sessions
                 .iter()
@@ -772,7 +773,7 @@
     }
 }
 
-fn line(node: u64, standing: EndpointState, came_up: Option<Micros>) -> EndpointEntry {
+fn line(node: u64, standing: EndpointState, came_up: Option<Timestamp>) -> EndpointEntry {
     EndpointEntry {
         server: ServerId(node),
         address: Some(SocketAddr::from(([127, 0, 0, 1], 1000 + node as u16))),
@@ -858,7 +859,7 @@
             encoder.u64(session.0);
             encoder.u64(to.0);
             encoder.tag(tag_of_reason(*why));
-            encoder.i64(*took);
+            encoder.i64(took.as_micros());
             encoder.bool(*moved);
         }
         Output::AttemptFinished {
@@ -872,7 +873,7 @@
             encode_attempt(encoder, *session, *attempt);
             encoder.u64(server.0);
             encoder.tag(tag_of_outcome(*outcome));
-            encoder.i64(*took);
+            encoder.i64(took.as_micros());
         }
         // The text of a log line is no behaviour.
         Output::Log(_) => encoder.begin_output(11),
@@ -897,7 +898,7 @@
         } => {
             encoder.tag(2);
             encoder.option(*session, |e, session| e.u64(session.0));
-            encoder.option(*come_back, Encoder::i64);
+            encoder.option(*come_back, |e, after| e.i64(after.as_micros()));
         }
         Answer::Failed {
             session,
--- a/crates/engine/benches/decisions.rs
+++ b/crates/engine/benches/decisions.rs
@@ -8,13 +8,15 @@
 use shalewall_migration::planner::{MigrationPlanner, MigrationPolicy};
 use std::hint::black_box;
 
-const S: i64 = 1_000_000;
+const S: TimeDelta = TimeDelta::from_secs(1);
+/// Between two requests.
+const STEP: TimeDelta = TimeDelta::from_millis(30);
 
 const TICK: u64 = u64::MAX;
 
 /// A director that holds so many sessions, all of them older than its memory of set-ups, on links large
 /// enough for them.
-fn holding(count: u64) -> (Director, Micros) {
+fn holding(count: u64) -> (Director, Timestamp) {
     let link = 2000.0 * (count as f64 / 15.0 + 100.0) * 2.0;
     let mut settings = Settings {
         director_count: 3,
@@ -26,9 +28,9 @@
     };
     let paid = &mut settings.classes[common::AT_MOST_ONCE];
     (paid.session_limit_per_title, paid.lowest_rung) = (1_000_000, 0);
-    settings.rules.warm_up = shalewall::TimeDelta::from_micros(10 * S);
+    settings.rules.warm_up = 10 * S;
     settings.rules.retry_budget = None;
-    let mut director = Director::new(1, settings, shalewall::Timestamp::from_micros(0));
+    let mut director = Director::new(1, settings, Timestamp::ZERO);
     let mut out = Vec::new();
     let line = |id| Endpoint {
         server: ServerId(id),
@@ -39,7 +41,7 @@
         ..Default::default()
     };
     director.handle(
-        shalewall::Timestamp::from_micros(0),
+        Timestamp::ZERO,
         Event::EndpointsUpdated {
             update: EndpointUpdate::Full,
             endpoints: (0..15).map(line).collect(),
@@ -48,24 +50,24 @@
     );
     for id in 0..count {
         out.clear();
-        let req = request(id, 0);
+        let req = request(id, Timestamp::ZERO);
         director.handle(
-            shalewall::Timestamp::from_micros(0),
+            Timestamp::ZERO,
             Event::SessionTransferred(req, ServerId(req.first_cell + id % 5)),
             &mut out,
         );
     }
-    let now = 60 * S;
+    let now = Timestamp::ZERO + 60 * S;
     // Figures of every link and uplink, as notes would keep them.
     for id in 0..count.min(100) {
         let session = SessionId(id);
-        let server = ServerId(request(id, 0).first_cell + id % 5);
+        let server = ServerId(request(id, Timestamp::ZERO).first_cell + id % 5);
         for note in [
             Notification::LinkUtilization(0.4),
             Notification::UplinkUtilization(0.5),
         ] {
             director.handle(
-                shalewall::Timestamp::from_micros(now),
+                now,
                 Event::Notified {
                     session,
                     attempt: 0,
@@ -76,23 +78,19 @@
             );
         }
     }
-    director.handle(
-        shalewall::Timestamp::from_micros(now),
-        Event::TimerFired(TICK),
-        &mut out,
-    );
+    director.handle(now, Event::TimerFired(TICK), &mut out);
     (director, now)
 }
 
-fn request(id: u64, now: Micros) -> Request {
+fn request(id: u64, now: Timestamp) -> Request {
     Request {
         session: SessionId(id),
         class: (id % 2) as usize,
         tenant: None,
         viewer: id,
         title: TitleId(id % 50),
-        deadline: shalewall::Timestamp::from_micros(now + 4 * S),
-        duration_hint: Some(shalewall::TimeDelta::from_micros(40 * S)),
+        deadline: now + 4 * S,
+        duration_hint: Some(40 * S),
         first_cell: id % 10,
         replica_cells: 5,
         highest_rung: 4,
@@ -102,13 +100,9 @@
 }
 
 /// One that comes, plays and ends: what is held stays the same.
-fn one(director: &mut Director, now: Micros, req: Request, out: &mut Vec<Action>) -> usize {
+fn one(director: &mut Director, now: Timestamp, req: Request, out: &mut Vec<Action>) -> usize {
     out.clear();
-    director.handle(
-        shalewall::Timestamp::from_micros(now),
-        Event::RequestReceived(req),
-        out,
-    );
+    director.handle(now, Event::RequestReceived(req), out);
     let sent = out.iter().find_map(|a| match a {
         Action::StartAttempt {
             session, server, ..
@@ -116,20 +110,20 @@
         _ => None,
     });
     let (session, server) = sent.expect("there is room for it");
-    let (attempt, waited) = (0, 50_000);
+    let (attempt, waited) = (0, TimeDelta::from_millis(50));
     director.handle(
-        shalewall::Timestamp::from_micros(now),
+        now,
         Event::SessionStarted {
             session,
             attempt,
             server,
-            setup_time: shalewall::TimeDelta::from_micros(waited),
+            setup_time: waited,
         },
         out,
     );
     let (outcome, closed, load) = (Outcome::Success, true, LoadReport::default());
     director.handle(
-        shalewall::Timestamp::from_micros(now),
+        now,
         Event::AttemptFinished {
             session,
             attempt,
@@ -153,20 +147,16 @@
             &held,
             |b, _| {
                 b.iter(|| {
-                    (id, now) = (id + 1, now + 30_000);
+                    (id, now) = (id + 1, now + STEP);
                     black_box(one(&mut director, now, request(id, now), &mut out))
                 })
             },
         );
         c.bench_with_input(BenchmarkId::new("tick", held), &held, |b, _| {
             b.iter(|| {
-                now += 200_000;
+                now += TimeDelta::from_millis(200);
                 out.clear();
-                director.handle(
-                    shalewall::Timestamp::from_micros(now),
-                    Event::TimerFired(TICK),
-                    &mut out,
-                );
+                director.handle(now, Event::TimerFired(TICK), &mut out);
                 black_box(out.len())
             })
         });
@@ -195,18 +185,14 @@
             };
             count
         ];
-        director.handle(
-            shalewall::Timestamp::from_micros(now),
-            Event::SettingsUpdated { classes, tenants },
-            &mut out,
-        );
+        director.handle(now, Event::SettingsUpdated { classes, tenants }, &mut out);
         let mut id = 1_000u64;
         c.bench_with_input(
             BenchmarkId::new("request of a tenant among", count),
             &count,
             |b, _| {
                 b.iter(|| {
-                    (id, now) = (id + 1, now + 30_000);
+                    (id, now) = (id + 1, now + STEP);
                     let tenant = (id % 10) as usize % count;
                     let req = Request {
                         tenant: Some(tenant),
@@ -235,7 +221,7 @@
         for id in 0..held {
             planner.add_session(Timestamp::ZERO, SessionId(id), ServerId(id % 100), None);
         }
-        let mut now = Timestamp::from_micros(S);
+        let mut now = Timestamp::ZERO + S;
         planner.handle_timeout(now);
         let step = TimeDelta::from_millis(100);
         let buffer = TimeDelta::from_millis(300);
@@ -254,21 +240,17 @@
             },
         );
         let mut director = holding(held.min(50_000)).0;
-        let (mut out, mut at) = (Vec::new(), 100 * S);
+        let (mut out, mut at) = (Vec::new(), Timestamp::ZERO + 100 * S);
         c.bench_with_input(
             BenchmarkId::new("target found, move over, among", held.min(50_000)),
             &held,
             |b, _| {
                 b.iter(|| {
-                    (id, at) = ((id + 7) % held.min(50_000), at + 30_000);
+                    (id, at) = ((id + 7) % held.min(50_000), at + STEP);
                     out.clear();
+                    director.handle(at, Event::MigrationRequested(SessionId(id)), &mut out);
                     director.handle(
-                        shalewall::Timestamp::from_micros(at),
-                        Event::MigrationRequested(SessionId(id)),
-                        &mut out,
-                    );
-                    director.handle(
-                        shalewall::Timestamp::from_micros(at),
+                        at,
                         Event::MigrationFinished {
                             session: SessionId(id),
                             migrated: false,
--- a/crates/engine/src/catalogue.rs
+++ b/crates/engine/src/catalogue.rs
@@ -1,100 +1,85 @@
-//! Names to indices: the classes, titles and tenants that viewers may name, as they are now. Tenants come, change
-//! and go while sessions play; the module knows numbers, which mean the same as long as a session holds them.
+//! The classes, titles and tenants that viewers may name, and the numbers that stand for them.
 //!
-//! Classes with equal terms share a number, so that a thousand tenants on the usual terms cost the module one
-//! class. A class whose terms change gets another number: what plays keeps the terms that it was set up on, and a
-//! paid set-up that is out stays paid.
+//! Tenants come, change and go while sessions play; the decision module knows numbers, which mean the same as long as
+//! a session holds them. Classes with equal settings share a number, so that a thousand tenants on the usual terms
+//! cost the module one class. A class whose settings change gets another number: what plays keeps the settings that
+//! it was set up with, and a set-up in flight that must not be executed twice stays one.
 
-use crate::config::{Config, NamedClass, TitlePlacement};
+mod number_pool;
+
+use crate::config::{Config, TitlePlacement};
 use crate::input::TenantTerms;
-use shalewall::{ClassSettings, Micros, ServerId, TenantSettings, TitleId};
+use number_pool::NumberPool;
+use shalewall::{ClassSettings, ServerId, TenantSettings, TimeDelta, TitleId};
 use std::collections::BTreeMap;
 use std::mem::take;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Numbers that are handed out, and taken back when nothing holds them.
-#[derive(Default)]
-struct Numbers<T>(Vec<(T, usize)>);
-
-impl<T: PartialEq + Copy> Numbers<T> {
-    /// A number of its own, by the smallest that is free.
-    fn new_one(&mut self, what: T) -> usize {
-        match self.0.iter().position(|(_, holders)| *holders == 0) {
-            Some(free) => {
-                self.0[free] = (what, 1);
-                free
-            }
-            None => {
-                self.0.push((what, 1));
-                self.0.len() - 1
-            }
-        }
-    }
-
-    /// The number of an equal one, or a new one.
-    fn shared(&mut self, what: T) -> usize {
-        match self
-            .0
-            .iter()
-            .position(|(same, holders)| *holders > 0 && *same == what)
-        {
-            Some(number) => {
-                self.hold(number);
-                number
-            }
-            None => self.new_one(what),
-        }
-    }
-
-    fn hold(&mut self, number: usize) {
-        self.0[number].1 += 1;
-    }
-
-    fn release(&mut self, number: usize) {
-        self.0[number].1 = self.0[number].1.saturating_sub(1);
-    }
-
-    fn all(&self) -> impl Iterator<Item = T> {
-        self.0.iter().map(|(what, _)| *what)
-    }
+/// A class that viewers may name.
+#[derive(Clone, Copy)]
+struct Class {
+    number: usize,
+    max_wait: TimeDelta,
 }
 
 /// What one tenant's viewers may name.
 #[derive(Default)]
 struct Tenant {
     number: usize,
-    takes: bool,
-    /// Number and longest wait of each class; without any, the site's are its own.
-    classes: BTreeMap<String, (usize, Micros)>,
+    accepts_requests: bool,
+    /// Without any, the site's are its own.
+    classes: BTreeMap<String, Class>,
     titles: BTreeMap<String, TitlePlacement>,
     nodes: Vec<ServerId>,
     fleet: u32,
 }
 
-/// What a viewer's names stand for.
+/// What the names in a viewer's request stand for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct Found {
+pub struct ResolvedNames {
+    /// Number of the class.
     pub class: usize,
-    pub give_up: Micros,
+    /// The longest time that viewers of the class wait.
+    pub max_wait: TimeDelta,
+    /// The title, together with the class and the tenant whose they are.
     pub title: TitleId,
-    pub place: TitlePlacement,
+    /// Where the title is.
+    pub placement: TitlePlacement,
+    /// Number of the tenant.
     pub tenant: Option<usize>,
+    /// The fleet whose nodes it may use; 0: the one that all share.
     pub fleet: u32,
 }
 
-/// What there is not.
+/// A name that stands for nothing here.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Missing {
+pub enum UnknownName {
+    /// There is no such tenant, or it takes nothing new.
     Tenant,
+    /// There is no such class.
     Class,
+    /// There is no such title.
     Title,
 }
 
-pub(crate) struct Catalogue {
-    classes: Numbers<ClassSettings>,
-    /// Each tenant's share; what it comes to as a part depends on the others'.
-    shares: Numbers<f64>,
-    allowances: Vec<f64>,
+impl UnknownName {
+    /// What is unknown, in the word of the answer that the viewer gets.
+    pub fn kind(self) -> &'static str {
+        match self {
+            UnknownName::Tenant => "tenant",
+            UnknownName::Class => "class",
+            UnknownName::Title => "title",
+        }
+    }
+}
+
+/// All names, with their numbers.
+pub struct Catalogue {
+    classes: NumberPool<ClassSettings>,
+    /// Each tenant's weight; which part of the fleet that is depends on the others'.
+    quotas: NumberPool<f64>,
+    /// Request quotas of the settings' tenants.
+    request_quotas_per_s: Vec<f64>,
     site: Tenant,
     tenants: BTreeMap<String, Tenant>,
     /// Fleets of nodes that are a tenant's own.
@@ -102,125 +87,136 @@
 }
 
 impl Catalogue {
-    /// Takes the names out of the settings: from here on they are known here alone.
+    /// Takes the names out of the configuration: from here on they are known here alone.
     pub fn new(config: &mut Config) -> Catalogue {
-        let (classes, tenants) = (take(&mut config.classes), take(&mut config.tenants));
-        let number = |(number, class): (usize, NamedClass)| (class.name, (number, class.max_wait));
+        let classes = take(&mut config.classes).into_iter().enumerate();
+        let classes = classes.map(|(number, class)| {
+            let max_wait = class.max_wait;
+            (class.name, Class { number, max_wait })
+        });
         let site = Tenant {
-            takes: true,
-            classes: classes.into_iter().enumerate().map(number).collect(),
+            accepts_requests: true,
+            classes: classes.collect(),
             titles: take(&mut config.titles),
             ..Tenant::default()
         };
-        let (terms, told) = (&config.settings.classes, &config.settings.tenants);
-        let tenant = |(number, name): (usize, String)| {
-            (
-                name,
-                Tenant {
-                    number,
-                    takes: true,
-                    ..Tenant::default()
-                },
-            )
-        };
+        let tenants = take(&mut config.tenants).into_iter().enumerate();
+        let tenants = tenants.map(|(number, name)| {
+            let tenant = Tenant {
+                number,
+                accepts_requests: true,
+                ..Tenant::default()
+            };
+            (name, tenant)
+        });
+        let tenant_settings = &config.settings.tenants;
         Catalogue {
-            // Held by the settings: never given to others.
-            classes: Numbers(terms.iter().map(|t| (*t, 1)).collect()),
-            shares: Numbers(told.iter().map(|t| (t.fleet_quota, 1)).collect()),
-            allowances: told.iter().map(|t| t.request_quota_per_s).collect(),
+            // Held by the settings: these numbers are never given to others.
+            classes: NumberPool::new(config.settings.classes.iter().copied()),
+            quotas: NumberPool::new(tenant_settings.iter().map(|tenant| tenant.fleet_quota)),
+            request_quotas_per_s: tenant_settings
+                .iter()
+                .map(|tenant| tenant.request_quota_per_s)
+                .collect(),
             site,
-            tenants: tenants.into_iter().enumerate().map(tenant).collect(),
+            tenants: tenants.collect(),
             fleets: BTreeMap::new(),
         }
     }
 
     /// What a viewer's names stand for.
-    pub fn find(&self, tenant: Option<&str>, class: &str, title: &str) -> Result<Found, Missing> {
-        let of = match tenant {
-            None => None,
-            Some(name) => Some(
-                self.tenants
-                    .get(name)
-                    .filter(|t| t.takes)
-                    .ok_or(Missing::Tenant)?,
-            ),
-        };
-        let own_classes = of.filter(|t| !t.classes.is_empty());
-        let own_titles = of.filter(|t| !t.titles.is_empty());
+    pub fn resolve(
+        &self,
+        tenant: Option<&str>,
+        class: &str,
+        title: &str,
+    ) -> Result<ResolvedNames, UnknownName> {
+        let owner = tenant.map(|name| self.accepting(name)).transpose()?;
+        let own_classes = owner.filter(|tenant| !tenant.classes.is_empty());
+        let own_titles = owner.filter(|tenant| !tenant.titles.is_empty());
         let classes = &own_classes.unwrap_or(&self.site).classes;
-        let (class_number, give_up) = *classes.get(class).ok_or(Missing::Class)?;
-        let place = *own_titles
-            .unwrap_or(&self.site)
-            .titles
-            .get(title)
-            .ok_or(Missing::Title)?;
-        // Seats go by title and class; of tenants that have classes or titles of their own nothing is in common.
-        let owner = if own_classes.is_some() || own_titles.is_some() {
-            tenant
-        } else {
-            None
-        };
-        let title = TitleId(xxh3_64(
-            format!("{}\n{class}\n{title}", owner.unwrap_or("")).as_bytes(),
-        ));
-        let (tenant, fleet) = (of.map(|t| t.number), of.map_or(0, |t| t.fleet));
-        Ok(Found {
-            class: class_number,
-            give_up,
-            title,
-            place,
-            tenant,
-            fleet,
+        let titles = &own_titles.unwrap_or(&self.site).titles;
+        let found_class = *classes.get(class).ok_or(UnknownName::Class)?;
+        let placement = *titles.get(title).ok_or(UnknownName::Title)?;
+        // Session limits go by title and class; tenants that have either of their own share neither with others.
+        let has_own_names = own_classes.is_some() || own_titles.is_some();
+        let namespace = tenant.filter(|_| has_own_names).unwrap_or("");
+        let title = format!("{namespace}\n{class}\n{title}");
+        Ok(ResolvedNames {
+            class: found_class.number,
+            max_wait: found_class.max_wait,
+            title: TitleId(xxh3_64(title.as_bytes())),
+            placement,
+            tenant: owner.map(|tenant| tenant.number),
+            fleet: owner.map_or(0, |tenant| tenant.fleet),
         })
     }
 
-    /// A session that names these numbers is under way.
+    fn accepting(&self, name: &str) -> Result<&Tenant, UnknownName> {
+        let tenant = self.tenants.get(name);
+        let accepting = tenant.filter(|tenant| tenant.accepts_requests);
+        accepting.ok_or(UnknownName::Tenant)
+    }
+
+    /// A session that has these numbers is under way.
     pub fn hold(&mut self, class: usize, tenant: Option<usize>) {
         self.classes.hold(class);
-        tenant.into_iter().for_each(|t| self.shares.hold(t));
+        if let Some(tenant) = tenant {
+            self.quotas.hold(tenant);
+        }
     }
 
+    /// A session that had these numbers is over.
     pub fn release(&mut self, class: usize, tenant: Option<usize>) {
         self.classes.release(class);
-        tenant.into_iter().for_each(|t| self.shares.release(t));
+        if let Some(tenant) = tenant {
+            self.quotas.release(tenant);
+        }
     }
 
     /// What is agreed with a tenant from now on; nothing: it is gone. Its sessions keep what they hold.
-    pub fn agree(&mut self, name: &str, agreed: Option<TenantTerms>) {
+    pub fn set_terms(&mut self, name: &str, terms: Option<TenantTerms>) {
         let before = self.tenants.remove(name);
-        if let Some(agreed) = agreed {
-            let number = before
-                .as_ref()
-                .map_or_else(|| self.shares.new_one(0.0), |t| t.number);
-            self.shares.0[number].0 = agreed.quota.unwrap_or(0.0);
-            let classes = agreed.classes.into_iter();
-            let classes = classes
-                .map(|(name, terms)| (name, (self.classes.shared(terms.settings), terms.max_wait)));
-            let tenant = Tenant {
-                number,
-                takes: agreed.quota.is_some(),
-                classes: classes.collect(),
-                titles: agreed.titles,
-                nodes: agreed.nodes,
-                fleet: 0,
-            };
-            self.tenants.insert(name.to_string(), tenant);
-        } else if let Some(before) = &before {
-            self.shares.release(before.number);
-            self.shares.0[before.number].0 = 0.0;
+        let number = before.as_ref().map(|tenant| tenant.number);
+        match (terms, number) {
+            (Some(terms), _) => self.add_tenant(name, number, terms),
+            (None, Some(number)) => {
+                self.quotas.release(number);
+                self.quotas.set(number, 0.0);
+            }
+            (None, None) => {}
         }
         // After the new ones, so that what did not change keeps its number.
-        before
-            .into_iter()
-            .flat_map(|t| t.classes)
-            .for_each(|(_, (class, _))| self.classes.release(class));
+        for class in before.iter().flat_map(|tenant| tenant.classes.values()) {
+            self.classes.release(class.number);
+        }
+    }
+
+    fn add_tenant(&mut self, name: &str, number: Option<usize>, terms: TenantTerms) {
+        let number = number.unwrap_or_else(|| self.quotas.allocate(0.0));
+        self.quotas.set(number, terms.quota.unwrap_or(0.0));
+        let classes = terms.classes.into_iter().map(|(name, class)| {
+            let number = self.classes.allocate_shared(class.settings);
+            let max_wait = class.max_wait;
+            (name, Class { number, max_wait })
+        });
+        let tenant = Tenant {
+            number,
+            accepts_requests: terms.quota.is_some(),
+            classes: classes.collect(),
+            titles: terms.titles,
+            nodes: terms.nodes,
+            fleet: 0,
+        };
+        self.tenants.insert(name.to_string(), tenant);
     }
 
-    /// Lays out the fleets anew; the servers whose fleet has changed. A node that several tenants name is the
-    /// first one's by name, whatever the order in which a front heard of them, unless all name the same nodes.
-    pub fn lay_out(&mut self) -> Vec<ServerId> {
+    /// Assigns nodes to fleets anew, and returns the nodes whose fleet has changed. A node that several tenants name
+    /// belongs to the first one by name, whatever the order in which a director heard of them, unless all name the
+    /// same nodes.
+    pub fn assign_fleets(&mut self) -> Vec<ServerId> {
         let before = take(&mut self.fleets);
-        let mut same: BTreeMap<Vec<ServerId>, u32> = BTreeMap::new();
+        let mut fleet_by_nodes: BTreeMap<Vec<ServerId>, u32> = BTreeMap::new();
         for tenant in self.tenants.values_mut() {
             tenant.fleet = 0;
             if tenant.nodes.is_empty() {
@@ -228,142 +224,41 @@
             }
             let mut nodes = tenant.nodes.clone();
             nodes.sort_unstable();
-            let next = same.len() as u32 + 1;
-            tenant.fleet = *same.entry(nodes).or_insert(next);
+            let next = fleet_by_nodes.len() as u32 + 1;
+            tenant.fleet = *fleet_by_nodes.entry(nodes).or_insert(next);
             for node in &tenant.nodes {
                 self.fleets.entry(*node).or_insert(tenant.fleet);
             }
         }
-        let changed = |s: &&ServerId| before.get(s) != self.fleets.get(s);
-        let mut changed: Vec<_> = before
-            .keys()
-            .chain(self.fleets.keys())
-            .filter(changed)
-            .copied()
-            .collect();
+        let nodes = before.keys().chain(self.fleets.keys());
+        let changed = nodes.filter(|node| before.get(node) != self.fleets.get(node));
+        let mut changed: Vec<_> = changed.copied().collect();
         changed.sort_unstable();
         changed.dedup();
         changed
     }
 
-    /// The fleet that a server is for; 0: the one that all share.
+    /// The fleet that a node belongs to; 0: the one that all share.
     pub fn fleet(&self, server: ServerId) -> u32 {
         self.fleets.get(&server).copied().unwrap_or(0)
     }
 
-    /// Classes by number, as the module wants them.
+    /// Classes by number, as the decision module wants them.
     pub fn classes(&self) -> Vec<ClassSettings> {
-        self.classes.all().collect()
+        self.classes.values().collect()
     }
 
-    /// Tenants by number: each share over the sum of all.
+    /// Tenants by number, as the decision module wants them: each quota over the sum of all.
     pub fn tenants(&self) -> Vec<TenantSettings> {
-        let all: f64 = self.shares.all().sum();
-        let part = |share: f64| if all > 0.0 { share / all } else { 0.0 };
-        let allowance = |number: usize| self.allowances.get(number).copied().unwrap_or(0.0);
-        let tenants = self.shares.all().enumerate();
-        tenants
-            .map(|(number, share)| TenantSettings {
-                request_quota_per_s: allowance(number),
-                fleet_quota: part(share),
+        let total: f64 = self.quotas.values().sum();
+        let fraction = |quota: f64| if total > 0.0 { quota / total } else { 0.0 };
+        let request_quota = |number: usize| self.request_quotas_per_s.get(number).copied();
+        let quotas = self.quotas.values().enumerate();
+        quotas
+            .map(|(number, quota)| TenantSettings {
+                request_quota_per_s: request_quota(number).unwrap_or(0.0),
+                fleet_quota: fraction(quota),
             })
             .collect()
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn agreed(share: f64, worth: f64, nodes: &[u64]) -> TenantTerms {
-        let terms = ClassSettings {
-            priority_weight: worth,
-            ..ClassSettings::default()
-        };
-        TenantTerms {
-            quota: Some(share),
-            classes: [(
-                "room".to_string(),
-                crate::input::ClassTerms {
-                    settings: terms,
-                    max_wait: 5,
-                },
-            )]
-            .into(),
-            titles: [(
-                "monday".to_string(),
-                TitlePlacement {
-                    first_cell: 1,
-                    replica_cells: 2,
-                },
-            )]
-            .into(),
-            nodes: nodes.iter().map(|n| ServerId(*n)).collect(),
-        }
-    }
-
-    fn find(c: &Catalogue, tenant: &str) -> Found {
-        c.find(Some(tenant), "room", "monday").expect("it is there")
-    }
-
-    #[test]
-    fn equal_terms_share_a_number_and_held_ones_are_never_given_to_others() {
-        let mut c = Catalogue::new(&mut Config::default());
-        c.agree("a", Some(agreed(1.0, 2.0, &[])));
-        c.agree("b", Some(agreed(3.0, 2.0, &[])));
-        let (a, b) = (find(&c, "a"), find(&c, "b"));
-        assert_eq!((a.class, a.tenant), (b.class, Some(0)));
-        assert_ne!(
-            a.title, b.title,
-            "titles of two tenants have nothing in common"
-        );
-        assert_eq!(
-            c.tenants()
-                .iter()
-                .map(|t| t.fleet_quota)
-                .collect::<Vec<_>>(),
-            [0.25, 0.75]
-        );
-
-        // A session of a plays on the old terms while they change, and while a is gone.
-        c.hold(a.class, a.tenant);
-        c.agree("a", Some(agreed(1.0, 9.0, &[])));
-        assert_ne!(find(&c, "a").class, a.class);
-        assert_eq!(find(&c, "a").title, a.title, "seats go on");
-        c.agree("a", None);
-        c.agree("b", None);
-        c.agree("c", Some(agreed(1.0, 7.0, &[])));
-        let other = find(&c, "c");
-        assert_ne!((other.class, other.tenant), (a.class, a.tenant));
-        assert!(other.class != a.class && other.tenant != a.tenant);
-        assert_eq!(c.classes()[a.class].priority_weight, 2.0);
-        // Over: the numbers are free again, and a thousand changes need no more of them.
-        c.release(a.class, a.tenant);
-        for i in 0..1000 {
-            c.agree("d", Some(agreed(1.0, 100.0 + f64::from(i), &[])));
-        }
-        assert!(c.classes().len() <= 4, "{}", c.classes().len());
-        assert!(c.tenants().len() <= 3, "{}", c.tenants().len());
-    }
-
-    #[test]
-    fn fleets_do_not_depend_on_the_order_of_news() {
-        let tenants = [
-            ("a", vec![1, 2]),
-            ("b", vec![2, 3]),
-            ("c", vec![2, 1]),
-            ("d", vec![]),
-        ];
-        let lay = |order: &[usize]| {
-            let mut c = Catalogue::new(&mut Config::default());
-            order
-                .iter()
-                .for_each(|i| c.agree(tenants[*i].0, Some(agreed(1.0, 1.0, &tenants[*i].1))));
-            c.lay_out();
-            let of = ["a", "b", "c", "d"].map(|t| find(&c, t).fleet);
-            (of, [1, 2, 3, 4].map(|n| c.fleet(ServerId(n))))
-        };
-        assert_eq!(lay(&[0, 1, 2, 3]), ([1, 2, 1, 0], [1, 1, 2, 0]));
-        assert_eq!(lay(&[3, 2, 1, 0]), lay(&[0, 1, 2, 3]));
-    }
-}
--- a/crates/engine/src/config.rs
+++ b/crates/engine/src/config.rs
@@ -1,6 +1,6 @@
 //! What an engine is told at its start. Names stop at the engine: the decision module knows numbers.
 
-use shalewall::{Micros, Settings};
+use shalewall::{Settings, TimeDelta};
 use shalewall_migration::planner::MigrationPolicy;
 use std::collections::BTreeMap;
 
@@ -19,7 +19,7 @@
     /// The name that viewers ask for.
     pub name: String,
     /// The longest time that its viewers wait for an answer.
-    pub max_wait: Micros,
+    pub max_wait: TimeDelta,
 }
 
 /// What an engine is told at its start.
--- a/crates/engine/src/input.rs
+++ b/crates/engine/src/input.rs
@@ -1,18 +1,16 @@
 //! What happens to a director, as its driver tells the engine. No logic lives here.
 
 use crate::config::TitlePlacement;
-use crate::output::CallId;
+use crate::ids::{CallId, RequestId, SessionAttempt};
 use shalewall::{
-    ClassSettings, EndpointState, EndpointUpdate, LoadReport, Micros, ServerId, SessionId,
+    ClassSettings, EndpointState, EndpointUpdate, LoadReport, ServerId, SessionId, TimeDelta,
+    Timestamp,
 };
 use shalewall_migration::Epoch;
+use shalewall_migration::node::SessionEpochs;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-/// A viewer's request that waits for its answer, as the driver numbers them.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct RequestId(pub u64);
-
 /// What a viewer asks for.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct SessionRequest {
@@ -26,9 +24,9 @@
     /// Name of the title.
     pub title: String,
     /// The viewer waits so long for the answer; at most what its class allows.
-    pub max_wait: Option<Micros>,
+    pub max_wait: Option<TimeDelta>,
     /// Estimate of how long it will watch.
-    pub duration_hint: Option<Micros>,
+    pub duration_hint: Option<TimeDelta>,
     /// The highest rung that the player can use.
     pub highest_rung: Option<usize>,
     /// A session with this key is over for the viewer, whatever is known of it here: begin anew.
@@ -41,7 +39,7 @@
     /// The decision module's settings for it.
     pub settings: ClassSettings,
     /// The longest time that its viewers wait for an answer.
-    pub max_wait: Micros,
+    pub max_wait: TimeDelta,
 }
 
 /// What is agreed with a tenant that the settings do not name.
@@ -84,16 +82,7 @@
     /// Its capacity relative to other nodes.
     pub weight: f64,
     /// Its last start, on the engine's clock.
-    pub started_at: Option<Micros>,
-}
-
-/// A set-up attempt of a session, as nodes name what they hold.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct SessionAttempt {
-    /// The session.
-    pub session: SessionId,
-    /// Number of the attempt, from 0 on.
-    pub attempt: u32,
+    pub started_at: Option<Timestamp>,
 }
 
 /// How a call to a node ended.
@@ -136,7 +125,7 @@
     /// The rung that it plays at.
     pub rung: usize,
     /// The epochs under which the node serves it, or is ready to.
-    pub epochs: shalewall_migration::node::SessionEpochs,
+    pub epochs: SessionEpochs,
     /// Where the viewer finds the stream.
     pub media: String,
 }
@@ -220,7 +209,7 @@
         /// The node.
         server: ServerId,
         /// When the stream was requested.
-        requested_at: Micros,
+        requested_at: Timestamp,
         /// What the node has held for this director since then or before.
         held: Vec<SessionAttempt>,
     },
@@ -255,7 +244,7 @@
         /// The session.
         session: SessionId,
         /// How much it has left to play.
-        buffered: Micros,
+        buffered: TimeDelta,
     },
     /// A player has switched to this epoch.
     EpochPlaying {
--- a/crates/engine/src/output.rs
+++ b/crates/engine/src/output.rs
@@ -1,15 +1,11 @@
 //! What the engine has its driver do. No logic lives here.
 
-use crate::input::RequestId;
-use shalewall::{Micros, Outcome, ServerId, SessionId};
+use crate::ids::{CallId, RequestId};
+use shalewall::{Outcome, ServerId, SessionId, TimeDelta};
 use shalewall_migration::Epoch;
 use shalewall_migration::planner::MigrationReason;
 use std::net::SocketAddr;
 
-/// A call to a node, as the engine numbers them.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct CallId(pub u64);
-
 /// The final answer to a viewer's request.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Answer {
@@ -27,7 +23,7 @@
         /// The session, where one was begun.
         session: Option<SessionId>,
         /// How long to wait before coming back.
-        retry_after: Option<Micros>,
+        retry_after: Option<TimeDelta>,
     },
     /// Failed; the set-up may have been executed.
     Failed {
@@ -186,7 +182,7 @@
         /// MigrationReason.
         reason: MigrationReason,
         /// How long that took.
-        duration: Micros,
+        duration: TimeDelta,
         /// It plays at its target now.
         migrated: bool,
     },
@@ -201,7 +197,7 @@
         /// How it ended.
         outcome: Outcome,
         /// How long that took.
-        duration: Micros,
+        duration: TimeDelta,
     },
     /// A line for the log.
     Log(String),
--- a/crates/engine/tests/moves.rs
+++ b/crates/engine/tests/migration.rs
@@ -6,8 +6,8 @@
 use common::RandomNumbers;
 use shalewall::*;
 
-const MS: i64 = 1_000;
-const S: i64 = 1_000_000;
+const MS: TimeDelta = TimeDelta::from_millis(1);
+const S: TimeDelta = TimeDelta::from_secs(1);
 use shalewall_engine::*;
 use shalewall_migration::Epoch;
 use shalewall_migration::node::{CancelOutcome, NodeSessions, SessionEpochs};
@@ -18,12 +18,12 @@
 
 const NODES: u64 = 4;
 /// A player that hears nothing says so after this; its buffer lasts so long.
-const SILENT: Micros = 300 * MS;
-const BUFFER: Micros = S;
+const SILENT: TimeDelta = TimeDelta::from_millis(300);
+const BUFFER: TimeDelta = S;
 
 fn config() -> Config {
     let class = ClassSettings {
-        latency_objective: shalewall::TimeDelta::from_micros(S),
+        latency_objective: S,
         priority_weight: 1.0,
         rate_scale: 1.0,
         ..Default::default()
@@ -45,18 +45,18 @@
             weight_is_capacity: true,
             link_kb_s_per_weight: 30_000.0,
             join_rate_fraction: 1.0,
-            notification_interval: shalewall::TimeDelta::from_micros(3 * S),
-            notification_delay: shalewall::TimeDelta::from_micros(S),
+            notification_interval: 3 * S,
+            notification_delay: S,
             rules: RuleSettings {
-                warm_up: shalewall::TimeDelta::from_micros(S),
+                warm_up: S,
                 initial_capacity: 0.4,
-                overload_window: shalewall::TimeDelta::from_micros(S),
+                overload_window: S,
                 ..Default::default()
             },
             limits: Limits {
                 max_attempts: 4,
                 can_cancel: true,
-                min_batch_interval: shalewall::TimeDelta::from_micros(10 * MS),
+                min_batch_interval: 10 * MS,
                 ..Default::default()
             },
             ..Default::default()
@@ -76,9 +76,9 @@
         .into(),
         max_sessions: 1000,
         migration: Some(MigrationPolicy {
-            duration: TimeDelta::from_micros(600 * MS),
-            cooldown: TimeDelta::from_micros(10 * S),
-            min_shortage: TimeDelta::from_micros(6 * S),
+            duration: 600 * MS,
+            cooldown: 10 * S,
+            min_shortage: 6 * S,
             max_per_node: 16,
             max_per_director: 64,
             cost_s: 1.0,
@@ -93,26 +93,26 @@
 
 struct Player {
     seat: PlayerMigration,
-    heard: Micros,
-    said: Micros,
+    heard: Timestamp,
+    said: Timestamp,
     /// Fetched, and by when a picture is to have come.
-    tries: Option<Micros>,
-    gaps: Vec<Micros>,
-    dry: Option<Micros>,
+    tries: Option<Timestamp>,
+    gaps: Vec<TimeDelta>,
+    dry: Option<Timestamp>,
     gone: bool,
 }
 
 struct World {
     engine: Engine,
-    now: Micros,
+    now: Timestamp,
     nodes: Vec<Option<NodeSessions>>,
     frozen: Vec<bool>,
     drained: Vec<bool>,
     players: BTreeMap<SessionId, Player>,
-    out: Vec<(Micros, CallId, ServerId, CallKind)>,
+    out: Vec<(Timestamp, CallId, ServerId, CallKind)>,
     booked: BTreeMap<SessionId, u32>,
     /// Words between player and front that are on their way.
-    words: Vec<(Micros, Input)>,
+    words: Vec<(Timestamp, Input)>,
     dice: RandomNumbers,
     loss: u64,
     moved: u32,
@@ -125,8 +125,8 @@
 impl World {
     fn new(seed: u64, loss: u64) -> World {
         let mut world = World {
-            engine: Engine::new(config(), 0),
-            now: 0,
+            engine: Engine::new(config(), Timestamp::ZERO),
+            now: Timestamp::ZERO,
             nodes: (0..NODES).map(|_| Some(NodeSessions::new(0))).collect(),
             frozen: vec![false; NODES as usize],
             drained: vec![false; NODES as usize],
@@ -142,7 +142,7 @@
             untold: Vec::new(),
         };
         (0..NODES).for_each(|n| world.list(n, EndpointState::Ready));
-        world.pass(2 * S);
+        world.pass(Timestamp::ZERO + 2 * S);
         world
     }
 
@@ -174,6 +174,10 @@
         self.collect();
     }
 
+    fn now_ms(&self) -> u64 {
+        (self.now - Timestamp::ZERO).as_millis() as u64
+    }
+
     fn lost(&mut self) -> bool {
         self.dice.below(100) < self.loss
     }
@@ -209,7 +213,7 @@
                 Output::Call {
                     call, server, kind, ..
                 } => {
-                    let wait = 2 + self.dice.below(30) as Micros;
+                    let wait = 2 + self.dice.below(30) as i64;
                     self.out.push((self.now + wait * MS, call, server, kind));
                 }
                 Output::CancelCall { call } => self.out.retain(|(_, c, ..)| *c != call),
@@ -301,7 +305,7 @@
     /// The call arrives; what the node answers.
     fn answer(&mut self, server: ServerId, kind: &CallKind) -> CallResult {
         let i = server.0 as usize;
-        let now = (self.now / MS) as u64;
+        let now = self.now_ms();
         let Some(node) = &mut self.nodes[i] else {
             return CallResult::NotStarted("refused".into());
         };
@@ -421,7 +425,7 @@
             }
             if now - p.heard >= SILENT && now - p.said >= 200 * MS {
                 p.said = now;
-                let buffer = (p.heard + BUFFER - now).max(0);
+                let buffer = (p.heard + BUFFER - now).max(TimeDelta::ZERO);
                 self.words.push((
                     now + 5 * MS,
                     Input::StreamSilent {
@@ -433,7 +437,7 @@
         }
     }
 
-    fn pass(&mut self, until: Micros) {
+    fn pass(&mut self, until: Timestamp) {
         while self.now < until {
             self.now += 5 * MS;
             while let Some(n) = self.out.iter().position(|(due, ..)| *due <= self.now) {
@@ -451,7 +455,7 @@
                 self.engine.handle_timeout(self.now);
                 self.collect();
             }
-            if self.now % (50 * MS) == 0 {
+            if (self.now - Timestamp::ZERO) % (50 * MS) == TimeDelta::ZERO {
                 self.pictures();
                 for n in std::mem::take(&mut self.untold) {
                     self.snapshot(n);
@@ -460,21 +464,24 @@
         }
     }
 
-    fn wait(&mut self, span: Micros) {
+    fn wait(&mut self, span: TimeDelta) {
         self.pass(self.now + span);
     }
 
     fn ask(&mut self, count: u64) {
         for ask in 0..count {
-            let (viewer, class, title) =
-                (format!("v{}-{ask}", self.now), "paid".into(), "t".into());
+            let (viewer, class, title) = (
+                format!("v{}-{ask}", self.now.as_micros()),
+                "paid".into(),
+                "t".into(),
+            );
             let new = SessionRequest {
                 viewer_key: viewer,
                 class,
                 title,
                 ..SessionRequest::default()
             };
-            let ask = RequestId(self.now as u64 * 1000 + ask);
+            let ask = RequestId(self.now.as_micros() as u64 * 1000 + ask);
             self.tell(Input::RequestReceived {
                 request_id: ask,
                 request: new,
@@ -493,7 +500,7 @@
     }
 
     fn back(&mut self, node: u64) {
-        self.nodes[node as usize] = Some(NodeSessions::new((self.now / MS) as u64));
+        self.nodes[node as usize] = Some(NodeSessions::new(self.now_ms()));
         self.tell(Input::NodeConnected {
             server: ServerId(node),
             requested_at: self.now,
@@ -502,7 +509,7 @@
     }
 
     /// The front dies and begins anew: calls and words to it are gone, nodes tell what they hold, players follow again.
-    fn restart(&mut self, away: Micros) {
+    fn restart(&mut self, away: TimeDelta) {
         self.out.clear();
         self.words.clear();
         let until = self.now + away;
@@ -594,7 +601,7 @@
         });
     }
 
-    fn gaps(&self) -> Vec<Micros> {
+    fn gaps(&self) -> Vec<TimeDelta> {
         self.players
             .values()
             .flat_map(|p| p.gaps.iter().copied())
@@ -727,7 +734,7 @@
             world.ask(12);
             world.list(0, EndpointState::Draining);
             // Somewhere in the middle of the moves, all targets but one fail.
-            world.wait(step as Micros * 10 * MS);
+            world.wait(step as i64 * 10 * MS);
             for node in 1..3 {
                 match kind {
                     0 => world.crash(node),
@@ -741,10 +748,10 @@
             world.wait(4 * S);
             let gone = world.players.values().filter(|p| p.gone).count();
             assert_eq!(gone, 0, "step {step}, kind {kind}");
-            let worst = world.gaps().into_iter().max().unwrap_or(0);
+            let worst = world.gaps().into_iter().max().unwrap_or_default();
             assert!(
                 worst <= 200 * MS,
-                "step {step}, kind {kind}: a gap of {worst}"
+                "step {step}, kind {kind}: a gap of {worst:?}"
             );
             world.settled();
         }
@@ -759,7 +766,7 @@
             world.ask(24);
             world.drained[1] = true;
             world.list(1, EndpointState::Draining);
-            world.wait(step as Micros * 5 * MS);
+            world.wait(step as i64 * 5 * MS);
             world.restart(200 * MS);
             world.wait(4 * S);
             assert_eq!(
@@ -806,7 +813,10 @@
             "{after} ms after"
         );
         let gaps = there.iter().flat_map(|id| world.players[id].gaps.clone());
-        assert!(gaps.max().unwrap_or(0) <= 200 * MS, "{after} ms after");
+        assert!(
+            gaps.max().unwrap_or_default() <= 200 * MS,
+            "{after} ms after"
+        );
         world.settled();
     }
 }
@@ -863,7 +873,7 @@
                 _ if world.nodes[i].is_none() => world.back(node),
                 _ => {}
             }
-            let span = world.dice.below(900) as Micros;
+            let span = world.dice.below(900) as i64;
             world.wait(span * MS);
         }
         (moved, stayed) = (moved + world.moved, stayed + world.stayed);
@@ -881,7 +891,7 @@
         let mut world = World::new(50 + step, 0);
         world.ask(24);
         world.list(1, EndpointState::Draining);
-        world.wait(step as Micros * 5 * MS);
+        world.wait(step as i64 * 5 * MS);
         let ids: Vec<_> = world.players.keys().copied().collect();
         for session in ids {
             world.tell(Input::EndSession { session });
@@ -902,7 +912,7 @@
         let mut world = World::new(70 + step, 0);
         world.ask(24);
         world.list(1, EndpointState::Draining);
-        world.wait(step as Micros * 10 * MS);
+        world.wait(step as i64 * 10 * MS);
         world.list(2, EndpointState::Draining);
         world.wait(600 * MS);
         world.crash(1);
--- a/crates/engine/tests/world.rs
+++ b/crates/engine/tests/sessions.rs
@@ -6,8 +6,8 @@
 use common::RandomNumbers;
 use shalewall::*;
 
-const MS: i64 = 1_000;
-const S: i64 = 1_000_000;
+const MS: TimeDelta = TimeDelta::from_millis(1);
+const S: TimeDelta = TimeDelta::from_secs(1);
 use shalewall_engine::*;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -16,7 +16,7 @@
 
 fn config() -> Config {
     let class = ClassSettings {
-        latency_objective: shalewall::TimeDelta::from_micros(S),
+        latency_objective: S,
         priority_weight: 1.0,
         rate_scale: 1.0,
         highest_rung: 1,
@@ -65,22 +65,22 @@
             weight_is_capacity: true,
             link_kb_s_per_weight: 10_000.0,
             join_rate_fraction: 1.0,
-            notification_interval: shalewall::TimeDelta::from_micros(3 * S),
-            notification_delay: shalewall::TimeDelta::from_micros(S),
+            notification_interval: 3 * S,
+            notification_delay: S,
             stall_penalty: 7.0,
             rung_change_cost_s: 0.5,
             rules: RuleSettings {
-                warm_up: shalewall::TimeDelta::from_micros(S),
+                warm_up: S,
                 initial_capacity: 0.4,
                 overload_factor: 3.0,
-                overload_window: shalewall::TimeDelta::from_micros(S),
+                overload_window: S,
                 ..Default::default()
             },
             limits: Limits {
                 max_attempts: 4,
                 can_cancel: true,
-                min_batch_interval: shalewall::TimeDelta::from_micros(10 * MS),
-                max_retry_after: shalewall::TimeDelta::from_micros(S),
+                min_batch_interval: 10 * MS,
+                max_retry_after: S,
                 ..Default::default()
             },
             ..Default::default()
@@ -114,17 +114,17 @@
 
 #[derive(Default)]
 struct AskSeen {
-    due: Micros,
+    due: Timestamp,
     answers: u32,
     left: bool,
 }
 
 struct World {
     engine: Engine,
-    now: Micros,
+    now: Timestamp,
     asks: BTreeMap<RequestId, AskSeen>,
     /// Calls that are out, and when the world answers them.
-    out: BTreeMap<CallId, (Micros, ServerId, CallKind, u64)>,
+    out: BTreeMap<CallId, (Timestamp, ServerId, CallKind, u64)>,
     /// What each node holds, and what it was told to end.
     runs: BTreeMap<ServerId, BTreeSet<SessionAttempt>>,
     ended: BTreeSet<(ServerId, SessionId, u32)>,
@@ -139,8 +139,8 @@
 impl World {
     fn new(seed: u64) -> World {
         let mut world = World {
-            engine: Engine::new(config(), 0),
-            now: 0,
+            engine: Engine::new(config(), Timestamp::ZERO),
+            now: Timestamp::ZERO,
             asks: BTreeMap::new(),
             out: BTreeMap::new(),
             runs: (0..NODES).map(|n| (ServerId(n), BTreeSet::new())).collect(),
@@ -177,7 +177,7 @@
                     assert!(!seen.left, "an answer to one who left");
                     assert!(
                         self.now <= seen.due + 20 * MS,
-                        "an answer {} late",
+                        "an answer {:?} late",
                         self.now - seen.due
                     );
                     if let Answer::Playing { session, .. } = answer {
@@ -212,7 +212,7 @@
                         self.dice.below(200)
                     } else {
                         self.dice.below(6000)
-                    } as Micros
+                    } as i64
                         * MS;
                     self.out.insert(call, (self.now + wait, server, kind, how));
                 }
@@ -305,7 +305,7 @@
     }
 
     /// Lets time pass up to `until`; calls are answered and timers ring when they are due.
-    fn pass(&mut self, until: Micros) {
+    fn pass(&mut self, until: Timestamp) {
         loop {
             let call = self.out.iter().map(|(id, (due, ..))| (*due, *id)).min();
             let timer = self.engine.poll_timeout();
@@ -410,13 +410,13 @@
     let mut set_ups = 0;
     for seed in 1..=30u64 {
         let mut world = World::new(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15));
-        world.pass(2 * S);
+        world.pass(Timestamp::ZERO + 2 * S);
         for ask in 0..300 {
             world.ask(ask);
             if world.dice.below(3) == 0 {
                 world.trouble();
             }
-            let wait = world.dice.below(120) as Micros * MS;
+            let wait = world.dice.below(120) as i64 * MS;
             world.pass(world.now + wait);
         }
         // All is well again: what was out is answered, what is owed is confirmed.
@@ -453,7 +453,7 @@
 #[test]
 fn the_same_key_gets_the_same_session() {
     let mut world = World::new(1);
-    world.pass(2 * S);
+    world.pass(Timestamp::ZERO + 2 * S);
     let new = SessionRequest {
         viewer_key: "a".into(),
         class: "open".into(),
@@ -502,10 +502,10 @@
 #[test]
 fn equal_inputs_give_equal_outputs() {
     let run = || {
-        let mut engine = Engine::new(config(), 0);
+        let mut engine = Engine::new(config(), Timestamp::ZERO);
         let lines = (0..NODES).map(|n| line(n, EndpointState::Ready)).collect();
         engine.handle(
-            0,
+            Timestamp::ZERO,
             Input::EndpointsUpdated {
                 update: EndpointUpdate::Full,
                 endpoints: lines,
@@ -519,14 +519,14 @@
                 ..Default::default()
             };
             engine.handle(
-                ask as Micros * 10 * MS,
+                Timestamp::ZERO + ask as i64 * 10 * MS,
                 Input::RequestReceived {
                     request_id: RequestId(ask),
                     request: new,
                 },
             );
         }
-        engine.handle_timeout(10 * S);
+        engine.handle_timeout(Timestamp::ZERO + 10 * S);
         std::iter::from_fn(|| engine.poll_output())
             .map(|o| format!("{o:?}"))
             .collect::<Vec<_>>()
@@ -538,7 +538,7 @@
 fn an_answer_and_the_deadline_in_one_turn_give_one_answer() {
     for answer_first in [true, false] {
         let mut world = World::new(1);
-        world.pass(2 * S);
+        world.pass(Timestamp::ZERO + 2 * S);
         let new = SessionRequest {
             viewer_key: "a".into(),
             class: "paid".into(),
@@ -573,7 +573,7 @@
             });
         }
         // The call was taken off the list: hand it back so that giving it up finds it.
-        world.out.insert(call, (Micros::MAX, server, kind, 1));
+        world.out.insert(call, (Timestamp::MAX, server, kind, 1));
         world.engine.handle_timeout(world.now);
         world.collect();
         if !answer_first {
@@ -594,7 +594,7 @@
 #[test]
 fn an_end_that_is_confirmed_by_other_news_leaves_no_call_waiting() {
     let mut world = World::new(1);
-    world.pass(2 * S);
+    world.pass(Timestamp::ZERO + 2 * S);
     let new = SessionRequest {
         viewer_key: "a".into(),
         class: "open".into(),
@@ -636,7 +636,7 @@
 fn a_set_up_that_is_out_at_a_node_that_is_gone_has_its_answer_at_the_deadline() {
     for class in ["open", "paid"] {
         let mut world = World::new(1);
-        world.pass(2 * S);
+        world.pass(Timestamp::ZERO + 2 * S);
         let (viewer, class, title) = ("a".into(), class.into(), "t1".into());
         world.asks.insert(
             RequestId(0),
@@ -659,7 +659,7 @@
         world
             .out
             .values_mut()
-            .for_each(|(due, ..)| *due = Micros::MAX);
+            .for_each(|(due, ..)| *due = Timestamp::MAX);
         let gone = (0..NODES).map(|n| {
             line(
                 n,
@@ -685,7 +685,7 @@
 #[test]
 fn what_never_left_this_machine_is_charged_to_no_node() {
     let mut world = World::new(1);
-    world.pass(2 * S);
+    world.pass(Timestamp::ZERO + 2 * S);
     for ask in 0..40 {
         let class = if ask % 2 == 0 { "open" } else { "paid" };
         let (viewer, title) = (format!("v{ask}"), format!("t{}", ask % 6));
--- a/crates/server/src/endpoint_list.rs
+++ b/crates/server/src/endpoint_list.rs
@@ -3,7 +3,7 @@
 use crate::director::Director;
 use async_io::Timer;
 use serde::Deserialize;
-use shalewall::{EndpointState, EndpointUpdate, ServerId};
+use shalewall::{EndpointState, EndpointUpdate, ServerId, Timestamp};
 use shalewall_engine::{EndpointEntry, Input};
 use shalewall_http::client::{Call, Events, in_time};
 use shalewall_http::pool::Pool;
@@ -99,7 +99,7 @@
             cell: wire.cell,
             state,
             weight,
-            started_at: wire.started,
+            started_at: wire.started.map(Timestamp::from_micros),
         })
     }
 }
--- a/crates/server/src/event_loop.rs
+++ b/crates/server/src/event_loop.rs
@@ -96,7 +96,7 @@
 
     /// Gives the engine an input and carries out what it says.
     pub fn handle(self: &Rc<EventLoop>, input: Input) {
-        let now = shalewall_clock::now().as_micros();
+        let now = shalewall_clock::now();
         self.engine.borrow_mut().handle(now, input);
         self.carry_out_outputs();
         self.timeout_driver.update(self.next_timeout());
@@ -133,7 +133,7 @@
 
     /// Sessions of a tenant, `limit` at most.
     pub fn sessions_of(&self, tenant: &str, limit: usize) -> Vec<SessionSummary> {
-        self.engine.borrow().sessions_of(tenant, limit)
+        self.engine.borrow().tenant_sessions(tenant, limit)
     }
 
     fn carry_out_outputs(self: &Rc<EventLoop>) {
@@ -229,14 +229,13 @@
     }
 
     fn next_timeout(&self) -> Option<Timestamp> {
-        let next = self.engine.borrow().poll_timeout();
-        next.map(Timestamp::from_micros)
+        self.engine.borrow().poll_timeout()
     }
 
     /// Calls the engine's timers when they are due.
     async fn run_timers(self: Rc<EventLoop>) {
         let handle_timeout = || {
-            let now = shalewall_clock::now().as_micros();
+            let now = shalewall_clock::now();
             self.engine.borrow_mut().handle_timeout(now);
             self.carry_out_outputs();
         };
@@ -258,7 +257,7 @@
             session = session.0,
             to = to.0,
             ?reason,
-            duration_us = duration,
+            duration_us = duration.as_micros(),
             migrated,
             "migration finished"
         ),
@@ -273,7 +272,7 @@
             attempt,
             server = server.0,
             ?outcome,
-            duration_us = duration,
+            duration_us = duration.as_micros(),
             "attempt finished"
         ),
         Output::Log(text) => info!(text, "decision log"),
--- a/crates/server/src/node/events.rs
+++ b/crates/server/src/node/events.rs
@@ -5,7 +5,7 @@
 use async_io::Timer;
 use serde::Deserialize;
 use serde_json::Value;
-use shalewall::{ServerId, SessionId};
+use shalewall::{ServerId, SessionId, Timestamp};
 use shalewall_engine::{Input, NodeEvent, SessionAttempt, TransferredSession};
 use shalewall_http::client::{Call, Events, Failure, Unconnected, in_time};
 use shalewall_migration::Epoch;
@@ -60,7 +60,7 @@
 ) -> StreamEnd {
     let server = connections.server;
     let timeout = director.stream_timeout;
-    let requested_at = shalewall_clock::now().as_micros();
+    let requested_at = shalewall_clock::now();
     let connection = match in_time(timeout, connections.pool.connect()).await {
         None => return StreamEnd::Failed,
         Some(Ok(connection)) => connection,
@@ -104,7 +104,7 @@
 /// False where the snapshot is not understood.
 fn pass_on_snapshot(
     server: ServerId,
-    requested_at: i64,
+    requested_at: Timestamp,
     data: &str,
     sink: &impl Fn(Input),
 ) -> bool {
--- a/crates/server/src/player_events.rs
+++ b/crates/server/src/player_events.rs
@@ -6,7 +6,7 @@
 use async_io::Timer;
 use futures_lite::{StreamExt, future, stream};
 use serde::Deserialize;
-use shalewall::SessionId;
+use shalewall::{SessionId, TimeDelta};
 use shalewall_engine::Input;
 use shalewall_http::server::{Reply, Request};
 use shalewall_http::sse;
@@ -131,6 +131,6 @@
 
 fn silence(session: SessionId, request: &Request) -> Result<Input, serde_json::Error> {
     let report: SilenceReport = serde_json::from_slice(&request.body)?;
-    let buffered = i64::from(report.buffer_ms) * 1000;
+    let buffered = TimeDelta::from_millis(report.buffer_ms.into());
     Ok(Input::StreamSilent { session, buffered })
 }
--- a/crates/server/src/server.rs
+++ b/crates/server/src/server.rs
@@ -72,9 +72,9 @@
         executor: &Rc<LocalExecutor<'static>>,
         plan: &FrontPlan,
     ) -> Result<Server, StartError> {
-        let now = shalewall_clock::now().as_micros();
+        let now = shalewall_clock::now();
         // Starts within some hours of each other differ in their seconds.
-        let incarnation = ((now / 1_000_000) & INCARNATION_MASK) as u16;
+        let incarnation = ((now.as_micros() / 1_000_000) & INCARNATION_MASK) as u16;
         let settings = &plan.front;
         let listener = TcpListener::bind(settings.listen)?;
         let address = listener.local_addr()?;
--- a/crates/server/src/session_request.rs
+++ b/crates/server/src/session_request.rs
@@ -2,7 +2,7 @@
 
 use crate::connections::TENANT_FIELD;
 use serde::Deserialize;
-use shalewall::Micros;
+use shalewall::TimeDelta;
 use shalewall_engine::SessionRequest;
 use shalewall_http::server::Request;
 use thiserror::Error;
@@ -72,8 +72,8 @@
         return Err(InvalidRequest::NameLength);
     }
     Ok(SessionRequest {
-        max_wait: micros(wire.wait_ms, MICROS_PER_MILLI)?,
-        duration_hint: micros(wire.hint_s, MICROS_PER_SECOND)?,
+        max_wait: time_delta(wire.wait_ms, MICROS_PER_MILLI)?,
+        duration_hint: time_delta(wire.hint_s, MICROS_PER_SECOND)?,
         viewer_key: wire.viewer,
         tenant: wire.tenant,
         class: wire.class,
@@ -83,13 +83,16 @@
     })
 }
 
-/// A time in microseconds, of which a unit has so many.
-fn micros(time: Option<f64>, micros_per_unit: f64) -> Result<Option<Micros>, InvalidRequest> {
+/// A length of time in a unit of so many microseconds.
+fn time_delta(
+    time: Option<f64>,
+    micros_per_unit: f64,
+) -> Result<Option<TimeDelta>, InvalidRequest> {
     match time {
         None => Ok(None),
-        Some(time) if time.is_finite() && (0.0..=1e9).contains(&time) => {
-            Ok(Some((time * micros_per_unit) as Micros))
-        }
+        Some(time) if time.is_finite() && (0.0..=1e9).contains(&time) => Ok(Some(
+            TimeDelta::from_micros((time * micros_per_unit) as i64),
+        )),
         Some(_) => Err(InvalidRequest::TimeOutOfRange),
     }
 }
--- a/crates/server/src/tenant_terms.rs
+++ b/crates/server/src/tenant_terms.rs
@@ -1,6 +1,6 @@
 //! What is agreed with a tenant, as the engine is told.
 
-use shalewall::{ClassSettings, Idempotency, Micros, ServerId, TimeDelta};
+use shalewall::{ClassSettings, Idempotency, ServerId, TimeDelta};
 use shalewall_engine::{ClassTerms, TenantTerms, TenantUpdate, TitlePlacement};
 use shalewall_tenancy::tenant::{Tenant, TenantState};
 use shalewall_tenancy::terms::{Class, Fleet};
@@ -53,7 +53,7 @@
     let highest_rung = class.highest_rung;
     let settings = ClassSettings {
         idempotency,
-        latency_objective: TimeDelta::from_micros(micros(class.latency_objective_ms)),
+        latency_objective: TimeDelta::from_millis(class.latency_objective_ms.into()),
         priority_weight: class.priority_weight,
         rate_scale: 1.0,
         lowest_rung: class.lowest_rung as usize,
@@ -63,10 +63,6 @@
     };
     ClassTerms {
         settings,
-        max_wait: micros(class.deadline_ms),
+        max_wait: TimeDelta::from_millis(class.deadline_ms.into()),
     }
 }
-
-fn micros(millis: u32) -> Micros {
-    Micros::from(millis) * 1000
-}
--- a/crates/server/src/tenants.rs
+++ b/crates/server/src/tenants.rs
@@ -3,7 +3,7 @@
 //! It is brought up to date by `tenant_sync`, asked by the engine through [`TenantGate`], and reported to the
 //! administration API by `usage_reports`.
 
-use shalewall::{Micros, Timestamp};
+use shalewall::{TimeDelta, Timestamp};
 use shalewall_engine::{Admission, AdmissionControl};
 use shalewall_tenancy::admission::{Capacity, RejectionCause, TenantAdmission};
 use shalewall_tenancy::connections::Connections;
@@ -13,7 +13,7 @@
 use std::rc::Rc;
 
 /// Retry-After before the first tenants are known, microseconds.
-const INITIAL_RETRY_AFTER_US: Micros = 1_000_000;
+const INITIAL_RETRY_AFTER: TimeDelta = TimeDelta::from_secs(1);
 
 /// What a director knows of its tenants.
 pub struct Tenants {
@@ -97,7 +97,7 @@
     fn admit(&self, now: Timestamp, tenant: Option<&str>) -> Admission {
         if self.is_empty() {
             return Admission::Rejected {
-                retry_after: INITIAL_RETRY_AFTER_US,
+                retry_after: INITIAL_RETRY_AFTER,
             };
         }
         let Some(tenant) = tenant_id(tenant) else {
@@ -109,7 +109,7 @@
                 Admission::UnknownTenant
             }
             Err(rejection) => Admission::Rejected {
-                retry_after: rejection.retry_after.as_micros(),
+                retry_after: rejection.retry_after,
             },
         }
     }
@@ -129,11 +129,11 @@
 pub struct TenantGate(pub Rc<Tenants>);
 
 impl AdmissionControl for TenantGate {
-    fn admit(&mut self, now: Micros, tenant: Option<&str>) -> Admission {
-        self.0.admit(Timestamp::from_micros(now), tenant)
+    fn admit(&mut self, now: Timestamp, tenant: Option<&str>) -> Admission {
+        self.0.admit(now, tenant)
     }
 
-    fn release(&mut self, now: Micros, tenant: Option<&str>) {
-        self.0.release(Timestamp::from_micros(now), tenant);
+    fn release(&mut self, now: Timestamp, tenant: Option<&str>) {
+        self.0.release(now, tenant);
     }
 }
--- a/crates/server/src/viewer_api.rs
+++ b/crates/server/src/viewer_api.rs
@@ -4,7 +4,7 @@
 use crate::tenants::Tenants;
 use crate::{player_events, session_request};
 use serde_json::json;
-use shalewall::{Micros, SessionId};
+use shalewall::{SessionId, TimeDelta};
 use shalewall_engine::{Answer, Input};
 use shalewall_http::server::{Reply, Request};
 use std::cell::Cell;
@@ -90,7 +90,7 @@
     async fn begin_session(&self, request: &Request) -> Reply {
         if self.is_shutting_down.get() {
             // Nothing was set up: another director may have it at once.
-            return problem(503, "this front is ending", None, Some(0));
+            return problem(503, "this front is ending", None, Some(TimeDelta::ZERO));
         }
         let request = match session_request::decode(request) {
             Ok(request) => request,
@@ -125,14 +125,14 @@
     status: u16,
     detail: &str,
     session: Option<SessionId>,
-    retry_after: Option<Micros>,
+    retry_after: Option<TimeDelta>,
 ) -> Reply {
     let mut members = serde_json::Map::new();
     if let Some(session) = session {
         members.insert("session".into(), session.0.into());
     }
     if let Some(retry_after) = retry_after {
-        let millis = retry_after as f64 / 1000.0;
+        let millis = retry_after.as_micros() as f64 / 1000.0;
         members.insert("come_back_ms".into(), millis.into());
     }
     Reply::problem_with(status, detail, members)
@@ -169,11 +169,14 @@
     }
 }
 
-fn rejection(session: Option<SessionId>, retry_after: Option<Micros>) -> Reply {
+fn rejection(session: Option<SessionId>, retry_after: Option<TimeDelta>) -> Reply {
     let reply = problem(503, "turned away, free to come back", session, retry_after);
     match retry_after {
         // The field has whole seconds; the exact time is in the body.
-        Some(after) => reply.with("Retry-After", ((after + 999_999) / 1_000_000).to_string()),
+        Some(after) => reply.with(
+            "Retry-After",
+            ((after.as_micros() + 999_999) / 1_000_000).to_string(),
+        ),
         None => reply,
     }
 }
--- a/crates/settings/src/site/module_settings.rs
+++ b/crates/settings/src/site/module_settings.rs
@@ -20,7 +20,7 @@
         classes
             .map(|(name, class)| NamedClass {
                 name: name.clone(),
-                max_wait: us(class.give_up_ms),
+                max_wait: TimeDelta::from_micros(us(class.give_up_ms)),
             })
             .collect()
     }
--- a/crates/simulation/src/plain.rs
+++ b/crates/simulation/src/plain.rs
@@ -3,8 +3,8 @@
 //! exceptions, no evidence but what nodes report, no care for cold nodes. A baseline, not a decider for service.
 
 use shalewall::{
-    Action, Endpoint, EndpointState, EndpointUpdate, Event, Idempotency, Micros, Notification,
-    Outcome, Request, ServerId, SessionId, Settings,
+    Action, Endpoint, EndpointState, EndpointUpdate, Event, Idempotency, Notification, Outcome,
+    Request, ServerId, SessionId, Settings, Timestamp,
 };
 use shalewall_engine::DecisionPolicy;
 use std::collections::BTreeMap;
@@ -111,7 +111,7 @@
         holders
     }
 
-    fn place(&mut self, now: Micros, mut out: Out, actions: &mut Vec<Action>) {
+    fn place(&mut self, now: Timestamp, mut out: Out, actions: &mut Vec<Action>) {
         let (session, class) = (out.req.session, out.req.class);
         let terms = self.set.classes[class];
         let top = out
@@ -125,8 +125,7 @@
             .filter(|o| (o.req.title, o.req.class) == (out.req.title, class));
         let seated = terms.session_limit_per_title > 0
             && held.count() >= terms.session_limit_per_title as usize;
-        let late = shalewall::Timestamp::from_micros(now) + self.set.limits.min_batch_interval
-            >= out.req.deadline;
+        let late = now + self.set.limits.min_batch_interval >= out.req.deadline;
         let spent = out.tried.len() as u32 >= self.set.limits.max_attempts.max(1);
         let found = self.holders(&out).into_iter().find_map(|s| {
             let asked = self
@@ -178,16 +177,14 @@
 }
 
 impl DecisionPolicy for Plain {
-    fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
+    fn handle(&mut self, now: Timestamp, event: Event, actions: &mut Vec<Action>) {
         match event {
             Event::EndpointsUpdated {
                 update: news,
                 endpoints: lines,
             } => self.list(news, lines),
             Event::RequestReceived(req) => {
-                let after = req.deadline
-                    - self.set.limits.min_batch_interval
-                    - shalewall::Timestamp::from_micros(now);
+                let after = req.deadline - self.set.limits.min_batch_interval - now;
                 actions.push(Action::SetTimer {
                     after,
                     token: req.session.0,
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -10,7 +10,9 @@
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use shalewall::{EndpointState, EndpointUpdate, LoadReport, Micros, ServerId, SessionId, Settings};
+use shalewall::{
+    EndpointState, EndpointUpdate, LoadReport, Micros, ServerId, SessionId, Settings, Timestamp,
+};
 use shalewall_engine::*;
 use shalewall_fleet_model::crowd::{Class, Crowd, Draw, Person};
 use shalewall_fleet_model::fleet::{Arrival, Fleet, Machine, Playing, Process, Run};
@@ -163,7 +165,7 @@
         match timer {
             Some((t, d)) if t <= at => {
                 world.now = t;
-                world.turn(d, |e, now| e.handle_timeout(now));
+                world.turn(d, |e, now| e.handle_timeout(Timestamp::from_micros(now)));
             }
             _ => {
                 world.now = at;
@@ -258,10 +260,10 @@
         let config = self.plan.site.config(&front, self.starts);
         self.starts += 1;
         let engine = match self.policy {
-            Policy::Module => Engine::new(config, self.now),
+            Policy::Module => Engine::new(config, Timestamp::from_micros(self.now)),
             Policy::Plain => {
                 let plain = Box::new(Plain::new(config.settings.clone()));
-                Engine::with_policy(config, plain, self.now)
+                Engine::with_policy(config, plain, Timestamp::from_micros(self.now))
             }
         };
         self.engines[d] = Some(engine);
@@ -289,7 +291,7 @@
                     .collect();
                 let up = Input::NodeConnected {
                     server: ServerId(*node),
-                    requested_at: self.now,
+                    requested_at: Timestamp::from_micros(self.now),
                     held,
                 };
                 self.queued += 1;
@@ -325,7 +327,7 @@
     }
 
     fn tell(&mut self, d: usize, input: Input) {
-        self.turn(d, |e, now| e.handle(now, input));
+        self.turn(d, |e, now| e.handle(Timestamp::from_micros(now), input));
     }
 
     fn turn(&mut self, d: usize, work: impl FnOnce(&mut Engine, Micros)) {
@@ -343,15 +345,15 @@
         let next = self.engines[d]
             .as_ref()
             .and_then(Engine::poll_timeout)
-            .map(|t| t.max(self.now));
-        if self.rings[d] != next {
+            .map(|t| t.max(Timestamp::from_micros(self.now)));
+        if self.rings[d] != next.map(Timestamp::as_micros) {
             self.rings[d].into_iter().for_each(|t| {
                 self.timers.remove(&(t, d));
             });
             next.into_iter().for_each(|t| {
-                self.timers.insert((t, d));
+                self.timers.insert((t.as_micros(), d));
             });
-            self.rings[d] = next;
+            self.rings[d] = next.map(Timestamp::as_micros);
         }
     }
 
@@ -749,6 +751,6 @@
         cell: machine.cell,
         state: standing,
         weight: machine.weight,
-        started_at: came_up,
+        started_at: came_up.map(Timestamp::from_micros),
     }
 }
--- a/crates/simulation/src/world/viewers.rs
+++ b/crates/simulation/src/world/viewers.rs
@@ -1,6 +1,7 @@
 //! Viewers: they come, ask, come again, watch and leave.
 
 use super::*;
+use shalewall::TimeDelta;
 
 impl World<'_> {
     /// Enters something of one viewer.
@@ -79,7 +80,7 @@
             viewer_key: v.person.key.clone(),
             class: self.crowd.classes[v.person.class].name.clone(),
             title: v.person.title.clone(),
-            duration_hint: (left > 0.0).then_some(left as Micros),
+            duration_hint: (left > 0.0).then_some(TimeDelta::from_micros(left as Micros)),
             highest_rung: Some(v.person.top),
             is_retry: v.asks > 0,
             tenant: v.tenant.clone(),
@@ -151,7 +152,7 @@
                     (t.refused, t.people_refused) = (t.refused + 1, t.people_refused + first)
                 });
                 self.result.count.span(at).refused += 1;
-                self.again(viewer, come_back);
+                self.again(viewer, come_back.map(TimeDelta::as_micros));
             }
             Answer::Failed { .. } | Answer::Unknown(_) | Answer::Conflict(_) => {
                 self.tally(viewer, |t| t.failed += 1);
