--- a/crates/admin/src/api.rs
+++ b/crates/admin/src/api.rs
@@ -20,7 +20,7 @@
 /// So few calls a minute are not worth a look at the terms.
 const UNLIMITED_CALLS_PER_MINUTE: u32 = 10;
 
-/// The API's state: the store, and what is known of callers and fronts since the process began.
+/// The API's state: the store, and what is known of callers and directors since the process began.
 pub struct Api {
     /// The tenants, their histories and the tokens.
     pub store: Store,
@@ -54,12 +54,12 @@
 }
 
 impl Api {
-    /// `now`: since when fronts are heard; one that has not been heard of for `front_expiry` is taken for
+    /// `now`: since when directors are heard; one that is silent for `director_expiry_ms` is taken for
     /// gone, with its sessions.
-    pub fn new(store: Store, now: UnixMillis, front_expiry: UnixMillis) -> Api {
+    pub fn new(store: Store, now: UnixMillis, director_expiry_ms: u64) -> Api {
         Api {
             store,
-            usage: RefCell::new(UsageTracker::new(now, front_expiry)),
+            usage: RefCell::new(UsageTracker::new(now, director_expiry_ms)),
             calls: RefCell::default(),
         }
     }
@@ -161,7 +161,7 @@
         }
     }
 
-    /// Removes deleted tenants of which no front holds a session any more, and returns how many; to be called
+    /// Removes deleted tenants of which no director holds a session any more, and returns how many; to be called
     /// every second or so.
     pub fn purge_deleted_tenants(&self, now: UnixMillis) -> Result<usize, StoreError> {
         let change_number = self.store.last_change_number()?;
--- a/crates/admin/src/error.rs
+++ b/crates/admin/src/error.rs
@@ -71,9 +71,9 @@
     /// A token's role is none, or does not go with a tenant.
     #[error("{0}")]
     InvalidRole(#[source] RoleError),
-    /// More fronts report usage than are kept account of.
+    /// More directors report usage than are kept account of.
     #[error("there are too many fronts")]
-    TooManyFronts,
+    TooManyDirectors,
     /// A tenant's terms, or its id, break the published schema.
     #[error("the terms are not in order")]
     InvalidTerms(Vec<ValidationError>),
@@ -125,7 +125,7 @@
             ApiError::InvalidContent { .. }
             | ApiError::IdempotencyKeyReused
             | ApiError::InvalidRole(_)
-            | ApiError::TooManyFronts
+            | ApiError::TooManyDirectors
             | ApiError::InvalidTerms(_) => 422,
             ApiError::RevisionRequired => 428,
             ApiError::TooManyCalls { .. } => 429,
--- a/crates/admin/src/rate_limit.rs
+++ b/crates/admin/src/rate_limit.rs
@@ -4,7 +4,7 @@
 use shalewall_tenancy::tenant::TenantId;
 use std::collections::BTreeMap;
 
-const MILLIS_PER_SECOND: UnixMillis = 1000;
+const MILLIS_PER_SECOND: u64 = 1000;
 const SECONDS_PER_MINUTE: u64 = 60;
 
 /// Counts calls in fixed windows of one minute.
--- a/crates/admin/src/routes.rs
+++ b/crates/admin/src/routes.rs
@@ -13,7 +13,7 @@
     ListTenants,
     /// A new tenant.
     CreateTenant,
-    /// A front reports its sessions.
+    /// A director reports its sessions.
     ReportUsage,
     /// Tenants that have changed after a change number.
     Changes,
@@ -42,9 +42,9 @@
     Resume,
     /// Its changes.
     History,
-    /// How many sessions fronts hold of it.
+    /// How many sessions directors hold of it.
     Usage,
-    /// Its sessions, as fronts report them.
+    /// Its sessions, as directors report them.
     Sessions,
 }
 
--- a/crates/admin/src/service_operations.rs
+++ b/crates/admin/src/service_operations.rs
@@ -1,4 +1,4 @@
-//! Operations on the service as a whole: the directory of tenants, the order of changes, fronts' reports and
+//! Operations on the service as a whole: the directory of tenants, the order of changes, directors' reports and
 //! tokens.
 
 use crate::api::{Api, Call};
@@ -16,7 +16,7 @@
 use shalewall_tenancy::schema::{ValidationError, terms_schema};
 use shalewall_tenancy::tenant::TenantId;
 use shalewall_tenancy::token::{IssuedToken, Token};
-use shalewall_tenancy::usage::UsageReport;
+use shalewall_tenancy::usage::{TooManyDirectors, UsageReport};
 
 /// Content of a request for a new tenant.
 #[derive(Deserialize)]
@@ -110,7 +110,7 @@
     fn report_usage(&self, call: &Call<'_>) -> Result<Reply, ApiError> {
         let report: UsageReport = content(call.request, "front, number and held are needed")?;
         let wanted = self.usage.borrow_mut().record(call.now, report);
-        let wanted = wanted.map_err(|_| ApiError::TooManyFronts)?;
+        let wanted = wanted.map_err(|TooManyDirectors| ApiError::TooManyDirectors)?;
         ok(json!({ "sessions_of": wanted }))
     }
 
--- a/crates/admin/src/tenant_operations.rs
+++ b/crates/admin/src/tenant_operations.rs
@@ -10,7 +10,7 @@
 use shalewall_tenancy::change::{Change, ChangeContext};
 use shalewall_tenancy::tenant::{Tenant, TenantId, TenantState};
 
-/// When a caller is to ask again for sessions that fronts have not reported yet, seconds.
+/// When a caller is to ask again for sessions that directors have not reported yet, seconds.
 const SESSIONS_RETRY_AFTER_S: &str = "2";
 
 /// A tenant, with the entity tag that the next change has to name.
@@ -68,19 +68,22 @@
 
     fn read_usage(&self, id: &TenantId, call: &Call<'_>) -> Result<Reply, ApiError> {
         let tenant = self.existing_tenant(id)?;
-        let fronts = self.usage.borrow().usage_by_director(call.now, id);
-        let sessions: u64 = fronts.iter().map(|front| front.session_count).sum();
-        let content = json!({ "tenant": tenant.id, "sessions": sessions, "fronts": fronts });
+        let directors = self.usage.borrow().usage_by_director(call.now, id);
+        let sessions: u64 = directors
+            .iter()
+            .map(|director| director.session_count)
+            .sum();
+        let content = json!({ "tenant": tenant.id, "sessions": sessions, "fronts": directors });
         Ok(Reply::json(200, content.to_string()))
     }
 
-    /// Fronts report sessions only after they were asked for; until all have, the caller is to come again.
+    /// Directors report sessions only after they were asked for; until all have, the caller is to come again.
     fn read_sessions(&self, id: &TenantId, call: &Call<'_>) -> Result<Reply, ApiError> {
         let tenant = self.existing_tenant(id)?;
-        let fronts = self.usage.borrow_mut().sessions_by_director(call.now, id);
-        let content = json!({ "tenant": tenant.id, "fronts": fronts });
+        let directors = self.usage.borrow_mut().sessions_by_director(call.now, id);
+        let content = json!({ "tenant": tenant.id, "fronts": directors });
         let reply = Reply::json(200, content.to_string());
-        if fronts.iter().all(|front| front.sessions.is_some()) {
+        if directors.iter().all(|director| director.sessions.is_some()) {
             return Ok(reply);
         }
         Ok(reply.with("Retry-After", SESSIONS_RETRY_AFTER_S))
--- a/crates/behavior-digest/src/scenes.rs
+++ b/crates/behavior-digest/src/scenes.rs
@@ -2,7 +2,7 @@
 //! and under the baseline.
 
 use crate::encoder::{Encoder, PartDigest};
-use shalewall_fleet_model::tally::Tally;
+use shalewall_fleet_model::totals::ViewerTotals;
 use shalewall_settings::DayPlan;
 use shalewall_simulation::bounds::Bounds;
 use shalewall_simulation::count::{Count, Span};
@@ -65,24 +65,24 @@
     }
 }
 
-fn encode_tally(encoder: &mut Encoder, tally: &Tally) {
+fn encode_tally(encoder: &mut Encoder, tally: &ViewerTotals) {
     encoder.begin_output(2);
     let counts = [
-        tally.asked,
+        tally.requested,
         tally.played,
-        tally.refused,
+        tally.rejected,
         tally.failed,
         tally.unanswered,
         tally.broken,
-        tally.people,
-        tally.people_refused,
-        tally.people_unserved,
-        tally.steps,
+        tally.viewers,
+        tally.viewers_rejected,
+        tally.viewers_unserved,
+        tally.rung_changes,
     ];
     counts.into_iter().for_each(|count| encoder.u64(count));
-    encoder.f64(tally.wanted);
-    encoder.f64(tally.got);
-    encode_rungs(encoder, &tally.rungs);
+    encoder.f64(tally.worth_offered);
+    encoder.f64(tally.worth_earned);
+    encode_rungs(encoder, &tally.seconds_by_rung);
 }
 
 fn encode_span(encoder: &mut Encoder, span: &Span) {
--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -9,5 +9,5 @@
 mod monotonic;
 mod timeout_driver;
 
-pub use monotonic::{now, to_instant};
+pub use monotonic::{now, to_duration, to_instant};
 pub use timeout_driver::TimeoutDriver;
--- a/crates/clock/src/monotonic.rs
+++ b/crates/clock/src/monotonic.rs
@@ -37,10 +37,15 @@
 /// first reading; one beyond the range of [`Instant`] gives the present.
 pub fn to_instant(time: Timestamp) -> Instant {
     let origin = origin();
-    let since_origin = time - origin.unix_time;
-    let since_origin = u64::try_from(since_origin.as_micros()).unwrap_or(0);
+    let since_origin = to_duration(time - origin.unix_time);
     origin
         .instant
-        .checked_add(Duration::from_micros(since_origin))
+        .checked_add(since_origin)
         .unwrap_or_else(Instant::now)
 }
+
+/// A length of time for timers of the system. A negative one gives zero.
+pub fn to_duration(time: TimeDelta) -> Duration {
+    let micros = u64::try_from(time.as_micros()).unwrap_or(0);
+    Duration::from_micros(micros)
+}
--- a/crates/clock/tests/clock.rs
+++ b/crates/clock/tests/clock.rs
@@ -2,7 +2,7 @@
 
 use futures_lite::future;
 use shalewall::{TimeDelta, Timestamp};
-use shalewall_clock::{TimeoutDriver, now, to_instant};
+use shalewall_clock::{TimeoutDriver, now, to_duration, to_instant};
 use std::cell::{Cell, RefCell};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -26,6 +26,16 @@
     let _ = to_instant(Timestamp::MAX);
 }
 
+#[test]
+fn lengths_of_time_are_durations_of_the_system() {
+    assert_eq!(
+        to_duration(TimeDelta::from_micros(1_500_001)),
+        Duration::from_micros(1_500_001)
+    );
+    assert_eq!(to_duration(TimeDelta::ZERO), Duration::ZERO);
+    assert_eq!(to_duration(TimeDelta::from_micros(-1)), Duration::ZERO);
+}
+
 #[test]
 fn timeouts_are_handled_in_their_order_and_not_early() {
     let start = now();
--- a/crates/director-config/src/config.rs
+++ b/crates/director-config/src/config.rs
@@ -38,11 +38,3 @@
         })
     }
 }
-
-impl TryFrom<&Value> for DirectorConfig {
-    type Error = SettingError;
-
-    fn try_from(value: &Value) -> Result<DirectorConfig, SettingError> {
-        DirectorConfig::from_json(value)
-    }
-}
--- a/crates/emulator/src/nodes.rs
+++ b/crates/emulator/src/nodes.rs
@@ -11,10 +11,12 @@
 use futures_lite::{StreamExt, future, stream};
 use rustix::net::sockopt::set_socket_linger;
 use serde::Deserialize;
-use shalewall::SessionId;
+use shalewall::{SessionId, TimeDelta};
 use shalewall_audit::{Ran, Record};
-use shalewall_fleet_model::fleet::{Arrival, Fleet, Machine, Playing, Process, Run};
-use shalewall_fleet_model::news::Teller;
+use shalewall_fleet_model::fleet::{
+    ActiveSession, AttemptId, Fleet, Machine, ProcessState, SetupDecision,
+};
+use shalewall_fleet_model::notifications::Notifier;
 use shalewall_http::server::{Ended, Reply, Request, serve};
 use shalewall_http::{Limits, sse};
 use shalewall_migration::Epoch;
@@ -65,17 +67,17 @@
     fleet: Fleet,
     sockets: BTreeMap<u64, Socket>,
     /// Streams that viewers have open of a session: two for a moment, where one is opened again.
-    watched: BTreeMap<(u64, Run), usize>,
+    watched: BTreeMap<(u64, AttemptId), usize>,
     /// What each node's process knows of hand-overs, and those that it makes ready now.
     holds: BTreeMap<u64, NodeSessions>,
-    preparing: BTreeSet<(u64, Run)>,
+    preparing: BTreeSet<(u64, AttemptId)>,
     /// Connections that could not be taken.
     lacked: u64,
 }
 
 impl Inner {
     /// Sessions that play at a node for a front.
-    fn held_for(&self, id: u64, director: u32) -> Vec<Run> {
+    fn held_for(&self, id: u64, director: u32) -> Vec<AttemptId> {
         let playing = self
             .fleet
             .nodes
@@ -112,7 +114,7 @@
 }
 
 impl SetUp {
-    fn playing(self) -> Playing {
+    fn playing(self) -> ActiveSession {
         let SetUp {
             director,
             viewer,
@@ -122,15 +124,15 @@
             rung,
             kb,
         } = self;
-        Playing {
+        ActiveSession {
             director,
             viewer,
             tenant,
             class,
             title,
             rung,
-            kb,
-            true_kb: kb,
+            rate_kb_s: kb,
+            true_rate_kb_s: kb,
         }
     }
 }
@@ -145,7 +147,7 @@
 struct Pending {
     nodes: Nodes,
     node: u64,
-    run: Run,
+    run: AttemptId,
     armed: bool,
     counted: bool,
 }
@@ -153,7 +155,7 @@
 impl Pending {
     fn over(&mut self, ran: Ran) {
         self.armed = false;
-        let (session, attempt) = self.run;
+        let AttemptId { session, attempt } = self.run;
         self.nodes.recorder.note(Record::SetUpDone {
             t: shalewall_clock::now().as_micros(),
             node: self.node,
@@ -169,19 +171,19 @@
         if self.armed {
             self.over(Ran::Given);
             if self.counted {
-                self.nodes.inner.borrow_mut().fleet.give_up(self.node);
+                self.nodes.inner.borrow_mut().fleet.abandon_setup(self.node);
             }
         }
     }
 }
 
 /// `/sessions/{id}/{attempt}` or what a start line of one says, even if it is cut behind that.
-fn run_of(target: &str) -> Option<Run> {
+fn run_of(target: &str) -> Option<AttemptId> {
     let mut parts = target.strip_prefix("/sessions/")?.split('/');
-    Some((
-        parts.next()?.parse().ok()?,
-        parts.next()?.split(' ').next()?.parse().ok()?,
-    ))
+    Some(AttemptId {
+        session: parts.next()?.parse().ok()?,
+        attempt: parts.next()?.split(' ').next()?.parse().ok()?,
+    })
 }
 
 impl Nodes {
@@ -218,13 +220,16 @@
 
     /// Brings a machine up and gives its address; the same as before where it had one.
     pub fn start(&self, machine: Machine, warm: bool) -> std::io::Result<SocketAddr> {
-        let (id, places, cell) = (machine.id, machine.places, Some(machine.cell));
+        let (id, places, cell) = (machine.id, machine.stream_capacity, Some(machine.cell));
         let before = self.inner.borrow().sockets.get(&id).map(|s| s.address);
         let listener = TcpListener::bind(before.unwrap_or(SocketAddr::from(([127, 0, 0, 1], 0))))?;
         let address = listener.local_addr()?;
         let listener = Async::new(listener)?;
         let now = shalewall_clock::now().as_micros();
-        self.inner.borrow_mut().fleet.start(machine, now, warm);
+        self.inner
+            .borrow_mut()
+            .fleet
+            .start(machine, shalewall::Timestamp::from_micros(now), warm);
         self.inner
             .borrow_mut()
             .holds
@@ -259,7 +264,7 @@
             .fleet
             .nodes
             .get(&id)
-            .is_some_and(|n| n.fell);
+            .is_some_and(|n| n.fell_over);
         let mut inner = self.inner.borrow_mut();
         if let Some(socket) = inner.sockets.get_mut(&id) {
             if socket.accepts.take().is_none() {
@@ -269,7 +274,7 @@
             socket.died.notify(usize::MAX.relaxed());
         }
         if let Some(node) = inner.fleet.nodes.get_mut(&id) {
-            node.process = Process::Down;
+            node.process = ProcessState::Down;
             node.playing.clear();
         }
         drop(inner);
@@ -283,9 +288,9 @@
     /// The process stands still; connections stay, nothing is answered.
     pub fn freeze(&self, id: u64) {
         if let Some(node) = self.inner.borrow_mut().fleet.nodes.get_mut(&id)
-            && node.process == Process::Runs
+            && node.process == ProcessState::Running
         {
-            node.process = Process::Frozen;
+            node.process = ProcessState::Frozen;
             self.recorder.note(Record::Froze {
                 t: shalewall_clock::now().as_micros(),
                 node: id,
@@ -296,9 +301,9 @@
     pub fn thaw(&self, id: u64) {
         let mut inner = self.inner.borrow_mut();
         if let Some(node) = inner.fleet.nodes.get_mut(&id)
-            && node.process == Process::Frozen
+            && node.process == ProcessState::Frozen
         {
-            node.process = Process::Runs;
+            node.process = ProcessState::Running;
             self.recorder.note(Record::Thawed {
                 t: shalewall_clock::now().as_micros(),
                 node: id,
@@ -321,7 +326,7 @@
             .fleet
             .nodes
             .values()
-            .filter(|n| n.process == Process::Runs);
+            .filter(|n| n.process == ProcessState::Running);
         runs.map(|n| n.machine.id).collect()
     }
 
@@ -345,8 +350,8 @@
             .fleet
             .nodes
             .get(&id)
-            .filter(|n| n.process != Process::Down)?;
-        Some((node.up, node.warm))
+            .filter(|n| n.process != ProcessState::Down)?;
+        Some((node.started_at.as_micros(), node.started_warm))
     }
 
     /// Connections that could not be taken for want of something of this machine's own.
@@ -405,7 +410,7 @@
                 let text = String::from_utf8_lossy(&bytes);
                 let run = text.split(' ').nth(1).and_then(run_of);
                 let (t, bytes) = (shalewall_clock::now().as_micros(), bytes.len());
-                let (session, attempt) = (run.map(|r| r.0), run.map(|r| r.1));
+                let (session, attempt) = (run.map(|r| r.session), run.map(|r| r.attempt));
                 self.recorder.note(Record::Partial {
                     t,
                     node: id,
@@ -427,7 +432,7 @@
                     .fleet
                     .nodes
                     .get(&id)
-                    .is_some_and(|n| n.process == Process::Frozen);
+                    .is_some_and(|n| n.process == ProcessState::Frozen);
                 match inner.sockets.get(&id) {
                     Some(socket) if frozen => socket.thawed.listen(),
                     _ => return,
@@ -439,7 +444,7 @@
 
     /// An answer with the load figures that every answer carries.
     fn with_load(&self, id: u64, reply: Reply) -> Reply {
-        let f = self.inner.borrow().fleet.told(id);
+        let f = self.inner.borrow().fleet.reported_load(id);
         reply.with(
             "Shalewall-Load",
             format!(
@@ -471,7 +476,7 @@
                 self.recorder.note(Record::Rung {
                     t,
                     node: id,
-                    session: run.0,
+                    session: run.session,
                     rung: new.rung,
                 });
                 self.with_load(id, Reply::new(204))
@@ -504,7 +509,7 @@
         }
     }
 
-    async fn set_up(self, id: u64, run: Run, body: &[u8]) -> Reply {
+    async fn set_up(self, id: u64, run: AttemptId, body: &[u8]) -> Reply {
         let Ok(new) = serde_json::from_slice::<SetUp>(body) else {
             return Reply::problem(422, "director, class, title, rung and kb are needed");
         };
@@ -513,8 +518,8 @@
             t: now,
             node: id,
             director: new.director,
-            session: run.0,
-            attempt: run.1,
+            session: run.session,
+            attempt: run.attempt,
             tenant: new.tenant.clone(),
             class: new.class.clone(),
             title: new.title.clone(),
@@ -529,35 +534,44 @@
         };
         let never_ran =
             |status, what| Reply::problem(status, what).with("Shalewall-Never-Ran", "yes");
-        let arrival = self.inner.borrow_mut().fleet.arrive(id, run, now);
+        let arrival = self.inner.borrow_mut().fleet.begin_setup(
+            id,
+            run,
+            shalewall::Timestamp::from_micros(now),
+        );
         match arrival {
-            Arrival::Falls => {
+            SetupDecision::Overloaded => {
                 self.crash(id);
                 future::pending().await
             }
-            Arrival::Ended => {
+            SetupDecision::Cancelled => {
                 self.awake(id).await;
                 pending.over(Ran::Ended);
                 self.with_load(id, never_ran(410, "ended before it began"))
             }
-            Arrival::Full => {
+            SetupDecision::Rejected => {
                 self.awake(id).await;
                 pending.over(Ran::TurnedAway);
                 self.with_load(id, never_ran(503, "no place"))
             }
-            Arrival::Takes(time) => {
+            SetupDecision::Accepted(time) => {
                 pending.counted = true;
-                Timer::after(Duration::from_micros(time.max(0) as u64)).await;
+                Timer::after(Duration::from_micros(time.as_micros().max(0) as u64)).await;
                 self.awake(id).await;
                 pending.counted = false;
                 let rung = new.rung;
-                if !self.inner.borrow_mut().fleet.begin(id, run, new.playing()) {
+                if !self
+                    .inner
+                    .borrow_mut()
+                    .fleet
+                    .complete_setup(id, run, new.playing())
+                {
                     pending.over(Ran::Ended);
                     return self.with_load(id, never_ran(410, "ended before it began"));
                 }
                 pending.over(Ran::Plays);
                 if let Some(holds) = self.inner.borrow_mut().holds.get_mut(&id) {
-                    holds.set_up(SessionId(run.0));
+                    holds.set_up(SessionId(run.session));
                 }
                 self.ex.spawn(self.clone().unfetched(id, run)).detach();
                 let media = self.media_of(id, run);
@@ -567,13 +581,16 @@
         }
     }
 
-    fn media_of(&self, id: u64, run: Run) -> String {
+    fn media_of(&self, id: u64, run: AttemptId) -> String {
         let address = self.address(id).map_or(String::new(), |a| a.to_string());
-        format!("http://{address}/sessions/{}/{}/media", run.0, run.1)
+        format!(
+            "http://{address}/sessions/{}/{}/media",
+            run.session, run.attempt
+        )
     }
 
     /// A session that nobody fetches ends.
-    async fn unfetched(self, id: u64, run: Run) {
+    async fn unfetched(self, id: u64, run: AttemptId) {
         Timer::after(FETCH_WITHIN).await;
         if !self.inner.borrow().watched.contains_key(&(id, run)) {
             self.end_here(id, run);
@@ -581,25 +598,25 @@
     }
 
     /// Ends a session at its node and tells its front.
-    fn end_here(&self, id: u64, run: Run) {
+    fn end_here(&self, id: u64, run: AttemptId) {
         let director = {
             let mut inner = self.inner.borrow_mut();
             let playing = inner.fleet.nodes.get(&id).and_then(|n| n.playing.get(&run));
             let Some(director) = playing.map(|p| p.director) else {
                 return;
             };
-            inner.fleet.end(id, run);
+            inner.fleet.end_session(id, run);
             // It may be handed back to this node later, under a later epoch.
             let held = inner
                 .holds
                 .get(&id)
-                .map(|h| h.epochs(SessionId(run.0)))
+                .map(|h| h.epochs(SessionId(run.session)))
                 .unwrap_or_default();
             let (holds, upto) = (inner.holds.get_mut(&id), held.serving.max(held.prepared));
             holds
                 .zip(upto)
                 .into_iter()
-                .for_each(|(h, upto)| h.release(SessionId(run.0), upto));
+                .for_each(|(h, upto)| h.release(SessionId(run.session), upto));
             director
         };
         self.over(id, run);
@@ -607,11 +624,11 @@
             id,
             director,
             "ended",
-            serde_json::json!({ "session": run.0, "attempt": run.1 }).to_string(),
+            serde_json::json!({ "session": run.session, "attempt": run.attempt }).to_string(),
         );
     }
 
-    fn over(&self, id: u64, (session, attempt): Run) {
+    fn over(&self, id: u64, AttemptId { session, attempt }: AttemptId) {
         self.recorder.note(Record::Over {
             t: shalewall_clock::now().as_micros(),
             node: id,
@@ -684,7 +701,7 @@
     async fn lapse(self, id: u64, director: u32) {
         Timer::after(LEASE).await;
         self.awake(id).await;
-        let runs: Vec<Run> = {
+        let runs: Vec<AttemptId> = {
             let inner = self.inner.borrow();
             let open = inner.sockets.get(&id).and_then(|s| s.fronts.get(&director));
             if open.is_some_and(|s| !s.is_closed()) {
@@ -697,16 +714,13 @@
 
     /// Looks at the fleet and tells fronts what there is to tell.
     async fn tell(self) {
-        let mut teller = Teller::new(
-            self.telling.every.as_micros() as i64,
-            self.telling.late.as_micros() as i64,
+        let mut teller = Notifier::new(
+            TimeDelta::from_micros(self.telling.every.as_micros() as i64),
+            TimeDelta::from_micros(self.telling.late.as_micros() as i64),
         );
         loop {
             Timer::after(FRAME).await;
-            let news = teller.look(
-                &mut self.inner.borrow_mut().fleet,
-                shalewall_clock::now().as_micros(),
-            );
+            let news = teller.poll(&mut self.inner.borrow_mut().fleet, shalewall_clock::now());
             for n in news {
                 let note = serde_json::json!({ "session": n.session, "delivered": n.delivered,
                     "link": n.link, "uplink": n.uplink });
--- a/crates/emulator/src/nodes/media.rs
+++ b/crates/emulator/src/nodes/media.rs
@@ -4,7 +4,7 @@
 use async_io::Timer;
 use futures_lite::stream;
 use shalewall::SessionId;
-use shalewall_fleet_model::fleet::Run;
+use shalewall_fleet_model::fleet::AttemptId;
 use shalewall_http::head::RequestHead;
 use shalewall_http::server::Reply;
 use shalewall_migration::Epoch;
@@ -50,7 +50,7 @@
 }
 
 impl Nodes {
-    pub(super) async fn media(self, id: u64, run: Run, wanted: Wanted) -> Reply {
+    pub(super) async fn media(self, id: u64, run: AttemptId, wanted: Wanted) -> Reply {
         self.awake(id).await;
         let told = {
             let mut inner = self.inner.borrow_mut();
@@ -61,13 +61,13 @@
             let Some(holds) = inner.holds.get_mut(&id) else {
                 return Reply::problem(404, "no such node");
             };
-            let held = holds.epochs(SessionId(run.0));
+            let held = holds.epochs(SessionId(run.session));
             // Who names no epoch takes the one that is here.
             let epoch = wanted
                 .epoch
                 .or(held.serving.max(held.prepared))
                 .unwrap_or_default();
-            if holds.fetch(SessionId(run.0), epoch).is_err() {
+            if holds.fetch(SessionId(run.session), epoch).is_err() {
                 return Reply::problem(404, "nothing of that epoch is here");
             }
             *inner.watched.entry((id, run)).or_default() += 1;
@@ -75,7 +75,7 @@
         };
         let now = shalewall_clock::now().as_micros();
         if let Some((director, epoch)) = told {
-            let (session, attempt) = run;
+            let AttemptId { session, attempt } = run;
             self.note_fetched(id, run, epoch);
             let data =
                 serde_json::json!({ "session": session, "attempt": attempt, "epoch": epoch.0 });
@@ -121,7 +121,7 @@
 struct Watched {
     nodes: Nodes,
     id: u64,
-    run: Run,
+    run: AttemptId,
 }
 
 impl Watched {
@@ -129,11 +129,11 @@
     fn now(&self) -> Option<(u8, f64, f64)> {
         let inner = self.nodes.inner.borrow();
         let playing = inner.fleet.nodes.get(&self.id)?.playing.get(&self.run)?;
-        let full = playing.true_kb * 1000.0 * self.nodes.telling.fraction;
+        let full = playing.true_rate_kb_s * 1000.0 * self.nodes.telling.fraction;
         Some((
             playing.rung as u8,
             full,
-            inner.fleet.figures(self.id).delivered,
+            inner.fleet.load(self.id).delivered,
         ))
     }
 
--- a/crates/emulator/src/nodes/moves.rs
+++ b/crates/emulator/src/nodes/moves.rs
@@ -5,7 +5,7 @@
 use serde::Deserialize;
 use shalewall::{ServerId, SessionId};
 use shalewall_audit::{Ran, Record};
-use shalewall_fleet_model::fleet::{Arrival, Process, Run};
+use shalewall_fleet_model::fleet::{AttemptId, ProcessState, SetupDecision};
 use shalewall_http::server::{Reply, Request};
 use shalewall_migration::Epoch;
 use shalewall_migration::node::{CancelOutcome, SessionEpochs};
@@ -24,7 +24,7 @@
 struct Preparing {
     nodes: Nodes,
     id: u64,
-    run: Run,
+    run: AttemptId,
     epoch: Epoch,
     ready: bool,
 }
@@ -36,7 +36,7 @@
         if !self.ready
             && let Some(holds) = inner.holds.get_mut(&self.id)
         {
-            holds.cancel(SessionId(self.run.0), self.epoch);
+            holds.cancel(SessionId(self.run.session), self.epoch);
         }
     }
 }
@@ -55,7 +55,10 @@
         let (Some(Ok(session)), Some(Ok(attempt))) = (parts.next(), parts.next()) else {
             return Reply::problem(404, "no such thing here");
         };
-        let run: Run = (session, attempt as u32);
+        let run = AttemptId {
+            session,
+            attempt: attempt as u32,
+        };
         if head.method == "PUT" {
             return match serde_json::from_slice::<HandIn>(&request.body) {
                 Ok(new) => self.prepare(id, run, new).await,
@@ -71,7 +74,7 @@
             inner
                 .holds
                 .get_mut(&id)
-                .map(|h| h.cancel(SessionId(run.0), epoch))
+                .map(|h| h.cancel(SessionId(run.session), epoch))
         };
         let reply = match how {
             Some(CancelOutcome::AlreadyServing) => Reply::problem(409, "its player has fetched it"),
@@ -84,8 +87,8 @@
     }
 
     /// Ends what is held up to an epoch, or at all. True: something played.
-    pub(super) fn release(&self, id: u64, run: Run, upto: Option<Epoch>) -> bool {
-        let session = SessionId(run.0);
+    pub(super) fn release(&self, id: u64, run: AttemptId, upto: Option<Epoch>) -> bool {
+        let session = SessionId(run.session);
         let played = {
             let mut inner = self.inner.borrow_mut();
             if let Some(holds) = inner.holds.get_mut(&id) {
@@ -99,27 +102,27 @@
         };
         if upto.is_none() && !played {
             // A set-up of that number that comes later must not begin.
-            self.inner.borrow_mut().fleet.end(id, run);
+            self.inner.borrow_mut().fleet.end_session(id, run);
             return false;
         }
         self.tidy(id, run) && played
     }
 
     /// Ends the stream of a session of which nothing is held any more.
-    fn tidy(&self, id: u64, run: Run) -> bool {
+    fn tidy(&self, id: u64, run: AttemptId) -> bool {
         let ended = {
             let mut inner = self.inner.borrow_mut();
             let held = inner
                 .holds
                 .get(&id)
-                .map(|h| h.epochs(SessionId(run.0)))
+                .map(|h| h.epochs(SessionId(run.session)))
                 .unwrap_or_default();
             let plays = inner
                 .fleet
                 .nodes
                 .get(&id)
                 .is_some_and(|n| n.playing.contains_key(&run));
-            plays && held == SessionEpochs::default() && inner.fleet.end(id, run)
+            plays && held == SessionEpochs::default() && inner.fleet.end_session(id, run)
         };
         if ended {
             self.over(id, run);
@@ -127,15 +130,15 @@
         ended
     }
 
-    async fn prepare(self, id: u64, run: Run, HandIn { new, ticket }: HandIn) -> Reply {
-        let (session, epoch) = (SessionId(run.0), ticket.epoch);
+    async fn prepare(self, id: u64, run: AttemptId, HandIn { new, ticket }: HandIn) -> Reply {
+        let (session, epoch) = (SessionId(run.session), ticket.epoch);
         let now = shalewall_clock::now().as_micros();
         self.recorder.note(Record::HandIn {
             t: now,
             node: id,
             director: new.director,
-            session: run.0,
-            attempt: run.1,
+            session: run.session,
+            attempt: run.attempt,
             epoch: epoch.0,
             tenant: new.tenant.clone(),
             class: new.class.clone(),
@@ -159,7 +162,7 @@
             let key = self.telling.key.as_ref();
             let millis = (shalewall_clock::now().as_micros() / 1000) as u64;
             let holds = inner.holds.get_mut(&id);
-            let fits = ticket.session == run.0;
+            let fits = ticket.session == run.session;
             let done = holds
                 .zip(key)
                 .map(|(h, key)| h.prepare(ServerId(id), key, millis, &ticket));
@@ -188,14 +191,18 @@
             epoch,
             ready: false,
         };
-        let arrival = self.inner.borrow_mut().fleet.hand_in(id, run, now);
+        let arrival = self.inner.borrow_mut().fleet.begin_migration(
+            id,
+            run,
+            shalewall::Timestamp::from_micros(now),
+        );
         let time = match arrival {
-            Arrival::Takes(time) => time,
-            Arrival::Falls => {
+            SetupDecision::Accepted(time) => time,
+            SetupDecision::Overloaded => {
                 self.crash(id);
                 return futures_lite::future::pending().await;
             }
-            Arrival::Full | Arrival::Ended => {
+            SetupDecision::Rejected | SetupDecision::Cancelled => {
                 drop(preparing);
                 return self.with_load(id, Reply::problem(503, "no place"));
             }
@@ -205,7 +212,7 @@
             id,
             armed: true,
         };
-        Timer::after(Duration::from_micros(time.max(0) as u64)).await;
+        Timer::after(Duration::from_micros(time.as_micros().max(0) as u64)).await;
         self.awake(id).await;
         counted.armed = false;
         // Cancelled meanwhile, or ended: then it is not to begin.
@@ -217,12 +224,16 @@
             .map(|h| h.epochs(session))
             .unwrap_or_default();
         if held.prepared != Some(epoch)
-            || !self.inner.borrow_mut().fleet.begin(id, run, new.playing())
+            || !self
+                .inner
+                .borrow_mut()
+                .fleet
+                .complete_setup(id, run, new.playing())
         {
             return self.with_load(id, Reply::problem(410, "ended before it was ready"));
         }
         preparing.ready = true;
-        let (session, attempt) = run;
+        let AttemptId { session, attempt } = run;
         let (t, ran, epoch) = (shalewall_clock::now().as_micros(), Ran::Plays, epoch.0);
         self.recorder.note(Record::HandInDone {
             t,
@@ -237,22 +248,27 @@
     }
 
     /// What a front is told of a session here when it opens its event stream: all that it needs to go on with it.
-    pub(super) fn held_as_told(&self, id: u64, run: Run) -> Option<serde_json::Value> {
+    pub(super) fn held_as_told(&self, id: u64, run: AttemptId) -> Option<serde_json::Value> {
         let media = self.media_of(id, run);
         let inner = self.inner.borrow();
         let p = inner.fleet.nodes.get(&id)?.playing.get(&run)?;
         let held = inner
             .holds
             .get(&id)
-            .map(|h| h.epochs(SessionId(run.0)))
+            .map(|h| h.epochs(SessionId(run.session)))
             .unwrap_or_default();
         Some(serde_json::json!({
-            "session": run.0, "attempt": run.1, "viewer": p.viewer, "tenant": p.tenant, "class": p.class,
+            "session": run.session, "attempt": run.attempt, "viewer": p.viewer, "tenant": p.tenant, "class": p.class,
             "title": p.title, "rung": p.rung, "serving": held.serving, "prepared": held.prepared, "media": media,
         }))
     }
 
-    pub(super) fn note_fetched(&self, id: u64, (session, attempt): Run, epoch: Epoch) {
+    pub(super) fn note_fetched(
+        &self,
+        id: u64,
+        AttemptId { session, attempt }: AttemptId,
+        epoch: Epoch,
+    ) {
         let (t, epoch) = (shalewall_clock::now().as_micros(), epoch.0);
         self.recorder.note(Record::Fetched {
             t,
@@ -272,10 +288,10 @@
                 .fleet
                 .nodes
                 .iter()
-                .filter(|(_, n)| n.process == Process::Runs)
+                .filter(|(_, n)| n.process == ProcessState::Running)
             {
-                let f = inner.fleet.figures(*node);
-                let streams = f.streams as f64 / n.machine.places;
+                let f = inner.fleet.load(*node);
+                let streams = f.streams as f64 / n.machine.stream_capacity;
                 self.recorder.note(Record::Load {
                     t,
                     node: *node,
@@ -298,7 +314,7 @@
 impl Drop for Counted {
     fn drop(&mut self) {
         if self.armed {
-            self.nodes.inner.borrow_mut().fleet.give_up(self.id);
+            self.nodes.inner.borrow_mut().fleet.abandon_setup(self.id);
         }
     }
 }
--- a/crates/emulator/src/player.rs
+++ b/crates/emulator/src/player.rs
@@ -5,9 +5,8 @@
 use async_channel::Sender;
 use async_executor::Task;
 use async_io::Timer;
-use shalewall::ServerId;
+use shalewall::{ServerId, TimeDelta, Timestamp};
 use shalewall_audit::Record;
-use shalewall_fleet_model::Micros;
 use shalewall_fleet_model::playhead::Playhead;
 use shalewall_http::Limits;
 use shalewall_http::client::{Call, Events, in_time};
@@ -19,6 +18,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+type Micros = i64;
+
 /// Nothing has come for so long: it says so, and again after this.
 const SILENT: Micros = 300_000;
 const AGAIN: Micros = 200_000;
@@ -84,7 +85,7 @@
     }
 
     fn fetch(&mut self, source: u64, epoch: Epoch) {
-        let from = self.head.received() / 1000;
+        let from = self.head.received_to().as_millis();
         let (ahead, live) = (self.ahead / 1000, u8::from(self.live));
         let url = format!(
             "{}?epoch={}&from={from}&ahead={ahead}&live={live}",
@@ -145,7 +146,7 @@
 
     /// What is due by itself: words, and giving up what does not come.
     fn tick(&mut self, now: Micros) {
-        self.head.advance(now);
+        self.head.advance(Timestamp::from_micros(now));
         if self.tries.is_some_and(|t| now - t >= TRIES) {
             self.tries = None;
             let all = self.seat.give_up();
@@ -153,7 +154,7 @@
         }
         if now - self.heard >= SILENT && now - self.said >= AGAIN {
             self.said = now;
-            let buffer = self.head.buffer(now) / 1000;
+            let buffer = self.head.buffered(Timestamp::from_micros(now)).as_millis();
             self.say("silent", serde_json::json!({ "buffer_ms": buffer }));
         }
     }
@@ -162,7 +163,10 @@
     fn due(&self, now: Micros) -> Micros {
         let silent = (self.heard + SILENT).max(self.said + AGAIN);
         let tries = self.tries.map_or(Micros::MAX, |t| t + TRIES);
-        let dry = self.head.dry_since().map_or(Micros::MAX, |t| t + PATIENCE);
+        let dry = self
+            .head
+            .stalled_since()
+            .map_or(Micros::MAX, |t| t.as_micros() + PATIENCE);
         silent.min(tries).min(dry).max(now + 1000)
     }
 }
@@ -293,7 +297,10 @@
         tenant: viewer.tenant.clone(),
         sources: Vec::new(),
         seat: PlayerMigration::new(ServerId(0)),
-        head: Playhead::new(begin, START.min(ahead)),
+        head: Playhead::new(
+            TimeDelta::from_micros(begin),
+            TimeDelta::from_micros(START.min(ahead)),
+        ),
         ahead,
         live: viewer.class.live,
         streams: BTreeMap::new(),
@@ -353,12 +360,19 @@
                 player.carry_out(now, all);
                 plays.set(player.seat.epoch());
                 if (source, epoch) == (player.seat.node().0, player.seat.epoch()) {
-                    let before = player.head.received();
-                    player.head.take(now, position, span);
+                    let before = player.head.received_to();
+                    player.head.receive(
+                        Timestamp::from_micros(now),
+                        TimeDelta::from_micros(position),
+                        TimeDelta::from_micros(span),
+                    );
                     player.heard = now;
-                    let (from, to) = (before.max(position), player.head.received());
+                    let (from, to) = (
+                        before.max(TimeDelta::from_micros(position)),
+                        player.head.received_to(),
+                    );
                     if to > from {
-                        coming.push_back((rung, from, to));
+                        coming.push_back((rung, from.as_micros(), to.as_micros()));
                     }
                 }
             }
@@ -387,35 +401,37 @@
             None => {}
         }
         player.tick(now);
-        let shown_to = player.head.received() - player.head.buffer(now);
+        let shown_to =
+            player.head.received_to() - player.head.buffered(Timestamp::from_micros(now));
         while let Some((rung, from, to)) = coming.pop_front() {
-            let shown = shown_to.min(to) - from;
-            if shown <= 0 {
+            let shown = shown_to.min(TimeDelta::from_micros(to)) - TimeDelta::from_micros(from);
+            if shown <= TimeDelta::ZERO {
                 coming.push_front((rung, from, to));
                 break;
             }
             if close.is_none_or(|t| now < t) {
-                *rungs.entry(rung).or_default() += shown;
+                *rungs.entry(rung).or_default() += shown.as_micros();
                 steps += u64::from(last_rung.is_some_and(|r| r != rung));
             }
             last_rung = Some(rung);
-            if shown_to < to {
-                coming.push_front((rung, shown_to, to));
+            if shown_to < TimeDelta::from_micros(to) {
+                coming.push_front((rung, shown_to.as_micros(), to));
                 break;
             }
         }
-        for gap in player.head.gaps() {
-            stood += gap.length;
-            viewers.gap(ask, session, gap.at, gap.length);
+        for gap in player.head.take_gaps() {
+            stood += gap.length.as_micros();
+            viewers.gap(ask, session, gap.at.as_micros(), gap.length.as_micros());
         }
         if now >= until {
             break true;
         }
-        let dry = player.head.dry_since();
+        let dry = player.head.stalled_since().map(Timestamp::as_micros);
         let stands = dry.is_some_and(|since| now - since >= PATIENCE);
-        let ended =
-            player.over && player.streams.is_empty() && (dry.is_some() || !player.head.begun());
-        let nothing = !player.head.begun() && now - player.heard >= PATIENCE;
+        let ended = player.over
+            && player.streams.is_empty()
+            && (dry.is_some() || !player.head.has_started());
+        let nothing = !player.head.has_started() && now - player.heard >= PATIENCE;
         // Without a front that can offer another node, what has ended is over when the buffer is.
         if stands
             || ended
@@ -426,7 +442,7 @@
         }
     };
     let now = shalewall_clock::now().as_micros();
-    if let Some(since) = player.head.dry_since() {
+    if let Some(since) = player.head.stalled_since().map(Timestamp::as_micros) {
         stood += now - since;
         match whole {
             true => viewers.gap(ask, session, since, now - since),
@@ -457,6 +473,6 @@
     if whole {
         Try::Done
     } else {
-        Try::Again(viewers.crowd().pause)
+        Try::Again(viewers.crowd().retry_pause)
     }
 }
--- a/crates/emulator/src/viewers.rs
+++ b/crates/emulator/src/viewers.rs
@@ -7,8 +7,8 @@
 use rand_chacha::ChaCha8Rng;
 use serde_json::Value;
 use shalewall_audit::Record;
-use shalewall_fleet_model::crowd::{Class, Crowd, Draw};
-use shalewall_fleet_model::tally::{Tallies, Tally};
+use shalewall_fleet_model::population::{Class, Interest, ViewerPopulation};
+use shalewall_fleet_model::totals::{TotalsByTenant, ViewerTotals};
 use shalewall_http::Limits;
 use shalewall_http::client::{Call, Failure, Incoming, Unconnected, in_time};
 use shalewall_http::pool::Pool;
@@ -21,7 +21,7 @@
 /// What has come of the viewers so far.
 #[derive(Clone, Debug, Default)]
 pub struct Count {
-    pub tallies: Tallies,
+    pub tallies: TotalsByTenant,
     /// Answers by class: microseconds.
     pub took: BTreeMap<String, Vec<u64>>,
     /// The latest wake-up of a player that follows, microseconds: gaps are measured no better.
@@ -33,7 +33,7 @@
 pub struct Viewers {
     pub(crate) ex: Rc<LocalExecutor<'static>>,
     pub(crate) recorder: Recorder,
-    crowd: Rc<Crowd>,
+    crowd: Rc<ViewerPopulation>,
     fronts: Rc<RefCell<Vec<SocketAddr>>>,
     dice: Rc<RefCell<ChaCha8Rng>>,
     /// Chance of who comes: one stream for each tenant, or one for all.
@@ -43,7 +43,7 @@
     /// How much faster than usual they come, and what extra ones come for, as a part of the usual rate.
     burst: Rc<Cell<f64>>,
     bursts: Rc<RefCell<BTreeMap<String, f64>>>,
-    extra: Rc<RefCell<Option<(Draw, f64)>>>,
+    extra: Rc<RefCell<Option<(Interest, f64)>>>,
     here: Rc<Cell<usize>>,
     /// The day's end: worth is counted up to it.
     close: Rc<Cell<Option<Instant>>>,
@@ -86,13 +86,13 @@
     pub fn new(
         ex: Rc<LocalExecutor<'static>>,
         recorder: Recorder,
-        crowd: Crowd,
+        crowd: ViewerPopulation,
         arrivals: Vec<ChaCha8Rng>,
         seed: u64,
     ) -> Viewers {
         let micros = |d: Duration| d.as_micros() as i64;
         Viewers {
-            buffers: (micros(crowd.buffers.0), micros(crowd.buffers.1)),
+            buffers: (micros(crowd.live_buffer), micros(crowd.recorded_buffer)),
             lag: Rc::default(),
             lacked: Rc::default(),
             ex,
@@ -131,11 +131,11 @@
     }
 
     /// Extra viewers, as a part of the usual rate.
-    pub fn set_extra(&self, extra: Option<(Draw, f64)>) {
+    pub fn set_extra(&self, extra: Option<(Interest, f64)>) {
         *self.extra.borrow_mut() = extra;
     }
 
-    pub fn crowd(&self) -> &Crowd {
+    pub fn crowd(&self) -> &ViewerPopulation {
         &self.crowd
     }
 
@@ -175,7 +175,7 @@
             });
             next += self
                 .crowd
-                .gap(all * times, &mut self.arrivals.borrow_mut()[stream]);
+                .time_to_next_arrival(all * times, &mut self.arrivals.borrow_mut()[stream]);
             if next >= until {
                 Timer::at(until).await;
                 return;
@@ -202,38 +202,38 @@
         let extra = extra.as_ref().map(|(draw, _)| (draw, part));
         let person = self
             .crowd
-            .draw(extra, &mut self.arrivals.borrow_mut()[stream]);
+            .draw_viewer(extra, &mut self.arrivals.borrow_mut()[stream]);
         let now = Instant::now();
         let within = self
             .close
             .get()
-            .map_or(person.span, |t| t.saturating_duration_since(now));
-        let wanted = self.crowd.wanted(&person, within);
+            .map_or(person.watch_time, |t| t.saturating_duration_since(now));
+        let wanted = self.crowd.worth_offered(&person, within);
         let viewer = Viewer {
             tenant,
             key: person.key,
             class: self.crowd.classes[person.class].clone(),
             title: person.title,
-            top: person.top,
-            until: now + person.span,
-            follows: self.crowd.follow > 0.0 && self.roll() < self.crowd.follow,
+            top: person.highest_rung,
+            until: now + person.watch_time,
+            follows: self.crowd.follow_fraction > 0.0 && self.roll() < self.crowd.follow_fraction,
             dry: Cell::default(),
             refused: Cell::default(),
             played: Cell::default(),
         };
         self.enter(&viewer, |t| {
-            t.people += 1;
-            t.people_unserved += 1;
-            t.wanted += wanted;
+            t.viewers += 1;
+            t.viewers_unserved += 1;
+            t.worth_offered += wanted;
         });
         viewer
     }
 
-    fn enter(&self, viewer: &Viewer, what: impl Fn(&mut Tally)) {
+    fn enter(&self, viewer: &Viewer, what: impl Fn(&mut ViewerTotals)) {
         self.count
             .borrow_mut()
             .tallies
-            .enter(viewer.tenant.as_deref(), what);
+            .update(viewer.tenant.as_deref(), what);
     }
 
     async fn live(&self, viewer: Viewer) {
@@ -250,7 +250,7 @@
             match self.attempt(&viewer, number as u32, front, again).await {
                 Try::Done | Try::Over => return,
                 Try::Again(pause) => {
-                    if self.roll() >= self.crowd.come_again {
+                    if self.roll() >= self.crowd.retry_fraction {
                         return;
                     }
                     Timer::after(pause.mul_f64(0.5 + self.roll())).await;
@@ -265,10 +265,10 @@
         let ask = self.asks.get();
         self.asks.set(ask + 1);
         let left = viewer.until.saturating_duration_since(Instant::now());
-        let hint = Some(left.as_secs_f64() * self.crowd.hint_times).filter(|s| *s > 0.0);
+        let hint = Some(left.as_secs_f64() * self.crowd.hint_factor).filter(|s| *s > 0.0);
         let body = serde_json::json!({
             "viewer": viewer.key, "tenant": viewer.tenant, "class": viewer.class.name, "title": viewer.title,
-            "wait_ms": viewer.class.give_up.as_millis() as u64, "hint_s": hint,
+            "wait_ms": viewer.class.request_timeout.as_millis() as u64, "hint_s": hint,
             "top": viewer.top, "again": again,
         })
         .to_string();
@@ -288,11 +288,11 @@
                 let own = matches!(e, Failure::NotConnected(Unconnected::Own, _));
                 self.lacked.set(self.lacked.get() + u64::from(own));
                 self.enter(viewer, |t| t.unanswered += 1);
-                return Try::Again(self.crowd.pause);
+                return Try::Again(self.crowd.retry_pause);
             }
         };
         let t = shalewall_clock::now().as_micros();
-        let wait = viewer.class.give_up.as_micros() as i64;
+        let wait = viewer.class.request_timeout.as_micros() as i64;
         let (key, class, title) = (
             viewer.key.clone(),
             viewer.class.name.clone(),
@@ -309,21 +309,21 @@
             title,
             wait,
         });
-        self.enter(viewer, |t| t.asked += 1);
+        self.enter(viewer, |t| t.requested += 1);
         // A viewer waits somewhat longer than it said: an answer that is late is to be seen.
-        let patience = viewer.class.give_up + Duration::from_secs(3);
+        let patience = viewer.class.request_timeout + Duration::from_secs(3);
         let answer = in_time(patience, connection.call(&call)).await;
         let now = shalewall_clock::now().as_micros();
         let answer = match answer {
             Some(Ok(answer)) => answer,
             Some(Err(Failure::NotConnected(..) | Failure::NeverRan(_))) => {
                 self.recorder.note(Record::Left { t: now, ask });
-                return Try::Again(self.crowd.pause);
+                return Try::Again(self.crowd.retry_pause);
             }
             None | Some(Err(Failure::MayHaveRun(_))) => {
                 self.recorder.note(Record::Unanswered { t: now, ask });
                 self.enter(viewer, |t| t.unanswered += 1);
-                return Try::Again(self.crowd.pause);
+                return Try::Again(self.crowd.retry_pause);
             }
         };
         let said: Value = serde_json::from_slice(&answer.body).unwrap_or_default();
@@ -349,9 +349,9 @@
             (201, Some(session), Some(media)) => {
                 let first = u64::from(!viewer.played.replace(true));
                 self.enter(viewer, |t| {
-                    (t.played, t.people_unserved) = (t.played + 1, t.people_unserved - first)
+                    (t.played, t.viewers_unserved) = (t.played + 1, t.viewers_unserved - first)
                 });
-                let late = Duration::from_micros(took) > viewer.class.aim;
+                let late = Duration::from_micros(took) > viewer.class.latency_objective;
                 if let Some((before, session, since)) = viewer.dry.take() {
                     self.gap(before, session, since, now - since);
                 }
@@ -371,9 +371,9 @@
             (503, ..) => {
                 let first = u64::from(!viewer.refused.replace(true));
                 self.enter(viewer, |t| {
-                    (t.refused, t.people_refused) = (t.refused + 1, t.people_refused + first)
+                    (t.rejected, t.viewers_rejected) = (t.rejected + 1, t.viewers_rejected + first)
                 });
-                Try::Again(pause.unwrap_or(self.crowd.pause))
+                Try::Again(pause.unwrap_or(self.crowd.retry_pause))
             }
             (502 | 504, ..) => {
                 self.enter(viewer, |t| t.failed += 1);
@@ -429,16 +429,17 @@
         share: f64,
         late: bool,
     ) {
-        let kept = self.crowd.kept(share);
+        let kept = self.crowd.worth_kept(share);
         self.enter(viewer, |t| {
-            t.steps += steps;
-            t.got -= steps as f64 * self.crowd.switch_s * viewer.class.worth;
+            t.rung_changes += steps;
+            t.worth_earned -=
+                steps as f64 * self.crowd.rung_change_cost_s * viewer.class.priority_weight;
             for (rung, time) in rungs {
-                *t.rungs.entry(*rung).or_default() += time;
+                *t.seconds_by_rung.entry(*rung).or_default() += time;
                 // What plays after the wanted time earns nothing for its first second.
                 let lost = if late { 1.0_f64.min(*time) } else { 0.0 };
-                let worth = self.crowd.worth.get(*rung).copied().unwrap_or(0.0);
-                t.got += (time - lost) * viewer.class.worth * worth * kept;
+                let worth = self.crowd.utility.get(*rung).copied().unwrap_or(0.0);
+                t.worth_earned += (time - lost) * viewer.class.priority_weight * worth * kept;
             }
         });
     }
@@ -500,7 +501,7 @@
         if whole {
             Try::Done
         } else {
-            Try::Again(self.crowd.pause)
+            Try::Again(self.crowd.retry_pause)
         }
     }
 }
--- a/crates/fleet-model/src/fleet.rs
+++ b/crates/fleet-model/src/fleet.rs
@@ -1,149 +1,216 @@
-//! The fleet as it is: what links give, what nodes take, when they fall over.
+//! Media nodes and the links that they share: what links give, which set-ups a node takes, when it falls over.
+//!
+//! A node's link and its rack's uplink are shared by all sessions on them: where more is asked than they give, every
+//! session gets the same fraction of its rate. A node that has just started takes set-ups at a pace that grows with
+//! its warm-up; pushed beyond a multiple of that pace it falls over and stays down.
 
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use shalewall::{TimeDelta, Timestamp};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use crate::Micros;
-
-/// What all nodes share.
+/// Set-ups that a cold node bears beyond its limit, since arrivals are bunched by chance.
+const OVERLOAD_SLACK: f64 = 2.0;
+/// A set-up takes between this fraction of its usual time ...
+const SHORTEST_SETUP: f64 = 0.7;
+/// ... and this much more, drawn evenly.
+const SETUP_SPREAD: f64 = 0.6;
+/// Least fraction of a link that a competing load leaves.
+const LEAST_LINK_LEFT: f64 = 0.01;
+/// Keeps a ratio finite where nothing is given.
+const SMALLEST_DIVISOR: f64 = 1e-9;
+
+/// Parameters that all nodes share.
 #[derive(Clone, Debug)]
-pub struct Physics {
-    /// True rates lie above or below the told ones by up to this part.
-    pub rate_stray: f64,
+pub struct FleetParameters {
+    /// True rates lie above or below the ladder's by up to this fraction.
+    pub rate_deviation: f64,
     /// Usual time of a set-up.
-    pub set_up: Micros,
-    pub refresh: Micros,
-    /// Load figures are wrong by up to this part.
-    pub noise: f64,
-    /// Set-ups are turned away while so much of the link is asked; 0: never.
-    pub full_from: f64,
-    pub warm_after: Micros,
-    pub start_capacity: f64,
+    pub setup_time: TimeDelta,
+    /// Load reports are refreshed at this interval.
+    pub report_interval: TimeDelta,
+    /// Load reports are wrong by up to this fraction.
+    pub report_noise: f64,
+    /// Set-ups are rejected from this utilization of the link on; 0: never.
+    pub rejection_threshold: f64,
+    /// A node is warm this long after its start.
+    pub warm_up: TimeDelta,
+    /// Fraction of its capacity at which a node starts.
+    pub initial_capacity: f64,
+    /// A cold node falls over at this multiple of its pace ...
     pub overload_factor: f64,
-    pub fall: Micros,
-    /// Uplink of each rack, kB a second; empty: none.
-    pub uplinks: Vec<f64>,
+    /// ... counted over this window.
+    pub overload_window: TimeDelta,
+    /// Uplink of each rack, kilobytes a second; empty: racks have none.
+    pub uplinks_kb_s: Vec<f64>,
 }
 
-/// A node's machine.
+/// The machine that a node runs on.
 #[derive(Clone, Debug)]
 pub struct Machine {
+    /// The node's number.
     pub id: u64,
+    /// Its zone's name.
     pub zone: String,
+    /// Its machine kind's name.
     pub kind: String,
+    /// The cell that it stands in; its rack is this modulo the number of racks.
     pub cell: u64,
+    /// Weight in the endpoint list.
     pub weight: f64,
-    pub places: f64,
-    /// What its link gives, kB a second; not what the list says.
-    pub link_kb: f64,
+    /// Streams that it runs at most.
+    pub stream_capacity: f64,
+    /// What its link gives, kilobytes a second; the endpoint list may say otherwise.
+    pub link_kb_s: f64,
 }
 
-/// A session number and its attempt.
-pub type Run = (u64, u32);
+/// One attempt to set a session up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct AttemptId {
+    /// The session's number.
+    pub session: u64,
+    /// The attempt's number, from 0.
+    pub attempt: u32,
+}
 
+/// A session that plays at a node.
 #[derive(Clone, Debug)]
-pub struct Playing {
+pub struct ActiveSession {
+    /// The director that set it up.
     pub director: u32,
-    /// The viewer's key as its front has it, and its tenant.
+    /// The viewer's key as its director has it.
     pub viewer: u64,
+    /// The viewer's tenant.
     pub tenant: Option<String>,
+    /// Name of its class.
     pub class: String,
+    /// Name of its title.
     pub title: String,
+    /// The rung in force.
     pub rung: usize,
-    /// Told rate, and the true one, kB a second.
-    pub kb: f64,
-    pub true_kb: f64,
+    /// Rate of that rung by the ladder, kilobytes a second.
+    pub rate_kb_s: f64,
+    /// Rate that it really asks, kilobytes a second.
+    pub true_rate_kb_s: f64,
 }
 
-/// How a node's process is.
+/// State of a node's process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Process {
-    Runs,
-    /// Stands still; what it holds it holds.
+pub enum ProcessState {
+    /// It serves.
+    Running,
+    /// It stands still and keeps what it holds.
     Frozen,
+    /// It is gone.
     Down,
 }
 
+/// A node and what it holds.
 #[derive(Debug)]
 pub struct Node {
+    /// The machine that it runs on.
     pub machine: Machine,
-    pub process: Process,
-    pub up: Micros,
-    pub warm: bool,
-    /// Pushed over: stays down.
-    pub fell: bool,
-    pub playing: BTreeMap<Run, Playing>,
-    pub setting_up: usize,
-    /// Told to end: a set-up that comes later does not begin.
-    pub ended: BTreeSet<Run>,
-    arrivals: VecDeque<Micros>,
-    /// Part of the link that another program takes.
-    pub neighbour: f64,
-    /// Set-ups take so many times longer, and the link gives so many times less.
-    pub slow: f64,
-    figures: Figures,
-    history: VecDeque<(Micros, Figures)>,
+    /// State of its process.
+    pub process: ProcessState,
+    /// When its process started.
+    pub started_at: Timestamp,
+    /// It was warm from its start on.
+    pub started_warm: bool,
+    /// It was pushed over, and stays down.
+    pub fell_over: bool,
+    /// Sessions that play.
+    pub playing: BTreeMap<AttemptId, ActiveSession>,
+    /// Set-ups under way.
+    pub setups_in_flight: usize,
+    /// Attempts that were told to end: a set-up that comes later does not begin.
+    pub ended: BTreeSet<AttemptId>,
+    /// Fraction of the link that another program takes.
+    pub competing_load: f64,
+    /// Set-ups take this many times longer, and the link gives this many times less.
+    pub slowdown: f64,
+    arrivals: VecDeque<Timestamp>,
+    reported: NodeLoad,
+    history: VecDeque<(Timestamp, NodeLoad)>,
 }
 
-/// Asked over given of link and uplink, the share delivered, and streams.
+/// Load of a node at one time.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Figures {
+pub struct NodeLoad {
+    /// Utilization of its link: asked over given.
     pub link: f64,
+    /// Utilization of its rack's uplink.
     pub uplink: f64,
+    /// Fraction of their rates that its sessions get.
     pub delivered: f64,
+    /// Streams that play or are being set up.
     pub streams: usize,
 }
 
 /// What a node makes of a set-up that arrives.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Arrival {
-    /// It takes so long.
-    Takes(Micros),
-    /// No place, or the link is full: turned away, nothing ran.
-    Full,
-    /// Told to end before it came.
-    Ended,
-    /// Pushed over by it.
-    Falls,
+pub enum SetupDecision {
+    /// It takes this long.
+    Accepted(TimeDelta),
+    /// No stream is free, or the link is full: nothing ran.
+    Rejected,
+    /// It was told to end before it came.
+    Cancelled,
+    /// The node falls over by it.
+    Overloaded,
 }
 
-/// All nodes.
+/// All nodes, their links, and the source of chance.
 #[derive(Debug)]
 pub struct Fleet {
-    pub physics: Physics,
+    /// Parameters that all nodes share.
+    pub parameters: FleetParameters,
+    /// Nodes by number.
     pub nodes: BTreeMap<u64, Node>,
-    /// All links give so many times less.
-    pub slow_links: f64,
-    dice: ChaCha8Rng,
+    /// All links give this many times less.
+    pub link_slowdown: f64,
+    random: ChaCha8Rng,
+}
+
+fn asked_kb_s(node: &Node) -> f64 {
+    node.playing.values().map(|p| p.true_rate_kb_s).sum()
+}
+
+/// Fraction of what is asked that a link of this utilization delivers.
+fn delivered_fraction(utilization: f64) -> f64 {
+    if utilization > 1.0 {
+        1.0 / utilization
+    } else {
+        1.0
+    }
 }
 
 impl Fleet {
-    pub fn new(physics: Physics, seed: u64) -> Fleet {
+    /// A fleet without nodes. Equal seeds and calls give equal results.
+    pub fn new(parameters: FleetParameters, seed: u64) -> Fleet {
         Fleet {
-            physics,
+            parameters,
             nodes: BTreeMap::new(),
-            slow_links: 1.0,
-            dice: ChaCha8Rng::seed_from_u64(seed),
+            link_slowdown: 1.0,
+            random: ChaCha8Rng::seed_from_u64(seed),
         }
     }
 
-    /// Brings a machine up: warm, or cold from now on.
-    pub fn start(&mut self, machine: Machine, now: Micros, warm: bool) {
+    /// Starts a node's process: warm, or cold from now on.
+    pub fn start(&mut self, machine: Machine, now: Timestamp, warm: bool) {
         let node = Node {
-            process: Process::Runs,
-            up: now,
-            warm,
-            fell: false,
+            process: ProcessState::Running,
+            started_at: now,
+            started_warm: warm,
+            fell_over: false,
             playing: BTreeMap::new(),
-            setting_up: 0,
+            setups_in_flight: 0,
             ended: BTreeSet::new(),
+            competing_load: 0.0,
+            slowdown: 1.0,
             arrivals: VecDeque::new(),
-            neighbour: 0.0,
-            slow: 1.0,
-            figures: Figures {
+            reported: NodeLoad {
                 delivered: 1.0,
-                ..Figures::default()
+                ..NodeLoad::default()
             },
             history: VecDeque::new(),
             machine,
@@ -151,273 +218,233 @@
         self.nodes.insert(node.machine.id, node);
     }
 
-    /// The part of its capacity that a node has warmed to.
-    pub fn warmed(&self, node: &Node, now: Micros) -> f64 {
-        let p = &self.physics;
-        if node.warm || p.warm_after <= 0 {
+    /// Fraction of its capacity that a node has warmed up to.
+    pub fn warmed_fraction(&self, node: &Node, now: Timestamp) -> f64 {
+        let parameters = &self.parameters;
+        if node.started_warm || parameters.warm_up <= TimeDelta::ZERO {
             return 1.0;
         }
-        let age = ((now - node.up) as f64 / p.warm_after as f64).clamp(0.0, 1.0);
-        p.start_capacity + (1.0 - p.start_capacity) * age
+        let age = (now - node.started_at).as_micros() as f64;
+        let progress = (age / parameters.warm_up.as_micros() as f64).clamp(0.0, 1.0);
+        parameters.initial_capacity + (1.0 - parameters.initial_capacity) * progress
     }
 
-    /// A set-up arrives.
-    pub fn arrive(&mut self, id: u64, run: Run, now: Micros) -> Arrival {
+    /// Set-ups within the overload window that a cold node bears.
+    fn overload_limit(&self, node: &Node, warmed: f64) -> f64 {
+        let parameters = &self.parameters;
+        let warm_up = parameters.warm_up.as_micros().max(1) as f64;
+        let pace = node.machine.stream_capacity / warm_up * warmed;
+        let window = parameters.overload_window.as_micros() as f64;
+        parameters.overload_factor * pace * window + OVERLOAD_SLACK
+    }
+
+    /// A set-up arrives at a node.
+    pub fn begin_setup(&mut self, id: u64, attempt: AttemptId, now: Timestamp) -> SetupDecision {
         let Some(node) = self.nodes.get(&id) else {
-            return Arrival::Full;
+            return SetupDecision::Rejected;
         };
-        let warmed = self.warmed(node, now);
-        let p = &self.physics;
-        let cold = !node.warm && now - node.up < p.warm_after;
-        let pace = node.machine.places / p.warm_after.max(1) as f64 * warmed;
-        let most = p.overload_factor * pace * p.fall as f64 + 2.0;
-        let figures = self.figures(id);
-        let turned = p.full_from > 0.0 && figures.link >= p.full_from;
-        let (set_up, fall) = (p.set_up as f64, p.fall);
-        let time = set_up / warmed * (0.7 + 0.6 * self.dice.random::<f64>());
+        let warmed = self.warmed_fraction(node, now);
+        let parameters = &self.parameters;
+        let is_cold = !node.started_warm && now - node.started_at < parameters.warm_up;
+        let overload_limit = self.overload_limit(node, warmed);
+        let threshold = parameters.rejection_threshold;
+        let link_is_full = threshold > 0.0 && self.load(id).link >= threshold;
+        let usual_time = parameters.setup_time.as_micros() as f64;
+        let window = parameters.overload_window;
+        let variation = SHORTEST_SETUP + SETUP_SPREAD * self.random.random::<f64>();
+        let setup_micros = usual_time / warmed * variation;
         let Some(node) = self.nodes.get_mut(&id) else {
-            return Arrival::Full;
+            return SetupDecision::Rejected;
         };
-        node.arrivals.push_back(now);
-        while node.arrivals.front().is_some_and(|t| *t <= now - fall) {
-            node.arrivals.pop_front();
-        }
-        if cold && node.arrivals.len() as f64 > most {
-            (node.fell, node.process) = (true, Process::Down);
-            return Arrival::Falls;
+        node.count_arrival(now, window);
+        if is_cold && node.arrivals.len() as f64 > overload_limit {
+            node.fell_over = true;
+            node.process = ProcessState::Down;
+            return SetupDecision::Overloaded;
         }
-        if node.ended.contains(&run) {
-            return Arrival::Ended;
+        if node.ended.contains(&attempt) {
+            return SetupDecision::Cancelled;
         }
-        if turned || (node.playing.len() + node.setting_up) as f64 >= node.machine.places {
-            return Arrival::Full;
+        if link_is_full || node.streams() as f64 >= node.machine.stream_capacity {
+            return SetupDecision::Rejected;
         }
-        node.setting_up += 1;
-        Arrival::Takes((time * node.slow) as Micros)
+        node.setups_in_flight += 1;
+        SetupDecision::Accepted(TimeDelta::from_micros(
+            (setup_micros * node.slowdown) as i64,
+        ))
     }
 
-    /// A session arrives from another node. It may have been here before: whether it may come again is not told by
-    /// its number.
-    pub fn hand_in(&mut self, id: u64, run: Run, now: Micros) -> Arrival {
+    /// A session arrives from another node. It may have played here before, so that an earlier end does not count.
+    pub fn begin_migration(
+        &mut self,
+        id: u64,
+        attempt: AttemptId,
+        now: Timestamp,
+    ) -> SetupDecision {
         if let Some(node) = self.nodes.get_mut(&id) {
-            node.ended.remove(&run);
+            node.ended.remove(&attempt);
         }
-        self.arrive(id, run, now)
+        self.begin_setup(id, attempt, now)
     }
 
-    /// A set-up is over: it plays, unless it was told to end meanwhile. False: it does not.
-    pub fn begin(&mut self, id: u64, run: Run, mut playing: Playing) -> bool {
-        let stray = self.physics.rate_stray;
-        playing.true_kb = playing.kb * (1.0 + stray * (2.0 * self.dice.random::<f64>() - 1.0));
+    /// A set-up is over. False where it was told to end meanwhile, or the node is gone: it does not play.
+    pub fn complete_setup(
+        &mut self,
+        id: u64,
+        attempt: AttemptId,
+        mut session: ActiveSession,
+    ) -> bool {
+        let deviation = self.parameters.rate_deviation;
+        let drawn = 2.0 * self.random.random::<f64>() - 1.0;
+        session.true_rate_kb_s = session.rate_kb_s * (1.0 + deviation * drawn);
         let Some(node) = self.nodes.get_mut(&id) else {
             return false;
         };
-        node.setting_up = node.setting_up.saturating_sub(1);
-        if node.process == Process::Down || node.ended.contains(&run) {
+        node.setups_in_flight = node.setups_in_flight.saturating_sub(1);
+        if node.process == ProcessState::Down || node.ended.contains(&attempt) {
             return false;
         }
-        node.playing.insert(run, playing);
+        node.playing.insert(attempt, session);
         true
     }
 
     /// A set-up was given up before it was over.
-    pub fn give_up(&mut self, id: u64) {
+    pub fn abandon_setup(&mut self, id: u64) {
         if let Some(node) = self.nodes.get_mut(&id) {
-            node.setting_up = node.setting_up.saturating_sub(1);
+            node.setups_in_flight = node.setups_in_flight.saturating_sub(1);
         }
     }
 
-    /// Ends a session, now or when its set-up comes. True: it played.
-    pub fn end(&mut self, id: u64, run: Run) -> bool {
+    /// Ends a session, now or when its set-up comes. True if it played.
+    pub fn end_session(&mut self, id: u64, attempt: AttemptId) -> bool {
         let Some(node) = self.nodes.get_mut(&id) else {
             return false;
         };
-        node.ended.insert(run);
-        node.playing.remove(&run).is_some()
+        node.ended.insert(attempt);
+        node.playing.remove(&attempt).is_some()
     }
 
-    pub fn set_rung(&mut self, id: u64, run: Run, rung: usize, kb: f64) -> bool {
-        let Some(p) = self
-            .nodes
-            .get_mut(&id)
-            .and_then(|n| n.playing.get_mut(&run))
-        else {
+    /// Changes the rung of a session. False if it does not play there.
+    pub fn set_rung(&mut self, id: u64, attempt: AttemptId, rung: usize, rate_kb_s: f64) -> bool {
+        let node = self.nodes.get_mut(&id);
+        let Some(session) = node.and_then(|node| node.playing.get_mut(&attempt)) else {
             return false;
         };
-        (p.true_kb, p.kb, p.rung) = (p.true_kb / p.kb.max(1e-9) * kb, kb, rung);
+        let true_per_told = session.true_rate_kb_s / session.rate_kb_s.max(SMALLEST_DIVISOR);
+        session.true_rate_kb_s = true_per_told * rate_kb_s;
+        session.rate_kb_s = rate_kb_s;
+        session.rung = rung;
         true
     }
 
-    fn given(&self, node: &Node) -> f64 {
-        node.machine.link_kb * (1.0 - node.neighbour).max(0.01)
-            / (self.slow_links * node.slow).max(0.01)
+    /// What a node's link gives now, kilobytes a second.
+    fn link_kb_s(&self, node: &Node) -> f64 {
+        let left = (1.0 - node.competing_load).max(LEAST_LINK_LEFT);
+        let slowdown = (self.link_slowdown * node.slowdown).max(LEAST_LINK_LEFT);
+        node.machine.link_kb_s * left / slowdown
+    }
+
+    /// Utilization of the uplink of a node's rack; 0 where racks have none.
+    fn uplink_utilization(&self, node: &Node) -> f64 {
+        let racks = self.parameters.uplinks_kb_s.len() as u64;
+        let Some(rack) = node.machine.cell.checked_rem(racks) else {
+            return 0.0;
+        };
+        let same_rack = |other: &&Node| other.machine.cell % racks == rack;
+        let up = |other: &&Node| other.process != ProcessState::Down;
+        let passed_kb_s: f64 = self
+            .nodes
+            .values()
+            .filter(up)
+            .filter(same_rack)
+            .map(|other| asked_kb_s(other).min(self.link_kb_s(other)))
+            .sum();
+        passed_kb_s / self.parameters.uplinks_kb_s[rack as usize].max(SMALLEST_DIVISOR)
     }
 
-    /// The figures of a node as they are now.
-    pub fn figures(&self, id: u64) -> Figures {
+    /// The true load of a node now.
+    pub fn load(&self, id: u64) -> NodeLoad {
         let Some(node) = self.nodes.get(&id) else {
-            return Figures::default();
+            return NodeLoad::default();
         };
-        let asked = |n: &Node| n.playing.values().map(|p| p.true_kb).sum::<f64>();
-        let link = asked(node) / self.given(node);
-        let racks = self.physics.uplinks.len() as u64;
-        let uplink = match node.machine.cell.checked_rem(racks) {
-            None => 0.0,
-            Some(rack) => {
-                let same = self.nodes.values().filter(|n| n.process != Process::Down);
-                let same = same.filter(|n| n.machine.cell % racks == rack);
-                let passed: f64 = same.map(|n| asked(n).min(self.given(n))).sum();
-                passed / self.physics.uplinks[rack as usize].max(1e-9)
-            }
+        let link = asked_kb_s(node) / self.link_kb_s(node);
+        let uplink = self.uplink_utilization(node);
+        let delivered = match node.process {
+            ProcessState::Running => delivered_fraction(link) * delivered_fraction(uplink),
+            ProcessState::Frozen | ProcessState::Down => 0.0,
         };
-        let cut = |x: f64| if x > 1.0 { 1.0 / x } else { 1.0 };
-        let frozen = node.process != Process::Runs;
-        let delivered = if frozen { 0.0 } else { cut(link) * cut(uplink) };
-        Figures {
+        NodeLoad {
             link,
             uplink,
             delivered,
-            streams: node.playing.len() + node.setting_up,
+            streams: node.streams(),
         }
     }
 
-    /// Looks at all nodes, so that reports can be of their age. Call every 100 ms or so.
-    pub fn sample(&mut self, now: Micros, keep: Micros) {
+    /// Samples all nodes, so that reports can be of their age; samples older than `keep` are dropped. To be called
+    /// every 100 ms or so.
+    pub fn sample(&mut self, now: Timestamp, keep: TimeDelta) {
         let ids: Vec<u64> = self.nodes.keys().copied().collect();
-        let noise = self.physics.noise;
+        let noise = self.parameters.report_noise;
+        let interval = self.parameters.report_interval;
         for id in ids {
-            let seen = self.figures(id);
-            let mut stray = || 1.0 + noise * (2.0 * self.dice.random::<f64>() - 1.0);
-            let told = Figures {
-                link: seen.link * stray(),
-                uplink: seen.uplink * stray(),
-                ..seen
-            };
-            let refresh = self.physics.refresh;
-            let Some(node) = self.nodes.get_mut(&id) else {
-                continue;
+            let load = self.load(id);
+            let mut deviation = || 1.0 + noise * (2.0 * self.random.random::<f64>() - 1.0);
+            let reported = NodeLoad {
+                link: load.link * deviation(),
+                uplink: load.uplink * deviation(),
+                ..load
             };
-            let due = node
-                .history
-                .back()
-                .is_none_or(|(t, _)| now / refresh != t / refresh);
-            if due {
-                node.figures = told;
-            }
-            node.history.push_back((now, seen));
-            while node.history.front().is_some_and(|(t, _)| *t < now - keep) {
-                node.history.pop_front();
+            if let Some(node) = self.nodes.get_mut(&id) {
+                node.record(now, load, reported, interval);
+                node.forget_before(now - keep);
             }
         }
     }
 
     /// What a node reports of itself in answers: refreshed now and then, and noisy.
-    pub fn told(&self, id: u64) -> Figures {
-        self.nodes.get(&id).map(|n| n.figures).unwrap_or_default()
+    pub fn reported_load(&self, id: u64) -> NodeLoad {
+        let node = self.nodes.get(&id);
+        node.map(|node| node.reported).unwrap_or_default()
     }
 
-    /// What was so long ago, for notes that come late.
-    pub fn past(&self, id: u64, at: Micros) -> Option<Figures> {
+    /// The last load sampled up to a time, for notifications that come late.
+    pub fn load_at(&self, id: u64, at: Timestamp) -> Option<NodeLoad> {
         let history = &self.nodes.get(&id)?.history;
-        history
-            .iter()
-            .rev()
-            .find(|(t, _)| *t <= at)
-            .map(|(_, f)| *f)
+        let sample = history.iter().rev().find(|(time, _)| *time <= at);
+        sample.map(|(_, load)| *load)
     }
 
-    /// A number of this run's own, for what happens by chance.
-    pub fn dice(&mut self) -> &mut impl Rng {
-        &mut self.dice
+    /// This fleet's source of chance, for faults that are drawn.
+    pub fn random(&mut self) -> &mut impl Rng {
+        &mut self.random
     }
 }
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn fleet() -> Fleet {
-        let physics = Physics {
-            rate_stray: 0.0,
-            set_up: 50_000,
-            refresh: 300_000,
-            noise: 0.0,
-            full_from: 0.0,
-            warm_after: 10_000_000,
-            start_capacity: 0.4,
-            overload_factor: 2.0,
-            fall: 2_000_000,
-            uplinks: vec![1500.0],
-        };
-        let mut fleet = Fleet::new(physics, 1);
-        for id in 0..2 {
-            let machine = Machine {
-                id,
-                zone: String::new(),
-                kind: String::new(),
-                cell: id,
-                weight: 1.0,
-                places: 20.0,
-                link_kb: 1000.0,
-            };
-            fleet.start(machine, 0, true);
-        }
-        fleet
-    }
-
-    fn play(fleet: &mut Fleet, id: u64, session: u64, kb: f64) {
-        assert!(matches!(
-            fleet.arrive(id, (session, 0), 0),
-            Arrival::Takes(_)
-        ));
-        let (class, title) = (String::new(), String::new());
-        assert!(fleet.begin(
-            id,
-            (session, 0),
-            Playing {
-                director: 0,
-                viewer: 0,
-                tenant: None,
-                class,
-                title,
-                rung: 0,
-                kb,
-                true_kb: kb
-            }
-        ));
+impl Node {
+    fn streams(&self) -> usize {
+        self.playing.len() + self.setups_in_flight
     }
 
-    #[test]
-    fn everyone_on_a_link_and_its_uplink_is_cut_alike() {
-        let mut fleet = fleet();
-        play(&mut fleet, 0, 1, 800.0);
-        play(&mut fleet, 0, 2, 800.0);
-        assert!((fleet.figures(0).delivered - 1.0 / 1.6).abs() < 1e-9);
-        // The other node's 800 and this one's 1000 that pass are more than the uplink's 1500.
-        play(&mut fleet, 1, 3, 800.0);
-        assert!((fleet.figures(1).uplink - 1.2).abs() < 1e-9);
-        assert!((fleet.figures(1).delivered - 1.0 / 1.2).abs() < 1e-9);
-        assert!((fleet.figures(0).delivered - 1.0 / 1.6 / 1.2).abs() < 1e-9);
+    fn count_arrival(&mut self, now: Timestamp, window: TimeDelta) {
+        self.arrivals.push_back(now);
+        while self.arrivals.front().is_some_and(|t| *t <= now - window) {
+            self.arrivals.pop_front();
+        }
     }
 
-    #[test]
-    fn a_cold_node_falls_over_when_pushed_and_a_warm_one_does_not() {
-        for warm in [true, false] {
-            let mut fleet = fleet();
-            let machine = fleet.nodes[&0].machine.clone();
-            fleet.start(machine, 0, warm);
-            // 20 places over 10 s at 0.4, twice that over 2 s: 3.2, and 2 for chance.
-            let falls = (0..12).any(|s| fleet.arrive(0, (s, 0), 1000) == Arrival::Falls);
-            assert_eq!(falls, !warm);
-            assert_eq!(fleet.nodes[&0].process == Process::Down, !warm);
+    fn record(&mut self, now: Timestamp, load: NodeLoad, reported: NodeLoad, interval: TimeDelta) {
+        let step = |time: Timestamp| time.as_micros() / interval.as_micros();
+        let last = self.history.back().map(|(time, _)| *time);
+        if last.is_none_or(|last| step(now) != step(last)) {
+            self.reported = reported;
         }
+        self.history.push_back((now, load));
     }
 
-    #[test]
-    fn an_end_that_comes_first_keeps_the_set_up_from_beginning() {
-        let mut fleet = fleet();
-        assert!(!fleet.end(0, (7, 0)));
-        assert_eq!(fleet.arrive(0, (7, 0), 0), Arrival::Ended);
-        assert!(matches!(fleet.arrive(0, (7, 1), 0), Arrival::Takes(_)));
+    fn forget_before(&mut self, time: Timestamp) {
+        while self.history.front().is_some_and(|(at, _)| *at < time) {
+            self.history.pop_front();
+        }
     }
 }
--- a/crates/fleet-model/src/lib.rs
+++ b/crates/fleet-model/src/lib.rs
@@ -1,15 +1,17 @@
-//! The fleet and its viewers as models, for stand-ins on sockets and for the lab in simulated time alike.
+//! Models of the media nodes and their viewers, without I/O and without a clock.
 //!
-//! [`fleet`]: links and uplinks that cut everyone alike, places, cold starts, falling over, and what nodes tell
-//! of themselves, how late. [`crowd`]: who comes, for what and for how long; [`tally`]: what came of them.
+//! The emulator drives them on loopback sockets and the simulation drives them in simulated time, so that both play
+//! the same fleet. [`fleet`] holds nodes, links and their limits; [`notifications`] says what nodes report unasked,
+//! and how late; [`population`] draws who arrives, for what and for how long; [`playhead`] models a player's buffer;
+//! [`totals`] adds up what came of the viewers.
 //!
-//! What this crate may know: time as an argument, and chance from ChaCha8 with a stated seed. What it must
-//! not: sockets, clocks, engine, decisions, settings files.
+//! Times are arguments. Randomness comes from ChaCha8 with the caller's seed, so equal calls give equal results.
+//! The crate knows no sockets, no clocks, no decisions and no settings files.
+
+#![deny(missing_docs)]
 
-pub mod crowd;
 pub mod fleet;
-pub mod news;
+pub mod notifications;
 pub mod playhead;
-pub mod tally;
-
-pub type Micros = i64;
+pub mod population;
+pub mod totals;
--- a/crates/fleet-model/src/playhead.rs
+++ b/crates/fleet-model/src/playhead.rs
@@ -1,189 +1,146 @@
-//! A player's buffer and playhead: what has come, what has been shown, and every time that the picture stood still.
+//! A player's buffer and playhead: what it has received, what it has shown, and each time the picture stood still.
+//!
+//! Positions in a title are lengths of time from its begin, so they are [`TimeDelta`]s.
 
-use crate::Micros;
+use shalewall::{TimeDelta, Timestamp};
 
-/// Where the playhead is. Positions and times in microseconds.
+/// Where the playhead is.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum State {
-    /// Nothing is shown before so much has come.
-    Fills,
-    /// At `from` at the time `since`.
-    Plays { since: Micros, from: Micros },
-    /// The picture stands still since then.
-    Dry { since: Micros },
+    /// Nothing is shown before the start threshold is buffered.
+    Buffering,
+    /// At position `from` at the time `since`.
+    Playing { since: Timestamp, from: TimeDelta },
+    /// The buffer is empty and the picture has stood still since then.
+    Stalled { since: Timestamp },
 }
 
 /// A stretch in which the picture stood still, or that was left out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Gap {
-    pub at: Micros,
-    pub length: Micros,
+    /// When it began.
+    pub at: Timestamp,
+    /// How long it was.
+    pub length: TimeDelta,
 }
 
+/// Buffer and playhead of one player.
 #[derive(Clone, Debug)]
 pub struct Playhead {
     state: State,
-    begin: Micros,
-    start: Micros,
-    received: Micros,
+    first_position: TimeDelta,
+    start_threshold: TimeDelta,
+    received_to: TimeDelta,
     gaps: Vec<Gap>,
 }
 
 impl Playhead {
-    /// From this position on, once so much of it has come.
-    pub fn new(begin: Micros, start: Micros) -> Playhead {
+    /// A player that begins at a position once it has buffered so much.
+    pub fn new(first_position: TimeDelta, start_threshold: TimeDelta) -> Playhead {
         Playhead {
-            state: State::Fills,
-            begin,
-            start,
-            received: begin,
+            state: State::Buffering,
+            first_position,
+            start_threshold,
+            received_to: first_position,
             gaps: Vec::new(),
         }
     }
 
-    /// Up to where media have come.
-    pub fn received(&self) -> Micros {
-        self.received
+    /// Position up to which media have been received.
+    pub fn received_to(&self) -> TimeDelta {
+        self.received_to
     }
 
-    /// What is left to be shown.
-    pub fn buffer(&self, now: Micros) -> Micros {
+    /// What is buffered and not shown yet.
+    pub fn buffered(&self, now: Timestamp) -> TimeDelta {
         match self.state {
-            State::Fills => self.received - self.begin,
-            State::Plays { since, from } => (self.received - from - (now - since)).max(0),
-            State::Dry { .. } => 0,
+            State::Buffering => self.received_to - self.first_position,
+            State::Playing { since, from } => {
+                let shown = now - since;
+                (self.received_to - from - shown).max(TimeDelta::ZERO)
+            }
+            State::Stalled { .. } => TimeDelta::ZERO,
         }
     }
 
-    /// When the buffer runs dry, if nothing more comes.
-    pub fn dry_at(&self) -> Option<Micros> {
+    /// When the buffer runs dry, if nothing more is received.
+    pub fn dry_at(&self) -> Option<Timestamp> {
         match self.state {
-            State::Plays { since, from } => Some(since + self.received - from),
-            State::Fills | State::Dry { .. } => None,
+            State::Playing { since, from } => Some(since + (self.received_to - from)),
+            State::Buffering | State::Stalled { .. } => None,
         }
     }
 
     /// Since when the picture stands still.
-    pub fn dry_since(&self) -> Option<Micros> {
+    pub fn stalled_since(&self) -> Option<Timestamp> {
         match self.state {
-            State::Dry { since } => Some(since),
-            _ => None,
+            State::Stalled { since } => Some(since),
+            State::Buffering | State::Playing { .. } => None,
         }
     }
 
-    pub fn begun(&self) -> bool {
-        self.state != State::Fills
+    /// Whether the first picture has been shown.
+    pub fn has_started(&self) -> bool {
+        self.state != State::Buffering
     }
 
     /// Time passes.
-    pub fn advance(&mut self, now: Micros) {
+    pub fn advance(&mut self, now: Timestamp) {
         if let Some(dry) = self.dry_at().filter(|dry| *dry < now) {
-            self.state = State::Dry { since: dry };
+            self.state = State::Stalled { since: dry };
         }
     }
 
-    /// A frame has come. What it overlaps with what came before is not shown twice; what is missing before it is
-    /// left out, and counts as a stretch without a picture.
-    pub fn take(&mut self, now: Micros, position: Micros, span: Micros) {
+    /// A frame is received. What overlaps earlier frames is not shown twice; what is missing before it is left out
+    /// and counts as a gap.
+    pub fn receive(&mut self, now: Timestamp, position: TimeDelta, length: TimeDelta) {
         self.advance(now);
-        let missing = (position - self.received).max(0);
-        let before = self.received;
-        self.received = self.received.max(position + span.max(0));
-        if self.received == before {
+        let before = self.received_to;
+        let missing = (position - before).max(TimeDelta::ZERO);
+        self.received_to = before.max(position + length.max(TimeDelta::ZERO));
+        if self.received_to == before {
             return; // nothing new
         }
         match self.state {
-            State::Fills if self.received - self.begin - missing >= self.start => {
-                self.state = State::Plays {
-                    since: now,
-                    from: self.begin,
-                };
-            }
-            State::Fills => self.begin += missing,
-            State::Dry { since } => {
+            State::Buffering => self.receive_while_buffering(now, missing),
+            State::Stalled { since } => {
                 self.gaps.push(Gap {
                     at: since,
                     length: now - since,
                 });
-                self.state = State::Plays {
+                self.state = State::Playing {
                     since: now,
                     from: before + missing,
                 };
             }
-            State::Plays { since, from } if missing > 0 => {
+            State::Playing { since, from } if missing > TimeDelta::ZERO => {
                 self.gaps.push(Gap {
                     at: now,
                     length: missing,
                 });
-                self.state = State::Plays {
+                self.state = State::Playing {
                     since,
                     from: from + missing,
                 };
             }
-            State::Plays { .. } => {}
+            State::Playing { .. } => {}
         }
     }
 
-    /// Gaps that have ended since the last call.
-    pub fn gaps(&mut self) -> Vec<Gap> {
-        std::mem::take(&mut self.gaps)
-    }
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    const MS: Micros = 1_000;
-
-    /// Frames of 100 ms, from the first to before the last, at once.
-    fn feed(head: &mut Playhead, now: Micros, frames: std::ops::Range<i64>) {
-        frames.for_each(|n| head.take(now, n * 100 * MS, 100 * MS));
-    }
-
-    #[test]
-    fn it_stands_still_for_as_long_as_nothing_comes_behind_its_buffer() {
-        let mut head = Playhead::new(0, 300 * MS);
-        feed(&mut head, 0, 0..2);
-        assert!(!head.begun());
-        feed(&mut head, 50 * MS, 2..4);
-        assert_eq!((head.begun(), head.buffer(150 * MS)), (true, 300 * MS));
-        assert_eq!(head.dry_at(), Some(450 * MS));
-        // 137 ms too late, and then in time again.
-        feed(&mut head, 587 * MS, 4..6);
-        assert_eq!(
-            head.gaps(),
-            [Gap {
-                at: 450 * MS,
-                length: 137 * MS
-            }]
-        );
-        assert_eq!(head.buffer(600 * MS), 187 * MS);
-        feed(&mut head, 700 * MS, 6..20);
-        head.advance(2 * 1000 * MS);
-        assert_eq!((head.gaps(), head.dry_since()), (vec![], None));
-        head.advance(3 * 1000 * MS);
-        assert_eq!(head.dry_since(), Some(2187 * MS));
+    fn receive_while_buffering(&mut self, now: Timestamp, missing: TimeDelta) {
+        let buffered = self.received_to - self.first_position - missing;
+        if buffered >= self.start_threshold {
+            self.state = State::Playing {
+                since: now,
+                from: self.first_position,
+            };
+        } else {
+            self.first_position += missing;
+        }
     }
 
-    #[test]
-    fn what_comes_twice_is_shown_once_and_what_is_left_out_is_a_gap() {
-        let mut head = Playhead::new(0, 100 * MS);
-        feed(&mut head, 0, 0..5);
-        feed(&mut head, 100 * MS, 2..6);
-        assert_eq!(head.buffer(100 * MS), 500 * MS);
-        feed(&mut head, 100 * MS, 8..9);
-        assert_eq!(
-            head.gaps(),
-            [Gap {
-                at: 100 * MS,
-                length: 200 * MS
-            }]
-        );
-        assert_eq!(
-            head.buffer(100 * MS),
-            600 * MS,
-            "what is missing is not there to be shown"
-        );
+    /// Takes the gaps that have ended since the last call.
+    pub fn take_gaps(&mut self) -> Vec<Gap> {
+        std::mem::take(&mut self.gaps)
     }
 }
--- a/crates/platform/src/accept.rs
+++ b/crates/platform/src/accept.rs
@@ -27,8 +27,6 @@
         };
         // Many new connections at once are accepted one by one, with turns of the open ones between them.
         future::yield_now().await;
-        // A connection that sends small messages later still works.
-        let _ = stream.get_ref().set_nodelay(true);
         let accepted = catch_panic(|| {
             event_loop.with_protocol(|protocol| protocol.accept_viewer(now(), peer.ip()))
         });
--- a/crates/platform/src/connection.rs
+++ b/crates/platform/src/connection.rs
@@ -35,8 +35,6 @@
     };
     match connected {
         Ok(stream) => {
-            // A connection that sends small messages later still works.
-            let _ = stream.get_ref().set_nodelay(true);
             event_loop.with_protocol(|protocol| protocol.node_connected(now(), id));
             Connection::new(event_loop, id, stream, write_ready)
                 .run()
@@ -89,6 +87,8 @@
         stream: Async<TcpStream>,
         write_ready: Rc<Event>,
     ) -> Connection {
+        // Messages are small and wanted at once. Where this can't be set they only come later.
+        let _ = stream.get_ref().set_nodelay(true);
         Connection {
             event_loop,
             id,
@@ -188,7 +188,7 @@
     }
 
     /// Writes bytes whole. Where the socket takes none of them at once they go back to the state machine, which may
-    /// think better of them; this returns when the socket takes some.
+    /// withdraw them; this returns when the socket takes some.
     async fn write(&self, bytes: Vec<u8>) -> io::Result<()> {
         let written = match self.stream.get_ref().write(&bytes) {
             Ok(written) => written,
--- a/crates/platform/src/endpoint_watch.rs
+++ b/crates/platform/src/endpoint_watch.rs
@@ -5,7 +5,7 @@
 use async_io::{Async, Timer};
 use event_listener::Event;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
-use shalewall_clock::now;
+use shalewall_clock::{now, to_duration};
 use shalewall_http::client::in_time;
 use shalewall_platform_proto::endpoint_watch::{FrameDecoder, SILENCE_TIMEOUT};
 use shalewall_platform_proto::error::EndpointWatchError;
@@ -152,7 +152,7 @@
 
     /// Reads frames until the service closes the connection.
     async fn read_until_end(&mut self) -> Result<(), WatchError> {
-        let silence_timeout = Duration::from_micros(SILENCE_TIMEOUT.as_micros() as u64);
+        let silence_timeout = to_duration(SILENCE_TIMEOUT);
         let mut buffer = [0; READ_BUFFER_BYTES];
         loop {
             let remaining = silence_timeout.saturating_sub(self.last_frame_at.elapsed());
--- a/crates/platform/src/event_loop.rs
+++ b/crates/platform/src/event_loop.rs
@@ -11,13 +11,12 @@
 use async_io::Async;
 use event_listener::{Event, IntoNotification};
 use shalewall::{TimeDelta, Timestamp};
-use shalewall_clock::{TimeoutDriver, now};
+use shalewall_clock::{TimeoutDriver, now, to_duration};
 use shalewall_platform_proto::{ConnectionId, DirectorProtocol, Output};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::{Rc, Weak};
-use std::time::Duration;
 
 /// The state machine, its connections and its timers.
 pub(crate) struct EventLoop {
@@ -106,10 +105,9 @@
         address: SocketAddr,
         timeout: TimeDelta,
     ) {
-        let timeout = Duration::from_micros(timeout.as_micros().max(0) as u64);
         let event_loop = self.clone();
         self.spawn_connection(id, |write_ready| {
-            connect_node(event_loop, id, address, timeout, write_ready)
+            connect_node(event_loop, id, address, to_duration(timeout), write_ready)
         });
     }
 
@@ -131,7 +129,7 @@
         task: impl FnOnce(Rc<Event>) -> F,
     ) {
         let Some(executor) = self.executor.upgrade() else {
-            return;
+            return; // The director is being dropped.
         };
         let write_ready = Rc::new(Event::new());
         let event_loop = self.clone();
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,7 +1,7 @@
 //! One director of the platform on sockets, as `shalewall direct` starts it.
 //!
 //! The protocol with viewers, media nodes and the endpoint list service is `shalewall-platform-proto`, a state machine
-//! without I/O. This crate drives it on one thread: [`run`] starts a director and waits for signals, the event loop
+//! without I/O. This crate drives it on one thread: [`run()`] starts a director and waits for signals, the event loop
 //! owns the state machine and its connections, and further tasks follow the endpoint list, accept viewers, log the
 //! state, reload the configuration file and shut down. A panic ends only the task that it happens in ([`panics`]).
 //!
--- a/crates/platform/src/shutdown.rs
+++ b/crates/platform/src/shutdown.rs
@@ -3,7 +3,7 @@
 
 use crate::event_loop::EventLoop;
 use async_io::Timer;
-use shalewall_clock::now;
+use shalewall_clock::{now, to_duration};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tracing::{info, warn};
@@ -37,7 +37,7 @@
 async fn finish_sessions(event_loop: &Rc<EventLoop>) {
     let started_at = Instant::now();
     let time_limit = event_loop.with_protocol(|protocol| protocol.shutdown_time_limit());
-    let time_limit = Duration::from_micros(time_limit.as_micros().max(0) as u64).max(LATE_REQUESTS);
+    let time_limit = to_duration(time_limit).max(LATE_REQUESTS);
     while started_at.elapsed() < time_limit {
         let sessions = event_loop.with_protocol(|protocol| protocol.session_counts());
         let no_late_requests = started_at.elapsed() >= LATE_REQUESTS;
--- a/crates/platform/src/state_log.rs
+++ b/crates/platform/src/state_log.rs
@@ -47,7 +47,7 @@
     resident_pages.unwrap_or(0) * PAGE_KB
 }
 
-/// Descriptors of this process, with that of the look itself; 0 where the system does not tell.
+/// Open descriptors of this process, with the one that counts them; 0 where the system does not tell.
 fn open_files() -> usize {
     std::fs::read_dir("/proc/self/fd").map_or(0, |descriptors| descriptors.count())
 }
--- a/crates/scripted-days/src/faults.rs
+++ b/crates/scripted-days/src/faults.rs
@@ -6,7 +6,7 @@
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use shalewall_fleet_model::crowd::Draw;
+use shalewall_fleet_model::population::Interest;
 use shalewall_settings::{Trouble, TroubleKind};
 use std::rc::Rc;
 use std::time::Duration;
@@ -138,7 +138,7 @@
             self.emulation.nodes.change(|fleet| {
                 for id in &nodes {
                     if let Some(node) = fleet.nodes.get_mut(id) {
-                        node.neighbour = taken;
+                        node.competing_load = taken;
                     }
                 }
             });
@@ -147,16 +147,16 @@
         }
         self.emulation.nodes.change(|fleet| {
             for node in fleet.nodes.values_mut() {
-                node.neighbour = 0.0;
+                node.competing_load = 0.0;
             }
         });
     }
 
     async fn slow_all_links(&self) {
         let nodes = &self.emulation.nodes;
-        nodes.change(|fleet| fleet.slow_links = self.fault.size);
+        nodes.change(|fleet| fleet.link_slowdown = self.fault.size);
         self.wait_for_end().await;
-        nodes.change(|fleet| fleet.slow_links = 1.0);
+        nodes.change(|fleet| fleet.link_slowdown = 1.0);
     }
 
     /// Nodes get slower for half of the time, then they crash for the other half.
@@ -169,7 +169,7 @@
             self.emulation.nodes.change(|fleet| {
                 for id in &nodes {
                     if let Some(node) = fleet.nodes.get_mut(id) {
-                        node.slow = slow;
+                        node.slowdown = slow;
                     }
                 }
             });
@@ -226,12 +226,12 @@
         let viewers = &self.emulation.viewers;
         let name = self.fault.name.as_deref();
         let draw = match self.fault.kind {
-            TroubleKind::HotTitle => name.map(|name| Draw::Title(name.to_string())),
+            TroubleKind::HotTitle => name.map(|name| Interest::Title(name.to_string())),
             _ => {
                 let crowd = viewers.crowd();
                 let mut classes = crowd.classes.iter();
                 let class = classes.position(|class| name == Some(class.name.as_str()));
-                class.map(Draw::Class)
+                class.map(Interest::Class)
             }
         };
         viewers.set_extra(draw.map(|draw| (draw, self.fault.size)));
--- a/crates/scripted-days/src/run.rs
+++ b/crates/scripted-days/src/run.rs
@@ -146,9 +146,9 @@
     format!(
         "{:>4.0} s  {} asked, {} play now, {} refused, {} failed, {} without an answer",
         elapsed.as_secs_f64(),
-        count.asked,
+        count.requested,
         emulation.nodes.playing(),
-        count.refused,
+        count.rejected,
         count.failed,
         count.unanswered
     )
--- a/crates/scripted-days/src/summary.rs
+++ b/crates/scripted-days/src/summary.rs
@@ -5,7 +5,7 @@
 use serde::Serialize;
 use shalewall_audit::{Moves, Verdict};
 use shalewall_emulator::viewers::Count;
-use shalewall_fleet_model::tally::Tally;
+use shalewall_fleet_model::totals::ViewerTotals;
 use std::collections::BTreeMap;
 use std::fmt;
 
@@ -56,21 +56,25 @@
 }
 
 impl ViewerFigures {
-    fn new(t: &Tally) -> ViewerFigures {
+    fn new(t: &ViewerTotals) -> ViewerFigures {
         let time = t.played_s().max(1e-9);
         ViewerFigures {
-            asked: t.asked,
+            asked: t.requested,
             plays: t.played,
-            refused: t.refused,
+            refused: t.rejected,
             failed: t.failed,
             unanswered: t.unanswered,
             broken: t.broken,
-            people: t.people,
-            people_refused: t.people_refused_part(),
-            people_unserved: t.unserved_part(),
-            steps: t.steps_a_minute(),
+            people: t.viewers,
+            people_refused: t.viewers_rejected_fraction(),
+            people_unserved: t.unserved_fraction(),
+            steps: t.rung_changes_per_minute(),
             worth: t.worth(),
-            rungs: t.rungs.iter().map(|(r, s)| (*r, s / time)).collect(),
+            rungs: t
+                .seconds_by_rung
+                .iter()
+                .map(|(r, s)| (*r, s / time))
+                .collect(),
         }
     }
 }
--- a/crates/simulation/src/count.rs
+++ b/crates/simulation/src/count.rs
@@ -1,12 +1,12 @@
 //! What came of a run.
 
-use shalewall_fleet_model::tally::Tallies;
+use shalewall_fleet_model::totals::TotalsByTenant;
 use std::collections::BTreeMap;
 
 /// Sums over a run; worth in seconds at a rung of worth 1.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Count {
-    pub tallies: Tallies,
+    pub tallies: TotalsByTenant,
     /// What stalls and what changes of rung took of the worth.
     pub stalled: f64,
     pub stepped: f64,
--- a/crates/simulation/src/main.rs
+++ b/crates/simulation/src/main.rs
@@ -1,7 +1,7 @@
 //! `shalewall-lab`: scenes in simulated time, as a table.
 
 use clap::Parser;
-use shalewall_fleet_model::tally::Tally;
+use shalewall_fleet_model::totals::ViewerTotals;
 use shalewall_settings::DayPlan;
 use shalewall_simulation::world::{Policy, Report, run};
 use shalewall_simulation::{count::SPAN, scenes};
@@ -89,13 +89,13 @@
         println!(
             "| {} | {:.0} | {:.1}% | {:.1}% | {:.3} | {:.3} | {:.3} | {:.2} | {:.1} |",
             scene.name,
-            mean(&|r| r.count.tallies.all.asked as f64),
-            mean(&|r| r.count.tallies.all.refused_part()) * 100.0,
-            mean(&|r| r.count.tallies.all.unserved_part()) * 100.0,
+            mean(&|r| r.count.tallies.all.requested as f64),
+            mean(&|r| r.count.tallies.all.rejected_fraction()) * 100.0,
+            mean(&|r| r.count.tallies.all.unserved_fraction()) * 100.0,
             mean(&|r| r.count.tallies.all.worth()),
-            mean(&|r| r.bounds.best_rung().1 / r.count.tallies.all.wanted.max(1e-9)),
-            mean(&|r| r.bounds.most / r.count.tallies.all.wanted.max(1e-9)),
-            mean(&|r| r.count.tallies.all.steps_a_minute()),
+            mean(&|r| r.bounds.best_rung().1 / r.count.tallies.all.worth_offered.max(1e-9)),
+            mean(&|r| r.bounds.most / r.count.tallies.all.worth_offered.max(1e-9)),
+            mean(&|r| r.count.tallies.all.rung_changes_per_minute()),
             mean(&|r| r.count.fell as f64),
         );
         for tenant in reports
@@ -103,15 +103,16 @@
             .flat_map(|r| r.count.tallies.tenants.keys())
             .collect::<BTreeSet<_>>()
         {
-            let of = |f: &dyn Fn(&Tally) -> f64| mean(&|r| f(&r.count.tallies.tenants[tenant]));
+            let of =
+                |f: &dyn Fn(&ViewerTotals) -> f64| mean(&|r| f(&r.count.tallies.tenants[tenant]));
             println!(
                 "| {}: {tenant} | {:.0} | {:.1}% | {:.1}% | {:.3} | - | - | {:.2} | - |",
                 scene.name,
-                of(&|t| t.asked as f64),
-                of(&Tally::refused_part) * 100.0,
-                of(&Tally::unserved_part) * 100.0,
-                of(&Tally::worth),
-                of(&Tally::steps_a_minute),
+                of(&|t| t.requested as f64),
+                of(&ViewerTotals::rejected_fraction) * 100.0,
+                of(&ViewerTotals::unserved_fraction) * 100.0,
+                of(&ViewerTotals::worth),
+                of(&ViewerTotals::rung_changes_per_minute),
             );
         }
         if cli.spans {
--- a/crates/simulation/src/plan.rs
+++ b/crates/simulation/src/plan.rs
@@ -2,8 +2,8 @@
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use shalewall_fleet_model::crowd::{Class, Crowd};
-use shalewall_fleet_model::fleet::{Machine, Physics};
+use shalewall_fleet_model::fleet::{FleetParameters, Machine};
+use shalewall_fleet_model::population::{Class, ViewerPopulation};
 use shalewall_settings::{DayPlan, us};
 use std::time::Duration;
 
@@ -13,7 +13,7 @@
 
 /// What all nodes share, and the machines: as told, or spread over zones, kinds and cells in turn. Links and
 /// uplinks stray from what the list says, by the day's seed.
-pub fn fleet(plan: &DayPlan) -> (Physics, Vec<Machine>) {
+pub fn fleet(plan: &DayPlan) -> (FleetParameters, Vec<Machine>) {
     let (site, fleet) = (&plan.site, &plan.fleet);
     let mut dice = ChaCha8Rng::seed_from_u64(plan.day.seed);
     let mut stray = |part: f64| 1.0 + part * (2.0 * dice.random::<f64>() - 1.0);
@@ -22,17 +22,17 @@
     } else {
         0
     };
-    let physics = Physics {
-        rate_stray: fleet.rate_stray,
-        set_up: us(fleet.set_up_ms),
-        refresh: us(fleet.refresh_ms).max(1),
-        noise: fleet.noise,
-        full_from: fleet.full_from,
-        warm_after: us(site.rules.warm_after_ms),
-        start_capacity: site.rules.start_capacity,
+    let physics = FleetParameters {
+        rate_deviation: fleet.rate_stray,
+        setup_time: shalewall::TimeDelta::from_micros(us(fleet.set_up_ms)),
+        report_interval: shalewall::TimeDelta::from_micros(us(fleet.refresh_ms).max(1)),
+        report_noise: fleet.noise,
+        rejection_threshold: fleet.full_from,
+        warm_up: shalewall::TimeDelta::from_micros(us(site.rules.warm_after_ms)),
+        initial_capacity: site.rules.start_capacity,
         overload_factor: site.rules.overload_factor,
-        fall: us(site.rules.fall_ms),
-        uplinks: match &fleet.uplinks_kb[..] {
+        overload_window: shalewall::TimeDelta::from_micros(us(site.rules.fall_ms)),
+        uplinks_kb_s: match &fleet.uplinks_kb[..] {
             [] => (0..racks)
                 .map(|_| fleet.uplink_kb * stray(fleet.link_stray))
                 .collect(),
@@ -47,8 +47,8 @@
             kind: m.kind.clone(),
             cell: m.cell,
             weight: m.weight,
-            places: places(&m.kind),
-            link_kb: m.link_kb * stray(fleet.link_stray),
+            stream_capacity: places(&m.kind),
+            link_kb_s: m.link_kb * stray(fleet.link_stray),
         };
         return (physics, fleet.machine.iter().map(told).collect());
     }
@@ -67,8 +67,8 @@
             kind: kind.to_string(),
             cell: id % site.layout.cells,
             weight: 1.0,
-            places: places(kind),
-            link_kb: fleet.link_kb * stray(fleet.link_stray),
+            stream_capacity: places(kind),
+            link_kb_s: fleet.link_kb * stray(fleet.link_stray),
         }
     };
     let machines = (0..fleet.nodes).map(machine).collect();
@@ -76,23 +76,25 @@
 }
 
 /// Who comes on a day.
-pub fn crowd(plan: &DayPlan) -> Crowd {
+pub fn crowd(plan: &DayPlan) -> ViewerPopulation {
     let (site, load) = (&plan.site, &plan.load);
     let class = |(name, part): (&String, &f64)| {
         let c = &site.class[name];
+        let (shortest, longest) = load.lasts(name);
         Class {
             name: name.clone(),
-            part: *part,
-            give_up: ms(c.give_up_ms),
-            aim: ms(c.aim_ms),
-            worth: c.worth,
-            top: c.top.unwrap_or(site.ladder.len() - 1),
-            lasts: load.lasts(name),
+            fraction: *part,
+            request_timeout: ms(c.give_up_ms),
+            latency_objective: ms(c.aim_ms),
+            priority_weight: c.worth,
+            highest_rung: c.top.unwrap_or(site.ladder.len() - 1),
+            shortest,
+            longest,
             live: c.live,
         }
     };
-    Crowd {
-        per_s: load.per_s,
+    ViewerPopulation {
+        arrivals_per_s: load.per_s,
         tenants: load
             .tenants
             .iter()
@@ -101,15 +103,16 @@
         classes: load.mix.iter().map(class).collect(),
         titles: site.title.keys().cloned().collect(),
         skew: load.skew,
-        hint_times: load.hint_times,
-        weak: load.weak,
-        come_again: load.come_again,
-        pause: ms(load.pause_ms),
-        follow: load.follow,
-        buffers: (ms(load.live_buffer_ms), ms(load.buffer_ms)),
-        worth: site.ladder.iter().map(|r| r.worth).collect(),
-        stall_cost: site.costs.stall,
-        switch_s: site.costs.switch_s,
+        hint_factor: load.hint_times,
+        limited_fraction: load.weak,
+        retry_fraction: load.come_again,
+        retry_pause: ms(load.pause_ms),
+        follow_fraction: load.follow,
+        live_buffer: ms(load.live_buffer_ms),
+        recorded_buffer: ms(load.buffer_ms),
+        utility: site.ladder.iter().map(|r| r.worth).collect(),
+        stall_penalty: site.costs.stall,
+        rung_change_cost_s: site.costs.switch_s,
     }
 }
 
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -11,13 +11,16 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use shalewall::{
-    EndpointState, EndpointUpdate, LoadReport, Micros, ServerId, SessionId, Settings, Timestamp,
+    EndpointState, EndpointUpdate, LoadReport, Micros, ServerId, SessionId, Settings, TimeDelta,
+    Timestamp,
 };
 use shalewall_engine::*;
-use shalewall_fleet_model::crowd::{Class, Crowd, Draw, Person};
-use shalewall_fleet_model::fleet::{Arrival, Fleet, Machine, Playing, Process, Run};
-use shalewall_fleet_model::news::{News, Teller};
-use shalewall_fleet_model::tally::Tally;
+use shalewall_fleet_model::fleet::{
+    ActiveSession, AttemptId, Fleet, Machine, ProcessState, SetupDecision,
+};
+use shalewall_fleet_model::notifications::{Notification, Notifier};
+use shalewall_fleet_model::population::{Class, DrawnViewer, Interest, ViewerPopulation};
+use shalewall_fleet_model::totals::ViewerTotals;
 use shalewall_settings::{DayPlan, Front, Trouble, TroubleKind, us};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddr};
@@ -81,7 +84,7 @@
 }
 
 struct Viewer {
-    person: Person,
+    person: DrawnViewer,
     tenant: Option<String>,
     until: Micros,
     front: usize,
@@ -94,19 +97,19 @@
 struct Shown {
     viewer: usize,
     node: u64,
-    run: Run,
+    run: AttemptId,
     since: Micros,
 }
 
 pub struct World<'p> {
     plan: &'p DayPlan,
     policy: Policy,
-    crowd: Crowd,
+    crowd: ViewerPopulation,
     /// The crowd's classes by their numbers in the settings.
     classes: Vec<usize>,
     settings: Settings,
     fleet: Fleet,
-    teller: Teller,
+    teller: Notifier,
     /// Who comes when, the same whoever decides; and all else that chance decides.
     arrivals: Vec<ChaCha8Rng>,
     dice: ChaCha8Rng,
@@ -122,13 +125,13 @@
     asks: BTreeMap<u64, usize>,
     next_ask: u64,
     /// Where a session's set-up began to play.
-    began: BTreeMap<u64, (u64, Run)>,
+    began: BTreeMap<u64, (u64, AttemptId)>,
     shown: BTreeMap<u64, Shown>,
     wanting: Wanting,
     /// How many times the usual rate viewers come, all and each tenant's.
     burst: f64,
     bursts: BTreeMap<String, f64>,
-    extra: Option<(Draw, f64)>,
+    extra: Option<(Interest, f64)>,
     troubles: Vec<Trouble>,
     listed: BTreeMap<u64, EndpointEntry>,
     result: Report,
@@ -176,7 +179,7 @@
             }
         }
     }
-    world.result.count.fell = world.fleet.nodes.values().filter(|n| n.fell).count() as u64;
+    world.result.count.fell = world.fleet.nodes.values().filter(|n| n.fell_over).count() as u64;
     Ok(world.result)
 }
 
@@ -201,7 +204,10 @@
             settings: plan.site.settings(&front(plan, 0)),
             crowd,
             fleet: Fleet::new(physics, seed ^ 1),
-            teller: Teller::new(us(notes.every_ms), us(notes.late_ms)),
+            teller: Notifier::new(
+                TimeDelta::from_micros(us(notes.every_ms)),
+                TimeDelta::from_micros(us(notes.late_ms)),
+            ),
             arrivals: plan::arrivals(plan),
             dice: ChaCha8Rng::seed_from_u64(seed ^ 3),
             now: 0,
@@ -232,7 +238,7 @@
             world
                 .listed
                 .insert(machine.id, line(&machine, EndpointState::Ready, None));
-            world.fleet.start(machine, 0, true);
+            world.fleet.start(machine, Timestamp::from_micros(0), true);
         }
         (0..directors).for_each(|d| world.start(d));
         world.later(0, Due::Look);
@@ -284,9 +290,9 @@
             if !held.is_empty() {
                 let held = held
                     .into_iter()
-                    .map(|((session, attempt), _)| SessionAttempt {
-                        session: SessionId(*session),
-                        attempt: *attempt,
+                    .map(|(id, _)| SessionAttempt {
+                        session: SessionId(id.session),
+                        attempt: id.attempt,
                     })
                     .collect();
                 let up = Input::NodeConnected {
@@ -393,12 +399,12 @@
         if let Some(out) = self.calls.remove(&(d, call))
             && out.setting_up
         {
-            self.fleet.give_up(out.server);
+            self.fleet.abandon_setup(out.server);
         }
     }
 
     fn load(&self, node: u64) -> LoadReport {
-        let f = self.fleet.told(node);
+        let f = self.fleet.reported_load(node);
         LoadReport {
             streams: Some(f.streams as f64),
             link_utilization: Some(f.link),
@@ -427,7 +433,7 @@
             .fleet
             .nodes
             .get(&node)
-            .is_none_or(|n| n.process == Process::Down)
+            .is_none_or(|n| n.process == ProcessState::Down)
         {
             return self.later(
                 NET,
@@ -437,17 +443,24 @@
         match kind {
             CallKind::SetUpSession {
                 session, attempt, ..
-            } => match self.fleet.arrive(node, (session.0, attempt), self.now) {
-                Arrival::Takes(time) => {
+            } => match self.fleet.begin_setup(
+                node,
+                AttemptId {
+                    session: session.0,
+                    attempt,
+                },
+                Timestamp::from_micros(self.now),
+            ) {
+                SetupDecision::Accepted(time) => {
                     self.calls
                         .get_mut(&(d, call))
                         .into_iter()
                         .for_each(|c| c.setting_up = true);
-                    self.later(time, Due::Begin(d, call));
+                    self.later(time.as_micros(), Due::Begin(d, call));
                 }
-                Arrival::Full => self.reply(d, call, node, 503, true),
-                Arrival::Ended => self.reply(d, call, node, 410, true),
-                Arrival::Falls => self.down(node),
+                SetupDecision::Rejected => self.reply(d, call, node, 503, true),
+                SetupDecision::Cancelled => self.reply(d, call, node, 410, true),
+                SetupDecision::Overloaded => self.down(node),
             },
             CallKind::SetRung {
                 session,
@@ -455,7 +468,10 @@
                 rung,
                 rate_kb_s: kb,
             } => {
-                let run = (session.0, attempt);
+                let run = AttemptId {
+                    session: session.0,
+                    attempt,
+                };
                 let before = self.fleet.nodes[&node].playing.get(&run).map(|p| p.rung);
                 let known = self.fleet.set_rung(node, run, rung, kb);
                 if let Some(shown) = self
@@ -465,9 +481,13 @@
                 {
                     let viewer = shown.viewer;
                     let class = self.viewers[viewer].person.class;
-                    let cost = self.crowd.switch_s * self.crowd.classes[class].worth;
+                    let cost =
+                        self.crowd.rung_change_cost_s * self.crowd.classes[class].priority_weight;
                     self.result.count.stepped += cost;
-                    self.tally(viewer, |t| (t.steps, t.got) = (t.steps + 1, t.got - cost));
+                    self.tally(viewer, |t| {
+                        (t.rung_changes, t.worth_earned) =
+                            (t.rung_changes + 1, t.worth_earned - cost)
+                    });
                     let at = self.seconds();
                     self.result.count.span(at).got -= cost;
                 }
@@ -476,7 +496,13 @@
             CallKind::EndSession {
                 session, attempt, ..
             } => {
-                let played = self.fleet.end(node, (session.0, attempt));
+                let played = self.fleet.end_session(
+                    node,
+                    AttemptId {
+                        session: session.0,
+                        attempt,
+                    },
+                );
                 self.hide(session.0, true);
                 self.reply(d, call, node, if played { 204 } else { 404 }, false);
             }
@@ -506,18 +532,21 @@
         else {
             return;
         };
-        let run = (session.0, attempt);
-        let playing = Playing {
+        let run = AttemptId {
+            session: session.0,
+            attempt,
+        };
+        let playing = ActiveSession {
             director: d as u32,
             viewer: 0,
             tenant: None,
             class,
             title,
             rung,
-            kb,
-            true_kb: kb,
+            rate_kb_s: kb,
+            true_rate_kb_s: kb,
         };
-        if self.fleet.begin(node, run, playing) {
+        if self.fleet.complete_setup(node, run, playing) {
             self.began.insert(session.0, (node, run));
             self.reply(d, call, node, 201, false);
         } else {
@@ -532,12 +561,12 @@
         let Some(n) = self.fleet.nodes.get_mut(&node) else {
             return;
         };
-        n.process = Process::Down;
-        let playing: Vec<Run> = std::mem::take(&mut n.playing).into_keys().collect();
-        n.setting_up = 0;
+        n.process = ProcessState::Down;
+        let playing: Vec<AttemptId> = std::mem::take(&mut n.playing).into_keys().collect();
+        n.setups_in_flight = 0;
         playing
             .into_iter()
-            .for_each(|(session, _)| self.hide(session, true));
+            .for_each(|id| self.hide(id.session, true));
         let broken: Vec<_> = self
             .calls
             .iter()
@@ -572,11 +601,12 @@
         let Some(n) = self.fleet.nodes.get(&node) else {
             return;
         };
-        if n.fell {
+        if n.fell_over {
             return; // pushed over: it stays down
         }
         let machine = n.machine.clone();
-        self.fleet.start(machine, self.now, false);
+        self.fleet
+            .start(machine, Timestamp::from_micros(self.now), false);
         self.list(node, EndpointState::Ready, Some(self.now));
     }
 
@@ -604,8 +634,10 @@
     /// Nodes are looked at: what they tell, what their sessions earn, who leaves for want of picture.
     fn look(&mut self) {
         self.later(LOOK, Due::Look);
-        let news = self.teller.look(&mut self.fleet, self.now);
-        for News {
+        let news = self
+            .teller
+            .poll(&mut self.fleet, Timestamp::from_micros(self.now));
+        for Notification {
             node,
             director,
             session,
@@ -631,7 +663,7 @@
             .fleet
             .nodes
             .keys()
-            .map(|id| (*id, self.fleet.figures(*id).delivered))
+            .map(|id| (*id, self.fleet.load(*id).delivered))
             .collect();
         let (mut got, mut leaving) = (0.0, Vec::new());
         let mut rungs: BTreeMap<usize, f64> = BTreeMap::new();
@@ -643,13 +675,13 @@
             let viewer = &self.viewers[shown.viewer];
             let class = &self.crowd.classes[viewer.person.class];
             let share = shares[&shown.node];
-            let full = dt * class.worth * self.crowd.worth[playing.rung];
-            got += full * self.crowd.kept(share);
-            tallies.enter(viewer.tenant.as_deref(), |t| {
-                t.got += full * self.crowd.kept(share);
-                *t.rungs.entry(playing.rung).or_default() += dt;
+            let full = dt * class.priority_weight * self.crowd.utility[playing.rung];
+            got += full * self.crowd.worth_kept(share);
+            tallies.update(viewer.tenant.as_deref(), |t| {
+                t.worth_earned += full * self.crowd.worth_kept(share);
+                *t.seconds_by_rung.entry(playing.rung).or_default() += dt;
             });
-            self.result.count.stalled += full * (1.0 - self.crowd.kept(share));
+            self.result.count.stalled += full * (1.0 - self.crowd.worth_kept(share));
             *rungs.entry(playing.rung).or_default() += dt;
             if share < POOR
                 && self.now - shown.since > POOR_AFTER
@@ -658,20 +690,20 @@
                 leaving.push(*session);
             }
         }
-        let racks = &self.fleet.physics.uplinks;
+        let racks = &self.fleet.parameters.uplinks_kb_s;
         let mut room: BTreeMap<u64, f64> = BTreeMap::new();
         for n in self
             .fleet
             .nodes
             .values()
-            .filter(|n| n.process == Process::Runs)
+            .filter(|n| n.process == ProcessState::Running)
         {
             let rack = n
                 .machine
                 .cell
                 .checked_rem(racks.len() as u64)
                 .unwrap_or(n.machine.id);
-            *room.entry(rack).or_default() += n.machine.link_kb / self.fleet.slow_links;
+            *room.entry(rack).or_default() += n.machine.link_kb_s / self.fleet.link_slowdown;
         }
         let uplink = |rack: &u64| racks.get(*rack as usize).copied().unwrap_or(f64::INFINITY);
         let room: f64 = room.iter().map(|(rack, kb)| kb.min(uplink(rack))).sum();
@@ -685,7 +717,7 @@
         };
         let wanted: f64 = self.wanting.iter().map(wanted).sum();
         let count = &mut self.result.count;
-        count.tallies.all.wanted += wanted * dt;
+        count.tallies.all.worth_offered += wanted * dt;
         let span = count.span(at);
         (span.got, span.wanted, span.bound) = (
             span.got + got,
@@ -705,7 +737,7 @@
             Due::Gone(viewer) => {
                 let p = &self.viewers[viewer].person;
                 self.wanting
-                    .entry((self.classes[p.class], p.top))
+                    .entry((self.classes[p.class], p.highest_rung))
                     .and_modify(|n| *n -= 1);
             }
             Due::Leave(session, poor) => self.leave(session, poor),
--- a/crates/simulation/src/world/troubles.rs
+++ b/crates/simulation/src/world/troubles.rs
@@ -28,7 +28,7 @@
                     .fleet
                     .nodes
                     .iter()
-                    .filter(|(_, n)| n.process == Process::Runs);
+                    .filter(|(_, n)| n.process == ProcessState::Running);
                 let up = up.map(|(id, _)| *id).collect();
                 met = self.met(up, &trouble);
                 met.iter().for_each(|id| self.down(*id));
@@ -39,7 +39,10 @@
             }
             TroubleKind::Burst | TroubleKind::TenantBurst => self.burst = trouble.size,
             TroubleKind::HotTitle => {
-                self.extra = trouble.name.clone().map(|n| (Draw::Title(n), trouble.size));
+                self.extra = trouble
+                    .name
+                    .clone()
+                    .map(|n| (Interest::Title(n), trouble.size));
             }
             TroubleKind::ClassFlood => {
                 let class = self
@@ -47,9 +50,9 @@
                     .classes
                     .iter()
                     .position(|c| trouble.name.as_ref() == Some(&c.name));
-                self.extra = class.map(|c| (Draw::Class(c), trouble.size));
+                self.extra = class.map(|c| (Interest::Class(c), trouble.size));
             }
-            TroubleKind::SharedSlow => self.fleet.slow_links = trouble.size,
+            TroubleKind::SharedSlow => self.fleet.link_slowdown = trouble.size,
             TroubleKind::DirectorKill => {
                 let up = (0..self.engines.len()).filter(|d| self.engines[*d].is_some());
                 let up = up.map(|d| d as u64).collect();
@@ -68,7 +71,7 @@
                 (self.burst, self.bursts) = (1.0, BTreeMap::new());
             }
             TroubleKind::HotTitle | TroubleKind::ClassFlood => self.extra = None,
-            TroubleKind::SharedSlow => self.fleet.slow_links = 1.0,
+            TroubleKind::SharedSlow => self.fleet.link_slowdown = 1.0,
             TroubleKind::DirectorKill => met.into_iter().for_each(|d| self.start(d as usize)),
             _ => {}
         }
@@ -82,10 +85,10 @@
             let of = n.playing.iter().filter(|(_, p)| p.director == director);
             of.map(|(run, _)| (*id, *run)).collect::<Vec<_>>()
         };
-        let held: Vec<(u64, Run)> = self.fleet.nodes.iter().flat_map(held).collect();
+        let held: Vec<(u64, AttemptId)> = self.fleet.nodes.iter().flat_map(held).collect();
         for (node, run) in held {
-            self.fleet.end(node, run);
-            self.hide(run.0, true);
+            self.fleet.end_session(node, run);
+            self.hide(run.session, true);
         }
     }
 }
--- a/crates/simulation/src/world/viewers.rs
+++ b/crates/simulation/src/world/viewers.rs
@@ -5,11 +5,11 @@
 
 impl World<'_> {
     /// Enters something of one viewer.
-    pub(super) fn tally(&mut self, viewer: usize, what: impl Fn(&mut Tally)) {
+    pub(super) fn tally(&mut self, viewer: usize, what: impl Fn(&mut ViewerTotals)) {
         self.result
             .count
             .tallies
-            .enter(self.viewers[viewer].tenant.as_deref(), what);
+            .update(self.viewers[viewer].tenant.as_deref(), what);
     }
 
     pub(super) fn arrive(&mut self, stream: usize) {
@@ -22,22 +22,25 @@
         let extra = self.extra.as_ref().map_or(0.0, |(_, part)| *part);
         let all = self.burst + extra;
         let dice = &mut self.arrivals[stream];
-        let gap = self.crowd.gap(all * times, dice).as_micros() as Micros;
+        let gap = self
+            .crowd
+            .time_to_next_arrival(all * times, dice)
+            .as_micros() as Micros;
         let extra = self.extra.as_ref().map(|(draw, _)| (draw, extra / all));
-        let person = self.crowd.draw(extra, dice);
+        let person = self.crowd.draw_viewer(extra, dice);
         let front = (dice.random::<f64>() * self.engines.len() as f64) as usize;
         self.later(gap, Due::Arrive(stream));
-        let span = person.span.as_micros() as Micros;
+        let span = person.watch_time.as_micros() as Micros;
         *self
             .wanting
-            .entry((self.classes[person.class], person.top))
+            .entry((self.classes[person.class], person.highest_rung))
             .or_default() += 1;
         let viewer = self.viewers.len();
         let until = self.now + span;
         let tenant = tenant.map(|(name, _)| name);
         let within =
             Duration::from_micros((us(self.plan.day.seconds * 1000.0) - self.now).max(0) as u64);
-        let wanted = self.crowd.wanted(&person, within);
+        let wanted = self.crowd.worth_offered(&person, within);
         let new = Viewer {
             person,
             tenant,
@@ -49,7 +52,7 @@
         };
         self.viewers.push(new);
         self.tally(viewer, |t| {
-            (t.people, t.people_unserved) = (t.people + 1, t.people_unserved + 1)
+            (t.viewers, t.viewers_unserved) = (t.viewers + 1, t.viewers_unserved + 1)
         });
         // Of all viewers what is wanted is summed up as time passes, beside the bound.
         let tenant = self.viewers[viewer].tenant.as_ref();
@@ -57,7 +60,7 @@
         tenant
             .and_then(|t| tallies.get_mut(t))
             .into_iter()
-            .for_each(|t| t.wanted += wanted);
+            .for_each(|t| t.worth_offered += wanted);
         self.later(span, Due::Gone(viewer));
         self.ask(viewer);
     }
@@ -68,20 +71,20 @@
             return;
         }
         let (at, front) = (self.now as f64 / 1e6, v.front);
-        self.tally(viewer, |t| t.asked += 1);
+        self.tally(viewer, |t| t.requested += 1);
         self.result.count.span(at).asked += 1;
         if self.engines[front].is_none() {
             self.tally(viewer, |t| t.unanswered += 1);
             return self.again(viewer, None);
         }
         let v = &mut self.viewers[viewer];
-        let left = (v.until - self.now) as f64 * self.crowd.hint_times;
+        let left = (v.until - self.now) as f64 * self.crowd.hint_factor;
         let new = SessionRequest {
             viewer_key: v.person.key.clone(),
             class: self.crowd.classes[v.person.class].name.clone(),
             title: v.person.title.clone(),
             duration_hint: (left > 0.0).then_some(TimeDelta::from_micros(left as Micros)),
-            highest_rung: Some(v.person.top),
+            highest_rung: Some(v.person.highest_rung),
             is_retry: v.asks > 0,
             tenant: v.tenant.clone(),
             ..SessionRequest::default()
@@ -101,10 +104,10 @@
 
     /// Turned away, failed or broken off: most come again, to the next front half of the time.
     pub(super) fn again(&mut self, viewer: usize, pause: Option<Micros>) {
-        if self.dice.random::<f64>() >= self.crowd.come_again {
+        if self.dice.random::<f64>() >= self.crowd.retry_fraction {
             return;
         }
-        let pause = pause.unwrap_or(self.crowd.pause.as_micros() as Micros) as f64;
+        let pause = pause.unwrap_or(self.crowd.retry_pause.as_micros() as Micros) as f64;
         let pause = pause * (0.5 + self.dice.random::<f64>());
         if self.dice.random::<f64>() < 0.5 {
             let v = &mut self.viewers[viewer];
@@ -127,7 +130,7 @@
                 let left = v.until - self.now;
                 let first = u64::from(!std::mem::replace(&mut v.played, true));
                 self.tally(viewer, |t| {
-                    (t.played, t.people_unserved) = (t.played + 1, t.people_unserved - first)
+                    (t.played, t.viewers_unserved) = (t.played + 1, t.viewers_unserved - first)
                 });
                 self.shown.insert(
                     session.0,
@@ -149,7 +152,7 @@
             } => {
                 let first = u64::from(!std::mem::replace(&mut v.refused, true));
                 self.tally(viewer, |t| {
-                    (t.refused, t.people_refused) = (t.refused + 1, t.people_refused + first)
+                    (t.rejected, t.viewers_rejected) = (t.rejected + 1, t.viewers_rejected + first)
                 });
                 self.result.count.span(at).refused += 1;
                 self.again(viewer, come_back.map(TimeDelta::as_micros));
@@ -170,11 +173,11 @@
             .playing
             .get(&run)
             .map(|p| p.director);
-        self.fleet.end(node, run);
+        self.fleet.end_session(node, run);
         if let Some(d) = director {
             let told = NodeEvent::SessionEnded {
                 session: SessionId(session),
-                attempt: run.1,
+                attempt: run.attempt,
             };
             self.later(
                 NET,
--- a/crates/simulation/tests/scenes.rs
+++ b/crates/simulation/tests/scenes.rs
@@ -35,8 +35,8 @@
         run(&plan, Policy::Plain).unwrap(),
     );
     assert_eq!(
-        module.count.tallies.all.people,
-        plain.count.tallies.all.people
+        module.count.tallies.all.viewers,
+        plain.count.tallies.all.viewers
     );
     assert_eq!(module.bounds, plain.bounds);
 }
@@ -46,7 +46,7 @@
     for name in ["fill-2", "tripled", "hot", "peeks"] {
         let report = report(name);
         assert!(
-            report.count.tallies.all.got <= report.bounds.most * 1.01,
+            report.count.tallies.all.worth_earned <= report.bounds.most * 1.01,
             "{name}: true rates stray a little"
         );
         assert!(report.bounds.best_rung().1 <= report.bounds.most);
@@ -71,9 +71,9 @@
     let report = report(name);
     let count = &report.count;
     assert!(
-        count.tallies.all.refused_part() <= refused,
+        count.tallies.all.rejected_fraction() <= refused,
         "{name}: {} refused",
-        count.tallies.all.refused_part()
+        count.tallies.all.rejected_fraction()
     );
     assert!(
         count.tallies.all.worth() >= worth,
@@ -81,9 +81,9 @@
         count.tallies.all.worth()
     );
     assert!(
-        count.tallies.all.steps_a_minute() < 1.0,
+        count.tallies.all.rung_changes_per_minute() < 1.0,
         "{name}: {} steps a session-minute",
-        count.tallies.all.steps_a_minute()
+        count.tallies.all.rung_changes_per_minute()
     );
     assert_eq!(count.fell, 0, "{name}: a node was pushed over");
     report
@@ -148,7 +148,10 @@
         quiet("quiet-shareless"),
     );
     // The same viewers come, whoever else does.
-    assert_eq!((alone.people, alone.wanted), (beside.people, beside.wanted));
+    assert_eq!(
+        (alone.viewers, alone.worth_offered),
+        (beside.viewers, beside.worth_offered)
+    );
     assert!(alone.worth() > 0.98, "{}", alone.worth());
     // By itself the fleet would be the loud one's: one in two of the quiet one's viewers never got to watch.
     assert!(
@@ -157,7 +160,7 @@
         shareless.worth()
     );
     assert!(
-        beside.worth() > 0.85 && beside.unserved_part() < 0.05,
+        beside.worth() > 0.85 && beside.unserved_fraction() < 0.05,
         "{}",
         beside.worth()
     );
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -8,7 +8,7 @@
 pub enum StoreError {
     /// The tenant's state, or the change itself, does not allow it.
     #[error("refused: {0}")]
-    Rejected(ChangeError),
+    Rejected(#[source] ChangeError),
     /// The idempotency key was used for another request.
     #[error("the idempotency key was used for another request")]
     IdempotencyKeyReused,
--- a/crates/store/tests/changes.rs
+++ b/crates/store/tests/changes.rs
@@ -10,10 +10,15 @@
 fn an_idempotency_key_creates_one_tenant_and_refuses_another_request() {
     let directory = tempfile::tempdir().unwrap();
     let store = open(directory.path(), "t.redb");
-    let wish = Change::Create(terms("a"));
+    let create = Change::Create(terms("a"));
     let request = |name: &str, request| {
         let key = IdempotencyKey { key: "k1", request };
-        store.change_tenant(&id(name), &wish, &context(Precondition::Missing), Some(key))
+        store.change_tenant(
+            &id(name),
+            &create,
+            &context(Precondition::Missing),
+            Some(key),
+        )
     };
     assert_eq!(request("a", "r1").unwrap().change_number, Some(1));
     let again = request("a", "r1").unwrap();
--- a/crates/store/tests/fixtures.rs
+++ b/crates/store/tests/fixtures.rs
@@ -137,16 +137,16 @@
 fn a_file_of_version_2_remembers_its_idempotency_keys() {
     let directory = tempfile::tempdir().unwrap();
     let store = open_copy(directory.path());
-    let by = ChangeContext {
+    let context = ChangeContext {
         actor: "test",
         may_edit_agreement: true,
         precondition: Precondition::Missing,
         now: 0,
     };
     let repeat = |name: &str, key, request| {
-        let wish = Change::Create(serde_json::json!({}));
+        let change = Change::Create(serde_json::json!({}));
         let key = IdempotencyKey { key, request };
-        store.change_tenant(&id(name), &wish, &by, Some(key))
+        store.change_tenant(&id(name), &change, &context, Some(key))
     };
     let done = repeat("active", "key 1", "request 1").unwrap();
     assert_eq!((done.change_number, done.tenant.revision), (None, 5));
