--- a/src/director.rs
+++ b/src/director.rs
@@ -75,6 +75,12 @@
             self.set_tick();
         }
         self.detect_stall();
+        self.dispatch(event);
+        self.watch_endpoints();
+        out.append(&mut self.actions);
+    }
+
+    fn dispatch(&mut self, event: Event) {
         match event {
             Event::EndpointsUpdated { update, endpoints } => self.update_endpoints(update, endpoints),
             Event::RequestReceived(request) => self.receive_request(request),
@@ -112,8 +118,6 @@
             }
             Event::PeerMessage { .. } => {}
         }
-        self.watch_endpoints();
-        out.append(&mut self.actions);
     }
 
     fn set_tick(&mut self) {
