A session that changes its rung is a record; a server's restart is a method of the server

Cause: a list of pairs crossed functions, and record_restart stood on the director without using it.

--- a/src/director/endpoints.rs
+++ b/src/director/endpoints.rs
@@ -44,7 +44,7 @@
         let new = || Server { endpoint, warm_at, ..Server::default() };
         let server = self.servers.entry(endpoint.server).or_insert_with(new);
         if endpoint.started_at > server.endpoint.started_at {
-            Director::record_restart(server, warm_at);
+            server.record_restart(warm_at);
         }
         server.endpoint = endpoint;
     }
--- a/src/policy/demand.rs
+++ b/src/policy/demand.rs
@@ -109,7 +109,8 @@
         self.estimate_fleet_load();
         let now = self.now;
         self.demand.rejected.retain(|_, viewer| now - viewer.at < REJECTED_WANTS_FOR);
-        self.demand.has_tenant_within_quota = self.has_tenant_within_quota();
+        let is_within_quota = |tenant: &usize| self.quota_debt(Some(*tenant)) == 0.0;
+        self.demand.has_tenant_within_quota = self.sessions.by_tenant.keys().any(is_within_quota);
         let capacity_kb_s = self.usable_capacity_kb_s();
         self.demand.capacity_kb_s = capacity_kb_s;
         self.demand.rungs.clear();
--- a/src/policy/downgrades.rs
+++ b/src/policy/downgrades.rs
@@ -7,7 +7,7 @@
 use crate::hash::draw;
 use crate::interface::{LoadReport, ServerId};
 use crate::state::link_estimate::LinkEstimate;
-use crate::state::records::{CapacityNeed, Downgrade, FreedCapacity, ReportSource, RungChanges};
+use crate::state::records::{CapacityNeed, Downgrade, FreedCapacity, ReportSource, RungChange};
 use crate::state::servers::Server;
 use crate::state::sessions::{PendingRequest, SessionGroup, SessionsByTime};
 use crate::time::{TimeDelta, Timestamp};
@@ -120,7 +120,7 @@
             candidates.filter(|server| !server.shortage.is_short && !server.health.is_failing());
         let found = healthy.find_map(|server| self.downgrades_at(server, &need, &mut seen_racks));
         let is_freed = found.is_some();
-        found.into_iter().flatten().for_each(|(session, rung)| self.change_rung(session, rung));
+        found.into_iter().flatten().for_each(|change| self.change_rung(change.session, change.rung));
         is_freed
     }
 
@@ -148,7 +148,7 @@
         server: &Server,
         need: &CapacityNeed,
         seen_racks: &mut BTreeSet<u64>,
-    ) -> Option<RungChanges> {
+    ) -> Option<Vec<RungChange>> {
         let missing = |estimate: &LinkEstimate, utilization: f64| {
             (utilization + estimate.fraction(need.kb_s) - need.line) * estimate.capacity_kb_s
         };
@@ -185,7 +185,8 @@
                 let lost_utility_s = freed.lost_utility_s + downgrade.lost_utility * remaining_s;
                 freed.lost_utility_s = lost_utility_s + change_cost;
                 freed.kb_s += downgrade.freed_kb_s;
-                freed.changes.push((session.pending.request.session, downgrade.rung));
+                let session = session.pending.request.session;
+                freed.changes.push(RungChange { session, rung: downgrade.rung });
             }
         }
         freed
--- a/src/policy/health.rs
+++ b/src/policy/health.rs
@@ -6,8 +6,9 @@
 use crate::state::sessions::PendingRequest;
 use crate::time::{TimeDelta, Timestamp};
 
-/// A failing server is tried again after this; the wait doubles with each further failure, so many times.
+/// A failing server is tried again after this.
 const RETRIAL_BACKOFF: TimeDelta = TimeDelta::from_secs(1);
+/// That wait doubles with each further failure, at most so many times.
 const RETRIAL_BACKOFF_DOUBLINGS: u32 = 3;
 /// A tick so much late was held up by this director's own process: a batch takes a few milliseconds.
 const STALL_DELAY: TimeDelta = TimeDelta::from_millis(300);
@@ -19,6 +20,16 @@
     RETRIAL_BACKOFF * (1 << health.failures.saturating_sub(1).min(RETRIAL_BACKOFF_DOUBLINGS))
 }
 
+impl Server {
+    /// The server has started: its past is void, and it warms up until then.
+    pub(crate) fn record_restart(&mut self, warm_at: Timestamp) {
+        self.health.failures = 0;
+        self.shortage.is_short = false;
+        self.link.utilization = 0.0;
+        self.warm_at = self.warm_at.max(warm_at);
+    }
+}
+
 impl Director {
     /// Notes that this director's own process stood still, if the tick is long overdue.
     pub(crate) fn detect_stall(&mut self) {
@@ -27,14 +38,6 @@
         }
     }
 
-    /// A server has started: its past is void, and it is cold.
-    pub(crate) fn record_restart(server: &mut Server, warm_at: Timestamp) {
-        server.health.failures = 0;
-        server.shortage.is_short = false;
-        server.link.utilization = 0.0;
-        server.warm_at = server.warm_at.max(warm_at);
-    }
-
     /// Takes what an outcome says of the server.
     pub(crate) fn record_outcome(&mut self, server: ServerId, outcome: Outcome) {
         match outcome {
--- a/src/policy/quotas.rs
+++ b/src/policy/quotas.rs
@@ -39,9 +39,4 @@
             QuotaLimit { line_scale, reserved_kb_s: 0.0 }
         }
     }
-
-    /// Whether some tenant here holds no more than its quota.
-    pub(crate) fn has_tenant_within_quota(&self) -> bool {
-        self.sessions.by_tenant.keys().any(|tenant| self.quota_debt(Some(*tenant)) == 0.0)
-    }
 }
--- a/src/state/records.rs
+++ b/src/state/records.rs
@@ -99,11 +99,14 @@
 /// What a number of downgrades free and cost.
 #[derive(Default)]
 pub(crate) struct FreedCapacity {
-    pub changes: RungChanges,
+    pub changes: Vec<RungChange>,
     pub kb_s: f64,
     /// Utility lost over the sessions' remaining time, in seconds at full utility.
     pub lost_utility_s: f64,
 }
 
-/// Sessions that change to these rungs.
-pub(crate) type RungChanges = Vec<(SessionId, usize)>;
+/// A session that is to change to a rung.
+pub(crate) struct RungChange {
+    pub session: SessionId,
+    pub rung: usize,
+}
