--- a/src/director/migrations.rs
+++ b/src/director/migrations.rs
@@ -38,7 +38,7 @@
         let deadline = self.now + MAX_DEADLINE;
         let request = Request { duration_hint, deadline, ..session.pending.request };
         let mut pending = PendingRequest::already_at(session.server, request);
-        // The session is out meanwhile: its own seat is no hindrance, and it makes no room for itself.
+        // The session is out meanwhile: its own seat is no hindrance, and it is not downgraded for itself.
         let found = self.place(&pending);
         self.sessions.insert(session);
         let Some(Placement { server, rung }) = found else { return };
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -86,7 +86,7 @@
 pub enum Idempotency {
     /// May be set up again without harm.
     Idempotent,
-    /// Paid for at set-up, or not known to be idempotent: set up once.
+    /// Paid for at set-up, or not known to be repeatable: set up once.
     #[default]
     AtMostOnce,
 }
--- a/src/policy/downgrades.rs
+++ b/src/policy/downgrades.rs
@@ -142,7 +142,7 @@
         })
     }
 
-    /// The downgrades that make room for a request at one server; none if they are not worth it.
+    /// The downgrades that let a request fit at one server; none if they are not worth it.
     fn downgrades_at(
         &self,
         server: &Server,
@@ -193,7 +193,7 @@
     }
 
     /// The highest lower rung that all viewers could have where a group plays, else the lowest. One whose
-    /// tenant is less in debt than the request's makes no room for it.
+    /// tenant is less in debt than the request's is not downgraded for it.
     fn affordable_rung(&self, group: &SessionGroup, debt: f64) -> Option<usize> {
         let lowest = self.settings.lowest_rung(group.class);
         if group.rung <= lowest || self.quota_debt(group.tenant) < debt {
--- a/src/policy/warm_up.rs
+++ b/src/policy/warm_up.rs
@@ -13,7 +13,7 @@
 const MIN_TITLE_PART: f64 = 0.02;
 
 impl Director {
-    /// Whether a server's warm-up has room for this request. One that is known to warm up draws all requests
+    /// Whether a server's warm-up admits this request. One that is known to warm up draws all requests
     /// for its titles; while any may be, since a cached endpoint list may hide a start, they draw alike.
     pub(crate) fn admits_warm_up(&self, server: &Server, pending: &PendingRequest) -> bool {
         let rules = &self.settings.rules;
--- a/tests/capacity_estimate.rs
+++ b/tests/capacity_estimate.rs
@@ -62,7 +62,7 @@
 
 #[test]
 fn a_crowd_between_two_reports_is_counted_for_the_other_directors_too() {
-    // Incident id3f40a: every director saw the same room and all filled it.
+    // Incident id3f40a: every director saw the same free capacity and all filled it.
     let taken = |directors| {
         let mut settings = Settings {
             director_count: directors,
--- a/tests/quotas.rs
+++ b/tests/quotas.rs
@@ -159,7 +159,10 @@
             }
         }
     }
-    assert!(downgraded > 10, "its own make room for it: {downgraded}");
+    assert!(
+        downgraded > 10,
+        "its own sessions free capacity for it: {downgraded}"
+    );
 }
 
 #[test]
