--- /dev/null
+++ b/crates/audit/src/judge/answers.rs
@@ -0,0 +1,168 @@
+//! Rule: each request has one answer in time, unless its director was killed first.
+
+use super::Judge;
+use crate::record::Record;
+use crate::verdict::Rule;
+use shalewall::{TimeDelta, Timestamp};
+use std::collections::BTreeMap;
+
+/// The status of a rejection: the request may be sent again.
+const REJECTED_STATUS: u16 = 503;
+
+/// A viewer's request.
+#[derive(Clone, Copy)]
+struct Request<'r> {
+    id: u64,
+    sent_at: Timestamp,
+    director: u32,
+    /// How long the viewer waits.
+    wait: TimeDelta,
+    class: &'r str,
+    tenant: Option<&'r str>,
+}
+
+/// The requests of a recording, and how often each one ended.
+#[derive(Default)]
+struct Requests<'r> {
+    sent: BTreeMap<u64, Request<'r>>,
+    ended: BTreeMap<u64, u32>,
+}
+
+impl<'r> Requests<'r> {
+    /// Notes the end of a request. Returns it, and how often it ended so far, if it is known.
+    fn end(&mut self, id: u64) -> Option<(Request<'r>, u32)> {
+        let request = *self.sent.get(&id)?;
+        Some((request, self.count_end(id)))
+    }
+
+    fn count_end(&mut self, id: u64) -> u32 {
+        let count = self.ended.entry(id).or_default();
+        *count += 1;
+        *count
+    }
+}
+
+impl Judge<'_> {
+    pub(super) fn check_answers(&mut self, records: &[Record]) {
+        let mut requests = Requests::default();
+        for record in records {
+            self.take_answer_record(&mut requests, record);
+        }
+        let last = records.last().map_or(0, Record::time);
+        self.check_open_requests(&requests, Timestamp::from_micros(last));
+    }
+
+    fn take_answer_record<'r>(&mut self, requests: &mut Requests<'r>, record: &'r Record) {
+        let time = Timestamp::from_micros(record.time());
+        match record {
+            Record::RequestSent {
+                director,
+                ask,
+                wait,
+                class,
+                tenant,
+                ..
+            } => {
+                let request = Request {
+                    id: *ask,
+                    sent_at: time,
+                    director: *director,
+                    wait: TimeDelta::from_micros(*wait),
+                    class,
+                    tenant: tenant.as_deref(),
+                };
+                requests.sent.insert(*ask, request);
+            }
+            Record::RequestAnswered {
+                ask,
+                status,
+                session,
+                ..
+            } => {
+                let Some((request, count)) = requests.end(*ask) else {
+                    return;
+                };
+                if let Some(session) = session.filter(|_| *status == REJECTED_STATUS) {
+                    self.check_rejection(time, session, request.tenant, request.class);
+                }
+                self.check_answer(time, request, *status, count);
+            }
+            Record::RequestUnanswered { ask, .. } => {
+                if let Some((request, _)) = requests.end(*ask) {
+                    self.check_unanswered(time, request);
+                }
+            }
+            Record::RequestCancelled { ask, .. } => {
+                requests.count_end(*ask);
+            }
+            _ => {}
+        }
+    }
+
+    fn check_answer(&mut self, time: Timestamp, request: Request<'_>, status: u16, count: u32) {
+        let Request { id, tenant, .. } = request;
+        if count > 1 {
+            let evidence = format!("request {id} has {count} answers");
+            self.verdict
+                .record_breach(Rule::OneAnswer, tenant, time, evidence);
+        }
+        let latest = time + self.rules.transit;
+        let stalled = self
+            .outages
+            .stalled(request.director, request.sent_at, latest);
+        let took = time - request.sent_at - stalled;
+        let limit = self.answer_limit(request);
+        let utilization = took.as_micros() as f64 / limit.as_micros() as f64;
+        self.verdict
+            .record_test(Rule::OneAnswer, tenant, utilization);
+        if took > limit {
+            let evidence = format!(
+                "request {id}: {status} after {} ms of {}",
+                took.as_millis(),
+                request.wait.as_millis()
+            );
+            self.verdict
+                .record_breach(Rule::OneAnswer, tenant, time, evidence);
+        }
+    }
+
+    /// A connection that ended without an answer.
+    fn check_unanswered(&mut self, time: Timestamp, request: Request<'_>) {
+        let Request {
+            id,
+            director,
+            sent_at,
+            ..
+        } = request;
+        let earliest = sent_at - self.rules.transit;
+        let latest = sent_at + self.answer_limit(request);
+        if self.outages.killed(director, earliest, latest) {
+            return;
+        }
+        let waited = (time - sent_at).as_millis();
+        let evidence =
+            format!("request {id} to director {director} has no answer after {waited} ms");
+        self.verdict
+            .record_breach(Rule::OneAnswer, request.tenant, time, evidence);
+    }
+
+    /// Requests that never ended, though their time was over before the recording's last record.
+    fn check_open_requests(&mut self, requests: &Requests<'_>, last: Timestamp) {
+        for request in requests.sent.values() {
+            let Request { id, director, .. } = *request;
+            let due = request.sent_at + self.answer_limit(*request);
+            if requests.ended.contains_key(&id) || due >= last {
+                continue;
+            }
+            let evidence = format!("request {id} to director {director} is still open");
+            let sent_at = request.sent_at;
+            self.verdict
+                .record_breach(Rule::OneAnswer, request.tenant, sent_at, evidence);
+        }
+    }
+
+    /// How long an answer may take.
+    fn answer_limit(&self, request: Request<'_>) -> TimeDelta {
+        request.wait + self.rules.answer_slack + self.rules.transit
+    }
+}
--- /dev/null
+++ b/crates/audit/src/judge/attempts.rs
@@ -0,0 +1,130 @@
+//! What nodes saw of each session: its attempts, which of them are in flight, and who holds the session.
+
+use super::{Route, SetUp};
+use crate::record::SetUpOutcome;
+use shalewall::Timestamp;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// One attempt to set up a session.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct AttemptId {
+    pub session: u64,
+    /// 0 for the first attempt, then one for each retry.
+    pub number: u32,
+}
+
+/// An attempt as the nodes saw it.
+pub(super) struct Attempt {
+    /// Where it was sent, and by whom.
+    pub route: Route,
+    pub tenant: Option<String>,
+    pub class: String,
+    pub title: String,
+    /// The nodes that hold it now: two while it migrates.
+    pub holders: BTreeSet<u64>,
+    /// When its set-up ended; none: it is in flight.
+    pub answered_at: Option<Timestamp>,
+    /// When the last holder released it.
+    pub released_at: Option<Timestamp>,
+    /// How its set-up ended.
+    pub outcome: Option<SetUpOutcome>,
+}
+
+/// All attempts of a recording.
+#[derive(Default)]
+pub(super) struct Attempts {
+    attempts: BTreeMap<AttemptId, Attempt>,
+    /// Numbers of the attempts of each session, in order of arrival; also of those that arrived in part.
+    by_session: BTreeMap<u64, Vec<u32>>,
+}
+
+impl Attempts {
+    pub fn get(&self, id: AttemptId) -> Option<&Attempt> {
+        self.attempts.get(&id)
+    }
+
+    pub fn get_mut(&mut self, id: AttemptId) -> Option<&mut Attempt> {
+        self.attempts.get_mut(&id)
+    }
+
+    /// Attempts of a session so far, in order of arrival.
+    pub fn of_session(&self, session: u64) -> Vec<AttemptId> {
+        let numbers = self.by_session.get(&session).into_iter().flatten();
+        numbers
+            .map(|number| AttemptId {
+                session,
+                number: *number,
+            })
+            .collect()
+    }
+
+    /// Attempts that a node holds.
+    pub fn at_node(&self, node: u64) -> Vec<AttemptId> {
+        let attempts = self.attempts.iter();
+        attempts
+            .filter(|(_, attempt)| attempt.holders.contains(&node))
+            .map(|(id, _)| *id)
+            .collect()
+    }
+
+    /// The first attempt of a session that is not released.
+    pub fn playing(&self, session: u64) -> Option<&Attempt> {
+        let first = AttemptId { session, number: 0 };
+        let last = AttemptId {
+            session,
+            number: u32::MAX,
+        };
+        let mut attempts = self.attempts.range(first..=last);
+        let found = attempts.find(|(_, attempt)| attempt.released_at.is_none());
+        found.map(|(_, attempt)| attempt)
+    }
+
+    /// A set-up that arrived complete.
+    pub fn add(&mut self, set_up: &SetUp<'_>) {
+        let id = set_up.id;
+        let numbers = self.by_session.entry(id.session).or_default();
+        numbers.push(id.number);
+        let attempt = Attempt {
+            route: set_up.route,
+            tenant: set_up.tenant.map(str::to_string),
+            class: set_up.class.to_string(),
+            title: set_up.title.to_string(),
+            holders: BTreeSet::new(),
+            answered_at: None,
+            released_at: None,
+            outcome: None,
+        };
+        self.attempts.insert(id, attempt);
+    }
+
+    /// A set-up of which some bytes arrived: if the session is paid, it must not be sent again. Its class is known
+    /// from other attempts only.
+    pub fn add_partial(&mut self, id: AttemptId) {
+        let numbers = self.by_session.entry(id.session).or_default();
+        if !numbers.contains(&id.number) {
+            numbers.push(id.number);
+        }
+    }
+
+    /// Notes the outcome of a set-up. Returns its route, if the attempt is known.
+    pub fn finish_set_up(
+        &mut self,
+        id: AttemptId,
+        time: Timestamp,
+        outcome: SetUpOutcome,
+    ) -> Option<Route> {
+        let attempt = self.attempts.get_mut(&id)?;
+        attempt.answered_at.get_or_insert(time);
+        attempt.outcome = Some(outcome);
+        Some(attempt.route)
+    }
+
+    /// Notes that a holder of an attempt died. Returns the director of the attempt.
+    pub fn node_down(&mut self, id: AttemptId, node: u64, time: Timestamp) -> Option<u32> {
+        let attempt = self.attempts.get_mut(&id)?;
+        if attempt.route.node == node {
+            attempt.answered_at.get_or_insert(time);
+        }
+        Some(attempt.route.director)
+    }
+}
--- a/crates/audit/src/lib.rs
+++ b/crates/audit/src/lib.rs
@@ -1,12 +1,23 @@
-//! The six rules, judged from recordings of what passed on sockets, and from nothing else.
+//! Judges recordings of what passed on sockets: the six rules of the service ([`judge`]), and what migrations did to
+//! viewers ([`review_migrations`]).
 //!
-//! What this crate may know: the form of recordings and the figures of the rules. What it must not: engine,
-//! front, decisions. It can't be talked round by the program that it judges.
+//! The crate knows the form of recordings ([`Record`]), the figures of the rules ([`Rules`]) and the two types of
+//! time. It uses nothing else of the software that it judges: no engine, no server, no decisions.
+
+#![deny(missing_docs)]
 
 mod judge;
-mod moves;
+mod micros;
+mod migrations;
 mod record;
+mod recording;
+mod rules;
+mod verdict;
 
-pub use judge::{Finding, Rule, Verdict, judge};
-pub use moves::{Cause, Moves, moves};
-pub use record::{ClassRule, Further, Ran, Record, Rules, Writer, read, read_rules};
+pub use judge::judge;
+pub use migrations::{GapCause, MigrationReport, review_migrations};
+pub use record::{Record, SetUpOutcome};
+pub use recording::{Writer, read, read_rules};
+pub use rules::{ClassRule, Placement, RetryBudget, Rules};
+pub use shalewall::{TimeDelta, Timestamp};
+pub use verdict::{Coverage, Finding, Rule, Verdict};
--- /dev/null
+++ b/crates/audit/src/migrations/observations.rs
@@ -0,0 +1,262 @@
+//! What records say of nodes, sessions, migrations and gaps.
+
+use super::BUFFER_LENGTH;
+use super::node_history::{Changes, Load, NodeHistory};
+use super::report::GapCause;
+use crate::record::Record;
+use crate::rules::Rules;
+use shalewall::{TimeDelta, Timestamp};
+use std::collections::BTreeMap;
+
+/// The standing of a node that takes sessions, as the endpoint list names it.
+const READY: &str = "ready";
+
+/// From when on a session was at a node.
+struct Stay {
+    from: Timestamp,
+    node: u64,
+}
+
+pub(super) struct Session {
+    pub director: u32,
+    title: String,
+    /// Where it was, in order of time.
+    stays: Vec<Stay>,
+}
+
+impl Session {
+    /// The node that it was at before a time; 0 if none.
+    pub fn node_before(&self, time: Timestamp) -> u64 {
+        let mut stays = self.stays.iter().rev();
+        let stay = stays.find(|stay| stay.from < time);
+        stay.map_or(0, |stay| stay.node)
+    }
+}
+
+/// A session's migration that its player followed. Ordered by the time of that.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Migration {
+    pub fetched_at: Timestamp,
+    pub session: u64,
+    epoch: u32,
+    target: u64,
+    pub requested_at: Timestamp,
+}
+
+/// A time for which a picture stood still.
+pub(super) struct Gap {
+    pub start: Timestamp,
+    pub session: u64,
+    pub length: TimeDelta,
+}
+
+/// One stay of a session at one node: the epoch grows by each migration.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct SessionEpoch {
+    session: u64,
+    epoch: u32,
+}
+
+/// The first fetch of a session's player in an epoch.
+struct Fetch {
+    time: Timestamp,
+    node: u64,
+}
+
+/// A node as a director was notified of it.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+struct Notified {
+    director: u32,
+    node: u64,
+}
+
+#[derive(Default)]
+pub(super) struct Observations {
+    pub nodes: BTreeMap<u64, NodeHistory>,
+    pub sessions: BTreeMap<u64, Session>,
+    pub gaps: Vec<Gap>,
+    /// Epochs of a session that two nodes served.
+    pub served_twice: u64,
+    /// Whether a director was notified that a node is draining or gone.
+    leaving: BTreeMap<Notified, Changes<bool>>,
+    /// When a target was first requested to take the session.
+    requested: BTreeMap<SessionEpoch, Timestamp>,
+    fetched: BTreeMap<SessionEpoch, Fetch>,
+}
+
+impl Observations {
+    pub fn take(&mut self, record: &Record) {
+        let time = Timestamp::from_micros(record.time());
+        match record {
+            Record::NodeStarted { node, cell, .. } => self.node(*node).start(time, *cell),
+            Record::NodeStopped { node, .. } => self.node(*node).stop(time),
+            Record::NodeFrozen { node, .. } => self.node(*node).set_frozen(time, true),
+            Record::NodeResumed { node, .. } => self.node(*node).set_frozen(time, false),
+            Record::NodeLoad {
+                node,
+                link,
+                uplink,
+                streams,
+                ..
+            } => {
+                let load = Load {
+                    link: *link,
+                    uplink: *uplink,
+                    streams: *streams,
+                };
+                self.node(*node).set_load(time, load);
+            }
+            Record::EndpointNotified {
+                director,
+                node,
+                standing,
+                ..
+            } => {
+                let notified = Notified {
+                    director: *director,
+                    node: *node,
+                };
+                let leaving = self.leaving.entry(notified).or_default();
+                leaving.push(time, standing != READY);
+            }
+            _ => self.take_session_record(time, record),
+        }
+    }
+
+    fn take_session_record(&mut self, time: Timestamp, record: &Record) {
+        match record {
+            Record::SetUpReceived {
+                node,
+                director,
+                session,
+                title,
+                ..
+            } => {
+                let new_session = || Session {
+                    director: *director,
+                    title: title.clone(),
+                    stays: Vec::new(),
+                };
+                let session = self.sessions.entry(*session).or_insert_with(new_session);
+                session.stays.push(Stay {
+                    from: time,
+                    node: *node,
+                });
+            }
+            Record::MigrationReceived { session, epoch, .. } => {
+                let key = SessionEpoch {
+                    session: *session,
+                    epoch: *epoch,
+                };
+                self.requested.entry(key).or_insert(time);
+            }
+            Record::PlayerFetched {
+                node,
+                session,
+                epoch,
+                ..
+            } => {
+                let key = SessionEpoch {
+                    session: *session,
+                    epoch: *epoch,
+                };
+                self.take_fetch(key, Fetch { time, node: *node });
+            }
+            Record::PlaybackGap {
+                session, micros, ..
+            } => self.gaps.push(Gap {
+                start: time,
+                session: *session,
+                length: TimeDelta::from_micros(*micros),
+            }),
+            _ => {}
+        }
+    }
+
+    fn take_fetch(&mut self, key: SessionEpoch, fetch: Fetch) {
+        let first = self.fetched.get(&key);
+        let Some(first) = first else {
+            self.fetched.insert(key, fetch);
+            return;
+        };
+        if first.node != fetch.node {
+            self.served_twice += 1;
+        }
+    }
+
+    fn node(&mut self, node: u64) -> &mut NodeHistory {
+        self.nodes.entry(node).or_default()
+    }
+
+    /// All migrations, in order of their fetches.
+    pub fn migrations(&self) -> Vec<Migration> {
+        let fetched = self.fetched.iter();
+        let mut migrations: Vec<Migration> = fetched
+            .map(|(key, fetch)| Migration {
+                fetched_at: fetch.time,
+                session: key.session,
+                epoch: key.epoch,
+                target: fetch.node,
+                requested_at: self.requested.get(key).copied().unwrap_or(fetch.time),
+            })
+            .collect();
+        migrations.sort();
+        migrations
+    }
+
+    /// The session of a migration is at its target from now on. Returns the source, 0 if unknown; none if the
+    /// session is unknown.
+    pub fn complete_migration(&mut self, migration: &Migration) -> Option<u64> {
+        let session = self.sessions.get_mut(&migration.session)?;
+        let source = session.stays.last().map_or(0, |stay| stay.node);
+        session.stays.push(Stay {
+            from: migration.fetched_at,
+            node: migration.target,
+        });
+        Some(source)
+    }
+
+    /// Whether a director had it at any time of a span that a node is draining or gone.
+    pub fn was_leaving(&self, director: u32, node: u64, from: Timestamp, until: Timestamp) -> bool {
+        let leaving = self.leaving.get(&Notified { director, node });
+        leaving.is_some_and(|changes| changes.ever(from, until))
+    }
+
+    /// Whether another node that holds the session's title had capacity.
+    pub fn other_node_had_capacity(
+        &self,
+        rules: &Rules,
+        session: &Session,
+        node: u64,
+        time: Timestamp,
+    ) -> bool {
+        let Some(placement) = rules.titles.get(&session.title) else {
+            return false;
+        };
+        self.nodes.iter().any(|(id, history)| {
+            let cell = history.cell;
+            *id != node
+                && cell.is_some_and(|cell| placement.contains(cell, rules.cells))
+                && history.has_capacity(time)
+                && !self.was_leaving(session.director, *id, time, time)
+        })
+    }
+
+    /// The cause of a gap of a session at a node.
+    pub fn gap_cause(&self, session: &Session, node: u64, time: Timestamp) -> GapCause {
+        let from = time - BUFFER_LENGTH;
+        let Some(history) = self.nodes.get(&node) else {
+            return GapCause::Other;
+        };
+        let left = self.was_leaving(session.director, node, from, time);
+        if left || history.died(from, time) {
+            GapCause::NodeLost
+        } else if history.was_frozen(from, time) {
+            GapCause::NodeFrozen
+        } else if history.was_short(from, time) {
+            GapCause::Shortage
+        } else {
+            GapCause::Other
+        }
+    }
+}
--- a/crates/audit/src/record.rs
+++ b/crates/audit/src/record.rs
@@ -1,323 +1,384 @@
-//! Recordings: one JSON object a line, each with its time in microseconds on the clock of the machine.
+//! The records of a recording: one JSON object a line, each with its time in microseconds on the clock of the machine.
+//! Keys and tags of the JSON form are those of earlier recordings.
 
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
-use std::fs::File;
-use std::io::{self, BufRead, BufReader, BufWriter, Write};
-use std::path::Path;
+use std::fmt;
 
-/// What a node made of a set-up.
+/// How a set-up ended at its node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Ran {
+pub enum SetUpOutcome {
     /// The session plays there.
-    Plays,
-    /// Turned away with the proof that nothing ran.
-    TurnedAway,
-    /// The front closed its connection, or the node died, before it was answered.
-    Given,
-    /// Told to end before it began.
-    Ended,
+    #[serde(rename = "plays")]
+    Playing,
+    /// Rejected, with the proof that nothing was executed.
+    #[serde(rename = "turned_away")]
+    Rejected,
+    /// The director closed its connection, or the node died, before it was answered.
+    #[serde(rename = "given")]
+    Abandoned,
+    /// Released before it began.
+    #[serde(rename = "ended")]
+    Cancelled,
 }
 
-/// One thing that passed on a socket, as its end on the nodes', the list's or the viewers' side saw it.
+/// The name that the evidence of findings uses.
+impl fmt::Display for SetUpOutcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            SetUpOutcome::Playing => "Plays",
+            SetUpOutcome::Rejected => "TurnedAway",
+            SetUpOutcome::Abandoned => "Given",
+            SetUpOutcome::Cancelled => "Ended",
+        })
+    }
+}
+
+/// One event on a socket, as its end at a node, the endpoint list or a viewer saw it; or a change of a process.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(tag = "what", rename_all = "snake_case")]
+#[serde(tag = "what")]
 pub enum Record {
-    // ---- nodes ------------------------------------------------------------------------------
-    /// A node's process began, with so many places; cold unless `warm`.
-    NodeUp {
+    // nodes
+    /// A node's process started.
+    #[serde(rename = "node_up")]
+    NodeStarted {
+        /// When.
         t: i64,
+        /// The node.
         node: u64,
+        /// Set-ups that the node can execute at a time when it is warm.
         places: f64,
+        /// Whether it has its full capacity at once.
         warm: bool,
+        /// The cell that it is in.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         cell: Option<u64>,
     },
-    /// A node's process died. `fell`: it was pushed over.
-    NodeDown {
+    /// A node's process died.
+    #[serde(rename = "node_down")]
+    NodeStopped {
+        /// When.
         t: i64,
+        /// The node.
         node: u64,
+        /// Whether it died of overload while it warmed up.
         fell: bool,
     },
-    /// A set-up arrived whole.
-    SetUp {
+    /// A set-up arrived complete.
+    #[serde(rename = "set_up")]
+    SetUpReceived {
+        /// When.
         t: i64,
+        /// The node.
         node: u64,
+        /// The director.
         director: u32,
+        /// The session.
         session: u64,
+        /// 0 for the first attempt, then one for each retry.
         attempt: u32,
+        /// The tenant, if the request names one.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         tenant: Option<String>,
+        /// The class of session.
         class: String,
+        /// The title.
         title: String,
+        /// The rung of the ladder.
         rung: usize,
     },
-    /// A set-up is over: answered, or its connection closed.
-    SetUpDone {
+    /// A set-up ended: it was answered, or its connection was closed.
+    #[serde(rename = "set_up_done")]
+    SetUpFinished {
+        /// When.
         t: i64,
+        /// The node.
         node: u64,
+        /// The session.
         session: u64,
+        /// 0 for the first attempt, then one for each retry.
         attempt: u32,
-        ran: Ran,
+        /// How it ended.
+        ran: SetUpOutcome,
     },
-    /// Part of a request came, and then its connection broke; what its start line said, if that came.
-    Partial {
+    /// Part of a request arrived before its connection broke.
+    #[serde(rename = "partial")]
+    PartialRequest {
+        /// When.
         t: i64,
+        /// The node.
         node: u64,
+        /// Bytes that arrived.
         bytes: usize,
+        /// The session, if the request line arrived.
         session: Option<u64>,
+        /// The attempt, if the request line arrived.
         attempt: Option<u32>,
     },
     /// A session's rung was changed.
-    Rung {
+    #[serde(rename = "rung")]
+    RungChanged {
+        /// When.
         t: i64,
+        /// The node.
         node: u64,
+        /// The session.
         session: u64,
+        /// The rung of the ladder.
         rung: usize,
     },
-    /// A session has ended at its node.
-    Over {
+    /// A session ended at its node.
+    #[serde(rename = "over")]
+    SessionEnded {
+        /// When.
         t: i64,
+        /// The node.
         node: u64,
+        /// The session.
         session: u64,
+        /// 0 for the first attempt, then one for each retry.
         attempt: u32,
     },
 
-    /// A hand-over arrived whole: a session that plays elsewhere is to be made ready.
-    HandIn {
+    /// A migration arrived complete: a session that plays elsewhere is to be prepared here.
+    #[serde(rename = "hand_in")]
+    MigrationReceived {
+        /// When.
         t: i64,
+        /// The node.
         node: u64,
+        /// The director.
         director: u32,
+        /// The session.
         session: u64,
+        /// 0 for the first attempt, then one for each retry.
         attempt: u32,
+        /// Grows by each migration of the session.
         epoch: u32,
+        /// The tenant, if the request names one.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         tenant: Option<String>,
+        /// The class of session.
         class: String,
+        /// The title.
         title: String,
+        /// The rung of the ladder.
         rung: usize,
     },
-    /// It is ready there.
-    HandInDone {
+    /// A migrated session is ready here.
+    #[serde(rename = "hand_in_done")]
+    MigrationReady {
+        /// When.
         t: i64,
+        /// The node.
         node: u64,
+        /// The session.
         session: u64,
+        /// 0 for the first attempt, then one for each retry.
         attempt: u32,
+        /// Grows by each migration of the session.
         epoch: u32,
-        ran: Ran,
+        /// How it ended.
+        ran: SetUpOutcome,
     },
-    /// Its player has fetched it there.
-    Fetched {
+    /// The player of a migrated session fetched it here.
+    #[serde(rename = "fetched")]
+    PlayerFetched {
+        /// When.
         t: i64,
+        /// The node.
         node: u64,
+        /// The session.
         session: u64,
+        /// 0 for the first attempt, then one for each retry.
         attempt: u32,
+        /// Grows by each migration of the session.
         epoch: u32,
     },
-    /// A node's process stands still, and goes on.
-    Froze {
+    /// A node's process stands still.
+    #[serde(rename = "froze")]
+    NodeFrozen {
+        /// When.
         t: i64,
+        /// The node.
         node: u64,
     },
-    Thawed {
+    /// A node's process runs again.
+    #[serde(rename = "thawed")]
+    NodeResumed {
+        /// When.
         t: i64,
+        /// The node.
         node: u64,
     },
-    /// What is asked of a node's link and uplink over what they give, and the part of its places that is taken.
-    Load {
+    /// What is requested of a node, as fractions of what it can give.
+    #[serde(rename = "load")]
+    NodeLoad {
+        /// When.
         t: i64,
+        /// The node.
         node: u64,
+        /// Of its link.
         link: f64,
+        /// Of its uplink.
         uplink: f64,
+        /// Of its streams.
         streams: f64,
     },
 
-    // ---- list -------------------------------------------------------------------------------
-    /// A director was told how a node stands: `ready`, `draining` or `gone`, and of a start of its process.
-    Told {
+    // list
+    /// A director was notified of a node's standing.
+    #[serde(rename = "told")]
+    EndpointNotified {
+        /// When.
         t: i64,
+        /// The director.
         director: u32,
+        /// The node.
         node: u64,
+        /// `ready`, `draining` or `gone`.
         standing: String,
+        /// When the node's process started, if the notification says so.
         came_up: Option<i64>,
     },
 
-    // ---- viewers ----------------------------------------------------------------------------
-    /// A viewer's request was sent whole.
-    Asked {
+    // viewers
+    /// A viewer's request was sent complete.
+    #[serde(rename = "asked")]
+    RequestSent {
+        /// When.
         t: i64,
+        /// The director.
         director: u32,
+        /// The request.
         ask: u64,
+        /// The idempotency key.
         key: String,
+        /// The tenant, if the request names one.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         tenant: Option<String>,
+        /// The class of session.
         class: String,
+        /// The title.
         title: String,
+        /// How long the viewer waits for an answer, microseconds.
         wait: i64,
     },
-    /// Its answer was read whole. `session`: it plays.
-    Answered {
+    /// A request's answer was read complete.
+    #[serde(rename = "answered")]
+    RequestAnswered {
+        /// When.
         t: i64,
+        /// The request.
         ask: u64,
+        /// The HTTP status.
         status: u16,
+        /// The session that plays or was rejected.
         session: Option<u64>,
     },
-    /// The connection ended without an answer.
-    Unanswered {
+    /// A request's connection ended without an answer.
+    #[serde(rename = "unanswered")]
+    RequestUnanswered {
+        /// When.
         t: i64,
+        /// The request.
         ask: u64,
     },
-    /// The viewer closed the connection before an answer came.
-    Left {
+    /// The viewer closed the connection before an answer arrived.
+    #[serde(rename = "left")]
+    RequestCancelled {
+        /// When.
         t: i64,
+        /// The request.
         ask: u64,
     },
-    /// What a viewer got of a session: for so long, bytes received and bytes that full rates would have been,
-    /// and for how long each rung was in force.
-    Watched {
+    /// What a viewer received of a session.
+    #[serde(rename = "watched")]
+    SessionWatched {
+        /// When.
         t: i64,
+        /// The request.
         ask: u64,
+        /// The session.
         session: u64,
+        /// For so long, microseconds.
         micros: i64,
+        /// Bytes received.
         got: u64,
+        /// Bytes that the full rates would have been.
         due: u64,
+        /// Rungs and how long each was in force, microseconds.
         rungs: Vec<(usize, i64)>,
     },
 
-    /// The picture stood still for so long, from `t` on.
-    Gap {
+    /// The picture stood still from this time on.
+    #[serde(rename = "gap")]
+    PlaybackGap {
+        /// When.
         t: i64,
+        /// The request.
         ask: u64,
+        /// The session.
         session: u64,
+        /// For so long, microseconds.
         micros: i64,
     },
 
-    // ---- directors --------------------------------------------------------------------------
-    DirectorUp {
+    // directors
+    /// A director's process started.
+    #[serde(rename = "director_up")]
+    DirectorStarted {
+        /// When.
         t: i64,
+        /// The director.
         director: u32,
     },
+    /// A director was killed.
+    #[serde(rename = "director_killed")]
     DirectorKilled {
+        /// When.
         t: i64,
+        /// The director.
         director: u32,
     },
-    /// It was stopped until `until`, from outside.
+    /// A director was stopped from outside.
+    #[serde(rename = "director_stalled")]
     DirectorStalled {
+        /// When.
         t: i64,
+        /// The director.
         director: u32,
+        /// Until when.
         until: i64,
     },
 }
 
 impl Record {
+    /// When it happened, microseconds on the clock of the machine.
     pub fn time(&self) -> i64 {
-        use Record::*;
         match self {
-            NodeUp { t, .. } | NodeDown { t, .. } | SetUp { t, .. } | SetUpDone { t, .. } => *t,
-            Partial { t, .. }
-            | Rung { t, .. }
-            | Over { t, .. }
-            | Told { t, .. }
-            | Asked { t, .. } => *t,
-            Answered { t, .. } | Unanswered { t, .. } | Left { t, .. } | Watched { t, .. } => *t,
-            HandIn { t, .. } | HandInDone { t, .. } | Fetched { t, .. } | Froze { t, .. } => *t,
-            Thawed { t, .. } | Load { t, .. } | Gap { t, .. } => *t,
-            DirectorUp { t, .. } | DirectorKilled { t, .. } | DirectorStalled { t, .. } => *t,
+            Record::NodeStarted { t, .. }
+            | Record::NodeStopped { t, .. }
+            | Record::SetUpReceived { t, .. }
+            | Record::SetUpFinished { t, .. }
+            | Record::PartialRequest { t, .. }
+            | Record::RungChanged { t, .. }
+            | Record::SessionEnded { t, .. }
+            | Record::MigrationReceived { t, .. }
+            | Record::MigrationReady { t, .. }
+            | Record::PlayerFetched { t, .. }
+            | Record::NodeFrozen { t, .. }
+            | Record::NodeResumed { t, .. }
+            | Record::NodeLoad { t, .. }
+            | Record::EndpointNotified { t, .. }
+            | Record::RequestSent { t, .. }
+            | Record::RequestAnswered { t, .. }
+            | Record::RequestUnanswered { t, .. }
+            | Record::RequestCancelled { t, .. }
+            | Record::SessionWatched { t, .. }
+            | Record::PlaybackGap { t, .. }
+            | Record::DirectorStarted { t, .. }
+            | Record::DirectorKilled { t, .. }
+            | Record::DirectorStalled { t, .. } => *t,
         }
     }
 }
-
-/// The figures by which a recording is judged; times in microseconds.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Rules {
-    pub classes: BTreeMap<String, ClassRule>,
-    /// Classes of tenants that have their own.
-    #[serde(default)]
-    pub tenants: BTreeMap<String, BTreeMap<String, ClassRule>>,
-    pub drain_within: i64,
-    pub answer_slack: i64,
-    pub warm_after: i64,
-    pub start_capacity: f64,
-    pub overload_factor: f64,
-    pub fall: i64,
-    pub further: Option<Further>,
-    /// Cells, and the first and the number of those that hold each title.
-    #[serde(default)]
-    pub cells: u64,
-    #[serde(default)]
-    pub titles: BTreeMap<String, (u64, u64)>,
-    /// What passes on one machine may be seen so much later, or in another order.
-    pub transit: i64,
-}
-
-impl Rules {
-    /// What holds for a class as a tenant's viewers name it.
-    pub fn class(&self, tenant: Option<&str>, class: &str) -> Option<&ClassRule> {
-        let own = tenant.and_then(|t| self.tenants.get(t));
-        own.unwrap_or(&self.classes).get(class)
-    }
-
-    /// The tenant, where its classes are its own: its sessions have no seats in common with others'.
-    pub fn owner(&self, tenant: Option<&String>) -> Option<String> {
-        tenant.filter(|t| self.tenants.contains_key(*t)).cloned()
-    }
-}
-
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct ClassRule {
-    pub paid: bool,
-    pub floor: usize,
-    pub seats: u32,
-}
-
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Further {
-    pub free: f64,
-    pub per_request: f64,
-    pub span: i64,
-}
-
-/// Appends records to a file.
-pub struct Writer(BufWriter<File>);
-
-impl Writer {
-    pub fn create(path: &Path) -> io::Result<Writer> {
-        Ok(Writer(BufWriter::new(File::create(path)?)))
-    }
-
-    pub fn write(&mut self, record: &Record) -> io::Result<()> {
-        serde_json::to_writer(&mut self.0, record)?;
-        self.0.write_all(b"\n")
-    }
-
-    pub fn flush(&mut self) -> io::Result<()> {
-        self.0.flush()
-    }
-}
-
-/// All recordings of a folder (`*.jsonl`), in order of time. What can't be read is an error that names file
-/// and line: a recording with a hole proves nothing.
-pub fn read(dir: &Path) -> io::Result<Vec<Record>> {
-    let mut files: Vec<_> = std::fs::read_dir(dir)?.collect::<Result<Vec<_>, _>>()?;
-    files.retain(|f| f.path().extension().is_some_and(|e| e == "jsonl"));
-    files.sort_by_key(std::fs::DirEntry::path);
-    let mut records = Vec::new();
-    for file in files {
-        for (number, line) in BufReader::new(File::open(file.path())?).lines().enumerate() {
-            let record = serde_json::from_str(&line?).map_err(|e| {
-                io::Error::other(format!("{}:{}: {e}", file.path().display(), number + 1))
-            })?;
-            records.push(record);
-        }
-    }
-    records.sort_by_key(Record::time);
-    Ok(records)
-}
-
-/// The rules that a day wrote beside its recordings.
-pub fn read_rules(dir: &Path) -> io::Result<Rules> {
-    let path = dir.join("rules.json");
-    let text = std::fs::read_to_string(&path)?;
-    serde_json::from_str(&text).map_err(|e| io::Error::other(format!("{}: {e}", path.display())))
-}
--- a/crates/audit/tests/convicts.rs
+++ b/crates/audit/tests/convicts.rs
@@ -1,6 +1,8 @@
 //! The auditor convicts: for each rule a recording that breaks just that one, and one a hair inside it.
 
-use shalewall_audit::*;
+use shalewall_audit::{
+    ClassRule, Placement, Record, RetryBudget, Rule, Rules, SetUpOutcome, TimeDelta, judge, read,
+};
 use std::collections::BTreeMap;
 
 const S: i64 = 1_000_000;
@@ -16,20 +18,20 @@
             "own".to_string(),
             BTreeMap::from([("open".to_string(), class(true, 0, 1))]),
         )]),
-        drain_within: S / 4,
-        answer_slack: S / 20,
-        warm_after: 10 * S,
+        drain_within: TimeDelta::from_micros(S / 4),
+        answer_slack: TimeDelta::from_micros(S / 20),
+        warm_after: TimeDelta::from_secs(10),
         start_capacity: 0.4,
         overload_factor: 2.0,
-        fall: 2 * S,
-        further: Some(Further {
+        overload_window: TimeDelta::from_secs(2),
+        retry_budget: Some(RetryBudget {
             free: 1.0,
             per_request: 0.5,
-            span: 10 * S,
+            window: TimeDelta::from_secs(10),
         }),
-        transit: S / 20,
+        transit: TimeDelta::from_micros(S / 20),
         cells: 4,
-        titles: BTreeMap::from([("t".to_string(), (0, 4))]),
+        titles: BTreeMap::from([("t".to_string(), Placement { home: 0, spread: 4 })]),
     }
 }
 
@@ -43,7 +45,7 @@
         "t".to_string(),
         tenant.map(str::to_string),
     );
-    Record::SetUp {
+    Record::SetUpReceived {
         t,
         node: 1,
         director: 0,
@@ -56,8 +58,8 @@
     }
 }
 
-fn done(t: i64, session: u64, attempt: u32, ran: Ran) -> Record {
-    Record::SetUpDone {
+fn done(t: i64, session: u64, attempt: u32, ran: SetUpOutcome) -> Record {
+    Record::SetUpFinished {
         t,
         node: 1,
         session,
@@ -68,7 +70,7 @@
 
 fn asked(t: i64, ask: u64, class: &str) -> Record {
     let (key, class, title) = (format!("v{ask}"), class.to_string(), "t".to_string());
-    Record::Asked {
+    Record::RequestSent {
         t,
         director: 0,
         ask,
@@ -81,7 +83,7 @@
 }
 
 fn answered(t: i64, ask: u64, status: u16, session: u64) -> Record {
-    Record::Answered {
+    Record::RequestAnswered {
         t,
         ask,
         status,
@@ -90,7 +92,7 @@
 }
 
 fn told(t: i64, standing: &str, came_up: Option<i64>) -> Record {
-    Record::Told {
+    Record::EndpointNotified {
         t,
         director: 0,
         node: 1,
@@ -119,21 +121,24 @@
     );
     breaks(
         vec![asked(0, 1, "open"), answered(2 * S + late + 1, 1, 201, 1)],
-        Some(Rule::Answered),
+        Some(Rule::OneAnswer),
     );
     let twice = vec![
         asked(0, 1, "open"),
         answered(S, 1, 201, 1),
         answered(S, 1, 503, 1),
     ];
-    breaks(twice, Some(Rule::Answered));
+    breaks(twice, Some(Rule::OneAnswer));
     breaks(
         vec![asked(0, 1, "open"), asked(9 * S, 2, "open")],
-        Some(Rule::Answered),
+        Some(Rule::OneAnswer),
     );
     breaks(
-        vec![asked(0, 1, "open"), Record::Unanswered { t: S, ask: 1 }],
-        Some(Rule::Answered),
+        vec![
+            asked(0, 1, "open"),
+            Record::RequestUnanswered { t: S, ask: 1 },
+        ],
+        Some(Rule::OneAnswer),
     );
     // A killed director owes nothing, one that was stopped owes it later.
     let killed = Record::DirectorKilled { t: S, director: 0 };
@@ -141,7 +146,7 @@
         vec![
             asked(0, 1, "open"),
             killed,
-            Record::Unanswered { t: S, ask: 1 },
+            Record::RequestUnanswered { t: S, ask: 1 },
         ],
         None,
     );
@@ -158,31 +163,35 @@
 
 #[test]
 fn no_set_up_twice() {
-    for ran in [Ran::Plays, Ran::Given, Ran::Ended] {
+    for ran in [
+        SetUpOutcome::Playing,
+        SetUpOutcome::Abandoned,
+        SetUpOutcome::Cancelled,
+    ] {
         let again = vec![
             set_up(0, 1, 0, "paid"),
             done(S, 1, 0, ran),
             set_up(2 * S, 1, 1, "paid"),
         ];
-        breaks(again, Some(Rule::Once));
+        breaks(again, Some(Rule::NoDuplicateSetUp));
     }
     let proven = vec![
         set_up(0, 1, 0, "paid"),
-        done(S, 1, 0, Ran::TurnedAway),
+        done(S, 1, 0, SetUpOutcome::Rejected),
         set_up(2 * S, 1, 1, "paid"),
     ];
     breaks(proven, None);
     let harmless = vec![
         set_up(0, 1, 0, "open"),
-        done(S, 1, 0, Ran::Given),
+        done(S, 1, 0, SetUpOutcome::Abandoned),
         set_up(2 * S, 1, 1, "open"),
     ];
     breaks(harmless, None);
     breaks(
         vec![set_up(0, 1, 0, "open"), set_up(S, 1, 1, "open")],
-        Some(Rule::Once),
+        Some(Rule::NoDuplicateSetUp),
     );
-    let part = Record::Partial {
+    let part = Record::PartialRequest {
         t: 0,
         node: 1,
         bytes: 30,
@@ -191,7 +200,7 @@
     };
     breaks(
         vec![part.clone(), set_up(S, 1, 1, "paid")],
-        Some(Rule::Once),
+        Some(Rule::NoDuplicateSetUp),
     );
     breaks(vec![part, set_up(S, 1, 1, "open")], None);
     // A refusal says that it never ran.
@@ -203,8 +212,11 @@
             answered(S, 1, 503, 7),
         ]
     };
-    breaks(refused(Ran::TurnedAway), None);
-    breaks(refused(Ran::Given), Some(Rule::Once));
+    breaks(refused(SetUpOutcome::Rejected), None);
+    breaks(
+        refused(SetUpOutcome::Abandoned),
+        Some(Rule::NoDuplicateSetUp),
+    );
 }
 
 #[test]
@@ -219,11 +231,11 @@
             told(S, "draining", None),
             set_up(S + within + 1, 1, 0, "open"),
         ],
-        Some(Rule::Drains),
+        Some(Rule::Draining),
     );
     breaks(
         vec![told(S, "gone", None), set_up(3 * S, 1, 0, "open")],
-        Some(Rule::Drains),
+        Some(Rule::Draining),
     );
     breaks(
         vec![
@@ -239,14 +251,14 @@
         told(2 * S, "draining", None),
         set_up(2 * S, 1, 0, "open"),
     ];
-    breaks(twice, Some(Rule::Drains));
+    breaks(twice, Some(Rule::Draining));
 }
 
 #[test]
 fn no_cold_node_pushed_over() {
     // 10 places over 10 s at 0.4, twice that over 2 s: 1.6, and 2 for chance.
     let push = |n: u64, knew: bool| {
-        let mut records = vec![Record::NodeUp {
+        let mut records = vec![Record::NodeStarted {
             t: 0,
             node: 1,
             places: 10.0,
@@ -258,33 +270,37 @@
         records
     };
     breaks(push(3, true), None);
-    breaks(push(4, true), Some(Rule::Cold));
+    breaks(push(4, true), Some(Rule::SlowStart));
     breaks(push(4, false), None);
     let mut fell = push(3, true);
-    fell.push(Record::NodeDown {
+    fell.push(Record::NodeStopped {
         t: 5000,
         node: 1,
         fell: true,
     });
-    breaks(fell, Some(Rule::Cold));
+    breaks(fell, Some(Rule::SlowStart));
 }
 
 #[test]
 fn floors_and_seats_kept() {
     let mut low = set_up(0, 1, 0, "paid");
-    if let Record::SetUp { rung, .. } = &mut low {
+    if let Record::SetUpReceived { rung, .. } = &mut low {
         *rung = 0;
     }
-    breaks(vec![low], Some(Rule::Terms));
-    let step = Record::Rung {
+    breaks(vec![low], Some(Rule::FloorsAndSeats));
+    let step = Record::RungChanged {
         t: S,
         node: 1,
         session: 1,
         rung: 0,
     };
     breaks(
-        vec![set_up(0, 1, 0, "paid"), done(1, 1, 0, Ran::Plays), step],
-        Some(Rule::Terms),
+        vec![
+            set_up(0, 1, 0, "paid"),
+            done(1, 1, 0, SetUpOutcome::Playing),
+            step,
+        ],
+        Some(Rule::FloorsAndSeats),
     );
     let seats = |n: u64| {
         (0..n)
@@ -292,10 +308,10 @@
             .collect::<Vec<_>>()
     };
     breaks(seats(2), None);
-    breaks(seats(3), Some(Rule::Terms));
+    breaks(seats(3), Some(Rule::FloorsAndSeats));
     let mut freed = seats(2);
-    freed.push(done(10, 0, 0, Ran::Plays));
-    freed.push(Record::Over {
+    freed.push(done(10, 0, 0, SetUpOutcome::Playing));
+    freed.push(Record::SessionEnded {
         t: 20,
         node: 1,
         session: 0,
@@ -314,7 +330,7 @@
             let t = S + 10 * i as i64;
             records.extend([
                 set_up(t, i, 0, "open"),
-                done(t + 1, i, 0, Ran::Given),
+                done(t + 1, i, 0, SetUpOutcome::Abandoned),
                 set_up(t + 2, i, 1, "open"),
             ]);
         }
@@ -322,7 +338,7 @@
         records
     };
     breaks(tries(2), None);
-    breaks(tries(3), Some(Rule::Ration));
+    breaks(tries(3), Some(Rule::RetryBudget));
 }
 
 #[test]
@@ -358,7 +374,7 @@
         ],
     ]
     .concat();
-    breaks(two.clone(), Some(Rule::Terms));
+    breaks(two.clone(), Some(Rule::FloorsAndSeats));
     two.sort_by_key(Record::time);
     let verdict = judge(&two, &rules());
     assert_eq!(verdict.findings[0].tenant.as_deref(), Some("own"));
@@ -367,11 +383,11 @@
         said.contains("tenant own: ") && said.contains("floors and seats kept BROKEN 1 times"),
         "{said}"
     );
-    assert_eq!(verdict.tenants["other"][Rule::Once.name()].1, 1);
+    assert_eq!(verdict.tenants["other"][&Rule::NoDuplicateSetUp].tests, 1);
     let again = vec![
         set_up_of(0, 4, 0, "open", Some("own")),
-        done(1, 4, 0, Ran::Given),
+        done(1, 4, 0, SetUpOutcome::Abandoned),
         set_up_of(2, 4, 1, "open", Some("own")),
     ];
-    breaks(again, Some(Rule::Once));
+    breaks(again, Some(Rule::NoDuplicateSetUp));
 }
--- a/crates/cli/tests/bad_day.rs
+++ b/crates/cli/tests/bad_day.rs
@@ -1,6 +1,7 @@
 //! The bad day in short, and the other kinds of trouble, on real sockets and with each director a process of
 //! its own.
 
+use shalewall_audit::Rule;
 use shalewall_scripted_days::{self as day, Summary};
 use shalewall_settings::{DayPlan, read};
 use std::path::Path;
@@ -29,12 +30,13 @@
     assert!(verdict.holds());
     for (tenant, tested) in &verdict.tenants {
         for rule in [
-            "one answer in time",
-            "no set-up twice",
-            "drains kept",
-            "floors and seats kept",
+            Rule::OneAnswer,
+            Rule::NoDuplicateSetUp,
+            Rule::Draining,
+            Rule::FloorsAndSeats,
         ] {
-            assert!(tested[rule].1 > 10, "{tenant}: {rule}: {summary}");
+            let name = rule.name();
+            assert!(tested[&rule].tests > 10, "{tenant}: {name}: {summary}");
         }
     }
     summary
@@ -73,11 +75,11 @@
 fn sessions_are_handed_over_on_the_short_day_of_moves() {
     let summary = holds("short-moves.hcl");
     let moves = summary.moves.as_ref().expect("players follow");
-    assert!(moves.made >= 20, "{summary}");
+    assert!(moves.completed >= 20, "{summary}");
     assert_eq!(moves.served_twice, 0, "{summary}");
     // Gaps on a machine that keeps players waiting say nothing of the front.
     assert!(
-        moves.gap(0.9) <= 200_000 || summary.lag_ms > 100.0,
+        moves.gap_quantile(0.9).as_micros() <= 200_000 || summary.lag_ms > 100.0,
         "{summary}"
     );
 }
--- a/crates/cli/tests/direct_day.rs
+++ b/crates/cli/tests/direct_day.rs
@@ -59,7 +59,7 @@
         .verdict
         .findings
         .iter()
-        .map(|f| (at(f.t), f.rule, &f.what))
+        .map(|f| (at(f.time.as_micros()), f.rule, &f.evidence))
         .collect();
     println!(
         "{} requests\n{}{found:#?}{:#?}",
@@ -82,15 +82,15 @@
         day.asked
     );
     for rule in [
-        Rule::Answered,
-        Rule::Once,
-        Rule::Drains,
-        Rule::Cold,
-        Rule::Terms,
-        Rule::Ration,
+        Rule::OneAnswer,
+        Rule::NoDuplicateSetUp,
+        Rule::Draining,
+        Rule::SlowStart,
+        Rule::FloorsAndSeats,
+        Rule::RetryBudget,
     ] {
         assert!(
-            day.verdict.tested.contains_key(rule.name()),
+            day.verdict.coverage.contains_key(&rule),
             "{} was not tested",
             rule.name()
         );
@@ -160,8 +160,8 @@
 
 #[test]
 fn who_loses_or_repeats_answers_is_convicted() {
-    convicted(Lie::Loses, Some(Rule::Answered));
-    convicted(Lie::Twice, Some(Rule::Answered));
+    convicted(Lie::Loses, Some(Rule::OneAnswer));
+    convicted(Lie::Twice, Some(Rule::OneAnswer));
 }
 
 #[test]
@@ -172,14 +172,14 @@
 
 #[test]
 fn who_pays_twice_or_plays_under_the_floor_is_convicted() {
-    convicted(Lie::PaysTwice, Some(Rule::Once));
-    convicted(Lie::UnderFloor, Some(Rule::Terms));
+    convicted(Lie::PaysTwice, Some(Rule::NoDuplicateSetUp));
+    convicted(Lie::UnderFloor, Some(Rule::FloorsAndSeats));
 }
 
 #[test]
 fn who_ignores_drains_or_pushes_a_cold_node_is_convicted() {
-    convicted(Lie::IgnoresDrains, Some(Rule::Drains));
-    convicted(Lie::PushesCold, Some(Rule::Cold));
+    convicted(Lie::IgnoresDrains, Some(Rule::Draining));
+    convicted(Lie::PushesCold, Some(Rule::SlowStart));
 }
 
 #[test]
@@ -189,12 +189,12 @@
 
 #[test]
 fn who_ends_at_once_when_told_to_is_convicted() {
-    convicted(Lie::EndsAtOnce, Some(Rule::Answered));
+    convicted(Lie::EndsAtOnce, Some(Rule::OneAnswer));
 }
 
 #[test]
 fn who_ignores_a_silent_list_is_convicted() {
-    convicted(Lie::IgnoresSilence, Some(Rule::Drains));
+    convicted(Lie::IgnoresSilence, Some(Rule::Draining));
 }
 
 /// The two days on which those are convicted, with right directors: what is judged there can be kept.
@@ -221,10 +221,10 @@
         day.verdict,
         day.odd
     );
-    assert!(day.verdict.tested.contains_key(Rule::Drains.name()) && day.asked > 50);
+    assert!(day.verdict.coverage.contains_key(&Rule::Draining) && day.asked > 50);
 }
 
 #[test]
 fn who_wastes_attempts_is_convicted() {
-    convicted(Lie::Wastes, Some(Rule::Ration));
+    convicted(Lie::Wastes, Some(Rule::RetryBudget));
 }
--- a/crates/emulator/src/list.rs
+++ b/crates/emulator/src/list.rs
@@ -189,7 +189,7 @@
         let t = shalewall_clock::now().as_micros();
         for line in lines {
             let (node, standing) = (line.server, line.standing.to_string());
-            self.recorder.note(Record::Told {
+            self.recorder.note(Record::EndpointNotified {
                 t,
                 director,
                 node,
--- a/crates/emulator/src/nodes.rs
+++ b/crates/emulator/src/nodes.rs
@@ -12,7 +12,7 @@
 use rustix::net::sockopt::set_socket_linger;
 use serde::Deserialize;
 use shalewall::{SessionId, TimeDelta};
-use shalewall_audit::{Ran, Record};
+use shalewall_audit::{Record, SetUpOutcome};
 use shalewall_fleet_model::fleet::{
     ActiveSession, AttemptId, Fleet, Machine, ProcessState, SetupDecision,
 };
@@ -153,10 +153,10 @@
 }
 
 impl Pending {
-    fn over(&mut self, ran: Ran) {
+    fn over(&mut self, ran: SetUpOutcome) {
         self.armed = false;
         let AttemptId { session, attempt } = self.run;
-        self.nodes.recorder.note(Record::SetUpDone {
+        self.nodes.recorder.note(Record::SetUpFinished {
             t: shalewall_clock::now().as_micros(),
             node: self.node,
             session,
@@ -169,7 +169,7 @@
 impl Drop for Pending {
     fn drop(&mut self) {
         if self.armed {
-            self.over(Ran::Given);
+            self.over(SetUpOutcome::Abandoned);
             if self.counted {
                 self.nodes.inner.borrow_mut().fleet.abandon_setup(self.node);
             }
@@ -234,7 +234,7 @@
             .borrow_mut()
             .holds
             .insert(id, NodeSessions::new((now / 1000) as u64));
-        self.recorder.note(Record::NodeUp {
+        self.recorder.note(Record::NodeStarted {
             t: now,
             node: id,
             places,
@@ -278,7 +278,7 @@
             node.playing.clear();
         }
         drop(inner);
-        self.recorder.note(Record::NodeDown {
+        self.recorder.note(Record::NodeStopped {
             t: shalewall_clock::now().as_micros(),
             node: id,
             fell,
@@ -291,7 +291,7 @@
             && node.process == ProcessState::Running
         {
             node.process = ProcessState::Frozen;
-            self.recorder.note(Record::Froze {
+            self.recorder.note(Record::NodeFrozen {
                 t: shalewall_clock::now().as_micros(),
                 node: id,
             });
@@ -304,7 +304,7 @@
             && node.process == ProcessState::Frozen
         {
             node.process = ProcessState::Running;
-            self.recorder.note(Record::Thawed {
+            self.recorder.note(Record::NodeResumed {
                 t: shalewall_clock::now().as_micros(),
                 node: id,
             });
@@ -411,7 +411,7 @@
                 let run = text.split(' ').nth(1).and_then(run_of);
                 let (t, bytes) = (shalewall_clock::now().as_micros(), bytes.len());
                 let (session, attempt) = (run.map(|r| r.session), run.map(|r| r.attempt));
-                self.recorder.note(Record::Partial {
+                self.recorder.note(Record::PartialRequest {
                     t,
                     node: id,
                     bytes,
@@ -473,7 +473,7 @@
                     return Reply::problem(404, "no such session here");
                 }
                 let t = shalewall_clock::now().as_micros();
-                self.recorder.note(Record::Rung {
+                self.recorder.note(Record::RungChanged {
                     t,
                     node: id,
                     session: run.session,
@@ -514,7 +514,7 @@
             return Reply::problem(422, "director, class, title, rung and kb are needed");
         };
         let now = shalewall_clock::now().as_micros();
-        self.recorder.note(Record::SetUp {
+        self.recorder.note(Record::SetUpReceived {
             t: now,
             node: id,
             director: new.director,
@@ -546,12 +546,12 @@
             }
             SetupDecision::Cancelled => {
                 self.awake(id).await;
-                pending.over(Ran::Ended);
+                pending.over(SetUpOutcome::Cancelled);
                 self.with_load(id, never_ran(410, "ended before it began"))
             }
             SetupDecision::Rejected => {
                 self.awake(id).await;
-                pending.over(Ran::TurnedAway);
+                pending.over(SetUpOutcome::Rejected);
                 self.with_load(id, never_ran(503, "no place"))
             }
             SetupDecision::Accepted(time) => {
@@ -566,10 +566,10 @@
                     .fleet
                     .complete_setup(id, run, new.playing())
                 {
-                    pending.over(Ran::Ended);
+                    pending.over(SetUpOutcome::Cancelled);
                     return self.with_load(id, never_ran(410, "ended before it began"));
                 }
-                pending.over(Ran::Plays);
+                pending.over(SetUpOutcome::Playing);
                 if let Some(holds) = self.inner.borrow_mut().holds.get_mut(&id) {
                     holds.set_up(SessionId(run.session));
                 }
@@ -629,7 +629,7 @@
     }
 
     fn over(&self, id: u64, AttemptId { session, attempt }: AttemptId) {
-        self.recorder.note(Record::Over {
+        self.recorder.note(Record::SessionEnded {
             t: shalewall_clock::now().as_micros(),
             node: id,
             session,
--- a/crates/emulator/src/nodes/moves.rs
+++ b/crates/emulator/src/nodes/moves.rs
@@ -4,7 +4,7 @@
 use async_io::Timer;
 use serde::Deserialize;
 use shalewall::{ServerId, SessionId};
-use shalewall_audit::{Ran, Record};
+use shalewall_audit::{Record, SetUpOutcome};
 use shalewall_fleet_model::fleet::{AttemptId, ProcessState, SetupDecision};
 use shalewall_http::server::{Reply, Request};
 use shalewall_migration::Epoch;
@@ -133,7 +133,7 @@
     async fn prepare(self, id: u64, run: AttemptId, HandIn { new, ticket }: HandIn) -> Reply {
         let (session, epoch) = (SessionId(run.session), ticket.epoch);
         let now = shalewall_clock::now().as_micros();
-        self.recorder.note(Record::HandIn {
+        self.recorder.note(Record::MigrationReceived {
             t: now,
             node: id,
             director: new.director,
@@ -234,8 +234,12 @@
         }
         preparing.ready = true;
         let AttemptId { session, attempt } = run;
-        let (t, ran, epoch) = (shalewall_clock::now().as_micros(), Ran::Plays, epoch.0);
-        self.recorder.note(Record::HandInDone {
+        let (t, ran, epoch) = (
+            shalewall_clock::now().as_micros(),
+            SetUpOutcome::Playing,
+            epoch.0,
+        );
+        self.recorder.note(Record::MigrationReady {
             t,
             node: id,
             session,
@@ -270,7 +274,7 @@
         epoch: Epoch,
     ) {
         let (t, epoch) = (shalewall_clock::now().as_micros(), epoch.0);
-        self.recorder.note(Record::Fetched {
+        self.recorder.note(Record::PlayerFetched {
             t,
             node: id,
             session,
@@ -292,7 +296,7 @@
             {
                 let f = inner.fleet.load(*node);
                 let streams = f.streams as f64 / n.machine.stream_capacity;
-                self.recorder.note(Record::Load {
+                self.recorder.note(Record::NodeLoad {
                     t,
                     node: *node,
                     link: f.link,
--- a/crates/emulator/src/player.rs
+++ b/crates/emulator/src/player.rs
@@ -461,7 +461,7 @@
     let rungs = rungs.iter().map(|(r, s)| (*r, (s * 1e6) as i64)).collect();
     let (got, due) = (shown as u64, (shown + stood) as u64);
     let micros = shown;
-    viewers.recorder.note(Record::Watched {
+    viewers.recorder.note(Record::SessionWatched {
         t: now,
         ask,
         session,
--- a/crates/emulator/src/viewers.rs
+++ b/crates/emulator/src/viewers.rs
@@ -299,7 +299,7 @@
             viewer.title.clone(),
         );
         let tenant = viewer.tenant.clone();
-        self.recorder.note(Record::Asked {
+        self.recorder.note(Record::RequestSent {
             t,
             director: number,
             ask,
@@ -317,11 +317,12 @@
         let answer = match answer {
             Some(Ok(answer)) => answer,
             Some(Err(Failure::NotConnected(..) | Failure::NeverRan(_))) => {
-                self.recorder.note(Record::Left { t: now, ask });
+                self.recorder.note(Record::RequestCancelled { t: now, ask });
                 return Try::Again(self.crowd.retry_pause);
             }
             None | Some(Err(Failure::MayHaveRun(_))) => {
-                self.recorder.note(Record::Unanswered { t: now, ask });
+                self.recorder
+                    .note(Record::RequestUnanswered { t: now, ask });
                 self.enter(viewer, |t| t.unanswered += 1);
                 return Try::Again(self.crowd.retry_pause);
             }
@@ -329,7 +330,7 @@
         let said: Value = serde_json::from_slice(&answer.body).unwrap_or_default();
         let session = said["session"].as_u64();
         let status = answer.head.status;
-        self.recorder.note(Record::Answered {
+        self.recorder.note(Record::RequestAnswered {
             t: now,
             ask,
             status,
@@ -398,7 +399,7 @@
     }
 
     pub(crate) fn gap(&self, ask: u64, session: u64, t: i64, micros: i64) {
-        self.recorder.note(Record::Gap {
+        self.recorder.note(Record::PlaybackGap {
             t,
             ask,
             session,
@@ -489,7 +490,7 @@
             .iter()
             .map(|(r, s)| (*r, (s * 1e6) as i64))
             .collect();
-        self.recorder.note(Record::Watched {
+        self.recorder.note(Record::SessionWatched {
             t: shalewall_clock::now().as_micros(),
             ask,
             session,
--- a/crates/scripted-days/src/director_processes.rs
+++ b/crates/scripted-days/src/director_processes.rs
@@ -87,7 +87,7 @@
         let Some(Ok(address)) = listening else {
             return Err(DayError::DirectorNotListening { number });
         };
-        self.recorder.note(Record::DirectorUp {
+        self.recorder.note(Record::DirectorStarted {
             t: shalewall_clock::now().as_micros(),
             director: number,
         });
--- a/crates/scripted-days/src/rules.rs
+++ b/crates/scripted-days/src/rules.rs
@@ -1,11 +1,11 @@
 //! The rules of a day as the auditor wants them.
 
-use shalewall_audit::{ClassRule, Further, Rules};
-use shalewall_settings::{Class, DayPlan, us};
+use shalewall_audit::{ClassRule, Placement, RetryBudget, Rules, TimeDelta};
+use shalewall_settings::{Class, DayPlan, Title, us};
 use std::collections::BTreeMap;
 
-/// What may be seen later, or in another order, than it was sent: loopback, and turns of busy processes. Microseconds.
-const TRANSIT_US: i64 = 100_000;
+/// What may be seen later, or in another order, than it was sent: loopback, and turns of busy processes.
+const TRANSIT: TimeDelta = TimeDelta::from_millis(100);
 
 /// The rules that a day's recordings are judged by.
 pub fn rules(plan: &DayPlan) -> Rules {
@@ -21,17 +21,17 @@
             .map(|name| (name.clone(), classes.clone()))
             .collect(),
         classes,
-        drain_within: us(site.rules.drain_within_ms),
-        answer_slack: us(site.rules.answer_slack_ms),
-        warm_after: us(site.rules.warm_after_ms),
+        drain_within: length(site.rules.drain_within_ms),
+        answer_slack: length(site.rules.answer_slack_ms),
+        warm_after: length(site.rules.warm_after_ms),
         start_capacity: site.rules.start_capacity,
         overload_factor: site.rules.overload_factor,
-        fall: us(site.rules.fall_ms),
-        further: site.rules.further.as_ref().map(retry_rule),
-        transit: TRANSIT_US,
+        overload_window: length(site.rules.fall_ms),
+        retry_budget: site.rules.further.as_ref().map(retry_rule),
+        transit: TRANSIT,
         cells: site.layout.cells,
         titles: titles
-            .map(|(name, title)| (name.clone(), (title.home, title.spread)))
+            .map(|(name, title)| (name.clone(), placement(title)))
             .collect(),
     }
 }
@@ -44,10 +44,21 @@
     }
 }
 
-fn retry_rule(budget: &shalewall_settings::Further) -> Further {
-    Further {
+fn length(millis: f64) -> TimeDelta {
+    TimeDelta::from_micros(us(millis))
+}
+
+fn placement(title: &Title) -> Placement {
+    Placement {
+        home: title.home,
+        spread: title.spread,
+    }
+}
+
+fn retry_rule(budget: &shalewall_settings::Further) -> RetryBudget {
+    RetryBudget {
         free: budget.free,
         per_request: budget.per_request,
-        span: us(budget.span_ms),
+        window: length(budget.span_ms),
     }
 }
--- a/crates/scripted-days/src/run.rs
+++ b/crates/scripted-days/src/run.rs
@@ -8,7 +8,7 @@
 use crate::{MAX_DIRECTORS, faults, hosted_service, rules};
 use async_executor::{LocalExecutor, Task};
 use async_io::Timer;
-use shalewall_audit::{Verdict, judge};
+use shalewall_audit::{Verdict, judge, review_migrations};
 use shalewall_emulator::recorder::Recorder;
 use shalewall_emulator::viewers::Count;
 use shalewall_settings::DayPlan;
@@ -49,7 +49,7 @@
     recorder.flush()?;
     let records = shalewall_audit::read(out)?;
     let verdict = judge(&records, &rules);
-    let moves = (plan.load.follow > 0.0).then(|| shalewall_audit::moves(&records, &rules));
+    let moves = (plan.load.follow > 0.0).then(|| review_migrations(&records, &rules));
     let summary = Summary::new(&played.count, &verdict, moves, &played.shortfall);
     let summary_text = serde_json::to_string_pretty(&summary)?;
     std::fs::write(out.join("summary.json"), summary_text)?;
--- a/crates/scripted-days/src/summary.rs
+++ b/crates/scripted-days/src/summary.rs
@@ -3,7 +3,7 @@
 use crate::host_resources::Shortfall;
 use hdrhistogram::Histogram;
 use serde::Serialize;
-use shalewall_audit::{Moves, Verdict};
+use shalewall_audit::{MigrationReport, Verdict};
 use shalewall_emulator::viewers::Count;
 use shalewall_fleet_model::totals::ViewerTotals;
 use std::collections::BTreeMap;
@@ -90,7 +90,7 @@
     /// Waits by class.
     pub waits: BTreeMap<String, WaitTimes>,
     /// Hand-overs and gaps, where players follow.
-    pub moves: Option<Moves>,
+    pub moves: Option<MigrationReport>,
     /// The latest that a timer of the emulators fired, milliseconds.
     pub lag_ms: f64,
     /// What the machine shortfall: figures of such a day are not of the program.
@@ -112,13 +112,12 @@
     pub fn new(
         count: &Count,
         verdict: &Verdict,
-        moves: Option<Moves>,
+        moves: Option<MigrationReport>,
         shortfall: &Shortfall,
     ) -> Summary {
         let tenants = count.tallies.tenants.iter();
         let waits = count.took.iter();
-        let nearest = verdict.nearest.iter();
-        let tested = verdict.tested.iter();
+        let coverage = verdict.coverage.iter();
         let findings = verdict.findings.iter();
         Summary {
             all: ViewerFigures::new(&count.tallies.all),
@@ -132,14 +131,15 @@
             lag_ms: shortfall.timer_delay.as_secs_f64() * 1000.0,
             not_valid: shortfall.reasons(),
             rules_hold: verdict.holds(),
-            nearest: nearest
-                .map(|(rule, value)| (rule.to_string(), *value))
+            nearest: coverage
+                .clone()
+                .map(|(rule, coverage)| (rule.name().to_string(), coverage.nearest))
                 .collect(),
-            tested: tested
-                .map(|(rule, count)| (rule.to_string(), *count))
+            tested: coverage
+                .map(|(rule, coverage)| (rule.name().to_string(), coverage.tests))
                 .collect(),
             findings: findings
-                .map(|finding| format!("{}: {}", finding.rule.name(), finding.what))
+                .map(|finding| format!("{}: {}", finding.rule.name(), finding.evidence))
                 .collect(),
             verdict: verdict.to_string(),
         }
--- a/crates/scripted-days/tests/wrong_front.rs
+++ b/crates/scripted-days/tests/wrong_front.rs
@@ -151,7 +151,7 @@
     })
     .detach();
     // As the day does: the director is up, and its node streams stand in for its lease.
-    emulation.recorder.note(Record::DirectorUp {
+    emulation.recorder.note(Record::DirectorStarted {
         t: shalewall_clock::now().as_micros(),
         director: 0,
     });
@@ -194,12 +194,12 @@
 fn each_wrong_front_is_convicted_of_just_its_rule() {
     let table = [
         (Wrong::Nothing, vec![]),
-        (Wrong::Loses, vec![Rule::Answered]),
-        (Wrong::PaysTwice, vec![Rule::Once]),
-        (Wrong::IgnoresDrains, vec![Rule::Drains]),
-        (Wrong::PushesCold, vec![Rule::Cold]),
-        (Wrong::UnderFloor, vec![Rule::Terms]),
-        (Wrong::WastesAttempts, vec![Rule::Ration]),
+        (Wrong::Loses, vec![Rule::OneAnswer]),
+        (Wrong::PaysTwice, vec![Rule::NoDuplicateSetUp]),
+        (Wrong::IgnoresDrains, vec![Rule::Draining]),
+        (Wrong::PushesCold, vec![Rule::SlowStart]),
+        (Wrong::UnderFloor, vec![Rule::FloorsAndSeats]),
+        (Wrong::WastesAttempts, vec![Rule::RetryBudget]),
     ];
     let runs: Vec<_> = table
         .into_iter()
--- a/crates/test-harness/src/director.rs
+++ b/crates/test-harness/src/director.rs
@@ -97,7 +97,7 @@
                 .or_default()
                 .push((from, t));
         }
-        self.tape.note(Record::DirectorUp {
+        self.tape.note(Record::DirectorStarted {
             t,
             director: self.number,
         });
--- a/crates/test-harness/src/journal.rs
+++ b/crates/test-harness/src/journal.rs
@@ -101,7 +101,7 @@
         let standing = ["ready", "draining", "gone"][usize::from(line.state.min(2))].to_string();
         for director in 0..self.directors {
             let (node, standing) = (line.node.into(), standing.clone());
-            self.tape.note(Record::Told {
+            self.tape.note(Record::EndpointNotified {
                 t,
                 director,
                 node,
--- a/crates/test-harness/src/node.rs
+++ b/crates/test-harness/src/node.rs
@@ -5,7 +5,7 @@
 use crate::{name, now};
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use shalewall_audit::{Ran, Record};
+use shalewall_audit::{Record, SetUpOutcome};
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
@@ -105,7 +105,7 @@
         let listener = TcpListener::bind(("127.0.0.1", self.port))?;
         listener.set_nonblocking(true)?;
         let (t, node) = (now(), self.id.into());
-        self.tape.note(Record::NodeUp {
+        self.tape.note(Record::NodeStarted {
             t,
             node,
             places: PLACES,
@@ -131,10 +131,10 @@
             let _ = conn.shutdown(Shutdown::Both);
         }
         for (session, (_, attempt, _)) in std::mem::take(&mut inner.out) {
-            self.done(session, attempt, Ran::Given);
+            self.done(session, attempt, SetUpOutcome::Abandoned);
         }
         for (session, s) in std::mem::take(&mut inner.standing) {
-            self.tape.note(Record::Over {
+            self.tape.note(Record::SessionEnded {
                 t,
                 node: self.id.into(),
                 session,
@@ -143,15 +143,15 @@
             self.tape.ended(session, End::Untold);
         }
         inner.said.clear();
-        self.tape.note(Record::NodeDown {
+        self.tape.note(Record::NodeStopped {
             t,
             node: self.id.into(),
             fell: false,
         });
     }
 
-    fn done(&self, session: u64, attempt: u32, ran: Ran) {
-        self.tape.note(Record::SetUpDone {
+    fn done(&self, session: u64, attempt: u32, ran: SetUpOutcome) {
+        self.tape.note(Record::SetUpFinished {
             t: now(),
             node: self.id.into(),
             session,
@@ -227,7 +227,7 @@
             let Some(s) = inner.standing.remove(&tag) else {
                 continue;
             };
-            self.tape.note(Record::Over {
+            self.tape.note(Record::SessionEnded {
                 t,
                 node: self.id.into(),
                 session: tag,
@@ -266,15 +266,15 @@
         let odd = inner.count;
         match inner.mood {
             Mood::Full => {
-                self.done(tag, attempt, Ran::TurnedAway);
+                self.done(tag, attempt, SetUpOutcome::Rejected);
                 return say(inner, conn, &rtsp::answer(tag, 453, ""));
             }
             Mood::Errors if odd.is_multiple_of(2) => {
-                self.done(tag, attempt, Ran::Ended);
+                self.done(tag, attempt, SetUpOutcome::Cancelled);
                 return say(inner, conn, &rtsp::answer(tag, 500, ""));
             }
             Mood::Garbled if odd.is_multiple_of(3) => {
-                self.done(tag, attempt, Ran::Ended);
+                self.done(tag, attempt, SetUpOutcome::Cancelled);
                 return say(
                     inner,
                     conn,
@@ -290,7 +290,7 @@
             .entry(tag)
             .or_default()
             .push(made.clone());
-        self.done(tag, attempt, Ran::Plays);
+        self.done(tag, attempt, SetUpOutcome::Playing);
         let until = now() + self.draw(LASTS);
         inner.standing.insert(
             tag,
@@ -326,7 +326,7 @@
             .collect();
         for (tag, attempt) in open {
             inner.out.remove(&tag);
-            self.done(tag, attempt, Ran::Given);
+            self.done(tag, attempt, SetUpOutcome::Abandoned);
         }
     }
 
@@ -337,11 +337,11 @@
             "TEARDOWN" => {
                 let mut inner = self.open();
                 if let Some((_, attempt, _)) = inner.out.remove(&tag) {
-                    self.done(tag, attempt, Ran::Given);
+                    self.done(tag, attempt, SetUpOutcome::Abandoned);
                 }
                 if let Some(s) = inner.standing.remove(&tag) {
                     let t = now();
-                    self.tape.note(Record::Over {
+                    self.tape.note(Record::SessionEnded {
                         t,
                         node: self.id.into(),
                         session: tag,
@@ -355,7 +355,7 @@
                     .field("x-rung")
                     .and_then(|r| r.parse().ok())
                     .unwrap_or(0);
-                self.tape.note(Record::Rung {
+                self.tape.note(Record::RungChanged {
                     t: now(),
                     node: self.id.into(),
                     session: tag,
@@ -391,7 +391,7 @@
         let director = crate::director_of(tag);
         let (t, node) = (now(), self.id.into());
         let session = tag;
-        self.tape.note(Record::SetUp {
+        self.tape.note(Record::SetUpReceived {
             t,
             node,
             director,
@@ -409,7 +409,7 @@
             ));
         }
         if inner.mood == Mood::Resets && tag.is_multiple_of(2) {
-            self.done(tag, attempt, Ran::Given);
+            self.done(tag, attempt, SetUpOutcome::Abandoned);
             if let Some(stream) = inner.conns.remove(&conn) {
                 let _ = stream.shutdown(Shutdown::Both);
             }
--- a/crates/test-harness/src/tape.rs
+++ b/crates/test-harness/src/tape.rs
@@ -1,7 +1,9 @@
 //! What passed, as the stand-ins' ends of the sockets saw it, and what follows from it.
 
 use crate::{director_of, now};
-use shalewall_audit::{ClassRule, Further, Ran, Record, Rule, Rules, Verdict, judge};
+use shalewall_audit::{
+    ClassRule, Record, RetryBudget, Rule, Rules, SetUpOutcome, TimeDelta, Verdict, judge,
+};
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -94,11 +96,11 @@
         // much earlier, though not before it came.
         let came: BTreeMap<(u64, u32), i64> = records.iter().filter_map(arrival).collect();
         for record in &mut records {
-            if let Record::SetUpDone {
+            if let Record::SetUpFinished {
                 t,
                 session,
                 attempt,
-                ran: Ran::Given,
+                ran: SetUpOutcome::Abandoned,
                 ..
             } = record
             {
@@ -136,7 +138,7 @@
 }
 
 fn arrival(record: &Record) -> Option<((u64, u32), i64)> {
-    let Record::SetUp {
+    let Record::SetUpReceived {
         t,
         session,
         attempt,
@@ -158,20 +160,20 @@
         ]
         .into(),
         tenants: BTreeMap::new(),
-        drain_within: 250_000,
-        answer_slack: SLACK,
-        warm_after: 4_000_000,
+        drain_within: TimeDelta::from_millis(250),
+        answer_slack: TimeDelta::from_micros(SLACK),
+        warm_after: TimeDelta::from_secs(4),
         start_capacity: 0.4,
         overload_factor: 2.0,
-        fall: 1_000_000,
-        further: Some(Further {
+        overload_window: TimeDelta::from_secs(1),
+        retry_budget: Some(RetryBudget {
             free: 4.0,
             per_request: 0.345,
-            span: 10_000_000,
+            window: TimeDelta::from_secs(10),
         }),
         cells: 0,
         titles: BTreeMap::new(),
-        transit: TRANSIT,
+        transit: TimeDelta::from_micros(TRANSIT),
     }
 }
 
--- a/crates/test-harness/src/viewer.rs
+++ b/crates/test-harness/src/viewer.rs
@@ -102,7 +102,7 @@
                 );
                 let _ = listens.join();
                 for (ask, _) in std::mem::take(&mut open(&inner).open) {
-                    tape.note(Record::Unanswered { t: now(), ask });
+                    tape.note(Record::RequestUnanswered { t: now(), ask });
                 }
             }
         });
@@ -151,7 +151,7 @@
             break;
         }
         let (class, title, key) = (class.to_string(), title.to_string(), format!("{tag:016x}"));
-        tape.note(Record::Asked {
+        tape.note(Record::RequestSent {
             t,
             director,
             ask: tag,
@@ -168,7 +168,7 @@
                 let given_up =
                     json!({ "verb": "FINISH", "tag": format!("{tag:016x}"), "opts": {}, "rc": 16 });
                 let said = stream.write_all(format!("{given_up}\n").as_bytes());
-                tape.note(Record::Left { t: now(), ask: tag });
+                tape.note(Record::RequestCancelled { t: now(), ask: tag });
                 tape.open().left.insert(tag, now());
                 if said.is_err() {
                     break;
@@ -214,7 +214,7 @@
         // It crossed the word that its viewer waits no more: the session ends by that.
         "STARTED" if !waits && tape.open().left.contains_key(&tag) => tape.ended(tag, End::Own),
         "STARTED" => {
-            tape.note(Record::Answered {
+            tape.note(Record::RequestAnswered {
                 t,
                 ask: tag,
                 status: 200,
@@ -243,7 +243,7 @@
             } else {
                 502
             };
-            tape.note(Record::Answered {
+            tape.note(Record::RequestAnswered {
                 t,
                 ask: tag,
                 status,
