--- a/crates/behavior-digest/src/scenes.rs
+++ b/crates/behavior-digest/src/scenes.rs
@@ -22,7 +22,7 @@
     let mut encoder = Encoder::new();
     for (number, scene) in all(&base_plan()).into_iter().enumerate() {
         let mut plan = scene.plan;
-        let longest = if plan.fleet.nodes > LARGE {
+        let longest = if plan.fleet.node_count > LARGE {
             LONGEST_LARGE_S
         } else {
             LONGEST_S
--- a/crates/cli/tests/hosted/mod.rs
+++ b/crates/cli/tests/hosted/mod.rs
@@ -81,7 +81,7 @@
             token_file,
             set_ups_per_s: 1000.0,
         });
-        plan.front.directors = fronts;
+        plan.front.director_count = fronts;
         change(&mut plan);
         let fronts = (0..fronts).map(|number| {
             plan.front.number = number;
--- a/crates/cli/tests/hosting.rs
+++ b/crates/cli/tests/hosting.rs
@@ -278,7 +278,7 @@
 #[test]
 fn connections_and_sizes_are_each_tenants_own_before_content_is_read() {
     let node = Node::start(&[]);
-    let service = Service::with(&[&node], 1, |plan| plan.front.most_connections = 40);
+    let service = Service::with(&[&node], 1, |plan| plan.front.max_connections = 40);
     let front = service.fronts[0].1;
     let limit = terms(json!({ "connections": 3, "body_bytes": 200, "head_bytes": 400 }));
     service.rolled_out("POST", "/tenants", &json!({ "id": "loud", "terms": limit }));
--- a/crates/cli/tests/leaving.rs
+++ b/crates/cli/tests/leaving.rs
@@ -12,7 +12,7 @@
 /// A front of its own process, and where it listens.
 fn process(nodes: &[&Node], leave_s: f64) -> (Child, SocketAddr) {
     let mut plan = plan(nodes);
-    plan.front.leave_s = leave_s;
+    plan.front.shutdown_grace_s = leave_s;
     let dir = tempfile::tempdir().unwrap();
     let file = dir.path().join("front.hcl");
     std::fs::write(&file, hcl::to_string(&plan).unwrap()).unwrap();
--- a/crates/scripted-days/src/director_processes.rs
+++ b/crates/scripted-days/src/director_processes.rs
@@ -47,7 +47,7 @@
     ) -> DirectorProcesses {
         // Of hosted tenants directors hear by roll-out alone.
         let mut site = plan.site.clone();
-        site.tenant.retain(|_, _| hosting.is_none());
+        site.tenants.retain(|_, _| hosting.is_none());
         let plans = (0..plan.day.directors).map(|number| FrontPlan {
             front: director_settings(plan, emulation, number),
             hosting: hosting.clone(),
@@ -168,16 +168,16 @@
     let hosted = plan.hosted.as_ref();
     Front {
         listen: SocketAddr::from(([127, 0, 0, 1], 0)),
-        list: emulation.list_address,
+        endpoint_list: emulation.list_address,
         number,
-        directors: plan.day.directors,
+        director_count: plan.day.directors,
         zone: zones.get(number as usize % zones.len().max(1)).cloned(),
         seed: plan.day.seed ^ (u64::from(number) << 32),
-        most_sessions: hosted.map_or(MAX_SESSIONS, |hosted| hosted.most_sessions),
-        most_connections: MAX_CONNECTIONS,
-        silence_ms: STREAM_TIMEOUT_MS,
-        leave_s: 0.0,
-        move_key_file: emulation.move_key_file.clone(),
+        max_sessions: hosted.map_or(MAX_SESSIONS, |hosted| hosted.max_sessions),
+        max_connections: MAX_CONNECTIONS,
+        stream_timeout_ms: STREAM_TIMEOUT_MS,
+        shutdown_grace_s: 0.0,
+        ticket_key_file: emulation.move_key_file.clone(),
     }
 }
 
--- a/crates/scripted-days/src/emulation.rs
+++ b/crates/scripted-days/src/emulation.rs
@@ -77,7 +77,7 @@
             recorder.clone(),
             notifications(plan, move_key.as_ref()),
         );
-        let list_delay = millis(plan.fleet.list_late_ms);
+        let list_delay = millis(plan.fleet.list_delay_ms);
         let (list, list_address) = List::start(executor.clone(), recorder.clone(), list_delay)?;
         for machine in machines {
             let id = machine.id;
@@ -121,11 +121,11 @@
 
 fn notifications(plan: &DayPlan, move_key: Option<&MoveKey>) -> Telling {
     Telling {
-        every: millis(plan.site.notes.every_ms),
-        late: millis(plan.site.notes.late_ms),
+        every: millis(plan.site.notifications.interval_ms),
+        late: millis(plan.site.notifications.delay_ms),
         fraction: plan.day.media_fraction,
         key: move_key.map(|move_key| move_key.key.clone()),
-        loads: plan.load.follow > 0.0,
+        loads: plan.load.following_fraction > 0.0,
     }
 }
 
--- a/crates/scripted-days/src/faults.rs
+++ b/crates/scripted-days/src/faults.rs
@@ -34,7 +34,7 @@
     fault: Trouble,
     seed: u64,
 ) {
-    Timer::after(seconds(fault.at_s)).await;
+    Timer::after(seconds(fault.start_s)).await;
     let injection = Injection {
         emulation,
         directors,
@@ -61,7 +61,7 @@
         match self.fault.kind {
             TroubleKind::Crash => {
                 let nodes = self.choose_nodes();
-                self.crash_and_restart(&nodes, self.fault.len_s).await;
+                self.crash_and_restart(&nodes, self.fault.duration_s).await;
             }
             TroubleKind::Vanish => self.vanish().await,
             TroubleKind::Hang => self.hang().await,
@@ -80,7 +80,7 @@
     }
 
     async fn wait_for_end(&self) {
-        Timer::after(seconds(self.fault.len_s)).await;
+        Timer::after(seconds(self.fault.duration_s)).await;
     }
 
     /// The nodes that the fault meets.
@@ -97,11 +97,11 @@
 
     /// Those that the fault meets: as told, or its part of them, at least one.
     fn choose<T: Copy + Into<u64>>(&mut self, mut all: Vec<T>) -> Vec<T> {
-        if let Some(on) = &self.fault.on {
+        if let Some(on) = &self.fault.targets {
             all.retain(|one| on.contains(&(*one).into()));
             return all;
         }
-        let wanted = (self.fault.part * all.len() as f64).round() as usize;
+        let wanted = (self.fault.fraction * all.len() as f64).round() as usize;
         all.shuffle(&mut self.rng);
         all.truncate(wanted.max(1));
         all
@@ -130,7 +130,7 @@
     /// Another program takes a part of the nodes' links, on and off.
     async fn crowd_links(&mut self) {
         let nodes = self.choose_nodes();
-        let mut left_s = self.fault.len_s;
+        let mut left_s = self.fault.duration_s;
         while left_s > 0.0 {
             let spell_s = (0.5 + 1.5 * self.rng.random::<f64>()).min(left_s);
             let is_active = self.rng.random::<f64>() < NEIGHBOUR_ACTIVE;
@@ -162,7 +162,7 @@
     /// Nodes get slower for half of the time, then they crash for the other half.
     async fn age(&mut self) {
         let nodes = self.choose_nodes();
-        let half_s = self.fault.len_s / 2.0;
+        let half_s = self.fault.duration_s / 2.0;
         for step in 1..=AGEING_STEPS {
             let excess = (self.fault.size - 1.0).max(0.0);
             let slow = 1.0 + excess * f64::from(step) / f64::from(AGEING_STEPS);
@@ -179,7 +179,7 @@
     }
 
     async fn lose_zone(&self) {
-        let zone = self.fault.name.as_deref();
+        let zone = self.fault.target_name.as_deref();
         let nodes = &self.emulation.nodes;
         let is_there = |id: &u64| {
             let machine = nodes.machine(*id);
@@ -192,7 +192,7 @@
             Vec::new()
         };
         kill_all(&self.directors, &lost_directors);
-        self.crash_and_restart(&ids, self.fault.len_s).await;
+        self.crash_and_restart(&ids, self.fault.duration_s).await;
         start_all(&self.directors, &lost_directors).await;
     }
 
@@ -215,7 +215,7 @@
             // Where viewers name no tenant, one tenant's crowd is a crowd.
             return self.burst().await;
         }
-        let tenant = self.fault.name.as_deref().unwrap_or_default();
+        let tenant = self.fault.target_name.as_deref().unwrap_or_default();
         viewers.set_tenant_burst(tenant, self.fault.size);
         self.wait_for_end().await;
         viewers.set_tenant_burst(tenant, 1.0);
@@ -224,7 +224,7 @@
     /// More viewers come for one title or of one class.
     async fn add_viewers(&self) {
         let viewers = &self.emulation.viewers;
-        let name = self.fault.name.as_deref();
+        let name = self.fault.target_name.as_deref();
         let draw = match self.fault.kind {
             TroubleKind::HotTitle => name.map(|name| Interest::Title(name.to_string())),
             _ => {
@@ -250,7 +250,7 @@
     async fn stall_directors(&mut self) {
         let numbers = self.choose_directors();
         let stall = seconds(self.fault.stall_ms / 1000.0);
-        let mut left_s = self.fault.len_s;
+        let mut left_s = self.fault.duration_s;
         while left_s > 0.0 {
             let stalls = numbers.iter().map(|number| {
                 let directors = self.directors.clone();
@@ -278,7 +278,7 @@
     async fn preempt(&mut self) {
         let nodes = self.choose_nodes();
         let waves = self.fault.waves;
-        let half_s = self.fault.len_s / 2.0;
+        let half_s = self.fault.duration_s / 2.0;
         let wave_interval = seconds(half_s / f64::from(waves));
         for wave in nodes.chunks(nodes.len().div_ceil(waves as usize).max(1)) {
             for id in wave {
--- a/crates/scripted-days/src/host_resources.rs
+++ b/crates/scripted-days/src/host_resources.rs
@@ -17,15 +17,15 @@
     let load = &plan.load;
     let directors = u64::from(plan.day.directors);
     // A listener for each node, an event stream for each director at each node, and set-ups beside it.
-    let nodes = plan.fleet.nodes.max(plan.fleet.machine.len() as u64);
+    let nodes = plan.fleet.node_count.max(plan.fleet.machines.len() as u64);
     let for_nodes = nodes * (1 + 2 * directors);
-    let bursts = plan.trouble.values().filter(|fault| is_burst(fault));
-    let rate_factor =
-        bursts.map(burst_factor).fold(1.0, f64::max) * load.tenants.values().sum::<f64>().max(1.0);
-    let mean_length_s = (load.longest_s + load.shortest_s) / 2.0;
+    let bursts = plan.faults.values().filter(|fault| is_burst(fault));
+    let rate_factor = bursts.map(burst_factor).fold(1.0, f64::max)
+        * load.tenant_rates.values().sum::<f64>().max(1.0);
+    let mean_length_s = (load.max_length_s + load.min_length_s) / 2.0;
     let playing = load.per_s * mean_length_s.min(plan.day.seconds) * rate_factor;
     // A viewer that plays has two ends of its stream here, and one that follows an end of its director's.
-    let for_viewers = (playing * (2.0 + load.follow)).ceil() as u64;
+    let for_viewers = (playing * (2.0 + load.following_fraction)).ceil() as u64;
     for_nodes + for_viewers + directors + SPARE_DESCRIPTORS
 }
 
--- a/crates/scripted-days/src/hosted_service.rs
+++ b/crates/scripted-days/src/hosted_service.rs
@@ -26,7 +26,7 @@
 ) -> Result<Hosting, DayError> {
     let store = Store::open(&new_store_file(out)?)?;
     let token = issue_token(&store, Role::Director)?;
-    for (name, tenant) in &plan.site.tenant {
+    for (name, tenant) in &plan.site.tenants {
         create_tenant(&store, &plan.site, name, tenant)?;
     }
     let token_file = out.join("front.token");
@@ -69,7 +69,7 @@
 
 /// What a tenant of the plan is agreed on: the site's classes are its own.
 fn terms(site: &Site, name: &str, share: f64) -> serde_json::Value {
-    let classes = site.class.iter();
+    let classes = site.classes.iter();
     let classes: serde_json::Map<_, _> = classes
         .map(|(name, class)| (name.clone(), class_terms(class)))
         .collect();
@@ -79,11 +79,11 @@
 fn class_terms(class: &Class) -> serde_json::Value {
     serde_json::json!({
         "paid": class.paid,
-        "aim_ms": class.aim_ms as u32,
-        "give_up_ms": class.give_up_ms as u32,
-        "worth": class.worth,
-        "floor": class.floor,
-        "top": class.top,
-        "seats": class.seats,
+        "aim_ms": class.latency_objective_ms as u32,
+        "give_up_ms": class.deadline_ms as u32,
+        "worth": class.priority_weight,
+        "floor": class.lowest_rung,
+        "top": class.highest_rung,
+        "seats": class.session_limit_per_title,
     })
 }
--- a/crates/scripted-days/src/import.rs
+++ b/crates/scripted-days/src/import.rs
@@ -62,7 +62,7 @@
     let directors = director_count(&day)?;
     let load = load::load(&day, &site)?;
     let trouble = faults::faults(&day, &site, seconds, &mut left_out)?;
-    if !site.tenant.is_empty() {
+    if !site.tenants.is_empty() {
         let what = "tenants: viewers do not name theirs, so their shares are not played";
         left_out.push(what.to_string());
     }
@@ -79,7 +79,7 @@
         fleet,
         load,
         hosted: None,
-        trouble,
+        faults: trouble,
     };
     Ok(Imported { plan, left_out })
 }
--- a/crates/scripted-days/src/import/faults.rs
+++ b/crates/scripted-days/src/import/faults.rs
@@ -103,14 +103,14 @@
         let mut fault = Trouble::new(kind, self.at_s, self.len_s);
         match kind {
             TroubleKind::Crash | TroubleKind::Vanish | TroubleKind::Hang => {
-                fault.on = Some(node_numbers(&self.on));
+                fault.targets = Some(node_numbers(&self.on));
             }
             TroubleKind::Neighbour => {
-                fault.on = Some(node_numbers(&self.on));
+                fault.targets = Some(node_numbers(&self.on));
                 fault.size = self.size.clamp(0.001, 1.0);
             }
             TroubleKind::Ageing => {
-                fault.on = Some(node_numbers(&self.on));
+                fault.targets = Some(node_numbers(&self.on));
                 fault.size = self.size;
             }
             TroubleKind::SharedSlow | TroubleKind::Burst => fault.size = self.size,
@@ -121,21 +121,23 @@
                     stopped.extend(node_numbers(&step.at("stop").numbers()?));
                 }
                 fault.waves = (steps.len() as u32).clamp(1, MAX_WAVES);
-                fault.on = Some(stopped);
+                fault.targets = Some(stopped);
                 fault.notice_ms = self.size * 1000.0;
-                fault.len_s = (2.0 * self.extra).min(seconds - self.at_s);
+                fault.duration_s = (2.0 * self.extra).min(seconds - self.at_s);
+            }
+            TroubleKind::ZoneLoss => {
+                fault.target_name = site.zones.get(self.first_zone(day)).cloned()
             }
-            TroubleKind::ZoneLoss => fault.name = site.zones.get(self.first_zone(day)).cloned(),
             TroubleKind::TenantBurst => {
                 fault.size = self.size;
-                fault.name = site.tenant.keys().nth(self.target).cloned();
+                fault.target_name = site.tenants.keys().nth(self.target).cloned();
             }
             TroubleKind::HotTitle => {
                 fault.size = self.size;
-                fault.name = site.title.keys().nth(self.target).cloned();
+                fault.target_name = site.titles.keys().nth(self.target).cloned();
             }
             TroubleKind::DirectorStall => {
-                fault.on = Some(self.on.iter().map(|number| *number as u64).collect());
+                fault.targets = Some(self.on.iter().map(|number| *number as u64).collect());
                 fault.stall_ms = self.size;
             }
             TroubleKind::ListOut | TroubleKind::DirectorKill | TroubleKind::ClassFlood => {}
--- a/crates/scripted-days/src/import/fleet.rs
+++ b/crates/scripted-days/src/import/fleet.rs
@@ -18,18 +18,18 @@
         machine.insert(name, imported_machine(server, tier, site, core_kb)?);
     }
     Ok(Fleet {
-        nodes: machine.len().max(1) as u64,
-        link_kb: core_kb,
-        link_stray: 0.0,
-        rate_stray: family.at("vary").number()?,
-        uplink_kb: site.link.uplink_kb,
+        node_count: machine.len().max(1) as u64,
+        link_kb_s: core_kb,
+        link_deviation: 0.0,
+        rate_deviation: family.at("vary").number()?,
+        uplink_kb_s: site.link.rack_uplink_kb_s,
         set_up_ms: SET_UP_MS,
-        refresh_ms: tier.at("report_period").millis()?.max(1.0),
-        noise: tier.at("report_noise").number()?,
-        full_from: family.at("guard").number()?,
-        machine,
-        uplinks_kb: family.at("uplink_kb").numbers()?,
-        list_late_ms: day.at("discovery").at("notice").millis()?,
+        load_refresh_ms: tier.at("report_period").millis()?.max(1.0),
+        load_noise: tier.at("report_noise").number()?,
+        reject_above: family.at("guard").number()?,
+        machines: machine,
+        uplinks_kb_s: family.at("uplink_kb").numbers()?,
+        list_delay_ms: day.at("discovery").at("notice").millis()?,
     })
 }
 
@@ -46,7 +46,7 @@
         kind: tier.at("kinds").entry(kind).at("name").text()?,
         cell: server.at("cell").number()? as u64,
         weight: server.at("weight").number()?,
-        link_kb: core_kb * core_count(tier, server)?,
+        link_kb_s: core_kb * core_count(tier, server)?,
     })
 }
 
--- a/crates/scripted-days/src/import/load.rs
+++ b/crates/scripted-days/src/import/load.rs
@@ -20,23 +20,23 @@
         relative_length += part * usage.at("life").number()?;
         mix.insert(class.at("name").text()?, part);
     }
-    debug_assert_eq!(mix.len(), site.class.len());
+    debug_assert_eq!(mix.len(), site.classes.len());
     let mean_s = family.at("life_s").number()? * relative_length;
     let per_s = day.at("traffic").at("load").number()? * family.at("capacity").number()?;
     Ok(Load {
-        follow: 0.0,
+        following_fraction: 0.0,
         live_buffer_ms: 1000.0,
-        buffer_ms: 4000.0,
-        tenants: BTreeMap::new(),
+        recorded_buffer_ms: 4000.0,
+        tenant_rates: BTreeMap::new(),
         per_s: per_s.max(0.01),
-        mix,
-        shortest_s: SHORTEST_PART * mean_s,
-        longest_s: LONGEST_PART * mean_s,
-        lasts_s: BTreeMap::new(),
-        hint_times: 1.0,
-        weak: family.at("small_screens").number()?,
+        class_mix: mix,
+        min_length_s: SHORTEST_PART * mean_s,
+        max_length_s: LONGEST_PART * mean_s,
+        length_s_by_class: BTreeMap::new(),
+        hint_factor: 1.0,
+        constrained_fraction: family.at("small_screens").number()?,
         skew: family.at("title_zipf").number()?,
-        come_again: family.at("returns").number()?,
-        pause_ms: family.at("rejoin_us").millis()?,
+        retry_fraction: family.at("returns").number()?,
+        retry_pause_ms: family.at("rejoin_us").millis()?,
     })
 }
--- a/crates/scripted-days/src/import/site.rs
+++ b/crates/scripted-days/src/import/site.rs
@@ -25,37 +25,37 @@
     let class = classes(day, &family)?;
     let ladder = ladder(&family)?;
     let layout = Layout {
-        cells: family.at("cells").number()? as u64,
-        racks: family.at("racks").number()? as u64,
+        cell_count: family.at("cells").number()? as u64,
+        rack_count: family.at("racks").number()? as u64,
     };
     let uplinks = family.at("uplink_kb").numbers()?;
     let total = fleet_total(day, tier, &family)?;
     let further = retry_budget(&day.at("budget"))?;
     let tenant = tenants(day)?;
-    let title = titles(&family, total.servers, layout.cells)?;
+    let title = titles(&family, total.servers, layout.cell_count)?;
     Ok(Site {
         moves: None,
         zones: day.at("zones").texts()?,
-        kind,
-        class,
-        tenant,
+        kinds: kind,
+        classes: class,
+        tenants: tenant,
         ladder,
         layout,
         link: Link {
-            kb_per_weight: total.link_kb / total.weight.max(1e-9),
-            weights_tell_size: tier.at("weights").text()? != "none",
-            fleet_kb: total.link_kb,
-            uplink_kb: uplinks.iter().sum::<f64>() / uplinks.len().max(1) as f64,
-            join_adds: family.at("join").number()?,
+            kb_s_per_weight: total.link_kb / total.weight.max(1e-9),
+            weight_is_capacity: tier.at("weights").text()? != "none",
+            fleet_kb_s: total.link_kb,
+            rack_uplink_kb_s: uplinks.iter().sum::<f64>() / uplinks.len().max(1) as f64,
+            join_rate_fraction: family.at("join").number()?,
         },
-        notes: Notes {
-            every_ms: family.at("tell").millis()?,
-            late_ms: family.at("see").millis()?,
+        notifications: Notes {
+            interval_ms: family.at("tell").millis()?,
+            delay_ms: family.at("see").millis()?,
         },
         costs: costs(day, &family)?,
         rules: rules(day, tier, further)?,
         limits: limits(day)?,
-        title,
+        titles: title,
     })
 }
 
@@ -64,7 +64,12 @@
     for kind in tier.at("kinds").list()? {
         let places = kind.at("cores").number()? * family.at("core_slots").number()?;
         let places = places.round().max(1.0);
-        kinds.insert(kind.at("name").text()?, Kind { places });
+        kinds.insert(
+            kind.at("name").text()?,
+            Kind {
+                stream_capacity: places,
+            },
+        );
     }
     Ok(kinds)
 }
@@ -86,14 +91,14 @@
 fn imported_class(class: &Reader, usage: &Reader) -> Result<Class, ImportError> {
     Ok(Class {
         paid: class.at("effect").text()? != "safe",
-        aim_ms: class.at("aim").millis()?,
-        give_up_ms: class.at("deadline").millis()?,
-        worth: class.at("worth").number()?,
-        scale: usage.at("scale").number()?,
-        floor: usage.at("floor").number()? as usize,
-        top: Some(usage.at("top").number()? as usize),
-        seats: usage.at("seats").number()? as u32,
-        live: usage.at("live").flag(),
+        latency_objective_ms: class.at("aim").millis()?,
+        deadline_ms: class.at("deadline").millis()?,
+        priority_weight: class.at("worth").number()?,
+        rate_scale: usage.at("scale").number()?,
+        lowest_rung: usage.at("floor").number()? as usize,
+        highest_rung: Some(usage.at("top").number()? as usize),
+        session_limit_per_title: usage.at("seats").number()? as u32,
+        is_live: usage.at("live").flag(),
     })
 }
 
@@ -101,7 +106,12 @@
     let rates = family.at("rates").numbers()?;
     let worths = family.at("worth").numbers()?;
     let steps = rates.into_iter().zip(worths);
-    Ok(steps.map(|(kb, worth)| Step { kb, worth }).collect())
+    Ok(steps
+        .map(|(kb, worth)| Step {
+            rate_kb_s: kb,
+            utility: worth,
+        })
+        .collect())
 }
 
 /// What all servers of a day file have together.
@@ -131,9 +141,9 @@
         return Ok(None);
     }
     Ok(Some(Further {
-        free: budget.at("free").number()?,
+        base: budget.at("free").number()?,
         per_request: budget.at("share").number()?,
-        span_ms: budget.at("window").millis()?,
+        window_ms: budget.at("window").millis()?,
     }))
 }
 
@@ -142,7 +152,7 @@
     for tenant in day.at("tenants").list()? {
         let name = tenant.at("name").text()?;
         let imported = Tenant {
-            allowance_per_s: tenant.at("quota").number()?,
+            request_quota_per_s: tenant.at("quota").number()?,
             share: 0.0,
         };
         tenants.insert(name, imported);
@@ -165,8 +175,8 @@
         wanted.max(MIN_SPREAD).min(cells)
     };
     let title = |index: u64| Title {
-        home: (index * HOME_STEP + index / cells) % cells,
-        spread: spread(index),
+        first_cell: (index * HOME_STEP + index / cells) % cells,
+        replica_cells: spread(index),
     };
     let titles = (0..count).map(|index| (format!("title-{index:04}"), title(index)));
     Ok(titles.collect())
@@ -175,23 +185,23 @@
 fn costs(day: &Reader, family: &Reader) -> Result<Costs, ImportError> {
     let prices = day.at("prices");
     Ok(Costs {
-        stall: family.at("stall").number()?,
-        switch_s: family.at("switch_s").number()?,
-        cross: prices.at("cross_zone").number()?,
-        probe: prices.at("probe").number()?,
-        over_share_worth: day.at("traffic").at("over_share_worth").number()?,
+        stall_penalty: family.at("stall").number()?,
+        rung_change_s: family.at("switch_s").number()?,
+        zone_crossing: prices.at("cross_zone").number()?,
+        health_check: prices.at("probe").number()?,
+        over_quota_weight: day.at("traffic").at("over_share_worth").number()?,
     })
 }
 
 fn rules(day: &Reader, tier: &Reader, further: Option<Further>) -> Result<Rules, ImportError> {
     Ok(Rules {
-        drain_within_ms: day.at("drain_grace").millis()?,
+        drain_grace_ms: day.at("drain_grace").millis()?,
         answer_slack_ms: ANSWER_SLACK_MS,
-        warm_after_ms: tier.at("stated_cold").millis()?,
-        start_capacity: tier.at("stated_cold_from").number()?,
+        warm_up_ms: tier.at("stated_cold").millis()?,
+        initial_capacity: tier.at("stated_cold_from").number()?,
         overload_factor: day.at("fall_multiple").number()?,
-        fall_ms: day.at("fall_for").millis()?,
-        further,
+        overload_window_ms: day.at("fall_for").millis()?,
+        retry_budget: further,
     })
 }
 
@@ -204,9 +214,9 @@
     };
     Ok(Limits {
         max_attempts: allow.at("max_attempts").number()? as u32,
-        may_cancel: allow.at("cancel").flag(),
-        may_probe: allow.at("probes").flag(),
-        max_come_back_ms,
-        step_ms: day.at("tick").millis()?.max(MIN_STEP_MS),
+        can_cancel: allow.at("cancel").flag(),
+        can_check_health: allow.at("probes").flag(),
+        max_retry_after_ms: max_come_back_ms,
+        min_batch_interval_ms: day.at("tick").millis()?.max(MIN_STEP_MS),
     })
 }
--- a/crates/scripted-days/src/rules.rs
+++ b/crates/scripted-days/src/rules.rs
@@ -10,26 +10,26 @@
 /// The rules that a day's recordings are judged by.
 pub fn rules(plan: &DayPlan) -> Rules {
     let site = &plan.site;
-    let classes = site.class.iter();
+    let classes = site.classes.iter();
     let classes: BTreeMap<_, _> = classes
         .map(|(name, class)| (name.clone(), class_rule(class)))
         .collect();
-    let hosted_tenants = site.tenant.keys().filter(|_| plan.hosted.is_some());
-    let titles = site.title.iter();
+    let hosted_tenants = site.tenants.keys().filter(|_| plan.hosted.is_some());
+    let titles = site.titles.iter();
     Rules {
         tenants: hosted_tenants
             .map(|name| (name.clone(), classes.clone()))
             .collect(),
         classes,
-        drain_within: length(site.rules.drain_within_ms),
+        drain_within: length(site.rules.drain_grace_ms),
         answer_slack: length(site.rules.answer_slack_ms),
-        warm_after: length(site.rules.warm_after_ms),
-        start_capacity: site.rules.start_capacity,
+        warm_after: length(site.rules.warm_up_ms),
+        start_capacity: site.rules.initial_capacity,
         overload_factor: site.rules.overload_factor,
-        overload_window: length(site.rules.fall_ms),
-        retry_budget: site.rules.further.as_ref().map(retry_rule),
+        overload_window: length(site.rules.overload_window_ms),
+        retry_budget: site.rules.retry_budget.as_ref().map(retry_rule),
         transit: TRANSIT,
-        cells: site.layout.cells,
+        cells: site.layout.cell_count,
         titles: titles
             .map(|(name, title)| (name.clone(), placement(title)))
             .collect(),
@@ -39,8 +39,8 @@
 fn class_rule(class: &Class) -> ClassRule {
     ClassRule {
         paid: class.paid,
-        floor: class.floor,
-        seats: class.seats,
+        floor: class.lowest_rung,
+        seats: class.session_limit_per_title,
     }
 }
 
@@ -50,15 +50,15 @@
 
 fn placement(title: &Title) -> Placement {
     Placement {
-        home: title.home,
-        spread: title.spread,
+        home: title.first_cell,
+        spread: title.replica_cells,
     }
 }
 
 fn retry_rule(budget: &shalewall_settings::Further) -> RetryBudget {
     RetryBudget {
-        free: budget.free,
+        free: budget.base,
         per_request: budget.per_request,
-        window: length(budget.span_ms),
+        window: length(budget.window_ms),
     }
 }
--- a/crates/scripted-days/src/run.rs
+++ b/crates/scripted-days/src/run.rs
@@ -49,7 +49,7 @@
     recorder.flush()?;
     let records = shalewall_audit::read(out)?;
     let verdict = judge(&records, &rules);
-    let moves = (plan.load.follow > 0.0).then(|| review_migrations(&records, &rules));
+    let moves = (plan.load.following_fraction > 0.0).then(|| review_migrations(&records, &rules));
     let summary = Summary::new(&played.count, &verdict, moves, &played.shortfall);
     let summary_text = serde_json::to_string_pretty(&summary)?;
     std::fs::write(out.join("summary.json"), summary_text)?;
@@ -105,7 +105,7 @@
         directors.start(number).await?;
     }
     Timer::after(LIST_DELIVERY).await;
-    for (name, fault) in &plan.trouble {
+    for (name, fault) in &plan.faults {
         let seed = faults::seed(plan.day.seed, name);
         let injection = faults::inject(emulation.clone(), directors.clone(), fault.clone(), seed);
         executor.spawn(injection).detach();
--- a/crates/scripted-days/tests/import.rs
+++ b/crates/scripted-days/tests/import.rs
@@ -64,24 +64,29 @@
         (
             plan.day.seconds,
             plan.day.directors,
-            plan.fleet.machine.len()
+            plan.fleet.machines.len()
         ),
         (40.0, 2, 3)
     );
-    let once = &plan.site.class["once"];
-    assert!(once.paid && once.floor == 1 && once.seats == 4 && !plan.site.class["many"].paid);
+    let once = &plan.site.classes["once"];
+    assert!(
+        once.paid
+            && once.lowest_rung == 1
+            && once.session_limit_per_title == 4
+            && !plan.site.classes["many"].paid
+    );
     assert_eq!(
         (
-            plan.site.rules.fall_ms,
-            plan.site.rules.further.as_ref().unwrap().free
+            plan.site.rules.overload_window_ms,
+            plan.site.rules.retry_budget.as_ref().unwrap().base
         ),
         (2000.0, 2.0)
     );
-    assert_eq!(plan.fleet.machine["2"].zone, "right");
+    assert_eq!(plan.fleet.machines["2"].zone, "right");
     assert!((plan.load.per_s - 1.6).abs() < 1e-9);
-    let trouble = |kind| plan.trouble.values().find(|t| t.kind == kind).unwrap();
+    let trouble = |kind| plan.faults.values().find(|t| t.kind == kind).unwrap();
     // Nodes count from 1 in a script, directors from 0.
-    assert_eq!(trouble(TroubleKind::Crash).on, Some(vec![3]));
+    assert_eq!(trouble(TroubleKind::Crash).targets, Some(vec![3]));
     assert_eq!(
         (
             trouble(TroubleKind::Preempt).waves,
@@ -89,9 +94,9 @@
         ),
         (2, 800.0)
     );
-    assert_eq!(trouble(TroubleKind::DirectorStall).on, Some(vec![1]));
+    assert_eq!(trouble(TroubleKind::DirectorStall).targets, Some(vec![1]));
     assert_eq!(
-        trouble(TroubleKind::DirectorStall).len_s,
+        trouble(TroubleKind::DirectorStall).duration_s,
         31.0,
         "cut where the day ends"
     );
--- a/crates/scripted-days/tests/wrong_front.rs
+++ b/crates/scripted-days/tests/wrong_front.rs
@@ -168,14 +168,18 @@
     let mut plan: DayPlan = read(file).unwrap();
     (plan.day.directors, plan.load.per_s) = (1, 25.0);
     (
-        plan.load.shortest_s,
-        plan.load.longest_s,
-        plan.load.come_again,
+        plan.load.min_length_s,
+        plan.load.max_length_s,
+        plan.load.retry_fraction,
     ) = (0.5, 1.5, 0.0);
     // Seats are not what these fronts are wrong about.
-    plan.site.class.get_mut("report").unwrap().seats = 0;
-    plan.site.class.get_mut("report").unwrap().give_up_ms = 2000.0;
-    plan.site.class.get_mut("room").unwrap().give_up_ms = 2000.0;
+    plan.site
+        .classes
+        .get_mut("report")
+        .unwrap()
+        .session_limit_per_title = 0;
+    plan.site.classes.get_mut("report").unwrap().deadline_ms = 2000.0;
+    plan.site.classes.get_mut("room").unwrap().deadline_ms = 2000.0;
     let recorder = Recorder::memory();
     let ex = Rc::new(LocalExecutor::new());
     async_io::block_on(ex.run(async {
--- a/crates/server/src/server.rs
+++ b/crates/server/src/server.rs
@@ -90,12 +90,12 @@
         let director = Director {
             number: settings.number,
             limits: Limits::default(),
-            stream_timeout: Duration::from_millis(settings.silence_ms),
+            stream_timeout: Duration::from_millis(settings.stream_timeout_ms),
             ticket_key: ticket_key(plan)?,
         };
         let event_loop = EventLoop::start(executor.clone(), engine, director);
         let list = endpoint_list::watch(
-            settings.list,
+            settings.endpoint_list,
             event_loop.director.clone(),
             event_loop.input_sink(),
         );
@@ -110,7 +110,7 @@
             api.clone(),
             tenants,
             listener,
-            settings.most_connections,
+            settings.max_connections,
         ));
         info!(address = %address, number = settings.number, "listening");
         Ok(Server {
@@ -118,7 +118,7 @@
             event_loop,
             api,
             accepting,
-            drain_timeout: Duration::from_secs_f64(settings.leave_s),
+            drain_timeout: Duration::from_secs_f64(settings.shutdown_grace_s),
         })
     }
 
@@ -167,8 +167,8 @@
         let token = std::fs::read_to_string(&hosting.token_file)?;
         let tenants = Tenants::new(
             hosting.set_ups_per_s,
-            plan.front.most_sessions,
-            plan.front.most_connections,
+            plan.front.max_sessions,
+            plan.front.max_connections,
         );
         Ok(Hosted {
             tenants,
@@ -199,7 +199,7 @@
 
 /// The key of migration tickets, where the site's sessions are moved.
 fn ticket_key(plan: &FrontPlan) -> Result<Option<TicketKey>, StartError> {
-    match &plan.front.move_key_file {
+    match &plan.front.ticket_key_file {
         Some(file) if plan.site.moves.is_some() => read_ticket_key(file).map(Some),
         _ => Ok(None),
     }
--- a/crates/server/tests/following.rs
+++ b/crates/server/tests/following.rs
@@ -22,7 +22,7 @@
         let found: std::collections::BTreeMap<String, shalewall_settings::Moves> =
             hcl::from_str(text).unwrap();
         plan.site.moves = found.into_values().next();
-        plan.front.move_key_file = Some(file);
+        plan.front.ticket_key_file = Some(file);
     }
     let (sender, address) = mpsc::channel();
     thread::spawn(move || {
@@ -119,7 +119,7 @@
         let file = dir.path().join("move.key");
         text.into_iter()
             .for_each(|text| std::fs::write(&file, text).unwrap());
-        plan.front.move_key_file = Some(file);
+        plan.front.ticket_key_file = Some(file);
         let ex = Rc::new(async_executor::LocalExecutor::new());
         let error = shalewall_server::Server::start(&ex, &plan)
             .err()
--- a/crates/server/tests/scripted/mod.rs
+++ b/crates/server/tests/scripted/mod.rs
@@ -232,25 +232,25 @@
     let day: DayPlan = read(file).unwrap();
     let mut site = day.site;
     // The nodes are warm for the front soon, and nothing else decides which of them is taken.
-    site.rules.warm_after_ms = 100.0;
-    site.limits.may_probe = false;
-    site.layout.cells = nodes.len() as u64;
-    for title in site.title.values_mut() {
-        (title.home, title.spread) = (0, nodes.len() as u64);
+    site.rules.warm_up_ms = 100.0;
+    site.limits.can_check_health = false;
+    site.layout.cell_count = nodes.len() as u64;
+    for title in site.titles.values_mut() {
+        (title.first_cell, title.replica_cells) = (0, nodes.len() as u64);
     }
     let addresses: Vec<_> = nodes.iter().map(|n| n.address).collect();
     let front = Front {
         listen: "127.0.0.1:0".parse().unwrap(),
-        list: list(&addresses),
+        endpoint_list: list(&addresses),
         number: 0,
-        directors: 1,
+        director_count: 1,
         zone: None,
         seed: 1,
-        most_sessions: 1000,
-        most_connections: 1000,
-        silence_ms: 3000,
-        leave_s: 0.0,
-        move_key_file: None,
+        max_sessions: 1000,
+        max_connections: 1000,
+        stream_timeout_ms: 3000,
+        shutdown_grace_s: 0.0,
+        ticket_key_file: None,
     };
     FrontPlan {
         front,
--- a/crates/settings/src/day.rs
+++ b/crates/settings/src/day.rs
@@ -35,8 +35,8 @@
     pub hosted: Option<HostedDay>,
     /// Faults by a name of one's own.
     #[garde(dive)]
-    #[serde(default)]
-    pub trouble: BTreeMap<String, Trouble>,
+    #[serde(default, rename = "trouble")]
+    pub faults: BTreeMap<String, Trouble>,
 }
 
 /// How long a day is, and who plays it.
@@ -71,5 +71,6 @@
     pub set_ups_per_s: f64,
     /// Sessions that each front holds at most.
     #[garde(range(min = 1, max = 1_000_000))]
-    pub most_sessions: usize,
+    #[serde(rename = "most_sessions")]
+    pub max_sessions: usize,
 }
--- a/crates/settings/src/day/fault.rs
+++ b/crates/settings/src/day/fault.rs
@@ -64,14 +64,16 @@
     pub kind: TroubleKind,
     /// When it begins.
     #[garde(range(min = 0.0, max = 3600.0))]
-    pub at_s: f64,
+    #[serde(rename = "at_s")]
+    pub start_s: f64,
     /// How long it lasts.
     #[garde(range(min = 0.0, max = 3600.0))]
-    pub len_s: f64,
+    #[serde(rename = "len_s")]
+    pub duration_s: f64,
     /// Part of the nodes or directors that it meets; at least one.
     #[garde(range(min = 0.0, max = 1.0))]
-    #[serde(default)]
-    pub part: f64,
+    #[serde(default, rename = "part")]
+    pub fraction: f64,
     /// How severe it is, where the kind has a size: see [`TroubleKind`].
     #[garde(range(min = 0.0, max = 1000.0))]
     #[serde(default)]
@@ -94,10 +96,12 @@
     pub directors: bool,
     /// The nodes or directors that it meets, by number, where they are told; then `part` is not used.
     #[garde(skip)]
-    pub on: Option<Vec<u64>>,
+    #[serde(rename = "on")]
+    pub targets: Option<Vec<u64>>,
     /// Zone, tenant or title by name, where the kind has one.
     #[garde(skip)]
-    pub name: Option<String>,
+    #[serde(rename = "name")]
+    pub target_name: Option<String>,
 }
 
 impl Trouble {
@@ -105,16 +109,16 @@
     pub fn new(kind: TroubleKind, at_s: f64, len_s: f64) -> Trouble {
         Trouble {
             kind,
-            at_s,
-            len_s,
-            part: 0.0,
+            start_s: at_s,
+            duration_s: len_s,
+            fraction: 0.0,
             size: 0.0,
             waves: one_wave(),
             notice_ms: 0.0,
             stall_ms: 0.0,
             directors: false,
-            on: None,
-            name: None,
+            targets: None,
+            target_name: None,
         }
     }
 }
--- a/crates/settings/src/day/violations.rs
+++ b/crates/settings/src/day/violations.rs
@@ -13,11 +13,11 @@
         self.check_load(&mut violations);
         self.check_hosted(&mut violations);
         self.check_load_by_name(&mut violations);
-        for (name, machine) in &self.fleet.machine {
+        for (name, machine) in &self.fleet.machines {
             self.check_machine(name, machine, &mut violations);
         }
         self.check_uplinks(&mut violations);
-        for (name, fault) in &self.trouble {
+        for (name, fault) in &self.faults {
             self.check_fault(name, fault, &mut violations);
         }
         violations
@@ -26,13 +26,13 @@
 
 impl DayPlan {
     fn check_load(&self, violations: &mut Vec<Violation>) {
-        if self.load.longest_s < self.load.shortest_s {
+        if self.load.max_length_s < self.load.min_length_s {
             let rule = Rule::LongestBelowShortest;
             violations.push(Violation::new("load.longest_s", rule));
         }
-        let mut parts = self.load.mix.values();
+        let mut parts = self.load.class_mix.values();
         if parts.any(|part| !part.is_finite() || *part < 0.0)
-            || self.load.mix.values().sum::<f64>() <= 0.0
+            || self.load.class_mix.values().sum::<f64>() <= 0.0
         {
             violations.push(Violation::new("load.mix", Rule::MixWithoutParts));
         }
@@ -42,12 +42,12 @@
         if self.hosted.is_none() {
             return;
         }
-        let mut classes = self.site.class.values();
-        if classes.any(|class| class.live || class.scale != 1.0) {
+        let mut classes = self.site.classes.values();
+        if classes.any(|class| class.is_live || class.rate_scale != 1.0) {
             let rule = Rule::HostedClassWithScaleOrLive;
             violations.push(Violation::new("hosted", rule));
         }
-        if self.site.tenant.values().any(|tenant| tenant.share <= 0.0) {
+        if self.site.tenants.values().any(|tenant| tenant.share <= 0.0) {
             let rule = Rule::HostedTenantWithoutShare;
             violations.push(Violation::new("hosted", rule));
         }
@@ -55,23 +55,23 @@
 
     /// What the load says of tenants and classes by their names.
     fn check_load_by_name(&self, violations: &mut Vec<Violation>) {
-        for (name, rate) in &self.load.tenants {
-            if !self.site.tenant.contains_key(name) || !rate.is_finite() || *rate <= 0.0 {
+        for (name, rate) in &self.load.tenant_rates {
+            if !self.site.tenants.contains_key(name) || !rate.is_finite() || *rate <= 0.0 {
                 let path = format!("load.tenants.{name}");
                 violations.push(Violation::new(path, Rule::UnknownTenantOrNoRate));
             }
         }
-        for name in self.load.mix.keys() {
-            if !self.site.class.contains_key(name) {
+        for name in self.load.class_mix.keys() {
+            if !self.site.classes.contains_key(name) {
                 let name = name.clone();
-                let known = joined(self.site.class.keys());
+                let known = joined(self.site.classes.keys());
                 let rule = Rule::UnknownClassInMix { name, known };
                 violations.push(Violation::new("load.mix", rule));
             }
         }
-        for (name, (shortest, longest)) in &self.load.lasts_s {
+        for (name, (shortest, longest)) in &self.load.length_s_by_class {
             let is_range = *shortest >= SHORTEST_SESSION_S && longest >= shortest;
-            if !is_range || !self.site.class.contains_key(name) {
+            if !is_range || !self.site.classes.contains_key(name) {
                 let path = format!("load.lasts_s.{name}");
                 violations.push(Violation::new(path, Rule::InvalidClassLengths));
             }
@@ -80,7 +80,7 @@
 
     fn check_machine(&self, name: &str, machine: &Machine, violations: &mut Vec<Violation>) {
         let path = format!("fleet.machine.{name}");
-        let cells = self.site.layout.cells;
+        let cells = self.site.layout.cell_count;
         if name.parse::<u32>().is_err() {
             violations.push(Violation::new(&path, Rule::MachineNameNotNumber));
         }
@@ -89,15 +89,15 @@
             let rule = Rule::UnknownCell { highest };
             violations.push(Violation::new(format!("{path}.cell"), rule));
         }
-        if !self.site.kind.contains_key(&machine.kind) {
+        if !self.site.kinds.contains_key(&machine.kind) {
             let rule = Rule::UnknownKind;
             violations.push(Violation::new(format!("{path}.kind"), rule));
         }
     }
 
     fn check_uplinks(&self, violations: &mut Vec<Violation>) {
-        let uplinks = &self.fleet.uplinks_kb;
-        let racks = self.site.layout.racks;
+        let uplinks = &self.fleet.uplinks_kb_s;
+        let racks = self.site.layout.rack_count;
         if !uplinks.is_empty() && uplinks.len() as u64 != racks {
             let rule = Rule::UplinkCount { racks };
             violations.push(Violation::new("fleet.uplinks_kb", rule));
@@ -111,7 +111,7 @@
     fn check_fault(&self, name: &str, fault: &Trouble, violations: &mut Vec<Violation>) {
         let path = |field: &str| format!("trouble.{name}.{field}");
         let seconds = self.day.seconds;
-        if fault.at_s + fault.len_s > seconds {
+        if fault.start_s + fault.duration_s > seconds {
             let rule = Rule::FaultBeyondDay { seconds };
             violations.push(Violation::new(path("len_s"), rule));
         }
@@ -128,7 +128,7 @@
             return;
         };
         if fault
-            .name
+            .target_name
             .as_ref()
             .is_none_or(|name| !targets.contains(&name))
         {
@@ -142,10 +142,10 @@
     fn targets(&self, kind: TroubleKind) -> Option<Vec<&String>> {
         match kind {
             TroubleKind::ZoneLoss => Some(self.site.zones.iter().collect()),
-            TroubleKind::TenantBurst if self.load.tenants.is_empty() => None,
-            TroubleKind::TenantBurst => Some(self.load.tenants.keys().collect()),
-            TroubleKind::HotTitle => Some(self.site.title.keys().collect()),
-            TroubleKind::ClassFlood => Some(self.load.mix.keys().collect()),
+            TroubleKind::TenantBurst if self.load.tenant_rates.is_empty() => None,
+            TroubleKind::TenantBurst => Some(self.load.tenant_rates.keys().collect()),
+            TroubleKind::HotTitle => Some(self.site.titles.keys().collect()),
+            TroubleKind::ClassFlood => Some(self.load.class_mix.keys().collect()),
             _ => None,
         }
     }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod admin;
 pub mod day;
 pub mod error;
+mod field_names;
 mod load;
 mod locate;
 pub mod moves;
--- a/crates/settings/src/load.rs
+++ b/crates/settings/src/load.rs
@@ -89,7 +89,7 @@
             return Vec::new();
         };
         let outside = report.iter().map(|(path, error)| {
-            let path = locate::dotted(&path.to_string());
+            let path = locate::file_path(&path.to_string());
             self.error_at(&path, Problem::Range(error.to_string()))
         });
         outside.collect()
--- a/crates/settings/src/locate.rs
+++ b/crates/settings/src/locate.rs
@@ -1,5 +1,6 @@
 //! Where in a file a path is, so that an error can name the line.
 
+use crate::field_names::file_name;
 use hcl_edit::Span;
 use hcl_edit::structure::{Block, Body, Structure};
 
@@ -11,8 +12,17 @@
     pub line: usize,
 }
 
-/// Validation paths come as `a.b[c].d`; elsewhere they are `a.b.c.d`.
-pub(crate) fn dotted(path: &str) -> String {
+/// A path of validation as files have it. Validation paths come as `a.b[c].d`, with the names of the code for fields
+/// and the file's own names in brackets; elsewhere they are `a.b.c.d`.
+pub(crate) fn file_path(path: &str) -> String {
+    let parts = path.split('.').map(|part| match part.split_once('[') {
+        Some((field, names)) => format!("{}[{names}", file_name(field)),
+        None => file_name(part).to_string(),
+    });
+    dotted(&parts.collect::<Vec<_>>().join("."))
+}
+
+fn dotted(path: &str) -> String {
     path.replace('[', ".")
         .replace(']', "")
         .trim_matches('.')
--- a/crates/settings/src/server.rs
+++ b/crates/settings/src/server.rs
@@ -32,13 +32,15 @@
     pub listen: SocketAddr,
     /// Where the list of servers is watched.
     #[garde(skip)]
-    pub list: SocketAddr,
+    #[serde(rename = "list")]
+    pub endpoint_list: SocketAddr,
     /// Its number among the directors, from 0.
     #[garde(range(max = 1023))]
     pub number: u32,
     /// How many directors the site has.
     #[garde(range(min = 1, max = 1024))]
-    pub directors: u32,
+    #[serde(rename = "directors")]
+    pub director_count: u32,
     /// The zone of the site that it runs in, where it has one.
     #[garde(skip)]
     pub zone: Option<String>,
@@ -48,24 +50,25 @@
     pub seed: u64,
     /// Sessions held at most; further requests are turned away.
     #[garde(range(min = 1, max = 10_000_000))]
-    #[serde(default = "most_sessions")]
-    pub most_sessions: usize,
+    #[serde(default = "most_sessions", rename = "most_sessions")]
+    pub max_sessions: usize,
     /// Viewers' connections at most.
     #[garde(range(min = 1, max = 1_000_000))]
-    #[serde(default = "most_connections")]
-    pub most_connections: usize,
+    #[serde(default = "most_connections", rename = "most_connections")]
+    pub max_connections: usize,
     /// A node's event stream without any byte for so long counts as broken.
     #[garde(range(min = 100, max = 600_000))]
-    #[serde(default = "silence_ms")]
-    pub silence_ms: u64,
+    #[serde(default = "silence_ms", rename = "silence_ms")]
+    pub stream_timeout_ms: u64,
     /// Told to end, it waits so long for sessions that play; requests that wait are answered in any case.
     #[garde(range(min = 0.0, max = 86_400.0))]
-    #[serde(default)]
-    pub leave_s: f64,
+    #[serde(default, rename = "leave_s")]
+    pub shutdown_grace_s: f64,
     /// File of 32 bytes in hexadecimal that fronts and nodes share: seals the tickets of hand-overs. Needed where the
     /// site has `moves`.
     #[garde(skip)]
-    pub move_key_file: Option<PathBuf>,
+    #[serde(rename = "move_key_file")]
+    pub ticket_key_file: Option<PathBuf>,
 }
 
 fn most_sessions() -> usize {
@@ -98,14 +101,14 @@
 impl SettingsFile for FrontPlan {
     fn violations(&self) -> Vec<Violation> {
         let mut violations = self.site.violations();
-        if self.front.number >= self.front.directors {
-            let directors = self.front.directors;
+        if self.front.number >= self.front.director_count {
+            let directors = self.front.director_count;
             violations.push(Violation::new(
                 "front.number",
                 Rule::NumberNotBelowDirectors { directors },
             ));
         }
-        if self.site.moves.is_some() && self.front.move_key_file.is_none() {
+        if self.site.moves.is_some() && self.front.ticket_key_file.is_none() {
             violations.push(Violation::new("front.move_key_file", Rule::MoveKeyMissing));
         }
         if let Some(zone) = &self.front.zone
--- a/crates/settings/src/site.rs
+++ b/crates/settings/src/site.rs
@@ -27,15 +27,16 @@
     pub zones: Vec<String>,
     /// Kinds of machine by name.
     #[garde(dive)]
-    #[serde(default)]
-    pub kind: BTreeMap<String, Kind>,
+    #[serde(default, rename = "kind")]
+    pub kinds: BTreeMap<String, Kind>,
     /// Classes of request by name.
     #[garde(dive, length(min = 1))]
-    pub class: BTreeMap<String, Class>,
+    #[serde(rename = "class")]
+    pub classes: BTreeMap<String, Class>,
     /// Tenants by name.
     #[garde(dive)]
-    #[serde(default)]
-    pub tenant: BTreeMap<String, Tenant>,
+    #[serde(default, rename = "tenant")]
+    pub tenants: BTreeMap<String, Tenant>,
     /// Lowest rung first.
     #[garde(dive, length(min = 1, max = 64))]
     pub ladder: Vec<Step>,
@@ -47,8 +48,8 @@
     pub link: Link,
     /// Notifications of nodes.
     #[garde(dive)]
-    #[serde(default)]
-    pub notes: Notes,
+    #[serde(default, rename = "notes")]
+    pub notifications: Notes,
     /// What the decisions weigh against each other.
     #[garde(dive)]
     #[serde(default)]
@@ -64,5 +65,6 @@
     pub moves: Option<Moves>,
     /// Titles by name.
     #[garde(dive, length(min = 1))]
-    pub title: BTreeMap<String, Title>,
+    #[serde(rename = "title")]
+    pub titles: BTreeMap<String, Title>,
 }
--- a/crates/settings/src/site/capacity.rs
+++ b/crates/settings/src/site/capacity.rs
@@ -9,7 +9,8 @@
 pub struct Kind {
     /// Streams that it runs at most.
     #[garde(range(min = 1.0, max = 1e6))]
-    pub places: f64,
+    #[serde(rename = "places")]
+    pub stream_capacity: f64,
 }
 
 /// Cells that titles are laid out over, and racks, which share uplinks: a cell's rack is its number modulo
@@ -19,11 +20,12 @@
 pub struct Layout {
     /// How many cells there are.
     #[garde(range(min = 1, max = 1_000_000))]
-    pub cells: u64,
+    #[serde(rename = "cells")]
+    pub cell_count: u64,
     /// How many racks there are; 0: no uplink is shared.
     #[garde(range(max = 1_000_000))]
-    #[serde(default)]
-    pub racks: u64,
+    #[serde(default, rename = "racks")]
+    pub rack_count: u64,
 }
 
 /// Cells that hold a title: `spread` in a row from `home` on.
@@ -32,10 +34,12 @@
 pub struct Title {
     /// First of its cells.
     #[garde(skip)]
-    pub home: u64,
+    #[serde(rename = "home")]
+    pub first_cell: u64,
     /// How many cells hold it.
     #[garde(range(min = 1))]
-    pub spread: u64,
+    #[serde(rename = "spread")]
+    pub replica_cells: u64,
 }
 
 /// What is told of links, kB a second.
@@ -44,23 +48,24 @@
 pub struct Link {
     /// Link of a node of weight 1.
     #[garde(range(min = 0.0, max = 1e12))]
-    pub kb_per_weight: f64,
+    #[serde(rename = "kb_per_weight")]
+    pub kb_s_per_weight: f64,
     /// A node's link goes by its weight in the endpoint list.
     #[garde(skip)]
-    #[serde(default)]
-    pub weights_tell_size: bool,
+    #[serde(default, rename = "weights_tell_size")]
+    pub weight_is_capacity: bool,
     /// Links of the whole fleet together; 0: not known.
     #[garde(range(min = 0.0, max = 1e12))]
-    #[serde(default)]
-    pub fleet_kb: f64,
+    #[serde(default, rename = "fleet_kb")]
+    pub fleet_kb_s: f64,
     /// Uplink of a rack; 0: none.
     #[garde(range(min = 0.0, max = 1e12))]
-    #[serde(default)]
-    pub uplink_kb: f64,
+    #[serde(default, rename = "uplink_kb")]
+    pub rack_uplink_kb_s: f64,
     /// What a further viewer of a live title adds to a stream, as a part of its rate.
     #[garde(range(min = 0.0, max = 1.0))]
-    #[serde(default = "one")]
-    pub join_adds: f64,
+    #[serde(default = "one", rename = "join_adds")]
+    pub join_rate_fraction: f64,
 }
 
 /// Notes that nodes tell: how often, and how late.
@@ -69,10 +74,12 @@
 pub struct Notes {
     /// Interval between two notifications of a session.
     #[garde(range(min = 0.0, max = 600_000.0))]
-    pub every_ms: f64,
+    #[serde(rename = "every_ms")]
+    pub interval_ms: f64,
     /// How old a notification may be.
     #[garde(range(min = 0.0, max = 600_000.0))]
-    pub late_ms: f64,
+    #[serde(rename = "late_ms")]
+    pub delay_ms: f64,
 }
 
 fn one() -> f64 {
--- a/crates/settings/src/site/module_settings.rs
+++ b/crates/settings/src/site/module_settings.rs
@@ -6,7 +6,7 @@
 use super::traffic::{Class, Tenant};
 use crate::moves::Moves;
 use crate::server::Front;
-use crate::units::{from_millis, us};
+use crate::units::from_millis;
 use shalewall::{
     ClassSettings, Idempotency, RetryBudget, RuleSettings, Rung, Settings, TenantSettings,
     TimeDelta,
@@ -16,29 +16,29 @@
 impl Site {
     /// Classes in the order of the module's indices, with how long their viewers wait.
     pub fn classes(&self) -> Vec<NamedClass> {
-        let classes = self.class.iter();
+        let classes = self.classes.iter();
         classes
             .map(|(name, class)| NamedClass {
                 name: name.clone(),
-                max_wait: TimeDelta::from_micros(us(class.give_up_ms)),
+                max_wait: from_millis(class.deadline_ms),
             })
             .collect()
     }
 
     /// What the engine of one director is told. `incarnation` distinguishes this start of the director from others.
     pub fn config(&self, front: &Front, incarnation: u16) -> Config {
-        let titles = self.title.iter();
+        let titles = self.titles.iter();
         Config {
             seed: front.seed,
             settings: self.settings(front),
             classes: self.classes(),
-            tenants: self.tenant.keys().cloned().collect(),
+            tenants: self.tenants.keys().cloned().collect(),
             zones: self.zones.clone(),
-            machine_kinds: self.kind.keys().cloned().collect(),
+            machine_kinds: self.kinds.keys().cloned().collect(),
             titles: titles
                 .map(|(name, title)| (name.clone(), title.place()))
                 .collect(),
-            max_sessions: front.most_sessions,
+            max_sessions: front.max_sessions,
             incarnation,
             migration: self.moves.as_ref().map(Moves::policy),
         }
@@ -47,30 +47,34 @@
     /// What the module of one director is told.
     pub fn settings(&self, front: &Front) -> Settings {
         let highest_rung = self.ladder.len().saturating_sub(1);
-        let classes = self.class.values();
-        let all_shares: f64 = self.tenant.values().map(|tenant| tenant.share).sum();
-        let tenants = self.tenant.values();
+        let classes = self.classes.values();
+        let all_shares: f64 = self.tenants.values().map(|tenant| tenant.share).sum();
+        let tenants = self.tenants.values();
         Settings {
             director_index: front.number,
-            director_count: front.directors,
+            director_count: front.director_count,
             zone: self.zone_index(front),
             classes: classes.map(|class| class.settings(highest_rung)).collect(),
             tenants: tenants.map(|tenant| tenant.settings(all_shares)).collect(),
             ladder: self.rungs(),
-            cell_count: self.layout.cells,
-            rack_count: self.layout.racks,
-            stream_capacity_by_kind: self.kind.values().map(|kind| kind.places).collect(),
-            weight_is_capacity: self.link.weights_tell_size,
-            link_kb_s_per_weight: self.link.kb_per_weight,
-            fleet_kb_s: self.link.fleet_kb,
-            rack_uplink_kb_s: self.link.uplink_kb,
-            join_rate_fraction: self.link.join_adds,
-            notification_delay: from_millis(self.notes.late_ms),
-            notification_interval: from_millis(self.notes.every_ms),
-            stall_penalty: self.costs.stall,
-            rung_change_cost_s: self.costs.switch_s,
-            zone_crossing_price: self.costs.cross,
-            over_quota_weight: self.costs.over_share_worth,
+            cell_count: self.layout.cell_count,
+            rack_count: self.layout.rack_count,
+            stream_capacity_by_kind: self
+                .kinds
+                .values()
+                .map(|kind| kind.stream_capacity)
+                .collect(),
+            weight_is_capacity: self.link.weight_is_capacity,
+            link_kb_s_per_weight: self.link.kb_s_per_weight,
+            fleet_kb_s: self.link.fleet_kb_s,
+            rack_uplink_kb_s: self.link.rack_uplink_kb_s,
+            join_rate_fraction: self.link.join_rate_fraction,
+            notification_delay: from_millis(self.notifications.delay_ms),
+            notification_interval: from_millis(self.notifications.interval_ms),
+            stall_penalty: self.costs.stall_penalty,
+            rung_change_cost_s: self.costs.rung_change_s,
+            zone_crossing_price: self.costs.zone_crossing,
+            over_quota_weight: self.costs.over_quota_weight,
             rules: self.rule_settings(),
             limits: self.limit_settings(),
             must_poll_endpoints: false,
@@ -86,31 +90,31 @@
         let steps = self.ladder.iter();
         steps
             .map(|step| Rung {
-                rate_kb_s: step.kb,
-                utility: step.worth,
+                rate_kb_s: step.rate_kb_s,
+                utility: step.utility,
             })
             .collect()
     }
 
     fn rule_settings(&self) -> RuleSettings {
         RuleSettings {
-            warm_up: from_millis(self.rules.warm_after_ms),
-            initial_capacity: self.rules.start_capacity,
+            warm_up: from_millis(self.rules.warm_up_ms),
+            initial_capacity: self.rules.initial_capacity,
             overload_factor: self.rules.overload_factor,
-            overload_window: from_millis(self.rules.fall_ms),
+            overload_window: from_millis(self.rules.overload_window_ms),
             poll_deadline: TimeDelta::from_micros(0),
-            retry_budget: self.rules.further.as_ref().map(Further::settings),
+            retry_budget: self.rules.retry_budget.as_ref().map(Further::settings),
         }
     }
 
     fn limit_settings(&self) -> shalewall::Limits {
         shalewall::Limits {
             max_attempts: self.limits.max_attempts,
-            can_cancel: self.limits.may_cancel,
-            can_check_health: self.limits.may_probe,
-            health_check_price: self.costs.probe,
-            max_retry_after: from_millis(self.limits.max_come_back_ms),
-            min_batch_interval: from_millis(self.limits.step_ms),
+            can_cancel: self.limits.can_cancel,
+            can_check_health: self.limits.can_check_health,
+            health_check_price: self.costs.health_check,
+            max_retry_after: from_millis(self.limits.max_retry_after_ms),
+            min_batch_interval: from_millis(self.limits.min_batch_interval_ms),
         }
     }
 }
@@ -125,13 +129,13 @@
         };
         ClassSettings {
             idempotency,
-            latency_objective: from_millis(self.aim_ms),
-            priority_weight: self.worth,
-            rate_scale: self.scale,
-            lowest_rung: self.floor,
-            highest_rung: self.top.unwrap_or(highest_rung),
-            session_limit_per_title: self.seats,
-            is_live: self.live,
+            latency_objective: from_millis(self.latency_objective_ms),
+            priority_weight: self.priority_weight,
+            rate_scale: self.rate_scale,
+            lowest_rung: self.lowest_rung,
+            highest_rung: self.highest_rung.unwrap_or(highest_rung),
+            session_limit_per_title: self.session_limit_per_title,
+            is_live: self.is_live,
         }
     }
 }
@@ -145,7 +149,7 @@
             0.0
         };
         TenantSettings {
-            request_quota_per_s: self.allowance_per_s,
+            request_quota_per_s: self.request_quota_per_s,
             fleet_quota,
         }
     }
@@ -154,9 +158,9 @@
 impl Further {
     fn settings(&self) -> RetryBudget {
         RetryBudget {
-            base: self.free,
+            base: self.base,
             per_request: self.per_request,
-            window: from_millis(self.span_ms),
+            window: from_millis(self.window_ms),
         }
     }
 }
@@ -164,8 +168,8 @@
 impl Title {
     fn place(&self) -> TitlePlacement {
         TitlePlacement {
-            first_cell: self.home,
-            replica_cells: self.spread,
+            first_cell: self.first_cell,
+            replica_cells: self.replica_cells,
         }
     }
 }
--- a/crates/settings/tests/errors.rs
+++ b/crates/settings/tests/errors.rs
@@ -27,7 +27,7 @@
 #[test]
 fn the_bad_day_is_right_and_becomes_settings() {
     let plan: DayPlan = parse("x.hcl", &day()).unwrap();
-    assert_eq!(plan.trouble.len(), 8);
+    assert_eq!(plan.faults.len(), 8);
     let front = r#"
         front {
           listen = "127.0.0.1:0"
@@ -179,10 +179,10 @@
     let plan: DayPlan = shalewall_settings::read(&file("own.hcl", own)).unwrap();
     let whole: DayPlan = parse("x.hcl", &text).unwrap();
     assert_eq!(
-        (plan.day.seconds, plan.day.seed, plan.trouble.len()),
+        (plan.day.seconds, plan.day.seed, plan.faults.len()),
         (7.0, whole.day.seed, 0)
     );
-    assert_eq!(plan.site.class.len(), whole.site.class.len());
+    assert_eq!(plan.site.classes.len(), whole.site.classes.len());
     let own = |what: &str| format!("include = \"house.hcl\"\n\n{what}\n");
     assert_eq!(
         wrong(&own("day {\n  seconds = 0\n}")),
--- a/crates/settings/tests/stored_forms.rs
+++ b/crates/settings/tests/stored_forms.rs
@@ -4,7 +4,7 @@
 
 use serde::Serialize;
 use shalewall::TimeDelta;
-use shalewall_settings::{AdminPlan, DayPlan, FrontPlan, SettingsFile, read};
+use shalewall_settings::{AdminPlan, DayPlan, FrontPlan, SettingsFile, parse, read};
 use std::path::{Path, PathBuf};
 
 fn fixture(name: &str) -> PathBuf {
@@ -75,9 +75,9 @@
 #[test]
 fn a_short_site_of_the_version_before_takes_the_same_defaults() {
     let plan: FrontPlan = read_as_recorded("site-defaults");
-    assert_eq!(plan.front.most_sessions, 100_000);
-    assert_eq!(plan.front.most_connections, 20_000);
-    assert_eq!(plan.front.silence_ms, 3_000);
+    assert_eq!(plan.front.max_sessions, 100_000);
+    assert_eq!(plan.front.max_connections, 20_000);
+    assert_eq!(plan.front.stream_timeout_ms, 3_000);
     let module = plan.site.settings(&plan.front);
     assert_eq!(module.zone, None);
     assert_eq!(module.classes[0].highest_rung, 0);
@@ -97,21 +97,21 @@
     assert_eq!((plan.day.seed, plan.day.directors), (9, 2));
     assert_eq!((plan.day.seconds, plan.day.media_fraction), (60.0, 0.02));
     let moves = plan.site.moves.as_ref().unwrap();
-    assert_eq!((moves.takes_ms, moves.at_node), (900.0, 3));
-    assert_eq!(plan.site.tenant["acme"].share, 3.0);
-    assert_eq!(plan.hosted.as_ref().unwrap().most_sessions, 500);
-    assert_eq!(plan.fleet.machine["7"].zone, "");
-    assert_eq!(plan.trouble.len(), 15);
+    assert_eq!((moves.duration_ms, moves.max_per_node), (900.0, 3));
+    assert_eq!(plan.site.tenants["acme"].share, 3.0);
+    assert_eq!(plan.hosted.as_ref().unwrap().max_sessions, 500);
+    assert_eq!(plan.fleet.machines["7"].zone, "");
+    assert_eq!(plan.faults.len(), 15);
     let kinds: std::collections::BTreeSet<String> = plan
-        .trouble
+        .faults
         .values()
         .map(|trouble| format!("{:?}", trouble.kind))
         .collect();
     assert_eq!(kinds.len(), 15, "one of each kind: {kinds:?}");
-    assert_eq!(plan.trouble["director kill"].on, Some(vec![1]));
-    assert_eq!(plan.trouble["preempt"].waves, 2);
-    assert_eq!(plan.trouble["crash"].waves, 1);
-    assert!(plan.trouble["zone loss"].directors);
+    assert_eq!(plan.faults["director kill"].targets, Some(vec![1]));
+    assert_eq!(plan.faults["preempt"].waves, 2);
+    assert_eq!(plan.faults["crash"].waves, 1);
+    assert!(plan.faults["zone loss"].directors);
     let (shortest, longest) = plan.load.lasts("call");
     assert_eq!((shortest.as_secs(), longest.as_secs()), (2, 9));
 }
@@ -147,3 +147,44 @@
     refused_as_recorded::<AdminPlan>("missing-include");
     refused_as_recorded::<AdminPlan>("missing-file");
 }
+
+/// The fields of a fixture that hold one number: (line, name).
+fn numbers(text: &str) -> Vec<(usize, String)> {
+    let fields = text.lines().enumerate().filter_map(|(index, line)| {
+        let (name, value) = line.split_once('=')?;
+        value.trim().parse::<f64>().ok()?;
+        Some((index, name.trim().to_string()))
+    });
+    fields.collect()
+}
+
+/// Gives each number of a fixture a wrong value. Returns how many there were.
+fn each_number_is_refused_by_its_name<T: SettingsFile>(file: &str) -> usize {
+    let text = std::fs::read_to_string(fixture(file)).unwrap();
+    let numbers = numbers(&text);
+    for (index, name) in &numbers {
+        let mut lines: Vec<String> = text.lines().map(str::to_string).collect();
+        lines[*index] = format!("{name} = -1e20");
+        let Err(errors) = parse::<T>("x.hcl", &lines.join("\n")) else {
+            panic!("{file}: {name} = -1e20 is taken");
+        };
+        let is_named = errors.iter().any(|error| {
+            let location = &error.location;
+            let last = location.path.rsplit('.').next().unwrap();
+            location.line == Some(index + 1) && last == name
+        });
+        assert!(is_named, "{file}: {name}: {errors:?}");
+    }
+    numbers.len()
+}
+
+/// Whatever fields are called in the code, errors call them by the names of files.
+#[test]
+fn each_wrong_number_is_told_with_the_name_and_line_of_its_field() {
+    let count = each_number_is_refused_by_its_name::<FrontPlan>("site.hcl");
+    assert!(count >= 40, "{count}");
+    let count = each_number_is_refused_by_its_name::<DayPlan>("all-fields-day.hcl");
+    assert!(count >= 60, "{count}");
+    let count = each_number_is_refused_by_its_name::<AdminPlan>("admin.hcl");
+    assert_eq!(count, 1);
+}
--- a/crates/simulation/src/plan.rs
+++ b/crates/simulation/src/plan.rs
@@ -17,30 +17,30 @@
     let (site, fleet) = (&plan.site, &plan.fleet);
     let mut dice = ChaCha8Rng::seed_from_u64(plan.day.seed);
     let mut stray = |part: f64| 1.0 + part * (2.0 * dice.random::<f64>() - 1.0);
-    let racks = if fleet.uplink_kb > 0.0 {
-        site.layout.racks
+    let racks = if fleet.uplink_kb_s > 0.0 {
+        site.layout.rack_count
     } else {
         0
     };
     let physics = FleetParameters {
-        rate_deviation: fleet.rate_stray,
+        rate_deviation: fleet.rate_deviation,
         setup_time: shalewall::TimeDelta::from_micros(us(fleet.set_up_ms)),
-        report_interval: shalewall::TimeDelta::from_micros(us(fleet.refresh_ms).max(1)),
-        report_noise: fleet.noise,
-        rejection_threshold: fleet.full_from,
-        warm_up: shalewall::TimeDelta::from_micros(us(site.rules.warm_after_ms)),
-        initial_capacity: site.rules.start_capacity,
+        report_interval: shalewall::TimeDelta::from_micros(us(fleet.load_refresh_ms).max(1)),
+        report_noise: fleet.load_noise,
+        rejection_threshold: fleet.reject_above,
+        warm_up: shalewall::TimeDelta::from_micros(us(site.rules.warm_up_ms)),
+        initial_capacity: site.rules.initial_capacity,
         overload_factor: site.rules.overload_factor,
-        overload_window: shalewall::TimeDelta::from_micros(us(site.rules.fall_ms)),
-        uplinks_kb_s: match &fleet.uplinks_kb[..] {
+        overload_window: shalewall::TimeDelta::from_micros(us(site.rules.overload_window_ms)),
+        uplinks_kb_s: match &fleet.uplinks_kb_s[..] {
             [] => (0..racks)
-                .map(|_| fleet.uplink_kb * stray(fleet.link_stray))
+                .map(|_| fleet.uplink_kb_s * stray(fleet.link_deviation))
                 .collect(),
             told => told.to_vec(),
         },
     };
-    let places = |kind: &str| site.kind.get(kind).map_or(1e6, |k| k.places);
-    if !fleet.machine.is_empty() {
+    let places = |kind: &str| site.kinds.get(kind).map_or(1e6, |k| k.stream_capacity);
+    if !fleet.machines.is_empty() {
         let told = |(name, m): (&String, &shalewall_settings::Machine)| Machine {
             id: name.parse().unwrap_or_default(),
             zone: m.zone.clone(),
@@ -48,11 +48,11 @@
             cell: m.cell,
             weight: m.weight,
             stream_capacity: places(&m.kind),
-            link_kb_s: m.link_kb * stray(fleet.link_stray),
+            link_kb_s: m.link_kb_s * stray(fleet.link_deviation),
         };
-        return (physics, fleet.machine.iter().map(told).collect());
+        return (physics, fleet.machines.iter().map(told).collect());
     }
-    let kinds: Vec<&String> = site.kind.keys().collect();
+    let kinds: Vec<&String> = site.kinds.keys().collect();
     let machine = |id: u64| {
         let kind = kinds
             .get(id as usize % kinds.len().max(1))
@@ -65,13 +65,13 @@
                 .cloned()
                 .unwrap_or_default(),
             kind: kind.to_string(),
-            cell: id % site.layout.cells,
+            cell: id % site.layout.cell_count,
             weight: 1.0,
             stream_capacity: places(kind),
-            link_kb_s: fleet.link_kb * stray(fleet.link_stray),
+            link_kb_s: fleet.link_kb_s * stray(fleet.link_deviation),
         }
     };
-    let machines = (0..fleet.nodes).map(machine).collect();
+    let machines = (0..fleet.node_count).map(machine).collect();
     (physics, machines)
 }
 
@@ -79,40 +79,40 @@
 pub fn crowd(plan: &DayPlan) -> ViewerPopulation {
     let (site, load) = (&plan.site, &plan.load);
     let class = |(name, part): (&String, &f64)| {
-        let c = &site.class[name];
+        let c = &site.classes[name];
         let (shortest, longest) = load.lasts(name);
         Class {
             name: name.clone(),
             fraction: *part,
-            request_timeout: ms(c.give_up_ms),
-            latency_objective: ms(c.aim_ms),
-            priority_weight: c.worth,
-            highest_rung: c.top.unwrap_or(site.ladder.len() - 1),
+            request_timeout: ms(c.deadline_ms),
+            latency_objective: ms(c.latency_objective_ms),
+            priority_weight: c.priority_weight,
+            highest_rung: c.highest_rung.unwrap_or(site.ladder.len() - 1),
             shortest,
             longest,
-            live: c.live,
+            live: c.is_live,
         }
     };
     ViewerPopulation {
         arrivals_per_s: load.per_s,
         tenants: load
-            .tenants
+            .tenant_rates
             .iter()
             .map(|(name, times)| (name.clone(), *times))
             .collect(),
-        classes: load.mix.iter().map(class).collect(),
-        titles: site.title.keys().cloned().collect(),
+        classes: load.class_mix.iter().map(class).collect(),
+        titles: site.titles.keys().cloned().collect(),
         skew: load.skew,
-        hint_factor: load.hint_times,
-        limited_fraction: load.weak,
-        retry_fraction: load.come_again,
-        retry_pause: ms(load.pause_ms),
-        follow_fraction: load.follow,
+        hint_factor: load.hint_factor,
+        limited_fraction: load.constrained_fraction,
+        retry_fraction: load.retry_fraction,
+        retry_pause: ms(load.retry_pause_ms),
+        follow_fraction: load.following_fraction,
         live_buffer: ms(load.live_buffer_ms),
-        recorded_buffer: ms(load.buffer_ms),
-        utility: site.ladder.iter().map(|r| r.worth).collect(),
-        stall_penalty: site.costs.stall,
-        rung_change_cost_s: site.costs.switch_s,
+        recorded_buffer: ms(load.recorded_buffer_ms),
+        utility: site.ladder.iter().map(|r| r.utility).collect(),
+        stall_penalty: site.costs.stall_penalty,
+        rung_change_cost_s: site.costs.rung_change_s,
     }
 }
 
@@ -124,10 +124,10 @@
     };
     let tenants = plan
         .load
-        .tenants
+        .tenant_rates
         .keys()
         .map(|name| ChaCha8Rng::seed_from_u64(seed(name)));
-    if plan.load.tenants.is_empty() {
+    if plan.load.tenant_rates.is_empty() {
         vec![ChaCha8Rng::seed_from_u64(seed(""))]
     } else {
         tenants.collect()
--- a/crates/simulation/src/scenes.rs
+++ b/crates/simulation/src/scenes.rs
@@ -13,26 +13,31 @@
 /// session's length has passed.
 fn usual(plan: &DayPlan) -> f64 {
     let ladder = &plan.site.ladder;
-    let racks = plan.site.layout.racks as f64;
-    let mean_s = (plan.load.shortest_s + plan.load.longest_s) / 2.0;
-    racks * plan.fleet.uplink_kb / ladder[ladder.len() / 2].kb / mean_s
+    let racks = plan.site.layout.rack_count as f64;
+    let mean_s = (plan.load.min_length_s + plan.load.max_length_s) / 2.0;
+    racks * plan.fleet.uplink_kb_s / ladder[ladder.len() / 2].rate_kb_s / mean_s
 }
 
 /// Sessions of half an hour, and a day of an hour.
 fn long(plan: &mut DayPlan) {
-    (plan.load.shortest_s, plan.load.longest_s, plan.day.seconds) = (1500.0, 2100.0, 3600.0);
+    (
+        plan.load.min_length_s,
+        plan.load.max_length_s,
+        plan.day.seconds,
+    ) = (1500.0, 2100.0, 3600.0);
 }
 
 /// A fleet so many times as large, with as many more viewers, under so many directors.
 fn grow(plan: &mut DayPlan, times: u64, directors: u32) {
     plan.day.directors = directors;
-    plan.fleet.nodes *= times;
-    plan.site.layout.cells *= times;
-    plan.site.layout.racks *= times;
-    plan.site.link.fleet_kb *= times as f64;
+    plan.fleet.node_count *= times;
+    plan.site.layout.cell_count *= times;
+    plan.site.layout.rack_count *= times;
+    plan.site.link.fleet_kb_s *= times as f64;
     plan.load.per_s *= times as f64;
-    for title in plan.site.title.values_mut() {
-        (title.home, title.spread) = (title.home * times, title.spread * times);
+    for title in plan.site.titles.values_mut() {
+        (title.first_cell, title.replica_cells) =
+            (title.first_cell * times, title.replica_cells * times);
     }
 }
 
@@ -74,17 +79,17 @@
             },
         );
     }
-    let again = |p: &mut DayPlan| (p.load.come_again, p.load.pause_ms) = (0.9, 1500.0);
+    let again = |p: &mut DayPlan| (p.load.retry_fraction, p.load.retry_pause_ms) = (0.9, 1500.0);
     scene(
         "half",
         "half of the nodes die and come back cold after 30 s",
         &|p| {
             again(p);
             let t = Trouble {
-                part: 0.5,
+                fraction: 0.5,
                 ..Trouble::new(TroubleKind::Crash, 90.0, 30.0)
             };
-            p.trouble.insert("half".into(), t);
+            p.faults.insert("half".into(), t);
         },
     );
     scene(
@@ -95,10 +100,10 @@
             again(p);
             p.load.per_s = usual(p);
             let t = Trouble {
-                part: 0.5,
+                fraction: 0.5,
                 ..Trouble::new(TroubleKind::Crash, 1800.0, 60.0)
             };
-            p.trouble.insert("half".into(), t);
+            p.faults.insert("half".into(), t);
         },
     );
     scene(
@@ -110,7 +115,7 @@
                 size: 3.0,
                 ..Trouble::new(TroubleKind::Burst, 90.0, 90.0)
             };
-            p.trouble.insert("more".into(), t);
+            p.faults.insert("more".into(), t);
         },
     );
     scene("tripled-long", "the same, sessions of half an hour", &|p| {
@@ -120,7 +125,7 @@
             size: 3.0,
             ..Trouble::new(TroubleKind::Burst, 1800.0, 1800.0)
         };
-        p.trouble.insert("more".into(), t);
+        p.faults.insert("more".into(), t);
     });
     scene(
         "falls",
@@ -131,31 +136,31 @@
                 size: 6.0,
                 ..Trouble::new(TroubleKind::Burst, 0.0, 150.0)
             };
-            p.trouble.insert("more".into(), t);
+            p.faults.insert("more".into(), t);
         },
     );
     scene(
         "peeks",
         "a crowd of ten times the rate whose sessions last 5 s",
         &|p| {
-            let mut peek = p.site.class["room"].clone();
+            let mut peek = p.site.classes["room"].clone();
             peek.paid = false;
-            p.site.class.insert("peek".into(), peek);
-            p.load.mix.insert("peek".into(), 0.0);
-            p.load.lasts_s.insert("peek".into(), (4.0, 6.0));
+            p.site.classes.insert("peek".into(), peek);
+            p.load.class_mix.insert("peek".into(), 0.0);
+            p.load.length_s_by_class.insert("peek".into(), (4.0, 6.0));
             let name = Some("peek".to_string());
             let t = Trouble {
                 size: 10.0,
-                name,
+                target_name: name,
                 ..Trouble::new(TroubleKind::ClassFlood, 60.0, 20.0)
             };
-            p.trouble.insert("peeks".into(), t);
+            p.faults.insert("peeks".into(), t);
         },
     );
     for (name, times) in [("hints-10", 10.0), ("hints-0.1", 0.1), ("no-hints", 0.0)] {
         scene(name, "an empty start with hints that lie, or none", &|p| {
             p.load.per_s *= 1.5;
-            p.load.hint_times = times;
+            p.load.hint_factor = times;
         });
     }
     scene(
@@ -165,10 +170,10 @@
             let name = Some("report".to_string());
             let t = Trouble {
                 size: 3.0,
-                name,
+                target_name: name,
                 ..Trouble::new(TroubleKind::ClassFlood, 60.0, 60.0)
             };
-            p.trouble.insert("flood".into(), t);
+            p.faults.insert("flood".into(), t);
         },
     );
     scene("hot", "half of all viewers come for one title", &|p| {
@@ -176,18 +181,18 @@
         let name = Some("garden".to_string());
         let t = Trouble {
             size: 1.0,
-            name,
+            target_name: name,
             ..Trouble::new(TroubleKind::HotTitle, 0.0, 180.0)
         };
-        p.trouble.insert("hot".into(), t);
+        p.faults.insert("hot".into(), t);
     });
     scene(
         "at-once",
         "four times the load; those turned away come again at once",
         &|p| {
             p.load.per_s *= 4.0;
-            (p.load.come_again, p.load.pause_ms) = (1.0, 200.0);
-            p.site.limits.max_come_back_ms = 400.0;
+            (p.load.retry_fraction, p.load.retry_pause_ms) = (1.0, 200.0);
+            p.site.limits.max_retry_after_ms = 400.0;
         },
     );
     scene(
@@ -196,10 +201,10 @@
         &|p| {
             again(p);
             let t = Trouble {
-                on: Some(vec![1]),
+                targets: Some(vec![1]),
                 ..Trouble::new(TroubleKind::DirectorKill, 60.0, 60.0)
             };
-            p.trouble.insert("lost".into(), t);
+            p.faults.insert("lost".into(), t);
         },
     );
     scene(
@@ -212,7 +217,7 @@
                     size: 20.0,
                     ..Trouble::new(TroubleKind::Burst, 90.0 * f64::from(i), 45.0)
                 };
-                p.trouble.insert(format!("swing {i}"), t);
+                p.faults.insert(format!("swing {i}"), t);
             }
         },
     );
@@ -228,15 +233,15 @@
         scene(name, "two tenants with half of the fleet each", &|p| {
             again(p);
             for (tenant, times) in [("quiet", quiet), ("loud", loud)] {
-                p.site.tenant.insert(
+                p.site.tenants.insert(
                     tenant.into(),
                     Tenant {
-                        allowance_per_s: 0.0,
+                        request_quota_per_s: 0.0,
                         share,
                     },
                 );
                 if times > 0.0 {
-                    p.load.tenants.insert(tenant.into(), times);
+                    p.load.tenant_rates.insert(tenant.into(), times);
                 }
             }
         });
@@ -260,7 +265,7 @@
                 size: 3.0,
                 ..Trouble::new(TroubleKind::Burst, 90.0, 90.0)
             };
-            p.trouble.insert("more".into(), t);
+            p.faults.insert("more".into(), t);
         },
     );
     scenes
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -150,7 +150,7 @@
 
 /// Runs a day's plan. A trouble that can't be played here is an error, not left out.
 pub fn run(plan: &DayPlan, policy: Policy) -> Result<Report, String> {
-    for (name, t) in &plan.trouble {
+    for (name, t) in &plan.faults {
         if !PLAYED.contains(&t.kind) {
             return Err(format!(
                 "trouble '{name}': {:?} can't be played in simulated time yet",
@@ -188,11 +188,11 @@
         let (physics, machines) = plan::fleet(plan);
         let seed = plan.day.seed;
         let directors = plan.day.directors as usize;
-        let notes = &plan.site.notes;
+        let notes = &plan.site.notifications;
         let crowd = plan::crowd(plan);
         let known = |c: &Class| {
             plan.site
-                .class
+                .classes
                 .keys()
                 .position(|n| *n == c.name)
                 .unwrap_or(0)
@@ -205,8 +205,8 @@
             crowd,
             fleet: Fleet::new(physics, seed ^ 1),
             teller: Notifier::new(
-                TimeDelta::from_micros(us(notes.every_ms)),
-                TimeDelta::from_micros(us(notes.late_ms)),
+                TimeDelta::from_micros(us(notes.interval_ms)),
+                TimeDelta::from_micros(us(notes.delay_ms)),
             ),
             arrivals: plan::arrivals(plan),
             dice: ChaCha8Rng::seed_from_u64(seed ^ 3),
@@ -227,7 +227,7 @@
             burst: 1.0,
             bursts: BTreeMap::new(),
             extra: None,
-            troubles: plan.trouble.values().cloned().collect(),
+            troubles: plan.faults.values().cloned().collect(),
             listed: BTreeMap::new(),
             result: Report {
                 count: Count::default(),
@@ -244,7 +244,7 @@
         world.later(0, Due::Look);
         (0..world.arrivals.len()).for_each(|stream| world.later(0, Due::Arrive(stream)));
         for i in 0..world.troubles.len() {
-            world.later(us(world.troubles[i].at_s * 1000.0), Due::Begins(i));
+            world.later(us(world.troubles[i].start_s * 1000.0), Due::Begins(i));
         }
         world
     }
@@ -615,7 +615,7 @@
         let machine = self.fleet.nodes[&node].machine.clone();
         let line = line(&machine, standing, came_up);
         self.listed.insert(node, line.clone());
-        let late = us(self.plan.fleet.list_late_ms);
+        let late = us(self.plan.fleet.list_delay_ms);
         for d in 0..self.engines.len() {
             let lines = vec![line.clone()];
             self.later(
@@ -761,16 +761,16 @@
     let zones = &plan.site.zones;
     Front {
         listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
-        list: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+        endpoint_list: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
         number,
-        directors: plan.day.directors,
+        director_count: plan.day.directors,
         zone: zones.get(number as usize % zones.len().max(1)).cloned(),
         seed: plan.day.seed ^ u64::from(number),
-        most_sessions: 1_000_000,
-        most_connections: 1,
-        silence_ms: 3000,
-        leave_s: 0.0,
-        move_key_file: None,
+        max_sessions: 1_000_000,
+        max_connections: 1,
+        stream_timeout_ms: 3000,
+        shutdown_grace_s: 0.0,
+        ticket_key_file: None,
     }
 }
 
--- a/crates/simulation/src/world/troubles.rs
+++ b/crates/simulation/src/world/troubles.rs
@@ -6,14 +6,14 @@
     /// Those that a trouble meets: as told, or its part of them, at least one.
     pub(super) fn met(&mut self, of: Vec<u64>, trouble: &Trouble) -> Vec<u64> {
         let mut met = of;
-        if let Some(on) = &trouble.on {
+        if let Some(on) = &trouble.targets {
             met.retain(|x| on.contains(x));
             return met;
         }
-        let n = ((trouble.part * met.len() as f64).round() as usize).max(1);
+        let n = ((trouble.fraction * met.len() as f64).round() as usize).max(1);
         // Of the same day the same are met, whoever decides.
         met.shuffle(&mut ChaCha8Rng::seed_from_u64(
-            self.plan.day.seed ^ trouble.at_s.to_bits(),
+            self.plan.day.seed ^ trouble.start_s.to_bits(),
         ));
         met.truncate(n);
         met
@@ -33,14 +33,14 @@
                 met = self.met(up, &trouble);
                 met.iter().for_each(|id| self.down(*id));
             }
-            TroubleKind::TenantBurst if trouble.name.is_some() => {
+            TroubleKind::TenantBurst if trouble.target_name.is_some() => {
                 self.bursts
-                    .extend(trouble.name.clone().map(|name| (name, trouble.size)));
+                    .extend(trouble.target_name.clone().map(|name| (name, trouble.size)));
             }
             TroubleKind::Burst | TroubleKind::TenantBurst => self.burst = trouble.size,
             TroubleKind::HotTitle => {
                 self.extra = trouble
-                    .name
+                    .target_name
                     .clone()
                     .map(|n| (Interest::Title(n), trouble.size));
             }
@@ -49,7 +49,7 @@
                     .crowd
                     .classes
                     .iter()
-                    .position(|c| trouble.name.as_ref() == Some(&c.name));
+                    .position(|c| trouble.target_name.as_ref() == Some(&c.name));
                 self.extra = class.map(|c| (Interest::Class(c), trouble.size));
             }
             TroubleKind::SharedSlow => self.fleet.link_slowdown = trouble.size,
@@ -61,7 +61,7 @@
             }
             _ => {}
         }
-        self.later(us(trouble.len_s * 1000.0), Due::Ends(i, met));
+        self.later(us(trouble.duration_s * 1000.0), Due::Ends(i, met));
     }
 
     pub(super) fn trouble_ends(&mut self, i: usize, met: Vec<u64>) {
--- a/crates/simulation/tests/scenes.rs
+++ b/crates/simulation/tests/scenes.rs
@@ -60,7 +60,7 @@
 #[test]
 fn a_trouble_that_cannot_be_played_is_an_error() {
     let mut plan = base();
-    plan.trouble
+    plan.faults
         .insert("frozen".into(), Trouble::new(TroubleKind::Hang, 1.0, 1.0));
     assert!(run(&plan, Policy::Module).unwrap_err().contains("frozen"));
 }
