The protocol: no circles of imports, its tests' comments in the field's terms, the random model's checks apart

Verb, the frame limit and a node's connectivity stand in modules that both sides of a circle can use; Timers has no default type of time.

--- a/crates/platform-proto/src/director_protocol/mod.rs
+++ b/crates/platform-proto/src/director_protocol/mod.rs
@@ -255,7 +255,7 @@
 }
 
 impl From<Outcome> for ReportedOutcome {
-    /// An end without a word of the node.
+    /// An end of which the node reported nothing.
     fn from(outcome: Outcome) -> ReportedOutcome {
         ReportedOutcome {
             outcome,
--- a/crates/platform-proto/src/director_protocol/requests.rs
+++ b/crates/platform-proto/src/director_protocol/requests.rs
@@ -44,7 +44,7 @@
     }
 
     /// Two requests under one id. Where both come on one connection neither is to be believed; a request goes on where
-    /// another connection's tries to spoil it.
+    /// another connection repeats its id.
     fn handle_duplicate_request(&mut self, viewer: ViewerId, wire_id: HexId, id: SessionId) {
         let is_same_viewer = self
             .sessions
--- a/crates/platform-proto/src/endpoint_watch.rs
+++ b/crates/platform-proto/src/endpoint_watch.rs
@@ -4,12 +4,10 @@
 //! [`FrameDecoder`] turns the service's bytes into [`Frame`]s. A frame's length is checked before its bytes are kept.
 
 use crate::error::EndpointWatchError;
-use crate::release_spare_capacity;
+use crate::{MAX_FRAME_BYTES, release_spare_capacity};
 use shalewall::{Endpoint, EndpointState, ServerId, TimeDelta, Timestamp};
 use std::net::{Ipv4Addr, SocketAddr};
 
-/// The longest frame: some 38,000 nodes.
-pub const MAX_FRAME_BYTES: usize = 1 << 20;
 /// The service sends a frame each second. After so long without a whole one it is asked again on a new connection.
 pub const SILENCE_TIMEOUT: TimeDelta = TimeDelta::from_millis(2_200);
 
--- a/crates/platform-proto/src/error.rs
+++ b/crates/platform-proto/src/error.rs
@@ -1,8 +1,8 @@
 //! Errors: one enum for each peer and for each input of the operator. Each variant is a rule of the protocol that was
 //! broken.
 
-use crate::viewer_message::Verb;
-use crate::{MAX_MESSAGE_BYTES, endpoint_watch::MAX_FRAME_BYTES};
+use crate::verb::Verb;
+use crate::{MAX_FRAME_BYTES, MAX_MESSAGE_BYTES};
 use thiserror::Error;
 
 /// A viewer broke a rule of its protocol. Its connection can't be read any further.
--- a/crates/platform-proto/src/lib.rs
+++ b/crates/platform-proto/src/lib.rs
@@ -22,6 +22,7 @@
 
 pub mod config;
 mod connection_reasons;
+mod connectivity;
 mod director_protocol;
 pub mod endpoint_watch;
 pub mod error;
@@ -42,6 +43,7 @@
 mod session_table;
 mod status;
 mod timeouts;
+mod verb;
 mod viewer_connection;
 mod viewer_connections;
 pub mod viewer_message;
@@ -58,6 +60,8 @@
 
 /// The longest message, in bytes, of viewers and media nodes.
 pub const MAX_MESSAGE_BYTES: usize = 16 * 1024;
+/// The longest frame, in bytes, of the endpoint list service: some 38,000 nodes.
+pub const MAX_FRAME_BYTES: usize = 1 << 20;
 /// An empty buffer keeps so much capacity, in bytes.
 const MAX_SPARE_CAPACITY: usize = 4096;
 
--- a/crates/platform-proto/src/log_event.rs
+++ b/crates/platform-proto/src/log_event.rs
@@ -58,6 +58,6 @@
         /// The rule that it broke.
         error: ViewerProtocolError,
     },
-    /// The decision module's own words.
+    /// A message of the decision module.
     Decision(String),
 }
--- a/crates/platform-proto/src/node.rs
+++ b/crates/platform-proto/src/node.rs
@@ -2,7 +2,7 @@
 
 use crate::HexId;
 use crate::connection_reasons::{ConnectError, ConnectReason};
-use crate::node_connections::NodeConnectivity;
+use crate::connectivity::NodeConnectivity;
 use shalewall::{Endpoint, EndpointState, SessionId, TimeDelta, Timestamp};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
--- a/crates/platform-proto/src/node_connections.rs
+++ b/crates/platform-proto/src/node_connections.rs
@@ -2,6 +2,7 @@
 //! and closed for which reason.
 
 use crate::connection_reasons::{CloseReason, ConnectReason};
+use crate::connectivity::NodeConnectivity;
 use crate::ids::NodeConnectionId;
 use crate::node_connection::NodeConnection;
 use shalewall::{ServerId, SessionId, Timestamp};
@@ -17,15 +18,6 @@
     pub(crate) closed: BTreeMap<CloseReason, u32>,
 }
 
-/// The connections to one node, for judging whether it can be reached.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) struct NodeConnectivity {
-    pub(crate) has_connection: bool,
-    /// One is established and not suspect.
-    pub(crate) has_sound_connection: bool,
-    pub(crate) is_connecting: bool,
-}
-
 #[derive(Default)]
 pub(crate) struct NodeConnections {
     connections: BTreeMap<NodeConnectionId, NodeConnection>,
--- a/crates/platform-proto/src/viewer_message.rs
+++ b/crates/platform-proto/src/viewer_message.rs
@@ -1,5 +1,7 @@
 //! Codec of the viewers' protocol: one JSON object on each line.
 
+pub use crate::verb::Verb;
+
 use crate::error::ViewerProtocolError;
 use crate::{HexId, MAX_MESSAGE_BYTES, release_spare_capacity};
 use serde::{Deserialize, Serialize};
@@ -19,32 +21,6 @@
     pub const INVALID: i64 = 95;
 }
 
-/// Type of a message.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "UPPERCASE")]
-pub enum Verb {
-    /// A viewer requests a session.
-    Start,
-    /// Progress, which means nothing.
-    Pending,
-    /// The session is active.
-    Started,
-    /// A request or a session ends.
-    Finish,
-    /// A `FINISH` was received.
-    Finished,
-    /// A health check of this director.
-    Echo,
-    /// Answer to a health check.
-    Echoed,
-    /// A notification about a session.
-    Notice,
-    /// A new rung.
-    Rate,
-    /// The session ends here; its viewer requests it again.
-    Move,
-}
-
 /// One message.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ViewerMessage {
--- a/crates/platform-proto/tests/attempts.rs
+++ b/crates/platform-proto/tests/attempts.rs
@@ -6,8 +6,8 @@
 use shalewall_platform_proto::endpoint_watch::{Frame, FrameDecoder};
 use shalewall_platform_proto::{ConnectError, ConnectionId};
 
-/// Two sockets are written in any order: the word that an attempt is given up must be on its way before the next
-/// attempt is, or both are out.
+/// Two sockets are written in any order: an attempt's cancellation must be written before the next attempt, or both are
+/// open.
 #[test]
 fn the_next_attempt_waits_for_the_cancellation() {
     let mut harness = Harness::new();
@@ -28,7 +28,7 @@
         harness.take_written(next).starts_with("SETUP"),
         "the way is free"
     );
-    // And where the connection ends, its set-ups are given up by that.
+    // Where the connection ends, that cancels its set-ups.
     let mut harness = Harness::new();
     let (_, slow) = harness.start_attempt(7, "free");
     harness.blocked.insert(slow);
@@ -38,7 +38,7 @@
     assert!(harness.take_written(next).starts_with("SETUP"));
 }
 
-/// Lets all connections come up; how many set-ups went out on others than that one.
+/// Establishes all connections; how many set-ups were written on others than that one.
 fn count_set_ups_elsewhere(harness: &mut Harness, than: ConnectionId) -> usize {
     for connection in harness
         .node_connections
@@ -56,10 +56,10 @@
         .count()
 }
 
-/// A connection on which the word that an attempt is given up is half written: the next attempt is not left waiting for it.
+/// A cancellation that is half written: the next attempt does not wait for it.
 #[test]
 fn a_half_written_cancellation_blocks_no_attempt() {
-    // The socket takes nothing: closing says the same.
+    // The socket takes nothing: closing cancels as well.
     let mut harness = Harness::new();
     let (_, slow) = harness.start_attempt(7, "free");
     harness.refusing_writes.insert(slow);
@@ -76,8 +76,8 @@
     assert_eq!(count_set_ups_elsewhere(&mut harness, slow), 1);
 }
 
-/// The same where sessions stand at the node, so that its connections are closed in two steps: one on which the word is under
-/// way is no idle one.
+/// The same where sessions are active at the node, so that its connections are half-closed: one on which a cancellation is
+/// being written is not idle.
 #[test]
 fn a_connection_writing_a_cancellation_is_not_idle() {
     let mut harness = Harness::new();
@@ -126,8 +126,8 @@
     assert_eq!(next.count(), 1, "{:?}", harness.written);
 }
 
-/// A node refuses a set-up and lets it stand some milliseconds later: nobody waits for it there any more, and the next attempt
-/// is out elsewhere. It is released; a second copy of an answer is passed over.
+/// A node rejects a set-up and accepts it some milliseconds later, while the next attempt is open elsewhere: that session is
+/// released. A duplicate of an answer is ignored.
 #[test]
 fn a_session_answered_after_its_rejection_is_released() {
     let mut harness = Harness::new();
@@ -158,8 +158,7 @@
     assert!(harness.take_written(viewer).is_empty());
 }
 
-/// A second copy of a refusal, and an answer to it while the same node has the session's next attempt, or holds it: the word
-/// would be taken for that one.
+/// An answer behind a rejection, while the same node has the session's next attempt or the session: a release would end that.
 #[test]
 fn a_late_answer_releases_no_session_of_the_same_node() {
     let mut harness = Harness::new();
@@ -185,7 +184,7 @@
     );
 }
 
-/// The other orders at a node. Before its set-up is whole nothing ran, and a paid one goes elsewhere; after that it may have.
+/// Before a set-up is written whole it was not executed, and a paid one is retried elsewhere; after that it may have been.
 #[test]
 fn a_paid_set_up_is_retried_only_if_not_executed() {
     type Break = fn(&mut Harness, ConnectionId);
@@ -198,7 +197,7 @@
             |harness, connection| harness.fail_connect(connection, ConnectError::Unreachable),
             true,
         ),
-        // Up, and closed before the first byte; between the first and the last.
+        // Established, and closed before the first byte; between the first and the last.
         (
             |harness, connection| {
                 harness.refusing_writes.insert(connection);
@@ -215,7 +214,7 @@
             },
             true,
         ),
-        // Whole: closed, or cut, before the answer.
+        // Written whole: closed, or broken, before the answer.
         (
             |harness, connection| {
                 harness.connect(connection);
@@ -282,7 +281,7 @@
     }
 }
 
-/// Judged again before its first byte: the node was told to drain while the connection came up.
+/// The node was listed as draining while the connection was being established.
 #[test]
 fn a_set_up_is_checked_again_before_its_first_byte() {
     let mut harness = Harness::new();
@@ -333,7 +332,7 @@
     );
 }
 
-/// What the module has given up on is answered at once, with the time to keep away.
+/// What the module rejects is answered at once, with the time to wait before a retry.
 #[test]
 fn a_rejection_is_immediate_with_retry_after() {
     let mut harness = Harness::new();
@@ -350,7 +349,7 @@
     );
 }
 
-/// The answer comes in time though its node stands still, and the node is told to forget it.
+/// The answer comes in time though its node is stalled, and the set-up is cancelled there.
 #[test]
 fn a_stalled_node_delays_no_answer() {
     let mut harness = Harness::new();
--- a/crates/platform-proto/tests/common/mod.rs
+++ b/crates/platform-proto/tests/common/mod.rs
@@ -160,7 +160,7 @@
             .accept_viewer(self.now, "10.9.0.1".parse().unwrap())
             .unwrap();
         self.process_outputs();
-        // Whoever drives a connection asks at once what there is to write on it.
+        // The driver of a connection polls at once for what there is to write on it.
         self.write(connection);
         connection
     }
--- a/crates/platform-proto/tests/endpoint_events.rs
+++ b/crates/platform-proto/tests/endpoint_events.rs
@@ -7,7 +7,7 @@
 use shalewall_platform_proto::endpoint_watch::Frame;
 use shalewall_platform_proto::{DirectorProtocol, LogEvent};
 
-/// Word that there is nothing new, under a number above the last one heard: events are missing.
+/// A heartbeat whose number is above that of the last event: events are missing.
 #[test]
 fn a_heartbeat_above_the_position_reveals_missed_events() {
     let mut harness = Harness::new();
@@ -39,8 +39,8 @@
     );
 }
 
-/// The file of a new configuration names an event that can't be read: the position stays before it, and the journal service
-/// is asked for it and all that follow.
+/// The file of a new configuration names an event that can't be read: the position stays before it, and the service is
+/// asked for it and all that follow.
 #[test]
 fn an_unreadable_event_of_the_file_keeps_the_position_before_it() {
     let event = |pos: u64, id: &str| {
@@ -72,8 +72,8 @@
     assert_eq!(protocol.watch_position(), 1);
 }
 
-/// A new node is told under the address of one that the list has not said gone yet, or says gone in the same event: nothing
-/// is sent to the new process under the old name, also where a connection is coming up or a set-up waits.
+/// A new node is listed under the address of one that is not listed as gone yet, or is so in the same event: nothing is sent
+/// to the new process under the old name, also where a connection is being established or a set-up waits.
 #[test]
 fn a_reassigned_address_gets_nothing_under_the_old_name() {
     let mut harness = Harness::new();
@@ -99,7 +99,7 @@
         "the connection under way went to the old one"
     );
     harness.log_events.clear();
-    // Whatever it asks now, the old name gets nothing before its `gone` comes, and after.
+    // Whatever is requested now, the old name gets nothing before its `gone` comes, and after.
     for number in [3, 4] {
         for tag in 0..20 {
             harness.request(viewer, number * 100 + tag, "paid");
@@ -142,7 +142,7 @@
     );
 }
 
-/// The same with a set-up in flight there: it is over with its process, and no release of it is owed at that address.
+/// The same with a set-up in flight there: it ends with its process, and no release of it is pending at that address.
 #[test]
 fn no_release_is_pending_for_a_process_that_is_gone() {
     let mut harness = Harness::new();
--- a/crates/platform-proto/tests/model/mod.rs
+++ b/crates/platform-proto/tests/model/mod.rs
@@ -1,20 +1,19 @@
 //! A model of viewers, nodes and the endpoint list around one director. It takes drawn steps, and checks after each
 //! what must hold in whichever order they come.
 
+mod checks;
+
 use crate::common::{
-    Harness, NODE, endpoint_entry, set_up_answer, set_up_refusal, start_message, teardown,
+    Harness, NODE, endpoint_entry, finish_message, set_up_answer, set_up_refusal, start_message,
+    teardown,
 };
 use crate::steps::Step;
-use proptest::prelude::*;
 use shalewall::{EndpointState, TimeDelta};
-use shalewall_platform_proto::viewer_message::{Verb, ViewerMessage};
-use shalewall_platform_proto::{ConnectError, ConnectionId, HexId};
+use shalewall_platform_proto::{ConnectError, ConnectionId};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// How long a connection may take to be established, by the settings.
 const CONNECT_TIMEOUT: TimeDelta = TimeDelta::from_millis(250);
-/// A time in which everything that waits has its end.
-const SETTLE_ROUNDS: usize = 60;
 
 /// What all parties know.
 pub struct Model {
@@ -39,11 +38,6 @@
     started: BTreeSet<u64>,
 }
 
-fn session_in(head: &str) -> Option<u64> {
-    let at = head.find("Session: ")?;
-    u64::from_str_radix(head.get(at + 9..at + 25)?, 16).ok()
-}
-
 /// The nth of these, counted round.
 fn pick(connections: &[ConnectionId], index: usize) -> Option<ConnectionId> {
     if connections.is_empty() {
@@ -53,20 +47,6 @@
     }
 }
 
-/// Takes the first whole RTSP message.
-fn next_rtsp_message(unparsed: &mut String) -> Option<String> {
-    let head = unparsed.find("\r\n\r\n")?;
-    let content = unparsed[..head]
-        .rsplit("Content-Length: ")
-        .next()
-        .and_then(|length| length.parse::<usize>().ok());
-    let end = head + 4 + content.unwrap_or(0);
-    if unparsed.len() < end {
-        return None;
-    }
-    Some(unparsed.drain(..end).collect())
-}
-
 impl Model {
     pub fn new() -> Model {
         let mut harness = Harness::new();
@@ -133,8 +113,7 @@
         };
         self.pending.remove(&session);
         self.withdrawn.insert(session);
-        let message = ViewerMessage::finish(HexId::from_value(session), 16);
-        self.harness.receive(viewer, message.encode());
+        self.harness.receive(viewer, finish_message(session));
         let started = &self.started;
         self.node_sessions
             .retain(|(_, held)| *held != session || !started.contains(held));
@@ -319,131 +298,4 @@
             self.viewers.get(index / 2).copied()
         }
     }
-
-    // ---- checks ------------------------------------------------------------------------------
-
-    /// Reads what was written since the last look, and checks it.
-    pub fn check(&mut self) -> Result<(), TestCaseError> {
-        for connection in self.node_connections() {
-            let node = self.harness.node_of(connection);
-            self.node_of.insert(connection, node);
-        }
-        // Connections that this side closed: their set-ups are cancelled, what is active stays active.
-        let closed = &self.harness.closed;
-        self.open_set_ups
-            .retain(|connection, _| !closed.contains(connection));
-        for (connection, written) in std::mem::take(&mut self.harness.written) {
-            if self.harness.taking_half.contains(&connection) {
-                // In the middle of a write for good.
-                self.harness.written.insert(connection, String::new());
-            }
-            let unparsed = self.unparsed.entry(connection).or_default();
-            unparsed.push_str(&written);
-            match self.node_of.get(&connection).copied() {
-                Some(node) => self.read_as_node(connection, node)?,
-                None => self.read_as_viewer(connection)?,
-            }
-        }
-        for (session, count) in &self.answer_counts {
-            prop_assert!(*count <= 1, "{count} answers to {session}");
-        }
-        let mut open: Vec<u64> = self.open_set_ups.values().flatten().copied().collect();
-        let count = open.len();
-        open.sort_unstable();
-        open.dedup();
-        prop_assert_eq!(open.len(), count, "two attempts: {:?}", &self.open_set_ups);
-        Ok(())
-    }
-
-    fn read_as_node(&mut self, connection: ConnectionId, node: u64) -> Result<(), TestCaseError> {
-        let Some(unparsed) = self.unparsed.get_mut(&connection) else {
-            return Ok(());
-        };
-        while let Some(message) = next_rtsp_message(unparsed) {
-            let Some(session) = session_in(&message) else {
-                continue;
-            };
-            if message.starts_with("SETUP") {
-                prop_assert!(
-                    !self.withdrawn.contains(&session),
-                    "sent although its viewer has left: {session}"
-                );
-                self.open_set_ups
-                    .entry(connection)
-                    .or_default()
-                    .push(session);
-            } else if message.starts_with("TEARDOWN") {
-                for set_ups in self.open_set_ups.values_mut() {
-                    set_ups.retain(|open| *open != session);
-                }
-                self.node_sessions.remove(&(node, session));
-            }
-        }
-        Ok(())
-    }
-
-    fn read_as_viewer(&mut self, connection: ConnectionId) -> Result<(), TestCaseError> {
-        let Some(unparsed) = self.unparsed.get_mut(&connection) else {
-            return Ok(());
-        };
-        while let Some(end) = unparsed.find('\n') {
-            let line: String = unparsed.drain(..=end).collect();
-            let message: ViewerMessage = serde_json::from_str(&line).unwrap();
-            let session = HexId::parse(&message.session).unwrap().value();
-            let is_answer = match message.verb {
-                Verb::Started => {
-                    prop_assert!(self.started.insert(session), "answered twice: {session}");
-                    true
-                }
-                Verb::Finish => !self.started.contains(&session),
-                _ => false,
-            };
-            if is_answer {
-                *self.answer_counts.entry(session).or_default() += 1;
-                self.pending.remove(&session);
-            }
-        }
-        Ok(())
-    }
-
-    /// All sockets are free again, nodes answer, and time passes: nothing may be left.
-    pub fn settle(&mut self) -> Result<(), TestCaseError> {
-        self.end_half_written_connections();
-        for _ in 0..SETTLE_ROUNDS {
-            self.take(&Step::SocketsAreFree);
-            self.connect_all_nodes();
-            self.check()?;
-            for connection in 0..8 {
-                let status = 453;
-                self.take(&Step::NodeAnswers { connection, status });
-            }
-            self.harness.advance(CONNECT_TIMEOUT);
-            self.check()?;
-        }
-        let protocol = &self.harness.protocol;
-        prop_assert!(self.pending.is_empty(), "no answer to {:?}", self.pending);
-        prop_assert_eq!(protocol.session_counts().pending_requests, 0);
-        prop_assert!(!protocol.has_pending_writes());
-        let unowned: Vec<_> = self
-            .node_sessions
-            .iter()
-            .filter(|(_, session)| !self.started.contains(session))
-            .collect();
-        prop_assert!(unowned.is_empty(), "sessions of nobody: {unowned:?}");
-        Ok(())
-    }
-
-    /// Sockets that took half of a message take no more until they end: what follows on them is not read.
-    fn end_half_written_connections(&mut self) {
-        while let Some(connection) = self.harness.taking_half.first().copied() {
-            let viewer = self.viewers.iter().position(|viewer| *viewer == connection);
-            if let Some(position) = viewer {
-                self.viewers.remove(position);
-                self.withdraw_all(connection);
-            }
-            self.open_set_ups.remove(&connection);
-            self.harness.close(connection, false);
-            self.harness.taking_half.remove(&connection);
-        }
-    }
 }
--- a/crates/platform-proto/tests/node_connections.rs
+++ b/crates/platform-proto/tests/node_connections.rs
@@ -8,7 +8,7 @@
 use shalewall_platform_proto::viewer_message::ViewerMessage;
 use shalewall_platform_proto::{ConnectError, ConnectionId, HexId};
 
-/// A node says its releases again on the next connection that is opened: so one has to be.
+/// A node sends its releases again on the next connection that is opened: so one has to be.
 #[test]
 fn a_broken_connection_is_replaced_at_once() {
     let mut harness = Harness::new();
@@ -24,8 +24,8 @@
     );
 }
 
-/// Sessions stand at both nodes, and a set-up by one of their connections is given up at once: that connection, and
-/// the session there.
+/// Sessions are active at both nodes, and a set-up on one of their connections is cancelled at once: the viewer's
+/// connection, that one, and the session there.
 fn cancel_attempt_beside_a_session(harness: &mut Harness) -> (ConnectionId, ConnectionId, u64) {
     let (viewer, first) = harness.start_session(7, "free");
     harness.request(viewer, 8, "free");
@@ -47,7 +47,7 @@
     (viewer, met.0, met.1)
 }
 
-/// Seen: a set-up was given up, its connection closed for that, and nineteen releases that the node had written there
+/// Seen: a set-up was cancelled, its connection closed for that, and nineteen releases that the node had written there
 /// in the same millisecond were never read.
 #[test]
 fn a_half_closed_connection_is_read_until_closed() {
@@ -70,8 +70,8 @@
     assert_eq!(harness.protocol.session_counts(), counts(0, 1));
 }
 
-/// Seen: a node that drains took no further connection, this side closed the last one to it after a set-up that was
-/// given up, and released what stood there, and went on standing.
+/// Seen: a draining node accepted no further connection, this side closed the last one to it after a cancelled set-up,
+/// and counted the sessions there as over while they were active.
 #[test]
 fn the_last_connection_to_a_node_is_kept_until_replaced() {
     let mut harness = Harness::new();
@@ -92,7 +92,7 @@
     );
 }
 
-/// A node that stands still does not close: its connection is not waited for without an end.
+/// A stalled node does not close its half: it is waited for up to a limit.
 #[test]
 fn a_half_close_without_answer_times_out() {
     let mut harness = Harness::new();
@@ -104,7 +104,7 @@
 }
 
 /// What can't be read is closed at once; the next one is opened when the node has learned of that, since what it
-/// says in between is lost, and said again on the next one only.
+/// sends in between is lost, and sent again on the next one only.
 #[test]
 fn after_an_unreadable_stream_the_next_connection_is_delayed() {
     let mut harness = Harness::new();
@@ -122,7 +122,7 @@
     );
 }
 
-/// A refused connection proves that the process is gone, and with it what stood there.
+/// A refused connection proves that the process is gone, and its sessions with it.
 #[test]
 fn a_refused_connection_ends_the_nodes_sessions() {
     let mut harness = Harness::new();
@@ -135,7 +135,7 @@
     assert_eq!(harness.protocol.session_counts(), counts(0, 0));
 }
 
-/// Seen: a spoilt connection stayed open while its process died, and the sessions there were never released.
+/// Seen: an unreadable connection stayed open while its process died, and the sessions there were never released.
 #[test]
 fn an_open_connection_proves_no_process() {
     let mut harness = Harness::new();
@@ -154,7 +154,7 @@
         }
     }
     assert!(harness.take_written(viewer).contains(r#""rc":41"#));
-    // One that refuses further connections and is heard over others is alive.
+    // A node that refuses further connections and sends on others is alive.
     let mut harness = Harness::new();
     let (viewer, node) = harness.start_session(7, "free");
     harness.take_written(viewer);
@@ -177,9 +177,8 @@
     assert!(harness.take_written(viewer).is_empty());
 }
 
-/// A machine that vanished gives no sign: its connections stay open and new ones never come up. What stood there
-/// is released within the 8 s that the protocol gives. One that stands still lets connections come up: it keeps
-/// what it has.
+/// A machine that vanished gives no sign: its connections stay open and new ones are never established. Its sessions are
+/// released within the 8 s that the protocol gives. One that is stalled accepts connections: it keeps its sessions.
 #[test]
 fn a_vanished_machine_is_distinguished_from_a_stalled_one() {
     for vanished in [true, false] {
@@ -223,7 +222,7 @@
     );
 }
 
-/// Asking a connection whether there is something to write is no use of it: a node closes what has carried nothing.
+/// Polling a connection for bytes to write is no use of it: a node closes what has carried nothing.
 #[test]
 fn polling_does_not_keep_a_connection_fresh() {
     let mut harness = Harness::new();
@@ -245,7 +244,7 @@
     );
 }
 
-/// Bytes that a node takes only half of, on a connection that others share: it is given up after half a second.
+/// A connection on which a node takes only half a message is closed after half a second.
 #[test]
 fn a_connection_with_blocked_writes_is_closed() {
     let mut harness = Harness::new();
--- a/crates/platform-proto/tests/session_lifecycle.rs
+++ b/crates/platform-proto/tests/session_lifecycle.rs
@@ -56,8 +56,8 @@
     assert!(harness.closed.is_empty());
 }
 
-/// Seen: a returning viewer's time was over as soon as the session stood, and its answer came with the release.
-/// Taken for a break it was set up three times more.
+/// Seen: a returning viewer's session ended as soon as it was active, and its answer came with the release. Taken for a
+/// reset it was set up three times more.
 #[test]
 fn a_release_with_a_description_is_answer_and_release() {
     let mut harness = Harness::new();
@@ -71,9 +71,9 @@
     assert_eq!(harness.protocol.session_counts(), counts(0, 0));
 }
 
-/// Seen on a day of replaced nodes (two requests of 18,000, and the day was lost by them): a node let a session stand
-/// and ended it as given up by its viewer within the same millisecond. The viewer, who could not know of it, was told
-/// that it stands and nothing more.
+/// Seen on a day of replaced nodes (two requests of 18,000, and the day was lost by them): a node accepted a session and
+/// ended it as cancelled by its viewer within the same millisecond. The viewer, who could not know of it, was sent the
+/// answer and nothing more.
 #[test]
 fn a_session_that_ends_before_its_answer_is_written_fails() {
     let mut harness = Harness::new();
@@ -95,7 +95,7 @@
     assert_eq!(harness.protocol.session_counts(), counts(0, 0));
 }
 
-/// Who has heard that it stands and ended it is owed no release.
+/// A viewer that received the answer and ended the session needs no release.
 #[test]
 fn a_session_ended_by_its_viewer_sends_no_release() {
     let mut harness = Harness::new();
@@ -106,7 +106,7 @@
     assert_eq!(harness.protocol.session_counts(), counts(0, 0));
 }
 
-/// Sessions from before the start: no answer, once only, released like any other; at a node nobody knows, at once.
+/// Sessions from before the start get no answer, count once and are released like any other; at an unknown node, at once.
 #[test]
 fn transferred_sessions_are_active_once_and_released() {
     let mut harness = Harness::new();
@@ -128,8 +128,7 @@
     assert_eq!(harness.protocol.session_counts(), counts(0, 0));
 }
 
-/// What a node tells of its link with a set-up comes ahead of the answer, and is heard; not from one that does not have the
-/// set-up, nor of one that is given up.
+/// A node's notification of its link may come ahead of the answer to a set-up. It counts only for a set-up that is open.
 #[test]
 fn a_notification_ahead_of_the_answer_counts() {
     let note = |tag: u64| {
@@ -148,8 +147,8 @@
     assert_eq!(harness.protocol.session_counts(), counts(0, 1));
 }
 
-/// A connection breaks under a set-up whose answer may be on its way: what then stands at the node is nobody's, and is released
-/// over the next connection.
+/// A connection breaks under a set-up whose answer may be on its way: a session that is active then is released over the next
+/// connection.
 #[test]
 fn a_session_behind_a_broken_connection_is_released() {
     let mut harness = Harness::new();
@@ -165,7 +164,7 @@
         received.contains("TEARDOWN") && received.contains("0000000000000007"),
         "{received}"
     );
-    // Closed by the node behind its last message: it has given up what was open there.
+    // Closed by the node after its last message: it has cancelled what was open there.
     let mut harness = Harness::new();
     let (_, node) = harness.start_attempt(7, "paid");
     harness.close(node, true);
@@ -173,8 +172,8 @@
     assert!(harness.node_connections.is_empty());
 }
 
-/// Found by drawn crossings: the word that a session is released waits for a socket that takes nothing, or half of it, and the
-/// connection ends: it is said on the next one.
+/// Found by random crossings: a release waits for a socket that takes nothing, or half of it, and the connection ends. It is
+/// sent on the next one.
 #[test]
 fn a_release_not_taken_by_a_node_is_sent_on_the_next_connection() {
     for half in [false, true] {
--- a/crates/platform-proto/tests/settings.rs
+++ b/crates/platform-proto/tests/settings.rs
@@ -54,7 +54,7 @@
     )
 }
 
-/// One director and all that it says, in order.
+/// One director and all its outputs, in order.
 struct Recorder {
     protocol: DirectorProtocol,
     now: Timestamp,
@@ -99,7 +99,7 @@
         }
     }
 
-    /// The nth thing that happens: the same for whoever is asked.
+    /// The nth input: the same for each director.
     fn step(&mut self, n: u64, classes: [&str; 2], tenants: &[&str]) {
         self.now += 7 * MS;
         while let Some(due) = self.protocol.poll_timeout().filter(|due| *due <= self.now) {
@@ -211,8 +211,7 @@
     assert_eq!((one.all, two.all), alone);
 }
 
-/// Who is none of the tenants, or asks under a class that is not there, has nobody's terms; where there are no tenants the name of one
-/// says nothing.
+/// A request for an unknown tenant or class is rejected; where the settings have no tenants the name of one means nothing.
 #[test]
 fn an_unknown_tenant_or_class_is_rejected() {
     let mut received = Recorder::new(&config_text(
--- a/crates/platform-proto/tests/shutdown.rs
+++ b/crates/platform-proto/tests/shutdown.rs
@@ -3,8 +3,8 @@
 mod common;
 use common::{Harness, MS, counts, set_up_answer, start_message};
 
-/// Told to end with a request that may wait longer than the director may stay: it is answered before that, as refused where
-/// no node had it, as failed where one may have.
+/// A request that may wait longer than the director may stay is answered before the end: as rejected where no node had it, as
+/// failed where one may have.
 #[test]
 fn shutdown_answers_requests_in_time_whatever_their_deadline() {
     for sent in [false, true] {
@@ -31,7 +31,7 @@
     }
 }
 
-/// It does not end over words that are queued, and closes what it said them on in two steps.
+/// A shutdown waits for queued messages, and closes their connections in two steps.
 #[test]
 fn shutdown_waits_for_unwritten_answers() {
     let mut harness = Harness::new();
--- a/crates/platform-proto/tests/untrusted_input.rs
+++ b/crates/platform-proto/tests/untrusted_input.rs
@@ -8,7 +8,7 @@
 use shalewall_platform_proto::viewer_message::LineDecoder;
 use shalewall_platform_proto::{ConnectError, MAX_MESSAGE_BYTES};
 
-/// What is refused in words, with the connection kept.
+/// An invalid request is answered, and its connection kept.
 #[test]
 fn an_invalid_request_is_answered_and_reaches_no_node() {
     let good = start_message(7, "free", 1500, "");
@@ -95,7 +95,7 @@
     );
 }
 
-/// One answer: two requests under one id from one side are both given up, and nobody else's is hurt by its id.
+/// Two requests under one id on one connection are both cancelled, and no other connection's request is ended by its id.
 #[test]
 fn duplicate_request_ids_are_rejected() {
     let mut harness = Harness::new();
@@ -124,7 +124,7 @@
     assert!(harness.take_written(viewer).contains("STARTED"));
 }
 
-/// A viewer that takes its request back is owed nothing, and its node is told.
+/// A viewer that withdraws its request gets no answer, and the set-up is cancelled at its node.
 #[test]
 fn a_withdrawn_request_is_cancelled_at_its_node() {
     let mut harness = Harness::new();
@@ -143,7 +143,7 @@
     assert!(harness.take_written(viewer).is_empty());
 }
 
-/// Connections that say nothing, or half a message, are closed in time; one with a session is not.
+/// Connections that send nothing, or half a message, are closed in time; one with a session is not.
 #[test]
 fn silent_connections_are_closed_within_three_seconds() {
     let mut harness = Harness::new();
@@ -236,7 +236,7 @@
     assert_eq!(harness.protocol.session_counts().pending_requests, 0);
 }
 
-/// An own shortage is charged to no node: the request goes on to another.
+/// A local shortage is charged to no node: the request is forwarded to another.
 #[test]
 fn a_local_shortage_fails_no_paid_request() {
     let mut harness = Harness::new();
@@ -258,7 +258,7 @@
 }
 
 proptest! {
-    /// However a stream is cut, the same messages come of it.
+    /// However a stream is fragmented, the same messages come of it.
     #[test]
     fn fragmentation_changes_no_message(at in prop::collection::vec(any::<usize>(), 0..12)) {
         let stream = [set_up_answer(1, "one\r\n").into_bytes(), teardown(2, 16, b"\xff\x00"), set_up_refusal(3, 453).into_bytes()].concat();
@@ -283,7 +283,7 @@
         prop_assert_eq!(tags, vec!["0000000000000001", "0000000000000002"]);
     }
 
-    /// Any bytes on any connection: an end or a word, never a panic, and the door serves on.
+    /// Any bytes on any connection: an end or an answer, never a panic, and the director serves on.
     #[test]
     fn random_bytes_cause_no_panic(noise in prop::collection::vec(any::<u8>(), 0..400), to_node in any::<bool>()) {
         let mut harness = Harness::new();
@@ -299,7 +299,7 @@
         prop_assert!(harness.protocol.session_counts().pending_requests <= 1);
     }
 
-    /// A good message with one byte changed serves nobody wrongly: what a viewer is told is the node's word or none.
+    /// A valid message with one byte changed: a viewer is sent what the node sent, or nothing of it.
     #[test]
     fn a_corrupted_byte_forges_no_answer(at in any::<usize>(), byte in any::<u8>()) {
         let mut harness = Harness::new();
--- a/crates/platform-proto/tests/viewer_connections.rs
+++ b/crates/platform-proto/tests/viewer_connections.rs
@@ -6,7 +6,7 @@
 use shalewall_platform_proto::{ConnectionId, HexId};
 
 /// A set-up's answer comes, and the viewer's socket takes nothing (or half of it) before its connection ends: the session
-/// is nobody's. Its node is told.
+/// is released at its node.
 #[test]
 fn a_session_whose_answer_was_not_delivered_is_released() {
     for half in [false, true] {
@@ -29,7 +29,7 @@
         );
         assert_eq!(harness.protocol.session_counts(), counts(0, 0));
     }
-    // One that was written whole stands without its connection.
+    // One that was written whole goes on without its connection.
     let mut harness = Harness::new();
     let (viewer, node) = harness.start_session(7, "paid");
     harness.take_written(node);
@@ -38,7 +38,7 @@
     assert_eq!(harness.protocol.session_counts(), counts(0, 1));
 }
 
-/// A release that was queued, or half written, when its connection ended is said on another one, or on the next.
+/// A release that was queued, or half written, when its connection ended is sent on another one, or on the next.
 #[test]
 fn an_unwritten_release_is_sent_on_another_connection() {
     for (half, other) in [(false, false), (true, false), (false, true), (true, true)] {
@@ -68,7 +68,7 @@
     }
 }
 
-/// A release finds its viewer though the connection of its set-up is gone.
+/// A release reaches its viewer though the connection of its request is gone.
 #[test]
 fn a_release_waits_for_the_viewers_next_connection() {
     let mut harness = Harness::new();
@@ -81,8 +81,8 @@
     assert!(harness.take_written(next).contains(r#""rc":16"#));
 }
 
-/// The last word to a client that can't be read is not destroyed by what else it has sent: this side's half is closed, and
-/// what comes is passed over until it has closed too, for a bounded time and a bounded number of bytes.
+/// The last message to a viewer that broke the protocol is not destroyed by what else it has sent: this side's half is closed,
+/// and what comes is ignored until the viewer has closed too, for a bounded time and number of bytes.
 #[test]
 fn the_last_message_to_a_rejected_viewer_survives_the_close() {
     let mut harness = Harness::new();
@@ -114,7 +114,7 @@
     assert!(harness.closed.contains(&viewer));
 }
 
-/// A director that stood still rings its timers first: a request that waits in the socket of a connection it is about to
+/// A director that was stalled fires its timers first: a request that waits in the socket of a connection it is about to
 /// close as idle, or as one of too many, is served.
 #[test]
 fn a_connection_with_an_unread_request_is_not_closed() {
--- a/crates/platform-proto/tests/withdrawn_requests.rs
+++ b/crates/platform-proto/tests/withdrawn_requests.rs
@@ -4,7 +4,8 @@
 use common::{Harness, MS, S, counts, finish_message, set_up_refusal};
 use shalewall_platform_proto::ConnectionId;
 
-/// The ways in which a viewer leaves: it closes, it is cut, it gives the set-up up, on its own connection or on another.
+/// The ways in which a viewer leaves: it closes, its connection breaks, it withdraws the request, on its own connection or on
+/// another.
 const WAYS_TO_LEAVE: [fn(&mut Harness, ConnectionId); 4] = [
     |harness, viewer| harness.close(viewer, true),
     |harness, viewer| harness.close(viewer, false),
@@ -26,7 +27,7 @@
             .sum::<usize>()
     };
     for leave in WAYS_TO_LEAVE {
-        // Its connection is coming up.
+        // The node's connection is being established.
         let mut harness = Harness::new();
         let viewer = harness.connect_viewer();
         harness.request(viewer, 7, "free");
@@ -63,7 +64,7 @@
             harness.closed.contains(&node),
             "half a set-up is with its node"
         );
-        // After a failed attempt, before the next one: its connection is coming up, or the module waits.
+        // After a failed attempt, before the next one: its connection is being established, or the module waits.
         let mut harness = Harness::new();
         let (viewer, node) = harness.start_attempt(7, "free");
         harness.receive(node, set_up_refusal(7, 500));
@@ -79,7 +80,7 @@
         }
         harness.advance(3 * S);
         assert_eq!(set_ups(&harness), 1);
-        // The next one waits until the first is given up.
+        // The next one waits until the first is cancelled.
         let mut harness = Harness::new();
         let (viewer, slow) = harness.start_attempt(7, "free");
         harness.blocked.insert(slow);
@@ -95,7 +96,7 @@
     }
 }
 
-/// The word that a set-up is given up comes on one connection and is read before the set-up on another.
+/// A withdrawal comes on one connection and is read before the request on another.
 #[test]
 fn a_request_withdrawn_before_it_arrives_is_rejected() {
     let mut harness = Harness::new();
--- a/crates/timers/src/lib.rs
+++ b/crates/timers/src/lib.rs
@@ -11,7 +11,7 @@
 
 /// Pending timers. `T` says what a timer is for, `Time` is the type of the caller's timestamps.
 #[derive(Debug)]
-pub struct Timers<T, Time = i64> {
+pub struct Timers<T, Time> {
     /// Due time, number in the order of setting, and timer; the earliest first.
     heap: BinaryHeap<Reverse<(Time, u64, T)>>,
     timers_set: u64,
