Settings: types in the field's terms

FrontPlan -> ServerConfig, AdminPlan -> AdminConfig, Trouble/TroubleKind -> Fault/FaultKind, Notes -> Notifications, Kind -> MachineKind, Step -> LadderRung, Further -> RetryBudget. Names in files stay. Measured: the package's 11 tests pass, each recorded value and refusal the same.

--- a/crates/cli/src/commands/admin.rs
+++ b/crates/cli/src/commands/admin.rs
@@ -5,14 +5,14 @@
 use async_executor::LocalExecutor;
 use shalewall_admin::api::Api;
 use shalewall_admin::serve::{start_server, unix_time_millis};
-use shalewall_settings::AdminPlan;
+use shalewall_settings::AdminConfig;
 use shalewall_store::Store;
 use std::path::Path;
 use std::rc::Rc;
 
 /// Serves the API for as long as the process runs.
 pub fn serve(config: &Path, check: bool) -> Result<(), CliError> {
-    let plan: AdminPlan = read_settings(config)?;
+    let plan: AdminConfig = read_settings(config)?;
     if check {
         return Ok(());
     }
--- a/crates/cli/src/commands/service.rs
+++ b/crates/cli/src/commands/service.rs
@@ -5,7 +5,7 @@
 use async_executor::LocalExecutor;
 use rustix::process::{Signal, set_parent_process_death_signal};
 use shalewall_server::Server;
-use shalewall_settings::FrontPlan;
+use shalewall_settings::ServerConfig;
 use std::io;
 use std::path::Path;
 use std::rc::Rc;
@@ -15,7 +15,7 @@
     if with_parent {
         set_parent_process_death_signal(Some(Signal::KILL)).map_err(io::Error::from)?;
     }
-    let plan: FrontPlan = read_settings(config)?;
+    let plan: ServerConfig = read_settings(config)?;
     if check {
         return Ok(());
     }
--- a/crates/cli/tests/hosted/mod.rs
+++ b/crates/cli/tests/hosted/mod.rs
@@ -3,7 +3,7 @@
 
 use crate::scripted::{Node, plan};
 use serde_json::{Value, json};
-use shalewall_settings::{FrontPlan, Hosting};
+use shalewall_settings::{Hosting, ServerConfig};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
@@ -60,7 +60,7 @@
     }
 
     /// The same with a change to the fronts' settings.
-    pub fn with(nodes: &[&Node], fronts: u32, change: impl Fn(&mut FrontPlan)) -> Service {
+    pub fn with(nodes: &[&Node], fronts: u32, change: impl Fn(&mut ServerConfig)) -> Service {
         let dir = tempfile::tempdir().unwrap();
         let store = dir.path().join("tenants.redb");
         let make = |role: &str| {
--- a/crates/load-test/src/nodes.rs
+++ b/crates/load-test/src/nodes.rs
@@ -6,7 +6,7 @@
 use shalewall_http::Limits;
 use shalewall_http::server::{Reply, Request, serve};
 use shalewall_http::sse;
-use shalewall_settings::{FrontPlan, parse};
+use shalewall_settings::{ServerConfig, parse};
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::sync::mpsc;
@@ -141,7 +141,7 @@
         }}
         "#
     );
-    let plan: FrontPlan = parse("measure", &text).map_err(|e| {
+    let plan: ServerConfig = parse("measure", &text).map_err(|e| {
         std::io::Error::other(
             e.iter()
                 .map(ToString::to_string)
--- a/crates/scripted-days/src/director_processes.rs
+++ b/crates/scripted-days/src/director_processes.rs
@@ -7,7 +7,7 @@
 use shalewall_audit::Record;
 use shalewall_emulator::recorder::Recorder;
 use shalewall_emulator::viewers::Viewers;
-use shalewall_settings::{DayPlan, Front, FrontPlan, Hosting};
+use shalewall_settings::{DayPlan, Front, Hosting, ServerConfig};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::fs::File;
@@ -30,7 +30,7 @@
 pub struct DirectorProcesses {
     program: PathBuf,
     out: PathBuf,
-    plans: Vec<FrontPlan>,
+    plans: Vec<ServerConfig>,
     running: RefCell<BTreeMap<u32, Child>>,
     recorder: Recorder,
     viewers: Viewers,
@@ -48,7 +48,7 @@
         // Of hosted tenants directors hear by roll-out alone.
         let mut site = plan.site.clone();
         site.tenants.retain(|_, _| hosting.is_none());
-        let plans = (0..plan.day.directors).map(|number| FrontPlan {
+        let plans = (0..plan.day.directors).map(|number| ServerConfig {
             front: director_settings(plan, emulation, number),
             hosting: hosting.clone(),
             site: site.clone(),
--- a/crates/scripted-days/src/faults.rs
+++ b/crates/scripted-days/src/faults.rs
@@ -7,7 +7,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use shalewall_fleet_model::population::Interest;
-use shalewall_settings::{Trouble, TroubleKind};
+use shalewall_settings::{Fault, FaultKind};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -31,7 +31,7 @@
 pub async fn inject(
     emulation: Rc<Emulation>,
     directors: Rc<DirectorProcesses>,
-    fault: Trouble,
+    fault: Fault,
     seed: u64,
 ) {
     Timer::after(seconds(fault.start_s)).await;
@@ -52,30 +52,30 @@
 struct Injection {
     emulation: Rc<Emulation>,
     directors: Rc<DirectorProcesses>,
-    fault: Trouble,
+    fault: Fault,
     rng: ChaCha8Rng,
 }
 
 impl Injection {
     async fn run(mut self) {
         match self.fault.kind {
-            TroubleKind::Crash => {
+            FaultKind::Crash => {
                 let nodes = self.choose_nodes();
                 self.crash_and_restart(&nodes, self.fault.duration_s).await;
             }
-            TroubleKind::Vanish => self.vanish().await,
-            TroubleKind::Hang => self.hang().await,
-            TroubleKind::Neighbour => self.crowd_links().await,
-            TroubleKind::SharedSlow => self.slow_all_links().await,
-            TroubleKind::Ageing => self.age().await,
-            TroubleKind::Preempt => self.preempt().await,
-            TroubleKind::ZoneLoss => self.lose_zone().await,
-            TroubleKind::ListOut => self.withdraw_list().await,
-            TroubleKind::Burst => self.burst().await,
-            TroubleKind::TenantBurst => self.tenant_burst().await,
-            TroubleKind::HotTitle | TroubleKind::ClassFlood => self.add_viewers().await,
-            TroubleKind::DirectorKill => self.kill_directors().await,
-            TroubleKind::DirectorStall => self.stall_directors().await,
+            FaultKind::Vanish => self.vanish().await,
+            FaultKind::Hang => self.hang().await,
+            FaultKind::Neighbour => self.crowd_links().await,
+            FaultKind::SharedSlow => self.slow_all_links().await,
+            FaultKind::Ageing => self.age().await,
+            FaultKind::Preempt => self.preempt().await,
+            FaultKind::ZoneLoss => self.lose_zone().await,
+            FaultKind::ListOut => self.withdraw_list().await,
+            FaultKind::Burst => self.burst().await,
+            FaultKind::TenantBurst => self.tenant_burst().await,
+            FaultKind::HotTitle | FaultKind::ClassFlood => self.add_viewers().await,
+            FaultKind::DirectorKill => self.kill_directors().await,
+            FaultKind::DirectorStall => self.stall_directors().await,
         }
     }
 
@@ -226,7 +226,7 @@
         let viewers = &self.emulation.viewers;
         let name = self.fault.target_name.as_deref();
         let draw = match self.fault.kind {
-            TroubleKind::HotTitle => name.map(|name| Interest::Title(name.to_string())),
+            FaultKind::HotTitle => name.map(|name| Interest::Title(name.to_string())),
             _ => {
                 let crowd = viewers.crowd();
                 let mut classes = crowd.classes.iter();
--- a/crates/scripted-days/src/host_resources.rs
+++ b/crates/scripted-days/src/host_resources.rs
@@ -3,7 +3,7 @@
 
 use crate::error::DayError;
 use rustix::process::{Resource, getrlimit, setrlimit};
-use shalewall_settings::{DayPlan, Trouble, TroubleKind};
+use shalewall_settings::{DayPlan, Fault, FaultKind};
 use std::io;
 use std::time::Duration;
 
@@ -29,12 +29,12 @@
     for_nodes + for_viewers + directors + SPARE_DESCRIPTORS
 }
 
-fn is_burst(fault: &Trouble) -> bool {
-    matches!(fault.kind, TroubleKind::Burst | TroubleKind::TenantBurst)
+fn is_burst(fault: &Fault) -> bool {
+    matches!(fault.kind, FaultKind::Burst | FaultKind::TenantBurst)
 }
 
 /// How many times the usual rate viewers come at; 0 where the fault has no size.
-fn burst_factor(fault: &Trouble) -> f64 {
+fn burst_factor(fault: &Fault) -> f64 {
     if fault.size > 0.0 {
         fault.size.max(1.0)
     } else {
--- a/crates/scripted-days/src/import/faults.rs
+++ b/crates/scripted-days/src/import/faults.rs
@@ -2,7 +2,7 @@
 
 use super::error::ImportError;
 use super::reader::Reader;
-use shalewall_settings::{Site, Trouble, TroubleKind};
+use shalewall_settings::{Fault, FaultKind, Site};
 use std::collections::BTreeMap;
 
 /// Waves of a preemption at most.
@@ -13,7 +13,7 @@
     site: &Site,
     seconds: f64,
     left_out: &mut Vec<String>,
-) -> Result<BTreeMap<String, Trouble>, ImportError> {
+) -> Result<BTreeMap<String, Fault>, ImportError> {
     let mut faults = BTreeMap::new();
     for (index, entry) in day.at("troubles").list()?.iter().enumerate() {
         let name = entry.at("kind").text()?;
@@ -32,34 +32,34 @@
 }
 
 /// The kind of fault that a trouble of the bench becomes.
-fn counterpart(name: &str) -> Option<TroubleKind> {
+fn counterpart(name: &str) -> Option<FaultKind> {
     Some(match name {
-        "crash" => TroubleKind::Crash,
-        "vanish" => TroubleKind::Vanish,
-        "hang" => TroubleKind::Hang,
-        "neighbour" => TroubleKind::Neighbour,
-        "shared_slow" => TroubleKind::SharedSlow,
-        "ageing" => TroubleKind::Ageing,
-        "preempt" => TroubleKind::Preempt,
-        "zone_loss" => TroubleKind::ZoneLoss,
-        "discovery_down" => TroubleKind::ListOut,
-        "burst" => TroubleKind::Burst,
-        "tenant_burst" => TroubleKind::TenantBurst,
-        "hot_key" => TroubleKind::HotTitle,
-        "balancer_stall" => TroubleKind::DirectorStall,
+        "crash" => FaultKind::Crash,
+        "vanish" => FaultKind::Vanish,
+        "hang" => FaultKind::Hang,
+        "neighbour" => FaultKind::Neighbour,
+        "shared_slow" => FaultKind::SharedSlow,
+        "ageing" => FaultKind::Ageing,
+        "preempt" => FaultKind::Preempt,
+        "zone_loss" => FaultKind::ZoneLoss,
+        "discovery_down" => FaultKind::ListOut,
+        "burst" => FaultKind::Burst,
+        "tenant_burst" => FaultKind::TenantBurst,
+        "hot_key" => FaultKind::HotTitle,
+        "balancer_stall" => FaultKind::DirectorStall,
         _ => return None,
     })
 }
 
 /// In what a fault of the script differs from the trouble that it was.
-fn change_in_script(kind: TroubleKind) -> Option<&'static str> {
+fn change_in_script(kind: FaultKind) -> Option<&'static str> {
     match kind {
-        TroubleKind::Neighbour => Some("its spells on and off are drawn anew"),
-        TroubleKind::Ageing => Some("its course is a straight line, links slow with set-ups"),
-        TroubleKind::Preempt => Some("waves are evenly spaced, replacements the machines' twins"),
-        TroubleKind::ZoneLoss => Some("its directors are not lost with it"),
-        TroubleKind::TenantBurst => Some("a burst of all, since viewers name no tenant"),
-        TroubleKind::DirectorStall => {
+        FaultKind::Neighbour => Some("its spells on and off are drawn anew"),
+        FaultKind::Ageing => Some("its course is a straight line, links slow with set-ups"),
+        FaultKind::Preempt => Some("waves are evenly spaced, replacements the machines' twins"),
+        FaultKind::ZoneLoss => Some("its directors are not lost with it"),
+        FaultKind::TenantBurst => Some("a burst of all, since viewers name no tenant"),
+        FaultKind::DirectorStall => {
             Some("stalls follow each other after 1 to 2 of their own length")
         }
         _ => None,
@@ -94,27 +94,27 @@
 
     fn fault(
         &self,
-        kind: TroubleKind,
+        kind: FaultKind,
         entry: &Reader,
         day: &Reader,
         site: &Site,
         seconds: f64,
-    ) -> Result<Trouble, ImportError> {
-        let mut fault = Trouble::new(kind, self.at_s, self.len_s);
+    ) -> Result<Fault, ImportError> {
+        let mut fault = Fault::new(kind, self.at_s, self.len_s);
         match kind {
-            TroubleKind::Crash | TroubleKind::Vanish | TroubleKind::Hang => {
+            FaultKind::Crash | FaultKind::Vanish | FaultKind::Hang => {
                 fault.targets = Some(node_numbers(&self.on));
             }
-            TroubleKind::Neighbour => {
+            FaultKind::Neighbour => {
                 fault.targets = Some(node_numbers(&self.on));
                 fault.size = self.size.clamp(0.001, 1.0);
             }
-            TroubleKind::Ageing => {
+            FaultKind::Ageing => {
                 fault.targets = Some(node_numbers(&self.on));
                 fault.size = self.size;
             }
-            TroubleKind::SharedSlow | TroubleKind::Burst => fault.size = self.size,
-            TroubleKind::Preempt => {
+            FaultKind::SharedSlow | FaultKind::Burst => fault.size = self.size,
+            FaultKind::Preempt => {
                 let steps = entry.at("steps").list()?;
                 let mut stopped = Vec::new();
                 for step in &steps {
@@ -125,22 +125,22 @@
                 fault.notice_ms = self.size * 1000.0;
                 fault.duration_s = (2.0 * self.extra).min(seconds - self.at_s);
             }
-            TroubleKind::ZoneLoss => {
+            FaultKind::ZoneLoss => {
                 fault.target_name = site.zones.get(self.first_zone(day)).cloned()
             }
-            TroubleKind::TenantBurst => {
+            FaultKind::TenantBurst => {
                 fault.size = self.size;
                 fault.target_name = site.tenants.keys().nth(self.target).cloned();
             }
-            TroubleKind::HotTitle => {
+            FaultKind::HotTitle => {
                 fault.size = self.size;
                 fault.target_name = site.titles.keys().nth(self.target).cloned();
             }
-            TroubleKind::DirectorStall => {
+            FaultKind::DirectorStall => {
                 fault.targets = Some(self.on.iter().map(|number| *number as u64).collect());
                 fault.stall_ms = self.size;
             }
-            TroubleKind::ListOut | TroubleKind::DirectorKill | TroubleKind::ClassFlood => {}
+            FaultKind::ListOut | FaultKind::DirectorKill | FaultKind::ClassFlood => {}
         }
         Ok(fault)
     }
--- a/crates/scripted-days/src/import/site.rs
+++ b/crates/scripted-days/src/import/site.rs
@@ -4,7 +4,8 @@
 use super::fleet::core_count;
 use super::reader::Reader;
 use shalewall_settings::{
-    Class, Costs, Further, Kind, Layout, Limits, Link, Notes, Rules, Site, Step, Tenant, Title,
+    Class, Costs, LadderRung, Layout, Limits, Link, MachineKind, Notifications, RetryBudget, Rules,
+    Site, Tenant, Title,
 };
 use std::collections::BTreeMap;
 
@@ -48,7 +49,7 @@
             rack_uplink_kb_s: uplinks.iter().sum::<f64>() / uplinks.len().max(1) as f64,
             join_rate_fraction: family.at("join").number()?,
         },
-        notifications: Notes {
+        notifications: Notifications {
             interval_ms: family.at("tell").millis()?,
             delay_ms: family.at("see").millis()?,
         },
@@ -59,14 +60,14 @@
     })
 }
 
-fn kinds(family: &Reader, tier: &Reader) -> Result<BTreeMap<String, Kind>, ImportError> {
+fn kinds(family: &Reader, tier: &Reader) -> Result<BTreeMap<String, MachineKind>, ImportError> {
     let mut kinds = BTreeMap::new();
     for kind in tier.at("kinds").list()? {
         let places = kind.at("cores").number()? * family.at("core_slots").number()?;
         let places = places.round().max(1.0);
         kinds.insert(
             kind.at("name").text()?,
-            Kind {
+            MachineKind {
                 stream_capacity: places,
             },
         );
@@ -102,12 +103,12 @@
     })
 }
 
-fn ladder(family: &Reader) -> Result<Vec<Step>, ImportError> {
+fn ladder(family: &Reader) -> Result<Vec<LadderRung>, ImportError> {
     let rates = family.at("rates").numbers()?;
     let worths = family.at("worth").numbers()?;
     let steps = rates.into_iter().zip(worths);
     Ok(steps
-        .map(|(kb, worth)| Step {
+        .map(|(kb, worth)| LadderRung {
             rate_kb_s: kb,
             utility: worth,
         })
@@ -136,11 +137,11 @@
     Ok(total)
 }
 
-fn retry_budget(budget: &Reader) -> Result<Option<Further>, ImportError> {
+fn retry_budget(budget: &Reader) -> Result<Option<RetryBudget>, ImportError> {
     if budget.is_null() {
         return Ok(None);
     }
-    Ok(Some(Further {
+    Ok(Some(RetryBudget {
         base: budget.at("free").number()?,
         per_request: budget.at("share").number()?,
         window_ms: budget.at("window").millis()?,
@@ -193,7 +194,7 @@
     })
 }
 
-fn rules(day: &Reader, tier: &Reader, further: Option<Further>) -> Result<Rules, ImportError> {
+fn rules(day: &Reader, tier: &Reader, further: Option<RetryBudget>) -> Result<Rules, ImportError> {
     Ok(Rules {
         drain_grace_ms: day.at("drain_grace").millis()?,
         answer_slack_ms: ANSWER_SLACK_MS,
--- a/crates/scripted-days/src/rules.rs
+++ b/crates/scripted-days/src/rules.rs
@@ -55,7 +55,7 @@
     }
 }
 
-fn retry_rule(budget: &shalewall_settings::Further) -> RetryBudget {
+fn retry_rule(budget: &shalewall_settings::RetryBudget) -> RetryBudget {
     RetryBudget {
         free: budget.base,
         per_request: budget.per_request,
--- a/crates/scripted-days/tests/import.rs
+++ b/crates/scripted-days/tests/import.rs
@@ -3,7 +3,7 @@
 
 use serde_json::{Value, json};
 use shalewall_scripted_days::import;
-use shalewall_settings::{DayPlan, TroubleKind, parse};
+use shalewall_settings::{DayPlan, FaultKind, parse};
 
 /// A small day of our own making, in the bench's form.
 fn day() -> Value {
@@ -86,17 +86,17 @@
     assert!((plan.load.per_s - 1.6).abs() < 1e-9);
     let trouble = |kind| plan.faults.values().find(|t| t.kind == kind).unwrap();
     // Nodes count from 1 in a script, directors from 0.
-    assert_eq!(trouble(TroubleKind::Crash).targets, Some(vec![3]));
+    assert_eq!(trouble(FaultKind::Crash).targets, Some(vec![3]));
     assert_eq!(
         (
-            trouble(TroubleKind::Preempt).waves,
-            trouble(TroubleKind::Preempt).notice_ms
+            trouble(FaultKind::Preempt).waves,
+            trouble(FaultKind::Preempt).notice_ms
         ),
         (2, 800.0)
     );
-    assert_eq!(trouble(TroubleKind::DirectorStall).targets, Some(vec![1]));
+    assert_eq!(trouble(FaultKind::DirectorStall).targets, Some(vec![1]));
     assert_eq!(
-        trouble(TroubleKind::DirectorStall).duration_s,
+        trouble(FaultKind::DirectorStall).duration_s,
         31.0,
         "cut where the day ends"
     );
--- a/crates/server/src/server.rs
+++ b/crates/server/src/server.rs
@@ -15,7 +15,7 @@
 use shalewall_engine::Engine;
 use shalewall_http::Limits;
 use shalewall_migration::ticket::{InvalidTicketKey, TicketKey};
-use shalewall_settings::{FrontPlan, Hosting};
+use shalewall_settings::{Hosting, ServerConfig};
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
@@ -70,7 +70,7 @@
     /// Starts a director on an executor; it runs as long as that does.
     pub fn start(
         executor: &Rc<LocalExecutor<'static>>,
-        plan: &FrontPlan,
+        plan: &ServerConfig,
     ) -> Result<Server, StartError> {
         let now = shalewall_clock::now();
         // Starts within some hours of each other differ in their seconds.
@@ -163,7 +163,7 @@
 }
 
 impl Hosted {
-    fn new(hosting: &Hosting, plan: &FrontPlan) -> io::Result<Hosted> {
+    fn new(hosting: &Hosting, plan: &ServerConfig) -> io::Result<Hosted> {
         let token = std::fs::read_to_string(&hosting.token_file)?;
         let tenants = Tenants::new(
             hosting.set_ups_per_s,
@@ -198,7 +198,7 @@
 }
 
 /// The key of migration tickets, where the site's sessions are moved.
-fn ticket_key(plan: &FrontPlan) -> Result<Option<TicketKey>, StartError> {
+fn ticket_key(plan: &ServerConfig) -> Result<Option<TicketKey>, StartError> {
     match &plan.front.ticket_key_file {
         Some(file) if plan.site.moves.is_some() => read_ticket_key(file).map(Some),
         _ => Ok(None),
--- a/crates/server/tests/scripted/mod.rs
+++ b/crates/server/tests/scripted/mod.rs
@@ -3,7 +3,7 @@
 
 use async_executor::LocalExecutor;
 use rustix::net::sockopt::set_socket_linger;
-use shalewall_settings::{DayPlan, Front, FrontPlan, read};
+use shalewall_settings::{DayPlan, Front, ServerConfig, read};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::Path;
@@ -224,7 +224,7 @@
 }
 
 /// What a front over these nodes is told.
-pub fn plan(nodes: &[&Node]) -> FrontPlan {
+pub fn plan(nodes: &[&Node]) -> ServerConfig {
     let file = Path::new(concat!(
         env!("CARGO_MANIFEST_DIR"),
         "/../../days/short-bad-day.hcl"
@@ -252,7 +252,7 @@
         shutdown_grace_s: 0.0,
         ticket_key_file: None,
     };
-    FrontPlan {
+    ServerConfig {
         front,
         hosting: None,
         site,
--- a/crates/settings/src/admin.rs
+++ b/crates/settings/src/admin.rs
@@ -10,7 +10,7 @@
 /// The file of `shalewall admin`.
 #[derive(Clone, Debug, Serialize, Deserialize, Validate)]
 #[serde(deny_unknown_fields)]
-pub struct AdminPlan {
+pub struct AdminConfig {
     /// The API itself.
     #[garde(dive)]
     pub admin: Admin,
@@ -36,7 +36,7 @@
     600.0
 }
 
-impl SettingsFile for AdminPlan {
+impl SettingsFile for AdminConfig {
     fn violations(&self) -> Vec<Violation> {
         Vec::new()
     }
--- a/crates/settings/src/day.rs
+++ b/crates/settings/src/day.rs
@@ -6,7 +6,7 @@
 mod violations;
 
 use crate::site::Site;
-pub use fault::{Trouble, TroubleKind};
+pub use fault::{Fault, FaultKind};
 pub use fleet::{Fleet, Machine};
 use garde::Validate;
 pub use load::Load;
@@ -30,13 +30,13 @@
     #[garde(dive)]
     pub load: Load,
     /// Whether the site's tenants are hosted: known to fronts by roll-out alone, with the site's classes as their own
-    /// and their shares of the front.
+    /// and their shares of the director.
     #[garde(dive)]
     pub hosted: Option<HostedDay>,
     /// Faults by a name of one's own.
     #[garde(dive)]
     #[serde(default, rename = "trouble")]
-    pub faults: BTreeMap<String, Trouble>,
+    pub faults: BTreeMap<String, Fault>,
 }
 
 /// How long a day is, and who plays it.
@@ -66,10 +66,10 @@
 #[derive(Clone, Debug, Serialize, Deserialize, Validate)]
 #[serde(deny_unknown_fields)]
 pub struct HostedDay {
-    /// Set-ups a second that each front can make: what shares are parts of.
+    /// Set-ups a second that each director can make: what shares are parts of.
     #[garde(range(min = 1.0, max = 1_000_000.0))]
     pub set_ups_per_s: f64,
-    /// Sessions that each front holds at most.
+    /// Sessions that each director holds at most.
     #[garde(range(min = 1, max = 1_000_000))]
     #[serde(rename = "most_sessions")]
     pub max_sessions: usize,
--- a/crates/settings/src/day/fault.rs
+++ b/crates/settings/src/day/fault.rs
@@ -6,7 +6,7 @@
 /// What goes wrong.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
-pub enum TroubleKind {
+pub enum FaultKind {
     /// Nodes die with a reset and come back cold after the trouble.
     Crash,
     /// Nodes go silent, no reset and no answer, and come back cold.
@@ -39,18 +39,18 @@
     DirectorStall,
 }
 
-impl TroubleKind {
+impl FaultKind {
     /// Whether a fault of this kind needs a size.
     pub fn has_size(self) -> bool {
         matches!(
             self,
-            TroubleKind::Neighbour
-                | TroubleKind::SharedSlow
-                | TroubleKind::Ageing
-                | TroubleKind::Burst
-                | TroubleKind::TenantBurst
-                | TroubleKind::HotTitle
-                | TroubleKind::ClassFlood
+            FaultKind::Neighbour
+                | FaultKind::SharedSlow
+                | FaultKind::Ageing
+                | FaultKind::Burst
+                | FaultKind::TenantBurst
+                | FaultKind::HotTitle
+                | FaultKind::ClassFlood
         )
     }
 }
@@ -58,10 +58,10 @@
 /// One fault.
 #[derive(Clone, Debug, Serialize, Deserialize, Validate)]
 #[serde(deny_unknown_fields)]
-pub struct Trouble {
+pub struct Fault {
     /// What goes wrong.
     #[garde(skip)]
-    pub kind: TroubleKind,
+    pub kind: FaultKind,
     /// When it begins.
     #[garde(range(min = 0.0, max = 3600.0))]
     #[serde(rename = "at_s")]
@@ -74,7 +74,7 @@
     #[garde(range(min = 0.0, max = 1.0))]
     #[serde(default, rename = "part")]
     pub fraction: f64,
-    /// How severe it is, where the kind has a size: see [`TroubleKind`].
+    /// How severe it is, where the kind has a size: see [`FaultKind`].
     #[garde(range(min = 0.0, max = 1000.0))]
     #[serde(default)]
     pub size: f64,
@@ -104,10 +104,10 @@
     pub target_name: Option<String>,
 }
 
-impl Trouble {
+impl Fault {
     /// One of a kind that meets nobody yet and has no size.
-    pub fn new(kind: TroubleKind, at_s: f64, len_s: f64) -> Trouble {
-        Trouble {
+    pub fn new(kind: FaultKind, at_s: f64, len_s: f64) -> Fault {
+        Fault {
             kind,
             start_s: at_s,
             duration_s: len_s,
--- a/crates/settings/src/day/violations.rs
+++ b/crates/settings/src/day/violations.rs
@@ -1,6 +1,6 @@
 //! The rules between the fields of a day.
 
-use super::{DayPlan, Machine, Trouble, TroubleKind};
+use super::{DayPlan, Fault, FaultKind, Machine};
 use crate::SettingsFile;
 use crate::rule::{Rule, Violation, joined};
 
@@ -108,7 +108,7 @@
         }
     }
 
-    fn check_fault(&self, name: &str, fault: &Trouble, violations: &mut Vec<Violation>) {
+    fn check_fault(&self, name: &str, fault: &Fault, violations: &mut Vec<Violation>) {
         let path = |field: &str| format!("trouble.{name}.{field}");
         let seconds = self.day.seconds;
         if fault.start_s + fault.duration_s > seconds {
@@ -118,10 +118,10 @@
         if fault.kind.has_size() && fault.size <= 0.0 {
             violations.push(Violation::new(path("size"), Rule::FaultValueMissing));
         }
-        if fault.kind == TroubleKind::Neighbour && fault.size > 1.0 {
+        if fault.kind == FaultKind::Neighbour && fault.size > 1.0 {
             violations.push(Violation::new(path("size"), Rule::FaultSizeBeyondLink));
         }
-        if fault.kind == TroubleKind::DirectorStall && fault.stall_ms <= 0.0 {
+        if fault.kind == FaultKind::DirectorStall && fault.stall_ms <= 0.0 {
             violations.push(Violation::new(path("stall_ms"), Rule::FaultValueMissing));
         }
         let Some(targets) = self.targets(fault.kind) else {
@@ -139,13 +139,13 @@
     }
 
     /// The names that a kind of fault may meet; none where it meets nothing by name.
-    fn targets(&self, kind: TroubleKind) -> Option<Vec<&String>> {
+    fn targets(&self, kind: FaultKind) -> Option<Vec<&String>> {
         match kind {
-            TroubleKind::ZoneLoss => Some(self.site.zones.iter().collect()),
-            TroubleKind::TenantBurst if self.load.tenant_rates.is_empty() => None,
-            TroubleKind::TenantBurst => Some(self.load.tenant_rates.keys().collect()),
-            TroubleKind::HotTitle => Some(self.site.titles.keys().collect()),
-            TroubleKind::ClassFlood => Some(self.load.class_mix.keys().collect()),
+            FaultKind::ZoneLoss => Some(self.site.zones.iter().collect()),
+            FaultKind::TenantBurst if self.load.tenant_rates.is_empty() => None,
+            FaultKind::TenantBurst => Some(self.load.tenant_rates.keys().collect()),
+            FaultKind::HotTitle => Some(self.site.titles.keys().collect()),
+            FaultKind::ClassFlood => Some(self.load.class_mix.keys().collect()),
             _ => None,
         }
     }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,7 +1,7 @@
 //! Settings files in HCL: read, checked, and turned into what the decision module is told.
 //!
-//! [`read`] takes a file with what it includes, [`parse`] a text. There are three files: [`server::FrontPlan`] of
-//! `shalewall serve`, [`admin::AdminPlan`] of `shalewall admin` and [`day::DayPlan`] of `shalewall day run`; [`site`]
+//! [`read`] takes a file with what it includes, [`parse`] a text. There are three files: [`server::ServerConfig`] of
+//! `shalewall serve`, [`admin::AdminConfig`] of `shalewall admin` and [`day::DayPlan`] of `shalewall day run`; [`site`]
 //! is the part that directors share. Each value is checked by its range, then the fields against each other by the
 //! rules of [`rule`]. An [`Error`] names the file, the line, the path within it and what would be right.
 //!
@@ -23,15 +23,15 @@
 mod source;
 pub mod units;
 
-pub use admin::{Admin, AdminPlan};
-pub use day::{Day, DayPlan, Fleet, HostedDay, Load, Machine, Trouble, TroubleKind};
+pub use admin::{Admin, AdminConfig};
+pub use day::{Day, DayPlan, Fault, FaultKind, Fleet, HostedDay, Load, Machine};
 pub use error::{Error, Location, Problem};
 pub use load::{SettingsFile, parse, read};
 pub use moves::Moves;
 pub use rule::{Rule, Violation};
-pub use server::{Front, FrontPlan, Hosting};
+pub use server::{Front, Hosting, ServerConfig};
 pub use site::Site;
-pub use site::capacity::{Kind, Layout, Link, Notes, Title};
-pub use site::policy::{Costs, Further, Limits, Rules};
-pub use site::traffic::{Class, Step, Tenant};
+pub use site::capacity::{Layout, Link, MachineKind, Notifications, Title};
+pub use site::policy::{Costs, Limits, RetryBudget, Rules};
+pub use site::traffic::{Class, LadderRung, Tenant};
 pub use units::us;
--- a/crates/settings/src/server.rs
+++ b/crates/settings/src/server.rs
@@ -11,11 +11,11 @@
 /// The file of `shalewall serve`.
 #[derive(Clone, Debug, Serialize, Deserialize, Validate)]
 #[serde(deny_unknown_fields)]
-pub struct FrontPlan {
+pub struct ServerConfig {
     /// The director itself.
     #[garde(dive)]
     pub front: Front,
-    /// Absent: the front is not shared by tenants.
+    /// Absent: the director is not shared by tenants.
     #[garde(dive)]
     pub hosting: Option<Hosting>,
     /// What it shares with the site's other directors.
@@ -23,7 +23,7 @@
     pub site: Site,
 }
 
-/// One front.
+/// One director of the service.
 #[derive(Clone, Debug, Serialize, Deserialize, Validate)]
 #[serde(deny_unknown_fields)]
 pub struct Front {
@@ -83,22 +83,22 @@
     3_000
 }
 
-/// Where a front of a hosted service has its tenants from.
+/// Where a director of a hosted service has its tenants from.
 #[derive(Clone, Debug, Serialize, Deserialize, Validate)]
 #[serde(deny_unknown_fields)]
 pub struct Hosting {
     /// The administration API.
     #[garde(skip)]
     pub admin: SocketAddr,
-    /// File that holds a front's token, and nothing else.
+    /// File that holds a director's token, and nothing else.
     #[garde(skip)]
     pub token_file: PathBuf,
-    /// Set-ups a second that this front can make: what shares are parts of.
+    /// Set-ups a second that this director can make: what shares are parts of.
     #[garde(range(min = 1.0, max = 1_000_000.0))]
     pub set_ups_per_s: f64,
 }
 
-impl SettingsFile for FrontPlan {
+impl SettingsFile for ServerConfig {
     fn violations(&self) -> Vec<Violation> {
         let mut violations = self.site.violations();
         if self.front.number >= self.front.director_count {
--- a/crates/settings/src/site.rs
+++ b/crates/settings/src/site.rs
@@ -10,12 +10,12 @@
 mod violations;
 
 use crate::moves::Moves;
-use capacity::{Kind, Layout, Link, Notes, Title};
+use capacity::{Layout, Link, MachineKind, Notifications, Title};
 use garde::Validate;
 use policy::{Costs, Limits, Rules};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
-use traffic::{Class, Step, Tenant};
+use traffic::{Class, LadderRung, Tenant};
 
 /// What all directors of a site share.
 #[derive(Clone, Debug, Serialize, Deserialize, Validate)]
@@ -28,7 +28,7 @@
     /// Kinds of machine by name.
     #[garde(dive)]
     #[serde(default, rename = "kind")]
-    pub kinds: BTreeMap<String, Kind>,
+    pub kinds: BTreeMap<String, MachineKind>,
     /// Classes of request by name.
     #[garde(dive, length(min = 1))]
     #[serde(rename = "class")]
@@ -39,7 +39,7 @@
     pub tenants: BTreeMap<String, Tenant>,
     /// Lowest rung first.
     #[garde(dive, length(min = 1, max = 64))]
-    pub ladder: Vec<Step>,
+    pub ladder: Vec<LadderRung>,
     /// Where titles are and which nodes share an uplink.
     #[garde(dive)]
     pub layout: Layout,
@@ -49,7 +49,7 @@
     /// Notifications of nodes.
     #[garde(dive)]
     #[serde(default, rename = "notes")]
-    pub notifications: Notes,
+    pub notifications: Notifications,
     /// What the decisions weigh against each other.
     #[garde(dive)]
     #[serde(default)]
--- a/crates/settings/src/site/capacity.rs
+++ b/crates/settings/src/site/capacity.rs
@@ -6,7 +6,7 @@
 /// A kind of machine.
 #[derive(Clone, Debug, Serialize, Deserialize, Validate)]
 #[serde(deny_unknown_fields)]
-pub struct Kind {
+pub struct MachineKind {
     /// Streams that it runs at most.
     #[garde(range(min = 1.0, max = 1e6))]
     #[serde(rename = "places")]
@@ -68,10 +68,10 @@
     pub join_rate_fraction: f64,
 }
 
-/// Notes that nodes tell: how often, and how late.
+/// Notifications that nodes tell: how often, and how late.
 #[derive(Clone, Debug, Default, Serialize, Deserialize, Validate)]
 #[serde(deny_unknown_fields)]
-pub struct Notes {
+pub struct Notifications {
     /// Interval between two notifications of a session.
     #[garde(range(min = 0.0, max = 600_000.0))]
     #[serde(rename = "every_ms")]
--- a/crates/settings/src/site/module_settings.rs
+++ b/crates/settings/src/site/module_settings.rs
@@ -2,14 +2,13 @@
 
 use super::Site;
 use super::capacity::Title;
-use super::policy::Further;
+use super::policy::RetryBudget;
 use super::traffic::{Class, Tenant};
 use crate::moves::Moves;
 use crate::server::Front;
 use crate::units::from_millis;
 use shalewall::{
-    ClassSettings, Idempotency, RetryBudget, RuleSettings, Rung, Settings, TenantSettings,
-    TimeDelta,
+    ClassSettings, Idempotency, RuleSettings, Rung, Settings, TenantSettings, TimeDelta,
 };
 use shalewall_engine::{Config, NamedClass, TitlePlacement};
 
@@ -103,7 +102,7 @@
             overload_factor: self.rules.overload_factor,
             overload_window: from_millis(self.rules.overload_window_ms),
             poll_deadline: TimeDelta::from_micros(0),
-            retry_budget: self.rules.retry_budget.as_ref().map(Further::settings),
+            retry_budget: self.rules.retry_budget.as_ref().map(RetryBudget::settings),
         }
     }
 
@@ -155,9 +154,9 @@
     }
 }
 
-impl Further {
-    fn settings(&self) -> RetryBudget {
-        RetryBudget {
+impl RetryBudget {
+    fn settings(&self) -> shalewall::RetryBudget {
+        shalewall::RetryBudget {
             base: self.base,
             per_request: self.per_request,
             window: from_millis(self.window_ms),
--- a/crates/settings/src/site/policy.rs
+++ b/crates/settings/src/site/policy.rs
@@ -32,13 +32,13 @@
     /// Budget for retries; absent: no limit.
     #[garde(dive)]
     #[serde(rename = "further")]
-    pub retry_budget: Option<Further>,
+    pub retry_budget: Option<RetryBudget>,
 }
 
 /// The budget of retries.
 #[derive(Clone, Debug, Serialize, Deserialize, Validate)]
 #[serde(deny_unknown_fields)]
-pub struct Further {
+pub struct RetryBudget {
     /// Retries in a window whatever the traffic.
     #[garde(range(min = 0.0, max = 1e6))]
     #[serde(rename = "free")]
--- a/crates/settings/src/site/traffic.rs
+++ b/crates/settings/src/site/traffic.rs
@@ -6,7 +6,7 @@
 /// One rung: rate in kB a second, and what it earns, 1 at the top.
 #[derive(Clone, Debug, Serialize, Deserialize, Validate)]
 #[serde(deny_unknown_fields)]
-pub struct Step {
+pub struct LadderRung {
     /// Rate of a session at this rung, kB a second.
     #[garde(range(min = 0.001, max = 1e9))]
     #[serde(rename = "kb")]
--- a/crates/settings/tests/errors.rs
+++ b/crates/settings/tests/errors.rs
@@ -1,6 +1,6 @@
 //! Errors name file, line, path and what would be right.
 
-use shalewall_settings::{DayPlan, Error, FrontPlan, parse};
+use shalewall_settings::{DayPlan, Error, ServerConfig, parse};
 
 fn day() -> String {
     std::fs::read_to_string(concat!(
@@ -39,7 +39,7 @@
     "#;
     let site = day();
     let (from, to) = (site.find("site {").unwrap(), site.find("fleet {").unwrap());
-    let plan: FrontPlan = parse("y.hcl", &format!("{front}{}", &site[from..to])).unwrap();
+    let plan: ServerConfig = parse("y.hcl", &format!("{front}{}", &site[from..to])).unwrap();
     let set = plan.site.settings(&plan.front);
     assert_eq!(
         (
@@ -52,7 +52,7 @@
     );
     // Written out and read again it is the same: that is how a day gives each director its file.
     let text = hcl::to_string(&plan).unwrap();
-    let again: FrontPlan = parse("z.hcl", &text).unwrap();
+    let again: ServerConfig = parse("z.hcl", &text).unwrap();
     assert_eq!(again.site.settings(&again.front), set);
 }
 
--- a/crates/settings/tests/stored_forms.rs
+++ b/crates/settings/tests/stored_forms.rs
@@ -4,7 +4,7 @@
 
 use serde::Serialize;
 use shalewall::TimeDelta;
-use shalewall_settings::{AdminPlan, DayPlan, FrontPlan, SettingsFile, parse, read};
+use shalewall_settings::{AdminConfig, DayPlan, ServerConfig, SettingsFile, parse, read};
 use std::path::{Path, PathBuf};
 
 fn fixture(name: &str) -> PathBuf {
@@ -30,7 +30,7 @@
 
 #[test]
 fn a_site_of_the_version_before_becomes_the_same_settings() {
-    let plan: FrontPlan = read_as_recorded("site");
+    let plan: ServerConfig = read_as_recorded("site");
     let module = plan.site.settings(&plan.front);
     assert_eq!((module.director_index, module.director_count), (2, 5));
     assert_eq!(module.zone, Some(1));
@@ -74,7 +74,7 @@
 
 #[test]
 fn a_short_site_of_the_version_before_takes_the_same_defaults() {
-    let plan: FrontPlan = read_as_recorded("site-defaults");
+    let plan: ServerConfig = read_as_recorded("site-defaults");
     assert_eq!(plan.front.max_sessions, 100_000);
     assert_eq!(plan.front.max_connections, 20_000);
     assert_eq!(plan.front.stream_timeout_ms, 3_000);
@@ -118,7 +118,7 @@
 
 #[test]
 fn an_administration_file_of_the_version_before_is_read_the_same() {
-    let plan: AdminPlan = read_as_recorded("admin");
+    let plan: AdminConfig = read_as_recorded("admin");
     assert_eq!(plan.admin.forget_front_s, 120.0);
     assert_eq!(plan.admin.store, Path::new("data/tenants.redb"));
 }
@@ -140,12 +140,12 @@
 #[test]
 fn wrong_files_of_the_version_before_are_refused_in_the_same_words() {
     refused_as_recorded::<DayPlan>("wrong-day");
-    refused_as_recorded::<FrontPlan>("wrong-site");
+    refused_as_recorded::<ServerConfig>("wrong-site");
     refused_as_recorded::<DayPlan>("wrong-form");
     refused_as_recorded::<DayPlan>("wrong-syntax");
     refused_as_recorded::<DayPlan>("wrong-include");
-    refused_as_recorded::<AdminPlan>("missing-include");
-    refused_as_recorded::<AdminPlan>("missing-file");
+    refused_as_recorded::<AdminConfig>("missing-include");
+    refused_as_recorded::<AdminConfig>("missing-file");
 }
 
 /// The fields of a fixture that hold one number: (line, name).
@@ -181,10 +181,10 @@
 /// Whatever fields are called in the code, errors call them by the names of files.
 #[test]
 fn each_wrong_number_is_told_with_the_name_and_line_of_its_field() {
-    let count = each_number_is_refused_by_its_name::<FrontPlan>("site.hcl");
+    let count = each_number_is_refused_by_its_name::<ServerConfig>("site.hcl");
     assert!(count >= 40, "{count}");
     let count = each_number_is_refused_by_its_name::<DayPlan>("all-fields-day.hcl");
     assert!(count >= 60, "{count}");
-    let count = each_number_is_refused_by_its_name::<AdminPlan>("admin.hcl");
+    let count = each_number_is_refused_by_its_name::<AdminConfig>("admin.hcl");
     assert_eq!(count, 1);
 }
--- a/crates/simulation/src/scenes.rs
+++ b/crates/simulation/src/scenes.rs
@@ -1,6 +1,6 @@
 //! Days that show one thing, made from a plan by changing its load and troubles.
 
-use shalewall_settings::{DayPlan, Tenant, Trouble, TroubleKind};
+use shalewall_settings::{DayPlan, Fault, FaultKind, Tenant};
 
 /// A scene: its name, what it shows, and its day.
 pub struct Scene {
@@ -85,9 +85,9 @@
         "half of the nodes die and come back cold after 30 s",
         &|p| {
             again(p);
-            let t = Trouble {
+            let t = Fault {
                 fraction: 0.5,
-                ..Trouble::new(TroubleKind::Crash, 90.0, 30.0)
+                ..Fault::new(FaultKind::Crash, 90.0, 30.0)
             };
             p.faults.insert("half".into(), t);
         },
@@ -99,9 +99,9 @@
             long(p);
             again(p);
             p.load.per_s = usual(p);
-            let t = Trouble {
+            let t = Fault {
                 fraction: 0.5,
-                ..Trouble::new(TroubleKind::Crash, 1800.0, 60.0)
+                ..Fault::new(FaultKind::Crash, 1800.0, 60.0)
             };
             p.faults.insert("half".into(), t);
         },
@@ -111,9 +111,9 @@
         "two thirds of the usual load, tripled for good",
         &|p| {
             p.load.per_s *= 2.0 / 3.0;
-            let t = Trouble {
+            let t = Fault {
                 size: 3.0,
-                ..Trouble::new(TroubleKind::Burst, 90.0, 90.0)
+                ..Fault::new(FaultKind::Burst, 90.0, 90.0)
             };
             p.faults.insert("more".into(), t);
         },
@@ -121,9 +121,9 @@
     scene("tripled-long", "the same, sessions of half an hour", &|p| {
         long(p);
         p.load.per_s = usual(p) * 2.0 / 3.0;
-        let t = Trouble {
+        let t = Fault {
             size: 3.0,
-            ..Trouble::new(TroubleKind::Burst, 1800.0, 1800.0)
+            ..Fault::new(FaultKind::Burst, 1800.0, 1800.0)
         };
         p.faults.insert("more".into(), t);
     });
@@ -132,9 +132,9 @@
         "twice the usual load for a while, then a third of it",
         &|p| {
             (p.day.seconds, p.load.per_s) = (360.0, p.load.per_s / 3.0);
-            let t = Trouble {
+            let t = Fault {
                 size: 6.0,
-                ..Trouble::new(TroubleKind::Burst, 0.0, 150.0)
+                ..Fault::new(FaultKind::Burst, 0.0, 150.0)
             };
             p.faults.insert("more".into(), t);
         },
@@ -149,10 +149,10 @@
             p.load.class_mix.insert("peek".into(), 0.0);
             p.load.length_s_by_class.insert("peek".into(), (4.0, 6.0));
             let name = Some("peek".to_string());
-            let t = Trouble {
+            let t = Fault {
                 size: 10.0,
                 target_name: name,
-                ..Trouble::new(TroubleKind::ClassFlood, 60.0, 20.0)
+                ..Fault::new(FaultKind::ClassFlood, 60.0, 20.0)
             };
             p.faults.insert("peeks".into(), t);
         },
@@ -168,10 +168,10 @@
         "one class floods at three times the usual rate",
         &|p| {
             let name = Some("report".to_string());
-            let t = Trouble {
+            let t = Fault {
                 size: 3.0,
                 target_name: name,
-                ..Trouble::new(TroubleKind::ClassFlood, 60.0, 60.0)
+                ..Fault::new(FaultKind::ClassFlood, 60.0, 60.0)
             };
             p.faults.insert("flood".into(), t);
         },
@@ -179,10 +179,10 @@
     scene("hot", "half of all viewers come for one title", &|p| {
         (p.load.per_s, p.load.skew) = (p.load.per_s * 0.5, 0.0);
         let name = Some("garden".to_string());
-        let t = Trouble {
+        let t = Fault {
             size: 1.0,
             target_name: name,
-            ..Trouble::new(TroubleKind::HotTitle, 0.0, 180.0)
+            ..Fault::new(FaultKind::HotTitle, 0.0, 180.0)
         };
         p.faults.insert("hot".into(), t);
     });
@@ -200,9 +200,9 @@
         "a director of three is lost for a minute",
         &|p| {
             again(p);
-            let t = Trouble {
+            let t = Fault {
                 targets: Some(vec![1]),
-                ..Trouble::new(TroubleKind::DirectorKill, 60.0, 60.0)
+                ..Fault::new(FaultKind::DirectorKill, 60.0, 60.0)
             };
             p.faults.insert("lost".into(), t);
         },
@@ -213,9 +213,9 @@
         &|p| {
             (p.day.seconds, p.load.per_s) = (450.0, p.load.per_s * 0.1);
             for i in 0..5 {
-                let t = Trouble {
+                let t = Fault {
                     size: 20.0,
-                    ..Trouble::new(TroubleKind::Burst, 90.0 * f64::from(i), 45.0)
+                    ..Fault::new(FaultKind::Burst, 90.0 * f64::from(i), 45.0)
                 };
                 p.faults.insert(format!("swing {i}"), t);
             }
@@ -261,9 +261,9 @@
         &|p| {
             grow(p, 10, 100);
             p.load.per_s *= 2.0 / 3.0;
-            let t = Trouble {
+            let t = Fault {
                 size: 3.0,
-                ..Trouble::new(TroubleKind::Burst, 90.0, 90.0)
+                ..Fault::new(FaultKind::Burst, 90.0, 90.0)
             };
             p.faults.insert("more".into(), t);
         },
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -21,7 +21,7 @@
 use shalewall_fleet_model::notifications::{Notification, Notifier};
 use shalewall_fleet_model::population::{Class, DrawnViewer, Interest, ViewerPopulation};
 use shalewall_fleet_model::totals::ViewerTotals;
-use shalewall_settings::{DayPlan, Front, Trouble, TroubleKind, us};
+use shalewall_settings::{DayPlan, Fault, FaultKind, Front, us};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
@@ -132,20 +132,20 @@
     burst: f64,
     bursts: BTreeMap<String, f64>,
     extra: Option<(Interest, f64)>,
-    troubles: Vec<Trouble>,
+    troubles: Vec<Fault>,
     listed: BTreeMap<u64, EndpointEntry>,
     result: Report,
 }
 
 /// Kinds of trouble that can be played here.
-const PLAYED: [TroubleKind; 7] = [
-    TroubleKind::Crash,
-    TroubleKind::Burst,
-    TroubleKind::TenantBurst,
-    TroubleKind::HotTitle,
-    TroubleKind::ClassFlood,
-    TroubleKind::SharedSlow,
-    TroubleKind::DirectorKill,
+const PLAYED: [FaultKind; 7] = [
+    FaultKind::Crash,
+    FaultKind::Burst,
+    FaultKind::TenantBurst,
+    FaultKind::HotTitle,
+    FaultKind::ClassFlood,
+    FaultKind::SharedSlow,
+    FaultKind::DirectorKill,
 ];
 
 /// Runs a day's plan. A trouble that can't be played here is an error, not left out.
--- a/crates/simulation/src/world/troubles.rs
+++ b/crates/simulation/src/world/troubles.rs
@@ -4,7 +4,7 @@
 
 impl World<'_> {
     /// Those that a trouble meets: as told, or its part of them, at least one.
-    pub(super) fn met(&mut self, of: Vec<u64>, trouble: &Trouble) -> Vec<u64> {
+    pub(super) fn met(&mut self, of: Vec<u64>, trouble: &Fault) -> Vec<u64> {
         let mut met = of;
         if let Some(on) = &trouble.targets {
             met.retain(|x| on.contains(x));
@@ -23,7 +23,7 @@
         let trouble = self.troubles[i].clone();
         let mut met = Vec::new();
         match trouble.kind {
-            TroubleKind::Crash => {
+            FaultKind::Crash => {
                 let up = self
                     .fleet
                     .nodes
@@ -33,18 +33,18 @@
                 met = self.met(up, &trouble);
                 met.iter().for_each(|id| self.down(*id));
             }
-            TroubleKind::TenantBurst if trouble.target_name.is_some() => {
+            FaultKind::TenantBurst if trouble.target_name.is_some() => {
                 self.bursts
                     .extend(trouble.target_name.clone().map(|name| (name, trouble.size)));
             }
-            TroubleKind::Burst | TroubleKind::TenantBurst => self.burst = trouble.size,
-            TroubleKind::HotTitle => {
+            FaultKind::Burst | FaultKind::TenantBurst => self.burst = trouble.size,
+            FaultKind::HotTitle => {
                 self.extra = trouble
                     .target_name
                     .clone()
                     .map(|n| (Interest::Title(n), trouble.size));
             }
-            TroubleKind::ClassFlood => {
+            FaultKind::ClassFlood => {
                 let class = self
                     .crowd
                     .classes
@@ -52,8 +52,8 @@
                     .position(|c| trouble.target_name.as_ref() == Some(&c.name));
                 self.extra = class.map(|c| (Interest::Class(c), trouble.size));
             }
-            TroubleKind::SharedSlow => self.fleet.link_slowdown = trouble.size,
-            TroubleKind::DirectorKill => {
+            FaultKind::SharedSlow => self.fleet.link_slowdown = trouble.size,
+            FaultKind::DirectorKill => {
                 let up = (0..self.engines.len()).filter(|d| self.engines[*d].is_some());
                 let up = up.map(|d| d as u64).collect();
                 met = self.met(up, &trouble);
@@ -66,13 +66,13 @@
 
     pub(super) fn trouble_ends(&mut self, i: usize, met: Vec<u64>) {
         match self.troubles[i].kind {
-            TroubleKind::Crash => met.into_iter().for_each(|id| self.up(id)),
-            TroubleKind::Burst | TroubleKind::TenantBurst => {
+            FaultKind::Crash => met.into_iter().for_each(|id| self.up(id)),
+            FaultKind::Burst | FaultKind::TenantBurst => {
                 (self.burst, self.bursts) = (1.0, BTreeMap::new());
             }
-            TroubleKind::HotTitle | TroubleKind::ClassFlood => self.extra = None,
-            TroubleKind::SharedSlow => self.fleet.link_slowdown = 1.0,
-            TroubleKind::DirectorKill => met.into_iter().for_each(|d| self.start(d as usize)),
+            FaultKind::HotTitle | FaultKind::ClassFlood => self.extra = None,
+            FaultKind::SharedSlow => self.fleet.link_slowdown = 1.0,
+            FaultKind::DirectorKill => met.into_iter().for_each(|d| self.start(d as usize)),
             _ => {}
         }
     }
--- a/crates/simulation/tests/scenes.rs
+++ b/crates/simulation/tests/scenes.rs
@@ -1,6 +1,6 @@
 //! Scenes in simulated time: what they have to show, and that they are the same each time.
 
-use shalewall_settings::{DayPlan, Trouble, TroubleKind};
+use shalewall_settings::{DayPlan, Fault, FaultKind};
 use shalewall_simulation::scenes::{Scene, all};
 use shalewall_simulation::world::{Policy, Report, run};
 use std::path::Path;
@@ -61,7 +61,7 @@
 fn a_trouble_that_cannot_be_played_is_an_error() {
     let mut plan = base();
     plan.faults
-        .insert("frozen".into(), Trouble::new(TroubleKind::Hang, 1.0, 1.0));
+        .insert("frozen".into(), Fault::new(FaultKind::Hang, 1.0, 1.0));
     assert!(run(&plan, Policy::Module).unwrap_err().contains("frozen"));
 }
 
