--- a/crates/engine/src/catalogue.rs
+++ b/crates/engine/src/catalogue.rs
@@ -63,7 +63,7 @@
 }
 
 impl UnknownName {
-    /// What is unknown, in the word of the answer that the viewer gets.
+    /// What is unknown, as the answer to the viewer names it.
     pub fn kind(self) -> &'static str {
         match self {
             UnknownName::Tenant => "tenant",
--- a/crates/engine/src/engine/nodes.rs
+++ b/crates/engine/src/engine/nodes.rs
@@ -7,7 +7,7 @@
 use crate::session::Stage;
 use shalewall::{Event, LoadReport, Notification, Outcome, ServerId, SessionId, Timestamp};
 
-/// A node's load, as far as it is told.
+/// A node's load, as far as it reports it.
 pub(super) struct NodeLoad {
     delivered_fraction: Option<f64>,
     link_utilization: Option<f64>,
@@ -147,7 +147,7 @@
         }
     }
 
-    /// Passes on a node's load that was told with one of the sessions that play there.
+    /// Passes on a node's load that was reported with one of the sessions that play there.
     pub(super) fn record_load(&mut self, session: SessionId, server: ServerId, load: NodeLoad) {
         let Some(state) = self.sessions.get(session) else {
             return;
--- a/crates/engine/src/engine/rungs.rs
+++ b/crates/engine/src/engine/rungs.rs
@@ -1,4 +1,4 @@
-//! Rungs of sessions that play: nodes are told of each change until they have confirmed it.
+//! Rungs of sessions that play: each change is sent to the node until it is confirmed.
 
 use super::Engine;
 use super::timer::Timer;
--- a/crates/engine/src/input.rs
+++ b/crates/engine/src/input.rs
@@ -149,7 +149,7 @@
         /// The epoch under which it was fetched.
         epoch: Epoch,
     },
-    /// The node's load, told with one of the sessions there.
+    /// The node's load, reported with one of the sessions there.
     LoadNotified {
         /// The session.
         session: SessionId,
@@ -196,7 +196,7 @@
         /// How it ended.
         result: CallResult,
     },
-    /// What a node holds for this director, told before [`Input::NodeConnected`]: sessions of an earlier process
+    /// What a node holds for this director, reported before [`Input::NodeConnected`]: sessions of an earlier process
     /// of it go on where sessions can migrate.
     NodeSessionsReported {
         /// The node.
--- a/crates/engine/src/node_table.rs
+++ b/crates/engine/src/node_table.rs
@@ -77,7 +77,7 @@
         changes
     }
 
-    /// Keeps what the decision module is told of the list.
+    /// Keeps the list as the decision module hears it.
     pub fn record_endpoints(&mut self, update: EndpointUpdate, endpoints: &[Endpoint]) {
         if is_complete(update) {
             self.endpoints.clear();
--- a/crates/engine/src/session.rs
+++ b/crates/engine/src/session.rs
@@ -11,7 +11,7 @@
     pub call: CallId,
     pub server: ServerId,
     pub sent_at: Timestamp,
-    /// The node told the session's end before its answer was read.
+    /// The node reported the session's end before its answer was read.
     pub ended_early: bool,
 }
 
@@ -177,7 +177,7 @@
         self.rung_call.take()
     }
 
-    /// What its node has to be told: a rung that it has not confirmed. One call at a time.
+    /// A rung that its node has not confirmed, if no call for one is in flight.
     pub fn rung_to_send(&self) -> Option<usize> {
         let settled = self.rung == self.confirmed_rung || self.rung_call.is_some();
         (!settled).then_some(self.rung)
--- a/crates/engine/tests/migration/main.rs
+++ b/crates/engine/tests/migration/main.rs
@@ -84,7 +84,7 @@
             let mut simulation = Simulation::new(10 + step, 0);
             simulation.request_sessions(12);
             simulation.set_endpoint_state(0, EndpointState::Draining);
-            // Somewhere in the middle of the moves, all targets but one fail.
+            // Somewhere in the middle of the migrations, all targets but one fail.
             simulation.run_for(step as i64 * 10 * MILLISECOND);
             for node in 1..3 {
                 match kind {
@@ -137,7 +137,7 @@
     }
 }
 
-/// Seen on a day: the front was back some 100 ms before a node that had drained meanwhile died.
+/// Seen on a scripted day: the director was back some 100 ms before a node that had drained meanwhile failed.
 #[test]
 fn node_failure_just_after_director_restart_loses_no_session_whose_buffer_lasts() {
     for after in [0, 5, 20, 100, 400] {
@@ -189,7 +189,7 @@
 
 #[test]
 fn random_faults_keep_one_set_up_per_session_and_end_every_migration() {
-    let (mut moved, mut stayed) = (0, 0);
+    let (mut migrated, mut aborted) = (0, 0);
     for seed in 1..=25 {
         let mut simulation = Simulation::new(seed, 15);
         for _ in 0..12 {
@@ -231,12 +231,12 @@
             let span = simulation.random.below(900) as i64;
             simulation.run_for(span * MILLISECOND);
         }
-        (moved, stayed) = (moved + simulation.migrated, stayed + simulation.aborted);
+        (migrated, aborted) = (migrated + simulation.migrated, aborted + simulation.aborted);
         simulation.assert_settled();
     }
     assert!(
-        moved > 100 && stayed > 10,
-        "the runs have to move sessions: {moved}, and fail: {stayed}"
+        migrated > 100 && aborted > 10,
+        "the runs have to migrate sessions: {migrated}, and abort: {aborted}"
     );
 }
 
@@ -317,7 +317,7 @@
             .count()
     };
     assert_eq!(at(&simulation, 0), 0, "there is room for all");
-    // The second time two of three are ended already, and the third is told nearly full.
+    // The second time two of three are gone already, and the third is reported nearly full.
     simulation.set_endpoint_state(1, EndpointState::Draining);
     simulation.set_endpoint_state(2, EndpointState::Draining);
     simulation.set_endpoint_state(0, EndpointState::Gone);
--- a/crates/engine/tests/migration/world/nodes.rs
+++ b/crates/engine/tests/migration/world/nodes.rs
@@ -120,7 +120,7 @@
         });
     }
 
-    /// A node opens its event stream to a new front; one that stands still does so when it goes on.
+    /// A node opens its event stream to a restarted director; a frozen one does so when it resumes.
     pub fn connect_node(&mut self, n: u64) {
         let (server, asked) = (ServerId(n), self.now);
         // Of those that left, a node that runs sees that nobody fetches.
--- a/crates/engine/tests/migration/world/players.rs
+++ b/crates/engine/tests/migration/world/players.rs
@@ -31,7 +31,7 @@
                         None => {}
                         Some(Err(_)) => player.protocol.on_fetch_failed(ServerId(node), epoch),
                         Some(Ok(())) => {
-                            let told = NodeEvent::StreamFetched {
+                            let event = NodeEvent::StreamFetched {
                                 session,
                                 attempt: 0,
                                 epoch,
@@ -40,7 +40,7 @@
                                 self.now + 5 * MILLISECOND,
                                 Input::NodeNotified {
                                     server: ServerId(node),
-                                    event: told,
+                                    event,
                                 },
                             ));
                         }
--- a/crates/engine/tests/sessions/main.rs
+++ b/crates/engine/tests/sessions/main.rs
@@ -26,7 +26,7 @@
             let wait = simulation.random.below(120) as i64 * MILLISECOND;
             simulation.run_until(simulation.now + wait);
         }
-        // All is well again: what was out is answered, what is owed is confirmed.
+        // No more faults: calls in flight are answered, pending ends confirmed.
         for server in std::mem::take(&mut simulation.down) {
             simulation.connect_node(server);
         }
@@ -201,8 +201,8 @@
     assert_eq!(simulation.engine.session_counts(), SessionCounts::default());
 }
 
-/// An incident of a day of moves: the node of a set-up that was out vanished, the list said so, and at the viewer's
-/// deadline the end that was owed counted as confirmed at once. The session was forgotten before its answer.
+/// An incident of a scripted day of migrations: the node of a set-up in flight vanished, the list said so, and at the viewer's
+/// deadline the pending end counted as confirmed at once. The session was forgotten before its answer.
 #[test]
 fn set_up_at_a_removed_node_is_answered_at_the_deadline() {
     for class in ["open", "paid"] {
@@ -246,7 +246,7 @@
     }
 }
 
-/// A front that is out of descriptors: nothing is charged to nodes, and whoever requests is turned away at once.
+/// A director that is out of file descriptors: nothing is charged to nodes, and requests are rejected at once.
 #[test]
 fn unsent_calls_are_charged_to_no_node() {
     let mut simulation = Simulation::new(1);
@@ -279,7 +279,7 @@
     assert_eq!(
         simulation.engine.session_counts(),
         SessionCounts::default(),
-        "no end is owed for what was never sent"
+        "no end is pending for what was never sent"
     );
     // It is over: every node takes sessions of both classes at once, as none of them has failed.
     let before = simulation.attempts;
