--- a/crates/audit/src/judge.rs
+++ b/crates/audit/src/judge.rs
@@ -61,6 +61,12 @@
     node: u64,
 }
 
+impl Route {
+    fn new(director: u32, node: u64) -> Route {
+        Route { director, node }
+    }
+}
+
 /// A set-up, as its record has it.
 struct SetUp<'r> {
     time: Timestamp,
@@ -121,14 +127,8 @@
                 ..
             } => self.set_up(&SetUp {
                 time,
-                route: Route {
-                    director: *director,
-                    node: *node,
-                },
-                id: AttemptId {
-                    session: *session,
-                    number: *attempt,
-                },
+                route: Route::new(*director, *node),
+                id: AttemptId::new(*session, *attempt),
                 tenant: tenant.as_deref(),
                 class,
                 title,
@@ -140,10 +140,7 @@
                 outcome,
                 ..
             } => {
-                let id = AttemptId {
-                    session: *session,
-                    number: *attempt,
-                };
+                let id = AttemptId::new(*session, *attempt);
                 self.set_up_done(time, id, *outcome);
             }
             _ => {}
@@ -161,10 +158,7 @@
                 rung,
                 ..
             } => {
-                let route = Route {
-                    director: *director,
-                    node: *node,
-                };
+                let route = Route::new(*director, *node);
                 let tenant = tenant.as_deref();
                 self.check_floor(time, *session, tenant, class, *rung);
                 self.check_draining(time, route, tenant);
@@ -176,10 +170,7 @@
                 attempt,
                 ..
             } => {
-                let id = AttemptId {
-                    session: *session,
-                    number: *attempt,
-                };
+                let id = AttemptId::new(*session, *attempt);
                 self.hold(id, *node, time);
             }
             _ => {}
@@ -192,10 +183,9 @@
                 session: Some(session),
                 attempt: Some(attempt),
                 ..
-            } => self.attempts.add_partial(AttemptId {
-                session: *session,
-                number: *attempt,
-            }),
+            } => self
+                .attempts
+                .add_partial(AttemptId::new(*session, *attempt)),
             Record::RungChanged { session, rung, .. } => self.rung_changed(time, *session, *rung),
             Record::SessionEnded {
                 node,
@@ -203,10 +193,7 @@
                 attempt,
                 ..
             } => {
-                let id = AttemptId {
-                    session: *session,
-                    number: *attempt,
-                };
+                let id = AttemptId::new(*session, *attempt);
                 self.release(id, *node, time);
             }
             _ => {}
@@ -222,10 +209,7 @@
                 node_started,
                 ..
             } => {
-                let route = Route {
-                    director: *director,
-                    node: *node,
-                };
+                let route = Route::new(*director, *node);
                 self.directors.notify(route, time, standing, *node_started);
             }
             Record::RequestSent { director, .. } => self.retry_windows.add_request(*director, time),
--- a/crates/audit/src/judge/answers.rs
+++ b/crates/audit/src/judge/answers.rs
@@ -79,13 +79,10 @@
                 session,
                 ..
             } => {
-                let Some((request, count)) = requests.end(*id) else {
-                    return;
-                };
-                if let Some(session) = session.filter(|_| *status == REJECTED_STATUS) {
-                    self.check_rejection(time, session, request.tenant, request.class);
+                if let Some((request, count)) = requests.end(*id) {
+                    self.check_rejected_session(time, request, *status, *session);
+                    self.check_answer(time, request, *status, count);
                 }
-                self.check_answer(time, request, *status, count);
             }
             Record::RequestUnanswered { request: id, .. } => {
                 if let Some((request, _)) = requests.end(*id) {
@@ -99,6 +96,18 @@
         }
     }
 
+    fn check_rejected_session(
+        &mut self,
+        time: Timestamp,
+        request: Request<'_>,
+        status: u16,
+        session: Option<u64>,
+    ) {
+        if let Some(session) = session.filter(|_| status == REJECTED_STATUS) {
+            self.check_rejection(time, session, request.tenant, request.class);
+        }
+    }
+
     fn check_answer(&mut self, time: Timestamp, request: Request<'_>, status: u16, count: u32) {
         let Request { id, tenant, .. } = request;
         if count > 1 {
--- a/crates/audit/src/judge/attempts.rs
+++ b/crates/audit/src/judge/attempts.rs
@@ -13,6 +13,12 @@
     pub number: u32,
 }
 
+impl AttemptId {
+    pub fn new(session: u64, number: u32) -> AttemptId {
+        AttemptId { session, number }
+    }
+}
+
 /// An attempt as the nodes saw it.
 pub(super) struct Attempt {
     /// Where it was sent, and by whom.
@@ -51,10 +57,7 @@
     pub fn of_session(&self, session: u64) -> Vec<AttemptId> {
         let numbers = self.by_session.get(&session).into_iter().flatten();
         numbers
-            .map(|number| AttemptId {
-                session,
-                number: *number,
-            })
+            .map(|number| AttemptId::new(session, *number))
             .collect()
     }
 
@@ -69,11 +72,8 @@
 
     /// The first attempt of a session that is not released.
     pub fn playing(&self, session: u64) -> Option<&Attempt> {
-        let first = AttemptId { session, number: 0 };
-        let last = AttemptId {
-            session,
-            number: u32::MAX,
-        };
+        let first = AttemptId::new(session, 0);
+        let last = AttemptId::new(session, u32::MAX);
         let mut attempts = self.attempts.range(first..=last);
         let found = attempts.find(|(_, attempt)| attempt.released_at.is_none());
         found.map(|(_, attempt)| attempt)
--- a/crates/audit/src/judge/directors.rs
+++ b/crates/audit/src/judge/directors.rs
@@ -1,13 +1,10 @@
 //! What each director could know of the nodes, and when it could not act at all.
 
 use super::Route;
-use crate::record::Record;
+use crate::record::{READY, Record};
 use shalewall::{TimeDelta, Timestamp};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// The standing of a node that takes sessions, as the endpoint list names it.
-const READY: &str = "ready";
-
 /// What each director was notified of, and saw, since its last start.
 #[derive(Default)]
 pub(super) struct Directors {
--- a/crates/audit/src/migrations/observations.rs
+++ b/crates/audit/src/migrations/observations.rs
@@ -3,14 +3,11 @@
 use super::BUFFER_LENGTH;
 use super::node_history::{Changes, Load, NodeHistory};
 use super::report::GapCause;
-use crate::record::Record;
+use crate::record::{READY, Record};
 use crate::rules::Rules;
 use shalewall::{TimeDelta, Timestamp};
 use std::collections::BTreeMap;
 
-/// The standing of a node that takes sessions, as the endpoint list names it.
-const READY: &str = "ready";
-
 /// From when on a session was at a node.
 struct Stay {
     from: Timestamp,
@@ -57,6 +54,12 @@
     epoch: u32,
 }
 
+impl SessionEpoch {
+    fn new(session: u64, epoch: u32) -> SessionEpoch {
+        SessionEpoch { session, epoch }
+    }
+}
+
 /// The first fetch of a session's player in an epoch.
 struct Fetch {
     time: Timestamp,
@@ -132,22 +135,14 @@
                 title,
                 ..
             } => {
-                let new_session = || Session {
-                    director: *director,
-                    title: title.clone(),
-                    stays: Vec::new(),
-                };
-                let session = self.sessions.entry(*session).or_insert_with(new_session);
-                session.stays.push(Stay {
+                let stay = Stay {
                     from: time,
                     node: *node,
-                });
+                };
+                self.take_set_up(*session, *director, title, stay);
             }
             Record::MigrationReceived { session, epoch, .. } => {
-                let key = SessionEpoch {
-                    session: *session,
-                    epoch: *epoch,
-                };
+                let key = SessionEpoch::new(*session, *epoch);
                 self.requested.entry(key).or_insert(time);
             }
             Record::PlayerFetched {
@@ -156,10 +151,7 @@
                 epoch,
                 ..
             } => {
-                let key = SessionEpoch {
-                    session: *session,
-                    epoch: *epoch,
-                };
+                let key = SessionEpoch::new(*session, *epoch);
                 self.take_fetch(key, Fetch { time, node: *node });
             }
             Record::PlaybackGap {
@@ -173,6 +165,16 @@
         }
     }
 
+    fn take_set_up(&mut self, session: u64, director: u32, title: &str, stay: Stay) {
+        let new_session = || Session {
+            director,
+            title: title.to_string(),
+            stays: Vec::new(),
+        };
+        let session = self.sessions.entry(session).or_insert_with(new_session);
+        session.stays.push(stay);
+    }
+
     fn take_fetch(&mut self, key: SessionEpoch, fetch: Fetch) {
         let first = self.fetched.get(&key);
         let Some(first) = first else {
--- a/crates/audit/src/record.rs
+++ b/crates/audit/src/record.rs
@@ -6,6 +6,9 @@
 use shalewall::{TimeDelta, Timestamp};
 use std::fmt;
 
+/// The standing of a node that takes sessions, as the endpoint list names it.
+pub(crate) const READY: &str = "ready";
+
 /// How a set-up ended at its node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum SetUpOutcome {
