--- a/crates/cli/tests/direct_day.rs
+++ b/crates/cli/tests/direct_day.rs
@@ -81,14 +81,7 @@
         "{} requests: nothing was tested",
         day.asked
     );
-    for rule in [
-        Rule::OneAnswer,
-        Rule::NoDuplicateSetUp,
-        Rule::Draining,
-        Rule::SlowStart,
-        Rule::FloorsAndSeats,
-        Rule::RetryBudget,
-    ] {
+    for rule in Rule::ALL {
         assert!(
             day.verdict.coverage.contains_key(&rule),
             "{} was not tested",
--- a/crates/emulator/src/nodes.rs
+++ b/crates/emulator/src/nodes.rs
@@ -229,7 +229,7 @@
         self.inner
             .borrow_mut()
             .fleet
-            .start(machine, shalewall::Timestamp::from_micros(now), warm);
+            .start(machine, Timestamp::from_micros(now), warm);
         self.inner
             .borrow_mut()
             .holds
@@ -534,11 +534,11 @@
         };
         let never_ran =
             |status, what| Reply::problem(status, what).with("Shalewall-Never-Ran", "yes");
-        let arrival = self.inner.borrow_mut().fleet.begin_setup(
-            id,
-            run,
-            shalewall::Timestamp::from_micros(now),
-        );
+        let arrival =
+            self.inner
+                .borrow_mut()
+                .fleet
+                .begin_setup(id, run, Timestamp::from_micros(now));
         match arrival {
             SetupDecision::Overloaded => {
                 self.crash(id);
--- a/crates/emulator/src/nodes/moves.rs
+++ b/crates/emulator/src/nodes/moves.rs
@@ -191,11 +191,11 @@
             epoch,
             ready: false,
         };
-        let arrival = self.inner.borrow_mut().fleet.begin_migration(
-            id,
-            run,
-            shalewall::Timestamp::from_micros(now),
-        );
+        let arrival =
+            self.inner
+                .borrow_mut()
+                .fleet
+                .begin_migration(id, run, Timestamp::from_micros(now));
         let time = match arrival {
             SetupDecision::Accepted(time) => time,
             SetupDecision::Overloaded => {
