Review case 1: a session released before it is handed over is left standing

If one has ended before, its media node releases it on the first connection that the director opens. Where that release arrives before the session's own set-up with `at`, the director confirms and forgets it, and then takes the session for active for good: its client is never told. The case kills the director once while it starts; nothing of the product is changed.

--- /dev/null
+++ b/review/standin/src/cases/mod.rs
@@ -0,0 +1,3 @@
+//! The cases.
+
+pub mod handed_over;
