Review case 2: an answer with a wrong length is served to a client

Media nodes may spoil good answers by a length that does not fit. The decoder checks that what follows a message can begin one, but looks at one word in upper-case letters only. So the rest of a description, or what is left of the next message's first line, passes, and a client is served with a description that no media node made.

Added: review/2.

--- a/review/standin/src/cases/mod.rs
+++ b/review/standin/src/cases/mod.rs
@@ -1,3 +1,4 @@
 //! The cases.
 
 pub mod handed_over;
+pub mod wrong_lengths;
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -22,6 +22,7 @@
             };
         }
         Some("1") => cases::handed_over::run("review/1/record.txt"),
+        Some("2") => cases::wrong_lengths::run("review/2/record.txt"),
         _ => None,
     };
     match is_broken {
