Review case 3: a restart that is told late ends sessions set up after it; seats exceeded

The list tells a media node's new start seconds late. The director then ends all sessions that it has there, also those that it set up on the new process after that start: their clients are told that they are over, the media node goes on with them, and the seats that they hold are given to others.

Added: review/3.

--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -23,6 +23,7 @@
         }
         Some("1") => cases::handed_over::run("review/1/record.txt"),
         Some("2") => cases::wrong_lengths::run("review/2/record.txt"),
+        Some("3") => cases::late_restart::run("review/3/record.txt"),
         _ => None,
     };
     match is_broken {
