--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -24,6 +24,11 @@
         Some("1") => cases::handed_over::run("review/1/record.txt"),
         Some("2") => cases::wrong_lengths::run("review/2/record.txt"),
         Some("3") => cases::late_restart::run("review/3/record.txt"),
+        Some("cut-off") => cases::cut_off::run("review/standin/target/cut-off.txt"),
+        Some("slow-journal") => cases::slow_journal::run("review/standin/target/slow-journal.txt"),
+        Some("stalled-drain") => {
+            cases::stalled_drain::run("review/standin/target/stalled-drain.txt")
+        }
         _ => None,
     };
     match is_broken {
