--- a/review/standin/src/cases/handed_over.rs
+++ b/review/standin/src/cases/handed_over.rs
@@ -10,7 +10,7 @@
 
 const NODES: u16 = 12;
 /// Sessions that play at each media node when the day begins.
-const PLAYING: u64 = 16;
+const PLAYING: u64 = 48;
 const CLIENTS: usize = 12;
 /// Mean length of a session: 29 to 67 s by the pages.
 const LIFE_MS: u64 = 40_000;
