Platform protocol: one bounded list of recent items in place of three hand-written ones

Cause: the session table and the node connection each kept ids in a VecDeque with its own eviction. Change: module recent, used by all three. No change of behaviour.

--- a/crates/platform-proto/src/lib.rs
+++ b/crates/platform-proto/src/lib.rs
@@ -38,6 +38,7 @@
 mod node_connections;
 mod node_registry;
 mod output;
+mod recent;
 pub mod rtsp;
 mod session;
 mod session_request;
--- a/crates/platform-proto/src/node_connection.rs
+++ b/crates/platform-proto/src/node_connection.rs
@@ -7,6 +7,7 @@
 use crate::HexId;
 use crate::error::NodeProtocolError;
 use crate::ids::HealthCheckId;
+use crate::recent::Recent;
 use crate::rtsp::{RtspDecoder, RtspMessage};
 use shalewall::{ServerId, SessionId, TimeDelta, Timestamp};
 use std::collections::{BTreeSet, VecDeque};
@@ -73,7 +74,7 @@
     last_used_at: Timestamp,
     /// The most recent set-ups that were rejected on it. A node may still accept a rejected set-up shortly afterwards,
     /// and that session would have no owner.
-    rejected_attempts: VecDeque<HexId>,
+    rejected_attempts: Recent<HexId, MAX_REJECTED_ATTEMPTS>,
 }
 
 impl NodeConnection {
@@ -91,7 +92,7 @@
             write_blocked_since: None,
             opened_at: now,
             last_used_at: now,
-            rejected_attempts: VecDeque::new(),
+            rejected_attempts: Recent::default(),
         }
     }
 
@@ -196,20 +197,13 @@
     }
 
     pub(crate) fn record_rejection(&mut self, session: HexId) {
-        if self.rejected_attempts.len() >= MAX_REJECTED_ATTEMPTS {
-            self.rejected_attempts.pop_front();
-        }
-        self.rejected_attempts.push_back(session);
+        self.rejected_attempts.push(session);
     }
 
     /// Removes a rejected set-up; returns whether there was one.
     pub(crate) fn take_rejection(&mut self, session: HexId) -> bool {
-        let position = self
-            .rejected_attempts
-            .iter()
-            .position(|rejected| *rejected == session);
-        position
-            .and_then(|position| self.rejected_attempts.remove(position))
+        self.rejected_attempts
+            .take(|rejected| *rejected == session)
             .is_some()
     }
 
--- a/crates/platform-proto/src/session_table.rs
+++ b/crates/platform-proto/src/session_table.rs
@@ -3,9 +3,10 @@
 
 use crate::HexId;
 use crate::ids::{NodeConnectionId, ViewerId};
+use crate::recent::Recent;
 use crate::session::{ActiveSession, Attempt, SendProgress, Session, Stage};
 use shalewall::{ServerId, SessionId, Timestamp};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 
 /// Number of ids of ended sessions that are kept in order to reject their reuse.
 const MAX_ENDED_IDS: usize = 4096;
@@ -50,9 +51,9 @@
     sessions: BTreeMap<SessionId, Session>,
     by_wire_id: BTreeMap<HexId, SessionId>,
     /// Ids of the sessions that ended most recently.
-    ended_ids: VecDeque<HexId>,
+    ended_ids: Recent<HexId, MAX_ENDED_IDS>,
     /// Ids of requests that were withdrawn on one connection before they were received on another.
-    withdrawn_ids: VecDeque<HexId>,
+    withdrawn_ids: Recent<HexId, MAX_WITHDRAWN_IDS>,
 }
 
 impl SessionTable {
@@ -112,10 +113,7 @@
 
     /// Records the withdrawal of a request that has not been received yet.
     pub(crate) fn withdraw_in_advance(&mut self, wire_id: HexId) {
-        if self.withdrawn_ids.len() >= MAX_WITHDRAWN_IDS {
-            self.withdrawn_ids.pop_front();
-        }
-        self.withdrawn_ids.push_back(wire_id);
+        self.withdrawn_ids.push(wire_id);
     }
 
     // ---- lifecycle ---------------------------------------------------------------------------
@@ -129,10 +127,7 @@
     pub(crate) fn remove(&mut self, id: SessionId) -> Option<ViewerId> {
         let session = self.sessions.remove(&id)?;
         self.by_wire_id.remove(&session.wire_id);
-        self.ended_ids.push_back(session.wire_id);
-        if self.ended_ids.len() > MAX_ENDED_IDS {
-            self.ended_ids.pop_front();
-        }
+        self.ended_ids.push(session.wire_id);
         session.viewer
     }
 
