--- a/crates/platform-proto/src/director_protocol/sessions.rs
+++ b/crates/platform-proto/src/director_protocol/sessions.rs
@@ -62,15 +62,24 @@
         let Some(active) = session.active().copied() else {
             return;
         };
-        let wire_id = session.wire_id;
-        let connection = self.connection_for_session(active.server, active.connection);
+        self.release_at_node(active.server, active.connection, session.wire_id);
+        self.end_session(id, Outcome::Cancelled.into(), None);
+    }
+
+    /// Releases a session at its node, over the connection of its set-up if possible.
+    pub(super) fn release_at_node(
+        &mut self,
+        server: ServerId,
+        own_connection: Option<NodeConnectionId>,
+        wire_id: HexId,
+    ) {
+        let connection = self.connection_for_session(server, own_connection);
         let is_queued = connection.is_some_and(|connection| {
             self.enqueue_to_node(connection, OutgoingMessage::Release(wire_id))
         });
         if !is_queued {
-            self.enqueue_pending_releases(active.server, vec![wire_id]);
+            self.enqueue_pending_releases(server, vec![wire_id]);
         }
-        self.end_session(id, Outcome::Cancelled.into(), None);
     }
 
     /// Sets a session's rung, before or after it is active.
--- a/crates/platform-proto/tests/transfers.rs
+++ b/crates/platform-proto/tests/transfers.rs
@@ -1,7 +1,7 @@
 //! Sessions from before this director's start, whose transfer and whose end arrive in any order.
 
 mod common;
-use common::{Harness, counts, start_message, teardown};
+use common::{Harness, counts, finish_message, start_message, teardown};
 use shalewall_platform_proto::ConnectionId;
 
 /// The extra of a request that transfers a session at the first node.
@@ -52,6 +52,41 @@
     assert_eq!(harness.protocol.session_counts(), counts(0, 1));
 }
 
+/// Guards against sessions left active for good: a viewer ends its session on one connection before the session is
+/// transferred on another, and the end was forgotten.
+#[test]
+fn a_session_that_its_viewer_ended_before_the_transfer_is_released_at_its_node() {
+    for is_released_by_node in [false, true] {
+        let mut harness = Harness::new();
+        let (viewer, node) = connected_to_first_node(&mut harness);
+        let other = harness.connect_viewer();
+        harness.receive(other, finish_message(7));
+        if is_released_by_node {
+            harness.receive(node, teardown(7, 16, b""));
+        }
+        harness.take_written(node);
+        transfer(&mut harness, viewer, 7);
+        let sent = harness.take_written(node);
+        let is_released = sent.starts_with("TEARDOWN rtsp://media/0000000000000007 RTSP/1.0\r\n");
+        assert_eq!(is_released, !is_released_by_node, "{sent}");
+        assert!(harness.take_written(viewer).is_empty());
+        assert_eq!(harness.protocol.session_counts(), counts(0, 1));
+    }
+}
+
+/// As above, with a node that there is no connection to yet.
+#[test]
+fn a_session_that_its_viewer_ended_is_released_once_its_node_is_connected() {
+    let mut harness = Harness::new();
+    let viewer = harness.connect_viewer();
+    harness.receive(viewer, finish_message(7));
+    transfer(&mut harness, viewer, 7);
+    let node = harness.connect_next();
+    let sent = harness.take_written(node);
+    assert!(sent.starts_with("TEARDOWN rtsp://media/0000000000000007 RTSP/1.0\r\n"));
+    assert_eq!(harness.protocol.session_counts(), counts(0, 0));
+}
+
 /// The release that a transferred session is owed is sent on another connection of its viewer if the first one closes.
 #[test]
 fn an_early_release_not_written_is_sent_on_the_next_connection() {
