Reject a node's message whose content length does not fit what follows

Cause: RtspDecoder::check_start looked only at the first word behind a message, and took any upper-case letters up to a blank or a slash for the beginning of one. What is left of a description ('AVP 0 8 101') and what is left of a method ('E rtsp://...') passed, also where the whole line was there. A content that includes a whole message was not checked.

Change: what follows a message must be a start line with a method of RTSP 1.0 (RFC 2326) or a status, or the beginning of one, and no line of the content may end with one. None of the methods ends with another, so what is left of one is never valid.

Why it works: a length that is too small leaves the rest of the description, one that is too large the rest of a start line or of a head; neither can begin a message any more. Where all of the next message is included, its start line is found.

Left open by this commit: a stream that pauses exactly at the wrong length.

--- a/crates/platform-proto/src/error.rs
+++ b/crates/platform-proto/src/error.rs
@@ -33,6 +33,9 @@
     /// The first line is neither a request line nor a status line.
     #[error("the first line is neither a request line nor a status line")]
     InvalidStartLine,
+    /// The content of a message contains the start line of another one: its length is wrong.
+    #[error("the content of a message contains another message")]
+    MessageInContent,
     /// A header field can't be parsed.
     #[error("a header field is malformed")]
     MalformedField,
--- a/crates/platform-proto/src/rtsp/decoder.rs
+++ b/crates/platform-proto/src/rtsp/decoder.rs
@@ -1,16 +1,11 @@
 //! Decodes a node's byte stream into messages, and detects early that a stream is not RTSP.
 
-use super::{RtspMessage, StartLine};
+use super::{RtspMessage, start_line};
 use crate::error::NodeProtocolError;
 use crate::{HexId, MAX_MESSAGE_BYTES, release_spare_capacity};
 use shalewall_http::Limits;
 use shalewall_http::head::{Fields, HeadParser, parse_fields};
 
-/// Maximum length of a start line.
-const MAX_START_LINE_BYTES: usize = 512;
-/// Maximum length of the first word of a start line: a method, or the protocol's name.
-const MAX_FIRST_WORD_BYTES: usize = 24;
-
 /// Decodes messages from a stream of bytes.
 #[derive(Debug, Default)]
 pub struct RtspDecoder {
@@ -51,18 +46,19 @@
             self.pending = Some(pending);
             return Ok(None);
         }
+        let (content, following) =
+            self.buffer[pending.head_bytes..].split_at(pending.content_bytes);
+        check_content_length(content, following)?;
         let mut message = pending.message;
-        message.body = self.buffer[pending.head_bytes..end].to_vec();
+        message.body = content.to_vec();
         self.buffer.drain(..end);
         release_spare_capacity(&mut self.buffer);
-        // If the content length was wrong, the bytes that follow can't begin a message, and the message before them
-        // can't be trusted either.
-        self.check_start()?;
         Ok(Some(message))
     }
 
     fn decode_head(&mut self) -> Result<Option<PendingMessage>, NodeProtocolError> {
-        self.check_start()?;
+        // Checked before the head is complete, so that garbage is detected without waiting for its end.
+        start_line::check_beginning(&self.buffer)?;
         let limits = Limits {
             head: MAX_MESSAGE_BYTES,
             ..Limits::default()
@@ -85,43 +81,22 @@
             content_bytes,
         }))
     }
-
-    /// Checks that the buffer can begin a message, so that garbage is detected without waiting for the end of a head.
-    fn check_start(&self) -> Result<(), NodeProtocolError> {
-        let line = first_line(&self.buffer);
-        let is_text = line.iter().all(|byte| matches!(byte, b' '..=b'~' | b'\r'));
-        if line.len() > MAX_START_LINE_BYTES || !is_text {
-            return Err(NodeProtocolError::InvalidStartLine);
-        }
-        let word = line
-            .split(|byte| matches!(byte, b' ' | b'/'))
-            .next()
-            .unwrap_or_default();
-        let is_first_word = word.len() <= MAX_FIRST_WORD_BYTES
-            && word
-                .iter()
-                .all(|byte| byte.is_ascii_uppercase() || *byte == b'_');
-        // An empty first line is invalid: a content length that is too small leaves the line feed of a description
-        // here.
-        let is_empty_line = word.is_empty() && !self.buffer.is_empty();
-        if !is_first_word || is_empty_line {
-            return Err(NodeProtocolError::InvalidStartLine);
-        }
-        Ok(())
-    }
 }
 
-fn first_line(bytes: &[u8]) -> &[u8] {
-    bytes
-        .split(|byte| *byte == b'\n')
-        .next()
-        .unwrap_or_default()
+/// Checks the content length of a message against what it separates: if it was too small, the rest of the content
+/// follows, which can't begin a message; if it was too large, the content includes the beginning of the next message, or
+/// all of it. Such a message can't be trusted.
+fn check_content_length(content: &[u8], following: &[u8]) -> Result<(), NodeProtocolError> {
+    if start_line::is_in_content(content) {
+        return Err(NodeProtocolError::MessageInContent);
+    }
+    start_line::check_beginning(following)
 }
 
 /// Parses a head; returns the message without its content, and the content length.
 fn parse_head(bytes: &[u8], limits: &Limits) -> Result<(RtspMessage, usize), NodeProtocolError> {
-    let line = first_line(bytes);
-    let start = parse_start_line(line)?;
+    let line = start_line::first_line(bytes);
+    let start = start_line::parse(line)?;
     let fields = parse_fields(&bytes[line.len() + 1..], limits)
         .map_err(|_| NodeProtocolError::MalformedField)?;
     let length = number(&fields, "Content-Length")?;
@@ -142,26 +117,6 @@
     Ok((message, content_bytes))
 }
 
-fn parse_start_line(line: &[u8]) -> Result<StartLine, NodeProtocolError> {
-    let invalid = NodeProtocolError::InvalidStartLine;
-    let text = line
-        .strip_suffix(b"\r")
-        .and_then(|line| std::str::from_utf8(line).ok())
-        .ok_or(invalid)?;
-    let mut words = text.splitn(3, ' ');
-    match (words.next(), words.next(), words.next()) {
-        (Some("RTSP/1.0"), Some(status), _) => {
-            let status: u16 = status.parse().map_err(|_| invalid)?;
-            if !(100..600).contains(&status) {
-                return Err(invalid);
-            }
-            Ok(StartLine::Status(status))
-        }
-        (Some(method), Some(_), Some("RTSP/1.0")) => Ok(StartLine::Request(method.to_string())),
-        _ => Err(invalid),
-    }
-}
-
 /// Returns the value of a field that may occur only once.
 fn single<'a>(
     fields: &'a Fields,
--- a/crates/platform-proto/src/rtsp/mod.rs
+++ b/crates/platform-proto/src/rtsp/mod.rs
@@ -5,6 +5,7 @@
 
 mod decoder;
 pub mod encode;
+mod start_line;
 
 pub use decoder::RtspDecoder;
 
