Wait shortly for what follows a description that does not end with a line

What callers would see: where a node's stream pauses exactly where a wrong content length ends, nothing follows yet that could show the fault, and the viewer still gets a description that is cut off or includes the beginning of the next message.

Cause: RtspDecoder::message passed a message on as soon as its declared content was there.

Change: if the content is text that does not end with a line, and no complete line follows yet, the message waits 20 ms for the rest of what its node sent at once (CONTENT_LENGTH_TIMEOUT in node_connection.rs), or until more arrives or the node closes the connection. After a reset it is not passed on.

Why it works: a wrong length cuts off the last line, but where it ends with a line.

--- a/crates/platform-proto/src/director_protocol/mod.rs
+++ b/crates/platform-proto/src/director_protocol/mod.rs
@@ -27,7 +27,7 @@
 use crate::config::Config;
 use crate::half_close::HalfClosedConnections;
 use crate::health_checks::HealthChecks;
-use crate::ids::{ConnectionId, HealthCheckId, Peer};
+use crate::ids::{ConnectionId, HealthCheckId, NodeConnectionId, Peer};
 use crate::node_connections::NodeConnections;
 use crate::node_registry::NodeRegistry;
 use crate::output::{Output, OutputQueue};
@@ -57,6 +57,8 @@
     /// Timeout of a session's attempt.
     Attempt(SessionId, u32),
     HealthCheck(HealthCheckId),
+    /// A message on the connection waits no longer for what follows it.
+    ContentLength(NodeConnectionId),
     /// The node has had enough time to notice that its connection was closed: the next one can be opened.
     Reconnect(ServerId),
     /// During a shutdown, the remaining requests are answered.
@@ -171,6 +173,7 @@
             Timer::HealthCheck(id) => {
                 self.health_check_failed(id, Outcome::TimedOut);
             }
+            Timer::ContentLength(id) => self.content_length_timed_out(id),
             Timer::Reconnect(server) => self.reconnect(server),
             Timer::FinalAnswers => self.send_final_answers(),
             Timer::Maintenance => {
--- a/crates/platform-proto/src/director_protocol/node_events.rs
+++ b/crates/platform-proto/src/director_protocol/node_events.rs
@@ -1,6 +1,6 @@
 //! Messages from media nodes, and the queue of messages to them.
 
-use super::{DirectorProtocol, ReportedOutcome};
+use super::{DirectorProtocol, ReportedOutcome, Timer};
 use crate::HexId;
 use crate::connection_reasons::CloseReason;
 use crate::error::NodeProtocolError;
@@ -19,10 +19,15 @@
             return;
         };
         connection.receive(bytes);
+        self.read_messages(id);
+    }
+
+    /// Handles all messages that were received on an open connection.
+    fn read_messages(&mut self, id: NodeConnectionId) {
         while let Some(connection) = self.node_connections.get_mut(id) {
             let server = connection.server();
             match connection.next_message(self.now) {
-                Ok(None) => return,
+                Ok(None) => return self.set_content_length_timer(id),
                 Ok(Some(message)) => {
                     if let Some(node) = self.nodes.get_mut(server) {
                         node.record_contact(self.now);
@@ -38,6 +43,41 @@
         }
     }
 
+    fn set_content_length_timer(&mut self, id: NodeConnectionId) {
+        let due = self
+            .node_connections
+            .get(id)
+            .and_then(|connection| connection.content_length_due());
+        if let Some(due) = due {
+            self.timers.set(due, Timer::ContentLength(id));
+        }
+    }
+
+    /// Accepts a message whose content length nothing has verified in time.
+    pub(super) fn content_length_timed_out(&mut self, id: NodeConnectionId) {
+        let Some(connection) = self.node_connections.get_mut(id) else {
+            return;
+        };
+        let is_due = connection
+            .content_length_due()
+            .is_some_and(|due| due <= self.now);
+        if is_due {
+            connection.accept_unverified_message();
+            self.read_messages(id);
+        }
+    }
+
+    /// Handles the last message of a connection that the node closed after it: nothing more follows.
+    pub(super) fn read_last_message(&mut self, id: NodeConnectionId) {
+        if let Some(connection) = self.node_connections.get_mut(id) {
+            connection.accept_unverified_message();
+            self.read_messages(id);
+        } else {
+            self.half_closed.accept_unverified_message(id);
+            self.read_until_closed(id);
+        }
+    }
+
     /// Handles messages on a connection whose write half is closed.
     fn read_until_closed(&mut self, id: NodeConnectionId) {
         while let Some(read) = self.half_closed.read(id) {
--- a/crates/platform-proto/src/director_protocol/node_lifecycle.rs
+++ b/crates/platform-proto/src/director_protocol/node_lifecycle.rs
@@ -180,6 +180,9 @@
 
     /// Handles a connection that the node closed, or that broke.
     pub(super) fn handle_node_closed(&mut self, id: NodeConnectionId, is_clean: bool) {
+        if is_clean {
+            self.read_last_message(id);
+        }
         if self.abort(id) {
             return;
         }
--- a/crates/platform-proto/src/half_close.rs
+++ b/crates/platform-proto/src/half_close.rs
@@ -76,6 +76,13 @@
         true
     }
 
+    /// Accepts the content length of an unverified message, since the node sends no more.
+    pub(crate) fn accept_unverified_message(&mut self, id: NodeConnectionId) {
+        if let Some(connection) = self.0.get_mut(&id) {
+            connection.decoder.accept_unverified_message();
+        }
+    }
+
     /// Decodes the next message; returns `None` if the connection is no longer half-closed.
     pub(crate) fn read(&mut self, id: NodeConnectionId) -> Option<HalfClosedRead> {
         let connection = self.0.get_mut(&id)?;
--- a/crates/platform-proto/src/node_connection.rs
+++ b/crates/platform-proto/src/node_connection.rs
@@ -19,6 +19,8 @@
 const MAX_REJECTED_ATTEMPTS: usize = 16;
 /// Time within which a message that was partly received or partly written has to be completed.
 const PARTIAL_MESSAGE_TIMEOUT: TimeDelta = TimeDelta::from_millis(500);
+/// Time within which the rest of what a node sent at once is received: more than a round trip between zones.
+const CONTENT_LENGTH_TIMEOUT: TimeDelta = TimeDelta::from_millis(20);
 
 /// A queued message.
 pub(crate) enum OutgoingMessage {
@@ -67,6 +69,8 @@
     is_suspect: bool,
     /// Time since which part of a message has been received, but not the rest.
     partial_since: Option<Timestamp>,
+    /// Time since which a message waits for what follows it, which shows whether its content length is right.
+    unverified_since: Option<Timestamp>,
     /// Time since which its socket has not accepted all bytes of a message.
     write_blocked_since: Option<Timestamp>,
     opened_at: Timestamp,
@@ -89,6 +93,7 @@
             health_checks: BTreeSet::new(),
             is_suspect: false,
             partial_since: None,
+            unverified_since: None,
             write_blocked_since: None,
             opened_at: now,
             last_used_at: now,
@@ -171,9 +176,23 @@
             let since = self.partial_since.unwrap_or(now);
             self.partial_since = self.decoder.has_partial_message().then_some(since);
         }
+        let is_unverified = self.decoder.has_unverified_message();
+        let unverified_since = self.unverified_since.unwrap_or(now);
+        self.unverified_since = is_unverified.then_some(unverified_since);
         Ok(message)
     }
 
+    /// Time at which the content length of an unverified message is accepted, if there is one.
+    pub(crate) fn content_length_due(&self) -> Option<Timestamp> {
+        self.unverified_since
+            .map(|since| since + CONTENT_LENGTH_TIMEOUT)
+    }
+
+    /// Accepts the content length of an unverified message, which is then the next one.
+    pub(crate) fn accept_unverified_message(&mut self) {
+        self.decoder.accept_unverified_message();
+    }
+
     // ---- attempts and health checks ----------------------------------------------------------
 
     pub(crate) fn add_attempt(&mut self, session: SessionId) {
--- a/crates/platform-proto/src/rtsp/decoder.rs
+++ b/crates/platform-proto/src/rtsp/decoder.rs
@@ -20,6 +20,8 @@
     message: RtspMessage,
     head_bytes: usize,
     content_bytes: usize,
+    /// Whether the content length is accepted although nothing that follows confirms it.
+    is_length_accepted: bool,
 }
 
 impl RtspDecoder {
@@ -33,7 +35,22 @@
         !self.buffer.is_empty()
     }
 
-    /// Decodes the next message; returns `None` until it is complete.
+    /// Whether the next message has as much content as it declares, but what was received so far does not show whether
+    /// its content length is right.
+    pub fn has_unverified_message(&self) -> bool {
+        self.pending
+            .as_ref()
+            .is_some_and(|pending| pending.is_complete(&self.buffer))
+    }
+
+    /// Accepts the content length of an unverified message: nothing more is expected to be received soon.
+    pub fn accept_unverified_message(&mut self) {
+        if let Some(pending) = &mut self.pending {
+            pending.is_length_accepted = pending.is_complete(&self.buffer);
+        }
+    }
+
+    /// Decodes the next message; returns `None` until it is complete and its content length verified or accepted.
     pub fn message(&mut self) -> Result<Option<RtspMessage>, NodeProtocolError> {
         if self.pending.is_none() {
             self.pending = self.decode_head()?;
@@ -41,17 +58,21 @@
         let Some(pending) = self.pending.take() else {
             return Ok(None);
         };
-        let end = pending.head_bytes + pending.content_bytes;
-        if self.buffer.len() < end {
+        if !pending.is_complete(&self.buffer) {
             self.pending = Some(pending);
             return Ok(None);
         }
         let (content, following) =
             self.buffer[pending.head_bytes..].split_at(pending.content_bytes);
-        check_content_length(content, following)?;
+        let is_verified = verify_content_length(content, following)?;
+        if !is_verified && !pending.is_length_accepted {
+            self.pending = Some(pending);
+            return Ok(None);
+        }
         let mut message = pending.message;
         message.body = content.to_vec();
-        self.buffer.drain(..end);
+        self.buffer
+            .drain(..pending.head_bytes + pending.content_bytes);
         release_spare_capacity(&mut self.buffer);
         Ok(Some(message))
     }
@@ -79,18 +100,31 @@
             message,
             head_bytes,
             content_bytes,
+            is_length_accepted: false,
         }))
     }
 }
 
+impl PendingMessage {
+    fn is_complete(&self, buffer: &[u8]) -> bool {
+        buffer.len() >= self.head_bytes + self.content_bytes
+    }
+}
+
 /// Checks the content length of a message against what it separates: if it was too small, the rest of the content
 /// follows, which can't begin a message; if it was too large, the content includes the beginning of the next message, or
 /// all of it. Such a message can't be trusted.
-fn check_content_length(content: &[u8], following: &[u8]) -> Result<(), NodeProtocolError> {
+///
+/// Returns whether the length is verified: by a start line that follows, or by content of whole lines, since a wrong
+/// length usually cuts off the last line. Content that is not text is no description, and need not be verified.
+fn verify_content_length(content: &[u8], following: &[u8]) -> Result<bool, NodeProtocolError> {
     if start_line::is_in_content(content) {
         return Err(NodeProtocolError::MessageInContent);
     }
-    start_line::check_beginning(following)
+    start_line::check_beginning(following)?;
+    let has_whole_lines = content.is_empty() || content.ends_with(b"\n");
+    let is_text = std::str::from_utf8(content).is_ok();
+    Ok(has_whole_lines || !is_text || following.contains(&b'\n'))
 }
 
 /// Parses a head; returns the message without its content, and the content length.
