--- a/crates/platform-proto/tests/content_length.rs
+++ b/crates/platform-proto/tests/content_length.rs
@@ -116,8 +116,8 @@
 }
 
 /// Guards against descriptions that no node made where the stream pauses: wherever it is cut in two, nothing but the
-/// node's description is passed on. Not detected is a length that ends with a line of the description, if the stream
-/// pauses exactly there.
+/// node's description is passed on. Left out is a length that ends with a line of the description, on a stream that pauses
+/// exactly there: until it goes on, it can't be told from that of a sound answer.
 #[test]
 fn an_answer_of_a_wrong_length_is_not_passed_on_wherever_the_stream_pauses() {
     for following in following_messages() {
