Count a request's time from its arrival, not from when the director reads it

Callers saw requests forwarded to a node after their time was over. Cause: session_request::parse added 'left' to the time at which the bytes were read. A director that was suspended, waited for a processor or was busy reads them later, and both the check before a set-up's first byte and P-Time-Left used the late deadline.

Change: the driver tells the protocol when bytes arrived (Arrival). On viewers' connections it takes the kernel's time stamp of the last byte, checked against the time at which the socket was last found empty. Without a stamp, and for every message of a read but the last, the earliest possible time counts: the later of that time and of the event loop's previous poll (LoopClock), which goes back to the start of a wait whose timer fired late. A request whose time is over when it is read is rejected without a forward. The state log shows expired, read_age_us and pause_us.

--- a/crates/cli/tests/environment/mod.rs
+++ b/crates/cli/tests/environment/mod.rs
@@ -34,6 +34,8 @@
     pub node: TcpListener,
     /// Deadline of viewers' requests in milliseconds.
     pub wait_ms: u64,
+    /// Longest deadline in the settings, in milliseconds; without one the platform counts 3 s.
+    pub longest_wait_ms: Option<u64>,
 }
 
 pub fn listener() -> TcpListener {
@@ -54,6 +56,7 @@
             journal: listener(),
             node: listener(),
             wait_ms: 1500,
+            longest_wait_ms: None,
         }
     }
 
@@ -67,12 +70,15 @@
 
     pub fn config_text(&self, journal: &str) -> String {
         let node = address(&self.node);
+        let longest_wait = self
+            .longest_wait_ms
+            .map_or(String::new(), |millis| format!(r#""GiveUp":{millis},"#));
         format!(
             r#"{{"name":"n1","listen":"{}","seed":"8c1f30d27a5be964","limits":{{"sockets":256}},
             "journal":"{journal}","known":{{"pos":1,"entries":[{{"pos":1,"hosts":{{"complete":true,"members":[
             {{"id":"s-00000001","host_port":"{node}","locality":"north","flavor":"small","cell":0,
             "phase":"ready","size":1,"up_since_ms":0}}]}}}}]}},"settings":{{"Balancers":1,"MyNumber":0,"Categories":[
-            {{"Name":"paid","Effect":"at_most_once","Target":1500.0,"Value":2.0}}],
+            {{"Name":"paid","Effect":"at_most_once","Target":1500.0,{longest_wait}"Value":2.0}}],
             "FailureDomains":["north"],"Shapes":["small"],"Zone":"north","WeightSource":"nominal","Step":10.0,
             "Contract":{{"WarmAfter":0,"StartCapacity":0.4,"OverloadFactor":2.0,"Fall":2000.0}},
             "Limits":{{"MaxAttempts":4,"MayCancel":true,"RetryAfter":true,"MaxRetryAfter":1000.0,
@@ -103,8 +109,7 @@
         let started_at = Instant::now();
         loop {
             if let Ok(stream) = TcpStream::connect(&self.listen) {
-                stream.set_read_timeout(Some(TIMEOUT)).unwrap();
-                return Viewer(BufReader::new(stream), self.wait_ms);
+                return Viewer::new(stream, self.wait_ms);
             }
             assert!(
                 started_at.elapsed() < TIMEOUT,
@@ -119,6 +124,11 @@
 pub struct Viewer(pub BufReader<TcpStream>, u64);
 
 impl Viewer {
+    pub fn new(stream: TcpStream, wait_ms: u64) -> Viewer {
+        stream.set_read_timeout(Some(TIMEOUT)).unwrap();
+        Viewer(BufReader::new(stream), wait_ms)
+    }
+
     pub fn send(&mut self, line: &str) {
         self.0
             .get_mut()
@@ -150,6 +160,13 @@
         self.0.read_line(&mut line).unwrap();
         line
     }
+
+    /// The next line; empty if the connection ended or nothing arrived in time.
+    pub fn try_receive(&mut self) -> String {
+        let mut line = String::new();
+        let _ = self.0.read_line(&mut line);
+        line
+    }
 }
 
 pub fn accept(listener: &TcpListener) -> TcpStream {
--- /dev/null
+++ b/crates/cli/tests/lost_requests.rs
@@ -0,0 +1,95 @@
+//! Requests that must not be lost: each is answered completely in its time or refused, and none is forwarded after its
+//! end. One director process with raw sockets; the order of events is established by received bytes, and a pause only
+//! lets time pass for the director.
+
+mod environment;
+use environment::*;
+use rustix::process::Signal;
+use std::io::Read;
+use std::time::{Duration, Instant};
+
+/// Longer than the deadline of the requests that wait meanwhile.
+const PAUSE: Duration = Duration::from_millis(800);
+/// Time in which a director that does not hesitate forwards a request.
+const FORWARD_TIME: Duration = Duration::from_millis(300);
+/// Tolerance of the platform for every time limit.
+const TOLERANCE: Duration = Duration::from_millis(50);
+
+fn echo(viewer: &mut Viewer) {
+    viewer.send(r#"{"verb":"ECHO","tag":"0000000000000001","opts":{},"rc":0}"#);
+    assert!(viewer.receive().contains("ECHOED"));
+}
+
+/// Everything that the node receives within a while, on any connection.
+fn received_by_node(environment: &Environment) -> String {
+    environment.node.set_nonblocking(true).unwrap();
+    let (mut streams, mut received) = (Vec::new(), Vec::new());
+    let started_at = Instant::now();
+    while started_at.elapsed() < FORWARD_TIME {
+        if let Ok((stream, _)) = environment.node.accept() {
+            stream.set_nonblocking(true).unwrap();
+            streams.push(stream);
+        }
+        for stream in &mut streams {
+            let _ = stream.read_to_end(&mut received);
+        }
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    String::from_utf8_lossy(&received).into_owned()
+}
+
+// ---- age ---------------------------------------------------------------------------------------
+
+#[test]
+fn request_whose_time_is_over_when_it_is_read_is_not_forwarded() {
+    let mut environment = Environment::new();
+    environment.wait_ms = 300;
+    let director = environment.start_director();
+    let mut viewer = environment.viewer();
+    echo(&mut viewer);
+    director.signal(Signal::STOP);
+    viewer.request_session(7);
+    std::thread::sleep(PAUSE);
+    director.signal(Signal::CONT);
+    assert!(viewer.receive().contains(r#""rc":34"#));
+    assert_eq!(received_by_node(&environment), "");
+}
+
+/// The second request is read together with the first one, whose time is over.
+#[test]
+fn each_of_several_requests_read_at_once_has_its_own_age() {
+    let mut environment = Environment::new();
+    environment.wait_ms = 300;
+    let director = environment.start_director();
+    let mut viewer = environment.viewer();
+    echo(&mut viewer);
+    director.signal(Signal::STOP);
+    viewer.request_session(7);
+    std::thread::sleep(PAUSE);
+    viewer.request_session(8);
+    director.signal(Signal::CONT);
+    let first = viewer.receive();
+    assert!(first.contains("0000000000000007") && first.contains(r#""rc":34"#));
+    assert!(!received_by_node(&environment).contains("Session: 0000000000000007"));
+}
+
+#[test]
+fn time_left_at_the_node_counts_from_the_sending_of_the_request() {
+    let environment = Environment::new();
+    let director = environment.start_director();
+    let mut viewer = environment.viewer();
+    echo(&mut viewer);
+    director.signal(Signal::STOP);
+    viewer.request_session(7);
+    let sent_at = Instant::now();
+    std::thread::sleep(PAUSE);
+    director.signal(Signal::CONT);
+    let received = received_by_node(&environment);
+    let time_left = received
+        .lines()
+        .find_map(|line| line.strip_prefix("P-Time-Left: "))
+        .map_or(0, |millis| millis.parse::<u64>().unwrap());
+    let age = sent_at.elapsed() - FORWARD_TIME;
+    let most = Duration::from_millis(environment.wait_ms) + TOLERANCE - age;
+    assert!(Duration::from_millis(time_left) <= most, "{time_left}");
+}
--- a/crates/cli/tests/races.rs
+++ b/crates/cli/tests/races.rs
@@ -71,7 +71,8 @@
 /// but one whose request waits in the socket must be served.
 #[test]
 fn request_that_arrived_while_the_director_was_stopped_is_served() {
-    let environment = Environment::new();
+    let mut environment = Environment::new();
+    environment.wait_ms = 20_000;
     let director = environment.start_director();
     let mut silent = environment.viewer();
     let mut other = environment.viewer();
--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -6,8 +6,10 @@
 
 #![deny(missing_docs)]
 
+mod loop_clock;
 mod monotonic;
 mod timeout_driver;
 
+pub use loop_clock::LoopClock;
 pub use monotonic::{now, to_duration, to_instant};
 pub use timeout_driver::TimeoutDriver;
--- a/crates/platform-proto/src/director_protocol/mod.rs
+++ b/crates/platform-proto/src/director_protocol/mod.rs
@@ -24,6 +24,7 @@
 mod transmit;
 mod viewer_events;
 
+use crate::arrival::Arrival;
 use crate::config::Config;
 use crate::half_close::HalfClosedConnections;
 use crate::health_checks::HealthChecks;
@@ -134,11 +135,22 @@
 
     // ---- inputs ------------------------------------------------------------------------------
 
-    /// Handles bytes received on a connection.
+    /// Handles bytes that arrived on a connection just now.
     pub fn handle_bytes(&mut self, now: Timestamp, connection: ConnectionId, bytes: &[u8]) {
+        self.handle_arrived_bytes(now, connection, Arrival::at(now), bytes);
+    }
+
+    /// Handles bytes that arrived on a connection at a known time. The time that a viewer waits counts from then on.
+    pub fn handle_arrived_bytes(
+        &mut self,
+        now: Timestamp,
+        connection: ConnectionId,
+        arrival: Arrival,
+        bytes: &[u8],
+    ) {
         self.now = now;
         match connection.0 {
-            Peer::Viewer(id) => self.handle_viewer_bytes(id, bytes),
+            Peer::Viewer(id) => self.handle_viewer_bytes(id, arrival, bytes),
             Peer::Node(id) => self.handle_node_bytes(id, bytes),
         }
     }
--- a/crates/platform-proto/src/director_protocol/requests.rs
+++ b/crates/platform-proto/src/director_protocol/requests.rs
@@ -8,7 +8,7 @@
 use crate::session_request::{self, SessionRequest};
 use crate::viewer_connection::LineKind;
 use crate::viewer_message::{Verb, ViewerMessage, cause};
-use shalewall::{Event, Outcome, Request, SessionId};
+use shalewall::{Event, Outcome, Request, SessionId, Timestamp};
 use std::net::IpAddr;
 
 /// Maximum number of sessions; further requests are rejected without consulting the decision module.
@@ -21,9 +21,10 @@
         viewer: ViewerId,
         wire_id: HexId,
         message: ViewerMessage,
+        arrived_at: Timestamp,
     ) {
         let request =
-            session_request::parse(message, wire_id, &self.names, &self.settings, self.now);
+            session_request::parse(message, wire_id, &self.names, &self.settings, arrived_at);
         if let Some(id) = self.sessions.find(wire_id) {
             let is_transfer = request.is_ok_and(|request| request.active_at.is_some());
             // A transferred session may already be known.
@@ -38,7 +39,9 @@
         if let Some(server) = request.active_at {
             return self.handle_transfer(viewer, wire_id, server, request);
         }
-        if let Some(cause) = self.immediate_answer(wire_id) {
+        let is_expired = request.request.deadline <= self.now;
+        self.counters.expired_before_read += u32::from(is_expired);
+        if let Some(cause) = self.immediate_answer(wire_id, is_expired) {
             return self.send_to_viewer(viewer, &ViewerMessage::finish(wire_id, cause));
         }
         if let Some((id, request)) = self.insert_session(viewer, wire_id, request) {
@@ -61,7 +64,7 @@
     }
 
     /// Returns the cause for an answer without consulting the decision module, if there is one.
-    fn immediate_answer(&self, wire_id: HexId) -> Option<i64> {
+    fn immediate_answer(&self, wire_id: HexId, is_expired: bool) -> Option<i64> {
         // Ids must not be reused.
         if self.sessions.has_ended(wire_id) {
             return Some(cause::INVALID);
@@ -69,6 +72,7 @@
         let limit = MAX_SESSIONS.min(self.driver_limits.max_open_requests);
         let is_rejected = self.sessions.was_withdrawn(wire_id)
             || self.is_shutting_down
+            || is_expired
             || self.sessions.len() >= limit;
         is_rejected.then_some(cause::REJECTED)
     }
--- a/crates/platform-proto/src/director_protocol/viewer_events.rs
+++ b/crates/platform-proto/src/director_protocol/viewer_events.rs
@@ -2,10 +2,11 @@
 
 use super::DirectorProtocol;
 use crate::HexId;
+use crate::arrival::Arrival;
 use crate::error::ViewerProtocolError;
 use crate::ids::{ConnectionId, ViewerId};
 use crate::log_event::LogEvent;
-use crate::viewer_connection::LineKind;
+use crate::viewer_connection::{LineKind, ReceivedMessage};
 use crate::viewer_connections::Received;
 use crate::viewer_message::{Verb, ViewerMessage, cause};
 use shalewall::Timestamp;
@@ -30,8 +31,8 @@
 
     // ---- messages ----------------------------------------------------------------------------
 
-    pub(super) fn handle_viewer_bytes(&mut self, id: ViewerId, bytes: &[u8]) {
-        match self.viewers.receive(id, bytes, self.now) {
+    pub(super) fn handle_viewer_bytes(&mut self, id: ViewerId, arrival: Arrival, bytes: &[u8]) {
+        match self.viewers.receive(id, arrival, bytes, self.now) {
             Received::Ignored => return,
             Received::TooManyIgnored => return self.close_viewer(id),
             Received::Buffered => {}
@@ -39,7 +40,7 @@
         loop {
             let handled = match self.viewers.next_message(id, self.now) {
                 Ok(None) => return,
-                Ok(Some(message)) => self.handle_viewer_message(id, message),
+                Ok(Some(received)) => self.handle_viewer_message(id, received),
                 Err(error) => Err(error),
             };
             if let Err(error) = handled {
@@ -52,12 +53,16 @@
     fn handle_viewer_message(
         &mut self,
         id: ViewerId,
-        message: ViewerMessage,
+        received: ReceivedMessage,
     ) -> Result<(), ViewerProtocolError> {
+        let ReceivedMessage {
+            message,
+            arrived_at,
+        } = received;
         let wire_id =
             HexId::parse(&message.session).ok_or(ViewerProtocolError::InvalidSessionId)?;
         match message.verb {
-            Verb::Start => self.handle_request(id, wire_id, message),
+            Verb::Start => self.handle_request(id, wire_id, message, arrived_at),
             Verb::Finish => self.handle_finish(id, wire_id),
             Verb::Echo => self.answer_health_check(id, wire_id),
             Verb::Pending | Verb::Finished | Verb::Notice => {}
--- a/crates/platform-proto/src/lib.rs
+++ b/crates/platform-proto/src/lib.rs
@@ -21,6 +21,7 @@
 
 #![deny(missing_docs)]
 
+mod arrival;
 pub mod config;
 mod connection_reasons;
 mod connectivity;
@@ -50,6 +51,7 @@
 mod viewer_connections;
 pub mod viewer_message;
 
+pub use arrival::Arrival;
 pub use connection_reasons::{CloseReason, ConnectError, ConnectReason};
 pub use director_protocol::DirectorProtocol;
 pub use hex_id::HexId;
--- a/crates/platform-proto/src/session_request.rs
+++ b/crates/platform-proto/src/session_request.rs
@@ -42,13 +42,13 @@
     Description,
 }
 
-/// Parses a `START` message.
+/// Parses a `START` message that arrived at this time.
 pub(crate) fn parse(
     message: ViewerMessage,
     session: HexId,
     names: &Names,
     settings: &Settings,
-    now: Timestamp,
+    arrived_at: Timestamp,
 ) -> Result<SessionRequest, InvalidRequest> {
     let class = parse_class(&message, names)?;
     let title = parse_title(&message)?;
@@ -62,7 +62,7 @@
         tenant,
         viewer: session.value(),
         title: title_id(title.value(), class),
-        deadline: now + wait,
+        deadline: arrived_at + wait,
         duration_hint,
         first_cell: u64::MAX,
         replica_cells: 0,
--- a/crates/platform-proto/src/status.rs
+++ b/crates/platform-proto/src/status.rs
@@ -41,6 +41,8 @@
     pub withdrawn_before_sent: u32,
     /// Set-ups that were sent although their viewer had disconnected.
     pub sent_after_withdrawal: u32,
+    /// Requests that were rejected because their time was over when they were read.
+    pub expired_before_read: u32,
     /// The longest delay between a timer's due time and its execution in this process.
     pub timer_delay: TimeDelta,
 }
@@ -52,6 +54,7 @@
     pub(crate) ended: Vec<(Outcome, u32)>,
     pub(crate) withdrawn_before_sent: u32,
     pub(crate) sent_after_withdrawal: u32,
+    pub(crate) expired_before_read: u32,
     pub(crate) timer_delay: TimeDelta,
 }
 
@@ -89,6 +92,7 @@
             connections_closed: describe_counts::<CloseReason>(tally.closed),
             withdrawn_before_sent: counters.withdrawn_before_sent,
             sent_after_withdrawal: counters.sent_after_withdrawal,
+            expired_before_read: counters.expired_before_read,
             timer_delay: counters.timer_delay,
         }
     }
--- a/crates/platform-proto/src/viewer_connection.rs
+++ b/crates/platform-proto/src/viewer_connection.rs
@@ -1,6 +1,7 @@
 //! One viewer's connection: its decoder, its queue of outgoing lines, and the conditions for closing it.
 
 use crate::MAX_MESSAGE_BYTES;
+use crate::arrival::Arrival;
 use crate::error::ViewerProtocolError;
 use crate::viewer_message::{LineDecoder, ViewerMessage};
 use shalewall::{SessionId, TimeDelta, Timestamp};
@@ -36,6 +37,12 @@
     pub(crate) bytes: Vec<u8>,
 }
 
+/// A message with the time at which its last byte arrived.
+pub(crate) struct ReceivedMessage {
+    pub(crate) message: ViewerMessage,
+    pub(crate) arrived_at: Timestamp,
+}
+
 /// What to do next with a connection that has nothing to write.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ViewerCloseState {
@@ -49,6 +56,8 @@
 pub(crate) struct ViewerConnection {
     address: IpAddr,
     decoder: LineDecoder,
+    /// Arrival of the bytes that were received last.
+    last_arrival: Arrival,
     queue: VecDeque<QueuedLine>,
     queued_bytes: usize,
     /// The line that is being written: if the connection closes now, the viewer has not received it.
@@ -72,6 +81,7 @@
         ViewerConnection {
             address,
             decoder: LineDecoder::default(),
+            last_arrival: Arrival::at(now),
             queue: VecDeque::new(),
             queued_bytes: 0,
             in_flight: None,
@@ -97,7 +107,8 @@
 
     // ---- receiving ---------------------------------------------------------------------------
 
-    pub(crate) fn receive(&mut self, bytes: &[u8], now: Timestamp) {
+    pub(crate) fn receive(&mut self, arrival: Arrival, bytes: &[u8], now: Timestamp) {
+        self.last_arrival = arrival;
         self.last_received_at = now;
         self.close_if_no_unread_bytes = false;
         self.decoder.push(bytes);
@@ -106,15 +117,20 @@
     pub(crate) fn next_message(
         &mut self,
         now: Timestamp,
-    ) -> Result<Option<ViewerMessage>, ViewerProtocolError> {
+    ) -> Result<Option<ReceivedMessage>, ViewerProtocolError> {
         let message = self.decoder.message()?;
+        let has_more_bytes = self.decoder.has_partial_message();
         if message.is_some() {
             self.partial_since = None;
         } else {
             let since = self.partial_since.unwrap_or(now);
-            self.partial_since = self.decoder.has_partial_message().then_some(since);
+            self.partial_since = has_more_bytes.then_some(since);
         }
-        Ok(message)
+        let arrived_at = self.last_arrival.of_message(!has_more_bytes);
+        Ok(message.map(|message| ReceivedMessage {
+            message,
+            arrived_at,
+        }))
     }
 
     /// Records that a valid message was received.
--- a/crates/platform-proto/src/viewer_connections.rs
+++ b/crates/platform-proto/src/viewer_connections.rs
@@ -1,10 +1,10 @@
 //! Owner of the viewers' connections, and of the releases that could not be sent because their viewer had no
 //! connection.
 
+use crate::arrival::Arrival;
 use crate::error::ViewerProtocolError;
 use crate::ids::ViewerId;
-use crate::viewer_connection::{LineKind, ViewerCloseState, ViewerConnection};
-use crate::viewer_message::ViewerMessage;
+use crate::viewer_connection::{LineKind, ReceivedMessage, ViewerCloseState, ViewerConnection};
 use shalewall::{SessionId, TimeDelta, Timestamp};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::IpAddr;
@@ -168,12 +168,18 @@
 
     // ---- receiving ---------------------------------------------------------------------------
 
-    pub(crate) fn receive(&mut self, id: ViewerId, bytes: &[u8], now: Timestamp) -> Received {
+    pub(crate) fn receive(
+        &mut self,
+        id: ViewerId,
+        arrival: Arrival,
+        bytes: &[u8],
+        now: Timestamp,
+    ) -> Received {
         let Some(connection) = self.connections.get_mut(&id) else {
             return Received::Ignored;
         };
         if !connection.is_closing() {
-            connection.receive(bytes, now);
+            connection.receive(arrival, bytes, now);
             return Received::Buffered;
         }
         if connection.count_ignored_bytes(bytes.len()) {
@@ -188,7 +194,7 @@
         &mut self,
         id: ViewerId,
         now: Timestamp,
-    ) -> Result<Option<ViewerMessage>, ViewerProtocolError> {
+    ) -> Result<Option<ReceivedMessage>, ViewerProtocolError> {
         match self.connections.get_mut(&id) {
             Some(connection) if !connection.is_closing() => connection.next_message(now),
             _ => Ok(None),
--- a/crates/platform/src/connection.rs
+++ b/crates/platform/src/connection.rs
@@ -1,14 +1,16 @@
 //! One connection to a viewer or a media node: transfers bytes between its socket and the protocol's state machine.
 
 use crate::event_loop::EventLoop;
+use crate::receive::{ReadBytes, Receiver};
 use async_io::{Async, Timer};
 use event_listener::Event;
-use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
+use futures_lite::{AsyncWriteExt, future};
+use shalewall::Timestamp;
 use shalewall_clock::now;
 use shalewall_http::client::{ConnectErrorKind, with_timeout};
 use shalewall_platform_proto::{ConnectError, ConnectionId, Transmit};
 use std::cell::Cell;
-use std::io::{self, ErrorKind, Read, Write};
+use std::io::{self, ErrorKind, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
@@ -36,7 +38,8 @@
     match connected {
         Ok(stream) => {
             event_loop.with_protocol(|protocol| protocol.node_connected(now(), id));
-            Connection::new(event_loop, id, stream, write_ready)
+            let receiver = Receiver::new(false, now());
+            Connection::new(event_loop, id, stream, receiver, write_ready)
                 .run()
                 .await;
         }
@@ -59,6 +62,7 @@
     event_loop: Rc<EventLoop>,
     id: ConnectionId,
     stream: Async<TcpStream>,
+    receiver: Receiver,
     /// Notified when the state machine may have bytes to write.
     write_ready: Rc<Event>,
     write_failed: Cell<bool>,
@@ -77,6 +81,7 @@
 struct Available {
     /// Number of bytes in the buffer.
     filled: usize,
+    last_read: ReadBytes,
     failed: bool,
 }
 
@@ -85,6 +90,7 @@
         event_loop: Rc<EventLoop>,
         id: ConnectionId,
         stream: Async<TcpStream>,
+        receiver: Receiver,
         write_ready: Rc<Event>,
     ) -> Connection {
         // Small messages have to be sent without delay. If the option can't be set they are only delayed.
@@ -93,6 +99,7 @@
             event_loop,
             id,
             stream,
+            receiver,
             write_ready,
             write_failed: Cell::new(false),
         }
@@ -111,15 +118,19 @@
 
     async fn read_until_end(&self) -> StreamEnd {
         let mut buffer = [0; READ_BUFFER_BYTES];
-        let mut stream = &self.stream;
         loop {
-            let first_read = match stream.read(&mut buffer).await {
-                Ok(0) => return StreamEnd::Closed,
-                Ok(count) => count,
+            let read = self
+                .stream
+                .read_with(|stream| self.receiver.read(stream, &mut buffer))
+                .await;
+            let first_read = match read {
+                Ok(read) if read.count == 0 => return StreamEnd::Closed,
+                Ok(read) => read,
                 Err(_) => return StreamEnd::Failed,
             };
+            let empty_at = self.receiver.empty_at();
             let available = self.read_available(&mut buffer, first_read);
-            self.handle_bytes(&buffer[..available.filled]);
+            self.handle_bytes(&buffer[..available.filled], available.last_read, empty_at);
             if available.failed {
                 return StreamEnd::Failed;
             }
@@ -129,28 +140,39 @@
     }
 
     /// Fills the rest of the buffer without blocking, so that bytes that arrived together are passed on together.
-    fn read_available(&self, buffer: &mut [u8], mut filled: usize) -> Available {
-        let mut stream = self.stream.get_ref();
-        while filled < buffer.len() {
-            match stream.read(&mut buffer[filled..]) {
+    fn read_available(&self, buffer: &mut [u8], first_read: ReadBytes) -> Available {
+        let stream = self.stream.get_ref();
+        let mut available = Available {
+            filled: first_read.count,
+            last_read: first_read,
+            failed: false,
+        };
+        while available.filled < buffer.len() {
+            match self.receiver.read(stream, &mut buffer[available.filled..]) {
                 // The next read reports the end again.
-                Ok(0) => break,
-                Ok(count) => filled += count,
-                Err(error) if is_transient(&error) => break,
-                Err(_) => {
-                    let failed = true;
-                    return Available { filled, failed };
+                Ok(read) if read.count == 0 => break,
+                Ok(read) => {
+                    available.filled += read.count;
+                    available.last_read = read;
+                }
+                Err(error) => {
+                    available.failed = !is_transient(&error);
+                    break;
                 }
             }
         }
-        let failed = false;
-        Available { filled, failed }
+        available
     }
 
-    fn handle_bytes(&self, bytes: &[u8]) {
-        trace!(connection = ?self.id, bytes = %String::from_utf8_lossy(bytes), "bytes received");
+    /// Passes bytes on that the last read completed, on a socket that was empty at `empty_at`.
+    fn handle_bytes(&self, bytes: &[u8], last_read: ReadBytes, empty_at: Timestamp) {
+        let now = now();
+        let arrival = last_read.arrival(empty_at, self.event_loop.unseen_since(), now);
+        let age = now - arrival.last_byte;
+        self.event_loop.record_read(age);
+        trace!(connection = ?self.id, age_us = age.as_micros(), bytes = %String::from_utf8_lossy(bytes), "bytes received");
         self.event_loop.with_protocol(|protocol| {
-            protocol.handle_bytes(now(), self.id, bytes);
+            protocol.handle_arrived_bytes(now, self.id, arrival, bytes);
         });
     }
 
--- a/crates/platform/src/event_loop.rs
+++ b/crates/platform/src/event_loop.rs
@@ -6,15 +6,18 @@
 use crate::connection::{Connection, connect_node};
 use crate::panics::{catch_panic, catch_task_panic};
 use crate::protocol_log::log_protocol_event;
+use crate::receive::Receiver;
 use async_executor::{LocalExecutor, Task};
 use async_io::Async;
 use event_listener::{Event, IntoNotification};
 use shalewall::{TimeDelta, Timestamp};
-use shalewall_clock::{TimeoutDriver, now, to_duration};
+use shalewall_clock::{LoopClock, TimeoutDriver, now, to_duration};
 use shalewall_platform_proto::{ConnectionId, DirectorProtocol, Output};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::future::poll_fn;
 use std::net::{SocketAddr, TcpStream};
+use std::pin::pin;
 use std::rc::{Rc, Weak};
 
 /// The state machine, its connections and its timers.
@@ -25,6 +28,17 @@
     protocol: RefCell<DirectorProtocol>,
     connections: RefCell<BTreeMap<ConnectionId, ConnectionHandle>>,
     timeout_driver: TimeoutDriver,
+    loop_clock: LoopClock,
+    /// The greatest age of received bytes since the previous call of [`EventLoop::take_lateness`].
+    oldest_read: Cell<TimeDelta>,
+}
+
+/// How late the process handled events, for the log.
+pub(crate) struct Lateness {
+    /// The greatest age of bytes when they were read.
+    pub oldest_read: TimeDelta,
+    /// The longest time for which the process did not run, as far as a timer showed it.
+    pub longest_pause: TimeDelta,
 }
 
 /// An open connection. Dropping it closes the socket.
@@ -41,6 +55,8 @@
             protocol: RefCell::new(protocol),
             connections: RefCell::default(),
             timeout_driver: TimeoutDriver::default(),
+            loop_clock: LoopClock::new(now()),
+            oldest_read: Cell::new(TimeDelta::ZERO),
         })
     }
 
@@ -68,11 +84,46 @@
             .await;
     }
 
+    /// Polls a future that runs all tasks, and records the time of each turn.
+    pub async fn record_turns<F: Future>(&self, tasks: F) -> F::Output {
+        let mut tasks = pin!(tasks);
+        poll_fn(|context| {
+            self.loop_clock.begin_turn(now(), self.next_timeout());
+            let result = tasks.as_mut().poll(context);
+            self.loop_clock.end_turn(now());
+            result
+        })
+        .await
+    }
+
+    /// Time since which the events that are handled now may have happened.
+    pub fn unseen_since(&self) -> Timestamp {
+        self.loop_clock.unseen_since()
+    }
+
+    /// Records the age of bytes that were read.
+    pub fn record_read(&self, age: TimeDelta) {
+        self.oldest_read.set(self.oldest_read.get().max(age));
+    }
+
+    /// Returns the lateness since the previous call.
+    pub fn take_lateness(&self) -> Lateness {
+        Lateness {
+            oldest_read: self.oldest_read.replace(TimeDelta::ZERO),
+            longest_pause: self.loop_clock.take_longest_pause(),
+        }
+    }
+
     /// Transfers bytes between a viewer's connection and the state machine until either side closes it.
-    pub fn serve_viewer(self: &Rc<EventLoop>, id: ConnectionId, stream: Async<TcpStream>) {
+    pub fn serve_viewer(
+        self: &Rc<EventLoop>,
+        id: ConnectionId,
+        stream: Async<TcpStream>,
+        receiver: Receiver,
+    ) {
         let event_loop = self.clone();
         self.spawn_connection(id, |write_ready| {
-            Connection::new(event_loop, id, stream, write_ready).run()
+            Connection::new(event_loop, id, stream, receiver, write_ready).run()
         });
     }
 
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -18,6 +18,7 @@
 mod event_loop;
 pub mod panics;
 mod protocol_log;
+mod receive;
 mod reload;
 mod run;
 mod shutdown;
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -37,7 +37,9 @@
     // Dropped after the director, which drops the tasks and closes their sockets.
     let executor = Rc::new(LocalExecutor::new());
     let mut director = Director::start(&executor, config_file, config)?;
-    async_io::block_on(executor.run(director.handle_signals(&mut signals)))
+    let event_loop = director.event_loop.clone();
+    let tasks = executor.run(director.handle_signals(&mut signals));
+    async_io::block_on(event_loop.record_turns(tasks))
 }
 
 /// A running director and its tasks, which are cancelled when it is dropped.
--- a/crates/platform/src/state_log.rs
+++ b/crates/platform/src/state_log.rs
@@ -1,6 +1,6 @@
 //! Logs the state of the director and its resource usage once per second.
 
-use crate::event_loop::EventLoop;
+use crate::event_loop::{EventLoop, Lateness};
 use async_io::Timer;
 use shalewall_platform_proto::{DirectorProtocol, Status};
 use std::rc::Rc;
@@ -15,11 +15,11 @@
     loop {
         Timer::after(LOG_INTERVAL).await;
         let status = event_loop.with_protocol(DirectorProtocol::status);
-        log_status(&status);
+        log_status(&status, &event_loop.take_lateness());
     }
 }
 
-fn log_status(status: &Status) {
+fn log_status(status: &Status, lateness: &Lateness) {
     info!(
         waiting = status.sessions.pending_requests,
         standing = status.sessions.active_sessions,
@@ -32,7 +32,10 @@
         lost = status.connections_closed,
         left = status.withdrawn_before_sent,
         sent_for_left = status.sent_after_withdrawal,
+        expired = status.expired_before_read,
         late_us = status.timer_delay.as_micros(),
+        read_age_us = lateness.oldest_read.as_micros(),
+        pause_us = lateness.longest_pause.as_micros(),
         resident_kb = resident_kb(),
         files = open_files(),
         "state"
