Answer the requests on a connection that a protocol violation closes

Callers saw requests without an answer: START and then a line that can't be decoded on one connection gave FINISH for id 0 and the end of the stream. Cause: reject_viewer withdrew the connection's pending requests as if their viewer had left, and lines behind the invalid one were read and dropped.

Change: each pending request gets one final answer before the close, rejected if no byte of any set-up was written, else failed and cancelled at its node; none is served, since a violation makes the connection's later withdrawals unreadable. Complete requests behind the invalid line that were read with it are rejected as well.

requests_before_an_invalid_line_are_answered (process, four kinds of lines) and requests_around_an_invalid_line_get_one_answer_each (without sockets) fail without the change.

--- a/crates/cli/tests/lost_requests.rs
+++ b/crates/cli/tests/lost_requests.rs
@@ -6,6 +6,7 @@
 use environment::*;
 use rustix::process::Signal;
 use std::io::Read;
+use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
 /// Longer than the deadline of the requests that wait meanwhile.
@@ -38,6 +39,36 @@
     String::from_utf8_lossy(&received).into_owned()
 }
 
+/// Requests a session and reads the complete set-up at the node, which does not answer.
+fn forwarded_request(environment: &Environment, tag: u64) -> (Viewer, TcpStream) {
+    let mut viewer = environment.viewer();
+    viewer.request_session(tag);
+    let mut node = accept(&environment.node);
+    let (mut received, mut buffer) = (String::new(), [0; 4096]);
+    while !received.contains("here\r\n") {
+        let count = node.read(&mut buffer).unwrap();
+        assert!(count > 0, "the set-up is complete");
+        received.push_str(&String::from_utf8_lossy(&buffer[..count]));
+    }
+    (viewer, node)
+}
+
+/// All lines up to the end of the stream.
+fn lines_until_close(viewer: &mut Viewer) -> Vec<String> {
+    let mut text = String::new();
+    viewer
+        .0
+        .read_to_string(&mut text)
+        .expect("closed, not reset");
+    text.lines().map(str::to_string).collect()
+}
+
+fn answers_to(lines: &[String], tag: u64) -> usize {
+    let tag = format!(r#""tag":"{tag:016x}""#);
+    let is_answer = |line: &&String| line.contains(&tag) && line.contains("FINISH\"");
+    lines.iter().filter(is_answer).count()
+}
+
 // ---- age ---------------------------------------------------------------------------------------
 
 #[test]
@@ -93,3 +124,27 @@
     let most = Duration::from_millis(environment.wait_ms) + TOLERANCE - age;
     assert!(Duration::from_millis(time_left) <= most, "{time_left}");
 }
+
+// ---- the end of a connection --------------------------------------------------------------------
+
+#[test]
+fn requests_before_an_invalid_line_are_answered() {
+    let invalid_lines = [
+        "no message".to_string(),
+        r#"{"verb":"START","tag":"xyz","opts":{}}"#.to_string(),
+        r#"{"verb":"STARTED","tag":"0000000000000009","opts":{}}"#.to_string(),
+        "x".repeat(17 * 1024),
+    ];
+    for invalid_line in invalid_lines {
+        let environment = Environment::new();
+        let _director = environment.start_director();
+        let (mut viewer, _node) = forwarded_request(&environment, 7);
+        viewer.request_session(8);
+        viewer.send(&invalid_line);
+        let lines = lines_until_close(&mut viewer);
+        for tag in [7, 8] {
+            assert_eq!(answers_to(&lines, tag), 1, "{tag}: {lines:?}");
+        }
+        assert_eq!(answers_to(&lines, 0), 1, "{lines:?}");
+    }
+}
--- a/crates/platform-proto/src/director_protocol/requests.rs
+++ b/crates/platform-proto/src/director_protocol/requests.rs
@@ -77,6 +77,18 @@
         is_rejected.then_some(cause::REJECTED)
     }
 
+    /// Rejects a request without consulting the decision module. The transfer of a session gets no answer.
+    pub(super) fn reject_request(&mut self, viewer: ViewerId, message: &ViewerMessage) {
+        let Some(wire_id) = HexId::parse(&message.session) else {
+            return;
+        };
+        let is_transfer = session_request::is_transfer(message);
+        if !is_transfer && self.sessions.find(wire_id).is_none() {
+            self.sessions.record_ended(wire_id);
+            self.send_to_viewer(viewer, &ViewerMessage::finish(wire_id, cause::REJECTED));
+        }
+    }
+
     /// Adds a session to the table; returns its number and the request for the decision module, or `None` if its viewer
     /// has disconnected.
     pub(super) fn insert_session(
@@ -147,6 +159,32 @@
         }
     }
 
+    /// Answers the pending requests of a connection on which nothing more can be received.
+    pub(super) fn answer_requests_of(&mut self, viewer: ViewerId) {
+        for id in self.viewers.pending_requests(viewer) {
+            self.send_final_answer(id);
+        }
+    }
+
+    /// Ends a pending request now: as rejected if no node can have executed it, else as failed.
+    pub(super) fn send_final_answer(&mut self, id: SessionId) {
+        let Some(session) = self.sessions.get(id) else {
+            return;
+        };
+        let cause = if session.was_never_sent() {
+            cause::REJECTED
+        } else {
+            cause::FAILED
+        };
+        let answer = ViewerMessage::finish(session.wire_id, cause);
+        let viewer = session.viewer;
+        self.withdraw_request(id);
+        if let Some(viewer) = viewer {
+            self.send_to_viewer(viewer, &answer);
+        }
+        self.process_module_events();
+    }
+
     /// Releases an active session whose answer was not completely written, since its viewer does not know of it.
     pub(super) fn answer_undelivered(&mut self, id: SessionId) {
         if self.sessions.is_active(id) {
--- a/crates/platform-proto/src/director_protocol/shutdown.rs
+++ b/crates/platform-proto/src/director_protocol/shutdown.rs
@@ -2,8 +2,7 @@
 //! losing sent bytes.
 
 use super::{DirectorProtocol, Timer};
-use crate::viewer_message::{ViewerMessage, cause};
-use shalewall::{SessionId, TimeDelta, Timestamp};
+use shalewall::{TimeDelta, Timestamp};
 
 /// Time before the end of the shutdown at which the remaining requests are answered: a viewer may wait for longer than
 /// the shutdown may take.
@@ -29,24 +28,6 @@
         }
     }
 
-    fn send_final_answer(&mut self, id: SessionId) {
-        let Some(session) = self.sessions.get(id) else {
-            return;
-        };
-        let cause = if session.was_never_sent() {
-            cause::REJECTED
-        } else {
-            cause::FAILED
-        };
-        let answer = ViewerMessage::finish(session.wire_id, cause);
-        let viewer = session.viewer;
-        self.withdraw_request(id);
-        if let Some(viewer) = viewer {
-            self.send_to_viewer(viewer, &answer);
-        }
-        self.process_module_events();
-    }
-
     /// Closes viewers' connections in two steps once everything is written, so that no sent bytes are lost.
     pub fn close_viewers(&mut self, now: Timestamp) {
         for id in self.viewers.open_ids() {
--- a/crates/platform-proto/src/director_protocol/viewer_events.rs
+++ b/crates/platform-proto/src/director_protocol/viewer_events.rs
@@ -85,18 +85,34 @@
         self.send_to_viewer(id, &answer);
     }
 
-    /// Handles a protocol violation: withdraws the viewer's requests, and closes its connection after a message.
+    /// Handles a protocol violation: ends the viewer's requests with an answer, and closes its connection after a
+    /// message. What follows the violation can't be decoded, so that a withdrawal would not be noticed.
     fn reject_viewer(&mut self, id: ViewerId, error: ViewerProtocolError) {
         self.outputs.log(LogEvent::ViewerProtocolViolated {
             connection: id.into(),
             error,
         });
+        self.answer_requests_of(id);
         self.detach_viewer(id);
         let no_session = HexId::from_value(0);
         self.send_to_viewer(id, &ViewerMessage::finish(no_session, cause::INVALID));
+        self.reject_received_requests(id);
         self.viewers.close(id, self.now);
     }
 
+    /// Rejects the requests that were received after a protocol violation, up to a line that is too long.
+    fn reject_received_requests(&mut self, id: ViewerId) {
+        loop {
+            match self.viewers.next_message(id, self.now) {
+                Ok(Some(received)) if received.message.verb == Verb::Start => {
+                    self.reject_request(id, &received.message);
+                }
+                Ok(Some(_)) | Err(ViewerProtocolError::InvalidMessage) => {}
+                Ok(None) | Err(_) => return,
+            }
+        }
+    }
+
     // ---- writing -----------------------------------------------------------------------------
 
     /// Sends a message that is only useful on this connection. The connection is closed if its queue is full.
--- a/crates/platform-proto/src/session_request.rs
+++ b/crates/platform-proto/src/session_request.rs
@@ -88,6 +88,13 @@
     Ok(parsed)
 }
 
+/// Whether a `START` message names the node where its session is active already.
+pub(crate) fn is_transfer(message: &ViewerMessage) -> bool {
+    message
+        .text_field("extras")
+        .is_some_and(|extras| extras.split(';').any(|pair| pair.starts_with("at:")))
+}
+
 fn parse_class(message: &ViewerMessage, names: &Names) -> Result<usize, InvalidRequest> {
     message
         .text_field("class")
--- a/crates/platform-proto/src/viewer_connection.rs
+++ b/crates/platform-proto/src/viewer_connection.rs
@@ -144,6 +144,10 @@
         self.pending_requests.insert(session);
     }
 
+    pub(crate) fn pending_requests(&self) -> Vec<SessionId> {
+        self.pending_requests.iter().copied().collect()
+    }
+
     pub(crate) fn remove_request(&mut self, session: SessionId) {
         self.pending_requests.remove(&session);
     }
--- a/crates/platform-proto/src/viewer_connections.rs
+++ b/crates/platform-proto/src/viewer_connections.rs
@@ -222,6 +222,13 @@
         }
     }
 
+    /// Requests of the connection that have no answer.
+    pub(crate) fn pending_requests(&self, id: ViewerId) -> Vec<SessionId> {
+        self.connections
+            .get(&id)
+            .map_or(Vec::new(), ViewerConnection::pending_requests)
+    }
+
     pub(crate) fn add_active_session(&mut self, id: ViewerId, session: SessionId) {
         if let Some(connection) = self.connections.get_mut(&id) {
             connection.add_active_session(session);
--- a/crates/platform-proto/tests/untrusted_input.rs
+++ b/crates/platform-proto/tests/untrusted_input.rs
@@ -84,6 +84,9 @@
             counts(1, 0),
             "its requests are withdrawn"
         );
+        let written = harness.take_written(bad);
+        let answer = format!(r#""tag":"{tag:016x}","opts":{{}},"rc":34"#);
+        assert_eq!(written.matches(&answer).count(), 1, "{written}");
     }
     for node in harness.node_connections.keys().copied().collect::<Vec<_>>() {
         harness.connect(node);
@@ -97,6 +100,30 @@
     );
 }
 
+#[test]
+fn requests_around_an_invalid_line_get_one_answer_each() {
+    let mut harness = Harness::new();
+    let (viewer, node) = harness.start_attempt(7, "paid");
+    harness.take_written(node);
+    let request = |tag| start_message(tag, "paid", 1500, "");
+    harness.receive(
+        viewer,
+        request(8)
+            + "no message
+" + &request(9)
+            + "again none
+" + &request(10),
+    );
+    let written = harness.take_written(viewer);
+    for (tag, cause) in [(7, 41), (8, 34), (9, 34), (10, 34)] {
+        let answer = format!(r#""tag":"{tag:016x}","opts":{{}},"rc":{cause}"#);
+        assert_eq!(written.matches(&answer).count(), 1, "{written}");
+    }
+    assert_eq!(written.lines().count(), 5, "{written}");
+    assert!(harness.take_written(node).contains("TEARDOWN"));
+    assert_eq!(harness.protocol.session_counts(), counts(0, 0));
+}
+
 /// Two requests with the same id on one connection are both cancelled; a request is not affected by a duplicate from
 /// another connection.
 #[test]
