Answer a viewer that closes only its write half, and one whose answer is still queued

Callers that shut down their write half after a request read the end of the stream and no answer. Cause: the driver reported the end of the incoming stream as the end of the connection, which withdrew the requests and dropped every queued line.

Change: the end of a viewer's stream is an input of its own (handle_end_of_stream). Its pending requests end with one answer (rejected if never forwarded, else failed and cancelled at the node), an unwritten STARTED becomes a failure and its session is released, releases go to another connection, and the connection closes once its lines are written, within a second. Nothing is forwarded any more, so a viewer that has left altogether is treated as before.

--- a/crates/cli/tests/lost_requests.rs
+++ b/crates/cli/tests/lost_requests.rs
@@ -6,7 +6,7 @@
 use environment::*;
 use rustix::process::Signal;
 use std::io::Read;
-use std::net::TcpStream;
+use std::net::{Shutdown, TcpStream};
 use std::time::{Duration, Instant};
 
 /// Longer than the deadline of the requests that wait meanwhile.
@@ -148,3 +148,22 @@
         assert_eq!(answers_to(&lines, 0), 1, "{lines:?}");
     }
 }
+
+#[test]
+fn viewer_that_closes_its_write_half_reads_an_answer() {
+    for is_forwarded in [false, true] {
+        let environment = Environment::new();
+        let _director = environment.start_director();
+        let (mut viewer, _node) = if is_forwarded {
+            let (viewer, node) = forwarded_request(&environment, 7);
+            (viewer, Some(node))
+        } else {
+            let mut viewer = environment.viewer();
+            viewer.request_session(7);
+            (viewer, None)
+        };
+        viewer.0.get_ref().shutdown(Shutdown::Write).unwrap();
+        let lines = lines_until_close(&mut viewer);
+        assert_eq!(answers_to(&lines, 7), 1, "{is_forwarded}: {lines:?}");
+    }
+}
--- a/crates/platform-proto/src/director_protocol/mod.rs
+++ b/crates/platform-proto/src/director_protocol/mod.rs
@@ -155,6 +155,19 @@
         }
     }
 
+    /// Handles the end of a connection's incoming stream after its last message. Returns whether the connection stays
+    /// open for what is still to be written; otherwise the driver has to report it as closed.
+    pub fn handle_end_of_stream(&mut self, now: Timestamp, connection: ConnectionId) -> bool {
+        self.now = now;
+        match connection.0 {
+            Peer::Viewer(id) => {
+                self.handle_viewer_end_of_stream(id);
+                self.viewers.contains(id)
+            }
+            Peer::Node(_) => false,
+        }
+    }
+
     /// Handles a connection that the other side closed, or that broke. `is_clean`: it was closed after its last
     /// message.
     pub fn connection_closed(&mut self, now: Timestamp, connection: ConnectionId, is_clean: bool) {
--- a/crates/platform-proto/src/director_protocol/transmit.rs
+++ b/crates/platform-proto/src/director_protocol/transmit.rs
@@ -36,6 +36,7 @@
         }
         match self.viewers.close_state(id) {
             None => Transmit::Close,
+            Some(ViewerCloseState::Closed) => Transmit::Close,
             Some(ViewerCloseState::HalfClosed) => Transmit::CloseWriteHalf,
             Some(ViewerCloseState::CloseIfNoUnreadBytes) => Transmit::CloseIfNoUnreadBytes,
             Some(ViewerCloseState::Open) => Transmit::Wait,
--- a/crates/platform-proto/src/director_protocol/viewer_events.rs
+++ b/crates/platform-proto/src/director_protocol/viewer_events.rs
@@ -9,7 +9,7 @@
 use crate::viewer_connection::{LineKind, ReceivedMessage};
 use crate::viewer_connections::Received;
 use crate::viewer_message::{Verb, ViewerMessage, cause};
-use shalewall::Timestamp;
+use shalewall::{SessionId, Timestamp};
 use std::net::IpAddr;
 
 impl DirectorProtocol {
@@ -113,6 +113,38 @@
         }
     }
 
+    /// Handles the end of a viewer's stream: the viewer has left, or has closed only its write half and still reads.
+    /// Its requests end with an answer, and nothing is forwarded for them any more.
+    pub(super) fn handle_viewer_end_of_stream(&mut self, id: ViewerId) {
+        let Some(address) = self.viewers.address(id) else {
+            return;
+        };
+        self.viewers.close_after_end_of_stream(id, self.now);
+        self.answer_requests_of(id);
+        let queued = self.viewers.take_queued(id);
+        self.detach_viewer(id);
+        for session in queued.answers {
+            self.replace_answer_by_failure(id, session);
+        }
+        for line in queued.others {
+            self.enqueue_to_viewer(id, LineKind::Other, line);
+        }
+        for release in queued.releases {
+            self.send_release_to_viewer(None, address, release);
+        }
+        self.outputs.write(id);
+        self.process_module_events();
+    }
+
+    /// Releases an active session whose answer is not written yet, and answers its request as failed.
+    fn replace_answer_by_failure(&mut self, viewer: ViewerId, session: SessionId) {
+        let wire_id = self.sessions.get(session).map(|session| session.wire_id);
+        self.answer_undelivered(session);
+        if let Some(wire_id) = wire_id {
+            self.send_to_viewer(viewer, &ViewerMessage::finish(wire_id, cause::FAILED));
+        }
+    }
+
     // ---- writing -----------------------------------------------------------------------------
 
     /// Sends a message that is only useful on this connection. The connection is closed if its queue is full.
--- a/crates/platform-proto/src/viewer_connection.rs
+++ b/crates/platform-proto/src/viewer_connection.rs
@@ -51,6 +51,8 @@
     CloseIfNoUnreadBytes,
     /// Everything is written; the write half has to be shut down.
     HalfClosed,
+    /// Everything is written, and the viewer sends no more.
+    Closed,
 }
 
 pub(crate) struct ViewerConnection {
@@ -72,6 +74,8 @@
     partial_since: Option<Timestamp>,
     /// Time at which closing began.
     closing_since: Option<Timestamp>,
+    /// Whether the viewer sends no more.
+    is_stream_ended: bool,
     ignored_bytes: usize,
     close_if_no_unread_bytes: bool,
 }
@@ -92,6 +96,7 @@
             has_sent_message: false,
             partial_since: None,
             closing_since: None,
+            is_stream_ended: false,
             ignored_bytes: 0,
             close_if_no_unread_bytes: false,
         }
@@ -219,6 +224,12 @@
         in_flight.into_iter().chain(self.queue.drain(..)).collect()
     }
 
+    /// Takes all lines that have not begun to be written.
+    pub(crate) fn take_queued(&mut self) -> Vec<QueuedLine> {
+        self.queued_bytes = 0;
+        self.queue.drain(..).collect()
+    }
+
     /// Removes an answer from the queue; returns `false` if it is being written or has been written.
     pub(crate) fn retract_answer(&mut self, session: SessionId) -> bool {
         let answer = LineKind::Answer(session);
@@ -245,6 +256,14 @@
         self.decoder = LineDecoder::default();
     }
 
+    /// Closes the connection once everything is written; its viewer sends no more.
+    pub(crate) fn close_after_end_of_stream(&mut self, now: Timestamp) {
+        self.is_stream_ended = true;
+        if !self.is_closing() {
+            self.close(now);
+        }
+    }
+
     /// Closes the connection if its socket has no unread bytes, so that requests are served that the viewer sent before
     /// it could notice the close.
     pub(crate) fn close_if_no_unread_bytes(&mut self) {
@@ -256,7 +275,9 @@
     }
 
     pub(crate) fn close_state(&self) -> ViewerCloseState {
-        if self.is_closing() {
+        if self.is_stream_ended {
+            ViewerCloseState::Closed
+        } else if self.is_closing() {
             ViewerCloseState::HalfClosed
         } else if self.close_if_no_unread_bytes {
             ViewerCloseState::CloseIfNoUnreadBytes
--- a/crates/platform-proto/src/viewer_connections.rs
+++ b/crates/platform-proto/src/viewer_connections.rs
@@ -4,7 +4,9 @@
 use crate::arrival::Arrival;
 use crate::error::ViewerProtocolError;
 use crate::ids::ViewerId;
-use crate::viewer_connection::{LineKind, ReceivedMessage, ViewerCloseState, ViewerConnection};
+use crate::viewer_connection::{
+    LineKind, QueuedLine, ReceivedMessage, ViewerCloseState, ViewerConnection,
+};
 use shalewall::{SessionId, TimeDelta, Timestamp};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::IpAddr;
@@ -30,6 +32,22 @@
     pub(crate) answers: Vec<SessionId>,
     /// Encoded releases of active sessions.
     pub(crate) releases: Vec<Vec<u8>>,
+    /// Other encoded lines.
+    pub(crate) others: Vec<Vec<u8>>,
+}
+
+impl UnwrittenLines {
+    fn new(lines: Vec<QueuedLine>) -> UnwrittenLines {
+        let mut unwritten = UnwrittenLines::default();
+        for line in lines {
+            match line.kind {
+                LineKind::Answer(session) => unwritten.answers.push(session),
+                LineKind::Release => unwritten.releases.push(line.bytes),
+                LineKind::Other => unwritten.others.push(line.bytes),
+            }
+        }
+        unwritten
+    }
 }
 
 /// The sessions of a connection that closes.
@@ -131,6 +149,13 @@
         }
     }
 
+    /// Closes a connection whose viewer sends no more, once everything is written.
+    pub(crate) fn close_after_end_of_stream(&mut self, id: ViewerId, now: Timestamp) {
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.close_after_end_of_stream(now);
+        }
+    }
+
     /// Closes a connection if its socket has no unread bytes.
     pub(crate) fn close_if_no_unread_bytes(&mut self, id: ViewerId) {
         if let Some(connection) = self.connections.get_mut(&id) {
@@ -282,18 +307,18 @@
 
     /// Takes the unwritten lines of a connection that is about to close.
     pub(crate) fn take_unwritten(&mut self, id: ViewerId) -> UnwrittenLines {
-        let mut unwritten = UnwrittenLines::default();
-        let Some(connection) = self.connections.get_mut(&id) else {
-            return unwritten;
-        };
-        for line in connection.take_unwritten() {
-            match line.kind {
-                LineKind::Answer(session) => unwritten.answers.push(session),
-                LineKind::Release => unwritten.releases.push(line.bytes),
-                LineKind::Other => {}
-            }
-        }
-        unwritten
+        self.connections
+            .get_mut(&id)
+            .map(|connection| UnwrittenLines::new(connection.take_unwritten()))
+            .unwrap_or_default()
+    }
+
+    /// Takes the lines of a connection that have not begun to be written.
+    pub(crate) fn take_queued(&mut self, id: ViewerId) -> UnwrittenLines {
+        self.connections
+            .get_mut(&id)
+            .map(|connection| UnwrittenLines::new(connection.take_queued()))
+            .unwrap_or_default()
     }
 
     pub(crate) fn has_pending_writes(&self) -> bool {
--- a/crates/platform-proto/tests/common/mod.rs
+++ b/crates/platform-proto/tests/common/mod.rs
@@ -141,7 +141,10 @@
                     return;
                 }
                 Transmit::CloseIfNoUnreadBytes => return self.close(connection, true),
-                Transmit::Close => return self.closed.push(connection),
+                Transmit::Close => {
+                    self.closed.push(connection);
+                    return self.protocol.connection_closed(self.now, connection, true);
+                }
             }
         }
     }
@@ -213,6 +216,15 @@
         self.process_outputs();
     }
 
+    /// Ends a connection's incoming stream.
+    pub fn end_stream(&mut self, connection: ConnectionId) {
+        let stays_open = self.protocol.handle_end_of_stream(self.now, connection);
+        self.process_outputs();
+        if !stays_open {
+            self.close(connection, true);
+        }
+    }
+
     /// Starts an attempt whose set-up is written; returns the viewer's connection and the node's.
     pub fn start_attempt(&mut self, tag: u64, class: &str) -> (ConnectionId, ConnectionId) {
         let viewer = self.connect_viewer();
--- a/crates/platform-proto/tests/model/mod.rs
+++ b/crates/platform-proto/tests/model/mod.rs
@@ -80,6 +80,7 @@
             Step::Request { viewer, paid } => self.request(viewer, paid),
             Step::Withdraw { request } => self.withdraw(request),
             Step::ViewerCloses { viewer, clean } => self.close_viewer(viewer, clean),
+            Step::ViewerEndsStream { viewer } => self.end_viewer_stream(viewer),
             Step::ViewerConnects => self.connect_viewer(),
             Step::NodeConnects { connection } => self.connect_node(connection),
             Step::ConnectFails { connection, error } => self.fail_connect(connection, error),
@@ -126,6 +127,22 @@
         self.apply(&Step::ViewerConnects);
     }
 
+    /// A viewer sends no more and still reads: its requests need an answer, and must not be forwarded any more.
+    fn end_viewer_stream(&mut self, viewer: usize) {
+        let viewer = self.viewers.remove(viewer % self.viewers.len());
+        let is_blocked = self.harness.refusing_writes.contains(&viewer)
+            || self.harness.writing_partially.contains(&viewer);
+        if is_blocked {
+            self.withdraw_all(viewer);
+        } else {
+            let sessions = self.pending.iter();
+            let sessions = sessions.filter(|(_, connection)| **connection == viewer);
+            self.withdrawn.extend(sessions.map(|(session, _)| *session));
+        }
+        self.harness.end_stream(viewer);
+        self.apply(&Step::ViewerConnects);
+    }
+
     fn withdraw_all(&mut self, viewer: ConnectionId) {
         let sessions: Vec<u64> = self
             .pending
--- a/crates/platform-proto/tests/steps/mod.rs
+++ b/crates/platform-proto/tests/steps/mod.rs
@@ -19,6 +19,9 @@
         viewer: usize,
         clean: bool,
     },
+    ViewerEndsStream {
+        viewer: usize,
+    },
     ViewerConnects,
     NodeConnects {
         connection: usize,
@@ -74,6 +77,7 @@
         6 => (index.clone(), any::<bool>()).prop_map(|(viewer, paid)| Step::Request { viewer, paid }),
         2 => index.clone().prop_map(|request| Step::Withdraw { request }),
         2 => (index.clone(), any::<bool>()).prop_map(|(viewer, clean)| Step::ViewerCloses { viewer, clean }),
+        1 => index.clone().prop_map(|viewer| Step::ViewerEndsStream { viewer }),
         1 => Just(Step::ViewerConnects),
         6 => index.clone().prop_map(|connection| Step::NodeConnects { connection }),
         1 => (index.clone(), 0..3u8).prop_map(|(connection, error)| Step::ConnectFails {
--- a/crates/platform-proto/tests/viewer_connections.rs
+++ b/crates/platform-proto/tests/viewer_connections.rs
@@ -175,3 +175,66 @@
             .is_some()
     );
 }
+
+// ---- the end of the incoming stream ----------------------------------------------------------
+
+#[test]
+fn requests_of_a_viewer_that_sends_no_more_get_an_answer_and_are_not_forwarded() {
+    let mut harness = Harness::new();
+    let (viewer, node) = harness.start_attempt(7, "paid");
+    harness.request(viewer, 8, "paid");
+    harness.take_written(node);
+    harness.end_stream(viewer);
+    let written = harness.take_written(viewer);
+    for (tag, cause) in [(7, 41), (8, 34)] {
+        let answer = format!(r#""tag":"{tag:016x}","opts":{{}},"rc":{cause}"#);
+        assert_eq!(written.matches(&answer).count(), 1, "{written}");
+    }
+    assert!(harness.closed.contains(&viewer));
+    assert!(harness.take_written(node).contains("TEARDOWN"));
+    let connecting: Vec<_> = harness.node_connections.keys().copied().collect();
+    for connection in connecting.into_iter().filter(|other| *other != node) {
+        harness.connect(connection);
+        assert!(!harness.take_written(connection).contains("SETUP"));
+    }
+    assert_eq!(harness.protocol.session_counts(), counts(0, 0));
+}
+
+#[test]
+fn an_unwritten_answer_becomes_a_failure_when_the_viewer_sends_no_more() {
+    let mut harness = Harness::new();
+    let (viewer, node) = harness.start_attempt(7, "paid");
+    harness.refusing_writes.insert(viewer);
+    harness.receive(node, set_up_answer(7, "there\r\n"));
+    harness.take_written(node);
+    harness.end_stream(viewer);
+    harness.refusing_writes.clear();
+    harness.write(viewer);
+    let written = harness.take_written(viewer);
+    assert!(written.contains(r#""rc":41"#) && !written.contains("STARTED"));
+    assert!(harness.take_written(node).contains("TEARDOWN"));
+    assert_eq!(harness.protocol.session_counts(), counts(0, 0));
+}
+
+#[test]
+fn releases_go_to_another_connection_when_the_viewer_sends_no_more() {
+    let mut harness = Harness::new();
+    let (viewer, node) = harness.start_session(7, "paid");
+    let other = harness.connect_viewer();
+    harness.take_written(viewer);
+    harness.refusing_writes.insert(viewer);
+    harness.receive(node, teardown(7, 16, b""));
+    harness.end_stream(viewer);
+    assert!(harness.take_written(other).contains(r#""rc":16"#));
+}
+
+#[test]
+fn a_viewer_that_sends_no_more_and_does_not_read_is_closed() {
+    let mut harness = Harness::new();
+    let (viewer, _) = harness.start_attempt(7, "paid");
+    harness.refusing_writes.insert(viewer);
+    harness.end_stream(viewer);
+    assert!(!harness.closed.contains(&viewer));
+    harness.advance(1300 * MILLISECOND);
+    assert!(harness.closed.contains(&viewer));
+}
--- a/crates/platform/src/connection.rs
+++ b/crates/platform/src/connection.rs
@@ -66,6 +66,7 @@
     /// Notified when the state machine may have bytes to write.
     write_ready: Rc<Event>,
     write_failed: Cell<bool>,
+    is_stream_ended: Cell<bool>,
 }
 
 /// How one direction of a connection ended.
@@ -102,13 +103,14 @@
             receiver,
             write_ready,
             write_failed: Cell::new(false),
+            is_stream_ended: Cell::new(false),
         }
     }
 
     /// Transfers bytes in both directions until either side closes, then reports the end. Dropping the connection
     /// closes the socket.
     pub async fn run(self) {
-        let end = future::or(self.read_until_end(), self.write_until_end()).await;
+        let end = future::or(self.read_and_end_stream(), self.write_until_end()).await;
         let clean = end == StreamEnd::Closed && !self.write_failed.get();
         debug!(connection = ?self.id, clean, "connection closed");
         self.event_loop.with_protocol(|protocol| {
@@ -116,6 +118,20 @@
         });
     }
 
+    /// Reads until the stream ends; completes only if nothing more has to be written then.
+    async fn read_and_end_stream(&self) -> StreamEnd {
+        let end = self.read_until_end().await;
+        let stays_open = end == StreamEnd::Closed
+            && self
+                .event_loop
+                .with_protocol(|protocol| protocol.handle_end_of_stream(now(), self.id));
+        if stays_open {
+            self.is_stream_ended.set(true);
+            future::pending::<()>().await;
+        }
+        end
+    }
+
     async fn read_until_end(&self) -> StreamEnd {
         let mut buffer = [0; READ_BUFFER_BYTES];
         loop {
@@ -184,7 +200,9 @@
         // connection at the first answer. The reader receives all of them up to the end of the stream, which has
         // already arrived.
         self.write_failed.set(true);
-        Timer::after(READ_DRAIN_TIMEOUT).await;
+        if !self.is_stream_ended.get() {
+            Timer::after(READ_DRAIN_TIMEOUT).await;
+        }
         StreamEnd::Failed
     }
 
