End a shutdown before the earliest kill, and answer every request that it reads

Callers with short deadlines met a director that was still running at the platform's earliest SIGKILL. Cause: the window for late requests (0.9 s) and the close (60 ms) were counted whatever the longest deadline, while the kill comes 0.7 s after it: with 0.15 s the director still ran at 0.85 s. Two related paths: the last connections were half-closed and then read without an answer, so a request that crossed the close was read and dropped; and the listener stayed open to the end of the process, which reset connections that the machine had accepted.

Change: all steps count from the signal (from the start of the pause, if the process did not run when it came) and end by the longest deadline + 0.61 s, or 0.71 s where that is later. Then it accepts what is established, closes the listener, and closes each connection once its socket has no unread bytes; requests that are read meanwhile are rejected.

shutdown_with_short_deadlines_ends_before_the_earliest_kill (50, 150 and 400 ms) fails without the change at 50 and 150, and a_request_that_is_unread_when_the_shutdown_closes_its_connection_is_answered fails as well. shutdown_waits_for_unwritten_answers expected a half close after the last line; it now expects the close itself, and still that nothing closes before that line is written.

--- a/crates/behavior-digest/src/platform_protocol.rs
+++ b/crates/behavior-digest/src/platform_protocol.rs
@@ -199,7 +199,7 @@
         if self.random.percent(50) {
             self.protocol.begin_shutdown(self.timestamp());
             self.settle();
-            self.protocol.close_viewers(self.timestamp());
+            self.protocol.close_viewers();
             self.pump();
         }
         self.settle();
--- a/crates/cli/tests/environment/mod.rs
+++ b/crates/cli/tests/environment/mod.rs
@@ -120,6 +120,13 @@
     }
 }
 
+/// A viewer's request, without the line feed.
+pub fn session_request(tag: u64, wait_ms: u64) -> String {
+    format!(
+        r#"{{"verb":"START","tag":"{tag:016x}","opts":{{"class":"paid","left":{wait_ms},"key":"7f3a9c21e0b4d655","extras":"home:0;copies:1;top:1;viewer:{tag:016x}"}},"blob":"here\r\n"}}"#
+    )
+}
+
 /// A connection of a viewer, and the deadline of its requests in milliseconds.
 pub struct Viewer(pub BufReader<TcpStream>, u64);
 
@@ -137,10 +144,7 @@
     }
 
     pub fn request_session(&mut self, tag: u64) {
-        let wait_ms = self.1;
-        self.send(&format!(
-            r#"{{"verb":"START","tag":"{tag:016x}","opts":{{"class":"paid","left":{wait_ms},"key":"7f3a9c21e0b4d655","extras":"home:0;copies:1;top:1;viewer:{tag:016x}"}},"blob":"here\r\n"}}"#
-        ));
+        self.send(&session_request(tag, self.1));
     }
 
     /// Sends readiness tests (`ECHO`) until the director answers that it is not ready.
--- a/crates/cli/tests/lost_requests.rs
+++ b/crates/cli/tests/lost_requests.rs
@@ -5,7 +5,8 @@
 mod environment;
 use environment::*;
 use rustix::process::Signal;
-use std::io::Read;
+use std::collections::BTreeSet;
+use std::io::{Read, Write};
 use std::net::{Shutdown, TcpStream};
 use std::time::{Duration, Instant};
 
@@ -167,3 +168,103 @@
         assert_eq!(answers_to(&lines, 7), 1, "{is_forwarded}: {lines:?}");
     }
 }
+
+// ---- shutdown ------------------------------------------------------------------------------------
+
+/// Time from SIGTERM to the earliest SIGKILL, in addition to the longest deadline.
+const KILL_DELAY: Duration = Duration::from_millis(700);
+
+#[test]
+fn shutdown_with_short_deadlines_ends_before_the_earliest_kill() {
+    for longest_wait_ms in [50, 150, 400] {
+        let mut environment = Environment::new();
+        environment.longest_wait_ms = Some(longest_wait_ms);
+        environment.wait_ms = longest_wait_ms;
+        let mut director = environment.start_director();
+        let (mut viewer, mut node) = forwarded_request(&environment, 7);
+        send_set_up_response(&mut node, 7, "there\r\n");
+        assert!(viewer.receive().contains("STARTED"));
+        director.signal(Signal::TERM);
+        let signalled_at = Instant::now();
+        assert!(director.0.wait().unwrap().success());
+        let earliest_kill = KILL_DELAY + Duration::from_millis(longest_wait_ms);
+        assert!(
+            signalled_at.elapsed() < earliest_kill,
+            "{longest_wait_ms} ms: ended after {:?}",
+            signalled_at.elapsed()
+        );
+    }
+}
+
+/// Time after SIGTERM until which new connections come.
+const LAST_CONNECTION: Duration = Duration::from_millis(600);
+
+/// Sends a request on a new connection; returns whether it was accepted and not answered.
+fn is_lost(environment: &Environment, tag: u64) -> bool {
+    let Ok(stream) = TcpStream::connect(&environment.listen) else {
+        return false; // not accepted by the machine
+    };
+    let mut viewer = Viewer::new(stream, environment.wait_ms);
+    viewer.request_session(tag);
+    !viewer.try_receive().contains("FINISH")
+}
+
+#[test]
+fn requests_on_new_connections_during_a_shutdown_are_answered() {
+    let mut environment = Environment::new();
+    environment.longest_wait_ms = Some(150);
+    let mut director = environment.start_director();
+    let mut open = environment.viewer();
+    echo(&mut open);
+    director.signal(Signal::TERM);
+    let signalled_at = Instant::now();
+    let mut tag = 10;
+    while signalled_at.elapsed() < LAST_CONNECTION {
+        tag += 1;
+        assert!(!is_lost(&environment, tag), "request {tag}");
+        std::thread::sleep(Duration::from_millis(4));
+    }
+    drop(open);
+    assert!(director.0.wait().unwrap().success());
+}
+
+/// A request that crosses the close of its connection within this time is sent again.
+const CROSSING_TIME: Duration = Duration::from_millis(50);
+
+#[test]
+fn requests_on_an_open_connection_are_answered_until_a_shutdown_closes_it() {
+    let mut environment = Environment::new();
+    environment.longest_wait_ms = Some(150);
+    let mut director = environment.start_director();
+    let mut viewer = environment.viewer();
+    echo(&mut viewer);
+    let mut writer = viewer.0.get_ref().try_clone().unwrap();
+    let reader = std::thread::spawn(move || {
+        let mut answered = BTreeSet::new();
+        loop {
+            let line = viewer.try_receive();
+            if line.is_empty() {
+                return (answered, Instant::now());
+            }
+            answered.insert(line[line.find("\"tag\":\"").unwrap() + 7..][..16].to_string());
+        }
+    });
+    director.signal(Signal::TERM);
+    let mut sent = Vec::new();
+    for tag in 100u64.. {
+        let request = session_request(tag, environment.wait_ms) + "\n";
+        let sent_at = Instant::now();
+        if writer.write_all(request.as_bytes()).is_err() {
+            break;
+        }
+        sent.push((format!("{tag:016x}"), sent_at));
+        std::thread::sleep(Duration::from_millis(4));
+    }
+    let (answered, closed_at) = reader.join().unwrap();
+    assert!(director.0.wait().unwrap().success());
+    let is_lost = |(tag, sent_at): &&(String, Instant)| {
+        !answered.contains(tag) && *sent_at + CROSSING_TIME < closed_at
+    };
+    let lost = sent.iter().filter(is_lost).count();
+    assert!(sent.len() > 20 && lost == 0, "{lost} of {}", sent.len());
+}
--- a/crates/platform-proto/src/director_protocol/shutdown.rs
+++ b/crates/platform-proto/src/director_protocol/shutdown.rs
@@ -1,5 +1,5 @@
-//! Graceful shutdown: new requests are rejected, pending ones are answered, and viewers' connections are closed without
-//! losing sent bytes.
+//! Graceful shutdown: new requests are rejected, pending ones are answered, and viewers' connections are closed once no
+//! request is unread.
 
 use super::{DirectorProtocol, Timer};
 use shalewall::{TimeDelta, Timestamp};
@@ -9,10 +9,11 @@
 const FINAL_ANSWER_MARGIN: TimeDelta = TimeDelta::from_millis(100);
 
 impl DirectorProtocol {
-    /// Begins the shutdown: new requests are rejected, and pending ones are answered until the time limit.
-    pub fn begin_shutdown(&mut self, now: Timestamp) {
+    /// Begins the shutdown: new requests are rejected, and pending ones are answered until the time limit, which counts
+    /// from the signal.
+    pub fn begin_shutdown(&mut self, signalled_at: Timestamp) {
         self.is_shutting_down = true;
-        let due = now + self.timeouts.shutdown - FINAL_ANSWER_MARGIN;
+        let due = signalled_at + self.timeouts.shutdown - FINAL_ANSWER_MARGIN;
         self.timers.set(due, Timer::FinalAnswers);
     }
 
@@ -28,10 +29,10 @@
         }
     }
 
-    /// Closes viewers' connections in two steps once everything is written, so that no sent bytes are lost.
-    pub fn close_viewers(&mut self, now: Timestamp) {
-        for id in self.viewers.open_ids() {
-            self.viewers.close(id, now);
+    /// Closes viewers' connections, each once everything is written and its socket has no unread bytes: a request that
+    /// was read has to be answered.
+    pub fn close_viewers(&mut self) {
+        for id in self.viewers.begin_closing_all() {
             self.outputs.write(id);
         }
     }
--- a/crates/platform-proto/src/director_protocol/viewer_events.rs
+++ b/crates/platform-proto/src/director_protocol/viewer_events.rs
@@ -39,7 +39,7 @@
         }
         loop {
             let handled = match self.viewers.next_message(id, self.now) {
-                Ok(None) => return,
+                Ok(None) => break,
                 Ok(Some(received)) => self.handle_viewer_message(id, received),
                 Err(error) => Err(error),
             };
@@ -48,6 +48,9 @@
             }
             self.process_module_events();
         }
+        if self.viewers.closes_all() {
+            self.outputs.write(id);
+        }
     }
 
     fn handle_viewer_message(
--- a/crates/platform-proto/src/viewer_connections.rs
+++ b/crates/platform-proto/src/viewer_connections.rs
@@ -81,6 +81,8 @@
     connections: BTreeMap<ViewerId, ViewerConnection>,
     next_id: u64,
     max_connections: usize,
+    /// Whether every connection is to be closed once its socket has no unread bytes.
+    closes_all: bool,
     /// In the order in which they were to be sent.
     undelivered_releases: VecDeque<UndeliveredRelease>,
 }
@@ -165,12 +167,22 @@
 
     /// Returns the close state of a connection; `None` if it does not exist.
     pub(crate) fn close_state(&self, id: ViewerId) -> Option<ViewerCloseState> {
-        self.connections.get(&id).map(ViewerConnection::close_state)
+        let state = self.connections.get(&id)?.close_state();
+        Some(match state {
+            ViewerCloseState::Open if self.closes_all => ViewerCloseState::CloseIfNoUnreadBytes,
+            state => state,
+        })
+    }
+
+    /// Closes all connections, each once its socket has no unread bytes; returns their ids.
+    pub(crate) fn begin_closing_all(&mut self) -> Vec<ViewerId> {
+        self.closes_all = true;
+        self.connections.keys().copied().collect()
     }
 
-    /// Connections that are not being closed.
-    pub(crate) fn open_ids(&self) -> Vec<ViewerId> {
-        self.ids_where(|connection| !connection.is_closing())
+    /// Whether all connections are being closed.
+    pub(crate) fn closes_all(&self) -> bool {
+        self.closes_all
     }
 
     /// Connections whose viewers have not closed their half in time.
--- a/crates/platform-proto/tests/shutdown.rs
+++ b/crates/platform-proto/tests/shutdown.rs
@@ -31,7 +31,7 @@
     }
 }
 
-/// A shutdown waits for queued messages before it closes their connections in two steps.
+/// A shutdown waits for queued messages before it closes their connections.
 #[test]
 fn shutdown_waits_for_unwritten_answers() {
     let mut harness = Harness::new();
@@ -41,11 +41,42 @@
     harness.receive(node, set_up_answer(7, "there\r\n"));
     assert_eq!(harness.protocol.session_counts(), counts(0, 1));
     assert!(harness.protocol.has_pending_writes());
-    harness.protocol.close_viewers(harness.now);
+    harness.protocol.close_viewers();
     harness.process_outputs();
-    assert!(harness.protocol.has_pending_writes() && !harness.half_closed.contains(&viewer));
+    assert!(harness.protocol.has_pending_writes() && !harness.closed.contains(&viewer));
     harness.refusing_writes.clear();
     harness.write(viewer);
     assert!(harness.take_written(viewer).contains("STARTED"));
-    assert!(!harness.protocol.has_pending_writes() && harness.half_closed.contains(&viewer));
+    assert!(!harness.protocol.has_pending_writes() && harness.closed.contains(&viewer));
+}
+
+#[test]
+fn a_request_that_is_unread_when_the_shutdown_closes_its_connection_is_answered() {
+    let mut harness = Harness::new();
+    let viewer = harness.connect_viewer();
+    harness.protocol.begin_shutdown(harness.now);
+    harness.with_unread_bytes.insert(viewer);
+    harness.protocol.close_viewers();
+    harness.process_outputs();
+    assert!(!harness.closed.contains(&viewer) && !harness.half_closed.contains(&viewer));
+    harness.with_unread_bytes.clear();
+    harness.receive(viewer, start_message(7, "paid", 1500, ""));
+    assert!(harness.take_written(viewer).contains(r#""rc":34"#));
+    assert!(harness.closed.contains(&viewer));
+}
+
+#[test]
+fn a_message_without_an_answer_does_not_keep_a_connection_open_during_a_shutdown() {
+    let mut harness = Harness::new();
+    let viewer = harness.connect_viewer();
+    harness.protocol.begin_shutdown(harness.now);
+    harness.with_unread_bytes.insert(viewer);
+    harness.protocol.close_viewers();
+    harness.process_outputs();
+    harness.with_unread_bytes.clear();
+    harness.receive(
+        viewer,
+        "{\"verb\":\"NOTICE\",\"tag\":\"0000000000000007\",\"opts\":{}}\n",
+    );
+    assert!(harness.closed.contains(&viewer));
 }
--- a/crates/platform/src/accept.rs
+++ b/crates/platform/src/accept.rs
@@ -4,6 +4,7 @@
 use crate::panics::catch_panic;
 use crate::receive::{Receiver, enable_timestamps};
 use async_io::{Async, Timer};
+use event_listener::EventListener;
 use futures_lite::future;
 use shalewall::Timestamp;
 use shalewall_clock::now;
@@ -17,48 +18,81 @@
 /// Delay after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// Accepts connections for as long as the future is polled.
-pub(crate) async fn accept_viewers(event_loop: Rc<EventLoop>, listener: Async<TcpListener>) {
-    let has_timestamps = enable_timestamps(&listener);
-    // Connections that are accepted next were established after this time.
-    let empty_at = Cell::new(now());
-    loop {
-        let accepted = listener
-            .read_with(|listener| accept(listener, &empty_at))
-            .await
-            .and_then(|(stream, peer)| Ok((Async::new(stream)?, peer)));
-        let (stream, peer) = match accepted {
-            Ok(accepted) => accepted,
+/// Accepts connections until it is told to stop, then accepts those that are established already and closes the
+/// listener: closing it would reset them.
+pub(crate) async fn accept_viewers(
+    event_loop: Rc<EventLoop>,
+    listener: Async<TcpListener>,
+    mut stop: EventListener,
+) {
+    let acceptor = Acceptor::new(event_loop, listener);
+    let accept_all = async {
+        loop {
+            acceptor.accept_next().await;
+        }
+    };
+    future::or(accept_all, async { (&mut stop).await }).await;
+    while let Ok((stream, peer)) = acceptor.accept() {
+        acceptor.serve(stream, peer);
+    }
+}
+
+struct Acceptor {
+    event_loop: Rc<EventLoop>,
+    listener: Async<TcpListener>,
+    has_timestamps: bool,
+    /// Time at which no connection was waiting: those that are accepted next were established later.
+    empty_at: Cell<Timestamp>,
+}
+
+impl Acceptor {
+    fn new(event_loop: Rc<EventLoop>, listener: Async<TcpListener>) -> Acceptor {
+        Acceptor {
+            event_loop,
+            has_timestamps: enable_timestamps(&listener),
+            listener,
+            empty_at: Cell::new(now()),
+        }
+    }
+
+    async fn accept_next(&self) {
+        match self.listener.read_with(|_| self.accept()).await {
+            Ok((stream, peer)) => {
+                self.serve(stream, peer);
+                // Yields after each accepted connection, so that a burst of new ones does not block the open ones.
+                future::yield_now().await;
+            }
             Err(error) => {
                 // Most likely out of file descriptors: open connections continue, and some of them will close.
                 warn!(%error, "accept failed");
                 Timer::after(ACCEPT_RETRY_DELAY).await;
-                continue;
             }
+        }
+    }
+
+    /// Accepts without blocking.
+    fn accept(&self) -> io::Result<(TcpStream, SocketAddr)> {
+        let accepted = self.listener.get_ref().accept();
+        if let Err(error) = &accepted
+            && error.kind() == ErrorKind::WouldBlock
+        {
+            self.empty_at.set(now());
+        }
+        accepted
+    }
+
+    fn serve(&self, stream: TcpStream, peer: SocketAddr) {
+        let Ok(stream) = Async::new(stream) else {
+            return;
         };
-        // Yields after each accepted connection, so that a burst of new ones does not block the open ones.
-        future::yield_now().await;
         let accepted = catch_panic(|| {
-            event_loop.with_protocol(|protocol| protocol.accept_viewer(now(), peer.ip()))
+            self.event_loop
+                .with_protocol(|protocol| protocol.accept_viewer(now(), peer.ip()))
         });
         // `None` means that there is no capacity; dropping the stream closes the connection.
         if let Ok(Some(id)) = accepted {
-            let receiver = Receiver::new(has_timestamps, empty_at.get());
-            event_loop.serve_viewer(id, stream, receiver);
+            let receiver = Receiver::new(self.has_timestamps, self.empty_at.get());
+            self.event_loop.serve_viewer(id, stream, receiver);
         }
     }
 }
-
-/// Accepts without blocking; records when no connection was waiting.
-fn accept(
-    listener: &TcpListener,
-    empty_at: &Cell<Timestamp>,
-) -> io::Result<(TcpStream, SocketAddr)> {
-    let accepted = listener.accept();
-    if let Err(error) = &accepted
-        && error.kind() == ErrorKind::WouldBlock
-    {
-        empty_at.set(now());
-    }
-    accepted
-}
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -7,11 +7,12 @@
 use crate::event_loop::EventLoop;
 use crate::panics::{catch_task_panic, log_panics};
 use crate::reload::Reloader;
-use crate::shutdown::shut_down;
+use crate::shutdown::{AcceptTask, shut_down};
 use crate::state_log::log_state;
 use async_executor::{LocalExecutor, Task};
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
+use event_listener::Event;
 use futures_lite::{StreamExt, future};
 use shalewall_clock::now;
 use shalewall_platform_proto::DirectorProtocol;
@@ -47,10 +48,12 @@
     executor: Rc<LocalExecutor<'static>>,
     event_loop: Rc<EventLoop>,
     reloader: Reloader,
+    /// Taken by the shutdown.
+    accept_task: Option<AcceptTask>,
     shutdown_task: Option<Task<()>>,
     /// Reload for the latest SIGHUP; a new one replaces a reload that is still running.
     reload_task: Option<Task<()>>,
-    _service_tasks: [Task<()>; 4],
+    _service_tasks: [Task<()>; 3],
 }
 
 impl Director {
@@ -70,9 +73,14 @@
                 event_loop.clone(),
                 service_address.clone(),
             )),
-            executor.spawn(accept_viewers(event_loop.clone(), listener)),
             executor.spawn(log_state_until_panic(event_loop.clone())),
         ];
+        let stop = Event::new();
+        let accept = accept_viewers(event_loop.clone(), listener, stop.listen());
+        let accept_task = AcceptTask {
+            task: executor.spawn(accept),
+            stop,
+        };
         let counts = event_loop.with_protocol(|protocol| protocol.connection_counts());
         info!(name = config.name, address = %config.listen, nodes = counts.known_nodes, "listening");
         // The known events are applied; only the other fields are compared with a reloaded file.
@@ -87,6 +95,7 @@
             executor: executor.clone(),
             event_loop,
             reloader,
+            accept_task: Some(accept_task),
             shutdown_task: None,
             reload_task: None,
             _service_tasks: service_tasks,
@@ -118,7 +127,13 @@
     }
 
     fn start_shutdown(&mut self) {
-        let shutdown = shut_down(self.event_loop.clone());
+        // The signal may have been sent while the process did not run.
+        let signalled_at = self.event_loop.unseen_since();
+        let shutdown = shut_down(
+            self.event_loop.clone(),
+            self.accept_task.take(),
+            signalled_at,
+        );
         self.shutdown_task = Some(self.executor.spawn(shutdown));
     }
 
