Reject requests past the limit of connections instead of closing their connections

Callers in a crowd past the limit of connections read the end of the stream and no answer: with 256 descriptors and a node that hangs, 50 of 200 requests, each on its own connection (0 of 85, the platform's share of the viewers). Cause: accept_viewer found nothing to evict, and the driver dropped the accepted socket with its unread request.

Change: up to 16 connections past the limit are accepted in order to reject their requests (cause 34) and close. Past that the director leaves connections in the listener's queue until one of the others has closed. The state log counts them (shed).

every_request_of_a_crowd_is_answered_while_nodes_hang (85 and 200) and requests_past_the_limit_of_connections_are_rejected_and_their_connections_closed fail without the change. Tests that took None from accept_viewer ask can_accept_viewer.

--- a/crates/behavior-digest/src/platform_protocol.rs
+++ b/crates/behavior-digest/src/platform_protocol.rs
@@ -475,9 +475,10 @@
             return;
         }
         let ip = IpAddr::V4(Ipv4Addr::new(10, 9, 0, self.random.below(3) as u8));
-        let opened = self.protocol.accept_viewer(self.timestamp(), ip);
-        self.encoder.bool(opened.is_some());
-        if let Some(conn) = opened {
+        let can_accept = self.protocol.can_accept_viewer(self.timestamp());
+        self.encoder.bool(can_accept);
+        if can_accept {
+            let conn = self.protocol.accept_viewer(self.timestamp(), ip);
             self.register(conn, None, true);
             self.pump();
             self.write(conn);
--- a/crates/cli/tests/lost_requests.rs
+++ b/crates/cli/tests/lost_requests.rs
@@ -268,3 +268,26 @@
     let lost = sent.iter().filter(is_lost).count();
     assert!(sent.len() > 20 && lost == 0, "{lost} of {}", sent.len());
 }
+
+// ---- crowds ---------------------------------------------------------------------------------------
+
+/// The environment grants 256 descriptors; the platform's viewers hold at most a third of them.
+const CROWDS: [u64; 2] = [85, 200];
+
+#[test]
+fn every_request_of_a_crowd_is_answered_while_nodes_hang() {
+    for crowd in CROWDS {
+        let environment = Environment::new();
+        let _director = environment.start_director();
+        let mut viewers = Vec::new();
+        for tag in 100..100 + crowd {
+            let mut viewer = environment.viewer();
+            viewer.request_session(tag);
+            viewers.push(viewer);
+        }
+        let is_unanswered = |viewer: &mut Viewer| !viewer.try_receive().contains("FINISH");
+        let unanswered = viewers.iter_mut().map(is_unanswered).filter(|lost| *lost);
+        let unanswered = unanswered.count();
+        assert_eq!(unanswered, 0, "of {crowd} requests");
+    }
+}
--- a/crates/platform-proto/src/director_protocol/requests.rs
+++ b/crates/platform-proto/src/director_protocol/requests.rs
@@ -39,9 +39,11 @@
         if let Some(server) = request.active_at {
             return self.handle_transfer(viewer, wire_id, server, request);
         }
+        let is_shed = self.viewers.sheds_requests(viewer);
+        self.counters.shed_requests += u32::from(is_shed);
         let is_expired = request.request.deadline <= self.now;
         self.counters.expired_before_read += u32::from(is_expired);
-        if let Some(cause) = self.immediate_answer(wire_id, is_expired) {
+        if let Some(cause) = self.immediate_answer(wire_id, is_expired || is_shed) {
             return self.send_to_viewer(viewer, &ViewerMessage::finish(wire_id, cause));
         }
         if let Some((id, request)) = self.insert_session(viewer, wire_id, request) {
@@ -64,7 +66,7 @@
     }
 
     /// Returns the cause for an answer without consulting the decision module, if there is one.
-    fn immediate_answer(&self, wire_id: HexId, is_expired: bool) -> Option<i64> {
+    fn immediate_answer(&self, wire_id: HexId, must_reject: bool) -> Option<i64> {
         // Ids must not be reused.
         if self.sessions.has_ended(wire_id) {
             return Some(cause::INVALID);
@@ -72,7 +74,7 @@
         let limit = MAX_SESSIONS.min(self.driver_limits.max_open_requests);
         let is_rejected = self.sessions.was_withdrawn(wire_id)
             || self.is_shutting_down
-            || is_expired
+            || must_reject
             || self.sessions.len() >= limit;
         is_rejected.then_some(cause::REJECTED)
     }
--- a/crates/platform-proto/src/director_protocol/viewer_events.rs
+++ b/crates/platform-proto/src/director_protocol/viewer_events.rs
@@ -7,20 +7,35 @@
 use crate::ids::{ConnectionId, ViewerId};
 use crate::log_event::LogEvent;
 use crate::viewer_connection::{LineKind, ReceivedMessage};
-use crate::viewer_connections::Received;
+use crate::viewer_connections::{AcceptCapacity, Received};
 use crate::viewer_message::{Verb, ViewerMessage, cause};
 use shalewall::{SessionId, Timestamp};
 use std::net::IpAddr;
 
 impl DirectorProtocol {
-    /// Accepts a viewer's connection; returns `None` if there is no capacity, and the driver has to close it.
-    pub fn accept_viewer(&mut self, now: Timestamp, address: IpAddr) -> Option<ConnectionId> {
+    /// Whether a viewer's connection can be accepted now. Otherwise it waits in the listener's queue: closing it would
+    /// lose its request.
+    pub fn can_accept_viewer(&mut self, now: Timestamp) -> bool {
         self.now = now;
-        let accepted = self.viewers.accept(address, now)?;
+        match self.viewers.accept_capacity() {
+            AcceptCapacity::Available => true,
+            AcceptCapacity::Exhausted(evict) => {
+                if let Some(unused) = evict {
+                    self.close_viewer_if_no_unread_bytes(unused);
+                }
+                false
+            }
+        }
+    }
+
+    /// Accepts a viewer's connection. Without capacity for it, its requests are rejected.
+    pub fn accept_viewer(&mut self, now: Timestamp, address: IpAddr) -> ConnectionId {
+        self.now = now;
+        let accepted = self.viewers.accept(address, now);
         if let Some(unused) = accepted.evict {
             self.close_viewer_if_no_unread_bytes(unused);
         }
-        Some(accepted.id.into())
+        accepted.id.into()
     }
 
     /// Closes a connection that is not needed, unless its socket has unread bytes.
@@ -48,7 +63,7 @@
             }
             self.process_module_events();
         }
-        if self.viewers.closes_all() {
+        if self.viewers.closes_when_read(id) {
             self.outputs.write(id);
         }
     }
--- a/crates/platform-proto/src/status.rs
+++ b/crates/platform-proto/src/status.rs
@@ -43,6 +43,8 @@
     pub sent_after_withdrawal: u32,
     /// Requests that were rejected because their time was over when they were read.
     pub expired_before_read: u32,
+    /// Requests that were rejected because there was no capacity for their connection.
+    pub shed_requests: u32,
     /// The longest delay between a timer's due time and its execution in this process.
     pub timer_delay: TimeDelta,
 }
@@ -55,6 +57,7 @@
     pub(crate) withdrawn_before_sent: u32,
     pub(crate) sent_after_withdrawal: u32,
     pub(crate) expired_before_read: u32,
+    pub(crate) shed_requests: u32,
     pub(crate) timer_delay: TimeDelta,
 }
 
@@ -93,6 +96,7 @@
             withdrawn_before_sent: counters.withdrawn_before_sent,
             sent_after_withdrawal: counters.sent_after_withdrawal,
             expired_before_read: counters.expired_before_read,
+            shed_requests: counters.shed_requests,
             timer_delay: counters.timer_delay,
         }
     }
--- a/crates/platform-proto/src/viewer_connection.rs
+++ b/crates/platform-proto/src/viewer_connection.rs
@@ -67,6 +67,8 @@
     /// Requests without an answer.
     pending_requests: BTreeSet<SessionId>,
     active_sessions: BTreeSet<SessionId>,
+    /// Whether its requests are rejected, since there was no capacity when it was accepted.
+    sheds_requests: bool,
     opened_at: Timestamp,
     last_received_at: Timestamp,
     has_sent_message: bool,
@@ -81,7 +83,7 @@
 }
 
 impl ViewerConnection {
-    pub(crate) fn new(address: IpAddr, now: Timestamp) -> ViewerConnection {
+    pub(crate) fn new(address: IpAddr, sheds_requests: bool, now: Timestamp) -> ViewerConnection {
         ViewerConnection {
             address,
             decoder: LineDecoder::default(),
@@ -91,6 +93,7 @@
             in_flight: None,
             pending_requests: BTreeSet::new(),
             active_sessions: BTreeSet::new(),
+            sheds_requests,
             opened_at: now,
             last_received_at: now,
             has_sent_message: false,
@@ -279,7 +282,7 @@
             ViewerCloseState::Closed
         } else if self.is_closing() {
             ViewerCloseState::HalfClosed
-        } else if self.close_if_no_unread_bytes {
+        } else if self.close_if_no_unread_bytes || (self.sheds_requests && self.has_sent_message) {
             ViewerCloseState::CloseIfNoUnreadBytes
         } else {
             ViewerCloseState::Open
@@ -298,6 +301,10 @@
             .is_some_and(|since| now - since >= CLOSE_TIMEOUT)
     }
 
+    pub(crate) fn sheds_requests(&self) -> bool {
+        self.sheds_requests
+    }
+
     /// Whether it has no requests, sessions or pending writes, so that it may be evicted for a new connection.
     pub(crate) fn is_unused(&self) -> bool {
         self.pending_requests.is_empty()
--- a/crates/platform-proto/src/viewer_connections.rs
+++ b/crates/platform-proto/src/viewer_connections.rs
@@ -11,7 +11,8 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::IpAddr;
 
-/// Maximum number of connections beyond the limit while the evicted ones still have unread bytes.
+/// Maximum number of connections beyond the limit: those that are accepted only to reject their requests, and evicted ones
+/// with unread bytes.
 const MAX_EXCESS_CONNECTIONS: usize = 16;
 /// Maximum number of releases that are kept for viewers without a connection.
 const MAX_UNDELIVERED_RELEASES: usize = 4096;
@@ -25,6 +26,14 @@
     pub(crate) evict: Option<ViewerId>,
 }
 
+/// Whether another connection can be accepted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum AcceptCapacity {
+    Available,
+    /// Not before another one has closed; this one is to be evicted.
+    Exhausted(Option<ViewerId>),
+}
+
 /// Lines that were not written when a connection closed.
 #[derive(Default)]
 pub(crate) struct UnwrittenLines {
@@ -109,27 +118,30 @@
 
     // ---- opening and closing -----------------------------------------------------------------
 
-    /// Accepts a connection; returns `None` if the limit is reached and no connection can be evicted.
-    pub(crate) fn accept(&mut self, address: IpAddr, now: Timestamp) -> Option<AcceptedViewer> {
-        let evict = if self.connections.len() >= self.max_connections {
-            Some(self.find_evictable()?)
+    pub(crate) fn accept_capacity(&self) -> AcceptCapacity {
+        if self.connections.len() < self.max_connections + MAX_EXCESS_CONNECTIONS {
+            AcceptCapacity::Available
         } else {
-            None
-        };
+            AcceptCapacity::Exhausted(self.find_evictable())
+        }
+    }
+
+    /// Accepts a connection. If the limit is reached and no connection can be evicted, its requests are rejected.
+    pub(crate) fn accept(&mut self, address: IpAddr, now: Timestamp) -> AcceptedViewer {
+        let is_full = self.connections.len() >= self.max_connections;
+        let evict = if is_full { self.find_evictable() } else { None };
         let id = ViewerId(self.next_id);
         self.next_id += 1;
-        let mut connection = ViewerConnection::new(address, now);
+        let sheds_requests = is_full && evict.is_none();
+        let mut connection = ViewerConnection::new(address, sheds_requests, now);
         for bytes in self.take_undelivered(address) {
             connection.enqueue_unbounded(LineKind::Release, bytes);
         }
         self.connections.insert(id, connection);
-        Some(AcceptedViewer { id, evict })
+        AcceptedViewer { id, evict }
     }
 
     fn find_evictable(&self) -> Option<ViewerId> {
-        if self.connections.len() >= self.max_connections + MAX_EXCESS_CONNECTIONS {
-            return None;
-        }
         self.connections
             .iter()
             .filter(|(_, connection)| connection.is_unused())
@@ -180,9 +192,16 @@
         self.connections.keys().copied().collect()
     }
 
-    /// Whether all connections are being closed.
-    pub(crate) fn closes_all(&self) -> bool {
-        self.closes_all
+    /// Whether the connection's requests are rejected, since there is no capacity for it.
+    pub(crate) fn sheds_requests(&self, id: ViewerId) -> bool {
+        self.connections
+            .get(&id)
+            .is_some_and(ViewerConnection::sheds_requests)
+    }
+
+    /// Whether the connection is to be closed once everything is written and its socket has no unread bytes.
+    pub(crate) fn closes_when_read(&self, id: ViewerId) -> bool {
+        self.close_state(id) == Some(ViewerCloseState::CloseIfNoUnreadBytes)
     }
 
     /// Connections whose viewers have not closed their half in time.
--- a/crates/platform-proto/tests/common/mod.rs
+++ b/crates/platform-proto/tests/common/mod.rs
@@ -163,8 +163,7 @@
     pub fn connect_viewer(&mut self) -> ConnectionId {
         let connection = self
             .protocol
-            .accept_viewer(self.now, "10.9.0.1".parse().unwrap())
-            .unwrap();
+            .accept_viewer(self.now, "10.9.0.1".parse().unwrap());
         self.process_outputs();
         // A connection's driver polls at once for bytes to write.
         self.write(connection);
--- a/crates/platform-proto/tests/settings.rs
+++ b/crates/platform-proto/tests/settings.rs
@@ -67,9 +67,7 @@
     fn new(text: &str) -> Recorder {
         let mut protocol =
             DirectorProtocol::new(&Config::parse(text.as_bytes()).unwrap(), START).unwrap();
-        let viewer = protocol
-            .accept_viewer(START, "10.9.0.1".parse().unwrap())
-            .unwrap();
+        let viewer = protocol.accept_viewer(START, "10.9.0.1".parse().unwrap());
         Recorder {
             protocol,
             now: START,
--- a/crates/platform-proto/tests/viewer_connections.rs
+++ b/crates/platform-proto/tests/viewer_connections.rs
@@ -145,12 +145,12 @@
     harness.with_unread_bytes.insert(first);
     let mut others: Vec<ConnectionId> = Vec::new();
     for _ in 0..400 {
-        let Some(connection) = harness
-            .protocol
-            .accept_viewer(harness.now, "10.9.0.2".parse().unwrap())
-        else {
+        if !harness.protocol.can_accept_viewer(harness.now) {
             break;
-        };
+        }
+        let connection = harness
+            .protocol
+            .accept_viewer(harness.now, "10.9.0.2".parse().unwrap());
         harness.process_outputs();
         harness.with_unread_bytes.insert(connection);
         others.push(connection);
@@ -168,12 +168,24 @@
         .iter()
         .for_each(|connection| harness.write(*connection));
     assert!(harness.closed.len() > 10);
-    assert!(
-        harness
-            .protocol
-            .accept_viewer(harness.now, "10.9.0.2".parse().unwrap())
-            .is_some()
-    );
+    assert!(harness.protocol.can_accept_viewer(harness.now));
+}
+
+#[test]
+fn requests_past_the_limit_of_connections_are_rejected_and_their_connections_closed() {
+    let mut harness = Harness::new();
+    let mut answered = 0;
+    for tag in 100..400 {
+        assert!(harness.protocol.can_accept_viewer(harness.now));
+        let viewer = harness.connect_viewer();
+        harness.request(viewer, tag, "free");
+        let is_answered = harness.take_written(viewer).contains("FINISH");
+        assert_eq!(is_answered, harness.closed.contains(&viewer));
+        answered += usize::from(is_answered);
+    }
+    let pending = harness.protocol.session_counts().pending_requests;
+    assert_eq!(pending + answered, 300);
+    assert!(pending > 85, "a third of the descriptors is the viewers'");
 }
 
 // ---- the end of the incoming stream ----------------------------------------------------------
--- a/crates/platform/src/accept.rs
+++ b/crates/platform/src/accept.rs
@@ -17,6 +17,8 @@
 
 /// Delay after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// Interval for checking whether another connection can be accepted.
+const CAPACITY_CHECK_INTERVAL: Duration = Duration::from_millis(2);
 
 /// Accepts connections until it is told to stop, then accepts those that are established already and closes the
 /// listener: closing it would reset them.
@@ -32,7 +34,9 @@
         }
     };
     future::or(accept_all, async { (&mut stop).await }).await;
-    while let Ok((stream, peer)) = acceptor.accept() {
+    while acceptor.has_capacity()
+        && let Ok((stream, peer)) = acceptor.accept()
+    {
         acceptor.serve(stream, peer);
     }
 }
@@ -56,6 +60,10 @@
     }
 
     async fn accept_next(&self) {
+        if !self.has_capacity() {
+            Timer::after(CAPACITY_CHECK_INTERVAL).await;
+            return;
+        }
         match self.listener.read_with(|_| self.accept()).await {
             Ok((stream, peer)) => {
                 self.serve(stream, peer);
@@ -70,6 +78,11 @@
         }
     }
 
+    fn has_capacity(&self) -> bool {
+        self.event_loop
+            .with_protocol(|protocol| protocol.can_accept_viewer(now()))
+    }
+
     /// Accepts without blocking.
     fn accept(&self) -> io::Result<(TcpStream, SocketAddr)> {
         let accepted = self.listener.get_ref().accept();
@@ -89,8 +102,7 @@
             self.event_loop
                 .with_protocol(|protocol| protocol.accept_viewer(now(), peer.ip()))
         });
-        // `None` means that there is no capacity; dropping the stream closes the connection.
-        if let Ok(Some(id)) = accepted {
+        if let Ok(id) = accepted {
             let receiver = Receiver::new(self.has_timestamps, self.empty_at.get());
             self.event_loop.serve_viewer(id, stream, receiver);
         }
--- a/crates/platform/src/state_log.rs
+++ b/crates/platform/src/state_log.rs
@@ -33,6 +33,7 @@
         left = status.withdrawn_before_sent,
         sent_for_left = status.sent_after_withdrawal,
         expired = status.expired_before_read,
+        shed = status.shed_requests,
         late_us = status.timer_delay.as_micros(),
         read_age_us = lateness.oldest_read.as_micros(),
         pause_us = lateness.longest_pause.as_micros(),
