Soak of director processes under faults that overlap in time

The oracle: one whole answer in time to every request that was sent completely, nothing forwarded after its end, only descriptions that a node made, nothing left standing, releases in time, the six rules, no crash.

--- a/crates/test-harness/src/day.rs
+++ b/crates/test-harness/src/day.rs
@@ -2,7 +2,7 @@
 
 use crate::director::Director;
 use crate::faulty_director::{DirectorFault, FaultyDirector};
-use crate::journal::{HostEntry, Journal};
+use crate::journal::{HostEntry, HostList, Journal};
 use crate::node::{Node, NodeBehavior};
 use crate::now;
 use crate::recorder::{Recorder, rules};
@@ -127,7 +127,7 @@
         let (mut directors, mut viewers) = (Vec::new(), Vec::new());
         for number in 0..plan.directors {
             let mut director = Director::new(binary, dir, number, recorder.clone())?;
-            director.start(journal_port, &hosts, plan.directors)?;
+            director.start(journal_port, &HostList::initial(&hosts), plan.directors)?;
             let viewer_relay = faulty_director.as_ref().filter(|_| node_relay.is_none());
             let port = viewer_relay.map_or(Ok(director.port), |faulty_director| {
                 faulty_director.start_relay(director.port)
@@ -197,7 +197,8 @@
             }
             DayEvent::StartDirector(d) => {
                 let directors = self.directors.len() as u32;
-                self.directors[d].start(self.journal.port, &self.hosts, directors)?;
+                let known = HostList::initial(&self.hosts);
+                self.directors[d].start(self.journal.port, &known, directors)?;
                 self.viewers[d].paused.store(false, Ordering::Relaxed);
             }
             DayEvent::SilenceJournal => self.journal.silence(),
--- a/crates/test-harness/src/director.rs
+++ b/crates/test-harness/src/director.rs
@@ -1,8 +1,9 @@
 //! A process of `shalewall direct` that can be started, signalled, killed and restarted.
 
-use crate::journal::HostEntry;
+use crate::journal::{HostEntry, HostList};
 use crate::recorder::Recorder;
 use crate::{free_port, now};
+use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 use shalewall_audit::{Record, Timestamp};
 use std::fs::File;
@@ -16,11 +17,14 @@
 /// Time within which a director has to listen after its start.
 const START_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// The longest time that viewers wait in the usual settings, in milliseconds.
+pub const LONGEST_WAIT_MS: u64 = 1_200;
+
 /// The platform's settings object, with the same parameters as [`crate::recorder::rules`].
-pub fn settings(number: u32, directors: u32) -> Value {
+pub fn settings(number: u32, directors: u32, longest_wait_ms: u64) -> Value {
     json!({ "Balancers": directors, "MyNumber": number, "Categories": [
-        { "Name": "paid", "Effect": "at_most_once", "Target": 500.0, "GiveUp": 1200.0, "Value": 2.0 },
-        { "Name": "free", "Effect": "idempotent", "Target": 400.0, "GiveUp": 1200.0, "Value": 1.0 }],
+        { "Name": "paid", "Effect": "at_most_once", "Target": 500.0, "GiveUp": longest_wait_ms, "Value": 2.0 },
+        { "Name": "free", "Effect": "idempotent", "Target": 400.0, "GiveUp": longest_wait_ms, "Value": 1.0 }],
         "FailureDomains": ["north"], "Shapes": ["small"], "Zone": "north", "WeightSource": "silent", "Step": 1.0,
         "Contract": { "AnswerSlack": 5.0, "ExtraPerRequest": 0.3, "MinExtra": 3.0, "ResendSpan": 10000.0,
             "MustAskIn": 10000.0, "StopSendingWithin": 250.0, "WarmAfter": 4000.0, "StartCapacity": 0.4,
@@ -40,6 +44,8 @@
     pub number: u32,
     /// Port on which it listens.
     pub port: u16,
+    /// The longest time that viewers wait, in milliseconds.
+    pub longest_wait_ms: u64,
     binary: PathBuf,
     dir: PathBuf,
     recorder: Recorder,
@@ -54,6 +60,7 @@
         Ok(Director {
             number,
             port: free_port()?,
+            longest_wait_ms: LONGEST_WAIT_MS,
             binary,
             dir,
             recorder,
@@ -62,17 +69,28 @@
         })
     }
 
-    /// Starts the process and waits until it listens.
-    pub fn start(&mut self, journal: u16, hosts: &[HostEntry], directors: u32) -> io::Result<()> {
-        let members: Vec<Value> = hosts.iter().map(HostEntry::json).collect();
+    /// Writes the configuration file.
+    pub fn write_config(
+        &self,
+        journal: u16,
+        known: &HostList,
+        directors: u32,
+    ) -> io::Result<PathBuf> {
+        let members: Vec<Value> = known.hosts.iter().map(HostEntry::json).collect();
         let config = json!({ "name": format!("n{}", self.number), "listen": format!("127.0.0.1:{}", self.port),
             "seed": format!("{:016x}", 0x8c1f_30d2_7a5b_e964_u64 ^ u64::from(self.number)),
             "limits": { "sockets": 256 }, "journal": format!("127.0.0.1:{journal}"),
-            "known": { "pos": 1, "entries": [{ "pos": 1,
+            "known": { "pos": known.position, "entries": [{ "pos": known.position,
                 "hosts": { "revision": 1, "complete": true, "members": members } }] },
-            "settings": settings(self.number, directors) });
+            "settings": settings(self.number, directors, self.longest_wait_ms) });
         let file = self.dir.join(format!("n{}.json", self.number));
         std::fs::write(&file, config.to_string())?;
+        Ok(file)
+    }
+
+    /// Starts the process and waits until it listens.
+    pub fn start(&mut self, journal: u16, known: &HostList, directors: u32) -> io::Result<()> {
+        let file = self.write_config(journal, known, directors)?;
         let log = File::options()
             .create(true)
             .append(true)
@@ -140,20 +158,30 @@
         let _ = child.wait();
     }
 
+    /// Sends a signal to the process.
+    pub fn signal(&self, signal: Signal) {
+        if let Some(child) = &self.child {
+            let _ = kill_process(Pid::from_child(child), signal);
+        }
+    }
+
     /// Sends SIGTERM. Returns whether the process exited successfully within `timeout`.
     pub fn stop_gracefully(&mut self, timeout: Duration) -> bool {
+        self.signal(Signal::TERM);
+        self.kill_after(Instant::now(), timeout)
+    }
+
+    /// Waits until `timeout` after SIGTERM, then sends SIGKILL. Returns whether the process exited successfully before.
+    pub fn kill_after(&mut self, signalled_at: Instant, timeout: Duration) -> bool {
         let Some(mut child) = self.child.take() else {
             return true;
         };
         self.stopped_at = Some(now());
-        let pid = rustix::process::Pid::from_child(&child);
-        let _ = rustix::process::kill_process(pid, rustix::process::Signal::TERM);
-        let started = Instant::now();
-        while started.elapsed() < timeout {
+        while signalled_at.elapsed() < timeout {
             if let Ok(Some(status)) = child.try_wait() {
                 return status.success();
             }
-            thread::sleep(Duration::from_millis(10));
+            thread::sleep(Duration::from_millis(1));
         }
         let _ = child.kill();
         let _ = child.wait();
--- a/crates/test-harness/src/journal.rs
+++ b/crates/test-harness/src/journal.rs
@@ -19,6 +19,25 @@
 /// withholds count as notified after this time.
 const SILENCE_DETECTION_US: i64 = 4_000_000;
 
+/// The whole list after the change with a sequence number.
+#[derive(Clone, Debug)]
+pub struct HostList {
+    /// Sequence number of the last change.
+    pub position: u64,
+    /// All entries.
+    pub hosts: Vec<HostEntry>,
+}
+
+impl HostList {
+    /// The list before any change.
+    pub fn initial(hosts: &[HostEntry]) -> HostList {
+        HostList {
+            position: 1,
+            hosts: hosts.to_vec(),
+        }
+    }
+}
+
 /// An entry of the list.
 #[derive(Clone, Copy, Debug)]
 pub struct HostEntry {
@@ -104,9 +123,20 @@
     /// Publishes a change, and records it as notified to every director, connected or not. `node_started_us` is the
     /// start time of the node's process, if the change reports one.
     pub fn publish(&self, entry: HostEntry, node_started_us: Option<i64>) {
+        self.publish_reachable(entry, node_started_us, 0);
+    }
+
+    /// Publishes a change that counts as notified at `notified_at` (microseconds) if the service can't be reached before.
+    /// Returns the time at which it counts as notified.
+    pub fn publish_reachable(
+        &self,
+        entry: HostEntry,
+        node_started_us: Option<i64>,
+        notified_at: i64,
+    ) -> i64 {
         // A change on a silent connection counts as notified once the director has to have detected the silence.
         let detected_at = self.inner.silenced_at.load(Ordering::Relaxed) + SILENCE_DETECTION_US;
-        let t = now().max(detected_at);
+        let t = now().max(detected_at).max(notified_at);
         let standing = ["ready", "draining", "gone"][usize::from(entry.state.min(2))].to_string();
         for director in 0..self.directors {
             let (node, standing) = (entry.node.into(), standing.clone());
@@ -123,6 +153,13 @@
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
             .push(entry);
+        t
+    }
+
+    /// Sequence number of the last change.
+    pub fn position(&self) -> u64 {
+        let changes = self.inner.changes.lock();
+        changes.unwrap_or_else(PoisonError::into_inner).len() as u64 + 1
     }
 
     /// Silences the open connections without closing them. New connections work.
--- a/crates/test-harness/src/lib.rs
+++ b/crates/test-harness/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod node;
 pub mod recorder;
 pub mod rtsp;
+pub mod soak;
 pub mod viewer;
 
 use std::net::TcpListener;
--- a/crates/test-harness/src/node.rs
+++ b/crates/test-harness/src/node.rs
@@ -20,6 +20,14 @@
 /// Duration of a session, unless it is ended earlier.
 const SESSION_DURATION_US: std::ops::Range<i64> = 300_000..3_000_000;
 /// Interval of load reports on each session.
+/// Duration of a session whose director has to end it, in microseconds: longer than any test.
+const ENDLESS_US: i64 = 600_000_000;
+/// Pause between the pieces of a response.
+const PIECE_DELAY: Duration = Duration::from_millis(3);
+/// Number of bytes by which a wrong content length differs.
+const LENGTH_ERRORS: std::ops::Range<i64> = 1..40;
+/// A session that no viewer has requested.
+const UNKNOWN_SESSION: u64 = 0xffff_ffff_ffff_fff0;
 const LOAD_REPORT_INTERVAL_US: i64 = 1_000_000;
 /// Number of streams at which a node reports full utilization.
 pub const STREAM_CAPACITY: f64 = 60.0;
@@ -40,6 +48,39 @@
     SendsMalformed,
     /// Closes the connection of every set-up with an even tag.
     ResetsConnections,
+    /// Accepts no connections, and neither reads nor sends anything on open ones.
+    Vanished,
+    /// Sends responses in pieces.
+    SendsPieces,
+    /// Sends some responses with a wrong length, twice, behind a response for another session, or cut off.
+    SpoilsResponses,
+    /// Closes each connection after a response.
+    ClosesEarly,
+}
+
+/// How a response to a set-up is spoilt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Spoiling {
+    TooShort,
+    TooLong,
+    Twice,
+    AfterUnknownSession,
+    CutOff,
+}
+
+impl Spoiling {
+    const ALL: [Spoiling; 5] = [
+        Spoiling::TooShort,
+        Spoiling::TooLong,
+        Spoiling::Twice,
+        Spoiling::AfterUnknownSession,
+        Spoiling::CutOff,
+    ];
+
+    /// Whether the director can't know the session's description from the response.
+    fn hides_description(self) -> bool {
+        !matches!(self, Spoiling::Twice | Spoiling::AfterUnknownSession)
+    }
 }
 
 struct ActiveSession {
@@ -96,6 +137,11 @@
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Tags of the active sessions.
+    pub fn active_sessions(&self) -> Vec<u64> {
+        self.lock().sessions.keys().copied().collect()
+    }
+
     /// Changes the behavior from now on.
     pub fn set_behavior(&self, behavior: NodeBehavior) {
         self.lock().behavior = behavior;
@@ -169,7 +215,9 @@
 
     fn run_process(self: Arc<Node>, listener: &TcpListener, incarnation: u64) {
         while self.lock().incarnation == incarnation {
-            while let Ok((stream, _)) = listener.accept() {
+            while self.lock().behavior != NodeBehavior::Vanished
+                && let Ok((stream, _)) = listener.accept()
+            {
                 let node_handle = self.clone();
                 let _ = stream.set_nonblocking(false);
                 let _ = stream.set_nodelay(true);
@@ -209,7 +257,10 @@
     fn tick(&self) {
         let t = now();
         let mut inner = self.lock();
-        if inner.behavior == NodeBehavior::Unresponsive {
+        if matches!(
+            inner.behavior,
+            NodeBehavior::Unresponsive | NodeBehavior::Vanished
+        ) {
             return;
         }
         let due: Vec<_> = inner
@@ -300,7 +351,14 @@
             .or_default()
             .push(description.clone());
         self.record_set_up_finished(tag, attempt, SetUpOutcome::Playing);
-        let ends_at = now() + self.random_in(SESSION_DURATION_US);
+        let spoiling = (inner.behavior == NodeBehavior::SpoilsResponses && count.is_multiple_of(2))
+            .then(|| Spoiling::ALL[(count / 2) as usize % Spoiling::ALL.len()]);
+        let duration_us = if spoiling.is_some_and(Spoiling::hides_description) {
+            ENDLESS_US
+        } else {
+            self.random_in(SESSION_DURATION_US)
+        };
+        let ends_at = now() + duration_us;
         inner.sessions.insert(
             tag,
             ActiveSession {
@@ -310,7 +368,60 @@
                 last_report: now(),
             },
         );
-        send(inner, connection, &rtsp::response(tag, 200, &description));
+        let response = rtsp::response(tag, 200, &description);
+        match (inner.behavior, spoiling) {
+            (_, Some(spoiling)) => {
+                self.send_spoilt(inner, connection, tag, &description, spoiling);
+            }
+            (NodeBehavior::SendsPieces, _) => {
+                for piece in response.chunks(response.len() / 3 + 1) {
+                    send(inner, connection, piece);
+                    thread::sleep(PIECE_DELAY);
+                }
+            }
+            (NodeBehavior::ClosesEarly, _) => {
+                send(inner, connection, &response);
+                close(inner, connection);
+            }
+            _ => send(inner, connection, &response),
+        }
+    }
+
+    fn send_spoilt(
+        &self,
+        inner: &mut Inner,
+        connection: u64,
+        tag: u64,
+        description: &str,
+        spoiling: Spoiling,
+    ) {
+        let response = rtsp::response(tag, 200, description);
+        let length = description.len() as i64;
+        let error = self.random_in(LENGTH_ERRORS).min(length - 1);
+        match spoiling {
+            Spoiling::TooShort => {
+                let bytes = rtsp::response_of_length(tag, description, length - error);
+                send(inner, connection, &bytes);
+            }
+            Spoiling::TooLong => {
+                let bytes = rtsp::response_of_length(tag, description, length + error);
+                send(inner, connection, &bytes);
+            }
+            Spoiling::Twice => {
+                send(inner, connection, &response);
+                thread::sleep(PIECE_DELAY);
+                send(inner, connection, &response);
+            }
+            Spoiling::AfterUnknownSession => {
+                let unknown = rtsp::response(UNKNOWN_SESSION, 200, description);
+                send(inner, connection, &unknown);
+                send(inner, connection, &response);
+            }
+            Spoiling::CutOff => {
+                send(inner, connection, &response[..response.len() - 4]);
+                close(inner, connection);
+            }
+        }
     }
 
     fn read_messages(&self, mut stream: TcpStream, connection: u64, incarnation: u64) {
@@ -319,6 +430,9 @@
             if n == 0 || self.lock().incarnation != incarnation {
                 break;
             }
+            if self.lock().behavior == NodeBehavior::Vanished {
+                continue; // what arrives now is lost with the machine
+            }
             buffer.extend(&chunk[..n]);
             while let Some(message) = rtsp::parse_message(&mut buffer) {
                 self.handle_message(connection, &message);
@@ -419,9 +533,7 @@
         }
         if inner.behavior == NodeBehavior::ResetsConnections && tag.is_multiple_of(2) {
             self.record_set_up_finished(tag, attempt, SetUpOutcome::Abandoned);
-            if let Some(stream) = inner.connections.remove(&connection) {
-                let _ = stream.shutdown(Shutdown::Both);
-            }
+            close(&mut inner, connection);
             return;
         }
         inner.pending_set_ups.insert(
@@ -431,6 +543,12 @@
     }
 }
 
+fn close(inner: &mut Inner, connection: u64) {
+    if let Some(stream) = inner.connections.remove(&connection) {
+        let _ = stream.shutdown(Shutdown::Both);
+    }
+}
+
 fn send(inner: &mut Inner, connection: u64, bytes: &[u8]) {
     let is_broken = inner
         .connections
--- a/crates/test-harness/src/recorder.rs
+++ b/crates/test-harness/src/recorder.rs
@@ -49,6 +49,8 @@
     pub downtimes: BTreeMap<u32, Vec<(i64, i64)>>,
     /// Requests that were cancelled before a response, and when the cancellation was sent, microseconds.
     pub cancelled: BTreeMap<u64, i64>,
+    /// When set-ups of each session arrived at nodes, microseconds.
+    pub forwarded: BTreeMap<u64, Vec<i64>>,
     /// Start of the day, microseconds.
     pub started_at: i64,
     /// Violations of requirements beyond the six rules.
@@ -79,6 +81,7 @@
     /// Checks that a set-up that arrived at `t` was not forwarded too long after its cancellation.
     pub fn set_up_received(&self, tag: u64, t: i64) {
         let mut inner = self.lock();
+        inner.forwarded.entry(tag).or_default().push(t);
         let delay_us = inner
             .cancelled
             .get(&tag)
--- a/crates/test-harness/src/rtsp.rs
+++ b/crates/test-harness/src/rtsp.rs
@@ -70,6 +70,14 @@
     Some(Message { body, ..message })
 }
 
+/// A positive response to a set-up with a content length that may not be that of its body.
+pub fn response_of_length(tag: u64, body: &str, length: i64) -> Vec<u8> {
+    format!(
+        "RTSP/1.0 200 -\r\nCSeq: 1\r\nSession: {tag:016x}\r\nContent-Length: {length}\r\n\r\n{body}"
+    )
+    .into()
+}
+
 /// A response to a set-up.
 pub fn response(tag: u64, status: u16, body: &str) -> Vec<u8> {
     let length = body.len();
