Take the time at which a socket was empty before the read, not behind it

each_of_several_requests_read_at_once_has_its_own_age failed once: a request whose time was over was forwarded after a pause. Cause: the time at which the socket was last found empty was taken after the read that found it empty. A SIGSTOP between the two made bytes that arrived during the pause look as if they had arrived after it. The same order was in the accept loop and between the two clocks of a time stamp. The times are now taken first, so that a pause makes bytes look older, never younger.

--- a/crates/platform/src/accept.rs
+++ b/crates/platform/src/accept.rs
@@ -85,11 +85,12 @@
 
     /// Accepts without blocking.
     fn accept(&self) -> io::Result<(TcpStream, SocketAddr)> {
+        let started_at = now();
         let accepted = self.listener.get_ref().accept();
         if let Err(error) = &accepted
             && error.kind() == ErrorKind::WouldBlock
         {
-            self.empty_at.set(now());
+            self.empty_at.set(started_at);
         }
         accepted
     }
--- a/crates/platform/src/receive.rs
+++ b/crates/platform/src/receive.rs
@@ -56,6 +56,8 @@
 
     /// Reads without blocking.
     pub fn read(&self, mut stream: &TcpStream, buffer: &mut [u8]) -> io::Result<ReadBytes> {
+        // Taken before the read: the process may be suspended behind it.
+        let started_at = now();
         let result = if self.has_timestamps {
             self.read_with_timestamp(stream, buffer)
         } else {
@@ -67,7 +69,7 @@
         if let Err(error) = &result
             && error.kind() == io::ErrorKind::WouldBlock
         {
-            self.empty_at.set(now());
+            self.empty_at.set(started_at);
         }
         result
     }
@@ -117,9 +119,11 @@
 
 /// Converts a time stamp of the system's clock to the program's clock, which may differ after the former was set.
 fn to_timestamp(time: TimeSpec) -> Option<Timestamp> {
+    // In this order a pause between the two readings makes the bytes look older, not younger.
+    let now = now();
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).ok()?;
     let age = micros(since_epoch) - micros(Duration::from(time));
-    Some(now() - TimeDelta::from_micros(age))
+    Some(now - TimeDelta::from_micros(age))
 }
 
 fn micros(time: Duration) -> i64 {
