Release a session whose answer is cut off by the end of its connection

Cause: releases_after_close took a close by the node as proof that no answer was in flight, also with a part of one in the decoder. Such a close now counts as broken, and the session is released over the next connection. a_session_whose_answer_is_cut_off_by_a_close_is_released fails without the change.

--- a/crates/platform-proto/src/director_protocol/node_lifecycle.rs
+++ b/crates/platform-proto/src/director_protocol/node_lifecycle.rs
@@ -186,7 +186,12 @@
         if self.abort(id) {
             return;
         }
-        let reason = if is_clean {
+        // An answer that is cut off shows that the node may have executed the set-up.
+        let is_cut_off = self
+            .node_connections
+            .get(id)
+            .is_some_and(|connection| connection.has_partial_message());
+        let reason = if is_clean && !is_cut_off {
             CloseReason::ClosedByNode
         } else {
             CloseReason::Broken
--- a/crates/platform-proto/tests/node_connections.rs
+++ b/crates/platform-proto/tests/node_connections.rs
@@ -263,3 +263,19 @@
     harness.advance(800 * MILLISECOND);
     assert!(harness.closed.contains(&node));
 }
+
+#[test]
+fn a_session_whose_answer_is_cut_off_by_a_close_is_released() {
+    for clean in [true, false] {
+        let mut harness = Harness::new();
+        let (_, node) = harness.start_attempt(7, "paid");
+        let answer = set_up_answer(7, "there\r\n");
+        harness.receive(node, &answer[..answer.len() - 3]);
+        harness.close(node, clean);
+        harness.advance(300 * MILLISECOND);
+        let next = harness.connect_next();
+        harness.advance(MILLISECOND);
+        let written = harness.take_written(next);
+        assert!(written.contains("TEARDOWN"), "{clean}: {written}");
+    }
+}
