After a pause, read everything that has arrived before a set-up or a line is written

Cause: sockets are read in any order, and each event is acted on at once.

Change: a read of bytes older than 10 ms, or a late timer at the start of a turn, begins a catch-up of 5 ms (catch_up.rs). Meanwhile no set-up and no line to a viewer is written; what is read then withdraws, redirects or drains as usual, and the held messages are validated again before their first byte.

--- a/crates/clock/src/loop_clock.rs
+++ b/crates/clock/src/loop_clock.rs
@@ -32,11 +32,12 @@
     }
 
     /// Records that the loop has waited for events and begins to handle them. `next_timeout` is the due time of the
-    /// timer for which it waited.
-    pub fn begin_turn(&self, now: Timestamp, next_timeout: Option<Timestamp>) {
+    /// timer for which it waited. Returns whether the process did not run meanwhile.
+    pub fn begin_turn(&self, now: Timestamp, next_timeout: Option<Timestamp>) -> bool {
         let waiting_since = self.turn_ended_at.get();
         let lateness = next_timeout.map_or(TimeDelta::ZERO, |due| now - due.max(waiting_since));
-        let unseen_since = if lateness > LATENESS_TOLERANCE {
+        let was_paused = lateness > LATENESS_TOLERANCE;
+        let unseen_since = if was_paused {
             self.longest_pause
                 .set(self.longest_pause.get().max(lateness));
             waiting_since
@@ -47,6 +48,7 @@
         };
         self.unseen_since.set(unseen_since);
         self.turn_started_at.set(now);
+        was_paused
     }
 
     /// Records that the loop is about to wait for events.
--- a/crates/platform-proto/src/director_protocol/mod.rs
+++ b/crates/platform-proto/src/director_protocol/mod.rs
@@ -25,6 +25,7 @@
 mod viewer_events;
 
 use crate::arrival::Arrival;
+use crate::catch_up::CatchUp;
 use crate::config::Config;
 use crate::half_close::HalfClosedConnections;
 use crate::health_checks::HealthChecks;
@@ -64,6 +65,8 @@
     Reconnect(ServerId),
     /// During a shutdown, the remaining requests are answered.
     FinalAnswers,
+    /// What arrived while the process did not run has been read: held messages are written.
+    CatchUp,
     Maintenance,
 }
 
@@ -82,6 +85,7 @@
     health_checks: HealthChecks,
     nodes: NodeRegistry,
     sessions: SessionTable,
+    catch_up: CatchUp,
     // The decision module, its queued events, and a buffer for its actions that is reused.
     director: Director,
     events: VecDeque<Event>,
@@ -120,6 +124,7 @@
             health_checks: HealthChecks::default(),
             nodes: NodeRegistry::default(),
             sessions: SessionTable::default(),
+            catch_up: CatchUp::default(),
             events: VecDeque::new(),
             actions: Vec::new(),
             timers: Timers::default(),
@@ -149,12 +154,29 @@
         bytes: &[u8],
     ) {
         self.now = now;
+        if CatchUp::is_late(arrival.last_byte, now) {
+            self.begin_catch_up(now);
+        }
         match connection.0 {
             Peer::Viewer(id) => self.handle_viewer_bytes(id, arrival, bytes),
             Peer::Node(id) => self.handle_node_bytes(id, bytes),
         }
     }
 
+    /// Holds set-ups and viewers' lines for a moment, because the process did not run: older events may be unread on
+    /// other sockets.
+    pub fn begin_catch_up(&mut self, now: Timestamp) {
+        self.now = now;
+        let until = self.catch_up.begin(now);
+        self.timers.set(until, Timer::CatchUp);
+    }
+
+    fn finish_catch_up(&mut self) {
+        for connection in self.catch_up.finish(self.now) {
+            self.outputs.write(connection);
+        }
+    }
+
     /// Handles the end of a connection's incoming stream after its last message. Returns whether the connection stays
     /// open for what is still to be written; otherwise the driver has to report it as closed.
     pub fn handle_end_of_stream(&mut self, now: Timestamp, connection: ConnectionId) -> bool {
@@ -201,6 +223,7 @@
             Timer::ContentLength(id) => self.content_length_timed_out(id),
             Timer::Reconnect(server) => self.reconnect(server),
             Timer::FinalAnswers => self.send_final_answers(),
+            Timer::CatchUp => self.finish_catch_up(),
             Timer::Maintenance => {
                 self.set_maintenance_timer();
                 self.maintain();
--- a/crates/platform-proto/src/director_protocol/transmit.rs
+++ b/crates/platform-proto/src/director_protocol/transmit.rs
@@ -31,6 +31,10 @@
     }
 
     fn poll_viewer_transmit(&mut self, id: ViewerId) -> Transmit {
+        self.viewers.finish_write(id);
+        if self.catch_up.hold(id.into()) {
+            return Transmit::Wait;
+        }
         if let Some(bytes) = self.viewers.next_line(id) {
             return Transmit::Bytes(bytes);
         }
@@ -91,7 +95,9 @@
                 InFlight::Release(wire_id),
             ),
             OutgoingMessage::SetUp { session, attempt } => {
-                if self.must_wait_for_cancellation(session, attempt) {
+                if self.must_wait_for_cancellation(session, attempt)
+                    || self.catch_up.hold(id.into())
+                {
                     if let Some(connection) = self.node_connections.get_mut(id) {
                         connection.return_unwritten(message);
                     }
--- a/crates/platform-proto/src/lib.rs
+++ b/crates/platform-proto/src/lib.rs
@@ -22,6 +22,7 @@
 #![deny(missing_docs)]
 
 mod arrival;
+mod catch_up;
 pub mod config;
 mod connection_reasons;
 mod connectivity;
--- a/crates/platform-proto/src/viewer_connection.rs
+++ b/crates/platform-proto/src/viewer_connection.rs
@@ -193,9 +193,13 @@
         self.queue.push_back(QueuedLine { kind, bytes });
     }
 
+    /// Records that the last line has been written.
+    pub(crate) fn finish_write(&mut self) {
+        self.in_flight = None;
+    }
+
     /// Returns the next line to write; the previous one has been written.
     pub(crate) fn next_line(&mut self) -> Option<Vec<u8>> {
-        self.in_flight = None;
         let line = self.queue.pop_front()?;
         self.queued_bytes = self.queued_bytes.saturating_sub(line.bytes.len());
         // Only a release is resent on another connection.
--- a/crates/platform-proto/src/viewer_connections.rs
+++ b/crates/platform-proto/src/viewer_connections.rs
@@ -318,6 +318,13 @@
             .is_some_and(|connection| connection.enqueue(kind, bytes))
     }
 
+    /// Records that the last line has been written.
+    pub(crate) fn finish_write(&mut self, id: ViewerId) {
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.finish_write();
+        }
+    }
+
     pub(crate) fn next_line(&mut self, id: ViewerId) -> Option<Vec<u8>> {
         self.connections.get_mut(&id)?.next_line()
     }
--- a/crates/platform/src/event_loop.rs
+++ b/crates/platform/src/event_loop.rs
@@ -85,10 +85,12 @@
     }
 
     /// Polls a future that runs all tasks, and records the time of each turn.
-    pub async fn record_turns<F: Future>(&self, tasks: F) -> F::Output {
+    pub async fn record_turns<F: Future>(self: &Rc<EventLoop>, tasks: F) -> F::Output {
         let mut tasks = pin!(tasks);
         poll_fn(|context| {
-            self.loop_clock.begin_turn(now(), self.next_timeout());
+            if self.loop_clock.begin_turn(now(), self.next_timeout()) {
+                self.with_protocol(|protocol| protocol.begin_catch_up(now()));
+            }
             let result = tasks.as_mut().poll(context);
             self.loop_clock.end_turn(now());
             result
