--- a/crates/test-harness/src/node.rs
+++ b/crates/test-harness/src/node.rs
@@ -492,6 +492,9 @@
 
     fn set_up(&self, connection: u64, tag: u64, message: &Message) {
         let mut inner = self.lock();
+        if !inner.connections.contains_key(&connection) {
+            return; // The node has closed it, and reads nothing more.
+        }
         let attempt = {
             let mut recorder = self.recorder.lock();
             let count = recorder.attempts.entry(tag).or_default();
--- a/crates/test-harness/src/soak/clients.rs
+++ b/crates/test-harness/src/soak/clients.rs
@@ -146,7 +146,7 @@
         let clients = self.clone();
         thread::spawn(move || {
             let mut rng = ChaCha8Rng::seed_from_u64(seed);
-            while !clients.is_stopped() {
+            while !clients.is_closed() {
                 if clients.may_connect.load(Ordering::Relaxed)
                     && let Some(connection) = Connection::open(&clients)
                 {
@@ -169,6 +169,10 @@
         connections.into_iter().for_each(Connection::close);
     }
 
+    fn is_closed(&self) -> bool {
+        self.close.load(Ordering::Relaxed)
+    }
+
     fn is_stopped(&self) -> bool {
         self.stop.load(Ordering::Relaxed)
     }
@@ -227,11 +231,16 @@
             let is_rejected = matches!(message["rc"].as_i64(), Some(34 | 42 | 102));
             self.record_answer(tag, if is_rejected { 503 } else { 502 });
         } else if was_active {
-            let mut recording = self.recorder.lock();
-            recording.released.entry(tag).or_insert_with(now);
+            self.record_release(tag);
         }
     }
 
+    /// Records that a session is over for its viewer.
+    fn record_release(&self, tag: u64) {
+        let mut recording = self.recorder.lock();
+        recording.released.entry(tag).or_insert_with(now);
+    }
+
     fn record_answer(&self, tag: u64, status: u16) {
         self.recorder.record(Record::RequestAnswered {
             time: Timestamp::from_micros(now()),
@@ -332,7 +341,7 @@
                 }
             }
         }
-        while self.is_open.load(Ordering::Relaxed) && !self.clients.close.load(Ordering::Relaxed) {
+        while self.is_open.load(Ordering::Relaxed) && !self.clients.is_closed() {
             thread::sleep(RECONNECT_DELAY);
         }
         self.close();
@@ -435,6 +444,7 @@
         let ended = self.clients.sessions().pop_first();
         if let Some((tag, _)) = ended {
             self.clients.ledger.end_session(tag);
+            self.clients.record_release(tag);
             self.clients
                 .recorder
                 .session_ended(tag, SessionEnd::Requested);
--- a/crates/test-harness/src/soak/ledger.rs
+++ b/crates/test-harness/src/soak/ledger.rs
@@ -185,7 +185,7 @@
                 Ok(Verdict::Excused) => {
                     findings.excused += 1;
                     recorder.record(Record::RequestCancelled {
-                        time: Timestamp::from_micros(request.sent_at),
+                        time: Timestamp::from_micros(request.deadline),
                         request: *tag,
                     });
                 }
