Decide in one place whether a request may be admitted, forwarded or answered; count violations

The checks before each step stood in requests.rs, attempts.rs and viewer_events.rs. permission.rs now decides them at the moment of the act, each with a typed reason, and the log shows requests by id: rejected, answered, withdrawn, set-ups that are dropped, and closes of viewers' connections with their reason (debug). Where the bytes are written, second answers, requests without an answer on connections that this side closes, and set-ups after the end of their request are counted and logged as an error (rules violated).

--- a/crates/behavior-digest/src/platform_protocol.rs
+++ b/crates/behavior-digest/src/platform_protocol.rs
@@ -435,7 +435,8 @@
         let status = self.protocol.status();
         self.encode_counts(status.sessions, status.connections);
         self.encoder.u64(u64::from(status.withdrawn_before_sent));
-        self.encoder.u64(u64::from(status.sent_after_withdrawal));
+        self.encoder
+            .u64(u64::from(status.violations.forwarded_after_end));
         self.encoder.i64(status.timer_delay.as_micros());
     }
 
--- a/crates/platform-proto/src/director_protocol/attempts.rs
+++ b/crates/platform-proto/src/director_protocol/attempts.rs
@@ -4,7 +4,9 @@
 use crate::HexId;
 use crate::connection_reasons::CloseReason;
 use crate::ids::NodeConnectionId;
+use crate::log_event::LogEvent;
 use crate::node_connection::OutgoingMessage;
+use crate::permission::{self, Answer, DropReason};
 use crate::rtsp::encode::SetUp;
 use crate::rtsp::{RtspMessage, status};
 use crate::session::{ActiveSession, Attempt, SendProgress};
@@ -59,21 +61,20 @@
     /// returns `None` if it must not be sent.
     pub(super) fn encode_set_up(&mut self, id: SessionId, number: u32) -> Option<Vec<u8>> {
         let session = self.sessions.get(id)?;
-        let attempt = *session.attempt()?;
-        if attempt.number != number || attempt.progress != SendProgress::NotStarted {
-            return None;
-        }
-        let time_left_ms = (attempt.expires_at - self.now).as_millis();
-        let is_ready = self.nodes.is_ready(attempt.server);
-        if !session.awaits_answer || !is_ready || time_left_ms <= 0 {
-            self.attempt_interrupted(id, Outcome::NotSent);
-            return None;
-        }
-        // Requests of disconnected viewers do not await an answer, so this counter should stay at 0.
+        let server = session.attempt()?.server;
+        let permission =
+            permission::forward(session, number, self.nodes.is_ready(server), self.now);
+        let time_left_ms = match permission {
+            Ok(time_left_ms) => time_left_ms,
+            Err(reason) => {
+                self.drop_set_up(id, number, reason);
+                return None;
+            }
+        };
         let viewer_left = session
             .viewer
             .is_none_or(|viewer| !self.viewers.contains(viewer));
-        self.counters.sent_after_withdrawal += u32::from(viewer_left);
+        self.counters.violations.forwarded_after_end += u32::from(viewer_left);
         self.sessions.begin_write(id);
         let session = self.sessions.get(id)?;
         let set_up = SetUp {
@@ -87,6 +88,20 @@
         Some(set_up.encode())
     }
 
+    fn drop_set_up(&mut self, id: SessionId, attempt: u32, reason: DropReason) {
+        let Some(session) = self.sessions.get(id).map(|session| session.wire_id) else {
+            return;
+        };
+        self.outputs.log(LogEvent::SetUpDropped {
+            session,
+            attempt,
+            reason,
+        });
+        if reason != DropReason::NotCurrent {
+            self.attempt_interrupted(id, Outcome::NotSent);
+        }
+    }
+
     // ---- end of an attempt -------------------------------------------------------------------
 
     /// Ends an attempt that did not set up a session.
@@ -271,6 +286,7 @@
         if let Some(connection) = self.node_connections.get_mut(attempt.connection) {
             connection.remove_attempt(id);
         }
+        self.record_answer(id, Answer::Served);
         self.mark_answered(id);
         self.session_activated(id, attempt.server);
         self.events.push_back(Event::SessionStarted {
--- a/crates/platform-proto/src/director_protocol/maintenance.rs
+++ b/crates/platform-proto/src/director_protocol/maintenance.rs
@@ -4,6 +4,7 @@
 use crate::connection_reasons::{CloseReason, ConnectReason};
 use crate::ids::NodeConnectionId;
 use crate::node::Reachability;
+use crate::permission::ViewerCloseReason;
 use shalewall::{ServerId, TimeDelta};
 
 const MAINTENANCE_INTERVAL: TimeDelta = TimeDelta::from_millis(250);
@@ -29,7 +30,7 @@
 
     fn maintain_viewers(&mut self) {
         for id in self.viewers.close_timed_out(self.now) {
-            self.close_viewer(id);
+            self.close_viewer(id, ViewerCloseReason::CloseTimeout);
         }
         self.viewers.expire_releases(self.now);
         for id in self.viewers.stale(self.now) {
--- a/crates/platform-proto/src/director_protocol/mod.rs
+++ b/crates/platform-proto/src/director_protocol/mod.rs
@@ -33,6 +33,7 @@
 use crate::node_connections::NodeConnections;
 use crate::node_registry::NodeRegistry;
 use crate::output::{Output, OutputQueue};
+use crate::permission::ViewerCloseReason;
 use crate::session_table::{SessionCounts, SessionTable};
 use crate::status::{ConnectionCounts, Status, StatusCounters};
 use crate::timeouts::Timeouts;
@@ -190,12 +191,13 @@
         }
     }
 
-    /// Handles a connection that the other side closed, or that broke. `is_clean`: it was closed after its last
-    /// message.
+    /// Handles a connection that has ended. `is_clean`: a node closed it after its last message, or this side a viewer's
+    /// after its last line; otherwise it broke.
     pub fn connection_closed(&mut self, now: Timestamp, connection: ConnectionId, is_clean: bool) {
         self.now = now;
         match connection.0 {
-            Peer::Viewer(id) => self.close_viewer(id),
+            Peer::Viewer(id) if is_clean => self.close_viewer(id, ViewerCloseReason::Finished),
+            Peer::Viewer(id) => self.close_viewer(id, ViewerCloseReason::Broken),
             Peer::Node(id) => self.handle_node_closed(id, is_clean),
         }
         self.process_module_events();
--- a/crates/platform-proto/src/director_protocol/requests.rs
+++ b/crates/platform-proto/src/director_protocol/requests.rs
@@ -4,6 +4,8 @@
 use super::DirectorProtocol;
 use crate::HexId;
 use crate::ids::ViewerId;
+use crate::log_event::LogEvent;
+use crate::permission::{self, AdmissionState, Answer, RejectReason};
 use crate::session::{Session, Stage};
 use crate::session_request::{self, SessionRequest};
 use crate::viewer_connection::LineKind;
@@ -39,12 +41,8 @@
         if let Some(server) = request.active_at {
             return self.handle_transfer(viewer, wire_id, server, request);
         }
-        let is_shed = self.viewers.sheds_requests(viewer);
-        self.counters.shed_requests += u32::from(is_shed);
-        let is_expired = request.request.deadline <= self.now;
-        self.counters.expired_before_read += u32::from(is_expired);
-        if let Some(cause) = self.immediate_answer(wire_id, is_expired || is_shed) {
-            return self.send_to_viewer(viewer, &ViewerMessage::finish(wire_id, cause));
+        if let Err(reason) = self.admit(viewer, wire_id, request.request.deadline) {
+            return self.reject_immediately(viewer, wire_id, reason);
         }
         if let Some((id, request)) = self.insert_session(viewer, wire_id, request) {
             self.viewers.add_request(viewer, id);
@@ -65,18 +63,38 @@
         self.send_to_viewer(viewer, &ViewerMessage::finish(wire_id, cause::INVALID));
     }
 
-    /// Returns the cause for an answer without consulting the decision module, if there is one.
-    fn immediate_answer(&self, wire_id: HexId, must_reject: bool) -> Option<i64> {
-        // Ids must not be reused.
-        if self.sessions.has_ended(wire_id) {
-            return Some(cause::INVALID);
-        }
+    /// Decides whether a new request is passed to the decision module.
+    fn admit(
+        &self,
+        viewer: ViewerId,
+        wire_id: HexId,
+        deadline: Timestamp,
+    ) -> Result<(), RejectReason> {
         let limit = MAX_SESSIONS.min(self.driver_limits.max_open_requests);
-        let is_rejected = self.sessions.was_withdrawn(wire_id)
-            || self.is_shutting_down
-            || must_reject
-            || self.sessions.len() >= limit;
-        is_rejected.then_some(cause::REJECTED)
+        let state = AdmissionState {
+            was_used: self.sessions.has_ended(wire_id),
+            was_withdrawn: self.sessions.was_withdrawn(wire_id),
+            is_shutting_down: self.is_shutting_down,
+            sheds_connection: self.viewers.sheds_requests(viewer),
+            is_full: self.sessions.len() >= limit,
+            deadline,
+        };
+        permission::admit(&state, self.now)
+    }
+
+    /// Answers a request that is not passed to the decision module.
+    fn reject_immediately(&mut self, viewer: ViewerId, wire_id: HexId, reason: RejectReason) {
+        match reason {
+            RejectReason::Expired => self.counters.expired_before_read += 1,
+            RejectReason::ConnectionLimit => self.counters.shed_requests += 1,
+            _ => {}
+        }
+        self.outputs.log(LogEvent::RequestRejected {
+            session: wire_id,
+            reason,
+        });
+        let answer = ViewerMessage::finish(wire_id, reason.cause());
+        self.send_to_viewer(viewer, &answer);
     }
 
     /// Rejects a request without consulting the decision module. The transfer of a session gets no answer.
@@ -132,6 +150,9 @@
         if session.awaits_answer {
             let was_sent = session.may_be_executed();
             self.counters.withdrawn_before_sent += u32::from(!was_sent);
+            let session = session.wire_id;
+            self.outputs
+                .log(LogEvent::RequestWithdrawn { session, was_sent });
             self.mark_answered(id);
             self.events.push_back(Event::RequestWithdrawn(id));
         }
@@ -151,6 +172,7 @@
             return;
         }
         let viewer = session.viewer;
+        self.record_answer(id, Answer::Ended(answer.cause.unwrap_or(cause::FAILED)));
         self.mark_answered(id);
         if let Some(viewer) = viewer {
             self.send_to_viewer(viewer, answer);
@@ -180,6 +202,7 @@
         };
         let answer = ViewerMessage::finish(session.wire_id, cause);
         let viewer = session.viewer;
+        self.record_answer(id, Answer::Ended(cause));
         self.withdraw_request(id);
         if let Some(viewer) = viewer {
             self.send_to_viewer(viewer, &answer);
@@ -194,6 +217,17 @@
         }
     }
 
+    /// Records that a request is answered, which may happen only once.
+    pub(super) fn record_answer(&mut self, id: SessionId, answer: Answer) {
+        let Some(session) = self.sessions.get(id) else {
+            return;
+        };
+        self.counters.violations.second_answers += u32::from(!session.awaits_answer);
+        let session = session.wire_id;
+        self.outputs
+            .log(LogEvent::RequestAnswered { session, answer });
+    }
+
     /// Marks a request as answered, or as no longer waiting for an answer.
     pub(super) fn mark_answered(&mut self, id: SessionId) {
         if let Some(viewer) = self.sessions.mark_answered(id) {
--- a/crates/platform-proto/src/director_protocol/viewer_events.rs
+++ b/crates/platform-proto/src/director_protocol/viewer_events.rs
@@ -6,6 +6,7 @@
 use crate::error::ViewerProtocolError;
 use crate::ids::{ConnectionId, ViewerId};
 use crate::log_event::LogEvent;
+use crate::permission::ViewerCloseReason;
 use crate::viewer_connection::{LineKind, ReceivedMessage};
 use crate::viewer_connections::{AcceptCapacity, Received};
 use crate::viewer_message::{Verb, ViewerMessage, cause};
@@ -49,7 +50,9 @@
     pub(super) fn handle_viewer_bytes(&mut self, id: ViewerId, arrival: Arrival, bytes: &[u8]) {
         match self.viewers.receive(id, arrival, bytes, self.now) {
             Received::Ignored => return,
-            Received::TooManyIgnored => return self.close_viewer(id),
+            Received::TooManyIgnored => {
+                return self.close_viewer(id, ViewerCloseReason::KeepsSending);
+            }
             Received::Buffered => {}
         }
         loop {
@@ -182,7 +185,7 @@
             self.outputs.write(id);
             return true;
         }
-        self.close_viewer(id);
+        self.close_viewer(id, ViewerCloseReason::NotReading);
         false
     }
 
@@ -190,7 +193,8 @@
 
     /// Closes a viewer's connection. Sessions with an unwritten answer are released, and unwritten releases are sent on
     /// another connection.
-    pub(super) fn close_viewer(&mut self, id: ViewerId) {
+    pub(super) fn close_viewer(&mut self, id: ViewerId, reason: ViewerCloseReason) {
+        self.record_viewer_closed(id, reason);
         let unwritten = self.viewers.take_unwritten(id);
         self.detach_viewer(id);
         let Some(address) = self.viewers.remove(id) else {
@@ -206,6 +210,21 @@
         self.process_module_events();
     }
 
+    fn record_viewer_closed(&mut self, id: ViewerId, reason: ViewerCloseReason) {
+        if !self.viewers.contains(id) {
+            return;
+        }
+        let unanswered = self.viewers.pending_requests(id).len();
+        if !reason.allows_unanswered() {
+            self.counters.violations.closed_unanswered += unanswered as u32;
+        }
+        self.outputs.log(LogEvent::ViewerConnectionClosed {
+            connection: id.into(),
+            reason,
+            unanswered,
+        });
+    }
+
     /// Withdraws a connection's requests; its active sessions continue without a connection.
     fn detach_viewer(&mut self, id: ViewerId) {
         let Some(detached) = self.viewers.detach_sessions(id) else {
--- a/crates/platform-proto/src/lib.rs
+++ b/crates/platform-proto/src/lib.rs
@@ -11,6 +11,7 @@
 //! - State owners: `viewer_connections`, `node_connections`, `half_close`, `health_checks`, `node_registry` (the
 //!   endpoint watch and its nodes) and `session_table`. They do not depend on each other: each method returns what
 //!   changed, and `director_protocol` passes that on to the other owners.
+//! - `permission` decides whether a request may be admitted, forwarded or answered at the moment of the act.
 //! - The decision module ([`shalewall::Director`]) receives events and returns actions; each message translates to one
 //!   event, and each action to one message.
 //!
@@ -40,6 +41,7 @@
 mod node_connections;
 mod node_registry;
 mod output;
+mod permission;
 mod recent;
 pub mod rtsp;
 mod session;
@@ -59,6 +61,7 @@
 pub use ids::ConnectionId;
 pub use log_event::{LogEvent, NodeName};
 pub use output::{Output, Transmit};
+pub use permission::{Answer, DropReason, RejectReason, RuleViolations, ViewerCloseReason};
 pub use session_table::SessionCounts;
 pub use shalewall_director_config::SettingError;
 pub use status::{ConnectionCounts, Status};
--- a/crates/platform-proto/src/log_event.rs
+++ b/crates/platform-proto/src/log_event.rs
@@ -1,8 +1,10 @@
 //! Events for the log, each with its fields.
 
+use crate::HexId;
 use crate::connection_reasons::{CloseReason, ConnectReason};
 use crate::error::{NodeProtocolError, ViewerProtocolError};
 use crate::ids::ConnectionId;
+use crate::permission::{Answer, DropReason, RejectReason, ViewerCloseReason};
 use shalewall::ServerId;
 use std::fmt;
 
@@ -58,6 +60,45 @@
         /// The rule that it broke.
         error: ViewerProtocolError,
     },
+    /// A request is rejected without consulting the decision module.
+    RequestRejected {
+        /// The session's id.
+        session: HexId,
+        /// Why it is rejected.
+        reason: RejectReason,
+    },
+    /// A request is answered.
+    RequestAnswered {
+        /// The session's id.
+        session: HexId,
+        /// The answer.
+        answer: Answer,
+    },
+    /// A request has ended without an answer: its viewer has withdrawn it, or its connection broke.
+    RequestWithdrawn {
+        /// The session's id.
+        session: HexId,
+        /// Whether a node may have executed it.
+        was_sent: bool,
+    },
+    /// A queued set-up is not written.
+    SetUpDropped {
+        /// The session's id.
+        session: HexId,
+        /// Number of the attempt.
+        attempt: u32,
+        /// Why it must not be sent.
+        reason: DropReason,
+    },
+    /// A viewer's connection is closed.
+    ViewerConnectionClosed {
+        /// The connection.
+        connection: ConnectionId,
+        /// Why it is closed.
+        reason: ViewerCloseReason,
+        /// Number of requests on it that have no answer.
+        unanswered: usize,
+    },
     /// A log message of the decision module.
     Decision(String),
 }
--- a/crates/platform-proto/src/status.rs
+++ b/crates/platform-proto/src/status.rs
@@ -2,6 +2,7 @@
 
 use crate::connection_reasons::{CloseReason, ConnectReason};
 use crate::node_connections::ConnectionTally;
+use crate::permission::RuleViolations;
 use crate::session_table::SessionCounts;
 use shalewall::{Outcome, ServerEstimate, TimeDelta};
 use std::fmt::Debug;
@@ -39,8 +40,8 @@
     pub connections_closed: String,
     /// Requests that were withdrawn before a set-up was written to any node.
     pub withdrawn_before_sent: u32,
-    /// Set-ups that were sent although their viewer had disconnected.
-    pub sent_after_withdrawal: u32,
+    /// Number of times that a rule was broken.
+    pub violations: RuleViolations,
     /// Requests that were rejected because their time was over when they were read.
     pub expired_before_read: u32,
     /// Requests that were rejected because there was no capacity for their connection.
@@ -55,7 +56,7 @@
     /// In the order of first occurrence.
     pub(crate) ended: Vec<(Outcome, u32)>,
     pub(crate) withdrawn_before_sent: u32,
-    pub(crate) sent_after_withdrawal: u32,
+    pub(crate) violations: RuleViolations,
     pub(crate) expired_before_read: u32,
     pub(crate) shed_requests: u32,
     pub(crate) timer_delay: TimeDelta,
@@ -94,7 +95,7 @@
             connections_opened: describe_counts::<ConnectReason>(tally.opened),
             connections_closed: describe_counts::<CloseReason>(tally.closed),
             withdrawn_before_sent: counters.withdrawn_before_sent,
-            sent_after_withdrawal: counters.sent_after_withdrawal,
+            violations: counters.violations,
             expired_before_read: counters.expired_before_read,
             shed_requests: counters.shed_requests,
             timer_delay: counters.timer_delay,
--- a/crates/platform-proto/tests/arrival.rs
+++ b/crates/platform-proto/tests/arrival.rs
@@ -5,7 +5,7 @@
     Harness, MILLISECOND, NODE, counts, endpoint_entry, finish_message, start_message, teardown,
 };
 use shalewall::{EndpointState, TimeDelta, Timestamp};
-use shalewall_platform_proto::{Arrival, ConnectionId};
+use shalewall_platform_proto::{Arrival, ConnectionId, HexId, LogEvent, RejectReason};
 
 /// Time for which set-ups are held after a late read.
 const CATCH_UP_TIME: TimeDelta = TimeDelta::from_millis(5);
@@ -33,6 +33,10 @@
     assert!(harness.node_connections.is_empty());
     assert_eq!(harness.protocol.session_counts(), counts(0, 0));
     assert_eq!(harness.protocol.status().expired_before_read, 1);
+    assert!(harness.log_events.contains(&LogEvent::RequestRejected {
+        session: HexId::from_value(7),
+        reason: RejectReason::Expired,
+    }));
 }
 
 #[test]
--- a/crates/platform-proto/tests/model/checks.rs
+++ b/crates/platform-proto/tests/model/checks.rs
@@ -4,7 +4,7 @@
 use crate::steps::Step;
 use proptest::prelude::*;
 use shalewall_platform_proto::viewer_message::{Verb, ViewerMessage};
-use shalewall_platform_proto::{ConnectionId, HexId};
+use shalewall_platform_proto::{ConnectionId, HexId, RuleViolations};
 
 /// Number of rounds after which nothing may be pending.
 const SETTLE_ROUNDS: usize = 60;
@@ -132,6 +132,8 @@
             self.harness.advance(CONNECT_TIMEOUT);
             self.check()?;
         }
+        let violations = self.harness.protocol.status().violations;
+        prop_assert_eq!(violations, RuleViolations::default());
         let protocol = &self.harness.protocol;
         prop_assert!(self.pending.is_empty(), "no answer to {:?}", self.pending);
         prop_assert_eq!(protocol.session_counts().pending_requests, 0);
--- a/crates/platform-proto/tests/model/mod.rs
+++ b/crates/platform-proto/tests/model/mod.rs
@@ -123,7 +123,11 @@
     fn close_viewer(&mut self, viewer: usize, clean: bool) {
         let viewer = self.viewers.remove(viewer % self.viewers.len());
         self.withdraw_all(viewer);
-        self.harness.close(viewer, clean);
+        if clean {
+            self.harness.end_stream(viewer);
+        } else {
+            self.harness.close(viewer, false);
+        }
         self.apply(&Step::ViewerConnects);
     }
 
--- a/crates/platform/src/protocol_log.rs
+++ b/crates/platform/src/protocol_log.rs
@@ -23,6 +23,25 @@
         LogEvent::ViewerProtocolViolated { connection, error } => {
             debug!(?connection, %error, "viewer protocol violated");
         }
+        LogEvent::RequestRejected { session, reason } => {
+            debug!(%session, ?reason, "request rejected");
+        }
+        LogEvent::RequestAnswered { session, answer } => {
+            debug!(%session, ?answer, "request answered");
+        }
+        LogEvent::RequestWithdrawn { session, was_sent } => {
+            debug!(%session, was_sent, "request withdrawn");
+        }
+        LogEvent::SetUpDropped {
+            session,
+            attempt,
+            reason,
+        } => debug!(%session, attempt, ?reason, "set-up dropped"),
+        LogEvent::ViewerConnectionClosed {
+            connection,
+            reason,
+            unanswered,
+        } => debug!(?connection, ?reason, unanswered, "viewer connection closed"),
         LogEvent::Decision(text) => debug!(text, "decision"),
     }
 }
--- a/crates/platform/src/state_log.rs
+++ b/crates/platform/src/state_log.rs
@@ -2,10 +2,10 @@
 
 use crate::event_loop::{EventLoop, Lateness};
 use async_io::Timer;
-use shalewall_platform_proto::{DirectorProtocol, Status};
+use shalewall_platform_proto::{DirectorProtocol, RuleViolations, Status};
 use std::rc::Rc;
 use std::time::Duration;
-use tracing::info;
+use tracing::{error, info};
 
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 const PAGE_KB: u64 = 4;
@@ -15,10 +15,23 @@
     loop {
         Timer::after(LOG_INTERVAL).await;
         let status = event_loop.with_protocol(DirectorProtocol::status);
+        log_violations(&status.violations);
         log_status(&status, &event_loop.take_lateness());
     }
 }
 
+/// Logs broken rules, which are faults of this program.
+fn log_violations(violations: &RuleViolations) {
+    if violations.total() > 0 {
+        error!(
+            second_answers = violations.second_answers,
+            closed_unanswered = violations.closed_unanswered,
+            forwarded_after_end = violations.forwarded_after_end,
+            "rules violated"
+        );
+    }
+}
+
 fn log_status(status: &Status, lateness: &Lateness) {
     info!(
         waiting = status.sessions.pending_requests,
@@ -31,7 +44,8 @@
         opened = status.connections_opened,
         lost = status.connections_closed,
         left = status.withdrawn_before_sent,
-        sent_for_left = status.sent_after_withdrawal,
+        sent_for_left = status.violations.forwarded_after_end,
+        violations = status.violations.total(),
         expired = status.expired_before_read,
         shed = status.shed_requests,
         late_us = status.timer_delay.as_micros(),
--- a/crates/test-harness/src/soak/clients.rs
+++ b/crates/test-harness/src/soak/clients.rs
@@ -367,21 +367,22 @@
     fn request_with(&self, left_ms: i64, write: impl FnOnce(&str) -> bool) -> Option<u64> {
         let tag = self.clients.next_tag();
         let line = start_line(tag, left_ms, "");
-        self.clients
+        let sent_at = self
+            .clients
             .ledger
             .send(tag, self.clients.director, self.id, left_ms);
         if !write(&line) {
             self.clients.ledger.forget(tag);
             return None;
         }
-        self.record_request(tag, left_ms);
+        self.record_request(tag, sent_at, left_ms);
         Some(tag)
     }
 
-    fn record_request(&self, tag: u64, left_ms: i64) {
+    fn record_request(&self, tag: u64, sent_at: i64, left_ms: i64) {
         let (class, title) = class_and_title(tag);
         self.clients.recorder.record(Record::RequestSent {
-            time: Timestamp::from_micros(now()),
+            time: Timestamp::from_micros(sent_at),
             director: self.clients.director,
             request: tag,
             key: format!("{tag:016x}"),
@@ -407,11 +408,12 @@
             return;
         }
         thread::sleep(Duration::from_millis(rng.random_range(1..60)));
-        self.clients
+        let sent_at = self
+            .clients
             .ledger
             .send(tag, self.clients.director, self.id, left_ms);
         if self.write(end) {
-            self.record_request(tag, left_ms);
+            self.record_request(tag, sent_at, left_ms);
         } else {
             self.clients.ledger.forget(tag);
         }
--- a/crates/test-harness/src/soak/ledger.rs
+++ b/crates/test-harness/src/soak/ledger.rs
@@ -96,8 +96,8 @@
         self.lock().closed.entry(connection).or_insert((now(), by));
     }
 
-    /// Registers a request that is about to be written completely.
-    pub fn send(&self, tag: u64, director: u32, connection: u64, left_ms: i64) {
+    /// Registers a request that is about to be written completely; returns the time, in microseconds.
+    pub fn send(&self, tag: u64, director: u32, connection: u64, left_ms: i64) -> i64 {
         let sent_at = now();
         let request = Request {
             director,
@@ -109,6 +109,7 @@
             session_ended_at: None,
         };
         self.lock().requests.insert(tag, request);
+        sent_at
     }
 
     /// Removes a request that was not written completely.
--- a/crates/test-harness/src/soak/mod.rs
+++ b/crates/test-harness/src/soak/mod.rs
@@ -56,7 +56,7 @@
     pub findings: Findings,
     /// Violations of the six rules, and of further requirements.
     pub violations: Vec<String>,
-    /// Directors that exited without a signal, or with a panic in their log.
+    /// Directors that exited without a signal, or with a panic or a violation of a rule in their log.
     pub crashes: Vec<String>,
     /// The faults that were injected, in order, each with its time.
     pub timeline: Vec<String>,
@@ -231,6 +231,9 @@
         if !director.is_running() {
             crashes.push(format!("director {} is not running", director.number));
         }
+        if log.contains("rules violated") {
+            crashes.push(format!("director {} counted violations", director.number));
+        }
         if log.contains("panicked") {
             crashes.push(format!("director {} panicked", director.number));
         }
