--- a/crates/test-harness/src/soak/faults.rs
+++ b/crates/test-harness/src/soak/faults.rs
@@ -141,15 +141,15 @@
         self.world.ledger.pause(self.director.number, from);
     }
 
-    /// New configurations in quick succession.
+    /// New configurations in quick succession, which move the director to another address of the service.
     fn reload(&mut self) {
         self.record("SIGHUP");
-        let known = self.world.known();
         let directors = self.world.plan.directors;
         for _ in 0..self.rng.random_range(1..4) {
-            let _ = self
-                .director
-                .write_config(self.world.journal.port, &known, directors);
+            let journal = &self.world.journal;
+            let port = [journal.port, journal.other_port][self.rng.random_range(0..2)];
+            let known = self.world.known();
+            let _ = self.director.write_config(port, &known, directors);
             self.director.signal(Signal::HUP);
             pause(&mut self.rng, 10..200);
         }
--- a/crates/test-harness/src/soak/ledger.rs
+++ b/crates/test-harness/src/soak/ledger.rs
@@ -91,9 +91,18 @@
         inner.next_connection
     }
 
-    /// Records the end of a connection; the first record counts.
+    /// Records the end of a connection; the first record counts. A client that closes it withdraws its requests.
     pub fn close_connection(&self, connection: u64, by: ClosedBy) {
-        self.lock().closed.entry(connection).or_insert((now(), by));
+        let mut inner = self.lock();
+        let (at, by) = *inner.closed.entry(connection).or_insert((now(), by));
+        if by == ClosedBy::Client {
+            let requests = inner.requests.values_mut();
+            let own = requests.filter(|request| request.connection == connection);
+            own.filter(|request| request.answers.is_empty())
+                .for_each(|request| {
+                    request.withdrawn_at.get_or_insert(at);
+                });
+        }
     }
 
     /// Registers a request that is about to be written completely; returns the time, in microseconds.
