--- a/crates/cli/tests/lost_requests.rs
+++ b/crates/cli/tests/lost_requests.rs
@@ -70,16 +70,22 @@
     lines.iter().filter(is_answer).count()
 }
 
+/// A director that is suspended after its viewer's connection is established.
+fn suspended_director(environment: &Environment) -> (Director, Viewer) {
+    let director = environment.start_director();
+    let mut viewer = environment.viewer();
+    echo(&mut viewer);
+    director.signal(Signal::STOP);
+    (director, viewer)
+}
+
 // ---- age ---------------------------------------------------------------------------------------
 
 #[test]
 fn request_whose_time_is_over_when_it_is_read_is_not_forwarded() {
     let mut environment = Environment::new();
     environment.wait_ms = 300;
-    let director = environment.start_director();
-    let mut viewer = environment.viewer();
-    echo(&mut viewer);
-    director.signal(Signal::STOP);
+    let (director, mut viewer) = suspended_director(&environment);
     viewer.request_session(7);
     std::thread::sleep(PAUSE);
     director.signal(Signal::CONT);
@@ -92,10 +98,7 @@
 fn each_of_several_requests_read_at_once_has_its_own_age() {
     let mut environment = Environment::new();
     environment.wait_ms = 300;
-    let director = environment.start_director();
-    let mut viewer = environment.viewer();
-    echo(&mut viewer);
-    director.signal(Signal::STOP);
+    let (director, mut viewer) = suspended_director(&environment);
     viewer.request_session(7);
     std::thread::sleep(PAUSE);
     viewer.request_session(8);
@@ -108,10 +111,7 @@
 #[test]
 fn time_left_at_the_node_counts_from_the_sending_of_the_request() {
     let environment = Environment::new();
-    let director = environment.start_director();
-    let mut viewer = environment.viewer();
-    echo(&mut viewer);
-    director.signal(Signal::STOP);
+    let (director, mut viewer) = suspended_director(&environment);
     viewer.request_session(7);
     let sent_at = Instant::now();
     std::thread::sleep(PAUSE);
--- a/crates/platform-proto/src/lib.rs
+++ b/crates/platform-proto/src/lib.rs
@@ -49,6 +49,7 @@
 mod session_table;
 mod status;
 mod timeouts;
+mod undelivered_releases;
 mod verb;
 mod viewer_connection;
 mod viewer_connections;
--- a/crates/platform-proto/src/viewer_connections.rs
+++ b/crates/platform-proto/src/viewer_connections.rs
@@ -4,21 +4,17 @@
 use crate::arrival::Arrival;
 use crate::error::ViewerProtocolError;
 use crate::ids::ViewerId;
+use crate::undelivered_releases::UndeliveredReleases;
 use crate::viewer_connection::{
     LineKind, QueuedLine, ReceivedMessage, ViewerCloseState, ViewerConnection,
 };
-use shalewall::{SessionId, TimeDelta, Timestamp};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use shalewall::{SessionId, Timestamp};
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::IpAddr;
 
 /// Maximum number of connections beyond the limit: those that are accepted only to reject their requests, and evicted ones
 /// with unread bytes.
 const MAX_EXCESS_CONNECTIONS: usize = 16;
-/// Maximum number of releases that are kept for viewers without a connection.
-const MAX_UNDELIVERED_RELEASES: usize = 4096;
-/// Time for which such a release is kept: a later one is useless to the viewer.
-const UNDELIVERED_RELEASE_TIMEOUT: TimeDelta = TimeDelta::from_secs(8);
-
 /// A connection that was accepted.
 pub(crate) struct AcceptedViewer {
     pub(crate) id: ViewerId,
@@ -79,12 +75,6 @@
     TooManyIgnored,
 }
 
-struct UndeliveredRelease {
-    expires_at: Timestamp,
-    address: IpAddr,
-    bytes: Vec<u8>,
-}
-
 #[derive(Default)]
 pub(crate) struct ViewerConnections {
     connections: BTreeMap<ViewerId, ViewerConnection>,
@@ -92,8 +82,7 @@
     max_connections: usize,
     /// Whether every connection is to be closed once its socket has no unread bytes.
     closes_all: bool,
-    /// In the order in which they were to be sent.
-    undelivered_releases: VecDeque<UndeliveredRelease>,
+    undelivered_releases: UndeliveredReleases,
 }
 
 impl ViewerConnections {
@@ -134,7 +123,7 @@
         self.next_id += 1;
         let sheds_requests = is_full && evict.is_none();
         let mut connection = ViewerConnection::new(address, sheds_requests, now);
-        for bytes in self.take_undelivered(address) {
+        for bytes in self.undelivered_releases.take(address) {
             connection.enqueue_unbounded(LineKind::Release, bytes);
         }
         self.connections.insert(id, connection);
@@ -378,34 +367,11 @@
 
     /// Keeps a release for the viewer's next connection.
     pub(crate) fn keep_release(&mut self, address: IpAddr, bytes: Vec<u8>, now: Timestamp) {
-        if self.undelivered_releases.len() >= MAX_UNDELIVERED_RELEASES {
-            self.undelivered_releases.pop_front();
-        }
-        self.undelivered_releases.push_back(UndeliveredRelease {
-            expires_at: now + UNDELIVERED_RELEASE_TIMEOUT,
-            address,
-            bytes,
-        });
+        self.undelivered_releases.keep(address, bytes, now);
     }
 
     /// Removes expired releases.
     pub(crate) fn expire_releases(&mut self, now: Timestamp) {
-        while let Some(release) = self.undelivered_releases.front()
-            && release.expires_at <= now
-        {
-            self.undelivered_releases.pop_front();
-        }
-    }
-
-    fn take_undelivered(&mut self, address: IpAddr) -> Vec<Vec<u8>> {
-        let mut taken = Vec::new();
-        self.undelivered_releases.retain_mut(|release| {
-            let is_for_another = release.address != address;
-            if !is_for_another {
-                taken.push(std::mem::take(&mut release.bytes));
-            }
-            is_for_another
-        });
-        taken
+        self.undelivered_releases.expire(now);
     }
 }
--- a/crates/test-harness/src/node.rs
+++ b/crates/test-harness/src/node.rs
@@ -430,12 +430,13 @@
             if n == 0 || self.lock().incarnation != incarnation {
                 break;
             }
-            if self.lock().behavior == NodeBehavior::Vanished {
-                continue; // what arrives now is lost with the machine
-            }
             buffer.extend(&chunk[..n]);
             while let Some(message) = rtsp::parse_message(&mut buffer) {
-                self.handle_message(connection, &message);
+                // What arrives at a machine that has vanished has no effect, but the director has given up what it ends.
+                let has_vanished = self.lock().behavior == NodeBehavior::Vanished;
+                if !has_vanished || message.method() == "TEARDOWN" {
+                    self.handle_message(connection, &message);
+                }
             }
         }
         let mut inner = self.lock();
--- a/crates/test-harness/src/recorder.rs
+++ b/crates/test-harness/src/recorder.rs
@@ -139,11 +139,12 @@
 
 /// Corrects the order of events at two nodes, which may be recorded in another order than the director caused them. An
 /// abandoned set-up counts as ended one transit tolerance earlier, but not before it arrived. One that was abandoned
-/// within the tolerance also counts as arrived earlier, but not before its request was sent: its node may have read it
-/// only after the director had closed its connection and sent the next attempt to another node.
+/// within the tolerance, and arrived while another attempt was open, counts as arrived and ended just before that one:
+/// its node may have read it only after the director had closed its connection and sent the next attempt.
 fn correct_abandoned_set_ups(records: &mut [Record]) {
+    let tolerance = TimeDelta::from_micros(TRANSIT_US);
     let arrivals: BTreeMap<(u64, u32), Timestamp> = records.iter().filter_map(arrival).collect();
-    let sent: BTreeMap<u64, Timestamp> = records.iter().filter_map(request_time).collect();
+    let ends: BTreeMap<(u64, u32), Timestamp> = records.iter().filter_map(end).collect();
     let mut corrected = BTreeMap::new();
     for record in records.iter_mut() {
         let Record::SetUpFinished {
@@ -156,17 +157,23 @@
         else {
             continue;
         };
-        let tolerance = TimeDelta::from_micros(TRANSIT_US);
-        let arrived = arrivals
-            .get(&(*session, *attempt))
-            .copied()
-            .unwrap_or(*time);
-        if *time - arrived < tolerance {
-            let earliest = sent.get(session).copied().unwrap_or(arrived).min(arrived);
-            *time = (arrived - tolerance).max(earliest);
-            corrected.insert((*session, *attempt), *time);
-        } else {
-            *time = (*time - tolerance).max(arrived);
+        let own = (*session, *attempt);
+        let arrived = arrivals.get(&own).copied().unwrap_or(*time);
+        let is_open = |other: &(u64, u32), since: Timestamp| {
+            let ended_at = ends.get(other).copied().unwrap_or(Timestamp::MAX);
+            *other != own && since <= arrived && arrived < ended_at
+        };
+        let first_open = arrivals
+            .range((*session, 0)..=(*session, u32::MAX))
+            .filter(|(other, since)| is_open(other, **since))
+            .map(|(_, since)| *since)
+            .min();
+        match first_open {
+            Some(since) if *time - since < tolerance => {
+                *time = since - TimeDelta::from_micros(1);
+                corrected.insert(own, *time);
+            }
+            _ => *time = (*time - tolerance).max(arrived),
         }
     }
     for record in records {
@@ -183,9 +190,14 @@
     }
 }
 
-fn request_time(record: &Record) -> Option<(u64, Timestamp)> {
+fn end(record: &Record) -> Option<((u64, u32), Timestamp)> {
     match record {
-        Record::RequestSent { time, request, .. } => Some((*request, *time)),
+        Record::SetUpFinished {
+            time,
+            session,
+            attempt,
+            ..
+        } => Some(((*session, *attempt), *time)),
         _ => None,
     }
 }
--- a/crates/test-harness/src/soak/ledger.rs
+++ b/crates/test-harness/src/soak/ledger.rs
@@ -236,8 +236,14 @@
             return Err(format!("{} answers", request.answers.len()));
         }
         if let Some((at, _)) = request.answers.first() {
+            if request
+                .withdrawn_at
+                .is_some_and(|withdrawn| withdrawn <= *at)
+            {
+                return Ok(Verdict::Excused);
+            }
             let lateness = at - request.deadline - self.paused_after(request) - TRANSIT_US;
-            return if lateness <= ANSWER_SLACK_US || request.withdrawn_at.is_some() {
+            return if lateness <= ANSWER_SLACK_US {
                 Ok(Verdict::Answered)
             } else {
                 Err(format!("answered {} ms too late", lateness / 1000))
