Review case 7: requests taken back push a cold media node over

Added: case 7. Set-ups whose session has ended are not counted against a warming media node's limit, so that hundreds of requests that are taken back at once reach it.

--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -3,6 +3,7 @@
 
 mod flood;
 mod platform;
+mod taken_back;
 
 use platform::Record;
 use std::path::{Path, PathBuf};
@@ -40,6 +41,7 @@
     });
     let verdict = match name.as_str() {
         "flood" => flood::run(&case),
+        "taken_back" => taken_back::run(&case),
         _ => Err(format!("no case {name}")),
     };
     let status = match verdict {
