Review case 8: a refused connection ends sessions that stand

Added: case 8. A media node closes its idle connections and refuses new ones for 2 s. The director takes the first refusal as proof that the process is gone.

--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -1,6 +1,7 @@
 //! The cases of the second review: `review-case NAME ROOT FOLDER RECORD`. The exit status is 1 if the rule was broken, 0
 //! if it held, and 2 if the case could not run.
 
+mod at_limit;
 mod flood;
 mod platform;
 mod taken_back;
@@ -40,6 +41,7 @@
         std::process::exit(2);
     });
     let verdict = match name.as_str() {
+        "at_limit" => at_limit::run(&case),
         "flood" => flood::run(&case),
         "taken_back" => taken_back::run(&case),
         _ => Err(format!("no case {name}")),
