--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -5,6 +5,7 @@
 mod flood;
 mod platform;
 mod taken_back;
+mod told_late;
 
 use platform::Record;
 use std::path::{Path, PathBuf};
@@ -43,6 +44,7 @@
     let verdict = match name.as_str() {
         "at_limit" => at_limit::run(&case),
         "flood" => flood::run(&case),
+        "told_late" => told_late::run(&case),
         "taken_back" => taken_back::run(&case),
         _ => Err(format!("no case {name}")),
     };
