Review case 10: requests read late widen the budget of retries

Added: case 10. Requests that arrived while the director stood still count for the budget from when they are read.

--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -4,6 +4,7 @@
 mod at_limit;
 mod flood;
 mod platform;
+mod ration;
 mod taken_back;
 mod told_late;
 
@@ -44,6 +45,7 @@
     let verdict = match name.as_str() {
         "at_limit" => at_limit::run(&case),
         "flood" => flood::run(&case),
+        "ration" => ration::run(&case),
         "told_late" => told_late::run(&case),
         "taken_back" => taken_back::run(&case),
         _ => Err(format!("no case {name}")),
