Review case 9: a shortened description is passed on as served

Added: case 9. A media node's answer whose Content-Length is too small by its last line is accepted before that line arrives.

--- a/review/standin-2/src/flood.rs
+++ b/review/standin-2/src/flood.rs
@@ -47,7 +47,7 @@
 }
 
 pub fn run(case: &Case) -> Result<Vec<String>, String> {
-    let count = 8;
+    let count = 16;
     let site = Site::small();
     let manner = Manner {
         answer_after_ms: 20,
@@ -55,6 +55,7 @@
         frozen: false,
         others_ask: 0.0,
         streams: 40,
+        spoils_one_in: 0,
     };
     let nodes: Vec<_> = (0..12)
         .map(|n| Node::start(&case.rec, 0x1000 + n, n as u16, manner))
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -5,8 +5,8 @@
 mod flood;
 mod platform;
 mod ration;
+mod short_length;
 mod taken_back;
-mod told_late;
 
 use platform::Record;
 use std::path::{Path, PathBuf};
@@ -46,7 +46,7 @@
         "at_limit" => at_limit::run(&case),
         "flood" => flood::run(&case),
         "ration" => ration::run(&case),
-        "told_late" => told_late::run(&case),
+        "short_length" => short_length::run(&case),
         "taken_back" => taken_back::run(&case),
         _ => Err(format!("no case {name}")),
     };
--- a/review/standin-2/src/platform.rs
+++ b/review/standin-2/src/platform.rs
@@ -256,6 +256,9 @@
     pub others_ask: f64,
     /// Streams that it runs at most; further set-ups are refused as full.
     pub streams: usize,
+    /// One in so many good answers is spoilt: its length is too small by its last line, and that line comes 5 ms after
+    /// the others. 0: none.
+    pub spoils_one_in: usize,
 }
 
 /// A session that stands at a media node.
@@ -274,6 +277,8 @@
     /// Its connections are all in use by others: it has closed its idle ones and refuses further ones.
     is_full: bool,
     set_ups: Vec<SetUp>,
+    /// The descriptions that it made, by session.
+    descriptions: HashMap<String, String>,
 }
 
 /// A set-up that reached a media node whole.
@@ -377,6 +382,16 @@
         self.state.lock().unwrap().set_ups.clone()
     }
 
+    /// The description that it made for a session.
+    pub fn description(&self, session: &str) -> Option<String> {
+        self.state
+            .lock()
+            .unwrap()
+            .descriptions
+            .get(session)
+            .cloned()
+    }
+
     pub fn stands(&self, session: &str) -> bool {
         self.state.lock().unwrap().standing.contains_key(session)
     }
@@ -570,14 +585,32 @@
         state.standing.insert(session.clone(), standing);
         drop(state);
         let report = self.report();
-        let body = format!("{}node {}\r\n", body, self.name());
-        send(
-            &writer,
-            &format!(
-                "RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: {session}\r\nP-Report: {report}\r\nContent-Length: {}\r\n\r\n{body}",
-                body.len()
-            ),
+        let last_line = format!("a=node:{}\r\n", self.name());
+        let count = {
+            let mut state = self.state.lock().unwrap();
+            state
+                .descriptions
+                .insert(session.clone(), format!("{body}{last_line}"));
+            state.descriptions.len()
+        };
+        let is_spoilt = manner.spoils_one_in > 0 && count % manner.spoils_one_in == 0;
+        let length = body.len() + if is_spoilt { 0 } else { last_line.len() };
+        let head = format!(
+            "RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: {session}\r\nP-Report: {report}\r\nContent-Length: {length}\r\n\r\n"
         );
+        if is_spoilt {
+            self.rec.say(format!(
+                "{}: the answer to {session} is spoilt: Content-Length {length}, {} bytes follow",
+                self.name(),
+                body.len() + last_line.len()
+            ));
+            let mut stream = writer.lock().unwrap();
+            let _ = stream.write_all(format!("{head}{body}").as_bytes());
+            sleep_ms(5);
+            let _ = stream.write_all(last_line.as_bytes());
+        } else {
+            send(&writer, &format!("{head}{body}{last_line}"));
+        }
         sleep_ms(manner.session_ms);
         let mut state = self.state.lock().unwrap();
         if state.life != life {
@@ -654,6 +687,7 @@
 /// A line that a director sent to a viewer.
 #[derive(Clone, Debug)]
 pub struct Heard {
+    pub description: Option<String>,
     pub at: Instant,
     pub verb: String,
     pub tag: String,
@@ -680,7 +714,9 @@
         thread::spawn(move || {
             for line in reader.lines() {
                 let Ok(line) = line else { break };
+                let description = line.contains("\"blob\"").then(|| text(&line, "blob"));
                 let said = Heard {
+                    description,
                     at: Instant::now(),
                     verb: text(&line, "verb"),
                     tag: text(&line, "tag"),
--- a/review/standin-2/src/ration.rs
+++ b/review/standin-2/src/ration.rs
@@ -16,6 +16,7 @@
         frozen: false,
         others_ask: 0.0,
         streams: site.streams,
+        spoils_one_in: 0,
     };
     let nodes: Vec<_> = (0..12)
         .map(|n| Node::start(&case.rec, 0x1000 + n, n as u16, manner))
