--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -4,7 +4,7 @@
 root=$(cd "$here/../.." && pwd) || exit 2
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
-"$root/review/standin-2/target/release/review-case" flood "$root" "$folder" "$here/record.txt"
+"$root/review/standin-2/target/release/review-case" handed_over "$root" "$folder" "$here/record.txt"
 status=$?
 [ "$status" -le 1 ] || exit 2
 exit "$status"
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -3,6 +3,7 @@
 
 mod at_limit;
 mod flood;
+mod handed_over;
 mod platform;
 mod ration;
 mod short_length;
@@ -44,6 +45,7 @@
     });
     let verdict = match name.as_str() {
         "at_limit" => at_limit::run(&case),
+        "handed_over" => handed_over::run(&case),
         "flood" => flood::run(&case),
         "ration" => ration::run(&case),
         "short_length" => short_length::run(&case),
--- a/review/standin-2/src/platform.rs
+++ b/review/standin-2/src/platform.rs
@@ -822,6 +822,9 @@
 
 // ---- directors ---------------------------------------------------------------------------------
 
+/// The memory limit of a director.
+pub const MEMORY_MB: u64 = 192;
+
 /// What differs between the settings of two cases.
 #[derive(Clone)]
 pub struct Site {
@@ -941,7 +944,7 @@
             0x51ed_2705_8af1_c0deu64.wrapping_mul(STARTS.fetch_add(1, Ordering::SeqCst) * 2 + 1)
         );
         let text = format!(
-            r#"{{"name":"{}","listen":"{}","seed":"{seed}","limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"journal":"{}","known":{},"settings":{}}}"#,
+            r#"{{"name":"{}","listen":"{}","seed":"{seed}","limits":{{"cores":1.0,"memory_mb":{MEMORY_MB},"sockets":1024}},"journal":"{}","known":{},"settings":{}}}"#,
             self.name,
             self.address,
             journal.address,
@@ -1028,6 +1031,14 @@
         }
     }
 
+    /// The memory that its process has.
+    pub fn memory_kb(&self) -> Option<u64> {
+        let child = self.child.as_ref()?;
+        let status = fs::read_to_string(format!("/proc/{}/status", child.id())).ok()?;
+        let line = status.lines().find(|line| line.starts_with("VmRSS:"))?;
+        line.split_whitespace().nth(1)?.parse().ok()
+    }
+
     pub fn has_ended(&mut self) -> bool {
         match &mut self.child {
             Some(child) => matches!(child.try_wait(), Ok(Some(_))),
