Bound transferred sessions, descriptions and queued lines by the memory limit

Cause: handle_transfer took each transfer for an active session without asking for the limit of sessions, and kept its description; no node ever ends such a session. The limit itself did not depend on the memory limit, and descriptions of waiting requests and lines queued for viewers were bounded in number or for each connection only.

Change: limits derived from limits.memory_mb; transfers that no message of their node has confirmed are counted for the connection that sent them, and the connection with most of them loses its own first; at a node, twice its capacity. Abandoned ones end. The decision is in permission.rs.

The further tests on descriptions guard the new limits; they were not seen to fail.

--- a/crates/platform-proto/src/config.rs
+++ b/crates/platform-proto/src/config.rs
@@ -29,10 +29,12 @@
 }
 
 /// Resource limits that the platform sets for the process.
-#[derive(Clone, Copy, Debug, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
 pub struct Limits {
     /// Maximum number of open file descriptors.
     pub sockets: usize,
+    /// Maximum memory of the process, in MB; without it, that of the platform's largest directors is assumed.
+    pub memory_mb: Option<f64>,
 }
 
 impl Config {
@@ -59,7 +61,7 @@
     ) -> impl Iterator<Item = &'static str> + use<> {
         let fields = [
             ("listen", self.listen != new.listen),
-            ("limits", self.limits.sockets != new.limits.sockets),
+            ("limits", self.limits != new.limits),
             ("settings", self.settings != new.settings),
         ];
         fields
--- a/crates/platform-proto/src/director_protocol/maintenance.rs
+++ b/crates/platform-proto/src/director_protocol/maintenance.rs
@@ -26,6 +26,7 @@
         self.maintain_viewers();
         self.maintain_node_connections();
         self.maintain_nodes();
+        self.end_abandoned_transfers();
     }
 
     fn maintain_viewers(&mut self) {
--- a/crates/platform-proto/src/director_protocol/mod.rs
+++ b/crates/platform-proto/src/director_protocol/mod.rs
@@ -30,6 +30,7 @@
 use crate::half_close::HalfClosedConnections;
 use crate::health_checks::HealthChecks;
 use crate::ids::{ConnectionId, HealthCheckId, NodeConnectionId, Peer};
+use crate::memory_limits::MemoryLimits;
 use crate::node_connections::NodeConnections;
 use crate::node_registry::NodeRegistry;
 use crate::output::{Output, OutputQueue};
@@ -79,6 +80,7 @@
     names: Names,
     driver_limits: DriverLimits,
     timeouts: Timeouts,
+    memory_limits: MemoryLimits,
     // State owners.
     viewers: ViewerConnections,
     node_connections: NodeConnections,
@@ -95,6 +97,8 @@
     outputs: OutputQueue,
     /// The last id; sessions and health checks share one sequence.
     last_id: u64,
+    /// The transferred session that was last checked for having been abandoned.
+    last_checked_transfer: SessionId,
     is_shutting_down: bool,
     counters: StatusCounters,
 }
@@ -112,6 +116,7 @@
             .saturating_sub(RESERVED_DESCRIPTORS)
             .max(MIN_CONNECTIONS);
         let node_connections = connections / NODE_CONNECTIONS_DIVISOR;
+        let memory_limits = MemoryLimits::new(&config.limits);
         let mut protocol = DirectorProtocol {
             now,
             director: Director::new(config.seed(), settings.clone(), now),
@@ -119,7 +124,11 @@
             names,
             timeouts: Timeouts::new(&driver_limits),
             driver_limits,
-            viewers: ViewerConnections::new(connections - node_connections),
+            memory_limits,
+            viewers: ViewerConnections::new(
+                connections - node_connections,
+                memory_limits.max_queued_bytes,
+            ),
             node_connections: NodeConnections::new(node_connections),
             half_closed: HalfClosedConnections::default(),
             health_checks: HealthChecks::default(),
@@ -131,6 +140,7 @@
             timers: Timers::default(),
             outputs: OutputQueue::default(),
             last_id: 0,
+            last_checked_transfer: SessionId(0),
             is_shutting_down: false,
             counters: StatusCounters::default(),
         };
--- a/crates/platform-proto/src/director_protocol/requests.rs
+++ b/crates/platform-proto/src/director_protocol/requests.rs
@@ -13,9 +13,6 @@
 use shalewall::{Event, Outcome, Request, SessionId, Timestamp};
 use std::net::IpAddr;
 
-/// Maximum number of sessions; further requests are rejected without consulting the decision module.
-const MAX_SESSIONS: usize = 50_000;
-
 impl DirectorProtocol {
     /// Handles a request for a session, or the transfer of an active one.
     pub(super) fn handle_request(
@@ -41,7 +38,7 @@
         if let Some(server) = request.active_at {
             return self.handle_transfer(viewer, wire_id, server, request);
         }
-        if let Err(reason) = self.admit(viewer, wire_id, request.request.deadline) {
+        if let Err(reason) = self.admit(viewer, wire_id, &request) {
             return self.reject_immediately(viewer, wire_id, reason);
         }
         if let Some((id, request)) = self.insert_session(viewer, wire_id, request) {
@@ -68,20 +65,29 @@
         &self,
         viewer: ViewerId,
         wire_id: HexId,
-        deadline: Timestamp,
+        request: &SessionRequest,
     ) -> Result<(), RejectReason> {
-        let limit = MAX_SESSIONS.min(self.driver_limits.max_open_requests);
         let state = AdmissionState {
             was_used: self.sessions.has_ended(wire_id),
             was_withdrawn: self.sessions.was_withdrawn(wire_id),
             is_shutting_down: self.is_shutting_down,
             sheds_connection: self.viewers.sheds_requests(viewer),
-            is_full: self.sessions.len() >= limit,
-            deadline,
+            is_full: self.is_full(request),
+            deadline: request.request.deadline,
         };
         permission::admit(&state, self.now)
     }
 
+    /// Whether there is no capacity for another request.
+    fn is_full(&self, request: &SessionRequest) -> bool {
+        let limits = &self.memory_limits;
+        let max_sessions = limits
+            .max_sessions
+            .min(self.driver_limits.max_open_requests);
+        let description_bytes = self.sessions.description_bytes() + request.description.len();
+        self.sessions.len() >= max_sessions || description_bytes > limits.max_description_bytes
+    }
+
     /// Answers a request that is not passed to the decision module.
     fn reject_immediately(&mut self, viewer: ViewerId, wire_id: HexId, reason: RejectReason) {
         match reason {
@@ -123,7 +129,7 @@
         request.session = id;
         let class = self.settings.classes.get(request.class);
         let rung = class.map_or(0, |class| class.lowest_rung);
-        let session = Session::new(wire_id, viewer, address, parsed, rung);
+        let session = Session::new(wire_id, viewer, address, parsed, rung, self.now);
         self.sessions.insert(id, session);
         Some((id, request))
     }
--- a/crates/platform-proto/src/director_protocol/sessions.rs
+++ b/crates/platform-proto/src/director_protocol/sessions.rs
@@ -193,6 +193,7 @@
         let Some(attempt) = self.sessions.notified_attempt(session, server) else {
             return;
         };
+        self.sessions.confirm(session);
         if let Some(notification) = message.notification() {
             self.events.push_back(Event::Notified {
                 session,
--- a/crates/platform-proto/src/node.rs
+++ b/crates/platform-proto/src/node.rs
@@ -111,6 +111,10 @@
         !self.active_sessions.is_empty()
     }
 
+    pub(crate) fn active_sessions(&self) -> &BTreeSet<SessionId> {
+        &self.active_sessions
+    }
+
     pub(crate) fn add_active_session(&mut self, session: SessionId) {
         self.active_sessions.insert(session);
     }
--- a/crates/platform-proto/src/permission.rs
+++ b/crates/platform-proto/src/permission.rs
@@ -5,7 +5,7 @@
 
 use crate::session::{SendProgress, Session};
 use crate::viewer_message::cause;
-use shalewall::Timestamp;
+use shalewall::{SessionId, Timestamp};
 
 /// Why a request is rejected without consulting the decision module.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -20,8 +20,14 @@
     Expired,
     /// There was no capacity for its connection.
     ConnectionLimit,
-    /// The maximum number of sessions is reached.
+    /// The maximum number of sessions, or the maximum size of their descriptions, is reached.
     SessionLimit,
+    /// It is a transfer, and its node is not in the endpoint list.
+    UnknownNode,
+    /// It is a transfer to a node that can't have that many sessions.
+    NodeLimit,
+    /// It is a transfer, and the maximum number of transferred sessions is reached.
+    TransferLimit,
 }
 
 impl RejectReason {
@@ -29,11 +35,15 @@
     pub(crate) fn cause(self) -> i64 {
         match self {
             RejectReason::ReusedId => cause::INVALID,
+            // A session at a node that is not listed has ended.
+            RejectReason::UnknownNode => cause::FAILED,
             RejectReason::Withdrawn
             | RejectReason::ShuttingDown
             | RejectReason::Expired
             | RejectReason::ConnectionLimit
-            | RejectReason::SessionLimit => cause::REJECTED,
+            | RejectReason::SessionLimit
+            | RejectReason::NodeLimit
+            | RejectReason::TransferLimit => cause::REJECTED,
         }
     }
 }
@@ -64,6 +74,42 @@
     }
 }
 
+/// Decides whether a session that is said to be active at a node can be active there.
+pub(crate) fn accept_transfer(was_used: bool, is_node_listed: bool) -> Result<(), RejectReason> {
+    if was_used {
+        Err(RejectReason::ReusedId)
+    } else if !is_node_listed {
+        Err(RejectReason::UnknownNode)
+    } else {
+        Ok(())
+    }
+}
+
+/// What taking over an active session depends on.
+pub(crate) struct TransferState {
+    /// Whether the node has more sessions than it can have.
+    pub(crate) is_node_full: bool,
+    /// Whether the maximum number of transferred sessions is reached.
+    pub(crate) is_full: bool,
+    /// The session that this one displaces at the node if that is full.
+    pub(crate) displaceable_at_node: Option<SessionId>,
+    /// The session that this one displaces otherwise.
+    pub(crate) displaceable: Option<SessionId>,
+}
+
+/// Decides whether a transferred session is taken over; returns the session that it displaces, if any.
+pub(crate) fn take_over(state: &TransferState) -> Result<Option<SessionId>, RejectReason> {
+    if state.is_node_full {
+        let displaced = state.displaceable_at_node;
+        displaced.map(Some).ok_or(RejectReason::NodeLimit)
+    } else if state.is_full {
+        let displaced = state.displaceable;
+        displaced.map(Some).ok_or(RejectReason::TransferLimit)
+    } else {
+        Ok(None)
+    }
+}
+
 /// Why a queued set-up is not written.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DropReason {
--- a/crates/platform-proto/src/session.rs
+++ b/crates/platform-proto/src/session.rs
@@ -3,9 +3,17 @@
 use crate::HexId;
 use crate::ids::{NodeConnectionId, ViewerId};
 use crate::session_request::SessionRequest;
-use shalewall::{ServerId, Timestamp};
+use shalewall::{ServerId, TimeDelta, Timestamp};
 use std::net::IpAddr;
 
+/// Longest duration of a transferred session without a hint.
+const UNHINTED_DURATION: TimeDelta = TimeDelta::from_secs(3600);
+/// Longest duration of a transferred session, as a multiple of its hint.
+const HINT_TOLERANCE: i64 = 4;
+/// Bounds of the time after which a transferred session may be considered abandoned.
+const MIN_TRANSFER_TIMEOUT: TimeDelta = TimeDelta::from_secs(60);
+const MAX_TRANSFER_TIMEOUT: TimeDelta = TimeDelta::from_secs(4 * 3600);
+
 /// A request, or the resulting session.
 pub(crate) struct Session {
     /// Its id in messages.
@@ -22,6 +30,9 @@
     pub(crate) deadline: Timestamp,
     pub(crate) rung: usize,
     pub(crate) attempts_started: u32,
+    pub(crate) received_at: Timestamp,
+    /// The viewer's estimate of its duration.
+    pub(crate) duration_hint: Option<TimeDelta>,
     /// Whether its viewer is waiting for an answer.
     pub(crate) awaits_answer: bool,
     pub(crate) stage: Stage,
@@ -80,6 +91,7 @@
         viewer_address: IpAddr,
         request: SessionRequest,
         rung: usize,
+        received_at: Timestamp,
     ) -> Session {
         let active_at = request.active_at;
         let transferred = active_at.map(|server| ActiveSession {
@@ -91,12 +103,18 @@
             wire_id,
             title: request.title,
             class: request.request.class,
-            description: request.description,
+            // No set-up is sent for a transferred session.
+            description: match transferred {
+                None => request.description,
+                Some(_) => String::new(),
+            },
             viewer: Some(viewer),
             viewer_address,
             deadline: request.request.deadline,
             rung,
             attempts_started: u32::from(active_at.is_some()),
+            received_at,
+            duration_hint: request.request.duration_hint,
             awaits_answer: active_at.is_none(),
             stage: transferred.map_or(Stage::Unassigned, Stage::Active),
         }
@@ -133,6 +151,16 @@
         }
     }
 
+    /// Whether nothing shows any more that a transferred session is active: its viewer has disconnected, and its time is
+    /// long over.
+    pub(crate) fn is_abandoned(&self, now: Timestamp) -> bool {
+        let longest = self
+            .duration_hint
+            .map_or(UNHINTED_DURATION, |hint| hint * HINT_TOLERANCE);
+        let limit = longest.clamp(MIN_TRANSFER_TIMEOUT, MAX_TRANSFER_TIMEOUT);
+        self.viewer.is_none() && now - self.received_at >= limit
+    }
+
     /// Whether it is active, or has an attempt in progress, at that node.
     pub(crate) fn is_at(&self, server: ServerId) -> bool {
         match &self.stage {
--- a/crates/platform-proto/src/session_table.rs
+++ b/crates/platform-proto/src/session_table.rs
@@ -5,6 +5,7 @@
 use crate::ids::{NodeConnectionId, ViewerId};
 use crate::recent::Recent;
 use crate::session::{ActiveSession, Attempt, SendProgress, Session, Stage};
+use crate::unconfirmed_transfers::UnconfirmedTransfers;
 use shalewall::{ServerId, SessionId, Timestamp};
 use std::collections::BTreeMap;
 
@@ -66,6 +67,9 @@
     /// Ids of requests that were withdrawn on one connection before they were received on another.
     withdrawn_ids: Recent<HexId, MAX_WITHDRAWN_IDS>,
     early_releases: Recent<EarlyRelease, MAX_EARLY_RELEASES>,
+    unconfirmed: UnconfirmedTransfers,
+    /// Total size of the descriptions.
+    description_bytes: usize,
 }
 
 impl SessionTable {
@@ -113,6 +117,16 @@
             .collect()
     }
 
+    /// Total size of the descriptions of requests that wait for an answer.
+    pub(crate) fn description_bytes(&self) -> usize {
+        self.description_bytes
+    }
+
+    /// Transferred sessions that their node has not confirmed.
+    pub(crate) fn unconfirmed(&self) -> &UnconfirmedTransfers {
+        &self.unconfirmed
+    }
+
     // ---- ids ---------------------------------------------------------------------------------
 
     pub(crate) fn has_ended(&self, wire_id: HexId) -> bool {
@@ -157,6 +171,7 @@
 
     pub(crate) fn insert(&mut self, id: SessionId, session: Session) {
         self.by_wire_id.insert(session.wire_id, id);
+        self.description_bytes += session.description.len();
         self.sessions.insert(id, session);
     }
 
@@ -164,6 +179,8 @@
     pub(crate) fn remove(&mut self, id: SessionId) -> Option<ViewerId> {
         let session = self.sessions.remove(&id)?;
         self.by_wire_id.remove(&session.wire_id);
+        self.description_bytes -= session.description.len();
+        self.unconfirmed.remove(id);
         self.record_ended(session.wire_id);
         session.viewer
     }
@@ -172,10 +189,21 @@
     pub(crate) fn mark_answered(&mut self, id: SessionId) -> Option<ViewerId> {
         let session = self.sessions.get_mut(&id)?;
         session.awaits_answer = false;
+        self.description_bytes -= session.description.len();
         session.description = String::new();
         session.viewer
     }
 
+    /// Records that a viewer has transferred a session.
+    pub(crate) fn mark_transferred(&mut self, id: SessionId, viewer: ViewerId) {
+        self.unconfirmed.insert(viewer, id);
+    }
+
+    /// Records that a node has sent a message about a session that is active there.
+    pub(crate) fn confirm(&mut self, id: SessionId) {
+        self.unconfirmed.remove(id);
+    }
+
     /// Clears the viewer's connection, which has closed.
     pub(crate) fn detach_viewer(&mut self, id: SessionId) {
         if let Some(session) = self.sessions.get_mut(&id) {
--- a/crates/platform-proto/src/viewer_connection.rs
+++ b/crates/platform-proto/src/viewer_connection.rs
@@ -193,6 +193,11 @@
         self.queue.push_back(QueuedLine { kind, bytes });
     }
 
+    /// Size of the lines that have not begun to be written.
+    pub(crate) fn queued_bytes(&self) -> usize {
+        self.queued_bytes
+    }
+
     /// Records that the last line has been written.
     pub(crate) fn finish_write(&mut self) {
         self.in_flight = None;
--- a/crates/platform-proto/src/viewer_connections.rs
+++ b/crates/platform-proto/src/viewer_connections.rs
@@ -80,15 +80,18 @@
     connections: BTreeMap<ViewerId, ViewerConnection>,
     next_id: u64,
     max_connections: usize,
+    /// Total size of all queues from which on a connection is closed whose queue takes more than its share of it.
+    max_queued_bytes: usize,
     /// Whether every connection is to be closed once its socket has no unread bytes.
     closes_all: bool,
     undelivered_releases: UndeliveredReleases,
 }
 
 impl ViewerConnections {
-    pub(crate) fn new(max_connections: usize) -> ViewerConnections {
+    pub(crate) fn new(max_connections: usize, max_queued_bytes: usize) -> ViewerConnections {
         ViewerConnections {
             max_connections,
+            max_queued_bytes,
             ..ViewerConnections::default()
         }
     }
@@ -302,11 +305,22 @@
     /// Queues a line; returns `false` if the connection does not exist, or is to be closed because its viewer does not
     /// read.
     pub(crate) fn enqueue(&mut self, id: ViewerId, kind: LineKind, bytes: Vec<u8>) -> bool {
+        if self.exceeds_share(id) {
+            return false;
+        }
         self.connections
             .get_mut(&id)
             .is_some_and(|connection| connection.enqueue(kind, bytes))
     }
 
+    /// Whether a connection's queue takes more than its share of the memory for queues, and that is exhausted.
+    fn exceeds_share(&self, id: ViewerId) -> bool {
+        let queued = |connection: &ViewerConnection| connection.queued_bytes();
+        let own = self.connections.get(&id).map_or(0, queued);
+        let share = self.max_queued_bytes / self.connections.len().max(1);
+        own > share && self.connections.values().map(queued).sum::<usize>() > self.max_queued_bytes
+    }
+
     /// Records that the last line has been written.
     pub(crate) fn finish_write(&mut self, id: ViewerId) {
         if let Some(connection) = self.connections.get_mut(&id) {
--- a/crates/platform-proto/tests/common/mod.rs
+++ b/crates/platform-proto/tests/common/mod.rs
@@ -20,6 +20,11 @@
 pub const NODE: [&str; 2] = ["10.1.0.1:5060", "10.1.0.2:5060"];
 
 pub fn config() -> Config {
+    config_of(30, 192.0)
+}
+
+/// A configuration with the number of streams that a node runs at most (0: not stated), and the memory limit.
+pub fn config_of(streams: usize, memory_mb: f64) -> Config {
     let member = |id: u32, address: &str| {
         format!(
             r#"{{"id":"s-{id:08x}","host_port":"{address}","locality":"north","flavor":"small","cell":{},
@@ -28,7 +33,7 @@
         )
     };
     let text = format!(
-        r#"{{"name":"n1","listen":"10.0.0.4:5060","seed":"8c1f30d27a5be964","limits":{{"sockets":256}},
+        r#"{{"name":"n1","listen":"10.0.0.4:5060","seed":"8c1f30d27a5be964","limits":{{"sockets":256,"memory_mb":{memory_mb}}},
         "journal":"10.2.0.1:8500","known":{{"pos":1,"entries":[{{"pos":1,"hosts":{{"revision":1,"complete":true,
         "members":[{},{}]}}}}]}},"settings":{{"Balancers":1,"MyNumber":0,"Categories":[
         {{"Name":"paid","Effect":"at_most_once","Target":1500.0,"Value":2.0}},
@@ -37,7 +42,7 @@
         "Contract":{{"WarmAfter":0,"StartCapacity":0.4,"OverloadFactor":2.0,"Fall":2000.0,
         "StopSendingWithin":250.0}},"Limits":{{"MaxAttempts":4,"MayCancel":true,"RetryAfter":true,
         "MaxRetryAfter":1000.0,"ConnectTimeout":250.0,"ConnIdle":15000.0}},
-        "Specifics":{{"Places":2,"Cabinets":1,"PlacesByKind":[30],"RungKb":[200,600],"RungWorth":[0.4,1.0],
+        "Specifics":{{"Places":2,"Cabinets":1,"PlacesByKind":[{streams}],"RungKb":[200,600],"RungWorth":[0.4,1.0],
         "HighestRung":[1,1],"LowestRung":[0,0],"ClassScale":[1.0,1.0],"KbPerWeight":90000.0,
         "RackLinkKb":200000.0,"ToldEvery":3000.0}}}}}}"#,
         member(1, NODE[0]),
@@ -71,7 +76,11 @@
 
 impl Harness {
     pub fn new() -> Harness {
-        let protocol = DirectorProtocol::new(&config(), START).unwrap();
+        Harness::with_config(&config())
+    }
+
+    pub fn with_config(config: &Config) -> Harness {
+        let protocol = DirectorProtocol::new(config, START).unwrap();
         let mut harness = Harness {
             protocol,
             now: START,
--- a/crates/platform-proto/tests/transfers.rs
+++ b/crates/platform-proto/tests/transfers.rs
@@ -1,8 +1,8 @@
 //! Sessions from before this director's start, whose transfer and whose end arrive in any order.
 
 mod common;
-use common::{Harness, counts, finish_message, start_message, teardown};
-use shalewall_platform_proto::ConnectionId;
+use common::{Harness, SECOND, config_of, counts, finish_message, start_message, teardown};
+use shalewall_platform_proto::{ConnectionId, HexId, LogEvent, RejectReason};
 
 /// The extra of a request that transfers a session at the first node.
 const AT_FIRST_NODE: &str = ";at:s-00000001";
@@ -134,3 +134,143 @@
         assert_eq!(is_released, is_kept, "{tag}");
     }
 }
+
+// ---- limits ------------------------------------------------------------------------------------
+
+/// Memory limit of a small director, in MB.
+const SMALL_MEMORY_MB: f64 = 32.0;
+/// Memory that one transferred session takes, in bytes.
+const SESSION_BYTES: usize = 1_200;
+
+/// The transfer of a session with the longest description.
+fn large_transfer(tag: u64, node: u64) -> String {
+    let description = "x".repeat(15_000);
+    start_message(tag, "free", 0, &format!(";at:s-{node:08x}")).replace("here", &description)
+}
+
+/// Whether a request was rejected because too many sessions were known.
+fn rejected_for_capacity(harness: &Harness, tag: u64) -> bool {
+    harness.log_events.contains(&LogEvent::RequestRejected {
+        session: HexId::from_value(tag),
+        reason: RejectReason::SessionLimit,
+    })
+}
+
+/// Guards against a process killed for its memory: sessions transferred by bad clients were taken over without a limit
+/// (120 MB of them left a director with 439 MB where 192 were allowed).
+#[test]
+fn transfers_take_only_part_of_the_memory_limit() {
+    for (capacity, memory_mb) in [(0, SMALL_MEMORY_MB), (0, 192.0), (30, 192.0)] {
+        let mut harness = Harness::with_config(&config_of(capacity, memory_mb));
+        let viewer = harness.connect_viewer();
+        for tag in 1..30_000 {
+            transfer(&mut harness, viewer, tag);
+            harness.take_written(viewer);
+        }
+        let sessions = harness.protocol.session_counts().total();
+        let bytes = sessions * SESSION_BYTES;
+        assert!(
+            bytes as f64 <= memory_mb * 1e6 / 8.0,
+            "{memory_mb}: {sessions}"
+        );
+        assert!(capacity == 0 || sessions <= 2 * capacity, "{sessions}");
+        harness.receive(viewer, start_message(90_000, "free", 1500, ""));
+        assert!(!rejected_for_capacity(&harness, 90_000));
+    }
+}
+
+/// Guards against sessions that are told as over by the director alone: real sessions found no capacity among those
+/// that bad clients made up.
+#[test]
+fn transfers_of_one_viewer_displace_its_own_before_those_of_others() {
+    for capacity in [0, 30] {
+        let mut harness = Harness::with_config(&config_of(capacity, SMALL_MEMORY_MB));
+        let (early, bad, late) = (
+            harness.connect_viewer(),
+            harness.connect_viewer(),
+            harness.connect_viewer(),
+        );
+        (1..=10).for_each(|tag| transfer(&mut harness, early, tag));
+        (1_000..9_000).for_each(|tag| transfer(&mut harness, bad, tag));
+        (11..=20).for_each(|tag| transfer(&mut harness, late, tag));
+        let node = harness.connect_next();
+        for (viewer, tags) in [(early, 1..=10), (late, 11..=20)] {
+            assert!(harness.take_written(viewer).is_empty(), "none is rejected");
+            tags.for_each(|tag| harness.receive(node, teardown(tag, 16, b"")));
+            let released = harness.take_written(viewer);
+            assert_eq!(released.matches(r#""rc":16"#).count(), 10, "{released}");
+        }
+    }
+}
+
+/// A transfer without capacity is answered as rejected, and its connection stays open.
+#[test]
+fn a_transfer_beyond_the_limit_is_rejected() {
+    let mut harness = Harness::with_config(&config_of(1, SMALL_MEMORY_MB));
+    let viewer = harness.connect_viewer();
+    (1..=2).for_each(|tag| transfer(&mut harness, viewer, tag));
+    assert!(harness.take_written(viewer).is_empty());
+    transfer(&mut harness, viewer, 3);
+    let answer = harness.take_written(viewer);
+    assert!(
+        answer.contains(r#""tag":"0000000000000003","opts":{},"rc":34"#),
+        "{answer}"
+    );
+    assert_eq!(harness.protocol.session_counts(), counts(0, 2));
+}
+
+/// Guards against seats and links held for good by sessions that do not exist.
+#[test]
+fn unconfirmed_sessions_of_a_closed_connection_end_long_after_their_duration() {
+    let mut harness = Harness::new();
+    let (viewer, node) = connected_to_first_node(&mut harness);
+    (2..=3).for_each(|tag| transfer(&mut harness, viewer, tag));
+    let note = "ANNOUNCE rtsp://media/x RTSP/1.0\r\nCSeq: 4\r\nSession: 0000000000000003\r\n\
+        P-Reason: level\r\nX-Value: 1\r\nContent-Length: 0\r\n\r\n";
+    harness.receive(node, note);
+    harness.advance(70 * SECOND);
+    assert_eq!(
+        harness.protocol.session_counts(),
+        counts(0, 3),
+        "its viewer is connected"
+    );
+    harness.close(viewer, false);
+    harness.advance(SECOND);
+    assert_eq!(
+        harness.protocol.session_counts(),
+        counts(0, 1),
+        "its node has confirmed it"
+    );
+}
+
+/// A transferred session needs no description, which would count towards the limit of those that wait.
+#[test]
+fn descriptions_of_transferred_sessions_are_not_kept() {
+    let mut harness = Harness::with_config(&config_of(0, SMALL_MEMORY_MB));
+    let viewer = harness.connect_viewer();
+    (1..=2_000).for_each(|tag| harness.receive(viewer, large_transfer(tag, 1)));
+    assert_eq!(harness.protocol.session_counts(), counts(0, 2_000));
+    harness.receive(viewer, start_message(9_000, "free", 1500, ""));
+    assert!(!rejected_for_capacity(&harness, 9_000));
+}
+
+/// Guards against memory held by the descriptions of requests that wait for an answer: each has up to 16 KB.
+#[test]
+fn long_descriptions_take_only_part_of_the_memory_limit() {
+    let memory_mb = 16.0;
+    let mut harness = Harness::with_config(&config_of(0, memory_mb));
+    let viewer = harness.connect_viewer();
+    for tag in 1..1_000 {
+        let description = "x".repeat(15_000);
+        harness.receive(
+            viewer,
+            start_message(tag, "free", 9_000, "").replace("here", &description),
+        );
+        harness.take_written(viewer);
+    }
+    let waiting = harness.protocol.session_counts().pending_requests;
+    assert!(
+        waiting > 50 && waiting as f64 * 15_000.0 <= memory_mb * 1e6 / 8.0,
+        "{waiting} wait"
+    );
+}
