Bound the hold after late reads, and let connections with a backlog take turns

Cause: after a late read, set-ups and viewers' lines are held for 5 ms, and each further late read prolonged that without a bound; a socket whose buffer is always full makes every read late. Also, all connections with a backlog were read between two turns of an ordinary one.

One connection with a backlog is read between two turns of the others.

--- a/crates/cli/tests/environment/mod.rs
+++ b/crates/cli/tests/environment/mod.rs
@@ -36,6 +36,10 @@
     pub wait_ms: u64,
     /// Longest deadline in the settings, in milliseconds; without one the platform counts 3 s.
     pub longest_wait_ms: Option<u64>,
+    /// Memory limit of the director in MB.
+    pub memory_mb: u64,
+    /// Limit of its file descriptors.
+    pub sockets: usize,
 }
 
 pub fn listener() -> TcpListener {
@@ -57,6 +61,8 @@
             node: listener(),
             wait_ms: 1500,
             longest_wait_ms: None,
+            memory_mb: 192,
+            sockets: 256,
         }
     }
 
@@ -74,7 +80,7 @@
             .longest_wait_ms
             .map_or(String::new(), |millis| format!(r#""GiveUp":{millis},"#));
         format!(
-            r#"{{"name":"n1","listen":"{}","seed":"8c1f30d27a5be964","limits":{{"sockets":256}},
+            r#"{{"name":"n1","listen":"{}","seed":"8c1f30d27a5be964","limits":{{"sockets":{},"memory_mb":{}}},
             "journal":"{journal}","known":{{"pos":1,"entries":[{{"pos":1,"hosts":{{"complete":true,"members":[
             {{"id":"s-00000001","host_port":"{node}","locality":"north","flavor":"small","cell":0,
             "phase":"ready","size":1,"up_since_ms":0}}]}}}}]}},"settings":{{"Balancers":1,"MyNumber":0,"Categories":[
@@ -85,7 +91,7 @@
             "ConnectTimeout":250.0}},"Specifics":{{"Places":1,"Cabinets":1,"PlacesByKind":[30],
             "RungKb":[200,600],"RungWorth":[0.4,1.0],"HighestRung":[1],"LowestRung":[0],"ClassScale":[1.0],
             "KbPerWeight":90000.0,"RackLinkKb":200000.0}}}}}}"#,
-            self.listen
+            self.listen, self.sockets, self.memory_mb
         )
     }
 
--- a/crates/platform-proto/src/director_protocol/mod.rs
+++ b/crates/platform-proto/src/director_protocol/mod.rs
@@ -166,7 +166,8 @@
     ) {
         self.now = now;
         if CatchUp::is_late(arrival.last_byte, now) {
-            self.begin_catch_up(now);
+            let until = self.catch_up.record_late_read(now);
+            self.set_catch_up_timer(until);
         }
         match connection.0 {
             Peer::Viewer(id) => self.handle_viewer_bytes(id, arrival, bytes),
@@ -178,8 +179,14 @@
     /// other sockets.
     pub fn begin_catch_up(&mut self, now: Timestamp) {
         self.now = now;
-        let until = self.catch_up.begin(now);
-        self.timers.set(until, Timer::CatchUp);
+        let until = self.catch_up.record_pause(now);
+        self.set_catch_up_timer(until);
+    }
+
+    fn set_catch_up_timer(&mut self, until: Option<Timestamp>) {
+        if let Some(until) = until {
+            self.timers.set(until, Timer::CatchUp);
+        }
     }
 
     fn finish_catch_up(&mut self) {
--- a/crates/platform-proto/tests/arrival.rs
+++ b/crates/platform-proto/tests/arrival.rs
@@ -123,3 +123,82 @@
     assert!(!harness.take_written(viewer).contains(r#""rc":16"#));
     assert!(harness.take_written(other).contains(r#""rc":16"#));
 }
+
+// ---- bounds of the hold ------------------------------------------------------------------------
+
+/// Time for which a message may be held, however late the reads are.
+const MAX_HOLD_TIME: TimeDelta = TimeDelta::from_millis(25);
+
+/// Advances the time in steps in which a viewer's connection is read late each time.
+fn read_late_for(harness: &mut Harness, viewer: ConnectionId, steps: u64) {
+    for step in 0..steps {
+        let arrival = Arrival::at(harness.ago(12));
+        let text = String::from_utf8(finish_message(1_000 + step)).unwrap();
+        harness.receive_arrived(viewer, arrival, &text);
+        harness.advance(MILLISECOND);
+    }
+}
+
+/// Guards against requests without an answer: a viewer that sends at full speed made every read late, and set-ups and
+/// answers were held for as long as it sent (up to 8 s).
+#[test]
+fn a_viewer_that_is_always_read_late_does_not_hold_set_ups_and_answers() {
+    let longest_hold = MAX_HOLD_TIME.as_millis() as u64 + 1;
+    for earlier_reads in 0..100 {
+        let mut harness = Harness::new();
+        let bad = harness.connect_viewer();
+        read_late_for(&mut harness, bad, earlier_reads);
+        let (viewer, node) = harness.start_attempt(7, "paid");
+        read_late_for(&mut harness, bad, longest_hold);
+        assert!(harness.take_written(node).contains("SETUP"));
+        harness.receive(node, teardown(7, 41, b""));
+        read_late_for(&mut harness, bad, longest_hold);
+        assert!(harness.take_written(viewer).contains("FINISH"));
+    }
+}
+
+/// Every line that is due is written between two holds.
+#[test]
+fn pauses_in_quick_succession_do_not_hold_an_answer_for_long() {
+    let mut harness = Harness::new();
+    let viewer = harness.connect_viewer();
+    harness.protocol.begin_catch_up(harness.now);
+    harness.receive(viewer, finish_message(7));
+    for _ in 0..10 {
+        harness.advance(4 * MILLISECOND);
+        harness.protocol.begin_catch_up(harness.now);
+        harness.process_outputs();
+    }
+    assert!(harness.take_written(viewer).contains("FINISHED"));
+}
+
+/// A pause during a hold leaves older events unread once more.
+#[test]
+fn a_second_pause_holds_a_set_up_again() {
+    let mut harness = Harness::new();
+    let viewer = harness.connect_viewer();
+    harness.protocol.begin_catch_up(harness.now);
+    harness.request(viewer, 7, "paid");
+    let node = harness.connect_next();
+    harness.now = harness.now + 2_000 * MILLISECOND;
+    harness.protocol.begin_catch_up(harness.now);
+    harness.protocol.handle_timeout(harness.now);
+    harness.process_outputs();
+    harness.receive(viewer, finish_message(7));
+    harness.advance(10 * MILLISECOND);
+    assert!(!harness.take_written(node).contains("SETUP"));
+}
+
+/// What arrived during a pause takes more than one read of each socket.
+#[test]
+fn late_reads_prolong_a_hold() {
+    let mut harness = Harness::new();
+    let (viewer, other) = (harness.connect_viewer(), harness.connect_viewer());
+    let arrival = Arrival::at(harness.ago(400));
+    harness.receive_arrived(viewer, arrival, &start_message(7, "paid", 1500, ""));
+    let node = harness.connect_next();
+    read_late_for(&mut harness, other, 12);
+    harness.receive(other, finish_message(7));
+    harness.advance(10 * MILLISECOND);
+    assert!(!harness.take_written(node).contains("SETUP"));
+}
--- a/crates/platform/src/connection.rs
+++ b/crates/platform/src/connection.rs
@@ -150,8 +150,12 @@
             if available.failed {
                 return StreamEnd::Failed;
             }
-            // Yields, so that a peer that sends continuously does not starve the other connections.
-            future::yield_now().await;
+            // A peer that sends continuously must not starve the other connections.
+            if available.filled == buffer.len() {
+                self.event_loop.wait_for_backlog_turn().await;
+            } else {
+                future::yield_now().await;
+            }
         }
     }
 
--- a/crates/platform/src/event_loop.rs
+++ b/crates/platform/src/event_loop.rs
@@ -9,7 +9,9 @@
 use crate::receive::Receiver;
 use async_executor::{LocalExecutor, Task};
 use async_io::Async;
+use async_lock::Mutex;
 use event_listener::{Event, IntoNotification};
+use futures_lite::future;
 use shalewall::{TimeDelta, Timestamp};
 use shalewall_clock::{LoopClock, TimeoutDriver, now, to_duration};
 use shalewall_platform_proto::{ConnectionId, DirectorProtocol, Output};
@@ -29,6 +31,8 @@
     connections: RefCell<BTreeMap<ConnectionId, ConnectionHandle>>,
     timeout_driver: TimeoutDriver,
     loop_clock: LoopClock,
+    /// Held by the connection whose backlog is read next.
+    backlog_turn: Mutex<()>,
     /// The greatest age of received bytes since the previous call of [`EventLoop::take_lateness`].
     oldest_read: Cell<TimeDelta>,
 }
@@ -56,6 +60,7 @@
             connections: RefCell::default(),
             timeout_driver: TimeoutDriver::default(),
             loop_clock: LoopClock::new(now()),
+            backlog_turn: Mutex::new(()),
             oldest_read: Cell::new(TimeDelta::ZERO),
         })
     }
@@ -103,6 +108,13 @@
         self.loop_clock.unseen_since()
     }
 
+    /// Waits until a connection may go on to read its backlog. Between two such reads, of any connections, all other
+    /// tasks run that are ready: peers that send faster than they are read share the time of one.
+    pub async fn wait_for_backlog_turn(&self) {
+        let _turn = self.backlog_turn.lock().await;
+        future::yield_now().await;
+    }
+
     /// Records the age of bytes that were read.
     pub fn record_read(&self, age: TimeDelta) {
         self.oldest_read.set(self.oldest_read.get().max(age));
