Count every set-up sent to a warming server, whatever became of its session

Cause: admits_warm_up counted the sessions in the table that were sent to the server; one that was taken back, rejected or had ended no longer counted.

Change: each server keeps the times of the set-ups sent to it, migrations included, within the time that the settings name.

--- a/src/director.rs
+++ b/src/director.rs
@@ -139,6 +139,13 @@
         self.sessions.insert(session);
     }
 
+    /// Records that a set-up is sent to a server, for its warm-up limit.
+    pub(crate) fn record_set_up(&mut self, server: ServerId) {
+        let (now, window) = (self.now, self.settings.rules.overload_window);
+        let server = self.servers.get_mut(&server);
+        server.into_iter().for_each(|server| server.recent_set_ups.record(now, window));
+    }
+
     /// Records a playing session's new rung and rate. Unknown rungs and sessions that do not play are
     /// ignored.
     pub(crate) fn apply_rung(&mut self, id: SessionId, rung: usize) {
--- a/src/director/migrations.rs
+++ b/src/director/migrations.rs
@@ -47,6 +47,7 @@
         self.sessions.insert(session);
         let Some(Placement { server, rung }) = found else { return };
         self.attempts.record_migration(self.now);
+        self.record_set_up(server);
         pending.request.session = placeholder_id(id);
         let rate_kb_s = self.settings.rate(request.class, rung);
         let state = SessionState::Closed;
--- a/src/director/requests.rs
+++ b/src/director/requests.rs
@@ -43,6 +43,7 @@
         } else {
             self.attempts.record_retry(self.now);
         }
+        self.record_set_up(server);
         pending.attempts += 1;
         pending.tried.push(server);
         self.actions.push(Action::SetRung { session, rung });
--- a/src/policy/warm_up.rs
+++ b/src/policy/warm_up.rs
@@ -5,7 +5,7 @@
 use crate::director::Director;
 use crate::hash::{draw, tie_breaker};
 use crate::state::servers::Server;
-use crate::state::sessions::{PendingRequest, count_after};
+use crate::state::sessions::PendingRequest;
 use crate::time::TimeDelta;
 
 /// Set-ups that all directors together may send to a warming server, as a fraction of the rate at which it
@@ -32,8 +32,7 @@
         let fleet_requests = directors * requests * self.request_fraction(pending, is_warming_up);
         let allowed = self.overload_rate_per_us(server) * SETUP_RATE_MARGIN * window.as_micros() as f64;
         let own_allowed = (allowed / directors).max(1.0) as usize;
-        let sessions = self.sessions.by_server.get(&server.endpoint.server);
-        let sent = sessions.map_or(0, |sessions| count_after(sessions, window_start));
+        let sent = server.recent_set_ups.count_after(window_start);
         let tie_breaker = tie_breaker(self.seed, pending.request.session, server.endpoint.server);
         draw(tie_breaker) * fleet_requests < allowed && sent < own_allowed
     }
--- a/src/state/servers.rs
+++ b/src/state/servers.rs
@@ -2,7 +2,8 @@
 
 use super::link_estimate::LinkEstimate;
 use crate::interface::Endpoint;
-use crate::time::Timestamp;
+use crate::time::{TimeDelta, Timestamp};
+use std::collections::VecDeque;
 
 /// Failures of a server.
 #[derive(Default)]
@@ -47,6 +48,26 @@
     }
 }
 
+/// The times of the latest attempts and migrations to a server. They count whatever has become of their sessions: a
+/// server that warms up has the work of each.
+#[derive(Default)]
+pub(crate) struct RecentSetUps(VecDeque<Timestamp>);
+
+impl RecentSetUps {
+    /// Records a set-up, and removes those older than `keep`.
+    pub fn record(&mut self, now: Timestamp, keep: TimeDelta) {
+        while self.0.front().is_some_and(|time| *time < now - keep) {
+            self.0.pop_front();
+        }
+        self.0.push_back(now);
+    }
+
+    /// Number of set-ups after a time.
+    pub fn count_after(&self, time: Timestamp) -> usize {
+        self.0.iter().rev().take_while(|set_up| **set_up > time).count()
+    }
+}
+
 /// The state of one server.
 #[derive(Default)]
 pub(crate) struct Server {
@@ -54,6 +75,7 @@
     pub link: LinkEstimate,
     pub health: Health,
     pub shortage: Shortage,
+    pub recent_set_ups: RecentSetUps,
     /// Time until which it is assumed to warm up.
     pub warm_at: Timestamp,
 }
--- a/tests/warm_up.rs
+++ b/tests/warm_up.rs
@@ -6,7 +6,10 @@
     DirectorHarness, IDEMPOTENT, MILLISECOND, SECOND, attempted_server, endpoint, settings,
     viewer_request,
 };
-use shalewall::{Director, Endpoint, EndpointUpdate, Event, Request, Settings, Timestamp};
+use shalewall::{
+    Director, Endpoint, EndpointUpdate, Event, Outcome, Request, ServerId, SessionId, Settings,
+    Timestamp,
+};
 
 #[test]
 fn attempts_to_a_server_that_has_just_started_are_limited() {
@@ -110,3 +113,33 @@
     let sent = count_attempts(300, cached);
     assert!((4..=20).contains(&sent), "{sent} attempts");
 }
+
+/// Guards against a warming server pushed over by requests that are taken back at once, or that end at once: their
+/// set-ups no longer counted (39 in two seconds where it falls at more than 17).
+#[test]
+fn attempts_whose_requests_have_ended_count_towards_the_warm_up_limit() {
+    for outcome in [Outcome::Cancelled, Outcome::Rejected, Outcome::Success] {
+        let mut harness = DirectorHarness::new(settings(), 0);
+        let now = harness.now;
+        let started = Endpoint {
+            started_at: Some(now - SECOND),
+            ..endpoint(1)
+        };
+        harness.update_endpoints(EndpointUpdate::Delta, vec![started]);
+        let mut sent = 0;
+        for id in 0..400 {
+            let actions = harness.request_session(id, IDEMPOTENT);
+            if attempted_server(&actions).is_some() {
+                sent += 1;
+                harness.handle(Event::RequestWithdrawn(SessionId(id)));
+                harness.finish_attempt(id, 0, ServerId(1), outcome);
+            }
+            harness.now += 2 * MILLISECOND;
+        }
+        // The overload rate is 2 * 30 streams * 0.4 / 12 s: 4 in two seconds.
+        assert!(
+            (1..=4).contains(&sent),
+            "{outcome:?}: {sent} attempts in 0.8 s"
+        );
+    }
+}
