Forward nothing for a client that has left, also if its requests are unread

Cause: the end of a connection was noticed only behind all bytes before it, read 4 KB at a time; requests read meanwhile were admitted and forwarded.

Change: the socket is asked whether the peer has closed its side when more may be unread, and an end found with the last bytes is reported before them. The requests of such a connection are rejected in permission.rs.

--- a/crates/cli/tests/lost_requests.rs
+++ b/crates/cli/tests/lost_requests.rs
@@ -291,3 +291,32 @@
         assert_eq!(unanswered, 0, "of {crowd} requests");
     }
 }
+
+// ---- clients that leave ---------------------------------------------------------------------------
+
+/// More requests than a director reads at once, and not more than the receive buffer of its socket holds.
+const UNREAD_REQUESTS: u64 = 300;
+
+/// Guards against requests that are forwarded after their client has left: the end of a connection was noticed only
+/// behind all that was unread on it.
+#[test]
+fn unread_requests_of_a_client_that_has_left_are_not_forwarded() {
+    for shutdown in [Shutdown::Write, Shutdown::Both] {
+        let environment = Environment::new();
+        let (director, mut viewer) = suspended_director(&environment);
+        let requests: String = (100..100 + UNREAD_REQUESTS)
+            .map(|tag| session_request(tag, environment.wait_ms) + "\n")
+            .collect();
+        let mut writer = viewer.0.get_ref().try_clone().unwrap();
+        writer.write_all(requests.as_bytes()).unwrap();
+        writer.shutdown(shutdown).unwrap();
+        director.signal(Signal::CONT);
+        let received = received_by_node(&environment);
+        assert_eq!(received.matches("SETUP").count(), 0, "{shutdown:?}");
+        if shutdown == Shutdown::Write {
+            let lines = lines_until_close(&mut viewer);
+            let unanswered = (100..100 + UNREAD_REQUESTS).find(|tag| answers_to(&lines, *tag) != 1);
+            assert_eq!(unanswered, None);
+        }
+    }
+}
--- a/crates/platform-proto/src/director_protocol/requests.rs
+++ b/crates/platform-proto/src/director_protocol/requests.rs
@@ -71,6 +71,7 @@
             was_used: self.sessions.has_ended(wire_id),
             was_withdrawn: self.sessions.was_withdrawn(wire_id),
             is_shutting_down: self.is_shutting_down,
+            has_viewer_left: self.viewers.is_stream_ending(viewer),
             sheds_connection: self.viewers.sheds_requests(viewer),
             is_full: self.is_full(request),
             deadline: request.request.deadline,
--- a/crates/platform-proto/src/director_protocol/viewer_events.rs
+++ b/crates/platform-proto/src/director_protocol/viewer_events.rs
@@ -4,7 +4,7 @@
 use crate::HexId;
 use crate::arrival::Arrival;
 use crate::error::ViewerProtocolError;
-use crate::ids::{ConnectionId, ViewerId};
+use crate::ids::{ConnectionId, Peer, ViewerId};
 use crate::log_event::LogEvent;
 use crate::permission::ViewerCloseReason;
 use crate::viewer_connection::{LineKind, ReceivedMessage};
@@ -45,6 +45,16 @@
         self.outputs.write(id);
     }
 
+    /// Handles that a viewer has closed its side, although messages that it sent before may be unread: nothing is
+    /// forwarded for it any more. Its other messages are handled up to the end of the stream.
+    pub fn handle_peer_closed(&mut self, now: Timestamp, connection: ConnectionId) {
+        self.now = now;
+        if let Peer::Viewer(id) = connection.0 {
+            self.viewers.record_stream_ending(id);
+            self.answer_requests_of(id);
+        }
+    }
+
     // ---- messages ----------------------------------------------------------------------------
 
     pub(super) fn handle_viewer_bytes(&mut self, id: ViewerId, arrival: Arrival, bytes: &[u8]) {
--- a/crates/platform-proto/src/permission.rs
+++ b/crates/platform-proto/src/permission.rs
@@ -18,6 +18,8 @@
     ShuttingDown,
     /// Its time was over when it was read.
     Expired,
+    /// Its viewer had closed the connection when it was read.
+    ViewerLeft,
     /// There was no capacity for its connection.
     ConnectionLimit,
     /// The maximum number of sessions, or the maximum size of their descriptions, is reached.
@@ -40,6 +42,7 @@
             RejectReason::Withdrawn
             | RejectReason::ShuttingDown
             | RejectReason::Expired
+            | RejectReason::ViewerLeft
             | RejectReason::ConnectionLimit
             | RejectReason::SessionLimit
             | RejectReason::NodeLimit
@@ -53,6 +56,7 @@
     pub(crate) was_used: bool,
     pub(crate) was_withdrawn: bool,
     pub(crate) is_shutting_down: bool,
+    pub(crate) has_viewer_left: bool,
     pub(crate) sheds_connection: bool,
     pub(crate) is_full: bool,
     pub(crate) deadline: Timestamp,
@@ -65,6 +69,7 @@
         (state.was_withdrawn, RejectReason::Withdrawn),
         (state.is_shutting_down, RejectReason::ShuttingDown),
         (state.deadline <= now, RejectReason::Expired),
+        (state.has_viewer_left, RejectReason::ViewerLeft),
         (state.sheds_connection, RejectReason::ConnectionLimit),
         (state.is_full, RejectReason::SessionLimit),
     ];
--- a/crates/platform-proto/src/viewer_connection.rs
+++ b/crates/platform-proto/src/viewer_connection.rs
@@ -76,7 +76,9 @@
     partial_since: Option<Timestamp>,
     /// Time at which closing began.
     closing_since: Option<Timestamp>,
-    /// Whether the viewer sends no more.
+    /// Whether the viewer has closed its side; some of its messages may be unread.
+    is_stream_ending: bool,
+    /// Whether the viewer sends no more, and everything is read.
     is_stream_ended: bool,
     ignored_bytes: usize,
     close_if_no_unread_bytes: bool,
@@ -99,6 +101,7 @@
             has_sent_message: false,
             partial_since: None,
             closing_since: None,
+            is_stream_ending: false,
             is_stream_ended: false,
             ignored_bytes: 0,
             close_if_no_unread_bytes: false,
@@ -276,6 +279,15 @@
         }
     }
 
+    /// Records that the viewer has closed its side, although some of its messages may be unread.
+    pub(crate) fn record_stream_ending(&mut self) {
+        self.is_stream_ending = true;
+    }
+
+    pub(crate) fn is_stream_ending(&self) -> bool {
+        self.is_stream_ending
+    }
+
     /// Closes the connection if its socket has no unread bytes, so that requests are served that the viewer sent before
     /// it could notice the close.
     pub(crate) fn close_if_no_unread_bytes(&mut self) {
--- a/crates/platform-proto/src/viewer_connections.rs
+++ b/crates/platform-proto/src/viewer_connections.rs
@@ -162,6 +162,20 @@
         }
     }
 
+    /// Records that a connection's viewer has closed its side, although some of its messages may be unread.
+    pub(crate) fn record_stream_ending(&mut self, id: ViewerId) {
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.record_stream_ending();
+        }
+    }
+
+    /// Whether a connection's viewer is known to send no more than what is unread.
+    pub(crate) fn is_stream_ending(&self, id: ViewerId) -> bool {
+        self.connections
+            .get(&id)
+            .is_some_and(ViewerConnection::is_stream_ending)
+    }
+
     /// Closes a connection if its socket has no unread bytes.
     pub(crate) fn close_if_no_unread_bytes(&mut self, id: ViewerId) {
         if let Some(connection) = self.connections.get_mut(&id) {
--- a/crates/platform/src/connection.rs
+++ b/crates/platform/src/connection.rs
@@ -5,6 +5,7 @@
 use async_io::{Async, Timer};
 use event_listener::Event;
 use futures_lite::{AsyncWriteExt, future};
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use shalewall::Timestamp;
 use shalewall_clock::now;
 use shalewall_http::client::{ConnectErrorKind, with_timeout};
@@ -67,6 +68,8 @@
     write_ready: Rc<Event>,
     write_failed: Cell<bool>,
     is_stream_ended: Cell<bool>,
+    /// Whether the peer is known to have closed its side.
+    is_peer_closed: Cell<bool>,
 }
 
 /// How one direction of a connection ended.
@@ -83,6 +86,8 @@
     /// Number of bytes in the buffer.
     filled: usize,
     last_read: ReadBytes,
+    /// Whether the stream ends behind the bytes.
+    is_end: bool,
     failed: bool,
 }
 
@@ -104,6 +109,7 @@
             write_ready,
             write_failed: Cell::new(false),
             is_stream_ended: Cell::new(false),
+            is_peer_closed: Cell::new(false),
         }
     }
 
@@ -146,12 +152,16 @@
             };
             let empty_at = self.receiver.empty_at();
             let available = self.read_available(&mut buffer, first_read);
+            let is_backlogged = available.filled == buffer.len();
+            if available.is_end || available.failed || (is_backlogged && self.has_peer_closed()) {
+                self.report_peer_closed();
+            }
             self.handle_bytes(&buffer[..available.filled], available.last_read, empty_at);
             if available.failed {
                 return StreamEnd::Failed;
             }
             // A peer that sends continuously must not starve the other connections.
-            if available.filled == buffer.len() {
+            if is_backlogged {
                 self.event_loop.wait_for_backlog_turn().await;
             } else {
                 future::yield_now().await;
@@ -165,12 +175,16 @@
         let mut available = Available {
             filled: first_read.count,
             last_read: first_read,
+            is_end: false,
             failed: false,
         };
         while available.filled < buffer.len() {
             match self.receiver.read(stream, &mut buffer[available.filled..]) {
                 // The next read reports the end again.
-                Ok(read) if read.count == 0 => break,
+                Ok(read) if read.count == 0 => {
+                    available.is_end = true;
+                    break;
+                }
                 Ok(read) => {
                     available.filled += read.count;
                     available.last_read = read;
@@ -184,6 +198,24 @@
         available
     }
 
+    /// Reports that the peer has closed its side, before the bytes are passed on that it sent before.
+    fn report_peer_closed(&self) {
+        if !self.is_peer_closed.replace(true) {
+            self.event_loop
+                .with_protocol(|protocol| protocol.handle_peer_closed(now(), self.id));
+        }
+    }
+
+    /// Whether the peer has closed its side, also if bytes that it sent before are unread. Where the system can't tell,
+    /// the end of the stream does.
+    fn has_peer_closed(&self) -> bool {
+        let stream = self.stream.get_ref();
+        let mut polled = [PollFd::new(stream, PollFlags::RDHUP)];
+        let result = poll(&mut polled, Some(&Timespec::default()));
+        let closed = PollFlags::RDHUP | PollFlags::HUP;
+        result.is_ok() && polled[0].revents().intersects(closed)
+    }
+
     /// Passes bytes on that the last read completed, on a socket that was empty at `empty_at`.
     fn handle_bytes(&self, bytes: &[u8], last_read: ReadBytes, empty_at: Timestamp) {
         let now = now();
