Keep the ids of sessions that a node may have executed apart from others

Cause: 4,096 ended ids were kept, executed or not; requests that are rejected or taken back at full speed displaced those of executed sessions.

Change: 32,768 ids of sessions that may have been executed are kept apart, and both lists are indexed sets instead of scanned lists.

--- a/crates/platform-proto/src/lib.rs
+++ b/crates/platform-proto/src/lib.rs
@@ -44,6 +44,7 @@
 mod output;
 mod permission;
 mod recent;
+mod recent_ids;
 pub mod rtsp;
 mod session;
 mod session_request;
--- a/crates/platform-proto/src/session.rs
+++ b/crates/platform-proto/src/session.rs
@@ -30,6 +30,8 @@
     pub(crate) deadline: Timestamp,
     pub(crate) rung: usize,
     pub(crate) attempts_started: u32,
+    /// Whether all of a set-up was written.
+    pub(crate) was_written: bool,
     pub(crate) received_at: Timestamp,
     /// The viewer's estimate of its duration.
     pub(crate) duration_hint: Option<TimeDelta>,
@@ -113,6 +115,7 @@
             deadline: request.request.deadline,
             rung,
             attempts_started: u32::from(active_at.is_some()),
+            was_written: false,
             received_at,
             duration_hint: request.request.duration_hint,
             awaits_answer: active_at.is_none(),
@@ -140,6 +143,11 @@
             .is_some_and(|attempt| attempt.progress == SendProgress::Written)
     }
 
+    /// Whether a node may have executed it, now or in an earlier attempt.
+    pub(crate) fn may_have_run(&self) -> bool {
+        self.was_written || self.active().is_some()
+    }
+
     /// Whether no byte of any of its set-ups was written.
     pub(crate) fn was_never_sent(&self) -> bool {
         match &self.stage {
--- a/crates/platform-proto/src/session_table.rs
+++ b/crates/platform-proto/src/session_table.rs
@@ -4,12 +4,15 @@
 use crate::HexId;
 use crate::ids::{NodeConnectionId, ViewerId};
 use crate::recent::Recent;
+use crate::recent_ids::RecentIds;
 use crate::session::{ActiveSession, Attempt, SendProgress, Session, Stage};
 use crate::unconfirmed_transfers::UnconfirmedTransfers;
 use shalewall::{ServerId, SessionId, Timestamp};
 use std::collections::BTreeMap;
 
-/// Number of ids of ended sessions that are kept in order to reject their reuse.
+/// Number of ids that are kept of ended sessions that a node may have executed: they must not be executed again.
+const MAX_EXECUTED_IDS: usize = 32_768;
+/// Number of ids that are kept of other ended sessions.
 const MAX_ENDED_IDS: usize = 4096;
 /// Number of ids that are kept of requests that were withdrawn before they were received.
 const MAX_WITHDRAWN_IDS: usize = 1024;
@@ -62,10 +65,13 @@
 pub(crate) struct SessionTable {
     sessions: BTreeMap<SessionId, Session>,
     by_wire_id: BTreeMap<HexId, SessionId>,
-    /// Ids of the sessions that ended most recently.
-    ended_ids: Recent<HexId, MAX_ENDED_IDS>,
+    /// Ids of ended sessions that a node may have executed. They are kept apart, since a viewer can end any number of
+    /// others at once.
+    executed_ids: RecentIds<MAX_EXECUTED_IDS>,
+    /// Ids of other ended sessions.
+    ended_ids: RecentIds<MAX_ENDED_IDS>,
     /// Ids of requests that were withdrawn on one connection before they were received on another.
-    withdrawn_ids: Recent<HexId, MAX_WITHDRAWN_IDS>,
+    withdrawn_ids: RecentIds<MAX_WITHDRAWN_IDS>,
     early_releases: Recent<EarlyRelease, MAX_EARLY_RELEASES>,
     unconfirmed: UnconfirmedTransfers,
     /// Total size of the descriptions.
@@ -130,21 +136,21 @@
     // ---- ids ---------------------------------------------------------------------------------
 
     pub(crate) fn has_ended(&self, wire_id: HexId) -> bool {
-        self.ended_ids.contains(&wire_id)
+        self.executed_ids.contains(wire_id) || self.ended_ids.contains(wire_id)
     }
 
     pub(crate) fn was_withdrawn(&self, wire_id: HexId) -> bool {
-        self.withdrawn_ids.contains(&wire_id)
+        self.withdrawn_ids.contains(wire_id)
     }
 
     /// Records the withdrawal of a request that has not been received yet.
     pub(crate) fn withdraw_in_advance(&mut self, wire_id: HexId) {
-        self.withdrawn_ids.push(wire_id);
+        self.withdrawn_ids.insert(wire_id);
     }
 
-    /// Records the end of a session, so that its id is not accepted again.
+    /// Records the end of a session that no node has executed for this director, so that its id is not accepted again.
     pub(crate) fn record_ended(&mut self, wire_id: HexId) {
-        self.ended_ids.push(wire_id);
+        self.ended_ids.insert(wire_id);
     }
 
     /// Keeps a node's release of an unknown session until the session is transferred. A node repeats its releases on
@@ -180,8 +186,13 @@
         let session = self.sessions.remove(&id)?;
         self.by_wire_id.remove(&session.wire_id);
         self.description_bytes -= session.description.len();
+        let is_unconfirmed = self.unconfirmed.viewer_of(id).is_some();
         self.unconfirmed.remove(id);
-        self.record_ended(session.wire_id);
+        if session.may_have_run() && !is_unconfirmed {
+            self.executed_ids.insert(session.wire_id);
+        } else {
+            self.record_ended(session.wire_id);
+        }
         session.viewer
     }
 
@@ -285,6 +296,11 @@
             && attempt.number == number
         {
             attempt.progress = SendProgress::Written;
+        } else {
+            return;
+        }
+        if let Some(session) = self.sessions.get_mut(&id) {
+            session.was_written = true;
         }
     }
 
--- a/crates/platform-proto/tests/withdrawn_requests.rs
+++ b/crates/platform-proto/tests/withdrawn_requests.rs
@@ -111,3 +111,55 @@
     harness.request(viewer, 8, "paid");
     assert_eq!(harness.protocol.session_counts(), counts(1, 0));
 }
+
+/// Guards against sessions that run twice: the id of a client that had left was forgotten when others ended thousands of
+/// requests (4,096 ids were kept, whether a node had executed them or not).
+#[test]
+fn an_id_that_ran_is_not_accepted_again_after_thousands_of_requests_that_did_not() {
+    let mut harness = Harness::new();
+    let (viewer, node) = harness.start_attempt(7, "paid");
+    assert!(harness.take_written(node).contains("SETUP"));
+    harness.close(viewer, false);
+    let bad = harness.connect_viewer();
+    harness.blocked.insert(node);
+    for tag in 100..10_000 {
+        harness.request(bad, tag, "free");
+        harness.receive(bad, finish_message(tag));
+    }
+    harness.take_written(bad);
+    harness.blocked.clear();
+    harness.write(node);
+    harness.take_written(node);
+    let again = harness.connect_viewer();
+    harness.request(again, 7, "paid");
+    assert!(harness.take_written(again).contains(r#""rc":95"#));
+    assert!(!harness.take_written(node).contains("SETUP"));
+}
+
+/// A viewer that has closed its side may have messages unread: requests among them are rejected, ends of sessions are
+/// not forgotten.
+#[test]
+fn after_a_viewer_has_closed_its_side_only_the_ends_of_sessions_are_handled() {
+    let mut harness = Harness::new();
+    let (viewer, node) = harness.start_session(7, "paid");
+    harness.request(viewer, 8, "paid");
+    harness.take_written(viewer);
+    harness.protocol.handle_peer_closed(harness.now, viewer);
+    harness.process_outputs();
+    assert!(
+        harness
+            .take_written(viewer)
+            .contains(r#""tag":"0000000000000008","opts":{},"rc":34"#)
+    );
+    harness.take_written(node);
+    harness.request(viewer, 9, "paid");
+    harness.receive(viewer, finish_message(7));
+    assert!(
+        harness
+            .take_written(viewer)
+            .contains(r#""tag":"0000000000000009","opts":{},"rc":34"#)
+    );
+    let sent = harness.take_written(node);
+    assert!(!sent.contains("SETUP") && sent.contains("TEARDOWN rtsp://media/0000000000000007"));
+    assert_eq!(harness.protocol.session_counts(), counts(0, 0));
+}
