Share one read buffer among all connections

Cause: the task of each connection contained a read buffer of 4 KB, several times over: 18 KB for each connection beside its unfinished message.

Change: one buffer for all; what is read is handled before another task runs.

--- a/crates/cli/tests/bad_clients.rs
+++ b/crates/cli/tests/bad_clients.rs
@@ -12,6 +12,10 @@
 
 /// The lowest memory limit of the platform, in MB.
 const MEMORY_LIMIT_MB: u64 = 32;
+/// The highest limit of file descriptors of the platform.
+const MAX_SOCKETS: usize = 1024;
+/// Number of connections that fill a director with that limit, but for a few.
+const CROWD: usize = 640;
 /// Time for which the usual client waits.
 const WAIT: Duration = Duration::from_millis(1_500);
 /// Time after that at which a request without an answer is lost, with the platform's tolerance.
@@ -218,3 +222,41 @@
         bad_messages(client % BAD_MESSAGE_KINDS, client, number)
     });
 }
+
+/// Guards against memory that grows with the number of clients: each may leave a message unfinished, or send one of many
+/// short fields.
+#[test]
+fn hundreds_of_unfinished_messages_fill_no_memory() {
+    let _alone = ONE_AT_A_TIME.lock();
+    let mut environment = Environment::new();
+    environment.memory_mb = MEMORY_LIMIT_MB;
+    environment.sockets = MAX_SOCKETS;
+    let director = environment.start_director();
+    let node = AnsweringNode::start(&environment);
+    drop(environment.viewer());
+    let fields: String = (0..1_800)
+        .map(|number| format!("\"{number}\":1,"))
+        .collect();
+    let unfinished = session_request(7, 1500).replace("\"class\"", &(fields + "\"class\""));
+    let unfinished = &unfinished.as_bytes()[..unfinished.len() - 1];
+    assert!(unfinished.len() > 15_000 && unfinished.len() < 16_384);
+    let (half, rest) = unfinished.split_at(unfinished.len() / 2);
+    let mut clients: Vec<_> = (0..CROWD)
+        .map(|_| TcpStream::connect(&environment.listen).unwrap())
+        .collect();
+    for part in [half, rest] {
+        for client in &mut clients {
+            let _ = client.write_all(part);
+        }
+    }
+    let longest = longest_answer(&environment, Instant::now() + Duration::from_secs(3));
+    for client in &mut clients {
+        let _ = client.write_all(b"}\n");
+    }
+    longest_answer(&environment, Instant::now() + Duration::from_millis(500));
+    let memory_kb = peak_memory_kb(&director);
+    println!("{CROWD} clients: longest answer {longest:?}, {memory_kb} kB");
+    assert!(longest <= WAIT + LATE_TIME, "answered after {longest:?}");
+    assert!(memory_kb <= MEMORY_LIMIT_MB * 1000, "{memory_kb} kB");
+    node.stop();
+}
--- a/crates/platform/src/connection.rs
+++ b/crates/platform/src/connection.rs
@@ -17,7 +17,6 @@
 use std::time::Duration;
 use tracing::{debug, trace};
 
-const READ_BUFFER_BYTES: usize = 4 * 1024;
 /// Time for which a connection is still read after a write failed: bytes that the peer sent before it reset the
 /// connection are still available, followed by the end of the stream.
 const READ_DRAIN_TIMEOUT: Duration = Duration::from_secs(1);
@@ -91,6 +90,13 @@
     failed: bool,
 }
 
+/// What is known of a connection after a read.
+struct HandledRead {
+    /// Whether more may be unread.
+    is_backlogged: bool,
+    failed: bool,
+}
+
 impl Connection {
     pub fn new(
         event_loop: Rc<EventLoop>,
@@ -139,29 +145,25 @@
     }
 
     async fn read_until_end(&self) -> StreamEnd {
-        let mut buffer = [0; READ_BUFFER_BYTES];
         loop {
             let read = self
                 .stream
-                .read_with(|stream| self.receiver.read(stream, &mut buffer))
+                .read_with(|stream| {
+                    let mut buffer = self.event_loop.read_buffer();
+                    self.receiver.read(stream, &mut buffer)
+                })
                 .await;
             let first_read = match read {
                 Ok(read) if read.count == 0 => return StreamEnd::Closed,
                 Ok(read) => read,
                 Err(_) => return StreamEnd::Failed,
             };
-            let empty_at = self.receiver.empty_at();
-            let available = self.read_available(&mut buffer, first_read);
-            let is_backlogged = available.filled == buffer.len();
-            if available.is_end || available.failed || (is_backlogged && self.has_peer_closed()) {
-                self.report_peer_closed();
-            }
-            self.handle_bytes(&buffer[..available.filled], available.last_read, empty_at);
-            if available.failed {
+            let handled = self.handle_read(first_read);
+            if handled.failed {
                 return StreamEnd::Failed;
             }
             // A peer that sends continuously must not starve the other connections.
-            if is_backlogged {
+            if handled.is_backlogged {
                 self.event_loop.wait_for_backlog_turn().await;
             } else {
                 future::yield_now().await;
@@ -169,6 +171,22 @@
         }
     }
 
+    /// Reads what else is available, and passes all of it on. No other connection uses the buffer meanwhile.
+    fn handle_read(&self, first_read: ReadBytes) -> HandledRead {
+        let mut buffer = self.event_loop.read_buffer();
+        let empty_at = self.receiver.empty_at();
+        let available = self.read_available(&mut buffer, first_read);
+        let is_backlogged = available.filled == buffer.len();
+        if available.is_end || available.failed || (is_backlogged && self.has_peer_closed()) {
+            self.report_peer_closed();
+        }
+        self.handle_bytes(&buffer[..available.filled], available.last_read, empty_at);
+        HandledRead {
+            is_backlogged,
+            failed: available.failed,
+        }
+    }
+
     /// Fills the rest of the buffer without blocking, so that bytes that arrived together are passed on together.
     fn read_available(&self, buffer: &mut [u8], first_read: ReadBytes) -> Available {
         let stream = self.stream.get_ref();
--- a/crates/platform/src/event_loop.rs
+++ b/crates/platform/src/event_loop.rs
@@ -15,13 +15,16 @@
 use shalewall::{TimeDelta, Timestamp};
 use shalewall_clock::{LoopClock, TimeoutDriver, now, to_duration};
 use shalewall_platform_proto::{ConnectionId, DirectorProtocol, Output};
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, RefCell, RefMut};
 use std::collections::BTreeMap;
 use std::future::poll_fn;
 use std::net::{SocketAddr, TcpStream};
 use std::pin::pin;
 use std::rc::{Rc, Weak};
 
+/// Number of bytes that are read at once.
+const READ_BUFFER_BYTES: usize = 4 * 1024;
+
 /// The state machine, its connections and its timers.
 pub(crate) struct EventLoop {
     /// Runs the connections' tasks. A weak reference, because tasks hold the event loop: with a strong one the executor
@@ -33,6 +36,8 @@
     loop_clock: LoopClock,
     /// Held by the connection whose backlog is read next.
     backlog_turn: Mutex<()>,
+    /// Shared by all connections, each of which handles what it reads at once.
+    read_buffer: RefCell<Box<[u8; READ_BUFFER_BYTES]>>,
     /// The greatest age of received bytes since the previous call of [`EventLoop::take_lateness`].
     oldest_read: Cell<TimeDelta>,
 }
@@ -61,6 +66,7 @@
             timeout_driver: TimeoutDriver::default(),
             loop_clock: LoopClock::new(now()),
             backlog_turn: Mutex::new(()),
+            read_buffer: RefCell::new(Box::new([0; READ_BUFFER_BYTES])),
             oldest_read: Cell::new(TimeDelta::ZERO),
         })
     }
@@ -115,6 +121,13 @@
         future::yield_now().await;
     }
 
+    /// The buffer for a read. It must not be kept across a point at which other tasks may run.
+    pub fn read_buffer(&self) -> RefMut<'_, [u8]> {
+        RefMut::map(self.read_buffer.borrow_mut(), |buffer| {
+            buffer.as_mut_slice()
+        })
+    }
+
     /// Records the age of bytes that were read.
     pub fn record_read(&self, age: TimeDelta) {
         self.oldest_read.set(self.oldest_read.get().max(age));
