Remove the timers of requests that have ended

Cause: a request's timers stay queued until they are due, up to an hour by the viewer's own statement, also when it has been taken back.

Change: timers of ended requests are removed once they outnumber those that sessions may have; the state log has the number of pending timers.

--- a/crates/platform-proto/src/director_protocol/maintenance.rs
+++ b/crates/platform-proto/src/director_protocol/maintenance.rs
@@ -5,10 +5,15 @@
 use crate::ids::NodeConnectionId;
 use crate::node::Reachability;
 use crate::permission::ViewerCloseReason;
-use shalewall::{ServerId, TimeDelta};
+use shalewall::{ServerId, SessionId, TimeDelta};
 
 const MAINTENANCE_INTERVAL: TimeDelta = TimeDelta::from_millis(250);
 
+/// Number of timers that may be pending in addition to those of sessions before obsolete ones are removed.
+const MAX_OBSOLETE_TIMERS: usize = 1024;
+/// Timers that a session may have, for its deadline and its attempts.
+const TIMERS_PER_SESSION: usize = 4;
+
 /// Nodes that are considered gone, and nodes to which a connection has to be opened.
 #[derive(Default)]
 struct ReachabilityPlan {
@@ -27,6 +32,22 @@
         self.maintain_node_connections();
         self.maintain_nodes();
         self.end_abandoned_transfers();
+        self.remove_obsolete_timers();
+    }
+
+    /// Removes the timers of requests that have ended, once they outnumber the sessions: a viewer may state that it waits
+    /// for an hour, and withdraw its request at once.
+    fn remove_obsolete_timers(&mut self) {
+        if self.timers.len() <= MAX_OBSOLETE_TIMERS + TIMERS_PER_SESSION * self.sessions.len() {
+            return;
+        }
+        let (sessions, last_id) = (&self.sessions, self.last_id);
+        self.timers.retain(|timer| match timer {
+            // The decision module's timers of requests have the number of the session.
+            Timer::Module(token) => *token > last_id || sessions.contains(SessionId(*token)),
+            Timer::Attempt(session, _) => sessions.contains(*session),
+            _ => true,
+        });
     }
 
     fn maintain_viewers(&mut self) {
--- a/crates/platform-proto/src/director_protocol/mod.rs
+++ b/crates/platform-proto/src/director_protocol/mod.rs
@@ -288,6 +288,7 @@
             self.director.server_estimates(),
             counters,
             tally,
+            self.timers.len(),
         )
     }
 
--- a/crates/platform-proto/src/session_table.rs
+++ b/crates/platform-proto/src/session_table.rs
@@ -83,6 +83,10 @@
         self.sessions.len()
     }
 
+    pub(crate) fn contains(&self, id: SessionId) -> bool {
+        self.sessions.contains_key(&id)
+    }
+
     pub(crate) fn counts(&self) -> SessionCounts {
         let is_pending = |session: &&Session| session.awaits_answer;
         let pending_requests = self.sessions.values().filter(is_pending).count();
--- a/crates/platform-proto/src/status.rs
+++ b/crates/platform-proto/src/status.rs
@@ -48,6 +48,8 @@
     pub shed_requests: u32,
     /// The longest delay between a timer's due time and its execution in this process.
     pub timer_delay: TimeDelta,
+    /// Number of pending timers.
+    pub pending_timers: usize,
 }
 
 /// Counts since the previous status.
@@ -86,6 +88,7 @@
         estimates: impl Iterator<Item = ServerEstimate>,
         counters: StatusCounters,
         tally: ConnectionTally,
+        pending_timers: usize,
     ) -> Status {
         Status {
             sessions,
@@ -99,6 +102,7 @@
             expired_before_read: counters.expired_before_read,
             shed_requests: counters.shed_requests,
             timer_delay: counters.timer_delay,
+            pending_timers,
         }
     }
 }
--- a/crates/platform-proto/tests/untrusted_input.rs
+++ b/crates/platform-proto/tests/untrusted_input.rs
@@ -2,7 +2,8 @@
 
 mod common;
 use common::{
-    Harness, MILLISECOND, SECOND, counts, set_up_answer, set_up_rejection, start_message, teardown,
+    Harness, MILLISECOND, SECOND, counts, finish_message, set_up_answer, set_up_rejection,
+    start_message, teardown,
 };
 use proptest::prelude::*;
 use shalewall_platform_proto::endpoint_watch::{Frame, FrameDecoder};
@@ -346,3 +347,23 @@
         prop_assert!(!received.contains("STARTED") || received.contains(r#""blob":"there\r\n""#), "{}", received);
     }
 }
+
+/// Guards against memory that grows for as long as a client sends: the timers of requests that were taken back were kept
+/// until the time that their viewer had stated, up to an hour.
+#[test]
+fn timers_of_withdrawn_requests_are_removed() {
+    let mut harness = Harness::new();
+    let viewer = harness.connect_viewer();
+    for tag in 1..10_000 {
+        harness.receive(viewer, start_message(tag, "free", 3_600_000, ""));
+        harness.receive(viewer, finish_message(tag));
+        if tag == 1 {
+            harness.connect_next();
+        }
+        harness.written.clear();
+    }
+    harness.advance(SECOND);
+    let timers = harness.protocol.status().pending_timers;
+    assert!(timers < 1_100, "{timers} timers are pending");
+    assert_eq!(harness.protocol.session_counts(), counts(0, 0));
+}
--- a/crates/platform/src/state_log.rs
+++ b/crates/platform/src/state_log.rs
@@ -48,6 +48,7 @@
         violations = status.violations.total(),
         expired = status.expired_before_read,
         shed = status.shed_requests,
+        timers = status.pending_timers,
         late_us = status.timer_delay.as_micros(),
         read_age_us = lateness.oldest_read.as_micros(),
         pause_us = lateness.longest_pause.as_micros(),
--- a/crates/timers/src/lib.rs
+++ b/crates/timers/src/lib.rs
@@ -33,6 +33,21 @@
         self.heap.push(Reverse((due, self.last_sequence, timer)));
     }
 
+    /// Number of pending timers.
+    pub fn len(&self) -> usize {
+        self.heap.len()
+    }
+
+    /// Whether no timer is pending.
+    pub fn is_empty(&self) -> bool {
+        self.heap.is_empty()
+    }
+
+    /// Removes the timers that are not needed any more. It visits all of them.
+    pub fn retain(&mut self, mut is_needed: impl FnMut(&T) -> bool) {
+        self.heap.retain(|Reverse((_, _, timer))| is_needed(timer));
+    }
+
     /// Returns the due time of the earliest pending timer.
     pub fn next_due(&self) -> Option<Time> {
         self.heap.peek().map(|Reverse((due, _, _))| *due)
