Let the process that started last own an address of the endpoint list

Cause: the entry told last took the address, also one of the old node that was told behind the new one's; set-ups for the old node then went to the new process. In one whole list with both, the module went on to choose the old one.

Change: an entry whose address belongs to a process with a later start is applied as gone, and the decision module is told so, too.

Evidence: a_late_entry_of_the_old_node_does_not_take_the_address_back failed before (the connection for a request was opened for the old node).

--- a/crates/platform-proto/src/node_registry.rs
+++ b/crates/platform-proto/src/node_registry.rs
@@ -11,7 +11,7 @@
 pub(crate) struct EndpointChanges {
     /// Nodes with a new process: the sessions of the old one have ended, and its connections are unusable.
     pub(crate) replaced: Vec<ServerId>,
-    /// Entries of nodes whose address now belongs to another node, although the list has not marked them as gone.
+    /// Entries of nodes whose address belongs to another node, although the list has not marked them as gone.
     pub(crate) displaced: Vec<Endpoint>,
     /// Nodes that are draining or gone; idle connections to them can be closed.
     pub(crate) not_ready: Vec<ServerId>,
@@ -111,9 +111,16 @@
         if event.is_snapshot {
             self.mark_missing_gone(&named, &mut changes);
         }
+        let mut displaced = BTreeSet::new();
         for entry in &event.entries {
-            self.apply_entry(entry, &named, now, &mut changes);
+            self.apply_entry(entry, now, &mut displaced, &mut changes);
         }
+        changes.displaced = displaced
+            .into_iter()
+            .filter_map(|server| self.nodes.get(&server))
+            .filter(|node| node.is_gone())
+            .map(Node::endpoint)
+            .collect();
         Some(changes)
     }
 
@@ -127,29 +134,48 @@
         }
     }
 
+    /// Applies an entry; adds nodes whose address belongs to another one to `displaced`.
     fn apply_entry(
         &mut self,
         entry: &EndpointEntry,
-        named: &BTreeSet<ServerId>,
         now: Timestamp,
+        displaced: &mut BTreeSet<ServerId>,
         changes: &mut EndpointChanges,
     ) {
-        let EndpointEntry { endpoint, address } = entry;
+        let EndpointEntry {
+            mut endpoint,
+            address,
+        } = *entry;
         let server = endpoint.server;
-        if endpoint.state != EndpointState::Gone {
-            self.displace_others(server, *address, named, changes);
+        let is_running = endpoint.state != EndpointState::Gone;
+        if is_running && self.has_later_process(&endpoint, address) {
+            endpoint.state = EndpointState::Gone;
+            displaced.insert(server);
+        } else if is_running {
+            self.displace_others(server, address, displaced, changes);
         }
         let node = self
             .nodes
             .entry(server)
-            .or_insert_with(|| Node::new(*endpoint, *address, now));
-        if node.is_replaced_by(endpoint, *address) {
+            .or_insert_with(|| Node::new(endpoint, address, now));
+        if node.is_replaced_by(&endpoint, address) {
             changes.replaced.push(server);
         }
         if endpoint.state != EndpointState::Ready {
             changes.not_ready.push(server);
         }
-        node.update(*endpoint, *address);
+        node.update(endpoint, address);
+    }
+
+    /// Whether a process that started later than an entry's is known at its address, so that the entry's process has
+    /// ended: the list may tell of the old node after the new one.
+    fn has_later_process(&self, endpoint: &Endpoint, address: SocketAddr) -> bool {
+        self.nodes.iter().any(|(other, node)| {
+            *other != endpoint.server
+                && node.address() == address
+                && !node.is_gone()
+                && node.endpoint().started_at > endpoint.started_at
+        })
     }
 
     /// Marks other nodes with this address as gone, whatever the list says about them. Nothing may be sent to the
@@ -158,18 +184,15 @@
         &mut self,
         server: ServerId,
         address: SocketAddr,
-        named: &BTreeSet<ServerId>,
+        displaced: &mut BTreeSet<ServerId>,
         changes: &mut EndpointChanges,
     ) {
         for (other, node) in &mut self.nodes {
             if *other == server || node.address() != address {
                 continue;
             }
-            if !node.is_gone() && !named.contains(other) {
-                changes.displaced.push(Endpoint {
-                    state: EndpointState::Gone,
-                    ..node.endpoint()
-                });
+            if !node.is_gone() {
+                displaced.insert(*other);
             }
             node.mark_gone();
             changes.replaced.push(*other);
--- a/crates/platform-proto/tests/arrival.rs
+++ b/crates/platform-proto/tests/arrival.rs
@@ -180,7 +180,7 @@
     harness.protocol.begin_catch_up(harness.now);
     harness.request(viewer, 7, "paid");
     let node = harness.connect_next();
-    harness.now = harness.now + 2_000 * MILLISECOND;
+    harness.now += 2_000 * MILLISECOND;
     harness.protocol.begin_catch_up(harness.now);
     harness.protocol.handle_timeout(harness.now);
     harness.process_outputs();
--- a/crates/platform-proto/tests/endpoint_events.rs
+++ b/crates/platform-proto/tests/endpoint_events.rs
@@ -2,9 +2,9 @@
 
 mod common;
 use common::{Harness, MILLISECOND, NODE, SECOND, START, endpoint_entry, set_up_rejection};
-use shalewall::EndpointState::{Gone, Ready};
+use shalewall::EndpointState::{Draining, Gone, Ready};
 use shalewall::ServerId;
-use shalewall_platform_proto::endpoint_watch::Frame;
+use shalewall_platform_proto::endpoint_watch::{EndpointEntry, EndpointEvent, Frame};
 use shalewall_platform_proto::{DirectorProtocol, LogEvent};
 
 /// A heartbeat with a sequence number above that of the last event shows that events are missing.
@@ -167,3 +167,53 @@
         harness.log_events
     );
 }
+
+/// Guards against a new process that is taken for the old one at its address: an entry of the old node that is told
+/// late, or behind that of the new one, made the new node gone, and the old one the owner of the address.
+#[test]
+fn a_late_entry_of_the_old_node_does_not_take_the_address_back() {
+    for is_snapshot in [false, true] {
+        for old_state in [Ready, Draining] {
+            let mut harness = Harness::new();
+            let new = endpoint_entry(9, NODE[0], Ready, Some(START));
+            let old = endpoint_entry(1, NODE[0], old_state, None);
+            let event = |sequence, entries: &[EndpointEntry]| {
+                Frame::Event(EndpointEvent {
+                    sequence,
+                    is_snapshot,
+                    entries: entries.to_vec(),
+                })
+            };
+            let events = if is_snapshot {
+                vec![event(2, &[new, old])]
+            } else {
+                vec![event(2, &[new]), event(3, &[old])]
+            };
+            for event in events {
+                let now = harness.now;
+                harness.protocol.handle_watch_frame(now, &event).unwrap();
+                harness.process_outputs();
+            }
+            if !is_snapshot {
+                let second = endpoint_entry(2, NODE[1], Gone, None);
+                harness.apply_endpoint_event(4, &[second]);
+            }
+            let viewer = harness.connect_viewer();
+            harness.request(viewer, 7, "paid");
+            let opened: Vec<_> = harness
+                .log_events
+                .iter()
+                .filter_map(|event| match event {
+                    LogEvent::NodeConnectionOpened { node, .. } => Some(node.0),
+                    _ => None,
+                })
+                .collect();
+            assert_eq!(opened, [ServerId(9)], "{is_snapshot} {old_state:?}");
+            let node = harness.connect_next();
+            assert!(
+                harness.take_written(node).contains("SETUP"),
+                "{is_snapshot} {old_state:?}"
+            );
+        }
+    }
+}
