Test harness: find free ports with a socket that does not listen

Cause: free_port listened on a port for a moment to see that it is free. A process that another thread was starting held a copy of that socket until its exec: the director could not bind the port, and its client reached the copy.

Change: the socket is bound but does not listen.

--- a/crates/test-harness/src/lib.rs
+++ b/crates/test-harness/src/lib.rs
@@ -16,7 +16,9 @@
 pub mod soak;
 pub mod viewer;
 
-use std::net::TcpListener;
+use rustix::net::sockopt::set_socket_reuseaddr;
+use rustix::net::{AddressFamily, SocketFlags, SocketType, bind, socket_with};
+use std::net::{Ipv4Addr, SocketAddrV4};
 use std::sync::atomic::{AtomicU32, Ordering};
 
 /// Current Unix time in microseconds.
@@ -35,7 +37,7 @@
     for _ in 0..PORT_COUNT {
         let port =
             12_000 + (first.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed)) % PORT_COUNT) as u16;
-        if TcpListener::bind(("127.0.0.1", port)).is_ok() {
+        if is_free(port)? {
             return Ok(port);
         }
     }
@@ -44,6 +46,19 @@
     ))
 }
 
+/// Whether nobody listens on a port. The socket that finds out does not listen either: a process that another thread is
+/// starting holds it for a moment, and would accept connections, or keep the port from its user.
+fn is_free(port: u16) -> std::io::Result<bool> {
+    let socket = socket_with(
+        AddressFamily::INET,
+        SocketType::STREAM,
+        SocketFlags::CLOEXEC,
+        None,
+    )?;
+    set_socket_reuseaddr(&socket, true)?;
+    Ok(bind(&socket, &SocketAddrV4::new(Ipv4Addr::LOCALHOST, port)).is_ok())
+}
+
 /// A node's id in the form of the platform.
 pub fn node_name(node: u32) -> String {
     format!("s-{node:08x}")
