Bound the unfinished lines of viewers by the memory limit

Cause: an unfinished line was bounded for each connection only, 16 KB each.

Change: beyond an eighth of the memory limit, a line longer than an equal share closes its connection with an answer; queues of lines to viewers use the same check.

Evidence: unfinished_lines_take_only_part_of_the_memory_limit failed before.

--- a/crates/platform-proto/src/director_protocol/mod.rs
+++ b/crates/platform-proto/src/director_protocol/mod.rs
@@ -125,10 +125,7 @@
             timeouts: Timeouts::new(&driver_limits),
             driver_limits,
             memory_limits,
-            viewers: ViewerConnections::new(
-                connections - node_connections,
-                memory_limits.max_queued_bytes,
-            ),
+            viewers: ViewerConnections::new(connections - node_connections, &memory_limits),
             node_connections: NodeConnections::new(node_connections),
             half_closed: HalfClosedConnections::default(),
             health_checks: HealthChecks::default(),
--- a/crates/platform-proto/src/error.rs
+++ b/crates/platform-proto/src/error.rs
@@ -10,6 +10,9 @@
     /// A line exceeds the maximum message length.
     #[error("a line is longer than {MAX_MESSAGE_BYTES} bytes")]
     LineTooLong,
+    /// A long line is unfinished, and the memory for unfinished lines is exhausted.
+    #[error("a long line is unfinished while the memory for unfinished lines is exhausted")]
+    UnfinishedLine,
     /// A line is not a JSON object with the fields of a message.
     #[error("a line is not a JSON object with the fields of a message")]
     InvalidMessage,
--- a/crates/platform-proto/src/memory_limits.rs
+++ b/crates/platform-proto/src/memory_limits.rs
@@ -12,6 +12,8 @@
 const SESSIONS_FRACTION: f64 = 0.25;
 /// Fraction of the memory limit for the descriptions of requests that wait for an answer.
 const DESCRIPTIONS_FRACTION: f64 = 0.125;
+/// Fraction of the memory limit for lines of viewers that are received in part.
+const UNFINISHED_LINES_FRACTION: f64 = 0.125;
 /// Fraction of the memory limit for lines that wait to be written to viewers.
 const QUEUED_LINES_FRACTION: f64 = 0.125;
 /// Maximum number of sessions, however much memory there is.
@@ -28,6 +30,8 @@
     pub(crate) max_unconfirmed: usize,
     /// Maximum total size of the descriptions of requests that wait for an answer.
     pub(crate) max_description_bytes: usize,
+    /// Total size of unfinished lines of viewers from which on only short ones are kept.
+    pub(crate) max_unfinished_bytes: usize,
     /// Total size of the lines to viewers from which on only short queues may grow.
     pub(crate) max_queued_bytes: usize,
 }
@@ -41,6 +45,7 @@
             max_sessions,
             max_unconfirmed: max_sessions / TRANSFERRED_DIVISOR,
             max_description_bytes: (bytes * DESCRIPTIONS_FRACTION) as usize,
+            max_unfinished_bytes: (bytes * UNFINISHED_LINES_FRACTION) as usize,
             max_queued_bytes: (bytes * QUEUED_LINES_FRACTION) as usize,
         }
     }
--- a/crates/platform-proto/src/viewer_connection.rs
+++ b/crates/platform-proto/src/viewer_connection.rs
@@ -144,6 +144,11 @@
         }))
     }
 
+    /// Size of the line that is received in part.
+    pub(crate) fn unfinished_bytes(&self) -> usize {
+        self.decoder.unfinished_bytes()
+    }
+
     /// Records that a valid message was received.
     pub(crate) fn record_message(&mut self) {
         self.has_sent_message = true;
--- a/crates/platform-proto/src/viewer_connections.rs
+++ b/crates/platform-proto/src/viewer_connections.rs
@@ -4,6 +4,7 @@
 use crate::arrival::Arrival;
 use crate::error::ViewerProtocolError;
 use crate::ids::ViewerId;
+use crate::memory_limits::MemoryLimits;
 use crate::undelivered_releases::UndeliveredReleases;
 use crate::viewer_connection::{
     LineKind, QueuedLine, ReceivedMessage, ViewerCloseState, ViewerConnection,
@@ -82,16 +83,19 @@
     max_connections: usize,
     /// Total size of all queues from which on a connection is closed whose queue takes more than its share of it.
     max_queued_bytes: usize,
+    /// The same for unfinished lines.
+    max_unfinished_bytes: usize,
     /// Whether every connection is to be closed once its socket has no unread bytes.
     closes_all: bool,
     undelivered_releases: UndeliveredReleases,
 }
 
 impl ViewerConnections {
-    pub(crate) fn new(max_connections: usize, max_queued_bytes: usize) -> ViewerConnections {
+    pub(crate) fn new(max_connections: usize, limits: &MemoryLimits) -> ViewerConnections {
         ViewerConnections {
             max_connections,
-            max_queued_bytes,
+            max_queued_bytes: limits.max_queued_bytes,
+            max_unfinished_bytes: limits.max_unfinished_bytes,
             ..ViewerConnections::default()
         }
     }
@@ -257,10 +261,16 @@
         id: ViewerId,
         now: Timestamp,
     ) -> Result<Option<ReceivedMessage>, ViewerProtocolError> {
-        match self.connections.get_mut(&id) {
-            Some(connection) if !connection.is_closing() => connection.next_message(now),
-            _ => Ok(None),
+        let message = match self.connections.get_mut(&id) {
+            Some(connection) if !connection.is_closing() => connection.next_message(now)?,
+            _ => return Ok(None),
+        };
+        let unfinished_bytes = ViewerConnection::unfinished_bytes;
+        if message.is_none() && self.exceeds_share(id, self.max_unfinished_bytes, unfinished_bytes)
+        {
+            return Err(ViewerProtocolError::UnfinishedLine);
         }
+        Ok(message)
     }
 
     /// Records that a valid message was received on the connection.
@@ -319,7 +329,7 @@
     /// Queues a line; returns `false` if the connection does not exist, or is to be closed because its viewer does not
     /// read.
     pub(crate) fn enqueue(&mut self, id: ViewerId, kind: LineKind, bytes: Vec<u8>) -> bool {
-        if self.exceeds_share(id) {
+        if self.exceeds_share(id, self.max_queued_bytes, ViewerConnection::queued_bytes) {
             return false;
         }
         self.connections
@@ -327,12 +337,16 @@
             .is_some_and(|connection| connection.enqueue(kind, bytes))
     }
 
-    /// Whether a connection's queue takes more than its share of the memory for queues, and that is exhausted.
-    fn exceeds_share(&self, id: ViewerId) -> bool {
-        let queued = |connection: &ViewerConnection| connection.queued_bytes();
-        let own = self.connections.get(&id).map_or(0, queued);
-        let share = self.max_queued_bytes / self.connections.len().max(1);
-        own > share && self.connections.values().map(queued).sum::<usize>() > self.max_queued_bytes
+    /// Whether a connection takes more than an equal share of the memory for all connections, and that is exhausted.
+    fn exceeds_share(
+        &self,
+        id: ViewerId,
+        limit: usize,
+        size: impl Fn(&ViewerConnection) -> usize,
+    ) -> bool {
+        let own = self.connections.get(&id).map_or(0, &size);
+        let share = limit / self.connections.len().max(1);
+        own > share && self.connections.values().map(size).sum::<usize>() > limit
     }
 
     /// Records that the last line has been written.
--- a/crates/platform-proto/src/viewer_message.rs
+++ b/crates/platform-proto/src/viewer_message.rs
@@ -117,6 +117,11 @@
         !self.buffer.is_empty()
     }
 
+    /// Number of bytes that are not decoded.
+    pub fn unfinished_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Decodes the next message; returns `None` until it is complete.
     pub fn message(&mut self) -> Result<Option<ViewerMessage>, ViewerProtocolError> {
         let line_feed = self.buffer[self.searched_bytes..]
--- a/crates/platform-proto/tests/untrusted_input.rs
+++ b/crates/platform-proto/tests/untrusted_input.rs
@@ -2,8 +2,8 @@
 
 mod common;
 use common::{
-    Harness, MILLISECOND, SECOND, counts, finish_message, set_up_answer, set_up_rejection,
-    start_message, teardown,
+    Harness, MILLISECOND, SECOND, config_of, counts, finish_message, set_up_answer,
+    set_up_rejection, start_message, teardown,
 };
 use proptest::prelude::*;
 use shalewall_platform_proto::endpoint_watch::{Frame, FrameDecoder};
@@ -367,3 +367,26 @@
     assert!(timers < 1_100, "{timers} timers are pending");
     assert_eq!(harness.protocol.session_counts(), counts(0, 0));
 }
+
+/// Guards against memory that grows with the number of clients that stop within a long line: the bound for each was the
+/// only one.
+#[test]
+fn unfinished_lines_take_only_part_of_the_memory_limit() {
+    let memory_mb = 8.0;
+    let mut harness = Harness::with_config(&config_of(30, memory_mb));
+    let usual = harness.connect_viewer();
+    harness.receive(usual, "{");
+    let mut kept = 0;
+    for _ in 0..140 {
+        let viewer = harness.connect_viewer();
+        harness.receive(viewer, "x".repeat(15_000));
+        kept += usize::from(!harness.take_written(viewer).contains(r#""rc":95"#));
+    }
+    let limit = memory_mb * 1e6 / 8.0;
+    assert!(
+        kept > 50 && kept as f64 * 15_000.0 <= limit,
+        "{kept} are kept"
+    );
+    harness.receive(usual, &start_message(7, "paid", 1500, "")[1..]);
+    assert_eq!(harness.protocol.session_counts(), counts(1, 0));
+}
