Send releases on a connection that their viewer keeps open

Cause: a release without a connection of its own went to the connection from the same address on which bytes were received last; that is often the one on which its client has just ended its last session, and closes right after.

Change: connections with requests or sessions come first, and one whose client is known to have closed its side is not used.

Evidence: a_release_is_sent_on_a_connection_that_its_viewer_keeps failed before.

--- a/crates/platform-proto/src/viewer_connection.rs
+++ b/crates/platform-proto/src/viewer_connection.rs
@@ -303,6 +303,16 @@
         self.closing_since.is_some()
     }
 
+    /// Whether neither side has begun to close it.
+    pub(crate) fn is_open(&self) -> bool {
+        !self.is_closing() && !self.is_stream_ending
+    }
+
+    /// Whether it has requests without an answer, or active sessions.
+    pub(crate) fn has_sessions(&self) -> bool {
+        !self.pending_requests.is_empty() || !self.active_sessions.is_empty()
+    }
+
     pub(crate) fn close_state(&self) -> ViewerCloseState {
         if self.is_stream_ended {
             ViewerCloseState::Closed
@@ -333,10 +343,7 @@
 
     /// Whether it has no requests, sessions or pending writes, so that it may be evicted for a new connection.
     pub(crate) fn is_unused(&self) -> bool {
-        self.pending_requests.is_empty()
-            && self.active_sessions.is_empty()
-            && !self.has_pending_writes()
-            && !self.close_if_no_unread_bytes
+        !self.has_sessions() && !self.has_pending_writes() && !self.close_if_no_unread_bytes
     }
 
     /// Sort key for eviction of unused connections: those without a valid message first, then the least recently used.
--- a/crates/platform-proto/src/viewer_connections.rs
+++ b/crates/platform-proto/src/viewer_connections.rs
@@ -398,12 +398,16 @@
 
     // ---- releases without a connection -------------------------------------------------------
 
-    /// Returns the open connection from the same address on which bytes were received last.
+    /// Returns an open connection from the same address: one with requests or sessions, which its viewer does not close,
+    /// before others, and among those the one on which bytes were received last.
     pub(crate) fn find_by_address(&self, address: IpAddr) -> Option<ViewerId> {
         self.connections
             .iter()
-            .filter(|(_, connection)| connection.address() == address && !connection.is_closing())
-            .max_by_key(|(id, connection)| (connection.last_received_at(), **id))
+            .filter(|(_, connection)| connection.address() == address && connection.is_open())
+            .max_by_key(|(id, connection)| {
+                let last_received_at = connection.last_received_at();
+                (connection.has_sessions(), last_received_at, **id)
+            })
             .map(|(id, _)| *id)
     }
 
--- a/crates/platform-proto/tests/viewer_connections.rs
+++ b/crates/platform-proto/tests/viewer_connections.rs
@@ -1,7 +1,9 @@
 //! Viewers' connections: lines that were not delivered, and when a connection may be closed.
 
 mod common;
-use common::{Harness, MILLISECOND, SECOND, counts, set_up_answer, start_message, teardown};
+use common::{
+    Harness, MILLISECOND, SECOND, counts, finish_message, set_up_answer, start_message, teardown,
+};
 use shalewall_platform_proto::viewer_message::ViewerMessage;
 use shalewall_platform_proto::{ConnectionId, HexId};
 
@@ -250,3 +252,32 @@
     harness.advance(1300 * MILLISECOND);
     assert!(harness.closed.contains(&viewer));
 }
+
+/// Guards against a release that is lost with its connection: it was sent on the one on which bytes were received last,
+/// which the viewer closed right after the end of its last session.
+#[test]
+fn a_release_is_sent_on_a_connection_that_its_viewer_keeps() {
+    for is_peer_closed in [false, true] {
+        let mut harness = Harness::new();
+        let (first, node) = harness.start_session(7, "free");
+        let kept = harness.connect_viewer();
+        let ended = harness.connect_viewer();
+        for (viewer, tag) in [(kept, 8), (ended, 9)] {
+            harness.receive(viewer, start_message(tag, "free", 0, ";at:s-00000001"));
+        }
+        harness.close(first, false);
+        harness.advance(MILLISECOND);
+        if is_peer_closed {
+            harness.protocol.handle_peer_closed(harness.now, ended);
+        }
+        harness.receive(ended, finish_message(9));
+        harness.written.clear();
+        harness.receive(node, teardown(7, 16, b""));
+        assert!(
+            harness
+                .take_written(kept)
+                .contains(r#""tag":"0000000000000007""#)
+        );
+        assert!(harness.take_written(ended).is_empty());
+    }
+}
