Do not count set-ups that never reached a warming server

Cause: the warm-up limit now counts every set-up sent, also one that did not leave the director or whose connection was not established; by the protocol, a refused connection proves that nothing ran.

Change: an attempt that ends as not sent or as a failed connection is taken out.

Evidence: attempts_that_did_not_reach_a_server_do_not_count_towards_the_warm_up_ limit fails without it.

--- a/src/director/requests.rs
+++ b/src/director/requests.rs
@@ -80,6 +80,10 @@
         self.finish_migration(id, false);
         let Some(session) = self.sessions.remove(id) else { return };
         self.adjust_own_rate(session.server, -session.rate_kb_s);
+        if matches!(outcome, Outcome::NotSent | Outcome::ConnectionFailed) {
+            let server = self.servers.get_mut(&session.server);
+            server.into_iter().for_each(|server| server.recent_set_ups.remove(session.sent_at));
+        }
         let is_owed_answer = session.awaits_answer() && !is_answered && outcome != Outcome::Success;
         if session.is_playing() && outcome == Outcome::Success {
             self.record_end(self.now - session.sent_at, session.pending.request.duration_hint);
--- a/src/state/servers.rs
+++ b/src/state/servers.rs
@@ -62,6 +62,13 @@
         self.0.push_back(now);
     }
 
+    /// Removes a set-up that did not reach the server.
+    pub fn remove(&mut self, sent_at: Timestamp) {
+        if let Some(position) = self.0.iter().rposition(|time| *time == sent_at) {
+            self.0.remove(position);
+        }
+    }
+
     /// Number of set-ups after a time.
     pub fn count_after(&self, time: Timestamp) -> usize {
         self.0.iter().rev().take_while(|set_up| **set_up > time).count()
--- a/tests/warm_up.rs
+++ b/tests/warm_up.rs
@@ -143,3 +143,25 @@
         );
     }
 }
+
+/// A set-up that did not leave the director, or whose connection was not established, is no work for the server.
+#[test]
+fn attempts_that_did_not_reach_a_server_do_not_count_towards_the_warm_up_limit() {
+    let mut harness = DirectorHarness::new(settings(), 0);
+    let started = Endpoint {
+        started_at: Some(harness.now - SECOND),
+        ..endpoint(1)
+    };
+    harness.update_endpoints(EndpointUpdate::Delta, vec![started]);
+    let mut sent = 0;
+    for id in 0..400 {
+        let actions = harness.request_session(id, IDEMPOTENT);
+        if attempted_server(&actions).is_some() {
+            sent += 1;
+            harness.handle(Event::RequestWithdrawn(SessionId(id)));
+            harness.finish_attempt(id, 0, ServerId(1), Outcome::NotSent);
+        }
+        harness.now += 2 * MILLISECOND;
+    }
+    assert!(sent > 4, "{sent} attempts");
+}
