Take over transfers beyond a node's stated capacity, but do not count them

Change: only the limit by memory rejects or displaces transfers; the decision module counts at most twice a node's capacity, so that sessions that do not exist keep no request from it.

--- a/crates/platform-proto/src/director_protocol/transfers.rs
+++ b/crates/platform-proto/src/director_protocol/transfers.rs
@@ -67,7 +67,8 @@
         self.release_transfer(viewer, wire_id, reason.cause());
     }
 
-    /// Takes over a session, unless there is no capacity for it.
+    /// Takes over a session, unless there is no capacity for it. The decision module counts no more sessions at a node
+    /// than that can have: sessions that do not exist must not keep others from it.
     fn adopt_session(
         &mut self,
         viewer: ViewerId,
@@ -75,41 +76,34 @@
         server: ServerId,
         request: SessionRequest,
     ) {
-        match self.take_over(viewer, server) {
+        match self.take_over(viewer) {
             Ok(displaced) => displaced
                 .into_iter()
                 .for_each(|displaced| self.end_unconfirmed(displaced)),
             Err(reason) => return self.reject_transfer(viewer, wire_id, reason),
         }
+        let is_counted = !self.has_all_sessions(server);
         if let Some((id, request)) = self.insert_session(viewer, wire_id, request) {
             self.sessions.mark_transferred(id, viewer);
             self.session_activated(id, server);
-            self.events
-                .push_back(Event::SessionTransferred(request, server));
+            if is_counted {
+                self.events
+                    .push_back(Event::SessionTransferred(request, server));
+            }
         }
     }
 
     // ---- limits ------------------------------------------------------------------------------
 
     /// Decides whether a session is taken over; returns the session that it displaces, if any.
-    fn take_over(
-        &self,
-        viewer: ViewerId,
-        server: ServerId,
-    ) -> Result<Option<SessionId>, RejectReason> {
+    fn take_over(&self, viewer: ViewerId) -> Result<Option<SessionId>, RejectReason> {
         let unconfirmed = self.sessions.unconfirmed();
         let limits = &self.memory_limits;
-        let is_full = unconfirmed.len() >= limits.max_unconfirmed
-            || self.sessions.len() >= limits.max_sessions;
         // With the new session, the viewer would have as many as the one that loses a session keeps.
         let count = unconfirmed.count_of(viewer) + 1;
-        let is_node_full = self.has_all_sessions(server);
         permission::take_over(&TransferState {
-            is_node_full,
-            is_full,
-            displaceable_at_node: is_node_full
-                .then(|| self.find_displaceable_at(server, count))
-                .flatten(),
+            is_full: unconfirmed.len() >= limits.max_unconfirmed
+                || self.sessions.len() >= limits.max_sessions,
             displaceable: unconfirmed.find_displaceable(count),
         })
     }
@@ -129,19 +123,6 @@
         capacity.is_some_and(|streams| sessions as f64 >= streams * CAPACITY_TOLERANCE)
     }
 
-    /// The latest unconfirmed session at the node of the connection with the most sessions, if that has more than
-    /// `count`.
-    fn find_displaceable_at(&self, server: ServerId, count: usize) -> Option<SessionId> {
-        let unconfirmed = self.sessions.unconfirmed();
-        let count_with = |session: &SessionId| {
-            let viewer = unconfirmed.viewer_of(*session)?;
-            Some((unconfirmed.count_of(viewer), *session))
-        };
-        let sessions = self.nodes.get(server)?.active_sessions();
-        let (largest, session) = sessions.iter().filter_map(count_with).max()?;
-        (largest > count).then_some(session)
-    }
-
     /// Ends a transferred session that no node has confirmed, as rejected. It is not released at the node, which
     /// probably has no such session: if it has, the viewer may transfer it to another director.
     fn end_unconfirmed(&mut self, id: SessionId) {
--- a/crates/platform-proto/src/permission.rs
+++ b/crates/platform-proto/src/permission.rs
@@ -26,8 +26,6 @@
     SessionLimit,
     /// It is a transfer, and its node is not in the endpoint list.
     UnknownNode,
-    /// It is a transfer to a node that can't have that many sessions.
-    NodeLimit,
     /// It is a transfer, and the maximum number of transferred sessions is reached.
     TransferLimit,
 }
@@ -45,7 +43,6 @@
             | RejectReason::ViewerLeft
             | RejectReason::ConnectionLimit
             | RejectReason::SessionLimit
-            | RejectReason::NodeLimit
             | RejectReason::TransferLimit => cause::REJECTED,
         }
     }
@@ -92,26 +89,18 @@
 
 /// What taking over an active session depends on.
 pub(crate) struct TransferState {
-    /// Whether the node has more sessions than it can have.
-    pub(crate) is_node_full: bool,
     /// Whether the maximum number of transferred sessions is reached.
     pub(crate) is_full: bool,
-    /// The session that this one displaces at the node if that is full.
-    pub(crate) displaceable_at_node: Option<SessionId>,
-    /// The session that this one displaces otherwise.
+    /// The session that this one displaces in that case.
     pub(crate) displaceable: Option<SessionId>,
 }
 
 /// Decides whether a transferred session is taken over; returns the session that it displaces, if any.
 pub(crate) fn take_over(state: &TransferState) -> Result<Option<SessionId>, RejectReason> {
-    if state.is_node_full {
-        let displaced = state.displaceable_at_node;
-        displaced.map(Some).ok_or(RejectReason::NodeLimit)
-    } else if state.is_full {
-        let displaced = state.displaceable;
-        displaced.map(Some).ok_or(RejectReason::TransferLimit)
-    } else {
-        Ok(None)
+    match state.displaceable {
+        _ if !state.is_full => Ok(None),
+        Some(displaced) => Ok(Some(displaced)),
+        None => Err(RejectReason::TransferLimit),
     }
 }
 
