--- a/tests/warm_up.rs
+++ b/tests/warm_up.rs
@@ -114,28 +114,34 @@
     assert!((4..=20).contains(&sent), "{sent} attempts");
 }
 
+/// Number of attempts at a server that has just started, of 400 requests within 0.8 s that are all withdrawn at once;
+/// each attempt ends with this outcome.
+fn count_withdrawn_attempts(outcome: Outcome) -> usize {
+    let mut harness = DirectorHarness::new(settings(), 0);
+    let started = Endpoint {
+        started_at: Some(harness.now - SECOND),
+        ..endpoint(1)
+    };
+    harness.update_endpoints(EndpointUpdate::Delta, vec![started]);
+    let mut sent = 0;
+    for id in 0..400 {
+        let actions = harness.request_session(id, IDEMPOTENT);
+        if attempted_server(&actions).is_some() {
+            sent += 1;
+            harness.handle(Event::RequestWithdrawn(SessionId(id)));
+            harness.finish_attempt(id, 0, ServerId(1), outcome);
+        }
+        harness.now += 2 * MILLISECOND;
+    }
+    sent
+}
+
 /// Guards against a warming server pushed over by requests that are taken back at once, or that end at once: their
 /// set-ups no longer counted (39 in two seconds where it falls at more than 17).
 #[test]
 fn attempts_whose_requests_have_ended_count_towards_the_warm_up_limit() {
     for outcome in [Outcome::Cancelled, Outcome::Rejected, Outcome::Success] {
-        let mut harness = DirectorHarness::new(settings(), 0);
-        let now = harness.now;
-        let started = Endpoint {
-            started_at: Some(now - SECOND),
-            ..endpoint(1)
-        };
-        harness.update_endpoints(EndpointUpdate::Delta, vec![started]);
-        let mut sent = 0;
-        for id in 0..400 {
-            let actions = harness.request_session(id, IDEMPOTENT);
-            if attempted_server(&actions).is_some() {
-                sent += 1;
-                harness.handle(Event::RequestWithdrawn(SessionId(id)));
-                harness.finish_attempt(id, 0, ServerId(1), outcome);
-            }
-            harness.now += 2 * MILLISECOND;
-        }
+        let sent = count_withdrawn_attempts(outcome);
         // The overload rate is 2 * 30 streams * 0.4 / 12 s: 4 in two seconds.
         assert!(
             (1..=4).contains(&sent),
@@ -147,21 +153,6 @@
 /// A set-up that did not leave the director, or whose connection was not established, is no work for the server.
 #[test]
 fn attempts_that_did_not_reach_a_server_do_not_count_towards_the_warm_up_limit() {
-    let mut harness = DirectorHarness::new(settings(), 0);
-    let started = Endpoint {
-        started_at: Some(harness.now - SECOND),
-        ..endpoint(1)
-    };
-    harness.update_endpoints(EndpointUpdate::Delta, vec![started]);
-    let mut sent = 0;
-    for id in 0..400 {
-        let actions = harness.request_session(id, IDEMPOTENT);
-        if attempted_server(&actions).is_some() {
-            sent += 1;
-            harness.handle(Event::RequestWithdrawn(SessionId(id)));
-            harness.finish_attempt(id, 0, ServerId(1), Outcome::NotSent);
-        }
-        harness.now += 2 * MILLISECOND;
-    }
+    let sent = count_withdrawn_attempts(Outcome::NotSent);
     assert!(sent > 4, "{sent} attempts");
 }
